--- /dev/null
+++ b/snipetrestle/services/protocol.py
@@ -0,0 +1,40 @@
+"""Interface and types towards plain services."""
+
+import typing
+
+import msgspec
+
+
+class ServiceCall(msgspec.Struct, frozen=True):
+    """One call of an operation. ``timeout`` is in seconds."""
+
+    service: str
+    operation: str
+    body: bytes
+    content_type: str = "application/json"
+    idempotency_key: str | None = None
+    fencing_number: int | None = None
+    timeout: float = 10.0
+
+
+class ServiceAnswer(msgspec.Struct, frozen=True):
+    """A service's answer. ``status`` is the HTTP status."""
+
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+
+
+class ServiceUnreachable(Exception):
+    """No answer came. ``sent`` is false only if the call surely did not leave."""
+
+    def __init__(self, detail, sent):
+        self.sent = sent
+        super().__init__(detail)
+
+
+class ServiceClient(typing.Protocol):
+    """Calls to plain services."""
+
+    async def call(self, call: ServiceCall) -> ServiceAnswer:
+        """Raises ServiceUnreachable."""
