Publish the previous keepers, and name the refusal of an old fencing number

Cause: keeper groups follow the published daemon names, so an epoch needs to know the names that decided the previous groups; services that check fencing numbers need a typed refusal. Change: writes.previous (epoch, daemons, keepers_per_key), writes.max_result_bytes, OldFencingNumber of plain services, numbers scoped to the idempotency key. Conclusion: a handover without a shared store is possible when operators publish what they published before.

--- a/snipetrestle/published.py
+++ b/snipetrestle/published.py
@@ -138,14 +138,28 @@
     failure_domain: str
 
 
+class PreviousKeepers(msgspec.Struct, frozen=True):
+    """The epoch that hands its records over: what decided its keeper groups."""
+
+    epoch: int
+    daemons: tuple[DaemonEntry, ...]
+    keepers_per_key: int = 5
+
+
 class Writes(msgspec.Struct, frozen=True):
-    """Parameters of non-idempotent writes. ``start`` is ``new`` or ``existing``."""
+    """Parameters of non-idempotent writes. ``start`` is ``new`` or ``existing``.
+
+    ``previous`` is published with a new epoch and removed when all keepers are ready.
+    ``max_records`` and ``max_result_bytes`` bound the memory of one keeper.
+    """
 
     epoch: int = 1
     start: str = "new"
     keepers_per_key: int = 5
     result_retention_s: float = 86_400.0
     max_records: int = 200_000
+    max_result_bytes: int = 16_777_216
+    previous: PreviousKeepers | None = None
 
 
 class Operator(msgspec.Struct, frozen=True):
@@ -349,6 +363,12 @@
         yield Problem(
             "writes.keepers_per_key", repr(writes.keepers_per_key), "must be odd"
         )
+    if writes.previous is not None and writes.previous.epoch >= writes.epoch:
+        yield Problem(
+            "writes.previous.epoch",
+            repr(writes.previous.epoch),
+            "must be below writes.epoch",
+        )
     for name in ("load_stalls", "batch_efficiency"):
         value = getattr(configuration.policy, name)
         if value < 0:
--- a/snipetrestle/services/protocol.py
+++ b/snipetrestle/services/protocol.py
@@ -6,7 +6,11 @@
 
 
 class ServiceCall(msgspec.Struct, frozen=True):
-    """One call of an operation. ``timeout`` is in seconds."""
+    """One call of an operation. ``timeout`` is in seconds.
+
+    A service that checks fencing numbers remembers the highest number for each
+    idempotency key, from writes and lookups, and refuses a call with a lower one.
+    """
 
     service: str
     operation: str
@@ -33,8 +37,16 @@
         super().__init__(detail)
 
 
+class OldFencingNumber(Exception):
+    """The service refused an old fencing number; the call had no effect."""
+
+    def __init__(self, highest):
+        self.highest = highest
+        super().__init__(f"the service has seen fencing number {highest}")
+
+
 class ServiceClient(typing.Protocol):
     """Calls to plain services."""
 
     async def call(self, call: ServiceCall) -> ServiceAnswer:
-        """Raises ServiceUnreachable."""
+        """Raises ServiceUnreachable or OldFencingNumber."""
