--- /dev/null
+++ b/snipetrestle/writes/records.py
@@ -0,0 +1,162 @@
+"""Records of idempotency keys: claims, outcomes and the bounded table that holds them."""
+
+import enum
+import hashlib
+from collections import deque
+
+import msgspec
+
+from snipetrestle.peers.members import Incarnation
+
+# 128 bits: two keys collide by chance only after about 2**64 keys.
+DIGEST_BYTES = 16
+# A larger result is returned once and not kept, so that one caller cannot fill a keeper.
+MAX_RESULT_BYTES = 65_536
+_NO_INCARNATION = Incarnation(0, 0)
+
+
+def digest_of(*parts):
+    """Returns a digest of texts or bytes; the length of each part is included."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        digest.update(len(data).to_bytes(8, "big"))
+        digest.update(data)
+    return digest.digest()
+
+
+class Claim(msgspec.Struct, frozen=True, order=True):
+    """One claim of one daemon incarnation for a key, to run one request."""
+
+    member: str
+    incarnation: Incarnation
+    number: int
+    request_digest: bytes
+
+
+class Ballot(msgspec.Struct, frozen=True, order=True):
+    """Number of a proposed outcome. Round 0 belongs to the claimant that won the key."""
+
+    round: int
+    member: str = ""
+    incarnation: Incarnation = _NO_INCARNATION
+    number: int = 0
+
+
+CLAIMANT_BALLOT = Ballot(0)
+
+
+class OutcomeKind(enum.StrEnum):
+    """Final outcomes of a key."""
+
+    DONE = "done"
+    DID_NOT_RUN = "did_not_run"
+
+
+class WriteOutcome(msgspec.Struct, frozen=True):
+    """Final outcome of a key. ``body`` is None when the result is not kept."""
+
+    kind: OutcomeKind
+    status: int = 0
+    content_type: str = ""
+    body: bytes | None = None
+
+    def without_result(self):
+        return WriteOutcome(self.kind, self.status)
+
+
+class KeyRecord(msgspec.Struct):
+    """What a keeper knows of one key.
+
+    ``claims`` holds the claim that this incarnation voted for, or the claims found
+    during recovery. ``voted`` is true only for a vote of this incarnation.
+    ``request_digest`` belongs to the outcome.
+    """
+
+    claims: tuple[Claim, ...] = ()
+    voted: bool = False
+    promised: Ballot | None = None
+    accepted: Ballot | None = None
+    outcome: WriteOutcome | None = None
+    request_digest: bytes = b""
+
+    def merge(self, other):
+        """Adds another keeper's record of the same key; this keeper abstains."""
+        self.claims = tuple(sorted({*self.claims, *other.claims}))
+        self.voted = False
+        if other.promised is not None:
+            self.promised = max(self.promised or other.promised, other.promised)
+        if other.accepted is None:
+            return
+        newer = self.accepted is None or other.accepted > self.accepted
+        more = other.accepted == self.accepted and self.outcome.body is None
+        if newer or more:
+            self.accepted = other.accepted
+            self.outcome = other.outcome
+            self.request_digest = other.request_digest
+
+
+class RecordTable:
+    """Records of one keeper by (group, partition), bounded in number and result bytes.
+
+    A result leaves after its retention, or earlier when results exceed the byte limit.
+    The rest of a record is never removed.
+    """
+
+    def __init__(self, max_records, max_result_bytes, retention_s):
+        self.max_records = max_records
+        self.max_result_bytes = max_result_bytes
+        self.retention_s = retention_s
+        self.record_count = 0
+        self.result_bytes = 0
+        self._kept_results = deque()
+
+    def is_full(self):
+        return self.record_count >= self.max_records
+
+    def add(self, records, key_id, record):
+        """Adds a record. Callers check ``is_full`` first where a refusal is possible."""
+        records[key_id] = record
+        self.record_count += 1
+
+    def remove(self, records, key_id):
+        del records[key_id]
+        self.record_count -= 1
+
+    def forget(self, records):
+        """Gives up a whole table whose group has ended."""
+        for record in records.values():
+            self.drop_result(record)
+        self.record_count -= len(records)
+
+    def set_outcome(self, record, ballot, outcome, now):
+        """Stores an outcome and plans the removal of its result."""
+        self.drop_result(record)
+        if outcome.body is not None and len(outcome.body) > MAX_RESULT_BYTES:
+            outcome = outcome.without_result()
+        record.accepted = ballot
+        record.outcome = outcome
+        self.keep_result(record, now)
+
+    def keep_result(self, record, now):
+        """Counts the result of a record and plans its removal."""
+        if record.outcome is None or record.outcome.body is None:
+            return
+        self.result_bytes += len(record.outcome.body)
+        self._kept_results.append((now + self.retention_s, record, record.outcome))
+        self.expire(now)
+
+    def drop_result(self, record):
+        if record.outcome is not None and record.outcome.body is not None:
+            self.result_bytes -= len(record.outcome.body)
+            record.outcome = record.outcome.without_result()
+
+    def expire(self, now):
+        """Removes the results that are due or exceed the byte limit, oldest first."""
+        while self._kept_results:
+            due, record, outcome = self._kept_results[0]
+            if due > now and self.result_bytes <= self.max_result_bytes:
+                return
+            self._kept_results.popleft()
+            if record.outcome is outcome:
+                self.drop_result(record)
