Test that writes run at most once, with each guard switched off once

Change: a stand-in service with faults as parameters, a fleet of write parts in one process, and 31 tests on the advanced clock. Seven of them switch a guard off (single votes, recovery, known incarnations, ballots, recorded outcome, fencing check, handover) and see the promise broken.

--- /dev/null
+++ b/snipetrestle_standins/service.py
@@ -0,0 +1,146 @@
+"""Stand-in for a plain service: runs writes, counts them by key, and has faults.
+
+``StandInService`` is the core. ``ServiceLine`` is one daemon's line to it and implements
+``ServiceClient``; it stops while the daemon is paused.
+"""
+
+import json
+from collections import Counter
+
+import anyio
+
+from snipetrestle.services.protocol import (
+    OldFencingNumber,
+    ServiceAnswer,
+    ServiceUnreachable,
+)
+
+NOT_FOUND = ServiceAnswer(404, b"{}")
+
+
+class ServiceFaults:
+    """Faults of a service; all can be changed at any time. Times are in seconds.
+
+    ``answer_delay_s`` delays the answer after a write ran; ``run_delay_s`` delays the
+    run itself. ``lose_answers`` and ``refuse_connections`` count down the next calls
+    that are affected.
+    """
+
+    def __init__(
+        self,
+        run_delay_s=0.0,
+        answer_delay_s=0.0,
+        lose_answers=0,
+        refuse_connections=0,
+        checks_fencing_numbers=False,
+    ):
+        self.run_delay_s = run_delay_s
+        self.answer_delay_s = answer_delay_s
+        self.lose_answers = lose_answers
+        self.refuse_connections = refuse_connections
+        self.checks_fencing_numbers = checks_fencing_numbers
+
+
+class StandInService:
+    """A service with writes and an idempotent lookup, in memory.
+
+    Writes run each time they are called: the service does not deduplicate by key. Use as
+    an async context manager; a call that has left a daemon runs in the service's own
+    tasks, even if the daemon disappears.
+    """
+
+    def __init__(self, lookups=("lookup",), faults=None, delay_s=0.0005):
+        self.lookups = frozenset(lookups)
+        self.faults = faults or ServiceFaults()
+        self.delay_s = delay_s
+        self.calls = []
+        self.executions_by_key = Counter()
+        self.bodies_by_key = {}
+        self._answers_by_key = {}
+        self._highest_by_key = {}
+        self._group = None
+
+    async def __aenter__(self):
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        return self
+
+    async def __aexit__(self, *details):
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(*details)
+
+    async def call(self, call):
+        """Returns the answer. Raises ServiceUnreachable or OldFencingNumber."""
+        if self.faults.refuse_connections > 0:
+            self.faults.refuse_connections -= 1
+            raise ServiceUnreachable("connection refused", sent=False)
+        send, receive = anyio.create_memory_object_stream(1)
+        self._group.start_soon(self._serve, call, send)
+        with receive, anyio.move_on_after(call.timeout):
+            result = await receive.receive()
+            if isinstance(result, Exception):
+                raise result
+            return result
+        raise ServiceUnreachable(f"no answer within {call.timeout} s", sent=True)
+
+    async def _serve(self, call, send):
+        with send:
+            await anyio.sleep(self.delay_s)
+            is_lookup = call.operation in self.lookups
+            if not is_lookup:
+                await anyio.sleep(self.faults.run_delay_s)
+            result = self._run(call, is_lookup)
+            if not is_lookup:
+                await anyio.sleep(self.faults.answer_delay_s)
+                if self.faults.lose_answers > 0:
+                    self.faults.lose_answers -= 1
+                    await anyio.sleep_forever()
+            await anyio.sleep(self.delay_s)
+            try:
+                send.send_nowait(result)
+            except anyio.BrokenResourceError:
+                # The caller has given up.
+                return
+
+    def _run(self, call, is_lookup):
+        """Checks the fencing number and runs the operation, without interruption."""
+        self.calls.append(call)
+        key = call.idempotency_key
+        highest = self._highest_by_key.get(key, 0)
+        if self.faults.checks_fencing_numbers and call.fencing_number is not None:
+            if call.fencing_number < highest:
+                return OldFencingNumber(highest)
+            self._highest_by_key[key] = call.fencing_number
+        if is_lookup:
+            # Its status differs from the write's, so tests can tell the answers apart.
+            answer = self._answers_by_key.get(key)
+            return ServiceAnswer(200, answer.body) if answer else NOT_FOUND
+        self.executions_by_key[key] += 1
+        self.bodies_by_key.setdefault(key, []).append(call.body)
+        total = sum(self.executions_by_key.values())
+        answer = ServiceAnswer(201, json.dumps({"entry": total}).encode())
+        self._answers_by_key.setdefault(key, answer)
+        return answer
+
+
+class ServiceLine:
+    """ServiceClient of one daemon. ``pause_point`` waits while the daemon is paused.
+
+    Time-outs that pass during a pause take effect after it: a daemon that wakes up
+    sends the call that it was about to send.
+    """
+
+    def __init__(self, service, pause_point):
+        self._service = service
+        self._pause_point = pause_point
+
+    async def call(self, call):
+        await self._wait_while_paused()
+        try:
+            return await self._service.call(call)
+        finally:
+            await self._wait_while_paused()
+
+    async def _wait_while_paused(self):
+        with anyio.CancelScope(shield=True):
+            await self._pause_point()
--- /dev/null
+++ b/snipetrestle_standins/writes_fleet.py
@@ -0,0 +1,237 @@
+"""The write parts of a few daemons in one process, for tests and measurements."""
+
+import random
+
+import anyio
+from loguru import logger
+
+from snipetrestle.codes import ServingError
+from snipetrestle.hashing import rendezvous_first
+from snipetrestle.peers.members import Incarnation, Member, StaticMembership
+from snipetrestle.peers.transport import MessageRouter
+from snipetrestle.published import PublishedConfiguration
+from snipetrestle.writes import Keeper, WriteCoordinator, WriteRequest
+from snipetrestle.writes.groups import GroupLayout
+from snipetrestle.writes.records import digest_of
+from snipetrestle_standins.network import InMemoryNetwork
+from snipetrestle_standins.service import ServiceLine, StandInService
+
+DOMAINS = ("palermo", "catania", "messina")
+CUSTOMER, SERVICE = "consorzio", "register"
+
+
+def make_configuration(daemons=7, **changes):
+    """Returns a published configuration; ``changes`` go into ``writes``."""
+    operations = [
+        {"service": SERVICE, "name": "plain", "idempotent": False, "timeout_s": 2.0},
+        {
+            "service": SERVICE,
+            "name": "enter",
+            "idempotent": False,
+            "lookup": "lookup",
+            "timeout_s": 2.0,
+        },
+        {"service": SERVICE, "name": "lookup", "idempotent": True, "timeout_s": 2.0},
+    ]
+    contract = {
+        "requests_per_second": 100,
+        "concurrency": 100,
+        "tokens_per_minute": 1000,
+        "waiting_first_token_s": 1,
+        "operations": operations,
+    }
+    checks = changes.pop("checks_fencing_numbers", False)
+    names = changes.pop("names", [f"entry-{number}" for number in range(daemons)])
+    return PublishedConfiguration.from_data(
+        {
+            "models": [],
+            "adapters": [],
+            "customers": [
+                {"name": CUSTOMER, "api_key_sha256": [], "contract": contract}
+            ],
+            "backend_servers": [],
+            "daemons": daemon_entries(names),
+            "services": [{"name": SERVICE, "checks_fencing_numbers": checks}],
+            "writes": changes,
+        }
+    )
+
+
+def daemon_entries(names):
+    return [
+        {"name": name, "failure_domain": DOMAINS[int(name.split("-")[1]) % 3]}
+        for name in names
+    ]
+
+
+def make_members(names):
+    return [
+        Member(name, "127.0.0.1:1", DOMAINS[int(name.split("-")[1]) % 3], "sicily")
+        for name in names
+    ]
+
+
+class Daemon:
+    """Keeper and coordinator of one daemon incarnation."""
+
+    def __init__(self, fleet, name, number):
+        self.fleet = fleet
+        self.name = name
+        self.router = MessageRouter()
+        self.transport = fleet.network.attach(name, self.router)
+        if fleet.transport_type is not None:
+            self.transport = fleet.transport_type(self.transport)
+        self.incarnation = Incarnation(number, 7)
+        self.membership = StaticMembership(
+            name, self.incarnation, make_members(fleet.names)
+        )
+        self.keeper = fleet.keeper_class(
+            self.transport, self.router, self.membership, fleet.partitions
+        )
+        self.coordinator = fleet.coordinator_class(
+            self.transport,
+            self.router,
+            self.membership,
+            ServiceLine(fleet.service, self.transport.pause_point),
+            random.Random(f"{fleet.seed}-{name}-{number}"),
+            fleet.partitions,
+        )
+        self.scope = anyio.CancelScope()
+        self.apply(fleet.configuration)
+
+    def apply(self, configuration):
+        self.keeper.apply(configuration)
+        self.coordinator.apply(configuration)
+
+    async def run(self):
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.keeper.run)
+                tasks.start_soon(self.coordinator.run)
+
+
+class Fleet:
+    """All daemons, the network and the service. Use as an async context manager.
+
+    ``keeper_class`` and ``coordinator_class`` are replaced by tests that switch a guard
+    off. One partition makes the start cheap and the keepers the same for every key.
+    """
+
+    def __init__(
+        self,
+        configuration=None,
+        keeper_class=Keeper,
+        coordinator_class=WriteCoordinator,
+        faults=None,
+        seed=1,
+        transport_type=None,
+        partitions=1,
+    ):
+        self.configuration = configuration or make_configuration()
+        self.names = [item.name for item in self.configuration.daemons]
+        self.keeper_class = keeper_class
+        self.coordinator_class = coordinator_class
+        self.seed = seed
+        self.transport_type = transport_type
+        self.partitions = partitions
+        self.network = InMemoryNetwork()
+        self.service = StandInService(faults=faults)
+        self.daemons_by_name = {}
+        self._starts = 0
+        self._group = None
+
+    async def __aenter__(self):
+        logger.disable("snipetrestle")
+        await self.network.__aenter__()
+        await self.service.__aenter__()
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        for name in self.names:
+            self.start(name)
+        await self.settle()
+        return self
+
+    async def __aexit__(self, *details):
+        self._group.cancel_scope.cancel()
+        await self._group.__aexit__(*details)
+        await self.service.__aexit__(*details)
+        await self.network.__aexit__(*details)
+        logger.enable("snipetrestle")
+
+    def start(self, name, number=None):
+        """Starts a daemon, or replaces it with one that has an empty memory."""
+        self.kill(name)
+        return self._start_run(name, number)
+
+    def _start_run(self, name, number=None):
+        self._starts += 1
+        daemon = Daemon(self, name, number or self._starts)
+        self.daemons_by_name[name] = daemon
+        self._group.start_soon(daemon.run)
+        return daemon
+
+    def kill(self, name):
+        daemon = self.daemons_by_name.pop(name, None)
+        if daemon is not None:
+            self.network.kill(name)
+            daemon.scope.cancel()
+
+    def replace_paused(self, name):
+        """Replaces a daemon whose old run is paused and goes on when it is resumed.
+
+        Returns the old run. Its messages still leave; none reach it.
+        """
+        old = self.daemons_by_name.pop(name)
+        self._start_run(name)
+        return old
+
+    def publish(self, configuration, names=None):
+        """Applies a configuration at the named daemons (default: all)."""
+        self.configuration = configuration
+        for name in names or tuple(self.daemons_by_name):
+            self.daemons_by_name[name].apply(configuration)
+
+    async def settle(self, seconds=3.0):
+        await anyio.sleep(seconds)
+
+    def keepers(self):
+        """Returns the names of the keepers of the only partition."""
+        layout = GroupLayout.current(self.configuration, self.partitions)
+        return layout.groups[0].members
+
+    def limit_view(self, name, members):
+        """Gives one daemon a membership view with only the given members."""
+        self.daemons_by_name[name].membership.set_members(make_members(members))
+
+    async def write(
+        self, name, key="k1", operation="plain", body=b"{}", time_left_s=5.0
+    ):
+        """Sends a write to one entry. Returns (code number or 0, WriteResult or error)."""
+        request = WriteRequest(
+            CUSTOMER, SERVICE, operation, key, body, "application/json", time_left_s
+        )
+        try:
+            result = await self.daemons_by_name[name].coordinator.run_write(request)
+        except ServingError as error:
+            return error.code.number, error
+        return 0, result
+
+    async def write_everywhere(self, **arguments):
+        """Sends the same write to all daemons at one instant; returns the answers."""
+        answers = []
+
+        async def send(name):
+            answers.append(await self.write(name, **arguments))
+
+        async with anyio.create_task_group() as tasks:
+            for name in tuple(self.daemons_by_name):
+                tasks.start_soon(send, name)
+        return answers
+
+    def home_of(self, key="k1"):
+        return rendezvous_first(
+            digest_of(CUSTOMER, SERVICE, key).hex(), dict.fromkeys(self.names, 1.0)
+        )
+
+    def executions(self, key="k1"):
+        return self.service.executions_by_key[key]
--- /dev/null
+++ b/tests/writes/test_at_most_once.py
@@ -0,0 +1,587 @@
+"""Tests that a write runs at most once (P5) and that answers are true (P4).
+
+Tests named ``..._breaks_without_...`` switch a guard off and see the promise broken.
+"""
+
+import anyio
+import testtools
+
+from snipetrestle.writes import Keeper, coordinator, outcomes
+from snipetrestle.writes.groups import choose_keepers
+from snipetrestle.writes.keeper import KeeperPartition
+from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.service import ServiceFaults
+from snipetrestle_standins.writes_fleet import Fleet, daemon_entries, make_configuration
+
+OK, UNKNOWN, DID_NOT_RUN, IN_PROGRESS = 0, 1401, 1402, 1404
+NO_OUTCOME = {UNKNOWN, IN_PROGRESS}
+
+
+class GenerousPartition(KeeperPartition):
+    """Fault: votes for every claim."""
+
+    def may_vote(self, record):
+        return record.outcome is None
+
+
+class ForgetfulPartition(KeeperPartition):
+    """Fault: is ready without recovery."""
+
+    async def join(self):
+        self._become_ready()
+
+
+class GenerousKeeper(Keeper):
+    partition_class = GenerousPartition
+
+
+class ForgetfulKeeper(Keeper):
+    partition_class = ForgetfulPartition
+
+
+class PauseBefore:
+    """ServiceClient that pauses its daemon before (or after) its first call."""
+
+    def __init__(self, fleet, name, after=False):
+        self.daemon = fleet.daemons_by_name[name]
+        self.network = fleet.network
+        self.line = self.daemon.coordinator._services
+        self.after = after
+        self.daemon.coordinator._services = self
+
+    async def call(self, call):
+        self.daemon.coordinator._services = self.line
+        if not self.after:
+            self.network.pause(self.daemon.name)
+            return await self.line.call(call)
+        answer = await self.line.call(call)
+        self.network.pause(self.daemon.name)
+        await self.line._wait_while_paused()
+        return answer
+
+
+class DelayedTransport:
+    """Delays calls to some members by the given seconds."""
+
+    def __init__(self, inner, delays_by_name):
+        self.inner = inner
+        self.delays_by_name = delays_by_name
+
+    async def call(self, member, message, timeout):
+        await anyio.sleep(self.delays_by_name.get(member, 0))
+        return await self.inner.call(member, message, timeout)
+
+
+def codes_of(answers):
+    return {code for code, _ in answers}
+
+
+def results_of(answers):
+    return {(item.status, item.body) for code, item in answers if code == OK}
+
+
+class WritesTestCase(testtools.TestCase):
+    def run_with(self, scenario, **arguments):
+        """Runs a scenario; its failure is raised outside of the fleet's task groups."""
+        failures = []
+
+        async def main():
+            async with Fleet(**arguments) as fleet:
+                try:
+                    await scenario(fleet)
+                except Exception as failure:
+                    failures.append(failure)
+
+        run_advanced(main)
+        if failures:
+            raise failures[0]
+
+
+class HolderPausesTest(WritesTestCase):
+    async def pause_holder(self, fleet, operation="plain", after=False):
+        """Pauses the claimant at its service call while callers retry everywhere.
+
+        Returns the answers to the retries and to one more round after it woke up.
+        """
+        home = fleet.home_of()
+        PauseBefore(fleet, home, after)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fleet.write, fleet.names[0], "k1", operation)
+            await anyio.sleep(0.5)
+            during = []
+            for name in [name for name in fleet.names if name != home]:
+                during.append(await fleet.write(name, operation=operation))
+            await anyio.sleep(300)
+            fleet.network.resume(home)
+        await fleet.settle()
+        return during, await fleet.write_everywhere(operation=operation)
+
+    def test_holder_that_wakes_minutes_later_runs_the_write_once(self):
+        """Guards against a second run while the owner of the key is only paused."""
+
+        async def scenario(fleet):
+            during, after = await self.pause_holder(fleet)
+            self.assertTrue(codes_of(during) <= NO_OUTCOME, during)
+            self.assertTrue(codes_of(after) <= {OK} | NO_OUTCOME, after)
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario)
+
+    def test_breaks_without_single_votes(self):
+        async def scenario(fleet):
+            await self.pause_holder(fleet)
+            self.assertGreater(fleet.executions(), 1)
+
+        self.run_with(scenario, keeper_class=GenerousKeeper)
+
+    def fencing(self, checks):
+        return {
+            "configuration": make_configuration(checks_fencing_numbers=True),
+            "faults": ServiceFaults(checks_fencing_numbers=checks),
+        }
+
+    def test_higher_number_makes_did_not_run_certain(self):
+        """Guards against a holder that wakes up after "did not run" was told (P4)."""
+
+        async def scenario(fleet):
+            during, after = await self.pause_holder(fleet, "enter")
+            self.assertEqual({DID_NOT_RUN}, codes_of(during))
+            self.assertEqual({DID_NOT_RUN}, codes_of(after))
+            self.assertEqual(0, fleet.executions())
+
+        self.run_with(scenario, **self.fencing(True))
+
+    def test_did_not_run_breaks_without_the_check_of_fencing_numbers(self):
+        async def scenario(fleet):
+            during, _ = await self.pause_holder(fleet, "enter")
+            self.assertIn(DID_NOT_RUN, codes_of(during))
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario, **self.fencing(False))
+
+    def test_lookup_without_fencing_proves_only_that_a_write_ran(self):
+        """Guards against "did not run" from a lookup that found nothing yet (P4)."""
+
+        async def scenario(fleet):
+            during, after = await self.pause_holder(fleet, "enter")
+            self.assertTrue(codes_of(during) <= NO_OUTCOME, during)
+            self.assertEqual({OK}, codes_of(after))
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario)
+
+    def test_all_retries_get_one_result_when_lookup_and_holder_disagree(self):
+        """Guards against the holder's answer replacing a result already told."""
+
+        async def scenario(fleet):
+            during, after = await self.pause_holder(fleet, "enter", after=True)
+            self.assertEqual({OK}, codes_of(during + after))
+            self.assertEqual(1, len(results_of(during + after)))
+            self.assertEqual(200, during[0][1].status)
+
+        self.run_with(scenario)
+
+    def test_one_result_breaks_without_ballots(self):
+        class Overwriting(KeeperPartition):
+            def record(self, message):
+                if message.key_id in self.records:
+                    self.records[message.key_id].promised = None
+                return super().record(message)
+
+        class OverwritingKeeper(Keeper):
+            partition_class = Overwriting
+
+        async def scenario(fleet):
+            during, after = await self.pause_holder(fleet, "enter", after=True)
+            self.assertEqual(2, len(results_of(during + after)))
+
+        self.run_with(scenario, keeper_class=OverwritingKeeper)
+
+
+class ViewsAndPartitionsTest(WritesTestCase):
+    async def write_with_own_views(self, fleet):
+        for name in fleet.names:
+            fleet.limit_view(name, [name])
+        return await fleet.write_everywhere()
+
+    def test_retries_to_all_daemons_at_one_instant_run_once(self):
+        """Guards against two attempts in one home and against differing results."""
+
+        async def scenario(fleet):
+            answers = await fleet.write_everywhere()
+            self.assertEqual({OK}, codes_of(answers))
+            self.assertEqual(1, len(results_of(answers)))
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario)
+
+    def test_daemons_that_each_see_only_themselves_run_once(self):
+        """Guards against safety that depends on equal membership views."""
+
+        async def scenario(fleet):
+            answers = await self.write_with_own_views(fleet)
+            answers += await fleet.write_everywhere()
+            self.assertTrue(codes_of(answers) <= {OK} | NO_OUTCOME, answers)
+            self.assertEqual(1, len(results_of(answers)))
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario)
+
+    def test_differing_views_break_without_single_votes(self):
+        async def scenario(fleet):
+            await self.write_with_own_views(fleet)
+            self.assertGreater(fleet.executions(), 1)
+
+        self.run_with(scenario, keeper_class=GenerousKeeper)
+
+    async def write_on_both_sides(self, fleet):
+        keepers = fleet.keepers()
+        others = [name for name in fleet.names if name not in keepers]
+        small = [*keepers[:2], others[0]]
+        large = [name for name in fleet.names if name not in small]
+        fleet.network.partition(small, large)
+        for _ in range(3):
+            for name in (*small, *large):
+                yield name in small, await fleet.write(name)
+        fleet.network.heal()
+        await fleet.settle()
+        yield False, await fleet.write(small[0])
+
+    def test_partition_with_retries_on_both_sides_runs_once(self):
+        """Guards against a run on the side without a majority of the keepers."""
+
+        async def scenario(fleet):
+            answers = [item async for item in self.write_on_both_sides(fleet)]
+            small = [answer for in_small, answer in answers if in_small]
+            large = [answer for in_small, answer in answers if not in_small]
+            self.assertTrue(codes_of(small) <= NO_OUTCOME, small)
+            self.assertEqual(1, len(results_of(large)))
+            self.assertEqual(OK, large[-1][0])
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario)
+
+    def test_loss_of_a_failure_domain_keeps_results_and_new_writes(self):
+        """Guards against keepers that are placed in too few failure domains."""
+
+        async def scenario(fleet):
+            before = await fleet.write("entry-1")
+            for name in ("entry-0", "entry-3", "entry-6"):
+                fleet.kill(name)
+            self.assertEqual(before, await fleet.write("entry-2"))
+            code, _ = await fleet.write("entry-2", key="k2", time_left_s=10)
+            self.assertEqual(OK, code)
+            self.assertEqual((1, 1), (fleet.executions(), fleet.executions("k2")))
+
+        self.run_with(scenario)
+
+    def test_no_failure_domain_has_a_majority_of_keepers(self):
+        entries = make_configuration().daemons
+        domains_by_name = {item.name: item.failure_domain for item in entries}
+        for number in range(200):
+            names = choose_keepers(f"partition-{number}", entries, 5)
+            used = [domains_by_name[name] for name in names]
+            self.assertEqual(5, len(set(names)))
+            self.assertLess(max(used.count(domain) for domain in used), 3)
+
+
+class ReplacedKeepersTest(WritesTestCase):
+    async def replace_keepers(self, fleet, count, in_turn, operation="plain"):
+        """Replaces keepers while the holder is paused with a won claim, then retries."""
+        home = fleet.home_of()
+        PauseBefore(fleet, home)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fleet.write, fleet.names[0], "k1", operation)
+            await anyio.sleep(0.5)
+            for name in [name for name in fleet.keepers() if name != home][:count]:
+                fleet.start(name)
+                await fleet.settle(1.0 if in_turn else 0)
+            await fleet.settle()
+            names = [name for name in fleet.names if name != home]
+            answers = [
+                await fleet.write(name, "k1", operation, time_left_s=20)
+                for name in names
+            ]
+            fleet.network.resume(home)
+            await fleet.settle(15)
+        return answers
+
+    def test_keepers_replaced_in_turn_keep_the_claim(self):
+        """Guards against a vote by a keeper that has lost an earlier vote."""
+
+        async def scenario(fleet):
+            answers = await self.replace_keepers(fleet, 4, True, "enter")
+            self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
+            self.assertEqual(1, fleet.executions())
+            after = await fleet.write_everywhere(operation="enter")
+            self.assertEqual({OK}, codes_of(after))
+
+        self.run_with(scenario)
+
+    def test_loss_of_a_majority_makes_answers_unknown(self):
+        """Guards against empty keepers that start over, also for other keys."""
+
+        async def scenario(fleet):
+            fleet.publish(make_configuration(start="existing"))
+            answers = await self.replace_keepers(fleet, 4, in_turn=False)
+            answers.append(await fleet.write("entry-0", key="k2"))
+            self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
+            self.assertEqual(1, fleet.executions())
+            self.assertEqual(0, fleet.executions("k2"))
+
+        self.run_with(scenario)
+
+    def test_replacement_breaks_without_recovery(self):
+        async def scenario(fleet):
+            await self.replace_keepers(fleet, 4, in_turn=True)
+            self.assertGreater(fleet.executions(), 1)
+
+        self.run_with(scenario, keeper_class=ForgetfulKeeper)
+
+    async def vote_of_old_incarnation(self, fleet):
+        """A claim gets a vote, its keeper is replaced and votes for another claim."""
+        first, second, third, fourth, fifth = fleet.keepers()
+        one, other = [name for name in fleet.names if name not in fleet.keepers()]
+        late = {second: 0.5, third: 0.5, fourth: 10, fifth: 10}
+        self.delay(fleet, one, late)
+        self.delay(fleet, other, {second: 10, third: 10})
+        for name in (one, other):
+            fleet.limit_view(name, [name])
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fleet.write, one)
+            await anyio.sleep(0.1)
+            fleet.start(first)
+            await anyio.sleep(0.2)
+            tasks.start_soon(fleet.write, other)
+
+    def delay(self, fleet, name, delays_by_name):
+        asker = fleet.daemons_by_name[name].coordinator._asker
+        asker._transport = DelayedTransport(asker._transport, delays_by_name)
+
+    def test_vote_of_a_replaced_incarnation_is_discarded(self):
+        """Guards against two majorities that share a keeper's two incarnations."""
+
+        async def scenario(fleet):
+            await self.vote_of_old_incarnation(fleet)
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario)
+
+    def test_old_votes_break_without_known_incarnations(self):
+        self.patch(coordinator, "consistent_replies", lambda replies: replies)
+
+        async def scenario(fleet):
+            await self.vote_of_old_incarnation(fleet)
+            self.assertEqual(2, fleet.executions())
+
+        self.run_with(scenario)
+
+    def test_replacement_with_an_earlier_clock_still_recovers(self):
+        """Guards against safety or recovery that depends on the wall clock."""
+
+        async def scenario(fleet):
+            name = fleet.keepers()[0]
+            fleet.start(name)
+            await fleet.settle()
+            daemon = fleet.start(name, number=1)
+            await fleet.settle()
+            self.assertTrue(daemon.keeper.is_ready())
+            partition = daemon.keeper.current_partitions()[0]
+            self.assertGreater(partition.incarnation.number, len(fleet.names))
+
+        self.run_with(scenario)
+
+
+class ServiceFaultsTest(WritesTestCase):
+    async def late_answer(self, fleet, operation):
+        first = await fleet.write("entry-0", operation=operation, time_left_s=1)
+        second = await fleet.write("entry-1", operation=operation)
+        await fleet.settle(60)
+        answers = await fleet.write_everywhere(operation=operation)
+        self.assertEqual(1, fleet.executions())
+        return first, second, answers
+
+    def test_answer_after_the_time_out_stays_unknown(self):
+        """Guards against a second attempt after a time-out."""
+
+        async def scenario(fleet):
+            first, second, answers = await self.late_answer(fleet, "plain")
+            self.assertTrue(codes_of([first, second, *answers]) <= NO_OUTCOME)
+
+        self.run_with(scenario, faults=ServiceFaults(answer_delay_s=5))
+
+    def test_lookup_turns_unknown_into_done(self):
+        async def scenario(fleet):
+            first, second, answers = await self.late_answer(fleet, "enter")
+            self.assertEqual({OK}, codes_of([second, *answers]))
+            self.assertEqual(1, len(results_of([second, *answers])))
+
+        self.run_with(scenario, faults=ServiceFaults(answer_delay_s=5))
+
+    async def refuse_then_accept(self, fleet):
+        first = await fleet.write("entry-0", time_left_s=10)
+        fleet.service.faults.refuse_connections = 0
+        return first, await fleet.write_everywhere()
+
+    def test_did_not_run_forbids_a_later_run(self):
+        """Guards against a run after the caller was told "did not run" (P4)."""
+
+        async def scenario(fleet):
+            first, later = await self.refuse_then_accept(fleet)
+            self.assertEqual({DID_NOT_RUN}, codes_of([first, *later]))
+            self.assertEqual(0, fleet.executions())
+
+        self.run_with(scenario, faults=ServiceFaults(refuse_connections=1000))
+
+    def test_did_not_run_breaks_without_a_recorded_outcome(self):
+        async def record_nothing(self, group, key_id, request_digest, outcome):
+            return outcome
+
+        self.patch(outcomes.OutcomeRegister, "record_as_claimant", record_nothing)
+
+        async def scenario(fleet):
+            first, _ = await self.refuse_then_accept(fleet)
+            self.assertEqual(DID_NOT_RUN, first[0])
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario, faults=ServiceFaults(refuse_connections=1000))
+
+
+class RecordsTest(WritesTestCase):
+    def test_key_with_another_body_is_refused(self):
+        async def scenario(fleet):
+            await fleet.write("entry-0", body=b"one")
+            answers = await fleet.write_everywhere(body=b"two")
+            self.assertEqual({1009}, codes_of(answers))
+            self.assertEqual([b"one"], fleet.service.bodies_by_key["k1"])
+
+        self.run_with(scenario)
+
+    def test_fingerprint_remains_after_the_result_has_expired(self):
+        """Guards against a second run of a key whose result is no longer kept."""
+
+        async def scenario(fleet):
+            await fleet.write("entry-0")
+            await fleet.settle(9)
+            self.assertEqual({OK}, codes_of(await fleet.write_everywhere()))
+            await fleet.settle(11)
+            self.assertEqual({1403}, codes_of(await fleet.write_everywhere()))
+            self.assertEqual({1009}, codes_of([await fleet.write("entry-1", body=b"")]))
+            self.assertEqual(1, fleet.executions())
+            for daemon in fleet.daemons_by_name.values():
+                self.assertEqual(0, daemon.keeper.table.result_bytes)
+
+        configuration = make_configuration(result_retention_s=15.0)
+        self.run_with(scenario, configuration=configuration)
+
+    def test_full_table_refuses_new_keys_and_forgets_none(self):
+        async def scenario(fleet):
+            for number in range(3):
+                await fleet.write("entry-0", key=f"old-{number}")
+            answers = await fleet.write_everywhere(key="new")
+            self.assertEqual({1405}, codes_of(answers))
+            self.assertEqual(0, fleet.executions("new"))
+            for number in range(3):
+                code, _ = await fleet.write("entry-1", key=f"old-{number}")
+                self.assertEqual((OK, 1), (code, fleet.executions(f"old-{number}")))
+
+        self.run_with(scenario, configuration=make_configuration(max_records=3))
+
+    def test_drain_finishes_the_attempt_and_refuses_new_writes(self):
+        """Guards against a planned stop that leaves a write unknown (P7)."""
+
+        async def scenario(fleet):
+            home = fleet.daemons_by_name[fleet.home_of()]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(fleet.write, home.name)
+                await anyio.sleep(0.1)
+                await home.coordinator.drain()
+            self.assertEqual(1406, (await fleet.write(home.name, key="k2"))[0])
+            fleet.kill(home.name)
+            self.assertEqual({OK}, codes_of(await fleet.write_everywhere()))
+
+        self.run_with(scenario, faults=ServiceFaults(answer_delay_s=1))
+
+
+class EpochsTest(WritesTestCase):
+    async def change_names(self, fleet, **writes):
+        """Replaces a daemon name in the published names, in a second epoch."""
+        names = [*fleet.names[1:], "entry-7"]
+        fleet.names.append("entry-7")
+        fleet.publish(make_configuration(names=names, epoch=2, **writes))
+        fleet.start("entry-7")
+        await fleet.settle(10)
+
+    def previous(self, fleet):
+        return {"epoch": 1, "daemons": daemon_entries(fleet.names)}
+
+    async def change_while_paused(self, fleet, **writes):
+        """Changes the keepers while the holder, which is no keeper, is paused."""
+        await fleet.write("entry-0", key="old")
+        entries = make_configuration(names=[*fleet.names[1:], "entry-7"]).daemons
+        keepers = choose_keepers("partition-0", entries, 5)
+        home = next(name for name in fleet.names[1:] if name not in keepers)
+        for name in fleet.names:
+            fleet.limit_view(name, [home])
+        PauseBefore(fleet, home)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fleet.write, fleet.names[0], "k1", "enter")
+            await anyio.sleep(0.5)
+            await self.change_names(fleet, **writes)
+            names = [name for name in fleet.names if name != home]
+            answers = [await fleet.write(name, "k1", "enter") for name in names]
+            self.new_answer = await fleet.write("entry-7", key="new")
+            fleet.network.resume(home)
+            await fleet.settle(15)
+        return answers
+
+    def test_handover_keeps_claims_and_results(self):
+        """Guards against a second run after the keepers of a key have changed."""
+
+        async def scenario(fleet):
+            previous = self.previous(fleet)
+            answers = await self.change_while_paused(
+                fleet, start="existing", previous=previous
+            )
+            self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
+            after = await fleet.write_everywhere(operation="enter")
+            self.assertEqual({OK}, codes_of(after))
+            self.assertEqual({OK}, codes_of(await fleet.write_everywhere(key="old")))
+            self.assertEqual((1, 1), (fleet.executions(), fleet.executions("old")))
+            self.assertEqual(OK, self.new_answer[0])
+
+        self.run_with(scenario)
+
+    def test_epoch_without_previous_answers_unknown(self):
+        async def scenario(fleet):
+            answers = await self.change_while_paused(fleet, start="existing")
+            self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
+            self.assertEqual(UNKNOWN, self.new_answer[0])
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario)
+
+    def test_epoch_declared_new_without_handover_can_run_twice(self):
+        """Shows what the handover guards: ``start: new`` gives the old keys up."""
+
+        async def scenario(fleet):
+            await self.change_while_paused(fleet, start="new")
+            self.assertEqual(2, fleet.executions())
+
+        self.run_with(scenario)
+
+    def test_changed_names_without_an_epoch_answer_unknown(self):
+        """Guards against a group that starts empty beside one that has records."""
+
+        async def scenario(fleet):
+            before = await fleet.write("entry-0")
+            original = fleet.configuration
+            names = [*fleet.names[2:], "entry-7"]
+            fleet.publish(make_configuration(names=names))
+            await fleet.settle(10)
+            self.assertEqual({UNKNOWN}, codes_of(await fleet.write_everywhere()))
+            fleet.publish(original)
+            await fleet.settle(10)
+            self.assertEqual(before, await fleet.write("entry-0"))
+
+        self.run_with(scenario)
