Fuzz the write promises with a rule-based state machine

Cause: directed tests cover only the failures that someone thought of. Change: tests/fuzz with a state machine over six daemons (requests, retries elsewhere, pauses between two messages, kills, empty replacements beside a paused old run, partitions, differing views, service faults, epochs that reach daemons one by one), an oracle for P3, P4, P5 and P9, fixed seeds in the tests and the command python -m tests.fuzz. Rules and oracles of other parts are added as further classes. Keepers that cannot join now double the pause between tries up to 5 s; a constant 0.25 s made one example of 20 steps take 5 s.

--- a/snipetrestle/writes/keeper.py
+++ b/snipetrestle/writes/keeper.py
@@ -41,9 +41,12 @@
 # A page stays below the 4 MiB limit of a gRPC message, whatever results it holds.
 PAGE_RECORDS = 200
 PAGE_BYTES = 1_048_576
+# The pause between tries doubles up to the limit: a keeper that waits for an operator
+# must not load the others.
 JOIN_RETRY_S = 0.25
-# After this many failed tries (about 5 s) a keeper logs that it cannot recover.
-TRIES_BEFORE_EVENT = 20
+JOIN_RETRY_MAX_S = 5.0
+# After this many failed tries (8 s and more) a keeper logs that it cannot recover.
+TRIES_BEFORE_EVENT = 6
 
 
 class KeeperPartition:
@@ -169,14 +172,15 @@
 
     async def join(self):
         """Brings this keeper to ``ready``: by recovery, or by the group's first start."""
-        tries = 0
+        tries, pause_s = 0, JOIN_RETRY_S
         while self.stage in (KeeperStage.JOINING, KeeperStage.PREPARED):
             if await self._try_to_join():
                 return
             tries += 1
             if tries == TRIES_BEFORE_EVENT:
                 self.keeper.report_blocked(self)
-            await anyio.sleep(JOIN_RETRY_S)
+            await anyio.sleep(pause_s)
+            pause_s = min(2 * pause_s, JOIN_RETRY_MAX_S)
 
     async def _try_to_join(self):
         replies = await self.keeper.asker.ask(self.others, self._join_message())
--- a/snipetrestle_standins/network.py
+++ b/snipetrestle_standins/network.py
@@ -114,6 +114,10 @@
     def member(self):
         return self._endpoint.name
 
+    def resume(self):
+        """Resumes this run of the member, also if another run has its name by now."""
+        self._endpoint.resumed.set()
+
     async def pause_point(self):
         """Waits while this member is paused."""
         while not self._endpoint.resumed.is_set():
--- a/snipetrestle_standins/service.py
+++ b/snipetrestle_standins/service.py
@@ -56,7 +56,7 @@
         self.calls = []
         self.executions_by_key = Counter()
         self.bodies_by_key = {}
-        self._answers_by_key = {}
+        self.answers_by_key = {}
         self._highest_by_key = {}
         self._group = None
 
@@ -113,13 +113,13 @@
             self._highest_by_key[key] = call.fencing_number
         if is_lookup:
             # Its status differs from the write's, so tests can tell the answers apart.
-            answer = self._answers_by_key.get(key)
+            answer = self.answers_by_key.get(key)
             return ServiceAnswer(200, answer.body) if answer else NOT_FOUND
         self.executions_by_key[key] += 1
         self.bodies_by_key.setdefault(key, []).append(call.body)
         total = sum(self.executions_by_key.values())
         answer = ServiceAnswer(201, json.dumps({"entry": total}).encode())
-        self._answers_by_key.setdefault(key, answer)
+        self.answers_by_key.setdefault(key, answer)
         return answer
 
 
@@ -133,14 +133,21 @@
     def __init__(self, service, pause_point):
         self._service = service
         self._pause_point = pause_point
+        self._is_stopped = False
+
+    def stop(self):
+        """Ends the line with its daemon: a paused call is never sent."""
+        self._is_stopped = True
 
     async def call(self, call):
-        await self._wait_while_paused()
+        await self.wait_while_paused()
         try:
             return await self._service.call(call)
         finally:
-            await self._wait_while_paused()
+            await self.wait_while_paused()
 
-    async def _wait_while_paused(self):
+    async def wait_while_paused(self):
         with anyio.CancelScope(shield=True):
             await self._pause_point()
+        if self._is_stopped:
+            await anyio.sleep_forever()
--- a/snipetrestle_standins/writes_fleet.py
+++ b/snipetrestle_standins/writes_fleet.py
@@ -88,21 +88,32 @@
         self.keeper = fleet.keeper_class(
             self.transport, self.router, self.membership, fleet.partitions
         )
+        self.line = ServiceLine(fleet.service, self.transport.pause_point)
         self.coordinator = fleet.coordinator_class(
             self.transport,
             self.router,
             self.membership,
-            ServiceLine(fleet.service, self.transport.pause_point),
+            self.line,
             random.Random(f"{fleet.seed}-{name}-{number}"),
             fleet.partitions,
         )
         self.scope = anyio.CancelScope()
+        self.connections = set()
         self.apply(fleet.configuration)
 
     def apply(self, configuration):
+        self.applied = configuration
         self.keeper.apply(configuration)
         self.coordinator.apply(configuration)
 
+    def stop(self):
+        """Ends all tasks at once and closes the callers' connections."""
+        self.line.stop()
+        self.transport.resume()
+        self.scope.cancel()
+        for connection in tuple(self.connections):
+            connection.cancel()
+
     async def run(self):
         with self.scope:
             async with anyio.create_task_group() as tasks:
@@ -138,6 +149,7 @@
         self.service = StandInService(faults=faults)
         self.daemons_by_name = {}
         self._starts = 0
+        self._runs = []
         self._group = None
 
     async def __aenter__(self):
@@ -152,6 +164,8 @@
         return self
 
     async def __aexit__(self, *details):
+        for daemon in self._runs:
+            daemon.stop()
         self._group.cancel_scope.cancel()
         await self._group.__aexit__(*details)
         await self.service.__aexit__(*details)
@@ -167,6 +181,7 @@
         self._starts += 1
         daemon = Daemon(self, name, number or self._starts)
         self.daemons_by_name[name] = daemon
+        self._runs.append(daemon)
         self._group.start_soon(daemon.run)
         return daemon
 
@@ -174,7 +189,7 @@
         daemon = self.daemons_by_name.pop(name, None)
         if daemon is not None:
             self.network.kill(name)
-            daemon.scope.cancel()
+            daemon.stop()
 
     def replace_paused(self, name):
         """Replaces a daemon whose old run is paused and goes on when it is resumed.
@@ -206,15 +221,29 @@
     async def write(
         self, name, key="k1", operation="plain", body=b"{}", time_left_s=5.0
     ):
-        """Sends a write to one entry. Returns (code number or 0, WriteResult or error)."""
+        """Sends a write to one entry; returns (code, WriteResult or ServingError).
+
+        The code is 0 for a result, and None if the entry was killed meanwhile.
+        """
         request = WriteRequest(
             CUSTOMER, SERVICE, operation, key, body, "application/json", time_left_s
         )
-        try:
-            result = await self.daemons_by_name[name].coordinator.run_write(request)
-        except ServingError as error:
-            return error.code.number, error
-        return 0, result
+        daemon = self.daemons_by_name.get(name)
+        if daemon is None:
+            return None, None
+        with anyio.CancelScope() as connection:
+            daemon.connections.add(connection)
+            try:
+                await daemon.transport.pause_point()
+                result = await daemon.coordinator.run_write(request)
+                await daemon.transport.pause_point()
+                return 0, result
+            except ServingError as error:
+                await daemon.transport.pause_point()
+                return error.code.number, error
+            finally:
+                daemon.connections.discard(connection)
+        return None, None
 
     async def write_everywhere(self, **arguments):
         """Sends the same write to all daemons at one instant; returns the answers."""
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the promises against a simple oracle."""
--- a/tests/writes/test_at_most_once.py
+++ b/tests/writes/test_at_most_once.py
@@ -6,39 +6,22 @@
 import anyio
 import testtools
 
-from snipetrestle.writes import Keeper, coordinator, outcomes
+from snipetrestle.writes import coordinator, outcomes
 from snipetrestle.writes.groups import choose_keepers
-from snipetrestle.writes.keeper import KeeperPartition
 from snipetrestle_standins.clock import run_advanced
 from snipetrestle_standins.service import ServiceFaults
 from snipetrestle_standins.writes_fleet import Fleet, daemon_entries, make_configuration
+from tests.writes.faults import (
+    ForgetfulKeeper,
+    GenerousKeeper,
+    OverwritingKeeper,
+    record_nothing,
+)
 
 OK, UNKNOWN, DID_NOT_RUN, IN_PROGRESS = 0, 1401, 1402, 1404
 NO_OUTCOME = {UNKNOWN, IN_PROGRESS}
 
 
-class GenerousPartition(KeeperPartition):
-    """Fault: votes for every claim."""
-
-    def may_vote(self, record):
-        return record.outcome is None
-
-
-class ForgetfulPartition(KeeperPartition):
-    """Fault: is ready without recovery."""
-
-    async def join(self):
-        self._become_ready()
-
-
-class GenerousKeeper(Keeper):
-    partition_class = GenerousPartition
-
-
-class ForgetfulKeeper(Keeper):
-    partition_class = ForgetfulPartition
-
-
 class PauseBefore:
     """ServiceClient that pauses its daemon before (or after) its first call."""
 
@@ -56,7 +39,7 @@
             return await self.line.call(call)
         answer = await self.line.call(call)
         self.network.pause(self.daemon.name)
-        await self.line._wait_while_paused()
+        await self.line.wait_while_paused()
         return answer
 
 
@@ -182,15 +165,6 @@
         self.run_with(scenario)
 
     def test_one_result_breaks_without_ballots(self):
-        class Overwriting(KeeperPartition):
-            def record(self, message):
-                if message.key_id in self.records:
-                    self.records[message.key_id].promised = None
-                return super().record(message)
-
-        class OverwritingKeeper(Keeper):
-            partition_class = Overwriting
-
         async def scenario(fleet):
             during, after = await self.pause_holder(fleet, "enter", after=True)
             self.assertEqual(2, len(results_of(during + after)))
@@ -434,9 +408,6 @@
         self.run_with(scenario, faults=ServiceFaults(refuse_connections=1000))
 
     def test_did_not_run_breaks_without_a_recorded_outcome(self):
-        async def record_nothing(self, group, key_id, request_digest, outcome):
-            return outcome
-
         self.patch(outcomes.OutcomeRegister, "record_as_claimant", record_nothing)
 
         async def scenario(fleet):
