Add the gRPC transport between daemons and the platform clients

Cause: the other parts need a transport and the platform's two sources to build on. Change: GrpcTransport with mutual TLS that is reloaded without a restart and a check of the sender's name against its certificate; HTTP clients of the configuration service and the host list; stand-ins of both; certificates for tests. A message is reported as not sent only if its channel was never connected, since gRPC's status texts do not tell a lost connection from one that never was. Call handlers run to their end although the caller has gone, as in the in-memory network. Conclusion: strangers without a certificate, with one of another authority or under a false name reach no handler.

--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -26,6 +26,16 @@
     MEMBER_LEAVING = (1204, "INFO", "member is leaving")
     TLS_RELOADED = (1205, "INFO", "TLS files were loaded again")
     TLS_RELOAD_FAILED = (1206, "ERROR", "TLS files could not be loaded again")
+    PEER_NAME_REFUSED = (
+        1207,
+        "ERROR",
+        "sender's name is not in its certificate",
+    )
+    MEMBER_SUPERSEDED = (
+        1208,
+        "ERROR",
+        "a later incarnation of this daemon's name is known",
+    )
     REPLICA_OWNED = (1301, "INFO", "replica is now owned by this daemon")
     REPLICA_RELEASED = (1302, "INFO", "replica is no longer owned by this daemon")
     OWNER_FENCED = (1303, "WARNING", "engine refused an old fencing number")
--- /dev/null
+++ b/snipetrestle/peers/grpc_transport.py
@@ -0,0 +1,383 @@
+"""PeerTransport over gRPC: one channel per peer, mutual TLS off loopback."""
+
+import asyncio
+import contextlib
+
+import anyio
+import grpc
+import msgspec
+from grpc import aio
+
+from snipetrestle.codes import ResultCode, ServingError
+from snipetrestle.events import Event, log_event
+from snipetrestle.peers import messages, peer_pb2, peer_pb2_grpc
+from snipetrestle.peers.tls import TlsMaterial
+from snipetrestle.peers.transport import PeerUnreachable
+from snipetrestle.settings import is_loopback
+
+# A channel without calls for this long is closed. It spans several requests of the
+# data path to the same peer, so handshakes stay rare.
+IDLE_CHANNEL_S = 60.0
+# Interval of the search for idle channels.
+SWEEP_INTERVAL_S = 10.0
+# A connection attempt is given up after this time; a dead host sends no refusal.
+CONNECT_TIMEOUT_S = 1.0
+# A channel with open calls and no traffic is tested after this time and closed after
+# the time-out, so a stream to a dead host breaks within 3 s.
+KEEPALIVE_INTERVAL_MS = 2_000
+KEEPALIVE_TIMEOUT_MS = 1_000
+# Connections end after this time, so a certificate that is no longer trusted loses its
+# open connections too. Streams in progress finish first.
+MAX_CONNECTION_AGE_MS = 3_600_000
+# Largest message: a published configuration of a few values, or a prompt.
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+
+_COMMON_OPTIONS = (
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.keepalive_time_ms", KEEPALIVE_INTERVAL_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+)
+_CHANNEL_OPTIONS = (
+    *_COMMON_OPTIONS,
+    # The layers above decide what may be sent again.
+    ("grpc.enable_retries", 0),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", int(CONNECT_TIMEOUT_S * 1000)),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+)
+_SERVER_OPTIONS = (
+    *_COMMON_OPTIONS,
+    # Two daemons on one port would each get a part of the connections.
+    ("grpc.so_reuseport", 0),
+    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_INTERVAL_MS // 2),
+    ("grpc.http2.max_ping_strikes", 0),
+    ("grpc.max_connection_age_ms", MAX_CONNECTION_AGE_MS),
+)
+
+
+class _Channel:
+    __slots__ = ("address", "channel", "stub", "tls_version", "calls", "last_used")
+
+    def __init__(self, address, channel, tls_version):
+        self.address = address
+        self.channel = channel
+        self.stub = peer_pb2_grpc.PeerStub(channel)
+        self.tls_version = tls_version
+        self.calls = 0
+        self.last_used = 0.0
+
+
+class GrpcTransport:
+    """Sends messages to members by name and serves the handlers of a router.
+
+    ``address_of(name)`` returns ``IP:PORT`` or None. A member name that is itself an
+    ``IP:PORT`` is a seed: its certificate must then contain that IP address.
+    """
+
+    def __init__(self, own_name, router, address_of, tls=None, reload_interval_s=30.0):
+        self.own_name = own_name
+        self._router = router
+        self._address_of = address_of
+        self._tls = tls
+        self._reload_interval_s = reload_interval_s
+        self._channels_by_member = {}
+        self._retired = set()
+        self._group = None
+
+    @classmethod
+    def from_settings(cls, settings, router, address_of):
+        """Raises OSError or ssl.SSLError if the TLS files cannot be used."""
+        files = settings.tls.peers
+        return cls(
+            settings.daemon.name,
+            router,
+            address_of,
+            tls=None if files is None else TlsMaterial.from_files(files),
+            reload_interval_s=settings.tls.reload_interval_s,
+        )
+
+    @contextlib.asynccontextmanager
+    async def serving(self, listen_address):
+        """Serves peers at ``IP:PORT`` while the context is open; yields the address."""
+        server = aio.server(options=_SERVER_OPTIONS)
+        peer_pb2_grpc.add_PeerServicer_to_server(_Servicer(self), server)
+        bound = self._bind(server, listen_address)
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._sweep_channels)
+            if self._tls is not None:
+                group.start_soon(self._tls.run_reloads, self._reload_interval_s)
+            await server.start()
+            try:
+                yield bound
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await server.stop(0)
+                    await self._close_all()
+                group.cancel_scope.cancel()
+
+    def _bind(self, server, listen_address):
+        if self._tls is not None:
+            port = server.add_secure_port(
+                listen_address, self._tls.server_credentials()
+            )
+        elif is_loopback(listen_address):
+            port = server.add_insecure_port(listen_address)
+        else:
+            raise ServingError(
+                ResultCode.INVALID_SETTINGS,
+                "plain text is for loopback only",
+                field="listen.peers",
+                value=listen_address,
+            )
+        return f"{listen_address.rpartition(':')[0]}:{port}"
+
+    # Calling side
+
+    async def call(self, member, message, timeout):
+        """Returns the reply. Raises PeerUnreachable or ServingError."""
+        envelope = self._pack(message)
+        deadline = anyio.current_time() + timeout
+        async with self._connected(member, timeout) as stub:
+            # After this point the message may have left.
+            time_left = max(0.0, deadline - anyio.current_time())
+            call = stub.Call(envelope, timeout=time_left)
+            try:
+                reply = await call
+            except aio.AioRpcError as error:
+                raise _unreachable(member, error) from None
+            except asyncio.CancelledError:
+                _raise_if_scope_cancelled()
+                raise PeerUnreachable(member, True, "the call was closed") from None
+        return messages.open_reply(reply.type, reply.body)
+
+    @contextlib.asynccontextmanager
+    async def stream(self, member, message):
+        """Opens a stream of replies. Leaving the context cancels it at the peer."""
+        envelope = self._pack(message)
+        async with self._connected(member, CONNECT_TIMEOUT_S) as stub:
+            call = stub.Stream(envelope)
+            try:
+                yield _read_stream(member, call)
+            finally:
+                call.cancel()
+
+    def _pack(self, message):
+        kind, body = messages.encode(message)
+        return peer_pb2.Envelope(type=kind, body=body, sender=self.own_name)
+
+    @contextlib.asynccontextmanager
+    async def _connected(self, member, timeout):
+        """Yields a stub whose channel is connected, so that nothing left before."""
+        channel = self._channel_of(member)
+        channel.calls += 1
+        try:
+            with anyio.move_on_after(min(timeout, CONNECT_TIMEOUT_S)) as scope:
+                await self._wait_ready(member, channel)
+            if scope.cancelled_caught:
+                raise PeerUnreachable(member, False, "no connection in time")
+            yield channel.stub
+        finally:
+            channel.calls -= 1
+            channel.last_used = anyio.current_time()
+            if channel in self._retired and not channel.calls:
+                self._retired.discard(channel)
+                with anyio.CancelScope(shield=True):
+                    await channel.channel.close()
+
+    async def _wait_ready(self, member, channel):
+        state = channel.channel.get_state(try_to_connect=True)
+        while state is not grpc.ChannelConnectivity.READY:
+            if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+                raise PeerUnreachable(member, False, "no connection")
+            if state is grpc.ChannelConnectivity.SHUTDOWN:
+                raise PeerUnreachable(member, False, "the transport is closed")
+            await channel.channel.wait_for_state_change(state)
+            state = channel.channel.get_state(try_to_connect=True)
+
+    def _channel_of(self, member):
+        address = self._address_of(member) or (member if _is_address(member) else None)
+        if address is None:
+            raise PeerUnreachable(member, False, "no address is known")
+        tls_version = 0 if self._tls is None else self._tls.version
+        channel = self._channels_by_member.get(member)
+        if channel is not None:
+            if (channel.address, channel.tls_version) == (address, tls_version):
+                return channel
+            self._retire(member)
+        channel = _Channel(address, self._open(member, address), tls_version)
+        self._channels_by_member[member] = channel
+        return channel
+
+    def _open(self, member, address):
+        if self._tls is None:
+            if not is_loopback(address):
+                raise PeerUnreachable(member, False, "plain text is for loopback only")
+            return aio.insecure_channel(address, options=_CHANNEL_OPTIONS)
+        options = _CHANNEL_OPTIONS
+        if not _is_address(member):
+            # The certificate has to name the member and not just its address.
+            options += (("grpc.ssl_target_name_override", member),)
+        return aio.secure_channel(
+            address, self._tls.channel_credentials(), options=options
+        )
+
+    def _retire(self, member):
+        self._retired.add(self._channels_by_member.pop(member))
+
+    async def _sweep_channels(self):
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL_S)
+            now = anyio.current_time()
+            for member, channel in tuple(self._channels_by_member.items()):
+                if not channel.calls and now - channel.last_used > IDLE_CHANNEL_S:
+                    self._retire(member)
+            for channel in [item for item in self._retired if not item.calls]:
+                self._retired.discard(channel)
+                await channel.channel.close()
+
+    async def _close_all(self):
+        channels = [*self._channels_by_member.values(), *self._retired]
+        self._channels_by_member.clear()
+        self._retired.clear()
+        for channel in channels:
+            await channel.channel.close()
+
+    @property
+    def channel_count(self):
+        return len(self._channels_by_member) + len(self._retired)
+
+    # Serving side
+
+    async def handle_call(self, sender, message):
+        """Runs a handler to its end, even if the caller stops waiting for it."""
+        replies, receive = anyio.create_memory_object_stream(1)
+        self._group.start_soon(self._run_handler, sender, message, replies)
+        with receive:
+            return await receive.receive()
+
+    async def _run_handler(self, sender, message, replies):
+        with replies:
+            try:
+                reply = await self._router.call(sender, message)
+            except ServingError as error:
+                reply = messages.refusal_of(error)
+            except Exception as error:
+                reply = _internal_refusal(message, error)
+            with contextlib.suppress(anyio.BrokenResourceError):
+                replies.send_nowait(reply)
+
+    async def handle_stream(self, sender, message):
+        try:
+            async with contextlib.aclosing(
+                self._router.stream(sender, message)
+            ) as replies:
+                async for reply in replies:
+                    yield reply
+        except ServingError as error:
+            yield messages.refusal_of(error)
+        except Exception as error:
+            yield _internal_refusal(message, error)
+
+    def refusal_for(self, message_type_name, message):
+        """Returns a Refusal for a message that has no handler here, else None."""
+        if message is not None and self._router.knows(type(message)):
+            return None
+        return messages.refusal_of(
+            ServingError(
+                ResultCode.MALFORMED_REQUEST,
+                f"no handler for message type {message_type_name}",
+            )
+        )
+
+
+class _Servicer(peer_pb2_grpc.PeerServicer):
+    """Adapter from the generated service to the transport."""
+
+    def __init__(self, transport):
+        self._transport = transport
+
+    async def Call(self, request, context):  # noqa: N802
+        await _check_sender(request, context)
+        message = _unpack(request)
+        reply = self._transport.refusal_for(request.type, message)
+        if reply is None:
+            reply = await self._transport.handle_call(request.sender, message)
+        return self._transport._pack(reply)
+
+    async def Stream(self, request, context):  # noqa: N802
+        await _check_sender(request, context)
+        message = _unpack(request)
+        refusal = self._transport.refusal_for(request.type, message)
+        if refusal is not None:
+            yield self._transport._pack(refusal)
+            return
+        replies = self._transport.handle_stream(request.sender, message)
+        async with contextlib.aclosing(replies):
+            async for reply in replies:
+                yield self._transport._pack(reply)
+
+
+async def _check_sender(request, context):
+    """Ends the call if the certificate does not contain the sender's name."""
+    identity = context.auth_context()
+    if b"ssl" not in identity.get("transport_security_type", ()):
+        # Plain text is served on loopback only.
+        return
+    names = identity.get("x509_subject_alternative_name", ())
+    if request.sender.encode() not in names:
+        log_event(
+            Event.PEER_NAME_REFUSED,
+            sender=request.sender,
+            certificate_names=[name.decode(errors="replace") for name in names],
+        )
+        await context.abort(
+            grpc.StatusCode.PERMISSION_DENIED, "the certificate is of another name"
+        )
+
+
+def _unpack(envelope):
+    try:
+        return messages.decode(envelope.type, envelope.body)
+    except (KeyError, msgspec.DecodeError):
+        return None
+
+
+async def _read_stream(member, call):
+    try:
+        async for envelope in call:
+            yield messages.open_reply(envelope.type, envelope.body)
+    except aio.AioRpcError as error:
+        raise _unreachable(member, error) from None
+    except asyncio.CancelledError:
+        _raise_if_scope_cancelled()
+        raise PeerUnreachable(member, True, "the stream was closed") from None
+
+
+def _unreachable(member, error):
+    return PeerUnreachable(member, True, f"{error.code().name}: {error.details()}")
+
+
+def _raise_if_scope_cancelled():
+    # grpc reports a closed channel as a cancellation, which must not be taken for one
+    # of the calling task.
+    if asyncio.current_task().cancelling():
+        raise asyncio.CancelledError
+
+
+def _internal_refusal(message, error):
+    log_event(
+        Event.INTERNAL_ERROR, message_type=type(message).__name__, detail=repr(error)
+    )
+    return messages.refusal_of(ServingError(ResultCode.INTERNAL, type(error).__name__))
+
+
+def _is_address(text):
+    try:
+        is_loopback(text)
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/snipetrestle/peers/tls.py
@@ -0,0 +1,93 @@
+"""Certificates of the transport between daemons, read again while the daemon runs."""
+
+import pathlib
+import ssl
+
+import anyio
+import grpc
+import msgspec
+
+from snipetrestle.events import Event, log_event
+
+
+class PemFiles(msgspec.Struct, frozen=True):
+    """Contents of the three PEM files of a mutual TLS set-up."""
+
+    certificate: bytes
+    key: bytes
+    authority: bytes
+
+
+class TlsMaterial:
+    """The current certificate, key and authority, for both ends of a connection.
+
+    ``version`` rises with each change, so that channels of an older set can be closed.
+    """
+
+    def __init__(self, files, contents):
+        self._files = files
+        self._contents = contents
+        self.version = 1
+
+    @classmethod
+    def from_files(cls, files):
+        """Reads the files of a ``TlsFiles``. Raises OSError or ssl.SSLError."""
+        return cls(files, _read(files))
+
+    def channel_credentials(self):
+        return grpc.ssl_channel_credentials(
+            root_certificates=self._contents.authority,
+            private_key=self._contents.key,
+            certificate_chain=self._contents.certificate,
+        )
+
+    def server_credentials(self):
+        """Returns credentials that follow later changes at each handshake."""
+        given_version = self.version
+
+        def fetch():
+            nonlocal given_version
+            if given_version == self.version:
+                return None
+            given_version = self.version
+            return self._server_configuration()
+
+        return grpc.dynamic_ssl_server_credentials(
+            self._server_configuration(), fetch, require_client_authentication=True
+        )
+
+    def _server_configuration(self):
+        return grpc.ssl_server_certificate_configuration(
+            [(self._contents.key, self._contents.certificate)],
+            self._contents.authority,
+        )
+
+    def reload(self):
+        """Reads the files again. A set that does not fit together is not used."""
+        try:
+            contents = _read(self._files)
+        except (OSError, ssl.SSLError) as error:
+            log_event(Event.TLS_RELOAD_FAILED, detail=str(error))
+            return
+        if contents != self._contents:
+            self._contents = contents
+            self.version += 1
+            log_event(Event.TLS_RELOADED, certificate=self._files.certificate)
+
+    async def run_reloads(self, interval_s):
+        while True:
+            await anyio.sleep(interval_s)
+            self.reload()
+
+
+def _read(files):
+    # The context checks that the key fits the certificate. A set of which only one
+    # file has been replaced so far is refused, and the next reload finds it complete.
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(files.certificate, files.key)
+    context.load_verify_locations(files.authority)
+    return PemFiles(
+        certificate=pathlib.Path(files.certificate).read_bytes(),
+        key=pathlib.Path(files.key).read_bytes(),
+        authority=pathlib.Path(files.authority).read_bytes(),
+    )
--- a/snipetrestle/peers/transport.py
+++ b/snipetrestle/peers/transport.py
@@ -47,6 +47,11 @@
     def on_stream(self, message_type, handler):
         self._streams_by_type[message_type] = handler
 
+    def knows(self, message_type):
+        return (
+            message_type in self._calls_by_type or message_type in self._streams_by_type
+        )
+
     async def call(self, sender, message):
         return await self._calls_by_type[type(message)](sender, message)
 
--- /dev/null
+++ b/snipetrestle_standins/certificates.py
@@ -0,0 +1,78 @@
+"""Certificate authorities and certificates for tests and local trials."""
+
+import datetime
+import ipaddress
+import pathlib
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+from snipetrestle.settings import TlsFiles
+
+VALIDITY = datetime.timedelta(days=1)
+
+
+class Authority:
+    """A certificate authority that issues certificates to members."""
+
+    def __init__(self, name="snipetrestle test authority"):
+        self._key = ec.generate_private_key(ec.SECP256R1())
+        self._name = _name_of(name)
+        self.certificate = (
+            _builder(self._name, self._name, self._key)
+            .add_extension(x509.BasicConstraints(ca=True, path_length=0), True)
+            .sign(self._key, hashes.SHA256())
+        )
+
+    def issue(self, directory, name, *addresses):
+        """Writes the files of a member and returns their TlsFiles.
+
+        The certificate contains ``name`` and the IP addresses, which are needed where
+        the member is reached as a seed.
+        """
+        key = ec.generate_private_key(ec.SECP256R1())
+        names = [x509.DNSName(name)]
+        names += [x509.IPAddress(ipaddress.ip_address(item)) for item in addresses]
+        certificate = (
+            _builder(_name_of(name), self._name, key)
+            .add_extension(x509.SubjectAlternativeName(names), False)
+            .sign(self._key, hashes.SHA256())
+        )
+        directory = pathlib.Path(directory)
+        paths = {
+            kind: directory / f"{name}.{kind}.pem"
+            for kind in ("certificate", "key", "authority")
+        }
+        paths["certificate"].write_bytes(_pem(certificate))
+        paths["authority"].write_bytes(_pem(self.certificate))
+        paths["key"].write_bytes(
+            key.private_bytes(
+                serialization.Encoding.PEM,
+                serialization.PrivateFormat.PKCS8,
+                serialization.NoEncryption(),
+            )
+        )
+        return TlsFiles(**{kind: str(path) for kind, path in paths.items()})
+
+
+def _name_of(text):
+    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
+
+
+def _builder(subject, issuer, key):
+    now = datetime.datetime.now(datetime.UTC)
+    return (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(issuer)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(hours=1))
+        .not_valid_after(now + VALIDITY)
+    )
+
+
+def _pem(certificate):
+    return certificate.public_bytes(serialization.Encoding.PEM)
--- /dev/null
+++ b/tests/platform/test_http_sources.py
@@ -0,0 +1,129 @@
+"""Tests of the platform clients against the stand-ins over HTTP."""
+
+import contextlib
+
+import anyio
+import testtools
+import uvicorn
+
+from snipetrestle.platform.http_sources import (
+    HttpConfigurationSource,
+    HttpHostListSource,
+)
+from snipetrestle.platform.sources import Host, HostState, SourceUnreachable
+from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.configuration_service import (
+    ConfigurationService,
+    configuration_app,
+)
+from snipetrestle_standins.host_list import (
+    HostListService,
+    LocalHostListSource,
+    host_list_app,
+)
+from tests.waiting import wait_until
+
+HOST = Host("entry-1", "127.0.0.1:8100", "palermo", "sicily")
+
+
+@contextlib.asynccontextmanager
+async def serving(app):
+    """Serves an ASGI application on loopback and yields its base URL."""
+    server = uvicorn.Server(
+        uvicorn.Config(app, host="127.0.0.1", port=0, log_level="error")
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(server._serve)
+        await wait_until(lambda: server.started)
+        port = server.servers[0].sockets[0].getsockname()[1]
+        try:
+            yield f"http://127.0.0.1:{port}"
+        finally:
+            server.should_exit = True
+            server.force_exit = True
+
+
+class HttpConfigurationSourceTest(testtools.TestCase):
+    def test_read_watch_and_down(self):
+        """Guards against a watch that misses a change or hides an outage."""
+
+        async def main():
+            service = ConfigurationService()
+            async with serving(configuration_app(service)) as url:
+                source = HttpConfigurationSource(url)
+                with testtools.ExpectedException(SourceUnreachable):
+                    await source.read()
+                service.publish("one")
+                service.publish("part", key="snipetrestle/adapters-0")
+                self.assertEqual((1, b"one"), tuple(await source.read()))
+                self.assertEqual((1, b"part"), tuple(await source.read("adapters-0")))
+                readings = []
+
+                async def watch():
+                    readings.append(await source.watch(1))
+
+                async with anyio.create_task_group() as group:
+                    group.start_soon(watch)
+                    await wait_until(lambda: service.calls["watch"])
+                    service.publish("two")
+                self.assertEqual([(2, b"two")], [tuple(item) for item in readings])
+                service.set_down(True)
+                with testtools.ExpectedException(SourceUnreachable):
+                    await source.watch(2)
+                self.assertEqual({"read": 3, "watch": 2}, dict(service.calls))
+                await source.aclose()
+
+        anyio.run(main)
+
+    def test_nobody_listens(self):
+        """Guards against a connection error that ends the reader's task."""
+
+        async def main():
+            async with serving(configuration_app(ConfigurationService())) as url:
+                pass
+            with testtools.ExpectedException(SourceUnreachable):
+                await HttpConfigurationSource(url).read()
+
+        anyio.run(main)
+
+
+class HttpHostListSourceTest(testtools.TestCase):
+    def test_list_is_sent_again_only_after_a_change(self):
+        """Guards against a full list with each poll."""
+
+        async def main():
+            service = HostListService()
+            service.put(HOST)
+            async with serving(host_list_app(service)) as url:
+                source = HttpHostListSource(url)
+                hosts = await source.read()
+                self.assertEqual((HOST,), hosts.hosts)
+                self.assertIsNone(await source.read(hosts.revision))
+                service.set_leaving("entry-1")
+                changed = await source.read(hosts.revision)
+                self.assertEqual(HostState.LEAVING, changed.hosts[0].state)
+                await source.aclose()
+
+        anyio.run(main)
+
+
+class StandInTest(testtools.TestCase):
+    def test_stale_service_and_lagging_list(self):
+        """Guards against stand-ins that cannot show an old state."""
+
+        async def main():
+            service = ConfigurationService()
+            service.publish("one")
+            service.freeze()
+            service.publish("two")
+            self.assertEqual(1, service.read("snipetrestle").revision)
+            service.thaw()
+            self.assertEqual(2, service.read("snipetrestle").revision)
+            hosts = HostListService(lag_s=5.0)
+            hosts.put(HOST)
+            source = LocalHostListSource(hosts)
+            self.assertIsNone(await source.read())
+            await anyio.sleep(5.0)
+            self.assertEqual((HOST,), (await source.read()).hosts)
+
+        run_advanced(main)
