Build the tables of a published configuration

Cause: a frozen struct refuses attribute assignment in __post_init__, so every valid document ended in AttributeError. Change: the tables are written to the instance's dictionary; a test parses a valid document. Result: the new test failed before and passes after. Conclusion: the earlier tests only covered refused documents.

--- a/snipetrestle/published.py
+++ b/snipetrestle/published.py
@@ -185,21 +185,24 @@
         return configuration
 
     def __post_init__(self):
-        self.adapters_by_name = {item.name: item for item in self.adapters}
-        self.models_by_name = {item.name: item for item in self.models}
-        self.customers_by_name = {item.name: item for item in self.customers}
-        self.customers_by_key = {
-            key: item for item in self.customers for key in item.api_key_sha256
-        }
-        self.operators_by_key = {
-            key: item for item in self.operators for key in item.api_key_sha256
-        }
-        self.services_by_name = {item.name: item for item in self.services}
-        self.servers_by_name = {item.name: item for item in self.backend_servers}
-        self.stores_by_name = {item.name: item for item in self.weight_stores}
-        self.daemons_by_name = {item.name: item for item in self.daemons}
-        self.replicas_by_model = {}
-        self.servers_by_service = {}
+        # A frozen struct refuses attribute assignment, also here.
+        vars(self).update(
+            adapters_by_name={item.name: item for item in self.adapters},
+            models_by_name={item.name: item for item in self.models},
+            customers_by_name={item.name: item for item in self.customers},
+            customers_by_key={
+                key: item for item in self.customers for key in item.api_key_sha256
+            },
+            operators_by_key={
+                key: item for item in self.operators for key in item.api_key_sha256
+            },
+            services_by_name={item.name: item for item in self.services},
+            servers_by_name={item.name: item for item in self.backend_servers},
+            stores_by_name={item.name: item for item in self.weight_stores},
+            daemons_by_name={item.name: item for item in self.daemons},
+            replicas_by_model={},
+            servers_by_service={},
+        )
         for server in self.backend_servers:
             if server.model is not None:
                 self.replicas_by_model.setdefault(server.model, []).append(server)
--- a/tests/test_published.py
+++ b/tests/test_published.py
@@ -33,6 +33,18 @@
         self.assertIn("not valid YAML", self.problems_of("models: [")[""])
         self.assertIn("is repeated", self.problems_of("models: []\nmodels: []\n")[""])
 
+    def test_valid_document_has_its_tables(self):
+        """Guards against a check that refuses every document."""
+        configuration = PublishedConfiguration.parse(
+            "{models: [{name: a}], adapters: [{name: b, model: a, versions: ['1']}],"
+            " customers: [], daemons: [], backend_servers: [{name: e, address: 'x:1',"
+            " failure_domain: d, region: r, model: a, adapter_slots: 1, max_batch: 1,"
+            " weight_store: s}], weight_stores:"
+            " [{name: s, loads_per_second: 1, parallel_loads: 1}]}"
+        )
+        self.assertEqual("a", configuration.adapters_by_name["b"].model)
+        self.assertEqual("e", configuration.replicas_by_model["a"][0].name)
+
 
 class SettingsTest(testtools.TestCase):
     def test_plain_text_is_refused_off_loopback(self):
