--- a/snipetrestle/checking.py
+++ b/snipetrestle/checking.py
@@ -103,12 +103,12 @@
 
 
 def _check_value(value_type, value, path, problems):
-    struct_type = _struct_of(value_type)
+    struct_type = struct_of(value_type)
     if struct_type is not None:
         if value is None and _is_optional(value_type):
             return None
         return check_struct(struct_type, value, path, problems)
-    item_type = _struct_item_of(value_type)
+    item_type = struct_item_of(value_type)
     if item_type is not None:
         if not isinstance(value, list):
             problems.append(Problem(path, shown(value), "must be a list"))
@@ -128,7 +128,7 @@
     return type(None) in typing.get_args(value_type)
 
 
-def _struct_of(value_type):
+def struct_of(value_type):
     candidates = [value_type]
     if typing.get_origin(value_type) in (typing.Union, types.UnionType):
         candidates = typing.get_args(value_type)
@@ -138,7 +138,7 @@
     return None
 
 
-def _struct_item_of(value_type):
+def struct_item_of(value_type):
     if typing.get_origin(value_type) is not tuple:
         return None
-    return _struct_of(typing.get_args(value_type)[0])
+    return struct_of(typing.get_args(value_type)[0])
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -19,6 +19,21 @@
         "WARNING",
         "configuration service is not reachable",
     )
+    CONFIGURATION_SOURCE_BACK = (
+        1105,
+        "INFO",
+        "configuration service is reachable again",
+    )
+    CONFIGURATION_SOURCE_STALE = (
+        1106,
+        "WARNING",
+        "configuration service shows an older revision than peers",
+    )
+    CONFIGURATION_NOT_LEARNED = (
+        1107,
+        "WARNING",
+        "no peer and no service has a published configuration yet",
+    )
     HOST_LIST_DOWN = (1104, "WARNING", "host list is not reachable")
     MEMBER_SUSPECTED = (1201, "WARNING", "member is suspected")
     MEMBER_FAILED = (1202, "WARNING", "member failed")
--- a/snipetrestle/published.py
+++ b/snipetrestle/published.py
@@ -179,7 +179,7 @@
         problems = []
         configuration = check_struct(cls, data, "", problems)
         if configuration is not None:
-            problems.extend(_cross_checks(configuration))
+            problems.extend(cross_checks(configuration))
         if problems:
             raise InvalidDocument(problems)
         return configuration
@@ -210,7 +210,7 @@
                 self.servers_by_service.setdefault(server.service, []).append(server)
 
 
-def _cross_checks(configuration):
+def cross_checks(configuration):
     for section in (
         "models",
         "adapters",
--- /dev/null
+++ b/snipetrestle_standins/fleet.py
@@ -0,0 +1,158 @@
+"""A fleet of daemons' membership and configuration parts on the in-memory network."""
+
+import random
+
+import anyio
+import msgspec
+
+from snipetrestle.peers.configuration_spread import ConfigurationSpread
+from snipetrestle.peers.membership import Membership
+from snipetrestle.peers.membership_messages import MemberCard
+from snipetrestle.peers.transport import MessageRouter
+from snipetrestle.platform.sources import Host
+from snipetrestle_standins.configuration_service import (
+    ConfigurationService,
+    LocalConfigurationSource,
+)
+from snipetrestle_standins.host_list import HostListService, LocalHostListSource
+from snipetrestle_standins.network import InMemoryNetwork
+
+
+class FleetDaemon:
+    """One run of a daemon: its parts, and the scope that ends it."""
+
+    def __init__(self, membership, spread, transport):
+        self.membership = membership
+        self.spread = spread
+        self.transport = transport
+        self.scope = anyio.CancelScope()
+
+
+class Fleet:
+    """Daemons by name. Use as an async context manager.
+
+    Member number N is in failure domain N modulo ``domains``. The wall clock of all
+    daemons is ``wall_clock_ns`` and the clock of the loop together.
+    """
+
+    def __init__(self, size, *, domains=3, seed=1, wall_clock_ns=10**18):
+        self.network = InMemoryNetwork()
+        self.hosts = HostListService()
+        self.configuration = ConfigurationService()
+        self.daemons_by_name = {}
+        self.wall_clock_ns = wall_clock_ns
+        self._generator = random.Random(seed)
+        self._domains = domains
+        self._group = None
+        self.hosts.put(*(self.host(number) for number in range(size)))
+
+    def host(self, number):
+        domain = number % self._domains
+        return Host(
+            name=f"entry-{number}",
+            address=f"10.0.{number // 250}.{number % 250 + 1}:8100",
+            failure_domain=f"domain-{domain}",
+            region=f"region-{domain % 4}",
+        )
+
+    @property
+    def names(self):
+        return [host.name for host in self.hosts.current]
+
+    async def __aenter__(self):
+        await self.network.__aenter__()
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        return self
+
+    async def __aexit__(self, *details):
+        self._group.cancel_scope.cancel()
+        try:
+            return await self._group.__aexit__(*details)
+        finally:
+            await self.network.__aexit__(None, None, None)
+
+    def start_all(self):
+        for host in self.hosts.current:
+            self.start(host)
+
+    def start(self, host):
+        """Starts a daemon on a host, or replaces the one of that name."""
+        router = MessageRouter()
+        transport = self.network.attach(host.name, router)
+        generator = random.Random(self._generator.getrandbits(64))
+        membership = Membership(
+            host.name,
+            MemberCard(host.address, host.failure_domain, host.region, host.size),
+            transport,
+            router,
+            LocalHostListSource(self.hosts),
+            generator,
+            wall_clock_ns=self.read_wall_clock,
+        )
+        source = LocalConfigurationSource(self.configuration)
+        spread = ConfigurationSpread(membership, transport, router, source, generator)
+        daemon = FleetDaemon(membership, spread, transport)
+        self.daemons_by_name[host.name] = daemon
+        self._group.start_soon(self._run, daemon)
+        return daemon
+
+    async def _run(self, daemon):
+        with daemon.scope:
+            await daemon.membership.join()
+            async with anyio.create_task_group() as group:
+                group.start_soon(daemon.membership.run)
+                group.start_soon(daemon.spread.run)
+
+    def read_wall_clock(self):
+        return self.wall_clock_ns + int(anyio.current_time() * 1e9)
+
+    def kill(self, name):
+        """Ends a daemon without notice. Its host stays on the list."""
+        self.network.kill(name)
+        self.daemons_by_name.pop(name).scope.cancel()
+
+    def states_of(self, name):
+        """Returns the states in which the other running daemons see a member."""
+        members = (
+            daemon.membership.get(name)
+            for other, daemon in self.daemons_by_name.items()
+            if other != name
+        )
+        return {None if member is None else str(member.state) for member in members}
+
+    def revisions(self):
+        """Returns the revisions in effect and the highest ones seen, over all."""
+        spreads = [daemon.spread for daemon in self.daemons_by_name.values()]
+        return (
+            {spread.revision for spread in spreads},
+            {spread.seen_revision for spread in spreads},
+        )
+
+    async def wait_until(self, condition, limit_s, step_s=0.1):
+        """Returns the seconds until ``condition()`` holds. Raises TimeoutError."""
+        start = anyio.current_time()
+        while not condition():
+            if anyio.current_time() - start > limit_s:
+                raise TimeoutError(f"not within {limit_s} s")
+            await anyio.sleep(step_s)
+        return anyio.current_time() - start
+
+
+def small_document(adapters=3, **extra):
+    """Returns the plain data of a valid published configuration."""
+    return {
+        "models": [{"name": "base"}],
+        "adapters": [
+            {"name": f"adapter-{number}", "model": "base", "versions": ["1"]}
+            for number in range(adapters)
+        ],
+        "customers": [],
+        "backend_servers": [],
+        "daemons": [],
+        **extra,
+    }
+
+
+def encode_document(data):
+    return msgspec.json.encode(data)
--- a/snipetrestle_standins/host_list.py
+++ b/snipetrestle_standins/host_list.py
@@ -30,6 +30,11 @@
             self._hosts_by_name[host.name] = host
         self._record()
 
+    @property
+    def current(self):
+        """The hosts as they are, without the lag."""
+        return tuple(self._hosts_by_name.values())
+
     def set_leaving(self, name):
         host = self._hosts_by_name[name]
         self.put(msgspec.structs.replace(host, state=HostState.LEAVING))
--- /dev/null
+++ b/tests/peers/test_membership.py
@@ -0,0 +1,303 @@
+"""Tests of failure detection on the advanced clock."""
+
+import random
+
+import anyio
+import msgspec
+import testtools
+
+from snipetrestle.peers.members import MemberState
+from snipetrestle.peers.membership_messages import Health, MemberUpdate, Ping
+from snipetrestle.peers.updates import MAX_UPDATE_BYTES, UpdateQueue
+from snipetrestle.platform.sources import HostState
+from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.fleet import Fleet
+
+# Generous against the measured times; a test fails by count and not by speed.
+LIMIT_S = 30.0
+
+
+def run_fleet(function, size, **options):
+    async def main():
+        async with Fleet(size, **options) as fleet:
+            fleet.start_all()
+            await anyio.sleep(5.0)
+            await function(fleet)
+
+    run_advanced(main)
+
+
+class FailureDetectionTest(testtools.TestCase):
+    def all_alive(self, fleet):
+        return all(fleet.states_of(name) == {"alive"} for name in fleet.names)
+
+    def test_killed_member_is_noticed(self):
+        """Guards against work that goes to a dead daemon for ever."""
+
+        async def check(fleet):
+            fleet.kill("entry-2")
+            await fleet.wait_until(
+                lambda: fleet.states_of("entry-2") == {"failed"}, LIMIT_S
+            )
+            for daemon in fleet.daemons_by_name.values():
+                self.assertNotIn("entry-2", daemon.membership.routable())
+                self.assertEqual(7, daemon.membership.listed_count())
+
+        run_fleet(check, 7)
+
+    def test_quiet_fleet_suspects_nobody(self):
+        """Guards against false suspicions, whose cost is moved work."""
+
+        async def check(fleet):
+            views = {
+                name: daemon.membership.view_number
+                for name, daemon in fleet.daemons_by_name.items()
+            }
+            await anyio.sleep(120.0)
+            self.assertTrue(self.all_alive(fleet))
+            for name, daemon in fleet.daemons_by_name.items():
+                self.assertEqual(views[name], daemon.membership.view_number)
+
+        run_fleet(check, 7)
+
+    def test_report_leads_to_a_probe_at_once(self):
+        """Guards against a takeover that waits for the round to reach the member."""
+
+        async def check(fleet):
+            fleet.kill("entry-2")
+            membership = fleet.daemons_by_name["entry-0"].membership
+            membership.report_unreachable("entry-2")
+            elapsed = await fleet.wait_until(
+                lambda: membership.get("entry-2").state is not MemberState.ALIVE, 3.0
+            )
+            self.assertTrue(elapsed < 2.0, elapsed)
+
+        run_fleet(check, 7)
+
+    def test_indirect_probe_clears_a_member_behind_one_cut_link(self):
+        """Guards against one bad link that makes a member look dead to all."""
+
+        async def check(fleet):
+            fleet.network.cut("entry-0", "entry-1")
+            for _ in range(30):
+                await anyio.sleep(1.0)
+                self.assertEqual({"alive"}, fleet.states_of("entry-1"))
+
+        run_fleet(check, 7)
+
+    def test_paused_member_that_wakes_refutes(self):
+        """Guards against a daemon that stays failed although it answers again."""
+
+        async def check(fleet):
+            membership = fleet.daemons_by_name["entry-2"].membership
+            incarnation = membership.own_incarnation
+            fleet.network.pause("entry-2")
+            others = [name for name in fleet.names if name != "entry-2"]
+            await fleet.wait_until(
+                lambda: all(
+                    fleet.daemons_by_name[name].membership.get("entry-2").state
+                    is MemberState.FAILED
+                    for name in others
+                ),
+                LIMIT_S,
+            )
+            fleet.network.resume("entry-2")
+            await fleet.wait_until(lambda: self.all_alive(fleet), LIMIT_S)
+            self.assertEqual(incarnation, membership.own_incarnation)
+            self.assertFalse(membership.superseded.is_set())
+
+        run_fleet(check, 7)
+
+    def test_partition_and_heal_converge(self):
+        """Guards against two sides that never find each other again."""
+
+        async def check(fleet):
+            names = fleet.names
+            fleet.network.partition(names[::2], names[1::2])
+            await fleet.wait_until(
+                lambda: all(fleet.states_of(name) >= {"failed"} for name in names),
+                2 * LIMIT_S,
+            )
+            # Long enough that the updates of the cut are no longer passed on.
+            await anyio.sleep(300.0)
+            fleet.network.heal()
+            elapsed = await fleet.wait_until(lambda: self.all_alive(fleet), LIMIT_S)
+            self.assertTrue(elapsed <= 10.0, elapsed)
+
+        run_fleet(check, 24, domains=4)
+
+
+class IncarnationTest(testtools.TestCase):
+    def test_replaced_member_has_a_new_incarnation_though_the_clock_runs_back(self):
+        """Guards against a replaced daemon that is taken for its predecessor."""
+
+        async def check(fleet):
+            old = fleet.daemons_by_name["entry-2"].membership.own_incarnation
+            fleet.kill("entry-2")
+            fleet.wall_clock_ns -= 10**15
+            new = fleet.start(fleet.host(2)).membership
+            await fleet.wait_until(
+                lambda: all(
+                    daemon.membership.get("entry-2").incarnation == new.own_incarnation
+                    for daemon in fleet.daemons_by_name.values()
+                ),
+                LIMIT_S,
+            )
+            self.assertTrue(new.own_incarnation > old)
+            self.assertEqual({"alive"}, fleet.states_of("entry-2"))
+
+        run_fleet(check, 7)
+
+    def test_replacement_after_the_old_host_left_the_list(self):
+        """Guards against an incarnation number that is forgotten with its host."""
+
+        async def check(fleet):
+            old = fleet.daemons_by_name["entry-2"].membership.own_incarnation
+            fleet.kill("entry-2")
+            await anyio.sleep(LIMIT_S)
+            fleet.hosts.remove("entry-2")
+            await anyio.sleep(2.0)
+            self.assertEqual({None}, fleet.states_of("entry-2"))
+            fleet.wall_clock_ns -= 10**15
+            fleet.hosts.put(fleet.host(2))
+            new = fleet.start(fleet.host(2)).membership
+            await fleet.wait_until(
+                lambda: fleet.states_of("entry-2") == {"alive"}, LIMIT_S
+            )
+            self.assertTrue(new.own_incarnation > old)
+
+        run_fleet(check, 7)
+
+    def test_old_daemon_that_wakes_after_its_replacement_is_superseded(self):
+        """Guards against two daemons that work under one name."""
+
+        async def check(fleet):
+            old = fleet.daemons_by_name["entry-2"].membership
+            later = MemberUpdate(
+                "entry-2", old.own_incarnation.number + 1, 7, 0, Health.ALIVE
+            )
+            sender = fleet.daemons_by_name["entry-0"]
+            own = sender.membership._own_update()
+            await sender.transport.call("entry-2", Ping(own=own, about=later), 1.0)
+            self.assertTrue(old.superseded.is_set())
+
+        run_fleet(check, 3)
+
+
+class HostListTest(testtools.TestCase):
+    def test_new_host_is_known_before_a_lagging_list_shows_it(self):
+        """Guards against a daemon that gets no work until the list has caught up."""
+
+        async def check(fleet):
+            fleet.hosts.lag_s = 3600.0
+            fleet.start(fleet.host(7))
+            await fleet.wait_until(
+                lambda: fleet.states_of("entry-7") == {"alive"}, LIMIT_S
+            )
+            membership = fleet.daemons_by_name["entry-0"].membership
+            self.assertIn("entry-7", membership.routable())
+            self.assertEqual(7, membership.listed_count())
+
+        run_fleet(check, 7)
+
+    def test_members_survive_an_empty_or_missing_list(self):
+        """Guards against a broken list that empties the fleet."""
+
+        async def check(fleet):
+            names = fleet.names
+            for name in names:
+                fleet.hosts.remove(name)
+            await anyio.sleep(60.0)
+            fleet.hosts.down = True
+            await anyio.sleep(60.0)
+            for daemon in fleet.daemons_by_name.values():
+                self.assertEqual(set(names), set(daemon.membership.routable()))
+                self.assertEqual(1, daemon.membership.listed_count())
+
+        run_fleet(check, 7)
+
+    def test_leaving_by_notice_and_by_list(self):
+        """Guards against new work for a daemon that drains."""
+
+        async def check(fleet):
+            await fleet.daemons_by_name["entry-1"].membership.leave()
+            fleet.hosts.set_leaving("entry-2")
+            await fleet.wait_until(
+                lambda: (
+                    fleet.states_of("entry-1")
+                    == fleet.states_of("entry-2")
+                    == {"leaving"}
+                ),
+                10.0,
+            )
+            for name, daemon in fleet.daemons_by_name.items():
+                routable = daemon.membership.routable()
+                self.assertNotIn("entry-1", routable)
+                if name != "entry-2":
+                    self.assertNotIn("entry-2", routable)
+            self.assertEqual(
+                6, fleet.daemons_by_name["entry-0"].membership.listed_count()
+            )
+
+        run_fleet(check, 7)
+
+    def test_view_number_follows_the_routable_members(self):
+        """Guards against a change that waiting parts are not told of."""
+
+        async def check(fleet):
+            membership = fleet.daemons_by_name["entry-0"].membership
+            number = membership.view_number
+            with anyio.fail_after(LIMIT_S):
+                fleet.hosts.put(
+                    msgspec.structs.replace(fleet.host(3), state=HostState.LEAVING)
+                )
+                await membership.wait_changed(number)
+            self.assertNotIn("entry-3", membership.routable())
+
+        run_fleet(check, 7)
+
+
+class TrafficTest(testtools.TestCase):
+    def messages_per_daemon(self, size):
+        rates = []
+
+        async def check(fleet):
+            # The updates of the start are passed on first.
+            await anyio.sleep(60.0)
+            before = fleet.network.sent_messages, fleet.network.sent_bytes
+            await anyio.sleep(20.0)
+            rates.append((fleet.network.sent_messages - before[0]) / 20.0 / size)
+            rates.append((fleet.network.sent_bytes - before[1]) / 20.0 / size)
+
+        run_fleet(check, size)
+        return rates
+
+    def test_traffic_does_not_grow_with_the_fleet(self):
+        """Guards against a cost per daemon that follows the number of daemons."""
+        small, large = self.messages_per_daemon(5), self.messages_per_daemon(60)
+        self.assertTrue(large[0] < 1.1 * small[0], (small, large))
+        self.assertTrue(large[1] < 1.1 * small[1], (small, large))
+
+    def test_updates_of_one_ping_are_bounded(self):
+        """Guards against pings that grow with the number of changes."""
+        queue = UpdateQueue()
+        generator = random.Random(1)
+        for number in range(1000):
+            incarnation = 10**18 + generator.getrandbits(40)
+            queue.put(
+                MemberUpdate(
+                    f"entry-{number}",
+                    incarnation,
+                    generator.getrandbits(32),
+                    number,
+                    Health.FAILED,
+                )
+            )
+        taken = queue.take(1000)
+        self.assertTrue(len(msgspec.msgpack.encode(taken)) <= MAX_UPDATE_BYTES)
+        self.assertTrue(len(taken) > 20)
+        rounds = 1
+        while queue.take(1000):
+            rounds += 1
+        self.assertTrue(rounds < 1000)
+        self.assertEqual(0, len(queue))
