Test the spread of the configuration

Change: tests for spread at 7 and 260 members, a stale service, a service that is down, refused revisions of four kinds, documents in parts, and a comparison of 300 random changes with a full parse. Conclusion: the verdict on changed items equals that on the whole document.

--- /dev/null
+++ b/tests/peers/test_configuration_spread.py
@@ -0,0 +1,427 @@
+"""Tests of the spread of the published configuration on the advanced clock."""
+
+import hashlib
+import random
+
+import anyio
+import msgspec
+import testtools
+from loguru import logger
+
+from snipetrestle.checking import InvalidDocument
+from snipetrestle.peers.configuration_changes import (
+    Changes,
+    apply_changes,
+    changes_from_empty,
+)
+from snipetrestle.peers.configuration_spread import (
+    MAX_BACKOFF_S,
+    FetchConfiguration,
+)
+from snipetrestle.peers.membership_messages import RevisionDigest
+from snipetrestle.published import PublishedConfiguration
+from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.fleet import Fleet, encode_document, small_document
+
+LIMIT_S = 30.0
+# Design section 1.6: a change is in effect everywhere within 14 s.
+SPREAD_LIMIT_S = 14.0
+
+
+def publish(fleet, adapters=3, **extra):
+    return fleet.configuration.publish(
+        encode_document(small_document(adapters, **extra))
+    )
+
+
+def publish_parts(fleet, parts):
+    """Publishes a document in parts, and the index last."""
+    digests = {}
+    for key, data in parts.items():
+        text = encode_document(data)
+        fleet.configuration.publish(text, key=f"snipetrestle/{key}")
+        digests[key] = hashlib.sha256(text).hexdigest()
+    return fleet.configuration.publish(encode_document({"parts": digests}))
+
+
+def run_fleet(function, size=7, **options):
+    async def main():
+        async with Fleet(size, **options) as fleet:
+            await function(fleet)
+
+    run_advanced(main)
+
+
+class SpreadTestCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.events = []
+        handler = logger.add(
+            lambda message: self.events.append(message.record["extra"]), level="DEBUG"
+        )
+        self.addCleanup(logger.remove, handler)
+
+    def events_of(self, number):
+        return [item for item in self.events if item["event"] == number]
+
+    async def settle(self, fleet, accepted, seen=None, limit_s=LIMIT_S):
+        expected = ({accepted}, {accepted if seen is None else seen})
+        return await fleet.wait_until(lambda: fleet.revisions() == expected, limit_s)
+
+
+class SpreadTest(SpreadTestCase):
+    def check_spread(self, size, domains):
+        async def check(fleet):
+            publish(fleet)
+            fleet.start_all()
+            await self.settle(fleet, 1)
+            for daemon in fleet.daemons_by_name.values():
+                await daemon.spread.ready.wait()
+            reads = fleet.configuration.calls["read"]
+            self.assertEqual(2 * domains, reads)
+            for revision in (2, 3):
+                publish(fleet, adapters=2 + revision)
+                elapsed = await self.settle(fleet, revision)
+                self.assertTrue(elapsed <= SPREAD_LIMIT_S, elapsed)
+            for daemon in fleet.daemons_by_name.values():
+                self.assertEqual(5, len(daemon.spread.current.adapters))
+            # Only the readers call the service.
+            self.assertEqual(reads, fleet.configuration.calls["read"])
+
+        run_fleet(check, size, domains=domains)
+
+    def test_spread_at_today_s_size(self):
+        """Guards against a daemon that is left behind, and against reads by all."""
+        self.check_spread(7, domains=3)
+
+    def test_spread_at_a_few_hundred_members(self):
+        """Guards against a spread time that grows with the fleet."""
+        self.check_spread(260, domains=13)
+
+    def test_service_that_becomes_stale_reverts_nothing(self):
+        """Guards against a lagging replica of the service that takes a change back."""
+
+        async def check(fleet):
+            publish(fleet)
+            fleet.configuration.freeze()
+            frozen = fleet.configuration._frozen
+            fleet.configuration.thaw()
+            publish(fleet, adapters=4)
+            fleet.start_all()
+            await self.settle(fleet, 2)
+            fleet.configuration._frozen = frozen
+            # Restarted daemons, readers among them, read the stale service first.
+            for number in range(7):
+                fleet.kill(f"entry-{number}")
+                fleet.start(fleet.host(number))
+                daemon = fleet.daemons_by_name[f"entry-{number}"]
+                await daemon.spread.ready.wait()
+                self.assertEqual(2, daemon.spread.revision)
+                await anyio.sleep(20.0)
+            await self.settle(fleet, 2)
+            fleet.configuration.thaw()
+            publish(fleet, adapters=5)
+            await self.settle(fleet, 3)
+
+        run_fleet(check)
+
+    def test_daemons_that_learn_a_lower_revision_late_keep_the_higher_one(self):
+        """Guards against a late reply that replaces a newer revision."""
+
+        async def check(fleet):
+            publish(fleet)
+            fleet.start_all()
+            await self.settle(fleet, 1)
+            spread = fleet.daemons_by_name["entry-0"].spread
+            old = await spread._on_fetch(
+                "entry-1", FetchConfiguration(RevisionDigest())
+            )
+            publish(fleet, adapters=4)
+            await self.settle(fleet, 2)
+            fleet.network.find("entry-1").router.on_call(
+                FetchConfiguration, lambda sender, message: self.reply(old)
+            )
+            await spread._fetch_from("entry-1")
+            self.assertEqual(2, spread.revision)
+
+        run_fleet(check)
+
+    async def reply(self, content):
+        return content
+
+    def test_start_while_the_service_is_down(self):
+        """Guards against a daemon that needs the service in order to start."""
+
+        async def check(fleet):
+            publish(fleet)
+            fleet.start_all()
+            await self.settle(fleet, 1)
+            fleet.configuration.set_down(True)
+            fleet.kill("entry-3")
+            late = fleet.start(fleet.host(3))
+            with anyio.fail_after(LIMIT_S):
+                await late.spread.ready.wait()
+            self.assertEqual(1, late.spread.revision)
+            fleet.configuration.set_down(False)
+            publish(fleet, adapters=9)
+            await self.settle(fleet, 2, limit_s=2 * MAX_BACKOFF_S)
+            self.assertEqual(2, len({item["event"] for item in self.outage_events()}))
+
+        run_fleet(check)
+
+    def outage_events(self):
+        return [*self.events_of("EV-1103"), *self.events_of("EV-1105")]
+
+    def test_daemon_without_any_configuration_is_not_ready(self):
+        """Guards against requests that are judged by an empty configuration."""
+
+        async def check(fleet):
+            fleet.configuration.set_down(True)
+            fleet.start_all()
+            await anyio.sleep(600.0)
+            for daemon in fleet.daemons_by_name.values():
+                self.assertFalse(daemon.spread.ready.is_set())
+            # Six readers whose back-off has reached its bound.
+            calls = fleet.configuration.calls.total()
+            self.assertTrue(calls < 6 * 20, calls)
+            fleet.configuration.set_down(False)
+            publish(fleet)
+            with anyio.fail_after(2 * MAX_BACKOFF_S):
+                for daemon in fleet.daemons_by_name.values():
+                    await daemon.spread.ready.wait()
+
+        run_fleet(check)
+
+    def test_reader_of_a_stale_service_is_not_ready_before_it_asked_peers(self):
+        """Guards against a start with a revision that peers have replaced."""
+
+        async def check(fleet):
+            publish(fleet)
+            fleet.configuration.freeze()
+            frozen = fleet.configuration._frozen
+            fleet.configuration.thaw()
+            publish(fleet, adapters=4)
+            fleet.start_all()
+            await self.settle(fleet, 2)
+            fleet.configuration._frozen = frozen
+            for number in range(7):
+                name = f"entry-{number}"
+                fleet.kill(name)
+                spread = fleet.start(fleet.host(number)).spread
+                await spread.ready.wait()
+                self.assertEqual(2, spread.revision)
+
+        run_fleet(check)
+
+
+class RefusedRevisionTest(SpreadTestCase):
+    def check_refused(self, publish_invalid, problem):
+        async def check(fleet):
+            publish(fleet)
+            fleet.start_all()
+            await self.settle(fleet, 1)
+            publish_invalid(fleet)
+            await self.settle(fleet, 1, seen=2)
+            refusals = self.events_of("EV-1102")
+            self.assertEqual([2] * 7, [item["revision"] for item in refusals])
+            self.assertEqual(1, len({str(item["problems"]) for item in refusals}))
+            self.assertIn(problem, str(refusals[0]["problems"]))
+            # A daemon that starts now learns both.
+            fleet.kill("entry-3")
+            fleet.start(fleet.host(3))
+            await self.settle(fleet, 1, seen=2)
+            publish(fleet, adapters=5)
+            await self.settle(fleet, 3)
+            for daemon in fleet.daemons_by_name.values():
+                self.assertEqual(5, len(daemon.spread.current.adapters))
+
+        run_fleet(check)
+
+    def test_invalid_item(self):
+        """Guards against a partly applied revision, and against a silent refusal."""
+        self.check_refused(
+            lambda fleet: publish(
+                fleet,
+                adapters=4,
+                backend_servers=[{"name": "engine", "address": "127.0.0.1:1"}],
+            ),
+            "failure_domain: missing",
+        )
+
+    def test_dangling_reference(self):
+        """Guards against a removal that the check of changed items does not see."""
+
+        def publish_invalid(fleet):
+            data = small_document(3)
+            data["models"] = [{"name": "other"}]
+            fleet.configuration.publish(encode_document(data))
+
+        self.check_refused(publish_invalid, "no such model")
+
+    def test_malformed_text(self):
+        """Guards against a document that cannot be compared and so stays unseen."""
+        self.check_refused(
+            lambda fleet: fleet.configuration.publish("models: ["), "not valid YAML"
+        )
+
+    def test_unknown_field(self):
+        """Guards against a field that the comparison of items drops."""
+        self.check_refused(lambda fleet: publish(fleet, colour="red"), "unknown field")
+
+
+class PartsTest(SpreadTestCase):
+    def parts(self, adapters, engines=0):
+        data = small_document(adapters)
+        rest = {
+            "customers": [],
+            "backend_servers": [],
+            "daemons": [{"name": f"d-{i}", "failure_domain": "x"} for i in range(4)],
+            "policy": {"load_stalls": float(1 + engines)},
+        }
+        return {
+            "models": {"models": data["models"]},
+            "adapters-0": {"adapters": data["adapters"][::2]},
+            "adapters-1": {"adapters": data["adapters"][1::2]},
+            "rest": rest,
+        }
+
+    def test_only_changed_parts_are_read(self):
+        """Guards against a reader that loads the whole document for each change."""
+
+        async def check(fleet):
+            publish_parts(fleet, self.parts(10))
+            fleet.start_all()
+            await self.settle(fleet, 1)
+            reads = fleet.configuration.calls["read"]
+            publish_parts(fleet, self.parts(11))
+            await self.settle(fleet, 2)
+            # Two readers in each of three failure domains read one part.
+            self.assertEqual(reads + 6, fleet.configuration.calls["read"])
+            publish_parts(fleet, self.parts(4, engines=1))
+            await self.settle(fleet, 3)
+            for daemon in fleet.daemons_by_name.values():
+                self.assertEqual(4, len(daemon.spread.current.adapters))
+                self.assertEqual(2.0, daemon.spread.current.policy.load_stalls)
+
+        run_fleet(check)
+
+    def test_refused_part_is_read_again_with_the_next_revision(self):
+        """Guards against a change that is lost because its revision was refused."""
+
+        async def check(fleet):
+            publish_parts(fleet, self.parts(10))
+            fleet.start_all()
+            await self.settle(fleet, 1)
+            parts = self.parts(12)
+            parts["rest"]["policy"] = {"load_stalls": -1.0}
+            publish_parts(fleet, parts)
+            await self.settle(fleet, 1, seen=2)
+            parts["rest"]["policy"] = {}
+            publish_parts(fleet, parts)
+            await self.settle(fleet, 3)
+            for daemon in fleet.daemons_by_name.values():
+                self.assertEqual(12, len(daemon.spread.current.adapters))
+
+        run_fleet(check)
+
+    def test_name_in_two_parts_is_refused(self):
+        """Guards against parts that silently override each other."""
+
+        async def check(fleet):
+            publish_parts(fleet, self.parts(4))
+            fleet.start_all()
+            await self.settle(fleet, 1)
+            parts = self.parts(4)
+            parts["adapters-1"] = parts["adapters-0"]
+            publish_parts(fleet, parts)
+            await self.settle(fleet, 1, seen=2)
+            self.assertIn("name is repeated", str(self.events_of("EV-1102")[0]))
+
+        run_fleet(check)
+
+    def test_part_that_does_not_belong_to_the_index_is_not_used(self):
+        """Guards against a mixture of two revisions."""
+
+        async def check(fleet):
+            publish_parts(fleet, self.parts(4))
+            fleet.start_all()
+            await self.settle(fleet, 1)
+            text = encode_document(self.parts(9)["adapters-0"])
+            fleet.configuration.publish(text, key="snipetrestle/adapters-0")
+            fleet.configuration.publish(
+                fleet.configuration.read("snipetrestle").document.replace(
+                    hashlib.sha256(encode_document(self.parts(4)["adapters-1"]))
+                    .hexdigest()
+                    .encode(),
+                    b"0" * 64,
+                )
+            )
+            await anyio.sleep(LIMIT_S)
+            self.assertEqual(({1}, {1}), fleet.revisions())
+
+        run_fleet(check)
+
+
+class ChangesTest(testtools.TestCase):
+    """The verdict on changes is the verdict on the whole document."""
+
+    def test_random_changes_give_the_result_of_a_full_parse(self):
+        """Guards against an incremental check that differs from the full one."""
+        generator = random.Random(7)
+        accepted = PublishedConfiguration.from_data(small_document(5))
+        refused = 0
+        for _ in range(300):
+            changes = self.random_changes(generator)
+            try:
+                changed = apply_changes(accepted, changes)
+            except InvalidDocument:
+                changed = None
+                refused += 1
+            self.assertEqual(self.full_parse(accepted, changes), changed)
+            accepted = changed or accepted
+        self.assertTrue(50 < refused < 250, refused)
+
+    def random_changes(self, generator):
+        number = generator.randrange(8)
+        adapter = {
+            "name": f"adapter-{number}",
+            "model": generator.choice(["base", "base", "second", "none"]),
+            "versions": generator.choice([["1"], ["1", "2"], "1", []]),
+        }
+        return generator.choice(
+            [
+                Changes(puts={"adapters": [adapter]}),
+                Changes(puts={"adapters": [{**adapter, "x": 1}]}),
+                Changes(removals={"adapters": [f"adapter-{number}"]}),
+                Changes(puts={"models": [{"name": "second"}]}),
+                Changes(removals={"models": ["second"]}),
+                Changes(singles={"policy": {"load_stalls": number - 2.0}}),
+                Changes(singles={"policy": None}),
+            ]
+        )
+
+    def full_parse(self, accepted, changes):
+        data = msgspec.json.decode(msgspec.json.encode(accepted))
+        for section, items in changes.puts.items():
+            for item in items:
+                names = [known["name"] for known in data[section]]
+                if item["name"] in names:
+                    data[section][names.index(item["name"])] = item
+                else:
+                    data[section].append(item)
+        for section, names in changes.removals.items():
+            data[section] = [
+                item for item in data[section] if item["name"] not in names
+            ]
+        for name, value in changes.singles.items():
+            data[name] = {} if value is None else value
+        try:
+            return PublishedConfiguration.from_data(data)
+        except InvalidDocument:
+            return None
+
+    def test_full_content_is_the_configuration(self):
+        """Guards against a field that is lost on the way to a new daemon."""
+        configuration = PublishedConfiguration.from_data(small_document(5))
+        changes = changes_from_empty(configuration)
+        self.assertEqual(configuration, apply_changes(None, changes))
