--- a/snipetrestle_standins/fleet.py
+++ b/snipetrestle_standins/fleet.py
@@ -16,6 +16,7 @@
 )
 from snipetrestle_standins.host_list import HostListService, LocalHostListSource
 from snipetrestle_standins.network import InMemoryNetwork
+from snipetrestle_standins.recording import RecordingTransport
 
 
 class FleetDaemon:
@@ -32,10 +33,11 @@
     """Daemons by name. Use as an async context manager.
 
     Member number N is in failure domain N modulo ``domains``. The wall clock of all
-    daemons is ``wall_clock_ns`` and the clock of the loop together.
+    daemons is ``wall_clock_ns`` and the clock of the loop together. With a Session,
+    the messages are recorded.
     """
 
-    def __init__(self, size, *, domains=3, seed=1, wall_clock_ns=10**18):
+    def __init__(self, size, *, domains=3, seed=1, wall_clock_ns=10**18, session=None):
         self.network = InMemoryNetwork()
         self.hosts = HostListService()
         self.configuration = ConfigurationService()
@@ -43,6 +45,7 @@
         self.wall_clock_ns = wall_clock_ns
         self._generator = random.Random(seed)
         self._domains = domains
+        self._session = session
         self._group = None
         self.hosts.put(*(self.host(number) for number in range(size)))
 
@@ -80,6 +83,8 @@
         """Starts a daemon on a host, or replaces the one of that name."""
         router = MessageRouter()
         transport = self.network.attach(host.name, router)
+        if self._session is not None:
+            transport = RecordingTransport(transport, self._session)
         generator = random.Random(self._generator.getrandbits(64))
         membership = Membership(
             host.name,
--- /dev/null
+++ b/snipetrestle_standins/recording.py
@@ -0,0 +1,69 @@
+"""Records the messages between daemons for golden files of whole sessions."""
+
+import contextlib
+
+import anyio
+import msgspec
+
+from snipetrestle.codes import ServingError
+from snipetrestle.peers.configuration_changes import unpack
+from snipetrestle.peers.configuration_spread import ConfigurationContent
+from snipetrestle.peers.transport import PeerUnreachable
+
+
+class Session:
+    """Lines of a session in order, with the time of the advanced clock in seconds."""
+
+    def __init__(self):
+        self.lines = []
+
+    def note(self, sender, receiver, message):
+        text = msgspec.json.encode(_readable(message)).decode()
+        kind = type(message).__name__
+        self.write(f"{sender} -> {receiver} {kind} {text}")
+
+    def write(self, text):
+        self.lines.append(f"{anyio.current_time():9.4f} {text}")
+
+    def text(self):
+        return "\n".join([*self.lines, ""])
+
+
+def _readable(message):
+    """Returns a message with its packed contents opened."""
+    if not isinstance(message, ConfigurationContent):
+        return message
+    return [
+        None if item is None else unpack(item.compressed, item.body)
+        for item in (message.accepted, message.refused)
+    ]
+
+
+class RecordingTransport:
+    """PeerTransport that notes each message and reply in a Session."""
+
+    def __init__(self, transport, session):
+        self._transport = transport
+        self._session = session
+        self._name = transport.member
+
+    async def call(self, member, message, timeout):
+        self._session.note(self._name, member, message)
+        try:
+            reply = await self._transport.call(member, message, timeout)
+        except (PeerUnreachable, ServingError) as error:
+            self._session.write(f"{member} -> {self._name} {error}")
+            raise
+        self._session.note(member, self._name, reply)
+        return reply
+
+    @contextlib.asynccontextmanager
+    async def stream(self, member, message):
+        self._session.note(self._name, member, message)
+        async with self._transport.stream(member, message) as replies:
+            yield self._note_replies(member, replies)
+
+    async def _note_replies(self, member, replies):
+        async for reply in replies:
+            self._session.note(member, self._name, reply)
+            yield reply
