Carry a request from a caller through entry, owner and engine

Cause: no request could travel through the daemons yet. Change: application object, HTTP engine and service clients, ASGI stand-in of the engine, callers' interface with streamed and whole completions, entry router, handler of Forward, owners by rendezvous over the membership, command line with serve and demo. Measured before: make demo had no sub-command.

--- /dev/null
+++ b/snipetrestle/callers/interface.py
@@ -0,0 +1,257 @@
+"""ASGI application for callers: authenticates, checks, and answers requests."""
+
+import contextlib
+import hashlib
+import time
+
+import anyio
+import msgspec
+
+from snipetrestle.callers.completions import (
+    LAST_EVENT,
+    AnswerFormat,
+    malformed,
+    parse_completion,
+    resolve_adapter,
+)
+from snipetrestle.callers.entry import Generation
+from snipetrestle.callers.exchange import CallerGone, Exchange
+from snipetrestle.callers.refusals import error_body
+from snipetrestle.codes import ResultCode, ServingError
+from snipetrestle.engines.forward import Finished, RequestClass
+from snipetrestle.events import Event, log_event
+
+# Time for a request that names no deadline.
+DEFAULT_DEADLINE_S = 120.0
+MAX_DEADLINE_S = 86_400.0
+
+EVENT_STREAM_HEADERS = [
+    (b"content-type", b"text/event-stream"),
+    (b"cache-control", b"no-store"),
+]
+
+
+class ListedModel(msgspec.Struct):
+    """One entry of ``/v1/models``."""
+
+    id: str
+    object: str = "model"
+    owned_by: str = "snipetrestle"
+
+
+class ModelList(msgspec.Struct):
+    """Answer of ``/v1/models``."""
+
+    data: list[ListedModel]
+    object: str = "list"
+
+
+class CallerInterface:
+    """ASGI application. ``router`` is an EntryRouter, ``generator`` a random.Random."""
+
+    def __init__(self, router, intake, generator, is_ready):
+        self._router = router
+        self._intake = intake
+        self._generator = generator
+        self._is_ready = is_ready
+        self._configuration = None
+        self._draining = False
+        self._in_progress = 0
+        self._idle = anyio.Event()
+        self._routes = {
+            ("POST", "/v1/completions"): self._complete_text,
+            ("POST", "/v1/chat/completions"): self._complete_chat,
+            ("GET", "/v1/models"): self._list_models,
+            ("GET", "/healthz"): self._tell_health,
+            ("GET", "/readyz"): self._tell_readiness,
+        }
+
+    def apply(self, configuration):
+        """Takes over a published configuration."""
+        self._configuration = configuration
+
+    async def drain(self):
+        """Refuses new requests and waits for those in progress."""
+        self._draining = True
+        while self._in_progress:
+            self._idle = anyio.Event()
+            await self._idle.wait()
+
+    async def __call__(self, scope, receive, send):
+        exchange = Exchange(scope, receive, send, self._intake)
+        self._in_progress += 1
+        try:
+            await self._serve(exchange)
+        finally:
+            self._in_progress -= 1
+            if not self._in_progress:
+                self._idle.set()
+
+    async def _serve(self, exchange):
+        try:
+            await self._route(exchange)
+        except CallerGone:
+            return
+        except ServingError as error:
+            await self._refuse(exchange, error)
+        except Exception as error:
+            log_event(Event.INTERNAL_ERROR, path=exchange.path, detail=repr(error))
+            await self._refuse(exchange, ServingError(ResultCode.INTERNAL))
+
+    async def _refuse(self, exchange, error):
+        log_event(Event.REQUEST_REFUSED, code=str(error.code), detail=error.detail)
+        if not exchange.started:
+            await exchange.answer_error(error)
+            return
+        # The status line has left; the error is the last event of the stream.
+        await exchange.end(b"event: error\ndata: " + error_body(error) + b"\n\n")
+
+    async def _route(self, exchange):
+        route = self._routes.get((exchange.method, exchange.path))
+        if route is None:
+            raise ServingError(
+                ResultCode.UNKNOWN_PATH,
+                field="path",
+                value=f"{exchange.method} {exchange.path}",
+            )
+        await route(exchange)
+
+    def _authenticate(self, exchange):
+        """Returns the customer of a request. Raises ServingError."""
+        if self._configuration is None:
+            raise ServingError(ResultCode.NOT_READY)
+        if self._draining:
+            raise ServingError(ResultCode.DRAINING)
+        scheme, _, key = (exchange.header(b"authorization") or "").partition(" ")
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        customer = self._configuration.customers_by_key.get(digest)
+        if scheme.lower() != "bearer" or customer is None:
+            raise ServingError(
+                ResultCode.BAD_KEY,
+                field="Authorization",
+                rule="must be Bearer with a customer's key",
+            )
+        return customer
+
+    async def _complete_text(self, exchange):
+        await self._complete(exchange, chat=False)
+
+    async def _complete_chat(self, exchange):
+        await self._complete(exchange, chat=True)
+
+    async def _complete(self, exchange, chat):
+        customer = self._authenticate(exchange)
+        request = parse_completion(await exchange.read_body(), chat)
+        generation = self._generation(exchange, customer, request)
+        answer_format = AnswerFormat(request, generation.request_id, int(time.time()))
+        async with anyio.create_task_group() as group:
+            group.start_soon(_cancel_when_gone, exchange, group.cancel_scope)
+            # An error inside the group would come out as an exception group.
+            error = None
+            try:
+                if request.stream:
+                    await self._stream(exchange, request, generation, answer_format)
+                else:
+                    await self._collect(exchange, generation, answer_format)
+            except (ServingError, CallerGone) as caught:
+                error = caught
+            group.cancel_scope.cancel()
+        if error is not None:
+            raise error
+
+    def _generation(self, exchange, customer, request):
+        name = resolve_adapter(self._configuration, customer, request.model)
+        return Generation(
+            request_id=f"{self._generator.getrandbits(96):024x}",
+            customer=customer.name,
+            request_class=request_class_of(exchange),
+            model=name.model,
+            adapter=name.adapter,
+            version=name.version,
+            prompt=request.prompt,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            deadline=anyio.current_time() + time_left_of(exchange),
+            prefix=request.prefix,
+            weight=customer.contract.weight,
+        )
+
+    async def _stream(self, exchange, request, generation, answer_format):
+        count = 0
+        async with contextlib.aclosing(self._router.generate(generation)) as replies:
+            async for reply in replies:
+                if not exchange.started:
+                    await exchange.start(200, EVENT_STREAM_HEADERS)
+                if isinstance(reply, Finished):
+                    event = answer_format.event("", reply.finish_reason)
+                else:
+                    count += len(reply.tokens)
+                    event = answer_format.event("".join(reply.tokens))
+                await exchange.write(event)
+        if request.include_usage:
+            await exchange.write(answer_format.usage_event(count))
+        await exchange.end(LAST_EVENT)
+
+    async def _collect(self, exchange, generation, answer_format):
+        tokens = []
+        finish_reason = None
+        async with contextlib.aclosing(self._router.generate(generation)) as replies:
+            async for reply in replies:
+                if isinstance(reply, Finished):
+                    finish_reason = reply.finish_reason
+                else:
+                    tokens.extend(reply.tokens)
+        text = "".join(tokens)
+        await exchange.answer_json(
+            answer_format.whole(text, len(tokens), finish_reason)
+        )
+
+    async def _list_models(self, exchange):
+        customer = self._authenticate(exchange)
+        names = [
+            ListedModel(f"{adapter.model}:{adapter.name}@{version}")
+            for adapter in self._configuration.adapters
+            if customer.may_use(adapter.name)
+            for version in adapter.versions
+        ]
+        await exchange.answer_json(ModelList(names))
+
+    async def _tell_health(self, exchange):
+        await exchange.answer_json({"status": "ok"})
+
+    async def _tell_readiness(self, exchange):
+        if self._draining:
+            raise ServingError(ResultCode.DRAINING)
+        if not self._is_ready():
+            raise ServingError(ResultCode.NOT_READY)
+        await exchange.answer_json({"status": "ready"})
+
+
+async def _cancel_when_gone(exchange, scope):
+    await exchange.wait_gone()
+    scope.cancel()
+
+
+def request_class_of(exchange):
+    """Returns the class of ``X-Request-Class``. Raises ServingError."""
+    text = exchange.header(b"x-request-class") or RequestClass.WAITING
+    try:
+        return RequestClass(text)
+    except ValueError:
+        raise malformed("X-Request-Class", text, "must be waiting or batch") from None
+
+
+def time_left_of(exchange):
+    """Returns the seconds of ``X-Request-Deadline``. Raises ServingError."""
+    text = exchange.header(b"x-request-deadline")
+    if text is None:
+        return DEFAULT_DEADLINE_S
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0.0 < seconds <= MAX_DEADLINE_S:
+        raise malformed(
+            "X-Request-Deadline", text, f"must be seconds in (0, {MAX_DEADLINE_S:g}]"
+        )
+    return seconds
--- /dev/null
+++ b/snipetrestle/callers/listener.py
@@ -0,0 +1,170 @@
+"""HTTP listener: a uvicorn server inside the daemon, with bounds on connections."""
+
+import contextlib
+import logging
+
+import anyio
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from snipetrestle.callers.refusals import raw_error
+from snipetrestle.codes import ResultCode, ServingError
+from snipetrestle.settings import IntakeSettings, is_loopback, split_address
+
+# Request line and headers together.
+MAX_HEADER_BYTES = 32_768
+# A caller that takes nothing from a full connection for this long is cut off.
+SLOW_READER_TIMEOUT_S = 30.0
+# An idle connection is closed after this time.
+KEEPALIVE_S = 75
+# Time for answers in progress when the listener closes; a drain ends them before.
+CLOSE_TIMEOUT_S = 5
+_START_POLL_S = 0.002
+
+
+class BoundedProtocol(HttpToolsProtocol):
+    """HTTP connection with bounds on its number, header time and reading speed."""
+
+    intake = IntakeSettings()
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        self._slow_reader_timer = None
+        self._header_timer = None
+        self._header_bytes = 0
+        if len(self.connections) > self.intake.max_connections:
+            self._refuse(ResultCode.QUEUE_FULL, "too many connections")
+            return
+        self._expect_headers()
+
+    def connection_lost(self, error):
+        self._stop_header_timer()
+        self._stop_slow_reader_timer()
+        super().connection_lost(error)
+
+    def data_received(self, data):
+        if self._header_timer is not None:
+            self._header_bytes += len(data)
+            limit = MAX_HEADER_BYTES + self.intake.max_body_bytes
+            if self._header_bytes > limit:
+                self._refuse(
+                    ResultCode.MALFORMED_REQUEST,
+                    rule=f"headers must have at most {MAX_HEADER_BYTES} bytes",
+                )
+                return
+        super().data_received(data)
+
+    def on_message_begin(self):
+        super().on_message_begin()
+        if self._header_timer is None:
+            self._expect_headers()
+
+    def on_header(self, name, value):
+        super().on_header(name, value)
+        if sum(len(item) + len(text) for item, text in self.headers) > MAX_HEADER_BYTES:
+            self._refuse(
+                ResultCode.MALFORMED_REQUEST,
+                rule=f"headers must have at most {MAX_HEADER_BYTES} bytes",
+            )
+
+    def on_headers_complete(self):
+        self._stop_header_timer()
+        if not self.transport.is_closing():
+            super().on_headers_complete()
+
+    def send_400_response(self, msg):
+        self._refuse(ResultCode.MALFORMED_REQUEST, "not a valid HTTP request")
+
+    def pause_writing(self):
+        super().pause_writing()
+        if self._slow_reader_timer is None:
+            self._slow_reader_timer = self.loop.call_later(
+                SLOW_READER_TIMEOUT_S, self.transport.abort
+            )
+
+    def resume_writing(self):
+        self._stop_slow_reader_timer()
+        super().resume_writing()
+
+    def _expect_headers(self):
+        self._header_bytes = 0
+        self._header_timer = self.loop.call_later(
+            self.intake.header_timeout_s, self._refuse_late_headers
+        )
+
+    def _refuse_late_headers(self):
+        self._refuse(ResultCode.REQUEST_TIMEOUT, "the headers did not arrive in time")
+
+    def _refuse(self, code, detail="", **details):
+        self._stop_header_timer()
+        if not self.transport.is_closing():
+            self.transport.write(raw_error(code, detail, **details))
+            self.transport.close()
+
+    def _stop_header_timer(self):
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _stop_slow_reader_timer(self):
+        if self._slow_reader_timer is not None:
+            self._slow_reader_timer.cancel()
+            self._slow_reader_timer = None
+
+
+class _Server(uvicorn.Server):
+    """Server that leaves the process's signals to the command line."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        yield
+
+
+@contextlib.asynccontextmanager
+async def serving(app, address, tls=None, intake=None):
+    """Serves an ASGI application at ``IP:PORT`` while the context is open.
+
+    Yields the address with the port in use. Raises ServingError for plain text off
+    loopback.
+    """
+    if tls is None and not is_loopback(address):
+        raise ServingError(
+            ResultCode.INVALID_SETTINGS,
+            "plain text is for loopback only",
+            field="listen",
+            value=address,
+        )
+    host, port = split_address(address)
+    # Each listener has bounds of its own, and uvicorn takes a class.
+    protocol = type(
+        "ListenerProtocol", (BoundedProtocol,), {"intake": intake or IntakeSettings()}
+    )
+    logging.getLogger("uvicorn.error").setLevel(logging.WARNING)
+    server = _Server(
+        uvicorn.Config(
+            app,
+            host=host,
+            port=port,
+            http=protocol,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            proxy_headers=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=KEEPALIVE_S,
+            timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
+            ssl_certfile=tls and tls.certificate,
+            ssl_keyfile=tls and tls.key,
+        )
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.serve)
+        while not server.started:  # noqa: ASYNC110 - uvicorn has no event for it
+            await anyio.sleep(_START_POLL_S)
+        bound = server.servers[0].sockets[0].getsockname()
+        try:
+            yield f"{address.rpartition(':')[0]}:{bound[1]}"
+        finally:
+            server.should_exit = True
--- /dev/null
+++ b/snipetrestle/cli/__init__.py
@@ -0,0 +1,28 @@
+"""Command line: each sub-command is a class in a module of its own."""
+
+import dataclasses
+import typing
+
+import cappa
+
+from snipetrestle.cli.demo import Demo
+from snipetrestle.cli.serve import Serve
+
+# Each sub-command is a callable class that returns the exit status.
+SUB_COMMANDS = (Serve, Demo)
+
+
+@cappa.command(
+    name="snipetrestle",
+    help="Serving layer for very many LoRA adapters on a shared fleet of engines.",
+)
+@dataclasses.dataclass(slots=True)
+class Command:
+    """The whole command line."""
+
+    sub_command: cappa.Subcommands[typing.Union[SUB_COMMANDS]]  # noqa: UP007
+
+
+def main(argv=None):
+    """Runs the command line and returns the exit status."""
+    return cappa.invoke(Command, argv=argv)
--- /dev/null
+++ b/snipetrestle/engines/replicas.py
@@ -0,0 +1,78 @@
+"""Which daemon owns which replica, and the owners that run in this daemon.
+
+The owner of a replica is the first routable member of the replica's region in the
+replica's rendezvous order.
+"""
+
+from snipetrestle.codes import ResultCode, ServingError
+from snipetrestle.events import Event, log_event
+from snipetrestle.hashing import rendezvous_first
+
+
+class OwnedReplicas:
+    """Owners of this daemon's replicas by name, kept in step with the membership.
+
+    ``make_owner(server)`` returns a ReplicaOwner.
+    """
+
+    def __init__(self, membership, make_owner):
+        self._membership = membership
+        self._make_owner = make_owner
+        self._configuration = None
+        self._owners_by_name = {}
+        self._owner_names_by_replica = {}
+        self._names_view = None
+
+    def apply(self, configuration):
+        """Takes over a published configuration."""
+        self._configuration = configuration
+        self._names_view = None
+        self._update()
+
+    async def run(self):
+        """Follows the membership until cancelled."""
+        while True:
+            view_number = self._membership.view_number
+            self._update()
+            await self._membership.wait_changed(view_number)
+
+    def owner_name(self, server):
+        """Returns the name of the daemon that owns a replica, or None."""
+        view = self._membership.view_number
+        if self._names_view != view:
+            self._owner_names_by_replica.clear()
+            self._names_view = view
+        try:
+            return self._owner_names_by_replica[server.name]
+        except KeyError:
+            members = self._membership.routable(server.region)
+            name = rendezvous_first(server.name, members)
+            self._owner_names_by_replica[server.name] = name
+            return name
+
+    def owner(self, replica):
+        """Returns the ReplicaOwner of an own replica. Raises ServingError."""
+        owner = self._owners_by_name.get(replica)
+        if owner is None:
+            raise ServingError(ResultCode.NOT_OWNER, replica)
+        return owner
+
+    def owners(self):
+        return tuple(self._owners_by_name.values())
+
+    def _update(self):
+        if self._configuration is None:
+            return
+        own_name = self._membership.own_name
+        wanted = {
+            server.name: server
+            for servers in self._configuration.replicas_by_model.values()
+            for server in servers
+            if self.owner_name(server) == own_name
+        }
+        for name in self._owners_by_name.keys() - wanted.keys():
+            del self._owners_by_name[name]
+            log_event(Event.REPLICA_RELEASED, replica=name)
+        for name in wanted.keys() - self._owners_by_name.keys():
+            self._owners_by_name[name] = self._make_owner(wanted[name])
+            log_event(Event.REPLICA_OWNED, replica=name)
