Add operators' interface, sub-commands, samples and reference pages

Cause: operators need reports, checks and drain from a script and from a terminal. Change: operators' ASGI application behind an operator's key, sub-commands check, explain, status, contracts, adapters, replicas and drain, samples of both users, and tables of codes and events written from the code.

--- /dev/null
+++ b/snipetrestle/cli/remote.py
@@ -0,0 +1,42 @@
+"""Options that sub-commands share which call a running daemon."""
+
+import os
+import pathlib
+from typing import Annotated
+
+import cappa
+
+from snipetrestle.cli.output import ExitCode, fail
+from snipetrestle.operators.client import OperatorCallFailed, OperatorClient
+
+KEY_VARIABLE = "SNIPETRESTLE_OPERATOR_KEY"
+
+Url = Annotated[
+    str, cappa.Arg(long=True, help="Operators' address, such as http://127.0.0.1:8200.")
+]
+Authority = Annotated[
+    pathlib.Path | None,
+    cappa.Arg(long=True, help="PEM file that verifies the daemon."),
+]
+Json = Annotated[bool, cappa.Arg(long=True, help="Print JSON.")]
+
+
+class RemoteCommand:
+    """Base of the sub-commands that call a daemon. The key comes from the environment."""
+
+    url = "http://127.0.0.1:8200"
+    authority = None
+    json = False
+
+    def call(self, action):
+        """Runs ``action(client)``; exits with 4 if the daemon cannot be asked."""
+        key = os.environ.get(KEY_VARIABLE)
+        if not key:
+            fail(f"set {KEY_VARIABLE} to an operator's key", ExitCode.USAGE)
+        client = OperatorClient(self.url, key, self.authority)
+        try:
+            return action(client)
+        except OperatorCallFailed as error:
+            return fail(str(error), ExitCode.UNREACHABLE)
+        finally:
+            client.close()
--- /dev/null
+++ b/snipetrestle/operators/interface.py
@@ -0,0 +1,102 @@
+"""ASGI application for operators: reports, metrics and drain.
+
+Every path needs an operator's key, which no customer's key can stand in for.
+"""
+
+import fnmatch
+import hashlib
+import urllib.parse
+
+import msgspec
+
+from snipetrestle.codes import ResultCode, ServingError
+from snipetrestle.operators.reports import adapter_reports, contract_reports
+
+_encoder = msgspec.json.Encoder()
+
+
+class OperatorInterface:
+    """Serves operators from an OperatorSource."""
+
+    def __init__(self, source):
+        self._source = source
+        self._handlers_by_route = {
+            ("GET", "/v1/status"): self._status,
+            ("GET", "/v1/contracts"): self._contracts,
+            ("GET", "/v1/adapters"): self._adapters,
+            ("GET", "/v1/replicas"): self._replicas,
+            ("POST", "/v1/drain"): self._drain,
+            ("GET", "/metrics"): self._metrics,
+        }
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] != "http":
+            return
+        try:
+            status, content_type, body = self._answer(scope)
+        except ServingError as error:
+            status, content_type = error.code.http_status, "application/json"
+            body = _encoder.encode(
+                {
+                    "code": str(error.code),
+                    "message": error.code.meaning,
+                    "detail": error.detail,
+                }
+            )
+        await send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [
+                    (b"content-type", content_type.encode()),
+                    (b"content-length", str(len(body)).encode()),
+                ],
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    def _answer(self, scope):
+        configuration = self._source.configuration()
+        self._check_key(configuration, scope)
+        handler = self._handlers_by_route.get((scope["method"], scope["path"]))
+        if handler is None:
+            raise ServingError(ResultCode.UNKNOWN_PATH, scope["path"])
+        query = dict(urllib.parse.parse_qsl(scope["query_string"].decode("latin-1")))
+        return handler(configuration, query)
+
+    def _check_key(self, configuration, scope):
+        if configuration is None:
+            raise ServingError(ResultCode.NOT_READY, "no configuration yet")
+        headers = dict(scope["headers"])
+        scheme, _, key = headers.get(b"authorization", b"").partition(b" ")
+        digest = hashlib.sha256(key.strip()).hexdigest()
+        if scheme.lower() != b"bearer" or digest not in configuration.operators_by_key:
+            raise ServingError(ResultCode.BAD_KEY)
+
+    def _status(self, configuration, query):
+        return _json(self._source.daemon_report())
+
+    def _contracts(self, configuration, query):
+        return _json(contract_reports(configuration))
+
+    def _adapters(self, configuration, query):
+        pattern = query.get("name", "*")
+        return _json(
+            adapter_reports(
+                configuration, lambda name: fnmatch.fnmatchcase(name, pattern)
+            )
+        )
+
+    def _replicas(self, configuration, query):
+        return _json(self._source.replica_reports())
+
+    def _drain(self, configuration, query):
+        self._source.start_drain()
+        return 202, "application/json", b"{}"
+
+    def _metrics(self, configuration, query):
+        return 200, "text/plain; version=0.0.4", self._source.metrics_text()
+
+
+def _json(value):
+    return 200, "application/json", _encoder.encode(value)
--- /dev/null
+++ b/tests/operators/test_interface.py
@@ -0,0 +1,83 @@
+"""Tests of the operators' interface."""
+
+import json
+
+import testtools
+
+from snipetrestle.operators.interface import OperatorInterface
+from snipetrestle.operators.reports import DaemonReport
+from snipetrestle.published import PublishedConfiguration
+from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.samples import SAMPLES, key_of, published_text
+
+
+class FakeSource:
+    """An OperatorSource that remembers the drain."""
+
+    def __init__(self, configuration):
+        self._configuration = configuration
+        self.drains = 0
+
+    def configuration(self):
+        return self._configuration
+
+    def daemon_report(self):
+        return DaemonReport("entry-1", "1-2", True, False, 7)
+
+    def replica_reports(self):
+        return []
+
+    def metrics_text(self):
+        return b"metric 1\n"
+
+    def start_drain(self):
+        self.drains += 1
+
+
+class OperatorInterfaceTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        text = published_text(SAMPLES[0])
+        self.source = FakeSource(PublishedConfiguration.parse(text))
+
+    def request(self, method, path, key=None):
+        sent = []
+        headers = [] if key is None else [(b"authorization", f"Bearer {key}".encode())]
+        path, _, query = path.partition("?")
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "query_string": query.encode(),
+            "headers": headers,
+        }
+
+        async def call():
+            async def send(message):
+                sent.append(message)
+
+            await OperatorInterface(self.source)(scope, None, send)
+
+        run_advanced(call)
+        return sent[0]["status"], sent[1]["body"]
+
+    def test_a_customers_key_and_a_missing_key_get_nothing(self):
+        """Guards against a caller that drains a daemon with its own key."""
+        for key in (None, "", key_of("shop-counters"), "x"):
+            status, body = self.request("POST", "/v1/drain", key)
+            self.assertEqual((401, "SN-1001"), (status, json.loads(body)["code"]))
+            self.assertEqual(401, self.request("GET", "/metrics", key)[0])
+        self.assertEqual(0, self.source.drains)
+
+    def test_an_operator_reads_reports_and_drains(self):
+        key = key_of("operator")
+        status, body = self.request("GET", "/v1/status", key)
+        self.assertEqual((200, 7), (status, json.loads(body)["configuration_revision"]))
+        status, body = self.request("GET", "/v1/adapters?name=workshop-001*", key)
+        self.assertEqual(10, len(json.loads(body)))
+        self.assertEqual(
+            3, len(json.loads(self.request("GET", "/v1/contracts", key)[1]))
+        )
+        self.assertEqual(202, self.request("POST", "/v1/drain", key)[0])
+        self.assertEqual(1, self.source.drains)
+        self.assertEqual(404, self.request("GET", "/v1/none", key)[0])
--- /dev/null
+++ b/tests/test_reference.py
@@ -0,0 +1,30 @@
+"""Tests that the reference pages match the code."""
+
+import pathlib
+
+import testtools
+
+from snipetrestle.codes import ResultCode
+from snipetrestle.events import Event
+from snipetrestle.reference import pages_by_name
+
+DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
+
+
+class ReferenceTest(testtools.TestCase):
+    def test_pages_match_the_code(self):
+        """Guards against a code or event that the pages do not list."""
+        for name, build in pages_by_name.items():
+            self.assertEqual(
+                build(),
+                (DOCS / name).read_text(),
+                f"docs/{name} is old: run python -m snipetrestle.reference docs",
+            )
+
+    def test_numbers_are_unique(self):
+        """Guards against two codes or events with one number."""
+        for items in (ResultCode, Event):
+            numbers = [item.number for item in items]
+            self.assertEqual(len(set(numbers)), len(numbers))
+            # An enum drops a member whose whole value is repeated.
+            self.assertEqual(len(items.__members__), len(numbers))
