Build one binary that unpacks nothing and starts no process

Cause: hosts have no disk and a process may start no other, which excludes packers with a one-file mode.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 	$(RUN) -m benchmarks.control $(ARGS)
 
 binary: setup
-	$(RUN) packaging/build_binary.py
+	$(RUN) binary/build.py
 
 # Generated gRPC code is committed; this target writes it again.
 generate: setup
--- /dev/null
+++ b/binary/build.py
@@ -0,0 +1,177 @@
+"""Builds ``dist/snipetrestle``: interpreter, libraries and product in one file.
+
+The launcher is linked with the static interpreter library; a zip archive of compiled
+modules and extension modules follows it. The archive is not compressed, since the
+decompressor is itself an extension module.
+"""
+
+import importlib.util
+import marshal
+import pathlib
+import shutil
+import subprocess
+import sys
+import sysconfig
+import zipfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+DIST = ROOT / "dist"
+# Parts of the standard library that the product does not use.
+UNUSED_STDLIB = frozenset(
+    "test idlelib lib2to3 tkinter turtledemo ensurepip venv distutils site-packages "
+    "lib-dynload config-3.11-x86_64-linux-gnu __pycache__ pydoc_data".split()
+)
+# _posixshmem is shared memory, which the product must not use.
+UNUSED_EXTENSIONS = frozenset(
+    "_testcapi _testbuffer _testinternalcapi _testclinic _testmultiphase "
+    "_testimportmultiple _xxtestfuzz xxlimited xxlimited_35 _ctypes_test _tkinter "
+    "_curses _curses_panel readline _sqlite3 _posixshmem ossaudiodev nis "
+    "_crypt".split()
+)
+# Packages installed for development only.
+DEVELOP_PACKAGES = frozenset(
+    "pip setuptools pkg_resources _distutils_hack numpy numpy.libs matplotlib mpl_toolkits "
+    "hypothesis testtools ruff grpc_tools cryptography cffi pycparser PIL pillow.libs "
+    "contourpy contourpy.libs fontTools kiwisolver pyparsing cycler dateutil "
+    "sortedcontainers pbr hdrh uvloop __pycache__".split()
+)
+# Libraries of the C library, which the host provides.
+C_LIBRARY = frozenset(
+    "libc.so.6 libm.so.6 libpthread.so.0 librt.so.1 libdl.so.2 libutil.so.1 "
+    "ld-linux-x86-64.so.2 linux-vdso.so.1".split()
+)
+TIMESTAMP = (2026, 1, 1, 0, 0, 0)
+
+
+class Archive:
+    """Writes modules, extension modules and data files."""
+
+    def __init__(self, path):
+        self._zip = zipfile.ZipFile(path, "w", zipfile.ZIP_STORED)
+        self._folders = set()
+        self._extensions_by_name = {}
+        self.extension_paths = []
+
+    def add(self, name, data):
+        folder = ""
+        for part in name.split("/")[:-1]:
+            folder += part + "/"
+            if folder not in self._folders:
+                # A namespace package is found by its folder's entry.
+                self._folders.add(folder)
+                self._zip.writestr(zipfile.ZipInfo(folder, TIMESTAMP), b"")
+        self._zip.writestr(zipfile.ZipInfo(name, TIMESTAMP), data)
+
+    def add_module(self, name, path):
+        code = compile(path.read_bytes(), name, "exec", dont_inherit=True, optimize=0)
+        header = importlib.util.MAGIC_NUMBER + bytes(12)
+        self.add(name.removesuffix(".py") + ".pyc", header + marshal.dumps(code))
+
+    def add_extension(self, name, path):
+        module = name.rpartition("/")
+        stem = module[2].partition(".")[0]
+        dotted = (module[0].replace("/", ".") + "." if module[0] else "") + stem
+        self.add(name, path.read_bytes())
+        self._extensions_by_name[dotted] = name
+        self.extension_paths.append(path)
+
+    def add_tree(self, root, prefix, excluded=frozenset()):
+        for path in sorted(root.rglob("*")):
+            relative = path.relative_to(root)
+            if relative.parts[0] in excluded or "__pycache__" in relative.parts:
+                continue
+            if not path.is_file():
+                continue
+            name = (pathlib.PurePosixPath(prefix) / relative.as_posix()).as_posix()
+            if path.suffix == ".py":
+                self.add_module(name, path)
+            elif path.name.endswith(".so"):
+                self.add_extension(name, path)
+            elif path.suffix in (".yaml", ".txt", ".pem", ".json", ""):
+                self.add(name, path.read_bytes())
+
+    def close(self, libraries):
+        for name, path in libraries.items():
+            self.add(f"lib/{name}", path.read_bytes())
+        self.add("lib/order.txt", "\n".join(libraries).encode())
+        lines = [f"{name} {entry}" for name, entry in self._extensions_by_name.items()]
+        self.add("extensions.txt", "\n".join(lines).encode())
+        self._zip.close()
+
+
+def shared_libraries(paths):
+    """Returns the shared libraries behind extension modules, dependencies first."""
+    order = {}
+
+    def visit(path):
+        listing = subprocess.run(
+            ["ldd", str(path)], check=True, capture_output=True, text=True
+        ).stdout
+        for line in listing.splitlines():
+            name, _, rest = line.strip().partition(" => ")
+            target = pathlib.Path(rest.partition(" (")[0])
+            if name in C_LIBRARY or name in order or not target.is_absolute():
+                continue
+            visit(target)
+            order[name] = target
+
+    for path in paths:
+        visit(path)
+    return order
+
+
+def build_launcher(path):
+    """Compiles the launcher against the static interpreter library."""
+    variables = sysconfig.get_config_vars()
+    library = pathlib.Path(variables["LIBPL"]) / f"libpython{variables['LDVERSION']}.a"
+    if not library.exists():
+        sys.exit(f"{library} is missing: install Python's static library")
+    subprocess.run(
+        [
+            "cc",
+            "-O2",
+            "-o",
+            str(path),
+            str(ROOT / "binary" / "launcher.c"),
+            f"-I{variables['INCLUDEPY']}",
+            "-Wl,--whole-archive",
+            str(library),
+            "-Wl,--no-whole-archive",
+            "-Wl,--export-dynamic",
+            "-ldl",
+            "-lm",
+            "-lpthread",
+            "-lutil",
+        ],
+        check=True,
+    )
+
+
+def main():
+    DIST.mkdir(exist_ok=True)
+    launcher, archive_path = DIST / "launcher", DIST / "archive.zip"
+    build_launcher(launcher)
+    archive = Archive(archive_path)
+    archive.add_module("bootstrap.py", ROOT / "binary" / "bootstrap.py")
+    stdlib = pathlib.Path(sysconfig.get_path("stdlib"))
+    archive.add_tree(stdlib, "", UNUSED_STDLIB)
+    for path in sorted((stdlib / "lib-dynload").glob("*.so")):
+        if path.name.partition(".")[0] not in UNUSED_EXTENSIONS:
+            archive.add_extension(path.name, path)
+    packages = pathlib.Path(sysconfig.get_path("platlib"))
+    archive.add_tree(packages, "", DEVELOP_PACKAGES)
+    archive.add_tree(ROOT / "snipetrestle", "snipetrestle")
+    archive.close(shared_libraries(archive.extension_paths))
+    target = DIST / "snipetrestle"
+    with target.open("wb") as output:
+        for part in (launcher, archive_path):
+            with part.open("rb") as source:
+                shutil.copyfileobj(source, output)
+    target.chmod(0o755)
+    launcher.unlink()
+    archive_path.unlink()
+    print(f"{target}: {target.stat().st_size / 1e6:.0f} MB")
+
+
+if __name__ == "__main__":
+    main()
