Take the binary's libraries from the pinned run requirements

Cause: a list of development packages to leave out goes stale with each new one. Change: the archive holds the files of the distributions in requirements/run.txt. Conclusion: a new run requirement reaches the binary without a second list.

--- a/binary/bootstrap.py
+++ b/binary/bootstrap.py
@@ -4,12 +4,13 @@
 loaded from there, since the hosts have no disk.
 """
 
-import _launcher
 import posix
 import sys
 import zipimport
 from _frozen_importlib_external import ExtensionFileLoader, spec_from_file_location
 
+import _launcher
+
 ARCHIVE = "/proc/self/exe"
 # Names of shared libraries that extension modules need, in the order to load them.
 LIBRARY_LIST = "lib/order.txt"
--- a/binary/build.py
+++ b/binary/build.py
@@ -5,6 +5,7 @@
 decompressor is itself an extension module.
 """
 
+import importlib.metadata
 import importlib.util
 import marshal
 import pathlib
@@ -18,28 +19,60 @@
 DIST = ROOT / "dist"
 # Parts of the standard library that the product does not use.
 UNUSED_STDLIB = frozenset(
-    "test idlelib lib2to3 tkinter turtledemo ensurepip venv distutils site-packages "
-    "lib-dynload config-3.11-x86_64-linux-gnu __pycache__ pydoc_data".split()
+    [
+        "test",
+        "idlelib",
+        "lib2to3",
+        "tkinter",
+        "turtledemo",
+        "ensurepip",
+        "venv",
+        "distutils",
+        "site-packages",
+        "lib-dynload",
+        "config-3.11-x86_64-linux-gnu",
+        "__pycache__",
+        "pydoc_data",
+    ]
 )
 # _posixshmem is shared memory, which the product must not use.
 UNUSED_EXTENSIONS = frozenset(
-    "_testcapi _testbuffer _testinternalcapi _testclinic _testmultiphase "
-    "_testimportmultiple _xxtestfuzz xxlimited xxlimited_35 _ctypes_test _tkinter "
-    "_curses _curses_panel readline _sqlite3 _posixshmem ossaudiodev nis "
-    "_crypt".split()
-)
-# Packages installed for development only.
-DEVELOP_PACKAGES = frozenset(
-    "pip setuptools pkg_resources _distutils_hack numpy numpy.libs matplotlib mpl_toolkits "
-    "hypothesis testtools ruff grpc_tools cryptography cffi pycparser PIL pillow.libs "
-    "contourpy contourpy.libs fontTools kiwisolver pyparsing cycler dateutil "
-    "sortedcontainers pbr hdrh uvloop __pycache__".split()
+    [
+        "_testcapi",
+        "_testbuffer",
+        "_testinternalcapi",
+        "_testclinic",
+        "_testmultiphase",
+        "_testimportmultiple",
+        "_xxtestfuzz",
+        "xxlimited",
+        "xxlimited_35",
+        "_ctypes_test",
+        "_tkinter",
+        "_curses",
+        "_curses_panel",
+        "readline",
+        "_sqlite3",
+        "_posixshmem",
+        "ossaudiodev",
+        "nis",
+        "_crypt",
+    ]
 )
 # Libraries of the C library, which the host provides.
 C_LIBRARY = frozenset(
-    "libc.so.6 libm.so.6 libpthread.so.0 librt.so.1 libdl.so.2 libutil.so.1 "
-    "ld-linux-x86-64.so.2 linux-vdso.so.1".split()
+    [
+        "libc.so.6",
+        "libm.so.6",
+        "libpthread.so.0",
+        "librt.so.1",
+        "libdl.so.2",
+        "libutil.so.1",
+        "ld-linux-x86-64.so.2",
+        "linux-vdso.so.1",
+    ]
 )
+DATA_SUFFIXES = frozenset((".yaml", ".txt", ".pem", ".json", ""))
 TIMESTAMP = (2026, 1, 1, 0, 0, 0)
 
 
@@ -83,12 +116,15 @@
             if not path.is_file():
                 continue
             name = (pathlib.PurePosixPath(prefix) / relative.as_posix()).as_posix()
-            if path.suffix == ".py":
-                self.add_module(name, path)
-            elif path.name.endswith(".so"):
-                self.add_extension(name, path)
-            elif path.suffix in (".yaml", ".txt", ".pem", ".json", ""):
-                self.add(name, path.read_bytes())
+            self.add_file(name, path)
+
+    def add_file(self, name, path):
+        if path.suffix == ".py":
+            self.add_module(name, path)
+        elif path.suffix == ".so":
+            self.add_extension(name, path)
+        elif path.suffix in DATA_SUFFIXES:
+            self.add(name, path.read_bytes())
 
     def close(self, libraries):
         for name, path in libraries.items():
@@ -99,6 +135,18 @@
         self._zip.close()
 
 
+def run_files(requirements):
+    """Yields (name in the archive, path) of all files of the pinned run requirements."""
+    for line in requirements.read_text().splitlines():
+        name, separator, _ = line.partition("==")
+        if not separator:
+            continue
+        for entry in importlib.metadata.distribution(name).files:
+            path = pathlib.Path(entry.locate())
+            if ".." not in entry.parts and "__pycache__" not in entry.parts:
+                yield entry.as_posix(), path
+
+
 def shared_libraries(paths):
     """Returns the shared libraries behind extension modules, dependencies first."""
     order = {}
@@ -158,8 +206,8 @@
     for path in sorted((stdlib / "lib-dynload").glob("*.so")):
         if path.name.partition(".")[0] not in UNUSED_EXTENSIONS:
             archive.add_extension(path.name, path)
-    packages = pathlib.Path(sysconfig.get_path("platlib"))
-    archive.add_tree(packages, "", DEVELOP_PACKAGES)
+    for name, path in run_files(ROOT / "requirements" / "run.txt"):
+        archive.add_file(name, path)
     archive.add_tree(ROOT / "snipetrestle", "snipetrestle")
     archive.close(shared_libraries(archive.extension_paths))
     target = DIST / "snipetrestle"
