--- a/snipetrestle/limits/__init__.py
+++ b/snipetrestle/limits/__init__.py
@@ -1,1 +1,6 @@
-"""Customers' limits, held over all daemons as shares."""
+"""Limits of customers: token buckets, shares over all daemons, retry budgets."""
+
+from snipetrestle.limits.coordinator import ShareCoordinator
+from snipetrestle.limits.shares import LimitShares
+
+__all__ = ["LimitShares", "ShareCoordinator"]
--- /dev/null
+++ b/snipetrestle/placement/chooser.py
@@ -0,0 +1,229 @@
+"""Choice of the replica for a request, at its entry."""
+
+import math
+
+import anyio
+
+from snipetrestle.codes import ResultCode, ServingError
+from snipetrestle.engines.protocol import handle_of
+from snipetrestle.placement.candidates import CandidateTree
+from snipetrestle.placement.demand import DemandTracker
+
+# Candidates beyond the wanted copies, for a slow, full or leaving replica.
+SPARE_CANDIDATES = 2
+MAX_CANDIDATES = 8
+# A copy takes the load of an adapter until it fills this part of a replica's batch.
+COPY_FILL = 0.5
+# Expected seconds of a load until one was measured.
+DEFAULT_LOAD_S = 0.5
+# Share of a new measurement in a moving average.
+SMOOTHING = 0.2
+# Hints of other daemons' work fade within seconds, since replies bring new ones.
+HINT_LIFE_S = 2.0
+# A copy that was seen or promised this long ago may have been evicted.
+PLACEMENT_LIFE_S = 120.0
+# A measured slow-down fades with this half-life, so that a recovered engine is tried.
+SPEED_HALF_LIFE_S = 60.0
+DEFAULT_TOKEN_S = 0.025
+DEFAULT_TOKENS = 64
+# Seconds saved by a prompt prefix that the replica probably still holds.
+PREFIX_GAIN_S = 0.02
+MAX_PLACEMENTS = 20_000
+MAX_PREFIXES = 4_096
+MAX_ORDERS = 20_000
+
+
+class _Replica:
+    __slots__ = (
+        "server",
+        "outstanding_tokens",
+        "outstanding",
+        "hint",
+        "hinted_at",
+        "slowness",
+        "measured_at",
+    )
+
+    def __init__(self, server):
+        self.server = server
+        self.outstanding_tokens = 0
+        self.outstanding = 0
+        self.hint = None
+        self.hinted_at = -math.inf
+        self.slowness = 1.0
+        self.measured_at = 0.0
+
+    def token_s(self, now, mean_token_s):
+        """Seconds per token: the fleet's mean, published speed, measured slowness."""
+        fading = 0.5 ** ((now - self.measured_at) / SPEED_HALF_LIFE_S)
+        slowness = self.slowness**fading
+        return mean_token_s * slowness / self.server.speed
+
+    def expected_wait_s(self, now, mean_token_s, tokens):
+        token_s = self.token_s(now, mean_token_s)
+        work = self.outstanding_tokens
+        age = now - self.hinted_at
+        if self.hint is not None and age < HINT_LIFE_S:
+            others = max(0, self.hint.queued + self.hint.running - self.outstanding)
+            work += others * DEFAULT_TOKENS * (1.0 - age / HINT_LIFE_S)
+        return token_s * (tokens + work / self.server.max_batch)
+
+
+class _BoundedTable(dict):
+    """Dictionary that drops its oldest entry when it is full."""
+
+    __slots__ = ("_limit",)
+
+    def __init__(self, limit):
+        super().__init__()
+        self._limit = limit
+
+    def put(self, key, value):
+        self.pop(key, None)
+        self[key] = value
+        if len(self) > self._limit:
+            del self[next(iter(self))]
+
+
+class ReplicaChooser:
+    """Picks replicas by least expected wait among an adapter's candidates.
+
+    With ``sample=2`` it compares two random candidates only (power-of-two choices).
+    """
+
+    def __init__(self, rng, *, sample=None):
+        self._random = rng
+        self._sample = sample
+        self._replicas_by_name = {}
+        self._trees_by_model = {}
+        self._orders = _BoundedTable(MAX_ORDERS)
+        self._placements = _BoundedTable(MAX_PLACEMENTS)
+        self._prefixes = _BoundedTable(MAX_PREFIXES)
+        self._demand = DemandTracker(half_life_s=20.0)
+        self._mean_token_s = DEFAULT_TOKEN_S
+        self._load_s = DEFAULT_LOAD_S
+        self._mean_service_s = DEFAULT_TOKEN_S * DEFAULT_TOKENS
+
+    def set_replicas(self, replicas_by_model):
+        """Takes the routable backend servers of each model; known state is kept."""
+        known = self._replicas_by_name
+        self._replicas_by_name = {}
+        self._trees_by_model = {}
+        for model, servers in replicas_by_model.items():
+            for server in servers:
+                replica = known.get(server.name) or _Replica(server)
+                replica.server = server
+                self._replicas_by_name[server.name] = replica
+            self._trees_by_model[model] = CandidateTree(
+                {server.name: server.speed for server in servers}
+            )
+        self._orders.clear()
+
+    def choose(
+        self, model, adapter, version, exclude=(), *, prefix="", tokens=DEFAULT_TOKENS
+    ):
+        """Returns the name of a replica. Raises ServingError if there is none."""
+        handle = handle_of(adapter, version)
+        self._demand.note(handle)
+        names = self._candidates(model, handle, exclude)
+        if not names:
+            raise ServingError(ResultCode.NO_REPLICA, retry_after=1.0)
+        if self._sample is not None and len(names) > self._sample:
+            names = self._random.sample(names, self._sample)
+        now = anyio.current_time()
+        costs = [
+            (self._cost(name, handle, prefix, tokens, now), index)
+            for index, name in enumerate(names)
+        ]
+        return names[min(costs)[1]]
+
+    def wanted_copies(self, handle):
+        """Returns the number of copies that the demand for a handle fills."""
+        busy = self._demand.rate(handle) * self._mean_service_s
+        return 1 + int(busy / (COPY_FILL * 16))
+
+    def _candidates(self, model, handle, exclude):
+        tree = self._trees_by_model.get(model)
+        if tree is None:
+            return ()
+        key = (model, handle)
+        order = self._orders.get(key)
+        if order is None:
+            order = tree.order(handle, MAX_CANDIDATES)
+            self._orders.put(key, order)
+        count = min(MAX_CANDIDATES, self.wanted_copies(handle) + SPARE_CANDIDATES)
+        return [name for name in order if name not in exclude][:count]
+
+    def _cost(self, name, handle, prefix, tokens, now):
+        replica = self._replicas_by_name[name]
+        cost = replica.expected_wait_s(now, self._mean_token_s, tokens)
+        if now - self._placements.get((name, handle), -math.inf) > PLACEMENT_LIFE_S:
+            cost += self._load_s
+        if prefix and (name, handle, prefix) in self._prefixes:
+            cost -= PREFIX_GAIN_S
+        return cost
+
+    def on_sent(self, replica, adapter, version, tokens=DEFAULT_TOKENS, prefix=""):
+        """Counts own work at once, before any hint can show it."""
+        state = self._replicas_by_name.get(replica)
+        if state is None:
+            return
+        state.outstanding += 1
+        state.outstanding_tokens += tokens
+        handle = handle_of(adapter, version)
+        self._placements.put((replica, handle), anyio.current_time())
+        if prefix:
+            self._prefixes.put((replica, handle, prefix), True)
+
+    def on_finished(
+        self,
+        replica,
+        adapter,
+        version,
+        tokens=DEFAULT_TOKENS,
+        *,
+        service_s=None,
+        load_stall_s=0.0,
+        failed=False,
+    ):
+        """Ends what ``on_sent`` counted.
+
+        ``service_s`` is the time from dispatch to the last of ``tokens`` tokens.
+        """
+        state = self._replicas_by_name.get(replica)
+        if state is None:
+            return
+        state.outstanding = max(0, state.outstanding - 1)
+        state.outstanding_tokens = max(0, state.outstanding_tokens - tokens)
+        if failed:
+            self._placements.pop((replica, handle_of(adapter, version)), None)
+        if load_stall_s > 0.0:
+            self._load_s += SMOOTHING * (load_stall_s - self._load_s)
+        if service_s is not None and tokens > 0:
+            self._measure(state, service_s, tokens)
+
+    def _measure(self, state, service_s, tokens):
+        token_s = service_s / tokens * state.server.speed
+        ratio = token_s / self._mean_token_s
+        now = anyio.current_time()
+        fading = 0.5 ** ((now - state.measured_at) / SPEED_HALF_LIFE_S)
+        state.slowness = math.exp(
+            (1 - SMOOTHING) * fading * math.log(state.slowness)
+            + SMOOTHING * math.log(max(ratio, 1e-3))
+        )
+        state.measured_at = now
+        # A slow engine must not shift the mean that it is compared with.
+        clipped = min(max(ratio, 0.5), 2.0) * self._mean_token_s
+        self._mean_token_s += 0.02 * (clipped - self._mean_token_s)
+        self._mean_service_s += 0.02 * (service_s - self._mean_service_s)
+
+    def on_hints(self, hints, adapter, version):
+        """Takes an owner's hints about a replica, and about the copy if named."""
+        state = self._replicas_by_name.get(hints.replica)
+        if state is None:
+            return
+        state.hint = hints
+        state.hinted_at = anyio.current_time()
+        key = (hints.replica, handle_of(adapter, version))
+        if hints.resident:
+            self._placements.put(key, state.hinted_at)
--- a/snipetrestle/scheduling/__init__.py
+++ b/snipetrestle/scheduling/__init__.py
@@ -1,1 +1,5 @@
-"""Order of queued requests: classes, fairness, batch grouping and ageing."""
+"""Queue order, fairness between customers, batch grouping and ageing."""
+
+from snipetrestle.scheduling.request_queue import QueueEntry, RequestQueue
+
+__all__ = ["QueueEntry", "RequestQueue"]
