Choose replicas, apply limits and resume streams at the entry

Cause: the thin path had no limits, no resume and no plain services. Change: EntryRouter uses ReplicaChooser and LimitShares, repeats what did not run and resumes broken streams at the same engine, then elsewhere; service calls go to HttpServiceClient or WriteCoordinator as the contract says; metrics with bounded labels, log set-up, operators' listener, drain, leaving backend servers from the host list.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -9,20 +9,28 @@
 from snipetrestle.callers.entry import EntryRouter
 from snipetrestle.callers.interface import CallerInterface
 from snipetrestle.callers.listener import serving
+from snipetrestle.callers.services import ServiceCalls
 from snipetrestle.engines.forwarding import ForwardHandler
 from snipetrestle.engines.http_client import HttpEngineClient
 from snipetrestle.engines.owner import ReplicaOwner
 from snipetrestle.engines.replicas import OwnedReplicas
 from snipetrestle.events import Event, log_event
+from snipetrestle.hashing import rendezvous_first
+from snipetrestle.limits import LimitShares, ShareCoordinator
+from snipetrestle.metrics import Metrics
+from snipetrestle.operators.interface import OperatorInterface
 from snipetrestle.peers.configuration_spread import ConfigurationSpread
 from snipetrestle.peers.grpc_transport import GrpcTransport
 from snipetrestle.peers.membership import Membership
+from snipetrestle.peers.own_calls import OwnCallTransport
 from snipetrestle.peers.transport import MessageRouter
-from snipetrestle.placement.permits import UnlimitedPermits
+from snipetrestle.placement import CoordinatedPermits, LoadCoordinator, ReplicaChooser
+from snipetrestle.platform.backend_hosts import BackendHosts
 from snipetrestle.platform.http_sources import (
     HttpConfigurationSource,
     HttpHostListSource,
 )
+from snipetrestle.reports import ApplicationReports
 from snipetrestle.services.http_client import HttpServiceClient
 from snipetrestle.writes import Keeper, WriteCoordinator
 
@@ -31,28 +39,40 @@
     """One daemon: its parts by name, and its life cycle.
 
     ``drain_hooks`` and ``stop_hooks`` are async functions without arguments that parts
-    add; drain hooks run in the order added, stop hooks in the opposite order. ``tasks``
-    run from the start until the stop.
+    add; drain hooks run in the order added, stop hooks in the opposite order.
+    ``configuration_parts`` have ``apply(configuration)``, called for each accepted
+    revision. ``tasks`` run from the start until the stop.
     """
 
     @classmethod
-    def from_settings(cls, settings, generator=None):
-        """Builds all parts. Raises OSError or ssl.SSLError for unusable TLS files."""
-        return cls(settings, generator or random.Random())
+    def from_settings(cls, settings, generator=None, *, first_start=False):
+        """Builds all parts. Raises OSError or ssl.SSLError for unusable TLS files.
 
-    def __init__(self, settings, generator):
+        With ``first_start`` the coordinators skip the term in which the grants of a
+        predecessor run out. Only a fleet that has never run may do so.
+        """
+        return cls(settings, generator or random.Random(), first_start)
+
+    def __init__(self, settings, generator, first_start=False):
         self.settings = settings
+        self._first_start = first_start
         self.generator = generator
+        self.metrics = Metrics()
         self.tasks = []
         self.drain_hooks = []
         self.stop_hooks = []
+        self.configuration_parts = []
         self.callers_address = None
-        self._configuration_parts = []
+        self.operators_address = None
+        self.draining = False
         self._runner = None
-        self._stopping = None
+        self._group = None
+        self._stopping = anyio.Event()
         self._build_peers()
+        self._build_limits()
         self._build_writes()
-        self._build_data_path()
+        self._build_engines()
+        self._build_callers()
         self.spread.on_change(self._apply)
 
     def _build_peers(self):
@@ -61,20 +81,37 @@
         self.transport = GrpcTransport.from_settings(
             settings, self.router, lambda name: self.membership.address_of(name)
         )
+        self.own_calls = OwnCallTransport(
+            self.transport, self.router, settings.daemon.name
+        )
         host_list = HttpHostListSource(settings.platform.host_list)
         source = HttpConfigurationSource(
             settings.platform.configuration_service,
             settings.platform.configuration_key,
         )
         self.stop_hooks += [host_list.aclose, source.aclose]
+        self.backend_hosts = BackendHosts(host_list)
         self.membership = Membership.from_settings(
-            settings, self.transport, self.router, host_list, self.generator
+            settings, self.transport, self.router, self.backend_hosts, self.generator
         )
         self.spread = ConfigurationSpread(
             self.membership, self.transport, self.router, source, self.generator
         )
         self.tasks += [self.membership.run, self.spread.run]
 
+    def _build_limits(self):
+        self.share_coordinator = ShareCoordinator(
+            self.router, self._contract_of, first=self._first_start
+        )
+        self.shares = LimitShares(
+            self.own_calls,
+            self.generator,
+            self._contract_of,
+            self._coordinator_of,
+            self.membership.listed_count,
+        )
+        self.tasks.append(self.shares.run)
+
     def _build_writes(self):
         self.services = HttpServiceClient(self.settings.daemon.region)
         self.stop_hooks.append(self.services.aclose)
@@ -86,37 +123,117 @@
             self.services,
             self.generator,
         )
-        self._configuration_parts += [self.services, self.writes]
+        self.configuration_parts += [self.services, self.writes]
         self.tasks.append(self.writes.run)
 
-    def _start_keeper(self):
-        # Built after the join, which may raise the own incarnation.
-        self.keeper = Keeper(self.transport, self.router, self.membership)
-        self._configuration_parts.append(self.keeper)
-        self.tasks.append(self.keeper.run)
-
-    def _build_data_path(self):
-        self.permits = UnlimitedPermits()
+    def _build_engines(self):
+        self._stores_by_name = {}
+        self.load_coordinator = LoadCoordinator(
+            self.router, self._stores_by_name, first=self._first_start
+        )
+        self.permits = CoordinatedPermits(
+            self.own_calls,
+            self.settings.daemon.name,
+            self.generator,
+            self._coordinator_of,
+            self.membership.listed_count,
+            self._stores_by_name,
+        )
         self.owned = OwnedReplicas(self.membership, self._make_owner)
         self.forward_handler = ForwardHandler(self.router, self.owned)
-        self.entry = EntryRouter(self.membership, self.transport, self.owned)
+        self.configuration_parts.append(self.owned)
+        self.tasks += [
+            self.load_coordinator.run,
+            self.owned.run,
+            self._resign_on_change,
+        ]
+
+    def _build_callers(self):
+        settings = self.settings
+        self.entry = EntryRouter(
+            self.membership,
+            self.transport,
+            self.owned,
+            ReplicaChooser(self.generator),
+            self.shares,
+            self.generator,
+        )
         self.callers = CallerInterface(
-            self.entry, self.settings.intake, self.generator, self.is_ready
+            self.entry,
+            ServiceCalls(self.services, self.writes, self.shares, self.generator),
+            self.shares,
+            self.metrics,
+            settings.intake,
+            self.generator,
+            self.is_ready,
         )
-        self._configuration_parts += [self.owned, self.entry, self.callers]
-        self.tasks.append(self.owned.run)
-        self.drain_hooks += [self.membership.leave, self.callers.drain]
-        self.drain_hooks.append(self.writes.drain)
+        self.operators = OperatorInterface(ApplicationReports(self))
+        self.configuration_parts.append(self.callers)
+        self.backend_hosts.on_change(self._set_replicas)
+        self.drain_hooks += [
+            self.membership.leave,
+            self.callers.drain,
+            self.writes.drain,
+        ]
+
+    def _start_keeper(self):
+        # Built after the join, which may raise the own incarnation.
+        self.keeper = Keeper(self.transport, self.router, self.membership)
+        self.configuration_parts.append(self.keeper)
+        self.tasks.append(self.keeper.run)
 
     def _make_owner(self, server):
         return ReplicaOwner(server, HttpEngineClient(server.address), self.permits)
 
+    def _contract_of(self, name):
+        customer = self.spread.current.customers_by_name.get(name)
+        return None if customer is None else customer.contract
+
+    def _coordinator_of(self, name):
+        """Returns the member that coordinates a customer's limits or a store."""
+        return rendezvous_first(name, self.membership.routable())
+
+    async def _resign_on_change(self):
+        """Gives up what other members coordinate since a change of the membership."""
+        while True:
+            view_number = self.membership.view_number
+            configuration = self.spread.current
+            if configuration is not None:
+                self._resign(configuration)
+            await self.membership.wait_changed(view_number)
+
+    def _resign(self, configuration):
+        own_name = self.membership.own_name
+        for store in configuration.stores_by_name:
+            if self._coordinator_of(store) != own_name:
+                self.load_coordinator.resign(store)
+        for customer in configuration.customers_by_name:
+            if self._coordinator_of(customer) != own_name:
+                self.share_coordinator.resign(customer)
+
     def _apply(self, configuration, revision):
-        for part in self._configuration_parts:
+        # The permits and the coordinator share this table.
+        self._stores_by_name.clear()
+        self._stores_by_name.update(configuration.stores_by_name)
+        self.load_coordinator.set_stores(self._stores_by_name)
+        for part in self.configuration_parts:
             part.apply(configuration)
+        self._set_replicas()
+
+    def _set_replicas(self):
+        """Tells the entry which engines may get new work."""
+        if self.spread.current is None:
+            return
+        is_leaving = self.backend_hosts.is_leaving
+        self.entry.set_replicas(
+            {
+                model: [item for item in servers if not is_leaving(item.name)]
+                for model, servers in self.spread.current.replicas_by_model.items()
+            }
+        )
 
     def is_ready(self):
-        return self.spread.ready.is_set()
+        return self.spread.ready.is_set() and not self.draining
 
     async def wait_ready(self):
         """Returns once the daemon has a configuration and takes requests."""
@@ -124,7 +241,6 @@
 
     async def run(self, started=None):
         """Runs the daemon until ``stop`` is called; sets ``started`` once it listens."""
-        self._stopping = anyio.Event()
         settings = self.settings
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._run_stop_hooks)
@@ -133,24 +249,32 @@
             )
             await self.membership.join()
             self._start_keeper()
-            group = await stack.enter_async_context(anyio.create_task_group())
-            for task in self.tasks:
-                group.start_soon(task)
-            self.callers_address = await stack.enter_async_context(
-                serving(
-                    self.callers,
-                    settings.listen.callers,
-                    settings.tls.callers,
-                    settings.intake,
-                )
-            )
-            log_event(Event.STARTED, name=settings.daemon.name)
-            if started is not None:
-                started.set()
-            await self._stopping.wait()
-            group.cancel_scope.cancel()
+            async with anyio.create_task_group() as group:
+                self._group = group
+                for task in self.tasks:
+                    group.start_soon(task)
+                async with self._listening():
+                    log_event(Event.STARTED, name=settings.daemon.name)
+                    if started is not None:
+                        started.set()
+                    await self._stopping.wait()
+                group.cancel_scope.cancel()
         log_event(Event.STOPPED, name=settings.daemon.name)
 
+    @contextlib.asynccontextmanager
+    async def _listening(self):
+        listen, tls, intake = (
+            self.settings.listen,
+            self.settings.tls,
+            self.settings.intake,
+        )
+        async with (
+            serving(self.callers, listen.callers, tls.callers, intake) as callers,
+            serving(self.operators, listen.operators, tls.operators) as operators,
+        ):
+            self.callers_address, self.operators_address = callers, operators
+            yield
+
     async def start(self):
         """Starts the daemon in a task of its own; returns once it listens."""
         started = anyio.Event()
@@ -161,18 +285,26 @@
         if self._runner.done():
             await self._runner
 
+    def start_drain(self):
+        """Starts a drain and, after it, the stop; returns at once."""
+        if not self.draining and self._group is not None:
+            self._group.start_soon(self._drain_and_stop)
+
+    async def _drain_and_stop(self):
+        await self.drain()
+        self._stopping.set()
+
     async def drain(self):
         """Refuses new work and returns once the requests in progress have ended."""
+        self.draining = True
         log_event(Event.DRAIN_STARTED, name=self.settings.daemon.name)
         for hook in self.drain_hooks:
             await hook()
 
     async def stop(self):
         """Stops all parts. Requests in progress end early unless drained before."""
-        if self._stopping is not None:
-            self._stopping.set()
-        if self._runner is not None:
-            await self._runner
+        self._stopping.set()
+        await self.wait_stopped()
 
     async def wait_stopped(self):
         """Returns once the daemon has stopped. Raises what ended it otherwise."""
--- a/snipetrestle/callers/interface.py
+++ b/snipetrestle/callers/interface.py
@@ -17,14 +17,25 @@
 from snipetrestle.callers.entry import Generation
 from snipetrestle.callers.exchange import CallerGone, Exchange
 from snipetrestle.callers.refusals import error_body
+from snipetrestle.callers.services import (
+    PATH_START,
+    refused_write,
+    target_of,
+)
 from snipetrestle.codes import ResultCode, ServingError
 from snipetrestle.engines.forward import Finished, RequestClass
 from snipetrestle.events import Event, log_event
+from snipetrestle.metrics import StreamTimer
 
 # Time for a request that names no deadline.
 DEFAULT_DEADLINE_S = 120.0
 MAX_DEADLINE_S = 86_400.0
 
+# Refusals of a keyed write's attempt that say nothing of its other attempts.
+RETRIED_ELSEWHERE = frozenset(
+    (ResultCode.NOT_READY, ResultCode.DRAINING, ResultCode.REQUEST_TIMEOUT)
+)
+
 EVENT_STREAM_HEADERS = [
     (b"content-type", b"text/event-stream"),
     (b"cache-control", b"no-store"),
@@ -47,10 +58,17 @@
 
 
 class CallerInterface:
-    """ASGI application. ``router`` is an EntryRouter, ``generator`` a random.Random."""
+    """ASGI application for callers.
 
-    def __init__(self, router, intake, generator, is_ready):
+    ``router`` is an EntryRouter, ``services`` a ServiceCalls, ``shares`` a LimitShares
+    and ``generator`` a random.Random; ``is_ready()`` tells whether the daemon is ready.
+    """
+
+    def __init__(self, router, services, shares, metrics, intake, generator, is_ready):
         self._router = router
+        self._services = services
+        self._shares = shares
+        self._metrics = metrics
         self._intake = intake
         self._generator = generator
         self._is_ready = is_ready
@@ -108,11 +126,14 @@
 
     async def _route(self, exchange):
         route = self._routes.get((exchange.method, exchange.path))
+        if route is None and exchange.path.startswith(PATH_START):
+            route = self._call_service if exchange.method == "POST" else None
         if route is None:
             raise ServingError(
                 ResultCode.UNKNOWN_PATH,
                 field="path",
                 value=f"{exchange.method} {exchange.path}",
+                rule="must be a documented method and path",
             )
         await route(exchange)
 
@@ -141,30 +162,48 @@
 
     async def _complete(self, exchange, chat):
         customer = self._authenticate(exchange)
-        request = parse_completion(await exchange.read_body(), chat)
-        generation = self._generation(exchange, customer, request)
+        request_class = request_class_of(exchange)
+        code = None
+        timer = StreamTimer(self._metrics.series(customer.name, request_class))
+        try:
+            request = parse_completion(await exchange.read_body(), chat)
+            generation = self._generation(exchange, customer, request_class, request)
+            tokens = request.prompt_tokens + request.max_tokens
+            with self._shares.admit(customer.name, request_class, tokens):
+                await self._run(exchange, request, generation, timer)
+        except ServingError as error:
+            code = error.code
+            raise
+        finally:
+            self._metrics.count_request(
+                customer.name, request_class, code, timer.tokens
+            )
+
+    async def _run(self, exchange, request, generation, timer):
+        """Answers a generation unless its caller leaves or its deadline passes."""
         answer_format = AnswerFormat(request, generation.request_id, int(time.time()))
+        answer = self._stream if request.stream else self._collect
+        # An error inside the group would come out as an exception group.
+        failure = None
         async with anyio.create_task_group() as group:
             group.start_soon(_cancel_when_gone, exchange, group.cancel_scope)
-            # An error inside the group would come out as an exception group.
-            error = None
-            try:
-                if request.stream:
-                    await self._stream(exchange, request, generation, answer_format)
-                else:
-                    await self._collect(exchange, generation, answer_format)
-            except (ServingError, CallerGone) as caught:
-                error = caught
+            with anyio.CancelScope(deadline=generation.deadline) as scope:
+                try:
+                    await answer(exchange, request, generation, answer_format, timer)
+                except ServingError as error:
+                    failure = error
             group.cancel_scope.cancel()
-        if error is not None:
-            raise error
+        if scope.cancelled_caught:
+            failure = ServingError(ResultCode.DEADLINE_PASSED)
+        if failure is not None:
+            raise failure
 
-    def _generation(self, exchange, customer, request):
+    def _generation(self, exchange, customer, request_class, request):
         name = resolve_adapter(self._configuration, customer, request.model)
         return Generation(
             request_id=f"{self._generator.getrandbits(96):024x}",
             customer=customer.name,
-            request_class=request_class_of(exchange),
+            request_class=request_class,
             model=name.model,
             adapter=name.adapter,
             version=name.version,
@@ -176,35 +215,63 @@
             weight=customer.contract.weight,
         )
 
-    async def _stream(self, exchange, request, generation, answer_format):
-        count = 0
+    async def _stream(self, exchange, request, generation, answer_format, timer):
         async with contextlib.aclosing(self._router.generate(generation)) as replies:
             async for reply in replies:
                 if not exchange.started:
                     await exchange.start(200, EVENT_STREAM_HEADERS)
-                if isinstance(reply, Finished):
+                if type(reply) is Finished:
+                    timer.note_finished(reply)
                     event = answer_format.event("", reply.finish_reason)
                 else:
-                    count += len(reply.tokens)
+                    timer.note_tokens(len(reply.tokens))
                     event = answer_format.event("".join(reply.tokens))
                 await exchange.write(event)
         if request.include_usage:
-            await exchange.write(answer_format.usage_event(count))
+            await exchange.write(answer_format.usage_event(timer.tokens))
         await exchange.end(LAST_EVENT)
 
-    async def _collect(self, exchange, generation, answer_format):
+    async def _collect(self, exchange, request, generation, answer_format, timer):
         tokens = []
         finish_reason = None
         async with contextlib.aclosing(self._router.generate(generation)) as replies:
             async for reply in replies:
-                if isinstance(reply, Finished):
+                if type(reply) is Finished:
+                    timer.note_finished(reply)
                     finish_reason = reply.finish_reason
                 else:
+                    timer.note_tokens(len(reply.tokens))
                     tokens.extend(reply.tokens)
-        text = "".join(tokens)
-        await exchange.answer_json(
-            answer_format.whole(text, len(tokens), finish_reason)
-        )
+        whole = answer_format.whole("".join(tokens), len(tokens), finish_reason)
+        await exchange.answer_json(whole)
+
+    async def _call_service(self, exchange):
+        key = exchange.header(b"idempotency-key")
+        try:
+            customer = self._authenticate(exchange)
+            target = target_of(exchange.path)
+            body = await exchange.read_body()
+        except ServingError as error:
+            if key and error.code in RETRIED_ELSEWHERE:
+                raise refused_write(error) from None
+            raise
+        code = None
+        try:
+            answer = await self._services.run(
+                customer,
+                target,
+                key,
+                body,
+                exchange.header(b"content-type") or "application/json",
+                time_left_of(exchange, None),
+            )
+        except ServingError as error:
+            code = error.code
+            raise
+        finally:
+            self._metrics.count_request(customer.name, RequestClass.WAITING, code)
+        headers = [(b"content-type", answer.content_type.encode("latin-1"))]
+        await exchange.answer(answer.status, answer.body, headers)
 
     async def _list_models(self, exchange):
         customer = self._authenticate(exchange)
@@ -241,11 +308,11 @@
         raise malformed("X-Request-Class", text, "must be waiting or batch") from None
 
 
-def time_left_of(exchange):
+def time_left_of(exchange, default=DEFAULT_DEADLINE_S):
     """Returns the seconds of ``X-Request-Deadline``. Raises ServingError."""
     text = exchange.header(b"x-request-deadline")
     if text is None:
-        return DEFAULT_DEADLINE_S
+        return default
     try:
         seconds = float(text)
     except ValueError:
--- a/snipetrestle/cli/__init__.py
+++ b/snipetrestle/cli/__init__.py
@@ -5,11 +5,25 @@
 
 import cappa
 
+from snipetrestle.cli.check import Check
 from snipetrestle.cli.demo import Demo
+from snipetrestle.cli.drain import Drain
+from snipetrestle.cli.explain import Explain
+from snipetrestle.cli.reports import Adapters, Contracts, Replicas, Status
 from snipetrestle.cli.serve import Serve
 
-# Each sub-command is a callable class that returns the exit status.
-SUB_COMMANDS = (Serve, Demo)
+# Each sub-command is a callable class that returns the exit status or None.
+SUB_COMMANDS = (
+    Serve,
+    Check,
+    Status,
+    Contracts,
+    Adapters,
+    Replicas,
+    Drain,
+    Explain,
+    Demo,
+)
 
 
 @cappa.command(
--- a/snipetrestle/cli/serve.py
+++ b/snipetrestle/cli/serve.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import signal
-import sys
 import typing
 
 import anyio
@@ -10,6 +9,8 @@
 
 from snipetrestle.app import Application
 from snipetrestle.checking import InvalidDocument
+from snipetrestle.cli.output import ExitCode, fail
+from snipetrestle.logs import set_up_logs
 from snipetrestle.settings import Settings
 
 
@@ -26,32 +27,27 @@
         try:
             settings = Settings.load(self.settings)
         except (OSError, InvalidDocument) as error:
-            print(f"{self.settings}: {error}", file=sys.stderr)
-            return 1
+            fail(f"{self.settings}: {error}", ExitCode.INVALID_INPUT)
+        set_up_logs(settings.logs)
         anyio.run(run_daemon, settings)
-        return 0
 
 
 async def run_daemon(settings):
     """Runs a daemon until a signal has stopped it."""
     app = Application.from_settings(settings)
-    async with anyio.create_task_group() as group:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            await app.start()
-            group.start_soon(_drain_then_stop, app, signals, group.cancel_scope)
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await app.start()
+        async with anyio.create_task_group() as group:
+            group.start_soon(_stop_on_signal, app, signals)
             await app.wait_stopped()
             group.cancel_scope.cancel()
 
 
-async def _drain_then_stop(app, signals, scope):
-    async with anyio.create_task_group() as group:
-        async for _ in signals:
-            group.start_soon(_drain, app)
-            break
-        async for _ in signals:
+async def _stop_on_signal(app, signals):
+    count = 0
+    async for _ in signals:
+        count += 1
+        if count == 1:
+            app.start_drain()
+        else:
             await app.stop()
-
-
-async def _drain(app):
-    await app.drain()
-    await app.stop()
--- a/snipetrestle/engines/replicas.py
+++ b/snipetrestle/engines/replicas.py
@@ -36,8 +36,15 @@
             self._update()
             await self._membership.wait_changed(view_number)
 
-    def owner_name(self, server):
-        """Returns the name of the daemon that owns a replica, or None."""
+    def owner_name(self, server, without=()):
+        """Returns the name of the daemon that owns a replica, or None.
+
+        ``without`` names members that did not answer: their successor is returned.
+        """
+        if without:
+            members = self._membership.routable(server.region)
+            left = {name: members[name] for name in members if name not in without}
+            return rendezvous_first(server.name, left)
         view = self._membership.view_number
         if self._names_view != view:
             self._owner_names_by_replica.clear()
--- /dev/null
+++ b/snipetrestle/metrics.py
@@ -0,0 +1,165 @@
+"""Prometheus metrics of one daemon, with bounded labels.
+
+Histograms have the labels customer and class, and no label for an adapter: 15,000
+adapters would be as many series in every histogram.
+"""
+
+import anyio
+import prometheus_client
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+# Customers beyond this number share the label ``other``.
+MAX_CUSTOMERS = 200
+OTHER = "other"
+
+_WAIT_BUCKETS_S = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    60.0,
+)
+_TOKEN_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.061, 0.08, 0.1, 0.2, 0.5, 2)
+_BATCH_BUCKETS = (1, 2, 4, 8, 12, 16, 24, 32, 48, 64, 96, 128)
+_LABELS = ("customer", "request_class")
+
+
+class RequestSeries:
+    """Histograms of one customer and class."""
+
+    __slots__ = ("queue_wait", "first_token", "between", "load_stall", "batch_size")
+
+    def __init__(self, metrics, customer, request_class):
+        labels = (customer, request_class)
+        self.queue_wait = metrics.queue_wait_s.labels(*labels)
+        self.first_token = metrics.first_token_s.labels(*labels)
+        self.between = metrics.between_tokens_s.labels(*labels)
+        self.load_stall = metrics.load_stall_s.labels(*labels)
+        self.batch_size = metrics.batch_size.labels(*labels)
+
+
+class Metrics:
+    """All metrics of one daemon, in a registry of its own."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.queue_wait_s = self._histogram(
+            "queue_wait_seconds",
+            "Time in the owner's queue until dispatch, without the load.",
+            _WAIT_BUCKETS_S,
+        )
+        self.first_token_s = self._histogram(
+            "first_token_seconds",
+            "Time from the request to its first token at the entry.",
+            _WAIT_BUCKETS_S,
+        )
+        self.between_tokens_s = self._histogram(
+            "between_tokens_seconds",
+            "Time between tokens at the entry, one observation per arrival of tokens.",
+            _TOKEN_BUCKETS_S,
+        )
+        self.load_stall_s = self._histogram(
+            "load_stall_seconds",
+            "Time that a request waited for its adapter to load.",
+            _WAIT_BUCKETS_S,
+        )
+        self.batch_size = self._histogram(
+            "batch_size",
+            "Requests running at the replica when a request finished.",
+            _BATCH_BUCKETS,
+        )
+        self.requests = Counter(
+            "snipetrestle_requests",
+            "Finished requests by result code; SN-0 is success.",
+            (*_LABELS, "code"),
+            registry=self.registry,
+        )
+        self.resumed_streams = Counter(
+            "snipetrestle_resumed_streams",
+            "Streams that went on after a broken connection.",
+            registry=self.registry,
+        )
+        self.tokens = Counter(
+            "snipetrestle_tokens",
+            "Tokens sent to callers.",
+            _LABELS,
+            registry=self.registry,
+        )
+        self._series_by_labels = {}
+        self._customers = set()
+
+    def _histogram(self, name, text, buckets):
+        return Histogram(
+            f"snipetrestle_{name}",
+            text,
+            _LABELS,
+            buckets=buckets,
+            registry=self.registry,
+        )
+
+    def series(self, customer, request_class):
+        """Returns the RequestSeries of a customer and class."""
+        key = (customer, request_class)
+        series = self._series_by_labels.get(key)
+        if series is None:
+            labels = (self.customer_label(customer), str(request_class))
+            series = RequestSeries(self, *labels)
+            if labels[0] != OTHER:
+                self._series_by_labels[key] = series
+        return series
+
+    def customer_label(self, customer):
+        """Returns the customer's label, which is ``other`` beyond the bound."""
+        if customer not in self._customers:
+            if len(self._customers) >= MAX_CUSTOMERS:
+                return OTHER
+            self._customers.add(customer)
+        return customer
+
+    def count_request(self, customer, request_class, code, tokens=0):
+        """Counts a finished request; ``code`` is a ResultCode or None for success."""
+        labels = (self.customer_label(customer), str(request_class))
+        self.requests.labels(*labels, "SN-0" if code is None else str(code)).inc()
+        if tokens:
+            self.tokens.labels(*labels).inc(tokens)
+
+    def text(self):
+        """Returns the metrics in Prometheus' text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+
+class StreamTimer:
+    """Observes the times of one stream at its entry."""
+
+    __slots__ = ("tokens", "_series", "_last", "_started")
+
+    def __init__(self, series):
+        self.tokens = 0
+        self._series = series
+        self._started = False
+        self._last = anyio.current_time()
+
+    def note_tokens(self, count):
+        now = anyio.current_time()
+        if self._started:
+            self._series.between.observe((now - self._last) / count)
+        else:
+            self._series.first_token.observe(now - self._last)
+            self._started = True
+        self._last = now
+        self.tokens += count
+
+    def note_finished(self, finished):
+        self._series.queue_wait.observe(finished.queue_wait_s)
+        self._series.load_stall.observe(finished.load_stall_s)
+        if finished.hints is not None and finished.hints.running:
+            self._series.batch_size.observe(finished.hints.running)
--- /dev/null
+++ b/snipetrestle/reports.py
@@ -0,0 +1,54 @@
+"""The application as operators see it."""
+
+from snipetrestle.operators.reports import DaemonReport, MemberReport, ReplicaReport
+
+
+class ApplicationReports:
+    """OperatorSource of an Application."""
+
+    def __init__(self, app):
+        self._app = app
+
+    def configuration(self):
+        return self._app.spread.current
+
+    def daemon_report(self):
+        app = self._app
+        return DaemonReport(
+            name=app.settings.daemon.name,
+            incarnation=str(app.membership.own_incarnation),
+            ready=app.is_ready(),
+            draining=app.draining,
+            configuration_revision=app.spread.revision,
+            owned_replicas=tuple(
+                sorted(owner.server.name for owner in app.owned.owners())
+            ),
+            members=tuple(
+                MemberReport(
+                    member.name,
+                    str(member.state),
+                    member.failure_domain,
+                    str(member.incarnation),
+                )
+                for member in app.membership.members()
+            ),
+        )
+
+    def replica_reports(self):
+        return [_replica_report(owner) for owner in self._app.owned.owners()]
+
+    def metrics_text(self):
+        return self._app.metrics.text()
+
+    def start_drain(self):
+        self._app.start_drain()
+
+
+def _replica_report(owner):
+    hints = owner.hints()
+    return ReplicaReport(
+        name=owner.server.name,
+        queued=hints.queued,
+        running=hints.running,
+        resident_adapters=tuple(getattr(owner, "resident_handles", tuple)()),
+    )
--- a/snipetrestle_standins/demo.py
+++ b/snipetrestle_standins/demo.py
@@ -83,7 +83,7 @@
         self.hosts.put(*(host_of(settings) for settings in all_settings))
         for settings in all_settings:
             app = Application.from_settings(
-                settings, random.Random(self._random.getrandbits(64))
+                settings, random.Random(self._random.getrandbits(64)), first_start=True
             )
             self.apps.append(app)
             await app.start()
