Let membership end the calls to a silent peer

Cause: HTTP/2 tests of all channels each 2 s would be 165 messages per second at 330 peers. Channels with credentials of their own also each parse the certificates. Change: channels are no longer tested; a suspicion of a peer with open calls leads to an own probe, and the calls end if it fails. All channels share one credentials object.

--- a/snipetrestle/peers/grpc_transport.py
+++ b/snipetrestle/peers/grpc_transport.py
@@ -22,10 +22,11 @@
 SWEEP_INTERVAL_S = 10.0
 # A connection attempt is given up after this time; a dead host sends no refusal.
 CONNECT_TIMEOUT_S = 1.0
-# A channel with open calls and no traffic is tested after this time and closed after
-# the time-out, so a stream to a dead host breaks within 3 s.
-KEEPALIVE_INTERVAL_MS = 2_000
-KEEPALIVE_TIMEOUT_MS = 1_000
+# A server tests a connection without traffic after this time, so that connections of
+# hosts that died do not pile up. Channels are not tested: at 330 peers a test each 2 s
+# is 165 messages per second, and membership finds a silent peer without them (``drop``).
+KEEPALIVE_INTERVAL_MS = 60_000
+KEEPALIVE_TIMEOUT_MS = 20_000
 # Connections end after this time, so a certificate that is no longer trusted loses its
 # open connections too. Streams in progress finish first.
 MAX_CONNECTION_AGE_MS = 3_600_000
@@ -35,8 +36,6 @@
 _COMMON_OPTIONS = (
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
-    ("grpc.keepalive_time_ms", KEEPALIVE_INTERVAL_MS),
-    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
 )
 _CHANNEL_OPTIONS = (
     *_COMMON_OPTIONS,
@@ -52,8 +51,8 @@
     *_COMMON_OPTIONS,
     # Two daemons on one port would each get a part of the connections.
     ("grpc.so_reuseport", 0),
-    ("grpc.http2.min_ping_interval_without_data_ms", KEEPALIVE_INTERVAL_MS // 2),
-    ("grpc.http2.max_ping_strikes", 0),
+    ("grpc.keepalive_time_ms", KEEPALIVE_INTERVAL_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
     ("grpc.max_connection_age_ms", MAX_CONNECTION_AGE_MS),
 )
 
@@ -246,6 +245,17 @@
         for channel in channels:
             await channel.channel.close()
 
+    def in_use(self, member):
+        """Tells whether calls or streams to a member are open."""
+        channel = self._channels_by_member.get(member)
+        return channel is not None and channel.calls > 0
+
+    async def drop(self, member):
+        """Ends the open calls and streams to a member, which are then unreachable."""
+        channel = self._channels_by_member.pop(member, None)
+        if channel is not None:
+            await channel.channel.close()
+
     @property
     def channel_count(self):
         return len(self._channels_by_member) + len(self._retired)
--- a/snipetrestle/peers/membership.py
+++ b/snipetrestle/peers/membership.py
@@ -154,6 +154,8 @@
         self._last_expiry = None
         self._own_digest = RevisionDigest
         self._heard_digest = lambda member, digest: None
+        self._in_use = lambda member: False
+        self._drop = None
         self.own_incarnation = self._new_incarnation(0)
         router.on_call(Ping, self._on_ping)
         router.on_call(PingRequest, self._on_ping_request)
@@ -188,6 +190,16 @@
         self._own_digest = own_digest
         self._heard_digest = heard_digest
 
+    def attach_connections(self, in_use, drop):
+        """Lets calls to a silent member end.
+
+        A suspicion by another member leads to a probe if ``in_use(member)``, that is,
+        if calls to the member are open. ``await drop(member)`` is called once the own
+        probes have failed or the member counts as failed.
+        """
+        self._in_use = in_use
+        self._drop = drop
+
     # View
 
     def routable(self, region=None):
@@ -336,7 +348,7 @@
             if await self._ping(name):
                 return
             entry = self._entries_by_name.get(name)
-            if entry is None or entry.update.health is not Health.ALIVE:
+            if entry is None or not self._worth_relays(entry):
                 return
             relays = self._sample(INDIRECT_PROBES, without=name)
             found = anyio.Event()
@@ -350,6 +362,7 @@
                 # This daemon itself was paused, so the silence proves nothing.
                 return
             self._suspect(name)
+            await self._drop_calls(name)
         finally:
             self._probing.discard(name)
 
@@ -385,6 +398,16 @@
             found.set()
             group.cancel_scope.cancel()
 
+    def _worth_relays(self, entry):
+        """Tells whether silence of this member changes anything."""
+        if entry.update.health is Health.ALIVE:
+            return True
+        return self._drop is not None and self._in_use(entry.update.name)
+
+    async def _drop_calls(self, name):
+        if self._drop is not None and self._in_use(name):
+            await self._drop(name)
+
     def _suspect(self, name):
         entry = self._entries_by_name.get(name)
         if entry is not None and entry.update.health is Health.ALIVE:
@@ -405,6 +428,8 @@
                 entry.suspected_until += gap
             elif now >= entry.suspected_until:
                 self._learn(msgspec.structs.replace(entry.update, health=Health.FAILED))
+                if self._group is not None:
+                    self._group.start_soon(self._drop_calls, name)
 
     # Handlers
 
@@ -516,6 +541,8 @@
                 + self._times.suspicion_per_doubling_s * doublings
             )
             self._suspects.add(name)
+            if self._in_use(name):
+                self.report_unreachable(name)
 
     def _note_state(self, entry, before):
         if entry.state is before:
--- a/snipetrestle/peers/tls.py
+++ b/snipetrestle/peers/tls.py
@@ -27,6 +27,7 @@
     def __init__(self, files, contents):
         self._files = files
         self._contents = contents
+        self._channel_credentials = None
         self.version = 1
 
     @classmethod
@@ -35,11 +36,17 @@
         return cls(files, _read(files))
 
     def channel_credentials(self):
-        return grpc.ssl_channel_credentials(
-            root_certificates=self._contents.authority,
-            private_key=self._contents.key,
-            certificate_chain=self._contents.certificate,
-        )
+        """Returns the credentials that all channels of this version share.
+
+        Channels with credentials of their own each hold a parsed set of certificates.
+        """
+        if self._channel_credentials is None:
+            self._channel_credentials = grpc.ssl_channel_credentials(
+                root_certificates=self._contents.authority,
+                private_key=self._contents.key,
+                certificate_chain=self._contents.certificate,
+            )
+        return self._channel_credentials
 
     def server_credentials(self):
         """Returns credentials that follow later changes at each handshake."""
@@ -71,6 +78,7 @@
             return
         if contents != self._contents:
             self._contents = contents
+            self._channel_credentials = None
             self.version += 1
             log_event(Event.TLS_RELOADED, certificate=self._files.certificate)
 
--- a/snipetrestle_standins/certificates.py
+++ b/snipetrestle_standins/certificates.py
@@ -26,15 +26,14 @@
             .sign(self._key, hashes.SHA256())
         )
 
-    def issue(self, directory, name, *addresses):
+    def issue(self, directory, name, *others):
         """Writes the files of a member and returns their TlsFiles.
 
-        The certificate contains ``name`` and the IP addresses, which are needed where
-        the member is reached as a seed.
+        The certificate contains ``name`` and the other names and IP addresses. An
+        address is needed where the member is reached as a seed.
         """
         key = ec.generate_private_key(ec.SECP256R1())
-        names = [x509.DNSName(name)]
-        names += [x509.IPAddress(ipaddress.ip_address(item)) for item in addresses]
+        names = [_general_name(item) for item in (name, *others)]
         certificate = (
             _builder(_name_of(name), self._name, key)
             .add_extension(x509.SubjectAlternativeName(names), False)
@@ -61,6 +60,13 @@
     return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
 
 
+def _general_name(text):
+    try:
+        return x509.IPAddress(ipaddress.ip_address(text))
+    except ValueError:
+        return x509.DNSName(text)
+
+
 def _builder(subject, issuer, key):
     now = datetime.datetime.now(datetime.UTC)
     return (
--- a/tests/peers/test_grpc_transport.py
+++ b/tests/peers/test_grpc_transport.py
@@ -142,6 +142,22 @@
 
         self.run_pair(check)
 
+    def test_dropped_peer_ends_its_streams(self):
+        """Guards against a stream that waits for a host that died without a word."""
+
+        async def check(client, peer, addresses):
+            with testtools.ExpectedException(PeerUnreachable):
+                async with client.stream("b", Echo("hang")) as replies:
+                    for _ in range(3):
+                        await anext(replies)
+                    self.assertTrue(client.in_use("b"))
+                    await client.drop("b")
+                    await anext(replies)
+            self.assertFalse(client.in_use("b"))
+            await client.call("b", Echo("again"), TIMEOUT_S)
+
+        self.run_pair(check)
+
     def test_idle_channels_are_closed(self):
         """Guards against a daemon that keeps a channel to each peer it ever called."""
 
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -74,6 +74,25 @@
 
         run_fleet(check, 7)
 
+    def test_calls_to_a_silent_member_are_dropped(self):
+        """Guards against a stream that waits for a paused daemon for ever."""
+
+        async def check(fleet):
+            dropped = {}
+
+            async def drop(name):
+                dropped[name] = anyio.current_time()
+
+            membership = fleet.daemons_by_name["entry-0"].membership
+            membership.attach_connections(lambda name: name != "entry-1", drop)
+            fleet.network.pause("entry-1")
+            fleet.network.pause("entry-2")
+            await anyio.sleep(LIMIT_S)
+            # Nothing is open to entry-1.
+            self.assertEqual({"entry-2"}, set(dropped))
+
+        run_fleet(check, 7)
+
     def test_indirect_probe_clears_a_member_behind_one_cut_link(self):
         """Guards against one bad link that makes a member look dead to all."""
 
--- a/tests/platform/test_http_sources.py
+++ b/tests/platform/test_http_sources.py
@@ -30,7 +30,7 @@
 async def serving(app):
     """Serves an ASGI application on loopback and yields its base URL."""
     server = uvicorn.Server(
-        uvicorn.Config(app, host="127.0.0.1", port=0, log_level="error")
+        uvicorn.Config(app, host="127.0.0.1", port=0, log_level="error", lifespan="off")
     )
     async with anyio.create_task_group() as group:
         group.start_soon(server._serve)
