--- a/snipetrestle/placement/slots.py
+++ b/snipetrestle/placement/slots.py
@@ -20,7 +20,17 @@
 class Copy:
     """One copy of an adapter version and the requests that use it or will use it."""
 
-    __slots__ = ("handle", "state", "pins", "promises", "load_s", "last_used", "own")
+    __slots__ = (
+        "handle",
+        "state",
+        "pins",
+        "promises",
+        "load_s",
+        "last_used",
+        "ready_at",
+        "own",
+        "for_batch",
+    )
 
     def __init__(self, handle, state):
         self.handle = handle
@@ -29,7 +39,14 @@
         self.promises = 0
         self.load_s = 0.0
         self.last_used = anyio.current_time()
+        self.ready_at = self.last_used
         self.own = True
+        # Loaded for batch work and not used by a waiting request since.
+        self.for_batch = False
+
+    @property
+    def ready(self):
+        return self.state is CopyState.RESIDENT
 
     @property
     def evictable(self):
@@ -73,32 +90,26 @@
         ]
 
     def pin(self, handle):
-        """Protects a resident copy while a request uses it."""
+        """Protects a resident copy while a request uses it; returns the copy."""
         copy = self.copies_by_handle.get(handle)
         if copy is None or copy.state is not CopyState.RESIDENT:
             raise ValueError(f"{handle} is not resident")
         copy.pins += 1
         copy.last_used = anyio.current_time()
+        return copy
 
-    def unpin(self, handle):
-        copy = self.copies_by_handle.get(handle)
-        # The copy is gone if the engine restarted while the request ran.
-        if copy is not None and copy.pins > 0:
-            copy.pins -= 1
-            copy.last_used = anyio.current_time()
-
-    def promise(self, handle):
-        """Protects a copy for a queued request; returns whether there is a copy."""
-        copy = self.copies_by_handle.get(handle)
-        if copy is None or copy.state is CopyState.UNLOADING:
-            return False
-        copy.promises += 1
-        return True
+    def unpin(self, copy):
+        """Ends a pin. It takes the copy, since the handle may be loaded again."""
+        if copy.pins < 1:
+            raise ValueError(f"{copy.handle} is not pinned")
+        copy.pins -= 1
+        copy.last_used = anyio.current_time()
 
-    def withdraw(self, handle):
+    def set_promises(self, handle, count):
+        """Protects a copy for ``count`` queued requests."""
         copy = self.copies_by_handle.get(handle)
-        if copy is not None and copy.promises > 0:
-            copy.promises -= 1
+        if copy is not None:
+            copy.promises = count
 
     def begin_load(self, handle):
         """Takes a free slot for a load."""
@@ -111,7 +122,7 @@
         if copy is not None:
             copy.state = CopyState.RESIDENT
             copy.load_s = load_s
-            copy.last_used = anyio.current_time()
+            copy.last_used = copy.ready_at = anyio.current_time()
 
     def adopt(self, handle, pins=0, own=True):
         """Notes a copy that the engine holds already, for example after a takeover."""
@@ -131,6 +142,12 @@
             raise ValueError(f"{handle} must not be evicted")
         copy.state = CopyState.UNLOADING
 
+    def cancel_unload(self, handle):
+        """Notes that the engine did not unload the copy."""
+        copy = self.copies_by_handle.get(handle)
+        if copy is not None and copy.state is CopyState.UNLOADING:
+            copy.state = CopyState.RESIDENT
+
     def reload_cost(self, copy):
         """Returns the stall seconds per second that the copy's absence would cost."""
         return self.demand.rate(copy.handle) * max(copy.load_s, 0.05)
@@ -148,12 +165,25 @@
         the newcomer stays.
         """
         limit = self.newcomer_demand(handle, waited_s)
+        return self._cheapest(
+            copy
+            for copy in self.copies_by_handle.values()
+            if copy.evictable and self.demand.rate(copy.handle) <= limit
+        )
+
+    def batch_victim(self, max_copies):
+        """Returns the handle to evict for batch work, or None.
+
+        Batch work holds at most ``max_copies``; at that number it replaces its own.
+        """
+        own = [copy for copy in self.copies_by_handle.values() if copy.for_batch]
+        if len(own) < max_copies:
+            own = self.copies_by_handle.values()
+        return self._cheapest(copy for copy in own if copy.evictable)
+
+    def _cheapest(self, copies):
         best = min(
-            (
-                (self.reload_cost(copy), copy.last_used, copy.handle)
-                for copy in self.copies_by_handle.values()
-                if copy.evictable and self.demand.rate(copy.handle) <= limit
-            ),
+            ((self.reload_cost(copy), copy.last_used, copy.handle) for copy in copies),
             default=None,
         )
         return None if best is None else best[2]
--- a/snipetrestle/scheduling/request_queue.py
+++ b/snipetrestle/scheduling/request_queue.py
@@ -212,9 +212,3 @@
             else:
                 self._last_batch_handle = entry.handle
                 self._run_length = 1
-
-    def expired(self, now):
-        """Returns waiting entries whose deadline has passed, at most one per handle."""
-        queue = self._classes[False]
-        heads = (queue.head(handle) for handle in tuple(queue.counts_by_handle))
-        return [entry for entry in heads if entry is not None and entry.deadline <= now]
--- a/snipetrestle_standins/engine.py
+++ b/snipetrestle_standins/engine.py
@@ -104,6 +104,10 @@
 
     # Finished streams stay available for a resume, at most this many.
     KEPT_STREAMS = 512
+    # Seconds of one export or import of KV cache: per call and per token. A token's
+    # cache of about 100 kB moves at about 50 GB/s; a prefill token costs ten times that.
+    KV_CALL_S = 0.004
+    KV_TOKEN_S = 0.000002
 
     def __init__(
         self,
@@ -150,6 +154,7 @@
         self._streams_by_id = {}
         self._order = 0
         self._prefixes = {}
+        self._imported_kv = {}
         self._events = []
         self._event_sequence = 0
         self._reports = []
@@ -200,6 +205,9 @@
     def _prefill_tokens(self, stream):
         request = stream.request
         tokens = request.prompt_tokens + len(request.forced_tokens)
+        imported = self._imported_kv.pop(request.request_id, 0)
+        if imported:
+            return max(1, tokens - imported)
         if not request.prefix:
             return tokens
         key = (request.handle, request.prefix)
@@ -318,7 +326,12 @@
     @contextlib.asynccontextmanager
     async def generate(self, request):
         stream = self._streams_by_id.get(request.request_id)
-        if stream is None or stream.request.handle != request.handle:
+        # A cancelled stream cannot be read on; its request starts a new one.
+        if (
+            stream is None
+            or stream.request.handle != request.handle
+            or stream.finish_reason == "cancelled"
+        ):
             if request.next_index > len(request.forced_tokens):
                 raise EngineError("no such stream to resume")
             stream = self._start(request)
@@ -362,18 +375,26 @@
             stream.finish_reason = "cancelled"
             stream.notify()
 
+    def kv_move_s(self, tokens):
+        """Returns the seconds that one export or import of KV cache takes."""
+        return self.KV_CALL_S + tokens * self.KV_TOKEN_S
+
     async def export_kv(self, request_id):
         stream = self._streams_by_id.get(request_id)
         if stream is None:
             raise EngineError("no such stream to export")
         size = stream.request.prompt_tokens + stream.next_index
+        await anyio.sleep(self.kv_move_s(size))
         return f"{request_id}:{size}".encode()
 
     async def import_kv(self, request_id, data):
         key, _, size = data.decode().rpartition(":")
         if key != request_id or not size.isdigit():
             raise EngineError("the KV data belongs to another stream")
-        self._prefixes[("kv", request_id)] = int(size)
+        await anyio.sleep(self.kv_move_s(int(size)))
+        self._imported_kv[request_id] = int(size)
+        if len(self._imported_kv) > self.KEPT_STREAMS:
+            del self._imported_kv[next(iter(self._imported_kv))]
 
     async def cache_events(self):
         while self._events:
