--- a/binary/build.py
+++ b/binary/build.py
@@ -1,5 +1,7 @@
 """Builds ``dist/snipetrestle``: interpreter, libraries and product in one file.
 
+An argument names another folder than ``dist``.
+
 The launcher is linked with the static interpreter library; a zip archive of compiled
 modules and extension modules follows it. The archive is not compressed, since the
 decompressor is itself an extension module.
@@ -16,7 +18,6 @@
 import zipfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-DIST = ROOT / "dist"
 # Parts of the standard library that the product does not use.
 UNUSED_STDLIB = frozenset(
     [
@@ -195,9 +196,9 @@
     )
 
 
-def main():
-    DIST.mkdir(exist_ok=True)
-    launcher, archive_path = DIST / "launcher", DIST / "archive.zip"
+def main(folder):
+    folder.mkdir(exist_ok=True)
+    launcher, archive_path = folder / "launcher", folder / "archive.zip"
     build_launcher(launcher)
     archive = Archive(archive_path)
     archive.add_module("bootstrap.py", ROOT / "binary" / "bootstrap.py")
@@ -210,7 +211,7 @@
         archive.add_file(name, path)
     archive.add_tree(ROOT / "snipetrestle", "snipetrestle")
     archive.close(shared_libraries(archive.extension_paths))
-    target = DIST / "snipetrestle"
+    target = folder / "snipetrestle"
     with target.open("wb") as output:
         for part in (launcher, archive_path):
             with part.open("rb") as source:
@@ -222,4 +223,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    main(pathlib.Path(sys.argv[1]) if len(sys.argv) > 1 else ROOT / "dist")
