--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -19,6 +19,21 @@
         "WARNING",
         "configuration service is not reachable",
     )
+    CONFIGURATION_SOURCE_BACK = (
+        1105,
+        "INFO",
+        "configuration service is reachable again",
+    )
+    CONFIGURATION_SOURCE_STALE = (
+        1106,
+        "WARNING",
+        "configuration service shows an older revision than peers",
+    )
+    CONFIGURATION_NOT_LEARNED = (
+        1107,
+        "WARNING",
+        "no peer and no service has a published configuration yet",
+    )
     HOST_LIST_DOWN = (1104, "WARNING", "host list is not reachable")
     MEMBER_SUSPECTED = (1201, "WARNING", "member is suspected")
     MEMBER_FAILED = (1202, "WARNING", "member failed")
@@ -26,6 +41,16 @@
     MEMBER_LEAVING = (1204, "INFO", "member is leaving")
     TLS_RELOADED = (1205, "INFO", "TLS files were loaded again")
     TLS_RELOAD_FAILED = (1206, "ERROR", "TLS files could not be loaded again")
+    PEER_NAME_REFUSED = (
+        1207,
+        "ERROR",
+        "sender's name is not in its certificate",
+    )
+    MEMBER_SUPERSEDED = (
+        1208,
+        "ERROR",
+        "a later incarnation of this daemon's name is known",
+    )
     REPLICA_OWNED = (1301, "INFO", "replica is now owned by this daemon")
     REPLICA_RELEASED = (1302, "INFO", "replica is no longer owned by this daemon")
     OWNER_FENCED = (1303, "WARNING", "engine refused an old fencing number")
