Add a golden session of a write with retries across daemons

Cause: the order of messages of a retried write was checked nowhere as a whole. Change: tests/golden/write_retries.txt with the test that compares it and the command that writes it again; the fleet of stand-ins can record messages and service calls. The first recording showed that an entry gave up at the same instant as its home and reported the home as unreachable, so a home now gets 0.8 of the caller's time; and that a claimant withdrew its claim from keepers that had refused it, which now get no message.

--- a/snipetrestle/writes/coordinator.py
+++ b/snipetrestle/writes/coordinator.py
@@ -47,8 +47,10 @@
 HOME_WAIT_S = 1.0
 HOME_MARGIN_S = 1.0
 MAX_HOMES = 3
-# Below this no message can come back in time.
-MIN_TIME_LEFT_S = 0.001
+# Part of the caller's time that a home may use; the rest is for the way back.
+HOME_SHARE = 0.8
+# With less time left no home is asked again.
+MIN_TIME_LEFT_S = 0.05
 MAX_KEY_LENGTH = 255
 # Attempts in memory: about 1 KB each beside the request body.
 MAX_ATTEMPTS = 10_000
@@ -171,9 +173,8 @@
 
     async def run_write(self, request):
         """Returns the WriteResult. Raises ServingError."""
+        self._refuse_unless_open()
         self._check(request)
-        if self._draining:
-            raise ServingError(ResultCode.WRITE_REFUSED_AT_DOOR, "the daemon stops")
         deadline = anyio.current_time() + request.time_left_s
         outcome = await self._ask_homes(request, deadline)
         if outcome.kind is OutcomeKind.DID_NOT_RUN:
@@ -182,6 +183,14 @@
             raise ServingError(ResultCode.WRITE_RESULT_EXPIRED)
         return WriteResult(outcome.status, outcome.content_type, outcome.body)
 
+    def _refuse_unless_open(self):
+        if self._draining:
+            raise ServingError(ResultCode.WRITE_REFUSED_AT_DOOR, "the daemon stops")
+        if self._tasks is None or self._layout is None:
+            raise ServingError(
+                ResultCode.WRITE_REFUSED_AT_DOOR, "the daemon has no configuration yet"
+            )
+
     def _check(self, request):
         if not request.key:
             raise ServingError(
@@ -257,7 +266,7 @@
             request.key,
             request.body,
             request.content_type,
-            min(HOME_WAIT_S, left),
+            min(HOME_WAIT_S, HOME_SHARE * left),
         )
         if home == self._membership.own_name:
             return await self._run_here(message)
@@ -268,8 +277,7 @@
     # Home side.
 
     async def _on_run(self, sender, message):
-        if self._draining:
-            raise ServingError(ResultCode.WRITE_REFUSED_AT_DOOR, "the daemon stops")
+        self._refuse_unless_open()
         return WriteAnswer(await self._run_here(message))
 
     async def _run_here(self, message):
@@ -338,7 +346,13 @@
                 attempt.won = True
                 return await self._run_once(attempt)
             own_claim, attempt.claim = attempt.claim, None
-            self._withdraw(attempt.group, attempt.key_id, own_claim)
+            # Keepers that have refused hold no vote to give back.
+            voters = [
+                name
+                for name in attempt.group.members
+                if name not in replies.by_name or replies.by_name[name].granted
+            ]
+            self._withdraw(attempt.group, attempt.key_id, own_claim, voters)
             outcome = await self._settle_found(attempt, replies.by_name)
             if outcome is not None:
                 return outcome
@@ -377,9 +391,9 @@
         consistent = consistent_replies(replies_by_name)
         return sum(reply.granted for reply in consistent.values())
 
-    def _withdraw(self, group, key_id, claim):
+    def _withdraw(self, group, key_id, claim, keepers):
         message = WithdrawClaim(group.group_id, group.partition, key_id, claim)
-        self._asker.tell(group.members, message)
+        self._asker.tell(keepers, message)
 
     async def _settle_found(self, attempt, replies_by_name):
         """Returns the outcome that keepers have recorded, or None."""
@@ -465,7 +479,8 @@
         attempt = self._attempts_by_key.get(message.key_id)
         if attempt is None or attempt.claim != claim:
             # A claim that is not in progress has lost, or its outcome is recorded.
-            self._withdraw(self._layout.group_of(message.key_id), message.key_id, claim)
+            group = self._layout.group_of(message.key_id)
+            self._withdraw(group, message.key_id, claim, group.members)
             return ClaimantState(ClaimState.WITHDRAWN)
         with anyio.move_on_after(message.wait_s):
             await attempt.finished.wait()
--- a/snipetrestle_standins/writes_fleet.py
+++ b/snipetrestle_standins/writes_fleet.py
@@ -10,10 +10,12 @@
 from snipetrestle.peers.members import Incarnation, Member, StaticMembership
 from snipetrestle.peers.transport import MessageRouter
 from snipetrestle.published import PublishedConfiguration
+from snipetrestle.services.protocol import OldFencingNumber, ServiceUnreachable
 from snipetrestle.writes import Keeper, WriteCoordinator, WriteRequest
 from snipetrestle.writes.groups import GroupLayout
 from snipetrestle.writes.records import digest_of
 from snipetrestle_standins.network import InMemoryNetwork
+from snipetrestle_standins.recording import RecordingTransport
 from snipetrestle_standins.service import ServiceLine, StandInService
 
 DOMAINS = ("palermo", "catania", "messina")
@@ -78,9 +80,10 @@
         self.fleet = fleet
         self.name = name
         self.router = MessageRouter()
-        self.transport = fleet.network.attach(name, self.router)
-        if fleet.transport_type is not None:
-            self.transport = fleet.transport_type(self.transport)
+        self.endpoint = fleet.network.attach(name, self.router)
+        self.transport = self.endpoint
+        if fleet.session is not None:
+            self.transport = RecordingTransport(self.endpoint, fleet.session)
         self.incarnation = Incarnation(number, 7)
         self.membership = StaticMembership(
             name, self.incarnation, make_members(fleet.names)
@@ -88,12 +91,12 @@
         self.keeper = fleet.keeper_class(
             self.transport, self.router, self.membership, fleet.partitions
         )
-        self.line = ServiceLine(fleet.service, self.transport.pause_point)
+        self.line = ServiceLine(fleet.service, self.endpoint.pause_point)
         self.coordinator = fleet.coordinator_class(
             self.transport,
             self.router,
             self.membership,
-            self.line,
+            self.line if fleet.session is None else _RecordingLine(self),
             random.Random(f"{fleet.seed}-{name}-{number}"),
             fleet.partitions,
         )
@@ -109,7 +112,7 @@
     def stop(self):
         """Ends all tasks at once and closes the callers' connections."""
         self.line.stop()
-        self.transport.resume()
+        self.endpoint.resume()
         self.scope.cancel()
         for connection in tuple(self.connections):
             connection.cancel()
@@ -121,10 +124,28 @@
                 tasks.start_soon(self.coordinator.run)
 
 
+class _RecordingLine:
+    """Notes a daemon's calls of the service and their answers in the session."""
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+
+    async def call(self, call):
+        name, session = self._daemon.name, self._daemon.fleet.session
+        session.note(name, call.service, call)
+        try:
+            answer = await self._daemon.line.call(call)
+        except (ServiceUnreachable, OldFencingNumber) as error:
+            session.write(f"{call.service} -> {name} {error}")
+            raise
+        session.note(call.service, name, answer)
+        return answer
+
+
 class Fleet:
     """All daemons, the network and the service. Use as an async context manager.
 
-    ``keeper_class`` and ``coordinator_class`` are replaced by tests that switch a guard
+    A ``session`` records all messages. ``keeper_class`` and ``coordinator_class`` are replaced by tests that switch a guard
     off. One partition makes the start cheap and the keepers the same for every key.
     """
 
@@ -135,7 +156,7 @@
         coordinator_class=WriteCoordinator,
         faults=None,
         seed=1,
-        transport_type=None,
+        session=None,
         partitions=1,
     ):
         self.configuration = configuration or make_configuration()
@@ -143,7 +164,7 @@
         self.keeper_class = keeper_class
         self.coordinator_class = coordinator_class
         self.seed = seed
-        self.transport_type = transport_type
+        self.session = session
         self.partitions = partitions
         self.network = InMemoryNetwork()
         self.service = StandInService(faults=faults)
@@ -234,12 +255,12 @@
         with anyio.CancelScope() as connection:
             daemon.connections.add(connection)
             try:
-                await daemon.transport.pause_point()
+                await daemon.endpoint.pause_point()
                 result = await daemon.coordinator.run_write(request)
-                await daemon.transport.pause_point()
+                await daemon.endpoint.pause_point()
                 return 0, result
             except ServingError as error:
-                await daemon.transport.pause_point()
+                await daemon.endpoint.pause_point()
                 return error.code.number, error
             finally:
                 daemon.connections.discard(connection)
--- /dev/null
+++ b/tests/writes/test_write_session.py
@@ -0,0 +1,53 @@
+"""Golden file of a whole session: a write with retries across daemons.
+
+``PYTHONPATH=. python -m tests.writes.test_write_session`` writes the file again. Calls of
+a daemon to its own keeper are no messages and are not in the file.
+"""
+
+import pathlib
+
+import testtools
+
+from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.recording import Session
+from snipetrestle_standins.service import ServiceFaults
+from snipetrestle_standins.writes_fleet import Fleet
+
+GOLDEN_FILE = pathlib.Path(__file__).parent.parent / "golden" / "write_retries.txt"
+
+
+def record_session():
+    """Returns the text: two callers' retries while the service answers late."""
+    session = Session()
+
+    async def write(fleet, name, time_left_s):
+        session.write(f"caller -> {name} write enter, key k1, {time_left_s} s left")
+        code, answer = await fleet.write(
+            name, operation="enter", time_left_s=time_left_s
+        )
+        session.write(f"{name} -> caller {answer if code else f'result {answer}'}")
+
+    async def main():
+        faults = ServiceFaults(answer_delay_s=0.8)
+        async with Fleet(faults=faults, session=session) as fleet:
+            session.lines.clear()
+            session.write("the service will answer after 0.8 s")
+            await write(fleet, "entry-0", 0.3)
+            await write(fleet, "entry-5", 3.0)
+            await fleet.settle()
+            session.write("the home is killed")
+            fleet.kill(fleet.home_of())
+            await write(fleet, "entry-4", 3.0)
+
+    run_advanced(main)
+    return session.text()
+
+
+class WriteSessionTest(testtools.TestCase):
+    def test_messages_of_a_write_with_retries(self):
+        """Guards against any change of what is sent, or in which order."""
+        self.assertEqual(GOLDEN_FILE.read_text(), record_session())
+
+
+if __name__ == "__main__":
+    GOLDEN_FILE.write_text(record_session())
