--- a/snipetrestle/writes/records.py
+++ b/snipetrestle/writes/records.py
@@ -1,6 +1,7 @@
 """Records of idempotency keys: claims, outcomes and the bounded table that holds them."""
 
 import enum
+import functools
 import hashlib
 from collections import deque
 
@@ -12,6 +13,8 @@
 DIGEST_BYTES = 16
 # A larger result is returned once and not kept, so that one caller cannot fill a keeper.
 MAX_RESULT_BYTES = 65_536
+# Memory of a kept result beside its body (242 bytes in benchmarks/writes.py).
+RESULT_OVERHEAD_BYTES = 250
 _NO_INCARNATION = Incarnation(0, 0)
 
 
@@ -34,7 +37,7 @@
     request_digest: bytes
 
 
-class Ballot(msgspec.Struct, frozen=True, order=True):
+class Ballot(msgspec.Struct, frozen=True, order=True, gc=False):
     """Number of a proposed outcome. Round 0 belongs to the claimant that won the key."""
 
     round: int
@@ -53,7 +56,7 @@
     DID_NOT_RUN = "did_not_run"
 
 
-class WriteOutcome(msgspec.Struct, frozen=True):
+class WriteOutcome(msgspec.Struct, frozen=True, gc=False):
     """Final outcome of a key. ``body`` is None when the result is not kept."""
 
     kind: OutcomeKind
@@ -62,15 +65,21 @@
     body: bytes | None = None
 
     def without_result(self):
-        return WriteOutcome(self.kind, self.status)
+        """Returns the outcome as kept in a fingerprint; equal ones are one object."""
+        return _fingerprint_outcome(self.kind, self.status)
 
 
-class KeyRecord(msgspec.Struct):
+@functools.cache
+def _fingerprint_outcome(kind, status):
+    return WriteOutcome(kind, status)
+
+
+class KeyRecord(msgspec.Struct, gc=False):
     """What a keeper knows of one key.
 
     ``claims`` holds the claim that this incarnation voted for, or the claims found
-    during recovery. ``voted`` is true only for a vote of this incarnation.
-    ``request_digest`` belongs to the outcome.
+    during recovery; a record with an outcome needs none. ``voted`` is true only for a
+    vote of this incarnation. ``request_digest`` belongs to the outcome.
     """
 
     claims: tuple[Claim, ...] = ()
@@ -94,6 +103,7 @@
             self.accepted = other.accepted
             self.outcome = other.outcome
             self.request_digest = other.request_digest
+            self.claims = ()
 
 
 class RecordTable:
@@ -132,8 +142,11 @@
     def set_outcome(self, record, ballot, outcome, now):
         """Stores an outcome and plans the removal of its result."""
         self.drop_result(record)
-        if outcome.body is not None and len(outcome.body) > MAX_RESULT_BYTES:
+        if outcome.body is None or len(outcome.body) > MAX_RESULT_BYTES:
             outcome = outcome.without_result()
+        if ballot == CLAIMANT_BALLOT:
+            ballot = record.promised = CLAIMANT_BALLOT
+        record.claims = ()
         record.accepted = ballot
         record.outcome = outcome
         self.keep_result(record, now)
@@ -142,13 +155,13 @@
         """Counts the result of a record and plans its removal."""
         if record.outcome is None or record.outcome.body is None:
             return
-        self.result_bytes += len(record.outcome.body)
+        self.result_bytes += len(record.outcome.body) + RESULT_OVERHEAD_BYTES
         self._kept_results.append((now + self.retention_s, record, record.outcome))
         self.expire(now)
 
     def drop_result(self, record):
         if record.outcome is not None and record.outcome.body is not None:
-            self.result_bytes -= len(record.outcome.body)
+            self.result_bytes -= len(record.outcome.body) + RESULT_OVERHEAD_BYTES
             record.outcome = record.outcome.without_result()
 
     def expire(self, now):
