--- a/snipetrestle/writes/keeper.py
+++ b/snipetrestle/writes/keeper.py
@@ -64,6 +64,7 @@
             KeeperStage.PREPARED if previous_group is None else KeeperStage.JOINING
         )
         self._announced = False
+        self._woken = anyio.Event()
 
     @property
     def others(self):
@@ -179,8 +180,23 @@
             tries += 1
             if tries == TRIES_BEFORE_EVENT:
                 self.keeper.report_blocked(self)
-            await anyio.sleep(pause_s)
+            with anyio.move_on_after(pause_s):
+                await self._woken.wait()
             pause_s = min(2 * pause_s, JOIN_RETRY_MAX_S)
+            if self._woken.is_set():
+                self._woken = anyio.Event()
+                pause_s = JOIN_RETRY_S
+                await anyio.sleep(pause_s)
+
+    def wake(self):
+        """Lets a keeper that waits between two tries try again soon."""
+        self._woken.set()
+
+    def note_incarnation(self, name, incarnation):
+        """Notes a keeper's announcement. A new run may be the one that was missing."""
+        if name not in self.known or self.known[name] < incarnation:
+            merge_known(self.known, {name: incarnation})
+            self.wake()
 
     async def _try_to_join(self):
         replies = await self.keeper.asker.ask(self.others, self._join_message())
@@ -343,6 +359,7 @@
             if certificate.get(self.keeper.own_name) != self.incarnation:
                 return False
             self.certificate = certificate
+            self.wake()
         return self.certificate == certificate
 
     def _become_ready(self):
@@ -506,7 +523,7 @@
 
     async def _on_join(self, sender, message):
         partition = self._find(message)
-        merge_known(partition.known, {sender: message.incarnation})
+        partition.note_incarnation(sender, message.incarnation)
         with_records = partition.stage is KeeperStage.READY
         return partition.state(message.after if with_records else None)
 
