--- a/snipetrestle/callers/listener.py
+++ b/snipetrestle/callers/listener.py
@@ -120,6 +120,31 @@
         yield
 
 
+def make_config(app, intake=None, host="127.0.0.1", port=0, tls=None):
+    """Returns the uvicorn configuration of a listener."""
+    # Each listener has bounds of its own, and uvicorn takes a class.
+    protocol = type(
+        "ListenerProtocol", (BoundedProtocol,), {"intake": intake or IntakeSettings()}
+    )
+    return uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        http=protocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=KEEPALIVE_S,
+        timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
+        ssl_certfile=tls and tls.certificate,
+        ssl_keyfile=tls and tls.key,
+    )
+
+
 @contextlib.asynccontextmanager
 async def serving(app, address, tls=None, intake=None):
     """Serves an ASGI application at ``IP:PORT`` while the context is open.
@@ -135,30 +160,8 @@
             value=address,
         )
     host, port = split_address(address)
-    # Each listener has bounds of its own, and uvicorn takes a class.
-    protocol = type(
-        "ListenerProtocol", (BoundedProtocol,), {"intake": intake or IntakeSettings()}
-    )
     logging.getLogger("uvicorn.error").setLevel(logging.WARNING)
-    server = _Server(
-        uvicorn.Config(
-            app,
-            host=host,
-            port=port,
-            http=protocol,
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            proxy_headers=False,
-            server_header=False,
-            date_header=False,
-            timeout_keep_alive=KEEPALIVE_S,
-            timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
-            ssl_certfile=tls and tls.certificate,
-            ssl_keyfile=tls and tls.key,
-        )
-    )
+    server = _Server(make_config(app, intake, host, port, tls))
     async with anyio.create_task_group() as group:
         group.start_soon(server.serve)
         while not server.started:  # noqa: ASYNC110 - uvicorn has no event for it
--- a/snipetrestle/services/http_client.py
+++ b/snipetrestle/services/http_client.py
@@ -20,6 +20,7 @@
 KEEPALIVE_S = 30.0
 OLD_NUMBER_STATUS = 412
 FENCING_HEADER = b"fencing-number"
+OPERATION_PATH = "/v1/"
 
 _NOT_SENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 _LOST = (
@@ -58,7 +59,7 @@
         try:
             response = await self._pool.request(
                 "POST",
-                f"http://{server.address}/v1/{urllib.parse.quote(call.operation)}",
+                f"http://{server.address}{OPERATION_PATH}{urllib.parse.quote(call.operation)}",
                 headers=_headers(call),
                 content=call.body,
                 extensions={"timeout": _timeouts(call.timeout)},
@@ -90,7 +91,7 @@
 def _headers(call):
     headers = [(b"content-type", call.content_type.encode("latin-1"))]
     if call.idempotency_key is not None:
-        headers.append((b"idempotency-key", call.idempotency_key.encode()))
+        headers.append((b"idempotency-key", call.idempotency_key.encode("latin-1")))
     if call.fencing_number is not None:
         headers.append((FENCING_HEADER, b"%d" % call.fencing_number))
     return headers
--- /dev/null
+++ b/snipetrestle_standins/data_path.py
@@ -0,0 +1,251 @@
+"""The data path of a few daemons in memory, on the advanced clock.
+
+Callers and engines speak HTTP over connections in memory, daemons speak over the
+in-memory network. Membership is a fixed view that tests change by hand.
+"""
+
+import contextlib
+import hashlib
+import random
+
+import anyio
+
+from snipetrestle.callers.entry import EntryRouter
+from snipetrestle.callers.interface import CallerInterface
+from snipetrestle.callers.services import ServiceCalls
+from snipetrestle.engines.forwarding import ForwardHandler
+from snipetrestle.engines.http_client import HttpEngineClient
+from snipetrestle.engines.owner import ReplicaOwner
+from snipetrestle.engines.replicas import OwnedReplicas
+from snipetrestle.limits import LimitShares
+from snipetrestle.metrics import Metrics
+from snipetrestle.peers.members import Incarnation, Member, StaticMembership
+from snipetrestle.peers.transport import MessageRouter
+from snipetrestle.placement import ReplicaChooser
+from snipetrestle.placement.permits import UnlimitedPermits
+from snipetrestle.published import PublishedConfiguration
+from snipetrestle.services.http_client import HttpServiceClient
+from snipetrestle.settings import IntakeSettings
+from snipetrestle_standins.engine import EngineCore, StepTimes
+from snipetrestle_standins.engine_http import engine_app
+from snipetrestle_standins.memory_http import MemoryBackend, MemoryListener
+from snipetrestle_standins.network import InMemoryNetwork
+from snipetrestle_standins.recording import RecordingTransport
+from snipetrestle_standins.service import StandInService
+from snipetrestle_standins.service_http import service_app
+from snipetrestle_standins.store import WeightStoreCore
+
+KEY = "sample-key-counter"
+OTHER_KEY = "sample-key-workshop"
+MODEL = "size-chart"
+SERVICE = "register"
+REGION = "sicily"
+
+
+def contract(**changes):
+    """Returns the plain data of a contract with service operations."""
+    return {
+        "requests_per_second": 1000,
+        "concurrency": 1000,
+        "tokens_per_minute": 60_000_000,
+        "waiting_first_token_s": 2.0,
+        "operations": [
+            {"service": SERVICE, "name": "enter", "idempotent": False, "timeout_s": 2},
+            {"service": SERVICE, "name": "lookup", "idempotent": True, "timeout_s": 2},
+        ],
+        **changes,
+    }
+
+
+def make_document(daemons, engines, **changes):
+    """Returns the plain data of a published configuration."""
+    return {
+        "models": [{"name": MODEL}, {"name": "idle-model"}],
+        "adapters": [
+            {"name": f"workshop-{number}", "model": MODEL, "versions": ["1", "2"]}
+            for number in range(4)
+        ]
+        + [{"name": "private", "model": MODEL, "versions": ["1"]}],
+        "customers": [
+            {
+                "name": name,
+                "api_key_sha256": [hashlib.sha256(key.encode()).hexdigest()],
+                "contract": contract(**changes),
+                "adapters": ["workshop-*"],
+            }
+            for name, key in (("counter", KEY), ("workshop", OTHER_KEY))
+        ],
+        "backend_servers": [
+            {
+                "name": name,
+                "address": f"127.0.0.1:{7000 + index}",
+                "failure_domain": "palermo",
+                "region": REGION,
+                "model": MODEL,
+                "adapter_slots": 4,
+                "max_batch": 8,
+                "weight_store": "store",
+                "checks_fencing_numbers": True,
+            }
+            for index, name in enumerate(engines)
+        ]
+        + [
+            {
+                "name": "register-1",
+                "address": "127.0.0.1:7900",
+                "failure_domain": "palermo",
+                "region": REGION,
+                "service": SERVICE,
+            }
+        ],
+        "services": [{"name": SERVICE}],
+        "daemons": [{"name": name, "failure_domain": "palermo"} for name in daemons],
+        "weight_stores": [
+            {"name": "store", "loads_per_second": 50, "parallel_loads": 8}
+        ],
+    }
+
+
+class PathDaemon:
+    """Entry and owner of one daemon, and its callers' listener."""
+
+    def __init__(self, path, name):
+        self.name = name
+        router = MessageRouter()
+        transport = path.network.attach(name, router)
+        if path.session is not None:
+            transport = RecordingTransport(transport, path.session)
+        self.membership = StaticMembership(name, Incarnation(1, 1), path.members)
+        generator = random.Random(f"{path.seed}-{name}")
+        self.backend = MemoryBackend(name)
+        self.backend.listeners_by_address = path.listeners_by_address
+        self.owned = OwnedReplicas(
+            self.membership,
+            lambda server: ReplicaOwner(
+                server,
+                path.wrap_engine(HttpEngineClient(server.address, self.backend.pool())),
+                UnlimitedPermits(),
+            ),
+        )
+        ForwardHandler(router, self.owned)
+        self.shares = LimitShares(
+            transport,
+            generator,
+            lambda customer: path.configuration.customers_by_name[customer].contract,
+            lambda customer: name,
+            lambda: 1,
+        )
+        self.metrics = Metrics()
+        self.chooser = ReplicaChooser(generator)
+        self.entry = EntryRouter(
+            self.membership,
+            transport,
+            self.owned,
+            self.chooser,
+            self.shares,
+            generator,
+        )
+        self.services = HttpServiceClient(REGION, self.backend.pool())
+        self.interface = CallerInterface(
+            self.entry,
+            ServiceCalls(self.services, path.writes, self.shares, generator),
+            self.shares,
+            self.metrics,
+            path.intake,
+            generator,
+            lambda: True,
+        )
+        self.listener = MemoryListener(
+            self.interface, name, path.session, intake=path.intake
+        )
+        self.apply(path.configuration)
+
+    def apply(self, configuration):
+        for part in (self.owned, self.services, self.interface):
+            part.apply(configuration)
+        self.entry.set_replicas(configuration.replicas_by_model)
+
+
+class DataPath:
+    """Daemons, engines and a plain service. Use as an async context manager.
+
+    ``writes`` stands for the WriteCoordinator; ``wrap_engine(client)`` may replace the
+    owners' engine clients.
+    """
+
+    def __init__(
+        self,
+        daemons=("entry-1", "entry-2"),
+        engines=("drafting-1", "drafting-2"),
+        *,
+        session=None,
+        intake=None,
+        writes=None,
+        wrap_engine=lambda client: client,
+        step_times=None,
+        seed=1,
+        **changes,
+    ):
+        self.session = session
+        self.intake = intake or IntakeSettings()
+        self.writes = writes
+        self.wrap_engine = wrap_engine
+        self.seed = seed
+        self.network = InMemoryNetwork()
+        self.configuration = PublishedConfiguration.from_data(
+            make_document(daemons, engines, **changes)
+        )
+        self.members = [
+            Member(name, "127.0.0.1:1", "palermo", REGION) for name in daemons
+        ]
+        self.listeners_by_address = {}
+        self.listeners_by_name = {}
+        self.cores_by_name = {}
+        self.daemons_by_name = {}
+        self.service = StandInService()
+        self._names = daemons
+        self._step_times = step_times or StepTimes()
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self):
+        stack = self._stack
+        await stack.enter_async_context(self.network)
+        await stack.enter_async_context(self.service)
+        group = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(group.cancel_scope.cancel)
+        store = WeightStoreCore(loads_per_second=50, parallel_loads=8)
+        for server in self.configuration.backend_servers:
+            app = service_app(self.service, SERVICE)
+            if server.model is not None:
+                core = EngineCore(
+                    server.name,
+                    store,
+                    adapter_slots=server.adapter_slots,
+                    max_batch=server.max_batch,
+                    checks_fencing_numbers=True,
+                    step_times=self._step_times,
+                )
+                self.cores_by_name[server.name] = core
+                group.start_soon(core.run)
+                app = engine_app(core)
+            listener = MemoryListener(app, server.name, self.session)
+            self.listeners_by_address[server.address] = listener
+            self.listeners_by_name[server.name] = listener
+        for name in self._names:
+            self.daemons_by_name[name] = PathDaemon(self, name)
+        return self
+
+    async def __aexit__(self, *details):
+        return await self._stack.__aexit__(*details)
+
+    def set_members(self, *names):
+        """Changes the members that all daemons see."""
+        members = [member for member in self.members if member.name in names]
+        for daemon in self.daemons_by_name.values():
+            daemon.membership.set_members(members)
+            daemon.owned.apply(self.configuration)
+
+    def owner_of(self, replica):
+        """Returns the name of the daemon that owns a replica."""
+        server = self.configuration.servers_by_name[replica]
+        return next(iter(self.daemons_by_name.values())).owned.owner_name(server)
--- /dev/null
+++ b/snipetrestle_standins/local_fleet.py
@@ -0,0 +1,114 @@
+"""Daemons and stand-ins of a fleet in one process, over sockets on loopback."""
+
+import contextlib
+import json
+import random
+import socket
+
+import anyio
+
+from snipetrestle.app import Application
+from snipetrestle.callers.listener import serving
+from snipetrestle.platform.sources import Host
+from snipetrestle.settings import ListenSettings, PlatformSettings, Settings
+from snipetrestle_standins.configuration_service import (
+    ConfigurationService,
+    configuration_app,
+)
+from snipetrestle_standins.engine_http import engine_app
+from snipetrestle_standins.host_list import HostListService, host_list_app
+
+LOOPBACK = "127.0.0.1:0"
+
+
+def free_address():
+    """Returns a loopback address with a port that is free now."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+class LocalFleet:
+    """Daemons, engines, services and platform. Use as an async context manager.
+
+    ``daemons`` are DaemonSettings. ``cores_by_name`` are EngineCores and
+    ``service_apps_by_name`` ASGI applications by backend server name;
+    ``document(addresses_by_name)`` returns the published configuration.
+    """
+
+    def __init__(
+        self, daemons, document, cores_by_name, service_apps_by_name=(), seed=1
+    ):
+        self.cores_by_name = cores_by_name
+        self.addresses_by_name = {}
+        self.apps = []
+        self.configuration = ConfigurationService()
+        self.hosts = HostListService()
+        self.platform = None
+        self._daemons = daemons
+        self._document = document
+        self._service_apps_by_name = dict(service_apps_by_name)
+        self._random = random.Random(seed)
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self):
+        await self._stack.__aenter__()
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(self, *details):
+        return await self._stack.__aexit__(*details)
+
+    async def _start(self):
+        stack = self._stack
+        group = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(group.cancel_scope.cancel)
+        apps_by_name = dict(self._service_apps_by_name)
+        for name, core in self.cores_by_name.items():
+            group.start_soon(core.run)
+            apps_by_name[name] = engine_app(core)
+        for name, app in apps_by_name.items():
+            self.addresses_by_name[name] = await self._serve(app)
+        configuration = await self._serve(configuration_app(self.configuration))
+        hosts = await self._serve(host_list_app(self.hosts))
+        self.platform = PlatformSettings(f"http://{configuration}", f"http://{hosts}")
+        # Ends the watches that are held, so that the listeners close at once.
+        stack.callback(self.configuration.set_down, True)
+        self.configuration.publish(json.dumps(self._document(self.addresses_by_name)))
+        all_settings = [self._settings(item) for item in self._daemons]
+        self.hosts.put(*(host_of(settings) for settings in all_settings))
+        for settings in all_settings:
+            app = Application.from_settings(
+                settings, random.Random(self._random.getrandbits(64)), first_start=True
+            )
+            await app.start()
+            self.apps.append(app)
+            stack.push_async_callback(app.stop)
+        for app in self.apps:
+            await app.wait_ready()
+
+    async def _serve(self, app):
+        return await self._stack.enter_async_context(serving(app, LOOPBACK))
+
+    def _settings(self, daemon):
+        return Settings(
+            daemon=daemon,
+            listen=ListenSettings(LOOPBACK, free_address(), LOOPBACK),
+            platform=self.platform,
+        )
+
+
+def host_of(settings):
+    """Returns the host list's entry of a daemon."""
+    daemon = settings.daemon
+    return Host(
+        daemon.name,
+        settings.listen.peers,
+        daemon.failure_domain,
+        daemon.region,
+        daemon.size,
+    )
--- /dev/null
+++ b/tests/callers/test_completions.py
@@ -0,0 +1,363 @@
+"""Tests of the completion paths: answers, resume, cancel and mismatches."""
+
+import anyio
+import testtools
+
+from snipetrestle.engines.protocol import EngineError, TokenBatch
+from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.data_path import MODEL, DataPath
+from snipetrestle_standins.engine import expected_text
+from tests.callers.caller import PROMPT, Caller, body_of, events_of, text_of
+
+DAEMONS = ("entry-1", "entry-2")
+
+
+def running_count(core):
+    return sum(not stream.ended for stream in core._streams_by_id.values())
+
+
+class CompletionTest(testtools.TestCase):
+    def test_each_entry_gives_the_adapters_own_answer(self):
+        """Guards against an answer of another adapter or version, by either hop."""
+
+        async def main():
+            async with DataPath(DAEMONS) as path:
+                for name in DAEMONS:
+                    caller = Caller(path.daemons_by_name[name])
+                    for adapter in range(4):
+                        for version in ("1", "2"):
+                            answer = await caller.complete(
+                                model=f"{MODEL}:workshop-{adapter}@{version}"
+                            )
+                            self.assertEqual(200, answer.status, answer.body)
+                            choice = answer.json["choices"][0]
+                            self.assertEqual(
+                                expected_text(f"workshop-{adapter}", version, PROMPT, 8),
+                                choice["text"],
+                            )
+                            self.assertEqual("length", choice["finish_reason"])
+                            self.assertEqual(
+                                8, answer.json["usage"]["completion_tokens"]
+                            )
+
+        run_advanced(main)
+
+    def test_stream_of_text_and_chat(self):
+        """Guards against a stream that a known client cannot read to its end."""
+
+        async def main():
+            async with DataPath(DAEMONS) as path:
+                caller = Caller(path.daemons_by_name["entry-1"])
+                answer = await caller.complete(
+                    stream=True, stream_options={"include_usage": True}
+                )
+                self.assertEqual("text/event-stream", answer.headers["content-type"])
+                self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
+                self.assertEqual(
+                    expected_text("workshop-0", "1", PROMPT, 8), text_of(answer.body)
+                )
+                *_, last, usage = events_of(answer.body)
+                self.assertEqual("length", last["choices"][0]["finish_reason"])
+                self.assertEqual(8, usage["usage"]["completion_tokens"])
+                body = body_of(
+                    stream=True, messages=[{"role": "user", "content": "Size 8?"}]
+                )
+                del body["prompt"]
+                answer = await caller.send("POST", "/v1/chat/completions", body)
+                events = events_of(answer.body)
+                self.assertEqual("chat.completion.chunk", events[0]["object"])
+                text = "".join(
+                    event["choices"][0]["delta"].get("content", "") for event in events
+                )
+                prompt = "<|user|>\nSize 8?\n<|assistant|>\n"
+                self.assertEqual(expected_text("workshop-0", "1", prompt, 8), text)
+
+        run_advanced(main)
+
+    def test_disconnect_cancels_at_the_engine(self):
+        """Guards against an engine that works on for a caller that has gone."""
+
+        async def main():
+            async with DataPath(DAEMONS) as path:
+                for name in DAEMONS:
+                    caller = Caller(path.daemons_by_name[name])
+                    body = body_of(max_tokens=4000, stream=True)
+                    async with caller.open("POST", "/v1/completions", body) as response:
+                        async for _ in response.aiter_stream():
+                            break
+                        counts = [running_count(c) for c in path.cores_by_name.values()]
+                        self.assertEqual(1, sum(counts))
+                    await anyio.sleep(1.0)
+                    counts = [running_count(c) for c in path.cores_by_name.values()]
+                    self.assertEqual([0, 0], counts)
+                    reasons = {
+                        stream.finish_reason
+                        for core in path.cores_by_name.values()
+                        for stream in core._streams_by_id.values()
+                    }
+                    self.assertEqual({"cancelled"}, reasons)
+
+        run_advanced(main)
+
+    def test_deadline_ends_a_request(self):
+        """Guards against work that goes on after the caller's deadline."""
+
+        async def main():
+            async with DataPath(DAEMONS) as path:
+                caller = Caller(path.daemons_by_name["entry-1"])
+                answer = await caller.send(
+                    "POST",
+                    "/v1/completions",
+                    body_of(max_tokens=4000),
+                    X_Request_Deadline="1.5",
+                )
+                self.assertEqual((504, "SN-1303"), _brief(answer))
+                self.assertEqual("outcome_unknown", answer.error["outcome"])
+                await anyio.sleep(1.0)
+                counts = [running_count(core) for core in path.cores_by_name.values()]
+                self.assertEqual([0, 0], counts)
+
+        run_advanced(main)
+
+
+class ResumeTest(testtools.TestCase):
+    def run_broken(self, name, break_path, **changes):
+        """Returns the text of a stream while ``break_path(path)`` breaks something."""
+
+        async def main():
+            async with DataPath(DAEMONS, **changes) as path:
+                caller = Caller(path.daemons_by_name[name])
+                body = body_of(max_tokens=40, stream=True)
+                parts = []
+                async with caller.open("POST", "/v1/completions", body) as response:
+                    async for chunk in response.aiter_stream():
+                        parts.append(chunk)
+                        if len(parts) == 5:
+                            await break_path(path)
+                resumed = sum(
+                    daemon.entry.resumed_streams
+                    for daemon in path.daemons_by_name.values()
+                )
+                starts = [core.tokens_generated for core in path.cores_by_name.values()]
+                return b"".join(parts), resumed, starts
+
+        return run_advanced(main)
+
+    def check(self, body):
+        self.assertEqual(expected_text("workshop-0", "1", PROMPT, 40), text_of(body))
+        self.assertTrue(body.endswith(b"data: [DONE]\n\n"))
+
+    def test_broken_connection_resumes_at_the_same_engine(self):
+        """Guards against a gap or repeat, and against tokens computed twice."""
+
+        async def break_path(path):
+            for listener in path.listeners_by_name.values():
+                listener.break_connections()
+
+        for name in DAEMONS:
+            body, resumed, generated = self.run_broken(name, break_path)
+            self.check(body)
+            self.assertEqual(1, resumed)
+            self.assertEqual([0, 40], sorted(generated))
+
+    def test_connection_that_breaks_inside_an_event(self):
+        """Guards against a half event that is taken for a whole one or dropped."""
+
+        for size in range(200, 1200, 37):
+
+            async def break_path(path, size=size):
+                for listener in path.listeners_by_name.values():
+                    for connection in listener.connections:
+                        connection.carried = 0
+                    listener.break_after_bytes = size
+
+            body, resumed, _ = self.run_broken("entry-1", break_path)
+            self.check(body)
+            self.assertEqual(1, resumed)
+
+    def test_engine_restart_resumes_with_a_forced_prefix(self):
+        """Guards against a stream that is lost with its engine's memory."""
+
+        async def break_path(path):
+            for core in path.cores_by_name.values():
+                core.restart()
+
+        body, resumed, _ = self.run_broken("entry-1", break_path)
+        self.check(body)
+        self.assertTrue(resumed)
+
+    def test_dead_engine_resumes_at_another_one(self):
+        """Guards against a stream that ends with its engine."""
+
+        async def break_path(path):
+            for name, core in path.cores_by_name.items():
+                if running_count(core):
+                    path.listeners_by_name[name].down = True
+                    path.listeners_by_name[name].break_connections()
+
+        for name in DAEMONS:
+            body, resumed, generated = self.run_broken(name, break_path)
+            self.check(body)
+            self.assertTrue(resumed)
+            self.assertTrue(all(generated), "both engines have worked")
+
+    def test_dead_owner_is_replaced_by_its_successor(self):
+        """Guards against a stream that ends with the daemon that owned the replica."""
+
+        async def break_path(path):
+            path.network.kill("entry-2")
+            path.set_members("entry-1")
+
+        body, resumed, _ = self.run_broken(
+            "entry-1", break_path, engines=engines_owned_by("entry-2")
+        )
+        self.check(body)
+        self.assertTrue(resumed)
+
+
+def engines_owned_by(daemon, count=2):
+    """Returns engine names that rendezvous hashing gives to a daemon."""
+    from snipetrestle.hashing import rendezvous_first
+
+    names = [f"drafting-{number}" for number in range(1, 40)]
+    sizes = dict.fromkeys(DAEMONS, 1.0)
+    return [name for name in names if rendezvous_first(name, sizes) == daemon][:count]
+
+
+class _MismatchedEngine:
+    """EngineClient that answers once for another request or handle."""
+
+    def __init__(self, client, change):
+        self._client = client
+        self._change = change
+
+    def __getattr__(self, name):
+        return getattr(self._client, name)
+
+    def generate(self, request):
+        context = self._client.generate(request)
+        change, self._change = self._change, None
+        return context if change is None else _Changed(context, change)
+
+
+class _Changed:
+    def __init__(self, context, change):
+        self._context = context
+        self._change = change
+
+    async def __aenter__(self):
+        return self._read(await self._context.__aenter__())
+
+    async def __aexit__(self, *details):
+        return await self._context.__aexit__(*details)
+
+    async def _read(self, batches):
+        count = 0
+        async for batch in batches:
+            count += 1
+            if count == 4:
+                batch = self._change(batch)
+            yield batch
+
+
+class MismatchTest(testtools.TestCase):
+    def run_changed(self, change):
+        async def main():
+            async with DataPath(
+                DAEMONS, wrap_engine=lambda client: _MismatchedEngine(client, change)
+            ) as path:
+                caller = Caller(path.daemons_by_name["entry-1"])
+                return await caller.complete(max_tokens=12)
+
+        return run_advanced(main)
+
+    def test_answer_of_another_request_or_handle(self):
+        """Guards against tokens of another request that reach a caller."""
+
+        def other_request(batch):
+            return TokenBatch("other", batch.handle, batch.first_index, (" wrong",))
+
+        def other_handle(batch):
+            return TokenBatch(
+                batch.request_id, "workshop-0@2", batch.first_index, (" wrong",)
+            )
+
+        for change in (other_request, other_handle):
+            answer = self.run_changed(change)
+            self.assertEqual(200, answer.status, answer.body)
+            self.assertEqual(
+                expected_text("workshop-0", "1", PROMPT, 12),
+                answer.json["choices"][0]["text"],
+            )
+
+    def test_missing_tokens(self):
+        """Guards against a gap that an engine leaves in its stream."""
+
+        def skip(batch):
+            index = batch.first_index + 2
+            return TokenBatch(batch.request_id, batch.handle, index, (" wrong",))
+
+        answer = self.run_changed(skip)
+        self.assertEqual(200, answer.status, answer.body)
+        self.assertEqual(
+            expected_text("workshop-0", "1", PROMPT, 12),
+            answer.json["choices"][0]["text"],
+        )
+
+    def test_engine_that_always_mismatches(self):
+        """Guards against a mismatch that is told as an answer in the end."""
+
+        def wrap(client):
+            engine = _MismatchedEngine(client, None)
+
+            def generate(request):
+                return _Changed(
+                    client.generate(request),
+                    lambda batch: TokenBatch("other", batch.handle, 3, (" wrong",)),
+                )
+
+            engine.generate = generate
+            return engine
+
+        async def main():
+            async with DataPath(DAEMONS, wrap_engine=wrap) as path:
+                caller = Caller(path.daemons_by_name["entry-1"])
+                answer = await caller.complete(max_tokens=40)
+                if answer.status == 200:
+                    self.assertEqual(
+                        expected_text("workshop-0", "1", PROMPT, 40),
+                        answer.json["choices"][0]["text"],
+                    )
+                else:
+                    self.assertEqual((502, "SN-1302"), _brief(answer))
+                    self.assertEqual("outcome_unknown", answer.error["outcome"])
+
+        run_advanced(main)
+
+    def test_failure_after_the_first_tokens_is_an_event(self):
+        """Guards against a stream that just stops, which a caller takes for the end."""
+
+        def wrap(client):
+            engine = _MismatchedEngine(client, None)
+
+            def fail(batch):
+                raise EngineError("broken")
+
+            engine.generate = lambda request: _Changed(client.generate(request), fail)
+            return engine
+
+        async def main():
+            async with DataPath(DAEMONS, wrap_engine=wrap) as path:
+                caller = Caller(path.daemons_by_name["entry-1"])
+                answer = await caller.complete(max_tokens=400, stream=True)
+                self.assertEqual(200, answer.status)
+                last = answer.body.rstrip(b"\n").split(b"\n\n")[-1]
+                self.assertIn(b"event: error", last)
+                self.assertIn(b"SN-1301", last)
+                self.assertNotIn(b"[DONE]", answer.body)
+
+        run_advanced(main)
+
+
+def _brief(answer):
+    return answer.status, answer.error["code"]
