--- a/snipetrestle/callers/completions.py
+++ b/snipetrestle/callers/completions.py
@@ -224,7 +224,7 @@
     object: str
     created: int
     model: str
-    choices: tuple[TextChoice | ChatDeltaChoice | ChatChoice, ...] = ()
+    choices: tuple[TextChoice | ChatDeltaChoice | ChatChoice, ...]
     usage: Usage | None = None
 
 
--- a/snipetrestle/engines/replicas.py
+++ b/snipetrestle/engines/replicas.py
@@ -4,6 +4,8 @@
 replica's rendezvous order.
 """
 
+import anyio
+
 from snipetrestle.codes import ResultCode, ServingError
 from snipetrestle.events import Event, log_event
 from snipetrestle.hashing import rendezvous_first
@@ -22,6 +24,8 @@
         self._owners_by_name = {}
         self._owner_names_by_replica = {}
         self._names_view = None
+        self._group = None
+        self._scopes_by_name = {}
 
     def apply(self, configuration):
         """Takes over a published configuration."""
@@ -31,10 +35,19 @@
 
     async def run(self):
         """Follows the membership until cancelled."""
-        while True:
-            view_number = self._membership.view_number
-            self._update()
-            await self._membership.wait_changed(view_number)
+        async with anyio.create_task_group() as group:
+            self._group = group
+            for owner in self._owners_by_name.values():
+                group.start_soon(self._run_owner, owner)
+            while True:
+                view_number = self._membership.view_number
+                self._update()
+                await self._membership.wait_changed(view_number)
+
+    async def _run_owner(self, owner):
+        with anyio.CancelScope() as scope:
+            self._scopes_by_name[owner.server.name] = scope
+            await owner.run()
 
     def owner_name(self, server, without=()):
         """Returns the name of the daemon that owns a replica, or None.
@@ -78,8 +91,19 @@
             if self.owner_name(server) == own_name
         }
         for name in self._owners_by_name.keys() - wanted.keys():
-            del self._owners_by_name[name]
+            self._drop(name)
             log_event(Event.REPLICA_RELEASED, replica=name)
         for name in wanted.keys() - self._owners_by_name.keys():
-            self._owners_by_name[name] = self._make_owner(wanted[name])
+            owner = self._owners_by_name[name] = self._make_owner(wanted[name])
+            if self._group is not None:
+                self._group.start_soon(self._run_owner, owner)
             log_event(Event.REPLICA_OWNED, replica=name)
+
+    def _drop(self, name):
+        """Gives a replica up: queued work is sent back, streams go on to their end."""
+        owner = self._owners_by_name.pop(name)
+        owner.stop_dispatch()
+        owner.release_queue()
+        scope = self._scopes_by_name.pop(name, None)
+        if scope is not None:
+            scope.cancel()
--- a/snipetrestle/reports.py
+++ b/snipetrestle/reports.py
@@ -50,5 +50,5 @@
         name=owner.server.name,
         queued=hints.queued,
         running=hints.running,
-        resident_adapters=tuple(getattr(owner, "resident_handles", tuple)()),
+        resident_adapters=tuple(owner.resident_handles()),
     )
--- a/snipetrestle_standins/network.py
+++ b/snipetrestle_standins/network.py
@@ -213,7 +213,8 @@
                     await self._send_part(
                         target, member, replies, messages.refusal_of(error)
                     )
-                replies.send_nowait(("end", b""))
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    replies.send_nowait(("end", b""))
 
     async def _send_part(self, target, member, replies, reply):
         while not target.resumed.is_set():
@@ -223,4 +224,6 @@
         await anyio.sleep(self._network.delay_s)
         if self._network.is_cut(self.member, member):
             await anyio.sleep_forever()
-        replies.send_nowait((kind, body))
+        # The receiver may have left the stream while this part was on its way.
+        with contextlib.suppress(anyio.BrokenResourceError):
+            replies.send_nowait((kind, body))
--- a/tests/callers/test_completions.py
+++ b/tests/callers/test_completions.py
@@ -32,7 +32,9 @@
                             self.assertEqual(200, answer.status, answer.body)
                             choice = answer.json["choices"][0]
                             self.assertEqual(
-                                expected_text(f"workshop-{adapter}", version, PROMPT, 8),
+                                expected_text(
+                                    f"workshop-{adapter}", version, PROMPT, 8
+                                ),
                                 choice["text"],
                             )
                             self.assertEqual("length", choice["finish_reason"])
