Test refusals and plain services; bound headers and the length of answers

Cause: bad input was untested. Headers are counted while they are incomplete, and prompt and answer must fit the model's context. Measured before: one header line of 40 kB without an end was kept until the body bound, and max_tokens had no upper bound. Conclusion: each refusal names code, outcome, field and rule.

--- a/snipetrestle/callers/interface.py
+++ b/snipetrestle/callers/interface.py
@@ -200,6 +200,14 @@
 
     def _generation(self, exchange, customer, request_class, request):
         name = resolve_adapter(self._configuration, customer, request.model)
+        limit = self._configuration.models_by_name[name.model].context_tokens
+        if request.prompt_tokens + request.max_tokens > limit:
+            raise malformed(
+                "max_tokens",
+                request.max_tokens,
+                f"must be at most {limit} together with the prompt's "
+                f"{request.prompt_tokens} tokens",
+            )
         return Generation(
             request_id=f"{self._generator.getrandbits(96):024x}",
             customer=customer.name,
--- a/snipetrestle/callers/listener.py
+++ b/snipetrestle/callers/listener.py
@@ -31,7 +31,7 @@
         super().connection_made(transport)
         self._slow_reader_timer = None
         self._header_timer = None
-        self._header_bytes = 0
+        self._header_bytes = self._unparsed_bytes = 0
         if len(self.connections) > self.intake.max_connections:
             self._refuse(ResultCode.QUEUE_FULL, "too many connections")
             return
@@ -43,28 +43,30 @@
         super().connection_lost(error)
 
     def data_received(self, data):
-        if self._header_timer is not None:
-            self._header_bytes += len(data)
-            limit = MAX_HEADER_BYTES + self.intake.max_body_bytes
-            if self._header_bytes > limit:
-                self._refuse(
-                    ResultCode.MALFORMED_REQUEST,
-                    rule=f"headers must have at most {MAX_HEADER_BYTES} bytes",
-                )
-                return
         super().data_received(data)
+        # While the headers are incomplete, all of the data belongs to them.
+        if self._header_timer is not None:
+            self._unparsed_bytes += len(data)
+            self._check_header_bytes(self._unparsed_bytes)
 
     def on_message_begin(self):
         super().on_message_begin()
+        self._header_bytes = self._unparsed_bytes = 0
         if self._header_timer is None:
             self._expect_headers()
 
     def on_header(self, name, value):
         super().on_header(name, value)
-        if sum(len(item) + len(text) for item, text in self.headers) > MAX_HEADER_BYTES:
+        self._header_bytes += len(name) + len(value)
+        self._check_header_bytes(self._header_bytes)
+
+    def _check_header_bytes(self, count):
+        if count > MAX_HEADER_BYTES:
             self._refuse(
                 ResultCode.MALFORMED_REQUEST,
-                rule=f"headers must have at most {MAX_HEADER_BYTES} bytes",
+                "the headers are too large",
+                field="headers",
+                rule=f"must have at most {MAX_HEADER_BYTES} bytes",
             )
 
     def on_headers_complete(self):
@@ -87,7 +89,6 @@
         super().resume_writing()
 
     def _expect_headers(self):
-        self._header_bytes = 0
         self._header_timer = self.loop.call_later(
             self.intake.header_timeout_s, self._refuse_late_headers
         )
--- /dev/null
+++ b/tests/services/test_service_calls.py
@@ -0,0 +1,262 @@
+"""Tests of pass-through calls: what is repeated, what is not, and what is told."""
+
+import anyio
+import testtools
+
+from snipetrestle.codes import ResultCode, ServingError
+from snipetrestle.services.http_client import HttpServiceClient
+from snipetrestle.services.protocol import (
+    OldFencingNumber,
+    ServiceCall,
+    ServiceUnreachable,
+)
+from snipetrestle.writes import WriteResult
+from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.data_path import SERVICE, DataPath
+from snipetrestle_standins.memory_http import MemoryBackend
+from tests.callers.caller import Caller
+
+ENTER = f"/v1/services/{SERVICE}/enter"
+LOOKUP = f"/v1/services/{SERVICE}/lookup"
+
+
+class FakeWrites:
+    """Stands for the WriteCoordinator; answers with a result or raises an error."""
+
+    def __init__(self):
+        self.requests = []
+        self.error = None
+
+    async def run_write(self, request):
+        self.requests.append(request)
+        if self.error is not None:
+            raise self.error
+        return WriteResult(201, "application/json", b'{"entry": 7}')
+
+
+class ServiceCallsTest(testtools.TestCase):
+    def run_with(self, function, **changes):
+        async def main():
+            writes = FakeWrites()
+            async with DataPath(writes=writes, **changes) as path:
+                caller = Caller(path.daemons_by_name["entry-1"])
+                await function(path, caller, writes)
+
+        run_advanced(main)
+
+    def test_write_goes_to_the_coordinator(self):
+        """Guards against a write that reaches the service without a claim."""
+
+        async def check(path, caller, writes):
+            answer = await caller.send(
+                "POST", ENTER, b'{"size": 8}', Idempotency_Key="k-1"
+            )
+            self.assertEqual((201, {"entry": 7}), (answer.status, answer.json))
+            self.assertEqual([], path.service.calls)
+            request = writes.requests[0]
+            self.assertEqual(
+                ("counter", SERVICE, "enter", "k-1", b'{"size": 8}'),
+                (
+                    request.customer,
+                    request.service,
+                    request.operation,
+                    request.key,
+                    request.body,
+                ),
+            )
+
+        self.run_with(check)
+
+    def test_write_outcomes_are_told(self):
+        """Guards against an outcome that is told as another one."""
+
+        async def check(path, caller, writes):
+            for code, outcome in (
+                (ResultCode.WRITE_UNKNOWN, "outcome_unknown"),
+                (ResultCode.WRITE_DID_NOT_RUN, "did_not_run"),
+                (ResultCode.WRITE_RESULT_EXPIRED, "ran"),
+                (ResultCode.KEY_REUSED, "did_not_run"),
+            ):
+                writes.error = ServingError(code)
+                answer = await caller.send("POST", ENTER, b"{}", Idempotency_Key="k")
+                self.assertEqual(
+                    (code.http_status, str(code), outcome),
+                    (answer.status, answer.error["code"], answer.error["outcome"]),
+                )
+                self.assertEqual(code.retryable, "retry-after" in answer.headers)
+
+        self.run_with(check)
+
+    def test_write_without_a_key(self):
+        """Guards against a write that a retry would run again."""
+
+        async def check(path, caller, writes):
+            answer = await caller.send("POST", ENTER, b"{}")
+            self.assertEqual((400, "SN-1008"), (answer.status, answer.error["code"]))
+            self.assertEqual([], writes.requests)
+
+        self.run_with(check)
+
+    def test_unknown_operations(self):
+        """Guards against calls outside the contract, and a false "did not run"."""
+
+        async def check(path, caller, writes):
+            target = f"/v1/services/{SERVICE}/erase"
+            answer = await caller.send("POST", target, b"{}")
+            self.assertEqual(
+                (404, "SN-1007", "did_not_run"),
+                (answer.status, answer.error["code"], answer.error["outcome"]),
+            )
+            answer = await caller.send("POST", target, b"{}", Idempotency_Key="k")
+            self.assertEqual("outcome_unknown", answer.error["outcome"])
+            answer = await caller.send("POST", "/v1/services/x", b"{}")
+            self.assertEqual("SN-1011", answer.error["code"])
+            self.assertEqual([], path.service.calls)
+
+        self.run_with(check)
+
+    def test_refused_attempt_of_a_write_is_not_told_as_not_run(self):
+        """Guards against "did not run" while a retry of the key runs elsewhere."""
+
+        async def check(path, caller, writes):
+            codes = set()
+            for _ in range(8):
+                answer = await caller.send("POST", ENTER, b"{}", Idempotency_Key="k")
+                if answer.status != 201:
+                    error = answer.error
+                    codes.add((answer.status, error["code"], error["outcome"]))
+                    self.assertIn("retry-after", answer.headers)
+            self.assertEqual({(429, "SN-1406", "outcome_unknown")}, codes)
+            await path.daemons_by_name["entry-1"].interface.drain()
+            answer = await caller.send("POST", ENTER, b"{}", Idempotency_Key="k")
+            self.assertEqual("SN-1406", answer.error["code"])
+
+        self.run_with(check, requests_per_second=3.0)
+
+    def test_write_goes_on_when_its_caller_leaves(self):
+        """Guards against a write that is cut off halfway and never recorded."""
+
+        async def check(path, caller, writes):
+            finished = anyio.Event()
+
+            async def slow_write(request):
+                await anyio.sleep(1.0)
+                finished.set()
+                return WriteResult(201, "application/json", b"{}")
+
+            writes.run_write = slow_write
+            with anyio.move_on_after(0.5):
+                await caller.send("POST", ENTER, b"{}", Idempotency_Key="k")
+            with anyio.fail_after(10.0):
+                await finished.wait()
+
+        self.run_with(check)
+
+    def test_idempotent_call_is_repeated_within_bounds(self):
+        """Guards against a lookup that fails by one lost connection, or never ends."""
+
+        async def check(path, caller, writes):
+            listener = path.listeners_by_name["register-1"]
+            path.service.faults.refuse_connections = 0
+            answer = await caller.send("POST", LOOKUP, b"{}", Idempotency_Key="k")
+            self.assertEqual(404, answer.status)
+            self.assertEqual("k", path.service.calls[-1].idempotency_key)
+            listener.down = True
+            for connection in tuple(listener.connections):
+                connection.break_off()
+            answer = await caller.send("POST", LOOKUP, b"{}")
+            self.assertEqual(
+                (502, "SN-1304", "did_not_run"),
+                (answer.status, answer.error["code"], answer.error["outcome"]),
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.bring_up, listener)
+                answer = await caller.send("POST", LOOKUP, b"{}")
+            self.assertEqual(404, answer.status)
+
+        self.run_with(check)
+
+    async def bring_up(self, listener):
+        await anyio.sleep(0.03)
+        listener.down = False
+
+    def test_silent_service(self):
+        """Guards against a caller that waits longer than the contract says."""
+
+        async def check(path, caller, writes):
+            path.service.delay_s = 60.0
+            start = anyio.current_time()
+            answer = await caller.send("POST", LOOKUP, b"{}")
+            self.assertEqual(
+                (504, "SN-1305", "outcome_unknown"),
+                (answer.status, answer.error["code"], answer.error["outcome"]),
+            )
+            # The advanced clock is exact, so this is no measurement.
+            self.assertEqual(2.0, round(anyio.current_time() - start, 1))
+
+        self.run_with(check)
+
+
+class HttpServiceClientTest(testtools.TestCase):
+    def test_errors_tell_whether_the_call_left(self):
+        """Guards against "did not run" for a call that may have run."""
+
+        async def main():
+            async with DataPath() as path:
+                backend = MemoryBackend()
+                backend.listeners_by_address = path.listeners_by_address
+                client = HttpServiceClient("sicily", backend.pool())
+                call = ServiceCall(SERVICE, "enter", b"{}", timeout=1.0)
+                await self.check_sent(client, call, False)
+                client.apply(path.configuration)
+                listener = path.listeners_by_name["register-1"]
+                listener.down = True
+                await self.check_sent(client, call, False)
+                listener.down = False
+                path.service.faults.lose_answers = 1
+                await self.check_sent(client, call, True)
+                path.service.faults.answer_delay_s = 0.5
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self.check_sent, client, call, True)
+                    await anyio.sleep(0.2)
+                    listener.break_connections()
+
+        run_advanced(main)
+
+    async def check_sent(self, client, call, sent):
+        try:
+            await client.call(call)
+        except ServiceUnreachable as error:
+            self.assertEqual(sent, error.sent, str(error))
+        else:
+            self.fail("the call must not be answered")
+
+    def test_old_fencing_number(self):
+        """Guards against a refused write that is taken for an answer."""
+
+        async def main():
+            async with DataPath() as path:
+                path.service.faults.checks_fencing_numbers = True
+                backend = MemoryBackend()
+                backend.listeners_by_address = path.listeners_by_address
+                client = HttpServiceClient("sicily", backend.pool())
+                client.apply(path.configuration)
+
+                def call(number):
+                    return ServiceCall(
+                        SERVICE,
+                        "enter",
+                        b"{}",
+                        idempotency_key="k",
+                        fencing_number=number,
+                    )
+
+                self.assertEqual(201, (await client.call(call(5))).status)
+                try:
+                    await client.call(call(4))
+                except OldFencingNumber as error:
+                    self.assertEqual(5, error.highest)
+                else:
+                    self.fail("the old number must be refused")
+
+        run_advanced(main)
