--- a/snipetrestle/callers/interface.py
+++ b/snipetrestle/callers/interface.py
@@ -61,10 +61,21 @@
     """ASGI application for callers.
 
     ``router`` is an EntryRouter, ``services`` a ServiceCalls, ``shares`` a LimitShares
-    and ``generator`` a random.Random; ``is_ready()`` tells whether the daemon is ready.
+    and ``generator`` a random.Random; ``is_ready()`` tells whether the daemon is ready;
+    ``wall_clock()`` returns seconds since 1970, for the answers' ``created``.
     """
 
-    def __init__(self, router, services, shares, metrics, intake, generator, is_ready):
+    def __init__(
+        self,
+        router,
+        services,
+        shares,
+        metrics,
+        intake,
+        generator,
+        is_ready,
+        wall_clock=time.time,
+    ):
         self._router = router
         self._services = services
         self._shares = shares
@@ -72,6 +83,7 @@
         self._intake = intake
         self._generator = generator
         self._is_ready = is_ready
+        self._wall_clock = wall_clock
         self._configuration = None
         self._draining = False
         self._in_progress = 0
@@ -181,7 +193,9 @@
 
     async def _run(self, exchange, request, generation, timer):
         """Answers a generation unless its caller leaves or its deadline passes."""
-        answer_format = AnswerFormat(request, generation.request_id, int(time.time()))
+        answer_format = AnswerFormat(
+            request, generation.request_id, int(self._wall_clock())
+        )
         answer = self._stream if request.stream else self._collect
         # An error inside the group would come out as an exception group.
         failure = None
--- a/snipetrestle/engines/http_client.py
+++ b/snipetrestle/engines/http_client.py
@@ -115,7 +115,7 @@
             await self._pool.aclose()
 
     async def status(self):
-        return _status_decoder.decode(await self._get("/v1/status"))
+        return _decode(_status_decoder, await self._get("/v1/status"))
 
     async def load(self, order):
         await self._post("/v1/load", order, LOAD_TIMEOUT_S)
@@ -124,7 +124,8 @@
         await self._post("/v1/unload", order)
 
     async def fence(self, number):
-        return _status_decoder.decode(await self._post("/v1/fence", FenceOrder(number)))
+        body = await self._post("/v1/fence", FenceOrder(number))
+        return _decode(_status_decoder, body)
 
     async def change_role(self, role, fencing_number):
         await self._post("/v1/role", RoleOrder(role, fencing_number))
@@ -139,7 +140,8 @@
         await self._send("PUT", f"/v1/kv/{request_id}", data, READ_TIMEOUT_S)
 
     async def cache_events(self):
-        for event in _events_decoder.decode(await self._get("/v1/cache_events")):
+        body = await self._get("/v1/cache_events")
+        for event in _decode(_events_decoder, body):
             yield event
 
     @contextlib.asynccontextmanager
@@ -198,6 +200,13 @@
         raise EngineError(f"the engine sent a malformed event: {error}") from None
 
 
+def _decode(decoder, body):
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise EngineError(f"the engine sent a malformed answer: {error}") from None
+
+
 def _refusal(status, body):
     try:
         return _refusal_decoder.decode(body).as_error()
--- a/snipetrestle_standins/data_path.py
+++ b/snipetrestle_standins/data_path.py
@@ -40,6 +40,7 @@
 MODEL = "size-chart"
 SERVICE = "register"
 REGION = "sicily"
+WALL_CLOCK_S = 1_800_000_000
 
 
 def contract(**changes):
@@ -154,6 +155,7 @@
             path.intake,
             generator,
             lambda: True,
+            wall_clock=lambda: WALL_CLOCK_S,
         )
         self.listener = MemoryListener(
             self.interface, name, path.session, intake=path.intake
--- /dev/null
+++ b/tests/engines/test_http_client.py
@@ -0,0 +1,198 @@
+"""Tests of the engine client against the stand-in engine over HTTP in memory."""
+
+import anyio
+import testtools
+
+from snipetrestle.engines.http_client import HttpEngineClient
+from snipetrestle.engines.protocol import (
+    EngineError,
+    GenerateRequest,
+    LoadFailed,
+    LoadOrder,
+    NotResident,
+    OldFencingNumber,
+    UnloadOrder,
+)
+from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.engine import EngineCore, expected_token
+from snipetrestle_standins.engine_http import engine_app
+from snipetrestle_standins.http_answers import answer
+from snipetrestle_standins.memory_http import MemoryBackend, MemoryListener
+from snipetrestle_standins.store import WeightStoreCore
+
+HANDLE = "workshop-0@1"
+ADDRESS = "127.0.0.1:7000"
+
+
+def request_of(**changes):
+    values = {
+        "request_id": "r1",
+        "handle": HANDLE,
+        "prompt": "Size 8?",
+        "prompt_tokens": 4,
+        "max_tokens": 6,
+        "priority": 0,
+        "fencing_number": 1,
+        **changes,
+    }
+    return GenerateRequest(**values)
+
+
+async def collect(client, request, count=None):
+    """Returns the tokens of a stream, up to ``count`` of them."""
+    tokens = []
+    async with client.generate(request) as batches:
+        async for batch in batches:
+            tokens.extend(batch.tokens)
+            if count is not None and len(tokens) >= count:
+                break
+    return tokens
+
+
+class HttpEngineClientTest(testtools.TestCase):
+    def run_with(self, function):
+        async def main():
+            store = WeightStoreCore(loads_per_second=100, parallel_loads=8)
+            core = EngineCore("e", store, adapter_slots=2, checks_fencing_numbers=True)
+            listener = MemoryListener(engine_app(core))
+            backend = MemoryBackend()
+            backend.listeners_by_address[ADDRESS] = listener
+            client = HttpEngineClient(ADDRESS, backend.pool())
+            async with anyio.create_task_group() as group:
+                group.start_soon(core.run)
+                await client.load(LoadOrder(HANDLE, "workshop-0", "1", 1))
+                await function(client, core, listener)
+                group.cancel_scope.cancel()
+
+        run_advanced(main)
+
+    async def check_error(self, error_type, awaitable, sent=True):
+        try:
+            await awaitable
+        except EngineError as error:
+            self.assertEqual((error_type, sent), (type(error), error.sent))
+            return error
+        return self.fail(f"{error_type.__name__} expected")
+
+    def test_orders(self):
+        """Guards against an order that an engine does not get as it was given."""
+
+        async def check(client, core, listener):
+            status = await client.status()
+            self.assertEqual({HANDLE: 0}, status.in_use_by_handle)
+            self.assertEqual(core.incarnation, status.incarnation)
+            await client.change_role("prefill", 1)
+            self.assertEqual("prefill", (await client.status()).role)
+            await client.unload(UnloadOrder(HANDLE, 1))
+            self.assertEqual({}, (await client.status()).in_use_by_handle)
+            status = await client.fence(7)
+            self.assertEqual(7, status.fencing_number)
+            order = LoadOrder(HANDLE, "workshop-0", "1", 6)
+            error = await self.check_error(OldFencingNumber, client.load(order))
+            self.assertEqual(7, error.highest)
+
+        self.run_with(check)
+
+    def test_refusals(self):
+        """Guards against a refusal that the owner takes for another one."""
+
+        async def check(client, core, listener):
+            request = request_of(handle="absent@1")
+            await self.check_error(NotResident, collect(client, request))
+            core.fail_loads = 1
+            order = LoadOrder("workshop-1@1", "workshop-1", "1", 1)
+            await self.check_error(LoadFailed, client.load(order))
+            request = request_of(next_index=3)
+            await self.check_error(EngineError, collect(client, request))
+            listener.down = True
+            listener.break_connections()
+            await self.check_error(EngineError, client.status(), sent=False)
+            await self.check_error(
+                EngineError, collect(client, request_of()), sent=False
+            )
+
+        self.run_with(check)
+
+    def test_stream_and_resume(self):
+        """Guards against a resume that repeats or skips tokens."""
+
+        async def check(client, core, listener):
+            whole = [expected_token("workshop-0", "1", "Size 8?", n) for n in range(6)]
+            first = await collect(client, request_of(), count=2)
+            rest = await collect(client, request_of(next_index=len(first)))
+            self.assertEqual(whole, first + rest)
+            self.assertEqual(6, core.tokens_generated)
+            forced = request_of(
+                request_id="r2", next_index=3, forced_tokens=tuple(whole[:3])
+            )
+            self.assertEqual(whole[3:], await collect(client, forced))
+
+        self.run_with(check)
+
+    def test_cancel_and_cache(self):
+        """Guards against a cancel, a KV move or a cache event that gets lost."""
+
+        async def check(client, core, listener):
+            request = request_of(max_tokens=500, prefix="first")
+            await collect(client, request, count=2)
+            data = await client.export_kv("r1")
+            await client.cancel("r1")
+            self.assertEqual(0, (await client.status()).running)
+            await client.import_kv("r1", data)
+            await self.check_error(EngineError, client.import_kv("r9", data))
+            events = [event async for event in client.cache_events()]
+            self.assertEqual(
+                [("stored", "first")], [(e.kind, e.prefix) for e in events]
+            )
+
+        self.run_with(check)
+
+    def test_connection_breaks_in_a_stream(self):
+        """Guards against a cut stream that is taken for a finished one."""
+
+        async def check(client, core, listener):
+            async with client.generate(request_of(max_tokens=500)) as batches:
+                await batches.__anext__()
+                listener.break_connections()
+                try:
+                    async for _ in batches:
+                        pass
+                except EngineError as error:
+                    self.assertTrue(error.sent)
+                else:
+                    self.fail("the stream must not end without an error")
+
+        self.run_with(check)
+
+    def test_engine_that_restarts_in_a_stream(self):
+        """Guards against an engine's error event that is ignored."""
+
+        async def check(client, core, listener):
+            async with client.generate(request_of(max_tokens=500)) as batches:
+                await batches.__anext__()
+                core.restart()
+                with testtools.ExpectedException(EngineError, ".*restarted"):
+                    async for _ in batches:
+                        pass
+
+        self.run_with(check)
+
+    def test_events_that_are_not_json(self):
+        """Guards against an unusable answer that ends the daemon's task."""
+
+        async def main():
+            async def app(scope, receive, send):
+                if scope["path"] == "/v1/generate":
+                    await answer(send, 200, b"data: {\n\n")
+                else:
+                    status = 500 if scope["method"] == "GET" else 200
+                    await answer(send, status, b"<html>")
+
+            backend = MemoryBackend()
+            backend.listeners_by_address[ADDRESS] = MemoryListener(app)
+            client = HttpEngineClient(ADDRESS, backend.pool())
+            await self.check_error(EngineError, collect(client, request_of()))
+            await self.check_error(EngineError, client.status())
+            await self.check_error(EngineError, client.fence(1))
+
+        run_advanced(main)
