Serve both users in the demo, with waiting, batch and written work

Cause: the demo sent three requests. Conclusion: make demo covers the whole path and exits by itself.

--- a/snipetrestle_standins/demo.py
+++ b/snipetrestle_standins/demo.py
@@ -1,95 +1,323 @@
-"""The demo: three daemons and all stand-ins in one process on loopback."""
+"""The demo: three daemons and all stand-ins in one process on loopback.
+
+Both users' samples are served by one small fleet. Callers send waiting and batch work
+and writes, and check each answer.
+"""
 
-import hashlib
 import json
+import random
+import time
+from collections import Counter
 
+import anyio
 import httpcore
 
-from snipetrestle.settings import DaemonSettings
-from snipetrestle_standins.engine import EngineCore
+from snipetrestle.checking import load_text
+from snipetrestle.logs import set_up_logs
+from snipetrestle.settings import DaemonSettings, LogSettings
+from snipetrestle_standins.engine import EngineCore, expected_text
 from snipetrestle_standins.local_fleet import LocalFleet
+from snipetrestle_standins.samples import SAMPLES, key_of, published_text
+from snipetrestle_standins.service import StandInService
+from snipetrestle_standins.service_http import service_app
 from snipetrestle_standins.store import WeightStoreCore
 
-MODEL = "drafting"
-KEY = "consorzio-demo-key"
-
 DAEMONS = [
-    DaemonSettings(f"entry-{domain}", domain, "sicily")
-    for domain in ("palermo", "catania", "messina")
+    DaemonSettings(f"entry-{number}", f"domain-{number}", "loopback")
+    for number in (1, 2, 3)
 ]
+# Adapters of each user that the demo's callers ask for, the first ones most.
+ADAPTERS = 40
+DURATION_S = 10.0
+# The whole demo, so that a fault cannot hold it up.
+TIME_LIMIT_S = 50.0
+WAITING_CALLERS = 6
+BATCH_CALLERS = 4
+PAUSE_S = 0.15
+WRITES = 12
 
 
-def document(addresses_by_name):
-    """Returns the published configuration of the demo."""
-    return {
-        "models": [{"name": MODEL}],
-        "adapters": [
-            {"name": f"glove-{number}", "model": MODEL, "versions": ["1"]}
-            for number in range(12)
-        ],
-        "customers": [
-            {
-                "name": "consorzio",
-                "api_key_sha256": [hashlib.sha256(KEY.encode()).hexdigest()],
-                "contract": {
-                    "requests_per_second": 100,
-                    "concurrency": 100,
-                    "tokens_per_minute": 1_000_000,
-                    "waiting_first_token_s": 1.0,
-                },
-            }
-        ],
-        "backend_servers": [
-            {
-                "name": name,
-                "address": address,
-                "failure_domain": DAEMONS[number % 3].failure_domain,
-                "region": "sicily",
-                "model": MODEL,
-                "adapter_slots": 8,
-                "max_batch": 16,
-                "weight_store": "store",
-            }
-            for number, (name, address) in enumerate(addresses_by_name.items())
-        ],
+class UserDocument:
+    """The sample of one user, trimmed to the demo's size."""
+
+    def __init__(self, sample):
+        self.sample = sample
+        data = load_text(published_text(sample))
+        store = f"weights-{sample.name}"
+        data["weight_stores"][0]["name"] = store
+        for server in data["backend_servers"]:
+            server["region"] = "loopback"
+            if "model" in server:
+                server["weight_store"] = store
+        data["adapters"] = data["adapters"][:ADAPTERS]
+        self.data = data
+
+    def make_cores(self):
+        """Returns the engines by name; they share the user's weight store."""
+        numbers = self.data["weight_stores"][0]
+        store = WeightStoreCore(
+            numbers["loads_per_second"],
+            numbers["parallel_loads"],
+            numbers["load_s"],
+            numbers["full_speed_in_flight"],
+        )
+        return {
+            server["name"]: EngineCore(
+                server["name"],
+                store,
+                adapter_slots=server["adapter_slots"],
+                max_batch=server["max_batch"],
+                speed=server["speed"],
+                checks_fencing_numbers=server["checks_fencing_numbers"],
+            )
+            for server in self.data["backend_servers"]
+            if "model" in server
+        }
+
+    def service_names(self):
+        return [
+            server["name"]
+            for server in self.data["backend_servers"]
+            if "service" in server
+        ]
+
+
+def combine(documents, addresses_by_name):
+    """Returns the published configuration of all users together."""
+    combined = {
         "daemons": [
             {"name": item.name, "failure_domain": item.failure_domain}
             for item in DAEMONS
         ],
-        "weight_stores": [
-            {"name": "store", "loads_per_second": 2, "parallel_loads": 1}
-        ],
+        "writes": {"keepers_per_key": 3},
+        "operators": documents[0].data["operators"],
     }
+    for section in (
+        "models",
+        "adapters",
+        "customers",
+        "backend_servers",
+        "services",
+        "weight_stores",
+    ):
+        combined[section] = [
+            item for document in documents for item in document.data[section]
+        ]
+    for server in combined["backend_servers"]:
+        server["address"] = addresses_by_name[server["name"]]
+    return combined
 
 
-async def run():
-    """Runs the demo and returns the exit status."""
-    store = WeightStoreCore(loads_per_second=2, parallel_loads=1)
-    names = [f"drafting-{number}" for number in range(1, 4)]
-    cores = {name: EngineCore(name, store) for name in names}
-    async with LocalFleet(DAEMONS, document, cores) as fleet:
-        print(f"{len(fleet.apps)} daemons and {len(cores)} engines are ready")
-        async with httpcore.AsyncConnectionPool() as pool:
-            for number, app in enumerate(fleet.apps):
-                body = {
-                    "model": f"{MODEL}:glove-{number}@1",
-                    "prompt": "Draft the size chart of a driving glove.",
-                    "max_tokens": 24,
-                    "stream": True,
-                }
-                response = await pool.request(
-                    "POST",
-                    f"http://{app.callers_address}/v1/completions",
-                    headers={"Authorization": f"Bearer {KEY}"},
-                    content=json.dumps(body).encode(),
-                )
-                print(response.status, read_text(response.content))
-    return 0
+class Results:
+    """Counts what callers got, by user and kind."""
+
+    def __init__(self):
+        self.answers = Counter()
+        self.refusals = Counter()
+        self.wrong = []
+        self.tokens = 0
+
+    def line(self):
+        parts = [f"{kind} {count}" for kind, count in sorted(self.answers.items())]
+        refused = sum(self.refusals.values())
+        return ", ".join(parts) + f", refused {refused}, wrong {len(self.wrong)}"
+
+
+class User:
+    """Callers of one user."""
+
+    def __init__(self, document, fleet, results, seed):
+        self.document = document
+        self.sample = document.sample
+        self._urls = [f"http://{app.callers_address}" for app in fleet.apps]
+        self._results = results
+        self._random = random.Random(f"{seed}-{self.sample.name}")
+        self._pool = httpcore.AsyncConnectionPool(max_connections=64)
+
+    async def run(self):
+        async with anyio.create_task_group() as group:
+            for _ in range(WAITING_CALLERS):
+                group.start_soon(self._call_until_end, "waiting")
+            for _ in range(BATCH_CALLERS):
+                group.start_soon(self._call_until_end, "batch")
+            group.start_soon(self._write)
+        await self._pool.aclose()
+
+    async def _call_until_end(self, request_class):
+        end = anyio.current_time() + DURATION_S
+        while anyio.current_time() < end:
+            await self._complete(request_class)
+            if request_class == "waiting":
+                await anyio.sleep(self._random.expovariate(1.0 / PAUSE_S))
+
+    async def _complete(self, request_class):
+        # A few adapters get most of the requests.
+        number = min(int(self._random.paretovariate(0.8)) - 1, ADAPTERS - 1)
+        adapter = self.sample.adapter_pattern.format(number)
+        prompt = f"Request {self._random.randrange(10_000)} of {self.sample.name}"
+        count = self._random.randrange(8, 40)
+        body = {
+            "model": f"{self.sample.model}:{adapter}@1",
+            "prompt": prompt,
+            "max_tokens": count,
+            "stream": request_class == "waiting",
+        }
+        customer = self.sample.customers[2 if request_class == "batch" else 0]
+        response = await self._post(
+            "/v1/completions",
+            json.dumps(body).encode(),
+            {
+                "Authorization": f"Bearer {key_of(customer)}",
+                "X-Request-Class": request_class,
+            },
+        )
+        if response.status != 200:
+            self._refused(response)
+            return
+        self._results.answers[f"{self.sample.name} {request_class}"] += 1
+        self._results.tokens += count
+        if read_text(response.content) != expected_text(adapter, "1", prompt, count):
+            self._results.wrong.append((adapter, prompt))
+
+    async def _write(self):
+        """Sends each write at two daemons with one key; both must get one result."""
+        for number in range(WRITES):
+            target = f"/v1/services/{self.sample.plain_service}/{self.sample.write}"
+            headers = {
+                "Authorization": f"Bearer {key_of(self.sample.customers[0])}",
+                "Idempotency-Key": f"{self.sample.name}-{number}",
+            }
+            results = []
+            async with anyio.create_task_group() as group:
+                for _ in range(2):
+                    group.start_soon(self._write_once, target, headers, results)
+            if len(set(results)) > 1:
+                self._results.wrong.append((target, number))
+            if results:
+                self._results.answers[f"{self.sample.name} writes"] += 1
+            await anyio.sleep(DURATION_S / WRITES / 2)
+
+    async def _write_once(self, target, headers, results):
+        body = b'{"entry": "size 8"}'
+        for _ in range(20):
+            response = await self._post(target, body, headers)
+            if response.status < 300:
+                results.append(response.content)
+                return
+            self._refused(response)
+            await anyio.sleep(0.2)
+
+    async def _post(self, path, body, headers):
+        url = self._random.choice(self._urls) + path
+        return await self._pool.request("POST", url, headers=headers, content=body)
+
+    def _refused(self, response):
+        code = json.loads(response.content)["error"]["code"]
+        self._results.refusals[f"{self.sample.name} {code}"] += 1
 
 
 def read_text(body):
-    """Returns the text of a streamed answer."""
+    """Returns the text of an answer, streamed or whole."""
+    if body.startswith(b"{"):
+        return json.loads(body)["choices"][0]["text"]
     events = [line[6:] for line in body.split(b"\n\n") if line.startswith(b"data: {")]
     return "".join(
         choice["text"] for event in events for choice in json.loads(event)["choices"]
     )
+
+
+async def run():
+    """Runs the demo and returns the exit status."""
+    set_up_logs(LogSettings(format="text", level="WARNING"))
+    started = time.monotonic()
+    with anyio.fail_after(TIME_LIMIT_S):
+        documents = [UserDocument(sample) for sample in SAMPLES]
+        async with (
+            StandInService() as pattern_register,
+            StandInService() as orders,
+        ):
+            services = (pattern_register, orders)
+            status = await _run_fleet(documents, services)
+    print(f"finished in {time.monotonic() - started:.0f} s")
+    return status
+
+
+async def _run_fleet(documents, services):
+    cores, service_apps = {}, {}
+    for document, service in zip(documents, services, strict=True):
+        cores.update(document.make_cores())
+        app = service_app(service, document.sample.plain_service)
+        service_apps.update(dict.fromkeys(document.service_names(), app))
+    fleet = LocalFleet(
+        DAEMONS,
+        lambda addresses: combine(documents, addresses),
+        cores,
+        service_apps,
+    )
+    results = Results()
+    async with fleet:
+        print(f"{len(fleet.apps)} daemons, {len(cores)} engines and both services run")
+        async with anyio.create_task_group() as group:
+            group.start_soon(_show_progress, results)
+            async with anyio.create_task_group() as users:
+                for document in documents:
+                    user = User(document, fleet, results, seed=1)
+                    users.start_soon(user.run)
+            group.cancel_scope.cancel()
+        status = _print_summary(fleet, results, services)
+        for app in fleet.apps:
+            await app.drain()
+        return status
+
+
+async def _show_progress(results):
+    while True:
+        await anyio.sleep(2.0)
+        print(f"  {results.line()}", flush=True)
+
+
+def _print_summary(fleet, results, services):
+    print("summary")
+    for kind, count in sorted(results.answers.items()):
+        print(f"  answers, {kind}: {count}")
+    for kind, count in sorted(results.refusals.items()):
+        print(f"  refused, {kind}: {count}")
+    print(f"  wrong answers: {len(results.wrong)}")
+    print(f"  tokens: {results.tokens}")
+    executions = [
+        count for service in services for count in service.executions_by_key.values()
+    ]
+    print(f"  writes run: {len(executions)}, at most {max(executions)} time each")
+    for request_class in ("waiting", "batch"):
+        stall_s, count, stalls = _histogram(fleet, "load_stall_seconds", request_class)
+        size, sizes, _ = _histogram(fleet, "batch_size", request_class)
+        first_s, firsts, _ = _histogram(fleet, "first_token_seconds", request_class)
+        if not count:
+            continue
+        print(
+            f"  {request_class}: {stalls:.0f} of {count:.0f} requests stalled on a load "
+            f"for {stall_s:.1f} s in all; mean batch size {size / max(1, sizes):.1f}; "
+            f"mean first token {first_s / max(1, firsts):.3f} s"
+        )
+    failed = results.wrong or max(executions) > 1 or not results.answers
+    return 1 if failed else 0
+
+
+def _histogram(fleet, name, request_class):
+    """Returns (sum, count, count above the lowest bucket) over all daemons."""
+    total = count = above = 0.0
+    for app in fleet.apps:
+        for family in app.metrics.registry.collect():
+            if family.name != f"snipetrestle_{name}":
+                continue
+            for sample in family.samples:
+                if sample.labels.get("request_class") != request_class:
+                    continue
+                if sample.name.endswith("_sum"):
+                    total += sample.value
+                elif sample.name.endswith("_count"):
+                    count += sample.value
+                    above += sample.value
+                elif sample.labels.get("le") == "0.001":
+                    above -= sample.value
+    return total, count, above
