Own replicas by rendezvous order, with takeover and hand-over

Cause: every daemon took the first place in the order for ownership. A paused owner that woke could unload copies that its successor used, and a replica of a silent daemon was served only after the failure had spread.

Change: ReplicaOwnership claims, takes over, hands over and gives up replicas. Fencing numbers carry the owner's random bits, so two daemons that read the same highest number do not use the same one. On engines that ignore numbers, handles name the incarnation and its term, and requests start only on handles of the term in progress. ReplicaOwner gets hooks for adopted and held copies, unusable slots and the stop of dispatch.

A killed or paused owner is replaced within 3 s of the next request. With the handles left out, or without the hold of copies in use, the engine counts evictions in use; with them it counts none.

Conclusion: two owners at a time are harmless in the tested cases.

--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -10,6 +10,7 @@
     EngineError,
     GenerateRequest,
     LoadOrder,
+    OldFencingNumber,
     UnloadOrder,
     handle_of,
 )
@@ -44,6 +45,64 @@
         self._copies_by_handle = {}
         self._slot_freed = anyio.Event()
         self._batch_places = anyio.Semaphore(server.max_batch)
+        # Called when the engine refuses the fencing number.
+        self.on_fenced = lambda: None
+        self._stopped = anyio.Event()
+        self._held_handles = set()
+        self._unusable_slots = 0
+
+    # Hooks of ReplicaOwnership
+
+    def adopt(self, handle):
+        """Takes over a resident copy of an earlier term."""
+        copy = self._copies_by_handle.setdefault(handle, _Copy(handle))
+        copy.ready.set()
+
+    def hold(self, handle):
+        """Keeps a copy from eviction while another owner's requests use it."""
+        if handle not in self._held_handles:
+            self._held_handles.add(handle)
+            self._copies_by_handle[handle].pins += 1
+
+    def release(self, handle):
+        if handle in self._held_handles:
+            self._held_handles.discard(handle)
+            self._unpin(self._copies_by_handle[handle])
+
+    def set_unusable_slots(self, count):
+        """Sets how many of the engine's slots this owner must leave alone."""
+        self._unusable_slots = count
+        self._notify_slot_freed()
+
+    def stop_dispatch(self):
+        """Refuses queued and new requests with NOT_OWNER; running ones finish."""
+        self._stopped.set()
+        self._notify_slot_freed()
+
+    def engine_restarted(self):
+        """Forgets the copies of an engine that restarted empty."""
+        self._held_handles.clear()
+        self._copies_by_handle.clear()
+        self._notify_slot_freed()
+
+    def pinned_handles(self):
+        """Returns the handles that requests of this owner may use."""
+        return tuple(
+            copy.handle
+            for copy in self._copies_by_handle.values()
+            if copy.pins > (copy.handle in self._held_handles)
+        )
+
+    def resident_handles(self):
+        return tuple(
+            copy.handle
+            for copy in self._copies_by_handle.values()
+            if copy.ready.is_set()
+        )
+
+    def _check_dispatch(self):
+        if self._stopped.is_set():
+            raise ServingError(ResultCode.NOT_OWNER, self.server.name)
 
     def hints(self, handle=None):
         copy = self._copies_by_handle.get(handle)
@@ -65,13 +124,14 @@
         arrived = anyio.current_time()
         self.queued += 1
         try:
-            await self._batch_places.acquire()
+            await self._acquire_place()
         finally:
             self.queued -= 1
         self.running += 1
         try:
             copy = await self._pin(forward, handle)
             try:
+                self._check_dispatch()
                 dispatched = anyio.current_time()
                 async for message in self._generate(forward, handle):
                     if isinstance(message, Finished):
@@ -83,6 +143,21 @@
             self.running -= 1
             self._batch_places.release()
 
+    async def _acquire_place(self):
+        self._check_dispatch()
+        acquired = False
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._cancel_when_stopped, group.cancel_scope)
+            await self._batch_places.acquire()
+            acquired = True
+            group.cancel_scope.cancel()
+        if not acquired:
+            raise ServingError(ResultCode.NOT_OWNER, self.server.name)
+
+    async def _cancel_when_stopped(self, scope):
+        await self._stopped.wait()
+        scope.cancel()
+
     async def _generate(self, forward, handle):
         request = GenerateRequest(
             request_id=forward.request_id,
@@ -105,6 +180,10 @@
                     if batch.finish_reason is not None:
                         finished = True
                         yield Finished(batch.finish_reason, hints=self.hints(handle))
+        except OldFencingNumber as error:
+            finished = True
+            self.on_fenced()
+            raise ServingError(ResultCode.FENCED, str(error)) from error
         except EngineError as error:
             finished = True
             raise ServingError(ResultCode.STREAM_BROKEN, str(error)) from error
@@ -133,6 +212,8 @@
         await copy.ready.wait()
         if copy.failure is not None:
             copy.pins -= 1
+            if isinstance(copy.failure, OldFencingNumber):
+                raise ServingError(ResultCode.FENCED, str(copy.failure))
             raise ServingError(ResultCode.LOAD_FAILED, str(copy.failure))
         return copy
 
@@ -142,7 +223,11 @@
         self._notify_slot_freed()
 
     async def _load(self, forward, handle):
-        while len(self._copies_by_handle) >= self.server.adapter_slots:
+        while (
+            len(self._copies_by_handle) + self._unusable_slots
+            >= self.server.adapter_slots
+        ):
+            self._check_dispatch()
             await self._evict_one()
             if handle in self._copies_by_handle:
                 return self._copies_by_handle[handle]
@@ -156,8 +241,10 @@
             async with self.permits.permit(self.server.weight_store, load_class):
                 await self.engine.load(order)
         except EngineError as error:
-            del self._copies_by_handle[handle]
+            self._copies_by_handle.pop(handle, None)
             copy.failure = error
+            if isinstance(error, OldFencingNumber):
+                self.on_fenced()
         finally:
             copy.pins -= 1
             copy.ready.set()
@@ -175,6 +262,10 @@
         oldest.pins += 1
         try:
             await self.engine.unload(UnloadOrder(oldest.handle, self.fencing_number))
+        except OldFencingNumber:
+            self.on_fenced()
+        except EngineError as error:
+            raise ServingError(ResultCode.LOAD_FAILED, str(error)) from error
         finally:
             self._forget(oldest)
 
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -59,6 +59,8 @@
     ANSWER_MISMATCH = (1306, "ERROR", "answer does not match its request")
     ENGINE_UNREACHABLE = (1307, "WARNING", "engine is not reachable")
     STREAM_RESUMED = (1308, "INFO", "stream resumed")
+    SERVER_LEAVING = (1321, "INFO", "backend server leaves and gets no new work")
+    HAND_OVER_UNCONFIRMED = (1322, "WARNING", "hand-over was not confirmed")
     REQUEST_REFUSED = (1401, "DEBUG", "request refused")
     REQUEST_FAILED = (1402, "WARNING", "request failed")
     INTERNAL_ERROR = (1403, "ERROR", "internal error")
--- /dev/null
+++ b/snipetrestle_standins/replica_fleet.py
@@ -0,0 +1,305 @@
+"""Daemons with replica ownership and stand-in engines in one process, for tests."""
+
+import contextlib
+
+import anyio
+import msgspec
+
+from snipetrestle.codes import ResultCode, ServingError
+from snipetrestle.engines.forward import Accepted, Forward, RequestClass, Tokens
+from snipetrestle.engines.owner import ReplicaOwner
+from snipetrestle.engines.ownership import ReplicaOwnership
+from snipetrestle.peers.members import (
+    Incarnation,
+    Member,
+    MemberState,
+    StaticMembership,
+)
+from snipetrestle.peers.transport import MessageRouter, PeerUnreachable
+from snipetrestle.placement.permits import UnlimitedPermits
+from snipetrestle.published import PublishedConfiguration
+from snipetrestle_standins.engine import EngineCore
+from snipetrestle_standins.network import InMemoryNetwork
+from snipetrestle_standins.recording import RecordingTransport
+from snipetrestle_standins.store import WeightStoreCore
+
+DOMAINS = ("palermo", "catania", "messina")
+REGION = "sicily"
+# A caller's entry gives up on an owner that does not accept within this time.
+ACCEPT_TIMEOUT_S = 1.0
+RETRY_S = 0.05
+
+
+def engine_configuration(replicas=1, checks=True, adapter_slots=4, max_batch=4):
+    """Returns a published configuration of engines and eight adapters."""
+    return PublishedConfiguration.from_data(
+        {
+            "models": [{"name": "base"}],
+            "adapters": [
+                {"name": f"adapter-{number}", "model": "base", "versions": ["1", "2"]}
+                for number in range(8)
+            ],
+            "customers": [],
+            "daemons": [],
+            "weight_stores": [
+                {"name": "store", "loads_per_second": 1000, "parallel_loads": 8}
+            ],
+            "backend_servers": [
+                {
+                    "name": f"engine-{number}",
+                    "address": f"127.0.0.1:{9000 + number}",
+                    "failure_domain": DOMAINS[number % 3],
+                    "region": REGION,
+                    "model": "base",
+                    "adapter_slots": adapter_slots,
+                    "max_batch": max_batch,
+                    "checks_fencing_numbers": checks,
+                    "weight_store": "store",
+                }
+                for number in range(replicas)
+            ],
+        }
+    )
+
+
+class PausableEngine:
+    """EngineClient of one daemon: stops at each crossing while the daemon is paused."""
+
+    def __init__(self, core, pause_point):
+        self._core = core
+        self._pause_point = pause_point
+
+    def __getattr__(self, name):
+        async def call(*arguments):
+            await self._pause_point()
+            try:
+                return await getattr(self._core, name)(*arguments)
+            finally:
+                await self._pause_point()
+
+        return call
+
+    @contextlib.asynccontextmanager
+    async def generate(self, request):
+        await self._pause_point()
+        async with self._core.generate(request) as batches:
+            yield self._read(batches)
+
+    async def _read(self, batches):
+        async for batch in batches:
+            await self._pause_point()
+            yield batch
+
+
+class ReplicaDaemon:
+    """One incarnation of a daemon: its view, its owners and the scope that ends it."""
+
+    def __init__(self, fleet, name, number):
+        self.name = name
+        self.router = MessageRouter()
+        network_transport = fleet.network.attach(name, self.router)
+        self.pause_point = network_transport.pause_point
+        self.transport = network_transport
+        if fleet.session is not None:
+            self.transport = RecordingTransport(network_transport, fleet.session)
+        self.membership = StaticMembership(name, Incarnation(number, number * 7), [])
+        self.scope = anyio.CancelScope()
+        self.ownership = fleet.ownership_class(
+            self.membership,
+            self.transport,
+            self.router,
+            lambda server: PausableEngine(
+                fleet.engines_by_name[server.name], self.pause_point
+            ),
+            lambda server, engine, number, suffix: fleet.owner_class(
+                server, engine, UnlimitedPermits(), number, suffix
+            ),
+        )
+        self.ownership.apply(fleet.configuration)
+
+    async def run(self):
+        with self.scope:
+            await self.ownership.run()
+
+    def leave(self):
+        self.set_state(self.name, MemberState.LEAVING)
+
+    def set_state(self, name, state):
+        """Changes how this daemon sees one member."""
+        members = self.membership.members_by_name
+        changed = msgspec.structs.replace(members[name], state=state)
+        self.membership.set_members({**members, name: changed}.values())
+
+
+class ReplicaFleet:
+    """Daemons and engines by name. Use as an async context manager."""
+
+    def __init__(
+        self,
+        configuration=None,
+        daemons=3,
+        *,
+        owner_class=ReplicaOwner,
+        ownership_class=ReplicaOwnership,
+        session=None,
+        load_s=0.25,
+    ):
+        self.configuration = configuration or engine_configuration()
+        self.names = [f"entry-{number}" for number in range(daemons)]
+        self.owner_class = owner_class
+        self.ownership_class = ownership_class
+        self.session = session
+        self.network = InMemoryNetwork()
+        store = WeightStoreCore(1000.0, 8, load_s)
+        self.engines_by_name = {
+            server.name: EngineCore(
+                server.name,
+                store,
+                adapter_slots=server.adapter_slots,
+                max_batch=server.max_batch,
+                checks_fencing_numbers=server.checks_fencing_numbers,
+            )
+            for server in self.configuration.backend_servers
+        }
+        self.daemons_by_name = {}
+        self._starts = 0
+        self._requests = 0
+        self._group = None
+
+    async def __aenter__(self):
+        await self.network.__aenter__()
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        for core in self.engines_by_name.values():
+            self._group.start_soon(core.run)
+        for name in self.names:
+            self.start(name)
+        await self.settle()
+        return self
+
+    async def __aexit__(self, *details):
+        self._group.cancel_scope.cancel()
+        try:
+            return await self._group.__aexit__(*details)
+        finally:
+            await self.network.__aexit__(None, None, None)
+
+    async def settle(self, seconds=2.0):
+        await anyio.sleep(seconds)
+
+    def start(self, name):
+        """Starts a daemon, or replaces it with one that has an empty memory."""
+        self.kill(name)
+        self._starts += 1
+        daemon = ReplicaDaemon(self, name, self._starts)
+        self.daemons_by_name[name] = daemon
+        for other in self.daemons_by_name.values():
+            self._show(other)
+        self._group.start_soon(daemon.run)
+        return daemon
+
+    def _show(self, daemon):
+        """Gives a daemon the view in which all started daemons are alive."""
+        daemon.membership.set_members(
+            Member(
+                name,
+                "127.0.0.1:1",
+                DOMAINS[self.names.index(name) % 3],
+                REGION,
+                incarnation=other.membership.own_incarnation,
+            )
+            for name, other in self.daemons_by_name.items()
+        )
+
+    def kill(self, name):
+        """Ends a daemon without notice; the views of the others do not change."""
+        daemon = self.daemons_by_name.pop(name, None)
+        if daemon is not None:
+            self.network.kill(name)
+            daemon.scope.cancel()
+
+    def change_views(self, name, state):
+        for daemon in self.daemons_by_name.values():
+            if name in daemon.membership.members_by_name:
+                daemon.set_state(name, state)
+
+    def owners_of(self, replica="engine-0"):
+        """Returns the names of the daemons that act as the owner of a replica."""
+        return [
+            name
+            for name, daemon in self.daemons_by_name.items()
+            if replica in daemon.ownership.owned_names()
+        ]
+
+    def order_of(self, replica="engine-0"):
+        daemon = next(iter(self.daemons_by_name.values()))
+        return daemon.ownership._order(self.configuration.servers_by_name[replica])
+
+    def engine(self, replica="engine-0"):
+        return self.engines_by_name[replica]
+
+    async def ask(
+        self, name, adapter="adapter-0", version="1", max_tokens=20, **options
+    ):
+        """Sends a request through one daemon's entry and returns the whole text.
+
+        Retries as an entry does: silent owners are reported, refused and broken
+        streams go on elsewhere with the tokens received so far.
+        """
+        replica = options.pop("replica", "engine-0")
+        time_left_s = options.pop("time_left_s", 20.0)
+        self._requests += 1
+        request_id = f"request-{self._requests}"
+        deadline = anyio.current_time() + time_left_s
+        received = []
+        while anyio.current_time() < deadline:
+            forward = Forward(
+                request_id=request_id,
+                replica=replica,
+                customer="consorzio",
+                request_class=RequestClass.WAITING,
+                model="base",
+                adapter=adapter,
+                version=version,
+                prompt=request_id,
+                prompt_tokens=10,
+                max_tokens=max_tokens,
+                time_left_s=deadline - anyio.current_time(),
+                next_index=len(received),
+                forced_tokens=tuple(received),
+            )
+            try:
+                await self._attempt(self.daemons_by_name[name], forward, received)
+                return request_id, "".join(received)
+            except (ServingError, PeerUnreachable):
+                await anyio.sleep(RETRY_S)
+        raise ServingError(ResultCode.DEADLINE_PASSED, request_id)
+
+    async def _attempt(self, daemon, forward, received):
+        ownership = daemon.ownership
+        server = self.configuration.servers_by_name[forward.replica]
+        target = ownership.owner_name(server)
+        if target is None:
+            raise ServingError(ResultCode.NO_REPLICA, forward.replica)
+        if target == daemon.name:
+            opened = ownership.owner(forward.replica).submit(forward)
+        else:
+            opened = daemon.transport.stream(target, forward)
+        accepted = False
+        with anyio.move_on_after(ACCEPT_TIMEOUT_S) as scope:
+            try:
+                async with opened as replies, contextlib.aclosing(replies):
+                    async for reply in replies:
+                        scope.deadline = anyio.current_time() + 5.0
+                        accepted = accepted or isinstance(reply, Accepted)
+                        if isinstance(reply, Tokens):
+                            received.extend(
+                                reply.tokens[len(received) - reply.first_index :]
+                            )
+            except PeerUnreachable:
+                ownership.note_unreachable(target)
+                raise
+        if scope.cancelled_caught:
+            if target != daemon.name:
+                ownership.note_unreachable(target)
+            raise ServingError(ResultCode.STREAM_BROKEN, "no answer in time")
--- /dev/null
+++ b/tests/engines/test_ownership.py
@@ -0,0 +1,410 @@
+"""Tests of replica ownership: two owners, takeovers and hand-overs (P1, P2, P6)."""
+
+import anyio
+import testtools
+from loguru import logger
+
+from snipetrestle.codes import ServingError
+from snipetrestle.engines.owner import ReplicaOwner
+from snipetrestle.engines.ownership import ReplicaOwnership
+from snipetrestle.peers.members import MemberState
+from snipetrestle.platform.sources import Host, HostList, HostState
+from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.engine import expected_text
+from snipetrestle_standins.replica_fleet import ReplicaFleet, engine_configuration
+
+# Takeover target of the design page; measured on the advanced clock.
+TAKEOVER_LIMIT_S = 3.0
+LONG_TOKENS = 400
+
+
+class OwnershipTest(testtools.TestCase):
+    def run_fleet(self, function, checks=True, replicas=1, **options):
+        async def main():
+            configuration = engine_configuration(replicas, checks)
+            async with ReplicaFleet(configuration, **options) as fleet:
+                await function(fleet)
+
+        logger.disable("snipetrestle")
+        self.addCleanup(logger.enable, "snipetrestle")
+        run_advanced(main)
+
+    def run_both(self, function, **options):
+        """Runs with an engine that checks fencing numbers and one that does not."""
+        for checks in (True, False):
+            self.run_fleet(function, checks, **options)
+
+    async def serve(self, fleet, name, adapter="adapter-0", max_tokens=20, **options):
+        """Sends a request and checks that each token is that of the named adapter."""
+        version = options.setdefault("version", "1")
+        prompt, text = await fleet.ask(
+            name, adapter=adapter, max_tokens=max_tokens, **options
+        )
+        self.assertEqual(expected_text(adapter, version, prompt, max_tokens), text)
+
+    async def fill(self, fleet, name, count):
+        for number in range(count):
+            await self.serve(fleet, name, f"adapter-{number}")
+
+
+class UnconfirmedTakeoverTest(OwnershipTest):
+    async def wake_with_queued_unload(self, fleet, finish=True):
+        """The paused owner wakes while the successor uses the same adapter."""
+        first, second, third = fleet.order_of()
+        await self.fill(fleet, third, fleet.engine().adapter_slots)
+        async with anyio.create_task_group() as group:
+            fleet.network.pause(first)
+            # This request makes the paused owner evict its oldest copy, adapter-0 or
+            # adapter-1; the order waits until it wakes.
+            group.start_soon(fleet.ask, first, "adapter-5")
+            await fleet.settle(0.5)
+            for adapter in ("adapter-0", "adapter-1"):
+                group.start_soon(self.serve, fleet, third, adapter, LONG_TOKENS)
+            await fleet.settle(3.0)
+            self.assertIn(second, fleet.owners_of())
+            fleet.network.resume(first)
+            await fleet.settle(1.0)
+            if not finish:
+                group.cancel_scope.cancel()
+
+    def test_paused_owner_wakes_with_queued_unload(self):
+        """Guards against an old owner that evicts a copy its successor uses (P2)."""
+
+        async def check(fleet):
+            await self.wake_with_queued_unload(fleet)
+            self.assertEqual([], fleet.engine().in_use_evictions)
+
+        self.run_both(check)
+
+    def test_queued_unload_evicts_without_fencing_and_handles(self):
+        """Shows the failure when the engine neither checks numbers nor gets handles."""
+
+        def plain_owner(server, engine, permits, number, suffix):
+            return ReplicaOwner(server, engine, permits, number, None)
+
+        class AdoptingOwnership(ReplicaOwnership):
+            def _note_foreign(self, replica, status):
+                if len(replica.foreign) == 0 and not replica.owner.resident_handles():
+                    self._adopt(replica, status)
+
+        async def check(fleet):
+            await self.wake_with_queued_unload(fleet, finish=False)
+            self.assertNotEqual([], fleet.engine().in_use_evictions)
+
+        self.run_fleet(
+            check,
+            checks=False,
+            owner_class=plain_owner,
+            ownership_class=AdoptingOwnership,
+        )
+
+    async def take_over_during_stream(self, fleet):
+        """The successor needs all slots while the old owner's stream runs."""
+        first, second, third = fleet.order_of()
+        async with anyio.create_task_group() as group:
+            # A caller of the paused daemon: its stream goes on at the engine.
+            group.start_soon(self.serve, fleet, first, "adapter-0", LONG_TOKENS)
+            await fleet.settle(1.0)
+            fleet.network.pause(first)
+            for number in range(1, 6):
+                await self.serve(fleet, third, f"adapter-{number}")
+            self.assertEqual(
+                [second], [name for name in fleet.owners_of() if name != first]
+            )
+            fleet.network.resume(first)
+
+    def test_successor_keeps_copies_in_use(self):
+        """Guards against a successor that evicts under the old owner's stream (P2)."""
+
+        async def check(fleet):
+            await self.take_over_during_stream(fleet)
+            self.assertEqual([], fleet.engine().in_use_evictions)
+
+        self.run_both(check)
+
+    def test_copies_in_use_are_evicted_without_the_hold(self):
+        """Shows that the hold of foreign copies is what protects the stream."""
+
+        class Forgetful(ReplicaOwner):
+            def hold(self, handle):
+                pass
+
+        async def check(fleet):
+            first, _, third = fleet.order_of()
+            async with anyio.create_task_group() as group:
+                group.start_soon(fleet.ask, first, "adapter-0", "1", LONG_TOKENS)
+                await fleet.settle(1.0)
+                fleet.network.pause(first)
+                for number in range(1, 6):
+                    await self.serve(fleet, third, f"adapter-{number}")
+                fleet.network.resume(first)
+                await fleet.settle(1.0)
+                group.cancel_scope.cancel()
+            self.assertNotEqual([], fleet.engine().in_use_evictions)
+
+        self.run_fleet(check, owner_class=Forgetful)
+
+    def test_failed_owner_is_replaced_within_the_target(self):
+        """Guards against replicas that wait for the failure to spread."""
+
+        async def check(fleet, stop):
+            first, second, third = fleet.order_of()
+            await self.serve(fleet, third)
+            stop(first)
+            start = anyio.current_time()
+            await self.serve(fleet, third)
+            self.assertTrue(anyio.current_time() - start < TAKEOVER_LIMIT_S)
+            self.assertIn(second, fleet.owners_of())
+
+        self.run_both(lambda fleet: check(fleet, fleet.kill))
+        self.run_both(lambda fleet: check(fleet, fleet.network.pause))
+
+    def test_two_failed_owners_are_replaced(self):
+        """Guards against a successor's failure that leaves a replica unserved."""
+
+        async def check(fleet):
+            first, second, third = fleet.order_of()
+            fleet.kill(first)
+            fleet.kill(second)
+            start = anyio.current_time()
+            await self.serve(fleet, third)
+            self.assertTrue(anyio.current_time() - start < TAKEOVER_LIMIT_S)
+
+        self.run_both(check)
+
+    def test_failed_load_during_takeover(self):
+        """Guards against a failed load that leaves a replica without an owner."""
+
+        async def check(fleet):
+            first, second, third = fleet.order_of()
+            fleet.engine().fail_loads = 2
+            fleet.kill(first)
+            await self.serve(fleet, third, "adapter-3", version="2")
+            self.assertEqual([second], fleet.owners_of())
+
+        self.run_both(check)
+
+
+class PartitionTest(OwnershipTest):
+    async def ask_on_both_sides(self, fleet, seconds=20.0):
+        first, second, third = fleet.order_of()
+        fleet.network.partition([first], [second, third])
+        served = {first: 0, third: 0}
+
+        async def ask(name):
+            number = 0
+            while True:
+                await self.serve(
+                    fleet, name, f"adapter-{number % 6}", 30, time_left_s=1000.0
+                )
+                served[name] += 1
+                number += 1
+
+        async with anyio.create_task_group() as group:
+            for name in (first, first, third, third):
+                group.start_soon(ask, name)
+            await fleet.settle(seconds)
+            group.cancel_scope.cancel()
+        fleet.network.heal()
+        await fleet.settle(10.0)
+        return first, third, served
+
+    def test_two_owners_in_a_partition(self):
+        """Guards against mixed answers and evictions by two owners (P1, P2)."""
+
+        async def check(fleet):
+            first, third, served = await self.ask_on_both_sides(fleet)
+            self.assertEqual([], fleet.engine().in_use_evictions)
+            self.assertTrue(served[third] > 10, served)
+            if not fleet.engine().checks_fencing_numbers:
+                self.assertTrue(served[first] > 10, served)
+            self.assertEqual([first], fleet.owners_of())
+            await self.serve(fleet, first)
+
+        self.run_both(check)
+
+    def test_two_daemons_do_not_fence_each_other_in_turn(self):
+        """Guards against owners that take a replica from each other for ever."""
+
+        async def check(fleet):
+            before = fleet.engine().fencing_number >> 32
+            await self.ask_on_both_sides(fleet, 60.0)
+            # One takeover, and one confirmed hand-over after the partition.
+            self.assertEqual(before + 2, fleet.engine().fencing_number >> 32)
+
+        self.run_fleet(check)
+
+    def test_fenced_owner_returns_only_with_a_new_view(self):
+        """Guards against a fenced owner that claims again in the same view."""
+
+        async def check(fleet):
+            first, second, third = fleet.order_of()
+            fleet.network.partition([first], [second, third])
+            await self.serve(fleet, third)
+            await fleet.settle(10.0)
+            self.assertEqual([second], fleet.owners_of())
+            fleet.daemons_by_name[first].set_state(second, MemberState.FAILED)
+            fleet.daemons_by_name[first].set_state(third, MemberState.FAILED)
+            await fleet.settle(5.0)
+            self.assertIn(first, fleet.owners_of())
+
+        self.run_fleet(check)
+
+
+class ForeignCopyTest(OwnershipTest):
+    """Foreign copies at an engine that ignores fencing numbers."""
+
+    async def take_over(self, fleet, stop):
+        first, second, third = fleet.order_of()
+        await self.fill(fleet, third, 3)
+        stop(first)
+        await self.serve(fleet, third, "adapter-4")
+        await fleet.settle(20.0)
+        self.assertEqual(3, self.foreign_count(fleet, second))
+        return first, second
+
+    def foreign_count(self, fleet, name):
+        suffix = f".{name}"
+        return sum(not item.endswith(suffix) for item in fleet.engine()._resident)
+
+    def test_foreign_copies_stay_until_their_owner_is_known_to_be_gone(self):
+        """Guards against an eviction that only a time-out justifies (P2)."""
+
+        async def confirm(fleet):
+            first, second = await self.take_over(fleet, fleet.network.pause)
+            fleet.network.resume(first)
+
+        async def replace(fleet):
+            first, second = await self.take_over(fleet, fleet.kill)
+            fleet.start(first)
+
+        async def restart(fleet):
+            await self.take_over(fleet, fleet.kill)
+            fleet.engine().restart()
+
+        async def operator(fleet):
+            first, second = await self.take_over(fleet, fleet.kill)
+            fleet.daemons_by_name[second].ownership.confirm_stopped(first)
+
+        async def check(fleet, end):
+            await end(fleet)
+            await fleet.settle(10.0)
+            (owner,) = fleet.owners_of()
+            self.assertEqual(0, self.foreign_count(fleet, owner))
+            await self.fill(fleet, owner, 6)
+            self.assertEqual([], fleet.engine().in_use_evictions)
+
+        for end in (confirm, replace, restart, operator):
+            self.run_fleet(lambda fleet, end=end: check(fleet, end), checks=False)
+
+
+class EngineRestartTest(OwnershipTest):
+    def test_restarted_engine_is_loaded_again(self):
+        """Guards against an owner that believes in copies of a lost engine."""
+
+        async def check(fleet):
+            first, _, third = fleet.order_of()
+            await self.fill(fleet, third, 3)
+            number = fleet.engine().fencing_number
+            fleet.engine().restart()
+            await fleet.settle(1.0)
+            self.assertEqual(number, fleet.engine().fencing_number)
+            await self.fill(fleet, third, 3)
+            self.assertEqual([first], fleet.owners_of())
+
+        self.run_both(check)
+
+    def test_stream_of_a_restarted_engine_goes_on(self):
+        """Guards against answers that are cut off or start again in the middle."""
+
+        async def check(fleet):
+            third = fleet.order_of()[2]
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.serve, fleet, third, "adapter-0", 200)
+                await fleet.settle(1.5)
+                fleet.engine().restart()
+
+        self.run_both(check)
+
+
+class HandOverTest(OwnershipTest):
+    async def hand_over(self, fleet):
+        """Starts the first daemon while its successor serves a long stream."""
+        first, _, third = fleet.order_of()
+        fleet.kill(first)
+        fleet.change_views(first, MemberState.FAILED)
+        await fleet.settle()
+        async with anyio.create_task_group() as group:
+            # Four requests run and the others are queued when the owner changes.
+            for number in range(8):
+                group.start_soon(self.serve, fleet, third, f"adapter-{number % 2}", 200)
+            await fleet.settle(1.0)
+            fleet.start(first)
+            await fleet.settle(2.0)
+            self.assertEqual([first], fleet.owners_of())
+            for number in range(2, 6):
+                group.start_soon(self.serve, fleet, third, f"adapter-{number}")
+        return first
+
+    def test_running_streams_finish_and_queued_requests_move(self):
+        """Guards against cut streams, lost queue entries and evictions (P2, P7, P9)."""
+
+        async def check(fleet):
+            await self.hand_over(fleet)
+            self.assertEqual([], fleet.engine().in_use_evictions)
+
+        self.run_both(check)
+
+    def test_lost_confirmation_leaves_one_owner(self):
+        """Guards against two owners that use the same handles (P2)."""
+
+        class Deaf(ReplicaOwnership):
+            async def _on_hand_over(self, sender, message):
+                await super()._on_hand_over(sender, message)
+                await anyio.sleep(100.0)
+
+        async def check(fleet):
+            first = await self.hand_over(fleet)
+            await fleet.settle(5.0)
+            self.assertEqual([first], fleet.owners_of())
+            self.assertEqual([], fleet.engine().in_use_evictions)
+
+        self.run_both(check, ownership_class=Deaf)
+
+
+class LeavingServerTest(OwnershipTest):
+    def test_leaving_server_gets_nothing_new(self):
+        """Guards against new work at a leaving server, and against cut streams (P6)."""
+
+        async def check(fleet):
+            owner, _, third = fleet.order_of()
+            hosts = HostList(
+                1,
+                (
+                    Host(
+                        "engine-0",
+                        "127.0.0.1:9000",
+                        "palermo",
+                        "sicily",
+                        role="backend",
+                        state=HostState.LEAVING,
+                    ),
+                ),
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.serve, fleet, third, "adapter-0", 300)
+                await fleet.settle(1.0)
+                for daemon in fleet.daemons_by_name.values():
+                    daemon.ownership.take_host_list(hosts)
+                started = fleet.engine()._order
+                server = fleet.configuration.servers_by_name["engine-0"]
+                for daemon in fleet.daemons_by_name.values():
+                    self.assertIs(None, daemon.ownership.owner_name(server))
+                with testtools.ExpectedException(ServingError):
+                    await fleet.ask(owner, time_left_s=3.0)
+            self.assertEqual(started, fleet.engine()._order)
+            for daemon in fleet.daemons_by_name.values():
+                daemon.ownership.take_host_list(HostList(2, ()))
+            await self.serve(fleet, third)
+
+        self.run_both(check)
