Hold accepted batches at two daemons in different failure domains

Cause: batch work had no place that outlives a daemon.

Change: BatchHolder accepts a batch only when a primary and a second daemon in another failure domain hold it. The primary runs the items and stores each result at both; the second takes over when the primary has failed, restarted or left. Copies are replaced, moved at a drain and merged after a partition: of two lineages the one with the higher epoch counts. Any daemon answers queries; "lost" is told only when no listed daemon is out of reach. One daemon for each customer counts the queued items against the allowance.

With both copies in one domain the same loss gives "lost".

Conclusion: a batch survives any single host or failure domain.

--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -162,13 +162,12 @@
         self._orders_view = None
         self._notify()
 
-    def take_host_list(self, hosts):
-        """Takes a HostList. Leaving backend servers get nothing new from now on."""
-        leaving = frozenset(
-            host.name
-            for host in hosts.hosts
-            if host.role == "backend" and host.state == "leaving"
-        )
+    def set_leaving(self, names):
+        """Takes the names of leaving backend servers; they get nothing new from now on.
+
+        Streams finish. Queued requests are refused before dispatch and go elsewhere.
+        """
+        leaving = frozenset(names)
         for name in leaving - self._leaving_servers:
             replica = self._replicas_by_name.get(name)
             if replica is not None:
@@ -195,14 +194,18 @@
 
     # The view for entries
 
-    def owner_name(self, server):
-        """Returns the member that serves a replica, or None if it gets no new work."""
+    def owner_name(self, server, without=()):
+        """Returns the member that serves a replica, or None if it gets no new work.
+
+        ``without`` names members that did not answer; the next candidate is returned.
+        """
         if server.name in self._leaving_servers:
             return None
+        own = self._membership.own_name
         replica = self._replicas_by_name.get(server.name)
         if replica is not None and replica.owner is not None and not self._draining:
-            return self._membership.own_name
-        order = self._order(server)
+            return own
+        order = [name for name in self._order(server) if name not in without]
         for name in order:
             if name not in self._unreachable:
                 return name
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -70,6 +70,7 @@
     BATCH_ACCEPTED = (1601, "INFO", "batch accepted")
     BATCH_TAKEN_OVER = (1602, "WARNING", "batch taken over from a failed holder")
     BATCH_LOST = (1603, "ERROR", "batch is lost")
+    BATCH_NOT_REPLICATED = (1604, "WARNING", "batch has only one holder")
 
     def __init__(self, number, level, message):
         self.number = number
--- /dev/null
+++ b/tests/batches/test_holders.py
@@ -0,0 +1,368 @@
+"""Tests that accepted batch work is never lost silently."""
+
+import anyio
+import testtools
+from loguru import logger
+
+from snipetrestle.batches import BatchHolder, BatchTimes
+from snipetrestle.batches.messages import UpdateBatch
+from snipetrestle.codes import ResultCode, ServingError
+from snipetrestle.peers.members import MemberState
+from snipetrestle_standins.batch_fleet import (
+    CUSTOMER,
+    BatchFleet,
+    answer_of,
+    make_items,
+)
+from snipetrestle_standins.clock import run_advanced
+
+ITEMS = make_items(40)
+WITHIN_S = 3600.0
+
+
+class BatchTest(testtools.TestCase):
+    def run_fleet(self, function, **options):
+        async def main():
+            async with BatchFleet(**options) as fleet:
+                await function(fleet)
+
+        logger.disable("snipetrestle")
+        self.addCleanup(logger.enable, "snipetrestle")
+        run_advanced(main)
+
+    async def submit(self, fleet, items=ITEMS, **options):
+        return await fleet.holder().submit(CUSTOMER, items, WITHIN_S, **options)
+
+    async def check_complete(self, fleet, batch_id, items=ITEMS):
+        status = await fleet.wait_finished(batch_id)
+        self.assertEqual(("finished", len(items), 0), _counts(status))
+        for name in fleet.daemons_by_name:
+            results = await fleet.holder(name).results(batch_id)
+            self.assertEqual(
+                [answer_of(item) for item in items], [item.text for item in results]
+            )
+
+    def assert_code(self, code, error):
+        self.assertIs(code, error.code)
+
+
+def _counts(status):
+    return status.state, status.done, status.failed
+
+
+class AcceptanceTest(BatchTest):
+    def test_two_failure_domains_hold_an_accepted_batch(self):
+        """Guards against an acknowledgement that one failure can break."""
+
+        async def check(fleet):
+            batch_id = await self.submit(fleet)
+            primary, second = fleet.holders_of(batch_id)
+            self.assertNotEqual(fleet.domain_of(primary), fleet.domain_of(second))
+            for name in (primary, second):
+                incarnation = fleet.daemons_by_name[name].membership.own_incarnation
+                self.assertIn(f"~{name}~{incarnation}", batch_id)
+            await self.check_complete(fleet, batch_id)
+
+        self.run_fleet(check)
+
+    def test_no_second_failure_domain(self):
+        """Guards against work that is accepted with one copy only."""
+
+        async def check(fleet):
+            try:
+                await self.submit(fleet)
+            except ServingError as error:
+                self.assert_code(ResultCode.BATCH_NOT_HELD, error)
+            else:
+                self.fail("the batch was accepted")
+            self.assertEqual(0, fleet.holder().held_batches)
+
+        self.run_fleet(check, daemons=1)
+
+    def test_repeated_submission_is_one_batch(self):
+        """Guards against a retry that queues the whole batch again."""
+
+        async def check(fleet):
+            ids = []
+
+            async def submit(name):
+                holder = fleet.holder(name)
+                ids.append(await holder.submit(CUSTOMER, ITEMS, WITHIN_S, key="night"))
+
+            async with anyio.create_task_group() as group:
+                for name in fleet.names:
+                    group.start_soon(submit, name)
+            await submit(fleet.names[0])
+            self.assertEqual(1, len(set(ids)), ids)
+            await self.check_complete(fleet, ids[0])
+            self.assertEqual({1}, set(fleet.runs_by_prompt.values()))
+
+        self.run_fleet(check)
+
+    def test_allowance_is_counted_over_all_daemons(self):
+        """Guards against a customer that fills the fleet through many entries."""
+
+        async def check(fleet):
+            for name in fleet.names[:2]:
+                await fleet.holder(name).submit(CUSTOMER, ITEMS, WITHIN_S)
+            for pause in (0.0, 12.0):
+                await anyio.sleep(pause)
+                try:
+                    await fleet.holder(fleet.names[2]).submit(CUSTOMER, ITEMS, WITHIN_S)
+                except ServingError as error:
+                    self.assert_code(ResultCode.BATCH_ALLOWANCE, error)
+                else:
+                    self.fail("the allowance was passed")
+            await anyio.sleep(120.0)
+            await fleet.holder(fleet.names[2]).submit(CUSTOMER, ITEMS, WITHIN_S)
+
+        self.run_fleet(check, allowance=100, item_s=20.0)
+
+    def test_failed_items_keep_their_code_and_others_are_repeated(self):
+        """Guards against items that vanish, or that one refusal ends."""
+
+        async def check(fleet):
+            fleet.failures_by_prompt = {
+                "prompt 1": [ResultCode.UNKNOWN_ADAPTER],
+                "prompt 2": [ResultCode.NO_REPLICA, ResultCode.STREAM_BROKEN],
+            }
+            batch_id = await self.submit(fleet)
+            status = await fleet.wait_finished(batch_id)
+            self.assertEqual(("finished", len(ITEMS), 1), _counts(status))
+            results = await fleet.holder().results(batch_id)
+            self.assertEqual(ResultCode.UNKNOWN_ADAPTER.number, results[1].code)
+            self.assertEqual(answer_of(ITEMS[2]), results[2].text)
+
+        self.run_fleet(check)
+
+
+class LossTest(BatchTest):
+    def test_loss_of_any_one_host(self):
+        """Guards against a batch that one lost host takes along."""
+
+        async def check(fleet, victim):
+            batch_id = await self.submit(fleet)
+            await anyio.sleep(1.5)
+            fleet.kill(victim)
+            fleet.show()
+            await self.check_complete(fleet, batch_id)
+            self.assertEqual(2, len(fleet.holders_of(batch_id)))
+
+        for number in range(6):
+            self.run_fleet(lambda fleet, n=number: check(fleet, f"entry-{n}"))
+
+    def test_loss_of_any_one_failure_domain(self):
+        """Guards against two copies that one power failure takes along."""
+
+        async def check(fleet, domain):
+            batch_id = await self.submit(fleet)
+            await anyio.sleep(1.5)
+            for name in fleet.names:
+                if fleet.domain_of(name) == domain:
+                    fleet.kill(name)
+            fleet.show()
+            await self.check_complete(fleet, batch_id)
+
+        for domain in ("palermo", "catania", "messina"):
+            self.run_fleet(lambda fleet, domain=domain: check(fleet, domain))
+
+    def test_copies_in_one_domain_are_lost_together(self):
+        """Shows that the rule of distinct failure domains is what saves the batch."""
+
+        class OneDomain(BatchHolder):
+            def _candidates(self, held, keeper, same_domain=False):
+                return [
+                    name
+                    for name in self._membership.routable()
+                    if name != keeper and self._domain(name) == self._domain(keeper)
+                ]
+
+        async def check(fleet):
+            batch_id = await self.submit(fleet)
+            domain = fleet.domain_of(fleet.holders_of(batch_id)[0])
+            for name in fleet.names:
+                if fleet.domain_of(name) == domain:
+                    fleet.kill(name)
+            fleet.show()
+            status = await fleet.wait_finished(batch_id)
+            self.assertEqual("lost", status.state)
+
+        self.run_fleet(check, holder_class=OneDomain)
+
+    def test_losses_one_after_the_other(self):
+        """Guards against a lost copy that is not replaced."""
+
+        async def check(fleet):
+            batch_id = await self.submit(fleet)
+            for _ in range(4):
+                await anyio.sleep(3.0)
+                fleet.kill(fleet.holders_of(batch_id)[0])
+                fleet.show()
+            await self.check_complete(fleet, batch_id)
+
+        self.run_fleet(check, item_s=5.0)
+
+    def test_restarted_holder_has_no_copy(self):
+        """Guards against trust in a holder whose memory was lost."""
+
+        async def check(fleet):
+            batch_id = await self.submit(fleet)
+            for position in (0, 1):
+                await anyio.sleep(3.0)
+                fleet.start(fleet.holders_of(batch_id)[position])
+            await self.check_complete(fleet, batch_id)
+
+        self.run_fleet(check, item_s=5.0)
+
+    def test_all_holders_lost(self):
+        """Guards against a batch that disappears without a word."""
+
+        async def check(fleet):
+            batch_id = await self.submit(fleet)
+            for name in fleet.holders_of(batch_id):
+                fleet.start(name)
+            status = await fleet.holder().status(batch_id)
+            self.assertEqual("lost", status.state)
+            self.assertIs(ResultCode.BATCH_LOST, status.code)
+            try:
+                await fleet.holder().results(batch_id)
+            except ServingError as error:
+                self.assert_code(ResultCode.BATCH_LOST, error)
+            else:
+                self.fail("results of a lost batch")
+
+        self.run_fleet(check)
+
+    def test_silent_holders_are_not_called_lost(self):
+        """Guards against a false "lost" while the holders are only cut off."""
+
+        async def check(fleet):
+            batch_id = await self.submit(fleet)
+            holders = fleet.holders_of(batch_id)
+            others = [name for name in fleet.names if name not in holders]
+            fleet.network.partition(holders, others)
+            try:
+                await fleet.holder(others[0]).status(batch_id)
+            except ServingError as error:
+                self.assert_code(ResultCode.PEER_UNREACHABLE, error)
+            else:
+                self.fail("holders that do not answer may still hold the batch")
+            fleet.network.heal()
+            await self.check_complete(fleet, batch_id)
+
+        self.run_fleet(check)
+
+
+class HandoverTest(BatchTest):
+    def test_drain_of_the_holders(self):
+        """Guards against a planned stop that loses or repeats work (P7)."""
+
+        async def check(fleet, position):
+            batch_id = await self.submit(fleet)
+            await anyio.sleep(1.5)
+            name = fleet.holders_of(batch_id)[position]
+            fleet.show(**{name.replace("-", "_"): MemberState.LEAVING})
+            await fleet.holder(name).drain()
+            self.assertEqual(0, fleet.holder(name).held_batches)
+            fleet.kill(name)
+            fleet.show()
+            self.assertEqual(2, len(fleet.holders_of(batch_id)))
+            await self.check_complete(fleet, batch_id)
+            self.assertEqual({1}, set(fleet.runs_by_prompt.values()))
+
+        for position in (0, 1):
+            self.run_fleet(lambda fleet, p=position: check(fleet, p))
+
+    def test_drain_of_one_daemon_after_the_other(self):
+        """Guards against a rolling restart that moves a batch out of reach."""
+
+        async def check(fleet):
+            batch_id = await self.submit(fleet)
+            for name in fleet.names:
+                fleet.show(**{name.replace("-", "_"): MemberState.LEAVING})
+                await fleet.holder(name).drain()
+                fleet.start(name)
+                await anyio.sleep(2.0)
+                self.assertEqual(2, len(fleet.holders_of(batch_id)))
+            await self.check_complete(fleet, batch_id)
+            self.assertEqual({1}, set(fleet.runs_by_prompt.values()))
+
+        self.run_fleet(check, item_s=8.0)
+
+    def test_paused_primary_wakes_after_the_takeover(self):
+        """Guards against two primaries that both run a batch for ever."""
+
+        async def check(fleet):
+            batch_id = await self.submit(fleet)
+            primary = fleet.holders_of(batch_id)[0]
+            fleet.network.pause(primary)
+            await anyio.sleep(30.0)
+            fleet.network.resume(primary)
+            await anyio.sleep(30.0)
+            self.assertEqual(2, len(fleet.holders_of(batch_id)))
+            await self.check_complete(fleet, batch_id)
+
+        self.run_fleet(check, item_s=20.0)
+
+    def test_sides_of_a_partition_meet_again(self):
+        """Guards against lineages that go on side by side after a partition."""
+
+        async def check(fleet):
+            batch_id = await self.submit(fleet)
+            primary, second = fleet.holders_of(batch_id)
+            others = [name for name in fleet.names if name not in (primary, second)]
+            fleet.network.partition([primary, *others[:2]], [second, *others[2:]])
+            await anyio.sleep(40.0)
+            self.assertEqual(4, len(fleet.holders_of(batch_id)))
+            fleet.network.heal()
+            await anyio.sleep(40.0)
+            self.assertEqual(2, len(fleet.holders_of(batch_id)))
+            await self.check_complete(fleet, batch_id)
+
+        self.run_fleet(check, item_s=25.0)
+
+    def test_crossed_messages(self):
+        """Guards against an old message that brings back an old holder or result."""
+
+        async def check(fleet):
+            batch_id = await self.submit(fleet)
+            unique = batch_id.split("~")[0]
+            primary, second = fleet.holders_of(batch_id)
+            held = fleet.holder(primary)._held_by_unique[unique]
+            old_copy = held.copy(held.lineage)
+            await anyio.sleep(11.0)
+            old_update = UpdateBatch(unique, held.lineage, next(held.pages([0])))
+            fleet.kill(primary)
+            fleet.show()
+            await anyio.sleep(5.0)
+            sender = next(name for name in fleet.names if name not in (primary, second))
+            transport = fleet.daemons_by_name[sender].transport
+            for name in fleet.daemons_by_name:
+                for message in (old_update, old_copy, old_update):
+                    await transport.call(name, message, 1.0)
+            self.assertIn(second, fleet.holders_of(batch_id)[:1])
+            await anyio.sleep(60.0)
+            self.assertEqual(2, len(fleet.holders_of(batch_id)))
+            await self.check_complete(fleet, batch_id)
+
+        self.run_fleet(check, item_s=10.0)
+
+    def test_results_are_kept_for_the_stated_time(self):
+        """Guards against memory that grows for ever, and results that go early."""
+
+        async def check(fleet):
+            batch_id = await self.submit(fleet)
+            await self.check_complete(fleet, batch_id)
+            await anyio.sleep(500.0)
+            await self.check_complete(fleet, batch_id)
+            await anyio.sleep(500.0)
+            self.assertEqual([], fleet.holders_of(batch_id))
+            self.assertEqual(0, fleet.holder().held_bytes)
+            try:
+                await fleet.holder().status(batch_id)
+            except ServingError as error:
+                self.assert_code(ResultCode.UNKNOWN_BATCH, error)
+            else:
+                self.fail("the batch should have expired")
+
+        self.run_fleet(check, times=BatchTimes(results_kept_s=700.0))
--- a/tests/engines/test_ownership.py
+++ b/tests/engines/test_ownership.py
@@ -8,7 +8,6 @@
 from snipetrestle.engines.owner import ReplicaOwner
 from snipetrestle.engines.ownership import ReplicaOwnership
 from snipetrestle.peers.members import MemberState
-from snipetrestle.platform.sources import Host, HostList, HostState
 from snipetrestle_standins.clock import run_advanced
 from snipetrestle_standins.engine import expected_text
 from snipetrestle_standins.replica_fleet import ReplicaFleet, engine_configuration
@@ -378,24 +377,11 @@
 
         async def check(fleet):
             owner, _, third = fleet.order_of()
-            hosts = HostList(
-                1,
-                (
-                    Host(
-                        "engine-0",
-                        "127.0.0.1:9000",
-                        "palermo",
-                        "sicily",
-                        role="backend",
-                        state=HostState.LEAVING,
-                    ),
-                ),
-            )
             async with anyio.create_task_group() as group:
                 group.start_soon(self.serve, fleet, third, "adapter-0", 300)
                 await fleet.settle(1.0)
                 for daemon in fleet.daemons_by_name.values():
-                    daemon.ownership.take_host_list(hosts)
+                    daemon.ownership.set_leaving(["engine-0"])
                 started = fleet.engine()._order
                 server = fleet.configuration.servers_by_name["engine-0"]
                 for daemon in fleet.daemons_by_name.values():
@@ -404,7 +390,7 @@
                     await fleet.ask(owner, time_left_s=3.0)
             self.assertEqual(started, fleet.engine()._order)
             for daemon in fleet.daemons_by_name.values():
-                daemon.ownership.take_host_list(HostList(2, ()))
+                daemon.ownership.set_leaving([])
             await self.serve(fleet, third)
 
         self.run_both(check)
