--- /dev/null
+++ b/snipetrestle/callers/interface.py
@@ -0,0 +1,324 @@
+"""ASGI application for callers: authenticates, checks, and answers requests."""
+
+import contextlib
+import hashlib
+import time
+
+import anyio
+import msgspec
+
+from snipetrestle.callers.completions import (
+    LAST_EVENT,
+    AnswerFormat,
+    malformed,
+    parse_completion,
+    resolve_adapter,
+)
+from snipetrestle.callers.entry import Generation
+from snipetrestle.callers.exchange import CallerGone, Exchange
+from snipetrestle.callers.refusals import error_body
+from snipetrestle.callers.services import (
+    PATH_START,
+    refused_write,
+    target_of,
+)
+from snipetrestle.codes import ResultCode, ServingError
+from snipetrestle.engines.forward import Finished, RequestClass
+from snipetrestle.events import Event, log_event
+from snipetrestle.metrics import StreamTimer
+
+# Time for a request that names no deadline.
+DEFAULT_DEADLINE_S = 120.0
+MAX_DEADLINE_S = 86_400.0
+
+# Refusals of a keyed write's attempt that say nothing of its other attempts.
+RETRIED_ELSEWHERE = frozenset(
+    (ResultCode.NOT_READY, ResultCode.DRAINING, ResultCode.REQUEST_TIMEOUT)
+)
+
+EVENT_STREAM_HEADERS = [
+    (b"content-type", b"text/event-stream"),
+    (b"cache-control", b"no-store"),
+]
+
+
+class ListedModel(msgspec.Struct):
+    """One entry of ``/v1/models``."""
+
+    id: str
+    object: str = "model"
+    owned_by: str = "snipetrestle"
+
+
+class ModelList(msgspec.Struct):
+    """Answer of ``/v1/models``."""
+
+    data: list[ListedModel]
+    object: str = "list"
+
+
+class CallerInterface:
+    """ASGI application for callers.
+
+    ``router`` is an EntryRouter, ``services`` a ServiceCalls, ``shares`` a LimitShares
+    and ``generator`` a random.Random; ``is_ready()`` tells whether the daemon is ready.
+    """
+
+    def __init__(self, router, services, shares, metrics, intake, generator, is_ready):
+        self._router = router
+        self._services = services
+        self._shares = shares
+        self._metrics = metrics
+        self._intake = intake
+        self._generator = generator
+        self._is_ready = is_ready
+        self._configuration = None
+        self._draining = False
+        self._in_progress = 0
+        self._idle = anyio.Event()
+        self._routes = {
+            ("POST", "/v1/completions"): self._complete_text,
+            ("POST", "/v1/chat/completions"): self._complete_chat,
+            ("GET", "/v1/models"): self._list_models,
+            ("GET", "/healthz"): self._tell_health,
+            ("GET", "/readyz"): self._tell_readiness,
+        }
+
+    def apply(self, configuration):
+        """Takes over a published configuration."""
+        self._configuration = configuration
+
+    async def drain(self):
+        """Refuses new requests and waits for those in progress."""
+        self._draining = True
+        while self._in_progress:
+            self._idle = anyio.Event()
+            await self._idle.wait()
+
+    async def __call__(self, scope, receive, send):
+        exchange = Exchange(scope, receive, send, self._intake)
+        self._in_progress += 1
+        try:
+            await self._serve(exchange)
+        finally:
+            self._in_progress -= 1
+            if not self._in_progress:
+                self._idle.set()
+
+    async def _serve(self, exchange):
+        try:
+            await self._route(exchange)
+        except CallerGone:
+            return
+        except ServingError as error:
+            await self._refuse(exchange, error)
+        except Exception as error:
+            log_event(Event.INTERNAL_ERROR, path=exchange.path, detail=repr(error))
+            await self._refuse(exchange, ServingError(ResultCode.INTERNAL))
+
+    async def _refuse(self, exchange, error):
+        log_event(Event.REQUEST_REFUSED, code=str(error.code), detail=error.detail)
+        if not exchange.started:
+            await exchange.answer_error(error)
+            return
+        # The status line has left; the error is the last event of the stream.
+        await exchange.end(b"event: error\ndata: " + error_body(error) + b"\n\n")
+
+    async def _route(self, exchange):
+        route = self._routes.get((exchange.method, exchange.path))
+        if route is None and exchange.path.startswith(PATH_START):
+            route = self._call_service if exchange.method == "POST" else None
+        if route is None:
+            raise ServingError(
+                ResultCode.UNKNOWN_PATH,
+                field="path",
+                value=f"{exchange.method} {exchange.path}",
+                rule="must be a documented method and path",
+            )
+        await route(exchange)
+
+    def _authenticate(self, exchange):
+        """Returns the customer of a request. Raises ServingError."""
+        if self._configuration is None:
+            raise ServingError(ResultCode.NOT_READY)
+        if self._draining:
+            raise ServingError(ResultCode.DRAINING)
+        scheme, _, key = (exchange.header(b"authorization") or "").partition(" ")
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        customer = self._configuration.customers_by_key.get(digest)
+        if scheme.lower() != "bearer" or customer is None:
+            raise ServingError(
+                ResultCode.BAD_KEY,
+                field="Authorization",
+                rule="must be Bearer with a customer's key",
+            )
+        return customer
+
+    async def _complete_text(self, exchange):
+        await self._complete(exchange, chat=False)
+
+    async def _complete_chat(self, exchange):
+        await self._complete(exchange, chat=True)
+
+    async def _complete(self, exchange, chat):
+        customer = self._authenticate(exchange)
+        request_class = request_class_of(exchange)
+        code = None
+        timer = StreamTimer(self._metrics.series(customer.name, request_class))
+        try:
+            request = parse_completion(await exchange.read_body(), chat)
+            generation = self._generation(exchange, customer, request_class, request)
+            tokens = request.prompt_tokens + request.max_tokens
+            with self._shares.admit(customer.name, request_class, tokens):
+                await self._run(exchange, request, generation, timer)
+        except ServingError as error:
+            code = error.code
+            raise
+        finally:
+            self._metrics.count_request(
+                customer.name, request_class, code, timer.tokens
+            )
+
+    async def _run(self, exchange, request, generation, timer):
+        """Answers a generation unless its caller leaves or its deadline passes."""
+        answer_format = AnswerFormat(request, generation.request_id, int(time.time()))
+        answer = self._stream if request.stream else self._collect
+        # An error inside the group would come out as an exception group.
+        failure = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(_cancel_when_gone, exchange, group.cancel_scope)
+            with anyio.CancelScope(deadline=generation.deadline) as scope:
+                try:
+                    await answer(exchange, request, generation, answer_format, timer)
+                except ServingError as error:
+                    failure = error
+            group.cancel_scope.cancel()
+        if scope.cancelled_caught:
+            failure = ServingError(ResultCode.DEADLINE_PASSED)
+        if failure is not None:
+            raise failure
+
+    def _generation(self, exchange, customer, request_class, request):
+        name = resolve_adapter(self._configuration, customer, request.model)
+        return Generation(
+            request_id=f"{self._generator.getrandbits(96):024x}",
+            customer=customer.name,
+            request_class=request_class,
+            model=name.model,
+            adapter=name.adapter,
+            version=name.version,
+            prompt=request.prompt,
+            prompt_tokens=request.prompt_tokens,
+            max_tokens=request.max_tokens,
+            deadline=anyio.current_time() + time_left_of(exchange),
+            prefix=request.prefix,
+            weight=customer.contract.weight,
+        )
+
+    async def _stream(self, exchange, request, generation, answer_format, timer):
+        async with contextlib.aclosing(self._router.generate(generation)) as replies:
+            async for reply in replies:
+                if not exchange.started:
+                    await exchange.start(200, EVENT_STREAM_HEADERS)
+                if type(reply) is Finished:
+                    timer.note_finished(reply)
+                    event = answer_format.event("", reply.finish_reason)
+                else:
+                    timer.note_tokens(len(reply.tokens))
+                    event = answer_format.event("".join(reply.tokens))
+                await exchange.write(event)
+        if request.include_usage:
+            await exchange.write(answer_format.usage_event(timer.tokens))
+        await exchange.end(LAST_EVENT)
+
+    async def _collect(self, exchange, request, generation, answer_format, timer):
+        tokens = []
+        finish_reason = None
+        async with contextlib.aclosing(self._router.generate(generation)) as replies:
+            async for reply in replies:
+                if type(reply) is Finished:
+                    timer.note_finished(reply)
+                    finish_reason = reply.finish_reason
+                else:
+                    timer.note_tokens(len(reply.tokens))
+                    tokens.extend(reply.tokens)
+        whole = answer_format.whole("".join(tokens), len(tokens), finish_reason)
+        await exchange.answer_json(whole)
+
+    async def _call_service(self, exchange):
+        key = exchange.header(b"idempotency-key")
+        try:
+            customer = self._authenticate(exchange)
+            target = target_of(exchange.path)
+            body = await exchange.read_body()
+        except ServingError as error:
+            if key and error.code in RETRIED_ELSEWHERE:
+                raise refused_write(error) from None
+            raise
+        code = None
+        try:
+            answer = await self._services.run(
+                customer,
+                target,
+                key,
+                body,
+                exchange.header(b"content-type") or "application/json",
+                time_left_of(exchange, None),
+            )
+        except ServingError as error:
+            code = error.code
+            raise
+        finally:
+            self._metrics.count_request(customer.name, RequestClass.WAITING, code)
+        headers = [(b"content-type", answer.content_type.encode("latin-1"))]
+        await exchange.answer(answer.status, answer.body, headers)
+
+    async def _list_models(self, exchange):
+        customer = self._authenticate(exchange)
+        names = [
+            ListedModel(f"{adapter.model}:{adapter.name}@{version}")
+            for adapter in self._configuration.adapters
+            if customer.may_use(adapter.name)
+            for version in adapter.versions
+        ]
+        await exchange.answer_json(ModelList(names))
+
+    async def _tell_health(self, exchange):
+        await exchange.answer_json({"status": "ok"})
+
+    async def _tell_readiness(self, exchange):
+        if self._draining:
+            raise ServingError(ResultCode.DRAINING)
+        if not self._is_ready():
+            raise ServingError(ResultCode.NOT_READY)
+        await exchange.answer_json({"status": "ready"})
+
+
+async def _cancel_when_gone(exchange, scope):
+    await exchange.wait_gone()
+    scope.cancel()
+
+
+def request_class_of(exchange):
+    """Returns the class of ``X-Request-Class``. Raises ServingError."""
+    text = exchange.header(b"x-request-class") or RequestClass.WAITING
+    try:
+        return RequestClass(text)
+    except ValueError:
+        raise malformed("X-Request-Class", text, "must be waiting or batch") from None
+
+
+def time_left_of(exchange, default=DEFAULT_DEADLINE_S):
+    """Returns the seconds of ``X-Request-Deadline``. Raises ServingError."""
+    text = exchange.header(b"x-request-deadline")
+    if text is None:
+        return default
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0.0 < seconds <= MAX_DEADLINE_S:
+        raise malformed(
+            "X-Request-Deadline", text, f"must be seconds in (0, {MAX_DEADLINE_S:g}]"
+        )
+    return seconds
--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -81,6 +81,8 @@
         self.foreign = None
         # Handles of earlier terms that may be in use, at an engine that checks numbers.
         self.held_since_by_handle = {}
+        # Copies in the last status that the owner's slots do not show.
+        self.unlisted = frozenset()
         # The view at which this daemon was fenced. It claims again at another one.
         self.gave_up_view = None
         self.lock = anyio.Lock()
@@ -92,8 +94,21 @@
         return self.server.checks_fencing_numbers
 
     def pinned_handles(self):
-        owners = [*self.ended_owners, *([self.owner] if self.owner else [])]
-        return tuple(sorted({item for one in owners for item in one.pinned_handles()}))
+        """Returns the handles that requests of this daemon use, of all its terms."""
+        pinned = set(self.own_pinned_handles())
+        for owner in self.ended_owners:
+            pinned.update(owner.pins_by_handle())
+        return tuple(sorted(pinned))
+
+    def own_pinned_handles(self):
+        """Returns those of the term in progress, without the holds for other owners."""
+        if self.owner is None:
+            return ()
+        return tuple(
+            handle
+            for handle, pins in self.owner.pins_by_handle().items()
+            if pins > (handle in self.held_since_by_handle)
+        )
 
 
 class ReplicaDoor:
@@ -413,6 +428,9 @@
                 if replica.checks_numbers:
                     status = await replica.engine.fence(number)
         except OldFencingNumber as error:
+            log_event(
+                Event.OWNER_FENCED, replica=replica.server.name, highest=error.highest
+            )
             self._note_fenced(replica)
             raise ServingError(ResultCode.FENCED, str(error)) from error
         except (EngineError, TimeoutError) as error:
@@ -441,8 +459,11 @@
         owner = self._make_owner(
             replica.server, replica.engine, number, replica.suffix or None
         )
-        owner.on_fenced = lambda: self._give_up(replica, owner)
+        # The owner has logged the refusal before it calls this.
+        owner.on_fenced = lambda highest: self._give_up(replica, owner)
+        owner.take_status(status)
         replica.owner = owner
+        replica.unlisted = frozenset()
         if replica.checks_numbers:
             self._adopt(replica, status)
         else:
@@ -456,27 +477,27 @@
             resident=len(status.in_use_by_handle),
         )
         self._own_replicas = None
-        self._group.start_soon(self._watch, replica, owner)
+        self._group.start_soon(self._run_term, replica, owner)
 
     def _adopt(self, replica, status):
         now = anyio.current_time()
         replica.held_since_by_handle = {}
         for handle, in_use in status.in_use_by_handle.items():
-            replica.owner.adopt(handle)
+            replica.owner.adopt_copy(handle, pins=1 if in_use else 0)
             if in_use:
-                replica.owner.hold(handle)
                 replica.held_since_by_handle[handle] = now
 
     def _note_foreign(self, replica, status):
+        """Keeps the slots of foreign copies, and a reserve if a slot is left for it."""
+        before = set(replica.foreign.handles())
         replica.foreign.note_status(status, replica.suffix)
-        self._limit_slots(replica)
-
-    def _limit_slots(self, replica):
-        """Leaves foreign copies alone, and a reserve if at least one slot is left."""
-        foreign = len(replica.foreign)
-        with_reserve = foreign + TAKEOVER_RESERVE_SLOTS
-        most = max(foreign, replica.server.adapter_slots - 1)
-        replica.owner.set_unusable_slots(min(with_reserve, most))
+        now = set(replica.foreign.handles())
+        for handle in before - now:
+            replica.owner.forget_copy(handle)
+        for handle in now - before:
+            replica.owner.adopt_copy(handle, own=False)
+        left = replica.server.adapter_slots - len(now)
+        replica.owner.set_reserve_slots(max(0, min(TAKEOVER_RESERVE_SLOTS, left - 1)))
 
     # Ends of terms
 
@@ -487,6 +508,11 @@
         replica.owner = None
         replica.ended_owners.append(owner)
         owner.stop_dispatch()
+        owner.release_queue()
+        # The term's own streams are left; copies held for others are not evicted now.
+        for handle in replica.held_since_by_handle:
+            owner.release_pins(handle)
+        replica.held_since_by_handle = {}
         self._own_replicas = None
         log_event(
             Event.REPLICA_RELEASED,
@@ -499,10 +525,12 @@
 
     async def _finish_term(self, replica, owner, successor):
         """Waits for the running streams and tells the successor as they end."""
-        pinned = set(owner.pinned_handles())
+        pinned = set(owner.pins_by_handle())
         while pinned:
             await anyio.sleep(self._times.release_poll_s)
-            still_pinned = set(owner.pinned_handles())
+            # Batch streams that were being paused are queued again.
+            owner.release_queue()
+            still_pinned = set(owner.pins_by_handle())
             released = tuple(sorted(pinned - still_pinned))
             pinned = still_pinned
             if released and successor is not None:
@@ -522,7 +550,6 @@
     def _note_fenced(self, replica):
         replica.gave_up_view = self._membership.view_number
         replica.next_try = anyio.current_time() + self._times.retry_s
-        log_event(Event.OWNER_FENCED, replica=replica.server.name)
 
     async def _hand_over(self, replica, target):
         """Hands a replica over. Returns whether ``target`` confirmed it."""
@@ -533,13 +560,12 @@
             if state is None or not state.accepts or replica.owner is None:
                 return False
             owner = replica.owner
-            pinned = owner.pinned_handles()
             message = HandOverReplica(
                 replica=replica.server.name,
                 fencing_number=replica.number,
                 engine_incarnation=replica.engine_incarnation,
                 resident=tuple(sorted(owner.resident_handles())),
-                pinned=pinned,
+                pinned=replica.own_pinned_handles(),
                 queued=owner.queued,
             )
             # The term ends before the message leaves, so a lost confirmation cannot
@@ -561,6 +587,12 @@
 
     # Watching the engine
 
+    async def _run_term(self, replica, owner):
+        async with anyio.create_task_group() as group:
+            group.start_soon(owner.run)
+            await self._watch(replica, owner)
+            group.cancel_scope.cancel()
+
     async def _watch(self, replica, owner):
         reachable = True
         next_ask = 0.0
@@ -583,12 +615,20 @@
             reachable = True
             if replica.owner is not owner:
                 return
-            if status.incarnation != replica.engine_incarnation:
+            restarted = status.incarnation != replica.engine_incarnation
+            owner.take_status(status)
+            if restarted:
                 await self._note_restart(replica, owner, status)
-            elif replica.checks_numbers:
-                self._check_number(replica, owner, status)
+            elif replica.checks_numbers and status.fencing_number > replica.number:
+                log_event(
+                    Event.OWNER_FENCED,
+                    replica=replica.server.name,
+                    highest=status.fencing_number,
+                )
+                self._give_up(replica, owner)
             if replica.owner is not owner:
                 return
+            self._adopt_unlisted(replica, status)
             if replica.checks_numbers:
                 self._release_idle(replica, status)
                 continue
@@ -598,21 +638,10 @@
                 await self._ask_foreign_owners(replica)
             await self._unload_free(replica, owner)
 
-    def _check_number(self, replica, owner, status):
-        if status.fencing_number > replica.number:
-            self._give_up(replica, owner)
-
     async def _note_restart(self, replica, owner, status):
         """Clears the view of an engine that restarted empty, and raises its number."""
-        log_event(
-            Event.ENGINE_RESTARTED,
-            replica=replica.server.name,
-            before=replica.engine_incarnation,
-            now=status.incarnation,
-        )
         replica.engine_incarnation = status.incarnation
         replica.held_since_by_handle.clear()
-        owner.engine_restarted()
         if not replica.checks_numbers:
             return
         try:
@@ -624,6 +653,27 @@
             # The next load or request carries the number as well.
             return
 
+    def _adopt_unlisted(self, replica, status):
+        """Takes up copies that an order in progress at the takeover has loaded.
+
+        A status may be older than an unload, so a copy counts at the second sight. If
+        it is wrong even then, the engine says that the copy is not resident.
+        """
+        foreign = () if replica.foreign is None else replica.foreign.handles()
+        unlisted = frozenset(
+            handle
+            for handle in status.in_use_by_handle
+            if handle not in foreign
+            and replica.owner.slots.find(handle) is None
+            and (replica.checks_numbers or handle.endswith(f"#{replica.suffix}"))
+        )
+        for handle in unlisted & replica.unlisted:
+            in_use = status.in_use_by_handle[handle]
+            replica.owner.adopt_copy(handle, pins=1 if in_use else 0)
+            if in_use:
+                replica.held_since_by_handle[handle] = anyio.current_time()
+        replica.unlisted = unlisted
+
     def _release_idle(self, replica, status):
         """Unpins the copies of earlier terms that the engine shows idle."""
         now = anyio.current_time()
@@ -635,7 +685,7 @@
 
     def _release_held(self, replica, handle):
         if replica.held_since_by_handle.pop(handle, None) is not None:
-            replica.owner.release(handle)
+            replica.owner.release_pins(handle)
 
     async def _ask_foreign_owners(self, replica):
         for name in sorted(replica.foreign.names_to_ask()):
@@ -655,9 +705,10 @@
                     await replica.engine.unload(UnloadOrder(handle, replica.number))
             except (EngineError, TimeoutError):
                 return
+            if replica.owner is not owner:
+                return
             replica.foreign.forget(handle)
-        if replica.owner is owner:
-            self._limit_slots(replica)
+            owner.forget_copy(handle)
 
     # Requests
 
