Let the application own replicas, hold batches and drain by steps

Cause: the application used a first placement of owners without terms, had no batch holder, and its drain left replicas and batches behind.

Change: Application builds ReplicaOwnership and BatchHolder and drains with drain_daemon. Batch items run through the entry with class batch. Membership ends the calls to silent peers. Engine clients open at the first use.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -6,14 +6,16 @@
 
 import anyio
 
+from snipetrestle.batches import BatchHolder
+from snipetrestle.callers.batch_items import BatchItems
 from snipetrestle.callers.entry import EntryRouter
 from snipetrestle.callers.interface import CallerInterface
 from snipetrestle.callers.listener import serving
 from snipetrestle.callers.services import ServiceCalls
-from snipetrestle.engines.forwarding import ForwardHandler
+from snipetrestle.draining import drain_daemon
 from snipetrestle.engines.http_client import HttpEngineClient
 from snipetrestle.engines.owner import ReplicaOwner
-from snipetrestle.engines.replicas import OwnedReplicas
+from snipetrestle.engines.ownership import ReplicaOwnership
 from snipetrestle.events import Event, log_event
 from snipetrestle.hashing import rendezvous_first
 from snipetrestle.limits import LimitShares, ShareCoordinator
@@ -94,6 +96,7 @@
         self.membership = Membership.from_settings(
             settings, self.transport, self.router, self.backend_hosts, self.generator
         )
+        self.membership.attach_connections(self.transport.in_use, self.transport.drop)
         self.spread = ConfigurationSpread(
             self.membership, self.transport, self.router, source, self.generator
         )
@@ -139,8 +142,13 @@
             self.membership.listed_count,
             self._stores_by_name,
         )
-        self.owned = OwnedReplicas(self.membership, self._make_owner)
-        self.forward_handler = ForwardHandler(self.router, self.owned)
+        self.owned = ReplicaOwnership(
+            self.membership,
+            self.transport,
+            self.router,
+            lambda server: HttpEngineClient(server.address),
+            self._make_owner,
+        )
         self.configuration_parts.append(self.owned)
         self.tasks += [
             self.load_coordinator.run,
@@ -170,11 +178,18 @@
         self.operators = OperatorInterface(ApplicationReports(self))
         self.configuration_parts.append(self.callers)
         self.backend_hosts.on_change(self._set_replicas)
-        self.drain_hooks += [
-            self.membership.leave,
-            self.callers.drain,
-            self.writes.drain,
-        ]
+        self.batch_items = BatchItems(self.entry, self.generator)
+        self.batches = BatchHolder(
+            self.membership,
+            self.transport,
+            self.router,
+            self.batch_items.run,
+            self._batch_allowance_of,
+            self.generator,
+        )
+        self.configuration_parts.append(self.batch_items)
+        self.tasks.append(self.batches.run)
+        self.drain_hooks.append(self._drain_parts)
 
     def _start_keeper(self):
         # Built after the join, which may raise the own incarnation.
@@ -182,8 +197,25 @@
         self.configuration_parts.append(self.keeper)
         self.tasks.append(self.keeper.run)
 
-    def _make_owner(self, server):
-        return ReplicaOwner(server, HttpEngineClient(server.address), self.permits)
+    def _make_owner(self, server, engine, number, suffix):
+        return ReplicaOwner(
+            server,
+            engine,
+            self.permits,
+            number,
+            suffix,
+            rng=self.generator,
+            policy=self.spread.current.policy,
+        )
+
+    async def _drain_parts(self):
+        await drain_daemon(
+            self.membership, self.owned, self.batches, self.callers, self.writes
+        )
+
+    def _batch_allowance_of(self, name):
+        contract = self._contract_of(name)
+        return None if contract is None else contract.batch.max_queued_requests
 
     def _contract_of(self, name):
         customer = self.spread.current.customers_by_name.get(name)
@@ -225,6 +257,9 @@
         if self.spread.current is None:
             return
         is_leaving = self.backend_hosts.is_leaving
+        self.owned.set_leaving(
+            name for name in self.spread.current.servers_by_name if is_leaving(name)
+        )
         self.entry.set_replicas(
             {
                 model: [item for item in servers if not is_leaving(item.name)]
--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -71,12 +71,23 @@
         )
 
 
+class _Claim:
+    """A claim that requests wait for."""
+
+    __slots__ = ("ended", "error")
+
+    def __init__(self):
+        self.ended = anyio.Event()
+        self.error = None
+
+
 class _Replica:
     """What this daemon holds of one replica of the configuration."""
 
-    def __init__(self, server, engine):
+    def __init__(self, server, open_engine):
         self.server = server
-        self.engine = engine
+        self._open_engine = open_engine
+        self._engine = None
         self.owner = None
         self.number = 0
         self.suffix = ""
@@ -91,9 +102,23 @@
         # The view at which this daemon was fenced. It claims again at another one.
         self.gave_up_view = None
         self.lock = anyio.Lock()
+        # The claim in progress that requests wait for, or None.
+        self.claim = None
         self.settling = False
         self.next_try = 0.0
 
+    @property
+    def engine(self):
+        # Opened at the first use: most replicas are never this daemon's.
+        if self._engine is None:
+            self._engine = self._open_engine(self.server)
+        return self._engine
+
+    async def close_engine(self):
+        """Closes the client once the streams of ended terms are through."""
+        if hasattr(self._engine, "aclose"):
+            await self._engine.aclose()
+
     @property
     def checks_numbers(self):
         return self.server.checks_fencing_numbers
@@ -174,11 +199,11 @@
             if servers_by_name.get(name) != replica.server:
                 self._end_term(replica, None)
                 del self._replicas_by_name[name]
+                if self._group is not None:
+                    self._group.start_soon(self._close_when_ended, replica)
         for name, server in servers_by_name.items():
             if name not in self._replicas_by_name:
-                self._replicas_by_name[name] = _Replica(
-                    server, self._open_engine(server)
-                )
+                self._replicas_by_name[name] = _Replica(server, self._open_engine)
         self._orders_view = None
         self._notify()
 
@@ -544,6 +569,11 @@
         )
         self._group.start_soon(self._finish_term, replica, owner, successor)
 
+    async def _close_when_ended(self, replica):
+        while replica.ended_owners:  # noqa: ASYNC110 - not an event
+            await anyio.sleep(self._times.release_poll_s)
+        await replica.close_engine()
+
     async def _finish_term(self, replica, owner, successor):
         """Waits for the running streams and tells the successor as they end."""
         pinned = set(owner.pins_by_handle())
@@ -773,12 +803,33 @@
         if replica.owner is None:
             if not self._may_claim(replica):
                 raise ServingError(ResultCode.NOT_OWNER, replica.server.name)
-            silent = await self._check_predecessors(replica)
-            await self._claim(replica, silent)
+            await self._claim_for_request(replica)
         if replica.owner is None:
             raise ServingError(ResultCode.NOT_OWNER, replica.server.name)
         return replica.owner
 
+    async def _claim_for_request(self, replica):
+        """Waits for a claim that also goes on if the request is withdrawn."""
+        if replica.claim is None:
+            if self._group is None:
+                raise ServingError(ResultCode.NOT_READY)
+            replica.claim = _Claim()
+            self._group.start_soon(self._claim_after_check, replica, replica.claim)
+        claim = replica.claim
+        await claim.ended.wait()
+        if claim.error is not None:
+            raise claim.error
+
+    async def _claim_after_check(self, replica, claim):
+        try:
+            silent = await self._check_predecessors(replica)
+            await self._claim(replica, silent)
+        except ServingError as error:
+            claim.error = error
+        finally:
+            replica.claim = None
+            claim.ended.set()
+
     async def _check_predecessors(self, replica):
         """Returns the candidates before this daemon that do not answer."""
         order = self._order(replica.server)
