--- a/snipetrestle/callers/listener.py
+++ b/snipetrestle/callers/listener.py
@@ -31,7 +31,7 @@
         super().connection_made(transport)
         self._slow_reader_timer = None
         self._header_timer = None
-        self._header_bytes = 0
+        self._header_bytes = self._unparsed_bytes = 0
         if len(self.connections) > self.intake.max_connections:
             self._refuse(ResultCode.QUEUE_FULL, "too many connections")
             return
@@ -43,28 +43,30 @@
         super().connection_lost(error)
 
     def data_received(self, data):
-        if self._header_timer is not None:
-            self._header_bytes += len(data)
-            limit = MAX_HEADER_BYTES + self.intake.max_body_bytes
-            if self._header_bytes > limit:
-                self._refuse(
-                    ResultCode.MALFORMED_REQUEST,
-                    rule=f"headers must have at most {MAX_HEADER_BYTES} bytes",
-                )
-                return
         super().data_received(data)
+        # While the headers are incomplete, all of the data belongs to them.
+        if self._header_timer is not None:
+            self._unparsed_bytes += len(data)
+            self._check_header_bytes(self._unparsed_bytes)
 
     def on_message_begin(self):
         super().on_message_begin()
+        self._header_bytes = self._unparsed_bytes = 0
         if self._header_timer is None:
             self._expect_headers()
 
     def on_header(self, name, value):
         super().on_header(name, value)
-        if sum(len(item) + len(text) for item, text in self.headers) > MAX_HEADER_BYTES:
+        self._header_bytes += len(name) + len(value)
+        self._check_header_bytes(self._header_bytes)
+
+    def _check_header_bytes(self, count):
+        if count > MAX_HEADER_BYTES:
             self._refuse(
                 ResultCode.MALFORMED_REQUEST,
-                rule=f"headers must have at most {MAX_HEADER_BYTES} bytes",
+                "the headers are too large",
+                field="headers",
+                rule=f"must have at most {MAX_HEADER_BYTES} bytes",
             )
 
     def on_headers_complete(self):
@@ -87,7 +89,6 @@
         super().resume_writing()
 
     def _expect_headers(self):
-        self._header_bytes = 0
         self._header_timer = self.loop.call_later(
             self.intake.header_timeout_s, self._refuse_late_headers
         )
@@ -120,6 +121,31 @@
         yield
 
 
+def make_config(app, intake=None, host="127.0.0.1", port=0, tls=None):
+    """Returns the uvicorn configuration of a listener."""
+    # Each listener has bounds of its own, and uvicorn takes a class.
+    protocol = type(
+        "ListenerProtocol", (BoundedProtocol,), {"intake": intake or IntakeSettings()}
+    )
+    return uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        http=protocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=KEEPALIVE_S,
+        timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
+        ssl_certfile=tls and tls.certificate,
+        ssl_keyfile=tls and tls.key,
+    )
+
+
 @contextlib.asynccontextmanager
 async def serving(app, address, tls=None, intake=None):
     """Serves an ASGI application at ``IP:PORT`` while the context is open.
@@ -135,30 +161,8 @@
             value=address,
         )
     host, port = split_address(address)
-    # Each listener has bounds of its own, and uvicorn takes a class.
-    protocol = type(
-        "ListenerProtocol", (BoundedProtocol,), {"intake": intake or IntakeSettings()}
-    )
     logging.getLogger("uvicorn.error").setLevel(logging.WARNING)
-    server = _Server(
-        uvicorn.Config(
-            app,
-            host=host,
-            port=port,
-            http=protocol,
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            proxy_headers=False,
-            server_header=False,
-            date_header=False,
-            timeout_keep_alive=KEEPALIVE_S,
-            timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
-            ssl_certfile=tls and tls.certificate,
-            ssl_keyfile=tls and tls.key,
-        )
-    )
+    server = _Server(make_config(app, intake, host, port, tls))
     async with anyio.create_task_group() as group:
         group.start_soon(server.serve)
         while not server.started:  # noqa: ASYNC110 - uvicorn has no event for it
