Serve batches over HTTP

Cause: callers had no path for batches.

Item results carry the caller's custom id, which changes the recorded drain.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -8,6 +8,7 @@
 
 from snipetrestle.batches import BatchHolder
 from snipetrestle.callers.batch_items import BatchItems
+from snipetrestle.callers.batches import BatchCalls
 from snipetrestle.callers.entry import EntryRouter
 from snipetrestle.callers.interface import CallerInterface
 from snipetrestle.callers.listener import serving
@@ -187,6 +188,7 @@
             self._batch_allowance_of,
             self.generator,
         )
+        self.callers.attach_batches(BatchCalls(self.batches))
         self.configuration_parts.append(self.batch_items)
         self.tasks.append(self.batches.run)
         self.drain_hooks.append(self._drain_parts)
--- a/snipetrestle/batches/holder.py
+++ b/snipetrestle/batches/holder.py
@@ -615,19 +615,23 @@
         """Runs an item until it has a result; None if the batch moves away before."""
         pause = self._times.first_pause_s
         end = held.started + held.finish_within_s
+        item = held.items[index]
         while True:
             time_left = end - anyio.current_time()
             # After its end time an item still runs, without a hurry that helps nobody.
             allowed = time_left if time_left > 0 else held.finish_within_s
             try:
                 text, finish_reason = await self._run_item(
-                    self._id_of(held), index, held.customer, held.items[index], allowed
+                    self._id_of(held), index, held.customer, item, allowed
                 )
-                return ItemResult(index, text, finish_reason)
+                return ItemResult(index, text, item.custom_id, finish_reason)
             except ServingError as error:
                 if not error.code.retryable or -time_left > self._times.overtime_s:
                     return ItemResult(
-                        index, code=error.code.number, detail=error.detail
+                        index,
+                        custom_id=item.custom_id,
+                        code=error.code.number,
+                        detail=error.detail,
                     )
             if held.moving:
                 return None
--- a/snipetrestle/batches/messages.py
+++ b/snipetrestle/batches/messages.py
@@ -19,6 +19,7 @@
 
     index: int
     text: str = ""
+    custom_id: str = ""
     finish_reason: str = ""
     code: int = 0
     detail: str = ""
--- a/snipetrestle/callers/interface.py
+++ b/snipetrestle/callers/interface.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from snipetrestle.callers.batches import BATCHES_PATH
 from snipetrestle.callers.completions import (
     LAST_EVENT,
     AnswerFormat,
@@ -73,6 +74,7 @@
         self._generator = generator
         self._is_ready = is_ready
         self._configuration = None
+        self._batches = None
         self._draining = False
         self._in_progress = 0
         self._idle = anyio.Event()
@@ -84,6 +86,10 @@
             ("GET", "/readyz"): self._tell_readiness,
         }
 
+    def attach_batches(self, batches):
+        """Serves the batch paths with a BatchCalls."""
+        self._batches = batches
+
     def apply(self, configuration):
         """Takes over a published configuration."""
         self._configuration = configuration
@@ -128,6 +134,8 @@
         route = self._routes.get((exchange.method, exchange.path))
         if route is None and exchange.path.startswith(PATH_START):
             route = self._call_service if exchange.method == "POST" else None
+        if self._batches is not None and exchange.path.startswith(BATCHES_PATH):
+            route = self._serve_batches
         if route is None:
             raise ServingError(
                 ResultCode.UNKNOWN_PATH,
@@ -273,6 +281,11 @@
         headers = [(b"content-type", answer.content_type.encode("latin-1"))]
         await exchange.answer(answer.status, answer.body, headers)
 
+    async def _serve_batches(self, exchange):
+        customer = self._authenticate(exchange)
+        with self._shares.admit(customer.name, RequestClass.BATCH, 0):
+            await self._batches.serve(exchange, self._configuration, customer)
+
     async def _list_models(self, exchange):
         customer = self._authenticate(exchange)
         names = [
