Let the last leaving daemon coordinate for itself

Cause: with no routable member left the coordinator was None, which broke the address lookup and ended the demo with a traceback; found by make demo, traced to LimitShares._refresh. The fuzz command's test named one rule of the shortest case, which changed when rules were added. Change: the own name is the fallback; the test checks the promise and the end of the case instead of one rule. Conclusion: the fallback holds for the last daemon only.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -224,8 +224,12 @@
         return None if customer is None else customer.contract
 
     def _coordinator_of(self, name):
-        """Returns the member that coordinates a customer's limits or a store."""
-        return rendezvous_first(name, self.membership.routable())
+        """Returns the member that coordinates a customer's limits or a store.
+
+        The last daemon that leaves coordinates for itself: no member is routable then.
+        """
+        first = rendezvous_first(name, self.membership.routable())
+        return first or self.settings.daemon.name
 
     async def _resign_on_change(self):
         """Gives up what other members coordinate since a change of the membership."""
--- a/tests/fuzz/test_fuzz.py
+++ b/tests/fuzz/test_fuzz.py
@@ -76,5 +76,12 @@
         with contextlib.redirect_stdout(output):
             status = command.main(["--seed", "5", "--examples", "20", "--steps", "10"])
         self.assertEqual(1, status)
-        for text in ("seed 5", "steps in", "shortest failing case", "state.send"):
+        for text in (
+            "seed 5",
+            "steps in",
+            "shortest failing case",
+            # Which rule comes first in the shortest case depends on the set of rules.
+            "state.teardown()",
+            "PromiseBroken: P9",
+        ):
             self.assertIn(text, output.getvalue())
