Measure the control roles and ping a slowly changing set of neighbours

Cause: with all members pinged in turn, at 330 members nearly each ping meets a closed connection, or 329 connections stay open. Change: 16 neighbours are pinged in turn, one of which is replaced in each round; benchmarks of counts on the advanced clock and of processor time and memory.

--- /dev/null
+++ b/benchmarks/control_costs.py
@@ -0,0 +1,395 @@
+"""Processor time and memory of the control parts, measured on this machine."""
+
+import contextlib
+import pathlib
+import random
+import subprocess
+import sys
+import tempfile
+import time
+import tracemalloc
+
+import anyio
+import anyio.lowlevel
+import msgspec
+
+from benchmarks.control_counts import FLEET_SIZES, publish_in_parts
+from benchmarks.reference_loop import cpu_seconds
+from benchmarks.slopes import fit
+from snipetrestle.limits import LimitShares
+from snipetrestle.peers.configuration_changes import (
+    Changes,
+    apply_changes,
+    changes_from_empty,
+)
+from snipetrestle.peers.configuration_reader import ConfigurationReader
+from snipetrestle.peers.grpc_transport import GrpcTransport
+from snipetrestle.peers.membership_messages import (
+    Health,
+    MemberCard,
+    MemberUpdate,
+    Ping,
+    PingReply,
+)
+from snipetrestle.peers.tls import TlsMaterial
+from snipetrestle.peers.transport import MessageRouter
+from snipetrestle.placement import ReplicaChooser
+from snipetrestle.placement.demand import DemandTracker
+from snipetrestle.published import BackendServer, Contract, PublishedConfiguration
+from snipetrestle_standins import writes_fleet
+from snipetrestle_standins.certificates import Authority
+from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.configuration_service import (
+    ConfigurationService,
+    LocalConfigurationSource,
+)
+from snipetrestle_standins.fleet import Fleet, encode_document, small_document
+
+ADAPTERS = (1000, 2000, 4000, 8000)
+MEMBERS = (100, 200, 400, 800)
+REPLICAS = (500, 1000, 2000, 4000)
+CHANNELS = (16, 32, 64, 128)
+CALLS = (200, 400, 800, 1600)
+WRITES = (25, 50, 100, 200)
+CUSTOMERS = (100, 200, 400, 800)
+CHOICES = 500
+MEASURE_S = 30.0
+CALL_TIMEOUT_S = 5.0
+# Time for the library's threads to finish with closed calls.
+QUIET_S = 1.0
+# A page of memory in bytes, the unit of statm.
+PAGE_BYTES = 4096
+
+OWN = MemberUpdate(
+    "entry-100",
+    10**18,
+    2**31,
+    0,
+    Health.ALIVE,
+    False,
+    MemberCard("10.0.0.100:8100", "palermo", "sicily", 1.0),
+)
+
+
+def measure_costs():
+    """Returns the slopes of all times and memory, in ms and kB."""
+    return [
+        # First, so that no freed memory of other measurements is used again.
+        *anyio.run(_connection_costs),
+        *_peer_costs(),
+        *_configuration_costs(),
+        *_entry_costs(),
+        *_keeper_costs(),
+    ]
+
+
+def _peer_costs():
+    times = []
+    for size in FLEET_SIZES:
+        times.append((size, run_advanced(_quiet_fleet_ms, size)))
+    memory = [(count, run_advanced(_membership_kb, count)) for count in MEMBERS]
+    return [
+        fit("peer", "handling of pings", "ms/s", "daemons", times, False),
+        fit("peer", "memory of members", "kB", "daemons", memory, False),
+    ]
+
+
+async def _quiet_fleet_ms(size):
+    async with Fleet(size) as fleet:
+        fleet.configuration.publish(encode_document(small_document(10)))
+        fleet.start_all()
+        await anyio.sleep(MEASURE_S)
+        start = time.process_time()
+        await anyio.sleep(MEASURE_S)
+        return (time.process_time() - start) * 1000 / MEASURE_S / size
+
+
+async def _membership_kb(count):
+    async with Fleet(count) as fleet:
+        # Warms caches, so that only this object's memory is counted.
+        fleet.start(fleet.host(1))
+        await anyio.lowlevel.checkpoint()
+        tracemalloc.start()
+        daemon = fleet.start(fleet.host(0))
+        await daemon.membership._refresh_list()
+        for number in range(1, count):
+            daemon.membership._learn(
+                msgspec.structs.replace(OWN, name=f"entry-{number}")
+            )
+        daemon.membership.routable()
+        size = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        return size / 1000
+
+
+def _configuration_costs():
+    accept, start, read, memory = [], [], [], []
+    for count in ADAPTERS:
+        data = msgspec.json.decode(encode_document(small_document(count)))
+        tracemalloc.start()
+        configuration = PublishedConfiguration.from_data(data)
+        memory.append((count, tracemalloc.get_traced_memory()[0] / 1000))
+        tracemalloc.stop()
+        change = Changes(puts={"adapters": [data["adapters"][7]]})
+        accept.append(
+            (count, _ms(lambda c=configuration, d=change: apply_changes(c, d)))
+        )
+        whole = changes_from_empty(configuration)
+        start.append((count, _ms(lambda c=whole: apply_changes(None, c))))
+        read.append((count, run_advanced(_read_part_ms, count)))
+    against = "adapters known"
+    return [
+        fit("configuration", "accepting a change", "ms", against, accept, False),
+        fit("configuration", "accepting a whole document", "ms", against, start, False),
+        fit("reader", "reading a change in parts", "ms", against, read, False),
+        fit("configuration", "memory", "kB", against, memory, False),
+    ]
+
+
+def _ms(function):
+    return cpu_seconds(function) * 1000
+
+
+async def _read_part_ms(count):
+    service = ConfigurationService()
+    reader = ConfigurationReader(LocalConfigurationSource(service))
+    configuration = None
+    best = float("inf")
+    for step in range(4):
+        publish_in_parts(service, small_document(count + step))
+        reading = await reader.next_reading()
+        start = time.process_time()
+        content = await reader.content(reading, step, configuration)
+        if step:
+            best = min(best, time.process_time() - start)
+        configuration = apply_changes(configuration, content.changes)
+        reader.settle(reading.revision, True)
+    return best * 1000
+
+
+def _entry_costs():
+    choice, replicas, demand, shares = [], [], [], []
+    for count in REPLICAS:
+        elapsed, size = run_advanced(_chooser_cost, count)
+        choice.append((count, elapsed))
+        replicas.append((count, size))
+    for count in ADAPTERS:
+        demand.append((count, run_advanced(_demand_kb, count)))
+    for count in CUSTOMERS:
+        shares.append((count, run_advanced(_shares_kb, count)))
+    return [
+        fit("entry", "choice of a replica", "ms", "replicas", choice, False),
+        fit("entry", "memory of replicas", "kB", "replicas", replicas, False),
+        fit("entry", "memory of demand", "kB", "active adapters", demand, False),
+        fit("entry", "memory of shares", "kB", "active customers", shares, False),
+    ]
+
+
+async def _chooser_cost(count):
+    servers = [
+        BackendServer(
+            f"engine-{number}",
+            "10.0.0.1:8000",
+            "palermo",
+            "sicily",
+            model="base",
+            adapter_slots=8,
+            max_batch=32,
+        )
+        for number in range(count)
+    ]
+    tracemalloc.start()
+    chooser = ReplicaChooser(random.Random(1))
+    chooser.set_replicas({"base": servers})
+    size = tracemalloc.get_traced_memory()[0] / 1000
+    tracemalloc.stop()
+
+    def choose():
+        for number in range(CHOICES):
+            name = chooser.choose("base", f"adapter-{number}", "1")
+            chooser.on_sent(name, f"adapter-{number}", "1")
+            chooser.on_finished(name, f"adapter-{number}", "1", service_s=1.0)
+
+    return _ms(choose) / CHOICES, size
+
+
+async def _demand_kb(count):
+    tracemalloc.start()
+    tracker = DemandTracker()
+    for number in range(count):
+        tracker.note(f"adapter-{number}@1")
+    size = tracemalloc.get_traced_memory()[0] / 1000
+    tracemalloc.stop()
+    return size
+
+
+async def _shares_kb(count):
+    contract = Contract(
+        requests_per_second=100.0,
+        concurrency=1000,
+        tokens_per_minute=1_000_000,
+        waiting_first_token_s=1.0,
+    )
+    names = [f"customer-{number}" for number in range(count)]
+    tracemalloc.start()
+    shares = LimitShares(
+        None, random.Random(1), lambda name: contract, lambda name: "", lambda: 1
+    )
+    for name in names:
+        with shares.admit(name, "waiting", 1):
+            pass
+    size = tracemalloc.get_traced_memory()[0] / 1000
+    tracemalloc.stop()
+    return size
+
+
+def _keeper_costs():
+    times = [(count, run_advanced(_writes_ms, count)) for count in WRITES]
+    return [fit("keeper", "writes, all daemons", "ms", "writes", times, False)]
+
+
+async def _writes_ms(count):
+    async with writes_fleet.Fleet() as fleet:
+        start = time.process_time()
+        for number in range(count):
+            name = fleet.names[number % len(fleet.names)]
+            await fleet.write(name, key=f"key-{number}")
+        return (time.process_time() - start) * 1000
+
+
+async def _connection_costs():
+    """Measures calls and connections under mutual TLS, both ends in this process."""
+    times, handshakes, memory, wire, opening = [], [], [], [], []
+    async with _Pair() as pair:
+        await pair.ping("warm.peers.test")
+        await anyio.sleep(QUIET_S)
+        before = time.process_time(), _resident_kb()
+        for number in range(max(CHANNELS)):
+            await pair.ping(f"peer-{number}.peers.test")
+            if number + 1 in CHANNELS:
+                # The quiet time is spent in waiting and not in processor time.
+                await anyio.sleep(QUIET_S)
+                elapsed = (time.process_time() - before[0]) * 1000
+                handshakes.append((number + 1, elapsed))
+                memory.append((number + 1, _resident_kb() - before[1]))
+    for count in CALLS:
+        async with _Pair() as pair:
+            await pair.ping("warm.peers.test")
+            start = time.process_time()
+            for _ in range(count):
+                await pair.ping("warm.peers.test")
+            await anyio.sleep(QUIET_S)
+            times.append((count, (time.process_time() - start) * 1000))
+    for count in CHANNELS:
+        async with _Pair(counting=True) as pair:
+            await pair.ping("warm.peers.test")
+            await anyio.sleep(QUIET_S)
+            before = pair.counted_bytes
+            for _ in range(count):
+                await pair.ping("warm.peers.test")
+            await anyio.sleep(QUIET_S)
+            wire.append((count, pair.counted_bytes - before))
+            before = pair.counted_bytes
+            for number in range(count):
+                await pair.ping(f"peer-{number}.peers.test")
+            await anyio.sleep(QUIET_S)
+            opening.append((count, pair.counted_bytes - before))
+    return [
+        fit("peer", "calls over TLS, both ends", "ms", "calls", times, False),
+        fit("peer", "first calls, both ends", "ms", "peers", handshakes, False),
+        fit("peer", "memory of connections, both ends", "kB", "peers", memory, False),
+        fit("peer", "bytes of calls on the wire", "B", "calls", wire, False),
+        fit("peer", "bytes of first calls on the wire", "B", "peers", opening, False),
+    ]
+
+
+class _Pair:
+    """A server and a client, with a relay between them that counts the bytes."""
+
+    def __init__(self, counting=False):
+        self.counted_bytes = 0
+        self._counting = counting
+        self._stack = None
+
+    async def __aenter__(self):
+        self._stack = contextlib.AsyncExitStack()
+        with tempfile.TemporaryDirectory() as directory:
+            authority = Authority()
+            server_tls = TlsMaterial.from_files(
+                authority.issue(directory, "*.peers.test")
+            )
+            client_tls = TlsMaterial.from_files(authority.issue(directory, "client"))
+        router = MessageRouter()
+        router.on_call(Ping, self._reply)
+        server = GrpcTransport("server", router, {}.get, server_tls)
+        self._client = GrpcTransport(
+            "client", MessageRouter(), lambda name: self._address, client_tls
+        )
+        enter = self._stack.enter_async_context
+        self._address = await enter(server.serving("127.0.0.1:0"))
+        await enter(self._client.serving("127.0.0.1:0"))
+        if self._counting:
+            group = await enter(anyio.create_task_group())
+            self._stack.callback(group.cancel_scope.cancel)
+            await self._start_relay(group)
+        return self
+
+    async def __aexit__(self, *details):
+        await self._stack.aclose()
+
+    async def _start_relay(self, group):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        host, _, port = self._address.rpartition(":")
+        target = host, int(port)
+
+        async def relay(stream):
+            async with (
+                stream,
+                await anyio.connect_tcp(*target) as server,
+                anyio.create_task_group() as pumps,
+            ):
+                pumps.start_soon(self._pump, stream, server, pumps)
+                pumps.start_soon(self._pump, server, stream, pumps)
+
+        group.start_soon(listener.serve, relay)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self._address = f"127.0.0.1:{port}"
+
+    async def _pump(self, source, target, pumps):
+        with contextlib.suppress(
+            anyio.EndOfStream, anyio.ClosedResourceError, anyio.BrokenResourceError
+        ):
+            async for data in source:
+                self.counted_bytes += len(data)
+                await target.send(data)
+        pumps.cancel_scope.cancel()
+
+    async def _reply(self, sender, message):
+        return PingReply(own=OWN)
+
+    async def ping(self, member):
+        await self._client.call(member, Ping(own=OWN), CALL_TIMEOUT_S)
+
+
+def _resident_kb():
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * PAGE_BYTES / 1000
+
+
+def measure_base_memory():
+    """Returns resident kB of the bare interpreter, and with the product's libraries."""
+    return {
+        "interpreter": _resident_kb_after("pass"),
+        "interpreter and libraries": _resident_kb_after(
+            "import anyio, grpc.aio, google.protobuf, prometheus_client, uvicorn,"
+            " httpcore, cappa, loguru, msgspec, yaml, xxhash"
+        ),
+    }
+
+
+def _resident_kb_after(imports):
+    code = f"{imports}\nprint(open('/proc/self/statm').read().split()[1])"
+    output = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, check=True, text=True
+    )
+    return int(output.stdout) * PAGE_BYTES / 1000
--- a/snipetrestle/peers/membership.py
+++ b/snipetrestle/peers/membership.py
@@ -34,6 +34,11 @@
 
 # Random bits of an incarnation, besides the clock.
 INCARNATION_BITS = 32
+# Members that are pinged in turn; one of them is replaced in each round. With all
+# members in turn, each ping at 330 members needs a TLS handshake of 6 KB, since the
+# connection of the last one was closed as idle, or 54 MB for connections kept open.
+# The chance that nobody pings a member is about exp(-16) and lasts one round.
+NEIGHBOURS = 16
 # Members that are asked to ping one that does not answer.
 INDIRECT_PROBES = 3
 # Members and seeds that a starting daemon asks for its name's last incarnation.
@@ -143,6 +148,7 @@
         self._gone_numbers_by_name = collections.OrderedDict()
         self._suspects = set()
         self._updates = UpdateQueue()
+        self._neighbours = []
         self._round = []
         self._probing = set()
         self._group = None
@@ -330,17 +336,35 @@
                 self._group.start_soon(self._probe, name)
 
     def _next_target(self):
-        """Returns the next member of a shuffled round over all members."""
+        """Returns the next member of a shuffled round over the neighbours."""
         while True:
             if not self._round:
-                self._round = list(self._entries_by_name)
-                self._generator.shuffle(self._round)
+                self._round = self._draw_round()
                 if not self._round:
                     return None
             name = self._round.pop()
             if name in self._entries_by_name:
                 return name
 
+    def _draw_round(self):
+        """Returns the neighbours in random order, one of them newly drawn.
+
+        Neighbours are a random sample of all members that changes slowly, so that most
+        pings find an open connection.
+        """
+        entries = self._entries_by_name
+        kept = [name for name in self._neighbours if name in entries]
+        if len(entries) <= NEIGHBOURS:
+            kept = list(entries)
+        else:
+            self._generator.shuffle(kept)
+            del kept[NEIGHBOURS - 1 :]
+            others = sorted(entries.keys() - set(kept))
+            kept += self._generator.sample(others, NEIGHBOURS - len(kept))
+        self._generator.shuffle(kept)
+        self._neighbours = kept
+        return list(kept)
+
     async def _probe(self, name):
         self._probing.add(name)
         try:
--- a/snipetrestle_standins/configuration_service.py
+++ b/snipetrestle_standins/configuration_service.py
@@ -18,7 +18,9 @@
 
 
 class ConfigurationService:
-    """Values by key. ``calls`` counts reads and watches by kind.
+    """Values by key.
+
+    ``calls`` counts reads and watches by kind, ``sent_bytes`` the values given out.
 
     While ``down``, each call fails. ``freeze`` makes the service answer with the values
     it has now until ``thaw``, as a replica does that lags behind.
@@ -26,6 +28,7 @@
 
     def __init__(self):
         self.calls = Counter()
+        self.sent_bytes = 0
         self.down = False
         self._readings_by_key = {}
         self._frozen = None
@@ -59,7 +62,7 @@
         """Returns the reading or None. Raises SourceUnreachable while down."""
         self.calls["read"] += 1
         self._check_up()
-        return self._find(key)
+        return self._give(self._find(key))
 
     async def watch(self, key, after_revision, wait_s):
         """Returns a newer reading, or None after ``wait_s`` seconds."""
@@ -69,10 +72,15 @@
                 self._check_up()
                 reading = self._find(key)
                 if reading is not None and reading.revision > after_revision:
-                    return reading
+                    return self._give(reading)
                 await self._changed.wait()
         return None
 
+    def _give(self, reading):
+        if reading is not None:
+            self.sent_bytes += len(reading.document)
+        return reading
+
     def _find(self, key):
         readings = self._readings_by_key if self._frozen is None else self._frozen
         return readings.get(key)
