--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -186,6 +186,8 @@
         return ReplicaOwner(server, HttpEngineClient(server.address), self.permits)
 
     def _contract_of(self, name):
+        if self.spread.current is None:
+            return None
         customer = self.spread.current.customers_by_name.get(name)
         return None if customer is None else customer.contract
 
