--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -220,6 +220,8 @@
         return None if contract is None else contract.batch.max_queued_requests
 
     def _contract_of(self, name):
+        if self.spread.current is None:
+            return None
         customer = self.spread.current.customers_by_name.get(name)
         return None if customer is None else customer.contract
 
