Share resident sets in hints, and place by slots instead of speed

Cause: an entry knew only its own placements, and fast replicas got more adapters than they have slots for.

--- a/benchmarks/policy_baselines.py
+++ b/benchmarks/policy_baselines.py
@@ -99,8 +99,17 @@
         return rendezvous_order(f"{adapter}@{version}", weights, 1)[0]
 
 
+class EvenHashChooser(_BaselineChooser):
+    """Consistent hashing by adapter, with equal weights."""
+
+    def choose(self, model, adapter, version, exclude=(), **_):
+        weights = dict.fromkeys(self._open(exclude), 1.0)
+        return rendezvous_order(f"{adapter}@{version}", weights, 1)[0]
+
+
 BASELINES = {
     "random": RandomChooser,
     "least_loaded": LeastLoadedChooser,
     "hash_lru": HashChooser,
+    "even_hash_lru": EvenHashChooser,
 }
--- a/snipetrestle/engines/forward.py
+++ b/snipetrestle/engines/forward.py
@@ -15,13 +15,18 @@
 
 
 class ReplicaHints(msgspec.Struct):
-    """What an owner tells with its replies about a replica, for the choice of replica."""
+    """What an owner tells with its replies about a replica, for the choice of replica.
+
+    ``residents`` are handles without the owner's suffix, the hottest first, and are sent
+    with the last message of a request only.
+    """
 
     replica: str
     queued: int = 0
     running: int = 0
     resident: bool = False
     expected_wait_s: float = 0.0
+    residents: tuple[str, ...] | None = None
 
 
 @register_message
--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -46,6 +46,8 @@
 # Handles whose copies went and which may be loaded again with spare budget.
 KEPT_DROPPED = 32
 PREFETCH_PERIOD_S = 0.5
+# Resident copies named in a reply; 32 names take about 1 kB.
+MAX_HINTED_COPIES = 32
 CANCEL_TIMEOUT_S = 1.0
 
 
@@ -201,6 +203,14 @@
             expected_wait_s=self.expected_wait_s(handle),
         )
 
+    def full_hints(self, handle):
+        """Returns hints with the resident copies, for the end of a request."""
+        hints = self.hints(handle)
+        hints.residents = tuple(
+            name.partition("#")[0] for name in self.slots.hottest(MAX_HINTED_COPIES)
+        )
+        return hints
+
     def expected_wait_s(self, handle=None):
         """Returns the expected seconds until a new waiting request is dispatched."""
         wait = self.queue.count_of(False) * self._service_s / self.server.max_batch
@@ -472,7 +482,7 @@
             reason,
             queue_wait_s=item.first_dispatched - item.entry.arrived,
             load_stall_s=item.load_stall_s,
-            hints=self.hints(item.entry.handle),
+            hints=self.full_hints(item.entry.handle),
         )
 
     async def _on_vanished(self, item, error):
--- a/snipetrestle/placement/chooser.py
+++ b/snipetrestle/placement/chooser.py
@@ -24,8 +24,9 @@
 PLACEMENT_LIFE_S = 120.0
 # A measured slow-down fades with this half-life, so that a recovered engine is tried.
 SPEED_HALF_LIFE_S = 60.0
-# Cost of using a known second copy, as a part of a load's time.
-SECOND_COPY_COST = 0.25
+# Entries prefer candidates in the same order, so that they agree on one copy: each
+# step down the order costs this part of a load's time.
+RANK_COST = 0.6
 DEFAULT_TOKEN_S = 0.025
 DEFAULT_TOKENS = 64
 # Seconds saved by a prompt prefix that the replica probably still holds.
@@ -42,6 +43,8 @@
         "outstanding",
         "hint",
         "hinted_at",
+        "residents",
+        "listed_at",
         "slowness",
         "measured_at",
     )
@@ -52,6 +55,8 @@
         self.outstanding = 0
         self.hint = None
         self.hinted_at = -math.inf
+        self.residents = frozenset()
+        self.listed_at = -math.inf
         self.slowness = 1.0
         self.measured_at = 0.0
 
@@ -117,7 +122,7 @@
                 replica.server = server
                 self._replicas_by_name[server.name] = replica
             self._trees_by_model[model] = CandidateTree(
-                {server.name: server.speed for server in servers}
+                {server.name: server.adapter_slots or 1 for server in servers}
             )
         self._orders.clear()
 
@@ -159,16 +164,21 @@
     def _cost(self, index, name, handle, prefix, tokens, now):
         replica = self._replicas_by_name[name]
         cost = replica.expected_wait_s(now, self._mean_token_s, tokens)
-        # All entries agree on the first candidate, so its copy is the one to keep; a
-        # second copy takes a slot from another adapter.
-        if index > 0:
-            placed_at = self._placements.get((name, handle), -math.inf)
-            placed = now - placed_at <= PLACEMENT_LIFE_S
-            cost += self._load_s * (SECOND_COPY_COST if placed else 1.0)
+        if not self._is_placed(replica, handle, now):
+            cost += self._load_s
+        cost += index * self._load_s * RANK_COST
         if prefix and (name, handle, prefix) in self._prefixes:
             cost -= PREFIX_GAIN_S
         return cost
 
+    def _is_placed(self, replica, handle, now):
+        """Whether the replica probably has the copy, or loads it."""
+        placed_at = self._placements.get((replica.server.name, handle), -math.inf)
+        if handle in replica.residents:
+            return now - max(placed_at, replica.listed_at) <= PLACEMENT_LIFE_S
+        # What was sent after the list was made is not in it yet.
+        return placed_at > replica.listed_at and now - placed_at <= PLACEMENT_LIFE_S
+
     def on_sent(self, replica, adapter, version, tokens=DEFAULT_TOKENS, prefix=""):
         """Counts own work at once, before any hint can show it."""
         state = self._replicas_by_name.get(replica)
@@ -233,3 +243,6 @@
         key = (hints.replica, handle_of(adapter, version))
         if hints.resident:
             self._placements.put(key, state.hinted_at)
+        if hints.residents is not None:
+            state.residents = frozenset(hints.residents)
+            state.listed_at = state.hinted_at
--- a/snipetrestle/placement/slots.py
+++ b/snipetrestle/placement/slots.py
@@ -1,12 +1,13 @@
 """Adapter slots of one replica: copies, pins, promises and eviction."""
 
 import enum
+import heapq
 
 import anyio
 
 # A newcomer whose requests have waited this long counts as hotter than any copy, so
 # that cold adapters are held back but never starved.
-PATIENCE_S = 0.3
+PATIENCE_S = 0.1
 
 
 class CopyState(enum.Enum):
@@ -188,6 +189,15 @@
         )
         return None if best is None else best[2]
 
+    def hottest(self, count):
+        """Returns the handles of present and arriving copies, the hottest first."""
+        copies = [
+            copy.handle
+            for copy in self.copies_by_handle.values()
+            if copy.own and copy.state is not CopyState.UNLOADING
+        ]
+        return heapq.nlargest(count, copies, key=self.demand.rate)
+
     def obtainable(self, handle, waited_s=0.0):
         """Returns the number of slots that the newcomer could get now."""
         limit = self.newcomer_demand(handle, waited_s)
