--- a/snipetrestle/batches/holder.py
+++ b/snipetrestle/batches/holder.py
@@ -69,7 +69,7 @@
     # A batch that cannot finish is failed item by item this long after its end time.
     overtime_s: float = 86_400.0
     first_pause_s: float = 0.5
-    longest_pause_s: float = 30.0
+    longest_pause_s: float = 5.0
 
 
 class BatchStatus(msgspec.Struct, frozen=True):
@@ -513,6 +513,7 @@
     async def _move(self, held, leaving=False):
         """Gives the own place to another daemon, with confirmation."""
         held.moving = True
+        held.move_begun.set()
         try:
             while held.running_items:  # noqa: ASYNC110 - not an event's condition
                 await anyio.sleep(self._times.beat_s / 10)
@@ -538,6 +539,7 @@
                 return
         finally:
             held.moving = False
+            held.move_begun = anyio.Event()
 
     async def _tell(self, held, holder):
         update = UpdateBatch(held.unique, held.lineage)
@@ -635,7 +637,9 @@
                     )
             if held.moving:
                 return None
-            await anyio.sleep(pause * self._generator.uniform(0.5, 1.5))
+            with anyio.move_on_after(pause * self._generator.uniform(0.5, 1.5)):
+                await held.move_begun.wait()
+                return None
             pause = min(2 * pause, self._times.longest_pause_s)
 
     # Handlers and queries
--- a/snipetrestle/batches/records.py
+++ b/snipetrestle/batches/records.py
@@ -56,6 +56,7 @@
         self.batch_id = None
         self.heard_at = anyio.current_time()
         self.moving = False
+        self.move_begun = anyio.Event()
         self.former_partner = None
         self.push_lock = anyio.Lock()
         self.running_items = 0
--- a/snipetrestle/engines/acceptance.py
+++ b/snipetrestle/engines/acceptance.py
@@ -8,7 +8,7 @@
 
 # An owner accepts at once; a successor takes up to about 1 s to find the old owner
 # silent and to take the replica over. Both together stay within the 3 s target.
-ACCEPT_TIMEOUT_S = 1.5
+ACCEPT_TIMEOUT_S = 1.2
 
 
 @contextlib.asynccontextmanager
--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -99,6 +99,8 @@
         self.held_since_by_handle = {}
         # Copies in the last status that the owner's slots do not show.
         self.unlisted = frozenset()
+        # The daemon that took the last hand-over, which the own view may not show yet.
+        self.handed_to = None
         # The view at which this daemon was fenced. It claims again at another one.
         self.gave_up_view = None
         self.lock = anyio.Lock()
@@ -434,8 +436,9 @@
             states[name] = await self._ask(replica.server.name, name)
 
         async with anyio.create_task_group() as group:
-            for name in self._order(replica.server):
-                if name != own and name not in silent:
+            names = dict.fromkeys([*self._order(replica.server), replica.handed_to])
+            for name in names:
+                if name not in (None, own) and name not in silent:
                     group.start_soon(ask, name)
         return states
 
@@ -494,7 +497,7 @@
         self._terms += 1
         replica.number = number
         replica.engine_incarnation = status.incarnation
-        replica.gave_up_view = None
+        replica.gave_up_view = replica.handed_to = None
         replica.suffix = ""
         if not replica.checks_numbers:
             replica.suffix = handle_suffix(
@@ -634,6 +637,7 @@
                     detail=str(error),
                 )
                 return False
+            replica.handed_to = target
             return True
 
     # Watching the engine
--- a/snipetrestle/engines/replicas.py
+++ b/snipetrestle/engines/replicas.py
@@ -77,6 +77,10 @@
             raise ServingError(ResultCode.NOT_OWNER, replica)
         return owner
 
+    def note_unreachable(self, name):
+        """Takes the news that a member did not answer."""
+        self._membership.report_unreachable(name)
+
     def owners(self):
         return tuple(self._owners_by_name.values())
 
