--- a/benchmarks/control_costs.py
+++ b/benchmarks/control_costs.py
@@ -31,6 +31,7 @@
     Ping,
     PingReply,
 )
+from snipetrestle.peers.messages import encode
 from snipetrestle.peers.tls import TlsMaterial
 from snipetrestle.peers.transport import MessageRouter
 from snipetrestle.placement import ReplicaChooser
@@ -303,6 +304,11 @@
     ]
 
 
+def measured_call_payload():
+    """Returns the bytes of the two messages of the measured calls."""
+    return sum(len(encode(item)[1]) for item in (Ping(own=OWN), PingReply(own=OWN)))
+
+
 class _Pair:
     """A server and a client, with a relay between them that counts the bytes."""
 
--- a/benchmarks/control_counts.py
+++ b/benchmarks/control_counts.py
@@ -5,11 +5,13 @@
 import random
 
 import anyio
+import msgspec
 
 from benchmarks.slopes import fit
 from snipetrestle.limits import LimitShares
 from snipetrestle.limits.messages import ShareGrant
 from snipetrestle.peers import messages as peer_messages
+from snipetrestle.platform.sources import Host, HostList
 from snipetrestle.published import Contract
 from snipetrestle_standins import writes_fleet
 from snipetrestle_standins.clock import run_advanced
@@ -29,6 +31,7 @@
 # Adapters in each part of a document in parts.
 PART_ADAPTERS = 250
 WRITES = (10, 20, 40, 80)
+HOSTS = (100, 200, 400, 800)
 CUSTOMERS = (2, 4, 8, 16)
 # Daemons of the fleet in which changes are counted.
 CHANGE_FLEET = 16
@@ -83,7 +86,9 @@
         state.append((size, entries))
         # Updates are repeated a logarithmic number of times.
         lost.append((math.log2(size), event_bytes))
+    hosts = [(count, _host_list_bytes(count)) for count in HOSTS]
     return [
+        fit("peer", "bytes of the host list", "B", "hosts", hosts),
         fit("peer", "messages sent", "1/s", "daemons", messages),
         fit("peer", "bytes sent", "B/s", "daemons", sizes),
         fit("peer", "members held", "entries", "daemons", state),
@@ -91,6 +96,14 @@
     ]
 
 
+def _host_list_bytes(count):
+    hosts = (
+        Host(f"engine-{number}", "10.0.0.1:8000", "palermo", "sicily", role="backend")
+        for number in range(count)
+    )
+    return len(msgspec.json.encode(HostList(1, tuple(hosts))))
+
+
 async def _measure_peer(fleet):
     traffic = _Traffic(fleet)
     await anyio.sleep(MEASURE_S)
--- a/snipetrestle/peers/membership.py
+++ b/snipetrestle/peers/membership.py
@@ -39,6 +39,9 @@
 # connection of the last one was closed as idle, or 54 MB for connections kept open.
 # The chance that nobody pings a member is about exp(-16) and lasts one round.
 NEIGHBOURS = 16
+# Members whose state each ping repeats in turn, although it is not new. A member that
+# missed an update is repaired by them: at 330 members, within about a minute.
+REFRESHED_MEMBERS = 4
 # Members that are asked to ping one that does not answer.
 INDIRECT_PROBES = 3
 # Members and seeds that a starting daemon asks for its name's last incarnation.
@@ -149,6 +152,7 @@
         self._suspects = set()
         self._updates = UpdateQueue()
         self._neighbours = []
+        self._refresh_round = []
         self._round = []
         self._probing = set()
         self._group = None
@@ -397,7 +401,7 @@
             own=self._own_update(),
             digest=self._own_digest(),
             about=_notable(entry),
-            updates=self._updates.take(self._fleet_size()),
+            updates=self._take_updates(),
         )
         try:
             reply = await self._transport.call(name, ping, self._times.ping_timeout_s)
@@ -464,7 +468,7 @@
             own=self._own_update(),
             digest=self._own_digest(),
             about=_notable(self._entries_by_name.get(sender)),
-            updates=self._updates.take(self._fleet_size()),
+            updates=self._take_updates(),
         )
 
     async def _on_ping_request(self, sender, message):
@@ -493,6 +497,18 @@
             msgspec.structs.replace(entry.update, card=entry.card) for entry in entries
         )
 
+    def _take_updates(self):
+        """Returns the updates for a ping, and some of the rest of the view in turn."""
+        updates = self._updates.take(self._fleet_size())
+        for _ in range(min(REFRESHED_MEMBERS, len(self._entries_by_name))):
+            if not self._refresh_round:
+                self._refresh_round = list(self._entries_by_name)
+                self._generator.shuffle(self._refresh_round)
+            entry = self._entries_by_name.get(self._refresh_round.pop())
+            if entry is not None and entry.update.number:
+                updates += (entry.update,)
+        return updates
+
     # Updates
 
     def _hear(self, own, updates, about=None):
