--- a/benchmarks/policy_run.py
+++ b/benchmarks/policy_run.py
@@ -5,6 +5,7 @@
 import anyio
 
 from benchmarks.policy_baselines import BASELINES, BaselineOwner
+from benchmarks.policy_workloads import contract_of
 from snipetrestle.codes import ServingError
 from snipetrestle.engines.forward import Finished, Forward, RequestClass, Tokens
 from snipetrestle.engines.owner import ReplicaOwner
@@ -183,7 +184,7 @@
             group.start_soon(limits.run)
 
     def _contract_of(self, customer):
-        return self.site.contract
+        return contract_of(self.site, customer)
 
     async def _faults(self):
         if self.workload.slow_engine is not None:
@@ -241,10 +242,17 @@
             exclude,
             prefix=arrival.prefix,
             tokens=arrival.max_tokens,
+            is_batch=arrival.is_batch,
         )
         forward = self._forward(record, replica, tokens)
         owner = self.owners_by_name[replica]
-        chooser.on_sent(replica, arrival.adapter, "1", arrival.max_tokens)
+        chooser.on_sent(
+            replica,
+            arrival.adapter,
+            "1",
+            arrival.max_tokens,
+            is_batch=arrival.is_batch,
+        )
         self.meters_by_name[replica].change(1)
         sent = anyio.current_time()
         finished = None
@@ -283,6 +291,7 @@
             arrival.max_tokens,
             service_s=None if arrival.is_batch else elapsed,
             load_stall_s=finished.load_stall_s,
+            is_batch=arrival.is_batch,
         )
         chooser.on_hints(finished.hints, adapter, "1")
 
--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import itertools
 import random
 
 import anyio
@@ -18,17 +19,21 @@
 )
 from snipetrestle.events import Event, log_event
 from snipetrestle.placement.demand import DemandTracker
+from snipetrestle.placement.load_coordinator import AGE_PER_REQUEST_S
 from snipetrestle.placement.permits import LoadClass, LoadDemand
 from snipetrestle.placement.slots import PATIENCE_S, SlotTable
 from snipetrestle.published import PolicyWeights
 from snipetrestle.scheduling.request_queue import (
     DEFAULT_LIMIT,
+    URGENT_S,
     QueueEntry,
     RequestQueue,
 )
 
 # Loads considered at one step; the oldest queued handles come first.
-LOAD_SAMPLE = 16
+LOAD_SAMPLE = 64
+# Puts urgent batch before any group: no group has this many requests.
+URGENT_ORDER_S = 1e9
 # Loads that one replica may ask permits for at once, for each class of requests.
 MAX_PENDING_LOADS = {False: 8, True: 1}
 # Slots that batch work may take for adapters that no waiting request uses: this
@@ -174,7 +179,6 @@
         self.set_policy(policy or PolicyWeights())
         self._items_by_entry = {}
         self._running = set()
-        self._batch_promised = set()
         self._dropped = collections.deque(maxlen=KEPT_DROPPED)
         self._dispatching = True
         self._service_s = DEFAULT_SERVICE_S
@@ -200,7 +204,7 @@
             queued=self.queued,
             running=self.running,
             resident=handle is not None and self.slots.is_resident(handle),
-            expected_wait_s=self.expected_wait_s(handle),
+            expected_wait_s=self.expected_wait_s(),
         )
 
     def full_hints(self, handle):
@@ -211,12 +215,9 @@
         )
         return hints
 
-    def expected_wait_s(self, handle=None):
-        """Returns the expected seconds until a new waiting request is dispatched."""
-        wait = self.queue.count_of(False) * self._service_s / self.server.max_batch
-        if handle is not None and not self.slots.is_resident(handle):
-            wait = max(wait, self.loader.mean_load_s)
-        return wait
+    def expected_wait_s(self):
+        """Returns the expected seconds until a new waiting request has a place."""
+        return self.queue.count_of(False) * self._service_s / self.server.max_batch
 
     @contextlib.asynccontextmanager
     async def submit(self, forward):
@@ -294,7 +295,8 @@
         ratio = policy.batch_efficiency / max(policy.load_stalls, 0.1)
         copies = round(self.server.adapter_slots * BATCH_SLOT_FRACTION * ratio)
         most = max(1, self.server.adapter_slots // 2)
-        self.loader.max_batch_copies = min(max(1, copies), most)
+        # One copy runs while the next is loaded.
+        self.loader.max_batch_copies = min(max(2, copies), most)
 
     def take_status(self, status):
         """Takes an engine's status; a new incarnation clears the view of its copies."""
@@ -567,9 +569,7 @@
         handle = item.entry.handle
         now = anyio.current_time()
         item.copy = self.slots.pin(handle)
-        if item.entry.is_batch:
-            self._batch_promised.discard(handle)
-        else:
+        if not item.entry.is_batch:
             item.copy.for_batch = False
         self._promise(handle)
         self._running.add(item)
@@ -581,8 +581,10 @@
 
     def _promise(self, handle):
         promised = self.queue.count(handle, False)
-        if handle in self._batch_promised:
-            promised += 1
+        copy = self.slots.find(handle)
+        # Batch work keeps its few copies until their groups are done.
+        if copy is not None and copy.for_batch:
+            promised += self.queue.count(handle, True)
         self.slots.set_promises(handle, promised)
 
     def _plan_pause(self):
@@ -623,29 +625,25 @@
     def _plan_class(self, is_batch):
         pending = self.loader.pending_by_handle
         room = MAX_PENDING_LOADS[is_batch] - len(pending)
-        if is_batch and self._unused_batch_copies() >= 2:
-            return
         candidates = []
-        for handle in self.queue.handles(is_batch):
+        for handle in itertools.islice(self.queue.handles(is_batch), LOAD_SAMPLE):
             if handle in pending:
                 self._raise_demand(handle)
-            elif handle not in self.slots.copies_by_handle:
+            elif room > 0 and handle not in self.slots.copies_by_handle:
                 candidates.append(self._load_order(handle, is_batch))
-            if len(candidates) >= LOAD_SAMPLE:
-                break
         for _, handle in sorted(candidates):
             if room < 1:
                 return
             if self._lead(handle, is_batch):
                 room -= 1
 
-    def _unused_batch_copies(self):
-        return len(self._batch_promised)
-
     def _load_order(self, handle, is_batch):
         head = self.queue.head(handle, is_batch)
         count = self.queue.count(handle, is_batch)
-        return head.arrived - 0.25 * count, handle
+        if is_batch and head.deadline - anyio.current_time() > URGENT_S:
+            # The largest group yields the most tokens for its load.
+            return -count, handle
+        return head.arrived - AGE_PER_REQUEST_S * count - URGENT_ORDER_S, handle
 
     def _raise_demand(self, handle):
         waiting = self.queue.count(handle, False)
@@ -687,7 +685,7 @@
         left = 1e9 if entry.is_batch else entry.deadline - anyio.current_time()
         try:
             with anyio.move_on_after(left):
-                loaded = await self.loader.load(
+                await self.loader.load(
                     handle,
                     forward.adapter,
                     forward.version,
@@ -695,8 +693,6 @@
                     lambda: self.fencing_number,
                     lambda: self._wants(handle),
                 )
-                if loaded and demand.load_class == LoadClass.BATCH:
-                    self._batch_promised.add(handle)
         except OldFencingNumber as error:
             self._on_fenced(error)
         except EngineError as error:
--- a/snipetrestle/placement/chooser.py
+++ b/snipetrestle/placement/chooser.py
@@ -27,6 +27,9 @@
 # Entries prefer candidates in the same order, so that they agree on one copy: each
 # step down the order costs this part of a load's time.
 RANK_COST = 0.6
+# Batch work waits this many load times at a replica with the copy rather than use the
+# store for another copy.
+BATCH_LOAD_COST = 20.0
 DEFAULT_TOKEN_S = 0.025
 DEFAULT_TOKENS = 64
 # Seconds saved by a prompt prefix that the replica probably still holds.
@@ -39,8 +42,7 @@
 class _Replica:
     __slots__ = (
         "server",
-        "outstanding_tokens",
-        "outstanding",
+        "tokens_by_class",
         "hint",
         "hinted_at",
         "residents",
@@ -51,8 +53,8 @@
 
     def __init__(self, server):
         self.server = server
-        self.outstanding_tokens = 0
-        self.outstanding = 0
+        # Own outstanding tokens: waiting, batch.
+        self.tokens_by_class = [0, 0]
         self.hint = None
         self.hinted_at = -math.inf
         self.residents = frozenset()
@@ -66,14 +68,22 @@
         slowness = self.slowness**fading
         return mean_token_s * slowness / self.server.speed
 
-    def expected_wait_s(self, now, mean_token_s, tokens):
+    def expected_wait_s(self, now, mean_token_s, tokens, is_batch):
+        """Seconds until a request is done. Batch work does not delay waiting requests."""
         token_s = self.token_s(now, mean_token_s)
-        work = self.outstanding_tokens
+        work = self.tokens_by_class[False]
+        if is_batch:
+            work += self.tokens_by_class[True]
+        own = token_s * work / self.server.max_batch
         age = now - self.hinted_at
-        if self.hint is not None and age < HINT_LIFE_S:
-            others = max(0, self.hint.queued + self.hint.running - self.outstanding)
-            work += others * DEFAULT_TOKENS * (1.0 - age / HINT_LIFE_S)
-        return token_s * (tokens + work / self.server.max_batch)
+        if self.hint is None or age >= HINT_LIFE_S:
+            return token_s * tokens + own
+        # The hint counts own work too, so the larger of both is taken.
+        hinted = self.hint.expected_wait_s
+        if is_batch:
+            queued = self.hint.queued + self.hint.running
+            hinted = token_s * tokens * queued / self.server.max_batch
+        return token_s * tokens + max(own, hinted * (1.0 - age / HINT_LIFE_S))
 
 
 class _BoundedTable(dict):
@@ -127,7 +137,15 @@
         self._orders.clear()
 
     def choose(
-        self, model, adapter, version, exclude=(), *, prefix="", tokens=DEFAULT_TOKENS
+        self,
+        model,
+        adapter,
+        version,
+        exclude=(),
+        *,
+        prefix="",
+        tokens=DEFAULT_TOKENS,
+        is_batch=False,
     ):
         """Returns the name of a replica. Raises ServingError if there is none."""
         handle = handle_of(adapter, version)
@@ -139,7 +157,7 @@
             names = self._random.sample(names, self._sample)
         now = anyio.current_time()
         costs = [
-            (self._cost(index, name, handle, prefix, tokens, now), index)
+            (self._cost(index, name, handle, prefix, tokens, is_batch, now), index)
             for index, name in enumerate(names)
         ]
         return names[min(costs)[1]]
@@ -161,12 +179,13 @@
         count = min(MAX_CANDIDATES, self.wanted_copies(handle) + SPARE_CANDIDATES)
         return [name for name in order if name not in exclude][:count]
 
-    def _cost(self, index, name, handle, prefix, tokens, now):
+    def _cost(self, index, name, handle, prefix, tokens, is_batch, now):
         replica = self._replicas_by_name[name]
-        cost = replica.expected_wait_s(now, self._mean_token_s, tokens)
+        cost = replica.expected_wait_s(now, self._mean_token_s, tokens, is_batch)
+        load_s = self._load_s * (BATCH_LOAD_COST if is_batch else 1.0)
         if not self._is_placed(replica, handle, now):
-            cost += self._load_s
-        cost += index * self._load_s * RANK_COST
+            cost += load_s
+        cost += index * load_s * RANK_COST
         if prefix and (name, handle, prefix) in self._prefixes:
             cost -= PREFIX_GAIN_S
         return cost
@@ -179,13 +198,20 @@
         # What was sent after the list was made is not in it yet.
         return placed_at > replica.listed_at and now - placed_at <= PLACEMENT_LIFE_S
 
-    def on_sent(self, replica, adapter, version, tokens=DEFAULT_TOKENS, prefix=""):
+    def on_sent(
+        self,
+        replica,
+        adapter,
+        version,
+        tokens=DEFAULT_TOKENS,
+        prefix="",
+        is_batch=False,
+    ):
         """Counts own work at once, before any hint can show it."""
         state = self._replicas_by_name.get(replica)
         if state is None:
             return
-        state.outstanding += 1
-        state.outstanding_tokens += tokens
+        state.tokens_by_class[is_batch] += tokens
         handle = handle_of(adapter, version)
         self._placements.put((replica, handle), anyio.current_time())
         if prefix:
@@ -201,6 +227,7 @@
         service_s=None,
         load_stall_s=0.0,
         failed=False,
+        is_batch=False,
     ):
         """Ends what ``on_sent`` counted.
 
@@ -209,8 +236,8 @@
         state = self._replicas_by_name.get(replica)
         if state is None:
             return
-        state.outstanding = max(0, state.outstanding - 1)
-        state.outstanding_tokens = max(0, state.outstanding_tokens - tokens)
+        left = state.tokens_by_class[is_batch] - tokens
+        state.tokens_by_class[is_batch] = max(0, left)
         if failed:
             self._placements.pop((replica, handle_of(adapter, version)), None)
         if load_stall_s > 0.0:
