Hand a replica over on request only if both views agree

Cause: with a view that still shows the sender as failed, two daemons asked each other for a replica in turn, about 20 times in 3 s in a chaos run. Change: the owner follows a request only if its own view has the sender first. Conclusion: a replica stays where it is until both views agree.

--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -907,7 +907,10 @@
 
     async def _on_request_hand_over(self, sender, message):
         replica = self._replicas_by_name.get(message.replica)
-        if replica is not None and replica.owner is not None and self._group:
+        if replica is None or replica.owner is None or self._group is None:
+            return Acknowledged()
+        # Only if both views agree; otherwise the replica would go to and fro.
+        if self._order(replica.server)[:1] == [sender]:
             self._group.start_soon(self._hand_over, replica, sender)
         return Acknowledged()
 
--- a/tests/engines/test_ownership.py
+++ b/tests/engines/test_ownership.py
@@ -394,3 +394,28 @@
             await self.serve(fleet, third)
 
         self.run_both(check)
+
+
+class DifferentViewsTest(OwnershipTest):
+    def test_replica_does_not_go_to_and_fro(self):
+        """Guards against daemons whose views differ and that claim in turn."""
+
+        async def check(fleet):
+            first, second, third = fleet.order_of()
+            fleet.kill(first)
+            fleet.change_views(first, MemberState.FAILED)
+            await self.serve(fleet, third)
+            fleet.start(first)
+            # The second daemon has not heard of the replacement yet.
+            fleet.daemons_by_name[second].set_state(first, MemberState.FAILED)
+            fleet.daemons_by_name[third].set_state(first, MemberState.FAILED)
+            before = fleet.engine().fencing_number >> 32
+            for name in (first, second, third) * 10:
+                await self.serve(fleet, name, max_tokens=5)
+            self.assertEqual([second], fleet.owners_of())
+            self.assertEqual(before, fleet.engine().fencing_number >> 32)
+            fleet.daemons_by_name[second].set_state(first, MemberState.ALIVE)
+            await fleet.settle()
+            self.assertEqual([first], fleet.owners_of())
+
+        self.run_fleet(check)
