--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -8,6 +8,7 @@
 
 from snipetrestle.batches import BatchHolder
 from snipetrestle.callers.batch_items import BatchItems
+from snipetrestle.callers.batches import BatchCalls
 from snipetrestle.callers.entry import EntryRouter
 from snipetrestle.callers.interface import CallerInterface
 from snipetrestle.callers.listener import serving
@@ -187,6 +188,7 @@
             self._batch_allowance_of,
             self.generator,
         )
+        self.callers.attach_batches(BatchCalls(self.batches))
         self.configuration_parts.append(self.batch_items)
         self.tasks.append(self.batches.run)
         self.drain_hooks.append(self._drain_parts)
@@ -218,12 +220,18 @@
         return None if contract is None else contract.batch.max_queued_requests
 
     def _contract_of(self, name):
+        if self.spread.current is None:
+            return None
         customer = self.spread.current.customers_by_name.get(name)
         return None if customer is None else customer.contract
 
     def _coordinator_of(self, name):
-        """Returns the member that coordinates a customer's limits or a store."""
-        return rendezvous_first(name, self.membership.routable())
+        """Returns the member that coordinates a customer's limits or a store.
+
+        The last daemon that leaves coordinates for itself: no member is routable then.
+        """
+        first = rendezvous_first(name, self.membership.routable())
+        return first or self.settings.daemon.name
 
     async def _resign_on_change(self):
         """Gives up what other members coordinate since a change of the membership."""
--- a/snipetrestle/peers/membership.py
+++ b/snipetrestle/peers/membership.py
@@ -34,6 +34,14 @@
 
 # Random bits of an incarnation, besides the clock.
 INCARNATION_BITS = 32
+# Members that are pinged in turn; one of them is replaced in each round. With all
+# members in turn, each ping at 330 members needs a TLS handshake of 6 KB, since the
+# connection of the last one was closed as idle, or 54 MB for connections kept open.
+# The chance that nobody pings a member is about exp(-16) and lasts one round.
+NEIGHBOURS = 16
+# Members whose state each ping repeats in turn, although it is not new. A member that
+# missed an update is repaired by them: at 330 members, within about a minute.
+REFRESHED_MEMBERS = 4
 # Members that are asked to ping one that does not answer.
 INDIRECT_PROBES = 3
 # Members and seeds that a starting daemon asks for its name's last incarnation.
@@ -143,6 +151,8 @@
         self._gone_numbers_by_name = collections.OrderedDict()
         self._suspects = set()
         self._updates = UpdateQueue()
+        self._neighbours = []
+        self._refresh_round = []
         self._round = []
         self._probing = set()
         self._group = None
@@ -330,17 +340,35 @@
                 self._group.start_soon(self._probe, name)
 
     def _next_target(self):
-        """Returns the next member of a shuffled round over all members."""
+        """Returns the next member of a shuffled round over the neighbours."""
         while True:
             if not self._round:
-                self._round = list(self._entries_by_name)
-                self._generator.shuffle(self._round)
+                self._round = self._draw_round()
                 if not self._round:
                     return None
             name = self._round.pop()
             if name in self._entries_by_name:
                 return name
 
+    def _draw_round(self):
+        """Returns the neighbours in random order, one of them newly drawn.
+
+        Neighbours are a random sample of all members that changes slowly, so that most
+        pings find an open connection.
+        """
+        entries = self._entries_by_name
+        kept = [name for name in self._neighbours if name in entries]
+        if len(entries) <= NEIGHBOURS:
+            kept = list(entries)
+        else:
+            self._generator.shuffle(kept)
+            del kept[NEIGHBOURS - 1 :]
+            others = sorted(entries.keys() - set(kept))
+            kept += self._generator.sample(others, NEIGHBOURS - len(kept))
+        self._generator.shuffle(kept)
+        self._neighbours = kept
+        return list(kept)
+
     async def _probe(self, name):
         self._probing.add(name)
         try:
@@ -373,7 +401,7 @@
             own=self._own_update(),
             digest=self._own_digest(),
             about=_notable(entry),
-            updates=self._updates.take(self._fleet_size()),
+            updates=self._take_updates(),
         )
         try:
             reply = await self._transport.call(name, ping, self._times.ping_timeout_s)
@@ -440,7 +468,7 @@
             own=self._own_update(),
             digest=self._own_digest(),
             about=_notable(self._entries_by_name.get(sender)),
-            updates=self._updates.take(self._fleet_size()),
+            updates=self._take_updates(),
         )
 
     async def _on_ping_request(self, sender, message):
@@ -469,6 +497,18 @@
             msgspec.structs.replace(entry.update, card=entry.card) for entry in entries
         )
 
+    def _take_updates(self):
+        """Returns the updates for a ping, and some of the rest of the view in turn."""
+        updates = self._updates.take(self._fleet_size())
+        for _ in range(min(REFRESHED_MEMBERS, len(self._entries_by_name))):
+            if not self._refresh_round:
+                self._refresh_round = list(self._entries_by_name)
+                self._generator.shuffle(self._refresh_round)
+            entry = self._entries_by_name.get(self._refresh_round.pop())
+            if entry is not None and entry.update.number:
+                updates += (entry.update,)
+        return updates
+
     # Updates
 
     def _hear(self, own, updates, about=None):
