Order the suspects and problems alike in each process

Cause: sets of strings iterate in an order that differs between processes. Conclusion: problems of a refused revision are listed in one order on all daemons.

--- a/snipetrestle/peers/configuration_changes.py
+++ b/snipetrestle/peers/configuration_changes.py
@@ -115,7 +115,7 @@
     problems = []
     values = {}
     changed_items = {}
-    for section in {*changes.puts, *changes.removals}:
+    for section in dict.fromkeys((*changes.puts, *changes.removals)):
         if section not in ITEM_TYPES_BY_SECTION:
             problems.append(Problem(section, "", "no such section"))
             continue
--- a/snipetrestle/peers/membership.py
+++ b/snipetrestle/peers/membership.py
@@ -149,7 +149,7 @@
         self._joined = False
         self._entries_by_name = {}
         self._gone_numbers_by_name = collections.OrderedDict()
-        self._suspects = set()
+        self._suspects = {}
         self._updates = UpdateQueue()
         self._neighbours = []
         self._refresh_round = []
@@ -571,7 +571,7 @@
     def _time_suspicion(self, entry, previous):
         name = entry.update.name
         if entry.update.health is not Health.SUSPECTED:
-            self._suspects.discard(name)
+            self._suspects.pop(name, None)
             entry.suspected_until = math.inf
         elif previous.health is not Health.SUSPECTED:
             doublings = math.log2(self._fleet_size())
@@ -580,7 +580,7 @@
                 + self._times.suspicion_s
                 + self._times.suspicion_per_doubling_s * doublings
             )
-            self._suspects.add(name)
+            self._suspects[name] = None
             if self._in_use(name):
                 self.report_unreachable(name)
 
@@ -598,7 +598,7 @@
 
     def _forget(self, name):
         entry = self._entries_by_name.pop(name)
-        self._suspects.discard(name)
+        self._suspects.pop(name, None)
         self._gone_numbers_by_name[name] = entry.update.number
         self._gone_numbers_by_name.move_to_end(name)
         if len(self._gone_numbers_by_name) > MAX_GONE:
