Measure queues, load permits and the hop, and stop a superseded daemon

Cause: the page lacked the owner's and the coordinator's parts, and a daemon whose name has a later incarnation went on without membership. Change: counts of load permits, costs of queues, latency of a hop; the application stops when its membership is superseded; the spread waits for the join, so that a daemon does not become ready before it knows whom to ask.

--- a/benchmarks/capacity_page.py
+++ b/benchmarks/capacity_page.py
@@ -4,6 +4,10 @@
 
 from benchmarks import capacity_totals
 
+# Design section 1.6, 95th percentiles.
+TARGET_FIRST_TOKEN_MS = 890
+TARGET_BETWEEN_TOKENS_MS = 61
+
 PAGE = pathlib.Path(__file__).resolve().parent.parent / "docs" / "CAPACITY.md"
 
 
@@ -114,3 +118,28 @@
         rows.append(f"| {name} | {size / 1000:.1f} |")
     rows.append(f"| state and connections of all lines above | {control / 1000:.1f} |")
     return "\n".join(rows) + "\n"
+
+
+def write_hops(slopes, hop_ms):
+    PAGE.write_text(replace_block(PAGE.read_text(), "hops", hops_table(slopes, hop_ms)))
+
+
+def hops_table(slopes, hop_ms):
+    """Returns how the times to and between tokens are divided."""
+    find = {(slope.role, slope.measure): slope for slope in slopes}
+    choice = find["entry", "choice of a replica"].at(capacity_totals.REPLICAS)
+    dispatch = find["owner", "dispatch of a request"].at(capacity_totals.QUEUE_LIMIT)
+    first = choice + dispatch + hop_ms[1]
+    between = hop_ms[1] / 2
+    rows = [
+        "| part | to the first token (ms) | between tokens (ms) |",
+        "| --- " * 3 + "|",
+        f"| entry: choice of the replica | {choice:.2f} | |",
+        f"| owner: dispatch from a full queue | {dispatch:.2f} | |",
+        f"| hop to the owner and back, 95th percentile | {hop_ms[1]:.1f} "
+        f"(median {hop_ms[0]:.1f}) | {between:.1f}, one way |",
+        f"| left for queue, load, engine, network and callers' HTTP | "
+        f"{TARGET_FIRST_TOKEN_MS - first:.0f} of {TARGET_FIRST_TOKEN_MS} | "
+        f"{TARGET_BETWEEN_TOKENS_MS - between:.0f} of {TARGET_BETWEEN_TOKENS_MS} |",
+    ]
+    return "\n".join(rows) + "\n"
--- a/benchmarks/capacity_totals.py
+++ b/benchmarks/capacity_totals.py
@@ -10,6 +10,7 @@
 DAEMONS = 330
 REGIONS = 4
 DOMAINS = 13
+STORES = 4
 REPLICAS = 3_900
 ADAPTERS = 15_000
 CHANGES_PER_S = 4_800 / 86_400
@@ -18,6 +19,8 @@
 REQUESTS_PER_S = 55
 # 56% of the adapters become active or idle within an hour, so at most this many loads.
 LOADS_PER_S = 0.56 * ADAPTERS / 3_600
+# A queue holds at most this many requests.
+QUEUE_LIMIT = 512
 # Assumptions: the design names neither figure.
 WRITES_PER_S = 180.0
 ACTIVE_CUSTOMERS = 20
@@ -56,11 +59,11 @@
     note: str = ""
 
     def over(self):
-        """Tells whether this line alone exceeds a part of the control budget."""
+        """Tells whether this line alone takes more than half of a budget."""
         return (
-            self.bytes_per_s > BUDGET_BYTES_PER_S
-            or self.ms_per_s > BUDGET_MS_PER_S
-            or self.kilobytes > BUDGET_KB
+            2 * self.bytes_per_s > BUDGET_BYTES_PER_S
+            or 2 * self.ms_per_s > BUDGET_MS_PER_S
+            or 2 * self.kilobytes > BUDGET_KB
         )
 
     def summary(self):
@@ -94,6 +97,8 @@
         _choice(find),
         _shares(find),
         _writes(find),
+        _queues(find),
+        _loads(find),
     ]
 
 
@@ -299,3 +304,44 @@
         1.0,
         f"assumed: {WRITES_PER_S:.0f} writes per second, 1% of the requests",
     )
+
+
+def _queues(find):
+    dispatch = find("owner", "dispatch of a request", "queued requests")
+    memory = find("owner", "memory of a queue", "queued requests")
+    replicas = REPLICAS / DAEMONS
+    return Line(
+        "owner",
+        "queues of its replicas",
+        "scheduling/request_queue.py",
+        f"{replicas:.0f} queues of {QUEUE_LIMIT}",
+        0.0,
+        0.0,
+        dispatch.at(QUEUE_LIMIT) * REQUESTS_PER_S,
+        memory.at(QUEUE_LIMIT) * replicas,
+        _factor(QUEUE_LIMIT, memory),
+        "all queues full",
+    )
+
+
+def _loads(find):
+    messages = find("owner", "messages of load permits", "loads")
+    payload = find("owner", "bytes of load permits", "loads")
+    call_bytes, call_ms = _call(find)
+    # Each daemon asks for its loads; the coordinators are four daemons of the fleet,
+    # and the line is that of a coordinator.
+    rate = LOADS_PER_S / STORES
+    calls = messages.slope / 2 * rate
+    overhead = call_bytes - measured_call_payload()
+    return Line(
+        "coordinator",
+        "load permits of one store",
+        "placement/load_coordinator.py",
+        "pending permits",
+        2 * calls,
+        payload.slope * rate + calls * overhead,
+        calls * call_ms,
+        0.0,
+        1.0,
+        f"{STORES} stores, {LOADS_PER_S:.1f} loads per second in all",
+    )
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -8,12 +8,13 @@
 import argparse
 import sys
 
+import anyio
 import msgspec
 from loguru import logger
 
 from benchmarks import capacity_page
 from benchmarks.capacity_totals import totals_of
-from benchmarks.control_costs import measure_base_memory, measure_costs
+from benchmarks.control_costs import measure_base_memory, measure_costs, measure_hop
 from benchmarks.control_counts import measure_counts
 from benchmarks.reference_loop import cpu_seconds, run_reference
 
@@ -32,15 +33,18 @@
     reference_ms = cpu_seconds(run_reference) * 1000
     base_kb = measure_base_memory()
     slopes += measure_costs()
+    hop_ms = anyio.run(measure_hop)
     totals = totals_of(slopes)
     print_slopes(slopes, reference_ms)
     for line in totals:
         print(f"{line.role}: {line.mechanism}: {line.summary()}")
     if arguments.write_page:
         capacity_page.write(slopes, totals, base_kb, reference_ms)
+        capacity_page.write_hops(slopes, hop_ms)
     report = {
         "reference_ms": reference_ms,
         "base_memory_kb": base_kb,
+        "hop_ms": hop_ms,
         "slopes": slopes,
         "totals": totals,
     }
--- a/benchmarks/control_costs.py
+++ b/benchmarks/control_costs.py
@@ -36,7 +36,13 @@
 from snipetrestle.peers.transport import MessageRouter
 from snipetrestle.placement import ReplicaChooser
 from snipetrestle.placement.demand import DemandTracker
-from snipetrestle.published import BackendServer, Contract, PublishedConfiguration
+from snipetrestle.published import (
+    BackendServer,
+    Contract,
+    PolicyWeights,
+    PublishedConfiguration,
+)
+from snipetrestle.scheduling.request_queue import QueueEntry, RequestQueue
 from snipetrestle_standins import writes_fleet
 from snipetrestle_standins.certificates import Authority
 from snipetrestle_standins.clock import run_advanced
@@ -53,7 +59,12 @@
 CALLS = (200, 400, 800, 1600)
 WRITES = (25, 50, 100, 200)
 CUSTOMERS = (100, 200, 400, 800)
+QUEUED = (50, 100, 200, 400)
 CHOICES = 500
+# Adapter slots of an engine, customers in its queue, and tokens of a request.
+SLOTS = 8
+QUEUE_CUSTOMERS = 10
+REQUEST_TOKENS = 100
 MEASURE_S = 30.0
 CALL_TIMEOUT_S = 5.0
 # Time for the library's threads to finish with closed calls.
@@ -81,6 +92,7 @@
         *_configuration_costs(),
         *_entry_costs(),
         *_keeper_costs(),
+        *_owner_costs(),
     ]
 
 
@@ -304,6 +316,45 @@
     ]
 
 
+def _owner_costs():
+    times, memory = [], []
+    for count in QUEUED:
+        elapsed, size = run_advanced(_queue_cost, count)
+        times.append((count, elapsed))
+        memory.append((count, size))
+    return [
+        fit("owner", "dispatch of a request", "ms", "queued requests", times, False),
+        fit("owner", "memory of a queue", "kB", "queued requests", memory, False),
+    ]
+
+
+async def _queue_cost(count):
+    def make_entry(number):
+        return QueueEntry(
+            f"adapter-{number % SLOTS}@1",
+            False,
+            f"customer-{number % QUEUE_CUSTOMERS}",
+            REQUEST_TOKENS,
+            CALL_TIMEOUT_S,
+        )
+
+    tracemalloc.start()
+    queue = RequestQueue(PolicyWeights(), limit=2 * count)
+    for number in range(count):
+        queue.put(make_entry(number))
+    size = tracemalloc.get_traced_memory()[0] / 1000
+    tracemalloc.stop()
+    handles = [f"adapter-{number}@1" for number in range(SLOTS)]
+
+    def dispatch():
+        for number in range(CHOICES):
+            queue.check_room(False)
+            queue.put(make_entry(number))
+            queue.pop(queue.next(handles, False))
+
+    return _ms(dispatch) / CHOICES, size
+
+
 def measured_call_payload():
     """Returns the bytes of the two messages of the measured calls."""
     return sum(len(encode(item)[1]) for item in (Ping(own=OWN), PingReply(own=OWN)))
@@ -382,6 +433,19 @@
     return pages * PAGE_BYTES / 1000
 
 
+async def measure_hop():
+    """Returns median and 95th percentile in ms of a message to a peer and back."""
+    times = []
+    async with _Pair() as pair:
+        await pair.ping("warm.peers.test")
+        for _ in range(max(CALLS)):
+            start = time.perf_counter()
+            await pair.ping("warm.peers.test")
+            times.append((time.perf_counter() - start) * 1000)
+    times.sort()
+    return times[len(times) // 2], times[len(times) * 95 // 100]
+
+
 def measure_base_memory():
     """Returns resident kB of the bare interpreter, and with the product's libraries."""
     return {
--- a/benchmarks/control_counts.py
+++ b/benchmarks/control_counts.py
@@ -11,11 +11,15 @@
 from snipetrestle.limits import LimitShares
 from snipetrestle.limits.messages import ShareGrant
 from snipetrestle.peers import messages as peer_messages
+from snipetrestle.peers.transport import MessageRouter
+from snipetrestle.placement import CoordinatedPermits, LoadCoordinator
+from snipetrestle.placement.permits import LoadClass
 from snipetrestle.platform.sources import Host, HostList
-from snipetrestle.published import Contract
+from snipetrestle.published import Contract, WeightStore
 from snipetrestle_standins import writes_fleet
 from snipetrestle_standins.clock import run_advanced
 from snipetrestle_standins.fleet import Fleet, encode_document, small_document
+from snipetrestle_standins.network import InMemoryNetwork
 
 FLEET_SIZES = (8, 16, 32, 64)
 # Time for the updates of the start to be passed on, and of each measurement.
@@ -33,6 +37,7 @@
 WRITES = (10, 20, 40, 80)
 HOSTS = (100, 200, 400, 800)
 CUSTOMERS = (2, 4, 8, 16)
+LOADS = (5, 10, 20, 40)
 # Daemons of the fleet in which changes are counted.
 CHANGE_FLEET = 16
 
@@ -45,6 +50,7 @@
         *_reader_counts(),
         *_write_counts(),
         *_limit_counts(),
+        *_load_counts(),
     ]
 
 
@@ -310,3 +316,38 @@
             await anyio.sleep(1.0)
         group.cancel_scope.cancel()
     return transport
+
+
+def _load_counts():
+    messages, sizes = [], []
+    for loads in LOADS:
+        sent, sent_bytes = run_advanced(_run_loads, loads)
+        messages.append((loads, sent))
+        sizes.append((loads, sent_bytes))
+    return [
+        fit("owner", "messages of load permits", "messages", "loads", messages),
+        fit("owner", "bytes of load permits", "B", "loads", sizes),
+    ]
+
+
+async def _run_loads(loads):
+    """Obtains and releases permits one after the other at a coordinator elsewhere."""
+    store = WeightStore("store", loads_per_second=1.0, parallel_loads=1)
+    async with InMemoryNetwork() as network, anyio.create_task_group() as group:
+        router = MessageRouter()
+        coordinator = LoadCoordinator(router, {"store": store}, first=True)
+        network.attach("coordinator", router)
+        group.start_soon(coordinator.run)
+        permits = CoordinatedPermits(
+            network.attach("owner", MessageRouter()),
+            "owner",
+            random.Random(1),
+            lambda name: "coordinator",
+            lambda: 7,
+            {"store": store},
+        )
+        for _ in range(loads):
+            async with permits.permit("store", LoadClass.WAITING):
+                await anyio.sleep(store.load_s)
+        group.cancel_scope.cancel()
+    return network.sent_messages, network.sent_bytes
--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -101,7 +101,11 @@
         self.spread = ConfigurationSpread(
             self.membership, self.transport, self.router, source, self.generator
         )
-        self.tasks += [self.membership.run, self.spread.run]
+        self.tasks += [
+            self.membership.run,
+            self.spread.run,
+            self._stop_when_superseded,
+        ]
 
     def _build_limits(self):
         self.share_coordinator = ShareCoordinator(
@@ -328,6 +332,11 @@
         if self._runner.done():
             await self._runner
 
+    async def _stop_when_superseded(self):
+        """Stops at once: another run of this name may serve the same keys."""
+        await self.membership.superseded.wait()
+        self._stopping.set()
+
     def start_drain(self):
         """Starts a drain and, after it, the stop; returns at once."""
         if not self.draining and self._group is not None:
--- a/snipetrestle/peers/configuration_spread.py
+++ b/snipetrestle/peers/configuration_spread.py
@@ -37,6 +37,8 @@
 READY_ROUNDS = 3
 READY_ROUND_S = 1.0
 ASK_TIMEOUT_S = 1.0
+# A daemon that has no configuration for this long after its start logs an event.
+LEARN_S = 10.0
 FETCH_TIMEOUT_S = 5.0
 # Back-off of a reader while the service is down.
 FIRST_BACKOFF_S = 1.0
@@ -129,6 +131,8 @@
             await self._changed.wait()
 
     async def run(self):
+        # Before the join, the daemon knows no peers that it could ask.
+        await self._membership.joined.wait()
         async with anyio.create_task_group() as group:
             group.start_soon(self._fetch_when_behind)
             group.start_soon(self._read_service)
@@ -141,11 +145,16 @@
         for member, digest in sorted(answered, key=lambda item: item[1], reverse=True):
             if self._lacks(digest):
                 await self._fetch_from(member)
+        with anyio.move_on_after(LEARN_S):
+            await self._wait_current()
         if self.current is None:
             log_event(Event.CONFIGURATION_NOT_LEARNED, peers_asked=len(answered))
+        await self._wait_current()
+        self.ready.set()
+
+    async def _wait_current(self):
         while self.current is None:
             await self._changed.wait()
-        self.ready.set()
 
     async def _ask_sample(self):
         """Returns (member, digest) of a sample of peers. Some rounds may find none."""
--- a/snipetrestle/peers/membership.py
+++ b/snipetrestle/peers/membership.py
@@ -119,6 +119,7 @@
     ``superseded`` is set once a later incarnation of the own name is known: another
     daemon runs under this name, or this one started with a clock that ran backwards
     and no member that knew better. The application then stops and starts again.
+    ``joined`` is set once the own incarnation is final.
     """
 
     def __init__(
@@ -137,6 +138,7 @@
         self.own_name = own_name
         self.view_number = 0
         self.superseded = anyio.Event()
+        self.joined = anyio.Event()
         self._card = own_card
         self._transport = transport
         self._host_list = host_list
@@ -146,7 +148,6 @@
         self._wall_clock_ns = wall_clock_ns
         self._sequence = 0
         self._leaving = False
-        self._joined = False
         self._entries_by_name = {}
         self._gone_numbers_by_name = collections.OrderedDict()
         self._suspects = {}
@@ -295,7 +296,7 @@
         )
         if known >= self.own_incarnation.number:
             self.own_incarnation = self._new_incarnation(known)
-        self._joined = True
+        self.joined.set()
         for contact, reply in replies:
             self._hear(reply.own, reply.updates)
             self._heard_digest(reply.own.name or contact, reply.digest)
@@ -303,7 +304,7 @@
 
     async def run(self):
         """Joins unless done, then detects failures until cancelled or superseded."""
-        if not self._joined:
+        if not self.joined.is_set():
             await self.join()
         async with anyio.create_task_group() as group:
             self._group = group
@@ -549,7 +550,7 @@
 
     def _learn_of_self(self, update):
         own = self.own_incarnation
-        if not self._joined:
+        if not self.joined.is_set():
             known = self._gone_numbers_by_name.get(self.own_name, 0)
             self._gone_numbers_by_name[self.own_name] = max(known, update.number)
             return
