--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -6,14 +6,17 @@
 
 import anyio
 
+from snipetrestle.batches import BatchHolder
+from snipetrestle.callers.batch_items import BatchItems
+from snipetrestle.callers.batches import BatchCalls
 from snipetrestle.callers.entry import EntryRouter
 from snipetrestle.callers.interface import CallerInterface
 from snipetrestle.callers.listener import serving
 from snipetrestle.callers.services import ServiceCalls
-from snipetrestle.engines.forwarding import ForwardHandler
+from snipetrestle.draining import drain_daemon
 from snipetrestle.engines.http_client import HttpEngineClient, StreamPace
 from snipetrestle.engines.owner import ReplicaOwner
-from snipetrestle.engines.replicas import OwnedReplicas
+from snipetrestle.engines.ownership import ReplicaOwnership
 from snipetrestle.events import Event, log_event
 from snipetrestle.hashing import rendezvous_first
 from snipetrestle.limits import LimitShares, ShareCoordinator
@@ -94,6 +97,7 @@
         self.membership = Membership.from_settings(
             settings, self.transport, self.router, self.backend_hosts, self.generator
         )
+        self.membership.attach_connections(self.transport.in_use, self.transport.drop)
         self.spread = ConfigurationSpread(
             self.membership, self.transport, self.router, source, self.generator
         )
@@ -140,8 +144,13 @@
             self._stores_by_name,
         )
         self.pace = StreamPace()
-        self.owned = OwnedReplicas(self.membership, self._make_owner)
-        self.forward_handler = ForwardHandler(self.router, self.owned)
+        self.owned = ReplicaOwnership(
+            self.membership,
+            self.transport,
+            self.router,
+            lambda server: HttpEngineClient(server.address, self.generator, self.pace),
+            self._make_owner,
+        )
         self.configuration_parts.append(self.owned)
         self.tasks += [
             self.load_coordinator.run,
@@ -171,11 +180,19 @@
         self.operators = OperatorInterface(ApplicationReports(self))
         self.configuration_parts.append(self.callers)
         self.backend_hosts.on_change(self._set_replicas)
-        self.drain_hooks += [
-            self.membership.leave,
-            self.callers.drain,
-            self.writes.drain,
-        ]
+        self.batch_items = BatchItems(self.entry, self.generator)
+        self.batches = BatchHolder(
+            self.membership,
+            self.transport,
+            self.router,
+            self.batch_items.run,
+            self._batch_allowance_of,
+            self.generator,
+        )
+        self.callers.attach_batches(BatchCalls(self.batches))
+        self.configuration_parts.append(self.batch_items)
+        self.tasks.append(self.batches.run)
+        self.drain_hooks.append(self._drain_parts)
 
     def _start_keeper(self):
         # Built after the join, which may raise the own incarnation.
@@ -183,11 +200,26 @@
         self.configuration_parts.append(self.keeper)
         self.tasks.append(self.keeper.run)
 
-    def _make_owner(self, server):
+    def _make_owner(self, server, engine, number, suffix):
         return ReplicaOwner(
-            server, HttpEngineClient(server.address, self.pace), self.permits
+            server,
+            engine,
+            self.permits,
+            number,
+            suffix,
+            rng=self.generator,
+            policy=self.spread.current.policy,
+        )
+
+    async def _drain_parts(self):
+        await drain_daemon(
+            self.membership, self.owned, self.batches, self.callers, self.writes
         )
 
+    def _batch_allowance_of(self, name):
+        contract = self._contract_of(name)
+        return None if contract is None else contract.batch.max_queued_requests
+
     def _contract_of(self, name):
         if self.spread.current is None:
             return None
@@ -195,8 +227,12 @@
         return None if customer is None else customer.contract
 
     def _coordinator_of(self, name):
-        """Returns the member that coordinates a customer's limits or a store."""
-        return rendezvous_first(name, self.membership.routable())
+        """Returns the member that coordinates a customer's limits or a store.
+
+        The last daemon that leaves coordinates for itself: no member is routable then.
+        """
+        first = rendezvous_first(name, self.membership.routable())
+        return first or self.settings.daemon.name
 
     async def _resign_on_change(self):
         """Gives up what other members coordinate since a change of the membership."""
@@ -230,6 +266,9 @@
         if self.spread.current is None:
             return
         is_leaving = self.backend_hosts.is_leaving
+        self.owned.set_leaving(
+            name for name in self.spread.current.servers_by_name if is_leaving(name)
+        )
         self.entry.set_replicas(
             {
                 model: [item for item in servers if not is_leaving(item.name)]
--- a/snipetrestle/engines/http_client.py
+++ b/snipetrestle/engines/http_client.py
@@ -12,7 +12,7 @@
 
 import asyncio
 import contextlib
-import uuid
+import random
 
 import msgspec
 
@@ -44,6 +44,7 @@
 # the maximum stays below the 61 ms between tokens that the design allows.
 HOLD_PER_STREAM_S = 0.0002
 MAX_HOLD_S = 0.040
+CHANNEL_ID_BITS = 96
 
 
 class EngineRefusal(msgspec.Struct):
@@ -180,8 +181,8 @@
 class _Channel:
     """The open channel to an engine. ``run`` reads it until it breaks."""
 
-    def __init__(self, connections, pace):
-        self.path = f"/v1/channels/{uuid.uuid4().hex}"
+    def __init__(self, connections, pace, generator):
+        self.path = f"/v1/channels/{generator.getrandbits(CHANNEL_ID_BITS):x}"
         self.opened = asyncio.get_running_loop().create_future()
         self.error = None
         self._connections = connections
@@ -276,12 +277,14 @@
 class HttpEngineClient:
     """EngineClient of one engine at ``IP:PORT``.
 
-    ``backend`` is httpcore's network, for tests. The channel is read by a task of the
+    ``generator`` is a random.Random and names the channels, so two daemons must not
+    share its seed. ``backend`` is httpcore's network, for tests. The channel is read by a task of the
     event loop's, since it outlives the requests; ``aclose`` ends it.
     """
 
-    def __init__(self, address, pace=None, backend=None):
+    def __init__(self, address, generator=None, pace=None, backend=None):
         self.address = address
+        self._generator = generator or random.Random()
         self._pace = pace or StreamPace()
         self._connections = Connections(address, backend)
         self._channel = None
@@ -338,7 +341,7 @@
     async def _open_channel(self):
         """Returns the open channel; opens one if there is none or it broke."""
         if self._channel is None or self._channel.error is not None:
-            self._channel = _Channel(self._connections, self._pace)
+            self._channel = _Channel(self._connections, self._pace, self._generator)
             self._reader = asyncio.create_task(self._channel.run())
         channel = self._channel
         # The opening serves all streams that wait for it, so none may cancel it.
--- a/snipetrestle_standins/data_path.py
+++ b/snipetrestle_standins/data_path.py
@@ -125,7 +125,7 @@
             lambda server: ReplicaOwner(
                 server,
                 path.wrap_engine(
-                    HttpEngineClient(server.address, backend=self.backend)
+                    HttpEngineClient(server.address, generator, backend=self.backend)
                 ),
                 UnlimitedPermits(),
             ),
