--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -14,7 +14,7 @@
 from snipetrestle.callers.listener import serving
 from snipetrestle.callers.services import ServiceCalls
 from snipetrestle.draining import drain_daemon
-from snipetrestle.engines.http_client import HttpEngineClient
+from snipetrestle.engines.http_client import HttpEngineClient, StreamPace
 from snipetrestle.engines.owner import ReplicaOwner
 from snipetrestle.engines.ownership import ReplicaOwnership
 from snipetrestle.events import Event, log_event
@@ -147,11 +147,12 @@
             self.membership.listed_count,
             self._stores_by_name,
         )
+        self.pace = StreamPace()
         self.owned = ReplicaOwnership(
             self.membership,
             self.transport,
             self.router,
-            lambda server: HttpEngineClient(server.address),
+            lambda server: HttpEngineClient(server.address, self.generator, self.pace),
             self._make_owner,
         )
         self.configuration_parts.append(self.owned)
