--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -11,6 +11,8 @@
     STARTED = (1001, "INFO", "daemon started")
     READY = (1002, "INFO", "daemon is ready")
     DRAIN_STARTED = (1003, "INFO", "drain started")
+    DRAIN_STEP_ENDED = (1021, "INFO", "step of the drain ended")
+    DRAIN_STEP_FAILED = (1022, "ERROR", "step of the drain failed")
     STOPPED = (1004, "INFO", "daemon stopped")
     CONFIGURATION_ACCEPTED = (1101, "INFO", "configuration revision accepted")
     CONFIGURATION_REFUSED = (1102, "ERROR", "configuration revision refused")
@@ -59,6 +61,8 @@
     ANSWER_MISMATCH = (1306, "ERROR", "answer does not match its request")
     ENGINE_UNREACHABLE = (1307, "WARNING", "engine is not reachable")
     STREAM_RESUMED = (1308, "INFO", "stream resumed")
+    SERVER_LEAVING = (1321, "INFO", "backend server leaves and gets no new work")
+    HAND_OVER_UNCONFIRMED = (1322, "WARNING", "hand-over was not confirmed")
     REQUEST_REFUSED = (1401, "DEBUG", "request refused")
     REQUEST_FAILED = (1402, "WARNING", "request failed")
     INTERNAL_ERROR = (1403, "ERROR", "internal error")
@@ -68,6 +72,7 @@
     BATCH_ACCEPTED = (1601, "INFO", "batch accepted")
     BATCH_TAKEN_OVER = (1602, "WARNING", "batch taken over from a failed holder")
     BATCH_LOST = (1603, "ERROR", "batch is lost")
+    BATCH_NOT_REPLICATED = (1604, "WARNING", "batch has only one holder")
 
     def __init__(self, number, level, message):
         self.number = number
--- a/snipetrestle/writes/keeper.py
+++ b/snipetrestle/writes/keeper.py
@@ -41,9 +41,12 @@
 # A page stays below the 4 MiB limit of a gRPC message, whatever results it holds.
 PAGE_RECORDS = 200
 PAGE_BYTES = 1_048_576
+# The pause between tries doubles up to the limit: a keeper that waits for an operator
+# must not load the others.
 JOIN_RETRY_S = 0.25
-# After this many failed tries (about 5 s) a keeper logs that it cannot recover.
-TRIES_BEFORE_EVENT = 20
+JOIN_RETRY_MAX_S = 5.0
+# After this many failed tries (8 s and more) a keeper logs that it cannot recover.
+TRIES_BEFORE_EVENT = 6
 
 
 class KeeperPartition:
@@ -61,6 +64,7 @@
             KeeperStage.PREPARED if previous_group is None else KeeperStage.JOINING
         )
         self._announced = False
+        self._woken = anyio.Event()
 
     @property
     def others(self):
@@ -169,14 +173,30 @@
 
     async def join(self):
         """Brings this keeper to ``ready``: by recovery, or by the group's first start."""
-        tries = 0
+        tries, pause_s = 0, JOIN_RETRY_S
         while self.stage in (KeeperStage.JOINING, KeeperStage.PREPARED):
             if await self._try_to_join():
                 return
             tries += 1
             if tries == TRIES_BEFORE_EVENT:
                 self.keeper.report_blocked(self)
-            await anyio.sleep(JOIN_RETRY_S)
+            with anyio.move_on_after(pause_s):
+                await self._woken.wait()
+            pause_s = min(2 * pause_s, JOIN_RETRY_MAX_S)
+            if self._woken.is_set():
+                self._woken = anyio.Event()
+                pause_s = JOIN_RETRY_S
+                await anyio.sleep(pause_s)
+
+    def wake(self):
+        """Lets a keeper that waits between two tries try again soon."""
+        self._woken.set()
+
+    def note_incarnation(self, name, incarnation):
+        """Notes a keeper's announcement. A new run may be the one that was missing."""
+        if name not in self.known or self.known[name] < incarnation:
+            merge_known(self.known, {name: incarnation})
+            self.wake()
 
     async def _try_to_join(self):
         replies = await self.keeper.asker.ask(self.others, self._join_message())
@@ -339,6 +359,7 @@
             if certificate.get(self.keeper.own_name) != self.incarnation:
                 return False
             self.certificate = certificate
+            self.wake()
         return self.certificate == certificate
 
     def _become_ready(self):
@@ -502,7 +523,7 @@
 
     async def _on_join(self, sender, message):
         partition = self._find(message)
-        merge_known(partition.known, {sender: message.incarnation})
+        partition.note_incarnation(sender, message.incarnation)
         with_records = partition.stage is KeeperStage.READY
         return partition.state(message.after if with_records else None)
 
--- a/snipetrestle_standins/writes_fleet.py
+++ b/snipetrestle_standins/writes_fleet.py
@@ -10,10 +10,12 @@
 from snipetrestle.peers.members import Incarnation, Member, StaticMembership
 from snipetrestle.peers.transport import MessageRouter
 from snipetrestle.published import PublishedConfiguration
+from snipetrestle.services.protocol import OldFencingNumber, ServiceUnreachable
 from snipetrestle.writes import Keeper, WriteCoordinator, WriteRequest
 from snipetrestle.writes.groups import GroupLayout
 from snipetrestle.writes.records import digest_of
 from snipetrestle_standins.network import InMemoryNetwork
+from snipetrestle_standins.recording import RecordingTransport
 from snipetrestle_standins.service import ServiceLine, StandInService
 
 DOMAINS = ("palermo", "catania", "messina")
@@ -78,9 +80,10 @@
         self.fleet = fleet
         self.name = name
         self.router = MessageRouter()
-        self.transport = fleet.network.attach(name, self.router)
-        if fleet.transport_type is not None:
-            self.transport = fleet.transport_type(self.transport)
+        self.endpoint = fleet.network.attach(name, self.router)
+        self.transport = self.endpoint
+        if fleet.session is not None:
+            self.transport = RecordingTransport(self.endpoint, fleet.session)
         self.incarnation = Incarnation(number, 7)
         self.membership = StaticMembership(
             name, self.incarnation, make_members(fleet.names)
@@ -88,21 +91,32 @@
         self.keeper = fleet.keeper_class(
             self.transport, self.router, self.membership, fleet.partitions
         )
+        self.line = ServiceLine(fleet.service, self.endpoint.pause_point)
         self.coordinator = fleet.coordinator_class(
             self.transport,
             self.router,
             self.membership,
-            ServiceLine(fleet.service, self.transport.pause_point),
+            self.line if fleet.session is None else _RecordingLine(self),
             random.Random(f"{fleet.seed}-{name}-{number}"),
             fleet.partitions,
         )
         self.scope = anyio.CancelScope()
+        self.connections = set()
         self.apply(fleet.configuration)
 
     def apply(self, configuration):
+        self.applied = configuration
         self.keeper.apply(configuration)
         self.coordinator.apply(configuration)
 
+    def stop(self):
+        """Ends all tasks at once and closes the callers' connections."""
+        self.line.stop()
+        self.endpoint.resume()
+        self.scope.cancel()
+        for connection in tuple(self.connections):
+            connection.cancel()
+
     async def run(self):
         with self.scope:
             async with anyio.create_task_group() as tasks:
@@ -110,10 +124,28 @@
                 tasks.start_soon(self.coordinator.run)
 
 
+class _RecordingLine:
+    """Notes a daemon's calls of the service and their answers in the session."""
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+
+    async def call(self, call):
+        name, session = self._daemon.name, self._daemon.fleet.session
+        session.note(name, call.service, call)
+        try:
+            answer = await self._daemon.line.call(call)
+        except (ServiceUnreachable, OldFencingNumber) as error:
+            session.write(f"{call.service} -> {name} {error}")
+            raise
+        session.note(call.service, name, answer)
+        return answer
+
+
 class Fleet:
     """All daemons, the network and the service. Use as an async context manager.
 
-    ``keeper_class`` and ``coordinator_class`` are replaced by tests that switch a guard
+    A ``session`` records all messages. ``keeper_class`` and ``coordinator_class`` are replaced by tests that switch a guard
     off. One partition makes the start cheap and the keepers the same for every key.
     """
 
@@ -124,7 +156,7 @@
         coordinator_class=WriteCoordinator,
         faults=None,
         seed=1,
-        transport_type=None,
+        session=None,
         partitions=1,
     ):
         self.configuration = configuration or make_configuration()
@@ -132,12 +164,13 @@
         self.keeper_class = keeper_class
         self.coordinator_class = coordinator_class
         self.seed = seed
-        self.transport_type = transport_type
+        self.session = session
         self.partitions = partitions
         self.network = InMemoryNetwork()
         self.service = StandInService(faults=faults)
         self.daemons_by_name = {}
         self._starts = 0
+        self._runs = []
         self._group = None
 
     async def __aenter__(self):
@@ -152,6 +185,8 @@
         return self
 
     async def __aexit__(self, *details):
+        for daemon in self._runs:
+            daemon.stop()
         self._group.cancel_scope.cancel()
         await self._group.__aexit__(*details)
         await self.service.__aexit__(*details)
@@ -167,6 +202,7 @@
         self._starts += 1
         daemon = Daemon(self, name, number or self._starts)
         self.daemons_by_name[name] = daemon
+        self._runs.append(daemon)
         self._group.start_soon(daemon.run)
         return daemon
 
@@ -174,7 +210,7 @@
         daemon = self.daemons_by_name.pop(name, None)
         if daemon is not None:
             self.network.kill(name)
-            daemon.scope.cancel()
+            daemon.stop()
 
     def replace_paused(self, name):
         """Replaces a daemon whose old run is paused and goes on when it is resumed.
@@ -206,15 +242,29 @@
     async def write(
         self, name, key="k1", operation="plain", body=b"{}", time_left_s=5.0
     ):
-        """Sends a write to one entry. Returns (code number or 0, WriteResult or error)."""
+        """Sends a write to one entry; returns (code, WriteResult or ServingError).
+
+        The code is 0 for a result, and None if the entry was killed meanwhile.
+        """
         request = WriteRequest(
             CUSTOMER, SERVICE, operation, key, body, "application/json", time_left_s
         )
-        try:
-            result = await self.daemons_by_name[name].coordinator.run_write(request)
-        except ServingError as error:
-            return error.code.number, error
-        return 0, result
+        daemon = self.daemons_by_name.get(name)
+        if daemon is None:
+            return None, None
+        with anyio.CancelScope() as connection:
+            daemon.connections.add(connection)
+            try:
+                await daemon.endpoint.pause_point()
+                result = await daemon.coordinator.run_write(request)
+                await daemon.endpoint.pause_point()
+                return 0, result
+            except ServingError as error:
+                await daemon.endpoint.pause_point()
+                return error.code.number, error
+            finally:
+                daemon.connections.discard(connection)
+        return None, None
 
     async def write_everywhere(self, **arguments):
         """Sends the same write to all daemons at one instant; returns the answers."""
