Note the outcome of loads whose call is cancelled, and take over on a report

Cause: in a chaos run an adapter stayed "loading" at its owner for good: a cancelled gRPC call cancels the asyncio task that led the load, and a shielded scope does not keep that off. Batch items for it waited for ever and held up a drain. A paused owner's replicas were served after 2.9 to 4.3 s, since each waited for a request of its own.

Change: load and unload orders run in tasks of their own. A daemon that finds a member silent tells the members' successors, which probe it themselves.

Result: the adapter is resident after the cancellation, and is not with the order run in place (tests.engines.test_ownership).

Conclusion: takeover depends on one failed request, not on one per replica.

--- a/benchmarks/chaos.py
+++ b/benchmarks/chaos.py
@@ -399,6 +399,8 @@
                         self.check_batch(json.loads(body)["results"], items)
             await anyio.sleep(0.2)
         self.results.batches_unfinished = len(waiting)
+        if waiting:
+            await self.show_state()
 
     def check_batch(self, results, items):
         self.results.batches_finished += 1
@@ -496,6 +498,8 @@
             while daemon.process.poll() is None:  # noqa: ASYNC110 - a process
                 await anyio.sleep(0.05)
         code = daemon.process.poll()
+        if code is None:
+            await self.show_state()
         if code != 0:
             self.results.cut_off["leaving daemon did not end"] += 1
         print(
@@ -505,6 +509,14 @@
             flush=True,
         )
 
+    async def show_state(self):
+        """Prints what owners and engines hold, to find what is stuck."""
+        for daemon in self.daemons:
+            _, body = await self.get(daemon.operators, "/v1/replicas", OPERATOR_KEY)
+            print(daemon.name, body.decode(), flush=True)
+        for name, status in (await self.counts())["statuses"].items():
+            print(name, json.dumps(status), flush=True)
+
     # The run
 
     async def run(self):
--- a/benchmarks/chaos_standins.py
+++ b/benchmarks/chaos_standins.py
@@ -13,6 +13,7 @@
 
 import anyio
 import anyio.to_thread
+import msgspec
 
 from snipetrestle.callers.listener import serving
 from snipetrestle.platform.sources import Host
@@ -151,6 +152,10 @@
                 len(core.in_use_evictions) for core in engines.values()
             ),
             "refused_orders": sum(core.refused_orders for core in engines.values()),
+            "statuses": {
+                name: msgspec.to_builtins(await core.status())
+                for name, core in engines.items()
+            },
             "owner_changes": {
                 name: core.owner_changes for name, core in engines.items()
             },
--- a/snipetrestle/engines/loading.py
+++ b/snipetrestle/engines/loading.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from snipetrestle.engines.detached import run_detached
 from snipetrestle.engines.protocol import (
     EngineError,
     LoadOrder,
@@ -74,7 +75,7 @@
                         permit.unused = True
                     return False
                 order = LoadOrder(handle, adapter, version, fencing_number())
-                await self._order_load(order)
+                await run_detached(self._order_load(order))
         finally:
             self.pending_by_handle.pop(handle, None)
         self.loads += 1
@@ -84,15 +85,12 @@
 
     async def _order_load(self, order):
         started = anyio.current_time()
-        # An order on its way cannot be taken back, so it is awaited even if the
-        # request that led it is cancelled.
-        with anyio.CancelScope(shield=True):
-            try:
-                await self.engine.load(order)
-            except EngineError as error:
-                self.slots.forget(order.handle)
-                self._note_failure(order.handle, error)
-                raise
+        try:
+            await self.engine.load(order)
+        except EngineError as error:
+            self.slots.forget(order.handle)
+            self._note_failure(order.handle, error)
+            raise
         self._failures_by_handle.pop(order.handle, None)
         self.slots.finish_load(order.handle, anyio.current_time() - started)
 
@@ -103,22 +101,28 @@
             if victim is None:
                 return False
             self.slots.begin_unload(victim)
-            with anyio.CancelScope(shield=True):
-                try:
-                    await self.engine.unload(UnloadOrder(victim, fencing_number()))
-                except OldFencingNumber:
-                    self.slots.cancel_unload(victim)
-                    raise
-                except EngineError:
-                    self.slots.cancel_unload(victim)
-                    return False
-            self.slots.forget(victim)
+            order = UnloadOrder(victim, fencing_number())
+            if not await run_detached(self._order_unload(order)):
+                return False
         if self.slots.find(handle) is not None:
             return False
         self.slots.begin_load(handle)
         self.slots.find(handle).for_batch = demand.load_class == LoadClass.BATCH
         return True
 
+    async def _order_unload(self, order):
+        """Returns whether the engine has unloaded the copy."""
+        try:
+            await self.engine.unload(order)
+        except OldFencingNumber:
+            self.slots.cancel_unload(order.handle)
+            raise
+        except EngineError:
+            self.slots.cancel_unload(order.handle)
+            return False
+        self.slots.forget(order.handle)
+        return True
+
     def _victim(self, handle, demand):
         if demand.load_class == LoadClass.BATCH:
             return self.slots.batch_victim(self.max_batch_copies)
--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -17,6 +17,7 @@
 from snipetrestle.engines.ownership_messages import (
     AskOwner,
     HandOverReplica,
+    OwnerSilent,
     OwnerState,
     ReleasePins,
     RequestHandOver,
@@ -186,6 +187,7 @@
         router.on_call(AskOwner, self._on_ask_owner)
         router.on_call(RequestHandOver, self._on_request_hand_over)
         router.on_call(HandOverReplica, self._on_hand_over)
+        router.on_call(OwnerSilent, self._on_owner_silent)
         router.on_call(ReleasePins, self._on_release_pins)
 
     # Inputs
@@ -232,6 +234,7 @@
         if self._group is not None and name not in self._unreachable:
             self._unreachable.add(name)
             self._group.start_soon(self._probe_until_answer, name)
+            self._group.start_soon(self._tell_successors, name)
 
     def confirm_stopped(self, name):
         """Takes an operator's word that the host of a daemon is stopped for good."""
@@ -870,6 +873,36 @@
             code = ResultCode.STREAM_BROKEN if error.sent else ResultCode.NOT_OWNER
             raise ServingError(code, str(error)) from error
 
+    async def _tell_successors(self, name):
+        """Lets the successors of a silent member take over without waiting for requests."""
+        successors = {
+            order[1]
+            for replica in self._replicas_by_name.values()
+            if (order := self._order(replica.server))[:1] == [name] and len(order) > 1
+        }
+        message = OwnerSilent(name)
+        for successor in sorted(successors):
+            if successor == self._membership.own_name:
+                self._take_over_from(name)
+                continue
+            with contextlib.suppress(PeerUnreachable, ServingError):
+                await self._transport.call(
+                    successor, message, self._times.ask_timeout_s
+                )
+
+    def _take_over_from(self, name):
+        """Starts claims of the replicas for which this daemon succeeds a silent one."""
+        own = self._membership.own_name
+        for replica in self._replicas_by_name.values():
+            if (
+                self._order(replica.server)[:2] == [name, own]
+                and replica.owner is None
+                and replica.claim is None
+                and self._may_claim(replica)
+            ):
+                replica.claim = _Claim()
+                self._group.start_soon(self._claim_after_check, replica, replica.claim)
+
     async def _probe_until_answer(self, name):
         """Keeps a silent member out of ``owner_name`` until it answers or is gone."""
         while True:
@@ -925,6 +958,11 @@
                 await self._take(replica, message)
         return Acknowledged()
 
+    async def _on_owner_silent(self, sender, message):
+        if self._group is not None:
+            self._take_over_from(message.member)
+        return Acknowledged()
+
     async def _on_release_pins(self, sender, message):
         replica = self._replicas_by_name.get(message.replica)
         if replica is not None:
--- a/snipetrestle/engines/ownership_messages.py
+++ b/snipetrestle/engines/ownership_messages.py
@@ -57,6 +57,13 @@
     queued: int = 0
 
 
+@register_message
+class OwnerSilent(msgspec.Struct, frozen=True):
+    """A member did not answer the sender. Its successors probe it themselves."""
+
+    member: str
+
+
 @register_message
 class ReleasePins(msgspec.Struct, frozen=True):
     """The sender's streams no longer use these handles."""
--- a/tests/engines/test_ownership.py
+++ b/tests/engines/test_ownership.py
@@ -1,10 +1,13 @@
 """Tests of replica ownership: two owners, takeovers and hand-overs (P1, P2, P6)."""
 
+import asyncio
+
 import anyio
 import testtools
 from loguru import logger
 
 from snipetrestle.codes import ServingError
+from snipetrestle.engines import loading
 from snipetrestle.engines.owner import ReplicaOwner
 from snipetrestle.engines.ownership import ReplicaOwnership
 from snipetrestle.peers.members import MemberState
@@ -419,3 +422,62 @@
             self.assertEqual([first], fleet.owners_of())
 
         self.run_fleet(check)
+
+
+class CancelledOrderTest(OwnershipTest):
+    def test_load_of_a_cancelled_call_is_noted(self):
+        """Guards against an adapter that stays "loading" after a gRPC cancellation."""
+
+        async def check(fleet):
+            first, _, third = fleet.order_of()
+            owner = fleet.daemons_by_name[first].ownership.owners()[0]
+            # grpc.aio cancels the handler's task itself and not an anyio scope.
+            task = asyncio.ensure_future(fleet.ask(first))
+            await anyio.sleep(0.1)
+            task.cancel()
+            await anyio.sleep(1.0)
+            self.assertEqual(["adapter-0@1"], list(owner.resident_handles()))
+            await self.serve(fleet, third)
+
+        self.run_fleet(check)
+
+    def test_cancelled_load_is_stuck_when_its_task_runs_it(self):
+        """Shows that the detached order is what keeps the adapter usable."""
+
+        async def check(fleet):
+            first = fleet.order_of()[0]
+            owner = fleet.daemons_by_name[first].ownership.owners()[0]
+            task = asyncio.ensure_future(fleet.ask(first))
+            await anyio.sleep(0.1)
+            task.cancel()
+            await anyio.sleep(1.0)
+            self.assertEqual([], list(owner.resident_handles()))
+
+        async def run_in_place(coroutine):
+            with anyio.CancelScope(shield=True):
+                return await coroutine
+
+        self.patch(loading, "run_detached", run_in_place)
+        self.run_fleet(check)
+
+
+class SilentOwnerTest(OwnershipTest):
+    def test_one_report_moves_all_replicas_of_a_silent_owner(self):
+        """Guards against replicas that wait for a request of their own."""
+
+        async def check(fleet):
+            first = fleet.order_of()[0]
+            owned = [
+                name
+                for name in fleet.engines_by_name
+                if fleet.order_of(name)[0] == first
+            ]
+            self.assertTrue(len(owned) > 1)
+            fleet.network.pause(first)
+            reporter = fleet.order_of()[2]
+            fleet.daemons_by_name[reporter].ownership.note_unreachable(first)
+            await fleet.settle(TAKEOVER_LIMIT_S / 2)
+            for name in owned:
+                self.assertEqual(2, len(fleet.owners_of(name)), name)
+
+        self.run_fleet(check, replicas=9)
