Take a coordinator's reach from the membership, and ask for shares only when short

Cause: a coordinator counted only the daemons that asked as reached. Change: the reach is the number of routable members; a daemon asks once it uses half of its fixed share.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -109,7 +109,10 @@
 
     def _build_limits(self):
         self.share_coordinator = ShareCoordinator(
-            self.router, self._contract_of, first=self._first_start
+            self.router,
+            self._contract_of,
+            lambda: len(self.membership.routable()),
+            first=self._first_start,
         )
         self.shares = LimitShares(
             self.own_calls,
--- a/snipetrestle/limits/coordinator.py
+++ b/snipetrestle/limits/coordinator.py
@@ -60,12 +60,13 @@
     """Grants shares of the customers that this daemon coordinates.
 
     Grants in force never exceed the granted half of the limit times the fraction of
-    the listed hosts that the coordinator hears from. A coordinator grants nothing for
-    one term after it first hears of a customer.
+    the listed hosts that ``reached_count()`` tells, the members that this daemon can
+    reach. A coordinator grants nothing for one term after it first hears of a customer.
     """
 
-    def __init__(self, router, contract_of, *, first=False):
+    def __init__(self, router, contract_of, reached_count, *, first=False):
         self._contract_of = contract_of
+        self._reached_count = reached_count
         self._states_by_customer = {}
         self._quiet_s = 0.0 if first else TERM_S + TERM_MARGIN_S
         router.on_call(RequestShare, self._on_request)
@@ -100,7 +101,7 @@
         return ShareGrant(*member.granted, TERM_S)
 
     def _grant(self, state, member, limits, hosts):
-        reached = min(1.0, (len(state.members_by_name) + 1) / hosts)
+        reached = min(1.0, self._reached_count() / hosts)
         grants = []
         for index, limit in enumerate(limits):
             total = (1.0 - FIXED_FRACTION) * limit * reached
--- a/snipetrestle/limits/shares.py
+++ b/snipetrestle/limits/shares.py
@@ -17,6 +17,9 @@
 # Shares are asked for again at this part of their term.
 REFRESH_FRACTION = 0.33
 TERM_S = 3.0
+# A daemon asks for a grant once it uses this part of its fixed share. At 330 daemons
+# most have little of a customer's work, and asking for it was the largest control cost.
+ASK_FRACTION = 0.5
 CALL_TIMEOUT_S = 1.0
 # A customer without requests for this long asks for no share.
 IDLE_S = 30.0
@@ -81,6 +84,17 @@
         self.measured_at = now
         self.asked_requests = self.asked_tokens = 0.0
 
+    def is_short(self, hosts):
+        """Tells whether the fixed share alone may not suffice."""
+        contract = self.contract
+        part = ASK_FRACTION * FIXED_FRACTION / hosts
+        return (
+            self.request_demand > contract.requests_per_second * part
+            or self.token_demand > contract.tokens_per_minute / 60.0 * part
+            or self.in_progress > contract.concurrency * part
+            or self.batch_in_progress > contract.batch.max_queued_requests * part
+        )
+
     def apply(self, hosts):
         """Sets the limits from the fixed part and the grant, if it is in force."""
         fixed = FIXED_FRACTION / hosts
@@ -233,6 +247,9 @@
         now = anyio.current_time()
         hosts = self._host_count()
         share.measure(now)
+        if not share.is_short(hosts):
+            share.apply(hosts)
+            return
         message = RequestShare(
             customer=customer,
             hosts=hosts,
