Scale the term of share grants with the fleet

Cause: a customer in use at all of 330 daemons sent its coordinator 330 requests a second, about 8% of a core by the measured cost of a call. Change: a term lasts 0.05 s for each host, at least 3 s; requests come at a third of it. Result: at 330 hosts a coordinator gets 60 requests a second for such a customer, by the interval; at 7 hosts nothing changes (tests of limits pass). Conclusion: the price is a quiet time of 17 s after a coordinator is lost at 330 hosts, in which a customer has the fixed half of its limit.

--- a/benchmarks/control_counts.py
+++ b/benchmarks/control_counts.py
@@ -292,10 +292,10 @@
 
 
 async def _run_shares(customers):
-    """Keeps some customers active at one daemon, each with a request per second."""
+    """Keeps some customers short of their fixed share at one daemon of 330."""
     transport = _GrantingTransport()
     contract = Contract(
-        requests_per_second=1000.0,
+        requests_per_second=330.0,
         concurrency=1000,
         tokens_per_minute=10_000_000,
         waiting_first_token_s=1.0,
@@ -305,7 +305,7 @@
         random.Random(1),
         lambda customer: contract,
         lambda customer: "coordinator",
-        lambda: 7,
+        lambda: 330,
     )
     async with anyio.create_task_group() as group:
         group.start_soon(shares.run)
--- a/snipetrestle/limits/coordinator.py
+++ b/snipetrestle/limits/coordinator.py
@@ -4,7 +4,7 @@
 
 from snipetrestle.codes import ResultCode, ServingError
 from snipetrestle.limits.messages import RequestShare, ShareGrant
-from snipetrestle.limits.shares import FIXED_FRACTION, TERM_S
+from snipetrestle.limits.shares import FIXED_FRACTION, term_of
 
 # A member with little demand gets a part that lets it admit a first request.
 _BASE_DEMAND = 0.1
@@ -29,7 +29,8 @@
 
     def __init__(self, quiet_until):
         self.quiet_until = quiet_until
-        # Ordered by the end of the term, since all terms are equal.
+        # Ordered by the last request. A term that is shorter than one before it, after
+        # the list of hosts has shrunk, is counted until that one ends.
         self.members_by_name = {}
         self.demand = [0.0] * _DIMENSIONS
         self.granted = [0.0] * _DIMENSIONS
@@ -68,7 +69,7 @@
         self._contract_of = contract_of
         self._reached_count = reached_count
         self._states_by_customer = {}
-        self._quiet_s = 0.0 if first else TERM_S + TERM_MARGIN_S
+        self._first = first
         router.on_call(RequestShare, self._on_request)
 
     def resign(self, customer):
@@ -82,12 +83,14 @@
         now = anyio.current_time()
         state = self._states_by_customer.get(message.customer)
         if state is None:
-            state = _CustomerState(now + self._quiet_s)
+            quiet_s = 0.0 if self._first else term_of(message.hosts) + TERM_MARGIN_S
+            state = _CustomerState(now + quiet_s)
             self._states_by_customer[message.customer] = state
         state.expire(now)
         state.remove(sender)
         member = _Member()
-        member.until = now + TERM_S + TERM_MARGIN_S
+        term_s = term_of(message.hosts)
+        member.until = now + term_s + TERM_MARGIN_S
         limits = limits_of(contract)
         member.demand = tuple(
             asked + _BASE_DEMAND * limit / message.hosts
@@ -98,7 +101,7 @@
             state.remove(sender)
             member.granted = self._grant(state, member, limits, message.hosts)
             state.put(sender, member)
-        return ShareGrant(*member.granted, TERM_S)
+        return ShareGrant(*member.granted, term_s)
 
     def _grant(self, state, member, limits, hosts):
         reached = min(1.0, self._reached_count() / hosts)
--- a/snipetrestle/limits/shares.py
+++ b/snipetrestle/limits/shares.py
@@ -16,7 +16,10 @@
 RETRY_BURST = 10.0
 # Shares are asked for again at this part of their term.
 REFRESH_FRACTION = 0.33
-TERM_S = 3.0
+MIN_TERM_S = 3.0
+# A term lasts longer in a large fleet, so that the coordinator of a customer that is in
+# use everywhere handles at most 60 requests a second, about 1.5% of a core.
+TERM_PER_HOST_S = 0.05
 # A daemon asks for a grant once it uses this part of its fixed share. At 330 daemons
 # most have little of a customer's work, and asking for it was the largest control cost.
 ASK_FRACTION = 0.5
@@ -31,6 +34,11 @@
 DEMAND_AVERAGE_S = 10.0
 
 
+def term_of(hosts):
+    """Returns the term of a grant in seconds."""
+    return max(MIN_TERM_S, TERM_PER_HOST_S * hosts)
+
+
 class _Share:
     """This daemon's share of one customer's limits."""
 
@@ -237,7 +245,9 @@
                     else:
                         group.start_soon(self._refresh, customer, share)
                 jitter = 0.9 + 0.2 * self._random.random()
-                await anyio.sleep(TERM_S * REFRESH_FRACTION * jitter)
+                await anyio.sleep(
+                    term_of(self._host_count()) * REFRESH_FRACTION * jitter
+                )
 
     def _is_idle(self, share, now):
         busy = share.in_progress or share.batch_in_progress
