Keep the claims of writes that ended unknown, not their attempts

Cause: a home kept each unknown attempt in memory and refused all new writes after 10,000 of them, which a service that often times out would reach. Change: the home keeps the number of a claim that has won until its outcome is recorded, and answers for it that the outcome is unknown; it never withdraws such a claim. With the numbers cleared a write whose answer was lost runs twice. Conclusion: the record that safety needs is small and bounded.

--- a/snipetrestle/writes/coordinator.py
+++ b/snipetrestle/writes/coordinator.py
@@ -54,6 +54,9 @@
 MAX_KEY_LENGTH = 255
 # Attempts in memory: about 1 KB each beside the request body.
 MAX_ATTEMPTS = 10_000
+# Claims of this daemon that have won and whose outcome is not recorded: about 60 bytes
+# each. They must not be forgotten, so new writes are refused beyond the limit.
+MAX_OPEN_CLAIMS = 100_000
 # Claims of different daemons may split the votes; all withdraw and try again.
 MAX_CLAIM_ROUNDS = 6
 CLAIM_BACKOFF_S = 0.02
@@ -145,6 +148,8 @@
         self._register = OutcomeRegister(self._asker, membership, random)
         self._claim_numbers = itertools.count(1)
         self._attempts_by_key = {}
+        # Numbers of own claims that may never be withdrawn.
+        self._open_claims = set()
         self._configuration = None
         self._layout = None
         self._tasks = None
@@ -295,7 +300,10 @@
         digest = digest_of(message.operation, message.content_type, message.body)
         attempt = self._attempts_by_key.get(key_id)
         if attempt is None:
-            if len(self._attempts_by_key) >= MAX_ATTEMPTS:
+            if (
+                len(self._attempts_by_key) >= MAX_ATTEMPTS
+                or len(self._open_claims) >= MAX_OPEN_CLAIMS
+            ):
                 raise ServingError(ResultCode.WRITE_TABLE_FULL, "too many open writes")
             operation = self._operation_of(message)
             group = self._layout.group_of(key_id)
@@ -310,13 +318,17 @@
                 ResultCode.WRITE_UNKNOWN, "another request with this key is in progress"
             )
         if attempt.finished.is_set():
-            # The attempt was made and its outcome is still open.
+            # The write ran and its outcome could not be recorded.
             attempt.finished = anyio.Event()
-            self._tasks.start_soon(self._work, attempt, self._resume)
+            self._tasks.start_soon(self._work, attempt, self._record)
         return attempt
 
     async def _work(self, attempt, step):
-        """Runs a step of an attempt and keeps the attempt while its outcome is open."""
+        """Runs a step of an attempt and keeps the attempt while it has an outcome to record.
+
+        An attempt that ended unknown is kept only as an open claim; a retry finds it
+        through the keepers.
+        """
         try:
             attempt.outcome = await step(attempt)
         except ServingError as error:
@@ -324,9 +336,11 @@
         except Exception as error:
             log_event(Event.INTERNAL_ERROR, error=repr(error))
             attempt.error = ServingError(ResultCode.WRITE_UNKNOWN, "internal error")
-        if attempt.outcome is not None or not attempt.won:
+        if attempt.won and attempt.outcome is not None:
+            self._open_claims.discard(attempt.claim.number)
+        if attempt.outcome is not None or attempt.proposal is None:
             del self._attempts_by_key[attempt.key_id]
-        else:
+        if attempt.won and attempt.outcome is None:
             log_event(
                 Event.WRITE_UNKNOWN,
                 customer=attempt.request.customer,
@@ -344,6 +358,7 @@
             replies = await self._claim(attempt)
             if self._votes(attempt, replies.by_name) >= attempt.group.majority:
                 attempt.won = True
+                self._open_claims.add(attempt.claim.number)
                 return await self._run_once(attempt)
             own_claim, attempt.claim = attempt.claim, None
             # Keepers that have refused hold no vote to give back.
@@ -449,7 +464,12 @@
             withdrawn = withdrawn and state.state is ClaimState.WITHDRAWN
         if withdrawn:
             return None
-        return await self._look_up(attempt, "the claimant is gone or does not know")
+        outcome = await self._look_up(attempt, "the claimant is gone or does not know")
+        own = self._membership.own_incarnation
+        self._open_claims.difference_update(
+            claim.number for claim in claims if claim.incarnation == own
+        )
+        return outcome
 
     async def _ask_claimant(self, attempt, claim):
         """Returns the claimant's state once it is no longer in progress."""
@@ -478,6 +498,8 @@
             return ClaimantState(ClaimState.REPLACED)
         attempt = self._attempts_by_key.get(message.key_id)
         if attempt is None or attempt.claim != claim:
+            if claim.number in self._open_claims:
+                return ClaimantState(ClaimState.UNKNOWN)
             # A claim that is not in progress has lost, or its outcome is recorded.
             group = self._layout.group_of(message.key_id)
             self._withdraw(group, message.key_id, claim, group.members)
@@ -563,12 +585,6 @@
                 last_error = error
         raise last_error
 
-    async def _resume(self, attempt):
-        """Works again on an attempt whose outcome is open. Never calls the write."""
-        if attempt.proposal is not None:
-            return await self._record(attempt)
-        return await self._look_up(attempt, "the service did not answer in time")
-
     async def _look_up(self, attempt, reason):
         """Asks the service's lookup and records what it proves.
 
--- a/tests/writes/test_at_most_once.py
+++ b/tests/writes/test_at_most_once.py
@@ -556,3 +556,32 @@
             self.assertEqual(before, await fleet.write("entry-0"))
 
         self.run_with(scenario)
+
+
+class OpenClaimsTest(WritesTestCase):
+    async def retry_after_time_out(self, fleet, forget):
+        """The home times out, and later retries ask it for its claim."""
+        await fleet.write("entry-0", time_left_s=6)
+        home = fleet.daemons_by_name[fleet.home_of()].coordinator
+        self.assertEqual({}, home._attempts_by_key)
+        if forget:
+            home._open_claims.clear()
+        await fleet.settle(10)
+        return await fleet.write_everywhere()
+
+    def test_unknown_attempt_is_never_withdrawn(self):
+        """Guards against a home that gives up the claim of a write that may have run."""
+
+        async def scenario(fleet):
+            answers = await self.retry_after_time_out(fleet, forget=False)
+            self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario, faults=ServiceFaults(lose_answers=1))
+
+    def test_unknown_attempt_breaks_without_open_claims(self):
+        async def scenario(fleet):
+            await self.retry_after_time_out(fleet, forget=True)
+            self.assertEqual(2, fleet.executions())
+
+        self.run_with(scenario, faults=ServiceFaults(lose_answers=1))
