Let a keeper group start only from one stated origin

Cause: a review of the handover found that a keeper without writes.previous counted as prepared; when operators published previous in a later revision, the group started empty and old keys ran again. Change: a group starts from an origin, which is empty for start: new and the previous layout otherwise. A keeper without an origin is not prepared, a later revision changes the origin of keepers that have not agreed to a start, and all keepers of a group must have the same origin.

--- a/snipetrestle/writes/keeper.py
+++ b/snipetrestle/writes/keeper.py
@@ -52,17 +52,18 @@
 class KeeperPartition:
     """One partition's records at one keeper, for one epoch."""
 
-    def __init__(self, keeper, group, previous_group, incarnation):
+    def __init__(self, keeper, group, incarnation):
         self.keeper = keeper
         self.group = group
-        self.previous_group = previous_group
+        # How the group may start: without records (b""), with the records of the previous
+        # layout (its id), or not at all (None).
+        self.origin = None
+        self.previous_group = None
         self.incarnation = incarnation
         self.known = {keeper.own_name: incarnation}
         self.records = {}
         self.certificate = None
-        self.stage = (
-            KeeperStage.PREPARED if previous_group is None else KeeperStage.JOINING
-        )
+        self.stage = KeeperStage.JOINING
         self._announced = False
         self._woken = anyio.Event()
 
@@ -70,6 +71,15 @@
     def others(self):
         return [name for name in self.group.members if name != self.keeper.own_name]
 
+    def set_origin(self, origin, previous_group):
+        """Takes how the group may start, unless this keeper has agreed to a start."""
+        waits = self.stage in (KeeperStage.JOINING, KeeperStage.PREPARED)
+        if not waits or self.certificate is not None or origin == self.origin:
+            return
+        self.origin = origin
+        self.previous_group = previous_group
+        self.stage = KeeperStage.PREPARED if origin == b"" else KeeperStage.JOINING
+
     def state(self, after=None):
         """Returns the state, with the page of records after ``after`` if given."""
         records, more = {}, False
@@ -80,6 +90,7 @@
             dict(self.known),
             self.stage,
             self.keeper.was_ready_elsewhere(self.group),
+            self.origin,
             self.certificate,
             records,
             more,
@@ -208,6 +219,8 @@
         if self._started_by_others(replies_by_name):
             self._become_ready()
             return True
+        if self.origin is None:
+            return False
         if self.stage is KeeperStage.JOINING and not await self._inherit():
             return False
         return await self._start_group(replies_by_name)
@@ -311,6 +324,9 @@
             return False
         known = dict(self.known)
         records_by_name = await self._copy_pages(sealed, message)
+        if self.origin != previous.group_id:
+            # Another configuration has come into effect meanwhile.
+            return False
         # The incarnations known in the previous group are not this group's.
         self.known = known
         if len(records_by_name) < previous.majority:
@@ -333,20 +349,26 @@
         keeper that restarts during the start can therefore not start a second time with
         an empty table beside keepers that have already voted.
         """
-        if not self.keeper.may_start or len(replies_by_name) < len(self.others):
+        if self.stage is not KeeperStage.PREPARED:
+            return False
+        if len(replies_by_name) < len(self.others):
             return False
         if self.keeper.was_ready_elsewhere(self.group):
             return False
         for reply in replies_by_name.values():
             if reply.stage is not KeeperStage.PREPARED or reply.ever_ready:
                 return False
+            if reply.origin != self.origin:
+                return False
         certificate = {
             name: reply.incarnation for name, reply in replies_by_name.items()
         }
         certificate[self.keeper.own_name] = self.incarnation
-        if not self.accept_start(certificate):
+        if not self.accept_start(self.origin, certificate):
             return False
-        message = StartKeepers(self.group.group_id, self.group.partition, certificate)
+        message = StartKeepers(
+            self.group.group_id, self.group.partition, self.origin, certificate
+        )
         replies = await self.keeper.asker.ask(self.others, message)
         accepted = sum(reply.accepted for reply in replies.by_name.values())
         if accepted < len(self.others):
@@ -354,10 +376,12 @@
         self._become_ready()
         return True
 
-    def accept_start(self, certificate):
+    def accept_start(self, origin, certificate):
         if self.stage is KeeperStage.PREPARED and self.certificate is None:
             if certificate.get(self.keeper.own_name) != self.incarnation:
                 return False
+            if origin != self.origin:
+                return False
             self.certificate = certificate
             self.wake()
         return self.certificate == certificate
@@ -381,7 +405,6 @@
         self.own_name = membership.own_name
         self.asker = KeeperAsker(transport, router, membership.own_name)
         self.table = RecordTable(0, 0, 0.0)
-        self.may_start = False
         self._own_incarnation = membership.own_incarnation
         self._partition_count = partitions
         self._partitions = {}
@@ -415,22 +438,29 @@
         self.table.max_records = writes.max_records
         self.table.max_result_bytes = writes.max_result_bytes
         self.table.retention_s = writes.result_retention_s
-        self.may_start = writes.start == "new" or writes.previous is not None
         layout = GroupLayout.current(configuration, self._partition_count)
         previous = GroupLayout.previous(configuration, self._partition_count)
         self._layout = layout
         self._remove_old(layout, previous)
+        origin = b"" if writes.start == "new" else None
+        if previous is not None:
+            origin = previous.group_id
         for group in layout.groups:
-            key = (group.group_id, group.partition)
-            if self.own_name not in group.members or key in self._partitions:
+            if self.own_name not in group.members:
                 continue
             previous_group = previous and previous.groups[group.partition]
-            partition = self.partition_class(
-                self, group, previous_group, self._own_incarnation
-            )
+            self._partition_of(group).set_origin(origin, previous_group)
+
+    def _partition_of(self, group):
+        """Returns the partition of a group; a new one starts to join."""
+        key = (group.group_id, group.partition)
+        partition = self._partitions.get(key)
+        if partition is None:
+            partition = self.partition_class(self, group, self._own_incarnation)
             self._partitions[key] = partition
             if self._tasks is not None:
                 self._tasks.start_soon(partition.join)
+        return partition
 
     def _remove_old(self, layout, previous):
         """Keeps the last ready layout, so that a mistaken change can be taken back."""
@@ -535,4 +565,5 @@
         return partition.state(message.after if with_records else None)
 
     async def _on_start(self, sender, message):
-        return StartReply(self._find(message).accept_start(message.certificate))
+        partition = self._find(message)
+        return StartReply(partition.accept_start(message.origin, message.certificate))
--- a/snipetrestle/writes/messages.py
+++ b/snipetrestle/writes/messages.py
@@ -165,6 +165,7 @@
     known: dict[str, Incarnation]
     stage: KeeperStage
     ever_ready: bool
+    origin: bytes | None = None
     certificate: dict[str, Incarnation] | None = None
     records: dict[bytes, KeyRecord] = {}
     more: bool = False
@@ -172,10 +173,14 @@
 
 @register_message
 class StartKeepers(msgspec.Struct, frozen=True):
-    """Proposes the incarnations with which a group starts."""
+    """Proposes the incarnations with which a group starts.
+
+    ``origin`` is the previous layout whose records the group has copied, or empty.
+    """
 
     group_id: bytes
     partition: int
+    origin: bytes
     certificate: dict[str, Incarnation]
 
 
--- a/tests/writes/test_at_most_once.py
+++ b/tests/writes/test_at_most_once.py
@@ -541,6 +541,26 @@
 
         self.run_with(scenario)
 
+    def test_previous_that_is_published_late_still_hands_over(self):
+        """Guards against keepers that start empty once ``previous`` allows a start."""
+
+        async def scenario(fleet):
+            await fleet.write("entry-0")
+            previous = self.previous(fleet)
+            names = [*fleet.names[1:], "entry-7"]
+            await self.change_names(fleet, start="existing")
+            changes = {"names": names, "epoch": 2, "start": "existing"}
+            complete = make_configuration(**changes, previous=previous)
+            for name in fleet.names:
+                # Daemons that have the late revision must not start with those without.
+                fleet.publish(complete, [name])
+                await fleet.settle(7)
+            answers = await fleet.write_everywhere()
+            self.assertEqual({OK}, codes_of(answers))
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario)
+
     def test_changed_names_without_an_epoch_answer_unknown(self):
         """Guards against a group that starts empty beside one that has records."""
 
