Take over when the predecessor is suspected, and watch owners in the chaos run

Cause: a paused owner whose replicas got no request was replaced only once it had failed. The chaos run measured only requests, which may not come. Change: a suspicion of a predecessor leads to an own probe and a takeover. The chaos run notes when another daemon owns each replica and its first request.

--- a/benchmarks/chaos.py
+++ b/benchmarks/chaos.py
@@ -42,6 +42,7 @@
 WARM_UP_S = 3.0
 PAUSE_S = 6.0
 REPLACE_AFTER_S = 3.0
+RECOVERY_LIMIT_S = 6.0
 BETWEEN_S = 1.0
 LEAVE_LIMIT_S = 20.0
 FINISH_LIMIT_S = 20.0
@@ -142,7 +143,11 @@
         self.batches_finished = 0
         self.batches_lost = []
         self.batches_unfinished = 0
+        # Times until another daemon owned each replica; None if it took too long.
         self.recover_s = []
+        self.pause_recover_s = []
+        # Times until another owner served a request, of the replicas that got one.
+        self.first_request_s = []
 
 
 class Chaos:
@@ -459,10 +464,10 @@
         # The balancer takes a silent entry out after a moment.
         await anyio.sleep(1.0)
         daemon.in_rotation = False
-        await anyio.sleep(PAUSE_S - 1.0)
+        await self.watch_recovery(owned, daemon, start, "pause")
+        await anyio.sleep(max(0.0, start + PAUSE_S - time.monotonic()))
         daemon.signal(signal.SIGCONT)
         daemon.failed_at = time.monotonic()
-        await self.note_recovery(owned, start, "pause")
         await self.wait_ready(daemon)
 
     async def kill_one(self):
@@ -471,22 +476,37 @@
         daemon.failed_at = start
         daemon.in_rotation = False
         daemon.end()
-        await anyio.sleep(REPLACE_AFTER_S)
-        await self.note_recovery(owned, start, f"kill {daemon.name}")
+        await self.watch_recovery(owned, daemon, start, f"kill {daemon.name}")
+        await anyio.sleep(max(0.0, start + REPLACE_AFTER_S - time.monotonic()))
         daemon.start()
         await self.wait_ready(daemon)
 
-    async def note_recovery(self, owned, start, what):
-        """Notes the time until each replica's first request by another owner."""
+    async def watch_recovery(self, owned, failed, start, what):
+        """Notes when other daemons own the replicas, and serve their first requests."""
+        owned_after = dict.fromkeys(owned)
+        while None in owned_after.values():
+            if time.monotonic() - start > RECOVERY_LIMIT_S:
+                break
+            for daemon in self.daemons:
+                if daemon is failed:
+                    continue
+                for replica in await self.owned_by(daemon):
+                    if replica in owned_after and owned_after[replica] is None:
+                        owned_after[replica] = time.monotonic() - start
+            await anyio.sleep(0.05)
         changes = (await self.counts())["owner_changes"]
-        times = []
-        for replica in owned:
-            later = [at - start for at, _ in changes[replica] if at > start]
-            times.append(later[0] if later else None)
-        shown = ", ".join("none" if item is None else f"{item:.2f}" for item in times)
-        print(f"{what}: {len(owned)} replicas served again after {shown} s", flush=True)
-        if what != "pause":
-            self.results.recover_s.extend(times)
+        for replica, elapsed in owned_after.items():
+            served = [at - start for at, _ in changes[replica] if at > start]
+            self.results.first_request_s.extend(served[:1])
+            print(
+                f"{what}: {replica} owned after {_shown(elapsed)} s, first request "
+                f"after {_shown(next(iter(served), None))} s",
+                flush=True,
+            )
+        results = self.results.recover_s
+        if what == "pause":
+            results = self.results.pause_recover_s
+        results.extend(owned_after.values())
 
     async def one_leaves(self):
         daemon, owned = await self.owner_with_replicas()
@@ -545,6 +565,7 @@
         results = self.results
         executions = counts["executions_by_key"]
         lost_writes = [key for key in results.writes_done if not executions.get(key)]
+        first = sorted(results.first_request_s)
         recovered = sorted(item for item in results.recover_s if item is not None)
         figures = {
             "answers": results.answers,
@@ -570,6 +591,13 @@
             "replicas_not_recovered": len(results.recover_s) - len(recovered),
             "recover_median_s": _rounded(statistics.median, recovered),
             "recover_p99_s": _rounded(_p99, recovered),
+            "pause_recover_s": [
+                None if item is None else round(item, 3)
+                for item in results.pause_recover_s
+            ],
+            "first_requests": len(first),
+            "first_request_median_s": _rounded(statistics.median, first),
+            "first_request_p99_s": _rounded(_p99, first),
         }
         kept = (
             not results.wrong
@@ -603,6 +631,10 @@
         return body[:60].decode("utf-8", "replace")
 
 
+def _shown(seconds):
+    return "none" if seconds is None else f"{seconds:.2f}"
+
+
 def _p99(values):
     return values[min(len(values) - 1, int(0.99 * len(values)))]
 
--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -375,6 +375,7 @@
         if self._orders_view != self._membership.view_number:
             self._own_replicas = None
         if self._own_replicas is None:
+            self._check_suspects()
             self._own_replicas = tuple(
                 replica
                 for replica in self._replicas_by_name.values()
@@ -385,6 +386,19 @@
             if not replica.settling and now >= replica.next_try:
                 self._start_settling(replica)
 
+    def _check_suspects(self):
+        """Probes suspected members at once whose replicas this daemon succeeds to."""
+        own = self._membership.own_name
+        names = set()
+        for replica in self._replicas_by_name.values():
+            order = self._order(replica.server)
+            if order[1:2] == [own]:
+                names.add(order[0])
+        for name in sorted(names):
+            member = self._membership.get(name)
+            if member is not None and member.state is MemberState.SUSPECTED:
+                self._take_over_from(name)
+
     def _start_settling(self, replica):
         first = self._is_first(replica)
         if replica.owner is None and first and self._may_claim(replica):
