--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -14,7 +14,7 @@
 from snipetrestle.callers.listener import serving
 from snipetrestle.callers.services import ServiceCalls
 from snipetrestle.draining import drain_daemon
-from snipetrestle.engines.http_client import HttpEngineClient
+from snipetrestle.engines.http_client import HttpEngineClient, StreamPace
 from snipetrestle.engines.owner import ReplicaOwner
 from snipetrestle.engines.ownership import ReplicaOwnership
 from snipetrestle.events import Event, log_event
@@ -101,7 +101,11 @@
         self.spread = ConfigurationSpread(
             self.membership, self.transport, self.router, source, self.generator
         )
-        self.tasks += [self.membership.run, self.spread.run]
+        self.tasks += [
+            self.membership.run,
+            self.spread.run,
+            self._stop_when_superseded,
+        ]
 
     def _build_limits(self):
         self.share_coordinator = ShareCoordinator(
@@ -143,11 +147,12 @@
             self.membership.listed_count,
             self._stores_by_name,
         )
+        self.pace = StreamPace()
         self.owned = ReplicaOwnership(
             self.membership,
             self.transport,
             self.router,
-            lambda server: HttpEngineClient(server.address),
+            lambda server: HttpEngineClient(server.address, self.generator, self.pace),
             self._make_owner,
         )
         self.configuration_parts.append(self.owned)
@@ -328,6 +333,11 @@
         if self._runner.done():
             await self._runner
 
+    async def _stop_when_superseded(self):
+        """Stops at once: another run of this name may serve the same keys."""
+        await self.membership.superseded.wait()
+        self._stopping.set()
+
     def start_drain(self):
         """Starts a drain and, after it, the stop; returns at once."""
         if not self.draining and self._group is not None:
