--- a/benchmarks/chaos.py
+++ b/benchmarks/chaos.py
@@ -51,16 +51,29 @@
 # An answer that breaks within this time of a failure of its own entry is counted there.
 FAILURE_WINDOW_S = 10.0
 BATCH_ITEMS = 20
+PORTS = (20_000, 30_000)
+MAX_PORT_TRIES = 100
 SEED = 7
 
 
 def free_addresses(count):
-    """Returns loopback addresses with ports that are free now."""
+    """Returns loopback addresses with ports that are free now.
+
+    The ports are below those that the system gives to outgoing connections, which
+    could take one before its daemon listens.
+    """
+    ports = random.SystemRandom()
+    addresses = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
+        for _ in range(MAX_PORT_TRIES):
+            port = ports.randint(*PORTS)
+            item = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                item.bind(("127.0.0.1", port))
+                addresses.append(f"127.0.0.1:{port}")
+                if len(addresses) == count:
+                    return addresses
+    raise OSError("no free ports")
 
 
 class DaemonProcess:
@@ -165,6 +178,8 @@
             max_connections=200, keepalive_expiry=5.0
         )
         self.prompts = 0
+        # Events of the answer that came last, to find what was wrong with it.
+        self.last_events = []
 
     # Processes
 
@@ -251,7 +266,12 @@
                     self.results.answers += 1
                     if text != expected_text(adapter, version, prompt, tokens):
                         self.results.wrong.append(prompt)
-                        print(f"wrong: {prompt} {adapter}@{version} {text!r}")
+                        print(
+                            f"{time.time():.2f} wrong: {prompt} {adapter}@{version} "
+                            f"{tokens} tokens by {entry.name}, got "
+                            f"{len(text.split())}: {self.last_events}",
+                            flush=True,
+                        )
                     break
 
     async def stream(self, entry, adapter, version, prompt, tokens):
@@ -290,6 +310,7 @@
             return None
         for line in data.decode().splitlines():
             if line == "data: [DONE]":
+                self.last_events = data.decode().splitlines()[-8:]
                 return "".join(parts)
             if line.startswith("data: {"):
                 item = json.loads(line.removeprefix("data: "))
--- a/snipetrestle/operators/interface.py
+++ b/snipetrestle/operators/interface.py
@@ -26,6 +26,7 @@
             ("GET", "/v1/adapters"): self._adapters,
             ("GET", "/v1/replicas"): self._replicas,
             ("POST", "/v1/drain"): self._drain,
+            ("POST", "/v1/confirm-stopped"): self._confirm_stopped,
             ("GET", "/metrics"): self._metrics,
         }
 
@@ -94,6 +95,13 @@
         self._source.start_drain()
         return 202, "application/json", b"{}"
 
+    def _confirm_stopped(self, configuration, query):
+        name = query.get("name", "")
+        if name not in configuration.daemons_by_name:
+            raise ServingError(ResultCode.UNKNOWN_PATH, f"no daemon {name!r}")
+        self._source.confirm_stopped(name)
+        return 202, "application/json", b"{}"
+
     def _metrics(self, configuration, query):
         return 200, "text/plain; version=0.0.4", self._source.metrics_text()
 
--- a/snipetrestle/reports.py
+++ b/snipetrestle/reports.py
@@ -40,6 +40,10 @@
     def metrics_text(self):
         return self._app.metrics.text()
 
+    def confirm_stopped(self, name):
+        """Frees copies of a daemon whose host an operator knows to be stopped."""
+        self._app.owned.confirm_stopped(name)
+
     def start_drain(self):
         self._app.start_drain()
 
