Measure share messages of a fleet of 330 hosts

Cause: the terms of grants depend on the number of hosts. Change: the benchmark's daemon is one of 330, with customers short of their fixed share.

--- a/benchmarks/control_counts.py
+++ b/benchmarks/control_counts.py
@@ -295,7 +295,7 @@
     """Keeps some customers short of their fixed share at one daemon of 330."""
     transport = _GrantingTransport()
     contract = Contract(
-        requests_per_second=330.0,
+        requests_per_second=660.0,
         concurrency=1000,
         tokens_per_minute=10_000_000,
         waiting_first_token_s=1.0,
