--- a/tests/fuzz/writes.py
+++ b/tests/fuzz/writes.py
@@ -127,20 +127,29 @@
         )
 
     @precondition(lambda self: self.fleet.configuration.writes.epoch < 3)
-    @rule(left_out=names)
-    def next_epoch(self, left_out):
+    @rule(left_out=names, is_complete=st.booleans())
+    def next_epoch(self, left_out, is_complete):
+        """Publishes an epoch; an incomplete one lacks ``previous`` at first."""
         current = self.fleet.configuration
-        if current.writes.previous is not None:
+        if current.writes.previous is not None or self.late_configuration is not None:
             return
         previous = {
             "epoch": current.writes.epoch,
             "daemons": daemon_entries([item.name for item in current.daemons]),
         }
-        self.fleet.configuration = self.make(
-            names=[name for name in NAMES if name != left_out],
-            epoch=current.writes.epoch + 1,
-            previous=previous,
-        )
+        changes = {
+            "names": [name for name in NAMES if name != left_out],
+            "epoch": current.writes.epoch + 1,
+        }
+        complete = self.make(**changes, previous=previous)
+        self.fleet.configuration = complete if is_complete else self.make(**changes)
+        self.late_configuration = None if is_complete else complete
+
+    @precondition(lambda self: self.late_configuration is not None)
+    @rule()
+    def complete_epoch(self):
+        self.fleet.configuration = self.late_configuration
+        self.late_configuration = None
 
     @rule(name=names)
     def spread_configuration(self, name):
@@ -177,6 +186,7 @@
         super().__init__()
         self.old_runs = []
         self.sent = []
+        self.late_configuration = None
 
     @initialize(checks=st.booleans(), stops=stop_budgets)
     def start(self, checks, stops):
