Let each stream of the stand-in engine end with its finish reason

Cause: a stream that ended between two reads lost its last tokens, and a cancelled stream without new tokens ended without a word.

Change: the last batch of a stream always carries the rest of the tokens and the finish reason.

--- a/snipetrestle_standins/engine.py
+++ b/snipetrestle_standins/engine.py
@@ -351,22 +351,25 @@
         position = max(0, next_index - stream.first_index)
         while True:
             changed = stream.changed
-            if position < len(stream.tokens):
+            # Each stream ends with its finish reason, also if no token is left: a
+            # reader of a shared channel sees no other end.
+            if position < len(stream.tokens) or stream.finish_reason is not None:
                 tokens = tuple(stream.tokens[position:])
+                finish_reason = stream.finish_reason
                 first_index = stream.first_index + position
-                position = len(stream.tokens)
+                position += len(tokens)
                 yield TokenBatch(
                     request_id=stream.request.request_id,
                     handle=stream.request.handle,
                     first_index=first_index,
                     tokens=tokens,
-                    finish_reason=stream.finish_reason,
+                    finish_reason=finish_reason,
                 )
-            if stream.error is not None:
+                if finish_reason is not None:
+                    return
+            elif stream.error is not None:
                 raise stream.error
-            if stream.finish_reason is not None:
-                return
-            if position == len(stream.tokens):
+            else:
                 await changed.wait()
 
     async def cancel(self, request_id):
