--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -242,6 +242,21 @@
             if replica.foreign is not None:
                 replica.foreign.note_stopped(name)
 
+    async def change_role(self, replica_name, role):
+        """Orders an owned engine to change its role. Raises ServingError."""
+        replica = self._replicas_by_name.get(replica_name)
+        if replica is None or replica.owner is None:
+            raise ServingError(ResultCode.NOT_OWNER, replica_name)
+        owner = replica.owner
+        try:
+            with anyio.fail_after(self._times.engine_timeout_s):
+                await replica.engine.change_role(role, replica.number)
+        except OldFencingNumber as error:
+            self._give_up(replica, owner)
+            raise ServingError(ResultCode.FENCED, str(error)) from error
+        except (EngineError, TimeoutError) as error:
+            raise ServingError(ResultCode.NO_REPLICA, str(error)) from error
+
     # The view for entries
 
     def owner_name(self, server, without=()):
--- a/tests/engines/test_ownership.py
+++ b/tests/engines/test_ownership.py
@@ -481,3 +481,24 @@
                 self.assertEqual(2, len(fleet.owners_of(name)), name)
 
         self.run_fleet(check, replicas=9)
+
+
+class RoleOrderTest(OwnershipTest):
+    def test_role_order_carries_the_number(self):
+        """Guards against an old owner that changes an engine's role."""
+
+        async def check(fleet):
+            first, second, third = fleet.order_of()
+            old, new = (
+                fleet.daemons_by_name[name].ownership for name in (first, second)
+            )
+            await old.change_role("engine-0", "prefill")
+            self.assertEqual("prefill", fleet.engine().role)
+            fleet.network.partition([first], [second, third])
+            await self.serve(fleet, third)
+            await new.change_role("engine-0", "decode")
+            with testtools.ExpectedException(ServingError):
+                await old.change_role("engine-0", "prefill")
+            self.assertEqual("decode", fleet.engine().role)
+
+        self.run_fleet(check)
