--- a/benchmarks/policy_run.py
+++ b/benchmarks/policy_run.py
@@ -136,7 +136,9 @@
     def _build_product(self, network, group):
         stores_by_name = {self.site.store.name: self.site.store}
         router = MessageRouter()
-        coordinator = LoadCoordinator(router, stores_by_name, first=True)
+        coordinator = LoadCoordinator(
+            router, stores_by_name, first=True, policy=self.site.weights
+        )
         network.attach("loads", router)
         group.start_soon(coordinator.run)
         self.owners_by_name = {}
--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -544,6 +544,9 @@
             entry = self._next_entry(is_batch)
             if entry is None:
                 return
+            if not is_batch and entry.deadline <= anyio.current_time():
+                self._fail(entry, ServingError(ResultCode.DEADLINE_UNREACHABLE))
+                continue
             self.queue.pop(entry)
             self._place(self._items_by_entry[entry])
 
--- a/snipetrestle/limits/coordinator.py
+++ b/snipetrestle/limits/coordinator.py
@@ -61,11 +61,14 @@
 
     Grants in force never exceed the granted half of the limit times the fraction of
     the listed hosts that the coordinator hears from. A coordinator grants nothing for
-    one term after it first hears of a customer.
+    one term after it first hears of a customer. ``reached`` returns the number of
+    members that it reaches, itself included; without it, only the members with demand
+    count.
     """
 
-    def __init__(self, router, contract_of, *, first=False):
+    def __init__(self, router, contract_of, *, first=False, reached=None):
         self._contract_of = contract_of
+        self._reached = reached
         self._states_by_customer = {}
         self._quiet_s = 0.0 if first else TERM_S + TERM_MARGIN_S
         router.on_call(RequestShare, self._on_request)
@@ -100,7 +103,10 @@
         return ShareGrant(*member.granted, TERM_S)
 
     def _grant(self, state, member, limits, hosts):
-        reached = min(1.0, (len(state.members_by_name) + 1) / hosts)
+        members = len(state.members_by_name) + 1
+        if self._reached is not None:
+            members = self._reached()
+        reached = min(1.0, members / hosts)
         grants = []
         for index, limit in enumerate(limits):
             total = (1.0 - FIXED_FRACTION) * limit * reached
--- a/snipetrestle/placement/load_coordinator.py
+++ b/snipetrestle/placement/load_coordinator.py
@@ -12,6 +12,7 @@
 from snipetrestle.peers.transport import PeerUnreachable
 from snipetrestle.placement.demand import DemandTracker
 from snipetrestle.placement.permits import LoadClass, LoadDemand, Permit
+from snipetrestle.published import PolicyWeights
 
 # A permit that was not released counts as used for this long. A load takes well under
 # a second; the term covers a store that has slowed down tenfold.
@@ -21,10 +22,13 @@
 CALL_TIMEOUT_S = 3.0
 # Each unblocked request counts as this much age in the order of loads.
 AGE_PER_REQUEST_S = 0.25
-# Loads that are not for waiting requests leave this part of the store's rate free, so
-# that a waiting load seldom finds the store busy.
-SPARE_FRACTION = 0.25
-# A customer at twice the mean use of the store stands back by this time.
+# With equal policy weights, a load that is not for waiting requests is granted when the
+# store was free for this part of its period, so that a waiting load seldom finds it busy.
+SPARE_FRACTION = 0.5
+MAX_SPARE_FRACTION = 2.0
+# Customers within this part above the mean use of the store are alike, since use varies
+# by chance; one at twice the free use stands back by EXCESS_S.
+EXCESS_FREE = 0.15
 EXCESS_S = 10.0
 MAX_EXCESS = 2.0
 USE_HALF_LIFE_S = 60.0
@@ -80,8 +84,9 @@
     A step costs the logarithm of the number of pending permits.
     """
 
-    def __init__(self, store, *, quiet_s=0.0):
+    def __init__(self, store, *, quiet_s=0.0, spare_fraction=SPARE_FRACTION):
         self._store = store
+        self.spare_fraction = spare_fraction
         self._pending_by_id = {}
         self._heap = []
         self._numbers = itertools.count()
@@ -121,7 +126,7 @@
         mean = self._use_by_customer.rate(_ALL_CUSTOMERS) / customers
         if mean <= 0.0:
             return 0.0
-        excess = self._use_by_customer.rate(customer) / mean - 1.0
+        excess = self._use_by_customer.rate(customer) / mean - 1.0 - EXCESS_FREE
         return EXCESS_S * min(max(excess, 0.0), MAX_EXCESS)
 
     def remove(self, permit_id, unused=False):
@@ -148,7 +153,7 @@
     def _wait_s(self, load_class, now):
         due = self._next_grant
         if load_class != LoadClass.WAITING:
-            due += SPARE_FRACTION / self._store.loads_per_second
+            due += self.spare_fraction / self._store.loads_per_second
         if load_class == LoadClass.SPECULATIVE:
             due += 1.0 / self._store.loads_per_second
         return due - now
@@ -183,6 +188,14 @@
             del self._granted_until_by_id[permit_id]
 
 
+def spare_fraction_of(policy):
+    """Returns the free part of a period that other than waiting loads need."""
+    if policy.batch_efficiency <= 0:
+        return MAX_SPARE_FRACTION
+    ratio = policy.load_stalls / policy.batch_efficiency
+    return min(MAX_SPARE_FRACTION, SPARE_FRACTION * ratio)
+
+
 class LoadCoordinator:
     """Grants the permits of the stores that this daemon coordinates.
 
@@ -190,8 +203,9 @@
     permits of a predecessor run out. ``run`` must run in a task of its own.
     """
 
-    def __init__(self, router, stores_by_name, *, first=False):
+    def __init__(self, router, stores_by_name, *, first=False, policy=None):
         self._stores_by_name = stores_by_name
+        self._spare_fraction = spare_fraction_of(policy or PolicyWeights())
         self._queues_by_store = {}
         self._quiet_s = 0.0 if first else PERMIT_TERM_S
         self._changed = anyio.Event()
@@ -204,6 +218,11 @@
             if name in stores_by_name:
                 queue.set_store(stores_by_name[name])
 
+    def set_policy(self, policy):
+        self._spare_fraction = spare_fraction_of(policy)
+        for queue in self._queues_by_store.values():
+            queue.spare_fraction = self._spare_fraction
+
     def resign(self, store):
         """Forgets a store whose coordinator is another daemon now."""
         self._queues_by_store.pop(store, None)
@@ -222,7 +241,9 @@
             store = self._stores_by_name.get(message.store)
             if store is None:
                 raise ServingError(ResultCode.NO_REPLICA, f"no store {message.store}")
-            queue = PermitQueue(store, quiet_s=self._quiet_s)
+            queue = PermitQueue(
+                store, quiet_s=self._quiet_s, spare_fraction=self._spare_fraction
+            )
             self._queues_by_store[message.store] = queue
         pending = queue.put(
             message.permit_id,
