--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -7,6 +7,7 @@
 import argparse
 import concurrent.futures
 import json
+import pathlib
 import sys
 import time
 
@@ -15,6 +16,7 @@
 from benchmarks.policy_report import figures_of
 from benchmarks.policy_run import Trial
 from benchmarks.policy_workloads import SITES, WORKLOADS, make_workload
+from snipetrestle_standins.engine import EngineCore
 
 POLICIES = ("random", "least_loaded", "hash_lru", "product")
 DURATION_S = 400.0
@@ -79,6 +81,8 @@
 def check_targets(results, site, workload_names, policies):
     """Returns the targets of each workload as (name, value, limit, met)."""
     baselines = [name for name in policies if not name.startswith("product")]
+    if not baselines or "product" not in policies:
+        return []
     checks = []
     for name in workload_names:
         product = results[(site, name, "product")]
@@ -130,6 +134,42 @@
         print(f"  {name:<32}{value:>8.3f} {bound:<14}{word}")
 
 
+def print_kv_comparison():
+    """Prints when moving a stream's KV cache is cheaper than computing it again."""
+    engine = EngineCore("kv", None)
+    prefill_s = engine.step_times.per_prompt_token_s
+    print("\ntokens of a stream: move by export and import, or compute again (ms)")
+    for tokens in (128, 256, 512, 1024, 4096):
+        move = 2 * engine.kv_move_s(tokens) * 1000
+        again = tokens * prefill_s * 1000
+        better = "move" if move < again else "compute"
+        print(f"  {tokens:>5}: {move:>7.2f} {again:>7.2f}  {better}")
+
+
+def write_plots(results, directory, policies):
+    """Writes one bar chart for each site and figure."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    directory = pathlib.Path(directory)
+    directory.mkdir(parents=True, exist_ok=True)
+    for site in sorted({case[0] for case in results}):
+        names = list(dict.fromkeys(case[1] for case in results if case[0] == site))
+        for title, key in COLUMNS:
+            figure, axes = pyplot.subplots(figsize=(9, 4))
+            for index, policy in enumerate(policies):
+                values = [results[(site, name, policy)][key] or 0.0 for name in names]
+                places = [n + 0.8 * index / len(policies) for n in range(len(names))]
+                axes.bar(places, values, 0.8 / len(policies), label=policy)
+            axes.set_xticks(range(len(names)), names)
+            axes.set_title(f"{site}: {title} ({key})")
+            axes.legend()
+            figure.savefig(directory / f"{site}-{key}.png")
+            pyplot.close(figure)
+
+
 def parse_arguments(argv):
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--quick", action="store_true", help="short runs")
@@ -162,6 +202,9 @@
             name: {policy: results[(site, name, policy)] for policy in options.policies}
             for name in options.workloads
         }
+    print_kv_comparison()
+    if options.plot:
+        write_plots(results, options.plot, options.policies)
     print(json.dumps(output, sort_keys=True))
     return 0
 
--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -105,7 +105,10 @@
 
     def _build_limits(self):
         self.share_coordinator = ShareCoordinator(
-            self.router, self._contract_of, first=self._first_start
+            self.router,
+            self._contract_of,
+            first=self._first_start,
+            reached=lambda: len(self.membership.routable()),
         )
         self.shares = LimitShares(
             self.own_calls,
@@ -256,6 +259,7 @@
         self._stores_by_name.clear()
         self._stores_by_name.update(configuration.stores_by_name)
         self.load_coordinator.set_stores(self._stores_by_name)
+        self.load_coordinator.set_policy(configuration.policy)
         for part in self.configuration_parts:
             part.apply(configuration)
         self._set_replicas()
