--- a/snipetrestle/placement/load_coordinator.py
+++ b/snipetrestle/placement/load_coordinator.py
@@ -24,11 +24,11 @@
 AGE_PER_REQUEST_S = 0.25
 # With equal policy weights, a load that is not for waiting requests is granted when the
 # store was free for this part of its period, so that a waiting load seldom finds it busy.
-SPARE_FRACTION = 0.5
+SPARE_FRACTION = 0.3
 MAX_SPARE_FRACTION = 2.0
 # Customers within this part above the mean use of the store are alike, since use varies
 # by chance; one at twice the free use stands back by EXCESS_S.
-EXCESS_FREE = 0.15
+EXCESS_FREE = 0.05
 EXCESS_S = 10.0
 MAX_EXCESS = 2.0
 USE_HALF_LIFE_S = 60.0
