--- a/benchmarks/control_counts.py
+++ b/benchmarks/control_counts.py
@@ -37,9 +37,9 @@
 WRITES = (10, 20, 40, 80)
 HOSTS = (100, 200, 400, 800)
 CUSTOMERS = (2, 4, 8, 16)
-# Limits that a request per second at one of seven hosts uses little and much of.
 # Hosts on the list, which divide a limit and set the term of a grant.
-HOSTS = 330
+SHARE_HOSTS = 330
+# Limits that a request per second at one of these hosts uses little and much of.
 ROOMY_LIMIT = 66_000.0
 SHORT_LIMIT = 660.0
 LOADS = (5, 10, 20, 40)
@@ -302,7 +302,7 @@
 async def _run_shares(customers, limit):
     """Keeps some customers active at one daemon, each with a request per second.
 
-    ``limit`` is the contract's number of requests per second, for HOSTS hosts.
+    ``limit`` is the contract's number of requests per second, for SHARE_HOSTS hosts.
     """
     transport = _GrantingTransport()
     contract = Contract(
@@ -316,7 +316,7 @@
         random.Random(1),
         lambda customer: contract,
         lambda customer: "coordinator",
-        lambda: HOSTS,
+        lambda: SHARE_HOSTS,
     )
     async with anyio.create_task_group() as group:
         group.start_soon(shares.run)
--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -264,6 +264,7 @@
         self._stores_by_name.clear()
         self._stores_by_name.update(configuration.stores_by_name)
         self.load_coordinator.set_stores(self._stores_by_name)
+        self.load_coordinator.set_policy(configuration.policy)
         for part in self.configuration_parts:
             part.apply(configuration)
         self._set_replicas()
