--- a/snipetrestle/engines/loading.py
+++ b/snipetrestle/engines/loading.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from snipetrestle.engines.detached import run_detached
 from snipetrestle.engines.protocol import (
     EngineError,
     LoadOrder,
@@ -42,6 +43,8 @@
         self.pending_by_handle = {}
         self.mean_load_s = DEFAULT_LOAD_S
         self.max_batch_copies = 1
+        # The owner's step that starts what can start after a change of the slots.
+        self.on_changed = lambda: None
         self.loads = 0
         self._random = rng
         self._failures_by_handle = {}
@@ -74,7 +77,7 @@
                         permit.unused = True
                     return False
                 order = LoadOrder(handle, adapter, version, fencing_number())
-                await self._order_load(order)
+                await run_detached(self._order_load(order))
         finally:
             self.pending_by_handle.pop(handle, None)
         self.loads += 1
@@ -84,17 +87,18 @@
 
     async def _order_load(self, order):
         started = anyio.current_time()
-        # An order on its way cannot be taken back, so it is awaited even if the
-        # request that led it is cancelled.
-        with anyio.CancelScope(shield=True):
-            try:
-                await self.engine.load(order)
-            except EngineError as error:
-                self.slots.forget(order.handle)
-                self._note_failure(order.handle, error)
-                raise
-        self._failures_by_handle.pop(order.handle, None)
-        self.slots.finish_load(order.handle, anyio.current_time() - started)
+        try:
+            await self.engine.load(order)
+        except EngineError as error:
+            self.slots.forget(order.handle)
+            self._note_failure(order.handle, error)
+            raise
+        else:
+            self._failures_by_handle.pop(order.handle, None)
+            self.slots.finish_load(order.handle, anyio.current_time() - started)
+        finally:
+            # The request that led the load may be gone, and others wait for the copy.
+            self.on_changed()
 
     async def _make_room(self, handle, demand, fencing_number):
         """Takes a slot, after an eviction if needed; returns whether it did."""
@@ -103,22 +107,29 @@
             if victim is None:
                 return False
             self.slots.begin_unload(victim)
-            with anyio.CancelScope(shield=True):
-                try:
-                    await self.engine.unload(UnloadOrder(victim, fencing_number()))
-                except OldFencingNumber:
-                    self.slots.cancel_unload(victim)
-                    raise
-                except EngineError:
-                    self.slots.cancel_unload(victim)
-                    return False
-            self.slots.forget(victim)
+            order = UnloadOrder(victim, fencing_number())
+            if not await run_detached(self._order_unload(order)):
+                return False
         if self.slots.find(handle) is not None:
             return False
         self.slots.begin_load(handle)
         self.slots.find(handle).for_batch = demand.load_class == LoadClass.BATCH
         return True
 
+    async def _order_unload(self, order):
+        """Returns whether the engine has unloaded the copy."""
+        try:
+            await self.engine.unload(order)
+        except OldFencingNumber:
+            self.slots.cancel_unload(order.handle)
+            raise
+        except EngineError:
+            self.slots.cancel_unload(order.handle)
+            return False
+        self.slots.forget(order.handle)
+        self.on_changed()
+        return True
+
     def _victim(self, handle, demand):
         if demand.load_class == LoadClass.BATCH:
             return self.slots.batch_victim(self.max_batch_copies)
