--- a/snipetrestle/engines/loading.py
+++ b/snipetrestle/engines/loading.py
@@ -43,6 +43,8 @@
         self.pending_by_handle = {}
         self.mean_load_s = DEFAULT_LOAD_S
         self.max_batch_copies = 1
+        # The owner's step that starts what can start after a change of the slots.
+        self.on_changed = lambda: None
         self.loads = 0
         self._random = rng
         self._failures_by_handle = {}
@@ -91,8 +93,12 @@
             self.slots.forget(order.handle)
             self._note_failure(order.handle, error)
             raise
-        self._failures_by_handle.pop(order.handle, None)
-        self.slots.finish_load(order.handle, anyio.current_time() - started)
+        else:
+            self._failures_by_handle.pop(order.handle, None)
+            self.slots.finish_load(order.handle, anyio.current_time() - started)
+        finally:
+            # The request that led the load may be gone, and others wait for the copy.
+            self.on_changed()
 
     async def _make_room(self, handle, demand, fencing_number):
         """Takes a slot, after an eviction if needed; returns whether it did."""
@@ -121,6 +127,7 @@
             self.slots.cancel_unload(order.handle)
             return False
         self.slots.forget(order.handle)
+        self.on_changed()
         return True
 
     def _victim(self, handle, demand):
--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -43,9 +43,7 @@
         for name in self.coordinator_by_name:
             router = MessageRouter()
             ShareCoordinator(
-                router,
-                lambda customer: self.contract,
-                reached_count=lambda: self.reached,
+                router, lambda customer: self.contract, lambda: self.reached
             )
             shares = LimitShares(
                 self.network.attach(name, router),
