--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -242,6 +242,21 @@
             if replica.foreign is not None:
                 replica.foreign.note_stopped(name)
 
+    async def change_role(self, replica_name, role):
+        """Orders an owned engine to change its role. Raises ServingError."""
+        replica = self._replicas_by_name.get(replica_name)
+        if replica is None or replica.owner is None:
+            raise ServingError(ResultCode.NOT_OWNER, replica_name)
+        owner = replica.owner
+        try:
+            with anyio.fail_after(self._times.engine_timeout_s):
+                await replica.engine.change_role(role, replica.number)
+        except OldFencingNumber as error:
+            self._give_up(replica, owner)
+            raise ServingError(ResultCode.FENCED, str(error)) from error
+        except (EngineError, TimeoutError) as error:
+            raise ServingError(ResultCode.NO_REPLICA, str(error)) from error
+
     # The view for entries
 
     def owner_name(self, server, without=()):
@@ -375,6 +390,7 @@
         if self._orders_view != self._membership.view_number:
             self._own_replicas = None
         if self._own_replicas is None:
+            self._check_suspects()
             self._own_replicas = tuple(
                 replica
                 for replica in self._replicas_by_name.values()
@@ -385,6 +401,19 @@
             if not replica.settling and now >= replica.next_try:
                 self._start_settling(replica)
 
+    def _check_suspects(self):
+        """Probes suspected members at once whose replicas this daemon succeeds to."""
+        own = self._membership.own_name
+        names = set()
+        for replica in self._replicas_by_name.values():
+            order = self._order(replica.server)
+            if order[1:2] == [own]:
+                names.add(order[0])
+        for name in sorted(names):
+            member = self._membership.get(name)
+            if member is not None and member.state is MemberState.SUSPECTED:
+                self._take_over_from(name)
+
     def _start_settling(self, replica):
         first = self._is_first(replica)
         if replica.owner is None and first and self._may_claim(replica):
--- a/tests/writes/test_at_most_once.py
+++ b/tests/writes/test_at_most_once.py
@@ -541,6 +541,26 @@
 
         self.run_with(scenario)
 
+    def test_previous_that_is_published_late_still_hands_over(self):
+        """Guards against keepers that start empty once ``previous`` allows a start."""
+
+        async def scenario(fleet):
+            await fleet.write("entry-0")
+            previous = self.previous(fleet)
+            names = [*fleet.names[1:], "entry-7"]
+            await self.change_names(fleet, start="existing")
+            changes = {"names": names, "epoch": 2, "start": "existing"}
+            complete = make_configuration(**changes, previous=previous)
+            for name in fleet.names:
+                # Daemons that have the late revision must not start with those without.
+                fleet.publish(complete, [name])
+                await fleet.settle(7)
+            answers = await fleet.write_everywhere()
+            self.assertEqual({OK}, codes_of(answers))
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario)
+
     def test_changed_names_without_an_epoch_answer_unknown(self):
         """Guards against a group that starts empty beside one that has records."""
 
@@ -556,3 +576,32 @@
             self.assertEqual(before, await fleet.write("entry-0"))
 
         self.run_with(scenario)
+
+
+class OpenClaimsTest(WritesTestCase):
+    async def retry_after_time_out(self, fleet, forget):
+        """The home times out, and later retries ask it for its claim."""
+        await fleet.write("entry-0", time_left_s=6)
+        home = fleet.daemons_by_name[fleet.home_of()].coordinator
+        self.assertEqual({}, home._attempts_by_key)
+        if forget:
+            home._open_claims.clear()
+        await fleet.settle(10)
+        return await fleet.write_everywhere()
+
+    def test_unknown_attempt_is_never_withdrawn(self):
+        """Guards against a home that gives up the claim of a write that may have run."""
+
+        async def scenario(fleet):
+            answers = await self.retry_after_time_out(fleet, forget=False)
+            self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
+            self.assertEqual(1, fleet.executions())
+
+        self.run_with(scenario, faults=ServiceFaults(lose_answers=1))
+
+    def test_unknown_attempt_breaks_without_open_claims(self):
+        async def scenario(fleet):
+            await self.retry_after_time_out(fleet, forget=True)
+            self.assertEqual(2, fleet.executions())
+
+        self.run_with(scenario, faults=ServiceFaults(lose_answers=1))
