--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -94,14 +94,13 @@
         """Returns open regular files that can be written, but for those in memory."""
         files = []
         for path in pathlib.Path(f"/proc/{pid}/fd").iterdir():
-            target = os.readlink(path)
-            access = int(
-                (path.parent.parent / "fdinfo" / path.name)
-                .read_text()
-                .split("flags:")[1]
-                .split()[0],
-                8,
-            )
+            try:
+                target = os.readlink(path)
+                info = (path.parent.parent / "fdinfo" / path.name).read_text()
+            except FileNotFoundError:
+                # A connection that was closed since the listing.
+                continue
+            access = int(info.split("flags:")[1].split()[0], 8)
             in_memory = target.startswith(("/memfd:", "/dev/"))
             if target.startswith("/") and not in_memory and access & os.O_ACCMODE:
                 files.append(target)
