--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -186,6 +186,7 @@
         self._service_s = DEFAULT_SERVICE_S
         self._engine_incarnation = None
         self._idle = anyio.Event()
+        self.loader.on_changed = self._advance
 
     @property
     def queued(self):
