Close the engines' channels when the application stops

Cause: the task that reads an engine's channel is not one of the application's, so it went on after the stop, and each stand-in engine of the demo waited 5 s for its end. Change: the application closes the engine clients it opened.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -151,11 +151,13 @@
             self._stores_by_name,
         )
         self.pace = StreamPace()
+        self._engines = []
+        self.stop_hooks.append(self._close_engines)
         self.owned = ReplicaOwnership(
             self.membership,
             self.transport,
             self.router,
-            lambda server: HttpEngineClient(server.address, self.generator, self.pace),
+            self._open_engine,
             self._make_owner,
         )
         self.configuration_parts.append(self.owned)
@@ -207,6 +209,16 @@
         self.configuration_parts.append(self.keeper)
         self.tasks.append(self.keeper.run)
 
+    def _open_engine(self, server):
+        engine = HttpEngineClient(server.address, self.generator, self.pace)
+        self._engines.append(engine)
+        return engine
+
+    async def _close_engines(self):
+        """Ends the channels, whose tasks are not the application's."""
+        for engine in self._engines:
+            await engine.aclose()
+
     def _make_owner(self, server, engine, number, suffix):
         return ReplicaOwner(
             server,
