Start a new ownership term after an unload order without an answer

Cause: an unload order whose answer was lost counted as not done; arriving late it could evict a copy that was in use again (P2), found by reading, shown by a test that delivers the order two seconds late. Change: the owner ends its term; the next one has a higher fencing number or other handles. A view change also skips the replicas of other regions, and the end of a term no longer needs a running task group. Conclusion: P2 no longer leans on the order in which an engine receives orders.

--- a/snipetrestle/engines/loading.py
+++ b/snipetrestle/engines/loading.py
@@ -45,6 +45,8 @@
         self.max_batch_copies = 1
         # The owner's step that starts what can start after a change of the slots.
         self.on_changed = lambda: None
+        # Called with the handle of an unload order whose answer was lost.
+        self.on_uncertain_unload = lambda handle: None
         self.loads = 0
         self._random = rng
         self._failures_by_handle = {}
@@ -123,8 +125,12 @@
         except OldFencingNumber:
             self.slots.cancel_unload(order.handle)
             raise
-        except EngineError:
-            self.slots.cancel_unload(order.handle)
+        except EngineError as error:
+            if error.sent:
+                # The order may still arrive. The copy stays unusable in this term.
+                self.on_uncertain_unload(order.handle)
+            else:
+                self.slots.cancel_unload(order.handle)
             return False
         self.slots.forget(order.handle)
         self.on_changed()
--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -371,7 +371,18 @@
             self._orders_by_replica[server.name] = order
         return order
 
+    def _in_own_region(self, replica):
+        """Tells whether this daemon may own the replica at all, without its order.
+
+        At 3,900 replicas in 4 regions this saves three quarters of the work that a
+        change of the view causes.
+        """
+        members = self._membership.routable(replica.server.region)
+        return self._membership.own_name in members
+
     def _is_first(self, replica, without=None):
+        if not self._in_own_region(replica):
+            return False
         order = [name for name in self._order(replica.server) if name != without]
         return bool(order) and order[0] == self._membership.own_name
 
@@ -406,6 +417,8 @@
         own = self._membership.own_name
         names = set()
         for replica in self._replicas_by_name.values():
+            if not self._in_own_region(replica):
+                continue
             order = self._order(replica.server)
             if order[1:2] == [own]:
                 names.add(order[0])
@@ -542,6 +555,7 @@
         )
         # The owner has logged the refusal before it calls this.
         owner.on_fenced = lambda highest: self._give_up(replica, owner)
+        owner.loader.on_uncertain_unload = lambda handle: self._renew(replica, owner)
         owner.take_status(status)
         replica.owner = owner
         replica.unlisted = frozenset()
@@ -602,7 +616,8 @@
             successor=successor,
             running=owner.running,
         )
-        self._group.start_soon(self._finish_term, replica, owner, successor)
+        if self._group is not None:
+            self._group.start_soon(self._finish_term, replica, owner, successor)
 
     async def _close_when_ended(self, replica):
         while replica.ended_owners:  # noqa: ASYNC110 - not an event
@@ -633,6 +648,17 @@
             self._note_fenced(replica)
             self._end_term(replica, None)
 
+    def _renew(self, replica, owner):
+        """Ends a term in which an unload order may still be on its way.
+
+        The next term has a higher number and, at an engine that ignores numbers, other
+        handles, so the late order cannot unload a copy that is in use.
+        """
+        if replica.owner is owner:
+            log_event(Event.TERM_RENEWED, replica=replica.server.name)
+            self._end_term(replica, None)
+            self._notify()
+
     def _note_fenced(self, replica):
         replica.gave_up_view = self._membership.view_number
         replica.next_try = anyio.current_time() + self._times.retry_s
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -62,6 +62,7 @@
     ENGINE_UNREACHABLE = (1307, "WARNING", "engine is not reachable")
     STREAM_RESUMED = (1308, "INFO", "stream resumed")
     SERVER_LEAVING = (1321, "INFO", "backend server leaves and gets no new work")
+    TERM_RENEWED = (1323, "WARNING", "new term, since an unload order had no answer")
     HAND_OVER_UNCONFIRMED = (1322, "WARNING", "hand-over was not confirmed")
     REQUEST_REFUSED = (1401, "DEBUG", "request refused")
     REQUEST_FAILED = (1402, "WARNING", "request failed")
--- a/tests/engines/test_ownership.py
+++ b/tests/engines/test_ownership.py
@@ -1,6 +1,7 @@
 """Tests of replica ownership: two owners, takeovers and hand-overs (P1, P2, P6)."""
 
 import asyncio
+import contextlib
 
 import anyio
 import testtools
@@ -10,6 +11,7 @@
 from snipetrestle.engines import loading
 from snipetrestle.engines.owner import ReplicaOwner
 from snipetrestle.engines.ownership import ReplicaOwnership
+from snipetrestle.engines.protocol import EngineError
 from snipetrestle.peers.members import MemberState
 from snipetrestle_standins.clock import run_advanced
 from snipetrestle_standins.engine import expected_text
@@ -461,6 +463,68 @@
         self.run_fleet(check)
 
 
+class LateUnloadTest(OwnershipTest):
+    async def lose_the_answer_of_an_unload(self, fleet, serve):
+        """An unload order arrives two seconds after its answer was given up."""
+        first = fleet.order_of()[0]
+        engine = fleet.engine()
+        unload = engine.unload
+        lost = []
+
+        async def arrive_late(order):
+            await anyio.sleep(2.0)
+            with contextlib.suppress(EngineError):
+                await unload(order)
+
+        async def lose(order):
+            if lost:
+                await unload(order)
+                return
+            lost.append(order.handle)
+            group.start_soon(arrive_late, order)
+            raise EngineError("no answer")
+
+        engine.unload = lose
+        async with anyio.create_task_group() as group:
+            await self.fill(fleet, first, engine.adapter_slots)
+            group.start_soon(fleet.ask, first, "adapter-5")
+            await fleet.settle(0.5)
+            adapter = lost[0].partition("@")[0]
+            await serve(fleet, first, adapter)
+        return engine.in_use_evictions
+
+    def test_late_unload_evicts_no_copy_in_use(self):
+        """Guards P2 against an order that arrives after its call has failed."""
+
+        async def serve(fleet, name, adapter):
+            await self.serve(fleet, name, adapter, LONG_TOKENS)
+
+        async def check(fleet):
+            evicted = await self.lose_the_answer_of_an_unload(fleet, serve)
+            self.assertEqual([], evicted)
+
+        self.run_both(check)
+
+    def test_late_unload_evicts_when_the_term_goes_on(self):
+        """Shows that the new term is what protects the copy."""
+
+        class Trusting(ReplicaOwnership):
+            def _renew(self, replica, owner):
+                for copy in tuple(owner.slots.copies_by_handle):
+                    owner.slots.cancel_unload(copy)
+
+        async def serve(fleet, name, adapter):
+            # The stream breaks with its copy.
+            with contextlib.suppress(ServingError):
+                await fleet.ask(name, adapter, max_tokens=LONG_TOKENS)
+
+        async def check(fleet):
+            evicted = await self.lose_the_answer_of_an_unload(fleet, serve)
+            self.assertNotEqual([], evicted)
+
+        self.run_both(check, ownership_class=Trusting)
+
+
 class SilentOwnerTest(OwnershipTest):
     def test_one_report_moves_all_replicas_of_a_silent_owner(self):
         """Guards against replicas that wait for a request of their own."""
