--- a/snipetrestle/peers/messages.py
+++ b/snipetrestle/peers/messages.py
@@ -20,6 +20,11 @@
     return message_type
 
 
+def registered_types():
+    """Returns all registered message types."""
+    return tuple(decoder.type for decoder in _types_by_name.values())
+
+
 _encoder = msgspec.msgpack.Encoder()
 
 
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -1,11 +1,14 @@
 """Tests that the reference pages match the code."""
 
 import pathlib
+import re
 
 import testtools
 
+import snipetrestle.app  # noqa: F401 - registers all messages
 from snipetrestle.codes import ResultCode
 from snipetrestle.events import Event
+from snipetrestle.peers.messages import registered_types
 from snipetrestle.reference import pages_by_name
 
 DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
@@ -21,6 +24,18 @@
                 f"docs/{name} is old: run python -m snipetrestle.reference docs",
             )
 
+    def test_design_page_lists_the_messages(self):
+        """Guards against a message that the design page does not name, or a dead name."""
+        page = (DOCS / "design.md").read_text()
+        section = page.split("## 5. Messages")[1].split("## 6.")[0]
+        listed = set(re.findall(r"`([A-Za-z]+)`", section.split("| --- | --- |")[1]))
+        product = {
+            message_type.__name__
+            for message_type in registered_types()
+            if message_type.__module__.startswith("snipetrestle.")
+        }
+        self.assertEqual(product, listed)
+
     def test_numbers_are_unique(self):
         """Guards against two codes or events with one number."""
         for items in (ResultCode, Event):
