Reload the certificates of the callers' and operators' listeners

Cause: only the transport between daemons read its certificates again; an expired one at the HTTP listeners needed a restart, and no test covered TLS there. Change: the listener reads the files again and gives new connections the changed pair. Result: tests: plain text and another authority are refused; a half-replaced pair changes nothing, the whole pair is used without a restart. Conclusion: all listeners follow tls.reload_interval_s.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -332,9 +332,14 @@
             self.settings.tls,
             self.settings.intake,
         )
+        reload_s = tls.reload_interval_s
         async with (
-            serving(self.callers, listen.callers, tls.callers, intake) as callers,
-            serving(self.operators, listen.operators, tls.operators) as operators,
+            serving(
+                self.callers, listen.callers, tls.callers, intake, reload_s
+            ) as callers,
+            serving(
+                self.operators, listen.operators, tls.operators, None, reload_s
+            ) as operators,
         ):
             self.callers_address, self.operators_address = callers, operators
             yield
--- a/snipetrestle/callers/listener.py
+++ b/snipetrestle/callers/listener.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import logging
+import pathlib
+import ssl
 
 import anyio
 import uvicorn
@@ -9,6 +11,7 @@
 
 from snipetrestle.callers.refusals import raw_error
 from snipetrestle.codes import ResultCode, ServingError
+from snipetrestle.events import Event, log_event
 from snipetrestle.settings import IntakeSettings, is_loopback, split_address
 
 # Request line and headers together.
@@ -147,11 +150,11 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(app, address, tls=None, intake=None):
+async def serving(app, address, tls=None, intake=None, reload_interval_s=30.0):
     """Serves an ASGI application at ``IP:PORT`` while the context is open.
 
     Yields the address with the port in use. Raises ServingError for plain text off
-    loopback.
+    loopback. Certificates are read again every ``reload_interval_s`` seconds.
     """
     if tls is None and not is_loopback(address):
         raise ServingError(
@@ -162,8 +165,15 @@
         )
     host, port = split_address(address)
     logging.getLogger("uvicorn.error").setLevel(logging.WARNING)
-    server = _Server(make_config(app, intake, host, port, tls))
+    config = make_config(app, intake, host, port, tls)
+    server = _Server(config)
     async with anyio.create_task_group() as group:
+        reloads = anyio.CancelScope()
+        if tls is not None:
+            config.load()
+            group.start_soon(
+                _reload_certificate, reloads, config.ssl, tls, reload_interval_s
+            )
         group.start_soon(server.serve)
         while not server.started:  # noqa: ASYNC110 - uvicorn has no event for it
             await anyio.sleep(_START_POLL_S)
@@ -172,3 +182,34 @@
             yield f"{address.rpartition(':')[0]}:{bound[1]}"
         finally:
             server.should_exit = True
+            reloads.cancel()
+
+
+async def _reload_certificate(scope, context, tls, interval_s):
+    """Gives new connections a changed certificate until the scope is cancelled."""
+    loaded = _read_certificate(tls)
+    with scope:
+        while True:
+            await anyio.sleep(interval_s)
+            try:
+                contents = _read_certificate(tls)
+                if contents == loaded:
+                    continue
+                # A pair that does not fit must not replace the one in use, so it is
+                # tried on a context of its own first.
+                ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER).load_cert_chain(
+                    tls.certificate, tls.key
+                )
+                context.load_cert_chain(tls.certificate, tls.key)
+            except (OSError, ssl.SSLError) as error:
+                log_event(Event.TLS_RELOAD_FAILED, detail=str(error))
+                continue
+            loaded = contents
+            log_event(Event.TLS_RELOADED, certificate=tls.certificate)
+
+
+def _read_certificate(tls):
+    return (
+        pathlib.Path(tls.certificate).read_bytes(),
+        pathlib.Path(tls.key).read_bytes(),
+    )
--- /dev/null
+++ b/tests/callers/test_listener_tls.py
@@ -0,0 +1,77 @@
+"""Tests of TLS at the listeners of callers and operators."""
+
+import pathlib
+import shutil
+import ssl
+import tempfile
+
+import anyio
+import httpcore
+import testtools
+
+from snipetrestle.callers.listener import serving
+from snipetrestle_standins.certificates import Authority
+from snipetrestle_standins.http_answers import answer
+
+RELOAD_S = 0.02
+
+
+async def hello(scope, receive, send):
+    await answer(send, 200, b"hello")
+
+
+class ListenerTlsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def issue(self, name):
+        """Returns the TlsFiles of a listener under an authority of its own."""
+        folder = self.folder / name
+        folder.mkdir()
+        return Authority(name).issue(folder, "127.0.0.1")
+
+    async def get(self, url, files=None):
+        context = files and ssl.create_default_context(cafile=files.authority)
+        async with httpcore.AsyncConnectionPool(ssl_context=context) as pool:
+            response = await pool.request("GET", url)
+            return response.content
+
+    async def is_trusted(self, address, files):
+        try:
+            return await self.get(f"https://{address}/", files) == b"hello"
+        except httpcore.ConnectError:
+            return False
+
+    def test_plain_text_and_other_authorities_are_refused(self):
+        """Guards against a listener with certificates that still takes plain text."""
+        files, others = self.issue("first"), self.issue("other")
+
+        async def main():
+            async with serving(hello, "127.0.0.1:0", files) as address:
+                self.assertTrue(await self.is_trusted(address, files))
+                self.assertFalse(await self.is_trusted(address, others))
+                with testtools.ExpectedException(httpcore.RemoteProtocolError):
+                    await self.get(f"http://{address}/")
+
+        anyio.run(main)
+
+    def test_changed_certificate_is_used_without_a_restart(self):
+        """Guards against an outage when a certificate expires on a running daemon."""
+        files, renewed = self.issue("first"), self.issue("renewed")
+
+        async def main():
+            async with serving(hello, "127.0.0.1:0", files, None, RELOAD_S) as address:
+                self.assertFalse(await self.is_trusted(address, renewed))
+                # A certificate whose key has not come yet must change nothing.
+                shutil.copy(renewed.certificate, files.certificate)
+                await anyio.sleep(5 * RELOAD_S)
+                self.assertTrue(await self.is_trusted(address, files))
+                shutil.copy(renewed.key, files.key)
+                with anyio.fail_after(10.0):
+                    while not await self.is_trusted(address, renewed):  # noqa: ASYNC110
+                        await anyio.sleep(RELOAD_S)
+
+        anyio.run(main)
