Move the state of an owned replica to its own module, and share the reports' output

Cause: ownership.py had grown to 1,032 lines; four report commands repeated the choice between JSON and table. Change: engines/owned_replica.py; RemoteCommand.show. Conclusion: watching the engine is the next part to take out of ownership.py.

--- a/snipetrestle/cli/remote.py
+++ b/snipetrestle/cli/remote.py
@@ -6,7 +6,7 @@
 
 import cappa
 
-from snipetrestle.cli.output import ExitCode, fail
+from snipetrestle.cli.output import ExitCode, fail, print_json
 from snipetrestle.operators.client import OperatorCallFailed, OperatorClient
 
 KEY_VARIABLE = "SNIPETRESTLE_OPERATOR_KEY"
@@ -28,6 +28,14 @@
     authority = None
     json = False
 
+    def show(self, path, answer_type, print_text):
+        """Prints a report as JSON, or for people with ``print_text(report)``."""
+        report = self.call(lambda client: client.get(path, answer_type))
+        if self.json:
+            print_json(report)
+        else:
+            print_text(report)
+
     def call(self, action):
         """Runs ``action(client)``; exits with 4 if the daemon cannot be asked."""
         key = os.environ.get(KEY_VARIABLE)
--- a/snipetrestle/cli/reports.py
+++ b/snipetrestle/cli/reports.py
@@ -6,7 +6,7 @@
 
 import cappa
 
-from snipetrestle.cli.output import print_json, print_table
+from snipetrestle.cli.output import print_table
 from snipetrestle.cli.remote import Authority, Json, RemoteCommand, Url
 from snipetrestle.operators.reports import (
     AdapterReport,
@@ -26,21 +26,7 @@
     json: Json = False
 
     def __call__(self):
-        report = self.call(lambda client: client.get("/v1/status", DaemonReport))
-        if self.json:
-            print_json(report)
-            return
-        print(f"daemon: {report.name} ({report.incarnation})")
-        print(f"ready: {report.ready}  draining: {report.draining}")
-        print(f"configuration revision: {report.configuration_revision}")
-        print(f"owned replicas: {', '.join(report.owned_replicas) or '-'}")
-        print_table(
-            ("member", "state", "failure domain", "incarnation"),
-            [
-                (member.name, member.state, member.failure_domain, member.incarnation)
-                for member in report.members
-            ],
-        )
+        self.show("/v1/status", DaemonReport, _print_status)
 
 
 @cappa.command(name="contracts", help="List the customers' contracts in force.")
@@ -53,25 +39,7 @@
     json: Json = False
 
     def __call__(self):
-        reports = self.call(
-            lambda client: client.get("/v1/contracts", list[ContractReport])
-        )
-        if self.json:
-            print_json(reports)
-            return
-        print_table(
-            ("customer", "requests/s", "concurrency", "tokens/min", "first token s"),
-            [
-                (
-                    report.customer,
-                    report.requests_per_second,
-                    report.concurrency,
-                    report.tokens_per_minute,
-                    report.waiting_first_token_s,
-                )
-                for report in reports
-            ],
-        )
+        self.show("/v1/contracts", list[ContractReport], _print_contracts)
 
 
 @cappa.command(name="adapters", help="List the published adapters.")
@@ -86,17 +54,7 @@
 
     def __call__(self):
         path = "/v1/adapters?" + urllib.parse.urlencode({"name": self.name})
-        reports = self.call(lambda client: client.get(path, list[AdapterReport]))
-        if self.json:
-            print_json(reports)
-            return
-        print_table(
-            ("adapter", "model", "versions"),
-            [
-                (report.name, report.model, ", ".join(report.versions))
-                for report in reports
-            ],
-        )
+        self.show(path, list[AdapterReport], _print_adapters)
 
 
 @cappa.command(name="replicas", help="List the replicas that a daemon owns.")
@@ -109,21 +67,56 @@
     json: Json = False
 
     def __call__(self):
-        reports = self.call(
-            lambda client: client.get("/v1/replicas", list[ReplicaReport])
-        )
-        if self.json:
-            print_json(reports)
-            return
-        print_table(
-            ("replica", "queued", "running", "resident adapters"),
-            [
-                (
-                    report.name,
-                    report.queued,
-                    report.running,
-                    len(report.resident_adapters),
-                )
-                for report in reports
-            ],
-        )
+        self.show("/v1/replicas", list[ReplicaReport], _print_replicas)
+
+
+def _print_status(report):
+    print(f"daemon: {report.name} ({report.incarnation})")
+    print(f"ready: {report.ready}  draining: {report.draining}")
+    print(f"configuration revision: {report.configuration_revision}")
+    print(f"owned replicas: {', '.join(report.owned_replicas) or '-'}")
+    print_table(
+        ("member", "state", "failure domain", "incarnation"),
+        [
+            (member.name, member.state, member.failure_domain, member.incarnation)
+            for member in report.members
+        ],
+    )
+
+
+def _print_contracts(reports):
+    print_table(
+        ("customer", "requests/s", "concurrency", "tokens/min", "first token s"),
+        [
+            (
+                report.customer,
+                report.requests_per_second,
+                report.concurrency,
+                report.tokens_per_minute,
+                report.waiting_first_token_s,
+            )
+            for report in reports
+        ],
+    )
+
+
+def _print_adapters(reports):
+    print_table(
+        ("adapter", "model", "versions"),
+        [(report.name, report.model, ", ".join(report.versions)) for report in reports],
+    )
+
+
+def _print_replicas(reports):
+    print_table(
+        ("replica", "queued", "running", "resident adapters"),
+        [
+            (
+                report.name,
+                report.queued,
+                report.running,
+                len(report.resident_adapters),
+            )
+            for report in reports
+        ],
+    )
--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -14,6 +14,12 @@
 from snipetrestle.codes import ResultCode, ServingError
 from snipetrestle.engines.foreign import ForeignCopies
 from snipetrestle.engines.forward import Accepted, Forward
+from snipetrestle.engines.owned_replica import (
+    Claim,
+    OwnedElsewhere,
+    OwnedReplica,
+    OwnershipTimes,
+)
 from snipetrestle.engines.ownership_messages import (
     AskOwner,
     HandOverReplica,
@@ -42,108 +48,6 @@
 HAND_OVER_TRIES = 3
 
 
-class OwnershipTimes(msgspec.Struct, frozen=True):
-    """Times of claims and takeovers, in seconds.
-
-    A takeover takes about two asks of the old owner and two calls to the engine, which
-    leaves most of the 3 s target to the entry's own time-out.
-    """
-
-    settle_period_s: float = 0.25
-    ask_timeout_s: float = 0.3
-    status_period_s: float = 0.5
-    engine_timeout_s: float = 1.0
-    retry_s: float = 1.0
-    hand_over_timeout_s: float = 3.0
-    # Idleness counts only once it lasted longer than the engine's report lag.
-    idle_confirm_s: float = 1.0
-    unreachable_hold_s: float = 3.0
-    release_poll_s: float = 0.25
-    linger_s: float = 1.0
-
-
-class _OwnedElsewhere(ServingError):
-    """Another daemon owns the replica, or will at the next request for it."""
-
-    def __init__(self, replica_name, owner_name):
-        self.owner_name = owner_name
-        super().__init__(
-            ResultCode.NOT_OWNER, f"{replica_name} is owned by {owner_name}"
-        )
-
-
-class _Claim:
-    """A claim that requests wait for."""
-
-    __slots__ = ("ended", "error")
-
-    def __init__(self):
-        self.ended = anyio.Event()
-        self.error = None
-
-
-class _Replica:
-    """What this daemon holds of one replica of the configuration."""
-
-    def __init__(self, server, open_engine):
-        self.server = server
-        self._open_engine = open_engine
-        self._engine = None
-        self.owner = None
-        self.number = 0
-        self.suffix = ""
-        self.engine_incarnation = ""
-        # Owners of ended terms whose streams still run.
-        self.ended_owners = []
-        self.foreign = None
-        # Handles of earlier terms that may be in use, at an engine that checks numbers.
-        self.held_since_by_handle = {}
-        # Copies in the last status that the owner's slots do not show.
-        self.unlisted = frozenset()
-        # The daemon that took the last hand-over, which the own view may not show yet.
-        self.handed_to = None
-        # The view at which this daemon was fenced. It claims again at another one.
-        self.gave_up_view = None
-        self.lock = anyio.Lock()
-        # The claim in progress that requests wait for, or None.
-        self.claim = None
-        self.settling = False
-        self.next_try = 0.0
-
-    @property
-    def engine(self):
-        # Opened at the first use: most replicas are never this daemon's.
-        if self._engine is None:
-            self._engine = self._open_engine(self.server)
-        return self._engine
-
-    async def close_engine(self):
-        """Closes the client once the streams of ended terms are through."""
-        if hasattr(self._engine, "aclose"):
-            await self._engine.aclose()
-
-    @property
-    def checks_numbers(self):
-        return self.server.checks_fencing_numbers
-
-    def pinned_handles(self):
-        """Returns the handles that requests of this daemon use, of all its terms."""
-        pinned = set(self.own_pinned_handles())
-        for owner in self.ended_owners:
-            pinned.update(owner.pins_by_handle())
-        return tuple(sorted(pinned))
-
-    def own_pinned_handles(self):
-        """Returns those of the term in progress, without the holds for other owners."""
-        if self.owner is None:
-            return ()
-        return tuple(
-            handle
-            for handle, pins in self.owner.pins_by_handle().items()
-            if pins > (handle in self.held_since_by_handle)
-        )
-
-
 class ReplicaDoor:
     """Serves the requests of this daemon's entry for one replica."""
 
@@ -207,7 +111,7 @@
                     self._group.start_soon(self._close_when_ended, replica)
         for name, server in servers_by_name.items():
             if name not in self._replicas_by_name:
-                self._replicas_by_name[name] = _Replica(server, self._open_engine)
+                self._replicas_by_name[name] = OwnedReplica(server, self._open_engine)
         self._orders_view = None
         self._notify()
 
@@ -464,7 +368,7 @@
             for name, state in states.items():
                 if state is not None and state.owns:
                     await self._request_hand_over(replica, name)
-                    raise _OwnedElsewhere(replica.server.name, name)
+                    raise OwnedElsewhere(replica.server.name, name)
             if replica.gave_up_view == self._membership.view_number and (
                 None in states.values()
             ):
@@ -875,7 +779,7 @@
         if replica.claim is None:
             if self._group is None:
                 raise ServingError(ResultCode.NOT_READY)
-            replica.claim = _Claim()
+            replica.claim = Claim()
             self._group.start_soon(self._claim_after_check, replica, replica.claim)
         claim = replica.claim
         await claim.ended.wait()
@@ -901,7 +805,7 @@
             if state is None:
                 silent.add(name)
             elif state.owns or state.wants:
-                raise _OwnedElsewhere(replica.server.name, name)
+                raise OwnedElsewhere(replica.server.name, name)
         return silent
 
     def _successor(self, replica, error):
@@ -911,7 +815,7 @@
             or replica.server.name in self._leaving_servers
         ):
             return None
-        if isinstance(error, _OwnedElsewhere):
+        if isinstance(error, OwnedElsewhere):
             return error.owner_name
         own = self._membership.own_name
         others = [name for name in self._order(replica.server) if name != own]
@@ -955,7 +859,7 @@
                 and replica.claim is None
                 and self._may_claim(replica)
             ):
-                replica.claim = _Claim()
+                replica.claim = Claim()
                 self._group.start_soon(self._claim_after_check, replica, replica.claim)
 
     async def _probe_until_answer(self, name):
