Add the sub-command confirm-stopped

Cause: operators could only confirm a stopped host by an HTTP call of their own, and the path had no test. Result: the test refuses another key, an unknown and an empty name.

--- a/snipetrestle/cli/__init__.py
+++ b/snipetrestle/cli/__init__.py
@@ -6,6 +6,7 @@
 import cappa
 
 from snipetrestle.cli.check import Check
+from snipetrestle.cli.confirm_stopped import ConfirmStopped
 from snipetrestle.cli.demo import Demo
 from snipetrestle.cli.drain import Drain
 from snipetrestle.cli.explain import Explain
@@ -21,6 +22,7 @@
     Adapters,
     Replicas,
     Drain,
+    ConfirmStopped,
     Explain,
     Demo,
 )
--- a/tests/operators/test_interface.py
+++ b/tests/operators/test_interface.py
@@ -17,6 +17,7 @@
     def __init__(self, configuration):
         self._configuration = configuration
         self.drains = 0
+        self.confirmed = []
 
     def configuration(self):
         return self._configuration
@@ -33,6 +34,9 @@
     def start_drain(self):
         self.drains += 1
 
+    def confirm_stopped(self, name):
+        self.confirmed.append(name)
+
 
 class OperatorInterfaceTest(testtools.TestCase):
     def setUp(self):
@@ -81,3 +85,14 @@
         self.assertEqual(202, self.request("POST", "/v1/drain", key)[0])
         self.assertEqual(1, self.source.drains)
         self.assertEqual(404, self.request("GET", "/v1/none", key)[0])
+
+    def test_only_a_known_daemon_can_be_confirmed_as_stopped(self):
+        """Guards against a mistyped name that is taken for a stopped host."""
+        key = key_of("operator")
+        path = "/v1/confirm-stopped?name="
+        self.assertEqual(401, self.request("POST", path + "entry-3", "x")[0])
+        self.assertEqual(404, self.request("POST", path + "entry-33", key)[0])
+        self.assertEqual(404, self.request("POST", path, key)[0])
+        self.assertEqual([], self.source.confirmed)
+        self.assertEqual(202, self.request("POST", path + "entry-3", key)[0])
+        self.assertEqual(["entry-3"], self.source.confirmed)
