--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -303,6 +303,10 @@
         """Returns once the daemon has a configuration and takes requests."""
         await self.spread.ready.wait()
 
+    async def _note_ready(self):
+        await self.wait_ready()
+        log_event(Event.READY, name=self.settings.daemon.name)
+
     async def run(self, started=None):
         """Runs the daemon until ``stop`` is called; sets ``started`` once it listens."""
         settings = self.settings
@@ -315,7 +319,7 @@
             self._start_keeper()
             async with anyio.create_task_group() as group:
                 self._group = group
-                for task in self.tasks:
+                for task in (*self.tasks, self._note_ready):
                     group.start_soon(task)
                 async with self._listening():
                     log_event(Event.STARTED, name=settings.daemon.name)
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -65,7 +65,6 @@
     TERM_RENEWED = (1323, "WARNING", "new term, since an unload order had no answer")
     HAND_OVER_UNCONFIRMED = (1322, "WARNING", "hand-over was not confirmed")
     REQUEST_REFUSED = (1401, "DEBUG", "request refused")
-    REQUEST_FAILED = (1402, "WARNING", "request failed")
     INTERNAL_ERROR = (1403, "ERROR", "internal error")
     WRITE_UNKNOWN = (1501, "WARNING", "outcome of a write is unknown")
     KEEPER_READY = (1502, "INFO", "keeper recovered and is ready")
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -24,6 +24,16 @@
                 f"docs/{name} is old: run python -m snipetrestle.reference docs",
             )
 
+    def test_all_codes_and_events_are_used(self):
+        """Guards against a page that documents what the product never tells."""
+        source = "".join(
+            path.read_text() for path in (DOCS.parent / "snipetrestle").rglob("*.py")
+        )
+        for items in (ResultCode, Event):
+            for item in items:
+                name = f"{items.__name__}.{item.name}"
+                self.assertRegex(source, rf"\b{name}\b", f"{name} is not used")
+
     def test_design_page_lists_the_messages(self):
         """Guards against a message that the design page does not name, or a dead name."""
         page = (DOCS / "design.md").read_text()
