Share the bearer key check and the reading of PEM files

Cause: a last read of the change found the check of bearer keys in the callers' and the operators' interface, the reading of certificates in the peer transport and the HTTP listener, and a method of the owner that nothing calls. Change: api_keys.bearer_digest and pem_files.read_pem_files serve both sides; resume_dispatch is removed; the ready event is an ordinary task of the application. A caller's key with bytes beyond ASCII is now hashed as sent, as the operators' always was. Conclusion: the in-memory fleets of the stand-ins still repeat how they start and stop.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -105,6 +105,7 @@
             self.membership.run,
             self.spread.run,
             self._stop_when_superseded,
+            self._note_ready,
         ]
 
     def _build_limits(self):
@@ -319,7 +320,7 @@
             self._start_keeper()
             async with anyio.create_task_group() as group:
                 self._group = group
-                for task in (*self.tasks, self._note_ready):
+                for task in self.tasks:
                     group.start_soon(task)
                 async with self._listening():
                     log_event(Event.STARTED, name=settings.daemon.name)
--- a/snipetrestle/callers/interface.py
+++ b/snipetrestle/callers/interface.py
@@ -1,12 +1,12 @@
 """ASGI application for callers: authenticates, checks, and answers requests."""
 
 import contextlib
-import hashlib
 import time
 
 import anyio
 import msgspec
 
+from snipetrestle.api_keys import bearer_digest
 from snipetrestle.callers.batches import BATCHES_PATH
 from snipetrestle.callers.completions import (
     LAST_EVENT,
@@ -163,10 +163,9 @@
             raise ServingError(ResultCode.NOT_READY)
         if self._draining:
             raise ServingError(ResultCode.DRAINING)
-        scheme, _, key = (exchange.header(b"authorization") or "").partition(" ")
-        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        digest = bearer_digest(exchange.headers.get(b"authorization", b""))
         customer = self._configuration.customers_by_key.get(digest)
-        if scheme.lower() != "bearer" or customer is None:
+        if customer is None:
             raise ServingError(
                 ResultCode.BAD_KEY,
                 field="Authorization",
--- a/snipetrestle/callers/listener.py
+++ b/snipetrestle/callers/listener.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import logging
-import pathlib
 import ssl
 
 import anyio
@@ -12,6 +11,7 @@
 from snipetrestle.callers.refusals import raw_error
 from snipetrestle.codes import ResultCode, ServingError
 from snipetrestle.events import Event, log_event
+from snipetrestle.pem_files import read_pem_files
 from snipetrestle.settings import IntakeSettings, is_loopback, split_address
 
 # Request line and headers together.
@@ -187,29 +187,17 @@
 
 async def _reload_certificate(scope, context, tls, interval_s):
     """Gives new connections a changed certificate until the scope is cancelled."""
-    loaded = _read_certificate(tls)
+    loaded = read_pem_files(tls)
     with scope:
         while True:
             await anyio.sleep(interval_s)
             try:
-                contents = _read_certificate(tls)
+                contents = read_pem_files(tls)
                 if contents == loaded:
                     continue
-                # A pair that does not fit must not replace the one in use, so it is
-                # tried on a context of its own first.
-                ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER).load_cert_chain(
-                    tls.certificate, tls.key
-                )
                 context.load_cert_chain(tls.certificate, tls.key)
             except (OSError, ssl.SSLError) as error:
                 log_event(Event.TLS_RELOAD_FAILED, detail=str(error))
                 continue
             loaded = contents
             log_event(Event.TLS_RELOADED, certificate=tls.certificate)
-
-
-def _read_certificate(tls):
-    return (
-        pathlib.Path(tls.certificate).read_bytes(),
-        pathlib.Path(tls.key).read_bytes(),
-    )
--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -240,10 +240,6 @@
         """Stops the start of queued work and refuses new work; streams go on."""
         self._dispatching = False
 
-    def resume_dispatch(self):
-        self._dispatching = True
-        self._advance()
-
     def queued_forwards(self):
         """Returns the queued requests in order of arrival, for a hand-over."""
         entries = sorted(
--- a/snipetrestle/operators/interface.py
+++ b/snipetrestle/operators/interface.py
@@ -4,11 +4,11 @@
 """
 
 import fnmatch
-import hashlib
 import urllib.parse
 
 import msgspec
 
+from snipetrestle.api_keys import bearer_digest
 from snipetrestle.codes import ResultCode, ServingError
 from snipetrestle.operators.reports import adapter_reports, contract_reports
 
@@ -69,9 +69,8 @@
         if configuration is None:
             raise ServingError(ResultCode.NOT_READY, "no configuration yet")
         headers = dict(scope["headers"])
-        scheme, _, key = headers.get(b"authorization", b"").partition(b" ")
-        digest = hashlib.sha256(key.strip()).hexdigest()
-        if scheme.lower() != b"bearer" or digest not in configuration.operators_by_key:
+        digest = bearer_digest(headers.get(b"authorization", b""))
+        if digest not in configuration.operators_by_key:
             raise ServingError(ResultCode.BAD_KEY)
 
     def _status(self, configuration, query):
--- a/snipetrestle/peers/tls.py
+++ b/snipetrestle/peers/tls.py
@@ -1,21 +1,12 @@
 """Certificates of the transport between daemons, read again while the daemon runs."""
 
-import pathlib
 import ssl
 
 import anyio
 import grpc
-import msgspec
 
 from snipetrestle.events import Event, log_event
-
-
-class PemFiles(msgspec.Struct, frozen=True):
-    """Contents of the three PEM files of a mutual TLS set-up."""
-
-    certificate: bytes
-    key: bytes
-    authority: bytes
+from snipetrestle.pem_files import read_pem_files
 
 
 class TlsMaterial:
@@ -33,7 +24,7 @@
     @classmethod
     def from_files(cls, files):
         """Reads the files of a ``TlsFiles``. Raises OSError or ssl.SSLError."""
-        return cls(files, _read(files))
+        return cls(files, read_pem_files(files))
 
     def channel_credentials(self):
         """Returns the credentials that all channels of this version share.
@@ -72,7 +63,7 @@
     def reload(self):
         """Reads the files again. A set that does not fit together is not used."""
         try:
-            contents = _read(self._files)
+            contents = read_pem_files(self._files)
         except (OSError, ssl.SSLError) as error:
             log_event(Event.TLS_RELOAD_FAILED, detail=str(error))
             return
@@ -86,16 +77,3 @@
         while True:
             await anyio.sleep(interval_s)
             self.reload()
-
-
-def _read(files):
-    # The context checks that the key fits the certificate. A set of which only one
-    # file has been replaced so far is refused, and the next reload finds it complete.
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(files.certificate, files.key)
-    context.load_verify_locations(files.authority)
-    return PemFiles(
-        certificate=pathlib.Path(files.certificate).read_bytes(),
-        key=pathlib.Path(files.key).read_bytes(),
-        authority=pathlib.Path(files.authority).read_bytes(),
-    )
