--- a/benchmarks/chaos_standins.py
+++ b/benchmarks/chaos_standins.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from snipetrestle.callers.listener import serving
-from snipetrestle.platform.sources import Host
+from snipetrestle.publication.sources import Host
 from snipetrestle_standins.configuration_service import (
     ConfigurationService,
     configuration_app,
--- a/benchmarks/control_counts.py
+++ b/benchmarks/control_counts.py
@@ -14,7 +14,7 @@
 from snipetrestle.peers.transport import MessageRouter
 from snipetrestle.placement import CoordinatedPermits, LoadCoordinator
 from snipetrestle.placement.permits import LoadClass
-from snipetrestle.platform.sources import Host, HostList
+from snipetrestle.publication.sources import Host, HostList
 from snipetrestle.published import Contract, WeightStore
 from snipetrestle_standins import writes_fleet
 from snipetrestle_standins.clock import run_advanced
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -24,7 +24,7 @@
 from snipetrestle.engines.http_client import HttpEngineClient
 from snipetrestle.engines.protocol import LoadOrder
 from snipetrestle.hashing import rendezvous_first
-from snipetrestle.platform.sources import Host
+from snipetrestle.publication.sources import Host
 from snipetrestle_standins.configuration_service import (
     ConfigurationService,
     configuration_app,
--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -28,8 +28,8 @@
 from snipetrestle.peers.own_calls import OwnCallTransport
 from snipetrestle.peers.transport import MessageRouter
 from snipetrestle.placement import CoordinatedPermits, LoadCoordinator, ReplicaChooser
-from snipetrestle.platform.backend_hosts import BackendHosts
-from snipetrestle.platform.http_sources import (
+from snipetrestle.publication.backend_hosts import BackendHosts
+from snipetrestle.publication.http_sources import (
     HttpConfigurationSource,
     HttpHostListSource,
 )
--- a/snipetrestle/codes.py
+++ b/snipetrestle/codes.py
@@ -78,6 +78,13 @@
         True,
         "the request did not arrive in time",
     )
+    HEADERS_TOO_LARGE = (
+        1013,
+        431,
+        Outcome.DID_NOT_RUN,
+        False,
+        "the request's headers are too large",
+    )
 
     RATE_LIMIT = (
         1101,
--- /dev/null
+++ b/snipetrestle/coordination/datagrams.py
@@ -0,0 +1,50 @@
+"""Sends and receives datagrams between hosts over UDP."""
+
+import asyncio
+
+import msgspec
+
+from snipetrestle.coordination.messages import decode, encode
+
+
+class DatagramEndpoint(asyncio.DatagramProtocol):
+    """A UDP socket. Handlers are registered by message type."""
+
+    def __init__(self):
+        self._transport = None
+        self._handlers_by_type = {}
+
+    def register(self, message_type, handler):
+        """``handler(message, address)`` gets each message of the type."""
+        self._handlers_by_type[message_type] = handler
+
+    async def open(self, ip, port):
+        """Binds the socket. Raises OSError."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, port))
+
+    def close(self):
+        if self._transport is not None:
+            self._transport.close()
+
+    def send(self, message, address):
+        """Sends without waiting; a message may be lost."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(encode(message), address)
+
+    def connection_made(self, transport):
+        self._transport = transport
+
+    def datagram_received(self, data, addr):
+        try:
+            message = decode(data)
+        except msgspec.DecodeError:
+            # Bytes of another program on the same port.
+            return
+        handler = self._handlers_by_type.get(type(message))
+        if handler is not None:
+            handler(message, addr)
+
+    def error_received(self, exc):
+        # A refused datagram tells nothing that the silence of the peer does not.
+        pass
--- /dev/null
+++ b/snipetrestle/coordination/locator.py
@@ -0,0 +1,138 @@
+"""Finds the replicas that hold an adapter: remembered places, or a question to the leader.
+
+A place is used for PLACE_LEASE_S without asking again; after that it is still used at
+once, and the leader is asked meanwhile. If the leader is silent, old places go on being
+used: a replica that no longer holds the adapter refuses without running the request.
+"""
+
+import anyio
+
+from snipetrestle.coordination.messages import Locate, Located
+from snipetrestle.placement.adapter_places import PLACE_LEASE_S
+
+ANSWER_TIMEOUT_S = 0.15
+NO_LEADER_PAUSE_S = 0.05
+# Places that were not confirmed for this long are not used before the leader answered.
+STALE_S = 15.0
+MOST_REMEMBERED = 4000
+
+
+class KnownPlaces:
+    """Places of one adapter: when each is ready, by replica id."""
+
+    __slots__ = ("ready_at_by_id", "confirmed_at", "uses", "asking")
+
+    def __init__(self):
+        self.ready_at_by_id = {}
+        self.confirmed_at = None
+        self.uses = 0
+        self.asking = None
+
+
+class Locator:
+    """Places of adapters as this host knows them.
+
+    ``ask_here(key, uses, avoid)`` asks the director of this host, for when it leads.
+    """
+
+    def __init__(self, leadership, endpoint, own_name, ask_here):
+        self._leadership = leadership
+        self._endpoint = endpoint
+        self._own_name = own_name
+        self._ask_here = ask_here
+        self._by_key = {}
+        self._number = 0
+        self._waiting_by_number = {}
+        self._group = None
+        endpoint.register(Located, self._on_located)
+
+    async def run(self):
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
+
+    def remembered(self, key):
+        """Counts a use and returns the known places; asks the leader if they are old."""
+        places = self._by_key.get(key)
+        if places is None:
+            if len(self._by_key) >= MOST_REMEMBERED:
+                self._by_key.pop(next(iter(self._by_key)))
+            places = self._by_key[key] = KnownPlaces()
+        places.uses += 1
+        if not places.ready_at_by_id:
+            return {}
+        age_s = anyio.current_time() - places.confirmed_at
+        if age_s > PLACE_LEASE_S and places.asking is None:
+            self._start_asking(key, places, ())
+        return places.ready_at_by_id if age_s < STALE_S else {}
+
+    async def ask(self, key, avoid=()):
+        """Asks the leader and returns the places by replica id; empty if none.
+
+        Waits for as long as the caller lets it.
+        """
+        places = self._by_key.setdefault(key, KnownPlaces())
+        if places.asking is None:
+            self._start_asking(key, places, tuple(avoid))
+        await places.asking.wait()
+        return {
+            replica_id: ready_at
+            for replica_id, ready_at in places.ready_at_by_id.items()
+            if replica_id not in avoid
+        }
+
+    def forget(self, key, replica_id):
+        """Notes that a replica does not hold an adapter."""
+        places = self._by_key.get(key)
+        if places is not None:
+            places.ready_at_by_id.pop(replica_id, None)
+
+    def _start_asking(self, key, places, avoid):
+        places.asking = anyio.Event()
+        self._group.start_soon(self._refresh, key, places, avoid)
+
+    async def _refresh(self, key, places, avoid):
+        done = places.asking
+        try:
+            uses, places.uses = max(1, places.uses), 0
+            answer = await self._ask_leader(key, uses, avoid)
+            if answer is None:
+                places.uses += uses
+                return
+            now = anyio.current_time()
+            places.ready_at_by_id = {
+                place.replica_id: now + place.ready_in_s for place in answer
+            }
+            places.confirmed_at = now
+        finally:
+            places.asking = None
+            done.set()
+
+    async def _ask_leader(self, key, uses, avoid):
+        """Returns the places, or None without an answer."""
+        if self._leadership.leads:
+            return await self._ask_here(key, uses, avoid)
+        address = self._leadership.leader_address()
+        if address is None:
+            await anyio.sleep(NO_LEADER_PAUSE_S)
+            return None
+        self._number += 1
+        number = self._number
+        event = anyio.Event()
+        self._waiting_by_number[number] = [event, None]
+        try:
+            self._endpoint.send(
+                Locate(self._own_name, number, key.model, key.adapter, uses, avoid),
+                address,
+            )
+            with anyio.move_on_after(ANSWER_TIMEOUT_S):
+                await event.wait()
+            return self._waiting_by_number[number][1]
+        finally:
+            del self._waiting_by_number[number]
+
+    def _on_located(self, message, address):
+        waiting = self._waiting_by_number.get(message.number)
+        if waiting is not None:
+            waiting[1] = message.places
+            waiting[0].set()
--- /dev/null
+++ b/snipetrestle/coordination/messages.py
@@ -0,0 +1,94 @@
+"""Datagrams between hosts, in MessagePack."""
+
+import msgspec
+
+
+class _Message(msgspec.Struct, array_like=True, frozen=True, tag=True):
+    pass
+
+
+class HostInfo(msgspec.Struct, array_like=True, frozen=True):
+    """A host of the system. ``boot`` is the start of its process, in ms of Unix time.
+
+    ``size`` is its processor capacity in cores.
+    """
+
+    name: str
+    boot: int
+    ip: str
+    port: int
+    failure_domain: str
+    size: float
+
+
+class Beat(_Message):
+    """Heartbeat of a host.
+
+    ``leader`` and ``term`` name the leader that the sender follows, and
+    ``leader_age_s`` how long ago it heard from it (-1: never). ``in_flight`` counts its
+    requests by replica; in a leader's beat, those of all hosts.
+    """
+
+    sender: HostInfo
+    leader: str
+    term: int
+    leader_age_s: float
+    leaving: bool
+    in_flight: dict[str, int]
+    newest_by_prefix: dict[str, int]
+
+
+class Join(_Message):
+    """Asks a host for the hosts that it knows."""
+
+    sender: HostInfo
+
+
+class KnownHosts(_Message):
+    """Answer to Join: a part of the known hosts."""
+
+    hosts: tuple[HostInfo, ...]
+
+
+class Locate(_Message):
+    """Asks the leader where an adapter is, or is to be loaded.
+
+    ``uses`` counts the requests for it since the last message. ``avoid`` names replicas
+    that did not serve it.
+    """
+
+    sender: str
+    number: int
+    model: str
+    adapter: str
+    uses: int
+    avoid: tuple[str, ...] = ()
+
+
+class Place(msgspec.Struct, array_like=True, frozen=True):
+    """A replica that holds an adapter, or holds it after ``ready_in_s``."""
+
+    replica_id: str
+    ready_in_s: float
+
+
+class Located(_Message):
+    """Answer to Locate. Without places, ``retry_in_s`` tells when to ask again."""
+
+    number: int
+    places: tuple[Place, ...]
+    retry_in_s: float = 0.0
+
+
+Message = Beat | Join | KnownHosts | Locate | Located
+_decoder = msgspec.msgpack.Decoder(Message)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode(message):
+    return _encoder.encode(message)
+
+
+def decode(data):
+    """Returns the message. Raises msgspec.DecodeError."""
+    return _decoder.decode(data)
--- /dev/null
+++ b/snipetrestle/coordination/orders.py
@@ -0,0 +1,376 @@
+"""Orders of the leader to replicas: one task for each replica.
+
+A replica's state is read before its first order. Every order carries the leader's
+fencing token. The first one after a reading also carries the replica's count of orders,
+since the reading may be older than an order of the leader before.
+"""
+
+import asyncio
+import collections
+import enum
+
+import anyio
+import msgspec
+
+from snipetrestle.events import Event, log_event
+from snipetrestle.gateway.configuration import AdapterKey
+from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.placement.adapter_places import ReplicaPlaces
+
+# Adapters may be on their way to a replica at the same time, and no more.
+IN_TRANSIT = 4
+ADAPTER_LOAD_S = 0.25
+RECENT_LOAD_S = 0.03
+# Added to the expected end of a load, for the way of the order and its answer.
+LOAD_MARGIN_S = 0.012
+ORDER_TIMEOUT_S = 0.8
+# A report may be this old, so a state in doubt is read after this pause.
+REPORT_LAG_S = 0.35
+RETRY_S = 0.3
+LONGEST_RETRY_S = 2.0
+FAILED_S = 1.0
+IDLE_CHECK_S = 0.5
+UNLOAD_PAUSE_S = 0.25
+
+
+class OrderKind(enum.StrEnum):
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+class Order(msgspec.Struct, frozen=True):
+    """An order to a replica. ``adapter`` "" means the base model itself.
+
+    ``expected_count`` is the number of orders that the replica has accepted before,
+    None if any number will do.
+    """
+
+    kind: OrderKind
+    model: str
+    adapter: str
+    holder: str
+    token: int
+    expected_count: int | None = None
+    version: int | None = None
+
+
+class OrderResult(enum.Enum):
+    """Answers to an order."""
+
+    ACCEPTED = enum.auto()
+    HOLDS_ALREADY = enum.auto()
+    CONFLICT = enum.auto()
+    TOKEN_TOO_LOW = enum.auto()
+    WRONG_REPLICA = enum.auto()
+    REFUSED = enum.auto()
+    NO_ANSWER = enum.auto()
+
+
+class ReplicaReport(msgspec.Struct, frozen=True):
+    """State of a replica. ``versions_by_adapter`` includes the adapters on their way."""
+
+    order_count: int
+    busy: bool
+    models: frozenset[str]
+    versions_by_adapter: dict[AdapterKey, int]
+
+
+class LoadRequest:
+    """An adapter that is to be loaded; ``done`` is set once its order was answered."""
+
+    __slots__ = ("key", "done")
+
+    def __init__(self, key):
+        self.key = key
+        self.done = asyncio.get_running_loop().create_future()
+
+    def finish(self):
+        if not self.done.done():
+            self.done.set_result(None)
+
+
+class Shared:
+    """What the tasks of all replicas of a backend share.
+
+    ``send(replica, order)`` returns an OrderResult; ``report(replica)`` a
+    ReplicaReport, or raises ExchangeFailed or ConnectFailed. ``permits`` bounds the
+    adapters on their way, ``model_loads`` the rate of model loads.
+    """
+
+    def __init__(self, backend, places, leadership, client, version_of, model_loads):
+        self.backend = backend
+        self.places = places
+        self.leadership = leadership
+        self.client = client
+        self.version_of = version_of
+        self.model_loads = model_loads
+        self.in_transit = collections.deque()
+
+    def most_in_transit(self):
+        return max(IN_TRANSIT, len(self.places.by_replica))
+
+    def transit_wait_s(self, now):
+        """Returns how long to wait until one more adapter may be on its way."""
+        while self.in_transit and self.in_transit[0] <= now:
+            self.in_transit.popleft()
+        excess = len(self.in_transit) - self.most_in_transit()
+        return 0.0 if excess < 0 else self.in_transit[excess] - now
+
+
+class ReplicaOrders:
+    """Carries out the orders to one boot of a replica while this host leads."""
+
+    def __init__(self, replica, shared):
+        self._replica = replica
+        self._shared = shared
+        backend = shared.backend
+        self.places = ReplicaPlaces(replica.id, _adapter_slots(backend))
+        self._queue = collections.deque()
+        self._waiter = None
+        self._synced = False
+        self._count = None
+        self._models = frozenset()
+        self._doubtful = False
+
+    def request(self, key):
+        """Queues the load of an adapter. Returns its LoadRequest."""
+        load = self.places.waiting.get(key)
+        if load is None:
+            load = self.places.waiting[key] = LoadRequest(key)
+            self._queue.append(load)
+            self.wake()
+        return load
+
+    def wake(self):
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def set_usable(self, usable):
+        self.places.usable = usable and self._synced and bool(self._models)
+        if not usable:
+            self._drop_queue()
+
+    def _drop_queue(self):
+        while self._queue:
+            load = self._queue.popleft()
+            self.places.waiting.pop(load.key, None)
+            load.finish()
+
+    async def run(self):
+        """Reads the replica's state, then carries out orders, until cancelled."""
+        retry_s = RETRY_S
+        try:
+            while True:
+                try:
+                    await self._step()
+                    retry_s = RETRY_S
+                except (ExchangeFailed, ConnectFailed, TimeoutError) as error:
+                    self._note_failure(error)
+                    await anyio.sleep(retry_s)
+                    retry_s = min(retry_s * 2, LONGEST_RETRY_S)
+        finally:
+            self.places.usable = False
+            self._drop_queue()
+
+    async def _step(self):
+        if not self._synced:
+            await self._sync()
+        if not self._models:
+            await self._load_model()
+        elif self._queue:
+            await self._load_adapter()
+        elif (key := self._outdated()) is not None:
+            await self._replace(key)
+        elif any(place.leaving for place in self.places.held.values()):
+            await self._finish_unloads()
+            await self._wait(UNLOAD_PAUSE_S)
+        else:
+            await self._wait(IDLE_CHECK_S)
+
+    async def _wait(self, limit_s):
+        loop = asyncio.get_running_loop()
+        self._waiter = loop.create_future()
+        timer = loop.call_later(limit_s, self.wake)
+        try:
+            await self._waiter
+        finally:
+            timer.cancel()
+            self._waiter = None
+
+    def _note_failure(self, error):
+        self._synced = False
+        self._doubtful = True
+        self.places.usable = False
+        self.places.failed_until = anyio.current_time() + FAILED_S
+        self._drop_queue()
+        log_event(Event.ORDER_REFUSED, replica=self._replica.id, error=repr(error))
+
+    async def _sync(self):
+        if self._doubtful:
+            # A report may be older than an order that was accepted just now.
+            await anyio.sleep(REPORT_LAG_S)
+        report = await self._shared.client.report(self._replica)
+        now = anyio.current_time()
+        self._count = report.order_count
+        self._models = report.models
+        before = self.places.held
+        self.places.held = {}
+        for key, version in report.versions_by_adapter.items():
+            self.places.note_held(key, version, now)
+        for key, place in before.items():
+            if place.ready_at > now and key in self.places.held:
+                self.places.held[key].ready_at = place.ready_at
+        self._synced = True
+        self._doubtful = False
+        self.places.usable = bool(self._models) and self._replica.takes_requests
+        log_event(
+            Event.REPLICA_SYNCED,
+            replica=self._replica.id,
+            orders=report.order_count,
+            models=sorted(self._models),
+            adapters=len(self.places.held),
+        )
+
+    async def _load_model(self):
+        """Loads the backend's model at an empty replica."""
+        model = self._shared.backend.models[0]
+        wait_s = self._shared.model_loads.wait_s()
+        if wait_s > 0:
+            await self._wait(wait_s)
+            return
+        self._shared.model_loads.take()
+        result = await self._order(OrderKind.LOAD, model.name, "")
+        log_event(Event.MODEL_ORDERED, replica=self._replica.id, result=result.name)
+        if result is OrderResult.ACCEPTED:
+            await anyio.sleep(model.load_s)
+            self._synced = False
+            self._doubtful = True
+
+    async def _load_adapter(self):
+        load = self._queue[0]
+        now = anyio.current_time()
+        wait_s = self._shared.transit_wait_s(now)
+        own = [p.ready_at for p in self.places.held.values() if p.ready_at > now]
+        if len(own) >= IN_TRANSIT:
+            wait_s = max(wait_s, min(own) - now)
+        if wait_s > 0:
+            await self._wait(wait_s)
+            return
+        if len(self.places.held) >= self.places.slots and not await self._evict():
+            self._queue.popleft()
+            self.places.waiting.pop(load.key, None)
+            load.finish()
+            return
+        await self._order_adapter(load)
+
+    async def _order_adapter(self, load):
+        key = load.key
+        recent = self.places.was_held(key)
+        version = self._shared.version_of(key)
+        result = await self._order(OrderKind.LOAD, key.model, key.adapter)
+        if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
+            load_s = 0.0
+            if result is OrderResult.ACCEPTED:
+                load_s = RECENT_LOAD_S if recent else ADAPTER_LOAD_S
+                load_s += LOAD_MARGIN_S
+            ready_at = anyio.current_time() + load_s
+            self.places.note_held(key, version, ready_at)
+            if not recent:
+                self._shared.in_transit.append(ready_at)
+            log_event(
+                Event.ADAPTER_ORDERED,
+                replica=self._replica.id,
+                adapter=key.adapter,
+                version=version,
+                recent=recent,
+                result=result.name,
+            )
+        if self._queue and self._queue[0] is load:
+            self._queue.popleft()
+        self.places.waiting.pop(key, None)
+        load.finish()
+
+    async def _evict(self):
+        """Frees a place. Returns False if none can be freed now."""
+        key = self._shared.places.evictable(self.places)
+        if key is None:
+            return await self._finish_unloads()
+        place = self.places.held[key]
+        result = await self._order(OrderKind.UNLOAD, key.model, key.adapter)
+        if result is OrderResult.HOLDS_ALREADY:
+            self.places.held.pop(key, None)
+            return True
+        if result is OrderResult.ACCEPTED:
+            # Requests in progress still hold the place.
+            place.leaving = True
+        return False
+
+    async def _finish_unloads(self):
+        """Asks again for unloads that wait. Returns whether a place became free."""
+        freed = False
+        for key, place in list(self.places.held.items()):
+            if not place.leaving:
+                continue
+            result = await self._order(OrderKind.UNLOAD, key.model, key.adapter)
+            if result is OrderResult.HOLDS_ALREADY:
+                self.places.held.pop(key, None)
+                freed = True
+        return freed
+
+    def _outdated(self):
+        """Returns a held adapter of which a newer version was declared."""
+        for key, place in self.places.held.items():
+            if place.version < self._shared.version_of(key) and not place.leaving:
+                return key
+        return None
+
+    async def _replace(self, key):
+        version = self._shared.version_of(key)
+        result = await self._order(OrderKind.LOAD, key.model, key.adapter, version)
+        if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
+            ready_at = anyio.current_time() + ADAPTER_LOAD_S + LOAD_MARGIN_S
+            self.places.note_held(key, version, ready_at)
+            log_event(
+                Event.ADAPTER_ORDERED,
+                replica=self._replica.id,
+                adapter=key.adapter,
+                version=version,
+                recent=False,
+                result=result.name,
+            )
+        else:
+            await self._wait(RETRY_S)
+
+    async def _order(self, kind, model, adapter, version=None):
+        """Sends one order. Raises ExchangeFailed unless it was accepted or holds."""
+        shared = self._shared
+        if not shared.leadership.check_still_leading():
+            raise ExchangeFailed("this host no longer leads")
+        order = Order(
+            kind,
+            model,
+            adapter,
+            shared.leadership.holder,
+            shared.leadership.term,
+            self._count,
+            version,
+        )
+        async with asyncio.timeout(ORDER_TIMEOUT_S):
+            result = await shared.client.send(self._replica, order)
+        if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
+            self._count = None
+        elif result is OrderResult.TOKEN_TOO_LOW:
+            shared.leadership.note_token_refused()
+            raise ExchangeFailed("the token is too low")
+        else:
+            raise ExchangeFailed(f"{kind} {model}/{adapter}: {result.name}")
+        return result
+
+
+def _adapter_slots(backend):
+    """Returns how many adapters fit beside a model of the backend."""
+    model = backend.models[0]
+    if model.adapter_mb <= 0:
+        return backend.adapter_slots
+    room = int((backend.weights_mb - model.weights_mb) / model.adapter_mb)
+    return max(0, min(backend.adapter_slots, room))
--- /dev/null
+++ b/snipetrestle/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards callers' HTTP requests unchanged to replicas, by published routes."""
--- /dev/null
+++ b/snipetrestle/gateway/app.py
@@ -0,0 +1,248 @@
+"""The gateway's application object: builds all parts and runs their life cycle."""
+
+import asyncio
+import random
+import signal
+
+import anyio
+
+from snipetrestle.codes import ResultCode
+from snipetrestle.coordination.datagrams import DatagramEndpoint
+from snipetrestle.coordination.director import Director
+from snipetrestle.coordination.hosts import Hosts
+from snipetrestle.coordination.leadership import Leadership, has_ended
+from snipetrestle.coordination.locator import Locator
+from snipetrestle.coordination.messages import HostInfo
+from snipetrestle.events import Event, log_event
+from snipetrestle.gateway.configuration import CallerLimits
+from snipetrestle.gateway.forwarding import Forwarder
+from snipetrestle.gateway.http_server import CallerConnection
+from snipetrestle.gateway.log_lines import RequestLines
+from snipetrestle.gateway.metrics import GatewayMetrics
+from snipetrestle.gateway.published_state import PublishedState
+from snipetrestle.gateway.replicas import ReplicaDirectory
+from snipetrestle.gateway.retry_budget import RetryBudget
+from snipetrestle.gateway.snapshots import Snapshots
+
+# After the drain starts, new connections come until the balancer has noticed.
+NOTICE_S = 2.5
+# Left of the grace period when the last requests are given up.
+GRACE_MARGIN_S = 0.6
+DRAIN_CHECK_S = 0.1
+BACKLOG = 512
+
+
+class HttpServer:
+    """Listens for HTTP connections. ``handle(request, connection)`` answers one request."""
+
+    def __init__(self, handle, limits):
+        self.handle = handle
+        self._limits = limits
+        self.connections = set()
+        self.closing = False
+        self._server = None
+
+    @property
+    def limits(self):
+        return self._limits()
+
+    async def open(self, address):
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self), *address, backlog=BACKLOG
+        )
+
+    @property
+    def busy(self):
+        return any(connection.busy for connection in self.connections)
+
+    def start_closing(self):
+        """Answers go out with a note that the connection ends."""
+        self.closing = True
+
+    def close_idle(self):
+        for connection in list(self.connections):
+            connection.wake_idle()
+
+    def close(self):
+        if self._server is not None:
+            self._server.close()
+
+
+class RetryBudgets:
+    """Retry budgets by backend."""
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._by_backend = {}
+
+    def of(self, backend):
+        budget = self._by_backend.get(backend)
+        if budget is None:
+            settings = self._settings
+            budget = RetryBudget(settings.ratio, settings.slack, settings.window_s)
+            self._by_backend[backend] = budget
+        return budget
+
+
+class Gateway:
+    """One gateway process.
+
+    ``platform`` has ``dialect``, ``source``, ``feeds`` and ``order_client``: the
+    adapter's translations.
+    """
+
+    @classmethod
+    def from_settings(cls, settings, platform, boot, generator=None):
+        """Builds all parts. ``boot`` is the start of the process in ms of Unix time."""
+        return cls(settings, platform, boot, generator or random.Random())
+
+    def __init__(self, settings, platform, boot, generator):
+        self.settings = settings
+        self.generator = generator
+        self.dialect = platform.dialect
+        self.metrics = GatewayMetrics()
+        self.lines = RequestLines()
+        self.budgets = RetryBudgets(settings.retry_budget)
+        self.replicas = ReplicaDirectory(settings.failure_domain, generator)
+        self.state = PublishedState(
+            platform.source, platform.feeds, self.replicas, generator
+        )
+        self.endpoint = DatagramEndpoint()
+        own = HostInfo(
+            settings.name, boot, *settings.peers, settings.failure_domain, settings.size
+        )
+        self.hosts = Hosts(
+            own,
+            settings.seeds,
+            self.endpoint,
+            self._describe,
+            lambda: self.leadership.urgent_names(),
+        )
+        self.leadership = Leadership(
+            self.hosts, settings.lease_s, settings.first_start, has_ended
+        )
+        self.director = Director(
+            self.state, self.leadership, platform.order_client, self.endpoint
+        )
+        self.locator = Locator(
+            self.leadership, self.endpoint, settings.name, self.director.locate
+        )
+        self.hosts.on_beat(self._note_load)
+        self.snapshots = Snapshots(self.state, self.hosts, generator)
+        self.callers = HttpServer(Forwarder(self).handle, self._limits)
+        self.readiness = HttpServer(self._answer_ready, CallerLimits)
+        self.metrics_server = HttpServer(self._answer_metrics, CallerLimits)
+        self.draining = False
+        self._stopping = None
+
+    def _limits(self):
+        configuration = self.state.configuration
+        return CallerLimits() if configuration is None else configuration.limits
+
+    def _own_in_flight(self):
+        return {
+            replica.id: replica.in_flight
+            for replica in self.replicas.by_id.values()
+            if replica.in_flight
+        }
+
+    def _describe(self):
+        in_flight = self._own_in_flight()
+        if self.leadership.leads:
+            for host in self.hosts.reachable():
+                for replica_id, count in host.beat.in_flight.items():
+                    in_flight[replica_id] = in_flight.get(replica_id, 0) + count
+        return (
+            self.leadership.leader,
+            self.leadership.term,
+            self.leadership.leader_age_s(),
+            in_flight,
+            self.state.newest_by_prefix(),
+        )
+
+    def _note_load(self, beat):
+        """Takes the load of the other hosts from the leader's beat."""
+        if beat.leader != beat.sender.name:
+            if self.leadership.leads:
+                self._sum_loads()
+            return
+        for replica in self.replicas.by_id.values():
+            total = beat.in_flight.get(replica.id, 0)
+            replica.others_in_flight = max(0, total - replica.in_flight)
+
+    def _sum_loads(self):
+        reachable = self.hosts.reachable()
+        for replica in self.replicas.by_id.values():
+            replica.others_in_flight = sum(
+                host.beat.in_flight.get(replica.id, 0) for host in reachable
+            )
+
+    def is_ready(self):
+        return self.state.ready.is_set() and not self.draining
+
+    async def _answer_ready(self, request, connection):
+        if self.is_ready():
+            connection.answer(200, [], b"")
+        else:
+            connection.answer_code(ResultCode.NOT_READY)
+
+    async def _answer_metrics(self, request, connection):
+        connection.answer(
+            200, [(b"content-type", b"text/plain; version=0.0.4")], self.metrics.text()
+        )
+
+    async def run(self):
+        """Runs until ``start_drain`` was called and the drain has ended."""
+        self._stopping = anyio.Event()
+        settings = self.settings
+        await self.endpoint.open(*settings.peers)
+        snapshots = await self.snapshots.serve(*settings.peers)
+        await self.readiness.open(settings.readiness)
+        await self.metrics_server.open(settings.metrics)
+        await self.callers.open(settings.callers)
+        log_event(Event.STARTED, name=settings.name, boot=self.hosts.own.boot)
+        async with anyio.create_task_group() as group:
+            for prefix in self.state.feeds:
+                group.start_soon(self.state.follow, prefix)
+            for task in (
+                self.hosts.run,
+                self.leadership.run,
+                self.director.run,
+                self.locator.run,
+                self.snapshots.run,
+                self._note_ready,
+                self._drain_on_signal,
+            ):
+                group.start_soon(task)
+            await self._stopping.wait()
+            group.cancel_scope.cancel()
+        for server in (self.callers, self.readiness, self.metrics_server, snapshots):
+            server.close()
+        self.endpoint.close()
+        log_event(Event.STOPPED, name=settings.name)
+
+    async def _note_ready(self):
+        await self.state.ready.wait()
+        log_event(Event.READY, name=self.settings.name)
+
+    async def _drain_on_signal(self):
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                await self.drain()
+                self._stopping.set()
+                return
+
+    async def drain(self):
+        """Ends this process's duties and finishes the requests in progress."""
+        started = anyio.current_time()
+        self.draining = True
+        log_event(Event.DRAIN_STARTED, name=self.settings.name)
+        self.leadership.resign("this process stops")
+        self.hosts.send_leaving()
+        self.callers.start_closing()
+        await anyio.sleep(min(NOTICE_S, self.settings.grace_s / 3))
+        self.callers.close_idle()
+        end = started + self.settings.grace_s - GRACE_MARGIN_S
+        while self.callers.busy and anyio.current_time() < end:
+            await anyio.sleep(DRAIN_CHECK_S)
--- a/snipetrestle/peers/configuration_reader.py
+++ b/snipetrestle/peers/configuration_reader.py
@@ -19,7 +19,7 @@
     convert_item,
     items_by_name,
 )
-from snipetrestle.platform.sources import SourceUnreachable
+from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle.published import PublishedConfiguration
 
 _REQUIRED_SECTIONS = frozenset(
--- a/snipetrestle/peers/configuration_spread.py
+++ b/snipetrestle/peers/configuration_spread.py
@@ -28,7 +28,7 @@
 from snipetrestle.peers.membership_messages import RevisionDigest
 from snipetrestle.peers.messages import register_message
 from snipetrestle.peers.transport import PeerUnreachable
-from snipetrestle.platform.sources import SourceUnreachable
+from snipetrestle.publication.sources import SourceUnreachable
 
 # Readers in each failure domain: one may fail without a gap.
 READERS_PER_DOMAIN = 2
--- a/snipetrestle/peers/membership.py
+++ b/snipetrestle/peers/membership.py
@@ -30,7 +30,7 @@
 )
 from snipetrestle.peers.transport import PeerUnreachable
 from snipetrestle.peers.updates import UpdateQueue
-from snipetrestle.platform.sources import HostState, SourceUnreachable
+from snipetrestle.publication.sources import HostState, SourceUnreachable
 
 # Random bits of an incarnation, besides the clock.
 INCARNATION_BITS = 32
--- /dev/null
+++ b/snipetrestle/placement/adapter_places.py
@@ -0,0 +1,202 @@
+"""Decides which adapters the replicas of one backend hold.
+
+The leader notes demand as hosts ask for adapters. An adapter that is not held goes to
+the replica that costs least: one that held it lately loads it faster, a free place
+spares an eviction, and less demand means shorter batches. The adapter with the least
+demand makes way; one that was asked for lately is never evicted, since hosts use a
+place for a while without asking again.
+"""
+
+import collections
+import math
+
+import anyio
+
+DEMAND_HALF_LIFE_S = 8.0
+# Hosts use a place that they were told for up to this long.
+PLACE_LEASE_S = 1.0
+# An adapter that was asked for within this time is not evicted.
+KEEP_S = PLACE_LEASE_S + 0.6
+# A share of the demand above this justifies one more copy, in parts of a replica.
+DEMAND_A_COPY = 0.7
+# An adapter below this share of all demand has one copy.
+SECOND_COPY_SHARE = 0.03
+# Adapters that a replica held lately are loaded faster; older ones are forgotten.
+RECENT_ADAPTERS = 120
+# Weights of the choice, in demand of one replica.
+RECENT_BONUS = 0.5
+EVICTION_COST = 0.1
+WAITING_COST = 0.3
+FAILED_COST = 2.0
+
+
+class DecayingCount:
+    """A count that halves in DEMAND_HALF_LIFE_S."""
+
+    __slots__ = ("_value", "_at")
+
+    def __init__(self):
+        self._value = 0.0
+        self._at = 0.0
+
+    def add(self, count, now):
+        self._value = self.value(now) + count
+        self._at = now
+
+    def value(self, now):
+        return self._value * math.exp2((self._at - now) / DEMAND_HALF_LIFE_S)
+
+
+class AdapterPlace:
+    """An adapter at a replica. ``ready_at`` is when its load ends."""
+
+    __slots__ = ("version", "ready_at", "leaving")
+
+    def __init__(self, version, ready_at):
+        self.version = version
+        self.ready_at = ready_at
+        # Whether an unload was ordered that waits for requests in progress.
+        self.leaving = False
+
+
+class ReplicaPlaces:
+    """The adapters at one boot of a replica. ``slots`` bounds them."""
+
+    __slots__ = (
+        "replica_id",
+        "slots",
+        "speed",
+        "usable",
+        "held",
+        "waiting",
+        "demand",
+        "failed_until",
+        "_recent",
+    )
+
+    def __init__(self, replica_id, slots):
+        self.replica_id = replica_id
+        self.slots = slots
+        self.speed = 1.0
+        # Whether the replica takes new requests and its state is known.
+        self.usable = False
+        self.held = {}
+        # Keys whose load was decided and not ordered yet.
+        self.waiting = {}
+        self.demand = DecayingCount()
+        self.failed_until = 0.0
+        self._recent = collections.OrderedDict()
+
+    def note_held(self, key, version, ready_at):
+        self.held[key] = AdapterPlace(version, ready_at)
+        self._recent.pop(key, None)
+        self._recent[key] = None
+        while len(self._recent) > RECENT_ADAPTERS:
+            self._recent.popitem(last=False)
+
+    def was_held(self, key):
+        return key in self._recent
+
+    def forget_recent(self):
+        self._recent.clear()
+
+    @property
+    def free(self):
+        return self.slots - len(self.held) - len(self.waiting)
+
+
+class AdapterPlaces:
+    """Places of all adapters over the replicas of one backend."""
+
+    def __init__(self):
+        self.by_replica = {}
+        self._demand_by_key = {}
+        self._asked_at_by_key = {}
+        self._total = DecayingCount()
+
+    def note_demand(self, key, uses):
+        now = anyio.current_time()
+        count = self._demand_by_key.get(key)
+        if count is None:
+            count = self._demand_by_key[key] = DecayingCount()
+        count.add(uses, now)
+        self._total.add(uses, now)
+        self._asked_at_by_key[key] = now
+        for replica in self.holders(key):
+            replica.demand.add(uses / max(1, len(self.holders(key))), now)
+
+    def holders(self, key):
+        """Returns the usable replicas that hold the adapter or are loading it."""
+        return [
+            replica
+            for replica in self.by_replica.values()
+            if replica.usable
+            and (place := replica.held.get(key)) is not None
+            and not place.leaving
+        ]
+
+    def wanted_copies(self, key):
+        """Returns how many replicas are to hold an adapter, by its share of demand."""
+        now = anyio.current_time()
+        total = self._total.value(now)
+        usable = sum(replica.usable for replica in self.by_replica.values())
+        if total < 20:
+            return 1
+        share = self._demand_by_key[key].value(now) / total
+        if share < SECOND_COPY_SHARE:
+            return 1
+        return min(usable, max(2, math.ceil(share * usable / DEMAND_A_COPY)))
+
+    def choose(self, key, avoid=()):
+        """Returns the replica that is to load an adapter; None if none can now."""
+        best, best_cost = None, math.inf
+        now = anyio.current_time()
+        total = max(1.0, self._total.value(now))
+        for replica in self.by_replica.values():
+            if not replica.usable or key in replica.held or key in replica.waiting:
+                continue
+            cost = self._cost(replica, key, now, total)
+            if replica.replica_id in avoid:
+                cost += FAILED_COST
+            if cost < best_cost:
+                best, best_cost = replica, cost
+        return best
+
+    def _cost(self, replica, key, now, total):
+        """Returns the cost of a load; infinite if the replica has no place for it."""
+        cost = replica.demand.value(now) / total * len(self.by_replica) / replica.speed
+        cost += WAITING_COST * len(replica.waiting)
+        if replica.failed_until > now:
+            cost += FAILED_COST
+        if replica.free <= 0:
+            if self.evictable(replica) is None:
+                return math.inf
+            cost += EVICTION_COST
+        if replica.was_held(key):
+            cost -= RECENT_BONUS
+        return cost
+
+    def evictable(self, replica):
+        """Returns the key with the least demand that may be evicted; None if none."""
+        now = anyio.current_time()
+        best, best_value = None, math.inf
+        for key, place in replica.held.items():
+            if place.leaving:
+                continue
+            asked_at = self._asked_at_by_key.get(key, -math.inf)
+            if now - max(asked_at, place.ready_at) < KEEP_S:
+                continue
+            count = self._demand_by_key.get(key)
+            value = 0.0 if count is None else count.value(now)
+            if len(self.holders(key)) > 1:
+                value /= 2
+            if value < best_value:
+                best, best_value = key, value
+        return best
+
+    def trim(self):
+        """Forgets the demand of adapters that nobody has asked for in a long time."""
+        horizon = anyio.current_time() - 10 * DEMAND_HALF_LIFE_S
+        for key in [k for k, at in self._asked_at_by_key.items() if at < horizon]:
+            del self._asked_at_by_key[key]
+            del self._demand_by_key[key]
--- a/snipetrestle/platform/__init__.py
+++ b/snipetrestle/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's configuration service and host list."""
+"""Adapter to the users' platform: names, formats and calls, and no decisions."""
--- /dev/null
+++ b/snipetrestle/platform/calls.py
@@ -0,0 +1,190 @@
+"""Calls to the platform's store and to replicas: reads, watches, orders and reports."""
+
+import base64
+import urllib.parse
+
+import msgspec
+
+from snipetrestle.coordination.orders import OrderResult, ReplicaReport
+from snipetrestle.gateway.calls import call
+from snipetrestle.gateway.configuration import AdapterKey
+from snipetrestle.gateway.http_client import (
+    ConnectFailed,
+    ConnectionPool,
+    ExchangeFailed,
+)
+from snipetrestle.gateway.published_state import HistoryLost, PublishedItem, Reading
+from snipetrestle.publication.sources import SourceUnreachable
+
+READ_TIMEOUT_S = 1.0
+# Added to the time that a watch is held.
+WATCH_MARGIN_S = 0.6
+REPORT_TIMEOUT_S = 0.8
+ORDER_TIMEOUT_S = 0.8
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int
+    # Base64 text; absent for a deleted key.
+    value: str | None = None
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool
+    # The store's revision, not one of the items'.
+    at: int
+
+
+class _Watch(msgspec.Struct):
+    events: list[_Item]
+    at: int
+
+
+class _ReportedModel(msgspec.Struct):
+    name: str
+    adapters: list[str] = []
+
+
+class _Report(msgspec.Struct):
+    # The number of orders that the replica has accepted.
+    seq: int
+    busy: bool
+    models: list[_ReportedModel]
+    # Adapters on their way, as MODEL/NAME@VERSION.
+    incoming: list[str] = []
+
+
+_range_decoder = msgspec.json.Decoder(_Range)
+_watch_decoder = msgspec.json.Decoder(_Watch)
+_report_decoder = msgspec.json.Decoder(_Report)
+_encoder = msgspec.json.Encoder()
+
+
+def _published(item):
+    value = None
+    if not item.deleted:
+        value = base64.b64decode(item.value or "")
+    return PublishedItem(item.key, item.revision, value)
+
+
+class StoreSource:
+    """Reads and watches the platform's store."""
+
+    def __init__(self, ip, port):
+        self._pool = ConnectionPool(ip, port)
+        self._host = f"{ip}:{port}"
+
+    async def read(self, prefix):
+        """Returns a Reading of all items. Raises SourceUnreachable."""
+        items = []
+        after = ""
+        revision = None
+        while True:
+            query = {"prefix": prefix}
+            if after:
+                query["after"] = after
+            page = _range_decoder.decode(
+                await self._get("kv-range", query, READ_TIMEOUT_S)
+            )
+            # Later pages may show newer items; a watch from the first page's revision
+            # tells them again.
+            revision = page.at if revision is None else revision
+            items += [_published(item) for item in page.items]
+            if not page.has_more or not page.items:
+                return Reading(items, revision)
+            after = page.items[-1].key
+
+    async def watch(self, prefix, revision, wait_s):
+        """Returns a Reading of changes. Raises SourceUnreachable or HistoryLost."""
+        query = {"prefix": prefix, "after": revision, "wait_ms": int(wait_s * 1000)}
+        body = await self._get("kv-watch", query, wait_s + WATCH_MARGIN_S)
+        changes = _watch_decoder.decode(body)
+        return Reading([_published(item) for item in changes.events], changes.at)
+
+    async def _get(self, name, query, timeout_s):
+        target = f"/-/{name}?{urllib.parse.urlencode(query)}"
+        content = f"GET {target} HTTP/1.1\r\nHost: {self._host}\r\n\r\n".encode()
+        try:
+            answer = await call(self._pool, content, timeout_s)
+        except (ConnectFailed, ExchangeFailed) as error:
+            raise SourceUnreachable(f"{name}: {error}") from None
+        if answer.status == 410:
+            raise HistoryLost
+        if answer.status != 200:
+            raise SourceUnreachable(f"{name}: status {answer.status}")
+        return answer.body
+
+
+class OrderClient:
+    """Sends orders to replicas and reads their reports."""
+
+    async def send(self, replica, order):
+        """Returns an OrderResult. Raises ConnectFailed if nothing was sent."""
+        body = {
+            "op_type": str(order.kind),
+            "model": order.model,
+            "holder": order.holder,
+            "fence_token": order.token,
+        }
+        if order.adapter:
+            body["adapter"] = order.adapter
+        if order.version is not None:
+            body["version"] = order.version
+        if order.expected_count is not None:
+            body["precondition"] = order.expected_count
+        content = _encoder.encode(body)
+        head = (
+            "POST /-/order HTTP/1.1\r\n"
+            f"Host: {replica.entry.ip}:{replica.entry.port}\r\n"
+            "Content-Type: application/json\r\n"
+            f"X-Expect-Instance: {replica.id}\r\n"
+            f"Content-Length: {len(content)}\r\n\r\n"
+        )
+        answer = await call(replica.pool, head.encode() + content, ORDER_TIMEOUT_S)
+        return _RESULTS_BY_STATUS.get(answer.status, OrderResult.REFUSED)
+
+    async def report(self, replica):
+        """Returns a ReplicaReport. Raises ConnectFailed or ExchangeFailed."""
+        head = (
+            "GET /-/report HTTP/1.1\r\n"
+            f"Host: {replica.entry.ip}:{replica.entry.port}\r\n"
+            f"X-Expect-Instance: {replica.id}\r\n\r\n"
+        )
+        answer = await call(replica.pool, head.encode(), REPORT_TIMEOUT_S)
+        if answer.status != 200:
+            raise ExchangeFailed(f"report: status {answer.status}")
+        try:
+            return _report_from(_report_decoder.decode(answer.body))
+        except ValueError as error:
+            raise ExchangeFailed(f"report: {error}") from None
+
+
+_RESULTS_BY_STATUS = {
+    200: OrderResult.HOLDS_ALREADY,
+    202: OrderResult.ACCEPTED,
+    409: OrderResult.CONFLICT,
+    412: OrderResult.TOKEN_TOO_LOW,
+    421: OrderResult.WRONG_REPLICA,
+}
+
+
+def _report_from(report):
+    versions = {}
+    for model in report.models:
+        for listed in model.adapters:
+            name, _, version = listed.partition("@")
+            versions[AdapterKey(model.name, name)] = int(version or 1)
+    for listed in report.incoming:
+        path, _, version = listed.partition("@")
+        model, _, name = path.partition("/")
+        if name:
+            versions[AdapterKey(model, name)] = int(version or 1)
+    return ReplicaReport(
+        report.seq,
+        report.busy,
+        frozenset(model.name for model in report.models),
+        versions,
+    )
--- /dev/null
+++ b/snipetrestle/platform/entries.py
@@ -0,0 +1,218 @@
+"""Decodes the entries of the platform's store into the gateway's types."""
+
+import msgspec
+
+from snipetrestle.gateway.configuration import (
+    AdapterKey,
+    AdapterVersion,
+    Backend,
+    CallerLimits,
+    LoadedModel,
+    Model,
+    ReplicaEntry,
+    ReplicaState,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    WeightedBackend,
+)
+from snipetrestle.gateway.published_state import Unlisted
+
+OPERATOR_PREFIX = "op/"
+REPLICA_PREFIX = "servers/"
+_CONFIGURATION_KEY = "op/config"
+_VERSION_PREFIX = "op/version/"
+
+
+class _Split(msgspec.Struct):
+    backend: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    prefix: str
+    route_type: RequestKind
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    backend: str | None = None
+    split: list[_Split] = []
+    attempts: int = 1
+    resumable: bool = False
+    gap_aim_ms: float | None = None
+
+
+class _Model(msgspec.Struct):
+    name: str
+    weights_mb: float = 0.0
+    load_s: float = 0.0
+    adapter_mb: float = 0.0
+
+
+class _Runtime(msgspec.Struct):
+    slots: int = 0
+    models: list[_Model] = []
+    weights_mb: float = 0.0
+    adapter_slots: int = 0
+    loads_per_s: float = 1.0
+    host_mb: float = 0.0
+
+
+class _Backend(msgspec.Struct):
+    name: str
+    max_conns: int = 0
+    runtime: _Runtime | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    backends: list[_Backend]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _DeclaredVersion(msgspec.Struct):
+    model: str
+    adapter: str
+    version: int
+
+
+class _LoadedModel(msgspec.Struct):
+    name: str
+    version: int = 0
+    # Adapters are listed as NAME@VERSION.
+    adapters: list[str] = []
+
+
+class _Replica(msgspec.Struct):
+    backend: str
+    address: str
+    zone: str
+    state: ReplicaState
+    slots: int = 0
+    models: list[_LoadedModel] = []
+    # Time left to a replica that is taken away at short notice.
+    remaining_ms: float | None = None
+    # Unix time in ms of the replica's start.
+    born: int = 0
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_version_decoder = msgspec.json.Decoder(_DeclaredVersion)
+_replica_decoder = msgspec.json.Decoder(_Replica)
+
+
+def decode_operator_item(item):
+    """Returns a RoutingConfiguration or AdapterVersion; None for other items.
+
+    Raises ValueError if it cannot be read.
+    """
+    if item.value is None:
+        return None
+    if item.key == _CONFIGURATION_KEY:
+        return _configuration_from(_configuration_decoder.decode(item.value))
+    if item.key.startswith(_VERSION_PREFIX):
+        declared = _version_decoder.decode(item.value)
+        key = AdapterKey(declared.model, declared.adapter)
+        return AdapterVersion(key, declared.version)
+    return None
+
+
+def _configuration_from(document):
+    backends = [_backend_from(backend) for backend in document.backends]
+    limits = document.limits
+    return RoutingConfiguration(
+        document.version,
+        tuple(_route_from(route) for route in document.routes),
+        {backend.name: backend for backend in backends},
+        CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _route_from(route):
+    backends = tuple(WeightedBackend(item.backend, item.weight) for item in route.split)
+    if not backends:
+        if route.backend is None:
+            raise ValueError(f"route {route.name} names no backend")
+        backends = (WeightedBackend(route.backend, 1.0),)
+    return Route(
+        name=route.name,
+        hostname=route.hostname.lower(),
+        prefix=route.prefix,
+        kind=route.route_type,
+        timeout_s=route.timeout_ms / 1000,
+        target_latency_s=route.target_latency_ms / 1000,
+        priority=route.priority,
+        backends=backends,
+        attempts=route.attempts,
+        resumable=route.resumable,
+        max_gap_s=None if route.gap_aim_ms is None else route.gap_aim_ms / 1000,
+    )
+
+
+def _backend_from(backend):
+    runtime = backend.runtime
+    if runtime is None:
+        return Backend(backend.name, backend.max_conns)
+    return Backend(
+        backend.name,
+        backend.max_conns,
+        runtime.slots,
+        tuple(
+            Model(model.name, model.weights_mb, model.load_s, model.adapter_mb)
+            for model in runtime.models
+        ),
+        runtime.weights_mb,
+        runtime.adapter_slots,
+        runtime.loads_per_s,
+        runtime.host_mb,
+    )
+
+
+def decode_replica_item(item):
+    """Returns a ReplicaEntry, or Unlisted for an entry that names no usable replica."""
+    replica_id = item.key.removeprefix(REPLICA_PREFIX)
+    if item.value is None:
+        return Unlisted(replica_id)
+    try:
+        replica = _replica_decoder.decode(item.value)
+        ip, _, port = replica.address.rpartition(":")
+        return ReplicaEntry(
+            id=replica_id,
+            boot=replica.born,
+            backend=replica.backend,
+            ip=ip,
+            port=int(port),
+            failure_domain=replica.zone,
+            state=replica.state,
+            slots=replica.slots,
+            models=tuple(loaded_model_from(model) for model in replica.models),
+            remaining_s=None
+            if replica.remaining_ms is None
+            else replica.remaining_ms / 1000,
+        )
+    except ValueError as error:
+        return Unlisted(replica_id, str(error))
+
+
+def loaded_model_from(model):
+    """Returns a LoadedModel; ValueError for an adapter that cannot be read."""
+    versions = {}
+    for listed in model.adapters:
+        name, _, version = listed.partition("@")
+        versions[name] = int(version or 1)
+    return LoadedModel(model.name, model.version, versions)
--- /dev/null
+++ b/snipetrestle/platform/headers.py
@@ -0,0 +1,137 @@
+"""Spells the headers of requests and responses as the platform does."""
+
+from snipetrestle.gateway.configuration import AdapterKey
+from snipetrestle.gateway.dialect import RequestFacts, ResponseFacts
+
+REQUEST_ID = b"x-request-id"
+DEADLINE_MS = b"x-deadline-ms"
+MODEL = b"x-model"
+TOKEN_COUNT = b"x-token-count"
+LAST_EVENT_ID = b"last-event-id"
+
+# Headers of one connection only.
+_CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+# Headers that only the gateway sets.
+_OWN_HEADERS = frozenset(
+    {
+        DEADLINE_MS,
+        LAST_EVENT_ID,
+        b"x-expect-instance",
+        b"x-expect-version",
+        b"x-request-priority",
+        b"x-pin-ms",
+        b"x-hold",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    }
+)
+_DROPPED_FROM_REQUESTS = _CONNECTION_HEADERS | _OWN_HEADERS
+# A caller may not take these from its request by naming them in ``Connection``.
+_KEPT = frozenset({b"host", REQUEST_ID, MODEL, TOKEN_COUNT, b"x-prompt-prefix"})
+LEAST_URGENT = 9
+
+
+class PlatformDialect:
+    """Dialect of the users' platform."""
+
+    def read_request(self, headers):
+        values = dict(headers)
+        request_id = values.get(REQUEST_ID)
+        if not request_id:
+            return None
+        facts = RequestFacts(request_id)
+        deadline = values.get(DEADLINE_MS)
+        if deadline is not None:
+            if not deadline.isdigit():
+                return None
+            facts.deadline_s = int(deadline) / 1000
+        last_event_id = values.get(LAST_EVENT_ID)
+        if last_event_id is not None and last_event_id.isdigit():
+            facts.last_event_id = int(last_event_id)
+        model = values.get(MODEL)
+        if model is not None:
+            name, _, adapter = model.decode("latin-1").partition("/")
+            facts.adapter = AdapterKey(name, adapter)
+        tokens = values.get(TOKEN_COUNT, b"").split(b",")
+        if len(tokens) == 2 and tokens[0].isdigit() and tokens[1].strip().isdigit():
+            facts.prompt_tokens = int(tokens[0])
+            facts.output_tokens = int(tokens[1])
+        return facts
+
+    def request_head(self, method, target, headers, body_length, sending):
+        dropped = _DROPPED_FROM_REQUESTS
+        named = _named_by_connection(headers)
+        if named:
+            dropped = dropped | (named - _KEPT)
+        parts = [b"%b %b HTTP/1.1\r\n" % (method, target)]
+        has_length = False
+        for name, value in headers:
+            if name == b"content-length" or name == b"transfer-encoding":
+                has_length = True
+            if name not in dropped:
+                parts.append(b"%b: %b\r\n" % (name, value))
+        if has_length or body_length:
+            parts.append(b"content-length: %d\r\n" % body_length)
+        parts.append(
+            b"x-deadline-ms: %d\r\nx-expect-instance: %b\r\nx-request-priority: %d\r\n"
+            % (
+                sending.remaining_s * 1000,
+                sending.replica_id.encode(),
+                min(sending.priority, LEAST_URGENT),
+            )
+        )
+        if sending.version is not None:
+            parts.append(b"x-expect-version: %d\r\n" % sending.version)
+        if sending.last_event_id is not None:
+            parts.append(b"last-event-id: %d\r\n" % sending.last_event_id)
+        parts.append(b"\r\n")
+        return b"".join(parts)
+
+    def read_response(self, status, headers):
+        facts = ResponseFacts(None, False, status == 421, False, None, [])
+        named = _named_by_connection(headers)
+        for name, value in headers:
+            if name == REQUEST_ID:
+                facts.request_id = value
+            elif name == b"x-server-signature":
+                facts.proven = True
+            elif name == b"x-not-executed":
+                facts.not_executed = True
+            elif name == b"content-encoding":
+                facts.encoded = value.strip().lower() != b"identity"
+            elif name == b"keep-alive":
+                facts.idle_timeout_s = _idle_timeout(value)
+            if name not in _CONNECTION_HEADERS and name not in named:
+                facts.headers.append((name, value))
+        return facts
+
+
+def _named_by_connection(headers):
+    named = set()
+    for name, value in headers:
+        if name == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return named
+
+
+def _idle_timeout(value):
+    for part in value.split(b","):
+        name, _, seconds = part.strip().partition(b"=")
+        if name == b"timeout" and seconds.isdigit():
+            return float(seconds)
+    return None
--- /dev/null
+++ b/snipetrestle/publication/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's configuration service and host list."""
--- a/snipetrestle/platform/backend_hosts.py
+++ b/snipetrestle/publication/backend_hosts.py
@@ -1,6 +1,6 @@
 """States of backend servers' hosts, taken from the host list as it passes by."""
 
-from snipetrestle.platform.sources import HostState
+from snipetrestle.publication.sources import HostState
 
 
 class BackendHosts:
--- a/snipetrestle/platform/http_sources.py
+++ b/snipetrestle/publication/http_sources.py
@@ -12,7 +12,7 @@
 import httpcore
 import msgspec
 
-from snipetrestle.platform.sources import HostList, Reading, SourceUnreachable
+from snipetrestle.publication.sources import HostList, Reading, SourceUnreachable
 
 # The service answers in milliseconds, so a longer silence means that it is down.
 READ_TIMEOUT_S = 5.0
--- a/snipetrestle_standins/configuration_service.py
+++ b/snipetrestle_standins/configuration_service.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from snipetrestle.platform.sources import Reading, SourceUnreachable
+from snipetrestle.publication.sources import Reading, SourceUnreachable
 from snipetrestle_standins.http_answers import (
     answer,
     query_of,
--- a/snipetrestle_standins/fleet.py
+++ b/snipetrestle_standins/fleet.py
@@ -9,7 +9,7 @@
 from snipetrestle.peers.membership import Membership
 from snipetrestle.peers.membership_messages import MemberCard
 from snipetrestle.peers.transport import MessageRouter
-from snipetrestle.platform.sources import Host
+from snipetrestle.publication.sources import Host
 from snipetrestle_standins.configuration_service import (
     ConfigurationService,
     LocalConfigurationSource,
--- a/snipetrestle_standins/host_list.py
+++ b/snipetrestle_standins/host_list.py
@@ -6,7 +6,7 @@
 import anyio
 import msgspec
 
-from snipetrestle.platform.sources import (
+from snipetrestle.publication.sources import (
     HostList,
     HostState,
     SourceUnreachable,
--- a/snipetrestle_standins/local_fleet.py
+++ b/snipetrestle_standins/local_fleet.py
@@ -9,7 +9,7 @@
 
 from snipetrestle.app import Application
 from snipetrestle.callers.listener import serving
-from snipetrestle.platform.sources import Host
+from snipetrestle.publication.sources import Host
 from snipetrestle.settings import ListenSettings, PlatformSettings, Settings
 from snipetrestle_standins.configuration_service import (
     ConfigurationService,
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -9,7 +9,7 @@
 from snipetrestle.peers.members import MemberState
 from snipetrestle.peers.membership_messages import Health, MemberUpdate, Ping
 from snipetrestle.peers.updates import MAX_UPDATE_BYTES, UpdateQueue
-from snipetrestle.platform.sources import HostState
+from snipetrestle.publication.sources import HostState
 from snipetrestle_standins.clock import run_advanced
 from snipetrestle_standins.fleet import Fleet
 
--- a/tests/platform/test_http_sources.py
+++ b/tests/publication/test_http_sources.py
@@ -6,11 +6,11 @@
 import testtools
 import uvicorn
 
-from snipetrestle.platform.http_sources import (
+from snipetrestle.publication.http_sources import (
     HttpConfigurationSource,
     HttpHostListSource,
 )
-from snipetrestle.platform.sources import Host, HostState, SourceUnreachable
+from snipetrestle.publication.sources import Host, HostState, SourceUnreachable
 from snipetrestle_standins.clock import run_advanced
 from snipetrestle_standins.configuration_service import (
     ConfigurationService,
