Notice callers that leave while their request is handled

Later bytes are now held in a bounded backlog instead. Ruled out: the cancellation itself; it works once connection_lost is called.

--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -38,7 +38,9 @@
 def next_token(known_token, host_name, now_ms):
     """Returns a fencing token above ``known_token`` that no other host uses."""
     counter = max((known_token >> HOST_BITS) + 1, now_ms)
-    return (counter << HOST_BITS) | xxhash.xxh32_intdigest(host_name.encode()) % (1 << HOST_BITS)
+    return (counter << HOST_BITS) | xxhash.xxh32_intdigest(host_name.encode()) % (
+        1 << HOST_BITS
+    )
 
 
 def stood_still_s():
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -20,6 +20,9 @@
 # Bytes that wait for a caller that does not read.
 WRITE_HIGH_WATER_BYTES = 131_072
 UNACKNOWLEDGED_MS = 8000
+# Bytes of later requests that are held while one is handled. Reading goes on until
+# then, since only reading shows that the caller has closed its connection.
+MAX_BACKLOG_BYTES = 65_536
 
 REASONS_BY_STATUS = {
     200: b"OK",
@@ -80,9 +83,11 @@
         self._waiter = None
         self._can_write = None
         self._requests = []
+        self._backlog = b""
         self._refusal = None
         self._in_message = False
         self._head_bytes = 0
+        self._head_started_at = None
         self._in_head = True
         self._body = []
         self._body_bytes = 0
@@ -110,6 +115,16 @@
         if self._refusal is not None or self._lingering:
             return
         self._last_data = self._loop.time()
+        if self.busy or self._requests:
+            self._backlog += data
+            if len(self._backlog) > MAX_BACKLOG_BYTES and not self._paused:
+                self._paused = True
+                self._transport.pause_reading()
+            return
+        self._parse(data)
+        self._wake()
+
+    def _parse(self, data):
         if self._in_head:
             self._head_bytes += len(data)
         try:
@@ -118,11 +133,6 @@
             self._refuse(ResultCode.MALFORMED_REQUEST)
         if self._in_head and self._head_bytes > self._server.limits.max_header_bytes:
             self._refuse(ResultCode.HEADERS_TOO_LARGE)
-        if self._requests and not self._paused:
-            # Pipelined requests wait in the kernel.
-            self._paused = True
-            self._transport.pause_reading()
-        self._wake()
 
     def eof_received(self):
         # A caller that has closed its side no longer waits for an answer.
@@ -191,6 +201,7 @@
     def on_message_complete(self):
         self._in_message = False
         self._in_head = True
+        self._head_started_at = None
         if self._refusal is not None:
             return
         request = self._current
@@ -231,6 +242,10 @@
             if self._refusal is not None:
                 self.answer_code(self._refusal)
                 return None
+            if self._backlog:
+                data, self._backlog = self._backlog, b""
+                self._parse(data)
+                continue
             if self._paused:
                 self._paused = False
                 self._transport.resume_reading()
@@ -251,14 +266,12 @@
             return self._last_data + BODY_PAUSE_S - now
         if self._head_bytes:
             # The first byte of the head is at least as old as the last one.
-            if self._head_started is None:
-                self._head_started = now
-            return self._head_started + limits.header_timeout_s - now
-        self._head_started = None
+            if self._head_started_at is None:
+                self._head_started_at = now
+            return self._head_started_at + limits.header_timeout_s - now
+        self._head_started_at = None
         return idle_since + limits.idle_timeout_s - now
 
-    _head_started = None
-
     async def _end(self):
         if self._refusal is None or self.closed:
             return
