Treat orders in progress as such, and notice when a model is loaded

An adapter's further copies now follow the load of its holders instead of its share of demand, since each copy is fetched and priced.

--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -87,11 +87,12 @@
     async def locate(self, key, uses, avoid):
         """Returns the places of an adapter, after ordering a load if there is none."""
         self.places.note_demand(key, uses)
+        self._note_loads()
         holders = self._without(self.places.holders(key), avoid)
         if not holders:
             await self._load(key, avoid)
             holders = self._without(self.places.holders(key), avoid)
-        elif len(holders) < self.places.wanted_copies(key):
+        elif self.places.needs_copy(key):
             self._request(key, avoid)
         now = anyio.current_time()
         return tuple(
@@ -99,6 +100,11 @@
             for replica in holders
         )
 
+    def _note_loads(self):
+        for replica, orders, _ in self._running_by_id.values():
+            orders.places.load = replica.load / max(1, replica.entry.slots)
+            orders.set_usable(replica.takes_requests)
+
     @staticmethod
     def _without(replicas, avoid):
         return [item for item in replicas if item.replica_id not in avoid]
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -30,7 +30,12 @@
 LONGEST_RETRY_S = 2.0
 FAILED_S = 1.0
 IDLE_CHECK_S = 0.5
+MODEL_CHECK_S = 0.05
+MODEL_CHECKS = 200
+BUSY_PAUSE_S = 0.05
 UNLOAD_PAUSE_S = 0.25
+# Adapters whose unload is ordered for one load, while requests still use them.
+MOST_EVICTIONS = 2
 
 
 class OrderKind(enum.StrEnum):
@@ -146,9 +151,8 @@
             self._waiter.set_result(None)
 
     def set_usable(self, usable):
+        """Notes whether the replica takes new requests."""
         self.places.usable = usable and self._synced and bool(self._models)
-        if not usable:
-            self._drop_queue()
 
     def _drop_queue(self):
         while self._queue:
@@ -243,8 +247,21 @@
         log_event(Event.MODEL_ORDERED, replica=self._replica.id, result=result.name)
         if result is OrderResult.ACCEPTED:
             await anyio.sleep(model.load_s)
-            self._synced = False
-            self._doubtful = True
+            result = await self._await_model(model)
+        # Reports lag, so the answer to an order tells sooner that the model is there.
+        if result is OrderResult.HOLDS_ALREADY:
+            self._models = frozenset([model.name])
+            self.places.usable = self._replica.takes_requests
+
+    async def _await_model(self, model):
+        """Repeats the order of a model until it holds. Returns the last result."""
+        result = OrderResult.CONFLICT
+        for _ in range(MODEL_CHECKS):
+            result = await self._order(OrderKind.LOAD, model.name, "")
+            if result is OrderResult.HOLDS_ALREADY:
+                break
+            await anyio.sleep(MODEL_CHECK_S)
+        return result
 
     async def _load_adapter(self):
         load = self._queue[0]
@@ -256,19 +273,19 @@
         if wait_s > 0:
             await self._wait(wait_s)
             return
-        if len(self.places.held) >= self.places.slots and not await self._evict():
-            self._queue.popleft()
-            self.places.waiting.pop(load.key, None)
-            load.finish()
-            return
-        await self._order_adapter(load)
+        if len(self.places.held) < self.places.slots or await self._evict():
+            await self._order_adapter(load)
+        else:
+            self._drop(load)
 
     async def _order_adapter(self, load):
         key = load.key
         recent = self.places.was_held(key)
         version = self._shared.version_of(key)
         result = await self._order(OrderKind.LOAD, key.model, key.adapter)
-        if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
+        if result is OrderResult.CONFLICT:
+            await self._wait(BUSY_PAUSE_S)
+        elif result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
             load_s = 0.0
             if result is OrderResult.ACCEPTED:
                 load_s = RECENT_LOAD_S if recent else ADAPTER_LOAD_S
@@ -285,35 +302,41 @@
                 recent=recent,
                 result=result.name,
             )
-        if self._queue and self._queue[0] is load:
-            self._queue.popleft()
-        self.places.waiting.pop(key, None)
+        self._drop(load)
+
+    def _drop(self, load):
+        if load in self._queue:
+            self._queue.remove(load)
+        self.places.waiting.pop(load.key, None)
         load.finish()
 
     async def _evict(self):
         """Frees a place. Returns False if none can be freed now."""
-        key = self._shared.places.evictable(self.places)
-        if key is None:
-            return await self._finish_unloads()
-        place = self.places.held[key]
-        result = await self._order(OrderKind.UNLOAD, key.model, key.adapter)
-        if result is OrderResult.HOLDS_ALREADY:
-            self.places.held.pop(key, None)
+        if await self._finish_unloads():
             return True
-        if result is OrderResult.ACCEPTED:
-            # Requests in progress still hold the place.
-            place.leaving = True
+        for _ in range(MOST_EVICTIONS):
+            key = self._shared.places.evictable(self.places)
+            if key is None:
+                return False
+            if await self._unload(key):
+                return True
         return False
 
+    async def _unload(self, key):
+        """Orders an unload. Returns whether the place is free."""
+        place = self.places.held[key]
+        result = await self._order(OrderKind.UNLOAD, key.model, key.adapter)
+        # Without a 200, requests in progress still hold the place.
+        place.leaving = result is not OrderResult.HOLDS_ALREADY
+        if not place.leaving:
+            del self.places.held[key]
+        return not place.leaving
+
     async def _finish_unloads(self):
         """Asks again for unloads that wait. Returns whether a place became free."""
         freed = False
         for key, place in list(self.places.held.items()):
-            if not place.leaving:
-                continue
-            result = await self._order(OrderKind.UNLOAD, key.model, key.adapter)
-            if result is OrderResult.HOLDS_ALREADY:
-                self.places.held.pop(key, None)
+            if place.leaving and await self._unload(key):
                 freed = True
         return freed
 
@@ -342,7 +365,7 @@
             await self._wait(RETRY_S)
 
     async def _order(self, kind, model, adapter, version=None):
-        """Sends one order. Raises ExchangeFailed unless it was accepted or holds."""
+        """Sends one order. Raises ExchangeFailed if it was refused or is in doubt."""
         shared = self._shared
         if not shared.leadership.check_still_leading():
             raise ExchangeFailed("this host no longer leads")
@@ -359,6 +382,9 @@
             result = await shared.client.send(self._replica, order)
         if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
             self._count = None
+        elif result is OrderResult.CONFLICT and order.expected_count is None:
+            # Another order of this leader for the same adapter or model goes on.
+            pass
         elif result is OrderResult.TOKEN_TOO_LOW:
             shared.leadership.note_token_refused()
             raise ExchangeFailed("the token is too low")
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -28,7 +28,6 @@
 NOTICE_S = 2.5
 # Left of the grace period when the last requests are given up.
 GRACE_MARGIN_S = 0.6
-DRAIN_CHECK_S = 0.1
 BACKLOG = 512
 
 
@@ -41,6 +40,7 @@
         self.connections = set()
         self.closing = False
         self._server = None
+        self._idle = anyio.Event()
 
     @property
     def limits(self):
@@ -56,6 +56,18 @@
     def busy(self):
         return any(connection.busy for connection in self.connections)
 
+    def note_answered(self):
+        """Called by a connection after each answer."""
+        if self.closing and not self.busy:
+            self._idle.set()
+
+    async def wait_idle(self, limit_s):
+        """Returns once no request is in progress, after ``limit_s`` at the latest."""
+        with anyio.move_on_after(limit_s):
+            while self.busy:
+                self._idle = anyio.Event()
+                await self._idle.wait()
+
     def start_closing(self):
         """Answers go out with a note that the connection ends."""
         self.closing = True
@@ -244,5 +256,4 @@
         await anyio.sleep(min(NOTICE_S, self.settings.grace_s / 3))
         self.callers.close_idle()
         end = started + self.settings.grace_s - GRACE_MARGIN_S
-        while self.callers.busy and anyio.current_time() < end:
-            await anyio.sleep(DRAIN_CHECK_S)
+        await self.callers.wait_idle(end - anyio.current_time())
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -222,6 +222,7 @@
                 self.keep_alive = request.keep_alive
                 await self._server.handle(request, self)
                 self.busy = False
+                self._server.note_answered()
                 if not self.keep_alive or self._server.closing:
                     break
             await self._end()
--- a/snipetrestle/placement/adapter_places.py
+++ b/snipetrestle/placement/adapter_places.py
@@ -17,16 +17,21 @@
 PLACE_LEASE_S = 1.0
 # An adapter that was asked for within this time is not evicted.
 KEEP_S = PLACE_LEASE_S + 0.6
-# A share of the demand above this justifies one more copy, in parts of a replica.
-DEMAND_A_COPY = 0.7
-# An adapter below this share of all demand has one copy.
-SECOND_COPY_SHARE = 0.03
+# Above this load of all its holders, an adapter gets one more copy. Each copy is
+# fetched from the store, which others wait for.
+COPY_LOAD = 0.35
+# A copy goes only to a replica with less than this part of the holders' load.
+COPY_GAIN = 0.6
+# An adapter that was asked for within this time may still have requests in progress.
+LIKELY_IN_USE_S = 4.0
+IN_USE_PENALTY = 1.0
 # Adapters that a replica held lately are loaded faster; older ones are forgotten.
 RECENT_ADAPTERS = 120
 # Weights of the choice, in demand of one replica.
 RECENT_BONUS = 0.5
 EVICTION_COST = 0.1
-WAITING_COST = 0.3
+WAITING_COST = 0.1
+LOAD_COST = 2.0
 FAILED_COST = 2.0
 
 
@@ -66,6 +71,7 @@
         "replica_id",
         "slots",
         "speed",
+        "load",
         "usable",
         "held",
         "waiting",
@@ -78,6 +84,8 @@
         self.replica_id = replica_id
         self.slots = slots
         self.speed = 1.0
+        # Requests in progress as a part of what the replica runs at once.
+        self.load = 0.0
         # Whether the replica takes new requests and its state is known.
         self.usable = False
         self.held = {}
@@ -135,17 +143,17 @@
             and not place.leaving
         ]
 
-    def wanted_copies(self, key):
-        """Returns how many replicas are to hold an adapter, by its share of demand."""
-        now = anyio.current_time()
-        total = self._total.value(now)
-        usable = sum(replica.usable for replica in self.by_replica.values())
-        if total < 20:
-            return 1
-        share = self._demand_by_key[key].value(now) / total
-        if share < SECOND_COPY_SHARE:
-            return 1
-        return min(usable, max(2, math.ceil(share * usable / DEMAND_A_COPY)))
+    def needs_copy(self, key):
+        """Tells whether the holders of an adapter are loaded and others are not."""
+        least = min(replica.load for replica in self.holders(key))
+        if least < COPY_LOAD:
+            return False
+        others = [
+            replica.load
+            for replica in self.by_replica.values()
+            if replica.usable and key not in replica.held
+        ]
+        return bool(others) and min(others) < least * COPY_GAIN
 
     def choose(self, key, avoid=()):
         """Returns the replica that is to load an adapter; None if none can now."""
@@ -165,7 +173,7 @@
     def _cost(self, replica, key, now, total):
         """Returns the cost of a load; infinite if the replica has no place for it."""
         cost = replica.demand.value(now) / total * len(self.by_replica) / replica.speed
-        cost += WAITING_COST * len(replica.waiting)
+        cost += WAITING_COST * len(replica.waiting) + LOAD_COST * replica.load
         if replica.failed_until > now:
             cost += FAILED_COST
         if replica.free <= 0:
@@ -188,6 +196,8 @@
                 continue
             count = self._demand_by_key.get(key)
             value = 0.0 if count is None else count.value(now)
+            if now - asked_at < LIKELY_IN_USE_S:
+                value += IN_USE_PENALTY
             if len(self.holders(key)) > 1:
                 value /= 2
             if value < best_value:
