Place adapters by the strain on slow replicas

Hosts now measure the undisturbed time between events, tell it in their beats, and the leader counts a replica's busy time by the square of its pace.

--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -5,7 +5,7 @@
 from snipetrestle.coordination.messages import Locate, Located, Place
 from snipetrestle.coordination.orders import ReplicaOrders, Shared
 from snipetrestle.gateway.configuration import AdapterKey
-from snipetrestle.placement.adapter_places import AdapterPlaces
+from snipetrestle.placement.adapter_places import DEFAULT_PACE_S, AdapterPlaces
 
 # Without a place, a host asks again after this time.
 ASK_AGAIN_S = 0.08
@@ -103,6 +103,7 @@
     def _note_loads(self):
         for replica, orders, _ in self._running_by_id.values():
             orders.places.load = replica.load / max(1, replica.entry.slots)
+            orders.places.pace_s = replica.pace_s or DEFAULT_PACE_S
             orders.set_usable(replica.takes_requests)
 
     @staticmethod
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -35,7 +35,7 @@
 class Hosts:
     """Membership by heartbeats over UDP.
 
-    ``describe()`` returns (leader, term, leader_age_s, in_flight, newest_by_prefix) for
+    ``describe()`` returns (leader, term, leader_age_s, loads, newest_by_prefix) for
     the own beats; ``urgent()`` names the hosts that get a beat each time.
     """
 
@@ -102,8 +102,8 @@
                 self._endpoint.send(beat, host.address)
 
     def _own_beat(self):
-        leader, term, age_s, in_flight, newest = self._describe()
-        return Beat(self.own, leader, term, age_s, self.leaving, in_flight, newest)
+        leader, term, age_s, loads, newest = self._describe()
+        return Beat(self.own, leader, term, age_s, self.leaving, loads, newest)
 
     def send_leaving(self):
         """Tells all hosts that this one stops."""
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -21,12 +21,22 @@
     size: float
 
 
+class ReplicaLoad(msgspec.Struct, array_like=True, frozen=True):
+    """Requests in progress at a replica, and its time between two events of a stream.
+
+    ``pace_us`` is in microseconds; 0 means that it is unknown.
+    """
+
+    in_flight: int
+    pace_us: int
+
+
 class Beat(_Message):
     """Heartbeat of a host.
 
     ``leader`` and ``term`` name the leader that the sender follows, and
-    ``leader_age_s`` how long ago it heard from it (-1: never). ``in_flight`` counts its
-    requests by replica; in a leader's beat, those of all hosts.
+    ``leader_age_s`` how long ago it heard from it (-1: never). ``loads_by_replica`` says
+    what it sees of the replicas; in a leader's beat, what all hosts see.
     """
 
     sender: HostInfo
@@ -34,7 +44,7 @@
     term: int
     leader_age_s: float
     leaving: bool
-    in_flight: dict[str, int]
+    loads_by_replica: dict[str, ReplicaLoad]
     newest_by_prefix: dict[str, int]
 
 
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -13,6 +13,7 @@
 from snipetrestle.coordination.leadership import Leadership, has_ended
 from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import HostInfo
+from snipetrestle.coordination.shared_loads import SharedLoads
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle.gateway.forwarding import Forwarder
@@ -140,7 +141,7 @@
         self.locator = Locator(
             self.leadership, self.endpoint, settings.name, self.director.locate
         )
-        self.hosts.on_beat(self._note_load)
+        self.loads = SharedLoads(self.replicas, self.hosts, self.leadership)
         self.snapshots = Snapshots(self.state, self.hosts, generator)
         self.callers = HttpServer(Forwarder(self).handle, self._limits)
         self.readiness = HttpServer(self._answer_ready, CallerLimits)
@@ -152,44 +153,17 @@
         configuration = self.state.configuration
         return CallerLimits() if configuration is None else configuration.limits
 
-    def _own_in_flight(self):
-        return {
-            replica.id: replica.in_flight
-            for replica in self.replicas.by_id.values()
-            if replica.in_flight
-        }
-
     def _describe(self):
-        in_flight = self._own_in_flight()
-        if self.leadership.leads:
-            for host in self.hosts.reachable():
-                for replica_id, count in host.beat.in_flight.items():
-                    in_flight[replica_id] = in_flight.get(replica_id, 0) + count
+        """Returns what the own beats say."""
+        loads = self.loads.of_all() if self.leadership.leads else self.loads.own()
         return (
             self.leadership.leader,
             self.leadership.term,
             self.leadership.leader_age_s(),
-            in_flight,
+            loads,
             self.state.newest_by_prefix(),
         )
 
-    def _note_load(self, beat):
-        """Takes the load of the other hosts from the leader's beat."""
-        if beat.leader != beat.sender.name:
-            if self.leadership.leads:
-                self._sum_loads()
-            return
-        for replica in self.replicas.by_id.values():
-            total = beat.in_flight.get(replica.id, 0)
-            replica.others_in_flight = max(0, total - replica.in_flight)
-
-    def _sum_loads(self):
-        reachable = self.hosts.reachable()
-        for replica in self.replicas.by_id.values():
-            replica.others_in_flight = sum(
-                host.beat.in_flight.get(replica.id, 0) for host in reachable
-            )
-
     def is_ready(self):
         return self.state.ready.is_set() and not self.draining
 
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -35,6 +35,8 @@
 # Part of the time to a late answer after which a request without a place is refused.
 PLACE_PATIENCE = 0.5
 UNSENT_MARGIN_S = 0.05
+# Events between two measurements of a stream's pace.
+PACE_EVENTS = 5
 
 
 class Refused(Exception):
@@ -315,6 +317,7 @@
 
     async def _pass_events(self, job, replica, exchange, facts, started):
         splitter = EventSplitter()
+        pace = PaceMeter(replica)
         caller = job.caller
         first = True
         while data := await exchange.read():
@@ -335,6 +338,7 @@
             await caller.write_chunk(events)
             if splitter.last_id is not None:
                 job.last_event_id = splitter.last_id
+                pace.note(splitter.last_id)
         if splitter.partial or first:
             raise ExchangeFailed("the stream ended within an event")
         caller.end_stream()
@@ -472,6 +476,29 @@
             await anyio.sleep(NOT_LOADED_PAUSE_S)
 
 
+class PaceMeter:
+    """Measures the time between the events of one stream."""
+
+    __slots__ = ("_replica", "_id", "_at")
+
+    def __init__(self, replica):
+        self._replica = replica
+        self._id = None
+        self._at = 0.0
+
+    def note(self, event_id):
+        if self._id is None:
+            self._start(event_id)
+        elif event_id - self._id >= PACE_EVENTS:
+            elapsed_s = anyio.current_time() - self._at
+            self._replica.note_pace(elapsed_s / (event_id - self._id))
+            self._start(event_id)
+
+    def _start(self, event_id):
+        self._id = event_id
+        self._at = anyio.current_time()
+
+
 def _unknown(job):
     """Returns the code for a request that may have run and has no answer."""
     if job.route.kind is RequestKind.STREAM:
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -16,6 +16,13 @@
 DEFAULT_LATENCY_S = 0.05
 FIRST_SUSPICION_S = 1.0
 LONGEST_SUSPICION_S = 4.0
+# Weights of one observation of the pace: the undisturbed pace is wanted, so a faster
+# one counts at once and a slower one slowly.
+FASTER_WEIGHT = 0.5
+SLOWER_WEIGHT = 0.04
+# How much more a slow replica is avoided than by its pace alone. Its prompts also delay
+# the events of all its streams beyond the allowed pause.
+PACE_POWER = 2.0
 # How much a failure rate of 1 makes a replica look slower.
 FAILURE_WEIGHT = 12.0
 # Preference for a replica in the own failure domain, as a part of its score.
@@ -33,6 +40,8 @@
         "last_heard",
         "suspected_until",
         "leaving",
+        "told_pace_s",
+        "own_pace_s",
         "_suspicion_s",
         "_latency_s",
         "_latency_at",
@@ -48,6 +57,9 @@
         self.last_heard = 0.0
         self.suspected_until = 0.0
         self.leaving = False
+        # Time between two events of a stream, as the leader and as this host sees it.
+        self.told_pace_s = None
+        self.own_pace_s = None
         self._suspicion_s = FIRST_SUSPICION_S
         self._latency_s = None
         self._latency_at = 0.0
@@ -67,6 +79,18 @@
     def takes_requests(self):
         return not self.leaving and self.entry.state is ReplicaState.READY
 
+    @property
+    def pace_s(self):
+        """Undisturbed time between two events of a stream; None if it is unknown."""
+        return self.told_pace_s or self.own_pace_s
+
+    def note_pace(self, pace_s):
+        if self.own_pace_s is None:
+            self.own_pace_s = pace_s
+            return
+        weight = FASTER_WEIGHT if pace_s < self.own_pace_s else SLOWER_WEIGHT
+        self.own_pace_s += weight * (pace_s - self.own_pace_s)
+
     def note_heard(self):
         self.last_heard = anyio.current_time()
 
@@ -175,10 +199,13 @@
         """
         now = anyio.current_time()
         usual_s = _usual_latency_s(candidates)
+        usual_pace_s = _usual_pace_s(candidates)
         trusted = [item for item in candidates if item.suspected_until <= now]
         best, best_score = None, math.inf
         for replica in trusted or candidates:
             score = self._score(replica, now, usual_s)
+            if usual_pace_s and replica.pace_s:
+                score *= (replica.pace_s / usual_pace_s) ** PACE_POWER
             if score < best_score:
                 best, best_score = replica, score
         return best
@@ -201,6 +228,11 @@
     )
 
 
+def _usual_pace_s(replicas):
+    known = [item.pace_s for item in replicas if item.pace_s]
+    return sum(known) / len(known) if known else None
+
+
 def _usual_latency_s(replicas):
     known = [item.known_latency_s for item in replicas if item.known_latency_s]
     return sum(known) / len(known) if known else DEFAULT_LATENCY_S
--- a/snipetrestle/placement/adapter_places.py
+++ b/snipetrestle/placement/adapter_places.py
@@ -25,6 +25,16 @@
 # An adapter that was asked for within this time may still have requests in progress.
 LIKELY_IN_USE_S = 4.0
 IN_USE_PENALTY = 1.0
+DEFAULT_PACE_S = 0.03
+# Time that the prompt of a request takes at a replica, in times between events.
+PROMPT_EVENTS = 2.0
+# A replica is never taken to be busier than this.
+MOST_BUSY = 0.95
+# A used adapter is copied to a replica that costs less than this part of its holder.
+MOVE_GAIN = 0.35
+# Requests a second above which such a copy pays.
+MOVE_RATE = 0.25
+MOVE_STRAIN = 0.15
 # Adapters that a replica held lately are loaded faster; older ones are forgotten.
 RECENT_ADAPTERS = 120
 # Weights of the choice, in demand of one replica.
@@ -51,6 +61,10 @@
     def value(self, now):
         return self._value * math.exp2((self._at - now) / DEMAND_HALF_LIFE_S)
 
+    def rate(self, now):
+        """Returns the count a second."""
+        return self.value(now) * math.log(2) / DEMAND_HALF_LIFE_S
+
 
 class AdapterPlace:
     """An adapter at a replica. ``ready_at`` is when its load ends."""
@@ -70,7 +84,7 @@
     __slots__ = (
         "replica_id",
         "slots",
-        "speed",
+        "pace_s",
         "load",
         "usable",
         "held",
@@ -83,7 +97,8 @@
     def __init__(self, replica_id, slots):
         self.replica_id = replica_id
         self.slots = slots
-        self.speed = 1.0
+        # Undisturbed time between two events of a stream.
+        self.pace_s = DEFAULT_PACE_S
         # Requests in progress as a part of what the replica runs at once.
         self.load = 0.0
         # Whether the replica takes new requests and its state is known.
@@ -108,6 +123,16 @@
     def forget_recent(self):
         self._recent.clear()
 
+    def strain(self, now, usual_pace_s):
+        """Returns how much the prompts of its adapters delay a replica's streams.
+
+        A prompt is read in pieces between the tokens of other requests, and on a slow
+        replica a few pieces in a row already exceed the allowed pause. So the busy part
+        of the time counts by the square of the relative pace.
+        """
+        busy = min(MOST_BUSY, self.demand.rate(now) * PROMPT_EVENTS * self.pace_s)
+        return busy / (1 - busy) * (self.pace_s / usual_pace_s) ** 2
+
     @property
     def free(self):
         return self.slots - len(self.held) - len(self.waiting)
@@ -120,7 +145,6 @@
         self.by_replica = {}
         self._demand_by_key = {}
         self._asked_at_by_key = {}
-        self._total = DecayingCount()
 
     def note_demand(self, key, uses):
         now = anyio.current_time()
@@ -128,7 +152,6 @@
         if count is None:
             count = self._demand_by_key[key] = DecayingCount()
         count.add(uses, now)
-        self._total.add(uses, now)
         self._asked_at_by_key[key] = now
         for replica in self.holders(key):
             replica.demand.add(uses / max(1, len(self.holders(key))), now)
@@ -144,35 +167,48 @@
         ]
 
     def needs_copy(self, key):
-        """Tells whether the holders of an adapter are loaded and others are not."""
-        least = min(replica.load for replica in self.holders(key))
-        if least < COPY_LOAD:
-            return False
+        """Tells whether the holders of an adapter are strained and others are not."""
+        holders = self.holders(key)
         others = [
-            replica.load
+            replica
             for replica in self.by_replica.values()
             if replica.usable and key not in replica.held
         ]
-        return bool(others) and min(others) < least * COPY_GAIN
+        if not others:
+            return False
+        least_load = min(replica.load for replica in holders)
+        if least_load > COPY_LOAD:
+            return min(replica.load for replica in others) < least_load * COPY_GAIN
+        now = anyio.current_time()
+        if self._demand_by_key[key].rate(now) < MOVE_RATE:
+            return False
+        usual_s = self._usual_pace_s()
+        least = min(replica.strain(now, usual_s) for replica in holders)
+        other = min(replica.strain(now, usual_s) for replica in others)
+        return least > MOVE_STRAIN and other < least * MOVE_GAIN
+
+    def _usual_pace_s(self):
+        paces = sorted(replica.pace_s for replica in self.by_replica.values())
+        return paces[len(paces) // 2]
 
     def choose(self, key, avoid=()):
         """Returns the replica that is to load an adapter; None if none can now."""
         best, best_cost = None, math.inf
         now = anyio.current_time()
-        total = max(1.0, self._total.value(now))
+        usual_s = self._usual_pace_s() if self.by_replica else DEFAULT_PACE_S
         for replica in self.by_replica.values():
             if not replica.usable or key in replica.held or key in replica.waiting:
                 continue
-            cost = self._cost(replica, key, now, total)
+            cost = self._cost(replica, key, now, usual_s)
             if replica.replica_id in avoid:
                 cost += FAILED_COST
             if cost < best_cost:
                 best, best_cost = replica, cost
         return best
 
-    def _cost(self, replica, key, now, total):
+    def _cost(self, replica, key, now, usual_s):
         """Returns the cost of a load; infinite if the replica has no place for it."""
-        cost = replica.demand.value(now) / total * len(self.by_replica) / replica.speed
+        cost = replica.strain(now, usual_s)
         cost += WAITING_COST * len(replica.waiting) + LOAD_COST * replica.load
         if replica.failed_until > now:
             cost += FAILED_COST
