--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -68,6 +68,12 @@
             if host.heard_at is not None and host.heard_at >= since
         ]
 
+    def hears_seeds(self):
+        """Tells whether at least half of the seeds, without this host, are heard."""
+        seeds = set(self._seeds) - {(self.own.ip, self.own.port)}
+        heard = {host.address for host in self.reachable()}
+        return bool(seeds) and 2 * len(seeds & heard) >= len(seeds)
+
     def count(self):
         """Returns the number of known hosts, with this one."""
         return len(self.by_name) + 1
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -20,9 +20,10 @@
 SILENT_S = 1.3
 # A leader that hears no majority for this long stops to order.
 LOST_MAJORITY_S = 1.8
-# How long a host that knows no leader listens before it leads.
-FIRST_START_S = 0.9
-LATER_START_S = 1.6
+# How long a host that knows no leader listens before it leads, and how long if it
+# hears less than half of its seeds, which may be cut off from it.
+START_S = 0.7
+FEW_SEEDS_START_S = 1.6
 # A host that hears nobody may be cut off: its predecessors' leases must have ended.
 ALONE_START_S = 6.0
 PROBE_TIMEOUT_S = 0.3
@@ -57,10 +58,9 @@
     ``lease_s`` is the time within which two leaders may not take turns.
     """
 
-    def __init__(self, hosts, lease_s, first_start, probe):
+    def __init__(self, hosts, lease_s, probe):
         self._hosts = hosts
         self._lease_s = lease_s
-        self._start_s = FIRST_START_S if first_start else LATER_START_S
         self._probe = probe
         self._started_at = anyio.current_time()
         self._leader_heard_at = None
@@ -169,7 +169,8 @@
         age_s = self.leader_age_s()
         if 0 <= age_s < SILENT_S and not self._leader_ended:
             return
-        if now - self._started_at < self._start_s or not self._has_majority():
+        start_s = START_S if self._hosts.hears_seeds() else FEW_SEEDS_START_S
+        if now - self._started_at < start_s or not self._has_majority():
             return
         if not self._hosts.reachable() and now - self._started_at < ALONE_START_S:
             return
--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -10,7 +10,9 @@
 from snipetrestle.coordination.messages import Locate, Located
 from snipetrestle.placement.adapter_places import PLACE_LEASE_S
 
-ANSWER_TIMEOUT_S = 0.15
+ANSWER_TIMEOUT_S = 0.12
+# How often a question is sent; a datagram may be lost, or the leader change.
+SENDINGS = 3
 NO_LEADER_PAUSE_S = 0.05
 # Places that were not confirmed for this long are not used before the leader answered.
 STALE_S = 15.0
@@ -29,6 +31,16 @@
         self.asking = None
 
 
+class Question:
+    """A question to the leader; ``places`` is None until it is answered."""
+
+    __slots__ = ("answered", "places")
+
+    def __init__(self):
+        self.answered = anyio.Event()
+        self.places = None
+
+
 class Locator:
     """Places of adapters as this host knows them.
 
@@ -118,21 +130,24 @@
             return None
         self._number += 1
         number = self._number
-        event = anyio.Event()
-        self._waiting_by_number[number] = [event, None]
+        waiting = self._waiting_by_number[number] = Question()
         try:
-            self._endpoint.send(
-                Locate(self._own_name, number, key.model, key.adapter, uses, avoid),
-                address,
-            )
-            with anyio.move_on_after(ANSWER_TIMEOUT_S):
-                await event.wait()
-            return self._waiting_by_number[number][1]
+            for _ in range(SENDINGS):
+                message = Locate(
+                    self._own_name, number, key.model, key.adapter, uses, avoid
+                )
+                self._endpoint.send(message, address)
+                with anyio.move_on_after(ANSWER_TIMEOUT_S):
+                    await waiting.answered.wait()
+                    break
+                # The first one may have arrived, so its uses are not told again.
+                uses = 0
+            return waiting.places
         finally:
             del self._waiting_by_number[number]
 
     def _on_located(self, message, address):
         waiting = self._waiting_by_number.get(message.number)
         if waiting is not None:
-            waiting[1] = message.places
-            waiting[0].set()
+            waiting.places = message.places
+            waiting.answered.set()
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -17,8 +17,11 @@
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.placement.adapter_places import ReplicaPlaces
 
-# Adapters may be on their way to a replica at the same time, and no more.
+# Adapters that may be on their way to one replica.
 IN_TRANSIT = 4
+# Adapters that may be on their way from the store, for each replica. Beyond the store's
+# own limit all of them become slower, so nothing is gained by more.
+IN_TRANSIT_A_REPLICA = 1.6
 ADAPTER_LOAD_S = 0.25
 RECENT_LOAD_S = 0.03
 # Added to the expected end of a load, for the way of the order and its answer.
@@ -33,7 +36,7 @@
 MODEL_CHECK_S = 0.05
 MODEL_CHECKS = 200
 BUSY_PAUSE_S = 0.05
-UNLOAD_PAUSE_S = 0.25
+UNLOAD_PAUSE_S = 0.1
 # Adapters whose unload is ordered for one load, while requests still use them.
 MOST_EVICTIONS = 2
 
@@ -112,7 +115,8 @@
         self.in_transit = collections.deque()
 
     def most_in_transit(self):
-        return max(IN_TRANSIT, len(self.places.by_replica))
+        replicas = len(self.places.by_replica)
+        return max(IN_TRANSIT, int(IN_TRANSIT_A_REPLICA * replicas))
 
     def transit_wait_s(self, now):
         """Returns how long to wait until one more adapter may be on its way."""
@@ -136,6 +140,7 @@
         self._count = None
         self._models = frozenset()
         self._doubtful = False
+        self._unloads_asked_at = 0.0
 
     def request(self, key):
         """Queues the load of an adapter. Returns its LoadRequest."""
@@ -334,6 +339,10 @@
 
     async def _finish_unloads(self):
         """Asks again for unloads that wait. Returns whether a place became free."""
+        now = anyio.current_time()
+        if now < self._unloads_asked_at + UNLOAD_PAUSE_S:
+            return False
+        self._unloads_asked_at = now
         freed = False
         for key, place in list(self.places.held.items()):
             if place.leaving and await self._unload(key):
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -132,9 +132,7 @@
             self._describe,
             lambda: self.leadership.urgent_names(),
         )
-        self.leadership = Leadership(
-            self.hosts, settings.lease_s, settings.first_start, has_ended
-        )
+        self.leadership = Leadership(self.hosts, settings.lease_s, has_ended)
         self.director = Director(
             self.state, self.leadership, platform.order_client, self.endpoint
         )
--- a/snipetrestle/gateway/settings.py
+++ b/snipetrestle/gateway/settings.py
@@ -27,7 +27,6 @@
     peers: tuple[str, int]
     seeds: tuple[tuple[str, int], ...]
     store: tuple[str, int]
-    first_start: bool
     lease_s: float
     drain_s: float
     grace_s: float
--- a/snipetrestle/placement/adapter_places.py
+++ b/snipetrestle/placement/adapter_places.py
@@ -37,9 +37,10 @@
 MOVE_STRAIN = 0.15
 # Adapters that a replica held lately are loaded faster; older ones are forgotten.
 RECENT_ADAPTERS = 120
-# Weights of the choice, in demand of one replica.
+# Weights of the choice.
 RECENT_BONUS = 0.5
-EVICTION_COST = 0.1
+EVICTION_COST = 0.4
+STRAIN_COST = 1.0
 WAITING_COST = 0.1
 LOAD_COST = 2.0
 FAILED_COST = 2.0
@@ -208,14 +209,16 @@
 
     def _cost(self, replica, key, now, usual_s):
         """Returns the cost of a load; infinite if the replica has no place for it."""
-        cost = replica.strain(now, usual_s)
+        cost = STRAIN_COST * replica.strain(now, usual_s)
         cost += WAITING_COST * len(replica.waiting) + LOAD_COST * replica.load
         if replica.failed_until > now:
             cost += FAILED_COST
         if replica.free <= 0:
-            if self.evictable(replica) is None:
+            victim = self.evictable(replica)
+            if victim is None:
                 return math.inf
-            cost += EVICTION_COST
+            # The chance that the adapter is soon asked for again and loaded anew.
+            cost += EVICTION_COST * (1 - math.exp(-self._demand(victim, now)))
         if replica.was_held(key):
             cost -= RECENT_BONUS
         return cost
@@ -230,8 +233,7 @@
             asked_at = self._asked_at_by_key.get(key, -math.inf)
             if now - max(asked_at, place.ready_at) < KEEP_S:
                 continue
-            count = self._demand_by_key.get(key)
-            value = 0.0 if count is None else count.value(now)
+            value = self._demand(key, now)
             if now - asked_at < LIKELY_IN_USE_S:
                 value += IN_USE_PENALTY
             if len(self.holders(key)) > 1:
@@ -240,6 +242,10 @@
                 best, best_value = key, value
         return best
 
+    def _demand(self, key, now):
+        count = self._demand_by_key.get(key)
+        return 0.0 if count is None else count.value(now)
+
     def trim(self):
         """Forgets the demand of adapters that nobody has asked for in a long time."""
         horizon = anyio.current_time() - 10 * DEMAND_HALF_LIFE_S
--- a/snipetrestle/platform/settings.py
+++ b/snipetrestle/platform/settings.py
@@ -50,7 +50,6 @@
             if seed
         ),
         store=_address(values["provider.address"]),
-        first_start=values.get("bootstrap") == "true",
         lease_s=float(values["bounds.lease_ms"]) / 1000,
         drain_s=float(values["bounds.drain_ms"]) / 1000,
         grace_s=float(values["bounds.grace_s"]),
