Do not evict adapters that requests in progress use

Hosts now tell in their beats which adapters their requests in progress use, and the leader evicts only others.

--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -10,6 +10,8 @@
 # Without a place, a host asks again after this time.
 ASK_AGAIN_S = 0.08
 TRIM_S = 10.0
+# How often what the hosts tell of replicas is taken over.
+LOADS_S = 0.1
 # Model loads that may follow each other at once.
 MODEL_LOAD_BURST = 2.0
 
@@ -36,7 +38,9 @@
 class BackendDirector:
     """Directs the replicas of one backend."""
 
-    def __init__(self, backend, leadership, client, version_of, group):
+    def __init__(self, backend, leadership, client, loads, version_of, group):
+        self._loads = loads
+        self._loads_noted_at = -LOADS_S
         self.models = backend.models
         self.places = AdapterPlaces()
         self._shared = Shared(
@@ -101,7 +105,13 @@
         )
 
     def _note_loads(self):
+        """Takes over what the hosts last told of the replicas, once for each beat."""
+        now = anyio.current_time()
+        if now < self._loads_noted_at + LOADS_S:
+            return
+        self._loads_noted_at = now
         for replica, orders, _ in self._running_by_id.values():
+            orders.places.in_use = self._loads.adapters_in_use(replica)
             orders.places.load = replica.load / max(1, replica.entry.slots)
             orders.places.pace_s = replica.pace_s or DEFAULT_PACE_S
             orders.set_usable(replica.takes_requests)
@@ -130,10 +140,11 @@
 class Director:
     """Directs all backends while this host leads. Does nothing otherwise."""
 
-    def __init__(self, state, leadership, client, endpoint):
+    def __init__(self, state, leadership, client, loads, endpoint):
         self._state = state
         self._leadership = leadership
         self._client = client
+        self._loads = loads
         self._endpoint = endpoint
         self._group = None
         self._by_backend = {}
@@ -165,6 +176,7 @@
                     backend,
                     self._leadership,
                     self._client,
+                    self._loads,
                     self._version_of,
                     self._group,
                 )
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from snipetrestle.gateway.configuration import AdapterKey
+
 
 class _Message(msgspec.Struct, array_like=True, frozen=True, tag=True):
     pass
@@ -24,11 +26,13 @@
 class ReplicaLoad(msgspec.Struct, array_like=True, frozen=True):
     """Requests in progress at a replica, and its time between two events of a stream.
 
-    ``pace_us`` is in microseconds; 0 means that it is unknown.
+    ``pace_us`` is in microseconds; 0 means that it is unknown. ``adapters`` are those
+    of the sender's own requests in progress; a leader's beat has none.
     """
 
     in_flight: int
     pace_us: int
+    adapters: tuple[AdapterKey, ...] = ()
 
 
 class Beat(_Message):
--- a/snipetrestle/coordination/shared_loads.py
+++ b/snipetrestle/coordination/shared_loads.py
@@ -18,7 +18,9 @@
         """Returns the ReplicaLoad of this host by replica id."""
         return {
             replica.id: ReplicaLoad(
-                replica.in_flight, int((replica.own_pace_s or 0) * _MICROSECONDS)
+                replica.in_flight,
+                int((replica.own_pace_s or 0) * _MICROSECONDS),
+                tuple(replica.in_flight_by_adapter),
             )
             for replica in self._replicas.by_id.values()
             if replica.in_flight or replica.own_pace_s
@@ -35,6 +37,18 @@
             if replica.load or replica.pace_s
         }
 
+    def adapters_in_use(self, replica):
+        """Returns the adapters with requests in progress at a replica; for the leader.
+
+        Requests of the last half second may be missing.
+        """
+        used = set(replica.in_flight_by_adapter)
+        for host in self._hosts.reachable():
+            load = host.beat.loads_by_replica.get(replica.id)
+            if load is not None:
+                used.update(load.adapters)
+        return used
+
     def _sum(self):
         beats = [host.beat for host in self._hosts.reachable()]
         for replica in self._replicas.by_id.values():
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -133,13 +133,17 @@
             lambda: self.leadership.urgent_names(),
         )
         self.leadership = Leadership(self.hosts, settings.lease_s, has_ended)
+        self.loads = SharedLoads(self.replicas, self.hosts, self.leadership)
         self.director = Director(
-            self.state, self.leadership, platform.order_client, self.endpoint
+            self.state,
+            self.leadership,
+            platform.order_client,
+            self.loads,
+            self.endpoint,
         )
         self.locator = Locator(
             self.leadership, self.endpoint, settings.name, self.director.locate
         )
-        self.loads = SharedLoads(self.replicas, self.hosts, self.leadership)
         self.snapshots = Snapshots(self.state, self.hosts, generator)
         self.callers = HttpServer(Forwarder(self).handle, self._limits)
         self.readiness = HttpServer(self._answer_ready, CallerLimits)
--- a/snipetrestle/gateway/configuration.py
+++ b/snipetrestle/gateway/configuration.py
@@ -126,7 +126,7 @@
     remaining_s: float | None = None
 
 
-class AdapterKey(msgspec.Struct, frozen=True, order=True):
+class AdapterKey(msgspec.Struct, frozen=True, order=True, array_like=True):
     """An adapter of a model."""
 
     model: str
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -532,11 +532,11 @@
 
     async def __aenter__(self):
         job, replica = self._job, self._replica
-        replica.in_flight += 1
+        replica.note_sent(job.facts.adapter)
         try:
             self._connection = await replica.pool.take()
         except BaseException:
-            replica.in_flight -= 1
+            replica.note_ended(job.facts.adapter)
             raise
         self._send(job, replica)
         return self
@@ -626,7 +626,7 @@
     def _release(self):
         if self._timer is not None:
             self._timer.cancel()
-        self._replica.in_flight -= 1
+        self._replica.note_ended(self._job.facts.adapter)
         pool = self._replica.pool
         if self._done and not self._replica.leaving:
             pool.give_back(self._connection)
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -1,5 +1,6 @@
 """Replicas as this host sees them: listed state, load, latency and failures."""
 
+import collections
 import math
 
 import anyio
@@ -36,6 +37,7 @@
         "entry",
         "pool",
         "in_flight",
+        "in_flight_by_adapter",
         "others_in_flight",
         "last_heard",
         "suspected_until",
@@ -53,6 +55,7 @@
         self.entry = entry
         self.pool = ConnectionPool(entry.ip, entry.port)
         self.in_flight = 0
+        self.in_flight_by_adapter = collections.Counter()
         self.others_in_flight = 0
         self.last_heard = 0.0
         self.suspected_until = 0.0
@@ -75,6 +78,19 @@
         """Requests in progress from all hosts, as far as they are known."""
         return self.in_flight + self.others_in_flight
 
+    def note_sent(self, adapter):
+        """Counts a request in progress; ``adapter`` is an AdapterKey or None."""
+        self.in_flight += 1
+        if adapter is not None:
+            self.in_flight_by_adapter[adapter] += 1
+
+    def note_ended(self, adapter):
+        self.in_flight -= 1
+        if adapter is not None:
+            self.in_flight_by_adapter[adapter] -= 1
+            if not self.in_flight_by_adapter[adapter]:
+                del self.in_flight_by_adapter[adapter]
+
     @property
     def takes_requests(self):
         return not self.leaving and self.entry.state is ReplicaState.READY
--- a/snipetrestle/placement/adapter_places.py
+++ b/snipetrestle/placement/adapter_places.py
@@ -22,9 +22,6 @@
 COPY_LOAD = 0.35
 # A copy goes only to a replica with less than this part of the holders' load.
 COPY_GAIN = 0.6
-# An adapter that was asked for within this time may still have requests in progress.
-LIKELY_IN_USE_S = 4.0
-IN_USE_PENALTY = 1.0
 DEFAULT_PACE_S = 0.03
 # Time that the prompt of a request takes at a replica, in times between events.
 PROMPT_EVENTS = 2.0
@@ -88,6 +85,7 @@
         "pace_s",
         "load",
         "usable",
+        "in_use",
         "held",
         "waiting",
         "demand",
@@ -104,6 +102,8 @@
         self.load = 0.0
         # Whether the replica takes new requests and its state is known.
         self.usable = False
+        # Adapters with requests in progress, as far as the hosts have told.
+        self.in_use = frozenset()
         self.held = {}
         # Keys whose load was decided and not ordered yet.
         self.waiting = {}
@@ -224,18 +224,20 @@
         return cost
 
     def evictable(self, replica):
-        """Returns the key with the least demand that may be evicted; None if none."""
+        """Returns the key with the least demand that may be evicted; None if none.
+
+        An adapter in use is not evicted: its unload would wait for its requests, and
+        its place would serve nobody meanwhile.
+        """
         now = anyio.current_time()
         best, best_value = None, math.inf
         for key, place in replica.held.items():
-            if place.leaving:
+            if place.leaving or key in replica.in_use:
                 continue
             asked_at = self._asked_at_by_key.get(key, -math.inf)
             if now - max(asked_at, place.ready_at) < KEEP_S:
                 continue
             value = self._demand(key, now)
-            if now - asked_at < LIKELY_IN_USE_S:
-                value += IN_USE_PENALTY
             if len(self.holders(key)) > 1:
                 value /= 2
             if value < best_value:
