Confirm adapter loads, and bound those on their way by what they take

The leader now repeats a load's order when it should have ended: 202 means not yet, 200 there. Durations give the next estimate and the bound.

--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -38,7 +38,7 @@
 class BackendDirector:
     """Directs the replicas of one backend."""
 
-    def __init__(self, backend, leadership, client, loads, version_of, group):
+    def __init__(self, backend, replicas, leadership, client, loads, version_of, group):
         self._loads = loads
         self._loads_noted_at = -LOADS_S
         self.models = backend.models
@@ -50,6 +50,7 @@
             client,
             version_of,
             LoadRate(max(0.1, backend.loads_per_s)),
+            replicas,
         )
         self._group = group
         self._running_by_id = {}
@@ -171,16 +172,18 @@
         for name, backend in backends.items():
             if not backend.serves_models:
                 continue
+            replicas = self._state.replicas.of_backend(name)
             if name not in self._by_backend:
                 self._by_backend[name] = BackendDirector(
                     backend,
+                    len(replicas),
                     self._leadership,
                     self._client,
                     self._loads,
                     self._version_of,
                     self._group,
                 )
-            self._by_backend[name].set_replicas(self._state.replicas.of_backend(name))
+            self._by_backend[name].set_replicas(replicas)
             self._by_backend[name].wake()
 
     def _version_of(self, key):
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -16,16 +16,17 @@
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.placement.adapter_places import ReplicaPlaces
+from snipetrestle.placement.load_times import LoadTimes
 
 # Adapters that may be on their way to one replica.
 IN_TRANSIT = 4
-# Adapters that may be on their way from the store, for each replica. Beyond the store's
-# own limit all of them become slower, so nothing is gained by more.
-IN_TRANSIT_A_REPLICA = 1.6
-ADAPTER_LOAD_S = 0.25
 RECENT_LOAD_S = 0.03
 # Added to the expected end of a load, for the way of the order and its answer.
 LOAD_MARGIN_S = 0.012
+# A load that has not ended when it was expected to is looked at again after this pause.
+LATE_LOAD_PAUSE_S = 0.02
+# A load that takes longer than this is given up.
+LONGEST_LOAD_S = 5.0
 ORDER_TIMEOUT_S = 0.8
 # A report may be this old, so a state in doubt is read after this pause.
 REPORT_LAG_S = 0.35
@@ -101,29 +102,20 @@
     """What the tasks of all replicas of a backend share.
 
     ``send(replica, order)`` returns an OrderResult; ``report(replica)`` a
-    ReplicaReport, or raises ExchangeFailed or ConnectFailed. ``permits`` bounds the
+    ReplicaReport, or raises ExchangeFailed or ConnectFailed. ``load_times`` bounds the
     adapters on their way, ``model_loads`` the rate of model loads.
     """
 
-    def __init__(self, backend, places, leadership, client, version_of, model_loads):
+    def __init__(
+        self, backend, places, leadership, client, version_of, model_loads, replicas
+    ):
         self.backend = backend
         self.places = places
         self.leadership = leadership
         self.client = client
         self.version_of = version_of
         self.model_loads = model_loads
-        self.in_transit = collections.deque()
-
-    def most_in_transit(self):
-        replicas = len(self.places.by_replica)
-        return max(IN_TRANSIT, int(IN_TRANSIT_A_REPLICA * replicas))
-
-    def transit_wait_s(self, now):
-        """Returns how long to wait until one more adapter may be on its way."""
-        while self.in_transit and self.in_transit[0] <= now:
-            self.in_transit.popleft()
-        excess = len(self.in_transit) - self.most_in_transit()
-        return 0.0 if excess < 0 else self.in_transit[excess] - now
+        self.load_times = LoadTimes(replicas)
 
 
 class ReplicaOrders:
@@ -179,6 +171,7 @@
                     retry_s = min(retry_s * 2, LONGEST_RETRY_S)
         finally:
             self.places.usable = False
+            self.places.from_store.clear()
             self._drop_queue()
 
     async def _step(self):
@@ -186,6 +179,8 @@
             await self._sync()
         if not self._models:
             await self._load_model()
+        elif (key := self._due()) is not None:
+            await self._confirm(key)
         elif self._queue:
             await self._load_adapter()
         elif (key := self._outdated()) is not None:
@@ -196,8 +191,46 @@
         else:
             await self._wait(IDLE_CHECK_S)
 
+    def _on_their_way(self):
+        """Returns (key, place) of the loads that are not confirmed yet."""
+        return [
+            (key, place)
+            for key, place in self.places.held.items()
+            if place.ordered_at is not None
+        ]
+
+    def _due(self):
+        """Returns an adapter whose load is expected to have ended."""
+        now = anyio.current_time()
+        for key, place in self._on_their_way():
+            if place.ready_at <= now:
+                return key
+        return None
+
+    async def _confirm(self, key):
+        """Repeats the order of a load, which tells whether the adapter is there."""
+        place = self.places.held[key]
+        result = await self._order(OrderKind.LOAD, key.model, key.adapter)
+        now = anyio.current_time()
+        if result is OrderResult.HOLDS_ALREADY:
+            if key in self.places.from_store:
+                in_transit = self._shared.places.in_transit()
+                self._shared.load_times.note_ended(
+                    place.ordered_at, place.is_late, in_transit
+                )
+                self.places.from_store.discard(key)
+            place.ordered_at = None
+        elif now - place.ordered_at > LONGEST_LOAD_S:
+            raise ExchangeFailed(f"the load of {key.adapter} does not end")
+        else:
+            place.is_late = True
+            place.ready_at = now + LATE_LOAD_PAUSE_S
+
     async def _wait(self, limit_s):
         loop = asyncio.get_running_loop()
+        now = loop.time()
+        for _, place in self._on_their_way():
+            limit_s = min(limit_s, max(0.0, place.ready_at - now))
         self._waiter = loop.create_future()
         timer = loop.call_later(limit_s, self.wake)
         try:
@@ -223,7 +256,7 @@
         self._count = report.order_count
         self._models = report.models
         before = self.places.held
-        self.places.held = {}
+        self.places.forget_all()
         for key, version in report.versions_by_adapter.items():
             self.places.note_held(key, version, now)
         for key, place in before.items():
@@ -270,13 +303,10 @@
 
     async def _load_adapter(self):
         load = self._queue[0]
-        now = anyio.current_time()
-        wait_s = self._shared.transit_wait_s(now)
-        own = [p.ready_at for p in self.places.held.values() if p.ready_at > now]
-        if len(own) >= IN_TRANSIT:
-            wait_s = max(wait_s, min(own) - now)
-        if wait_s > 0:
-            await self._wait(wait_s)
+        in_transit = self._shared.places.in_transit()
+        may_start = self._shared.load_times.may_start(in_transit)
+        if not may_start or len(self._on_their_way()) >= IN_TRANSIT:
+            await self._wait(BUSY_PAUSE_S)
             return
         if len(self.places.held) < self.places.slots or await self._evict():
             await self._order_adapter(load)
@@ -291,14 +321,7 @@
         if result is OrderResult.CONFLICT:
             await self._wait(BUSY_PAUSE_S)
         elif result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
-            load_s = 0.0
-            if result is OrderResult.ACCEPTED:
-                load_s = RECENT_LOAD_S if recent else ADAPTER_LOAD_S
-                load_s += LOAD_MARGIN_S
-            ready_at = anyio.current_time() + load_s
-            self.places.note_held(key, version, ready_at)
-            if not recent:
-                self._shared.in_transit.append(ready_at)
+            self._note_ordered(key, version, result, recent)
             log_event(
                 Event.ADAPTER_ORDERED,
                 replica=self._replica.id,
@@ -309,6 +332,18 @@
             )
         self._drop(load)
 
+    def _note_ordered(self, key, version, result, recent):
+        """Notes a place, and when it is expected to be ready."""
+        now = anyio.current_time()
+        if result is OrderResult.HOLDS_ALREADY:
+            self.places.note_held(key, version, now)
+            return
+        load_times = self._shared.load_times
+        load_s = RECENT_LOAD_S if recent else load_times.estimate_s
+        self.places.note_held(key, version, now + load_s + LOAD_MARGIN_S, now)
+        if not recent:
+            self.places.from_store.add(key)
+
     def _drop(self, load):
         if load in self._queue:
             self._queue.remove(load)
@@ -334,7 +369,7 @@
         # Without a 200, requests in progress still hold the place.
         place.leaving = result is not OrderResult.HOLDS_ALREADY
         if not place.leaving:
-            del self.places.held[key]
+            self.places.drop(key)
         return not place.leaving
 
     async def _finish_unloads(self):
@@ -360,8 +395,7 @@
         version = self._shared.version_of(key)
         result = await self._order(OrderKind.LOAD, key.model, key.adapter, version)
         if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
-            ready_at = anyio.current_time() + ADAPTER_LOAD_S + LOAD_MARGIN_S
-            self.places.note_held(key, version, ready_at)
+            self._note_ordered(key, version, result, recent=False)
             log_event(
                 Event.ADAPTER_ORDERED,
                 replica=self._replica.id,
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -27,7 +27,7 @@
 # A stream without an event for this long goes on elsewhere: callers soon give up.
 STREAM_SILENCE_S = 1.9
 # Pause before a request is sent again to a replica whose load ends a little later.
-NOT_LOADED_PAUSE_S = 0.03
+NOT_LOADED_PAUSE_S = 0.04
 # Pause before the leader is asked again for an adapter that has no place.
 NO_PLACE_PAUSE_S = 0.06
 RETRY_AFTER_S = 0.5
@@ -471,9 +471,8 @@
         if not self._may_send_unrun(job):
             raise self._refusal_unrun(job, status)
         self._log_repeat(job, f"not run, status {status}")
-        if status == 503:
-            # An adapter's load ended later than expected, or the replica is full.
-            await anyio.sleep(NOT_LOADED_PAUSE_S)
+        # The adapter's load takes longer than expected, or the replica is full.
+        await anyio.sleep(NOT_LOADED_PAUSE_S * job.sendings)
 
 
 class PaceMeter:
--- a/snipetrestle/placement/adapter_places.py
+++ b/snipetrestle/placement/adapter_places.py
@@ -65,13 +65,20 @@
 
 
 class AdapterPlace:
-    """An adapter at a replica. ``ready_at`` is when its load ends."""
+    """An adapter at a replica.
 
-    __slots__ = ("version", "ready_at", "leaving")
+    ``ready_at`` is when its load is expected to end, and ``ordered_at`` when the load
+    was ordered; None once the replica has confirmed that the adapter is there.
+    """
 
-    def __init__(self, version, ready_at):
+    __slots__ = ("version", "ready_at", "ordered_at", "is_late", "leaving")
+
+    def __init__(self, version, ready_at, ordered_at=None):
         self.version = version
         self.ready_at = ready_at
+        self.ordered_at = ordered_at
+        # Whether the adapter was not there when it was expected.
+        self.is_late = False
         # Whether an unload was ordered that waits for requests in progress.
         self.leaving = False
 
@@ -87,6 +94,7 @@
         "usable",
         "in_use",
         "held",
+        "from_store",
         "waiting",
         "demand",
         "failed_until",
@@ -105,19 +113,29 @@
         # Adapters with requests in progress, as far as the hosts have told.
         self.in_use = frozenset()
         self.held = {}
+        # Adapters on their way from the store, where they slow each other down.
+        self.from_store = set()
         # Keys whose load was decided and not ordered yet.
         self.waiting = {}
         self.demand = DecayingCount()
         self.failed_until = 0.0
         self._recent = collections.OrderedDict()
 
-    def note_held(self, key, version, ready_at):
-        self.held[key] = AdapterPlace(version, ready_at)
+    def note_held(self, key, version, ready_at, ordered_at=None):
+        self.held[key] = AdapterPlace(version, ready_at, ordered_at)
         self._recent.pop(key, None)
         self._recent[key] = None
         while len(self._recent) > RECENT_ADAPTERS:
             self._recent.popitem(last=False)
 
+    def drop(self, key):
+        del self.held[key]
+        self.from_store.discard(key)
+
+    def forget_all(self):
+        self.held = {}
+        self.from_store.clear()
+
     def was_held(self, key):
         return key in self._recent
 
@@ -248,6 +266,10 @@
         count = self._demand_by_key.get(key)
         return 0.0 if count is None else count.value(now)
 
+    def in_transit(self):
+        """Returns the number of adapters on their way from the store."""
+        return sum(len(replica.from_store) for replica in self.by_replica.values())
+
     def trim(self):
         """Forgets the demand of adapters that nobody has asked for in a long time."""
         horizon = anyio.current_time() - 10 * DEMAND_HALF_LIFE_S
