--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -72,7 +72,12 @@
         """Tells whether at least half of the seeds, without this host, are heard."""
         seeds = set(self._seeds) - {(self.own.ip, self.own.port)}
         heard = {host.address for host in self.reachable()}
-        return bool(seeds) and 2 * len(seeds & heard) >= len(seeds)
+        return 2 * len(seeds & heard) >= len(seeds)
+
+    @property
+    def is_only_host(self):
+        """Whether no other host is known, and no seed names one."""
+        return not self.by_name and set(self._seeds) <= {(self.own.ip, self.own.port)}
 
     def count(self):
         """Returns the number of known hosts, with this one."""
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -172,7 +172,8 @@
         start_s = START_S if self._hosts.hears_seeds() else FEW_SEEDS_START_S
         if now - self._started_at < start_s or not self._has_majority():
             return
-        if not self._hosts.reachable() and now - self._started_at < ALONE_START_S:
+        is_alone = not self._hosts.reachable() and not self._hosts.is_only_host
+        if is_alone and now - self._started_at < ALONE_START_S:
             return
         if self._is_leader_heard_by_others():
             return
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -78,8 +78,11 @@
             connection.wake_idle()
 
     def close(self):
+        """Closes the port and all connections."""
         if self._server is not None:
             self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
 
 
 class RetryBudgets:
@@ -150,6 +153,7 @@
         self.metrics_server = HttpServer(self._answer_metrics, CallerLimits)
         self.draining = False
         self._stopping = None
+        self._snapshot_server = None
 
     def _limits(self):
         configuration = self.state.configuration
@@ -181,34 +185,46 @@
         )
 
     async def run(self):
-        """Runs until ``start_drain`` was called and the drain has ended."""
+        """Runs until ``drain`` was called on a signal and has ended."""
         self._stopping = anyio.Event()
+        try:
+            await self._open()
+            log_event(Event.STARTED, name=self.settings.name, boot=self.hosts.own.boot)
+            async with anyio.create_task_group() as group:
+                for prefix in self.state.feeds:
+                    group.start_soon(self.state.follow, prefix)
+                for task in (
+                    self.hosts.run,
+                    self.leadership.run,
+                    self.director.run,
+                    self.locator.run,
+                    self.snapshots.run,
+                    self._note_ready,
+                    self._drain_on_signal,
+                ):
+                    group.start_soon(task)
+                await self._stopping.wait()
+                group.cancel_scope.cancel()
+        finally:
+            self.close()
+        log_event(Event.STOPPED, name=self.settings.name)
+
+    async def _open(self):
+        """Binds all addresses; the callers' one last. Raises OSError."""
         settings = self.settings
         await self.endpoint.open(*settings.peers)
-        snapshots = await self.snapshots.serve(*settings.peers)
+        self._snapshot_server = await self.snapshots.serve(*settings.peers)
         await self.readiness.open(settings.readiness)
         await self.metrics_server.open(settings.metrics)
         await self.callers.open(settings.callers)
-        log_event(Event.STARTED, name=settings.name, boot=self.hosts.own.boot)
-        async with anyio.create_task_group() as group:
-            for prefix in self.state.feeds:
-                group.start_soon(self.state.follow, prefix)
-            for task in (
-                self.hosts.run,
-                self.leadership.run,
-                self.director.run,
-                self.locator.run,
-                self.snapshots.run,
-                self._note_ready,
-                self._drain_on_signal,
-            ):
-                group.start_soon(task)
-            await self._stopping.wait()
-            group.cancel_scope.cancel()
-        for server in (self.callers, self.readiness, self.metrics_server, snapshots):
+
+    def close(self):
+        """Closes all sockets."""
+        for server in (self.callers, self.readiness, self.metrics_server):
             server.close()
+        if self._snapshot_server is not None:
+            self._snapshot_server.close()
         self.endpoint.close()
-        log_event(Event.STOPPED, name=settings.name)
 
     async def _note_ready(self):
         await self.state.ready.wait()
--- /dev/null
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -0,0 +1,285 @@
+"""Gateways on loopback before stand-ins of the users' platform, and a caller."""
+
+import asyncio
+import contextlib
+import random
+import socket
+import types
+
+from snipetrestle.gateway.app import Gateway
+from snipetrestle.gateway.published_state import Feed
+from snipetrestle.gateway.settings import GatewaySettings, RetryBudgetSettings
+from snipetrestle.platform.calls import OrderClient, StoreSource
+from snipetrestle.platform.entries import (
+    OPERATOR_PREFIX,
+    REPLICA_PREFIX,
+    decode_operator_item,
+    decode_replica_item,
+)
+from snipetrestle.platform.headers import PlatformDialect
+from snipetrestle_standins.platform_replica import PlatformReplica
+from snipetrestle_standins.platform_store import PlatformStore
+
+HOSTNAME = "desk.example"
+MODEL = "m0"
+MODELS_BACKEND = "models"
+REGISTER_BACKEND = "register"
+READY_TIMEOUT_S = 10.0
+ANSWER_TIMEOUT_S = 10.0
+
+
+def route(name, kind, backend, **fields):
+    """Returns a published route with the prefix ``/NAME/``."""
+    return {
+        "name": name,
+        "hostname": HOSTNAME,
+        "prefix": f"/{name}/",
+        "route_type": kind,
+        "timeout_ms": 5000,
+        "target_latency_ms": 600,
+        "priority": 1,
+        "backend": backend,
+        "attempts": 2,
+        **fields,
+    }
+
+
+def configuration(version=1, routes=None, adapter_slots=4, **limits):
+    """Returns a published configuration with all kinds of routes."""
+    routes = routes or [
+        route("draft", "stream", MODELS_BACKEND, resumable=True),
+        route("night", "stream", MODELS_BACKEND, attempts=1),
+        route("entry", "non_idempotent", REGISTER_BACKEND, attempts=2),
+        route("lookup", "idempotent", REGISTER_BACKEND),
+    ]
+    runtime = {
+        "slots": 8,
+        "models": [{"name": MODEL, "weights_mb": 100, "load_s": 0.05, "adapter_mb": 1}],
+        "weights_mb": 200,
+        "adapter_slots": adapter_slots,
+        "loads_per_s": 5,
+    }
+    backends = [
+        {"name": MODELS_BACKEND, "max_conns": 100, "runtime": runtime},
+        {"name": REGISTER_BACKEND, "max_conns": 100},
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "backends": backends,
+        "limits": {"header_timeout_ms": 500, "idle_timeout_ms": 2000, **limits},
+    }
+
+
+def free_port():
+    """Returns a port that is free for TCP and UDP."""
+    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+        tcp.bind(("127.0.0.1", 0))
+        port = tcp.getsockname()[1]
+        udp.bind(("127.0.0.1", port))
+        return port
+
+
+class GatewayFleet:
+    """Starts a store, replicas and gateways. Use as an async context manager."""
+
+    def __init__(self, gateways=1, models=2, registers=2, adapter_slots=4, seed=1):
+        self.store = PlatformStore()
+        self.models = [
+            PlatformReplica(
+                f"model-{number}", MODELS_BACKEND, MODEL, adapter_slots=adapter_slots
+            )
+            for number in range(models)
+        ]
+        self.registers = [
+            PlatformReplica(f"register-{number}", REGISTER_BACKEND)
+            for number in range(registers)
+        ]
+        self.gateways = []
+        self.count = gateways
+        self._adapter_slots = adapter_slots
+        self._tasks = {}
+        self._seed = seed
+        self._ports = [free_port() for _ in range(gateways)]
+
+    @property
+    def replicas(self):
+        return [*self.models, *self.registers]
+
+    async def __aenter__(self):
+        await self.store.start()
+        self.store.put("op/config", configuration(adapter_slots=self._adapter_slots))
+        for replica in self.replicas:
+            await replica.start()
+            self.publish(replica)
+        for number in range(self.count):
+            self.start_gateway(number)
+        await self.wait_ready()
+        return self
+
+    async def __aexit__(self, *details):
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        for server in (self.store, *self.replicas):
+            await server.stop()
+
+    def publish(self, replica, **fields):
+        self.store.put(f"servers/{replica.id}", replica.entry(**fields))
+
+    def start_gateway(self, number):
+        """Starts a gateway, in place of one that was killed before."""
+        settings = GatewaySettings(
+            name=f"entry-{number}",
+            failure_domain="zone-1",
+            size=1.0,
+            callers=("127.0.0.1", free_port()),
+            readiness=("127.0.0.1", free_port()),
+            metrics=("127.0.0.1", free_port()),
+            peers=("127.0.0.1", self._ports[number]),
+            seeds=tuple(("127.0.0.1", port) for port in self._ports[:3]),
+            store=("127.0.0.1", self.store.port),
+            lease_s=3.0,
+            drain_s=2.0,
+            grace_s=4.0,
+            retry_budget=RetryBudgetSettings(0.2, 60.0, 10.0),
+        )
+        platform = types.SimpleNamespace(
+            dialect=PlatformDialect(),
+            source=StoreSource(*settings.store),
+            feeds=(
+                Feed(OPERATOR_PREFIX, decode_operator_item, 0.0, 1.0),
+                Feed(REPLICA_PREFIX, decode_replica_item, 0.02, 0.5),
+            ),
+            order_client=OrderClient(),
+        )
+        boot = 1000 + len(self.gateways)
+        generator = random.Random(self._seed * 100 + number)
+        gateway = Gateway.from_settings(settings, platform, boot, generator)
+        self.gateways.append(gateway)
+        self._tasks[gateway] = asyncio.create_task(gateway.run())
+        return gateway
+
+    async def kill(self, gateway):
+        """Ends a gateway's tasks and closes its sockets, as when its process ends."""
+        task = self._tasks.pop(gateway)
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        gateway.close()
+
+    @property
+    def live(self):
+        return list(self._tasks)
+
+    async def wait_ready(self):
+        """Waits until all gateways serve and one of them orders the replicas."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            for gateway in self.live:
+                await gateway.state.ready.wait()
+            while not self.leaders() or not self._all_follow():
+                for gateway, task in self._tasks.items():
+                    if task.done():
+                        raise RuntimeError(f"{gateway.settings.name} ended") from (
+                            task.exception()
+                        )
+                await asyncio.sleep(0.01)
+
+    def leaders(self):
+        return [gateway for gateway in self.live if gateway.leadership.leads]
+
+    def _all_follow(self):
+        names = {gateway.leadership.leader for gateway in self.live}
+        return len(names) == 1 and len(self.leaders()) == 1
+
+    async def ask(self, path, gateway=None, **options):
+        """Sends one request on a new connection and returns its Answer."""
+        gateway = gateway or self.live[0]
+        async with Caller(gateway.settings.callers) as caller:
+            return await caller.ask(path, **options)
+
+
+class Answer:
+    """A response as a caller sees it. ``complete`` is False if it ended early."""
+
+    def __init__(self, status, headers, body, complete):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.complete = complete
+
+    @property
+    def event_ids(self):
+        return [
+            int(line[4:]) for line in self.body.split(b"\n") if line.startswith(b"id: ")
+        ]
+
+
+class Caller:
+    """A caller's connection. Use as an async context manager."""
+
+    _numbers = 0
+
+    def __init__(self, address):
+        self._address = address
+        self.reader = None
+        self.writer = None
+
+    async def __aenter__(self):
+        self.reader, self.writer = await asyncio.open_connection(*self._address)
+        return self
+
+    async def __aexit__(self, *details):
+        self.writer.close()
+
+    async def ask(self, path, method="POST", adapter=None, body=b"", headers=()):
+        """Sends a request to ``path`` and returns its Answer."""
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {HOSTNAME}"]
+        named = {name.lower() for name, _ in headers}
+        if "x-request-id" not in named:
+            Caller._numbers += 1
+            lines.append(f"X-Request-Id: request-{Caller._numbers}")
+        if adapter is not None:
+            lines.append(
+                f"X-Model: {MODEL}/{adapter}" if adapter else f"X-Model: {MODEL}"
+            )
+        lines += [f"{name}: {value}" for name, value in headers]
+        if method == "POST":
+            lines.append(f"Content-Length: {len(body)}")
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return await self.read_answer()
+
+    async def read_answer(self):
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            try:
+                head = await self.reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return Answer(0, {}, b"", False)
+            lines = head.decode("latin-1").split("\r\n")
+            headers = {}
+            for line in lines[1:]:
+                name, _, value = line.partition(":")
+                if name:
+                    headers[name.lower()] = value.strip()
+            status = int(lines[0].split(" ")[1])
+            try:
+                if headers.get("transfer-encoding") == "chunked":
+                    body, complete = await self._read_chunks()
+                else:
+                    length = int(headers.get("content-length", 0))
+                    body, complete = await self.reader.readexactly(length), True
+            except (asyncio.IncompleteReadError, ConnectionError):
+                body, complete = b"", False
+            return Answer(status, headers, body, complete)
+
+    async def _read_chunks(self):
+        body = b""
+        try:
+            while True:
+                length = int(await self.reader.readline() or b"x", 16)
+                content = await self.reader.readexactly(length + 2)
+                if not length:
+                    return body, True
+                body += content[:-2]
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            return body, False
--- /dev/null
+++ b/snipetrestle_standins/platform_http.py
@@ -0,0 +1,101 @@
+"""A small HTTP server for stand-ins that answer byte by byte, also wrongly."""
+
+import asyncio
+import contextlib
+
+import msgspec
+
+REASON = "Stand-In"
+
+
+class StandInRequest:
+    """A request as it arrived. Header names are in lower case."""
+
+    __slots__ = ("method", "target", "headers", "body")
+
+    def __init__(self, method, target, headers, body):
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+    def json(self):
+        return msgspec.json.decode(self.body)
+
+
+async def read_request(reader):
+    """Returns a StandInRequest, or None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return StandInRequest(method, target, headers, body)
+
+
+def response(status, headers=(), body=b""):
+    """Returns the bytes of a whole response."""
+    lines = [f"HTTP/1.1 {status} {REASON}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def json_response(status, content):
+    return response(
+        status, [("Content-Type", "application/json")], msgspec.json.encode(content)
+    )
+
+
+class StandInServer:
+    """Listens on loopback; ``serve(request, writer)`` answers each request."""
+
+    def __init__(self):
+        self.port = None
+        self.connections = 0
+        self.open_writers = set()
+        self._tasks = set()
+        self._server = None
+
+    async def start(self, port=0):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        """Closes the port and all connections."""
+        self._server.close()
+        self.reset_connections()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def reset_connections(self):
+        for writer in list(self.open_writers):
+            writer.transport.abort()
+
+    def _accept(self, reader, writer):
+        task = asyncio.get_running_loop().create_task(self._connect(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _connect(self, reader, writer):
+        self.connections += 1
+        self.open_writers.add(writer)
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+                while (request := await read_request(reader)) is not None:
+                    await self.serve(request, writer)
+                    await writer.drain()
+        finally:
+            self.open_writers.discard(writer)
+            writer.close()
+
+    async def serve(self, request, writer):
+        raise NotImplementedError
--- /dev/null
+++ b/snipetrestle_standins/platform_replica.py
@@ -0,0 +1,238 @@
+"""Stand-in of a replica of the users' platform: requests, streams, orders, faults."""
+
+import asyncio
+import enum
+
+from snipetrestle_standins.platform_http import StandInServer, json_response, response
+
+
+class Fault(enum.Enum):
+    """What goes wrong with one request."""
+
+    RESET = enum.auto()
+    RESET_IN_ANSWER = enum.auto()
+    TRUNCATED = enum.auto()
+    UNPROVEN = enum.auto()
+    ENCODED = enum.auto()
+    GARBAGE = enum.auto()
+    UNFRAMED = enum.auto()
+    EXTRA = enum.auto()
+    ERROR = enum.auto()
+    FULL = enum.auto()
+    SILENT = enum.auto()
+
+
+class PlatformReplica(StandInServer):
+    """One replica. ``faults`` are taken by the next requests, one each.
+
+    ``runs`` lists (request id, Last-Event-Id) of the requests that ran, ``seen`` all
+    requests that arrived, ``orders`` the accepted orders.
+    """
+
+    def __init__(self, replica_id, backend, model=None, slots=4, adapter_slots=4):
+        super().__init__()
+        self.id = replica_id
+        self.backend = backend
+        self.model = model
+        self.slots = slots
+        self.adapter_slots = adapter_slots
+        self.events = 6
+        self.event_s = 0.005
+        self.load_s = 0.05
+        self.versions_by_adapter = {}
+        self.incoming = {}
+        self.newest_by_adapter = {}
+        self.faults = []
+        self.runs = []
+        self.seen = []
+        self.orders = []
+        self.cancelled = []
+        self.running = 0
+        self.overfilled = False
+        self.token = 0
+        self.order_count = 0
+        self._in_use = {}
+
+    def entry(self, state="ready", **fields):
+        """Returns what the replica publishes about itself."""
+        return {
+            "backend": self.backend,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": "zone-1",
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "models": self._models(),
+            "seq": 1,
+            "born": 1,
+            **fields,
+        }
+
+    def _models(self):
+        if self.model is None:
+            return []
+        adapters = [f"{name}@{v}" for name, v in self.versions_by_adapter.items()]
+        return [{"name": self.model, "version": 1, "adapters": adapters}]
+
+    async def serve(self, request, writer):
+        if request.headers.get("x-expect-instance", self.id) != self.id:
+            writer.write(response(421, [("X-Instance-Id", self.id)]))
+        elif request.target == "/-/report":
+            writer.write(json_response(200, self._report()))
+        elif request.target == "/-/order":
+            writer.write(json_response(self._order(request.json()), {}))
+        else:
+            await self._serve_request(request, writer)
+
+    def _report(self):
+        return {
+            "phase": "colocated",
+            "models": self._models(),
+            "busy": False,
+            "seq": self.order_count,
+            "queued": 0,
+            "running": self.running,
+            "incoming": [f"{self.model}/{name}@1" for name in self.incoming],
+        }
+
+    def _order(self, order):
+        if order["fence_token"] < self.token:
+            return 412
+        self.token = order["fence_token"]
+        if order.get("precondition", self.order_count) != self.order_count:
+            return 409
+        adapter = order.get("adapter")
+        if adapter is None:
+            self.model = order["model"]
+            return 200
+        if order["op_type"] == "unload":
+            return self._unload(adapter, order)
+        return self._load(adapter, order)
+
+    def _load(self, adapter, order):
+        if adapter in self.incoming:
+            return 202
+        newest = self.newest_by_adapter.get(adapter, 1)
+        if self.versions_by_adapter.get(adapter) == newest:
+            return 200
+        self._note(order)
+        held = {*self.versions_by_adapter, *self.incoming, adapter}
+        self.overfilled = self.overfilled or len(held) > self.adapter_slots
+        self.incoming[adapter] = newest
+        asyncio.get_running_loop().call_later(self.load_s, self._loaded, adapter)
+        return 202
+
+    def _loaded(self, adapter):
+        self.versions_by_adapter[adapter] = self.incoming.pop(adapter)
+
+    def _unload(self, adapter, order):
+        if adapter not in self.versions_by_adapter:
+            return 200
+        self._note(order)
+        if self._in_use.get(adapter):
+            return 202
+        del self.versions_by_adapter[adapter]
+        return 200
+
+    def _note(self, order):
+        self.order_count += 1
+        self.orders.append(order)
+
+    def _proof(self, request):
+        return [
+            ("X-Request-Id", request.headers["x-request-id"]),
+            ("X-Server-Signature", f"signed.{self.id}"),
+        ]
+
+    async def _serve_request(self, request, writer):
+        self.seen.append(request)
+        fault = self.faults.pop(0) if self.faults else None
+        if fault is Fault.FULL:
+            writer.write(response(503, [("X-Not-Executed", "1")]))
+            return
+        if not self._holds(request):
+            writer.write(response(421, [("X-Not-Executed", "1")]))
+            return
+        last = request.headers.get("last-event-id")
+        self.runs.append((request.headers["x-request-id"], last))
+        if fault is Fault.SILENT:
+            await asyncio.Event().wait()
+        if fault is Fault.RESET:
+            writer.transport.abort()
+            return
+        self.running += 1
+        adapter = self._adapter(request)
+        self._in_use[adapter] = self._in_use.get(adapter, 0) + 1
+        try:
+            if "x-model" in request.headers:
+                await self._stream(request, writer, fault, int(last or 0))
+            else:
+                self._answer(request, writer, fault)
+        finally:
+            self.running -= 1
+            self._in_use[adapter] -= 1
+
+    def _adapter(self, request):
+        return request.headers.get("x-model", "").partition("/")[2]
+
+    def _holds(self, request):
+        model, _, adapter = request.headers.get("x-model", "").partition("/")
+        if not model:
+            return True
+        if model != self.model:
+            return False
+        version = self.versions_by_adapter.get(adapter)
+        if not adapter:
+            return True
+        expected = request.headers.get("x-expect-version")
+        return version is not None and expected in (None, str(version))
+
+    def body_for(self, request):
+        return f"{self.backend} {request.method} {request.target}".encode()
+
+    def _answer(self, request, writer, fault):
+        headers, body = self._proof(request), self.body_for(request)
+        status = 500 if fault is Fault.ERROR else 200
+        if fault is Fault.UNPROVEN:
+            headers = headers[:1]
+        if fault is Fault.ENCODED:
+            headers.append(("Content-Encoding", "gzip"))
+        if fault is Fault.UNFRAMED:
+            lines = "".join(f"{name}: {value}\r\n" for name, value in headers)
+            writer.write(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode() + body)
+            writer.close()
+            return
+        if fault is Fault.GARBAGE:
+            writer.write(b"\x00not an answer\r\n\r\n")
+            return
+        content = response(status, headers, body)
+        if fault in (Fault.TRUNCATED, Fault.RESET_IN_ANSWER):
+            writer.write(content[:-3])
+            writer.close()
+            return
+        writer.write(content)
+        if fault is Fault.EXTRA:
+            writer.write(response(200, [("X-Request-Id", "other")], b"other's answer"))
+
+    async def _stream(self, request, writer, fault, last):
+        lines = "".join(f"{name}: {value}\r\n" for name, value in self._proof(request))
+        writer.write(
+            f"HTTP/1.1 200 OK\r\n{lines}Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        for number in range(last + 1, self.events + 1):
+            await asyncio.sleep(self.event_s)
+            if writer.transport.is_closing():
+                self.cancelled.append(request.headers["x-request-id"])
+                return
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if fault is Fault.RESET_IN_ANSWER and number == last + 3:
+                # Breaks off in the middle of an event.
+                half = event[:8]
+                writer.write(b"%x\r\n%b\r\n" % (len(half), half))
+                await writer.drain()
+                await asyncio.sleep(self.event_s)
+                writer.transport.abort()
+                return
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        writer.write(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,178 @@
+"""Sessions of streams: adapters on demand, broken streams, and callers that leave."""
+
+import asyncio
+
+import testtools
+
+from snipetrestle_standins.gateway_fleet import Caller
+from snipetrestle_standins.platform_replica import Fault
+from tests.gateway.running import run_fleet
+from tests.waiting import wait_until
+
+WHOLE = [1, 2, 3, 4, 5, 6]
+
+
+class StreamTest(testtools.TestCase):
+    def loads(self, fleet):
+        return [
+            order["adapter"]
+            for replica in fleet.models
+            for order in replica.orders
+            if order["op_type"] == "load"
+        ]
+
+    def test_adapter_is_loaded_on_demand_and_used_again(self):
+        """Guards against refusals for adapters that no replica holds yet."""
+
+        async def check(fleet):
+            for _ in range(3):
+                answer = await fleet.ask("/draft/a", adapter="a7")
+                self.assertEqual((200, True), (answer.status, answer.complete))
+                self.assertEqual(WHOLE, answer.event_ids)
+            self.assertEqual(["a7"], self.loads(fleet))
+
+        run_fleet(check)
+
+    def test_many_hosts_ask_for_one_load(self):
+        """Guards against a load for each host that wants an adapter."""
+
+        async def check(fleet):
+            answers = await asyncio.gather(
+                *(
+                    fleet.ask("/draft/a", gateway, adapter="a7")
+                    for gateway in fleet.gateways * 3
+                )
+            )
+            self.assertEqual({200}, {answer.status for answer in answers})
+            self.assertEqual(["a7"], self.loads(fleet))
+
+        run_fleet(check, gateways=3)
+
+    def test_replica_is_never_overfilled(self):
+        """Guards against orders that crash a replica, and evictions in use."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.event_s = 0.02
+            answers = await asyncio.gather(
+                *(
+                    fleet.ask("/draft/a", gateway, adapter=f"a{number}")
+                    for number, gateway in enumerate(fleet.gateways * 8)
+                )
+            )
+            self.assertEqual(
+                [], [item.status for item in answers if item.status not in (200, 503)]
+            )
+            self.assertGreaterEqual(sum(item.status == 200 for item in answers), 8)
+            for replica in fleet.models:
+                self.assertFalse(replica.overfilled)
+
+        run_fleet(check, gateways=2)
+
+    def test_place_is_freed_for_another_adapter(self):
+        """Guards against replicas that keep what nobody asks for any more."""
+
+        async def check(fleet):
+            for number in range(4):
+                self.assertEqual(
+                    200, (await fleet.ask("/draft/a", adapter=f"a{number}")).status
+                )
+            await asyncio.sleep(1.8)
+            answer = await fleet.ask("/draft/a", adapter="a9")
+            self.assertEqual(200, answer.status)
+            self.assertFalse(fleet.models[0].overfilled)
+
+        run_fleet(check, models=1)
+
+    def test_resumable_stream_goes_on_within_its_response(self):
+        """Guards against a broken, doubled or halved event when a replica crashes."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.faults = [Fault.RESET_IN_ANSWER]
+            answer = await fleet.ask("/draft/a", adapter="")
+            self.assertEqual((200, False), (answer.status, answer.complete))
+            self.assertEqual([1, 2, 3, 4], answer.event_ids)
+            shared = [Fault.RESET_IN_ANSWER]
+            for replica in fleet.models:
+                replica.faults = shared
+            answer = await fleet.ask("/draft/a", adapter="")
+            self.assertTrue(answer.complete)
+            self.assertEqual(WHOLE, answer.event_ids)
+            resumed = [last for r in fleet.models for _, last in r.runs if last]
+            self.assertIn("2", resumed)
+
+        run_fleet(check)
+
+    def test_other_stream_is_not_run_twice(self):
+        """Guards against a second run of a stream that may not be repeated."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.faults = [Fault.RESET_IN_ANSWER]
+            answer = await fleet.ask("/night/a", adapter="")
+            self.assertEqual((200, False), (answer.status, answer.complete))
+            self.assertEqual([1, 2], answer.event_ids)
+            self.assertEqual(1, sum(len(replica.runs) for replica in fleet.models))
+
+        run_fleet(check)
+
+    def test_silent_replica_is_left(self):
+        """Guards against streams that wait for a replica that went dark."""
+
+        async def check(fleet):
+            shared = [Fault.SILENT]
+            for replica in fleet.models:
+                replica.faults = shared
+            answer = await fleet.ask("/draft/a", adapter="")
+            self.assertEqual([], shared)
+            self.assertEqual(WHOLE, answer.event_ids)
+
+        run_fleet(check)
+
+    def test_caller_that_leaves_frees_the_replica(self):
+        """Guards against replicas that work for callers that are gone."""
+
+        async def check(fleet):
+            fleet.models[0].event_s = 0.1
+            async with Caller(fleet.gateways[0].settings.callers) as caller:
+                asking = asyncio.create_task(caller.ask("/draft/a", adapter=""))
+                await wait_until(lambda: fleet.models[0].running)
+                asking.cancel()
+            await wait_until(lambda: fleet.models[0].cancelled)
+
+        run_fleet(check, models=1)
+
+    def test_new_version_is_loaded_and_used(self):
+        """Guards against requests that run on an older version than was declared."""
+
+        async def check(fleet):
+            self.assertEqual(200, (await fleet.ask("/draft/a", adapter="a7")).status)
+            for replica in fleet.models:
+                replica.newest_by_adapter["a7"] = 2
+            fleet.store.put(
+                "op/version/m0.a7", {"model": "m0", "adapter": "a7", "version": 2}
+            )
+            await wait_until(lambda: fleet.gateways[0].state.versions_by_adapter)
+            answer = await fleet.ask("/draft/a", adapter="a7")
+            self.assertEqual((200, WHOLE), (answer.status, answer.event_ids))
+            held = [r for r in fleet.models if "a7" in r.versions_by_adapter]
+            self.assertEqual([2], [r.versions_by_adapter["a7"] for r in held])
+
+        run_fleet(check)
+
+    def test_restarted_replica_is_used_again(self):
+        """Guards against a replica that came back empty and stays unused."""
+
+        async def check(fleet):
+            replica = fleet.models[0]
+            self.assertEqual(200, (await fleet.ask("/draft/a", adapter="a1")).status)
+            replica.model = None
+            replica.versions_by_adapter.clear()
+            replica.order_count = replica.token = 0
+            fleet.publish(replica, born=2)
+            await wait_until(lambda: replica.model is not None)
+            answer = await fleet.ask("/draft/a", adapter="a1")
+            self.assertEqual((200, WHOLE), (answer.status, answer.event_ids))
+
+        run_fleet(check, models=1)
