--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -79,9 +79,17 @@
         """Whether no other host is known, and no seed names one."""
         return not self.by_name and set(self._seeds) <= {(self.own.ip, self.own.port)}
 
+    def staying(self):
+        """Returns the hosts that were heard lately and do not stop, without this one."""
+        return [host for host in self.reachable() if not host.beat.leaving]
+
     def count(self):
-        """Returns the number of known hosts, with this one."""
-        return len(self.by_name) + 1
+        """Returns the number of known hosts that do not stop, with this one."""
+        leaving = sum(
+            host.beat is not None and host.beat.leaving
+            for host in self.by_name.values()
+        )
+        return len(self.by_name) - leaving + 1
 
     def forget(self, name):
         """Drops a host that has certainly stopped."""
@@ -146,17 +154,15 @@
         known = self.by_name.get(beat.sender.name)
         if known is not None and known.info.boot > beat.sender.boot:
             return
-        if beat.leaving:
-            self.forget(beat.sender.name)
-        else:
-            is_new = known is None or known.heard_at is None
-            host = self._learn(beat.sender)
-            if host is None:
-                return
-            host.heard_at = anyio.current_time()
-            host.beat = beat
-            if is_new:
-                self._endpoint.send(self._own_beat(), host.address)
+        is_new = known is None or known.heard_at is None
+        host = self._learn(beat.sender)
+        if host is None:
+            return
+        # A host that stops is still told who leads, since it still serves requests.
+        host.heard_at = anyio.current_time()
+        host.beat = beat
+        if is_new:
+            self._endpoint.send(self._own_beat(), host.address)
         for listener in self._listeners:
             listener(beat)
 
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -12,14 +12,16 @@
 import anyio
 import xxhash
 
-from snipetrestle.coordination.hosts import BEAT_S
+from snipetrestle.coordination.hosts import BEAT_S, REACHABLE_S
 from snipetrestle.events import Event, log_event
 
 TICK_S = 0.2
 # A leader that was not heard for this long is probed.
 SILENT_S = 1.3
-# A leader that hears no majority for this long stops to order.
-LOST_MAJORITY_S = 1.8
+# A leader that hears no majority for this long, beyond REACHABLE_S, stops to order.
+LOST_MAJORITY_S = 0.2
+# A cut-off leader has stopped this long after its last beat that was heard.
+STOPPED_S = REACHABLE_S + LOST_MAJORITY_S + 2 * TICK_S
 # How long a host that knows no leader listens before it leads, and how long if it
 # hears less than half of its seeds, which may be cut off from it.
 START_S = 0.7
@@ -146,7 +148,7 @@
         self._still_s = still_s
 
     def _has_majority(self):
-        reachable = len(self._hosts.reachable()) + 1
+        reachable = len(self._hosts.staying()) + 1
         return reachable * 2 > self._hosts.count()
 
     def _check_majority(self):
@@ -158,9 +160,10 @@
 
     def _candidates(self):
         """Returns the names of the reachable hosts, in the order in which they lead."""
-        infos = [host.info for host in self._hosts.reachable()]
+        infos = [host.info for host in self._hosts.staying()]
         infos.append(self._hosts.own)
-        infos.sort(key=lambda info: (-info.size, info.name))
+        # In a rolling restart, the host that started last is not stopped next.
+        infos.sort(key=lambda info: (-info.size, -info.boot, info.name))
         return [info.name for info in infos]
 
     async def _consider(self):
@@ -186,7 +189,7 @@
 
     async def _probe_leader(self, age_s):
         host = self._hosts.by_name.get(self.leader)
-        lease_over = age_s > self._lease_s + LOST_MAJORITY_S
+        lease_over = age_s > self._lease_s + STOPPED_S
         if lease_over or (host is not None and await self._probe(host)):
             self._leader_ended = True
 
