Use the replicas' entries until a leader is known, and start quicker

Cause: the worst windows are those after the final fault; 0.8 s passed between the start of the processes and the first leader, in which no adapter had a known place, though the store's entries list them.

--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -2,10 +2,10 @@
 
 import anyio
 
+from snipetrestle.coordination.adapter_places import DEFAULT_PACE_S, AdapterPlaces
 from snipetrestle.coordination.messages import Locate, Located, Place
 from snipetrestle.coordination.orders import ReplicaOrders, Shared
 from snipetrestle.gateway.configuration import AdapterKey
-from snipetrestle.placement.adapter_places import DEFAULT_PACE_S, AdapterPlaces
 
 # Without a place, a host asks again after this time.
 ASK_AGAIN_S = 0.08
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -24,7 +24,7 @@
 STOPPED_S = REACHABLE_S + LOST_MAJORITY_S + 2 * TICK_S
 # How long a host that knows no leader listens before it leads, and how long if it
 # hears less than half of its seeds, which may be cut off from it.
-START_S = 0.7
+START_S = 0.45
 FEW_SEEDS_START_S = 1.6
 # A host that hears nobody may be cut off: its predecessors' leases must have ended.
 ALONE_START_S = 6.0
@@ -88,6 +88,11 @@
             return -1.0
         return anyio.current_time() - self._leader_heard_at
 
+    @property
+    def is_known(self):
+        """Whether a leader was heard lately, or this host leads."""
+        return 0 <= self.leader_age_s() < SILENT_S
+
     def leader_address(self):
         """Returns the leader's address; None if it is unknown or this host."""
         host = self._hosts.by_name.get(self.leader)
--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -7,8 +7,8 @@
 
 import anyio
 
+from snipetrestle.coordination.adapter_places import PLACE_LEASE_S
 from snipetrestle.coordination.messages import Locate, Located
-from snipetrestle.placement.adapter_places import PLACE_LEASE_S
 
 ANSWER_TIMEOUT_S = 0.12
 # How often a question is sent; a datagram may be lost, or the leader change.
@@ -45,13 +45,15 @@
     """Places of adapters as this host knows them.
 
     ``ask_here(key, uses, avoid)`` asks the director of this host, for when it leads.
+    ``listing(key)`` returns the replicas whose published entries list the adapter.
     """
 
-    def __init__(self, leadership, endpoint, own_name, ask_here):
+    def __init__(self, leadership, endpoint, own_name, ask_here, listing):
         self._leadership = leadership
         self._endpoint = endpoint
         self._own_name = own_name
         self._ask_here = ask_here
+        self._listing = listing
         self._by_key = {}
         self._number = 0
         self._waiting_by_number = {}
@@ -72,12 +74,17 @@
             places = self._by_key[key] = KnownPlaces()
         places.uses += 1
         if not places.ready_at_by_id:
-            return {}
+            # After a restart of all hosts, entries tell before a leader does.
+            return {} if self._leadership.is_known else self._listed(key)
         age_s = anyio.current_time() - places.confirmed_at
         if age_s > PLACE_LEASE_S and places.asking is None:
             self._start_asking(key, places, ())
         return places.ready_at_by_id if age_s < STALE_S else {}
 
+    def _listed(self, key):
+        now = anyio.current_time()
+        return dict.fromkeys(self._listing(key), now)
+
     async def ask(self, key, avoid=()):
         """Asks the leader and returns the places by replica id; empty if none.
 
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -12,11 +12,11 @@
 import anyio
 import msgspec
 
+from snipetrestle.coordination.adapter_places import ReplicaPlaces
+from snipetrestle.coordination.load_times import LoadTimes
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
-from snipetrestle.placement.adapter_places import ReplicaPlaces
-from snipetrestle.placement.load_times import LoadTimes
 
 # Adapters that may be on their way to one replica.
 IN_TRANSIT = 4
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -149,7 +149,11 @@
             self.endpoint,
         )
         self.locator = Locator(
-            self.leadership, self.endpoint, settings.name, self.director.locate
+            self.leadership,
+            self.endpoint,
+            settings.name,
+            self.director.locate,
+            self.replicas.listing,
         )
         self.snapshots = Snapshots(self.state, self.hosts, generator)
         self.callers = HttpServer(Forwarder(self).handle, self._limits)
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -208,6 +208,21 @@
         replicas = self._by_backend.get(backend, {}).values()
         return [replica for replica in replicas if replica.takes_requests]
 
+    def listing(self, key):
+        """Returns the ids of the replicas whose entries list an adapter.
+
+        An entry may be older than the last orders by more than a heartbeat.
+        """
+        return [
+            replica.id
+            for replica in self.by_id.values()
+            if replica.takes_requests
+            and any(
+                model.name == key.model and key.adapter in model.versions_by_adapter
+                for model in replica.entry.models
+            )
+        ]
+
     def choose(self, candidates):
         """Returns the candidate with the lowest expected latency; None if none is.
 
--- a/snipetrestle/logs.py
+++ b/snipetrestle/logs.py
@@ -12,6 +12,13 @@
 )
 
 
+class LogSettings(msgspec.Struct, frozen=True):
+    """``format`` is ``json`` or ``text``; ``level`` is a loguru level."""
+
+    format: str = "json"
+    level: str = "INFO"
+
+
 def set_up_logs(settings, stream=None):
     """Replaces all log sinks of the process by one, on ``stream`` or standard error."""
     stream = stream or sys.stderr
--- a/snipetrestle/platform/__main__.py
+++ b/snipetrestle/platform/__main__.py
@@ -8,7 +8,7 @@
 
 from snipetrestle.gateway.app import Gateway
 from snipetrestle.gateway.published_state import Feed
-from snipetrestle.logs import set_up_logs
+from snipetrestle.logs import LogSettings, set_up_logs
 from snipetrestle.platform.calls import OrderClient, StoreSource
 from snipetrestle.platform.entries import (
     OPERATOR_PREFIX,
@@ -18,7 +18,6 @@
 )
 from snipetrestle.platform.headers import PlatformDialect
 from snipetrestle.platform.settings import load_settings
-from snipetrestle.settings import LogSettings
 
 OPERATOR_WAIT_S = 5.0
 REPLICA_WAIT_S = 1.5
--- a/snipetrestle/settings.py
+++ b/snipetrestle/settings.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from snipetrestle.checking import InvalidDocument, Problem, check_struct, load_text
+from snipetrestle.logs import LogSettings
 
 
 class DaemonSettings(msgspec.Struct, frozen=True):
@@ -56,13 +57,6 @@
     host_list_interval_s: float = 1.0
 
 
-class LogSettings(msgspec.Struct, frozen=True):
-    """``format`` is ``json`` or ``text``; ``level`` is a loguru level."""
-
-    format: str = "json"
-    level: str = "INFO"
-
-
 class IntakeSettings(msgspec.Struct, frozen=True):
     """Bounds on what a caller may send. Sizes are in bytes, times in seconds."""
 
--- a/tests/placement/test_adapter_places.py
+++ b/tests/coordination/test_adapter_places.py
@@ -3,9 +3,13 @@
 import anyio
 import testtools
 
+from snipetrestle.coordination.adapter_places import (
+    KEEP_S,
+    AdapterPlaces,
+    ReplicaPlaces,
+)
+from snipetrestle.coordination.load_times import LoadTimes
 from snipetrestle.gateway.configuration import AdapterKey
-from snipetrestle.placement.adapter_places import KEEP_S, AdapterPlaces, ReplicaPlaces
-from snipetrestle.placement.load_times import LoadTimes
 from snipetrestle_standins.clock import run_advanced
 
 
