--- a/snipetrestle/cli/__init__.py
+++ b/snipetrestle/cli/__init__.py
@@ -12,6 +12,7 @@
 from snipetrestle.cli.explain import Explain
 from snipetrestle.cli.reports import Adapters, Contracts, Replicas, Status
 from snipetrestle.cli.serve import Serve
+from snipetrestle.cli.story import Story
 
 # Each sub-command is a callable class that returns the exit status or None.
 SUB_COMMANDS = (
@@ -24,6 +25,7 @@
     Drain,
     ConfirmStopped,
     Explain,
+    Story,
     Demo,
 )
 
