Let hosts that start together learn of each other, and apply a store's return before its content

New hosts are now told on, hosts exchange what they know, a leader yields to a later token that a follower tells, and a refused token ends the leadership. Entries that lapsed while the store was down were dropped at once on its return, since the return was noted after its content; the test of it passed by the time of its start. A leader that stood still leads again without waiting for its own lease. Places are used for 0.4 s without asking instead of 1 s.

--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -14,7 +14,7 @@
 
 DEMAND_HALF_LIFE_S = 8.0
 # Hosts use a place that they were told for up to this long.
-PLACE_LEASE_S = 1.0
+PLACE_LEASE_S = 0.4
 # An adapter that was asked for within this time is not evicted.
 KEEP_S = PLACE_LEASE_S + 0.6
 # Above this load of all its holders, an adapter gets one more copy. Each copy is
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -14,6 +14,8 @@
 FREQUENT_HOSTS = 16
 HOSTS_IN_DATAGRAM = 12
 JOIN_S = 0.25
+# How often another host is asked for the hosts that it knows.
+EXCHANGE_S = 2.0
 
 
 class KnownHost:
@@ -51,6 +53,7 @@
         self._urgent = urgent
         self._listeners = []
         self._round = 0
+        self._exchanged_at = 0.0
         endpoint.register(Beat, self._on_beat)
         endpoint.register(Join, self._on_join)
         endpoint.register(KnownHosts, self._on_known_hosts)
@@ -104,6 +107,7 @@
         while True:
             if not self.reachable():
                 self._ask_seeds()
+            self._ask_next()
             self.send_beats()
             self._forget_silent()
             await anyio.sleep(BEAT_S if self.by_name else JOIN_S)
@@ -114,6 +118,15 @@
             if seed != own_address:
                 self._endpoint.send(Join(self.own), seed)
 
+    def _ask_next(self):
+        """Asks one host after the other for hosts that this one does not know."""
+        now = anyio.current_time()
+        if self.by_name and now >= self._exchanged_at + EXCHANGE_S:
+            self._exchanged_at = now
+            names = sorted(self.by_name)
+            host = self.by_name[names[self._round % len(names)]]
+            self._endpoint.send(Join(self.own), host.address)
+
     def send_beats(self):
         beat = self._own_beat()
         self._round += 1
@@ -144,7 +157,7 @@
         if info.name == self.own.name:
             return None
         known = self.by_name.get(info.name)
-        if known is not None and known.info.boot >= info.boot:
+        if known is not None and not self._is_newer(info, known):
             return known
         if known is None:
             log_event(Event.PEER_JOINED, peer=info.name, boot=info.boot)
@@ -153,9 +166,23 @@
         self.most_known = max(self.most_known, self.count())
         return host
 
+    @staticmethod
+    def _is_newer(info, known):
+        """Tells whether ``info`` is of a later process than the known one.
+
+        After a step of the clock, a later process may have an earlier boot time; then
+        the known one is silent.
+        """
+        if info.boot == known.info.boot:
+            return False
+        heard_at = known.heard_at or known.listed_at
+        is_silent = anyio.current_time() - heard_at > 2 * BEAT_S
+        return info.boot > known.info.boot or is_silent
+
     def _on_beat(self, beat, address):
         known = self.by_name.get(beat.sender.name)
-        if known is not None and known.info.boot > beat.sender.boot:
+        is_other = known is not None and known.info.boot != beat.sender.boot
+        if is_other and not self._is_newer(beat.sender, known):
             return
         is_new = known is None or known.heard_at is None
         host = self._learn(beat.sender)
@@ -170,9 +197,14 @@
             listener(beat)
 
     def _on_join(self, message, address):
+        is_unknown = message.sender.name not in self.by_name
         host = self._learn(message.sender)
         if host is None:
             return
+        if is_unknown:
+            # Hosts that start together do not know each other yet.
+            for other in self.by_name.values():
+                self._endpoint.send(KnownHosts((message.sender,)), other.address)
         infos = [self.own, *(item.info for item in self.by_name.values())]
         for start in range(0, len(infos), HOSTS_IN_DATAGRAM):
             part = tuple(infos[start : start + HOSTS_IN_DATAGRAM])
@@ -181,7 +213,7 @@
 
     def _on_known_hosts(self, message, address):
         for info in message.hosts:
-            if info.name not in self.by_name:
-                host = self._learn(info)
-                if host is not None:
-                    self._endpoint.send(self._own_beat(), host.address)
+            is_unknown = info.name not in self.by_name
+            host = self._learn(info)
+            if host is not None and is_unknown:
+                self._endpoint.send(self._own_beat(), host.address)
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -67,6 +67,7 @@
         self._started_at = anyio.current_time()
         self._leader_heard_at = None
         self._leader_boot = 0
+        self._resigned = False
         self._leader_ended = False
         self._majority_at = None
         self._still_s = stood_still_s()
@@ -115,11 +116,12 @@
         return self._hosts.own.name
 
     def note_token_refused(self):
-        """Takes a higher token after a replica refused this one.
+        """Resigns after a replica refused this host's token.
 
-        Another host has led with a higher token. If it still leads, its beats end this
-        host's leadership; if not, its clock was ahead.
+        Another host has led with a higher one. If it does not any more, its clock was
+        ahead, and this host leads again with a token above it.
         """
+        self.resign("a replica has seen a higher token")
         now_ms = int(time.time() * 1000) + CLOCK_SKEW_MS
         self.term = next_token(self.term, self._hosts.own.name, now_ms)
 
@@ -129,7 +131,10 @@
             return
         self.leads = False
         self.leader = ""
-        self._leader_heard_at = anyio.current_time()
+        # Only this host can have ordered since, so it need not wait for its own lease.
+        self._leader_heard_at = None
+        self._resigned = True
+        self._started_at = anyio.current_time()
         log_event(Event.LEADERSHIP_LOST, term=self.term, reason=reason)
         self._notify()
 
@@ -148,7 +153,6 @@
             log_event(
                 Event.PROCESS_RESUMED, stood_still_s=round(still_s - self._still_s, 2)
             )
-            self._started_at = anyio.current_time()
             self.resign("this process stood still")
         self._still_s = still_s
 
@@ -185,7 +189,7 @@
             return
         if self._is_leader_heard_by_others():
             return
-        if self._candidates()[0] != self._hosts.own.name:
+        if self._candidates()[0] != self._hosts.own.name and not self._resigned:
             return
         if age_s >= 0 and not self._leader_ended:
             await self._probe_leader(age_s)
@@ -218,6 +222,7 @@
         known = max([self.term, *(host.beat.term for host in self._hosts.reachable())])
         self.term = next_token(known, self._hosts.own.name, int(time.time() * 1000))
         self.leads = True
+        self._resigned = False
         self.leader = self._hosts.own.name
         self._majority_at = anyio.current_time()
         log_event(
@@ -235,6 +240,7 @@
             self._leader_ended = True
             return
         if beat.leader != name or beat.leader_age_s != 0:
+            self._yield_to(beat)
             if name == self.leader and beat.sender.boot != self._leader_boot:
                 self._leader_ended = True
             return
@@ -246,12 +252,23 @@
         self.leader = name
         self.term = beat.term
         self._leader_boot = beat.sender.boot
+        self._resigned = False
         self._leader_heard_at = anyio.current_time()
         self._leader_ended = False
         if changed:
             log_event(Event.LEADER_CHANGED, leader=name, term=beat.term)
             self._notify()
 
+    def _yield_to(self, beat):
+        """Resigns if a follower's beat shows that another host leads by a later token.
+
+        Two leaders may not hear each other while others hear both.
+        """
+        is_fresh = 0 <= beat.leader_age_s < SILENT_S
+        is_other = beat.leader != self._hosts.own.name and beat.term > self.term
+        if self.leads and is_fresh and is_other:
+            self.resign(f"{beat.leader} leads with a higher token")
+
     def _notify(self):
         for listener in self._listeners:
             listener()
--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -65,6 +65,10 @@
             self._group = group
             await anyio.sleep_forever()
 
+    @property
+    def has_leader(self):
+        return self._leadership.is_known
+
     def remembered(self, key):
         """Counts a use and returns the known places; asks the leader if they are old."""
         places = self._by_key.get(key)
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -32,8 +32,9 @@
 NO_PLACE_PAUSE_S = 0.06
 RETRY_AFTER_S = 0.5
 NOT_READY_RETRY_AFTER_S = 0.3
-# Part of the time to a late answer after which a request without a place is refused.
-PLACE_PATIENCE = 0.5
+# How long a stream waits for a place, in target latencies of its route.
+PLACE_PATIENCE = 3.0
+LEADERLESS_PATIENCE = 1.0
 UNSENT_MARGIN_S = 0.05
 # Events between two measurements of a stream's pace.
 PACE_EVENTS = 5
@@ -349,7 +350,6 @@
         if key is None or not key.adapter:
             return self._choose_replica(job)
         job.version = self._state.versions_by_adapter.get(key)
-        patience_at = self._patience_at(job)
         places = self._locator.remembered(key)
         while True:
             replica = self._choose_placed(job, places)
@@ -360,19 +360,26 @@
                     if not replica.takes_requests:
                         continue
                 return replica
-            if anyio.current_time() > patience_at:
+            if anyio.current_time() > self._patience_at(job):
                 raise self._no_place(job)
             places = await self._locator.ask(key, self._avoided(job))
             if not places:
                 await anyio.sleep(NO_PLACE_PAUSE_S)
 
     def _patience_at(self, job):
-        latest = job.request.received_at + PLACE_PATIENCE * (
-            job.deadline_at - job.request.received_at
-        )
+        """Returns until when a place is waited for.
+
+        Callers give up a stream after some times its target latency. Without a leader
+        nothing is loaded, so a caller is better told when to come back.
+        """
+        now = anyio.current_time()
         if job.streaming:
-            latest = anyio.current_time() + STREAM_SILENCE_S
-        return min(latest, job.deadline_at - UNSENT_MARGIN_S)
+            return min(now + STREAM_SILENCE_S, job.deadline_at - UNSENT_MARGIN_S)
+        targets = PLACE_PATIENCE if self._locator.has_leader else LEADERLESS_PATIENCE
+        patience_s = targets * job.route.target_latency_s
+        return min(
+            job.request.received_at + patience_s, job.deadline_at - UNSENT_MARGIN_S
+        )
 
     def _no_place(self, job):
         if job.may_have_run:
--- a/snipetrestle/gateway/published_state.py
+++ b/snipetrestle/gateway/published_state.py
@@ -135,7 +135,6 @@
                 else:
                     await self._watch(state)
                 retry_s = FIRST_RETRY_S
-                self._note_up(state)
                 await anyio.sleep(state.feed.pause_s)
             except HistoryLost:
                 must_read = True
@@ -146,15 +145,18 @@
 
     async def _read(self, state):
         reading = await self._source.read(state.feed.prefix)
+        self._note_up(state)
         self.apply_reading(state.feed.prefix, reading)
 
     async def _watch(self, state):
         feed = state.feed
         reading = await self._source.watch(feed.prefix, state.revision, feed.wait_s)
+        self._note_up(state)
         self._apply_items(state, reading.items)
         state.revision = max(state.revision, reading.revision)
 
     def _note_up(self, state):
+        """Notes an answer, before its content is applied: it may show lapsed entries."""
         state.heard_at = anyio.current_time()
         if not state.up:
             state.up = True
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -196,6 +196,95 @@
 
         run_system(check)
 
+    def test_leader_that_stood_still_leads_again_soon(self):
+        """Guards against a stall of all loads for a whole lease, after a leader stood
+        still for a moment: no other host has ordered meanwhile."""
+
+        async def check(system):
+            leader = self.one_leader(system)
+            before = leader.leadership.term
+            leader.leadership.resign("this process stood still")
+            await anyio.sleep(1.5)
+            self.assertIs(leader, self.one_leader(system))
+            self.assertGreater(leader.leadership.term, before)
+
+        run_system(check)
+
+    def test_leader_that_was_replaced_meanwhile_follows(self):
+        """Guards against two leaders after a long stand-still."""
+
+        async def check(system):
+            old = self.one_leader(system)
+            system.network.isolate(old.name, system.names())
+            await anyio.sleep(8.0)
+            new = [m for m in system.leaders() if m is not old]
+            system.network.cuts.clear()
+            for _ in range(20):
+                await anyio.sleep(0.1)
+                self.assertLessEqual(len(system.leaders()), 1)
+            self.assertEqual(new, [self.one_leader(system)])
+
+        run_system(check)
+
+    def test_hosts_that_start_together_learn_of_each_other(self):
+        """Guards against two leaders that never hear each other: both had asked a host
+        that knew neither yet, and took turns for 27 s (store-away, taglia-sicilia)."""
+
+        async def check(system):
+            for number in (2, 3, 4, 5):
+                system.kill(number)
+            for number in (2, 3, 4, 5):
+                system.start(number)
+            await anyio.sleep(SETTLE_S)
+            self.one_leader(system)
+            for member in system.members.values():
+                self.assertEqual(5, member.hosts.count())
+
+        run_system(check, seeds=(1, 8, 9))
+
+    def test_second_leader_yields_through_a_follower(self):
+        """Guards against two leaders whose own link is cut."""
+
+        async def check(system):
+            first = self.one_leader(system)
+            second = next(m for m in system.members.values() if m is not first)
+            system.network.cuts.add(frozenset((first.name, second.name)))
+            second.leadership._lead()
+            await anyio.sleep(1.5)
+            for _ in range(60):
+                await anyio.sleep(0.1)
+                self.assertEqual([second], system.leaders())
+
+        run_system(check)
+
+    def test_refused_token_ends_the_leadership_and_is_exceeded(self):
+        """Guards against tokens that two leaders raise in turn, and against a leader
+        whose clock is behind for ever."""
+
+        async def check(system):
+            leader = self.one_leader(system)
+            before = leader.leadership.term
+            leader.leadership.note_token_refused()
+            self.assertFalse(leader.leadership.leads)
+            await anyio.sleep(2.0)
+            self.assertGreater(self.one_leader(system).leadership.term, before)
+
+        run_system(check)
+
+    def test_host_whose_clock_was_set_back_is_heard_again(self):
+        """Guards against a restarted host that all others ignore."""
+
+        async def check(system):
+            system.kill(2)
+            system.boots = -10
+            system.start(2)
+            await anyio.sleep(SETTLE_S)
+            self.one_leader(system)
+            for member in system.members.values():
+                self.assertEqual(5, len(member.hosts.reachable()) + 1)
+
+        run_system(check)
+
     def test_stopping_leader_hands_over_and_stays_informed(self):
         """Guards against a leader lost in each step of a rolling restart.
 
--- a/tests/gateway/test_published_state.py
+++ b/tests/gateway/test_published_state.py
@@ -1,7 +1,10 @@
 """Sessions of gateways whose store changes, forgets, fails or is cut off."""
 
+import asyncio
+
 import testtools
 
+from snipetrestle.gateway.published_state import RETURN_GRACE_S
 from snipetrestle_standins.gateway_fleet import configuration, route
 from snipetrestle_standins.platform_replica import PlatformReplica
 from snipetrestle_standins.platform_store import StoreMode
@@ -120,6 +123,8 @@
         """Guards against replicas that are left because the store forgot them."""
 
         async def check(fleet):
+            # The start of the gateway must not count as a return of the store.
+            await asyncio.sleep(RETURN_GRACE_S)
             fleet.store.mode = StoreMode.BUSY
             fleet.store.reset_connections()
             await wait_until(lambda: fleet.live[0].state.is_down(""))
