--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -33,7 +33,7 @@
 RETRY_AFTER_S = 0.5
 NOT_READY_RETRY_AFTER_S = 0.3
 # How long a stream waits for a place, in target latencies of its route.
-PLACE_PATIENCE = 3.0
+PLACE_PATIENCE = 1.5
 LEADERLESS_PATIENCE = 1.0
 UNSENT_MARGIN_S = 0.05
 # Events between two measurements of a stream's pace.
