--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -322,18 +322,18 @@
             await self._wait(BUSY_PAUSE_S)
         elif result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
             self._note_ordered(key, version, result, recent)
-            log_event(
-                Event.ADAPTER_ORDERED,
-                replica=self._replica.id,
-                adapter=key.adapter,
-                version=version,
-                recent=recent,
-                result=result.name,
-            )
         self._drop(load)
 
     def _note_ordered(self, key, version, result, recent):
         """Notes a place, and when it is expected to be ready."""
+        log_event(
+            Event.ADAPTER_ORDERED,
+            replica=self._replica.id,
+            adapter=key.adapter,
+            version=version,
+            recent=recent,
+            result=result.name,
+        )
         now = anyio.current_time()
         if result is OrderResult.HOLDS_ALREADY:
             self.places.note_held(key, version, now)
@@ -396,14 +396,6 @@
         result = await self._order(OrderKind.LOAD, key.model, key.adapter, version)
         if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
             self._note_ordered(key, version, result, recent=False)
-            log_event(
-                Event.ADAPTER_ORDERED,
-                replica=self._replica.id,
-                adapter=key.adapter,
-                version=version,
-                recent=False,
-                result=result.name,
-            )
         else:
             await self._wait(RETRY_S)
 
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -4,26 +4,22 @@
 503 only if no replica has run its request.
 """
 
-import asyncio
-
 import anyio
 
 from snipetrestle.codes import ResultCode
 from snipetrestle.events import Event
 from snipetrestle.gateway.configuration import RequestKind
-from snipetrestle.gateway.dialect import Sending
 from snipetrestle.gateway.event_stream import EventSplitter, EventTooLarge
+from snipetrestle.gateway.exchange import Exchange
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.job import Job, Refused
 
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Replicas tried without a connection; nothing was sent to them.
 MAX_CONNECT_FAILURES = 4
 # Sendings of one request, also to replicas that did not run it.
 MAX_SENDINGS = 4
 # An idempotent call without a response for this long is sent to another replica.
 IDEMPOTENT_SILENCE_S = 0.4
-# A stream whose replica sends nothing to anybody for this long goes on elsewhere.
-REPLICA_SILENCE_S = 0.9
 # A stream without an event for this long goes on elsewhere: callers soon give up.
 STREAM_SILENCE_S = 1.9
 # Pause before a request is sent again to a replica whose load ends a little later.
@@ -40,72 +36,6 @@
 PACE_EVENTS = 5
 
 
-class Refused(Exception):
-    """The request ends with a result code."""
-
-    def __init__(self, code, retry_after_s=None, **fields):
-        self.code = code
-        self.retry_after_s = retry_after_s
-        self.fields = fields
-        super().__init__(str(code))
-
-
-class Job:
-    """A request on its way. Times are in seconds of the runtime's clock.
-
-    ``sent_to`` lists the replicas that it was sent to, ``ran_at`` those at which it may
-    have run.
-    """
-
-    __slots__ = (
-        "request",
-        "facts",
-        "route",
-        "backend",
-        "caller",
-        "deadline_at",
-        "sent_to",
-        "ran_at",
-        "sendings",
-        "streaming",
-        "last_event_id",
-        "connect_failures",
-        "version",
-        "first_at",
-        "passed_response",
-    )
-
-    def __init__(self, request, facts, route, backend, caller, deadline_at):
-        self.request = request
-        self.facts = facts
-        self.route = route
-        self.backend = backend
-        self.caller = caller
-        self.deadline_at = deadline_at
-        self.sent_to = []
-        self.ran_at = []
-        self.sendings = 0
-        self.streaming = False
-        self.last_event_id = facts.last_event_id
-        self.connect_failures = 0
-        self.version = None
-        self.first_at = None
-        self.passed_response = None
-
-    @property
-    def may_have_run(self):
-        return bool(self.ran_at)
-
-    @property
-    def attempts_left(self):
-        """Whether the route allows one more replica at which the request may run."""
-        return len(set(self.ran_at)) < self.route.attempts
-
-    @property
-    def request_id(self):
-        return self.facts.request_id.decode("latin-1")
-
-
 class Forwarder:
     """Serves requests of callers. ``handle`` is called for each complete request."""
 
@@ -224,7 +154,7 @@
                     self._log_repeat(job, str(error))
                     continue
                 if job.passed_response is None:
-                    raise Refused(_unknown(job), reason=str(error)) from None
+                    raise Refused(job.unknown_code, reason=str(error)) from None
                 # The earlier replica's own failure says more than this silence.
                 response = job.passed_response
             if response is not None:
@@ -234,7 +164,7 @@
     async def _call_once(self, job, replica):
         """Sends the request. Returns (status, facts, body), or None to go on."""
         started = anyio.current_time()
-        async with _Exchange(self, job, replica) as exchange:
+        async with Exchange(self._dialect, job, replica) as exchange:
             head, facts = await exchange.read_head(self._silence_limit(job))
             if facts.not_executed:
                 exchange.note_not_run()
@@ -242,7 +172,7 @@
                 self._note_not_executed(job, replica, head.status)
                 return None
             body = await exchange.read_body()
-            if not _is_genuine(head, facts):
+            if not _is_genuine(facts):
                 raise ExchangeFailed(f"status {head.status} without proof")
         if head.status >= 500:
             replica.note_failure()
@@ -286,20 +216,20 @@
             except ExchangeFailed as error:
                 replica.note_failure()
                 if not self._may_send_again(job):
-                    raise Refused(_unknown(job), reason=str(error)) from None
+                    raise Refused(job.unknown_code, reason=str(error)) from None
                 self._log_repeat(job, str(error))
 
     async def _stream_once(self, job, replica):
         """Sends the request and passes its events. Returns whether it is done."""
         started = anyio.current_time()
-        async with _Exchange(self, job, replica) as exchange:
+        async with Exchange(self._dialect, job, replica) as exchange:
             head, facts = await exchange.read_head(STREAM_SILENCE_S)
             if facts.not_executed or head.status == 421:
                 exchange.note_not_run()
                 await exchange.read_body()
                 await self._note_stream_refused(job, replica, head.status)
                 return False
-            if not _is_genuine(head, facts):
+            if not _is_genuine(facts):
                 raise ExchangeFailed(f"status {head.status} without proof")
             if head.status != 200:
                 await self._pass_stream_failure(job, replica, exchange, head, facts)
@@ -383,7 +313,7 @@
 
     def _no_place(self, job):
         if job.may_have_run:
-            return Refused(_unknown(job), reason="no place for the adapter")
+            return Refused(job.unknown_code, reason="no place for the adapter")
         return Refused(
             ResultCode.LOAD_FAILED, RETRY_AFTER_S, reason="no place for the adapter"
         )
@@ -422,7 +352,7 @@
 
     def _unavailable(self, job, reason):
         if job.may_have_run:
-            return Refused(_unknown(job), reason=reason)
+            return Refused(job.unknown_code, reason=reason)
         return Refused(ResultCode.NO_REPLICA, RETRY_AFTER_S, reason=reason)
 
     def _note_not_connected(self, job, replica):
@@ -466,7 +396,7 @@
 
     def _refusal_unrun(self, job, status):
         if job.may_have_run:
-            return Refused(_unknown(job), reason=f"refused: {status}")
+            return Refused(job.unknown_code, reason=f"refused: {status}")
         return Refused(
             ResultCode.QUEUE_FULL, RETRY_AFTER_S, reason=f"refused: {status}"
         )
@@ -505,136 +435,12 @@
         self._at = anyio.current_time()
 
 
-def _unknown(job):
-    """Returns the code for a request that may have run and has no answer."""
-    if job.route.kind is RequestKind.STREAM:
-        return ResultCode.STREAM_BROKEN
-    return ResultCode.ANSWER_MISMATCH
-
-
 def _late(job):
     if job.may_have_run:
         return Refused(ResultCode.DEADLINE_PASSED)
     return Refused(ResultCode.QUEUE_FULL, RETRY_AFTER_S, reason="not sent in time")
 
 
-def _is_genuine(head, facts):
+def _is_genuine(facts):
     """Whether a response that has run comes from the replica as it is."""
     return facts.proven and not facts.encoded
-
-
-class _Exchange:
-    """One sending of a job to one replica; closes what it opened."""
-
-    def __init__(self, forwarder, job, replica):
-        self._forwarder = forwarder
-        self._job = job
-        self._replica = replica
-        self._connection = None
-        self._loop = asyncio.get_running_loop()
-        self._timer = None
-        self._done = False
-        self._limit_s = None
-
-    async def __aenter__(self):
-        job, replica = self._job, self._replica
-        replica.note_sent(job.facts.adapter)
-        try:
-            self._connection = await replica.pool.take()
-        except BaseException:
-            replica.note_ended(job.facts.adapter)
-            raise
-        self._send(job, replica)
-        return self
-
-    def _send(self, job, replica):
-        dialect = self._forwarder._dialect
-        remaining_s = job.deadline_at - self._loop.time()
-        request = job.request
-        sending = Sending(
-            replica.id,
-            max(0.001, remaining_s),
-            job.route.priority,
-            job.version,
-            job.last_event_id,
-        )
-        head = dialect.request_head(
-            request.method, request.target, request.headers, len(request.body), sending
-        )
-        if replica.id not in job.sent_to:
-            job.sent_to.append(replica.id)
-        job.sendings += 1
-        job.ran_at.append(replica.id)
-        try:
-            self._connection.start(head + request.body, self._answers)
-        except ExchangeFailed:
-            # Nothing was written.
-            self._release()
-            self.note_not_run()
-            raise ConnectFailed("the connection was closed before use") from None
-
-    def _answers(self, head):
-        facts = self._forwarder._dialect.read_response(head.status, head.headers)
-        self._facts = facts
-        return facts.request_id in (None, self._job.facts.request_id)
-
-    async def read_head(self, silence_s):
-        """Returns (head, facts). Raises ExchangeFailed after ``silence_s`` of silence."""
-        self._limit_s = silence_s
-        if silence_s is not None:
-            self._timer = self._loop.call_later(
-                min(silence_s, REPLICA_SILENCE_S), self._check_silence
-            )
-        head = await self._connection.read_head()
-        self._replica.note_heard()
-        self._connection.idle_timeout_s = (
-            self._facts.idle_timeout_s or self._connection.idle_timeout_s
-        )
-        return head, self._facts
-
-    def _check_silence(self):
-        """Fails the exchange if its replica is silent; looks again otherwise."""
-        now = self._loop.time()
-        silent_s = now - self._connection.last_data
-        replica_silent_s = now - max(
-            self._replica.last_heard, self._connection.last_data
-        )
-        is_silent = silent_s >= self._limit_s or replica_silent_s >= REPLICA_SILENCE_S
-        if is_silent and self._may_give_up():
-            self._replica.note_silence()
-            self._connection.cancel(f"silent for {silent_s:.2f} s")
-            return
-        self._timer = self._loop.call_later(0.2, self._check_silence)
-
-    def _may_give_up(self):
-        """Waiting is the best choice where the request cannot be sent again."""
-        job = self._job
-        return job.route.repeatable and job.attempts_left
-
-    def note_not_run(self):
-        self._job.ran_at.pop()
-
-    async def read(self):
-        data = await self._connection.read()
-        self._replica.last_heard = self._connection.last_data
-        if not data:
-            self._done = True
-        return data
-
-    async def read_body(self):
-        body = await self._connection.read_all(MAX_RESPONSE_BYTES)
-        self._done = True
-        return body
-
-    async def __aexit__(self, kind, error, traceback):
-        self._release()
-
-    def _release(self):
-        if self._timer is not None:
-            self._timer.cancel()
-        self._replica.note_ended(self._job.facts.adapter)
-        pool = self._replica.pool
-        if self._done and not self._replica.leaving:
-            pool.give_back(self._connection)
-        else:
-            pool.drop(self._connection)
--- a/snipetrestle/platform/__main__.py
+++ b/snipetrestle/platform/__main__.py
@@ -7,18 +7,21 @@
 
 import anyio
 
+from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.app import Gateway
 from snipetrestle.gateway.published_state import Feed
 from snipetrestle.logs import LogSettings, set_up_logs
 from snipetrestle.platform.calls import OrderClient, StoreSource
 from snipetrestle.platform.entries import ALL_ITEMS, decode_item
 from snipetrestle.platform.headers import PlatformDialect
-from snipetrestle.platform.settings import load_settings
+from snipetrestle.platform.settings import InvalidSettings, load_settings
 
 WATCH_WAIT_S = 1.5
 # Replicas write often; changes are read together, in a part of the time within which a
 # leaving replica must get no more requests and a configuration must be in force.
 PAUSE_PART = 0.5
+# As of the command line for invalid input.
+EXIT_INVALID_SETTINGS = 3
 
 
 def build(settings, boot):
@@ -45,7 +48,12 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     boot = int(time.time() * 1000)
     set_up_logs(LogSettings(), sys.stdout)
-    await build(load_settings(), boot).run()
+    try:
+        settings = load_settings()
+    except (InvalidSettings, OSError, KeyError) as error:
+        log_event(Event.SETTINGS_REFUSED, error=str(error))
+        sys.exit(EXIT_INVALID_SETTINGS)
+    await build(settings, boot).run()
 
 
 if __name__ == "__main__":
--- a/snipetrestle/platform/settings.py
+++ b/snipetrestle/platform/settings.py
@@ -13,7 +13,35 @@
 
 
 class InvalidSettings(ValueError):
-    """The settings file lacks a name or has a value that cannot be read."""
+    """The settings file lacks names or has values that cannot be read.
+
+    ``problems`` names each field, its value and what is wrong.
+    """
+
+    def __init__(self, problems):
+        self.problems = tuple(problems)
+        super().__init__("; ".join(problems))
+
+
+class _Fields:
+    """Typed values of the file; collects the problems of all of them."""
+
+    def __init__(self, text):
+        lines = (line.partition("=") for line in text.splitlines())
+        self._values = {name: value for name, sign, value in lines if sign}
+        self.problems = []
+
+    def read(self, name, convert):
+        """Returns the converted value; None after noting a problem."""
+        value = self._values.get(name)
+        if value is None:
+            self.problems.append(f"{name}: is missing")
+            return None
+        try:
+            return convert(value)
+        except ValueError as error:
+            self.problems.append(f"{name}: {value!r}: {error}")
+            return None
 
 
 def load_settings():
@@ -23,45 +51,52 @@
 
 def parse_settings(text):
     """Returns GatewaySettings from the text of the file. Raises InvalidSettings."""
-    values = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
-    try:
-        return _settings_from(values)
-    except KeyError as error:
-        raise InvalidSettings(f"{error.args[0]} is missing") from None
-    except ValueError as error:
-        raise InvalidSettings(str(error)) from None
-
-
-def _settings_from(values):
-    ip = values["ip"]
-    peer_port = int(values["port_range"].split(",")[0])
-    return GatewaySettings(
-        name=values["node"],
-        failure_domain=values["zone"],
-        size=float(values["limits.cpu_share"]) * float(values.get("limits.cores", 1)),
-        callers=_address(values["listen.front"]),
-        readiness=_address(values["listen.ready"]),
-        metrics=_address(values["listen.control"]),
+    fields = _Fields(text)
+    read = fields.read
+    ip = read("ip", str)
+    peer_port = read("port_range", _first_port)
+    cpu_share, cores = read("limits.cpu_share", float), read("limits.cores", float)
+    budget = RetryBudgetSettings(
+        ratio=read("bounds.retry_budget_ratio", float),
+        slack=read("bounds.budget_slack", float),
+        window_s=read("bounds.budget_window_s", float),
+    )
+    settings = GatewaySettings(
+        name=read("node", str),
+        failure_domain=read("zone", str),
+        size=(cpu_share or 0.0) * (cores or 0.0),
+        callers=read("listen.front", _address),
+        readiness=read("listen.ready", _address),
+        metrics=read("listen.control", _address),
         peers=(ip, peer_port),
         # Hosts exchange datagrams at the first free port, which all hosts share.
-        seeds=tuple(
-            (_address(seed)[0], peer_port)
-            for seed in values.get("seeds", "").split(",")
-            if seed
-        ),
-        store=_address(values["provider.address"]),
-        lease_s=float(values["bounds.lease_ms"]) / 1000,
-        drain_s=float(values["bounds.drain_ms"]) / 1000,
-        apply_s=float(values["bounds.config_apply_ms"]) / 1000,
-        grace_s=float(values["bounds.grace_s"]),
-        retry_budget=RetryBudgetSettings(
-            ratio=float(values["bounds.retry_budget_ratio"]),
-            slack=float(values["bounds.budget_slack"]),
-            window_s=float(values["bounds.budget_window_s"]),
-        ),
+        seeds=tuple((ip, peer_port) for ip, _ in read("seeds", _addresses) or ()),
+        store=read("provider.address", _address),
+        lease_s=read("bounds.lease_ms", _seconds),
+        drain_s=read("bounds.drain_ms", _seconds),
+        apply_s=read("bounds.config_apply_ms", _seconds),
+        grace_s=read("bounds.grace_s", float),
+        retry_budget=budget,
     )
+    if fields.problems:
+        raise InvalidSettings(fields.problems)
+    return settings
+
+
+def _seconds(milliseconds):
+    return float(milliseconds) / 1000
+
+
+def _first_port(port_range):
+    return int(port_range.split(",")[0])
 
 
 def _address(text):
-    ip, _, port = text.rpartition(":")
+    ip, colon, port = text.rpartition(":")
+    if not colon:
+        raise ValueError("must be IP:PORT")
     return ip, int(port)
+
+
+def _addresses(text):
+    return [_address(part) for part in text.split(",") if part]
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -51,13 +51,14 @@
         )
         self.assertEqual(54.0, settings.retry_budget.slack)
 
-    def test_bad_file_names_the_field(self):
-        """Guards against a start with half the settings."""
-        missing = SETTINGS.replace("node=entry-1\n", "")
-        error = self.assertRaises(InvalidSettings, parse_settings, missing)
-        self.assertIn("node", str(error))
-        wrong = SETTINGS.replace("lease_ms=3000", "lease_ms=soon")
-        self.assertRaises(InvalidSettings, parse_settings, wrong)
+    def test_bad_file_names_every_field(self):
+        """Guards against a start with half the settings, and one error at a time."""
+        text = SETTINGS.replace("node=entry-1\n", "")
+        text = text.replace("lease_ms=3000", "lease_ms=soon")
+        text = text.replace("listen.front=10.0.0.1:8149", "listen.front=8149")
+        error = self.assertRaises(InvalidSettings, parse_settings, text)
+        named = [problem.partition(":")[0] for problem in error.problems]
+        self.assertEqual({"node", "bounds.lease_ms", "listen.front"}, set(named))
 
 
 class EntriesTest(testtools.TestCase):
