--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -93,6 +93,7 @@
         """Returns the places of an adapter, after ordering a load if there is none."""
         self.places.note_demand(key, uses)
         self._note_loads()
+        self._check_again(key, avoid)
         holders = self._without(self.places.holders(key), avoid)
         if not holders:
             await self._load(key, avoid)
@@ -117,6 +118,12 @@
             orders.places.pace_s = replica.pace_s or DEFAULT_PACE_S
             orders.set_usable(replica.takes_requests)
 
+    def _check_again(self, key, avoid):
+        """Lets replicas that a host met without an adapter confirm that they hold it."""
+        for replica_id in avoid:
+            if replica_id in self._running_by_id:
+                self._running_by_id[replica_id][1].check_again(key)
+
     @staticmethod
     def _without(replicas, avoid):
         return [item for item in replicas if item.replica_id not in avoid]
--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from snipetrestle.coordination.adapter_places import PLACE_LEASE_S
+from snipetrestle.coordination.adapter_places import PLACE_LEASE_S, DecayingCount
 from snipetrestle.coordination.messages import Locate, Located
 
 ANSWER_TIMEOUT_S = 0.12
@@ -22,10 +22,20 @@
 class KnownPlaces:
     """Places of one adapter: when each is ready, by replica id."""
 
-    __slots__ = ("ready_at_by_id", "confirmed_at", "uses", "asking")
+    __slots__ = (
+        "ready_at_by_id",
+        "confirmed_at",
+        "uses",
+        "demand",
+        "told_term",
+        "asking",
+    )
 
     def __init__(self):
         self.ready_at_by_id = {}
+        # Uses as they decay at the leader, and the leader's term that was told of them.
+        self.demand = DecayingCount()
+        self.told_term = 0
         self.confirmed_at = None
         self.uses = 0
         self.asking = None
@@ -77,6 +87,7 @@
                 self._by_key.pop(next(iter(self._by_key)))
             places = self._by_key[key] = KnownPlaces()
         places.uses += 1
+        places.demand.add(1, anyio.current_time())
         if not places.ready_at_by_id:
             # After a restart of all hosts, entries tell before a leader does.
             return {} if self._leadership.is_known else self._listed(key)
@@ -117,11 +128,12 @@
     async def _refresh(self, key, places, avoid):
         done = places.asking
         try:
-            uses, places.uses = max(1, places.uses), 0
+            uses = self._uses_to_tell(places)
             answer = await self._ask_leader(key, uses, avoid)
             if answer is None:
-                places.uses += uses
                 return
+            places.uses = 0
+            places.told_term = self._leadership.term
             now = anyio.current_time()
             places.ready_at_by_id = {
                 place.replica_id: now + place.ready_in_s for place in answer
@@ -131,6 +143,15 @@
             places.asking = None
             done.set()
 
+    def _uses_to_tell(self, places):
+        """Returns the uses that the leader does not know.
+
+        A new leader knows none, and would evict what is in demand.
+        """
+        if places.told_term == self._leadership.term:
+            return max(1, places.uses)
+        return max(1, round(places.demand.value(anyio.current_time())))
+
     async def _ask_leader(self, key, uses, avoid):
         """Returns the places, or None without an answer."""
         if self._leadership.leads:
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -143,6 +143,13 @@
             self.wake()
         return load
 
+    def check_again(self, key):
+        """Has a held adapter confirmed by the replica, which may have lost it."""
+        place = self.places.held.get(key)
+        if place is not None and place.ordered_at is None and not place.leaving:
+            place.ordered_at = place.ready_at = anyio.current_time()
+            self.wake()
+
     def wake(self):
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -319,8 +319,9 @@
         )
 
     def _avoided(self, job):
-        """Returns the replicas that failed this request."""
-        return job.ran_at
+        """Returns the replicas that failed this request or twice lacked its adapter."""
+        twice = {item for item in job.misplaced_at if job.misplaced_at.count(item) > 1}
+        return [*job.ran_at, *twice]
 
     def _choose_placed(self, job, places):
         now = anyio.current_time()
@@ -405,6 +406,7 @@
         key = job.facts.adapter
         if key is not None and status == 421:
             self._locator.forget(key, replica.id)
+            job.misplaced_at.append(replica.id)
         if not self._may_send_unrun(job):
             raise self._refusal_unrun(job, status)
         self._log_repeat(job, f"not run, status {status}")
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -18,7 +18,7 @@
     """A request on its way. Times are in seconds of the runtime's clock.
 
     ``sent_to`` lists the replicas that it was sent to, ``ran_at`` those at which it may
-    have run.
+    have run, ``misplaced_at`` those that refused it for an adapter that is not there.
     """
 
     __slots__ = (
@@ -30,6 +30,7 @@
         "deadline_at",
         "sent_to",
         "ran_at",
+        "misplaced_at",
         "sendings",
         "streaming",
         "last_event_id",
@@ -48,6 +49,7 @@
         self.deadline_at = deadline_at
         self.sent_to = []
         self.ran_at = []
+        self.misplaced_at = []
         self.sendings = 0
         self.streaming = False
         self.last_event_id = facts.last_event_id
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -176,3 +176,18 @@
             self.assertEqual((200, WHOLE), (answer.status, answer.event_ids))
 
         run_fleet(check, models=1)
+
+    def test_replica_that_lost_an_adapter_gets_it_again(self):
+        """Guards against a place that the leader believes in for ever, while its
+        replica refuses every request."""
+
+        async def check(fleet):
+            self.assertEqual(200, (await fleet.ask("/draft/a", adapter="a1")).status)
+            for replica in fleet.models:
+                replica.versions_by_adapter.clear()
+            answer = await fleet.ask("/draft/a", adapter="a1")
+            self.assertEqual(200, answer.status)
+            answer = await fleet.ask("/draft/a", adapter="a1")
+            self.assertEqual((200, WHOLE), (answer.status, answer.event_ids))
+
+        run_fleet(check)
