Count a stream's repetition after a replica's failure once

Cause, by reading: a stream that a replica failed before its first event took the retry budget twice, and could end with 502 instead of the replica's own failure. A new test brings it about.

--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -232,19 +232,28 @@
             if not _is_genuine(facts):
                 raise ExchangeFailed(f"status {head.status} without proof")
             if head.status != 200:
-                await self._pass_stream_failure(job, replica, exchange, head, facts)
-                return True
+                return await self._pass_stream_failure(
+                    job, replica, exchange, head, facts
+                )
             await self._pass_events(job, replica, exchange, facts, started)
         self._observe(job, 200)
         return True
 
     async def _pass_stream_failure(self, job, replica, exchange, head, facts):
+        """Passes a replica's own failure, unless the request may go on elsewhere.
+
+        Returns whether the request is done.
+        """
         body = await exchange.read_body()
+        if job.streaming:
+            raise ExchangeFailed(f"status {head.status}")
         if head.status >= 500:
             replica.note_failure()
-            if job.streaming or self._may_send_again(job):
-                raise ExchangeFailed(f"status {head.status}")
+            if self._may_send_again(job):
+                self._log_repeat(job, f"status {head.status}")
+                return False
         self._pass_response(job, head.status, facts, body)
+        return True
 
     async def _pass_events(self, job, replica, exchange, facts, started):
         splitter = EventSplitter()
--- a/snipetrestle/gateway/retry_budget.py
+++ b/snipetrestle/gateway/retry_budget.py
@@ -43,6 +43,12 @@
         self._retries.append(now)
         return True
 
+    @property
+    def used(self):
+        """Sendings again in the window that ends now."""
+        self._forget_before(anyio.current_time() - self._window_s)
+        return len(self._retries)
+
     def _forget_before(self, start):
         for times in (self._requests, self._retries):
             while times and times[0] < start:
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -165,7 +165,7 @@
         adapter = self._adapter(request)
         self._in_use[adapter] = self._in_use.get(adapter, 0) + 1
         try:
-            if "x-model" in request.headers:
+            if "x-model" in request.headers and fault is not Fault.ERROR:
                 await self._stream(request, writer, fault, int(last or 0))
             else:
                 self._answer(request, writer, fault)
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -191,3 +191,23 @@
             self.assertEqual((200, WHOLE), (answer.status, answer.event_ids))
 
         run_fleet(check)
+
+    def test_failure_before_the_first_event_goes_on_elsewhere(self):
+        """Guards against a replica's failure passed on while another could serve, and
+        against a repetition that takes the retry budget twice."""
+
+        async def check(fleet):
+            shared = [Fault.ERROR]
+            for replica in fleet.models:
+                replica.faults = shared
+            answer = await fleet.ask("/draft/a", adapter="")
+            self.assertEqual((200, WHOLE), (answer.status, answer.event_ids))
+            budget = fleet.live[0].budgets.of("models")
+            self.assertEqual(1, budget.used)
+            for replica in fleet.models:
+                replica.faults = [Fault.ERROR]
+            answer = await fleet.ask("/night/a", adapter="")
+            self.assertEqual(500, answer.status)
+            self.assertIn("x-server-signature", answer.headers)
+
+        run_fleet(check)
