--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -72,7 +72,6 @@
     TOKEN_TOO_LOW = enum.auto()
     WRONG_REPLICA = enum.auto()
     REFUSED = enum.auto()
-    NO_ANSWER = enum.auto()
 
 
 class ReplicaReport(msgspec.Struct, frozen=True):
