--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -39,7 +39,7 @@
 class BackendDirector:
     """Directs the replicas of one backend."""
 
-    def __init__(self, backend, replicas, leadership, client, loads, version_of, group):
+    def __init__(self, backend, leadership, client, loads, version_of, group):
         self._loads = loads
         self._loads_noted_at = -LOADS_S
         self.models = backend.models
@@ -51,7 +51,6 @@
             client,
             version_of,
             LoadRate(max(0.1, backend.loads_per_s)),
-            replicas,
         )
         self._group = group
         self._running_by_id = {}
@@ -59,6 +58,7 @@
     def set_replicas(self, replicas):
         """Starts and ends the tasks of replicas that came or went."""
         current = {replica.id: replica for replica in replicas}
+        self._shared.load_times.set_replicas(len(current))
         for replica_id, (replica, _, scope) in list(self._running_by_id.items()):
             if current.get(replica_id) is not replica:
                 scope.cancel()
@@ -203,7 +203,6 @@
             if name not in self._by_backend:
                 self._by_backend[name] = BackendDirector(
                     backend,
-                    len(replicas),
                     self._leadership,
                     self._client,
                     self._loads,
--- a/snipetrestle/coordination/load_times.py
+++ b/snipetrestle/coordination/load_times.py
@@ -28,13 +28,18 @@
 class LoadTimes:
     """Durations of adapter loads from the store, and the bound that follows from them."""
 
-    def __init__(self, replicas):
+    def __init__(self):
         self.estimate_s = FIRST_ESTIMATE_S
-        self._least = max(LEAST_IN_TRANSIT, replicas)
+        self._least = LEAST_IN_TRANSIT
         self.most_in_transit = float(self._least)
         self._quickest_s = None
         self._lowered_at = -math.inf
 
+    def set_replicas(self, count):
+        """Raises the least bound to one load for each replica."""
+        self._least = max(LEAST_IN_TRANSIT, count)
+        self.most_in_transit = max(self.most_in_transit, self._least)
+
     def may_start(self, in_transit):
         """Tells whether one more load may start beside ``in_transit`` others."""
         return in_transit < int(self.most_in_transit)
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -105,16 +105,14 @@
     adapters on their way, ``model_loads`` the rate of model loads.
     """
 
-    def __init__(
-        self, backend, places, leadership, client, version_of, model_loads, replicas
-    ):
+    def __init__(self, backend, places, leadership, client, version_of, model_loads):
         self.backend = backend
         self.places = places
         self.leadership = leadership
         self.client = client
         self.version_of = version_of
         self.model_loads = model_loads
-        self.load_times = LoadTimes(replicas)
+        self.load_times = LoadTimes()
 
 
 class ReplicaOrders:
--- a/tests/coordination/test_adapter_places.py
+++ b/tests/coordination/test_adapter_places.py
@@ -134,7 +134,7 @@
         """Loads as many as allowed, slower in proportion beyond a bound."""
 
         async def check():
-            times = LoadTimes(5)
+            times = LoadTimes()
             for _ in range(rounds):
                 count = int(times.most_in_transit)
                 ordered_at = anyio.current_time()
@@ -164,7 +164,7 @@
         of taglia-sicilia found no place."""
 
         async def check():
-            times = LoadTimes(5)
+            times = LoadTimes()
             times.note_ended(anyio.current_time() - 0.25, True, 1)
             times.estimate_s = 0.4
             before = times.most_in_transit
@@ -177,6 +177,17 @@
 
         run_advanced(check)
 
+    def test_bound_follows_replicas_that_appear(self):
+        """Guards against loads bound by the few replicas that were listed when the
+        leader began: 9 at a time for 45 replicas (ksr-lab-grown)."""
+        times = LoadTimes()
+        times.set_replicas(2)
+        self.assertFalse(times.may_start(20))
+        times.set_replicas(45)
+        self.assertTrue(times.may_start(40))
+        times.set_replicas(30)
+        self.assertTrue(times.may_start(40))
+
     def test_estimate_does_not_rise_by_itself(self):
         """Guards against the feedback of an estimate that is confirmed only later."""
         self.assertLess(self.play(1000, rounds=200).estimate_s, 0.28)
