--- a/snipetrestle/cli/__init__.py
+++ b/snipetrestle/cli/__init__.py
@@ -10,6 +10,7 @@
 from snipetrestle.cli.demo import Demo
 from snipetrestle.cli.drain import Drain
 from snipetrestle.cli.explain import Explain
+from snipetrestle.cli.gateway import Gateway
 from snipetrestle.cli.reports import Adapters, Contracts, Replicas, Status
 from snipetrestle.cli.serve import Serve
 from snipetrestle.cli.story import Story
@@ -17,6 +18,7 @@
 # Each sub-command is a callable class that returns the exit status or None.
 SUB_COMMANDS = (
     Serve,
+    Gateway,
     Check,
     Status,
     Contracts,
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -99,7 +99,6 @@
         self._last_data = 0.0
         self._paused = False
         self._lingering = False
-        self._chunked = False
         self.closed = False
         self.busy = False
         self.keep_alive = True
@@ -166,7 +165,6 @@
         self._in_head = True
         self._headers = []
         self._target = b""
-        self._chunked = False
 
     def on_url(self, url):
         self._target += url
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -1,5 +1,10 @@
 """Tests of the adapter to the users' platform: settings, entries and headers."""
 
+import os
+import subprocess
+import sys
+import tempfile
+
 import msgspec
 import testtools
 
@@ -181,3 +186,22 @@
         self.assertEqual(
             [b"x-not-executed", b"x-request-id"], [name for name, _ in facts.headers]
         )
+
+
+class ProcessTest(testtools.TestCase):
+    def test_invalid_settings_end_the_process_with_every_problem(self):
+        """Guards against a process that starts with half its settings, or says nothing."""
+        for command in (["snipetrestle.platform"], ["snipetrestle", "gateway"]):
+            with tempfile.NamedTemporaryFile("w", suffix=".conf") as settings:
+                settings.write("node=entry-1\n")
+                settings.flush()
+                result = subprocess.run(
+                    [sys.executable, "-m", *command],
+                    env={**os.environ, "SNIPETRESTLE_CONFIG": settings.name},
+                    capture_output=True,
+                    text=True,
+                    timeout=60,
+                )
+            self.assertEqual(3, result.returncode, result.stderr)
+            self.assertIn("EV-1006", result.stdout)
+            self.assertIn("listen.front: is missing", result.stdout)
