Treat a broken answer of the store as no answer

Cause, by reading: an answer of the store that could not be decoded ended the process, on all hosts at once. A new test brings it about; it fails on the code before.

--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -66,7 +66,10 @@
 def _published(item):
     value = None
     if not item.deleted:
-        value = base64.b64decode(item.value or "")
+        try:
+            value = base64.b64decode(item.value or "")
+        except ValueError as error:
+            raise SourceUnreachable(f"{item.key}: {error}") from None
     return PublishedItem(item.key, item.revision, value)
 
 
@@ -86,9 +89,7 @@
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            page = _range_decoder.decode(
-                await self._get("kv-range", query, READ_TIMEOUT_S)
-            )
+            page = await self._get("kv-range", query, READ_TIMEOUT_S, _range_decoder)
             # Later pages may show newer items; a watch from the first page's revision
             # tells them again.
             revision = page.at if revision is None else revision
@@ -100,11 +101,11 @@
     async def watch(self, prefix, revision, wait_s):
         """Returns a Reading of changes. Raises SourceUnreachable or HistoryLost."""
         query = {"prefix": prefix, "after": revision, "wait_ms": int(wait_s * 1000)}
-        body = await self._get("kv-watch", query, wait_s + WATCH_MARGIN_S)
-        changes = _watch_decoder.decode(body)
+        timeout_s = wait_s + WATCH_MARGIN_S
+        changes = await self._get("kv-watch", query, timeout_s, _watch_decoder)
         return Reading([_published(item) for item in changes.events], changes.at)
 
-    async def _get(self, name, query, timeout_s):
+    async def _get(self, name, query, timeout_s, decoder):
         target = f"/-/{name}?{urllib.parse.urlencode(query)}"
         content = f"GET {target} HTTP/1.1\r\nHost: {self._host}\r\n\r\n".encode()
         try:
@@ -115,7 +116,10 @@
             raise HistoryLost
         if answer.status != 200:
             raise SourceUnreachable(f"{name}: status {answer.status}")
-        return answer.body
+        try:
+            return decoder.decode(answer.body)
+        except msgspec.DecodeError as error:
+            raise SourceUnreachable(f"{name}: {error}") from None
 
 
 class OrderClient:
--- a/snipetrestle_standins/platform_store.py
+++ b/snipetrestle_standins/platform_store.py
@@ -20,6 +20,7 @@
     BUSY = enum.auto()
     SILENT = enum.auto()
     RESET = enum.auto()
+    GARBAGE = enum.auto()
 
 
 class PlatformStore(StandInServer):
@@ -68,6 +69,9 @@
         if self.mode is StoreMode.BUSY:
             writer.write(response(503))
             return
+        if self.mode is StoreMode.GARBAGE:
+            writer.write(response(200, [], b'{"events": 3'))
+            return
         path, _, query = request.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         if path == "/-/kv-range":
--- a/tests/gateway/test_published_state.py
+++ b/tests/gateway/test_published_state.py
@@ -94,6 +94,22 @@
 
         run_fleet(check)
 
+    def test_unreadable_answers_of_the_store_end_no_process(self):
+        """Guards against a store whose broken answer stops all hosts at once."""
+
+        async def check(fleet):
+            fleet.store.mode = StoreMode.GARBAGE
+            fleet.store.reset_connections()
+            before = fleet.store.calls
+            await wait_until(lambda: fleet.store.calls > before + 2)
+            self.assertTrue(fleet.live[0].state.is_down(""))
+            self.assertEqual(200, (await fleet.ask("/entry/a")).status)
+            fleet.store.put("op/config", configuration(5))
+            fleet.store.mode = StoreMode.UP
+            await wait_until(lambda: versions(fleet) == [5])
+
+        run_fleet(check)
+
     def test_unreadable_entries_name_no_replica(self):
         """Guards against entries of other writers that break the reading of others."""
 
