Share one wait for a wake-up, and drop what nothing uses

Callers' connections, replicas' connections and the tasks of orders each had the same future, timer and wake-up; gateway/waiter.py serves all three. Unused: a bound of the store's silence, the replicas' host memory and forget_recent.

--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -139,9 +139,6 @@
     def was_held(self, key):
         return key in self._recent
 
-    def forget_recent(self):
-        self._recent.clear()
-
     def strain(self, now, usual_pace_s):
         """Returns how much the prompts of its adapters delay a replica's streams.
 
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -17,6 +17,7 @@
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.waiter import Waiter
 
 # Adapters that may be on their way to one replica.
 IN_TRANSIT = 4
@@ -124,7 +125,7 @@
         backend = shared.backend
         self.places = ReplicaPlaces(replica.id, _adapter_slots(backend))
         self._queue = collections.deque()
-        self._waiter = None
+        self._waiter = Waiter()
         self._synced = False
         self._count = None
         self._models = frozenset()
@@ -148,8 +149,7 @@
             self.wake()
 
     def wake(self):
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        self._waiter.wake()
 
     def set_usable(self, usable):
         """Notes whether the replica takes new requests."""
@@ -231,17 +231,11 @@
             place.ready_at = now + LATE_LOAD_PAUSE_S
 
     async def _wait(self, limit_s):
-        loop = asyncio.get_running_loop()
-        now = loop.time()
+        """Waits until woken, the next load should have ended, or ``limit_s`` passed."""
+        now = anyio.current_time()
         for _, place in self._on_their_way():
             limit_s = min(limit_s, max(0.0, place.ready_at - now))
-        self._waiter = loop.create_future()
-        timer = loop.call_later(limit_s, self.wake)
-        try:
-            await self._waiter
-        finally:
-            timer.cancel()
-            self._waiter = None
+        await self._waiter.wait(limit_s)
 
     def _note_failure(self, error):
         self._synced = False
--- a/snipetrestle/gateway/configuration.py
+++ b/snipetrestle/gateway/configuration.py
@@ -67,7 +67,6 @@
     weights_mb: float = 0.0
     adapter_slots: int = 0
     loads_per_s: float = 0.0
-    host_memory_mb: float = 0.0
 
     @property
     def serves_models(self):
--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+from snipetrestle.gateway.waiter import Waiter
+
 # A packet without acknowledgement for this long means that the link is cut.
 UNACKNOWLEDGED_MS = 2000
 # Bytes of a response that are held while the caller does not read.
@@ -54,7 +56,7 @@
         self.last_data = 0.0
         self._loop = asyncio.get_running_loop()
         self._transport = None
-        self._waiter = None
+        self._waiter = Waiter()
         self._error = None
         self._reset()
 
@@ -99,20 +101,20 @@
                 self._fail(f"the response is malformed: {error}")
         if self._head is None and self._head_bytes > MAX_HEAD_BYTES:
             self._fail("the head of the response is too large")
-        self._wake()
+        self._waiter.wake()
 
     def eof_received(self):
         if self._active and not self._complete and self._unframed:
             self._complete = True
         self.reusable = False
-        self._wake()
+        self._waiter.wake()
 
     def connection_lost(self, exc):
         self.closed = True
         self.reusable = False
         if self._active and not self._complete:
             self._fail(f"the connection was closed: {exc!r}")
-        self._wake()
+        self._waiter.wake()
 
     # Callbacks of the parser.
 
@@ -173,7 +175,7 @@
         """Returns the ResponseHead. Raises ExchangeFailed."""
         while self._head is None:
             self._raise_error()
-            await self._wait()
+            await self._waiter.wait()
         return self._head
 
     async def read(self):
@@ -185,7 +187,7 @@
             if self._complete:
                 return b""
             self._raise_error()
-            await self._wait()
+            await self._waiter.wait()
         data = b"".join(self._body) if len(self._body) > 1 else self._body[0]
         self._body.clear()
         self._body_bytes = 0
@@ -221,7 +223,7 @@
     def cancel(self, reason):
         """Fails the exchange from outside, for instance after its deadline."""
         self._fail(reason)
-        self._wake()
+        self._waiter.wake()
 
     def close(self):
         self.reusable = False
@@ -237,18 +239,6 @@
         if self._error is not None:
             raise ExchangeFailed(self._error)
 
-    def _wake(self):
-        waiter = self._waiter
-        if waiter is not None and not waiter.done():
-            waiter.set_result(None)
-
-    async def _wait(self):
-        self._waiter = self._loop.create_future()
-        try:
-            await self._waiter
-        finally:
-            self._waiter = None
-
 
 def _is_unframed(head):
     """Whether the body ends with the connection."""
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -11,6 +11,7 @@
 
 from snipetrestle.codes import ResultCode
 from snipetrestle.events import Event, log_event
+from snipetrestle.gateway.waiter import Waiter
 
 # How long a connection is read and discarded after an answer to a malformed request,
 # so that the caller can read the answer before the connection is reset.
@@ -84,7 +85,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport = None
         self._task = None
-        self._waiter = None
+        self._waiter = Waiter()
         self._can_write = None
         self._requests = []
         self._backlog = b""
@@ -125,7 +126,7 @@
                 self._transport.pause_reading()
             return
         self._parse(data)
-        self._wake()
+        self._waiter.wake()
 
     def _parse(self, data):
         if self._in_head:
@@ -144,7 +145,7 @@
     def connection_lost(self, exc):
         self.closed = True
         self._server.connections.discard(self)
-        self._wake()
+        self._waiter.wake()
         if self._can_write is not None and not self._can_write.done():
             self._can_write.set_result(None)
         if self.on_gone is not None:
@@ -261,7 +262,7 @@
                 if self._in_message or self._head_bytes:
                     self.answer_code(ResultCode.REQUEST_TIMEOUT)
                 return None
-            await self._wait(limit)
+            await self._waiter.wait(limit)
 
     def _wait_limit(self, idle_since):
         """Returns how long the caller may still take for its next bytes, in seconds."""
@@ -293,24 +294,10 @@
             self._refusal = code
             self.keep_alive = False
 
-    def _wake(self):
-        waiter = self._waiter
-        if waiter is not None and not waiter.done():
-            waiter.set_result(None)
-
-    async def _wait(self, limit_s):
-        self._waiter = self._loop.create_future()
-        timer = self._loop.call_later(limit_s, self._wake)
-        try:
-            await self._waiter
-        finally:
-            timer.cancel()
-            self._waiter = None
-
     def wake_idle(self):
         """Lets an idle connection notice that the server is closing."""
         if not self.busy:
-            self._wake()
+            self._waiter.wake()
 
     # Answers, written by the handler.
 
--- a/snipetrestle/gateway/published_state.py
+++ b/snipetrestle/gateway/published_state.py
@@ -25,8 +25,6 @@
 # A replica whose entry lapsed while the store was away is back within two seconds of
 # its return.
 RETURN_GRACE_S = 2.2
-# Without an answer for this long, other hosts are asked.
-DOWN_AFTER_S = 1.0
 
 
 class PublishedItem(msgspec.Struct, array_like=True, frozen=True):
--- a/snipetrestle/platform/entries.py
+++ b/snipetrestle/platform/entries.py
@@ -58,7 +58,6 @@
     weights_mb: float = 0.0
     adapter_slots: int = 0
     loads_per_s: float = 1.0
-    host_mb: float = 0.0
 
 
 class _Backend(msgspec.Struct):
@@ -183,7 +182,6 @@
         runtime.weights_mb,
         runtime.adapter_slots,
         runtime.loads_per_s,
-        runtime.host_mb,
     )
 
 
