Draw replicas by their score where many hosts choose at once

Cause: 71 hosts learn of each other's requests one or two heartbeats later, and all took the replica that looked best: streams that saw a load of 0 to 8 waited over 0.6 s for their first event as often as those that saw 16.

So the power falls with the number of hosts.

Weights are relative to the best score, so that extreme latencies neither overflow nor vanish.

--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -346,7 +346,10 @@
             and replica.entry.backend == job.backend.name
         ]
         ready = [item for item in candidates if places[item.id] <= now]
-        return self._replicas.choose(ready or candidates)
+        return self._choose(ready or candidates)
+
+    def _choose(self, candidates):
+        return self._replicas.choose(candidates, self._hosts.most_known)
 
     # Choice and repetition.
 
@@ -355,7 +358,7 @@
         if job.sent_to:
             fresh = [item for item in candidates if item.id not in job.sent_to]
             candidates = fresh or candidates
-        replica = self._replicas.choose(candidates)
+        replica = self._choose(candidates)
         if replica is None:
             raise self._unavailable(job, "no replica is listed")
         return replica
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -15,6 +15,7 @@
 # tried again.
 FORGET_S = 4.0
 DEFAULT_LATENCY_S = 0.05
+LEAST_LATENCY_S = 0.001
 FIRST_SUSPICION_S = 1.0
 LONGEST_SUSPICION_S = 4.0
 # Weights of one observation of the pace: the undisturbed pace is wanted, so a faster
@@ -28,6 +29,12 @@
 FAILURE_WEIGHT = 12.0
 # Preference for a replica in the own failure domain, as a part of its score.
 DOMAIN_PREFERENCE = 0.1
+# A replica is drawn with a weight that falls with a power of its score. What other hosts
+# send is known a heartbeat or two later, so many hosts that all took the best replica
+# would crowd it. The fewer they are, the more of the load a host knows at once, and the
+# higher the power: CHOICE_POWER_HOSTS divided by their number.
+LEAST_CHOICE_POWER = 4.0
+CHOICE_POWER_HOSTS = 84.0
 
 
 class Replica:
@@ -223,31 +230,37 @@
             )
         ]
 
-    def choose(self, candidates):
-        """Returns the candidate with the lowest expected latency; None if none is.
+    def choose(self, candidates, hosts=1):
+        """Draws a candidate, more likely one of low expected latency; None if none is.
 
-        Suspected replicas are taken only where no other is left.
+        Suspected replicas are taken only where no other is left. ``hosts`` is the number
+        of hosts that send requests to the same replicas.
         """
+        if not candidates:
+            return None
         now = anyio.current_time()
+        trusted = [item for item in candidates if item.suspected_until <= now]
+        drawn_from = trusted or candidates
         usual_s = _usual_latency_s(candidates)
         usual_pace_s = _usual_pace_s(candidates)
-        trusted = [item for item in candidates if item.suspected_until <= now]
-        best, best_score = None, math.inf
-        for replica in trusted or candidates:
-            score = self._score(replica, now, usual_s)
-            if usual_pace_s and replica.pace_s:
-                score *= (replica.pace_s / usual_pace_s) ** PACE_POWER
-            if score < best_score:
-                best, best_score = replica, score
-        return best
-
-    def _score(self, replica, now, usual_s):
-        score = replica.latency_s(now, usual_s)
+        scores = [
+            self._score(replica, now, usual_s, usual_pace_s) for replica in drawn_from
+        ]
+        best = min(scores)
+        power = max(LEAST_CHOICE_POWER, CHOICE_POWER_HOSTS / hosts)
+        weights = [(best / score) ** power for score in scores]
+        return self._generator.choices(drawn_from, weights)[0]
+
+    def _score(self, replica, now, usual_s, usual_pace_s):
+        """Returns the expected latency of a replica in seconds, with its penalties."""
+        score = max(LEAST_LATENCY_S, replica.latency_s(now, usual_s))
         score *= 1 + replica.load / max(1, replica.entry.slots / 4)
         score *= 1 + FAILURE_WEIGHT * replica.failure_rate(now)
         if replica.entry.failure_domain != self._failure_domain:
             score *= 1 + DOMAIN_PREFERENCE
-        return score * (1 + 0.02 * self._generator.random())
+        if usual_pace_s and replica.pace_s:
+            score *= (replica.pace_s / usual_pace_s) ** PACE_POWER
+        return score
 
 
 def _is_same_boot(known, entry):
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -1,5 +1,6 @@
 """Tests of single parts of the gateway, without a network."""
 
+import collections
 import random
 
 import anyio
@@ -148,3 +149,48 @@
             self.assertEqual({"r1"}, self.chosen(directory))
 
         run_advanced(check)
+
+    def test_many_hosts_do_not_crowd_one_replica(self):
+        """Guards against queues at the replica that all hosts believe to be the best:
+        71 hosts learn of each other's requests a heartbeat or two later (scale-1 of
+        ksr-lab-grown)."""
+
+        async def check():
+            directory = self.directory(10)
+            for number, replica in enumerate(directory.by_id.values()):
+                replica.others_in_flight = 2 if number == 0 else 3
+            candidates = directory.of_backend("b")
+            sent = collections.Counter(
+                directory.choose(candidates, hosts=71).id for _ in range(100)
+            )
+            self.assertGreater(len(sent), 5)
+            self.assertLess(sent["r0"], 50)
+
+        run_advanced(check)
+
+    def test_few_hosts_take_the_best_replica(self):
+        """Guards against requests at loaded replicas where a host knows the load well
+        (trouble-2 of ksr-lab)."""
+
+        async def check():
+            directory = self.directory(9)
+            for number, replica in enumerate(directory.by_id.values()):
+                replica.others_in_flight = 1 if number == 0 else 4
+            candidates = directory.of_backend("b")
+            sent = collections.Counter(
+                directory.choose(candidates, hosts=6).id for _ in range(100)
+            )
+            self.assertGreater(sent["r0"], 95)
+
+        run_advanced(check)
+
+    def test_extreme_latencies_can_be_compared(self):
+        """Guards against weights that overflow, or are all zero."""
+
+        async def check():
+            directory = self.directory(2)
+            directory.by_id["r0"].note_success(0.0)
+            directory.by_id["r1"].note_success(1000.0)
+            self.assertEqual({"r0"}, self.chosen(directory))
+
+        run_advanced(check)
