Tell only hosts that need them of the replicas' loads

Cause: among 71 hosts, heartbeats with loads were most of the bytes between failure domains, and only a leader or its likely successors read them.

--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -1,6 +1,7 @@
 """The hosts that this host knows, learned from seeds and heartbeats."""
 
 import anyio
+import msgspec
 
 from snipetrestle.coordination.messages import Beat, Join, KnownHosts
 from snipetrestle.events import Event, log_event
@@ -128,13 +129,21 @@
             self._endpoint.send(Join(self.own), host.address)
 
     def send_beats(self):
+        """Sends a beat to each host that is due.
+
+        Among many hosts, only those that need the loads of replicas are told of them:
+        they make up most of a beat.
+        """
         beat = self._own_beat()
         self._round += 1
         rounds = max(1, self.count() // FREQUENT_HOSTS)
-        urgent = self._urgent() if rounds > 1 else ()
+        urgent = self.by_name.keys() if rounds == 1 else self._urgent()
+        short_beat = msgspec.structs.replace(beat, loads_by_replica={})
         for index, (name, host) in enumerate(self.by_name.items()):
-            if (index + self._round) % rounds == 0 or name in urgent:
+            if name in urgent:
                 self._endpoint.send(beat, host.address)
+            elif (index + self._round) % rounds == 0:
+                self._endpoint.send(short_beat, host.address)
 
     def _own_beat(self):
         leader, term, age_s, loads, newest = self._describe()
