Fuzz the orders to replicas against a model

Six hosts with the real membership, leadership, director and locator before three modelled replicas; rules cut and pause hosts, lose orders or answers, restart replicas under their id, keep adapters in use. The oracle checks LIMIT, ONE and that every host is told a true place in the end.

Found by it: a leader that waits for its next model load spun without end on the advanced clock, since a rounding error left a wait shorter than the clock's steps. On a real clock it spins for an instant.

--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -15,6 +15,9 @@
 LOADS_S = 0.1
 # Model loads that may follow each other at once.
 MODEL_LOAD_BURST = 2.0
+# A level this close to a whole load counts as one; the rest is an error of rounding, and
+# a wait for it would be shorter than the clock's steps.
+ROUNDING = 1e-6
 
 
 class LoadRate:
@@ -30,7 +33,9 @@
         now = anyio.current_time()
         level = min(MODEL_LOAD_BURST, self._level + (now - self._at) * self._rate)
         self._level, self._at = level, now
-        return max(0.0, (1.0 - level) / self._rate)
+        if level > 1.0 - ROUNDING:
+            return 0.0
+        return (1.0 - level) / self._rate
 
     def take(self):
         self._level -= 1.0
--- /dev/null
+++ b/snipetrestle_standins/orders_fleet.py
@@ -0,0 +1,376 @@
+"""Hosts that agree on a leader, and replicas in memory that take its orders.
+
+The hosts run the real membership, leadership, director and locator on the advanced
+clock; datagrams and orders go through memory and can be cut or lost.
+"""
+
+import collections
+import enum
+import random
+import types
+
+import anyio
+
+from snipetrestle.coordination.director import Director
+from snipetrestle.coordination.hosts import Hosts
+from snipetrestle.coordination.leadership import Leadership
+from snipetrestle.coordination.locator import Locator
+from snipetrestle.coordination.messages import HostInfo
+from snipetrestle.coordination.orders import (
+    OrderKind,
+    OrderResult,
+    ReplicaReport,
+)
+from snipetrestle.coordination.shared_loads import SharedLoads
+from snipetrestle.gateway.configuration import (
+    AdapterKey,
+    Backend,
+    Model,
+    ReplicaEntry,
+    ReplicaState,
+)
+from snipetrestle.gateway.http_client import ExchangeFailed
+from snipetrestle.gateway.replicas import ReplicaDirectory
+from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
+
+MODEL = "m0"
+BACKEND = "models"
+LEASE_S = 3.0
+CALL_DELAY_S = 0.002
+# Longer than any time-out of an order.
+NEVER_S = 30.0
+MODEL_LOAD_S = 0.3
+ADAPTER_LOAD_S = 0.25
+# Adapters that may be on their way to one replica.
+IN_TRANSIT = 4
+REPORT_LAG_S = 0.3
+# How long after its start a replica is listed at the hosts.
+LISTED_AFTER_S = 0.5
+SEEDS = 3
+
+
+class Loss(enum.Enum):
+    """What is lost of the next orders to a replica."""
+
+    NOTHING = enum.auto()
+    ORDER = enum.auto()
+    ANSWER = enum.auto()
+
+
+class OrdersNetwork(DatagramNetwork):
+    """Datagrams and orders; a paused host exchanges neither."""
+
+    def __init__(self):
+        super().__init__()
+        self._paused = set()
+
+    def connected(self, first, second):
+        if first in self._paused or second in self._paused:
+            return False
+        return super().connected(first, second)
+
+    def pause(self, name):
+        self._paused.add(name)
+
+    def resume(self, name):
+        self._paused.discard(name)
+
+    def partition(self, side, rest):
+        """Cuts the hosts of two sides; both still reach the replicas."""
+        for name in side:
+            self.isolate(name, rest)
+
+    def heal(self):
+        self.cuts.clear()
+
+
+class ModelReplica:
+    """A replica in memory that keeps the rules of orders.
+
+    ``accepted`` lists (boot, token, holder) of all accepted orders. ``overfilled`` is set
+    by a load beyond ``slots``, which would crash a real replica.
+    """
+
+    def __init__(self, replica_id, slots):
+        self.id = replica_id
+        self.slots = slots
+        self.boot = 0
+        self.accepted = []
+        self.overfilled = False
+        self.loss = Loss.NOTHING
+        self.in_use = set()
+        self.restart()
+
+    def restart(self):
+        """Starts again under the same id and forgets all."""
+        self.boot += 1
+        self._model_at = None
+        self._ready_at_by_key = {}
+        self._leaving = set()
+        self._count = 0
+        self._token = 0
+        self.in_use.clear()
+        self._reports = collections.deque()
+        self._note_state()
+
+    def holds(self, key):
+        now = anyio.current_time()
+        return self._ready_at_by_key.get(key, now + 1) <= now
+
+    def stop_using(self, key):
+        self.in_use.discard(key)
+        if key in self._leaving:
+            self._leaving.discard(key)
+            self._ready_at_by_key.pop(key, None)
+            self._note_state()
+
+    def order(self, order):
+        """Returns the OrderResult of an order that arrives now."""
+        if order.token < self._token:
+            return OrderResult.TOKEN_TOO_LOW
+        self._token = order.token
+        if order.expected_count not in (None, self._count):
+            return OrderResult.CONFLICT
+        if not order.adapter:
+            result = self._load_model()
+        elif not self._has_model():
+            return OrderResult.REFUSED
+        elif order.kind is OrderKind.LOAD:
+            result = self._load(AdapterKey(order.model, order.adapter))
+        else:
+            result = self._unload(AdapterKey(order.model, order.adapter))
+        if result is not OrderResult.CONFLICT:
+            self.accepted.append((self.boot, order.token, order.holder))
+        self._note_state()
+        return result
+
+    def _has_model(self):
+        return self._model_at is not None and self._model_at <= anyio.current_time()
+
+    def _load_model(self):
+        if self._has_model():
+            return OrderResult.HOLDS_ALREADY
+        if self._model_at is not None:
+            return OrderResult.CONFLICT
+        self._count += 1
+        self._model_at = anyio.current_time() + MODEL_LOAD_S
+        return OrderResult.ACCEPTED
+
+    def _load(self, key):
+        if self.holds(key):
+            return OrderResult.HOLDS_ALREADY
+        if key in self._ready_at_by_key:
+            return OrderResult.ACCEPTED
+        now = anyio.current_time()
+        if sum(at > now for at in self._ready_at_by_key.values()) >= IN_TRANSIT:
+            return OrderResult.CONFLICT
+        if len(self._ready_at_by_key) >= self.slots:
+            self.overfilled = True
+        self._count += 1
+        self._ready_at_by_key[key] = now + ADAPTER_LOAD_S
+        return OrderResult.ACCEPTED
+
+    def _unload(self, key):
+        if key not in self._ready_at_by_key:
+            return OrderResult.HOLDS_ALREADY
+        self._count += 1
+        if key in self.in_use:
+            self._leaving.add(key)
+            return OrderResult.ACCEPTED
+        del self._ready_at_by_key[key]
+        return OrderResult.HOLDS_ALREADY
+
+    def _note_state(self):
+        now = _now()
+        report = (self._count, self._model_at, dict(self._ready_at_by_key))
+        self._reports.append((now, report))
+
+    def report(self):
+        """Returns the ReplicaReport of a moment ago."""
+        now = anyio.current_time()
+        while len(self._reports) > 1 and self._reports[1][0] <= now - REPORT_LAG_S:
+            self._reports.popleft()
+        count, model_at, keys = self._reports[0][1]
+        has_model = model_at is not None and model_at <= now - REPORT_LAG_S
+        return ReplicaReport(
+            count,
+            False,
+            frozenset([MODEL] if has_model else []),
+            dict.fromkeys(keys, 1),
+        )
+
+
+def _now():
+    # Replicas are built before the loop runs.
+    try:
+        return anyio.current_time()
+    except RuntimeError:
+        return 0.0
+
+
+class OrderCalls:
+    """Order client of one host."""
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._name = name
+
+    async def send(self, replica, order):
+        model = await self._reach(replica)
+        if model.loss is Loss.ORDER:
+            await self._fail()
+        result = model.order(order)
+        if model.loss is Loss.ANSWER:
+            await self._fail()
+        await anyio.sleep(CALL_DELAY_S)
+        return result
+
+    async def report(self, replica):
+        model = await self._reach(replica)
+        if model.loss is not Loss.NOTHING:
+            await self._fail()
+        return model.report()
+
+    async def _reach(self, replica):
+        await anyio.sleep(CALL_DELAY_S)
+        if not self._fleet.network.connected(self._name, replica.id):
+            await self._fail()
+        return self._fleet.models_by_id[replica.id]
+
+    async def _fail(self):
+        await anyio.sleep(NEVER_S)
+        raise ExchangeFailed("no answer")
+
+
+class OrdersHost:
+    """One run of a host: the parts that agree on a leader and order replicas."""
+
+    def __init__(self, fleet, name, number, boot):
+        self.name = name
+        self.scope = anyio.CancelScope()
+        address = ("127.0.0.1", number + 1)
+        self.endpoint = LocalEndpoint(fleet.network, name, address)
+        self.replicas = ReplicaDirectory("zone-1", random.Random(boot))
+        self._listeners = []
+        state = types.SimpleNamespace(
+            replicas=self.replicas,
+            backends_by_name={BACKEND: fleet.backend},
+            versions_by_adapter={},
+            on_change=self._listeners.append,
+        )
+        self.hosts = Hosts(
+            HostInfo(name, boot, *address, "zone-1", 1.0),
+            tuple(("127.0.0.1", seed + 1) for seed in range(SEEDS)),
+            self.endpoint,
+            self._describe,
+            lambda: self.leadership.urgent_names(),
+        )
+        self.leadership = Leadership(self.hosts, LEASE_S, fleet.has_ended)
+        loads = SharedLoads(self.replicas, self.hosts, self.leadership)
+        self._loads = loads
+        self.director = Director(
+            state, self.leadership, OrderCalls(fleet, name), loads, self.endpoint
+        )
+        self.locator = Locator(
+            self.leadership,
+            self.endpoint,
+            name,
+            self.director.locate,
+            self.replicas.listing,
+        )
+
+    def _describe(self):
+        leads = self.leadership.leads
+        return (
+            self.leadership.leader,
+            self.leadership.term,
+            self.leadership.leader_age_s(),
+            self._loads.of_all() if leads else self._loads.own(),
+            {},
+        )
+
+    def list_replica(self, entry):
+        self.replicas.list_replica(entry)
+        for listener in self._listeners:
+            listener()
+
+    async def run(self):
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                for part in (self.hosts, self.leadership, self.director, self.locator):
+                    group.start_soon(part.run)
+
+
+class OrdersFleet:
+    """Hosts by name before replicas. Use as an async context manager."""
+
+    def __init__(self, names, replicas=3, slots=3):
+        self.names = names
+        self.network = OrdersNetwork()
+        self.daemons_by_name = {}
+        self.backend = Backend(
+            BACKEND,
+            100,
+            slots=8,
+            models=(Model(MODEL, 100.0, MODEL_LOAD_S, 1.0),),
+            weights_mb=200.0,
+            adapter_slots=slots,
+            loads_per_s=5.0,
+        )
+        self.models_by_id = {
+            f"replica-{number}": ModelReplica(f"replica-{number}", slots)
+            for number in range(replicas)
+        }
+        self._boots = 0
+        self._group = None
+
+    async def __aenter__(self):
+        self._group = anyio.create_task_group()
+        self.network.group = await self._group.__aenter__()
+        for name in self.names:
+            self.start(name)
+        return self
+
+    async def __aexit__(self, *details):
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(*details)
+
+    def start(self, name):
+        """Starts a host, in place of the one that runs under its name."""
+        if name in self.daemons_by_name:
+            self.kill(name)
+        self._boots += 1
+        host = OrdersHost(self, name, self.names.index(name), self._boots)
+        self.daemons_by_name[name] = host
+        for replica_id in self.models_by_id:
+            host.list_replica(self._entry(replica_id))
+        self._group.start_soon(host.run)
+
+    def kill(self, name):
+        host = self.daemons_by_name.pop(name)
+        host.endpoint.up = False
+        host.scope.cancel()
+
+    async def has_ended(self, host):
+        return host.name not in self.daemons_by_name
+
+    def restart_replica(self, replica_id):
+        self.models_by_id[replica_id].restart()
+        self._group.start_soon(self._publish, replica_id)
+
+    async def _publish(self, replica_id):
+        await anyio.sleep(LISTED_AFTER_S)
+        for host in list(self.daemons_by_name.values()):
+            host.list_replica(self._entry(replica_id))
+
+    def _entry(self, replica_id):
+        return ReplicaEntry(
+            replica_id,
+            self.models_by_id[replica_id].boot,
+            BACKEND,
+            "127.0.0.1",
+            1,
+            "zone-1",
+            ReplicaState.READY,
+            slots=8,
+        )
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -5,56 +5,12 @@
 
 from snipetrestle.coordination.hosts import Hosts
 from snipetrestle.coordination.leadership import Leadership, next_token
-from snipetrestle.coordination.messages import HostInfo, decode, encode
+from snipetrestle.coordination.messages import HostInfo
 from snipetrestle_standins.clock import run_advanced
+from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
 
 LEASE_S = 3.0
 SETTLE_S = 4.0
-DELAY_S = 0.001
-
-
-class Network:
-    """Carries datagrams between endpoints; ``cuts`` has pairs of names."""
-
-    def __init__(self):
-        self.endpoints_by_address = {}
-        self.cuts = set()
-        self.group = None
-
-    def connected(self, first, second):
-        return frozenset((first, second)) not in self.cuts
-
-    def isolate(self, name, others):
-        self.cuts |= {frozenset((name, other)) for other in others if other != name}
-
-
-class Endpoint:
-    """Stands in for DatagramEndpoint."""
-
-    def __init__(self, network, name, address):
-        self.name = name
-        self.address = address
-        self.up = True
-        self._network = network
-        self._handlers_by_type = {}
-        network.endpoints_by_address[address] = self
-
-    def register(self, message_type, handler):
-        self._handlers_by_type[message_type] = handler
-
-    def send(self, message, address):
-        self._network.group.start_soon(self._deliver, encode(message), address)
-
-    async def _deliver(self, content, address):
-        await anyio.sleep(DELAY_S)
-        target = self._network.endpoints_by_address.get(address)
-        if target is None or not target.up or not self.up:
-            return
-        if self._network.connected(self.name, target.name):
-            message = decode(content)
-            handler = target._handlers_by_type.get(type(message))
-            if handler is not None:
-                handler(message, self.address)
 
 
 class Member:
@@ -63,7 +19,7 @@
     def __init__(self, system, number, boot):
         self.name = f"entry-{number}"
         address = ("127.0.0.1", number)
-        self.endpoint = Endpoint(system.network, self.name, address)
+        self.endpoint = LocalEndpoint(system.network, self.name, address)
         info = HostInfo(self.name, boot, *address, "zone-1", 1.0)
         seeds = tuple(("127.0.0.1", seed) for seed in system.seeds)
         self.hosts = Hosts(
@@ -93,7 +49,7 @@
     """Members by number; records who led when."""
 
     def __init__(self, size, seeds=(1, 2, 3)):
-        self.network = Network()
+        self.network = DatagramNetwork()
         self.seeds = seeds
         self.size = size
         self.members = {}
--- a/tests/fuzz/__main__.py
+++ b/tests/fuzz/__main__.py
@@ -10,6 +10,7 @@
 from tests.fuzz.base import Counters
 from tests.fuzz.batches import BatchMachine
 from tests.fuzz.configuration import ConfigurationMachine
+from tests.fuzz.orders import OrdersMachine
 from tests.fuzz.replicas import ReplicaMachine
 from tests.fuzz.running import run_for
 from tests.fuzz.writes import WriteMachine
@@ -19,6 +20,7 @@
     "replicas": ReplicaMachine,
     "batches": BatchMachine,
     "configuration": ConfigurationMachine,
+    "orders": OrdersMachine,
 }
 
 
--- a/tests/fuzz/test_fuzz.py
+++ b/tests/fuzz/test_fuzz.py
@@ -7,6 +7,8 @@
 from loguru import logger
 
 from snipetrestle.batches import BatchHolder
+from snipetrestle.coordination import orders
+from snipetrestle.coordination.adapter_places import AdapterPlaces
 from snipetrestle.engines.ownership import ReplicaOwnership
 from snipetrestle.peers import configuration_spread
 from snipetrestle.placement import slots
@@ -16,6 +18,7 @@
 from tests.fuzz.batches import BatchMachine
 from tests.fuzz.configuration import ConfigurationMachine
 from tests.fuzz.oracle import PromiseBroken
+from tests.fuzz.orders import OrdersMachine
 from tests.fuzz.replicas import ReplicaMachine
 from tests.fuzz.running import run_batch
 from tests.fuzz.writes import WriteMachine
@@ -58,6 +61,10 @@
         """Guards P8."""
         self.run_seed(ConfigurationMachine, 1, 15)
 
+    def test_orders(self):
+        """Guards LIMIT and ONE of orders to replicas, and P9 of questions for places."""
+        self.run_seed(OrdersMachine, 1, 6, steps=25)
+
     def test_a_seed_gives_the_same_cases_again(self):
         """Guards against a printed seed that does not lead back to its failure."""
         reports = [self.run_seed(WriteMachine, 3, 5) for _ in range(2)]
@@ -126,6 +133,15 @@
         )
         self.find(ConfigurationMachine, "P8")
 
+    def test_finds_more_adapters_than_places(self):
+        adapter_slots = orders._adapter_slots
+        self.patch(orders, "_adapter_slots", lambda backend: adapter_slots(backend) + 1)
+        self.find(OrdersMachine, "LIMIT")
+
+    def test_finds_a_host_that_is_told_no_place(self):
+        self.patch(AdapterPlaces, "choose", lambda places, key, avoid=(): None)
+        self.find(OrdersMachine, "P9")
+
     def test_finds_callers_without_an_answer(self):
         self.find(WriteMachine, "P9", coordinator_class=faults.SilentCoordinator)
 
