--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -223,9 +223,9 @@
     def _copies_wanted(self, key):
         """Returns how many copies keep the load by one adapter at COPY_LOAD a replica.
 
-        The load of all replicas is due to their adapters by the shares of their demand.
-        Waiting until the holders are seen to be loaded takes a heartbeat and a load for
-        each copy, in which a newly popular adapter crowds its first holders.
+        Attributes the load of all replicas to adapters by their shares of the recent
+        demand. To wait until the holders are seen to be loaded takes a heartbeat and a
+        load for each copy; meanwhile a newly popular adapter crowds its first holders.
         """
         now = anyio.current_time()
         total = self._recent.value(now)
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -6,6 +6,7 @@
 
 import collections
 import enum
+import functools
 import random
 import types
 
@@ -265,7 +266,9 @@
             self._describe,
             lambda: self.leadership.urgent_names(),
         )
-        self.leadership = Leadership(self.hosts, LEASE_S, fleet.has_ended)
+        self.leadership = Leadership(
+            self.hosts, LEASE_S, functools.partial(fleet.has_ended, name)
+        )
         loads = SharedLoads(self.replicas, self.hosts, self.leadership)
         self._loads = loads
         self.director = Director(
@@ -351,8 +354,10 @@
         host.endpoint.up = False
         host.scope.cancel()
 
-    async def has_ended(self, host):
-        return host.name not in self.daemons_by_name
+    async def has_ended(self, prober, host):
+        """Tells whether a host refuses connections, as far as ``prober`` reaches it."""
+        name = host.info.name
+        return self.network.connected(prober, name) and name not in self.daemons_by_name
 
     def restart_replica(self, replica_id):
         self.models_by_id[replica_id].restart()
