--- a/tests/fuzz/test_fuzz.py
+++ b/tests/fuzz/test_fuzz.py
@@ -14,11 +14,12 @@
 from snipetrestle.placement import slots
 from snipetrestle.writes import outcomes
 from snipetrestle_standins import engine
+from snipetrestle_standins.orders_fleet import OrdersFleet
 from tests.fuzz import __main__ as command
 from tests.fuzz.batches import BatchMachine
 from tests.fuzz.configuration import ConfigurationMachine
 from tests.fuzz.oracle import PromiseBroken
-from tests.fuzz.orders import OrdersMachine
+from tests.fuzz.orders import OrdersMachine, OrdersOracle
 from tests.fuzz.replicas import ReplicaMachine
 from tests.fuzz.running import run_batch
 from tests.fuzz.writes import WriteMachine
@@ -138,6 +139,14 @@
         self.patch(orders, "_adapter_slots", lambda backend: adapter_slots(backend) + 1)
         self.find(OrdersMachine, "LIMIT")
 
+    def test_oracle_finds_a_token_of_two_holders(self):
+        """Shown on the oracle itself: no planted fault led to it in 150 s."""
+        fleet = OrdersFleet(["entry-0"])
+        replica = fleet.models_by_id["replica-0"]
+        replica.accepted += [(1, 5, "entry-0"), (1, 5, "entry-1")]
+        failure = self.assertRaises(PromiseBroken, OrdersOracle(fleet).check)
+        self.assertEqual("ONE", failure.promise)
+
     def test_finds_a_host_that_is_told_no_place(self):
         self.patch(AdapterPlaces, "choose", lambda places, key, avoid=(): None)
         self.find(OrdersMachine, "P9")
