Give stand-in gateways ports that no outgoing connection takes

Its log has 'address already in use' for a gateway's port and two of three gateways ready: a port that was found free was taken by an outgoing connection before the gateway bound it.

Change: ports come from below the range of outgoing connections. Six runs of the test alone passed before the change as well, so the log is the evidence.

--- a/snipetrestle_standins/gateway_fleet.py
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -20,6 +20,9 @@
 MODELS_BACKEND = "models"
 REGISTER_BACKEND = "register"
 READY_TIMEOUT_S = 10.0
+FIXED_PORTS = (12_000, 30_000)
+# Runs side by side must not choose the same ports, so this generator has no fixed seed.
+_ports = random.SystemRandom()
 ANSWER_TIMEOUT_S = 10.0
 
 
@@ -74,12 +77,21 @@
 
 
 def free_port():
-    """Returns a port that is free for TCP and UDP."""
-    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
-        udp.bind(("127.0.0.1", port))
-        return port
+    """Returns a port that is free for TCP and UDP.
+
+    It is below the ports that the system gives to outgoing connections, one of which
+    could take it before it is bound.
+    """
+    while True:
+        port = _ports.randrange(*FIXED_PORTS)
+        with (
+            socket.socket() as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as udp,
+            contextlib.suppress(OSError),
+        ):
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+            return port
 
 
 class GatewayFleet:
