--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -195,7 +195,8 @@
     def needs_copy(self, key):
         """Tells whether the holders of an adapter are strained and others are not."""
         holders = self.holders(key)
-        if self._copies(key) < self._copies_wanted(key):
+        copies = len(holders) + self._waiting_copies(key)
+        if copies < self._copies_wanted(key):
             return True
         others = [
             replica
@@ -215,10 +216,9 @@
         other = min(replica.strain(now, usual_s) for replica in others)
         return least > MOVE_STRAIN and other < least * MOVE_GAIN
 
-    def _copies(self, key):
-        """Returns the number of places of an adapter, with the ones that are decided."""
-        waiting = sum(key in replica.waiting for replica in self.by_replica.values())
-        return len(self.holders(key)) + waiting
+    def _waiting_copies(self, key):
+        """Returns how many loads of an adapter are decided and not ordered yet."""
+        return sum(key in replica.waiting for replica in self.by_replica.values())
 
     def _copies_wanted(self, key):
         """Returns how many copies keep the load by one adapter at COPY_LOAD a replica.
--- a/snipetrestle_standins/gateway_fleet.py
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import random
-import socket
 import types
 
 from snipetrestle.gateway.app import Gateway
@@ -14,15 +13,13 @@
 from snipetrestle.platform.headers import PlatformDialect
 from snipetrestle_standins.platform_replica import PlatformReplica
 from snipetrestle_standins.platform_store import PlatformStore
+from snipetrestle_standins.ports import free_port
 
 HOSTNAME = "desk.example"
 MODEL = "m0"
 MODELS_BACKEND = "models"
 REGISTER_BACKEND = "register"
 READY_TIMEOUT_S = 10.0
-FIXED_PORTS = (12_000, 30_000)
-# Runs side by side must not choose the same ports, so this generator has no fixed seed.
-_ports = random.SystemRandom()
 ANSWER_TIMEOUT_S = 10.0
 
 
@@ -76,24 +73,6 @@
     }
 
 
-def free_port():
-    """Returns a port that is free for TCP and UDP.
-
-    It is below the ports that the system gives to outgoing connections, one of which
-    could take it before it is bound.
-    """
-    while True:
-        port = _ports.randrange(*FIXED_PORTS)
-        with (
-            socket.socket() as tcp,
-            socket.socket(type=socket.SOCK_DGRAM) as udp,
-            contextlib.suppress(OSError),
-        ):
-            tcp.bind(("127.0.0.1", port))
-            udp.bind(("127.0.0.1", port))
-            return port
-
-
 class GatewayFleet:
     """Starts a store, replicas and gateways. Use as an async context manager."""
 
--- a/snipetrestle_standins/local_fleet.py
+++ b/snipetrestle_standins/local_fleet.py
@@ -3,7 +3,6 @@
 import contextlib
 import json
 import random
-import socket
 
 import anyio
 
@@ -17,15 +16,14 @@
 )
 from snipetrestle_standins.engine_http import engine_app
 from snipetrestle_standins.host_list import HostListService, host_list_app
+from snipetrestle_standins.ports import free_port
 
 LOOPBACK = "127.0.0.1:0"
 
 
 def free_address():
     """Returns a loopback address with a port that is free now."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+    return f"127.0.0.1:{free_port()}"
 
 
 class LocalFleet:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,10 +15,10 @@
     REGISTER_BACKEND,
     Caller,
     configuration,
-    free_port,
 )
 from snipetrestle_standins.platform_replica import Fault, PlatformReplica
 from snipetrestle_standins.platform_store import PlatformStore, StoreMode
+from snipetrestle_standins.ports import free_port
 from tests.soak.hosts import GRACE_S, HostProcess
 from tests.soak.oracle import Oracle, Sent
 from tests.soak.proxy import LinkFault, LoopbackProxy
