Keep the cost of a host constant among many hosts

Cause: the leader added up the loads of all replicas over all hosts at each heartbeat (replicas x hosts x heartbeats). From 64 hosts on, heartbeats came less often than a host counts as reachable, so most hosts saw no majority. A seed told each host of each newcomer.

Above 32 hosts, heartbeats go to the leader, three announced successors and back; without a leader, to all. Newcomers are announced together; removed hosts are not learned again from lists. Loads of model replicas travel with the locations of adapters. In each failure domain the leader appoints readers of the store, which send changes on at once; any host reads by itself when its readers are silent, without the store or ahead of it.

--- a/snipetrestle/coordination/datagrams.py
+++ b/snipetrestle/coordination/datagrams.py
@@ -30,8 +30,15 @@
 
     def send(self, message, address):
         """Sends a message without waiting. Delivery is not guaranteed."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(encode(message), address)
+        self.send_all(message, [address])
+
+    def send_all(self, message, addresses):
+        """Sends a message to each of the addresses; it is encoded once."""
+        if self._transport is None or self._transport.is_closing() or not addresses:
+            return
+        content = encode(message)
+        for address in addresses:
+            self._transport.sendto(content, address)
 
     def connection_made(self, transport):
         self._transport = transport
--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -145,7 +145,9 @@
         now = anyio.current_time()
         return tuple(
             AdapterLocation(
-                replica.replica_id, max(0.0, replica.held[key].ready_at - now)
+                replica.replica_id,
+                max(0.0, replica.held[key].ready_at - now),
+                self._replica_loads.location_load(replica.replica_id),
             )
             for replica in holders
         )
--- /dev/null
+++ b/snipetrestle/coordination/heartbeat_content.py
@@ -0,0 +1,54 @@
+"""What a host tells the others in its heartbeats, gathered from its components."""
+
+from snipetrestle.coordination.hosts import HostStatus
+
+
+class HeartbeatContent:
+    """Implements what Hosts asks for.
+
+    The components depend on Hosts, so they are set by ``connect`` after it is built.
+    ``state`` is the PublishedState; it and ``store_relay`` may be None in a system that
+    reads no store.
+    """
+
+    def __init__(self):
+        self._leadership = None
+        self._shared_loads = None
+        self._state = None
+        self._store_relay = None
+
+    def connect(self, leadership, shared_loads=None, state=None, store_relay=None):
+        self._leadership = leadership
+        self._shared_loads = shared_loads
+        self._state = state
+        self._store_relay = store_relay
+
+    def status(self):
+        """Returns the HostStatus."""
+        leadership, state = self._leadership, self._state
+        return HostStatus(
+            leader=leadership.leader,
+            term=leadership.term,
+            leader_age_s=leadership.leader_age_s(),
+            has_leader=leadership.has_recent_leader,
+            leads=leadership.leads,
+            newest_by_prefix={} if state is None else state.newest_by_prefix(),
+            reads_store=state is not None and state.is_store_reachable,
+            candidates=leadership.next_leaders(),
+        )
+
+    def loads_by_replica(self):
+        """Returns the ReplicaLoads of this host, or if it leads, of all hosts."""
+        if self._shared_loads is None:
+            return {}
+        if self._leadership.leads:
+            return self._shared_loads.total_loads()
+        return self._shared_loads.own_loads()
+
+    def readers_by_domain(self):
+        """Returns the names of the hosts that read the store; for the leader."""
+        return {} if self._store_relay is None else self._store_relay.appoint_readers()
+
+    def hosts_read_for(self):
+        """Returns the hosts for which this one reads the store."""
+        return [] if self._store_relay is None else self._store_relay.hosts_read_for()
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -1,7 +1,16 @@
-"""Membership of the hosts, learned from seeds and heartbeats."""
+"""Membership of the hosts, learned from seeds and heartbeats.
+
+Up to MAX_MESH_HOSTS hosts all send each other heartbeats. Among more, hosts send them
+only to the leader and to its likely successors, and the leader to all, so the cost of a
+host does not grow with their number. Without a leader all hosts send to all, until the
+next one is elected.
+"""
+
+import asyncio
 
 import anyio
 import msgspec
+import xxhash
 
 from snipetrestle.coordination.messages import Heartbeat, Join, KnownHosts
 from snipetrestle.events import Event, log_event
@@ -9,14 +18,39 @@
 HEARTBEAT_INTERVAL_S = 0.5
 # A host that was not heard from for this long does not count as reachable.
 REACHABLE_TIMEOUT_S = 1.6
-# A host that was not heard from for this long is removed.
+# A host that should send heartbeats and was not heard from for this long is removed.
 FORGET_TIMEOUT_S = 10.0
-# With at least twice as many hosts, a heartbeat round covers only a part of them.
-HOSTS_PER_ROUND = 16
+# The same for a host that sends its heartbeats only to the leader, after the last time
+# that the leader knew it.
+UNCONFIRMED_TIMEOUT_S = 30.0
+# Lists of other hosts may name a removed host for this long after its removal.
+REMOVED_TIMEOUT_S = 2 * UNCONFIRMED_TIMEOUT_S
+MAX_MESH_HOSTS = 32
 HOSTS_PER_DATAGRAM = 12
 JOIN_INTERVAL_S = 0.25
-# How often another host is asked for the hosts that it knows.
+# Hosts that join at the same time are announced together after this time.
+ANNOUNCE_DELAY_S = 0.05
+# How often another host is asked for the hosts that it knows, and how often a leader is
+# if it knows others than this host.
 EXCHANGE_INTERVAL_S = 2.0
+LEADER_EXCHANGE_INTERVAL_S = 5.0
+
+
+class HostStatus(msgspec.Struct):
+    """What this host's heartbeats tell beside its own HostInfo.
+
+    ``has_leader`` tells whether a leader was heard from recently. ``candidates`` are
+    the likely next leaders.
+    """
+
+    leader: str = ""
+    term: int = 0
+    leader_age_s: float = -1.0
+    has_leader: bool = False
+    leads: bool = False
+    newest_by_prefix: dict = {}
+    reads_store: bool = False
+    candidates: tuple = ()
 
 
 class KnownHost:
@@ -38,12 +72,13 @@
 class Hosts:
     """Membership by heartbeats over UDP.
 
-    ``get_state()`` returns (leader, term, leader_age_s, loads, newest_by_prefix) for
-    this host's heartbeats. ``get_full_heartbeat_names()`` returns the names of the
-    hosts that get a heartbeat with the loads in every round.
+    ``content`` is the HeartbeatContent: its ``status()`` is the HostStatus,
+    ``loads_by_replica()`` the ReplicaLoads to send, ``readers_by_domain()`` the hosts
+    that a leader has appointed to read the store, and ``hosts_read_for()`` those for
+    which this host reads it.
     """
 
-    def __init__(self, own, seeds, endpoint, get_state, get_full_heartbeat_names):
+    def __init__(self, own, seeds, endpoint, content):
         self.own = own
         self.leaving = False
         self.by_name = {}
@@ -51,11 +86,18 @@
         self.max_known = 1
         self._seeds = seeds
         self._endpoint = endpoint
-        self._get_state = get_state
-        self._get_full_heartbeat_names = get_full_heartbeat_names
+        self._content = content
         self._listeners = []
         self._round = 0
         self._exchanged_at = 0.0
+        self._newcomers = []
+        # When each removed process, by name and boot, was removed.
+        self._removed_at = {}
+        self._members_digest = None
+        # When the leader last knew the same hosts as this one, and since when all hosts
+        # should send heartbeats to this one; None while they should not.
+        self._confirmed_at = 0.0
+        self._hears_all_since = anyio.current_time()
         endpoint.register(Heartbeat, self._on_heartbeat)
         endpoint.register(Join, self._on_join)
         endpoint.register(KnownHosts, self._on_known_hosts)
@@ -87,6 +129,11 @@
         """Whether no other host is known, and no seed names one."""
         return not self.by_name and set(self._seeds) <= {(self.own.ip, self.own.port)}
 
+    @property
+    def is_large(self):
+        """Whether there are too many hosts for heartbeats from each to each."""
+        return len(self.by_name) + 1 > MAX_MESH_HOSTS
+
     def reachable_staying(self):
         """Returns the reachable hosts that are not leaving, without this one."""
         return [host for host in self.reachable() if not host.heartbeat.leaving]
@@ -101,7 +148,10 @@
 
     def forget(self, name):
         """Removes a host that has stopped or is presumed to have."""
-        if self.by_name.pop(name, None) is not None:
+        host = self.by_name.pop(name, None)
+        if host is not None:
+            self._members_digest = None
+            self._removed_at[(name, host.info.boot)] = anyio.current_time()
             log_event(Event.PEER_LOST, peer=name)
 
     async def run(self):
@@ -109,7 +159,6 @@
         while True:
             if not self.reachable():
                 self._contact_seeds()
-            self._exchange_with_next()
             self.send_heartbeats()
             self._forget_silent()
             await anyio.sleep(HEARTBEAT_INTERVAL_S if self.by_name else JOIN_INTERVAL_S)
@@ -130,40 +179,130 @@
             self._endpoint.send(Join(self.own), host.address)
 
     def send_heartbeats(self):
-        """Sends a heartbeat to each host that is due in this round.
+        """Sends the heartbeats of one round."""
+        status = self._content.status()
+        self._round += 1
+        if status.leads:
+            self._send_as_leader(status)
+        elif self.is_large and status.has_leader:
+            self._send_to_leader(status)
+        else:
+            self._send_to_all(status)
+        hears_all = status.leads or not (self.is_large and status.has_leader)
+        if not hears_all:
+            self._hears_all_since = None
+        elif self._hears_all_since is None:
+            self._hears_all_since = anyio.current_time()
+
+    def _send_as_leader(self, status):
+        """Sends to all hosts, with the readers of each one's failure domain."""
+        heartbeat = msgspec.structs.replace(
+            self._heartbeat(status, self._content.loads_by_replica()),
+            members_digest=self.members_digest,
+            candidates=status.candidates,
+        )
+        readers_by_domain = self._content.readers_by_domain()
+        hosts_by_domain = {}
+        for host in self.by_name.values():
+            hosts_by_domain.setdefault(host.info.failure_domain, []).append(host)
+        for domain, hosts in hosts_by_domain.items():
+            readers = readers_by_domain.get(domain, ())
+            message = msgspec.structs.replace(heartbeat, readers=readers)
+            self._endpoint.send_all(message, [host.address for host in hosts])
+        self._exchange_with_next()
+
+    def _send_to_leader(self, status):
+        """Sends to the leader, its likely successors and those it reads the store for.
 
-        Among many hosts, only those that need the loads of replicas receive them, since
-        the loads make up most of a heartbeat.
+        Only the leader needs the loads, which make up most of a heartbeat.
         """
-        heartbeat = self._own_heartbeat()
-        self._round += 1
-        rounds = max(1, self.count() // HOSTS_PER_ROUND)
-        full_names = (
-            self.by_name.keys() if rounds == 1 else self._get_full_heartbeat_names()
+        leader = self.by_name.get(status.leader)
+        if leader is not None:
+            heartbeat = self._heartbeat(status, self._content.loads_by_replica())
+            self._endpoint.send(heartbeat, leader.address)
+        names = set(status.candidates)
+        names.update(host.info.name for host in self._content.hosts_read_for())
+        names.discard(status.leader)
+        addresses = [
+            self.by_name[name].address for name in names if name in self.by_name
+        ]
+        self._endpoint.send_all(self._heartbeat(status), addresses)
+
+    def _send_to_all(self, status):
+        loads = None if self.is_large else self._content.loads_by_replica()
+        heartbeat = self._heartbeat(status, loads)
+        self._endpoint.send_all(
+            heartbeat, [host.address for host in self.by_name.values()]
         )
-        short_heartbeat = msgspec.structs.replace(heartbeat, loads_by_replica={})
-        for index, (name, host) in enumerate(self.by_name.items()):
-            if name in full_names:
-                self._endpoint.send(heartbeat, host.address)
-            elif (index + self._round) % rounds == 0:
-                self._endpoint.send(short_heartbeat, host.address)
+        self._exchange_with_next()
 
-    def _own_heartbeat(self):
-        leader, term, age_s, loads, newest = self._get_state()
-        return Heartbeat(self.own, leader, term, age_s, self.leaving, loads, newest)
+    def hosts_of_own_domain(self):
+        """Returns the known hosts of this host's failure domain, without this one."""
+        return [
+            host
+            for host in self.by_name.values()
+            if host.info.failure_domain == self.own.failure_domain
+        ]
+
+    def _heartbeat(self, status, loads_by_replica=None):
+        """Returns a Heartbeat, which says nothing about loads if they are None."""
+        return Heartbeat(
+            self.own,
+            status.leader,
+            status.term,
+            status.leader_age_s,
+            self.leaving,
+            loads_by_replica or {},
+            status.newest_by_prefix,
+            leaves_out_loads=loads_by_replica is None,
+            reads_store=status.reads_store,
+        )
+
+    def _send_own_heartbeat(self, address):
+        self._endpoint.send(self._heartbeat(self._content.status()), address)
 
     def send_leaving(self):
         """Tells all hosts that this one is leaving."""
         self.leaving = True
-        heartbeat = self._own_heartbeat()
-        for host in self.by_name.values():
-            self._endpoint.send(heartbeat, host.address)
+        heartbeat = self._heartbeat(self._content.status())
+        self._endpoint.send_all(
+            heartbeat, [host.address for host in self.by_name.values()]
+        )
+
+    @property
+    def members_digest(self):
+        """A digest of the names and boots of all known hosts, with this one."""
+        if self._members_digest is None:
+            infos = [self.own, *(host.info for host in self.by_name.values())]
+            members = sorted(f"{info.name} {info.boot}" for info in infos)
+            self._members_digest = xxhash.xxh32_intdigest("\n".join(members).encode())
+        return self._members_digest
+
+    def _compare_members(self, heartbeat):
+        """Asks the leader for its hosts if it knows others than this host."""
+        now = anyio.current_time()
+        if heartbeat.members_digest == self.members_digest:
+            self._confirmed_at = now
+        elif now >= self._exchanged_at + LEADER_EXCHANGE_INTERVAL_S:
+            self._exchanged_at = now
+            leader = self.by_name[heartbeat.sender.name]
+            self._endpoint.send(Join(self.own), leader.address)
 
     def _forget_silent(self):
         now = anyio.current_time()
         for name, host in list(self.by_name.items()):
-            if now - (host.heard_at or host.learned_at) > FORGET_TIMEOUT_S:
+            known_at = max(host.heard_at or 0.0, host.learned_at)
+            if self._hears_all_since is None:
+                known_at = max(known_at, self._confirmed_at)
+                timeout_s = UNCONFIRMED_TIMEOUT_S
+            else:
+                known_at = max(known_at, self._hears_all_since)
+                timeout_s = FORGET_TIMEOUT_S
+            if now - known_at > timeout_s:
                 self.forget(name)
+        horizon = now - REMOVED_TIMEOUT_S
+        for key in [key for key, at in self._removed_at.items() if at < horizon]:
+            del self._removed_at[key]
 
     def _learn(self, info):
         """Adds a host, or replaces it if ``info`` describes a later process of it.
@@ -179,6 +318,7 @@
             log_event(Event.PEER_JOINED, peer=info.name, boot=info.boot)
         host = KnownHost(info, anyio.current_time())
         self.by_name[info.name] = host
+        self._members_digest = None
         self.max_known = max(self.max_known, self.count())
         return host
 
@@ -208,10 +348,19 @@
         # the leader.
         host.heard_at = anyio.current_time()
         host.heartbeat = heartbeat
-        if is_new:
-            self._endpoint.send(self._own_heartbeat(), host.address)
+        if is_new and self._answers_new_hosts():
+            self._send_own_heartbeat(host.address)
         for listener in self._listeners:
             listener(heartbeat)
+        if self.is_large and heartbeat.leader == heartbeat.sender.name:
+            self._compare_members(heartbeat)
+
+    def _answers_new_hosts(self):
+        """Whether a new host needs a heartbeat of this one at once."""
+        if not self.is_large:
+            return True
+        status = self._content.status()
+        return status.leads or not status.has_leader
 
     def _on_join(self, message, address):
         is_unknown = message.sender.name not in self.by_name
@@ -219,18 +368,47 @@
         if host is None:
             return
         if is_unknown:
-            # Hosts that start at the same time do not know each other yet.
-            for other in self.by_name.values():
-                self._endpoint.send(KnownHosts((message.sender,)), other.address)
+            self._announce(message.sender)
         infos = [self.own, *(item.info for item in self.by_name.values())]
+        self._send_known(infos, [host.address])
+        self._send_own_heartbeat(host.address)
+
+    def _announce(self, info):
+        """Tells the others of a host, together with those that join with it.
+
+        Hosts that start at the same time do not know each other yet.
+        """
+        if not self._newcomers:
+            asyncio.get_running_loop().call_later(
+                ANNOUNCE_DELAY_S, self._announce_newcomers
+            )
+        self._newcomers.append(info)
+
+    def _announce_newcomers(self):
+        infos, self._newcomers = self._newcomers, []
+        status = self._content.status()
+        hosts = self.by_name.values()
+        if self.is_large and status.has_leader and not status.leads:
+            # The leader's digest makes the others ask for its hosts.
+            hosts = [host for host in hosts if host.info.name == status.leader]
+        self._send_known(infos, [host.address for host in hosts])
+
+    def _send_known(self, infos, addresses):
         for start in range(0, len(infos), HOSTS_PER_DATAGRAM):
             part = tuple(infos[start : start + HOSTS_PER_DATAGRAM])
-            self._endpoint.send(KnownHosts(part), host.address)
-        self._endpoint.send(self._own_heartbeat(), host.address)
+            self._endpoint.send_all(KnownHosts(part), addresses)
 
     def _on_known_hosts(self, message, address):
+        leader = self.by_name.get(self._content.status().leader)
+        from_leader = leader is not None and leader.address == address
         for info in message.hosts:
             is_unknown = info.name not in self.by_name
+            if is_unknown and (info.name, info.boot) in self._removed_at:
+                continue
             host = self._learn(info)
-            if host is not None and is_unknown:
-                self._endpoint.send(self._own_heartbeat(), host.address)
+            if host is None:
+                continue
+            if from_leader:
+                host.learned_at = anyio.current_time()
+            if is_unknown and self._answers_new_hosts():
+                self._send_own_heartbeat(host.address)
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -39,8 +39,8 @@
 HOST_BITS = 10
 # A shorter suspension is ignored.
 MIN_SUSPENSION_S = 0.5
-# Number of likely next leaders that get every heartbeat.
-FULL_HEARTBEAT_CANDIDATES = 3
+# Number of likely next leaders to which all hosts send heartbeats.
+ANNOUNCED_CANDIDATES = 3
 
 
 def next_token(known_token, host_name, now_ms):
@@ -76,6 +76,7 @@
         self._started_at = anyio.current_time()
         self._leader_heard_at = None
         self._leader_boot = 0
+        self._announced_candidates = ()
         self._resigned = False
         self._leader_ended = False
         self._majority_at = None
@@ -108,14 +109,15 @@
         host = self._hosts.by_name.get(self.leader)
         return None if host is None else host.address
 
-    def full_heartbeat_names(self):
-        """Returns the names of the hosts that need every heartbeat of this host.
+    def next_leaders(self):
+        """Returns the names of the likely next leaders, as the leader determines them.
 
-        These are all hosts if this one leads, else the leader and the likely next ones.
+        These must hear from a majority of the hosts in order to succeed the leader.
         """
-        if self.leads:
-            return self._hosts.by_name.keys()
-        return {self.leader, *self._candidates()[:FULL_HEARTBEAT_CANDIDATES]}
+        if not self.leads:
+            return self._announced_candidates
+        names = [name for name in self._candidates() if name != self._hosts.own.name]
+        return tuple(names[:ANNOUNCED_CANDIDATES])
 
     def check_still_leading(self):
         """Tells whether this host may order now; resigns if it was suspended."""
@@ -276,6 +278,7 @@
         self.leader = name
         self.term = heartbeat.term
         self._leader_boot = heartbeat.sender.boot
+        self._announced_candidates = heartbeat.candidates
         self._resigned = False
         self._leader_heard_at = anyio.current_time()
         self._leader_ended = False
--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -62,15 +62,25 @@
     ``locate_here(key, uses, avoid)`` asks this host's own placement controller, for
     when it leads.
     ``published_replicas(key)`` returns the replicas whose published entries list the
-    adapter.
+    adapter. ``note_load(replica_id, load)`` is called with the ReplicaLoad of each
+    location that carries one.
     """
 
-    def __init__(self, leadership, endpoint, own_name, locate_here, published_replicas):
+    def __init__(
+        self,
+        leadership,
+        endpoint,
+        own_name,
+        locate_here,
+        published_replicas,
+        note_load,
+    ):
         self._leadership = leadership
         self._endpoint = endpoint
         self._own_name = own_name
         self._locate_here = locate_here
         self._published_replicas = published_replicas
+        self._note_load = note_load
         self._cached_by_key = {}
         self._last_number = 0
         self._pending_by_number = {}
@@ -196,5 +206,8 @@
     def _on_located(self, message, address):
         pending = self._pending_by_number.get(message.number)
         if pending is not None:
+            for location in message.locations:
+                if location.load is not None:
+                    self._note_load(location.replica_id, location.load)
             pending.locations = message.locations
             pending.answered.set()
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from snipetrestle.gateway.configuration import AdapterKey
+from snipetrestle.gateway.published_state import PublishedItem
 
 MAX_TOKEN = 2**62
 MAX_NAME_LENGTH = 200
@@ -35,7 +36,7 @@
     """
 
     name: Name
-    boot: Revision
+    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
     ip: Name
     port: typing.Annotated[int, msgspec.Meta(ge=0, le=65_535)]
     failure_domain: Name
@@ -62,6 +63,12 @@
     ``loads_by_replica`` holds the load that the sender causes at the replicas; in a
     leader's heartbeat, the load that all hosts cause. ``newest_by_prefix`` holds the
     newest revision of the published state that the sender has, by key prefix.
+    ``leaves_out_loads`` tells that this message says nothing about loads.
+    ``reads_store`` tells that the sender's last request to the store was answered.
+
+    Only a leader sends the rest: ``members_digest`` of all hosts that it knows, the
+    names of the likely next leaders, and of the hosts that read the store for the
+    receiver's failure domain.
     """
 
     sender: HostInfo
@@ -71,6 +78,11 @@
     leaving: bool
     loads_by_replica: dict[Name, ReplicaLoad]
     newest_by_prefix: dict[Name, Revision]
+    leaves_out_loads: bool = False
+    reads_store: bool = False
+    members_digest: Revision = 0
+    candidates: tuple[Name, ...] = ()
+    readers: tuple[Name, ...] = ()
 
 
 class Join(_Message):
@@ -85,6 +97,20 @@
     hosts: tuple[HostInfo, ...]
 
 
+class Changes(_Message):
+    """Changes of the published state, passed on by a host that reads the store.
+
+    They are those after ``base_revision`` and up to ``revision`` of the store, which
+    the sender lost for the last time ``store_returned_age_s`` before its message.
+    """
+
+    prefix: Name
+    base_revision: Revision
+    revision: Revision
+    store_returned_age_s: AgeS
+    items: tuple[PublishedItem, ...]
+
+
 class Locate(_Message):
     """Request to the leader for the replicas that hold an adapter.
 
@@ -102,10 +128,14 @@
 
 
 class AdapterLocation(msgspec.Struct, array_like=True, frozen=True):
-    """A replica that holds an adapter, or is expected to in ``ready_in_s`` seconds."""
+    """A replica that holds an adapter, or is expected to in ``ready_in_s`` seconds.
+
+    ``load`` is what all hosts cause there; None if heartbeats carry it.
+    """
 
     replica_id: Name
     ready_in_s: DurationS
+    load: ReplicaLoad | None = None
 
 
 class Located(_Message):
@@ -116,7 +146,7 @@
     retry_in_s: DurationS = 0.0
 
 
-Message = Heartbeat | Join | KnownHosts | Locate | Located
+Message = Heartbeat | Join | KnownHosts | Changes | Locate | Located
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -9,11 +9,13 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.coordination.datagrams import DatagramEndpoint
 from snipetrestle.coordination.director import PlacementController
+from snipetrestle.coordination.heartbeat_content import HeartbeatContent
 from snipetrestle.coordination.hosts import Hosts
 from snipetrestle.coordination.leadership import Leadership, has_ended
 from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import HostInfo
 from snipetrestle.coordination.shared_loads import SharedReplicaLoads
+from snipetrestle.coordination.store_relay import StoreRelay
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle.gateway.forwarding import Forwarder
@@ -148,17 +150,28 @@
         own_info = HostInfo(
             settings.name, boot, *settings.peers, settings.failure_domain, settings.size
         )
+        heartbeat_content = HeartbeatContent()
         self.hosts = Hosts(
             own_info,
             settings.seeds,
             self.datagram_endpoint,
-            self._heartbeat_state,
-            lambda: self.leadership.full_heartbeat_names(),
+            heartbeat_content,
         )
         self.leadership = Leadership(self.hosts, settings.lease_s, has_ended)
         self.shared_loads = SharedReplicaLoads(
             self.replicas, self.hosts, self.leadership
         )
+        self.store_relay = StoreRelay(
+            self.state,
+            self.hosts,
+            self.leadership,
+            self.datagram_endpoint,
+            min(settings.replica_drain_s, settings.configuration_apply_s),
+        )
+        self.state.relay = self.store_relay
+        heartbeat_content.connect(
+            self.leadership, self.shared_loads, self.state, self.store_relay
+        )
         self.director = PlacementController(
             self.state,
             self.leadership,
@@ -172,6 +185,7 @@
             settings.name,
             self.director.locate,
             self.replicas.ids_listing_adapter,
+            self.shared_loads.note_total_load,
         )
         self.snapshots = Snapshots(self.state, self.hosts, rng)
         self.forwarder = Forwarder(self)
@@ -186,21 +200,6 @@
         configuration = self.state.configuration
         return CallerLimits() if configuration is None else configuration.limits
 
-    def _heartbeat_state(self):
-        """Returns the state of this host that its heartbeats carry."""
-        loads = (
-            self.shared_loads.total_loads()
-            if self.leadership.leads
-            else self.shared_loads.own_loads()
-        )
-        return (
-            self.leadership.leader,
-            self.leadership.term,
-            self.leadership.leader_age_s(),
-            loads,
-            self.state.newest_by_prefix(),
-        )
-
     @property
     def is_listening(self):
         return self.caller_server.is_open
--- a/snipetrestle/gateway/published_state.py
+++ b/snipetrestle/gateway/published_state.py
@@ -107,6 +107,8 @@
 
     def __init__(self, source, feeds, replicas, rng):
         self._source = source
+        # The StoreRelay, which decides whether this host reads the store.
+        self.relay = None
         self._rng = rng
         self.replicas = replicas
         self.feeds = {feed.prefix: FeedState(feed) for feed in feeds}
@@ -141,9 +143,10 @@
                     await self._read(state)
                     needs_full_read = False
                 else:
+                    await self.relay.wait_until_needed(prefix)
                     await self._watch(state)
                 retry_delay_s = MIN_RETRY_DELAY_S
-                await anyio.sleep(state.feed.pause_s)
+                await anyio.sleep(self.relay.pause_s(state.feed))
             except HistoryLost:
                 needs_full_read = True
             except SourceUnreachable as error:
@@ -157,12 +160,39 @@
         self.replace_items(state.feed.prefix, store_items)
 
     async def _watch(self, state):
-        feed = state.feed
-        store_items = await self._source.watch(feed.prefix, state.revision, feed.wait_s)
+        prefix, base_revision = state.feed.prefix, state.revision
+        store_items = await self._source.watch(
+            prefix, base_revision, self.relay.wait_s(state.feed)
+        )
         self._note_reachable(state)
+        self.relay.pass_on(prefix, base_revision, store_items)
+        self._apply_items(state, store_items.items)
+        state.revision = max(state.revision, store_items.revision)
+
+    def apply_changes(self, prefix, store_items, store_returned_age_s):
+        """Applies changes that another host has read from the store.
+
+        They must follow this host's revision. ``store_returned_age_s`` is the time
+        since the other host could reach the store again; -1 if it always could.
+        """
+        state = self.feeds[prefix]
+        if store_returned_age_s >= 0:
+            returned_at = anyio.current_time() - store_returned_age_s
+            self._store_returned_at = max(self._store_returned_at, returned_at)
         self._apply_items(state, store_items.items)
         state.revision = max(state.revision, store_items.revision)
 
+    def store_returned_age_s(self):
+        """Returns the time since the store was last unreachable; -1 if never."""
+        if self._store_returned_at < 0:
+            return -1.0
+        return anyio.current_time() - self._store_returned_at
+
+    @property
+    def is_store_reachable(self):
+        """Whether the store has answered the latest request about each prefix."""
+        return all(state.reachable for state in self.feeds.values())
+
     def _note_reachable(self, state):
         """Records a response of the store.
 
--- a/snipetrestle_standins/datagram_network.py
+++ b/snipetrestle_standins/datagram_network.py
@@ -1,5 +1,7 @@
 """In-memory datagram network between hosts, whose links can be cut."""
 
+import collections
+
 import anyio
 
 from snipetrestle.coordination.messages import decode, encode
@@ -11,12 +13,14 @@
     """Delivers datagrams between the endpoints of one process.
 
     ``cuts`` has a frozenset of two names for each pair of hosts whose datagrams are
-    lost. ``task_group`` is the task group that delivers; its owner sets it.
+    lost. ``datagrams_by_sender`` counts what each host has sent. ``task_group`` is the
+    task group that delivers; its owner sets it.
     """
 
     def __init__(self):
         self.endpoints_by_address = {}
         self.cuts = set()
+        self.datagrams_by_sender = collections.Counter()
         self.task_group = None
 
     def connected(self, first, second):
@@ -42,7 +46,13 @@
         self._handlers_by_type[message_type] = handler
 
     def send(self, message, address):
-        self._network.task_group.start_soon(self._deliver, encode(message), address)
+        self.send_all(message, [address])
+
+    def send_all(self, message, addresses):
+        content = encode(message)
+        for address in addresses:
+            self._network.datagrams_by_sender[self.name] += 1
+            self._network.task_group.start_soon(self._deliver, content, address)
 
     async def _deliver(self, content, address):
         await anyio.sleep(DELIVERY_DELAY_S)
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -13,6 +13,7 @@
 import anyio
 
 from snipetrestle.coordination.director import PlacementController
+from snipetrestle.coordination.heartbeat_content import HeartbeatContent
 from snipetrestle.coordination.hosts import Hosts
 from snipetrestle.coordination.leadership import Leadership
 from snipetrestle.coordination.locator import Locator
@@ -273,18 +274,18 @@
             versions_by_adapter={},
             on_change=self._listeners.append,
         )
+        content = HeartbeatContent()
         self.hosts = Hosts(
             HostInfo(name, boot, *address, "zone-1", 1.0),
             tuple(("127.0.0.1", seed + 1) for seed in range(SEED_COUNT)),
             self.endpoint,
-            self._describe,
-            lambda: self.leadership.full_heartbeat_names(),
+            content,
         )
         self.leadership = Leadership(
             self.hosts, LEASE_S, functools.partial(fleet.has_ended, name)
         )
         loads = SharedReplicaLoads(self.replicas, self.hosts, self.leadership)
-        self._loads = loads
+        content.connect(self.leadership, loads)
         self.placement_controller = PlacementController(
             state,
             self.leadership,
@@ -298,17 +299,7 @@
             name,
             self.placement_controller.locate,
             self.replicas.ids_listing_adapter,
-        )
-
-    def _describe(self):
-        """Returns the content of this host's heartbeats."""
-        leads = self.leadership.leads
-        return (
-            self.leadership.leader,
-            self.leadership.term,
-            self.leadership.leader_age_s(),
-            self._loads.total_loads() if leads else self._loads.own_loads(),
-            {},
+            loads.note_total_load,
         )
 
     def list_replica(self, entry):
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -3,6 +3,7 @@
 import anyio
 import testtools
 
+from snipetrestle.coordination.heartbeat_content import HeartbeatContent
 from snipetrestle.coordination.hosts import Hosts
 from snipetrestle.coordination.leadership import Leadership, next_token
 from snipetrestle.coordination.messages import HostInfo
@@ -22,20 +23,15 @@
         self.endpoint = LocalEndpoint(system.network, self.name, address)
         info = HostInfo(self.name, boot, *address, "zone-1", 1.0)
         seeds = tuple(("127.0.0.1", seed) for seed in system.seeds)
+        content = HeartbeatContent()
         self.hosts = Hosts(
             info,
             seeds,
             self.endpoint,
-            lambda: (
-                self.leadership.leader,
-                self.leadership.term,
-                self.leadership.leader_age_s(),
-                {},
-                {},
-            ),
-            lambda: self.leadership.full_heartbeat_names(),
+            content,
         )
         self.leadership = Leadership(self.hosts, LEASE_S, system.has_ended)
+        content.connect(self.leadership)
         self.scope = anyio.CancelScope()
 
     async def run(self):
--- a/tests/coordination/test_locator.py
+++ b/tests/coordination/test_locator.py
@@ -40,6 +40,7 @@
                 "entry-1",
                 self.locate_here,
                 lambda key: ["r7"],
+                lambda replica_id, load: None,
             )
             async with anyio.create_task_group() as group:
                 group.start_soon(locator.run)
--- a/tests/gateway/test_supervision.py
+++ b/tests/gateway/test_supervision.py
@@ -155,7 +155,7 @@
             absurd = msgspec.structs.replace(HEARTBEAT, **{field: value})
             self.endpoint.datagram_received(messages.encode(absurd), ("127.0.0.1", 9))
             self.assertEqual([], self.received, field)
-        for field, value in (("port", 70_000), ("size", float("inf")), ("boot", -1)):
+        for field, value in (("port", 70_000), ("size", float("inf")), ("boot", 2**63)):
             info = msgspec.structs.replace(INFO, **{field: value})
             data = messages.encode(messages.KnownHosts((info,)))
             self.endpoint.datagram_received(data, ("127.0.0.1", 9))
