--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -5,6 +5,7 @@
 """
 
 import typing
+import zlib
 
 import msgspec
 
@@ -101,14 +102,15 @@
     """Changes of the published state, passed on by a host that reads the store.
 
     They are those after ``base_revision`` and up to ``revision`` of the store, which
-    the sender lost for the last time ``store_returned_age_s`` before its message.
+    the sender could reach again ``store_returned_age_s`` before its message.
+    ``content`` contains the items, as ``pack_items`` returns them.
     """
 
     prefix: Name
     base_revision: Revision
     revision: Revision
     store_returned_age_s: AgeS
-    items: tuple[PublishedItem, ...]
+    content: bytes
 
 
 class Locate(_Message):
@@ -158,3 +160,25 @@
 def decode(data):
     """Returns the message. Raises msgspec.DecodeError."""
     return _decoder.decode(data)
+
+
+# Limits what a damaged message can make of a few bytes.
+MAX_UNPACKED_BYTES = 4 * 1024 * 1024
+_items_decoder = msgspec.msgpack.Decoder(tuple[PublishedItem, ...])
+
+
+def pack_items(items):
+    """Returns PublishedItems in compressed form, since configurations are long."""
+    return zlib.compress(_encoder.encode(tuple(items)))
+
+
+def unpack_items(content):
+    """Returns the PublishedItems of ``pack_items``. Raises ValueError."""
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(content, MAX_UNPACKED_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from None
+    if not decompressor.eof:
+        raise ValueError("the items are incomplete, or too large")
+    return _items_decoder.decode(data)
--- a/snipetrestle/coordination/store_relay.py
+++ b/snipetrestle/coordination/store_relay.py
@@ -12,7 +12,7 @@
 import anyio
 import xxhash
 
-from snipetrestle.coordination.messages import Changes, encode
+from snipetrestle.coordination.messages import Changes, pack_items, unpack_items
 from snipetrestle.gateway.published_state import StoreItems
 
 # Each host gets the changes from this many readers, so that it can lose one.
@@ -182,27 +182,36 @@
         """Sends the changes after a revision to the hosts that this one reads for."""
         if not self.is_reader or not changes.items:
             return
+        content = pack_items(changes.items)
+        if len(content) > MAX_CHANGES_BYTES:
+            return
         message = Changes(
             prefix,
             base_revision,
             changes.revision,
             self._state.store_returned_age_s(),
-            tuple(changes.items),
+            content,
+        )
+        self._endpoint.send_all(
+            message, [host.address for host in self.hosts_read_for()]
         )
-        if len(encode(message)) <= MAX_CHANGES_BYTES:
-            addresses = [host.address for host in self.hosts_read_for()]
-            self._endpoint.send_all(message, addresses)
 
     def _on_changes(self, message, address):
         feed_state = self._state.feeds.get(message.prefix)
         if feed_state is None or not feed_state.loaded:
             return
-        if message.base_revision <= feed_state.revision:
-            self._state.apply_changes(
-                message.prefix,
-                StoreItems(message.items, message.revision),
-                message.store_returned_age_s,
-            )
+        if message.base_revision > feed_state.revision:
+            return
+        try:
+            items = unpack_items(message.content)
+        except ValueError:
+            # The next heartbeat of the reader shows that this host is behind.
+            return
+        self._state.apply_changes(
+            message.prefix,
+            StoreItems(items, message.revision),
+            message.store_returned_age_s,
+        )
 
 
 def readers_of(host_name, reader_names):
--- a/tests/coordination/test_store_relay.py
+++ b/tests/coordination/test_store_relay.py
@@ -1,12 +1,15 @@
 """Tests that few hosts read the store, and that all learn of changes in time."""
 
+import random
+import zlib
+
 import anyio
 import testtools
 
 from snipetrestle.coordination.heartbeat_content import HeartbeatContent
 from snipetrestle.coordination.hosts import Hosts
 from snipetrestle.coordination.leadership import Leadership
-from snipetrestle.coordination.messages import HostInfo
+from snipetrestle.coordination.messages import Changes, HostInfo, pack_items
 from snipetrestle.coordination.store_relay import (
     READERS_PER_HOST,
     StoreRelay,
@@ -271,13 +274,42 @@
         """Datagrams may be lost, and long ones are not sent at all."""
 
         async def check(system):
-            system.store.put("op/large", b"x" * 100_000)
+            content = random.Random(1).randbytes(100_000)
+            system.store.put("op/large", content)
             await anyio.sleep(1.5)
             for member in system.members:
                 self.assertEqual(system.store.revision, member.revision, member.name)
 
         self.run_system(check)
 
+    def test_long_configurations_are_passed_on(self):
+        """Each change of the configuration made all 81 hosts read the store, since it
+        was longer than a datagram may be."""
+
+        async def check(system):
+            system.store.calls_by_host.clear()
+            text = "".join(f'{{"name":"route-{n}","attempts":2}}' for n in range(1000))
+            system.store.put("op/config", text.encode())
+            await anyio.sleep(1.0)
+            for member in system.members:
+                self.assertEqual(system.store.revision, member.revision)
+            readers = READERS_PER_HOST * len(DOMAINS) + 1
+            self.assertLessEqual(len(system.store.calls_by_host), readers)
+
+        self.run_system(check)
+
+    def test_damaged_changes_are_ignored(self):
+        """A datagram must not make a host apply or unpack what no reader sent."""
+
+        async def check(system):
+            follower = system.followers("zone-2")[0]
+            for content in (b"", b"no data", pack_items([])[:-3], zlib.compress(b"x")):
+                message = Changes(PREFIX, 0, 10**6, -1.0, content)
+                follower.relay._on_changes(message, None)
+            self.assertLess(follower.state.feeds[PREFIX].revision, 10**6)
+
+        self.run_system(check)
+
     def test_deletions_wait_after_the_return_of_the_store(self):
         """Entries that lapsed while the store was away come back within two seconds;
         a host that did not read the store itself must wait for them as well."""
