Take announcements of the leader from its periodic heartbeats only, and log readers

Cause: the leader's answer to a join carries no readers of the store, no successors and no digest of the hosts. A host took it for an announcement: it read the store by itself until the next heartbeat, and asked the leader for its hosts again.

--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -352,7 +352,8 @@
             self._send_own_heartbeat(host.address)
         for listener in self._listeners:
             listener(heartbeat)
-        if self.is_large and heartbeat.leader == heartbeat.sender.name:
+        is_leader = heartbeat.leader == heartbeat.sender.name
+        if self.is_large and is_leader and heartbeat.is_announcement:
             self._compare_members(heartbeat)
 
     def _answers_new_hosts(self):
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -278,7 +278,8 @@
         self.leader = name
         self.term = heartbeat.term
         self._leader_boot = heartbeat.sender.boot
-        self._announced_candidates = heartbeat.candidates
+        if heartbeat.is_announcement:
+            self._announced_candidates = heartbeat.candidates
         self._resigned = False
         self._leader_heard_at = anyio.current_time()
         self._leader_ended = False
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -85,6 +85,14 @@
     candidates: tuple[Name, ...] = ()
     readers: tuple[Name, ...] = ()
 
+    @property
+    def is_announcement(self):
+        """Whether this is a leader's periodic heartbeat, not one that answers a join.
+
+        Only periodic heartbeats contain what a leader announces.
+        """
+        return self.members_digest != 0
+
 
 class Join(_Message):
     """Request for the hosts that the receiver knows."""
--- a/snipetrestle/coordination/store_relay.py
+++ b/snipetrestle/coordination/store_relay.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from snipetrestle.coordination.messages import Changes, pack_items, unpack_items
+from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.published_state import StoreItems
 
 # Each host gets the changes from this many readers, so that it can lose one.
@@ -54,6 +55,7 @@
         self._appointed_by_domain = {}
         self._appointed_at_by_name = {}
         self._behind_since_by_prefix = {}
+        self._hears_reader = False
         hosts.on_heartbeat(self._on_heartbeat)
         endpoint.register(Changes, self._on_changes)
 
@@ -84,10 +86,18 @@
         if not self._leadership.has_recent_leader:
             return True
         readers = self._working_readers()
+        self._note_hears_reader(bool(readers))
         if not readers:
             return True
         return self._is_behind(prefix, readers)
 
+    def _note_hears_reader(self, hears_reader):
+        if hears_reader == self._hears_reader:
+            return
+        self._hears_reader = hears_reader
+        event = Event.READERS_BACK if hears_reader else Event.READERS_LOST
+        log_event(event, readers=self.reader_names)
+
     def _working_readers(self):
         """Returns the known readers of this domain that can read the store."""
         since = anyio.current_time() - READER_TIMEOUT_S
@@ -113,8 +123,13 @@
         return now - since >= BEHIND_TIMEOUT_S
 
     def _on_heartbeat(self, heartbeat):
-        if heartbeat.sender.name == self._leadership.leader == heartbeat.leader:
+        if heartbeat.sender.name != self._leadership.leader:
+            return
+        if heartbeat.leader != self._leadership.leader:
+            return
+        if heartbeat.is_announcement and heartbeat.readers != self.reader_names:
             self.reader_names = heartbeat.readers
+            log_event(Event.READERS_CHANGED, readers=self.reader_names)
 
     # The part of the leader.
 
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -86,6 +86,13 @@
     ADAPTER_ORDERED = (1428, "INFO", "adapter load was ordered")
     MODEL_ORDERED = (1429, "INFO", "model load was ordered")
     PLACEMENT_STATE = (1431, "INFO", "adapter placement state")
+    READERS_CHANGED = (1432, "INFO", "readers of the published state changed")
+    READERS_LOST = (
+        1433,
+        "WARNING",
+        "no reader of the published state is heard, so this daemon reads it",
+    )
+    READERS_BACK = (1434, "INFO", "a reader of the published state is heard again")
     PROCESS_RESUMED = (1430, "WARNING", "process resumed after a pause")
     WRITE_UNKNOWN = (1501, "WARNING", "outcome of a write is unknown")
     KEEPER_READY = (1502, "INFO", "keeper recovered and is ready")
--- a/tests/coordination/test_store_relay.py
+++ b/tests/coordination/test_store_relay.py
@@ -9,7 +9,12 @@
 from snipetrestle.coordination.heartbeat_content import HeartbeatContent
 from snipetrestle.coordination.hosts import Hosts
 from snipetrestle.coordination.leadership import Leadership
-from snipetrestle.coordination.messages import Changes, HostInfo, pack_items
+from snipetrestle.coordination.messages import (
+    Changes,
+    HostInfo,
+    Join,
+    pack_items,
+)
 from snipetrestle.coordination.store_relay import (
     READERS_PER_HOST,
     StoreRelay,
@@ -298,6 +303,24 @@
 
         self.run_system(check)
 
+    def test_answer_to_a_join_leaves_what_the_leader_announced(self):
+        """The leader's answer to a join names no readers and no successors. The host
+        took it for an announcement, and read the store by itself."""
+
+        async def check(system):
+            follower = system.followers("zone-2")[0]
+            readers = follower.relay.reader_names
+            successors = follower.leadership.next_leaders()
+            self.assertEqual(READERS_PER_HOST, len(readers))
+            self.assertEqual(3, len(successors))
+            joined = Join(follower.hosts.own)
+            system.leader.hosts._on_join(joined, follower.endpoint.address)
+            await anyio.sleep(0.01)
+            self.assertEqual(readers, follower.relay.reader_names)
+            self.assertEqual(successors, follower.leadership.next_leaders())
+
+        self.run_system(check)
+
     def test_damaged_changes_are_ignored(self):
         """A datagram must not make a host apply or unpack what no reader sent."""
 
