Ignore the reload signal from the first line of the program on

What was found: SIGHUP ended the process until its imports were done, which take most of its start. No run proves that this was the cause in the soak; it prints the exit code now.

--- a/snipetrestle/platform/__main__.py
+++ b/snipetrestle/platform/__main__.py
@@ -1,6 +1,13 @@
 """Runs the gateway on the users' platform: ``python3 -m snipetrestle.platform``."""
 
+# ruff: noqa: E402
+
 import signal
+
+# A SIGHUP for changed settings must not end the process before the gateway has installed
+# its signal handlers. The other imports take most of the start.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import sys
 import time
 import types
@@ -49,9 +56,6 @@
 
 
 async def main():
-    # A SIGHUP for changed settings must not end the process before the gateway has
-    # installed its signal handlers.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     boot = int(time.time() * 1000)
     set_up_logs(LogSettings(), sys.stdout)
     try:
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -86,6 +86,11 @@
     def exited_unexpectedly(self):
         return self._process is not None and not self.is_running and not self.stopping
 
+    @property
+    def exit_code(self):
+        """The exit code, or the negative number of the signal that ended the process."""
+        return None if self._process is None else self._process.returncode
+
     async def is_ready(self):
         """Sends the readiness probe of the platform's load balancer."""
         try:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -329,7 +329,8 @@
         for host in self._hosts:
             if host.exited_unexpectedly:
                 self.violations.append(
-                    f"END {host.name}: the process exited unexpectedly"
+                    f"END {host.name}: the process exited unexpectedly, "
+                    f"code {host.exit_code}"
                 )
 
     def _check_interruptions(self):
