--- a/snipetrestle/coordination/placement_index.py
+++ b/snipetrestle/coordination/placement_index.py
@@ -1,7 +1,7 @@
 """Index of the adapters of one backend's replicas.
 
-The leader looks up an adapter for each request that no host has cached. A search through
-thousands of replicas at each lookup would take more than a core.
+The leader looks up an adapter for each request that no host has cached. A search
+through thousands of replicas at each lookup would take more than a core.
 """
 
 
--- a/snipetrestle/coordination/shared_loads.py
+++ b/snipetrestle/coordination/shared_loads.py
@@ -147,7 +147,7 @@
         return busy[:MAX_REPORTED_REPLICAS]
 
     def total_load(self, replica):
-        """Returns the ReplicaLoad of all hosts at a replica; None if nothing is known."""
+        """Returns the ReplicaLoad of all hosts at a replica; None if it is unknown."""
         interval_us = int((replica.event_interval_s or 0) * _MICROSECONDS)
         if not replica.load and not interval_us:
             return None
--- a/snipetrestle/coordination/store_relay.py
+++ b/snipetrestle/coordination/store_relay.py
@@ -2,9 +2,10 @@
 
 Calls to the store have a price, and their rate is limited for all hosts together. Among
 many hosts the leader appoints a few readers in each failure domain. Each change is sent
-at once to the other hosts of the domain, to each of them by two readers. Any other host reads by itself as soon as
-its readers are silent, have lost the store, or know more than it does; so a host that is
-cut off from its readers, but not from the store, still learns of changes in time.
+at once to the other hosts of the domain, to each of them by two readers. Any other
+host reads by itself as soon as its readers are silent, have lost the store, or know
+more than it does; so a host that is cut off from its readers, but not from the store,
+still learns of changes in time.
 """
 
 import math
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -330,7 +330,10 @@
         return idle_since + limits.idle_timeout_s - now
 
     def _remaining_body_wait_s(self, now):
-        """Returns how long to wait for more of a body: it may neither stop nor crawl."""
+        """Returns how long to wait for more of a body, in seconds.
+
+        A body may neither pause for long nor arrive too slowly.
+        """
         transfer_s = self._body_bytes / MIN_BODY_BYTES_PER_S
         latest_end = self._body_started_at + MAX_BODY_PAUSE_S + transfer_s
         return min(self._last_body_at + MAX_BODY_PAUSE_S, latest_end) - now
--- a/snipetrestle/platform/__main__.py
+++ b/snipetrestle/platform/__main__.py
@@ -4,8 +4,8 @@
 
 import signal
 
-# A SIGHUP for changed settings must not end the process before the gateway has installed
-# its signal handlers. The other imports take most of the start.
+# A SIGHUP for changed settings must not end the process before the gateway has
+# installed its signal handlers. The other imports take most of the start.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import sys
