--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -71,6 +71,11 @@
     REQUEST_FAILED = (1404, "WARNING", "request was not served")
     REQUEST_REPEATED = (1405, "INFO", "request is retried")
     LINES_SUPPRESSED = (1406, "WARNING", "log lines were suppressed")
+    STREAM_LOST_BEFORE_EVENT = (
+        1407,
+        "WARNING",
+        "replica closed a stream before its first event",
+    )
     REPLICA_LISTED = (1411, "INFO", "replica was listed or changed")
     REPLICA_UNLISTED = (1412, "INFO", "replica is no longer listed")
     REPLICA_SUSPECTED = (1413, "WARNING", "replica does not answer")
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -143,6 +143,9 @@
         self._read_settings = platform.read_settings
         self.metrics = GatewayMetrics()
         self.request_log = RequestLines()
+        # The end of one replica suppresses lines about the streams that it cut off.
+        # These must not be among them, as they tell which prompts it was starting.
+        self.lost_stream_log = RequestLines()
         self.retry_budgets = RetryBudgets(settings.retry_budget)
         self.replicas = ReplicaDirectory(settings.failure_domain, rng)
         self.state = PublishedState(platform.source, platform.feeds, self.replicas, rng)
--- a/snipetrestle/gateway/dialect.py
+++ b/snipetrestle/gateway/dialect.py
@@ -17,6 +17,8 @@
     ``deadline_s`` is the time that the caller waits, from the arrival of the request.
     ``adapter`` has an empty adapter name for the base model, and is None for requests
     that name no model. Token counts are 0 if the caller gives none.
+    ``shared_prompt_parts`` are the ids of the parts of the prompt, in order, without
+    those that belong to this request alone.
     """
 
     request_id: bytes
@@ -25,6 +27,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     last_event_id: int | None = None
+    shared_prompt_parts: tuple[str, ...] = ()
 
 
 class ResponseMetadata(msgspec.Struct):
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -13,7 +13,11 @@
 from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.event_stream import EventSplitter, InvalidEvent
 from snipetrestle.gateway.exchange import Exchange
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.http_client import (
+    ConnectFailed,
+    ExchangeFailed,
+    ReplicaClosed,
+)
 from snipetrestle.gateway.job import Job, Refused
 
 # Failed connection attempts of one request; nothing was sent in any of them.
@@ -56,6 +60,7 @@
         self._hosts = gateway.hosts
         self._metrics = gateway.metrics
         self._request_log = gateway.request_log
+        self._lost_stream_log = gateway.lost_stream_log
         self._rng = gateway.rng
         self._refuses_new = False
         self._has_given_up = False
@@ -257,10 +262,27 @@
                 self._note_connect_failure(job, replica)
             except ExchangeFailed as error:
                 replica.note_failure()
+                if isinstance(error, ReplicaClosed):
+                    self._note_stream_closed(job, replica)
                 if not self._may_resend(job):
                     raise Refused(job.unknown_outcome_code, reason=str(error)) from None
                 self._log_resend(job, str(error))
 
+    def _note_stream_closed(self, job, replica):
+        """Logs the prompt of a stream that its replica closed before any event."""
+        if job.last_event_id is not None:
+            return
+        self._metrics.count_stream_lost_before_event(job.route.name)
+        self._lost_stream_log.log(
+            Event.STREAM_LOST_BEFORE_EVENT,
+            request=job.request_id,
+            route=job.route.name,
+            replica=replica.id,
+            boot=replica.entry.boot,
+            attempt=job.send_count,
+            prompt_parts=job.metadata.shared_prompt_parts,
+        )
+
     async def _attempt_stream(self, job, replica):
         """Sends the request and forwards its events. Returns whether it is done."""
         started = anyio.current_time()
--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -30,6 +30,10 @@
     """A request was sent and got no complete response. It may have run."""
 
 
+class ReplicaClosed(ExchangeFailed):
+    """The replica closed or reset the connection before the end of its response."""
+
+
 class ConnectFailed(Exception):
     """No usable connection could be opened, so nothing was sent."""
 
@@ -60,7 +64,7 @@
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._transport = None
         self._waiter = Waiter()
-        self._failure_reason = None
+        self._failure = None
         self._reset()
 
     def _reset(self):
@@ -117,7 +121,7 @@
         self.closed = True
         self.reusable = False
         if self._in_exchange and not self._complete:
-            self._fail(f"the connection was closed: {exc!r}")
+            self._fail(f"the connection was closed: {exc!r}", ReplicaClosed)
         self._waiter.wake()
 
     # Callbacks of httptools.
@@ -258,14 +262,14 @@
         if self._transport is not None and not self.closed:
             self._transport.abort()
 
-    def _fail(self, reason):
+    def _fail(self, reason, error_type=ExchangeFailed):
         self.close()
-        if self._failure_reason is None:
-            self._failure_reason = reason
+        if self._failure is None:
+            self._failure = error_type(reason)
 
     def _raise_if_failed(self):
-        if self._failure_reason is not None:
-            raise ExchangeFailed(self._failure_reason)
+        if self._failure is not None:
+            raise self._failure
 
 
 def _is_close_delimited(head):
--- a/snipetrestle/gateway/metrics.py
+++ b/snipetrestle/gateway/metrics.py
@@ -38,6 +38,12 @@
             ("route", "result"),
             registry=self.registry,
         )
+        self._lost_streams = Counter(
+            "snipetrestle_gateway_streams_lost_before_event",
+            "Attempts of streams that a replica closed before any event, by route.",
+            ("route",),
+            registry=self.registry,
+        )
         self._series_by_route = {}
 
     def _histogram(self, name, documentation):
@@ -79,6 +85,10 @@
         """
         self._requests.labels(self._route_label(route), result or str(code)).inc()
 
+    def count_stream_lost_before_event(self, route):
+        """Counts an attempt of a stream that its replica closed before any event."""
+        self._lost_streams.labels(self._route_label(route)).inc()
+
     def render(self):
         """Returns the metrics in the Prometheus text format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -8,6 +8,7 @@
 MODEL = b"x-model"
 TOKEN_COUNT = b"x-token-count"
 LAST_EVENT_ID = b"last-event-id"
+PROMPT_PREFIX = b"x-prompt-prefix"
 
 # Hop-by-hop headers, which apply to one connection only.
 _CONNECTION_HEADERS = frozenset(
@@ -42,11 +43,12 @@
 )
 _DROPPED_FROM_REQUESTS = _CONNECTION_HEADERS | _RESERVED_HEADERS
 # A caller cannot have these removed by naming them in ``Connection``.
-_NEVER_DROPPED = frozenset(
-    {b"host", REQUEST_ID, MODEL, TOKEN_COUNT, b"x-prompt-prefix"}
-)
+_NEVER_DROPPED = frozenset({b"host", REQUEST_ID, MODEL, TOKEN_COUNT, PROMPT_PREFIX})
 # Priorities are numbered from the highest, 0.
 LOWEST_PRIORITY = 9
+# Longer lists and ids of prompt parts are cut off, since hosts keep and exchange them.
+MAX_PROMPT_PARTS = 32
+MAX_PROMPT_PART_LENGTH = 64
 
 
 class PlatformDialect:
@@ -74,6 +76,7 @@
         if len(tokens) == 2 and tokens[0].isdigit() and tokens[1].strip().isdigit():
             facts.prompt_tokens = int(tokens[0])
             facts.output_tokens = int(tokens[1])
+        facts.shared_prompt_parts = _shared_prompt_parts(values.get(PROMPT_PREFIX))
         return facts
 
     def request_head(self, method, target, headers, body_length, attempt):
@@ -124,6 +127,20 @@
         return facts
 
 
+def _shared_prompt_parts(value):
+    """Returns the ids of all listed prompt parts (``ID:TOKENS``) but the last.
+
+    The last part belongs to the request itself or to its session.
+    """
+    if value is None:
+        return ()
+    parts = value.decode("latin-1").split(",")[:-1]
+    return tuple(
+        part.partition(":")[0].strip()[:MAX_PROMPT_PART_LENGTH]
+        for part in parts[:MAX_PROMPT_PARTS]
+    )
+
+
 def _named_by_connection(headers):
     """Returns the names that the ``Connection`` headers list as hop-by-hop."""
     named = set()
--- a/snipetrestle_standins/gateway_fleet.py
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -118,6 +118,7 @@
         self.store.put("op/config", self._configuration)
         for replica in self.replicas:
             await replica.start()
+            replica.on_restart = self.publish
             self.publish(replica)
         for number in range(self._gateway_count):
             self.start_gateway(number)
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -81,6 +81,10 @@
     set by a load beyond ``adapter_slots``. ``endless_bytes`` counts the bytes of endless
     messages that were written. A stream has ``events`` events,
     ``event_interval_s`` seconds apart.
+
+    A request with a prompt part of ``crashing_parts`` ends the replica when its first
+    event is due; ``crash_count`` counts that. It restarts at once, empty, with a new
+    ``boot``, and calls ``on_restart(replica)`` if that is set.
     """
 
     def __init__(self, replica_id, backend, model=None, slots=4, adapter_slots=4):
@@ -108,6 +112,10 @@
         self.running = 0
         self.overfilled = False
         self.endless_bytes = 0
+        self.boot = 1
+        self.crashing_parts = set()
+        self.crash_count = 0
+        self.on_restart = None
         self._second_copies = {}
         self.token = 0
         self.order_count = 0
@@ -126,7 +134,7 @@
             "cold_remaining_ms": 0,
             "models": self._model_entries(),
             "seq": 1,
-            "born": 1,
+            "born": self.boot,
             **fields,
         }
 
@@ -142,6 +150,13 @@
         self.faults.clear()
         self.order_count = self.token = 0
 
+    def _crash(self):
+        self.crash_count += 1
+        self.boot += 1
+        self.restart()
+        if self.on_restart is not None:
+            self.on_restart(self)
+
     def _model_entries(self):
         if self.model is None:
             return []
@@ -365,12 +380,17 @@
 
     async def _send_stream(self, request, writer, fault, last_event_id):
         headers = _lines(self._proof_headers(request))
+        prefix = request.headers.get("x-prompt-prefix", "")
+        prompt_parts = {part.partition(":")[0] for part in prefix.split(",")}
         writer.write(_CHUNKED_HEAD.format(headers=headers).encode())
         for number in range(last_event_id + 1, self.events + 1):
             await asyncio.sleep(self.event_interval_s)
             if writer.transport.is_closing():
                 self.cancelled.append(request.headers["x-request-id"])
                 return
+            if self.crashing_parts & prompt_parts:
+                self._crash()
+                return
             padding = "x" * self.event_padding
             event = f"id: {number}\ndata: token {number}{padding}\n\n".encode()
             if fault is Fault.RESET_IN_RESPONSE and number == last_event_id + 3:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -173,6 +173,23 @@
         ):
             self.assertNotIn(name, head.decode())
 
+    def test_shared_prompt_parts_leave_out_the_last(self):
+        """The last part is the request's own, so nothing can be learned from it."""
+        dialect = PlatformDialect()
+        for value, expected in (
+            (b"5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+            (b"5c1e07a2:800", ()),
+            (b"", ()),
+            (b"x" * 100 + b":1,y:2", ("x" * 64,)),
+            (b"a:1," * 50 + b"b:1", ("a",) * 32),
+        ):
+            headers = [(b"x-request-id", b"r1"), (b"x-prompt-prefix", value)]
+            self.assertEqual(
+                expected, dialect.read_request(headers).shared_prompt_parts
+            )
+        facts = dialect.read_request([(b"x-request-id", b"r1")])
+        self.assertEqual((), facts.shared_prompt_parts)
+
     def test_response_facts_and_hop_by_hop_headers(self):
         """Guards against a refusal taken for a response of an executed request, and
         against forwarded hop-by-hop headers."""
