Reproduce prompts that crash one replica after the other

Three gateways before three replicas that crash on a part of a prompt: 3 s after the fifth crash, requests with that part are still sent (502 instead of 503).

--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -1,11 +1,61 @@
 """Tests of prompts that crash the replicas which begin to answer them."""
 
+import asyncio
+
 import testtools
 from loguru import logger
 
 from snipetrestle.events import Event
 from tests.gateway.running import run_fleet
 
+# How long all hosts may take to learn which part of a prompt crashes replicas.
+LEARNING_TIME_S = 3.0
+CRASHES_TO_LEARN_FROM = 5
+
+
+def prefix(*shared_parts):
+    """Returns the header of a prompt with these parts and one of its own."""
+    parts = ",".join(f"{part}:100" for part in (*shared_parts, "own"))
+    return [("X-Prompt-Prefix", parts)]
+
+
+class CrashingPromptTest(testtools.TestCase):
+    async def send(self, fleet, gateway, *shared_parts):
+        return await fleet.send_request(
+            "/night/a", gateway, adapter="", headers=prefix(*shared_parts)
+        )
+
+    def test_prompts_with_a_part_that_crashes_replicas_are_refused_by_all_hosts(self):
+        """Requests with such a part crashed one replica after the other."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.crashing_parts = {"bad"}
+
+            def crashes():
+                return sum(replica.crash_count for replica in fleet.models)
+
+            for gateway in fleet.gateways:
+                answer = await self.send(fleet, gateway, "system", "customer")
+                self.assertEqual(200, answer.status)
+            number = 0
+            while crashes() < CRASHES_TO_LEARN_FROM and number < 60:
+                gateway = fleet.gateways[number % len(fleet.gateways)]
+                await self.send(fleet, gateway, "system", "customer", "bad")
+                await asyncio.sleep(0.15)
+                number += 1
+            await asyncio.sleep(LEARNING_TIME_S)
+            crashes_before = crashes()
+            for gateway in fleet.gateways * 4:
+                bad, good = await asyncio.gather(
+                    self.send(fleet, gateway, "system", "customer", "bad"),
+                    self.send(fleet, gateway, "system", "customer"),
+                )
+                self.assertEqual((503, 200), (bad.status, good.status))
+            self.assertEqual(crashes_before, crashes())
+
+        run_fleet(check, gateways=3, models=3)
+
 
 class LostStreamLogTest(testtools.TestCase):
     def setUp(self):
@@ -20,8 +70,9 @@
         async def check(fleet):
             replica = fleet.models[0]
             replica.crashing_parts = {"bad"}
-            prefix = [("X-Prompt-Prefix", "system:350,bad:100,own:20")]
-            await fleet.send_request("/night/a", adapter="", headers=prefix)
+            await fleet.send_request(
+                "/night/a", adapter="", headers=prefix("system", "bad")
+            )
             self.assertEqual(1, replica.crash_count)
             self.assertIn(
                 b'streams_lost_before_event_total{route="night"} 1.0',
