Prove that a stream without a length is complete only after a whole event

The test passes on the code as it was: such a stream is resumed if that is allowed, and else ends in an aborted response.

--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -15,7 +15,8 @@
     RESET = enum.auto()
     # Resets the connection within the third event of a stream, or like TRUNCATED.
     RESET_IN_RESPONSE = enum.auto()
-    # Closes the connection before the end of the body.
+    # Closes the connection before the end of the body; within the third event of a
+    # stream, whose body has no length.
     TRUNCATED = enum.auto()
     # Omits the server signature.
     UNSIGNED = enum.auto()
@@ -382,7 +383,11 @@
         headers = _lines(self._proof_headers(request))
         prefix = request.headers.get("x-prompt-prefix", "")
         prompt_parts = {part.partition(":")[0] for part in prefix.split(",")}
-        writer.write(_CHUNKED_HEAD.format(headers=headers).encode())
+        has_length = fault not in (Fault.NO_CONTENT_LENGTH, Fault.TRUNCATED)
+        if has_length:
+            writer.write(_CHUNKED_HEAD.format(headers=headers).encode())
+        else:
+            writer.write(f"HTTP/1.1 200 OK\r\n{headers}\r\n".encode())
         for number in range(last_event_id + 1, self.events + 1):
             await asyncio.sleep(self.event_interval_s)
             if writer.transport.is_closing():
@@ -401,8 +406,18 @@
                 await asyncio.sleep(self.event_interval_s)
                 writer.transport.abort()
                 return
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-        writer.write(b"0\r\n\r\n")
+            if fault is Fault.TRUNCATED and number == last_event_id + 3:
+                writer.write(event[:8])
+                writer.close()
+                return
+            if has_length:
+                writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            else:
+                writer.write(event)
+        if has_length:
+            writer.write(b"0\r\n\r\n")
+        else:
+            writer.close()
 
 
 def _lines(headers):
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -111,6 +111,32 @@
 
         run_fleet(check)
 
+    def test_stream_without_length_ends_with_its_connection(self):
+        """A stream may have neither a length nor chunks. One that ends inside an event
+        must not look complete, and one that ends after an event is complete."""
+
+        async def check(fleet):
+            def set_shared_fault(fault):
+                shared_faults = [fault]
+                for replica in fleet.models:
+                    replica.faults = shared_faults
+
+            for path in ("/draft/a", "/night/a"):
+                set_shared_fault(Fault.NO_CONTENT_LENGTH)
+                answer = await fleet.send_request(path, adapter="")
+                self.assertEqual((200, True), (answer.status, answer.complete))
+                self.assertEqual(ALL_EVENT_IDS, answer.event_ids)
+            set_shared_fault(Fault.TRUNCATED)
+            answer = await fleet.send_request("/draft/a", adapter="")
+            self.assertEqual((200, True), (answer.status, answer.complete))
+            self.assertEqual(ALL_EVENT_IDS, answer.event_ids)
+            set_shared_fault(Fault.TRUNCATED)
+            answer = await fleet.send_request("/night/a", adapter="")
+            self.assertEqual((200, False), (answer.status, answer.complete))
+            self.assertEqual([1, 2], answer.event_ids)
+
+        run_fleet(check)
+
     def test_non_resumable_stream_is_not_run_twice(self):
         """Some streams may not be repeated, so a second run would be a fault."""
 
