Refuse prompts with a part that crashes replicas

Cause: hosts remembered of a lost replica only that it had failed, and sent the next request with the same part to the next replica (36 of 46, 58 of 65 and 43 of 48 lost attempts were first ones, the others retries).

Ruled out: load and orders as a cause of their own (no crash without the part).

Change: hosts exchange in their heartbeats which prompts were lost before their first event, and which parts were served.

Before: tests.gateway.test_crashing_prompts failed, 502 in place of 503.

Conclusion: requests that crash replicas must be known to all hosts, since each host sees too few crashes to tell the part from its neighbours in time.

--- a/snipetrestle/codes.py
+++ b/snipetrestle/codes.py
@@ -167,6 +167,14 @@
         "the engine refused an old fencing number",
     )
 
+    PROMPT_REFUSED = (
+        1207,
+        503,
+        Outcome.DID_NOT_RUN,
+        True,
+        "replicas crashed on prompts with a part of this one",
+    )
+
     STREAM_BROKEN = (
         1301,
         502,
--- a/snipetrestle/coordination/heartbeat_content.py
+++ b/snipetrestle/coordination/heartbeat_content.py
@@ -7,8 +7,8 @@
     """Implements what Hosts asks for.
 
     The components depend on Hosts, so they are set by ``connect`` after it is built.
-    ``state`` is the PublishedState; it and ``store_relay`` may be None in a system that
-    reads no store.
+    ``state`` is the PublishedState. All but the leadership may be None in a system that
+    has no such part.
     """
 
     def __init__(self):
@@ -16,12 +16,21 @@
         self._shared_loads = None
         self._state = None
         self._store_relay = None
+        self._shared_quarantine = None
 
-    def connect(self, leadership, shared_loads=None, state=None, store_relay=None):
+    def connect(
+        self,
+        leadership,
+        shared_loads=None,
+        state=None,
+        store_relay=None,
+        shared_quarantine=None,
+    ):
         self._leadership = leadership
         self._shared_loads = shared_loads
         self._state = state
         self._store_relay = store_relay
+        self._shared_quarantine = shared_quarantine
 
     def status(self):
         """Returns the HostStatus."""
@@ -35,8 +44,18 @@
             newest_by_prefix={} if state is None else state.newest_by_prefix(),
             reads_store=state is not None and state.is_store_reachable,
             candidates=leadership.next_leaders(),
+            **self._prompts(),
         )
 
+    def _prompts(self):
+        if self._shared_quarantine is None:
+            return {}
+        lost_prompts = self._shared_quarantine.lost_prompts()
+        return {
+            "lost_prompts": lost_prompts,
+            "served_ages_s": self._shared_quarantine.served_ages_s(lost_prompts),
+        }
+
     def loads_by_replica(self):
         """Returns the ReplicaLoads of this host, or if it leads, of all hosts."""
         if self._shared_loads is None:
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -40,7 +40,7 @@
     """What this host's heartbeats tell beside its own HostInfo.
 
     ``has_leader`` tells whether a leader was heard from recently. ``candidates`` are
-    the likely next leaders.
+    the likely next leaders. The other fields are those of Heartbeat.
     """
 
     leader: str = ""
@@ -51,6 +51,8 @@
     newest_by_prefix: dict = {}
     reads_store: bool = False
     candidates: tuple = ()
+    lost_prompts: tuple = ()
+    served_ages_s: dict = {}
 
 
 class KnownHost:
@@ -256,6 +258,8 @@
             status.newest_by_prefix,
             leaves_out_loads=loads_by_replica is None,
             reads_store=status.reads_store,
+            lost_prompts=status.lost_prompts,
+            served_ages_s=status.served_ages_s,
         )
 
     def _send_own_heartbeat(self, address):
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -56,6 +56,19 @@
     adapters: tuple[AdapterKey, ...] = ()
 
 
+class LostPromptReport(msgspec.Struct, array_like=True, frozen=True):
+    """A prompt that a replica closed before its first event, ``age_s`` ago.
+
+    ``crash`` identifies the replica's process, ``parts`` are the shared ones. If it is
+    ``confirmed``, the sender refuses such prompts, and other hosts had time to object.
+    """
+
+    crash: Name
+    parts: tuple[Name, ...]
+    age_s: DurationS
+    confirmed: bool = False
+
+
 class Heartbeat(_Message, tag="Beat"):
     """Periodic message of a host to the others.
 
@@ -66,6 +79,8 @@
     newest revision of the published state that the sender has, by key prefix.
     ``leaves_out_loads`` tells that this message says nothing about loads.
     ``reads_store`` tells that the sender's last request to the store was answered.
+    ``lost_prompts`` are those that may have crashed a replica, on any host, and
+    ``served_ages_s`` tells for their parts how long ago a prompt with it was served.
 
     Only a leader sends the rest: ``members_digest`` of all hosts that it knows, the
     names of the likely next leaders, and of the hosts that read the store for the
@@ -84,6 +99,8 @@
     members_digest: Revision = 0
     candidates: tuple[Name, ...] = ()
     readers: tuple[Name, ...] = ()
+    lost_prompts: tuple[LostPromptReport, ...] = ()
+    served_ages_s: dict[Name, DurationS] = {}
 
     @property
     def is_announcement(self):
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -76,6 +76,11 @@
         "WARNING",
         "replica closed a stream before its first event",
     )
+    REFUSED_PROMPTS_CHANGED = (
+        1408,
+        "WARNING",
+        "prompt parts that crash replicas changed",
+    )
     REPLICA_LISTED = (1411, "INFO", "replica was listed or changed")
     REPLICA_UNLISTED = (1412, "INFO", "replica is no longer listed")
     REPLICA_SUSPECTED = (1413, "WARNING", "replica does not answer")
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -15,6 +15,7 @@
 from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import HostInfo
 from snipetrestle.coordination.shared_loads import SharedReplicaLoads
+from snipetrestle.coordination.shared_quarantine import SharedQuarantine
 from snipetrestle.coordination.store_relay import StoreRelay
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import CallerLimits
@@ -22,6 +23,7 @@
 from snipetrestle.gateway.http_server import CallerConnection
 from snipetrestle.gateway.log_lines import RequestLines
 from snipetrestle.gateway.metrics import GatewayMetrics
+from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
 from snipetrestle.gateway.published_state import PublishedState
 from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle.gateway.retry_budget import RetryBudget
@@ -172,8 +174,13 @@
             min(settings.replica_drain_s, settings.configuration_apply_s),
         )
         self.state.relay = self.store_relay
+        self.prompt_quarantine = PromptQuarantine(_log_refused_prompts)
         heartbeat_content.connect(
-            self.leadership, self.shared_loads, self.state, self.store_relay
+            self.leadership,
+            self.shared_loads,
+            self.state,
+            self.store_relay,
+            SharedQuarantine(self.prompt_quarantine, self.hosts),
         )
         self.director = PlacementController(
             self.state,
@@ -326,6 +333,13 @@
         await self.caller_server.wait_idle(LAST_CONNECTIONS_S)
 
 
+def _log_refused_prompts(refused):
+    log_event(
+        Event.REFUSED_PROMPTS_CHANGED,
+        refused=sorted(sorted(parts) for parts in refused),
+    )
+
+
 def _log_loop_error(loop, context):
     """Logs an error in a callback of the event loop, which then goes on."""
     log_unexpected("event loop", context.get("exception") or context["message"])
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -37,6 +37,8 @@
 # Retry-After of refused requests, and of those that arrive before the gateway is ready.
 RETRY_AFTER_S = 0.5
 NOT_READY_RETRY_AFTER_S = 0.3
+# The same for prompts that crash replicas, which stay refused for minutes.
+REFUSED_PROMPT_RETRY_AFTER_S = 30.0
 # How long a stream waits for a place, with and without a known leader, as a multiple of
 # its route's target latency.
 PLACE_WAIT_LATENCIES = 1.5
@@ -61,6 +63,8 @@
         self._metrics = gateway.metrics
         self._request_log = gateway.request_log
         self._lost_stream_log = gateway.lost_stream_log
+        self._leadership = gateway.leadership
+        self._prompt_quarantine = gateway.prompt_quarantine
         self._rng = gateway.rng
         self._refuses_new = False
         self._has_given_up = False
@@ -187,6 +191,7 @@
 
     async def _forward_call(self, job):
         while True:
+            self._check_prompt(job)
             replica = self._choose_replica(job)
             try:
                 response = await self._attempt_call(job, replica)
@@ -195,6 +200,8 @@
                 continue
             except ExchangeFailed as error:
                 replica.note_failure()
+                if isinstance(error, ReplicaClosed):
+                    self._note_closed_by_replica(job, replica)
                 if self._may_resend(job):
                     self._log_resend(job, str(error))
                     continue
@@ -228,6 +235,7 @@
                 return None
         else:
             replica.note_success(anyio.current_time() - started)
+            self._prompt_quarantine.note_served(job.metadata.shared_prompt_parts)
         return head.status, metadata, body
 
     def _silence_limit(self, job):
@@ -254,7 +262,10 @@
 
     async def _forward_stream(self, job):
         while True:
+            self._check_prompt(job)
             replica = await self._find_stream_replica(job)
+            # A crash during the wait may have shown that the prompt is the cause.
+            self._check_prompt(job)
             try:
                 if await self._attempt_stream(job, replica):
                     return
@@ -263,26 +274,11 @@
             except ExchangeFailed as error:
                 replica.note_failure()
                 if isinstance(error, ReplicaClosed):
-                    self._note_stream_closed(job, replica)
+                    self._note_closed_by_replica(job, replica)
                 if not self._may_resend(job):
                     raise Refused(job.unknown_outcome_code, reason=str(error)) from None
                 self._log_resend(job, str(error))
 
-    def _note_stream_closed(self, job, replica):
-        """Logs the prompt of a stream that its replica closed before any event."""
-        if job.last_event_id is not None:
-            return
-        self._metrics.count_stream_lost_before_event(job.route.name)
-        self._lost_stream_log.log(
-            Event.STREAM_LOST_BEFORE_EVENT,
-            request=job.request_id,
-            route=job.route.name,
-            replica=replica.id,
-            boot=replica.entry.boot,
-            attempt=job.send_count,
-            prompt_parts=job.metadata.shared_prompt_parts,
-        )
-
     async def _attempt_stream(self, job, replica):
         """Sends the request and forwards its events. Returns whether it is done."""
         started = anyio.current_time()
@@ -300,6 +296,7 @@
                     job, replica, exchange, head, metadata
                 )
             await self._forward_events(job, replica, exchange, metadata, started)
+        self._prompt_quarantine.note_served(job.metadata.shared_prompt_parts)
         self._observe(job, 200)
         return True
 
@@ -428,6 +425,48 @@
     def _choose(self, candidates):
         return self._replicas.choose(candidates, self._hosts.max_known)
 
+    # Prompts that crash replicas.
+
+    def _check_prompt(self, job):
+        """Raises Refused if replicas crash on prompts like this one."""
+        if job.is_prompt_trial or job.first_event_at is not None:
+            return
+        parts = job.metadata.shared_prompt_parts
+        if not self._prompt_quarantine.refuses(parts):
+            return
+        self._prompt_quarantine.note_requested(parts)
+        if self._leadership.leads and self._prompt_quarantine.starts_trial(parts):
+            job.is_prompt_trial = True
+            return
+        code = ResultCode.PROMPT_REFUSED
+        if job.may_have_run:
+            code = job.unknown_outcome_code
+        raise Refused(code, REFUSED_PROMPT_RETRY_AFTER_S, prompt_parts=parts)
+
+    def _note_closed_by_replica(self, job, replica):
+        """Records that a replica may have crashed on the prompt of a request.
+
+        Raises Refused if that is likely, so that no other replica crashes on it.
+        """
+        parts = job.metadata.shared_prompt_parts
+        if job.first_event_at is not None or not parts:
+            return
+        self._prompt_quarantine.note_lost(f"{replica.id} {replica.entry.boot}", parts)
+        self._metrics.count_stream_lost_before_event(job.route.name)
+        self._lost_stream_log.log(
+            Event.STREAM_LOST_BEFORE_EVENT,
+            request=job.request_id,
+            route=job.route.name,
+            replica=replica.id,
+            boot=replica.entry.boot,
+            attempt=job.send_count,
+            prompt_parts=parts,
+        )
+        if self._prompt_quarantine.forbids_retry(parts):
+            raise Refused(
+                job.unknown_outcome_code, reason="replicas crash on prompts like this"
+            )
+
     # Choice of replicas, and retries.
 
     def _choose_replica(self, job):
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -26,7 +26,8 @@
     do not hold its adapter; the last two have an entry for each attempt. ``send_count``
     counts all attempts. ``version`` is the adapter version that the replica must have.
     ``streaming`` tells whether the caller has got the start of a stream.
-    ``fallback_response`` is an earlier replica's failure, passed to the caller if no
+    ``is_prompt_trial`` tells that the request shows whether its prompt still crashes
+    replicas. ``fallback_response`` is an earlier replica's failure, passed to the caller if no
     later attempt gets a response.
     """
 
@@ -47,6 +48,7 @@
         "version",
         "first_event_at",
         "fallback_response",
+        "is_prompt_trial",
     )
 
     def __init__(self, request, metadata, route, backend, caller, deadline_at):
@@ -66,6 +68,7 @@
         self.version = None
         self.first_event_at = None
         self.fallback_response = None
+        self.is_prompt_trial = False
 
     @property
     def may_have_run(self):
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -7,6 +7,8 @@
 from snipetrestle.coordination.hosts import Hosts
 from snipetrestle.coordination.leadership import Leadership, next_token
 from snipetrestle.coordination.messages import HostInfo
+from snipetrestle.coordination.shared_quarantine import SharedQuarantine
+from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
 
@@ -31,7 +33,11 @@
             content,
         )
         self.leadership = Leadership(self.hosts, LEASE_S, system.has_ended)
-        content.connect(self.leadership)
+        self.quarantine = PromptQuarantine()
+        content.connect(
+            self.leadership,
+            shared_quarantine=SharedQuarantine(self.quarantine, self.hosts),
+        )
         self.scope = anyio.CancelScope()
 
     async def run(self):
--- /dev/null
+++ b/tests/coordination/test_shared_quarantine.py
@@ -0,0 +1,98 @@
+"""Tests that all hosts learn in time which prompts crash replicas."""
+
+import anyio
+import testtools
+
+from tests.coordination.test_leadership import run_system
+
+# From the fifth crash on, all hosts must refuse such prompts after this time.
+LEARNING_TIME_S = 3.0
+CRASHES = 5
+CRASH_INTERVAL_S = 0.2
+# A host that serves a part as often as all do reports it within this time.
+STEP_S = 0.1
+BAD = ("system", "customer", "bad")
+GOOD = ("system", "customer")
+
+
+class SharedQuarantineTest(testtools.TestCase):
+    async def crash_replicas(self, members, count=CRASHES):
+        """Replicas crash on a bad prompt, while each host serves good ones."""
+        steps = round(count * CRASH_INTERVAL_S / STEP_S)
+        for step in range(steps):
+            for member in members:
+                member.quarantine.note_served(GOOD)
+            if step % round(CRASH_INTERVAL_S / STEP_S) == 0:
+                member = members[step % len(members)]
+                member.quarantine.note_lost(f"replica-{step} 1", BAD)
+                # Another host's good prompt is lost by the same crash.
+                other = members[(step + 1) % len(members)]
+                other.quarantine.note_lost(f"replica-{step} 1", ("system", f"c{step}"))
+            await anyio.sleep(STEP_S)
+
+    def assert_all_refuse_only_bad(self, members):
+        for member in members:
+            self.assertTrue(member.quarantine.refuses(BAD), member.name)
+            self.assertFalse(member.quarantine.refuses(GOOD), member.name)
+            self.assertFalse(member.quarantine.refuses(("system",)), member.name)
+
+    def check_all_learn(self, size):
+        async def check(system):
+            members = list(system.members.values())
+            await self.crash_replicas(members)
+            await anyio.sleep(LEARNING_TIME_S - CRASH_INTERVAL_S)
+            self.assert_all_refuse_only_bad(members)
+
+        run_system(check, size)
+
+    def test_all_of_a_few_hosts_refuse_a_prompt_that_crashed_replicas_of_others(self):
+        """Each host sees only a part of the crashes, and would send more requests."""
+        self.check_all_learn(6)
+
+    def test_all_of_many_hosts_refuse_a_prompt_that_crashed_replicas_of_others(self):
+        """Among many hosts, reports reach most of them through the leader only."""
+        self.check_all_learn(100)
+
+    def test_started_hosts_refuse_known_prompts_at_once(self):
+        """Restarted hosts sent prompts to replicas that others had long refused."""
+
+        async def check(system):
+            await self.crash_replicas(list(system.members.values()))
+            await anyio.sleep(30.0)
+            started = system.start(7)
+            await anyio.sleep(1.0)
+            self.assert_all_refuse_only_bad([started])
+
+        run_system(check, 6)
+
+    def test_host_that_serves_a_part_objects_to_its_refusal(self):
+        """A fresh host must not have a part refused that all others serve."""
+
+        async def check(system):
+            members = list(system.members.values())
+            for number in range(CRASHES):
+                for part in ("system", "rare"):
+                    members[0].quarantine.note_lost(f"replica-{number} 1", (part,))
+                await anyio.sleep(0.2)
+                for member in members[1:]:
+                    member.quarantine.note_served(("system",))
+            await anyio.sleep(LEARNING_TIME_S)
+            for member in members:
+                self.assertFalse(member.quarantine.refuses(("system",)))
+                self.assertTrue(member.quarantine.refuses(("rare",)))
+
+        run_system(check, 6)
+
+    def test_hosts_learn_without_a_leader(self):
+        """The crashes may come while the leader is gone."""
+
+        async def check(system):
+            (leader,) = system.leaders()
+            number = leader.hosts.own.port
+            system.kill(number)
+            members = list(system.members.values())
+            await self.crash_replicas(members)
+            await anyio.sleep(LEARNING_TIME_S - CRASH_INTERVAL_S)
+            self.assert_all_refuse_only_bad(members)
+
+        run_system(check, 6)
