--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -85,6 +85,8 @@
     REPLICA_UNLISTED = (1412, "INFO", "replica is no longer listed")
     REPLICA_SUSPECTED = (1413, "WARNING", "replica does not answer")
     ENTRY_UNREADABLE = (1414, "WARNING", "published entry cannot be read")
+    REPLICA_LIMIT_CHANGED = (1416, "INFO", "replica changed its request limit")
+    REPLICA_LIMIT_USE = (1417, "INFO", "requests sent to a replica with a limit")
     ADAPTER_VERSION_DECLARED = (1415, "INFO", "adapter has a new version")
     LEADERSHIP_GAINED = (1421, "INFO", "this daemon is now the leader")
     LEADERSHIP_LOST = (1422, "WARNING", "this daemon is no longer the leader")
--- a/snipetrestle/gateway/dialect.py
+++ b/snipetrestle/gateway/dialect.py
@@ -38,7 +38,8 @@
     ``not_executed`` states that the request did not run and will not run.
     ``content_encoded`` tells whether the body has a content coding such as gzip.
     ``idle_timeout_s`` is how long the replica keeps an idle connection open.
-    ``headers`` are those to pass to the caller.
+    ``headers`` are those to pass to the caller. ``request_limit_per_s`` is the number
+    of requests a second that the replica takes from all hosts together, or None.
     """
 
     request_id: bytes | None
@@ -47,6 +48,7 @@
     content_encoded: bool
     idle_timeout_s: float | None
     headers: list
+    request_limit_per_s: float | None = None
 
 
 class AttemptMetadata(msgspec.Struct):
--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -80,6 +80,7 @@
         if metadata.request_id != self._job.metadata.request_id:
             return False
         self._response_metadata = metadata
+        self._replica.note_request_limit(metadata.request_limit_per_s)
         return True
 
     async def read_head(self, silence_s):
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -1,5 +1,7 @@
 """Translates between the platform's HTTP headers and the gateway's types."""
 
+import math
+
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.dialect import RequestMetadata, ResponseMetadata
 
@@ -9,6 +11,7 @@
 TOKEN_COUNT = b"x-token-count"
 LAST_EVENT_ID = b"last-event-id"
 PROMPT_PREFIX = b"x-prompt-prefix"
+REQUEST_LIMIT = b"server-limit"
 
 # Hop-by-hop headers, which apply to one connection only.
 _CONNECTION_HEADERS = frozenset(
@@ -122,6 +125,8 @@
                 facts.content_encoded = value.strip().lower() != b"identity"
             elif name == b"keep-alive":
                 facts.idle_timeout_s = _idle_timeout_s(value)
+            elif name == REQUEST_LIMIT:
+                facts.request_limit_per_s = _request_limit_per_s(value)
             if name not in _CONNECTION_HEADERS and name not in named:
                 facts.headers.append((name, value))
         return facts
@@ -150,6 +155,15 @@
     return named
 
 
+def _request_limit_per_s(value):
+    """Returns a limit in requests a second; None if it is not a positive number."""
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        return None
+    return limit_per_s if 0 < limit_per_s < math.inf else None
+
+
 def _idle_timeout_s(value):
     """Returns the timeout of a ``Keep-Alive`` header; None if it has none."""
     for part in value.split(b","):
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -210,6 +210,22 @@
             [b"x-not-executed", b"x-request-id"], [name for name, _ in facts.headers]
         )
 
+    def test_request_limit_is_a_positive_number(self):
+        """A limit that cannot be read must neither stop a replica nor a process."""
+        dialect = PlatformDialect()
+        for value, expected in (
+            (b"4.1", 4.1),
+            (b"3", 3.0),
+            (b"0", None),
+            (b"-1", None),
+            (b"inf", None),
+            (b"nan", None),
+            (b"few", None),
+        ):
+            facts = dialect.read_response(200, [(b"server-limit", value)])
+            self.assertEqual(expected, facts.request_limit_per_s, value)
+        self.assertIsNone(dialect.read_response(200, []).request_limit_per_s)
+
 
 class ProcessTest(testtools.TestCase):
     def test_invalid_settings_end_the_process_with_every_problem(self):
