Reproduce replicas that get more requests than the limit they name

Three gateways send calls, streams of the base model, and streams of an adapter with one holder; a replica that names 2 requests a second gets several times the 17 that are allowed in 4 s.

--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -113,6 +113,10 @@
         self.running = 0
         self.overfilled = False
         self.endless_bytes = 0
+        # Requests a second that the replica names as its limit, or None.
+        self.request_limit = None
+        # The event loop's times at which requests arrived.
+        self.arrival_times = []
         self.boot = 1
         self.crashing_parts = set()
         self.crash_count = 0
@@ -266,6 +270,7 @@
         return [
             ("X-Request-Id", request.headers["x-request-id"]),
             ("X-Not-Executed", "1"),
+            *self._limit_headers(),
         ]
 
     def _proof_headers(self, request):
@@ -273,10 +278,17 @@
         return [
             ("X-Request-Id", request.headers["x-request-id"]),
             ("X-Server-Signature", f"signed.{self.id}"),
+            *self._limit_headers(),
         ]
 
+    def _limit_headers(self):
+        if self.request_limit is None:
+            return []
+        return [("Server-Limit", f"{self.request_limit:.1f}")]
+
     async def _serve_request(self, request, writer):
         self.arrived_requests.append(request)
+        self.arrival_times.append(asyncio.get_running_loop().time())
         fault = self.faults.pop(0) if self.faults else None
         if fault is Fault.REFUSED:
             writer.write(response(503, self._not_run_headers(request)))
