Keep the request limits that replicas name, over all hosts together

Callers noticed nothing.

Cause: a limit for all hosts together was nobody's to keep.

Ruled out: that reading the limit is enough.

Change: the leader issues permits; adapters in demand get a holder without a limit; heartbeats carry the limits; without a leader each host uses its part.

--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -60,6 +60,10 @@
 PENDING_LOAD_COST = 0.1
 UTILIZATION_COST = 2.0
 FAILURE_COST = 2.0
+LIMIT_COST = 1.0
+# An adapter gets a holder without a request limit once its demand is this part of the
+# limits of its holders.
+MAX_LIMIT_FRACTION = 0.4
 
 
 class LoadReason(enum.StrEnum):
@@ -67,13 +71,15 @@
 
     MISSING: no usable replica holds it. DEMAND: its recent demand calls for more
     copies. UTILIZATION and PROMPT_DELAY: its holders are highly utilized, or delayed by
-    prompts, while another replica is not. NEW_VERSION: its replica holds an older one.
+    prompts, while another replica is not. LIMIT: its holders name request limits, while
+    another replica does not. NEW_VERSION: its replica holds an older one.
     """
 
     MISSING = enum.auto()
     DEMAND = enum.auto()
     UTILIZATION = enum.auto()
     PROMPT_DELAY = enum.auto()
+    LIMIT = enum.auto()
     NEW_VERSION = enum.auto()
 
 
@@ -131,6 +137,7 @@
         "event_interval_s",
         "utilization",
         "usable",
+        "limit_per_s",
         "in_use",
         "held",
         "loading_from_store",
@@ -150,6 +157,8 @@
         self.utilization = 0.0
         # Whether the replica takes new requests and its state is known.
         self.usable = False
+        # The requests a second that the replica takes; None without a limit.
+        self.limit_per_s = None
         # Adapters with requests in progress, as reported by the hosts.
         self.in_use = frozenset()
         # AdapterPlacement by key, including adapters that are being loaded.
@@ -330,6 +339,8 @@
         copies = len(holders) + len(self.index.pending(key))
         if copies < self._target_copies(key):
             return LoadReason.DEMAND
+        if self._needs_holder_without_limit(key, holders):
+            return LoadReason.LIMIT
         others = self._statistics_of_others(key)
         holder_utilization = min(replica.utilization for replica in holders)
         now = anyio.current_time()
@@ -355,6 +366,16 @@
             return LoadReason.PROMPT_DELAY
         return None
 
+    def _needs_holder_without_limit(self, key, holders):
+        limits = [replica.limit_per_s for replica in holders]
+        if None in limits or self.index.pending(key):
+            return False
+        rate = self._demand_by_key[key].rate(anyio.current_time())
+        return rate > MAX_LIMIT_FRACTION * sum(limits) and any(
+            replica.usable and replica.limit_per_s is None
+            for replica in self.by_replica.values()
+        )
+
     @property
     def _is_large(self):
         return len(self.by_replica) > MAX_COMPARED_REPLICAS
@@ -441,6 +462,8 @@
         )
         if replica.failed_until > now:
             cost += FAILURE_COST
+        if replica.limit_per_s is not None:
+            cost += LIMIT_COST * replica.demand.rate(now) / replica.limit_per_s
         if replica.free_slots <= 0:
             victim = self.eviction_candidate(replica)
             if victim is None:
--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -129,15 +129,16 @@
         for _, orders, _ in self._running_by_id.values():
             orders.wake()
 
-    async def locate(self, key, uses, avoid):
+    async def locate(self, key, uses, avoid, limited=()):
         """Returns the locations of an adapter, after ordering a load if there is none.
 
         ``uses`` is added to the adapter's demand. Replicas whose ids are in ``avoid``
-        are not returned.
+        or ``limited`` are not returned; those in ``avoid`` did not serve the adapter.
         """
         self.placement.record_demand(key, uses)
         self._update_replicas()
         self._verify_held(key, avoid)
+        avoid = (*avoid, *limited)
         holders = self._exclude(self.placement.holders(key), avoid)
         if not holders:
             await self._load(key, avoid)
@@ -177,6 +178,7 @@
             orders.replica_adapters.event_interval_s = (
                 replica.event_interval_s or DEFAULT_EVENT_INTERVAL_S
             )
+            orders.replica_adapters.limit_per_s = replica.request_limit.per_s
             orders.set_usable(replica.takes_requests)
 
     def _verify_held(self, key, replica_ids):
@@ -278,12 +280,12 @@
                 return controller
         return None
 
-    async def locate(self, key, uses, avoid):
+    async def locate(self, key, uses, avoid, limited=()):
         """Returns the locations of an adapter; empty if there is none now."""
         controller = self._controller_of(key.model)
         if controller is None:
             return ()
-        return await controller.locate(key, uses, avoid)
+        return await controller.locate(key, uses, avoid, limited)
 
     def _on_locate(self, message, address):
         if self._task_group is not None and self._leadership.leads:
@@ -291,6 +293,6 @@
 
     async def _answer(self, message, address):
         key = AdapterKey(message.model, message.adapter)
-        locations = await self.locate(key, message.uses, message.avoid)
+        locations = await self.locate(key, message.uses, message.avoid, message.limited)
         retry_in_s = 0.0 if locations else LOOKUP_RETRY_S
         self._endpoint.send(Located(message.number, locations, retry_in_s), address)
--- a/snipetrestle/coordination/heartbeat_content.py
+++ b/snipetrestle/coordination/heartbeat_content.py
@@ -17,6 +17,7 @@
         self._state = None
         self._store_relay = None
         self._shared_quarantine = None
+        self._shared_limits = None
 
     def connect(
         self,
@@ -25,12 +26,14 @@
         state=None,
         store_relay=None,
         shared_quarantine=None,
+        shared_limits=None,
     ):
         self._leadership = leadership
         self._shared_loads = shared_loads
         self._state = state
         self._store_relay = store_relay
         self._shared_quarantine = shared_quarantine
+        self._shared_limits = shared_limits
 
     def status(self):
         """Returns the HostStatus."""
@@ -44,6 +47,9 @@
             newest_by_prefix={} if state is None else state.newest_by_prefix(),
             reads_store=state is not None and state.is_store_reachable,
             candidates=leadership.next_leaders(),
+            limits_by_replica={}
+            if self._shared_limits is None
+            else self._shared_limits.reports_by_replica(),
             **self._prompts(),
         )
 
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -53,6 +53,7 @@
     candidates: tuple = ()
     lost_prompts: tuple = ()
     served_ages_s: dict = {}
+    limits_by_replica: dict = {}
 
 
 class KnownHost:
@@ -96,6 +97,7 @@
         # When each removed process, by name and boot, was removed.
         self._removed_at = {}
         self._members_digest = None
+        self._sender_names = ()
         # When the leader last knew the same hosts as this one, and since when all hosts
         # should send heartbeats to this one; None while they should not.
         self._confirmed_at = 0.0
@@ -148,6 +150,26 @@
         )
         return len(self.by_name) - leaving + 1
 
+    def sender_names(self):
+        """Returns the names of the hosts that send requests to replicas, sorted.
+
+        These are the known hosts that are not leaving, and this one. The same tuple is
+        returned as long as they are the same.
+        """
+        names = tuple(
+            sorted(
+                [self.own.name]
+                + [
+                    name
+                    for name, host in self.by_name.items()
+                    if host.heartbeat is None or not host.heartbeat.leaving
+                ]
+            )
+        )
+        if names != self._sender_names:
+            self._sender_names = names
+        return self._sender_names
+
     def forget(self, name):
         """Removes a host that has stopped or is presumed to have."""
         host = self.by_name.pop(name, None)
@@ -260,6 +282,7 @@
             reads_store=status.reads_store,
             lost_prompts=status.lost_prompts,
             served_ages_s=status.served_ages_s,
+            limits_by_replica=status.limits_by_replica,
         )
 
     def _send_own_heartbeat(self, address):
--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -59,7 +59,7 @@
 class Locator:
     """Looks up the locations of adapters for this host.
 
-    ``locate_here(key, uses, avoid)`` asks this host's own placement controller, for
+    ``locate_here(key, uses, avoid, limited)`` asks this host's own placement controller, for
     when it leads.
     ``published_replicas(key)`` returns the replicas whose published entries list the
     adapter. ``note_load(replica_id, load)`` is called with the ReplicaLoad of each
@@ -118,26 +118,27 @@
             )
         age_s = anyio.current_time() - cached.confirmed_at
         if age_s > LOCATION_TTL_S and cached.refreshed is None:
-            self._start_refresh(key, cached, ())
+            self._start_refresh(key, cached)
         return cached.ready_at_by_id if age_s < MAX_LOCATION_AGE_S else {}
 
     def _published_locations(self, key):
         now = anyio.current_time()
         return dict.fromkeys(self._published_replicas(key), now)
 
-    async def look_up(self, key, avoid=()):
+    async def look_up(self, key, avoid=(), limited=()):
         """Asks the leader and returns ready times by replica id; empty if none.
 
-        Has no timeout of its own: the caller limits the wait.
+        Replicas whose ids are in ``avoid`` or ``limited`` are not returned; those in
+        ``avoid`` did not serve the adapter. Has no timeout of its own: the caller limits the wait.
         """
         cached = self._cached_by_key.setdefault(key, CachedLocations())
         if cached.refreshed is None:
-            self._start_refresh(key, cached, tuple(avoid))
+            self._start_refresh(key, cached, tuple(avoid), tuple(limited))
         await cached.refreshed.wait()
         return {
             replica_id: ready_at
             for replica_id, ready_at in cached.ready_at_by_id.items()
-            if replica_id not in avoid
+            if replica_id not in avoid and replica_id not in limited
         }
 
     def forget(self, key, replica_id):
@@ -146,23 +147,32 @@
         if cached is not None:
             cached.ready_at_by_id.pop(replica_id, None)
 
-    def _start_refresh(self, key, cached, avoid):
+    def _start_refresh(self, key, cached, avoid=(), limited=()):
         cached.refreshed = anyio.Event()
-        self._task_group.start_soon(run_isolated, self._refresh, key, cached, avoid)
+        self._task_group.start_soon(
+            run_isolated, self._refresh, key, cached, avoid, limited
+        )
 
-    async def _refresh(self, key, cached, avoid):
+    async def _refresh(self, key, cached, avoid, limited):
         done = cached.refreshed
         try:
             uses = self._unreported_uses(cached)
-            locations = await self._ask_leader(key, uses, avoid)
+            locations = await self._ask_leader(key, uses, avoid, limited)
             if locations is None:
                 return
             cached.uses = 0
             cached.reported_term = self._leadership.term
             now = anyio.current_time()
+            known = cached.ready_at_by_id
             cached.ready_at_by_id = {
-                location.replica_id: now + location.ready_in_s for location in locations
+                replica_id: known[replica_id]
+                for replica_id in limited
+                if replica_id in known
             }
+            cached.ready_at_by_id.update(
+                (location.replica_id, now + location.ready_in_s)
+                for location in locations
+            )
             cached.confirmed_at = now
         finally:
             cached.refreshed = None
@@ -177,10 +187,10 @@
             return max(1, cached.uses)
         return max(1, round(cached.demand.value(anyio.current_time())))
 
-    async def _ask_leader(self, key, uses, avoid):
+    async def _ask_leader(self, key, uses, avoid, limited):
         """Returns the locations, or None without an answer."""
         if self._leadership.leads:
-            return await self._locate_here(key, uses, avoid)
+            return await self._locate_here(key, uses, avoid, limited)
         address = self._leadership.leader_address()
         if address is None:
             await anyio.sleep(NO_LEADER_DELAY_S)
@@ -191,7 +201,7 @@
         try:
             for _ in range(MAX_LOOKUP_SENDS):
                 message = Locate(
-                    self._own_name, number, key.model, key.adapter, uses, avoid
+                    self._own_name, number, key.model, key.adapter, uses, avoid, limited
                 )
                 self._endpoint.send(message, address)
                 with anyio.move_on_after(ANSWER_TIMEOUT_S):
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -22,6 +22,7 @@
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31)]
 # -1 stands for "never".
 AgeS = typing.Annotated[float, msgspec.Meta(ge=-1, le=MAX_AGE_S)]
+RatePerS = typing.Annotated[float, msgspec.Meta(gt=0, le=1e9)]
 DurationS = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_S)]
 
 
@@ -56,6 +57,16 @@
     adapters: tuple[AdapterKey, ...] = ()
 
 
+class RequestLimitReport(msgspec.Struct, array_like=True, frozen=True):
+    """The requests a second that a replica took from all hosts, ``age_s`` ago.
+
+    ``per_s`` is None if it named no limit.
+    """
+
+    per_s: RatePerS | None
+    age_s: DurationS
+
+
 class LostPromptReport(msgspec.Struct, array_like=True, frozen=True):
     """A prompt that a replica closed before its first event, ``age_s`` ago.
 
@@ -81,6 +92,7 @@
     ``reads_store`` tells that the sender's last request to the store was answered.
     ``lost_prompts`` are those that may have crashed a replica, on any host, and
     ``served_ages_s`` tells for their parts how long ago a prompt with it was served.
+    ``limits_by_replica`` holds the limits that replicas named to any host.
 
     Only a leader sends the rest: ``members_digest`` of all hosts that it knows, the
     names of the likely next leaders, and of the hosts that read the store for the
@@ -101,6 +113,7 @@
     readers: tuple[Name, ...] = ()
     lost_prompts: tuple[LostPromptReport, ...] = ()
     served_ages_s: dict[Name, DurationS] = {}
+    limits_by_replica: dict[Name, RequestLimitReport] = {}
 
     @property
     def is_announcement(self):
@@ -143,7 +156,8 @@
 
     The leader orders a load if there is none. ``number`` identifies the answer.
     ``uses`` counts the requests for the adapter since the last message. ``avoid``
-    contains the ids of replicas that did not serve it.
+    contains the ids of replicas that did not serve it, ``limited`` those of replicas
+    to which the sender may not send now.
     """
 
     sender: Name
@@ -152,6 +166,7 @@
     adapter: Name
     uses: Count
     avoid: tuple[Name, ...] = ()
+    limited: tuple[Name, ...] = ()
 
 
 class AdapterLocation(msgspec.Struct, array_like=True, frozen=True):
@@ -173,7 +188,42 @@
     retry_in_s: DurationS = 0.0
 
 
-Message = Heartbeat | Join | KnownHosts | Changes | Locate | Located
+class PermitRequest(_Message):
+    """Request to the leader for a permit to send to one of some limited replicas.
+
+    ``limits_by_replica`` contains the limits that they name, ``max_wait_s`` is how long
+    the request can wait, and an optional one could go to another replica. ``number``
+    identifies the answer.
+    """
+
+    sender: Name
+    number: Revision
+    limits_by_replica: dict[Name, RatePerS]
+    max_wait_s: DurationS
+    is_optional: bool
+
+
+class PermitReply(_Message):
+    """Answer to PermitRequest: the replica, and when the request may be sent to it.
+
+    Without a replica, ``wait_s`` is the time until one may be sent to.
+    """
+
+    number: Revision
+    replica_id: Name | None
+    wait_s: DurationS
+
+
+Message = (
+    Heartbeat
+    | Join
+    | KnownHosts
+    | Changes
+    | Locate
+    | Located
+    | PermitRequest
+    | PermitReply
+)
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
--- /dev/null
+++ b/snipetrestle/coordination/send_permits.py
@@ -0,0 +1,177 @@
+"""Permits to send to replicas that limit the requests a second from all hosts together.
+
+The leader issues the permits, so that the hosts use the whole limit wherever their
+callers are. A host that gets no answer from a leader uses its part of the limits, as
+RequestLimits divides them.
+"""
+
+import anyio
+
+from snipetrestle.coordination.messages import PermitReply, PermitRequest
+
+# Permits that were not used for this long may be used at once later.
+BURST_S = 1.0
+# Requests that have another replica to go to leave this part of the burst to others.
+RESERVED_FRACTION = 0.5
+ANSWER_TIMEOUT_S = 0.12
+MAX_KNOWN_REPLICAS = 8192
+# Longer waits are not distinguished.
+MAX_WAIT_S = 3600.0
+
+
+class PermitIssuer:
+    """Issues the permits of all hosts; for the leader.
+
+    Uses the generic cell rate algorithm: for each replica, the time from which on the
+    next request would be due if they came evenly.
+    """
+
+    def __init__(self):
+        self._due_by_replica = {}
+
+    def issue(self, limits_by_replica, max_wait_s, is_optional):
+        """Books the earliest request to one of several replicas.
+
+        Returns (replica id, time to wait in s). The id is None, and nothing is booked,
+        if the wait would be longer than ``max_wait_s``.
+        """
+        now = anyio.current_time()
+        wait_s, replica_id = min(
+            (self._wait_s(item, per_s, is_optional, now), item)
+            for item, per_s in limits_by_replica.items()
+        )
+        if wait_s > max_wait_s:
+            return None, wait_s
+        due = max(now, self._due_by_replica[replica_id])
+        self._due_by_replica[replica_id] = due + 1 / limits_by_replica[replica_id]
+        return replica_id, wait_s
+
+    def _wait_s(self, replica_id, per_s, is_optional, now):
+        tolerance_s = max(0.0, BURST_S - 1 / per_s)
+        due = self._due_by_replica.get(replica_id)
+        if due is None:
+            if len(self._due_by_replica) >= MAX_KNOWN_REPLICAS:
+                self._due_by_replica.clear()
+            # What the replica got until now is unknown.
+            due = self._due_by_replica[replica_id] = now + tolerance_s
+        if is_optional:
+            tolerance_s *= 1 - RESERVED_FRACTION
+        return max(0.0, due - tolerance_s - now)
+
+
+class _PendingRequest:
+    """A PermitRequest that was sent; ``reply`` is None until it is answered."""
+
+    __slots__ = ("answered", "reply")
+
+    def __init__(self):
+        self.answered = anyio.Event()
+        self.reply = None
+
+
+class SendPermits:
+    """Gets permits for this host, from the leader or from this host's own part.
+
+    ``request_limits`` is the RequestLimits that divides them.
+    """
+
+    def __init__(self, leadership, endpoint, own_name, request_limits):
+        self._leadership = leadership
+        self._endpoint = endpoint
+        self._own_name = own_name
+        self._request_limits = request_limits
+        self._issuer = PermitIssuer()
+        self._last_number = 0
+        self._pending_by_number = {}
+        # When the leader may permit an optional request again, by replica id.
+        self._denied_until_by_id = {}
+        endpoint.register(PermitRequest, self._on_request)
+        endpoint.register(PermitReply, self._on_reply)
+        leadership.on_change(self._on_leader_change)
+
+    def _on_leader_change(self):
+        self._issuer = PermitIssuer()
+        self._denied_until_by_id.clear()
+
+    def may_be_spare(self, replica):
+        """Whether an optional request to a replica is worth asking for."""
+        if not replica.request_limit.is_limited:
+            return True
+        denied_until = self._denied_until_by_id.get(replica.id, 0.0)
+        return denied_until <= anyio.current_time()
+
+    async def acquire(self, replicas, max_wait_s, is_optional=False):
+        """Returns (one of the limited replicas, time to wait in s before sending).
+
+        The replica is None if none may be sent to within ``max_wait_s``; the time is
+        then that until one may be. An optional request could go elsewhere.
+        """
+        by_id = {replica.id: replica for replica in replicas}
+        limits = {item.id: item.request_limit.per_s for item in replicas}
+        reply = await self._ask_leader(limits, max_wait_s, is_optional)
+        if reply is None:
+            return self._take_own_part(replicas, max_wait_s)
+        replica_id, wait_s = reply
+        if replica_id is None and is_optional:
+            self._note_denied(limits, wait_s)
+        return by_id.get(replica_id), wait_s
+
+    def _note_denied(self, replica_ids, wait_s):
+        if len(self._denied_until_by_id) >= MAX_KNOWN_REPLICAS:
+            self._denied_until_by_id.clear()
+        until = anyio.current_time() + wait_s
+        self._denied_until_by_id.update((item, until) for item in replica_ids)
+
+    def _take_own_part(self, replicas, max_wait_s):
+        limits = self._request_limits
+        wait_s, _, replica = min(
+            (limits.wait_s(item.request_limit), item.id, item) for item in replicas
+        )
+        if wait_s > max_wait_s:
+            return None, wait_s
+        limits.take(replica.request_limit)
+        return replica, wait_s
+
+    async def _ask_leader(self, limits, max_wait_s, is_optional):
+        """Returns (replica id or None, time to wait in s); None without an answer."""
+        if self._leadership.leads:
+            return self._issue(limits, max_wait_s, is_optional)
+        address = self._leadership.leader_address()
+        if address is None or not self._leadership.has_recent_leader:
+            return None
+        self._last_number += 1
+        number = self._last_number
+        pending = self._pending_by_number[number] = _PendingRequest()
+        try:
+            self._endpoint.send(
+                PermitRequest(self._own_name, number, limits, max_wait_s, is_optional),
+                address,
+            )
+            with anyio.move_on_after(ANSWER_TIMEOUT_S):
+                await pending.answered.wait()
+        finally:
+            del self._pending_by_number[number]
+        if pending.reply is None:
+            return None
+        return pending.reply.replica_id, pending.reply.wait_s
+
+    def _issue(self, limits_by_replica, max_wait_s, is_optional):
+        fraction = self._request_limits.issued_fraction()
+        issued = {item: fraction * per_s for item, per_s in limits_by_replica.items()}
+        return self._issuer.issue(issued, max_wait_s, is_optional)
+
+    def _on_request(self, message, address):
+        if self._leadership.leads and message.limits_by_replica:
+            replica_id, wait_s = self._issue(
+                message.limits_by_replica, message.max_wait_s, message.is_optional
+            )
+            self._endpoint.send(
+                PermitReply(message.number, replica_id, min(wait_s, MAX_WAIT_S)),
+                address,
+            )
+
+    def _on_reply(self, message, address):
+        pending = self._pending_by_number.get(message.number)
+        if pending is not None:
+            pending.reply = message
+            pending.answered.set()
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -14,8 +14,10 @@
 from snipetrestle.coordination.leadership import Leadership, has_ended
 from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import HostInfo
+from snipetrestle.coordination.send_permits import SendPermits
 from snipetrestle.coordination.shared_loads import SharedReplicaLoads
 from snipetrestle.coordination.shared_quarantine import SharedQuarantine
+from snipetrestle.coordination.shared_request_limits import SharedRequestLimits
 from snipetrestle.coordination.store_relay import StoreRelay
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import CallerLimits
@@ -26,6 +28,7 @@
 from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
 from snipetrestle.gateway.published_state import PublishedState
 from snipetrestle.gateway.replicas import ReplicaDirectory
+from snipetrestle.gateway.request_limits import RequestLimits
 from snipetrestle.gateway.retry_budget import RetryBudget
 from snipetrestle.gateway.snapshots import Snapshots
 from snipetrestle.gateway.supervision import log_unexpected, run_supervised
@@ -181,6 +184,13 @@
             self.state,
             self.store_relay,
             SharedQuarantine(self.prompt_quarantine, self.hosts),
+            SharedRequestLimits(self.replicas, self.hosts),
+        )
+        self.send_permits = SendPermits(
+            self.leadership,
+            self.datagram_endpoint,
+            settings.name,
+            RequestLimits(self.hosts, rng),
         )
         self.director = PlacementController(
             self.state,
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -39,6 +39,11 @@
 NOT_READY_RETRY_AFTER_S = 0.3
 # The same for prompts that crash replicas, which stay refused for minutes.
 REFUSED_PROMPT_RETRY_AFTER_S = 30.0
+# The longest one while all replicas are at their request limits.
+MAX_LIMIT_RETRY_AFTER_S = 2.0
+# How long a request waits until its host may send to a replica with a request limit, as
+# a multiple of its route's target latency.
+LIMIT_WAIT_LATENCIES = 0.7
 # How long a stream waits for a place, with and without a known leader, as a multiple of
 # its route's target latency.
 PLACE_WAIT_LATENCIES = 1.5
@@ -65,6 +70,7 @@
         self._lost_stream_log = gateway.lost_stream_log
         self._leadership = gateway.leadership
         self._prompt_quarantine = gateway.prompt_quarantine
+        self._send_permits = gateway.send_permits
         self._rng = gateway.rng
         self._refuses_new = False
         self._has_given_up = False
@@ -192,7 +198,7 @@
     async def _forward_call(self, job):
         while True:
             self._check_prompt(job)
-            replica = self._choose_replica(job)
+            replica = await self._choose_replica(job)
             try:
                 response = await self._attempt_call(job, replica)
             except ConnectFailed:
@@ -352,21 +358,29 @@
         """
         key = job.metadata.adapter
         if key is None or not key.adapter:
-            return self._choose_replica(job)
+            return await self._choose_replica(job)
         job.version = self._state.versions_by_adapter.get(key)
         places = self._locator.cached_locations(key)
         while True:
-            replica = self._choose_holder(job, places)
+            holders = self._holders(job, places)
+            ready = [
+                item for item in holders if places[item.id] <= anyio.current_time()
+            ]
+            replica = await self._choose(job, ready or holders)
             if replica is not None:
                 ready_in_s = places[replica.id] - anyio.current_time()
                 if ready_in_s > 0:
                     await anyio.sleep(ready_in_s)
-                    if not replica.takes_requests:
-                        continue
+                if not replica.takes_requests:
+                    continue
                 return replica
             if anyio.current_time() > self._place_wait_deadline(job):
                 raise self._no_place_refusal(job)
-            places = await self._locator.look_up(key, self._replicas_to_avoid(job))
+            if holders:
+                self._refuse_if_all_limited(job)
+            places = await self._locator.look_up(
+                key, self._replicas_to_avoid(job), [item.id for item in holders]
+            )
             if not places:
                 await anyio.sleep(NO_PLACE_PAUSE_S)
 
@@ -405,12 +419,12 @@
         }
         return [*job.may_have_run_on, *repeatedly_missing]
 
-    def _choose_holder(self, job, places):
-        """Returns a replica that holds the adapter or will hold it, or None."""
+    def _holders(self, job, places):
+        """Returns the replicas that hold the adapter or will hold it."""
         now = anyio.current_time()
         excluded = self._replicas_to_avoid(job)
         by_id = self._replicas.by_id
-        candidates = [
+        return [
             replica
             for replica_id in places
             if replica_id not in excluded
@@ -419,12 +433,54 @@
             and replica.suspected_until <= now
             and replica.entry.backend == job.backend.name
         ]
-        ready = [item for item in candidates if places[item.id] <= now]
-        return self._choose(ready or candidates)
 
-    def _choose(self, candidates):
+    # Request limits of replicas.
+
+    async def _choose(self, job, candidates):
+        """Returns a replica once the request may be sent to it.
+
+        Returns None if there is none that it may be sent to soon.
+        """
+        unlimited = [item for item in candidates if not item.request_limit.is_limited]
+        if not unlimited:
+            return await self._choose_limited(job, candidates)
+        spare = [item for item in candidates if self._send_permits.may_be_spare(item)]
+        replica = self._choose_best(spare)
+        if not replica.request_limit.is_limited:
+            return replica
+        permitted, _ = await self._send_permits.acquire([replica], 0.0, True)
+        return permitted or self._choose_best(unlimited)
+
+    def _choose_best(self, candidates):
         return self._replicas.choose(candidates, self._hosts.max_known)
 
+    async def _choose_limited(self, job, candidates):
+        if not candidates:
+            return None
+        max_wait_s = LIMIT_WAIT_LATENCIES * job.route.target_latency_s
+        replica, wait_s = await self._send_permits.acquire(candidates, max_wait_s)
+        job.limit_wait_s = wait_s
+        if replica is not None and wait_s > 0:
+            await anyio.sleep(wait_s)
+        return replica
+
+    def _refuse_if_all_limited(self, job):
+        """Raises Refused if all replicas of the backend name limits.
+
+        Called when the request may not be sent to some of them soon.
+        """
+        replicas = self._replicas.ready_replicas(job.backend.name)
+        if not all(item.request_limit.is_limited for item in replicas):
+            return
+        reason = "all replicas are at their request limits"
+        if job.may_have_run:
+            raise Refused(job.unknown_outcome_code, reason=reason)
+        raise Refused(
+            ResultCode.QUEUE_FULL,
+            min(job.limit_wait_s, MAX_LIMIT_RETRY_AFTER_S),
+            reason=reason,
+        )
+
     # Prompts that crash replicas.
 
     def _check_prompt(self, job):
@@ -469,13 +525,16 @@
 
     # Choice of replicas, and retries.
 
-    def _choose_replica(self, job):
+    async def _choose_replica(self, job):
+        """Returns a replica, if possible one that the request was not sent to."""
         candidates = self._replicas.ready_replicas(job.backend.name)
-        if job.sent_to:
-            untried = [item for item in candidates if item.id not in job.sent_to]
-            candidates = untried or candidates
-        replica = self._choose(candidates)
+        untried = [item for item in candidates if item.id not in job.sent_to]
+        replica = await self._choose(job, untried)
+        if replica is None:
+            replica = await self._choose(job, candidates)
         if replica is None:
+            if candidates:
+                self._refuse_if_all_limited(job)
             raise self._unavailable_refusal(job, "no replica is ready")
         return replica
 
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -27,7 +27,8 @@
     counts all attempts. ``version`` is the adapter version that the replica must have.
     ``streaming`` tells whether the caller has got the start of a stream.
     ``is_prompt_trial`` tells that the request shows whether its prompt still crashes
-    replicas. ``fallback_response`` is an earlier replica's failure, passed to the caller if no
+    replicas. ``limit_wait_s`` is the time that the request would have had to wait for a
+    replica with a request limit. ``fallback_response`` is an earlier replica's failure, passed to the caller if no
     later attempt gets a response.
     """
 
@@ -49,6 +50,7 @@
         "first_event_at",
         "fallback_response",
         "is_prompt_trial",
+        "limit_wait_s",
     )
 
     def __init__(self, request, metadata, route, backend, caller, deadline_at):
@@ -69,6 +71,7 @@
         self.first_event_at = None
         self.fallback_response = None
         self.is_prompt_trial = False
+        self.limit_wait_s = 0.0
 
     @property
     def may_have_run(self):
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -8,6 +8,7 @@
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import ReplicaState
 from snipetrestle.gateway.http_client import ConnectionPool
+from snipetrestle.gateway.request_limits import RequestLimit
 
 # Weight of one observation in the exponential moving averages.
 AVERAGE_WEIGHT = 0.2
@@ -38,47 +39,6 @@
 # hosts.
 MIN_CHOICE_POWER = 4.0
 CHOICE_POWER_HOSTS = 84.0
-LIMIT_LOG_INTERVAL_S = 4.0
-
-
-class LimitUse:
-    """What this host sends to a replica that names a limit, for the log.
-
-    ``sent_without_choice`` counts requests that no other replica could take.
-    """
-
-    __slots__ = ("_replica_id", "_limit_per_s", "_since", "sent", "sent_without_choice")
-
-    def __init__(self, replica_id):
-        self._replica_id = replica_id
-        self._limit_per_s = None
-        self._restart(0.0)
-
-    def _restart(self, now):
-        self._since = now
-        self.sent = 0
-        self.sent_without_choice = 0
-
-    def note_limit(self, limit_per_s, now):
-        """Logs a changed limit, and periodically the requests sent under one."""
-        if limit_per_s != self._limit_per_s:
-            log_event(
-                Event.REPLICA_LIMIT_CHANGED,
-                replica=self._replica_id,
-                limit_per_s=limit_per_s,
-            )
-            self._limit_per_s = limit_per_s
-            self._restart(now)
-        elif limit_per_s is not None and now - self._since >= LIMIT_LOG_INTERVAL_S:
-            log_event(
-                Event.REPLICA_LIMIT_USE,
-                replica=self._replica_id,
-                limit_per_s=limit_per_s,
-                sent=self.sent,
-                sent_without_choice=self.sent_without_choice,
-                seconds=round(now - self._since, 2),
-            )
-            self._restart(now)
 
 
 class Replica:
@@ -99,7 +59,7 @@
         "leaving",
         "shared_event_interval_s",
         "own_event_interval_s",
-        "limit_use",
+        "request_limit",
         "_suspicion_s",
         "_latency_s",
         "_latency_observed_at",
@@ -119,7 +79,7 @@
         # Time between two events of a stream: mean of all hosts, and measured here.
         self.shared_event_interval_s = None
         self.own_event_interval_s = None
-        self.limit_use = LimitUse(entry.id)
+        self.request_limit = RequestLimit(entry.id)
         self._suspicion_s = MIN_SUSPICION_S
         self._latency_s = None
         self._latency_observed_at = 0.0
@@ -138,7 +98,7 @@
     def note_sent(self, adapter):
         """Counts a request in flight; ``adapter`` is an AdapterKey or None."""
         self.in_flight += 1
-        self.limit_use.sent += 1
+        self.request_limit.sent += 1
         if adapter is not None:
             self.in_flight_by_adapter[adapter] += 1
 
@@ -172,7 +132,7 @@
 
     def note_request_limit(self, limit_per_s):
         """Records the limit named by a response, None if it named none."""
-        self.limit_use.note_limit(limit_per_s, anyio.current_time())
+        self.request_limit.note(limit_per_s, anyio.current_time())
 
     def note_heard(self):
         self.last_heard_at = anyio.current_time()
@@ -304,7 +264,7 @@
         if not candidates:
             return None
         if len(candidates) == 1:
-            candidates[0].limit_use.sent_without_choice += 1
+            candidates[0].request_limit.sent_without_choice += 1
         now = anyio.current_time()
         unsuspected = [item for item in candidates if item.suspected_until <= now]
         eligible = unsuspected or candidates
--- a/tests/coordination/test_adapter_places.py
+++ b/tests/coordination/test_adapter_places.py
@@ -95,6 +95,48 @@
 
         run_in_virtual_time(check)
 
+    def test_popular_adapter_gets_a_holder_without_a_limit(self):
+        """All holders of the popular adapters named request limits, so hosts could
+        either exceed these or refuse the requests."""
+
+        async def check():
+            placement = make_placement([0.02, 0.02])
+            placement.by_replica["r0"].limit_per_s = 2.0
+            popular, rare = key(1), key(2)
+            for item in (popular, rare):
+                placement.by_replica["r0"].record_held(item, 1, anyio.current_time())
+            for number in range(40):
+                placement.record_demand(popular, 1)
+                if number % 20 == 0:
+                    placement.record_demand(rare, 1)
+                await anyio.sleep(0.5)
+            self.assertEqual(LoadReason.LIMIT, placement.copy_reason(popular))
+            self.assertEqual("r1", placement.choose_replica(popular).replica_id)
+            self.assertIsNone(placement.copy_reason(rare))
+            # Without another replica, a copy would help nobody.
+            placement.by_replica["r1"].limit_per_s = 2.0
+            self.assertIsNot(LoadReason.LIMIT, placement.copy_reason(popular))
+
+        run_in_virtual_time(check)
+
+    def test_limited_replica_loads_adapters_up_to_its_limit(self):
+        """A replica whose limit is used up must not get more adapters, nor must the
+        slots of one with permits left stay unused."""
+
+        async def check():
+            placement = make_placement([0.02] * 2)
+            limited, other = placement.by_replica.values()
+            limited.limit_per_s = 2.0
+            other.utilization = 0.2
+            self.assertIs(limited, placement.choose_replica(key(9)))
+            limited.record_held(key(1), 1, anyio.current_time())
+            for _ in range(60):
+                placement.record_demand(key(1), 1)
+                await anyio.sleep(0.4)
+            self.assertIs(other, placement.choose_replica(key(9)))
+
+        run_in_virtual_time(check)
+
     def test_popular_adapters_are_not_evicted(self):
         """Adapters requested only once must not evict popular ones."""
 
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -25,7 +25,7 @@
         self.endpoint = LocalEndpoint(system.network, self.name, address)
         info = HostInfo(self.name, boot, *address, "zone-1", 1.0)
         seeds = tuple(("127.0.0.1", seed) for seed in system.seeds)
-        content = HeartbeatContent()
+        self.content = content = HeartbeatContent()
         self.hosts = Hosts(
             info,
             seeds,
--- a/tests/coordination/test_locator.py
+++ b/tests/coordination/test_locator.py
@@ -50,7 +50,7 @@
 
         run_in_virtual_time(main)
 
-    async def locate_here(self, key, uses, avoid):
+    async def locate_here(self, key, uses, avoid, limited):
         self.uses_received.append(uses)
         await anyio.sleep(0.002)
         return (AdapterLocation("r1", 0.2),)
