Take a closed stream for a crash only if its replica closed all connections

Matter: prompt parts that crash replicas.

Cause: each stream that was closed before its first event counted as a crash.

Change: it counts only if no connection of this host to the replica is open 20 ms later, and no longer once the replica answers a later request.

Before: tests.gateway.test_crashing_prompts.ResetStreamTest failed.

--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -51,6 +51,8 @@
 # Time before the deadline at which a request that is still waiting for a place is
 # refused.
 REFUSAL_MARGIN_S = 0.05
+# Time in which a replica that crashed closes all of its connections.
+CRASH_CHECK_DELAY_S = 0.02
 # Number of events over which a stream's mean event interval is measured.
 EVENTS_PER_INTERVAL_SAMPLE = 5
 
@@ -207,7 +209,7 @@
             except ExchangeFailed as error:
                 replica.note_failure()
                 if isinstance(error, ReplicaClosed):
-                    self._note_closed_by_replica(job, replica)
+                    await self._note_closed_by_replica(job, replica)
                 if self._may_resend(job):
                     self._log_resend(job, str(error))
                     continue
@@ -241,6 +243,7 @@
                 return None
         else:
             replica.note_success(anyio.current_time() - started)
+            self._prompt_quarantine.note_answered(replica.process_id, started)
             self._prompt_quarantine.note_served(job.metadata.shared_prompt_parts)
         return head.status, metadata, body
 
@@ -280,7 +283,7 @@
             except ExchangeFailed as error:
                 replica.note_failure()
                 if isinstance(error, ReplicaClosed):
-                    self._note_closed_by_replica(job, replica)
+                    await self._note_closed_by_replica(job, replica)
                 if not self._may_resend(job):
                     raise Refused(job.unknown_outcome_code, reason=str(error)) from None
                 self._log_resend(job, str(error))
@@ -340,6 +343,7 @@
                 awaiting_first_event = False
                 now = anyio.current_time()
                 replica.note_success(now - started)
+                self._prompt_quarantine.note_answered(replica.process_id, started)
                 job.first_event_at = job.first_event_at or now
             if not job.streaming:
                 job.streaming = True
@@ -499,7 +503,7 @@
             code = job.unknown_outcome_code
         raise Refused(code, REFUSED_PROMPT_RETRY_AFTER_S, prompt_parts=parts)
 
-    def _note_closed_by_replica(self, job, replica):
+    async def _note_closed_by_replica(self, job, replica):
         """Records that a replica may have crashed on the prompt of a request.
 
         Raises Refused if that is likely, so that no other replica crashes on it.
@@ -507,7 +511,11 @@
         parts = job.metadata.shared_prompt_parts
         if job.first_event_at is not None or not parts:
             return
-        self._prompt_quarantine.note_lost(f"{replica.id} {replica.entry.boot}", parts)
+        # A crash closes all connections at the same time.
+        await anyio.sleep(CRASH_CHECK_DELAY_S)
+        if replica.pool.has_open_connection:
+            return
+        self._prompt_quarantine.note_lost(replica.process_id, parts)
         self._metrics.count_stream_lost_before_event(job.route.name)
         self._lost_stream_log.log(
             Event.STREAM_LOST_BEFORE_EVENT,
--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -288,7 +288,7 @@
         self._ip = ip
         self._port = port
         self._idle = []
-        self.open_count = 0
+        self._connections = set()
 
     async def acquire(self):
         """Returns an idle or new connection. Raises ConnectFailed."""
@@ -311,20 +311,28 @@
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectFailed(repr(error)) from None
-        self.open_count += 1
+        self._connections.add(connection)
         return connection
 
+    @property
+    def open_count(self):
+        return len(self._connections)
+
+    @property
+    def has_open_connection(self):
+        return any(not connection.closed for connection in self._connections)
+
     def release(self, connection):
         """Keeps a connection for later requests, if its last exchange allows reuse."""
         if not connection.finish():
-            self.open_count -= 1
+            self._connections.discard(connection)
             return
         connection.last_used_at = asyncio.get_running_loop().time()
         self._idle.append(connection)
 
     def discard(self, connection):
         """Closes a connection instead of keeping it."""
-        self.open_count -= 1
+        self._connections.discard(connection)
         connection.close()
 
     def close(self):
--- a/snipetrestle/gateway/prompt_quarantine.py
+++ b/snipetrestle/gateway/prompt_quarantine.py
@@ -3,7 +3,8 @@
 A replica that crashes cuts off many streams, and each of their prompts may be the
 cause. A part is suspected once it was in prompts that several replicas closed before
 the first event, while no prompt with it was served since. Parts that crash nothing are
-served again within a short time, on this host or on another.
+served again within a short time, on this host or on another. A replica that answers
+later requests has not crashed.
 """
 
 import collections
@@ -24,6 +25,8 @@
 # A part without requests for this long is no longer refused.
 FORGET_AFTER_S = 600.0
 FORGET_INTERVAL_S = 5.0
+# Other hosts may still report that a replica crashed, this long after it answered.
+KEEP_ANSWERED_S = 30.0
 # First pause before one request with a refused part is tried; it doubles by each
 # further crash.
 TRIAL_PAUSE_S = 30.0
@@ -93,6 +96,9 @@
     def __init__(self, on_change=None):
         self._on_change = on_change
         self._lost_by_key = {}
+        # The latest time at which a replica got a request that it answered, for those
+        # that closed a stream.
+        self._answering_at_by_crash = {}
         self._served_at_by_part = collections.OrderedDict()
         self._requested_at_by_part = {}
         self._trial_at_by_parts = {}
@@ -117,8 +123,25 @@
         for part in parts:
             self.learn_served(part, now)
 
+    def note_answered(self, crash, sent_at):
+        """Records that a replica's process began to answer a request of ``sent_at``."""
+        if sent_at <= self._answering_at_by_crash.get(crash, math.inf):
+            return
+        self._answering_at_by_crash[crash] = sent_at
+        disproved = [
+            key
+            for key, prompt in self._lost_by_key.items()
+            if prompt.crash == crash and prompt.lost_at < sent_at
+        ]
+        for key in disproved:
+            del self._lost_by_key[key]
+            self._update_at = 0.0
+
     def learn_lost(self, prompt):
         """Takes a lost prompt from this or another host."""
+        answering_at = self._answering_at_by_crash.setdefault(prompt.crash, 0.0)
+        if prompt.lost_at < answering_at:
+            return
         key = (prompt.crash, prompt.parts)
         known = self._lost_by_key.get(key)
         if known is not None:
@@ -294,6 +317,10 @@
         for key in old_keys:
             del self._lost_by_key[key]
             self._update_at = 0.0
+        crashes = {prompt.crash for prompt in self._lost_by_key.values()}
+        for crash in self._answering_at_by_crash.keys() - crashes:
+            if self._answering_at_by_crash[crash] < now - KEEP_ANSWERED_S:
+                del self._answering_at_by_crash[crash]
         if not self._lost_by_key:
             self._requested_at_by_part.clear()
             self._trial_at_by_parts.clear()
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -90,6 +90,11 @@
     def id(self):
         return self.entry.id
 
+    @property
+    def process_id(self):
+        """Identifies the run of the replica from its start to its end, on all hosts."""
+        return f"{self.entry.id} {self.entry.boot}"
+
     @property
     def load(self):
         """Requests in flight from all hosts, as far as they are known."""
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from snipetrestle.events import Event
+from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
 
 # How long all hosts may take to learn which part of a prompt crashes replicas.
@@ -89,3 +90,34 @@
             ("model-0", 1, ("system", "bad")),
             (line["replica"], line["boot"], line["prompt_parts"]),
         )
+
+
+class ResetStreamTest(testtools.TestCase):
+    def test_reset_of_one_stream_is_no_crash(self):
+        """A replica that resets single streams had their prompts taken for the cause of
+        a crash, and later ones were not retried."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            # Another stream keeps its connection.
+            for replica in fleet.models:
+                replica.event_interval_s = 0.4
+            others = [
+                asyncio.create_task(fleet.send_request("/draft/a", adapter=""))
+                for _ in range(8)
+            ]
+            await asyncio.sleep(0.15)
+            for _ in range(8):
+                for replica in fleet.models:
+                    replica.faults = [Fault.RESET]
+                await fleet.send_request(
+                    "/night/a", adapter="", headers=prefix("system", "rare")
+                )
+                await asyncio.sleep(0.12)
+            self.assertFalse(
+                gateway.prompt_quarantine.forbids_retry(("system", "rare"))
+            )
+            answers = await asyncio.gather(*others)
+            self.assertEqual({200}, {answer.status for answer in answers})
+
+        run_fleet(check)
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -13,6 +13,7 @@
     OBJECTION_TIME_S,
     TRIAL_PAUSE_IF_SERVED_S,
     TRIAL_PAUSE_S,
+    LostPrompt,
     PromptQuarantine,
 )
 from snipetrestle_standins.clock import run_in_virtual_time
@@ -114,6 +115,39 @@
 
         self.run_check(check)
 
+    def test_replica_that_goes_on_answering_has_not_crashed(self):
+        """Replicas that lost answers by a reset were taken for crashed ones, and seven
+        streams of a day were not retried (trouble-1 of ncbfa-fleet)."""
+
+        async def check():
+            for number in range(MIN_CRASHES + 2):
+                crash = f"replica-{number} 1"
+                self.quarantine.note_lost(crash, BAD)
+                await anyio.sleep(0.3)
+                self.quarantine.note_answered(crash, anyio.current_time() - 0.1)
+                # Another host does not know this yet.
+                lost = LostPrompt(crash, frozenset(BAD), anyio.current_time() - 0.3, 0)
+                self.quarantine.learn_lost(lost)
+                self.assertFalse(self.quarantine.forbids_retry(BAD))
+            await anyio.sleep(OBJECTION_TIME_S)
+            self.assertFalse(self.quarantine.refuses(BAD))
+
+        self.run_check(check)
+
+    def test_answer_to_an_earlier_request_does_not_disprove_a_crash(self):
+        """The events of other streams may arrive just before the crash."""
+
+        async def check():
+            for number in range(MIN_CRASHES):
+                sent_at = anyio.current_time()
+                await anyio.sleep(0.3)
+                self.quarantine.note_lost(f"replica-{number} 1", BAD)
+                self.quarantine.note_answered(f"replica-{number} 1", sent_at)
+            await anyio.sleep(OBJECTION_TIME_S)
+            self.assertTrue(self.quarantine.refuses(BAD))
+
+        self.run_check(check)
+
     def test_served_part_is_refused_no_more(self):
         """Prompts must not stay refused that replicas can answer."""
 
