Drop trailer fields of callers' requests to the daemon

Found while looking for the operators' faults in the product's own daemon: a trailer field that came in the same packet as its request was added to the headers, after all checks of them. A trailer Authorization replaced the caller's key, so a proxy that checks headers could be passed by.

Cause: uvicorn's protocol appends each field to the list that the request already refers to.

Before: test_trailers_do_not_become_headers failed (401 for a good key). After: it passes. Conclusion: fields count as headers up to the end of the head only.

--- a/snipetrestle/callers/listener.py
+++ b/snipetrestle/callers/listener.py
@@ -27,7 +27,10 @@
 
 
 class LimitedHttpProtocol(HttpToolsProtocol):
-    """HTTP protocol that limits connections, header time and size, and slow readers."""
+    """HTTP protocol that limits connections, header time and size, and slow readers.
+
+    Trailer fields are dropped, since they are no header fields.
+    """
 
     intake = IntakeSettings()
 
@@ -55,12 +58,14 @@
 
     def on_message_begin(self):
         super().on_message_begin()
+        self._in_head = True
         self._header_bytes = self._unparsed_bytes = 0
         if self._header_timer is None:
             self._expect_headers()
 
     def on_header(self, name, value):
-        super().on_header(name, value)
+        if self._in_head:
+            super().on_header(name, value)
         self._header_bytes += len(name) + len(value)
         self._check_header_bytes(self._header_bytes)
 
@@ -74,6 +79,7 @@
             )
 
     def on_headers_complete(self):
+        self._in_head = False
         self._stop_header_timer()
         if not self.transport.is_closing():
             super().on_headers_complete()
--- /dev/null
+++ b/tests/callers/test_bad_callers.py
@@ -0,0 +1,85 @@
+"""Tests of callers that send more than their requests, over in-memory connections."""
+
+import json
+
+import anyio
+import testtools
+
+from snipetrestle_standins.clock import run_in_virtual_time
+from snipetrestle_standins.data_path import API_KEY, OTHER_API_KEY, DataPath
+from tests.callers.caller import completion_body
+from tests.memory import assert_bounded_memory
+
+FILLER = b"x" * 1000
+MAX_SENT_BYTES = 16 * 1024 * 1024
+# A request may take this long to arrive, with the default settings.
+MAX_REQUEST_S = 120.0
+
+
+def request_head(key, *headers):
+    lines = [
+        b"POST /v1/completions HTTP/1.1",
+        b"Host: entry",
+        b"Authorization: Bearer " + key.encode(),
+        b"Transfer-Encoding: chunked",
+        *headers,
+    ]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class BadCallerTest(testtools.TestCase):
+    def run_with_connection(self, function):
+        """Runs ``function(fleet, connection)`` with a connection to a daemon."""
+
+        async def main():
+            async with DataPath() as fleet:
+                connection = fleet.daemons_by_name["entry-1"].listener.connect()
+                await function(fleet, connection)
+
+        run_in_virtual_time(main)
+
+    def test_trailers_do_not_become_headers(self):
+        """A trailer that came in the same packet replaced the caller's key, after all
+        checks of the headers."""
+
+        async def check(fleet, connection):
+            body = chunk(json.dumps(completion_body()).encode())
+            trailer = b"Authorization: Bearer " + OTHER_API_KEY.encode()
+            for key, trailers, status in (
+                (API_KEY, b"Authorization: Bearer unknown\r\n", b"200"),
+                ("unknown", trailer + b"\r\n", b"401"),
+            ):
+                connection = fleet.daemons_by_name["entry-1"].listener.connect()
+                connection.send(
+                    request_head(key) + body + b"0\r\n" + trailers + b"\r\n"
+                )
+                answer = await connection.receive_until(b"\r\n\r\n")
+                self.assertIn(b"HTTP/1.1 " + status, answer)
+
+        self.run_with_connection(check)
+
+    def test_endless_parts_of_a_request_end_the_connection(self):
+        """A caller could send trailers or a chunk extension for ever."""
+        for start, part in (
+            (b"0\r\n", b"X-F: %b\r\n" % FILLER),
+            (b"5;", FILLER),
+        ):
+
+            async def check(fleet, connection, start=start, part=part):
+                connection.send(request_head(API_KEY) + start)
+                sent_bytes = 0
+                with (
+                    assert_bounded_memory(self, start),
+                    anyio.fail_after(MAX_REQUEST_S),
+                ):
+                    while not connection.ended and sent_bytes < MAX_SENT_BYTES:
+                        connection.send(part)
+                        sent_bytes += len(part)
+                        await anyio.sleep(0.01)
+                self.assertTrue(connection.ended, start)
+
+            self.run_with_connection(check)
