Count a reply of a peer that cannot be decoded as an unreachable peer

Found while looking for the operators' faults in the product's own daemon: an unknown type, bytes that are no message, or an unknown outcome in a refusal raised KeyError, DecodeError or ValueError in the task that had called.

Before: test_malformed_replies_are_no_unexpected_errors failed with KeyError. After: it passes.

--- a/snipetrestle/peers/grpc_transport.py
+++ b/snipetrestle/peers/grpc_transport.py
@@ -165,7 +165,7 @@
                 _raise_if_scope_cancelled()
                 raise PeerUnreachable(member, True, "the call was closed") from None
         self.note_heard(member)
-        return messages.decode_reply(reply.type, reply.body)
+        return _decode_reply(member, reply)
 
     @contextlib.asynccontextmanager
     async def stream(self, member, message):
@@ -182,7 +182,7 @@
         try:
             async for envelope in call:
                 self.note_heard(member)
-                yield messages.decode_reply(envelope.type, envelope.body)
+                yield _decode_reply(member, envelope)
         except aio.AioRpcError as error:
             raise _unreachable_error(member, error) from None
         except asyncio.CancelledError:
@@ -403,6 +403,16 @@
         )
 
 
+def _decode_reply(member, envelope):
+    """Returns the reply. Raises PeerUnreachable, or the ServingError of a refusal."""
+    try:
+        return messages.decode_reply(envelope.type, envelope.body)
+    except (KeyError, ValueError, msgspec.DecodeError) as error:
+        raise PeerUnreachable(
+            member, True, f"the reply is malformed: {error!r}"
+        ) from None
+
+
 def _decode_if_known(envelope):
     """Returns the message, or None if its type is unknown or its body is malformed."""
     try:
--- a/tests/peers/test_grpc_transport.py
+++ b/tests/peers/test_grpc_transport.py
@@ -6,11 +6,12 @@
 import tempfile
 
 import anyio
+import grpc
 import msgspec
 import testtools
 
 from snipetrestle.codes import ResultCode, ServingError
-from snipetrestle.peers import grpc_transport
+from snipetrestle.peers import grpc_transport, peer_pb2, peer_pb2_grpc
 from snipetrestle.peers import tls as tls_module
 from snipetrestle.peers.grpc_transport import GrpcTransport
 from snipetrestle.peers.messages import register_message
@@ -88,6 +89,48 @@
 
         anyio.run(main)
 
+    def test_malformed_replies_are_no_unexpected_errors(self):
+        """A reply that could not be decoded raised errors that no task expects, which
+        end a daemon."""
+
+        class MalformedPeer(peer_pb2_grpc.PeerServicer):
+            async def Call(self, request, context):  # noqa: N802
+                return replies[0]
+
+            async def Stream(self, request, context):  # noqa: N802
+                yield replies[0]
+
+        replies = [
+            peer_pb2.Envelope(type="Unknown", body=b"", sender="b"),
+            peer_pb2.Envelope(type="Echo", body=b"\xff", sender="b"),
+            peer_pb2.Envelope(type="Echo", body=msgspec.msgpack.encode({}), sender="b"),
+            peer_pb2.Envelope(
+                type="Refusal",
+                body=msgspec.msgpack.encode({"number": 1, "outcome": "absurd"}),
+                sender="b",
+            ),
+        ]
+
+        async def main():
+            server = grpc.aio.server()
+            peer_pb2_grpc.add_PeerServicer_to_server(MalformedPeer(), server)
+            port = server.add_insecure_port("127.0.0.1:0")
+            await server.start()
+            addresses = {"b": f"127.0.0.1:{port}"}
+            client = GrpcTransport("a", MessageRouter(), addresses.get, None)
+            async with client.serving("127.0.0.1:0"):
+                while replies:
+                    with testtools.ExpectedException(PeerUnreachable):
+                        await client.call("b", Echo("hello"), TIMEOUT_S)
+                    async with client.stream("b", Echo("x")) as stream:
+                        with testtools.ExpectedException(PeerUnreachable):
+                            async for _ in stream:
+                                pass
+                    replies.pop(0)
+            await server.stop(None)
+
+        anyio.run(main)
+
     def test_calls_streams_and_refusals(self):
         """A refusal must not look to the caller like an unreachable peer."""
 
