Bound answers of the configuration service and host list

Found while looking for the operators' faults in the product's own daemon: an answer without end was read and kept for ever, and a late second copy of one part of the configuration was taken for the next part that was read.

Change: a time-out for the whole call, a limit on the body, and one connection for each call.

--- a/snipetrestle/publication/http_sources.py
+++ b/snipetrestle/publication/http_sources.py
@@ -6,12 +6,15 @@
 host list in JSON, or 304 if ``If-None-Match`` contains its current revision.
 """
 
+import typing
 import urllib.parse
 import zlib
 
+import anyio
 import httpcore
 import msgspec
 
+from snipetrestle.http_bodies import read_body
 from snipetrestle.publication.sources import HostList, Reading, SourceUnreachable
 
 # The service answers in milliseconds, so a longer silence means that it is down.
@@ -19,14 +22,23 @@
 # How long the service holds a watch. However long it is held, a watch is one call.
 WATCH_WAIT_S = 30.0
 
-# Limit of the decompressed host list. A list of 4,230 hosts takes 0.6 MB in plain JSON.
-# Each daemon reads it after each change, so it is requested in compressed form.
-MAX_LIST_BYTES = 16 * 1024 * 1024
+# Limit of an answer, and of the decompressed host list. A list of 4,230 hosts takes
+# 0.6 MB in plain JSON. Each daemon reads it after each change, so it is requested in
+# compressed form.
+MAX_CONTENT_BYTES = 16 * 1024 * 1024
 _ACCEPT_GZIP = (b"Accept-Encoding", b"gzip")
 
 _host_list_decoder = msgspec.json.Decoder(HostList)
 
 
+class _Answer(typing.NamedTuple):
+    """Status, headers and body of an answer."""
+
+    status: int
+    headers: list
+    content: bytes
+
+
 class _HttpSource:
     """Base class with a connection pool for one base URL."""
 
@@ -40,30 +52,34 @@
         await self._pool.aclose()
 
     async def _get(self, path, timeout, headers=()):
-        """Returns the response. Raises SourceUnreachable unless it is 200 or 304."""
+        """Returns the _Answer. Raises SourceUnreachable unless it is 200 or 304.
+
+        ``timeout`` limits the whole call. Answers carry no id, so each call has its own
+        connection: a late second copy of one answer would be read as the next one.
+        """
         try:
-            response = await self._pool.request(
-                "GET",
-                self._base_url + path,
-                headers=list(headers),
-                extensions={
-                    "timeout": {
-                        "connect": READ_TIMEOUT_S,
-                        "read": timeout,
-                        "write": READ_TIMEOUT_S,
-                        "pool": READ_TIMEOUT_S,
-                    }
-                },
-            )
+            with anyio.fail_after(timeout):
+                async with self._pool.stream(
+                    "GET",
+                    self._base_url + path,
+                    headers=[*headers, (b"Connection", b"close")],
+                    extensions={
+                        "timeout": {"connect": READ_TIMEOUT_S, "pool": READ_TIMEOUT_S}
+                    },
+                ) as response:
+                    content = await read_body(response, MAX_CONTENT_BYTES)
+                    answer = _Answer(response.status, response.headers, content)
+        except TimeoutError:
+            raise SourceUnreachable(f"{path}: no answer within {timeout} s") from None
         except (
             httpcore.NetworkError,
             httpcore.TimeoutException,
             httpcore.ProtocolError,
         ) as error:
             raise SourceUnreachable(f"{path}: {error!r}") from None
-        if response.status not in (200, 304):
-            raise SourceUnreachable(f"{path}: HTTP status {response.status}")
-        return response
+        if answer.status not in (200, 304):
+            raise SourceUnreachable(f"{path}: HTTP status {answer.status}")
+        return answer
 
 
 class HttpConfigurationSource(_HttpSource):
@@ -112,9 +128,9 @@
     ]:
         return response.content
     decompressor = zlib.decompressobj(wbits=zlib.MAX_WBITS | 16)
-    content = decompressor.decompress(response.content, MAX_LIST_BYTES)
+    content = decompressor.decompress(response.content, MAX_CONTENT_BYTES)
     if not decompressor.eof:
-        raise zlib.error(f"truncated, or above {MAX_LIST_BYTES} bytes")
+        raise zlib.error(f"truncated, or above {MAX_CONTENT_BYTES} bytes")
     return content
 
 
--- a/tests/publication/test_http_sources.py
+++ b/tests/publication/test_http_sources.py
@@ -6,6 +6,7 @@
 import testtools
 import uvicorn
 
+from snipetrestle.publication import http_sources
 from snipetrestle.publication.http_sources import (
     HttpConfigurationSource,
     HttpHostListSource,
@@ -21,6 +22,13 @@
     LocalHostListSource,
     host_list_app,
 )
+from snipetrestle_standins.raw_http import (
+    ENDLESS_ANSWERS,
+    MAX_ENDLESS_BYTES,
+    ok,
+    raw_server,
+)
+from tests.memory import MAX_GROWTH_BYTES, assert_bounded_memory
 from tests.waiting import wait_until
 
 HOST = Host("entry-1", "127.0.0.1:8100", "palermo", "sicily")
@@ -127,3 +135,47 @@
             self.assertEqual((HOST,), (await source.read()).hosts)
 
         run_in_virtual_time(main)
+
+
+class BadServiceTest(testtools.TestCase):
+    """A service in trouble may send bytes without end, or an answer twice."""
+
+    TIMEOUT_S = 1.0
+
+    def test_endless_answer_counts_as_an_outage(self):
+        """A daemon read for ever, and neither kept its configuration up to date nor its
+        memory within any bound."""
+        self.patch(http_sources, "READ_TIMEOUT_S", self.TIMEOUT_S)
+        self.patch(http_sources, "MAX_CONTENT_BYTES", MAX_GROWTH_BYTES // 4)
+
+        async def main(name, answer):
+            async with raw_server(answer) as server:
+                for source_type in (HttpConfigurationSource, HttpHostListSource):
+                    source = source_type(f"http://{server.address}")
+                    with (
+                        assert_bounded_memory(self, name),
+                        anyio.fail_after(4 * self.TIMEOUT_S),
+                        testtools.ExpectedException(SourceUnreachable),
+                    ):
+                        await source.read()
+                    await source.aclose()
+                self.assertLess(server.sent_bytes, MAX_ENDLESS_BYTES, name)
+
+        for name, answer in ENDLESS_ANSWERS.items():
+            anyio.run(main, name, answer)
+
+    def test_late_second_copy_does_not_answer_the_next_read(self):
+        """One part of the configuration was taken for another one."""
+
+        async def main():
+            one, two = ok(b"one", b'ETag: "1"'), ok(b"two", b'ETag: "1"')
+            async with raw_server(one, two) as server:
+                server.second_copy_delay_s = 0.05
+                source = HttpConfigurationSource(f"http://{server.address}")
+                first = await source.read("adapters-1")
+                server.answer_delay_s = 0.2
+                second = await source.read("adapters-2")
+                self.assertEqual((b"one", b"two"), (first.document, second.document))
+                await source.aclose()
+
+        anyio.run(main)
