Find crashing prompt parts also among prompts that are new

Matter: prompt parts that crash replicas.

Found in reading: each crash with a prompt of which some part was never served counted as explained by it, even if that part was lost only once. So a part that was served before, and begins to crash replicas, was never refused where new prompts are common.

Before: test_new_prompts_do_not_hide_a_part_that_begins_to_crash_replicas failed. After: it passes, with the other tests of the quarantine.

--- a/snipetrestle/gateway/prompt_quarantine.py
+++ b/snipetrestle/gateway/prompt_quarantine.py
@@ -248,11 +248,7 @@
         self._forget_old(now)
         if now < self._update_at:
             return
-        lost_by_part = collections.defaultdict(list)
-        for lost in self._suspects_by_prompt():
-            for part in lost[1]:
-                lost_by_part[part].append(lost)
-        self._suspicions = [_suspicion(items) for items in lost_by_part.values()]
+        self._suspicions = self._find_suspicions()
         refused_before = self.refused
         starts = {
             item: item.refused_from
@@ -274,31 +270,47 @@
     def _refused_parts(self):
         return frozenset().union(*self.refused)
 
-    def _suspects_by_prompt(self):
-        """Returns (lost prompt, its suspected parts, whether these were served before).
+    def _find_suspicions(self):
+        """Returns the Suspicions of all parts.
 
         A crash that a part explains which was never served says nothing about parts
         that were.
         """
-        explained_crashes = set()
-        served, never_served = [], []
+        never_served, served = self._suspects_by_prompt()
+        suspicions = _suspicions_of(never_served)
+        explaining_parts = frozenset().union(
+            *(item.parts for item in suspicions if item.crashes >= MIN_CRASHES)
+        )
+        explained_crashes = {
+            prompt.crash
+            for prompt, suspects, _ in never_served
+            if suspects & explaining_parts
+        }
+        return suspicions + _suspicions_of(
+            item for item in served if item[0].crash not in explained_crashes
+        )
+
+    def _suspects_by_prompt(self):
+        """Returns the lost prompts with parts that were never served, and the others.
+
+        Each is (lost prompt, its suspected parts, whether these were served before).
+        """
+        never_served, served = [], []
         for prompt in self._lost_by_key.values():
             served_at = {
                 part: self._served_at_by_part.get(part) for part in prompt.parts
             }
             unknown = frozenset(part for part, at in served_at.items() if at is None)
             if unknown:
-                explained_crashes.add(prompt.crash)
                 never_served.append((prompt, unknown, False))
-                continue
             before = frozenset(
-                part for part, at in served_at.items() if at <= prompt.lost_at
+                part
+                for part, at in served_at.items()
+                if at is not None and at <= prompt.lost_at
             )
-            if before:
+            if before and not unknown:
                 served.append((prompt, before, True))
-        return never_served + [
-            item for item in served if item[0].crash not in explained_crashes
-        ]
+        return never_served, served
 
     def _forget_old(self, now):
         if now < self._forgotten_at + FORGET_INTERVAL_S:
@@ -361,6 +373,15 @@
         }
 
 
+def _suspicions_of(lost):
+    """Returns a Suspicion of each part that is suspected in lost prompts."""
+    lost_by_part = collections.defaultdict(list)
+    for item in lost:
+        for part in item[1]:
+            lost_by_part[part].append(item)
+    return [_suspicion(items) for items in lost_by_part.values()]
+
+
 def _suspicion(items):
     """Returns the Suspicion of a part from all prompts in which it is suspected."""
     parts = frozenset.intersection(*(suspects for _, suspects, _ in items))
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -176,6 +176,22 @@
 
         self.run_check(check)
 
+    def test_new_prompts_do_not_hide_a_part_that_begins_to_crash_replicas(self):
+        """A replica nearly always has some prompt with parts that were never served
+        before, and each of them seemed to explain its crash."""
+
+        async def check():
+            self.quarantine.note_served(BAD)
+            await anyio.sleep(1.0)
+            for number in range(MIN_CRASHES_IF_SERVED):
+                await self.crash(BAD, ("system", f"new-{number}"))
+                self.quarantine.note_served(GOOD)
+            await anyio.sleep(OBJECTION_TIME_S)
+            self.assertTrue(self.quarantine.refuses(BAD))
+            self.assertFalse(self.quarantine.refuses(GOOD))
+
+        self.run_check(check)
+
     def trials(self, seconds):
         """Counts the trials of a bad prompt that is requested ten times a second.
 
