--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -9,10 +9,10 @@
 import anyio
 
 from snipetrestle.coordination.adapter_places import LOCATION_TTL_S, DecayingCount
+from snipetrestle.coordination.datagram_requests import DatagramRequests
 from snipetrestle.coordination.messages import Locate, Located
 from snipetrestle.gateway.supervision import run_isolated
 
-ANSWER_TIMEOUT_S = 0.12
 # A lookup is sent up to this often; a datagram may be lost, or the leader change.
 MAX_LOOKUP_SENDS = 3
 NO_LEADER_DELAY_S = 0.05
@@ -46,16 +46,6 @@
         self.refreshed = None
 
 
-class PendingLookup:
-    """A lookup sent to the leader; ``locations`` is None until it is answered."""
-
-    __slots__ = ("answered", "locations")
-
-    def __init__(self):
-        self.answered = anyio.Event()
-        self.locations = None
-
-
 class Locator:
     """Looks up the locations of adapters for this host.
 
@@ -76,16 +66,13 @@
         note_load,
     ):
         self._leadership = leadership
-        self._endpoint = endpoint
         self._own_name = own_name
         self._locate_here = locate_here
         self._published_replicas = published_replicas
         self._note_load = note_load
         self._cached_by_key = {}
-        self._last_number = 0
-        self._pending_by_number = {}
+        self._requests = DatagramRequests(endpoint, Located, self._note_loads)
         self._task_group = None
-        endpoint.register(Located, self._on_located)
 
     async def run(self):
         async with anyio.create_task_group() as group:
@@ -195,29 +182,23 @@
         if address is None:
             await anyio.sleep(NO_LEADER_DELAY_S)
             return None
-        self._last_number += 1
-        number = self._last_number
-        pending = self._pending_by_number[number] = PendingLookup()
-        try:
-            for _ in range(MAX_LOOKUP_SENDS):
-                message = Locate(
-                    self._own_name, number, key.model, key.adapter, uses, avoid, limited
-                )
-                self._endpoint.send(message, address)
-                with anyio.move_on_after(ANSWER_TIMEOUT_S):
-                    await pending.answered.wait()
-                    break
-                # The first message may have arrived, so its uses are not sent again.
-                uses = 0
-            return pending.locations
-        finally:
-            del self._pending_by_number[number]
-
-    def _on_located(self, message, address):
-        pending = self._pending_by_number.get(message.number)
-        if pending is not None:
-            for location in message.locations:
-                if location.load is not None:
-                    self._note_load(location.replica_id, location.load)
-            pending.locations = message.locations
-            pending.answered.set()
+
+        def build_request(number, is_first):
+            # The first message may have arrived, so its uses are not sent again.
+            return Locate(
+                self._own_name,
+                number,
+                key.model,
+                key.adapter,
+                uses if is_first else 0,
+                avoid,
+                limited,
+            )
+
+        answer = await self._requests.ask(build_request, address, MAX_LOOKUP_SENDS)
+        return None if answer is None else answer.locations
+
+    def _note_loads(self, message):
+        for location in message.locations:
+            if location.load is not None:
+                self._note_load(location.replica_id, location.load)
--- a/snipetrestle/coordination/send_permits.py
+++ b/snipetrestle/coordination/send_permits.py
@@ -7,13 +7,13 @@
 
 import anyio
 
+from snipetrestle.coordination.datagram_requests import DatagramRequests
 from snipetrestle.coordination.messages import PermitReply, PermitRequest
 
 # Permits that were not used for this long may be used at once later.
 BURST_S = 1.0
 # Requests that have another replica to go to leave this part of the burst to others.
 RESERVED_FRACTION = 0.5
-ANSWER_TIMEOUT_S = 0.12
 MAX_KNOWN_REPLICAS = 8192
 # Longer waits are not distinguished.
 MAX_WAIT_S = 3600.0
@@ -59,16 +59,6 @@
         return max(0.0, due - tolerance_s - now)
 
 
-class _PendingRequest:
-    """A PermitRequest that was sent; ``reply`` is None until it is answered."""
-
-    __slots__ = ("answered", "reply")
-
-    def __init__(self):
-        self.answered = anyio.Event()
-        self.reply = None
-
-
 class SendPermits:
     """Gets permits for this host, from the leader or from this host's own part.
 
@@ -81,12 +71,10 @@
         self._own_name = own_name
         self._request_limits = request_limits
         self._issuer = PermitIssuer()
-        self._last_number = 0
-        self._pending_by_number = {}
+        self._requests = DatagramRequests(endpoint, PermitReply)
         # When the leader may permit an optional request again, by replica id.
         self._denied_until_by_id = {}
         endpoint.register(PermitRequest, self._on_request)
-        endpoint.register(PermitReply, self._on_reply)
         leadership.on_change(self._on_leader_change)
 
     def _on_leader_change(self):
@@ -139,21 +127,14 @@
         address = self._leadership.leader_address()
         if address is None or not self._leadership.has_recent_leader:
             return None
-        self._last_number += 1
-        number = self._last_number
-        pending = self._pending_by_number[number] = _PendingRequest()
-        try:
-            self._endpoint.send(
-                PermitRequest(self._own_name, number, limits, max_wait_s, is_optional),
-                address,
+
+        def build_request(number, is_first):
+            return PermitRequest(
+                self._own_name, number, limits, max_wait_s, is_optional
             )
-            with anyio.move_on_after(ANSWER_TIMEOUT_S):
-                await pending.answered.wait()
-        finally:
-            del self._pending_by_number[number]
-        if pending.reply is None:
-            return None
-        return pending.reply.replica_id, pending.reply.wait_s
+
+        reply = await self._requests.ask(build_request, address)
+        return None if reply is None else (reply.replica_id, reply.wait_s)
 
     def _issue(self, limits_by_replica, max_wait_s, is_optional):
         fraction = self._request_limits.issued_fraction()
@@ -169,9 +150,3 @@
                 PermitReply(message.number, replica_id, min(wait_s, MAX_WAIT_S)),
                 address,
             )
-
-    def _on_reply(self, message, address):
-        pending = self._pending_by_number.get(message.number)
-        if pending is not None:
-            pending.reply = message
-            pending.answered.set()
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -19,6 +19,7 @@
     ReplicaClosed,
 )
 from snipetrestle.gateway.job import Job, Refused
+from snipetrestle.gateway.replica_choice import ReplicaChooser
 
 # Failed connection attempts of one request; nothing was sent in any of them.
 MAX_CONNECT_FAILURES = 4
@@ -39,11 +40,6 @@
 NOT_READY_RETRY_AFTER_S = 0.3
 # The same for prompts that crash replicas, which stay refused for minutes.
 REFUSED_PROMPT_RETRY_AFTER_S = 30.0
-# The longest one while all replicas are at their request limits.
-MAX_LIMIT_RETRY_AFTER_S = 2.0
-# How long a request waits until its host may send to a replica with a request limit, as
-# a multiple of its route's target latency.
-LIMIT_WAIT_LATENCIES = 0.7
 # How long a stream waits for a place, with and without a known leader, as a multiple of
 # its route's target latency.
 PLACE_WAIT_LATENCIES = 1.5
@@ -72,7 +68,9 @@
         self._lost_stream_log = gateway.lost_stream_log
         self._leadership = gateway.leadership
         self._prompt_quarantine = gateway.prompt_quarantine
-        self._send_permits = gateway.send_permits
+        self._chooser = ReplicaChooser(
+            gateway.replicas, gateway.send_permits, gateway.hosts
+        )
         self._rng = gateway.rng
         self._refuses_new = False
         self._has_given_up = False
@@ -370,7 +368,7 @@
             ready = [
                 item for item in holders if places[item.id] <= anyio.current_time()
             ]
-            replica = await self._choose(job, ready or holders)
+            replica = await self._chooser.choose(job, ready or holders)
             if replica is not None:
                 ready_in_s = places[replica.id] - anyio.current_time()
                 if ready_in_s > 0:
@@ -381,7 +379,7 @@
             if anyio.current_time() > self._place_wait_deadline(job):
                 raise self._no_place_refusal(job)
             if holders:
-                self._refuse_if_all_limited(job)
+                self._chooser.refuse_if_all_limited(job)
             places = await self._locator.look_up(
                 key, self._replicas_to_avoid(job), [item.id for item in holders]
             )
@@ -438,53 +436,6 @@
             and replica.entry.backend == job.backend.name
         ]
 
-    # Request limits of replicas.
-
-    async def _choose(self, job, candidates):
-        """Returns a replica once the request may be sent to it.
-
-        Returns None if there is none that it may be sent to soon.
-        """
-        unlimited = [item for item in candidates if not item.request_limit.is_limited]
-        if not unlimited:
-            return await self._choose_limited(job, candidates)
-        spare = [item for item in candidates if self._send_permits.may_be_spare(item)]
-        replica = self._choose_best(spare)
-        if not replica.request_limit.is_limited:
-            return replica
-        permitted, _ = await self._send_permits.acquire([replica], 0.0, True)
-        return permitted or self._choose_best(unlimited)
-
-    def _choose_best(self, candidates):
-        return self._replicas.choose(candidates, self._hosts.max_known)
-
-    async def _choose_limited(self, job, candidates):
-        if not candidates:
-            return None
-        max_wait_s = LIMIT_WAIT_LATENCIES * job.route.target_latency_s
-        replica, wait_s = await self._send_permits.acquire(candidates, max_wait_s)
-        job.limit_wait_s = wait_s
-        if replica is not None and wait_s > 0:
-            await anyio.sleep(wait_s)
-        return replica
-
-    def _refuse_if_all_limited(self, job):
-        """Raises Refused if all replicas of the backend name limits.
-
-        Called when the request may not be sent to some of them soon.
-        """
-        replicas = self._replicas.ready_replicas(job.backend.name)
-        if not all(item.request_limit.is_limited for item in replicas):
-            return
-        reason = "all replicas are at their request limits"
-        if job.may_have_run:
-            raise Refused(job.unknown_outcome_code, reason=reason)
-        raise Refused(
-            ResultCode.QUEUE_FULL,
-            min(job.limit_wait_s, MAX_LIMIT_RETRY_AFTER_S),
-            reason=reason,
-        )
-
     # Prompts that crash replicas.
 
     def _check_prompt(self, job):
@@ -537,12 +488,12 @@
         """Returns a replica, if possible one that the request was not sent to."""
         candidates = self._replicas.ready_replicas(job.backend.name)
         untried = [item for item in candidates if item.id not in job.sent_to]
-        replica = await self._choose(job, untried)
+        replica = await self._chooser.choose(job, untried)
         if replica is None:
-            replica = await self._choose(job, candidates)
+            replica = await self._chooser.choose(job, candidates)
         if replica is None:
             if candidates:
-                self._refuse_if_all_limited(job)
+                self._chooser.refuse_if_all_limited(job)
             raise self._unavailable_refusal(job, "no replica is ready")
         return replica
 
