Answer requests that are arriving while the daemon's listener stops

Found while looking for the operators' faults in the product's own daemon: a connection with half of a request's head was closed without an answer as the listener stopped.

Cause: uvicorn closes each connection that has no request in progress, and a head that is not complete is none.

Before: test_request_that_arrives_slowly_is_answered_in_a_planned_stop failed. After: it passes; idle connections are closed as before.

--- a/snipetrestle/callers/listener.py
+++ b/snipetrestle/callers/listener.py
@@ -39,6 +39,7 @@
         self._slow_reader_timer = None
         self._header_timer = None
         self._header_bytes = self._unparsed_bytes = 0
+        self._closes_after_request = False
         if len(self.connections) > self.intake.max_connections:
             self._refuse(ResultCode.QUEUE_FULL, "too many connections")
             return
@@ -81,8 +82,18 @@
     def on_headers_complete(self):
         self._in_head = False
         self._stop_header_timer()
-        if not self.transport.is_closing():
-            super().on_headers_complete()
+        if self.transport.is_closing():
+            return
+        super().on_headers_complete()
+        if self._closes_after_request:
+            self.cycle.keep_alive = False
+
+    def shutdown(self):
+        """Closes an idle connection; a request that has begun to arrive is answered."""
+        if self._header_timer is not None and self._unparsed_bytes:
+            self._closes_after_request = True
+        else:
+            super().shutdown()
 
     def send_400_response(self, msg):
         self._refuse(ResultCode.MALFORMED_REQUEST, "not a valid HTTP request")
--- a/tests/callers/test_bad_callers.py
+++ b/tests/callers/test_bad_callers.py
@@ -62,6 +62,35 @@
 
         self.run_with_connection(check)
 
+    def test_request_that_arrives_slowly_is_answered_in_a_planned_stop(self):
+        """A connection was closed in the middle of a request's head, without an
+        answer, as the listener stopped."""
+
+        async def check(fleet, connection):
+            body = chunk(json.dumps(completion_body()).encode())
+            request = request_head(API_KEY) + body + b"0\r\n\r\n"
+            connection.send(request[:30])
+            await anyio.sleep(0.01)
+            connection.protocol.shutdown()
+            await anyio.sleep(0.01)
+            connection.send(request[30:])
+            answer = await connection.receive_until(b"\r\n\r\n")
+            self.assertIn(b"HTTP/1.1 200", answer)
+            while not connection.ended:
+                await connection.receive()
+
+        self.run_with_connection(check)
+
+    def test_idle_connection_is_closed_in_a_planned_stop(self):
+        """A stop must not wait for connections that send nothing."""
+
+        async def check(fleet, connection):
+            await anyio.sleep(0.01)
+            connection.protocol.shutdown()
+            self.assertTrue(connection.ended)
+
+        self.run_with_connection(check)
+
     def test_endless_parts_of_a_request_end_the_connection(self):
         """A caller could send trailers or a chunk extension for ever."""
         for start, part in (
