--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -49,8 +49,8 @@
 class Locator:
     """Looks up the locations of adapters for this host.
 
-    ``locate_here(key, uses, avoid, limited)`` asks this host's own placement controller, for
-    when it leads.
+    ``locate_here(key, uses, avoid, limited)`` asks this host's own placement
+    controller, for when it leads.
     ``published_replicas(key)`` returns the replicas whose published entries list the
     adapter. ``note_load(replica_id, load)`` is called with the ReplicaLoad of each
     location that carries one.
--- a/snipetrestle/gateway/request_limits.py
+++ b/snipetrestle/gateway/request_limits.py
@@ -24,9 +24,9 @@
     """The limit that one replica names, and what this host sends under it.
 
     ``per_s`` is None without a limit, and ``was_named`` tells whether there ever was
-    one. ``noted_at`` is the time of the response that
-    named it, or named none; None before the first response. ``next_send_at`` is when
-    this host may send again; None if it was not determined yet.
+    one. ``noted_at`` is the time of the response that named it, or named none; None
+    before the first response. ``next_send_at`` is when this host may send again; None
+    if it was not determined yet.
     ``sent_without_choice`` counts requests that no other replica could take.
     """
 
