Reproduce hosts that ignore a store restored from a copy

The stand-in store can be copied and restored: its revisions go back, a watch from a revision that it has not reached gets 410, and each response names the epoch. The stand-in replicas number their reports, and a gateway of the fleet can be cut off from the store.

--- a/snipetrestle_standins/gateway_fleet.py
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -11,6 +11,7 @@
 from snipetrestle.platform.calls import OrderClient, StoreSource
 from snipetrestle.platform.entries import ALL_ITEMS, decode_item
 from snipetrestle.platform.headers import PlatformDialect
+from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle_standins.platform_replica import PlatformReplica
 from snipetrestle_standins.platform_store import PlatformStore
 from snipetrestle_standins.ports import free_port
@@ -76,6 +77,29 @@
     }
 
 
+class SeparableSource:
+    """A gateway's access to the store, which ``cut_off_from_store`` can prevent."""
+
+    def __init__(self, fleet, settings):
+        self._fleet = fleet
+        self._name = settings.name
+        self._source = StoreSource(*settings.store)
+
+    def _check(self):
+        if self._name in self._fleet.cut_off_from_store:
+            raise SourceUnreachable("cut off")
+
+    async def read(self, prefix):
+        self._check()
+        return await self._source.read(prefix)
+
+    async def watch(self, *arguments):
+        self._check()
+        changes = await self._source.watch(*arguments)
+        self._check()
+        return changes
+
+
 class GatewayFleet:
     """A store, replicas and gateways. Use as an async context manager."""
 
@@ -101,6 +125,8 @@
         ]
         self.gateways = []
         self.settings_by_name = {}
+        # Names of gateways that cannot reach the store.
+        self.cut_off_from_store = set()
         self._gateway_count = gateways
         self._configuration = configuration(
             adapter_slots=adapter_slots, model_load_s=model_load_s
@@ -134,6 +160,7 @@
 
     def publish(self, replica, **fields):
         """Writes a replica's entry, with changed ``fields``, to the store."""
+        replica.report_count += 1
         self.store.put(f"servers/{replica.id}", replica.entry(**fields))
 
     def start_gateway(self, number):
@@ -157,7 +184,7 @@
         self.settings_by_name[settings.name] = settings
         platform = types.SimpleNamespace(
             dialect=PlatformDialect(),
-            source=StoreSource(*settings.store),
+            source=SeparableSource(self, settings),
             feeds=(Feed(ALL_ITEMS, decode_item, 0.02, 0.5),),
             order_client=OrderClient(),
             read_settings=lambda: self.settings_by_name[settings.name],
--- a/snipetrestle_standins/platform_http.py
+++ b/snipetrestle_standins/platform_http.py
@@ -48,9 +48,11 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def json_response(status, content):
+def json_response(status, content, headers=()):
     return response(
-        status, [("Content-Type", "application/json")], msgspec.json.encode(content)
+        status,
+        [("Content-Type", "application/json"), *headers],
+        msgspec.json.encode(content),
     )
 
 
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -118,6 +118,8 @@
         # The event loop's times at which requests arrived.
         self.arrival_times = []
         self.boot = 1
+        # How often the replica has written its entry since its start.
+        self.report_count = 0
         self.crashing_parts = set()
         self.crash_count = 0
         self.on_restart = None
@@ -138,7 +140,7 @@
             "state": state,
             "cold_remaining_ms": 0,
             "models": self._model_entries(),
-            "seq": 1,
+            "seq": self.report_count,
             "born": self.boot,
             **fields,
         }
@@ -153,7 +155,7 @@
         self.versions_by_adapter.clear()
         self.incoming.clear()
         self.faults.clear()
-        self.order_count = self.token = 0
+        self.order_count = self.token = self.report_count = 0
 
     def _crash(self):
         self.crash_count += 1
--- a/snipetrestle_standins/platform_store.py
+++ b/snipetrestle_standins/platform_store.py
@@ -23,17 +23,31 @@
     MALFORMED = enum.auto()
 
 
+class StoreCopy:
+    """The content of a store at one revision, from which it can be restored."""
+
+    __slots__ = ("revision", "items_by_key", "history", "history_start")
+
+    def __init__(self, revision, items_by_key, history, history_start):
+        self.revision = revision
+        self.items_by_key = items_by_key
+        self.history = history
+        self.history_start = history_start
+
+
 class PlatformStore(StandInServer):
     """Stores items with revisions and the history of changes.
 
-    A watch from before the start of the history gets status 410. ``calls`` counts the
-    calls.
+    A watch from a revision that the history does not have gets status 410. Each
+    response names the ``epoch``, which counts the times that the store was restored.
+    ``calls`` counts the calls.
     """
 
     def __init__(self):
         super().__init__()
         self.mode = StoreMode.UP
         self.calls = 0
+        self.epoch = 1
         # Pause before each tenth of a response, as on a slow link.
         self.chunk_delay_s = 0.0
         self.revision = FIRST_REVISION
@@ -67,6 +81,24 @@
         self._history.clear()
         self._history_start = self.revision
 
+    def copy(self):
+        """Returns a StoreCopy of the current content."""
+        return StoreCopy(
+            self.revision,
+            dict(self._items_by_key),
+            list(self._history),
+            self._history_start,
+        )
+
+    def restore(self, copy):
+        """Goes back to a copy; all that was written since then is lost."""
+        self.epoch += 1
+        self.revision = copy.revision
+        self._items_by_key = dict(copy.items_by_key)
+        self._history = list(copy.history)
+        self._history_start = copy.history_start
+        self.reset_connections()
+
     async def serve(self, request, writer):
         self.calls += 1
         if self.mode is StoreMode.NO_RESPONSE:
@@ -75,10 +107,10 @@
             writer.transport.abort()
             return
         if self.mode is StoreMode.BUSY:
-            writer.write(response(503))
+            writer.write(response(503, self._headers()))
             return
         if self.mode is StoreMode.MALFORMED:
-            writer.write(response(200, [], b'{"events": 3'))
+            writer.write(response(200, self._headers(), b'{"events": 3'))
             return
         path, _, query = request.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
@@ -94,6 +126,12 @@
             writer.write(content[start : start + size])
             await writer.drain()
 
+    def _headers(self):
+        return [("Store-Era", str(self.epoch))]
+
+    def _response(self, status, content):
+        return json_response(status, content, self._headers())
+
     def _range(self, fields):
         after = fields.get("after", "")
         keys = sorted(
@@ -101,7 +139,7 @@
             for key in self._items_by_key
             if key.startswith(fields["prefix"]) and key > after
         )
-        return json_response(
+        return self._response(
             200,
             {
                 "items": [self._items_by_key[key] for key in keys[:MAX_PAGE_ITEMS]],
@@ -114,8 +152,8 @@
         after = int(fields["after"])
         deadline = asyncio.get_running_loop().time() + int(fields["wait_ms"]) / 1000
         while True:
-            if after < self._history_start:
-                return json_response(410, {})
+            if not self._history_start <= after <= self.revision:
+                return self._response(410, {})
             events = [
                 item
                 for item in self._history
@@ -123,7 +161,7 @@
             ]
             time_left_s = deadline - asyncio.get_running_loop().time()
             if events or time_left_s <= 0:
-                return json_response(200, {"events": events, "at": self.revision})
+                return self._response(200, {"events": events, "at": self.revision})
             try:
                 async with asyncio.timeout(time_left_s):
                     await self._changed.wait()
