Send a request id once only on a connection to a replica

What callers saw: 503 for a request that had run, or a write that ran twice. A replica that had refused a request wrote the refusal once more, on the same kept connection, before it answered the next attempt.

Cause: what tells a late response from the awaited one is the request id, and both attempts have the same. The copy was taken for the response to the second attempt, so a third one was sent, or the caller was told that nothing had run while the replica did run the request. Fix: a connection remembers the last 64 request ids that it has carried, and the pool does not give it to a request with one of them. Closing connections after each refusal was ruled out: it costs a new connection for each refusal under overload.

Before: both tests of RepeatedRefusalTest fail (a write ran twice; a repeated request got 503). After: they pass, with one and with two replicas, for calls, writes and both kinds of streams.

--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -39,7 +39,7 @@
         job, replica = self._job, self._replica
         replica.note_sent(job.metadata.adapter)
         try:
-            self._connection = await replica.pool.acquire()
+            self._connection = await replica.pool.acquire(job.metadata.request_id)
         except BaseException:
             replica.note_ended(job.metadata.adapter)
             raise
@@ -65,7 +65,9 @@
         job.may_have_run_on.append(replica.id)
         try:
             self._connection.send_request(
-                head + request.body, self._is_response_to_request
+                head + request.body,
+                self._is_response_to_request,
+                job.metadata.request_id,
             )
         except ExchangeFailed:
             # Nothing was written.
--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -24,6 +24,8 @@
 # a request could cross the replica's close.
 IDLE_MARGIN_S = 0.8
 DEFAULT_IDLE_TIMEOUT_S = 4.0
+# Number of request ids that a connection remembers.
+RECENT_REQUEST_IDS = 64
 
 
 class ExchangeFailed(Exception):
@@ -62,6 +64,7 @@
         self.closed = False
         self.last_used_at = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        self._recent_request_ids = collections.deque(maxlen=RECENT_REQUEST_IDS)
         self._transport = None
         self._waiter = Waiter()
         self._failure = None
@@ -171,18 +174,28 @@
             return
         self._complete = True
 
+    def has_carried(self, request_id):
+        """Whether a request with this id was sent on this connection recently.
+
+        A late copy of the response to it could be taken for the response to another
+        attempt.
+        """
+        return request_id in self._recent_request_ids
+
     # Methods for the current exchange.
 
-    def send_request(self, request_bytes, is_response_to):
+    def send_request(self, request_bytes, is_response_to, request_id=None):
         """Starts an exchange by sending a request.
 
-        Raises ExchangeFailed, with nothing sent, if the connection is closed.
+        ``request_id`` is None for requests whose responses carry no id. Raises ExchangeFailed, with nothing sent, if the connection is closed.
         """
         self._reset()
         if self.closed or self._transport.is_closing():
             raise ExchangeFailed("the connection is closed")
         self._in_exchange = True
         self._is_response_to = is_response_to
+        if request_id is not None:
+            self._recent_request_ids.append(request_id)
         self._transport.write(request_bytes)
 
     async def read_head(self):
@@ -290,17 +303,25 @@
         self._idle = []
         self._connections = set()
 
-    async def acquire(self):
-        """Returns an idle or new connection. Raises ConnectFailed."""
+    async def acquire(self, request_id=None):
+        """Returns an idle or new connection. Raises ConnectFailed.
+
+        It has not carried a request with ``request_id`` before.
+        """
+        return self._take_idle(request_id) or await self._open()
+
+    def _take_idle(self, request_id):
+        """Returns the idle connection that was used last; None if none is suitable."""
         now = asyncio.get_running_loop().time()
-        while self._idle:
-            connection = self._idle.pop()
+        for connection in reversed(self._idle.copy()):
             max_idle_s = connection.idle_timeout_s - IDLE_MARGIN_S
             if connection.closed or now - connection.last_used_at > max_idle_s:
+                self._idle.remove(connection)
                 self.discard(connection)
-                continue
-            return connection
-        return await self._open()
+            elif not connection.has_carried(request_id):
+                self._idle.remove(connection)
+                return connection
+        return None
 
     async def _open(self):
         loop = asyncio.get_running_loop()
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -40,6 +40,10 @@
     SECOND_COPY = enum.auto()
     # The same without the request id that tells whose response it is.
     SECOND_COPY_WITHOUT_ID = enum.auto()
+    # Refuses the request, and writes the refusal again before the next response.
+    REFUSED_TWICE = enum.auto()
+    # Closes the connection after ``head_bytes`` bytes of the response.
+    CUT_HEAD = enum.auto()
     # Sends a body byte by byte.
     TRICKLED_BODY = enum.auto()
     # Sends one part of a message without end, until the connection is closed.
@@ -117,6 +121,8 @@
         self.request_limit = None
         # The event loop's times at which requests arrived.
         self.arrival_times = []
+        # Where Fault.CUT_HEAD ends a response.
+        self.head_bytes = 0
         self.boot = 1
         # How often the replica has written its entry since its start.
         self.report_count = 0
@@ -292,8 +298,11 @@
         self.arrived_requests.append(request)
         self.arrival_times.append(asyncio.get_running_loop().time())
         fault = self.faults.pop(0) if self.faults else None
-        if fault is Fault.REFUSED:
-            writer.write(response(503, self._not_run_headers(request)))
+        if fault in (Fault.REFUSED, Fault.REFUSED_TWICE):
+            refusal = response(503, self._not_run_headers(request))
+            writer.write(refusal)
+            if fault is Fault.REFUSED_TWICE:
+                self._second_copies[writer] = refusal
             return
         if not self._holds(request):
             writer.write(response(421, self._not_run_headers(request)))
@@ -305,6 +314,11 @@
         if fault is Fault.RESET:
             writer.transport.abort()
             return
+        if fault is Fault.CUT_HEAD:
+            head = response(200, self._proof_headers(request), b"body")
+            writer.write(head[: self.head_bytes])
+            writer.close()
+            return
         self.running += 1
         adapter = self._adapter_of(request)
         self._running_by_adapter[adapter] = self._running_by_adapter.get(adapter, 0) + 1
--- a/tests/gateway/test_bad_replicas.py
+++ b/tests/gateway/test_bad_replicas.py
@@ -225,7 +225,100 @@
         run_fleet(check, models=1)
 
 
+class RepeatedRefusalTest(testtools.TestCase):
+    """A refusal may be written once more before the response to the same request."""
+
+    def runs_of(self, replicas):
+        return sum(len(replica.runs) for replica in replicas)
+
+    async def check_request(self, fleet, replicas, path, **options):
+        for replica in replicas:
+            replica.faults = [Fault.REFUSED_TWICE]
+            replica.runs.clear()
+        answer = await fleet.send_request(path, **options)
+        if answer.status == 503:
+            self.assertEqual(0, self.runs_of(replicas), path)
+        else:
+            self.assertEqual((200, True), (answer.status, answer.complete), path)
+            self.assertEqual(1, self.runs_of(replicas), path)
+
+    def test_request_that_ran_is_not_reported_as_refused(self):
+        """The copy carries the id of the request, so it was taken for the response to
+        the second attempt on the same connection."""
+
+        async def check(fleet):
+            for _ in range(3):
+                await self.check_request(fleet, fleet.registers, "/entry/a")
+                await self.check_request(fleet, fleet.registers, "/lookup/a")
+                await self.check_request(fleet, fleet.models, "/draft/a", adapter="")
+                await self.check_request(fleet, fleet.models, "/night/a", adapter="")
+
+        for count in (1, 2):
+            run_fleet(check, registers=count, models=count)
+
+    def test_id_that_a_caller_uses_again_is_sent_on_another_connection(self):
+        """A caller may repeat a refused request under its id."""
+
+        async def check(fleet):
+            (replica,) = fleet.registers
+            fleet.gateways[0].retry_budgets.set_settings(
+                RetryBudgetSettings(0.0, 0.0, 10.0)
+            )
+            replica.faults = [Fault.REFUSED_TWICE]
+            headers = [("X-Request-Id", "one")]
+            refused = await fleet.send_request("/entry/a", headers=headers)
+            self.assertEqual(503, refused.status)
+            answer = await fleet.send_request("/entry/a", headers=headers)
+            self.assertEqual(200, answer.status)
+            self.assertEqual(1, len(replica.runs))
+
+        run_fleet(check, registers=1)
+
+
 class BrokenResponseTest(testtools.TestCase):
+    def test_head_that_breaks_off_is_no_success(self):
+        """A replica may stop anywhere in its head; the caller must not get a 200."""
+
+        async def check(fleet):
+            whole = response(
+                200, [("X-Request-Id", "r"), ("X-Server-Signature", "s")], b"body"
+            )
+            for path, replicas, options in (
+                ("/entry/a", fleet.registers, {}),
+                ("/night/a", fleet.models, {"adapter": ""}),
+            ):
+                for head_bytes in range(1, len(whole) + 20):
+                    for replica in replicas:
+                        replica.faults = [Fault.CUT_HEAD]
+                        replica.head_bytes = head_bytes
+                    answer = await fleet.send_request(path, **options)
+                    is_whole = answer.status == 200 and answer.body == b"body"
+                    if not is_whole:
+                        self.assertIn(answer.status, (502, 504), (path, head_bytes))
+
+        run_fleet(check)
+
+    def test_error_after_the_start_of_a_stream_does_not_reach_it(self):
+        """A stream goes on at a replica that answers with an error: its text must not
+        appear among the events, nor the stream look complete."""
+
+        async def check(fleet):
+            for second in (Fault.SERVER_ERROR, Fault.REFUSED, Fault.CUT_HEAD):
+                for replica in fleet.models:
+                    replica.head_bytes = 40
+                shared_faults = [Fault.TRUNCATED, second, second, second]
+                for replica in fleet.models:
+                    replica.faults = shared_faults
+                answer = await fleet.send_request("/draft/a", adapter="")
+                expected_ids = list(range(1, len(answer.event_ids) + 1))
+                self.assertEqual(expected_ids, answer.event_ids, second)
+                self.assertNotIn(b"HTTP/1.1", answer.body)
+                self.assertNotIn(b"error", answer.body)
+                if answer.complete:
+                    self.assertEqual(6, len(answer.event_ids), second)
+
+        run_fleet(check)
+
     def test_reset_body_without_length_is_not_complete(self):
         """A body that ends with its connection is incomplete if that is reset."""
 
