Tell operators of the product's own daemon that the service was restored

The same cause elsewhere: a configuration service that is restored from a backup names lower revisions than the one in effect. But readers wait for a revision above the one they have; the restored service has none, so nothing was ever logged, and what operators published below had no effect without a word.

Reading the document after each timeout was ruled out: it costs up to a megabyte every 30 s at each reader.

--- a/snipetrestle/peers/configuration_reader.py
+++ b/snipetrestle/peers/configuration_reader.py
@@ -93,9 +93,10 @@
         self.revision = 0
 
     async def next_reading(self):
-        """Returns the value at a newer revision or None. Raises SourceUnreachable.
+        """Returns the Reading of a newer revision, or Unchanged.
 
-        The first call reads the value; later ones wait until it changes.
+        The first call reads the value; later ones wait until it changes. Raises
+        SourceUnreachable.
         """
         if not self.revision:
             return await self._source.read()
--- a/snipetrestle/peers/configuration_spread.py
+++ b/snipetrestle/peers/configuration_spread.py
@@ -28,7 +28,7 @@
 from snipetrestle.peers.membership_messages import RevisionDigest
 from snipetrestle.peers.messages import register_message
 from snipetrestle.peers.transport import PeerUnreachable
-from snipetrestle.publication.sources import SourceUnreachable
+from snipetrestle.publication.sources import SourceUnreachable, Unchanged
 
 # Readers in each failure domain, so that one may fail without an interruption.
 READERS_PER_DOMAIN = 2
@@ -284,7 +284,9 @@
                 continue
             try:
                 reading = await self._reader.next_reading()
-                if reading is not None:
+                if isinstance(reading, Unchanged):
+                    self._note_unchanged(reading.revision)
+                else:
                     await self._apply_reading(reading)
             except SourceUnreachable as error:
                 self._log_source_down(error)
@@ -295,6 +297,15 @@
             backoff = FIRST_BACKOFF_S
             self._log_source_back()
 
+    def _note_unchanged(self, revision):
+        """Logs a service that names an older revision than the one in effect.
+
+        A service that was restored from a copy does not show in its readings: it has
+        none above the revision that is waited for.
+        """
+        if revision is not None and revision < self.revision:
+            self._log_stale_service(revision)
+
     async def _apply_reading(self, reading):
         if reading.revision <= self._reader.revision or (
             reading.revision < self.revision
--- a/snipetrestle/publication/http_sources.py
+++ b/snipetrestle/publication/http_sources.py
@@ -2,8 +2,9 @@
 
 ``GET /v1/values/KEY`` returns a value, with its revision as a quoted number in the
 ``ETag`` header. With ``?after=REVISION&wait=SECONDS`` the service holds the response
-until the value is newer, or answers 304 after the wait. ``GET /v1/hosts`` returns the
-host list in JSON, or 304 if ``If-None-Match`` contains its current revision.
+until the value is newer, or answers 304 after the wait, with the current revision.
+``GET /v1/hosts`` returns the host list in JSON, or 304 if ``If-None-Match`` contains
+its current revision.
 """
 
 import typing
@@ -15,7 +16,12 @@
 import msgspec
 
 from snipetrestle.http_bodies import read_body
-from snipetrestle.publication.sources import HostList, Reading, SourceUnreachable
+from snipetrestle.publication.sources import (
+    HostList,
+    Reading,
+    SourceUnreachable,
+    Unchanged,
+)
 
 # The service answers in milliseconds, so a longer silence means that it is down.
 READ_TIMEOUT_S = 5.0
@@ -102,7 +108,9 @@
             f"?after={after_revision}&wait={WATCH_WAIT_S:g}",
             WATCH_WAIT_S + READ_TIMEOUT_S,
         )
-        return None if response.status == 304 else _reading_of(response)
+        if response.status == 304:
+            return Unchanged(_revision_of(response))
+        return _reading_of(response)
 
 
 class HttpHostListSource(_HttpSource):
@@ -136,10 +144,18 @@
 
 def _reading_of(response):
     """Returns the Reading in a response. Raises SourceUnreachable if malformed."""
+    revision = _revision_of(response)
+    if revision is None:
+        raise SourceUnreachable("response has no ETag header with a revision")
+    return Reading(revision, response.content)
+
+
+def _revision_of(response):
+    """Returns the revision in the ETag header; None if there is none."""
     for name, value in response.headers:
         if name.lower() == b"etag":
             try:
-                return Reading(int(value.strip(b'"')), response.content)
+                return int(value.strip(b'"'))
             except ValueError:
-                break
-    raise SourceUnreachable("response has no ETag header with a revision")
+                return None
+    return None
--- a/snipetrestle/publication/sources.py
+++ b/snipetrestle/publication/sources.py
@@ -43,6 +43,15 @@
     document: bytes
 
 
+class Unchanged(typing.NamedTuple):
+    """Result of a watch that timed out, with the current revision if it was named.
+
+    It is lower than the requested one if the service was restored from a copy.
+    """
+
+    revision: int | None = None
+
+
 class SourceUnreachable(Exception):
     """Raised if the platform does not answer, or its answer is invalid."""
 
@@ -53,8 +62,8 @@
     async def read(self, part: str = "") -> Reading:
         """Returns a value; ``part`` selects one if the document has several."""
 
-    async def watch(self, after_revision: int) -> Reading | None:
-        """Returns the document once it is newer; None if the watch timed out."""
+    async def watch(self, after_revision: int) -> Reading | Unchanged:
+        """Returns the document once it is newer; Unchanged if the watch timed out."""
 
 
 class HostListSource(typing.Protocol):
--- a/snipetrestle_standins/configuration_service.py
+++ b/snipetrestle_standins/configuration_service.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from snipetrestle.publication.sources import Reading, SourceUnreachable
+from snipetrestle.publication.sources import Reading, SourceUnreachable, Unchanged
 from snipetrestle_standins.http_answers import (
     query_parameters,
     revision_header,
@@ -51,6 +51,15 @@
         self._wake_watchers()
         return revision
 
+    def revision(self, key="snipetrestle"):
+        """Returns the current revision of a key; 0 without a value."""
+        reading = self._find(key)
+        return 0 if reading is None else reading.revision
+
+    def restore(self, revision, document, key="snipetrestle"):
+        """Goes back to an older value, as after a restore from a copy."""
+        self._readings_by_key[key] = Reading(revision, document)
+
     def freeze(self):
         self._frozen = dict(self._readings_by_key)
 
@@ -116,7 +125,10 @@
         return reading
 
     async def watch(self, after_revision):
-        return await self._service.watch(self._key, after_revision, self._watch_wait_s)
+        reading = await self._service.watch(
+            self._key, after_revision, self._watch_wait_s
+        )
+        return reading or Unchanged(self._service.revision(self._key))
 
 
 def configuration_app(service):
@@ -134,7 +146,8 @@
                     key, int(query["after"]), float(query.get("wait", 30.0))
                 )
                 if reading is None:
-                    await send_response(send, 304)
+                    headers = [revision_header(service.revision(key))]
+                    await send_response(send, 304, b"", headers)
                     return
             else:
                 reading = service.read(key)
--- a/tests/peers/test_configuration_spread.py
+++ b/tests/peers/test_configuration_spread.py
@@ -28,9 +28,9 @@
 DISTRIBUTION_LIMIT_S = 14.0
 
 
-def publish(fleet, adapters=3, **extra):
+def publish(fleet, adapters=3, revision=None, **extra):
     return fleet.configuration.publish(
-        encode_document(small_document(adapters, **extra))
+        encode_document(small_document(adapters, **extra)), revision
     )
 
 
@@ -214,6 +214,33 @@
         run_fleet(check)
 
 
+class RestoredServiceTest(DistributionTestCase):
+    def test_operators_are_told_and_get_out_by_a_higher_revision(self):
+        """Readers waited in silence for a revision above the one in effect, while all
+        that operators published below it had no effect."""
+
+        async def check(fleet):
+            publish(fleet)
+            first = fleet.configuration.read("snipetrestle")
+            publish(fleet, adapters=4)
+            publish(fleet, adapters=5)
+            fleet.start_all()
+            await self.wait_for_revisions(fleet, 3)
+            fleet.configuration.restore(*first)
+            await anyio.sleep(60.0)
+            stale = self.events_of("EV-1106")
+            self.assertEqual(
+                {(1, 3)}, {(item["revision"], item["in_effect"]) for item in stale}
+            )
+            publish(fleet, adapters=6, revision=2)
+            await anyio.sleep(60.0)
+            await self.wait_for_revisions(fleet, 3)
+            publish(fleet, adapters=6, revision=4)
+            await self.wait_for_revisions(fleet, 4)
+
+        run_fleet(check)
+
+
 class RefusedRevisionTest(DistributionTestCase):
     def check_refused(self, publish_invalid, problem):
         async def check(fleet):
