--- /dev/null
+++ b/snipetrestle_standins/store_relay_fleet.py
@@ -0,0 +1,210 @@
+"""Hosts in virtual time that share the reading of a store in memory."""
+
+import anyio
+
+from snipetrestle.coordination.heartbeat_content import HeartbeatContent
+from snipetrestle.coordination.hosts import Hosts
+from snipetrestle.coordination.leadership import Leadership
+from snipetrestle.coordination.messages import HostInfo
+from snipetrestle.coordination.store_relay import StoreRelay
+from snipetrestle.gateway.published_items import (
+    Feed,
+    HistoryLost,
+    PublishedItem,
+    StoreItems,
+)
+from snipetrestle.gateway.published_state import PublishedState
+from snipetrestle.publication.sources import SourceUnreachable
+from snipetrestle_standins.clock import run_in_virtual_time
+from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
+
+HOST_COUNT = 48
+DOMAINS = ("zone-1", "zone-2", "zone-3")
+APPLY_TIME_S = 3.0
+START_S = 8.0
+PREFIX = ""
+PAUSE_S = 1.5
+WAIT_S = 1.5
+SILENCE_S = 2.1
+EXPIRY_S = 3.0
+
+
+class Store:
+    """A store in memory. Hosts in ``silent`` get no answer, those in ``refused`` one
+    at once. ``calls_by_host`` counts the calls."""
+
+    def __init__(self):
+        self.items_by_key = {}
+        self.revision = 1
+        self.epoch = 1
+        self.silent = set()
+        self.refused = set()
+        self.calls_by_host = {}
+        self.changed = anyio.Event()
+
+    def put(self, key, value=b"1"):
+        self.revision += 1
+        self.items_by_key[key] = PublishedItem(key, self.revision, value)
+        self._wake_watches()
+
+    def _wake_watches(self):
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def restore(self, items_by_key, revision):
+        """Goes back to older items; revisions after theirs are given out again."""
+        self.epoch += 1
+        self.items_by_key = dict(items_by_key)
+        self.revision = revision
+        self._wake_watches()
+
+
+class Source:
+    """One host's connection to the Store."""
+
+    def __init__(self, store, name):
+        self._store = store
+        self._name = name
+
+    async def _call(self):
+        calls = self._store.calls_by_host
+        calls[self._name] = calls.get(self._name, 0) + 1
+        if self._name in self._store.refused:
+            raise SourceUnreachable("refused")
+        await anyio.sleep(0.004)
+        if self._name in self._store.silent:
+            await anyio.sleep(SILENCE_S)
+            raise SourceUnreachable("silent")
+
+    async def read(self, prefix):
+        await self._call()
+        store = self._store
+        return StoreItems(
+            list(store.items_by_key.values()), store.revision, store.epoch
+        )
+
+    async def watch(self, prefix, revision, wait_s):
+        await self._call()
+        with anyio.move_on_after(wait_s):
+            while self._store.revision == revision:
+                await self._store.changed.wait()
+        if self._name in self._store.silent:
+            await anyio.sleep(SILENCE_S)
+            raise SourceUnreachable("silent")
+        if self._store.revision < revision:
+            raise HistoryLost
+        items = [
+            item
+            for item in self._store.items_by_key.values()
+            if item.revision > revision
+        ]
+        return StoreItems(items, self._store.revision, self._store.epoch)
+
+
+class FixedRandom:
+    def random(self):
+        return 0.5
+
+
+class Member:
+    """One host that reads the store or gets its changes from others."""
+
+    def __init__(self, system, number):
+        self.name = f"entry-{number}"
+        address = ("127.0.0.1", number)
+        self.endpoint = LocalEndpoint(system.network, self.name, address)
+        domain = DOMAINS[number % len(DOMAINS)]
+        info = HostInfo(self.name, number, *address, domain, 1.0)
+        content = HeartbeatContent()
+        seeds = tuple(("127.0.0.1", seed) for seed in (1, 2, 3))
+        self.hosts = Hosts(info, seeds, self.endpoint, content)
+        self.leadership = Leadership(self.hosts, 3.0, self.has_ended)
+        feed = Feed(PREFIX, lambda item: None, PAUSE_S, WAIT_S)
+        source = Source(system.store, self.name)
+        self.state = PublishedState(source, (feed,), None, FixedRandom(), EXPIRY_S)
+        self.relay = StoreRelay(
+            self.state, self.hosts, self.leadership, self.endpoint, APPLY_TIME_S
+        )
+        self.state.relay = self.relay
+        content.connect(self.leadership, None, self.state, self.relay)
+        self.scope = anyio.CancelScope()
+
+    async def has_ended(self, host):
+        return False
+
+    @property
+    def revision(self):
+        return self.state.feeds[PREFIX].newest_revision
+
+    @property
+    def position(self):
+        return self.state.feeds[PREFIX].newest_position
+
+    async def run(self):
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.hosts.run)
+                group.start_soon(self.leadership.run)
+                group.start_soon(self.state.follow, PREFIX)
+
+    def stop(self):
+        self.endpoint.up = False
+        self.scope.cancel()
+
+
+class System:
+    """A store, and hosts of which few read it."""
+
+    def __init__(self):
+        self.network = DatagramNetwork()
+        self.store = Store()
+        self.members = []
+
+    @property
+    def leader(self):
+        (leader,) = [item for item in self.members if item.leadership.leads]
+        return leader
+
+    def readers(self, domain):
+        """Returns the members that are appointed as readers of a domain."""
+        names = self.leader.relay.appoint_readers()[domain]
+        return [member for member in self.members if member.name in names]
+
+    def followers(self, domain):
+        readers = self.readers(domain)
+        return [
+            member
+            for member in self.members
+            if member.hosts.own.failure_domain == domain
+            and member not in readers
+            and not member.leadership.leads
+        ]
+
+    async def time_to_apply(self, members):
+        """Changes the store; returns the seconds until all ``members`` have it."""
+        self.store.put("op/config")
+        started = anyio.current_time()
+        while any(member.revision < self.store.revision for member in members):
+            await anyio.sleep(0.02)
+            if anyio.current_time() - started > 20:
+                return 20
+        return anyio.current_time() - started
+
+
+def run_system(function, host_count=HOST_COUNT):
+    """Runs ``function(system)`` once the hosts know each other."""
+
+    async def main():
+        system = System()
+        system.store.put("op/config")
+        async with anyio.create_task_group() as group:
+            system.network.task_group = group
+            for number in range(1, host_count + 1):
+                member = Member(system, number)
+                system.members.append(member)
+                group.start_soon(member.run)
+            await anyio.sleep(START_S)
+            await function(system)
+            group.cancel_scope.cancel()
+
+    run_in_virtual_time(main)
--- a/tests/coordination/test_store_relay.py
+++ b/tests/coordination/test_store_relay.py
@@ -6,198 +6,17 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.heartbeat_content import HeartbeatContent
-from snipetrestle.coordination.hosts import Hosts
-from snipetrestle.coordination.leadership import Leadership
-from snipetrestle.coordination.messages import (
-    Changes,
-    HostInfo,
-    Join,
-    pack_items,
+from snipetrestle.coordination.messages import Changes, Join, pack_items
+from snipetrestle.coordination.store_relay import READERS_PER_HOST, readers_of
+from snipetrestle_standins.store_relay_fleet import (
+    APPLY_TIME_S,
+    DOMAINS,
+    PREFIX,
+    run_system,
 )
-from snipetrestle.coordination.store_relay import (
-    READERS_PER_HOST,
-    StoreRelay,
-    readers_of,
-)
-from snipetrestle.gateway.published_items import (
-    Feed,
-    PublishedItem,
-    StoreItems,
-)
-from snipetrestle.gateway.published_state import PublishedState
-from snipetrestle.publication.sources import SourceUnreachable
-from snipetrestle_standins.clock import run_in_virtual_time
-from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
-
-HOST_COUNT = 48
-DOMAINS = ("zone-1", "zone-2", "zone-3")
-APPLY_TIME_S = 3.0
-START_S = 8.0
-PREFIX = ""
-PAUSE_S = 1.5
-WAIT_S = 1.5
-SILENCE_S = 2.1
-EXPIRY_S = 3.0
-
-
-class Store:
-    """A store in memory. Hosts in ``silent`` get no answer, those in ``refused`` one
-    at once. ``calls_by_host`` counts the calls."""
-
-    def __init__(self):
-        self.items_by_key = {}
-        self.revision = 1
-        self.silent = set()
-        self.refused = set()
-        self.calls_by_host = {}
-        self.changed = anyio.Event()
-
-    def put(self, key, value=b"1"):
-        self.revision += 1
-        self.items_by_key[key] = PublishedItem(key, self.revision, value)
-        self.changed.set()
-        self.changed = anyio.Event()
-
-
-class Source:
-    """One host's connection to the Store."""
-
-    def __init__(self, store, name):
-        self._store = store
-        self._name = name
-
-    async def _call(self):
-        calls = self._store.calls_by_host
-        calls[self._name] = calls.get(self._name, 0) + 1
-        if self._name in self._store.refused:
-            raise SourceUnreachable("refused")
-        await anyio.sleep(0.004)
-        if self._name in self._store.silent:
-            await anyio.sleep(SILENCE_S)
-            raise SourceUnreachable("silent")
-
-    async def read(self, prefix):
-        await self._call()
-        return StoreItems(list(self._store.items_by_key.values()), self._store.revision)
-
-    async def watch(self, prefix, revision, wait_s):
-        await self._call()
-        with anyio.move_on_after(wait_s):
-            while self._store.revision <= revision:
-                await self._store.changed.wait()
-        if self._name in self._store.silent:
-            await anyio.sleep(SILENCE_S)
-            raise SourceUnreachable("silent")
-        items = [
-            item
-            for item in self._store.items_by_key.values()
-            if item.revision > revision
-        ]
-        return StoreItems(items, self._store.revision)
-
-
-class FixedRandom:
-    def random(self):
-        return 0.5
-
-
-class Member:
-    """One host that reads the store or gets its changes from others."""
-
-    def __init__(self, system, number):
-        self.name = f"entry-{number}"
-        address = ("127.0.0.1", number)
-        self.endpoint = LocalEndpoint(system.network, self.name, address)
-        domain = DOMAINS[number % len(DOMAINS)]
-        info = HostInfo(self.name, number, *address, domain, 1.0)
-        content = HeartbeatContent()
-        seeds = tuple(("127.0.0.1", seed) for seed in (1, 2, 3))
-        self.hosts = Hosts(info, seeds, self.endpoint, content)
-        self.leadership = Leadership(self.hosts, 3.0, self.has_ended)
-        feed = Feed(PREFIX, lambda item: None, PAUSE_S, WAIT_S)
-        source = Source(system.store, self.name)
-        self.state = PublishedState(source, (feed,), None, FixedRandom(), EXPIRY_S)
-        self.relay = StoreRelay(
-            self.state, self.hosts, self.leadership, self.endpoint, APPLY_TIME_S
-        )
-        self.state.relay = self.relay
-        content.connect(self.leadership, None, self.state, self.relay)
-        self.scope = anyio.CancelScope()
-
-    async def has_ended(self, host):
-        return False
-
-    @property
-    def revision(self):
-        return self.state.feeds[PREFIX].newest_revision
-
-    async def run(self):
-        with self.scope:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self.hosts.run)
-                group.start_soon(self.leadership.run)
-                group.start_soon(self.state.follow, PREFIX)
-
-    def stop(self):
-        self.endpoint.up = False
-        self.scope.cancel()
-
-
-class System:
-    def __init__(self):
-        self.network = DatagramNetwork()
-        self.store = Store()
-        self.members = []
-
-    @property
-    def leader(self):
-        (leader,) = [item for item in self.members if item.leadership.leads]
-        return leader
-
-    def readers(self, domain):
-        """Returns the members that are appointed as readers of a domain."""
-        names = self.leader.relay.appoint_readers()[domain]
-        return [member for member in self.members if member.name in names]
-
-    def followers(self, domain):
-        readers = self.readers(domain)
-        return [
-            member
-            for member in self.members
-            if member.hosts.own.failure_domain == domain
-            and member not in readers
-            and not member.leadership.leads
-        ]
-
-    async def time_to_apply(self, members):
-        """Changes the store; returns the seconds until all ``members`` have it."""
-        self.store.put("op/config")
-        started = anyio.current_time()
-        while any(member.revision < self.store.revision for member in members):
-            await anyio.sleep(0.02)
-            if anyio.current_time() - started > 20:
-                return 20
-        return anyio.current_time() - started
 
 
 class StoreRelayTest(testtools.TestCase):
-    def run_system(self, function):
-        async def main():
-            system = System()
-            system.store.put("op/config")
-            async with anyio.create_task_group() as group:
-                system.network.task_group = group
-                for number in range(1, HOST_COUNT + 1):
-                    member = Member(system, number)
-                    system.members.append(member)
-                    group.start_soon(member.run)
-                await anyio.sleep(START_S)
-                await function(system)
-                group.cancel_scope.cancel()
-
-        run_in_virtual_time(main)
-
     def test_few_hosts_read_the_store(self):
         """Each of 231 hosts read the store by itself, 5,964 calls in a day."""
 
@@ -214,7 +33,7 @@
             for member in system.members:
                 self.assertEqual(system.store.revision, member.revision)
 
-        self.run_system(check)
+        run_system(check)
 
     def test_changes_arrive_sooner_than_by_own_reads(self):
         """New replicas got no work for up to two seconds, half of the time in which
@@ -225,7 +44,7 @@
                 self.assertLess(await system.time_to_apply(system.members), 0.8)
                 await anyio.sleep(0.9)
 
-        self.run_system(check)
+        run_system(check)
 
     def test_silent_readers_are_replaced_in_time(self):
         """A host that lost its readers, but not the store, kept draining replicas."""
@@ -240,7 +59,7 @@
             self.assertEqual(READERS_PER_HOST, len(names))
             self.assertLess(await system.time_to_apply(followers), APPLY_TIME_S)
 
-        self.run_system(check)
+        run_system(check)
 
     def test_readers_without_the_store_are_not_relied_on(self):
         """Readers may be cut off from the store while their heartbeats arrive."""
@@ -253,7 +72,7 @@
                 unreachable.clear()
                 await anyio.sleep(5.0)
 
-        self.run_system(check)
+        run_system(check)
 
     def test_host_cut_off_from_the_store_learns_from_its_readers(self):
         """The reverse: a host that reaches its readers only must obey changes too."""
@@ -263,7 +82,7 @@
             system.store.silent.add(victim.name)
             self.assertLess(await system.time_to_apply([victim]), 1.0)
 
-        self.run_system(check)
+        run_system(check)
 
     def test_host_cut_off_from_all_others_reads_by_itself(self):
         """A host must not wait for readers that it cannot hear."""
@@ -274,7 +93,7 @@
             system.network.isolate(victim.name, names)
             self.assertLess(await system.time_to_apply([victim]), APPLY_TIME_S)
 
-        self.run_system(check)
+        run_system(check)
 
     def test_lost_changes_are_read_from_the_store(self):
         """Datagrams may be lost, and long ones are not sent at all."""
@@ -286,7 +105,7 @@
             for member in system.members:
                 self.assertEqual(system.store.revision, member.revision, member.name)
 
-        self.run_system(check)
+        run_system(check)
 
     def test_long_configurations_are_passed_on(self):
         """Each change of the configuration made all 81 hosts read the store, since it
@@ -302,7 +121,7 @@
             readers = READERS_PER_HOST * len(DOMAINS) + 1
             self.assertLessEqual(len(system.store.calls_by_host), readers)
 
-        self.run_system(check)
+        run_system(check)
 
     def test_answer_to_a_join_leaves_what_the_leader_announced(self):
         """The leader's answer to a join names no readers and no successors. The host
@@ -320,7 +139,7 @@
             self.assertEqual(readers, follower.relay.reader_names)
             self.assertEqual(successors, follower.leadership.next_leaders())
 
-        self.run_system(check)
+        run_system(check)
 
     def test_damaged_changes_are_ignored(self):
         """A datagram must not make a host apply or unpack what no reader sent."""
@@ -332,7 +151,7 @@
                 follower.relay._on_changes(message, None)
             self.assertLess(follower.state.feeds[PREFIX].revision, 10**6)
 
-        self.run_system(check)
+        run_system(check)
 
     def test_deletions_wait_after_the_return_of_the_store(self):
         """Entries that lapsed while the store was away come back within two seconds;
@@ -347,7 +166,7 @@
             self.assertEqual(system.store.revision, follower.revision)
             self.assertLess(follower.state.store_returned_age_s(), 1.0)
 
-        self.run_system(check)
+        run_system(check)
 
     def test_load_of_a_reader_is_bounded(self):
         """Two readers sent each change to a hundred hosts each, 1.8 MB a second among
