Rely on readers of the store only in this host's epoch, and fetch useless documents once

A reader that has not followed a restore yet, or an older program that names no epoch, passes on changes that are ignored; a host that relied on it would read nothing. A test sets the epoch of the readers back: the host reads by itself now. Documents of another host that this one cannot use were fetched again each 0.3 s (read in the code, not seen in a run).

--- a/snipetrestle/coordination/store_relay.py
+++ b/snipetrestle/coordination/store_relay.py
@@ -86,7 +86,7 @@
             return True
         if not self._leadership.has_recent_leader:
             return True
-        readers = self._working_readers()
+        readers = self._working_readers(prefix)
         self._note_hears_reader(bool(readers))
         if not readers:
             return True
@@ -99,8 +99,12 @@
         event = Event.READERS_BACK if hears_reader else Event.READERS_LOST
         log_event(event, readers=self.reader_names)
 
-    def _working_readers(self):
-        """Returns the known readers of this domain that can read the store."""
+    def _working_readers(self, prefix):
+        """Returns the known readers of this domain that can read the store.
+
+        A reader in an earlier epoch of the store than this host has nothing to pass on.
+        """
+        epoch = self._state.feeds[prefix].epoch
         since = anyio.current_time() - READER_TIMEOUT_S
         hosts = [self._hosts.by_name.get(name) for name in self.reader_names]
         return [
@@ -111,6 +115,7 @@
             and host.heard_at >= since
             and host.heartbeat.reads_store
             and not host.heartbeat.leaving
+            and host.heartbeat.newest_position(prefix).epoch >= epoch
         ]
 
     def _is_behind(self, prefix, readers):
--- a/snipetrestle/gateway/snapshots.py
+++ b/snipetrestle/gateway/snapshots.py
@@ -52,6 +52,8 @@
         self._rng = rng
         # Since when another host has had newer documents; None while none has.
         self._documents_behind_since = None
+        # The sum of the versions of the documents that were fetched last.
+        self._fetched_sum = 0
 
     async def serve(self, ip, port):
         """Returns the listening server. Raises OSError."""
@@ -132,7 +134,7 @@
 
     async def _fetch_newer_documents(self):
         """Fetches the operator's documents if the store has not brought them."""
-        known_sum = self._state.documents.version_sum
+        known_sum = max(self._state.documents.version_sum, self._fetched_sum)
         hosts = [
             host
             for host in self._hosts.reachable()
@@ -144,8 +146,11 @@
         elif self._documents_behind_since is None:
             self._documents_behind_since = now
         elif now - self._documents_behind_since >= DOCUMENTS_LAG_S:
-            content = await self._fetch_from_one(hosts, _DOCUMENTS_REQUEST)
+            host = self._rng.choice(hosts)
+            content = await self._fetch_from_one([host], _DOCUMENTS_REQUEST)
             if content is not None:
+                # Documents that this host cannot use are not fetched again and again.
+                self._fetched_sum = host.heartbeat.document_version_sum
                 self._state.accept_documents(content.documents)
 
     async def _fetch_from_one(self, hosts, request):
--- a/tests/coordination/test_restored_store.py
+++ b/tests/coordination/test_restored_store.py
@@ -2,10 +2,11 @@
 a store that is restored from an older copy."""
 
 import anyio
+import msgspec
 import testtools
 
 from snipetrestle.gateway.published_items import StorePosition
-from snipetrestle_standins.store_relay_fleet import APPLY_TIME_S, run_system
+from snipetrestle_standins.store_relay_fleet import APPLY_TIME_S, PREFIX, run_system
 
 # Changes that a restore loses.
 LOST_CHANGES = 40
@@ -66,6 +67,21 @@
 
         run_system(check)
 
+    def test_readers_in_an_earlier_epoch_are_not_relied_on(self):
+        """Changes of another epoch are ignored, so such a reader brings nothing."""
+
+        async def check(system):
+            follower = system.followers("zone-2")[0]
+            self.assertFalse(follower.relay._must_read(PREFIX))
+            for reader in system.readers("zone-2"):
+                known = follower.hosts.by_name[reader.name]
+                known.heartbeat = msgspec.structs.replace(
+                    known.heartbeat, epoch_by_prefix={}
+                )
+            self.assertTrue(follower.relay._must_read(PREFIX))
+
+        run_system(check)
+
     def test_readers_that_sleep_through_a_restore_spread_nothing_old(self):
         """A reader that was cut off passed on changes of the history before, and hosts
         took them for newer ones."""
