--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
     REGISTER_BACKEND,
     Caller,
     configuration,
+    route,
 )
 from snipetrestle_standins.platform_replica import Fault, PlatformReplica
 from snipetrestle_standins.platform_store import PlatformStore, StoreMode
@@ -28,7 +29,9 @@
 REGISTER_REPLICA_COUNT = 2
 ADAPTER_COUNT = 12
 CALLERS_PER_HOST = 4
-REPEATABLE_ROUTES = frozenset({"draft", "lookup"})
+# A route that the operator adds after the last fault.
+ADDED_ROUTE = "added"
+REPEATABLE_ROUTES = frozenset({"draft", "lookup", ADDED_ROUTE})
 ROUTES = ("draft", "night", "entry", "lookup")
 # A caller gives up on a request after this time.
 ANSWER_TIMEOUT_S = 6.0
@@ -67,6 +70,7 @@
         self._hosts = []
         self._configuration_version = 1
         self._last_born = 1
+        self._versions_by_adapter = {}
         self._request_count = 0
         self._unplanned_fault_times = []
         self.faults = []
@@ -126,6 +130,7 @@
         return link
 
     def _publish(self, replica, **fields):
+        replica.report_count += 1
         ip, port = self._replica_links_by_id[replica.id].address
         entry = replica.entry(address=f"{ip}:{port}", **fields)
         self._store.put(f"servers/{replica.id}", entry)
@@ -197,6 +202,7 @@
             self._fail_store,
             self._fail_store_link,
             self._clear_store_history,
+            self._restore_store,
             self._fail_replica_link,
             self._fail_replica_link,
             self._fail_requests,
@@ -291,17 +297,43 @@
         replica.restart()
         replica.model_load_s = 0.2
         self._last_born += 1
-        self._publish(replica, born=self._last_born)
+        replica.boot = self._last_born
+        self._publish(replica)
+
+    async def _restore_store(self):
+        """Loses the newest changes of the store; all are then written again."""
+        copy = self._store.copy()
+        await asyncio.sleep(self._random.uniform(0.5, 4.0))
+        self._store.restore(copy)
+        await asyncio.sleep(self._random.uniform(0.0, 1.0))
+        self._publish_configuration()
+        for adapter, version in self._versions_by_adapter.items():
+            self._publish_version(adapter, version)
+        for replica in self._replicas:
+            self._publish(replica)
 
     async def _change_configuration(self):
         self._configuration_version += self._random.randint(1, 9)
+        self._publish_configuration()
+
+    def _publish_configuration(self):
         self._store.put("op/config", configuration(self._configuration_version))
 
+    def _add_route(self):
+        self._configuration_version += 1
+        document = configuration(self._configuration_version)
+        document["routes"].append(route(ADDED_ROUTE, "idempotent", REGISTER_BACKEND))
+        self._store.put("op/config", document)
+
     async def _declare_version(self):
         adapter = f"a{self._random.randint(1, ADAPTER_COUNT)}"
+        newest = self._versions_by_adapter.get(adapter, 1) + 1
+        self._versions_by_adapter[adapter] = newest
         for replica in self._replicas:
-            newest = replica.newest_version_by_adapter.get(adapter, 1) + 1
             replica.newest_version_by_adapter[adapter] = newest
+        self._publish_version(adapter, newest)
+
+    def _publish_version(self, adapter, newest):
         self._store.put(
             f"op/version/m0.{adapter}",
             {"model": "m0", "adapter": adapter, "version": newest},
@@ -312,19 +344,21 @@
     async def _check_recovery(self):
         for replica in self._replicas:
             replica.faults.clear()
+        self._add_route()
         deadline = self._now() + RECOVERY_LIMIT_S
-        not_served = {(host, route) for host in self._hosts for route in ROUTES}
+        routes = (*ROUTES, ADDED_ROUTE)
+        not_served = {(host, name) for host in self._hosts for name in routes}
         while not_served and self._now() < deadline:
             await asyncio.sleep(0.2)
-            for host, route in list(not_served):
+            for host, name in list(not_served):
                 with contextlib.suppress(OSError):
                     async with Caller(host.callers_address) as caller:
-                        answer = await self._send_request(caller, host, route)
+                        answer = await self._send_request(caller, host, name)
                         if answer is not None and answer.status == 200:
-                            not_served.discard((host, route))
-        for host, route in not_served:
+                            not_served.discard((host, name))
+        for host, name in not_served:
             self.violations.append(
-                f"RECOVER {host.name}: no {route} within {RECOVERY_LIMIT_S} s"
+                f"RECOVER {host.name}: no {name} within {RECOVERY_LIMIT_S} s"
             )
         for host in self._hosts:
             if host.exited_unexpectedly:
