Follow a host list that was restored, and drop one that is late

A host list with a lower revision was ignored until the old revision was reached again, so new hosts and notices of leaving were missed after a restore.

Fix: one wrapper orders the lists for both. A list carries nothing else that could tell a late one from a restored one.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -33,6 +33,7 @@
     HttpConfigurationSource,
     HttpHostListSource,
 )
+from snipetrestle.publication.ordered_host_list import OrderedHostList
 from snipetrestle.reports import ApplicationReports
 from snipetrestle.services.http_client import HttpServiceClient
 from snipetrestle.writes import Keeper, WriteCoordinator
@@ -94,7 +95,7 @@
             settings.platform.configuration_key,
         )
         self.stop_hooks += [host_list.aclose, source.aclose]
-        self.backend_hosts = BackendHosts(host_list)
+        self.backend_hosts = BackendHosts(OrderedHostList(host_list))
         self.membership = Membership.from_settings(
             settings, self.transport, self.router, self.backend_hosts, self.generator
         )
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -55,6 +55,11 @@
         "entry of a replica is older than its last known report",
     )
     HOST_LIST_DOWN = (1104, "WARNING", "host list is not reachable")
+    HOST_LIST_RESTORED = (
+        1112,
+        "WARNING",
+        "host list was restored to an older revision",
+    )
     MEMBER_SUSPECTED = (1201, "WARNING", "member is suspected")
     MEMBER_FAILED = (1202, "WARNING", "member failed")
     MEMBER_ALIVE = (1203, "INFO", "member is alive")
--- a/snipetrestle/peers/membership.py
+++ b/snipetrestle/peers/membership.py
@@ -670,7 +670,7 @@
             self._host_list_down = True
             return
         self._host_list_down = False
-        if hosts is None or hosts.revision <= self._host_list_revision:
+        if hosts is None or hosts.revision == self._host_list_revision:
             return
         self._host_list_revision = hosts.revision
         self._apply_host_list([host for host in hosts.hosts if host.role == "daemon"])
--- a/snipetrestle_standins/host_list.py
+++ b/snipetrestle_standins/host_list.py
@@ -44,6 +44,11 @@
         """The hosts as they are now, without the lag."""
         return tuple(self._hosts_by_name.values())
 
+    def restore(self, revision):
+        """Gives revisions out again after a lower one, as after a restore."""
+        self._revision = revision
+        self._publish_change()
+
     def set_leaving(self, name):
         host = self._hosts_by_name[name]
         self.put(msgspec.structs.replace(host, state=HostState.LEAVING))
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -266,6 +266,20 @@
 
         run_fleet(check, 7)
 
+    def test_restored_list_is_followed(self):
+        """Changes of the list were ignored until the old revision was reached again."""
+
+        async def check(fleet):
+            fleet.hosts.restore(50)
+            await anyio.sleep(5.0)
+            fleet.hosts.restore(0)
+            fleet.hosts.set_leaving("entry-2")
+            await fleet.wait_until(
+                lambda: fleet.states_of("entry-2") == {"leaving"}, 10.0
+            )
+
+        run_fleet(check, 7)
+
     def test_leaving_by_notice_and_by_list(self):
         """Guards against new work for a daemon that is draining."""
 
