--- a/tests/publication/test_http_sources.py
+++ b/tests/publication/test_http_sources.py
@@ -11,7 +11,12 @@
     HttpConfigurationSource,
     HttpHostListSource,
 )
-from snipetrestle.publication.sources import Host, HostState, SourceUnreachable
+from snipetrestle.publication.sources import (
+    Host,
+    HostState,
+    SourceUnreachable,
+    Unchanged,
+)
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.configuration_service import (
     ConfigurationService,
@@ -83,6 +88,20 @@
 
         anyio.run(main)
 
+    def test_end_of_a_watch_names_the_current_revision(self):
+        """Without it, a service that was restored looks like one without changes."""
+        self.patch(http_sources, "WATCH_WAIT_S", 0.05)
+
+        async def main():
+            service = ConfigurationService()
+            async with serving(configuration_app(service)) as url:
+                source = HttpConfigurationSource(url)
+                service.publish("one", 7)
+                self.assertEqual(Unchanged(7), await source.watch(9))
+                await source.aclose()
+
+        anyio.run(main)
+
     def test_refused_connection_raises_source_unreachable(self):
         """An unconverted connection error would end the task of the reader."""
 
