--- a/snipetrestle/engines/owned_replica.py
+++ b/snipetrestle/engines/owned_replica.py
@@ -118,3 +118,46 @@
             for handle, pins in self.owner.pins_by_handle().items()
             if pins > (handle in self.inherited_pins_since_by_handle)
         )
+
+    # Copies that an earlier owner has left at the engine
+
+    def adopt_resident_copies(self, status):
+        """Adopts all copies at the engine; those in use get an inherited pin."""
+        self.inherited_pins_since_by_handle = {}
+        for handle, in_use in status.in_use_by_handle.items():
+            self._adopt_copy(handle, in_use)
+
+    def adopt_untracked_copies(self, status):
+        """Adopts copies that were being loaded during the takeover.
+
+        A status may be older than an unload, so a copy is adopted only if two statuses
+        in a row contain it. If even the second one is outdated, the engine refuses
+        requests for the copy as not resident.
+        """
+        foreign_handles = (
+            () if self.foreign_copies is None else self.foreign_copies.handles()
+        )
+        untracked_handles = frozenset(
+            handle
+            for handle in status.in_use_by_handle
+            if handle not in foreign_handles
+            and self.owner.slots.find(handle) is None
+            and (self.supports_fencing or handle.endswith(f"#{self.suffix}"))
+        )
+        for handle in untracked_handles & self.untracked_handles:
+            self._adopt_copy(handle, status.in_use_by_handle[handle])
+        self.untracked_handles = untracked_handles
+
+    def _adopt_copy(self, handle, in_use):
+        self.owner.adopt_copy(handle, pins=1 if in_use else 0)
+        if in_use:
+            self.inherited_pins_since_by_handle[handle] = anyio.current_time()
+
+    def release_idle_inherited_pins(self, status, min_idle_s):
+        """Releases inherited pins of copies that the engine reports as idle."""
+        now = anyio.current_time()
+        for handle, since in tuple(self.inherited_pins_since_by_handle.items()):
+            is_idle = status.in_use_by_handle.get(handle, 0) == 0
+            if is_idle and now - since >= min_idle_s:
+                del self.inherited_pins_since_by_handle[handle]
+                self.owner.release_pins(handle)
--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -22,6 +22,7 @@
     OwnershipTimes,
     PendingClaim,
 )
+from snipetrestle.engines.owner_candidates import OwnerCandidates
 from snipetrestle.engines.ownership_messages import (
     AskOwner,
     HandOverReplica,
@@ -33,14 +34,10 @@
 from snipetrestle.engines.protocol import EngineError, OldFencingNumber, UnloadOrder
 from snipetrestle.engines.terms import handle_suffix, next_fencing_number
 from snipetrestle.events import Event, log_event
-from snipetrestle.hashing import rendezvous_order
 from snipetrestle.peers.members import MemberState
 from snipetrestle.peers.messages import Acknowledged
 from snipetrestle.peers.transport import PeerUnreachable
 
-# Candidates to own a replica. A request reaches the third one only after two daemons
-# have failed at the same time.
-OWNER_CANDIDATES = 3
 # Slots that an owner leaves free at an engine that ignores fencing numbers, so that a
 # successor has room before the owner's copies may be unloaded.
 TAKEOVER_RESERVE_SLOTS = 1
@@ -81,9 +78,11 @@
         self._times = times or OwnershipTimes()
         self._replicas_by_name = {}
         self._leaving_servers = frozenset()
-        self._candidates_by_replica = {}
-        self._candidates_view = None
-        self._replicas_to_reconcile = ()
+        self.candidates = OwnerCandidates(membership)
+        # Those that may need a claim or a hand-over in a membership view; None if they
+        # are to be determined again.
+        self._replicas_to_reconcile = None
+        self._reconciled_view = None
         self._unreachable = set()
         self._term_count = 0
         self._requests_in_progress = 0
@@ -115,7 +114,8 @@
         for name, server in servers_by_name.items():
             if name not in self._replicas_by_name:
                 self._replicas_by_name[name] = OwnedReplica(server, self._open_engine)
-        self._candidates_view = None
+        self.candidates.clear()
+        self._replicas_to_reconcile = None
         self._request_reconcile()
 
     def set_leaving(self, names):
@@ -184,7 +184,7 @@
         if replica is not None and replica.owner is not None and not self._draining:
             return own
         candidates = [
-            name for name in self._owner_candidates(server) if name not in exclude
+            name for name in self.candidates.of(server) if name not in exclude
         ]
         for name in candidates:
             if name not in self._unreachable:
@@ -253,7 +253,7 @@
 
     async def _hand_over_at_drain(self, replica):
         for _ in range(HAND_OVER_TRIES):
-            for name in self._owner_candidates(replica.server):
+            for name in self.candidates.of(replica.server):
                 if await self._hand_over(replica, name):
                     return
                 if replica.owner is None:
@@ -271,44 +271,11 @@
         self._reconcile_requested.set()
         self._reconcile_requested = anyio.Event()
 
-    # Candidates
-
-    def _owner_candidates(self, server):
-        """Returns the candidates of a replica in order, in this daemon's view."""
-        view = self._membership.view_number
-        if self._candidates_view != view:
-            self._candidates_by_replica.clear()
-            self._candidates_view = view
-            self._replicas_to_reconcile = None
-        candidates = self._candidates_by_replica.get(server.name)
-        if candidates is None:
-            members = self._membership.routable(server.region)
-            candidates = rendezvous_order(server.name, members, OWNER_CANDIDATES)
-            self._candidates_by_replica[server.name] = candidates
-        return candidates
-
-    def _in_own_region(self, replica):
-        """Tells whether this daemon can be a candidate, without computing them all.
-
-        With 3,900 replicas in 4 regions this saves three quarters of the work after
-        each change of the membership view.
-        """
-        members = self._membership.routable(replica.server.region)
-        return self._membership.own_name in members
-
-    def _is_first_candidate(self, replica, exclude=None):
-        if not self._in_own_region(replica):
-            return False
-        candidates = [
-            name for name in self._owner_candidates(replica.server) if name != exclude
-        ]
-        return bool(candidates) and candidates[0] == self._membership.own_name
-
     def _may_claim(self, replica):
         return (
             not self._draining
             and replica.server.name not in self._leaving_servers
-            and self._membership.own_name in self._owner_candidates(replica.server)
+            and self.candidates.include_self(replica.server)
         )
 
     # Reconciliation with the membership view
@@ -316,14 +283,16 @@
     def _reconcile_all(self):
         if self._draining:
             return
-        if self._candidates_view != self._membership.view_number:
+        if self._reconciled_view != self._membership.view_number:
+            self._reconciled_view = self._membership.view_number
             self._replicas_to_reconcile = None
         if self._replicas_to_reconcile is None:
             self._probe_suspected_owners()
             self._replicas_to_reconcile = tuple(
                 replica
                 for replica in self._replicas_by_name.values()
-                if self._is_first_candidate(replica) or replica.owner is not None
+                if self.candidates.start_with_self(replica.server)
+                or replica.owner is not None
             )
         now = anyio.current_time()
         for replica in self._replicas_to_reconcile:
@@ -335,9 +304,9 @@
         own = self._membership.own_name
         names = set()
         for replica in self._replicas_by_name.values():
-            if not self._in_own_region(replica):
+            if not self.candidates.may_include_self(replica.server):
                 continue
-            candidates = self._owner_candidates(replica.server)
+            candidates = self.candidates.of(replica.server)
             if candidates[1:2] == [own]:
                 names.add(candidates[0])
         for name in sorted(names):
@@ -347,13 +316,13 @@
 
     def _start_reconcile(self, replica):
         """Starts a claim or a hand-over if the owner is not the first candidate."""
-        is_first = self._is_first_candidate(replica)
+        is_first = self.candidates.start_with_self(replica.server)
         if replica.owner is None and is_first and self._may_claim(replica):
             step = self._claim
         elif (
             replica.owner is not None
             and not is_first
-            and self._owner_candidates(replica.server)
+            and self.candidates.of(replica.server)
         ):
             step = self._hand_over_to_first_candidate
         else:
@@ -371,9 +340,7 @@
             replica.reconciling = False
 
     async def _hand_over_to_first_candidate(self, replica):
-        if not await self._hand_over(
-            replica, self._owner_candidates(replica.server)[0]
-        ):
+        if not await self._hand_over(replica, self.candidates.of(replica.server)[0]):
             replica.next_attempt_at = anyio.current_time() + self._times.retry_delay_s
 
     # Claims
@@ -410,7 +377,7 @@
 
         async with anyio.create_task_group() as group:
             names = dict.fromkeys(
-                [*self._owner_candidates(replica.server), replica.handed_over_to]
+                [*self.candidates.of(replica.server), replica.handed_over_to]
             )
             for name in names:
                 if name not in (None, own) and name not in unresponsive:
@@ -433,7 +400,7 @@
 
     async def _request_hand_over(self, replica, name):
         """Asks the current owner for a hand-over if this daemon is first candidate."""
-        if not self._is_first_candidate(replica):
+        if not self.candidates.start_with_self(replica.server):
             return
         request = RequestHandOver(replica.server.name)
         with contextlib.suppress(PeerUnreachable, ServingError):
@@ -496,7 +463,7 @@
         replica.owner = owner
         replica.untracked_handles = frozenset()
         if replica.supports_fencing:
-            self._adopt_resident_copies(replica, status)
+            replica.adopt_resident_copies(status)
         else:
             replica.foreign_copies = ForeignCopies(self._times.min_idle_s)
             self._update_foreign_copies(replica, status)
@@ -510,15 +477,6 @@
         self._replicas_to_reconcile = None
         self._group.start_soon(self._run_term, replica, owner)
 
-    def _adopt_resident_copies(self, replica, status):
-        """Adopts all copies at the engine; those in use get an inherited pin."""
-        now = anyio.current_time()
-        replica.inherited_pins_since_by_handle = {}
-        for handle, in_use in status.in_use_by_handle.items():
-            replica.owner.adopt_copy(handle, pins=1 if in_use else 0)
-            if in_use:
-                replica.inherited_pins_since_by_handle[handle] = now
-
     def _update_foreign_copies(self, replica, status):
         """Marks the slots of foreign copies as taken, and keeps slots for a successor.
 
@@ -692,9 +650,9 @@
                 self._end_fenced_term(replica, owner)
             if replica.owner is not owner:
                 return
-            self._adopt_untracked_copies(replica, status)
+            replica.adopt_untracked_copies(status)
             if replica.supports_fencing:
-                self._release_idle_inherited_pins(replica, status)
+                replica.release_idle_inherited_pins(status, self._times.min_idle_s)
                 continue
             self._update_foreign_copies(replica, status)
             if anyio.current_time() >= next_query_at:
@@ -720,43 +678,6 @@
             # The next load or request carries the fencing number as well.
             return
 
-    def _adopt_untracked_copies(self, replica, status):
-        """Adopts copies that were being loaded during the takeover.
-
-        A status may be older than an unload, so a copy is adopted only if two statuses
-        in a row contain it. If even the second one is outdated, the engine refuses
-        requests for the copy as not resident.
-        """
-        foreign_handles = (
-            () if replica.foreign_copies is None else replica.foreign_copies.handles()
-        )
-        untracked_handles = frozenset(
-            handle
-            for handle in status.in_use_by_handle
-            if handle not in foreign_handles
-            and replica.owner.slots.find(handle) is None
-            and (replica.supports_fencing or handle.endswith(f"#{replica.suffix}"))
-        )
-        for handle in untracked_handles & replica.untracked_handles:
-            in_use = status.in_use_by_handle[handle]
-            replica.owner.adopt_copy(handle, pins=1 if in_use else 0)
-            if in_use:
-                replica.inherited_pins_since_by_handle[handle] = anyio.current_time()
-        replica.untracked_handles = untracked_handles
-
-    def _release_idle_inherited_pins(self, replica, status):
-        """Releases inherited pins of copies that the engine reports as idle."""
-        now = anyio.current_time()
-        for handle, since in tuple(replica.inherited_pins_since_by_handle.items()):
-            if status.in_use_by_handle.get(handle, 0) == 0 and (
-                now - since >= self._times.min_idle_s
-            ):
-                self._release_inherited_pin(replica, handle)
-
-    def _release_inherited_pin(self, replica, handle):
-        if replica.inherited_pins_since_by_handle.pop(handle, None) is not None:
-            replica.owner.release_pins(handle)
-
     async def _query_foreign_copy_owners(self, replica):
         for name in sorted(replica.foreign_copies.unconfirmed_owner_names()):
             if name == self._membership.own_name:
@@ -861,7 +782,7 @@
 
         Raises OwnedElsewhere if one of them answers that it owns the replica or will.
         """
-        candidates = self._owner_candidates(replica.server)
+        candidates = self.candidates.of(replica.server)
         unresponsive = set()
         for name in candidates[: candidates.index(self._membership.own_name)]:
             state = await self._query_owner_state(replica.server.name, name, tries=2)
@@ -881,9 +802,7 @@
         if isinstance(error, OwnedElsewhere):
             return error.owner_name
         own = self._membership.own_name
-        others = [
-            name for name in self._owner_candidates(replica.server) if name != own
-        ]
+        others = [name for name in self.candidates.of(replica.server) if name != own]
         return others[0] if others else None
 
     async def _relay(self, target, forward, accepted):
@@ -909,7 +828,7 @@
         successors = {
             candidates[1]
             for replica in self._replicas_by_name.values()
-            if (candidates := self._owner_candidates(replica.server))[:1] == [name]
+            if (candidates := self.candidates.of(replica.server))[:1] == [name]
             and len(candidates) > 1
         }
         message = OwnerSilent(name)
@@ -927,7 +846,7 @@
         own = self._membership.own_name
         for replica in self._replicas_by_name.values():
             if (
-                self._owner_candidates(replica.server)[:2] == [name, own]
+                self.candidates.of(replica.server)[:2] == [name, own]
                 and replica.owner is None
                 and replica.claim is None
                 and self._may_claim(replica)
@@ -963,9 +882,9 @@
         return self._own_state(replica, sender if message.leaving else None)
 
     def _own_state(self, replica, leaving=None):
-        accepts = self._is_first_candidate(replica, leaving) and self._may_claim(
-            replica
-        )
+        accepts = self.candidates.start_with_self(
+            replica.server, leaving
+        ) and self._may_claim(replica)
         return OwnerState(
             incarnation=self._membership.own_incarnation,
             owns=replica.owner is not None,
@@ -981,7 +900,7 @@
             return Acknowledged()
         # Only if the views of both daemons agree; otherwise the replica would move back
         # and forth.
-        if self._owner_candidates(replica.server)[:1] == [sender]:
+        if self.candidates.of(replica.server)[:1] == [sender]:
             self._group.start_soon(self._hand_over, replica, sender)
         return Acknowledged()
 
--- a/snipetrestle_standins/replica_fleet.py
+++ b/snipetrestle_standins/replica_fleet.py
@@ -250,7 +250,7 @@
     def owner_candidates(self, replica="engine-0"):
         """Returns the candidates for the ownership of a replica in their order."""
         daemon = next(iter(self.daemons_by_name.values()))
-        return daemon.ownership._owner_candidates(
+        return daemon.ownership.candidates.of(
             self.configuration.servers_by_name[replica]
         )
 
--- a/tests/engines/test_ownership.py
+++ b/tests/engines/test_ownership.py
@@ -98,7 +98,7 @@
         class AdoptingOwnership(ReplicaOwnership):
             def _update_foreign_copies(self, replica, status):
                 if not replica.owner.resident_handles():
-                    self._adopt_resident_copies(replica, status)
+                    replica.adopt_resident_copies(status)
 
         async def check(fleet):
             await self.resume_with_queued_unload(fleet, wait_for_requests=False)
