--- a/snipetrestle/batches/__init__.py
+++ b/snipetrestle/batches/__init__.py
@@ -3,7 +3,8 @@
 The two daemons of a batch are in different failure domains.
 """
 
-from snipetrestle.batches.holder import BatchHolder, BatchStatus, BatchTimes
+from snipetrestle.batches.holder import BatchHolder, BatchStatus
 from snipetrestle.batches.messages import BatchItem, ItemResult
+from snipetrestle.batches.times import BatchTimes
 
 __all__ = ["BatchHolder", "BatchItem", "BatchStatus", "BatchTimes", "ItemResult"]
--- a/snipetrestle/batches/holder.py
+++ b/snipetrestle/batches/holder.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from snipetrestle.batches.allowance import BatchAllowances
+from snipetrestle.batches.item_runner import ItemRunner
 from snipetrestle.batches.messages import (
     BatchAccepted,
     BatchContent,
@@ -19,7 +20,6 @@
     FetchBatch,
     HoldBatch,
     Holder,
-    ItemResult,
     Lineage,
     SubmitBatch,
     UpdateBatch,
@@ -27,10 +27,10 @@
 )
 from snipetrestle.batches.records import (
     HeldBatch,
-    format_batch_id,
     parse_batch_id,
     unique_of_key,
 )
+from snipetrestle.batches.times import BatchTimes
 from snipetrestle.codes import ResultCode, ServingError
 from snipetrestle.events import Event, log_event
 from snipetrestle.hashing import rendezvous_order
@@ -45,36 +45,12 @@
 # other lineages among the first half of them.
 QUERIED_DAEMON_COUNT = 8
 PREFERRED_DAEMON_COUNT = QUERIED_DAEMON_COUNT // 2
-# Maximum number of items that a primary runs at once, of one batch and of all batches.
-MAX_RUNNING_ITEMS_PER_BATCH = 16
-MAX_RUNNING_ITEMS = 64
 MAX_EXPIRED_BATCHES = 10_000
 # How often a leaving daemon tries to move a batch, one check interval apart.
 MAX_MOVE_ATTEMPTS = 30
 UNIQUE_BITS = 128
 
 
-class BatchTimes(msgspec.Struct, frozen=True):
-    """Intervals and timeouts of batches, in seconds.
-
-    A holder that is silent for ``silence_timeout_s`` is replaced even if it may only be
-    paused, since a false suspicion only makes items run twice.
-    """
-
-    check_interval_s: float = 1.0
-    update_interval_s: float = 5.0
-    silence_timeout_s: float = 10.0
-    call_timeout_s: float = 2.0
-    submit_timeout_s: float = 10.0
-    # Finished batches are kept at both holders for this long.
-    result_retention_s: float = 86_400.0
-    # This long after the end time of a batch, an item that fails is not retried any
-    # more.
-    overdue_limit_s: float = 86_400.0
-    first_retry_pause_s: float = 0.5
-    max_retry_pause_s: float = 5.0
-
-
 class BatchStatus(msgspec.Struct, frozen=True):
     """Status of a batch: ``running``, ``finished`` or ``lost`` (with a code)."""
 
@@ -111,14 +87,15 @@
         self._membership = membership
         self._transport = transport
         self._router = router
-        self._run_item = run_item
         self._generator = generator
         self._times = times or BatchTimes()
         self._max_bytes = max_bytes
+        self._item_runner = ItemRunner(
+            run_item, self._push_pages, generator, self._times
+        )
         self._batches_by_unique = {}
         # Unique parts of batches whose results are no longer kept, oldest first.
         self._expired = {}
-        self._item_slots = anyio.Semaphore(MAX_RUNNING_ITEMS)
         self._draining = False
         self._task_group = None
         self._allowances = BatchAllowances(
@@ -238,7 +215,7 @@
             if self._batches_by_unique.get(held_batch.unique) is not held_batch:
                 return
             await anyio.sleep(self._times.check_interval_s)
-        log_event(Event.BATCH_NOT_REPLICATED, batch=self._batch_id_of(held_batch))
+        log_event(Event.BATCH_NOT_REPLICATED, batch=held_batch.id)
 
     # Submission at the primary
 
@@ -254,7 +231,7 @@
                 raise ServingError(ResultCode.BATCH_NOT_HELD)
             with anyio.move_on_after(self._times.check_interval_s):
                 await held_batch.accepted.wait()
-        return BatchAccepted(self._batch_id_of(held_batch))
+        return BatchAccepted(held_batch.id)
 
     def _start_submission(self, message):
         self._check_capacity(items_size(message.items))
@@ -278,17 +255,10 @@
         if not await self._add_second_holder(held_batch):
             del self._batches_by_unique[held_batch.unique]
             return
-        log_event(Event.BATCH_ACCEPTED, batch=self._batch_id_of(held_batch))
+        log_event(Event.BATCH_ACCEPTED, batch=held_batch.id)
         held_batch.accepted.set()
         await self._maintain(held_batch)
 
-    def _batch_id_of(self, held_batch):
-        if held_batch.batch_id is None:
-            lineage = held_batch.lineage
-            holders = (lineage.primary, lineage.second or lineage.primary)
-            held_batch.batch_id = format_batch_id(held_batch.unique, holders)
-        return held_batch.batch_id
-
     def _check_capacity(self, size):
         if self._draining:
             raise ServingError(ResultCode.DRAINING)
@@ -469,6 +439,16 @@
                 await self._watch_primary(held_batch)
             await anyio.sleep(self._times.check_interval_s)
 
+    def _start_items(self, held_batch):
+        if (
+            held_batch.runner_count == 0
+            and not held_batch.finished
+            and not held_batch.is_moving
+        ):
+            held_batch.run_scope = anyio.CancelScope()
+            held_batch.runner_count = 1
+            self._task_group.start_soon(self._item_runner.run, held_batch)
+
     def _is_holder(self, held_batch):
         lineage = held_batch.lineage
         return self._own_name in (
@@ -506,7 +486,7 @@
             held_batch.lineage = msgspec.structs.replace(
                 held_batch.lineage, epoch=held_batch.lineage.epoch + 1, second=None
             )
-            log_event(Event.BATCH_NOT_REPLICATED, batch=self._batch_id_of(held_batch))
+            log_event(Event.BATCH_NOT_REPLICATED, batch=held_batch.id)
 
     async def _merge_other_lineages(self, held_batch):
         """Finds holders with another lineage, which a network partition may leave.
@@ -557,7 +537,7 @@
     async def _take_over(self, held_batch):
         log_event(
             Event.BATCH_TAKEN_OVER,
-            batch=self._batch_id_of(held_batch),
+            batch=held_batch.id,
             before=held_batch.lineage.primary.name,
         )
         held_batch.lineage = Lineage(
@@ -625,102 +605,6 @@
         if self._batches_by_unique.get(held_batch.unique) is held_batch:
             del self._batches_by_unique[held_batch.unique]
 
-    # Items
-
-    def _start_items(self, held_batch):
-        if (
-            held_batch.runner_count == 0
-            and not held_batch.finished
-            and not held_batch.is_moving
-        ):
-            held_batch.run_scope = anyio.CancelScope()
-            held_batch.runner_count = 1
-            self._task_group.start_soon(self._run_items, held_batch)
-
-    async def _run_items(self, held_batch):
-        """Runs the items that have no result, grouped by adapter."""
-        try:
-            with held_batch.run_scope:
-                indices = [
-                    index
-                    for index in range(len(held_batch.items))
-                    if index not in held_batch.results_by_index
-                ]
-                indices.sort(key=lambda index: (held_batch.items[index].model, index))
-                batch_slots = anyio.Semaphore(MAX_RUNNING_ITEMS_PER_BATCH)
-                async with anyio.create_task_group() as group:
-                    for index in indices:
-                        await batch_slots.acquire()
-                        await self._item_slots.acquire()
-                        if held_batch.is_moving:
-                            batch_slots.release()
-                            self._item_slots.release()
-                            break
-                        group.start_soon(
-                            self._run_indexed_item, held_batch, index, batch_slots
-                        )
-        finally:
-            held_batch.runner_count = 0
-
-    async def _run_indexed_item(self, held_batch, index, batch_slots):
-        try:
-            if index not in held_batch.results_by_index:
-                result = await self._run_until_result(held_batch, index)
-                if result is not None:
-                    held_batch.add_result(result)
-                    if index in held_batch.unconfirmed:
-                        await self._push_result(held_batch, index)
-        finally:
-            batch_slots.release()
-            self._item_slots.release()
-
-    async def _push_result(self, held_batch, index):
-        async with held_batch.push_lock:
-            if index in held_batch.unconfirmed:
-                await self._push_pages(held_batch)
-
-    async def _run_until_result(self, held_batch, index):
-        """Runs an item until it succeeds or fails for good, and returns the ItemResult.
-
-        Returns None if the batch is moved to another daemon before.
-        """
-        pause_s = self._times.first_retry_pause_s
-        end_time = held_batch.started_at + held_batch.finish_within_s
-        item = held_batch.items[index]
-        while True:
-            time_left_s = end_time - anyio.current_time()
-            # After its end time an item still runs; it gets the full time again, since
-            # a short deadline would not help anymore.
-            time_allowed_s = (
-                time_left_s if time_left_s > 0 else held_batch.finish_within_s
-            )
-            try:
-                text, finish_reason = await self._run_item(
-                    self._batch_id_of(held_batch),
-                    index,
-                    held_batch.customer,
-                    item,
-                    time_allowed_s,
-                )
-                return ItemResult(index, text, item.custom_id, finish_reason)
-            except ServingError as error:
-                if (
-                    not error.code.retryable
-                    or -time_left_s > self._times.overdue_limit_s
-                ):
-                    return ItemResult(
-                        index,
-                        custom_id=item.custom_id,
-                        code=error.code.number,
-                        detail=error.detail,
-                    )
-            if held_batch.is_moving:
-                return None
-            with anyio.move_on_after(pause_s * self._generator.uniform(0.5, 1.5)):
-                await held_batch.move_started.wait()
-                return None
-            pause_s = min(2 * pause_s, self._times.max_retry_pause_s)
-
     # Message handlers and queries
 
     async def _on_hold(self, sender, message):
--- a/snipetrestle/batches/records.py
+++ b/snipetrestle/batches/records.py
@@ -51,9 +51,9 @@
         self.started_at = anyio.current_time() - message.age_s
         self.finished_at = None
         self.size = items_size(message.items)
-        # Set once two daemons hold the batch; from then on its id is known.
+        # Set once two daemons hold the batch.
         self.accepted = anyio.Event()
-        self.batch_id = None
+        self._id = None
         # Time of the last message of the other holder.
         self.partner_heard_at = anyio.current_time()
         # Set while this daemon hands the batch over to another daemon.
@@ -66,6 +66,15 @@
         self.runner_count = 0
         self.run_scope = anyio.CancelScope()
 
+    @property
+    def id(self):
+        """The batch id. It names the holders at its first use and stays the same."""
+        if self._id is None:
+            lineage = self.lineage
+            holders = (lineage.primary, lineage.second or lineage.primary)
+            self._id = format_batch_id(self.unique, holders)
+        return self._id
+
     @property
     def finished(self):
         return len(self.results_by_index) == len(self.items)
