--- a/snipetrestle/peers/membership.py
+++ b/snipetrestle/peers/membership.py
@@ -15,6 +15,7 @@
 
 from snipetrestle.codes import ServingError
 from snipetrestle.events import Event, log_event
+from snipetrestle.peers.member_entry import MemberEntry
 from snipetrestle.peers.members import Incarnation, Member, MemberState
 from snipetrestle.peers.membership_messages import (
     Health,
@@ -28,18 +29,13 @@
     PingRequestReply,
     RevisionDigest,
 )
+from snipetrestle.peers.probe_order import ProbeOrder
 from snipetrestle.peers.transport import PeerUnreachable
 from snipetrestle.peers.updates import UpdateQueue
 from snipetrestle.publication.sources import HostState, SourceUnreachable
 
 # Number of random bits of an incarnation, in addition to the clock.
 INCARNATION_BITS = 32
-# Number of members that are pinged in turn; one of them is replaced after each round.
-# If all of 330 members were pinged in turn, each ping would need a TLS handshake
-# (6 KB), since the previous connection would have been closed as idle, or all
-# connections would be kept open (54 MB). The probability that no member pings a given
-# one is about exp(-16), and that lasts for one round.
-NEIGHBOUR_COUNT = 16
 # Number of members whose state each ping repeats in turn, although it is not new. This
 # repairs the view of a member that missed an update, at 330 members within about a
 # minute.
@@ -79,45 +75,6 @@
     host_list_interval_s: float = 1.0
 
 
-class _MemberEntry:
-    """This daemon's state of one other member."""
-
-    __slots__ = ("update", "metadata", "listed", "listed_leaving", "suspected_until")
-
-    def __init__(self, name, metadata):
-        self.update = MemberUpdate(name, 0, 0, 0, Health.ALIVE)
-        self.metadata = metadata
-        self.listed = False
-        self.listed_leaving = False
-        self.suspected_until = math.inf
-
-    @property
-    def state(self):
-        if self.update.health is Health.FAILED:
-            return MemberState.FAILED if self.listed else MemberState.GONE
-        if self.update.leaving or self.listed_leaving:
-            return MemberState.LEAVING
-        if self.update.health is Health.SUSPECTED:
-            return MemberState.SUSPECTED
-        return MemberState.ALIVE
-
-    def incarnation(self):
-        update = self.update
-        return Incarnation(update.number, update.bits) if update.number else None
-
-    def member(self):
-        metadata = self.metadata
-        return Member(
-            self.update.name,
-            metadata.address,
-            metadata.failure_domain,
-            metadata.region,
-            metadata.size,
-            self.state,
-            self.incarnation(),
-        )
-
-
 class Membership:
     """MembershipView that is maintained by pings and the host list.
 
@@ -157,9 +114,8 @@
         self._gone_numbers_by_name = collections.OrderedDict()
         self._suspected_names = {}
         self._updates = UpdateQueue()
-        self._neighbours = []
         self._refresh_order = []
-        self._probe_order = []
+        self._probe_order = ProbeOrder(generator)
         self._probed_names = set()
         self._group = None
         self._changed = anyio.Event()
@@ -347,40 +303,10 @@
             # Jitter keeps daemons that started together from pinging simultaneously.
             await anyio.sleep(period * self._generator.uniform(0.9, 1.1))
             self._expire_suspicions()
-            name = self._next_target()
+            name = self._probe_order.next_name(self._entries_by_name)
             if name is not None and name not in self._probed_names:
                 self._group.start_soon(self._probe, name)
 
-    def _next_target(self):
-        """Returns the next member of a shuffled round over the neighbours, or None."""
-        while True:
-            if not self._probe_order:
-                self._probe_order = self._draw_probe_order()
-                if not self._probe_order:
-                    return None
-            name = self._probe_order.pop()
-            if name in self._entries_by_name:
-                return name
-
-    def _draw_probe_order(self):
-        """Returns the neighbours in random order, one of them newly drawn.
-
-        Neighbours are a random sample of all members that changes slowly, so that most
-        pings can use an open connection.
-        """
-        entries = self._entries_by_name
-        kept = [name for name in self._neighbours if name in entries]
-        if len(entries) <= NEIGHBOUR_COUNT:
-            kept = list(entries)
-        else:
-            self._generator.shuffle(kept)
-            del kept[NEIGHBOUR_COUNT - 1 :]
-            others = sorted(entries.keys() - set(kept))
-            kept += self._generator.sample(others, NEIGHBOUR_COUNT - len(kept))
-        self._generator.shuffle(kept)
-        self._neighbours = kept
-        return list(kept)
-
     async def _probe(self, name):
         self._probed_names.add(name)
         try:
@@ -564,7 +490,7 @@
         if entry is None:
             if update.metadata is None or update.health is Health.FAILED:
                 return
-            entry = _MemberEntry(update.name, update.metadata)
+            entry = MemberEntry(update.name, update.metadata)
             # Until a host list has been read, members are treated as listed.
             entry.listed = not self._host_list_revision
             self._entries_by_name[update.name] = entry
@@ -694,7 +620,7 @@
         )
         entry = self._entries_by_name.get(host.name)
         if entry is None:
-            entry = self._entries_by_name[host.name] = _MemberEntry(host.name, metadata)
+            entry = self._entries_by_name[host.name] = MemberEntry(host.name, metadata)
         previous_state = entry.state
         if not entry.listed or entry.update.health is not Health.ALIVE:
             # Otherwise the member's own metadata is newer than a delayed list.
