--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -52,7 +52,8 @@
 LOWEST_PRIORITY = 9
 # Longer lists and ids of prompt parts are cut off, since hosts keep and exchange them.
 MAX_PROMPT_PARTS = 32
-MAX_EPOCH_DIGITS = 18
+# Longer numbers are malformed. Python's own limit would raise an unexpected error.
+MAX_NUMBER_DIGITS = 18
 MAX_PROMPT_PART_LENGTH = 64
 
 
@@ -67,20 +68,18 @@
         facts = RequestMetadata(request_id)
         deadline = values.get(DEADLINE_MS)
         if deadline is not None:
-            if not deadline.isdigit():
+            deadline_ms = _number(deadline)
+            if deadline_ms is None:
                 return None
-            facts.deadline_s = int(deadline) / 1000
-        last_event_id = values.get(LAST_EVENT_ID)
-        if last_event_id is not None and last_event_id.isdigit():
-            facts.last_event_id = int(last_event_id)
+            facts.deadline_s = deadline_ms / 1000
+        facts.last_event_id = _number(values.get(LAST_EVENT_ID, b""))
         model = values.get(MODEL)
         if model is not None:
             name, _, adapter = model.decode("latin-1").partition("/")
             facts.adapter = AdapterKey(name, adapter)
-        tokens = values.get(TOKEN_COUNT, b"").split(b",")
-        if len(tokens) == 2 and tokens[0].isdigit() and tokens[1].strip().isdigit():
-            facts.prompt_tokens = int(tokens[0])
-            facts.output_tokens = int(tokens[1])
+        counts = [_number(item) for item in values.get(TOKEN_COUNT, b"").split(b",")]
+        if len(counts) == 2 and None not in counts:
+            facts.prompt_tokens, facts.output_tokens = counts
         facts.shared_prompt_parts = _shared_prompt_parts(values.get(PROMPT_PREFIX))
         return facts
 
@@ -142,9 +141,18 @@
     value = dict(headers).get(STORE_EPOCH)
     if value is None:
         return 0
-    if not value.isdigit() or len(value) > MAX_EPOCH_DIGITS:
+    epoch = _number(value)
+    if epoch is None:
         raise ValueError(f"the epoch {value!r} is no number")
-    return int(value)
+    return epoch
+
+
+def _number(value):
+    """Returns the whole number of a header; None if it is none, or too long."""
+    digits = value.strip()
+    if not digits.isdigit() or len(digits) > MAX_NUMBER_DIGITS:
+        return None
+    return int(digits)
 
 
 def _shared_prompt_parts(value):
--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -68,6 +68,24 @@
 
         run_fleet(check)
 
+    def test_numbers_without_end_get_an_answer(self):
+        """A number of 5,000 digits ended the connection without an answer."""
+        digits = b"9" * 5000
+
+        async def check(fleet):
+            for header, status in (
+                (b"X-Deadline-Ms: " + digits, 400),
+                (b"Last-Event-Id: " + digits, 200),
+                (b"X-Token-Count: 1," + digits, 200),
+            ):
+                answer = await self.send(
+                    fleet,
+                    b"POST /entry/a HTTP/1.1\r\n" + HEAD + header + b"\r\n\r\n",
+                )
+                self.assertEqual(status, answer.status, header[:20])
+
+        run_fleet(check)
+
     def test_unknown_route_and_model_are_refused(self):
         """Routes and models that do not exist must get the right status."""
 
