--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from snipetrestle import decoding
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.published_items import (
     PublishedItem,
@@ -252,7 +253,7 @@
 
 def decode(data):
     """Returns the message. Raises msgspec.DecodeError."""
-    return _decoder.decode(data)
+    return decoding.decode(_decoder, data)
 
 
 # Limits what a damaged message can make of a few bytes.
@@ -274,4 +275,4 @@
         raise ValueError(str(error)) from None
     if not decompressor.eof:
         raise ValueError("the items are incomplete, or too large")
-    return _items_decoder.decode(data)
+    return decoding.decode(_items_decoder, data)
--- a/snipetrestle/gateway/snapshots.py
+++ b/snipetrestle/gateway/snapshots.py
@@ -10,6 +10,7 @@
 import anyio
 import msgspec
 
+from snipetrestle.decoding import decode
 from snipetrestle.gateway.published_items import PublishedItem, StoreItems
 
 # Limits the time without progress, not a whole transfer over a slow link.
@@ -188,6 +189,6 @@
             if not chunk:
                 raise EOFError("the snapshot ended early")
             content += chunk
-        return _decoder.decode(content)
+        return decode(_decoder, content)
     finally:
         writer.close()
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from snipetrestle.coordination.orders import OrderResult, ReplicaReport
+from snipetrestle.decoding import decode
 from snipetrestle.gateway.calls import call
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.http_client import (
@@ -133,7 +134,7 @@
         if answer.status != 200:
             raise SourceUnreachable(f"{name}: status {answer.status}")
         try:
-            return decoder.decode(answer.body), read_store_epoch(answer.headers)
+            return decode(decoder, answer.body), read_store_epoch(answer.headers)
         except ValueError as error:
             raise SourceUnreachable(f"{name}: {error}") from None
 
@@ -184,7 +185,7 @@
         if answer.status != 200:
             raise ExchangeFailed(f"report: status {answer.status}")
         try:
-            return _report_from(_report_decoder.decode(answer.body))
+            return _report_from(decode(_report_decoder, answer.body))
         except ValueError as error:
             raise ExchangeFailed(f"report: {error}") from None
 
--- a/snipetrestle/platform/entries.py
+++ b/snipetrestle/platform/entries.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from snipetrestle.decoding import decode
 from snipetrestle.gateway.configuration import (
     AdapterKey,
     AdapterVersion,
@@ -124,9 +125,9 @@
     if item.value is None:
         return None
     if item.key == _CONFIGURATION_KEY:
-        return _configuration_from(_configuration_decoder.decode(item.value))
+        return _configuration_from(decode(_configuration_decoder, item.value))
     if item.key.startswith(_VERSION_PREFIX):
-        declared = _version_decoder.decode(item.value)
+        declared = decode(_version_decoder, item.value)
         key = AdapterKey(declared.model, declared.adapter)
         return AdapterVersion(key, declared.version)
     return None
@@ -193,7 +194,7 @@
     if item.value is None:
         return Unlisted(replica_id)
     try:
-        replica = _replica_decoder.decode(item.value)
+        replica = decode(_replica_decoder, item.value)
         ip, _, port = replica.address.rpartition(":")
         return ReplicaEntry(
             id=replica_id,
--- /dev/null
+++ b/tests/gateway/test_odd_answers.py
@@ -0,0 +1,101 @@
+"""Tests of odd answers of the store, of replicas and of other hosts."""
+
+import asyncio
+import types
+
+import anyio
+import msgspec
+import testtools
+
+from snipetrestle.coordination import messages
+from snipetrestle.coordination.datagrams import DatagramEndpoint
+from snipetrestle.gateway.configuration import ReplicaEntry, ReplicaState
+from snipetrestle.gateway.http_client import ExchangeFailed
+from snipetrestle.gateway.replicas import Replica
+from snipetrestle.gateway.snapshots import Snapshots
+from snipetrestle.platform.calls import OrderClient, StoreSource
+from snipetrestle.publication.sources import SourceUnreachable
+from snipetrestle_standins.raw_http import ok, raw_server
+
+DEEP_JSON = b"[" * 100_000 + b"]" * 100_000
+DEEP_MSGPACK = b"\x91" * 100_000 + b"\xc0"
+INFO = messages.HostInfo("entry-9", 1, "127.0.0.1", 9, "zone-1", 1.0)
+
+
+def run_with_store(function, *answers):
+    """Runs ``function(StoreSource)`` against prepared answers; returns its result."""
+
+    async def main():
+        async with raw_server(*answers) as server:
+            return await function(StoreSource("127.0.0.1", server.port))
+
+    return anyio.run(main)
+
+
+class OddStoreAnswerTest(testtools.TestCase):
+    def assert_unreachable(self, content):
+        async def check(source):
+            with testtools.ExpectedException(SourceUnreachable):
+                await source.read("")
+            with testtools.ExpectedException(SourceUnreachable):
+                await source.watch("", 1, 0.1)
+
+        run_with_store(check, ok(content))
+
+    def test_deeply_nested_page_is_no_unexpected_error(self):
+        """The error ended the task that follows the store."""
+        self.assert_unreachable(b'{"new": ' + DEEP_JSON + b"}")
+
+
+class OddReportTest(testtools.TestCase):
+    def report(self, content):
+        async def main():
+            async with raw_server(ok(content)) as server:
+                entry = ReplicaEntry(
+                    "i-1", 1, "b", "127.0.0.1", server.port, "z", ReplicaState.READY
+                )
+                return await OrderClient().report(Replica(entry))
+
+        return anyio.run(main)
+
+    def test_deeply_nested_report_is_a_failed_exchange(self):
+        """The error ended the task that sends a replica's orders."""
+        content = b'{"new": ' + DEEP_JSON + b"}"
+        self.assertRaises(ExchangeFailed, self.report, content)
+
+
+class OddHostMessageTest(testtools.TestCase):
+    def test_deeply_nested_datagram_is_ignored(self):
+        """Fields that are not known are skipped, however deeply they are nested."""
+        received = []
+        endpoint = DatagramEndpoint()
+        endpoint.register(messages.Join, lambda *message: received.append(message))
+        info = msgspec.msgpack.encode(INFO)
+        endpoint.datagram_received(b"\x93\xa4Join" + info + DEEP_MSGPACK, ("", 9))
+        self.assertEqual([], received)
+        endpoint.datagram_received(b"\x93\xa4Join" + info + b"\xc0", ("", 9))
+        self.assertEqual(1, len(received))
+
+    def fetch(self, content):
+        """Returns what a host makes of a snapshot that another one sends."""
+
+        async def main():
+            async def serve(reader, writer):
+                await reader.readline()
+                writer.write(len(content).to_bytes(4) + content)
+                writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            host = types.SimpleNamespace(info=msgspec.structs.replace(INFO, port=port))
+            async with server:
+                return await Snapshots(None, None, None)._fetch_from(host, "")
+
+        return anyio.run(main)
+
+    def test_deeply_nested_snapshot_is_ignored(self):
+        """The error ended the task that fetches snapshots."""
+        content = msgspec.msgpack.encode([7, [], 1, []])
+        self.assertEqual(7, self.fetch(content).revision)
+        deep = b"\x95" + content[1:] + DEEP_MSGPACK
+        self.assertIsNone(self.fetch(deep))
