--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from snipetrestle import decoding
-from snipetrestle.gateway.configuration import AdapterKey
+from snipetrestle.gateway.configuration import MAX_NAME_LENGTH, AdapterKey, Name
 from snipetrestle.gateway.published_items import (
     PublishedItem,
     Revision,
@@ -18,10 +18,10 @@
 )
 
 MAX_TOKEN = 2**62
-MAX_NAME_LENGTH = 200
 MAX_AGE_S = 1e9
 
-Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+# The id of a replica and its start time.
+ProcessId = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH + 20)]
 Token = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKEN)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31)]
 # -1 stands for "never".
@@ -78,7 +78,7 @@
     ``confirmed``, the sender refuses such prompts, and other hosts had time to object.
     """
 
-    crash: Name
+    crash: ProcessId
     parts: tuple[Name, ...]
     age_s: DurationS
     confirmed: bool = False
--- a/snipetrestle/gateway/configuration.py
+++ b/snipetrestle/gateway/configuration.py
@@ -4,9 +4,13 @@
 """
 
 import enum
+import typing
 
 import msgspec
 
+MAX_NAME_LENGTH = 200
+Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+
 
 class RequestKind(enum.StrEnum):
     """Kind of the requests of a route, which decides whether they may be repeated."""
--- a/snipetrestle/gateway/published_items.py
+++ b/snipetrestle/gateway/published_items.py
@@ -6,6 +6,9 @@
 
 MAX_REVISION = 2**62
 Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+# Integers above this are not exact in all programs that write JSON.
+MAX_VERSION = 2**53
+Version = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
 
 
 class StorePosition(msgspec.Struct, array_like=True, frozen=True, order=True):
--- a/snipetrestle/platform/entries.py
+++ b/snipetrestle/platform/entries.py
@@ -10,6 +10,7 @@
     CallerLimits,
     LoadedModel,
     Model,
+    Name,
     ReplicaEntry,
     ReplicaState,
     RequestKind,
@@ -17,7 +18,15 @@
     RoutingConfiguration,
     WeightedBackend,
 )
-from snipetrestle.gateway.published_items import Unlisted
+from snipetrestle.gateway.published_items import Revision, Unlisted
+from snipetrestle.platform.values import (
+    Count,
+    NonEmptyName,
+    RemainingMs,
+    check_id,
+    parse_address,
+    parse_versioned_name,
+)
 
 # An empty key prefix: one watch covers the operator's items and the replicas.
 ALL_ITEMS = ""
@@ -88,25 +97,25 @@
 
 
 class _LoadedModel(msgspec.Struct):
-    name: str
-    version: int = 0
+    name: Name
+    version: Revision = 0
     # Adapters are listed as NAME@VERSION.
     adapters: list[str] = []
 
 
 class _Replica(msgspec.Struct):
-    backend: str
+    backend: NonEmptyName
     address: str
-    zone: str
+    zone: Name
     state: ReplicaState
-    slots: int = 0
+    slots: Count = 0
     models: list[_LoadedModel] = []
     # Time left until a preempted replica is taken away.
-    remaining_ms: float | None = None
+    remaining_ms: RemainingMs | None = None
     # Start time of the replica in ms of Unix time.
-    born: int = 0
+    born: Revision = 0
     # The number of heartbeats that the replica has written since its start.
-    seq: int = 0
+    seq: Revision = 0
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -194,22 +203,23 @@
     if item.value is None:
         return Unlisted(replica_id)
     try:
+        check_id(replica_id)
         replica = decode(_replica_decoder, item.value)
-        ip, _, port = replica.address.rpartition(":")
+        ip, port = parse_address(replica.address)
         return ReplicaEntry(
             id=replica_id,
             boot=replica.born,
             report_number=replica.seq,
             backend=replica.backend,
             ip=ip,
-            port=int(port),
+            port=port,
             failure_domain=replica.zone,
             state=replica.state,
             slots=replica.slots,
             models=tuple(loaded_model_from(model) for model in replica.models),
             remaining_s=None
             if replica.remaining_ms is None
-            else replica.remaining_ms / 1000,
+            else max(0.0, replica.remaining_ms) / 1000,
         )
     except ValueError as error:
         return Unlisted(replica_id, str(error))
@@ -217,8 +227,5 @@
 
 def loaded_model_from(model):
     """Returns a LoadedModel. Raises ValueError for a malformed adapter version."""
-    versions = {}
-    for versioned_name in model.adapters:
-        name, _, version = versioned_name.partition("@")
-        versions[name] = int(version or 1)
+    versions = dict(parse_versioned_name(text) for text in model.adapters)
     return LoadedModel(model.name, model.version, versions)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -7,9 +7,13 @@
 import testtools
 from hypothesis import strategies
 
+from snipetrestle.coordination import messages
+from snipetrestle.gateway.configuration import ReplicaEntry
 from snipetrestle.gateway.published_items import PublishedItem, Unlisted
+from snipetrestle.gateway.replicas import Replica
 from snipetrestle.platform.entries import decode_item
 
+INFO = messages.HostInfo("entry-9", 1, "127.0.0.1", 9, "zone-1", 1.0)
 ENTRY = {
     "backend": "models",
     "address": "10.0.0.9:80",
@@ -21,6 +25,44 @@
     "models": [{"name": "m0", "version": 3, "adapters": ["a1@2", "a2"]}],
 }
 DEEP = b'{"new": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+# Fields of a replica's entry that no replica can mean.
+ODD_FIELDS = [
+    ("address", "10.0.0.9:70000"),
+    ("address", "10.0.0.9:0"),
+    ("address", "10.0.0.9:-1"),
+    ("address", "10.0.0.9:+80"),
+    ("address", "10.0.0.9: 80"),
+    ("address", "10.0.0.9:8_0"),
+    ("address", "10.0.0.9:\u0668\u0660"),
+    ("address", "10.0.0.9:" + "9" * 5000),
+    ("address", ":80"),
+    ("address", "host.example:80"),
+    ("address", "10.0.0.9\r\nEvil: 1:80"),
+    ("address", "fe80::1%a\r\nEvil: 1:80"),
+    ("address", "0.0.0.0:80"),
+    ("address", "224.0.0.1:80"),
+    ("address", "255.255.255.255:80"),
+    ("born", -1),
+    ("born", 2**63),
+    ("born", 10**30),
+    ("seq", -1),
+    ("seq", 10**30),
+    ("slots", -1),
+    ("slots", 10**30),
+    ("slots", "8"),
+    ("remaining_ms", 1e300),
+    ("remaining_ms", "soon"),
+    ("backend", ""),
+    ("backend", "b" * 201),
+    ("zone", "z" * 201),
+    ("models", [{"name": "m" * 201}]),
+    ("models", [{"name": "m0", "version": 10**30}]),
+    ("models", [{"name": "m0", "adapters": ["a" * 201]}]),
+    ("models", [{"name": "m0", "adapters": ["a1@-1"]}]),
+    ("models", [{"name": "m0", "adapters": ["a1@" + "9" * 30]}]),
+    ("models", [{"name": "m0", "adapters": ["a1@" + "9" * 5000]}]),
+    ("models", [{"name": "m0", "adapters": ["a1@1_0"]}]),
+]
 ODD_CONTENTS = [
     b"",
     b"\xff\xfe",
@@ -34,6 +76,23 @@
 ]
 
 
+ODD_IDS = ["", "i-1\r\nEvil: 1", "i\x00", "i\x7f", "i" * 201]
+# Fields of a sound entry: other writers of the same fields, and fields of the future.
+SOUND_FIELDS = [
+    ("born", 0),
+    ("remaining_ms", 1500),
+    ("remaining_ms", 0.5),
+    ("remaining_ms", None),
+    ("slots", 0),
+    ("models", []),
+    ("new", {"deep": [[[[1e300]]]]}),
+    ("version", "2026.1"),
+    ("cold_remaining_ms", 250.5),
+    ("address", "127.0.0.1:65535"),
+    ("address", "fd00::9:80"),
+]
+
+
 def item(key, content):
     value = content if isinstance(content, bytes) else json.dumps(content).encode()
     return PublishedItem(key, 1, value)
@@ -52,6 +111,27 @@
         for content in ODD_CONTENTS:
             self.assert_unlisted("i-1", content, content[:40])
 
+    def test_odd_fields_name_no_replica(self):
+        """An impossible port raised where the replica was used, and other fields were
+        passed on in messages that no host could read."""
+        for field, value in ODD_FIELDS:
+            name = f"{field} {value!r:.60}"
+            self.assert_unlisted("i-1", {**ENTRY, field: value}, name)
+
+    def test_odd_ids_name_no_replica(self):
+        """An id with a line break added header fields to requests and orders."""
+        for replica_id in ODD_IDS:
+            self.assert_unlisted(replica_id, ENTRY, repr(replica_id))
+
+    def test_sound_entries_are_taken(self):
+        """The checks must not refuse what replicas publish now or later."""
+        for replica_id in ("i-7f3a91c2", "a b/c", "i" * 192):
+            decoded = decode_item(item(f"servers/{replica_id}", ENTRY))
+            self.assertIsInstance(decoded, ReplicaEntry, replica_id)
+        for field, value in SOUND_FIELDS:
+            decoded = decode_item(item("servers/i-1", {**ENTRY, field: value}))
+            self.assertIsInstance(decoded, ReplicaEntry, f"{field} {value!r}")
+
 
 class OddDocumentTest(testtools.TestCase):
     def test_odd_contents_are_value_errors(self):
@@ -61,6 +141,46 @@
                 self.assertRaises(ValueError, decode_item, item(key, content))
 
 
+# Values that often meet the bound of a type, and others of all types.
+ODD_VALUES = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.sampled_from(
+        [2**31, 2**53, 2**62, 2**63, 2**64, 10**400, 1e308, 1e-320]
+    ),
+    strategies.floats(allow_nan=False, allow_infinity=False),
+    strategies.text(max_size=300),
+    strategies.from_regex(r"[0-9a-z.:\[\]]{1,20}:[0-9]{1,7}", fullmatch=True),
+    strategies.lists(strategies.text(max_size=20), max_size=3),
+    strategies.fixed_dictionaries({"name": strategies.text(max_size=9)}),
+)
+SOUND_ITEMS = [
+    ("servers/i-1", ENTRY),
+]
+
+
+def paths_of(content, path=()):
+    """Yields the paths of all values in a document."""
+    yield path
+    steps = ()
+    if isinstance(content, dict):
+        steps = content.items()
+    elif isinstance(content, list):
+        steps = enumerate(content)
+    for step, value in steps:
+        yield from paths_of(value, (*path, step))
+
+
+def replace_at(content, path, value):
+    """Returns a copy of a document with the value at a path replaced."""
+    if not path:
+        return value
+    copy = content.copy()
+    copy[path[0]] = replace_at(content[path[0]], path[1:], value)
+    return copy
+
+
 class DecodedBoundsTest(testtools.TestCase):
     @hypothesis.given(
         strategies.sampled_from(["servers/i-1", "op/config", "op/version/m0.a1"]),
@@ -71,3 +191,31 @@
         """No content of the store may raise an error that nothing expects."""
         with contextlib.suppress(ValueError):
             decode_item(PublishedItem(key, 1, value))
+
+    @hypothesis.given(strategies.sampled_from(SOUND_ITEMS), strategies.data())
+    @hypothesis.settings(max_examples=1000, derandomize=True, deadline=None)
+    def test_odd_values_are_refused_or_within_bounds(self, sound, data):
+        """No value of a field may pass the decoding and fail in a later step."""
+        key, content = sound
+        path = data.draw(strategies.sampled_from(list(paths_of(content))))
+        value = data.draw(ODD_VALUES)
+        with contextlib.suppress(ValueError):
+            self.assert_usable(decode_item(item(key, replace_at(content, path, value))))
+
+    def assert_usable(self, decoded):
+        """Asserts that other parts of the program can work with a decoded item."""
+        if isinstance(decoded, ReplicaEntry):
+            self.assert_usable_replica(decoded)
+
+    def assert_usable_replica(self, entry):
+        self.assertTrue(1 <= entry.port <= 65_535)
+        self.assertTrue(0 <= entry.slots <= 2**31)
+        self.assertTrue(0 <= entry.report_number <= 2**62)
+        self.assertTrue(entry.remaining_s is None or 0 <= entry.remaining_s <= 1e9)
+        replica = Replica(entry)
+        loads = {replica.id: messages.ReplicaLoad(1, 0)}
+        reports = (messages.LostPromptReport(replica.process_id, (), 0.0),)
+        heartbeat = messages.Heartbeat(
+            INFO, "", 1, 0.0, False, loads, {}, lost_prompts=reports
+        )
+        self.assertEqual(heartbeat, messages.decode(messages.encode(heartbeat)))
