--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -330,7 +330,8 @@
                 _, connection = await loop.create_connection(
                     ReplicaConnection, self._ip, self._port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            # The last two come from an address that no connection can be opened to.
             raise ConnectFailed(repr(error)) from None
         self._connections.add(connection)
         return connection
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -10,7 +10,11 @@
 from snipetrestle.coordination import messages
 from snipetrestle.coordination.datagrams import DatagramEndpoint
 from snipetrestle.gateway.configuration import ReplicaEntry, ReplicaState
-from snipetrestle.gateway.http_client import ExchangeFailed
+from snipetrestle.gateway.http_client import (
+    ConnectFailed,
+    ConnectionPool,
+    ExchangeFailed,
+)
 from snipetrestle.gateway.replicas import Replica
 from snipetrestle.gateway.snapshots import Snapshots
 from snipetrestle.platform.calls import OrderClient, StoreSource
@@ -64,6 +68,16 @@
         self.assertRaises(ExchangeFailed, self.report, content)
 
 
+class OddAddressTest(testtools.TestCase):
+    def test_impossible_address_is_a_failed_connection(self):
+        """The error closed a caller's connection without an answer, and ended the task
+        of a replica's orders."""
+        for address in (("127.0.0.1", 70_000), ("127.0.0.1", -1), ("a\0b", 80)):
+            pool = ConnectionPool(*address)
+            error = self.assertRaises(ConnectFailed, anyio.run, pool.acquire)
+            self.assertNotEqual("", str(error))
+
+
 class OddHostMessageTest(testtools.TestCase):
     def test_deeply_nested_datagram_is_ignored(self):
         """Fields that are not known are skipped, however deeply they are nested."""
