--- a/snipetrestle/coordination/heartbeat_content.py
+++ b/snipetrestle/coordination/heartbeat_content.py
@@ -1,6 +1,7 @@
 """What a host tells the others in its heartbeats, gathered from its components."""
 
 from snipetrestle.coordination.hosts import HostStatus
+from snipetrestle.gateway.published_items import MAX_REVISION
 
 
 class HeartbeatContent:
@@ -45,7 +46,9 @@
             has_leader=leadership.has_recent_leader,
             leads=leadership.leads,
             newest_positions={} if state is None else state.newest_positions(),
-            document_version_sum=0 if state is None else state.documents.version_sum,
+            document_version_sum=0
+            if state is None
+            else min(state.documents.version_sum, MAX_REVISION),
             reads_store=state is not None and state.is_store_reachable,
             candidates=leadership.next_leaders(),
             limits_by_replica={}
--- a/snipetrestle/platform/entries.py
+++ b/snipetrestle/platform/entries.py
@@ -18,7 +18,7 @@
     RoutingConfiguration,
     WeightedBackend,
 )
-from snipetrestle.gateway.published_items import Revision, Unlisted
+from snipetrestle.gateway.published_items import Revision, Unlisted, Version
 from snipetrestle.platform.values import (
     Count,
     NonEmptyName,
@@ -84,16 +84,16 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Version
     routes: list[_Route]
     backends: list[_Backend]
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 class _DeclaredVersion(msgspec.Struct):
-    model: str
-    adapter: str
-    version: int
+    model: NonEmptyName
+    adapter: NonEmptyName
+    version: Version
 
 
 class _LoadedModel(msgspec.Struct):
--- /dev/null
+++ b/tests/gateway/test_odd_entries.py
@@ -0,0 +1,59 @@
+"""Tests that odd items among sound ones in the store affect nothing else."""
+
+import json
+
+import anyio
+import testtools
+
+from snipetrestle.coordination.hosts import REACHABLE_TIMEOUT_S
+from snipetrestle.gateway import app, supervision
+from snipetrestle_standins.gateway_fleet import configuration
+from tests.gateway.running import run_fleet
+from tests.waiting import wait_until
+
+APPLY_TIME_S = 2.0
+
+
+class OddItemTestCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.unexpected = []
+        for module in (supervision, app):
+            self.patch(
+                module,
+                "log_unexpected",
+                lambda source, error: self.unexpected.append((source, repr(error))),
+            )
+
+    async def assert_followed(self, fleet, version):
+        """Asserts that all hosts follow the store and hear each other."""
+        fleet.store.put("op/config", configuration(version))
+        with anyio.fail_after(APPLY_TIME_S):
+            await wait_until(
+                lambda: all(
+                    gateway.state.configuration.version == version
+                    for gateway in fleet.live
+                )
+            )
+        count = len(fleet.live)
+        for gateway in fleet.live:
+            self.assertEqual(count, gateway.hosts.count())
+            self.assertEqual(count - 1, len(gateway.hosts.reachable()))
+            answer = await fleet.send_request("/draft/a", gateway, adapter="a1")
+            self.assertEqual((200, True), (answer.status, answer.complete))
+        self.assertEqual([], self.unexpected)
+
+
+class OddVersionTest(OddItemTestCase):
+    def test_huge_versions_do_not_stop_heartbeats(self):
+        """Their sum was more than a heartbeat can hold, so that none was sent."""
+
+        async def check(fleet):
+            for number, version in enumerate((2**53 + 1, 2**62, 2**64, 10**30)):
+                declared = {"model": "m0", "adapter": f"b{number}", "version": version}
+                content = json.dumps(declared).encode()
+                fleet.store.put(f"op/version/m0.b{number}", content)
+            await anyio.sleep(REACHABLE_TIMEOUT_S + 0.4)
+            await self.assert_followed(fleet, 7)
+
+        run_fleet(check, gateways=2)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -140,6 +140,21 @@
             for content in ODD_CONTENTS:
                 self.assertRaises(ValueError, decode_item, item(key, content))
 
+    def test_odd_declared_versions_are_value_errors(self):
+        """A version that is too large for the messages between hosts stopped them."""
+        sound = {"model": "m0", "adapter": "a1", "version": 2**53}
+        self.assertEqual(2**53, decode_item(item("op/version/m0.a1", sound)).version)
+        for field, value in (
+            ("version", 2**53 + 1),
+            ("version", -1),
+            ("version", "3"),
+            ("model", "m" * 201),
+            ("adapter", "a" * 201),
+            ("adapter", ""),
+        ):
+            odd = item("op/version/m0.a1", {**sound, field: value})
+            self.assertRaises(ValueError, decode_item, odd)
+
 
 # Values that often meet the bound of a type, and others of all types.
 ODD_VALUES = strategies.one_of(
