--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -157,7 +157,7 @@
         self._context = context
         backend = context.backend
         self.replica_adapters = ReplicaAdapters(
-            replica.id, _adapter_slots(backend), context.backend_placement.index
+            replica.id, adapter_slots(backend), context.backend_placement.index
         )
         self._queue = collections.deque()
         self._waiter = Waiter()
@@ -502,10 +502,10 @@
         return result
 
 
-def _adapter_slots(backend):
+def adapter_slots(backend):
     """Returns how many adapters fit in memory beside a model of the backend."""
     model = backend.models[0]
     if model.adapter_mb <= 0:
         return backend.adapter_slots
-    fitting = int((backend.weights_mb - model.weights_mb) / model.adapter_mb)
-    return max(0, min(backend.adapter_slots, fitting))
+    fitting = (backend.weights_mb - model.weights_mb) / model.adapter_mb
+    return max(0, int(min(backend.adapter_slots, fitting)))
--- a/snipetrestle/platform/entries.py
+++ b/snipetrestle/platform/entries.py
@@ -21,8 +21,15 @@
 from snipetrestle.gateway.published_items import Revision, Unlisted, Version
 from snipetrestle.platform.values import (
     Count,
+    Megabytes,
+    Milliseconds,
     NonEmptyName,
+    PositiveCount,
+    PositiveMs,
+    RatePerS,
     RemainingMs,
+    Seconds,
+    Weight,
     check_id,
     parse_address,
     parse_versioned_name,
@@ -36,51 +43,52 @@
 
 
 class _Split(msgspec.Struct):
-    backend: str
-    weight: float
+    backend: Name
+    weight: Weight
 
 
 class _Route(msgspec.Struct):
-    name: str
+    name: Name
     hostname: str
     prefix: str
     route_type: RequestKind
-    timeout_ms: float
-    target_latency_ms: float = 0.0
+    timeout_ms: PositiveMs
+    target_latency_ms: Milliseconds = 0.0
     priority: int = 0
-    backend: str | None = None
+    backend: Name | None = None
     split: list[_Split] = []
-    attempts: int = 1
+    # 0 stands for one attempt without repetitions.
+    attempts: Count = 1
     resumable: bool = False
-    gap_aim_ms: float | None = None
+    gap_aim_ms: Milliseconds | None = None
 
 
 class _Model(msgspec.Struct):
-    name: str
-    weights_mb: float = 0.0
-    load_s: float = 0.0
-    adapter_mb: float = 0.0
+    name: Name
+    weights_mb: Megabytes = 0.0
+    load_s: Seconds = 0.0
+    adapter_mb: Megabytes = 0.0
 
 
 class _Runtime(msgspec.Struct):
-    slots: int = 0
+    slots: Count = 0
     models: list[_Model] = []
-    weights_mb: float = 0.0
-    adapter_slots: int = 0
-    loads_per_s: float = 1.0
+    weights_mb: Megabytes = 0.0
+    adapter_slots: Count = 0
+    loads_per_s: RatePerS = 1.0
 
 
 class _Backend(msgspec.Struct):
-    name: str
-    max_conns: int = 0
+    name: Name
+    max_conns: Count = 0
     runtime: _Runtime | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: PositiveCount = 16_384
+    max_body_bytes: Count = 4_194_304
+    header_timeout_ms: PositiveMs = 3000.0
+    idle_timeout_ms: PositiveMs = 15_000.0
 
 
 class _Configuration(msgspec.Struct):
@@ -143,12 +151,17 @@
 
 
 def _configuration_from(document):
-    backends = [_backend_from(backend) for backend in document.backends]
+    backends = {backend.name: _backend_from(backend) for backend in document.backends}
+    routes = tuple(_route_from(route) for route in document.routes)
+    for route in routes:
+        for item in route.backends:
+            # Replicas may be listed for a backend that is not described.
+            backends.setdefault(item.name, Backend(item.name, 0))
     limits = document.limits
     return RoutingConfiguration(
         document.version,
-        tuple(_route_from(route) for route in document.routes),
-        {backend.name: backend for backend in backends},
+        routes,
+        backends,
         CallerLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
@@ -164,6 +177,8 @@
         if route.backend is None:
             raise ValueError(f"route {route.name} names no backend")
         backends = (WeightedBackend(route.backend, 1.0),)
+    if len(backends) > 1 and not any(item.weight for item in backends):
+        raise ValueError(f"all backends of route {route.name} have the weight 0")
     return Route(
         name=route.name,
         hostname=route.hostname.lower(),
@@ -171,9 +186,9 @@
         kind=route.route_type,
         timeout_s=route.timeout_ms / 1000,
         target_latency_s=route.target_latency_ms / 1000,
-        priority=route.priority,
+        priority=max(0, route.priority),
         backends=backends,
-        attempts=route.attempts,
+        attempts=max(1, route.attempts),
         resumable=route.resumable,
         max_gap_s=None if route.gap_aim_ms is None else route.gap_aim_ms / 1000,
     )
--- a/snipetrestle/platform/values.py
+++ b/snipetrestle/platform/values.py
@@ -16,13 +16,20 @@
 NonEmptyName = typing.Annotated[
     str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)
 ]
+PositiveCount = typing.Annotated[int, msgspec.Meta(ge=1, le=2**31)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31)]
 # About 30 years.
 MAX_MS = 1e12
 Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+PositiveMs = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_MS)]
 # Time left, which is below 0 shortly after it has run out.
 RemainingMs = typing.Annotated[float, msgspec.Meta(ge=-MAX_MS, le=MAX_MS)]
 
+Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+RatePerS = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Megabytes = typing.Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+Weight = typing.Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+
 MAX_PORT = 65_535
 _PORT = re.compile(r"[0-9]{1,5}")
 _VERSION = re.compile(r"[0-9]{1,16}")
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -2,16 +2,23 @@
 
 import contextlib
 import json
+import random
 
 import hypothesis
 import testtools
 from hypothesis import strategies
 
 from snipetrestle.coordination import messages
-from snipetrestle.gateway.configuration import ReplicaEntry
+from snipetrestle.coordination.orders import adapter_slots
+from snipetrestle.gateway.configuration import (
+    AdapterVersion,
+    ReplicaEntry,
+    RoutingConfiguration,
+)
 from snipetrestle.gateway.published_items import PublishedItem, Unlisted
 from snipetrestle.gateway.replicas import Replica
 from snipetrestle.platform.entries import decode_item
+from snipetrestle_standins.gateway_fleet import configuration
 
 INFO = messages.HostInfo("entry-9", 1, "127.0.0.1", 9, "zone-1", 1.0)
 ENTRY = {
@@ -93,11 +100,84 @@
 ]
 
 
+CONFIGURATION = configuration(4)
+_RUNTIME = ("backends", 0, "runtime")
+ODD_CONFIGURATION_VALUES = [
+    (("version",), -1),
+    (("version",), 10**30),
+    (("routes", 0, "timeout_ms"), 0),
+    (("routes", 0, "timeout_ms"), -1),
+    (("routes", 0, "timeout_ms"), 1e300),
+    (("routes", 0, "target_latency_ms"), -1),
+    (("routes", 0, "target_latency_ms"), 1e300),
+    (("routes", 0, "attempts"), -1),
+    (("routes", 0, "attempts"), 10**30),
+    (("routes", 0, "backend"), None),
+    (("routes", 0, "gap_aim_ms"), -1),
+    (("routes", 0, "split"), [{"backend": "models", "weight": -1}]),
+    (("routes", 0, "split"), [{"backend": "models", "weight": 0}] * 2),
+    (("routes", 0, "split"), [{"backend": "models", "weight": 1e308}] * 2),
+    (("limits", "max_header_bytes"), 0),
+    (("limits", "max_body_bytes"), -1),
+    (("limits", "header_timeout_ms"), 0),
+    (("limits", "idle_timeout_ms"), -1),
+    ((*_RUNTIME, "slots"), -1),
+    ((*_RUNTIME, "adapter_slots"), -1),
+    ((*_RUNTIME, "weights_mb"), -1),
+    ((*_RUNTIME, "loads_per_s"), -1),
+    ((*_RUNTIME, "models", 0, "load_s"), -1),
+    ((*_RUNTIME, "models", 0, "load_s"), 1e300),
+]
+SOUND_CONFIGURATION_VALUES = [
+    (("new",), {"field": [1, {}]}),
+    (("routes", 0, "new"), "field"),
+    (("routes", 0, "timeout_ms"), 0.5),
+    (("routes", 0, "timeout_ms"), 86_400_000),
+    (("routes", 0, "target_latency_ms"), 0),
+    (("routes", 0, "priority"), 10**30),
+    (("routes", 0, "gap_aim_ms"), 0),
+    (("routes", 0, "gap_aim_ms"), None),
+    (("routes", 0, "split"), [{"backend": "models", "weight": 0}]),
+    (("routes", 0, "backend"), "not-described"),
+    (("routes",), []),
+    (("limits",), {}),
+    (("limits", "max_body_bytes"), 0),
+    (("backends", 0, "max_conns"), 0),
+    ((*_RUNTIME, "loads_per_s"), 0),
+    ((*_RUNTIME, "models"), []),
+    ((*_RUNTIME, "models", 0, "adapter_mb"), 0),
+    ((*_RUNTIME, "models", 0, "adapter_mb"), 1e-320),
+]
+
+
 def item(key, content):
     value = content if isinstance(content, bytes) else json.dumps(content).encode()
     return PublishedItem(key, 1, value)
 
 
+def paths_of(content, path=()):
+    """Yields the paths of all values in a document."""
+    yield path
+    steps = ()
+    if isinstance(content, dict):
+        steps = content.items()
+    elif isinstance(content, list):
+        steps = enumerate(content)
+    for step, value in steps:
+        yield from paths_of(value, (*path, step))
+
+
+def replace_at(content, path, value):
+    """Returns a copy of a document with the value at a path replaced or added."""
+    if not path:
+        return value
+    copy = content.copy()
+    is_new = isinstance(content, dict) and path[0] not in content
+    part = None if is_new else content[path[0]]
+    copy[path[0]] = replace_at(part, path[1:], value)
+    return copy
+
+
 class OddReplicaEntryTest(testtools.TestCase):
     def assert_unlisted(self, replica_id, content, name):
         decoded = decode_item(item(f"servers/{replica_id}", content))
@@ -155,6 +235,29 @@
             odd = item("op/version/m0.a1", {**sound, field: value})
             self.assertRaises(ValueError, decode_item, odd)
 
+    def decode_changed(self, path, value):
+        changed = replace_at(CONFIGURATION, path, value)
+        return decode_item(item("op/config", changed))
+
+    def test_odd_configurations_are_value_errors(self):
+        """Such a configuration was accepted, and requests or orders failed with errors
+        that nothing expects, or could not be served at all."""
+        for path, value in ODD_CONFIGURATION_VALUES:
+            error = self.assertRaises(ValueError, self.decode_changed, path, value)
+            self.assertNotEqual("", str(error))
+
+    def test_sound_configurations_are_accepted(self):
+        """A configuration that can be acted on must not be refused."""
+        for path, value in SOUND_CONFIGURATION_VALUES:
+            self.decode_changed(path, value)
+        split = [{"backend": "models", "weight": 0}, {"backend": "b2", "weight": 3}]
+        decoded = self.decode_changed(("routes", 0, "split"), split)
+        self.assertIn("b2", decoded.backends_by_name)
+        attempts = self.decode_changed(("routes", 0, "attempts"), 0)
+        self.assertEqual(1, attempts.routes[0].attempts)
+        priority = self.decode_changed(("routes", 0, "priority"), -3)
+        self.assertEqual(0, priority.routes[0].priority)
+
 
 # Values that often meet the bound of a type, and others of all types.
 ODD_VALUES = strategies.one_of(
@@ -172,30 +275,11 @@
 )
 SOUND_ITEMS = [
     ("servers/i-1", ENTRY),
+    ("op/config", CONFIGURATION),
+    ("op/version/m0.a1", {"model": "m0", "adapter": "a1", "version": 3}),
 ]
 
 
-def paths_of(content, path=()):
-    """Yields the paths of all values in a document."""
-    yield path
-    steps = ()
-    if isinstance(content, dict):
-        steps = content.items()
-    elif isinstance(content, list):
-        steps = enumerate(content)
-    for step, value in steps:
-        yield from paths_of(value, (*path, step))
-
-
-def replace_at(content, path, value):
-    """Returns a copy of a document with the value at a path replaced."""
-    if not path:
-        return value
-    copy = content.copy()
-    copy[path[0]] = replace_at(content[path[0]], path[1:], value)
-    return copy
-
-
 class DecodedBoundsTest(testtools.TestCase):
     @hypothesis.given(
         strategies.sampled_from(["servers/i-1", "op/config", "op/version/m0.a1"]),
@@ -214,13 +298,35 @@
         key, content = sound
         path = data.draw(strategies.sampled_from(list(paths_of(content))))
         value = data.draw(ODD_VALUES)
-        with contextlib.suppress(ValueError):
-            self.assert_usable(decode_item(item(key, replace_at(content, path, value))))
+        try:
+            decoded = decode_item(item(key, replace_at(content, path, value)))
+        except ValueError:
+            return
+        self.assert_usable(decoded)
 
     def assert_usable(self, decoded):
         """Asserts that other parts of the program can work with a decoded item."""
         if isinstance(decoded, ReplicaEntry):
             self.assert_usable_replica(decoded)
+        elif isinstance(decoded, AdapterVersion):
+            self.assertTrue(0 <= decoded.version <= 2**53)
+        elif isinstance(decoded, RoutingConfiguration):
+            self.assert_usable_configuration(decoded)
+
+    def assert_usable_configuration(self, decoded):
+        self.assertTrue(0 <= decoded.version <= 2**53)
+        rng = random.Random(1)
+        for each in decoded.routes:
+            self.assertTrue(0 < each.timeout_s <= 1e9)
+            self.assertTrue(0 <= each.target_latency_s <= 1e9)
+            self.assertTrue(each.attempts >= 1 and each.priority >= 0)
+            if len(each.backends) > 1:
+                rng.choices(each.backends, [item.weight for item in each.backends])
+            for backend in each.backends:
+                self.assertIn(backend.name, decoded.backends_by_name)
+        for backend in decoded.backends_by_name.values():
+            if backend.models:
+                self.assertTrue(0 <= adapter_slots(backend) <= backend.adapter_slots)
 
     def assert_usable_replica(self, entry):
         self.assertTrue(1 <= entry.port <= 65_535)
