--- a/snipetrestle/gateway/published_items.py
+++ b/snipetrestle/gateway/published_items.py
@@ -26,7 +26,7 @@
     """A key of the store at a revision. ``value`` is None for a deleted key."""
 
     key: str
-    revision: int
+    revision: Revision
     value: bytes | None
 
 
--- a/snipetrestle/gateway/snapshots.py
+++ b/snipetrestle/gateway/snapshots.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from snipetrestle.decoding import decode
-from snipetrestle.gateway.published_items import PublishedItem, StoreItems
+from snipetrestle.gateway.published_items import PublishedItem, Revision, StoreItems
 
 # Limits the time without progress, not a whole transfer over a slow link.
 PEER_SILENCE_TIMEOUT_S = 1.0
@@ -34,9 +34,9 @@
     ``documents`` are the operator's documents that are newer than those of the items.
     """
 
-    revision: int
+    revision: Revision
     items: list[PublishedItem]
-    epoch: int = 0
+    epoch: Revision = 0
     documents: list[PublishedItem] = []
 
 
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -14,7 +14,12 @@
     ConnectionPool,
     ExchangeFailed,
 )
-from snipetrestle.gateway.published_items import HistoryLost, PublishedItem, StoreItems
+from snipetrestle.gateway.published_items import (
+    HistoryLost,
+    PublishedItem,
+    Revision,
+    StoreItems,
+)
 from snipetrestle.platform.headers import REQUEST_ID, read_store_epoch
 from snipetrestle.publication.sources import SourceUnreachable
 
@@ -27,7 +32,7 @@
 
 class _Item(msgspec.Struct):
     key: str
-    revision: int
+    revision: Revision
     # Base64 text; absent for a deleted key.
     value: str | None = None
     deleted: bool = False
@@ -37,12 +42,12 @@
     items: list[_Item]
     has_more: bool
     # Revision of the store, which may be newer than those of the items.
-    at: int
+    at: Revision
 
 
 class _Watch(msgspec.Struct):
     events: list[_Item]
-    at: int
+    at: Revision
 
 
 class _ReportedModel(msgspec.Struct):
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -15,6 +15,7 @@
     ConnectionPool,
     ExchangeFailed,
 )
+from snipetrestle.gateway.published_items import PublishedItem
 from snipetrestle.gateway.replicas import Replica
 from snipetrestle.gateway.snapshots import Snapshots
 from snipetrestle.platform.calls import OrderClient, StoreSource
@@ -50,6 +51,12 @@
         """The error ended the task that follows the store."""
         self.assert_unreachable(b'{"new": ' + DEEP_JSON + b"}")
 
+    def test_huge_revisions_are_no_revisions(self):
+        """They are sent in heartbeats, which no host could encode or read."""
+        for revision in (b"-1", b"%d" % 2**63, b"%d" % 10**30, b"1e3", b'"7"'):
+            at = b'"has_more": false, "at": %b}' % revision
+            self.assert_unreachable(b'{"items": [], "events": [], ' + at)
+
 
 class OddReportTest(testtools.TestCase):
     def report(self, content):
@@ -113,3 +120,18 @@
         self.assertEqual(7, self.fetch(content).revision)
         deep = b"\x95" + content[1:] + DEEP_MSGPACK
         self.assertIsNone(self.fetch(deep))
+
+    def test_snapshot_with_huge_revisions_is_ignored(self):
+        """They are sent in heartbeats, which no host could encode or read."""
+        for content in (
+            [2**63, [], 1, []],
+            [7, [], 2**63, []],
+            [7, [["servers/i-1", 2**63, b""]], 1, []],
+            [7, [], 1, [["op/config", -1, b""]]],
+        ):
+            self.assertIsNone(self.fetch(msgspec.msgpack.encode(content)), content)
+
+    def test_changes_with_huge_revisions_are_refused(self):
+        """They are sent in heartbeats, which no host could encode or read."""
+        packed = messages.pack_items([PublishedItem("servers/i-1", 2**63, b"")])
+        self.assertRaises(ValueError, messages.unpack_items, packed)
