--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -1,12 +1,14 @@
 """HTTP calls to the platform's store and to replicas."""
 
 import base64
+import typing
 import urllib.parse
 
 import msgspec
 
 from snipetrestle.coordination.orders import OrderResult, ReplicaReport
 from snipetrestle.decoding import decode
+from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.calls import call
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.http_client import (
@@ -30,23 +32,28 @@
 ORDER_TIMEOUT_S = 0.8
 
 
+# Keys of the store have 200 bytes at most.
+Key = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=1000)]
+
+
 class _Item(msgspec.Struct):
-    key: str
+    key: Key
     revision: Revision
     # Base64 text; absent for a deleted key.
-    value: str | None = None
-    deleted: bool = False
+    value: typing.Any = None
+    deleted: typing.Any = False
 
 
 class _Range(msgspec.Struct):
-    items: list[_Item]
+    # Each item is decoded by itself, so that an odd one does not hide the others.
+    items: list[msgspec.Raw]
     has_more: bool
     # Revision of the store, which may be newer than those of the items.
     at: Revision
 
 
 class _Watch(msgspec.Struct):
-    events: list[_Item]
+    events: list[msgspec.Raw]
     at: Revision
 
 
@@ -64,20 +71,39 @@
     incoming: list[str] = []
 
 
+_item_decoder = msgspec.json.Decoder(_Item)
 _range_decoder = msgspec.json.Decoder(_Range)
 _watch_decoder = msgspec.json.Decoder(_Watch)
 _report_decoder = msgspec.json.Decoder(_Report)
 _encoder = msgspec.json.Encoder()
 
 
-def _published_item_from(item):
-    value = None
-    if not item.deleted:
+def _published_items(raw_items, prefix):
+    """Returns the PublishedItems of a page; odd items are logged and left out."""
+    items = []
+    for raw in raw_items:
         try:
-            value = base64.b64decode(item.value or "")
+            item = decode(_item_decoder, raw)
+            if not item.key.startswith(prefix):
+                raise ValueError(f"the key is not one of the prefix {prefix!r}")
         except ValueError as error:
-            raise SourceUnreachable(f"{item.key}: {error}") from None
-    return PublishedItem(item.key, item.revision, value)
+            log_event(Event.ENTRY_UNREADABLE, key=None, error=str(error))
+            continue
+        items.append(PublishedItem(item.key, item.revision, _value_of(item)))
+    return items
+
+
+def _value_of(item):
+    """Returns the value of an item, None if it is deleted.
+
+    A value that cannot be read is empty, as no document is.
+    """
+    if item.deleted is True:
+        return None
+    try:
+        return base64.b64decode(item.value)
+    except (TypeError, ValueError):
+        return b""
 
 
 class StoreSource:
@@ -106,12 +132,15 @@
                 first_page, first_epoch = page, epoch
             elif epoch != first_epoch:
                 raise SourceUnreachable(f"kv-range: the epoch became {epoch}")
-            items += [_published_item_from(item) for item in page.items]
+            page_items = _published_items(page.items, prefix)
+            if page.items and not page_items:
+                raise SourceUnreachable("kv-range: no item of a page can be read")
+            items += page_items
             if not page.has_more or not page.items:
                 # Later pages may contain newer items; a watch from the first page's
                 # revision returns them again.
                 return StoreItems(items, first_page.at, first_epoch)
-            after = page.items[-1].key
+            after = page_items[-1].key
 
     async def watch(self, prefix, revision, wait_s):
         """Returns the StoreItems of the changes after ``revision``.
@@ -122,9 +151,7 @@
         query = {"prefix": prefix, "after": revision, "wait_ms": int(wait_s * 1000)}
         timeout_s = wait_s + WATCH_MARGIN_S
         changes, epoch = await self._get("kv-watch", query, timeout_s, _watch_decoder)
-        return StoreItems(
-            [_published_item_from(item) for item in changes.events], changes.at, epoch
-        )
+        return StoreItems(_published_items(changes.events, prefix), changes.at, epoch)
 
     async def _get(self, name, query, timeout_s, decoder):
         """Returns the decoded response and the epoch that it names."""
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -57,6 +57,81 @@
             at = b'"has_more": false, "at": %b}' % revision
             self.assert_unreachable(b'{"items": [], "events": [], ' + at)
 
+    def read_and_watch(self, items, prefix=""):
+        """Returns the items that a read and a watch get of a page."""
+        page = {"items": items, "events": items, "has_more": False, "at": 20}
+
+        async def check(source):
+            read = await source.read(prefix)
+            watched = await source.watch(prefix, 1, 0.1)
+            return read.items, watched.items
+
+        return run_with_store(check, ok(msgspec.json.encode(page)))
+
+    def test_odd_item_does_not_hide_the_others_of_its_page(self):
+        """The whole page was unreadable, so that no change was followed."""
+        sound = [
+            {"key": f"servers/i-{number}", "revision": 8, "value": "e30="}
+            for number in range(2)
+        ]
+        expected = [PublishedItem(item["key"], 8, b"{}") for item in sound]
+        for odd in (
+            None,
+            7,
+            {},
+            {"key": "servers/odd"},
+            {"key": 3, "revision": 9, "value": "e30="},
+            {"key": "", "revision": 9, "value": "e30="},
+            {"key": "k" * 100_000, "revision": 9, "value": "e30="},
+            {"key": "servers/odd", "revision": -1, "value": "e30="},
+            {"key": "servers/odd", "revision": 2**63, "value": "e30="},
+            {"key": "servers/odd", "revision": 9.5, "value": "e30="},
+            {"key": "servers/odd", "revision": "9", "value": "e30="},
+            {"key": "op/of-another-prefix", "revision": 9, "value": "e30="},
+        ):
+            pages = self.read_and_watch([sound[0], odd, sound[1]], "servers/")
+            self.assertEqual((expected, expected), pages, f"{odd!r:.80}")
+
+    def test_value_that_cannot_be_read_is_empty(self):
+        """Such an item must take the place of the sound one before it."""
+        for fields in (
+            {"value": "e3"},
+            {"value": "\u00e9"},
+            {"value": 7},
+            {"value": None},
+            {"value": {"deep": [[]]}},
+            {"deleted": "no", "value": 7},
+            {},
+        ):
+            item = {"key": "servers/odd", "revision": 9, **fields}
+            expected = [PublishedItem("servers/odd", 9, b"")]
+            self.assertEqual((expected, expected), self.read_and_watch([item]), fields)
+        deleted = {"key": "servers/odd", "revision": 9, "deleted": True}
+        expected = [PublishedItem("servers/odd", 9, None)]
+        self.assertEqual((expected, expected), self.read_and_watch([deleted]))
+
+    def test_page_without_any_sound_item_is_not_taken(self):
+        """It would remove all replicas."""
+        page = ok(b'{"items": [7], "has_more": false, "at": 20}')
+        with testtools.ExpectedException(SourceUnreachable):
+            run_with_store(lambda source: source.read(""), page)
+
+    def test_watch_goes_on_after_changes_that_are_all_odd(self):
+        """The same change would be read again and again, and no later one."""
+        changes = ok(b'{"events": [7], "at": 20}')
+        watched = run_with_store(lambda source: source.watch("", 8, 0.1), changes)
+        self.assertEqual(([], 20), (watched.items, watched.revision))
+
+    def test_bytes_that_are_no_text_make_only_their_item_odd(self):
+        """The whole page was unreadable, so that no change was followed."""
+        content = (
+            b'{"items": [{"key": "a\xff", "revision": 8, "value": "e30="},'
+            b'{"key": "b", "revision": 8, "value": "e30="}],'
+            b'"has_more": false, "at": 20}'
+        )
+        read = run_with_store(lambda source: source.read(""), ok(content))
+        self.assertEqual([PublishedItem("b", 8, b"{}")], read.items)
+
 
 class OddReportTest(testtools.TestCase):
     def report(self, content):
