--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -120,6 +120,8 @@
         """
         items = []
         after = ""
+        # The last keys of the pages.
+        read_up_to = set()
         first_page = first_epoch = None
         while True:
             query = {"prefix": prefix}
@@ -141,6 +143,9 @@
                 # revision returns them again.
                 return StoreItems(items, first_page.at, first_epoch)
             after = page_items[-1].key
+            if after in read_up_to:
+                raise SourceUnreachable("kv-range: a page was repeated")
+            read_up_to.add(after)
 
     async def watch(self, prefix, revision, wait_s):
         """Returns the StoreItems of the changes after ``revision``.
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -116,6 +116,20 @@
         with testtools.ExpectedException(SourceUnreachable):
             run_with_store(lambda source: source.read(""), page)
 
+    def test_repeated_page_ends_a_read(self):
+        """The pages were read and kept without end."""
+        item = b'{"key": "a", "revision": 8, "value": "e30="}'
+        page = ok(b'{"items": [%b], "has_more": true, "at": 20}' % item)
+
+        async def check(source):
+            with (
+                anyio.fail_after(2.0),
+                testtools.ExpectedException(SourceUnreachable),
+            ):
+                await source.read("")
+
+        run_with_store(check, page)
+
     def test_watch_goes_on_after_changes_that_are_all_odd(self):
         """The same change would be read again and again, and no later one."""
         changes = ok(b'{"events": [7], "at": 20}')
