--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -10,7 +10,7 @@
 from snipetrestle.decoding import decode
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.calls import call
-from snipetrestle.gateway.configuration import AdapterKey
+from snipetrestle.gateway.configuration import AdapterKey, Name
 from snipetrestle.gateway.http_client import (
     ConnectFailed,
     ConnectionPool,
@@ -23,6 +23,7 @@
     StoreItems,
 )
 from snipetrestle.platform.headers import REQUEST_ID, read_store_epoch
+from snipetrestle.platform.values import parse_versioned_name
 from snipetrestle.publication.sources import SourceUnreachable
 
 READ_TIMEOUT_S = 1.0
@@ -58,13 +59,13 @@
 
 
 class _ReportedModel(msgspec.Struct):
-    name: str
+    name: Name
     adapters: list[str] = []
 
 
 class _Report(msgspec.Struct):
     # The number of orders that the replica has accepted.
-    seq: int
+    seq: Revision
     busy: bool
     models: list[_ReportedModel]
     # Adapters being loaded, as MODEL/NAME@VERSION.
@@ -249,13 +250,13 @@
     versions = {}
     for model in report.models:
         for versioned_name in model.adapters:
-            name, _, version = versioned_name.partition("@")
-            versions[AdapterKey(model.name, name)] = int(version or 1)
-    for versioned_name in report.incoming:
-        path, _, version = versioned_name.partition("@")
-        model, _, name = path.partition("/")
+            name, version = parse_versioned_name(versioned_name)
+            versions[AdapterKey(model.name, name)] = version
+    for path in report.incoming:
+        model, _, versioned_name = path.partition("/")
+        name, version = parse_versioned_name(versioned_name)
         if name:
-            versions[AdapterKey(model, name)] = int(version or 1)
+            versions[AdapterKey(model, name)] = version
     return ReplicaReport(
         report.seq,
         report.busy,
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -1,6 +1,7 @@
 """Tests of odd answers of the store, of replicas and of other hosts."""
 
 import asyncio
+import json
 import types
 
 import anyio
@@ -163,6 +164,36 @@
         content = b'{"new": ' + DEEP_JSON + b"}"
         self.assertRaises(ExchangeFailed, self.report, content)
 
+    def test_report_out_of_bounds_is_a_failed_exchange(self):
+        """Its order count could not be encoded in the next order, which ended the task
+        of the replica's orders."""
+        sound = {
+            "seq": 3,
+            "busy": False,
+            "models": [{"name": "m0", "adapters": ["a1@2", "a2"]}],
+            "incoming": ["m0/a3@4"],
+            "new": {"field": [1]},
+        }
+        report = self.report(json.dumps(sound).encode())
+        versions = {("a1", 2), ("a2", 1), ("a3", 4)}
+        self.assertEqual(
+            versions,
+            {(key.adapter, held) for key, held in report.versions_by_adapter.items()},
+        )
+        for field, value in (
+            ("seq", -1),
+            ("seq", 2**64),
+            ("seq", 1.5),
+            ("models", [{"name": "m" * 201}]),
+            ("models", [{"name": "m0", "adapters": ["a1@-2"]}]),
+            ("models", [{"name": "m0", "adapters": ["a1@" + "9" * 30]}]),
+            ("models", [{"name": "m0", "adapters": ["a" * 201]}]),
+            ("incoming", ["m0/a1@" + "9" * 5000]),
+            ("incoming", ["m0/a1@1_0"]),
+        ):
+            odd = json.dumps({**sound, field: value}).encode()
+            self.assertRaises(ExchangeFailed, self.report, odd)
+
 
 class OddAddressTest(testtools.TestCase):
     def test_impossible_address_is_a_failed_connection(self):
