--- a/snipetrestle/checking.py
+++ b/snipetrestle/checking.py
@@ -36,6 +36,10 @@
         seen = set()
         for key_node, _ in node.value:
             key = self.construct_object(key_node, deep=True)
+            if not isinstance(key, str):
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"key {key!r} is no text", key_node.start_mark
+                )
             if key in seen:
                 raise yaml.constructor.ConstructorError(
                     None, None, f"key {key!r} is repeated", key_node.start_mark
@@ -50,7 +54,10 @@
 
 def short_repr(value):
     """Returns the truncated representation of a value for messages."""
-    text = repr(value)
+    try:
+        text = repr(value)
+    except RecursionError:
+        text = f"{type(value).__name__} that is nested too deeply"
     return (
         text
         if len(text) <= MAX_SHORT_REPR_CHARS
@@ -66,10 +73,20 @@
     """
     if isinstance(text, str):
         text = text.encode()
+    data = _parse_yaml_or_json(text)
+    try:
+        msgspec.msgpack.encode(data)
+    except (OverflowError, RecursionError, TypeError) as error:
+        # Such a document could not be passed on to other daemons either.
+        raise InvalidDocument([Problem("", "", f"not plain data: {error}")]) from None
+    return data
+
+
+def _parse_yaml_or_json(text):
     if text.lstrip()[:1] == b"{":
         try:
             return msgspec.json.decode(text)
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, RecursionError):
             # A YAML flow mapping can also start with a brace.
             pass
     try:
--- a/snipetrestle/peers/configuration_changes.py
+++ b/snipetrestle/peers/configuration_changes.py
@@ -16,6 +16,7 @@
     struct_item_type_of,
     struct_type_of,
 )
+from snipetrestle.decoding import decode
 from snipetrestle.published import PublishedConfiguration
 
 ITEM_TYPES_BY_SECTION = {
@@ -99,8 +100,8 @@
 
 def unpack(compressed, body):
     """Decodes what ``pack`` returned. Raises msgspec.DecodeError or zlib.error."""
-    return _revision_content_decoder.decode(
-        zlib.decompress(body) if compressed else body
+    return decode(
+        _revision_content_decoder, zlib.decompress(body) if compressed else body
     )
 
 
--- a/tests/peers/test_configuration_spread.py
+++ b/tests/peers/test_configuration_spread.py
@@ -38,7 +38,7 @@
     """Publishes a document as parts, and then the index that lists them."""
     digests = {}
     for key, data in parts.items():
-        text = encode_document(data)
+        text = data if isinstance(data, bytes) else encode_document(data)
         fleet.configuration.publish(text, key=f"snipetrestle/{key}")
         digests[key] = hashlib.sha256(text).hexdigest()
     return fleet.configuration.publish(encode_document({"parts": digests}))
@@ -291,6 +291,30 @@
             lambda fleet: fleet.configuration.publish("models: ["), "not valid YAML"
         )
 
+    def test_deeply_nested_text(self):
+        """The error ended each daemon that read the service."""
+        nested = b"[" * 100_000 + b"]" * 100_000
+        self.check_refused(
+            lambda fleet: fleet.configuration.publish(b'{"models": %b}' % nested),
+            "not valid YAML",
+        )
+
+    def test_nested_text_that_can_be_read(self):
+        """A message about nested content must not raise in turn."""
+        nested = b"[" * 900 + b"]" * 900
+        self.check_refused(
+            lambda fleet: fleet.configuration.publish(b'{"models": %b}' % nested),
+            "models",
+        )
+
+    def test_number_that_cannot_be_passed_on(self):
+        """Such a revision was in effect at the readers and could not be sent to the
+        other daemons."""
+        models = [{"name": "base", "context_tokens": 10**30}]
+        self.check_refused(
+            lambda fleet: publish(fleet, models=models), "not plain data"
+        )
+
     def test_unknown_field(self):
         """Comparing items ignores an unknown field; the daemon must refuse it."""
         self.check_refused(lambda fleet: publish(fleet, colour="red"), "unknown field")
@@ -366,6 +390,20 @@
 
         run_fleet(check)
 
+    def test_part_with_a_key_that_is_no_text_is_refused(self):
+        """Parts with such a key could not be put together, and the error ended each
+        daemon that read the service."""
+
+        async def check(fleet):
+            publish_parts(fleet, self.parts(4))
+            fleet.start_all()
+            await self.wait_for_revisions(fleet, 1)
+            publish_parts(fleet, {**self.parts(4), "models": b"{models: [], null: 1}"})
+            await self.wait_for_revisions(fleet, 1, seen=2)
+            self.assertIn("is no text", str(self.events_of("EV-1102")[0]))
+
+        run_fleet(check)
+
     def test_part_that_does_not_match_its_digest_is_not_used(self):
         """Guards against a mixture of the parts of two revisions."""
 
