--- a/snipetrestle/engines/http_client.py
+++ b/snipetrestle/engines/http_client.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from snipetrestle import decoding
 from snipetrestle.engines.connections import (
     CONNECT_ERRORS,
     NETWORK_ERRORS,
@@ -268,7 +269,7 @@
             for event in events:
                 if event.startswith(_EVENT_START):
                     self._handle_event(
-                        _event_decoder.decode(event[len(_EVENT_START) :])
+                        decoding.decode(_event_decoder, event[len(_EVENT_START) :])
                     )
             if len(buffer) > MAX_EVENT_BYTES:
                 raise EngineError("an event of the engine is too large")
@@ -427,14 +428,14 @@
 
 def _decode(decoder, body):
     try:
-        return decoder.decode(body)
+        return decoding.decode(decoder, body)
     except msgspec.DecodeError as error:
         raise EngineError(f"the engine sent a malformed answer: {error}") from None
 
 
 def _refusal(status, body):
     try:
-        return _refusal_decoder.decode(body).to_error()
+        return decoding.decode(_refusal_decoder, body).to_error()
     except msgspec.DecodeError:
         return EngineError(f"HTTP status {status}")
 
--- a/snipetrestle/peers/messages.py
+++ b/snipetrestle/peers/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from snipetrestle import decoding
 from snipetrestle.codes import Outcome, ResultCode, ServingError, codes_by_number
 
 _types_by_name = {}
@@ -35,7 +36,7 @@
 
 def decode(type_name, body):
     """Returns the message. Raises KeyError or msgspec.DecodeError."""
-    return _types_by_name[type_name].decode(body)
+    return decoding.decode(_types_by_name[type_name], body)
 
 
 @register_message
--- a/snipetrestle/publication/http_sources.py
+++ b/snipetrestle/publication/http_sources.py
@@ -15,6 +15,7 @@
 import httpcore
 import msgspec
 
+from snipetrestle.decoding import decode
 from snipetrestle.http_bodies import read_body
 from snipetrestle.publication.sources import (
     HostList,
@@ -124,7 +125,7 @@
         if response.status == 304:
             return None
         try:
-            return _host_list_decoder.decode(_decompressed_content(response))
+            return decode(_host_list_decoder, _decompressed_content(response))
         except (msgspec.DecodeError, zlib.error) as error:
             raise SourceUnreachable(f"host list is malformed: {error}") from None
 
--- a/tests/engines/test_bad_engines.py
+++ b/tests/engines/test_bad_engines.py
@@ -86,6 +86,30 @@
 
         self.run_with_engine(check, event)
 
+    def test_deeply_nested_answers_are_malformed(self):
+        """The error is one that no task expects, which ends a daemon."""
+        nested = b'{"new": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        refusal = ok(nested).replace(b"200 OK", b"409 Conflict")
+
+        async def check(server, client):
+            for call in (client.status, client.status, lambda: client.load(LOAD)):
+                with testtools.ExpectedException(EngineError):
+                    await call()
+
+        self.run_with_engine(check, ok(nested), refusal)
+
+    def test_deeply_nested_event_fails_the_channel(self):
+        """Its streams must end with the error, and not at their time-out."""
+        event = b'data: {"new": ' + b"[" * 100_000 + b"]" * 100_000 + b"}\n\n"
+
+        async def check(server, client):
+            with anyio.fail_after(MAX_CALL_S), testtools.ExpectedException(EngineError):
+                async with client.generate(GENERATE) as batches:
+                    async for _ in batches:
+                        pass
+
+        self.run_with_engine(check, ok(event))
+
     def test_late_second_copy_does_not_answer_the_next_order(self):
         """The second copy of an answer came after the next order was sent on the same
         connection: a refused load was taken for done."""
--- a/tests/peers/test_grpc_transport.py
+++ b/tests/peers/test_grpc_transport.py
@@ -21,6 +21,7 @@
 from tests.waiting import wait_until
 
 TIMEOUT_S = 5.0
+DEEP = b"\x81\xa3new" + b"\x91" * 100_000 + b"\xc0"
 
 
 @register_message
@@ -104,6 +105,7 @@
             peer_pb2.Envelope(type="Unknown", body=b"", sender="b"),
             peer_pb2.Envelope(type="Echo", body=b"\xff", sender="b"),
             peer_pb2.Envelope(type="Echo", body=msgspec.msgpack.encode({}), sender="b"),
+            peer_pb2.Envelope(type="Echo", body=DEEP, sender="b"),
             peer_pb2.Envelope(
                 type="Refusal",
                 body=msgspec.msgpack.encode({"number": 1, "outcome": "absurd"}),
@@ -131,6 +133,18 @@
 
         anyio.run(main)
 
+    def test_deeply_nested_message_is_refused(self):
+        """The handler of the call raised an error that nothing expects."""
+
+        async def check(client, peer, addresses):
+            envelope = peer_pb2.Envelope(type="Echo", body=DEEP, sender="a")
+            async with client._connected("b", TIMEOUT_S) as stub:
+                reply = await stub.Call(envelope, timeout=TIMEOUT_S)
+            self.assertEqual("Refusal", reply.type)
+            self.assertEqual([], peer.received)
+
+        self.run_pair(check)
+
     def test_calls_streams_and_refusals(self):
         """A refusal must not look to the caller like an unreachable peer."""
 
--- a/tests/publication/test_http_sources.py
+++ b/tests/publication/test_http_sources.py
@@ -183,6 +183,19 @@
         for name, answer in ENDLESS_ANSWERS.items():
             anyio.run(main, name, answer)
 
+    def test_deeply_nested_host_list_counts_as_an_outage(self):
+        """The error is one that no task expects, which ends a daemon."""
+        nested = b'{"new": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+
+        async def main():
+            async with raw_server(ok(nested)) as server:
+                source = HttpHostListSource(f"http://{server.address}")
+                with testtools.ExpectedException(SourceUnreachable):
+                    await source.read()
+                await source.aclose()
+
+        anyio.run(main)
+
     def test_late_second_copy_does_not_answer_the_next_read(self):
         """One part of the configuration was taken for another one."""
 
