--- a/snipetrestle/publication/http_sources.py
+++ b/snipetrestle/publication/http_sources.py
@@ -7,6 +7,7 @@
 its current revision.
 """
 
+import re
 import typing
 import urllib.parse
 import zlib
@@ -36,6 +37,8 @@
 _ACCEPT_GZIP = (b"Accept-Encoding", b"gzip")
 
 _host_list_decoder = msgspec.json.Decoder(HostList)
+# Revisions are sent in messages, whose integers have 64 bits.
+_REVISION = re.compile(rb"[0-9]{1,18}")
 
 
 class _Answer(typing.NamedTuple):
@@ -155,8 +158,6 @@
     """Returns the revision in the ETag header; None if there is none."""
     for name, value in response.headers:
         if name.lower() == b"etag":
-            try:
-                return int(value.strip(b'"'))
-            except ValueError:
-                return None
+            digits = value.strip(b'"')
+            return int(digits) if _REVISION.fullmatch(digits) else None
     return None
--- a/tests/publication/test_http_sources.py
+++ b/tests/publication/test_http_sources.py
@@ -183,6 +183,20 @@
         for name, answer in ENDLESS_ANSWERS.items():
             anyio.run(main, name, answer)
 
+    def test_revision_out_of_bounds_is_none(self):
+        """Pings carry the revision, and could not be encoded with such a one."""
+
+        async def main(tag):
+            answer = ok(b"one", b'ETag: "%b"' % tag)
+            async with raw_server(answer) as server:
+                source = HttpConfigurationSource(f"http://{server.address}")
+                with testtools.ExpectedException(SourceUnreachable):
+                    await source.read()
+                await source.aclose()
+
+        for tag in (b"9" * 30, b"9" * 5000, b"-1", b"1_0", b"+1", b"1.5", b""):
+            anyio.run(main, tag)
+
     def test_deeply_nested_host_list_counts_as_an_outage(self):
         """The error is one that no task expects, which ends a daemon."""
         nested = b'{"new": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
