--- a/snipetrestle/publication/http_sources.py
+++ b/snipetrestle/publication/http_sources.py
@@ -17,10 +17,13 @@
 import msgspec
 
 from snipetrestle.decoding import decode
+from snipetrestle.events import Event, log_event
 from snipetrestle.http_bodies import read_body
 from snipetrestle.publication.sources import (
+    Host,
     HostList,
     Reading,
+    Revision,
     SourceUnreachable,
     Unchanged,
 )
@@ -36,7 +39,16 @@
 MAX_CONTENT_BYTES = 16 * 1024 * 1024
 _ACCEPT_GZIP = (b"Accept-Encoding", b"gzip")
 
-_host_list_decoder = msgspec.json.Decoder(HostList)
+
+class _RawHostList(msgspec.Struct):
+    """The host list before its hosts are decoded, each by itself."""
+
+    revision: Revision
+    hosts: tuple[msgspec.Raw, ...]
+
+
+_host_list_decoder = msgspec.json.Decoder(_RawHostList)
+_host_decoder = msgspec.json.Decoder(Host)
 # Revisions are sent in messages, whose integers have 64 bits.
 _REVISION = re.compile(rb"[0-9]{1,18}")
 
@@ -128,7 +140,7 @@
         if response.status == 304:
             return None
         try:
-            return decode(_host_list_decoder, _decompressed_content(response))
+            return _host_list_of(_decompressed_content(response))
         except (msgspec.DecodeError, zlib.error) as error:
             raise SourceUnreachable(f"host list is malformed: {error}") from None
 
@@ -146,6 +158,23 @@
     return content
 
 
+def _host_list_of(content):
+    """Returns the HostList without odd hosts, which are logged.
+
+    Raises msgspec.DecodeError, also if no host can be read.
+    """
+    host_list = decode(_host_list_decoder, content)
+    hosts = []
+    for raw in host_list.hosts:
+        try:
+            hosts.append(decode(_host_decoder, raw))
+        except msgspec.DecodeError as error:
+            log_event(Event.ENTRY_UNREADABLE, key="hosts", error=str(error))
+    if host_list.hosts and not hosts:
+        raise msgspec.DecodeError("no host can be read")
+    return HostList(host_list.revision, tuple(hosts))
+
+
 def _reading_of(response):
     """Returns the Reading in a response. Raises SourceUnreachable if malformed."""
     revision = _revision_of(response)
--- a/snipetrestle/publication/sources.py
+++ b/snipetrestle/publication/sources.py
@@ -5,6 +5,11 @@
 
 import msgspec
 
+Name = typing.Annotated[str, msgspec.Meta(max_length=1000)]
+Size = typing.Annotated[float, msgspec.Meta(ge=0, le=1e6)]
+# Revisions are sent in messages, whose integers have 64 bits.
+Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+
 
 class HostState(enum.StrEnum):
     """State of a host as the platform's list shows it."""
@@ -20,11 +25,11 @@
     ``size`` is the relative processor capacity.
     """
 
-    name: str
-    address: str
-    failure_domain: str
-    region: str = ""
-    size: float = 1.0
+    name: Name
+    address: Name
+    failure_domain: Name
+    region: Name = ""
+    size: Size = 1.0
     role: str = "daemon"
     state: HostState = HostState.LIVE
 
@@ -32,7 +37,7 @@
 class HostList(msgspec.Struct, frozen=True):
     """The host list at one revision. Revisions increase with each change."""
 
-    revision: int
+    revision: Revision
     hosts: tuple[Host, ...]
 
 
--- a/tests/publication/test_http_sources.py
+++ b/tests/publication/test_http_sources.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import anyio
+import msgspec
 import testtools
 import uvicorn
 
@@ -197,6 +198,42 @@
         for tag in (b"9" * 30, b"9" * 5000, b"-1", b"1_0", b"+1", b"1.5", b""):
             anyio.run(main, tag)
 
+    def read_hosts(self, hosts, revision=3):
+        content = msgspec.json.encode({"revision": revision, "hosts": hosts})
+
+        async def main():
+            async with raw_server(ok(content)) as server:
+                source = HttpHostListSource(f"http://{server.address}")
+                try:
+                    return await source.read()
+                finally:
+                    await source.aclose()
+
+        return anyio.run(main)
+
+    def test_odd_host_does_not_hide_the_others(self):
+        """The whole list was unreadable, so that no host that came or went was seen."""
+        sound = msgspec.to_builtins(HOST)
+        for odd in (
+            7,
+            {},
+            {**sound, "name": None},
+            {**sound, "state": "starting"},
+            {**sound, "address": ["127.0.0.1", 8100]},
+            {**sound, "size": -1},
+            {**sound, "size": 1e300},
+            {**sound, "name": "n" * 2000},
+        ):
+            hosts = self.read_hosts([odd, sound])
+            self.assertEqual((3, (HOST,)), (hosts.revision, hosts.hosts), odd)
+        self.assertEqual((HOST,), self.read_hosts([{**sound, "new": {}}]).hosts)
+
+    def test_host_list_without_any_sound_host_is_an_outage(self):
+        """It would remove all hosts from the list."""
+        self.assertRaises(SourceUnreachable, self.read_hosts, [7])
+        self.assertEqual((), self.read_hosts([]).hosts)
+        self.assertRaises(SourceUnreachable, self.read_hosts, [], 2**63)
+
     def test_deeply_nested_host_list_counts_as_an_outage(self):
         """The error is one that no task expects, which ends a daemon."""
         nested = b'{"new": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
