--- a/snipetrestle/published.py
+++ b/snipetrestle/published.py
@@ -5,18 +5,22 @@
 """
 
 import fnmatch
+import typing
 from collections import Counter
 
 import msgspec
 
 from snipetrestle.checking import InvalidDocument, Problem, check_struct, parse_document
 
+# A bound also refuses NaN, which passes comparisons in Python.
+Number = typing.Annotated[float, msgspec.Meta(ge=-1e15, le=1e15)]
+
 
 class PolicyWeights(msgspec.Struct, frozen=True):
     """Relative weights of the two optimization goals; they need not sum to one."""
 
-    load_stalls: float = 1.0
-    batch_efficiency: float = 1.0
+    load_stalls: Number = 1.0
+    batch_efficiency: Number = 1.0
 
 
 class Model(msgspec.Struct, frozen=True):
@@ -38,7 +42,7 @@
     """Limit of a customer's queued batch requests and default time to finish them."""
 
     max_queued_requests: int = 10_000
-    finish_within_s: float = 28_800.0
+    finish_within_s: Number = 28_800.0
 
 
 class Operation(msgspec.Struct, frozen=True):
@@ -52,7 +56,7 @@
     name: str
     idempotent: bool
     lookup: str | None = None
-    timeout_s: float = 10.0
+    timeout_s: Number = 10.0
 
 
 class Contract(msgspec.Struct, frozen=True):
@@ -63,13 +67,13 @@
     class. ``retry_ratio`` limits retries to a fraction of first attempts.
     """
 
-    requests_per_second: float
+    requests_per_second: Number
     concurrency: int
     tokens_per_minute: int
-    waiting_first_token_s: float
-    weight: float = 1.0
-    burst_s: float = 2.0
-    retry_ratio: float = 0.2
+    waiting_first_token_s: Number
+    weight: Number = 1.0
+    burst_s: Number = 2.0
+    retry_ratio: Number = 0.2
     batch: BatchAllowance = BatchAllowance()
     operations: tuple[Operation, ...] = ()
 
@@ -111,7 +115,7 @@
     region: str
     model: str | None = None
     service: str | None = None
-    speed: float = 1.0
+    speed: Number = 1.0
     adapter_slots: int = 0
     max_batch: int = 0
     checks_fencing_numbers: bool = False
@@ -126,9 +130,9 @@
     """
 
     name: str
-    loads_per_second: float
+    loads_per_second: Number
     parallel_loads: int
-    load_s: float = 0.25
+    load_s: Number = 0.25
     full_speed_in_flight: int = 8
 
 
@@ -160,7 +164,7 @@
     epoch: int = 1
     start: str = "new"
     keepers_per_key: int = 5
-    result_retention_s: float = 86_400.0
+    result_retention_s: Number = 86_400.0
     max_records: int = 200_000
     max_result_bytes: int = 16_777_216
     previous: PreviousKeepers | None = None
--- a/tests/test_published.py
+++ b/tests/test_published.py
@@ -33,6 +33,27 @@
         self.assertIn("not valid YAML", self.problems_of("models: [")[""])
         self.assertIn("is repeated", self.problems_of("models: []\nmodels: []\n")[""])
 
+    def test_numbers_that_are_not_finite_are_refused(self):
+        """NaN passes each comparison with a bound, and a rate or a target of NaN or
+        infinity stops what is computed from it."""
+        contract = (
+            "{requests_per_second: 1, concurrency: 1, tokens_per_minute: 1,"
+            " waiting_first_token_s: 1, %s}"
+        )
+        document = (
+            "{models: [], adapters: [], backend_servers: [], daemons: [],"
+            " customers: [{name: c, api_key_sha256: [], contract: %s}],"
+            " policy: {load_stalls: %s}}"
+        )
+        PublishedConfiguration.parse(document % (contract % "weight: 1", "1.0"))
+        for value in (".nan", ".inf", "-.inf", "1.0e400"):
+            problems = self.problems_of(
+                document % (contract % f"weight: {value}", "1.0")
+            )
+            self.assertEqual(["customers[0].contract.weight"], list(problems), value)
+            problems = self.problems_of(document % (contract % "weight: 1", value))
+            self.assertEqual(["policy.load_stalls"], list(problems), value)
+
     def test_valid_document_has_lookup_dictionaries(self):
         """A valid document must not be refused by the check."""
         configuration = PublishedConfiguration.parse(
