--- a/snipetrestle/coordination/shared_loads.py
+++ b/snipetrestle/coordination/shared_loads.py
@@ -8,6 +8,7 @@
 import collections
 
 from snipetrestle.coordination.messages import ReplicaLoad
+from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 
 _MICROSECONDS = 1_000_000
 # Among many hosts, a leader's heartbeat contains only replicas that run at least this
@@ -94,6 +95,11 @@
         return 0 if total is None else total.mean_interval_us
 
 
+def _is_sendable(key):
+    """Whether hosts may be told of an adapter, whose name is that of a request."""
+    return max(len(key.model), len(key.adapter)) <= MAX_NAME_LENGTH
+
+
 class SharedReplicaLoads:
     """Sums the loads at the leader, and takes the sums from the leader's messages."""
 
@@ -111,7 +117,7 @@
             replica.id: ReplicaLoad(
                 replica.in_flight,
                 int((replica.own_event_interval_s or 0) * _MICROSECONDS),
-                tuple(replica.in_flight_by_adapter),
+                tuple(filter(_is_sendable, replica.in_flight_by_adapter)),
             )
             for replica in self._replicas.by_id.values()
             if replica.in_flight
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -8,6 +8,7 @@
 from snipetrestle.coordination.hosts import REACHABLE_TIMEOUT_S
 from snipetrestle.gateway import app, supervision
 from snipetrestle_standins.gateway_fleet import configuration
+from snipetrestle_standins.platform_replica import Fault, PlatformReplica
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
 
@@ -44,6 +45,38 @@
         self.assertEqual([], self.unexpected)
 
 
+class OddModelNameTest(OddItemTestCase):
+    def test_long_model_names_of_callers_do_not_stop_heartbeats(self):
+        """Heartbeats named the models of the requests in progress, and were too long
+        for a datagram."""
+
+        # Replicas of this service do not look at the model.
+        self.patch(PlatformReplica, "_holds", lambda replica, request: True)
+
+        async def send(fleet, gateway, name):
+            headers = [("X-Model", name * 15_000)]
+            await fleet.send_request("/entry/a", gateway, headers=headers)
+
+        async def check(fleet):
+            for replica in fleet.registers:
+                replica.faults += [Fault.NO_RESPONSE] * 10
+            terms = [gateway.leadership.term for gateway in fleet.live]
+            (follower,) = set(fleet.live) - set(fleet.leaders())
+            async with anyio.create_task_group() as group:
+                for name in "abcdefgh":
+                    group.start_soon(send, fleet, follower, name)
+                await anyio.sleep(REACHABLE_TIMEOUT_S + 0.4)
+                in_flight = [
+                    replica.in_flight for replica in follower.replicas.by_id.values()
+                ]
+                self.assertEqual(8, sum(in_flight))
+                group.cancel_scope.cancel()
+            self.assertEqual(terms, [gateway.leadership.term for gateway in fleet.live])
+            self.assertEqual([], self.unexpected)
+
+        run_fleet(check, gateways=2)
+
+
 class OddVersionTest(OddItemTestCase):
     def test_huge_versions_do_not_stop_heartbeats(self):
         """Their sum was more than a heartbeat can hold, so that none was sent."""
