--- a/snipetrestle/coordination/shared_request_limits.py
+++ b/snipetrestle/coordination/shared_request_limits.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from snipetrestle.coordination.messages import RequestLimitReport
+from snipetrestle.coordination.messages import MAX_RATE_PER_S, RequestLimitReport
 
 # That a replica named no limit is reported for this long.
 REPORT_TIME_S = 3.0
@@ -35,7 +35,9 @@
         ]
         reported.sort(key=lambda limit: limit.noted_at, reverse=True)
         return {
-            limit.replica_id: RequestLimitReport(limit.per_s, now - limit.noted_at)
+            limit.replica_id: RequestLimitReport(
+                limit.per_s and min(limit.per_s, MAX_RATE_PER_S), now - limit.noted_at
+            )
             for limit in reported[:MAX_REPORTED_LIMITS]
         }
 
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -77,6 +77,22 @@
         run_fleet(check, gateways=2)
 
 
+class OddRequestLimitTest(OddItemTestCase):
+    def test_huge_request_limits_do_not_stop_heartbeats(self):
+        """Heartbeats name the limits of replicas, and no host could read such a one."""
+
+        async def check(fleet):
+            for replica in fleet.registers:
+                replica.request_limit = 1e300
+            for gateway in fleet.live:
+                answer = await fleet.send_request("/entry/a", gateway)
+                self.assertEqual(200, answer.status)
+            await anyio.sleep(REACHABLE_TIMEOUT_S + 0.4)
+            await self.assert_followed(fleet, 7)
+
+        run_fleet(check, gateways=2)
+
+
 class OddVersionTest(OddItemTestCase):
     def test_huge_versions_do_not_stop_heartbeats(self):
         """Their sum was more than a heartbeat can hold, so that none was sent."""
