--- a/snipetrestle/gateway/published_state.py
+++ b/snipetrestle/gateway/published_state.py
@@ -286,7 +286,7 @@
         elif isinstance(decoded, Unlisted):
             if decoded.reason:
                 self._log_unreadable(item, decoded.reason)
-            self._entries.unlist(decoded.replica_id)
+            self._entries.unlist(decoded.replica_id, at_once=bool(decoded.reason))
 
     def _log_unreadable(self, item, reason):
         log_event(
--- a/snipetrestle/gateway/replica_entries.py
+++ b/snipetrestle/gateway/replica_entries.py
@@ -102,8 +102,11 @@
         known = self._replicas.by_id.get(entry.id)
         return known is not None and report < Report.of(known.entry)
 
-    def unlist(self, replica_id):
-        """Removes a replica, but not before the grace time after the store's return."""
+    def unlist(self, replica_id, at_once=False):
+        """Removes a replica, but not before the grace time after the store's return.
+
+        ``at_once`` removes it at any time: its entry did not expire, but is unusable.
+        """
         replica = self._replicas.by_id.get(replica_id)
         if replica is None:
             return
@@ -114,7 +117,7 @@
         self._departures_by_id.pop(replica_id, None)
         self._departures_by_id[replica_id] = departure
         delay_s = self._store_returned_at + STORE_RETURN_GRACE_S - now
-        if delay_s <= 0:
+        if at_once or delay_s <= 0:
             self._replicas.unlist(replica_id)
             return
         asyncio.get_running_loop().call_later(
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -13,6 +13,9 @@
 from tests.waiting import wait_until
 
 APPLY_TIME_S = 2.0
+# Less than the time for which hosts keep a replica that is missing in a store that has
+# come back.
+ODD_ENTRY_TIME_S = 0.5
 
 
 class OddItemTestCase(testtools.TestCase):
@@ -77,6 +80,108 @@
         run_fleet(check, gateways=2)
 
 
+def deep(content):
+    """Returns a document with a field that is nested too deeply."""
+    nested = b"[" * 100_000 + b"]" * 100_000
+    return json.dumps(content).encode()[:-1] + b', "new": ' + nested + b"}"
+
+
+class OddEntriesTest(OddItemTestCase):
+    def odd_items(self, fleet):
+        """Returns odd contents by key: entries, versions, configurations, others."""
+        entry = fleet.registers[0].entry()
+        odd_entries = [
+            deep(entry),
+            {**entry, "address": "127.0.0.1:70000"},
+            {**entry, "address": "nowhere.example:80"},
+            {**entry, "born": 10**30},
+            {**entry, "slots": -1},
+            {**entry, "state": "asleep"},
+            {**entry, "backend": "b" * 300},
+            {**entry, "models": [{"name": "m0", "adapters": ["a1@-1"]}]},
+            b"\xff\xfe",
+            b"",
+        ]
+        version = {"model": "m0", "adapter": "a1", "version": 3}
+        odd_versions = [deep(version), {**version, "version": 10**30}, b"7"]
+        items = {f"servers/odd-{n}": each for n, each in enumerate(odd_entries)}
+        items.update(
+            (f"op/version/odd-{n}", each) for n, each in enumerate(odd_versions)
+        )
+        items["servers/"] = entry
+        items["servers/odd\r\nEvil: 1"] = entry
+        items["servers/" + "i" * 300] = entry
+        items["op/news"] = deep({})
+        items["new" * 30] = b"\xff"
+        return {
+            key: each if isinstance(each, bytes) else json.dumps(each).encode()
+            for key, each in items.items()
+        }
+
+    def odd_configurations(self):
+        sound = configuration(90)
+        weights = [{"backend": "models", "weight": 0}] * 2
+        for fields in ({"split": weights}, {"timeout_ms": 0}, {"attempts": -1}):
+            routes = [{**each, **fields} for each in sound["routes"]]
+            yield json.dumps({**sound, "routes": routes}).encode()
+        yield json.dumps({**sound, "version": 10**30}).encode()
+        yield deep(sound)
+
+    def test_odd_items_among_sound_ones(self):
+        """Hosts that read an odd item ended tasks, or no longer followed changes."""
+
+        async def send_requests(fleet, answers):
+            while True:
+                for gateway in fleet.live:
+                    for path, adapter in (("/entry/a", None), ("/draft/a", "a1")):
+                        answer = await fleet.send_request(
+                            path, gateway, adapter=adapter
+                        )
+                        answers.append((answer.status, answer.complete))
+                await anyio.sleep(0.02)
+
+        async def check(fleet):
+            answers = []
+            async with anyio.create_task_group() as group:
+                group.start_soon(send_requests, fleet, answers)
+                for key, content in self.odd_items(fleet).items():
+                    fleet.store.put(key, content)
+                for content in self.odd_configurations():
+                    fleet.store.put("op/config", content)
+                    await anyio.sleep(0.05)
+                await anyio.sleep(REACHABLE_TIMEOUT_S + 0.4)
+                await self.assert_followed(fleet, 7)
+                group.cancel_scope.cancel()
+            # A host that starts now reads the odd items with all the others.
+            await fleet.kill(fleet.live[1])
+            fleet.start_gateway(1)
+            await fleet.wait_ready()
+            await self.assert_followed(fleet, 8)
+            sound_ids = {replica.id for replica in fleet.replicas}
+            for gateway in fleet.live:
+                self.assertEqual(sound_ids, gateway.replicas.by_id.keys())
+            self.assertEqual({(200, True)}, set(answers))
+
+        run_fleet(check, gateways=3)
+
+    def test_sound_replica_is_unlisted_by_an_odd_entry(self):
+        """The replica would be used by what it said before, whatever it says now."""
+
+        async def check(fleet):
+            (first, second), replicas = fleet.registers, fleet.live[0].replicas
+            for content in (deep(first.entry()), b"\xff", b"{}"):
+                fleet.store.put(f"servers/{first.id}", content)
+                with anyio.fail_after(ODD_ENTRY_TIME_S):
+                    await wait_until(lambda: first.id not in replicas.by_id)
+                ready = replicas.ready_replicas("register")
+                self.assertEqual([second.id], [replica.id for replica in ready])
+                fleet.publish(first)
+                await wait_until(lambda: first.id in replicas.by_id)
+            self.assertEqual([], self.unexpected)
+
+        run_fleet(check)
+
+
 class OddRequestLimitTest(OddItemTestCase):
     def test_huge_request_limits_do_not_stop_heartbeats(self):
         """Heartbeats name the limits of replicas, and no host could read such a one."""
