--- a/snipetrestle/gateway/published_state.py
+++ b/snipetrestle/gateway/published_state.py
@@ -246,9 +246,22 @@
     def _accept_document(self, item):
         for state in self.feeds.values():
             if item.key.startswith(state.feed.prefix):
-                self.documents.accept_if_newer(item, state.feed.decode(item))
+                self._accept_if_document(state, item)
         self._set_ready_if_loaded()
 
+    def _accept_if_document(self, state, item):
+        """Accepts an item that another host takes for a document, if it is a newer one.
+
+        The other host may run a release that decodes items otherwise.
+        """
+        try:
+            decoded = state.feed.decode(item)
+        except ValueError as error:
+            self._log_unreadable(item, str(error))
+            return
+        if isinstance(decoded, (RoutingConfiguration, AdapterVersion)):
+            self.documents.accept_if_newer(item, decoded)
+
     def _apply_items(self, state, items, from_copy=False):
         changed = False
         for item in items:
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -7,6 +7,7 @@
 
 from snipetrestle.coordination.hosts import REACHABLE_TIMEOUT_S
 from snipetrestle.gateway import app, supervision
+from snipetrestle.gateway.published_items import PublishedItem
 from snipetrestle_standins.gateway_fleet import configuration
 from snipetrestle_standins.platform_replica import Fault, PlatformReplica
 from tests.gateway.running import run_fleet
@@ -182,6 +183,35 @@
         run_fleet(check)
 
 
+class OddDocumentsOfHostsTest(OddItemTestCase):
+    def test_odd_documents_of_another_host_are_left_out(self):
+        """An item that is no document here was logged as an internal error."""
+
+        async def check(fleet):
+            state = fleet.live[0].state
+            entry = json.dumps(fleet.registers[0].entry()).encode()
+            contents = {
+                "servers/i-1": entry,
+                "servers/i-2": b"{}",
+                "op/news": b"{}",
+                "op/config": b"{}",
+                "op/version/m0.a1": deep({}),
+                "op/version/m0.a2": json.dumps(
+                    {"model": "m0", "adapter": "a2", "version": 5}
+                ).encode(),
+            }
+            state.accept_documents(
+                [PublishedItem(key, 9, value) for key, value in contents.items()]
+                + [PublishedItem("op/config", 9, None)]
+            )
+            versions = {key.adapter: n for key, n in state.versions_by_adapter.items()}
+            self.assertEqual({"a2": 5}, versions)
+            self.assertNotIn("i-1", state.replicas.by_id)
+            await self.assert_followed(fleet, 7)
+
+        run_fleet(check)
+
+
 class OddRequestLimitTest(OddItemTestCase):
     def test_huge_request_limits_do_not_stop_heartbeats(self):
         """Heartbeats name the limits of replicas, and no host could read such a one."""
