--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -23,6 +23,9 @@
 
 # The id of a replica and its start time.
 ProcessId = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH + 20)]
+# A datagram to an address with a zero byte would close the socket.
+HOST_PATTERN = r"\A[0-9A-Za-z.:_-]{0,200}\Z"
+Host = typing.Annotated[str, msgspec.Meta(pattern=HOST_PATTERN)]
 Token = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKEN)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31)]
 # -1 stands for "never".
@@ -44,7 +47,7 @@
 
     name: Name
     boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
-    ip: Name
+    ip: Host
     port: typing.Annotated[int, msgspec.Meta(ge=0, le=65_535)]
     failure_domain: Name
     size: typing.Annotated[float, msgspec.Meta(ge=0, le=1e6)]
--- a/snipetrestle/platform/settings.py
+++ b/snipetrestle/platform/settings.py
@@ -6,13 +6,19 @@
 
 import os
 import pathlib
+import re
 
+from snipetrestle.coordination.messages import HOST_PATTERN
+from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 from snipetrestle.gateway.settings import GatewaySettings, RetryBudgetSettings
+from snipetrestle.platform.values import MAX_PORT
 
 # The store removes the entry of a replica after so many heartbeats of silence.
 MISSED_HEARTBEATS = 3
 DEFAULT_HEARTBEAT_S = 2.0
 SETTINGS_VARIABLE = "SNIPETRESTLE_CONFIG"
+# Of times in ms, counts and ratios.
+MAX_NUMBER = 1e12
 
 
 class InvalidSettings(ValueError):
@@ -70,17 +76,18 @@
     """Returns GatewaySettings from the text of the file. Raises InvalidSettings."""
     fields = _Fields(text)
     read = fields.read
-    ip = read("ip", str)
+    ip = read("ip", _host)
     peer_port = read("port_range", _first_port)
-    cpu_share, cores = read("limits.cpu_share", float), read("limits.cores", float)
+    cpu_share = read("limits.cpu_share", _number)
+    cores = read("limits.cores", _number)
     budget = RetryBudgetSettings(
-        ratio=read("bounds.retry_budget_ratio", float),
-        slack=read("bounds.budget_slack", float),
-        window_s=read("bounds.budget_window_s", float),
+        ratio=read("bounds.retry_budget_ratio", _number),
+        slack=read("bounds.budget_slack", _number),
+        window_s=read("bounds.budget_window_s", _number),
     )
     settings = GatewaySettings(
-        name=read("node", str),
-        failure_domain=read("zone", str),
+        name=read("node", _name),
+        failure_domain=read("zone", _name),
         size=(cpu_share or 0.0) * (cores or 0.0),
         callers=read("listen.front", _address),
         readiness=read("listen.ready", _address),
@@ -90,10 +97,10 @@
         # the ports of the seeds are ignored.
         seeds=tuple((ip, peer_port) for ip, _ in read("seeds", _addresses) or ()),
         store=read("provider.address", _address),
-        lease_s=read("bounds.lease_ms", _seconds),
+        lease_s=read("bounds.lease_ms", _positive_seconds),
         replica_drain_s=read("bounds.drain_ms", _seconds),
         configuration_apply_s=read("bounds.config_apply_ms", _seconds),
-        shutdown_grace_s=read("bounds.grace_s", float),
+        shutdown_grace_s=read("bounds.grace_s", _number),
         entry_expiry_s=MISSED_HEARTBEATS
         * fields.read_optional("heartbeat_ms", _seconds, DEFAULT_HEARTBEAT_S),
         retry_budget=budget,
@@ -103,19 +110,53 @@
     return settings
 
 
+def _number(text):
+    number = float(text)
+    # NaN is not within bounds either.
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError(f"must be from 0 to {MAX_NUMBER:g}")
+    return number
+
+
 def _seconds(milliseconds):
-    return float(milliseconds) / 1000
+    return _number(milliseconds) / 1000
+
+
+def _positive_seconds(milliseconds):
+    seconds = _seconds(milliseconds)
+    if not seconds:
+        raise ValueError("must be above 0")
+    return seconds
+
+
+def _name(text):
+    if not 1 <= len(text) <= MAX_NAME_LENGTH:
+        raise ValueError(f"must have from 1 to {MAX_NAME_LENGTH} characters")
+    return text
+
+
+def _host(text):
+    if not text or not re.search(HOST_PATTERN, text):
+        raise ValueError("must be an IP address")
+    return text
+
+
+def _port(text):
+    port = int(text)
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(f"the port must be from 1 to {MAX_PORT}")
+    return port
 
 
 def _first_port(port_range):
-    return int(port_range.split(",")[0])
+    return _port(port_range.split(",")[0])
 
 
 def _address(text):
     ip, colon, port = text.rpartition(":")
     if not colon:
         raise ValueError("must be IP:PORT")
-    return ip, int(port)
+    return _host(ip), _port(port)
 
 
 def _addresses(text):
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -217,6 +217,20 @@
         endpoint.datagram_received(b"\x93\xa4Join" + info + b"\xc0", ("", 9))
         self.assertEqual(1, len(received))
 
+    def test_host_with_an_impossible_address_is_ignored(self):
+        """A datagram to it closed the socket, and no later one was sent."""
+        received = []
+        endpoint = DatagramEndpoint()
+        endpoint.register(messages.Join, lambda *message: received.append(message))
+        for ip in ("10.0.0.1\0", "\0", "a b", "\u00e9", "a" * 300):
+            info = msgspec.structs.replace(INFO, ip=ip)
+            endpoint.datagram_received(messages.encode(messages.Join(info)), ("", 9))
+        self.assertEqual([], received)
+        for ip in ("10.0.0.1", "fd00::1", "localhost"):
+            info = msgspec.structs.replace(INFO, ip=ip)
+            endpoint.datagram_received(messages.encode(messages.Join(info)), ("", 9))
+        self.assertEqual(3, len(received))
+
     def fetch(self, content):
         """Returns what a host makes of a snapshot that another one sends."""
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -69,6 +69,53 @@
         named = [problem.partition(":")[0] for problem in error.problems]
         self.assertEqual({"node", "bounds.lease_ms", "listen.front"}, set(named))
 
+    def test_values_that_cannot_be_acted_on_are_refused(self):
+        """A reload with a port out of range closed the socket for datagrams between
+        hosts for ever, and other values passed each comparison with a bound."""
+        for change, name in (
+            (("port_range=7380", "port_range=73800"), "port_range"),
+            (("port_range=7380", "port_range=0"), "port_range"),
+            (("seeds=10.0.0.1", "seeds=10.0.0.1\0"), "seeds"),
+            (("seeds=10.0.0.1", "seeds=10.0.0.1 "), "seeds"),
+            (("seeds=10.0.0.1:8144", "seeds=10.0.0.1:81440"), "seeds"),
+            (("front=10.0.0.1:8149", "front=10.0.0.1:81490"), "listen.front"),
+            (("front=10.0.0.1", "front="), "listen.front"),
+            (("ip=10.0.0.1\n", "ip=\n"), "ip"),
+            (("node=entry-1", "node="), "node"),
+            (("node=entry-1", "node=" + "n" * 201), "node"),
+            (("zone=zone-1", "zone=" + "z" * 201), "zone"),
+            (("lease_ms=3000", "lease_ms=0"), "bounds.lease_ms"),
+            (("lease_ms=3000", "lease_ms=nan"), "bounds.lease_ms"),
+            (("drain_ms=2000", "drain_ms=-1"), "bounds.drain_ms"),
+            (("apply_ms=2000", "apply_ms=inf"), "bounds.config_apply_ms"),
+            (("grace_s=8", "grace_s=nan"), "bounds.grace_s"),
+            (("slack=54", "slack=-1"), "bounds.budget_slack"),
+            (("window_s=10", "window_s=nan"), "bounds.budget_window_s"),
+            (("cores=2", "cores=inf"), "limits.cores"),
+            (("heartbeat_ms=1200", "heartbeat_ms=nan"), "heartbeat_ms"),
+        ):
+            text = SETTINGS.replace(*change)
+            self.assertNotEqual(SETTINGS, text)
+            error = self.assertRaises(InvalidSettings, parse_settings, text)
+            named = [problem.partition(":")[0] for problem in error.problems]
+            self.assertEqual([name], named, change)
+
+    def test_zeros_that_have_a_meaning_are_accepted(self):
+        """An operator may switch off retries, or a time of grace."""
+        text = SETTINGS
+        for change in (("ratio=0.2", "ratio=0"), ("slack=54", "slack=0")):
+            text = text.replace(*change)
+        text = text.replace("grace_s=8", "grace_s=0")
+        settings = parse_settings(text)
+        self.assertEqual(
+            (0.0, 0.0, 0.0),
+            (
+                settings.retry_budget.ratio,
+                settings.retry_budget.slack,
+                settings.shutdown_grace_s,
+            ),
+        )
+
 
 class EntriesTest(testtools.TestCase):
     def item(self, key, content):
