--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -2,8 +2,6 @@
 
 A request that may have run is retried only if its route allows it. A caller gets status
 503 only if no replica has run its request.
-
-A "place" of an adapter is a replica that holds it or is about to have loaded it.
 """
 
 import anyio
@@ -19,7 +17,7 @@
     ReplicaClosed,
 )
 from snipetrestle.gateway.job import Job, Refused
-from snipetrestle.gateway.replica_choice import ReplicaChooser
+from snipetrestle.gateway.replica_search import RETRY_AFTER_S, ReplicaSearch
 
 # Failed connection attempts of one request; nothing was sent in any of them.
 MAX_CONNECT_FAILURES = 4
@@ -33,20 +31,10 @@
 # Pause before a retry while a replica has not loaded the adapter yet; it grows with the
 # number of attempts.
 NOT_LOADED_PAUSE_S = 0.04
-# Pause before the leader is asked again about an adapter without a place.
-NO_PLACE_PAUSE_S = 0.06
-# Retry-After of refused requests, and of those that arrive before the gateway is ready.
-RETRY_AFTER_S = 0.5
+# Retry-After of requests that arrive before the gateway is ready.
 NOT_READY_RETRY_AFTER_S = 0.3
-# The same for prompts that crash replicas, which stay refused for minutes.
+# Retry-After for prompts that crash replicas, which stay refused for minutes.
 REFUSED_PROMPT_RETRY_AFTER_S = 30.0
-# How long a stream waits for a place, with and without a known leader, as a multiple of
-# its route's target latency.
-PLACE_WAIT_LATENCIES = 1.5
-LEADERLESS_WAIT_LATENCIES = 1.0
-# Time before the deadline at which a request that is still waiting for a place is
-# refused.
-REFUSAL_MARGIN_S = 0.05
 # Time in which a replica that crashed closes all of its connections.
 CRASH_CHECK_DELAY_S = 0.02
 # Number of events over which a stream's mean event interval is measured.
@@ -59,7 +47,6 @@
     def __init__(self, gateway):
         self._dialect = gateway.dialect
         self._state = gateway.state
-        self._replicas = gateway.replicas
         self._locator = gateway.locator
         self._retry_budgets = gateway.retry_budgets
         self._hosts = gateway.hosts
@@ -68,9 +55,7 @@
         self._lost_stream_log = gateway.lost_stream_log
         self._leadership = gateway.leadership
         self._prompt_quarantine = gateway.prompt_quarantine
-        self._chooser = ReplicaChooser(
-            gateway.replicas, gateway.send_permits, gateway.hosts
-        )
+        self._search = ReplicaSearch(gateway)
         self._rng = gateway.rng
         self._refuses_new = False
         self._has_given_up = False
@@ -198,7 +183,7 @@
     async def _forward_call(self, job):
         while True:
             self._check_prompt(job)
-            replica = await self._choose_replica(job)
+            replica = await self._search.choose_replica(job)
             try:
                 response = await self._attempt_call(job, replica)
             except ConnectFailed:
@@ -270,7 +255,7 @@
     async def _forward_stream(self, job):
         while True:
             self._check_prompt(job)
-            replica = await self._find_stream_replica(job)
+            replica = await self._search.find_stream_replica(job)
             # A crash during the wait may have shown that the prompt is the cause.
             self._check_prompt(job)
             try:
@@ -353,89 +338,6 @@
             raise ExchangeFailed("the stream ended before a complete event")
         caller.end_stream()
 
-    async def _find_stream_replica(self, job):
-        """Returns the replica for a stream, once it holds the adapter.
-
-        ``places`` maps the ids of replicas to the times from which they hold it.
-        """
-        key = job.metadata.adapter
-        if key is None or not key.adapter:
-            return await self._choose_replica(job)
-        job.version = self._state.versions_by_adapter.get(key)
-        places = self._locator.cached_locations(key)
-        while True:
-            holders = self._holders(job, places)
-            ready = [
-                item for item in holders if places[item.id] <= anyio.current_time()
-            ]
-            replica = await self._chooser.choose(job, ready or holders)
-            if replica is not None:
-                ready_in_s = places[replica.id] - anyio.current_time()
-                if ready_in_s > 0:
-                    await anyio.sleep(ready_in_s)
-                if not replica.takes_requests:
-                    continue
-                return replica
-            if anyio.current_time() > self._place_wait_deadline(job):
-                raise self._no_place_refusal(job)
-            if holders:
-                self._chooser.refuse_if_all_limited(job)
-            places = await self._locator.look_up(
-                key, self._replicas_to_avoid(job), [item.id for item in holders]
-            )
-            if not places:
-                await anyio.sleep(NO_PLACE_PAUSE_S)
-
-    def _place_wait_deadline(self, job):
-        """Returns the time until which a stream waits for a place.
-
-        Callers give up a stream after a few times its target latency. Without a leader
-        no adapter is loaded, so it is better to tell the caller early when to retry.
-        """
-        now = anyio.current_time()
-        if job.streaming:
-            return min(now + STREAM_SILENCE_S, job.deadline_at - REFUSAL_MARGIN_S)
-        target_latencies = (
-            PLACE_WAIT_LATENCIES
-            if self._locator.has_leader
-            else LEADERLESS_WAIT_LATENCIES
-        )
-        max_wait_s = target_latencies * job.route.target_latency_s
-        return min(
-            job.request.received_at + max_wait_s, job.deadline_at - REFUSAL_MARGIN_S
-        )
-
-    def _no_place_refusal(self, job):
-        if job.may_have_run:
-            return Refused(job.unknown_outcome_code, reason="no place for the adapter")
-        return Refused(
-            ResultCode.LOAD_FAILED, RETRY_AFTER_S, reason="no place for the adapter"
-        )
-
-    def _replicas_to_avoid(self, job):
-        """Returns the replicas that failed this request or lacked its adapter twice."""
-        repeatedly_missing = {
-            item
-            for item in job.adapter_missing_on
-            if job.adapter_missing_on.count(item) > 1
-        }
-        return [*job.may_have_run_on, *repeatedly_missing]
-
-    def _holders(self, job, places):
-        """Returns the replicas that hold the adapter or will hold it."""
-        now = anyio.current_time()
-        excluded = self._replicas_to_avoid(job)
-        by_id = self._replicas.by_id
-        return [
-            replica
-            for replica_id in places
-            if replica_id not in excluded
-            and (replica := by_id.get(replica_id)) is not None
-            and replica.takes_requests
-            and replica.suspected_until <= now
-            and replica.entry.backend == job.backend.name
-        ]
-
     # Prompts that crash replicas.
 
     def _check_prompt(self, job):
@@ -482,31 +384,15 @@
                 job.unknown_outcome_code, reason="replicas crash on prompts like this"
             )
 
-    # Choice of replicas, and retries.
-
-    async def _choose_replica(self, job):
-        """Returns a replica, if possible one that the request was not sent to."""
-        candidates = self._replicas.ready_replicas(job.backend.name)
-        untried = [item for item in candidates if item.id not in job.sent_to]
-        replica = await self._chooser.choose(job, untried)
-        if replica is None:
-            replica = await self._chooser.choose(job, candidates)
-        if replica is None:
-            if candidates:
-                self._chooser.refuse_if_all_limited(job)
-            raise self._unavailable_refusal(job, "no replica is ready")
-        return replica
-
-    def _unavailable_refusal(self, job, reason):
-        if job.may_have_run:
-            return Refused(job.unknown_outcome_code, reason=reason)
-        return Refused(ResultCode.NO_REPLICA, RETRY_AFTER_S, reason=reason)
+    # Retries.
 
     def _note_connect_failure(self, job, replica):
         replica.note_silence()
         job.connect_failures += 1
         if job.connect_failures >= MAX_CONNECT_FAILURES:
-            raise self._unavailable_refusal(job, "no replica accepts connections")
+            raise self._search.unavailable_refusal(
+                job, "no replica accepts connections"
+            )
 
     def _exchange(self, job, replica):
         def may_retry():
--- /dev/null
+++ b/snipetrestle/gateway/replica_search.py
@@ -0,0 +1,134 @@
+"""Finds the replicas of requests: any of a backend, or one that holds an adapter.
+
+A "place" of an adapter is a replica that holds it or is about to have loaded it.
+"""
+
+import anyio
+
+from snipetrestle.codes import ResultCode
+from snipetrestle.gateway.job import Refused
+from snipetrestle.gateway.replica_choice import ReplicaChooser
+
+# Retry-After of refused requests.
+RETRY_AFTER_S = 0.5
+# Pause before the leader is asked again about an adapter without a place.
+NO_PLACE_PAUSE_S = 0.06
+# How long a stream waits for a place, with and without a known leader, as a multiple of
+# its route's target latency.
+PLACE_WAIT_LATENCIES = 1.5
+LEADERLESS_WAIT_LATENCIES = 1.0
+# Time before the deadline at which a request that is still waiting for a place is
+# refused.
+REFUSAL_MARGIN_S = 0.05
+
+
+class ReplicaSearch:
+    """Finds the replica for each attempt of a request."""
+
+    def __init__(self, gateway):
+        self._state = gateway.state
+        self._replicas = gateway.replicas
+        self._locator = gateway.locator
+        self._chooser = ReplicaChooser(
+            gateway.replicas, gateway.send_permits, gateway.hosts
+        )
+
+    async def choose_replica(self, job):
+        """Returns a replica, if possible one that the request was not sent to."""
+        candidates = self._replicas.ready_replicas(job.backend.name)
+        untried = [item for item in candidates if item.id not in job.sent_to]
+        replica = await self._chooser.choose(job, untried)
+        if replica is None:
+            replica = await self._chooser.choose(job, candidates)
+        if replica is None:
+            if candidates:
+                self._chooser.refuse_if_all_limited(job)
+            raise self.unavailable_refusal(job, "no replica is ready")
+        return replica
+
+    def unavailable_refusal(self, job, reason):
+        if job.may_have_run:
+            return Refused(job.unknown_outcome_code, reason=reason)
+        return Refused(ResultCode.NO_REPLICA, RETRY_AFTER_S, reason=reason)
+
+    async def find_stream_replica(self, job):
+        """Returns the replica for a stream, once it holds the adapter.
+
+        ``places`` maps the ids of replicas to the times from which they hold it.
+        """
+        key = job.metadata.adapter
+        if key is None or not key.adapter:
+            return await self.choose_replica(job)
+        job.version = self._state.versions_by_adapter.get(key)
+        places = self._locator.cached_locations(key)
+        while True:
+            holders = self._holders(job, places)
+            ready = [
+                item for item in holders if places[item.id] <= anyio.current_time()
+            ]
+            replica = await self._chooser.choose(job, ready or holders)
+            if replica is not None:
+                ready_in_s = places[replica.id] - anyio.current_time()
+                if ready_in_s > 0:
+                    await anyio.sleep(ready_in_s)
+                if not replica.takes_requests:
+                    continue
+                return replica
+            if anyio.current_time() > self._place_wait_deadline(job):
+                raise self._no_place_refusal(job)
+            if holders:
+                self._chooser.refuse_if_all_limited(job)
+            places = await self._locator.look_up(
+                key, self._replicas_to_avoid(job), [item.id for item in holders]
+            )
+            if not places:
+                await anyio.sleep(NO_PLACE_PAUSE_S)
+
+    def _place_wait_deadline(self, job):
+        """Returns the time until which a stream waits for a place.
+
+        Callers give up a stream after a few times its target latency. Without a leader
+        no adapter is loaded, so it is better to tell the caller early when to retry.
+        """
+        if job.streaming:
+            return job.deadline_at - REFUSAL_MARGIN_S
+        target_latencies = (
+            PLACE_WAIT_LATENCIES
+            if self._locator.has_leader
+            else LEADERLESS_WAIT_LATENCIES
+        )
+        max_wait_s = target_latencies * job.route.target_latency_s
+        return min(
+            job.request.received_at + max_wait_s, job.deadline_at - REFUSAL_MARGIN_S
+        )
+
+    def _no_place_refusal(self, job):
+        if job.may_have_run:
+            return Refused(job.unknown_outcome_code, reason="no place for the adapter")
+        return Refused(
+            ResultCode.LOAD_FAILED, RETRY_AFTER_S, reason="no place for the adapter"
+        )
+
+    def _replicas_to_avoid(self, job):
+        """Returns the replicas that failed this request or lacked its adapter twice."""
+        repeatedly_missing = {
+            item
+            for item in job.adapter_missing_on
+            if job.adapter_missing_on.count(item) > 1
+        }
+        return [*job.may_have_run_on, *repeatedly_missing]
+
+    def _holders(self, job, places):
+        """Returns the replicas that hold the adapter or will hold it."""
+        now = anyio.current_time()
+        excluded = self._replicas_to_avoid(job)
+        by_id = self._replicas.by_id
+        return [
+            replica
+            for replica_id in places
+            if replica_id not in excluded
+            and (replica := by_id.get(replica_id)) is not None
+            and replica.takes_requests
+            and replica.suspected_until <= now
+            and replica.entry.backend == job.backend.name
+        ]
