--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -16,8 +16,10 @@
     ExchangeFailed,
     ReplicaClosed,
 )
+from snipetrestle.gateway.http_server import CallerDisconnected
 from snipetrestle.gateway.job import Job, Refused
 from snipetrestle.gateway.replica_search import RETRY_AFTER_S, ReplicaSearch
+from snipetrestle.gateway.supervision import log_unexpected
 
 # Failed connection attempts of one request; nothing was sent in any of them.
 MAX_CONNECT_FAILURES = 4
@@ -104,12 +106,20 @@
         )
 
     def _choose_backend(self, route):
+        """Returns the backend of a request. Raises Refused if its route has none."""
         backends = route.backends
         name = backends[0].name
         if len(backends) > 1:
-            weights = [item.weight for item in backends]
+            weights = [max(0.0, item.weight) for item in backends]
+            if not any(weights):
+                reason = "all backends of the route have weight 0"
+                raise Refused(ResultCode.NO_REPLICA, RETRY_AFTER_S, reason=reason)
             name = self._rng.choices(backends, weights)[0].name
-        return self._state.backends_by_name[name]
+        backend = self._state.backends_by_name.get(name)
+        if backend is None:
+            reason = f"backend {name} is not listed"
+            raise Refused(ResultCode.NO_REPLICA, RETRY_AFTER_S, reason=reason)
+        return backend
 
     async def _forward(self, job):
         """Forwards a request within its deadline, and refuses it if that fails."""
@@ -127,6 +137,13 @@
                     await self._forward_call(job)
         except Refused as error:
             refusal = error
+        except CallerDisconnected:
+            raise
+        except Exception as error:
+            if job.caller.has_response:
+                raise
+            log_unexpected(f"request {job.request_id}", error)
+            refusal = _internal_refusal(job)
         finally:
             self._scopes.discard(scope)
             job.caller.on_disconnect = None
@@ -498,6 +515,12 @@
     )
 
 
+def _internal_refusal(job):
+    if job.may_have_run:
+        return Refused(job.unknown_outcome_code, reason="internal error")
+    return Refused(ResultCode.INTERNAL, reason="internal error")
+
+
 def _is_authentic(metadata):
     """Whether a response is signed by the replica and has no content coding."""
     return metadata.signed and not metadata.content_encoded
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -88,8 +88,8 @@
 
     ``server`` is its HttpServer: ``close_after_response`` closes a connection after its
     next response, ``close_when_idle`` also closes idle connections. ``busy`` is true
-    while a request is handled. ``on_disconnect()``, if set, is called when the
-    connection closes.
+    while a request is handled, ``has_response`` once its response has begun.
+    ``on_disconnect()``, if set, is called when the connection closes.
     """
 
     def __init__(self, server):
@@ -117,6 +117,7 @@
         self._current_request = None
         self._reading_paused = False
         self._lingering = False
+        self.has_response = False
         self.closed = False
         self.busy = False
         self.keep_alive = True
@@ -257,6 +258,7 @@
                     break
                 self.busy = True
                 self.keep_alive = request.keep_alive
+                self.has_response = False
                 await self._server.handle(request, self)
                 await self._wait_until_read()
                 self.busy = False
@@ -267,10 +269,17 @@
             pass
         except Exception as error:
             log_unexpected("connection", error)
+            self._send_internal_error()
         finally:
             self.busy = False
             self._transport.close()
 
+    def _send_internal_error(self):
+        """Answers the current request, unless its response has begun."""
+        if self.busy and not self.has_response and not self.closed:
+            self.keep_alive = False
+            self.send_result_code(ResultCode.INTERNAL)
+
     async def _next_request(self):
         """Returns the next request, or None if the connection is to be closed."""
         idle_since = self._loop.time()
@@ -377,6 +386,7 @@
 
     def send_response(self, status, headers, body):
         """Writes a complete response."""
+        self.has_response = True
         head = self._format_head(status, headers, b"content-length: %d\r\n" % len(body))
         self._transport.write(head + body)
 
@@ -394,6 +404,7 @@
 
     def start_stream(self, status, headers):
         """Writes the head of a response with a chunked body."""
+        self.has_response = True
         self._transport.write(
             self._format_head(status, headers, b"transfer-encoding: chunked\r\n")
         )
--- /dev/null
+++ b/tests/gateway/test_unexpected_errors.py
@@ -0,0 +1,79 @@
+"""Tests of errors that no part of the gateway expects while it handles a request."""
+
+import testtools
+
+from snipetrestle.gateway.replicas import Replica
+from snipetrestle_standins.gateway_fleet import Caller, configuration, route
+from tests.gateway.running import run_fleet
+from tests.waiting import wait_until
+
+
+class UnexpectedErrorTest(testtools.TestCase):
+    def fail_unexpectedly(self, *arguments):
+        raise KeyError("replica")
+
+    def test_route_whose_weights_are_all_zero(self):
+        """Guards against a request that gets no answer after a change of weights."""
+        self.check_changed_backend(
+            {"split": [{"backend": "register", "weight": 0.0}] * 2}
+        )
+
+    def test_route_to_a_backend_that_is_not_listed(self):
+        """Guards against a request that gets no answer after a change of routes."""
+        self.check_changed_backend({"backend": "unlisted"})
+
+    def check_changed_backend(self, fields):
+        async def check(fleet):
+            entry = {**route("entry", "non_idempotent", "register"), **fields}
+            fleet.store.put("op/config", configuration(2, [entry]))
+            await wait_until(lambda: fleet.gateways[0].state.configuration.version == 2)
+            answer = await fleet.send_request("/entry/a")
+            self.assertEqual((503, True), (answer.status, answer.complete))
+            self.assertIn("retry-after", answer.headers)
+            self.assertEqual(
+                [], [run for replica in fleet.registers for run in replica.runs]
+            )
+
+        run_fleet(check)
+
+    def test_request_that_was_not_sent_is_answered(self):
+        """Guards against a connection closed without an answer after an error."""
+
+        async def check(fleet):
+            fleet.gateways[0].replicas.ready_replicas = self.fail_unexpectedly
+            answer = await fleet.send_request("/entry/a")
+            self.assertEqual((500, True), (answer.status, answer.complete))
+
+        run_fleet(check)
+
+    def test_request_that_may_have_run_is_answered(self):
+        """Guards against an answer that says that a request has not run."""
+
+        async def check(fleet):
+            self.patch(Replica, "note_success", self.fail_unexpectedly)
+            answer = await fleet.send_request("/entry/a")
+            self.assertEqual((502, True), (answer.status, answer.complete))
+
+        run_fleet(check)
+
+    def test_error_after_the_response_sends_no_second_one(self):
+        """Guards against a second response, which the next request could be given."""
+
+        async def check(fleet):
+            fleet.gateways[0].metrics.observe = self.fail_unexpectedly
+            async with Caller(fleet.gateways[0].settings.callers) as caller:
+                answer = await caller.send_request("/entry/a")
+                self.assertEqual((200, True), (answer.status, answer.complete))
+                self.assertEqual(b"", await caller.reader.read())
+
+        run_fleet(check)
+
+    def test_error_before_the_request_is_read_is_answered(self):
+        """Guards against a connection closed without an answer after an error."""
+
+        async def check(fleet):
+            fleet.gateways[0].state.routes.match = self.fail_unexpectedly
+            answer = await fleet.send_request("/entry/a")
+            self.assertEqual((500, True), (answer.status, answer.complete))
+
+        run_fleet(check)
