--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -102,6 +102,11 @@
         "WARNING",
         "prompt parts that crash replicas changed",
     )
+    REPLACEMENT_DROPPED = (
+        1410,
+        "INFO",
+        "a silent replica's response is still awaited",
+    )
     REPLICA_LISTED = (1411, "INFO", "replica was listed or changed")
     REPLICA_UNLISTED = (1412, "INFO", "replica is no longer listed")
     REPLICA_SUSPECTED = (1413, "WARNING", "replica does not answer")
--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -8,43 +8,46 @@
 
 # Whole responses are kept in memory until they are complete.
 MAX_RESPONSE_BYTES = 2 * 1024 * 1024
-# A request is retried on another replica if its replica sends no data on any connection
-# of this host for this long.
+# A replica is silent if it sends no data on any connection of this host for this long.
 REPLICA_SILENCE_S = 0.9
 SILENCE_CHECK_S = 0.2
 
 
 class Exchange:
-    """One attempt of a job at one replica, as an async context manager.
+    """One attempt of a job at one replica.
 
-    Entering sends the request, and raises ConnectFailed if nothing was sent. Leaving
-    returns the connection to the pool or closes it. ``may_retry()`` tells whether the
-    job may be sent again after this attempt.
+    ``open`` sends the request; ``close`` returns the connection to the pool or closes
+    it, and must be called after ``open``. ``opened_at`` is the event loop's time.
     """
 
-    def __init__(self, dialect, job, replica, may_retry):
+    def __init__(self, dialect, job, replica):
+        self.replica = replica
+        self.opened_at = 0.0
         self._dialect = dialect
         self._job = job
-        self._replica = replica
-        self._may_retry = may_retry
         self._connection = None
         self._loop = asyncio.get_running_loop()
         self._silence_timer = None
         self._response_complete = False
         self._silence_limit_s = None
+        self._on_silent = None
+        self._on_progress = None
         self._progress_at = 0.0
         self._body_progress = ProgressMeter()
+        self._is_open = False
 
-    async def __aenter__(self):
-        job, replica = self._job, self._replica
+    async def open(self):
+        """Sends the request. Raises ConnectFailed if nothing was sent."""
+        job, replica = self._job, self.replica
+        self.opened_at = self._loop.time()
         replica.note_sent(job.metadata.adapter)
         try:
             self._connection = await replica.pool.acquire(job.metadata.request_id)
         except BaseException:
             replica.note_ended(job.metadata.adapter)
             raise
+        self._is_open = True
         self._send_request(job, replica)
-        return self
 
     def _send_request(self, job, replica):
         remaining_s = job.deadline_at - self._loop.time()
@@ -71,7 +74,7 @@
             )
         except ExchangeFailed:
             # Nothing was written.
-            self._release()
+            self.close()
             self.note_not_run()
             raise ConnectFailed("the connection was closed before use") from None
 
@@ -82,21 +85,28 @@
         if metadata.request_id != self._job.metadata.request_id:
             return False
         self._response_metadata = metadata
-        self._replica.note_request_limit(metadata.request_limit_per_s)
+        self.replica.note_request_limit(metadata.request_limit_per_s)
         return True
 
-    async def read_head(self, silence_s):
-        """Returns (head, metadata) of the response.
+    def watch_silence(self, silence_s, on_silent, on_progress):
+        """Calls ``on_silent(silent_s)`` again and again while the replica is silent.
 
-        From here on until the end, ``silence_s`` without progress fails the exchange
-        with ExchangeFailed, if the request may be sent again; None disables this.
+        It is silent if the response makes no progress for ``silence_s``, or if nothing
+        comes on any connection of this host for REPLICA_SILENCE_S; None disables this.
+        ``on_progress()`` is called whenever the response goes on.
         """
+        if silence_s is None:
+            return
         self._silence_limit_s = silence_s
+        self._on_silent = on_silent
+        self._on_progress = on_progress
         self._progress_at = self._loop.time()
-        if silence_s is not None:
-            self._silence_timer = self._loop.call_later(
-                min(silence_s, REPLICA_SILENCE_S), self._check_silence
-            )
+        self._silence_timer = self._loop.call_later(
+            min(silence_s, REPLICA_SILENCE_S), self._check_silence
+        )
+
+    async def read_head(self):
+        """Returns (head, metadata) of the response. Raises ExchangeFailed."""
         head = await self._connection.read_head()
         self.note_progress()
         self._connection.idle_timeout_s = (
@@ -104,34 +114,39 @@
         )
         return head, self._response_metadata
 
+    @property
+    def has_unread_body(self):
+        """Whether bytes of the response's body wait to be read."""
+        return self._connection.has_unread_body
+
     def note_progress(self):
         """Records that the response goes on, by complete events or enough bytes."""
         self._progress_at = self._loop.time()
-        self._replica.note_heard()
+        self.replica.note_heard()
+        if self._on_progress is not None:
+            self._on_progress()
 
     def _check_silence(self):
-        """Fails the exchange if its replica is silent, else schedules a new check."""
+        """Reports a silent replica, and schedules the next check."""
         now = self._loop.time()
         if self._connection.has_unread_body:
             # The caller is slow, not the replica.
             self._progress_at = now
         silent_s = now - self._progress_at
-        replica_silent_s = now - max(self._replica.last_heard_at, self._progress_at)
-        is_silent = (
-            silent_s >= self._silence_limit_s or replica_silent_s >= REPLICA_SILENCE_S
-        )
-        # Without a retry, a slow replica's response is better than none.
-        if is_silent and self._may_retry():
-            self._replica.note_silence()
-            self._connection.cancel(f"no progress for {silent_s:.2f} s")
-            return
+        replica_silent_s = now - max(self.replica.last_heard_at, self._progress_at)
         self._silence_timer = self._loop.call_later(
             SILENCE_CHECK_S, self._check_silence
         )
+        if silent_s >= self._silence_limit_s or replica_silent_s >= REPLICA_SILENCE_S:
+            self._on_silent(silent_s)
+
+    def cancel(self, reason):
+        """Fails this exchange with ExchangeFailed."""
+        self._connection.cancel(reason)
 
     def note_not_run(self):
         """Records that this attempt did not run; sending assumed that it may have."""
-        self._job.may_have_run_on.pop()
+        self._job.may_have_run_on.remove(self.replica.id)
 
     async def read(self):
         """Returns the next bytes of the body, or b"" at its end.
@@ -153,15 +168,16 @@
         if self._body_progress.note(count):
             self.note_progress()
 
-    async def __aexit__(self, error_type, error, traceback):
-        self._release()
-
-    def _release(self):
+    def close(self):
+        """Ends this exchange. Its connection is kept if the response is complete."""
+        if not self._is_open:
+            return
+        self._is_open = False
         if self._silence_timer is not None:
             self._silence_timer.cancel()
-        self._replica.note_ended(self._job.metadata.adapter)
-        pool = self._replica.pool
-        if self._response_complete and not self._replica.leaving:
+        self.replica.note_ended(self._job.metadata.adapter)
+        pool = self.replica.pool
+        if self._response_complete and not self.replica.leaving:
             pool.release(self._connection)
         else:
             pool.discard(self._connection)
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -4,6 +4,8 @@
 503 only if no replica has run its request.
 """
 
+import functools
+
 import anyio
 
 from snipetrestle.codes import ResultCode
@@ -11,6 +13,7 @@
 from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.event_stream import EventSplitter, InvalidEvent
 from snipetrestle.gateway.exchange import Exchange
+from snipetrestle.gateway.failover import Failover
 from snipetrestle.gateway.http_client import (
     ConnectFailed,
     ExchangeFailed,
@@ -25,7 +28,8 @@
 MAX_CONNECT_FAILURES = 4
 # Attempts of one request, including those at replicas that did not run it.
 MAX_SENDS = 4
-# An idempotent call whose replica sends no data for this long is sent to another one.
+# An idempotent call whose replica sends no data for this long is sent to another one,
+# and the first response is used.
 IDEMPOTENT_SILENCE_S = 0.4
 # A stream without data for this long is resumed on another replica, since callers give
 # up soon after.
@@ -149,6 +153,8 @@
             job.caller.on_disconnect = None
         if job.caller.closed:
             self._metrics.count(job.route.name, None, "caller_gone")
+        elif scope.cancelled_caught and job.fallback_response is not None:
+            self._send_response(job, *job.fallback_response)
         elif scope.cancelled_caught:
             self._refuse(
                 job.caller, job.metadata.request_id, self._cancelled_refusal(job), job
@@ -202,14 +208,13 @@
             self._check_prompt(job)
             replica = await self._search.choose_replica(job)
             try:
-                response = await self._attempt_call(job, replica)
+                response = await self._attempt(
+                    job, replica, self._silence_limit(job), self._serve_call
+                )
             except ConnectFailed:
                 self._note_connect_failure(job, replica)
                 continue
             except ExchangeFailed as error:
-                replica.note_failure()
-                if isinstance(error, ReplicaClosed):
-                    await self._note_closed_by_replica(job, replica)
                 if self._may_resend(job):
                     self._log_resend(job, str(error))
                     continue
@@ -222,19 +227,18 @@
                 self._send_response(job, *response)
                 return
 
-    async def _attempt_call(self, job, replica):
-        """Sends the request. Returns (status, metadata, body), or None to try again."""
-        started = anyio.current_time()
-        async with self._exchange(job, replica) as exchange:
-            head, metadata = await exchange.read_head(self._silence_limit(job))
-            if metadata.not_executed:
-                exchange.note_not_run()
-                await exchange.read_body()
-                self._note_not_run(job, replica, head.status)
-                return None
-            body = await exchange.read_body()
-            if not _is_authentic(metadata):
-                raise ExchangeFailed(f"response {head.status} is unsigned or encoded")
+    async def _serve_call(self, job, exchange):
+        """Returns the response (status, metadata, body), or None to try again."""
+        replica = exchange.replica
+        head, metadata = await exchange.read_head()
+        if metadata.not_executed:
+            exchange.note_not_run()
+            await exchange.read_body()
+            self._note_not_run(job, replica, head.status)
+            return None
+        body = await exchange.read_body()
+        if not _is_authentic(metadata):
+            raise ExchangeFailed(f"response {head.status} is unsigned or encoded")
         if head.status >= 500:
             replica.note_failure()
             job.fallback_response = (head.status, metadata, body)
@@ -242,13 +246,15 @@
                 self._log_resend(job, f"status {head.status}")
                 return None
         else:
-            replica.note_success(anyio.current_time() - started)
-            self._prompt_quarantine.note_answered(replica.process_id, started)
+            replica.note_success(anyio.current_time() - exchange.opened_at)
+            self._prompt_quarantine.note_answered(
+                replica.process_id, exchange.opened_at
+            )
             self._prompt_quarantine.note_served(job.metadata.shared_prompt_parts)
         return head.status, metadata, body
 
     def _silence_limit(self, job):
-        """Returns the time without data after which a call is retried, or None."""
+        """Returns the time without data after which another replica is tried, or None."""
         if job.route.kind is not RequestKind.IDEMPOTENT:
             return None
         return IDEMPOTENT_SILENCE_S
@@ -276,40 +282,35 @@
             # A crash during the wait may have shown that the prompt is the cause.
             self._check_prompt(job)
             try:
-                if await self._attempt_stream(job, replica):
+                if await self._attempt(
+                    job, replica, STREAM_SILENCE_S, self._serve_stream
+                ):
                     return
             except ConnectFailed:
                 self._note_connect_failure(job, replica)
             except ExchangeFailed as error:
-                replica.note_failure()
-                if isinstance(error, ReplicaClosed):
-                    await self._note_closed_by_replica(job, replica)
                 if not self._may_resend(job):
                     raise Refused(job.unknown_outcome_code, reason=str(error)) from None
                 self._log_resend(job, str(error))
 
-    async def _attempt_stream(self, job, replica):
-        """Sends the request and forwards its events. Returns whether it is done."""
-        started = anyio.current_time()
-        async with self._exchange(job, replica) as exchange:
-            head, metadata = await exchange.read_head(STREAM_SILENCE_S)
-            if metadata.not_executed or head.status == 421:
-                exchange.note_not_run()
-                await exchange.read_body()
-                await self._note_stream_not_run(job, replica, head.status)
-                return False
-            if not _is_authentic(metadata):
-                raise ExchangeFailed(f"response {head.status} is unsigned or encoded")
-            if head.status != 200:
-                return await self._handle_stream_failure(
-                    job, replica, exchange, head, metadata
-                )
-            await self._forward_events(job, replica, exchange, metadata, started)
+    async def _serve_stream(self, job, exchange):
+        """Forwards the events of a stream. Returns whether the request is done."""
+        head, metadata = await exchange.read_head()
+        if metadata.not_executed or head.status == 421:
+            exchange.note_not_run()
+            await exchange.read_body()
+            await self._note_stream_not_run(job, exchange.replica, head.status)
+            return False
+        if not _is_authentic(metadata):
+            raise ExchangeFailed(f"response {head.status} is unsigned or encoded")
+        if head.status != 200:
+            return await self._handle_stream_failure(job, exchange, head, metadata)
+        await self._forward_events(job, exchange, metadata)
         self._prompt_quarantine.note_served(job.metadata.shared_prompt_parts)
         self._observe(job, 200)
         return True
 
-    async def _handle_stream_failure(self, job, replica, exchange, head, metadata):
+    async def _handle_stream_failure(self, job, exchange, head, metadata):
         """Passes on a replica's error response, unless the request may be retried.
 
         Returns whether the request is done.
@@ -318,15 +319,16 @@
         if job.streaming:
             raise ExchangeFailed(f"status {head.status}")
         if head.status >= 500:
-            replica.note_failure()
+            exchange.replica.note_failure()
             if self._may_resend(job):
                 self._log_resend(job, f"status {head.status}")
                 return False
         self._send_response(job, head.status, metadata, body)
         return True
 
-    async def _forward_events(self, job, replica, exchange, metadata, started):
+    async def _forward_events(self, job, exchange, metadata):
         """Forwards complete events until the stream ends. Raises ExchangeFailed."""
+        replica, started = exchange.replica, exchange.opened_at
         event_splitter = EventSplitter(job.last_event_id)
         interval_meter = EventIntervalMeter(replica)
         caller = job.caller
@@ -348,8 +350,9 @@
             if not job.streaming:
                 job.streaming = True
                 caller.start_stream(200, metadata.headers)
-            await caller.write_chunk(events)
+            # A replacement may be sent while the caller reads slowly.
             job.last_event_id = event_splitter.last_event_id
+            await caller.write_chunk(events)
             interval_meter.note(event_splitter.last_event_id)
         if event_splitter.has_partial_event or awaiting_first_event:
             raise ExchangeFailed("the stream ended before a complete event")
@@ -411,17 +414,15 @@
                 job, "no replica accepts connections"
             )
 
-    def _exchange(self, job, replica):
-        def may_retry():
-            return (
-                job.route.repeatable
-                and job.has_attempts_left
-                and self._retry_budgets.for_backend(job.backend.name).has_room(
-                    self._hosts.max_known
-                )
-            )
+    async def _attempt(self, job, replica, silence_s, serve):
+        """Sends the request to a replica, and to others if it falls silent.
 
-        return Exchange(self._dialect, job, replica, may_retry)
+        Returns the result of ``serve(job, exchange)``. Raises ConnectFailed if nothing
+        was sent, ExchangeFailed if the last exchange failed.
+        """
+        failover = Failover(self, job, silence_s)
+        exchange = self.create_exchange(job, replica)
+        return await failover.serve(exchange, functools.partial(serve, job))
 
     def _may_resend(self, job):
         """Whether a request that may have run may be retried; if so, spends a retry."""
@@ -433,6 +434,85 @@
             )
         )
 
+    # Used by Failover.
+
+    def create_exchange(self, job, replica):
+        """Returns a new Exchange of a job with a replica."""
+        return Exchange(self._dialect, job, replica)
+
+    def may_retry(self, job):
+        """Whether a replacement may be sent now, while the first replica is silent."""
+        return (
+            job.route.repeatable
+            and job.has_attempts_left
+            and self._retry_budgets.for_backend(job.backend.name).has_room(
+                self._hosts.max_known
+            )
+        )
+
+    def try_book_retry(self, job, reason):
+        """Counts a retry in the budget and logs it; returns False without room."""
+        if not self._may_resend(job):
+            return False
+        self._log_resend(job, reason)
+        return True
+
+    async def find_replacement(self, job):
+        """Returns another replica for a job, or None. Raises Refused."""
+        self._check_prompt(job)
+        if job.route.kind is not RequestKind.STREAM:
+            return await self._search.choose_replica(job)
+        replica = await self._search.find_stream_replica(job)
+        return None if replica.id in job.may_have_run_on else replica
+
+    async def is_accepted(self, job, exchange, max_wait_s):
+        """Whether a replica has accepted a replacement.
+
+        That is so if it begins a response that can be passed on, or if it has not
+        refused the request within ``max_wait_s``.
+        """
+        try:
+            with anyio.move_on_after(max_wait_s):
+                return await self._judge_replacement(job, exchange)
+        except ExchangeFailed as error:
+            self.log_replacement_dropped(job, str(error))
+            await self.note_exchange_failed(job, exchange.replica, error)
+            return False
+        return True
+
+    async def _judge_replacement(self, job, exchange):
+        head, metadata = await exchange.read_head()
+        is_stream = job.route.kind is RequestKind.STREAM
+        if metadata.not_executed or (is_stream and head.status == 421):
+            exchange.note_not_run()
+            self._note_refusal(job, exchange.replica, head.status)
+            self.log_replacement_dropped(job, f"not run, status {head.status}")
+            return False
+        if not _is_authentic(metadata):
+            raise ExchangeFailed(f"response {head.status} is unsigned or encoded")
+        if head.status == 200 or (head.status < 500 and not job.streaming):
+            return True
+        if not is_stream:
+            body = await exchange.read_body()
+            job.fallback_response = (head.status, metadata, body)
+        raise ExchangeFailed(f"status {head.status}")
+
+    async def note_exchange_failed(self, job, replica, error):
+        """Records an ExchangeFailed. Raises Refused if no retry is allowed."""
+        replica.note_failure()
+        if isinstance(error, ReplicaClosed):
+            await self._note_closed_by_replica(job, replica)
+
+    def log_replacement_dropped(self, job, reason):
+        """Logs why the silent replica's response is still awaited."""
+        self._request_log.log(
+            Event.REPLACEMENT_DROPPED,
+            request=job.request_id,
+            route=job.route.name,
+            sent_to=job.sent_to,
+            reason=reason,
+        )
+
     def _log_resend(self, job, reason):
         self._request_log.log(
             Event.REQUEST_REPEATED,
@@ -445,12 +525,21 @@
 
     def _note_not_run(self, job, replica, status):
         """Handles a replica that did not run a call. Returns if it may be retried."""
-        if status in (503, 429):
-            replica.note_failure()
+        self._note_refusal(job, replica, status)
         if not self._may_resend_not_run(job):
             raise self._not_run_refusal(job, status)
         self._log_resend(job, f"not run, status {status}")
 
+    def _note_refusal(self, job, replica, status):
+        """Records that a replica is full or does not hold the request's adapter."""
+        key = job.metadata.adapter
+        is_stream = job.route.kind is RequestKind.STREAM
+        if is_stream and key is not None and status == 421:
+            self._locator.forget(key, replica.id)
+            job.adapter_missing_on.append(replica.id)
+        if not is_stream and status in (503, 429):
+            replica.note_failure()
+
     def _may_resend_not_run(self, job):
         """Whether a request that did not run may be retried; if so, spends a retry."""
         return (
@@ -470,10 +559,7 @@
 
     async def _note_stream_not_run(self, job, replica, status):
         """Handles a replica that did not run a stream. Pauses if it may be retried."""
-        key = job.metadata.adapter
-        if key is not None and status == 421:
-            self._locator.forget(key, replica.id)
-            job.adapter_missing_on.append(replica.id)
+        self._note_refusal(job, replica, status)
         if not self._may_resend_not_run(job):
             raise self._not_run_refusal(job, status)
         self._log_resend(job, f"not run, status {status}")
--- a/snipetrestle/gateway/replica_search.py
+++ b/snipetrestle/gateway/replica_search.py
@@ -59,6 +59,10 @@
         key = job.metadata.adapter
         if key is None or not key.adapter:
             return await self.choose_replica(job)
+        # The time that an earlier attempt took is not lost for the search.
+        started_at = job.request.received_at
+        if job.may_have_run:
+            started_at = anyio.current_time()
         job.version = self._state.versions_by_adapter.get(key)
         places = self._locator.cached_locations(key)
         while True:
@@ -74,7 +78,7 @@
                 if not replica.takes_requests:
                     continue
                 return replica
-            if anyio.current_time() > self._place_wait_deadline(job):
+            if anyio.current_time() > self._place_wait_deadline(job, started_at):
                 raise self._no_place_refusal(job)
             if holders:
                 self._chooser.refuse_if_all_limited(job)
@@ -84,8 +88,8 @@
             if not places:
                 await anyio.sleep(NO_PLACE_PAUSE_S)
 
-    def _place_wait_deadline(self, job):
-        """Returns the time until which a stream waits for a place.
+    def _place_wait_deadline(self, job, started_at):
+        """Returns the time until which a search for a place that has begun goes on.
 
         Callers give up a stream after a few times its target latency. Without a leader
         no adapter is loaded, so it is better to tell the caller early when to retry.
@@ -98,9 +102,7 @@
             else LEADERLESS_WAIT_LATENCIES
         )
         max_wait_s = target_latencies * job.route.target_latency_s
-        return min(
-            job.request.received_at + max_wait_s, job.deadline_at - REFUSAL_MARGIN_S
-        )
+        return min(started_at + max_wait_s, job.deadline_at - REFUSAL_MARGIN_S)
 
     def _no_place_refusal(self, job):
         if job.may_have_run:
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -129,6 +129,9 @@
         self.crashing_parts = set()
         self.crash_count = 0
         self.on_restart = None
+        self._silence_count = 0
+        self._responsive = asyncio.Event()
+        self._responsive.set()
         self._second_copies = {}
         self.token = 0
         self.order_count = 0
@@ -163,6 +166,17 @@
         self.faults.clear()
         self.order_count = self.token = self.report_count = 0
 
+    async def fall_silent(self, duration_s):
+        """Sends nothing on any connection for a while, then goes on with all requests."""
+        self._responsive.clear()
+        self._silence_count += 1
+        try:
+            await asyncio.sleep(duration_s)
+        finally:
+            self._silence_count -= 1
+            if not self._silence_count:
+                self._responsive.set()
+
     def _crash(self):
         self.crash_count += 1
         self.boot += 1
@@ -179,6 +193,7 @@
         return [{"name": self.model, "version": 1, "adapters": adapters}]
 
     async def serve(self, request, writer):
+        await self._responsive.wait()
         writer.write(self._second_copies.pop(writer, b""))
         if request.headers.get("x-expect-instance", self.id) != self.id:
             headers = [("X-Instance-Id", self.id)]
@@ -418,6 +433,7 @@
             writer.write(f"HTTP/1.1 200 OK\r\n{headers}\r\n".encode())
         for number in range(last_event_id + 1, self.events + 1):
             await asyncio.sleep(self.event_interval_s)
+            await self._responsive.wait()
             if writer.transport.is_closing():
                 self.cancelled.append(request.headers["x-request-id"])
                 return
