--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -21,6 +21,7 @@
 from snipetrestle.coordination.store_relay import StoreRelay
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import CallerLimits
+from snipetrestle.gateway.drain_times import DrainTimes
 from snipetrestle.gateway.forwarding import Forwarder
 from snipetrestle.gateway.http_server import CallerConnection
 from snipetrestle.gateway.log_lines import RequestLines
@@ -33,14 +34,6 @@
 from snipetrestle.gateway.snapshots import Snapshots
 from snipetrestle.gateway.supervision import log_unexpected, run_supervised
 
-# After the drain starts, the load balancer sends new connections for up to this long,
-# until it has noticed that this host is not ready.
-LOAD_BALANCER_DELAY_S = 2.5
-# Time left of the grace period when the remaining requests are abandoned.
-GRACE_MARGIN_S = 0.6
-# Time kept of the grace period after the callers' port is closed, for connections that
-# were accepted just before.
-LAST_CONNECTIONS_S = 0.3
 IDLE_CHECK_INTERVAL_S = 0.02
 LISTEN_BACKLOG = 512
 SETTINGS_CHECK_INTERVAL_S = 5.0
@@ -329,24 +322,22 @@
     async def drain(self):
         """Resigns as leader, announces the stop and finishes requests in progress."""
         started = anyio.current_time()
+        times = DrainTimes.from_grace(self.settings.shutdown_grace_s)
         self.draining = True
         log_event(Event.DRAIN_STARTED, name=self.settings.name)
         self.leadership.resign("this process stops")
         self.hosts.send_leaving()
         self.caller_server.start_draining()
-        await anyio.sleep(
-            min(LOAD_BALANCER_DELAY_S, self.settings.shutdown_grace_s / 3)
-        )
+        await anyio.sleep(times.refuse_new_s)
         # A request that arrives from now on might not end within the grace period.
         self.forwarder.refuse_new()
         self.caller_server.close_idle_connections()
-        end = started + self.settings.shutdown_grace_s - GRACE_MARGIN_S
         await self.caller_server.wait_idle(
-            end - LAST_CONNECTIONS_S - anyio.current_time()
+            started + times.give_up_s - anyio.current_time()
         )
         self.caller_server.stop_listening()
         self.forwarder.give_up()
-        await self.caller_server.wait_idle(LAST_CONNECTIONS_S)
+        await self.caller_server.wait_idle(started + times.end_s - anyio.current_time())
 
 
 def _log_refused_prompts(refused):
