--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -307,9 +307,13 @@
 
     @property
     def is_engaged(self):
-        """Whether a request is in progress, or arriving, or may be about to arrive."""
+        """Whether a request is in progress, or arriving, or may be about to arrive.
+
+        A request is in progress until its whole response has been sent.
+        """
         return (
             self.busy
+            or self._transport.get_write_buffer_size() > 0
             or bool(self._pending_requests or self._unparsed)
             or self._in_message
             or self._head_bytes > 0
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -1,15 +1,19 @@
 """Tests of planned stops: what a gateway answers until its process ends."""
 
 import asyncio
+import socket
 
 import msgspec
 import testtools
 
 from snipetrestle.gateway.drain_times import DrainTimes
+from snipetrestle_standins.gateway_fleet import HOSTNAME, MODEL, Caller
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
 
+SMALL_BUFFER_BYTES = 4096
+
 
 def set_grace(fleet, gateway, grace_s):
     """Changes the grace period of a gateway that already runs."""
@@ -17,6 +21,19 @@
     gateway.settings = fleet.settings_by_name[settings.name] = settings
 
 
+async def stop(fleet, gateway):
+    """Drains a gateway and ends it, as SIGTERM does with its process."""
+    await gateway.drain()
+    await fleet.kill(gateway)
+
+
+def request_bytes(request_id, path, lines=""):
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: {HOSTNAME}\r\nX-Request-Id: {request_id}\r\n"
+        f"{lines}Content-Length: 0\r\n\r\n"
+    ).encode()
+
+
 class DrainTimesTest(testtools.TestCase):
     def test_requests_are_given_up_in_the_last_sixth_of_any_grace_period(self):
         """Margins of fixed length took most of a short grace period."""
@@ -59,3 +76,38 @@
             )
 
         run_fleet(check, gateways=4)
+
+    def test_unsent_rest_of_a_response_is_sent_before_the_process_ends(self):
+        """The rest of a finished stream was dropped if its caller read slowly."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            for replica in fleet.models:
+                replica.event_padding = 16_000
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(
+                sock, gateway.settings.callers
+            )
+            caller = Caller(None)
+            await wait_until(lambda: gateway.caller_server.connections)
+            (connection,) = gateway.caller_server.connections
+            connection._transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
+            )
+            await asyncio.get_running_loop().sock_sendall(
+                sock, request_bytes("slow", "/draft/a", f"X-Model: {MODEL}\r\n")
+            )
+            await wait_until(lambda: any(item.runs for item in fleet.models))
+            await wait_until(lambda: not connection.busy)
+            self.assertGreater(connection._transport.get_write_buffer_size(), 0)
+            stop_task = asyncio.create_task(stop(fleet, gateway))
+            await asyncio.sleep(2.0)
+            caller.reader, caller.writer = await asyncio.open_connection(sock=sock)
+            answer = await caller.read_response()
+            self.assertEqual((200, True), (answer.status, answer.complete))
+            await stop_task
+            caller.writer.close()
+
+        run_fleet(check, gateways=2)
