--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -262,7 +262,7 @@
                 await self._server.handle(request, self)
                 await self._wait_until_read()
                 self.busy = False
-                if not self.keep_alive or self._server.close_after_response:
+                if not self.keep_alive or self._closes_after_response:
                     break
             await self._linger()
         except CallerDisconnected:
@@ -314,12 +314,27 @@
         return (
             self.busy
             or self._transport.get_write_buffer_size() > 0
-            or bool(self._pending_requests or self._unparsed)
+            or self._has_next_request
+            or self._first_request_remaining_s() > 0
+        )
+
+    @property
+    def _has_next_request(self):
+        """Whether another request has arrived, at least in part."""
+        return (
+            bool(self._pending_requests or self._unparsed)
             or self._in_message
             or self._head_bytes > 0
-            or self._first_request_remaining_s() > 0
         )
 
+    @property
+    def _closes_after_response(self):
+        """Whether the server closes this connection after the current response.
+
+        Pipelined requests are answered before.
+        """
+        return self._server.close_after_response and not self._has_next_request
+
     def _first_request_remaining_s(self):
         """Returns how long a new connection without data may stay open in a drain."""
         if self._has_received:
@@ -430,7 +445,7 @@
         self._transport.abort()
 
     def _format_head(self, status, headers, framing_header):
-        stays_open = self.keep_alive and not self._server.close_after_response
+        stays_open = self.keep_alive and not self._closes_after_response
         if not stays_open:
             self.keep_alive = False
         lines = [
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -111,3 +111,30 @@
             caller.writer.close()
 
         run_fleet(check, gateways=2)
+
+    def test_pipelined_requests_are_answered_in_a_stop(self):
+        """The connection was closed after the response to the first of them."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            for replica in fleet.models:
+                replica.event_interval_s = 0.1
+            for wait_for_head in (True, False):
+                async with Caller(gateway.settings.callers) as caller:
+                    caller.writer.write(
+                        request_bytes("first", "/night/a", f"X-Model: {MODEL}\r\n")
+                        + request_bytes("second", "/entry/a")
+                    )
+                    await wait_until(lambda: any(item.running for item in fleet.models))
+                    await asyncio.sleep(0.15 * wait_for_head)
+                    gateway.caller_server.start_draining()
+                    first = await caller.read_response()
+                    second = await caller.read_response()
+                    third = await caller.read_response()
+                self.assertEqual((200, True), (first.status, first.complete))
+                self.assertEqual(200, second.status)
+                self.assertEqual("close", second.headers["connection"])
+                self.assertEqual(0, third.status)
+                gateway.caller_server.close_after_response = False
+
+        run_fleet(check)
