--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -68,15 +68,10 @@
     def is_open(self):
         return self._server is not None
 
-    async def wait_idle(self, timeout_s):
-        """Returns once no request is in progress or about to arrive.
-
-        Returns after ``timeout_s`` seconds at the latest.
-        """
-        with anyio.move_on_after(timeout_s):
-            # No event tells that a new connection has stayed silent for too long.
-            while any(item.is_engaged for item in self.connections):  # noqa: ASYNC110
-                await anyio.sleep(IDLE_CHECK_INTERVAL_S)
+    @property
+    def is_engaged(self):
+        """Whether a request is in progress or about to arrive."""
+        return any(item.is_engaged for item in self.connections)
 
     def start_draining(self):
         """From now on, each response closes its connection (``Connection: close``)."""
@@ -332,12 +327,17 @@
         # A request that arrives from now on might not end within the grace period.
         self.forwarder.refuse_new()
         self.caller_server.close_idle_connections()
-        await self.caller_server.wait_idle(
-            started + times.give_up_s - anyio.current_time()
-        )
+        await self._wait_idle(started + times.give_up_s)
         self.caller_server.stop_listening()
         self.forwarder.give_up()
-        await self.caller_server.wait_idle(started + times.end_s - anyio.current_time())
+        await self._wait_idle(started + times.end_s)
+
+    async def _wait_idle(self, deadline):
+        """Returns once no request is in progress or about to arrive, or at a time."""
+        with anyio.CancelScope(deadline=deadline):
+            # No event tells that a new connection has stayed silent for too long.
+            while self.caller_server.is_engaged or self.forwarder.has_requests:  # noqa: ASYNC110
+                await anyio.sleep(IDLE_CHECK_INTERVAL_S)
 
 
 def _log_refused_prompts(refused):
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -67,6 +67,11 @@
         self._has_given_up = False
         self._scopes = set()
 
+    @property
+    def has_requests(self):
+        """Whether requests are in progress, also writes whose callers have left."""
+        return bool(self._scopes)
+
     def refuse_new(self):
         """Refuses requests that arrive from now on; those in progress go on."""
         self._refuses_new = True
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -103,6 +103,8 @@
         self.event_interval_s = 0.005
         # Bytes that each event carries besides its text.
         self.event_padding = 0
+        # Seconds until a call is answered, or refused by Fault.REFUSED.
+        self.response_delay_s = 0.0
         self.load_s = 0.05
         # Seconds that a load of the model takes; 0 completes it in the order itself.
         self.model_load_s = 0.0
@@ -314,6 +316,7 @@
         self.arrival_times.append(asyncio.get_running_loop().time())
         fault = self.faults.pop(0) if self.faults else None
         if fault in (Fault.REFUSED, Fault.REFUSED_TWICE):
+            await asyncio.sleep(self.response_delay_s)
             refusal = response(503, self._not_run_headers(request))
             writer.write(refusal)
             if fault is Fault.REFUSED_TWICE:
@@ -345,6 +348,7 @@
             elif "x-model" in request.headers and fault is not Fault.SERVER_ERROR:
                 await self._send_stream(request, writer, fault, int(last_event_id or 0))
             else:
+                await asyncio.sleep(self.response_delay_s)
                 self._send_response(request, writer, fault)
         finally:
             self.running -= 1
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -138,3 +138,19 @@
                 gateway.caller_server.close_after_response = False
 
         run_fleet(check)
+
+    def test_write_whose_caller_has_left_ends_before_the_process(self):
+        """A stop did not wait for it, and cut it off at its replica."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            for replica in fleet.registers:
+                replica.response_delay_s = 2.0
+            async with Caller(gateway.settings.callers) as caller:
+                caller.writer.write(request_bytes("left", "/entry/a"))
+                await wait_until(lambda: any(item.running for item in fleet.registers))
+            await wait_until(lambda: not gateway.caller_server.connections)
+            await gateway.drain()
+            self.assertEqual([0, 0], [item.running for item in fleet.registers])
+
+        run_fleet(check, gateways=2)
