--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -323,6 +323,7 @@
         self.leadership.resign("this process stops")
         self.hosts.send_leaving()
         self.caller_server.start_draining()
+        self.forwarder.start_draining(started + times.give_up_s)
         await anyio.sleep(times.refuse_new_s)
         # A request that arrives from now on might not end within the grace period.
         self.forwarder.refuse_new()
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -23,6 +23,7 @@
 from snipetrestle.gateway.job import Job, Refused
 from snipetrestle.gateway.replica_search import RETRY_AFTER_S, ReplicaSearch
 from snipetrestle.gateway.supervision import log_unexpected
+from snipetrestle.gateway.usual_durations import UsualDurations
 
 # Failed connection attempts of one request; nothing was sent in any of them.
 MAX_CONNECT_FAILURES = 4
@@ -63,6 +64,8 @@
         self._prompt_quarantine = gateway.prompt_quarantine
         self._search = ReplicaSearch(gateway)
         self._rng = gateway.rng
+        self._durations = UsualDurations()
+        self._give_up_at = None
         self._refuses_new = False
         self._has_given_up = False
         self._scopes = set()
@@ -72,6 +75,10 @@
         """Whether requests are in progress, also writes whose callers have left."""
         return bool(self._scopes)
 
+    def start_draining(self, give_up_at):
+        """Passes on only what probably ends before ``give_up_at`` from now on."""
+        self._give_up_at = give_up_at
+
     def refuse_new(self):
         """Refuses requests that arrive from now on; those in progress go on."""
         self._refuses_new = True
@@ -140,6 +147,7 @@
         self._scopes.add(scope)
         try:
             with scope:
+                self._check_time_left(job)
                 if job.route.kind is RequestKind.STREAM:
                     await self._forward_stream(job)
                 else:
@@ -171,10 +179,24 @@
         """Returns the refusal of a request that its deadline or a stop has ended."""
         if not self._has_given_up:
             return _deadline_refusal(job)
-        reason = "this process stops"
-        if job.may_have_run:
-            return Refused(job.unknown_outcome_code, reason=reason)
-        return Refused(ResultCode.NOT_READY, NOT_READY_RETRY_AFTER_S, reason=reason)
+        return _stop_refusal(job)
+
+    def _has_time_left(self, job):
+        """Whether a request that is passed on now probably ends before a stop does.
+
+        A stream that its caller already reads goes on elsewhere in any case: the
+        alternative is to abort it.
+        """
+        if self._give_up_at is None or job.streaming:
+            return True
+        now = anyio.current_time()
+        usual_end = now + self._durations.usual_s(job.route)
+        return min(usual_end, job.deadline_at) <= self._give_up_at
+
+    def _check_time_left(self, job):
+        """Raises Refused if a stop would probably interrupt a request."""
+        if not self._has_time_left(job):
+            raise _stop_refusal(job)
 
     def _refuse(self, caller, request_id, refusal, job):
         """Logs a refusal and sends it, or aborts a stream that has already started."""
@@ -270,6 +292,8 @@
 
     def _observe(self, job, status):
         now = anyio.current_time()
+        if status < 300:
+            self._durations.note(job.route, now - job.first_sent_at)
         first_answer_at = job.first_event_at or now
         self._metrics.observe(
             job.route.name,
@@ -434,6 +458,7 @@
         return (
             job.route.repeatable
             and job.has_attempts_left
+            and self._has_time_left(job)
             and self._retry_budgets.for_backend(job.backend.name).try_spend(
                 self._hosts.max_known
             )
@@ -442,7 +467,10 @@
     # Used by Failover.
 
     def create_exchange(self, job, replica):
-        """Returns a new Exchange of a job with a replica."""
+        """Returns a new Exchange. Raises Refused if a stop would interrupt it."""
+        self._check_time_left(job)
+        if job.first_sent_at is None:
+            job.first_sent_at = anyio.current_time()
         return Exchange(self._dialect, job, replica)
 
     def may_retry(self, job):
@@ -450,6 +478,7 @@
         return (
             job.route.repeatable
             and job.has_attempts_left
+            and self._has_time_left(job)
             and self._retry_budgets.for_backend(job.backend.name).has_room(
                 self._hosts.max_known
             )
@@ -550,6 +579,7 @@
         return (
             job.has_attempts_left
             and job.send_count < MAX_SENDS
+            and self._has_time_left(job)
             and self._retry_budgets.for_backend(job.backend.name).try_spend(
                 self._hosts.max_known
             )
@@ -612,6 +642,14 @@
     return Refused(ResultCode.INTERNAL, reason="internal error")
 
 
+def _stop_refusal(job):
+    """Returns the refusal of a request that this process no longer serves."""
+    reason = "this process stops"
+    if job.may_have_run:
+        return Refused(job.unknown_outcome_code, reason=reason)
+    return Refused(ResultCode.NOT_READY, NOT_READY_RETRY_AFTER_S, reason=reason)
+
+
 def _is_authentic(metadata):
     """Whether a response is signed by the replica and has no content coding."""
     return metadata.signed and not metadata.content_encoded
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -29,7 +29,8 @@
     ``is_prompt_trial`` tells that the request shows whether its prompt still crashes
     replicas. ``limit_wait_s`` is the time that the request would have had to wait for a
     replica with a request limit. ``fallback_response`` is an earlier replica's failure,
-    passed to the caller if no later attempt gets a response.
+    passed to the caller if no later attempt gets a response. ``first_sent_at`` is the
+    time of the first attempt, or None.
     """
 
     __slots__ = (
@@ -51,6 +52,7 @@
         "fallback_response",
         "is_prompt_trial",
         "limit_wait_s",
+        "first_sent_at",
     )
 
     def __init__(self, request, metadata, route, backend, caller, deadline_at):
@@ -72,6 +74,7 @@
         self.fallback_response = None
         self.is_prompt_trial = False
         self.limit_wait_s = 0.0
+        self.first_sent_at = None
 
     @property
     def may_have_run(self):
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -154,3 +154,45 @@
             self.assertEqual([0, 0], [item.running for item in fleet.registers])
 
         run_fleet(check, gateways=2)
+
+    def test_stream_is_not_passed_on_when_it_cannot_end(self):
+        """A stream that a replica had refused was passed on to another one late in the
+        grace period, and cut off at its end."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            for replica in fleet.models:
+                replica.event_interval_s = 0.3
+            # The gateway measures how long such streams take.
+            answer = await fleet.send_request("/night/a", gateway, adapter="")
+            self.assertEqual(200, answer.status)
+            for replica in fleet.models:
+                replica.response_delay_s = 1.0
+                replica.faults = [Fault.REFUSED] * 4
+            drain_task = asyncio.create_task(gateway.drain())
+            await asyncio.sleep(1.2)
+            answer = await fleet.send_request("/night/a", gateway, adapter="")
+            self.assertEqual((503, True), (answer.status, answer.complete))
+            arrived = sum(len(item.arrived_requests) for item in fleet.models)
+            self.assertEqual(2, arrived)
+            await drain_task
+
+        run_fleet(check, gateways=2)
+
+    def test_write_is_not_repeated_when_it_cannot_end(self):
+        """A refused write was passed on anew at the end of the grace period."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            for replica in fleet.registers:
+                replica.response_delay_s = 1.8
+                replica.faults = [Fault.REFUSED] * 4
+            drain_task = asyncio.create_task(gateway.drain())
+            await asyncio.sleep(1.2)
+            answer = await fleet.send_request("/entry/a", gateway)
+            self.assertEqual(503, answer.status)
+            arrived = sum(len(item.arrived_requests) for item in fleet.registers)
+            self.assertEqual(1, arrived)
+            await drain_task
+
+        run_fleet(check, gateways=2)
