--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -32,7 +32,11 @@
 from snipetrestle.gateway.request_limits import RequestLimits
 from snipetrestle.gateway.retry_budget import RetryBudget
 from snipetrestle.gateway.snapshots import Snapshots
-from snipetrestle.gateway.supervision import log_unexpected, run_supervised
+from snipetrestle.gateway.supervision import (
+    call_isolated,
+    log_unexpected,
+    run_supervised,
+)
 
 IDLE_CHECK_INTERVAL_S = 0.02
 LISTEN_BACKLOG = 512
@@ -320,8 +324,8 @@
         times = DrainTimes.from_grace(self.settings.shutdown_grace_s)
         self.draining = True
         log_event(Event.DRAIN_STARTED, name=self.settings.name)
-        self.leadership.resign("this process stops")
-        self.hosts.send_leaving()
+        call_isolated(self.leadership.resign, "this process stops")
+        call_isolated(self.hosts.send_leaving)
         self.caller_server.start_draining()
         self.forwarder.start_draining(started + times.give_up_s)
         await anyio.sleep(times.refuse_new_s)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -196,3 +196,14 @@
             await drain_task
 
         run_fleet(check, gateways=2)
+
+    def test_failed_announcement_does_not_prevent_the_drain(self):
+        """The stop signal was lost, and the process ran until it was killed."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            gateway.hosts.send_leaving = lambda: int("no number")
+            await gateway.drain()
+            self.assertTrue(gateway.draining)
+
+        run_fleet(check, gateways=2)
