--- a/snipetrestle/callers/listener.py
+++ b/snipetrestle/callers/listener.py
@@ -11,6 +11,7 @@
 from snipetrestle.callers.refusals import raw_error_response
 from snipetrestle.codes import ResultCode, ServingError
 from snipetrestle.events import Event, log_event
+from snipetrestle.listening import ListenerCloser
 from snipetrestle.pem_files import read_pem_files
 from snipetrestle.settings import IntakeSettings, is_loopback, split_address
 
@@ -23,6 +24,9 @@
 # Timeout for responses in progress when the listener closes. A drain completes them
 # before.
 CLOSE_TIMEOUT_S = 5
+# While the listener closes, a new connection may send its first request for this long.
+FIRST_REQUEST_WAIT_S = 0.5
+_FIRST_REQUEST_POLL_S = 0.02
 _START_POLL_S = 0.002
 
 
@@ -40,6 +44,8 @@
         self._header_timer = None
         self._header_bytes = self._unparsed_bytes = 0
         self._closes_after_request = False
+        self._has_received = False
+        self._opened_at = self.loop.time()
         if len(self.connections) > self.intake.max_connections:
             self._refuse(ResultCode.QUEUE_FULL, "too many connections")
             return
@@ -50,7 +56,16 @@
         self._stop_slow_reader_timer()
         super().connection_lost(error)
 
+    @property
+    def may_send_first_request(self):
+        """Whether the connection is new and its first request has not arrived yet."""
+        return (
+            not self._has_received
+            and self.loop.time() < self._opened_at + FIRST_REQUEST_WAIT_S
+        )
+
     def data_received(self, data):
+        self._has_received = True
         super().data_received(data)
         # All data received before the end of the headers belongs to them.
         if self._header_timer is not None:
@@ -135,12 +150,40 @@
 
 
 class _Server(uvicorn.Server):
-    """Server that leaves signal handling to the command line."""
+    """Server that leaves signal handling to the command line.
+
+    Connections that were opened just before its port closes can still send a request.
+    """
 
     @contextlib.contextmanager
     def capture_signals(self):
         yield
 
+    async def shutdown(self, sockets=None):
+        """Closes the port, and returns once the last responses have been sent."""
+        closer = ListenerCloser(self._create_protocol, self.config.ssl)
+        for server in self.servers:
+            closer.close(server)
+        with anyio.move_on_after(FIRST_REQUEST_WAIT_S):
+            # No event tells that a new connection has stayed silent for too long.
+            while closer.is_opening or self._expects_first_requests:  # noqa: ASYNC110
+                await anyio.sleep(_FIRST_REQUEST_POLL_S)
+        await super().shutdown(sockets)
+
+    def _create_protocol(self):
+        return self.config.http_protocol_class(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
+    @property
+    def _expects_first_requests(self):
+        return any(
+            connection.may_send_first_request
+            for connection in self.server_state.connections
+        )
+
 
 def make_uvicorn_config(app, intake=None, host="127.0.0.1", port=0, tls=None):
     """Returns the uvicorn configuration of a listener."""
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -37,6 +37,7 @@
     log_unexpected,
     run_supervised,
 )
+from snipetrestle.listening import ListenerCloser
 
 IDLE_CHECK_INTERVAL_S = 0.02
 LISTEN_BACKLOG = 512
@@ -54,6 +55,7 @@
         self.handle = handle
         self._limits = limits
         self.connections = set()
+        self._closer = ListenerCloser(self._create_connection)
         self.close_after_response = False
         self.close_when_idle = False
         self._server = None
@@ -65,9 +67,12 @@
     async def open(self, address):
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), *address, backlog=LISTEN_BACKLOG
+            self._create_connection, *address, backlog=LISTEN_BACKLOG
         )
 
+    def _create_connection(self):
+        return CallerConnection(self)
+
     @property
     def is_open(self):
         return self._server is not None
@@ -75,7 +80,9 @@
     @property
     def is_engaged(self):
         """Whether a request is in progress or about to arrive."""
-        return any(item.is_engaged for item in self.connections)
+        return self._closer.is_opening or any(
+            item.is_engaged for item in self.connections
+        )
 
     def start_draining(self):
         """From now on, each response closes its connection (``Connection: close``)."""
@@ -88,13 +95,17 @@
             connection.wake_if_idle()
 
     def stop_listening(self):
-        """Closes the listening socket; new connections are refused from now on."""
+        """Closes the listening socket; new connections are refused from now on.
+
+        Connections that the kernel has accepted before are still served.
+        """
         if self._server is not None:
-            self._server.close()
+            self._closer.close(self._server)
 
     def close(self):
         """Closes the listening socket and aborts all connections."""
-        self.stop_listening()
+        if self._server is not None:
+            self._server.close()
         for connection in list(self.connections):
             connection.abort()
 
--- /dev/null
+++ b/tests/callers/test_listener_stop.py
@@ -0,0 +1,133 @@
+"""Tests of what a listener answers while it stops, over loopback."""
+
+import asyncio
+import socket
+
+import anyio
+import testtools
+
+from snipetrestle.callers.listener import (
+    FIRST_REQUEST_WAIT_S,
+    _Server,
+    make_uvicorn_config,
+)
+
+REQUEST = b"GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n"
+BODY = b"x" * 200_000
+SMALL_BUFFER_BYTES = 4096
+TEST_TIMEOUT_S = 20.0
+
+
+async def answer_slowly(scope, receive, send):
+    """Answers each request after a short time, with a long body."""
+    await anyio.sleep(0.2)
+    headers = [(b"content-length", b"%d" % len(BODY))]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": BODY})
+
+
+async def start_server():
+    config = make_uvicorn_config(answer_slowly)
+    config.load()
+    server = _Server(config)
+    server.lifespan = config.lifespan_class(config)
+    await server.startup()
+    return server
+
+
+def connect(server, buffer_bytes=None):
+    """Returns a connected socket; nothing is awaited, so it waits in the kernel."""
+    sock = socket.socket()
+    if buffer_bytes:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+    sock.connect(server.servers[0].sockets[0].getsockname())
+    sock.setblocking(False)
+    return sock
+
+
+async def read_responses(sock):
+    """Returns how many complete responses come until the connection ends."""
+    content = b""
+    while data := await asyncio.get_running_loop().sock_recv(sock, 65_536):
+        content += data
+    sock.close()
+    heads = content.count(b"HTTP/1.1 200")
+    return heads if content.count(b"x") == heads * len(BODY) else 0
+
+
+class ListenerStopTest(testtools.TestCase):
+    def run_with_server(self, function):
+        async def main():
+            with anyio.fail_after(TEST_TIMEOUT_S):
+                server = await start_server()
+                await function(server)
+
+        anyio.run(main)
+
+    def test_connections_that_only_the_kernel_has_accepted_are_answered(self):
+        """They were reset, unread, when the listener closed its port."""
+
+        async def check(server):
+            sockets = [connect(server) for _ in range(3)]
+            for sock in sockets:
+                sock.send(REQUEST)
+            stop_task = asyncio.create_task(server.shutdown())
+            for sock in sockets:
+                self.assertEqual(1, await read_responses(sock))
+            await stop_task
+
+        self.run_with_server(check)
+
+    def test_first_request_of_a_new_connection_is_answered(self):
+        """A connection was closed if its request came just after the port's close."""
+
+        async def check(server):
+            sock = connect(server)
+            await anyio.sleep(0.05)
+            stop_task = asyncio.create_task(server.shutdown())
+            await anyio.sleep(0.05)
+            sock.send(REQUEST)
+            self.assertEqual(1, await read_responses(sock))
+            await stop_task
+
+        self.run_with_server(check)
+
+    def test_silent_connections_hold_up_the_stop_briefly(self):
+        """A stop must not wait for connections that send nothing."""
+
+        async def check(server):
+            sock = connect(server)
+            await anyio.sleep(FIRST_REQUEST_WAIT_S)
+            started = anyio.current_time()
+            await server.shutdown()
+            self.assertLess(anyio.current_time() - started, FIRST_REQUEST_WAIT_S)
+            self.assertEqual(0, await read_responses(sock))
+
+        self.run_with_server(check)
+
+    def test_pipelined_requests_are_answered(self):
+        """Guards against a close after the first of two requests."""
+
+        async def check(server):
+            sock = connect(server)
+            sock.send(REQUEST + REQUEST)
+            await anyio.sleep(0.1)
+            stop_task = asyncio.create_task(server.shutdown())
+            self.assertEqual(2, await read_responses(sock))
+            await stop_task
+
+        self.run_with_server(check)
+
+    def test_unsent_rest_of_a_response_is_sent(self):
+        """Guards against a stop that drops what a slow caller has not yet read."""
+
+        async def check(server):
+            sock = connect(server, SMALL_BUFFER_BYTES)
+            sock.send(REQUEST)
+            await anyio.sleep(0.1)
+            stop_task = asyncio.create_task(server.shutdown())
+            await anyio.sleep(1.0)
+            self.assertEqual(1, await read_responses(sock))
+            await stop_task
+
+        self.run_with_server(check)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -139,6 +139,32 @@
 
         run_fleet(check)
 
+    def test_connections_that_only_the_kernel_has_accepted_are_answered(self):
+        """They were reset, unread, when the listening socket was closed."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            loop = asyncio.get_running_loop()
+            sockets = []
+            # Nothing is awaited here, so the gateway cannot accept them before.
+            for number in range(3):
+                sock = socket.create_connection(gateway.settings.callers)
+                sock.sendall(request_bytes(f"queued-{number}", "/entry/a"))
+                sockets.append(sock)
+            gateway.caller_server.stop_listening()
+            is_engaged = gateway.caller_server.is_engaged
+            for sock in sockets:
+                sock.setblocking(False)
+                content = await loop.sock_recv(sock, 1000)
+                self.assertIn(b"HTTP/1.1 200", content)
+                sock.close()
+            # Else the process could end before it has answered them.
+            self.assertTrue(is_engaged)
+            with self.assertRaises(ConnectionRefusedError):
+                socket.create_connection(gateway.settings.callers)
+
+        run_fleet(check)
+
     def test_write_whose_caller_has_left_ends_before_the_process(self):
         """A stop did not wait for it, and cut it off at its replica."""
 
@@ -197,6 +223,26 @@
 
         run_fleet(check, gateways=2)
 
+    def test_stop_before_the_first_configuration(self):
+        """A process that has read nothing from the store must stop as any other, and
+        refuse what it is sent."""
+
+        async def check(fleet):
+            name = fleet.live[0].settings.name
+            await fleet.kill(fleet.live[0])
+            fleet.cut_off_from_store.add(name)
+            gateway = fleet.start_gateway(0)
+            await wait_until(lambda: gateway.is_listening)
+            set_grace(fleet, gateway, 1.0)
+            drain_task = asyncio.create_task(gateway.drain())
+            await wait_until(lambda: gateway.draining)
+            answer = await fleet.send_request("/entry/a", gateway)
+            self.assertEqual((503, True), (answer.status, answer.complete))
+            async with asyncio.timeout(1.0):
+                await drain_task
+
+        run_fleet(check)
+
     def test_failed_announcement_does_not_prevent_the_drain(self):
         """The stop signal was lost, and the process ran until it was killed."""
 
