--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -122,20 +122,12 @@
         )
 
     def _choose_backend(self, route):
-        """Returns the backend of a request. Raises Refused if its route has none."""
         backends = route.backends
         name = backends[0].name
         if len(backends) > 1:
-            weights = [max(0.0, item.weight) for item in backends]
-            if not any(weights):
-                reason = "all backends of the route have weight 0"
-                raise Refused(ResultCode.NO_REPLICA, RETRY_AFTER_S, reason=reason)
+            weights = [item.weight for item in backends]
             name = self._rng.choices(backends, weights)[0].name
-        backend = self._state.backends_by_name.get(name)
-        if backend is None:
-            reason = f"backend {name} is not listed"
-            raise Refused(ResultCode.NO_REPLICA, RETRY_AFTER_S, reason=reason)
-        return backend
+        return self._state.backends_by_name[name]
 
     async def _forward(self, job):
         """Forwards a request within its deadline, and refuses it if that fails."""
