--- a/tests/platform/test_stop_under_load.py
+++ b/tests/platform/test_stop_under_load.py
@@ -85,9 +85,7 @@
         seconds = int(milliseconds) / 1000
         try:
             if "x-model" in request.headers:
-                self.event_interval_s = seconds / self.events
-                self.event_padding = int(size_bytes) // self.events
-                await self._send_stream(request, writer, None, int(last_event_id or 0))
+                await self._send_timed_stream(request, writer, seconds, int(size_bytes))
                 return
             await asyncio.sleep(seconds)
             body = b"x" * int(size_bytes)
@@ -95,6 +93,23 @@
         finally:
             self.ended_at[request_id] = asyncio.get_running_loop().time()
 
+    async def _send_timed_stream(self, request, writer, seconds, size_bytes):
+        headers = "".join(
+            f"{name}: {value}\r\n" for name, value in self._proof_headers(request)
+        )
+        writer.write(
+            f"HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        padding = "x" * (size_bytes // self.events)
+        last_event_id = int(request.headers.get("last-event-id") or 0)
+        for number in range(last_event_id + 1, self.events + 1):
+            await asyncio.sleep(seconds / self.events)
+            if writer.transport.is_closing():
+                return
+            event = f"id: {number}\ndata: {padding}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        writer.write(b"0\r\n\r\n")
+
 
 def _configuration(version):
     fields = {"timeout_ms": ROUTE_TIMEOUT_MS}
