--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -20,6 +20,7 @@
 MAX_TOKEN = 2**62
 MAX_AGE_S = 1e9
 MAX_RATE_PER_S = 1e9
+MAX_COUNT = 2**31
 
 # The id of a replica and its start time.
 ProcessId = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH + 20)]
@@ -27,7 +28,7 @@
 HOST_PATTERN = r"\A[0-9A-Za-z.:_-]{0,200}\Z"
 Host = typing.Annotated[str, msgspec.Meta(pattern=HOST_PATTERN)]
 Token = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKEN)]
-Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 # -1 stands for "never".
 AgeS = typing.Annotated[float, msgspec.Meta(ge=-1, le=MAX_AGE_S)]
 RatePerS = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_RATE_PER_S)]
--- a/snipetrestle/coordination/shared_loads.py
+++ b/snipetrestle/coordination/shared_loads.py
@@ -7,7 +7,7 @@
 
 import collections
 
-from snipetrestle.coordination.messages import ReplicaLoad
+from snipetrestle.coordination.messages import MAX_COUNT, ReplicaLoad
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 
 _MICROSECONDS = 1_000_000
@@ -100,6 +100,11 @@
     return max(len(key.model), len(key.adapter)) <= MAX_NAME_LENGTH
 
 
+def _sendable_interval_us(interval_s):
+    """Returns an event interval within the bounds of a heartbeat; 0 for None."""
+    return min(int((interval_s or 0) * _MICROSECONDS), MAX_COUNT)
+
+
 class SharedReplicaLoads:
     """Sums the loads at the leader, and takes the sums from the leader's messages."""
 
@@ -116,7 +121,7 @@
         return {
             replica.id: ReplicaLoad(
                 replica.in_flight,
-                int((replica.own_event_interval_s or 0) * _MICROSECONDS),
+                _sendable_interval_us(replica.own_event_interval_s),
                 tuple(filter(_is_sendable, replica.in_flight_by_adapter)),
             )
             for replica in self._replicas.by_id.values()
@@ -154,7 +159,7 @@
 
     def total_load(self, replica):
         """Returns the ReplicaLoad of all hosts at a replica; None if it is unknown."""
-        interval_us = int((replica.event_interval_s or 0) * _MICROSECONDS)
+        interval_us = _sendable_interval_us(replica.event_interval_s)
         if not replica.load and not interval_us:
             return None
         return ReplicaLoad(replica.load, interval_us)
--- a/tests/coordination/test_shared_loads.py
+++ b/tests/coordination/test_shared_loads.py
@@ -5,7 +5,13 @@
 
 import testtools
 
-from snipetrestle.coordination.messages import Heartbeat, HostInfo, ReplicaLoad
+from snipetrestle.coordination.messages import (
+    Heartbeat,
+    HostInfo,
+    ReplicaLoad,
+    decode,
+    encode,
+)
 from snipetrestle.coordination.shared_loads import LoadTotals, SharedReplicaLoads
 from snipetrestle.gateway.configuration import AdapterKey
 
@@ -124,6 +130,15 @@
         self.assertEqual(0, self.replica.others_in_flight)
         self.assertEqual(set(), self.loads.adapters_in_use(self.replica))
 
+    def test_long_event_interval_leaves_the_heartbeat_readable(self):
+        """An hour between two events is more than a heartbeat's field may hold."""
+        self.replica.in_flight = self.replica.load = 1
+        self.replica.own_event_interval_s = self.replica.event_interval_s = 3600.0
+        for loads in (self.loads.own_loads(), self.loads.total_loads()):
+            self.assertEqual({"r1"}, loads.keys())
+            heartbeat = self.heartbeat("h1", "h2", loads)
+            self.assertEqual(heartbeat, decode(encode(heartbeat)))
+
     def test_followers_keep_the_sums_of_the_leader(self):
         """The same for a follower and its leader's answer to a join."""
         self.leadership.leads = False
