--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -225,6 +225,7 @@
         self._seen_version_count = 0
         leadership.on_change(self._update)
         state.on_change(self._update)
+        state.replicas.on_leaving(self._update)
         endpoint.register(Locate, self._on_locate)
 
     async def run(self):
--- a/snipetrestle/gateway/dialect.py
+++ b/snipetrestle/gateway/dialect.py
@@ -40,6 +40,8 @@
     ``idle_timeout_s`` is how long the replica keeps an idle connection open.
     ``headers`` are those to pass to the caller. ``request_limit_per_s`` is the number
     of requests a second that the replica takes from all hosts together, or None.
+    ``replica_leaving`` tells that the replica takes no new requests until its next
+    start. ``replica_id`` is the id that the response names its sender by, or None.
     """
 
     request_id: bytes | None
@@ -49,6 +51,8 @@
     idle_timeout_s: float | None
     headers: list
     request_limit_per_s: float | None = None
+    replica_leaving: bool = False
+    replica_id: str | None = None
 
 
 class AttemptMetadata(msgspec.Struct):
--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -85,7 +85,7 @@
         if metadata.request_id != self._job.metadata.request_id:
             return False
         self._response_metadata = metadata
-        self.replica.note_request_limit(metadata.request_limit_per_s)
+        self.replica.note_response(metadata)
         return True
 
     def watch_silence(self, silence_s, on_silent, on_progress):
--- a/snipetrestle/gateway/replica_choice.py
+++ b/snipetrestle/gateway/replica_choice.py
@@ -50,6 +50,8 @@
         job.limit_wait_s = wait_s
         if replica is not None and wait_s > 0:
             await anyio.sleep(wait_s)
+            if not replica.takes_requests:
+                return None
         return replica
 
     def refuse_if_all_limited(self, job):
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -39,13 +39,16 @@
 # hosts.
 MIN_CHOICE_POWER = 4.0
 CHOICE_POWER_HOSTS = 84.0
+MAX_REMEMBERED_LEAVING = 4096
 
 
 class Replica:
     """One run of a replica, from its start to its next restart.
 
     ``others_in_flight`` counts the requests from other hosts, as far as they are known.
-    ``suspected_until`` is the time until which the replica is avoided.
+    ``suspected_until`` is the time until which the replica is avoided. ``leaving``
+    tells that it is no longer listed, or has announced that it leaves;
+    ``on_leaving(replica)`` is called with each such announcement.
     """
 
     __slots__ = (
@@ -60,6 +63,7 @@
         "shared_event_interval_s",
         "own_event_interval_s",
         "request_limit",
+        "_on_leaving",
         "_suspicion_s",
         "_latency_s",
         "_latency_observed_at",
@@ -67,7 +71,7 @@
         "_failure_rate_at",
     )
 
-    def __init__(self, entry):
+    def __init__(self, entry, on_leaving):
         self.entry = entry
         self.pool = ConnectionPool(entry.ip, entry.port)
         self.in_flight = 0
@@ -80,6 +84,7 @@
         self.shared_event_interval_s = None
         self.own_event_interval_s = None
         self.request_limit = RequestLimit(entry.id)
+        self._on_leaving = on_leaving
         self._suspicion_s = MIN_SUSPICION_S
         self._latency_s = None
         self._latency_observed_at = 0.0
@@ -135,9 +140,26 @@
         )
         self.own_event_interval_s += weight * (interval_s - self.own_event_interval_s)
 
-    def note_request_limit(self, limit_per_s):
-        """Records the limit named by a response, None if it named none."""
-        self.request_limit.note(limit_per_s, anyio.current_time())
+    def note_response(self, metadata):
+        """Records what the ResponseMetadata of any response says about the replica."""
+        self.request_limit.note(metadata.request_limit_per_s, anyio.current_time())
+        self.note_announcements(metadata)
+
+    def note_announcements(self, metadata):
+        """Records what the ResponseMetadata asks of all senders.
+
+        A response of another replica, which has taken over the address, says nothing
+        about this one.
+        """
+        if metadata.replica_id not in (None, self.id):
+            return
+        if metadata.replica_leaving:
+            self.note_leaving()
+
+    def note_leaving(self):
+        """Ends new requests to this process of the replica."""
+        self.leaving = True
+        self._on_leaving(self)
 
     def note_heard(self):
         self.last_heard_at = anyio.current_time()
@@ -202,9 +224,29 @@
     def __init__(self, failure_domain, rng):
         self.by_id = {}
         self._by_backend = {}
+        # Process ids of replicas that announced their leaving, in this order.
+        self._leaving_process_ids = {}
+        self._leaving_listeners = []
         self._failure_domain = failure_domain
         self._rng = rng
 
+    def on_leaving(self, listener):
+        """Registers ``listener()``, called when a replica announces its leaving."""
+        self._leaving_listeners.append(listener)
+
+    def _note_leaving(self, replica):
+        if replica.process_id in self._leaving_process_ids:
+            return
+        log_event(Event.REPLICA_LEAVING, replica=replica.id, boot=replica.entry.boot)
+        if len(self._leaving_process_ids) >= MAX_REMEMBERED_LEAVING:
+            del self._leaving_process_ids[next(iter(self._leaving_process_ids))]
+        self._leaving_process_ids[replica.process_id] = None
+        listed = self.by_id.get(replica.id)
+        if listed is not None and listed.process_id == replica.process_id:
+            listed.leaving = True
+        for listener in self._leaving_listeners:
+            listener()
+
     def list_replica(self, entry):
         """Adds a replica or updates its entry. A restarted one replaces the old one."""
         known = self.by_id.get(entry.id)
@@ -225,7 +267,9 @@
             backend=entry.backend,
             state=str(entry.state),
         )
-        replica = Replica(entry)
+        replica = Replica(entry, self._note_leaving)
+        # An old entry may list a process again that has announced its leaving.
+        replica.leaving = replica.process_id in self._leaving_process_ids
         self.by_id[entry.id] = replica
         self._by_backend.setdefault(entry.backend, {})[entry.id] = replica
 
@@ -236,6 +280,9 @@
             return
         log_event(Event.REPLICA_UNLISTED, replica=replica_id, boot=replica.entry.boot)
         replica.leaving = True
+        if not replica.entry.boot:
+            # Without a start time, the next process has the same id.
+            self._leaving_process_ids.pop(replica.process_id, None)
         replica.pool.close()
         del self._by_backend[replica.entry.backend][replica_id]
 
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -22,7 +22,11 @@
     Revision,
     StoreItems,
 )
-from snipetrestle.platform.headers import REQUEST_ID, read_store_epoch
+from snipetrestle.platform.headers import (
+    REQUEST_ID,
+    PlatformDialect,
+    read_store_epoch,
+)
 from snipetrestle.platform.values import parse_versioned_name
 from snipetrestle.publication.sources import SourceUnreachable
 
@@ -180,6 +184,9 @@
 class OrderClient:
     """Sends the leader's orders to replicas and reads the replicas' reports."""
 
+    def __init__(self):
+        self._dialect = PlatformDialect()
+
     async def send(self, replica, order):
         """Returns an OrderResult.
 
@@ -205,11 +212,16 @@
             f"X-Expect-Instance: {replica.id}\r\n"
             f"Content-Length: {len(content)}\r\n\r\n"
         )
-        answer = await call(
-            replica.pool, head.encode() + content, ORDER_TIMEOUT_S, _is_own_response
-        )
+        answer = await self._call(replica, head.encode() + content, ORDER_TIMEOUT_S)
         return _RESULTS_BY_STATUS.get(answer.status, OrderResult.REFUSED)
 
+    async def _call(self, replica, content, timeout_s):
+        answer = await call(replica.pool, content, timeout_s, _is_own_response)
+        replica.note_announcements(
+            self._dialect.read_response(answer.status, answer.headers)
+        )
+        return answer
+
     async def report(self, replica):
         """Returns a ReplicaReport. Raises ConnectFailed or ExchangeFailed."""
         head = (
@@ -217,9 +229,7 @@
             f"Host: {replica.entry.ip}:{replica.entry.port}\r\n"
             f"X-Expect-Instance: {replica.id}\r\n\r\n"
         )
-        answer = await call(
-            replica.pool, head.encode(), REPORT_TIMEOUT_S, _is_own_response
-        )
+        answer = await self._call(replica, head.encode(), REPORT_TIMEOUT_S)
         if answer.status != 200:
             raise ExchangeFailed(f"report: status {answer.status}")
         try:
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -13,6 +13,8 @@
 PROMPT_PREFIX = b"x-prompt-prefix"
 REQUEST_LIMIT = b"server-limit"
 STORE_EPOCH = b"store-era"
+REPLICA_LEAVING = b"server-leaving"
+REPLICA_ID = b"x-instance-id"
 
 # Hop-by-hop headers, which apply to one connection only.
 _CONNECTION_HEADERS = frozenset(
@@ -128,6 +130,10 @@
                 facts.idle_timeout_s = _idle_timeout_s(value)
             elif name == REQUEST_LIMIT:
                 facts.request_limit_per_s = _request_limit_per_s(value)
+            elif name == REPLICA_LEAVING:
+                facts.replica_leaving = value.strip() == b"1"
+            elif name == REPLICA_ID:
+                facts.replica_id = value.decode("latin-1")
             if name not in _CONNECTION_HEADERS and name not in named:
                 facts.headers.append((name, value))
         return facts
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -121,6 +121,11 @@
         self.endless_bytes = 0
         # Requests a second that the replica names as its limit, or None.
         self.request_limit = None
+        # Whether all responses say that the replica leaves.
+        self.leaving = False
+        # Whether requests are turned away, and the Retry-After of refusals, or None.
+        self.refuses_requests = False
+        self.retry_after = None
         # The event loop's times at which requests arrived.
         self.arrival_times = []
         # Where Fault.CUT_HEAD ends a response.
@@ -167,6 +172,7 @@
         self.incoming.clear()
         self.faults.clear()
         self.order_count = self.token = self.report_count = 0
+        self.leaving = self.refuses_requests = False
 
     async def fall_silent(self, duration_s):
         """Sends nothing on any connection for a while, then goes on with all requests."""
@@ -198,14 +204,15 @@
         await self._responsive.wait()
         writer.write(self._second_copies.pop(writer, b""))
         if request.headers.get("x-expect-instance", self.id) != self.id:
-            headers = [("X-Instance-Id", self.id)]
+            headers = [("X-Instance-Id", self.id), *self._leaving_headers()]
             if "x-request-id" in request.headers:
                 headers.append(("X-Request-Id", request.headers["x-request-id"]))
             writer.write(response(421, headers))
         elif request.target == "/-/report":
-            writer.write(json_response(200, self._report()))
+            writer.write(json_response(200, self._report(), self._leaving_headers()))
         elif request.target == "/-/order":
-            writer.write(json_response(self._execute_order(request.json()), {}))
+            status = self._execute_order(request.json())
+            writer.write(json_response(status, {}, self._leaving_headers()))
         else:
             await self._serve_request(request, writer)
 
@@ -295,7 +302,7 @@
         return [
             ("X-Request-Id", request.headers["x-request-id"]),
             ("X-Not-Executed", "1"),
-            *self._limit_headers(),
+            *self._state_headers(),
         ]
 
     def _proof_headers(self, request):
@@ -303,21 +310,31 @@
         return [
             ("X-Request-Id", request.headers["x-request-id"]),
             ("X-Server-Signature", f"signed.{self.id}"),
-            *self._limit_headers(),
+            *self._state_headers(),
         ]
 
-    def _limit_headers(self):
-        if self.request_limit is None:
-            return []
-        return [("Server-Limit", f"{self.request_limit:.1f}")]
+    def _state_headers(self):
+        headers = self._leaving_headers()
+        if self.request_limit is not None:
+            headers.append(("Server-Limit", f"{self.request_limit:.1f}"))
+        return headers
+
+    def _leaving_headers(self):
+        return [("Server-Leaving", "1")] if self.leaving else []
+
+    def _refusal_headers(self, request):
+        headers = self._not_run_headers(request)
+        if self.retry_after is not None:
+            headers.append(("Retry-After", str(self.retry_after)))
+        return headers
 
     async def _serve_request(self, request, writer):
         self.arrived_requests.append(request)
         self.arrival_times.append(asyncio.get_running_loop().time())
         fault = self.faults.pop(0) if self.faults else None
-        if fault in (Fault.REFUSED, Fault.REFUSED_TWICE):
+        if self.refuses_requests or fault in (Fault.REFUSED, Fault.REFUSED_TWICE):
             await asyncio.sleep(self.response_delay_s)
-            refusal = response(503, self._not_run_headers(request))
+            refusal = response(503, self._refusal_headers(request))
             writer.write(refusal)
             if fault is Fault.REFUSED_TWICE:
                 self._second_copies[writer] = refusal
