--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -127,7 +127,8 @@
 class ReplicaAdapters:
     """The adapters at one boot of a replica, at most ``slots`` of them.
 
-    ``index`` is the PlacementIndex of its backend.
+    ``index`` is the PlacementIndex of its backend. ``takes_orders`` tells whether loads
+    may be ordered now; it may serve what it holds all the same.
     """
 
     __slots__ = (
@@ -137,6 +138,7 @@
         "event_interval_s",
         "utilization",
         "usable",
+        "takes_orders",
         "limit_per_s",
         "in_use",
         "held",
@@ -157,6 +159,7 @@
         self.utilization = 0.0
         # Whether the replica takes new requests and its state is known.
         self.usable = False
+        self.takes_orders = True
         # The requests a second that the replica takes; None without a limit.
         self.limit_per_s = None
         # Adapters with requests in progress, as reported by the hosts.
@@ -432,6 +435,7 @@
         for replica in self._replicas_to_compare(key):
             if (
                 not replica.usable
+                or not replica.takes_orders
                 or key in replica.held
                 or key in replica.pending_loads
             ):
--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -179,6 +179,7 @@
                 replica.event_interval_s or DEFAULT_EVENT_INTERVAL_S
             )
             orders.replica_adapters.limit_per_s = replica.request_limit.per_s
+            orders.replica_adapters.takes_orders = not replica.pause.is_active
             orders.set_usable(replica.takes_requests)
 
     def _verify_held(self, key, replica_ids):
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -226,6 +226,9 @@
             self._drop_queue()
 
     async def _step(self):
+        if self._replica.pause.is_active:
+            await self._wait_out_pause()
+            return
         if not self._synced:
             await self._sync()
         if not self._models:
@@ -245,6 +248,13 @@
         else:
             await self._wait(IDLE_CHECK_INTERVAL_S)
 
+    async def _wait_out_pause(self):
+        """Sends nothing; loads that wait are placed at other replicas."""
+        self._drop_queue()
+        # Loads in flight to this replica must not block loads to other replicas.
+        self.replica_adapters.end_all_store_loads()
+        await self._waiter.wait(self._replica.pause.left_s())
+
     def _unconfirmed(self):
         """Returns (key, placement) of the ordered loads that are not confirmed yet."""
         return [
@@ -351,7 +361,7 @@
         while (
             result is not OrderResult.HOLDS_ALREADY and anyio.current_time() < deadline
         ):
-            await anyio.sleep(MODEL_CHECK_INTERVAL_S)
+            await anyio.sleep(max(MODEL_CHECK_INTERVAL_S, self._replica.pause.left_s()))
             result = await self._send_order(OrderKind.LOAD, model.name, "")
         return result
 
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -114,6 +114,7 @@
     REPLICA_LIMIT_CHANGED = (1416, "INFO", "replica changed its request limit")
     REPLICA_LIMIT_USE = (1417, "INFO", "requests sent to a replica with a limit")
     REPLICA_LEAVING = (1418, "INFO", "replica announced that it leaves")
+    REPLICA_PAUSED = (1419, "INFO", "replica asked for a pause")
     ADAPTER_VERSION_DECLARED = (1415, "INFO", "adapter has a new version")
     LEADERSHIP_GAINED = (1421, "INFO", "this daemon is now the leader")
     LEADERSHIP_LOST = (1422, "WARNING", "this daemon is no longer the leader")
--- a/snipetrestle/gateway/dialect.py
+++ b/snipetrestle/gateway/dialect.py
@@ -42,6 +42,8 @@
     of requests a second that the replica takes from all hosts together, or None.
     ``replica_leaving`` tells that the replica takes no new requests until its next
     start. ``replica_id`` is the id that the response names its sender by, or None.
+    ``pause_s`` is the time for which a replica that turned the request away wants
+    nothing from this host, or None.
     """
 
     request_id: bytes | None
@@ -53,6 +55,7 @@
     request_limit_per_s: float | None = None
     replica_leaving: bool = False
     replica_id: str | None = None
+    pause_s: float | None = None
 
 
 class AttemptMetadata(msgspec.Struct):
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -581,7 +581,9 @@
         if job.may_have_run:
             return Refused(job.unknown_outcome_code, reason=f"refused: {status}")
         return Refused(
-            ResultCode.QUEUE_FULL, RETRY_AFTER_S, reason=f"refused: {status}"
+            ResultCode.QUEUE_FULL,
+            self._search.retry_after_s(job),
+            reason=f"refused: {status}",
         )
 
     async def _note_stream_not_run(self, job, replica, status):
--- a/snipetrestle/gateway/replica_choice.py
+++ b/snipetrestle/gateway/replica_choice.py
@@ -1,4 +1,9 @@
-"""Chooses the replica of a request, within the request limits that replicas name."""
+"""Chooses the replica of a request, within what replicas ask of their senders.
+
+Some name a limit of requests a second, and some ask for a pause.
+"""
+
+import math
 
 import anyio
 
@@ -10,6 +15,15 @@
 LIMIT_WAIT_LATENCIES = 0.7
 # The longest Retry-After while all replicas are at their request limits.
 MAX_LIMIT_RETRY_AFTER_S = 2.0
+# How long a request waits until a replica's pause ends if all replicas pause, as a
+# multiple of its route's target latency, and how long a stream that has begun does.
+PAUSE_WAIT_LATENCIES = 0.7
+STREAM_PAUSE_WAIT_S = 1.5
+# The longest Retry-After while all replicas pause. Restarted and added replicas may
+# serve before the pauses end.
+MAX_PAUSE_RETRY_AFTER_S = 10.0
+# Bounds the ids of paused replicas in a question to the leader.
+MAX_NAMED_PAUSED = 32
 
 
 class ReplicaChooser:
@@ -29,6 +43,7 @@
 
         Returns None if there is none that it may be sent to soon.
         """
+        candidates = [item for item in candidates if item.is_available]
         unlimited = [item for item in candidates if not item.request_limit.is_limited]
         if not unlimited:
             return await self._choose_limited(job, candidates)
@@ -50,16 +65,61 @@
         job.limit_wait_s = wait_s
         if replica is not None and wait_s > 0:
             await anyio.sleep(wait_s)
-            if not replica.takes_requests:
+            if not replica.is_available:
                 return None
         return replica
 
+    def shortest_pause_s(self, job):
+        """Returns the time until a replica of the backend is not paused."""
+        shortest_s = math.inf
+        for replica in self._replicas.ready_replicas(job.backend.name):
+            left_s = replica.pause.left_s()
+            if left_s == 0.0:
+                return 0.0
+            shortest_s = min(shortest_s, left_s)
+        return 0.0 if shortest_s == math.inf else shortest_s
+
+    def paused_ids(self, job):
+        """Returns the ids of the backend's paused replicas, some if they are many."""
+        replicas = self._replicas.ready_replicas(job.backend.name)
+        paused = [item.id for item in replicas if item.pause.is_active]
+        return paused[:MAX_NAMED_PAUSED]
+
+    async def wait_out_pauses(self, job):
+        """Waits while all replicas of the backend pause.
+
+        Raises Refused if that takes too long for the request.
+        """
+        now = anyio.current_time()
+        latest = job.request.received_at + (
+            PAUSE_WAIT_LATENCIES * job.route.target_latency_s
+        )
+        if job.streaming:
+            latest = now + STREAM_PAUSE_WAIT_S
+        latest = min(latest, job.deadline_at)
+        while (wait_s := self.shortest_pause_s(job)) > 0:
+            if anyio.current_time() + wait_s > latest:
+                raise self._pause_refusal(job, wait_s)
+            await anyio.sleep(wait_s)
+
+    @staticmethod
+    def _pause_refusal(job, wait_s):
+        reason = "all replicas have asked for a pause"
+        if job.may_have_run:
+            return Refused(job.unknown_outcome_code, reason=reason)
+        retry_after_s = min(wait_s, MAX_PAUSE_RETRY_AFTER_S)
+        return Refused(ResultCode.QUEUE_FULL, retry_after_s, reason=reason)
+
     def refuse_if_all_limited(self, job):
         """Raises Refused if all replicas of the backend name limits.
 
         Called when the request may not be sent to some of them soon.
         """
-        replicas = self._replicas.ready_replicas(job.backend.name)
+        replicas = [
+            item
+            for item in self._replicas.ready_replicas(job.backend.name)
+            if item.is_available
+        ]
         if not all(item.request_limit.is_limited for item in replicas):
             return
         reason = "all replicas are at their request limits"
--- a/snipetrestle/gateway/replica_search.py
+++ b/snipetrestle/gateway/replica_search.py
@@ -7,7 +7,10 @@
 
 from snipetrestle.codes import ResultCode
 from snipetrestle.gateway.job import Refused
-from snipetrestle.gateway.replica_choice import ReplicaChooser
+from snipetrestle.gateway.replica_choice import (
+    MAX_PAUSE_RETRY_AFTER_S,
+    ReplicaChooser,
+)
 
 # Retry-After of refused requests.
 RETRY_AFTER_S = 0.5
@@ -35,6 +38,7 @@
 
     async def choose_replica(self, job):
         """Returns a replica, if possible one that the request was not sent to."""
+        await self._chooser.wait_out_pauses(job)
         candidates = self._replicas.ready_replicas(job.backend.name)
         untried = [item for item in candidates if item.id not in job.sent_to]
         replica = await self._chooser.choose(job, untried)
@@ -51,6 +55,14 @@
             return Refused(job.unknown_outcome_code, reason=reason)
         return Refused(ResultCode.NO_REPLICA, RETRY_AFTER_S, reason=reason)
 
+    def retry_after_s(self, job):
+        """Returns the Retry-After of a request that replicas have refused.
+
+        While all replicas pause, an earlier repetition would be refused as well.
+        """
+        pause_s = min(self._chooser.shortest_pause_s(job), MAX_PAUSE_RETRY_AFTER_S)
+        return max(RETRY_AFTER_S, pause_s)
+
     async def find_stream_replica(self, job):
         """Returns the replica for a stream, once it holds the adapter.
 
@@ -66,6 +78,7 @@
         job.version = self._state.versions_by_adapter.get(key)
         places = self._locator.cached_locations(key)
         while True:
+            await self._chooser.wait_out_pauses(job)
             holders = self._holders(job, places)
             ready = [
                 item for item in holders if places[item.id] <= anyio.current_time()
@@ -75,17 +88,20 @@
                 ready_in_s = places[replica.id] - anyio.current_time()
                 if ready_in_s > 0:
                     await anyio.sleep(ready_in_s)
-                if not replica.takes_requests:
+                if not replica.is_available:
                     continue
                 return replica
             if anyio.current_time() > self._place_wait_deadline(job, started_at):
                 raise self._no_place_refusal(job)
             if holders:
                 self._chooser.refuse_if_all_limited(job)
+            paused_ids = self._chooser.paused_ids(job)
             places = await self._locator.look_up(
-                key, self._replicas_to_avoid(job), [item.id for item in holders]
+                key,
+                self._replicas_to_avoid(job),
+                [*(item.id for item in holders), *paused_ids],
             )
-            if not places:
+            if places.keys() <= set(paused_ids):
                 await anyio.sleep(NO_PLACE_PAUSE_S)
 
     def _place_wait_deadline(self, job, started_at):
@@ -130,7 +146,7 @@
             for replica_id in places
             if replica_id not in excluded
             and (replica := by_id.get(replica_id)) is not None
-            and replica.takes_requests
+            and replica.is_available
             and replica.suspected_until <= now
             and replica.entry.backend == job.backend.name
         ]
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -8,6 +8,7 @@
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import ReplicaState
 from snipetrestle.gateway.http_client import ConnectionPool
+from snipetrestle.gateway.replica_pause import ReplicaPause
 from snipetrestle.gateway.request_limits import RequestLimit
 
 # Weight of one observation in the exponential moving averages.
@@ -63,6 +64,7 @@
         "shared_event_interval_s",
         "own_event_interval_s",
         "request_limit",
+        "pause",
         "_on_leaving",
         "_suspicion_s",
         "_latency_s",
@@ -71,7 +73,7 @@
         "_failure_rate_at",
     )
 
-    def __init__(self, entry, on_leaving):
+    def __init__(self, entry, rng, on_leaving):
         self.entry = entry
         self.pool = ConnectionPool(entry.ip, entry.port)
         self.in_flight = 0
@@ -84,6 +86,7 @@
         self.shared_event_interval_s = None
         self.own_event_interval_s = None
         self.request_limit = RequestLimit(entry.id)
+        self.pause = ReplicaPause(entry.id, rng)
         self._on_leaving = on_leaving
         self._suspicion_s = MIN_SUSPICION_S
         self._latency_s = None
@@ -123,6 +126,11 @@
     def takes_requests(self):
         return not self.leaving and self.entry.state is ReplicaState.READY
 
+    @property
+    def is_available(self):
+        """Whether this host may send the replica a new request now."""
+        return self.takes_requests and not self.pause.is_active
+
     @property
     def event_interval_s(self):
         """Time between two events of a stream without disturbances; None if unknown."""
@@ -155,6 +163,8 @@
             return
         if metadata.replica_leaving:
             self.note_leaving()
+        if metadata.pause_s is not None:
+            self.pause.note(metadata.pause_s)
 
     def note_leaving(self):
         """Ends new requests to this process of the replica."""
@@ -267,7 +277,7 @@
             backend=entry.backend,
             state=str(entry.state),
         )
-        replica = Replica(entry, self._note_leaving)
+        replica = Replica(entry, self._rng, self._note_leaving)
         # An old entry may list a process again that has announced its leaving.
         replica.leaving = replica.process_id in self._leaving_process_ids
         self.by_id[entry.id] = replica
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -1,6 +1,7 @@
 """Translates between the platform's HTTP headers and the gateway's types."""
 
 import math
+import re
 
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.dialect import RequestMetadata, ResponseMetadata
@@ -15,6 +16,7 @@
 STORE_EPOCH = b"store-era"
 REPLICA_LEAVING = b"server-leaving"
 REPLICA_ID = b"x-instance-id"
+RETRY_AFTER = b"retry-after"
 
 # Hop-by-hop headers, which apply to one connection only.
 _CONNECTION_HEADERS = frozenset(
@@ -57,6 +59,7 @@
 # Longer numbers are malformed. Python's own limit would raise an unexpected error.
 MAX_NUMBER_DIGITS = 18
 MAX_PROMPT_PART_LENGTH = 64
+_SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
 class PlatformDialect:
@@ -134,6 +137,10 @@
                 facts.replica_leaving = value.strip() == b"1"
             elif name == REPLICA_ID:
                 facts.replica_id = value.decode("latin-1")
+            elif name == RETRY_AFTER and status == 503:
+                # Asks this host to pause. Other replicas may serve the caller at once.
+                facts.pause_s = _seconds(value)
+                continue
             if name not in _CONNECTION_HEADERS and name not in named:
                 facts.headers.append((name, value))
         return facts
@@ -193,6 +200,12 @@
     return limit_per_s if 0 < limit_per_s < math.inf else None
 
 
+def _seconds(value):
+    """Returns a number of seconds; None if the value is none, for instance a date."""
+    value = value.strip()
+    return float(value) if _SECONDS.fullmatch(value) else None
+
+
 def _idle_timeout_s(value):
     """Returns the timeout of a ``Keep-Alive`` header; None if it has none."""
     for part in value.split(b","):
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -208,6 +208,9 @@
             if "x-request-id" in request.headers:
                 headers.append(("X-Request-Id", request.headers["x-request-id"]))
             writer.write(response(421, headers))
+        elif request.target.startswith("/-/") and self.refuses_requests:
+            headers = [("Retry-After", str(self.retry_after))]
+            writer.write(response(503, headers if self.retry_after else []))
         elif request.target == "/-/report":
             writer.write(json_response(200, self._report(), self._leaving_headers()))
         elif request.target == "/-/order":
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -1,5 +1,6 @@
 """Tests of the orders to one replica."""
 
+import random
 import types
 
 import anyio
@@ -14,6 +15,7 @@
     ReplicaReport,
 )
 from snipetrestle.gateway.configuration import AdapterKey
+from snipetrestle.gateway.replica_pause import ReplicaPause
 from snipetrestle_standins.clock import run_in_virtual_time
 
 HELD = AdapterKey("m0", "a1")
@@ -50,7 +52,8 @@
     context = BackendContext(
         backend, BackendPlacement(), leadership, client, lambda key: 1, None
     )
-    replica = types.SimpleNamespace(id="r1", takes_requests=True)
+    pause = ReplicaPause("r1", random.Random(1))
+    replica = types.SimpleNamespace(id="r1", takes_requests=True, pause=pause)
     return ReplicaOrders(replica, context)
 
 
