--- a/snipetrestle/gateway/event_stream.py
+++ b/snipetrestle/gateway/event_stream.py
@@ -57,5 +57,5 @@
 
     @property
     def has_partial_event(self):
-        """Whether bytes of an incomplete event are buffered."""
-        return bool(self._partial_event)
+        """Whether an event is incomplete; blank lines between events are none."""
+        return bool(self._partial_event.strip(b"\r\n"))
--- a/snipetrestle_standins/platform_http.py
+++ b/snipetrestle_standins/platform_http.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 import msgspec
 
@@ -56,6 +58,12 @@
     )
 
 
+def reset_on_close(writer):
+    """Makes the end of a connection a reset, which may discard what was sent before."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 class StandInServer:
     """Listens on loopback; subclasses answer each request in ``serve``.
 
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import enum
-import socket
-import struct
 
-from snipetrestle_standins.platform_http import StandInServer, json_response, response
+from snipetrestle_standins.platform_http import (
+    StandInServer,
+    json_response,
+    reset_on_close,
+    response,
+)
 
 
 class Fault(enum.Enum):
@@ -44,6 +47,10 @@
     REFUSED_TWICE = enum.auto()
     # Closes the connection after ``head_bytes`` bytes of the response.
     CUT_HEAD = enum.auto()
+    # Sends ``prepared_head`` with the usual headers and ``prepared_body``, and closes
+    # the connection, or resets it once the caller of the replica has read them.
+    PREPARED = enum.auto()
+    PREPARED_RESET = enum.auto()
     # Sends a body byte by byte.
     TRICKLED_BODY = enum.auto()
     # Sends one part of a message without end, until the connection is closed.
@@ -130,6 +137,9 @@
         self.arrival_times = []
         # Where Fault.CUT_HEAD ends a response.
         self.head_bytes = 0
+        # What Fault.PREPARED sends. The head has no final empty line.
+        self.prepared_head = "HTTP/1.1 200 OK\r\n"
+        self.prepared_body = b""
         self.boot = 1
         # How often the replica has written its entry since its start.
         self.report_count = 0
@@ -357,6 +367,9 @@
             writer.write(head[: self.head_bytes])
             writer.close()
             return
+        if fault in (Fault.PREPARED, Fault.PREPARED_RESET):
+            await self._send_prepared(request, writer, fault)
+            return
         self.running += 1
         adapter = self._adapter_of(request)
         self._running_by_adapter[adapter] = self._running_by_adapter.get(adapter, 0) + 1
@@ -403,7 +416,7 @@
         if fault in (Fault.NO_CONTENT_LENGTH, Fault.RESET_WITHOUT_LENGTH):
             writer.write(f"HTTP/1.1 200 OK\r\n{_lines(headers)}\r\n".encode() + body)
             if fault is Fault.RESET_WITHOUT_LENGTH:
-                _reset_on_close(writer)
+                reset_on_close(writer)
             writer.close()
             return
         if fault is Fault.MALFORMED:
@@ -422,6 +435,16 @@
         if fault is Fault.EXTRA_RESPONSE:
             writer.write(response(200, [("X-Request-Id", "other")], b"other's answer"))
 
+    async def _send_prepared(self, request, writer, fault):
+        headers = _lines(self._proof_headers(request))
+        head = f"{self.prepared_head}{headers}\r\n".encode()
+        writer.write(head + self.prepared_body)
+        if fault is Fault.PREPARED_RESET:
+            # A reset discards what has not been read.
+            await asyncio.sleep(0.02)
+            reset_on_close(writer)
+        writer.close()
+
     async def _send_without_end(self, request, writer, fault):
         start, part = _ENDLESS_MESSAGES[fault]
         writer.write(
@@ -490,9 +513,3 @@
 
 def _lines(headers):
     return "".join(f"{name}: {value}\r\n" for name, value in headers)
-
-
-def _reset_on_close(writer):
-    """Makes the end of a connection a reset, which may discard what was sent before."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
