--- a/snipetrestle/gateway/calls.py
+++ b/snipetrestle/gateway/calls.py
@@ -23,13 +23,20 @@
     return True
 
 
-async def call(pool, request_bytes, timeout_s, is_response=_accept_any_response):
+async def call(
+    pool,
+    request_bytes,
+    timeout_s,
+    is_response=_accept_any_response,
+    max_bytes=MAX_RESPONSE_BYTES,
+):
     """Sends one request and returns its Response.
 
     ``timeout_s`` limits the time without progress, not the whole response: a large
     configuration takes over a second on a slow link. ``is_response(head)`` tells
-    whether a response belongs to the request; others are dropped. Raises ConnectFailed
-    if nothing was sent, and ExchangeFailed if there is no complete response.
+    whether a response belongs to the request; others are dropped. ``max_bytes`` limits
+    the body. Raises ConnectFailed if nothing was sent, and ExchangeFailed if there is
+    no complete response.
     """
     connection = await pool.acquire()
     loop = asyncio.get_running_loop()
@@ -45,7 +52,7 @@
                 if progress.note(count):
                     silence_timeout.reschedule(min(latest_end, loop.time() + timeout_s))
 
-            body = await connection.read_all(MAX_RESPONSE_BYTES, postpone_timeout)
+            body = await connection.read_all(max_bytes, postpone_timeout)
         completed = True
         return Response(head.status, head.headers, body)
     except TimeoutError:
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -35,6 +35,9 @@
 WATCH_MARGIN_S = 0.6
 REPORT_TIMEOUT_S = 0.8
 ORDER_TIMEOUT_S = 0.8
+# A leader may have an answer of each replica in progress. Reports list some hundred
+# adapters at most.
+MAX_ANSWER_BYTES = 262_144
 
 
 # Keys of the store have 200 bytes at most.
@@ -216,7 +219,9 @@
         return _RESULTS_BY_STATUS.get(answer.status, OrderResult.REFUSED)
 
     async def _call(self, replica, content, timeout_s):
-        answer = await call(replica.pool, content, timeout_s, _is_own_response)
+        answer = await call(
+            replica.pool, content, timeout_s, _is_own_response, MAX_ANSWER_BYTES
+        )
         replica.note_announcements(
             self._dialect.read_response(answer.status, answer.headers)
         )
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -60,6 +60,10 @@
     ENDLESS_TRAILERS = enum.auto()
     ENDLESS_BODY = enum.auto()
     ENDLESS_LATE_RESPONSE = enum.auto()
+    ENDLESS_UNFRAMED_BODY = enum.auto()
+    ENDLESS_NO_HTTP = enum.auto()
+    ENDLESS_BLANK_LINES = enum.auto()
+    ENDLESS_STATUS_LINE = enum.auto()
 
 
 _CHUNKED_HEAD = "HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n"
@@ -79,6 +83,10 @@
         "Transfer-Encoding: chunked\r\n\r\n",
         b"3e8\r\n%b\r\n" % _FILLER,
     ),
+    Fault.ENDLESS_UNFRAMED_BODY: ("HTTP/1.1 200 OK\r\n{headers}\r\n", _FILLER),
+    Fault.ENDLESS_NO_HTTP: ("", _FILLER),
+    Fault.ENDLESS_BLANK_LINES: ("", b"\r\n" * 500),
+    Fault.ENDLESS_STATUS_LINE: ("HTTP/1.1 200 ", _FILLER),
 }
 # An endless message stops by itself at this size, so that a test ends.
 MAX_ENDLESS_BYTES = 64 * 1024 * 1024
--- a/snipetrestle_standins/raw_http.py
+++ b/snipetrestle_standins/raw_http.py
@@ -3,10 +3,11 @@
 import asyncio
 import contextlib
 
-from snipetrestle_standins.platform_http import StandInServer
+from snipetrestle_standins.platform_http import StandInServer, reset_on_close
 
 # An endless answer stops by itself at this size, so that a test ends.
 MAX_ENDLESS_BYTES = 64 * 1024 * 1024
+RESET_DELAY_S = 0.02
 FILLER = b"x" * 1000
 
 
@@ -25,8 +26,19 @@
         self.pause_s = pause_s
 
 
+class Closing:
+    """An answer that ends with its connection, which may be reset instead of closed."""
+
+    def __init__(self, content, is_reset=False):
+        self.content = content
+        self.is_reset = is_reset
+
+
 CHUNKED_START = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ENDLESS_ANSWERS = {
+    "no HTTP": Endless(b""),
+    "blank lines": Endless(b"", b"\r\n" * 500),
+    "status line": Endless(b"HTTP/1.1 200 "),
     "head": Endless(b"HTTP/1.1 200 OK\r\n", b"X-F: %b\r\n" % FILLER),
     "interim answers": Endless(b"", b"HTTP/1.1 103 Early\r\nX-F: %b\r\n\r\n" % FILLER),
     "body": Endless(CHUNKED_START, b"3e8\r\n%b\r\n" % FILLER),
@@ -42,7 +54,7 @@
 class RawServer(StandInServer):
     """Answers each request by the next item of ``answers``, or the last one again.
 
-    An item is the bytes of an answer or an Endless. ``second_copy_delay_s``, if set,
+    An item is the bytes of an answer, a Closing or an Endless. ``second_copy_delay_s``, if set,
     sends each answer again after this time. ``sent_bytes`` counts endless answers.
     """
 
@@ -65,11 +77,22 @@
             await self._send_without_end(answer, writer)
             return
         await asyncio.sleep(self.answer_delay_s)
+        if isinstance(answer, Closing):
+            await self._send_closing(answer, writer)
+            return
         writer.write(answer)
         if self.second_copy_delay_s is not None:
             loop = asyncio.get_running_loop()
             loop.call_later(self.second_copy_delay_s, writer.write, answer)
 
+    async def _send_closing(self, answer, writer):
+        writer.write(answer.content)
+        if answer.is_reset:
+            # A reset discards what has not been read.
+            await asyncio.sleep(RESET_DELAY_S)
+            reset_on_close(writer)
+        writer.close()
+
     async def _send_without_end(self, answer, writer):
         writer.write(answer.start)
         while self.sent_bytes < MAX_ENDLESS_BYTES:
