--- a/snipetrestle/gateway/replica_choice.py
+++ b/snipetrestle/gateway/replica_choice.py
@@ -16,9 +16,10 @@
 # The longest Retry-After while all replicas are at their request limits.
 MAX_LIMIT_RETRY_AFTER_S = 2.0
 # How long a request waits until a replica's pause ends if all replicas pause, as a
-# multiple of its route's target latency, and how long a stream that has begun does.
+# multiple of its route's target latency, and how long one does that may have run, which
+# cannot be refused as not run.
 PAUSE_WAIT_LATENCIES = 0.7
-STREAM_PAUSE_WAIT_S = 1.5
+RETRY_PAUSE_WAIT_S = 1.5
 # The longest Retry-After while all replicas pause. Restarted and added replicas may
 # serve before the pauses end.
 MAX_PAUSE_RETRY_AFTER_S = 10.0
@@ -94,8 +95,8 @@
         latest = job.request.received_at + (
             PAUSE_WAIT_LATENCIES * job.route.target_latency_s
         )
-        if job.streaming:
-            latest = now + STREAM_PAUSE_WAIT_S
+        if job.may_have_run:
+            latest = now + RETRY_PAUSE_WAIT_S
         latest = min(latest, job.deadline_at)
         while (wait_s := self.shortest_pause_s(job)) > 0:
             if anyio.current_time() + wait_s > latest:
--- a/tests/gateway/test_replica_pauses.py
+++ b/tests/gateway/test_replica_pauses.py
@@ -150,6 +150,23 @@
 
         run_fleet(check, registers=1)
 
+    def test_request_that_may_have_run_waits_longer(self):
+        """It cannot be refused as not run, so a pause of a second cost the caller its
+        answer."""
+
+        async def check(fleet):
+            (replica,) = fleet.registers
+            replica.faults = [Fault.NO_RESPONSE]
+            request = asyncio.create_task(fleet.send_request("/lookup/a", method="GET"))
+            await wait_until(lambda: replica.arrival_times)
+            fleet.gateways[0].replicas.by_id[replica.id].pause.note(1.0)
+            answer = await request
+            self.assertEqual(200, answer.status)
+            first, second = replica.arrival_times
+            self.assertGreaterEqual(second - first, 1.0)
+
+        run_fleet(check, registers=1)
+
     def test_suspected_replica_is_preferred_to_a_paused_one(self):
         """A suspected replica may serve; a paused one does not."""
 
