--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -101,8 +101,9 @@
                 )
 
     def record_interruption(self, sent):
-        """Reports an answer that broke off while only planned stops were in force."""
-        self._report("LOST", sent, "broken off by a planned stop")
+        """Reports an answer that broke off or is missing while no fault was in force."""
+        status = None if sent.answer is None else sent.answer.status
+        self._report("LOST", sent, f"no whole answer, status {status}")
 
     def _report(self, rule, sent, detail):
         self.violations.append(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -43,6 +43,12 @@
 # before the request was sent.
 FAULT_AFTEREFFECT_S = 3.0
 START_TIMEOUT_S = 20.0
+# The shortest timeout of a route. A request that took most of it is not counted as lost.
+MIN_ROUTE_TIMEOUT_S = 4.0
+LATE_FRACTION = 0.7
+MAX_SILENCE_S = 1.5
+# Time in which replicas fall silent and settings change, before the first fault.
+PLANNED_PHASE_S = 5.0
 
 
 class Soak:
@@ -73,6 +79,9 @@
         self._versions_by_adapter = {}
         self._request_count = 0
         self._unplanned_fault_times = []
+        # Excuse no answer that breaks off.
+        self._planned_faults = (self._stop_host, self._change_configuration)
+        self._callers_stopped_at = None
         self.faults = []
         self.oracle = Oracle(REPEATABLE_ROUTES)
 
@@ -94,6 +103,7 @@
                 ]
                 await self._inject_faults(group)
                 await self._check_recovery()
+                self._callers_stopped_at = self._now()
                 for caller in callers:
                     caller.cancel()
             self.oracle.check_replicas(self._replicas)
@@ -190,8 +200,20 @@
 
     # Faults
 
+    async def _inject_planned_work(self, group):
+        """Runs what excuses no answer that breaks off, before any fault does."""
+        generator = random.Random(f"{self._seed} planned work")
+        deadline = self._now() + PLANNED_PHASE_S
+        tasks = []
+        while self._now() < deadline:
+            work = generator.choice(
+                (self._silence_replica, self._silence_replica, self._change_settings)
+            )
+            tasks.append(group.create_task(work(generator)))
+            await asyncio.sleep(generator.uniform(0.1, 0.6))
+        await asyncio.gather(*tasks)
+
     async def _inject_faults(self, group):
-        deadline = self._now() + self._seconds
         fault_kinds = (
             self._kill_host,
             self._kill_all_hosts,
@@ -210,6 +232,8 @@
             self._change_configuration,
             self._declare_version,
         )
+        await self._inject_planned_work(group)
+        deadline = self._now() + self._seconds
         tasks = []
         while self._now() < deadline:
             fault = self._random.choice(fault_kinds)
@@ -223,7 +247,7 @@
     async def _run_fault(self, fault):
         started = self._now()
         await fault()
-        if fault != self._stop_host:
+        if fault not in self._planned_faults:
             self._unplanned_fault_times.append((started, self._now()))
 
     async def _kill_host(self, host=None):
@@ -316,6 +340,48 @@
         self._configuration_version += self._random.randint(1, 9)
         self._publish_configuration()
 
+    async def _change_settings(self, generator):
+        """Changes a timeout, routes, weights and idle limits, one after the other."""
+        for _ in range(generator.randint(1, 4)):
+            self._configuration_version += 1
+            document = configuration(self._configuration_version)
+            generator.choice(
+                (
+                    self._change_timeouts,
+                    self._change_routes,
+                    self._change_weights,
+                    self._change_idle_limit,
+                )
+            )(document, generator)
+            self._store.put("op/config", document)
+            await asyncio.sleep(generator.uniform(0.1, 0.8))
+        self._configuration_version += 1
+        self._publish_configuration()
+
+    def _change_timeouts(self, document, generator):
+        for item in document["routes"]:
+            item["timeout_ms"] = generator.uniform(MIN_ROUTE_TIMEOUT_S, 6.0) * 1000
+
+    def _change_routes(self, document, generator):
+        generator.shuffle(document["routes"])
+        document["routes"].append(route("other", "idempotent", REGISTER_BACKEND))
+
+    def _change_weights(self, document, generator):
+        for item in document["routes"]:
+            weight = generator.uniform(0.5, 2.0)
+            item["split"] = [
+                {"backend": item["backend"], "weight": weight},
+                {"backend": item["backend"], "weight": 2.5 - weight},
+            ]
+
+    def _change_idle_limit(self, document, generator):
+        document["limits"]["idle_timeout_ms"] = generator.choice((300, 1000, 5000))
+
+    async def _silence_replica(self, generator):
+        """Lets a replica send nothing for a while; it goes on with all its work."""
+        replica = generator.choice(self._replicas)
+        await replica.fall_silent(generator.uniform(0.3, MAX_SILENCE_S))
+
     def _publish_configuration(self):
         self._store.put("op/config", configuration(self._configuration_version))
 
@@ -368,13 +434,19 @@
                 )
 
     def _check_interruptions(self):
-        """Reports answers that broke off while only planned stops were in force."""
+        """Reports requests that ran and got no whole answer without a fault."""
+        run_ids = {run_id for replica in self._replicas for run_id, _ in replica.runs}
         for sent in self.oracle.requests_by_id.values():
-            answer = sent.answer
-            is_interrupted = (
-                answer is not None and answer.status == 200 and not answer.complete
+            took_s = sent.ended_at - sent.sent_at
+            is_excused = (
+                took_s >= LATE_FRACTION * MIN_ROUTE_TIMEOUT_S
+                or sent.ended_at >= self._callers_stopped_at
             )
-            if is_interrupted and not self._overlaps_unplanned_fault(sent):
+            if (
+                is_interrupted(sent, run_ids)
+                and not is_excused
+                and not self._overlaps_unplanned_fault(sent)
+            ):
                 self.oracle.record_interruption(sent)
 
     def _overlaps_unplanned_fault(self, sent):
@@ -382,3 +454,11 @@
             started <= sent.ended_at and sent.sent_at <= ended + FAULT_AFTEREFFECT_S
             for started, ended in self._unplanned_fault_times
         )
+
+
+def is_interrupted(sent, run_ids):
+    """Whether an answer broke off, or a request that ran got none of a replica's."""
+    answer = sent.answer
+    if answer is None or answer.status in (0, 502):
+        return sent.id in run_ids
+    return answer.status == 200 and not answer.complete
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,7 @@
 from snipetrestle_standins.gateway_fleet import Response
 from snipetrestle_standins.platform_replica import PlatformReplica
 from tests.soak.oracle import Oracle, SentRequest
-from tests.soak.soak import Soak
+from tests.soak.soak import Soak, is_interrupted
 
 FAULT_PHASE_S = 8.0
 
@@ -99,3 +99,20 @@
             self.add_request("s1", "draft"), 200, b"id: 1\n", complete=False
         )
         self.assertEqual([], self.violated_rules())
+
+    def test_request_that_ran_and_got_no_answer_of_a_replica(self):
+        for status in (0, 502):
+            sent = self.add_request("r1", "draft")
+            self.add_answer(sent, status, complete=status != 0)
+            self.assertTrue(is_interrupted(sent, {"r1"}))
+            self.assertFalse(is_interrupted(sent, set()))
+
+    def test_request_that_ran_and_got_nothing_at_all(self):
+        sent = self.add_request("r1", "draft")
+        self.assertTrue(is_interrupted(sent, {"r1"}))
+
+    def test_refused_or_whole_answer_is_no_interruption(self):
+        for status in (200, 503):
+            sent = self.add_request("r1", "entry", b"x")
+            self.add_answer(sent, status, b"x")
+            self.assertFalse(is_interrupted(sent, {"r1"}))
