--- a/tests/gateway/test_silent_replicas.py
+++ b/tests/gateway/test_silent_replicas.py
@@ -207,6 +207,23 @@
 
         run_fleet(check)
 
+    def test_streams_outlast_a_silence_in_which_their_replica_leaves(self):
+        """Guards against lost streams of a replica that drains or is unlisted."""
+
+        async def check(fleet):
+            slow_down_streams(fleet)
+            tasks = await start_streams(fleet, 4)
+            tasks += await start_streams(fleet, 2, "/night/a")
+            replica = busiest(fleet.models)
+            silence = asyncio.create_task(replica.fall_silent(1.2))
+            fleet.publish(replica, state="draining")
+            await asyncio.sleep(0.3)
+            fleet.store.delete(f"servers/{replica.id}")
+            await silence
+            self.assert_whole(await asyncio.gather(*tasks))
+
+        run_fleet(check)
+
     def changed_configurations(self):
         """Returns functions from a version to a configuration, one for each change."""
 
@@ -278,3 +295,19 @@
                 "/entry/", "POST", 1, silence_s, lambda replica: None
             )
             self.assertEqual({1}, set(counts.values()))
+
+    def test_error_of_a_replacement_is_passed_on_at_the_deadline(self):
+        """Guards against a replica's response that is replaced by a failure."""
+
+        async def check(fleet):
+            shared_faults = [Fault.NO_RESPONSE, Fault.SERVER_ERROR]
+            for replica in fleet.registers:
+                replica.faults = shared_faults
+            answer = await fleet.send_request(
+                "/lookup/a", method="GET", headers=[("X-Deadline-Ms", "1500")]
+            )
+            self.assertEqual([], shared_faults)
+            self.assertEqual((500, True), (answer.status, answer.complete))
+            self.assertIn("x-server-signature", answer.headers)
+
+        run_fleet(check)
