--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -486,9 +486,10 @@
     async def find_replacement(self, job):
         """Returns another replica for a job, or None. Raises Refused."""
         self._check_prompt(job)
-        if job.route.kind is not RequestKind.STREAM:
-            return await self._search.choose_replica(job)
-        replica = await self._search.find_stream_replica(job)
+        if job.route.kind is RequestKind.STREAM:
+            replica = await self._search.find_stream_replica(job)
+        else:
+            replica = await self._search.choose_replica(job)
         return None if replica.id in job.may_have_run_on else replica
 
     async def is_accepted(self, job, exchange, max_wait_s):
