--- a/snipetrestle/platform/entries.py
+++ b/snipetrestle/platform/entries.py
@@ -24,11 +24,12 @@
     Megabytes,
     Milliseconds,
     NonEmptyName,
-    PositiveCount,
+    PositiveBytes,
     PositiveMs,
     RatePerS,
     RemainingMs,
     Seconds,
+    SizeBytes,
     Weight,
     check_id,
     parse_address,
@@ -85,8 +86,8 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: PositiveCount = 16_384
-    max_body_bytes: Count = 4_194_304
+    max_header_bytes: PositiveBytes = 16_384
+    max_body_bytes: SizeBytes = 4_194_304
     header_timeout_ms: PositiveMs = 3000.0
     idle_timeout_ms: PositiveMs = 15_000.0
 
--- a/snipetrestle/platform/values.py
+++ b/snipetrestle/platform/values.py
@@ -16,8 +16,9 @@
 NonEmptyName = typing.Annotated[
     str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)
 ]
-PositiveCount = typing.Annotated[int, msgspec.Meta(ge=1, le=2**31)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+SizeBytes = typing.Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+PositiveBytes = typing.Annotated[int, msgspec.Meta(ge=1, le=2**62)]
 # About 30 years.
 MAX_MS = 1e12
 Milliseconds = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import types
 
 import anyio
@@ -155,7 +156,9 @@
                 entry = ReplicaEntry(
                     "i-1", 1, "b", "127.0.0.1", server.port, "z", ReplicaState.READY
                 )
-                return await OrderClient().report(Replica(entry))
+                return await OrderClient().report(
+                    Replica(entry, random.Random(1), lambda replica: None)
+                )
 
         return anyio.run(main)
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -142,6 +142,7 @@
     (("routes",), []),
     (("limits",), {}),
     (("limits", "max_body_bytes"), 0),
+    (("limits", "max_body_bytes"), 2**40),
     (("backends", 0, "max_conns"), 0),
     ((*_RUNTIME, "loads_per_s"), 0),
     ((*_RUNTIME, "models"), []),
@@ -333,7 +334,7 @@
         self.assertTrue(0 <= entry.slots <= 2**31)
         self.assertTrue(0 <= entry.report_number <= 2**62)
         self.assertTrue(entry.remaining_s is None or 0 <= entry.remaining_s <= 1e9)
-        replica = Replica(entry)
+        replica = Replica(entry, random.Random(1), lambda replica: None)
         loads = {replica.id: messages.ReplicaLoad(1, 0)}
         reports = (messages.LostPromptReport(replica.process_id, (), 0.0),)
         heartbeat = messages.Heartbeat(
