--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -82,6 +82,8 @@
         # Excuse no answer that breaks off.
         self._planned_faults = (self._stop_host, self._change_configuration)
         self._callers_stopped_at = None
+        # When all timeouts have their usual length again.
+        self._settings_restored_at = None
         self.faults = []
         self.oracle = Oracle(REPEATABLE_ROUTES)
 
@@ -212,6 +214,7 @@
             tasks.append(group.create_task(work(generator)))
             await asyncio.sleep(generator.uniform(0.1, 0.6))
         await asyncio.gather(*tasks)
+        self._settings_restored_at = self._now()
 
     async def _inject_faults(self, group):
         fault_kinds = (
@@ -437,18 +440,25 @@
         """Reports requests that ran and got no whole answer without a fault."""
         run_ids = {run_id for replica in self._replicas for run_id, _ in replica.runs}
         for sent in self.oracle.requests_by_id.values():
-            took_s = sent.ended_at - sent.sent_at
-            is_excused = (
-                took_s >= LATE_FRACTION * MIN_ROUTE_TIMEOUT_S
-                or sent.ended_at >= self._callers_stopped_at
-            )
             if (
                 is_interrupted(sent, run_ids)
-                and not is_excused
+                and sent.ended_at < self._callers_stopped_at
+                and not self._may_have_timed_out(sent)
                 and not self._overlaps_unplanned_fault(sent)
             ):
                 self.oracle.record_interruption(sent)
 
+    def _may_have_timed_out(self, sent):
+        """Whether a timeout may have ended a request.
+
+        Timeouts are not shortened once the settings are restored, so an answer that has
+        begun and breaks off then was cut.
+        """
+        took_s = sent.ended_at - sent.sent_at
+        if took_s < LATE_FRACTION * MIN_ROUTE_TIMEOUT_S:
+            return False
+        return not has_broken_off(sent) or sent.sent_at <= self._settings_restored_at
+
     def _overlaps_unplanned_fault(self, sent):
         return any(
             started <= sent.ended_at and sent.sent_at <= ended + FAULT_AFTEREFFECT_S
@@ -461,4 +471,10 @@
     answer = sent.answer
     if answer is None or answer.status in (0, 502):
         return sent.id in run_ids
-    return answer.status == 200 and not answer.complete
+    return has_broken_off(sent)
+
+
+def has_broken_off(sent):
+    """Whether an answer began and did not end."""
+    answer = sent.answer
+    return answer is not None and answer.status == 200 and not answer.complete
