--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -16,8 +16,8 @@
 class Exchange:
     """One attempt of a job at one replica.
 
-    ``open`` sends the request; ``close`` returns the connection to the pool or closes
-    it, and must be called after ``open``. ``opened_at`` is the event loop's time.
+    ``connect`` and ``send`` send the request; ``close`` returns the connection to the
+    pool or closes it. ``opened_at`` is the event loop's time.
     """
 
     def __init__(self, dialect, job, replica):
@@ -34,10 +34,13 @@
         self._on_progress = None
         self._progress_at = 0.0
         self._body_progress = ProgressMeter()
+        self._body = bytearray()
+        self._response_metadata = None
+        self._is_accepted = False
         self._is_open = False
 
-    async def open(self):
-        """Sends the request. Raises ConnectFailed if nothing was sent."""
+    async def connect(self):
+        """Gets a connection to the replica. Raises ConnectFailed."""
         job, replica = self._job, self.replica
         self.opened_at = self._loop.time()
         replica.note_sent(job.metadata.adapter)
@@ -47,9 +50,10 @@
             replica.note_ended(job.metadata.adapter)
             raise
         self._is_open = True
-        self._send_request(job, replica)
 
-    def _send_request(self, job, replica):
+    def send(self):
+        """Sends the request. Raises ConnectFailed if nothing was sent."""
+        job, replica = self._job, self.replica
         remaining_s = job.deadline_at - self._loop.time()
         request = job.request
         attempt = AttemptMetadata(
@@ -88,12 +92,12 @@
         self.replica.note_response(metadata)
         return True
 
-    def watch_silence(self, silence_s, on_silent, on_progress):
+    def watch(self, silence_s, on_silent, on_progress):
         """Calls ``on_silent(silent_s)`` again and again while the replica is silent.
 
         It is silent if the response makes no progress for ``silence_s``, or if nothing
         comes on any connection of this host for REPLICA_SILENCE_S; None disables this.
-        ``on_progress()`` is called whenever the response goes on.
+        ``on_progress()`` is called whenever an accepted response goes on.
         """
         if silence_s is None:
             return
@@ -108,7 +112,7 @@
     async def read_head(self):
         """Returns (head, metadata) of the response. Raises ExchangeFailed."""
         head = await self._connection.read_head()
-        self.note_progress()
+        self._note_heard()
         self._connection.idle_timeout_s = (
             self._response_metadata.idle_timeout_s or self._connection.idle_timeout_s
         )
@@ -119,15 +123,25 @@
         """Whether bytes of the response's body wait to be read."""
         return self._connection.has_unread_body
 
+    def accept_response(self):
+        """Records that the response, whose head has come, can be passed on."""
+        self._is_accepted = True
+        self.note_progress()
+
     def note_progress(self):
         """Records that the response goes on, by complete events or enough bytes."""
+        self._note_heard()
+        if self._is_accepted and self._on_progress is not None:
+            self._on_progress()
+
+    def _note_heard(self):
         self._progress_at = self._loop.time()
         self.replica.note_heard()
-        if self._on_progress is not None:
-            self._on_progress()
 
     def _check_silence(self):
         """Reports a silent replica, and schedules the next check."""
+        if self._connection.is_complete:
+            return
         now = self._loop.time()
         if self._connection.has_unread_body:
             # The caller is slow, not the replica.
@@ -159,14 +173,17 @@
         return data
 
     async def read_body(self):
-        """Returns the whole body. Raises ExchangeFailed."""
-        body = await self._connection.read_all(MAX_RESPONSE_BYTES, self._note_body)
-        self._response_complete = True
-        return body
-
-    def _note_body(self, count):
-        if self._body_progress.note(count):
-            self.note_progress()
+        """Returns the whole body. Raises ExchangeFailed.
+
+        After a cancellation, another call goes on where the first one stopped.
+        """
+        while data := await self.read():
+            self._body += data
+            if len(self._body) > MAX_RESPONSE_BYTES:
+                raise ExchangeFailed("the response is too large")
+            if self._body_progress.note(len(data)):
+                self.note_progress()
+        return bytes(self._body)
 
     def close(self):
         """Ends this exchange. Its connection is kept if the response is complete."""
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -7,30 +7,32 @@
 
 import asyncio
 
+from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.job import Refused
 from snipetrestle.gateway.supervision import run_isolated
 
-# A replica that has not refused a replacement for this long has accepted it. Two
-# replicas must not work on one request for long.
+# A replica that has not refused a stream for this long has accepted it: two replicas
+# must not work on one stream for long. Calls may run at two replicas.
 MAX_OVERLAP_S = 0.3
 # Pause before the next replica is tried as a replacement; it doubles each time, since
 # each try counts as a retry.
 FIRST_PAUSE_S = 0.3
-PROGRESS_REASON = "the silent replica goes on"
 
 
 class Failover:
     """Serves one request by an exchange and, if need be, by replacements of it.
 
-    ``attempts`` is the Forwarder: it finds replicas, books retries and judges
-    responses. Without ``silence_s``, silence is no reason to send the request again.
+    ``forwarder`` finds replicas, books retries and judges responses. Without
+    ``silence_s``, silence is no reason to send the request again.
     """
 
-    def __init__(self, attempts, job, silence_s):
-        self._attempts = attempts
+    def __init__(self, forwarder, job, silence_s):
+        self._forwarder = forwarder
         self._job = job
         self._silence_s = silence_s
+        is_stream = job.route.kind is RequestKind.STREAM
+        self._max_overlap_s = MAX_OVERLAP_S if is_stream else None
         self._current = None
         # The replacement that was sent, and whether its replica has accepted it.
         self._replacement = None
@@ -45,9 +47,10 @@
         meanwhile. Raises ConnectFailed if nothing was sent, and ExchangeFailed if there
         is no replacement.
         """
-        await exchange.open()
         self._current = exchange
         try:
+            await exchange.connect()
+            exchange.send()
             while True:
                 try:
                     return await self._serve_current(serve_exchange)
@@ -55,10 +58,10 @@
                     await self._replace_failed(error)
         finally:
             self._current.close()
-            self._drop_replacement()
+            self._end_replacement()
 
     async def _serve_current(self, serve_exchange):
-        self._current.watch_silence(self._silence_s, self._on_silent, self._on_progress)
+        self._current.watch(self._silence_s, self._on_silent, self._on_progress)
         return await serve_exchange(self._current)
 
     async def _replace_failed(self, error):
@@ -68,85 +71,112 @@
         """
         failed, task = self._current, self._task
         failed.close()
-        replacement = self._take_replacement()
+        replacement = self._replacement
+        self._set_replacement(None)
+        self._cancel_task()
         if replacement is not None:
             self._current = replacement
             # The task may still be waiting for the head of the replacement's response.
             await asyncio.wait({task})
-        await self._attempts.note_exchange_failed(self._job, failed.replica, error)
+        await self._forwarder.note_exchange_failed(self._job, failed.replica, error)
         if replacement is None:
             raise error
 
-    def _take_replacement(self):
-        replacement, self._replacement = self._replacement, None
+    def _set_replacement(self, replacement):
+        self._replacement = replacement
+        self._job.has_replacement = replacement is not None
         self._is_accepted = False
+
+    def _cancel_task(self):
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    def _end_replacement(self):
+        """Ends the search for a replacement, and the replacement if one was sent."""
         self._cancel_task()
-        return replacement
+        self._close_replacement()
+
+    def _close_replacement(self):
+        if self._replacement is not None:
+            self._replacement.close()
+            self._set_replacement(None)
 
     def _on_progress(self):
-        """Drops the replacement of an exchange that goes on."""
+        """Ends the replacement of an exchange that goes on."""
         if self._is_accepted:
             return
         if self._replacement is not None:
-            self._attempts.log_replacement_dropped(self._job, PROGRESS_REASON)
-        self._drop_replacement()
-
-    def _drop_replacement(self):
-        replacement = self._take_replacement()
-        if replacement is not None:
-            replacement.close()
-
-    def _cancel_task(self):
-        if self._task is not None:
-            self._task.cancel()
-            self._task = None
+            self._log_dropped("the silent replica goes on")
+        self._end_replacement()
 
     def _on_silent(self, silent_s):
         is_busy = self._task is not None and not self._task.done()
-        if self._is_accepted or is_busy or not self._attempts.may_retry(self._job):
+        if self._is_accepted or is_busy or not self._forwarder.may_retry(self._job):
             return
-        self._drop_replacement()
         self._current.replica.note_silence()
         reason = f"no progress for {silent_s:.2f} s"
         self._task = asyncio.get_running_loop().create_task(
-            run_isolated(self._try_to_replace, reason)
+            run_isolated(self._replace_silent, reason)
         )
 
-    async def _try_to_replace(self, reason):
+    async def _replace_silent(self, reason):
         """Ends the silent exchange if another replica accepts the request."""
-        try:
-            is_accepted = await self._send_replacement(reason)
-        except Refused as refusal:
-            refusal_reason = refusal.fields.get("reason", str(refusal))
-            self._attempts.log_replacement_dropped(self._job, refusal_reason)
-            is_accepted = False
-        if is_accepted and self._current.has_unread_body:
-            self._attempts.log_replacement_dropped(self._job, PROGRESS_REASON)
-            is_accepted = False
-        if is_accepted:
+        if await self._send_replacement(reason):
             self._is_accepted = True
             self._current.cancel(reason)
             return
-        if self._replacement is not None:
-            self._replacement.close()
-            self._replacement = None
         await asyncio.sleep(self._pause_s)
         self._pause_s *= 2
 
     async def _send_replacement(self, reason):
-        """Sends the request to another replica; returns whether that accepts it.
-
-        Raises Refused if there is no such replica.
-        """
-        attempts, job = self._attempts, self._job
-        replica = await attempts.find_replacement(job)
-        if replica is None or not attempts.try_book_retry(job, reason):
+        """Sends the request to another replica; returns whether that accepts it."""
+        try:
+            replica = await self._forwarder.find_replacement(self._job)
+            replacement = self._forwarder.create_exchange(self._job, replica)
+        except Refused as refusal:
+            self._log_dropped(refusal.fields.get("reason", str(refusal)))
             return False
-        replacement = attempts.create_exchange(job, replica)
         try:
-            await replacement.open()
-        except ConnectFailed:
+            await replacement.connect()
+            # Nothing may come between the booking and the sending.
+            if not self._forwarder.try_book_retry(self._job, reason):
+                replacement.close()
+                return False
+            replacement.send()
+        except ConnectFailed as error:
             replica.note_silence()
+            self._log_dropped(str(error))
             return False
-        self._replacement = replacement
-        return await attempts.is_accepted(job, replacement, MAX_OVERLAP_S)
+        except BaseException:
+            replacement.close()
+            raise
+        self._set_replacement(replacement)
+        return await self._await_acceptance(replacement)
+
+    async def _await_acceptance(self, replacement):
+        """Returns whether a replica accepts a replacement. Closes it if not."""
+        is_accepted = False
+        try:
+            reason = await self._forwarder.refusal_reason(
+                self._job, replacement, self._max_overlap_s
+            )
+            if reason is None and self._current.has_unread_body:
+                reason = "the silent replica goes on"
+            is_accepted = reason is None
+        except ExchangeFailed as error:
+            reason = str(error)
+            self._close_replacement()
+            await self._forwarder.note_exchange_failed(
+                self._job, replacement.replica, error
+            )
+        finally:
+            # The replacement may have taken the place of the silent exchange.
+            if not is_accepted and self._replacement is replacement:
+                self._close_replacement()
+        if not is_accepted:
+            self._log_dropped(reason)
+        return is_accepted
+
+    def _log_dropped(self, reason):
+        self._forwarder.log_replacement_dropped(self._job, reason)
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -158,7 +158,8 @@
             job.caller.on_disconnect = None
         if job.caller.closed:
             self._metrics.count(job.route.name, None, "caller_gone")
-        elif scope.cancelled_caught and job.fallback_response is not None:
+        elif job.fallback_response is not None and (scope.cancelled_caught or refusal):
+            # The failure that a replica reported says more than a missing response.
             self._send_response(job, *job.fallback_response)
         elif scope.cancelled_caught:
             self._refuse(
@@ -255,12 +256,17 @@
             await exchange.read_body()
             self._note_not_run(job, replica, head.status)
             return None
+        is_failure = head.status >= 500 or not _is_authentic(metadata)
+        if not is_failure:
+            exchange.accept_response()
         body = await exchange.read_body()
         if not _is_authentic(metadata):
             raise ExchangeFailed(f"response {head.status} is unsigned or encoded")
-        if head.status >= 500:
-            replica.note_failure()
+        if is_failure:
             job.fallback_response = (head.status, metadata, body)
+            if job.has_replacement:
+                raise ExchangeFailed(f"status {head.status}")
+            replica.note_failure()
             if self._may_resend(job):
                 self._log_resend(job, f"status {head.status}")
                 return None
@@ -326,6 +332,7 @@
             raise ExchangeFailed(f"response {head.status} is unsigned or encoded")
         if head.status != 200:
             return await self._handle_stream_failure(job, exchange, head, metadata)
+        exchange.accept_response()
         await self._forward_events(job, exchange, metadata)
         self._prompt_quarantine.note_served(job.metadata.shared_prompt_parts)
         self._observe(job, 200)
@@ -337,7 +344,7 @@
         Returns whether the request is done.
         """
         body = await exchange.read_body()
-        if job.streaming:
+        if job.streaming or (job.has_replacement and head.status >= 500):
             raise ExchangeFailed(f"status {head.status}")
         if head.status >= 500:
             exchange.replica.note_failure()
@@ -484,41 +491,40 @@
         return True
 
     async def find_replacement(self, job):
-        """Returns another replica for a job, or None. Raises Refused."""
-        self._check_prompt(job)
-        if job.route.kind is RequestKind.STREAM:
-            replica = await self._search.find_stream_replica(job)
-        else:
-            replica = await self._search.choose_replica(job)
-        return None if replica.id in job.may_have_run_on else replica
-
-    async def is_accepted(self, job, exchange, max_wait_s):
-        """Whether a replica has accepted a replacement.
+        """Returns a replica for a replacement. Raises Refused if there is none.
 
-        That is so if it begins a response that can be passed on, or if it has not
-        refused the request within ``max_wait_s``.
+        A call may go to its silent replica once more if there is no other: only its
+        response or its connection may be lost.
         """
-        try:
-            with anyio.move_on_after(max_wait_s):
-                return await self._judge_replacement(job, exchange)
-        except ExchangeFailed as error:
-            self.log_replacement_dropped(job, str(error))
-            await self.note_exchange_failed(job, exchange.replica, error)
-            return False
-        return True
-
-    async def _judge_replacement(self, job, exchange):
-        head, metadata = await exchange.read_head()
+        self._check_prompt(job)
+        if job.route.kind is not RequestKind.STREAM:
+            return await self._search.choose_replica(job)
+        replica = await self._search.find_stream_replica(job)
+        if replica.id in job.may_have_run_on:
+            raise self._search.unavailable_refusal(job, "no other replica is ready")
+        return replica
+
+    async def refusal_reason(self, job, exchange, max_wait_s):
+        """Returns why a replica does not accept a replacement; None if it does.
+
+        It accepts by beginning a response that can be passed on, or by not refusing the
+        request within ``max_wait_s``, if that is given. Raises ExchangeFailed if the
+        replacement fails.
+        """
+        head = None
+        with anyio.move_on_after(max_wait_s):
+            head, metadata = await exchange.read_head()
+        if head is None:
+            return None
         is_stream = job.route.kind is RequestKind.STREAM
         if metadata.not_executed or (is_stream and head.status == 421):
             exchange.note_not_run()
             self._note_refusal(job, exchange.replica, head.status)
-            self.log_replacement_dropped(job, f"not run, status {head.status}")
-            return False
+            return f"not run, status {head.status}"
         if not _is_authentic(metadata):
             raise ExchangeFailed(f"response {head.status} is unsigned or encoded")
         if head.status == 200 or (head.status < 500 and not job.streaming):
-            return True
+            return None
         if not is_stream:
             body = await exchange.read_body()
             job.fallback_response = (head.status, metadata, body)
@@ -553,6 +559,8 @@
     def _note_not_run(self, job, replica, status):
         """Handles a replica that did not run a call. Returns if it may be retried."""
         self._note_refusal(job, replica, status)
+        if job.has_replacement:
+            raise ExchangeFailed(f"not run, status {status}")
         if not self._may_resend_not_run(job):
             raise self._not_run_refusal(job, status)
         self._log_resend(job, f"not run, status {status}")
@@ -590,6 +598,8 @@
     async def _note_stream_not_run(self, job, replica, status):
         """Handles a replica that did not run a stream. Pauses if it may be retried."""
         self._note_refusal(job, replica, status)
+        if job.has_replacement:
+            raise ExchangeFailed(f"not run, status {status}")
         if not self._may_resend_not_run(job):
             raise self._not_run_refusal(job, status)
         self._log_resend(job, f"not run, status {status}")
--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -205,6 +205,11 @@
             await self._waiter.wait()
         return self._head
 
+    @property
+    def is_complete(self):
+        """Whether the whole response has arrived."""
+        return self._complete
+
     @property
     def has_unread_body(self):
         """Whether bytes of the body wait to be read."""
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -30,7 +30,8 @@
     replicas. ``limit_wait_s`` is the time that the request would have had to wait for a
     replica with a request limit. ``fallback_response`` is an earlier replica's failure,
     passed to the caller if no later attempt gets a response. ``first_sent_at`` is the
-    time of the first attempt, or None.
+    time of the first attempt, or None. ``has_replacement`` tells that the request was
+    sent to another replica while the first one is silent.
     """
 
     __slots__ = (
@@ -53,6 +54,7 @@
         "is_prompt_trial",
         "limit_wait_s",
         "first_sent_at",
+        "has_replacement",
     )
 
     def __init__(self, request, metadata, route, backend, caller, deadline_at):
@@ -75,6 +77,7 @@
         self.is_prompt_trial = False
         self.limit_wait_s = 0.0
         self.first_sent_at = None
+        self.has_replacement = False
 
     @property
     def may_have_run(self):
--- a/snipetrestle/gateway/replica_choice.py
+++ b/snipetrestle/gateway/replica_choice.py
@@ -121,7 +121,7 @@
             for item in self._replicas.ready_replicas(job.backend.name)
             if item.is_available
         ]
-        if not all(item.request_limit.is_limited for item in replicas):
+        if not replicas or not all(item.request_limit.is_limited for item in replicas):
             return
         reason = "all replicas are at their request limits"
         if job.may_have_run:
