--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -157,7 +157,7 @@
         self._context = context
         backend = context.backend
         self.replica_adapters = ReplicaAdapters(
-            replica.id, adapter_slots(backend), context.backend_placement.index
+            replica.id, _adapter_slots(backend), context.backend_placement.index
         )
         self._queue = collections.deque()
         self._waiter = Waiter()
@@ -512,7 +512,7 @@
         return result
 
 
-def adapter_slots(backend):
+def _adapter_slots(backend):
     """Returns how many adapters fit in memory beside a model of the backend."""
     model = backend.models[0]
     if model.adapter_mb <= 0:
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -3,13 +3,13 @@
 import contextlib
 import json
 import random
+import random
 
 import hypothesis
 import testtools
 from hypothesis import strategies
 
-from snipetrestle.coordination import messages
-from snipetrestle.coordination.orders import adapter_slots
+from snipetrestle.coordination import messages, orders
 from snipetrestle.gateway.configuration import (
     AdapterVersion,
     ReplicaEntry,
@@ -327,7 +327,9 @@
                 self.assertIn(backend.name, decoded.backends_by_name)
         for backend in decoded.backends_by_name.values():
             if backend.models:
-                self.assertTrue(0 <= adapter_slots(backend) <= backend.adapter_slots)
+                self.assertTrue(
+                    0 <= orders._adapter_slots(backend) <= backend.adapter_slots
+                )
 
     def assert_usable_replica(self, entry):
         self.assertTrue(1 <= entry.port <= 65_535)
