--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -92,10 +92,10 @@
     REQUEST_FAILED = (1404, "WARNING", "request was not served")
     REQUEST_REPEATED = (1405, "INFO", "request is retried")
     LINES_SUPPRESSED = (1406, "WARNING", "log lines were suppressed")
-    STREAM_LOST_BEFORE_EVENT = (
+    REQUEST_LOST_BEFORE_ANSWER = (
         1407,
         "WARNING",
-        "replica closed a stream before its first event",
+        "replica closed a request before its answer began",
     )
     REFUSED_PROMPTS_CHANGED = (
         1408,
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -152,8 +152,8 @@
         self.metrics = GatewayMetrics()
         self.request_log = RequestLines()
         # The end of one replica suppresses lines about the streams that it cut off.
-        # These must not be among them, as they tell which prompts it was starting.
-        self.lost_stream_log = RequestLines()
+        # These must not be among them, as they tell which requests it was starting.
+        self.lost_request_log = RequestLines()
         self.retry_budgets = RetryBudgets(settings.retry_budget)
         self.replicas = ReplicaDirectory(settings.failure_domain, rng)
         self.state = PublishedState(
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -59,7 +59,7 @@
         self._hosts = gateway.hosts
         self._metrics = gateway.metrics
         self._request_log = gateway.request_log
-        self._lost_stream_log = gateway.lost_stream_log
+        self._lost_request_log = gateway.lost_request_log
         self._leadership = gateway.leadership
         self._prompt_quarantine = gateway.prompt_quarantine
         self._search = ReplicaSearch(gateway)
@@ -409,18 +409,20 @@
 
         Raises Refused if that is likely, so that no other replica crashes on it.
         """
-        parts = job.metadata.shared_prompt_parts
-        if job.first_event_at is not None or not parts:
+        if job.first_event_at is not None:
             return
         # A crash closes all connections at the same time.
         await anyio.sleep(CRASH_CHECK_DELAY_S)
         if replica.pool.has_open_connection:
             return
+        parts = job.metadata.shared_prompt_parts
         self._prompt_quarantine.note_lost(replica.process_id, parts)
-        self._metrics.count_stream_lost_before_event(job.route.name)
-        self._lost_stream_log.log(
-            Event.STREAM_LOST_BEFORE_EVENT,
+        if job.route.kind is RequestKind.STREAM:
+            self._metrics.count_stream_lost_before_event(job.route.name)
+        self._lost_request_log.log(
+            Event.REQUEST_LOST_BEFORE_ANSWER,
             request=job.request_id,
+            fingerprint=job.fingerprint,
             route=job.route.name,
             replica=replica.id,
             boot=replica.entry.boot,
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -2,6 +2,7 @@
 
 from snipetrestle.codes import ResultCode
 from snipetrestle.gateway.configuration import RequestKind
+from snipetrestle.gateway.request_fingerprint import request_fingerprint
 
 
 class Refused(Exception):
@@ -20,7 +21,8 @@
 class Job:
     """A caller's request that is being forwarded. Times are those of the event loop.
 
-    ``caller`` is the CallerConnection that gets the response. These lists hold replica
+    ``caller`` is the CallerConnection that gets the response. ``fingerprint`` is the
+    same for each repetition of the request. These lists hold replica
     ids: ``sent_to`` those that the request was sent to, ``may_have_run_on`` those on
     which it may have run, and ``adapter_missing_on`` those that refused it because they
     do not hold its adapter; the last two have an entry for each attempt. ``send_count``
@@ -37,6 +39,7 @@
     __slots__ = (
         "request",
         "metadata",
+        "fingerprint",
         "route",
         "backend",
         "caller",
@@ -60,6 +63,7 @@
     def __init__(self, request, metadata, route, backend, caller, deadline_at):
         self.request = request
         self.metadata = metadata
+        self.fingerprint = request_fingerprint(request, metadata)
         self.route = route
         self.backend = backend
         self.caller = caller
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -84,12 +84,13 @@
         [line] = [
             record["extra"]
             for record in self.records
-            if record["extra"].get("event") == str(Event.STREAM_LOST_BEFORE_EVENT)
+            if record["extra"].get("event") == str(Event.REQUEST_LOST_BEFORE_ANSWER)
         ]
         self.assertEqual(
             ("model-0", 1, ("system", "bad")),
             (line["replica"], line["boot"], line["prompt_parts"]),
         )
+        self.assertRegex(line["fingerprint"], "^[0-9a-f]{16}$")
 
 
 class ResetStreamTest(testtools.TestCase):
