--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -102,8 +102,9 @@
     messages that were written. A stream has ``events`` events,
     ``event_interval_s`` seconds apart.
 
-    A request with a prompt part of ``crashing_parts`` ends the replica when its first
-    event is due; ``crash_count`` counts that. It restarts at once, empty, with a new
+    A request with a prompt part of ``crashing_parts``, or with a target of
+    ``crashing_targets``, ends the replica when its first event or its response is due;
+    ``crash_count`` counts that. It restarts at once, empty, with a new
     ``boot``, and calls ``on_restart(replica)`` if that is set.
     """
 
@@ -152,6 +153,7 @@
         # How often the replica has written its entry since its start.
         self.report_count = 0
         self.crashing_parts = set()
+        self.crashing_targets = set()
         self.crash_count = 0
         self.on_restart = None
         self._silence_count = 0
@@ -386,6 +388,9 @@
                 await self._send_without_end(request, writer, fault)
             elif fault is Fault.TRICKLED_BODY:
                 await self._send_trickled(request, writer)
+            elif request.target in self.crashing_targets:
+                await asyncio.sleep(self.event_interval_s)
+                self._crash()
             elif "x-model" in request.headers and fault is not Fault.SERVER_ERROR:
                 await self._send_stream(request, writer, fault, int(last_event_id or 0))
             else:
