--- a/snipetrestle/codes.py
+++ b/snipetrestle/codes.py
@@ -167,12 +167,12 @@
         "the engine refused an old fencing number",
     )
 
-    PROMPT_REFUSED = (
+    REQUEST_QUARANTINED = (
         1207,
         503,
         Outcome.DID_NOT_RUN,
         True,
-        "replicas crashed on prompts with a part of this one",
+        "replicas crashed on this request or on prompts with a part of its prompt",
     )
 
     STREAM_BROKEN = (
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -89,6 +89,17 @@
     confirmed: bool = False
 
 
+class CrashReport(msgspec.Struct, array_like=True, frozen=True):
+    """Requests that a replica closed before its answer began, ``age_s`` ago.
+
+    ``crash`` identifies the replica's process, ``requests`` are fingerprints.
+    """
+
+    crash: Name
+    age_s: DurationS
+    requests: tuple[Name, ...]
+
+
 class Heartbeat(_Message, tag="Beat"):
     """Periodic message of a host to the others.
 
@@ -143,6 +154,17 @@
         return self.members_digest != 0
 
 
+class LostRequests(_Message):
+    """Requests that may have crashed replicas, on any host.
+
+    ``served_ages_s`` tells how long ago answers to some of them last began.
+    """
+
+    sender: Name
+    crashes: tuple[CrashReport, ...]
+    served_ages_s: dict[Name, DurationS] = {}
+
+
 class Join(_Message):
     """Request for the hosts that the receiver knows."""
 
@@ -247,6 +269,7 @@
     | Located
     | PermitRequest
     | PermitReply
+    | LostRequests
 )
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -102,6 +102,11 @@
         "WARNING",
         "prompt parts that crash replicas changed",
     )
+    REQUEST_REFUSAL_CHANGED = (
+        1409,
+        "WARNING",
+        "refusal of a request that crashes replicas began or ended",
+    )
     REPLACEMENT_DROPPED = (
         1410,
         "INFO",
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -18,15 +18,18 @@
 from snipetrestle.coordination.shared_loads import SharedReplicaLoads
 from snipetrestle.coordination.shared_quarantine import SharedQuarantine
 from snipetrestle.coordination.shared_request_limits import SharedRequestLimits
+from snipetrestle.coordination.shared_request_quarantine import (
+    SharedRequestQuarantine,
+)
 from snipetrestle.coordination.store_relay import StoreRelay
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import CallerLimits
+from snipetrestle.gateway.crash_quarantine import CrashQuarantine
 from snipetrestle.gateway.drain_times import DrainTimes
 from snipetrestle.gateway.forwarding import Forwarder
 from snipetrestle.gateway.http_server import CallerConnection
 from snipetrestle.gateway.log_lines import RequestLines
 from snipetrestle.gateway.metrics import GatewayMetrics
-from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
 from snipetrestle.gateway.published_state import PublishedState
 from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle.gateway.request_limits import RequestLimits
@@ -186,13 +189,21 @@
             min(settings.replica_drain_s, settings.configuration_apply_s),
         )
         self.state.relay = self.store_relay
-        self.prompt_quarantine = PromptQuarantine(_log_refused_prompts)
+        self.crash_quarantine = CrashQuarantine(
+            _log_refused_prompts, self._log_request_refusal
+        )
+        self.shared_request_quarantine = SharedRequestQuarantine(
+            self.crash_quarantine.requests,
+            self.hosts,
+            self.leadership,
+            self.datagram_endpoint,
+        )
         heartbeat_content.connect(
             self.leadership,
             self.shared_loads,
             self.state,
             self.store_relay,
-            SharedQuarantine(self.prompt_quarantine, self.hosts),
+            SharedQuarantine(self.crash_quarantine.prompts, self.hosts),
             SharedRequestLimits(self.replicas, self.hosts),
         )
         self.send_permits = SendPermits(
@@ -225,6 +236,11 @@
         self._stopping = None
         self._snapshot_server = None
 
+    def _log_request_refusal(self, request, refused):
+        self.lost_request_log.log(
+            Event.REQUEST_REFUSAL_CHANGED, fingerprint=request, refused=refused
+        )
+
     def _limits(self):
         configuration = self.state.configuration
         return CallerLimits() if configuration is None else configuration.limits
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -40,8 +40,8 @@
 NOT_LOADED_PAUSE_S = 0.04
 # Retry-After of requests that arrive before the gateway is ready.
 NOT_READY_RETRY_AFTER_S = 0.3
-# Retry-After for prompts that crash replicas, which stay refused for minutes.
-REFUSED_PROMPT_RETRY_AFTER_S = 30.0
+# Retry-After for requests that crash replicas, which stay refused for minutes.
+QUARANTINE_RETRY_AFTER_S = 30.0
 # Time in which a replica that crashed closes all of its connections.
 CRASH_CHECK_DELAY_S = 0.02
 # Number of events over which a stream's mean event interval is measured.
@@ -61,7 +61,7 @@
         self._request_log = gateway.request_log
         self._lost_request_log = gateway.lost_request_log
         self._leadership = gateway.leadership
-        self._prompt_quarantine = gateway.prompt_quarantine
+        self._crash_quarantine = gateway.crash_quarantine
         self._search = ReplicaSearch(gateway)
         self._rng = gateway.rng
         self._durations = UsualDurations()
@@ -225,7 +225,7 @@
 
     async def _forward_call(self, job):
         while True:
-            self._check_prompt(job)
+            self._check_quarantine(job)
             replica = await self._search.choose_replica(job)
             try:
                 response = await self._attempt(
@@ -271,11 +271,10 @@
                 self._log_resend(job, f"status {head.status}")
                 return None
         else:
-            replica.note_success(anyio.current_time() - exchange.opened_at)
-            self._prompt_quarantine.note_answered(
-                replica.process_id, exchange.opened_at
-            )
-            self._prompt_quarantine.note_served(job.metadata.shared_prompt_parts)
+            started = exchange.opened_at
+            replica.note_success(anyio.current_time() - started)
+            self._crash_quarantine.note_answered(replica.process_id, started, job)
+            self._crash_quarantine.note_served(job)
         return head.status, metadata, body
 
     def _silence_limit(self, job):
@@ -304,10 +303,10 @@
 
     async def _forward_stream(self, job):
         while True:
-            self._check_prompt(job)
+            self._check_quarantine(job)
             replica = await self._search.find_stream_replica(job)
-            # A crash during the wait may have shown that the prompt is the cause.
-            self._check_prompt(job)
+            # A crash during the wait may have shown that the request is the cause.
+            self._check_quarantine(job)
             try:
                 if await self._attempt(
                     job, replica, STREAM_SILENCE_S, self._serve_stream
@@ -334,7 +333,7 @@
             return await self._handle_stream_failure(job, exchange, head, metadata)
         exchange.accept_response()
         await self._forward_events(job, exchange, metadata)
-        self._prompt_quarantine.note_served(job.metadata.shared_prompt_parts)
+        self._crash_quarantine.note_served(job)
         self._observe(job, 200)
         return True
 
@@ -373,7 +372,7 @@
                 awaiting_first_event = False
                 now = anyio.current_time()
                 replica.note_success(now - started)
-                self._prompt_quarantine.note_answered(replica.process_id, started)
+                self._crash_quarantine.note_answered(replica.process_id, started, job)
                 job.first_event_at = job.first_event_at or now
             if not job.streaming:
                 job.streaming = True
@@ -386,26 +385,30 @@
             raise ExchangeFailed("the stream ended before a complete event")
         caller.end_stream()
 
-    # Prompts that crash replicas.
+    # Requests that crash replicas.
 
-    def _check_prompt(self, job):
-        """Raises Refused if replicas crash on prompts like this one."""
-        if job.is_prompt_trial or job.first_event_at is not None:
+    def _check_quarantine(self, job):
+        """Raises Refused if replicas crash on requests like this one."""
+        if job.is_quarantine_trial or job.first_event_at is not None:
             return
-        parts = job.metadata.shared_prompt_parts
-        if not self._prompt_quarantine.refuses(parts):
+        if not self._crash_quarantine.refuses(job):
             return
-        self._prompt_quarantine.note_requested(parts)
-        if self._leadership.leads and self._prompt_quarantine.starts_trial(parts):
-            job.is_prompt_trial = True
+        self._crash_quarantine.note_requested(job)
+        if self._leadership.leads and self._crash_quarantine.starts_trial(job):
+            job.is_quarantine_trial = True
             return
-        code = ResultCode.PROMPT_REFUSED
+        code = ResultCode.REQUEST_QUARANTINED
         if job.may_have_run:
             code = job.unknown_outcome_code
-        raise Refused(code, REFUSED_PROMPT_RETRY_AFTER_S, prompt_parts=parts)
+        raise Refused(
+            code,
+            QUARANTINE_RETRY_AFTER_S,
+            fingerprint=job.fingerprint,
+            prompt_parts=job.metadata.shared_prompt_parts,
+        )
 
     async def _note_closed_by_replica(self, job, replica):
-        """Records that a replica may have crashed on the prompt of a request.
+        """Records that a replica may have crashed on a request.
 
         Raises Refused if that is likely, so that no other replica crashes on it.
         """
@@ -415,8 +418,7 @@
         await anyio.sleep(CRASH_CHECK_DELAY_S)
         if replica.pool.has_open_connection:
             return
-        parts = job.metadata.shared_prompt_parts
-        self._prompt_quarantine.note_lost(replica.process_id, parts)
+        self._crash_quarantine.note_lost(replica.process_id, job)
         if job.route.kind is RequestKind.STREAM:
             self._metrics.count_stream_lost_before_event(job.route.name)
         self._lost_request_log.log(
@@ -427,11 +429,11 @@
             replica=replica.id,
             boot=replica.entry.boot,
             attempt=job.send_count,
-            prompt_parts=parts,
+            prompt_parts=job.metadata.shared_prompt_parts,
         )
-        if self._prompt_quarantine.forbids_retry(parts):
+        if self._crash_quarantine.forbids_retry(job):
             raise Refused(
-                job.unknown_outcome_code, reason="replicas crash on prompts like this"
+                job.unknown_outcome_code, reason="replicas crash on requests like this"
             )
 
     # Retries.
@@ -498,7 +500,7 @@
         A call may go to its silent replica once more if there is no other: only its
         response or its connection may be lost.
         """
-        self._check_prompt(job)
+        self._check_quarantine(job)
         if job.route.kind is not RequestKind.STREAM:
             return await self._search.choose_replica(job)
         replica = await self._search.find_stream_replica(job)
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -28,7 +28,7 @@
     do not hold its adapter; the last two have an entry for each attempt. ``send_count``
     counts all attempts. ``version`` is the adapter version that the replica must have.
     ``streaming`` tells whether the caller has got the start of a stream.
-    ``is_prompt_trial`` tells that the request shows whether its prompt still crashes
+    ``is_quarantine_trial`` tells that the request shows whether it still crashes
     replicas. ``limit_wait_s`` is the time that the request would have had to wait for a
     replica with a request limit. ``fallback_response`` is an earlier replica's failure,
     passed to the caller if no later attempt gets a response. ``first_sent_at`` is the
@@ -54,7 +54,7 @@
         "version",
         "first_event_at",
         "fallback_response",
-        "is_prompt_trial",
+        "is_quarantine_trial",
         "limit_wait_s",
         "first_sent_at",
         "has_replacement",
@@ -78,7 +78,7 @@
         self.version = None
         self.first_event_at = None
         self.fallback_response = None
-        self.is_prompt_trial = False
+        self.is_quarantine_trial = False
         self.limit_wait_s = 0.0
         self.first_sent_at = None
         self.has_replacement = False
--- a/snipetrestle/gateway/prompt_quarantine.py
+++ b/snipetrestle/gateway/prompt_quarantine.py
@@ -90,11 +90,14 @@
 
     Prompts are given as their shared parts, in any order. Times are those of the event
     loop. ``on_change(refused)`` is called with the frozensets of parts that are refused
-    together, whenever they change.
+    together, whenever they change. ``requests`` is the RequestQuarantine, if there is
+    one: a part is not suspected of crashes that a single request explains.
     """
 
-    def __init__(self, on_change=None):
+    def __init__(self, on_change=None, requests=None):
         self._on_change = on_change
+        self._requests = requests
+        self._requests_version = 0
         self._lost_by_key = {}
         # The latest time at which a replica got a request that it answered, for those
         # that closed a stream.
@@ -246,6 +249,10 @@
     def _update(self, now):
         """Brings the suspicions up to date."""
         self._forget_old(now)
+        if self._requests is not None:
+            if self._requests.version != self._requests_version:
+                self._update_at = 0.0
+            self._requests_version = self._requests.version
         if now < self._update_at:
             return
         self._suspicions = self._find_suspicions()
@@ -284,6 +291,8 @@
             for equal_parts in _strongest_first(lost_prompts):
                 found = []
                 for lost in equal_parts:
+                    if self._one_request_explains(lost):
+                        continue
                     unexplained = [
                         item for item in lost if item[0].crash not in explained_crashes
                     ]
@@ -295,6 +304,12 @@
                         explained_crashes.update(prompt.crash for prompt, _ in lost)
         return suspicions
 
+    def _one_request_explains(self, lost):
+        """Tells whether one refused request was in all crashes of a part."""
+        if self._requests is None:
+            return False
+        return self._requests.explains({prompt.crash for prompt, _ in lost})
+
     def _suspects_by_prompt(self):
         """Returns the lost prompts with parts that were never served, and the others.
 
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -116,7 +116,7 @@
                 )
                 await asyncio.sleep(0.12)
             self.assertFalse(
-                gateway.prompt_quarantine.forbids_retry(("system", "rare"))
+                gateway.crash_quarantine.prompts.forbids_retry(("system", "rare"))
             )
             answers = await asyncio.gather(*others)
             self.assertEqual({200}, {answer.status for answer in answers})
