--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -6,12 +6,14 @@
 from loguru import logger
 
 from snipetrestle.events import Event
+from snipetrestle.gateway.prompt_quarantine import MIN_CRASHES
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
 
 # How long all hosts may take to learn which part of a prompt crashes replicas.
 LEARNING_TIME_S = 3.0
 CRASHES_TO_LEARN_FROM = 5
+SOUND_REQUESTS = 24
 
 
 def prefix(*shared_parts):
@@ -21,9 +23,17 @@
 
 
 class CrashingPromptTest(testtools.TestCase):
+    request_count = 0
+
     async def send(self, fleet, gateway, *shared_parts):
+        """Sends a request whose body no other one has."""
+        self.request_count += 1
         return await fleet.send_request(
-            "/night/a", gateway, adapter="", headers=prefix(*shared_parts)
+            "/night/a",
+            gateway,
+            adapter="",
+            headers=prefix(*shared_parts),
+            body=b"%d" % self.request_count,
         )
 
     def test_prompts_with_a_part_that_crashes_replicas_are_refused_by_all_hosts(self):
@@ -57,6 +67,35 @@
 
         run_fleet(check, gateways=3, models=3)
 
+    def test_sound_prompts_with_the_same_first_part_begin_at_the_first_attempt(self):
+        """Sound streams were refused or moved while prompts with a bad part came."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.crashing_parts = {"bad"}
+            number = 0
+            while sum(replica.crash_count for replica in fleet.models) < MIN_CRASHES:
+                gateway = fleet.gateways[number % len(fleet.gateways)]
+                await self.send(fleet, gateway, "system", "customer", "bad")
+                await asyncio.sleep(0.15)
+                number += 1
+            await asyncio.sleep(2 * LEARNING_TIME_S)
+            for replica in fleet.models:
+                replica.runs.clear()
+            sound = []
+            for index in range(SOUND_REQUESTS):
+                gateway = fleet.gateways[index % len(fleet.gateways)]
+                _, answer = await asyncio.gather(
+                    self.send(fleet, gateway, "system", "customer", "bad"),
+                    self.send(fleet, gateway, "system", f"customer-{index % 5}"),
+                )
+                sound.append(answer.status)
+            attempts = sum(len(replica.runs) for replica in fleet.models)
+            self.assertEqual([200] * SOUND_REQUESTS, sound)
+            self.assertEqual(SOUND_REQUESTS, attempts)
+
+        run_fleet(check, gateways=3, models=3)
+
 
 class LostStreamLogTest(testtools.TestCase):
     def setUp(self):
