--- a/snipetrestle/gateway/prompt_quarantine.py
+++ b/snipetrestle/gateway/prompt_quarantine.py
@@ -286,6 +286,8 @@
         """
         never_served, served = self._suspects_by_prompt()
         explained_crashes = set()
+        if self._requests is not None:
+            explained_crashes = self._requests.explained_crashes()
         suspicions = []
         for lost_prompts, was_served in ((never_served, False), (served, True)):
             for equal_parts in _strongest_first(lost_prompts):
--- a/snipetrestle/gateway/request_quarantine.py
+++ b/snipetrestle/gateway/request_quarantine.py
@@ -17,6 +17,9 @@
 MIN_CRASHES_IF_SERVED = 3
 # Replicas that end at the same time have a common cause outside of their requests.
 SAME_TIME_S = 0.1
+# Refused repetitions at this host after which a request is surely the cause of its
+# crashes. Callers of sound requests give up earlier.
+MIN_REPETITIONS = 3
 # First pause before a refused request is tried; it doubles by each further crash.
 TRIAL_PAUSE_S = 30.0
 # A request with this many crashes is not tried again.
@@ -38,7 +41,7 @@
     ``lost_at_by_crash`` has the time of each loss by the replica's process.
     ``changed_at`` is when this host last learned of one, ``requested_at`` when the
     request last came, and ``tried_at`` when it was last tried. ``refused`` tells
-    whether it is refused.
+    whether it is refused, and ``repetitions`` counts how often it came since.
     """
 
     __slots__ = (
@@ -47,6 +50,7 @@
         "requested_at",
         "tried_at",
         "refused",
+        "repetitions",
     )
 
     def __init__(self):
@@ -55,6 +59,7 @@
         self.requested_at = 0.0
         self.tried_at = 0.0
         self.refused = False
+        self.repetitions = 0
 
     @property
     def last_lost_at(self):
@@ -96,7 +101,7 @@
     def __init__(self, on_change=None):
         self._on_change = on_change
         self.on_news = None
-        # Counts changes of what ``explains`` tells.
+        # Counts changes of what ``explains`` and ``explained_crashes`` tell.
         self.version = 0
         self._lost_by_request = collections.OrderedDict()
         self._process_by_crash = {}
@@ -192,6 +197,7 @@
         if refused == lost.refused:
             return
         lost.refused = refused
+        lost.repetitions = 0
         if refused:
             self._refused.add(request)
         else:
@@ -250,8 +256,13 @@
     def note_requested(self, request):
         """Records that a refused request came, which keeps it from being forgotten."""
         lost = self._lost_by_request.get(request)
-        if lost is not None:
-            lost.requested_at = anyio.current_time()
+        if lost is None:
+            return
+        lost.requested_at = anyio.current_time()
+        if lost.refused:
+            lost.repetitions += 1
+            if lost.repetitions == MIN_REPETITIONS:
+                self.version += 1
 
     def starts_trial(self, request):
         """Tells whether a refused request is to be sent once, to see if it crashes.
@@ -276,6 +287,16 @@
             for request in self._refused
         )
 
+    def explained_crashes(self):
+        """Returns the crashes of requests that are surely their cause."""
+        requests = [self._lost_by_request[request] for request in self._refused]
+        return {
+            crash
+            for lost in requests
+            if lost.repetitions >= MIN_REPETITIONS
+            for crash in lost.lost_at_by_crash
+        }
+
     # What other hosts are told.
 
     def telling_requests(self, max_age_s, max_count):
--- a/tests/gateway/test_request_quarantine.py
+++ b/tests/gateway/test_request_quarantine.py
@@ -12,6 +12,7 @@
     MAX_SERVED_REQUESTS,
     MIN_CRASHES,
     MIN_CRASHES_IF_SERVED,
+    MIN_REPETITIONS,
     TRIAL_PAUSE_S,
     RequestQuarantine,
 )
@@ -176,10 +177,14 @@
         self.prompts = PromptQuarantine(requests=self.requests)
         self.crash_count = 0
 
+    def lose(self, request, *parts):
+        crash = f"replica-{self.crash_count} 1"
+        self.requests.note_lost(crash, request)
+        self.prompts.note_lost(crash, parts)
+
     async def crash(self, request, *parts):
         self.crash_count += 1
-        self.requests.note_lost(f"replica-{self.crash_count} 1", request)
-        self.prompts.note_lost(f"replica-{self.crash_count} 1", parts)
+        self.lose(request, *parts)
         await anyio.sleep(0.5)
 
     def test_parts_of_one_request_that_crashes_replicas_are_not_refused(self):
@@ -207,3 +212,33 @@
             self.assertFalse(self.prompts.refuses(("system", "customer")))
 
         run_in_virtual_time(check)
+
+    def test_part_lost_beside_a_repeated_request_is_not_refused(self):
+        """23 sound requests of a caller were refused (taglia-sicilia, deadly-two)."""
+
+        async def check():
+            for _ in range(MIN_CRASHES):
+                await self.crash("bad", "system", "customer")
+                self.lose("sound", "system", "rare")
+            for number in range(2):
+                await self.crash(f"other-{number}", "system", "rare")
+            await anyio.sleep(OBJECTION_TIME_S)
+            self.assertTrue(self.prompts.refuses(("system", "rare")))
+            for _ in range(MIN_REPETITIONS):
+                self.requests.note_requested("bad")
+            self.assertFalse(self.prompts.refuses(("system", "rare")))
+
+        run_in_virtual_time(check)
+
+    def test_repetitions_of_its_requests_do_not_hide_a_part_that_crashes_replicas(self):
+        """Callers repeat a refused request a few times."""
+
+        async def check():
+            for number in range(6):
+                await self.crash(f"{number // 2}", "system", "customer", "bad")
+                for _ in range(MIN_REPETITIONS - 1):
+                    self.requests.note_requested(f"{number // 2}")
+            await anyio.sleep(OBJECTION_TIME_S)
+            self.assertTrue(self.prompts.refuses(("system", "customer", "bad")))
+
+        run_in_virtual_time(check)
