--- a/snipetrestle/coordination/shared_request_quarantine.py
+++ b/snipetrestle/coordination/shared_request_quarantine.py
@@ -2,7 +2,8 @@
 
 A loss is told at once, since its caller may repeat the request at another host within
 milliseconds. Hosts tell it to each other, or among many, to the leader, which tells it
-to all. The leader keeps repeating what is refused, for hosts that start later.
+to all. The leader keeps repeating what is refused, and a host that starts is told at
+its first heartbeat.
 """
 
 import asyncio
@@ -36,6 +37,9 @@
         self._repeat_until = 0.0
         # Until when others are told that requests were answered here.
         self._objections = {}
+        # The latest known processes of the other hosts, by name.
+        self._boot_by_name = {}
+        hosts.on_heartbeat(self._on_heartbeat)
         quarantine.on_news = self._on_news
         endpoint.register(LostRequests, self._on_lost_requests)
 
@@ -103,6 +107,22 @@
         }
         return LostRequests(self._hosts.own.name, reports, served_ages_s)
 
+    def _on_heartbeat(self, heartbeat):
+        """Tells a host that has just started what is refused."""
+        sender = heartbeat.sender
+        if self._boot_by_name.get(sender.name) == sender.boot:
+            return
+        if sender.name not in self._boot_by_name:
+            self._forget_removed_hosts()
+        self._boot_by_name[sender.name] = sender.boot
+        message = self._message()
+        if message.crashes:
+            self._endpoint.send(message, (sender.ip, sender.port))
+
+    def _forget_removed_hosts(self):
+        for name in self._boot_by_name.keys() - self._hosts.by_name.keys():
+            del self._boot_by_name[name]
+
     def _on_lost_requests(self, message, address):
         now = self._loop.time()
         for request, age_s in message.served_ages_s.items():
--- a/tests/coordination/test_shared_request_quarantine.py
+++ b/tests/coordination/test_shared_request_quarantine.py
@@ -3,6 +3,7 @@
 import anyio
 import testtools
 
+from snipetrestle.coordination.hosts import HEARTBEAT_INTERVAL_S
 from snipetrestle.coordination.shared_request_quarantine import (
     MAX_REPORTED_REQUESTS,
     SharedRequestQuarantine,
@@ -95,6 +96,24 @@
 
         self.run_system(check, 6)
 
+    def test_hosts_that_restart_together_refuse_known_requests_at_once(self):
+        """The leader and all seeds sent what the other hosts had long refused."""
+
+        async def check(system, members):
+            await self.crash_replicas(members)
+            for _ in range(5):
+                await anyio.sleep(10.3)
+                (leader,) = system.leaders()
+                numbers = {*system.seeds, leader.hosts.own.port}
+                for number in numbers:
+                    system.kill(number)
+                await anyio.sleep(0.8)
+                started = [self.join(system.start(number)) for number in numbers]
+                await anyio.sleep(HEARTBEAT_INTERVAL_S + NEWS_TIME_S)
+                self.assert_all_refuse_only_bad(started)
+
+        self.run_system(check, 6)
+
     def test_host_that_was_cut_off_learns_of_the_request(self):
         """All news came while it was cut off from the other hosts."""
 
