--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -3,7 +3,6 @@
 import contextlib
 import json
 import random
-import random
 
 import hypothesis
 import testtools
