--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -1,8 +1,8 @@
 """Translates between the platform's HTTP headers and the gateway's types."""
 
-import math
 import re
 
+from snipetrestle.coordination.messages import MAX_RATE_PER_S
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.dialect import RequestMetadata, ResponseMetadata
 
@@ -59,6 +59,8 @@
 # Longer numbers are malformed. Python's own limit would raise an unexpected error.
 MAX_NUMBER_DIGITS = 18
 MAX_PROMPT_PART_LENGTH = 64
+# Lower limits would hold requests for hours; they cannot be meant.
+MIN_REQUEST_LIMIT_PER_S = 0.001
 _SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
@@ -192,12 +194,13 @@
 
 
 def _request_limit_per_s(value):
-    """Returns a limit in requests a second; None if it is not a positive number."""
+    """Returns a limit in requests a second; None if it is none that can be kept."""
     try:
         limit_per_s = float(value)
     except ValueError:
         return None
-    return limit_per_s if 0 < limit_per_s < math.inf else None
+    is_usable = MIN_REQUEST_LIMIT_PER_S <= limit_per_s <= MAX_RATE_PER_S
+    return limit_per_s if is_usable else None
 
 
 def _seconds(value):
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -270,6 +270,8 @@
             (b"inf", None),
             (b"nan", None),
             (b"few", None),
+            (b"1e308", None),
+            (b"1e-320", None),
         ):
             facts = dialect.read_response(200, [(b"server-limit", value)])
             self.assertEqual(expected, facts.request_limit_per_s, value)
