--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -70,6 +70,7 @@
             job.sent_to.append(replica.id)
         job.send_count += 1
         job.may_have_run_on.append(replica.id)
+        job.dropped_on.discard(replica.id)
         try:
             self._connection.send_request(
                 head + request.body,
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -107,6 +107,7 @@
         if self._is_accepted:
             return
         if self._replacement is not None:
+            self._job.dropped_on.add(self._replacement.replica.id)
             self._log_dropped("the silent replica goes on")
         self._end_replacement()
 
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -504,7 +504,7 @@
         if job.route.kind is not RequestKind.STREAM:
             return await self._search.choose_replica(job)
         replica = await self._search.find_stream_replica(job)
-        if replica.id in job.may_have_run_on:
+        if replica.id in job.may_have_run_on and replica.id not in job.dropped_on:
             raise self._search.unavailable_refusal(job, "no other replica is ready")
         return replica
 
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -33,7 +33,9 @@
     replica with a request limit. ``fallback_response`` is an earlier replica's failure,
     passed to the caller if no later attempt gets a response. ``first_sent_at`` is the
     time of the first attempt, or None. ``has_replacement`` tells that the request was
-    sent to another replica while the first one is silent.
+    sent to another replica while the first one is silent. ``dropped_on`` holds the ids
+    of replicas whose replacement was ended before it had a response; the request may go
+    to them again.
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         "limit_wait_s",
         "first_sent_at",
         "has_replacement",
+        "dropped_on",
     )
 
     def __init__(self, request, metadata, route, backend, caller, deadline_at):
@@ -82,6 +85,7 @@
         self.limit_wait_s = 0.0
         self.first_sent_at = None
         self.has_replacement = False
+        self.dropped_on = set()
 
     @property
     def may_have_run(self):
@@ -89,9 +93,18 @@
 
     @property
     def has_attempts_left(self):
+        """Whether the route allows another attempt."""
+        return self.may_run_on_another or bool(self.dropped_on)
+
+    @property
+    def may_run_on_another(self):
         """Whether the route allows the request to run on one more replica."""
         return len(set(self.may_have_run_on)) < self.route.attempts
 
+    def may_be_sent_to(self, replica_id):
+        """Whether an attempt at a replica is within the attempts of the route."""
+        return self.may_run_on_another or replica_id in self.dropped_on
+
     @property
     def request_id(self):
         return self.metadata.request_id.decode("latin-1")
--- a/snipetrestle/gateway/replica_search.py
+++ b/snipetrestle/gateway/replica_search.py
@@ -39,7 +39,11 @@
     async def choose_replica(self, job):
         """Returns a replica, if possible one that the request was not sent to."""
         await self._chooser.wait_out_pauses(job)
-        candidates = self._replicas.ready_replicas(job.backend.name)
+        candidates = [
+            item
+            for item in self._replicas.ready_replicas(job.backend.name)
+            if job.may_be_sent_to(item.id)
+        ]
         untried = [item for item in candidates if item.id not in job.sent_to]
         replica = await self._chooser.choose(job, untried)
         if replica is None:
@@ -137,7 +141,8 @@
             for item in job.adapter_missing_on
             if job.adapter_missing_on.count(item) > 1
         }
-        return [*job.may_have_run_on, *repeatedly_missing]
+        failed = [item for item in job.may_have_run_on if item not in job.dropped_on]
+        return [*failed, *repeatedly_missing]
 
     def _holders(self, job, places):
         """Returns the replicas that hold the adapter or will hold it."""
@@ -148,6 +153,7 @@
             replica
             for replica_id in places
             if replica_id not in excluded
+            and job.may_be_sent_to(replica_id)
             and (replica := by_id.get(replica_id)) is not None
             and replica.is_available
             and replica.suspected_until <= now
