--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -11,6 +11,7 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.events import Event
 from snipetrestle.gateway.configuration import RequestKind
+from snipetrestle.gateway.crash_check import CrashCheck
 from snipetrestle.gateway.event_stream import EventSplitter, InvalidEvent
 from snipetrestle.gateway.exchange import Exchange
 from snipetrestle.gateway.failover import Failover
@@ -40,10 +41,6 @@
 NOT_LOADED_PAUSE_S = 0.04
 # Retry-After of requests that arrive before the gateway is ready.
 NOT_READY_RETRY_AFTER_S = 0.3
-# Retry-After for requests that crash replicas, which stay refused for minutes.
-QUARANTINE_RETRY_AFTER_S = 30.0
-# Time in which a replica that crashed closes all of its connections.
-CRASH_CHECK_DELAY_S = 0.02
 # Number of events over which a stream's mean event interval is measured.
 EVENTS_PER_INTERVAL_SAMPLE = 5
 
@@ -59,9 +56,8 @@
         self._hosts = gateway.hosts
         self._metrics = gateway.metrics
         self._request_log = gateway.request_log
-        self._lost_request_log = gateway.lost_request_log
-        self._leadership = gateway.leadership
         self._crash_quarantine = gateway.crash_quarantine
+        self._crash_check = CrashCheck(gateway)
         self._search = ReplicaSearch(gateway)
         self._rng = gateway.rng
         self._durations = UsualDurations()
@@ -225,7 +221,7 @@
 
     async def _forward_call(self, job):
         while True:
-            self._check_quarantine(job)
+            self._crash_check.check(job)
             replica = await self._search.choose_replica(job)
             try:
                 response = await self._attempt(
@@ -303,10 +299,10 @@
 
     async def _forward_stream(self, job):
         while True:
-            self._check_quarantine(job)
+            self._crash_check.check(job)
             replica = await self._search.find_stream_replica(job)
             # A crash during the wait may have shown that the request is the cause.
-            self._check_quarantine(job)
+            self._crash_check.check(job)
             try:
                 if await self._attempt(
                     job, replica, STREAM_SILENCE_S, self._serve_stream
@@ -385,57 +381,6 @@
             raise ExchangeFailed("the stream ended before a complete event")
         caller.end_stream()
 
-    # Requests that crash replicas.
-
-    def _check_quarantine(self, job):
-        """Raises Refused if replicas crash on requests like this one."""
-        if job.is_quarantine_trial or job.first_event_at is not None:
-            return
-        if not self._crash_quarantine.refuses(job):
-            return
-        self._crash_quarantine.note_requested(job)
-        if self._leadership.leads and self._crash_quarantine.starts_trial(job):
-            job.is_quarantine_trial = True
-            return
-        code = ResultCode.REQUEST_QUARANTINED
-        if job.may_have_run:
-            code = job.unknown_outcome_code
-        raise Refused(
-            code,
-            QUARANTINE_RETRY_AFTER_S,
-            fingerprint=job.fingerprint,
-            prompt_parts=job.metadata.shared_prompt_parts,
-        )
-
-    async def _note_closed_by_replica(self, job, replica):
-        """Records that a replica may have crashed on a request.
-
-        Raises Refused if that is likely, so that no other replica crashes on it.
-        """
-        if job.first_event_at is not None:
-            return
-        # A crash closes all connections at the same time.
-        await anyio.sleep(CRASH_CHECK_DELAY_S)
-        if replica.pool.has_open_connection:
-            return
-        self._crash_quarantine.note_lost(replica.process_id, job)
-        if job.route.kind is RequestKind.STREAM:
-            self._metrics.count_stream_lost_before_event(job.route.name)
-        self._lost_request_log.log(
-            Event.REQUEST_LOST_BEFORE_ANSWER,
-            request=job.request_id,
-            fingerprint=job.fingerprint,
-            route=job.route.name,
-            replica=replica.id,
-            boot=replica.entry.boot,
-            attempt=job.send_count,
-            prompt_parts=job.metadata.shared_prompt_parts,
-        )
-        if self._crash_quarantine.forbids_retry(job):
-            raise Refused(
-                job.unknown_outcome_code, reason="replicas crash on requests like this"
-            )
-
     # Retries.
 
     def _note_connect_failure(self, job, replica):
@@ -500,7 +445,7 @@
         A call may go to its silent replica once more if there is no other: only its
         response or its connection may be lost.
         """
-        self._check_quarantine(job)
+        self._crash_check.check(job)
         if job.route.kind is not RequestKind.STREAM:
             return await self._search.choose_replica(job)
         replica = await self._search.find_stream_replica(job)
@@ -538,7 +483,7 @@
         """Records an ExchangeFailed. Raises Refused if no retry is allowed."""
         replica.note_failure()
         if isinstance(error, ReplicaClosed):
-            await self._note_closed_by_replica(job, replica)
+            await self._crash_check.note_closed_by_replica(job, replica)
 
     def log_replacement_dropped(self, job, reason):
         """Logs why the silent replica's response is still awaited."""
