--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -146,9 +146,10 @@
         self.arrival_times = []
         # Where Fault.CUT_HEAD ends a response.
         self.head_bytes = 0
-        # What Fault.PREPARED sends. The head has no final empty line.
+        # What Fault.PREPARED sends. The head has no final empty line; without a body,
+        # the usual one is sent.
         self.prepared_head = "HTTP/1.1 200 OK\r\n"
-        self.prepared_body = b""
+        self.prepared_body = None
         self.boot = 1
         # How often the replica has written its entry since its start.
         self.report_count = 0
@@ -451,7 +452,8 @@
     async def _send_prepared(self, request, writer, fault):
         headers = _lines(self._proof_headers(request))
         head = f"{self.prepared_head}{headers}\r\n".encode()
-        writer.write(head + self.prepared_body)
+        body = self.prepared_body
+        writer.write(head + (self.body_for(request) if body is None else body))
         if fault is Fault.PREPARED_RESET:
             # A reset discards what has not been read.
             await asyncio.sleep(0.02)
