--- a/snipetrestle/gateway/published_state.py
+++ b/snipetrestle/gateway/published_state.py
@@ -254,13 +254,17 @@
 
         The other host may run a release that decodes items otherwise.
         """
+        decoded = self._decode(state, item)
+        if isinstance(decoded, (RoutingConfiguration, AdapterVersion)):
+            self.documents.accept_if_newer(item, decoded)
+
+    def _decode(self, state, item):
+        """Returns a decoded item; None if it cannot be read, or is not used."""
         try:
-            decoded = state.feed.decode(item)
+            return state.feed.decode(item)
         except ValueError as error:
             self._log_unreadable(item, str(error))
-            return
-        if isinstance(decoded, (RoutingConfiguration, AdapterVersion)):
-            self.documents.accept_if_newer(item, decoded)
+            return None
 
     def _apply_items(self, state, items, from_copy=False):
         changed = False
@@ -283,11 +287,7 @@
             call_isolated(listener)
 
     def _apply_item(self, state, item, from_copy):
-        try:
-            decoded = state.feed.decode(item)
-        except ValueError as error:
-            self._log_unreadable(item, str(error))
-            return
+        decoded = self._decode(state, item)
         if isinstance(decoded, (RoutingConfiguration, AdapterVersion)):
             self.documents.accept(item, decoded)
             self._set_ready_if_loaded()
