Contact lost hosts again, so that the sides of a healed cut find each other

Cause: a host removes another one after 10 s of silence (30 s behind the leader's star), and from then on nothing contacts it. The seeds are contacted only while no host at all is reachable, which is never so for hosts that are cut off together, and lists of others may not name a removed host for 60 s. What a host knows could only shrink while a cut lasted.

Among many hosts, a leader contacts a lost host that a list names, a host without a leader contacts the lost leader that a heartbeat names, and a stale leader is told of its successor.

A minority still leads during a cut, which is the next fault.

--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -12,6 +12,7 @@
 import msgspec
 import xxhash
 
+from snipetrestle.coordination.lost_hosts import LostHosts
 from snipetrestle.coordination.messages import Heartbeat, Join, KnownHosts
 from snipetrestle.events import Event, log_event
 
@@ -23,8 +24,10 @@
 # The same for a host that sends its heartbeats only to the leader, after the last time
 # that the leader knew it.
 UNCONFIRMED_TIMEOUT_S = 30.0
-# Lists of other hosts may name a removed host for this long after its removal.
+# Lists of other hosts may name a removed host for this long after its removal, and the
+# leader's list for a shorter time, since it hears from all hosts.
 REMOVED_TIMEOUT_S = 2 * UNCONFIRMED_TIMEOUT_S
+LEADER_REMOVAL_LAG_S = 2.0
 MAX_MESH_HOSTS = 32
 HOSTS_PER_DATAGRAM = 12
 JOIN_INTERVAL_S = 0.25
@@ -87,6 +90,8 @@
         self.own = own
         self.leaving = False
         self.by_name = {}
+        # Hosts that were removed without having said that they leave.
+        self.lost = LostHosts()
         # The largest number of hosts known at one time since the start.
         self.max_known = 1
         self._seeds = seeds
@@ -132,8 +137,9 @@
 
     @property
     def is_only_host(self):
-        """Whether no other host is known, and no seed names one."""
-        return not self.by_name and set(self._seeds) <= {(self.own.ip, self.own.port)}
+        """Whether no other host was ever known, and no seed names one."""
+        is_alone = not self.by_name and not self.lost.by_name
+        return is_alone and set(self._seeds) <= {(self.own.ip, self.own.port)}
 
     @property
     def is_large(self):
@@ -178,13 +184,16 @@
         if host is not None:
             self._members_digest = None
             self._removed_at[(name, host.info.boot)] = anyio.current_time()
+            if host.heartbeat is None or not host.heartbeat.leaving:
+                self.lost.add(host.info)
             log_event(Event.PEER_LOST, peer=name)
 
     async def run(self):
-        """Sends heartbeats, and contacts the seeds while no host is reachable."""
+        """Sends heartbeats, and contacts the seeds and the lost hosts."""
         while True:
             if not self.reachable():
                 self._contact_seeds()
+            self._contact_missing()
             self.send_heartbeats()
             self._forget_silent()
             await anyio.sleep(HEARTBEAT_INTERVAL_S if self.by_name else JOIN_INTERVAL_S)
@@ -195,6 +204,13 @@
             if seed != own_address:
                 self._endpoint.send(Join(self.own), seed)
 
+    def _contact_missing(self):
+        """Contacts some of the lost hosts, and of the seeds that are no members."""
+        members = {host.address for host in self.by_name.values()}
+        members.add((self.own.ip, self.own.port))
+        seeds = [seed for seed in self._seeds if seed not in members]
+        self._endpoint.send_all(Join(self.own), self.lost.next_addresses(seeds))
+
     def _exchange_with_next(self):
         """Asks the known hosts in turn for hosts that this one does not know."""
         now = anyio.current_time()
@@ -291,7 +307,7 @@
             document_version_sum=status.document_version_sum,
         )
 
-    def _send_own_heartbeat(self, address):
+    def send_own_heartbeat(self, address):
         self._endpoint.send(self._heartbeat(self._content.status()), address)
 
     def send_leaving(self):
@@ -333,6 +349,7 @@
                 timeout_s = FORGET_TIMEOUT_S
             if now - known_at > timeout_s:
                 self.forget(name)
+        self.lost.drop_old()
         horizon = now - REMOVED_TIMEOUT_S
         for key in [key for key, at in self._removed_at.items() if at < horizon]:
             del self._removed_at[key]
@@ -351,6 +368,7 @@
             log_event(Event.PEER_JOINED, peer=info.name, boot=info.boot)
         host = KnownHost(info, anyio.current_time())
         self.by_name[info.name] = host
+        self.lost.remove(info)
         self._members_digest = None
         self.max_known = max(self.max_known, self.count())
         return host
@@ -382,13 +400,20 @@
         host.heard_at = anyio.current_time()
         host.heartbeat = heartbeat
         if is_new and self._answers_new_hosts():
-            self._send_own_heartbeat(host.address)
+            self.send_own_heartbeat(host.address)
         for listener in self._listeners:
             listener(heartbeat)
+        self._contact_lost_leader(heartbeat)
         is_leader = heartbeat.leader == heartbeat.sender.name
         if self.is_large and is_leader and heartbeat.is_announcement:
             self._compare_members(heartbeat)
 
+    def _contact_lost_leader(self, heartbeat):
+        """Contacts the sender's leader if this host has lost it, and has no other."""
+        leader = self.lost.by_name.get(heartbeat.leader)
+        if leader is not None and not self._content.status().has_leader:
+            self._endpoint.send(Join(self.own), leader.address)
+
     def _answers_new_hosts(self):
         """Whether a new host needs a heartbeat of this one at once."""
         if not self.is_large:
@@ -405,7 +430,7 @@
             self._announce(message.sender)
         infos = [self.own, *(item.info for item in self.by_name.values())]
         self._send_known(infos, [host.address])
-        self._send_own_heartbeat(host.address)
+        self.send_own_heartbeat(host.address)
 
     def _announce(self, info):
         """Tells the others of a host, together with those that join with it.
@@ -432,12 +457,24 @@
             part = tuple(infos[start : start + HOSTS_PER_DATAGRAM])
             self._endpoint.send_all(KnownHosts(part), addresses)
 
+    def _is_removed(self, info, from_leader):
+        """Whether a list of another host may name a host only as it is outdated."""
+        removed_at = self._removed_at.get((info.name, info.boot))
+        if from_leader:
+            since = anyio.current_time() - LEADER_REMOVAL_LAG_S
+            return removed_at is not None and removed_at > since
+        return removed_at is not None or self.lost.is_lost(info)
+
     def _on_known_hosts(self, message, address):
-        leader = self.by_name.get(self._content.status().leader)
+        status = self._content.status()
+        leader = self.by_name.get(status.leader)
         from_leader = leader is not None and leader.address == address
         for info in message.hosts:
             is_unknown = info.name not in self.by_name
-            if is_unknown and (info.name, info.boot) in self._removed_at:
+            if is_unknown and self._is_removed(info, from_leader):
+                if status.leads and self.lost.is_lost(info):
+                    # The others hear of it once it answers.
+                    self.send_own_heartbeat((info.ip, info.port))
                 continue
             host = self._learn(info)
             if host is None:
@@ -445,4 +482,4 @@
             if from_leader:
                 host.learned_at = anyio.current_time()
             if is_unknown and self._answers_new_hosts():
-                self._send_own_heartbeat(host.address)
+                self.send_own_heartbeat(host.address)
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -271,6 +271,9 @@
                 self._leader_ended = True
             return
         if heartbeat.term < self.term:
+            # A leader behind a healed cut may not hear of its successor otherwise.
+            sender = heartbeat.sender
+            self._hosts.send_own_heartbeat((sender.ip, sender.port))
             return
         if self.leads:
             self.resign(f"{name} leads with a higher fencing token")
