Elect no leader on both sides of a cut between hosts

During a cut of over 10 s, both sides had a leader and ordered the same replicas in turns; so did a host that was restarted behind a cut.

Cause: a majority was counted of the hosts that were heard from in the last 10 s. A minority forgets the others and becomes its own majority; a process that starts behind a cut never knew them.

Ruled out: to count forgotten hosts for ever. Half of the hosts may be gone for good, and the operators want the loss of any number of them borne. To wait longer before they are forgotten: cuts may last longer as well.

Change: an election counts lost hosts too, and joining hosts are told of them. Of an even split, the half with the first host by name is the majority. A host that cannot rule out another leader (no such majority; lost hosts and a last leader that is silent but not known to have ended; a host that never followed a leader and misses a seed) leads only after the replicas have taken no orders for a lease: their reports count the orders of any holder, so they show a leader that no host can reach. Minorities wait up to 4 s more, each differently.

--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -135,6 +135,12 @@
         heard = {host.address for host in self.reachable()}
         return 2 * len(seeds & heard) >= len(seeds)
 
+    def reaches_all_seeds(self):
+        """Whether all seeds, except this host, are reachable."""
+        heard = {host.address for host in self.reachable()}
+        heard.add((self.own.ip, self.own.port))
+        return set(self._seeds) <= heard
+
     @property
     def is_only_host(self):
         """Whether no other host was ever known, and no seed names one."""
@@ -150,13 +156,19 @@
         """Returns the reachable hosts that are not leaving, without this one."""
         return [host for host in self.reachable() if not host.heartbeat.leaving]
 
+    def staying_names(self):
+        """Returns the names of the known hosts that are not leaving, with this one."""
+        names = [
+            name
+            for name, host in self.by_name.items()
+            if host.heartbeat is None or not host.heartbeat.leaving
+        ]
+        names.append(self.own.name)
+        return names
+
     def count(self):
         """Returns the number of known hosts that are not leaving, with this one."""
-        leaving = sum(
-            host.heartbeat is not None and host.heartbeat.leaving
-            for host in self.by_name.values()
-        )
-        return len(self.by_name) - leaving + 1
+        return len(self.staying_names())
 
     def sender_names(self):
         """Returns the names of the hosts that send requests to replicas, sorted.
@@ -164,16 +176,7 @@
         These are the known hosts that are not leaving, and this one. The same tuple is
         returned as long as they are the same.
         """
-        names = tuple(
-            sorted(
-                [self.own.name]
-                + [
-                    name
-                    for name, host in self.by_name.items()
-                    if host.heartbeat is None or not host.heartbeat.leaving
-                ]
-            )
-        )
+        names = tuple(sorted(self.staying_names()))
         if names != self._sender_names:
             self._sender_names = names
         return self._sender_names
@@ -430,6 +433,7 @@
             self._announce(message.sender)
         infos = [self.own, *(item.info for item in self.by_name.values())]
         self._send_known(infos, [host.address])
+        self._send_lost(host.address)
         self.send_own_heartbeat(host.address)
 
     def _announce(self, info):
@@ -457,6 +461,20 @@
             part = tuple(infos[start : start + HOSTS_PER_DATAGRAM])
             self._endpoint.send_all(KnownHosts(part), addresses)
 
+    def _send_lost(self, address):
+        """Tells a host of the lost ones, which may be behind a cut."""
+        reports = self.lost.reports()
+        for start in range(0, len(reports), HOSTS_PER_DATAGRAM):
+            part = tuple(reports[start : start + HOSTS_PER_DATAGRAM])
+            self._endpoint.send(KnownHosts((), part), address)
+
+    def _learn_lost(self, reports):
+        for report in reports:
+            info = report.info
+            is_known = info.name in self.by_name or info.name == self.own.name
+            if not is_known and (info.name, info.boot) not in self._removed_at:
+                self.lost.add(info, report.age_s)
+
     def _is_removed(self, info, from_leader):
         """Whether a list of another host may name a host only as it is outdated."""
         removed_at = self._removed_at.get((info.name, info.boot))
@@ -466,6 +484,7 @@
         return removed_at is not None or self.lost.is_lost(info)
 
     def _on_known_hosts(self, message, address):
+        self._learn_lost(message.lost)
         status = self._content.status()
         leader = self.by_name.get(status.leader)
         from_leader = leader is not None and leader.address == address
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -4,6 +4,9 @@
 of the hosts that it knows. Another host succeeds it once the leader's process is known
 to have ended, or after a silence that is longer than the leader's lease. Replicas that
 check fencing tokens refuse a leader that was replaced while it was suspended.
+
+Lost hosts may be gone for good, or behind a cut and follow another leader. A host that
+cannot rule that out leads only after the replicas have taken no orders for a lease.
 """
 
 import asyncio
@@ -39,6 +42,9 @@
 HOST_BITS = 10
 # A shorter suspension is ignored.
 MIN_SUSPENSION_S = 0.5
+# Groups of hosts that are cut off from each other and all see no leader wait up to this
+# much longer than the lease, each differently, so that not all of them lead at once.
+SPLIT_DELAY_S = 4.0
 # Number of likely next leaders to which all hosts send heartbeats.
 ANNOUNCED_CANDIDATES = 3
 
@@ -65,21 +71,25 @@
     """This host's view of the leader election, and its part in it.
 
     ``probe(host)`` returns True if the host's process is known to have ended.
-    ``lease_s`` is the minimum time between two leaders, unless the first is known to
+    ``order_activity`` is the OrderActivity of the replicas. ``lease_s`` is the minimum time between two leaders, unless the first is known to
     have ended. ``term`` is the fencing token of the leader.
     """
 
-    def __init__(self, hosts, lease_s, probe):
+    def __init__(self, hosts, lease_s, probe, order_activity):
         self._hosts = hosts
         self._lease_s = lease_s
         self._probe = probe
+        self._order_activity = order_activity
         self._started_at = anyio.current_time()
         self._leader_heard_at = None
         self._leader_boot = 0
         self._announced_candidates = ()
         self._resigned = False
+        # Whether the last leader can lead no more, and whether its process has ended.
         self._leader_ended = False
+        self._leader_process_ended = False
         self._majority_at = None
+        self._doubt = ""
         self._suspended_s = total_suspended_s()
         self.leader = ""
         self.term = 0
@@ -172,9 +182,17 @@
             self.resign("this process was suspended")
         self._suspended_s = suspended_s
 
-    def _has_majority(self):
-        reachable = len(self._hosts.reachable_staying()) + 1
-        return reachable * 2 > self._hosts.count()
+    def _has_majority(self, lost_names=()):
+        """Whether most of the known hosts, and of some lost ones, are reachable.
+
+        Of an even split, the half with the first host by name counts as the majority.
+        """
+        reachable = {host.info.name for host in self._hosts.reachable_staying()}
+        reachable.add(self._hosts.own.name)
+        voters = {*self._hosts.staying_names(), *lost_names}
+        if 2 * len(reachable) == len(voters):
+            return min(voters) in reachable
+        return 2 * len(reachable) > len(voters)
 
     def _check_majority(self):
         now = anyio.current_time()
@@ -202,26 +220,73 @@
             if self._hosts.reaches_half_of_seeds()
             else FEW_SEEDS_ELECTION_DELAY_S
         )
-        if now - self._started_at < delay_s or not self._has_majority():
+        if now - self._started_at < delay_s or self._is_leader_heard_by_others():
             return
-        is_alone = not self._hosts.reachable() and not self._hosts.is_only_host
-        if is_alone and now - self._started_at < ALONE_ELECTION_DELAY_S:
+        if self._candidates()[0] != self._hosts.own.name and not self._resigned:
             return
-        if self._is_leader_heard_by_others():
+        # Asked first, since the replicas are watched from then on.
+        may_other_lead = self._may_other_lead()
+        if not self._has_majority():
             return
-        if self._candidates()[0] != self._hosts.own.name and not self._resigned:
+        is_alone = not self._hosts.reachable() and not self._hosts.is_only_host
+        if is_alone and now - self._started_at < ALONE_ELECTION_DELAY_S:
             return
         if age_s >= 0 and not self._leader_ended:
             await self._probe_leader(age_s)
-            return
-        self._become_leader()
+        elif not may_other_lead:
+            self._become_leader()
 
     async def _probe_leader(self, age_s):
         host = self._hosts.by_name.get(self.leader)
-        is_lease_over = age_s > self._lease_s + CUT_OFF_LEADER_RESIGNS_S
-        if is_lease_over or (host is not None and await self._probe(host)):
+        if host is not None and await self._probe(host):
+            self._set_leader_process_ended()
+        elif age_s > self._lease_s + CUT_OFF_LEADER_RESIGNS_S:
             self._leader_ended = True
 
+    def _set_leader_process_ended(self):
+        self._leader_ended = True
+        self._leader_process_ended = True
+
+    def _may_other_lead(self):
+        """Whether hosts that this one does not hear from may follow another leader.
+
+        If so, the replicas are watched for its orders.
+        """
+        doubt = self._find_doubt()
+        if doubt != self._doubt:
+            self._doubt = doubt
+            if doubt:
+                log_event(
+                    Event.ELECTION_IN_DOUBT,
+                    reason=doubt,
+                    reachable=len(self._hosts.reachable()) + 1,
+                    lost=len(self._hosts.lost.by_name),
+                )
+        if not doubt:
+            return False
+        quiet_s = self._order_activity.quiet_s()
+        return quiet_s < self._lease_s + self._split_delay_s()
+
+    def _find_doubt(self):
+        """Returns why another leader is possible; an empty text if it is not."""
+        lost_names = self._hosts.lost.by_name.keys()
+        if not self._has_majority(lost_names):
+            return "most of the hosts are not reachable"
+        if lost_names and not self._leader_process_ended:
+            return "the last leader may be cut off with the lost hosts"
+        if not self.term and not self._hosts.reaches_all_seeds():
+            # This host has not learned yet how many hosts there are.
+            return "a seed may be cut off with others"
+        return ""
+
+    def _split_delay_s(self):
+        """Returns the additional wait of a minority, which differs between minorities."""
+        lost_names = self._hosts.lost.by_name.keys()
+        if self._has_majority(lost_names):
+            return 0.0
+        names = sorted({*self._hosts.staying_names(), *lost_names})
+        return SPLIT_DELAY_S * names.index(self._hosts.own.name) / len(names)
+
     def _is_leader_heard_by_others(self):
         # The age in a heartbeat is as of its sending, so the age of the heartbeat is
         # added.
@@ -256,19 +321,22 @@
             term=self.term,
             hosts=self._hosts.count(),
             reachable=len(self._hosts.reachable()) + 1,
+            lost=len(self._hosts.lost.by_name),
+            doubt=self._doubt,
         )
+        self._doubt = ""
         self._hosts.send_heartbeats()
         self._notify()
 
     def _on_heartbeat(self, heartbeat):
         name = heartbeat.sender.name
         if heartbeat.leaving and name == self.leader:
-            self._leader_ended = True
+            self._set_leader_process_ended()
             return
         if heartbeat.leader != name or heartbeat.leader_age_s != 0:
             self._resign_if_superseded(heartbeat)
             if name == self.leader and heartbeat.sender.boot != self._leader_boot:
-                self._leader_ended = True
+                self._set_leader_process_ended()
             return
         if heartbeat.term < self.term:
             # A leader behind a healed cut may not hear of its successor otherwise.
@@ -286,7 +354,9 @@
         self._resigned = False
         self._leader_heard_at = anyio.current_time()
         self._leader_ended = False
+        self._leader_process_ended = False
         if changed:
+            self._doubt = ""
             log_event(Event.LEADER_CHANGED, leader=name, term=heartbeat.term)
             self._notify()
 
--- a/snipetrestle/coordination/lost_hosts.py
+++ b/snipetrestle/coordination/lost_hosts.py
@@ -6,11 +6,13 @@
 
 import anyio
 
+from snipetrestle.coordination.messages import LostHostReport
+
 # Hosts contacted in each round of heartbeats.
 CONTACTS_PER_ROUND = 2
 LOST_TIMEOUT_S = 24 * 3600.0
 # The hosts that fell silent first are given up beyond this number.
-MAX_LOST_HOSTS = 2048
+MAX_LOST_HOSTS = 512
 
 
 class LostHost:
@@ -62,6 +64,14 @@
         host = self.by_name.get(info.name)
         return host is not None and host.info.boot == info.boot
 
+    def reports(self):
+        """Returns the LostHostReports for a host that asks for the known hosts."""
+        now = anyio.current_time()
+        return [
+            LostHostReport(host.info, max(0.0, now - host.lost_at))
+            for host in self.by_name.values()
+        ]
+
     def next_addresses(self, others):
         """Returns the addresses to contact next, of the lost hosts and ``others``."""
         addresses = list(
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -171,10 +171,21 @@
     sender: HostInfo
 
 
+class LostHostReport(msgspec.Struct, array_like=True, frozen=True):
+    """A host that the sender removed ``age_s`` ago, as it had fallen silent."""
+
+    info: HostInfo
+    age_s: DurationS
+
+
 class KnownHosts(_Message):
-    """Answer to Join with some of the known hosts; further answers hold the others."""
+    """Answer to Join with some of the known hosts; further answers hold the others.
+
+    Lost hosts may be behind a cut, so the receiver counts them in elections.
+    """
 
     hosts: tuple[HostInfo, ...]
+    lost: tuple[LostHostReport, ...] = ()
 
 
 class Changes(_Message):
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -138,6 +138,11 @@
         "no reader of the published state is heard, so this daemon reads it",
     )
     READERS_BACK = (1434, "INFO", "a reader of the published state is heard again")
+    ELECTION_IN_DOUBT = (
+        1435,
+        "WARNING",
+        "hosts that are lost may follow another leader",
+    )
     PROCESS_RESUMED = (1430, "WARNING", "process resumed after a pause")
     WRITE_UNKNOWN = (1501, "WARNING", "outcome of a write is unknown")
     KEEPER_READY = (1502, "INFO", "keeper recovered and is ready")
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -14,6 +14,7 @@
 from snipetrestle.coordination.leadership import Leadership, has_ended
 from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import HostInfo
+from snipetrestle.coordination.order_activity import OrderActivity
 from snipetrestle.coordination.send_permits import SendPermits
 from snipetrestle.coordination.shared_loads import SharedReplicaLoads
 from snipetrestle.coordination.shared_quarantine import SharedQuarantine
@@ -177,7 +178,10 @@
             self.datagram_endpoint,
             heartbeat_content,
         )
-        self.leadership = Leadership(self.hosts, settings.lease_s, has_ended)
+        self.order_activity = OrderActivity(self.state, platform.order_client, rng)
+        self.leadership = Leadership(
+            self.hosts, settings.lease_s, has_ended, self.order_activity
+        )
         self.shared_loads = SharedReplicaLoads(
             self.replicas, self.hosts, self.leadership
         )
@@ -278,6 +282,7 @@
                 for task in (
                     self.hosts.run,
                     self.leadership.run,
+                    self.order_activity.run,
                     self.director.run,
                     self.locator.run,
                     self.snapshots.run,
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -9,6 +9,7 @@
 import functools
 import random
 import types
+import typing
 
 import anyio
 
@@ -18,6 +19,7 @@
 from snipetrestle.coordination.leadership import Leadership
 from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import HostInfo
+from snipetrestle.coordination.order_activity import OrderActivity
 from snipetrestle.coordination.orders import (
     OrderKind,
     OrderResult,
@@ -87,10 +89,39 @@
         self.cuts.clear()
 
 
+class AcceptedOrder(typing.NamedTuple):
+    """An order that a replica accepted; ``boot`` counts the replica's starts."""
+
+    boot: int
+    token: int
+    holder: str
+    at: float
+
+
+def turns_within_lease(orders):
+    """Returns the AcceptedOrders with which a holder returned within a lease.
+
+    Another holder's order came between it and the last one of the same holder.
+    """
+    last_by_holder = {}
+    turns = []
+    previous = None
+    for order in orders:
+        last = last_by_holder.get(order.holder)
+        if (
+            last is not None
+            and previous.holder != order.holder
+            and order.at - last.at < LEASE_S
+        ):
+            turns.append(order)
+        last_by_holder[order.holder] = previous = order
+    return turns
+
+
 class InMemoryReplica:
     """In-memory replica that follows the protocol of orders.
 
-    ``accepted`` lists (boot, token, holder) of all accepted orders. ``overfilled`` is
+    ``accepted`` lists the AcceptedOrders. ``overfilled`` is
     set by a load beyond ``slots``, which would crash a real replica. Adapters in
     ``in_use`` are unloaded only after ``stop_using``. ``loss`` tells what is lost in
     calls.
@@ -147,7 +178,9 @@
         else:
             result = self._unload(AdapterKey(order.model, order.adapter))
         if result is not OrderResult.CONFLICT:
-            self.accepted.append((self.boot, order.fencing_token, order.holder))
+            self.accepted.append(
+                AcceptedOrder(self.boot, order.fencing_token, order.holder, _now())
+            )
         self._record_state()
         return result
 
@@ -268,7 +301,10 @@
         self.endpoint = LocalEndpoint(fleet.network, name, address)
         self.replicas = ReplicaDirectory("zone-1", random.Random(boot))
         self._listeners = []
+        ready = anyio.Event()
+        ready.set()
         state = types.SimpleNamespace(
+            ready=ready,
             replicas=self.replicas,
             backends_by_name={BACKEND: fleet.backend},
             versions_by_adapter={},
@@ -282,15 +318,20 @@
             self.endpoint,
             content,
         )
+        client = InMemoryOrderClient(fleet, name)
+        self.order_activity = OrderActivity(state, client, random.Random(boot))
         self.leadership = Leadership(
-            self.hosts, LEASE_S, functools.partial(fleet.has_ended, name)
+            self.hosts,
+            LEASE_S,
+            functools.partial(fleet.has_ended, name),
+            self.order_activity,
         )
         loads = SharedReplicaLoads(self.replicas, self.hosts, self.leadership)
         content.connect(self.leadership, loads)
         self.placement_controller = PlacementController(
             state,
             self.leadership,
-            InMemoryOrderClient(fleet, name),
+            client,
             loads,
             self.endpoint,
         )
@@ -314,6 +355,7 @@
                 for component in (
                     self.hosts,
                     self.leadership,
+                    self.order_activity,
                     self.placement_controller,
                     self.locator,
                 ):
--- a/snipetrestle_standins/store_relay_fleet.py
+++ b/snipetrestle_standins/store_relay_fleet.py
@@ -17,6 +17,7 @@
 from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
+from snipetrestle_standins.order_activity import NoReplicas
 
 HOST_COUNT = 48
 DOMAINS = ("zone-1", "zone-2", "zone-3")
@@ -118,7 +119,7 @@
         content = HeartbeatContent()
         seeds = tuple(("127.0.0.1", seed) for seed in (1, 2, 3))
         self.hosts = Hosts(info, seeds, self.endpoint, content)
-        self.leadership = Leadership(self.hosts, 3.0, self.has_ended)
+        self.leadership = Leadership(self.hosts, 3.0, self.has_ended, NoReplicas())
         feed = Feed(PREFIX, lambda item: None, PAUSE_S, WAIT_S)
         source = Source(system.store, self.name)
         self.state = PublishedState(source, (feed,), None, FixedRandom(), EXPIRY_S)
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -11,6 +11,7 @@
 from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
+from snipetrestle_standins.order_activity import OrdersWhileLeading
 
 LEASE_S = 3.0
 ELECTION_WAIT_S = 4.0
@@ -32,7 +33,9 @@
             self.endpoint,
             content,
         )
-        self.leadership = Leadership(self.hosts, LEASE_S, system.has_ended)
+        self.leadership = Leadership(
+            self.hosts, LEASE_S, system.has_ended, system.order_activity
+        )
         self.quarantine = PromptQuarantine()
         content.connect(
             self.leadership,
@@ -56,6 +59,7 @@
         self.size = size
         self.members = {}
         self.boots = 0
+        self.order_activity = OrdersWhileLeading(self.leaders)
 
     def start(self, number):
         self.boots += 1
--- a/tests/coordination/test_partitions.py
+++ b/tests/coordination/test_partitions.py
@@ -1,15 +1,24 @@
 """Tests of hosts that a partition divides for longer than they remember each other."""
 
+import itertools
+
 import anyio
 import testtools
 
+from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle_standins.clock import run_in_virtual_time
+from snipetrestle_standins.orders_fleet import (
+    MODEL,
+    OrdersFleet,
+    turns_within_lease,
+)
 from tests.coordination.test_leadership import System
 
 # Longer than the time after which a silent host is removed, at each size.
 LONG_CUT_S = 45.0
 # Rules about leaders hold again this long after a partition has healed.
 HEALED_WITHIN_S = 3.0
+NAMES = tuple(f"entry-{number}" for number in range(1, 7))
 
 
 def run_partition(size, side, check, cut_s=LONG_CUT_S):
@@ -82,3 +91,139 @@
                 group.cancel_scope.cancel()
 
         run_in_virtual_time(main)
+
+
+class FleetUnderLoad:
+    """Hosts of an OrdersFleet that look up changing adapters all the time."""
+
+    LOOKUP_INTERVAL_S = 0.3
+
+    def __init__(self):
+        self.fleet = OrdersFleet(NAMES)
+        self._numbers = itertools.count()
+
+    async def _look_up(self):
+        while True:
+            key = AdapterKey(MODEL, f"a{next(self._numbers) % 40}")
+            for host in list(self.fleet.daemons_by_name.values()):
+                self._group.start_soon(self._look_up_at, host, key)
+            await anyio.sleep(self.LOOKUP_INTERVAL_S)
+
+    async def _look_up_at(self, host, key):
+        with anyio.move_on_after(2.0):
+            await host.locator.look_up(key)
+
+    async def play(self, steps):
+        """Plays ``steps(fleet)`` under load, then waits until all must be well."""
+        async with self.fleet, anyio.create_task_group() as self._group:
+            self._group.start_soon(self._look_up)
+            await anyio.sleep(8.0)
+            await steps(self.fleet)
+            await anyio.sleep(HEALED_WITHIN_S)
+            self._group.cancel_scope.cancel()
+
+    def turns(self):
+        return [
+            turn
+            for replica in self.fleet.replicas_by_id.values()
+            for turn in turns_within_lease(replica.accepted)
+        ]
+
+    def leaders(self):
+        hosts = self.fleet.daemons_by_name.values()
+        return [host for host in hosts if host.leadership.leads]
+
+
+class OrdersInPartitionTest(testtools.TestCase):
+    """Both sides of a cut ordered the same replicas in turns."""
+
+    def check_no_turns(self, steps):
+        async def main():
+            load = FleetUnderLoad()
+            await load.play(steps)
+            return load
+
+        load = run_in_virtual_time(main)
+        self.assertEqual([], load.turns())
+        self.assertEqual(1, len(load.leaders()))
+
+    def test_only_one_side_of_a_cut_orders(self):
+        for side in (NAMES[:2], NAMES[4:], NAMES[:3], NAMES[3:], NAMES[:1]):
+            for cut_s in (12.0, 60.0):
+
+                async def steps(fleet, side=side, cut_s=cut_s):
+                    fleet.network.partition(side, set(NAMES) - set(side))
+                    await anyio.sleep(cut_s)
+                    fleet.network.heal()
+
+                with self.subTest(side=side, cut_s=cut_s):
+                    self.check_no_turns(steps)
+
+    def test_host_that_restarts_behind_a_cut_does_not_order(self):
+        """It knows no host of the other side, so it saw a majority in its own side."""
+        for side in (NAMES[:2], NAMES[4:], NAMES[5:]):
+            for restarted in (side[:1], side):
+
+                async def steps(fleet, side=side, restarted=restarted):
+                    fleet.network.partition(side, set(NAMES) - set(side))
+                    await anyio.sleep(3.0)
+                    for name in restarted:
+                        fleet.start(name)
+                    await anyio.sleep(20.0)
+                    fleet.network.heal()
+
+                with self.subTest(side=side, restarted=restarted):
+                    self.check_no_turns(steps)
+
+    def test_only_one_of_two_overlapping_cuts_orders(self):
+        """The majority that remains of a majority must not lead beside another."""
+        for first, second in (
+            (NAMES[4:], NAMES[2:4]),
+            (NAMES[:2], NAMES[2:4]),
+            (NAMES[:3], NAMES[3:4]),
+        ):
+
+            async def steps(fleet, first=first, second=second):
+                fleet.network.partition(first, set(NAMES) - set(first))
+                await anyio.sleep(11.0)
+                rest = set(NAMES) - set(first) - set(second)
+                fleet.network.partition(second, rest)
+                await anyio.sleep(12.0)
+                fleet.network.heal()
+
+            with self.subTest(first=first, second=second):
+                self.check_no_turns(steps)
+
+    def test_three_groups_do_not_all_lead(self):
+        async def steps(fleet):
+            for side in (NAMES[:2], NAMES[2:4], NAMES[4:]):
+                fleet.network.partition(side, set(NAMES) - set(side))
+            await anyio.sleep(40.0)
+            fleet.network.heal()
+
+        self.check_no_turns(steps)
+
+
+class LostMajorityTest(testtools.TestCase):
+    """A majority that is gone for good must not leave the others without a leader."""
+
+    def test_remaining_hosts_elect_a_leader(self):
+        for gone in (NAMES[:4], NAMES[2:], NAMES[1:], NAMES[:5], NAMES[:3]):
+
+            async def main(gone=gone):
+                load = FleetUnderLoad()
+
+                async def steps(fleet):
+                    # Without power, a host refuses no connections.
+                    fleet.network.partition(gone, set(NAMES) - set(gone))
+                    for name in gone:
+                        fleet.kill(name)
+                    await anyio.sleep(20.0)
+
+                await load.play(steps)
+                return load
+
+            with self.subTest(gone=gone):
+                load = run_in_virtual_time(main)
+                self.assertEqual(1, len(load.leaders()))
+                self.assertEqual([], load.turns())
--- a/tests/fuzz/orders.py
+++ b/tests/fuzz/orders.py
@@ -5,7 +5,12 @@
 from hypothesis.stateful import initialize, rule
 
 from snipetrestle.gateway.configuration import AdapterKey
-from snipetrestle_standins.orders_fleet import MODEL, Loss, OrdersFleet
+from snipetrestle_standins.orders_fleet import (
+    MODEL,
+    Loss,
+    OrdersFleet,
+    turns_within_lease,
+)
 from tests.fuzz.base import DAEMON_NAMES, BaseMachine, daemon_names, stop_budgets
 from tests.fuzz.oracle import require
 
@@ -26,7 +31,7 @@
     """Checks the orders to replicas and, at the end, that all lookups were answered.
 
     LIMIT: no replica gets more adapters than it has slots. ONE: no two leaders send
-    orders with the same fencing token to one replica.
+    orders with the same fencing token to one replica, or take turns within a lease.
     """
 
     def __init__(self, fleet):
@@ -40,13 +45,19 @@
                 f"{replica.id} got more adapters than slots",
             )
             holder_by_token = {}
-            for _, token, holder in replica.accepted:
-                first_holder = holder_by_token.setdefault(token, holder)
+            for order in replica.accepted:
+                first_holder = holder_by_token.setdefault(order.token, order.holder)
                 require(
-                    first_holder == holder,
+                    first_holder == order.holder,
                     "ONE",
-                    f"{first_holder} and {holder} ordered {replica.id}, token {token}",
+                    f"{first_holder} and {order.holder} ordered {replica.id},"
+                    f" token {order.token}",
                 )
+            require(
+                not turns_within_lease(replica.accepted),
+                "ONE",
+                f"two leaders ordered {replica.id} in turns",
+            )
 
     def check_end(self, open_callers):
         self.check()
--- a/tests/fuzz/test_fuzz.py
+++ b/tests/fuzz/test_fuzz.py
@@ -14,7 +14,7 @@
 from snipetrestle.placement import slots
 from snipetrestle.writes import outcomes
 from snipetrestle_standins import engine
-from snipetrestle_standins.orders_fleet import OrdersFleet
+from snipetrestle_standins.orders_fleet import AcceptedOrder, OrdersFleet
 from tests.fuzz import __main__ as command
 from tests.fuzz.batches import BatchMachine
 from tests.fuzz.configuration import ConfigurationMachine
@@ -146,7 +146,21 @@
         """Tests the oracle directly: no injected fault led to this in 150 s."""
         fleet = OrdersFleet(["entry-0"])
         replica = fleet.replicas_by_id["replica-0"]
-        replica.accepted += [(1, 5, "entry-0"), (1, 5, "entry-1")]
+        replica.accepted += [
+            AcceptedOrder(1, 5, "entry-0", 0.0),
+            AcceptedOrder(1, 5, "entry-1", 60.0),
+        ]
+        failure = self.assertRaises(PromiseBroken, OrdersOracle(fleet).check)
+        self.assertEqual("ONE", failure.promise)
+
+    def test_oracle_finds_leaders_that_take_turns(self):
+        """The oracle passed two leaders that raised their tokens in turn for good."""
+        fleet = OrdersFleet(["entry-0"])
+        replica = fleet.replicas_by_id["replica-0"]
+        replica.accepted += [
+            AcceptedOrder(1, token, f"entry-{token % 2}", token * 1.0)
+            for token in range(3)
+        ]
         failure = self.assertRaises(PromiseBroken, OrdersOracle(fleet).check)
         self.assertEqual("ONE", failure.promise)
 
