Leave the replicas to another leader that refuses this one's fencing token

Cause: a refused token has two causes, a stopped leader whose clock was ahead and a leader behind a cut, and only the first was considered. The counts of lost hosts do not tell them apart for hosts that all started behind the cut.

Change: a leader whose token was refused leads again at once only if it reaches every host and seed that it knows, as then nobody is left to have led. Otherwise it waits until the replicas have taken no orders for a lease. The replicas are watched from the beginning of an election, so this wait runs beside the others; the log names a doubt only where it delays an election. The stand-in for systems without replicas now counts what leaders order before it is first asked.

--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -141,6 +141,11 @@
         heard.add((self.own.ip, self.own.port))
         return set(self._seeds) <= heard
 
+    def reaches_all(self):
+        """Whether no host is silent, lost or, as a seed, unknown."""
+        is_complete = not self.lost.by_name and self.reaches_all_seeds()
+        return is_complete and len(self.reachable_staying()) + 1 == self.count()
+
     @property
     def is_only_host(self):
         """Whether no other host was ever known, and no seed names one."""
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -89,7 +89,9 @@
         self._leader_ended = False
         self._leader_process_ended = False
         self._majority_at = None
-        self._doubt = ""
+        self._logged_doubt = ""
+        # Whether a replica has refused this host's last token.
+        self._token_refused = False
         self._suspended_s = total_suspended_s()
         self.leader = ""
         self.term = 0
@@ -143,9 +145,11 @@
         """Resigns after a replica refused this host's fencing token.
 
         Another host has led with a higher token. If it no longer leads, its clock was
-        ahead, and this host becomes leader again with a token above it.
+        ahead, and this host becomes leader again with a token above it. If it does, it
+        may not be heard here, and two leaders would raise their tokens in turns.
         """
         self.resign("a replica has seen a higher fencing token")
+        self._token_refused = True
         now_ms = int(time.time() * 1000) + MAX_CLOCK_SKEW_MS
         self.term = next_token(self.term, self._hosts.own.name, now_ms)
 
@@ -220,12 +224,13 @@
             if self._hosts.reaches_half_of_seeds()
             else FEW_SEEDS_ELECTION_DELAY_S
         )
-        if now - self._started_at < delay_s or self._is_leader_heard_by_others():
-            return
         if self._candidates()[0] != self._hosts.own.name and not self._resigned:
             return
-        # Asked first, since the replicas are watched from then on.
-        may_other_lead = self._may_other_lead()
+        # Asked before the other conditions, since replicas are watched from then on.
+        doubt = self._find_doubt()
+        is_quiet = not doubt or self._are_replicas_quiet()
+        if now - self._started_at < delay_s or self._is_leader_heard_by_others():
+            return
         if not self._has_majority():
             return
         is_alone = not self._hosts.reachable() and not self._hosts.is_only_host
@@ -233,8 +238,10 @@
             return
         if age_s >= 0 and not self._leader_ended:
             await self._probe_leader(age_s)
-        elif not may_other_lead:
-            self._become_leader()
+        elif is_quiet:
+            self._become_leader(doubt)
+        else:
+            self._log_doubt(doubt)
 
     async def _probe_leader(self, age_s):
         host = self._hosts.by_name.get(self.leader)
@@ -247,28 +254,25 @@
         self._leader_ended = True
         self._leader_process_ended = True
 
-    def _may_other_lead(self):
-        """Whether hosts that this one does not hear from may follow another leader.
+    def _are_replicas_quiet(self):
+        """Whether the replicas have taken no orders, of any holder, for long enough."""
+        wanted_s = self._lease_s + self._split_delay_s()
+        return self._order_activity.quiet_s() >= wanted_s
 
-        If so, the replicas are watched for its orders.
-        """
-        doubt = self._find_doubt()
-        if doubt != self._doubt:
-            self._doubt = doubt
-            if doubt:
-                log_event(
-                    Event.ELECTION_IN_DOUBT,
-                    reason=doubt,
-                    reachable=len(self._hosts.reachable()) + 1,
-                    lost=len(self._hosts.lost.by_name),
-                )
-        if not doubt:
-            return False
-        quiet_s = self._order_activity.quiet_s()
-        return quiet_s < self._lease_s + self._split_delay_s()
+    def _log_doubt(self, doubt):
+        if doubt != self._logged_doubt:
+            self._logged_doubt = doubt
+            log_event(
+                Event.ELECTION_IN_DOUBT,
+                reason=doubt,
+                reachable=len(self._hosts.reachable()) + 1,
+                lost=len(self._hosts.lost.by_name),
+            )
 
     def _find_doubt(self):
-        """Returns why another leader is possible; an empty text if it is not."""
+        """Returns why hosts that are not heard may follow a leader, else an empty text."""
+        if self._token_refused and not self._hosts.reaches_all():
+            return "a replica has seen a higher fencing token"
         lost_names = self._hosts.lost.by_name.keys()
         if not self._has_majority(lost_names):
             return "most of the hosts are not reachable"
@@ -307,7 +311,7 @@
                 return True
         return False
 
-    def _become_leader(self):
+    def _become_leader(self, doubt=""):
         known = max(
             [self.term, *(host.heartbeat.term for host in self._hosts.reachable())]
         )
@@ -322,9 +326,10 @@
             hosts=self._hosts.count(),
             reachable=len(self._hosts.reachable()) + 1,
             lost=len(self._hosts.lost.by_name),
-            doubt=self._doubt,
+            doubt=doubt,
         )
-        self._doubt = ""
+        self._logged_doubt = ""
+        self._token_refused = False
         self._hosts.send_heartbeats()
         self._notify()
 
@@ -352,11 +357,12 @@
         if heartbeat.is_announcement:
             self._announced_candidates = heartbeat.candidates
         self._resigned = False
+        self._token_refused = False
         self._leader_heard_at = anyio.current_time()
         self._leader_ended = False
         self._leader_process_ended = False
         if changed:
-            self._doubt = ""
+            self._logged_doubt = ""
             log_event(Event.LEADER_CHANGED, leader=name, term=heartbeat.term)
             self._notify()
 
--- a/snipetrestle_standins/order_activity.py
+++ b/snipetrestle_standins/order_activity.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from snipetrestle.coordination.order_activity import UNUSED_TIMEOUT_S
+
 
 class NoReplicas:
     """OrderActivity of a system that has no replicas to order."""
@@ -20,10 +22,12 @@
 
     def __init__(self, leaders):
         self._leaders = leaders
-        self._last_order_at = -math.inf
+        self._asked_at = -math.inf
+        self._quiet_since = 0.0
 
     def quiet_s(self):
         now = anyio.current_time()
-        if self._leaders():
-            self._last_order_at = now
-        return now - self._last_order_at
+        if self._leaders() or now - self._asked_at > UNUSED_TIMEOUT_S:
+            self._quiet_since = now
+        self._asked_at = now
+        return now - self._quiet_since
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -149,6 +149,10 @@
         self._reported_states = collections.deque()
         self._record_state()
 
+    def holders(self):
+        """Returns the holders of the accepted orders, in their order."""
+        return [order.holder for order in self.accepted]
+
     def holds(self, key):
         """Tells whether an adapter has finished loading."""
         now = anyio.current_time()
--- a/tests/coordination/test_partitions.py
+++ b/tests/coordination/test_partitions.py
@@ -100,25 +100,28 @@
 
     def __init__(self):
         self.fleet = OrdersFleet(NAMES)
+        self.is_paused = False
         self._numbers = itertools.count()
 
     async def _look_up(self):
         while True:
+            await anyio.sleep(self.LOOKUP_INTERVAL_S)
+            if self.is_paused:
+                continue
             key = AdapterKey(MODEL, f"a{next(self._numbers) % 40}")
             for host in list(self.fleet.daemons_by_name.values()):
                 self._group.start_soon(self._look_up_at, host, key)
-            await anyio.sleep(self.LOOKUP_INTERVAL_S)
 
     async def _look_up_at(self, host, key):
         with anyio.move_on_after(2.0):
             await host.locator.look_up(key)
 
     async def play(self, steps):
-        """Plays ``steps(fleet)`` under load, then waits until all must be well."""
+        """Plays ``steps(load)``, then waits until all must be well."""
         async with self.fleet, anyio.create_task_group() as self._group:
             self._group.start_soon(self._look_up)
             await anyio.sleep(8.0)
-            await steps(self.fleet)
+            await steps(self)
             await anyio.sleep(HEALED_WITHIN_S)
             self._group.cancel_scope.cancel()
 
@@ -151,7 +154,8 @@
         for side in (NAMES[:2], NAMES[4:], NAMES[:3], NAMES[3:], NAMES[:1]):
             for cut_s in (12.0, 60.0):
 
-                async def steps(fleet, side=side, cut_s=cut_s):
+                async def steps(load, side=side, cut_s=cut_s):
+                    fleet = load.fleet
                     fleet.network.partition(side, set(NAMES) - set(side))
                     await anyio.sleep(cut_s)
                     fleet.network.heal()
@@ -164,7 +168,8 @@
         for side in (NAMES[:2], NAMES[4:], NAMES[5:]):
             for restarted in (side[:1], side):
 
-                async def steps(fleet, side=side, restarted=restarted):
+                async def steps(load, side=side, restarted=restarted):
+                    fleet = load.fleet
                     fleet.network.partition(side, set(NAMES) - set(side))
                     await anyio.sleep(3.0)
                     for name in restarted:
@@ -183,7 +188,8 @@
             (NAMES[:3], NAMES[3:4]),
         ):
 
-            async def steps(fleet, first=first, second=second):
+            async def steps(load, first=first, second=second):
+                fleet = load.fleet
                 fleet.network.partition(first, set(NAMES) - set(first))
                 await anyio.sleep(11.0)
                 rest = set(NAMES) - set(first) - set(second)
@@ -194,8 +200,30 @@
             with self.subTest(first=first, second=second):
                 self.check_no_turns(steps)
 
+    def test_leader_that_replicas_refuse_leaves_them_to_the_other(self):
+        """Two leaders that knew nothing of each other raised their tokens in turns."""
+
+        async def steps(load):
+            load.is_paused = True
+            load.fleet.network.partition(NAMES[:2], set(NAMES[2:]))
+            for name in NAMES:
+                load.fleet.start(name)
+            # Without orders, the replicas do not show one side the leader of the other.
+            await anyio.sleep(20.0)
+            self.assertEqual(2, len(load.leaders()))
+            load.is_paused = False
+            await anyio.sleep(20.0)
+            for replica in load.fleet.replicas_by_id.values():
+                holders = [name for name, _ in itertools.groupby(replica.holders())]
+                # The leader before the cut, and each of the others once.
+                self.assertLessEqual(len(holders), 3)
+            load.fleet.network.heal()
+
+        self.check_no_turns(steps)
+
     def test_three_groups_do_not_all_lead(self):
-        async def steps(fleet):
+        async def steps(load):
+            fleet = load.fleet
             for side in (NAMES[:2], NAMES[2:4], NAMES[4:]):
                 fleet.network.partition(side, set(NAMES) - set(side))
             await anyio.sleep(40.0)
@@ -213,7 +241,8 @@
             async def main(gone=gone):
                 load = FleetUnderLoad()
 
-                async def steps(fleet):
+                async def steps(load):
+                    fleet = load.fleet
                     # Without power, a host refuses no connections.
                     fleet.network.partition(gone, set(NAMES) - set(gone))
                     for name in gone:
