Answer a request that offers another protocol once, and with its body

A request with a body ran without it.

Cause: httptools raises HttpParserUpgrade behind the head, after it has reported the message as complete. The request was queued, and the exception handled like malformed bytes.

Ruled out: to queue the request and parse what follows with a new parser, which is enough without a body; with one, the body would be read as the next request.

Change: the head is parsed again without its Upgrade fields, together with what follows it, so the usual checks frame the body. An offer may be ignored (RFC 9110, 7.8). CONNECT is still refused once.

Before: both new tests fail, with "200" and "400" for one request, and an empty body where seven bytes were sent.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -139,7 +139,7 @@
         if self._refusal_code is not None or self._lingering:
             return
         self._has_received = True
-        if self.busy or self._pending_requests:
+        if self.busy or self._pending_requests or self._unparsed:
             self._unparsed += data
             if len(self._unparsed) > MAX_UNPARSED_BYTES and not self._reading_paused:
                 self._reading_paused = True
@@ -155,13 +155,38 @@
             self._body_overhead.note_received(len(data))
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserUpgrade as upgrade:
+            self._ignore_upgrade(data[upgrade.args[0] :])
+        except httptools.HttpParserError:
             self._refuse(ResultCode.MALFORMED_REQUEST)
         if self._in_head and self._head_bytes > self._server.limits.max_header_bytes:
             self._refuse(ResultCode.HEADERS_TOO_LARGE)
         if not self._in_head and self._body_overhead.exceeded:
             self._refuse(ResultCode.MALFORMED_REQUEST)
 
+    def _ignore_upgrade(self, following):
+        """Goes on as if a request had offered no other protocol (RFC 9110, 7.8).
+
+        The parser stops behind the head of such a request, so the head is parsed again
+        without the offer. ``following`` is its body and what comes after it.
+        """
+        if self._refusal_code is not None:
+            return
+        head = _format_head_without_offer(
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            self._parser.get_http_version(),
+        )
+        self._parser = httptools.HttpRequestParser(self)
+        self._head_bytes = 0
+        self._unparsed = head + following
+
+    @property
+    def _offers_upgrade(self):
+        """Whether the parser stops behind this head, which is parsed again."""
+        return self._parser.should_upgrade() and self._parser.get_method() != b"CONNECT"
+
     def eof_received(self):
         # A caller that has closed its side no longer waits for a response.
         return False
@@ -200,6 +225,8 @@
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self):
+        if self._offers_upgrade:
+            return
         self._in_head = False
         self._head_bytes = 0
         self._body_parts = []
@@ -240,7 +267,7 @@
         self._in_message = False
         self._in_head = True
         self._head_started_at = None
-        if self._refusal_code is not None:
+        if self._refusal_code is not None or self._offers_upgrade:
             return
         request = self._current_request
         request.body = b"".join(self._body_parts)
@@ -469,6 +496,15 @@
 )
 
 
+def _format_head_without_offer(method, target, headers, http_version):
+    """Returns the head of a request without its Upgrade fields."""
+    lines = [b"%b %b HTTP/%b\r\n" % (method, target, http_version.encode())]
+    lines += [
+        b"%b: %b\r\n" % (name, value) for name, value in headers if name != b"upgrade"
+    ]
+    return b"".join(lines) + b"\r\n"
+
+
 def _head_size_bytes(request):
     """Returns the size of a request head, also if it arrived together with its end."""
     fields = sum(len(name) + len(value) + 4 for name, value in request.headers)
