Search each byte of an unfinished event once

Cause: EventSplitter.feed searched an unfinished event again from its start with each piece, so the time grew with the square of its size, up to 1 MiB; all requests share one event loop.

Change: the unfinished event grows in place, and the search goes on three bytes before the new piece.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # The stamp is named by the pins, so a changed pin installs again.
 STAMP = $(VENV)/.installed-$(shell cat requirements/*.txt | cksum | cut -d' ' -f1)
 
-.PHONY: setup demo lint format test fuzz soak chaos bench-path bench-policy bench-control binary generate
+.PHONY: setup demo lint format test fuzz soak chaos bench-parsing bench-path bench-policy bench-control binary generate
 
 setup: $(STAMP)
 
@@ -39,6 +39,9 @@
 chaos: setup
 	$(RUN) -m benchmarks.chaos
 
+bench-parsing: setup
+	$(RUN) -m benchmarks.parsing
+
 bench-path: setup
 	$(RUN) -m benchmarks.path
 
--- a/snipetrestle/gateway/event_stream.py
+++ b/snipetrestle/gateway/event_stream.py
@@ -9,6 +9,8 @@
 MAX_EVENT_BYTES = 1_048_576
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+# Bytes of an event's end that may have arrived before its last one.
+_MAX_PARTIAL_END_BYTES = 3
 _ID_LINE = re.compile(rb"^id:[ \t]*(\d{1,18})[ \t]*\r?$", re.MULTILINE)
 
 
@@ -27,7 +29,7 @@
 
     def __init__(self, last_event_id=None):
         self.last_event_id = last_event_id
-        self._partial_event = b""
+        self._partial_event = bytearray()
 
     def feed(self, data):
         """Returns the bytes of all complete events, or b"" if there are none.
@@ -35,16 +37,19 @@
         Raises InvalidEvent if an event has no id above that of the event before it, or
         if an incomplete event exceeds MAX_EVENT_BYTES.
         """
-        if self._partial_event:
-            data = self._partial_event + data
+        # Searched again from its start, an event without end would take a time that grows
+        # with the square of its size.
+        search_from = max(0, len(self._partial_event) - _MAX_PARTIAL_END_BYTES)
+        self._partial_event += data
         start = 0
-        for match in _EVENT_END.finditer(data):
-            self._note_event(data[start : match.start()])
+        for match in _EVENT_END.finditer(self._partial_event, search_from):
+            self._note_event(self._partial_event[start : match.start()])
             start = match.end()
-        self._partial_event = data[start:]
+        events = bytes(self._partial_event[:start])
+        del self._partial_event[:start]
         if len(self._partial_event) > MAX_EVENT_BYTES:
             raise InvalidEvent("an event is too large")
-        return data[:start]
+        return events
 
     def _note_event(self, event):
         ids = _ID_LINE.findall(event)
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -6,6 +6,7 @@
 import anyio
 import testtools
 
+from snipetrestle.gateway import event_stream
 from snipetrestle.gateway.configuration import (
     ReplicaEntry,
     ReplicaState,
@@ -49,7 +50,41 @@
             self.assertIsNone(table.match(hostname, path))
 
 
+class CountingPattern:
+    """Pattern that counts the bytes in which it searches."""
+
+    def __init__(self, pattern):
+        self._pattern = pattern
+        self.searched_bytes = 0
+
+    def finditer(self, data, start=0):
+        self.searched_bytes += len(data) - start
+        return self._pattern.finditer(data, start)
+
+
 class EventSplitterTest(testtools.TestCase):
+    def test_each_byte_of_an_endless_event_is_searched_once(self):
+        """Endless events of replicas held up the event loop for seconds."""
+        for piece_bytes in (1, 64, 1448):
+            pattern = CountingPattern(event_stream._EVENT_END)
+            self.patch(event_stream, "_EVENT_END", pattern)
+            splitter = EventSplitter()
+            pieces = 20_000 // piece_bytes
+            for _ in range(pieces):
+                splitter.feed(b"x" * piece_bytes)
+            self.assertLessEqual(pattern.searched_bytes, 20_000 + 4 * pieces)
+
+    def test_event_ends_are_found_between_any_two_pieces(self):
+        """An end that comes in two pieces could join two events."""
+        content = b"id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\nid: 3\r\n\nid: 4\n\r\n"
+        for first in range(len(content)):
+            for second in range(first, len(content)):
+                splitter = EventSplitter()
+                pieces = (content[:first], content[first:second], content[second:])
+                self.assertEqual(content, b"".join(map(splitter.feed, pieces)))
+                self.assertEqual(4, splitter.last_event_id)
+                self.assertFalse(splitter.has_partial_event)
+
     def test_only_complete_events_are_returned(self):
         """However the bytes arrive, no part of an event may be forwarded."""
         content = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
