--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -101,7 +101,7 @@
         self._waiter = Waiter()
         self._writable = None
         self._pending_requests = []
-        self._unparsed = b""
+        self._unparsed = bytearray()
         self._refusal_code = None
         self._in_message = False
         self._head_bytes = 0
@@ -180,7 +180,7 @@
         )
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
-        self._unparsed = head + following
+        self._unparsed = bytearray(head + following)
 
     @property
     def _offers_upgrade(self):
@@ -317,7 +317,7 @@
                 self.send_result_code(self._refusal_code)
                 return None
             if self._unparsed:
-                data, self._unparsed = self._unparsed, b""
+                data, self._unparsed = bytes(self._unparsed), bytearray()
                 self._parse(data)
                 continue
             if self._reading_paused:
