--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -71,8 +71,9 @@
     """This host's view of the leader election, and its part in it.
 
     ``probe(host)`` returns True if the host's process is known to have ended.
-    ``order_activity`` is the OrderActivity of the replicas. ``lease_s`` is the minimum time between two leaders, unless the first is known to
-    have ended. ``term`` is the fencing token of the leader.
+    ``order_activity`` is the OrderActivity of the replicas. ``lease_s`` is the minimum
+    time between two leaders, unless the first is known to have ended. ``term`` is the
+    fencing token of the leader.
     """
 
     def __init__(self, hosts, lease_s, probe, order_activity):
--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -187,7 +187,8 @@
     def send_request(self, request_bytes, is_response_to, request_id=None):
         """Starts an exchange by sending a request.
 
-        ``request_id`` is None for requests whose responses carry no id. Raises ExchangeFailed, with nothing sent, if the connection is closed.
+        ``request_id`` is None for requests whose responses carry no id. Raises
+        ExchangeFailed, with nothing sent, if the connection is closed.
         """
         self._reset()
         if self.closed or self._transport.is_closing():
