Keep reports of prompts that crash replicas out of heartbeats

Cause: each heartbeat carried up to 32 lost prompts and the ages of their parts, up to 129 kB. The system refuses such a datagram, the error was dropped, and the hosts lost each other: membership shared a datagram with reports whose length callers set.

Ruled out: fewer reports in a heartbeat, which still depend on the prompts.

Change: reports have datagrams of their own, of about 8 KB each and 16 KB a round, in turns. A part is known by a key of at most 16 characters, its id or the id's digest. The in-memory network drops what UDP cannot carry.

The new tests: six hosts keep one leader and learn of the part; 32 reports of the greatest length are all told.

--- a/snipetrestle/coordination/datagrams.py
+++ b/snipetrestle/coordination/datagrams.py
@@ -5,13 +5,24 @@
 import msgspec
 
 from snipetrestle.coordination.messages import decode, encode
+from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.supervision import call_isolated
 
+# The longest datagram that UDP over IPv4 can carry.
+MAX_DATAGRAM_BYTES = 65_507
+# Messages of one type that are too long are logged once in this time.
+LOG_INTERVAL_S = 10.0
+
 
 class DatagramEndpoint(asyncio.DatagramProtocol):
-    """UDP socket that dispatches each received message to the handler of its type."""
+    """UDP socket that dispatches each received message to the handler of its type.
+
+    ``on_too_long()`` is called for each message that is too long to be sent.
+    """
 
-    def __init__(self):
+    def __init__(self, on_too_long=None):
+        self._on_too_long = on_too_long
+        self._logged_at_by_type = {}
         self._transport = None
         self._handlers_by_type = {}
 
@@ -37,9 +48,25 @@
         if self._transport is None or self._transport.is_closing() or not addresses:
             return
         content = encode(message)
+        if len(content) > MAX_DATAGRAM_BYTES:
+            self._note_too_long(type(message), len(content))
+            return
         for address in addresses:
             self._transport.sendto(content, address)
 
+    def _note_too_long(self, message_type, size_bytes):
+        if self._on_too_long is not None:
+            self._on_too_long()
+        now = asyncio.get_running_loop().time()
+        logged_at = self._logged_at_by_type.get(message_type)
+        if logged_at is None or now - logged_at >= LOG_INTERVAL_S:
+            self._logged_at_by_type[message_type] = now
+            log_event(
+                Event.DATAGRAM_TOO_LONG,
+                message_type=message_type.__name__,
+                size_bytes=size_bytes,
+            )
+
     def connection_made(self, transport):
         self._transport = transport
 
--- a/snipetrestle/coordination/heartbeat_content.py
+++ b/snipetrestle/coordination/heartbeat_content.py
@@ -17,7 +17,6 @@
         self._shared_loads = None
         self._state = None
         self._store_relay = None
-        self._shared_quarantine = None
         self._shared_limits = None
 
     def connect(
@@ -26,14 +25,12 @@
         shared_loads=None,
         state=None,
         store_relay=None,
-        shared_quarantine=None,
         shared_limits=None,
     ):
         self._leadership = leadership
         self._shared_loads = shared_loads
         self._state = state
         self._store_relay = store_relay
-        self._shared_quarantine = shared_quarantine
         self._shared_limits = shared_limits
 
     def status(self):
@@ -54,18 +51,8 @@
             limits_by_replica={}
             if self._shared_limits is None
             else self._shared_limits.reports_by_replica(),
-            **self._prompts(),
         )
 
-    def _prompts(self):
-        if self._shared_quarantine is None:
-            return {}
-        lost_prompts = self._shared_quarantine.lost_prompts()
-        return {
-            "lost_prompts": lost_prompts,
-            "served_ages_s": self._shared_quarantine.served_ages_s(lost_prompts),
-        }
-
     def loads_by_replica(self):
         """Returns the ReplicaLoads of this host, or if it leads, of all hosts."""
         if self._shared_loads is None:
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -56,8 +56,6 @@
     document_version_sum: int = 0
     reads_store: bool = False
     candidates: tuple = ()
-    lost_prompts: tuple = ()
-    served_ages_s: dict = {}
     limits_by_replica: dict = {}
 
 
@@ -98,6 +96,7 @@
         self._endpoint = endpoint
         self._content = content
         self._listeners = []
+        self._round_listeners = []
         self._round = 0
         self._exchanged_at = 0.0
         self._newcomers = []
@@ -120,6 +119,13 @@
         """Registers ``listener(heartbeat)``, called for each one of another host."""
         self._listeners.append(listener)
 
+    def on_round(self, listener):
+        """Registers ``listener(addresses)``, called after the heartbeats of a round.
+
+        ``addresses`` are those of the hosts to which they were sent.
+        """
+        self._round_listeners.append(listener)
+
     def reachable(self):
         """Returns the hosts that were heard from recently, without this one."""
         since = anyio.current_time() - REACHABLE_TIMEOUT_S
@@ -233,11 +239,13 @@
         status = self._content.status()
         self._round += 1
         if status.leads:
-            self._send_as_leader(status)
+            addresses = self._send_as_leader(status)
         elif self.is_large and status.has_leader:
-            self._send_to_leader(status)
+            addresses = self._send_to_leader(status)
         else:
-            self._send_to_all(status)
+            addresses = self._send_to_all(status)
+        for listener in self._round_listeners:
+            listener(addresses)
         hears_all = status.leads or not (self.is_large and status.has_leader)
         if not hears_all:
             self._hears_all_since = None
@@ -260,6 +268,7 @@
             message = msgspec.structs.replace(heartbeat, readers=readers)
             self._endpoint.send_all(message, [host.address for host in hosts])
         self._exchange_with_next()
+        return self._addresses()
 
     def _send_to_leader(self, status):
         """Sends to the leader, its likely successors and those it reads the store for.
@@ -267,6 +276,7 @@
         Only the leader needs the loads, which make up most of a heartbeat.
         """
         leader = self.by_name.get(status.leader)
+        leader_addresses = [] if leader is None else [leader.address]
         if leader is not None:
             heartbeat = self._heartbeat(status, self._content.loads_by_replica())
             self._endpoint.send(heartbeat, leader.address)
@@ -277,14 +287,17 @@
             self.by_name[name].address for name in names if name in self.by_name
         ]
         self._endpoint.send_all(self._heartbeat(status), addresses)
+        return leader_addresses + addresses
 
     def _send_to_all(self, status):
         loads = None if self.is_large else self._content.loads_by_replica()
-        heartbeat = self._heartbeat(status, loads)
-        self._endpoint.send_all(
-            heartbeat, [host.address for host in self.by_name.values()]
-        )
+        self._endpoint.send_all(self._heartbeat(status, loads), self._addresses())
         self._exchange_with_next()
+        return self._addresses()
+
+    def _addresses(self):
+        """Returns the addresses of all known hosts."""
+        return [host.address for host in self.by_name.values()]
 
     def hosts_of_own_domain(self):
         """Returns the known hosts of this host's failure domain, without this one."""
@@ -306,8 +319,6 @@
             {prefix: item.revision for prefix, item in status.newest_positions.items()},
             leaves_out_loads=loads_by_replica is None,
             reads_store=status.reads_store,
-            lost_prompts=status.lost_prompts,
-            served_ages_s=status.served_ages_s,
             limits_by_replica=status.limits_by_replica,
             epoch_by_prefix={
                 prefix: item.epoch for prefix, item in status.newest_positions.items()
@@ -322,9 +333,7 @@
         """Tells all hosts that this one is leaving."""
         self.leaving = True
         heartbeat = self._heartbeat(self._content.status())
-        self._endpoint.send_all(
-            heartbeat, [host.address for host in self.by_name.values()]
-        )
+        self._endpoint.send_all(heartbeat, self._addresses())
 
     @property
     def members_digest(self):
@@ -481,7 +490,7 @@
                 self.lost.add(info, report.age_s)
 
     def _is_removed(self, info, from_leader):
-        """Whether a list of another host may name a host only as it is outdated."""
+        """Whether a host was removed here, so a list that names it may be outdated."""
         removed_at = self._removed_at.get((info.name, info.boot))
         if from_leader:
             since = anyio.current_time() - LEADER_REMOVAL_LAG_S
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -112,8 +112,6 @@
     ``document_version_sum`` is the sum of the versions of the operator's documents.
     ``leaves_out_loads`` tells that this message says nothing about loads.
     ``reads_store`` tells that the sender's last request to the store was answered.
-    ``lost_prompts`` are those that may have crashed a replica, on any host, and
-    ``served_ages_s`` tells for their parts how long ago a prompt with it was served.
     ``limits_by_replica`` holds the limits that replicas named to any host.
 
     Only a leader sends the rest: ``members_digest`` of all hosts that it knows, the
@@ -133,8 +131,6 @@
     members_digest: Revision = 0
     candidates: tuple[Name, ...] = ()
     readers: tuple[Name, ...] = ()
-    lost_prompts: tuple[LostPromptReport, ...] = ()
-    served_ages_s: dict[Name, DurationS] = {}
     limits_by_replica: dict[Name, RequestLimitReport] = {}
     epoch_by_prefix: dict[Name, Revision] = {}
     document_version_sum: Revision = 0
@@ -154,6 +150,16 @@
         return self.members_digest != 0
 
 
+class LostPrompts(_Message):
+    """Prompts that may have crashed replicas, on any host.
+
+    ``served_ages_s`` tells for their parts how long ago a prompt with it was served.
+    """
+
+    prompts: tuple[LostPromptReport, ...]
+    served_ages_s: dict[Name, DurationS] = {}
+
+
 class LostRequests(_Message):
     """Requests that may have crashed replicas, on any host.
 
@@ -280,6 +286,7 @@
     | Located
     | PermitRequest
     | PermitReply
+    | LostPrompts
     | LostRequests
 )
 _decoder = msgspec.msgpack.Decoder(Message)
@@ -287,6 +294,7 @@
 
 
 def encode(message):
+    """Returns the bytes of a message, or of a part of one."""
     return _encoder.encode(message)
 
 
--- a/snipetrestle/coordination/shared_quarantine.py
+++ b/snipetrestle/coordination/shared_quarantine.py
@@ -1,31 +1,66 @@
-"""Exchange of lost and served prompts between the hosts, in their heartbeats.
+"""Exchange of lost and served prompts between the hosts, beside their heartbeats.
 
 Each host repeats what it heard, so that reports pass through the leader to hosts that
-send their heartbeats only to it, and reach hosts that start later.
+send their heartbeats only to it, and reach hosts that start later. Reports have their
+own datagrams: their length depends on callers' prompts, and a heartbeat must arrive.
 """
 
 import anyio
 
-from snipetrestle.coordination.messages import LostPromptReport
+from snipetrestle.coordination.messages import LostPromptReport, LostPrompts, encode
 from snipetrestle.gateway.prompt_quarantine import OBJECTION_TIME_S, LostPrompt
 
 # A new report is repeated for this long, since datagrams may be lost.
 REPORT_TIME_S = 3.0
 MAX_REPORTED_PROMPTS = 32
+# A datagram ends with the report that reaches this size.
+DATAGRAM_BYTES = 8192
+# Reports beyond this size wait for the next round of heartbeats.
+MAX_ROUND_BYTES = 2 * DATAGRAM_BYTES
 
 
 class SharedQuarantine:
     """Reports the prompts of this host's PromptQuarantine, and learns from others."""
 
-    def __init__(self, quarantine, hosts):
+    def __init__(self, quarantine, hosts, endpoint):
         self._quarantine = quarantine
-        hosts.on_heartbeat(self._on_heartbeat)
+        self._endpoint = endpoint
+        # The number of reports sent so far, from which each round goes on.
+        self._sent_count = 0
+        hosts.on_round(self._send_round)
+        endpoint.register(LostPrompts, self._on_lost_prompts)
 
-    def lost_prompts(self):
-        """Returns the LostPromptReports of the next heartbeat."""
+    def _send_round(self, addresses):
+        """Sends the reports beside a round of heartbeats, in turns if they are many."""
+        reports = self._lost_prompts()
+        if not reports or not addresses:
+            return
+        start = self._sent_count % len(reports)
+        round_bytes = datagram_bytes = 0
+        part = []
+        for report in reports[start:] + reports[:start]:
+            if round_bytes >= MAX_ROUND_BYTES:
+                break
+            self._sent_count += 1
+            part.append(report)
+            size = _size_bytes(report)
+            round_bytes += size
+            datagram_bytes += size
+            if datagram_bytes >= DATAGRAM_BYTES:
+                self._send(part, addresses)
+                part, datagram_bytes = [], 0
+        if part:
+            self._send(part, addresses)
+
+    def _send(self, reports, addresses):
+        message = LostPrompts(tuple(reports), self._served_ages_s(reports))
+        self._endpoint.send_all(message, addresses)
+
+    def _lost_prompts(self):
+        """Returns the LostPromptReports to send, the best ones first."""
         now = anyio.current_time()
         prompts = self._quarantine.telling_prompts(REPORT_TIME_S, MAX_REPORTED_PROMPTS)
-        return tuple(
+        return [
             LostPromptReport(
                 prompt.crash,
                 tuple(prompt.parts),
@@ -33,9 +68,9 @@
                 self._quarantine.refuses(prompt.parts),
             )
             for prompt in prompts
-        )
+        ]
 
-    def served_ages_s(self, reports):
+    def _served_ages_s(self, reports):
         """Returns for the parts in reports how long ago they were last served."""
         now = anyio.current_time()
         parts = {part for report in reports for part in report.parts}
@@ -44,14 +79,19 @@
             for part, served_at in self._quarantine.served_at_by_part(parts).items()
         }
 
-    def _on_heartbeat(self, heartbeat):
+    def _on_lost_prompts(self, message, address):
         now = anyio.current_time()
-        for part, age_s in heartbeat.served_ages_s.items():
+        for part, age_s in message.served_ages_s.items():
             self._quarantine.learn_served(part, now - age_s)
-        for report in heartbeat.lost_prompts:
+        for report in message.prompts:
             lost_at = now - report.age_s
             # A confirmed report needs no further time for objections.
             learned_at = now - OBJECTION_TIME_S if report.confirmed else now
             self._quarantine.learn_lost(
                 LostPrompt(report.crash, frozenset(report.parts), lost_at, learned_at)
             )
+
+
+def _size_bytes(report):
+    """Returns the most that a report, with the ages of its parts, adds to a message."""
+    return len(encode(report)) + len(encode(dict.fromkeys(report.parts, 0.1)))
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -167,7 +167,7 @@
             rng,
             settings.entry_expiry_s,
         )
-        self.datagram_endpoint = DatagramEndpoint()
+        self.datagram_endpoint = DatagramEndpoint(self.metrics.count_too_long_datagram)
         own_info = HostInfo(
             settings.name, boot, *settings.peers, settings.failure_domain, settings.size
         )
@@ -207,9 +207,11 @@
             self.shared_loads,
             self.state,
             self.store_relay,
-            SharedQuarantine(self.crash_quarantine.prompts, self.hosts),
             SharedRequestLimits(self.replicas, self.hosts),
         )
+        self.shared_quarantine = SharedQuarantine(
+            self.crash_quarantine.prompts, self.hosts, self.datagram_endpoint
+        )
         self.send_permits = SendPermits(
             self.leadership,
             self.datagram_endpoint,
--- a/snipetrestle/gateway/dialect.py
+++ b/snipetrestle/gateway/dialect.py
@@ -17,8 +17,8 @@
     ``deadline_s`` is the time that the caller waits, from the arrival of the request.
     ``adapter`` has an empty adapter name for the base model, and is None for requests
     that name no model. Token counts are 0 if the caller gives none.
-    ``shared_prompt_parts`` are the ids of the parts of the prompt, in order, without
-    those that belong to this request alone.
+    ``shared_prompt_parts`` are the keys of the parts of the prompt, in order, without
+    those that belong to this request alone; see ``prompt_part_key``.
     """
 
     request_id: bytes
--- a/snipetrestle/gateway/metrics.py
+++ b/snipetrestle/gateway/metrics.py
@@ -44,6 +44,11 @@
             ("route",),
             registry=self.registry,
         )
+        self._too_long_datagrams = Counter(
+            "snipetrestle_gateway_datagrams_too_long",
+            "Messages to other hosts that were too long to be sent.",
+            registry=self.registry,
+        )
         self._series_by_route = {}
 
     def _histogram(self, name, documentation):
@@ -89,6 +94,10 @@
         """Counts an attempt of a stream that its replica closed before any event."""
         self._lost_streams.labels(self._route_label(route)).inc()
 
+    def count_too_long_datagram(self):
+        """Counts a message to other hosts that was too long to be sent."""
+        self._too_long_datagrams.inc()
+
     def render(self):
         """Returns the metrics in the Prometheus text format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
--- a/snipetrestle/gateway/request_fingerprint.py
+++ b/snipetrestle/gateway/request_fingerprint.py
@@ -5,6 +5,9 @@
 
 import xxhash
 
+# Ids of prompt parts are kept as they are up to this length, that of a digest.
+MAX_PART_KEY_LENGTH = 16
+
 
 def request_fingerprint(request, metadata):
     """Returns a hash of what makes a replica's work on a request the same.
@@ -24,3 +27,13 @@
     digest.update(b"\0\0")
     digest.update(request.body)
     return digest.hexdigest()
+
+
+def prompt_part_key(part_id):
+    """Returns a short key of a prompt part, whose id may have any length.
+
+    Hosts keep many keys and send them to each other.
+    """
+    if len(part_id) <= MAX_PART_KEY_LENGTH:
+        return part_id
+    return xxhash.xxh3_64_hexdigest(part_id.encode())
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -5,6 +5,7 @@
 from snipetrestle.coordination.messages import MAX_RATE_PER_S
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.dialect import RequestMetadata, ResponseMetadata
+from snipetrestle.gateway.request_fingerprint import prompt_part_key
 
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-ms"
@@ -54,11 +55,10 @@
 _NEVER_DROPPED = frozenset({b"host", REQUEST_ID, MODEL, TOKEN_COUNT, PROMPT_PREFIX})
 # Priorities are numbered from the highest, 0.
 LOWEST_PRIORITY = 9
-# Longer lists and ids of prompt parts are cut off, since hosts keep and exchange them.
+# Longer lists of prompt parts are cut off, since hosts keep and exchange them.
 MAX_PROMPT_PARTS = 32
 # Longer numbers are malformed. Python's own limit would raise an unexpected error.
 MAX_NUMBER_DIGITS = 18
-MAX_PROMPT_PART_LENGTH = 64
 # Lower limits would hold requests for hours; they cannot be meant.
 MIN_REQUEST_LIMIT_PER_S = 0.001
 _SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
@@ -171,7 +171,7 @@
 
 
 def _shared_prompt_parts(value):
-    """Returns the ids of all listed prompt parts (``ID:TOKENS``) but the last.
+    """Returns the keys of all listed prompt parts (``ID:TOKENS``) but the last.
 
     The last part belongs to the request itself or to its session.
     """
@@ -179,7 +179,7 @@
         return ()
     parts = value.decode("latin-1").split(",")[:-1]
     return tuple(
-        part.partition(":")[0].strip()[:MAX_PROMPT_PART_LENGTH]
+        prompt_part_key(part.partition(":")[0].strip())
         for part in parts[:MAX_PROMPT_PARTS]
     )
 
--- a/snipetrestle_standins/datagram_network.py
+++ b/snipetrestle_standins/datagram_network.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from snipetrestle.coordination.datagrams import MAX_DATAGRAM_BYTES
 from snipetrestle.coordination.messages import decode, encode
 
 DELIVERY_DELAY_S = 0.001
@@ -13,7 +14,7 @@
     """Delivers datagrams between the endpoints of one process.
 
     ``cuts`` has a frozenset of two names for each pair of hosts whose datagrams are
-    lost. ``datagrams_by_sender`` counts what each host has sent. ``task_group`` is the
+    lost, and those that UDP cannot carry are dropped. ``datagrams_by_sender`` counts what each host has sent. ``task_group`` is the
     task group that delivers; its owner sets it.
     """
 
@@ -50,6 +51,8 @@
 
     def send_all(self, message, addresses):
         content = encode(message)
+        if len(content) > MAX_DATAGRAM_BYTES:
+            return
         for address in addresses:
             self._network.datagrams_by_sender[self.name] += 1
             self._network.task_group.start_soon(self._deliver, content, address)
--- a/tests/coordination/test_shared_quarantine.py
+++ b/tests/coordination/test_shared_quarantine.py
@@ -1,8 +1,20 @@
 """Tests that all hosts learn in time which prompts crash replicas."""
 
+import types
+
 import anyio
 import testtools
 
+from snipetrestle.coordination.messages import encode
+from snipetrestle.coordination.shared_quarantine import (
+    DATAGRAM_BYTES,
+    MAX_REPORTED_PROMPTS,
+    MAX_ROUND_BYTES,
+    SharedQuarantine,
+)
+from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
+from snipetrestle.gateway.request_fingerprint import prompt_part_key
+from snipetrestle_standins.clock import run_in_virtual_time
 from tests.coordination.test_leadership import run_system
 
 # From the fifth crash on, all hosts must refuse such prompts after this time.
@@ -96,3 +108,59 @@
             self.assert_all_refuse_only_bad(members)
 
         run_system(check, 6)
+
+    def test_long_prompts_silence_no_host(self):
+        """Heartbeats that carried 32 prompts of 31 parts were longer than a datagram:
+        all hosts lost each other and their leader."""
+
+        async def check(system):
+            members = list(system.members.values())
+            session_parts = [f"{number:064d}" for number in range(29)]
+            for step in range(40):
+                parts = ("system", f"{'bad':064}", *session_parts[:-1], f"{step:064d}")
+                keys = tuple(map(prompt_part_key, parts))
+                members[step % 6].quarantine.note_lost(
+                    f"replica-{step % 9} {step}", keys
+                )
+                members[step % 6].quarantine.note_served(("system", *keys[2:-1]))
+                await anyio.sleep(0.05)
+            await anyio.sleep(LEARNING_TIME_S)
+            (leader,) = system.leaders()
+            for member in members:
+                self.assertEqual(leader.name, member.leadership.leader)
+                self.assertTrue(member.leadership.has_recent_leader)
+                self.assertTrue(
+                    member.quarantine.refuses((prompt_part_key(f"{'bad':064}"),))
+                )
+
+        run_system(check, 6)
+
+    def test_all_reports_fit_and_none_is_left_out(self):
+        """A report behind the bound of a round would never reach the other hosts."""
+
+        async def check():
+            sent = []
+            endpoint = types.SimpleNamespace(
+                register=lambda *args: None,
+                send_all=lambda message, addresses: sent.append(message),
+            )
+            rounds = []
+            hosts = types.SimpleNamespace(on_round=rounds.append)
+            quarantine = PromptQuarantine()
+            SharedQuarantine(quarantine, hosts, endpoint)
+            for number in range(MAX_REPORTED_PROMPTS):
+                # The longest that a message takes, in bytes.
+                parts = tuple(f"\uffff{number:03}{part:03}" * 9 for part in range(32))
+                quarantine.note_lost(f"{'r' * 200} {number}", parts)
+                quarantine.note_served(parts)
+            told = set()
+            for _ in range(40):
+                sent.clear()
+                rounds[0]([("127.0.0.1", 1)])
+                sizes = [len(encode(message)) for message in sent]
+                self.assertLess(max(sizes), 2 * DATAGRAM_BYTES)
+                self.assertLess(sum(sizes), 2 * MAX_ROUND_BYTES)
+                told |= {report.crash for item in sent for report in item.prompts}
+            self.assertEqual(MAX_REPORTED_PROMPTS, len(told))
+
+        run_in_virtual_time(check)
