Log and count why each connection of a caller ends, and what it owed

Bytes that wait unread in the socket count as unanswered: that tells a request that was never read from one that was read and lost.

--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -144,6 +144,11 @@
         "hosts that are lost may follow another leader",
     )
     DATAGRAM_TOO_LONG = (1436, "ERROR", "message to other hosts is too long to be sent")
+    CONNECTION_ENDED_EARLY = (
+        1437,
+        "WARNING",
+        "caller's connection ended with a request unanswered",
+    )
     PROCESS_RESUMED = (1430, "WARNING", "process resumed after a pause")
     WRITE_UNKNOWN = (1501, "WARNING", "outcome of a write is unknown")
     KEEPER_READY = (1502, "INFO", "keeper recovered and is ready")
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -25,6 +25,7 @@
 from snipetrestle.coordination.store_relay import StoreRelay
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import CallerLimits
+from snipetrestle.gateway.connection_end import EndReason, Unanswered
 from snipetrestle.gateway.crash_quarantine import CrashQuarantine
 from snipetrestle.gateway.drain_times import DrainTimes
 from snipetrestle.gateway.forwarding import Forwarder
@@ -52,12 +53,14 @@
     """Listens for HTTP connections and tracks them.
 
     ``handle(request, connection)`` answers one request; ``limits()`` returns the
-    current CallerLimits.
+    current CallerLimits; ``on_connection_end(end)`` is called with the ConnectionEnd of
+    each connection.
     """
 
-    def __init__(self, handle, limits):
+    def __init__(self, handle, limits, on_connection_end=lambda end: None):
         self.handle = handle
         self._limits = limits
+        self.on_connection_end = on_connection_end
         self.connections = set()
         self._closer = ListenerCloser(self._create_connection)
         self.close_after_response = False
@@ -111,7 +114,7 @@
         if self._server is not None:
             self._server.close()
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort(EndReason.PROCESS_END)
 
 
 class RetryBudgets:
@@ -235,7 +238,9 @@
         )
         self.snapshots = Snapshots(self.state, self.hosts, rng)
         self.forwarder = Forwarder(self)
-        self.caller_server = HttpServer(self.forwarder.handle, self._limits)
+        self.caller_server = HttpServer(
+            self.forwarder.handle, self._limits, self._note_connection_end
+        )
         self.readiness_server = HttpServer(self._serve_readiness, CallerLimits)
         self.metrics_server = HttpServer(self._serve_metrics, CallerLimits)
         self.draining = False
@@ -247,6 +252,25 @@
             Event.REQUEST_REFUSAL_CHANGED, fingerprint=request, refused=refused
         )
 
+    def _note_connection_end(self, end):
+        """Counts the end of a caller's connection, and logs it if it owed an answer."""
+        self.metrics.count_connection_end(end.reason, end.unanswered)
+        if end.unanswered is Unanswered.NOTHING:
+            return
+        self.request_log.log(
+            Event.CONNECTION_ENDED_EARLY,
+            reason=end.reason,
+            unanswered=end.unanswered,
+            unread_bytes=end.unread_bytes,
+            age_ms=round(end.age_s * 1000),
+            request=end.request_id,
+            configuration=self._configuration_version(),
+        )
+
+    def _configuration_version(self):
+        configuration = self.state.configuration
+        return None if configuration is None else configuration.version
+
     def _limits(self):
         configuration = self.state.configuration
         return CallerLimits() if configuration is None else configuration.limits
--- /dev/null
+++ b/snipetrestle/gateway/connection_end.py
@@ -0,0 +1,66 @@
+"""Why the connections of callers end, and what the callers are owed at that moment."""
+
+import enum
+import fcntl
+import struct
+import termios
+
+_INT = struct.Struct("i")
+
+
+class EndReason(enum.StrEnum):
+    """Why a caller's connection ended.
+
+    The caller ended it in the first two cases, this host in the others. After
+    ANNOUNCED, the caller had been told so in the last response. DRAIN stands for kept
+    connections that a planned stop closes.
+    """
+
+    CALLER_CLOSED = "caller_closed"
+    CALLER_LOST = "caller_lost"
+    ANNOUNCED = "announced"
+    IDLE = "idle"
+    DRAIN = "drain"
+    REQUEST_REFUSED = "request_refused"
+    RESPONSE_UNREAD = "response_unread"
+    RESPONSE_ABORTED = "response_aborted"
+    INTERNAL_ERROR = "internal_error"
+    PROCESS_END = "process_end"
+
+
+class Unanswered(enum.StrEnum):
+    """What of a caller's request is unanswered when its connection ends.
+
+    UNREAD_BYTES have arrived at the host, and nobody has read them.
+    """
+
+    NOTHING = "nothing"
+    UNREAD_BYTES = "unread_bytes"
+    PARTIAL_REQUEST = "partial_request"
+    REQUEST = "request"
+    PARTIAL_RESPONSE = "partial_response"
+
+
+class ConnectionEnd:
+    """The end of a caller's connection. ``age_s`` is the time since it was opened."""
+
+    __slots__ = ("reason", "unanswered", "unread_bytes", "age_s", "request_id")
+
+    def __init__(self, reason, unanswered, unread_bytes, age_s, request_id):
+        self.reason = reason
+        self.unanswered = unanswered
+        self.unread_bytes = unread_bytes
+        self.age_s = age_s
+        self.request_id = request_id
+
+
+def count_unread_bytes(transport):
+    """Returns the number of bytes that wait in the socket of a transport."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    try:
+        waiting = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(_INT.size))
+    except OSError:
+        return 0
+    return _INT.unpack(waiting)[0]
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -92,6 +92,7 @@
             caller.send_result_code(ResultCode.MALFORMED_REQUEST)
             self._metrics.count("", ResultCode.MALFORMED_REQUEST)
             return
+        caller.request_id = metadata.request_id.decode("latin-1")
         try:
             job = self._create_job(request, metadata, caller)
         except Refused as refusal:
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -10,6 +10,12 @@
 import httptools
 
 from snipetrestle.codes import ResultCode
+from snipetrestle.gateway.connection_end import (
+    ConnectionEnd,
+    EndReason,
+    Unanswered,
+    count_unread_bytes,
+)
 from snipetrestle.gateway.message_limits import OverheadMeter
 from snipetrestle.gateway.supervision import log_unexpected
 from snipetrestle.gateway.waiter import Waiter
@@ -88,8 +94,9 @@
 
     ``server`` is its HttpServer: ``close_after_response`` closes a connection after its
     next response, ``close_when_idle`` also closes idle connections. ``busy`` is true
-    while a request is handled, ``has_response`` once its response has begun.
-    ``on_disconnect()``, if set, is called when the connection closes.
+    while a request is handled, ``has_response`` once its response has begun, and
+    ``request_id`` is its id as text. ``on_disconnect()``, if set, is called when the
+    connection closes.
     """
 
     def __init__(self, server):
@@ -122,6 +129,8 @@
         self.busy = False
         self.keep_alive = True
         self.on_disconnect = None
+        self.request_id = None
+        self._end_reason = None
 
     # Callbacks of asyncio.Protocol.
 
@@ -189,11 +198,14 @@
 
     def eof_received(self):
         # A caller that has closed its side no longer waits for a response.
+        self._note_end(EndReason.CALLER_CLOSED)
         return False
 
     def connection_lost(self, exc):
         self.closed = True
+        self._note_end(EndReason.CALLER_LOST)
         self._server.connections.discard(self)
+        self._report_end()
         self._waiter.wake()
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
@@ -286,16 +298,22 @@
                 self.busy = True
                 self.keep_alive = request.keep_alive
                 self.has_response = False
+                self.request_id = None
                 await self._server.handle(request, self)
                 await self._wait_until_read()
                 self.busy = False
-                if not self.keep_alive or self._closes_after_response:
+                if not self.keep_alive:
+                    self._note_end(EndReason.ANNOUNCED)
+                    break
+                if self._closes_after_response:
+                    self._note_end(EndReason.DRAIN)
                     break
             await self._linger()
         except CallerDisconnected:
             pass
         except Exception as error:
             log_unexpected("connection", error)
+            self._note_end(EndReason.INTERNAL_ERROR)
             self._send_internal_error()
         finally:
             self.busy = False
@@ -314,6 +332,7 @@
             if self._pending_requests:
                 return self._pending_requests.pop(0)
             if self._refusal_code is not None:
+                self._note_end(EndReason.REQUEST_REFUSED)
                 self.send_result_code(self._refusal_code)
                 return None
             if self._unparsed:
@@ -324,11 +343,15 @@
                 self._reading_paused = False
                 self._transport.resume_reading()
             if self.closed or (self._server.close_when_idle and not self.is_engaged):
+                self._note_end(EndReason.DRAIN)
                 return None
             remaining_s = self._remaining_wait_s(idle_since)
             if remaining_s <= 0:
                 if self._in_message or self._head_bytes:
+                    self._note_end(EndReason.REQUEST_REFUSED)
                     self.send_result_code(ResultCode.REQUEST_TIMEOUT)
+                else:
+                    self._note_end(EndReason.IDLE)
                 return None
             await self._waiter.wait(remaining_s)
 
@@ -404,7 +427,7 @@
             async with asyncio.timeout(MAX_RESPONSE_PAUSE_S):
                 await self._writable
         except TimeoutError:
-            self.abort()
+            self.abort(EndReason.RESPONSE_UNREAD)
 
     async def _linger(self):
         """Waits after a refusal, so that the caller can read the response."""
@@ -466,11 +489,44 @@
     def end_stream(self):
         self._transport.write(b"0\r\n\r\n")
 
-    def abort(self):
+    def abort(self, reason=EndReason.RESPONSE_ABORTED):
         """Aborts the connection, so that an unfinished response looks incomplete."""
+        self._note_end(reason)
         self.keep_alive = False
         self._transport.abort()
 
+    def _note_end(self, reason):
+        """Records why the connection ends, unless that is known."""
+        if self._end_reason is None:
+            self._end_reason = reason
+
+    def _report_end(self):
+        """Tells the server how the connection has ended, with its socket still open."""
+        unread_bytes = count_unread_bytes(self._transport)
+        self._server.on_connection_end(
+            ConnectionEnd(
+                self._end_reason,
+                self._unanswered(unread_bytes),
+                unread_bytes,
+                self._loop.time() - self._opened_at,
+                self.request_id if self.busy else None,
+            )
+        )
+
+    def _unanswered(self, unread_bytes):
+        """Returns what is Unanswered on this connection."""
+        if self.busy:
+            return (
+                Unanswered.PARTIAL_RESPONSE if self.has_response else Unanswered.REQUEST
+            )
+        if self._pending_requests:
+            return Unanswered.REQUEST
+        if self._unparsed or unread_bytes:
+            return Unanswered.UNREAD_BYTES
+        if self._in_message or self._head_bytes:
+            return Unanswered.PARTIAL_REQUEST
+        return Unanswered.NOTHING
+
     def _format_head(self, status, headers, framing_header):
         stays_open = self.keep_alive and not self._closes_after_response
         if not stays_open:
--- a/snipetrestle/gateway/metrics.py
+++ b/snipetrestle/gateway/metrics.py
@@ -44,6 +44,12 @@
             ("route",),
             registry=self.registry,
         )
+        self._connection_ends = Counter(
+            "snipetrestle_gateway_connection_ends",
+            "Ended connections of callers, by reason and by what was unanswered.",
+            ("reason", "unanswered"),
+            registry=self.registry,
+        )
         self._too_long_datagrams = Counter(
             "snipetrestle_gateway_datagrams_too_long",
             "Messages to other hosts that were too long to be sent.",
@@ -94,6 +100,10 @@
         """Counts an attempt of a stream that its replica closed before any event."""
         self._lost_streams.labels(self._route_label(route)).inc()
 
+    def count_connection_end(self, reason, unanswered):
+        """Counts the end of a caller's connection by EndReason and Unanswered."""
+        self._connection_ends.labels(reason, unanswered).inc()
+
     def count_too_long_datagram(self):
         """Counts a message to other hosts that was too long to be sent."""
         self._too_long_datagrams.inc()
--- /dev/null
+++ b/tests/gateway/test_connection_ends.py
@@ -0,0 +1,106 @@
+"""Tests of what logs and metrics tell about the ends of callers' connections."""
+
+import asyncio
+
+import testtools
+from loguru import logger
+
+from snipetrestle.events import Event
+from snipetrestle_standins.gateway_fleet import Caller
+from snipetrestle_standins.platform_replica import Fault
+from tests.gateway.running import run_fleet
+from tests.waiting import wait_until
+
+
+def count_ends(gateway, reason, unanswered):
+    """Returns how many ends of connections the metrics of a gateway count."""
+    name = (
+        "snipetrestle_gateway_connection_ends_total"
+        f'{{reason="{reason}",unanswered="{unanswered}"}} '
+    )
+    for line in gateway.metrics.render().decode().splitlines():
+        if line.startswith(name):
+            return int(float(line.removeprefix(name)))
+    return 0
+
+
+class ConnectionEndTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ends = []
+        handler = logger.add(self._note_record)
+        self.addCleanup(logger.remove, handler)
+
+    def _note_record(self, message):
+        fields = message.record["extra"]
+        if fields.get("event") == str(Event.CONNECTION_ENDED_EARLY):
+            self.ends.append((fields["reason"], fields["unanswered"]))
+
+    def test_caller_that_leaves_is_told_from_this_host(self):
+        """No line told who had ended a connection with a request unanswered."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            for replica in fleet.registers:
+                replica.faults = [Fault.NO_RESPONSE] * 3
+            async with Caller(gateway.settings.callers) as caller:
+                request = asyncio.create_task(caller.send_request("/entry/a"))
+                await wait_until(lambda: any(item.runs for item in fleet.registers))
+                request.cancel()
+            await wait_until(lambda: self.ends)
+            self.assertEqual([("caller_closed", "request")], self.ends)
+            self.assertEqual(1, count_ends(gateway, "caller_closed", "request"))
+
+        run_fleet(check)
+
+    def test_request_that_a_stopped_process_leaves_unanswered_is_logged(self):
+        """Requests that ended with their process left no trace in its log."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            for replica in fleet.registers:
+                replica.faults = [Fault.NO_RESPONSE] * 3
+            async with Caller(gateway.settings.callers) as caller:
+                request = asyncio.create_task(caller.send_request("/entry/a"))
+                await wait_until(lambda: any(item.runs for item in fleet.registers))
+                gateway.caller_server.close()
+                self.assertEqual(0, (await request).status)
+            self.assertEqual([("process_end", "request")], self.ends)
+
+        run_fleet(check)
+
+    def test_each_end_is_counted_by_its_reason(self):
+        """Only complete responses were counted, not why connections ended."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            async with Caller(gateway.settings.callers) as caller:
+                caller.writer.write(b"POST /entry/a HTTP/1.1\r\nHost: ")
+                self.assertEqual(408, (await caller.read_response()).status)
+            async with Caller(gateway.settings.callers) as caller:
+                answer = await caller.send_request(
+                    "/entry/a", headers=[("Connection", "close")]
+                )
+                self.assertEqual(200, answer.status)
+            async with Caller(gateway.settings.callers) as caller:
+                caller.writer.write(b"no request\r\n\r\n")
+                self.assertEqual(400, (await caller.read_response()).status)
+            async with Caller(gateway.settings.callers) as caller:
+                await caller.send_request("/entry/a")
+                self.assertEqual(b"", await caller.reader.read())
+            for reason, count in (
+                ("request_refused", 2),
+                ("announced", 1),
+                ("idle", 1),
+            ):
+                await wait_until(
+                    lambda reason=reason, count=count: (
+                        sum(
+                            count_ends(gateway, reason, item)
+                            for item in ("nothing", "partial_request", "unread_bytes")
+                        )
+                        == count
+                    )
+                )
+
+        run_fleet(check)
