Answer a request that arrives in the turn in which its connection is closed

Cause: check-then-act across turns of the event loop. The connection's task finds no request and closes its transport; asyncio stops reading at once and closes the socket a turn later. A request that is in the socket by then is discarded, and its caller gets a reset. The window is as long as the turns are: a stop closes all idle connections in one, and a large configuration is decoded in one. The idle limit and the end of a stream in a stop had the same gap.

Change: the last look at the socket, and the end that tells the caller, are one step. If bytes wait, the connection stays open and they are read first.

A request that is still on the wire as the end is sent gets no answer, as before: nothing can be sent behind the end of a connection.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -37,6 +37,8 @@
 WRITE_HIGH_WATER_BYTES = 131_072
 # A connection is lost if sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 8000
+# Bytes that wait in the socket are read within this time.
+UNREAD_BYTES_WAIT_S = 0.05
 # Bytes of pipelined requests that are buffered while a request is handled. Reading
 # pauses only above this, since only reading shows that the caller has closed its
 # connection.
@@ -305,8 +307,7 @@
                 if not self.keep_alive:
                     self._note_end(EndReason.ANNOUNCED)
                     break
-                if self._closes_after_response:
-                    self._note_end(EndReason.DRAIN)
+                if self._closes_after_response and self._end_if_quiet(EndReason.DRAIN):
                     break
             await self._linger()
         except CallerDisconnected:
@@ -342,19 +343,42 @@
             if self._reading_paused:
                 self._reading_paused = False
                 self._transport.resume_reading()
-            if self.closed or (self._server.close_when_idle and not self.is_engaged):
-                self._note_end(EndReason.DRAIN)
+            if self.closed:
                 return None
             remaining_s = self._remaining_wait_s(idle_since)
-            if remaining_s <= 0:
-                if self._in_message or self._head_bytes:
-                    self._note_end(EndReason.REQUEST_REFUSED)
-                    self.send_result_code(ResultCode.REQUEST_TIMEOUT)
-                else:
-                    self._note_end(EndReason.IDLE)
+            if remaining_s <= 0 and (self._in_message or self._head_bytes):
+                self._note_end(EndReason.REQUEST_REFUSED)
+                self.send_result_code(ResultCode.REQUEST_TIMEOUT)
                 return None
+            end_reason = self._idle_end_reason(remaining_s)
+            if end_reason is not None:
+                if self._end_if_quiet(end_reason):
+                    return None
+                remaining_s = UNREAD_BYTES_WAIT_S
             await self._waiter.wait(remaining_s)
 
+    def _idle_end_reason(self, remaining_s):
+        """Returns why a connection without a request is to be closed; None if not.
+
+        ``remaining_s`` is the remaining time to wait for the caller's next bytes.
+        """
+        if self._server.close_when_idle and not self.is_engaged:
+            return EndReason.DRAIN
+        return EndReason.IDLE if remaining_s <= 0 else None
+
+    def _end_if_quiet(self, reason):
+        """Ends the connection, unless bytes of its caller wait in the socket.
+
+        The caller is told at once, since the transport is closed in a later turn of the
+        event loop: a request that arrives until then is not read.
+        """
+        if count_unread_bytes(self._transport):
+            return False
+        self._note_end(reason)
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        return True
+
     @property
     def is_engaged(self):
         """Whether a request is in progress, or arriving, or may be about to arrive.
--- /dev/null
+++ b/tests/gateway/test_closing_connections.py
@@ -0,0 +1,130 @@
+"""Tests of requests that arrive in the moment in which their connection is closed."""
+
+import asyncio
+import socket
+import time
+
+import testtools
+
+from snipetrestle.gateway.http_server import CallerConnection
+from snipetrestle_standins.gateway_fleet import HOSTNAME, configuration
+from tests.gateway.running import run_fleet
+from tests.waiting import wait_until
+
+IDLE_TIMEOUT_S = 0.5
+
+
+def request_bytes(path="/entry/a"):
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: {HOSTNAME}\r\nX-Request-Id: {path}\r\n"
+        "Content-Length: 0\r\n\r\n"
+    ).encode()
+
+
+class BlockingCaller:
+    """A caller whose bytes are in the gateway's socket as soon as ``send`` returns."""
+
+    @classmethod
+    async def connect(cls, gateway):
+        sock = socket.create_connection(gateway.settings.callers)
+        sock.setblocking(False)
+        await wait_until(lambda: gateway.caller_server.connections)
+        return cls(sock)
+
+    def __init__(self, sock):
+        self._sock = sock
+
+    def send(self, data):
+        self._sock.sendall(data)
+
+    async def _receive(self):
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(5.0):
+                return await loop.sock_recv(self._sock, 65_536)
+        except ConnectionError:
+            return b""
+
+    async def read_status(self):
+        """Returns the status of the next response, 0 if the connection ended."""
+        data = await self._receive()
+        return int(data.split(b" ")[1]) if data else 0
+
+    async def read_to_end(self):
+        """Returns all bytes until the connection ends."""
+        parts = []
+        while data := await self._receive():
+            parts.append(data)
+        return b"".join(parts)
+
+    def close(self):
+        self._sock.close()
+
+
+class ClosingConnectionTest(testtools.TestCase):
+    def test_request_that_has_arrived_as_idle_connections_are_closed_is_answered(self):
+        """In a planned stop, a request in the socket of an idle connection was lost."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            caller = await BlockingCaller.connect(gateway)
+            self.addCleanup(caller.close)
+            caller.send(request_bytes())
+            self.assertEqual(200, await caller.read_status())
+            caller.send(request_bytes())
+            gateway.caller_server.close_idle_connections()
+            self.assertEqual(200, await caller.read_status())
+
+        run_fleet(check)
+
+    def test_request_that_has_arrived_as_the_idle_limit_passes_is_answered(self):
+        """A request that arrived in the turn of the event loop in which the limit of its
+        connection passed was lost."""
+
+        async def check(fleet):
+            fleet.store.put(
+                "op/config",
+                configuration(version=2, idle_timeout_ms=IDLE_TIMEOUT_S * 1000),
+            )
+            gateway = fleet.live[0]
+            await wait_until(lambda: gateway.state.configuration.version == 2)
+            caller = await BlockingCaller.connect(gateway)
+            self.addCleanup(caller.close)
+            caller.send(request_bytes())
+            self.assertEqual(200, await caller.read_status())
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            # Runs in the same turn as the connection's own timer, and after it.
+            loop.call_at(started + IDLE_TIMEOUT_S, caller.send, request_bytes())
+            await asyncio.sleep(IDLE_TIMEOUT_S - 0.1)
+            time.sleep(0.2)  # noqa: ASYNC251 - a turn that takes long
+            self.assertEqual(200, await caller.read_status())
+
+        run_fleet(check)
+
+    def test_request_that_has_arrived_as_a_stream_ends_in_a_stop_is_answered(self):
+        """A stream that began before a stop had promised to keep its connection open."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            for replica in fleet.models:
+                replica.event_interval_s = 0.05
+            caller = await BlockingCaller.connect(gateway)
+            self.addCleanup(caller.close)
+            end_stream = CallerConnection.end_stream
+
+            def end_stream_and_send(connection):
+                end_stream(connection)
+                caller.send(request_bytes())
+
+            self.patch(CallerConnection, "end_stream", end_stream_and_send)
+            caller.send(
+                request_bytes("/draft/a").replace(
+                    b"Content-Length", b"X-Model: m0\r\nContent-Length"
+                )
+            )
+            self.assertEqual(200, await caller.read_status())
+            gateway.caller_server.start_draining()
+            self.assertIn(b"HTTP/1.1 200 OK", await caller.read_to_end())
+
+        run_fleet(check)
