Wait for the caller's end before a connection that this host ends is closed

Seen in a test: a response of 96 KB to a caller that reads slowly broke off, because a pipelined request came after the connection's end had been announced. The kernel answers bytes that nobody reads with a reset, and drops what it has not sent yet.

Only refusals of malformed requests waited before.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -20,8 +20,9 @@
 from snipetrestle.gateway.supervision import log_unexpected
 from snipetrestle.gateway.waiter import Waiter
 
-# How long received data is discarded after the response to a malformed request, so that
-# the caller can read the response before the connection is reset.
+# How long a connection that this host has ended waits for its caller's end. What the
+# caller sends until then is discarded: if it came later, the connection would be reset,
+# and with it the part of the last response that the caller has not read.
 LINGER_S = 0.5
 # Longest time without data in the middle of a request body, and the rate that a body
 # must reach after that time.
@@ -126,6 +127,8 @@
         self._current_request = None
         self._reading_paused = False
         self._lingering = False
+        # Bytes that came after this host had ended the connection.
+        self._late_bytes = 0
         self.has_response = False
         self.closed = False
         self.busy = False
@@ -147,7 +150,10 @@
         self._task = self._loop.create_task(self._run())
 
     def data_received(self, data):
-        if self._refusal_code is not None or self._lingering:
+        if self._lingering:
+            self._late_bytes += len(data)
+            return
+        if self._refusal_code is not None:
             return
         self._has_received = True
         if self.busy or self._pending_requests or self._unparsed:
@@ -375,8 +381,7 @@
         if count_unread_bytes(self._transport):
             return False
         self._note_end(reason)
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
+        self._transport.write_eof()
         return True
 
     @property
@@ -454,16 +459,14 @@
             self.abort(EndReason.RESPONSE_UNREAD)
 
     async def _linger(self):
-        """Waits after a refusal, so that the caller can read the response."""
-        if self._refusal_code is None or self.closed:
+        """Waits until the caller ends the connection as well, or for LINGER_S."""
+        if self._transport.is_closing():
             return
-        # A reset would discard the response of a caller that is still sending.
         self._lingering = True
         if self._reading_paused:
             self._transport.resume_reading()
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        await asyncio.sleep(LINGER_S)
+        self._transport.write_eof()
+        await self._waiter.wait(LINGER_S)
 
     def _refuse(self, code):
         if self._refusal_code is None:
@@ -526,7 +529,7 @@
 
     def _report_end(self):
         """Tells the server how the connection has ended, with its socket still open."""
-        unread_bytes = count_unread_bytes(self._transport)
+        unread_bytes = self._late_bytes + count_unread_bytes(self._transport)
         self._server.on_connection_end(
             ConnectionEnd(
                 self._end_reason,
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -12,6 +12,7 @@
 from tests.waiting import wait_until
 
 IDLE_TIMEOUT_S = 0.5
+SMALL_BUFFER_BYTES = 4096
 
 
 def request_bytes(path="/entry/a"):
@@ -25,8 +26,11 @@
     """A caller whose bytes are in the gateway's socket as soon as ``send`` returns."""
 
     @classmethod
-    async def connect(cls, gateway):
-        sock = socket.create_connection(gateway.settings.callers)
+    async def connect(cls, gateway, buffer_bytes=None):
+        sock = socket.socket()
+        if buffer_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        sock.connect(gateway.settings.callers)
         sock.setblocking(False)
         await wait_until(lambda: gateway.caller_server.connections)
         return cls(sock)
@@ -128,3 +132,27 @@
             self.assertIn(b"HTTP/1.1 200 OK", await caller.read_to_end())
 
         run_fleet(check)
+
+    def test_late_request_does_not_destroy_the_response_before_it(self):
+        """A pipelined request that came behind an announced end caused a reset, which
+        discarded what the caller had not read of its response."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            for replica in fleet.models:
+                replica.event_padding = 16_000
+            caller = await BlockingCaller.connect(gateway, SMALL_BUFFER_BYTES)
+            self.addCleanup(caller.close)
+            (connection,) = gateway.caller_server.connections
+            gateway.caller_server.start_draining()
+            caller.send(
+                request_bytes("/draft/a").replace(
+                    b"Content-Length", b"X-Model: m0\r\nContent-Length"
+                )
+            )
+            await wait_until(lambda: connection.has_response and not connection.busy)
+            caller.send(request_bytes())
+            await asyncio.sleep(0.1)
+            self.assertTrue((await caller.read_to_end()).endswith(b"\r\n0\r\n\r\n"))
+
+        run_fleet(check)
