--- a/snipetrestle/gateway/connection_end.py
+++ b/snipetrestle/gateway/connection_end.py
@@ -1,11 +1,6 @@
 """Why the connections of callers end, and what the callers are owed at that moment."""
 
 import enum
-import fcntl
-import struct
-import termios
-
-_INT = struct.Struct("i")
 
 
 class EndReason(enum.StrEnum):
@@ -52,15 +47,3 @@
         self.unread_bytes = unread_bytes
         self.age_s = age_s
         self.request_id = request_id
-
-
-def count_unread_bytes(transport):
-    """Returns the number of bytes that wait in the socket of a transport."""
-    sock = transport.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
-        return 0
-    try:
-        waiting = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(_INT.size))
-    except OSError:
-        return 0
-    return _INT.unpack(waiting)[0]
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -10,15 +10,11 @@
 import httptools
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.gateway.connection_end import (
-    ConnectionEnd,
-    EndReason,
-    Unanswered,
-    count_unread_bytes,
-)
+from snipetrestle.gateway.connection_end import ConnectionEnd, EndReason, Unanswered
 from snipetrestle.gateway.message_limits import OverheadMeter
 from snipetrestle.gateway.supervision import log_unexpected
 from snipetrestle.gateway.waiter import Waiter
+from snipetrestle.sockets import count_unread_bytes
 
 # How long a connection that this host has ended waits for its caller's end. What the
 # caller sends until then is discarded: if it came later, the connection would be reset,
