Send no request on a connection that its replica has just ended

A replica may end an idle connection without notice. A request that is sent before the end was read gets a reset, and a write then has an unknown outcome (502), though no replica has seen it.

The pool now looks at the socket before it hands out a kept connection.

--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -12,6 +12,7 @@
 
 from snipetrestle.gateway.message_limits import OverheadMeter
 from snipetrestle.gateway.waiter import Waiter
+from snipetrestle.sockets import has_unread_input
 
 # A connection is lost if sent data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 2000
@@ -174,6 +175,14 @@
             return
         self._complete = True
 
+    @property
+    def is_quiet(self):
+        """Whether the replica has neither ended an idle connection nor sent on it.
+
+        The event loop may not have read yet what waits in the socket.
+        """
+        return not self.closed and not has_unread_input(self._transport)
+
     def has_carried(self, request_id):
         """Whether a request with this id was sent on this connection recently.
 
@@ -321,7 +330,7 @@
         now = asyncio.get_running_loop().time()
         for connection in reversed(self._idle.copy()):
             max_idle_s = connection.idle_timeout_s - IDLE_MARGIN_S
-            if connection.closed or now - connection.last_used_at > max_idle_s:
+            if now - connection.last_used_at > max_idle_s or not connection.is_quiet:
                 self._idle.remove(connection)
                 self.discard(connection)
             elif not connection.has_carried(request_id):
--- a/snipetrestle/sockets.py
+++ b/snipetrestle/sockets.py
@@ -1,6 +1,7 @@
 """Looks at the sockets of asyncio's transports, past what the event loop has read."""
 
 import fcntl
+import select
 import struct
 import termios
 
@@ -17,3 +18,13 @@
     except OSError:
         return 0
     return _INT.unpack(waiting)[0]
+
+
+def has_unread_input(transport):
+    """Whether bytes, the peer's end or an error wait in the socket of a transport."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
