Look at the socket before the daemon's listener closes an idle connection

The same gap as at the gateway: uvicorn closes an idle connection in a stop and at its keep-alive limit by what its event loop has read, so a request that waits in the socket gets a reset.

Both tests fail on the commit before (ConnectionResetError) and pass now.

--- a/snipetrestle/callers/listener.py
+++ b/snipetrestle/callers/listener.py
@@ -14,6 +14,7 @@
 from snipetrestle.listening import ListenerCloser
 from snipetrestle.pem_files import read_pem_files
 from snipetrestle.settings import IntakeSettings, is_loopback, split_address
+from snipetrestle.sockets import count_unread_bytes
 
 # Maximum size of the request line and headers together.
 MAX_HEADER_BYTES = 32_768
@@ -21,6 +22,8 @@
 SLOW_READER_TIMEOUT_S = 30.0
 # An idle connection is closed after this time.
 KEEPALIVE_TIMEOUT_S = 75
+# Bytes that wait in the socket of an idle connection are read within this time.
+UNREAD_BYTES_WAIT_S = 0.05
 # Timeout for responses in progress when the listener closes. A drain completes them
 # before.
 CLOSE_TIMEOUT_S = 5
@@ -105,11 +108,21 @@
 
     def shutdown(self):
         """Closes an idle connection; a request that has begun to arrive is answered."""
-        if self._header_timer is not None and self._unparsed_bytes:
+        is_arriving = self._header_timer is not None and self._unparsed_bytes
+        if is_arriving or count_unread_bytes(self.transport):
             self._closes_after_request = True
         else:
             super().shutdown()
 
+    def timeout_keep_alive_handler(self):
+        """Closes an idle connection, unless bytes wait in its socket."""
+        if count_unread_bytes(self.transport):
+            self.timeout_keep_alive_task = self.loop.call_later(
+                UNREAD_BYTES_WAIT_S, self.timeout_keep_alive_handler
+            )
+        else:
+            super().timeout_keep_alive_handler()
+
     def send_400_response(self, msg):
         self._refuse(ResultCode.MALFORMED_REQUEST, "not a valid HTTP request")
 
--- a/tests/callers/test_listener_stop.py
+++ b/tests/callers/test_listener_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import anyio
 import testtools
@@ -16,6 +17,7 @@
 BODY = b"x" * 200_000
 SMALL_BUFFER_BYTES = 4096
 TEST_TIMEOUT_S = 20.0
+IDLE_TIMEOUT_S = 0.5
 
 
 async def answer_slowly(scope, receive, send):
@@ -26,8 +28,10 @@
     await send({"type": "http.response.body", "body": BODY})
 
 
-async def start_server():
+async def start_server(**changes):
     config = make_uvicorn_config(answer_slowly)
+    for name, value in changes.items():
+        setattr(config, name, value)
     config.load()
     server = _Server(config)
     server.lifespan = config.lifespan_class(config)
@@ -45,6 +49,13 @@
     return sock
 
 
+async def read_response(sock):
+    """Reads one complete response."""
+    content = b""
+    while content.count(b"x") < len(BODY):
+        content += await asyncio.get_running_loop().sock_recv(sock, 65_536)
+
+
 async def read_responses(sock):
     """Returns how many complete responses come until the connection ends."""
     content = b""
@@ -56,10 +67,10 @@
 
 
 class ListenerStopTest(testtools.TestCase):
-    def run_with_server(self, function):
+    def run_with_server(self, function, **changes):
         async def main():
             with anyio.fail_after(TEST_TIMEOUT_S):
-                server = await start_server()
+                server = await start_server(**changes)
                 await function(server)
 
         anyio.run(main)
@@ -131,3 +142,36 @@
             await stop_task
 
         self.run_with_server(check)
+
+    def test_request_that_has_arrived_as_idle_connections_are_closed_is_answered(self):
+        """A request in the socket of an idle connection was reset, unread."""
+
+        async def check(server):
+            sock = connect(server)
+            sock.send(REQUEST)
+            await read_response(sock)
+            sock.send(REQUEST)
+            stop_task = asyncio.create_task(server.shutdown())
+            self.assertEqual(1, await read_responses(sock))
+            await stop_task
+
+        self.run_with_server(check)
+
+    def test_request_that_has_arrived_as_the_idle_limit_passes_is_answered(self):
+        """A request that arrived in the turn of the event loop in which the limit of its
+        connection passed was reset, unread."""
+
+        async def check(server):
+            sock = connect(server)
+            sock.send(REQUEST)
+            await read_response(sock)
+            loop = asyncio.get_running_loop()
+            # Both timers run in one turn of the event loop, this one first.
+            loop.call_later(IDLE_TIMEOUT_S - 0.05, sock.send, REQUEST)
+            await asyncio.sleep(IDLE_TIMEOUT_S - 0.2)
+            time.sleep(0.3)  # noqa: ASYNC251 - a turn that takes long
+            await read_response(sock)
+            sock.close()
+            await server.shutdown()
+
+        self.run_with_server(check, timeout_keep_alive=IDLE_TIMEOUT_S)
