Pace the requests of a test of planned stops by the clock

Each turn of its loop sent ten, so a busy machine made fewer. What is due by the clock is sent now; the bound and the checks are unchanged.

--- a/tests/gateway/test_life_cycle.py
+++ b/tests/gateway/test_life_cycle.py
@@ -12,6 +12,8 @@
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
 
+REQUESTS_PER_S = 250
+
 
 class LifeCycleTest(testtools.TestCase):
     def test_changed_settings_do_not_end_the_process(self):
@@ -94,9 +96,12 @@
                 statuses.append((answer.status, answer.complete))
 
             tasks = []
+            started = asyncio.get_running_loop().time()
             while not drain_task.done():
-                for number in range(10):
-                    tasks.append(asyncio.create_task(send(number)))
+                # Paced by the clock, so that a busy machine makes no fewer requests.
+                elapsed_s = asyncio.get_running_loop().time() - started
+                while len(tasks) < elapsed_s * REQUESTS_PER_S:
+                    tasks.append(asyncio.create_task(send(len(tasks))))
                 await asyncio.sleep(0.02)
             for result in await asyncio.gather(*tasks, return_exceptions=True):
                 if isinstance(result, ConnectionRefusedError):
