--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -161,6 +161,8 @@
         # The end of one replica suppresses lines about the streams that it cut off.
         # These must not be among them, as they tell which requests it was starting.
         self.lost_request_log = RequestLines()
+        # Callers that leave in great numbers must not suppress the lines of requests.
+        self._connection_log = RequestLines()
         self.retry_budgets = RetryBudgets(settings.retry_budget)
         self.replicas = ReplicaDirectory(settings.failure_domain, rng)
         self.state = PublishedState(
@@ -257,7 +259,7 @@
         self.metrics.count_connection_end(end.reason, end.unanswered)
         if end.unanswered is Unanswered.NOTHING:
             return
-        self.request_log.log(
+        self._connection_log.log(
             Event.CONNECTION_ENDED_EARLY,
             reason=end.reason,
             unanswered=end.unanswered,
