--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -5,11 +5,11 @@
 """
 
 import typing
-import zlib
 
 import msgspec
 
 from snipetrestle import decoding
+from snipetrestle.compression import compress, decompress
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH, AdapterKey, Name
 from snipetrestle.gateway.published_items import (
     PublishedItem,
@@ -310,16 +310,9 @@
 
 def pack_items(items):
     """Returns PublishedItems in compressed form, since configurations are long."""
-    return zlib.compress(_encoder.encode(tuple(items)))
+    return compress(_encoder.encode(tuple(items)))
 
 
 def unpack_items(content):
     """Returns the PublishedItems of ``pack_items``. Raises ValueError."""
-    decompressor = zlib.decompressobj()
-    try:
-        data = decompressor.decompress(content, MAX_UNPACKED_BYTES)
-    except zlib.error as error:
-        raise ValueError(str(error)) from None
-    if not decompressor.eof:
-        raise ValueError("the items are incomplete, or too large")
-    return decoding.decode(_items_decoder, data)
+    return decoding.decode(_items_decoder, decompress(content, MAX_UNPACKED_BYTES))
--- a/snipetrestle/gateway/snapshots.py
+++ b/snipetrestle/gateway/snapshots.py
@@ -10,6 +10,7 @@
 import anyio
 import msgspec
 
+from snipetrestle.compression import compress, decompress
 from snipetrestle.decoding import decode
 from snipetrestle.gateway.published_items import PublishedItem, Revision, StoreItems
 
@@ -44,6 +45,16 @@
 _decoder = msgspec.msgpack.Decoder(Content)
 
 
+def pack_content(content):
+    """Returns a Content in compressed form: configurations are long, links slow."""
+    return compress(_encoder.encode(content))
+
+
+def unpack_content(data):
+    """Returns the Content of ``pack_content``. Raises ValueError."""
+    return decode(_decoder, decompress(data, MAX_CONTENT_BYTES))
+
+
 class Snapshots:
     """Serves snapshots over TCP, and fetches those of other hosts."""
 
@@ -66,7 +77,7 @@
                 line = await reader.readline()
             content = self._content(line.decode("latin-1").rstrip("\n"))
             if content is not None:
-                data = _encoder.encode(content)
+                data = pack_content(content)
                 await _write_chunks(writer, len(data).to_bytes(_LENGTH_BYTES) + data)
         except (OSError, TimeoutError, ValueError):
             # The other host tries again.
@@ -162,7 +173,7 @@
         try:
             async with asyncio.timeout(MAX_TRANSFER_S):
                 return await _fetch(host.info.ip, host.info.port, request)
-        except (OSError, TimeoutError, EOFError, msgspec.DecodeError):
+        except (OSError, TimeoutError, EOFError, ValueError):
             return None
 
 
@@ -189,6 +200,6 @@
             if not chunk:
                 raise EOFError("the snapshot ended early")
             content += chunk
-        return decode(_decoder, content)
+        return unpack_content(content)
     finally:
         writer.close()
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -9,6 +9,7 @@
 import msgspec
 import testtools
 
+from snipetrestle.compression import compress
 from snipetrestle.coordination import messages
 from snipetrestle.coordination.datagrams import DatagramEndpoint
 from snipetrestle.gateway.configuration import ReplicaEntry, ReplicaState
@@ -19,7 +20,7 @@
 )
 from snipetrestle.gateway.published_items import PublishedItem
 from snipetrestle.gateway.replicas import Replica
-from snipetrestle.gateway.snapshots import Snapshots
+from snipetrestle.gateway.snapshots import MAX_CONTENT_BYTES, Snapshots
 from snipetrestle.platform.calls import OrderClient, StoreSource
 from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle_standins.raw_http import ok, raw_server
@@ -236,6 +237,9 @@
 
     def fetch(self, content):
         """Returns what a host makes of a snapshot that another one sends."""
+        return self.fetch_bytes(compress(content))
+
+    def fetch_bytes(self, content):
 
         async def main():
             async def serve(reader, writer):
@@ -268,6 +272,15 @@
         ):
             self.assertIsNone(self.fetch(msgspec.msgpack.encode(content)), content)
 
+    def test_damaged_or_endless_compressed_snapshot_is_ignored(self):
+        """A few bytes may unpack to any size."""
+        content = compress(msgspec.msgpack.encode([7, [], 1, []]))
+        self.assertEqual(7, self.fetch_bytes(content).revision)
+        endless = compress(bytes(MAX_CONTENT_BYTES + 1))
+        self.assertLess(len(endless), MAX_CONTENT_BYTES // 100)
+        for odd in (b"", b"no snapshot", content[:-1], endless):
+            self.assertIsNone(self.fetch_bytes(odd), odd[:20])
+
     def test_changes_with_huge_revisions_are_refused(self):
         """They are sent in heartbeats, which no host could encode or read."""
         packed = messages.pack_items([PublishedItem("servers/i-1", 2**63, b"")])
