Send no request on a connection that this host is closing

A kept connection on which a late second response has just been read is closed in a later turn of the event loop; in the turn between, the pool handed it out. Nothing was sent, and the sound replica was noted as silent.

--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -181,7 +181,9 @@
 
         The event loop may not have read yet what waits in the socket.
         """
-        return not self.closed and not has_unread_input(self._transport)
+        if self.closed or self._transport.is_closing():
+            return False
+        return not has_unread_input(self._transport)
 
     def has_carried(self, request_id):
         """Whether a request with this id was sent on this connection recently.
--- a/tests/gateway/test_connection_pool.py
+++ b/tests/gateway/test_connection_pool.py
@@ -66,3 +66,21 @@
     def test_quiet_connection_is_used_again(self):
         """Opening a connection for each request costs the replica a slot."""
         self.check_reuse(lambda sock: None, reused=True)
+
+    def test_connection_that_is_being_closed_is_not_used(self):
+        """A connection with a late second response, read in the same turn, was used: the
+        request was not sent, and a sound replica was noted as silent."""
+
+        async def run():
+            replica = BlockingReplica()
+            pool = ConnectionPool(*replica.address)
+            try:
+                connection = await replica.exchange(pool)
+                # As the event loop does, in the turn of the next request.
+                connection.data_received(RESPONSE)
+                self.assertIsNot(connection, await pool.acquire())
+            finally:
+                pool.close()
+                replica.close()
+
+        asyncio.run(run())
