End idle connections of the daemon's listener at once, and not for a stray line end

The caller was told of the close only in a later turn of the event loop, and what it sent until then was reset. And an unread line end, which begins no request, held up a stop until its time-out (5 s).

--- a/snipetrestle/callers/listener.py
+++ b/snipetrestle/callers/listener.py
@@ -108,11 +108,21 @@
 
     def shutdown(self):
         """Closes an idle connection; a request that has begun to arrive is answered."""
-        is_arriving = self._header_timer is not None and self._unparsed_bytes
-        if is_arriving or count_unread_bytes(self.transport):
+        if self._header_timer is not None and self._unparsed_bytes:
             self._closes_after_request = True
+        elif count_unread_bytes(self.transport):
+            self._closes_after_request = True
+            self.loop.call_later(UNREAD_BYTES_WAIT_S, self._shut_down_if_idle)
         else:
-            super().shutdown()
+            self._shut_down_if_idle()
+
+    def _shut_down_if_idle(self):
+        """Ends the connection unless a request is arriving or in progress on it."""
+        if self._header_timer is not None and self._unparsed_bytes:
+            return
+        if self.cycle is None or self.cycle.response_complete:
+            self._write_end()
+        super().shutdown()
 
     def timeout_keep_alive_handler(self):
         """Closes an idle connection, unless bytes wait in its socket."""
@@ -121,8 +131,19 @@
                 UNREAD_BYTES_WAIT_S, self.timeout_keep_alive_handler
             )
         else:
+            self._write_end()
             super().timeout_keep_alive_handler()
 
+    def _write_end(self):
+        """Tells the caller at once that the connection ends.
+
+        It is closed in a later turn of the event loop; what arrives until then is lost.
+        """
+        if self.transport.can_write_eof():
+            # The caller may have reset the connection before.
+            with contextlib.suppress(OSError):
+                self.transport.write_eof()
+
     def send_400_response(self, msg):
         self._refuse(ResultCode.MALFORMED_REQUEST, "not a valid HTTP request")
 
--- a/tests/callers/test_listener_stop.py
+++ b/tests/callers/test_listener_stop.py
@@ -8,10 +8,12 @@
 import testtools
 
 from snipetrestle.callers.listener import (
+    CLOSE_TIMEOUT_S,
     FIRST_REQUEST_WAIT_S,
     _Server,
     make_uvicorn_config,
 )
+from tests.waiting import wait_until
 
 REQUEST = b"GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n"
 BODY = b"x" * 200_000
@@ -175,3 +177,59 @@
             await server.shutdown()
 
         self.run_with_server(check, timeout_keep_alive=IDLE_TIMEOUT_S)
+
+    def test_late_request_does_not_destroy_the_response_before_it(self):
+        """A pipelined request behind the last response of a stop caused a reset, which
+        discarded what the caller had not read."""
+
+        async def check(server):
+            sock = connect(server, SMALL_BUFFER_BYTES)
+            sock.send(REQUEST)
+            await wait_until(lambda: server.server_state.tasks)
+            stop_task = asyncio.create_task(server.shutdown())
+            await stop_task
+            sock.send(REQUEST)
+            await asyncio.sleep(0.1)
+            try:
+                count = await read_responses(sock)
+            except ConnectionError:
+                count = 0
+            self.assertEqual(1, count)
+            sock.close()
+
+        self.run_with_server(check)
+
+    def test_line_end_in_the_socket_does_not_hold_up_the_stop(self):
+        """Bytes that begin no request kept an idle connection open in a stop, until
+        CLOSE_TIMEOUT_S was over."""
+
+        async def check(server):
+            sock = connect(server)
+            sock.send(REQUEST)
+            await read_response(sock)
+            sock.send(b"\r\n")
+            started = anyio.current_time()
+            await server.shutdown()
+            self.assertLess(anyio.current_time() - started, CLOSE_TIMEOUT_S / 2)
+            sock.close()
+
+        self.run_with_server(check)
+
+    def test_idle_connection_is_ended_before_a_later_request_can_arrive(self):
+        """The caller was told of the close only in a later turn of the event loop, so
+        what it sent until then was reset, unread."""
+
+        async def check(server):
+            sock = connect(server)
+            await wait_until(lambda: server.server_state.connections)
+            (connection,) = server.server_state.connections
+            connection.shutdown()
+            # Still in the turn in which the connection was found to be idle.
+            try:
+                end = sock.recv(1000)
+            except BlockingIOError:
+                end = None
+            self.assertEqual(b"", end)
+            sock.close()
+
+        self.run_with_server(check)
