--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -402,9 +402,15 @@
     async def _wait_idle(self, deadline):
         """Returns once no request is in progress or about to arrive, or at a time."""
         with anyio.CancelScope(deadline=deadline):
-            # No event tells that a new connection has stayed silent for too long.
-            while self.caller_server.is_engaged or self.forwarder.has_requests:  # noqa: ASYNC110
+            while True:
+                # No event tells that a new connection has stayed silent for too long,
+                # or that one which asyncio has accepted gets its protocol.
                 await anyio.sleep(IDLE_CHECK_INTERVAL_S)
+                if (
+                    not self.caller_server.is_engaged
+                    and not self.forwarder.has_requests
+                ):
+                    return
 
 
 def _log_refused_prompts(refused):
--- a/snipetrestle/gateway/connection_end.py
+++ b/snipetrestle/gateway/connection_end.py
@@ -37,13 +37,18 @@
 
 
 class ConnectionEnd:
-    """The end of a caller's connection. ``age_s`` is the time since it was opened."""
+    """The end of a caller's connection.
 
-    __slots__ = ("reason", "unanswered", "unread_bytes", "age_s", "request_id")
+    ``request_id`` is that of the request in progress, or None. ``unread_bytes`` came
+    before or after the end and were not read. ``age_s`` is the time since the
+    connection was opened.
+    """
+
+    __slots__ = ("reason", "unanswered", "request_id", "unread_bytes", "age_s")
 
-    def __init__(self, reason, unanswered, unread_bytes, age_s, request_id):
+    def __init__(self, reason, unanswered, request_id):
         self.reason = reason
         self.unanswered = unanswered
-        self.unread_bytes = unread_bytes
-        self.age_s = age_s
         self.request_id = request_id
+        self.unread_bytes = 0
+        self.age_s = 0.0
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 
 import httptools
@@ -12,13 +13,14 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.gateway.connection_end import ConnectionEnd, EndReason, Unanswered
 from snipetrestle.gateway.message_limits import OverheadMeter
-from snipetrestle.gateway.supervision import log_unexpected
+from snipetrestle.gateway.supervision import call_isolated, log_unexpected
 from snipetrestle.gateway.waiter import Waiter
-from snipetrestle.sockets import count_unread_bytes
+from snipetrestle.sockets import count_unread_bytes, count_unsent_bytes
 
-# How long a connection that this host has ended waits for its caller's end. What the
-# caller sends until then is discarded: if it came later, the connection would be reset,
-# and with it the part of the last response that the caller has not read.
+# How long a connection that this host has ended waits for its caller's end once all has
+# been sent. What the caller sends until then is discarded: if it came later, the
+# connection would be reset, and the part of the last response that is still on its way
+# be lost.
 LINGER_S = 0.5
 # Longest time without data in the middle of a request body, and the rate that a body
 # must reach after that time.
@@ -131,7 +133,10 @@
         self.keep_alive = True
         self.on_disconnect = None
         self.request_id = None
-        self._end_reason = None
+        # The ConnectionEnd, once the connection ends.
+        self._end = None
+        # Whether bytes waited in the socket when the connection was to be ended.
+        self._has_unread_bytes = False
 
     # Callbacks of asyncio.Protocol.
 
@@ -149,6 +154,7 @@
         if self._lingering:
             self._late_bytes += len(data)
             return
+        self._has_unread_bytes = False
         if self._refusal_code is not None:
             return
         self._has_received = True
@@ -209,7 +215,7 @@
         self.closed = True
         self._note_end(EndReason.CALLER_LOST)
         self._server.connections.discard(self)
-        self._report_end()
+        call_isolated(self._report_end)
         self._waiter.wake()
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
@@ -316,8 +322,8 @@
             pass
         except Exception as error:
             log_unexpected("connection", error)
-            self._note_end(EndReason.INTERNAL_ERROR)
             self._send_internal_error()
+            self._note_end(EndReason.INTERNAL_ERROR)
         finally:
             self.busy = False
             self._transport.close()
@@ -327,6 +333,7 @@
         if self.busy and not self.has_response and not self.closed:
             self.keep_alive = False
             self.send_result_code(ResultCode.INTERNAL)
+            self.busy = False
 
     async def _next_request(self):
         """Returns the next request, or None if the connection is to be closed."""
@@ -348,25 +355,18 @@
             if self.closed:
                 return None
             remaining_s = self._remaining_wait_s(idle_since)
-            if remaining_s <= 0 and (self._in_message or self._head_bytes):
-                self._note_end(EndReason.REQUEST_REFUSED)
-                self.send_result_code(ResultCode.REQUEST_TIMEOUT)
-                return None
-            end_reason = self._idle_end_reason(remaining_s)
-            if end_reason is not None:
-                if self._end_if_quiet(end_reason):
+            is_draining = self._server.close_when_idle and not self.is_engaged
+            if remaining_s <= 0 or is_draining:
+                if self._end_if_quiet(self._silence_end_reason()):
                     return None
                 remaining_s = UNREAD_BYTES_WAIT_S
             await self._waiter.wait(remaining_s)
 
-    def _idle_end_reason(self, remaining_s):
-        """Returns why a connection without a request is to be closed; None if not.
-
-        ``remaining_s`` is the remaining time to wait for the caller's next bytes.
-        """
-        if self._server.close_when_idle and not self.is_engaged:
-            return EndReason.DRAIN
-        return EndReason.IDLE if remaining_s <= 0 else None
+    def _silence_end_reason(self):
+        """Returns why a connection ends on which nothing came for too long."""
+        if self._in_message or self._head_bytes:
+            return EndReason.REQUEST_REFUSED
+        return EndReason.DRAIN if self._server.close_when_idle else EndReason.IDLE
 
     def _end_if_quiet(self, reason):
         """Ends the connection, unless bytes of its caller wait in the socket.
@@ -374,12 +374,20 @@
         The caller is told at once, since the transport is closed in a later turn of the
         event loop: a request that arrives until then is not read.
         """
-        if count_unread_bytes(self._transport):
+        self._has_unread_bytes = count_unread_bytes(self._transport) > 0
+        if self._has_unread_bytes:
             return False
         self._note_end(reason)
-        self._transport.write_eof()
+        if reason is EndReason.REQUEST_REFUSED:
+            self.send_result_code(ResultCode.REQUEST_TIMEOUT)
+        self._write_end()
         return True
 
+    def _write_end(self):
+        # The caller may have reset the connection before.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+
     @property
     def is_engaged(self):
         """Whether a request is in progress, or arriving, or may be about to arrive.
@@ -390,6 +398,7 @@
             self.busy
             or self._transport.get_write_buffer_size() > 0
             or self._has_next_request
+            or self._has_unread_bytes
             or self._first_request_remaining_s() > 0
         )
 
@@ -461,8 +470,19 @@
         self._lingering = True
         if self._reading_paused:
             self._transport.resume_reading()
-        self._transport.write_eof()
-        await self._waiter.wait(LINGER_S)
+        self._write_end()
+        unsent_bytes = None
+        progress_at = self._loop.time()
+        while not self.closed:
+            await self._waiter.wait(LINGER_S)
+            remaining_bytes = count_unsent_bytes(self._transport)
+            if not remaining_bytes:
+                return
+            if remaining_bytes != unsent_bytes:
+                unsent_bytes = remaining_bytes
+                progress_at = self._loop.time()
+            elif self._loop.time() - progress_at >= MAX_RESPONSE_PAUSE_S:
+                return
 
     def _refuse(self, code):
         if self._refusal_code is None:
@@ -471,7 +491,7 @@
 
     def wake_if_idle(self):
         """Wakes an idle connection, so that it sees that the server is closing."""
-        if not self.busy:
+        if not self.busy and not self._lingering:
             self._waiter.wake()
 
     # Responses, written by the handler.
@@ -515,28 +535,30 @@
     def abort(self, reason=EndReason.RESPONSE_ABORTED):
         """Aborts the connection, so that an unfinished response looks incomplete."""
         self._note_end(reason)
+        if self._transport.get_write_buffer_size():
+            self._end.unanswered = Unanswered.PARTIAL_RESPONSE
         self.keep_alive = False
         self._transport.abort()
 
     def _note_end(self, reason):
         """Records why the connection ends, unless that is known."""
-        if self._end_reason is None:
-            self._end_reason = reason
+        if self._end is None:
+            request_id = self.request_id if self.busy else None
+            self._end = ConnectionEnd(reason, self._unanswered(), request_id)
 
     def _report_end(self):
         """Tells the server how the connection has ended, with its socket still open."""
-        unread_bytes = self._late_bytes + count_unread_bytes(self._transport)
-        self._server.on_connection_end(
-            ConnectionEnd(
-                self._end_reason,
-                self._unanswered(unread_bytes),
-                unread_bytes,
-                self._loop.time() - self._opened_at,
-                self.request_id if self.busy else None,
-            )
-        )
-
-    def _unanswered(self, unread_bytes):
+        end = self._end
+        end.age_s = self._loop.time() - self._opened_at
+        end.unread_bytes = self._late_bytes + count_unread_bytes(self._transport)
+        if end.reason is EndReason.REQUEST_REFUSED:
+            # What comes behind the refusal belongs to the refused request.
+            end.unanswered = Unanswered.NOTHING
+        elif end.unanswered is Unanswered.NOTHING and end.unread_bytes:
+            end.unanswered = Unanswered.UNREAD_BYTES
+        self._server.on_connection_end(end)
+
+    def _unanswered(self):
         """Returns what is Unanswered on this connection."""
         if self.busy:
             return (
@@ -544,7 +566,7 @@
             )
         if self._pending_requests:
             return Unanswered.REQUEST
-        if self._unparsed or unread_bytes:
+        if self._unparsed:
             return Unanswered.UNREAD_BYTES
         if self._in_message or self._head_bytes:
             return Unanswered.PARTIAL_REQUEST
