Let a planned stop wait for the ends of its callers

And a request that comes behind the end of an idle connection was read for half a second; the connection is closed at once now, since no answer can follow and nothing is left to be lost.

The tests fail before.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -153,6 +153,9 @@
     def data_received(self, data):
         if self._lingering:
             self._late_bytes += len(data)
+            if not count_unsent_bytes(self._transport):
+                # Nothing is left that a reset could destroy.
+                self._waiter.wake()
             return
         self._has_unread_bytes = False
         if self._refusal_code is not None:
@@ -392,10 +395,12 @@
     def is_engaged(self):
         """Whether a request is in progress, or arriving, or may be about to arrive.
 
-        A request is in progress until its whole response has been sent.
+        A request is in progress until its caller has ended the connection as well, if
+        this host has ended it, or else until its whole response has been sent.
         """
         return (
             self.busy
+            or self._lingering
             or self._transport.get_write_buffer_size() > 0
             or self._has_next_request
             or self._has_unread_bytes
--- a/tests/gateway/test_ended_connections.py
+++ b/tests/gateway/test_ended_connections.py
@@ -307,6 +307,39 @@
 
         self.run_with_connection(check)
 
+    def test_stop_waits_for_the_end_of_a_caller(self):
+        """The process ended meanwhile, so a late request reset the rest."""
+
+        async def check(server, connection, sock):
+            server.start_draining()
+            sock.send(request_bytes())
+            total = 0
+            loop = asyncio.get_running_loop()
+            while not connection._lingering:
+                total += (await loop.sock_recv(sock, 65_536)).count(b"x")
+            self.assertTrue(server.is_engaged)
+            total += await self.read_body_bytes(sock)
+            self.assertEqual(len(LARGE_BODY), total)
+            sock.close()
+            await wait_until(lambda: not server.is_engaged)
+
+        self.run_with_connection(check)
+
+    def test_late_request_on_an_idle_connection_is_reset_at_once(self):
+        """It was read for half a second with no hope of an answer."""
+
+        async def check(server, connection, sock):
+            server.close_idle_connections()
+            connection._opened_at -= http_server.FIRST_REQUEST_WAIT_S
+            await wait_until(lambda: connection._lingering)
+            sock.send(request_bytes())
+            for _ in range(5):
+                await asyncio.sleep(0)
+            self.assertTrue(connection.closed)
+            self.assertEqual("unread_bytes", self.ends[0].unanswered)
+
+        self.run_with_connection(check)
+
     def test_end_in_a_planned_stop_is_reported_as_drain_while_bytes_are_unsent(self):
         """A stop that ended a connection with unsent bytes was counted as idle."""
 
