Linger in the daemon's listener as at the gateway

The wait for the caller's end moves to a module of its own, and the listener gets a transport whose close lingers while something is unsent.

The transport of the stand-in in memory says that it has no half-close.

--- a/snipetrestle/callers/listener.py
+++ b/snipetrestle/callers/listener.py
@@ -11,6 +11,7 @@
 from snipetrestle.callers.refusals import raw_error_response
 from snipetrestle.codes import ResultCode, ServingError
 from snipetrestle.events import Event, log_event
+from snipetrestle.lingering import LingeringTransport
 from snipetrestle.listening import ListenerCloser
 from snipetrestle.pem_files import read_pem_files
 from snipetrestle.settings import IntakeSettings, is_loopback, split_address
@@ -42,7 +43,7 @@
     intake = IntakeSettings()
 
     def connection_made(self, transport):
-        super().connection_made(transport)
+        super().connection_made(LingeringTransport(transport))
         self._slow_reader_timer = None
         self._header_timer = None
         self._header_bytes = self._unparsed_bytes = 0
@@ -68,6 +69,8 @@
         )
 
     def data_received(self, data):
+        if self.transport.is_closing():
+            return
         self._has_received = True
         super().data_received(data)
         # All data received before the end of the headers belongs to them.
@@ -120,8 +123,6 @@
         """Ends the connection unless a request is arriving or in progress on it."""
         if self._header_timer is not None and self._unparsed_bytes:
             return
-        if self.cycle is None or self.cycle.response_complete:
-            self._write_end()
         super().shutdown()
 
     def timeout_keep_alive_handler(self):
@@ -131,19 +132,8 @@
                 UNREAD_BYTES_WAIT_S, self.timeout_keep_alive_handler
             )
         else:
-            self._write_end()
             super().timeout_keep_alive_handler()
 
-    def _write_end(self):
-        """Tells the caller at once that the connection ends.
-
-        It is closed in a later turn of the event loop; what arrives until then is lost.
-        """
-        if self.transport.can_write_eof():
-            # The caller may have reset the connection before.
-            with contextlib.suppress(OSError):
-                self.transport.write_eof()
-
     def send_400_response(self, msg):
         self._refuse(ResultCode.MALFORMED_REQUEST, "not a valid HTTP request")
 
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import socket
 
 import httptools
@@ -15,13 +14,9 @@
 from snipetrestle.gateway.message_limits import OverheadMeter
 from snipetrestle.gateway.supervision import call_isolated, log_unexpected
 from snipetrestle.gateway.waiter import Waiter
-from snipetrestle.sockets import count_unread_bytes, count_unsent_bytes
+from snipetrestle.lingering import has_unsent_bytes, linger, write_end
+from snipetrestle.sockets import count_unread_bytes
 
-# How long a connection that this host has ended waits for its caller's end once all has
-# been sent. What the caller sends until then is discarded: if it came later, the
-# connection would be reset, and the part of the last response that is still on its way
-# be lost.
-LINGER_S = 0.5
 # Longest time without data in the middle of a request body, and the rate that a body
 # must reach after that time.
 MAX_BODY_PAUSE_S = 10.0
@@ -153,7 +148,7 @@
     def data_received(self, data):
         if self._lingering:
             self._late_bytes += len(data)
-            if not count_unsent_bytes(self._transport):
+            if not has_unsent_bytes(self._transport):
                 # Nothing is left that a reset could destroy.
                 self._waiter.wake()
             return
@@ -383,14 +378,9 @@
         self._note_end(reason)
         if reason is EndReason.REQUEST_REFUSED:
             self.send_result_code(ResultCode.REQUEST_TIMEOUT)
-        self._write_end()
+        write_end(self._transport)
         return True
 
-    def _write_end(self):
-        # The caller may have reset the connection before.
-        with contextlib.suppress(OSError):
-            self._transport.write_eof()
-
     @property
     def is_engaged(self):
         """Whether a request is in progress, or arriving, or may be about to arrive.
@@ -469,25 +459,14 @@
             self.abort(EndReason.RESPONSE_UNREAD)
 
     async def _linger(self):
-        """Waits until the caller ends the connection as well, or for LINGER_S."""
+        """Ends the connection, and discards what still comes until it is closed."""
         if self._transport.is_closing():
             return
         self._lingering = True
         if self._reading_paused:
             self._transport.resume_reading()
-        self._write_end()
-        unsent_bytes = None
-        progress_at = self._loop.time()
-        while not self.closed:
-            await self._waiter.wait(LINGER_S)
-            remaining_bytes = count_unsent_bytes(self._transport)
-            if not remaining_bytes:
-                return
-            if remaining_bytes != unsent_bytes:
-                unsent_bytes = remaining_bytes
-                progress_at = self._loop.time()
-            elif self._loop.time() - progress_at >= MAX_RESPONSE_PAUSE_S:
-                return
+        write_end(self._transport)
+        await linger(self._transport, self._waiter.wait)
 
     def _refuse(self, code):
         if self._refusal_code is None:
--- a/snipetrestle_standins/memory_http.py
+++ b/snipetrestle_standins/memory_http.py
@@ -145,6 +145,10 @@
     def get_extra_info(self, name, default=None):
         return default
 
+    def can_write_eof(self):
+        # Like a transport with TLS, it is closed on both sides at once.
+        return False
+
     def is_closing(self):
         return self.closing
 
--- a/tests/gateway/test_ended_connections.py
+++ b/tests/gateway/test_ended_connections.py
@@ -17,6 +17,7 @@
 from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle.gateway.http_server import CallerConnection
 from snipetrestle.gateway.log_lines import BURST_LINES
+from snipetrestle.lingering import LINGER_S
 from snipetrestle_standins.gateway_fleet import MODEL, Caller
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
@@ -279,7 +280,7 @@
             total += await self.read_body_bytes(
                 sock, len(LARGE_BODY) * 99 // 100 - total
             )
-            await asyncio.sleep(http_server.LINGER_S + 0.3)
+            await asyncio.sleep(LINGER_S + 0.3)
             sock.send(request_bytes())
             await asyncio.sleep(0.1)
             total += await self.read_body_bytes(sock)
