Let hosts read reports of crashes of replicas with long ids

Cause: CrashReport.crash was a Name of at most 200 characters, but it is the id of a replica's process: the replica's id, a space and its start time. With a replica id of over about 185 characters all hosts refused the whole LostRequests message, with the reports of other crashes in it. LostPromptReport has had the longer type before.

Ruled out: shorter ids of replicas, since 200 characters are accepted elsewhere.

Before: the new test fails (ValidationError: length <= 200). After: it passes, with the other 9 of its module.

--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -95,7 +95,7 @@
     ``crash`` identifies the replica's process, ``requests`` are fingerprints.
     """
 
-    crash: Name
+    crash: ProcessId
     age_s: DurationS
     requests: tuple[Name, ...]
 
--- a/tests/coordination/test_shared_request_quarantine.py
+++ b/tests/coordination/test_shared_request_quarantine.py
@@ -53,6 +53,20 @@
             self.assertTrue(member.requests.refuses("bad"), member.name)
             self.assertFalse(member.requests.refuses("sound 0 entry-1 0"))
 
+    def test_longest_replica_id_leaves_reports_readable(self):
+        """The id of a process is longer than that of its replica: hosts ignored reports
+        of crashes of replicas whose ids had over about 185 characters."""
+
+        async def check(system, members):
+            for number in range(2):
+                crash = f"{'r' * 199}{number} 1700000000000"
+                members[number].requests.note_lost(crash, "bad")
+                await anyio.sleep(CRASH_INTERVAL_S)
+            for member in members:
+                self.assertTrue(member.requests.refuses("bad"), member.name)
+
+        self.run_system(check, 4)
+
     def test_all_of_a_few_hosts_refuse_the_request_at_once(self):
         """Callers repeat a lost request within milliseconds, at any host."""
 
