Send loads of replicas in datagrams of their own and of a bounded length

Cause: a heartbeat carried the loads of all replicas that its sender has requests at, or as a leader of up to 32 hosts, of all replicas. From some 1,430 replicas with ids of 40 characters on it was longer than a datagram, so membership and leadership were not sent.

Now a round of heartbeats is followed by one datagram with 8 KB of loads at most (ReplicaLoads). A longer report takes several rounds, what waits longest first, and the adapters in use at one replica are divided as well. A host drops a load once the sender has sent all its loads twice without it, so one lost datagram does not make replicas look idle; a report that fits in one datagram replaces the last one, as before. Datagrams that are late or of an ended process are ignored, and sums are taken from the followed leader only. Without loads, three rounds tell so, then one in 8.

Ruled out: parts sent at once, as 3,900 replicas would take 200 KB to each host, twice a second; dropping loads by age, which depends on the length of the report.

Before (a scratch copy of the 3,900-replica test, which only joins loads to heartbeats as the old code has it): no host has a leader. After: four hosts keep theirs for 40 s, and the leader has all sums. With the load's last round in place of the one before, test_lost_part_leaves_older_loads_in_place fails.

Replaced tests: those that read loads in heartbeats (test_hosts, test_shared_loads, test_supervision, test_odd_entries) check the same of ReplicaLoads; the receivers of loads and of heartbeats are now tested apart.

Conclusion: loads cannot stop membership. A long report is older: 3,900 replicas with ids of 40 characters take 24 rounds (12 s) among up to 32 hosts.

--- a/snipetrestle/coordination/heartbeat_content.py
+++ b/snipetrestle/coordination/heartbeat_content.py
@@ -14,7 +14,6 @@
 
     def __init__(self):
         self._leadership = None
-        self._shared_loads = None
         self._state = None
         self._store_relay = None
         self._shared_limits = None
@@ -22,13 +21,11 @@
     def connect(
         self,
         leadership,
-        shared_loads=None,
         state=None,
         store_relay=None,
         shared_limits=None,
     ):
         self._leadership = leadership
-        self._shared_loads = shared_loads
         self._state = state
         self._store_relay = store_relay
         self._shared_limits = shared_limits
@@ -53,14 +50,6 @@
             else self._shared_limits.reports_by_replica(),
         )
 
-    def loads_by_replica(self):
-        """Returns the ReplicaLoads of this host, or if it leads, of all hosts."""
-        if self._shared_loads is None:
-            return {}
-        if self._leadership.leads:
-            return self._shared_loads.total_loads()
-        return self._shared_loads.own_loads()
-
     def readers_by_domain(self):
         """Returns the names of the hosts that read the store; for the leader."""
         return {} if self._store_relay is None else self._store_relay.appoint_readers()
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -79,9 +79,8 @@
     """Membership by heartbeats over UDP.
 
     ``content`` is the HeartbeatContent: its ``status()`` is the HostStatus,
-    ``loads_by_replica()`` the ReplicaLoads to send, ``readers_by_domain()`` the hosts
-    that a leader has appointed to read the store, and ``hosts_read_for()`` those for
-    which this host reads it.
+    ``readers_by_domain()`` the hosts that a leader has appointed to read the store, and
+    ``hosts_read_for()`` those for which this host reads it.
     """
 
     def __init__(self, own, seeds, endpoint, content):
@@ -255,7 +254,7 @@
     def _send_as_leader(self, status):
         """Sends to all hosts, with the readers of each one's failure domain."""
         heartbeat = msgspec.structs.replace(
-            self._heartbeat(status, self._content.loads_by_replica()),
+            self._heartbeat(status),
             members_digest=self.members_digest,
             candidates=status.candidates,
         )
@@ -271,27 +270,17 @@
         return self._addresses()
 
     def _send_to_leader(self, status):
-        """Sends to the leader, its likely successors and those it reads the store for.
-
-        Only the leader needs the loads, which make up most of a heartbeat.
-        """
-        leader = self.by_name.get(status.leader)
-        leader_addresses = [] if leader is None else [leader.address]
-        if leader is not None:
-            heartbeat = self._heartbeat(status, self._content.loads_by_replica())
-            self._endpoint.send(heartbeat, leader.address)
-        names = set(status.candidates)
+        """Sends to the leader, its likely successors and those it reads the store for."""
+        names = {status.leader, *status.candidates}
         names.update(host.info.name for host in self._content.hosts_read_for())
-        names.discard(status.leader)
         addresses = [
             self.by_name[name].address for name in names if name in self.by_name
         ]
         self._endpoint.send_all(self._heartbeat(status), addresses)
-        return leader_addresses + addresses
+        return addresses
 
     def _send_to_all(self, status):
-        loads = None if self.is_large else self._content.loads_by_replica()
-        self._endpoint.send_all(self._heartbeat(status, loads), self._addresses())
+        self._endpoint.send_all(self._heartbeat(status), self._addresses())
         self._exchange_with_next()
         return self._addresses()
 
@@ -307,17 +296,14 @@
             if host.info.failure_domain == self.own.failure_domain
         ]
 
-    def _heartbeat(self, status, loads_by_replica=None):
-        """Returns a Heartbeat, which says nothing about loads if they are None."""
+    def _heartbeat(self, status):
         return Heartbeat(
             self.own,
             status.leader,
             status.term,
             status.leader_age_s,
             self.leaving,
-            loads_by_replica or {},
             {prefix: item.revision for prefix, item in status.newest_positions.items()},
-            leaves_out_loads=loads_by_replica is None,
             reads_store=status.reads_store,
             limits_by_replica=status.limits_by_replica,
             epoch_by_prefix={
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -58,7 +58,7 @@
     """Requests in progress at a replica, and its time between two events of a stream.
 
     ``event_interval_us`` is in microseconds; 0 means that it is unknown. ``adapters``
-    are those of the sender's own requests in progress; a leader's heartbeat has none.
+    are those of the sender's own requests in progress; a leader's sums have none.
     """
 
     in_flight: Count
@@ -66,6 +66,14 @@
     adapters: tuple[AdapterKey, ...] = ()
 
 
+class ReplicaLoadPart(msgspec.Struct, array_like=True, frozen=True):
+    """A part of the load at a replica; parts from 1 on contain only adapters."""
+
+    replica_id: Name
+    part: Count
+    load: ReplicaLoad
+
+
 class RequestLimitReport(msgspec.Struct, array_like=True, frozen=True):
     """The requests a second that a replica took from all hosts, ``age_s`` ago.
 
@@ -105,12 +113,10 @@
 
     ``leader`` and ``term`` identify the leader that the sender follows and its fencing
     token; ``leader_age_s`` is the time since the sender heard from it (-1: never).
-    ``loads_by_replica`` holds the load that the sender causes at the replicas; in a
-    leader's heartbeat, the load that all hosts cause. ``newest_by_prefix`` holds the
-    newest revision of the published state that the sender has, by key prefix, and
-    ``epoch_by_prefix`` the epoch of the store that it belongs to.
-    ``document_version_sum`` is the sum of the versions of the operator's documents.
-    ``leaves_out_loads`` tells that this message says nothing about loads.
+    ``newest_by_prefix`` holds the newest revision of the published state that the
+    sender has, by key prefix, and ``epoch_by_prefix`` the epoch of the store that it
+    belongs to. ``document_version_sum`` is the sum of the versions of the operator's
+    documents.
     ``reads_store`` tells that the sender's last request to the store was answered.
     ``limits_by_replica`` holds the limits that replicas named to any host.
 
@@ -124,9 +130,7 @@
     term: Token
     leader_age_s: AgeS
     leaving: bool
-    loads_by_replica: dict[Name, ReplicaLoad]
     newest_by_prefix: dict[Name, Revision]
-    leaves_out_loads: bool = False
     reads_store: bool = False
     members_digest: Revision = 0
     candidates: tuple[Name, ...] = ()
@@ -150,6 +154,22 @@
         return self.members_digest != 0
 
 
+class ReplicaLoads(_Message):
+    """Loads at the replicas, sent after a heartbeat; long reports take several rounds.
+
+    They are those that the sender causes, or if ``is_total``, that all hosts cause, as
+    far as the sender, a leader, knows. ``number`` and ``complete_since`` are those of
+    ReportRounds; numbers start anew with each ``boot`` of the sender.
+    """
+
+    sender: Name
+    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    is_total: bool
+    number: Revision
+    complete_since: Revision
+    parts: tuple[ReplicaLoadPart, ...]
+
+
 class LostPrompts(_Message):
     """Prompts that may have crashed replicas, on any host.
 
@@ -235,7 +255,7 @@
 class AdapterLocation(msgspec.Struct, array_like=True, frozen=True):
     """A replica that holds an adapter, or is expected to in ``ready_in_s`` seconds.
 
-    ``load`` is what all hosts cause there; None if heartbeats carry it.
+    ``load`` is what all hosts cause there; None if ReplicaLoads tell it.
     """
 
     replica_id: Name
@@ -279,6 +299,7 @@
 
 Message = (
     Heartbeat
+    | ReplicaLoads
     | Join
     | KnownHosts
     | Changes
--- a/snipetrestle/coordination/shared_loads.py
+++ b/snipetrestle/coordination/shared_loads.py
@@ -1,18 +1,40 @@
 """Exchange of the replicas' loads and event intervals between the hosts.
 
 Every host reports its own requests in progress to the leader. The leader adds them up
-and reports the sums to all hosts: in its heartbeats, or among many hosts together with
-the locations of adapters, so that a host gets only what it chooses from.
+and reports the sums to all hosts: beside its heartbeats, or among many hosts together
+with the locations of adapters, so that a host gets only what it chooses from.
+
+Loads have their own datagrams of a bounded length, one in each round of heartbeats. A
+report that does not fit takes several rounds.
 """
 
 import collections
 
-from snipetrestle.coordination.messages import MAX_COUNT, ReplicaLoad
+import anyio
+
+from snipetrestle.coordination.messages import (
+    MAX_COUNT,
+    ReplicaLoad,
+    ReplicaLoadPart,
+    ReplicaLoads,
+    encode,
+)
+from snipetrestle.coordination.report_rounds import ReceivedReport, ReportRounds
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 
 _MICROSECONDS = 1_000_000
-# Among many hosts, a leader's heartbeat contains only replicas that run at least this
-# part of the requests that they can run at once, and no more than this many.
+# The loads of one datagram, and the adapters of one replica in it. The others come in
+# later rounds.
+MAX_ROUND_BYTES = 8192
+MAX_PART_BYTES = 4096
+# That there are no loads is told in this many rounds, and then rarely: the leader of
+# many hosts would send a datagram to each of them.
+EMPTY_ROUNDS = 3
+EMPTY_ROUND_INTERVAL = 8
+# A new leader starts from reports that are no older than this.
+MAX_REPORT_AGE_S = 1.6
+# Among many hosts, a leader reports only replicas that run at least this part of the
+# requests that they can run at once, and no more than this many.
 MIN_REPORTED_UTILIZATION = 0.5
 MAX_REPORTED_REPLICAS = 64
 
@@ -105,17 +127,121 @@
     return min(int((interval_s or 0) * _MICROSECONDS), MAX_COUNT)
 
 
+def _merge(loads):
+    """Returns the ReplicaLoad that consists of some parts."""
+    return ReplicaLoad(
+        sum(load.in_flight for load in loads),
+        max(load.event_interval_us for load in loads),
+        tuple({key: None for load in loads for key in load.adapters}),
+    )
+
+
+def _parts_by_key(loads_by_replica):
+    """Returns the ReplicaLoadParts of a report by (replica id, number of the part)."""
+    return {
+        (replica_id, number): ReplicaLoadPart(replica_id, number, part)
+        for replica_id, load in loads_by_replica.items()
+        for number, part in enumerate(_split(load))
+    }
+
+
+def _split(load):
+    """Returns a ReplicaLoad in parts of at most MAX_PART_BYTES of adapters."""
+    chunks = [[]]
+    size_bytes = 0
+    for key in load.adapters:
+        added_bytes = len(encode(key))
+        if chunks[-1] and size_bytes + added_bytes > MAX_PART_BYTES:
+            chunks.append([])
+            size_bytes = 0
+        chunks[-1].append(key)
+        size_bytes += added_bytes
+    if len(chunks) == 1:
+        return [load]
+    first = ReplicaLoad(load.in_flight, load.event_interval_us, tuple(chunks[0]))
+    return [first, *(ReplicaLoad(0, 0, tuple(chunk)) for chunk in chunks[1:])]
+
+
+def _loads_by_replica(report):
+    """Returns the ReplicaLoads by replica id of a ReceivedReport."""
+    loads = {}
+    for (replica_id, _), (_, part) in report.items_by_key.items():
+        loads.setdefault(replica_id, []).append(part.load)
+    return {
+        replica_id: parts[0] if len(parts) == 1 else _merge(parts)
+        for replica_id, parts in loads.items()
+    }
+
+
+class _LoadRounds:
+    """Builds the ReplicaLoads messages of one kind, sums or own loads."""
+
+    def __init__(self, is_total):
+        self._is_total = is_total
+        self._rounds = ReportRounds(MAX_ROUND_BYTES)
+        self._empty_rounds = 0
+
+    def restart(self):
+        """Makes the next rounds tell that there are no loads, if there are none."""
+        self._empty_rounds = 0
+
+    def next_message(self, own, loads_by_replica):
+        """Returns the message of the next round; None if there is nothing to tell."""
+        parts = self._rounds.choose(_parts_by_key(loads_by_replica))
+        self._empty_rounds = 0 if parts else self._empty_rounds + 1
+        is_rare = self._empty_rounds % EMPTY_ROUND_INTERVAL != 0
+        if self._empty_rounds > EMPTY_ROUNDS and is_rare:
+            return None
+        return ReplicaLoads(
+            own.name,
+            own.boot,
+            self._is_total,
+            self._rounds.number,
+            self._rounds.complete_since,
+            parts,
+        )
+
+
 class SharedReplicaLoads:
     """Sums the loads at the leader, and takes the sums from the leader's messages."""
 
-    def __init__(self, replicas, hosts, leadership):
+    def __init__(self, replicas, hosts, leadership, endpoint):
         self._replicas = replicas
         self._hosts = hosts
         self._leadership = leadership
+        self._endpoint = endpoint
         self._totals = LoadTotals()
-        hosts.on_heartbeat(self._on_heartbeat)
+        self._own_rounds = _LoadRounds(is_total=False)
+        self._total_rounds = _LoadRounds(is_total=True)
+        # The own loads of other hosts, by host, and the sums of the last leader.
+        self._reports_by_host = {}
+        self._total_sender = None
+        self._total_report = None
+        hosts.on_round(self._send_round)
+        endpoint.register(ReplicaLoads, self._on_loads)
         leadership.on_change(self._on_leader_change)
 
+    def _send_round(self, addresses):
+        """Sends loads after the heartbeats of a round, which went to ``addresses``."""
+        if self._leadership.leads:
+            rounds, loads = self._total_rounds, self.total_loads()
+        else:
+            rounds, loads = self._own_rounds, self.own_loads()
+            if self._hosts.is_large:
+                addresses = self._leader_addresses()
+        if not addresses:
+            return
+        message = rounds.next_message(self._hosts.own, loads)
+        if message is not None:
+            self._endpoint.send_all(message, addresses)
+
+    def _leader_addresses(self):
+        """Returns the address of the leader, which alone needs loads of many hosts."""
+        address = self._leadership.leader_address()
+        if address is None or not self._leadership.has_recent_leader:
+            return []
+        return [address]
+
     def own_loads(self):
         """Returns the ReplicaLoad caused by this host by replica id."""
         return {
@@ -165,7 +291,7 @@
         return ReplicaLoad(replica.load, interval_us)
 
     def location_load(self, replica_id):
-        """Returns the load that a location carries; None if heartbeats carry it."""
+        """Returns the load that a location carries; None if it comes by itself."""
         if not self._hosts.is_large:
             return None
         return self.total_load(self._replicas.by_id[replica_id])
@@ -193,6 +319,7 @@
         reachable_names = {host.info.name for host in self._hosts.reachable()}
         for name in self._totals.loads_by_host.keys() - reachable_names:
             self._update_replicas(self._totals.remove(name))
+            self._reports_by_host.pop(name, None)
         self._totals.drop_replicas(self._replicas.by_id.keys())
 
     def _update_replicas(self, replica_ids):
@@ -208,27 +335,62 @@
 
     def _on_leader_change(self):
         self._totals = LoadTotals()
+        self._own_rounds.restart()
+        self._total_rounds.restart()
         if self._leadership.leads:
+            since = anyio.current_time() - MAX_REPORT_AGE_S
             for host in self._hosts.reachable():
-                loads = host.heartbeat.loads_by_replica
-                # A leader's heartbeat contains the loads of all hosts.
-                is_report = not host.heartbeat.leaves_out_loads
-                if is_report and host.heartbeat.leader != host.info.name:
-                    self._update_replicas(self._totals.replace(host.info.name, loads))
-
-    def _on_heartbeat(self, heartbeat):
-        if heartbeat.leaves_out_loads:
-            return
-        if heartbeat.leader == heartbeat.sender.name:
-            if not self._leadership.leads:
-                self._take_totals(heartbeat)
-        elif self._leadership.leads:
-            self._update_replicas(
-                self._totals.replace(heartbeat.sender.name, heartbeat.loads_by_replica)
-            )
+                report = self._reports_by_host.get(host.info.name)
+                if report is not None and report.received_at >= since:
+                    self._add_report(host.info.name, report)
+
+    def _add_report(self, name, report):
+        self._update_replicas(self._totals.replace(name, _loads_by_replica(report)))
 
-    def _take_totals(self, heartbeat):
+    def _on_loads(self, message, address):
+        sender = self._hosts.by_name.get(message.sender)
+        if sender is None or sender.info.boot != message.boot:
+            return
+        if message.is_total:
+            self._reports_by_host.pop(message.sender, None)
+            leader = self._leadership.leader
+            if message.sender == leader and not self._leadership.leads:
+                self._take_totals(message)
+        else:
+            report = self._reports_by_host.get(message.sender)
+            if report is None or report.boot != message.boot:
+                self._forget_removed_hosts()
+                report = ReceivedReport(message.boot)
+                self._reports_by_host[message.sender] = report
+            if _update(report, message) and self._leadership.leads:
+                self._add_report(message.sender, report)
+
+    def _forget_removed_hosts(self):
+        for name in self._reports_by_host.keys() - self._hosts.by_name.keys():
+            del self._reports_by_host[name]
+
+    def _take_totals(self, message):
+        report = self._total_report
+        if self._total_sender != message.sender or report.boot != message.boot:
+            report = self._total_report = ReceivedReport(message.boot)
+            self._total_sender = message.sender
+        if not _update(report, message):
+            return
+        received = {part.replica_id: part.load for part in message.parts}
+        kept = {replica_id for replica_id, _ in report.items_by_key}
         for replica in self._replicas.by_id.values():
-            if not (self._hosts.is_large and replica.entry.models):
-                load = heartbeat.loads_by_replica.get(replica.id)
-                self.note_total_load(replica.id, load)
+            if self._hosts.is_large and replica.entry.models:
+                continue
+            # Loads that an earlier round has brought stay as they were taken then.
+            if replica.id in received or replica.id not in kept:
+                self.note_total_load(replica.id, received.get(replica.id))
+
+
+def _update(report, message):
+    """Takes a message into a ReceivedReport. Returns False if it is outdated."""
+    return report.update(
+        message.number,
+        message.complete_since,
+        {(part.replica_id, part.part): part for part in message.parts},
+        anyio.current_time(),
+    )
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -188,7 +188,7 @@
             self.hosts, settings.lease_s, has_ended, self.order_activity
         )
         self.shared_loads = SharedReplicaLoads(
-            self.replicas, self.hosts, self.leadership
+            self.replicas, self.hosts, self.leadership, self.datagram_endpoint
         )
         self.store_relay = StoreRelay(
             self.state,
@@ -209,7 +209,6 @@
         )
         heartbeat_content.connect(
             self.leadership,
-            self.shared_loads,
             self.state,
             self.store_relay,
             SharedRequestLimits(self.replicas, self.hosts),
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -330,8 +330,10 @@
             functools.partial(fleet.has_ended, name),
             self.order_activity,
         )
-        loads = SharedReplicaLoads(self.replicas, self.hosts, self.leadership)
-        content.connect(self.leadership, loads)
+        loads = SharedReplicaLoads(
+            self.replicas, self.hosts, self.leadership, self.endpoint
+        )
+        content.connect(self.leadership)
         self.placement_controller = PlacementController(
             state,
             self.leadership,
--- a/snipetrestle_standins/store_relay_fleet.py
+++ b/snipetrestle_standins/store_relay_fleet.py
@@ -127,7 +127,7 @@
             self.state, self.hosts, self.leadership, self.endpoint, APPLY_TIME_S
         )
         self.state.relay = self.relay
-        content.connect(self.leadership, None, self.state, self.relay)
+        content.connect(self.leadership, self.state, self.relay)
         self.scope = anyio.CancelScope()
 
     async def has_ended(self, host):
--- a/tests/coordination/test_hosts.py
+++ b/tests/coordination/test_hosts.py
@@ -8,13 +8,11 @@
     Heartbeat,
     HostInfo,
     KnownHosts,
-    ReplicaLoad,
     encode,
 )
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.coordination.test_leadership import System
 
-LOADS = {f"replica-{number}": ReplicaLoad(3, 40_000) for number in range(45)}
 READERS = {"zone-1": ("h7", "h8")}
 
 
@@ -44,9 +42,6 @@
     def status(self):
         return self._status
 
-    def loads_by_replica(self):
-        return LOADS
-
     def readers_by_domain(self):
         return READERS
 
@@ -78,30 +73,26 @@
 
 
 class HeartbeatTest(testtools.TestCase):
-    def test_only_the_leader_gets_loads_among_many_hosts(self):
-        """Heartbeats could saturate the links between failure domains: 71 hosts sent
-        each other 100 MB a day, mostly loads that only a leader reads."""
+    def test_heartbeats_among_many_hosts_go_to_the_leader_and_its_successors(self):
+        """Heartbeats could saturate the links between failure domains."""
 
         async def check():
             heartbeats = heartbeats_of_one_round(
                 70, leader="h1", has_leader=True, candidates=("h2", "h3", "h4")
             )
             self.assertEqual({"h1", "h2", "h3", "h4"}, heartbeats.keys())
-            self.assertEqual(LOADS, heartbeats.pop("h1").loads_by_replica)
             for heartbeat in heartbeats.values():
                 self.assertLess(len(encode(heartbeat)), 200)
                 self.assertEqual(("h1", 7), (heartbeat.leader, heartbeat.term))
 
         run_in_virtual_time(check)
 
-    def test_few_hosts_send_loads_to_all(self):
-        """A new leader in a small system must not be without the loads."""
+    def test_few_hosts_send_to_all(self):
+        """A host that others do not hear would not count for a majority."""
 
         async def check():
             heartbeats = heartbeats_of_one_round(6, leader="h1", has_leader=True)
             self.assertEqual(6, len(heartbeats))
-            for heartbeat in heartbeats.values():
-                self.assertEqual(LOADS, heartbeat.loads_by_replica)
 
         run_in_virtual_time(check)
 
--- a/tests/coordination/test_shared_loads.py
+++ b/tests/coordination/test_shared_loads.py
@@ -3,17 +3,29 @@
 import random
 import types
 
+import anyio
+import msgspec
 import testtools
 
+from snipetrestle.coordination.hosts import Hosts, HostStatus
 from snipetrestle.coordination.messages import (
-    Heartbeat,
-    HostInfo,
+    KnownHosts,
     ReplicaLoad,
+    ReplicaLoadPart,
+    ReplicaLoads,
     decode,
     encode,
 )
-from snipetrestle.coordination.shared_loads import LoadTotals, SharedReplicaLoads
+from snipetrestle.coordination.shared_loads import (
+    EMPTY_ROUND_INTERVAL,
+    MAX_ROUND_BYTES,
+    LoadTotals,
+    SharedReplicaLoads,
+)
 from snipetrestle.gateway.configuration import AdapterKey
+from snipetrestle_standins.clock import run_in_virtual_time
+from tests.coordination.test_hosts import Content, Endpoint, info
+from tests.coordination.test_leadership import run_system
 
 REPLICAS = [f"r{number}" for number in range(8)]
 HOSTS = [f"h{number}" for number in range(6)]
@@ -91,58 +103,275 @@
         self.assertEqual(30_000, totals.mean_interval_us("r1"))
 
 
-class SharedReplicaLoadsTest(testtools.TestCase):
-    def setUp(self):
-        super().setUp()
-        self.replica = types.SimpleNamespace(
-            id="r1",
-            in_flight=0,
-            in_flight_by_adapter={},
-            others_in_flight=0,
-            shared_event_interval_s=None,
+def fake_replica(replica_id, in_flight=0, adapters=()):
+    return types.SimpleNamespace(
+        id=replica_id,
+        in_flight=in_flight,
+        load=in_flight,
+        in_flight_by_adapter=dict.fromkeys(adapters, 1),
+        others_in_flight=0,
+        own_event_interval_s=None,
+        event_interval_s=None,
+        shared_event_interval_s=None,
+        entry=types.SimpleNamespace(models=(), slots=8),
+    )
+
+
+class LoadsOfOneHost:
+    """SharedReplicaLoads of the host h0, which knows ``count`` others.
+
+    ``sent`` contains the (message, address) of the loads that it sends.
+    """
+
+    def __init__(self, replicas, count=2, leader="h0"):
+        self.replicas = {replica.id: replica for replica in replicas}
+        self.endpoint = Endpoint()
+        status = HostStatus(leader=leader, leads=leader == "h0", has_leader=True)
+        self.hosts = Hosts(info(0), (), self.endpoint, Content(status, []))
+        others = tuple(info(number) for number in range(1, count + 1))
+        self.endpoint.KnownHosts(KnownHosts(others), None)
+        self.leadership = types.SimpleNamespace(
+            on_change=self._set_listener,
+            leader=leader,
+            leads=leader == "h0",
+            has_recent_leader=True,
+            leader_address=lambda: ("127.0.0.1", int(self.leadership.leader[1:])),
         )
-        self.leads = True
-        directory = types.SimpleNamespace(by_id={"r1": self.replica})
-        hosts = types.SimpleNamespace(
-            on_heartbeat=self.set_listener, reachable=list, is_large=False
+        directory = types.SimpleNamespace(by_id=self.replicas)
+        self.loads = SharedReplicaLoads(
+            directory, self.hosts, self.leadership, self.endpoint
         )
-        leadership = types.SimpleNamespace(on_change=lambda listener: None, leads=True)
-        self.leadership = leadership
-        self.loads = SharedReplicaLoads(directory, hosts, leadership)
 
-    def set_listener(self, listener):
-        self.receive = listener
+    def _set_listener(self, listener):
+        self.change_leader = listener
+
+    def send_round(self):
+        """Returns the loads sent in one round, by the name of the receiver."""
+        self.endpoint.sent.clear()
+        self.hosts.send_heartbeats()
+        return {
+            f"h{address[1]}": message
+            for message, address in self.endpoint.sent
+            if isinstance(message, ReplicaLoads)
+        }
+
+    def others_in_flight(self):
+        return {replica.others_in_flight for replica in self.replicas.values()}
+
+    def receive(self, message):
+        self.endpoint.ReplicaLoads(decode(encode(message)), None)
+
+    def receive_loads(self, name, number, loads, **fields):
+        """Receives a report that fits in one datagram."""
+        parts = tuple(ReplicaLoadPart(item, 0, load) for item, load in loads.items())
+        options = {"is_total": False, "complete_since": number, **fields}
+        boot = options.pop("boot", 1)
+        self.receive(ReplicaLoads(name, boot, number=number, parts=parts, **options))
+
+
+class SharedReplicaLoadsTest(testtools.TestCase):
+    def run_check(self, check):
+        async def main():
+            check()
 
-    def heartbeat(self, name, leader, loads, **fields):
-        info = HostInfo(name, 1, "127.0.0.1", 1, "zone-1", 1.0)
-        return Heartbeat(info, leader, 7, 0.0, False, loads, {}, **fields)
+        run_in_virtual_time(main)
 
-    def test_heartbeat_without_loads_leaves_those_of_the_last_one(self):
+    def test_round_without_loads_leaves_those_of_the_last_one(self):
         """A host answers a join by a heartbeat without loads. The leader took it for
         "no requests", and unloaded adapters in use: 13 slots were blocked."""
-        key = AdapterKey("m0", "a1")
-        loads = {"r1": ReplicaLoad(2, 20_000, (key,))}
-        self.receive(self.heartbeat("h2", "h1", loads))
-        self.receive(self.heartbeat("h2", "h1", {}, leaves_out_loads=True))
-        self.assertEqual(2, self.replica.others_in_flight)
-        self.assertEqual({key}, self.loads.adapters_in_use(self.replica))
-        self.receive(self.heartbeat("h2", "h1", {}))
-        self.assertEqual(0, self.replica.others_in_flight)
-        self.assertEqual(set(), self.loads.adapters_in_use(self.replica))
-
-    def test_long_event_interval_leaves_the_heartbeat_readable(self):
-        """An hour between two events is more than a heartbeat's field may hold."""
-        self.replica.in_flight = self.replica.load = 1
-        self.replica.own_event_interval_s = self.replica.event_interval_s = 3600.0
-        for loads in (self.loads.own_loads(), self.loads.total_loads()):
-            self.assertEqual({"r1"}, loads.keys())
-            heartbeat = self.heartbeat("h1", "h2", loads)
-            self.assertEqual(heartbeat, decode(encode(heartbeat)))
-
-    def test_followers_keep_the_sums_of_the_leader(self):
-        """The same for a follower and its leader's answer to a join."""
-        self.leadership.leads = False
-        loads = {"r1": ReplicaLoad(5, 20_000)}
-        self.receive(self.heartbeat("h1", "h1", loads))
-        self.receive(self.heartbeat("h1", "h1", {}, leaves_out_loads=True))
-        self.assertEqual(5, self.replica.others_in_flight)
+
+        def check():
+            replica = fake_replica("r1")
+            host = LoadsOfOneHost([replica])
+            key = AdapterKey("m0", "a1")
+            host.receive_loads("h2", 1, {"r1": ReplicaLoad(2, 20_000, (key,))})
+            self.assertEqual(2, replica.others_in_flight)
+            self.assertEqual({key}, host.loads.adapters_in_use(replica))
+            host.receive_loads("h2", 2, {})
+            self.assertEqual(0, replica.others_in_flight)
+            self.assertEqual(set(), host.loads.adapters_in_use(replica))
+
+        self.run_check(check)
+
+    def test_long_event_interval_leaves_the_message_readable(self):
+        """An hour between two events is more than the field may hold."""
+
+        def check():
+            for leader in ("h0", "h1"):
+                replica = fake_replica("r1", in_flight=1)
+                replica.own_event_interval_s = replica.event_interval_s = 3600.0
+                sent = LoadsOfOneHost([replica], leader=leader).send_round()["h2"]
+                self.assertEqual(1, len(sent.parts))
+                self.assertEqual(sent, decode(encode(sent)))
+
+        self.run_check(check)
+
+    def test_only_the_leader_gets_loads_among_many_hosts(self):
+        """Loads could saturate the links between failure domains: 71 hosts sent each
+        other 100 MB a day, mostly loads that only a leader reads."""
+
+        def check():
+            replicas = [fake_replica(f"r{number}", 3) for number in range(45)]
+            sent = LoadsOfOneHost(replicas, 70, "h1").send_round()
+            self.assertEqual({"h1"}, sent.keys())
+            self.assertEqual(45, len(sent["h1"].parts))
+
+        self.run_check(check)
+
+    def test_few_hosts_send_loads_to_all(self):
+        """A new leader in a small system must not be without the loads."""
+
+        def check():
+            replica = fake_replica("r1")
+            host = LoadsOfOneHost([replica], 6, "h1")
+            self.assertEqual(6, len(host.send_round()))
+            for name in ("h1", "h2"):
+                host.receive_loads(name, 1, {"r1": ReplicaLoad(2, 0)})
+            self.assertEqual(0, replica.others_in_flight)
+
+        self.run_check(check)
+
+    def test_new_leader_starts_from_the_reports_of_reachable_hosts(self):
+        """It would take all replicas for idle until the next round, and those of a
+        report of an earlier term for busy."""
+
+        async def check():
+            replica = fake_replica("r1")
+            host = LoadsOfOneHost([replica], 3, "h1")
+            for name, load in (("h1", 1), ("h2", 2), ("h3", 4)):
+                if name == "h3":
+                    await anyio.sleep(2.0)
+                    host.receive_loads("h1", 2, {}, is_total=True)
+                host.receive_loads(name, 1, {"r1": ReplicaLoad(load, 0)})
+            for known in host.hosts.by_name.values():
+                known.heard_at = anyio.current_time()
+            host.leadership.leader, host.leadership.leads = "h0", True
+            host.change_leader()
+            self.assertEqual(4, replica.others_in_flight)
+
+        run_in_virtual_time(check)
+
+    def test_sums_come_from_the_leader_only(self):
+        """A leader that was replaced knows the loads of some hosts only."""
+
+        def check():
+            replica = fake_replica("r1")
+            host = LoadsOfOneHost([replica], 3, "h1")
+            host.receive_loads("h1", 1, {"r1": ReplicaLoad(5, 0)}, is_total=True)
+            host.receive_loads("h2", 9, {"r1": ReplicaLoad(7, 0)}, is_total=True)
+            host.receive_loads("h3", 9, {"r1": ReplicaLoad(8, 0)})
+            self.assertEqual(5, replica.others_in_flight)
+
+        self.run_check(check)
+
+    def test_late_datagram_and_that_of_an_ended_process_are_ignored(self):
+        """They would bring back loads that are gone."""
+
+        def check():
+            replica = fake_replica("r1")
+            host = LoadsOfOneHost([replica])
+            host.receive_loads("h2", 5, {"r1": ReplicaLoad(2, 0)})
+            host.receive_loads("h2", 4, {"r1": ReplicaLoad(9, 0)})
+            host.receive_loads("h2", 6, {"r1": ReplicaLoad(9, 0)}, boot=0)
+            self.assertEqual(2, replica.others_in_flight)
+
+        self.run_check(check)
+
+    def test_lost_part_leaves_older_loads_in_place(self):
+        """The leader would take replicas for idle whose loads were in it."""
+
+        def check():
+            for lost_round in range(12, 18):
+                sender, receiver = self.hosts_with_long_report()
+                for number in range(30):
+                    message = sender.send_round()["h1"]
+                    if number != lost_round:
+                        receiver.receive(msgspec.structs.replace(message, sender="h1"))
+                    if number > 4:
+                        self.assertEqual({2}, receiver.others_in_flight())
+
+        self.run_check(check)
+
+    def test_ended_loads_of_a_long_report_are_dropped(self):
+        """Replicas would count as busy for ever whose load a report no longer has."""
+
+        def check():
+            sender, receiver = self.hosts_with_long_report()
+            for number in range(20):
+                if number == 8:
+                    for replica in list(sender.replicas.values())[:50]:
+                        replica.in_flight = 0
+                message = sender.send_round()["h1"]
+                receiver.receive(msgspec.structs.replace(message, sender="h1"))
+            loads = [item.others_in_flight for item in receiver.replicas.values()]
+            self.assertEqual([0] * 50 + [2] * 50, loads)
+
+        self.run_check(check)
+
+    def hosts_with_long_report(self):
+        """Returns a follower whose loads take three rounds, and a leader."""
+        ids = [f"{'r' * 180}{number:03}" for number in range(100)]
+        sender = LoadsOfOneHost([fake_replica(item, 2) for item in ids], leader="h1")
+        return sender, LoadsOfOneHost([fake_replica(item) for item in ids])
+
+    def test_all_loads_are_told_in_turns_within_the_bound(self):
+        """Loads behind the bound of a round would never reach the leader, and those of
+        replicas with many adapters would fit in no datagram."""
+
+        def check():
+            names = [f"{number:03}" + "\U0010ffff" * 197 for number in range(20)]
+            keys = [AdapterKey(name, name) for name in names]
+            replicas = [fake_replica(name, 20, keys) for name in names]
+            sender = LoadsOfOneHost(replicas, 2, "h1")
+            receiver = LoadsOfOneHost([fake_replica(name) for name in names])
+            for _ in range(150):
+                message = sender.send_round()["h1"]
+                self.assertLess(len(encode(message)), MAX_ROUND_BYTES + 1024)
+                receiver.receive(msgspec.structs.replace(message, sender="h1"))
+            for replica in receiver.replicas.values():
+                self.assertEqual(20, replica.others_in_flight)
+                self.assertEqual(set(keys), receiver.loads.adapters_in_use(replica))
+
+        self.run_check(check)
+
+    def test_hosts_without_loads_send_few_messages(self):
+        """The leader of many hosts would send each of them an empty one each round."""
+
+        def check():
+            replica = fake_replica("r1")
+            host = LoadsOfOneHost([replica], 70)
+            counts = [len(host.send_round()) for _ in range(4 * EMPTY_ROUND_INTERVAL)]
+            self.assertLessEqual(sum(counts), 7 * 70)
+            replica.load = replica.in_flight = 8
+            self.assertEqual(70, len(host.send_round()))
+            replica.load = replica.in_flight = 0
+            self.assertEqual([70] * 3, [len(host.send_round()) for _ in range(3)])
+
+        self.run_check(check)
+
+    def test_loads_of_3900_replicas_silence_no_host(self):
+        """Heartbeats with the loads of all replicas were longer than a datagram: all
+        hosts lost each other and their leader."""
+
+        async def check(system):
+            members = list(system.members.values())
+            ids = [f"{number:040}" for number in range(3900)]
+            for member in members:
+                member.replicas = {item: fake_replica(item, 1) for item in ids}
+                SharedReplicaLoads(
+                    types.SimpleNamespace(by_id=member.replicas),
+                    member.hosts,
+                    member.leadership,
+                    member.endpoint,
+                )
+            (leader,) = system.leaders()
+            for _ in range(8):
+                await anyio.sleep(5.0)
+                self.assertEqual([leader], system.leaders())
+                for member in members:
+                    self.assertEqual(leader.name, member.leadership.leader)
+                    self.assertTrue(member.leadership.has_recent_leader)
+            for replica in leader.replicas.values():
+                self.assertEqual(len(members) - 1, replica.others_in_flight)
+
+        run_system(check, 4)
--- a/tests/gateway/test_supervision.py
+++ b/tests/gateway/test_supervision.py
@@ -15,8 +15,11 @@
 from tests.waiting import wait_until
 
 INFO = messages.HostInfo("entry-9", 1, "127.0.0.1", 9, "zone-1", 1.0)
-HEARTBEAT = messages.Heartbeat(INFO, "entry-9", 1, 0.0, False, {}, {})
+HEARTBEAT = messages.Heartbeat(INFO, "entry-9", 1, 0.0, False, {})
+LOAD_PART = messages.ReplicaLoadPart("r1", 0, messages.ReplicaLoad(1, 20_000))
+LOADS = messages.ReplicaLoads("entry-9", 1, False, 1, 1, (LOAD_PART,))
 MESSAGES = [
+    LOADS,
     HEARTBEAT,
     messages.Join(INFO),
     messages.KnownHosts((INFO,)),
@@ -150,11 +153,20 @@
             ("leader_age_s", float("nan")),
             ("leader", "x" * 60_000),
             ("newest_by_prefix", {"": -1}),
-            ("loads_by_replica", {"r1": messages.ReplicaLoad(-1, 0)}),
         ):
             absurd = msgspec.structs.replace(HEARTBEAT, **{field: value})
             self.endpoint.datagram_received(messages.encode(absurd), ("127.0.0.1", 9))
             self.assertEqual([], self.received, field)
+        load = messages.ReplicaLoad(-1, 0)
+        for field, value in (
+            ("parts", (msgspec.structs.replace(LOAD_PART, load=load),)),
+            ("parts", (msgspec.structs.replace(LOAD_PART, part=-1),)),
+            ("number", 2**63),
+            ("complete_since", -1),
+        ):
+            absurd = msgspec.structs.replace(LOADS, **{field: value})
+            self.endpoint.datagram_received(messages.encode(absurd), ("127.0.0.1", 9))
+            self.assertEqual([], self.received, field)
         for field, value in (("port", 70_000), ("size", float("inf")), ("boot", 2**63)):
             info = msgspec.structs.replace(INFO, **{field: value})
             data = messages.encode(messages.KnownHosts((info,)))
