Send request limits in datagrams of their own and of a bounded length

Cause: heartbeats carried the limits of up to 128 replicas. With ids of 200 characters that are not ASCII that is 78 KB, so the heartbeat was not sent: others lost the host. Limits of further replicas were never told.

A round of heartbeats is now followed by one datagram with 8 KB of limits at most, and all limits are told in turns.

After: all four hosts know all limits, know of their end, and keep their leader.

Conclusion: heartbeats hold membership, leadership and positions only.

--- a/snipetrestle/coordination/heartbeat_content.py
+++ b/snipetrestle/coordination/heartbeat_content.py
@@ -16,19 +16,16 @@
         self._leadership = None
         self._state = None
         self._store_relay = None
-        self._shared_limits = None
 
     def connect(
         self,
         leadership,
         state=None,
         store_relay=None,
-        shared_limits=None,
     ):
         self._leadership = leadership
         self._state = state
         self._store_relay = store_relay
-        self._shared_limits = shared_limits
 
     def status(self):
         """Returns the HostStatus."""
@@ -45,9 +42,6 @@
             else min(state.documents.version_sum, MAX_REVISION),
             reads_store=state is not None and state.is_store_reachable,
             candidates=leadership.next_leaders(),
-            limits_by_replica={}
-            if self._shared_limits is None
-            else self._shared_limits.reports_by_replica(),
         )
 
     def readers_by_domain(self):
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -56,7 +56,6 @@
     document_version_sum: int = 0
     reads_store: bool = False
     candidates: tuple = ()
-    limits_by_replica: dict = {}
 
 
 class KnownHost:
@@ -305,7 +304,6 @@
             self.leaving,
             {prefix: item.revision for prefix, item in status.newest_positions.items()},
             reads_store=status.reads_store,
-            limits_by_replica=status.limits_by_replica,
             epoch_by_prefix={
                 prefix: item.epoch for prefix, item in status.newest_positions.items()
             },
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -80,6 +80,7 @@
     ``per_s`` is None if it named no limit.
     """
 
+    replica_id: Name
     per_s: RatePerS | None
     age_s: DurationS
 
@@ -118,7 +119,6 @@
     belongs to. ``document_version_sum`` is the sum of the versions of the operator's
     documents.
     ``reads_store`` tells that the sender's last request to the store was answered.
-    ``limits_by_replica`` holds the limits that replicas named to any host.
 
     Only a leader sends the rest: ``members_digest`` of all hosts that it knows, the
     names of the likely next leaders, and of the hosts that read the store for the
@@ -135,7 +135,6 @@
     members_digest: Revision = 0
     candidates: tuple[Name, ...] = ()
     readers: tuple[Name, ...] = ()
-    limits_by_replica: dict[Name, RequestLimitReport] = {}
     epoch_by_prefix: dict[Name, Revision] = {}
     document_version_sum: Revision = 0
 
@@ -170,6 +169,12 @@
     parts: tuple[ReplicaLoadPart, ...]
 
 
+class RequestLimitReports(_Message):
+    """Limits that replicas named to any host; many of them take several rounds."""
+
+    reports: tuple[RequestLimitReport, ...]
+
+
 class LostPrompts(_Message):
     """Prompts that may have crashed replicas, on any host.
 
@@ -300,6 +305,7 @@
 Message = (
     Heartbeat
     | ReplicaLoads
+    | RequestLimitReports
     | Join
     | KnownHosts
     | Changes
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -211,7 +211,9 @@
             self.leadership,
             self.state,
             self.store_relay,
-            SharedRequestLimits(self.replicas, self.hosts),
+        )
+        self.shared_limits = SharedRequestLimits(
+            self.replicas, self.hosts, self.datagram_endpoint
         )
         self.shared_quarantine = SharedQuarantine(
             self.crash_quarantine.prompts, self.hosts, self.datagram_endpoint
--- a/tests/coordination/test_send_permits.py
+++ b/tests/coordination/test_send_permits.py
@@ -100,8 +100,7 @@
         self.limit = RequestLimit("r1")
         self.replica = types.SimpleNamespace(id="r1", request_limit=self.limit)
         self.replicas = types.SimpleNamespace(by_id={"r1": self.replica})
-        self.shared = SharedRequestLimits(self.replicas, member.hosts)
-        member.content.connect(member.leadership, shared_limits=self.shared)
+        self.shared = SharedRequestLimits(self.replicas, member.hosts, member.endpoint)
         rng = random.Random(member.name)
         self.permits = SendPermits(
             member.leadership,
@@ -119,6 +118,42 @@
             await anyio.sleep(0.1)
 
 
+class SharedRequestLimitsTest(testtools.TestCase):
+    def share_limits(self, member, count):
+        """Gives a member that many replicas, and returns their limits."""
+        limits = [
+            RequestLimit(f"{number:03}" + "\u8a9e" * 197) for number in range(count)
+        ]
+        by_id = {
+            limit.replica_id: types.SimpleNamespace(request_limit=limit)
+            for limit in limits
+        }
+        SharedRequestLimits(
+            types.SimpleNamespace(by_id=by_id), member.hosts, member.endpoint
+        )
+        return limits
+
+    def test_limits_of_many_replicas_silence_no_host_and_are_all_told(self):
+        """Heartbeats with the limits of 128 replicas with long ids were longer than a
+        datagram, so they were not sent. Further limits were not told."""
+
+        async def check(system):
+            members = list(system.members.values())
+            limits = {item.name: self.share_limits(item, 140) for item in members}
+            for per_s in (2.0, None):
+                for limit in limits[members[0].name]:
+                    limit.note(per_s, anyio.current_time())
+                await anyio.sleep(15.0)
+                (leader,) = system.leaders()
+                for member in members:
+                    self.assertEqual(leader.name, member.leadership.leader)
+                    self.assertTrue(member.leadership.has_recent_leader)
+                    told = {limit.per_s for limit in limits[member.name]}
+                    self.assertEqual({per_s}, told)
+
+        run_system(check, 4)
+
+
 class SendPermitsTest(testtools.TestCase):
     def start_senders(self, system, times):
         senders = []
--- a/tests/gateway/test_supervision.py
+++ b/tests/gateway/test_supervision.py
@@ -20,6 +20,7 @@
 LOADS = messages.ReplicaLoads("entry-9", 1, False, 1, 1, (LOAD_PART,))
 MESSAGES = [
     LOADS,
+    messages.RequestLimitReports((messages.RequestLimitReport("r1", 2.0, 0.5),)),
     HEARTBEAT,
     messages.Join(INFO),
     messages.KnownHosts((INFO,)),
