Divide reports of requests that crash replicas over bounded datagrams

Cause: LostRequests carried each crash of up to 128 requests, so its length grew with both and with the ids of replicas; over 65,507 bytes it was not sent at all.

A host sends 16 KB at one time now, in datagrams of 8 KB with the ages of answers to their own requests. The rest comes at the next times, new losses first and then those that wait longest. Objections to refusals have a datagram of their own if their requests are not in another.

Ruled out: fewer requests than 128, as those left out would never be told.

Before: the new test fails (128 answered requests with three crashes each; no other host refuses them). After: all four hosts refuse all of them and have a leader; the other tests of the module pass unchanged.

--- a/snipetrestle/coordination/report_rounds.py
+++ b/snipetrestle/coordination/report_rounds.py
@@ -24,13 +24,15 @@
 class ReportRounds:
     """Chooses the items of a report for each round; those that wait longest come first.
 
-    ``max_bytes`` bounds the encoded items of one round. ``number`` is that of the last
+    ``max_bytes`` bounds the encoded items of one round. With ``new_first``, items that
+    were never sent come before the others. ``number`` is that of the last
     round. A receiver may drop items that it has last got before ``complete_since``: the
     report no longer contains them, or two datagrams with them were lost.
     """
 
-    def __init__(self, max_bytes):
+    def __init__(self, max_bytes, new_first=False):
         self._max_bytes = max_bytes
+        self._new_first = new_first
         self._sent_by_key = {}
         self.number = 0
         self.complete_since = 0
@@ -42,8 +44,9 @@
         """
         self.number += 1
         known = self._sent_by_key
+        waiting_since = 0 if self._new_first else self.number
         self._sent_by_key = {
-            key: known.get(key) or _SentItem(self.number) for key in items_by_key
+            key: known.get(key) or _SentItem(waiting_since) for key in items_by_key
         }
         if len(encode(list(items_by_key.values()))) <= self._max_bytes:
             chosen = items_by_key
@@ -76,6 +79,20 @@
         )
 
 
+def split(items, max_bytes):
+    """Returns encodable items in lists of at most ``max_bytes``, or of a single item."""
+    parts = []
+    size_bytes = 0
+    for item in items:
+        added_bytes = len(encode(item))
+        if not parts or size_bytes + added_bytes > max_bytes:
+            parts.append([])
+            size_bytes = 0
+        parts[-1].append(item)
+        size_bytes += added_bytes
+    return parts
+
+
 class ReceivedReport:
     """What a host has received of the divided report of one process of another.
 
--- a/snipetrestle/coordination/shared_loads.py
+++ b/snipetrestle/coordination/shared_loads.py
@@ -17,9 +17,8 @@
     ReplicaLoad,
     ReplicaLoadPart,
     ReplicaLoads,
-    encode,
 )
-from snipetrestle.coordination.report_rounds import ReceivedReport, ReportRounds
+from snipetrestle.coordination.report_rounds import ReceivedReport, ReportRounds, split
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 
 _MICROSECONDS = 1_000_000
@@ -147,16 +146,8 @@
 
 def _split(load):
     """Returns a ReplicaLoad in parts of at most MAX_PART_BYTES of adapters."""
-    chunks = [[]]
-    size_bytes = 0
-    for key in load.adapters:
-        added_bytes = len(encode(key))
-        if chunks[-1] and size_bytes + added_bytes > MAX_PART_BYTES:
-            chunks.append([])
-            size_bytes = 0
-        chunks[-1].append(key)
-        size_bytes += added_bytes
-    if len(chunks) == 1:
+    chunks = split(load.adapters, MAX_PART_BYTES)
+    if len(chunks) <= 1:
         return [load]
     first = ReplicaLoad(load.in_flight, load.event_interval_us, tuple(chunks[0]))
     return [first, *(ReplicaLoad(0, 0, tuple(chunk)) for chunk in chunks[1:])]
--- a/snipetrestle/coordination/shared_request_quarantine.py
+++ b/snipetrestle/coordination/shared_request_quarantine.py
@@ -3,12 +3,13 @@
 A loss is told at once, since its caller may repeat the request at another host within
 milliseconds. Hosts tell it to each other, or among many, to the leader, which tells it
 to all. The leader keeps repeating what is refused, and a host that starts is told at
-its first heartbeat.
+its first heartbeat. What does not fit in the datagrams of one time comes at the next.
 """
 
 import asyncio
 
 from snipetrestle.coordination.messages import CrashReport, LostRequests
+from snipetrestle.coordination.report_rounds import ReportRounds, split
 
 # A crash cuts off many requests within this time, which are told together.
 GATHER_TIME_S = 0.02
@@ -21,6 +22,9 @@
 # How often hosts that do not lead repeat what is refused.
 REMINDER_INTERVAL_S = 2.0
 MAX_REPORTED_REQUESTS = 128
+# The reports of one datagram, and of all that are sent at one time.
+DATAGRAM_BYTES = 8192
+MAX_ROUND_BYTES = 2 * DATAGRAM_BYTES
 
 
 class SharedRequestQuarantine:
@@ -37,6 +41,7 @@
         self._repeat_until = 0.0
         # Until when others are told that requests were answered here.
         self._objections = {}
+        self._rounds = _new_rounds()
         # The latest known processes of the other hosts, by name.
         self._boot_by_name = {}
         hosts.on_heartbeat(self._on_heartbeat)
@@ -59,11 +64,13 @@
 
     def _send(self):
         self._timer = None
-        message = self._message()
-        if not message.crashes and not message.served_ages_s:
+        messages = self._messages(self._rounds)
+        if not messages:
             return
         self._sent_at = self._loop.time()
-        self._endpoint.send_all(message, self._receivers())
+        receivers = self._receivers()
+        for message in messages:
+            self._endpoint.send_all(message, receivers)
         self._send_at(self._sent_at + self._interval_s())
 
     def _interval_s(self):
@@ -80,32 +87,48 @@
             return [leader.address]
         return [host.address for host in hosts.by_name.values()]
 
-    def _message(self):
-        """Returns the LostRequests to send."""
+    def _messages(self, rounds):
+        """Returns the LostRequests to send; ``rounds`` chooses among many reports."""
         now = self._loop.time()
-        quarantine = self._quarantine
         self._objections = {
             request: until for request, until in self._objections.items() if until > now
         }
+        messages = []
+        for part in split(rounds.choose(self._crash_reports()), DATAGRAM_BYTES):
+            requests = [request for report in part for request in report.requests]
+            messages.append(self._message(part, requests))
+        told = {request for item in messages for request in item.served_ages_s}
+        others = [request for request in self._objections if request not in told]
+        if others:
+            messages.append(self._message((), others))
+        return messages
+
+    def _crash_reports(self):
+        """Returns CrashReports by crash and time, those that others need most first."""
+        now = self._loop.time()
+        quarantine = self._quarantine
         requests = quarantine.telling_requests(REPEAT_TIME_S, MAX_REPORTED_REQUESTS)
         requests_by_loss = {}
         for request in requests:
             for crash, lost_at in quarantine.losses(request).items():
                 requests_by_loss.setdefault((crash, lost_at), []).append(request)
-        reports = tuple(
-            CrashReport(crash, now - lost_at, tuple(lost))
-            for (crash, lost_at), lost in requests_by_loss.items()
-        )
+        return {
+            loss: CrashReport(loss[0], now - loss[1], tuple(lost))
+            for loss, lost in requests_by_loss.items()
+        }
+
+    def _message(self, reports, requests):
+        """Returns LostRequests that tell when some requests were last answered."""
+        now = self._loop.time()
         served_at = {
-            request: quarantine.served_at(request)
-            for request in (*requests, *self._objections)
+            request: self._quarantine.served_at(request) for request in requests
         }
         served_ages_s = {
             request: max(0.0, now - at)
             for request, at in served_at.items()
             if at is not None
         }
-        return LostRequests(self._hosts.own.name, reports, served_ages_s)
+        return LostRequests(self._hosts.own.name, tuple(reports), served_ages_s)
 
     def _on_heartbeat(self, heartbeat):
         """Tells a host that has just started what is refused."""
@@ -115,9 +138,9 @@
         if sender.name not in self._boot_by_name:
             self._forget_removed_hosts()
         self._boot_by_name[sender.name] = sender.boot
-        message = self._message()
-        if message.crashes:
-            self._endpoint.send(message, (sender.ip, sender.port))
+        for message in self._messages(_new_rounds()):
+            if message.crashes:
+                self._endpoint.send(message, (sender.ip, sender.port))
 
     def _forget_removed_hosts(self):
         for name in self._boot_by_name.keys() - self._hosts.by_name.keys():
@@ -150,3 +173,8 @@
             return
         self._objections[request] = now + REPEAT_TIME_S
         self._on_news()
+
+
+def _new_rounds():
+    # Others must learn of a loss before the request is repeated at them.
+    return ReportRounds(MAX_ROUND_BYTES, new_first=True)
--- a/tests/coordination/test_shared_request_quarantine.py
+++ b/tests/coordination/test_shared_request_quarantine.py
@@ -67,6 +67,27 @@
 
         self.run_system(check, 4)
 
+    def test_many_refused_requests_are_all_told(self):
+        """Reports of 128 requests that each crashed three replicas with long ids were
+        longer than a datagram, so no host heard of the third crash of any of them."""
+
+        async def check(system, members):
+            requests = [f"{number:016}" for number in range(MAX_REPORTED_REQUESTS)]
+            for request in requests:
+                members[1].requests.note_served(request)
+            for number in range(3):
+                await anyio.sleep(CRASH_INTERVAL_S)
+                for request in requests:
+                    crash = f"{'r' * 180}{number}{request} 1700000000000"
+                    members[1].requests.note_lost(crash, request)
+            await anyio.sleep(2 * LEARNING_TIME_S)
+            for member in members:
+                self.assertTrue(member.leadership.has_recent_leader)
+                refused = [item for item in requests if member.requests.refuses(item)]
+                self.assertEqual(requests, refused, member.name)
+
+        self.run_system(check, 4)
+
     def test_all_of_a_few_hosts_refuse_the_request_at_once(self):
         """Callers repeat a lost request within milliseconds, at any host."""
 
