Bound the lists of replicas in questions to the leader and in its answers

Cause: Locate named all replicas to avoid, Located all holders of an adapter, and PermitRequest all limited candidates, so with thousands of replicas, or long ids, they were not sent. Locate also carried a model and an adapter from a caller's request, of any length: it was not sent, or could not be read.

Each list takes 8 KB at most now. A lookup names the replicas that failed last; its host leaves out the others by itself, as before. An answer leaves out the holders that are ready last and are busiest. A request for a permit names limited replicas in turns, and only these count as denied.

Ruled out: several datagrams for one request, since its answer would have to wait for all.

Conclusion: with more limited replicas than fit, a permit is for one of those named, so a wait may be longer than that at a replica that was not named.

--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -9,6 +9,7 @@
 )
 from snipetrestle.coordination.messages import AdapterLocation, Locate, Located
 from snipetrestle.coordination.orders import BackendContext, ReplicaOrders
+from snipetrestle.coordination.report_rounds import fitting
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.supervision import run_isolated, run_supervised
@@ -16,6 +17,8 @@
 # A host whose lookup found no replica asks again after this time.
 LOOKUP_RETRY_S = 0.08
 MAINTENANCE_INTERVAL_S = 5.0
+# The locations in an answer. Replicas that are ready later and busier are left out.
+MAX_LOCATIONS_BYTES = 8192
 # Minimum time between two updates of the replicas' states from the hosts' heartbeats.
 # It grows with their number, so that the updates take a bounded part of a core.
 REPLICA_UPDATE_INTERVAL_S = 0.1
@@ -296,5 +299,11 @@
     async def _answer(self, message, address):
         key = AdapterKey(message.model, message.adapter)
         locations = await self.locate(key, message.uses, message.avoid, message.limited)
+        locations = fitting(sorted(locations, key=_urgency), MAX_LOCATIONS_BYTES)
         retry_in_s = 0.0 if locations else LOOKUP_RETRY_S
         self._endpoint.send(Located(message.number, locations, retry_in_s), address)
+
+
+def _urgency(location):
+    in_flight = 0 if location.load is None else location.load.in_flight
+    return location.ready_in_s, in_flight
--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -11,6 +11,8 @@
 from snipetrestle.coordination.adapter_places import LOCATION_TTL_S, DecayingCount
 from snipetrestle.coordination.datagram_requests import DatagramRequests
 from snipetrestle.coordination.messages import Locate, Located
+from snipetrestle.coordination.report_rounds import fitting
+from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 from snipetrestle.gateway.supervision import run_isolated
 
 # A lookup is sent up to this often; a datagram may be lost, or the leader change.
@@ -19,6 +21,9 @@
 # Locations older than this are used only once the leader has confirmed them.
 MAX_LOCATION_AGE_S = 15.0
 MAX_CACHED_ADAPTERS = 4000
+# The replica ids of each of the two lists in a lookup. Further ones are only left out
+# of the answer by the host that asks.
+MAX_IDS_BYTES = 8192
 
 
 class CachedLocations:
@@ -179,10 +184,16 @@
         if self._leadership.leads:
             return await self._locate_here(key, uses, avoid, limited)
         address = self._leadership.leader_address()
-        if address is None:
+        # No adapter has a longer name, and the leader could not read the message.
+        is_nameable = max(len(key.model), len(key.adapter)) <= MAX_NAME_LENGTH
+        if address is None or not is_nameable:
             await anyio.sleep(NO_LEADER_DELAY_S)
             return None
 
+        # The last replicas that did not serve it are at the end.
+        avoid = fitting(avoid[::-1], MAX_IDS_BYTES)
+        limited = fitting(limited, MAX_IDS_BYTES)
+
         def build_request(number, is_first):
             # The first message may have arrived, so its uses are not sent again.
             return Locate(
--- a/snipetrestle/coordination/report_rounds.py
+++ b/snipetrestle/coordination/report_rounds.py
@@ -93,6 +93,17 @@
     return parts
 
 
+def fitting(items, max_bytes):
+    """Returns the first of some encodable items, which take ``max_bytes`` at most."""
+    count = size_bytes = 0
+    for item in items:
+        size_bytes += len(encode(item))
+        if size_bytes > max_bytes:
+            break
+        count += 1
+    return tuple(items[:count])
+
+
 class ReceivedReport:
     """What a host has received of the divided report of one process of another.
 
--- a/snipetrestle/coordination/send_permits.py
+++ b/snipetrestle/coordination/send_permits.py
@@ -9,12 +9,15 @@
 
 from snipetrestle.coordination.datagram_requests import DatagramRequests
 from snipetrestle.coordination.messages import PermitReply, PermitRequest
+from snipetrestle.coordination.report_rounds import fitting
 
 # Permits that were not used for this long may be used at once later.
 BURST_S = 1.0
 # Requests that have another replica to go to leave this part of the burst to others.
 RESERVED_FRACTION = 0.5
 MAX_KNOWN_REPLICAS = 8192
+# The replicas in a request for a permit, by id and limit. Later requests name others.
+MAX_LIMITS_BYTES = 8192
 # Longer waits are not distinguished.
 MAX_WAIT_S = 3600.0
 
@@ -71,6 +74,8 @@
         self._own_name = own_name
         self._request_limits = request_limits
         self._issuer = PermitIssuer()
+        # The number of replicas named so far, from which the next request goes on.
+        self._named_count = 0
         self._requests = DatagramRequests(endpoint, PermitReply)
         # When the leader may permit an optional request again, by replica id.
         self._denied_until_by_id = {}
@@ -96,6 +101,8 @@
         """
         by_id = {replica.id: replica for replica in replicas}
         limits = {item.id: item.request_limit.per_s for item in replicas}
+        if not self._leadership.leads:
+            limits = self._next_limits(limits)
         reply = await self._ask_leader(limits, max_wait_s, is_optional)
         if reply is None:
             return self._take_own_part(replicas, max_wait_s)
@@ -136,6 +143,14 @@
         reply = await self._requests.ask(build_request, address)
         return None if reply is None else (reply.replica_id, reply.wait_s)
 
+    def _next_limits(self, limits_by_replica):
+        """Returns the limits that fit in a request, in turns if they are many."""
+        items = list(limits_by_replica.items())
+        start = self._named_count % len(items)
+        chosen = fitting(items[start:] + items[:start], MAX_LIMITS_BYTES)
+        self._named_count += len(chosen)
+        return dict(chosen)
+
     def _issue(self, limits_by_replica, max_wait_s, is_optional):
         fraction = self._request_limits.issued_fraction()
         issued = {item: fraction * per_s for item, per_s in limits_by_replica.items()}
