State the largest encoded size of each message between hosts

Cause: nothing bounded the lists in heartbeats, answers to Join and Changes but the habits of their senders, and nobody could tell how long a message may become.

MAX_BYTES_BY_TYPE states the size for each type, 45 KB at most. The lists of heartbeats, KnownHosts and Changes have bounds in their fields, and a failure domain has 32 readers at most. The in-memory network refuses messages beyond their stated size, so all tests of several hosts check it.

--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -13,7 +13,12 @@
 import xxhash
 
 from snipetrestle.coordination.lost_hosts import LostHosts
-from snipetrestle.coordination.messages import Heartbeat, Join, KnownHosts
+from snipetrestle.coordination.messages import (
+    MAX_LISTED_HOSTS,
+    Heartbeat,
+    Join,
+    KnownHosts,
+)
 from snipetrestle.events import Event, log_event
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -29,7 +34,6 @@
 REMOVED_TIMEOUT_S = 2 * UNCONFIRMED_TIMEOUT_S
 LEADER_REMOVAL_LAG_S = 2.0
 MAX_MESH_HOSTS = 32
-HOSTS_PER_DATAGRAM = 12
 JOIN_INTERVAL_S = 0.25
 # Hosts that join at the same time are announced together after this time.
 ANNOUNCE_DELAY_S = 0.05
@@ -455,15 +459,15 @@
         self._send_known(infos, [host.address for host in hosts])
 
     def _send_known(self, infos, addresses):
-        for start in range(0, len(infos), HOSTS_PER_DATAGRAM):
-            part = tuple(infos[start : start + HOSTS_PER_DATAGRAM])
+        for start in range(0, len(infos), MAX_LISTED_HOSTS):
+            part = tuple(infos[start : start + MAX_LISTED_HOSTS])
             self._endpoint.send_all(KnownHosts(part), addresses)
 
     def _send_lost(self, address):
         """Tells a host of the lost ones, which may be behind a cut."""
         reports = self.lost.reports()
-        for start in range(0, len(reports), HOSTS_PER_DATAGRAM):
-            part = tuple(reports[start : start + HOSTS_PER_DATAGRAM])
+        for start in range(0, len(reports), MAX_LISTED_HOSTS):
+            part = tuple(reports[start : start + MAX_LISTED_HOSTS])
             self._endpoint.send(KnownHosts((), part), address)
 
     def _learn_lost(self, reports):
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -4,6 +4,7 @@
 passed them could spread a fencing token that no later leader can exceed.
 """
 
+import types
 import typing
 
 import msgspec
@@ -22,6 +23,14 @@
 MAX_RATE_PER_S = 1e9
 MAX_COUNT = 2**31
 
+# Bounds of the lists in heartbeats and in answers to Join.
+MAX_CANDIDATES = 4
+MAX_READERS = 32
+MAX_PREFIXES = 4
+MAX_LISTED_HOSTS = 12
+# Larger changes are read by each host: a long datagram is lost with any of its parts.
+MAX_CHANGES_BYTES = 8192
+
 # The id of a replica and its start time.
 ProcessId = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH + 20)]
 # A datagram to an address with a zero byte would close the socket.
@@ -33,6 +42,9 @@
 AgeS = typing.Annotated[float, msgspec.Meta(ge=-1, le=MAX_AGE_S)]
 RatePerS = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_RATE_PER_S)]
 DurationS = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_S)]
+RevisionByPrefix = typing.Annotated[
+    dict[Name, Revision], msgspec.Meta(max_length=MAX_PREFIXES)
+]
 
 
 class _Message(msgspec.Struct, array_like=True, frozen=True, tag=True):
@@ -130,12 +142,16 @@
     term: Token
     leader_age_s: AgeS
     leaving: bool
-    newest_by_prefix: dict[Name, Revision]
+    newest_by_prefix: RevisionByPrefix
     reads_store: bool = False
     members_digest: Revision = 0
-    candidates: tuple[Name, ...] = ()
-    readers: tuple[Name, ...] = ()
-    epoch_by_prefix: dict[Name, Revision] = {}
+    candidates: typing.Annotated[
+        tuple[Name, ...], msgspec.Meta(max_length=MAX_CANDIDATES)
+    ] = ()
+    readers: typing.Annotated[
+        tuple[Name, ...], msgspec.Meta(max_length=MAX_READERS)
+    ] = ()
+    epoch_by_prefix: RevisionByPrefix = {}
     document_version_sum: Revision = 0
 
     def newest_position(self, prefix):
@@ -215,8 +231,12 @@
     Lost hosts may be behind a cut, so the receiver counts them in elections.
     """
 
-    hosts: tuple[HostInfo, ...]
-    lost: tuple[LostHostReport, ...] = ()
+    hosts: typing.Annotated[
+        tuple[HostInfo, ...], msgspec.Meta(max_length=MAX_LISTED_HOSTS)
+    ]
+    lost: typing.Annotated[
+        tuple[LostHostReport, ...], msgspec.Meta(max_length=MAX_LISTED_HOSTS)
+    ] = ()
 
 
 class Changes(_Message):
@@ -231,7 +251,7 @@
     base_revision: Revision
     revision: Revision
     store_returned_age_s: AgeS
-    content: bytes
+    content: typing.Annotated[bytes, msgspec.Meta(max_length=MAX_CHANGES_BYTES)]
     epoch: Revision = 0
 
     @property
@@ -316,6 +336,26 @@
     | LostPrompts
     | LostRequests
 )
+
+# The largest encoded size of each message, whatever names, prompts and lists are. The
+# fields bound those of fixed content, and their senders the lists of the others.
+MAX_BYTES_BY_TYPE = types.MappingProxyType(
+    {
+        Heartbeat: 40 * 1024,
+        Join: 2 * 1024,
+        KnownHosts: 45 * 1024,
+        Changes: 10 * 1024,
+        PermitReply: 1024,
+        ReplicaLoads: 9 * 1024,
+        RequestLimitReports: 9 * 1024,
+        LostPrompts: 14 * 1024,
+        LostRequests: 13 * 1024,
+        Locate: 19 * 1024,
+        Located: 9 * 1024,
+        PermitRequest: 9 * 1024,
+    }
+)
+
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
--- a/snipetrestle/coordination/store_relay.py
+++ b/snipetrestle/coordination/store_relay.py
@@ -13,7 +13,13 @@
 import anyio
 import xxhash
 
-from snipetrestle.coordination.messages import Changes, pack_items, unpack_items
+from snipetrestle.coordination.messages import (
+    MAX_CHANGES_BYTES,
+    MAX_READERS,
+    Changes,
+    pack_items,
+    unpack_items,
+)
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.published_items import StoreItems
 
@@ -34,8 +40,6 @@
 # With a shorter time to apply changes, a host that loses its readers would be late: it
 # waits for the end of a reader's watch, the reader's next heartbeat and its own read.
 MIN_APPLY_TIME_S = 2.5
-# Larger changes are read by each host: a long datagram is lost with any of its parts.
-MAX_CHANGES_BYTES = 8192
 # A reader that loses the store is replaced after this time.
 READER_LOSS_TIMEOUT_S = 2.5
 
@@ -168,6 +172,7 @@
         others = [host for name, host in suitable.items() if name not in kept]
         others.sort(key=lambda host: (-host.info.size, host.info.name))
         wanted = max(READERS_PER_HOST, math.ceil(len(hosts) / HOSTS_PER_READER))
+        wanted = min(wanted, MAX_READERS)
         added = [host.info.name for host in others[: max(0, wanted - len(kept))]]
         for name in added:
             self._appointed_at_by_name[name] = now
--- a/snipetrestle_standins/datagram_network.py
+++ b/snipetrestle_standins/datagram_network.py
@@ -5,7 +5,7 @@
 import anyio
 
 from snipetrestle.coordination.datagrams import MAX_DATAGRAM_BYTES
-from snipetrestle.coordination.messages import decode, encode
+from snipetrestle.coordination.messages import MAX_BYTES_BY_TYPE, decode, encode
 
 DELIVERY_DELAY_S = 0.001
 
@@ -14,8 +14,9 @@
     """Delivers datagrams between the endpoints of one process.
 
     ``cuts`` has a frozenset of two names for each pair of hosts whose datagrams are
-    lost, and those that UDP cannot carry are dropped. ``datagrams_by_sender`` counts what each host has sent. ``task_group`` is the
-    task group that delivers; its owner sets it.
+    lost, and those that UDP cannot carry are dropped. A message that is longer than its
+    type allows is an error. ``datagrams_by_sender`` counts what each host has sent.
+    ``task_group`` is the task group that delivers; its owner sets it.
     """
 
     def __init__(self):
@@ -53,6 +54,8 @@
         content = encode(message)
         if len(content) > MAX_DATAGRAM_BYTES:
             return
+        if len(content) > MAX_BYTES_BY_TYPE[type(message)]:
+            raise ValueError(f"{type(message).__name__} has {len(content)} bytes")
         for address in addresses:
             self._network.datagrams_by_sender[self.name] += 1
             self._network.task_group.start_soon(self._deliver, content, address)
