--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -149,6 +149,11 @@
         "WARNING",
         "caller's connection ended with a request unanswered",
     )
+    DATAGRAM_REFUSED = (
+        1438,
+        "ERROR",
+        "message to other hosts was refused by the system",
+    )
     PROCESS_RESUMED = (1430, "WARNING", "process resumed after a pause")
     WRITE_UNKNOWN = (1501, "WARNING", "outcome of a write is unknown")
     KEEPER_READY = (1502, "INFO", "keeper recovered and is ready")
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -172,7 +172,9 @@
             rng,
             settings.entry_expiry_s,
         )
-        self.datagram_endpoint = DatagramEndpoint(self.metrics.count_too_long_datagram)
+        self.datagram_endpoint = DatagramEndpoint(
+            self.metrics.count_too_long_datagram, self.metrics.count_refused_datagram
+        )
         own_info = HostInfo(
             settings.name, boot, *settings.peers, settings.failure_domain, settings.size
         )
--- a/snipetrestle/gateway/metrics.py
+++ b/snipetrestle/gateway/metrics.py
@@ -55,6 +55,11 @@
             "Messages to other hosts that were too long to be sent.",
             registry=self.registry,
         )
+        self._refused_datagrams = Counter(
+            "snipetrestle_gateway_datagrams_refused",
+            "Messages to other hosts that the system refused to send.",
+            registry=self.registry,
+        )
         self._series_by_route = {}
 
     def _histogram(self, name, documentation):
@@ -108,6 +113,10 @@
         """Counts a message to other hosts that was too long to be sent."""
         self._too_long_datagrams.inc()
 
+    def count_refused_datagram(self):
+        """Counts a message to another host that the system refused to send."""
+        self._refused_datagrams.inc()
+
     def render(self):
         """Returns the metrics in the Prometheus text format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
