Tell other hosts of all refused prompt parts in turns

Cause: each host reported its 32 best lost prompts for ever. A part is refused after three to five crashes, so with 32 refused parts a host that started heard of one crash of each, and refused none of them. Its requests crashed replicas again.

All prompts from which others can learn (512 at most) are told now, new ones first and then those that wait longest, within the same 16 KB a round.

Ruled out: fewer reports for a part, as what others need depends on what they served.

Before: the new test (32 parts refused at once, prompts of 31 parts with ids of 64 digits) fails: the started host refuses none. After: it refuses all 32, and all seven hosts keep their leader.

test_all_reports_fit_and_none_is_left_out took its number of prompts from the removed constant; it keeps the number, 32, and its other assertions.

--- a/snipetrestle/coordination/report_rounds.py
+++ b/snipetrestle/coordination/report_rounds.py
@@ -3,6 +3,11 @@
 from snipetrestle.coordination.messages import encode
 
 
+def encoded_bytes(item):
+    """Returns the size of a part of a message in bytes."""
+    return len(encode(item))
+
+
 class _SentItem:
     """The rounds of an item: its last two, and since when it waits to be sent.
 
@@ -24,14 +29,15 @@
 class ReportRounds:
     """Chooses the items of a report for each round; those that wait longest come first.
 
-    ``max_bytes`` bounds the encoded items of one round. With ``new_first``, items that
+    ``max_bytes`` bounds the items of one round, whose sizes ``size_of(item)`` tells. With ``new_first``, items that
     were never sent come before the others. ``number`` is that of the last
     round. A receiver may drop items that it has last got before ``complete_since``: the
     report no longer contains them, or two datagrams with them were lost.
     """
 
-    def __init__(self, max_bytes, new_first=False):
+    def __init__(self, max_bytes, new_first=False, size_of=encoded_bytes):
         self._max_bytes = max_bytes
+        self._size_of = size_of
         self._new_first = new_first
         self._sent_by_key = {}
         self.number = 0
@@ -48,10 +54,7 @@
         self._sent_by_key = {
             key: known.get(key) or _SentItem(waiting_since) for key in items_by_key
         }
-        if len(encode(list(items_by_key.values()))) <= self._max_bytes:
-            chosen = items_by_key
-        else:
-            chosen = self._choose_oldest(items_by_key)
+        chosen = self._choose_oldest(items_by_key)
         for key in chosen:
             self._sent_by_key[key].note_sent(self.number)
         self.complete_since = self._find_complete_since(len(chosen))
@@ -63,7 +66,7 @@
         for key in sorted(
             items_by_key, key=lambda item: self._sent_by_key[item].waiting_since
         ):
-            size_bytes += len(encode(items_by_key[key]))
+            size_bytes += self._size_of(items_by_key[key])
             if chosen and size_bytes > self._max_bytes:
                 break
             chosen[key] = items_by_key[key]
@@ -79,12 +82,12 @@
         )
 
 
-def split(items, max_bytes):
-    """Returns encodable items in lists of at most ``max_bytes``, or of a single item."""
+def split(items, max_bytes, size_of=encoded_bytes):
+    """Returns items in lists of at most ``max_bytes``, or of a single item."""
     parts = []
     size_bytes = 0
     for item in items:
-        added_bytes = len(encode(item))
+        added_bytes = size_of(item)
         if not parts or size_bytes + added_bytes > max_bytes:
             parts.append([])
             size_bytes = 0
@@ -94,10 +97,10 @@
 
 
 def fitting(items, max_bytes):
-    """Returns the first of some encodable items, which take ``max_bytes`` at most."""
+    """Returns the first of some items, which take ``max_bytes`` at most."""
     count = size_bytes = 0
     for item in items:
-        size_bytes += len(encode(item))
+        size_bytes += encoded_bytes(item)
         if size_bytes > max_bytes:
             break
         count += 1
--- a/snipetrestle/coordination/shared_quarantine.py
+++ b/snipetrestle/coordination/shared_quarantine.py
@@ -8,12 +8,16 @@
 import anyio
 
 from snipetrestle.coordination.messages import LostPromptReport, LostPrompts, encode
-from snipetrestle.gateway.prompt_quarantine import OBJECTION_TIME_S, LostPrompt
+from snipetrestle.coordination.report_rounds import ReportRounds, split
+from snipetrestle.gateway.prompt_quarantine import (
+    MAX_LOST_PROMPTS,
+    OBJECTION_TIME_S,
+    LostPrompt,
+)
 
 # A new report is repeated for this long, since datagrams may be lost.
 REPORT_TIME_S = 3.0
-MAX_REPORTED_PROMPTS = 32
-# A datagram ends with the report that reaches this size.
+# The reports of one datagram; a single report may be longer.
 DATAGRAM_BYTES = 8192
 # Reports beyond this size wait for the next round of heartbeats.
 MAX_ROUND_BYTES = 2 * DATAGRAM_BYTES
@@ -25,8 +29,9 @@
     def __init__(self, quarantine, hosts, endpoint):
         self._quarantine = quarantine
         self._endpoint = endpoint
-        # The number of reports sent so far, from which each round goes on.
-        self._sent_count = 0
+        self._rounds = ReportRounds(
+            MAX_ROUND_BYTES, new_first=True, size_of=_size_bytes
+        )
         hosts.on_round(self._send_round)
         endpoint.register(LostPrompts, self._on_lost_prompts)
 
@@ -35,40 +40,23 @@
         reports = self._lost_prompts()
         if not reports or not addresses:
             return
-        start = self._sent_count % len(reports)
-        round_bytes = datagram_bytes = 0
-        part = []
-        for report in reports[start:] + reports[:start]:
-            if round_bytes >= MAX_ROUND_BYTES:
-                break
-            self._sent_count += 1
-            part.append(report)
-            size = _size_bytes(report)
-            round_bytes += size
-            datagram_bytes += size
-            if datagram_bytes >= DATAGRAM_BYTES:
-                self._send(part, addresses)
-                part, datagram_bytes = [], 0
-        if part:
-            self._send(part, addresses)
-
-    def _send(self, reports, addresses):
-        message = LostPrompts(tuple(reports), self._served_ages_s(reports))
-        self._endpoint.send_all(message, addresses)
+        for part in split(self._rounds.choose(reports), DATAGRAM_BYTES, _size_bytes):
+            message = LostPrompts(tuple(part), self._served_ages_s(part))
+            self._endpoint.send_all(message, addresses)
 
     def _lost_prompts(self):
-        """Returns the LostPromptReports to send, the best ones first."""
+        """Returns the LostPromptReports to send by prompt, the best ones first."""
         now = anyio.current_time()
-        prompts = self._quarantine.telling_prompts(REPORT_TIME_S, MAX_REPORTED_PROMPTS)
-        return [
-            LostPromptReport(
+        prompts = self._quarantine.telling_prompts(REPORT_TIME_S, MAX_LOST_PROMPTS)
+        return {
+            (prompt.crash, prompt.parts): LostPromptReport(
                 prompt.crash,
                 tuple(prompt.parts),
                 now - prompt.lost_at,
                 self._quarantine.refuses(prompt.parts),
             )
             for prompt in prompts
-        ]
+        }
 
     def _served_ages_s(self, reports):
         """Returns for the parts in reports how long ago they were last served."""
--- a/tests/coordination/test_shared_quarantine.py
+++ b/tests/coordination/test_shared_quarantine.py
@@ -8,7 +8,6 @@
 from snipetrestle.coordination.messages import encode
 from snipetrestle.coordination.shared_quarantine import (
     DATAGRAM_BYTES,
-    MAX_REPORTED_PROMPTS,
     MAX_ROUND_BYTES,
     SharedQuarantine,
 )
@@ -23,6 +22,8 @@
 CRASH_INTERVAL_S = 0.2
 # A host that serves a part as often as all do reports it within this time.
 STEP_S = 0.1
+# Prompts whose reports are of the greatest length.
+LONG_PROMPTS = 32
 BAD = ("system", "customer", "bad")
 GOOD = ("system", "customer")
 
@@ -135,6 +136,32 @@
 
         run_system(check, 6)
 
+    def test_many_refused_parts_are_all_told_to_a_started_host(self):
+        """Hosts reported their 32 best prompts for ever, so a started host heard of too
+        few crashes of the other refused parts."""
+
+        async def check(system):
+            members = list(system.members.values())
+            session_parts = [prompt_part_key(f"{n:064d}") for n in range(29)]
+            bad_parts = [prompt_part_key(f"bad{n:061d}") for n in range(32)]
+            for step in range(4 * len(bad_parts)):
+                keys = ("system", bad_parts[step % 32], *session_parts)
+                member = members[step % 6]
+                member.quarantine.note_lost(f"replica-{step} {step}", keys)
+                member.quarantine.note_served(("system", *session_parts))
+                await anyio.sleep(0.15)
+            await anyio.sleep(LEARNING_TIME_S)
+            (leader,) = system.leaders()
+            members.append(system.start(7))
+            await anyio.sleep(30.0)
+            for member in members:
+                self.assertEqual(leader.name, member.leadership.leader)
+                self.assertTrue(member.leadership.has_recent_leader)
+                refused = [p for p in bad_parts if member.quarantine.refuses((p,))]
+                self.assertEqual(bad_parts, refused, member.name)
+
+        run_system(check, 6)
+
     def test_all_reports_fit_and_none_is_left_out(self):
         """A report behind the bound of a round would never reach the other hosts."""
 
@@ -148,7 +175,7 @@
             hosts = types.SimpleNamespace(on_round=rounds.append)
             quarantine = PromptQuarantine()
             SharedQuarantine(quarantine, hosts, endpoint)
-            for number in range(MAX_REPORTED_PROMPTS):
+            for number in range(LONG_PROMPTS):
                 # The longest that a message takes, in bytes.
                 parts = tuple(f"\uffff{number:03}{part:03}" * 9 for part in range(32))
                 quarantine.note_lost(f"{'r' * 200} {number}", parts)
@@ -161,6 +188,6 @@
                 self.assertLess(max(sizes), 2 * DATAGRAM_BYTES)
                 self.assertLess(sum(sizes), 2 * MAX_ROUND_BYTES)
                 told |= {report.crash for item in sent for report in item.prompts}
-            self.assertEqual(MAX_REPORTED_PROMPTS, len(told))
+            self.assertEqual(LONG_PROMPTS, len(told))
 
         run_in_virtual_time(check)
