Refuse keys of prompt parts and requests that no host makes

Cause: hosts accepted keys of 200 characters, and any number of parts of a prompt, from others. They repeat what they hear, so one odd message would lengthen all their reports.

A part has a key of 16 characters at most (a digest, if its id is longer), a request's fingerprint 32, and a prompt 32 parts, between hosts as well.

Before (the five messages of the test, decoded by the code before): all are accepted. After: all are refused; the tests of both quarantines pass unchanged.

--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -17,6 +17,10 @@
     Revision,
     StorePosition,
 )
+from snipetrestle.gateway.request_fingerprint import (
+    MAX_PART_KEY_LENGTH,
+    MAX_PROMPT_PARTS,
+)
 
 MAX_TOKEN = 2**62
 MAX_AGE_S = 1e9
@@ -30,9 +34,14 @@
 MAX_LISTED_HOSTS = 12
 # Larger changes are read by each host: a long datagram is lost with any of its parts.
 MAX_CHANGES_BYTES = 8192
+MAX_REQUEST_KEY_LENGTH = 32
 
 # The id of a replica and its start time.
 ProcessId = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH + 20)]
+# The key of a prompt part, as prompt_part_key returns it, and the fingerprint of a
+# request, as request_fingerprint does.
+PartKey = typing.Annotated[str, msgspec.Meta(max_length=MAX_PART_KEY_LENGTH)]
+RequestKey = typing.Annotated[str, msgspec.Meta(max_length=MAX_REQUEST_KEY_LENGTH)]
 # A datagram to an address with a zero byte would close the socket.
 HOST_PATTERN = r"\A[0-9A-Za-z.:_-]{0,200}\Z"
 Host = typing.Annotated[str, msgspec.Meta(pattern=HOST_PATTERN)]
@@ -105,7 +114,9 @@
     """
 
     crash: ProcessId
-    parts: tuple[Name, ...]
+    parts: typing.Annotated[
+        tuple[PartKey, ...], msgspec.Meta(max_length=MAX_PROMPT_PARTS)
+    ]
     age_s: DurationS
     confirmed: bool = False
 
@@ -118,7 +129,7 @@
 
     crash: ProcessId
     age_s: DurationS
-    requests: tuple[Name, ...]
+    requests: tuple[RequestKey, ...]
 
 
 class Heartbeat(_Message, tag="Beat"):
@@ -198,7 +209,7 @@
     """
 
     prompts: tuple[LostPromptReport, ...]
-    served_ages_s: dict[Name, DurationS] = {}
+    served_ages_s: dict[PartKey, DurationS] = {}
 
 
 class LostRequests(_Message):
@@ -209,7 +220,7 @@
 
     sender: Name
     crashes: tuple[CrashReport, ...]
-    served_ages_s: dict[Name, DurationS] = {}
+    served_ages_s: dict[RequestKey, DurationS] = {}
 
 
 class Join(_Message):
--- a/snipetrestle/gateway/request_fingerprint.py
+++ b/snipetrestle/gateway/request_fingerprint.py
@@ -7,6 +7,8 @@
 
 # Ids of prompt parts are kept as they are up to this length, that of a digest.
 MAX_PART_KEY_LENGTH = 16
+# Longer lists of prompt parts are cut off, since hosts keep and exchange them.
+MAX_PROMPT_PARTS = 32
 
 
 def request_fingerprint(request, metadata):
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -5,7 +5,7 @@
 from snipetrestle.coordination.messages import MAX_RATE_PER_S
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.dialect import RequestMetadata, ResponseMetadata
-from snipetrestle.gateway.request_fingerprint import prompt_part_key
+from snipetrestle.gateway.request_fingerprint import MAX_PROMPT_PARTS, prompt_part_key
 
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-ms"
@@ -55,8 +55,6 @@
 _NEVER_DROPPED = frozenset({b"host", REQUEST_ID, MODEL, TOKEN_COUNT, PROMPT_PREFIX})
 # Priorities are numbered from the highest, 0.
 LOWEST_PRIORITY = 9
-# Longer lists of prompt parts are cut off, since hosts keep and exchange them.
-MAX_PROMPT_PARTS = 32
 # Longer numbers are malformed. Python's own limit would raise an unexpected error.
 MAX_NUMBER_DIGITS = 18
 # Lower limits would hold requests for hours; they cannot be meant.
--- a/tests/coordination/test_message_sizes.py
+++ b/tests/coordination/test_message_sizes.py
@@ -30,10 +30,9 @@
 from snipetrestle.coordination.shared_request_quarantine import SharedRequestQuarantine
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
-from snipetrestle.gateway.request_fingerprint import prompt_part_key
+from snipetrestle.gateway.request_fingerprint import MAX_PROMPT_PARTS, prompt_part_key
 from snipetrestle.gateway.request_limits import RequestLimit
 from snipetrestle.gateway.request_quarantine import RequestQuarantine
-from snipetrestle.platform.headers import MAX_PROMPT_PARTS
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.coordination.test_hosts import Endpoint
 
@@ -221,6 +220,25 @@
             )
 
 
+class LongKeyTest(testtools.TestCase):
+    def test_long_keys_of_parts_and_requests_are_refused(self):
+        """Hosts repeat what they heard, so one long key would be in all their reports."""
+        part = "x" * 17
+        request = "x" * 33
+        for message in (
+            messages.LostPrompts((messages.LostPromptReport("r1 1", (part,), 0.1),)),
+            messages.LostPrompts(
+                (messages.LostPromptReport("r1 1", ("x",) * 33, 0.1),)
+            ),
+            messages.LostPrompts((), {part: 0.1}),
+            messages.LostRequests(
+                "h1", (messages.CrashReport("r1 1", 0.1, (request,)),)
+            ),
+            messages.LostRequests("h1", (), {request: 0.1}),
+        ):
+            self.assertRaises(msgspec.DecodeError, decode, encode(message))
+
+
 class ReportSizesTest(testtools.TestCase):
     """Reports with random lengths of names and lists, as their senders build them."""
 
