Answer HEAD requests from the head of the replica's response

Callers saw: a HEAD request to any route got 504 at its deadline, although a replica had run and answered it.

Cause: the connection to a replica parsed the response without knowing the method, so it waited for the body that Content-Length or Transfer-Encoding declares (RFC 9110, 9.3.2: there is none). A HEAD request to a stream's route waited for its first event. What was passed on, for a response without a length, had "content-length: 0".

Change: the response to HEAD is complete with its head, and the caller gets the length that the replica declared, or none. The connection is not used again: a replica that sends a body nevertheless would spoil the next exchange on it.

The stand-in for replicas sent bodies in response to HEAD; it no longer does.

--- a/snipetrestle/gateway/dialect.py
+++ b/snipetrestle/gateway/dialect.py
@@ -43,7 +43,8 @@
     ``replica_leaving`` tells that the replica takes no new requests until its next
     start. ``replica_id`` is the id that the response names its sender by, or None.
     ``pause_s`` is the time for which a replica that turned the request away wants
-    nothing from this host, or None.
+    nothing from this host, or None. ``content_length`` is the length that the response
+    declares, or None.
     """
 
     request_id: bytes | None
@@ -56,6 +57,7 @@
     replica_leaving: bool = False
     replica_id: str | None = None
     pause_s: float | None = None
+    content_length: int | None = None
 
 
 class AttemptMetadata(msgspec.Struct):
--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -76,6 +76,7 @@
                 head + request.body,
                 self._is_response_to_request,
                 job.metadata.request_id,
+                request.is_head,
             )
         except ExchangeFailed:
             # Nothing was written.
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -281,7 +281,11 @@
         return IDEMPOTENT_SILENCE_S
 
     def _send_response(self, job, status, metadata, body):
-        job.caller.send_response(status, metadata.headers, body)
+        caller, headers = job.caller, metadata.headers
+        if job.request.is_head:
+            caller.send_head_response(status, headers, metadata.content_length)
+        else:
+            caller.send_response(status, headers, body)
         self._observe(job, status)
 
     def _observe(self, job, status):
@@ -329,6 +333,11 @@
         if head.status != 200:
             return await self._handle_stream_failure(job, exchange, head, metadata)
         exchange.accept_response()
+        if job.request.is_head:
+            # No part of the prompt has run, so nothing is known of it.
+            await exchange.read_body()
+            self._send_response(job, head.status, metadata, b"")
+            return True
         await self._forward_events(job, exchange, metadata)
         self._crash_quarantine.note_served(job)
         self._observe(job, 200)
--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -78,6 +78,7 @@
         self._overhead = OverheadMeter(MAX_OVERHEAD_BYTES)
         self._in_exchange = False
         self._is_response_to = None
+        self._is_head_request = False
         self._head = None
         self._skipping_response = False
         self._close_delimited = False
@@ -155,6 +156,11 @@
             return
         self._skipping_response = False
         self._head = head
+        if self._is_head_request:
+            self._complete = True
+            # A replica that sends a body nevertheless would spoil the next exchange.
+            self.reusable = False
+            return
         self._close_delimited = _is_close_delimited(head)
         if not self._parser.should_keep_alive():
             self.reusable = False
@@ -195,17 +201,21 @@
 
     # Methods for the current exchange.
 
-    def send_request(self, request_bytes, is_response_to, request_id=None):
+    def send_request(
+        self, request_bytes, is_response_to, request_id=None, is_head_request=False
+    ):
         """Starts an exchange by sending a request.
 
-        ``request_id`` is None for requests whose responses carry no id. Raises
-        ExchangeFailed, with nothing sent, if the connection is closed.
+        ``request_id`` is None for requests whose responses carry no id. The response to
+        a HEAD request ends with its head. Raises ExchangeFailed, with nothing sent, if
+        the connection is closed.
         """
         self._reset()
         if self.closed or self._transport.is_closing():
             raise ExchangeFailed("the connection is closed")
         self._in_exchange = True
         self._is_response_to = is_response_to
+        self._is_head_request = is_head_request
         if request_id is not None:
             self._recent_request_ids.append(request_id)
         self._transport.write(request_bytes)
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -67,6 +67,11 @@
         self.keep_alive = keep_alive
         self.received_at = 0.0
 
+    @property
+    def is_head(self):
+        """Whether the response has no body, whatever length it declares."""
+        return self.method == b"HEAD"
+
     @property
     def path(self):
         """The target without its query string, as text."""
@@ -483,9 +488,20 @@
     def send_response(self, status, headers, body):
         """Writes a complete response."""
         self.has_response = True
-        head = self._format_head(status, headers, b"content-length: %d\r\n" % len(body))
+        head = self._format_head(status, headers, _length_header(len(body)))
         self._transport.write(head + body)
 
+    def send_head_response(self, status, headers, content_length):
+        """Writes the response to a HEAD request.
+
+        ``content_length`` is the length that a body would have, None if it is unknown.
+        """
+        self.has_response = True
+        framing_header = b""
+        if content_length is not None:
+            framing_header = _length_header(content_length)
+        self._transport.write(self._format_head(status, headers, framing_header))
+
     def send_result_code(self, code, retry_after_s=None, request_id=None):
         """Writes a response that reports a result code, with the code as its body."""
         body = str(code).encode()
@@ -581,6 +597,10 @@
 )
 
 
+def _length_header(content_length):
+    return b"content-length: %d\r\n" % content_length
+
+
 def _format_head_without_offer(method, target, headers, http_version):
     """Returns the head of a request without its Upgrade fields."""
     lines = [b"%b %b HTTP/%b\r\n" % (method, target, http_version.encode())]
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -131,6 +131,8 @@
                 facts.content_encoded = value.strip().lower() != b"identity"
             elif name == b"keep-alive":
                 facts.idle_timeout_s = _idle_timeout_s(value)
+            elif name == b"content-length":
+                facts.content_length = _number(value)
             elif name == REQUEST_LIMIT:
                 facts.request_limit_per_s = _request_limit_per_s(value)
             elif name == REPLICA_LEAVING:
--- a/snipetrestle_standins/gateway_fleet.py
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -294,10 +294,13 @@
         if method == "POST":
             lines.append(f"Content-Length: {len(body)}")
         self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-        return await self.read_response()
+        return await self.read_response(has_body=method != "HEAD")
 
-    async def read_response(self):
-        """Reads a response; its status is 0 if the connection ended before it."""
+    async def read_response(self, has_body=True):
+        """Reads a response; its status is 0 if the connection ended before it.
+
+        The response to a HEAD request has no body.
+        """
         async with asyncio.timeout(RESPONSE_TIMEOUT_S):
             try:
                 head = await self.reader.readuntil(b"\r\n\r\n")
@@ -310,6 +313,8 @@
                 if name:
                     headers[name.lower()] = value.strip()
             status = int(lines[0].split(" ")[1])
+            if not has_body:
+                return Response(status, headers, b"", True)
             try:
                 if headers.get("transfer-encoding") == "chunked":
                     body, complete = await self._read_chunks()
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -39,6 +39,8 @@
     NO_RESPONSE = enum.auto()
     # Resets the connection within a body whose end is the end of the connection.
     RESET_WITHOUT_LENGTH = enum.auto()
+    # Sends a body in response to a HEAD request, late, before the next response.
+    BODY_TO_HEAD = enum.auto()
     # Sends the response again, later, before the response to the next request.
     SECOND_COPY = enum.auto()
     # The same without the request id that tells whose response it is.
@@ -423,12 +425,14 @@
     def _send_response(self, request, writer, fault):
         headers, body = self._proof_headers(request), self.body_for(request)
         status = 500 if fault is Fault.SERVER_ERROR else 200
+        is_bodiless = request.method == "HEAD"
         if fault is Fault.UNSIGNED:
             headers = headers[:1]
         if fault is Fault.CONTENT_ENCODED:
             headers.append(("Content-Encoding", "gzip"))
         if fault in (Fault.NO_CONTENT_LENGTH, Fault.RESET_WITHOUT_LENGTH):
-            writer.write(f"HTTP/1.1 200 OK\r\n{_lines(headers)}\r\n".encode() + body)
+            content = f"HTTP/1.1 200 OK\r\n{_lines(headers)}\r\n".encode()
+            writer.write(content if is_bodiless else content + body)
             if fault is Fault.RESET_WITHOUT_LENGTH:
                 reset_on_close(writer)
             writer.close()
@@ -437,6 +441,10 @@
             writer.write(b"\x00not an answer\r\n\r\n")
             return
         content = response(status, headers, body)
+        if is_bodiless:
+            content = content.removesuffix(body)
+        if fault is Fault.BODY_TO_HEAD:
+            self._second_copies[writer] = body
         if fault in (Fault.TRUNCATED, Fault.RESET_IN_RESPONSE):
             writer.write(content[:-3])
             writer.close()
@@ -493,6 +501,8 @@
             writer.write(_CHUNKED_HEAD.format(headers=headers).encode())
         else:
             writer.write(f"HTTP/1.1 200 OK\r\n{headers}\r\n".encode())
+        if request.method == "HEAD":
+            return
         for number in range(last_event_id + 1, self.events + 1):
             await asyncio.sleep(self.event_interval_s)
             await self._responsive.wait()
