Send no body in the gateway's own answers to HEAD requests

A caller that keeps its connection takes these bytes for the start of its next answer.

Cause: a connection wrote each answer without regard to the method of its request.

Change: the connection knows whether the request that it answers, or refuses while it still arrives, is a HEAD request, and leaves out the body. The length stays, as it is that of the answer to GET. A refusal behind an earlier HEAD request has its body.

Evidence: test_gateway_answers_head_without_a_body fails before (the next answer began with the body of this one), test_refused_head_is_answered_without_a_body as well; both pass now. test_malformed_request_behind_head_is_refused_with_a_body passed before, too; it guards this change.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -111,6 +111,11 @@
         self._pending_requests = []
         self._unparsed = bytearray()
         self._refusal_code = None
+        # Method of the request that arrives, once it is known.
+        self._method = None
+        # Whether the request that is answered, or the refused one, is a HEAD request.
+        self._is_head_request = False
+        self._is_refused_head_request = False
         self._in_message = False
         self._head_bytes = 0
         self._head_started_at = None
@@ -240,9 +245,11 @@
         self._in_head = True
         self._headers = []
         self._target = b""
+        self._method = None
 
     def on_url(self, url):
         self._target += url
+        self._method = self._parser.get_method()
 
     def on_header(self, name, value):
         # Trailer fields are dropped: the request's head was checked without them.
@@ -291,6 +298,7 @@
     def on_message_complete(self):
         self._in_message = False
         self._in_head = True
+        self._method = None
         self._head_started_at = None
         if self._refusal_code is not None or self._offers_upgrade:
             return
@@ -310,6 +318,7 @@
                     break
                 self.busy = True
                 self.keep_alive = request.keep_alive
+                self._is_head_request = request.is_head
                 self.has_response = False
                 self.request_id = None
                 await self._server.handle(request, self)
@@ -346,6 +355,7 @@
                 return self._pending_requests.pop(0)
             if self._refusal_code is not None:
                 self._note_end(EndReason.REQUEST_REFUSED)
+                self._is_head_request = self._is_refused_head_request
                 self.send_result_code(self._refusal_code)
                 return None
             if self._unparsed:
@@ -382,6 +392,7 @@
             return False
         self._note_end(reason)
         if reason is EndReason.REQUEST_REFUSED:
+            self._is_head_request = self._method == b"HEAD"
             self.send_result_code(ResultCode.REQUEST_TIMEOUT)
         write_end(self._transport)
         return True
@@ -476,6 +487,7 @@
     def _refuse(self, code):
         if self._refusal_code is None:
             self._refusal_code = code
+            self._is_refused_head_request = self._method == b"HEAD"
             self.keep_alive = False
 
     def wake_if_idle(self):
@@ -486,10 +498,10 @@
     # Responses, written by the handler.
 
     def send_response(self, status, headers, body):
-        """Writes a complete response."""
+        """Writes a complete response, without ``body`` to a HEAD request."""
         self.has_response = True
         head = self._format_head(status, headers, _length_header(len(body)))
-        self._transport.write(head + body)
+        self._transport.write(head if self._is_head_request else head + body)
 
     def send_head_response(self, status, headers, content_length):
         """Writes the response to a HEAD request.
--- a/tests/gateway/test_head_requests.py
+++ b/tests/gateway/test_head_requests.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from snipetrestle_standins.gateway_fleet import Caller
+from snipetrestle_standins.gateway_fleet import HOSTNAME, Caller
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
 
@@ -49,6 +49,60 @@
 
         run_fleet(check)
 
+    def test_gateway_answers_head_without_a_body(self):
+        """Callers took the body of a refusal for the start of their next answer."""
+
+        async def check(fleet):
+            settings = fleet.gateways[0].settings
+            async with Caller(settings.callers) as caller:
+                head, full = await self.send_both(caller, "/unknown/a")
+                self.assertEqual((404, 404), (head.status, full.status))
+                self.assertEqual(str(len(full.body)), head.headers["content-length"])
+            async with Caller(settings.metrics) as caller:
+                head, full = await self.send_both(caller, "/metrics")
+                self.assertEqual((200, 200), (head.status, full.status))
+                self.assertNotEqual("0", head.headers["content-length"])
+
+        run_fleet(check)
+
+    def test_refused_head_is_answered_without_a_body(self):
+        """The refusal of a request that is not read whole has the right framing too."""
+        start = f"/lookup/a HTTP/1.1\r\nHost: {HOSTNAME}\r\n"
+        endings = {
+            "malformed": (b"No colon\r\n\r\n", b"400"),
+            "ambiguous": (b"Host: other\r\n\r\n", b"400"),
+            "unfinished": (b"X-Request-Id: a\r\n", b"408"),
+        }
+
+        async def check(fleet):
+            for name, (ending, status) in endings.items():
+                for method in ("HEAD", "GET"):
+                    async with Caller(fleet.gateways[0].settings.callers) as caller:
+                        caller.writer.write(f"{method} {start}".encode() + ending)
+                        received = await caller.reader.read()
+                    head, _, body = received.partition(b"\r\n\r\n")
+                    self.assertEqual(status, head.split(b" ")[1], name)
+                    self.assertEqual(method == "HEAD", not body, (name, method))
+                    self.assertIn(b"connection: close", head)
+
+        run_fleet(check)
+
+    def test_malformed_request_behind_head_is_refused_with_a_body(self):
+        """The method of an earlier request must not frame a refusal."""
+
+        async def check(fleet):
+            request = (
+                f"HEAD /lookup/a HTTP/1.1\r\nHost: {HOSTNAME}\r\nX-Request-Id: a\r\n\r\n"
+            ).encode()
+            async with Caller(fleet.gateways[0].settings.callers) as caller:
+                caller.writer.write(request + b"BOGUS / HTTP/1.1\r\n\r\n")
+                answer = await caller.read_response(has_body=False)
+                refusal = await caller.read_response()
+            self.assertEqual((200, 400), (answer.status, refusal.status))
+            self.assertEqual(b"SN-1002", refusal.body)
+
+        run_fleet(check)
+
     def test_error_responses_to_head_are_passed_on_without_a_body(self):
         """A failure that a replica reports is framed like a success."""
 
