Send 100 Continue only to the request that is next to be answered

Callers saw: "100 Continue" for a pipelined request before the answer to the request ahead of it, so it seemed to belong to that one; before an immediate 413; after requests without a body; to HTTP/1.0 callers, which know no interim responses; and to expectations other than "100-continue".

Cause: the interim response was written while the head was parsed, whatever else stood in the same data, for any Expect field.

Change: it is sent once all earlier requests are answered and while the body has not begun (RFC 9110, 10.1.1). Other expectations are ignored, as the section allows and proxies commonly do; the field was never passed on to replicas. The time for the body begins with the interim response: a caller that waited for the answer to an earlier request had none left and got 408.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -117,6 +117,8 @@
         self._is_head_request = False
         self._is_refused_head_request = False
         self._in_message = False
+        # Whether the caller waits for an interim response before it sends its body.
+        self._awaits_continue = False
         self._head_bytes = 0
         self._head_started_at = None
         self._in_head = True
@@ -279,13 +281,18 @@
         if not _is_unambiguous(self._current_request, self._parser.get_http_version()):
             self._refuse(ResultCode.MALFORMED_REQUEST)
         for name, value in self._headers:
-            if name == b"content-length" and value.isdigit():
-                if int(value) > self._server.limits.max_body_bytes:
-                    self._refuse(ResultCode.BODY_TOO_LARGE)
-            elif name == b"expect" and self._refusal_code is None:
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            if (
+                name == b"content-length"
+                and value.isdigit()
+                and int(value) > self._server.limits.max_body_bytes
+            ):
+                self._refuse(ResultCode.BODY_TOO_LARGE)
+        self._awaits_continue = _expects_continue(
+            self._headers, self._parser.get_http_version()
+        )
 
     def on_body(self, data):
+        self._awaits_continue = False
         if self._refusal_code is not None:
             return
         self._body_parts.append(data)
@@ -299,6 +306,7 @@
         self._in_message = False
         self._in_head = True
         self._method = None
+        self._awaits_continue = False
         self._head_started_at = None
         if self._refusal_code is not None or self._offers_upgrade:
             return
@@ -367,6 +375,7 @@
                 self._transport.resume_reading()
             if self.closed:
                 return None
+            self._send_continue_if_awaited()
             remaining_s = self._remaining_wait_s(idle_since)
             is_draining = self._server.close_when_idle and not self.is_engaged
             if remaining_s <= 0 or is_draining:
@@ -375,6 +384,17 @@
                 remaining_s = UNREAD_BYTES_WAIT_S
             await self._waiter.wait(remaining_s)
 
+    def _send_continue_if_awaited(self):
+        """Asks for a body that its caller holds back until then (RFC 9110, 10.1.1).
+
+        Called with all earlier requests answered: an interim response belongs to the
+        oldest request without an answer. The time for the body begins here.
+        """
+        if self._awaits_continue:
+            self._awaits_continue = False
+            self._body_started_at = self._last_body_at = self._loop.time()
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _silence_end_reason(self):
         """Returns why a connection ends on which nothing came for too long."""
         if self._in_message or self._head_bytes:
@@ -622,6 +642,17 @@
     return b"".join(lines) + b"\r\n"
 
 
+def _expects_continue(headers, http_version):
+    """Whether a caller waits for ``100 Continue``. Other expectations are ignored.
+
+    A request whose head declares no body is complete with its head.
+    """
+    return http_version == "1.1" and any(
+        name == b"expect" and value.strip().lower() == b"100-continue"
+        for name, value in headers
+    )
+
+
 def _head_size_bytes(request):
     """Returns the size of a request head, also if it arrived together with its end."""
     fields = sum(len(name) + len(value) + 4 for name, value in request.headers)
--- a/tests/gateway/running.py
+++ b/tests/gateway/running.py
@@ -1,7 +1,11 @@
-"""Runs a test's coroutine against a fleet of gateways on loopback."""
+"""Runs a test's coroutine against a fleet of gateways, or one server, on loopback."""
+
+import asyncio
 
 import anyio
 
+from snipetrestle.gateway.app import HttpServer
+from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle_standins.gateway_fleet import GatewayFleet
 
 TEST_TIMEOUT_S = 40.0
@@ -16,3 +20,25 @@
                 return await function(fleet)
 
     return anyio.run(main)
+
+
+def run_connection(handle, function, limits=CallerLimits):
+    """Runs ``function(reader, writer)`` on a connection to an HttpServer.
+
+    The server answers by ``handle(request, connection)`` and has ``limits()``. Returns
+    the function's result.
+    """
+
+    async def main():
+        server = HttpServer(handle, limits)
+        await server.open(("127.0.0.1", 0))
+        address = server._server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            with anyio.fail_after(TEST_TIMEOUT_S):
+                return await function(reader, writer)
+        finally:
+            writer.close()
+            server.close()
+
+    return anyio.run(main)
