Refuse CONNECT also with a path as its target

Callers saw: "CONNECT /entry/a" was run and answered again and again for as long as the connection stayed open.

Cause: the parser takes CONNECT, with any target, for the start of a tunnel and stops behind its head. A target with a host and port was refused for its form, but one that begins with a slash was queued as a request, and the code for ignored offers of a protocol then parsed the same head again, each time anew.

Change: CONNECT is refused by the check of the head, once, with 400, and the connection is closed: what follows would be no HTTP.

Evidence: test_connect_is_refused_once fails before (its server was asked for the same request until the test's limit of eleven) and passes now.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -682,4 +682,7 @@
         or transfer_encodings[0].strip().lower() != b"chunked"
     ):
         return False
+    if request.method == b"CONNECT":
+        # What follows would be no HTTP, and the parser reads no further.
+        return False
     return request.target.startswith(b"/") and http_version in ("1.1", "1.0")
--- a/tests/gateway/test_one_answer.py
+++ b/tests/gateway/test_one_answer.py
@@ -8,6 +8,7 @@
 
 from snipetrestle.gateway.app import HttpServer
 from snipetrestle.gateway.configuration import CallerLimits
+from tests.gateway.running import run_connection
 
 ANSWER_TIMEOUT_S = 5.0
 # Time in which a second answer to the last request would come.
@@ -126,3 +127,49 @@
                 content = content[size:]
             with self.subTest(expected=expected):
                 self.assert_answers(expected, asyncio.run(Exchange().run(pieces)))
+
+    def send_on_a_connection(self, content, max_answers=10):
+        """Returns the targets that were answered and all that came back.
+
+        The server stops answering after ``max_answers``, so that a test ends.
+        """
+        targets = []
+
+        async def note_and_answer(request, connection):
+            targets.append(request.target)
+            if len(targets) > max_answers:
+                connection.abort()
+                return
+            await answer(request, connection)
+
+        async def check(reader, writer):
+            writer.write(content)
+            received = b""
+            while True:
+                try:
+                    async with asyncio.timeout(4 * QUIET_S):
+                        data = await reader.read(65_536)
+                except (TimeoutError, ConnectionError):
+                    return received
+                if not data:
+                    return received
+                received += data
+
+        return targets, run_connection(note_and_answer, check)
+
+    def test_connect_is_refused_once(self):
+        """CONNECT with a path ran and was answered again and again, without end."""
+        next_request = encode_request(1, [], None, False)
+        for target in ("/0", "example:443", "*", "/"):
+            for lines in ([], ["Upgrade: h2c", "Connection: upgrade"]):
+                head = "\r\n".join(
+                    [f"CONNECT {target} HTTP/1.1", "Host: example", *lines]
+                )
+                targets, received = self.send_on_a_connection(
+                    head.encode() + b"\r\n\r\n" + next_request
+                )
+                with self.subTest(target=target, lines=lines):
+                    self.assertEqual([], targets)
+                    self.assertEqual(1, received.count(b"HTTP/1.1"))
+                    self.assertTrue(received.startswith(b"HTTP/1.1 400 "))
+                    self.assertIn(b"connection: close", received)
