Answer "OPTIONS *" without closing the connection

What they had sent behind it was not answered.

Cause: the check of a head accepted paths only.

Change: the asterisk is accepted for OPTIONS. All other targets that are no paths are still refused once.

Evidence: test_options_for_the_whole_server_keeps_the_connection fails before and passes now; test_targets_that_are_no_paths_are_refused_once passes on both.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -682,7 +682,10 @@
         or transfer_encodings[0].strip().lower() != b"chunked"
     ):
         return False
+    if http_version not in ("1.1", "1.0"):
+        return False
     if request.method == b"CONNECT":
         # What follows would be no HTTP, and the parser reads no further.
         return False
-    return request.target.startswith(b"/") and http_version in ("1.1", "1.0")
+    is_for_server = request.method == b"OPTIONS" and request.target == b"*"
+    return is_for_server or request.target.startswith(b"/")
--- a/tests/gateway/test_one_answer.py
+++ b/tests/gateway/test_one_answer.py
@@ -173,3 +173,31 @@
                     self.assertEqual(1, received.count(b"HTTP/1.1"))
                     self.assertTrue(received.startswith(b"HTTP/1.1 400 "))
                     self.assertIn(b"connection: close", received)
+
+    def test_options_for_the_whole_server_keeps_the_connection(self):
+        """A sound request was refused as malformed, and the next one was lost."""
+        head = b"OPTIONS * HTTP/1.1\r\nHost: example\r\nX-Request-Id: r0\r\n\r\n"
+        targets, received = self.send_on_a_connection(
+            head + encode_request(1, [], None, False)
+        )
+        self.assertEqual([b"*", b"/1"], targets)
+        self.assert_answers([("r0", b""), ("r1", b"")], received)
+
+    def test_targets_that_are_no_paths_are_refused_once(self):
+        """They must not be routed, nor what follows them be answered."""
+        next_request = encode_request(1, [], None, False)
+        for start in (
+            "GET *",
+            "HEAD *",
+            "OPTIONS example:443",
+            "GET http://example/0",
+            "GET example",
+            "OPTIONS **",
+        ):
+            head = f"{start} HTTP/1.1\r\nHost: example\r\n\r\n".encode()
+            targets, received = self.send_on_a_connection(head + next_request)
+            with self.subTest(start=start):
+                self.assertEqual([], targets)
+                self.assertEqual(1, received.count(b"HTTP/1.1"))
+                self.assertTrue(received.startswith(b"HTTP/1.1 400 "))
+                self.assertIn(b"connection: close", received)
