Do not answer blank lines between requests

RFC 9112, 2.2, asks to ignore such lines.

Cause: the count of bytes of a head, which bounds its size, also stood for "a request has begun". Blank lines add to it without beginning one. The other way round, a head that begins in the same data as the end of an earlier request isn't counted, so it had the time of an idle connection instead of a head.

Change: whether a request has begun is what the parser says. The count only bounds sizes, those of endless blank lines included, and blank lines alone do not postpone the end of an idle connection.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -119,6 +119,7 @@
         self._in_message = False
         # Whether the caller waits for an interim response before it sends its body.
         self._awaits_continue = False
+        # Bytes of a head, and of blank lines before it.
         self._head_bytes = 0
         self._head_started_at = None
         self._in_head = True
@@ -397,7 +398,7 @@
 
     def _silence_end_reason(self):
         """Returns why a connection ends on which nothing came for too long."""
-        if self._in_message or self._head_bytes:
+        if self._in_message:
             return EndReason.REQUEST_REFUSED
         return EndReason.DRAIN if self._server.close_when_idle else EndReason.IDLE
 
@@ -436,11 +437,7 @@
     @property
     def _has_next_request(self):
         """Whether another request has arrived, at least in part."""
-        return (
-            bool(self._pending_requests or self._unparsed)
-            or self._in_message
-            or self._head_bytes > 0
-        )
+        return bool(self._pending_requests or self._unparsed) or self._in_message
 
     @property
     def _closes_after_response(self):
@@ -462,7 +459,7 @@
         now = self._loop.time()
         if self._in_message and not self._in_head:
             return self._remaining_body_wait_s(now)
-        if self._head_bytes:
+        if self._in_message:
             # The head is timed from here: its first byte arrived no later than this.
             if self._head_started_at is None:
                 self._head_started_at = now
@@ -600,7 +597,7 @@
             return Unanswered.REQUEST
         if self._unparsed:
             return Unanswered.UNREAD_BYTES
-        if self._in_message or self._head_bytes:
+        if self._in_message:
             return Unanswered.PARTIAL_REQUEST
         return Unanswered.NOTHING
 
