Let "Connection: close" of HTTP/1.0 end the connection

Callers saw: an HTTP/1.0 request with both "close" and "keep-alive" among its connection options was answered without "connection: close", and what followed was run and answered. RFC 9112, 9.3: with "close" the connection does not persist, whatever else is given.

Cause: the parser's own rule for HTTP/1.0 looks at "keep-alive" only.

Change: the connection is kept only if the parser says so and no option is "close".

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -272,7 +272,7 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            self._parser.should_keep_alive(),
+            self._parser.should_keep_alive() and not _names_close(self._headers),
         )
         if (
             _head_size_bytes(self._current_request)
@@ -639,6 +639,18 @@
     return b"".join(lines) + b"\r\n"
 
 
+def _names_close(headers):
+    """Whether a caller ends its connection, whatever else it says of it.
+
+    The parser lets ``keep-alive`` of HTTP/1.0 override ``close``.
+    """
+    return any(
+        name == b"connection"
+        and b"close" in (option.strip().lower() for option in value.split(b","))
+        for name, value in headers
+    )
+
+
 def _expects_continue(headers, http_version):
     """Whether a caller waits for ``100 Continue``. Other expectations are ignored.
 
--- a/tests/gateway/test_one_answer.py
+++ b/tests/gateway/test_one_answer.py
@@ -157,6 +157,25 @@
 
         return targets, run_connection(note_and_answer, check)
 
+    def test_request_behind_the_end_of_a_connection_is_not_run(self):
+        """With HTTP/1.0 and both options, the connection was kept."""
+        next_request = encode_request(1, [], None, False)
+        for lines in (
+            "Connection: close",
+            "Connection: keep-alive, close",
+            "Connection: keep-alive\r\nConnection: Close",
+        ):
+            for version in ("1.0", "1.1"):
+                head = f"GET /0 HTTP/{version}\r\nHost: example\r\n{lines}\r\n\r\n"
+                for following in (next_request, b"\x00bytes"):
+                    targets, received = self.send_on_a_connection(
+                        head.encode() + following
+                    )
+                    with self.subTest(lines=lines, version=version):
+                        self.assertEqual([b"/0"], targets)
+                        self.assertEqual(1, received.count(b"HTTP/1.1"))
+                        self.assertIn(b"connection: close", received)
+
     def test_connect_is_refused_once(self):
         """CONNECT with a path ran and was answered again and again, without end."""
         next_request = encode_request(1, [], None, False)
