Let only streams announce the leaving in two tests of leaving replicas

Cause: the test's set-up. The fleet is ready once the hosts agree on a leader, which may be before the leader's first report of each replica was answered. The stand-in says in that answer too that it leaves, so the host learns it from the report and rightly sends no request, while the test waits for one without end.

Ruled out, by the state printed in 3 runs with the report held back for 30 ms (60 requests, all at the other replica): no suspicion, no pause, no load, no failures, no measured latency or interval of the replica that is not chosen; only its "leaving" is set. The choice itself does not starve it: without a figure of its own it counts as the mean of the measured ones.

The promise that reports and orders end new requests stands and has its own test. The test of the head now switches it off in the stand-in (tells_leader_of_leaving), so nothing but the head of a stream can end the new requests; before, a report could have done it in its place. It also asks for a report before the first stream, which is the order of events that failed. test_stream_that_breaks_is_not_resumed_there had the same set-up.

--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -139,8 +139,10 @@
         self.endless_bytes = 0
         # Requests a second that the replica names as its limit, or None.
         self.request_limit = None
-        # Whether all responses say that the replica leaves.
+        # Whether responses say that the replica leaves, and whether those to orders and
+        # reports do as well.
         self.leaving = False
+        self.tells_leader_of_leaving = True
         # Whether requests are turned away, and the Retry-After of refusals, or None.
         self.refuses_requests = False
         self.retry_after = None
@@ -235,10 +237,10 @@
             headers = [("Retry-After", str(self.retry_after))]
             writer.write(response(503, headers if self.retry_after else []))
         elif request.target == "/-/report":
-            writer.write(json_response(200, self._report(), self._leaving_headers()))
+            writer.write(json_response(200, self._report(), self._order_headers()))
         elif request.target == "/-/order":
             status = self._execute_order(request.json())
-            writer.write(json_response(status, {}, self._leaving_headers()))
+            writer.write(json_response(status, {}, self._order_headers()))
         else:
             await self._serve_request(request, writer)
 
@@ -348,6 +350,9 @@
     def _leaving_headers(self):
         return [("Server-Leaving", "1")] if self.leaving else []
 
+    def _order_headers(self):
+        return self._leaving_headers() if self.tells_leader_of_leaving else []
+
     def _refusal_headers(self, request):
         headers = self._not_run_headers(request)
         if self.retry_after is not None:
--- a/tests/gateway/test_leaving_replicas.py
+++ b/tests/gateway/test_leaving_replicas.py
@@ -32,6 +32,17 @@
         while len(replica.arrived_requests) == before:
             await fleet.send_request("/lookup/a", method="GET")
 
+    async def leave_in_streams_only(self, fleet, replica):
+        """Lets a replica leave, which no order or report tells the leader.
+
+        The leader's first report of it may come before or after the first stream.
+        """
+        replica.leaving = True
+        replica.tells_leader_of_leaving = False
+        known = fleet.gateways[0].replicas.by_id[replica.id]
+        await OrderClient().report(known)
+        self.assertTrue(known.takes_requests)
+
     def test_success_ends_new_requests(self):
         """A leaving replica got requests until its entry in the store changed."""
 
@@ -61,7 +72,7 @@
 
         async def check(fleet):
             leaving, other = fleet.models
-            leaving.leaving = True
+            await self.leave_in_streams_only(fleet, leaving)
             leaving.event_interval_s = 0.5
             other.event_interval_s = 0.0
             slow = []
@@ -83,7 +94,7 @@
 
         async def check(fleet):
             leaving, _ = fleet.models
-            leaving.leaving = True
+            await self.leave_in_streams_only(fleet, leaving)
             leaving.faults = [Fault.RESET_IN_RESPONSE]
             while not leaving.arrived_requests:
                 answer = await fleet.send_request("/draft/a", adapter="")
