Count each request for an adapter once in the demand that a host reports

Cause: Locator reported at least one use with each question, so a request that waits for a place and asks again was counted with each question, and the leader's counts of copies and evictions followed the number of questions. The opposite fault was in the same count: it was set to 0 with the answer, so uses that were counted while the leader was asked were never reported.

A question now reports the uses since the last answered one, which may be none, and the answer takes off what its question reported. Ruled out as harmful: a report of no use keeps an adapter from eviction as before (the time of the last question counts), and Locate already carries 0 uses in repeated datagrams. A new leader still gets all uses with their decay.

Before, both new tests fail: uses [1, 1, 1, 1, 1] instead of [1, 0, 0, 0, 0] in five questions of one request, and [1, 1] instead of [1, 3] with three uses during the first question. After, both pass.

--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -120,6 +120,8 @@
     async def look_up(self, key, avoid=(), limited=()):
         """Asks the leader and returns ready times by replica id; empty if none.
 
+        Counts no use, so a request may ask again and remains one use.
+
         Replicas whose ids are in ``avoid`` or ``limited`` are not returned; those in
         ``avoid`` did not serve the adapter. Has no timeout of its own: the caller limits the wait.
         """
@@ -148,11 +150,13 @@
     async def _refresh(self, key, cached, avoid, limited):
         done = cached.refreshed
         try:
+            own_uses = cached.uses
             uses = self._unreported_uses(cached)
             locations = await self._ask_leader(key, uses, avoid, limited)
             if locations is None:
                 return
-            cached.uses = 0
+            # More requests may have come while the leader was asked.
+            cached.uses -= own_uses
             cached.reported_term = self._leadership.term
             now = anyio.current_time()
             known = cached.ready_at_by_id
@@ -176,7 +180,7 @@
         A new leader knows none, and would evict adapters that are in demand.
         """
         if cached.reported_term == self._leadership.term:
-            return max(1, cached.uses)
+            return cached.uses
         return max(1, round(cached.demand.value(anyio.current_time())))
 
     async def _ask_leader(self, key, uses, avoid, limited):
--- a/tests/coordination/test_locator.py
+++ b/tests/coordination/test_locator.py
@@ -74,6 +74,32 @@
 
         self.run_with_locator(check)
 
+    def test_repeated_questions_of_a_request_are_one_use(self):
+        """Each further question of a waiting request counted as demand."""
+
+        async def check(locator):
+            locator.cached_locations(KEY)
+            for _ in range(5):
+                await locator.look_up(KEY)
+            self.assertEqual([1, 0, 0, 0, 0], self.uses_received)
+
+        self.run_with_locator(check)
+
+    def test_uses_during_a_question_are_reported_with_the_next(self):
+        """Uses that were counted while the leader was asked were lost."""
+
+        async def check(locator):
+            async with anyio.create_task_group() as group:
+                locator.cached_locations(KEY)
+                group.start_soon(locator.look_up, KEY)
+                await anyio.sleep(0.001)
+                for _ in range(3):
+                    locator.cached_locations(KEY)
+            await locator.look_up(KEY)
+            self.assertEqual([1, 3], self.uses_received)
+
+        self.run_with_locator(check)
+
     def test_demand_is_reported_to_a_new_leader(self):
         """A new leader does not know earlier uses, and evicts popular adapters unless
         the hosts report them after the change of leader (incident inc-d171)."""
