Pause before the leader is asked again for a place that cannot be used

Cause: find_stream_replica paused only after an answer without any place. While the only holder is suspected on this host, is not listed here, or may not be sent to under its request limit, the leader names it again and again, and the search asked as fast as the answers came.

The search now pauses for 60 ms before each question but the first, and looks at the places that it knows after the pause, since a suspicion or a limit may have ended. A place in the second answer is used as soon as before (tested).

Ruled out: the `continue` paths do not spin by themselves. Both follow a choice that has waited, and the next turn leaves out the replica that was found without the adapter, paused or leaving.

Not changed: a request waits for a suspected holder instead of having the adapter loaded elsewhere.

--- a/snipetrestle/gateway/replica_search.py
+++ b/snipetrestle/gateway/replica_search.py
@@ -14,7 +14,7 @@
 
 # Retry-After of refused requests.
 RETRY_AFTER_S = 0.5
-# Pause before the leader is asked again about an adapter without a place.
+# Pause before the leader is asked again about an adapter without a place to use.
 NO_PLACE_PAUSE_S = 0.06
 # How long a stream waits for a place, with and without a known leader, as a multiple of
 # its route's target latency.
@@ -81,6 +81,7 @@
             started_at = anyio.current_time()
         job.version = self._state.versions_by_adapter.get(key)
         places = self._locator.cached_locations(key)
+        must_pause = False
         while True:
             await self._chooser.wait_out_pauses(job)
             holders = self._holders(job, places)
@@ -102,14 +103,19 @@
                 raise self._no_place_refusal(job)
             if holders:
                 self._chooser.refuse_if_all_limited(job)
-            paused_ids = self._chooser.paused_ids(job)
+            if must_pause:
+                # A place of the last answer may be usable again after the pause.
+                await anyio.sleep(NO_PLACE_PAUSE_S)
+                must_pause = False
+                continue
+            limited_ids = [
+                *(item.id for item in holders),
+                *self._chooser.paused_ids(job),
+            ]
             places = await self._locator.look_up(
-                key,
-                self._replicas_to_avoid(job),
-                [*(item.id for item in holders), *paused_ids],
+                key, self._replicas_to_avoid(job), limited_ids
             )
-            if places.keys() <= set(paused_ids):
-                await anyio.sleep(NO_PLACE_PAUSE_S)
+            must_pause = True
 
     def _place_wait_deadline(self, job, started_at):
         """Returns the time until which a search for a place that has begun goes on.
--- /dev/null
+++ b/tests/gateway/test_replica_search.py
@@ -0,0 +1,190 @@
+"""Tests of the search for a stream's replica: questions to the leader, and demand."""
+
+import random
+import types
+
+import anyio
+import testtools
+
+from snipetrestle.codes import ResultCode
+from snipetrestle.coordination.locator import Locator
+from snipetrestle.coordination.messages import AdapterLocation
+from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
+from snipetrestle.gateway.job import Refused
+from snipetrestle.gateway.replica_search import NO_PLACE_PAUSE_S, ReplicaSearch
+from snipetrestle.gateway.replicas import ReplicaDirectory
+from snipetrestle_standins.clock import run_in_virtual_time
+
+KEY = AdapterKey("m0", "a1")
+BACKEND = "models"
+TARGET_LATENCY_S = 0.6
+# How long a search goes on: 1.5 target latencies.
+SEARCH_S = 0.9
+ANSWER_S = 0.002
+
+
+class Leadership:
+    """Fake in which this host leads."""
+
+    leads = True
+    has_recent_leader = True
+    term = 1
+
+
+class Endpoint:
+    def register(self, message_type, handler):
+        pass
+
+
+class NoPermits:
+    """Fake in which no replica with a request limit may be sent to soon."""
+
+    async def acquire(self, replicas, max_wait_s, is_optional=False):
+        return None, 5.0
+
+    def may_be_spare(self, replica):
+        return True
+
+
+def make_job():
+    now = anyio.current_time()
+    return types.SimpleNamespace(
+        metadata=types.SimpleNamespace(adapter=KEY),
+        request=types.SimpleNamespace(received_at=now),
+        route=types.SimpleNamespace(target_latency_s=TARGET_LATENCY_S),
+        backend=types.SimpleNamespace(name=BACKEND),
+        deadline_at=now + 5.0,
+        may_have_run=False,
+        streaming=False,
+        sent_to=[],
+        may_have_run_on=[],
+        adapter_missing_on=[],
+        dropped_on=set(),
+        version=None,
+        limit_wait_s=0.0,
+        may_be_sent_to=lambda replica_id: True,
+    )
+
+
+class ReplicaSearchTest(testtools.TestCase):
+    def run_with_search(self, function, holders, replica_count=1):
+        """Runs ``function(search, replicas)``; the leader names ``holders``."""
+
+        async def main():
+            self.uses = []
+            self.holders = holders
+            directory = ReplicaDirectory("zone-1", random.Random(1))
+            for number in range(replica_count):
+                directory.list_replica(
+                    ReplicaEntry(
+                        f"r{number}",
+                        1,
+                        BACKEND,
+                        "127.0.0.1",
+                        1,
+                        "zone-1",
+                        ReplicaState.READY,
+                        slots=8,
+                    )
+                )
+            locator = Locator(
+                Leadership(),
+                Endpoint(),
+                "entry-1",
+                self.locate_here,
+                lambda key: [],
+                lambda replica_id, load: None,
+            )
+            search = ReplicaSearch(
+                types.SimpleNamespace(
+                    state=types.SimpleNamespace(versions_by_adapter={}),
+                    replicas=directory,
+                    locator=locator,
+                    send_permits=NoPermits(),
+                    hosts=types.SimpleNamespace(max_known=1),
+                )
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(locator.run)
+                await anyio.sleep(0.01)
+                await function(search, directory.by_id)
+                group.cancel_scope.cancel()
+
+        run_in_virtual_time(main)
+
+    async def locate_here(self, key, uses, avoid, limited):
+        self.uses.append(uses)
+        await anyio.sleep(ANSWER_S)
+        return tuple(
+            AdapterLocation(item, 0.0)
+            for item in self.holders
+            if item not in avoid and item not in limited
+        )
+
+    def assert_questions(self, searched_s):
+        """At most one question in each pause, and one use in all of them."""
+        self.assertLessEqual(len(self.uses), 1 + searched_s / NO_PLACE_PAUSE_S)
+        self.assertEqual(1, sum(self.uses))
+
+    def test_suspected_holder_is_not_asked_for_without_a_pause(self):
+        """The leader was asked in a loop while the only holder was suspected."""
+
+        async def check(search, replicas):
+            replicas["r0"].suspected_until = anyio.current_time() + 0.5
+            replica = await search.find_stream_replica(make_job())
+            self.assertIs(replicas["r0"], replica)
+            self.assert_questions(0.5 + NO_PLACE_PAUSE_S)
+
+        self.run_with_search(check, ["r0"])
+
+    def test_search_for_a_suspected_holder_ends(self):
+        """The same until the request was refused."""
+
+        async def check(search, replicas):
+            replicas["r0"].suspected_until = anyio.current_time() + 4.0
+            error = await self.refusal(search)
+            self.assertIs(ResultCode.LOAD_FAILED, error.code)
+            self.assert_questions(SEARCH_S)
+
+        self.run_with_search(check, ["r0"])
+
+    def test_holder_on_no_list_is_not_asked_for_without_a_pause(self):
+        """The leader may list a replica that this host does not."""
+
+        async def check(search, replicas):
+            await self.refusal(search)
+            self.assert_questions(SEARCH_S)
+
+        self.run_with_search(check, ["unlisted"])
+
+    def test_limited_holders_are_not_asked_for_in_turn_without_a_pause(self):
+        """Each question left out the holder that the one before had named."""
+
+        async def check(search, replicas):
+            for replica_id in ("r0", "r1"):
+                replicas[replica_id].request_limit.note(1.0, anyio.current_time())
+            await self.refusal(search)
+            self.assert_questions(SEARCH_S)
+
+        self.run_with_search(check, ["r0", "r1"], replica_count=3)
+
+    def test_place_in_the_second_answer_is_used_at_once(self):
+        """A pause after the answer that names a place would delay the stream."""
+
+        async def check(search, replicas):
+            started_at = anyio.current_time()
+            async with anyio.create_task_group() as group:
+                group.start_soon(search.find_stream_replica, make_job())
+                await anyio.sleep(0.01)
+                self.holders.append("r0")
+            took_s = anyio.current_time() - started_at
+            self.assertAlmostEqual(NO_PLACE_PAUSE_S + 2 * ANSWER_S, took_s, places=6)
+
+        self.run_with_search(check, [])
+
+    async def refusal(self, search):
+        try:
+            await search.find_stream_replica(make_job())
+        except Refused as error:
+            return error
+        return self.fail("the request was not refused")
