End a replica's orders once cancelled, also if an answer has just arrived

Cause: a cancelled task whose answer arrived in the same turn of the event loop is not cancelled before it waits again (anyio cancels no task that is about to run). It went on with the answer, while the placement that it changes had been emptied: an unload removed an adapter that was no longer there, and a repeated unload looked one up. Without an error, a load or a report recorded adapters again at a replica that is gone; where only the replica was unlisted, the index of its backend kept them.

The task now ends after each answer to an order or report if it was cancelled meanwhile.

Ruled out: a resignation within the sending of an order (suspended host, refused token) raises ExchangeFailed, which the task handles, and its further steps change nothing.

Before: the four new tests fail, two with the KeyError. After: they pass, with the tests of partitions, leadership and life cycle.

--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -10,6 +10,7 @@
 import enum
 
 import anyio
+import anyio.lowlevel
 import msgspec
 
 from snipetrestle.coordination.adapter_places import LoadReason, ReplicaAdapters
@@ -314,6 +315,7 @@
             await anyio.sleep(MAX_REPORT_AGE_S)
         async with self._context.report_limiter:
             report = await self._context.client.report(self._replica)
+        await _end_if_cancelled()
         now = anyio.current_time()
         self._expected_count = report.order_count
         self._models = report.models
@@ -498,6 +500,7 @@
         )
         async with asyncio.timeout(ORDER_TIMEOUT_S):
             result = await context.client.send(self._replica, order)
+        await _end_if_cancelled()
         if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
             self._expected_count = None
         elif result is OrderResult.CONFLICT:
@@ -512,6 +515,14 @@
         return result
 
 
+async def _end_if_cancelled():
+    """Ends a task whose scope was cancelled in the turn in which its answer arrived.
+
+    Such a task goes on until it waits again, while its adapters are forgotten already.
+    """
+    await anyio.lowlevel.checkpoint_if_cancelled()
+
+
 def _adapter_slots(backend):
     """Returns how many adapters fit in memory beside a model of the backend."""
     model = backend.models[0]
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -1,15 +1,22 @@
 """Tests of the orders to one replica."""
 
+import asyncio
 import random
 import types
 
 import anyio
 import testtools
 
-from snipetrestle.coordination.adapter_places import BackendPlacement, LoadReason
+from snipetrestle.coordination.adapter_places import (
+    EVICTION_GRACE_S,
+    BackendPlacement,
+    LoadReason,
+)
 from snipetrestle.coordination.orders import (
     MAX_REPORT_AGE_S,
+    UNLOAD_RETRY_INTERVAL_S,
     BackendContext,
+    OrderKind,
     OrderResult,
     ReplicaOrders,
     ReplicaReport,
@@ -43,20 +50,132 @@
         return OrderResult.HOLDS_ALREADY
 
 
-def make_orders(client):
+def make_orders(client, placement=None):
     model = types.SimpleNamespace(name="m0", adapter_mb=0, weights_mb=1, load_s=1.0)
     backend = types.SimpleNamespace(models=(model,), adapter_slots=4, weights_mb=2)
     leadership = types.SimpleNamespace(
         check_still_leading=lambda: True, holder="entry-1", term=7
     )
     context = BackendContext(
-        backend, BackendPlacement(), leadership, client, lambda key: 1, None
+        backend,
+        placement or BackendPlacement(),
+        leadership,
+        client,
+        lambda key: 1,
+        None,
     )
     pause = ReplicaPause("r1", random.Random(1))
     replica = types.SimpleNamespace(id="r1", takes_requests=True, pause=pause)
     return ReplicaOrders(replica, context)
 
 
+class HeldBackReplica:
+    """A replica that holds four adapters; tests answer its reports and orders."""
+
+    HELD_KEYS = tuple(AdapterKey("m0", f"b{number}") for number in range(4))
+
+    def __init__(self):
+        self.open_report = None
+        self.open_order = None
+        self.order_kinds = []
+
+    async def report(self, replica):
+        self.open_report = asyncio.get_running_loop().create_future()
+        await self.open_report
+        return ReplicaReport(
+            0, False, frozenset({"m0"}), dict.fromkeys(self.HELD_KEYS, 1)
+        )
+
+    async def send(self, replica, order):
+        self.order_kinds.append(order.kind)
+        self.open_order = asyncio.get_running_loop().create_future()
+        return await self.open_order
+
+
+class LostLeadershipTest(testtools.TestCase):
+    """Guards against errors when an answer comes as its task is cancelled.
+
+    The task then goes on with the answer, but its replica's adapters are forgotten.
+    """
+
+    def run_and_stop(self, function):
+        """Stops the orders in the turn of the event loop in which function returns."""
+
+        async def check():
+            client = HeldBackReplica()
+            placement = BackendPlacement()
+            orders = make_orders(client, placement)
+            placement.add_replica(orders.replica_adapters)
+            scope = anyio.CancelScope()
+
+            async def run():
+                with scope:
+                    await orders.run()
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(run)
+                await anyio.sleep(0.01)
+                await function(client, orders)
+                scope.cancel()
+                placement.remove_all()
+            for key in (*client.HELD_KEYS, WANTED):
+                self.assertEqual([], list(placement.index.holders(key)))
+                self.assertEqual({}, placement.index.pending(key))
+            self.assertEqual(0, placement.store_loads_in_flight())
+
+        run_in_virtual_time(check)
+
+    async def begin_eviction(self, client, orders):
+        client.open_report.set_result(None)
+        await anyio.sleep(EVICTION_GRACE_S + 0.1)
+        orders.request_load(WANTED, LoadReason.MISSING)
+        await anyio.sleep(0.01)
+        self.assertEqual([OrderKind.UNLOAD], client.order_kinds)
+
+    def test_answer_to_an_unload(self):
+        """KeyError: the adapter was dropped from what was forgotten."""
+
+        async def stop(client, orders):
+            await self.begin_eviction(client, orders)
+            client.open_order.set_result(OrderResult.HOLDS_ALREADY)
+
+        self.run_and_stop(stop)
+
+    def test_answer_to_the_first_of_two_repeated_unloads(self):
+        """KeyError: the second unload was repeated for what was forgotten."""
+
+        async def stop(client, orders):
+            await self.begin_eviction(client, orders)
+            client.open_order.set_result(OrderResult.ACCEPTED)
+            await anyio.sleep(0.01)
+            client.open_order.set_result(OrderResult.ACCEPTED)
+            await anyio.sleep(UNLOAD_RETRY_INTERVAL_S + 0.05)
+            self.assertEqual([OrderKind.UNLOAD] * 3, client.order_kinds)
+            client.open_order.set_result(OrderResult.ACCEPTED)
+
+        self.run_and_stop(stop)
+
+    def test_answer_to_a_load(self):
+        """The adapter was recorded again at a replica that is gone."""
+
+        async def stop(client, orders):
+            await self.begin_eviction(client, orders)
+            client.open_order.set_result(OrderResult.HOLDS_ALREADY)
+            await anyio.sleep(0.01)
+            self.assertEqual(OrderKind.LOAD, client.order_kinds[-1])
+            client.open_order.set_result(OrderResult.ACCEPTED)
+
+        self.run_and_stop(stop)
+
+    def test_report(self):
+        """All adapters were recorded again at a replica that is gone."""
+
+        async def stop(client, orders):
+            client.open_report.set_result(None)
+
+        self.run_and_stop(stop)
+
+
 class OutdatedStateTest(testtools.TestCase):
     def test_replica_stays_in_use_while_its_state_is_read_again(self):
         """A new leader's first order met 409, since the report was older than the last
