Read answers of engines and services within one budget of bytes and time

Cause: the pool handed out httpcore's own response, so each call had to bring its limits along, and the refusal of a channel (`response.aread()`) did not. Nothing at all counted the bytes of interim answers. The refusal of an export of a KV cache had the limit of the cache, 1 GB.

--- a/snipetrestle/engines/http_client.py
+++ b/snipetrestle/engines/http_client.py
@@ -19,11 +19,6 @@
 import msgspec
 
 from snipetrestle import decoding
-from snipetrestle.engines.connections import (
-    CONNECT_ERRORS,
-    NETWORK_ERRORS,
-    ConnectionPool,
-)
 from snipetrestle.engines.protocol import (
     CacheEvent,
     EngineError,
@@ -33,6 +28,12 @@
     OldFencingNumber,
     TokenBatch,
 )
+from snipetrestle.http_connections import (
+    CONNECT_ERRORS,
+    MAX_ANSWER_BYTES,
+    NETWORK_ERRORS,
+    ConnectionPool,
+)
 
 # An engine that has not answered an order after this time counts as failed.
 READ_TIMEOUT_S = 30.0
@@ -236,10 +237,11 @@
         error = EngineError("the channel ended")
         try:
             async with self._connection_pool.stream(
-                "POST", self.path, read_timeout=CHANNEL_TIMEOUT_S
+                "POST", self.path, timeout=CHANNEL_TIMEOUT_S
             ) as response:
                 if response.status != 200:
-                    raise _refusal(response.status, await response.aread())
+                    body = await response.read_body(MAX_ANSWER_BYTES)
+                    raise _refusal(response.status, body)
                 self.opened.set_result(None)
                 await self._read_events(response)
         except NETWORK_ERRORS as exception:
@@ -264,7 +266,7 @@
 
     async def _read_events(self, response):
         buffer = b""
-        async for chunk in response.aiter_stream():
+        async for chunk in response.iterate(CHANNEL_TIMEOUT_S):
             *events, buffer = (buffer + chunk).split(b"\n\n")
             for event in events:
                 if event.startswith(_EVENT_START):
@@ -337,7 +339,7 @@
         self.address = address
         self._rng = rng or random.Random()
         self._wake_scheduler = wake_scheduler or StreamWakeScheduler()
-        self._connection_pool = ConnectionPool(address, backend)
+        self._connection_pool = ConnectionPool(f"http://{address}", backend)
         self._channel = None
         self._channel_task = None
 
--- a/snipetrestle/services/http_client.py
+++ b/snipetrestle/services/http_client.py
@@ -7,7 +7,7 @@
 
 import urllib.parse
 
-from snipetrestle.engines.connections import (
+from snipetrestle.http_connections import (
     CONNECT_ERRORS,
     NETWORK_ERRORS,
     ConnectionPool,
@@ -76,7 +76,7 @@
     def _pool_of(self, server):
         pool = self._pools_by_address.get(server.address)
         if pool is None:
-            pool = ConnectionPool(server.address, self._backend)
+            pool = ConnectionPool(f"http://{server.address}", self._backend)
             self._pools_by_address[server.address] = pool
         return pool
 
--- a/tests/engines/test_bad_engines.py
+++ b/tests/engines/test_bad_engines.py
@@ -52,6 +52,11 @@
 
         anyio.run(main)
 
+    async def generate(self, client):
+        async with client.generate(GENERATE) as batches:
+            async for _ in batches:
+                pass
+
     async def assert_fails_in_time(self, server, name, awaitable):
         with (
             assert_bounded_memory(self, name),
@@ -73,19 +78,33 @@
 
     def test_endless_event_fails_the_channel(self):
         """A daemon kept the bytes of an event that never ends."""
-
-        async def generate(client):
-            async with client.generate(GENERATE) as batches:
-                async for _ in batches:
-                    pass
-
         event = Endless(CHUNKED_START, b"3e8\r\n%b\r\n" % (b"x" * 1000))
 
         async def check(server, client):
-            await self.assert_fails_in_time(server, "event", generate(client))
+            await self.assert_fails_in_time(server, "event", self.generate(client))
 
         self.run_with_engine(check, event)
 
+    def test_refusal_of_an_export_is_bounded(self):
+        """The body of a refusal had the limit of a KV cache, 1 GB."""
+        body = ENDLESS_ANSWERS["body"]
+        refusal = Endless(body.start.replace(b"200 OK", b"500 Odd"), body.part)
+
+        async def check(server, client):
+            await self.assert_fails_in_time(server, "export", client.export_kv("r1"))
+
+        self.run_with_engine(check, refusal)
+
+    def test_refusal_of_a_channel_is_bounded(self):
+        """All of its body was kept, 703 MB in 5 s."""
+        body = ENDLESS_ANSWERS["body"]
+        refusal = Endless(body.start.replace(b"200 OK", b"500 Odd"), body.part)
+
+        async def check(server, client):
+            await self.assert_fails_in_time(server, "refusal", self.generate(client))
+
+        self.run_with_engine(check, refusal)
+
     def test_deeply_nested_answers_are_malformed(self):
         """The error is one that no task expects, which ends a daemon."""
         nested = b'{"new": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
