Split an engine's events in linear time, and end a channel without progress

Cause: a channel joined its unfinished event with each new piece and split all of it again, so the work grew with the square of the event's size, up to 1 MiB; an engine chooses the size of its pieces, and all requests of a daemon share one event loop. The time-out of a channel began again with each byte, so an event that trickles in kept its streams waiting.

Change: `iterate_messages` takes the place of the plain iteration. The unfinished message is kept in a buffer that grows in place and is searched from its end. Only a complete event or comment postpones the time-out of 15 s. The size limit now holds for an event that arrives whole, too.

`make bench-parsing` has both cases now.

--- a/benchmarks/parsing.py
+++ b/benchmarks/parsing.py
@@ -14,6 +14,7 @@
 from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle.gateway.event_stream import EventSplitter
 from snipetrestle.gateway.http_server import CallerConnection
+from snipetrestle.http_responses import MessageSplitter
 
 CONTENT_BYTES = 1_048_576
 PIECE_BYTES = (1, 64, 1448)
@@ -60,6 +61,16 @@
     return EventSplitter().feed, b"".join(lines)
 
 
+def endless_engine_event():
+    return MessageSplitter(b"\n\n", CONTENT_BYTES).feed, b"x" * CONTENT_BYTES
+
+
+def short_engine_events():
+    event = b"data: %b\n\n" % (b"x" * 100)
+    content = event * (CONTENT_BYTES // len(event))
+    return MessageSplitter(b"\n\n", CONTENT_BYTES).feed, content
+
+
 def request_body():
     connection = _open_connection()
     connection.data_received(
@@ -83,7 +94,14 @@
     return connection
 
 
-PARSERS = (endless_event, short_events, request_body, pipelined_bytes)
+PARSERS = (
+    endless_event,
+    short_events,
+    endless_engine_event,
+    short_engine_events,
+    request_body,
+    pipelined_bytes,
+)
 
 
 def measure(parser, piece_bytes):
@@ -102,7 +120,7 @@
         compared = [by_size[s] for s in PIECE_BYTES if s >= MIN_RATIO_PIECE_BYTES]
         ratio = round(max(compared) / max(0.1, min(compared)), 1)
         result[parser.__name__] = {"ns_per_byte": by_size, "ratio": ratio}
-        print(f"{parser.__name__:16} {by_size} ratio {ratio}", flush=True)
+        print(f"{parser.__name__:20} {by_size} ratio {ratio}", flush=True)
     print(msgspec.json.encode(result).decode())
 
 
--- a/snipetrestle/engines/http_client.py
+++ b/snipetrestle/engines/http_client.py
@@ -42,8 +42,9 @@
 LOAD_TIMEOUT_S = 60.0
 # A transfer of KV cache may be long and sound.
 KV_TIMEOUT_S = 120.0
-# An engine sends at least a server-sent-event comment on each channel at this interval.
-# A channel without any data for three intervals counts as broken.
+# An engine sends at least a server-sent-event comment, followed by a blank line, on each
+# channel at this interval. A channel without an event or comment for three intervals
+# counts as broken; bytes of an incomplete one are no progress.
 CHANNEL_KEEPALIVE_INTERVAL_S = 5.0
 CHANNEL_TIMEOUT_S = 3 * CHANNEL_KEEPALIVE_INTERVAL_S
 # Tokens after a stream's first batch are delayed and delivered together. The delay is
@@ -127,6 +128,7 @@
 
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 _EVENT_START = b"data: "
+_EVENT_END = b"\n\n"
 
 
 class StreamWakeScheduler:
@@ -265,16 +267,14 @@
             self._delivery_timer.cancel()
 
     async def _read_events(self, response):
-        buffer = b""
-        async for chunk in response.iterate(CHANNEL_TIMEOUT_S):
-            *events, buffer = (buffer + chunk).split(b"\n\n")
+        async for events in response.iterate_messages(
+            _EVENT_END, MAX_EVENT_BYTES, CHANNEL_TIMEOUT_S
+        ):
             for event in events:
                 if event.startswith(_EVENT_START):
                     self._handle_event(
                         decoding.decode(_event_decoder, event[len(_EVENT_START) :])
                     )
-            if len(buffer) > MAX_EVENT_BYTES:
-                raise EngineError("an event of the engine is too large")
 
     def _handle_event(self, event):
         coalesce_delay_s = self._wake_scheduler.coalesce_delay_s()
--- a/snipetrestle/http_connections.py
+++ b/snipetrestle/http_connections.py
@@ -106,7 +106,7 @@
         """Sends a request and yields the BoundedResponse.
 
         ``timeout`` limits the whole call, in seconds, unless the body is read by
-        ``iterate``.
+        ``iterate_messages``.
         """
         connection = self._acquire() if reuse else self._new_connection()
         request = httpcore.Request(
--- a/snipetrestle/http_responses.py
+++ b/snipetrestle/http_responses.py
@@ -123,14 +123,51 @@
                 raise httpcore.RemoteProtocolError("the answer is too large")
         return bytes(body)
 
-    async def iterate(self, timeout):
-        """Yields pieces of the body, with pauses of at most ``timeout`` seconds."""
+    async def iterate_messages(self, end, max_bytes, timeout):
+        """Yields lists of complete messages of a body, without their ``end``.
+
+        Each message may have ``max_bytes`` and take ``timeout`` seconds from the one
+        before it. Raises RemoteProtocolError and ReadTimeout.
+        """
+        splitter = MessageSplitter(end, max_bytes)
         self._budget.extend(timeout)
         async for chunk in self._iterate_chunks():
-            yield chunk
-            self._budget.extend(timeout)
+            messages = splitter.feed(chunk)
+            if messages:
+                yield messages
+                self._budget.extend(timeout)
 
     async def _iterate_chunks(self):
         async for chunk in self._response.aiter_stream():
             self._budget.credit_body(len(chunk))
             yield chunk
+
+
+class MessageSplitter:
+    """Splits bytes that arrive in pieces into messages that end with ``end``."""
+
+    __slots__ = ("_end", "_max_bytes", "_partial_message")
+
+    def __init__(self, end, max_bytes):
+        self._end = end
+        self._max_bytes = max_bytes
+        self._partial_message = bytearray()
+
+    def feed(self, data):
+        """Returns the messages that are now complete.
+
+        Raises RemoteProtocolError if a message exceeds the maximum, also an incomplete
+        one.
+        """
+        # Searched again from its start, a message without end would take a time that
+        # grows with the square of its size.
+        search_from = max(0, len(self._partial_message) - len(self._end) + 1)
+        self._partial_message += data
+        messages = []
+        if self._partial_message.find(self._end, search_from) >= 0:
+            *messages, rest = bytes(self._partial_message).split(self._end)
+            self._partial_message = bytearray(rest)
+        largest = max(map(len, messages), default=0)
+        if max(largest, len(self._partial_message)) > self._max_bytes:
+            raise httpcore.RemoteProtocolError("a message is too large")
+        return messages
--- a/tests/test_bounded_peers.py
+++ b/tests/test_bounded_peers.py
@@ -9,6 +9,7 @@
 
 import anyio
 import testtools
+from msgspec import structs
 
 from snipetrestle.engines.http_client import HttpEngineClient
 from snipetrestle.engines.protocol import EngineError, GenerateRequest, LoadOrder
@@ -20,11 +21,16 @@
     CHUNKED_START,
     ENDLESS_ANSWERS,
     Endless,
+    ok,
     raw_server,
 )
 from tests.memory import assert_bounded_memory
 from tests.services.test_bad_servers import client_of
 
+# Of a call that ends by its time-out.
+SHORT_TIMEOUT_S = 0.3
+# Of a trickled call, all of which run at once, on a busy machine.
+MAX_TRICKLE_S = 15.0
 # Backstop for a call that isn't bounded at all, for a busy machine.
 MAX_CALL_S = 20.0
 # Limits of whole answers are lowered to this, so that a test stays short.
@@ -56,7 +62,15 @@
     "request_id": "r1",
     "role": "decode",
 }
+CHUNK = b"1\r\nx\r\n"
 PAUSE_S = 0.02
+TRICKLES = {
+    "head": Endless(b"HTTP/1.1 200 OK\r\nX-F: ", b"x", PAUSE_S),
+    "interim answers": Endless(b"", b"HTTP/1.1 103 Early\r\n\r\n", PAUSE_S),
+    "body": Endless(CHUNKED_START, CHUNK, PAUSE_S),
+    "chunk extension": Endless(CHUNKED_START + b"5;", b"x", PAUSE_S),
+    "trailers": Endless(CHUNKED_START + b"0\r\nX-F: ", b"x", PAUSE_S),
+}
 # A channel of an engine that stays open and carries no tokens.
 SILENT_CHANNEL = Endless(CHUNKED_START, b"3\r\n:\n\n\r\n", PAUSE_S)
 
@@ -131,6 +145,7 @@
             yield title, (answer,)
             if name == "generate":
                 yield f"{title} on an open channel", (SILENT_CHANNEL, answer)
+                yield f"{title} on the channel itself", (answer, ok(b""))
 
     async def assert_call_fails(self, client_type, name, title, answers):
         where = f"{client_type.__name__}.{name}: {title}"
@@ -170,3 +185,27 @@
             except (self.failureException, testtools.MultipleExceptions) as error:
                 failures.append(f"{where}: {str(error)[:200]}")
         self.assertEqual([], failures)
+
+    def test_no_call_waits_for_a_trickle_without_end(self):
+        """A byte now and then postponed the end of a call for ever."""
+        for ending in ("TIMEOUT_S", "WAIT_S"):
+            self.patch_constants(ending, SHORT_TIMEOUT_S)
+        short_call = structs.replace(ARGUMENTS["call"], timeout=SHORT_TIMEOUT_S)
+        ARGUMENTS["call"], long_call = short_call, ARGUMENTS["call"]
+        self.addCleanup(ARGUMENTS.__setitem__, "call", long_call)
+        failures = []
+
+        async def check(*call):
+            try:
+                with anyio.fail_after(MAX_TRICKLE_S):
+                    await self.assert_call_fails(*call)
+            except (self.failureException, TimeoutError) as error:
+                failures.append(f"{call[0].__name__}.{call[1]}: {call[2]}: {error!r}")
+
+        async def main():
+            async with anyio.create_task_group() as group:
+                for call in self.calls(with_refusals(TRICKLES)):
+                    group.start_soon(check, *call)
+
+        anyio.run(main)
+        self.assertEqual([], failures)
