Read the configuration service, host list and operators' reports within the budget

Change: they use the bounded pool, which now takes a base URL and TLS. The operators' client, which had a time-out for each read only, has one for the whole call of 5 s and a limit of 64 MB for a report. A malformed URL is an OperatorCallFailed.

`test_only_the_bounded_connections_open_sockets` fails for any module outside of gateway, coordination and platform that imports an HTTP or socket client of its own, and `test_each_client_is_tested` for a client that the tests of endless answers miss.

--- a/snipetrestle/cli/remote.py
+++ b/snipetrestle/cli/remote.py
@@ -49,5 +49,3 @@
             return action(client)
         except OperatorCallFailed as error:
             return fail(str(error), ExitCode.UNREACHABLE)
-        finally:
-            client.close()
--- a/snipetrestle/http_connections.py
+++ b/snipetrestle/http_connections.py
@@ -1,6 +1,6 @@
 """Pool of keep-alive HTTP connections to one server, built on httpcore's connections.
 
-The clients of engines and services use it. It hands out answers only as
+All HTTP clients of the daemon and of its operators use it. It hands out answers only as
 BoundedResponse, so no call can read without a bound of bytes and time.
 
 httpcore's own pool scans all of its connections on each request; with a few hundred
--- a/snipetrestle/operators/client.py
+++ b/snipetrestle/operators/client.py
@@ -2,10 +2,14 @@
 
 import ssl
 
-import httpcore
+import anyio
 import msgspec
 
+from snipetrestle.http_connections import NETWORK_ERRORS, ConnectionPool
+
 REQUEST_TIMEOUT_S = 5.0
+# The report of all adapters of a daemon is the largest answer.
+MAX_REPORT_BYTES = 64 * 1024 * 1024
 
 
 class OperatorCallFailed(Exception):
@@ -20,10 +24,11 @@
     """
 
     def __init__(self, url, key, authority=None):
-        self._url = url.rstrip("/")
-        self._headers = [("Authorization", f"Bearer {key}")]
-        context = ssl.create_default_context(cafile=authority) if authority else None
-        self._pool = httpcore.ConnectionPool(ssl_context=context)
+        self._url = url
+        self._headers = [(b"Authorization", f"Bearer {key}".encode())]
+        self._ssl_context = (
+            ssl.create_default_context(cafile=authority) if authority else None
+        )
 
     def get(self, path, response_type):
         """Returns the response decoded as ``response_type``."""
@@ -33,28 +38,27 @@
         """Sends a POST request without a body."""
         self._request("POST", path)
 
-    def close(self):
-        self._pool.close()
-
     def _request(self, method, path):
-        timeouts = dict.fromkeys(
-            ("connect", "read", "write", "pool"), REQUEST_TIMEOUT_S
-        )
         try:
-            response = self._pool.request(
-                method,
-                self._url + path,
-                headers=self._headers,
-                extensions={"timeout": timeouts},
-            )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            httpcore.UnsupportedProtocol,
-        ) as error:
+            status, body = anyio.run(self._send, method, path)
+        except (*NETWORK_ERRORS, ValueError) as error:
             raise OperatorCallFailed(f"{self._url}: {error!r}") from None
-        if response.status >= 300:
-            detail = response.content.decode(errors="replace")
-            raise OperatorCallFailed(f"{self._url}: HTTP {response.status}: {detail}")
-        return response.content
+        if status >= 300:
+            detail = body.decode(errors="replace")
+            raise OperatorCallFailed(f"{self._url}: HTTP {status}: {detail}")
+        return body
+
+    async def _send(self, method, path):
+        pool = ConnectionPool(
+            self._url,
+            ssl_context=self._ssl_context,
+            connect_timeout=REQUEST_TIMEOUT_S,
+        )
+        status, _, body = await pool.request(
+            method,
+            path,
+            self._headers,
+            timeout=REQUEST_TIMEOUT_S,
+            max_bytes=MAX_REPORT_BYTES,
+        )
+        return status, body
--- a/snipetrestle/publication/http_sources.py
+++ b/snipetrestle/publication/http_sources.py
@@ -12,13 +12,11 @@
 import urllib.parse
 import zlib
 
-import anyio
-import httpcore
 import msgspec
 
 from snipetrestle.decoding import decode
 from snipetrestle.events import Event, log_event
-from snipetrestle.http_bodies import read_body
+from snipetrestle.http_connections import NETWORK_ERRORS, ConnectionPool
 from snipetrestle.publication.sources import (
     Host,
     HostList,
@@ -64,11 +62,8 @@
 class _HttpSource:
     """Base class with a connection pool for one base URL."""
 
-    def __init__(self, base_url, pool=None):
-        self._base_url = base_url.rstrip("/")
-        self._pool = pool or httpcore.AsyncConnectionPool(
-            max_connections=4, keepalive_expiry=60.0
-        )
+    def __init__(self, base_url, backend=None):
+        self._pool = ConnectionPool(base_url, backend, connect_timeout=READ_TIMEOUT_S)
 
     async def aclose(self):
         await self._pool.aclose()
@@ -80,24 +75,12 @@
         connection: a late second copy of one answer would be read as the next one.
         """
         try:
-            with anyio.fail_after(timeout):
-                async with self._pool.stream(
-                    "GET",
-                    self._base_url + path,
-                    headers=[*headers, (b"Connection", b"close")],
-                    extensions={
-                        "timeout": {"connect": READ_TIMEOUT_S, "pool": READ_TIMEOUT_S}
-                    },
-                ) as response:
-                    content = await read_body(response, MAX_CONTENT_BYTES)
-                    answer = _Answer(response.status, response.headers, content)
-        except TimeoutError:
-            raise SourceUnreachable(f"{path}: no answer within {timeout} s") from None
-        except (
-            httpcore.NetworkError,
-            httpcore.TimeoutException,
-            httpcore.ProtocolError,
-        ) as error:
+            answer = _Answer(
+                *await self._pool.request(
+                    "GET", path, headers, timeout=timeout, max_bytes=MAX_CONTENT_BYTES
+                )
+            )
+        except NETWORK_ERRORS as error:
             raise SourceUnreachable(f"{path}: {error!r}") from None
         if answer.status not in (200, 304):
             raise SourceUnreachable(f"{path}: HTTP status {answer.status}")
@@ -107,8 +90,8 @@
 class HttpConfigurationSource(_HttpSource):
     """ConfigurationSource over HTTP. ``key`` is the key of the published document."""
 
-    def __init__(self, base_url, key="snipetrestle", pool=None):
-        super().__init__(base_url, pool)
+    def __init__(self, base_url, key="snipetrestle", backend=None):
+        super().__init__(base_url, backend)
         self._key = key
 
     async def read(self, part=""):
--- a/tests/test_bounded_peers.py
+++ b/tests/test_bounded_peers.py
@@ -3,17 +3,27 @@
 The calls are found by introspection: all public methods of each public client class.
 """
 
+import ast
 import functools
 import importlib
 import inspect
+import pathlib
 
 import anyio
 import testtools
 from msgspec import structs
 
+import snipetrestle
 from snipetrestle.engines.http_client import HttpEngineClient
 from snipetrestle.engines.protocol import EngineError, GenerateRequest, LoadOrder
 from snipetrestle.http_connections import ConnectionPool
+from snipetrestle.operators.client import OperatorCallFailed, OperatorClient
+from snipetrestle.operators.reports import DaemonReport
+from snipetrestle.publication.http_sources import (
+    HttpConfigurationSource,
+    HttpHostListSource,
+)
+from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle.services.http_client import HttpServiceClient
 from snipetrestle.services.protocol import ServiceCall, ServiceUnreachable
 from snipetrestle_standins import raw_http
@@ -29,10 +39,10 @@
 
 # Of a call that ends by its time-out.
 SHORT_TIMEOUT_S = 0.3
-# Of a trickled call, all of which run at once, on a busy machine.
-MAX_TRICKLE_S = 15.0
 # Backstop for a call that isn't bounded at all, for a busy machine.
 MAX_CALL_S = 20.0
+# Of a trickled call, all of which run at once, on a busy machine.
+MAX_TRICKLE_S = 15.0
 # Limits of whole answers are lowered to this, so that a test stays short.
 MAX_BODY_BYTES = 256 * 1024
 # What a peer may have sent at the end of a call, with what its socket holds.
@@ -41,15 +51,20 @@
 ERRORS_BY_CLIENT = {
     HttpEngineClient: EngineError,
     HttpServiceClient: ServiceUnreachable,
+    HttpConfigurationSource: SourceUnreachable,
+    HttpHostListSource: SourceUnreachable,
+    OperatorClient: OperatorCallFailed,
 }
 # Methods that send nothing to the peer.
-LOCAL_METHODS = {"aclose", "apply"}
+LOCAL_METHODS = {"aclose", "apply", "close"}
 ARGUMENTS = {
+    "after_revision": 1,
     "call": ServiceCall("register", "write", b"{}", timeout=30.0),
     "data": b"cache",
     "fencing_number": 1,
     "number": 1,
     "order": LoadOrder("workshop-0@1", "workshop-0", "1", 1),
+    "path": "/v1/status",
     "request": GenerateRequest(
         request_id="r1",
         handle="workshop-0@1",
@@ -60,6 +75,7 @@
         fencing_number=1,
     ),
     "request_id": "r1",
+    "response_type": DaemonReport,
     "role": "decode",
 }
 CHUNK = b"1\r\nx\r\n"
@@ -75,6 +91,45 @@
 SILENT_CHANNEL = Endless(CHUNKED_START, b"3\r\n:\n\n\r\n", PAUSE_S)
 
 
+ROOT = pathlib.Path(snipetrestle.__file__).parent
+# Modules that open connections, besides those with limits of their own.
+SOCKET_MODULES = ("httpcore", "h11", "http.client", "urllib.request", "socket.create")
+BOUNDED_MODULES = {"http_connections.py", "http_responses.py"}
+
+
+SOCKET_FUNCTIONS = {
+    "create_connection",
+    "connect_tcp",
+    "open_connection",
+    "sock_connect",
+}
+PACKAGES_WITH_OWN_LIMITS = ("gateway/", "coordination/", "platform/")
+
+
+def module_path(name):
+    return name.removeprefix("snipetrestle.").replace(".", "/") + ".py"
+
+
+def trees_by_path():
+    return {
+        path.relative_to(ROOT).as_posix(): ast.parse(path.read_text())
+        for path in ROOT.rglob("*.py")
+    }
+
+
+def imports_by_path():
+    """Returns the full names of all imports of each module of the package."""
+    return {path: set(imports_of(tree)) for path, tree in trees_by_path().items()}
+
+
+def imports_of(tree):
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield from (f"{node.module}.{alias.name}" for alias in node.names)
+
+
 def with_refusals(answers):
     """Adds, for each answer whose head is complete, the same with status 500."""
     refusals = {
@@ -99,7 +154,11 @@
 def connect(client_type, server):
     if client_type is HttpEngineClient:
         return HttpEngineClient(server.address)
-    return client_of(server)
+    if client_type is HttpServiceClient:
+        return client_of(server)
+    if client_type is OperatorClient:
+        return OperatorClient(f"http://{server.address}", "key")
+    return client_type(f"http://{server.address}")
 
 
 async def invoke(client, name):
@@ -111,7 +170,9 @@
         if parameter.default is parameter.empty
     }
     call = functools.partial(method, **arguments)
-    if inspect.iscoroutinefunction(method):
+    if isinstance(client, OperatorClient):
+        await anyio.to_thread.run_sync(call, abandon_on_cancel=True)
+    elif inspect.iscoroutinefunction(method):
         await call()
     elif inspect.isasyncgenfunction(method):
         async for _ in call():
@@ -122,6 +183,11 @@
                 pass
 
 
+async def close(client):
+    if not isinstance(client, OperatorClient):
+        await client.aclose()
+
+
 class BoundedCallTest(testtools.TestCase):
     """Each call, against each answer without end."""
 
@@ -161,7 +227,7 @@
             else:
                 self.fail(f"{where}: an endless answer must not succeed")
             finally:
-                await client.aclose()
+                await close(client)
             self.assertLess(server.sent_bytes, MAX_SENT_BYTES, where)
         return where
 
@@ -209,3 +275,55 @@
 
         anyio.run(main)
         self.assertEqual([], failures)
+
+
+class AccessTest(testtools.TestCase):
+    """A new call or client must not get round the bounds or this module's tests."""
+
+    def test_calls_are_found(self):
+        """A search that finds nothing would let each test above pass."""
+        self.assertLessEqual(
+            {"status", "load", "generate", "cache_events"},
+            set(calls_of(HttpEngineClient)),
+        )
+        for client_type in ERRORS_BY_CLIENT:
+            self.assertNotEqual([], calls_of(client_type), client_type)
+
+    def test_only_the_bounded_connections_open_sockets(self):
+        """A call with a client of its own would be bounded by nothing."""
+        users = {
+            path
+            for path, names in imports_by_path().items()
+            if any(name.startswith(SOCKET_MODULES) for name in names)
+        }
+        self.assertEqual(BOUNDED_MODULES, users)
+        users = {
+            path
+            for path, tree in trees_by_path().items()
+            if not path.startswith(PACKAGES_WITH_OWN_LIMITS)
+            and any(
+                isinstance(node, ast.Attribute) and node.attr in SOCKET_FUNCTIONS
+                for node in ast.walk(tree)
+            )
+        }
+        self.assertEqual({"http_responses.py"}, users)
+
+    def test_each_client_is_tested(self):
+        """A new client that is missing here would be tested by nothing."""
+        users = {
+            path
+            for path, names in imports_by_path().items()
+            if "snipetrestle.http_connections.ConnectionPool" in names
+        }
+        tested = {client.__module__ for client in ERRORS_BY_CLIENT}
+        self.assertEqual({module_path(name) for name in tested}, users)
+        for name in tested:
+            public_clients = {
+                value
+                for value in vars(importlib.import_module(name)).values()
+                if inspect.isclass(value)
+                and value.__module__ == name
+                and not value.__name__.startswith("_")
+                and value.__name__.endswith(("Client", "Source"))
+            }
+            self.assertLessEqual(public_clients, set(ERRORS_BY_CLIENT))
