Check the URLs of the platform's services in the settings

A URL without http:// or https:// was accepted, and the first read then raised httpcore.UnsupportedProtocol, which no reader expects (seen with `127.0.0.1:5`). It is now a problem of the field, with its value and the rule.

`test_urls_that_cannot_be_read_are_refused` fails on the commit before (nothing is raised) and passes now.

--- a/snipetrestle/settings.py
+++ b/snipetrestle/settings.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from snipetrestle.checking import InvalidDocument, Problem, check_struct, parse_document
+from snipetrestle.http_connections import split_base_url
 from snipetrestle.logs import LogSettings
 
 
@@ -145,6 +146,12 @@
                 repr(address),
                 f"needs tls.{name}: plain text is allowed on loopback only",
             )
+    for name in ("configuration_service", "host_list"):
+        url = getattr(settings.platform, name)
+        try:
+            split_base_url(url)
+        except ValueError as error:
+            yield Problem(f"platform.{name}", repr(url), f"must be a URL ({error})")
     if settings.tls.peers is not None and settings.tls.peers.authority is None:
         yield Problem("tls.peers.authority", "missing", "is required for mutual TLS")
     for index, seed in enumerate(settings.seeds):
--- a/tests/test_published.py
+++ b/tests/test_published.py
@@ -74,6 +74,15 @@
         error = self.assertRaises(InvalidDocument, Settings.from_text, text)
         self.assertEqual(["listen.peers"], [item.path for item in error.problems])
 
+    def test_urls_that_cannot_be_read_are_refused(self):
+        """A mistyped URL ended a task of the daemon at its first read."""
+        for url in ("", "127.0.0.1:5", "ftp://127.0.0.1:5", "http://", "http://h:x"):
+            text = SETTINGS.replace("http://127.0.0.1:5", url)
+            error = self.assertRaises(InvalidDocument, Settings.from_text, text)
+            self.assertEqual(
+                ["platform.host_list"], [item.path for item in error.problems], url
+            )
+
     def test_defaults_are_overridden(self):
         settings = Settings.from_text(SETTINGS + "logs: {level: DEBUG}\n")
         self.assertEqual("DEBUG", settings.logs.level)
