Send a host's loads to the leader and its likely successors only

Cause: a datagram of its own for loads costs 90 bytes and 2 for each replica more than loads in a heartbeat, and among up to 32 hosts each sent its loads to all others, though only a leader reads them.

Among few hosts, loads go to the leader and the three hosts that it announces as its successors, or to all without a leader. Among many they go to the leader only, as before.

Ruled out: the leader only, since its successor would start without loads.

test_few_hosts_send_loads_to_all became two tests, of the likely next leaders and of all hosts without a leader; its reason, a new leader without loads, stays.

--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -180,7 +180,7 @@
         return self.members_digest != 0
 
 
-class ReplicaLoads(_Message):
+class ReplicaLoads(_Message, tag="Loads"):
     """Loads at the replicas, sent after a heartbeat; long reports take several rounds.
 
     They are those that the sender causes, or if ``is_total``, that all hosts cause, as
--- a/snipetrestle/coordination/shared_loads.py
+++ b/snipetrestle/coordination/shared_loads.py
@@ -218,20 +218,25 @@
             rounds, loads = self._total_rounds, self.total_loads()
         else:
             rounds, loads = self._own_rounds, self.own_loads()
-            if self._hosts.is_large:
-                addresses = self._leader_addresses()
+            addresses = self._receivers(addresses)
         if not addresses:
             return
         message = rounds.next_message(self._hosts.own, loads)
         if message is not None:
             self._endpoint.send_all(message, addresses)
 
-    def _leader_addresses(self):
-        """Returns the address of the leader, which alone needs loads of many hosts."""
-        address = self._leadership.leader_address()
-        if address is None or not self._leadership.has_recent_leader:
-            return []
-        return [address]
+    def _receivers(self, addresses):
+        """Returns the addresses to which this host sends its own loads.
+
+        These are the leader's and, among few hosts, those of its likely successors.
+        """
+        if not self._leadership.has_recent_leader:
+            return [] if self._hosts.is_large else addresses
+        names = {self._leadership.leader}
+        if not self._hosts.is_large:
+            names.update(self._leadership.next_leaders())
+        by_name = self._hosts.by_name
+        return [by_name[name].address for name in names if name in by_name]
 
     def own_loads(self):
         """Returns the ReplicaLoad caused by this host by replica id."""
--- a/tests/coordination/test_message_sizes.py
+++ b/tests/coordination/test_message_sizes.py
@@ -47,6 +47,7 @@
 
     leads = False
     leader = "h1"
+    next_leaders = tuple
     has_recent_leader = True
     term = 1
 
@@ -248,7 +249,7 @@
         self.rounds = []
         self.hosts = types.SimpleNamespace(
             own=types.SimpleNamespace(name=NAMES[0], boot=messages.MAX_TOKEN),
-            by_name={},
+            by_name={"h1": types.SimpleNamespace(address=LEADER_ADDRESS)},
             is_large=False,
             on_round=self.rounds.append,
             on_heartbeat=lambda listener: None,
@@ -371,7 +372,6 @@
             shared = SharedRequestQuarantine(
                 quarantine, self.hosts, Follower(), self.endpoint
             )
-            self.hosts.by_name["h1"] = types.SimpleNamespace(address=LEADER_ADDRESS)
             self.rounds.append(lambda addresses: shared._send())
             names = self.names(max(1, crash_count // 6), length, character)
             for number in range(count):
--- a/tests/coordination/test_shared_loads.py
+++ b/tests/coordination/test_shared_loads.py
@@ -135,7 +135,7 @@
             leader=leader,
             leads=leader == "h0",
             has_recent_leader=True,
-            leader_address=lambda: ("127.0.0.1", int(self.leadership.leader[1:])),
+            next_leaders=lambda: ("h2", "h3", "h4"),
         )
         directory = types.SimpleNamespace(by_id=self.replicas)
         self.loads = SharedReplicaLoads(
@@ -218,19 +218,30 @@
 
         self.run_check(check)
 
-    def test_few_hosts_send_loads_to_all(self):
-        """A new leader in a small system must not be without the loads."""
+    def test_few_hosts_send_loads_to_the_likely_next_leaders(self):
+        """A new leader in a small system must not be without the loads, and it would
+        cost as much as all heartbeats to send them to each host."""
 
         def check():
-            replica = fake_replica("r1")
-            host = LoadsOfOneHost([replica], 6, "h1")
-            self.assertEqual(6, len(host.send_round()))
+            replica = fake_replica("r1", 3)
+            host = LoadsOfOneHost([replica], 12, "h1")
+            self.assertEqual({"h1", "h2", "h3", "h4"}, host.send_round().keys())
             for name in ("h1", "h2"):
                 host.receive_loads(name, 1, {"r1": ReplicaLoad(2, 0)})
             self.assertEqual(0, replica.others_in_flight)
 
         self.run_check(check)
 
+    def test_few_hosts_send_loads_to_all_without_a_leader(self):
+        """Any of them may be the next one."""
+
+        def check():
+            host = LoadsOfOneHost([fake_replica("r1", 3)], 12, "h1")
+            host.leadership.has_recent_leader = False
+            self.assertEqual(12, len(host.send_round()))
+
+        self.run_check(check)
+
     def test_new_leader_starts_from_the_reports_of_reachable_hosts(self):
         """It would take all replicas for idle until the next round, and those of a
         report of an earlier term for busy."""
