Fuzz the callers' side with sequences of requests and count the answers

Sequences of sound requests of all kinds (HEAD, Expect with a held body, chunks, offers of a protocol, "OPTIONS *", HTTP/1.0, blank lines, bodies that look like requests), pipelined and cut in pieces of random size, with at times a malformed or unfinished one behind them and more requests behind that, are sent to one gateway. An oracle reads the raw bytes that come back without the product's parser, and expects for each request one answer, in order, with its id, its framing and its announcement of the connection's end, and nothing else. What reached the replicas is checked as well: whole, and writes once.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # The stamp is named by the pins, so a changed pin installs again.
 STAMP = $(VENV)/.installed-$(shell cat requirements/*.txt | cksum | cut -d' ' -f1)
 
-.PHONY: setup demo lint format test fuzz soak chaos bench-parsing bench-path bench-policy bench-control binary generate
+.PHONY: setup demo lint format test fuzz fuzz-requests soak chaos bench-parsing bench-path bench-policy bench-control binary generate
 
 setup: $(STAMP)
 
@@ -33,6 +33,9 @@
 fuzz: setup
 	$(RUN) -m tests.fuzz
 
+fuzz-requests: setup
+	$(RUN) -m tests.gateway.sequence_fuzz $(ARGS)
+
 soak: setup
 	$(RUN) -m tests.soak $(ARGS)
 
