--- a/snipetrestle/coordination/report_rounds.py
+++ b/snipetrestle/coordination/report_rounds.py
@@ -29,10 +29,11 @@
 class ReportRounds:
     """Chooses the items of a report for each round; those that wait longest come first.
 
-    ``max_bytes`` bounds the items of one round, whose sizes ``size_of(item)`` tells. With ``new_first``, items that
-    were never sent come before the others. ``number`` is that of the last
-    round. A receiver may drop items that it has last got before ``complete_since``: the
-    report no longer contains them, or two datagrams with them were lost.
+    ``max_bytes`` bounds the items of one round, whose sizes ``size_of(item)`` tells.
+    With ``new_first``, items that were never sent come before the others. ``number`` is
+    that of the last round. A receiver may drop items that it has last got before
+    ``complete_since``: the report no longer contains them, or two datagrams with them
+    were lost.
     """
 
     def __init__(self, max_bytes, new_first=False, size_of=encoded_bytes):
