--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -12,6 +12,14 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.gateway.connection_end import ConnectionEnd, EndReason, Unanswered
 from snipetrestle.gateway.message_limits import OverheadMeter
+from snipetrestle.gateway.request_head import (
+    Request,
+    expects_continue,
+    format_head_without_offer,
+    head_size_bytes,
+    is_unambiguous,
+    names_close,
+)
 from snipetrestle.gateway.supervision import call_isolated, log_unexpected
 from snipetrestle.gateway.waiter import Waiter
 from snipetrestle.lingering import has_unsent_bytes, linger, write_end
@@ -54,38 +62,6 @@
 }
 
 
-class Request:
-    """A complete request. ``received_at`` is in seconds of the event loop's clock."""
-
-    __slots__ = ("method", "target", "headers", "body", "keep_alive", "received_at")
-
-    def __init__(self, method, target, headers, keep_alive):
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = b""
-        self.keep_alive = keep_alive
-        self.received_at = 0.0
-
-    @property
-    def is_head(self):
-        """Whether the response has no body, whatever length it declares."""
-        return self.method == b"HEAD"
-
-    @property
-    def path(self):
-        """The target without its query string, as text."""
-        return self.target.partition(b"?")[0].decode("latin-1")
-
-    @property
-    def hostname(self):
-        """The Host header without its port, in lower case; "" if there is none."""
-        for name, value in self.headers:
-            if name == b"host":
-                return value.decode("latin-1").partition(":")[0].lower()
-        return ""
-
-
 class CallerDisconnected(Exception):
     """The caller has closed its connection."""
 
@@ -202,7 +178,7 @@
         """
         if self._refusal_code is not None:
             return
-        head = _format_head_without_offer(
+        head = format_head_without_offer(
             self._parser.get_method(),
             self._target,
             self._headers,
@@ -272,14 +248,14 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            self._parser.should_keep_alive() and not _names_close(self._headers),
+            self._parser.should_keep_alive() and not names_close(self._headers),
         )
         if (
-            _head_size_bytes(self._current_request)
+            head_size_bytes(self._current_request)
             > self._server.limits.max_header_bytes
         ):
             self._refuse(ResultCode.HEADERS_TOO_LARGE)
-        if not _is_unambiguous(self._current_request, self._parser.get_http_version()):
+        if not is_unambiguous(self._current_request, self._parser.get_http_version()):
             self._refuse(ResultCode.MALFORMED_REQUEST)
         for name, value in self._headers:
             if (
@@ -288,7 +264,7 @@
                 and int(value) > self._server.limits.max_body_bytes
             ):
                 self._refuse(ResultCode.BODY_TOO_LARGE)
-        self._awaits_continue = _expects_continue(
+        self._awaits_continue = expects_continue(
             self._headers, self._parser.get_http_version()
         )
 
@@ -628,73 +604,3 @@
 
 def _length_header(content_length):
     return b"content-length: %d\r\n" % content_length
-
-
-def _format_head_without_offer(method, target, headers, http_version):
-    """Returns the head of a request without its Upgrade fields."""
-    lines = [b"%b %b HTTP/%b\r\n" % (method, target, http_version.encode())]
-    lines += [
-        b"%b: %b\r\n" % (name, value) for name, value in headers if name != b"upgrade"
-    ]
-    return b"".join(lines) + b"\r\n"
-
-
-def _names_close(headers):
-    """Whether a caller ends its connection, whatever else it says of it.
-
-    The parser lets ``keep-alive`` of HTTP/1.0 override ``close``.
-    """
-    return any(
-        name == b"connection"
-        and b"close" in (option.strip().lower() for option in value.split(b","))
-        for name, value in headers
-    )
-
-
-def _expects_continue(headers, http_version):
-    """Whether a caller waits for ``100 Continue``. Other expectations are ignored.
-
-    A request whose head declares no body is complete with its head.
-    """
-    return http_version == "1.1" and any(
-        name == b"expect" and value.strip().lower() == b"100-continue"
-        for name, value in headers
-    )
-
-
-def _head_size_bytes(request):
-    """Returns the size of a request head, also if it arrived together with its end."""
-    fields = sum(len(name) + len(value) + 4 for name, value in request.headers)
-    return len(request.target) + fields
-
-
-def _is_unambiguous(request, http_version):
-    """Whether every HTTP parser would frame and route a request in the same way.
-
-    Guards against request smuggling.
-    """
-    host_count = sum(name == b"host" for name, _ in request.headers)
-    content_lengths = {
-        value.strip() for name, value in request.headers if name == b"content-length"
-    }
-    transfer_encodings = [
-        value for name, value in request.headers if name == b"transfer-encoding"
-    ]
-    if (
-        host_count != 1
-        or len(content_lengths) > 1
-        or (content_lengths and transfer_encodings)
-    ):
-        return False
-    if transfer_encodings and (
-        len(transfer_encodings) > 1
-        or transfer_encodings[0].strip().lower() != b"chunked"
-    ):
-        return False
-    if http_version not in ("1.1", "1.0"):
-        return False
-    if request.method == b"CONNECT":
-        # What follows would be no HTTP, and the parser reads no further.
-        return False
-    is_for_server = request.method == b"OPTIONS" and request.target == b"*"
-    return is_for_server or request.target.startswith(b"/")
--- a/tests/gateway/test_connection_ends.py
+++ b/tests/gateway/test_connection_ends.py
@@ -2,12 +2,9 @@
 
 import asyncio
 
-import testtools
-from loguru import logger
-
-from snipetrestle.events import Event
 from snipetrestle_standins.gateway_fleet import Caller
 from snipetrestle_standins.platform_replica import Fault
+from tests.gateway.log_recording import LogRecordingTest
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
 
@@ -24,18 +21,7 @@
     return 0
 
 
-class ConnectionEndTest(testtools.TestCase):
-    def setUp(self):
-        super().setUp()
-        self.ends = []
-        handler = logger.add(self._note_record)
-        self.addCleanup(logger.remove, handler)
-
-    def _note_record(self, message):
-        fields = message.record["extra"]
-        if fields.get("event") == str(Event.CONNECTION_ENDED_EARLY):
-            self.ends.append((fields["reason"], fields["unanswered"]))
-
+class ConnectionEndTest(LogRecordingTest):
     def test_caller_that_leaves_is_told_from_this_host(self):
         """No line told who had ended a connection with a request unanswered."""
 
@@ -47,8 +33,8 @@
                 request = asyncio.create_task(caller.send_request("/entry/a"))
                 await wait_until(lambda: any(item.runs for item in fleet.registers))
                 request.cancel()
-            await wait_until(lambda: self.ends)
-            self.assertEqual([("caller_closed", "request")], self.ends)
+            await wait_until(self.early_ends)
+            self.assertEqual([("caller_closed", "request")], self.early_ends())
             self.assertEqual(1, count_ends(gateway, "caller_closed", "request"))
 
         run_fleet(check)
@@ -65,7 +51,7 @@
                 await wait_until(lambda: any(item.runs for item in fleet.registers))
                 gateway.caller_server.close()
                 self.assertEqual(0, (await request).status)
-            self.assertEqual([("process_end", "request")], self.ends)
+            self.assertEqual([("process_end", "request")], self.early_ends())
 
         run_fleet(check)
 
--- a/tests/gateway/test_ended_connections.py
+++ b/tests/gateway/test_ended_connections.py
@@ -9,7 +9,6 @@
 
 import anyio
 import testtools
-from loguru import logger
 
 from snipetrestle.events import Event
 from snipetrestle.gateway import http_server
@@ -20,6 +19,7 @@
 from snipetrestle.lingering import LINGER_S
 from snipetrestle_standins.gateway_fleet import MODEL, Caller
 from snipetrestle_standins.platform_replica import Fault
+from tests.gateway.log_recording import LogRecordingTest
 from tests.gateway.running import run_fleet
 from tests.gateway.test_closing_connections import BlockingCaller, request_bytes
 from tests.gateway.test_connection_ends import count_ends
@@ -44,30 +44,6 @@
     sock.close()
 
 
-class LogRecordingTest(testtools.TestCase):
-    """Records the events that the process logs."""
-
-    def setUp(self):
-        super().setUp()
-        self.events = []
-        handler = logger.add(self._note_record)
-        self.addCleanup(logger.remove, handler)
-
-    def _note_record(self, message):
-        self.events.append(message.record["extra"])
-
-    def logged(self, event):
-        """Returns the fields of the logged lines of an event."""
-        return [item for item in self.events if item.get("event") == str(event)]
-
-    def early_ends(self):
-        """Returns the reason and what was unanswered of each end that was logged."""
-        return [
-            (item["reason"], item["unanswered"])
-            for item in self.logged(Event.CONNECTION_ENDED_EARLY)
-        ]
-
-
 class ReportedEndTest(LogRecordingTest):
     def test_unanswered_end_is_logged_after_many_refusals(self):
         """Ends were logged within the rate limit of refusals, which a stop causes in
