Keep idle connections of callers longer than the limit

Cause: the limit says how long a caller may leave a connection idle, and the gateway closed it at that very moment. A request that is sent within the limit then crosses the close on the wire.

A connection is kept for a third of the limit longer now, and for a second at least.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -31,6 +31,10 @@
 MIN_BODY_BYTES_PER_S = 1024
 # Chunk sizes, chunk extensions and trailers of a request body.
 MAX_BODY_OVERHEAD_BYTES = 16_384
+# Idle connections are kept longer than the limit by this share of it, and by this time
+# at least. Otherwise a request that is sent just within the limit crosses the close.
+IDLE_MARGIN_SHARE = 1 / 3
+MIN_IDLE_MARGIN_S = 1.0
 # While the server closes, a new connection may send its first request for this long.
 FIRST_REQUEST_WAIT_S = 0.5
 # A caller that reads no responses for this long is disconnected.
@@ -443,7 +447,7 @@
         self._head_started_at = None
         if self._server.close_when_idle:
             return self._first_request_remaining_s()
-        return idle_since + limits.idle_timeout_s - now
+        return idle_since + _kept_idle_s(limits) - now
 
     def _remaining_body_wait_s(self, now):
         """Returns how long to wait for more of a body, in seconds.
@@ -602,5 +606,11 @@
 )
 
 
+def _kept_idle_s(limits):
+    """Returns how long an idle connection is kept open, in seconds."""
+    margin_s = max(MIN_IDLE_MARGIN_S, IDLE_MARGIN_SHARE * limits.idle_timeout_s)
+    return limits.idle_timeout_s + margin_s
+
+
 def _length_header(content_length):
     return b"content-length: %d\r\n" % content_length
