--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -13,7 +13,12 @@
 import xxhash
 
 from snipetrestle.coordination.lost_hosts import LostHosts
-from snipetrestle.coordination.messages import Heartbeat, Join, KnownHosts
+from snipetrestle.coordination.messages import (
+    MAX_LISTED_HOSTS,
+    Heartbeat,
+    Join,
+    KnownHosts,
+)
 from snipetrestle.events import Event, log_event
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -29,7 +34,6 @@
 REMOVED_TIMEOUT_S = 2 * UNCONFIRMED_TIMEOUT_S
 LEADER_REMOVAL_LAG_S = 2.0
 MAX_MESH_HOSTS = 32
-HOSTS_PER_DATAGRAM = 12
 JOIN_INTERVAL_S = 0.25
 # Hosts that join at the same time are announced together after this time.
 ANNOUNCE_DELAY_S = 0.05
@@ -56,7 +60,6 @@
     document_version_sum: int = 0
     reads_store: bool = False
     candidates: tuple = ()
-    limits_by_replica: dict = {}
 
 
 class KnownHost:
@@ -79,9 +82,8 @@
     """Membership by heartbeats over UDP.
 
     ``content`` is the HeartbeatContent: its ``status()`` is the HostStatus,
-    ``loads_by_replica()`` the ReplicaLoads to send, ``readers_by_domain()`` the hosts
-    that a leader has appointed to read the store, and ``hosts_read_for()`` those for
-    which this host reads it.
+    ``readers_by_domain()`` the hosts that a leader has appointed to read the store, and
+    ``hosts_read_for()`` those for which this host reads it.
     """
 
     def __init__(self, own, seeds, endpoint, content):
@@ -255,7 +257,7 @@
     def _send_as_leader(self, status):
         """Sends to all hosts, with the readers of each one's failure domain."""
         heartbeat = msgspec.structs.replace(
-            self._heartbeat(status, self._content.loads_by_replica()),
+            self._heartbeat(status),
             members_digest=self.members_digest,
             candidates=status.candidates,
         )
@@ -271,27 +273,17 @@
         return self._addresses()
 
     def _send_to_leader(self, status):
-        """Sends to the leader, its likely successors and those it reads the store for.
-
-        Only the leader needs the loads, which make up most of a heartbeat.
-        """
-        leader = self.by_name.get(status.leader)
-        leader_addresses = [] if leader is None else [leader.address]
-        if leader is not None:
-            heartbeat = self._heartbeat(status, self._content.loads_by_replica())
-            self._endpoint.send(heartbeat, leader.address)
-        names = set(status.candidates)
+        """Sends to the leader, its likely successors and those it reads the store for."""
+        names = {status.leader, *status.candidates}
         names.update(host.info.name for host in self._content.hosts_read_for())
-        names.discard(status.leader)
         addresses = [
             self.by_name[name].address for name in names if name in self.by_name
         ]
         self._endpoint.send_all(self._heartbeat(status), addresses)
-        return leader_addresses + addresses
+        return addresses
 
     def _send_to_all(self, status):
-        loads = None if self.is_large else self._content.loads_by_replica()
-        self._endpoint.send_all(self._heartbeat(status, loads), self._addresses())
+        self._endpoint.send_all(self._heartbeat(status), self._addresses())
         self._exchange_with_next()
         return self._addresses()
 
@@ -307,19 +299,15 @@
             if host.info.failure_domain == self.own.failure_domain
         ]
 
-    def _heartbeat(self, status, loads_by_replica=None):
-        """Returns a Heartbeat, which says nothing about loads if they are None."""
+    def _heartbeat(self, status):
         return Heartbeat(
             self.own,
             status.leader,
             status.term,
             status.leader_age_s,
             self.leaving,
-            loads_by_replica or {},
             {prefix: item.revision for prefix, item in status.newest_positions.items()},
-            leaves_out_loads=loads_by_replica is None,
             reads_store=status.reads_store,
-            limits_by_replica=status.limits_by_replica,
             epoch_by_prefix={
                 prefix: item.epoch for prefix, item in status.newest_positions.items()
             },
@@ -471,15 +459,15 @@
         self._send_known(infos, [host.address for host in hosts])
 
     def _send_known(self, infos, addresses):
-        for start in range(0, len(infos), HOSTS_PER_DATAGRAM):
-            part = tuple(infos[start : start + HOSTS_PER_DATAGRAM])
+        for start in range(0, len(infos), MAX_LISTED_HOSTS):
+            part = tuple(infos[start : start + MAX_LISTED_HOSTS])
             self._endpoint.send_all(KnownHosts(part), addresses)
 
     def _send_lost(self, address):
         """Tells a host of the lost ones, which may be behind a cut."""
         reports = self.lost.reports()
-        for start in range(0, len(reports), HOSTS_PER_DATAGRAM):
-            part = tuple(reports[start : start + HOSTS_PER_DATAGRAM])
+        for start in range(0, len(reports), MAX_LISTED_HOSTS):
+            part = tuple(reports[start : start + MAX_LISTED_HOSTS])
             self._endpoint.send(KnownHosts((), part), address)
 
     def _learn_lost(self, reports):
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -4,6 +4,7 @@
 passed them could spread a fencing token that no later leader can exceed.
 """
 
+import types
 import typing
 
 import msgspec
@@ -16,14 +17,31 @@
     Revision,
     StorePosition,
 )
+from snipetrestle.gateway.request_fingerprint import (
+    MAX_PART_KEY_LENGTH,
+    MAX_PROMPT_PARTS,
+)
 
 MAX_TOKEN = 2**62
 MAX_AGE_S = 1e9
 MAX_RATE_PER_S = 1e9
 MAX_COUNT = 2**31
 
+# Bounds of the lists in heartbeats and in answers to Join.
+MAX_CANDIDATES = 4
+MAX_READERS = 32
+MAX_PREFIXES = 4
+MAX_LISTED_HOSTS = 12
+# Larger changes are read by each host: a long datagram is lost with any of its parts.
+MAX_CHANGES_BYTES = 8192
+MAX_REQUEST_KEY_LENGTH = 32
+
 # The id of a replica and its start time.
 ProcessId = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH + 20)]
+# The key of a prompt part, as prompt_part_key returns it, and the fingerprint of a
+# request, as request_fingerprint does.
+PartKey = typing.Annotated[str, msgspec.Meta(max_length=MAX_PART_KEY_LENGTH)]
+RequestKey = typing.Annotated[str, msgspec.Meta(max_length=MAX_REQUEST_KEY_LENGTH)]
 # A datagram to an address with a zero byte would close the socket.
 HOST_PATTERN = r"\A[0-9A-Za-z.:_-]{0,200}\Z"
 Host = typing.Annotated[str, msgspec.Meta(pattern=HOST_PATTERN)]
@@ -33,6 +51,9 @@
 AgeS = typing.Annotated[float, msgspec.Meta(ge=-1, le=MAX_AGE_S)]
 RatePerS = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_RATE_PER_S)]
 DurationS = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_S)]
+RevisionByPrefix = typing.Annotated[
+    dict[Name, Revision], msgspec.Meta(max_length=MAX_PREFIXES)
+]
 
 
 class _Message(msgspec.Struct, array_like=True, frozen=True, tag=True):
@@ -58,7 +79,7 @@
     """Requests in progress at a replica, and its time between two events of a stream.
 
     ``event_interval_us`` is in microseconds; 0 means that it is unknown. ``adapters``
-    are those of the sender's own requests in progress; a leader's heartbeat has none.
+    are those of the sender's own requests in progress; a leader's sums have none.
     """
 
     in_flight: Count
@@ -66,12 +87,24 @@
     adapters: tuple[AdapterKey, ...] = ()
 
 
+class ReplicaLoadPart(msgspec.Struct, array_like=True, frozen=True):
+    """A part of the load at a replica; parts from 1 on contain only adapters.
+
+    Messages contain it in this form only if ``part`` is not 0.
+    """
+
+    replica_id: Name
+    part: Count
+    load: ReplicaLoad
+
+
 class RequestLimitReport(msgspec.Struct, array_like=True, frozen=True):
     """The requests a second that a replica took from all hosts, ``age_s`` ago.
 
     ``per_s`` is None if it named no limit.
     """
 
+    replica_id: Name
     per_s: RatePerS | None
     age_s: DurationS
 
@@ -84,7 +117,9 @@
     """
 
     crash: ProcessId
-    parts: tuple[Name, ...]
+    parts: typing.Annotated[
+        tuple[PartKey, ...], msgspec.Meta(max_length=MAX_PROMPT_PARTS)
+    ]
     age_s: DurationS
     confirmed: bool = False
 
@@ -95,9 +130,9 @@
     ``crash`` identifies the replica's process, ``requests`` are fingerprints.
     """
 
-    crash: Name
+    crash: ProcessId
     age_s: DurationS
-    requests: tuple[Name, ...]
+    requests: tuple[RequestKey, ...]
 
 
 class Heartbeat(_Message, tag="Beat"):
@@ -105,14 +140,11 @@
 
     ``leader`` and ``term`` identify the leader that the sender follows and its fencing
     token; ``leader_age_s`` is the time since the sender heard from it (-1: never).
-    ``loads_by_replica`` holds the load that the sender causes at the replicas; in a
-    leader's heartbeat, the load that all hosts cause. ``newest_by_prefix`` holds the
-    newest revision of the published state that the sender has, by key prefix, and
-    ``epoch_by_prefix`` the epoch of the store that it belongs to.
-    ``document_version_sum`` is the sum of the versions of the operator's documents.
-    ``leaves_out_loads`` tells that this message says nothing about loads.
+    ``newest_by_prefix`` holds the newest revision of the published state that the
+    sender has, by key prefix, and ``epoch_by_prefix`` the epoch of the store that it
+    belongs to. ``document_version_sum`` is the sum of the versions of the operator's
+    documents.
     ``reads_store`` tells that the sender's last request to the store was answered.
-    ``limits_by_replica`` holds the limits that replicas named to any host.
 
     Only a leader sends the rest: ``members_digest`` of all hosts that it knows, the
     names of the likely next leaders, and of the hosts that read the store for the
@@ -124,15 +156,16 @@
     term: Token
     leader_age_s: AgeS
     leaving: bool
-    loads_by_replica: dict[Name, ReplicaLoad]
-    newest_by_prefix: dict[Name, Revision]
-    leaves_out_loads: bool = False
+    newest_by_prefix: RevisionByPrefix
     reads_store: bool = False
     members_digest: Revision = 0
-    candidates: tuple[Name, ...] = ()
-    readers: tuple[Name, ...] = ()
-    limits_by_replica: dict[Name, RequestLimitReport] = {}
-    epoch_by_prefix: dict[Name, Revision] = {}
+    candidates: typing.Annotated[
+        tuple[Name, ...], msgspec.Meta(max_length=MAX_CANDIDATES)
+    ] = ()
+    readers: typing.Annotated[
+        tuple[Name, ...], msgspec.Meta(max_length=MAX_READERS)
+    ] = ()
+    epoch_by_prefix: RevisionByPrefix = {}
     document_version_sum: Revision = 0
 
     def newest_position(self, prefix):
@@ -150,6 +183,48 @@
         return self.members_digest != 0
 
 
+class ReplicaLoads(_Message, tag="Loads"):
+    """Loads at the replicas, sent after a heartbeat; long reports take several rounds.
+
+    They are those that the sender causes, or if ``is_total``, that all hosts cause, as
+    far as the sender, a leader, knows. ``number`` and ``complete_since`` are those of
+    ReportRounds; numbers start anew with each ``boot`` of the sender.
+    """
+
+    sender: Name
+    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    is_total: bool
+    number: Revision
+    complete_since: Revision
+    loads_by_replica: dict[Name, ReplicaLoad]
+    further_parts: tuple[ReplicaLoadPart, ...] = ()
+
+    @classmethod
+    def of_parts(cls, sender, boot, is_total, number, complete_since, parts):
+        """Returns the message with some ReplicaLoadParts."""
+        return cls(
+            sender,
+            boot,
+            is_total,
+            number,
+            complete_since,
+            {item.replica_id: item.load for item in parts if not item.part},
+            tuple(item for item in parts if item.part),
+        )
+
+    @property
+    def parts(self):
+        """The ReplicaLoadParts that the message contains."""
+        first = [ReplicaLoadPart(key, 0, v) for key, v in self.loads_by_replica.items()]
+        return (*first, *self.further_parts)
+
+
+class RequestLimitReports(_Message):
+    """Limits that replicas named to any host; many of them take several rounds."""
+
+    reports: tuple[RequestLimitReport, ...]
+
+
 class LostPrompts(_Message):
     """Prompts that may have crashed replicas, on any host.
 
@@ -157,7 +232,7 @@
     """
 
     prompts: tuple[LostPromptReport, ...]
-    served_ages_s: dict[Name, DurationS] = {}
+    served_ages_s: dict[PartKey, DurationS] = {}
 
 
 class LostRequests(_Message):
@@ -168,7 +243,7 @@
 
     sender: Name
     crashes: tuple[CrashReport, ...]
-    served_ages_s: dict[Name, DurationS] = {}
+    served_ages_s: dict[RequestKey, DurationS] = {}
 
 
 class Join(_Message):
@@ -190,8 +265,12 @@
     Lost hosts may be behind a cut, so the receiver counts them in elections.
     """
 
-    hosts: tuple[HostInfo, ...]
-    lost: tuple[LostHostReport, ...] = ()
+    hosts: typing.Annotated[
+        tuple[HostInfo, ...], msgspec.Meta(max_length=MAX_LISTED_HOSTS)
+    ]
+    lost: typing.Annotated[
+        tuple[LostHostReport, ...], msgspec.Meta(max_length=MAX_LISTED_HOSTS)
+    ] = ()
 
 
 class Changes(_Message):
@@ -206,7 +285,7 @@
     base_revision: Revision
     revision: Revision
     store_returned_age_s: AgeS
-    content: bytes
+    content: typing.Annotated[bytes, msgspec.Meta(max_length=MAX_CHANGES_BYTES)]
     epoch: Revision = 0
 
     @property
@@ -235,7 +314,7 @@
 class AdapterLocation(msgspec.Struct, array_like=True, frozen=True):
     """A replica that holds an adapter, or is expected to in ``ready_in_s`` seconds.
 
-    ``load`` is what all hosts cause there; None if heartbeats carry it.
+    ``load`` is what all hosts cause there; None if ReplicaLoads tell it.
     """
 
     replica_id: Name
@@ -279,6 +358,8 @@
 
 Message = (
     Heartbeat
+    | ReplicaLoads
+    | RequestLimitReports
     | Join
     | KnownHosts
     | Changes
@@ -289,6 +370,26 @@
     | LostPrompts
     | LostRequests
 )
+
+# The largest encoded size of each message, whatever names, prompts and lists are. The
+# fields bound those of fixed content, and their senders the lists of the others.
+MAX_BYTES_BY_TYPE = types.MappingProxyType(
+    {
+        Heartbeat: 40 * 1024,
+        Join: 2 * 1024,
+        KnownHosts: 45 * 1024,
+        Changes: 10 * 1024,
+        PermitReply: 1024,
+        ReplicaLoads: 9 * 1024,
+        RequestLimitReports: 9 * 1024,
+        LostPrompts: 14 * 1024,
+        LostRequests: 13 * 1024,
+        Locate: 19 * 1024,
+        Located: 9 * 1024,
+        PermitRequest: 9 * 1024,
+    }
+)
+
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
 
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -172,7 +172,9 @@
             rng,
             settings.entry_expiry_s,
         )
-        self.datagram_endpoint = DatagramEndpoint(self.metrics.count_too_long_datagram)
+        self.datagram_endpoint = DatagramEndpoint(
+            self.metrics.count_too_long_datagram, self.metrics.count_refused_datagram
+        )
         own_info = HostInfo(
             settings.name, boot, *settings.peers, settings.failure_domain, settings.size
         )
@@ -188,7 +190,7 @@
             self.hosts, settings.lease_s, has_ended, self.order_activity
         )
         self.shared_loads = SharedReplicaLoads(
-            self.replicas, self.hosts, self.leadership
+            self.replicas, self.hosts, self.leadership, self.datagram_endpoint
         )
         self.store_relay = StoreRelay(
             self.state,
@@ -209,10 +211,11 @@
         )
         heartbeat_content.connect(
             self.leadership,
-            self.shared_loads,
             self.state,
             self.store_relay,
-            SharedRequestLimits(self.replicas, self.hosts),
+        )
+        self.shared_limits = SharedRequestLimits(
+            self.replicas, self.hosts, self.datagram_endpoint
         )
         self.shared_quarantine = SharedQuarantine(
             self.crash_quarantine.prompts, self.hosts, self.datagram_endpoint
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -12,6 +12,14 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.gateway.connection_end import ConnectionEnd, EndReason, Unanswered
 from snipetrestle.gateway.message_limits import OverheadMeter
+from snipetrestle.gateway.request_head import (
+    Request,
+    expects_continue,
+    format_head_without_offer,
+    head_size_bytes,
+    is_unambiguous,
+    names_close,
+)
 from snipetrestle.gateway.supervision import call_isolated, log_unexpected
 from snipetrestle.gateway.waiter import Waiter
 from snipetrestle.lingering import has_unsent_bytes, linger, write_end
@@ -23,6 +31,10 @@
 MIN_BODY_BYTES_PER_S = 1024
 # Chunk sizes, chunk extensions and trailers of a request body.
 MAX_BODY_OVERHEAD_BYTES = 16_384
+# Idle connections are kept longer than the limit by this share of it, and by this time
+# at least. Otherwise a request that is sent just within the limit crosses the close.
+IDLE_MARGIN_SHARE = 1 / 3
+MIN_IDLE_MARGIN_S = 1.0
 # While the server closes, a new connection may send its first request for this long.
 FIRST_REQUEST_WAIT_S = 0.5
 # A caller that reads no responses for this long is disconnected.
@@ -54,33 +66,6 @@
 }
 
 
-class Request:
-    """A complete request. ``received_at`` is in seconds of the event loop's clock."""
-
-    __slots__ = ("method", "target", "headers", "body", "keep_alive", "received_at")
-
-    def __init__(self, method, target, headers, keep_alive):
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = b""
-        self.keep_alive = keep_alive
-        self.received_at = 0.0
-
-    @property
-    def path(self):
-        """The target without its query string, as text."""
-        return self.target.partition(b"?")[0].decode("latin-1")
-
-    @property
-    def hostname(self):
-        """The Host header without its port, in lower case; "" if there is none."""
-        for name, value in self.headers:
-            if name == b"host":
-                return value.decode("latin-1").partition(":")[0].lower()
-        return ""
-
-
 class CallerDisconnected(Exception):
     """The caller has closed its connection."""
 
@@ -106,7 +91,15 @@
         self._pending_requests = []
         self._unparsed = bytearray()
         self._refusal_code = None
+        # Method of the request that arrives, once it is known.
+        self._method = None
+        # Whether the request that is answered, or the refused one, is a HEAD request.
+        self._is_head_request = False
+        self._is_refused_head_request = False
         self._in_message = False
+        # Whether the caller waits for an interim response before it sends its body.
+        self._awaits_continue = False
+        # Bytes of a head, and of blank lines before it.
         self._head_bytes = 0
         self._head_started_at = None
         self._in_head = True
@@ -189,7 +182,7 @@
         """
         if self._refusal_code is not None:
             return
-        head = _format_head_without_offer(
+        head = format_head_without_offer(
             self._parser.get_method(),
             self._target,
             self._headers,
@@ -235,9 +228,11 @@
         self._in_head = True
         self._headers = []
         self._target = b""
+        self._method = None
 
     def on_url(self, url):
         self._target += url
+        self._method = self._parser.get_method()
 
     def on_header(self, name, value):
         # Trailer fields are dropped: the request's head was checked without them.
@@ -257,23 +252,28 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            self._parser.should_keep_alive(),
+            self._parser.should_keep_alive() and not names_close(self._headers),
         )
         if (
-            _head_size_bytes(self._current_request)
+            head_size_bytes(self._current_request)
             > self._server.limits.max_header_bytes
         ):
             self._refuse(ResultCode.HEADERS_TOO_LARGE)
-        if not _is_unambiguous(self._current_request, self._parser.get_http_version()):
+        if not is_unambiguous(self._current_request, self._parser.get_http_version()):
             self._refuse(ResultCode.MALFORMED_REQUEST)
         for name, value in self._headers:
-            if name == b"content-length" and value.isdigit():
-                if int(value) > self._server.limits.max_body_bytes:
-                    self._refuse(ResultCode.BODY_TOO_LARGE)
-            elif name == b"expect" and self._refusal_code is None:
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            if (
+                name == b"content-length"
+                and value.isdigit()
+                and int(value) > self._server.limits.max_body_bytes
+            ):
+                self._refuse(ResultCode.BODY_TOO_LARGE)
+        self._awaits_continue = expects_continue(
+            self._headers, self._parser.get_http_version()
+        )
 
     def on_body(self, data):
+        self._awaits_continue = False
         if self._refusal_code is not None:
             return
         self._body_parts.append(data)
@@ -286,6 +286,8 @@
     def on_message_complete(self):
         self._in_message = False
         self._in_head = True
+        self._method = None
+        self._awaits_continue = False
         self._head_started_at = None
         if self._refusal_code is not None or self._offers_upgrade:
             return
@@ -305,6 +307,7 @@
                     break
                 self.busy = True
                 self.keep_alive = request.keep_alive
+                self._is_head_request = request.is_head
                 self.has_response = False
                 self.request_id = None
                 await self._server.handle(request, self)
@@ -341,6 +344,7 @@
                 return self._pending_requests.pop(0)
             if self._refusal_code is not None:
                 self._note_end(EndReason.REQUEST_REFUSED)
+                self._is_head_request = self._is_refused_head_request
                 self.send_result_code(self._refusal_code)
                 return None
             if self._unparsed:
@@ -352,6 +356,7 @@
                 self._transport.resume_reading()
             if self.closed:
                 return None
+            self._send_continue_if_awaited()
             remaining_s = self._remaining_wait_s(idle_since)
             is_draining = self._server.close_when_idle and not self.is_engaged
             if remaining_s <= 0 or is_draining:
@@ -360,9 +365,20 @@
                 remaining_s = UNREAD_BYTES_WAIT_S
             await self._waiter.wait(remaining_s)
 
+    def _send_continue_if_awaited(self):
+        """Asks for a body that its caller holds back until then (RFC 9110, 10.1.1).
+
+        Called with all earlier requests answered: an interim response belongs to the
+        oldest request without an answer. The time for the body begins here.
+        """
+        if self._awaits_continue:
+            self._awaits_continue = False
+            self._body_started_at = self._last_body_at = self._loop.time()
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _silence_end_reason(self):
         """Returns why a connection ends on which nothing came for too long."""
-        if self._in_message or self._head_bytes:
+        if self._in_message:
             return EndReason.REQUEST_REFUSED
         return EndReason.DRAIN if self._server.close_when_idle else EndReason.IDLE
 
@@ -377,6 +393,7 @@
             return False
         self._note_end(reason)
         if reason is EndReason.REQUEST_REFUSED:
+            self._is_head_request = self._method == b"HEAD"
             self.send_result_code(ResultCode.REQUEST_TIMEOUT)
         write_end(self._transport)
         return True
@@ -400,11 +417,7 @@
     @property
     def _has_next_request(self):
         """Whether another request has arrived, at least in part."""
-        return (
-            bool(self._pending_requests or self._unparsed)
-            or self._in_message
-            or self._head_bytes > 0
-        )
+        return bool(self._pending_requests or self._unparsed) or self._in_message
 
     @property
     def _closes_after_response(self):
@@ -426,7 +439,7 @@
         now = self._loop.time()
         if self._in_message and not self._in_head:
             return self._remaining_body_wait_s(now)
-        if self._head_bytes:
+        if self._in_message:
             # The head is timed from here: its first byte arrived no later than this.
             if self._head_started_at is None:
                 self._head_started_at = now
@@ -434,7 +447,7 @@
         self._head_started_at = None
         if self._server.close_when_idle:
             return self._first_request_remaining_s()
-        return idle_since + limits.idle_timeout_s - now
+        return idle_since + _kept_idle_s(limits) - now
 
     def _remaining_body_wait_s(self, now):
         """Returns how long to wait for more of a body, in seconds.
@@ -471,6 +484,7 @@
     def _refuse(self, code):
         if self._refusal_code is None:
             self._refusal_code = code
+            self._is_refused_head_request = self._method == b"HEAD"
             self.keep_alive = False
 
     def wake_if_idle(self):
@@ -481,10 +495,21 @@
     # Responses, written by the handler.
 
     def send_response(self, status, headers, body):
-        """Writes a complete response."""
+        """Writes a complete response, without ``body`` to a HEAD request."""
         self.has_response = True
-        head = self._format_head(status, headers, b"content-length: %d\r\n" % len(body))
-        self._transport.write(head + body)
+        head = self._format_head(status, headers, _length_header(len(body)))
+        self._transport.write(head if self._is_head_request else head + body)
+
+    def send_head_response(self, status, headers, content_length):
+        """Writes the response to a HEAD request.
+
+        ``content_length`` is the length that a body would have, None if it is unknown.
+        """
+        self.has_response = True
+        framing_header = b""
+        if content_length is not None:
+            framing_header = _length_header(content_length)
+        self._transport.write(self._format_head(status, headers, framing_header))
 
     def send_result_code(self, code, retry_after_s=None, request_id=None):
         """Writes a response that reports a result code, with the code as its body."""
@@ -552,7 +577,7 @@
             return Unanswered.REQUEST
         if self._unparsed:
             return Unanswered.UNREAD_BYTES
-        if self._in_message or self._head_bytes:
+        if self._in_message:
             return Unanswered.PARTIAL_REQUEST
         return Unanswered.NOTHING
 
@@ -581,42 +606,11 @@
 )
 
 
-def _format_head_without_offer(method, target, headers, http_version):
-    """Returns the head of a request without its Upgrade fields."""
-    lines = [b"%b %b HTTP/%b\r\n" % (method, target, http_version.encode())]
-    lines += [
-        b"%b: %b\r\n" % (name, value) for name, value in headers if name != b"upgrade"
-    ]
-    return b"".join(lines) + b"\r\n"
-
+def _kept_idle_s(limits):
+    """Returns how long an idle connection is kept open, in seconds."""
+    margin_s = max(MIN_IDLE_MARGIN_S, IDLE_MARGIN_SHARE * limits.idle_timeout_s)
+    return limits.idle_timeout_s + margin_s
 
-def _head_size_bytes(request):
-    """Returns the size of a request head, also if it arrived together with its end."""
-    fields = sum(len(name) + len(value) + 4 for name, value in request.headers)
-    return len(request.target) + fields
 
-
-def _is_unambiguous(request, http_version):
-    """Whether every HTTP parser would frame and route a request in the same way.
-
-    Guards against request smuggling.
-    """
-    host_count = sum(name == b"host" for name, _ in request.headers)
-    content_lengths = {
-        value.strip() for name, value in request.headers if name == b"content-length"
-    }
-    transfer_encodings = [
-        value for name, value in request.headers if name == b"transfer-encoding"
-    ]
-    if (
-        host_count != 1
-        or len(content_lengths) > 1
-        or (content_lengths and transfer_encodings)
-    ):
-        return False
-    if transfer_encodings and (
-        len(transfer_encodings) > 1
-        or transfer_encodings[0].strip().lower() != b"chunked"
-    ):
-        return False
-    return request.target.startswith(b"/") and http_version in ("1.1", "1.0")
+def _length_header(content_length):
+    return b"content-length: %d\r\n" % content_length
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -39,6 +39,8 @@
     NO_RESPONSE = enum.auto()
     # Resets the connection within a body whose end is the end of the connection.
     RESET_WITHOUT_LENGTH = enum.auto()
+    # Sends a body in response to a HEAD request, late, before the next response.
+    BODY_TO_HEAD = enum.auto()
     # Sends the response again, later, before the response to the next request.
     SECOND_COPY = enum.auto()
     # The same without the request id that tells whose response it is.
@@ -135,10 +137,18 @@
         self.running = 0
         self.overfilled = False
         self.endless_bytes = 0
+        # Ids of the requests that got an endless message.
+        self.endless_ids = []
+        # How many parts of one are written at a time, and the seconds between two
+        # writes; with 0 they are sent as fast as they are read.
+        self.endless_parts = 1
+        self.endless_pause_s = 0.0
         # Requests a second that the replica names as its limit, or None.
         self.request_limit = None
-        # Whether all responses say that the replica leaves.
+        # Whether responses say that the replica leaves, and whether those to orders and
+        # reports do as well.
         self.leaving = False
+        self.tells_leader_of_leaving = True
         # Whether requests are turned away, and the Retry-After of refusals, or None.
         self.refuses_requests = False
         self.retry_after = None
@@ -233,10 +243,10 @@
             headers = [("Retry-After", str(self.retry_after))]
             writer.write(response(503, headers if self.retry_after else []))
         elif request.target == "/-/report":
-            writer.write(json_response(200, self._report(), self._leaving_headers()))
+            writer.write(json_response(200, self._report(), self._order_headers()))
         elif request.target == "/-/order":
             status = self._execute_order(request.json())
-            writer.write(json_response(status, {}, self._leaving_headers()))
+            writer.write(json_response(status, {}, self._order_headers()))
         else:
             await self._serve_request(request, writer)
 
@@ -346,6 +356,9 @@
     def _leaving_headers(self):
         return [("Server-Leaving", "1")] if self.leaving else []
 
+    def _order_headers(self):
+        return self._leaving_headers() if self.tells_leader_of_leaving else []
+
     def _refusal_headers(self, request):
         headers = self._not_run_headers(request)
         if self.retry_after is not None:
@@ -423,12 +436,14 @@
     def _send_response(self, request, writer, fault):
         headers, body = self._proof_headers(request), self.body_for(request)
         status = 500 if fault is Fault.SERVER_ERROR else 200
+        is_bodiless = request.method == "HEAD"
         if fault is Fault.UNSIGNED:
             headers = headers[:1]
         if fault is Fault.CONTENT_ENCODED:
             headers.append(("Content-Encoding", "gzip"))
         if fault in (Fault.NO_CONTENT_LENGTH, Fault.RESET_WITHOUT_LENGTH):
-            writer.write(f"HTTP/1.1 200 OK\r\n{_lines(headers)}\r\n".encode() + body)
+            content = f"HTTP/1.1 200 OK\r\n{_lines(headers)}\r\n".encode()
+            writer.write(content if is_bodiless else content + body)
             if fault is Fault.RESET_WITHOUT_LENGTH:
                 reset_on_close(writer)
             writer.close()
@@ -437,6 +452,10 @@
             writer.write(b"\x00not an answer\r\n\r\n")
             return
         content = response(status, headers, body)
+        if is_bodiless:
+            content = content.removesuffix(body)
+        if fault is Fault.BODY_TO_HEAD:
+            self._second_copies[writer] = body
         if fault in (Fault.TRUNCATED, Fault.RESET_IN_RESPONSE):
             writer.write(content[:-3])
             writer.close()
@@ -462,6 +481,8 @@
 
     async def _send_without_end(self, request, writer, fault):
         start, part = _ENDLESS_MESSAGES[fault]
+        part *= self.endless_parts
+        self.endless_ids.append(request.headers["x-request-id"])
         writer.write(
             start.format(headers=_lines(self._proof_headers(request))).encode()
         )
@@ -471,6 +492,8 @@
             writer.write(part)
             self.endless_bytes += len(part)
             await writer.drain()
+            if self.endless_pause_s:
+                await asyncio.sleep(self.endless_pause_s)
 
     async def _send_trickled(self, request, writer):
         """Sends a response whose body arrives byte by byte, 20 bytes a second."""
@@ -493,6 +516,8 @@
             writer.write(_CHUNKED_HEAD.format(headers=headers).encode())
         else:
             writer.write(f"HTTP/1.1 200 OK\r\n{headers}\r\n".encode())
+        if request.method == "HEAD":
+            return
         for number in range(last_event_id + 1, self.events + 1):
             await asyncio.sleep(self.event_interval_s)
             await self._responsive.wait()
--- a/tests/gateway/test_one_answer.py
+++ b/tests/gateway/test_one_answer.py
@@ -8,6 +8,7 @@
 
 from snipetrestle.gateway.app import HttpServer
 from snipetrestle.gateway.configuration import CallerLimits
+from tests.gateway.running import run_connection
 
 ANSWER_TIMEOUT_S = 5.0
 # Time in which a second answer to the last request would come.
@@ -126,3 +127,96 @@
                 content = content[size:]
             with self.subTest(expected=expected):
                 self.assert_answers(expected, asyncio.run(Exchange().run(pieces)))
+
+    def send_on_a_connection(self, content, max_answers=10):
+        """Returns the targets that were answered and all that came back.
+
+        The server stops answering after ``max_answers``, so that a test ends.
+        """
+        targets = []
+
+        async def note_and_answer(request, connection):
+            targets.append(request.target)
+            if len(targets) > max_answers:
+                connection.abort()
+                return
+            await answer(request, connection)
+
+        async def check(reader, writer):
+            writer.write(content)
+            received = b""
+            while True:
+                try:
+                    async with asyncio.timeout(4 * QUIET_S):
+                        data = await reader.read(65_536)
+                except (TimeoutError, ConnectionError):
+                    return received
+                if not data:
+                    return received
+                received += data
+
+        return targets, run_connection(note_and_answer, check)
+
+    def test_request_behind_the_end_of_a_connection_is_not_run(self):
+        """With HTTP/1.0 and both options, the connection was kept."""
+        next_request = encode_request(1, [], None, False)
+        for lines in (
+            "Connection: close",
+            "Connection: keep-alive, close",
+            "Connection: keep-alive\r\nConnection: Close",
+        ):
+            for version in ("1.0", "1.1"):
+                head = f"GET /0 HTTP/{version}\r\nHost: example\r\n{lines}\r\n\r\n"
+                for following in (next_request, b"\x00bytes"):
+                    targets, received = self.send_on_a_connection(
+                        head.encode() + following
+                    )
+                    with self.subTest(lines=lines, version=version):
+                        self.assertEqual([b"/0"], targets)
+                        self.assertEqual(1, received.count(b"HTTP/1.1"))
+                        self.assertIn(b"connection: close", received)
+
+    def test_connect_is_refused_once(self):
+        """CONNECT with a path ran and was answered again and again, without end."""
+        next_request = encode_request(1, [], None, False)
+        for target in ("/0", "example:443", "*", "/"):
+            for lines in ([], ["Upgrade: h2c", "Connection: upgrade"]):
+                head = "\r\n".join(
+                    [f"CONNECT {target} HTTP/1.1", "Host: example", *lines]
+                )
+                targets, received = self.send_on_a_connection(
+                    head.encode() + b"\r\n\r\n" + next_request
+                )
+                with self.subTest(target=target, lines=lines):
+                    self.assertEqual([], targets)
+                    self.assertEqual(1, received.count(b"HTTP/1.1"))
+                    self.assertTrue(received.startswith(b"HTTP/1.1 400 "))
+                    self.assertIn(b"connection: close", received)
+
+    def test_options_for_the_whole_server_keeps_the_connection(self):
+        """A sound request was refused as malformed, and the next one was lost."""
+        head = b"OPTIONS * HTTP/1.1\r\nHost: example\r\nX-Request-Id: r0\r\n\r\n"
+        targets, received = self.send_on_a_connection(
+            head + encode_request(1, [], None, False)
+        )
+        self.assertEqual([b"*", b"/1"], targets)
+        self.assert_answers([("r0", b""), ("r1", b"")], received)
+
+    def test_targets_that_are_no_paths_are_refused_once(self):
+        """They must not be routed, nor what follows them be answered."""
+        next_request = encode_request(1, [], None, False)
+        for start in (
+            "GET *",
+            "HEAD *",
+            "OPTIONS example:443",
+            "GET http://example/0",
+            "GET example",
+            "OPTIONS **",
+        ):
+            head = f"{start} HTTP/1.1\r\nHost: example\r\n\r\n".encode()
+            targets, received = self.send_on_a_connection(head + next_request)
+            with self.subTest(start=start):
+                self.assertEqual([], targets)
+                self.assertEqual(1, received.count(b"HTTP/1.1"))
+                self.assertTrue(received.startswith(b"HTTP/1.1 400 "))
+                self.assertIn(b"connection: close", received)
