--- a/snipetrestle/gateway/connection_end.py
+++ b/snipetrestle/gateway/connection_end.py
@@ -39,16 +39,29 @@
 class ConnectionEnd:
     """The end of a caller's connection.
 
-    ``request_id`` is that of the request in progress, or None. ``unread_bytes`` came
-    before or after the end and were not read. ``age_s`` is the time since the
-    connection was opened.
+    ``request_id`` is that of the request in progress, or None. ``quiet_s`` is the time
+    between the last byte of the caller and the end, and ``idle_limit_s`` the limit that
+    was in force for it. ``unread_bytes`` were not read; ``late_bytes`` of them came
+    after the end. ``age_s`` is the time since the connection was opened.
     """
 
-    __slots__ = ("reason", "unanswered", "request_id", "unread_bytes", "age_s")
+    __slots__ = (
+        "reason",
+        "unanswered",
+        "request_id",
+        "quiet_s",
+        "idle_limit_s",
+        "unread_bytes",
+        "late_bytes",
+        "age_s",
+    )
 
-    def __init__(self, reason, unanswered, request_id):
+    def __init__(self, reason, unanswered, request_id, quiet_s, idle_limit_s):
         self.reason = reason
         self.unanswered = unanswered
         self.request_id = request_id
+        self.quiet_s = quiet_s
+        self.idle_limit_s = idle_limit_s
         self.unread_bytes = 0
+        self.late_bytes = 0
         self.age_s = 0.0
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -109,6 +109,7 @@
         self._body_started_at = 0.0
         self._last_body_at = 0.0
         self._opened_at = self._loop.time()
+        self._received_at = self._opened_at
         self._has_received = False
         self._current_request = None
         self._reading_paused = False
@@ -149,6 +150,7 @@
         if self._refusal_code is not None:
             return
         self._has_received = True
+        self._received_at = self._loop.time()
         if self.busy or self._pending_requests or self._unparsed:
             self._unparsed += data
             if len(self._unparsed) > MAX_UNPARSED_BYTES and not self._reading_paused:
@@ -553,12 +555,19 @@
         """Records why the connection ends, unless that is known."""
         if self._end is None:
             request_id = self.request_id if self.busy else None
-            self._end = ConnectionEnd(reason, self._unanswered(), request_id)
+            self._end = ConnectionEnd(
+                reason,
+                self._unanswered(),
+                request_id,
+                self._loop.time() - self._received_at,
+                self._server.limits.idle_timeout_s,
+            )
 
     def _report_end(self):
         """Tells the server how the connection has ended, with its socket still open."""
         end = self._end
         end.age_s = self._loop.time() - self._opened_at
+        end.late_bytes = self._late_bytes
         end.unread_bytes = self._late_bytes + count_unread_bytes(self._transport)
         if end.reason is EndReason.REQUEST_REFUSED:
             # What comes behind the refusal belongs to the refused request.
--- a/tests/gateway/test_ended_connections.py
+++ b/tests/gateway/test_ended_connections.py
@@ -310,6 +310,23 @@
 
         self.run_with_connection(check)
 
+    def test_late_request_is_told_from_one_that_waited_in_the_socket(self):
+        """A report did not tell whether a request had come before or after the end."""
+
+        async def check(server, connection, sock):
+            server.close_idle_connections()
+            connection._opened_at -= http_server.FIRST_REQUEST_WAIT_S
+            connection._received_at -= 3.0
+            await wait_until(lambda: connection._lingering)
+            sock.send(request_bytes())
+            await wait_until(lambda: connection.closed)
+            (end,) = self.ends
+            self.assertEqual(len(request_bytes()), end.late_bytes)
+            self.assertEqual(end.late_bytes, end.unread_bytes)
+            self.assertEqual(3, int(end.quiet_s))
+
+        self.run_with_connection(check)
+
     def test_end_in_a_planned_stop_is_reported_as_drain_while_bytes_are_unsent(self):
         """A stop that ended a connection with unsent bytes was counted as idle."""
 
