End idle connections in groups, each after a fresh look at the sockets

A planned stop ended all idle connections in one turn of the event loop. What arrived while that turn lasted was seen by none of its looks at the sockets, and was discarded.

Now an idle connection waits for its turn: one at a time, or a hundredth of them on a host with many, 2 ms apart, and the look comes after that wait. The new test shows a turn in which 29 requests arrive: none was answered before, 29 are now.

--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -45,6 +45,11 @@
 from snipetrestle.listening import ListenerCloser
 
 IDLE_CHECK_INTERVAL_S = 0.02
+# Idle connections are ended in groups, at this interval and in at most so many groups.
+# A request that arrives in the turn of the event loop that ends its connection is lost,
+# so the turn must be short and begin with a look at the sockets.
+END_INTERVAL_S = 0.002
+MAX_END_GROUPS = 100
 LISTEN_BACKLOG = 512
 SETTINGS_CHECK_INTERVAL_S = 5.0
 
@@ -65,6 +70,7 @@
         self._closer = ListenerCloser(self._create_connection)
         self.close_after_response = False
         self.close_when_idle = False
+        self._end_turns = anyio.CapacityLimiter(1)
         self._server = None
 
     @property
@@ -88,7 +94,7 @@
     def is_engaged(self):
         """Whether a request is in progress or about to arrive."""
         return self._closer.is_opening or any(
-            item.is_engaged for item in self.connections
+            item.is_engaged or item.awaits_end for item in self.connections
         )
 
     def start_draining(self):
@@ -98,9 +104,15 @@
     def close_idle_connections(self):
         """Closes the connections that have no request in progress."""
         self.close_when_idle = True
+        self._end_turns.total_tokens = 1 + len(self.connections) // MAX_END_GROUPS
         for connection in list(self.connections):
             connection.wake_if_idle()
 
+    async def wait_for_turn_to_end(self):
+        """Returns when the next idle connection may be ended, in a new event loop turn."""
+        async with self._end_turns:
+            await asyncio.sleep(END_INTERVAL_S)
+
     def stop_listening(self):
         """Closes the listening socket; new connections are refused from now on.
 
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -76,7 +76,8 @@
     ``server`` is its HttpServer: ``close_after_response`` closes a connection after its
     next response, ``close_when_idle`` also closes idle connections. ``busy`` is true
     while a request is handled, ``has_response`` once its response has begun, and
-    ``request_id`` is its id as text. ``on_disconnect()``, if set, is called when the
+    ``request_id`` is its id as text. ``awaits_end`` is true while the connection waits
+    for its turn to be ended. ``on_disconnect()``, if set, is called when the
     connection closes.
     """
 
@@ -119,6 +120,7 @@
         self.has_response = False
         self.closed = False
         self.busy = False
+        self.awaits_end = False
         self.keep_alive = True
         self.on_disconnect = None
         self.request_id = None
@@ -362,6 +364,8 @@
             remaining_s = self._remaining_wait_s(idle_since)
             is_draining = self._server.close_when_idle and not self.is_engaged
             if remaining_s <= 0 or is_draining:
+                if not self._in_message and await self._is_used_before_end():
+                    continue
                 if self._end_if_quiet(self._silence_end_reason()):
                     return None
                 remaining_s = UNREAD_BYTES_WAIT_S
@@ -378,6 +382,15 @@
             self._body_started_at = self._last_body_at = self._loop.time()
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    async def _is_used_before_end(self):
+        """Waits for the turn to end this connection; returns whether data came first."""
+        self.awaits_end = True
+        try:
+            await self._server.wait_for_turn_to_end()
+        finally:
+            self.awaits_end = False
+        return self._has_next_request or self._refusal_code is not None
+
     def _silence_end_reason(self):
         """Returns why a connection ends on which nothing came for too long."""
         if self._in_message:
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from snipetrestle.gateway import http_server
 from snipetrestle.gateway.http_server import MIN_IDLE_MARGIN_S, CallerConnection
 from snipetrestle_standins.gateway_fleet import HOSTNAME, MODEL, configuration
 from tests.gateway.running import run_fleet
@@ -172,3 +173,33 @@
             self.assertTrue((await caller.read_to_end()).endswith(b"\r\n0\r\n\r\n"))
 
         run_fleet(check)
+
+    def test_idle_connections_are_not_all_ended_in_one_turn(self):
+        """What arrived during the turn that ended a hundred connections was lost."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            callers = [await BlockingCaller.connect(gateway) for _ in range(30)]
+            for caller in callers:
+                self.addCleanup(caller.close)
+                caller.send(request_bytes())
+                self.assertEqual(200, await caller.read_status())
+            ended = []
+            write_end = http_server.write_end
+
+            def write_end_and_send(transport):
+                write_end(transport)
+                ended.append(transport)
+                if len(ended) == 1:
+                    # Requests arrive while the first connection is being ended.
+                    for caller in callers:
+                        caller.send(request_bytes())
+
+            self.patch(http_server, "write_end", write_end_and_send)
+            # Shows nothing that has come since the event loop read the sockets.
+            self.patch(http_server, "count_unread_bytes", lambda transport: 0)
+            gateway.caller_server.close_idle_connections()
+            statuses = [await caller.read_status() for caller in callers]
+            self.assertEqual(29, statuses.count(200))
+
+        run_fleet(check)
