Serve requests late in a planned stop if they end before it surely does

From 2.5 s after the signal on, a stopping host refused every request, also calls of 50 ms with 4 s of the grace period left. Now it passes on those whose deadline is before the moment at which the stop gives up what is left. The usual duration of a route is not used here: it is a mean, and a request that is sent late must not be cut off.

The new test got 503 for a request with a deadline of 1 s, and gets 200; one that might not end is refused as before.

--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -408,9 +408,8 @@
         call_isolated(self.hosts.send_leaving)
         self.caller_server.start_draining()
         self.forwarder.start_draining(started + times.give_up_s)
-        await anyio.sleep(times.refuse_new_s)
-        # A request that arrives from now on might not end within the grace period.
-        self.forwarder.refuse_new()
+        await anyio.sleep(times.bound_new_s)
+        self.forwarder.bound_new()
         self.caller_server.close_idle_connections()
         await self._wait_idle(started + times.give_up_s)
         self.caller_server.stop_listening()
--- a/snipetrestle/gateway/drain_times.py
+++ b/snipetrestle/gateway/drain_times.py
@@ -18,12 +18,13 @@
 class DrainTimes:
     """The phases of a planned stop, in seconds after the stop signal.
 
-    New requests are refused from ``refuse_new_s`` on. The requests that are left at
+    From ``bound_new_s`` on, new requests are passed on only if their deadline is before
+    ``give_up_s``, and idle connections are ended. The requests that are left at
     ``give_up_s`` are ended, each with its final answer; this is in the last sixth of
     the grace period. The last connections are closed at ``end_s``.
     """
 
-    __slots__ = ("refuse_new_s", "give_up_s", "end_s")
+    __slots__ = ("bound_new_s", "give_up_s", "end_s")
 
     @classmethod
     def from_grace(cls, grace_s):
@@ -39,7 +40,7 @@
             end_s,
         )
 
-    def __init__(self, refuse_new_s, give_up_s, end_s):
-        self.refuse_new_s = refuse_new_s
+    def __init__(self, bound_new_s, give_up_s, end_s):
+        self.bound_new_s = bound_new_s
         self.give_up_s = give_up_s
         self.end_s = end_s
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -41,6 +41,8 @@
 NOT_LOADED_PAUSE_S = 0.04
 # Retry-After of requests that arrive before the gateway is ready.
 NOT_READY_RETRY_AFTER_S = 0.3
+# Reason of refusals in a planned stop, for the log.
+STOP_REASON = "this process stops"
 # Number of events over which a stream's mean event interval is measured.
 EVENTS_PER_INTERVAL_SAMPLE = 5
 
@@ -62,7 +64,7 @@
         self._rng = gateway.rng
         self._durations = UsualDurations()
         self._give_up_at = None
-        self._refuses_new = False
+        self._bounds_new = False
         self._has_given_up = False
         self._scopes = set()
 
@@ -75,9 +77,12 @@
         """Passes on only what probably ends before ``give_up_at`` from now on."""
         self._give_up_at = give_up_at
 
-    def refuse_new(self):
-        """Refuses requests that arrive from now on; those in progress go on."""
-        self._refuses_new = True
+    def bound_new(self):
+        """Refuses new requests from now on whose deadline is after the end of the stop.
+
+        The usual duration of a route says too little about a single request here.
+        """
+        self._bounds_new = True
 
     def give_up(self):
         """Ends all requests in progress, each with its final answer."""
@@ -104,7 +109,7 @@
         """Returns the Job of a request. Raises Refused if it cannot be routed."""
         configuration = self._state.configuration
         is_ready = configuration is not None and self._state.ready.is_set()
-        if self._refuses_new or not is_ready:
+        if not is_ready:
             raise Refused(ResultCode.NOT_READY, NOT_READY_RETRY_AFTER_S)
         route = self._state.routes.match(request.hostname, request.path)
         if route is None:
@@ -112,11 +117,12 @@
         max_wait_s = route.timeout_s
         if metadata.deadline_s is not None:
             max_wait_s = min(max_wait_s, metadata.deadline_s)
+        deadline_at = request.received_at + max_wait_s
+        if self._bounds_new and deadline_at > self._give_up_at:
+            raise _not_run_stop_refusal()
         backend = self._choose_backend(route)
         self._retry_budgets.for_backend(backend.name).note_request()
-        return Job(
-            request, metadata, route, backend, caller, request.received_at + max_wait_s
-        )
+        return Job(request, metadata, route, backend, caller, deadline_at)
 
     def _choose_backend(self, route):
         backends = route.backends
@@ -608,10 +614,13 @@
 
 def _stop_refusal(job):
     """Returns the refusal of a request that this process no longer serves."""
-    reason = "this process stops"
     if job.may_have_run:
-        return Refused(job.unknown_outcome_code, reason=reason)
-    return Refused(ResultCode.NOT_READY, NOT_READY_RETRY_AFTER_S, reason=reason)
+        return Refused(job.unknown_outcome_code, reason=STOP_REASON)
+    return _not_run_stop_refusal()
+
+
+def _not_run_stop_refusal():
+    return Refused(ResultCode.NOT_READY, NOT_READY_RETRY_AFTER_S, reason=STOP_REASON)
 
 
 def _is_authentic(metadata):
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -6,7 +6,7 @@
 import msgspec
 import testtools
 
-from snipetrestle.gateway.drain_times import DrainTimes
+from snipetrestle.gateway.drain_times import LOAD_BALANCER_DELAY_S, DrainTimes
 from snipetrestle_standins.gateway_fleet import HOSTNAME, MODEL, Caller
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
@@ -39,8 +39,8 @@
         """Margins of fixed length took most of a short grace period."""
         for grace_s in (0.5, 1.0, 2.0, 3.0, 4.0, 5.0, 5.4, 6.0, 8.0, 30.0):
             times = DrainTimes.from_grace(grace_s)
-            self.assertLess(0.0, times.refuse_new_s)
-            self.assertLess(times.refuse_new_s, times.give_up_s)
+            self.assertLess(0.0, times.bound_new_s)
+            self.assertLess(times.bound_new_s, times.give_up_s)
             self.assertLessEqual(grace_s * 5 / 6, times.give_up_s)
             self.assertLess(times.give_up_s, times.end_s)
             self.assertLess(times.end_s, grace_s)
@@ -223,6 +223,31 @@
 
         run_fleet(check, gateways=2)
 
+    def test_request_that_surely_ends_is_served_late_in_a_stop(self):
+        """All requests were refused from 2.5 s after the signal on."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            set_grace(fleet, gateway, 8.0)
+            for replica in fleet.models:
+                replica.event_interval_s = 0.8
+            stream_task = asyncio.create_task(
+                fleet.send_request("/night/a", gateway, adapter="")
+            )
+            await wait_until(lambda: any(item.running for item in fleet.models))
+            drain_task = asyncio.create_task(gateway.drain())
+            await asyncio.sleep(LOAD_BALANCER_DELAY_S + 0.2)
+            for deadline_ms, status in ((1000, 200), (6000, 503)):
+                answer = await fleet.send_request(
+                    "/entry/a", gateway, headers=[("X-Deadline-Ms", deadline_ms)]
+                )
+                self.assertEqual(status, answer.status)
+                self.assertEqual("close", answer.headers["connection"])
+            self.assertTrue((await stream_task).complete)
+            await drain_task
+
+        run_fleet(check, gateways=2)
+
     def test_stop_before_the_first_configuration(self):
         """A process that has read nothing from the store must stop as any other, and
         refuse what it is sent."""
