Do not end idle connections while a configuration arrives

Callers saw kept connections closed without an answer, 19 to 97 ms after they had sent a request. Cause: on a link of 10 Mbit/s a configuration of some thousand routes takes 100 ms and more, and what callers send queues behind it. A look at the socket finds nothing, the connection is ended, and the request comes 20 to 140 ms later. The event loop was not held up: a trial printed a tick every 4 ms all the while.

--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -42,6 +42,7 @@
     log_unexpected,
     run_supervised,
 )
+from snipetrestle.gateway.transfers import Transfers
 from snipetrestle.listening import ListenerCloser
 
 IDLE_CHECK_INTERVAL_S = 0.02
@@ -59,12 +60,15 @@
 
     ``handle(request, connection)`` answers one request; ``limits()`` returns the
     current CallerLimits; ``on_connection_end(end)`` is called with the ConnectionEnd of
-    each connection.
+    each connection. No idle connection is ended while ``transfers`` are active.
     """
 
-    def __init__(self, handle, limits, on_connection_end=lambda end: None):
+    def __init__(
+        self, handle, limits, on_connection_end=lambda end: None, transfers=None
+    ):
         self.handle = handle
         self._limits = limits
+        self._transfers = transfers or Transfers()
         self.on_connection_end = on_connection_end
         self.connections = set()
         self._closer = ListenerCloser(self._create_connection)
@@ -109,9 +113,14 @@
             connection.wake_if_idle()
 
     async def wait_for_turn_to_end(self):
-        """Returns when the next idle connection may be ended, in a new event loop turn."""
+        """Returns when the next idle connection may be ended, in a new event loop turn.
+
+        Requests may queue behind a transfer on the link of this host for longer than
+        their callers take to learn of the end.
+        """
         async with self._end_turns:
             await asyncio.sleep(END_INTERVAL_S)
+            await self._transfers.wait_until_quiet()
 
     def stop_listening(self):
         """Closes the listening socket; new connections are refused from now on.
@@ -168,6 +177,7 @@
         self.rng = rng
         self.dialect = platform.dialect
         self._read_settings = platform.read_settings
+        self.transfers = platform.source.transfers
         self.metrics = GatewayMetrics()
         self.request_log = RequestLines()
         # The end of one replica suppresses lines about the streams that it cut off.
@@ -253,11 +263,14 @@
             self.replicas.ids_listing_adapter,
             self.shared_loads.note_total_load,
         )
-        self.snapshots = Snapshots(self.state, self.hosts, rng)
+        self.snapshots = Snapshots(self.state, self.hosts, rng, self.transfers)
         self.hosts.on_heartbeat(self.snapshots.note_heartbeat)
         self.forwarder = Forwarder(self)
         self.caller_server = HttpServer(
-            self.forwarder.handle, self._limits, self._note_connection_end
+            self.forwarder.handle,
+            self._limits,
+            self._note_connection_end,
+            self.transfers,
         )
         self.readiness_server = HttpServer(self._serve_readiness, CallerLimits)
         self.metrics_server = HttpServer(self._serve_metrics, CallerLimits)
--- a/snipetrestle/gateway/calls.py
+++ b/snipetrestle/gateway/calls.py
@@ -5,6 +5,7 @@
 
 from snipetrestle.gateway.http_client import ExchangeFailed
 from snipetrestle.gateway.message_limits import ProgressMeter
+from snipetrestle.gateway.transfers import Transfers
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # A response that takes longer is abandoned, even while bytes still arrive.
@@ -29,13 +30,14 @@
     timeout_s,
     is_response=_accept_any_response,
     max_bytes=MAX_RESPONSE_BYTES,
+    transfers=None,
 ):
     """Sends one request and returns its Response.
 
     ``timeout_s`` limits the time without progress, not the whole response: a large
     configuration takes over a second on a slow link. ``is_response(head)`` tells
     whether a response belongs to the request; others are dropped. ``max_bytes`` limits
-    the body. Raises ConnectFailed if nothing was sent, and ExchangeFailed if there is
+    the body. ``transfers`` counts the time in which it arrives. Raises ConnectFailed if nothing was sent, and ExchangeFailed if there is
     no complete response.
     """
     connection = await pool.acquire()
@@ -52,7 +54,8 @@
                 if progress.note(count):
                     silence_timeout.reschedule(min(latest_end, loop.time() + timeout_s))
 
-            body = await connection.read_all(max_bytes, postpone_timeout)
+            with (transfers or Transfers()).in_progress():
+                body = await connection.read_all(max_bytes, postpone_timeout)
         completed = True
         return Response(head.status, head.headers, body)
     except TimeoutError:
--- a/snipetrestle/gateway/snapshots.py
+++ b/snipetrestle/gateway/snapshots.py
@@ -56,12 +56,16 @@
 
 
 class Snapshots:
-    """Serves snapshots over TCP, and fetches those of other hosts."""
+    """Serves snapshots over TCP, and fetches those of other hosts.
 
-    def __init__(self, state, hosts, rng):
+    ``transfers`` counts those that arrive.
+    """
+
+    def __init__(self, state, hosts, rng, transfers):
         self._state = state
         self._hosts = hosts
         self._rng = rng
+        self._transfers = transfers
         # Set while another host has newer documents.
         self._is_behind = anyio.Event()
         # The sum of the versions of the documents that were fetched last.
@@ -194,7 +198,8 @@
         """
         try:
             async with asyncio.timeout(MAX_TRANSFER_S):
-                return await _fetch(host.info.ip, host.info.port, request)
+                with self._transfers.in_progress():
+                    return await _fetch(host.info.ip, host.info.port, request)
         except (OSError, TimeoutError, EOFError, ValueError):
             return None
 
--- /dev/null
+++ b/snipetrestle/gateway/transfers.py
@@ -0,0 +1,44 @@
+"""Tells whether this host is receiving a long answer of the store or of another host."""
+
+import asyncio
+import contextlib
+
+# What was queued on the link behind a transfer is read within this time after its end.
+SETTLE_S = 0.02
+# Transfers that go on for longer no longer count.
+MAX_BUSY_S = 2.0
+
+
+class Transfers:
+    """Counts the transfers to this host that are in progress."""
+
+    def __init__(self):
+        self._count = 0
+        self._busy_since = 0.0
+        self._ended = asyncio.Event()
+
+    @property
+    def is_active(self):
+        return self._count > 0
+
+    @contextlib.contextmanager
+    def in_progress(self):
+        """Counts a transfer from its first byte to its end."""
+        if not self._count:
+            self._busy_since = asyncio.get_running_loop().time()
+        self._count += 1
+        try:
+            yield
+        finally:
+            self._count -= 1
+            if not self._count:
+                self._ended.set()
+                self._ended = asyncio.Event()
+
+    async def wait_until_quiet(self):
+        """Returns once no transfer is in progress, or if one goes on for too long."""
+        with contextlib.suppress(TimeoutError):
+            while self._count:
+                async with asyncio.timeout_at(self._busy_since + MAX_BUSY_S):
+                    await self._ended.wait()
+                await asyncio.sleep(SETTLE_S)
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -22,6 +22,7 @@
     Revision,
     StoreItems,
 )
+from snipetrestle.gateway.transfers import Transfers
 from snipetrestle.platform.headers import (
     REQUEST_ID,
     PlatformDialect,
@@ -115,9 +116,10 @@
 
 
 class StoreSource:
-    """Reads and watches the platform's store."""
+    """Reads and watches the platform's store. ``transfers`` are its answers."""
 
     def __init__(self, ip, port):
+        self.transfers = Transfers()
         self._pool = ConnectionPool(ip, port)
         self._host = f"{ip}:{port}"
 
@@ -171,7 +173,9 @@
         target = f"/-/{name}?{urllib.parse.urlencode(query)}"
         content = f"GET {target} HTTP/1.1\r\nHost: {self._host}\r\n\r\n".encode()
         try:
-            answer = await call(self._pool, content, timeout_s)
+            answer = await call(
+                self._pool, content, timeout_s, transfers=self.transfers
+            )
         except (ConnectFailed, ExchangeFailed) as error:
             raise SourceUnreachable(f"{name}: {error}") from None
         if answer.status == 410:
--- a/snipetrestle_standins/gateway_fleet.py
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -84,6 +84,7 @@
         self._fleet = fleet
         self._name = settings.name
         self._source = StoreSource(*settings.store)
+        self.transfers = self._source.transfers
 
     def _check(self):
         if self._name in self._fleet.cut_off_from_store:
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -4,10 +4,13 @@
 import socket
 import time
 
+import anyio
 import testtools
 
-from snipetrestle.gateway import http_server
+from snipetrestle.gateway import http_server, transfers
 from snipetrestle.gateway.http_server import MIN_IDLE_MARGIN_S, CallerConnection
+from snipetrestle.platform.calls import StoreSource
+from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle_standins.gateway_fleet import HOSTNAME, MODEL, configuration
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
@@ -203,3 +206,59 @@
             self.assertEqual(29, statuses.count(200))
 
         run_fleet(check)
+
+    def test_idle_connections_are_not_ended_while_a_configuration_arrives(self):
+        """Requests queued behind it on the host's link, and crossed the end."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            caller = await BlockingCaller.connect(gateway)
+            self.addCleanup(caller.close)
+            caller.send(request_bytes())
+            self.assertEqual(200, await caller.read_status())
+            with gateway.transfers.in_progress():
+                gateway.caller_server.close_idle_connections()
+                await asyncio.sleep(0.3)
+                self.assertTrue(gateway.caller_server.is_engaged)
+                caller.send(request_bytes())
+                self.assertEqual(200, await caller.read_status())
+                other = await BlockingCaller.connect(gateway)
+                self.addCleanup(other.close)
+            await wait_until(lambda: not gateway.caller_server.connections)
+
+        run_fleet(check)
+
+
+class TransfersTest(testtools.TestCase):
+    def test_transfer_without_end_holds_up_nobody_for_long(self):
+        async def check():
+            self.patch(transfers, "MAX_BUSY_S", 0.1)
+            tracked = transfers.Transfers()
+            with tracked.in_progress():
+                async with asyncio.timeout(1.0):
+                    await tracked.wait_until_quiet()
+                    await tracked.wait_until_quiet()
+
+        anyio.run(check)
+
+    def test_answer_of_the_store_is_a_transfer_until_its_end(self):
+        async def check():
+            async def serve(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{")
+                await rest_wanted.wait()
+                writer.write(b'"items":1234}'[1:])
+                writer.close()
+
+            rest_wanted = asyncio.Event()
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            async with server:
+                source = StoreSource(*server.sockets[0].getsockname())
+                read = asyncio.create_task(source.read("op/"))
+                await wait_until(lambda: source.transfers.is_active)
+                rest_wanted.set()
+                await asyncio.wait({read})
+                self.assertIsInstance(read.exception(), SourceUnreachable)
+            self.assertFalse(source.transfers.is_active)
+
+        anyio.run(check)
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -21,6 +21,7 @@
 from snipetrestle.gateway.published_items import PublishedItem
 from snipetrestle.gateway.replicas import Replica
 from snipetrestle.gateway.snapshots import MAX_CONTENT_BYTES, Snapshots
+from snipetrestle.gateway.transfers import Transfers
 from snipetrestle.platform.calls import OrderClient, StoreSource
 from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle_standins.raw_http import ok, raw_server
@@ -251,7 +252,9 @@
             port = server.sockets[0].getsockname()[1]
             host = types.SimpleNamespace(info=msgspec.structs.replace(INFO, port=port))
             async with server:
-                return await Snapshots(None, None, None)._fetch_from(host, "")
+                return await Snapshots(None, None, None, Transfers())._fetch_from(
+                    host, ""
+                )
 
         return anyio.run(main)
 
