Keep signals from ending a process that has drained

A reload or a second stop signal between the end of the drain and the end of the process ended it at once, with -1, -15 or -2 as its exit code, before it had closed its sockets and logged that it had stopped: the signal receiver restores the default actions when it is left.

The program now blocks these signals once the drain has ended.

--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -276,6 +276,7 @@
         self.metrics_server = HttpServer(self._serve_metrics, CallerLimits)
         self.draining = False
         self._stopping = None
+        self._on_drained = None
         self._snapshot_server = None
 
     def _log_request_refusal(self, request, refused):
@@ -329,8 +330,12 @@
             self.metrics.render(),
         )
 
-    async def run(self):
-        """Runs until a signal has stopped the gateway and its drain has ended."""
+    async def run(self, on_drained=lambda: None):
+        """Runs until a signal has stopped the gateway and its drain has ended.
+
+        ``on_drained()`` is called while signals are still handled.
+        """
+        self._on_drained = on_drained
         self._stopping = anyio.Event()
         asyncio.get_running_loop().set_exception_handler(_log_loop_error)
         try:
@@ -388,6 +393,7 @@
                     self.reload()
                     continue
                 await self.drain()
+                self._on_drained()
                 self._stopping.set()
                 return
 
--- a/snipetrestle/platform/__main__.py
+++ b/snipetrestle/platform/__main__.py
@@ -30,6 +30,7 @@
 WATCH_PAUSE_FRACTION = 0.5
 # The exit code of the command line for invalid input.
 EXIT_INVALID_SETTINGS = 3
+STOP_AND_RELOAD_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def build(settings, boot):
@@ -55,6 +56,15 @@
     return Gateway.from_settings(settings, platform, boot)
 
 
+def _block_signals():
+    """Keeps signals pending until the process has ended by itself.
+
+    Their default actions, which apply once nobody handles them, would end it before its
+    sockets are closed and its last log lines are written.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_AND_RELOAD_SIGNALS)
+
+
 async def main():
     boot = int(time.time() * 1000)
     set_up_logs(LogSettings(), sys.stdout)
@@ -63,7 +73,7 @@
     except (InvalidSettings, OSError, KeyError) as error:
         log_event(Event.SETTINGS_REFUSED, error=str(error))
         sys.exit(EXIT_INVALID_SETTINGS)
-    await build(settings, boot).run()
+    await build(settings, boot).run(_block_signals)
 
 
 if __name__ == "__main__":
