Serve requests that come while their connection waits to be ended

An idle connection that waited for its turn to be ended served what came on it only when the turn came. With a transfer of 2 s each request took that long.

Now the wait ends as soon as data comes or the caller leaves. The new test, with a transfer that does not end, got no answer within 5 s, and gets 200. The old test missed it, since its request was answered when the limit of 2 s had passed.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -383,12 +383,24 @@
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     async def _is_used_before_end(self):
-        """Waits for the turn to end this connection; returns whether data came first."""
+        """Waits for the turn to end this connection; returns whether data came first.
+
+        What comes is served at once: the turn may come seconds later.
+        """
+        turn = self._loop.create_task(self._server.wait_for_turn_to_end())
+        turn.add_done_callback(lambda _: self._waiter.wake())
         self.awaits_end = True
         try:
-            await self._server.wait_for_turn_to_end()
+            while not (turn.done() or self.closed or self._is_used):
+                await self._waiter.wait()
         finally:
             self.awaits_end = False
+            turn.cancel()
+        return self.closed or self._is_used
+
+    @property
+    def _is_used(self):
+        """Whether data has come that asks for an answer."""
         return self._has_next_request or self._refusal_code is not None
 
     def _silence_end_reason(self):
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -228,6 +228,27 @@
 
         run_fleet(check)
 
+    def test_request_that_comes_before_the_end_of_its_connection_is_served_at_once(
+        self,
+    ):
+        """It waited until the transfer had ended, or for the end of the process."""
+
+        async def check(fleet):
+            self.patch(transfers, "MAX_BUSY_S", 60.0)
+            gateway = fleet.live[0]
+            caller = await BlockingCaller.connect(gateway)
+            self.addCleanup(caller.close)
+            caller.send(request_bytes())
+            self.assertEqual(200, await caller.read_status())
+            with gateway.transfers.in_progress():
+                gateway.caller_server.close_idle_connections()
+                (connection,) = gateway.caller_server.connections
+                await wait_until(lambda: connection.awaits_end)
+                caller.send(request_bytes())
+                self.assertEqual(200, await caller.read_status())
+
+        run_fleet(check)
+
 
 class TransfersTest(testtools.TestCase):
     def test_transfer_without_end_holds_up_nobody_for_long(self):
