--- a/snipetrestle/gateway/snapshots.py
+++ b/snipetrestle/gateway/snapshots.py
@@ -13,11 +13,13 @@
 from snipetrestle.compression import compress, decompress
 from snipetrestle.decoding import decode
 from snipetrestle.gateway.published_items import PublishedItem, Revision, StoreItems
+from snipetrestle.sockets import count_unsent_bytes
 
 # Limits the time without progress, not a whole transfer over a slow link.
 PEER_SILENCE_TIMEOUT_S = 1.0
 CHUNK_BYTES = 65_536
 CHECK_INTERVAL_S = 0.3
+UNSENT_CHECK_INTERVAL_S = 0.02
 MAX_CONTENT_BYTES = 16 * 1024 * 1024
 # A transfer that takes longer is abandoned, even while bytes still arrive.
 MAX_TRANSFER_S = 20.0
@@ -58,7 +60,7 @@
 class Snapshots:
     """Serves snapshots over TCP, and fetches those of other hosts.
 
-    ``transfers`` counts those that arrive.
+    ``transfers`` counts those on their way.
     """
 
     def __init__(self, state, hosts, rng, transfers):
@@ -82,7 +84,10 @@
             content = self._content(line.decode("latin-1").rstrip("\n"))
             if content is not None:
                 data = pack_content(content)
-                await _write_chunks(writer, len(data).to_bytes(_LENGTH_BYTES) + data)
+                with self._transfers.in_progress():
+                    await _write_chunks(
+                        writer, len(data).to_bytes(_LENGTH_BYTES) + data
+                    )
         except (OSError, TimeoutError, ValueError):
             # The other host tries again.
             pass
@@ -205,10 +210,15 @@
 
 
 async def _write_chunks(writer, content):
+    """Sends content. Returns once the other host has received all of it."""
     for start in range(0, len(content), CHUNK_BYTES):
         writer.write(content[start : start + CHUNK_BYTES])
         async with asyncio.timeout(PEER_SILENCE_TIMEOUT_S):
             await writer.drain()
+    async with asyncio.timeout(PEER_SILENCE_TIMEOUT_S):
+        # No event tells that the other host has received the last bytes.
+        while count_unsent_bytes(writer.transport):  # noqa: ASYNC110
+            await asyncio.sleep(UNSENT_CHECK_INTERVAL_S)
 
 
 async def _fetch(ip, port, request):
--- a/snipetrestle/gateway/transfers.py
+++ b/snipetrestle/gateway/transfers.py
@@ -1,4 +1,4 @@
-"""Tells whether this host is receiving a long answer of the store or of another host."""
+"""Tells whether long content is on its way on the link of this host."""
 
 import asyncio
 import contextlib
@@ -6,11 +6,11 @@
 # What was queued on the link behind a transfer is read within this time after its end.
 SETTLE_S = 0.02
 # Transfers that go on for longer no longer count.
-MAX_BUSY_S = 2.0
+MAX_BUSY_S = 10.0
 
 
 class Transfers:
-    """Counts the transfers to this host that are in progress."""
+    """Counts the transfers from and to this host that are in progress."""
 
     def __init__(self):
         self._count = 0
@@ -23,7 +23,7 @@
 
     @contextlib.contextmanager
     def in_progress(self):
-        """Counts a transfer from its first byte to its end."""
+        """Counts a transfer while the context lasts."""
         if not self._count:
             self._busy_since = asyncio.get_running_loop().time()
         self._count += 1
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -7,7 +7,7 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway import http_server, transfers
+from snipetrestle.gateway import http_server, snapshots, transfers
 from snipetrestle.gateway.http_server import MIN_IDLE_MARGIN_S, CallerConnection
 from snipetrestle.platform.calls import StoreSource
 from snipetrestle.publication.sources import SourceUnreachable
@@ -17,6 +17,8 @@
 
 IDLE_TIMEOUT_S = 0.5
 SMALL_BUFFER_BYTES = 4096
+# More than the sockets of a connection buffer.
+SNAPSHOT_BYTES = 16_000_000
 
 
 def request_bytes(path="/entry/a"):
@@ -283,3 +285,27 @@
             self.assertFalse(source.transfers.is_active)
 
         anyio.run(check)
+
+    def test_snapshot_for_another_host_is_a_transfer_until_it_is_received(self):
+        """The end of a connection queues behind it, and its caller learns of it late."""
+
+        async def check():
+            content = b"x" * SNAPSHOT_BYTES
+            self.patch(snapshots, "pack_content", lambda _: content)
+            self.patch(snapshots.Snapshots, "_content", lambda *_: content)
+            tracked = transfers.Transfers()
+            served = snapshots.Snapshots(None, None, None, tracked)
+            server = await served.serve("127.0.0.1", 0)
+            async with server:
+                reader, writer = await asyncio.open_connection(
+                    *server.sockets[0].getsockname(), limit=SMALL_BUFFER_BYTES
+                )
+                writer.write(b"op/\n")
+                await wait_until(lambda: tracked.is_active)
+                await asyncio.sleep(0.1)
+                self.assertTrue(tracked.is_active)
+                self.assertIn(content, await reader.read())
+                await wait_until(lambda: not tracked.is_active)
+                writer.close()
+
+        anyio.run(check)
