Refuse requests before their callers' deadlines, also those at replicas

A request was cancelled at the time of receipt plus what its caller had said, so the refusal was sent when the caller had closed its connection. Only a request that waited for a place was refused earlier, by 50 ms.

All waits now end 100 ms before the caller's deadline, or a quarter of it if that is less. The timeout of a route has no margin, nor has a stream whose response has begun. The deadline that a replica is told stays as it was.

test_request_at_a_mute_replica_is_not_refused_after_its_caller_left and test_request_that_waits_for_a_load_is_not_refused_after_its_caller_left failed before. The other two tests of the module passed before; they bound the margin.

--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -114,15 +114,11 @@
         route = self._state.routes.match(request.hostname, request.path)
         if route is None:
             raise Refused(ResultCode.UNKNOWN_PATH, configuration=configuration.version)
-        max_wait_s = route.timeout_s
-        if metadata.deadline_s is not None:
-            max_wait_s = min(max_wait_s, metadata.deadline_s)
-        deadline_at = request.received_at + max_wait_s
-        if self._bounds_new and deadline_at > self._give_up_at:
+        job = Job(request, metadata, route, self._choose_backend(route), caller)
+        if self._bounds_new and job.deadline_at > self._give_up_at:
             raise _not_run_stop_refusal()
-        backend = self._choose_backend(route)
-        self._retry_budgets.for_backend(backend.name).note_request()
-        return Job(request, metadata, route, backend, caller, deadline_at)
+        self._retry_budgets.for_backend(job.backend.name).note_request()
+        return job
 
     def _choose_backend(self, route):
         backends = route.backends
@@ -134,7 +130,7 @@
 
     async def _forward(self, job):
         """Forwards a request within its deadline, and refuses it if that fails."""
-        scope = anyio.CancelScope(deadline=job.deadline_at)
+        scope = job.scope
         if job.route.kind is not RequestKind.NON_IDEMPOTENT:
             # A write goes on without its caller, so that it is not cut off midway.
             job.caller.on_disconnect = scope.cancel
@@ -387,7 +383,7 @@
                 self._crash_quarantine.note_answered(replica.process_id, started, job)
                 job.first_event_at = job.first_event_at or now
             if not job.streaming:
-                job.streaming = True
+                job.begin_stream()
                 caller.start_stream(200, metadata.headers)
             # A replacement may be sent while the caller reads slowly.
             job.last_event_id = event_splitter.last_event_id
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -1,9 +1,19 @@
 """State of a request while the gateway forwards it, and the error that refuses it."""
 
+import math
+
+import anyio
+
 from snipetrestle.codes import ResultCode
 from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.request_fingerprint import request_fingerprint
 
+# Time before a caller's deadline at which its refusal is due, and the largest share of
+# the deadline that this may take. It covers the ways of the request and of the refusal,
+# and a long turn of the event loop.
+REFUSAL_MARGIN_S = 0.1
+MAX_REFUSAL_MARGIN_SHARE = 0.25
+
 
 class Refused(Exception):
     """Ends a request with a result code instead of a replica's response.
@@ -21,6 +31,8 @@
 class Job:
     """A caller's request that is being forwarded. Times are those of the event loop.
 
+    ``deadline_at`` is when the request ends, and ``refusal_due_at`` when it is refused
+    unless its response has begun. ``scope`` is the CancelScope in which it is forwarded.
     ``caller`` is the CallerConnection that gets the response. ``fingerprint`` is the
     same for each repetition of the request. These lists hold replica
     ids: ``sent_to`` those that the request was sent to, ``may_have_run_on`` those on
@@ -46,6 +58,8 @@
         "backend",
         "caller",
         "deadline_at",
+        "refusal_due_at",
+        "scope",
         "sent_to",
         "may_have_run_on",
         "adapter_missing_on",
@@ -63,14 +77,21 @@
         "dropped_on",
     )
 
-    def __init__(self, request, metadata, route, backend, caller, deadline_at):
+    def __init__(self, request, metadata, route, backend, caller):
         self.request = request
         self.metadata = metadata
         self.fingerprint = request_fingerprint(request, metadata)
         self.route = route
         self.backend = backend
         self.caller = caller
-        self.deadline_at = deadline_at
+        route_ends_at = request.received_at + route.timeout_s
+        self.deadline_at = min(
+            route_ends_at, _caller_deadline_at(request, metadata.deadline_s)
+        )
+        self.refusal_due_at = min(
+            route_ends_at, _caller_refusal_due_at(request, metadata.deadline_s)
+        )
+        self.scope = anyio.CancelScope(deadline=self.refusal_due_at)
         self.sent_to = []
         self.may_have_run_on = []
         self.adapter_missing_on = []
@@ -87,6 +108,11 @@
         self.has_replacement = False
         self.dropped_on = set()
 
+    def begin_stream(self):
+        """Records that the caller gets the start of a stream, which lifts the margin."""
+        self.streaming = True
+        self.scope.deadline = self.deadline_at
+
     @property
     def may_have_run(self):
         return bool(self.may_have_run_on)
@@ -115,3 +141,16 @@
         if self.route.kind is RequestKind.STREAM:
             return ResultCode.STREAM_BROKEN
         return ResultCode.ANSWER_MISMATCH
+
+
+def _caller_deadline_at(request, deadline_s):
+    """Returns the time at which a caller gives up, infinite without a deadline."""
+    return math.inf if deadline_s is None else request.received_at + deadline_s
+
+
+def _caller_refusal_due_at(request, deadline_s):
+    """Returns the last time at which a refusal still reaches its caller."""
+    if deadline_s is None:
+        return math.inf
+    margin_s = min(REFUSAL_MARGIN_S, MAX_REFUSAL_MARGIN_SHARE * deadline_s)
+    return _caller_deadline_at(request, deadline_s) - margin_s
--- a/snipetrestle/gateway/replica_choice.py
+++ b/snipetrestle/gateway/replica_choice.py
@@ -97,7 +97,7 @@
         )
         if job.may_have_run:
             latest = now + RETRY_PAUSE_WAIT_S
-        latest = min(latest, job.deadline_at)
+        latest = min(latest, job.scope.deadline)
         while (wait_s := self.shortest_pause_s(job)) > 0:
             if anyio.current_time() + wait_s > latest:
                 raise self._pause_refusal(job, wait_s)
--- a/snipetrestle/gateway/replica_search.py
+++ b/snipetrestle/gateway/replica_search.py
@@ -20,9 +20,6 @@
 # its route's target latency.
 PLACE_WAIT_LATENCIES = 1.5
 LEADERLESS_WAIT_LATENCIES = 1.0
-# Time before the deadline at which a request that is still waiting for a place is
-# refused.
-REFUSAL_MARGIN_S = 0.05
 
 
 class ReplicaSearch:
@@ -124,14 +121,14 @@
         no adapter is loaded, so it is better to tell the caller early when to retry.
         """
         if job.streaming:
-            return job.deadline_at - REFUSAL_MARGIN_S
+            return job.deadline_at
         target_latencies = (
             PLACE_WAIT_LATENCIES
             if self._locator.has_leader
             else LEADERLESS_WAIT_LATENCIES
         )
         max_wait_s = target_latencies * job.route.target_latency_s
-        return min(started_at + max_wait_s, job.deadline_at - REFUSAL_MARGIN_S)
+        return min(started_at + max_wait_s, job.refusal_due_at)
 
     def _no_place_refusal(self, job):
         if job.may_have_run:
--- /dev/null
+++ b/tests/gateway/test_caller_deadlines.py
@@ -0,0 +1,92 @@
+"""Tests of requests whose callers' deadlines pass before a replica answers."""
+
+import asyncio
+
+import testtools
+
+from snipetrestle_standins.gateway_fleet import configuration, route
+from snipetrestle_standins.platform_replica import Fault
+from tests.gateway.running import run_fleet
+from tests.waiting import wait_until
+
+DEADLINE_S = 0.8
+DEADLINE_HEADERS = [("X-Deadline-Ms", f"{DEADLINE_S * 1000:.0f}")]
+# The way of a refusal to its caller.
+RETURN_PATH_S = 0.03
+
+
+async def send_timed_request(fleet, path, headers=DEADLINE_HEADERS, **options):
+    """Sends a request and returns its response and the seconds until its end."""
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    answer = await fleet.send_request(path, headers=headers, **options)
+    return answer, loop.time() - started_at
+
+
+def stop_answering(fleet):
+    """Makes replicas run all requests and answer none."""
+    for replica in fleet.replicas:
+        replica.faults = [Fault.NO_RESPONSE] * 10
+
+
+class CallerDeadlineTest(testtools.TestCase):
+    def assert_told_in_time(self, status, answer, elapsed_s):
+        self.assertEqual((status, True), (answer.status, answer.complete))
+        self.assertLess(elapsed_s, DEADLINE_S - RETURN_PATH_S)
+
+    def test_request_at_a_mute_replica_is_not_refused_after_its_caller_left(self):
+        """The refusal was due at the deadline itself, when callers had closed."""
+
+        async def check(fleet):
+            stop_answering(fleet)
+            for path, options in (
+                ("/entry/a", {}),
+                ("/lookup/a", {"method": "GET"}),
+                ("/draft/a", {"adapter": ""}),
+                ("/night/a", {"adapter": ""}),
+            ):
+                answer, elapsed_s = await send_timed_request(fleet, path, **options)
+                self.assert_told_in_time(504, answer, elapsed_s)
+
+        run_fleet(check)
+
+    def test_request_that_waits_for_a_load_is_not_refused_after_its_caller_left(self):
+        """A stream that waited for its adapter's load was refused at the deadline."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.load_s = 5.0
+            answer, elapsed_s = await send_timed_request(
+                fleet, "/draft/a", adapter="a1"
+            )
+            self.assert_told_in_time(503, answer, elapsed_s)
+
+        run_fleet(check)
+
+    def test_refusal_at_the_timeout_of_a_route_is_not_early(self):
+        """Guards against answers lost to a margin that no caller's deadline asks for."""
+
+        async def check(fleet):
+            routes = [route("entry", "non_idempotent", "register", timeout_ms=400)]
+            fleet.store.put("op/config", configuration(2, routes))
+            state = fleet.live[0].state
+            await wait_until(lambda: state.configuration.version == 2)
+            stop_answering(fleet)
+            answer, elapsed_s = await send_timed_request(fleet, "/entry/a")
+            self.assertEqual(504, answer.status)
+            self.assertGreaterEqual(elapsed_s, 0.4)
+
+        run_fleet(check)
+
+    def test_stream_that_has_begun_is_not_cut_before_its_deadline(self):
+        """Guards against streams aborted at the time of a refusal."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.events = 100
+                replica.event_interval_s = 0.02
+            answer, elapsed_s = await send_timed_request(fleet, "/draft/a", adapter="")
+            self.assertEqual((200, False), (answer.status, answer.complete))
+            self.assertGreaterEqual(elapsed_s, DEADLINE_S)
+
+        run_fleet(check)
--- a/tests/gateway/test_replica_search.py
+++ b/tests/gateway/test_replica_search.py
@@ -54,6 +54,8 @@
         route=types.SimpleNamespace(target_latency_s=TARGET_LATENCY_S),
         backend=types.SimpleNamespace(name=BACKEND),
         deadline_at=now + 5.0,
+        refusal_due_at=now + 4.9,
+        scope=anyio.CancelScope(deadline=now + 4.9),
         may_have_run=False,
         streaming=False,
         sent_to=[],
