Count callers' deadlines from the first byte of their requests

They were counted from the last byte, or from the time at which a pipelined request was parsed. So the time of a slow body, or behind an earlier request, was added to them: the refusal came when the caller had left, and the replica was told a longer deadline than the caller's.

test_time_of_a_slow_body_is_not_added_to_the_deadline and test_time_behind_a_pipelined_request_is_not_added_to_the_deadline failed before.

--- a/snipetrestle/gateway/dialect.py
+++ b/snipetrestle/gateway/dialect.py
@@ -14,7 +14,7 @@
 class RequestMetadata(msgspec.Struct):
     """Metadata from the headers of a caller's request.
 
-    ``deadline_s`` is the time that the caller waits, from the arrival of the request.
+    ``deadline_s`` is the time that the caller waits, from the first byte of the request.
     ``adapter`` has an empty adapter name for the base model, and is None for requests
     that name no model. Token counts are 0 if the caller gives none.
     ``shared_prompt_parts`` are the keys of the parts of the prompt, in order, without
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -91,6 +91,10 @@
         self._writable = None
         self._pending_requests = []
         self._unparsed = bytearray()
+        self._unparsed_since = 0.0
+        # When the bytes that are parsed, and the first byte of the request, arrived.
+        self._parsed_received_at = 0.0
+        self._begun_at = 0.0
         self._refusal_code = None
         # Method of the request that arrives, once it is known.
         self._method = None
@@ -154,15 +158,18 @@
         self._has_received = True
         self._received_at = self._loop.time()
         if self.busy or self._pending_requests or self._unparsed:
+            if not self._unparsed:
+                self._unparsed_since = self._received_at
             self._unparsed += data
             if len(self._unparsed) > MAX_UNPARSED_BYTES and not self._reading_paused:
                 self._reading_paused = True
                 self._transport.pause_reading()
             return
-        self._parse(data)
+        self._parse(data, self._received_at)
         self._waiter.wake()
 
-    def _parse(self, data):
+    def _parse(self, data, received_at):
+        self._parsed_received_at = received_at
         if self._in_head:
             self._head_bytes += len(data)
         else:
@@ -195,6 +202,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
         self._unparsed = bytearray(head + following)
+        self._unparsed_since = self._begun_at
 
     @property
     def _offers_upgrade(self):
@@ -228,6 +236,7 @@
     # Callbacks of httptools.
 
     def on_message_begin(self):
+        self._begun_at = self._parsed_received_at
         self._in_message = True
         self._in_head = True
         self._headers = []
@@ -297,6 +306,7 @@
             return
         request = self._current_request
         request.body = b"".join(self._body_parts)
+        request.begun_at = self._begun_at
         request.received_at = self._loop.time()
         self._body_parts = []
         self._pending_requests.append(request)
@@ -353,7 +363,7 @@
                 return None
             if self._unparsed:
                 data, self._unparsed = bytes(self._unparsed), bytearray()
-                self._parse(data)
+                self._parse(data, self._unparsed_since)
                 continue
             if self._reading_paused:
                 self._reading_paused = False
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -145,7 +145,7 @@
 
 def _caller_deadline_at(request, deadline_s):
     """Returns the time at which a caller gives up, infinite without a deadline."""
-    return math.inf if deadline_s is None else request.received_at + deadline_s
+    return math.inf if deadline_s is None else request.begun_at + deadline_s
 
 
 def _caller_refusal_due_at(request, deadline_s):
--- a/snipetrestle/gateway/request_head.py
+++ b/snipetrestle/gateway/request_head.py
@@ -2,9 +2,21 @@
 
 
 class Request:
-    """A complete request. ``received_at`` is in seconds of the event loop's clock."""
+    """A complete request.
 
-    __slots__ = ("method", "target", "headers", "body", "keep_alive", "received_at")
+    Its first byte arrived at ``begun_at`` and its last one at ``received_at``, in
+    seconds of the event loop's clock.
+    """
+
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "keep_alive",
+        "begun_at",
+        "received_at",
+    )
 
     def __init__(self, method, target, headers, keep_alive):
         self.method = method
@@ -12,6 +24,7 @@
         self.headers = headers
         self.body = b""
         self.keep_alive = keep_alive
+        self.begun_at = 0.0
         self.received_at = 0.0
 
     @property
--- a/tests/gateway/test_caller_deadlines.py
+++ b/tests/gateway/test_caller_deadlines.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from snipetrestle_standins.gateway_fleet import configuration, route
+from snipetrestle_standins.gateway_fleet import Caller, configuration, route
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
@@ -63,6 +63,50 @@
 
         run_fleet(check)
 
+    def test_time_of_a_slow_body_is_not_added_to_the_deadline(self):
+        """The refusal came late by the time that the body had taken."""
+
+        async def check(fleet):
+            stop_answering(fleet)
+            loop = asyncio.get_running_loop()
+            async with Caller(fleet.live[0].settings.callers) as caller:
+                started_at = loop.time()
+                caller.writer.write(
+                    b"POST /entry/a HTTP/1.1\r\nHost: desk.example\r\n"
+                    b"X-Request-Id: slow-body\r\nX-Deadline-Ms: 800\r\n"
+                    b"Content-Length: 2\r\n\r\na"
+                )
+                await asyncio.sleep(DEADLINE_S / 2)
+                caller.writer.write(b"b")
+                answer = await caller.read_response()
+                self.assert_told_in_time(504, answer, loop.time() - started_at)
+
+        run_fleet(check)
+
+    def test_time_behind_a_pipelined_request_is_not_added_to_the_deadline(self):
+        """The refusal came late by the time that the earlier request had taken."""
+
+        async def check(fleet):
+            (replica,) = fleet.registers
+            replica.response_delay_s = DEADLINE_S / 2
+            replica.faults = [None, Fault.NO_RESPONSE]
+            loop = asyncio.get_running_loop()
+            async with Caller(fleet.live[0].settings.callers) as caller:
+                started_at = loop.time()
+                for number in range(2):
+                    caller.writer.write(
+                        b"POST /entry/a HTTP/1.1\r\nHost: desk.example\r\n"
+                        b"X-Request-Id: pipelined-%d\r\nX-Deadline-Ms: 800\r\n"
+                        b"Content-Length: 0\r\n\r\n" % number
+                    )
+                    await asyncio.sleep(0.05)
+                self.assertEqual(200, (await caller.read_response()).status)
+                answer = await caller.read_response()
+                elapsed_s = loop.time() - started_at - 0.05
+                self.assert_told_in_time(504, answer, elapsed_s)
+
+        run_fleet(check, registers=1)
+
     def test_refusal_at_the_timeout_of_a_route_is_not_early(self):
         """Guards against answers lost to a margin that no caller's deadline asks for."""
 
