Tell callers that this host left waiting from those that left at will

The reason is caller_timed_out now, and the line has the caller's deadline and the time without a byte from this host (deadline_ms, silent_ms). A caller that reads slowly is not meant.

test_silence_of_this_host_is_not_put_down_to_its_caller and test_deadline_without_an_answer_is_not_put_down_to_its_caller failed before.

--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -294,6 +294,8 @@
             unanswered=end.unanswered,
             unread_bytes=end.unread_bytes,
             late_bytes=end.late_bytes,
+            deadline_ms=_optional_ms(end.deadline_s),
+            silent_ms=_optional_ms(end.silent_s),
             quiet_ms=round(end.quiet_s * 1000),
             idle_limit_ms=round(end.idle_limit_s * 1000),
             age_ms=round(end.age_s * 1000),
@@ -453,3 +455,8 @@
 def _log_loop_error(loop, context):
     """Logs an error in a callback of the event loop, which then goes on."""
     log_unexpected("event loop", context.get("exception") or context["message"])
+
+
+def _optional_ms(duration_s):
+    """Returns a duration in whole milliseconds, None for None."""
+    return None if duration_s is None else round(duration_s * 1000)
--- a/snipetrestle/gateway/connection_end.py
+++ b/snipetrestle/gateway/connection_end.py
@@ -2,15 +2,21 @@
 
 import enum
 
+# A caller that leaves after this time without a byte of its host has given up on it.
+HOST_SILENCE_S = 1.5
+
 
 class EndReason(enum.StrEnum):
     """Why a caller's connection ended.
 
-    The caller ended it in the first two cases, this host in the others. After
-    ANNOUNCED, the caller had been told so in the last response. DRAIN stands for kept
-    connections that a planned stop closes.
+    The caller ended it in the first three cases, this host in the others.
+    CALLER_TIMED_OUT stands for a caller that this host had not answered by its
+    deadline, or had sent nothing for HOST_SILENCE_S. After ANNOUNCED, the caller had
+    been told so in the last response. DRAIN stands for kept connections that a planned
+    stop closes.
     """
 
+    CALLER_TIMED_OUT = "caller_timed_out"
     CALLER_CLOSED = "caller_closed"
     CALLER_LOST = "caller_lost"
     ANNOUNCED = "announced"
@@ -39,16 +45,20 @@
 class ConnectionEnd:
     """The end of a caller's connection.
 
-    ``request_id`` is that of the request in progress, or None. ``quiet_s`` is the time
-    between the last byte of the caller and the end, and ``idle_limit_s`` the limit that
-    was in force for it. ``unread_bytes`` were not read; ``late_bytes`` of them came
-    after the end. ``age_s`` is the time since the connection was opened.
+    ``request_id`` is that of the request in progress, or None; ``deadline_s`` is the
+    one that its caller named, and ``silent_s`` the time for which this host had sent
+    nothing although the request was in progress. ``quiet_s`` is the time between the
+    last byte of the caller and the end, and ``idle_limit_s`` the limit that was in
+    force for it. ``unread_bytes`` were not read; ``late_bytes`` of them came after the
+    end. ``age_s`` is the time since the connection was opened.
     """
 
     __slots__ = (
         "reason",
         "unanswered",
         "request_id",
+        "deadline_s",
+        "silent_s",
         "quiet_s",
         "idle_limit_s",
         "unread_bytes",
@@ -60,6 +70,8 @@
         self.reason = reason
         self.unanswered = unanswered
         self.request_id = request_id
+        self.deadline_s = None
+        self.silent_s = None
         self.quiet_s = quiet_s
         self.idle_limit_s = idle_limit_s
         self.unread_bytes = 0
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -103,6 +103,8 @@
         except Refused as refusal:
             self._refuse(caller, metadata.request_id, refusal, None)
             return
+        caller.deadline_s = metadata.deadline_s
+        caller.answer_due_at = job.refusal_due_at
         await self._forward(job)
 
     def _create_job(self, request, metadata, caller):
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -5,12 +5,18 @@
 """
 
 import asyncio
+import math
 import socket
 
 import httptools
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.gateway.connection_end import ConnectionEnd, EndReason, Unanswered
+from snipetrestle.gateway.connection_end import (
+    HOST_SILENCE_S,
+    ConnectionEnd,
+    EndReason,
+    Unanswered,
+)
 from snipetrestle.gateway.message_limits import OverheadMeter
 from snipetrestle.gateway.request_head import (
     Request,
@@ -76,9 +82,10 @@
     ``server`` is its HttpServer: ``close_after_response`` closes a connection after its
     next response, ``close_when_idle`` also closes idle connections. ``busy`` is true
     while a request is handled, ``has_response`` once its response has begun, and
-    ``request_id`` is its id as text. ``awaits_end`` is true while the connection waits
-    for its turn to be ended. ``on_disconnect()``, if set, is called when the
-    connection closes.
+    ``request_id`` is its id as text. ``deadline_s`` is the one that the caller named, or
+    None, and ``answer_due_at`` the time by which it is owed an answer. ``awaits_end`` is
+    true while the connection waits for its turn to be ended. ``on_disconnect()``, if
+    set, is called when the connection closes.
     """
 
     def __init__(self, server):
@@ -128,6 +135,10 @@
         self.keep_alive = True
         self.on_disconnect = None
         self.request_id = None
+        self.deadline_s = None
+        self.answer_due_at = math.inf
+        # When this host last sent something, or the request in progress arrived.
+        self._active_at = self._opened_at
         # The ConnectionEnd, once the connection ends.
         self._end = None
         # Whether bytes waited in the socket when the connection was to be ended.
@@ -211,12 +222,12 @@
 
     def eof_received(self):
         # A caller that has closed its side no longer waits for a response.
-        self._note_end(EndReason.CALLER_CLOSED)
+        self._note_end(self._caller_end_reason(EndReason.CALLER_CLOSED))
         return False
 
     def connection_lost(self, exc):
         self.closed = True
-        self._note_end(EndReason.CALLER_LOST)
+        self._note_end(self._caller_end_reason(EndReason.CALLER_LOST))
         self._server.connections.discard(self)
         call_isolated(self._report_end)
         self._waiter.wake()
@@ -324,6 +335,9 @@
                 self._is_head_request = request.is_head
                 self.has_response = False
                 self.request_id = None
+                self.deadline_s = None
+                self.answer_due_at = math.inf
+                self._active_at = max(self._active_at, request.begun_at)
                 await self._server.handle(request, self)
                 await self._wait_until_read()
                 self.busy = False
@@ -523,7 +537,7 @@
         """Writes a complete response, without ``body`` to a HEAD request."""
         self.has_response = True
         head = self._format_head(status, headers, _length_header(len(body)))
-        self._transport.write(head if self._is_head_request else head + body)
+        self._write(head if self._is_head_request else head + body)
 
     def send_head_response(self, status, headers, content_length):
         """Writes the response to a HEAD request.
@@ -534,7 +548,7 @@
         framing_header = b""
         if content_length is not None:
             framing_header = _length_header(content_length)
-        self._transport.write(self._format_head(status, headers, framing_header))
+        self._write(self._format_head(status, headers, framing_header))
 
     def send_result_code(self, code, retry_after_s=None, request_id=None):
         """Writes a response that reports a result code, with the code as its body."""
@@ -551,20 +565,20 @@
     def start_stream(self, status, headers):
         """Writes the head of a response with a chunked body."""
         self.has_response = True
-        self._transport.write(
+        self._write(
             self._format_head(status, headers, b"transfer-encoding: chunked\r\n")
         )
 
     async def write_chunk(self, data):
         """Writes a chunk and waits for a slow caller. Raises CallerDisconnected."""
-        self._transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        self._write(b"%x\r\n%b\r\n" % (len(data), data))
         if self._writable is not None:
             await self._writable
         if self.closed:
             raise CallerDisconnected
 
     def end_stream(self):
-        self._transport.write(b"0\r\n\r\n")
+        self._write(b"0\r\n\r\n")
 
     def abort(self, reason=EndReason.RESPONSE_ABORTED):
         """Aborts the connection, so that an unfinished response looks incomplete."""
@@ -585,6 +599,22 @@
                 self._loop.time() - self._received_at,
                 self._server.limits.idle_timeout_s,
             )
+            if self.busy:
+                self._end.deadline_s = self.deadline_s
+                self._end.silent_s = self._loop.time() - self._active_at
+
+    def _caller_end_reason(self, reason):
+        """Returns CALLER_TIMED_OUT if the caller had waited too long, else ``reason``."""
+        is_slow_reader = self._writable is not None
+        if not self.busy or is_slow_reader:
+            return reason
+        now = self._loop.time()
+        is_late = now >= self.answer_due_at or now - self._active_at >= HOST_SILENCE_S
+        return EndReason.CALLER_TIMED_OUT if is_late else reason
+
+    def _write(self, data):
+        self._active_at = self._loop.time()
+        self._transport.write(data)
 
     def _report_end(self):
         """Tells the server how the connection has ended, with its socket still open."""
--- a/tests/gateway/test_connection_ends.py
+++ b/tests/gateway/test_connection_ends.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from snipetrestle.events import Event
+from snipetrestle.gateway.forwarding import Forwarder
 from snipetrestle_standins.gateway_fleet import Caller
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.log_recording import LogRecordingTest
@@ -9,6 +11,11 @@
 from tests.waiting import wait_until
 
 
+async def wait_forever(forwarder, job):
+    """Stands in for a forwarder that misses the deadline of a request."""
+    await asyncio.Event().wait()
+
+
 def count_ends(gateway, reason, unanswered):
     """Returns how many ends of connections the metrics of a gateway count."""
     name = (
@@ -39,6 +46,34 @@
 
         run_fleet(check)
 
+    def check_caller_that_waits(self, wait_s, headers):
+        """Checks the line about a caller that closes after a time without an answer."""
+
+        async def check(fleet):
+            for replica in fleet.registers:
+                replica.faults = [Fault.NO_RESPONSE] * 3
+            async with Caller(fleet.live[0].settings.callers) as caller:
+                request = asyncio.create_task(
+                    caller.send_request("/entry/a", headers=headers)
+                )
+                await asyncio.sleep(wait_s)
+                request.cancel()
+            await wait_until(self.early_ends)
+            self.assertEqual([("caller_timed_out", "request")], self.early_ends())
+            (end,) = self.logged(Event.CONNECTION_ENDED_EARLY)
+            self.assertGreaterEqual(end["silent_ms"], wait_s * 1000 - 50)
+
+        run_fleet(check)
+
+    def test_silence_of_this_host_is_not_put_down_to_its_caller(self):
+        """The line said that the caller had closed, whatever it had waited for."""
+        self.check_caller_that_waits(2.0, ())
+
+    def test_deadline_without_an_answer_is_not_put_down_to_its_caller(self):
+        """A caller that left at its deadline looked like one that left at will."""
+        self.patch(Forwarder, "_forward", wait_forever)
+        self.check_caller_that_waits(0.5, [("X-Deadline-Ms", "500")])
+
     def test_request_that_a_stopped_process_leaves_unanswered_is_logged(self):
         """Requests that ended with their process left no trace in its log."""
 
