Refuse a stream without an event before its caller gives up on it

It is due 100 ms before four target latencies now, or 1.9 s if that is later, since a sound replica may be silent for a second or so. A stream with an event is not affected.

test_stream_without_an_event_is_not_refused_after_its_caller_left failed before.

--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -13,6 +13,10 @@
 # and a long turn of the event loop.
 REFUSAL_MARGIN_S = 0.1
 MAX_REFUSAL_MARGIN_SHARE = 0.25
+# How long callers wait for the first event of a stream, whatever deadline they name: a
+# multiple of the route's target latency, but longer than a sound replica may be silent.
+FIRST_EVENT_WAIT_LATENCIES = 4.0
+MIN_FIRST_EVENT_WAIT_S = 2.0
 
 
 class Refused(Exception):
@@ -84,12 +88,14 @@
         self.route = route
         self.backend = backend
         self.caller = caller
-        route_ends_at = request.received_at + route.timeout_s
-        self.deadline_at = min(
-            route_ends_at, _caller_deadline_at(request, metadata.deadline_s)
+        caller_deadline_s = (
+            math.inf if metadata.deadline_s is None else metadata.deadline_s
         )
+        route_ends_at = request.received_at + route.timeout_s
+        self.deadline_at = min(route_ends_at, request.begun_at + caller_deadline_s)
         self.refusal_due_at = min(
-            route_ends_at, _caller_refusal_due_at(request, metadata.deadline_s)
+            route_ends_at,
+            request.begun_at + _refusal_due_s(route, caller_deadline_s),
         )
         self.scope = anyio.CancelScope(deadline=self.refusal_due_at)
         self.sent_to = []
@@ -112,6 +118,7 @@
         """Records that the caller gets the start of a stream, which lifts the margin."""
         self.streaming = True
         self.scope.deadline = self.deadline_at
+        self.caller.answer_due_at = self.deadline_at
 
     @property
     def may_have_run(self):
@@ -143,14 +150,10 @@
         return ResultCode.ANSWER_MISMATCH
 
 
-def _caller_deadline_at(request, deadline_s):
-    """Returns the time at which a caller gives up, infinite without a deadline."""
-    return math.inf if deadline_s is None else request.begun_at + deadline_s
-
-
-def _caller_refusal_due_at(request, deadline_s):
-    """Returns the last time at which a refusal still reaches its caller."""
-    if deadline_s is None:
-        return math.inf
-    margin_s = min(REFUSAL_MARGIN_S, MAX_REFUSAL_MARGIN_SHARE * deadline_s)
-    return _caller_deadline_at(request, deadline_s) - margin_s
+def _refusal_due_s(route, caller_deadline_s):
+    """Returns the time after which a refusal still reaches a caller."""
+    wait_s = caller_deadline_s
+    if route.kind is RequestKind.STREAM:
+        first_event_wait_s = FIRST_EVENT_WAIT_LATENCIES * route.target_latency_s
+        wait_s = min(wait_s, max(first_event_wait_s, MIN_FIRST_EVENT_WAIT_S))
+    return wait_s - min(REFUSAL_MARGIN_S, MAX_REFUSAL_MARGIN_SHARE * wait_s)
--- a/tests/gateway/test_caller_deadlines.py
+++ b/tests/gateway/test_caller_deadlines.py
@@ -50,6 +50,39 @@
 
         run_fleet(check)
 
+    def test_stream_without_an_event_is_not_refused_after_its_caller_left(self):
+        """Callers of streams left long before the deadline that they had named."""
+
+        async def check(fleet):
+            stop_answering(fleet)
+            caller_leaves_after_s = 4 * 0.6
+            for path in ("/draft/a", "/night/a"):
+                answer, elapsed_s = await send_timed_request(
+                    fleet, path, [("X-Deadline-Ms", "4500")], adapter=""
+                )
+                self.assertEqual((504, True), (answer.status, answer.complete))
+                self.assertLess(elapsed_s, caller_leaves_after_s - RETURN_PATH_S)
+
+        run_fleet(check)
+
+    def test_stream_with_a_short_target_outlasts_a_silence_of_its_replica(self):
+        """Guards against a refusal because a sound replica is silent for a second."""
+
+        async def check(fleet):
+            routes = [
+                route("night", "stream", "models", attempts=1, target_latency_ms=100)
+            ]
+            fleet.store.put("op/config", configuration(2, routes))
+            state = fleet.live[0].state
+            await wait_until(lambda: state.configuration.version == 2)
+            for replica in fleet.models:
+                replica.events = 1
+                replica.event_interval_s = 1.2
+            answer = await fleet.send_request("/night/a", adapter="")
+            self.assertEqual((200, True), (answer.status, answer.complete))
+
+        run_fleet(check)
+
     def test_request_that_waits_for_a_load_is_not_refused_after_its_caller_left(self):
         """A stream that waited for its adapter's load was refused at the deadline."""
 
--- a/tests/gateway/test_connection_ends.py
+++ b/tests/gateway/test_connection_ends.py
@@ -74,6 +74,24 @@
         self.patch(Forwarder, "_forward", wait_forever)
         self.check_caller_that_waits(0.5, [("X-Deadline-Ms", "500")])
 
+    def test_caller_that_leaves_within_a_stream_has_not_timed_out(self):
+        """Guards against a line that blames this host for a stream that it sends."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.events = 100
+                replica.event_interval_s = 0.05
+            async with Caller(fleet.live[0].settings.callers) as caller:
+                request = asyncio.create_task(
+                    caller.send_request("/draft/a", adapter="")
+                )
+                await asyncio.sleep(2.5)
+                request.cancel()
+            await wait_until(self.early_ends)
+            self.assertEqual([("caller_closed", "partial_response")], self.early_ends())
+
+        run_fleet(check)
+
     def test_request_that_a_stopped_process_leaves_unanswered_is_logged(self):
         """Requests that ended with their process left no trace in its log."""
 
