--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -1,9 +1,23 @@
 """State of a request while the gateway forwards it, and the error that refuses it."""
 
+import math
+
+import anyio
+
 from snipetrestle.codes import ResultCode
 from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.request_fingerprint import request_fingerprint
 
+# Time before a caller's deadline at which its refusal is due, and the largest share of
+# the deadline that this may take. It covers the ways of the request and of the refusal,
+# and a long turn of the event loop.
+REFUSAL_MARGIN_S = 0.1
+MAX_REFUSAL_MARGIN_SHARE = 0.25
+# How long callers wait for the first event of a stream, whatever deadline they name: a
+# multiple of the route's target latency, but longer than a sound replica may be silent.
+FIRST_EVENT_WAIT_LATENCIES = 4.0
+MIN_FIRST_EVENT_WAIT_S = 2.0
+
 
 class Refused(Exception):
     """Ends a request with a result code instead of a replica's response.
@@ -21,6 +35,8 @@
 class Job:
     """A caller's request that is being forwarded. Times are those of the event loop.
 
+    ``deadline_at`` is when the request ends, and ``refusal_due_at`` when it is refused
+    unless its response has begun. ``scope`` is the CancelScope in which it is forwarded.
     ``caller`` is the CallerConnection that gets the response. ``fingerprint`` is the
     same for each repetition of the request. These lists hold replica
     ids: ``sent_to`` those that the request was sent to, ``may_have_run_on`` those on
@@ -46,6 +62,8 @@
         "backend",
         "caller",
         "deadline_at",
+        "refusal_due_at",
+        "scope",
         "sent_to",
         "may_have_run_on",
         "adapter_missing_on",
@@ -63,14 +81,23 @@
         "dropped_on",
     )
 
-    def __init__(self, request, metadata, route, backend, caller, deadline_at):
+    def __init__(self, request, metadata, route, backend, caller):
         self.request = request
         self.metadata = metadata
         self.fingerprint = request_fingerprint(request, metadata)
         self.route = route
         self.backend = backend
         self.caller = caller
-        self.deadline_at = deadline_at
+        caller_deadline_s = (
+            math.inf if metadata.deadline_s is None else metadata.deadline_s
+        )
+        route_ends_at = request.received_at + route.timeout_s
+        self.deadline_at = min(route_ends_at, request.begun_at + caller_deadline_s)
+        self.refusal_due_at = min(
+            route_ends_at,
+            request.begun_at + _refusal_due_s(route, caller_deadline_s),
+        )
+        self.scope = anyio.CancelScope(deadline=self.refusal_due_at)
         self.sent_to = []
         self.may_have_run_on = []
         self.adapter_missing_on = []
@@ -87,6 +114,12 @@
         self.has_replacement = False
         self.dropped_on = set()
 
+    def begin_stream(self):
+        """Records that the caller gets the start of a stream, which lifts the margin."""
+        self.streaming = True
+        self.scope.deadline = self.deadline_at
+        self.caller.answer_due_at = self.deadline_at
+
     @property
     def may_have_run(self):
         return bool(self.may_have_run_on)
@@ -115,3 +148,12 @@
         if self.route.kind is RequestKind.STREAM:
             return ResultCode.STREAM_BROKEN
         return ResultCode.ANSWER_MISMATCH
+
+
+def _refusal_due_s(route, caller_deadline_s):
+    """Returns the time after which a refusal still reaches a caller."""
+    wait_s = caller_deadline_s
+    if route.kind is RequestKind.STREAM:
+        first_event_wait_s = FIRST_EVENT_WAIT_LATENCIES * route.target_latency_s
+        wait_s = min(wait_s, max(first_event_wait_s, MIN_FIRST_EVENT_WAIT_S))
+    return wait_s - min(REFUSAL_MARGIN_S, MAX_REFUSAL_MARGIN_SHARE * wait_s)
