--- a/tests/gateway/test_ends_of_waits.py
+++ b/tests/gateway/test_ends_of_waits.py
@@ -7,6 +7,7 @@
 import typing
 
 import anyio
+import msgspec
 
 from snipetrestle.events import Event
 from snipetrestle.gateway.connection_end import Unanswered
@@ -18,6 +19,7 @@
     configuration,
     route,
 )
+from snipetrestle_standins.platform_http import reset_on_close
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.log_recording import LogRecordingTest
 from tests.waiting import wait_until
@@ -277,6 +279,19 @@
     return await play.send()
 
 
+@case("early-error")
+async def play_early_error(play):
+    play.gateway.state.routes.match = lambda *arguments: int("no number")
+    return await play.send()
+
+
+@case("no-connection")
+async def play_no_connection(play):
+    for replica in play.fleet.registers:
+        await replica.stop()
+    return await play.send()
+
+
 @case("refused-call")
 async def play_refused_call(play):
     play.set_faults(Fault.REFUSED)
@@ -311,6 +326,30 @@
 register_faults()
 
 
+async def play_fault_then_refusals(play, fault, path, **options):
+    """Sends a request whose first replica fails, and which all others refuse."""
+    faults = [fault] + [Fault.REFUSED] * 20
+    for replica in play.fleet.replicas:
+        replica.faults = faults
+    return await play.send(path, **options)
+
+
+@case("lost-then-refused")
+async def play_lost_then_refused(play):
+    return await play_fault_then_refusals(play, Fault.RESET, "/lookup/a")
+
+
+@case("lost-stream-then-refused")
+async def play_lost_stream_then_refused(play):
+    return await play_fault_then_refusals(play, Fault.RESET, "/draft/a", adapter="")
+
+
+@case("cut-stream-then-refused")
+async def play_cut_stream_then_refused(play):
+    fault = Fault.RESET_IN_RESPONSE
+    return await play_fault_then_refusals(play, fault, "/draft/a", adapter="")
+
+
 @case("deadline-write")
 async def play_deadline_write(play):
     play.set_faults(Fault.NO_RESPONSE)
@@ -349,6 +388,13 @@
     return await play.send("/lookup/a", deadline_s=0.2)
 
 
+@case("deadline-zero")
+async def play_deadline_zero(play):
+    async with play.caller() as caller:
+        headers = [("X-Request-Id", play.name), ("X-Deadline-Ms", 0)]
+        return await caller.send_request("/entry/a", headers=headers)
+
+
 @case("route-timeout")
 async def play_route_timeout(play):
     routes = [route("entry", "non_idempotent", "register", timeout_ms=600)]
@@ -413,6 +459,48 @@
     return await play.stop_while_at_replica("/night/a", adapter="")
 
 
+@case("stop-end-waiting", gateways=2, models=0)
+async def play_stop_end_waiting(play):
+    settings = play.gateway.settings
+    # The wait for a place is longer than this stop.
+    settings = msgspec.structs.replace(settings, shutdown_grace_s=1.0)
+    play.gateway.settings = play.fleet.settings_by_name[settings.name] = settings
+    drain = asyncio.create_task(play.gateway.drain())
+    await asyncio.sleep(0.1)
+    response = await play.send("/draft/a", adapter="a1")
+    await drain
+    return response
+
+
+@case("stop-end-arriving", gateways=2)
+async def play_stop_end_arriving(play):
+    data = play.request_bytes(play.name).replace(b"Length: 0", b"Length: 6") + b"abc"
+    async with play.caller() as caller:
+        caller.writer.write(data)
+        await wait_until(lambda: play.gateway.caller_server.is_engaged)
+        await play.gateway.drain()
+        play.gateway.close()
+        return await caller.read_response()
+
+
+@case("stop-port-closed", gateways=2)
+async def play_stop_port_closed(play):
+    await play.gateway.drain()
+    try:
+        return await play.send()
+    except ConnectionRefusedError:
+        return None
+
+
+@case("process-end")
+async def play_process_end(play):
+    play.set_faults(Fault.NO_RESPONSE)
+    request = asyncio.create_task(play.send())
+    await wait_until(lambda: play.has_run)
+    play.gateway.caller_server.close()
+    return await request
+
+
 async def end_while_idle(play, end):
     """Returns what a caller gets whose idle connection is ended."""
     async with play.caller() as caller:
@@ -473,6 +561,15 @@
     await leave(play, "/entry/a")
 
 
+@case("caller-resets")
+async def play_caller_resets(play):
+    play.set_faults(Fault.NO_RESPONSE)
+    async with play.caller() as caller:
+        caller.writer.write(play.request_bytes(play.name, "/lookup/a"))
+        await wait_until(lambda: play.has_run)
+        reset_on_close(caller.writer)
+
+
 async def read_second(play, first):
     """Returns what a caller gets for a request that is pipelined behind ``first``."""
     async with play.caller() as caller:
