--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -28,7 +28,7 @@
 from snipetrestle.gateway.connection_end import EndReason, Unanswered
 from snipetrestle.gateway.crash_quarantine import CrashQuarantine
 from snipetrestle.gateway.drain_times import DrainTimes
-from snipetrestle.gateway.forwarding import Forwarder
+from snipetrestle.gateway.forwarding import NOT_READY_RETRY_AFTER_S, Forwarder
 from snipetrestle.gateway.http_server import CallerConnection
 from snipetrestle.gateway.log_lines import RequestLines
 from snipetrestle.gateway.metrics import GatewayMetrics
@@ -74,6 +74,7 @@
         self._closer = ListenerCloser(self._create_connection)
         self.close_after_response = False
         self.close_when_idle = False
+        self.arrival_retry_after_s = None
         self._end_turns = anyio.CapacityLimiter(1)
         self._server = None
 
@@ -109,6 +110,14 @@
         """Closes the connections that have no request in progress."""
         self.close_when_idle = True
         self._end_turns.total_tokens = 1 + len(self.connections) // MAX_END_GROUPS
+        self._wake_idle_connections()
+
+    def refuse_arriving(self, retry_after_s):
+        """Refuses requests that have arrived only in part, and those still to come."""
+        self.arrival_retry_after_s = retry_after_s
+        self._wake_idle_connections()
+
+    def _wake_idle_connections(self):
         for connection in list(self.connections):
             connection.wake_if_idle()
 
@@ -427,6 +436,7 @@
         await self._wait_idle(started + times.give_up_s)
         self.caller_server.stop_listening()
         self.forwarder.give_up()
+        self.caller_server.refuse_arriving(NOT_READY_RETRY_AFTER_S)
         await self._wait_idle(started + times.end_s)
 
     async def _wait_idle(self, deadline):
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -74,8 +74,9 @@
     """One caller's connection.
 
     ``server`` is its HttpServer: ``close_after_response`` closes a connection after its
-    next response, ``close_when_idle`` also closes idle connections. ``busy`` is true
-    while a request is handled, ``has_response`` once its response has begun, and
+    next response, ``close_when_idle`` also closes idle connections, and with an
+    ``arrival_retry_after_s`` requests that have arrived in part are refused. ``busy``
+    is true while a request is handled, ``has_response`` once its response has begun, and
     ``request_id`` is its id as text. ``awaits_end`` is true while the connection waits
     for its turn to be ended. ``on_disconnect()``, if set, is called when the
     connection closes.
@@ -360,6 +361,9 @@
                 self._transport.resume_reading()
             if self.closed:
                 return None
+            if self._in_message and self._server.arrival_retry_after_s is not None:
+                self._refuse_arriving_request()
+                return None
             self._send_continue_if_awaited()
             remaining_s = self._remaining_wait_s(idle_since)
             is_draining = self._server.close_when_idle and not self.is_engaged
@@ -371,6 +375,13 @@
                 remaining_s = UNREAD_BYTES_WAIT_S
             await self._waiter.wait(remaining_s)
 
+    def _refuse_arriving_request(self):
+        """Answers a request whose rest comes too late for a stop, if at all."""
+        self._refuse(ResultCode.NOT_READY)
+        self._note_end(EndReason.REQUEST_REFUSED)
+        self._is_head_request = self._is_refused_head_request
+        self.send_result_code(ResultCode.NOT_READY, self._server.arrival_retry_after_s)
+
     def _send_continue_if_awaited(self):
         """Asks for a body that its caller holds back until then (RFC 9110, 10.1.1).
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -248,6 +248,42 @@
 
         run_fleet(check, gateways=2)
 
+    def test_request_that_arrives_in_part_is_refused_at_the_end_of_a_stop(self):
+        """Its connection was closed by the end of the process, with no answer."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            set_grace(fleet, gateway, 1.0)
+            whole = request_bytes("part", "/entry/a", "Expect: 100-continue\r\n")
+            head = whole.replace(b"Length: 0", b"Length: 6")
+
+            async def send_part(part, after_s):
+                await asyncio.sleep(after_s)
+                async with Caller(gateway.settings.callers) as caller:
+                    caller.writer.write(part)
+                    return await self.read_final_response(caller)
+
+            # A part of a head is sent late, since the time for a head is short.
+            _, *answers = await asyncio.gather(
+                gateway.drain(),
+                send_part(head, 0.0),
+                send_part(head + b"abc", 0.0),
+                send_part(head[:30], 0.6),
+            )
+            for answer in answers:
+                self.assertEqual((503, True), (answer.status, answer.complete))
+                self.assertEqual("close", answer.headers["connection"])
+                self.assertIn("retry-after", answer.headers)
+            self.assertEqual([], [run for item in fleet.replicas for run in item.runs])
+
+        run_fleet(check)
+
+    async def read_final_response(self, caller):
+        """Returns the next response that is not an interim one."""
+        while (answer := await caller.read_response()).status == 100:
+            pass
+        return answer
+
     def test_stop_before_the_first_configuration(self):
         """A process that has read nothing from the store must stop as any other, and
         refuse what it is sent."""
