Wait for the first event of a stream as long as its route's pauses allow

The time after which a stream without an event is refused left out the third of the times that callers wait: eight of the longest pauses that the route allows. A stream with long pauses was refused before its caller would have left. The new test failed before for a pause of 0.5 s (1.9 s instead of 3.9 s).

--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -14,8 +14,10 @@
 REFUSAL_MARGIN_S = 0.1
 MAX_REFUSAL_MARGIN_SHARE = 0.25
 # How long callers wait for the first event of a stream, whatever deadline they name: a
-# multiple of the route's target latency, but longer than a sound replica may be silent.
+# multiple of the route's target latency or of the longest pause that it allows between
+# events, but longer than a sound replica may be silent.
 FIRST_EVENT_WAIT_LATENCIES = 4.0
+FIRST_EVENT_WAIT_GAPS = 8.0
 MIN_FIRST_EVENT_WAIT_S = 2.0
 
 
@@ -95,7 +97,7 @@
         self.deadline_at = min(route_ends_at, request.begun_at + caller_deadline_s)
         self.refusal_due_at = min(
             route_ends_at,
-            request.begun_at + _refusal_due_s(route, caller_deadline_s),
+            request.begun_at + refusal_due_s(route, caller_deadline_s),
         )
         self.scope = anyio.CancelScope(deadline=self.refusal_due_at)
         self.sent_to = []
@@ -150,10 +152,14 @@
         return ResultCode.ANSWER_MISMATCH
 
 
-def _refusal_due_s(route, caller_deadline_s):
+def refusal_due_s(route, caller_deadline_s):
     """Returns the time after which a refusal still reaches a caller."""
     wait_s = caller_deadline_s
     if route.kind is RequestKind.STREAM:
-        first_event_wait_s = FIRST_EVENT_WAIT_LATENCIES * route.target_latency_s
-        wait_s = min(wait_s, max(first_event_wait_s, MIN_FIRST_EVENT_WAIT_S))
+        first_event_wait_s = max(
+            MIN_FIRST_EVENT_WAIT_S,
+            FIRST_EVENT_WAIT_LATENCIES * route.target_latency_s,
+            FIRST_EVENT_WAIT_GAPS * (route.max_gap_s or 0.0),
+        )
+        wait_s = min(wait_s, first_event_wait_s)
     return wait_s - min(REFUSAL_MARGIN_S, MAX_REFUSAL_MARGIN_SHARE * wait_s)
--- a/tests/gateway/test_caller_deadlines.py
+++ b/tests/gateway/test_caller_deadlines.py
@@ -1,9 +1,12 @@
 """Tests of requests whose callers' deadlines pass before a replica answers."""
 
 import asyncio
+import types
 
 import testtools
 
+from snipetrestle.gateway.configuration import RequestKind
+from snipetrestle.gateway.job import refusal_due_s
 from snipetrestle_standins.gateway_fleet import Caller, configuration, route
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
@@ -167,3 +170,19 @@
             self.assertGreaterEqual(elapsed_s, DEADLINE_S)
 
         run_fleet(check)
+
+
+class FirstEventTest(testtools.TestCase):
+    def test_stream_with_long_pauses_is_not_refused_before_its_caller_leaves(self):
+        """Callers wait for eight of the pauses that their route allows, if longer."""
+        for latency_s, max_gap_s, due_s in (
+            (0.1, None, 1.9),
+            (0.6, None, 2.3),
+            (0.6, 0.3, 2.3),
+            (0.1, 0.5, 3.9),
+        ):
+            stream_route = types.SimpleNamespace(
+                kind=RequestKind.STREAM, target_latency_s=latency_s, max_gap_s=max_gap_s
+            )
+            self.assertAlmostEqual(due_s, refusal_due_s(stream_route, 15.0))
+            self.assertAlmostEqual(0.9, refusal_due_s(stream_route, 1.0))
