--- a/tests/gateway/test_ends_of_waits.py
+++ b/tests/gateway/test_ends_of_waits.py
@@ -182,6 +182,11 @@
         await self.gateway.drain()
         return await request
 
+    def shorten_stop(self):
+        """Makes a stop end before requests are refused for other reasons."""
+        settings = msgspec.structs.replace(self.gateway.settings, shutdown_grace_s=1.0)
+        self.gateway.settings = self.fleet.settings_by_name[settings.name] = settings
+
     async def send_late_in_stop(self, deadline_s):
         drain = asyncio.create_task(self.gateway.drain())
         # A request in progress keeps the stop from ending early.
@@ -449,6 +454,7 @@
 
 @case("stop-end-stream", gateways=2)
 async def play_stop_end_stream(play):
+    play.shorten_stop()
     play.set_faults(Fault.NO_RESPONSE)
     return await play.stop_while_at_replica("/night/a", adapter="")
 
@@ -461,10 +467,7 @@
 
 @case("stop-end-waiting", gateways=2, models=0)
 async def play_stop_end_waiting(play):
-    settings = play.gateway.settings
-    # The wait for a place is longer than this stop.
-    settings = msgspec.structs.replace(settings, shutdown_grace_s=1.0)
-    play.gateway.settings = play.fleet.settings_by_name[settings.name] = settings
+    play.shorten_stop()
     drain = asyncio.create_task(play.gateway.drain())
     await asyncio.sleep(0.1)
     response = await play.send("/draft/a", adapter="a1")
