--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -23,7 +23,6 @@
 from snipetrestle.gateway.http_server import CallerDisconnected
 from snipetrestle.gateway.job import Job, Refused
 from snipetrestle.gateway.replica_search import RETRY_AFTER_S, ReplicaSearch
-from snipetrestle.gateway.stream_durations import StreamDurations
 from snipetrestle.gateway.supervision import log_unexpected
 from snipetrestle.gateway.usual_durations import UsualDurations
 
@@ -64,7 +63,6 @@
         self._search = ReplicaSearch(gateway)
         self._rng = gateway.rng
         self._durations = UsualDurations()
-        self._stream_durations = StreamDurations()
         self._give_up_at = None
         self._bounds_new = False
         self._has_given_up = False
@@ -177,7 +175,7 @@
             return _deadline_refusal(job)
         return _stop_refusal(job)
 
-    def _has_time_left(self, job, replica=None):
+    def _has_time_left(self, job):
         """Whether a request that is passed on now probably ends before a stop does.
 
         A stream that its caller already reads goes on elsewhere in any case: the
@@ -186,31 +184,14 @@
         if self._give_up_at is None or job.streaming:
             return True
         now = anyio.current_time()
-        expected_end = now + self._expected_s(job, replica)
-        return min(expected_end, job.deadline_at) <= self._give_up_at
+        usual_end = now + self._durations.usual_s(job.route)
+        return min(usual_end, job.deadline_at) <= self._give_up_at
 
-    def _check_time_left(self, job, replica=None):
+    def _check_time_left(self, job):
         """Raises Refused if a stop would probably interrupt a request."""
-        if not self._has_time_left(job, replica):
+        if not self._has_time_left(job):
             raise _stop_refusal(job)
 
-    def _expected_s(self, job, replica):
-        """Returns how long an attempt probably takes, at a replica if that is given.
-
-        The streams of a route differ too much in length for their mean.
-        """
-        expected_s = None
-        if job.route.kind is RequestKind.STREAM:
-            expected_s = self._stream_durations.expected_s(
-                job.backend.name,
-                job.metadata.output_tokens,
-                job.last_event_id,
-                replica,
-            )
-        if expected_s is None:
-            return self._durations.usual_s(job.route)
-        return expected_s
-
     def _refuse(self, caller, request_id, refusal, job):
         """Logs a refusal and sends it, or aborts a stream that has already started."""
         code = refusal.code
@@ -363,23 +344,9 @@
             return True
         await self._forward_events(job, exchange, metadata)
         self._crash_quarantine.note_served(job)
-        self._note_stream_duration(job, exchange.replica)
         self._observe(job, 200)
         return True
 
-    def _note_stream_duration(self, job, replica):
-        """Records the duration of a stream that a single replica has served whole."""
-        if job.send_count > 1 or job.metadata.last_event_id or not job.last_event_id:
-            return
-        self._stream_durations.note(
-            job.backend.name,
-            job.metadata.output_tokens,
-            job.last_event_id,
-            job.first_event_at - job.first_sent_at,
-            anyio.current_time() - job.first_event_at,
-            replica,
-        )
-
     async def _handle_stream_failure(self, job, exchange, head, metadata):
         """Passes on a replica's error response, unless the request may be retried.
 
@@ -463,7 +430,7 @@
 
     def create_exchange(self, job, replica):
         """Returns a new Exchange. Raises Refused if a stop would interrupt it."""
-        self._check_time_left(job, replica)
+        self._check_time_left(job)
         if job.first_sent_at is None:
             job.first_sent_at = anyio.current_time()
         return Exchange(self._dialect, job, replica)
