--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -51,6 +51,10 @@
 # so the turn must be short and begin with a look at the sockets.
 END_INTERVAL_S = 0.002
 MAX_END_GROUPS = 100
+# How long transfers may put off the end of idle connections. In a planned stop, callers
+# that go on using them are refused more and more.
+MAX_BUSY_S = 10.0
+MAX_BUSY_IN_STOP_S = 2.0
 LISTEN_BACKLOG = 512
 SETTINGS_CHECK_INTERVAL_S = 5.0
 
@@ -129,7 +133,9 @@
         """
         async with self._end_turns:
             await asyncio.sleep(END_INTERVAL_S)
-            await self._transfers.wait_until_quiet()
+            await self._transfers.wait_until_quiet(
+                MAX_BUSY_IN_STOP_S if self.close_when_idle else MAX_BUSY_S
+            )
 
     def stop_listening(self):
         """Closes the listening socket; new connections are refused from now on.
--- a/snipetrestle/gateway/transfers.py
+++ b/snipetrestle/gateway/transfers.py
@@ -5,8 +5,6 @@
 
 # What was queued on the link behind a transfer is read within this time after its end.
 SETTLE_S = 0.02
-# Transfers that go on for longer no longer count.
-MAX_BUSY_S = 10.0
 
 
 class Transfers:
@@ -35,10 +33,13 @@
                 self._ended.set()
                 self._ended = asyncio.Event()
 
-    async def wait_until_quiet(self):
-        """Returns once no transfer is in progress, or if one goes on for too long."""
+    async def wait_until_quiet(self, max_busy_s):
+        """Returns once no transfer is in progress.
+
+        Returns at once while there have been transfers for ``max_busy_s``.
+        """
         with contextlib.suppress(TimeoutError):
             while self._count:
-                async with asyncio.timeout_at(self._busy_since + MAX_BUSY_S):
+                async with asyncio.timeout_at(self._busy_since + max_busy_s):
                     await self._ended.wait()
                 await asyncio.sleep(SETTLE_S)
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -7,7 +7,7 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway import http_server, snapshots, transfers
+from snipetrestle.gateway import app, http_server, snapshots, transfers
 from snipetrestle.gateway.http_server import MIN_IDLE_MARGIN_S, CallerConnection
 from snipetrestle.platform.calls import StoreSource
 from snipetrestle.publication.sources import SourceUnreachable
@@ -236,7 +236,7 @@
         """It waited until the transfer had ended, or for the end of the process."""
 
         async def check(fleet):
-            self.patch(transfers, "MAX_BUSY_S", 60.0)
+            self.patch(app, "MAX_BUSY_IN_STOP_S", 60.0)
             gateway = fleet.live[0]
             caller = await BlockingCaller.connect(gateway)
             self.addCleanup(caller.close)
@@ -255,12 +255,11 @@
 class TransfersTest(testtools.TestCase):
     def test_transfer_without_end_holds_up_nobody_for_long(self):
         async def check():
-            self.patch(transfers, "MAX_BUSY_S", 0.1)
             tracked = transfers.Transfers()
             with tracked.in_progress():
                 async with asyncio.timeout(1.0):
-                    await tracked.wait_until_quiet()
-                    await tracked.wait_until_quiet()
+                    await tracked.wait_until_quiet(0.1)
+                    await tracked.wait_until_quiet(0.1)
 
         anyio.run(check)
 
