Count transfers in close succession as one busy time

Each gap of a few milliseconds began the time anew for which transfers may put off the end of idle connections, so a chain of them did so without limit.

--- a/snipetrestle/gateway/transfers.py
+++ b/snipetrestle/gateway/transfers.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import contextlib
+import math
 
 # What was queued on the link behind a transfer is read within this time after its end.
 SETTLE_S = 0.02
+# Transfers that follow each other within this time count as one. It is longer than
+# SETTLE_S, after which a waiter looks again.
+MAX_GAP_S = 2 * SETTLE_S
 
 
 class Transfers:
@@ -12,7 +16,8 @@
 
     def __init__(self):
         self._count = 0
-        self._busy_since = 0.0
+        self._busy_since = -math.inf
+        self._quiet_since = -math.inf
         self._ended = asyncio.Event()
 
     @property
@@ -22,14 +27,16 @@
     @contextlib.contextmanager
     def in_progress(self):
         """Counts a transfer while the context lasts."""
-        if not self._count:
-            self._busy_since = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        if not self._count and loop.time() - self._quiet_since > MAX_GAP_S:
+            self._busy_since = loop.time()
         self._count += 1
         try:
             yield
         finally:
             self._count -= 1
             if not self._count:
+                self._quiet_since = loop.time()
                 self._ended.set()
                 self._ended = asyncio.Event()
 
