Keep the turn to end a connection from waking a later wait

Data ends the wait for the turn and cancels it. The cancelled task then woke the connection while it lingered after its response, which cut the linger short.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -423,16 +423,21 @@
         What comes is served at once: the turn may come seconds later.
         """
         turn = self._loop.create_task(self._server.wait_for_turn_to_end())
-        turn.add_done_callback(lambda _: self._waiter.wake())
+        turn.add_done_callback(self._wake_after_turn)
         self.awaits_end = True
         try:
             while not (turn.done() or self.closed or self._is_used):
                 await self._waiter.wait()
         finally:
             self.awaits_end = False
+            # The end of the turn must not wake a later wait.
+            turn.remove_done_callback(self._wake_after_turn)
             turn.cancel()
         return self.closed or self._is_used
 
+    def _wake_after_turn(self, turn):
+        self._waiter.wake()
+
     @property
     def _is_used(self):
         """Whether data has come that asks for an answer."""
