Keep a connection open after a stream that began before a planned stop

The head of the stream had promised an open connection, so its caller may send the next request at once. The connection now ends with its next response, or in its turn like other idle ones.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -345,8 +345,6 @@
                 if not self.keep_alive:
                     self._note_end(EndReason.ANNOUNCED)
                     break
-                if self._closes_after_response and self._end_if_quiet(EndReason.DRAIN):
-                    break
             await self._linger()
         except CallerDisconnected:
             pass
