--- a/snipetrestle/gateway/snapshots.py
+++ b/snipetrestle/gateway/snapshots.py
@@ -215,9 +215,14 @@
         writer.write(content[start : start + CHUNK_BYTES])
         async with asyncio.timeout(PEER_SILENCE_TIMEOUT_S):
             await writer.drain()
-    async with asyncio.timeout(PEER_SILENCE_TIMEOUT_S):
+    loop = asyncio.get_running_loop()
+    unsent_bytes = None
+    async with asyncio.timeout(PEER_SILENCE_TIMEOUT_S) as silence_timeout:
         # No event tells that the other host has received the last bytes.
-        while count_unsent_bytes(writer.transport):  # noqa: ASYNC110
+        while remaining_bytes := count_unsent_bytes(writer.transport):
+            if remaining_bytes != unsent_bytes:
+                unsent_bytes = remaining_bytes
+                silence_timeout.reschedule(loop.time() + PEER_SILENCE_TIMEOUT_S)
             await asyncio.sleep(UNSENT_CHECK_INTERVAL_S)
 
 
