Time pipelined requests from their own first bytes

All requests that arrived while another was handled took the arrival time of the first of them, so a later one's deadline could pass before it had arrived.

--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -27,6 +27,7 @@
     names_close,
 )
 from snipetrestle.gateway.supervision import call_isolated, log_unexpected
+from snipetrestle.gateway.unparsed_bytes import UnparsedBytes
 from snipetrestle.gateway.waiter import Waiter
 from snipetrestle.lingering import has_unsent_bytes, linger, write_end
 from snipetrestle.sockets import count_unread_bytes
@@ -98,8 +99,7 @@
         self._waiter = Waiter()
         self._writable = None
         self._pending_requests = []
-        self._unparsed = bytearray()
-        self._unparsed_since = 0.0
+        self._unparsed = UnparsedBytes()
         # When the bytes that are parsed, and the first byte of the request, arrived.
         self._parsed_received_at = 0.0
         self._begun_at = 0.0
@@ -170,9 +170,7 @@
         self._has_received = True
         self._received_at = self._loop.time()
         if self.busy or self._pending_requests or self._unparsed:
-            if not self._unparsed:
-                self._unparsed_since = self._received_at
-            self._unparsed += data
+            self._unparsed.append(data, self._received_at)
             if len(self._unparsed) > MAX_UNPARSED_BYTES and not self._reading_paused:
                 self._reading_paused = True
                 self._transport.pause_reading()
@@ -213,8 +211,8 @@
         )
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
-        self._unparsed = bytearray(head + following)
-        self._unparsed_since = self._begun_at
+        self._unparsed.prepend(following, self._parsed_received_at)
+        self._unparsed.prepend(head, self._begun_at)
 
     @property
     def _offers_upgrade(self):
@@ -375,8 +373,7 @@
                 self.send_result_code(self._refusal_code)
                 return None
             if self._unparsed:
-                data, self._unparsed = bytes(self._unparsed), bytearray()
-                self._parse(data, self._unparsed_since)
+                self._parse(*self._unparsed.pop_first())
                 continue
             if self._reading_paused:
                 self._reading_paused = False
