Show two more faults at the ends of waits with tests

A deadline beside the first event of a stream aborts the stream, and a wait for a transfer that began before a planned stop keeps the longer limit.

--- a/tests/gateway/test_review_ends.py
+++ b/tests/gateway/test_review_ends.py
@@ -5,11 +5,11 @@
 import testtools
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.gateway import snapshots
+from snipetrestle.gateway import app, forwarding, snapshots
 from snipetrestle.gateway.app import HttpServer
 from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle.gateway.transfers import SETTLE_S, Transfers
-from tests.gateway.running import run_connection
+from tests.gateway.running import run_connection, run_fleet
 
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 FIRST_RESPONSE_S = 0.5
@@ -129,6 +129,44 @@
         asyncio.run(check())
 
 
+class RefusalBesideFirstEventTest(testtools.TestCase):
+    def test_deadline_beside_the_first_event_does_not_cut_off_the_stream(self):
+        """A stream was begun and aborted where a refusal could still be sent."""
+
+        async def check(fleet):
+            forwarder = fleet.live[0].forwarder
+
+            class ExpiringSplitter(forwarding.EventSplitter):
+                def feed(self, data):
+                    for scope in forwarder._scopes:
+                        scope.cancel()
+                    return super().feed(data)
+
+            self.patch(forwarding, "EventSplitter", ExpiringSplitter)
+            answer = await fleet.send_request("/night/a", adapter="")
+            self.assertEqual((504, True), (answer.status, answer.complete))
+
+        run_fleet(check)
+
+
+class TransferBeforeStopTest(testtools.TestCase):
+    def test_connection_that_waited_before_a_stop_is_ended_in_its_time(self):
+        """A wait for a transfer kept the longer limit that holds outside a stop."""
+
+        async def check():
+            transfers = Transfers()
+            server = HttpServer(None, CallerLimits, transfers=transfers)
+            with transfers.in_progress():
+                turn = asyncio.create_task(server.wait_for_turn_to_end())
+                await asyncio.sleep(0.05)
+                server.close_idle_connections()
+                await asyncio.wait([turn], timeout=3 * MAX_BUSY_S)
+                self.assertTrue(turn.done())
+
+        self.patch(app, "MAX_BUSY_IN_STOP_S", MAX_BUSY_S)
+        asyncio.run(check())
+
+
 class SlowSnapshotTest(testtools.TestCase):
     def test_snapshot_that_its_host_still_reads_counts_as_a_transfer(self):
         """The end of a snapshot on a slow link stopped counting after a second."""
