--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -80,6 +80,9 @@
         self.close_when_idle = False
         self.arrival_retry_after_s = None
         self._end_turns = anyio.CapacityLimiter(1)
+        # The wait for transfers that a planned stop shortens. Outside a stop there is
+        # one turn at a time.
+        self._busy_scope = anyio.CancelScope()
         self._server = None
 
     @property
@@ -113,6 +116,7 @@
     def close_idle_connections(self):
         """Closes the connections that have no request in progress."""
         self.close_when_idle = True
+        self._busy_scope.cancel()
         self._end_turns.total_tokens = 1 + len(self.connections) // MAX_END_GROUPS
         self._wake_idle_connections()
 
@@ -133,9 +137,11 @@
         """
         async with self._end_turns:
             await asyncio.sleep(END_INTERVAL_S)
-            await self._transfers.wait_until_quiet(
-                MAX_BUSY_IN_STOP_S if self.close_when_idle else MAX_BUSY_S
-            )
+            if not self.close_when_idle:
+                with anyio.CancelScope() as self._busy_scope:
+                    await self._transfers.wait_until_quiet(MAX_BUSY_S)
+            if self.close_when_idle:
+                await self._transfers.wait_until_quiet(MAX_BUSY_IN_STOP_S)
 
     def stop_listening(self):
         """Closes the listening socket; new connections are refused from now on.
