--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -7,6 +7,7 @@
 import functools
 
 import anyio
+import anyio.lowlevel
 
 from snipetrestle.codes import ResultCode
 from snipetrestle.events import Event
@@ -385,6 +386,8 @@
                 self._crash_quarantine.note_answered(replica.process_id, started, job)
                 job.first_event_at = job.first_event_at or now
             if not job.streaming:
+                # A refusal that is due now can still be sent.
+                await anyio.lowlevel.checkpoint_if_cancelled()
                 job.begin_stream()
                 caller.start_stream(200, metadata.headers)
             # A replacement may be sent while the caller reads slowly.
