--- a/snipetrestle/gateway/calls.py
+++ b/snipetrestle/gateway/calls.py
@@ -37,8 +37,8 @@
     ``timeout_s`` limits the time without progress, not the whole response: a large
     configuration takes over a second on a slow link. ``is_response(head)`` tells
     whether a response belongs to the request; others are dropped. ``max_bytes`` limits
-    the body. ``transfers`` counts the time in which it arrives. Raises ConnectFailed if nothing was sent, and ExchangeFailed if there is
-    no complete response.
+    the body. ``transfers`` counts the time in which it arrives. Raises ConnectFailed if
+    nothing was sent, and ExchangeFailed if there is no complete response.
     """
     connection = await pool.acquire()
     loop = asyncio.get_running_loop()
