Let streams that have begun run until their caller's deadline as it counts it

A caller may count from either, so a refusal is due by the earlier time, and a stream that has begun ends by the later one. The new test failed before (200, cut).

--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -64,6 +64,8 @@
         "backend",
         "caller",
         "deadline_at",
+        "_deadline_s",
+        "_route_ends_at",
         "refusal_due_at",
         "scope",
         "sent_to",
@@ -90,14 +92,14 @@
         self.route = route
         self.backend = backend
         self.caller = caller
-        caller_deadline_s = (
+        self._deadline_s = (
             math.inf if metadata.deadline_s is None else metadata.deadline_s
         )
-        route_ends_at = request.received_at + route.timeout_s
-        self.deadline_at = min(route_ends_at, request.begun_at + caller_deadline_s)
+        self._route_ends_at = request.received_at + route.timeout_s
+        self.deadline_at = min(self._route_ends_at, request.begun_at + self._deadline_s)
         self.refusal_due_at = min(
-            route_ends_at,
-            request.begun_at + refusal_due_s(route, caller_deadline_s),
+            self._route_ends_at,
+            request.begun_at + refusal_due_s(route, self._deadline_s),
         )
         self.scope = anyio.CancelScope(deadline=self.refusal_due_at)
         self.sent_to = []
@@ -119,8 +121,9 @@
     def begin_stream(self):
         """Records that the caller gets the start of a stream, which lifts the margin."""
         self.streaming = True
-        self.scope.deadline = self.deadline_at
-        self.caller.answer_due_at = self.deadline_at
+        # Its caller may count the deadline from its last byte.
+        ends_at = min(self._route_ends_at, self.request.received_at + self._deadline_s)
+        self.scope.deadline = self.caller.answer_due_at = ends_at
 
     @property
     def may_have_run(self):
--- a/tests/gateway/test_caller_deadlines.py
+++ b/tests/gateway/test_caller_deadlines.py
@@ -7,7 +7,7 @@
 
 from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.job import refusal_due_s
-from snipetrestle_standins.gateway_fleet import Caller, configuration, route
+from snipetrestle_standins.gateway_fleet import MODEL, Caller, configuration, route
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
@@ -119,6 +119,27 @@
 
         run_fleet(check)
 
+    def test_stream_is_not_cut_while_its_caller_may_still_wait(self):
+        """A slow body's time was taken off the deadline of a stream that had begun."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.events = 10
+                replica.event_interval_s = 0.07 * DEADLINE_S
+            async with Caller(fleet.live[0].settings.callers) as caller:
+                caller.writer.write(
+                    b"POST /draft/a HTTP/1.1\r\nHost: desk.example\r\n"
+                    b"X-Request-Id: slow-body\r\nX-Deadline-Ms: 800\r\n"
+                    + f"X-Model: {MODEL}\r\n".encode()
+                    + b"Content-Length: 2\r\n\r\na"
+                )
+                await asyncio.sleep(DEADLINE_S / 2)
+                caller.writer.write(b"b")
+                answer = await caller.read_response()
+                self.assertEqual((200, True), (answer.status, answer.complete))
+
+        run_fleet(check)
+
     def test_time_behind_a_pipelined_request_is_not_added_to_the_deadline(self):
         """The refusal came late by the time that the earlier request had taken."""
 
