--- a/tests/gateway/test_ends_of_waits.py
+++ b/tests/gateway/test_ends_of_waits.py
@@ -22,6 +22,7 @@
 from snipetrestle_standins.platform_http import reset_on_close
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.log_recording import LogRecordingTest
+from tests.gateway.test_connection_ends import count_ends
 from tests.waiting import wait_until
 
 PAGE = (
@@ -89,12 +90,6 @@
     )
 
 
-def count_ends(gateway, reason, unanswered):
-    """Returns how many ends of connections the metrics of a gateway count."""
-    labels = {"reason": reason, "unanswered": unanswered}
-    return gateway.metrics.registry.get_sample_value(CONNECTION_ENDS, labels) or 0
-
-
 def count_early_ends(gateway):
     """Returns how many ends the metrics of a gateway count that left an answer owed."""
     return sum(
