Log each order with what the leader believes of the replica

The lines about orders name the order, the count that it carried, and the count, adapters, loads in transit, unloads and slots that the leader believes in. The orders themselves stay as they were.

--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -50,6 +50,8 @@
 UNLOAD_RETRY_INTERVAL_S = 0.1
 # Adapters whose unload may be ordered for one load, while requests still use them.
 MAX_EVICTIONS_PER_LOAD = 2
+# Adapters that a log line names at most.
+MAX_LOGGED_ADAPTERS = 8
 
 
 class OrderKind(enum.StrEnum):
@@ -167,6 +169,9 @@
         self._known = False
         self._synced = False
         self._expected_count = None
+        # Orders that the replica should have accepted by now; None while unknown.
+        self._order_count = None
+        self._last_order = None
         self._models = frozenset()
         self._state_uncertain = False
         self._unloads_retried_at = 0.0
@@ -306,7 +311,35 @@
         self.replica_adapters.end_all_store_loads()
         self.replica_adapters.failed_until = anyio.current_time() + FAILURE_PENALTY_S
         self._drop_queue()
-        log_event(Event.ORDER_REFUSED, replica=self._replica.id, error=repr(error))
+        log_event(
+            Event.ORDER_REFUSED,
+            replica=self._replica.id,
+            error=repr(error),
+            **self._last_order_fields(),
+            **self._believed_fields(),
+        )
+
+    def _believed_fields(self):
+        """Returns log fields with what the leader believes about the replica."""
+        placements = self.replica_adapters.held.values()
+        return {
+            "orders": self._order_count,
+            "held": len(placements),
+            "in_transit": sum(item.ordered_at is not None for item in placements),
+            "unloading": sum(item.unload_pending for item in placements),
+            "slots": self.replica_adapters.slots,
+        }
+
+    def _last_order_fields(self):
+        order = self._last_order
+        if order is None:
+            return {}
+        return {
+            "order": str(order.kind),
+            "adapter": order.adapter,
+            "expected_orders": order.expected_count,
+            "term": order.fencing_token,
+        }
 
     async def _sync(self):
         """Replaces the known state of the replica by its report."""
@@ -317,7 +350,8 @@
             report = await self._context.client.report(self._replica)
         await _end_if_cancelled()
         now = anyio.current_time()
-        self._expected_count = report.order_count
+        expected_orders = self._order_count
+        self._expected_count = self._order_count = report.order_count
         self._models = report.models
         previous = dict(self.replica_adapters.held)
         self.replica_adapters.remove_all()
@@ -334,9 +368,11 @@
         log_event(
             Event.REPLICA_SYNCED,
             replica=self._replica.id,
-            orders=report.order_count,
+            expected_orders=expected_orders,
             models=sorted(self._models),
-            adapters=len(self.replica_adapters.held),
+            unknown=_adapter_names(self.replica_adapters.held.keys() - previous.keys()),
+            missing=_adapter_names(previous.keys() - self.replica_adapters.held.keys()),
+            **self._believed_fields(),
         )
 
     async def _load_model(self):
@@ -403,6 +439,7 @@
             recent=recent,
             reason=str(reason),
             result=result.name,
+            **self._believed_fields(),
         )
         now = anyio.current_time()
         if result is OrderResult.HOLDS_ALREADY:
@@ -440,6 +477,16 @@
         """Orders an unload. Returns whether the slot is free."""
         placement = self.replica_adapters.held[key]
         result = await self._send_order(OrderKind.UNLOAD, key.model, key.adapter)
+        # Repeated unloads that still wait are not logged.
+        if not placement.unload_pending or result is OrderResult.HOLDS_ALREADY:
+            log_event(
+                Event.ADAPTER_UNLOAD_ORDERED,
+                replica=self._replica.id,
+                adapter=key.adapter,
+                repeated=placement.unload_pending,
+                result=result.name,
+                **self._believed_fields(),
+            )
         # Unless the replica answers 200, requests in progress still use the adapter.
         placement.unload_pending = result is not OrderResult.HOLDS_ALREADY
         if not placement.unload_pending:
@@ -498,13 +545,22 @@
             self._expected_count,
             version,
         )
+        self._last_order = order
         async with asyncio.timeout(ORDER_TIMEOUT_S):
             result = await context.client.send(self._replica, order)
         await _end_if_cancelled()
         if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
             self._expected_count = None
+            if self._counts(order, result):
+                self._order_count += 1
         elif result is OrderResult.CONFLICT:
             if order.expected_count is not None:
+                log_event(
+                    Event.ORDER_COUNT_DIFFERS,
+                    replica=self._replica.id,
+                    **self._last_order_fields(),
+                    **self._believed_fields(),
+                )
                 raise StateOutdated
             # Another order of this leader for the same adapter or model is in progress.
         elif result is OrderResult.TOKEN_TOO_LOW:
@@ -514,6 +570,22 @@
             raise ExchangeFailed(f"{kind} {model}/{adapter}: {result.name}")
         return result
 
+    def _counts(self, order, result):
+        """Whether an order changed the replica's state, so that it counts the order.
+
+        The repetition of an order in progress changes nothing, nor does a load of what
+        the replica holds.
+        """
+        placement = self.replica_adapters.held.get(
+            AdapterKey(order.model, order.adapter)
+        )
+        if order.kind is OrderKind.UNLOAD:
+            return placement is None or not placement.unload_pending
+        if result is OrderResult.HOLDS_ALREADY:
+            return False
+        in_progress = placement is not None and placement.ordered_at is not None
+        return not in_progress or order.version is not None
+
 
 async def _end_if_cancelled():
     """Ends a task whose scope was cancelled in the turn in which its answer arrived.
@@ -523,6 +595,11 @@
     await anyio.lowlevel.checkpoint_if_cancelled()
 
 
+def _adapter_names(keys):
+    """Returns the names of some adapters for a log line."""
+    return sorted(key.adapter for key in keys)[:MAX_LOGGED_ADAPTERS]
+
+
 def _adapter_slots(backend):
     """Returns how many adapters fit in memory beside a model of the backend."""
     model = backend.models[0]
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -154,6 +154,12 @@
         "ERROR",
         "message to other hosts was refused by the system",
     )
+    ADAPTER_UNLOAD_ORDERED = (1439, "INFO", "adapter unload was ordered")
+    ORDER_COUNT_DIFFERS = (
+        1440,
+        "INFO",
+        "replica has accepted other orders than the leader knows of",
+    )
     PROCESS_RESUMED = (1430, "WARNING", "process resumed after a pause")
     WRITE_UNKNOWN = (1501, "WARNING", "outcome of a write is unknown")
     KEEPER_READY = (1502, "INFO", "keeper recovered and is ready")
