--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -7,14 +7,13 @@
 
 import asyncio
 import collections
-import enum
 
 import anyio
 import anyio.lowlevel
-import msgspec
 
 from snipetrestle.coordination.adapter_places import LoadReason, ReplicaAdapters
 from snipetrestle.coordination.load_times import AdapterLoadLimiter
+from snipetrestle.coordination.order_messages import Order, OrderKind, OrderResult
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
@@ -54,53 +53,6 @@
 MAX_LOGGED_ADAPTERS = 8
 
 
-class OrderKind(enum.StrEnum):
-    LOAD = "load"
-    UNLOAD = "unload"
-
-
-class Order(msgspec.Struct, frozen=True):
-    """An order to a replica. An empty ``adapter`` means the base model itself.
-
-    ``holder`` is the name of the leader that holds the fencing token.
-    ``expected_count`` is the number of orders that the replica must have accepted
-    before; None if any number will do.
-    """
-
-    kind: OrderKind
-    model: str
-    adapter: str
-    holder: str
-    fencing_token: int
-    expected_count: int | None = None
-    version: int | None = None
-
-
-class OrderResult(enum.Enum):
-    """A replica's answer to an order.
-
-    HOLDS_ALREADY: the ordered state is already reached. CONFLICT: another order is in
-    progress, or ``expected_count`` does not match. WRONG_REPLICA: the address now
-    belongs to another replica.
-    """
-
-    ACCEPTED = enum.auto()
-    HOLDS_ALREADY = enum.auto()
-    CONFLICT = enum.auto()
-    TOKEN_TOO_LOW = enum.auto()
-    WRONG_REPLICA = enum.auto()
-    REFUSED = enum.auto()
-
-
-class ReplicaReport(msgspec.Struct, frozen=True):
-    """State of a replica. ``versions_by_adapter`` includes adapters being loaded."""
-
-    order_count: int
-    busy: bool
-    models: frozenset[str]
-    versions_by_adapter: dict[AdapterKey, int]
-
-
 class StateOutdated(Exception):
     """An order was refused since the replica has accepted others since its report."""
 
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from snipetrestle.coordination.orders import OrderResult, ReplicaReport
+from snipetrestle.coordination.order_messages import OrderResult, ReplicaReport
 from snipetrestle.decoding import decode
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.calls import call
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -20,7 +20,7 @@
 from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import HostInfo
 from snipetrestle.coordination.order_activity import OrderActivity
-from snipetrestle.coordination.orders import (
+from snipetrestle.coordination.order_messages import (
     OrderKind,
     OrderResult,
     ReplicaReport,
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -12,14 +12,16 @@
     BackendPlacement,
     LoadReason,
 )
+from snipetrestle.coordination.order_messages import (
+    OrderKind,
+    OrderResult,
+    ReplicaReport,
+)
 from snipetrestle.coordination.orders import (
     MAX_REPORT_AGE_S,
     UNLOAD_RETRY_INTERVAL_S,
     BackendContext,
-    OrderKind,
-    OrderResult,
     ReplicaOrders,
-    ReplicaReport,
 )
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.replica_pause import ReplicaPause
--- a/tests/platform/test_bad_servers.py
+++ b/tests/platform/test_bad_servers.py
@@ -6,7 +6,7 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.orders import Order, OrderKind, OrderResult
+from snipetrestle.coordination.order_messages import Order, OrderKind, OrderResult
 from snipetrestle.gateway.configuration import ReplicaEntry, ReplicaState
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.replicas import ReplicaDirectory
