--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -45,6 +45,8 @@
 LOST_CALL_S = 30.0
 MODEL_LOAD_S = 0.3
 ADAPTER_LOAD_S = 0.25
+# A late order is taken after the replica's state was read again.
+LATE_ORDER_S = 2.5
 # Adapters that one replica may load at the same time.
 MAX_LOADS_IN_TRANSIT = 4
 # A replica reports its state of this long ago.
@@ -55,11 +57,17 @@
 
 
 class Loss(enum.Enum):
-    """What is lost in calls to a replica: nothing, the order or the answer to it."""
+    """What is lost in calls to a replica: nothing, the order or the answer to it.
+
+    LATE_ORDER: the order is taken ``late_order_s`` after it was sent, and its answer is
+    lost. REPEATED_ORDER: it is taken at once, and once more after that time.
+    """
 
     NOTHING = enum.auto()
     ORDER = enum.auto()
     ANSWER = enum.auto()
+    LATE_ORDER = enum.auto()
+    REPEATED_ORDER = enum.auto()
 
 
 class OrdersNetwork(DatagramNetwork):
@@ -124,7 +132,12 @@
     ``accepted`` lists the AcceptedOrders. ``overfilled`` is
     set by a load beyond ``slots``, which would crash a real replica. Adapters in
     ``in_use`` are unloaded only after ``stop_using``. ``loss`` tells what is lost in
-    calls.
+    calls. ``load_s`` is how long the next loads of adapters take.
+
+    The repetition of an order in progress changes nothing and is accepted, whatever
+    its expected count. While an unload waits for ``stop_using``, all other orders are
+    refused. An unload of an adapter in transit changes nothing: the answer is the same
+    as for an absent one.
     """
 
     def __init__(self, replica_id, slots):
@@ -134,6 +147,8 @@
         self.accepted = []
         self.overfilled = False
         self.loss = Loss.NOTHING
+        self.late_order_s = LATE_ORDER_S
+        self.load_s = ADAPTER_LOAD_S
         self.in_use = set()
         self.restart()
 
@@ -158,6 +173,11 @@
         now = anyio.current_time()
         return self._ready_at_by_key.get(key, now + 1) <= now
 
+    @property
+    def held_count(self):
+        """The number of slots taken, also by adapters in transit."""
+        return len(self._ready_at_by_key)
+
     def stop_using(self, key):
         """Ends the use of an adapter and completes a pending unload of it."""
         self.in_use.discard(key)
@@ -171,16 +191,7 @@
         if order.fencing_token < self._highest_token:
             return OrderResult.TOKEN_TOO_LOW
         self._highest_token = order.fencing_token
-        if order.expected_count not in (None, self._order_count):
-            return OrderResult.CONFLICT
-        if not order.adapter:
-            result = self._load_model()
-        elif not self._has_model():
-            return OrderResult.REFUSED
-        elif order.kind is OrderKind.LOAD:
-            result = self._load(AdapterKey(order.model, order.adapter))
-        else:
-            result = self._unload(AdapterKey(order.model, order.adapter))
+        result = self._execute(order)
         if result is not OrderResult.CONFLICT:
             self.accepted.append(
                 AcceptedOrder(self.boot, order.fencing_token, order.holder, _now())
@@ -188,6 +199,30 @@
         self._record_state()
         return result
 
+    def _execute(self, order):
+        key = AdapterKey(order.model, order.adapter)
+        if self._is_in_progress(order, key):
+            return OrderResult.ACCEPTED
+        if self._unloading or order.expected_count not in (None, self._order_count):
+            return OrderResult.CONFLICT
+        if not order.adapter:
+            return self._load_model()
+        if not self._has_model():
+            return OrderResult.REFUSED
+        if order.kind is OrderKind.LOAD:
+            return self._load(key)
+        return self._unload(key)
+
+    def _is_in_progress(self, order, key):
+        if not order.adapter:
+            return self._model_ready_at is not None and not self._has_model()
+        if order.kind is OrderKind.UNLOAD:
+            return key in self._unloading
+        return self._is_in_transit(key)
+
+    def _is_in_transit(self, key):
+        return key in self._ready_at_by_key and not self.holds(key)
+
     def _has_model(self):
         return (
             self._model_ready_at is not None
@@ -197,8 +232,6 @@
     def _load_model(self):
         if self._has_model():
             return OrderResult.HOLDS_ALREADY
-        if self._model_ready_at is not None:
-            return OrderResult.CONFLICT
         self._order_count += 1
         self._model_ready_at = anyio.current_time() + MODEL_LOAD_S
         return OrderResult.ACCEPTED
@@ -206,22 +239,16 @@
     def _load(self, key):
         if self.holds(key):
             return OrderResult.HOLDS_ALREADY
-        if key in self._ready_at_by_key:
-            return OrderResult.ACCEPTED
-        now = anyio.current_time()
-        if (
-            sum(ready_at > now for ready_at in self._ready_at_by_key.values())
-            >= MAX_LOADS_IN_TRANSIT
-        ):
+        if sum(map(self._is_in_transit, self._ready_at_by_key)) >= MAX_LOADS_IN_TRANSIT:
             return OrderResult.CONFLICT
         if len(self._ready_at_by_key) >= self.slots:
             self.overfilled = True
         self._order_count += 1
-        self._ready_at_by_key[key] = now + ADAPTER_LOAD_S
+        self._ready_at_by_key[key] = anyio.current_time() + self.load_s
         return OrderResult.ACCEPTED
 
     def _unload(self, key):
-        if key not in self._ready_at_by_key:
+        if not self.holds(key):
             return OrderResult.HOLDS_ALREADY
         self._order_count += 1
         if key in self.in_use:
@@ -272,15 +299,26 @@
         target = await self._reach(replica)
         if target.loss is Loss.ORDER:
             await self._fail()
+        if target.loss in (Loss.LATE_ORDER, Loss.REPEATED_ORDER):
+            self._fleet.task_group.start_soon(self._deliver_late, target, order)
+        if target.loss is Loss.LATE_ORDER:
+            await self._fail()
         result = target.order(order)
         if target.loss is Loss.ANSWER:
             await self._fail()
         await anyio.sleep(CALL_DELAY_S)
         return result
 
+    async def _deliver_late(self, target, order):
+        boot = target.boot
+        await anyio.sleep(target.late_order_s)
+        # The connections of a process end with it.
+        if target.boot == boot:
+            target.order(order)
+
     async def report(self, replica):
         target = await self._reach(replica)
-        if target.loss is not Loss.NOTHING:
+        if target.loss in (Loss.ORDER, Loss.ANSWER):
             await self._fail()
         return target.report()
 
@@ -392,18 +430,18 @@
             for number in range(replicas)
         }
         self._boot_count = 0
-        self._task_group = None
+        self.task_group = None
 
     async def __aenter__(self):
-        self._task_group = anyio.create_task_group()
-        self.network.task_group = await self._task_group.__aenter__()
+        self.task_group = anyio.create_task_group()
+        self.network.task_group = await self.task_group.__aenter__()
         for name in self.names:
             self.start(name)
         return self
 
     async def __aexit__(self, *details):
-        self._task_group.cancel_scope.cancel()
-        return await self._task_group.__aexit__(*details)
+        self.task_group.cancel_scope.cancel()
+        return await self.task_group.__aexit__(*details)
 
     def start(self, name):
         """Starts a host, in place of one that runs under its name."""
@@ -414,7 +452,7 @@
         self.daemons_by_name[name] = host
         for replica_id in self.replicas_by_id:
             host.list_replica(self._replica_entry(replica_id))
-        self._task_group.start_soon(host.run)
+        self.task_group.start_soon(host.run)
 
     def kill(self, name):
         host = self.daemons_by_name.pop(name)
@@ -429,7 +467,7 @@
     def restart_replica(self, replica_id):
         """Restarts a replica, and lists it again at the hosts after a delay."""
         self.replicas_by_id[replica_id].restart()
-        self._task_group.start_soon(self._publish, replica_id)
+        self.task_group.start_soon(self._publish, replica_id)
 
     async def _publish(self, replica_id):
         await anyio.sleep(REPLICA_LISTING_DELAY_S)
--- /dev/null
+++ b/tests/coordination/test_replica_room.py
@@ -0,0 +1,165 @@
+"""Tests that a replica is never ordered to hold more adapters than it has slots."""
+
+import types
+
+import anyio
+import testtools
+
+from snipetrestle.coordination.adapter_places import (
+    EVICTION_GRACE_S,
+    BackendPlacement,
+    LoadReason,
+)
+from snipetrestle.coordination.orders import BackendContext, ReplicaOrders
+from snipetrestle.gateway.configuration import AdapterKey, Backend, Model
+from snipetrestle_standins.clock import run_in_virtual_time
+from snipetrestle_standins.orders_fleet import (
+    ADAPTER_LOAD_S,
+    MODEL,
+    InMemoryOrderClient,
+    InMemoryReplica,
+    Loss,
+)
+
+SLOTS = 4
+# Longer than a report, a load and an eviction take together.
+SETTLE_S = 0.5
+# Up to the longest time after which TCP sends a lost segment again.
+ORDER_DELAYS_S = (0.5, 0.9, 1.3, 1.7, 2.0, 2.5, 3.0, 3.5, 4.5)
+
+
+def key(name):
+    return AdapterKey(MODEL, name)
+
+
+class RoomTestCase(testtools.TestCase):
+    """Runs the orders of a leader to one in-memory replica in virtual time."""
+
+    def run_scenario(self, scenario, *args):
+        async def run():
+            self.replica = InMemoryReplica("replica-0", SLOTS)
+            async with anyio.create_task_group() as group:
+                self.task_group = group
+                self.orders = self.start_orders(7)
+                await anyio.sleep(SETTLE_S)
+                await scenario(*args)
+                await anyio.sleep(10.0)
+                self.check_beliefs()
+                group.cancel_scope.cancel()
+            self.assertFalse(self.replica.overfilled)
+
+        run_in_virtual_time(run)
+
+    def start_orders(self, term):
+        """Starts the orders of a leader with this fencing token."""
+        self.backend = Backend(
+            "models",
+            100,
+            slots=8,
+            models=(Model(MODEL, 100.0, 0.1, 1.0),),
+            weights_mb=200.0,
+            adapter_slots=SLOTS,
+            loads_per_s=5.0,
+        )
+        fleet = types.SimpleNamespace(
+            task_group=self.task_group,
+            replicas_by_id={self.replica.id: self.replica},
+            network=types.SimpleNamespace(connected=lambda host, replica: True),
+        )
+        limiter = types.SimpleNamespace(wait_s=lambda: 0.0, take=lambda: None)
+        context = BackendContext(
+            self.backend,
+            BackendPlacement(),
+            types.SimpleNamespace(
+                check_still_leading=lambda: True, holder=f"entry-{term}", term=term
+            ),
+            InMemoryOrderClient(fleet, "entry-0"),
+            lambda key: 1,
+            limiter,
+        )
+        pause = types.SimpleNamespace(is_active=False, left_s=lambda: 0.0)
+        replica = types.SimpleNamespace(
+            id=self.replica.id, takes_requests=True, pause=pause
+        )
+        orders = ReplicaOrders(replica, context)
+        context.backend_placement.add_replica(orders.replica_adapters)
+        self.scope = anyio.CancelScope()
+        self.task_group.start_soon(self._run, orders, self.scope)
+        return orders
+
+    async def _run(self, orders, scope):
+        with scope:
+            await orders.run()
+
+    async def load(self, *names):
+        """Requests loads and waits until they are ordered or dropped."""
+        for name in names:
+            await self.orders.request_load(key(name), LoadReason.MISSING).done
+
+    def check_beliefs(self):
+        """The leader must know in the end what the replica holds."""
+        held = set(self.orders.replica_adapters.held)
+        self.assertEqual(held, {item for item in held if self.replica.holds(item)})
+        self.assertEqual(self.replica.held_count, len(held))
+
+
+class LateOrderTest(RoomTestCase):
+    """Guards against orders that take effect after the state was read again."""
+
+    def test_load_that_arrives_late(self):
+        for delay_s in ORDER_DELAYS_S:
+            self.run_scenario(self.order_late_load, delay_s)
+
+    async def order_late_load(self, delay_s):
+        await self.load("a1", "a2", "a3")
+        self.replica.late_order_s = delay_s
+        self.replica.loss = Loss.LATE_ORDER
+        late = self.orders.request_load(key("late"), LoadReason.MISSING)
+        await anyio.sleep(0.1)
+        self.replica.loss = Loss.NOTHING
+        await late.done
+        await anyio.sleep(1.0)
+        await self.load("a4", "a5")
+
+    def test_repeated_load_that_arrives_after_its_adapter_was_evicted(self):
+        for delay_s in ORDER_DELAYS_S:
+            self.run_scenario(self.order_late_repetition, delay_s)
+
+    async def order_late_repetition(self, delay_s):
+        await self.load("a1", "a2", "a3", "a4")
+        # The loads are confirmed by repeated orders.
+        self.replica.late_order_s = delay_s
+        self.replica.loss = Loss.LATE_ORDER
+        await anyio.sleep(ADAPTER_LOAD_S + 0.1)
+        self.replica.loss = Loss.NOTHING
+        await anyio.sleep(1.5 + EVICTION_GRACE_S)
+        await self.load("a5", "a6", "a7", "a8")
+
+    def test_order_that_is_taken_twice(self):
+        for delay_s in ORDER_DELAYS_S:
+            self.run_scenario(self.repeat_orders, delay_s)
+
+    async def repeat_orders(self, delay_s):
+        self.replica.late_order_s = delay_s
+        self.replica.loss = Loss.REPEATED_ORDER
+        for number in range(12):
+            await self.load(f"a{number}")
+            await anyio.sleep(ADAPTER_LOAD_S + 0.1)
+
+
+class AdapterInTransitTest(RoomTestCase):
+    """Guards against slots that seem free while their adapters are in transit."""
+
+    def test_new_leader_does_not_evict_a_slow_load(self):
+        self.run_scenario(self.lead_again_during_a_slow_load)
+
+    async def lead_again_during_a_slow_load(self):
+        self.replica.load_s = 4.0
+        await self.load("slow")
+        self.replica.load_s = ADAPTER_LOAD_S
+        await self.load("a1", "a2", "a3")
+        self.scope.cancel()
+        await anyio.sleep(SETTLE_S)
+        self.orders = self.start_orders(8)
+        await anyio.sleep(SETTLE_S + EVICTION_GRACE_S)
+        await self.load("a4", "a5", "a6")
--- a/tests/fuzz/orders.py
+++ b/tests/fuzz/orders.py
@@ -6,6 +6,7 @@
 
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle_standins.orders_fleet import (
+    ADAPTER_LOAD_S,
     MODEL,
     Loss,
     OrdersFleet,
@@ -18,6 +19,8 @@
 replica_ids = st.sampled_from([f"replica-{number}" for number in range(REPLICA_COUNT)])
 # More adapters than the replicas have slots for; the first three are used most.
 adapter_numbers = st.sampled_from([1, 1, 1, 2, 2, 3, *range(4, 16)])
+# From before the time-out of an order to long after the state was read again.
+order_delays_s = st.sampled_from([0.3, 1.0, 2.0, 3.0, 4.5])
 # Includes the wait of a new leader for the end of its predecessor's lease, and the load
 # of the model at the replicas.
 LOOKUP_TIMEOUT_S = 20.0
@@ -86,10 +89,18 @@
         with anyio.move_on_after(LOOKUP_TIMEOUT_S):
             await locator.look_up(key)
 
-    @rule(replica_id=replica_ids, loss=st.sampled_from(Loss))
-    def lose_messages(self, replica_id, loss):
-        """Loses all orders to a replica, or all its answers, until the next change."""
-        self.fleet.replicas_by_id[replica_id].loss = loss
+    @rule(replica_id=replica_ids, loss=st.sampled_from(Loss), late_s=order_delays_s)
+    def lose_messages(self, replica_id, loss, late_s):
+        """Loses, delays or repeats all orders to a replica, or loses all its answers.
+
+        This lasts until the next change.
+        """
+        model = self.fleet.replicas_by_id[replica_id]
+        model.loss, model.late_order_s = loss, late_s
+
+    @rule(replica_id=replica_ids, load_s=st.sampled_from([0.02, ADAPTER_LOAD_S, 3.0]))
+    def change_load_time(self, replica_id, load_s):
+        self.fleet.replicas_by_id[replica_id].load_s = load_s
 
     @rule(replica_id=replica_ids)
     def restart_replica(self, replica_id):
@@ -109,6 +120,7 @@
         super().repair()
         for model in self.fleet.replicas_by_id.values():
             model.loss = Loss.NOTHING
+            model.load_s = ADAPTER_LOAD_S
             for key in list(model.in_use):
                 model.stop_using(key)
 
