Order nothing else while an unload waits for its requests

A replica whose unload waits (202) refuses all other orders with 409 until it ends, also further unloads and the repetitions that confirm loads.

One adapter at most waits to be unloaded, at a replica and not in flags of its adapters. Until it ends nothing else is ordered there, and loads that wait go to other replicas. A refused unload changes nothing.

The test fails before: a2, a3 and a4 are unloaded beside a1. The test of two repeated unloads becomes one of a repeated unload, since two can no longer wait; the steps and the check are the same.

--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -112,7 +112,7 @@
     was ordered; None once the replica has confirmed that it holds the adapter.
     """
 
-    __slots__ = ("version", "ready_at", "ordered_at", "is_late", "unload_pending")
+    __slots__ = ("version", "ready_at", "ordered_at", "is_late")
 
     def __init__(self, version, ready_at, ordered_at=None):
         self.version = version
@@ -120,8 +120,6 @@
         self.ordered_at = ordered_at
         # Whether the load had not ended at the expected time.
         self.is_late = False
-        # Whether an unload was ordered that waits for requests in progress.
-        self.unload_pending = False
 
 
 class ReplicaAdapters:
@@ -142,6 +140,7 @@
         "limit_per_s",
         "in_use",
         "held",
+        "unloading",
         "loading_from_store",
         "pending_loads",
         "demand",
@@ -166,6 +165,9 @@
         self.in_use = frozenset()
         # AdapterPlacement by key, including adapters that are being loaded.
         self.held = {}
+        # The adapter whose unload waits for its requests; None if there is none. Until
+        # it ends, the replica refuses all other orders.
+        self.unloading = None
         # Adapters that are being loaded from the store, where they slow each other
         # down.
         self.loading_from_store = set()
@@ -176,6 +178,7 @@
         self._recent_keys = collections.OrderedDict()
 
     def record_held(self, key, version, ready_at, ordered_at=None):
+        self._end_unload(key)
         self.held[key] = AdapterPlacement(version, ready_at, ordered_at)
         self._index.add_holder(key, self)
         self._recent_keys.pop(key, None)
@@ -185,7 +188,12 @@
             oldest, _ = self._recent_keys.popitem(last=False)
             self._index.remove_recent(oldest, self)
 
+    def _end_unload(self, key):
+        if self.unloading == key:
+            self.unloading = None
+
     def drop(self, key):
+        self._end_unload(key)
         del self.held[key]
         self._index.remove_holder(key, self)
         self.end_store_load(key)
@@ -330,7 +338,7 @@
         return [
             replica
             for replica in self.index.holders(key)
-            if replica.usable and not replica.held[key].unload_pending
+            if replica.usable and replica.unloading != key
         ]
 
     def copy_reason(self, key):
@@ -436,6 +444,7 @@
             if (
                 not replica.usable
                 or not replica.takes_orders
+                or replica.unloading is not None
                 or key in replica.held
                 or key in replica.pending_loads
             ):
@@ -484,10 +493,12 @@
         An adapter in use is not evicted: its unload would wait for its requests, and
         its slot would serve no other adapter meanwhile.
         """
+        if replica.unloading is not None:
+            return None
         now = anyio.current_time()
         best, best_value = None, math.inf
         for key, placement in replica.held.items():
-            if placement.unload_pending or key in replica.in_use:
+            if key in replica.in_use:
                 continue
             requested_at = self._requested_at_by_key.get(key, -math.inf)
             if now - max(requested_at, placement.ready_at) < EVICTION_GRACE_S:
--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -116,11 +116,7 @@
             places=sum(item.slots for item in replicas),
             held=sum(len(item.held) for item in replicas),
             in_use=sum(len(item.in_use & item.held.keys()) for item in replicas),
-            unloading=sum(
-                adapter.unload_pending
-                for item in replicas
-                for adapter in item.held.values()
-            ),
+            unloading=sum(item.unloading is not None for item in replicas),
             waiting=sum(len(item.pending_loads) for item in replicas),
             in_transit=self.placement.store_loads_in_flight(),
             most_in_transit=int(limiter.max_in_flight),
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -47,8 +47,6 @@
 MODEL_LOAD_GRACE_S = 10.0
 BUSY_RETRY_DELAY_S = 0.05
 UNLOAD_RETRY_INTERVAL_S = 0.1
-# Adapters whose unload may be ordered for one load, while requests still use them.
-MAX_EVICTIONS_PER_LOAD = 2
 # Adapters that a log line names at most.
 MAX_LOGGED_ADAPTERS = 8
 
@@ -126,7 +124,6 @@
         self._last_order = None
         self._models = frozenset()
         self._state_uncertain = False
-        self._unloads_retried_at = 0.0
 
     def request_load(self, key, reason):
         """Queues the load of an adapter. Returns its LoadRequest."""
@@ -144,7 +141,7 @@
         if (
             placement is not None
             and placement.ordered_at is None
-            and not placement.unload_pending
+            and key != self.replica_adapters.unloading
         ):
             placement.ordered_at = placement.ready_at = anyio.current_time()
             self.wake()
@@ -191,18 +188,14 @@
             await self._sync()
         if not self._models:
             await self._load_model()
+        elif self.replica_adapters.unloading is not None:
+            await self._await_unload()
         elif (key := self._due_load()) is not None:
             await self._confirm_load(key)
         elif self._queue:
             await self._load_next_adapter()
         elif (key := self._outdated_adapter()) is not None:
             await self._update_version(key)
-        elif any(
-            placement.unload_pending
-            for placement in self.replica_adapters.held.values()
-        ):
-            await self._retry_unloads()
-            await self._wait(UNLOAD_RETRY_INTERVAL_S)
         else:
             await self._wait(IDLE_CHECK_INTERVAL_S)
 
@@ -278,7 +271,7 @@
             "orders": self._order_count,
             "held": len(placements),
             "in_transit": sum(item.ordered_at is not None for item in placements),
-            "unloading": sum(item.unload_pending for item in placements),
+            "unloading": getattr(self.replica_adapters.unloading, "adapter", None),
             "slots": self.replica_adapters.slots,
         }
 
@@ -413,57 +406,41 @@
 
     async def _evict(self):
         """Frees a slot. Returns False if none can be freed now."""
-        if await self._retry_unloads():
-            return True
-        for _ in range(MAX_EVICTIONS_PER_LOAD):
-            key = self._context.backend_placement.eviction_candidate(
-                self.replica_adapters
-            )
-            if key is None:
-                return False
-            if await self._unload(key):
-                return True
-        return False
+        key = self._context.backend_placement.eviction_candidate(self.replica_adapters)
+        return key is not None and await self._unload(key)
 
     async def _unload(self, key):
         """Orders an unload. Returns whether the slot is free."""
-        placement = self.replica_adapters.held[key]
         result = await self._send_order(OrderKind.UNLOAD, key.model, key.adapter)
+        repeated = self.replica_adapters.unloading == key
         # Repeated unloads that still wait are not logged.
-        if not placement.unload_pending or result is OrderResult.HOLDS_ALREADY:
+        if not repeated or result is OrderResult.HOLDS_ALREADY:
             log_event(
                 Event.ADAPTER_UNLOAD_ORDERED,
                 replica=self._replica.id,
                 adapter=key.adapter,
-                repeated=placement.unload_pending,
+                repeated=repeated,
                 result=result.name,
                 **self._believed_fields(),
             )
-        # Unless the replica answers 200, requests in progress still use the adapter.
-        placement.unload_pending = result is not OrderResult.HOLDS_ALREADY
-        if not placement.unload_pending:
+        if result is OrderResult.HOLDS_ALREADY:
             self.replica_adapters.drop(key)
-        return not placement.unload_pending
+            return True
+        if result is OrderResult.ACCEPTED:
+            self.replica_adapters.unloading = key
+        return False
 
-    async def _retry_unloads(self):
-        """Repeats the unload orders in progress. Returns whether a slot became free."""
-        now = anyio.current_time()
-        if now < self._unloads_retried_at + UNLOAD_RETRY_INTERVAL_S:
-            return False
-        self._unloads_retried_at = now
-        freed = False
-        for key, placement in list(self.replica_adapters.held.items()):
-            if placement.unload_pending and await self._unload(key):
-                freed = True
-        return freed
+    async def _await_unload(self):
+        """Repeats the unload that waits for its requests; nothing else is ordered."""
+        # Other replicas may load these at once.
+        self._drop_queue()
+        if not await self._unload(self.replica_adapters.unloading):
+            await anyio.sleep(UNLOAD_RETRY_INTERVAL_S)
 
     def _outdated_adapter(self):
         """Returns the key of an adapter with a newer declared version; None if none."""
         for key, placement in self.replica_adapters.held.items():
-            if (
-                placement.version < self._context.version_of(key)
-                and not placement.unload_pending
-            ):
+            if placement.version < self._context.version_of(key):
                 return key
         return None
 
@@ -528,13 +505,12 @@
         The repetition of an order in progress changes nothing, nor does a load of what
         the replica holds.
         """
-        placement = self.replica_adapters.held.get(
-            AdapterKey(order.model, order.adapter)
-        )
+        key = AdapterKey(order.model, order.adapter)
         if order.kind is OrderKind.UNLOAD:
-            return placement is None or not placement.unload_pending
+            return self.replica_adapters.unloading != key
         if result is OrderResult.HOLDS_ALREADY:
             return False
+        placement = self.replica_adapters.held.get(key)
         in_progress = placement is not None and placement.ordered_at is not None
         return not in_progress or order.version is not None
 
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -143,8 +143,8 @@
 
         self.run_and_stop(stop)
 
-    def test_answer_to_the_first_of_two_repeated_unloads(self):
-        """KeyError: the second unload was repeated for what was forgotten."""
+    def test_answer_to_a_repeated_unload(self):
+        """KeyError: the unload was repeated for what was forgotten."""
 
         async def stop(client, orders):
             await self.begin_eviction(client, orders)
--- a/tests/coordination/test_replica_room.py
+++ b/tests/coordination/test_replica_room.py
@@ -163,3 +163,21 @@
         self.orders = self.start_orders(8)
         await anyio.sleep(SETTLE_S + EVICTION_GRACE_S)
         await self.load("a4", "a5", "a6")
+
+
+class WaitingUnloadTest(RoomTestCase):
+    """Guards against evictions that a refused unload leaves behind."""
+
+    def test_no_other_adapter_is_unloaded_while_an_unload_waits(self):
+        self.run_scenario(self.request_loads_while_an_unload_waits)
+
+    async def request_loads_while_an_unload_waits(self):
+        await self.load("a1", "a2", "a3", "a4")
+        self.replica.in_use.add(key("a1"))
+        await anyio.sleep(1.0 + EVICTION_GRACE_S)
+        await self.load("a5", "a6", "a7")
+        await anyio.sleep(SETTLE_S)
+        self.replica.stop_using(key("a1"))
+        await anyio.sleep(SETTLE_S)
+        for name in ("a2", "a3", "a4"):
+            self.assertTrue(self.replica.holds(key(name)), name)
