Let every order carry the order count that it was decided on

Seen: a replica was ordered to load more adapters than it has slots, and crashed (LIMIT).

Cause: what the leader believes of a replica was changed by an order that was not checked against it. An order without an answer is not lost: it may take effect seconds later, or twice. Only the first order after a report carried the replica's order count, so that all others were taken whatever had happened since they were decided. The order itself now says what it was decided on: each carries the count, and the replica refuses one that is late, repeated, or sent by a leader that does not know of another's order. After a refusal the leader reads the report again.

The leader follows the count by the answers: a load that is not the repetition of one in transit, and an unload of what is held, raise it. A count that is too low costs a refused order; one that is too high could let a late order pass, so a doubtful answer does not raise it. A replica that loads its model already is not charged to the rate of model loads again.

--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -1,8 +1,9 @@
 """Orders of the leader to the replicas: one task for each replica.
 
 A replica's state is read before its first order. Every order carries the leader's
-fencing token. The first order after a read also carries the replica's order count,
-since an order of an earlier leader may have arrived after the read.
+fencing token and the number of orders that the replica must have accepted before, so
+the replica refuses an order that was not decided on its present state: one that arrives
+late or twice, or one of a leader that does not know of another leader's orders.
 """
 
 import asyncio
@@ -52,7 +53,7 @@
 
 
 class StateOutdated(Exception):
-    """An order was refused since the replica has accepted others since its report."""
+    """An order was refused: the leader does not know the replica's present state."""
 
 
 class LoadRequest:
@@ -118,9 +119,12 @@
         # no order was refused since because that state is outdated.
         self._known = False
         self._synced = False
-        self._expected_count = None
-        # Orders that the replica should have accepted by now; None while unknown.
+        # Orders that the replica should have accepted by now; None while unknown. It
+        # may be too low, which costs a refused order. If it were too high, a late order
+        # could pass unnoticed.
         self._order_count = None
+        # Whether the replica loads its model on an order.
+        self._model_in_transit = False
         self._last_order = None
         self._models = frozenset()
         self._state_uncertain = False
@@ -296,8 +300,9 @@
         await _end_if_cancelled()
         now = anyio.current_time()
         expected_orders = self._order_count
-        self._expected_count = self._order_count = report.order_count
+        self._order_count = report.order_count
         self._models = report.models
+        self._model_in_transit = report.busy and not report.models
         previous = dict(self.replica_adapters.held)
         self.replica_adapters.remove_all()
         for key, version in report.versions_by_adapter.items():
@@ -323,30 +328,31 @@
     async def _load_model(self):
         """Loads the backend's model on a replica without one."""
         model = self._context.backend.models[0]
-        wait_s = self._context.model_load_limiter.wait_s()
-        if wait_s > 0:
-            await self._wait(wait_s)
-            return
-        self._context.model_load_limiter.take()
+        if not self._model_in_transit:
+            wait_s = self._context.model_load_limiter.wait_s()
+            if wait_s > 0:
+                await self._wait(wait_s)
+                return
+            self._context.model_load_limiter.take()
         result = await self._send_order(OrderKind.LOAD, model.name, "")
         log_event(Event.MODEL_ORDERED, replica=self._replica.id, result=result.name)
         if result is OrderResult.ACCEPTED:
-            result = await self._await_model(model)
+            self._model_in_transit = True
+            await self._await_model(model)
         # Reports lag, so the answer to an order shows earlier that the model is loaded.
-        if result is OrderResult.HOLDS_ALREADY:
-            self._models = frozenset([model.name])
-            self.replica_adapters.usable = self._replica.takes_requests
+        self._model_in_transit = False
+        self._models = frozenset([model.name])
+        self.replica_adapters.usable = self._replica.takes_requests
 
     async def _await_model(self, model):
-        """Repeats the order of a model until it is loaded. Returns the last result."""
+        """Repeats the order of a model until it is loaded."""
         deadline = anyio.current_time() + model.load_s + MODEL_LOAD_GRACE_S
-        result = OrderResult.ACCEPTED
-        while (
-            result is not OrderResult.HOLDS_ALREADY and anyio.current_time() < deadline
-        ):
+        while anyio.current_time() < deadline:
             await anyio.sleep(max(MODEL_CHECK_INTERVAL_S, self._replica.pause.left_s()))
             result = await self._send_order(OrderKind.LOAD, model.name, "")
-        return result
+            if result is OrderResult.HOLDS_ALREADY:
+                return
+        raise StateOutdated
 
     async def _load_next_adapter(self):
         load = self._queue[0]
@@ -368,10 +374,7 @@
         recent = self.replica_adapters.was_recently_held(key)
         version = self._context.version_of(key)
         result = await self._send_order(OrderKind.LOAD, key.model, key.adapter)
-        if result is OrderResult.CONFLICT:
-            await self._wait(BUSY_RETRY_DELAY_S)
-        elif result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
-            self._record_ordered_load(key, version, result, recent, load.reason)
+        self._record_ordered_load(key, version, result, recent, load.reason)
         self._drop(load)
 
     def _record_ordered_load(self, key, version, result, recent, reason):
@@ -426,8 +429,7 @@
         if result is OrderResult.HOLDS_ALREADY:
             self.replica_adapters.drop(key)
             return True
-        if result is OrderResult.ACCEPTED:
-            self.replica_adapters.unloading = key
+        self.replica_adapters.unloading = key
         return False
 
     async def _await_unload(self):
@@ -447,20 +449,15 @@
     async def _update_version(self, key):
         version = self._context.version_of(key)
         result = await self._send_order(OrderKind.LOAD, key.model, key.adapter, version)
-        if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
-            self._record_ordered_load(
-                key, version, result, False, LoadReason.NEW_VERSION
-            )
-        else:
-            await self._wait(INITIAL_RETRY_DELAY_S)
+        self._record_ordered_load(key, version, result, False, LoadReason.NEW_VERSION)
 
     async def _send_order(self, kind, model, adapter, version=None):
-        """Sends one order and returns the OrderResult.
+        """Sends one order and returns ACCEPTED or HOLDS_ALREADY.
 
         Raises ExchangeFailed, ConnectFailed or TimeoutError without an answer,
-        StateOutdated if the replica has accepted other orders since its report, and
-        ExchangeFailed if the order was refused otherwise. A conflict with another order
-        of this leader is returned instead.
+        StateOutdated if the replica has accepted other orders than the leader knows of,
+        or has another one in progress, and ExchangeFailed if the order was refused
+        otherwise.
         """
         context = self._context
         if not context.leadership.check_still_leading():
@@ -471,7 +468,7 @@
             adapter,
             context.leadership.holder,
             context.leadership.term,
-            self._expected_count,
+            self._order_count,
             version,
         )
         self._last_order = order
@@ -479,19 +476,16 @@
             result = await context.client.send(self._replica, order)
         await _end_if_cancelled()
         if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
-            self._expected_count = None
             if self._counts(order, result):
                 self._order_count += 1
         elif result is OrderResult.CONFLICT:
-            if order.expected_count is not None:
-                log_event(
-                    Event.ORDER_COUNT_DIFFERS,
-                    replica=self._replica.id,
-                    **self._last_order_fields(),
-                    **self._believed_fields(),
-                )
-                raise StateOutdated
-            # Another order of this leader for the same adapter or model is in progress.
+            log_event(
+                Event.ORDER_COUNT_DIFFERS,
+                replica=self._replica.id,
+                **self._last_order_fields(),
+                **self._believed_fields(),
+            )
+            raise StateOutdated
         elif result is OrderResult.TOKEN_TOO_LOW:
             context.leadership.on_token_refused()
             raise ExchangeFailed("replica refused the fencing token as too low")
@@ -510,6 +504,8 @@
             return self.replica_adapters.unloading != key
         if result is OrderResult.HOLDS_ALREADY:
             return False
+        if not order.adapter:
+            return not self._model_in_transit
         placement = self.replica_adapters.held.get(key)
         in_progress = placement is not None and placement.ordered_at is not None
         return not in_progress or order.version is not None
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -174,6 +174,8 @@
         self.token = 0
         self.order_count = 0
         self._running_by_adapter = {}
+        # The adapter whose unload waits for its requests.
+        self._unloading = None
         self._load_timers = set()
 
     def entry(self, state="ready", **fields):
@@ -201,6 +203,7 @@
         self.model = None
         self.versions_by_adapter.clear()
         self.incoming.clear()
+        self._unloading = None
         self.faults.clear()
         self.order_count = self.token = self.report_count = 0
         self.leaving = self.refuses_requests = False
@@ -266,21 +269,30 @@
         if order["fence_token"] < self.token:
             return 412
         self.token = order["fence_token"]
+        adapter = order.get("adapter")
+        if self._is_in_progress(order["op_type"], adapter):
+            return 202
+        if self._unloading is not None:
+            return 409
         if order.get("precondition", self.order_count) != self.order_count:
             return 409
-        adapter = order.get("adapter")
         if adapter is None:
             return self._load_model(order["model"])
         if order["op_type"] == "unload":
             return self._unload(adapter, order)
         return self._load(adapter, order)
 
+    def _is_in_progress(self, kind, adapter):
+        if adapter is None:
+            return self.model is None and bool(self._load_timers)
+        if kind == "unload":
+            return adapter == self._unloading
+        return adapter in self.incoming
+
     def _load_model(self, model):
         if not self.model_load_s or self.model == model:
             self.model = model
             return 200
-        if self._load_timers:
-            return 409
         self.order_count += 1
         self._start_load(self.model_load_s, self._finish_model_load, model)
         return 202
@@ -301,8 +313,6 @@
     def _load(self, adapter, order):
         if self.model != order["model"]:
             return 400
-        if adapter in self.incoming:
-            return 202
         newest = self.newest_version_by_adapter.get(adapter, 1)
         if self.versions_by_adapter.get(adapter) == newest:
             return 200
@@ -323,6 +333,7 @@
             return 200
         self._record_order(order)
         if self._running_by_adapter.get(adapter):
+            self._unloading = adapter
             return 202
         del self.versions_by_adapter[adapter]
         return 200
@@ -413,6 +424,12 @@
         finally:
             self.running -= 1
             self._running_by_adapter[adapter] -= 1
+            self._finish_unload(adapter)
+
+    def _finish_unload(self, adapter):
+        if adapter == self._unloading and not self._running_by_adapter[adapter]:
+            self._unloading = None
+            self.versions_by_adapter.pop(adapter, None)
 
     def _adapter_of(self, request):
         return request.headers.get("x-model", "").partition("/")[2]
