Do not take the slot of an adapter in transit for a free one

The leader took what a report lists as incoming for held and ready, so a new leader could evict it a second later and use the slot again. Slow loads are usual just when leaders change.

Reports tell adapters in transit apart. The leader confirms them like loads of its own, counts them among the loads in transit to that replica, and never chooses one for an eviction.

The test counts unloads that change nothing: 1 before, 0 now.

--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -109,7 +109,8 @@
     """An adapter that a replica holds or is loading.
 
     ``ready_at`` is when its load is expected to end, and ``ordered_at`` when the load
-    was ordered; None once the replica has confirmed that it holds the adapter.
+    was ordered or first seen in a report; None once the replica has confirmed that it
+    holds the adapter.
     """
 
     __slots__ = ("version", "ready_at", "ordered_at", "is_late")
@@ -491,14 +492,15 @@
         """Returns the key with the least demand that may be evicted; None if none.
 
         An adapter in use is not evicted: its unload would wait for its requests, and
-        its slot would serve no other adapter meanwhile.
+        its slot would serve no other adapter meanwhile. Nor is one in transit: a
+        replica answers its unload like that of an absent one, and goes on loading.
         """
         if replica.unloading is not None:
             return None
         now = anyio.current_time()
         best, best_value = None, math.inf
         for key, placement in replica.held.items():
-            if key in replica.in_use:
+            if key in replica.in_use or placement.ordered_at is not None:
                 continue
             requested_at = self._requested_at_by_key.get(key, -math.inf)
             if now - max(requested_at, placement.ready_at) < EVICTION_GRACE_S:
--- a/snipetrestle/coordination/order_messages.py
+++ b/snipetrestle/coordination/order_messages.py
@@ -46,9 +46,10 @@
 
 
 class ReplicaReport(msgspec.Struct, frozen=True):
-    """State of a replica. ``versions_by_adapter`` includes adapters being loaded."""
+    """State of a replica. ``versions_by_adapter`` includes those ``in_transit``."""
 
     order_count: int
     busy: bool
     models: frozenset[str]
     versions_by_adapter: dict[AdapterKey, int]
+    in_transit: frozenset[AdapterKey] = frozenset()
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -304,12 +304,7 @@
         self._models = report.models
         self._model_in_transit = report.busy and not report.models
         previous = dict(self.replica_adapters.held)
-        self.replica_adapters.remove_all()
-        for key, version in report.versions_by_adapter.items():
-            self.replica_adapters.record_held(key, version, now)
-        for key, placement in previous.items():
-            if placement.ready_at > now and key in self.replica_adapters.held:
-                self.replica_adapters.held[key].ready_at = placement.ready_at
+        self._record_reported(report, previous, now)
         self._known = self._synced = True
         self._state_uncertain = False
         self.replica_adapters.usable = (
@@ -325,6 +320,19 @@
             **self._believed_fields(),
         )
 
+    def _record_reported(self, report, previous, now):
+        """Replaces the known adapters by reported ones; ``previous`` are the known."""
+        self.replica_adapters.remove_all()
+        for key, version in report.versions_by_adapter.items():
+            known = previous.get(key)
+            ready_at = now if known is None else max(now, known.ready_at)
+            ordered_at = None
+            if key in report.in_transit:
+                ordered_at = now
+                if known is not None and known.ordered_at is not None:
+                    ordered_at = known.ordered_at
+            self.replica_adapters.record_held(key, version, ready_at, ordered_at)
+
     async def _load_model(self):
         """Loads the backend's model on a replica without one."""
         model = self._context.backend.models[0]
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -132,7 +132,8 @@
     ``accepted`` lists the AcceptedOrders. ``overfilled`` is
     set by a load beyond ``slots``, which would crash a real replica. Adapters in
     ``in_use`` are unloaded only after ``stop_using``. ``loss`` tells what is lost in
-    calls. ``load_s`` is how long the next loads of adapters take.
+    calls. ``load_s`` is how long the next loads of adapters take, and
+    ``ignored_unloads`` counts the unloads of adapters in transit.
 
     The repetition of an order in progress changes nothing and is accepted, whatever
     its expected count. While an unload waits for ``stop_using``, all other orders are
@@ -146,6 +147,7 @@
         self.boot = 0
         self.accepted = []
         self.overfilled = False
+        self.ignored_unloads = 0
         self.loss = Loss.NOTHING
         self.late_order_s = LATE_ORDER_S
         self.load_s = ADAPTER_LOAD_S
@@ -249,6 +251,7 @@
 
     def _unload(self, key):
         if not self.holds(key):
+            self.ignored_unloads += self._is_in_transit(key)
             return OrderResult.HOLDS_ALREADY
         self._order_count += 1
         if key in self.in_use:
@@ -277,6 +280,9 @@
             False,
             frozenset([MODEL] if has_model else []),
             dict.fromkeys(keys, 1),
+            frozenset(
+                key for key, ready_at in keys.items() if ready_at > now - REPORT_LAG_S
+            ),
         )
 
 
--- a/tests/coordination/test_replica_room.py
+++ b/tests/coordination/test_replica_room.py
@@ -163,6 +163,7 @@
         self.orders = self.start_orders(8)
         await anyio.sleep(SETTLE_S + EVICTION_GRACE_S)
         await self.load("a4", "a5", "a6")
+        self.assertEqual(0, self.replica.ignored_unloads)
 
 
 class WaitingUnloadTest(RoomTestCase):
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -12,7 +12,7 @@
 from snipetrestle.compression import compress
 from snipetrestle.coordination import messages
 from snipetrestle.coordination.datagrams import DatagramEndpoint
-from snipetrestle.gateway.configuration import ReplicaEntry, ReplicaState
+from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
 from snipetrestle.gateway.http_client import (
     ConnectFailed,
     ConnectionPool,
@@ -185,6 +185,7 @@
             versions,
             {(key.adapter, held) for key, held in report.versions_by_adapter.items()},
         )
+        self.assertEqual({AdapterKey("m0", "a3")}, report.in_transit)
         for field, value in (
             ("seq", -1),
             ("seq", 2**64),
