Follow a changed configuration of memory and slots while leading

The slots of a replica were worked out once, when its task began, from the first model of the backend as it was then. A leader in office that got a configuration with less memory, fewer slots, larger adapters or other models went on filling the replicas as before; a replica with another or a second model got the slots beside the first one. Both order a replica to load more than it holds. One eviction was also taken for room, even if the replica held several adapters too many.

The slots follow the backend's present configuration and the models that the replica reports. Beside a model of unknown size there are none. A model that does not fit in a replica's memory is not ordered.

Shown by reading and tests: three of the tests fail before (an adapter too many after the change; 4 slots of 2; 20 slots beside a model that leaves room for 3).

--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -25,6 +25,8 @@
 REPLICA_UPDATE_INTERVAL_PER_REPLICA_S = 0.0002
 # Number of model loads that may be ordered without a pause.
 MODEL_LOAD_BURST = 2.0
+# The rate of a backend that allows fewer model loads or does not tell.
+MIN_MODEL_LOADS_PER_S = 0.1
 # A level this close to a whole load counts as one. The difference is a rounding error,
 # and a wait for it would be shorter than the clock's resolution.
 ROUNDING_TOLERANCE = 1e-6
@@ -34,10 +36,13 @@
     """Token bucket for loads of base models. ``rate`` is in loads per second."""
 
     def __init__(self, rate):
-        self._rate = rate
+        self.set_rate(rate)
         self._level = MODEL_LOAD_BURST
         self._updated_at = anyio.current_time()
 
+    def set_rate(self, rate):
+        self._rate = max(MIN_MODEL_LOADS_PER_S, rate)
+
     def wait_s(self):
         """Returns the time in seconds until the next load may be ordered."""
         now = anyio.current_time()
@@ -61,7 +66,6 @@
     ):
         self._replica_loads = replica_loads
         self._replicas_updated_at = -REPLICA_UPDATE_INTERVAL_S
-        self.models = backend.models
         self.placement = BackendPlacement()
         self._context = BackendContext(
             backend,
@@ -69,12 +73,26 @@
             leadership,
             client,
             version_of,
-            ModelLoadLimiter(max(0.1, backend.loads_per_s)),
+            ModelLoadLimiter(backend.loads_per_s),
         )
         self._task_group = task_group
         # (replica, ReplicaOrders, cancel scope) by replica id.
         self._running_by_id = {}
 
+    @property
+    def models(self):
+        return self._context.backend.models
+
+    def set_backend(self, backend):
+        """Applies a changed configuration of the backend."""
+        if backend == self._context.backend:
+            return
+        self._context.backend = backend
+        self._context.model_load_limiter.set_rate(backend.loads_per_s)
+        for _, orders, _ in self._running_by_id.values():
+            orders.update_slots()
+            orders.wake()
+
     def set_replicas(self, replicas):
         """Starts the tasks of added replicas and cancels those of removed ones."""
         current = {replica.id: replica for replica in replicas}
@@ -249,15 +267,13 @@
         """Applies changes of leadership, configuration and replicas."""
         if self._task_group is None:
             return
-        backends = self._state.backends_by_name if self._leadership.leads else {}
+        backends = self._backends_to_lead()
         version_count = self._state.documents.adapter_version_count
         versions_changed = version_count != self._seen_version_count
         self._seen_version_count = version_count
         for name in [name for name in self._by_backend if name not in backends]:
             self._by_backend.pop(name).stop()
         for name, backend in backends.items():
-            if not backend.serves_models:
-                continue
             replicas = self._state.replicas.ready_replicas(name)
             if name not in self._by_backend:
                 self._by_backend[name] = BackendPlacementController(
@@ -268,10 +284,17 @@
                     self._version_of,
                     self._task_group,
                 )
+            self._by_backend[name].set_backend(backend)
             self._by_backend[name].set_replicas(replicas)
             if versions_changed:
                 self._by_backend[name].wake()
 
+    def _backends_to_lead(self):
+        if not self._leadership.leads:
+            return {}
+        backends = self._state.backends_by_name.items()
+        return {name: backend for name, backend in backends if backend.serves_models}
+
     def _version_of(self, key):
         return self._state.versions_by_adapter.get(key, 1)
 
@@ -281,6 +304,11 @@
                 return controller
         return None
 
+    def placement_of(self, model):
+        """Returns the BackendPlacement of a model; None if this host does not lead."""
+        controller = self._controller_of(model)
+        return None if controller is None else controller.placement
+
     async def locate(self, key, uses, avoid, limited=()):
         """Returns the locations of an adapter; empty if there is none now."""
         controller = self._controller_of(key.model)
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -109,9 +109,8 @@
     def __init__(self, replica, context):
         self._replica = replica
         self._context = context
-        backend = context.backend
         self.replica_adapters = ReplicaAdapters(
-            replica.id, _adapter_slots(backend), context.backend_placement.index
+            replica.id, 0, context.backend_placement.index
         )
         self._queue = collections.deque()
         self._waiter = Waiter()
@@ -128,6 +127,16 @@
         self._last_order = None
         self._models = frozenset()
         self._state_uncertain = False
+        self.update_slots()
+
+    def update_slots(self):
+        """Applies the backend's present configuration to the replica's slots.
+
+        A replica without a model gets the first one of the backend.
+        """
+        backend = self._context.backend
+        models = self._models or {backend.models[0].name}
+        self.replica_adapters.slots = adapter_slots(backend, models)
 
     def request_load(self, key, reason):
         """Queues the load of an adapter. Returns its LoadRequest."""
@@ -302,6 +311,7 @@
         expected_orders = self._order_count
         self._order_count = report.order_count
         self._models = report.models
+        self.update_slots()
         self._model_in_transit = report.busy and not report.models
         previous = dict(self.replica_adapters.held)
         self._record_reported(report, previous, now)
@@ -336,6 +346,9 @@
     async def _load_model(self):
         """Loads the backend's model on a replica without one."""
         model = self._context.backend.models[0]
+        if model.weights_mb > self._context.backend.weights_mb:
+            await self._wait(IDLE_CHECK_INTERVAL_S)
+            return
         if not self._model_in_transit:
             wait_s = self._context.model_load_limiter.wait_s()
             if wait_s > 0:
@@ -350,6 +363,7 @@
         # Reports lag, so the answer to an order shows earlier that the model is loaded.
         self._model_in_transit = False
         self._models = frozenset([model.name])
+        self.update_slots()
         self.replica_adapters.usable = self._replica.takes_requests
 
     async def _await_model(self, model):
@@ -369,13 +383,15 @@
         if not may_start or len(self._unconfirmed()) >= MAX_LOADS_PER_REPLICA:
             await self._wait(BUSY_RETRY_DELAY_S)
             return
-        if (
-            len(self.replica_adapters.held) < self.replica_adapters.slots
-            or await self._evict()
-        ):
-            await self._order_load(load)
-        else:
+        if self._is_full and not await self._evict():
             self._drop(load)
+        # A replica whose slots have become fewer is full until several are evicted.
+        elif not self._is_full:
+            await self._order_load(load)
+
+    @property
+    def _is_full(self):
+        return len(self.replica_adapters.held) >= self.replica_adapters.slots
 
     async def _order_load(self, load):
         key = load.key
@@ -532,10 +548,16 @@
     return sorted(key.adapter for key in keys)[:MAX_LOGGED_ADAPTERS]
 
 
-def _adapter_slots(backend):
-    """Returns how many adapters fit in memory beside a model of the backend."""
-    model = backend.models[0]
-    if model.adapter_mb <= 0:
+def adapter_slots(backend, model_names):
+    """Returns how many adapters fit in a replica's memory beside its models.
+
+    None fit beside a model whose size the backend does not state.
+    """
+    models = [model for model in backend.models if model.name in model_names]
+    if len(models) < len(model_names):
+        return 0
+    adapter_mb = max(model.adapter_mb for model in models)
+    if adapter_mb <= 0:
         return backend.adapter_slots
-    fitting = (backend.weights_mb - model.weights_mb) / model.adapter_mb
-    return max(0, int(min(backend.adapter_slots, fitting)))
+    free_mb = backend.weights_mb - sum(model.weights_mb for model in models)
+    return max(0, int(min(backend.adapter_slots, free_mb / adapter_mb)))
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -351,7 +351,7 @@
         self._listeners = []
         ready = anyio.Event()
         ready.set()
-        state = types.SimpleNamespace(
+        self._state = types.SimpleNamespace(
             ready=ready,
             replicas=self.replicas,
             backends_by_name={BACKEND: fleet.backend},
@@ -367,7 +367,7 @@
             content,
         )
         client = InMemoryOrderClient(fleet, name)
-        self.order_activity = OrderActivity(state, client, random.Random(boot))
+        self.order_activity = OrderActivity(self._state, client, random.Random(boot))
         self.leadership = Leadership(
             self.hosts,
             LEASE_S,
@@ -379,7 +379,7 @@
         )
         content.connect(self.leadership)
         self.placement_controller = PlacementController(
-            state,
+            self._state,
             self.leadership,
             client,
             loads,
@@ -396,6 +396,14 @@
 
     def list_replica(self, entry):
         self.replicas.list_replica(entry)
+        self._notify()
+
+    def configure(self, backend):
+        """Applies a new configuration of the backend."""
+        self._state.backends_by_name[BACKEND] = backend
+        self._notify()
+
+    def _notify(self):
         for listener in self._listeners:
             listener()
 
--- a/tests/coordination/test_replica_room.py
+++ b/tests/coordination/test_replica_room.py
@@ -3,6 +3,7 @@
 import types
 
 import anyio
+import msgspec
 import testtools
 
 from snipetrestle.coordination.adapter_places import (
@@ -10,7 +11,11 @@
     BackendPlacement,
     LoadReason,
 )
-from snipetrestle.coordination.orders import BackendContext, ReplicaOrders
+from snipetrestle.coordination.orders import (
+    BackendContext,
+    ReplicaOrders,
+    adapter_slots,
+)
 from snipetrestle.gateway.configuration import AdapterKey, Backend, Model
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.orders_fleet import (
@@ -19,6 +24,7 @@
     InMemoryOrderClient,
     InMemoryReplica,
     Loss,
+    OrdersFleet,
 )
 
 SLOTS = 4
@@ -28,6 +34,17 @@
 ORDER_DELAYS_S = (0.5, 0.9, 1.3, 1.7, 2.0, 2.5, 3.0, 3.5, 4.5)
 
 
+BACKEND = Backend(
+    "models",
+    100,
+    slots=8,
+    models=(Model(MODEL, 100.0, 0.1, 1.0),),
+    weights_mb=200.0,
+    adapter_slots=SLOTS,
+    loads_per_s=5.0,
+)
+
+
 def key(name):
     return AdapterKey(MODEL, name)
 
@@ -52,15 +69,6 @@
 
     def start_orders(self, term):
         """Starts the orders of a leader with this fencing token."""
-        self.backend = Backend(
-            "models",
-            100,
-            slots=8,
-            models=(Model(MODEL, 100.0, 0.1, 1.0),),
-            weights_mb=200.0,
-            adapter_slots=SLOTS,
-            loads_per_s=5.0,
-        )
         fleet = types.SimpleNamespace(
             task_group=self.task_group,
             replicas_by_id={self.replica.id: self.replica},
@@ -68,7 +76,7 @@
         )
         limiter = types.SimpleNamespace(wait_s=lambda: 0.0, take=lambda: None)
         context = BackendContext(
-            self.backend,
+            BACKEND,
             BackendPlacement(),
             types.SimpleNamespace(
                 check_still_leading=lambda: True, holder=f"entry-{term}", term=term
@@ -81,6 +89,7 @@
         replica = types.SimpleNamespace(
             id=self.replica.id, takes_requests=True, pause=pause
         )
+        self.context = context
         orders = ReplicaOrders(replica, context)
         context.backend_placement.add_replica(orders.replica_adapters)
         self.scope = anyio.CancelScope()
@@ -182,3 +191,46 @@
         await anyio.sleep(SETTLE_S)
         for name in ("a2", "a3", "a4"):
             self.assertTrue(self.replica.holds(key(name)), name)
+
+
+class ChangedRoomTest(RoomTestCase):
+    """Guards against loads into room that a configuration has taken away."""
+
+    def test_fewer_slots_while_the_leader_leads(self):
+        self.run_scenario(self.reduce_slots)
+
+    async def reduce_slots(self):
+        await self.load("a1", "a2", "a3", "a4")
+        self.replica.slots = 3
+        self.context.backend = msgspec.structs.replace(BACKEND, adapter_slots=3)
+        self.orders.update_slots()
+        await anyio.sleep(1.0 + EVICTION_GRACE_S)
+        await self.load("a5")
+        self.assertEqual(3, self.replica.held_count)
+
+    def test_leader_in_office_follows_the_configuration(self):
+        async def check():
+            async with OrdersFleet(["entry-0"], replicas=1, slots=4) as fleet:
+                await anyio.sleep(10.0)
+                host = fleet.daemons_by_name["entry-0"]
+                placement = host.placement_controller.placement_of(MODEL)
+                replica = placement.by_replica["replica-0"]
+                self.assertEqual(4, replica.slots)
+                host.configure(msgspec.structs.replace(fleet.backend, adapter_slots=2))
+                self.assertEqual(2, replica.slots)
+
+        run_in_virtual_time(check)
+
+    def test_slots_beside_each_model(self):
+        """The slots were those beside the first model, whatever a replica held."""
+        large = Model("m1", 197.0, 0.1, 1.0)
+        backend = msgspec.structs.replace(
+            BACKEND, models=(*BACKEND.models, large), adapter_slots=20
+        )
+        for models, slots in (
+            ({MODEL}, 20),
+            ({"m1"}, 3),
+            ({MODEL, "m1"}, 0),
+            ({"unknown"}, 0),
+        ):
+            self.assertEqual(slots, adapter_slots(backend, models), models)
--- a/tests/fuzz/test_fuzz.py
+++ b/tests/fuzz/test_fuzz.py
@@ -138,8 +138,8 @@
         self.assert_found(ConfigurationMachine, "P8")
 
     def test_finds_more_adapters_than_slots(self):
-        adapter_slots = orders._adapter_slots
-        self.patch(orders, "_adapter_slots", lambda backend: adapter_slots(backend) + 1)
+        adapter_slots = orders.adapter_slots
+        self.patch(orders, "adapter_slots", lambda *args: adapter_slots(*args) + 1)
         self.assert_found(OrdersMachine, "LIMIT")
 
     def test_oracle_finds_one_token_of_two_leaders(self):
