Recognize an unload that was accepted without an answer

Orders without an answer are remembered until a report shows that the replica has accepted them or will refuse them. An unload among these whose adapter is still held waits for its requests: it is repeated, nothing else is ordered, and its end is not counted again.

The test fails before: one order expects more orders than the replica has accepted. All tests of a replica's room check this now.

--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -48,6 +48,8 @@
 MODEL_LOAD_GRACE_S = 10.0
 BUSY_RETRY_DELAY_S = 0.05
 UNLOAD_RETRY_INTERVAL_S = 0.1
+# Orders without an answer that are remembered, the last ones.
+MAX_UNANSWERED_ORDERS = 8
 # Adapters that a log line names at most.
 MAX_LOGGED_ADAPTERS = 8
 
@@ -125,6 +127,8 @@
         # Whether the replica loads its model on an order.
         self._model_in_transit = False
         self._last_order = None
+        # Orders without an answer, which the replica may still accept.
+        self._unanswered = collections.deque(maxlen=MAX_UNANSWERED_ORDERS)
         self._models = frozenset()
         self._state_uncertain = False
         self.update_slots()
@@ -327,6 +331,7 @@
         self._model_in_transit = report.busy and not report.models
         previous = dict(self.replica_adapters.held)
         self._record_reported(report, previous, now)
+        self._settle_unanswered(report)
         self._known = self._synced = True
         self._state_uncertain = False
         self.replica_adapters.usable = (
@@ -357,6 +362,20 @@
                 key, version, ready_at, ordered_at, key in report.replaced
             )
 
+    def _settle_unanswered(self, report):
+        """Forgets the orders that the replica has accepted or will refuse.
+
+        An accepted unload of an adapter that is still held waits for its requests.
+        """
+        for order in list(self._unanswered):
+            if order.expected_count == report.order_count:
+                continue
+            self._unanswered.remove(order)
+            key = AdapterKey(order.model, order.adapter)
+            is_held = key in report.versions_by_adapter.keys() - report.in_transit
+            if order.kind is OrderKind.UNLOAD and is_held:
+                self.replica_adapters.unloading = key
+
     async def _load_model(self):
         """Loads the backend's model on a replica without one."""
         model = self._context.backend.models[0]
@@ -533,8 +552,15 @@
             version,
         )
         self._last_order = order
-        async with asyncio.timeout(ORDER_TIMEOUT_S):
-            result = await context.client.send(self._replica, order)
+        self._unanswered.append(order)
+        try:
+            async with asyncio.timeout(ORDER_TIMEOUT_S):
+                result = await context.client.send(self._replica, order)
+        except ConnectFailed:
+            # Nothing was sent.
+            self._unanswered.remove(order)
+            raise
+        self._unanswered.remove(order)
         await _end_if_cancelled()
         if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
             if self._counts(order, result):
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -132,8 +132,9 @@
     ``accepted`` lists the AcceptedOrders. ``overfilled`` is
     set by a load beyond ``slots``, which would crash a real replica. Adapters in
     ``in_use`` are unloaded only after ``stop_using``. ``loss`` tells what is lost in
-    calls. ``load_s`` is how long the next loads of adapters take, and
-    ``ignored_unloads`` counts the unloads of adapters in transit.
+    calls. ``load_s`` is how long the next loads of adapters take,
+    ``ignored_unloads`` counts the unloads of adapters in transit, and
+    ``premature_orders`` the orders that expect more orders than were accepted.
 
     The repetition of an order in progress changes nothing and is accepted, whatever
     its expected count. While an unload waits for ``stop_using``, all other orders are
@@ -149,6 +150,7 @@
         self.accepted = []
         self.overfilled = False
         self.ignored_unloads = 0
+        self.premature_orders = 0
         self.loss = Loss.NOTHING
         self.late_order_s = LATE_ORDER_S
         self.load_s = ADAPTER_LOAD_S
@@ -202,6 +204,8 @@
         if order.fencing_token < self._highest_token:
             return OrderResult.TOKEN_TOO_LOW
         self._highest_token = order.fencing_token
+        if (order.expected_count or 0) > self._order_count:
+            self.premature_orders += 1
         result = self._execute(order)
         if result is not OrderResult.CONFLICT:
             self.accepted.append(
--- a/tests/coordination/test_replica_room.py
+++ b/tests/coordination/test_replica_room.py
@@ -65,6 +65,8 @@
                 self.check_beliefs()
                 group.cancel_scope.cancel()
             self.assertFalse(self.replica.overfilled)
+            # A count that is too high could let a late order pass.
+            self.assertEqual(0, self.replica.premature_orders)
 
         run_in_virtual_time(run)
 
@@ -145,6 +147,28 @@
         await anyio.sleep(1.5 + EVICTION_GRACE_S)
         await self.load("a5", "a6", "a7", "a8")
 
+    def test_unload_that_arrives_late_and_waits(self):
+        """The count became too high by the end of an unload that seemed lost."""
+        for delay_s in ORDER_DELAYS_S:
+            self.run_scenario(self.order_late_unload, delay_s)
+
+    async def order_late_unload(self, delay_s):
+        await self.load("a1", "a2", "a3", "a4")
+        await anyio.sleep(1.0 + EVICTION_GRACE_S)
+        self.replica.in_use.add(key("a1"))
+        self.replica.late_order_s = delay_s
+        self.replica.loss = Loss.LATE_ORDER
+        late = self.orders.request_load(key("a5"), LoadReason.MISSING)
+        await anyio.sleep(0.1)
+        self.replica.loss = Loss.NOTHING
+        await late.done
+        await anyio.sleep(delay_s + EVICTION_GRACE_S)
+        await self.load("a6")
+        await anyio.sleep(SETTLE_S)
+        self.replica.stop_using(key("a1"))
+        await anyio.sleep(3.0)
+        await self.load("a7", "a8")
+
     def test_order_that_is_taken_twice(self):
         for delay_s in ORDER_DELAYS_S:
             self.run_scenario(self.repeat_orders, delay_s)
