Show that a copied answer to an order frees no slot

A second, late copy of an order's answer on the same connection would be read as the answer to the next order: a 200 to one unload as the 200 to another one, which waits. The test plays this with every other order.

--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -61,6 +61,8 @@
 
     LATE_ORDER: the order is taken ``late_order_s`` after it was sent, and its answer is
     lost. REPEATED_ORDER: it is taken at once, and once more after that time.
+    REPEATED_ANSWER: every other order gets a copy of the answer to the order before it,
+    as on a connection that is closed once its own answer follows.
     """
 
     NOTHING = enum.auto()
@@ -68,6 +70,7 @@
     ANSWER = enum.auto()
     LATE_ORDER = enum.auto()
     REPEATED_ORDER = enum.auto()
+    REPEATED_ANSWER = enum.auto()
 
 
 class OrdersNetwork(DatagramNetwork):
@@ -135,6 +138,7 @@
     calls. ``load_s`` is how long the next loads of adapters take,
     ``ignored_unloads`` counts the unloads of adapters in transit, and
     ``premature_orders`` the orders that expect more orders than were accepted.
+    ``copied_answers`` counts the orders that got the answer to another one.
 
     The repetition of an order in progress changes nothing and is accepted, whatever
     its expected count. While an unload waits for ``stop_using``, all other orders are
@@ -151,6 +155,7 @@
         self.overfilled = False
         self.ignored_unloads = 0
         self.premature_orders = 0
+        self.copied_answers = 0
         self.loss = Loss.NOTHING
         self.late_order_s = LATE_ORDER_S
         self.load_s = ADAPTER_LOAD_S
@@ -320,6 +325,8 @@
     def __init__(self, fleet, name):
         self._fleet = fleet
         self._name = name
+        # The last answer of each replica that was not a copy of another one.
+        self._last_answer_by_id = {}
 
     async def send(self, replica, order):
         target = await self._reach(replica)
@@ -333,6 +340,11 @@
         if target.loss is Loss.ANSWER:
             await self._fail()
         await anyio.sleep(CALL_DELAY_S)
+        last_answer = self._last_answer_by_id.pop(replica.id, None)
+        if target.loss is Loss.REPEATED_ANSWER and last_answer is not None:
+            target.copied_answers += 1
+            return last_answer
+        self._last_answer_by_id[replica.id] = result
         return result
 
     async def _deliver_late(self, target, order):
--- a/tests/coordination/test_replica_room.py
+++ b/tests/coordination/test_replica_room.py
@@ -52,6 +52,8 @@
 class RoomTestCase(testtools.TestCase):
     """Runs the orders of a leader to one in-memory replica in virtual time."""
 
+    may_count_too_high = False
+
     def run_scenario(self, scenario, *args):
         async def run():
             self.replica = InMemoryReplica("replica-0", SLOTS)
@@ -66,7 +68,8 @@
                 group.cancel_scope.cancel()
             self.assertFalse(self.replica.overfilled)
             # A count that is too high could let a late order pass.
-            self.assertEqual(0, self.replica.premature_orders)
+            if not self.may_count_too_high:
+                self.assertEqual(0, self.replica.premature_orders)
 
         run_in_virtual_time(run)
 
@@ -181,6 +184,34 @@
             await anyio.sleep(ADAPTER_LOAD_S + 0.1)
 
 
+class CopiedAnswerTest(RoomTestCase):
+    """Guards against a slot that a copy of an earlier answer seems to free."""
+
+    may_count_too_high = True
+
+    def test_second_copy_of_the_answer_before(self):
+        for start in range(4):
+            self.run_scenario(self.copy_answers, start)
+
+    async def copy_answers(self, start):
+        for number in range(start):
+            await self.load(f"a{number}")
+        await anyio.sleep(1.0)
+        self.replica.loss = Loss.REPEATED_ANSWER
+        for number in range(40):
+            self.replica.in_use |= {key(f"a{number - 1}"), key(f"a{number - 3}")}
+            await self.load(f"a{number}", f"b{number}")
+            await anyio.sleep(0.1 + 0.05 * (number % 7))
+            for used in list(self.replica.in_use)[:2]:
+                self.replica.stop_using(used)
+        for used in list(self.replica.in_use):
+            self.replica.stop_using(used)
+        self.replica.loss = Loss.NOTHING
+        await anyio.sleep(5.0)
+        await self.load("c1", "c2")
+        self.assertGreater(self.replica.copied_answers, 20)
+
+
 class AdapterInTransitTest(RoomTestCase):
     """Guards against slots that seem free while their adapters are in transit."""
 
