Deliver orders late in the soak, and let adapters load slowly

One model replica at a time takes its orders 0.5 to 4 s late, without an answer, or loads for 1.5 s; a generator of its own leaves the other faults of the recorded seeds as they are.

--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -10,6 +10,9 @@
     response,
 )
 
+# Seconds that an adapter takes to load, if nothing else is set.
+USUAL_LOAD_S = 0.05
+
 
 class Fault(enum.Enum):
     """What goes wrong with one request."""
@@ -123,7 +126,9 @@
         self.event_padding = 0
         # Seconds until a call is answered, or refused by Fault.REFUSED.
         self.response_delay_s = 0.0
-        self.load_s = 0.05
+        self.load_s = USUAL_LOAD_S
+        # Orders take effect after so many seconds, without an answer, if this is set.
+        self.order_delay_s = 0.0
         # Seconds that a load of the model takes; 0 completes it in the order itself.
         self.model_load_s = 0.0
         self.versions_by_adapter = {}
@@ -177,6 +182,7 @@
         # The adapter whose unload waits for its requests.
         self._unloading = None
         self._load_timers = set()
+        self._late_orders = set()
 
     def entry(self, state="ready", **fields):
         """Returns the entry that the replica publishes in the platform's store."""
@@ -197,9 +203,10 @@
     def restart(self):
         """Resets connections and state, as a replica that restarts under its id."""
         self.reset_connections()
-        for timer in self._load_timers:
+        for timer in (*self._load_timers, *self._late_orders):
             timer.cancel()
         self._load_timers.clear()
+        self._late_orders.clear()
         self.model = None
         self.versions_by_adapter.clear()
         self.incoming.clear()
@@ -248,6 +255,9 @@
         elif request.target == "/-/report":
             writer.write(json_response(200, self._report(), self._order_headers()))
         elif request.target == "/-/order":
+            if self.order_delay_s:
+                self._execute_late(request.json())
+                return
             status = self._execute_order(request.json())
             writer.write(json_response(status, {}, self._order_headers()))
         else:
@@ -264,6 +274,14 @@
             "incoming": [f"{self.model}/{name}@1" for name in self.incoming],
         }
 
+    def _execute_late(self, order):
+        def execute():
+            self._late_orders.discard(timer)
+            self._execute_order(order)
+
+        timer = asyncio.get_running_loop().call_later(self.order_delay_s, execute)
+        self._late_orders.add(timer)
+
     def _execute_order(self, order):
         """Executes an order and returns the HTTP status."""
         if order["fence_token"] < self.token:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,7 +17,11 @@
     configuration,
     route,
 )
-from snipetrestle_standins.platform_replica import Fault, PlatformReplica
+from snipetrestle_standins.platform_replica import (
+    USUAL_LOAD_S,
+    Fault,
+    PlatformReplica,
+)
 from snipetrestle_standins.platform_store import PlatformStore, StoreMode
 from snipetrestle_standins.ports import free_port
 from tests.soak.endless_bodies import (
@@ -52,6 +56,8 @@
 MIN_ROUTE_TIMEOUT_S = 4.0
 LATE_FRACTION = 0.7
 MAX_SILENCE_S = 1.5
+# Long after the leader has read the replica's state again.
+MAX_ORDER_DELAY_S = 4.0
 # Time in which replicas fall silent and settings change, before the first fault.
 PLANNED_PHASE_S = 5.0
 
@@ -257,7 +263,7 @@
         )
         await self._inject_planned_work(group)
         deadline = self._now() + self._seconds
-        tasks = []
+        tasks = [group.create_task(self._disturb_orders(deadline))]
         while self._now() < deadline:
             fault = self._random.choice(fault_kinds)
             self.faults.append(
@@ -267,6 +273,20 @@
             await asyncio.sleep(self._random.uniform(0.1, 1.5))
         await asyncio.gather(*tasks)
 
+    async def _disturb_orders(self, deadline):
+        """Lets orders take effect late, or loads take long, at one replica at a time.
+
+        The generator of its own leaves the other faults of a seed as they are.
+        """
+        generator = random.Random(f"{self._seed} orders")
+        while self._now() < deadline:
+            replica = generator.choice(self._replicas[:MODEL_REPLICA_COUNT])
+            replica.load_s = generator.choice((0.02, 0.05, 1.5))
+            replica.order_delay_s = generator.uniform(0.5, MAX_ORDER_DELAY_S)
+            await asyncio.sleep(generator.uniform(0.05, 0.3))
+            replica.order_delay_s = 0.0
+            await asyncio.sleep(generator.uniform(0.2, 1.0))
+
     async def _run_fault(self, fault):
         started = self._now()
         await fault()
@@ -438,6 +458,7 @@
     async def _check_recovery(self):
         for replica in self._replicas:
             replica.faults.clear()
+            replica.load_s = USUAL_LOAD_S
         self._add_route()
         deadline = self._now() + RECOVERY_LIMIT_S
         routes = (*ROUTES, ADDED_ROUTE)
