--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -1,22 +1,23 @@
 """Orders of the leader to the replicas: one task for each replica.
 
-A replica's state is read before its first order. Every order carries the leader's
-fencing token and the number of orders that the replica must have accepted before, so
-the replica refuses an order that was not decided on its present state: one that arrives
-late or twice, or one of a leader that does not know of another leader's orders.
+A replica's state is read before its first order, and again after each failure and after
+each refusal that shows that the state is not known.
 """
 
 import asyncio
 import collections
 
 import anyio
-import anyio.lowlevel
 
 from snipetrestle.coordination.adapter_places import LoadReason, ReplicaAdapters
 from snipetrestle.coordination.load_times import AdapterLoadLimiter
-from snipetrestle.coordination.order_messages import Order, OrderKind, OrderResult
+from snipetrestle.coordination.order_messages import OrderKind, OrderResult
+from snipetrestle.coordination.order_sender import (
+    OrderSender,
+    StateOutdated,
+    end_if_cancelled,
+)
 from snipetrestle.events import Event, log_event
-from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.waiter import Waiter
 
@@ -30,7 +31,6 @@
 LATE_LOAD_RECHECK_S = 0.02
 # A load that takes longer than this counts as failed.
 MAX_LOAD_S = 5.0
-ORDER_TIMEOUT_S = 0.8
 # A report may be this old, so an uncertain state is read only after this time.
 MAX_REPORT_AGE_S = 0.35
 INITIAL_RETRY_DELAY_S = 0.3
@@ -48,16 +48,10 @@
 MODEL_LOAD_GRACE_S = 10.0
 BUSY_RETRY_DELAY_S = 0.05
 UNLOAD_RETRY_INTERVAL_S = 0.1
-# Orders without an answer that are remembered, the last ones.
-MAX_UNANSWERED_ORDERS = 8
 # Adapters that a log line names at most.
 MAX_LOGGED_ADAPTERS = 8
 
 
-class StateOutdated(Exception):
-    """An order was refused: the leader does not know the replica's present state."""
-
-
 class LoadRequest:
     """A queued adapter load; ``done`` is set once its order was answered or dropped.
 
@@ -120,15 +114,7 @@
         # no order was refused since because that state is outdated.
         self._known = False
         self._synced = False
-        # Orders that the replica should have accepted by now; None while unknown. It
-        # may be too low, which costs a refused order. If it were too high, a late order
-        # could pass unnoticed.
-        self._order_count = None
-        # Whether the replica loads its model on an order.
-        self._model_in_transit = False
-        self._last_order = None
-        # Orders without an answer, which the replica may still accept.
-        self._unanswered = collections.deque(maxlen=MAX_UNANSWERED_ORDERS)
+        self._sender = OrderSender(replica, context, self.replica_adapters)
         self._models = frozenset()
         self._state_uncertain = False
         self.update_slots()
@@ -253,7 +239,7 @@
     async def _confirm_load(self, key):
         """Repeats the order of a load, whose answer tells whether it has ended."""
         placement = self.replica_adapters.held[key]
-        result = await self._send_order(OrderKind.LOAD, key.model, key.adapter)
+        result = await self._sender.send(OrderKind.LOAD, key.model, key.adapter)
         now = anyio.current_time()
         if result is OrderResult.HOLDS_ALREADY:
             if key in self.replica_adapters.loading_from_store:
@@ -289,32 +275,10 @@
             Event.ORDER_REFUSED,
             replica=self._replica.id,
             error=repr(error),
-            **self._last_order_fields(),
-            **self._believed_fields(),
+            **self._sender.last_order_fields(),
+            **self._sender.believed_fields(),
         )
 
-    def _believed_fields(self):
-        """Returns log fields with what the leader believes about the replica."""
-        placements = self.replica_adapters.held.values()
-        return {
-            "orders": self._order_count,
-            "held": len(placements),
-            "in_transit": sum(item.ordered_at is not None for item in placements),
-            "unloading": getattr(self.replica_adapters.unloading, "adapter", None),
-            "slots": self.replica_adapters.slots,
-        }
-
-    def _last_order_fields(self):
-        order = self._last_order
-        if order is None:
-            return {}
-        return {
-            "order": str(order.kind),
-            "adapter": order.adapter,
-            "expected_orders": order.expected_count,
-            "term": order.fencing_token,
-        }
-
     async def _sync(self):
         """Replaces the known state of the replica by its report."""
         if self._state_uncertain:
@@ -322,16 +286,14 @@
             await anyio.sleep(MAX_REPORT_AGE_S)
         async with self._context.report_limiter:
             report = await self._context.client.report(self._replica)
-        await _end_if_cancelled()
+        await end_if_cancelled()
         now = anyio.current_time()
-        expected_orders = self._order_count
-        self._order_count = report.order_count
+        expected_orders = self._sender.order_count
+        previous = dict(self.replica_adapters.held)
         self._models = report.models
         self.update_slots()
-        self._model_in_transit = report.busy and not report.models
-        previous = dict(self.replica_adapters.held)
         self._record_reported(report, previous, now)
-        self._settle_unanswered(report)
+        self._sender.apply_report(report)
         self._known = self._synced = True
         self._state_uncertain = False
         self.replica_adapters.usable = (
@@ -344,7 +306,7 @@
             models=sorted(self._models),
             unknown=_adapter_names(self.replica_adapters.held.keys() - previous.keys()),
             missing=_adapter_names(previous.keys() - self.replica_adapters.held.keys()),
-            **self._believed_fields(),
+            **self._sender.believed_fields(),
         )
 
     def _record_reported(self, report, previous, now):
@@ -362,39 +324,25 @@
                 key, version, ready_at, ordered_at, key in report.replaced
             )
 
-    def _settle_unanswered(self, report):
-        """Forgets the orders that the replica has accepted or will refuse.
-
-        An accepted unload of an adapter that is still held waits for its requests.
-        """
-        for order in list(self._unanswered):
-            if order.expected_count == report.order_count:
-                continue
-            self._unanswered.remove(order)
-            key = AdapterKey(order.model, order.adapter)
-            is_held = key in report.versions_by_adapter.keys() - report.in_transit
-            if order.kind is OrderKind.UNLOAD and is_held:
-                self.replica_adapters.unloading = key
-
     async def _load_model(self):
         """Loads the backend's model on a replica without one."""
         model = self._context.backend.models[0]
         if model.weights_mb > self._context.backend.weights_mb:
             await self._wait(IDLE_CHECK_INTERVAL_S)
             return
-        if not self._model_in_transit:
+        if not self._sender.model_in_transit:
             wait_s = self._context.model_load_limiter.wait_s()
             if wait_s > 0:
                 await self._wait(wait_s)
                 return
             self._context.model_load_limiter.take()
-        result = await self._send_order(OrderKind.LOAD, model.name, "")
+        result = await self._sender.send(OrderKind.LOAD, model.name, "")
         log_event(Event.MODEL_ORDERED, replica=self._replica.id, result=result.name)
         if result is OrderResult.ACCEPTED:
-            self._model_in_transit = True
+            self._sender.model_in_transit = True
             await self._await_model(model)
         # Reports lag, so the answer to an order shows earlier that the model is loaded.
-        self._model_in_transit = False
+        self._sender.model_in_transit = False
         self._models = frozenset([model.name])
         self.update_slots()
         self.replica_adapters.usable = self._replica.takes_requests
@@ -404,7 +352,7 @@
         deadline = anyio.current_time() + model.load_s + MODEL_LOAD_GRACE_S
         while anyio.current_time() < deadline:
             await anyio.sleep(max(MODEL_CHECK_INTERVAL_S, self._replica.pause.left_s()))
-            result = await self._send_order(OrderKind.LOAD, model.name, "")
+            result = await self._sender.send(OrderKind.LOAD, model.name, "")
             if result is OrderResult.HOLDS_ALREADY:
                 return
         raise StateOutdated
@@ -438,7 +386,7 @@
         key = load.key
         recent = self.replica_adapters.was_recently_held(key)
         version = self._context.version_of(key)
-        result = await self._send_order(OrderKind.LOAD, key.model, key.adapter)
+        result = await self._sender.send(OrderKind.LOAD, key.model, key.adapter)
         self._record_ordered_load(key, version, result, recent, load.reason)
         self._drop(load)
 
@@ -452,7 +400,7 @@
             recent=recent,
             reason=str(reason),
             result=result.name,
-            **self._believed_fields(),
+            **self._sender.believed_fields(),
         )
         now = anyio.current_time()
         if result is OrderResult.HOLDS_ALREADY:
@@ -484,7 +432,7 @@
 
     async def _unload(self, key):
         """Orders an unload. Returns whether the slot is free."""
-        result = await self._send_order(OrderKind.UNLOAD, key.model, key.adapter)
+        result = await self._sender.send(OrderKind.UNLOAD, key.model, key.adapter)
         repeated = self.replica_adapters.unloading == key
         # Repeated unloads that still wait are not logged.
         if not repeated or result is OrderResult.HOLDS_ALREADY:
@@ -494,7 +442,7 @@
                 adapter=key.adapter,
                 repeated=repeated,
                 result=result.name,
-                **self._believed_fields(),
+                **self._sender.believed_fields(),
             )
         if result is OrderResult.HOLDS_ALREADY:
             self.replica_adapters.drop(key)
@@ -528,82 +476,10 @@
             # It was evicted to make room.
             return
         version = self._context.version_of(key)
-        result = await self._send_order(OrderKind.LOAD, key.model, key.adapter, version)
-        self._record_ordered_load(key, version, result, False, LoadReason.NEW_VERSION)
-
-    async def _send_order(self, kind, model, adapter, version=None):
-        """Sends one order and returns ACCEPTED or HOLDS_ALREADY.
-
-        Raises ExchangeFailed, ConnectFailed or TimeoutError without an answer,
-        StateOutdated if the replica has accepted other orders than the leader knows of,
-        or has another one in progress, and ExchangeFailed if the order was refused
-        otherwise.
-        """
-        context = self._context
-        if not context.leadership.check_still_leading():
-            raise ExchangeFailed("this host no longer leads")
-        order = Order(
-            kind,
-            model,
-            adapter,
-            context.leadership.holder,
-            context.leadership.term,
-            self._order_count,
-            version,
+        result = await self._sender.send(
+            OrderKind.LOAD, key.model, key.adapter, version
         )
-        self._last_order = order
-        self._unanswered.append(order)
-        try:
-            async with asyncio.timeout(ORDER_TIMEOUT_S):
-                result = await context.client.send(self._replica, order)
-        except ConnectFailed:
-            # Nothing was sent.
-            self._unanswered.remove(order)
-            raise
-        self._unanswered.remove(order)
-        await _end_if_cancelled()
-        if result in (OrderResult.ACCEPTED, OrderResult.HOLDS_ALREADY):
-            if self._counts(order, result):
-                self._order_count += 1
-        elif result is OrderResult.CONFLICT:
-            log_event(
-                Event.ORDER_COUNT_DIFFERS,
-                replica=self._replica.id,
-                **self._last_order_fields(),
-                **self._believed_fields(),
-            )
-            raise StateOutdated
-        elif result is OrderResult.TOKEN_TOO_LOW:
-            context.leadership.on_token_refused()
-            raise ExchangeFailed("replica refused the fencing token as too low")
-        else:
-            raise ExchangeFailed(f"{kind} {model}/{adapter}: {result.name}")
-        return result
-
-    def _counts(self, order, result):
-        """Whether an order changed the replica's state, so that it counts the order.
-
-        The repetition of an order in progress changes nothing, nor does a load of what
-        the replica holds.
-        """
-        key = AdapterKey(order.model, order.adapter)
-        if order.kind is OrderKind.UNLOAD:
-            return self.replica_adapters.unloading != key
-        if result is OrderResult.HOLDS_ALREADY:
-            return False
-        if not order.adapter:
-            return not self._model_in_transit
-        placement = self.replica_adapters.held.get(key)
-        in_progress = placement is not None and placement.ordered_at is not None
-        return not in_progress or order.version is not None
-
-
-async def _end_if_cancelled():
-    """Ends a task whose scope was cancelled in the turn in which its answer arrived.
-
-    Such a task goes on until it waits again, while its adapters are forgotten already.
-    """
-    await anyio.lowlevel.checkpoint_if_cancelled()
+        self._record_ordered_load(key, version, result, False, LoadReason.NEW_VERSION)
 
 
 def _adapter_names(keys):
