--- a/tests/fuzz/orders.py
+++ b/tests/fuzz/orders.py
@@ -83,6 +83,28 @@
         if self.is_running(name):
             self.runner.start_caller(self._locate(name, adapter_key(number)))
 
+    @rule(
+        name=daemon_names,
+        replica_id=replica_ids,
+        loss=st.sampled_from([Loss.ORDER, Loss.LATE_ORDER, Loss.REPEATED_ORDER]),
+        late_s=order_delays_s,
+        pause_s=st.sampled_from([0.5, 1.6, 2.2]),
+    )
+    def lose_messages_for_a_moment(self, name, replica_id, loss, late_s, pause_s):
+        """Disturbs the orders to a replica while lookups fill and replace its slots."""
+        model = self.fleet.replicas_by_id[replica_id]
+        self._locate_many(name, range(20, 24))
+        model.loss, model.late_order_s = loss, late_s
+        self.runner.advance(0.1)
+        model.loss = Loss.NOTHING
+        self.runner.advance(pause_s)
+        self._locate_many(name, range(24, 32))
+        self.runner.advance(late_s)
+
+    def _locate_many(self, name, numbers):
+        for number in numbers:
+            self.locate(name, number)
+
     async def _locate(self, name, key):
         locator = self.fleet.daemons_by_name[name].locator
         locator.cached_locations(key)
--- a/tests/fuzz/test_fuzz.py
+++ b/tests/fuzz/test_fuzz.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from snipetrestle.batches import BatchHolder
-from snipetrestle.coordination import orders
+from snipetrestle.coordination import order_messages, order_sender, orders
 from snipetrestle.coordination.adapter_places import BackendPlacement
 from snipetrestle.engines.ownership import ReplicaOwnership
 from snipetrestle.peers import configuration_spread
@@ -142,6 +142,13 @@
         self.patch(orders, "adapter_slots", lambda *args: adapter_slots(*args) + 1)
         self.assert_found(OrdersMachine, "LIMIT")
 
+    def test_finds_orders_that_are_taken_late(self):
+        def without_count(*args):
+            return order_messages.Order(*args[:5], None, *args[6:])
+
+        self.patch(order_sender, "Order", without_count)
+        self.assert_found(OrdersMachine, "LIMIT")
+
     def test_oracle_finds_one_token_of_two_leaders(self):
         """Tests the oracle directly: no injected fault led to this in 150 s."""
         fleet = OrdersFleet(["entry-0"])
