Keep a replica in use after it refuses to load an unknown adapter

A caller that names an adapter that does not exist makes the leader order its load, which the replica refuses (400). The leader took this for a failure of the replica: it was in use for nobody for 0.66 s, loads that waited there were dropped, and others were preferred for another second.

Such a load is dropped by itself, and the state of the replica is read again, since it may also have lost its model. The test fails before: the replica is not usable after the refusal.

--- a/snipetrestle/coordination/order_sender.py
+++ b/snipetrestle/coordination/order_sender.py
@@ -25,6 +25,10 @@
     """An order was refused: the leader does not know the replica's present state."""
 
 
+class OrderRefused(Exception):
+    """The replica cannot do what was ordered, for instance load an unknown adapter."""
+
+
 class OrderSender:
     """Sends the orders to one boot of a replica and follows its order count.
 
@@ -70,8 +74,8 @@
 
         Raises ExchangeFailed, ConnectFailed or TimeoutError without an answer,
         StateOutdated if the replica has accepted other orders than the leader knows of,
-        or has another one in progress, and ExchangeFailed if the order was refused
-        otherwise.
+        or has another one in progress, OrderRefused if it cannot do what was ordered,
+        and ExchangeFailed if it does not take the leader's orders.
         """
         leadership = self._context.leadership
         if not leadership.check_still_leading():
@@ -102,6 +106,8 @@
         if result is OrderResult.TOKEN_TOO_LOW:
             leadership.on_token_refused()
             raise ExchangeFailed("replica refused the fencing token as too low")
+        if result is OrderResult.REFUSED:
+            raise OrderRefused(f"{kind} {model}/{adapter}")
         raise ExchangeFailed(f"{kind} {model}/{adapter}: {result.name}")
 
     async def _exchange(self, order):
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -13,6 +13,7 @@
 from snipetrestle.coordination.load_times import AdapterLoadLimiter
 from snipetrestle.coordination.order_messages import OrderKind, OrderResult
 from snipetrestle.coordination.order_sender import (
+    OrderRefused,
     OrderSender,
     StateOutdated,
     end_if_cancelled,
@@ -48,6 +49,8 @@
 MODEL_LOAD_GRACE_S = 10.0
 BUSY_RETRY_DELAY_S = 0.05
 UNLOAD_RETRY_INTERVAL_S = 0.1
+# After these errors the replica is not used until its state has been read.
+FAILURES = (ExchangeFailed, ConnectFailed, OrderRefused, TimeoutError)
 # Adapters that a log line names at most.
 MAX_LOGGED_ADAPTERS = 8
 
@@ -174,7 +177,7 @@
                     # What it is known to hold is mostly right, so it stays in use.
                     self._synced = False
                     self._state_uncertain = True
-                except (ExchangeFailed, ConnectFailed, TimeoutError) as error:
+                except FAILURES as error:
                     self._on_failure(error)
                     await anyio.sleep(retry_delay_s)
                     retry_delay_s = min(retry_delay_s * 2, MAX_RETRY_DELAY_S)
@@ -271,6 +274,9 @@
         self.replica_adapters.end_all_store_loads()
         self.replica_adapters.failed_until = anyio.current_time() + FAILURE_PENALTY_S
         self._drop_queue()
+        self._log_refusal(error)
+
+    def _log_refusal(self, error):
         log_event(
             Event.ORDER_REFUSED,
             replica=self._replica.id,
@@ -386,7 +392,14 @@
         key = load.key
         recent = self.replica_adapters.was_recently_held(key)
         version = self._context.version_of(key)
-        result = await self._sender.send(OrderKind.LOAD, key.model, key.adapter)
+        try:
+            result = await self._sender.send(OrderKind.LOAD, key.model, key.adapter)
+        except OrderRefused as error:
+            # A caller may have named an adapter that does not exist; or the replica has
+            # lost its model.
+            self._log_refusal(error)
+            self._drop(load)
+            raise StateOutdated from None
         self._record_ordered_load(key, version, result, recent, load.reason)
         self._drop(load)
 
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -203,3 +203,48 @@
 
         self.assertLess(MAX_REPORT_AGE_S, 0.4)
         run_in_virtual_time(check)
+
+
+class RefusingReplica:
+    """A replica that refuses to load an adapter that does not exist."""
+
+    def __init__(self):
+        self.order_count = 0
+        self.refused = []
+
+    async def report(self, replica):
+        return ReplicaReport(self.order_count, False, frozenset({"m0"}), {HELD: 1})
+
+    async def send(self, replica, order):
+        if order.adapter != WANTED.adapter:
+            self.refused.append(order.adapter)
+            return OrderResult.REFUSED
+        self.order_count += 1
+        return OrderResult.ACCEPTED
+
+
+class RefusedLoadTest(testtools.TestCase):
+    def test_load_of_an_unknown_adapter_keeps_the_replica_in_use(self):
+        """One caller that named such an adapter took its replica away from all others,
+        and dropped the loads that waited there."""
+
+        async def check():
+            client = RefusingReplica()
+            orders = make_orders(client)
+            async with anyio.create_task_group() as group:
+                group.start_soon(orders.run)
+                await anyio.sleep(0.01)
+                unknown = orders.request_load(
+                    AdapterKey("m0", "unknown"), LoadReason.MISSING
+                )
+                wanted = orders.request_load(WANTED, LoadReason.MISSING)
+                for _ in range(100):
+                    await anyio.sleep(0.01)
+                    orders.set_usable(True)
+                    self.assertTrue(orders.replica_adapters.usable)
+                self.assertTrue(unknown.done.done() and wanted.done.done())
+                self.assertEqual(["unknown"], client.refused)
+                self.assertIn(WANTED, orders.replica_adapters.held)
+                group.cancel_scope.cancel()
+
+        run_in_virtual_time(check)
