--- a/tests/coordination/test_replica_room.py
+++ b/tests/coordination/test_replica_room.py
@@ -125,14 +125,18 @@
         for delay_s in ORDER_DELAYS_S:
             self.run_scenario(self.order_late_load, delay_s)
 
-    async def order_late_load(self, delay_s):
-        await self.load("a1", "a2", "a3")
+    async def load_with_late_order(self, name, delay_s):
+        """Requests a load, the first order for which takes effect late."""
         self.replica.late_order_s = delay_s
         self.replica.loss = Loss.LATE_ORDER
-        late = self.orders.request_load(key("late"), LoadReason.MISSING)
+        load = self.orders.request_load(key(name), LoadReason.MISSING)
         await anyio.sleep(0.1)
         self.replica.loss = Loss.NOTHING
-        await late.done
+        await load.done
+
+    async def order_late_load(self, delay_s):
+        await self.load("a1", "a2", "a3")
+        await self.load_with_late_order("late", delay_s)
         await anyio.sleep(1.0)
         await self.load("a4", "a5")
 
@@ -159,12 +163,7 @@
         await self.load("a1", "a2", "a3", "a4")
         await anyio.sleep(1.0 + EVICTION_GRACE_S)
         self.replica.in_use.add(key("a1"))
-        self.replica.late_order_s = delay_s
-        self.replica.loss = Loss.LATE_ORDER
-        late = self.orders.request_load(key("a5"), LoadReason.MISSING)
-        await anyio.sleep(0.1)
-        self.replica.loss = Loss.NOTHING
-        await late.done
+        await self.load_with_late_order("a5", delay_s)
         await anyio.sleep(delay_s + EVICTION_GRACE_S)
         await self.load("a6")
         await anyio.sleep(SETTLE_S)
--- a/tests/platform/test_stop_on_slow_link.py
+++ b/tests/platform/test_stop_on_slow_link.py
@@ -9,13 +9,10 @@
 import collections
 import contextlib
 import json
-import logging
-import pathlib
 import random
 import re
 import signal
 import sys
-import tempfile
 
 import anyio
 import testtools
@@ -33,10 +30,10 @@
 from snipetrestle_standins.platform_replica import PlatformReplica
 from snipetrestle_standins.platform_store import PlatformStore
 from snipetrestle_standins.ports import free_port
+from tests.platform.stop_runs import play, run_by_hand
 from tests.soak.hosts import SHUTDOWN_GRACE_S, HostProcess
 from tests.soak.proxy import READ_BYTES, LoopbackProxy
 
-TEST_TIMEOUT_S = 60.0
 SEED = 1
 GRACE_S = 5.0
 LEAD_S = 2.0
@@ -365,34 +362,17 @@
         )
 
 
-async def play(seed, shortages):
-    """Returns a SlowStop that was played."""
-    with tempfile.TemporaryDirectory() as folder, anyio.fail_after(TEST_TIMEOUT_S):
-        stop = SlowStop(seed, shortages)
-        await stop.play(pathlib.Path(folder))
-        return stop
-
-
 class StopOnSlowLinkTest(testtools.TestCase):
     def test_requests_queued_behind_a_configuration_are_not_lost_in_a_stop(self):
         """Their connections were ended while they were on the link."""
-        stop = anyio.run(play, SEED, ("link",))
+        stop = anyio.run(play, SlowStop, SEED, ("link",))
         self.assertGreater(len(stop.attempts), CALLERS)
         self.assertLess(len(stop.cut()), MAX_CUT_SHARE * len(stop.attempts))
         self.assertEqual([], stop.faults())
 
 
 def main(argv):
-    logging.disable()
-    fault_count = 0
-    for seed in argv[2:]:
-        stop = anyio.run(play, int(seed), argv[1].split("+"))
-        faults = stop.faults()
-        fault_count += len(faults)
-        print(f"{argv[1]}, seed {seed}: {len(faults)} faults; {stop.summary()}")
-        for fault in faults[:10]:
-            print(f"  {fault}", flush=True)
-    return min(fault_count, 1)
+    return run_by_hand(argv[1], argv[2:], SlowStop, argv[1].split("+"))
 
 
 if __name__ == "__main__":
--- a/tests/platform/test_stop_under_load.py
+++ b/tests/platform/test_stop_under_load.py
@@ -6,13 +6,10 @@
 import asyncio
 import contextlib
 import itertools
-import logging
-import pathlib
 import random
 import signal
 import socket
 import sys
-import tempfile
 
 import anyio
 import testtools
@@ -31,9 +28,9 @@
 from snipetrestle_standins.platform_replica import PlatformReplica
 from snipetrestle_standins.platform_store import PlatformStore
 from snipetrestle_standins.ports import free_port
+from tests.platform.stop_runs import TEST_TIMEOUT_S, play, run_by_hand
 from tests.soak.hosts import SHUTDOWN_GRACE_S, HostProcess
 
-TEST_TIMEOUT_S = 60.0
 SHORT_GRACE_S = 3.0
 SEED = 1
 # Time under load before the stop signal.
@@ -399,33 +396,16 @@
         )
 
 
-async def play(seed, grace_s):
-    """Returns a StopUnderLoad that was played."""
-    with tempfile.TemporaryDirectory() as folder, anyio.fail_after(TEST_TIMEOUT_S):
-        stop = StopUnderLoad(seed, grace_s)
-        await stop.play(pathlib.Path(folder))
-        return stop
-
-
 class StopUnderLoadTest(testtools.TestCase):
     def test_no_request_is_lost_or_told_wrongly_in_a_planned_stop(self):
         """Requests that came late in the grace period were passed on and cut off."""
-        stop = anyio.run(play, SEED, SHORT_GRACE_S)
+        stop = anyio.run(play, StopUnderLoad, SEED, SHORT_GRACE_S)
         self.assertGreater(len(stop.attempts), 100)
         self.assertEqual([], stop.faults())
 
 
 def main(argv):
-    logging.disable()
-    fault_count = 0
-    for seed in argv[2:]:
-        stop = anyio.run(play, int(seed), float(argv[1]))
-        faults = stop.faults()
-        fault_count += len(faults)
-        print(f"grace {argv[1]} s, seed {seed}: {len(faults)} faults; {stop.summary()}")
-        for fault in faults[:10]:
-            print(f"  {fault}")
-    return min(fault_count, 1)
+    return run_by_hand(f"grace {argv[1]} s", argv[2:], StopUnderLoad, float(argv[1]))
 
 
 if __name__ == "__main__":
