--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -228,7 +228,7 @@
         ]
 
     @property
-    def _has_all_loads(self):
+    def _is_at_load_limit(self):
         return len(self._unconfirmed()) >= MAX_LOADS_PER_REPLICA
 
     def _due_load(self):
@@ -367,7 +367,7 @@
         load = self._queue[0]
         in_flight = self._context.backend_placement.store_loads_in_flight()
         may_start = self._context.load_limiter.may_start(in_flight)
-        if not may_start or self._has_all_loads:
+        if not may_start or self._is_at_load_limit:
             await self._wait(BUSY_RETRY_DELAY_S)
             return
         if await self._make_room():
@@ -475,7 +475,7 @@
 
         A newer version of it is declared.
         """
-        if self._has_all_loads:
+        if self._is_at_load_limit:
             return None
         for key, placement in self.replica_adapters.held.items():
             is_outdated = placement.version < self._context.version_of(key)
