Keep a replica in use after it refuses a version that it does not know

A replica refuses to load a version that has not reached it (400, trial: version 2 of an adapter that no one declared). The leader took this for a failure: the replica was in use for nobody and the loads that waited there were dropped, again and again until it had learnt of the version.

The state of the replica is read again, as after the refusal of an unknown adapter, and versions are not ordered for a second, so that other loads go on. The test fails before: the replica is not usable after the refusal.

--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -49,6 +49,8 @@
 MODEL_LOAD_GRACE_S = 10.0
 BUSY_RETRY_DELAY_S = 0.05
 UNLOAD_RETRY_INTERVAL_S = 0.1
+# A newer version that a replica refuses is not ordered again before this time.
+VERSION_RETRY_DELAY_S = 1.0
 # After these errors the replica is not used until its state has been read.
 FAILURES = (ExchangeFailed, ConnectFailed, OrderRefused, TimeoutError)
 # Adapters that a log line names at most.
@@ -120,6 +122,7 @@
         self._sender = OrderSender(replica, context, self.replica_adapters)
         self._models = frozenset()
         self._state_uncertain = False
+        self._versions_retry_at = 0.0
         self.update_slots()
 
     def update_slots(self):
@@ -260,8 +263,13 @@
             placement.ready_at = now + LATE_LOAD_RECHECK_S
 
     async def _wait(self, timeout_s):
-        """Waits until woken, a load should have ended, or ``timeout_s`` has passed."""
+        """Waits until woken, or for ``timeout_s`` at most.
+
+        Ends earlier if a load should have ended or a version may be ordered again.
+        """
         now = anyio.current_time()
+        if self._versions_retry_at > now:
+            timeout_s = min(timeout_s, self._versions_retry_at - now)
         for _, placement in self._unconfirmed():
             timeout_s = min(timeout_s, max(0.0, placement.ready_at - now))
         await self._waiter.wait(timeout_s)
@@ -395,14 +403,17 @@
         try:
             result = await self._sender.send(OrderKind.LOAD, key.model, key.adapter)
         except OrderRefused as error:
-            # A caller may have named an adapter that does not exist; or the replica has
-            # lost its model.
-            self._log_refusal(error)
+            # A caller may have named an adapter that does not exist.
             self._drop(load)
-            raise StateOutdated from None
+            self._read_state_after_refusal(error)
         self._record_ordered_load(key, version, result, recent, load.reason)
         self._drop(load)
 
+    def _read_state_after_refusal(self, error):
+        """Keeps a replica in use that refuses a load; it may have lost its model."""
+        self._log_refusal(error)
+        raise StateOutdated from error
+
     def _record_ordered_load(self, key, version, result, recent, reason):
         """Records an adapter as held, with the time at which its load should end."""
         log_event(
@@ -475,7 +486,7 @@
 
         A newer version of it is declared.
         """
-        if self._is_at_load_limit:
+        if self._is_at_load_limit or anyio.current_time() < self._versions_retry_at:
             return None
         for key, placement in self.replica_adapters.held.items():
             is_outdated = placement.version < self._context.version_of(key)
@@ -489,9 +500,14 @@
             # It was evicted to make room.
             return
         version = self._context.version_of(key)
-        result = await self._sender.send(
-            OrderKind.LOAD, key.model, key.adapter, version
-        )
+        try:
+            result = await self._sender.send(
+                OrderKind.LOAD, key.model, key.adapter, version
+            )
+        except OrderRefused as error:
+            # The replica may learn of the version later than this host.
+            self._versions_retry_at = anyio.current_time() + VERSION_RETRY_DELAY_S
+            self._read_state_after_refusal(error)
         self._record_ordered_load(key, version, result, False, LoadReason.NEW_VERSION)
 
 
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -52,7 +52,7 @@
         return OrderResult.HOLDS_ALREADY
 
 
-def make_orders(client, placement=None):
+def make_orders(client, placement=None, version_of=lambda key: 1):
     model = types.SimpleNamespace(name="m0", adapter_mb=0, weights_mb=1, load_s=1.0)
     backend = types.SimpleNamespace(models=(model,), adapter_slots=4, weights_mb=2)
     leadership = types.SimpleNamespace(
@@ -63,7 +63,7 @@
         placement or BackendPlacement(),
         leadership,
         client,
-        lambda key: 1,
+        version_of,
         None,
     )
     pause = ReplicaPause("r1", random.Random(1))
@@ -206,20 +206,26 @@
 
 
 class RefusingReplica:
-    """A replica that refuses to load an adapter that does not exist."""
+    """A replica that refuses to load all adapters but one, and newer versions."""
 
     def __init__(self):
         self.order_count = 0
+        self.versions = {HELD: 1}
         self.refused = []
 
     async def report(self, replica):
-        return ReplicaReport(self.order_count, False, frozenset({"m0"}), {HELD: 1})
+        return ReplicaReport(
+            self.order_count, False, frozenset({"m0"}), dict(self.versions)
+        )
 
     async def send(self, replica, order):
-        if order.adapter != WANTED.adapter:
+        if order.adapter != WANTED.adapter or order.version is not None:
             self.refused.append(order.adapter)
             return OrderResult.REFUSED
+        if WANTED in self.versions:
+            return OrderResult.HOLDS_ALREADY
         self.order_count += 1
+        self.versions[WANTED] = 2
         return OrderResult.ACCEPTED
 
 
@@ -248,3 +254,23 @@
                 group.cancel_scope.cancel()
 
         run_in_virtual_time(check)
+
+    def test_version_that_the_replica_does_not_know_keeps_it_in_use(self):
+        """The replica was in use for nobody, and loads that waited were dropped."""
+
+        async def check():
+            client = RefusingReplica()
+            orders = make_orders(client, version_of=lambda key: 2)
+            async with anyio.create_task_group() as group:
+                group.start_soon(orders.run)
+                for number in range(150):
+                    await anyio.sleep(0.01)
+                    if number == 1:
+                        orders.request_load(WANTED, LoadReason.MISSING)
+                    orders.set_usable(True)
+                    self.assertTrue(orders.replica_adapters.usable)
+                self.assertEqual([HELD.adapter] * 2, client.refused)
+                self.assertIn(WANTED, orders.replica_adapters.held)
+                group.cancel_scope.cancel()
+
+        run_in_virtual_time(check)
