--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -326,9 +326,9 @@
                 self.assertIn(backend.name, decoded.backends_by_name)
         for backend in decoded.backends_by_name.values():
             if backend.models:
-                self.assertTrue(
-                    0 <= orders._adapter_slots(backend) <= backend.adapter_slots
-                )
+                for models in ({backend.models[0].name}, {"unknown"}):
+                    slots = orders.adapter_slots(backend, models)
+                    self.assertTrue(0 <= slots <= backend.adapter_slots)
 
     def assert_usable_replica(self, entry):
         self.assertTrue(1 <= entry.port <= 65_535)
