--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -132,13 +132,12 @@
 class InMemoryReplica:
     """In-memory replica that follows the protocol of orders.
 
-    ``accepted`` lists the AcceptedOrders. ``overfilled`` is
-    set by a load beyond ``slots``, which would crash a real replica. Adapters in
-    ``in_use`` are unloaded only after ``stop_using``. ``loss`` tells what is lost in
-    calls. ``load_s`` is how long the next loads of adapters take,
-    ``ignored_unloads`` counts the unloads of adapters in transit, and
-    ``premature_orders`` the orders that expect more orders than were accepted.
-    ``copied_answers`` counts the orders that got the answer to another one.
+    ``accepted`` lists the AcceptedOrders. ``overfilled`` is set by a load beyond
+    ``slots``, which would crash a real replica. Adapters in ``in_use`` are unloaded
+    only after ``stop_using``. ``loss`` tells what is lost in calls, and ``load_s`` how
+    long the next loads of adapters take. ``ignored_unloads`` counts the unloads of
+    adapters in transit, ``premature_orders`` the orders that expect more orders than
+    were accepted, and ``copied_answers`` those that got the answer to another one.
 
     The repetition of an order in progress changes nothing and is accepted, whatever
     its expected count. While an unload waits for ``stop_using``, all other orders are
