--- /dev/null
+++ b/snipetrestle/coordination/key_owners.py
@@ -0,0 +1,76 @@
+"""Chooses the host that decides about a key, such as a tenant or a replica.
+
+All hosts choose the same one by rendezvous hashing over the hosts that they know, so
+owners need no messages. A host that does not answer is passed over for a while.
+"""
+
+import anyio
+import xxhash
+
+# How long a host that did not answer is passed over.
+SILENCE_S = 2.0
+MAX_CACHED_KEYS = 8192
+
+
+class KeyOwners:
+    """Ranks the known hosts for each key.
+
+    ``hosts`` has ``sender_names()``, the names of all hosts that send requests, which
+    is the same object as long as they are the same, and ``own.name``.
+    """
+
+    def __init__(self, hosts):
+        self._hosts = hosts
+        self._names = None
+        self._best_by_key = {}
+        self._silent_until_by_name = {}
+
+    def owner(self, key):
+        """Returns the name of the host that owns a key if all hosts answer."""
+        names = self._hosts.sender_names()
+        if names is not self._names:
+            self._names = names
+            self._best_by_key.clear()
+        best = self._best_by_key.get(key)
+        if best is None:
+            if len(self._best_by_key) >= MAX_CACHED_KEYS:
+                self._best_by_key.clear()
+            best = max(names, key=lambda name: _rank(key, name))
+            self._best_by_key[key] = best
+        return best
+
+    def owns(self, key):
+        """Whether this host owns a key."""
+        return self.owner(key) == self._hosts.own.name
+
+    def responsive_owner(self, key):
+        """Returns the best host for a key that is not passed over now.
+
+        Returns the name of this host if all others are passed over.
+        """
+        best = self.owner(key)
+        if not self._is_silent(best):
+            return best
+        names = [name for name in self._names if not self._is_silent(name)]
+        return max(names or [self._hosts.own.name], key=lambda name: _rank(key, name))
+
+    def note_silent(self, name):
+        """Passes over a host that did not answer."""
+        self._silent_until_by_name[name] = anyio.current_time() + SILENCE_S
+
+    def note_heard(self, name):
+        """Uses a host again that has answered."""
+        self._silent_until_by_name.pop(name, None)
+
+    def _is_silent(self, name):
+        until = self._silent_until_by_name.get(name)
+        if until is None:
+            return False
+        if until <= anyio.current_time():
+            del self._silent_until_by_name[name]
+            return False
+        return True
+
+
+def _rank(key, name):
+    return xxhash.xxh64_intdigest(f"{key} {name}".encode())
