--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -160,6 +160,7 @@
         "INFO",
         "replica has accepted other orders than the leader knows of",
     )
+    TENANTS_WITHOUT_KEYS = (1441, "WARNING", "tenants have no API keys")
     PROCESS_RESUMED = (1430, "WARNING", "process resumed after a pause")
     WRITE_UNKNOWN = (1501, "WARNING", "outcome of a write is unknown")
     KEEPER_READY = (1502, "INFO", "keeper recovered and is ready")
--- a/snipetrestle/gateway/configuration.py
+++ b/snipetrestle/gateway/configuration.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from snipetrestle.tenants.table import TenantTable
+
 MAX_NAME_LENGTH = 200
 Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
@@ -33,6 +35,7 @@
     ``attempts`` is the maximum number of replicas on which one request may run.
     Priority 0 is the most urgent. A ``resumable`` stream may be continued on another
     replica. ``max_gap_s`` is the target for the longest time between two of its events.
+    A ``public`` route is open to requests without a tenant's key.
     """
 
     name: str
@@ -46,6 +49,7 @@
     attempts: int
     resumable: bool = False
     max_gap_s: float | None = None
+    public: bool = False
 
     @property
     def repeatable(self):
@@ -94,12 +98,16 @@
 
 
 class RoutingConfiguration(msgspec.Struct, frozen=True):
-    """All routes and backends at one version of the configuration."""
+    """All routes, backends and tenants at one version of the configuration.
+
+    Without ``tenants``, requests are not authenticated.
+    """
 
     version: int
     routes: tuple[Route, ...]
     backends_by_name: dict[str, Backend]
     limits: CallerLimits = CallerLimits()
+    tenants: TenantTable | None = None
 
 
 class ReplicaState(enum.StrEnum):
--- a/snipetrestle/gateway/published_documents.py
+++ b/snipetrestle/gateway/published_documents.py
@@ -11,6 +11,9 @@
     RoutingConfiguration,
 )
 
+# Names in one log line.
+MAX_LOGGED_NAMES = 20
+
 
 class PublishedDocuments:
     """The highest known version of each document.
@@ -66,7 +69,9 @@
             Event.CONFIGURATION_ACCEPTED,
             revision=configuration.version,
             routes=len(configuration.routes),
+            **_tenant_fields(configuration),
         )
+        _log_tenants_without_keys(configuration)
 
     def _set_adapter_version(self, declared):
         self.versions_by_adapter[declared.key] = declared.version
@@ -77,3 +82,21 @@
             adapter=declared.key.adapter,
             version=declared.version,
         )
+
+
+def _tenant_fields(configuration):
+    """Returns the fields of a log line that a configuration with tenants adds."""
+    tenants = configuration.tenants
+    return {} if tenants is None else {"tenants": len(tenants.by_name)}
+
+
+def _log_tenants_without_keys(configuration):
+    tenants = configuration.tenants
+    names = [] if tenants is None else tenants.names_without_keys()
+    if names:
+        log_event(
+            Event.TENANTS_WITHOUT_KEYS,
+            revision=configuration.version,
+            count=len(names),
+            names=names[:MAX_LOGGED_NAMES],
+        )
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -23,6 +23,7 @@
     StoreItems,
 )
 from snipetrestle.gateway.transfers import Transfers
+from snipetrestle.platform.documents import CONFIGURATION_KEY, without_api_keys
 from snipetrestle.platform.headers import (
     REQUEST_ID,
     PlatformDialect,
@@ -105,14 +106,16 @@
 def _value_of(item):
     """Returns the value of an item, None if it is deleted.
 
-    A value that cannot be read is empty, as no document is.
+    A value that cannot be read is empty, as no document is. The configuration has
+    digests in place of its API keys.
     """
     if item.deleted is True:
         return None
     try:
-        return base64.b64decode(item.value)
+        value = base64.b64decode(item.value)
     except (TypeError, ValueError):
         return b""
+    return without_api_keys(value) if item.key == CONFIGURATION_KEY else value
 
 
 class StoreSource:
--- a/snipetrestle/platform/entries.py
+++ b/snipetrestle/platform/entries.py
@@ -19,6 +19,8 @@
     WeightedBackend,
 )
 from snipetrestle.gateway.published_items import Revision, Unlisted, Version
+from snipetrestle.platform.documents import CONFIGURATION_KEY
+from snipetrestle.platform.tenants import tenant_table_from
 from snipetrestle.platform.values import (
     Count,
     Megabytes,
@@ -39,7 +41,6 @@
 # An empty key prefix: one watch covers the operator's items and the replicas.
 ALL_ITEMS = ""
 _REPLICA_PREFIX = "servers/"
-_CONFIGURATION_KEY = "op/config"
 _VERSION_PREFIX = "op/version/"
 
 
@@ -62,6 +63,7 @@
     attempts: Count = 1
     resumable: bool = False
     gap_aim_ms: Milliseconds | None = None
+    public: bool = False
 
 
 class _Model(msgspec.Struct):
@@ -97,6 +99,8 @@
     routes: list[_Route]
     backends: list[_Backend]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Each tenant is decoded by itself, so that an error can name it.
+    tenants: list[msgspec.Raw] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _DeclaredVersion(msgspec.Struct):
@@ -142,7 +146,7 @@
         return _decode_replica(item)
     if item.value is None:
         return None
-    if item.key == _CONFIGURATION_KEY:
+    if item.key == CONFIGURATION_KEY:
         return _configuration_from(decode(_configuration_decoder, item.value))
     if item.key.startswith(_VERSION_PREFIX):
         declared = decode(_version_decoder, item.value)
@@ -159,6 +163,9 @@
             # Replicas may be listed for a backend that is not described.
             backends.setdefault(item.name, Backend(item.name, 0))
     limits = document.limits
+    tenants = None
+    if document.tenants is not msgspec.UNSET:
+        tenants = tenant_table_from(document.tenants)
     return RoutingConfiguration(
         document.version,
         routes,
@@ -169,6 +176,7 @@
             limits.header_timeout_ms / 1000,
             limits.idle_timeout_ms / 1000,
         ),
+        tenants,
     )
 
 
@@ -192,6 +200,7 @@
         attempts=max(1, route.attempts),
         resumable=route.resumable,
         max_gap_s=None if route.gap_aim_ms is None else route.gap_aim_ms / 1000,
+        public=route.public,
     )
 
 
--- a/snipetrestle/platform/values.py
+++ b/snipetrestle/platform/values.py
@@ -29,6 +29,8 @@
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 RatePerS = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 Megabytes = typing.Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+# Units of a quota.
+Units = typing.Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 Weight = typing.Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 
 MAX_PORT = 65_535
--- a/snipetrestle_standins/gateway_fleet.py
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -40,10 +40,23 @@
     }
 
 
-def configuration(version=1, routes=None, adapter_slots=4, model_load_s=0.05, **limits):
+def tenant(name, *keys, **fields):
+    """Returns a tenant of the published configuration with API keys."""
+    return {"name": name, "api_keys": list(keys), **fields}
+
+
+def configuration(
+    version=1,
+    routes=None,
+    adapter_slots=4,
+    model_load_s=0.05,
+    tenants=None,
+    **limits,
+):
     """Returns a published configuration, by default with routes of all types.
 
-    ``limits`` are added to its section of the same name.
+    ``limits`` are added to its section of the same name. It has no ``tenants`` if they
+    are None.
     """
     routes = routes or [
         route("draft", "stream", MODELS_BACKEND, resumable=True),
@@ -69,12 +82,15 @@
         {"name": MODELS_BACKEND, "max_conns": 100, "runtime": runtime},
         {"name": REGISTER_BACKEND, "max_conns": 100},
     ]
-    return {
+    content = {
         "version": version,
         "routes": routes,
         "backends": backends,
         "limits": {"header_timeout_ms": 500, "idle_timeout_ms": 2000, **limits},
     }
+    if tenants is not None:
+        content["tenants"] = tenants
+    return content
 
 
 class SeparableSource:
