--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -204,6 +204,8 @@
         # The end of one replica suppresses lines about the streams that it cut off.
         # These must not be among them, as they tell which requests it was starting.
         self.lost_request_log = RequestLines()
+        # Callers without a key must not suppress the lines of others.
+        self.bad_key_log = RequestLines()
         # Callers that leave in great numbers must not suppress the lines of requests.
         self._connection_log = RequestLines()
         self.retry_budgets = RetryBudgets(settings.retry_budget)
--- a/snipetrestle/gateway/dialect.py
+++ b/snipetrestle/gateway/dialect.py
@@ -4,6 +4,7 @@
 names of a platform. Header names are lower-case bytes; values are bytes.
 """
 
+import enum
 import typing
 
 import msgspec
@@ -11,14 +12,33 @@
 from snipetrestle.gateway.configuration import AdapterKey
 
 
+class TokenCount(enum.StrEnum):
+    """Whether a request declares its numbers of tokens."""
+
+    ABSENT = "absent"
+    VALID = "valid"
+    MALFORMED = "malformed"
+
+
+class KeyProblem(enum.StrEnum):
+    """Why a request has no API key that could be known."""
+
+    MISSING = "no key"
+    EMPTY = "empty key"
+    TOO_LONG = "key too long"
+    REPEATED = "several keys"
+
+
 class RequestMetadata(msgspec.Struct):
     """Metadata from the headers of a caller's request.
 
     ``deadline_s`` is the time that the caller waits, from the first byte of the request.
     ``adapter`` has an empty adapter name for the base model, and is None for requests
-    that name no model. Token counts are 0 if the caller gives none.
+    that name no model. Token counts are 0 if the caller gives none;
+    ``token_count`` tells whether their header was absent, valid or malformed.
     ``shared_prompt_parts`` are the keys of the parts of the prompt, in order, without
-    those that belong to this request alone; see ``prompt_part_key``.
+    those that belong to this request alone; see ``prompt_part_key``. ``key_digest`` is
+    the digest of the caller's API key; it is None with a ``key_problem``.
     """
 
     request_id: bytes
@@ -28,6 +48,9 @@
     output_tokens: int = 0
     last_event_id: int | None = None
     shared_prompt_parts: tuple[str, ...] = ()
+    token_count: TokenCount = TokenCount.ABSENT
+    key_digest: str | None = None
+    key_problem: KeyProblem | None = KeyProblem.MISSING
 
 
 class ResponseMetadata(msgspec.Struct):
@@ -66,7 +89,7 @@
     ``replica_id`` names the replica that must handle the request, ``remaining_s`` is
     the time until its deadline, and ``version`` the adapter version that it must run
     with. ``last_event_id`` is the last event that the caller has, so that a stream
-    resumes.
+    resumes. ``tenant`` is the name of the caller's tenant, or None.
     """
 
     replica_id: str
@@ -74,6 +97,7 @@
     priority: int
     version: int | None = None
     last_event_id: int | None = None
+    tenant: str | None = None
 
 
 class Dialect(typing.Protocol):
--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -59,9 +59,10 @@
         attempt = AttemptMetadata(
             replica.id,
             max(0.001, remaining_s),
-            job.route.priority,
+            job.priority,
             job.version,
             job.last_event_id,
+            None if job.tenant is None else job.tenant.name,
         )
         head = self._dialect.request_head(
             request.method, request.target, request.headers, len(request.body), attempt
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -44,12 +44,13 @@
         """Opens an exchange and returns ``await serve_exchange(exchange)``.
 
         If that fails with ExchangeFailed, goes on with the replacement that was sent
-        meanwhile. Raises ConnectFailed if nothing was sent, and ExchangeFailed if there
-        is no replacement.
+        meanwhile. Raises ConnectFailed if nothing was sent, ExchangeFailed if there is
+        no replacement, and Refused if the request's key was taken away.
         """
         self._current = exchange
         try:
             await exchange.connect()
+            self._forwarder.reauthenticate(self._job)
             exchange.send()
             while True:
                 try:
@@ -136,10 +137,11 @@
             replica = await self._forwarder.find_replacement(self._job)
             replacement = self._forwarder.create_exchange(self._job, replica)
         except Refused as refusal:
-            self._log_dropped(refusal.fields.get("reason", str(refusal)))
+            self._log_refused(refusal)
             return False
         try:
             await replacement.connect()
+            self._forwarder.reauthenticate(self._job)
             # Nothing may come between the booking and the sending.
             if not self._forwarder.try_book_retry(self._job, reason):
                 replacement.close()
@@ -149,6 +151,10 @@
             replica.note_silence()
             self._log_dropped(str(error))
             return False
+        except Refused as refusal:
+            replacement.close()
+            self._log_refused(refusal)
+            return False
         except BaseException:
             replacement.close()
             raise
@@ -179,5 +185,8 @@
             self._log_dropped(reason)
         return is_accepted
 
+    def _log_refused(self, refusal):
+        self._log_dropped(refusal.fields.get("reason", str(refusal)))
+
     def _log_dropped(self, reason):
         self._forwarder.log_replacement_dropped(self._job, reason)
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -26,6 +26,7 @@
 from snipetrestle.gateway.replica_search import RETRY_AFTER_S, ReplicaSearch
 from snipetrestle.gateway.supervision import log_unexpected
 from snipetrestle.gateway.usual_durations import UsualDurations
+from snipetrestle.tenants.authentication import authenticate, reauthenticate
 
 # Failed connection attempts of one request; nothing was sent in any of them.
 MAX_CONNECT_FAILURES = 4
@@ -59,6 +60,7 @@
         self._hosts = gateway.hosts
         self._metrics = gateway.metrics
         self._request_log = gateway.request_log
+        self._bad_key_log = gateway.bad_key_log
         self._crash_quarantine = gateway.crash_quarantine
         self._crash_check = CrashCheck(gateway)
         self._search = ReplicaSearch(gateway)
@@ -109,7 +111,10 @@
         await self._forward(job)
 
     def _create_job(self, request, metadata, caller):
-        """Returns the Job of a request. Raises Refused if it cannot be routed."""
+        """Returns the Job of a request.
+
+        Raises Refused if it cannot be routed, or if its caller is not known.
+        """
         configuration = self._state.configuration
         is_ready = configuration is not None and self._state.ready.is_set()
         if not is_ready:
@@ -117,7 +122,8 @@
         route = self._state.routes.match(request.hostname, request.path)
         if route is None:
             raise Refused(ResultCode.UNKNOWN_PATH, configuration=configuration.version)
-        job = Job(request, metadata, route, self._choose_backend(route), caller)
+        tenant = authenticate(configuration, route, metadata)
+        job = Job(request, metadata, route, self._choose_backend(route), caller, tenant)
         if self._bounds_new and job.deadline_at > self._give_up_at:
             raise _not_run_stop_refusal()
         self._retry_budgets.for_backend(job.backend.name).note_request()
@@ -197,7 +203,7 @@
         """Logs a refusal and sends it, or aborts a stream that has already started."""
         code = refusal.code
         fields = dict(refusal.fields)
-        route = ""
+        route = fields.get("route", "")
         if job is not None:
             route = job.route.name
             now = anyio.current_time()
@@ -210,8 +216,12 @@
                 else job.metadata.adapter.adapter,
                 last_event_id=job.last_event_id,
             )
+            if job.tenant is not None:
+                fields["tenant"] = job.tenant.name
         self._metrics.count(route, code)
-        self._request_log.log(
+        is_bad_key = code is ResultCode.BAD_KEY
+        log = self._bad_key_log if is_bad_key else self._request_log
+        log.log(
             Event.REQUEST_FAILED,
             request=request_id.decode("latin-1"),
             code=str(code),
@@ -438,6 +448,10 @@
             job.first_sent_at = anyio.current_time()
         return Exchange(self._dialect, job, replica)
 
+    def reauthenticate(self, job):
+        """Checks the key of a request that is about to be sent. Raises Refused."""
+        reauthenticate(self._state.configuration, job)
+
     def may_retry(self, job):
         """Whether a replacement may be sent now, while the first replica is silent."""
         return (
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -60,6 +60,7 @@
 REASON_PHRASES_BY_STATUS = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -39,7 +39,8 @@
 
     ``deadline_at`` is when the request ends, and ``refusal_due_at`` when it is refused
     unless its response has begun. ``scope`` is the CancelScope in which it is forwarded.
-    ``caller`` is the CallerConnection that gets the response. ``fingerprint`` is the
+    ``caller`` is the CallerConnection that gets the response. ``tenant`` is the Tenant
+    that it calls for, or None. ``fingerprint`` is the
     same for each repetition of the request. These lists hold replica
     ids: ``sent_to`` those that the request was sent to, ``may_have_run_on`` those on
     which it may have run, and ``adapter_missing_on`` those that refused it because they
@@ -63,6 +64,7 @@
         "route",
         "backend",
         "caller",
+        "tenant",
         "deadline_at",
         "_deadline_s",
         "_route_ends_at",
@@ -85,13 +87,14 @@
         "dropped_on",
     )
 
-    def __init__(self, request, metadata, route, backend, caller):
+    def __init__(self, request, metadata, route, backend, caller, tenant=None):
         self.request = request
         self.metadata = metadata
         self.fingerprint = request_fingerprint(request, metadata)
         self.route = route
         self.backend = backend
         self.caller = caller
+        self.tenant = tenant
         self._deadline_s = (
             math.inf if metadata.deadline_s is None else metadata.deadline_s
         )
@@ -125,6 +128,14 @@
         ends_at = min(self._route_ends_at, self.request.received_at + self._deadline_s)
         self.scope.deadline = self.caller.answer_due_at = ends_at
 
+    @property
+    def priority(self):
+        """The priority of the tenant if it has one, else that of the route."""
+        tenant = self.tenant
+        if tenant is None or tenant.priority is None:
+            return self.route.priority
+        return tenant.priority
+
     @property
     def may_have_run(self):
         return bool(self.may_have_run_on)
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -4,8 +4,14 @@
 
 from snipetrestle.coordination.messages import MAX_RATE_PER_S
 from snipetrestle.gateway.configuration import AdapterKey
-from snipetrestle.gateway.dialect import RequestMetadata, ResponseMetadata
+from snipetrestle.gateway.dialect import (
+    KeyProblem,
+    RequestMetadata,
+    ResponseMetadata,
+    TokenCount,
+)
 from snipetrestle.gateway.request_fingerprint import MAX_PROMPT_PARTS, prompt_part_key
+from snipetrestle.platform.documents import key_digest
 
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-ms"
@@ -18,6 +24,8 @@
 REPLICA_LEAVING = b"server-leaving"
 REPLICA_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
+API_KEY = b"x-credential"
+TENANT = b"x-tenant"
 
 # Hop-by-hop headers, which apply to one connection only.
 _CONNECTION_HEADERS = frozenset(
@@ -35,11 +43,14 @@
         b"expect",
     }
 )
-# Headers that only the gateway may set; they are removed from callers' requests.
+# Headers that only the gateway may set, and the API key, which replicas never see; they
+# are removed from callers' requests.
 _RESERVED_HEADERS = frozenset(
     {
+        API_KEY,
         DEADLINE_MS,
         LAST_EVENT_ID,
+        TENANT,
         b"x-expect-instance",
         b"x-expect-version",
         b"x-request-priority",
@@ -59,6 +70,7 @@
 MAX_NUMBER_DIGITS = 18
 # Lower limits would hold requests for hours; they cannot be meant.
 MIN_REQUEST_LIMIT_PER_S = 0.001
+MAX_API_KEY_BYTES = 256
 _SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
@@ -85,6 +97,8 @@
         counts = [_number(item) for item in values.get(TOKEN_COUNT, b"").split(b",")]
         if len(counts) == 2 and None not in counts:
             facts.prompt_tokens, facts.output_tokens = counts
+        facts.token_count = _token_count_state(headers, counts)
+        facts.key_digest, facts.key_problem = _api_key(headers)
         facts.shared_prompt_parts = _shared_prompt_parts(values.get(PROMPT_PREFIX))
         return facts
 
@@ -114,6 +128,8 @@
             parts.append(b"x-expect-version: %d\r\n" % attempt.version)
         if attempt.last_event_id is not None:
             parts.append(b"last-event-id: %d\r\n" % attempt.last_event_id)
+        if attempt.tenant is not None:
+            parts.append(b"%b: %b\r\n" % (TENANT, attempt.tenant.encode()))
         parts.append(b"\r\n")
         return b"".join(parts)
 
@@ -170,6 +186,33 @@
     return int(digits)
 
 
+def _token_count_state(headers, counts):
+    """Returns the TokenCount of a request. ``counts`` are the numbers of its header.
+
+    A header that comes twice is malformed: nothing tells which one counts.
+    """
+    occurrences = sum(name == TOKEN_COUNT for name, _ in headers)
+    if not occurrences:
+        return TokenCount.ABSENT
+    is_valid = occurrences == 1 and len(counts) == 2 and None not in counts
+    return TokenCount.VALID if is_valid else TokenCount.MALFORMED
+
+
+def _api_key(headers):
+    """Returns (digest, KeyProblem) of a caller's API key; one of them is None."""
+    keys = [value.strip(b" \t") for name, value in headers if name == API_KEY]
+    if not keys:
+        return None, KeyProblem.MISSING
+    if len(keys) > 1:
+        return None, KeyProblem.REPEATED
+    (key,) = keys
+    if not key:
+        return None, KeyProblem.EMPTY
+    if len(key) > MAX_API_KEY_BYTES:
+        return None, KeyProblem.TOO_LONG
+    return key_digest(key), None
+
+
 def _shared_prompt_parts(value):
     """Returns the keys of all listed prompt parts (``ID:TOKENS``) but the last.
 
