--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -1,5 +1,6 @@
 """Tests of the adapter to the users' platform: settings, entries and headers."""
 
+import hashlib
 import os
 import subprocess
 import sys
@@ -14,7 +15,7 @@
     ReplicaEntry,
     RequestKind,
 )
-from snipetrestle.gateway.dialect import AttemptMetadata
+from snipetrestle.gateway.dialect import AttemptMetadata, KeyProblem, TokenCount
 from snipetrestle.gateway.published_items import PublishedItem, Unlisted
 from snipetrestle.gateway.request_fingerprint import prompt_part_key
 from snipetrestle.platform.entries import decode_item
@@ -223,6 +224,63 @@
         ):
             self.assertNotIn(name, head.decode())
 
+    def test_tenant_of_the_caller_replaces_what_the_caller_claims(self):
+        """A replica could see a key, or take a name that a caller claims."""
+        headers = [
+            (b"host", b"desk"),
+            (b"x-request-id", b"r1"),
+            (b"x-credential", b"secret"),
+            (b"x-tenant", b"claimed"),
+            (b"connection", b"x-credential, x-tenant"),
+        ]
+        for name, expected in (("caf\u00e9", ["x-tenant: caf\u00e9"]), (None, [])):
+            attempt = AttemptMetadata("i-1", 1.25, 2, tenant=name)
+            head = PlatformDialect().request_head(b"GET", b"/x", headers, 0, attempt)
+            lines = head.decode().split("\r\n")
+            self.assertEqual(expected, [line for line in lines if "tenant" in line])
+            self.assertNotIn(b"secret", head)
+
+    def test_key_is_kept_as_its_digest_only(self):
+        """Whatever shows the metadata of a request would show the key."""
+        digest = hashlib.sha256(b"secret").hexdigest()
+        for values, expected in (
+            ([b"secret"], (digest, None)),
+            ([b"\tsecret "], (digest, None)),
+            ([], (None, KeyProblem.MISSING)),
+            ([b""], (None, KeyProblem.EMPTY)),
+            ([b"x" * 257], (None, KeyProblem.TOO_LONG)),
+            ([b"secret", b"secret"], (None, KeyProblem.REPEATED)),
+            ([b"secret", b""], (None, KeyProblem.REPEATED)),
+        ):
+            headers = [(b"x-credential", value) for value in values]
+            facts = PlatformDialect().read_request([(b"x-request-id", b"r1"), *headers])
+            self.assertEqual(expected, (facts.key_digest, facts.key_problem))
+            self.assertNotIn("secret", repr(facts))
+
+    def test_token_count_is_valid_malformed_or_absent(self):
+        """A request without usable numbers could count as one without tokens."""
+        for values, expected, counts in (
+            ([], TokenCount.ABSENT, (0, 0)),
+            ([b"100,20"], TokenCount.VALID, (100, 20)),
+            ([b" 100 , 0 "], TokenCount.VALID, (100, 0)),
+            ([b""], TokenCount.MALFORMED, (0, 0)),
+            ([b"100"], TokenCount.MALFORMED, (0, 0)),
+            ([b"100,"], TokenCount.MALFORMED, (0, 0)),
+            ([b"1,2,3"], TokenCount.MALFORMED, (0, 0)),
+            ([b"-1,2"], TokenCount.MALFORMED, (0, 0)),
+            ([b"1.5,2"], TokenCount.MALFORMED, (0, 0)),
+            ([b"+1,2"], TokenCount.MALFORMED, (0, 0)),
+            ([b"\xb2,2"], TokenCount.MALFORMED, (0, 0)),
+            ([b"9" * 19 + b",2"], TokenCount.MALFORMED, (0, 0)),
+            # Placement goes by the last one, as before there were tenants.
+            ([b"100,20", b"100,20"], TokenCount.MALFORMED, (100, 20)),
+            ([b"1,2", b"none"], TokenCount.MALFORMED, (0, 0)),
+        ):
+            headers = [(b"x-token-count", value) for value in values]
+            facts = PlatformDialect().read_request([(b"x-request-id", b"r1"), *headers])
+            self.assertEqual(expected, facts.token_count, values)
+            self.assertEqual(counts, (facts.prompt_tokens, facts.output_tokens))
+
     def test_shared_prompt_parts_leave_out_the_last(self):
         """The last part is the request's own, so nothing can be learned from it."""
         dialect = PlatformDialect()
