--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -245,6 +245,7 @@
             min(settings.replica_drain_s, settings.configuration_apply_s),
         )
         self.state.relay = self.store_relay
+        self.state.on_change(self._label_tenants)
         self.crash_quarantine = CrashQuarantine(
             _log_refused_prompts, self._log_request_refusal
         )
@@ -327,6 +328,12 @@
             configuration=self._configuration_version(),
         )
 
+    def _label_tenants(self):
+        configuration = self.state.configuration
+        self.metrics.tenants.follow(
+            None if configuration is None else configuration.tenants
+        )
+
     def _configuration_version(self):
         configuration = self.state.configuration
         return None if configuration is None else configuration.version
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -9,7 +9,7 @@
 import anyio
 import anyio.lowlevel
 
-from snipetrestle.codes import ResultCode
+from snipetrestle.codes import Outcome, ResultCode
 from snipetrestle.events import Event
 from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.crash_check import CrashCheck
@@ -218,6 +218,8 @@
             )
             if job.tenant is not None:
                 fields["tenant"] = job.tenant.name
+                if code.outcome is Outcome.DID_NOT_RUN:
+                    self._metrics.tenants.count_rejection(job.tenant)
         self._metrics.count(route, code)
         is_bad_key = code is ResultCode.BAD_KEY
         log = self._bad_key_log if is_bad_key else self._request_log
@@ -307,13 +309,12 @@
         now = anyio.current_time()
         if status < 300:
             self._durations.note(job.route, now - job.first_sent_at)
-        first_answer_at = job.first_event_at or now
+        first_answer_s = (job.first_event_at or now) - job.request.received_at
         self._metrics.observe(
-            job.route.name,
-            first_answer_at - job.request.received_at,
-            now - job.request.received_at,
-            status,
+            job.route.name, first_answer_s, now - job.request.received_at, status
         )
+        if job.tenant is not None:
+            self._metrics.tenants.observe(job.tenant, first_answer_s)
 
     # Streams.
 
--- a/snipetrestle/gateway/metrics.py
+++ b/snipetrestle/gateway/metrics.py
@@ -3,6 +3,8 @@
 import prometheus_client
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
+from snipetrestle.gateway.tenant_metrics import TenantMetrics
+
 # Further routes share the label ``other``, which bounds the number of time series.
 MAX_ROUTES = 32
 OTHER_ROUTES = "other"
@@ -22,7 +24,7 @@
 
 
 class GatewayMetrics:
-    """Request counters and latency histograms by route."""
+    """Request counters and latency histograms by route; ``tenants`` has those by tenant."""
 
     def __init__(self):
         self.registry = CollectorRegistry()
@@ -60,6 +62,7 @@
             "Messages to other hosts that the system refused to send.",
             registry=self.registry,
         )
+        self.tenants = TenantMetrics(self.registry, _LATENCY_BUCKETS_S)
         self._series_by_route = {}
 
     def _histogram(self, name, documentation):
