--- a/tests/gateway/test_tenants.py
+++ b/tests/gateway/test_tenants.py
@@ -9,6 +9,7 @@
 from snipetrestle.coordination import datagrams, messages, store_relay
 from snipetrestle.events import Event
 from snipetrestle.gateway import snapshots
+from snipetrestle.gateway.log_lines import BURST_LINES
 from snipetrestle_standins.gateway_fleet import (
     Caller,
     configuration,
@@ -182,6 +183,47 @@
 
         self.run_tenants(check, registers=1)
 
+    def test_refusal_is_logged_with_its_cause(self):
+        """An operator could not find out from a request id why it got a 401."""
+
+        async def check(fleet):
+            await fleet.send_request(
+                "/entry/a",
+                headers=[*headers_with("old-key"), ("X-Request-Id", "r-401")],
+            )
+            (line,) = self.logged(Event.REQUEST_FAILED)
+            digest = hashlib.sha256(b"old-key").hexdigest()
+            self.assertEqual(
+                {
+                    "event": str(Event.REQUEST_FAILED),
+                    "request": "r-401",
+                    "code": "SN-1001",
+                    "outcome": "did_not_run",
+                    "reason": "unknown key",
+                    "route": "entry",
+                    "configuration": 2,
+                    "key_digest_start": digest[:8],
+                },
+                line,
+            )
+
+        self.run_tenants(check)
+
+    def test_callers_without_a_key_suppress_no_lines_of_others(self):
+        """Anybody could hide the failures of tenants' requests from the log."""
+
+        async def check(fleet):
+            async with Caller(fleet.live[0].settings.callers) as caller:
+                for _ in range(BURST_LINES + 10):
+                    await caller.send_request("/entry/a")
+            for replica in fleet.registers:
+                replica.faults = [Fault.REFUSED] * 4
+            self.assertEqual(503, await self.status(fleet, "/entry/a", KEY))
+            line = self.logged(Event.REQUEST_FAILED)[-1]
+            self.assertEqual(("SN-1105", "shop"), (line["code"], line["tenant"]))
+
+        self.run_tenants(check)
+
     def test_priority_of_the_tenant_replaces_that_of_the_route(self):
         """An urgent tenant would wait behind others, or all be taken for urgent."""
 
