--- a/tests/gateway/test_tenants.py
+++ b/tests/gateway/test_tenants.py
@@ -464,6 +464,27 @@
 
         self.run_tenants(check)
 
+    def test_stream_that_breaks_is_not_resumed_with_an_old_key(self):
+        """The rest of a stream could run at a replica that never saw a valid key."""
+
+        async def check(fleet):
+            shared_faults = [Fault.RESET_IN_RESPONSE]
+            for replica in fleet.models:
+                replica.event_interval_s = 0.3
+                replica.faults = shared_faults
+            pending = asyncio.create_task(
+                fleet.send_request("/draft/a", adapter="", headers=headers_with(KEY))
+            )
+            await wait_until(lambda: any(item.running for item in fleet.models))
+            await self.publish(fleet, 3, [LAB])
+            response = await pending
+            self.assertEqual((200, False), (response.status, response.complete))
+            self.assertEqual(1, len(arrived(fleet)))
+            (line,) = self.logged(Event.REQUEST_FAILED)
+            self.assertEqual(("SN-1301", "unknown key"), (line["code"], line["reason"]))
+
+        self.run_tenants(check)
+
     def share_faults(self, fleet, faults, response_delay_s):
         """Gives all register replicas one list of faults, and slow responses."""
         for replica in fleet.registers:
@@ -520,6 +541,25 @@
 
         self.run_tenants(check, gateways=2)
 
+    def test_change_is_read_from_a_store_without_its_history(self):
+        """A key that was taken away while the store was down could stay valid."""
+
+        async def check(fleet):
+            (gateway,) = fleet.live
+            fleet.store.mode = StoreMode.RESET
+            fleet.store.reset_connections()
+            await wait_until(lambda: gateway.state.is_unreachable(""))
+            fleet.store.put(
+                "op/config", configuration(3, ROUTES, tenants=[tenant("shop")])
+            )
+            fleet.store.compact_history()
+            fleet.store.mode = StoreMode.UP
+            with anyio.fail_after(APPLY_TIME_S):
+                await wait_until(lambda: gateway.state.configuration.version == 3)
+            await self.assert_keys(fleet, gateway, {KEY: 401, LAB_KEY: 401})
+
+        self.run_tenants(check)
+
     def test_other_keys_under_the_known_version_count(self):
         """After a restore, the operator may write other tenants under an old version."""
 
