--- a/snipetrestle/platform/entries.py
+++ b/snipetrestle/platform/entries.py
@@ -99,8 +99,8 @@
     routes: list[_Route]
     backends: list[_Backend]
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    # Each tenant is decoded by itself, so that an error can name it.
-    tenants: list[msgspec.Raw] | msgspec.UnsetType = msgspec.UNSET
+    # Decoded separately, so that an error can name the tenant.
+    tenants: msgspec.Raw | msgspec.UnsetType = msgspec.UNSET
 
 
 class _DeclaredVersion(msgspec.Struct):
--- a/snipetrestle/platform/tenants.py
+++ b/snipetrestle/platform/tenants.py
@@ -16,6 +16,7 @@
 
 # Length of a SHA-256 digest in hexadecimal.
 _DIGEST_LENGTH = 64
+_UNITS_BY_NAME = {unit.value: unit for unit in QuotaUnit}
 _Digest = typing.Annotated[
     str, msgspec.Meta(min_length=_DIGEST_LENGTH, max_length=_DIGEST_LENGTH)
 ]
@@ -37,15 +38,29 @@
     name: typing.Any = None
 
 
+_tenants_decoder = msgspec.json.Decoder(list[_Tenant])
+_odd_tenants_decoder = msgspec.json.Decoder(list[msgspec.Raw])
 _tenant_decoder = msgspec.json.Decoder(_Tenant)
 _name_decoder = msgspec.json.Decoder(_Name)
 
 
 def tenant_table_from(raw_tenants):
     """Returns a TenantTable. Raises ValueError, which names the tenant and the field."""
-    return TenantTable.from_tenants(
-        [_decode_tenant(raw, number) for number, raw in enumerate(raw_tenants, 1)]
-    )
+    try:
+        tenants = decode(_tenants_decoder, raw_tenants)
+        tenants = [_tenant_from(tenant) for tenant in tenants]
+    except ValueError:
+        tenants = _decode_one_by_one(raw_tenants)
+    return TenantTable.from_tenants(tenants)
+
+
+def _decode_one_by_one(raw_tenants):
+    """Returns the Tenants of a list, or raises a ValueError that names one of them."""
+    try:
+        raw_tenants = decode(_odd_tenants_decoder, raw_tenants)
+    except ValueError as error:
+        raise ValueError(f"tenants: {error}") from None
+    return [_decode_tenant(raw, number) for number, raw in enumerate(raw_tenants, 1)]
 
 
 def _decode_tenant(raw_tenant, number):
@@ -77,12 +92,13 @@
 
 def _tenant_from(tenant):
     _check_name(tenant.name)
-    if tenant.billing_unit not in list(QuotaUnit):
+    unit = _UNITS_BY_NAME.get(tenant.billing_unit)
+    if unit is None:
         raise ValueError("billing_unit is not known")
     quota = None
     if tenant.rate_per_s:
         quota = Quota(
-            QuotaUnit(tenant.billing_unit),
+            unit,
             tenant.rate_per_s,
             tenant.burst,
             tenant.plain_tokens,
