--- a/snipetrestle/gateway/tenant_metrics.py
+++ b/snipetrestle/gateway/tenant_metrics.py
@@ -5,7 +5,8 @@
 from prometheus_client import Counter, Histogram
 
 # The first tenants in the order of their names have a label of their own, which bounds
-# the number of time series. All others share the label ``other``.
+# the number of time series. All others share the label ``other``, as does a tenant of
+# that name.
 MAX_TENANTS = 64
 OTHER_TENANTS = "other"
 
