--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -12,6 +12,7 @@
 
 from snipetrestle.gateway.message_limits import OverheadMeter
 from snipetrestle.gateway.waiter import Waiter
+from snipetrestle.http_responses import is_defined_status
 from snipetrestle.sockets import has_unread_input
 
 # A connection is lost if sent data stays unacknowledged for this long.
@@ -148,6 +149,12 @@
         if self._complete:
             return
         status = self._parser.get_status_code()
+        if not is_defined_status(status):
+            self._fail(f"the response has the undefined status {status:03}")
+        if self._failure is not None:
+            # What follows a malformed response cannot be trusted.
+            self._skipping_response = True
+            return
         head = ResponseHead(status, self._headers)
         if status < 200 or not self._is_response_to(head):
             self._skipping_response = True
--- a/snipetrestle/http_responses.py
+++ b/snipetrestle/http_responses.py
@@ -11,6 +11,14 @@
 # extensions, trailers. A body in chunks of one byte needs five for each of them.
 MAX_OVERHEAD_BYTES = 256 * 1024
 OVERHEAD_PER_BODY_BYTE = 16
+# RFC 9110, section 15. Parsers accept any three digits.
+MIN_STATUS = 100
+MAX_STATUS = 599
+
+
+def is_defined_status(status):
+    """Whether HTTP defines the class of a status code; else a response is malformed."""
+    return MIN_STATUS <= status <= MAX_STATUS
 
 
 class ReadBudget:
@@ -101,9 +109,14 @@
 
 
 class BoundedResponse:
-    """Status, headers and body of an answer, whose body can still be arriving."""
+    """Status, headers and body of an answer, whose body can still be arriving.
+
+    Raises RemoteProtocolError for a status that HTTP does not define.
+    """
 
     def __init__(self, response, budget):
+        if not is_defined_status(response.status):
+            raise httpcore.RemoteProtocolError(f"undefined status {response.status}")
         self.status = response.status
         self.headers = response.headers
         self._response = response
--- a/snipetrestle_standins/raw_http.py
+++ b/snipetrestle_standins/raw_http.py
@@ -9,6 +9,8 @@
 MAX_ENDLESS_BYTES = 64 * 1024 * 1024
 RESET_DELAY_S = 0.02
 FILLER = b"x" * 1000
+# Statuses that HTTP does not define. Three digits are well-formed in any case.
+UNDEFINED_STATUSES = ("000", "001", "099", "600", "999")
 
 
 def ok(body, *headers):
--- a/tests/engines/test_bad_engines.py
+++ b/tests/engines/test_bad_engines.py
@@ -15,6 +15,7 @@
     CHUNKED_START,
     ENDLESS_ANSWERS,
     MAX_ENDLESS_BYTES,
+    UNDEFINED_STATUSES,
     Endless,
     ok,
     raw_server,
@@ -105,6 +106,27 @@
 
         self.run_with_engine(check, refusal)
 
+    def test_undefined_status_is_no_refusal(self):
+        """The body of an answer with status 600 or 999 was believed: an order that may
+        have run counted as refused."""
+        refused = b'{"error":"NotResident"}'
+
+        async def check(server, client):
+            for orders in (client.load(LOAD), self.generate(client)):
+                with anyio.fail_after(MAX_CALL_S):
+                    try:
+                        await orders
+                    except EngineError as error:
+                        self.assertIs(EngineError, type(error))
+                        self.assertTrue(error.sent)
+                    else:
+                        self.fail("an undefined status must not succeed")
+
+        for status in UNDEFINED_STATUSES:
+            odd = ok(refused).replace(b"200", status.encode())
+            for answer in (odd, odd + ok(b"")):
+                self.run_with_engine(check, answer)
+
     def test_deeply_nested_answers_are_malformed(self):
         """The error is one that no task expects, which ends a daemon."""
         nested = b'{"new": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
--- a/tests/services/test_bad_servers.py
+++ b/tests/services/test_bad_servers.py
@@ -15,6 +15,7 @@
 from snipetrestle_standins.raw_http import (
     ENDLESS_ANSWERS,
     MAX_ENDLESS_BYTES,
+    UNDEFINED_STATUSES,
     ok,
     raw_server,
 )
@@ -92,6 +93,24 @@
         answer = b"HTTP/1.1 412 X\r\nFencing-Number: many\r\nContent-Length: 0\r\n\r\n"
         self.run_with_server(check, answer)
 
+    def test_undefined_status_fails_the_call(self):
+        """A caller got the answer with status 600 or 999 as that of the service."""
+
+        async def check(server, client):
+            with anyio.fail_after(MAX_CALL_S):
+                try:
+                    await client.call(call("write"))
+                except ServiceUnreachable as error:
+                    # The call may have run.
+                    self.assertTrue(error.sent)
+                else:
+                    self.fail("an undefined status must not succeed")
+
+        for status in UNDEFINED_STATUSES:
+            odd = ok(b"first").replace(b"200", status.encode())
+            for answer in (odd, odd + ok(b"second")):
+                self.run_with_server(check, answer)
+
     def test_truncated_answer_is_no_success(self):
         """An answer that broke off halfway could reach the caller as complete."""
 
