--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -160,6 +160,11 @@
         "INFO",
         "replica has accepted other orders than the leader knows of",
     )
+    CALLERS_REFUSED_FOR_MEMORY = (
+        1441,
+        "WARNING",
+        "callers were refused to bound the memory that they hold",
+    )
     PROCESS_RESUMED = (1430, "WARNING", "process resumed after a pause")
     WRITE_UNKNOWN = (1501, "WARNING", "outcome of a write is unknown")
     KEEPER_READY = (1502, "INFO", "keeper recovered and is ready")
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -24,6 +24,7 @@
 )
 from snipetrestle.coordination.store_relay import StoreRelay
 from snipetrestle.events import Event, log_event
+from snipetrestle.gateway.caller_memory import DEFAULT_MEMORY_MB, CallerMemory
 from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle.gateway.connection_end import EndReason, Unanswered
 from snipetrestle.gateway.crash_quarantine import CrashQuarantine
@@ -32,6 +33,7 @@
 from snipetrestle.gateway.http_server import CallerConnection
 from snipetrestle.gateway.log_lines import RequestLines
 from snipetrestle.gateway.metrics import GatewayMetrics
+from snipetrestle.gateway.parse_turns import ParseTurns
 from snipetrestle.gateway.published_state import PublishedState
 from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle.gateway.request_limits import RequestLimits
@@ -65,16 +67,24 @@
     ``handle(request, connection)`` answers one request; ``limits()`` returns the
     current CallerLimits; ``on_connection_end(end)`` is called with the ConnectionEnd of
     each connection. No idle connection is ended while ``transfers`` are active.
+    ``memory`` is the CallerMemory that bounds what the connections hold.
     """
 
     def __init__(
-        self, handle, limits, on_connection_end=lambda end: None, transfers=None
+        self,
+        handle,
+        limits,
+        on_connection_end=lambda end: None,
+        transfers=None,
+        memory=None,
     ):
         self.handle = handle
         self._limits = limits
         self._transfers = transfers or Transfers()
         self.on_connection_end = on_connection_end
         self.connections = set()
+        self.memory = memory or CallerMemory(DEFAULT_MEMORY_MB, limits)
+        self.parse_turns = ParseTurns()
         self._closer = ListenerCloser(self._create_connection)
         self.close_after_response = False
         self.close_when_idle = False
@@ -287,11 +297,15 @@
         self.snapshots = Snapshots(self.state, self.hosts, rng, self.transfers)
         self.hosts.on_heartbeat(self.snapshots.note_heartbeat)
         self.forwarder = Forwarder(self)
+        self.caller_memory = CallerMemory.from_settings(
+            settings, self._limits, self._note_relief
+        )
         self.caller_server = HttpServer(
             self.forwarder.handle,
             self._limits,
             self._note_connection_end,
             self.transfers,
+            self.caller_memory,
         )
         self.readiness_server = HttpServer(self._serve_readiness, CallerLimits)
         self.metrics_server = HttpServer(self._serve_metrics, CallerLimits)
@@ -325,6 +339,18 @@
             configuration=self._configuration_version(),
         )
 
+    def _note_relief(self, relief):
+        """Counts and logs what was refused to bound the memory that callers hold."""
+        counts = relief.counts()
+        self.metrics.count_relief(counts)
+        self._connection_log.log(
+            Event.CALLERS_REFUSED_FOR_MEMORY,
+            **counts,
+            held_bytes=self.caller_memory.held_bytes,
+            bound_bytes=self.caller_memory.bound_bytes,
+            connections=len(self.caller_server.connections),
+        )
+
     def _configuration_version(self):
         configuration = self.state.configuration
         return None if configuration is None else configuration.version
@@ -438,6 +464,7 @@
         self.settings = settings
         self.hosts.set_seeds(settings.seeds)
         self.retry_budgets.set_settings(settings.retry_budget)
+        self.caller_memory.set_memory(settings.memory_mb)
         log_event(Event.SETTINGS_RELOADED, seeds=len(settings.seeds))
 
     async def drain(self):
--- a/snipetrestle/gateway/connection_end.py
+++ b/snipetrestle/gateway/connection_end.py
@@ -13,7 +13,7 @@
     CALLER_TIMED_OUT stands for a caller that this host had not answered by its
     deadline, or had sent nothing for HOST_SILENCE_S. After ANNOUNCED, the caller had
     been told so in the last response. DRAIN stands for kept connections that a planned
-    stop closes.
+    stop closes, and CROWDED_OUT for idle ones that had to make room for new ones.
     """
 
     CALLER_TIMED_OUT = "caller_timed_out"
@@ -22,6 +22,7 @@
     ANNOUNCED = "announced"
     IDLE = "idle"
     DRAIN = "drain"
+    CROWDED_OUT = "crowded_out"
     REQUEST_REFUSED = "request_refused"
     RESPONSE_UNREAD = "response_unread"
     RESPONSE_ABORTED = "response_aborted"
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -59,6 +59,8 @@
         finally:
             self._current.close()
             self._end_replacement()
+            # Each refers to the other, and bodies must not wait for the collector.
+            self._current = None
 
     async def _serve_current(self, serve_exchange):
         self._current.watch(self._silence_s, self._on_silent, self._on_progress)
--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -128,6 +128,8 @@
         self.reusable = False
         if self._in_exchange and not self._complete:
             self._fail(f"the connection was closed: {exc!r}", ReplicaClosed)
+        # They refer to this connection and to the exchange, with the response's body.
+        self._parser = self._is_response_to = None
         self._waiter.wake()
 
     # Callbacks of httptools.
@@ -294,6 +296,7 @@
             and self._transport.get_write_buffer_size() == 0
         )
         self._in_exchange = False
+        self._is_response_to = None
         if not reusable:
             self.close()
         return reusable
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 connections of callers: one task for each, parsed by httptools.
+"""HTTP/1.1 connections of callers: one task for each.
 
 A request is handled only once it is complete, so an unfinished or malformed request
 never reaches a replica.
@@ -8,26 +8,20 @@
 import math
 import socket
 
-import httptools
-
 from snipetrestle.codes import ResultCode
+from snipetrestle.gateway.caller_memory import (
+    CONNECTION_BYTES,
+    REQUEST_IN_PROGRESS_BYTES,
+)
 from snipetrestle.gateway.connection_end import (
     HOST_SILENCE_S,
     ConnectionEnd,
     EndReason,
     Unanswered,
 )
-from snipetrestle.gateway.message_limits import OverheadMeter
-from snipetrestle.gateway.request_head import (
-    Request,
-    expects_continue,
-    format_head_without_offer,
-    head_size_bytes,
-    is_unambiguous,
-    names_close,
-)
+from snipetrestle.gateway.request_arrival import RequestArrival
+from snipetrestle.gateway.response_writer import ResponseWriter
 from snipetrestle.gateway.supervision import call_isolated, log_unexpected
-from snipetrestle.gateway.unparsed_bytes import UnparsedBytes
 from snipetrestle.gateway.waiter import Waiter
 from snipetrestle.lingering import has_unsent_bytes, linger, write_end
 from snipetrestle.sockets import count_unread_bytes
@@ -36,8 +30,6 @@
 # must reach after that time.
 MAX_BODY_PAUSE_S = 10.0
 MIN_BODY_BYTES_PER_S = 1024
-# Chunk sizes, chunk extensions and trailers of a request body.
-MAX_BODY_OVERHEAD_BYTES = 16_384
 # Idle connections are kept longer than the limit by this share of it, and by this time
 # at least. Otherwise a request that is sent just within the limit crosses the close.
 IDLE_MARGIN_SHARE = 1 / 3
@@ -56,28 +48,15 @@
 # pauses only above this, since only reading shows that the caller has closed its
 # connection.
 MAX_UNPARSED_BYTES = 65_536
-
-REASON_PHRASES_BY_STATUS = {
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    421: b"Misdirected Request",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
+# What a caller that was refused for lack of memory is told to wait.
+FULL_RETRY_AFTER_S = 1.0
 
 
 class CallerDisconnected(Exception):
     """The caller has closed its connection."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(RequestArrival, ResponseWriter, asyncio.Protocol):
     """One caller's connection.
 
     ``server`` is its HttpServer: ``close_after_response`` closes a connection after its
@@ -87,53 +66,34 @@
     ``request_id`` is its id as text. ``deadline_s`` is the one that the caller named, or
     None, and ``answer_due_at`` the time by which it is owed an answer. ``awaits_end`` is
     true while the connection waits for its turn to be ended. ``on_disconnect()``, if
-    set, is called when the connection closes.
+    set, is called when the connection closes. ``held_bytes`` is the memory that the
+    connection has reported to the server's CallerMemory.
     """
 
     def __init__(self, server):
-        self._server = server
-        self._loop = asyncio.get_running_loop()
-        self._parser = httptools.HttpRequestParser(self)
+        RequestArrival.__init__(self, server)
+        ResponseWriter.__init__(self)
         self._transport = None
         self._task = None
         self._waiter = Waiter()
         self._writable = None
-        self._pending_requests = []
-        self._unparsed = UnparsedBytes()
-        # When the bytes that are parsed, and the first byte of the request, arrived.
-        self._parsed_received_at = 0.0
-        self._begun_at = 0.0
-        self._refusal_code = None
-        # Method of the request that arrives, once it is known.
-        self._method = None
-        # Whether the request that is answered, or the refused one, is a HEAD request.
-        self._is_head_request = False
-        self._is_refused_head_request = False
-        self._in_message = False
-        # Whether the caller waits for an interim response before it sends its body.
-        self._awaits_continue = False
-        # Bytes of a head, and of blank lines before it.
-        self._head_bytes = 0
-        self._head_started_at = None
-        self._in_head = True
-        self._body_parts = []
-        self._body_bytes = 0
-        self._body_overhead = None
-        self._body_started_at = 0.0
-        self._last_body_at = 0.0
+        # When the transport asked to pause writing.
+        self.unread_since = 0.0
+        self.held_bytes = 0
+        # The memory of the request in progress.
+        self._in_progress_bytes = 0
+        # Whether the connection is to be ended before its idle limit.
+        self._ends_early = False
         self._opened_at = self._loop.time()
         self._received_at = self._opened_at
         self._has_received = False
-        self._current_request = None
         self._reading_paused = False
         self._lingering = False
         # Bytes that came after this host had ended the connection.
         self._late_bytes = 0
-        self.has_response = False
         self.closed = False
         self.busy = False
         self.awaits_end = False
-        self.keep_alive = True
         self.on_disconnect = None
         self.request_id = None
         self.deadline_s = None
@@ -156,6 +116,8 @@
         )
         self._server.connections.add(self)
         self._task = self._loop.create_task(self._run())
+        self.report_held()
+        self._server.memory.add(self)
 
     def data_received(self, data):
         if self._lingering:
@@ -171,53 +133,17 @@
         self._received_at = self._loop.time()
         if self.busy or self._pending_requests or self._unparsed:
             self._unparsed.append(data, self._received_at)
-            if len(self._unparsed) > MAX_UNPARSED_BYTES and not self._reading_paused:
-                self._reading_paused = True
-                self._transport.pause_reading()
+        elif not self._in_message and self._server.memory.refuses_new():
+            self._unparsed.append(data, self._received_at)
+            self.refuse_for_memory()
             return
-        self._parse(data, self._received_at)
-        self._waiter.wake()
-
-    def _parse(self, data, received_at):
-        self._parsed_received_at = received_at
-        if self._in_head:
-            self._head_bytes += len(data)
         else:
-            self._body_overhead.note_received(len(data))
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as upgrade:
-            self._ignore_upgrade(data[upgrade.args[0] :])
-        except httptools.HttpParserError:
-            self._refuse(ResultCode.MALFORMED_REQUEST)
-        if self._in_head and self._head_bytes > self._server.limits.max_header_bytes:
-            self._refuse(ResultCode.HEADERS_TOO_LARGE)
-        if not self._in_head and self._body_overhead.exceeded:
-            self._refuse(ResultCode.MALFORMED_REQUEST)
-
-    def _ignore_upgrade(self, following):
-        """Goes on as if a request had offered no other protocol (RFC 9110, 7.8).
-
-        The parser stops behind the head of such a request, so the head is parsed again
-        without the offer. ``following`` is its body and what comes after it.
-        """
-        if self._refusal_code is not None:
-            return
-        head = format_head_without_offer(
-            self._parser.get_method(),
-            self._target,
-            self._headers,
-            self._parser.get_http_version(),
-        )
-        self._parser = httptools.HttpRequestParser(self)
-        self._head_bytes = 0
-        self._unparsed.prepend(following, self._parsed_received_at)
-        self._unparsed.prepend(head, self._begun_at)
-
-    @property
-    def _offers_upgrade(self):
-        """Whether the parser stops behind this head, which is parsed again."""
-        return self._parser.should_upgrade() and self._parser.get_method() != b"CONNECT"
+            self._parse_received(data, self._received_at)
+            self._waiter.wake()
+        if len(self._unparsed) > MAX_UNPARSED_BYTES and not self._reading_paused:
+            self._reading_paused = True
+            self._transport.pause_reading()
+        self.report_held()
 
     def eof_received(self):
         # A caller that has closed its side no longer waits for a response.
@@ -228,6 +154,10 @@
         self.closed = True
         self._note_end(self._caller_end_reason(EndReason.CALLER_LOST))
         self._server.connections.discard(self)
+        self._server.memory.discard(self)
+        self.report_held()
+        # It refers to this connection, which must not wait for the collector.
+        self._parser = None
         call_isolated(self._report_end)
         self._waiter.wake()
         if self._writable is not None and not self._writable.done():
@@ -237,90 +167,14 @@
 
     def pause_writing(self):
         self._writable = self._loop.create_future()
+        self.unread_since = self._loop.time()
 
     def resume_writing(self):
+        self.report_held()
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
         self._writable = None
 
-    # Callbacks of httptools.
-
-    def on_message_begin(self):
-        self._begun_at = self._parsed_received_at
-        self._in_message = True
-        self._in_head = True
-        self._headers = []
-        self._target = b""
-        self._method = None
-
-    def on_url(self, url):
-        self._target += url
-        self._method = self._parser.get_method()
-
-    def on_header(self, name, value):
-        # Trailer fields are dropped: the request's head was checked without them.
-        if self._in_head:
-            self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self):
-        if self._offers_upgrade:
-            return
-        self._in_head = False
-        self._head_bytes = 0
-        self._body_parts = []
-        self._body_bytes = 0
-        self._body_overhead = OverheadMeter(MAX_BODY_OVERHEAD_BYTES)
-        self._body_started_at = self._last_body_at = self._loop.time()
-        self._current_request = Request(
-            self._parser.get_method(),
-            self._target,
-            self._headers,
-            self._parser.should_keep_alive() and not names_close(self._headers),
-        )
-        if (
-            head_size_bytes(self._current_request)
-            > self._server.limits.max_header_bytes
-        ):
-            self._refuse(ResultCode.HEADERS_TOO_LARGE)
-        if not is_unambiguous(self._current_request, self._parser.get_http_version()):
-            self._refuse(ResultCode.MALFORMED_REQUEST)
-        for name, value in self._headers:
-            if (
-                name == b"content-length"
-                and value.isdigit()
-                and int(value) > self._server.limits.max_body_bytes
-            ):
-                self._refuse(ResultCode.BODY_TOO_LARGE)
-        self._awaits_continue = expects_continue(
-            self._headers, self._parser.get_http_version()
-        )
-
-    def on_body(self, data):
-        self._awaits_continue = False
-        if self._refusal_code is not None:
-            return
-        self._body_parts.append(data)
-        self._body_bytes += len(data)
-        self._body_overhead.note_body(len(data))
-        self._last_body_at = self._loop.time()
-        if self._body_bytes > self._server.limits.max_body_bytes:
-            self._refuse(ResultCode.BODY_TOO_LARGE)
-
-    def on_message_complete(self):
-        self._in_message = False
-        self._in_head = True
-        self._method = None
-        self._awaits_continue = False
-        self._head_started_at = None
-        if self._refusal_code is not None or self._offers_upgrade:
-            return
-        request = self._current_request
-        request.body = b"".join(self._body_parts)
-        request.begun_at = self._begun_at
-        request.received_at = self._loop.time()
-        self._body_parts = []
-        self._pending_requests.append(request)
-
     # The task of the connection.
 
     async def _run(self):
@@ -336,8 +190,13 @@
                 self.request_id = None
                 self.deadline_s = None
                 self.answer_due_at = math.inf
+                self._ends_early = False
                 self._active_at = max(self._active_at, request.begun_at)
+                self._in_progress_bytes = request.held_bytes + REQUEST_IN_PROGRESS_BYTES
                 await self._server.handle(request, self)
+                # It is not needed while the caller reads the response.
+                request.release()
+                self._end_progress()
                 await self._wait_until_read()
                 self.busy = False
                 if not self.keep_alive:
@@ -352,8 +211,13 @@
             self._note_end(EndReason.INTERNAL_ERROR)
         finally:
             self.busy = False
+            self._end_progress()
             self._transport.close()
 
+    def _end_progress(self):
+        self._in_progress_bytes = 0
+        self.report_held()
+
     def _send_internal_error(self):
         """Answers the current request, unless its response has begun."""
         if self.busy and not self.has_response and not self.closed:
@@ -366,14 +230,12 @@
         idle_since = self._loop.time()
         while True:
             if self._pending_requests:
-                return self._pending_requests.pop(0)
+                return self._take_request()
             if self._refusal_code is not None:
-                self._note_end(EndReason.REQUEST_REFUSED)
-                self._is_head_request = self._is_refused_head_request
-                self.send_result_code(self._refusal_code)
+                self._answer_refused_request()
                 return None
             if self._unparsed:
-                self._parse(*self._unparsed.pop_first())
+                await self._parse_in_turn()
                 continue
             if self._reading_paused:
                 self._reading_paused = False
@@ -394,9 +256,28 @@
                 remaining_s = UNREAD_BYTES_WAIT_S
             await self._waiter.wait(remaining_s)
 
+    async def _parse_in_turn(self):
+        """Parses a slice of the bytes that wait, once no other connection does."""
+        await self._server.parse_turns.wait()
+        if self.closed:
+            self._drop_arriving()
+        # They may have been dropped meanwhile.
+        if self._unparsed:
+            self._parse_unparsed()
+            self.report_held()
+
+    def _answer_refused_request(self):
+        self._note_end(EndReason.REQUEST_REFUSED)
+        self._is_head_request = self._is_refused_head_request
+        if self._refusal_retry_after_s is not None:
+            self.keep_alive = False
+        self.send_result_code(self._refusal_code, self._refusal_retry_after_s)
+
     def _refuse_arriving_request(self):
         """Answers a request whose rest comes too late for a stop, if at all."""
         self._refuse(ResultCode.NOT_READY)
+        self._drop_arriving()
+        self.report_held()
         self._note_end(EndReason.REQUEST_REFUSED)
         self._is_head_request = self._is_refused_head_request
         self.send_result_code(ResultCode.NOT_READY, self._server.arrival_retry_after_s)
@@ -421,23 +302,18 @@
         turn.add_done_callback(self._wake_after_turn)
         self.awaits_end = True
         try:
-            while not (turn.done() or self.closed or self._is_used):
+            while not (turn.done() or self.closed or self._has_next_request):
                 await self._waiter.wait()
         finally:
             self.awaits_end = False
             # The end of the turn must not wake a later wait.
             turn.remove_done_callback(self._wake_after_turn)
             turn.cancel()
-        return self.closed or self._is_used
+        return self.closed or self._has_next_request
 
     def _wake_after_turn(self, turn):
         self._waiter.wake()
 
-    @property
-    def _is_used(self):
-        """Whether data has come that asks for an answer."""
-        return self._has_next_request or self._refusal_code is not None
-
     def _silence_end_reason(self):
         """Returns why a connection ends on which nothing came for too long."""
         if self._in_message:
@@ -455,7 +331,10 @@
             return False
         self._note_end(reason)
         if reason is EndReason.REQUEST_REFUSED:
-            self._is_head_request = self._method == b"HEAD"
+            self._refuse(ResultCode.REQUEST_TIMEOUT)
+            self._drop_arriving()
+            self.report_held()
+            self._is_head_request = self._is_refused_head_request
             self.send_result_code(ResultCode.REQUEST_TIMEOUT)
         write_end(self._transport)
         return True
@@ -476,11 +355,6 @@
             or self._first_request_remaining_s() > 0
         )
 
-    @property
-    def _has_next_request(self):
-        """Whether another request has arrived, at least in part."""
-        return bool(self._pending_requests or self._unparsed) or self._in_message
-
     @property
     def _closes_after_response(self):
         """Whether the server closes this connection after the current response.
@@ -507,6 +381,8 @@
                 self._head_started_at = now
             return self._head_started_at + limits.header_timeout_s - now
         self._head_started_at = None
+        if self._ends_early:
+            return 0.0
         if self._server.close_when_idle:
             return self._first_request_remaining_s()
         return idle_since + _kept_idle_s(limits) - now
@@ -516,7 +392,7 @@
 
         A body may neither pause for long nor arrive too slowly.
         """
-        transfer_s = self._body_bytes / MIN_BODY_BYTES_PER_S
+        transfer_s = len(self._body) / MIN_BODY_BYTES_PER_S
         latest_end = self._body_started_at + MAX_BODY_PAUSE_S + transfer_s
         return min(self._last_body_at + MAX_BODY_PAUSE_S, latest_end) - now
 
@@ -543,54 +419,73 @@
         write_end(self._transport)
         await linger(self._transport, self._waiter.wait)
 
-    def _refuse(self, code):
-        if self._refusal_code is None:
-            self._refusal_code = code
-            self._is_refused_head_request = self._method == b"HEAD"
-            self.keep_alive = False
-
     def wake_if_idle(self):
         """Wakes an idle connection, so that it sees that the server is closing."""
         if not self.busy and not self._lingering:
             self._waiter.wake()
 
-    # Responses, written by the handler.
+    # What CallerMemory asks for.
+
+    def report_held(self):
+        """Tells the server's CallerMemory how much this connection holds."""
+        held_bytes = self._in_progress_bytes
+        if not self.closed:
+            held_bytes += (
+                CONNECTION_BYTES
+                + self._pending_bytes
+                + self.unfinished_bytes
+                + self._transport.get_write_buffer_size()
+            )
+        if held_bytes != self.held_bytes:
+            old_bytes, self.held_bytes = self.held_bytes, held_bytes
+            self._server.memory.resize(old_bytes, held_bytes)
+
+    def refuse_for_memory(self):
+        """Refuses the request that is unfinished, and frees what it holds."""
+        self._refuse_unfinished(ResultCode.QUEUE_FULL, FULL_RETRY_AFTER_S)
+        self.report_held()
+        self._waiter.wake()
 
-    def send_response(self, status, headers, body):
-        """Writes a complete response, without ``body`` to a HEAD request."""
-        self.has_response = True
-        head = self._format_head(status, headers, _length_header(len(body)))
-        self._write(head if self._is_head_request else head + body)
+    @property
+    def unread_bytes(self):
+        """Bytes of responses that wait for a caller that does not read."""
+        if self._writable is None or self._transport.is_closing():
+            return 0
+        return self._transport.get_write_buffer_size()
 
-    def send_head_response(self, status, headers, content_length):
-        """Writes the response to a HEAD request.
+    def end_unread(self):
+        """Ends a connection whose caller does not read."""
+        self.abort(EndReason.RESPONSE_UNREAD)
+        self.report_held()
 
-        ``content_length`` is the length that a body would have, None if it is unknown.
-        """
-        self.has_response = True
-        framing_header = b""
-        if content_length is not None:
-            framing_header = _length_header(content_length)
-        self._write(self._format_head(status, headers, framing_header))
-
-    def send_result_code(self, code, retry_after_s=None, request_id=None):
-        """Writes a response that reports a result code, with the code as its body."""
-        body = str(code).encode()
-        headers = [(b"content-type", b"text/plain")]
-        if request_id:
-            headers.append((b"x-request-id", request_id))
-        if retry_after_s is not None:
-            headers.append((b"retry-after", b"%g" % retry_after_s))
-        if code in _CLOSING_CODES:
-            self.keep_alive = False
-        self.send_response(code.http_status, headers, body)
+    @property
+    def idle_since(self):
+        """When the last byte came on a connection that is idle."""
+        return self._received_at
 
-    def start_stream(self, status, headers):
-        """Writes the head of a response with a chunked body."""
-        self.has_response = True
-        self._write(
-            self._format_head(status, headers, b"transfer-encoding: chunked\r\n")
+    def may_end_idle(self, is_urgent):
+        """Whether the connection is idle, and is not about to end unless urgent."""
+        is_idle = not (
+            self.busy
+            or self._lingering
+            or self._has_next_request
+            or self._transport.is_closing()
         )
+        return is_idle and (is_urgent or not self._ends_early)
+
+    def end_idle(self, is_urgent):
+        """Ends an idle connection, at once or in its turn as after the idle limit."""
+        if is_urgent:
+            self.abort(EndReason.CROWDED_OUT)
+            return
+        self._ends_early = True
+        self._waiter.wake()
+
+    def end_unserved(self):
+        """Ends a new connection for which there is no room."""
+        self.abort(EndReason.CROWDED_OUT)
+
+    # Responses, written by the handler.
 
     async def write_chunk(self, data):
         """Writes a chunk and waits for a slow caller. Raises CallerDisconnected."""
@@ -600,9 +495,6 @@
         if self.closed:
             raise CallerDisconnected
 
-    def end_stream(self):
-        self._write(b"0\r\n\r\n")
-
     def abort(self, reason=EndReason.RESPONSE_ABORTED):
         """Aborts the connection, so that an unfinished response looks incomplete."""
         self._note_end(reason)
@@ -638,6 +530,8 @@
     def _write(self, data):
         self._active_at = self._loop.time()
         self._transport.write(data)
+        if self._transport.get_write_buffer_size():
+            self.report_held()
 
     def _report_end(self):
         """Tells the server how the connection has ended, with its socket still open."""
@@ -666,36 +560,8 @@
             return Unanswered.PARTIAL_REQUEST
         return Unanswered.NOTHING
 
-    def _format_head(self, status, headers, framing_header):
-        stays_open = self.keep_alive and not self._closes_after_response
-        if not stays_open:
-            self.keep_alive = False
-        lines = [
-            b"HTTP/1.1 %d %b\r\n"
-            % (status, REASON_PHRASES_BY_STATUS.get(status, b"Status"))
-        ]
-        lines += [b"%b: %b\r\n" % (name, value) for name, value in headers]
-        lines.append(framing_header)
-        lines.append(b"\r\n" if stays_open else b"connection: close\r\n\r\n")
-        return b"".join(lines)
-
-
-# Responses with these codes close the connection.
-_CLOSING_CODES = frozenset(
-    {
-        ResultCode.MALFORMED_REQUEST,
-        ResultCode.BODY_TOO_LARGE,
-        ResultCode.HEADERS_TOO_LARGE,
-        ResultCode.REQUEST_TIMEOUT,
-    }
-)
-
 
 def _kept_idle_s(limits):
     """Returns how long an idle connection is kept open, in seconds."""
     margin_s = max(MIN_IDLE_MARGIN_S, IDLE_MARGIN_SHARE * limits.idle_timeout_s)
     return limits.idle_timeout_s + margin_s
-
-
-def _length_header(content_length):
-    return b"content-length: %d\r\n" % content_length
--- a/snipetrestle/gateway/metrics.py
+++ b/snipetrestle/gateway/metrics.py
@@ -50,6 +50,13 @@
             ("reason", "unanswered"),
             registry=self.registry,
         )
+        self._relieved_connections = Counter(
+            "snipetrestle_gateway_connections_relieved",
+            "Connections of callers whose request was refused, or that were ended, to "
+            "bound the memory of all.",
+            ("kind",),
+            registry=self.registry,
+        )
         self._too_long_datagrams = Counter(
             "snipetrestle_gateway_datagrams_too_long",
             "Messages to other hosts that were too long to be sent.",
@@ -109,6 +116,11 @@
         """Counts the end of a caller's connection by EndReason and Unanswered."""
         self._connection_ends.labels(reason, unanswered).inc()
 
+    def count_relief(self, counts):
+        """Counts connections by the fields of a Relief."""
+        for kind, count in counts.items():
+            self._relieved_connections.labels(kind).inc(count)
+
     def count_too_long_datagram(self):
         """Counts a message to other hosts that was too long to be sent."""
         self._too_long_datagrams.inc()
--- a/snipetrestle/gateway/request_head.py
+++ b/snipetrestle/gateway/request_head.py
@@ -5,7 +5,8 @@
     """A complete request.
 
     Its first byte arrived at ``begun_at`` and its last one at ``received_at``, in
-    seconds of the event loop's clock.
+    seconds of the event loop's clock. ``held_bytes`` is the memory that it takes, with
+    the copies that are made of its body.
     """
 
     __slots__ = (
@@ -16,6 +17,7 @@
         "keep_alive",
         "begun_at",
         "received_at",
+        "held_bytes",
     )
 
     def __init__(self, method, target, headers, keep_alive):
@@ -26,6 +28,12 @@
         self.keep_alive = keep_alive
         self.begun_at = 0.0
         self.received_at = 0.0
+        self.held_bytes = 0
+
+    def release(self):
+        """Frees the memory of a request that has been handled."""
+        self.headers = ()
+        self.body = b""
 
     @property
     def is_head(self):
--- a/snipetrestle/gateway/settings.py
+++ b/snipetrestle/gateway/settings.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from snipetrestle.gateway.caller_memory import DEFAULT_MEMORY_MB
+
 
 class RetryBudgetSettings(msgspec.Struct, frozen=True):
     """Retry budget of a backend, shared by all hosts.
@@ -26,7 +28,8 @@
     ``replica_drain_s``, and a published configuration must be in effect after
     ``configuration_apply_s``. ``shutdown_grace_s`` is the time from the stop signal
     until the process must have ended, and ``entry_expiry_s`` the time after which the
-    store removes the entry of a silent replica.
+    store removes the entry of a silent replica. ``memory_mb`` is the memory that the
+    process may use, in units of 10^6 bytes.
     """
 
     name: str
@@ -44,3 +47,4 @@
     shutdown_grace_s: float
     entry_expiry_s: float
     retry_budget: RetryBudgetSettings
+    memory_mb: float = DEFAULT_MEMORY_MB
--- a/snipetrestle/gateway/unparsed_bytes.py
+++ b/snipetrestle/gateway/unparsed_bytes.py
@@ -5,6 +5,10 @@
 # Bytes that arrive within this time of each other are kept as one piece, so that single
 # bytes don't fill the memory.
 PIECE_S = 0.01
+# Objects of a piece besides its bytes.
+PIECE_BYTES = 160
+# Of the first piece, for a look at its method.
+PREFIX_BYTES = 64
 
 
 class UnparsedBytes:
@@ -22,6 +26,11 @@
     def __len__(self):
         return self._length
 
+    @property
+    def held_bytes(self):
+        """The memory that the pieces take."""
+        return self._length + PIECE_BYTES * len(self._pieces)
+
     def append(self, data, received_at):
         """Adds bytes that have just arrived."""
         self._length += len(data)
@@ -36,8 +45,29 @@
             self._length += len(data)
             self._pieces.appendleft((bytearray(data), received_at))
 
-    def pop_first(self):
-        """Removes the first piece and returns its bytes and the time of its arrival."""
-        data, received_at = self._pieces.popleft()
+    def starts_with(self, prefix):
+        """Whether the first piece starts with ``prefix``, apart from blank lines."""
+        return bool(self._pieces) and (
+            self._pieces[0][0][:PREFIX_BYTES].lstrip(b"\r\n").startswith(prefix)
+        )
+
+    @property
+    def first_received_at(self):
+        """When the first byte arrived."""
+        return self._pieces[0][1]
+
+    def pop_first(self, max_bytes):
+        """Removes bytes of the first piece, and returns them and the time of arrival."""
+        piece, received_at = self._pieces[0]
+        data = bytes(piece[:max_bytes])
+        if len(data) == len(piece):
+            self._pieces.popleft()
+        else:
+            del piece[:max_bytes]
         self._length -= len(data)
-        return bytes(data), received_at
+        return data, received_at
+
+    def clear(self):
+        """Drops all bytes."""
+        self._pieces.clear()
+        self._length = 0
--- a/snipetrestle/platform/settings.py
+++ b/snipetrestle/platform/settings.py
@@ -9,6 +9,7 @@
 import re
 
 from snipetrestle.coordination.messages import HOST_PATTERN
+from snipetrestle.gateway.caller_memory import DEFAULT_MEMORY_MB
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 from snipetrestle.gateway.settings import GatewaySettings, RetryBudgetSettings
 from snipetrestle.platform.values import MAX_PORT
@@ -104,6 +105,9 @@
         entry_expiry_s=MISSED_HEARTBEATS
         * fields.read_optional("heartbeat_ms", _seconds, DEFAULT_HEARTBEAT_S),
         retry_budget=budget,
+        memory_mb=fields.read_optional(
+            "limits.memory_mb", _positive_number, DEFAULT_MEMORY_MB
+        ),
     )
     if fields.problems:
         raise InvalidSettings(fields.problems)
@@ -122,11 +126,15 @@
     return _number(milliseconds) / 1000
 
 
-def _positive_seconds(milliseconds):
-    seconds = _seconds(milliseconds)
-    if not seconds:
+def _positive_number(text):
+    number = _number(text)
+    if not number:
         raise ValueError("must be above 0")
-    return seconds
+    return number
+
+
+def _positive_seconds(milliseconds):
+    return _positive_number(milliseconds) / 1000
 
 
 def _name(text):
--- a/tests/gateway/test_request_sequences.py
+++ b/tests/gateway/test_request_sequences.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.gateway import http_server
+from snipetrestle.gateway import response_writer
 from snipetrestle.gateway.http_server import CallerConnection
 from tests.gateway import sequence_fuzz
 from tests.gateway.raw_answers import Incomplete, NotAnAnswer, read_answer
@@ -78,7 +78,7 @@
         self.assert_found("answers are missing")
 
     def test_finds_an_end_that_is_not_announced(self):
-        self.patch(http_server, "_CLOSING_CODES", frozenset())
+        self.patch(response_writer, "_CLOSING_CODES", frozenset())
         self.assert_found()
 
     def test_finds_answers_in_another_order(self):
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -60,6 +60,17 @@
         self.assertEqual(54.0, settings.retry_budget.slack)
         self.assertAlmostEqual(3.6, settings.entry_expiry_s)
 
+    def test_memory_limit(self):
+        """Without the field a host counts as one of the smallest; a limit of nothing
+        would refuse all callers."""
+        self.assertEqual(152.0, parse_settings(SETTINGS).memory_mb)
+        settings = parse_settings(f"{SETTINGS}limits.memory_mb=304.5\n")
+        self.assertEqual(304.5, settings.memory_mb)
+        for value in ("0", "-1", "nan", "many", ""):
+            self.assertRaises(
+                InvalidSettings, parse_settings, f"{SETTINGS}limits.memory_mb={value}\n"
+            )
+
     def test_errors_list_every_bad_field(self):
         """Incomplete settings must be refused with one error that names every bad
         field, instead of errors that are shown one by one."""
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -37,9 +37,10 @@
     """One gateway process on its own loopback address.
 
     ``stopping`` is True after the soak test has killed or stopped it.
+    ``further_settings`` are lines that are added to its settings file.
     """
 
-    def __init__(self, number, folder, ports, seeds, store):
+    def __init__(self, number, folder, ports, seeds, store, further_settings=""):
         self.name = f"entry-{number}"
         self.ip = f"127.0.0.{number + 2}"
         self.callers_address = (self.ip, ports["front"])
@@ -58,6 +59,7 @@
                 grace=SHUTDOWN_GRACE_S,
                 **ports,
             )
+            + further_settings
         )
 
     async def start(self):
@@ -79,6 +81,10 @@
                 stderr=log,
             )
 
+    @property
+    def pid(self):
+        return self._process.pid
+
     @property
     def is_running(self):
         return self._process is not None and self._process.returncode is None
