--- a/snipetrestle/gateway/http_client.py
+++ b/snipetrestle/gateway/http_client.py
@@ -12,6 +12,7 @@
 
 from snipetrestle.gateway.message_limits import OverheadMeter
 from snipetrestle.gateway.waiter import Waiter
+from snipetrestle.http_responses import is_defined_status
 from snipetrestle.sockets import has_unread_input
 
 # A connection is lost if sent data stays unacknowledged for this long.
@@ -127,6 +128,8 @@
         self.reusable = False
         if self._in_exchange and not self._complete:
             self._fail(f"the connection was closed: {exc!r}", ReplicaClosed)
+        # They refer to this connection and to the exchange, with the response's body.
+        self._parser = self._is_response_to = None
         self._waiter.wake()
 
     # Callbacks of httptools.
@@ -148,6 +151,12 @@
         if self._complete:
             return
         status = self._parser.get_status_code()
+        if not is_defined_status(status):
+            self._fail(f"the response has the undefined status {status:03}")
+        if self._failure is not None:
+            # What follows a malformed response cannot be trusted.
+            self._skipping_response = True
+            return
         head = ResponseHead(status, self._headers)
         if status < 200 or not self._is_response_to(head):
             self._skipping_response = True
@@ -287,6 +296,7 @@
             and self._transport.get_write_buffer_size() == 0
         )
         self._in_exchange = False
+        self._is_response_to = None
         if not reusable:
             self.close()
         return reusable
