--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -4,7 +4,8 @@
 loaded by the replica with the lowest cost: a replica that held it recently loads it
 faster, a free slot avoids an eviction, and lower demand means smaller batches. The
 adapter with the least demand is evicted; one that was requested recently never is,
-since hosts cache a location for a while without asking again.
+since hosts cache a location for a while without asking again. Loads go to replicas with
+few recent prompts, since each load is followed by the prompt of its first request.
 """
 
 import collections
@@ -37,6 +38,12 @@
 DEFAULT_EVENT_INTERVAL_S = 0.03
 # Time that a replica needs for the prompt of a request, in event intervals.
 PROMPT_EVENT_INTERVALS = 2.0
+# Prompts that reach a replica within a few event intervals of each other add up to one
+# pause of all its streams, so recent prompts count by the half-life of this time.
+RECENT_PROMPTS_HALF_LIFE_S = 0.4
+# An adapter gets so many copies that its prompts take at most this part of the time of
+# each holder.
+MAX_HOLDER_PROMPT_LOAD = 0.25
 # Upper bound of a replica's estimated busy fraction.
 MAX_BUSY_FRACTION = 0.95
 # A used adapter is copied to a replica whose prompt delay, relative to that of its
@@ -57,6 +64,7 @@
 RECENT_BONUS = 0.5
 EVICTION_COST = 0.4
 PROMPT_DELAY_COST = 1.0
+PROMPT_LOAD_COST = 2.0
 PENDING_LOAD_COST = 0.1
 UTILIZATION_COST = 2.0
 FAILURE_COST = 2.0
@@ -147,6 +155,7 @@
         "loading_from_store",
         "pending_loads",
         "demand",
+        "recent_prompts",
         "failed_until",
         "_recent_keys",
     )
@@ -177,6 +186,7 @@
         # LoadRequest by key, for loads that are decided but not ordered yet.
         self.pending_loads = {}
         self.demand = DecayingCount()
+        self.recent_prompts = DecayingCount(RECENT_PROMPTS_HALF_LIFE_S)
         self.failed_until = 0.0
         self._recent_keys = collections.OrderedDict()
 
@@ -252,12 +262,18 @@
         fraction is weighted by the square of the replica's event interval relative to
         the median.
         """
-        busy = min(
-            MAX_BUSY_FRACTION,
-            self.demand.rate(now) * PROMPT_EVENT_INTERVALS * self.event_interval_s,
-        )
+        busy = min(MAX_BUSY_FRACTION, self.demand.rate(now) * self.prompt_time_s)
         return busy / (1 - busy) * (self.event_interval_s / median_interval_s) ** 2
 
+    @property
+    def prompt_time_s(self):
+        """The time in which the replica processes the prompt of a request."""
+        return PROMPT_EVENT_INTERVALS * self.event_interval_s
+
+    def prompt_load(self, now):
+        """Returns the part of its time that the replica needs for recent prompts."""
+        return self.recent_prompts.rate(now) * self.prompt_time_s
+
     @property
     def taken_slots(self):
         """The slots of the adapters that are held or in transit."""
@@ -345,6 +361,13 @@
         holders = self.holders(key)
         for replica in holders:
             replica.demand.add(uses / len(holders), now)
+            replica.recent_prompts.add(uses / len(holders), now)
+
+    def record_expected_prompt(self, replica_id):
+        """Counts the prompt of a request that waits for a load at a replica."""
+        replica = self.by_replica.get(replica_id)
+        if replica is not None:
+            replica.recent_prompts.add(1, anyio.current_time())
 
     def holders(self, key):
         """Returns the usable replicas that hold the adapter or are loading it."""
@@ -430,10 +453,12 @@
         return PlacementStatistics(others, anyio.current_time(), median_s)
 
     def _target_copies(self, key):
-        """Returns the copies that keep an adapter's holders at MAX_HOLDER_UTILIZATION.
+        """Returns the copies that keep an adapter's holders from being overloaded.
 
-        Attributes the utilization of all replicas to adapters by their shares of the
-        recent demand. Waiting until the holders report a high utilization would take a
+        Their utilization is to stay below MAX_HOLDER_UTILIZATION, and their prompt load
+        below MAX_HOLDER_PROMPT_LOAD or, if that is higher, the mean load. Attributes
+        the utilization of all replicas to adapters by their shares of the recent
+        demand. Waiting until the holders report a high utilization would take a
         heartbeat and a load for each copy; meanwhile a newly popular adapter would
         overload its first holders.
         """
@@ -441,9 +466,16 @@
         total = self._total_recent_demand.value(now)
         if total < MIN_RECENT_USES:
             return 0
-        utilization = self._current_statistics().utilization_sum
+        statistics = self._current_statistics()
         share = self._recent_demand_by_key[key].value(now) / total
-        return int(share * utilization / MAX_HOLDER_UTILIZATION)
+        utilization = share * statistics.utilization_sum
+        prompt_time_s = PROMPT_EVENT_INTERVALS * statistics.median_interval_s
+        total_load = self._total_recent_demand.rate(now) * prompt_time_s
+        mean_load = total_load / len(self.by_replica)
+        return max(
+            int(utilization / MAX_HOLDER_UTILIZATION),
+            round(share * total_load / max(MAX_HOLDER_PROMPT_LOAD, mean_load)),
+        )
 
     def choose_replica(self, key, avoid=()):
         """Returns the replica that should load an adapter; None if none can now.
@@ -482,6 +514,7 @@
     def _cost(self, replica, key, now, median_s):
         """Returns the cost of a load; infinite if the replica has no slot for it."""
         cost = PROMPT_DELAY_COST * replica.prompt_delay(now, median_s)
+        cost += PROMPT_LOAD_COST * replica.prompt_load(now)
         cost += (
             PENDING_LOAD_COST * len(replica.pending_loads)
             + UTILIZATION_COST * replica.utilization
--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -226,6 +226,7 @@
         if load is None:
             load = self._request_load(key, avoid, LoadReason.MISSING)
         if load is not None:
+            self.placement.record_expected_prompt(load.replica_id)
             await load.done
 
 
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -63,9 +63,10 @@
     ``reason`` is the LoadReason.
     """
 
-    __slots__ = ("key", "reason", "done")
+    __slots__ = ("replica_id", "key", "reason", "done")
 
-    def __init__(self, key, reason):
+    def __init__(self, replica_id, key, reason):
+        self.replica_id = replica_id
         self.key = key
         self.reason = reason
         self.done = asyncio.get_running_loop().create_future()
@@ -138,7 +139,7 @@
         """Queues the load of an adapter. Returns its LoadRequest."""
         load = self.replica_adapters.pending_loads.get(key)
         if load is None:
-            load = LoadRequest(key, reason)
+            load = LoadRequest(self.replica_adapters.replica_id, key, reason)
             self.replica_adapters.add_pending(load)
             self._queue.append(load)
             self.wake()
