--- a/snipetrestle/coordination/send_permits.py
+++ b/snipetrestle/coordination/send_permits.py
@@ -10,6 +10,7 @@
 from snipetrestle.coordination.datagram_requests import DatagramRequests
 from snipetrestle.coordination.messages import PermitReply, PermitRequest
 from snipetrestle.coordination.report_rounds import fitting
+from snipetrestle.limits.rate_pool import RatePool
 
 # Permits that were not used for this long may be used at once later.
 BURST_S = 1.0
@@ -23,14 +24,10 @@
 
 
 class PermitIssuer:
-    """Issues the permits of all hosts; for the leader.
-
-    Uses the generic cell rate algorithm: for each replica, the time from which on the
-    next request would be due if they came evenly.
-    """
+    """Issues the permits of all hosts, from a RatePool for each replica."""
 
     def __init__(self):
-        self._due_by_replica = {}
+        self._pools_by_replica = {}
 
     def issue(self, limits_by_replica, max_wait_s, is_optional):
         """Books the earliest request to one of several replicas.
@@ -38,28 +35,31 @@
         Returns (replica id, time to wait in s). The id is None, and nothing is booked,
         if the wait would be longer than ``max_wait_s``.
         """
-        now = anyio.current_time()
         wait_s, replica_id = min(
-            (self._wait_s(item, per_s, is_optional, now), item)
+            (self._wait_s(item, per_s, is_optional), item)
             for item, per_s in limits_by_replica.items()
         )
         if wait_s > max_wait_s:
             return None, wait_s
-        due = max(now, self._due_by_replica[replica_id])
-        self._due_by_replica[replica_id] = due + 1 / limits_by_replica[replica_id]
+        self._pools_by_replica[replica_id].take(1.0)
         return replica_id, wait_s
 
-    def _wait_s(self, replica_id, per_s, is_optional, now):
-        tolerance_s = max(0.0, BURST_S - 1 / per_s)
-        due = self._due_by_replica.get(replica_id)
-        if due is None:
-            if len(self._due_by_replica) >= MAX_KNOWN_REPLICAS:
-                self._due_by_replica.clear()
-            # What the replica got until now is unknown.
-            due = self._due_by_replica[replica_id] = now + tolerance_s
-        if is_optional:
-            tolerance_s *= 1 - RESERVED_FRACTION
-        return max(0.0, due - tolerance_s - now)
+    def _wait_s(self, replica_id, per_s, is_optional):
+        pool = self._pool(replica_id, per_s)
+        reserved = RESERVED_FRACTION * (pool.burst - 1.0) if is_optional else 0.0
+        return pool.wait_s(1.0, reserved)
+
+    def _pool(self, replica_id, per_s):
+        burst = max(1.0, BURST_S * per_s)
+        pool = self._pools_by_replica.get(replica_id)
+        if pool is None:
+            if len(self._pools_by_replica) >= MAX_KNOWN_REPLICAS:
+                self._pools_by_replica.clear()
+            # What the replica got until now is unknown, so only one may be sent.
+            pool = self._pools_by_replica[replica_id] = RatePool(per_s, burst, 1.0)
+        elif (pool.rate_per_s, pool.burst) != (per_s, burst):
+            pool.set_limit(per_s, burst)
+        return pool
 
 
 class SendPermits:
