--- a/snipetrestle/coordination/heartbeat_content.py
+++ b/snipetrestle/coordination/heartbeat_content.py
@@ -42,6 +42,7 @@
             else min(state.documents.version_sum, MAX_REVISION),
             reads_store=state is not None and state.is_store_reachable,
             candidates=leadership.next_leaders(),
+            reached=leadership.reached_count(),
         )
 
     def readers_by_domain(self):
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -60,6 +60,7 @@
     document_version_sum: int = 0
     reads_store: bool = False
     candidates: tuple = ()
+    reached: int = 0
 
 
 class KnownHost:
@@ -183,6 +184,10 @@
         """Returns the number of known hosts that are not leaving, with this one."""
         return len(self.staying_names())
 
+    def count_with_lost(self):
+        """Returns the number of known hosts and of lost ones that may be cut off."""
+        return self.count() + len(self.lost.by_name)
+
     def sender_names(self):
         """Returns the names of the hosts that send requests to replicas, sorted.
 
@@ -260,6 +265,7 @@
             self._heartbeat(status),
             members_digest=self.members_digest,
             candidates=status.candidates,
+            reached=status.reached,
         )
         readers_by_domain = self._content.readers_by_domain()
         hosts_by_domain = {}
--- a/snipetrestle/coordination/key_owners.py
+++ b/snipetrestle/coordination/key_owners.py
@@ -9,6 +9,8 @@
 
 # How long a host that did not answer is passed over.
 SILENCE_S = 2.0
+# A host that finds more of the best hosts of a key silent asks no others.
+MAX_PASSED_OVER = 3
 MAX_CACHED_KEYS = 8192
 
 
@@ -46,23 +48,48 @@
     def responsive_owner(self, key):
         """Returns the best host for a key that is not passed over now.
 
-        Returns the name of this host if all others are passed over.
+        Returns the name of this host if many are passed over: it may be cut off.
         """
         best = self.owner(key)
-        if not self._is_silent(best):
+        if not self.is_silent(best):
             return best
-        names = [name for name in self._names if not self._is_silent(name)]
-        return max(names or [self._hosts.own.name], key=lambda name: _rank(key, name))
-
-    def note_silent(self, name):
+        ranked = sorted(self._names, key=lambda name: _rank(key, name), reverse=True)
+        for name in ranked[: MAX_PASSED_OVER + 1]:
+            if not self.is_silent(name):
+                return name
+        return self._hosts.own.name
+
+    def decides(self, key):
+        """Whether this host is the best one for a key that is not passed over now."""
+        best = self.owner(key)
+        own = self._hosts.own.name
+        if best == own or not self.is_silent(best):
+            return best == own
+        return not any(
+            self.ranks_above_own(key, name) and not self.is_silent(name)
+            for name in self._names
+        )
+
+    def next_owner(self, key):
+        """Returns the host that owns a key without this one, or None if it is alone."""
+        own = self._hosts.own.name
+        names = [name for name in self._hosts.sender_names() if name != own]
+        return max(names, key=lambda name: _rank(key, name), default=None)
+
+    def ranks_above_own(self, key, name):
+        """Whether a host would own a key rather than this one."""
+        return _rank(key, name) > _rank(key, self._hosts.own.name)
+
+    def note_silent(self, name, duration_s=SILENCE_S):
         """Passes over a host that did not answer."""
-        self._silent_until_by_name[name] = anyio.current_time() + SILENCE_S
+        self._silent_until_by_name[name] = anyio.current_time() + duration_s
 
     def note_heard(self, name):
         """Uses a host again that has answered."""
         self._silent_until_by_name.pop(name, None)
 
-    def _is_silent(self, name):
+    def is_silent(self, name):
+        """Whether a host is passed over now."""
         until = self._silent_until_by_name.get(name)
         if until is None:
             return False
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -85,6 +85,7 @@
         self._leader_heard_at = None
         self._leader_boot = 0
         self._announced_candidates = ()
+        self._announced_reached = 0
         self._resigned = False
         # Whether the last leader can lead no more, and whether its process has ended.
         self._leader_ended = False
@@ -132,6 +133,15 @@
         names = [name for name in self._candidates() if name != self._hosts.own.name]
         return tuple(names[:ANNOUNCED_CANDIDATES])
 
+    def reached_count(self):
+        """Returns the number of hosts that the leader reaches, with itself.
+
+        Returns 0 without a recent leader that has told it.
+        """
+        if self.leads:
+            return len(self._hosts.reachable_staying()) + 1
+        return self._announced_reached if self.has_recent_leader else 0
+
     def check_still_leading(self):
         """Tells whether this host may order now; resigns if it was suspended."""
         self._check_suspension()
@@ -357,6 +367,7 @@
         self._leader_boot = heartbeat.sender.boot
         if heartbeat.is_announcement:
             self._announced_candidates = heartbeat.candidates
+            self._announced_reached = heartbeat.reached
         self._resigned = False
         self._token_refused = False
         self._leader_heard_at = anyio.current_time()
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -26,6 +26,7 @@
 MAX_AGE_S = 1e9
 MAX_RATE_PER_S = 1e9
 MAX_COUNT = 2**31
+MAX_UNITS = 1e15
 
 # Bounds of the lists in heartbeats and in answers to Join.
 MAX_CANDIDATES = 4
@@ -50,6 +51,8 @@
 # -1 stands for "never".
 AgeS = typing.Annotated[float, msgspec.Meta(ge=-1, le=MAX_AGE_S)]
 RatePerS = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_RATE_PER_S)]
+# Units of a quota, and how long a request waits for them.
+Units = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_UNITS)]
 DurationS = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_S)]
 RevisionByPrefix = typing.Annotated[
     dict[Name, Revision], msgspec.Meta(max_length=MAX_PREFIXES)
@@ -148,7 +151,8 @@
 
     Only a leader sends the rest: ``members_digest`` of all hosts that it knows, the
     names of the likely next leaders, and of the hosts that read the store for the
-    receiver's failure domain.
+    receiver's failure domain, and in ``reached`` the number of hosts that it hears,
+    with itself.
     """
 
     sender: HostInfo
@@ -167,6 +171,7 @@
     ] = ()
     epoch_by_prefix: RevisionByPrefix = {}
     document_version_sum: Revision = 0
+    reached: Count = 0
 
     def newest_position(self, prefix):
         """Returns the StorePosition of the newest item that the sender has."""
@@ -356,6 +361,37 @@
     wait_s: DurationS
 
 
+class QuotaRequest(_Message):
+    """Request to the owner of a tenant's quota for ``amount`` units, or a part.
+
+    At least ``minimum`` units are of use, and these can wait for ``max_wait_s``.
+    ``returned`` units that the owner had issued were not used. ``boot`` is that of the
+    sender, whose address identifies it: two long names would not fit. A request is
+    repeated with its ``number``, and numbers increase. A ``minimum`` of 0 asks for what
+    the receiver has, as its level is handed over to another owner.
+    """
+
+    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    number: Revision
+    tenant: Name
+    amount: Units
+    minimum: Units
+    returned: Units
+    max_wait_s: DurationS
+
+
+class QuotaReply(_Message):
+    """Answer to QuotaRequest: the units that may be used after ``wait_s``.
+
+    With 0 granted units, ``wait_s`` is the time until the minimum is available. If that
+    is 0 as well, the receiver is not the owner, and believes that the owner answers.
+    """
+
+    number: Revision
+    granted: Units
+    wait_s: DurationS
+
+
 Message = (
     Heartbeat
     | ReplicaLoads
@@ -367,6 +403,8 @@
     | Located
     | PermitRequest
     | PermitReply
+    | QuotaRequest
+    | QuotaReply
     | LostPrompts
     | LostRequests
 )
@@ -380,6 +418,8 @@
         KnownHosts: 45 * 1024,
         Changes: 10 * 1024,
         PermitReply: 1024,
+        QuotaRequest: 1024,
+        QuotaReply: 1024,
         ReplicaLoads: 9 * 1024,
         RequestLimitReports: 9 * 1024,
         LostPrompts: 14 * 1024,
