--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -160,6 +160,16 @@
         "INFO",
         "replica has accepted other orders than the leader knows of",
     )
+    QUOTA_REFUSALS_STARTED = (
+        1451,
+        "WARNING",
+        "requests of a tenant are refused by its quota",
+    )
+    QUOTA_REFUSALS_ENDED = (
+        1452,
+        "INFO",
+        "requests of a tenant are no longer refused by its quota",
+    )
     PROCESS_RESUMED = (1430, "WARNING", "process resumed after a pause")
     WRITE_UNKNOWN = (1501, "WARNING", "outcome of a write is unknown")
     KEEPER_READY = (1502, "INFO", "keeper recovered and is ready")
--- a/snipetrestle/gateway/metrics.py
+++ b/snipetrestle/gateway/metrics.py
@@ -60,6 +60,20 @@
             "Messages to other hosts that the system refused to send.",
             registry=self.registry,
         )
+        quota_requests = Counter(
+            "snipetrestle_gateway_quota_requests",
+            "Requests of tenants with a quota, by whether it had room.",
+            ("result",),
+            registry=self.registry,
+        )
+        self._quota_granted = quota_requests.labels("granted")
+        self._quota_refused = quota_requests.labels("refused")
+        self._quota_asks = Counter(
+            "snipetrestle_gateway_quota_asks",
+            "Requests for units to other hosts: granted, denied or silent.",
+            ("answer",),
+            registry=self.registry,
+        )
         self._series_by_route = {}
 
     def _histogram(self, name, documentation):
@@ -117,6 +131,14 @@
         """Counts a message to another host that the system refused to send."""
         self._refused_datagrams.inc()
 
+    def count_quota(self, is_granted):
+        """Counts a request of a tenant with a quota."""
+        (self._quota_granted if is_granted else self._quota_refused).inc()
+
+    def count_quota_ask(self, answer):
+        """Counts the answer to a request for units: granted, denied or silent."""
+        self._quota_asks.labels(answer).inc()
+
     def render(self):
         """Returns the metrics in the Prometheus text format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
--- a/snipetrestle_standins/datagram_network.py
+++ b/snipetrestle_standins/datagram_network.py
@@ -1,6 +1,7 @@
 """In-memory datagram network between hosts, whose links can be cut."""
 
 import collections
+import random
 
 import anyio
 
@@ -15,14 +16,20 @@
 
     ``cuts`` has a frozenset of two names for each pair of hosts whose datagrams are
     lost, and those that UDP cannot carry are dropped. A message that is longer than its
-    type allows is an error. ``datagrams_by_sender`` counts what each host has sent.
-    ``task_group`` is the task group that delivers; its owner sets it.
+    type allows is an error. ``datagrams_by_sender`` counts what each host has sent,
+    ``datagrams_by_type`` and ``bytes_by_type`` what all have, without headers.
+    ``loss_rate`` is the part of the datagrams that are lost at random, drawn from
+    ``rng``. ``task_group`` is the task group that delivers; its owner sets it.
     """
 
     def __init__(self):
         self.endpoints_by_address = {}
         self.cuts = set()
         self.datagrams_by_sender = collections.Counter()
+        self.bytes_by_type = collections.Counter()
+        self.datagrams_by_type = collections.Counter()
+        self.loss_rate = 0.0
+        self.rng = random.Random(0)
         self.task_group = None
 
     def connected(self, first, second):
@@ -58,9 +65,14 @@
             raise ValueError(f"{type(message).__name__} has {len(content)} bytes")
         for address in addresses:
             self._network.datagrams_by_sender[self.name] += 1
+            self._network.datagrams_by_type[type(message)] += 1
+            self._network.bytes_by_type[type(message)] += len(content)
             self._network.task_group.start_soon(self._deliver, content, address)
 
     async def _deliver(self, content, address):
+        network = self._network
+        if network.loss_rate and network.rng.random() < network.loss_rate:
+            return
         await anyio.sleep(DELIVERY_DELAY_S)
         target = self._network.endpoints_by_address.get(address)
         if target is None or not target.up or not self.up:
