--- a/snipetrestle/coordination/quota_issuer.py
+++ b/snipetrestle/coordination/quota_issuer.py
@@ -25,6 +25,9 @@
 # The part of its share of the burst that a host starts with which nobody answers. All
 # hosts may be cut off from each other while the owner has issued the whole burst.
 OWN_SHARE_BURST = 0.2
+# Pools hold at least what accrues in this time, so that a busy tenant without a burst
+# need not ask for each request.
+MIN_BURST_S = 0.25
 # What a request for a quota is told that this host does not know yet.
 UNKNOWN_WAIT_S = 0.1
 # The longest time to wait that is told.
@@ -133,12 +136,12 @@
         quota = tenant.quota
         state = self._own_share_pools_by_tenant.get(tenant.name)
         if state is None:
-            level = OWN_SHARE_BURST * share * quota.burst
-            pool = RatePool(share * quota.rate_per_s, quota.burst, level)
+            level = OWN_SHARE_BURST * share * _burst(quota)
+            pool = RatePool(share * quota.rate_per_s, _burst(quota), level)
             state = _TenantPool(pool, quota)
             self._own_share_pools_by_tenant[tenant.name] = state
         state.used_at = anyio.current_time()
-        state.pool.set_limit(share * quota.rate_per_s, quota.burst)
+        state.pool.set_limit(share * quota.rate_per_s, _burst(quota))
         return _grant(state.pool, amount, minimum, max_wait_s)
 
     def _issue(self, tenant, state, sender, amount, minimum, returned, max_wait_s):
@@ -147,7 +150,8 @@
             return 0.0, 0.0
         pool = state.pool
         fraction = self._fraction(tenant.name, state)
-        pool.set_limit(fraction * tenant.quota.rate_per_s, tenant.quota.burst)
+        quota = tenant.quota
+        pool.set_limit(fraction * quota.rate_per_s, _burst(quota))
         pool.put_back(returned)
         granted, wait_s = _grant(pool, amount, minimum, max_wait_s)
         if granted:
@@ -211,9 +215,9 @@
         is_owner = self._owners.owns(tenant.name)
         if is_owner:
             owned_s = anyio.current_time() - self._owned_since(tenant.name)
-            level = min(quota.burst, owned_s * quota.rate_per_s)
-        state = _TenantPool(RatePool(quota.rate_per_s, quota.burst, level), quota)
-        if is_owner and level < quota.burst:
+            level = min(_burst(quota), owned_s * quota.rate_per_s)
+        state = _TenantPool(RatePool(quota.rate_per_s, _burst(quota), level), quota)
+        if is_owner and level < _burst(quota):
             self._start(self._take_over, tenant.name, state)
         return state
 
@@ -224,7 +228,7 @@
             return
         state.is_taken_over = True
         try:
-            burst = state.quota.burst
+            burst = _burst(state.quota)
             reply = await self._requests.ask(name, tenant_name, burst, 0.0, 0.0, 0.0)
             if reply is not None:
                 state.pool.put_back(reply.granted)
@@ -356,6 +360,10 @@
             self._task_group.start_soon(run_isolated, function, *args)
 
 
+def _burst(quota):
+    return max(quota.burst, MIN_BURST_S * quota.rate_per_s)
+
+
 def _grant(pool, amount, minimum, max_wait_s):
     """Takes up to an amount, at least a minimum, of what a pool has soon.
 
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -11,10 +11,14 @@
 from snipetrestle.coordination.director import PlacementController
 from snipetrestle.coordination.heartbeat_content import HeartbeatContent
 from snipetrestle.coordination.hosts import Hosts
+from snipetrestle.coordination.key_owners import KeyOwners
 from snipetrestle.coordination.leadership import Leadership, has_ended
 from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import HostInfo
 from snipetrestle.coordination.order_activity import OrderActivity
+from snipetrestle.coordination.pause_watch import PauseWatch
+from snipetrestle.coordination.quota_issuer import QuotaIssuer
+from snipetrestle.coordination.quota_requests import QuotaRequests
 from snipetrestle.coordination.send_permits import SendPermits
 from snipetrestle.coordination.shared_loads import SharedReplicaLoads
 from snipetrestle.coordination.shared_quarantine import SharedQuarantine
@@ -44,6 +48,7 @@
 )
 from snipetrestle.gateway.transfers import Transfers
 from snipetrestle.listening import ListenerCloser
+from snipetrestle.tenants.quota_accounts import QuotaAccounts
 
 IDLE_CHECK_INTERVAL_S = 0.02
 # Idle connections are ended in groups, at this interval and in at most so many groups.
@@ -271,6 +276,7 @@
             settings.name,
             RequestLimits(self.hosts, rng),
         )
+        self._build_quotas()
         self.director = PlacementController(
             self.state,
             self.leadership,
@@ -302,6 +308,36 @@
         self._on_drained = None
         self._snapshot_server = None
 
+    def _build_quotas(self):
+        self.key_owners = KeyOwners(self.hosts)
+        self.pause_watch = PauseWatch()
+        requests = QuotaRequests(self.hosts, self.datagram_endpoint, self.key_owners)
+        self.quota_issuer = QuotaIssuer(
+            self.hosts,
+            self.leadership,
+            self.datagram_endpoint,
+            self.key_owners,
+            requests,
+            self._find_tenant,
+            self.pause_watch,
+        )
+        self.quota_accounts = QuotaAccounts(
+            self.settings.name,
+            self.key_owners,
+            requests,
+            self.quota_issuer,
+            self.pause_watch,
+            RequestLines(),
+            self.metrics,
+        )
+
+    def _find_tenant(self, name):
+        """Returns the Tenant with a name, or None."""
+        configuration = self.state.configuration
+        if configuration is None or configuration.tenants is None:
+            return None
+        return configuration.tenants.by_name.get(name)
+
     def _log_request_refusal(self, request, refused):
         self.lost_request_log.log(
             Event.REQUEST_REFUSAL_CHANGED, fingerprint=request, refused=refused
@@ -375,6 +411,9 @@
                     self.order_activity.run,
                     self.director.run,
                     self.locator.run,
+                    self.pause_watch.run,
+                    self.quota_issuer.run,
+                    self.quota_accounts.run,
                     self.snapshots.run,
                     self.snapshots.follow_documents,
                     self._log_ready,
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -23,6 +23,7 @@
 )
 from snipetrestle.gateway.http_server import CallerDisconnected
 from snipetrestle.gateway.job import Job, Refused
+from snipetrestle.gateway.quota_check import QuotaCheck
 from snipetrestle.gateway.replica_search import RETRY_AFTER_S, ReplicaSearch
 from snipetrestle.gateway.supervision import log_unexpected
 from snipetrestle.gateway.usual_durations import UsualDurations
@@ -64,6 +65,7 @@
         self._crash_quarantine = gateway.crash_quarantine
         self._crash_check = CrashCheck(gateway)
         self._search = ReplicaSearch(gateway)
+        self._quota_check = QuotaCheck(gateway.quota_accounts)
         self._rng = gateway.rng
         self._durations = UsualDurations()
         self._give_up_at = None
@@ -148,6 +150,7 @@
         try:
             with scope:
                 self._check_time_left(job)
+                await self._quota_check.book(job)
                 if job.route.kind is RequestKind.STREAM:
                     await self._forward_stream(job)
                 else:
@@ -163,6 +166,7 @@
             refusal = _internal_refusal(job)
         finally:
             self._scopes.discard(scope)
+            self._quota_check.end(job)
             job.caller.on_disconnect = None
         if job.caller.closed:
             self._metrics.count(job.route.name, None, "caller_gone")
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -54,7 +54,8 @@
     time of the first attempt, or None. ``has_replacement`` tells that the request was
     sent to another replica while the first one is silent. ``dropped_on`` holds the ids
     of replicas whose replacement was ended before it had a response; the request may go
-    to them again.
+    to them again. ``quota_booking`` is the tenant and what the request has booked on
+    its quota, or None.
     """
 
     __slots__ = (
@@ -85,6 +86,7 @@
         "first_sent_at",
         "has_replacement",
         "dropped_on",
+        "quota_booking",
     )
 
     def __init__(self, request, metadata, route, backend, caller, tenant=None):
@@ -120,6 +122,7 @@
         self.first_sent_at = None
         self.has_replacement = False
         self.dropped_on = set()
+        self.quota_booking = None
 
     def begin_stream(self):
         """Records that the caller gets the start of a stream, which lifts the margin."""
--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -38,7 +38,7 @@
 MAX_OWN_SHARE_WAIT_S = 2.0
 # An owner that has denied units is asked again after this time at the latest: another
 # host may have returned some.
-MAX_DENIAL_S = 5.0
+MAX_DENIAL_S = 7.0
 # The refusals of a tenant have ended after this long without one.
 REFUSAL_END_S = 5.0
 IDLE_S = 10.0
@@ -73,6 +73,7 @@
 class _Account:
     """The balance and the waiting requests of one tenant at this host.
 
+    The owner has told to wait for ``last_wait_s``.
     ``owner`` is the host that issued the last units, and ``unused`` those of it that
     have expired. ``denied_until`` is when ``denied_amount`` units are available again.
     """
@@ -88,6 +89,7 @@
         "unused",
         "denied_until",
         "denied_amount",
+        "last_wait_s",
         "asks_again_at",
         "short_until",
         "used_at",
@@ -107,6 +109,7 @@
         self.unused = 0.0
         self.denied_until = 0.0
         self.denied_amount = 0.0
+        self.last_wait_s = 0.0
         self.asks_again_at = 0.0
         self.short_until = 0.0
         self.used_at = anyio.current_time()
@@ -173,6 +176,7 @@
         now = anyio.current_time()
         self.denied_until = now + wait_s
         self.denied_amount = amount
+        self.last_wait_s = wait_s
         self.asks_again_at = now + min(wait_s, MAX_DENIAL_S)
 
     def note_shortage(self):
@@ -246,6 +250,10 @@
         retry_after_s = account.denied_s(amount)
         if retry_after_s <= max_wait_s:
             retry_after_s = await self._wait(account, amount, max_wait_s)
+        else:
+            # Another host may have been denied later, and for as long.
+            last_wait_s = min(account.last_wait_s, MAX_DENIAL_S)
+            retry_after_s = max(retry_after_s, last_wait_s)
         self._metrics.count_quota(retry_after_s is None)
         if retry_after_s is not None:
             retry_after_s = min(retry_after_s, MAX_RETRY_AFTER_S)
