--- a/snipetrestle/coordination/key_owners.py
+++ b/snipetrestle/coordination/key_owners.py
@@ -62,13 +62,17 @@
     def decides(self, key):
         """Whether this host is the best one for a key that is not passed over now."""
         best = self.owner(key)
-        own = self._hosts.own.name
-        if best == own or not self.is_silent(best):
-            return best == own
-        return not any(
-            self.ranks_above_own(key, name) and not self.is_silent(name)
-            for name in self._names
-        )
+        if best == self._hosts.own.name:
+            return True
+        return self.is_silent(best) and all(map(self.is_silent, self.above_own(key)))
+
+    def above_own(self, key):
+        """Returns the names of the hosts that would own a key rather than this one."""
+        return [
+            name
+            for name in self._hosts.sender_names()
+            if self.ranks_above_own(key, name)
+        ]
 
     def next_owner(self, key):
         """Returns the host that owns a key without this one, or None if it is alone."""
--- a/snipetrestle/coordination/quota_issuer.py
+++ b/snipetrestle/coordination/quota_issuer.py
@@ -3,12 +3,14 @@
 All hosts together must issue no more than the rate of a quota, whatever part of them
 reaches whom. A host therefore issues only a fraction of the rate:
 
-- the owner, the fraction of the hosts that the leader reaches and a margin;
+- the owner, the fraction of the hosts that the leader reaches, and a margin with most;
 - without a leader, the fraction of the hosts that asked recently;
 - a host that is asked although the owner may answer others, a small one;
 - a host that gets no answer from any other, its own share, and only to itself.
 """
 
+import math
+
 import anyio
 
 from snipetrestle.coordination.messages import MAX_AGE_S, QuotaReply, QuotaRequest
@@ -20,6 +22,11 @@
 REACHED_MARGIN = 0.15
 # What a host issues that is asked while the owner may answer others.
 MAX_FOREIGN_FRACTION = 0.15
+# A host that may issue less than this part of the rate for this time may hold no larger
+# part of the burst, nor issue more at once: cut off from each other, many hosts could
+# each save a whole one.
+FULL_FRACTION = 0.9
+BURST_GRACE_S = 3.0
 # A host that asked in this time counts as one that this host issues to.
 RECENT_S = 2.0
 # The part of its share of the burst that a host starts with which nobody answers. All
@@ -28,8 +35,10 @@
 # Pools hold at least what accrues in this time, so that a busy tenant without a burst
 # need not ask for each request.
 MIN_BURST_S = 0.25
-# What a request for a quota is told that this host does not know yet.
+# What a request is told while this host knows the quota or the other hosts not yet.
 UNKNOWN_WAIT_S = 0.1
+# What a request is told that needs more than a fraction of the burst.
+CUT_OFF_WAIT_S = 2.0
 # The longest time to wait that is told.
 MAX_WAIT_S = 3600.0
 # While the level of the last owner is asked for, others are told to ask again soon.
@@ -64,7 +73,14 @@
 class _TenantPool:
     """The RatePool of a tenant, its full limit, and the senders by address."""
 
-    __slots__ = ("pool", "quota", "senders_by_address", "used_at", "is_taken_over")
+    __slots__ = (
+        "pool",
+        "quota",
+        "senders_by_address",
+        "used_at",
+        "is_taken_over",
+        "reduced_since",
+    )
 
     def __init__(self, pool, quota):
         self.pool = pool
@@ -73,6 +89,21 @@
         self.used_at = anyio.current_time()
         # Whether the level of the last owner is being asked for.
         self.is_taken_over = False
+        # Since when only a fraction of the rate may be issued.
+        self.reduced_since = None
+
+    def burst_fraction(self, fraction):
+        """Returns the part of the burst that may be held, by that of the rate.
+
+        It is the whole one while another leader is elected or an owner takes over.
+        """
+        now = anyio.current_time()
+        if fraction >= FULL_FRACTION:
+            self.reduced_since = None
+            return 1.0
+        if self.reduced_since is None:
+            self.reduced_since = now
+        return 1.0 if now < self.reduced_since + BURST_GRACE_S else fraction
 
     def count_recent(self):
         """Returns the number of hosts that asked recently."""
@@ -90,11 +121,20 @@
     """Issues units from one RatePool for each tenant.
 
     ``tenant_of(name)`` returns the Tenant, or None if it is unknown. ``requests`` is
-    the QuotaRequests and ``owners`` the KeyOwners.
+    the QuotaRequests and ``owners`` the KeyOwners. ``probe(host)`` returns True if the
+    process of a host is known to have ended.
     """
 
     def __init__(
-        self, hosts, leadership, endpoint, owners, requests, tenant_of, pause_watch
+        self,
+        hosts,
+        leadership,
+        endpoint,
+        owners,
+        requests,
+        tenant_of,
+        pause_watch,
+        probe,
     ):
         self._hosts = hosts
         self._leadership = leadership
@@ -103,6 +143,8 @@
         self._requests = requests
         self._tenant_of = tenant_of
         self._pause_watch = pause_watch
+        self._probe_host = probe
+        self._ended_names = set()
         self._pools_by_tenant = {}
         self._own_share_pools_by_tenant = {}
         self._probed_at_by_name = {}
@@ -141,17 +183,26 @@
             state = _TenantPool(pool, quota)
             self._own_share_pools_by_tenant[tenant.name] = state
         state.used_at = anyio.current_time()
-        state.pool.set_limit(share * quota.rate_per_s, _burst(quota))
+        state.pool.set_limit(
+            share * quota.rate_per_s, share * _burst(quota), share == 1.0
+        )
         return _grant(state.pool, amount, minimum, max_wait_s)
 
     def _issue(self, tenant, state, sender, amount, minimum, returned, max_wait_s):
         self._pause_watch.check()
         if self._must_redirect(tenant.name, sender):
             return 0.0, 0.0
+        if self._has_not_joined():
+            return 0.0, UNKNOWN_WAIT_S
         pool = state.pool
         fraction = self._fraction(tenant.name, state)
         quota = tenant.quota
-        pool.set_limit(fraction * quota.rate_per_s, _burst(quota))
+        burst_fraction = state.burst_fraction(fraction)
+        pool.set_limit(
+            fraction * quota.rate_per_s,
+            burst_fraction * _burst(quota),
+            burst_fraction == 1.0,
+        )
         pool.put_back(returned)
         granted, wait_s = _grant(pool, amount, minimum, max_wait_s)
         if granted:
@@ -159,27 +210,45 @@
         if state.is_taken_over:
             return 0.0, HANDOVER_PAUSE_S
         turn_s = state.count_recent() / MAX_DENIED_ASKS_PER_S
+        if wait_s == math.inf:
+            wait_s = CUT_OFF_WAIT_S
         return 0.0, min(MAX_WAIT_S, max(wait_s, turn_s))
 
     def _fraction(self, name, state):
         """Returns the part of the rate that this host may issue now."""
         known = self._hosts.count_with_lost()
         asked = max(1, state.count_recent()) / known
-        if known == 1 and not self._hosts.is_only_host:
-            # A host that has just started does not know how many others there are.
-            return 0.0
+        foreign = min(asked, max(MAX_FOREIGN_FRACTION, 1 / known))
         if not self._owners.decides(name):
-            return min(asked, max(MAX_FOREIGN_FRACTION, 1 / known))
+            return foreign
         reached = self._leadership.reached_count()
-        if reached:
+        if reached and self._may_better_owner_live(name, reached):
+            return foreign
+        if 2 * reached > known:
             return min(1.0, reached / known + REACHED_MARGIN)
-        return min(1.0, asked)
+        # Several groups of hosts that are cut off from each other may have a leader.
+        return min(1.0, reached / known if reached else asked)
+
+    def _may_better_owner_live(self, name, reached):
+        """Whether a better host that is silent here may answer others.
+
+        The leader reaches that host, unless it misses as many as are silent here.
+        """
+        if self._owners.owns(name):
+            return False
+        unexplained = [
+            item
+            for item in self._owners.above_own(name)
+            if item not in self._ended_names
+        ]
+        return len(unexplained) > max(0, self._hosts.count() - reached)
 
     def _own_share(self):
-        known = self._hosts.count_with_lost()
-        if known == 1 and not self._hosts.is_only_host:
-            return 0.0
-        return 1 / known
+        return 0.0 if self._has_not_joined() else 1 / self._hosts.count_with_lost()
+
+    def _has_not_joined(self):
+        """Whether this host does not know yet how many others there are."""
+        return self._hosts.count_with_lost() == 1 and not self._hosts.is_only_host
 
     def _must_redirect(self, name, sender):
         """Whether a sender should try the owner again, and notes that it was told.
@@ -211,13 +280,14 @@
 
     def _create_pool(self, tenant):
         quota = tenant.quota
-        level = 0.0
-        is_owner = self._owners.owns(tenant.name)
-        if is_owner:
-            owned_s = anyio.current_time() - self._owned_since(tenant.name)
-            level = min(_burst(quota), owned_s * quota.rate_per_s)
-        state = _TenantPool(RatePool(quota.rate_per_s, _burst(quota), level), quota)
-        if is_owner and level < _burst(quota):
+        rate_per_s, burst = quota.rate_per_s, _burst(quota)
+        state = _TenantPool(RatePool(rate_per_s, burst, 0.0), quota)
+        if not self._owners.owns(tenant.name):
+            return state
+        owned_s = anyio.current_time() - self._owned_since(tenant.name)
+        fraction = self._fraction(tenant.name, state)
+        state.pool.level = fraction * min(burst, owned_s * rate_per_s)
+        if owned_s * rate_per_s < burst:
             self._start(self._take_over, tenant.name, state)
         return state
 
@@ -237,6 +307,8 @@
 
     def _owned_since(self, tenant_name):
         """Returns since when this host has owned a tenant, as far as it knows."""
+        if self._has_not_joined():
+            self._started_at = anyio.current_time()
         departed_at = [
             at
             for name, at in self._departed_at_by_name.items()
@@ -267,6 +339,7 @@
         for name, at in list(self._probed_at_by_name.items()):
             if at < before:
                 del self._probed_at_by_name[name]
+                self._ended_names.discard(name)
 
     def _may_drop(self, name, state):
         """Whether an idle pool is not needed: a new one would have the same level.
@@ -353,7 +426,15 @@
         ):
             return
         self._probed_at_by_name[name] = now
-        self._start(self._requests.ask, name, tenant_name, 0.0, 0.0, 0.0, 0.0)
+        self._start(self._check_host, name, tenant_name)
+
+    async def _check_host(self, name, tenant_name):
+        host = self._hosts.by_name.get(name)
+        if host is not None and await self._probe_host(host):
+            self._ended_names.add(name)
+            self._owners.note_silent(name)
+        elif await self._requests.ask(name, tenant_name, 0.0, 0.0, 0.0, 0.0):
+            self._ended_names.discard(name)
 
     def _start(self, function, *args):
         if self._task_group is not None:
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -320,6 +320,7 @@
             requests,
             self._find_tenant,
             self.pause_watch,
+            has_ended,
         )
         self.quota_accounts = QuotaAccounts(
             self.settings.name,
--- a/snipetrestle/gateway/quota_check.py
+++ b/snipetrestle/gateway/quota_check.py
@@ -73,7 +73,7 @@
         retry_after_s,
         reason=reason,
         cost=cost,
-        retry_after_s=retry_after_s,
+        told_retry_after_s=retry_after_s,
         rate_per_s=quota.rate_per_s,
         burst=quota.burst,
     )
--- a/snipetrestle/limits/rate_pool.py
+++ b/snipetrestle/limits/rate_pool.py
@@ -16,15 +16,16 @@
     """Accrues ``rate_per_s`` units a second, up to ``burst`` units.
 
     An amount above the burst can be taken while the pool is full. The level is then
-    negative, so later amounts wait for it. Units can also be booked ahead: they are
+    negative, so later amounts wait for it; ``may_overdraw`` tells whether it can. Units can also be booked ahead: they are
     taken at once and used after the wait.
     """
 
-    __slots__ = ("rate_per_s", "burst", "level", "_refilled_at")
+    __slots__ = ("rate_per_s", "burst", "may_overdraw", "level", "_refilled_at")
 
     def __init__(self, rate_per_s, burst, level=None):
         self.rate_per_s = rate_per_s
         self.burst = burst
+        self.may_overdraw = True
         self.level = burst if level is None else level
         self._refilled_at = anyio.current_time()
 
@@ -41,11 +42,12 @@
         if self.level < self.burst:
             self.level = min(self.burst, self.level + gained)
 
-    def set_limit(self, rate_per_s, burst):
+    def set_limit(self, rate_per_s, burst, may_overdraw=True):
         """Applies a limit from now on. The level is at most the new burst."""
         self.refill()
         self.rate_per_s = rate_per_s
         self.burst = burst
+        self.may_overdraw = may_overdraw
         self.level = min(self.level, burst)
 
     def wait_s(self, amount, reserved=0.0):
@@ -54,6 +56,8 @@
         ``reserved`` units of the burst are left to others.
         """
         self.refill()
+        if amount > self.burst and not self.may_overdraw:
+            return math.inf
         missing = min(amount + reserved, self.burst) - self.level
         if missing <= ROUNDING * max(1.0, amount):
             return 0.0
--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -37,8 +37,8 @@
 # While nobody answers, an owner is looked for again at least this often.
 MAX_OWN_SHARE_WAIT_S = 2.0
 # An owner that has denied units is asked again after this time at the latest: another
-# host may have returned some.
-MAX_DENIAL_S = 7.0
+# host may have returned some, or the owner may issue a larger fraction.
+MAX_DENIAL_S = 3.0
 # The refusals of a tenant have ended after this long without one.
 REFUSAL_END_S = 5.0
 IDLE_S = 10.0
--- /dev/null
+++ b/tests/gateway/test_quotas.py
@@ -0,0 +1,152 @@
+"""Tests of quotas of tenants at gateways on loopback."""
+
+import anyio
+
+from snipetrestle.events import Event
+from snipetrestle_standins.gateway_fleet import route, tenant
+from snipetrestle_standins.platform_replica import Fault
+from tests.gateway.test_tenants import TenantTestCase, arrived
+
+KEY = "key-of-the-shop"
+ROUTES = [
+    route("lookup", "idempotent", "register"),
+    route("entry", "non_idempotent", "register"),
+    route("nowhere", "idempotent", "models"),
+]
+
+
+class QuotaTest(TenantTestCase):
+    def run_quota(self, check, *, fleet_options=None, **quota):
+        """Runs ``check(fleet)`` with a tenant that has a quota."""
+        tenants = [tenant("shop", KEY, **quota)]
+
+        async def main(fleet):
+            await self.publish(fleet, 2, tenants, ROUTES)
+            # The pools of new owners accrue their burst.
+            await anyio.sleep(quota["burst"] / quota["rate_per_s"])
+            await check(fleet)
+
+        self.run_tenants(main, tenants, **(fleet_options or {"registers": 1}))
+
+    async def send(self, fleet, path="/entry/a", token_counts=(), **options):
+        headers = [("X-Credential", KEY)]
+        headers += [("X-Token-Count", item) for item in token_counts]
+        return await fleet.send_request(path, headers=headers, **options)
+
+    def test_requests_over_the_limit_get_429_and_do_not_run(self):
+        """A caller that gets 429 repeats its request, which must not have run."""
+
+        async def check(fleet):
+            responses = [await self.send(fleet) for _ in range(12)]
+            served = [item for item in responses if item.status == 200]
+            refused = [item for item in responses if item.status == 429]
+            self.assertEqual(12, len(served) + len(refused))
+            self.assertTrue(5 <= len(served) <= 8, len(served))
+            self.assertEqual(len(served), len(arrived(fleet)))
+            self.assertEqual({b"SN-1101"}, {item.body for item in refused})
+            await anyio.sleep(float(responses[-1].headers["retry-after"]))
+            self.assertEqual(200, (await self.send(fleet)).status)
+            (started,) = self.logged(Event.QUOTA_REFUSALS_STARTED)
+            self.assertEqual("shop", started["tenant"])
+            failed = self.logged(Event.REQUEST_FAILED)[-1]
+            self.assertEqual(("SN-1101", "shop"), (failed["code"], failed["tenant"]))
+
+        self.run_quota(check, rate_per_s=2, burst=5)
+
+    def test_hosts_share_one_limit(self):
+        """Each host could apply the whole limit, or its part only."""
+
+        async def check(fleet):
+            statuses = []
+            for number in range(24):
+                gateway = fleet.live[number % len(fleet.live)]
+                response = await fleet.send_request(
+                    "/entry/a", gateway, headers=[("X-Credential", KEY)]
+                )
+                statuses.append(response.status)
+            self.assertTrue(10 <= statuses.count(200) <= 16, statuses)
+            self.assertEqual(24 - statuses.count(200), statuses.count(429))
+
+        self.run_quota(check, fleet_options={"gateways": 3}, rate_per_s=5, burst=10)
+
+    def test_tokens_are_counted(self):
+        """Requests without a token count cost what the tenant's contract says."""
+
+        async def check(fleet):
+            for token_counts, status in (
+                (("400,100",), 200),
+                ((), 200),
+                (("400,100",), 429),
+            ):
+                response = await self.send(fleet, token_counts=token_counts)
+                self.assertEqual(status, response.status)
+            self.assertEqual(b"SN-1103", response.body)
+
+        self.run_quota(
+            check, billing_unit="tokens", plain_tokens=500, rate_per_s=400, burst=1_000
+        )
+
+    def test_malformed_token_counts_get_400(self):
+        """A tenant could pay nothing for requests whose tokens are not counted."""
+
+        async def check(fleet):
+            for token_counts in (
+                ("400",),
+                ("400,x",),
+                ("-4,5",),
+                ("1.5,2",),
+                ("1,2,3",),
+                ("",),
+                ("1,2", "1,2"),
+            ):
+                response = await self.send(fleet, token_counts=token_counts)
+                self.assertEqual((400, b"SN-1002"), (response.status, response.body))
+            self.assertEqual([], arrived(fleet))
+
+        self.run_quota(check, billing_unit="tokens", rate_per_s=1_000, burst=1_000)
+
+    def test_malformed_token_counts_do_not_matter_to_others(self):
+        """Tenants that are billed by requests need no token counts."""
+
+        async def check(fleet):
+            response = await self.send(fleet, token_counts=("x",))
+            self.assertEqual(200, response.status)
+
+        self.run_quota(check, rate_per_s=10, burst=10)
+
+    def test_request_that_no_quota_allows_is_refused_at_once(self):
+        """A huge count would not fit in a message, and its owner seem to be silent."""
+
+        async def check(fleet):
+            for count in ("9" * 18 + ",1", "1000000,1"):
+                response = await self.send(fleet, token_counts=(count,))
+                self.assertEqual((429, b"SN-1103"), (response.status, response.body))
+                self.assertNotIn("retry-after", response.headers)
+            response = await self.send(fleet, token_counts=("1,1",))
+            self.assertEqual(200, response.status)
+
+        self.run_quota(check, billing_unit="tokens", rate_per_s=1_000, burst=1_000)
+
+    def test_retried_request_is_counted_once(self):
+        """A tenant would pay for the failures of replicas."""
+
+        async def check(fleet):
+            for _ in range(3):
+                fleet.registers[0].faults.append(Fault.REFUSED)
+                response = await self.send(fleet)
+                self.assertEqual(200, response.status)
+            self.assertEqual(429, (await self.send(fleet)).status)
+
+        self.run_quota(check, fleet_options={"registers": 2}, rate_per_s=0.5, burst=3)
+
+    def test_request_that_no_replica_got_is_put_back(self):
+        """While a service has no replicas, its tenants would use up their quotas."""
+
+        async def check(fleet):
+            for _ in range(5):
+                response = await self.send(fleet, "/nowhere/a")
+                self.assertEqual(503, response.status)
+            for _ in range(2):
+                self.assertEqual(200, (await self.send(fleet)).status)
+
+        self.run_quota(check, fleet_options={"models": 0}, rate_per_s=0.5, burst=2)
--- a/tests/tenants/quota_system.py
+++ b/tests/tenants/quota_system.py
@@ -1,10 +1,13 @@
 """Hosts with quotas on a simulated network, and tenants that send through them."""
 
 import random
+import types
 
 import anyio
 
+from snipetrestle.coordination.hosts import KnownHost
 from snipetrestle.coordination.key_owners import KeyOwners
+from snipetrestle.coordination.messages import HostInfo
 from snipetrestle.coordination.pause_watch import PauseWatch
 from snipetrestle.coordination.quota_issuer import QuotaIssuer
 from snipetrestle.coordination.quota_requests import QuotaRequests
@@ -14,6 +17,7 @@
 from snipetrestle.tenants.configuration import Quota, QuotaUnit, Tenant
 from snipetrestle.tenants.quota_accounts import QuotaAccounts
 from snipetrestle_standins.clock import run_in_virtual_time
+from snipetrestle_standins.datagram_network import LocalEndpoint
 from tests.coordination.test_leadership import ELECTION_WAIT_S, Member, System
 
 WINDOW_S = 8.0
@@ -27,11 +31,10 @@
     return Tenant(name, frozenset(), quota=Quota(unit, rate_per_s, burst))
 
 
-class QuotaMember(Member):
-    """A Member that also owns and uses quotas."""
+class QuotaParts:
+    """What a host needs to own and use quotas."""
 
-    def __init__(self, system, number, boot):
-        super().__init__(system, number, boot)
+    def build_quotas(self, system):
         self.system = system
         self.is_frozen = False
         self.owners = KeyOwners(self.hosts)
@@ -45,6 +48,7 @@
             self.requests,
             system.tenants_by_name.get,
             self.pause_watch,
+            system.has_ended,
         )
         self.metrics = GatewayMetrics()
         self.accounts = QuotaAccounts(
@@ -57,15 +61,26 @@
             self.metrics,
         )
 
+    async def run_quotas(self):
+        async with anyio.create_task_group() as group:
+            for task in (self.pause_watch.run, self.issuer.run, self.accounts.run):
+                group.start_soon(task)
+
+
+class QuotaMember(QuotaParts, Member):
+    """A Member that also owns and uses quotas."""
+
+    def __init__(self, system, number, boot):
+        super().__init__(system, number, boot)
+        self.build_quotas(system)
+
     async def run(self):
         with self.scope:
             async with anyio.create_task_group() as group:
                 for task in (
                     self.hosts.run,
                     self.leadership.run,
-                    self.pause_watch.run,
-                    self.issuer.run,
-                    self.accounts.run,
+                    self.run_quotas,
                 ):
                     group.start_soon(task)
 
@@ -101,10 +116,14 @@
         self.tenants_by_name[tenant.name] = tenant
 
     def owner(self, tenant_name):
-        """Returns the member that owns a tenant in the view of the first one."""
+        """Returns the member that owns a tenant in the view of the first one.
+
+        Returns None if that has stopped.
+        """
         first = next(iter(self.members.values()))
         name = first.owners.owner(tenant_name)
-        return next(item for item in self.members.values() if item.name == name)
+        members = self.members.values()
+        return next((item for item in members if item.name == name), None)
 
     def running(self):
         return [item for item in self.members.values() if not item.is_frozen]
@@ -189,3 +208,60 @@
             group.cancel_scope.cancel()
 
     return run_in_virtual_time(main)
+
+
+class _StaticHosts:
+    """Hosts that never change, without heartbeats."""
+
+    is_only_host = False
+
+    def __init__(self, own, infos):
+        self.own = own
+        self.by_name = {
+            info.name: KnownHost(info, 0.0) for info in infos if info is not own
+        }
+        self._names = tuple(sorted(info.name for info in infos))
+
+    def sender_names(self):
+        return self._names
+
+    def count(self):
+        return len(self._names)
+
+    count_with_lost = count
+
+
+class _StaticMember(QuotaParts):
+    """A host of a system whose hosts never change."""
+
+    is_frozen = False
+
+    def __init__(self, system, info, infos):
+        self.name = info.name
+        self.endpoint = LocalEndpoint(system.network, info.name, (info.ip, info.port))
+        self.hosts = _StaticHosts(info, infos)
+        self.leadership = types.SimpleNamespace(reached_count=lambda: len(infos))
+        self.build_quotas(system)
+
+
+def run_static_quota_system(function, size, tenants):
+    """Runs ``function(system)`` with hosts whose heartbeats are left out.
+
+    Those of many hosts cost far more than the messages of quotas.
+    """
+
+    async def main():
+        system = QuotaSystem(0, tenants)
+        infos = [
+            HostInfo(f"entry-{number}", 1, "127.0.0.1", number, "zone-1", 1.0)
+            for number in range(1, size + 1)
+        ]
+        async with anyio.create_task_group() as group:
+            system.network.task_group = group
+            for number, info in enumerate(infos, 1):
+                member = system.members[number] = _StaticMember(system, info, infos)
+                group.start_soon(member.run_quotas)
+            await function(system)
+            group.cancel_scope.cancel()
+
+    return run_in_virtual_time(main)
