--- a/snipetrestle/coordination/heartbeat_content.py
+++ b/snipetrestle/coordination/heartbeat_content.py
@@ -43,6 +43,7 @@
             reads_store=state is not None and state.is_store_reachable,
             candidates=leadership.next_leaders(),
             reached=leadership.reached_count(),
+            unreached=leadership.unreached_digests(),
         )
 
     def readers_by_domain(self):
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -61,6 +61,7 @@
     reads_store: bool = False
     candidates: tuple = ()
     reached: int = 0
+    unreached: tuple = ()
 
 
 class KnownHost:
@@ -266,6 +267,7 @@
             members_digest=self.members_digest,
             candidates=status.candidates,
             reached=status.reached,
+            unreached=status.unreached,
         )
         readers_by_domain = self._content.readers_by_domain()
         hosts_by_domain = {}
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from snipetrestle.coordination.hosts import HEARTBEAT_INTERVAL_S, REACHABLE_TIMEOUT_S
+from snipetrestle.coordination.messages import MAX_UNREACHED, name_digest
 from snipetrestle.events import Event, log_event
 
 CHECK_INTERVAL_S = 0.2
@@ -86,6 +87,7 @@
         self._leader_boot = 0
         self._announced_candidates = ()
         self._announced_reached = 0
+        self._announced_unreached = ()
         self._resigned = False
         # Whether the last leader can lead no more, and whether its process has ended.
         self._leader_ended = False
@@ -142,6 +144,15 @@
             return len(self._hosts.reachable_staying()) + 1
         return self._announced_reached if self.has_recent_leader else 0
 
+    def unreached_digests(self):
+        """Returns the digests of the names of known hosts that the leader misses."""
+        if not self.leads:
+            return self._announced_unreached
+        reached = {host.info.name for host in self._hosts.reachable()}
+        reached.add(self._hosts.own.name)
+        missing = [name for name in self._hosts.staying_names() if name not in reached]
+        return tuple(name_digest(name) for name in missing[:MAX_UNREACHED])
+
     def check_still_leading(self):
         """Tells whether this host may order now; resigns if it was suspended."""
         self._check_suspension()
@@ -368,6 +379,7 @@
         if heartbeat.is_announcement:
             self._announced_candidates = heartbeat.candidates
             self._announced_reached = heartbeat.reached
+            self._announced_unreached = heartbeat.unreached
         self._resigned = False
         self._token_refused = False
         self._leader_heard_at = anyio.current_time()
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -8,6 +8,7 @@
 import typing
 
 import msgspec
+import xxhash
 
 from snipetrestle import decoding
 from snipetrestle.compression import compress, decompress
@@ -31,6 +32,7 @@
 # Bounds of the lists in heartbeats and in answers to Join.
 MAX_CANDIDATES = 4
 MAX_READERS = 32
+MAX_UNREACHED = 512
 MAX_PREFIXES = 4
 MAX_LISTED_HOSTS = 12
 # Larger changes are read by each host: a long datagram is lost with any of its parts.
@@ -152,7 +154,8 @@
     Only a leader sends the rest: ``members_digest`` of all hosts that it knows, the
     names of the likely next leaders, and of the hosts that read the store for the
     receiver's failure domain, and in ``reached`` the number of hosts that it hears,
-    with itself.
+    with itself. ``unreached`` holds the digests, by ``name_digest``, of the names of
+    the other hosts that it knows.
     """
 
     sender: HostInfo
@@ -172,6 +175,9 @@
     epoch_by_prefix: RevisionByPrefix = {}
     document_version_sum: Revision = 0
     reached: Count = 0
+    unreached: typing.Annotated[
+        tuple[Count, ...], msgspec.Meta(max_length=MAX_UNREACHED)
+    ] = ()
 
     def newest_position(self, prefix):
         """Returns the StorePosition of the newest item that the sender has."""
@@ -188,6 +194,11 @@
         return self.members_digest != 0
 
 
+def name_digest(name):
+    """Returns a digest of a host's name, for lists of hosts that must be short."""
+    return xxhash.xxh32_intdigest(name.encode()) % MAX_COUNT
+
+
 class ReplicaLoads(_Message, tag="Loads"):
     """Loads at the replicas, sent after a heartbeat; long reports take several rounds.
 
--- a/snipetrestle/coordination/quota_issuer.py
+++ b/snipetrestle/coordination/quota_issuer.py
@@ -4,7 +4,7 @@
 reaches whom. A host therefore issues only a fraction of the rate:
 
 - the owner, the fraction of the hosts that the leader reaches, and a margin with most;
-- without a leader, the fraction of the hosts that asked recently;
+- without a leader, the fraction of the hosts that asked recently, for a short time;
 - a host that is asked although the owner may answer others, a small one;
 - a host that gets no answer from any other, its own share, and only to itself.
 """
@@ -13,7 +13,12 @@
 
 import anyio
 
-from snipetrestle.coordination.messages import MAX_AGE_S, QuotaReply, QuotaRequest
+from snipetrestle.coordination.messages import (
+    MAX_AGE_S,
+    QuotaReply,
+    QuotaRequest,
+    name_digest,
+)
 from snipetrestle.gateway.supervision import run_isolated
 from snipetrestle.limits.rate_pool import RatePool
 
@@ -23,6 +28,10 @@
 # An owner knows at least this part of the hosts that the leader reaches. After a cut,
 # hosts learn of each other one by one.
 MIN_KNOWN_PART = 0.9
+# An owner without a leader for longer may be cut off from one that others follow, and
+# another host stand in for it. An election takes about a second from the time at which
+# the last leader is missed.
+LEADERLESS_GRACE_S = 1.5
 # What a host issues that is asked while the owner may answer others.
 MAX_FOREIGN_FRACTION = 0.15
 # A host that may issue less than this part of the rate for this time may hold no larger
@@ -148,6 +157,8 @@
         self._pause_watch = pause_watch
         self._probe_host = probe
         self._ended_names = set()
+        # When there was last a leader that told how many hosts it reaches.
+        self._reached_at = anyio.current_time()
         self._pools_by_tenant = {}
         self._own_share_pools_by_tenant = {}
         self._probed_at_by_name = {}
@@ -162,6 +173,8 @@
         async with anyio.create_task_group() as group:
             self._task_group = group
             while True:
+                if self._leadership.reached_count():
+                    self._reached_at = anyio.current_time()
                 self._note_departed()
                 self._drop_idle()
                 await anyio.sleep(SWEEP_INTERVAL_S)
@@ -225,7 +238,9 @@
         if not self._owners.decides(name):
             return foreign
         reached = self._leadership.reached_count()
-        if reached and self._may_better_owner_live(name, reached):
+        if reached:
+            self._reached_at = anyio.current_time()
+        if reached and self._may_better_owner_live(name):
             return foreign
         if self._hosts.count() < MIN_KNOWN_PART * reached:
             # Others may own the tenant that this host does not know again yet.
@@ -233,21 +248,20 @@
         if 2 * reached > known:
             return min(1.0, reached / known + REACHED_MARGIN)
         # Several groups of hosts that are cut off from each other may have a leader.
-        return min(1.0, reached / known if reached else asked)
+        if reached:
+            return reached / known
+        leaderless_s = anyio.current_time() - self._reached_at
+        return min(1.0, asked) if leaderless_s < LEADERLESS_GRACE_S else foreign
 
-    def _may_better_owner_live(self, name, reached):
-        """Whether a better host that is silent here may answer others.
-
-        The leader reaches that host, unless it misses as many as are silent here.
-        """
+    def _may_better_owner_live(self, name):
+        """Whether a better host, which is silent here, may answer others."""
         if self._owners.owns(name):
             return False
-        unexplained = [
-            item
+        unreached = self._leadership.unreached_digests()
+        return any(
+            item not in self._ended_names and name_digest(item) not in unreached
             for item in self._owners.above_own(name)
-            if item not in self._ended_names
-        ]
-        return len(unexplained) > max(0, self._hosts.count() - reached)
+        )
 
     def _own_share(self):
         return 0.0 if self._has_not_joined() else 1 / self._hosts.count_with_lost()
--- a/tests/tenants/quota_system.py
+++ b/tests/tenants/quota_system.py
@@ -241,7 +241,9 @@
         self.name = info.name
         self.endpoint = LocalEndpoint(system.network, info.name, (info.ip, info.port))
         self.hosts = _StaticHosts(info, infos)
-        self.leadership = types.SimpleNamespace(reached_count=lambda: len(infos))
+        self.leadership = types.SimpleNamespace(
+            reached_count=lambda: len(infos), unreached_digests=tuple
+        )
         self.build_quotas(system)
 
 
