--- a/snipetrestle/coordination/quota_issuer.py
+++ b/snipetrestle/coordination/quota_issuer.py
@@ -33,7 +33,7 @@
 # the last leader is missed.
 LEADERLESS_GRACE_S = 1.5
 # What a host issues that is asked while the owner may answer others.
-MAX_FOREIGN_FRACTION = 0.15
+MAX_FOREIGN_FRACTION = 0.1
 # A host that may issue less than this part of the rate for this time may hold no larger
 # part of the burst, nor issue more at once: cut off from each other, many hosts could
 # each save a whole one.
@@ -183,6 +183,7 @@
 
     def issue_here(self, tenant, amount, minimum, returned, max_wait_s):
         """Issues to this host as the owner. Returns (granted units, time to wait)."""
+        self._pause_watch.check()
         state = self._pool(tenant)
         sender = self._sender(state, None)
         sender.asked_at = anyio.current_time()
@@ -205,20 +206,11 @@
         return _grant(state.pool, amount, minimum, max_wait_s)
 
     def _issue(self, tenant, state, sender, amount, minimum, returned, max_wait_s):
-        self._pause_watch.check()
         if self._must_redirect(tenant.name, sender):
             return 0.0, 0.0
         if self._has_not_joined():
             return 0.0, UNKNOWN_WAIT_S
         pool = state.pool
-        fraction = self._fraction(tenant.name, state)
-        quota = tenant.quota
-        burst_fraction = state.burst_fraction(fraction)
-        pool.set_limit(
-            fraction * quota.rate_per_s,
-            burst_fraction * _burst(quota),
-            burst_fraction == 1.0,
-        )
         pool.put_back(returned)
         granted, wait_s = _grant(pool, amount, minimum, max_wait_s)
         if granted:
@@ -234,7 +226,7 @@
         """Returns the part of the rate that this host may issue now."""
         known = self._hosts.count_with_lost()
         asked = max(1, state.count_recent()) / known
-        foreign = min(asked, max(MAX_FOREIGN_FRACTION, 1 / known))
+        foreign = min(asked, MAX_FOREIGN_FRACTION)
         if not self._owners.decides(name):
             return foreign
         reached = self._leadership.reached_count()
@@ -296,8 +288,20 @@
             self._pools_by_tenant[tenant.name] = state
         state.quota = tenant.quota
         state.used_at = anyio.current_time()
+        self._set_limit(tenant, state)
         return state
 
+    def _set_limit(self, tenant, state):
+        """Applies the part of the limit that this host may issue now."""
+        quota = tenant.quota
+        fraction = self._fraction(tenant.name, state)
+        burst_fraction = state.burst_fraction(fraction)
+        state.pool.set_limit(
+            fraction * quota.rate_per_s,
+            burst_fraction * _burst(quota),
+            burst_fraction == 1.0,
+        )
+
     def _create_pool(self, tenant):
         quota = tenant.quota
         rate_per_s, burst = quota.rate_per_s, _burst(quota)
