--- a/snipetrestle/coordination/quota_issuer.py
+++ b/snipetrestle/coordination/quota_issuer.py
@@ -122,6 +122,10 @@
         since = anyio.current_time() - RECENT_S
         return sum(item.asked_at >= since for item in self.senders_by_address.values())
 
+    def asked_fraction(self, known):
+        """Returns the part of the known hosts that asked recently, at least one."""
+        return min(1.0, max(1, self.count_recent()) / known)
+
     def drop_old_senders(self):
         since = anyio.current_time() - IDLE_S
         senders = self.senders_by_address
@@ -225,25 +229,30 @@
     def _fraction(self, name, state):
         """Returns the part of the rate that this host may issue now."""
         known = self._hosts.count_with_lost()
-        asked = max(1, state.count_recent()) / known
-        foreign = min(asked, MAX_FOREIGN_FRACTION)
         if not self._owners.decides(name):
-            return foreign
+            return self._foreign_fraction(state, known)
         reached = self._leadership.reached_count()
-        if reached:
-            self._reached_at = anyio.current_time()
-        if reached and self._may_better_owner_live(name):
-            return foreign
-        if self._hosts.count() < MIN_KNOWN_PART * reached:
+        if not reached:
+            return self._leaderless_fraction(state, known)
+        self._reached_at = anyio.current_time()
+        if self._may_better_owner_live(name):
+            return self._foreign_fraction(state, known)
+        if known - len(self._hosts.lost.by_name) < MIN_KNOWN_PART * reached:
             # Others may own the tenant that this host does not know again yet.
-            return min(1.0, asked)
-        if 2 * reached > known:
-            return min(1.0, reached / known + REACHED_MARGIN)
+            return state.asked_fraction(known)
         # Several groups of hosts that are cut off from each other may have a leader.
-        if reached:
-            return reached / known
+        margin = REACHED_MARGIN if 2 * reached > known else 0.0
+        return min(1.0, reached / known + margin)
+
+    def _leaderless_fraction(self, state, known):
         leaderless_s = anyio.current_time() - self._reached_at
-        return min(1.0, asked) if leaderless_s < LEADERLESS_GRACE_S else foreign
+        if leaderless_s < LEADERLESS_GRACE_S:
+            return state.asked_fraction(known)
+        return self._foreign_fraction(state, known)
+
+    @staticmethod
+    def _foreign_fraction(state, known):
+        return min(state.asked_fraction(known), MAX_FOREIGN_FRACTION)
 
     def _may_better_owner_live(self, name):
         """Whether a better host, which is silent here, may answer others."""
--- a/tests/tenants/quota_system.py
+++ b/tests/tenants/quota_system.py
@@ -7,6 +7,7 @@
 
 from snipetrestle.coordination.hosts import KnownHost
 from snipetrestle.coordination.key_owners import KeyOwners
+from snipetrestle.coordination.lost_hosts import LostHosts
 from snipetrestle.coordination.messages import HostInfo
 from snipetrestle.coordination.pause_watch import PauseWatch
 from snipetrestle.coordination.quota_issuer import QuotaIssuer
@@ -217,6 +218,7 @@
     is_only_host = False
 
     def __init__(self, own, infos):
+        self.lost = LostHosts()
         self.own = own
         self.by_name = {
             info.name: KnownHost(info, 0.0) for info in infos if info is not own
