--- a/snipetrestle/coordination/quota_issuer.py
+++ b/snipetrestle/coordination/quota_issuer.py
@@ -193,6 +193,10 @@
         sender.asked_at = anyio.current_time()
         return self._issue(tenant, state, sender, amount, minimum, returned, max_wait_s)
 
+    def take_back(self, tenant, returned):
+        """Takes units back that this host has issued to itself."""
+        self._pool(tenant).pool.put_back(returned)
+
     def issue_own_share(self, tenant, amount, minimum, max_wait_s):
         """Issues of this host's share to itself, as nobody answers."""
         share = self._own_share()
@@ -427,16 +431,18 @@
             self._reply(message, address, *sender.reply)
 
     def _hand_over(self, message, address, state):
-        """Gives the level to another owner, or tells a probe that this host answers."""
+        """Gives the level to another owner, or takes unused units back.
+
+        A request without either tells the sender that this host answers.
+        """
         sender = self._sender(state, address)
-        is_repeated = (sender.boot, sender.number) == (message.boot, message.number)
-        if is_repeated:
+        if sender.boot == message.boot and message.number <= sender.number:
             self._repeat(message, address, sender)
             return
-        state.pool.refill()
+        state.pool.put_back(message.returned)
         granted = max(0.0, min(message.amount, state.pool.level))
         state.pool.take(granted)
-        if message.amount:
+        if message.amount or message.returned:
             sender.boot, sender.number = message.boot, message.number
             sender.reply = granted, 0.0
         self._reply(message, address, granted, 0.0)
--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -346,6 +346,21 @@
                 account.waiters.remove(waiter)
                 waiter.done.set()
 
+    async def _give_back(self, account):
+        """Returns units that have expired to the host that issued them."""
+        tenant, returned, account.unused = account.tenant, account.unused, 0.0
+        try:
+            if account.owner == self._own_name:
+                self._issuer.take_back(tenant, returned)
+            elif account.owner is not None:
+                await self._requests.ask(
+                    account.owner, tenant.name, 0.0, 0.0, returned, 0.0
+                )
+        finally:
+            account.is_asking = False
+            if account.waiters:
+                self._start_asking(account)
+
     async def _ask_owner(self, account, amount, minimum, deadline):
         """Returns (granted units, time to wait) of the first host that answers."""
         tenant = account.tenant
@@ -403,7 +418,10 @@
             is_over = now > account.refused_at + REFUSAL_END_S
             if account.refused_since is not None and is_over:
                 self._note_refusals_ended(account)
-            if account.is_idle():
+            if account.unused and not account.is_asking:
+                account.is_asking = True
+                self._task_group.start_soon(run_isolated, self._give_back, account)
+            elif account.is_idle():
                 del self._accounts_by_tenant[name]
 
     def _void_balances(self, paused_s):
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -37,37 +37,41 @@
         """A caller that gets 429 repeats its request, which must not have run."""
 
         async def check(fleet):
-            responses = [await self.send(fleet) for _ in range(12)]
-            served = [item for item in responses if item.status == 200]
-            refused = [item for item in responses if item.status == 429]
-            self.assertEqual(12, len(served) + len(refused))
-            self.assertTrue(5 <= len(served) <= 8, len(served))
-            self.assertEqual(len(served), len(arrived(fleet)))
-            self.assertEqual({b"SN-1101"}, {item.body for item in refused})
-            await anyio.sleep(float(responses[-1].headers["retry-after"]))
+            started_at = anyio.current_time()
+            served = 0
+            while (response := await self.send(fleet)).status == 200:
+                served += 1
+            elapsed_s = anyio.current_time() - started_at
+            self.assertEqual((429, b"SN-1101"), (response.status, response.body))
+            self.assertTrue(5 <= served <= 5 + elapsed_s + 1, (served, elapsed_s))
+            self.assertEqual(served, len(arrived(fleet)))
+            await anyio.sleep(float(response.headers["retry-after"]))
             self.assertEqual(200, (await self.send(fleet)).status)
             (started,) = self.logged(Event.QUOTA_REFUSALS_STARTED)
             self.assertEqual("shop", started["tenant"])
             failed = self.logged(Event.REQUEST_FAILED)[-1]
             self.assertEqual(("SN-1101", "shop"), (failed["code"], failed["tenant"]))
 
-        self.run_quota(check, rate_per_s=2, burst=5)
+        self.run_quota(check, rate_per_s=1, burst=5)
 
     def test_hosts_share_one_limit(self):
         """Each host could apply the whole limit, or its part only."""
 
         async def check(fleet):
             statuses = []
+            started_at = anyio.current_time()
             for number in range(24):
                 gateway = fleet.live[number % len(fleet.live)]
                 response = await fleet.send_request(
                     "/entry/a", gateway, headers=[("X-Credential", KEY)]
                 )
                 statuses.append(response.status)
-            self.assertTrue(10 <= statuses.count(200) <= 16, statuses)
+            elapsed_s = anyio.current_time() - started_at
+            most = 10 + 2 * elapsed_s + 1
+            self.assertTrue(10 <= statuses.count(200) <= most, (statuses, elapsed_s))
             self.assertEqual(24 - statuses.count(200), statuses.count(429))
 
-        self.run_quota(check, fleet_options={"gateways": 3}, rate_per_s=5, burst=10)
+        self.run_quota(check, fleet_options={"gateways": 3}, rate_per_s=2, burst=10)
 
     def test_tokens_are_counted(self):
         """Requests without a token count cost what the tenant's contract says."""
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -430,6 +430,21 @@
 
         self.run_with(check, tenant)
 
+    def test_units_that_a_quiet_host_does_not_use_go_back(self):
+        """A tenant would lose what it had asked for in advance at each host."""
+        tenant = make_tenant("t", 0.01, 100, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            for member in system.members.values():
+                for _ in range(20):
+                    self.assertIsNone(await member.accounts.acquire(tenant, 1, 0.25))
+                    await anyio.sleep(0.05)
+                await anyio.sleep(3.0)
+            member = system.members[1]
+            self.assertEqual(40, await self.use_up(system, member, tenant))
+
+        self.run_with(check, tenant)
+
     def test_caller_that_leaves_while_it_waits_costs_nothing(self):
         """Its units would be lost to the other callers."""
         tenant = make_tenant("t", 10, 1, QuotaUnit.REQUESTS)
