--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -144,6 +144,16 @@
             return len(self._hosts.reachable_staying()) + 1
         return self._announced_reached if self.has_recent_leader else 0
 
+    def leaderless_count(self):
+        """Returns the number of hosts that this one hears without a leader, with itself.
+
+        Without a leader all hosts send heartbeats to all.
+        """
+        return 1 + sum(
+            not 0 <= host.heartbeat.leader_age_s < LEADER_TIMEOUT_S
+            for host in self._hosts.reachable_staying()
+        )
+
     def unreached_digests(self):
         """Returns the digests of the names of known hosts that the leader misses."""
         if not self.leads:
--- a/snipetrestle/coordination/quota_issuer.py
+++ b/snipetrestle/coordination/quota_issuer.py
@@ -4,7 +4,8 @@
 reaches whom. A host therefore issues only a fraction of the rate:
 
 - the owner, the fraction of the hosts that the leader reaches, and a margin with most;
-- without a leader, the fraction of the hosts that asked recently, for a short time;
+- without a leader, the fraction of the hosts that asked recently, for a short time, and
+  then of those that it hears without a leader;
 - a host that is asked although the owner may answer others, a small one;
 - a host that gets no answer from any other, its own share, and only to itself.
 """
@@ -29,9 +30,11 @@
 # hosts learn of each other one by one.
 MIN_KNOWN_PART = 0.9
 # An owner without a leader for longer may be cut off from one that others follow, and
-# another host stand in for it. An election takes about a second from the time at which
+# another host stand in for it, so it counts only hosts that have none either. An election takes about a second from the time at which
 # the last leader is missed.
 LEADERLESS_GRACE_S = 1.5
+# Hosts that hear more than half of all soon have a leader.
+MAX_LEADERLESS_FRACTION = 0.5
 # What a host issues that is asked while the owner may answer others.
 MAX_FOREIGN_FRACTION = 0.1
 # A host that may issue less than this part of the rate for this time may hold no larger
@@ -252,7 +255,7 @@
         leaderless_s = anyio.current_time() - self._reached_at
         if leaderless_s < LEADERLESS_GRACE_S:
             return state.asked_fraction(known)
-        return self._foreign_fraction(state, known)
+        return min(MAX_LEADERLESS_FRACTION, self._leadership.leaderless_count() / known)
 
     @staticmethod
     def _foreign_fraction(state, known):
