--- /dev/null
+++ b/snipetrestle/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which replica gets each request, and in which order requests are sent."""
--- a/snipetrestle/gateway/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -6,11 +6,11 @@
 import anyio
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.gateway.job import Refused
-from snipetrestle.gateway.replica_choice import (
+from snipetrestle.dispatch.replica_choice import (
     MAX_PAUSE_RETRY_AFTER_S,
     ReplicaChooser,
 )
+from snipetrestle.gateway.job import Refused
 
 # Retry-After of refused requests.
 RETRY_AFTER_S = 0.5
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -10,6 +10,7 @@
 import anyio.lowlevel
 
 from snipetrestle.codes import ResultCode
+from snipetrestle.dispatch.replica_search import RETRY_AFTER_S, ReplicaSearch
 from snipetrestle.events import Event
 from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.crash_check import CrashCheck
@@ -23,7 +24,6 @@
 )
 from snipetrestle.gateway.http_server import CallerDisconnected
 from snipetrestle.gateway.job import Job, Refused
-from snipetrestle.gateway.replica_search import RETRY_AFTER_S, ReplicaSearch
 from snipetrestle.gateway.supervision import log_unexpected
 from snipetrestle.gateway.usual_durations import UsualDurations
 
--- a/tests/gateway/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -9,9 +9,9 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import AdapterLocation
+from snipetrestle.dispatch.replica_search import NO_PLACE_PAUSE_S, ReplicaSearch
 from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
 from snipetrestle.gateway.job import Refused
-from snipetrestle.gateway.replica_search import NO_PLACE_PAUSE_S, ReplicaSearch
 from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle_standins.clock import run_in_virtual_time
 
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from snipetrestle.gateway.replica_choice import ReplicaChooser
+from snipetrestle.dispatch.replica_choice import ReplicaChooser
 from snipetrestle.gateway.replicas import Replica
 from snipetrestle_standins.gateway_fleet import Caller, configuration, route
 from tests.gateway.running import run_fleet
