--- a/snipetrestle/coordination/key_owners.py
+++ b/snipetrestle/coordination/key_owners.py
@@ -49,9 +49,9 @@
         Returns the name of this host if all others are passed over.
         """
         best = self.owner(key)
-        if not self._is_silent(best):
+        if not self.is_silent(best):
             return best
-        names = [name for name in self._names if not self._is_silent(name)]
+        names = [name for name in self._names if not self.is_silent(name)]
         return max(names or [self._hosts.own.name], key=lambda name: _rank(key, name))
 
     def note_silent(self, name):
@@ -62,7 +62,13 @@
         """Uses a host again that has answered."""
         self._silent_until_by_name.pop(name, None)
 
-    def _is_silent(self, name):
+    def owner_except(self, key, excluded):
+        """Returns the best host for a key among those that are not excluded."""
+        names = [name for name in self._hosts.sender_names() if name not in excluded]
+        return max(names, key=lambda name: _rank(key, name))
+
+    def is_silent(self, name):
+        """Whether a host is passed over now."""
         until = self._silent_until_by_name.get(name)
         if until is None:
             return False
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -11,6 +11,7 @@
 
 from snipetrestle import decoding
 from snipetrestle.compression import compress, decompress
+from snipetrestle.dispatch.groups import MAX_GROUP_SIZE
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH, AdapterKey, Name
 from snipetrestle.gateway.published_items import (
     PublishedItem,
@@ -35,6 +36,9 @@
 # Larger changes are read by each host: a long datagram is lost with any of its parts.
 MAX_CHANGES_BYTES = 8192
 MAX_REQUEST_KEY_LENGTH = 32
+# Bounds of the lists in DispatchDone.
+MAX_DISPATCH_ENDS = 32
+MAX_OPEN_NUMBERS = 64
 
 # The id of a replica and its start time.
 ProcessId = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH + 20)]
@@ -356,6 +360,73 @@
     wait_s: DurationS
 
 
+class DispatchRequest(_Message, tag="DReq"):
+    """Request to the owner of a group of replicas for a permit to send to one of them.
+
+    ``number`` identifies the answer, and the request if it is repeated. Times are in
+    ms: ``max_wait_ms`` is how long the request can wait for the permit, ``time_left_ms``
+    how long until its deadline. ``avoid`` contains the ids of replicas that it is not
+    to be sent to.
+    """
+
+    sender: Name
+    number: Count
+    backend: Name
+    group: Count
+    priority: Count
+    max_wait_ms: Count
+    time_left_ms: Count
+    avoid: typing.Annotated[
+        tuple[Name, ...], msgspec.Meta(max_length=MAX_GROUP_SIZE)
+    ] = ()
+
+
+class DispatchReply(_Message, tag="DRep"):
+    """Answer to DispatchRequest: the replica to send to now.
+
+    Without a replica, the request is queued or refused, and has a place in about
+    ``wait_ms``; if it is refused with 0, the sender knows nothing of its replicas.
+    ``free`` is the number of further requests that the group could run, ``use_percent``
+    the part of its capacity that is in use.
+    """
+
+    number: Count
+    replica_id: Name | None
+    is_queued: bool
+    wait_ms: Count
+    free: Count
+    use_percent: Count
+
+
+class DispatchEnd(msgspec.Struct, array_like=True, frozen=True):
+    """The end of a permit, or of the wait for one.
+
+    ``outcome`` is that of dispatch.group_dispatcher.Outcome.
+    """
+
+    number: Count
+    outcome: typing.Annotated[int, msgspec.Meta(ge=0, le=255)]
+    service_ms: Count
+
+
+class DispatchDone(_Message, tag="DEnd"):
+    """Ends of permits, to the owner that issued them.
+
+    ``open_numbers`` are those requests up to ``last_number`` that have not ended; None
+    if they are too many.
+    """
+
+    sender: Name
+    ends: typing.Annotated[
+        tuple[DispatchEnd, ...], msgspec.Meta(max_length=MAX_DISPATCH_ENDS)
+    ]
+    last_number: Count
+    open_numbers: (
+        typing.Annotated[tuple[Count, ...], msgspec.Meta(max_length=MAX_OPEN_NUMBERS)]
+        | None
+    )
+
+
 Message = (
     Heartbeat
     | ReplicaLoads
@@ -369,6 +440,9 @@
     | PermitReply
     | LostPrompts
     | LostRequests
+    | DispatchRequest
+    | DispatchReply
+    | DispatchDone
 )
 
 # The largest encoded size of each message, whatever names, prompts and lists are. The
@@ -387,6 +461,9 @@
         Locate: 19 * 1024,
         Located: 9 * 1024,
         PermitRequest: 9 * 1024,
+        DispatchRequest: 6 * 1024,
+        DispatchReply: 1024,
+        DispatchDone: 2 * 1024,
     }
 )
 
--- a/snipetrestle/dispatch/replica_choice.py
+++ b/snipetrestle/dispatch/replica_choice.py
@@ -1,6 +1,7 @@
 """Chooses the replica of a request, within what replicas ask of their senders.
 
-Some name a limit of requests a second, and some ask for a pause.
+Some name a limit of requests a second, and some ask for a pause. Replicas of crowded
+backends get requests with permits of the hosts that own their groups.
 """
 
 import math
@@ -8,6 +9,7 @@
 import anyio
 
 from snipetrestle.codes import ResultCode
+from snipetrestle.dispatch.permits import NoRoom, Wanted
 from snipetrestle.gateway.job import Refused
 
 # How long a request waits until its host may send to a replica with a request limit, as
@@ -23,6 +25,11 @@
 # The longest Retry-After while all replicas pause. Restarted and added replicas may
 # serve before the pauses end.
 MAX_PAUSE_RETRY_AFTER_S = 10.0
+# How long a request waits for a permit, as a multiple of its route's target latency: a
+# later answer is of little use to most callers.
+PERMIT_WAIT_LATENCIES = 2.0
+# The longest Retry-After of requests without a permit: others may give up earlier.
+MAX_PERMIT_RETRY_AFTER_S = 2.0
 # Bounds the ids of paused replicas in a question to the leader.
 MAX_NAMED_PAUSED = 32
 
@@ -30,13 +37,15 @@
 class ReplicaChooser:
     """Chooses among replicas by their scores and request limits.
 
-    ``replicas`` is the ReplicaDirectory and ``send_permits`` the SendPermits. ``hosts``
-    tells how many hosts send to the same replicas.
+    ``replicas`` is the ReplicaDirectory, ``send_permits`` the SendPermits and
+    ``dispatch_permits`` the DispatchPermits. ``hosts`` tells how many hosts send to the
+    same replicas.
     """
 
-    def __init__(self, replicas, send_permits, hosts):
+    def __init__(self, replicas, send_permits, dispatch_permits, hosts):
         self._replicas = replicas
         self._send_permits = send_permits
+        self._dispatch_permits = dispatch_permits
         self._hosts = hosts
 
     async def choose(self, job, candidates):
@@ -55,6 +64,46 @@
         permitted, _ = await self._send_permits.acquire([replica], 0.0, True)
         return permitted or self._choose_best(unlimited)
 
+    async def choose_permitted(self, job, candidates):
+        """Returns a replica that has room for the request, and gives the job its permit.
+
+        Returns None if the request needs no permit, or nobody can tell. Raises Refused
+        if no replica will have room in time.
+        """
+        backend = job.backend
+        if backend.serves_models or not self._dispatch_permits.must_ask(backend.name):
+            return None
+        available = [item for item in candidates if item.is_available]
+        unlimited = [item for item in available if not item.request_limit.is_limited]
+        now = anyio.current_time()
+        sound = [item for item in unlimited if item.suspected_until <= now]
+        allowed = {item.id: item for item in sound or unlimited}
+        if not allowed:
+            return None
+        try:
+            permit = await self._dispatch_permits.acquire(_wanted(job, allowed.keys()))
+        except NoRoom as error:
+            if job.may_have_run or len(unlimited) < len(available):
+                return None
+            raise Refused(
+                ResultCode.QUEUE_FULL,
+                min(error.wait_s, MAX_PERMIT_RETRY_AFTER_S),
+                reason="no replica has room in time",
+            ) from None
+        if permit is None:
+            return None
+        replica = allowed.get(permit.replica_id)
+        if replica is None or not replica.is_available:
+            permit.end()
+            return None
+        job.hold_permit(permit)
+        return replica
+
+    def note_turned_away(self, job):
+        """Records that a replica was too full for a request."""
+        if not job.backend.serves_models:
+            self._dispatch_permits.note_turned_away(job.backend.name)
+
     def _choose_best(self, candidates):
         return self._replicas.choose(candidates, self._hosts.max_known)
 
@@ -131,3 +180,18 @@
             min(job.limit_wait_s, MAX_LIMIT_RETRY_AFTER_S),
             reason=reason,
         )
+
+
+def _wanted(job, allowed_ids):
+    """Returns what a job asks the owner of a group for."""
+    now = anyio.current_time()
+    latest = job.request.received_at + (
+        PERMIT_WAIT_LATENCIES * job.route.target_latency_s
+    )
+    return Wanted(
+        job.backend.name,
+        job.route.priority,
+        max(0.0, min(latest, job.refusal_due_at) - now),
+        max(0.0, job.refusal_due_at - now),
+        allowed_ids,
+    )
--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -30,7 +30,10 @@
         self._replicas = gateway.replicas
         self._locator = gateway.locator
         self._chooser = ReplicaChooser(
-            gateway.replicas, gateway.send_permits, gateway.hosts
+            gateway.replicas,
+            gateway.send_permits,
+            gateway.dispatch_permits,
+            gateway.hosts,
         )
 
     async def choose_replica(self, job):
@@ -42,7 +45,9 @@
             if job.may_be_sent_to(item.id)
         ]
         untried = [item for item in candidates if item.id not in job.sent_to]
-        replica = await self._chooser.choose(job, untried)
+        replica = await self._chooser.choose_permitted(job, untried or candidates)
+        if replica is None:
+            replica = await self._chooser.choose(job, untried)
         if replica is None:
             replica = await self._chooser.choose(job, candidates)
         if replica is None:
@@ -51,6 +56,10 @@
             raise self.unavailable_refusal(job, "no replica is ready")
         return replica
 
+    def note_turned_away(self, job):
+        """Records that a replica was too full for a request."""
+        self._chooser.note_turned_away(job)
+
     def unavailable_refusal(self, job, reason):
         if job.may_have_run:
             return Refused(job.unknown_outcome_code, reason=reason)
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -160,6 +160,12 @@
         "INFO",
         "replica has accepted other orders than the leader knows of",
     )
+    BACKEND_CROWDED = (
+        1451,
+        "INFO",
+        "backend is crowded, so requests to it wait for permits",
+    )
+    BACKEND_CROWDED_ENDED = (1452, "INFO", "backend is no longer crowded")
     PROCESS_RESUMED = (1430, "WARNING", "process resumed after a pause")
     WRITE_UNKNOWN = (1501, "WARNING", "outcome of a write is unknown")
     KEEPER_READY = (1502, "INFO", "keeper recovered and is ready")
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -9,8 +9,10 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.coordination.datagrams import DatagramEndpoint
 from snipetrestle.coordination.director import PlacementController
+from snipetrestle.coordination.dispatch_permits import DispatchPermits
 from snipetrestle.coordination.heartbeat_content import HeartbeatContent
 from snipetrestle.coordination.hosts import Hosts
+from snipetrestle.coordination.key_owners import KeyOwners
 from snipetrestle.coordination.leadership import Leadership, has_ended
 from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import HostInfo
@@ -269,6 +271,14 @@
             settings.name,
             RequestLimits(self.hosts, rng),
         )
+        self.dispatch_permits = DispatchPermits(
+            self.replicas,
+            self.hosts,
+            KeyOwners(self.hosts),
+            self.datagram_endpoint,
+            self.metrics,
+            rng,
+        )
         self.director = PlacementController(
             self.state,
             self.leadership,
--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from snipetrestle.dispatch.group_dispatcher import Outcome
 from snipetrestle.gateway.dialect import AttemptMetadata
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.message_limits import ProgressMeter
@@ -38,6 +39,8 @@
         self._response_metadata = None
         self._is_accepted = False
         self._is_open = False
+        self._is_turned_away = False
+        self._permit = job.take_permit(replica.id)
 
     async def connect(self):
         """Gets a connection to the replica. Raises ConnectFailed."""
@@ -46,8 +49,10 @@
         replica.note_sent(job.metadata.adapter)
         try:
             self._connection = await replica.pool.acquire(job.metadata.request_id)
-        except BaseException:
+        except BaseException as error:
             replica.note_ended(job.metadata.adapter)
+            is_failure = isinstance(error, ConnectFailed)
+            self._end_permit(Outcome.NOT_CONNECTED if is_failure else Outcome.UNKNOWN)
             raise
         self._is_open = True
 
@@ -115,6 +120,8 @@
         """Returns (head, metadata) of the response. Raises ExchangeFailed."""
         head = await self._connection.read_head()
         self._note_heard()
+        not_executed = self._response_metadata.not_executed
+        self._is_turned_away = not_executed and head.status in (503, 429)
         self._connection.idle_timeout_s = (
             self._response_metadata.idle_timeout_s or self._connection.idle_timeout_s
         )
@@ -195,8 +202,19 @@
         if self._silence_timer is not None:
             self._silence_timer.cancel()
         self.replica.note_ended(self._job.metadata.adapter)
+        self._end_permit(self._outcome())
         pool = self.replica.pool
         if self._response_complete and not self.replica.leaving:
             pool.release(self._connection)
         else:
             pool.discard(self._connection)
+
+    def _outcome(self):
+        if self._is_turned_away:
+            return Outcome.TURNED_AWAY
+        is_served = self._is_accepted and self._response_complete
+        return Outcome.SERVED if is_served else Outcome.UNKNOWN
+
+    def _end_permit(self, outcome):
+        if self._permit is not None:
+            self._permit.end(outcome, self._loop.time() - self.opened_at)
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -157,6 +157,7 @@
             refusal = _internal_refusal(job)
         finally:
             self._scopes.discard(scope)
+            job.end_permit()
             job.caller.on_disconnect = None
         if job.caller.closed:
             self._metrics.count(job.route.name, None, "caller_gone")
@@ -540,6 +541,8 @@
             job.adapter_missing_on.append(replica.id)
         if not is_stream and status in (503, 429):
             replica.note_failure()
+        if status in (503, 429):
+            self._search.note_turned_away(job)
 
     def _may_resend_not_run(self, job):
         """Whether a request that did not run may be retried; if so, spends a retry."""
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -53,7 +53,7 @@
     time of the first attempt, or None. ``has_replacement`` tells that the request was
     sent to another replica while the first one is silent. ``dropped_on`` holds the ids
     of replicas whose replacement was ended before it had a response; the request may go
-    to them again.
+    to them again. ``permit`` is a dispatch Permit that no exchange has taken yet.
     """
 
     __slots__ = (
@@ -83,6 +83,7 @@
         "first_sent_at",
         "has_replacement",
         "dropped_on",
+        "permit",
     )
 
     def __init__(self, request, metadata, route, backend, caller):
@@ -117,6 +118,7 @@
         self.first_sent_at = None
         self.has_replacement = False
         self.dropped_on = set()
+        self.permit = None
 
     def begin_stream(self):
         """Records that the caller gets the start of a stream, which lifts the margin."""
@@ -125,6 +127,24 @@
         ends_at = min(self._route_ends_at, self.request.received_at + self._deadline_s)
         self.scope.deadline = self.caller.answer_due_at = ends_at
 
+    def hold_permit(self, permit):
+        """Keeps a permit for the next exchange; one that was not used is given back."""
+        self.end_permit()
+        self.permit = permit
+
+    def take_permit(self, replica_id):
+        """Returns the permit to send to a replica; None if there is none."""
+        if self.permit is None or self.permit.replica_id != replica_id:
+            return None
+        permit, self.permit = self.permit, None
+        return permit
+
+    def end_permit(self):
+        """Gives back a permit that was not used."""
+        if self.permit is not None:
+            self.permit.end()
+            self.permit = None
+
     @property
     def may_have_run(self):
         return bool(self.may_have_run_on)
--- a/snipetrestle/gateway/metrics.py
+++ b/snipetrestle/gateway/metrics.py
@@ -60,6 +60,18 @@
             "Messages to other hosts that the system refused to send.",
             registry=self.registry,
         )
+        self._dispatch_permits = Counter(
+            "snipetrestle_gateway_dispatch_permits",
+            "Requests to crowded backends: permitted, refused, or without an answer.",
+            ("result",),
+            registry=self.registry,
+        )
+        self._dispatch_wait = Histogram(
+            "snipetrestle_gateway_dispatch_wait_seconds",
+            "Time that requests to crowded backends waited before they were sent.",
+            buckets=_LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
         self._series_by_route = {}
 
     def _histogram(self, name, documentation):
@@ -117,6 +129,14 @@
         """Counts a message to another host that the system refused to send."""
         self._refused_datagrams.inc()
 
+    def count_dispatch(self, result):
+        """Counts a request for a permit by its result, of a fixed set."""
+        self._dispatch_permits.labels(result).inc()
+
+    def observe_dispatch_wait(self, wait_s):
+        """Records how long a request waited for a permit before it was sent."""
+        self._dispatch_wait.observe(wait_s)
+
     def render(self):
         """Returns the metrics in the Prometheus text format, as bytes."""
         return prometheus_client.generate_latest(self.registry)
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -234,6 +234,8 @@
     def __init__(self, failure_domain, rng):
         self.by_id = {}
         self._by_backend = {}
+        # Sorted ids by backend, as long as the listed replicas are the same.
+        self._ids_by_backend = {}
         # Process ids of replicas that announced their leaving, in this order.
         self._leaving_process_ids = {}
         self._leaving_listeners = []
@@ -281,6 +283,7 @@
         # An old entry may list a process again that has announced its leaving.
         replica.leaving = replica.process_id in self._leaving_process_ids
         self.by_id[entry.id] = replica
+        self._ids_by_backend.pop(entry.backend, None)
         self._by_backend.setdefault(entry.backend, {})[entry.id] = replica
 
     def unlist(self, replica_id):
@@ -295,12 +298,22 @@
             self._leaving_process_ids.pop(replica.process_id, None)
         replica.pool.close()
         del self._by_backend[replica.entry.backend][replica_id]
+        self._ids_by_backend.pop(replica.entry.backend, None)
 
     def ready_replicas(self, backend):
         """Returns the replicas of a backend that take new requests."""
         replicas = self._by_backend.get(backend, {}).values()
         return [replica for replica in replicas if replica.takes_requests]
 
+    def listed_ids(self, backend):
+        """Returns the sorted ids of all listed replicas of a backend, as a tuple."""
+        ids = self._ids_by_backend.get(backend)
+        if ids is None:
+            ids = tuple(sorted(self._by_backend.get(backend, ())))
+            if ids:
+                self._ids_by_backend[backend] = ids
+        return ids
+
     def ids_listing_adapter(self, key):
         """Returns the ids of the ready replicas whose entries list an adapter.
 
--- a/snipetrestle_standins/datagram_network.py
+++ b/snipetrestle_standins/datagram_network.py
@@ -1,6 +1,7 @@
 """In-memory datagram network between hosts, whose links can be cut."""
 
 import collections
+import random
 
 import anyio
 
@@ -15,14 +16,20 @@
 
     ``cuts`` has a frozenset of two names for each pair of hosts whose datagrams are
     lost, and those that UDP cannot carry are dropped. A message that is longer than its
-    type allows is an error. ``datagrams_by_sender`` counts what each host has sent.
-    ``task_group`` is the task group that delivers; its owner sets it.
+    type allows is an error. ``datagrams_by_sender`` counts what each host has sent, and
+    ``bytes_by_host`` and ``datagrams_by_host`` what it has sent and received. ``lost_part`` of the datagrams are
+    lost, drawn by a seeded generator. ``task_group`` is the task group that delivers;
+    its owner sets it.
     """
 
     def __init__(self):
         self.endpoints_by_address = {}
         self.cuts = set()
         self.datagrams_by_sender = collections.Counter()
+        self.datagrams_by_host = collections.Counter()
+        self.bytes_by_host = collections.Counter()
+        self.lost_part = 0.0
+        self.rng = random.Random(1)
         self.task_group = None
 
     def connected(self, first, second):
@@ -34,12 +41,16 @@
 
 
 class LocalEndpoint:
-    """DatagramEndpoint on a DatagramNetwork. While not ``up``, datagrams are lost."""
+    """DatagramEndpoint on a DatagramNetwork. While not ``up``, datagrams are lost.
+
+    A host that is ``frozen`` until an event gets its datagrams after it.
+    """
 
     def __init__(self, network, name, address):
         self.name = name
         self.address = address
         self.up = True
+        self.frozen = None
         self._network = network
         self._handlers_by_type = {}
         network.endpoints_by_address[address] = self
@@ -58,14 +69,25 @@
             raise ValueError(f"{type(message).__name__} has {len(content)} bytes")
         for address in addresses:
             self._network.datagrams_by_sender[self.name] += 1
+            self._count(self.name, content)
             self._network.task_group.start_soon(self._deliver, content, address)
 
+    def _count(self, name, content):
+        self._network.datagrams_by_host[name] += 1
+        self._network.bytes_by_host[name] += len(content)
+
     async def _deliver(self, content, address):
+        lost_part = self._network.lost_part
+        if lost_part and self._network.rng.random() < lost_part:
+            return
         await anyio.sleep(DELIVERY_DELAY_S)
         target = self._network.endpoints_by_address.get(address)
+        if target is not None and target.frozen is not None:
+            await target.frozen.wait()
         if target is None or not target.up or not self.up:
             return
         if self._network.connected(self.name, target.name):
+            target._count(target.name, content)
             message = decode(content)
             handler = target._handlers_by_type.get(type(message))
             if handler is not None:
--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -46,6 +46,13 @@
         return True
 
 
+class NoDispatch:
+    """Fake in which no backend is crowded."""
+
+    def must_ask(self, backend):
+        return False
+
+
 def make_job():
     now = anyio.current_time()
     return types.SimpleNamespace(
@@ -103,6 +110,7 @@
                     replicas=directory,
                     locator=locator,
                     send_permits=NoPermits(),
+                    dispatch_permits=NoDispatch(),
                     hosts=types.SimpleNamespace(max_known=1),
                 )
             )
