--- a/snipetrestle_standins/dispatch_fleet.py
+++ b/snipetrestle_standins/dispatch_fleet.py
@@ -11,9 +11,9 @@
 
 from snipetrestle.codes import ResultCode
 from snipetrestle.coordination.dispatch_permits import DispatchPermits
+from snipetrestle.coordination.group_owners import GroupOwners
 from snipetrestle.coordination.key_owners import KeyOwners
 from snipetrestle.dispatch.group_dispatcher import Outcome
-from snipetrestle.dispatch.groups import group_key
 from snipetrestle.dispatch.replica_search import ReplicaSearch
 from snipetrestle.gateway.configuration import (
     Backend,
@@ -160,20 +160,23 @@
 
     def __init__(self, fleet, name, with_permits):
         self.name = name
-        self.scope = anyio.CancelScope()
+        # Scopes of its requests, which end with it.
+        self.scopes = set()
+        self.is_up = True
         rng = random.Random(f"{fleet.seed} {name}")
         self.rng = rng
         self.members = _Members(fleet, name)
         self.endpoint = LocalEndpoint(fleet.network, name, fleet.addresses[name])
         self.directory = ReplicaDirectory("zone-1", rng)
-        self.owners = KeyOwners(self.members)
+        key_owners = KeyOwners(self.members)
+        self.owners = GroupOwners(key_owners, self.members)
         self.metrics = GatewayMetrics()
         self.dispatch = NoDispatch()
         if with_permits:
             self.dispatch = DispatchPermits(
                 self.directory,
                 self.members,
-                self.owners,
+                key_owners,
                 self.endpoint,
                 self.metrics,
                 rng,
@@ -240,13 +243,15 @@
     def owner(self, group=0):
         """Returns the host that owns a group."""
         host = next(iter(self.hosts.values()))
-        return self.hosts[host.owners.owner(group_key(BACKEND, group))]
+        return self.hosts[host.owners.owner(BACKEND, group)]
 
     async def stop_host(self, name):
         """Stops a host; the others know it for some time."""
         host = self.hosts.pop(name)
         host.endpoint.up = False
-        host.scope.cancel()
+        host.is_up = False
+        for scope in host.scopes:
+            scope.cancel()
         await anyio.sleep(FORGET_S)
         self.update_members()
 
@@ -293,17 +298,18 @@
         """Forwards one request as the gateway does, and records the answer."""
         job = _job(priority, timeout_s)
         started_at = anyio.current_time()
-        result, retry_after_s = "gone", None
-        with host.scope:
-            try:
-                with job.scope:
-                    result = await self._forward(host, job)
-            except Refused as refusal:
-                result, retry_after_s = str(refusal.code), refusal.retry_after_s
-            finally:
-                job.end_permit()
-        if job.scope.cancelled_caught:
-            result = "late"
+        result, retry_after_s = "late", None
+        host.scopes.add(job.scope)
+        try:
+            with job.scope:
+                result = await self._forward(host, job)
+        except Refused as refusal:
+            result, retry_after_s = str(refusal.code), refusal.retry_after_s
+        finally:
+            job.end_permit()
+            host.scopes.discard(job.scope)
+        if not host.is_up:
+            result = "gone"
         now = anyio.current_time()
         self.answers.append(
             Answer(priority, started_at, now - started_at, result, retry_after_s)
