--- a/snipetrestle/coordination/dispatch_permits.py
+++ b/snipetrestle/coordination/dispatch_permits.py
@@ -228,7 +228,11 @@
         self._owners.note_heard(owner)
 
     def _note_silent(self, owner):
+        # Several requests may wait for the same owner.
+        is_known = self._owners.is_silent(owner)
         self._owners.note_silent(owner)
+        if is_known:
+            return
         self._silent_owners += 1
         if self._silent_owners >= MAX_SILENT_OWNERS:
             self._silent_owners = 0
--- a/snipetrestle/coordination/group_owners.py
+++ b/snipetrestle/coordination/group_owners.py
@@ -42,6 +42,10 @@
             owners.append(self._key_owners.owner_except(key, owners[turn:]))
         return owners[group]
 
+    def is_silent(self, name):
+        """Whether a host is passed over now."""
+        return self._key_owners.is_silent(name)
+
     def note_silent(self, name):
         """Passes over a host that did not answer, for all groups."""
         self._key_owners.note_silent(name)
--- a/snipetrestle/dispatch/group_dispatcher.py
+++ b/snipetrestle/dispatch/group_dispatcher.py
@@ -21,8 +21,9 @@
 MEMORY_S = 5.0
 # Loads of hosts are half a second old, so they are compared with permits on average.
 LOAD_AVERAGE_S = 3.0
-# Part of a request by which that average is too low or too high without a cause.
-LOAD_ERROR = 0.2
+LOAD_SAMPLE_S = 0.01
+# Part of a request by which that average stays below its value for long.
+LOAD_ERROR = 0.05
 # The use of a group is told as at least its average over this time.
 USE_AVERAGE_S = 2.0
 # A waiting request is refused early if its expected wait is longer than the rest of its
@@ -169,6 +170,9 @@
         self._find_replicas = find_replicas
         self._on_decision = on_decision
         self._rooms_by_process = {}
+        # The replicas as they were last found, and their rooms.
+        self._listed = []
+        self._listed_rooms = []
         self._tickets_by_sender = {}
         # (urgency, order of arrival, ticket); items whose ticket has left the queue or
         # has become more urgent are skipped.
@@ -179,7 +183,7 @@
         # The ends of permits by (sender, number), in order.
         self._ended_at = {}
         self._use = _Average(USE_AVERAGE_S, 0.0)
-        self._swept_at = -math.inf
+        self._loads_noted_at = -math.inf
 
     # State.
 
@@ -193,7 +197,7 @@
 
     @property
     def _queued(self):
-        return self._queued_by_urgency.total()
+        return sum(self._queued_by_urgency.values())
 
     @property
     def free(self):
@@ -213,15 +217,18 @@
 
     def _rooms(self):
         """Returns the ReplicaRooms of the replicas that take requests."""
-        rooms = []
-        for replica in self._find_replicas():
-            room = self._rooms_by_process.get(replica.process_id)
-            if room is None:
-                room = self._rooms_by_process[replica.process_id] = ReplicaRoom(replica)
-            room.replica = replica
-            if replica.takes_requests:
-                rooms.append(room)
-        return rooms
+        replicas = self._find_replicas()
+        if replicas != self._listed:
+            self._listed = list(replicas)
+            self._listed_rooms = [self._room(replica) for replica in replicas]
+        return [room for room in self._listed_rooms if room.replica.takes_requests]
+
+    def _room(self, replica):
+        room = self._rooms_by_process.get(replica.process_id)
+        if room is None:
+            room = self._rooms_by_process[replica.process_id] = ReplicaRoom(replica)
+        room.replica = replica
+        return room
 
     # Messages of hosts.
 
@@ -296,19 +303,27 @@
     def update(self):
         """Permits requests while replicas have room."""
         rooms = self._rooms()
-        for room in rooms:
-            room.note_load()
-        self._use.note(self._current_use())
+        self._note_loads(rooms)
         while self._queued:
-            free = [room for room in rooms if room.free > 0]
-            for room in rooms:
-                if not room.free:
-                    # Others may fill it without permits.
-                    room.capacity.note_full()
-            ticket, room = self._next(free)
+            ticket, room = self._next([room for room in rooms if room.free])
             if ticket is None:
-                return
+                break
             self._permit(ticket, room)
+        if not self._queued:
+            return
+        for room in rooms:
+            # Others may fill it without permits.
+            if not room.free:
+                room.capacity.note_full()
+
+    def _note_loads(self, rooms):
+        now = anyio.current_time()
+        if now - self._loads_noted_at < LOAD_SAMPLE_S:
+            return
+        self._loads_noted_at = now
+        for room in rooms:
+            room.note_load()
+        self._use.note(self._current_use())
 
     def _next(self, free):
         """Returns the most urgent ticket that one of some rooms suits, and the room."""
@@ -393,15 +408,15 @@
             for key, count in self._queued_by_urgency.items()
             if key <= ticket.urgency
         )
-        return self._wait_s(ticket, before, self._queued)
+        return self._wait_s(ticket, before, self._queued, self._throughput())
 
-    def _wait_s(self, ticket, before, arrived_before):
+    @staticmethod
+    def _wait_s(ticket, before, arrived_before, throughput):
         """Returns the expected wait of a ticket, itself counted in both numbers.
 
         It waits for the more urgent ones, but once it is urgent itself, only for those
         that have arrived before it.
         """
-        throughput = self._throughput()
         urgent_in_s = ticket.urgent_at - anyio.current_time()
         return min(before / throughput, max(urgent_in_s, arrived_before / throughput))
 
@@ -417,6 +432,7 @@
         if not self._queued:
             return
         now = anyio.current_time()
+        throughput = self._throughput()
         waiting = [
             ticket for ticket in self._tickets() if ticket.state is TicketState.QUEUED
         ]
@@ -424,7 +440,7 @@
         ranks = {ticket: rank for rank, ticket in enumerate(waiting, 1)}
         waiting.sort(key=lambda ticket: (ticket.urgency, ticket.order))
         for before, ticket in enumerate(waiting, 1):
-            wait_s = self._wait_s(ticket, before, ranks[ticket])
+            wait_s = self._wait_s(ticket, before, ranks[ticket], throughput)
             if wait_s > LATE_FACTOR * (ticket.latest_at - now) + LATE_S:
                 self._refuse(ticket, wait_s)
 
--- a/snipetrestle/dispatch/replica_capacity.py
+++ b/snipetrestle/dispatch/replica_capacity.py
@@ -4,6 +4,8 @@
 slow down so much that more requests at a time are not served any faster.
 """
 
+import math
+
 import anyio
 
 from snipetrestle.gateway.replicas import AVERAGE_WEIGHT
@@ -12,8 +14,14 @@
 DEFAULT_SERVICE_S = 0.1
 # The limit rises after this time without a refusal. After a rise that was too much, the
 # time doubles up to the longest, as each such rise costs a refusal.
-FIRST_RISE_S = 1.0
+FIRST_RISE_S = 0.5
 LONGEST_RISE_S = 32.0
+# A refusal lowers the limit at most to this part: what hosts send without permits is
+# known late, so it may be what has filled the replica.
+FALL_PART = 0.6
+# Nor does it lower the limit below a number at which a request was served within this
+# time.
+PROVEN_S = 0.1
 MAX_LIMIT = 1024
 # Weight of one service time in the moving average of its level. With it, service times
 # that vary by a third give averages that vary by a twentieth.
@@ -67,6 +75,8 @@
         "_changed_at",
         "_rise_s",
         "_is_trying",
+        "_served_level",
+        "_served_at",
         "_failure_s",
         "_failed_until",
     )
@@ -80,6 +90,8 @@
         self._rise_s = FIRST_RISE_S
         # Whether the limit has risen, and nothing shows yet that it was not too much.
         self._is_trying = False
+        self._served_level = 0
+        self._served_at = 0.0
         self._failure_s = FIRST_FAILURE_S
         self._failed_until = 0.0
 
@@ -104,13 +116,14 @@
             self._is_trying = True
 
     def note_turned_away(self, level, permitted_at):
-        """Records that the replica turned a request away.
+        """Records that the replica turned a request away, one of ``level`` under way.
 
         One that was permitted before the limit last changed says nothing about it.
         """
         self._failed_until = 0.0
         if permitted_at >= self._changed_at:
-            self._fall(max(1, level - 1))
+            least = min(self.limit - 1, math.ceil(FALL_PART * self.limit))
+            self._fall(max(1, level - 1, least, self._proven_level()))
 
     def note_served(self, level, service_s):
         """Records the service time of a request."""
@@ -120,11 +133,19 @@
         if not self._has_service:
             self.service_s = service_s
             self._has_service = True
+        if level >= self._served_level or now - self._served_at > PROVEN_S:
+            self._served_level = level
+            self._served_at = now
         self.service_s += AVERAGE_WEIGHT * (service_s - self.service_s)
         self._levels.setdefault(level, _Level()).note(service_s, now)
         if level >= self.limit:
             self._check_throughput(level, now)
 
+    def _proven_level(self):
+        """Returns the level at which the replica has just served; 0 during a trial."""
+        is_recent = anyio.current_time() - self._served_at <= PROVEN_S
+        return self._served_level if is_recent and not self._is_trying else 0
+
     def _check_throughput(self, level, now):
         """Lowers the limit if the replica serves as many requests at a lower level."""
         present = self._levels[level]
--- a/tests/dispatch/test_replica_capacity.py
+++ b/tests/dispatch/test_replica_capacity.py
@@ -42,9 +42,15 @@
 
         async def check():
             capacity = ReplicaCapacity(12)
+            capacity.note_turned_away(11, anyio.current_time())
+            self.assertEqual(10, capacity.limit)
+            # With what others may have sent there.
+            capacity.note_turned_away(5, anyio.current_time())
+            self.assertEqual(6, capacity.limit)
             capacity.note_turned_away(5, anyio.current_time())
             self.assertEqual(4, capacity.limit)
-            capacity.note_turned_away(1, anyio.current_time())
+            for _ in range(4):
+                capacity.note_turned_away(1, anyio.current_time())
             self.assertEqual(1, capacity.limit)
 
         self.check(check)
@@ -63,6 +69,21 @@
 
         self.check(check)
 
+    def test_refusal_does_not_lower_the_limit_below_what_was_just_served(self):
+        """What hosts send without permits fills a replica for moments, and a limit that
+        falls to 1 with each of them leaves it idle."""
+
+        async def check():
+            capacity = ReplicaCapacity(6)
+            capacity.note_served(5, SERVICE_S)
+            capacity.note_turned_away(2, anyio.current_time())
+            self.assertEqual(5, capacity.limit)
+            await anyio.sleep(1.0)
+            capacity.note_turned_away(2, anyio.current_time())
+            self.assertEqual(3, capacity.limit)
+
+        self.check(check)
+
     def test_limit_rises_only_while_it_is_used(self):
         """A limit must not grow in a quiet hour, to be tried by a crowd."""
 
