--- a/snipetrestle/coordination/key_owners.py
+++ b/snipetrestle/coordination/key_owners.py
@@ -92,6 +92,11 @@
         """Uses a host again that has answered."""
         self._silent_until_by_name.pop(name, None)
 
+    def owner_except(self, key, excluded):
+        """Returns the best host for a key among those that are not excluded."""
+        names = [name for name in self._hosts.sender_names() if name not in excluded]
+        return max(names, key=lambda name: _rank(key, name))
+
     def is_silent(self, name):
         """Whether a host is passed over now."""
         until = self._silent_until_by_name.get(name)
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -166,6 +166,12 @@
         "WARNING",
         "callers were refused to bound the memory that they hold",
     )
+    BACKEND_CROWDED = (
+        1443,
+        "INFO",
+        "backend is crowded, so requests to it wait for permits",
+    )
+    BACKEND_CROWDED_ENDED = (1444, "INFO", "backend is no longer crowded")
     QUOTA_REFUSALS_STARTED = (
         1451,
         "WARNING",
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -9,6 +9,7 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.coordination.datagrams import DatagramEndpoint
 from snipetrestle.coordination.director import PlacementController
+from snipetrestle.coordination.dispatch_permits import DispatchPermits
 from snipetrestle.coordination.heartbeat_content import HeartbeatContent
 from snipetrestle.coordination.hosts import Hosts
 from snipetrestle.coordination.key_owners import KeyOwners
@@ -288,6 +289,14 @@
             RequestLimits(self.hosts, rng),
         )
         self._build_quotas()
+        self.dispatch_permits = DispatchPermits(
+            self.replicas,
+            self.hosts,
+            KeyOwners(self.hosts),
+            self.datagram_endpoint,
+            self.metrics,
+            rng,
+        )
         self.director = PlacementController(
             self.state,
             self.leadership,
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -10,6 +10,7 @@
 import anyio.lowlevel
 
 from snipetrestle.codes import Outcome, ResultCode
+from snipetrestle.dispatch.replica_search import RETRY_AFTER_S, ReplicaSearch
 from snipetrestle.events import Event
 from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.crash_check import CrashCheck
@@ -24,7 +25,6 @@
 from snipetrestle.gateway.http_server import CallerDisconnected
 from snipetrestle.gateway.job import Job, Refused
 from snipetrestle.gateway.quota_check import QuotaCheck
-from snipetrestle.gateway.replica_search import RETRY_AFTER_S, ReplicaSearch
 from snipetrestle.gateway.supervision import log_unexpected
 from snipetrestle.gateway.usual_durations import UsualDurations
 from snipetrestle.tenants.authentication import authenticate, reauthenticate
@@ -167,6 +167,7 @@
         finally:
             self._scopes.discard(scope)
             self._quota_check.end(job)
+            job.end_permit()
             job.caller.on_disconnect = None
         if job.caller.closed:
             self._metrics.count(job.route.name, None, "caller_gone")
@@ -559,6 +560,8 @@
             job.adapter_missing_on.append(replica.id)
         if not is_stream and status in (503, 429):
             replica.note_failure()
+        if status in (503, 429):
+            self._search.note_turned_away(job)
 
     def _may_resend_not_run(self, job):
         """Whether a request that did not run may be retried; if so, spends a retry."""
--- a/tests/gateway/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -9,9 +9,9 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import AdapterLocation
+from snipetrestle.dispatch.replica_search import NO_PLACE_PAUSE_S, ReplicaSearch
 from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
 from snipetrestle.gateway.job import Refused
-from snipetrestle.gateway.replica_search import NO_PLACE_PAUSE_S, ReplicaSearch
 from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle_standins.clock import run_in_virtual_time
 
@@ -46,6 +46,13 @@
         return True
 
 
+class NoDispatch:
+    """Fake in which no backend is crowded."""
+
+    def must_ask(self, backend):
+        return False
+
+
 def make_job():
     now = anyio.current_time()
     return types.SimpleNamespace(
@@ -103,6 +110,7 @@
                     replicas=directory,
                     locator=locator,
                     send_permits=NoPermits(),
+                    dispatch_permits=NoDispatch(),
                     hosts=types.SimpleNamespace(max_known=1),
                 )
             )
