--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -14,6 +14,7 @@
 
 import anyio
 
+from snipetrestle.coordination.decaying_count import DecayingCount
 from snipetrestle.coordination.placement_index import PlacementIndex
 
 DEMAND_HALF_LIFE_S = 8.0
@@ -38,10 +39,10 @@
 DEFAULT_EVENT_INTERVAL_S = 0.03
 # Time that a replica needs for the prompt of a request, in event intervals.
 PROMPT_EVENT_INTERVALS = 2.0
-# Prompts that reach a replica within a few event intervals of each other add up to one
-# pause of all its streams, so recent prompts count by the half-life of this time.
+# Half-life of the count of recent prompts. Prompts that reach a replica within a few
+# event intervals of each other add up to one pause of all its streams.
 RECENT_PROMPTS_HALF_LIFE_S = 0.4
-# An adapter gets so many copies that its prompts take at most this part of the time of
+# An adapter gets enough copies that its prompts take at most this part of the time of
 # each holder.
 MAX_HOLDER_PROMPT_LOAD = 0.25
 # Upper bound of a replica's estimated busy fraction.
@@ -91,28 +92,6 @@
     NEW_VERSION = enum.auto()
 
 
-class DecayingCount:
-    """A count that decays exponentially, by half in ``half_life_s`` seconds."""
-
-    __slots__ = ("_value", "_updated_at", "_half_life_s")
-
-    def __init__(self, half_life_s=DEMAND_HALF_LIFE_S):
-        self._value = 0.0
-        self._updated_at = 0.0
-        self._half_life_s = half_life_s
-
-    def add(self, count, now):
-        self._value = self.value(now) + count
-        self._updated_at = now
-
-    def value(self, now):
-        return self._value * math.exp2((self._updated_at - now) / self._half_life_s)
-
-    def rate(self, now):
-        """Returns the estimated number of counted events per second."""
-        return self.value(now) * math.log(2) / self._half_life_s
-
-
 class AdapterPlacement:
     """An adapter that a replica holds or is loading.
 
@@ -185,7 +164,7 @@
         self.loading_from_store = set()
         # LoadRequest by key, for loads that are decided but not ordered yet.
         self.pending_loads = {}
-        self.demand = DecayingCount()
+        self.demand = DecayingCount(DEMAND_HALF_LIFE_S)
         self.recent_prompts = DecayingCount(RECENT_PROMPTS_HALF_LIFE_S)
         self.failed_until = 0.0
         self._recent_keys = collections.OrderedDict()
@@ -352,7 +331,7 @@
         now = anyio.current_time()
         count = self._demand_by_key.get(key)
         if count is None:
-            count = self._demand_by_key[key] = DecayingCount()
+            count = self._demand_by_key[key] = DecayingCount(DEMAND_HALF_LIFE_S)
             self._recent_demand_by_key[key] = DecayingCount(RECENT_DEMAND_HALF_LIFE_S)
         count.add(uses, now)
         self._recent_demand_by_key[key].add(uses, now)
--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -8,8 +8,12 @@
 
 import anyio
 
-from snipetrestle.coordination.adapter_places import LOCATION_TTL_S, DecayingCount
+from snipetrestle.coordination.adapter_places import (
+    DEMAND_HALF_LIFE_S,
+    LOCATION_TTL_S,
+)
 from snipetrestle.coordination.datagram_requests import DatagramRequests
+from snipetrestle.coordination.decaying_count import DecayingCount
 from snipetrestle.coordination.messages import Locate, Located
 from snipetrestle.coordination.report_rounds import fitting
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
@@ -42,7 +46,7 @@
         self.ready_at_by_id = {}
         # All uses, with the decay that the leader applies, and the term of the leader
         # to which they were last reported.
-        self.demand = DecayingCount()
+        self.demand = DecayingCount(DEMAND_HALF_LIFE_S)
         self.reported_term = 0
         self.confirmed_at = None
         # Uses that were not reported yet.
