--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -3,201 +3,36 @@
 A tenant with many requests here has a balance, so that they need not wait for an owner.
 """
 
-import collections
-
 import anyio
 
-from snipetrestle.coordination.adapter_places import DecayingCount
 from snipetrestle.events import Event
 from snipetrestle.gateway.supervision import run_isolated
-
-# How long granted units may be used. What an owner has issued before a window and is
-# used in it comes on top of what it issues in the window.
-GRANT_S = 1.0
-# Units of the expected demand in this time are asked for beside those needed now, if
-# there are at least so many requests a second.
+from snipetrestle.tenants.account import (
+    LOW_BALANCE_S,
+    MAX_DENIAL_S,
+    ROUNDING,
+    Account,
+    Waiter,
+)
+
+# A host with enough requests also asks for the expected demand of this time, so that a
+# busy tenant costs two messages per second instead of one for each request.
 PREFETCH_S = 0.5
-MIN_PREFETCH_PER_S = 4.0
-# Less than this part of what is wanted in advance is not asked for.
+# Units are not granted in advance if fewer than this fraction of those wanted are left.
 MIN_PREFETCH_PART = 0.25
-# More are asked for once the balance covers only this time, which is as long as the two
-# tries at an owner that does not answer.
-LOW_BALANCE_S = 0.25
-DEMAND_HALF_LIFE_S = 0.5
 # Hosts that are asked for one request, before this host uses its own share.
 MAX_ASKED_HOSTS = 3
-# For so long after a request that had to wait, no units are asked for in advance: other
-# hosts need them.
-SHORTAGE_S = 1.0
-# Left of a request's time to wait for the way of the answer.
+# Part of the time that a request can wait that is left for the reply to arrive.
 REPLY_MARGIN_S = 0.005
 # Retry-After if an owner did not answer in time, and the longest one.
 SILENT_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 3600.0
-# While nobody answers, an owner is looked for again at least this often.
+# While no host answers, the owner is tried again at least this often.
 MAX_OWN_SHARE_WAIT_S = 2.0
-# An owner that has denied units is asked again after this time at the latest: another
-# host may have returned some, or the owner may issue a larger fraction.
-MAX_DENIAL_S = 3.0
 # The refusals of a tenant have ended after this long without one.
 REFUSAL_END_S = 5.0
 IDLE_S = 10.0
 SWEEP_INTERVAL_S = 0.5
-# Rounding of sums of units.
-ROUNDING = 1e-6
-
-
-class _Waiter:
-    """A request that waits for units; ``retry_after_s`` is set if it is refused."""
-
-    __slots__ = ("amount", "deadline", "done", "is_granted", "retry_after_s")
-
-    def __init__(self, amount, deadline):
-        self.amount = amount
-        self.deadline = deadline
-        self.done = anyio.Event()
-        self.is_granted = False
-        self.retry_after_s = None
-
-
-class _Lot:
-    """Units from one grant."""
-
-    __slots__ = ("amount", "expires_at")
-
-    def __init__(self, amount, expires_at):
-        self.amount = amount
-        self.expires_at = expires_at
-
-
-class _Account:
-    """The balance and the waiting requests of one tenant at this host.
-
-    The owner has told to wait for ``last_wait_s``.
-    ``owner`` is the host that issued the last units, and ``unused`` those of it that
-    have expired. ``denied_until`` is when ``denied_amount`` units are available again.
-    """
-
-    __slots__ = (
-        "tenant",
-        "lots",
-        "waiters",
-        "is_asking",
-        "units_demand",
-        "requests_demand",
-        "owner",
-        "unused",
-        "denied_until",
-        "denied_amount",
-        "last_wait_s",
-        "asks_again_at",
-        "short_until",
-        "used_at",
-        "refused_since",
-        "refused_at",
-        "refused_count",
-    )
-
-    def __init__(self, tenant):
-        self.tenant = tenant
-        self.lots = collections.deque()
-        self.waiters = collections.deque()
-        self.is_asking = False
-        self.units_demand = DecayingCount(DEMAND_HALF_LIFE_S)
-        self.requests_demand = DecayingCount(DEMAND_HALF_LIFE_S)
-        self.owner = None
-        self.unused = 0.0
-        self.denied_until = 0.0
-        self.denied_amount = 0.0
-        self.last_wait_s = 0.0
-        self.asks_again_at = 0.0
-        self.short_until = 0.0
-        self.used_at = anyio.current_time()
-        self.refused_since = None
-        self.refused_at = 0.0
-        self.refused_count = 0
-
-    def note_demand(self, amount):
-        now = self.used_at = anyio.current_time()
-        self.units_demand.add(amount, now)
-        self.requests_demand.add(1, now)
-
-    def set_tenant(self, tenant):
-        """Applies a changed quota. A lower one reduces the balance in proportion."""
-        old, new = self.tenant.quota, tenant.quota
-        self.tenant = tenant
-        if old == new:
-            return
-        self.denied_until = 0.0
-        if old.unit is not new.unit:
-            self.lots.clear()
-            return
-        if old.rate_per_s > new.rate_per_s:
-            for lot in self.lots:
-                lot.amount *= new.rate_per_s / old.rate_per_s
-
-    def balance(self):
-        """Returns the units that may be used now, after dropping expired ones."""
-        now = anyio.current_time()
-        while self.lots and self.lots[0].expires_at <= now:
-            self.unused += self.lots.popleft().amount
-        return sum(lot.amount for lot in self.lots)
-
-    def add(self, amount):
-        self.lots.append(_Lot(amount, anyio.current_time() + GRANT_S))
-
-    def try_take(self, amount):
-        """Takes units that expire first; returns False without enough."""
-        if self.balance() < amount - ROUNDING:
-            return False
-        while amount > ROUNDING and self.lots:
-            lot = self.lots[0]
-            taken = min(amount, lot.amount)
-            lot.amount -= taken
-            amount -= taken
-            if lot.amount <= ROUNDING:
-                self.lots.popleft()
-        return True
-
-    def denied_s(self, amount):
-        """Returns how long the owner has told that an amount is not available."""
-        now = anyio.current_time()
-        left_s = self.denied_until - now
-        if (
-            left_s <= 0
-            or now >= self.asks_again_at
-            or amount < self.denied_amount - ROUNDING
-        ):
-            return 0.0
-        further = amount - self.denied_amount
-        return left_s + further / self.tenant.quota.rate_per_s
-
-    def deny(self, amount, wait_s):
-        now = anyio.current_time()
-        self.denied_until = now + wait_s
-        self.denied_amount = amount
-        self.last_wait_s = wait_s
-        self.asks_again_at = now + min(wait_s, MAX_DENIAL_S)
-
-    def note_shortage(self):
-        self.short_until = anyio.current_time() + SHORTAGE_S
-
-    def wanted_balance(self, duration_s):
-        """Returns the expected demand in a time; 0 if none is to be asked for."""
-        now = anyio.current_time()
-        is_rare = self.requests_demand.rate(now) < MIN_PREFETCH_PER_S
-        if is_rare or now < self.short_until:
-            return 0.0
-        return duration_s * self.units_demand.rate(now)
-
-    @property
-    def is_low(self):
-        """Whether more units are to be asked for in advance."""
-        return self.balance() < self.wanted_balance(LOW_BALANCE_S)
-
-    def is_idle(self):
-        is_used = self.waiters or self.is_asking or self.refused_since is not None
-        return not is_used and anyio.current_time() > self.used_at + IDLE_S
 
 
 class QuotaAccounts:
@@ -268,7 +103,7 @@
 
     async def _wait(self, account, amount, max_wait_s):
         """Waits for units. Returns None, or the time after which to try again."""
-        waiter = _Waiter(amount, anyio.current_time() + max_wait_s)
+        waiter = Waiter(amount, anyio.current_time() + max_wait_s)
         account.waiters.append(waiter)
         is_done = False
         self._start_asking(account)
@@ -406,7 +241,7 @@
     def _account(self, tenant):
         account = self._accounts_by_tenant.get(tenant.name)
         if account is None:
-            account = self._accounts_by_tenant[tenant.name] = _Account(tenant)
+            account = self._accounts_by_tenant[tenant.name] = Account(tenant)
         elif account.tenant is not tenant:
             account.set_tenant(tenant)
         return account
@@ -421,7 +256,7 @@
             if account.unused and not account.is_asking:
                 account.is_asking = True
                 self._task_group.start_soon(run_isolated, self._give_back, account)
-            elif account.is_idle():
+            elif account.is_idle_since(now - IDLE_S):
                 del self._accounts_by_tenant[name]
 
     def _void_balances(self, paused_s):
