--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -1,6 +1,7 @@
-"""Takes the units of tenants' quotas for this host's requests, from their owners.
+"""Gets the units of tenants' quotas for this host's requests, from their owners.
 
-A tenant with many requests here has a balance, so that they need not wait for an owner.
+A tenant with many requests at this host has a balance of units that were granted in
+advance, so that its requests need not wait for an owner.
 """
 
 import anyio
@@ -61,7 +62,7 @@
     async def run(self):
         async with anyio.create_task_group() as group:
             self._task_group = group
-            # Their tasks ended with an earlier group.
+            # After a restart of this task, whose group has ended their tasks.
             for account in self._accounts_by_tenant.values():
                 account.is_asking = False
             while True:
@@ -82,13 +83,13 @@
                 self._start_asking(account)
             self._metrics.count_quota(True)
             return None
-        retry_after_s = account.denied_s(amount)
-        if retry_after_s <= max_wait_s:
+        denied_s = account.denied_s(amount)
+        if denied_s <= max_wait_s:
             retry_after_s = await self._wait(account, amount, max_wait_s)
         else:
             # Another host may have been denied later, and for as long.
             last_wait_s = min(account.last_wait_s, MAX_DENIAL_S)
-            retry_after_s = max(retry_after_s, last_wait_s)
+            retry_after_s = max(denied_s, last_wait_s)
         self._metrics.count_quota(retry_after_s is None)
         if retry_after_s is not None:
             retry_after_s = min(retry_after_s, MAX_RETRY_AFTER_S)
@@ -113,7 +114,7 @@
             is_done = True
         finally:
             if not is_done and waiter.is_granted:
-                # The caller has left.
+                # Cancelled after the grant, as when its caller leaves.
                 account.add(amount)
             if waiter in account.waiters:
                 account.waiters.remove(waiter)
@@ -123,9 +124,10 @@
             return waiter.retry_after_s
         return max(SILENT_RETRY_AFTER_S, account.denied_s(amount))
 
-    # Asking.
+    # Requests to owners.
 
     def _start_asking(self, account):
+        """Starts the task that asks for an account, unless there is one."""
         if not account.is_asking and self._task_group is not None:
             account.is_asking = True
             self._task_group.start_soon(run_isolated, self._ask, account)
@@ -142,32 +144,22 @@
             account.is_asking = False
 
     async def _ask_once(self, account):
-        now = anyio.current_time()
-        needed = sum(item.amount for item in account.waiters)
-        wanted = account.wanted_balance(LOW_BALANCE_S + PREFETCH_S)
-        amount = max(0.0, needed + wanted - account.balance())
-        minimum, deadline = MIN_PREFETCH_PART * amount, now
-        if account.waiters:
-            first = account.waiters[0]
-            minimum = first.amount - account.balance()
-            deadline = first.deadline - REPLY_MARGIN_S
-        minimum = max(ROUNDING, minimum)
-        granted, wait_s = await self._ask_owner(
-            account, max(amount, minimum), minimum, deadline
-        )
+        """Sends one request for units, and applies the answer."""
+        amount, minimum, deadline = _next_amounts(account)
+        granted, wait_s = await self._ask_owner(account, amount, minimum, deadline)
         if wait_s > 0:
             account.note_shortage()
         if granted:
             await anyio.sleep(wait_s)
             account.add(granted)
         elif not account.waiters:
-            # Units in advance were refused, which says nothing about single requests.
+            # Units in advance were denied, which says nothing about single requests.
             return
         else:
             await self._handle_denial(account, minimum, wait_s)
 
     async def _handle_denial(self, account, amount, wait_s):
-        """Refuses the waiting requests that cannot wait for units."""
+        """Waits for units if the first request can, else refuses those that cannot."""
         now = anyio.current_time()
         remaining_s = account.waiters[0].deadline - now
         if wait_s <= remaining_s:
@@ -182,7 +174,10 @@
                 waiter.done.set()
 
     async def _give_back(self, account):
-        """Returns units that have expired to the host that issued them."""
+        """Returns units that have expired to the host that issued them.
+
+        Called with ``is_asking`` set, as the messages of an account go one by one.
+        """
         tenant, returned, account.unused = account.tenant, account.unused, 0.0
         try:
             if account.owner == self._own_name:
@@ -220,8 +215,12 @@
             if reply.granted or reply.wait_s:
                 self._metrics.count_quota_ask("granted" if reply.granted else "denied")
                 return reply.granted, reply.wait_s
-            # This host has missed the owner's answers, but another has not.
+            # The host that was asked says that the owner answers it.
             self._owners.note_heard(self._owners.owner(tenant.name))
+        return self._issue_own_share(tenant, amount, minimum, deadline)
+
+    def _issue_own_share(self, tenant, amount, minimum, deadline):
+        """Returns (granted units, time to wait) of this host's share of the quota."""
         max_wait_s = max(0.0, deadline - anyio.current_time())
         granted, wait_s = self._issuer.issue_own_share(
             tenant, amount, minimum, max_wait_s
@@ -229,7 +228,7 @@
         return granted, wait_s if granted else min(wait_s, MAX_OWN_SHARE_WAIT_S)
 
     def _serve(self, account):
-        """Lets the waiting requests go on for which there are units, in their order."""
+        """Grants the waiting requests for which there are units, in FIFO order."""
         waiters = account.waiters
         while waiters and account.try_take(waiters[0].amount):
             waiter = waiters.popleft()
@@ -260,6 +259,7 @@
                 del self._accounts_by_tenant[name]
 
     def _void_balances(self, paused_s):
+        """Drops all units after a pause, in which others may have got them."""
         for account in self._accounts_by_tenant.values():
             account.lots.clear()
             account.unused = 0.0
@@ -293,3 +293,22 @@
         )
         account.refused_since = None
         account.refused_count = 0
+
+
+def _next_amounts(account):
+    """Returns (amount, minimum, deadline) of the next request for an account's units.
+
+    The amount covers all waiting requests and the expected demand; the minimum is what
+    the first waiting request lacks until its deadline.
+    """
+    needed = sum(item.amount for item in account.waiters)
+    wanted = account.wanted_balance(LOW_BALANCE_S + PREFETCH_S)
+    amount = max(0.0, needed + wanted - account.balance())
+    if account.waiters:
+        first = account.waiters[0]
+        minimum = first.amount - account.balance()
+        deadline = first.deadline - REPLY_MARGIN_S
+    else:
+        minimum, deadline = MIN_PREFETCH_PART * amount, anyio.current_time()
+    minimum = max(ROUNDING, minimum)
+    return max(amount, minimum), minimum, deadline
