--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -306,8 +306,8 @@
         self.snapshots = Snapshots(self.state, self.hosts, rng, self.transfers)
         self.hosts.on_heartbeat(self.snapshots.note_heartbeat)
         self.forwarder = Forwarder(self)
-        self.caller_memory = CallerMemory.from_settings(
-            settings, self._limits, self._note_relief
+        self.caller_memory = CallerMemory(
+            settings.memory_mb, self._limits, self._note_shed
         )
         self.caller_server = HttpServer(
             self.forwarder.handle,
@@ -385,13 +385,13 @@
             None if configuration is None else configuration.tenants
         )
 
-    def _note_relief(self, relief):
-        """Counts and logs what was refused to bound the memory that callers hold."""
-        counts = relief.counts()
-        self.metrics.count_relief(counts)
+    def _note_shed(self, counts):
+        """Counts and logs the load that was shed to bound the memory of callers."""
+        counts_by_kind = counts.by_kind()
+        self.metrics.count_shed(counts_by_kind)
         self._connection_log.log(
             Event.CALLERS_REFUSED_FOR_MEMORY,
-            **counts,
+            **counts_by_kind,
             held_bytes=self.caller_memory.held_bytes,
             bound_bytes=self.caller_memory.bound_bytes,
             connections=len(self.caller_server.connections),
--- a/snipetrestle/gateway/caller_memory.py
+++ b/snipetrestle/gateway/caller_memory.py
@@ -1,13 +1,14 @@
 """Bounds the memory that the connections of all callers hold together.
 
 Each connection reports what it holds: received bytes, parsed headers, bodies and unsent
-responses, with the overhead of the objects. Above the bound, room is made by refusing
-requests that are unfinished, then by ending connections whose callers do not read. A
+responses, with the overhead of the objects. Above the bound, load is shed: requests that
+are unfinished are refused, then connections are ended whose callers do not read. A
 request that is complete or in progress is never refused.
 """
 
 import asyncio
 import math
+import operator
 
 MB = 1_000_000
 # The smallest hosts of the platform.
@@ -27,14 +28,16 @@
 HEADER_LINE_BYTES = 192
 # A body is held once, and once more while it is sent to a replica.
 BODY_COPIES = 2
-# Room is made down to this share of the bound, so that it is not looked for at each
-# byte. The same part of the bound must be added before it is looked for in vain again.
+# Load is shed down to this share of the bound, so that candidates are not searched at
+# each byte. If none was found, the next search follows when callers hold more by the
+# remaining share of the bound.
 TARGET_SHARE = 7 / 8
-# While new requests are refused, room is looked for at this interval.
+# While new requests are refused, candidates for shedding are searched at this interval.
 CHECK_INTERVAL_S = 0.1
 # Connections without a request may take this share of the bound.
 CONNECTIONS_SHARE = 0.5
-# This many times as many are open for a moment, while idle ones are ended in good order.
+# Up to this multiple of that number, idle connections are ended as after their idle
+# limit, so more are open for a moment; above it, they are aborted.
 MAX_CONNECTIONS_EXCESS = 9 / 8
 
 
@@ -46,8 +49,8 @@
     return held_bytes.bit_length(), age_s / held_bytes
 
 
-class Relief:
-    """What was done at one time to make room, by the number of connections."""
+class ShedCounts:
+    """Numbers of connections on which load was shed at one time, by kind."""
 
     __slots__ = (
         "unfinished_requests",
@@ -60,8 +63,8 @@
         for name in self.__slots__:
             setattr(self, name, 0)
 
-    def counts(self):
-        """Returns the numbers by name."""
+    def by_kind(self):
+        """Returns the numbers by the kind, as it is logged and counted."""
         return {name: getattr(self, name) for name in self.__slots__}
 
 
@@ -69,22 +72,18 @@
     """Memory that callers may hold.
 
     ``limits()`` returns the current CallerLimits: a request of the largest legal size
-    must find room. ``on_relief(relief)`` is called with each Relief.
+    must find room. ``on_shed(counts)`` is called with the ShedCounts each time that load
+    was shed.
     """
 
-    def __init__(self, memory_mb, limits, on_relief=lambda relief: None):
+    def __init__(self, memory_mb, limits, on_shed=lambda counts: None):
         self._limits = limits
-        self._on_relief = on_relief
+        self._on_shed = on_shed
         self._connections = set()
         self.held_bytes = 0
         self._checked_at = -math.inf
         self.set_memory(memory_mb)
 
-    @classmethod
-    def from_settings(cls, settings, limits, on_relief):
-        """Returns the bound that GatewaySettings give."""
-        return cls(settings.memory_mb, limits, on_relief)
-
     def set_memory(self, memory_mb):
         """Applies a limit for the whole process."""
         self._memory_bytes = memory_mb * MB
@@ -140,6 +139,7 @@
             self._make_room()
 
     def _make_room(self):
+        """Sheds load until callers hold TARGET_SHARE of the bound, if they exceed it."""
         self._checked_at = asyncio.get_running_loop().time()
         # The bound may have changed, and responses that were sent are not reported.
         self._note_bound()
@@ -147,52 +147,50 @@
         for connection in self._connections:
             connection.report_held()
         target_bytes = TARGET_SHARE * self.bound_bytes
-        relief = Relief()
-        if self.held_bytes > self.bound_bytes:
-            self._refuse_unfinished(target_bytes, relief)
-        if self.held_bytes > self.bound_bytes:
-            self._end_unread(target_bytes, relief)
+        counts = ShedCounts()
+        if self.is_full:
+            self._refuse_unfinished(target_bytes, counts)
+        if self.is_full:
+            self._end_unread(target_bytes, counts)
         self._check_above_bytes = self.bound_bytes
         if self.is_full:
             step_bytes = (1 - TARGET_SHARE) * self.bound_bytes
             self._check_above_bytes = self.held_bytes + step_bytes
-        if any(relief.counts().values()):
-            self._on_relief(relief)
+        if any(counts.by_kind().values()):
+            self._on_shed(counts)
 
-    def _refuse_unfinished(self, target_bytes, relief):
-        now = asyncio.get_running_loop().time()
-        candidates = [item for item in self._connections if item.unfinished_bytes]
-        candidates.sort(
-            key=lambda item: size_and_slowness(
-                item.unfinished_bytes, now - item.unfinished_since
-            ),
-            reverse=True,
-        )
-        for connection in candidates:
+    def _refuse_unfinished(self, target_bytes, counts):
+        for connection in self._largest_first("unfinished_bytes", "unfinished_since"):
             if self.held_bytes <= target_bytes:
                 return
             connection.refuse_for_memory()
-            relief.unfinished_requests += 1
+            counts.unfinished_requests += 1
 
-    def _end_unread(self, target_bytes, relief):
-        now = asyncio.get_running_loop().time()
-        candidates = [item for item in self._connections if item.unread_bytes]
-        candidates.sort(
-            key=lambda item: size_and_slowness(
-                item.unread_bytes, now - item.unread_since
-            ),
-            reverse=True,
-        )
-        for connection in candidates:
+    def _end_unread(self, target_bytes, counts):
+        for connection in self._largest_first("unread_bytes", "unread_since"):
             if self.held_bytes <= target_bytes:
                 return
             connection.end_unread()
-            relief.unread_responses += 1
+            counts.unread_responses += 1
+
+    def _largest_first(self, size_name, since_name):
+        """Returns the connections that hold bytes of a kind, in order of shedding.
+
+        The arguments name the attributes with their number and since when they are held.
+        """
+        now = asyncio.get_running_loop().time()
+        size, since = operator.attrgetter(size_name), operator.attrgetter(since_name)
+        return sorted(
+            filter(size, self._connections),
+            key=lambda item: size_and_slowness(size(item), now - since(item)),
+            reverse=True,
+        )
 
     def _end_longest_idle(self, new_connection):
         """Ends the connection that has been idle for longest, or else the new one.
 
-        Idle connections are ended in good order, unless too many are open.
+        An idle connection is ended as after its idle limit. Only if far too many are
+        open, it is aborted, or the new one if none is idle.
         """
         limit = MAX_CONNECTIONS_EXCESS * self.max_connections
         is_urgent = len(self._connections) > limit
@@ -201,14 +199,14 @@
             for item in self._connections
             if item is not new_connection and item.may_end_idle(is_urgent)
         ]
-        relief = Relief()
+        counts = ShedCounts()
         if idle:
             longest_idle = min(idle, key=lambda item: item.idle_since)
             longest_idle.end_idle(is_urgent)
-            relief.idle_connections = 1
+            counts.idle_connections = 1
         elif is_urgent:
             new_connection.end_unserved()
-            relief.new_connections = 1
+            counts.new_connections = 1
         else:
             return
-        self._on_relief(relief)
+        self._on_shed(counts)
--- a/snipetrestle/gateway/metrics.py
+++ b/snipetrestle/gateway/metrics.py
@@ -133,9 +133,9 @@
         """Counts the end of a caller's connection by EndReason and Unanswered."""
         self._connection_ends.labels(reason, unanswered).inc()
 
-    def count_relief(self, counts):
-        """Counts connections by the fields of a Relief."""
-        for kind, count in counts.items():
+    def count_shed(self, counts_by_kind):
+        """Counts connections by the kinds of ShedCounts."""
+        for kind, count in counts_by_kind.items():
             self._relieved_connections.labels(kind).inc(count)
 
     def count_too_long_datagram(self):
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -78,11 +78,11 @@
 
     def setUp(self):
         super().setUp()
-        self.reliefs = []
+        self.shed = []
 
     def run_with_memory(self, function):
         async def main():
-            memory = CallerMemory(0.001, lambda: NO_LIMITS, self.reliefs.append)
+            memory = CallerMemory(0.001, lambda: NO_LIMITS, self.shed.append)
             self.assertEqual(MB, memory.bound_bytes)
             function(memory)
 
@@ -101,12 +101,12 @@
             small = self.add(memory, 1000)
             large = self.add(memory, 600_000)
             middle = self.add(memory, 250_000)
-            self.assertEqual([], self.reliefs)
+            self.assertEqual([], self.shed)
             last = self.add(memory, 300_000)
             self.assertEqual(["refused"], large.ended)
             for other in (small, middle, last):
                 self.assertEqual([], other.ended)
-            self.assertEqual([1], [item.unfinished_requests for item in self.reliefs])
+            self.assertEqual([1], [item.unfinished_requests for item in self.shed])
             self.assertLessEqual(memory.held_bytes, TARGET_SHARE * MB)
 
         self.run_with_memory(check)
@@ -148,7 +148,7 @@
             self.assertEqual([[], ["refused"]], [unread.ended, unfinished.ended])
             self.add(memory, 0, other=300_000)
             self.assertEqual(["unread"], unread.ended)
-            self.assertEqual([1], [item.unread_responses for item in self.reliefs[1:]])
+            self.assertEqual([1], [item.unread_responses for item in self.shed[1:]])
 
         self.run_with_memory(check)
 
