--- a/snipetrestle/gateway/body_buffer.py
+++ b/snipetrestle/gateway/body_buffer.py
@@ -1,4 +1,7 @@
-"""Collects the body of a request, without an object for each of its chunks."""
+"""Collects the body of a request.
+
+A list of chunks would take many times their size if they are short.
+"""
 
 
 class BodyBuffer:
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -156,7 +156,8 @@
         self._server.connections.discard(self)
         self._server.memory.discard(self)
         self.report_held()
-        # It refers to this connection, which must not wait for the collector.
+        # The parser refers to this connection. Without the cycle, both are freed at
+        # once instead of by the garbage collector.
         self._parser = None
         call_isolated(self._report_end)
         self._waiter.wake()
@@ -194,7 +195,7 @@
                 self._active_at = max(self._active_at, request.begun_at)
                 self._in_progress_bytes = request.held_bytes + REQUEST_IN_PROGRESS_BYTES
                 await self._server.handle(request, self)
-                # It is not needed while the caller reads the response.
+                # A caller may take long to read the response.
                 request.release()
                 self._end_progress()
                 await self._wait_until_read()
@@ -243,7 +244,9 @@
             if self.closed:
                 return None
             if self._in_message and self._server.arrival_retry_after_s is not None:
-                self._refuse_arriving_request()
+                self._refuse_arriving_request(
+                    ResultCode.NOT_READY, self._server.arrival_retry_after_s
+                )
                 return None
             self._send_continue_if_awaited()
             remaining_s = self._remaining_wait_s(idle_since)
@@ -273,14 +276,13 @@
             self.keep_alive = False
         self.send_result_code(self._refusal_code, self._refusal_retry_after_s)
 
-    def _refuse_arriving_request(self):
-        """Answers a request whose rest comes too late for a stop, if at all."""
-        self._refuse(ResultCode.NOT_READY)
+    def _refuse_arriving_request(self, code, retry_after_s=None):
+        """Answers a request whose rest comes too late, if at all."""
+        self._refuse(code)
+        self._refusal_retry_after_s = retry_after_s
         self._drop_arriving()
         self.report_held()
-        self._note_end(EndReason.REQUEST_REFUSED)
-        self._is_head_request = self._is_refused_head_request
-        self.send_result_code(ResultCode.NOT_READY, self._server.arrival_retry_after_s)
+        self._answer_refused_request()
 
     def _send_continue_if_awaited(self):
         """Asks for a body that its caller holds back until then (RFC 9110, 10.1.1).
@@ -329,13 +331,10 @@
         self._has_unread_bytes = count_unread_bytes(self._transport) > 0
         if self._has_unread_bytes:
             return False
-        self._note_end(reason)
         if reason is EndReason.REQUEST_REFUSED:
-            self._refuse(ResultCode.REQUEST_TIMEOUT)
-            self._drop_arriving()
-            self.report_held()
-            self._is_head_request = self._is_refused_head_request
-            self.send_result_code(ResultCode.REQUEST_TIMEOUT)
+            self._refuse_arriving_request(ResultCode.REQUEST_TIMEOUT)
+        else:
+            self._note_end(reason)
         write_end(self._transport)
         return True
 
@@ -424,7 +423,7 @@
         if not self.busy and not self._lingering:
             self._waiter.wake()
 
-    # What CallerMemory asks for.
+    # Called by CallerMemory.
 
     def report_held(self):
         """Tells the server's CallerMemory how much this connection holds."""
@@ -441,7 +440,7 @@
             self._server.memory.resize(old_bytes, held_bytes)
 
     def refuse_for_memory(self):
-        """Refuses the request that is unfinished, and frees what it holds."""
+        """Refuses the unfinished request, and frees the memory that it holds."""
         self._refuse_unfinished(ResultCode.QUEUE_FULL, FULL_RETRY_AFTER_S)
         self.report_held()
         self._waiter.wake()
--- a/snipetrestle/gateway/parse_turns.py
+++ b/snipetrestle/gateway/parse_turns.py
@@ -1,11 +1,11 @@
-"""Lets connections parse what they have received in turns, so that none holds up all."""
+"""Lets connections parse what they have received in turns, so that none blocks others."""
 
 import asyncio
 import collections
 
 
 class ParseTurns:
-    """One connection after the other has a turn, one in each event loop iteration.
+    """Gives one connection a turn in each iteration of the event loop.
 
     However many connections have much to parse, all other work of the process waits for
     one turn at most.
@@ -18,7 +18,7 @@
         self._is_scheduled = False
 
     async def wait(self):
-        """Returns when the caller of this method has its turn, which ends as it waits."""
+        """Waits for the turn of the caller, which lasts until its next ``await``."""
         loop = asyncio.get_running_loop()
         turn = loop.create_future()
         self._waiting.append(turn)
--- a/snipetrestle/gateway/request_arrival.py
+++ b/snipetrestle/gateway/request_arrival.py
@@ -1,7 +1,7 @@
-"""The requests that arrive on a caller's connection, from bytes to complete ones.
+"""Parses the bytes of a caller's connection into complete requests.
 
-httptools parses them in slices, so that one turn of the event loop is short whatever a
-caller sends. Bytes beyond a slice wait as unparsed ones.
+httptools parses them in slices, so that each turn of the event loop is short whatever a
+caller sends. Bytes beyond a slice wait in UnparsedBytes.
 """
 
 import asyncio
@@ -26,9 +26,9 @@
 )
 from snipetrestle.gateway.unparsed_bytes import UnparsedBytes
 
-# Parsed in one turn of the event loop: some 1,000 header lines or 700 chunks, which take
-# less than a millisecond. More while a body comes in large chunks, of which a slice has
-# MAX_CHUNKS_PER_SLICE at most.
+# Bytes that are parsed in one turn of the event loop: some 1,000 header lines or 700
+# chunks, which take less than a millisecond. Slices grow up to MAX_SLICE_BYTES while a
+# body comes in large chunks, with at most MAX_CHUNKS_PER_SLICE in a slice.
 SLICE_BYTES = 4096
 MAX_SLICE_BYTES = 32_768
 MAX_CHUNKS_PER_SLICE = 16
@@ -37,11 +37,11 @@
 
 
 class RequestArrival:
-    """Parses the bytes of one connection, which is a subclass.
+    """Base class of CallerConnection that parses what it receives.
 
-    ``_pending_requests`` are complete, in the order of their arrival. After them comes
-    the request that still arrives, with the bytes that are not parsed yet, or the
-    refusal ``_refusal_code`` that ends the connection.
+    ``_pending_requests`` are complete, in the order of their arrival. They are followed
+    by the request that still arrives and the bytes that are not parsed yet, or by the
+    refusal ``_refusal_code``, which ends the connection.
     """
 
     def __init__(self, server):
@@ -242,7 +242,7 @@
         self._pending_requests.append(request)
         self._pending_bytes += request.held_bytes
 
-    # What arrives, and its refusal.
+    # Complete, unfinished and refused requests.
 
     def _take_request(self):
         """Removes the first complete request and returns it."""
@@ -261,9 +261,9 @@
 
     @property
     def unfinished_bytes(self):
-        """The memory that the request takes that has arrived only in part.
+        """The memory of the request that has arrived only in part.
 
-        It is 0 if there is none, or if it has been refused.
+        It is 0 without such a request, and once it is refused.
         """
         if self._refusal_code is not None:
             return 0
@@ -291,7 +291,7 @@
             self.keep_alive = False
 
     def _refuse_unfinished(self, code, retry_after_s):
-        """Refuses the request that arrives, also while an earlier one is answered."""
+        """Refuses the arriving request, also while an earlier one is in progress."""
         self._refusal_code = code
         self._refusal_retry_after_s = retry_after_s
         self._is_refused_head_request = (
@@ -302,7 +302,7 @@
         self._drop_arriving()
 
     def _drop_arriving(self):
-        """Frees what has arrived of a request that is refused."""
+        """Frees what has arrived of the unfinished request."""
         self._unparsed.clear()
         self._headers = []
         self._body = BodyBuffer()
--- a/snipetrestle/gateway/response_writer.py
+++ b/snipetrestle/gateway/response_writer.py
@@ -29,9 +29,9 @@
 
 
 class ResponseWriter:
-    """Responses on one connection, which is a subclass.
+    """Base class of CallerConnection that formats its responses.
 
-    It has ``_write(data)`` and ``_closes_after_response``. ``keep_alive`` tells whether
+    The subclass has ``_write(data)`` and ``_closes_after_response``. ``keep_alive`` tells whether
     the connection stays open, and ``has_response`` whether the response to the current
     request has begun.
     """
--- a/snipetrestle/gateway/unparsed_bytes.py
+++ b/snipetrestle/gateway/unparsed_bytes.py
@@ -5,9 +5,9 @@
 # Bytes that arrive within this time of each other are kept as one piece, so that single
 # bytes don't fill the memory.
 PIECE_S = 0.01
-# Objects of a piece besides its bytes.
+# Memory of the objects of a piece besides its bytes.
 PIECE_BYTES = 160
-# Of the first piece, for a look at its method.
+# Only this much of the first piece is copied to compare its method.
 PREFIX_BYTES = 64
 
 
@@ -57,7 +57,10 @@
         return self._pieces[0][1]
 
     def pop_first(self, max_bytes):
-        """Removes bytes of the first piece, and returns them and the time of arrival."""
+        """Removes up to ``max_bytes`` of the first piece.
+
+        Returns them and the time of their arrival.
+        """
         piece, received_at = self._pieces[0]
         data = bytes(piece[:max_bytes])
         if len(data) == len(piece):
