--- a/snipetrestle/coordination/key_owners.py
+++ b/snipetrestle/coordination/key_owners.py
@@ -9,7 +9,8 @@
 
 # How long a host that did not answer is passed over.
 SILENCE_S = 2.0
-# A host that finds more of the best hosts of a key silent asks no others.
+# A host that finds more of the best hosts of a key silent asks no others, as it may be
+# cut off itself.
 MAX_PASSED_OVER = 3
 MAX_CACHED_KEYS = 8192
 
@@ -48,7 +49,7 @@
     def responsive_owner(self, key):
         """Returns the best host for a key that is not passed over now.
 
-        Returns the name of this host if many are passed over: it may be cut off.
+        Returns the name of this host if more than MAX_PASSED_OVER are passed over.
         """
         best = self.owner(key)
         if not self.is_silent(best):
@@ -67,7 +68,7 @@
         return self.is_silent(best) and all(map(self.is_silent, self.above_own(key)))
 
     def above_own(self, key):
-        """Returns the names of the hosts that would own a key rather than this one."""
+        """Returns the names of the hosts that rank above this one for a key."""
         return [
             name
             for name in self._hosts.sender_names()
@@ -75,13 +76,13 @@
         ]
 
     def next_owner(self, key):
-        """Returns the host that owns a key without this one, or None if it is alone."""
+        """Returns the best other host for a key, or None if this host is alone."""
         own = self._hosts.own.name
         names = [name for name in self._hosts.sender_names() if name != own]
         return max(names, key=lambda name: _rank(key, name), default=None)
 
     def ranks_above_own(self, key, name):
-        """Whether a host would own a key rather than this one."""
+        """Whether a host ranks above this one for a key."""
         return _rank(key, name) > _rank(key, self._hosts.own.name)
 
     def note_silent(self, name, duration_s=SILENCE_S):
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -153,9 +153,8 @@
 
     Only a leader sends the rest: ``members_digest`` of all hosts that it knows, the
     names of the likely next leaders, and of the hosts that read the store for the
-    receiver's failure domain, and in ``reached`` the number of hosts that it hears,
-    with itself. ``unreached`` holds the digests, by ``name_digest``, of the names of
-    the other hosts that it knows.
+    receiver's failure domain. ``reached`` is the number of hosts that it hears, with
+    itself, and ``unreached`` the ``name_digest`` of each other host that it knows.
     """
 
     sender: HostInfo
@@ -373,13 +372,16 @@
 
 
 class QuotaRequest(_Message):
-    """Request to the owner of a tenant's quota for ``amount`` units, or a part.
+    """Request to the owner of a tenant's quota for up to ``amount`` units.
 
-    At least ``minimum`` units are of use, and these can wait for ``max_wait_s``.
-    ``returned`` units that the owner had issued were not used. ``boot`` is that of the
-    sender, whose address identifies it: two long names would not fit. A request is
-    repeated with its ``number``, and numbers increase. A ``minimum`` of 0 asks for what
-    the receiver has, as its level is handed over to another owner.
+    At least ``minimum`` units are of use, and the sender can wait ``max_wait_s`` for
+    them. ``returned`` units that the owner had issued were not used. ``boot`` is that of
+    the sender, whose address identifies it: two long names would not fit. A retry has
+    the ``number`` of its request, and numbers increase.
+
+    With a ``minimum`` of 0, the receiver hands over up to ``amount`` units of its level
+    to the sender as the new owner. If ``amount`` is 0 too, the message only returns
+    units, or asks whether the receiver answers.
     """
 
     boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
@@ -395,7 +397,8 @@
     """Answer to QuotaRequest: the units that may be used after ``wait_s``.
 
     With 0 granted units, ``wait_s`` is the time until the minimum is available. If that
-    is 0 as well, the receiver is not the owner, and believes that the owner answers.
+    is 0 as well, the sender of the reply is not the owner, and the owner is to be asked
+    again.
     """
 
     number: Revision
--- a/snipetrestle/coordination/pause_watch.py
+++ b/snipetrestle/coordination/pause_watch.py
@@ -1,4 +1,8 @@
-"""Notices that this process stood still, by its clock or by that of the machine."""
+"""Notices that this process was paused, for the components that must then start anew.
+
+A pause shows as a gap between ticks (a stopped process), or as a difference between the
+clocks of the machine (a suspended machine).
+"""
 
 import anyio
 
@@ -10,10 +14,10 @@
 
 
 class PauseWatch:
-    """Calls ``listener(paused_s)`` of ``on_pause`` after a pause.
+    """Calls the listeners after a pause.
 
-    ``check()`` is called before a decision that a pause makes void, since the first
-    thing that a process does after it may be anything.
+    Decisions that a pause makes void are preceded by ``check()``: after a pause, other
+    tasks may run before the next tick.
     """
 
     def __init__(self):
@@ -22,6 +26,7 @@
         self._suspended_s = total_suspended_s()
 
     def on_pause(self, listener):
+        """Registers ``listener(paused_s)``, called after each pause."""
         self._listeners.append(listener)
 
     async def run(self):
@@ -31,7 +36,7 @@
             await anyio.sleep(TICK_S)
 
     def check(self):
-        """Calls the listeners if this process has stood still since the last check."""
+        """Calls the listeners if this process was paused since the last tick."""
         now = anyio.current_time()
         suspended_s = total_suspended_s()
         gap_s = now - self._ticked_at
--- a/snipetrestle/coordination/quota_requests.py
+++ b/snipetrestle/coordination/quota_requests.py
@@ -1,4 +1,4 @@
-"""Requests to the owners of quotas, with the hosts that do not answer passed over."""
+"""Sends requests for units to the owners of quotas, and notes which hosts answer."""
 
 from snipetrestle.coordination.datagram_requests import DatagramRequests
 from snipetrestle.coordination.messages import QuotaReply, QuotaRequest
@@ -10,7 +10,7 @@
 
 
 class QuotaRequests:
-    """Sends QuotaRequests. ``owners`` is the KeyOwners, whose silent hosts it notes."""
+    """Sends QuotaRequests. ``owners`` is the KeyOwners, which passes over silent hosts."""
 
     def __init__(self, hosts, endpoint, owners):
         self._hosts = hosts
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -60,7 +60,8 @@
         finally:
             self._current.close()
             self._end_replacement()
-            # Each refers to the other, and bodies must not wait for the collector.
+            # They refer to each other. Without the cycle, bodies are freed at once
+            # instead of by the garbage collector.
             self._current = None
 
     async def _serve_current(self, serve_exchange):
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -40,9 +40,8 @@
     ``deadline_at`` is when the request ends, and ``refusal_due_at`` when it is refused
     unless its response has begun. ``scope`` is the CancelScope in which it is forwarded.
     ``caller`` is the CallerConnection that gets the response. ``tenant`` is the Tenant
-    that it calls for, or None. ``fingerprint`` is the
-    same for each repetition of the request. These lists hold replica
-    ids: ``sent_to`` those that the request was sent to, ``may_have_run_on`` those on
+    that it calls for, or None. ``fingerprint`` is the same for each repetition of the
+    request. These lists hold replica ids: ``sent_to`` those that the request was sent to, ``may_have_run_on`` those on
     which it may have run, and ``adapter_missing_on`` those that refused it because they
     do not hold its adapter; the last two have an entry for each attempt. ``send_count``
     counts all attempts. ``version`` is the adapter version that the replica must have.
@@ -54,8 +53,8 @@
     time of the first attempt, or None. ``has_replacement`` tells that the request was
     sent to another replica while the first one is silent. ``dropped_on`` holds the ids
     of replicas whose replacement was ended before it had a response; the request may go
-    to them again. ``quota_booking`` is the tenant and what the request has booked on
-    its quota, or None.
+    to them again. ``quota_booking`` is (tenant, units) that the request has booked on the
+    tenant's quota, or None.
     """
 
     __slots__ = (
--- a/snipetrestle/gateway/quota_check.py
+++ b/snipetrestle/gateway/quota_check.py
@@ -16,7 +16,10 @@
 
 
 class QuotaCheck:
-    """Books each request once, whatever its attempts. ``accounts`` is QuotaAccounts."""
+    """Books each request once, however many attempts it has.
+
+    ``accounts`` is the QuotaAccounts.
+    """
 
     def __init__(self, accounts):
         self._accounts = accounts
@@ -39,7 +42,7 @@
         job.quota_booking = tenant, cost
 
     def end(self, job):
-        """Puts back what a request has booked that has not run on any replica."""
+        """Ends the booking of a request. Refunds it if no replica may have run it."""
         if job.quota_booking is not None and not job.may_have_run:
             self._accounts.refund(*job.quota_booking)
         job.quota_booking = None
@@ -58,7 +61,10 @@
 
 
 def _refusal(quota, cost, retry_after_s):
-    """Returns the refusal of a request. Without a time, its tenant can never send it."""
+    """Returns the refusal of a request.
+
+    ``retry_after_s`` is None for a request that the quota never allows.
+    """
     if quota.unit is QuotaUnit.REQUESTS:
         code = ResultCode.RATE_LIMIT
     else:
@@ -80,6 +86,6 @@
 
 
 def _rounded_up(duration_s):
-    """Returns a duration that six digits can show, and that is not shorter."""
+    """Rounds a duration up to what Retry-After shows: "%g" has six digits."""
     digits = 3 if duration_s < 100 else 1
     return math.ceil(duration_s * 10**digits) / 10**digits
--- a/snipetrestle/limits/rate_pool.py
+++ b/snipetrestle/limits/rate_pool.py
@@ -1,4 +1,4 @@
-"""Pool of units that accrue at a rate, with the clock of anyio.
+"""Token bucket that can be booked ahead, with the clock of anyio.
 
 The quotas of tenants, the permits for limited replicas and the buckets of the product's
 own daemon use it.
@@ -15,9 +15,9 @@
 class RatePool:
     """Accrues ``rate_per_s`` units a second, up to ``burst`` units.
 
-    An amount above the burst can be taken while the pool is full. The level is then
-    negative, so later amounts wait for it; ``may_overdraw`` tells whether it can. Units can also be booked ahead: they are
-    taken at once and used after the wait.
+    With ``may_overdraw``, an amount above the burst can be taken while the pool is full.
+    The level is then negative, so later amounts wait until it has accrued. Units can
+    also be booked ahead: they are taken at once and used after the wait.
     """
 
     __slots__ = ("rate_per_s", "burst", "may_overdraw", "level", "_refilled_at")
@@ -51,7 +51,7 @@
         self.level = min(self.level, burst)
 
     def wait_s(self, amount, reserved=0.0):
-        """Returns 0 if an amount can be taken now, else the seconds until then.
+        """Returns 0 if an amount can be taken now, else the seconds until it can.
 
         ``reserved`` units of the burst are left to others.
         """
--- a/snipetrestle/platform/documents.py
+++ b/snipetrestle/platform/documents.py
@@ -15,7 +15,7 @@
 TENANTS = "tenants"
 API_KEYS = "api_keys"
 API_KEY_DIGESTS = "api_key_digests"
-# What stands for a part that cannot be read. The decoder of the configuration rejects it.
+# Replaces a part that cannot be read. The decoder of the configuration rejects it.
 _UNREADABLE = None
 
 _document_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
--- a/snipetrestle/tenants/__init__.py
+++ b/snipetrestle/tenants/__init__.py
@@ -1,1 +1,1 @@
-"""Tenants of the gateway: who calls, and how much each of them may ask."""
+"""Tenants of the gateway: the authentication of callers, and the quotas of tenants."""
--- a/tests/gateway/test_tenants.py
+++ b/tests/gateway/test_tenants.py
@@ -144,7 +144,7 @@
         self.run_tenants(check)
 
     def test_path_without_a_route_is_not_found_with_or_without_a_key(self):
-        """A 401 for a path that does not exist would send its caller after a key."""
+        """A 401 for a path that does not exist would make its caller look for a key."""
 
         async def check(fleet):
             for keys in ((), ("unknown",), (KEY,)):
@@ -598,7 +598,7 @@
         self.run_tenants(check, gateways=2)
 
     def test_invalid_configuration_leaves_the_last_one_in_force(self):
-        """A mistake in one tenant must neither open nor close the door for others."""
+        """A mistake in one tenant must neither admit nor refuse callers of others."""
         mistakes = (
             [tenant("a", KEY), tenant("b", KEY)],
             [tenant("a", KEY), tenant("a", "other")],
