--- a/snipetrestle/platform/tenants.py
+++ b/snipetrestle/platform/tenants.py
@@ -39,7 +39,7 @@
 
 
 _tenants_decoder = msgspec.json.Decoder(list[_Tenant])
-_odd_tenants_decoder = msgspec.json.Decoder(list[msgspec.Raw])
+_raw_tenants_decoder = msgspec.json.Decoder(list[msgspec.Raw])
 _tenant_decoder = msgspec.json.Decoder(_Tenant)
 _name_decoder = msgspec.json.Decoder(_Name)
 
@@ -57,7 +57,7 @@
 def _decode_one_by_one(raw_tenants):
     """Returns the Tenants of a list, or raises a ValueError that names one of them."""
     try:
-        raw_tenants = decode(_odd_tenants_decoder, raw_tenants)
+        raw_tenants = decode(_raw_tenants_decoder, raw_tenants)
     except ValueError as error:
         raise ValueError(f"tenants: {error}") from None
     return [_decode_tenant(raw, number) for number, raw in enumerate(raw_tenants, 1)]
