--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -547,7 +547,7 @@
 
 class ReportTest(LogRecordingTest):
     def test_refusals_are_counted_and_logged_within_bounds(self):
-        """Operators must be able to tell why callers get 503, and a crowd of callers
+        """Operators must be able to tell why callers get 503, and many callers
         must not fill the log."""
         self.patch(log_lines, "LINES_PER_SECOND", 0)
 
--- a/tests/platform/hostile_callers.py
+++ b/tests/platform/hostile_callers.py
@@ -83,7 +83,7 @@
 
 
 class HostileCaller:
-    """Sends pieces on a connection, and reads only if the crowd ``reads``."""
+    """Sends pieces on a connection, and reads only if ``reads`` is set."""
 
     def __init__(self, address, pieces, reads):
         self._address = address
@@ -121,8 +121,8 @@
             self._sock.close()
 
 
-class Crowd:
-    """Callers that all send the same pieces at once.
+class HostileCallers:
+    """A number of callers that all send the same pieces at once.
 
     A caller whose bytes the process no longer takes stays open all the same.
     """
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -24,7 +24,7 @@
 from snipetrestle_standins.platform_store import PlatformStore
 from snipetrestle_standins.ports import free_port
 from tests.platform import hostile_callers
-from tests.platform.hostile_callers import BODY_BYTES, Crowd, ProcessUsage
+from tests.platform.hostile_callers import BODY_BYTES, HostileCallers, ProcessUsage
 from tests.soak.hosts import HostProcess
 
 # A guard against a process that hangs, on a busy machine.
@@ -118,8 +118,8 @@
         super().setUp()
         self.patch(gateway_fleet, "RESPONSE_TIMEOUT_S", TEST_TIMEOUT_S)
 
-    def check_crowd(self, count, pieces, reads=True, memory_mb=MEMORY_MB):
-        """Lets a crowd send, and looks at the process and at one ordinary request."""
+    def check_callers(self, count, pieces, reads=True, memory_mb=MEMORY_MB):
+        """Lets callers send, and looks at the process and at one ordinary request."""
 
         async def main():
             with (
@@ -128,14 +128,16 @@
             ):
                 play = Play(pathlib.Path(folder), memory_mb)
                 async with play.running() as usage:
-                    crowd = Crowd(play.host.callers_address, count, pieces, reads)
-                    crowd.start()
+                    callers = HostileCallers(
+                        play.host.callers_address, count, pieces, reads
+                    )
+                    callers.start()
                     try:
                         await usage.wait_idle()
                         answer = await play.send_request()
                         self.assert_bounded(play, usage, memory_mb)
                     finally:
-                        await crowd.stop()
+                        await callers.stop()
                     self.assertEqual(200, answer.status)
                     self.assertEqual(200, (await play.send_request()).status)
 
@@ -149,28 +151,28 @@
 
     def test_bodies_that_stop_one_byte_short(self):
         """60 of them held 234 MB."""
-        self.check_crowd(30, hostile_callers.whole_body())
+        self.check_callers(30, hostile_callers.whole_body())
 
     def test_bodies_in_pieces_that_stop_one_byte_short(self):
         """The pieces were kept until the end of the body, or for 10 s."""
-        self.check_crowd(30, hostile_callers.body_in_pieces())
+        self.check_callers(30, hostile_callers.body_in_pieces())
 
     def test_large_chunks_that_stop_short(self):
         """No length tells beforehand how much such a body will hold."""
-        self.check_crowd(30, hostile_callers.large_chunks())
+        self.check_callers(30, hostile_callers.large_chunks())
 
     def test_chunks_of_one_byte(self):
         """Each chunk took a slot of a list, and all chunks that had arrived were parsed
         in one turn of the event loop."""
-        self.check_crowd(60, hostile_callers.small_chunks(1))
+        self.check_callers(60, hostile_callers.small_chunks(1))
 
     def test_chunks_of_three_bytes(self):
         """Each chunk was an object of its own, many times its size."""
-        self.check_crowd(20, hostile_callers.small_chunks(3))
+        self.check_callers(20, hostile_callers.small_chunks(3))
 
     def test_heads_of_short_lines(self):
         """A line of four bytes takes some 200 in memory."""
-        self.check_crowd(200, hostile_callers.short_lines(b"a:\r\n"))
+        self.check_callers(200, hostile_callers.short_lines(b"a:\r\n"))
 
     def test_heads_of_odd_lines(self):
         """Lines without a value, with long white space, or that go on."""
@@ -181,19 +183,19 @@
             b"c:\xff\r\n",
             b"~:,\r\n",
         ):
-            self.check_crowd(120, hostile_callers.whole_heads(line))
+            self.check_callers(120, hostile_callers.whole_heads(line))
 
     def test_pipelined_requests(self):
         """All requests that arrived together were parsed and kept, 256 KB of them."""
-        self.check_crowd(100, hostile_callers.pipelined(HELD_PATH), reads=False)
+        self.check_callers(100, hostile_callers.pipelined(HELD_PATH), reads=False)
 
     def test_unread_answers(self):
         """Each caller that reads nothing holds an answer."""
-        self.check_crowd(60, hostile_callers.unread_answers(LARGE_PATH), reads=False)
+        self.check_callers(60, hostile_callers.unread_answers(LARGE_PATH), reads=False)
 
     def test_many_connections(self):
         """Connections that send nothing hold memory and descriptors as well."""
-        self.check_crowd(900, [], memory_mb=FEW_MB)
+        self.check_callers(900, [], memory_mb=FEW_MB)
 
 
 class LargestRequestTest(testtools.TestCase):
