--- a/snipetrestle/coordination/decaying_count.py
+++ b/snipetrestle/coordination/decaying_count.py
@@ -14,7 +14,7 @@
         self._half_life_s = half_life_s
 
     def add(self, count, now):
-        """Adds to the count. ``now`` is the current time in seconds of any one clock."""
+        """Adds to the count. ``now`` is in seconds of any one clock."""
         self._value = self.value(now) + count
         self._updated_at = now
 
--- a/snipetrestle/coordination/quota_requests.py
+++ b/snipetrestle/coordination/quota_requests.py
@@ -10,7 +10,7 @@
 
 
 class QuotaRequests:
-    """Sends QuotaRequests. ``owners`` is the KeyOwners, which passes over silent hosts."""
+    """Sends QuotaRequests. ``owners`` is the KeyOwners that passes over silent hosts."""
 
     def __init__(self, hosts, endpoint, owners):
         self._hosts = hosts
--- a/snipetrestle/gateway/caller_memory.py
+++ b/snipetrestle/gateway/caller_memory.py
@@ -176,7 +176,7 @@
     def _largest_first(self, size_name, since_name):
         """Returns the connections that hold bytes of a kind, in order of shedding.
 
-        The arguments name the attributes with their number and since when they are held.
+        The arguments name the attributes with their number and their start time.
         """
         now = asyncio.get_running_loop().time()
         size, since = operator.attrgetter(size_name), operator.attrgetter(since_name)
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -41,11 +41,11 @@
     unless its response has begun. ``scope`` is the CancelScope in which it is forwarded.
     ``caller`` is the CallerConnection that gets the response. ``tenant`` is the Tenant
     that it calls for, or None. ``fingerprint`` is the same for each repetition of the
-    request. These lists hold replica ids: ``sent_to`` those that the request was sent to, ``may_have_run_on`` those on
-    which it may have run, and ``adapter_missing_on`` those that refused it because they
-    do not hold its adapter; the last two have an entry for each attempt. ``send_count``
-    counts all attempts. ``version`` is the adapter version that the replica must have.
-    ``streaming`` tells whether the caller has got the start of a stream.
+    request. These lists hold replica ids: ``sent_to`` those that the request was sent
+    to, ``may_have_run_on`` those on which it may have run, and ``adapter_missing_on``
+    those that refused it because they do not hold its adapter; the last two have an
+    entry for each attempt. ``send_count`` counts all attempts. ``version`` is the adapter
+    version that the replica must have. ``streaming`` tells whether the caller has got the start of a stream.
     ``is_quarantine_trial`` tells that the request shows whether it still crashes
     replicas. ``limit_wait_s`` is the time that the request would have had to wait for a
     replica with a request limit. ``fallback_response`` is an earlier replica's failure,
@@ -53,8 +53,8 @@
     time of the first attempt, or None. ``has_replacement`` tells that the request was
     sent to another replica while the first one is silent. ``dropped_on`` holds the ids
     of replicas whose replacement was ended before it had a response; the request may go
-    to them again. ``quota_booking`` is (tenant, units) that the request has booked on the
-    tenant's quota, or None.
+    to them again. ``quota_booking`` is the tenant and what the request has booked on
+    its quota, or None.
     """
 
     __slots__ = (
