--- a/snipetrestle/coordination/key_owners.py
+++ b/snipetrestle/coordination/key_owners.py
@@ -18,21 +18,38 @@
     """Ranks the known hosts for each key.
 
     ``hosts`` has ``sender_names()``, the names of all hosts that send requests, which
-    is the same object as long as they are the same, and ``own.name``.
+    is the same object as long as they are the same, ``own.name``, and ``leaving``,
+    which tells that the other hosts no longer count this one.
     """
 
     def __init__(self, hosts):
         self._hosts = hosts
         self._names = None
+        # What ``_names`` were derived from.
+        self._source = None
         self._best_by_key = {}
         self._silent_until_by_name = {}
 
+    def names(self):
+        """Returns the names of the hosts that may own keys.
+
+        A leaving host serves requests, but owns nothing unless it is alone: the others
+        have chosen a new owner, and both would decide. The same tuple is returned as
+        long as they are the same.
+        """
+        is_leaving = self._hosts.leaving
+        source = self._hosts.sender_names(), is_leaving
+        if source != self._source:
+            names, own = source[0], self._hosts.own.name
+            others = tuple(name for name in names if name != own)
+            self._names = others if is_leaving and others else names
+            self._source = source
+            self._best_by_key.clear()
+        return self._names
+
     def owner(self, key):
         """Returns the name of the host that owns a key if all hosts answer."""
-        names = self._hosts.sender_names()
-        if names is not self._names:
-            self._names = names
-            self._best_by_key.clear()
+        names = self.names()
         best = self._best_by_key.get(key)
         if best is None:
             if len(self._best_by_key) >= MAX_CACHED_KEYS:
@@ -68,11 +85,9 @@
 
     def above_own(self, key):
         """Returns the names of the hosts that would own a key rather than this one."""
-        return [
-            name
-            for name in self._hosts.sender_names()
-            if self.ranks_above_own(key, name)
-        ]
+        if self._hosts.leaving:
+            return [name for name in self.names() if name != self._hosts.own.name]
+        return [name for name in self.names() if self.ranks_above_own(key, name)]
 
     def next_owner(self, key):
         """Returns the host that owns a key without this one, or None if it is alone."""
--- a/tests/coordination/test_key_owners.py
+++ b/tests/coordination/test_key_owners.py
@@ -12,6 +12,8 @@
 
 
 class KnownHosts:
+    leaving = False
+
     def __init__(self, own_name, names):
         self.own = types.SimpleNamespace(name=own_name)
         self.names = tuple(names)
@@ -29,6 +31,17 @@
             self.assertEqual(1, len({item.owner(key) for item in owners}))
             self.assertEqual(1, sum(item.owns(key) for item in owners))
 
+    def test_leaving_host_owns_nothing_unless_it_is_alone(self):
+        """The other hosts have chosen new owners for its keys, and both would issue."""
+        leaving = KnownHosts("h1", ("h1", "h2", "h3"))
+        leaving.leaving = True
+        owners = KeyOwners(leaving)
+        other = KeyOwners(KnownHosts("h2", ("h2", "h3")))
+        for key in KEYS:
+            self.assertEqual(other.owner(key), owners.owner(key))
+        leaving.names = ("h1",)
+        self.assertTrue(owners.owns(KEYS[0]))
+
     def test_keys_are_spread_and_stay_when_a_host_leaves(self):
         """A change of the hosts must not move the keys of those that stay."""
         hosts = KnownHosts("h1", ("h1", "h2", "h3", "h4"))
--- a/tests/tenants/quota_system.py
+++ b/tests/tenants/quota_system.py
@@ -216,6 +216,7 @@
     """Hosts that never change, without heartbeats."""
 
     is_only_host = False
+    leaving = False
 
     def __init__(self, own, infos):
         self.lost = LostHosts()
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -177,6 +177,15 @@
         for size in (12, 58):
             self.assert_few_refused(self.kill_owners(size), 0.2)
 
+    def test_owners_leave(self):
+        """A leaving owner, which still has callers, issued beside the new one."""
+
+        async def disturb(system):
+            for tenant in TENANTS:
+                system.owner(tenant.name).hosts.send_leaving()
+
+        self.play(6, disturb)
+
     def test_owner_freezes_and_wakes(self):
         """An owner that wakes could issue what has accrued while another issued."""
 
