--- a/snipetrestle/coordination/quota_issuer.py
+++ b/snipetrestle/coordination/quota_issuer.py
@@ -347,6 +347,8 @@
 
     def _owned_since(self, tenant_name):
         """Returns since when this host has owned a tenant, as far as it knows."""
+        # A host that has left since the last sweep may have issued the whole burst.
+        self._note_departed()
         if self._has_not_joined():
             self._started_at = anyio.current_time()
         departed_at = [
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -566,6 +566,22 @@
 
         self.run_with(check, tenant)
 
+    def test_new_owner_starts_without_the_burst_of_the_last_one(self):
+        """It had a whole burst until it noticed, up to a second later, who had left."""
+        tenant = make_tenant("t", 1, 100, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            await anyio.sleep(0.5)
+            owner = system.owner("t")
+            others = [m for m in system.members.values() if m is not owner]
+            self.assertGreaterEqual(await self.use_up(system, others[0], tenant), 100)
+            owner.hosts.send_leaving()
+            await anyio.sleep(0.01)
+            self.assertNotEqual(owner.name, others[1].owners.owner("t"))
+            self.assertLessEqual(await self.use_up(system, others[1], tenant), 2)
+
+        self.run_with(check, tenant)
+
     def test_single_host_uses_the_whole_quota(self):
         """A system of one host has no leader that reaches others."""
         tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
