--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -54,8 +54,8 @@
     time of the first attempt, or None. ``has_replacement`` tells that the request was
     sent to another replica while the first one is silent. ``dropped_on`` holds the ids
     of replicas whose replacement was ended before it had a response; the request may go
-    to them again. ``quota_booking`` is the tenant and what the request has booked on
-    its quota, or None.
+    to them again. ``quota_booking`` is the tenant, what the request has booked on
+    its quota and when, or None.
     """
 
     __slots__ = (
--- a/snipetrestle/gateway/quota_check.py
+++ b/snipetrestle/gateway/quota_check.py
@@ -36,7 +36,7 @@
         )
         if retry_after_s is not None:
             raise _refusal(tenant.quota, cost, retry_after_s)
-        job.quota_booking = tenant, cost
+        job.quota_booking = tenant, cost, anyio.current_time()
 
     def end(self, job):
         """Puts back what a request has booked that has not run on any replica."""
--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -75,7 +75,7 @@
 
     The owner has told to wait for ``last_wait_s``.
     ``owner`` is the host that issued the last units, and ``unused`` those of it that
-    have expired. ``denied_until`` is when ``denied_amount`` units are available again.
+    have expired or were put back late. ``denied_until`` is when ``denied_amount`` units are available again.
     """
 
     __slots__ = (
@@ -260,9 +260,16 @@
             self._note_refusal(account, amount, retry_after_s)
         return retry_after_s
 
-    def refund(self, tenant, amount):
-        """Puts back the units of a request that has not run on any replica."""
+    def refund(self, tenant, amount, booked_at):
+        """Puts back the units of a request that has not run on any replica.
+
+        Those that were booked too long ago go back to the owner, which keeps no more
+        than a burst: many requests may have waited for long, and end together.
+        """
         account = self._account(tenant)
+        if booked_at <= anyio.current_time() - GRANT_S:
+            account.unused += amount
+            return
         account.add(amount)
         self._serve(account)
 
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -430,7 +430,7 @@
             accounts = system.members[1].accounts
             for _ in range(20):
                 self.assertIsNone(await accounts.acquire(tenant, 1, MAX_WAIT_S))
-                accounts.refund(tenant, 1)
+                accounts.refund(tenant, 1, anyio.current_time())
             await anyio.sleep(2.0)
             # Refunds that this host does not use go back to the owner.
             for number in (2, 3, 1):
@@ -582,6 +582,27 @@
 
         self.run_with(check, tenant)
 
+    def test_old_refunds_are_no_second_burst(self):
+        """Requests that had waited long came again at once, above the rule."""
+        tenant = make_tenant("t", 5_000, 5_000)
+
+        async def check(system, tenant):
+            accounts = system.members[1].accounts
+            booked_at = []
+            for _ in range(400):
+                if await accounts.acquire(tenant, 250, 0.25) is None:
+                    booked_at.append(anyio.current_time())
+                await anyio.sleep(0.05)
+            for at in booked_at:
+                accounts.refund(tenant, 250, at)
+            used = 0
+            for _ in range(500):
+                if await accounts.acquire(tenant, 250, 0.0) is None:
+                    used += 250
+            self.assertLessEqual(used, 2 * 5_000)
+
+        self.run_with(check, tenant)
+
     def test_single_host_uses_the_whole_quota(self):
         """A system of one host has no leader that reaches others."""
         tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
