--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -266,7 +266,10 @@
         Those that were booked too long ago go back to the owner, which keeps no more
         than a burst: many requests may have waited for long, and end together.
         """
-        account = self._account(tenant)
+        account = self._accounts_by_tenant.get(tenant.name)
+        if account is None or account.tenant.quota != tenant.quota:
+            # The tenant may be of an older version, whose limit must not come back.
+            return
         if booked_at <= anyio.current_time() - GRANT_S:
             account.unused += amount
             return
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -582,6 +582,23 @@
 
         self.run_with(check, tenant)
 
+    def test_refund_of_an_older_version_changes_no_limit(self):
+        """The owner would issue at the old limit until the next request."""
+        tenant = make_tenant("t", 1_000, 1_000, QuotaUnit.REQUESTS)
+        lower = make_tenant("t", 10, 10, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            self.assertIsNone(await owner.accounts.acquire(tenant, 1, 0.25))
+            system.set_tenant(lower)
+            await self.use_up(system, owner, lower)
+            owner.accounts.refund(tenant, 1, anyio.current_time())
+            await anyio.sleep(2.0)
+            self.assertEqual(lower, owner.accounts._accounts_by_tenant["t"].tenant)
+            self.assertEqual(10, owner.issuer._pools_by_tenant["t"].pool.rate_per_s)
+
+        self.run_with(check, tenant)
+
     def test_old_refunds_are_no_second_burst(self):
         """Requests that had waited long came again at once, above the rule."""
         tenant = make_tenant("t", 5_000, 5_000)
