--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -218,6 +218,7 @@
         self._metrics = metrics
         self._accounts_by_tenant = {}
         self._task_group = None
+        self._pause_count = 0
         pause_watch.on_pause(self._void_balances)
 
     def __len__(self):
@@ -318,6 +319,7 @@
 
     async def _ask_once(self, account):
         now = anyio.current_time()
+        pause_count = self._pause_count
         needed = sum(item.amount for item in account.waiters)
         wanted = account.wanted_balance(LOW_BALANCE_S + PREFETCH_S)
         amount = max(0.0, needed + wanted - account.balance())
@@ -334,7 +336,10 @@
             account.note_shortage()
         if granted:
             await anyio.sleep(wait_s)
-            account.add(granted)
+            self._pause_watch.check()
+            # Units that were issued before a pause are as void as balances.
+            if pause_count == self._pause_count:
+                account.add(granted)
         elif not account.waiters:
             # Units in advance were refused, which says nothing about single requests.
             return
@@ -435,6 +440,7 @@
                 del self._accounts_by_tenant[name]
 
     def _void_balances(self, paused_s):
+        self._pause_count += 1
         for account in self._accounts_by_tenant.values():
             account.lots.clear()
             account.unused = 0.0
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -620,6 +620,27 @@
 
         self.run_with(check, tenant)
 
+    def test_units_that_are_awaited_during_a_pause_are_void(self):
+        """They were issued before the pause, and would be used long after it."""
+        tenant = make_tenant("t", 10, 10, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            member = next(m for m in system.members.values() if m is not owner)
+            await self.use_up(system, member, tenant)
+            async with anyio.create_task_group() as group:
+                group.start_soon(member.accounts.acquire, tenant, 5, 2.0)
+                await anyio.sleep(0.1)
+                account = member.accounts._accounts_by_tenant["t"]
+                self.assertTrue(account.is_asking)
+                # The clock of a process that is stopped goes on.
+                member.pause_watch._ticked_at = -math.inf
+                member.pause_watch.check()
+                await anyio.sleep(0.6)
+                self.assertEqual([5], [item.amount for item in account.waiters])
+
+        self.run_with(check, tenant)
+
     def test_single_host_uses_the_whole_quota(self):
         """A system of one host has no leader that reaches others."""
         tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
