--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -291,6 +291,7 @@
             if not is_done and waiter.is_granted:
                 # The caller has left.
                 account.add(amount)
+                self._serve(account)
             if waiter in account.waiters:
                 account.waiters.remove(waiter)
         if waiter.is_granted:
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -8,6 +8,7 @@
 import random
 
 import anyio
+import anyio.lowlevel
 import testtools
 from loguru import logger
 
@@ -641,6 +642,43 @@
 
         self.run_with(check, tenant)
 
+    def test_units_of_a_caller_that_leaves_serve_the_next_one(self):
+        """The next one waited for the owner, which has no more, and was refused."""
+        tenant = make_tenant("t", 0.1, 1, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            member = next(m for m in system.members.values() if m is not owner)
+            accounts = member.accounts
+            results = []
+
+            async def leave():
+                with first_scope:
+                    await accounts.acquire(tenant, 1, 0.25)
+
+            async def send():
+                results.append(await accounts.acquire(tenant, 1, 0.25))
+
+            first_scope = anyio.CancelScope()
+            async with anyio.create_task_group() as group:
+                group.start_soon(leave)
+                await anyio.lowlevel.checkpoint()
+                (first,) = accounts._accounts_by_tenant["t"].waiters
+                group.start_soon(send)
+                serve = accounts._serve
+
+                def leave_and_serve(account):
+                    if account.balance() >= 1:
+                        # In the same turn of the event loop.
+                        first_scope.cancel()
+                    serve(account)
+
+                accounts._serve = leave_and_serve
+            self.assertTrue(first.is_granted and first_scope.cancelled_caught)
+            self.assertEqual([None], results)
+
+        self.run_with(check, tenant)
+
     def test_single_host_uses_the_whole_quota(self):
         """A system of one host has no leader that reaches others."""
         tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
