--- a/snipetrestle/coordination/quota_issuer.py
+++ b/snipetrestle/coordination/quota_issuer.py
@@ -22,6 +22,7 @@
 )
 from snipetrestle.gateway.supervision import run_isolated
 from snipetrestle.limits.rate_pool import RatePool
+from snipetrestle.tenants.cost import is_servable
 
 # What an owner issues above the fraction of the hosts that the leader reaches, as a few
 # hosts may have stopped for good.
@@ -223,6 +224,10 @@
             return 0.0, UNKNOWN_WAIT_S
         pool = state.pool
         pool.put_back(returned)
+        if not is_servable(tenant.quota, minimum):
+            # A damaged message, or one under an earlier limit. Its units would be taken
+            # from all others for as long as they accrue.
+            return 0.0, MAX_WAIT_S
         granted, wait_s = _grant(pool, amount, minimum, max_wait_s)
         if granted:
             return granted, wait_s
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -679,6 +679,20 @@
 
         self.run_with(check, tenant)
 
+    def test_odd_minimum_locks_no_tenant(self):
+        """One datagram took 1e15 units, for which the tenant then waited for ever."""
+        tenant = make_tenant("t", 100, 100)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            asker = next(m for m in system.members.values() if m is not owner)
+            message = QuotaRequest(asker.hosts.own.boot, 10**6, "t", 0, 1e15, 0, 0)
+            asker.endpoint.send(message, owner.endpoint.address)
+            await anyio.sleep(0.01)
+            self.assertIsNone(await owner.accounts.acquire(tenant, 50, 0.25))
+
+        self.run_with(check, tenant)
+
     def test_single_host_uses_the_whole_quota(self):
         """A system of one host has no leader that reaches others."""
         tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
