--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -400,7 +400,7 @@
                 continue
             if reply.granted or reply.wait_s:
                 self._metrics.count_quota_ask("granted" if reply.granted else "denied")
-                return reply.granted, reply.wait_s
+                return _usable(reply, amount, max_wait_s)
             # This host has missed the owner's answers, but another has not.
             self._owners.note_heard(self._owners.owner(tenant.name))
         max_wait_s = max(0.0, deadline - anyio.current_time())
@@ -475,3 +475,10 @@
         )
         account.refused_since = None
         account.refused_count = 0
+
+
+def _usable(reply, amount, max_wait_s):
+    """Returns (granted units, time to wait) of a reply, which may be damaged."""
+    if not reply.granted:
+        return 0.0, reply.wait_s
+    return min(reply.granted, amount), min(reply.wait_s, max_wait_s)
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -693,6 +693,29 @@
 
         self.run_with(check, tenant)
 
+    def test_odd_reply_locks_no_tenant(self):
+        """A damaged reply gave any number of units, or stopped all later requests."""
+        tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            member = next(m for m in system.members.values() if m is not owner)
+            reply = owner.issuer._reply
+
+            def reply_oddly(message, address, granted, wait_s):
+                reply(message, address, 1e15, 1e9)
+
+            owner.issuer._reply = reply_oddly
+            await member.accounts.acquire(tenant, 1, 0.25)
+            owner.issuer._reply = reply
+            await anyio.sleep(0.5)
+            account = member.accounts._accounts_by_tenant["t"]
+            self.assertLessEqual(account.balance(), 1)
+            await anyio.sleep(1.0)
+            self.assertIsNone(await member.accounts.acquire(tenant, 1, 0.25))
+
+        self.run_with(check, tenant)
+
     def test_single_host_uses_the_whole_quota(self):
         """A system of one host has no leader that reaches others."""
         tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
