--- a/snipetrestle/gateway/quota_check.py
+++ b/snipetrestle/gateway/quota_check.py
@@ -11,6 +11,8 @@
 
 # How long a request waits for its quota, as a multiple of its route's target latency.
 QUOTA_WAIT_LATENCIES = 0.25
+# It waits at least this long: the owner's answer takes two tries if a datagram is lost.
+MIN_QUOTA_WAIT_S = 0.25
 # Added to Retry-After, as clocks and timers are not exact.
 RETRY_MARGIN_S = 0.001
 
@@ -30,7 +32,9 @@
         if not cost:
             return
         remaining_s = max(0.0, job.refusal_due_at - anyio.current_time())
-        max_wait_s = QUOTA_WAIT_LATENCIES * job.route.target_latency_s
+        max_wait_s = max(
+            MIN_QUOTA_WAIT_S, QUOTA_WAIT_LATENCIES * job.route.target_latency_s
+        )
         retry_after_s = await self._accounts.acquire(
             tenant, cost, min(max_wait_s, remaining_s)
         )
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -13,6 +13,7 @@
     route("lookup", "idempotent", "register"),
     route("entry", "non_idempotent", "register"),
     route("nowhere", "idempotent", "models"),
+    route("instant", "idempotent", "register", target_latency_ms=0),
 ]
 
 
@@ -74,6 +75,18 @@
 
         self.run_quota(check, fleet_options={"gateways": 3}, rate_per_s=2, burst=10)
 
+    def test_routes_without_a_target_latency_use_the_quota(self):
+        """A request that may not wait for the owner's answer got 429 each time."""
+
+        async def check(fleet):
+            for gateway in fleet.live:
+                response = await fleet.send_request(
+                    "/instant/a", gateway, headers=[("X-Credential", KEY)]
+                )
+                self.assertEqual(200, response.status)
+
+        self.run_quota(check, fleet_options={"gateways": 2}, rate_per_s=5, burst=10)
+
     def test_tokens_are_counted(self):
         """Requests without a token count cost what the tenant's contract says."""
 
