--- a/snipetrestle/gateway/caller_memory.py
+++ b/snipetrestle/gateway/caller_memory.py
@@ -136,6 +136,9 @@
     def resize(self, old_bytes, new_bytes):
         """Notes that a connection holds ``new_bytes`` instead of ``old_bytes``."""
         self.held_bytes += new_bytes - old_bytes
+        if self.held_bytes <= self.bound_bytes < self._check_above_bytes < math.inf:
+            # Room was looked for in vain, and has come since.
+            self._check_above_bytes = self.bound_bytes
         if new_bytes > old_bytes and self.held_bytes > self._check_above_bytes:
             self._make_room()
 
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -169,6 +169,19 @@
 
         self.run_with_memory(check)
 
+    def test_bound_holds_again_after_it_was_exceeded_in_vain(self):
+        """Unfinished requests could later hold as much as complete ones had held."""
+
+        def check(memory):
+            complete = self.add(memory, other=2_000_000)
+            complete._other_bytes = 0
+            complete.report_held()
+            unfinished = [self.add(memory, 300_000) for _ in range(6)]
+            self.assertLessEqual(memory.held_bytes, MB)
+            self.assertIn(["refused"], [item.ended for item in unfinished])
+
+        self.run_with_memory(check)
+
     def test_sent_responses_make_room_for_new_requests(self):
         """Connections do not report that a response was sent: new requests were refused
         until the next event on its connection."""
