--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -320,7 +320,7 @@
 
     async def _ask_once(self, account):
         now = anyio.current_time()
-        pause_count = self._pause_count
+        pause_count, quota = self._pause_count, account.tenant.quota
         needed = sum(item.amount for item in account.waiters)
         wanted = account.wanted_balance(LOW_BALANCE_S + PREFETCH_S)
         amount = max(0.0, needed + wanted - account.balance())
@@ -338,8 +338,9 @@
         if granted:
             await anyio.sleep(wait_s)
             self._pause_watch.check()
-            # Units that were issued before a pause are as void as balances.
-            if pause_count == self._pause_count:
+            # Units from before a pause are as void as balances, and those under another
+            # quota may have another unit.
+            if pause_count == self._pause_count and quota == account.tenant.quota:
                 account.add(granted)
         elif not account.waiters:
             # Units in advance were refused, which says nothing about single requests.
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -716,6 +716,22 @@
 
         self.run_with(check, tenant)
 
+    def test_units_under_an_earlier_quota_are_not_used(self):
+        """Tokens that were awaited while the unit changed counted as requests."""
+        tenant = make_tenant("t", 10_000, 10_000)
+        changed = make_tenant("t", 1, 1, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            member = next(m for m in system.members.values() if m is not owner)
+            with anyio.move_on_after(0.0015):
+                await member.accounts.acquire(tenant, 5_000, 0.25)
+            await member.accounts.acquire(changed, 1, 0.25)
+            account = member.accounts._accounts_by_tenant["t"]
+            self.assertLess(account.balance(), 1)
+
+        self.run_with(check, tenant)
+
     def test_single_host_uses_the_whole_quota(self):
         """A system of one host has no leader that reaches others."""
         tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
