--- a/snipetrestle/coordination/ownership_times.py
+++ b/snipetrestle/coordination/ownership_times.py
@@ -34,6 +34,8 @@
 
         What it owned before it had joined does not count.
         """
+        # A host that has left since the last sweep may have issued the whole burst.
+        self.note_departed()
         if not has_joined(self._hosts):
             self.restart()
         departed_at = [
--- a/snipetrestle/coordination/quota_issuer.py
+++ b/snipetrestle/coordination/quota_issuer.py
@@ -15,6 +15,7 @@
 from snipetrestle.coordination.tenant_pool import TenantPool, book, full_burst
 from snipetrestle.gateway.supervision import run_isolated
 from snipetrestle.limits.rate_pool import RatePool
+from snipetrestle.tenants.cost import is_servable
 
 # The fraction of its share of the burst that a host starts with which nobody answers.
 # All hosts may be cut off from each other while the owner has issued the whole burst.
@@ -120,6 +121,10 @@
             return 0.0, UNKNOWN_WAIT_S
         pool = state.pool
         pool.put_back(returned)
+        if not is_servable(tenant.quota, minimum):
+            # A damaged message, or one under an earlier limit. Its units would be taken
+            # from all others for as long as they accrue.
+            return 0.0, MAX_WAIT_S
         granted, wait_s = book(pool, amount, minimum, max_wait_s)
         if granted:
             return granted, wait_s
--- a/tests/coordination/test_dispatch_permits.py
+++ b/tests/coordination/test_dispatch_permits.py
@@ -34,7 +34,9 @@
 class GroupOwnersTest(testtools.TestCase):
     def owners(self, own, names):
         hosts = types.SimpleNamespace(
-            own=types.SimpleNamespace(name=own), sender_names=lambda: names
+            own=types.SimpleNamespace(name=own),
+            sender_names=lambda: names,
+            leaving=False,
         )
         return GroupOwners(KeyOwners(hosts), hosts)
 
