--- a/snipetrestle/tenants/account.py
+++ b/snipetrestle/tenants/account.py
@@ -55,11 +55,12 @@
 
     ``is_asking`` is true while a task sends messages to owners for the account.
     ``owner`` is the host that was asked last, and ``unused`` the units that have expired
-    and are to be returned to it. ``denied_until`` is when ``denied_amount`` units are
-    available again, as the owner told with ``last_wait_s``, and ``asks_again_at`` when
-    the owner is asked again at the latest. Until ``short_until``, no units are asked
-    for in advance. ``refused_since`` is when the current period of refusals began, or
-    None, and ``refused_at`` when the last request was refused.
+    or were refunded late and are to be returned to it. ``denied_until`` is when
+    ``denied_amount`` units are available again, as the owner told with ``last_wait_s``,
+    and ``asks_again_at`` when the owner is asked again at the latest. Until
+    ``short_until``, no units are asked for in advance. ``refused_since`` is when the
+    current period of refusals began, or None, and ``refused_at`` when the last request
+    was refused.
     """
 
     __slots__ = (
--- a/snipetrestle/tenants/quota_accounts.py
+++ b/snipetrestle/tenants/quota_accounts.py
@@ -9,6 +9,7 @@
 from snipetrestle.events import Event
 from snipetrestle.gateway.supervision import run_isolated
 from snipetrestle.tenants.account import (
+    GRANT_S,
     LOW_BALANCE_S,
     MAX_DENIAL_S,
     ROUNDING,
@@ -54,6 +55,7 @@
         self._metrics = metrics
         self._accounts_by_tenant = {}
         self._task_group = None
+        self._pause_count = 0
         pause_watch.on_pause(self._void_balances)
 
     def __len__(self):
@@ -96,9 +98,19 @@
             self._note_refusal(account, amount, retry_after_s)
         return retry_after_s
 
-    def refund(self, tenant, amount):
-        """Puts back the units of a request that has not run on any replica."""
-        account = self._account(tenant)
+    def refund(self, tenant, amount, booked_at):
+        """Puts back the units of a request that has not run on any replica.
+
+        Those that were booked too long ago go back to the owner, which keeps no more
+        than a burst: many requests may have waited for long, and end together.
+        """
+        account = self._accounts_by_tenant.get(tenant.name)
+        if account is None or account.tenant.quota != tenant.quota:
+            # The tenant may be of an older version, whose limit must not come back.
+            return
+        if booked_at <= anyio.current_time() - GRANT_S:
+            account.unused += amount
+            return
         account.add(amount)
         self._serve(account)
 
@@ -116,6 +128,7 @@
             if not is_done and waiter.is_granted:
                 # Cancelled after the grant, as when its caller leaves.
                 account.add(amount)
+                self._serve(account)
             if waiter in account.waiters:
                 account.waiters.remove(waiter)
         if waiter.is_granted:
@@ -145,13 +158,18 @@
 
     async def _ask_once(self, account):
         """Sends one request for units, and applies the answer."""
+        pause_count, quota = self._pause_count, account.tenant.quota
         amount, minimum, deadline = _next_amounts(account)
         granted, wait_s = await self._ask_owner(account, amount, minimum, deadline)
         if wait_s > 0:
             account.note_shortage()
         if granted:
             await anyio.sleep(wait_s)
-            account.add(granted)
+            self._pause_watch.check()
+            # Units from before a pause are as void as balances, and those under another
+            # quota may have another unit.
+            if pause_count == self._pause_count and quota == account.tenant.quota:
+                account.add(granted)
         elif not account.waiters:
             # Units in advance were denied, which says nothing about single requests.
             return
@@ -214,7 +232,7 @@
                 continue
             if reply.granted or reply.wait_s:
                 self._metrics.count_quota_ask("granted" if reply.granted else "denied")
-                return reply.granted, reply.wait_s
+                return _usable(reply, amount, max_wait_s)
             # The host that was asked says that the owner answers it.
             self._owners.note_heard(self._owners.owner(tenant.name))
         return self._issue_own_share(tenant, amount, minimum, deadline)
@@ -260,6 +278,7 @@
 
     def _void_balances(self, paused_s):
         """Drops all units after a pause, in which others may have got them."""
+        self._pause_count += 1
         for account in self._accounts_by_tenant.values():
             account.lots.clear()
             account.unused = 0.0
@@ -312,3 +331,10 @@
         minimum, deadline = MIN_PREFETCH_PART * amount, anyio.current_time()
     minimum = max(ROUNDING, minimum)
     return max(amount, minimum), minimum, deadline
+
+
+def _usable(reply, amount, max_wait_s):
+    """Returns (granted units, time to wait) of a reply, which may be damaged."""
+    if not reply.granted:
+        return 0.0, reply.wait_s
+    return min(reply.granted, amount), min(reply.wait_s, max_wait_s)
--- a/snipetrestle_standins/dispatch_fleet.py
+++ b/snipetrestle_standins/dispatch_fleet.py
@@ -129,6 +129,8 @@
 class _Members:
     """Membership of a host: the hosts that it knows."""
 
+    leaving = False
+
     def __init__(self, fleet, own):
         self._fleet = fleet
         self.own = types.SimpleNamespace(name=own)
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -8,6 +8,7 @@
 import random
 
 import anyio
+import anyio.lowlevel
 import testtools
 from loguru import logger
 
@@ -177,6 +178,15 @@
         for size in (12, 58):
             self.assert_few_refused(self.kill_owners(size), 0.2)
 
+    def test_owners_leave(self):
+        """A leaving owner, which still has callers, issued beside the new one."""
+
+        async def disturb(system):
+            for tenant in TENANTS:
+                system.owner(tenant.name).hosts.send_leaving()
+
+        self.play(6, disturb)
+
     def test_owner_freezes_and_wakes(self):
         """An owner that wakes could issue what has accrued while another issued."""
 
@@ -421,7 +431,7 @@
             accounts = system.members[1].accounts
             for _ in range(20):
                 self.assertIsNone(await accounts.acquire(tenant, 1, MAX_WAIT_S))
-                accounts.refund(tenant, 1)
+                accounts.refund(tenant, 1, anyio.current_time())
             await anyio.sleep(2.0)
             # Refunds that this host does not use go back to the owner.
             for number in (2, 3, 1):
@@ -557,6 +567,171 @@
 
         self.run_with(check, tenant)
 
+    def test_new_owner_starts_without_the_burst_of_the_last_one(self):
+        """It had a whole burst until it noticed, up to a second later, who had left."""
+        tenant = make_tenant("t", 1, 100, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            await anyio.sleep(0.5)
+            owner = system.owner("t")
+            others = [m for m in system.members.values() if m is not owner]
+            self.assertGreaterEqual(await self.use_up(system, others[0], tenant), 100)
+            owner.hosts.send_leaving()
+            await anyio.sleep(0.01)
+            self.assertNotEqual(owner.name, others[1].owners.owner("t"))
+            self.assertLessEqual(await self.use_up(system, others[1], tenant), 2)
+
+        self.run_with(check, tenant)
+
+    def test_refund_of_an_older_version_changes_no_limit(self):
+        """The owner would issue at the old limit until the next request."""
+        tenant = make_tenant("t", 1_000, 1_000, QuotaUnit.REQUESTS)
+        lower = make_tenant("t", 10, 10, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            self.assertIsNone(await owner.accounts.acquire(tenant, 1, 0.25))
+            system.set_tenant(lower)
+            await self.use_up(system, owner, lower)
+            owner.accounts.refund(tenant, 1, anyio.current_time())
+            await anyio.sleep(2.0)
+            self.assertEqual(lower, owner.accounts._accounts_by_tenant["t"].tenant)
+            self.assertEqual(10, owner.issuer._pools_by_tenant["t"].pool.rate_per_s)
+
+        self.run_with(check, tenant)
+
+    def test_old_refunds_are_no_second_burst(self):
+        """Requests that had waited long came again at once, above the rule."""
+        tenant = make_tenant("t", 5_000, 5_000)
+
+        async def check(system, tenant):
+            accounts = system.members[1].accounts
+            booked_at = []
+            for _ in range(400):
+                if await accounts.acquire(tenant, 250, 0.25) is None:
+                    booked_at.append(anyio.current_time())
+                await anyio.sleep(0.05)
+            for at in booked_at:
+                accounts.refund(tenant, 250, at)
+            used = 0
+            for _ in range(500):
+                if await accounts.acquire(tenant, 250, 0.0) is None:
+                    used += 250
+            self.assertLessEqual(used, 2 * 5_000)
+
+        self.run_with(check, tenant)
+
+    def test_units_that_are_awaited_during_a_pause_are_void(self):
+        """They were issued before the pause, and would be used long after it."""
+        tenant = make_tenant("t", 10, 10, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            member = next(m for m in system.members.values() if m is not owner)
+            await self.use_up(system, member, tenant)
+            async with anyio.create_task_group() as group:
+                group.start_soon(member.accounts.acquire, tenant, 5, 2.0)
+                await anyio.sleep(0.1)
+                account = member.accounts._accounts_by_tenant["t"]
+                self.assertTrue(account.is_asking)
+                # The clock of a process that is stopped goes on.
+                member.pause_watch._ticked_at = -math.inf
+                member.pause_watch.check()
+                await anyio.sleep(0.6)
+                self.assertEqual([5], [item.amount for item in account.waiters])
+
+        self.run_with(check, tenant)
+
+    def test_units_of_a_caller_that_leaves_serve_the_next_one(self):
+        """The next one waited for the owner, which has no more, and was refused."""
+        tenant = make_tenant("t", 0.1, 1, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            member = next(m for m in system.members.values() if m is not owner)
+            accounts = member.accounts
+            results = []
+
+            async def leave():
+                with first_scope:
+                    await accounts.acquire(tenant, 1, 0.25)
+
+            async def send():
+                results.append(await accounts.acquire(tenant, 1, 0.25))
+
+            first_scope = anyio.CancelScope()
+            async with anyio.create_task_group() as group:
+                group.start_soon(leave)
+                await anyio.lowlevel.checkpoint()
+                (first,) = accounts._accounts_by_tenant["t"].waiters
+                group.start_soon(send)
+                serve = accounts._serve
+
+                def leave_and_serve(account):
+                    if account.balance() >= 1:
+                        # In the same turn of the event loop.
+                        first_scope.cancel()
+                    serve(account)
+
+                accounts._serve = leave_and_serve
+            self.assertTrue(first.is_granted and first_scope.cancelled_caught)
+            self.assertEqual([None], results)
+
+        self.run_with(check, tenant)
+
+    def test_odd_minimum_locks_no_tenant(self):
+        """One datagram took 1e15 units, for which the tenant then waited for ever."""
+        tenant = make_tenant("t", 100, 100)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            asker = next(m for m in system.members.values() if m is not owner)
+            message = QuotaRequest(asker.hosts.own.boot, 10**6, "t", 0, 1e15, 0, 0)
+            asker.endpoint.send(message, owner.endpoint.address)
+            await anyio.sleep(0.01)
+            self.assertIsNone(await owner.accounts.acquire(tenant, 50, 0.25))
+
+        self.run_with(check, tenant)
+
+    def test_odd_reply_locks_no_tenant(self):
+        """A damaged reply gave any number of units, or stopped all later requests."""
+        tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            member = next(m for m in system.members.values() if m is not owner)
+            reply = owner.issuer._reply
+
+            def reply_oddly(message, address, granted, wait_s):
+                reply(message, address, 1e15, 1e9)
+
+            owner.issuer._reply = reply_oddly
+            await member.accounts.acquire(tenant, 1, 0.25)
+            owner.issuer._reply = reply
+            await anyio.sleep(0.5)
+            account = member.accounts._accounts_by_tenant["t"]
+            self.assertLessEqual(account.balance(), 1)
+            await anyio.sleep(1.0)
+            self.assertIsNone(await member.accounts.acquire(tenant, 1, 0.25))
+
+        self.run_with(check, tenant)
+
+    def test_units_under_an_earlier_quota_are_not_used(self):
+        """Tokens that were awaited while the unit changed counted as requests."""
+        tenant = make_tenant("t", 10_000, 10_000)
+        changed = make_tenant("t", 1, 1, QuotaUnit.REQUESTS)
+
+        async def check(system, tenant):
+            owner = system.owner("t")
+            member = next(m for m in system.members.values() if m is not owner)
+            with anyio.move_on_after(0.0015):
+                await member.accounts.acquire(tenant, 5_000, 0.25)
+            await member.accounts.acquire(changed, 1, 0.25)
+            account = member.accounts._accounts_by_tenant["t"]
+            self.assertLess(account.balance(), 1)
+
+        self.run_with(check, tenant)
+
     def test_single_host_uses_the_whole_quota(self):
         """A system of one host has no leader that reaches others."""
         tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
