--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -65,6 +65,7 @@
         self._crash_quarantine = gateway.crash_quarantine
         self._crash_check = CrashCheck(gateway)
         self._search = ReplicaSearch(gateway)
+        self._uses_permits = gateway.settings.dispatch_permits
         self._quota_check = QuotaCheck(gateway.quota_accounts)
         self._rng = gateway.rng
         self._durations = UsualDurations()
@@ -560,7 +561,7 @@
             job.adapter_missing_on.append(replica.id)
         if not is_stream and status in (503, 429):
             replica.note_failure()
-        if status in (503, 429):
+        if status in (503, 429) and self._uses_permits:
             self._search.note_turned_away(job)
 
     def _may_resend_not_run(self, job):
--- a/snipetrestle/gateway/settings.py
+++ b/snipetrestle/gateway/settings.py
@@ -30,6 +30,7 @@
     until the process must have ended, and ``entry_expiry_s`` the time after which the
     store removes the entry of a silent replica. ``memory_mb`` is the memory that the
     process may use, in units of 10^6 bytes.
+    With ``dispatch_permits``, requests to crowded backends wait for permits.
     """
 
     name: str
@@ -48,3 +49,4 @@
     entry_expiry_s: float
     retry_budget: RetryBudgetSettings
     memory_mb: float = DEFAULT_MEMORY_MB
+    dispatch_permits: bool = False
--- a/snipetrestle/platform/settings.py
+++ b/snipetrestle/platform/settings.py
@@ -105,6 +105,7 @@
         entry_expiry_s=MISSED_HEARTBEATS
         * fields.read_optional("heartbeat_ms", _seconds, DEFAULT_HEARTBEAT_S),
         retry_budget=budget,
+        dispatch_permits=fields.read_optional("dispatch.permits", _boolean, False),
         memory_mb=fields.read_optional(
             "limits.memory_mb", _positive_number, DEFAULT_MEMORY_MB
         ),
@@ -122,6 +123,12 @@
     return number
 
 
+def _boolean(text):
+    if text not in ("true", "false"):
+        raise ValueError("must be true or false")
+    return text == "true"
+
+
 def _seconds(milliseconds):
     return _number(milliseconds) / 1000
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -61,6 +61,14 @@
         self.assertEqual(54.0, settings.retry_budget.slack)
         self.assertAlmostEqual(3.6, settings.entry_expiry_s)
 
+    def test_permits_are_used_only_if_the_settings_say_so(self):
+        """Permits made callers wait longer on days with bursts."""
+        self.assertFalse(parse_settings(SETTINGS).dispatch_permits)
+        settings = parse_settings(f"{SETTINGS}dispatch.permits=true\n")
+        self.assertTrue(settings.dispatch_permits)
+        with self.assertRaises(InvalidSettings):
+            parse_settings(f"{SETTINGS}dispatch.permits=yes\n")
+
     def test_memory_limit(self):
         """Without the field a host counts as one of the smallest; a limit of nothing
         would refuse all callers."""
