--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -63,11 +63,14 @@
 
     def start(self, number):
         self.boots += 1
-        member = Member(self, number, self.boots)
+        member = self.create_member(number)
         self.members[number] = member
         self.network.task_group.start_soon(member.run)
         return member
 
+    def create_member(self, number):
+        return Member(self, number, self.boots)
+
     def kill(self, number):
         member = self.members.pop(number)
         member.endpoint.up = False
--- a/tests/tenants/quota_system.py
+++ b/tests/tenants/quota_system.py
@@ -106,12 +106,8 @@
         self.tenants_by_name = {tenant.name: tenant for tenant in tenants}
         self.rng = random.Random(7)
 
-    def start(self, number):
-        self.boots += 1
-        member = QuotaMember(self, number, self.boots)
-        self.members[number] = member
-        self.network.task_group.start_soon(member.run)
-        return member
+    def create_member(self, number):
+        return QuotaMember(self, number, self.boots)
 
     def set_tenant(self, tenant):
         self.tenants_by_name[tenant.name] = tenant
