Decide by the answers of all hosts whether the store was away

Cause: the host that is back takes its own loss for an outage of the store, unless others have brought items meanwhile, and tells the others, which believe it. Entries change seldom, so no news was taken for no store.

Change: hosts tell each other from when to when the store has answered them, and since when they had lost it before. The store was away only in the part of a loss in which no host had answers; removals that were put off come into force as soon as that shows.

--- a/snipetrestle/coordination/heartbeat_content.py
+++ b/snipetrestle/coordination/heartbeat_content.py
@@ -1,6 +1,7 @@
 """What a host tells the others in its heartbeats, gathered from its components."""
 
 from snipetrestle.coordination.hosts import HostStatus
+from snipetrestle.coordination.messages import StoreAccess
 from snipetrestle.gateway.published_items import MAX_REVISION
 
 
@@ -41,6 +42,9 @@
             if state is None
             else min(state.documents.version_sum, MAX_REVISION),
             reads_store=state is not None and state.is_store_reachable,
+            store_access=StoreAccess()
+            if state is None
+            else state.availability.own_access(),
             candidates=leadership.next_leaders(),
             reached=leadership.reached_count(),
             unreached=leadership.unreached_digests(),
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/hosts.py
@@ -18,6 +18,7 @@
     Heartbeat,
     Join,
     KnownHosts,
+    StoreAccess,
 )
 from snipetrestle.events import Event, log_event
 
@@ -59,6 +60,7 @@
     newest_positions: dict = {}
     document_version_sum: int = 0
     reads_store: bool = False
+    store_access: StoreAccess = StoreAccess()
     candidates: tuple = ()
     reached: int = 0
     unreached: tuple = ()
@@ -327,6 +329,7 @@
                 prefix: item.epoch for prefix, item in status.newest_positions.items()
             },
             document_version_sum=status.document_version_sum,
+            store_access=status.store_access,
         )
 
     def send_own_heartbeat(self, address):
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -56,6 +56,7 @@
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 # -1 stands for "never".
 AgeS = typing.Annotated[float, msgspec.Meta(ge=-1, le=MAX_AGE_S)]
+AgeMs = typing.Annotated[int, msgspec.Meta(ge=-1, le=MAX_COUNT)]
 RatePerS = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_RATE_PER_S)]
 # Units of a quota, and how long a request waits for them.
 Units = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_UNITS)]
@@ -144,6 +145,18 @@
     requests: tuple[RequestKey, ...]
 
 
+class StoreAccess(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender got from the platform's store, as ages at the sending.
+
+    The store answered it from ``since_age_ms`` ago until ``until_age_ms`` ago. It had
+    lost the store before, from ``lost_age_ms`` ago on; -1 if it had not, or long ago.
+    """
+
+    since_age_ms: AgeMs = -1
+    until_age_ms: AgeMs = -1
+    lost_age_ms: AgeMs = -1
+
+
 class Heartbeat(_Message, tag="Beat"):
     """Periodic message of a host to the others.
 
@@ -153,7 +166,8 @@
     sender has, by key prefix, and ``epoch_by_prefix`` the epoch of the store that it
     belongs to. ``document_version_sum`` is the sum of the versions of the operator's
     documents.
-    ``reads_store`` tells that the sender's last request to the store was answered.
+    ``reads_store`` tells that the sender's last request to the store was answered, and
+    ``store_access`` what it got from it before.
 
     Only a leader sends the rest: ``members_digest`` of all hosts that it knows, the
     names of the likely next leaders, and of the hosts that read the store for the
@@ -181,6 +195,7 @@
     unreached: typing.Annotated[
         tuple[Count, ...], msgspec.Meta(max_length=MAX_UNREACHED)
     ] = ()
+    store_access: StoreAccess = StoreAccess()
 
     def newest_position(self, prefix):
         """Returns the StorePosition of the newest item that the sender has."""
@@ -296,14 +311,13 @@
     """Changes of the published state, passed on by a host that reads the store.
 
     They are those after ``base_revision`` and up to ``revision`` in an epoch of the
-    store, which the sender could reach again ``store_returned_age_s`` before its
-    message. ``content`` contains the items, as ``pack_items`` returns them.
+    store. ``content`` contains the items, as ``pack_items`` returns them.
     """
 
     prefix: Name
     base_revision: Revision
     revision: Revision
-    store_returned_age_s: AgeS
+    store_access: StoreAccess
     content: typing.Annotated[bytes, msgspec.Meta(max_length=MAX_CHANGES_BYTES)]
     epoch: Revision = 0
 
--- a/snipetrestle/coordination/store_relay.py
+++ b/snipetrestle/coordination/store_relay.py
@@ -61,6 +61,7 @@
         self._appointed_at_by_name = {}
         self._behind_since_by_prefix = {}
         self._hears_reader = False
+        hosts.on_heartbeat(self._note_access)
         hosts.on_heartbeat(self._on_heartbeat)
         endpoint.register(Changes, self._on_changes)
 
@@ -132,6 +133,11 @@
         since = self._behind_since_by_prefix.setdefault(prefix, now)
         return now - since >= BEHIND_TIMEOUT_S
 
+    def _note_access(self, heartbeat):
+        self._state.availability.note_access(
+            heartbeat.sender.name, heartbeat.store_access
+        )
+
     def _on_heartbeat(self, heartbeat):
         if heartbeat.sender.name != self._leadership.leader:
             return
@@ -215,7 +221,7 @@
             prefix,
             base.revision,
             changes.revision,
-            self._state.store_returned_age_s(),
+            self._state.availability.own_access(),
             content,
             base.epoch,
         )
@@ -234,11 +240,13 @@
         except ValueError:
             # The next heartbeat of the reader shows that this host is behind.
             return
+        sender = self._hosts.name_at(address)
+        # The changes may contain entries that expired in an outage.
+        self._state.availability.note_access(sender, message.store_access)
         self._state.apply_changes(
             message.prefix,
             StoreItems(items, message.revision, message.epoch),
-            self._hosts.name_at(address),
-            message.store_returned_age_s,
+            sender,
         )
 
 
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -60,6 +60,12 @@
         "WARNING",
         "host list was restored to an older revision",
     )
+    STORE_OUTAGE_NOTED = (1113, "WARNING", "store was away for all hosts")
+    STORE_OUTAGE_DENIED = (
+        1114,
+        "INFO",
+        "store was not away, as it answered other hosts",
+    )
     MEMBER_SUSPECTED = (1201, "WARNING", "member is suspected")
     MEMBER_FAILED = (1202, "WARNING", "member failed")
     MEMBER_ALIVE = (1203, "INFO", "member is alive")
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -28,6 +28,7 @@
 from snipetrestle.coordination.shared_request_quarantine import (
     SharedRequestQuarantine,
 )
+from snipetrestle.coordination.store_availability import StoreAvailability
 from snipetrestle.coordination.store_relay import StoreRelay
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import CallerLimits
@@ -237,12 +238,19 @@
         self.replicas = ReplicaDirectory(
             settings.failure_domain, rng, self._make_replica_pool
         )
+        self.pause_watch = PauseWatch()
         self.state = PublishedState(
             platform.source,
             platform.feeds,
             self.replicas,
             rng,
             settings.entry_expiry_s,
+            StoreAvailability.from_feeds(
+                platform.feeds,
+                settings.name,
+                settings.entry_expiry_s,
+                self.pause_watch,
+            ),
         )
         self.datagram_endpoint = DatagramEndpoint(
             self.metrics.count_too_long_datagram, self.metrics.count_refused_datagram
@@ -353,7 +361,6 @@
 
     def _build_quotas(self):
         self.key_owners = KeyOwners(self.hosts)
-        self.pause_watch = PauseWatch()
         requests = QuotaRequests(self.hosts, self.datagram_endpoint, self.key_owners)
         self.quota_issuer = QuotaIssuer(
             self.hosts,
--- a/snipetrestle/gateway/published_items.py
+++ b/snipetrestle/gateway/published_items.py
@@ -90,9 +90,8 @@
 
     ``revision`` is the revision of the store up to which changes are applied, and
     ``newest_revision`` the highest one of the items, both in the history ``epoch``.
-    ``loaded`` tells whether all items have been read once. ``status_noted_at`` is the
-    time of the last response, or of the first failure if there was no response yet; 0
-    before both. ``lost_at`` is the time of the first failure after a response, or None.
+    ``loaded`` tells whether all items have been read once. ``reachable`` tells whether
+    the store has answered the latest request; None before the first one has ended.
     """
 
     __slots__ = (
@@ -103,18 +102,14 @@
         "newest_revision",
         "reachable",
         "loaded",
-        "status_noted_at",
-        "lost_at",
     )
 
     def __init__(self, feed):
         self.feed = feed
         self.epoch = 0
         self._clear()
-        self.reachable = False
+        self.reachable = None
         self.loaded = False
-        self.status_noted_at = 0.0
-        self.lost_at = None
 
     def _clear(self):
         self.items_by_key = {}
--- a/snipetrestle/gateway/published_state.py
+++ b/snipetrestle/gateway/published_state.py
@@ -6,8 +6,6 @@
 before, but for the operator's documents, whose own versions order them.
 """
 
-import math
-
 import anyio
 
 from snipetrestle.events import Event, log_event
@@ -32,11 +30,6 @@
 
 MIN_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.0
-# What other hosts have read reaches this one within this time. Items that come later
-# were read after this host had lost the store.
-MAX_EXCHANGE_S = 0.8
-# Names this host's own calls of the store in the log.
-OWN_CALLS = "own calls"
 
 
 class PublishedState:
@@ -44,10 +37,11 @@
 
     ``source`` has ``read(prefix)`` and ``watch(prefix, revision, wait_s)``, which
     return StoreItems and raise SourceUnreachable or HistoryLost. ``entry_expiry_s`` is
-    the time after which the store removes the entry of a silent replica.
+    the time after which the store removes the entry of a silent replica, and
+    ``availability`` the StoreAvailability.
     """
 
-    def __init__(self, source, feeds, replicas, rng, entry_expiry_s):
+    def __init__(self, source, feeds, replicas, rng, entry_expiry_s, availability):
         self._source = source
         # The StoreRelay, which decides whether this host reads the store.
         self.relay = None
@@ -55,11 +49,10 @@
         self.replicas = replicas
         self.feeds = {feed.prefix: FeedState(feed) for feed in feeds}
         self.documents = PublishedDocuments()
-        self._entries = ReplicaEntries(replicas, entry_expiry_s)
+        self.availability = availability
+        self._entries = ReplicaEntries(replicas, entry_expiry_s, availability)
         self.ready = anyio.Event()
         self._listeners = []
-        # When other hosts last brought an item that this one could not have read.
-        self._others_read_at = -math.inf
 
     def on_change(self, listener):
         """Registers ``listener()``, which is called after each change."""
@@ -109,14 +102,12 @@
                     revision=state.revision,
                 )
                 needs_full_read = True
-            except SourceUnreachable as error:
-                self._note_unreachable(state, error)
+            except SourceUnreachable:
                 await anyio.sleep(retry_delay_s * (0.5 + self._rng.random()))
                 retry_delay_s = min(retry_delay_s * 2, MAX_RETRY_DELAY_S)
 
     async def _read(self, state):
-        store_items = await self._source.read(state.feed.prefix)
-        self._note_reachable(state)
+        store_items = await self._call(state, self._source.read(state.feed.prefix))
         self.replace_items(state.feed.prefix, store_items, Origin(Way.READ))
 
     async def _watch(self, state):
@@ -125,29 +116,41 @@
         Another host's snapshot may have started an epoch while this host waited.
         """
         prefix, base = state.feed.prefix, state.position
-        store_items = await self._source.watch(
-            prefix, base.revision, self.relay.wait_s(state.feed)
+        wait_s = self.relay.wait_s(state.feed)
+        store_items = await self._call(
+            state, self._source.watch(prefix, base.revision, wait_s)
         )
-        self._note_reachable(state)
         if not base.epoch == store_items.epoch == state.epoch:
             raise HistoryLost
         self.relay.pass_on(prefix, base, store_items)
         self._apply_changes(state, store_items, Origin(Way.WATCH))
 
-    def apply_changes(self, prefix, store_items, host, store_returned_age_s):
+    async def _call(self, state, request):
+        """Awaits a request to the store, and records whether it was answered.
+
+        An outage is noted before its consequences are applied: entries that expired.
+        """
+        asked_at = anyio.current_time()
+        try:
+            store_items = await request
+        except SourceUnreachable as error:
+            self.availability.note_failure(asked_at)
+            self._note_unreachable(state, error)
+            raise
+        except HistoryLost:
+            self.availability.note_answer(asked_at)
+            raise
+        self.availability.note_answer(asked_at)
+        self._note_reachable(state)
+        return store_items
+
+    def apply_changes(self, prefix, store_items, host):
         """Applies changes that another ``host`` has read from the store.
 
-        They must follow this host's position. ``store_returned_age_s`` is the time
-        since the other host could reach the store again; -1 if it always could.
+        They must follow this host's position.
         """
-        if store_returned_age_s >= 0:
-            self._entries.note_store_returned(
-                anyio.current_time() - store_returned_age_s, host
-            )
-        state = self.feeds[prefix]
-        known_revision = state.newest_revision
-        self._apply_changes(state, store_items, Origin(Way.PASSED_ON, host))
-        self._note_read_by_others(state, known_revision)
+        origin = Origin(Way.PASSED_ON, host)
+        self._apply_changes(self.feeds[prefix], store_items, origin)
 
     def _apply_changes(self, state, store_items, origin):
         """Applies the changes that are newer than all that was applied before.
@@ -159,69 +162,33 @@
         self._apply_items(state, newer, origin)
         state.revision = max(state.revision, store_items.revision)
 
-    def store_returned_age_s(self):
-        """Returns the time since the store was back after an outage; -1 if never."""
-        return self._entries.store_returned_age_s()
-
     @property
     def is_store_reachable(self):
         """Whether the store has answered the latest request about each prefix."""
         return all(state.reachable for state in self.feeds.values())
 
     def _note_reachable(self, state):
-        """Records a response of the store.
-
-        Called before its content is applied, since entries may have expired while the
-        store was down.
-        """
-        was_down = not state.reachable and self._may_have_been_down(state)
-        state.status_noted_at = anyio.current_time()
-        if not state.reachable:
-            state.reachable = True
-            state.lost_at = None
-            if was_down:
-                self._entries.note_store_returned(state.status_noted_at, OWN_CALLS)
-            log_event(
-                Event.CONFIGURATION_SOURCE_BACK,
-                prefix=state.feed.prefix,
-                epoch=state.epoch,
-                revision=state.revision,
-                was_down=was_down,
-            )
-
-    def _may_have_been_down(self, state):
-        """Whether the store, which answers again, may have been away for all hosts.
-
-        Entries expire then. If only this host could not reach it, those that are gone
-        have been removed.
-        """
-        if state.lost_at is None:
-            # The first answer. A host that starts may do so after an outage, but only
-            # if the store has failed to answer it before.
-            return bool(state.status_noted_at)
-        if self._others_read_at >= state.lost_at + MAX_EXCHANGE_S:
-            return False
-        outage_s = anyio.current_time() - state.status_noted_at
-        return self._entries.may_expire_within(outage_s)
-
-    def _note_read_by_others(self, state, known_revision):
-        """Records that another host has read newer items than this one knew."""
-        if not state.reachable and state.newest_revision > known_revision:
-            self._others_read_at = anyio.current_time()
+        if state.reachable:
+            return
+        state.reachable = True
+        log_event(
+            Event.CONFIGURATION_SOURCE_BACK,
+            prefix=state.feed.prefix,
+            epoch=state.epoch,
+            revision=state.revision,
+        )
 
     def _note_unreachable(self, state, error):
-        if state.reachable or not state.status_noted_at:
-            if state.reachable:
-                state.lost_at = anyio.current_time()
-            state.status_noted_at = state.status_noted_at or anyio.current_time()
-            state.reachable = False
-            log_event(
-                Event.CONFIGURATION_SOURCE_DOWN,
-                prefix=state.feed.prefix,
-                epoch=state.epoch,
-                revision=state.revision,
-                error=str(error),
-            )
+        if state.reachable is False:
+            return
+        state.reachable = False
+        log_event(
+            Event.CONFIGURATION_SOURCE_DOWN,
+            prefix=state.feed.prefix,
+            epoch=state.epoch,
+            revision=state.revision,
+            error=str(error),
+        )
 
     def is_unreachable(self, prefix):
         """Whether the store has not answered the latest request about a prefix."""
@@ -250,15 +217,12 @@
             if key not in listed_keys
         ]
         starts_epoch = store_items.epoch > state.epoch
-        known_revision = state.newest_revision
         if starts_epoch:
             self._start_epoch(state, store_items)
         items = [*store_items.items, *deletions]
         self._apply_items(state, items, origin, starts_epoch)
         state.revision = max(state.revision, store_items.revision)
         state.loaded = True
-        if not starts_epoch:
-            self._note_read_by_others(state, known_revision)
         self._set_ready_if_loaded()
 
     def _start_epoch(self, state, store_items):
@@ -275,7 +239,7 @@
                 known_epoch=state.epoch,
                 known_revision=state.revision,
             )
-            self._entries.note_store_returned(anyio.current_time(), OWN_CALLS)
+            self._entries.note_epoch_started()
         state.start_epoch(store_items.epoch)
 
     def snapshot(self, prefix):
--- a/snipetrestle/gateway/replica_entries.py
+++ b/snipetrestle/gateway/replica_entries.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import typing
 
 import anyio
@@ -15,9 +16,6 @@
 # Replicas whose entries expired while the store was down publish them again within two
 # seconds of its return, so deletions take effect only after this time.
 STORE_RETURN_GRACE_S = 2.2
-# No entry expires in an outage that is shorter than this share of the time after which
-# one does: its replica had written it before.
-MIN_OUTAGE_SHARE = 0.5
 # Added to the time after which the entry of a silent replica expires.
 ENTRY_EXPIRY_MARGIN_S = 0.5
 # How long a replica that has left is remembered. The copies from which a store is
@@ -47,39 +45,30 @@
     """Applies published entries to the ReplicaDirectory.
 
     ``entry_expiry_s`` is the time after which the store removes the entry of a silent
-    replica.
+    replica, and ``availability`` the StoreAvailability.
     """
 
-    def __init__(self, replicas, entry_expiry_s):
+    def __init__(self, replicas, entry_expiry_s, availability):
         self._replicas = replicas
         self._entry_expiry_s = entry_expiry_s
         self._departures_by_id = {}
-        self._store_returned_at = -STORE_RETURN_GRACE_S
-        # The host that noticed the return, or the name of this process's own calls.
-        self._return_noted_by = ""
+        # Ids of the replicas whose entries are gone, but may be written again.
+        self._put_off_ids = set()
+        self._epoch_started_at = -math.inf
+        self._availability = availability
+        availability.on_change(self._review_put_off)
 
-    def note_store_returned(self, at, noted_by):
-        """Records that the store can be reached again, or has replaced its history.
+    def note_epoch_started(self):
+        """Records that the store has replaced its history.
 
-        ``noted_by`` names the host that noticed it, for the log.
+        Replicas that are missing may be about to write again, as after an outage.
         """
-        if at > self._store_returned_at:
-            self._store_returned_at = at
-            self._return_noted_by = noted_by
-
-    def may_expire_within(self, outage_s):
-        """Whether the entry of a sound replica may expire in an outage of the store."""
-        return outage_s >= MIN_OUTAGE_SHARE * self._entry_expiry_s
-
-    def store_returned_age_s(self):
-        """Returns the time since the store was last unreachable; -1 if never."""
-        if self._store_returned_at < 0:
-            return -1.0
-        return anyio.current_time() - self._store_returned_at
+        self._epoch_started_at = anyio.current_time()
 
     def apply(self, entry):
         """Lists a replica, or updates its entry."""
         self._departures_by_id.pop(entry.id, None)
+        self._put_off_ids.discard(entry.id)
         self._replicas.list_replica(entry)
 
     def apply_from_copy(self, entry, is_current):
@@ -132,9 +121,7 @@
         # The dictionary is kept in the order of departures.
         self._departures_by_id.pop(replica_id, None)
         self._departures_by_id[replica_id] = departure
-        delay_s = max(0.0, self._store_returned_at + STORE_RETURN_GRACE_S - now)
-        if unlisted.reason:
-            delay_s = 0.0
+        delay_s = 0.0 if unlisted.reason else self._removal_delay_s()
         log_event(
             Event.REPLICA_REMOVED,
             replica=replica_id,
@@ -143,17 +130,43 @@
             way=str(origin.way),
             from_host=origin.host,
             put_off_s=round(delay_s, 3),
-            outage_noted_by=self._return_noted_by if delay_s else "",
+            outage_noted_by=self._outage_noted_by() if delay_s else "",
         )
         if not delay_s:
+            self._put_off_ids.discard(replica_id)
             self._replicas.unlist(replica_id)
             return
-        asyncio.get_running_loop().call_later(
-            delay_s, self._unlist_if_departed, replica_id, departure
-        )
-
-    def _unlist_if_departed(self, replica_id, departure):
-        if self._departures_by_id.get(replica_id) is departure:
+        self._put_off_ids.add(replica_id)
+        asyncio.get_running_loop().call_later(delay_s, self._review_put_off)
+
+    def _removal_delay_s(self):
+        """Returns for how long replicas whose entries are gone may write again."""
+        returned_at = self._epoch_started_at
+        outage = self._availability.latest_outage
+        if outage is not None:
+            returned_at = max(returned_at, outage.ended_at)
+        return max(0.0, returned_at + STORE_RETURN_GRACE_S - anyio.current_time())
+
+    def _outage_noted_by(self):
+        """Returns who noted the latest outage, for the log."""
+        outage = self._availability.latest_outage
+        if outage is None or outage.ended_at < self._epoch_started_at:
+            return "the epoch of the store"
+        return outage.noted_by
+
+    def _review_put_off(self):
+        """Removes the replicas that are still missing, once there is no more delay.
+
+        The delay also ends when it turns out that there was no outage.
+        """
+        if not self._put_off_ids:
+            return
+        delay_s = self._removal_delay_s()
+        if delay_s:
+            asyncio.get_running_loop().call_later(delay_s, self._review_put_off)
+            return
+        missing_ids, self._put_off_ids = self._put_off_ids, set()
+        for replica_id in missing_ids:
             self._replicas.unlist(replica_id)
 
     def _forget_departures(self, now):
--- a/snipetrestle_standins/store_relay_fleet.py
+++ b/snipetrestle_standins/store_relay_fleet.py
@@ -6,6 +6,8 @@
 from snipetrestle.coordination.hosts import Hosts
 from snipetrestle.coordination.leadership import Leadership
 from snipetrestle.coordination.messages import HostInfo
+from snipetrestle.coordination.pause_watch import PauseWatch
+from snipetrestle.coordination.store_availability import StoreAvailability
 from snipetrestle.coordination.store_relay import StoreRelay
 from snipetrestle.gateway.published_items import (
     Feed,
@@ -122,7 +124,13 @@
         self.leadership = Leadership(self.hosts, 3.0, self.has_ended, NoReplicas())
         feed = Feed(PREFIX, lambda item: None, PAUSE_S, WAIT_S)
         source = Source(system.store, self.name)
-        self.state = PublishedState(source, (feed,), None, FixedRandom(), EXPIRY_S)
+        self.pause_watch = PauseWatch()
+        self.availability = StoreAvailability.from_feeds(
+            (feed,), self.name, EXPIRY_S, self.pause_watch
+        )
+        self.state = PublishedState(
+            source, (feed,), None, FixedRandom(), EXPIRY_S, self.availability
+        )
         self.relay = StoreRelay(
             self.state, self.hosts, self.leadership, self.endpoint, APPLY_TIME_S
         )
@@ -147,6 +155,7 @@
                 group.start_soon(self.hosts.run)
                 group.start_soon(self.leadership.run)
                 group.start_soon(self.state.follow, PREFIX)
+                group.start_soon(self.pause_watch.run)
 
     def stop(self):
         self.endpoint.up = False
--- a/tests/coordination/test_store_relay.py
+++ b/tests/coordination/test_store_relay.py
@@ -6,7 +6,12 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.messages import Changes, Join, pack_items
+from snipetrestle.coordination.messages import (
+    Changes,
+    Join,
+    StoreAccess,
+    pack_items,
+)
 from snipetrestle.coordination.store_relay import READERS_PER_HOST, readers_of
 from snipetrestle_standins.store_relay_fleet import (
     APPLY_TIME_S,
@@ -15,6 +20,9 @@
     run_system,
 )
 
+# Long enough for entries to expire.
+OUTAGE_S = 4.0
+
 
 class StoreRelayTest(testtools.TestCase):
     def test_few_hosts_read_the_store(self):
@@ -147,7 +155,7 @@
         async def check(system):
             follower = system.followers("zone-2")[0]
             for content in (b"", b"no data", pack_items([])[:-3], zlib.compress(b"x")):
-                message = Changes(PREFIX, 0, 10**6, -1.0, content)
+                message = Changes(PREFIX, 0, 10**6, StoreAccess(), content)
                 follower.relay._on_changes(message, None)
             self.assertLess(follower.state.feeds[PREFIX].revision, 10**6)
 
@@ -158,16 +166,69 @@
         a host that did not read the store itself must wait for them as well."""
 
         async def check(system):
-            follower = system.followers("zone-2")[0]
-            for reader in system.readers("zone-2"):
-                reader.state.feeds[PREFIX].reachable = False
+            system.store.refused.update(item.name for item in system.members)
+            await anyio.sleep(OUTAGE_S)
+            system.store.refused.clear()
+            returned_at = anyio.current_time()
             system.store.put("servers/r1")
-            await anyio.sleep(0.6)
-            self.assertEqual(system.store.revision, follower.revision)
-            self.assertLess(follower.state.store_returned_age_s(), 1.0)
+            await anyio.sleep(1.5)
+            for member in system.members:
+                self.assertEqual(system.store.revision, member.revision)
+                outage = member.availability.latest_outage
+                self.assertGreaterEqual(outage.ended_at, returned_at)
+                self.assertLess(outage.ended_at, returned_at + 1.0)
 
         run_system(check)
 
+    def check_no_outage_noted(self, choose_victims):
+        """Cuts hosts off from the store for a while in which nothing changes.
+
+        Checks that no other host takes it for an outage of the store, neither when the
+        first hosts have it back nor later.
+        """
+
+        async def check(system):
+            victims = choose_victims(system)
+            system.store.silent.update(item.name for item in victims)
+            await anyio.sleep(OUTAGE_S)
+            system.store.silent.clear()
+            for _ in range(8):
+                system.store.put("servers/r1")
+                await anyio.sleep(0.25)
+                for member in system.members:
+                    if member not in victims:
+                        self.assertIsNone(member.availability.latest_outage)
+            await anyio.sleep(1.0)
+            for member in system.members:
+                self.assertIsNone(member.availability.latest_outage)
+
+        run_system(check)
+
+    def test_loss_of_the_store_by_the_leader_is_no_outage(self):
+        """All hosts took it for one if nothing else had changed meanwhile, and kept
+        replicas that were removed."""
+        self.check_no_outage_noted(lambda system: [system.leader])
+
+    def test_loss_of_the_store_by_all_readers_of_a_domain_is_no_outage(self):
+        """The same for hosts that get all changes from these readers."""
+        self.check_no_outage_noted(lambda system: system.readers("zone-2"))
+
+    def test_loss_of_the_store_by_one_of_few_hosts_is_no_outage(self):
+        """The same among hosts that all read the store by themselves."""
+
+        async def check(system):
+            (leader,) = [item for item in system.members if item.leadership.leads]
+            system.store.silent.add(leader.name)
+            await anyio.sleep(OUTAGE_S)
+            system.store.silent.clear()
+            system.store.put("servers/r1")
+            await anyio.sleep(1.6)
+            for member in system.members:
+                self.assertEqual(system.store.revision, member.revision)
+                self.assertIsNone(member.availability.latest_outage)
+
+        run_system(check, host_count=3)
+
     def test_load_of_a_reader_is_bounded(self):
         """Two readers sent each change to a hundred hosts each, 1.8 MB a second among
         300 hosts; each host must still have two of them."""
--- a/tests/gateway/test_removals.py
+++ b/tests/gateway/test_removals.py
@@ -3,6 +3,7 @@
 import anyio
 import testtools
 
+from snipetrestle.coordination.messages import StoreAccess
 from snipetrestle.events import Event
 from snipetrestle.gateway.published_items import PublishedItem, StoreItems, Way
 from snipetrestle.gateway.replica_entries import STORE_RETURN_GRACE_S
@@ -30,14 +31,15 @@
         )
 
 
-async def cut_off(fleet, gateway, duration_s):
-    """Cuts a gateway off from the store for a while; replicas write meanwhile."""
+async def cut_off(fleet, gateway, duration_s, publishes):
+    """Cuts a gateway off from the store for a while, in which a replica may write."""
     fleet.publish(fleet.registers[1])
     await wait_until_read(fleet)
     fleet.cut_off_from_store.add(gateway.settings.name)
     lost_at = None
     while lost_at is None or anyio.current_time() < lost_at + duration_s:
-        fleet.publish(fleet.registers[1])
+        if publishes:
+            fleet.publish(fleet.registers[1])
         await anyio.sleep(REPORT_INTERVAL_S)
         if lost_at is None and gateway.state.is_unreachable(""):
             lost_at = anyio.current_time()
@@ -59,7 +61,7 @@
             fleet.store.delete(KEY)
             await wait_until(lambda: not lists_removed(gateway))
             late = StoreItems([entry], entry.revision, feed.epoch)
-            gateway.state.apply_changes("", late, "entry-1", -1.0)
+            gateway.state.apply_changes("", late, "entry-1")
             self.assertFalse(lists_removed(gateway))
             fleet.publish(fleet.registers[0])
             await wait_until(lambda: lists_removed(gateway))
@@ -77,17 +79,24 @@
 
         run_fleet(check, gateways=3)
 
-    def check_removal_after(self, duration_s):
-        """Cuts the leader off, and checks that removals are not put off afterwards."""
+    def check_removal_after(self, duration_s, publishes=True):
+        """Cuts the leader off, and checks that removals are not put off afterwards.
+
+        ``publishes`` tells whether a replica writes its entry again and again.
+        """
 
         async def check(fleet):
             # The start of the gateways must not count as a return of the store.
             await anyio.sleep(STORE_RETURN_GRACE_S)
             (leader,) = fleet.leaders()
-            await cut_off(fleet, leader, duration_s)
+            await cut_off(fleet, leader, duration_s, publishes)
             fleet.store.delete(KEY)
             await wait_until_read(fleet)
-            self.assertEqual([False] * 3, [lists_removed(item) for item in fleet.live])
+            others = [gateway for gateway in fleet.live if gateway is not leader]
+            self.assertEqual([False] * 2, [lists_removed(item) for item in others])
+            # The leader may not have heard yet that the store has answered the others.
+            with anyio.fail_after(STORE_RETURN_GRACE_S / 2):
+                await wait_until(lambda: not lists_removed(leader))
 
         run_fleet(check, gateways=3)
 
@@ -96,6 +105,27 @@
         they sent requests to removed replicas for 2.2 s more."""
         self.check_removal_after(2 * ENTRY_EXPIRY_S)
 
+    def test_loss_of_the_store_without_news_puts_no_removal_off(self):
+        """The same if no entry changed meanwhile: no news was taken for no store."""
+        self.check_removal_after(2 * ENTRY_EXPIRY_S, publishes=False)
+
+    def test_word_of_one_host_puts_no_removal_of_others_off(self):
+        """The leader passed its own loss of the store on as an outage. Hosts that had
+        had answers all the time believed it: review/7."""
+
+        async def check(fleet):
+            await anyio.sleep(STORE_RETURN_GRACE_S)
+            (leader,) = fleet.leaders()
+            others = [gateway for gateway in fleet.live if gateway is not leader]
+            await cut_off(fleet, leader, 2 * ENTRY_EXPIRY_S, publishes=False)
+            # So that the others learn of the removal from the leader only.
+            fleet.cut_off_from_store.update(item.settings.name for item in others)
+            fleet.store.delete(KEY)
+            with anyio.fail_after(STORE_RETURN_GRACE_S / 2):
+                await wait_until(lambda: not any(map(lists_removed, others)))
+
+        run_fleet(check, gateways=3)
+
     def test_failed_call_puts_no_removal_off(self):
         """No entry expires in so short a time."""
         self.check_removal_after(0.0)
@@ -150,13 +180,17 @@
             removal = StoreItems(
                 [PublishedItem(KEY, revision, None)], revision, feed.epoch
             )
-            gateway.state.apply_changes("", removal, "entry-7", 0.5)
+            # The start of the gateway is no outage.
+            access = StoreAccess(500, 500, 10_000)
+            gateway.state.availability.note_access("entry-7", access)
+            gateway.state.apply_changes("", removal, "entry-7")
             fields = self.removal()
             self.assertEqual(str(Way.PASSED_ON), fields["way"])
             self.assertEqual("entry-7", fields["from_host"])
             self.assertEqual("entry-7", fields["outage_noted_by"])
-            self.assertAlmostEqual(
-                STORE_RETURN_GRACE_S - 0.5, fields["put_off_s"], delta=0.1
-            )
+            returned_at = gateway.state.availability.latest_outage.ended_at
+            put_off_s = returned_at + STORE_RETURN_GRACE_S - anyio.current_time()
+            self.assertAlmostEqual(put_off_s, fields["put_off_s"], delta=0.1)
+            self.assertGreater(put_off_s, 1.0)
 
         run_fleet(check)
