Test that late answers of the store bring no removed replica back

Change: no product code. The stand-in store of these tests now has deletions and links that can be cut.

--- a/snipetrestle_standins/store_relay_fleet.py
+++ b/snipetrestle_standins/store_relay_fleet.py
@@ -16,6 +16,7 @@
     StoreItems,
 )
 from snipetrestle.gateway.published_state import PublishedState
+from snipetrestle.platform.calls import READ_TIMEOUT_S, WATCH_MARGIN_S
 from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
@@ -34,22 +35,49 @@
 
 class Store:
     """A store in memory. Hosts in ``silent`` get no answer, those in ``refused`` one
-    at once. ``calls_by_host`` counts the calls."""
+    at once, and those that are cut off get it once the cut has healed.
+    ``calls_by_host`` counts the calls, and ``history`` lists all changes.
+    """
 
     def __init__(self):
         self.items_by_key = {}
+        self.history = []
         self.revision = 1
         self.epoch = 1
         self.silent = set()
         self.refused = set()
         self.calls_by_host = {}
         self.changed = anyio.Event()
+        self._heals_by_host = {}
 
     def put(self, key, value=b"1"):
-        self.revision += 1
-        self.items_by_key[key] = PublishedItem(key, self.revision, value)
+        item = self._change(key, value)
+        self.items_by_key[key] = item
+        self._wake_watches()
+
+    def delete(self, key):
+        self._change(key, None)
+        self.items_by_key.pop(key, None)
         self._wake_watches()
 
+    def _change(self, key, value):
+        self.revision += 1
+        item = PublishedItem(key, self.revision, value)
+        self.history.append(item)
+        return item
+
+    def cut_off(self, host):
+        """Holds up what a host and the store send each other."""
+        self._heals_by_host[host] = anyio.Event()
+
+    def heal(self, host):
+        self._heals_by_host.pop(host).set()
+
+    async def pass_link(self, host):
+        """Returns when bytes can pass between a host and the store."""
+        while (heal := self._heals_by_host.get(host)) is not None:
+            await heal.wait()
+
     def _wake_watches(self):
         self.changed.set()
         self.changed = anyio.Event()
@@ -58,6 +86,7 @@
         """Goes back to older items; revisions after theirs are given out again."""
         self.epoch += 1
         self.items_by_key = dict(items_by_key)
+        self.history = list(self.items_by_key.values())
         self.revision = revision
         self._wake_watches()
 
@@ -80,13 +109,26 @@
             raise SourceUnreachable("silent")
 
     async def read(self, prefix):
-        await self._call()
-        store = self._store
-        return StoreItems(
-            list(store.items_by_key.values()), store.revision, store.epoch
-        )
+        with anyio.move_on_after(READ_TIMEOUT_S):
+            await self._call()
+            store = self._store
+            await store.pass_link(self._name)
+            answer = StoreItems(
+                list(store.items_by_key.values()), store.revision, store.epoch
+            )
+            await store.pass_link(self._name)
+            return answer
+        raise SourceUnreachable("no answer")
 
     async def watch(self, prefix, revision, wait_s):
+        with anyio.move_on_after(wait_s + WATCH_MARGIN_S):
+            await self._store.pass_link(self._name)
+            answer = await self._watch(revision, wait_s)
+            await self._store.pass_link(self._name)
+            return answer
+        raise SourceUnreachable("no answer")
+
+    async def _watch(self, revision, wait_s):
         await self._call()
         with anyio.move_on_after(wait_s):
             while self._store.revision == revision:
@@ -96,11 +138,7 @@
             raise SourceUnreachable("silent")
         if self._store.revision < revision:
             raise HistoryLost
-        items = [
-            item
-            for item in self._store.items_by_key.values()
-            if item.revision > revision
-        ]
+        items = [item for item in self._store.history if item.revision > revision]
         return StoreItems(items, self._store.revision, self._store.epoch)
 
 
