Send no request to a replica that left while its connection was opened

Opening a connection takes up to 0.4 s, which added to the time after which a removed replica gets no more requests.

Cause: a replica's state was looked at when it was chosen, not when the request was sent; in between a connection may be opened and a permit awaited.

Change: Exchange.send raises ReplicaLeft, a ConnectFailed, if the replica takes no requests any more. The request is sent to another one; the replica that left is not suspected of silence.

Test: test_request_is_not_sent_to_a_replica_that_left_while_connecting, which fails before.

--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -14,6 +14,10 @@
 SILENCE_CHECK_S = 0.2
 
 
+class ReplicaLeft(ConnectFailed):
+    """The replica left while a connection to it was opened. Nothing was sent."""
+
+
 class Exchange:
     """One attempt of a job at one replica.
 
@@ -62,6 +66,9 @@
     def send(self):
         """Sends the request. Raises ConnectFailed if nothing was sent."""
         job, replica = self._job, self.replica
+        if not replica.takes_requests:
+            self.close()
+            raise ReplicaLeft("the replica left before the request was sent")
         remaining_s = job.deadline_at - self._loop.time()
         request = job.request
         attempt = AttemptMetadata(
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -9,6 +9,7 @@
 
 from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.connection_pool import ConnectionsExhausted
+from snipetrestle.gateway.exchange import ReplicaLeft
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.job import Refused
 from snipetrestle.supervision import run_isolated
@@ -152,7 +153,7 @@
                 return False
             replacement.send()
         except ConnectFailed as error:
-            if not isinstance(error, ConnectionsExhausted):
+            if not isinstance(error, (ConnectionsExhausted, ReplicaLeft)):
                 replica.note_silence()
             self._log_dropped(str(error))
             return False
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -17,7 +17,7 @@
 from snipetrestle.gateway.connection_pool import ConnectionsExhausted
 from snipetrestle.gateway.crash_check import CrashCheck
 from snipetrestle.gateway.event_stream import EventSplitter, InvalidEvent
-from snipetrestle.gateway.exchange import Exchange
+from snipetrestle.gateway.exchange import Exchange, ReplicaLeft
 from snipetrestle.gateway.failover import Failover
 from snipetrestle.gateway.http_client import (
     ConnectFailed,
@@ -432,7 +432,8 @@
     def _note_connect_failure(self, job, replica, error):
         if isinstance(error, ConnectionsExhausted):
             raise self._search.unavailable_refusal(job, str(error))
-        replica.note_silence()
+        if not isinstance(error, ReplicaLeft):
+            replica.note_silence()
         job.connect_failures += 1
         if job.connect_failures >= MAX_CONNECT_FAILURES:
             raise self._search.unavailable_refusal(
--- a/tests/gateway/test_removals.py
+++ b/tests/gateway/test_removals.py
@@ -5,6 +5,7 @@
 
 from snipetrestle.coordination.messages import StoreAccess
 from snipetrestle.events import Event
+from snipetrestle.gateway.connection_pool import ConnectionPool
 from snipetrestle.gateway.published_items import PublishedItem, StoreItems, Way
 from snipetrestle.gateway.replica_entries import STORE_RETURN_GRACE_S
 from snipetrestle_standins.gateway_fleet import ENTRY_EXPIRY_S
@@ -110,8 +111,8 @@
         self.check_removal_after(2 * ENTRY_EXPIRY_S, publishes=False)
 
     def test_word_of_one_host_puts_no_removal_of_others_off(self):
-        """The leader passed its own loss of the store on as an outage. Hosts that had
-        had answers all the time believed it: review/7."""
+        """The leader passed its own loss of the store on as an outage, and hosts that
+        the store had answered all the time believed it: review/7."""
 
         async def check(fleet):
             await anyio.sleep(STORE_RETURN_GRACE_S)
@@ -131,6 +132,43 @@
         self.check_removal_after(0.0)
 
 
+class LeavingBeforeSendingTest(testtools.TestCase):
+    def test_request_is_not_sent_to_a_replica_that_left_while_connecting(self):
+        """Opening a connection takes up to 0.4 s, in which the replica may leave."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            by_id = gateway.replicas.by_id
+            replica_by_pool = {by_id[item.id].pool: item for item in fleet.registers}
+            open_connection = ConnectionPool._open
+            opened = []
+            may_return = anyio.Event()
+
+            async def open_slowly(pool):
+                connection = await open_connection(pool)
+                if pool in replica_by_pool:
+                    opened.append(replica_by_pool[pool])
+                    await may_return.wait()
+                return connection
+
+            self.patch(ConnectionPool, "_open", open_slowly)
+            async with anyio.create_task_group() as group:
+                answers = []
+
+                async def send():
+                    answers.append(await fleet.send_request("/entry/a", gateway))
+
+                group.start_soon(send)
+                await wait_until(lambda: opened)
+                leaving = opened[0]
+                gateway.replicas.unlist(leaving.id)
+                may_return.set()
+            self.assertEqual([200], [answer.status for answer in answers])
+            self.assertEqual([], leaving.arrived_requests)
+
+        run_fleet(check)
+
+
 class RemovalLinesTest(LogRecordingTest):
     def removal(self):
         """Returns the fields of the only line about a removal."""
