Choose test ports that are free on all loopback addresses

Cause: the kept log of the process ends with "Address already in use". Ports were checked on 127.0.0.1 only, and processes of tests have addresses of their own. One of another run had the port at 127.0.0.2, and its readiness probe answered for ours.

Change: free_port checks 127.0.0.1 to 127.0.0.16.

Test: test_port_that_a_process_uses_on_another_address_is_not_returned fails before. Conclusion: between the choice and the binding another run may still take a port.

--- a/snipetrestle_standins/ports.py
+++ b/snipetrestle_standins/ports.py
@@ -6,6 +6,9 @@
 import socket
 
 PORT_RANGE = (12_000, 30_000)
+# Processes of tests have addresses of their own. Those of other runs may use the port on
+# any of them.
+ADDRESSES = tuple(f"127.0.0.{number}" for number in range(1, 17))
 # Without a fixed seed, so that concurrent runs do not choose the same ports.
 _random = random.SystemRandom()
 # Ports that were returned are bound only later, so the last ones are not returned again.
@@ -13,7 +16,7 @@
 
 
 def free_port():
-    """Returns a loopback port that is free for TCP and UDP.
+    """Returns a port that is free for TCP and UDP on all ADDRESSES.
 
     The port is below the system's ephemeral range, so that no outgoing connection takes
     it before the caller binds it. No port is returned twice in a row of many calls.
@@ -22,12 +25,18 @@
         port = _random.randrange(*PORT_RANGE)
         if port in _returned_ports:
             continue
-        with (
-            socket.socket() as tcp,
-            socket.socket(type=socket.SOCK_DGRAM) as udp,
-            contextlib.suppress(OSError),
-        ):
-            tcp.bind(("127.0.0.1", port))
-            udp.bind(("127.0.0.1", port))
+        if all(_is_free(address, port) for address in ADDRESSES):
             _returned_ports.append(port)
             return port
+
+
+def _is_free(address, port):
+    with (
+        socket.socket() as tcp,
+        socket.socket(type=socket.SOCK_DGRAM) as udp,
+        contextlib.suppress(OSError),
+    ):
+        tcp.bind((address, port))
+        udp.bind((address, port))
+        return True
+    return False
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -1,6 +1,7 @@
 """Tests of the choice of free ports for stand-ins."""
 
 import random
+import socket
 
 import testtools
 
@@ -16,3 +17,13 @@
         self.patch(ports, "_random", random.Random(1))
         second = [ports.free_port() for _ in range(20)]
         self.assertEqual(40, len({*first, *second}))
+
+    def test_port_that_a_process_uses_on_another_address_is_not_returned(self):
+        """A gateway process at 127.0.0.2 ended at its start, since a process of another
+        run had its port; that one answered the readiness probes of the test."""
+        seeded = random.Random(2)
+        port = seeded.randrange(*ports.PORT_RANGE)
+        self.patch(ports, "_random", random.Random(2))
+        with socket.socket() as other:
+            other.bind(("127.0.0.2", port))
+            self.assertNotEqual(port, ports.free_port())
