Keep the logs of processes when a test of them fails

Cause: five tests failed once beside load and could not be traced, since the logs of their processes went with the temporary folder of the test.

Change: the folder is copied to target/failed-tests if the test fails, with the faults or violations that were found, and the exit code of a process that had ended.

--- a/tests/callers/test_crowds.py
+++ b/tests/callers/test_crowds.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import ssl
-import tempfile
 
 import anyio
 import testtools
@@ -21,6 +20,7 @@
     chunk,
     pieces_of,
 )
+from tests.process_logs import log_folder
 
 # A guard against a process that hangs, on a busy machine.
 TEST_TIMEOUT_S = 240.0
@@ -40,7 +40,7 @@
 
         async def main():
             with (
-                tempfile.TemporaryDirectory() as folder,
+                log_folder(self.id()) as folder,
                 anyio.fail_after(TEST_TIMEOUT_S),
             ):
                 settings = {"process": {"memory_mb": MEMORY_MB}}
--- a/tests/platform/crowds.py
+++ b/tests/platform/crowds.py
@@ -3,7 +3,6 @@
 import contextlib
 import pathlib
 import resource
-import tempfile
 
 import anyio
 
@@ -22,6 +21,7 @@
     ProcessUsage,
     chunk,
 )
+from tests.process_logs import log_folder
 from tests.soak.hosts import HostProcess
 from tests.stacked import StackedContext
 
@@ -126,6 +126,6 @@
 @contextlib.asynccontextmanager
 async def playing(**options):
     """Runs a CrowdPlay while the context is open."""
-    with tempfile.TemporaryDirectory() as folder, anyio.fail_after(TEST_TIMEOUT_S):
+    with log_folder("crowd") as folder, anyio.fail_after(TEST_TIMEOUT_S):
         async with CrowdPlay(folder, **options) as play:
             yield play
--- a/tests/platform/stop_runs.py
+++ b/tests/platform/stop_runs.py
@@ -1,20 +1,24 @@
 """Plays planned stops of a gateway's process, in tests and by hand."""
 
 import logging
-import pathlib
-import tempfile
 
 import anyio
 
+from tests import process_logs
+
 TEST_TIMEOUT_S = 60.0
 MAX_PRINTED_FAULTS = 10
 
 
 async def play(make_stop, *args):
     """Returns what ``make_stop(*args)`` makes, after its ``play(folder)``."""
-    with tempfile.TemporaryDirectory() as folder, anyio.fail_after(TEST_TIMEOUT_S):
+    name = make_stop.__name__
+    with process_logs.log_folder(name) as folder, anyio.fail_after(TEST_TIMEOUT_S):
         stop = make_stop(*args)
-        await stop.play(pathlib.Path(folder))
+        await stop.play(folder)
+        if faults := stop.faults():
+            (folder / "faults.txt").write_text("\n".join(map(str, faults)))
+            process_logs.keep(folder, name)
         return stop
 
 
--- a/tests/platform/test_hostile_callers.py
+++ b/tests/platform/test_hostile_callers.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import contextlib
-import pathlib
-import tempfile
 
 import anyio
 import testtools
@@ -25,6 +23,7 @@
 from snipetrestle_standins.ports import free_port
 from tests.platform import hostile_callers
 from tests.platform.hostile_callers import BODY_BYTES, HostileCallers, ProcessUsage
+from tests.process_logs import log_folder
 from tests.soak.hosts import HostProcess
 
 # A guard against a process that hangs, on a busy machine.
@@ -123,10 +122,10 @@
 
         async def main():
             with (
-                tempfile.TemporaryDirectory() as folder,
+                log_folder(self.id()) as folder,
                 anyio.fail_after(TEST_TIMEOUT_S),
             ):
-                play = Play(pathlib.Path(folder), memory_mb)
+                play = Play(folder, memory_mb)
                 async with play.running() as usage:
                     callers = HostileCallers(
                         play.host.callers_address, count, pieces, reads
@@ -204,10 +203,10 @@
 
         async def main():
             with (
-                tempfile.TemporaryDirectory() as folder,
+                log_folder(self.id()) as folder,
                 anyio.fail_after(TEST_TIMEOUT_S),
             ):
-                play = Play(pathlib.Path(folder), SMALLEST_HOST_MB)
+                play = Play(folder, SMALLEST_HOST_MB)
                 async with play.running() as usage:
                     for _ in range(3):
                         answer = await play.send_request(b"x" * BODY_BYTES)
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -145,6 +145,9 @@
         self.signal_process(signal.SIGCONT)
 
     async def kill(self):
+        if self.exited_unexpectedly:
+            with self._log_path.open("a") as log:
+                log.write(f"the process had ended with code {self.exit_code}\n")
         self.stopping = True
         self.resume()
         self.signal_process(signal.SIGKILL)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,13 +1,12 @@
 """Short runs of the soak test with fixed seeds, and tests of its oracle."""
 
 import asyncio
-import pathlib
-import tempfile
 
 import testtools
 
 from snipetrestle_standins.gateway_fleet import Response
 from snipetrestle_standins.platform_replica import PlatformReplica
+from tests.process_logs import log_folder
 from tests.soak.oracle import Oracle, SentRequest
 from tests.soak.soak import Soak, is_interrupted
 
@@ -16,13 +15,14 @@
 
 class SoakTest(testtools.TestCase):
     def check_seed(self, seed):
-        with tempfile.TemporaryDirectory() as folder:
-            soak = Soak(seed, FAULT_PHASE_S, pathlib.Path(folder))
+        with log_folder(f"soak-{seed}") as folder:
+            soak = Soak(seed, FAULT_PHASE_S, folder)
             asyncio.run(soak.run())
-        self.assertEqual([], soak.violations)
-        self.assertGreater(sum(soak.oracle.served_by_route.values()), 100)
-        self.assertGreater(soak.endless_bodies.body_count, 20)
-        self.assertGreater(soak.oracle.sound_call_count, 100)
+            (folder / "violations.txt").write_text("\n".join(soak.violations))
+            self.assertEqual([], soak.violations)
+            self.assertGreater(sum(soak.oracle.served_by_route.values()), 100)
+            self.assertGreater(soak.endless_bodies.body_count, 20)
+            self.assertGreater(soak.oracle.sound_call_count, 100)
 
     def test_first_seed(self):
         """Guards against promises that break when faults overlap."""
