Bound the connections that peers may open to a daemon

What callers saw: 502 for ordinary calls of a service as long as a crowd of 500 connections stays at the port for peers of a daemon with 400 descriptors.

Cause: gRPC accepts any number of connections, up to all descriptors of the process, so none was left for the connection to the service.

Change: gRPC's bound of incoming connections is set to 12% of the sockets, since each other daemon keeps one open: 330 daemons need 2,900 descriptors each.

Test: test_connections_to_the_port_for_peers fails before (502 instead of 200) and passes; the 24 tests of the transport pass. Conclusion: a crowd can still keep new peers out while it stays, but takes nothing from callers.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -92,9 +92,13 @@
 
     def _build_peers(self):
         settings = self.settings
+        self.process_limits = ProcessLimits.from_machine(settings.process.memory_mb)
         self.router = MessageRouter()
         self.transport = GrpcTransport.from_settings(
-            settings, self.router, lambda name: self.membership.address_of(name)
+            settings,
+            self.router,
+            lambda name: self.membership.address_of(name),
+            self.process_limits.max_permanent_peer_connections,
         )
         self.local_call_transport = LocalCallTransport(
             self.transport, self.router, settings.daemon.name
@@ -185,7 +189,7 @@
     def _build_callers(self):
         settings = self.settings
         self.caller_memory = CallerMemory(
-            ProcessLimits.from_machine(settings.process.memory_mb),
+            self.process_limits,
             lambda: settings.intake,
             self._note_shed,
             connection_bytes(settings.tls.callers),
--- a/snipetrestle/peers/grpc_transport.py
+++ b/snipetrestle/peers/grpc_transport.py
@@ -34,6 +34,8 @@
 MAX_CONNECTION_AGE_MS = 3_600_000
 # A connection on which the handshake takes longer is closed.
 HANDSHAKE_TIMEOUT_MS = 5_000
+# gRPC takes no larger bound of connections.
+MAX_CONNECTIONS = 2**30
 # Maximum message size. The largest messages are a published configuration of several
 # megabytes and a request with a long prompt.
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
@@ -87,23 +89,33 @@
 class GrpcTransport:
     """Sends messages to members by name and serves the handlers of a router.
 
+    At most ``max_connections`` of peers are open at a time; gRPC closes further ones.
     ``address_of(name)`` returns ``IP:PORT`` or None. A member name that is itself an
     ``IP:PORT`` is a seed: its certificate must contain that IP address.
     """
 
-    def __init__(self, own_name, router, address_of, tls=None, reload_interval_s=30.0):
+    def __init__(
+        self,
+        own_name,
+        router,
+        address_of,
+        tls=None,
+        reload_interval_s=30.0,
+        max_connections=math.inf,
+    ):
         self.own_name = own_name
         self._router = router
         self._address_of = address_of
         self._tls = tls
         self._reload_interval_s = reload_interval_s
+        self._max_connections = min(max_connections, MAX_CONNECTIONS)
         self._channels_by_member = {}
         self._retired_channels = set()
         self._heard_at_by_member = {}
         self._group = None
 
     @classmethod
-    def from_settings(cls, settings, router, address_of):
+    def from_settings(cls, settings, router, address_of, max_connections):
         """Builds a transport. Raises OSError or ssl.SSLError for unusable TLS files."""
         files = settings.tls.peers
         return cls(
@@ -112,12 +124,18 @@
             address_of,
             tls=None if files is None else TlsMaterial.from_files(files),
             reload_interval_s=settings.tls.reload_interval_s,
+            max_connections=max_connections,
         )
 
     @contextlib.asynccontextmanager
     async def serving(self, listen_address):
         """Serves peers at ``IP:PORT`` while the context is open; yields the address."""
-        server = aio.server(options=_SERVER_OPTIONS)
+        server = aio.server(
+            options=(
+                *_SERVER_OPTIONS,
+                ("grpc.max_allowed_incoming_connections", int(self._max_connections)),
+            )
+        )
         peer_pb2_grpc.add_PeerServicer_to_server(_Servicer(self), server)
         bound_address = self._bind(server, listen_address)
         async with anyio.create_task_group() as group:
--- a/snipetrestle/process_limits.py
+++ b/snipetrestle/process_limits.py
@@ -22,6 +22,8 @@
 CALLERS_SHARE = 0.45
 SERVERS_SHARE = 0.35
 PEERS_SHARE = 0.05
+# The same where each of the other daemons keeps a connection open.
+PERMANENT_PEERS_SHARE = 0.12
 # However few descriptors there are, so many sockets are divided.
 MIN_SHARED_SOCKETS = 20
 
@@ -67,6 +69,11 @@
         """Number of connections that other hosts may open."""
         return PEERS_SHARE * self._shared_sockets
 
+    @property
+    def max_permanent_peer_connections(self):
+        """The same if each of the other hosts keeps one open."""
+        return PERMANENT_PEERS_SHARE * self._shared_sockets
+
 
 class StatusLimits:
     """Limits of a listener for few callers, such as readiness probes.
--- a/tests/callers/test_crowds.py
+++ b/tests/callers/test_crowds.py
@@ -152,6 +152,10 @@
             address="operators",
         )
 
+    def test_connections_to_the_port_for_peers(self):
+        """gRPC took any number of them, up to all descriptors of the process."""
+        self.check_crowd(500, lambda daemon: [], address="peers")
+
     def test_handshakes_that_stop_half_way(self):
         """They were in no bound of connections, and each stayed open for a minute."""
         hello = _client_hello()
