Bound the connections of a daemon to services

What callers saw: beside 60 callers that call a slow service and leave at once, a daemon with 400 descriptors uses up all of them (400 of 400), and nobody gets an answer.

Cause: a call that has begun goes on without its caller, who opens another connection and calls again. Only the contract's concurrency bounded the calls in progress.

Calls of engines count, and are never refused: few of them serve many callers.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -21,6 +21,7 @@
 from snipetrestle.engines.ownership import ReplicaOwnership
 from snipetrestle.events import Event, log_event
 from snipetrestle.hashing import rendezvous_first
+from snipetrestle.http_connections import ServerConnections
 from snipetrestle.limits import LimitShares, ShareCoordinator
 from snipetrestle.log_lines import RequestLines
 from snipetrestle.metrics import Metrics
@@ -93,6 +94,9 @@
     def _build_peers(self):
         settings = self.settings
         self.process_limits = ProcessLimits.from_machine(settings.process.memory_mb)
+        self.server_connections = ServerConnections(
+            self.process_limits.max_server_connections
+        )
         self.router = MessageRouter()
         self.transport = GrpcTransport.from_settings(
             settings,
@@ -143,7 +147,9 @@
         self.background_tasks.append(self.shares.run)
 
     def _build_writes(self):
-        self.services = HttpServiceClient(self.settings.daemon.region)
+        self.services = HttpServiceClient(
+            self.settings.daemon.region, connections=self.server_connections
+        )
         self.stop_hooks.append(self.services.aclose)
         self.keeper = None
         self.writes = WriteCoordinator(
@@ -245,7 +251,10 @@
 
     def _open_engine(self, server):
         engine = HttpEngineClient(
-            server.address, self.generator, self.stream_wake_scheduler
+            server.address,
+            self.generator,
+            self.stream_wake_scheduler,
+            connections=self.server_connections,
         )
         self._engines.append(engine)
         return engine
--- a/snipetrestle/callers/services.py
+++ b/snipetrestle/callers/services.py
@@ -2,10 +2,12 @@
 
 import anyio
 
+from snipetrestle.caller_memory import FULL_RETRY_AFTER_S
 from snipetrestle.codes import Outcome, ResultCode, ServingError
 from snipetrestle.services.protocol import (
     OldFencingNumber,
     ServiceCall,
+    ServiceConnectionsExhausted,
     ServiceUnreachable,
 )
 from snipetrestle.writes import WriteRequest
@@ -80,6 +82,14 @@
                     return await self._services.call(call)
                 except OldFencingNumber as error:
                     raise ServingError(ResultCode.FENCED, str(error)) from None
+                except ServiceConnectionsExhausted as error:
+                    reason = str(error)
+                    if not may_have_run:
+                        raise ServingError(
+                            ResultCode.QUEUE_FULL,
+                            reason,
+                            retry_after=FULL_RETRY_AFTER_S,
+                        ) from None
                 except ServiceUnreachable as error:
                     may_have_run = may_have_run or error.sent
                     reason = str(error)
--- a/snipetrestle/http_connections.py
+++ b/snipetrestle/http_connections.py
@@ -10,6 +10,7 @@
 """
 
 import contextlib
+import math
 import urllib.parse
 
 import httpcore
@@ -41,14 +42,53 @@
     return parts
 
 
+class TooManyConnections(httpcore.ConnectError):
+    """This process may open no further connection. Nothing was sent."""
+
+
+class ServerConnections:
+    """Bounds the connections of all pools of a process to other servers.
+
+    A connection that is opened takes the place of an idle one if there are too many.
+    Those of pools that are ``essential`` count as well, but are opened in any case.
+    """
+
+    def __init__(self, max_open=math.inf):
+        self._max_open = max_open
+        self._pools = []
+        self.count = 0
+
+    def add_pool(self, pool):
+        self._pools.append(pool)
+
+    def remove_pool(self, pool):
+        self._pools.remove(pool)
+
+    async def take(self, essential):
+        """Counts a connection about to be opened. Raises TooManyConnections."""
+        while self.count >= self._max_open:
+            pool = next((pool for pool in self._pools if pool.has_idle), None)
+            if pool is None and essential:
+                break
+            if pool is None:
+                raise TooManyConnections("all connections to servers are in use")
+            await pool.close_idle()
+        self.count += 1
+
+    def release(self):
+        """Counts a connection no more that is closed."""
+        self.count -= 1
+
+
 class ConnectionPool:
     """Opens connections to the server at a base URL, and reuses some of them.
 
     Answers carry no id, so on a reused connection a late second copy of one answer
     would be read as the next one. A connection is reused only for calls of which a
     wrong answer does no harm. ``connect_timeout`` is in seconds. ``backend`` is the
-    httpcore network backend; tests pass one that works in memory. Raises ValueError for
-    a malformed URL.
+    httpcore network backend; tests pass one that works in memory. ``connections`` is
+    the ServerConnections that bounds those of several pools, ``essential`` as there.
+    Raises ValueError for a malformed URL.
     """
 
     def __init__(
@@ -58,6 +98,8 @@
         *,
         ssl_context=None,
         connect_timeout=CONNECT_TIMEOUT_S,
+        connections=None,
+        essential=False,
     ):
         parts = split_base_url(base_url)
         self._origin = httpcore.URL(base_url).origin
@@ -66,12 +108,24 @@
         self._backend = backend or httpcore.AnyIOBackend()
         self._ssl_context = ssl_context
         self._connect_timeout_s = connect_timeout
+        self._connections = connections or ServerConnections()
+        self._essential = essential
+        # The one that was used last is at the end.
         self._idle_connections = []
+        self._connections.add_pool(self)
 
     async def aclose(self):
-        idle, self._idle_connections = self._idle_connections, []
-        for connection in idle:
-            await connection.aclose()
+        while self.has_idle:
+            await self.close_idle()
+        self._connections.remove_pool(self)
+
+    @property
+    def has_idle(self):
+        return bool(self._idle_connections)
+
+    async def close_idle(self):
+        """Closes the connection that was not used for longest."""
+        await self._close(self._idle_connections.pop(0))
 
     async def request(
         self,
@@ -108,7 +162,7 @@
         ``timeout`` limits the whole call, in seconds, unless the body is read by
         ``iterate_messages``.
         """
-        connection = self._acquire() if reuse else self._new_connection()
+        connection = await (self._acquire() if reuse else self._open())
         request = httpcore.Request(
             method,
             httpcore.URL(
@@ -139,7 +193,7 @@
                 await response.aclose()
         except BaseException:
             with contextlib.suppress(*NETWORK_ERRORS):
-                await connection.aclose()
+                await self._close(connection)
             raise
         if (
             reuse
@@ -148,18 +202,27 @@
         ):
             self._idle_connections.append(connection)
         else:
-            await connection.aclose()
+            await self._close(connection)
 
-    def _acquire(self):
+    async def _acquire(self):
         while self._idle_connections:
             connection = self._idle_connections.pop()
             if not connection.has_expired():
                 return connection
-        return self._new_connection()
+            await self._close(connection)
+        return await self._open()
 
-    def _new_connection(self):
+    async def _open(self):
+        """Returns a new connection. Raises TooManyConnections."""
+        await self._connections.take(self._essential)
         return _BoundedConnection(self._origin, self._backend, self._ssl_context)
 
+    async def _close(self, connection):
+        try:
+            await connection.aclose()
+        finally:
+            self._connections.release()
+
 
 class _BoundedConnection(httpcore.AsyncHTTPConnection):
     """HTTP connection whose socket is read within ``budget``."""
--- a/snipetrestle/services/http_client.py
+++ b/snipetrestle/services/http_client.py
@@ -11,10 +11,13 @@
     CONNECT_ERRORS,
     NETWORK_ERRORS,
     ConnectionPool,
+    ServerConnections,
+    TooManyConnections,
 )
 from snipetrestle.services.protocol import (
     OldFencingNumber,
     ServiceAnswer,
+    ServiceConnectionsExhausted,
     ServiceUnreachable,
 )
 
@@ -28,12 +31,14 @@
 
     ``apply`` sets the published configuration, which names the servers. Each call is
     one attempt at one server; the callers decide what may be retried. ``backend`` is
-    the httpcore network backend; tests pass one that works in memory.
+    the httpcore network backend; tests pass one that works in memory. ``connections``
+    are the ServerConnections of the process.
     """
 
-    def __init__(self, region=None, backend=None):
+    def __init__(self, region=None, backend=None, connections=None):
         self._region = region
         self._backend = backend
+        self._connections = connections or ServerConnections()
         self._pools_by_address = {}
         self._configuration = None
         self._call_count = 0
@@ -60,6 +65,8 @@
                 call.body,
                 timeout=call.timeout,
             )
+        except TooManyConnections as error:
+            raise ServiceConnectionsExhausted(str(error)) from None
         except CONNECT_ERRORS as error:
             raise ServiceUnreachable(f"{server.name}: {error!r}", sent=False) from None
         except NETWORK_ERRORS as error:
@@ -76,7 +83,11 @@
     def _pool_of(self, server):
         pool = self._pools_by_address.get(server.address)
         if pool is None:
-            pool = ConnectionPool(f"http://{server.address}", self._backend)
+            pool = ConnectionPool(
+                f"http://{server.address}",
+                self._backend,
+                connections=self._connections,
+            )
             self._pools_by_address[server.address] = pool
         return pool
 
--- a/snipetrestle/services/protocol.py
+++ b/snipetrestle/services/protocol.py
@@ -40,6 +40,13 @@
         super().__init__(detail)
 
 
+class ServiceConnectionsExhausted(ServiceUnreachable):
+    """This process may open no further connection; the service is not the reason."""
+
+    def __init__(self, detail):
+        super().__init__(detail, sent=False)
+
+
 class OldFencingNumber(Exception):
     """The service refused an old fencing number; the call had no effect."""
 
--- a/tests/callers/daemon_process.py
+++ b/tests/callers/daemon_process.py
@@ -30,8 +30,12 @@
 NAME = "entry-1"
 REGION = "sicily"
 API_KEY = "sample-key-counter"
+OTHER_API_KEY = "sample-key-workshop"
 SERVICE = "register"
 LOOKUP_PATH = f"/v1/services/{SERVICE}/lookup"
+# The service answers calls with this body after the time-out of its operations.
+HELD_BODY = b'{"hold":1}'
+HOLD_S = 30.0
 POLL_INTERVAL_S = 0.1
 READY_TIMEOUT_S = 30.0
 
@@ -133,14 +137,16 @@
     def is_running(self):
         return self._process.returncode is None
 
-    def head(self, *lines, path=LOOKUP_PATH, method="POST"):
+    def head(self, *lines, path=LOOKUP_PATH, method="POST", key=API_KEY):
         """Returns a request head of a customer, with further lines."""
-        start = f"{method} {path} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {API_KEY}\r\n"
+        start = (
+            f"{method} {path} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {key}\r\n"
+        )
         return (start + "".join(f"{line}\r\n" for line in lines) + "\r\n").encode()
 
-    async def send_lookup(self, body=b"{}"):
+    async def send_lookup(self, body=b"{}", key=API_KEY):
         """Returns the status of one ordinary request, 0 without an answer."""
-        head = self.head(f"Content-Length: {len(body)}", "Connection: close")
+        head = self.head(f"Content-Length: {len(body)}", "Connection: close", key=key)
         try:
             reader, writer = await asyncio.open_connection(
                 *self.addresses["callers"], ssl=self._tls
@@ -158,26 +164,28 @@
 
 
 async def _answer(scope, receive, send):
-    """Answers each call of the service."""
+    """Answers each call of the service; one with HELD_BODY at length."""
     if scope["type"] == "lifespan":
         await run_lifespan(receive, send)
         return
-    await read_body(receive)
+    if await read_body(receive) == HELD_BODY:
+        await asyncio.sleep(HOLD_S)
     await send_response(send, 200, b"{}")
 
 
 def _document(service_address):
-    """Returns a published configuration with one customer and one service."""
+    """Returns a published configuration with two customers and one service."""
     return {
         "models": [],
         "adapters": [],
         "customers": [
             {
-                "name": "counter",
-                "api_key_sha256": [hashlib.sha256(API_KEY.encode()).hexdigest()],
+                "name": name,
+                "api_key_sha256": [hashlib.sha256(key.encode()).hexdigest()],
                 "contract": contract(),
                 "adapters": [],
             }
+            for name, key in (("counter", API_KEY), ("workshop", OTHER_API_KEY))
         ],
         "backend_servers": [
             {
--- a/tests/callers/test_crowds.py
+++ b/tests/callers/test_crowds.py
@@ -11,7 +11,12 @@
 import anyio
 import testtools
 
-from tests.callers.daemon_process import DaemonProcess
+from tests.callers.daemon_process import (
+    API_KEY,
+    HELD_BODY,
+    OTHER_API_KEY,
+    DaemonProcess,
+)
 from tests.platform.hostile_callers import (
     BODY_BYTES,
     PIECE_BYTES,
@@ -29,6 +34,7 @@
 MEMORY_MB = 152
 MAX_FDS = 400
 SETTLE_POLL_S = 0.1
+LEAVING_CALLERS = 3000
 REFUSED_STATUSES = frozenset({0, 503})
 
 
@@ -64,9 +70,9 @@
             self.assertLess(usage.descriptor_count, MAX_FDS)
         self.assertEqual(200, await self.send_until_taken(daemon))
 
-    async def send_until_taken(self, daemon):
+    async def send_until_taken(self, daemon, key=API_KEY):
         """Returns the status of a call that is repeated when it is refused."""
-        while (status := await daemon.send_lookup()) in REFUSED_STATUSES:  # noqa: ASYNC110
+        while (status := await daemon.send_lookup(key=key)) in REFUSED_STATUSES:  # noqa: ASYNC110
             await anyio.sleep(SETTLE_POLL_S)
         return status
 
@@ -144,6 +150,39 @@
             reads=False,
         )
 
+    def test_callers_that_leave_calls_of_a_slow_service(self):
+        """Calls go on without their callers, who open others: there was no bound of
+        the connections to services."""
+
+        async def main():
+            with (
+                log_folder(self.id()) as folder,
+                anyio.fail_after(TEST_TIMEOUT_S),
+            ):
+                async with DaemonProcess(folder, MAX_FDS) as daemon:
+                    call = daemon.head(f"Content-Length: {len(HELD_BODY)}") + HELD_BODY
+                    crowd = PersistentCallers(
+                        daemon.addresses["callers"], 60, [call], stays=False
+                    )
+                    async with crowd:
+                        await self.check_while_leaving(daemon, crowd)
+                    status = await self.send_until_taken(daemon, OTHER_API_KEY)
+                    self.assertEqual(200, status)
+
+        anyio.run(main)
+
+    async def check_while_leaving(self, daemon, crowd):
+        """Looks at a daemon whose callers leave, after some thousand of them."""
+        usage = ProcessUsage(daemon.pid)
+        while crowd.ended_count < LEAVING_CALLERS:
+            await anyio.sleep(SETTLE_POLL_S)
+            self.assertLess(usage.descriptor_count, MAX_FDS)
+        # The crowd uses up what the contract of its own customer allows.
+        status = await self.send_until_taken(daemon, OTHER_API_KEY)
+        self.assertEqual(200, status)
+        self.assertTrue(daemon.is_running)
+        self.assertLess(usage.peak_memory_bytes / MB, MEMORY_MB)
+
     def test_operators_address(self):
         """Its connections have a bound of their own, and must not use up the others'."""
         self.check_crowd(
