Bound what answers hold that are arriving at a daemon

What callers saw: beside 100 callers whose answers of 4 MB stop one byte short, a daemon with 152 MB uses 194 MB, and its machine would end it.

Cause: each answer of a service or an engine was bounded, but not all of them together.

Change: the daemon uses the gateway's AnswerMemory, now snipetrestle.answer_memory: answers count with what callers hold, and large ones wait while all hold more than half of that, the first one never. What the process has is divided before the rest is built.

--- a/snipetrestle/app.py
+++ b/snipetrestle/app.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from snipetrestle.answer_memory import AnswerMemory
 from snipetrestle.batches import BatchHolder
 from snipetrestle.caller_memory import CallerMemory
 from snipetrestle.callers.batch_items import BatchItemRunner
@@ -84,6 +85,7 @@
         self._runner = None
         self._group = None
         self._stopping = anyio.Event()
+        self._build_process_limits()
         self._build_peers()
         self._build_limits()
         self._build_writes()
@@ -91,12 +93,22 @@
         self._build_callers()
         self.configuration_sync.on_change(self._apply)
 
-    def _build_peers(self):
+    def _build_process_limits(self):
         settings = self.settings
         self.process_limits = ProcessLimits.from_machine(settings.process.memory_mb)
         self.server_connections = ServerConnections(
             self.process_limits.max_server_connections
         )
+        self.caller_memory = CallerMemory(
+            self.process_limits,
+            lambda: settings.intake,
+            self._note_shed,
+            connection_bytes(settings.tls.callers),
+        )
+        self.answer_memory = AnswerMemory(self.caller_memory)
+
+    def _build_peers(self):
+        settings = self.settings
         self.router = MessageRouter()
         self.transport = GrpcTransport.from_settings(
             settings,
@@ -148,7 +160,9 @@
 
     def _build_writes(self):
         self.services = HttpServiceClient(
-            self.settings.daemon.region, connections=self.server_connections
+            self.settings.daemon.region,
+            connections=self.server_connections,
+            answer_memory=self.answer_memory,
         )
         self.stop_hooks.append(self.services.aclose)
         self.keeper = None
@@ -194,12 +208,6 @@
 
     def _build_callers(self):
         settings = self.settings
-        self.caller_memory = CallerMemory(
-            self.process_limits,
-            lambda: settings.intake,
-            self._note_shed,
-            connection_bytes(settings.tls.callers),
-        )
         self.entry = EntryRouter(
             self.membership,
             self.transport,
@@ -255,6 +263,7 @@
             self.generator,
             self.stream_wake_scheduler,
             connections=self.server_connections,
+            answer_memory=self.answer_memory,
         )
         self._engines.append(engine)
         return engine
--- a/snipetrestle/engines/http_client.py
+++ b/snipetrestle/engines/http_client.py
@@ -331,20 +331,30 @@
 
     ``rng`` is a random.Random that generates the ids of channels, so two daemons must
     not share its seed. ``backend`` is the httpcore network backend; tests pass one that
-    works in memory, and ``connections`` are the ServerConnections of the process. The
-    channel outlives single requests, so an asyncio task of its own reads it; ``aclose``
-    ends that task.
+    works in memory. ``connections`` are the ServerConnections of the process, and
+    ``answer_memory`` its AnswerMemory. The channel outlives single requests, so an
+    asyncio task of its own reads it; ``aclose`` ends that task.
     """
 
     def __init__(
-        self, address, rng=None, wake_scheduler=None, backend=None, connections=None
+        self,
+        address,
+        rng=None,
+        wake_scheduler=None,
+        backend=None,
+        connections=None,
+        answer_memory=None,
     ):
         self.address = address
         self._rng = rng or random.Random()
         self._wake_scheduler = wake_scheduler or StreamWakeScheduler()
         # The requests of many callers share a channel, so calls of engines are few.
         self._connection_pool = ConnectionPool(
-            f"http://{address}", backend, connections=connections, essential=True
+            f"http://{address}",
+            backend,
+            connections=connections,
+            essential=True,
+            answer_memory=answer_memory,
         )
         self._channel = None
         self._channel_task = None
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -9,10 +9,10 @@
 import anyio
 import anyio.lowlevel
 
+from snipetrestle.answer_memory import AnswerMemory
 from snipetrestle.codes import Outcome, ResultCode
 from snipetrestle.dispatch.replica_search import RETRY_AFTER_S, ReplicaSearch
 from snipetrestle.events import Event
-from snipetrestle.gateway.answer_memory import AnswerMemory
 from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.connection_pool import ConnectionsExhausted
 from snipetrestle.gateway.crash_check import CrashCheck
--- a/snipetrestle/http_connections.py
+++ b/snipetrestle/http_connections.py
@@ -87,8 +87,9 @@
     would be read as the next one. A connection is reused only for calls of which a
     wrong answer does no harm. ``connect_timeout`` is in seconds. ``backend`` is the
     httpcore network backend; tests pass one that works in memory. ``connections`` is
-    the ServerConnections that bounds those of several pools, ``essential`` as there.
-    Raises ValueError for a malformed URL.
+    the ServerConnections that bounds those of several pools, ``essential`` as there,
+    and ``answer_memory`` the AnswerMemory that bounds the bodies of all answers. Raises
+    ValueError for a malformed URL.
     """
 
     def __init__(
@@ -100,6 +101,7 @@
         connect_timeout=CONNECT_TIMEOUT_S,
         connections=None,
         essential=False,
+        answer_memory=None,
     ):
         parts = split_base_url(base_url)
         self._origin = httpcore.URL(base_url).origin
@@ -110,6 +112,7 @@
         self._connect_timeout_s = connect_timeout
         self._connections = connections or ServerConnections()
         self._essential = essential
+        self._answer_memory = answer_memory
         # The one that was used last is at the end.
         self._idle_connections = []
         self._connections.add_pool(self)
@@ -187,9 +190,14 @@
         )
         try:
             response = await connection.send(request, timeout)
+            answer = None
+            if self._answer_memory is not None:
+                answer = self._answer_memory.begin()
             try:
-                yield BoundedResponse(response, connection.budget)
+                yield BoundedResponse(response, connection.budget, answer)
             finally:
+                if answer is not None:
+                    answer.end()
                 await response.aclose()
         except BaseException:
             with contextlib.suppress(*NETWORK_ERRORS):
--- a/snipetrestle/http_responses.py
+++ b/snipetrestle/http_responses.py
@@ -111,16 +111,18 @@
 class BoundedResponse:
     """Status, headers and body of an answer, whose body can still be arriving.
 
-    Raises RemoteProtocolError for a status that HTTP does not define.
+    ``answer`` is the ArrivingAnswer that counts what its body holds, or None. Raises
+    RemoteProtocolError for a status that HTTP does not define.
     """
 
-    def __init__(self, response, budget):
+    def __init__(self, response, budget, answer=None):
         if not is_defined_status(response.status):
             raise httpcore.RemoteProtocolError(f"undefined status {response.status}")
         self.status = response.status
         self.headers = response.headers
         self._response = response
         self._budget = budget
+        self._answer = answer
 
     async def read_body(self, max_bytes):
         """Returns the body, which must arrive within the time of its request.
@@ -134,8 +136,23 @@
             body += chunk
             if len(body) > max_bytes:
                 raise httpcore.RemoteProtocolError("the answer is too large")
+            await self._note_held(len(body))
         return bytes(body)
 
+    async def _note_held(self, size):
+        """Notes what the body holds; waits while all answers hold too much.
+
+        Raises ReadTimeout if the time of the request ends meanwhile.
+        """
+        if self._answer is None:
+            return
+        self._answer.note_body(size)
+        while self._answer.must_wait:
+            has_room = anyio.Event()
+            self._answer.on_room = has_room.set
+            with anyio.move_on_after(self._budget.remaining_s()):
+                await has_room.wait()
+
     async def iterate_messages(self, end, max_bytes, timeout):
         """Yields lists of complete messages of a body, without their ``end``.
 
--- a/snipetrestle/services/http_client.py
+++ b/snipetrestle/services/http_client.py
@@ -32,11 +32,12 @@
     ``apply`` sets the published configuration, which names the servers. Each call is
     one attempt at one server; the callers decide what may be retried. ``backend`` is
     the httpcore network backend; tests pass one that works in memory. ``connections``
-    are the ServerConnections of the process.
+    are the ServerConnections of the process, ``answer_memory`` its AnswerMemory.
     """
 
-    def __init__(self, region=None, backend=None, connections=None):
+    def __init__(self, region=None, backend=None, connections=None, answer_memory=None):
         self._region = region
+        self._answer_memory = answer_memory
         self._backend = backend
         self._connections = connections or ServerConnections()
         self._pools_by_address = {}
@@ -87,6 +88,7 @@
                 f"http://{server.address}",
                 self._backend,
                 connections=self._connections,
+                answer_memory=self._answer_memory,
             )
             self._pools_by_address[server.address] = pool
         return pool
--- a/tests/callers/daemon_process.py
+++ b/tests/callers/daemon_process.py
@@ -35,6 +35,8 @@
 LOOKUP_PATH = f"/v1/services/{SERVICE}/lookup"
 # The service answers calls with this body after the time-out of its operations.
 HELD_BODY = b'{"hold":1}'
+LARGE_BODY = b'{"large":1}'
+LARGE_ANSWER_BYTES = 4_000_000
 HOLD_S = 30.0
 POLL_INTERVAL_S = 0.1
 READY_TIMEOUT_S = 30.0
@@ -164,15 +166,31 @@
 
 
 async def _answer(scope, receive, send):
-    """Answers each call of the service; one with HELD_BODY at length."""
+    """Answers each call of the service; one with HELD_BODY at length.
+
+    The answer to LARGE_BODY is large, and its last byte comes as late.
+    """
     if scope["type"] == "lifespan":
         await run_lifespan(receive, send)
         return
-    if await read_body(receive) == HELD_BODY:
+    body = await read_body(receive)
+    if body == LARGE_BODY:
+        await _send_large_answer(send)
+        return
+    if body == HELD_BODY:
         await asyncio.sleep(HOLD_S)
     await send_response(send, 200, b"{}")
 
 
+async def _send_large_answer(send):
+    length = (b"content-length", b"%d" % LARGE_ANSWER_BYTES)
+    await send({"type": "http.response.start", "status": 200, "headers": [length]})
+    content = b"x" * (LARGE_ANSWER_BYTES - 1)
+    await send({"type": "http.response.body", "body": content, "more_body": True})
+    await asyncio.sleep(HOLD_S)
+    await send({"type": "http.response.body", "body": b"x"})
+
+
 def _document(service_address):
     """Returns a published configuration with two customers and one service."""
     return {
--- a/tests/callers/test_crowds.py
+++ b/tests/callers/test_crowds.py
@@ -14,6 +14,7 @@
 from tests.callers.daemon_process import (
     API_KEY,
     HELD_BODY,
+    LARGE_BODY,
     OTHER_API_KEY,
     DaemonProcess,
 )
@@ -40,9 +41,18 @@
 
 class DaemonCrowdTest(testtools.TestCase):
     def check_crowd(
-        self, count, make_pieces, reads=True, address="callers", uses_tls=False
+        self,
+        count,
+        make_pieces,
+        reads=True,
+        address="callers",
+        uses_tls=False,
+        key=API_KEY,
     ):
-        """Lets a crowd send ``make_pieces(daemon)``, and looks at the process."""
+        """Lets a crowd send ``make_pieces(daemon)``, and looks at the process.
+
+        ``key`` is that of the ordinary caller.
+        """
 
         async def main():
             with (
@@ -54,21 +64,21 @@
                     folder, MAX_FDS, uses_tls, **settings
                 ) as daemon:
                     await self.check_daemon(
-                        daemon, count, make_pieces(daemon), reads, address
+                        daemon, count, make_pieces(daemon), reads, address, key
                     )
 
         anyio.run(main)
 
-    async def check_daemon(self, daemon, count, pieces, reads, address):
+    async def check_daemon(self, daemon, count, pieces, reads, address, key):
         usage = ProcessUsage(daemon.pid)
         crowd = PersistentCallers(daemon.addresses[address], count, pieces, reads)
         async with crowd:
             await usage.wait_idle_or(lambda: crowd.ended_count > 2 * count)
-            self.assertEqual(200, await self.send_until_taken(daemon))
+            self.assertEqual(200, await self.send_until_taken(daemon, key))
             self.assertTrue(daemon.is_running)
             self.assertLess(usage.peak_memory_bytes / MB, MEMORY_MB)
             self.assertLess(usage.descriptor_count, MAX_FDS)
-        self.assertEqual(200, await self.send_until_taken(daemon))
+        self.assertEqual(200, await self.send_until_taken(daemon, key))
 
     async def send_until_taken(self, daemon, key=API_KEY):
         """Returns the status of a call that is repeated when it is refused."""
@@ -183,6 +193,16 @@
         self.assertTrue(daemon.is_running)
         self.assertLess(usage.peak_memory_bytes / MB, MEMORY_MB)
 
+    def test_large_answers_that_stop_one_byte_short(self):
+        """Each was bounded, but not all of them together."""
+        self.check_crowd(
+            100,
+            lambda daemon: [
+                daemon.head(f"Content-Length: {len(LARGE_BODY)}") + LARGE_BODY
+            ],
+            key=OTHER_API_KEY,
+        )
+
     def test_operators_address(self):
         """Its connections have a bound of their own, and must not use up the others'."""
         self.check_crowd(
--- a/tests/gateway/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -2,8 +2,8 @@
 
 import testtools
 
+from snipetrestle.answer_memory import SMALL_ANSWER_BYTES, AnswerMemory
 from snipetrestle.caller_memory import CallerMemory
-from snipetrestle.gateway.answer_memory import SMALL_ANSWER_BYTES, AnswerMemory
 from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle.process_limits import ProcessLimits
 
