--- a/benchmarks/parsing.py
+++ b/benchmarks/parsing.py
@@ -14,11 +14,11 @@
 
 import msgspec
 
-from snipetrestle.gateway.app import HttpServer
 from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle.gateway.event_stream import EventSplitter
 from snipetrestle.gateway.exchange import Exchange
 from snipetrestle.gateway.http_client import MAX_OVERHEAD_BYTES, ReplicaConnection
+from snipetrestle.gateway.http_listener import HttpServer
 from snipetrestle.gateway.http_server import CallerConnection
 from snipetrestle.http_responses import MessageSplitter
 
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -32,25 +32,20 @@
 from snipetrestle.coordination.store_relay import StoreRelay
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import CallerLimits
-from snipetrestle.gateway.connection_end import EndReason, Unanswered
+from snipetrestle.gateway.connection_end import Unanswered
 from snipetrestle.gateway.connection_pool import ConnectionPool, OpenConnections
 from snipetrestle.gateway.connection_shares import ConnectionShares
 from snipetrestle.gateway.crash_quarantine import CrashQuarantine
 from snipetrestle.gateway.drain_times import DrainTimes
 from snipetrestle.gateway.forwarding import NOT_READY_RETRY_AFTER_S, Forwarder
-from snipetrestle.gateway.http_server import CallerConnection
+from snipetrestle.gateway.http_listener import HttpServer, status_server
 from snipetrestle.gateway.metrics import GatewayMetrics
 from snipetrestle.gateway.published_state import PublishedState
 from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle.gateway.request_limits import RequestLimits
-from snipetrestle.gateway.retry_budget import RetryBudget
-from snipetrestle.gateway.settings import DEFAULT_MEMORY_MB
+from snipetrestle.gateway.retry_budget import RetryBudgets
 from snipetrestle.gateway.snapshots import Snapshots
-from snipetrestle.gateway.transfers import Transfers
-from snipetrestle.listening import Listener
 from snipetrestle.log_lines import RequestLines
-from snipetrestle.parse_turns import ParseTurns
-from snipetrestle.process_limits import ProcessLimits, StatusLimits
 from snipetrestle.supervision import (
     call_isolated,
     log_unexpected,
@@ -59,145 +54,7 @@
 from snipetrestle.tenants.quota_accounts import QuotaAccounts
 
 IDLE_CHECK_INTERVAL_S = 0.02
-# Idle connections are ended in groups, at this interval and in at most so many groups.
-# A request that arrives in the turn of the event loop that ends its connection is lost,
-# so the turn must be short and begin with a look at the sockets.
-END_INTERVAL_S = 0.002
-MAX_END_GROUPS = 100
-# How long transfers may put off the end of idle connections. In a planned stop, callers
-# that go on using them are refused more and more.
-MAX_BUSY_S = 10.0
-MAX_BUSY_IN_STOP_S = 4.0
 SETTINGS_CHECK_INTERVAL_S = 5.0
-# Requests for the readiness and the metrics.
-STATUS_CALLER_LIMITS = CallerLimits(max_body_bytes=16_384)
-
-
-class HttpServer:
-    """Listens for HTTP connections and tracks them.
-
-    ``handle(request, connection)`` answers one request; ``limits()`` returns the
-    current CallerLimits; ``on_connection_end(end)`` is called with the ConnectionEnd of
-    each connection. No idle connection is ended while ``transfers`` are active.
-    ``memory`` is the CallerMemory that bounds what the connections hold.
-    """
-
-    def __init__(
-        self,
-        handle,
-        limits,
-        on_connection_end=lambda end: None,
-        transfers=None,
-        memory=None,
-    ):
-        self.handle = handle
-        self._limits = limits
-        self._transfers = transfers or Transfers()
-        self.on_connection_end = on_connection_end
-        self.connections = set()
-        self.memory = memory or CallerMemory(ProcessLimits(DEFAULT_MEMORY_MB), limits)
-        self.parse_turns = ParseTurns()
-        self.close_after_response = False
-        self.close_when_idle = False
-        self.arrival_retry_after_s = None
-        self._end_turns = anyio.CapacityLimiter(1)
-        # The wait for transfers that a planned stop shortens. Outside a stop there is
-        # one turn at a time.
-        self._busy_scope = anyio.CancelScope()
-        self._server = None
-
-    @property
-    def limits(self):
-        return self._limits()
-
-    async def open(self, address):
-        self._server = Listener.open(address, self._create_connection, self.memory)
-
-    def _create_connection(self):
-        return CallerConnection(self)
-
-    @property
-    def is_open(self):
-        return self._server is not None
-
-    @property
-    def is_engaged(self):
-        """Whether a request is in progress or about to arrive."""
-        is_opening = self._server is not None and self._server.is_opening
-        return is_opening or any(
-            item.is_engaged or item.awaits_end for item in self.connections
-        )
-
-    def start_draining(self):
-        """From now on, each response closes its connection (``Connection: close``)."""
-        self.close_after_response = True
-
-    def close_idle_connections(self):
-        """Closes the connections that have no request in progress."""
-        self.close_when_idle = True
-        self._busy_scope.cancel()
-        self._end_turns.total_tokens = 1 + len(self.connections) // MAX_END_GROUPS
-        self._wake_idle_connections()
-
-    def refuse_arriving(self, retry_after_s):
-        """Refuses requests that have arrived only in part, and those still to come."""
-        self.arrival_retry_after_s = retry_after_s
-        self._wake_idle_connections()
-
-    def _wake_idle_connections(self):
-        for connection in list(self.connections):
-            connection.wake_if_idle()
-
-    async def wait_for_turn_to_end(self):
-        """Returns when the next idle connection may be ended, in a new event loop turn.
-
-        Requests may queue behind a transfer on the link of this host for longer than
-        their callers take to learn of the end.
-        """
-        async with self._end_turns:
-            await asyncio.sleep(END_INTERVAL_S)
-            if not self.close_when_idle:
-                with anyio.CancelScope() as self._busy_scope:
-                    await self._transfers.wait_until_quiet(MAX_BUSY_S)
-            if self.close_when_idle:
-                await self._transfers.wait_until_quiet(MAX_BUSY_IN_STOP_S)
-
-    def stop_listening(self):
-        """Closes the listening socket; new connections are refused from now on.
-
-        Connections that the kernel has accepted before are still served.
-        """
-        if self._server is not None:
-            self._server.close()
-
-    def close(self):
-        """Closes the listening socket and aborts all connections."""
-        if self._server is not None:
-            self._server.abort()
-        for connection in list(self.connections):
-            connection.abort(EndReason.PROCESS_END)
-
-
-class RetryBudgets:
-    """Retry budgets by backend name."""
-
-    def __init__(self, settings):
-        self._settings = settings
-        self._by_backend = {}
-
-    def set_settings(self, settings):
-        """Applies settings. Only changed ones reset the budgets."""
-        if settings != self._settings:
-            self._settings = settings
-            self._by_backend.clear()
-
-    def for_backend(self, backend):
-        budget = self._by_backend.get(backend)
-        if budget is None:
-            settings = self._settings
-            budget = RetryBudget(settings.ratio, settings.slack, settings.window_s)
-            self._by_backend[backend] = budget
-        return budget
 
 
 class Gateway:
@@ -344,8 +201,8 @@
             self.transfers,
             self.caller_memory,
         )
-        self.readiness_server = _status_server(self._serve_readiness)
-        self.metrics_server = _status_server(self._serve_metrics)
+        self.readiness_server = status_server(self._serve_readiness)
+        self.metrics_server = status_server(self._serve_metrics)
         self.draining = False
         self._stopping = None
         self._on_drained = None
@@ -587,12 +444,6 @@
                     return
 
 
-def _status_server(handle):
-    """Returns an HttpServer for few callers, which are outside the bound of others."""
-    memory = CallerMemory(StatusLimits, lambda: STATUS_CALLER_LIMITS)
-    return HttpServer(handle, lambda: STATUS_CALLER_LIMITS, memory=memory)
-
-
 def _log_refused_prompts(refused):
     log_event(
         Event.REFUSED_PROMPTS_CHANGED,
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -16,6 +16,7 @@
 from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.connection_pool import ConnectionsExhausted
 from snipetrestle.gateway.crash_check import CrashCheck
+from snipetrestle.gateway.event_intervals import EventIntervalMeter
 from snipetrestle.gateway.event_stream import EventSplitter, InvalidEvent
 from snipetrestle.gateway.exchange import Exchange, ReplicaLeft
 from snipetrestle.gateway.failover import Failover
@@ -49,8 +50,6 @@
 NOT_READY_RETRY_AFTER_S = 0.3
 # Reason of refusals in a planned stop, for the log.
 STOP_REASON = "this process stops"
-# Number of events over which a stream's mean event interval is measured.
-EVENTS_PER_INTERVAL_SAMPLE = 5
 
 
 class Forwarder:
@@ -452,13 +451,12 @@
 
     def _may_resend(self, job):
         """Whether a request that may have run may be retried; if so, spends a retry."""
+        budget = self._retry_budgets.for_backend(job.backend.name)
+        return self._may_run_again(job) and budget.try_spend(self._hosts.max_known)
+
+    def _may_run_again(self, job):
         return (
-            job.route.repeatable
-            and job.has_attempts_left
-            and self._has_time_left(job)
-            and self._retry_budgets.for_backend(job.backend.name).try_spend(
-                self._hosts.max_known
-            )
+            job.route.repeatable and job.has_attempts_left and self._has_time_left(job)
         )
 
     # Used by Failover.
@@ -476,14 +474,8 @@
 
     def may_retry(self, job):
         """Whether a replacement may be sent now, while the first replica is silent."""
-        return (
-            job.route.repeatable
-            and job.has_attempts_left
-            and self._has_time_left(job)
-            and self._retry_budgets.for_backend(job.backend.name).has_room(
-                self._hosts.max_known
-            )
-        )
+        budget = self._retry_budgets.for_backend(job.backend.name)
+        return self._may_run_again(job) and budget.has_room(self._hosts.max_known)
 
     def try_book_retry(self, job, reason):
         """Counts a retry in the budget and logs it; returns False without room."""
@@ -614,32 +606,6 @@
         await anyio.sleep(NOT_LOADED_PAUSE_S * job.send_count)
 
 
-class EventIntervalMeter:
-    """Measures the mean time between the events of one stream, for its replica."""
-
-    __slots__ = ("_replica", "_sample_start_id", "_sample_started_at")
-
-    def __init__(self, replica):
-        self._replica = replica
-        self._sample_start_id = None
-        self._sample_started_at = 0.0
-
-    def note(self, event_id):
-        """Records the arrival of an event. Event ids count the events of the stream."""
-        if self._sample_start_id is None:
-            self._start_sample(event_id)
-        elif event_id - self._sample_start_id >= EVENTS_PER_INTERVAL_SAMPLE:
-            elapsed_s = anyio.current_time() - self._sample_started_at
-            self._replica.note_event_interval(
-                elapsed_s / (event_id - self._sample_start_id)
-            )
-            self._start_sample(event_id)
-
-    def _start_sample(self, event_id):
-        self._sample_start_id = event_id
-        self._sample_started_at = anyio.current_time()
-
-
 def _deadline_refusal(job):
     if job.may_have_run:
         return Refused(ResultCode.DEADLINE_PASSED)
--- a/snipetrestle/gateway/retry_budget.py
+++ b/snipetrestle/gateway/retry_budget.py
@@ -56,3 +56,25 @@
         for times in (self._requests, self._retries):
             while times and times[0] < start:
                 times.popleft()
+
+
+class RetryBudgets:
+    """Retry budgets by backend name."""
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._by_backend = {}
+
+    def set_settings(self, settings):
+        """Applies settings. Only changed ones reset the budgets."""
+        if settings != self._settings:
+            self._settings = settings
+            self._by_backend.clear()
+
+    def for_backend(self, backend):
+        budget = self._by_backend.get(backend)
+        if budget is None:
+            settings = self._settings
+            budget = RetryBudget(settings.ratio, settings.slack, settings.window_s)
+            self._by_backend[backend] = budget
+        return budget
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -8,7 +8,7 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway import app, http_server, snapshots, transfers
+from snipetrestle.gateway import http_listener, http_server, snapshots, transfers
 from snipetrestle.gateway.http_server import MIN_IDLE_MARGIN_S, CallerConnection
 from snipetrestle.platform.calls import StoreSource
 from snipetrestle.publication.sources import SourceUnreachable
@@ -238,7 +238,7 @@
         """It waited until the transfer had ended, or for the end of the process."""
 
         async def check(fleet):
-            self.patch(app, "MAX_BUSY_IN_STOP_S", 60.0)
+            self.patch(http_listener, "MAX_BUSY_IN_STOP_S", 60.0)
             gateway = fleet.live[0]
             caller = await BlockingCaller.connect(gateway)
             self.addCleanup(caller.close)
--- a/tests/gateway/test_review_ends.py
+++ b/tests/gateway/test_review_ends.py
@@ -5,9 +5,9 @@
 import testtools
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.gateway import app, forwarding, snapshots
-from snipetrestle.gateway.app import HttpServer
+from snipetrestle.gateway import forwarding, http_listener, snapshots
 from snipetrestle.gateway.configuration import CallerLimits
+from snipetrestle.gateway.http_listener import HttpServer
 from snipetrestle.gateway.transfers import SETTLE_S, Transfers
 from tests.gateway.running import run_connection, run_fleet
 
@@ -163,7 +163,7 @@
                 await asyncio.wait([turn], timeout=3 * MAX_BUSY_S)
                 self.assertTrue(turn.done())
 
-        self.patch(app, "MAX_BUSY_IN_STOP_S", MAX_BUSY_S)
+        self.patch(http_listener, "MAX_BUSY_IN_STOP_S", MAX_BUSY_S)
         asyncio.run(check())
 
 
