Tell other hosts nothing of old answers of the store

What callers would have seen: among more than 32 hosts, those that have not called the store for 25 days would send heartbeats that nobody can read, since an age in them exceeds its bound, and would count as lost.

Cause: the age of the last answer was sent however old it was.

Test: test_long_ages_are_not_told fails before.

--- a/snipetrestle/coordination/store_availability.py
+++ b/snipetrestle/coordination/store_availability.py
@@ -77,7 +77,7 @@
         self._lost_at = None
         self._own_loss = None
         self._resumed_at = -math.inf
-        self._answered = TimeSpans()
+        self._answered_spans = TimeSpans()
         self._losses_by_host = {}
         self._outage = None
         self._listeners = []
@@ -109,7 +109,7 @@
             self._losses_by_host[self._own_name] = self._own_loss
             self._lost_at = None
         self._answered_until = now
-        self._answered.add(self._answered_since, now)
+        self._answered_spans.add(self._answered_since, now)
         self._review(now)
 
     def note_failure(self, asked_at):
@@ -136,19 +136,21 @@
         self._resumed_at = anyio.current_time()
 
     def own_access(self):
-        """Returns the StoreAccess that tells others about this host's calls."""
-        if self._answered_since is None:
-            return StoreAccess()
+        """Returns the StoreAccess that tells others about this host's calls.
+
+        It contains nothing that is older than ANSWERS_RETENTION_S.
+        """
         now = anyio.current_time()
-        since_ms = _age_ms(now, self._answered_since)
-        if since_ms >= ANSWERS_RETENTION_S * 1000:
-            return StoreAccess(
-                int(ANSWERS_RETENTION_S * 1000), _age_ms(now, self._answered_until)
-            )
+        oldest = now - ANSWERS_RETENTION_S
+        if self._answered_until is None or self._answered_until < oldest:
+            return StoreAccess()
+        since = max(oldest, self._answered_since)
+        loss = self._own_loss
+        has_loss = loss is not None and loss.ended_at > oldest
         return StoreAccess(
-            since_ms,
+            _age_ms(now, since),
             _age_ms(now, self._answered_until),
-            -1 if self._own_loss is None else _age_ms(now, self._own_loss.began_at),
+            _age_ms(now, max(oldest, loss.began_at)) if has_loss else -1,
         )
 
     # The calls of other hosts.
@@ -159,7 +161,7 @@
             return
         now = anyio.current_time()
         since = now - access.since_age_ms / 1000
-        self._answered.add(since, now - access.until_age_ms / 1000)
+        self._answered_spans.add(since, now - access.until_age_ms / 1000)
         if access.lost_age_ms >= access.since_age_ms:
             lost_at = now - access.lost_age_ms / 1000
             self._losses_by_host[host] = Loss(lost_at, since)
@@ -191,14 +193,14 @@
         outages = [
             Outage(began_at, ended_at, host)
             for host, loss in self._losses_by_host.items()
-            for began_at, ended_at in self._answered.gaps(*loss)
+            for began_at, ended_at in self._answered_spans.gaps(*loss)
             if ended_at - began_at >= self._min_outage_s and ended_at > since
         ]
         return max(outages, key=lambda outage: outage.ended_at, default=None)
 
     def _forget_old(self, now):
         if not self._losses_by_host:
-            self._answered.drop_before(now - ANSWERS_RETENTION_S)
+            self._answered_spans.drop_before(now - ANSWERS_RETENTION_S)
             return
         self._losses_by_host = {
             host: loss
--- a/tests/coordination/test_store_availability.py
+++ b/tests/coordination/test_store_availability.py
@@ -1,9 +1,10 @@
 """Tests which losses of the store by hosts count as outages of the store itself."""
 
 import anyio
+import msgspec
 import testtools
 
-from snipetrestle.coordination.messages import StoreAccess
+from snipetrestle.coordination.messages import StoreAccess, encode
 from snipetrestle.coordination.pause_watch import PauseWatch
 from snipetrestle.coordination.store_availability import (
     LOSS_RETENTION_S,
@@ -12,17 +13,30 @@
 from snipetrestle.coordination.time_spans import TimeSpans
 from snipetrestle_standins.clock import run_in_virtual_time
 
+decode_ages = msgspec.msgpack.Decoder(StoreAccess).decode
 ENTRY_EXPIRY_S = 3.6
 MAX_PAUSE_S = 2.0
 CALL_S = 0.5
+# More than the ages in messages may be.
+LONG_S = 40 * 24 * 3600.0
+
+
+class NoPauses:
+    """A PauseWatch that costs no steps of virtual time, and notices nothing."""
+
+    def on_pause(self, listener):
+        pass
+
+    def check(self):
+        pass
 
 
 class Host:
     """A host's StoreAvailability, whose calls take CALL_S."""
 
-    def __init__(self, name):
+    def __init__(self, name, pause_watch=None):
         self.name = name
-        self.pause_watch = PauseWatch()
+        self.pause_watch = pause_watch or PauseWatch()
         self.availability = StoreAvailability(
             name, ENTRY_EXPIRY_S, MAX_PAUSE_S, self.pause_watch
         )
@@ -220,6 +234,23 @@
 
         self.run_hosts(check)
 
+    def test_long_ages_are_not_told(self):
+        """An age above the bound of its field would make heartbeats unreadable."""
+
+        async def check():
+            host = Host("entry-0", NoPauses())
+            await host.call()
+            await anyio.sleep(LONG_S)
+            self.assertEqual(StoreAccess(), host.availability.own_access())
+            await host.call(succeeds=False)
+            await anyio.sleep(LONG_S)
+            await host.call()
+            access = host.availability.own_access()
+            self.assertEqual(access, decode_ages(encode(access)))
+            self.assertGreater(access.lost_age_ms, 0)
+
+        run_in_virtual_time(check)
+
     def test_odd_ages_are_ignored(self):
         """A message of another program must not move the times of answers."""
 
