Test that streams hold events of one software version

What callers saw: streams joined from two software versions of a backend, in one answer or over a caller's requests, with nothing to show it (ORDER).

--- a/snipetrestle_standins/gateway_fleet.py
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -130,6 +130,7 @@
         adapter_slots=4,
         model_load_s=0.05,
         seed=1,
+        model_versions=None,
     ):
         self.store = PlatformStore()
         self.models = [
@@ -138,6 +139,9 @@
             )
             for number in range(models)
         ]
+        # The software versions of the model replicas, by default all the same.
+        for replica, version in zip(self.models, model_versions or (), strict=False):
+            replica.software_version = version
         self.registers = [
             PlatformReplica(f"register-{number}", REGISTER_BACKEND)
             for number in range(registers)
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -166,6 +166,7 @@
         self.prepared_head = "HTTP/1.1 200 OK\r\n"
         self.prepared_body = None
         self.boot = 1
+        self.software_version = "v1"
         # How often the replica has written its entry since its start.
         self.report_count = 0
         self.crashing_parts = set()
@@ -190,7 +191,7 @@
             "backend": self.backend,
             "address": f"127.0.0.1:{self.port}",
             "zone": "zone-1",
-            "version": "v1",
+            "version": self.software_version,
             "slots": self.slots,
             "state": state,
             "cold_remaining_ms": 0,
--- /dev/null
+++ b/tests/gateway/test_stream_versions.py
@@ -0,0 +1,173 @@
+"""Tests of streams while replicas of several software versions serve."""
+
+import asyncio
+
+import testtools
+
+from snipetrestle_standins.gateway_fleet import Caller
+from snipetrestle_standins.platform_replica import Fault
+from tests.gateway.running import run_fleet
+from tests.waiting import wait_until
+
+ALL_EVENT_IDS = [1, 2, 3, 4, 5, 6]
+
+
+def run_versions(function, versions, **options):
+    """Runs ``function`` against a fleet whose model replicas have these versions."""
+    return run_fleet(function, models=len(versions), model_versions=versions, **options)
+
+
+def versions_of_runs(fleet, request_ids):
+    """Returns the versions of the replicas at which some requests ran, in order."""
+    return {
+        replica.software_version
+        for replica in fleet.models
+        for request_id, _ in replica.runs
+        if request_id in request_ids
+    }
+
+
+async def begin_stream(gateway, request_id, events=2, **options):
+    """Reads the first events of a stream, and closes the connection.
+
+    Returns the id of the last event.
+    """
+    async with Caller(gateway.settings.callers) as caller:
+        reader, caller.reader = caller.reader, asyncio.StreamReader()
+        headers = [("X-Request-Id", request_id)]
+        sending = asyncio.create_task(
+            caller.send_request("/draft/a", headers=headers, **options)
+        )
+        body = b""
+        while body.count(b"id: ") < events or not body.endswith(b"\n\n\r\n"):
+            body += await reader.read(1)
+        sending.cancel()
+    ids = [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
+    return ids[-1]
+
+
+async def heal_once_run(fleet, request_id):
+    """Clears the faults of all replicas once a request runs at one of them."""
+    await wait_until(lambda: versions_of_runs(fleet, {request_id}))
+    for replica in fleet.models:
+        replica.faults.clear()
+
+
+def take_up(fleet, gateway, began_as, last_event_id, request_id, **options):
+    """Takes a stream up; returns the Response."""
+    headers = [
+        ("X-Request-Id", request_id),
+        ("Resumes", began_as),
+        ("Last-Event-Id", str(last_event_id)),
+    ]
+    return fleet.send_request("/draft/a", gateway, headers=headers, **options)
+
+
+class OneAnswerTest(testtools.TestCase):
+    """Streams whose replica fails while the host forwards them."""
+
+    def run_broken(self, versions, adapter="a7", fault=Fault.RESET_IN_RESPONSE):
+        """Breaks 12 streams in their third event; returns their Responses and fleet."""
+
+        async def check(fleet):
+            answers = []
+            for number in range(12):
+                for replica in fleet.models:
+                    replica.faults[:] = [fault]
+                request_id = f"stream-{number}"
+                healing = asyncio.create_task(heal_once_run(fleet, request_id))
+                answer = await fleet.send_request(
+                    "/draft/a",
+                    adapter=adapter,
+                    headers=[("X-Request-Id", request_id)],
+                )
+                await healing
+                answers.append((answer, versions_of_runs(fleet, {request_id})))
+            return answers
+
+        return run_versions(check, versions)
+
+    def test_broken_stream_goes_on_at_no_other_version(self):
+        """Guards against a stream joined from two software versions in one answer."""
+        for answer, versions in self.run_broken(["v1", "v2"]):
+            self.assertEqual(1, len(versions), versions)
+            self.assertFalse(answer.complete)
+
+    def test_broken_stream_goes_on_at_its_own_version(self):
+        """Guards against streams that end though a replica could go on with them."""
+        answers = self.run_broken(["v1", "v1", "v2", "v2"])
+        for _, versions in answers:
+            self.assertEqual(1, len(versions), versions)
+        for answer, _ in answers:
+            self.assertTrue(answer.complete)
+            self.assertEqual(ALL_EVENT_IDS, answer.event_ids)
+
+    def test_broken_stream_of_an_unknown_version_goes_on_nowhere(self):
+        """Guards against a guess about replicas that name no version."""
+        for answer, _ in self.run_broken(["", ""]):
+            self.assertFalse(answer.complete)
+
+
+class TakeUpTest(testtools.TestCase):
+    """Streams that their callers take up after a broken connection."""
+
+    def take_up_often(self, versions, gateways=2, **options):
+        """Takes 8 streams up at another gateway; returns (status, versions) of each."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.event_interval_s = 0.02
+            results = []
+            for number in range(8):
+                began_as, again_as = f"first-{number}", f"again-{number}"
+                last_id = await begin_stream(fleet.live[0], began_as, **options)
+                answer = await take_up(
+                    fleet, fleet.live[-1], began_as, last_id, again_as, **options
+                )
+                ran = versions_of_runs(fleet, {began_as, again_as})
+                results.append((answer.status, ran))
+            return results
+
+        return run_versions(check, versions, gateways=gateways)
+
+    def test_stream_is_taken_up_at_its_version_by_another_host(self):
+        """Guards against a stream joined from two versions over a caller's requests."""
+        results = self.take_up_often(["v1", "v2"], adapter="a7")
+        self.assertEqual([(200, 1)] * 8, [(item, len(ran)) for item, ran in results])
+
+    def test_stream_of_the_base_model_is_taken_up_at_its_version(self):
+        """Guards against a search for a replica without an adapter that skips versions."""
+        results = self.take_up_often(["v1", "v2"], adapter="")
+        self.assertEqual([(200, 1)] * 8, [(item, len(ran)) for item, ran in results])
+
+    def test_adapter_is_loaded_again_at_the_version_of_the_stream(self):
+        """Guards against a take-up at the version that happens to hold the adapter."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.event_interval_s = 0.02
+            last_id = await begin_stream(fleet.live[0], "first", adapter="a7")
+            began_at = next(replica for replica in fleet.models if replica.runs)
+            began_at.boot += 1
+            began_at.restart()
+            fleet.publish(began_at)
+            # Whichever replica is free gets the adapter meanwhile.
+            await fleet.send_request("/draft/a", adapter="a7")
+            answer = await take_up(
+                fleet, fleet.live[-1], "first", last_id, "again", adapter="a7"
+            )
+            return answer, versions_of_runs(fleet, {"first", "again"})
+
+        answer, versions = run_versions(check, ["v1", "v2"], gateways=2)
+        self.assertEqual((200, 1), (answer.status, len(versions)))
+
+    def test_unknown_stream_is_refused_while_versions_mix(self):
+        """Guards against a guess which version began a stream that nobody knows."""
+
+        def check(fleet):
+            return take_up(
+                fleet, fleet.live[0], "never-began", 2, "again", adapter="a7"
+            )
+
+        answer = run_versions(check, ["v1", "v2"])
+        self.assertEqual(503, answer.status)
