--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -264,11 +264,12 @@
             late_bytes=end.late_bytes,
             deadline_ms=_optional_ms(end.deadline_s),
             silent_ms=_optional_ms(end.silent_s),
+            replica_silent_ms=_optional_ms(end.replica_silent_s),
             quiet_ms=round(end.quiet_s * 1000),
             idle_limit_ms=round(end.idle_limit_s * 1000),
             age_ms=round(end.age_s * 1000),
             request=end.request_id,
-            configuration=self._configuration_version(),
+            **self._configuration_fields(),
         )
 
     def _label_tenants(self):
@@ -289,9 +290,17 @@
             connections=len(self.caller_server.connections),
         )
 
-    def _configuration_version(self):
-        configuration = self.state.configuration
-        return None if configuration is None else configuration.version
+    def _configuration_fields(self):
+        """Returns the fields of a log line about the configuration in force."""
+        state = self.state
+        if state.configuration is None:
+            return {"configuration": None}
+        age_s = anyio.current_time() - state.configuration_applied_at
+        return {
+            "configuration": state.configuration.version,
+            "configuration_age_ms": round(age_s * 1000),
+            "configuration_apply_ms": round(state.configuration_apply_s * 1000),
+        }
 
     def _limits(self):
         configuration = self.state.configuration
--- a/snipetrestle/gateway/connection_end.py
+++ b/snipetrestle/gateway/connection_end.py
@@ -48,7 +48,9 @@
 
     ``request_id`` is that of the request in progress, or None; ``deadline_s`` is the
     one that its caller named, and ``silent_s`` the time for which this host had sent
-    nothing although the request was in progress. ``quiet_s`` is the time between the
+    nothing although the request was in progress. ``replica_silent_s`` is the time for
+    which the replicas at work on it had sent nothing on any connection to this host,
+    None if there were none. ``quiet_s`` is the time between the
     last byte of the caller and the end, and ``idle_limit_s`` the limit that was in
     force for it. ``unread_bytes`` were not read; ``late_bytes`` of them came after the
     end. ``age_s`` is the time since the connection was opened.
@@ -60,6 +62,7 @@
         "request_id",
         "deadline_s",
         "silent_s",
+        "replica_silent_s",
         "quiet_s",
         "idle_limit_s",
         "unread_bytes",
@@ -73,6 +76,7 @@
         self.request_id = request_id
         self.deadline_s = None
         self.silent_s = None
+        self.replica_silent_s = None
         self.quiet_s = quiet_s
         self.idle_limit_s = idle_limit_s
         self.unread_bytes = 0
--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -144,6 +144,11 @@
         """Whether bytes of the response's body wait to be read."""
         return self._connection.has_unread_body
 
+    @property
+    def last_heard_at(self):
+        """When this host last heard of the replica; at first, when it was connected."""
+        return max(self.replica.last_heard_at, self.opened_at)
+
     def accept_response(self):
         """Records that the response, whose head has come, can be passed on."""
         self._is_accepted = True
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -149,6 +149,7 @@
         is_write = job.route.kind is RequestKind.NON_IDEMPOTENT
         # A write goes on without its caller, so that it is not cut off midway.
         job.caller.on_disconnect = job.abandon if is_write else scope.cancel
+        job.caller.replica_silent_s = job.replica_silent_s
         refusal = None
         self._scopes.add(scope)
         try:
@@ -173,7 +174,7 @@
             self._quota_check.end(job)
             job.end_permit()
             job.end_fallback()
-            job.caller.on_disconnect = None
+            job.caller.on_disconnect = job.caller.replica_silent_s = None
         if job.caller.closed:
             self._metrics.count(job.route.name, None, "caller_gone")
         elif job.fallback_response is not None and (scope.cancelled_caught or refusal):
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/http_server.py
@@ -66,7 +66,8 @@
     ``request_id`` is its id as text. ``deadline_s`` is the one that the caller named, or
     None, and ``answer_due_at`` the time by which it is owed an answer. ``awaits_end`` is
     true while the connection waits for its turn to be ended. ``on_disconnect()``, if
-    set, is called when the connection closes. ``held_bytes`` is the memory that the
+    set, is called when the connection closes, and ``replica_silent_s()``, if set, is
+    asked for that value of its ConnectionEnd. ``held_bytes`` is the memory that the
     connection has reported to the server's CallerMemory.
     """
 
@@ -95,6 +96,7 @@
         self.busy = False
         self.awaits_end = False
         self.on_disconnect = None
+        self.replica_silent_s = None
         self.request_id = None
         self.deadline_s = None
         self.answer_due_at = math.inf
@@ -529,6 +531,8 @@
             if self.busy:
                 self._end.deadline_s = self.deadline_s
                 self._end.silent_s = self._loop.time() - self._active_at
+                if self.replica_silent_s is not None:
+                    self._end.replica_silent_s = self.replica_silent_s()
 
     def _caller_end_reason(self, reason):
         """Returns CALLER_TIMED_OUT if the caller had waited too long, else ``reason``."""
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -159,6 +159,16 @@
         ends_at = min(self._route_ends_at, self.request.received_at + self._deadline_s)
         self.scope.deadline = self.caller.answer_due_at = ends_at
 
+    def replica_silent_s(self):
+        """Returns for how long all replicas at work on the request have sent nothing.
+
+        Nothing counts that came on any of their connections. None without replicas.
+        """
+        if not self.open_exchanges:
+            return None
+        heard_at = max(exchange.last_heard_at for exchange in self.open_exchanges)
+        return anyio.current_time() - heard_at
+
     def hold_permit(self, permit):
         """Keeps a permit for the next exchange; one that was not used is given back."""
         self.end_permit()
--- a/snipetrestle/gateway/published_state.py
+++ b/snipetrestle/gateway/published_state.py
@@ -6,6 +6,8 @@
 before, but for the operator's documents, whose own versions order them.
 """
 
+import contextlib
+
 import anyio
 
 from snipetrestle.events import Event, log_event
@@ -38,7 +40,10 @@
     ``source`` has ``read(prefix)`` and ``watch(prefix, revision, wait_s)``, which
     return StoreItems and raise SourceUnreachable or HistoryLost. ``entry_expiry_s`` is
     the time after which the store removes the entry of a silent replica, and
-    ``availability`` the StoreAvailability.
+    ``availability`` the StoreAvailability. ``configuration_applied_at`` is when the
+    configuration in force was applied, and ``configuration_apply_s`` how long the event
+    loop took to decode and apply the items among which it came; both are None without
+    one.
     """
 
     def __init__(self, source, feeds, replicas, rng, entry_expiry_s, availability):
@@ -49,6 +54,8 @@
         self.replicas = replicas
         self.feeds = {feed.prefix: FeedState(feed) for feed in feeds}
         self.documents = PublishedDocuments()
+        self.configuration_applied_at = None
+        self.configuration_apply_s = None
         self.availability = availability
         self._entries = ReplicaEntries(replicas, entry_expiry_s, availability)
         self.ready = anyio.Event()
@@ -252,10 +259,11 @@
     def accept_documents(self, items):
         """Accepts the operator's documents that another host knows."""
         known_sum = self.documents.version_sum
-        for item in items:
-            call_isolated(self._accept_document, item)
-        if self.documents.version_sum > known_sum:
-            self._notify()
+        with self._timing_configuration():
+            for item in items:
+                call_isolated(self._accept_document, item)
+            if self.documents.version_sum > known_sum:
+                self._notify()
 
     def _accept_document(self, item):
         for state in self.feeds.values():
@@ -280,7 +288,23 @@
             self._log_unreadable(item, str(error))
             return None
 
+    @contextlib.contextmanager
+    def _timing_configuration(self):
+        """Notes when a configuration is applied in the context, and how long it took."""
+        known, started = self.configuration, anyio.current_time()
+        yield
+        if self.configuration is not known:
+            self.configuration_applied_at = anyio.current_time()
+            self.configuration_apply_s = self.configuration_applied_at - started
+
     def _apply_items(self, state, items, origin, from_copy=False):
+        """Applies those of the items that are newer than what is known of their keys."""
+        with self._timing_configuration():
+            if self._apply_newer_items(state, items, origin, from_copy):
+                self._notify()
+
+    def _apply_newer_items(self, state, items, origin, from_copy):
+        """Applies items without notifying listeners; returns whether any was newer."""
         changed = False
         for item in items:
             known_item = state.items_by_key.get(item.key)
@@ -293,8 +317,7 @@
             else:
                 state.items_by_key[item.key] = item
             call_isolated(self._apply_item, state, item, origin, from_copy)
-        if changed:
-            self._notify()
+        return changed
 
     def _notify(self):
         for listener in self._listeners:
--- a/tests/gateway/test_connection_ends.py
+++ b/tests/gateway/test_connection_ends.py
@@ -1,18 +1,24 @@
 """Tests of what logs and metrics tell about the ends of callers' connections."""
 
 import asyncio
+import time
 
+from snipetrestle.dispatch.replica_search import ReplicaSearch
 from snipetrestle.events import Event
 from snipetrestle.gateway.forwarding import Forwarder
-from snipetrestle_standins.gateway_fleet import Caller
+from snipetrestle.gateway.published_documents import PublishedDocuments
+from snipetrestle_standins.gateway_fleet import Caller, configuration
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.log_recording import LogRecordingTest
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
 
+# A turn of the event loop in which a long configuration is applied on a slow host.
+LONG_TURN_S = 0.2
 
-async def wait_forever(forwarder, job):
-    """Stands in for a forwarder that misses the deadline of a request."""
+
+async def wait_forever(part, job):
+    """Stands in for a part of the gateway that never ends its work on a request."""
     await asyncio.Event().wait()
 
 
@@ -108,6 +114,54 @@
 
         run_fleet(check)
 
+    async def leave_beside_a_change(self, fleet, path, wait_s, **options):
+        """Leaves a request at a new configuration, and returns the fields of its line.
+
+        The configuration is applied in a turn of LONG_TURN_S.
+        """
+        set_configuration = PublishedDocuments._set_configuration
+
+        def set_slowly(documents, content):
+            set_configuration(documents, content)
+            time.sleep(LONG_TURN_S)
+
+        self.patch(PublishedDocuments, "_set_configuration", set_slowly)
+        gateway = fleet.live[0]
+        async with Caller(gateway.settings.callers) as caller:
+            request = asyncio.create_task(caller.send_request(path, **options))
+            await wait_until(lambda: gateway.forwarder.has_requests)
+            fleet.store.put("op/config", configuration(2))
+            await wait_until(lambda: gateway.state.configuration.version == 2)
+            await asyncio.sleep(wait_s)
+            request.cancel()
+        await wait_until(self.early_ends)
+        (end,) = self.logged(Event.CONNECTION_ENDED_EARLY)
+        self.assertEqual(2, end["configuration"])
+        self.assertGreaterEqual(end["configuration_age_ms"], wait_s * 1000 - 50)
+        self.assertGreaterEqual(end["configuration_apply_ms"], LONG_TURN_S * 1000)
+        return end
+
+    def test_silent_replica_and_long_turn_are_told_beside_a_change(self):
+        """No line told a silent replica, a long turn and a new configuration apart."""
+
+        async def check(fleet):
+            for replica in fleet.registers:
+                replica.faults = [Fault.NO_RESPONSE] * 3
+            end = await self.leave_beside_a_change(fleet, "/entry/a", 0.5)
+            self.assertGreaterEqual(end["replica_silent_ms"], 450)
+
+        run_fleet(check)
+
+    def test_request_without_a_replica_has_no_silent_one(self):
+        """A request that waited for a place looked like one at a silent replica."""
+
+        async def check(fleet):
+            self.patch(ReplicaSearch, "find_stream_replica", wait_forever)
+            end = await self.leave_beside_a_change(fleet, "/draft/a", 0.1, adapter="a1")
+            self.assertIsNone(end["replica_silent_ms"])
+
+        run_fleet(check)
+
     def test_each_end_is_counted_by_its_reason(self):
         """Only complete responses were counted, not why connections ended."""
 
