--- a/tests/gateway/test_configuration_changes.py
+++ b/tests/gateway/test_configuration_changes.py
@@ -19,16 +19,22 @@
     configuration,
     route,
 )
+from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import TEST_TIMEOUT_S, run_fleet
 from tests.gateway.test_closing_connections import BlockingCaller
 from tests.gateway.test_closing_connections import request_bytes as call_bytes
 from tests.waiting import wait_until
 
 EVENT_COUNT = 30
+SHORT_EVENT_COUNT = 12
 EVENT_INTERVAL_S = 0.05
 ALL_EVENT_IDS = list(range(1, EVENT_COUNT + 1))
 # A sound replica may fall silent for about a second.
 SILENCE_S = 1.1
+# A replacement is sent after up to 1.1 s of silence and watched for 0.3 s; the replica
+# that gets it is silent for longer than that.
+FIRST_SILENCE_S = 1.6
+SECOND_SILENCE_S = 1.8
 # Deadlines of requests, and the limits of their routes: long, since a busy machine may
 # hold up the test for seconds.
 DEADLINE_S = 9.0
@@ -368,3 +374,39 @@
             self.assertEqual([200] * 5, statuses)
 
         run_fleet(check)
+
+
+class LateRefusalTest(testtools.TestCase):
+    """Replacements whose replica is silent as well, and refuses them after that."""
+
+    def test_stream_outlasts_a_replacement_that_is_refused_late(self):
+        """Guards against a stream that is aborted while a replica could go on with it.
+
+        The second replica refuses nothing for longer than a replacement is watched, and
+        is full for a moment after its silence.
+        """
+
+        async def check(fleet):
+            slow_down_streams(fleet)
+            for replica in fleet.models:
+                # The rest of the stream must end before its deadline.
+                replica.events = SHORT_EVENT_COUNT
+            async with KeptConnections(fleet) as connections:
+                await set_long_limits(fleet)
+                await connections.open(1)
+                connections.send(["/draft/a"])
+                await wait_until(lambda: any(item.running for item in fleet.models))
+                await asyncio.sleep(5 * EVENT_INTERVAL_S)
+                first, second = sorted(fleet.models, key=lambda item: -item.running)
+                second.faults = [Fault.REFUSED] * 3
+                silences = asyncio.gather(
+                    first.fall_silent(FIRST_SILENCE_S),
+                    second.fall_silent(SECOND_SILENCE_S),
+                )
+                fleet.store.put("op/config", configuration(3, routes(timeout_ms=4000)))
+                (answer,) = await connections.answers()
+                await silences
+            self.assertEqual([(200, True)], results([answer]))
+            self.assertEqual(ALL_EVENT_IDS[:SHORT_EVENT_COUNT], answer.event_ids)
+
+        run_fleet(check)
