Send a stream that has begun again while replicas refuse it

A stream is aborted some 0.2 s after a late refusal of its replacement, with half of its deadline left.

Cause: a replica that says nothing for 0.3 s counts as accepting a replacement, so the first exchange is ended. If it refuses after that, only four sends are allowed, all within some 0.3 s, as for a request that can still be refused.

Change: a stream that its caller already reads is sent up to seven times, with pauses that double from the fourth on (3 s together). Each counts in the retry budget.

--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -37,14 +37,17 @@
 MAX_CONNECT_FAILURES = 4
 # Attempts of one request, including those at replicas that did not run it.
 MAX_SENDS = 4
+# The same for a stream that its caller already reads: the alternative to another
+# attempt is to abort it. Its last pauses take 3 s together.
+MAX_BEGUN_STREAM_SENDS = 7
 # An idempotent call whose replica sends no data for this long is sent to another one,
 # and the first response is used.
 IDEMPOTENT_SILENCE_S = 0.4
 # A stream without data for this long is resumed on another replica, since callers give
 # up soon after.
 STREAM_SILENCE_S = 1.9
-# Pause before a retry while a replica has not loaded the adapter yet; it grows with the
-# number of attempts.
+# Pause before a retry while a replica has not loaded the adapter yet, or is full; it
+# grows with the number of attempts, and doubles with each of them from MAX_SENDS on.
 NOT_LOADED_PAUSE_S = 0.04
 # Retry-After of requests that arrive before the gateway is ready.
 NOT_READY_RETRY_AFTER_S = 0.3
@@ -579,7 +582,7 @@
         return (
             job.has_attempts_left
             and not job.caller.closed
-            and job.send_count < MAX_SENDS
+            and job.send_count < _max_sends(job)
             and self._has_time_left(job)
             and self._retry_budgets.for_backend(job.backend.name).try_spend(
                 self._hosts.max_known
@@ -604,7 +607,17 @@
             raise self._not_run_refusal(job, status)
         self._log_resend(job, f"not run, status {status}")
         # The adapter's load takes longer than expected, or the replica is full.
-        await anyio.sleep(NOT_LOADED_PAUSE_S * job.send_count)
+        await anyio.sleep(_not_run_pause_s(job))
+
+
+def _max_sends(job):
+    return MAX_BEGUN_STREAM_SENDS if job.streaming else MAX_SENDS
+
+
+def _not_run_pause_s(job):
+    """Returns the pause before a stream that a replica did not run is sent again."""
+    doublings = max(0, job.send_count - MAX_SENDS + 1)
+    return NOT_LOADED_PAUSE_S * job.send_count * 2**doublings
 
 
 def _deadline_refusal(job):
