--- a/snipetrestle/gateway/configuration.py
+++ b/snipetrestle/gateway/configuration.py
@@ -131,7 +131,8 @@
     ``boot`` identifies its start, since a replica may restart under the same id, and
     ``report_number`` counts what it has published since then.
     ``remaining_s`` is the time until a replica is removed, None if no removal is
-    planned.
+    planned. ``software_version`` is the version of the replica's program, not of its
+    weights; it is empty if the replica names none.
     """
 
     id: str
@@ -145,6 +146,7 @@
     models: tuple[LoadedModel, ...] = ()
     remaining_s: float | None = None
     report_number: int = 0
+    software_version: str = ""
 
 
 class AdapterKey(msgspec.Struct, frozen=True, order=True, array_like=True):
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -380,11 +380,17 @@
 
 
 def _is_same_boot(known, entry):
-    return (known.boot, known.ip, known.port, known.backend) == (
+    return _boot_facts(known) == _boot_facts(entry)
+
+
+def _boot_facts(entry):
+    """Returns what stays the same from a replica's start to its end."""
+    return (
         entry.boot,
         entry.ip,
         entry.port,
         entry.backend,
+        entry.software_version,
     )
 
 
--- /dev/null
+++ b/snipetrestle/gateway/stream_origin.py
@@ -0,0 +1,37 @@
+"""The origin of a stream: the software that began it, and alone can go on with it."""
+
+import msgspec
+import xxhash
+
+from snipetrestle.gateway.configuration import Name
+
+
+class StreamOrigin(msgspec.Struct, array_like=True, frozen=True):
+    """The backend and the software version of the replica that began a stream.
+
+    What two versions of a backend write does not fit together, and replicas do not
+    check whose events they go on from.
+    """
+
+    backend: Name
+    version: Name
+
+    def allows(self, entry):
+        """Whether the replica of a ReplicaEntry may go on with the stream.
+
+        Nothing is known of replicas that name no version.
+        """
+        if not self.version:
+            return False
+        return (entry.backend, entry.software_version) == (self.backend, self.version)
+
+
+def stream_key(request_id, fingerprint, tenant_name):
+    """Returns the key, of 16 bytes, by which hosts keep the origin of a stream.
+
+    ``request_id`` is that of the request that got the first event. Requests with
+    another content or tenant have other keys, so they learn nothing of the stream.
+    """
+    digest = xxhash.xxh3_128(request_id)
+    digest.update(f"\0{fingerprint}\0{tenant_name}".encode())
+    return digest.digest()
--- a/snipetrestle/platform/entries.py
+++ b/snipetrestle/platform/entries.py
@@ -123,6 +123,8 @@
     state: ReplicaState
     slots: Count = 0
     models: list[_LoadedModel] = []
+    # The version of the replica's program, in no order.
+    version: Name = ""
     # Time left until a preempted replica is taken away.
     remaining_ms: RemainingMs | None = None
     # Start time of the replica in ms of Unix time.
@@ -245,6 +247,7 @@
             remaining_s=None
             if replica.remaining_ms is None
             else max(0.0, replica.remaining_ms) / 1000,
+            software_version=replica.version,
         )
     except ValueError as error:
         return Unlisted(replica_id, str(error))
