--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -287,6 +287,7 @@
             boot=entry.boot,
             address=f"{entry.ip}:{entry.port}",
             backend=entry.backend,
+            software_version=entry.software_version,
             state=str(entry.state),
         )
         pool = None if self._make_pool is None else self._make_pool(entry)
