Let a broken stream go on only at the software version that began it

What callers saw: streams joined from two software versions in one answer. A replica broke off, and the host sent the rest of the request to any replica with the adapter.

Cause: nothing read the version of a replica's software.

Change: the first event that a caller gets gives its job an origin, the backend and the software version. Job.may_be_sent_to excludes the replicas of other origins for every further attempt: retries, replacements of silent replicas, and places of adapters. A replacement that was sent before the stream began is not accepted if it does not fit, and as a last check no event of another version is passed on.

--- a/snipetrestle/codes.py
+++ b/snipetrestle/codes.py
@@ -174,6 +174,13 @@
         True,
         "replicas crashed on this request or on prompts with a part of its prompt",
     )
+    STREAM_NOT_RESUMABLE = (
+        1208,
+        503,
+        Outcome.DID_NOT_RUN,
+        False,
+        "no replica is known that can go on with the stream",
+    )
 
     STREAM_BROKEN = (
         1301,
--- a/snipetrestle/dispatch/replica_choice.py
+++ b/snipetrestle/dispatch/replica_choice.py
@@ -119,10 +119,17 @@
                 return None
         return replica
 
+    def replicas_for(self, job):
+        """Returns the replicas of the backend that may take a request, now or later."""
+        replicas = self._replicas.ready_replicas(job.backend.name)
+        if job.origin is None:
+            return replicas
+        return [item for item in replicas if job.may_go_on_at(item)]
+
     def shortest_pause_s(self, job):
-        """Returns the time until a replica of the backend is not paused."""
+        """Returns the time until a replica for a request is not paused."""
         shortest_s = math.inf
-        for replica in self._replicas.ready_replicas(job.backend.name):
+        for replica in self.replicas_for(job):
             left_s = replica.pause.left_s()
             if left_s == 0.0:
                 return 0.0
@@ -130,13 +137,12 @@
         return 0.0 if shortest_s == math.inf else shortest_s
 
     def paused_ids(self, job):
-        """Returns the ids of the backend's paused replicas, some if they are many."""
-        replicas = self._replicas.ready_replicas(job.backend.name)
-        paused = [item.id for item in replicas if item.pause.is_active]
+        """Returns the ids of the paused replicas for a request, some if they are many."""
+        paused = [item.id for item in self.replicas_for(job) if item.pause.is_active]
         return paused[:MAX_NAMED_PAUSED]
 
     async def wait_out_pauses(self, job):
-        """Waits while all replicas of the backend pause.
+        """Waits while all replicas for a request pause.
 
         Raises Refused if that takes too long for the request.
         """
@@ -161,15 +167,11 @@
         return Refused(ResultCode.QUEUE_FULL, retry_after_s, reason=reason)
 
     def refuse_if_all_limited(self, job):
-        """Raises Refused if all replicas of the backend name limits.
+        """Raises Refused if all replicas for a request name limits.
 
         Called when the request may not be sent to some of them soon.
         """
-        replicas = [
-            item
-            for item in self._replicas.ready_replicas(job.backend.name)
-            if item.is_available
-        ]
+        replicas = [item for item in self.replicas_for(job) if item.is_available]
         if not replicas or not all(item.request_limit.is_limited for item in replicas):
             return
         reason = "all replicas are at their request limits"
--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -12,6 +12,8 @@
 )
 from snipetrestle.gateway.job import Refused
 
+# Reason of refusals, for the log.
+NO_REPLICA_OF_VERSION = "no replica of the version that began the stream is ready"
 # Retry-After of refused requests.
 RETRY_AFTER_S = 0.5
 # Pause before the leader is asked again about an adapter without a place to use.
@@ -39,10 +41,11 @@
     async def choose_replica(self, job):
         """Returns a replica, if possible one that the request was not sent to."""
         await self._chooser.wait_out_pauses(job)
+        self._check_origin(job)
         candidates = [
             item
             for item in self._replicas.ready_replicas(job.backend.name)
-            if job.may_be_sent_to(item.id)
+            if job.may_be_sent_to(item)
         ]
         untried = [item for item in candidates if item.id not in job.sent_to]
         replica = await self._chooser.choose_permitted(job, untried or candidates)
@@ -60,6 +63,20 @@
         """Records that a replica was too full for a request."""
         self._chooser.note_turned_away(job)
 
+    def _check_origin(self, job):
+        """Raises Refused if no replica can go on with a stream that has begun.
+
+        Replicas of its version that have left do not come back, so a wait is in vain.
+        """
+        if job.origin is None:
+            return
+        failed = self._failed_ids(job)
+        if any(item.id not in failed for item in self._chooser.replicas_for(job)):
+            return
+        if job.may_have_run:
+            raise Refused(job.unknown_outcome_code, reason=NO_REPLICA_OF_VERSION)
+        raise Refused(ResultCode.STREAM_NOT_RESUMABLE, reason=NO_REPLICA_OF_VERSION)
+
     def unavailable_refusal(self, job, reason):
         if job.may_have_run:
             return Refused(job.unknown_outcome_code, reason=reason)
@@ -90,6 +107,7 @@
         must_pause = False
         while True:
             await self._chooser.wait_out_pauses(job)
+            self._check_origin(job)
             holders = self._holders(job, places)
             ready = [
                 item for item in holders if places[item.id] <= anyio.current_time()
@@ -153,8 +171,11 @@
             for item in job.adapter_missing_on
             if job.adapter_missing_on.count(item) > 1
         }
-        failed = [item for item in job.may_have_run_on if item not in job.dropped_on]
-        return [*failed, *repeatedly_missing]
+        return [*self._failed_ids(job), *repeatedly_missing]
+
+    @staticmethod
+    def _failed_ids(job):
+        return [item for item in job.may_have_run_on if item not in job.dropped_on]
 
     def _holders(self, job, places):
         """Returns the replicas that hold the adapter or will hold it."""
@@ -165,8 +186,8 @@
             replica
             for replica_id in places
             if replica_id not in excluded
-            and job.may_be_sent_to(replica_id)
             and (replica := by_id.get(replica_id)) is not None
+            and job.may_be_sent_to(replica)
             and replica.is_available
             and replica.suspected_until <= now
             and replica.entry.backend == job.backend.name
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -77,6 +77,8 @@
         """
         failed, task = self._current, self._task
         failed.close()
+        if not self._may_replacement_go_on:
+            self._close_replacement()
         replacement = self._replacement
         self._set_replacement(None)
         self._cancel_task()
@@ -88,6 +90,15 @@
         if replacement is None:
             raise error
 
+    @property
+    def _may_replacement_go_on(self):
+        """Whether the replacement fits the events that the caller got since it was sent.
+
+        It may have been sent before the stream began at a replica of another version.
+        """
+        replacement = self._replacement
+        return replacement is None or self._job.may_go_on_at(replacement.replica)
+
     def _set_replacement(self, replacement):
         self._replacement = replacement
         self._job.has_replacement = replacement is not None
@@ -176,6 +187,8 @@
             )
             if reason is None and self._current.has_unread_body:
                 reason = "the silent replica goes on"
+            if reason is None and not self._may_replacement_go_on:
+                reason = "the stream began at another software version"
             is_accepted = reason is None
         except ExchangeFailed as error:
             reason = str(error)
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -29,6 +29,7 @@
 from snipetrestle.gateway.http_server import CallerDisconnected
 from snipetrestle.gateway.job import Job, Refused
 from snipetrestle.gateway.quota_check import QuotaCheck
+from snipetrestle.gateway.stream_origin import StreamOrigin
 from snipetrestle.gateway.usual_durations import UsualDurations
 from snipetrestle.supervision import log_unexpected
 from snipetrestle.tenants.authentication import authenticate, reauthenticate
@@ -413,6 +414,7 @@
             exchange.note_progress()
             if awaiting_first_event:
                 awaiting_first_event = False
+                self._note_first_event(job, replica)
                 now = anyio.current_time()
                 replica.note_success(now - started)
                 self._crash_quarantine.note_answered(replica.process_id, started, job)
@@ -430,6 +432,17 @@
             raise ExchangeFailed("the stream ended before a complete event")
         caller.end_stream()
 
+    def _note_first_event(self, job, replica):
+        """Records which version begins a stream, before the caller has an event of it.
+
+        Raises ExchangeFailed if the caller has events of another version.
+        """
+        if not job.may_go_on_at(replica):
+            raise ExchangeFailed("the stream began at another software version")
+        if job.origin is None:
+            entry = replica.entry
+            job.origin = StreamOrigin(entry.backend, entry.software_version)
+
     # Retries.
 
     def _note_connect_failure(self, job, replica, error):
@@ -554,6 +567,7 @@
             sent_to=job.sent_to,
             reason=reason,
             last_event_id=job.last_event_id,
+            software_version=None if job.origin is None else job.origin.version,
         )
 
     def _note_not_run(self, job, replica, status):
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -55,7 +55,8 @@
     of replicas whose replacement was ended before it had a response; the request may go
     to them again. ``quota_booking`` is the tenant, what the request has booked on its
     quota and when, or None. ``open_exchanges`` are its Exchanges. ``permit`` is a
-    dispatch Permit that no exchange has taken yet.
+    dispatch Permit that no exchange has taken yet. ``origin`` is the StreamOrigin of a
+    stream of which the caller has an event, else None.
     """
 
     __slots__ = (
@@ -89,6 +90,7 @@
         "quota_booking",
         "permit",
         "open_exchanges",
+        "origin",
         "_fallback_answer",
     )
 
@@ -128,6 +130,7 @@
         self.quota_booking = None
         self.permit = None
         self.open_exchanges = set()
+        self.origin = None
         self._fallback_answer = None
 
     def abandon(self):
@@ -209,9 +212,20 @@
         """Whether the route allows the request to run on one more replica."""
         return len(set(self.may_have_run_on)) < self.route.attempts
 
-    def may_be_sent_to(self, replica_id):
-        """Whether an attempt at a replica is within the attempts of the route."""
-        return self.may_run_on_another or replica_id in self.dropped_on
+    def may_be_sent_to(self, replica):
+        """Whether a replica can go on with it, within the attempts of the route."""
+        if not self.may_go_on_at(replica):
+            return False
+        return self.may_run_on_another or replica.id in self.dropped_on
+
+    def may_go_on_at(self, replica):
+        """Whether what a replica writes fits what the caller has of the stream."""
+        return self.origin is None or self.origin.allows(replica.entry)
+
+    @property
+    def deadline_s(self):
+        """The time that the caller waits, by its own word; infinite without one."""
+        return self._deadline_s
 
     @property
     def request_id(self):
