Keep records of the origins of streams at several hosts

What callers would have seen without it: a stream whose host was killed could go on nowhere while replicas of several software versions run, since no other host knew which version began it.

Change: the host that passes a stream's first event on keeps a record and tells three keepers in the same turn of the event loop. Two origins of one stream make it unknown.

A StreamBegun has 44 bytes with usual names, and 1,636 at most.

--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -23,6 +23,7 @@
     MAX_PART_KEY_LENGTH,
     MAX_PROMPT_PARTS,
 )
+from snipetrestle.gateway.stream_origin import STREAM_KEY_BYTES, StreamOrigin
 
 MAX_TOKEN = 2**62
 MAX_AGE_S = 1e9
@@ -61,6 +62,10 @@
 # Units of a quota, and how long a request waits for them.
 Units = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_UNITS)]
 DurationS = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_S)]
+# A key as stream_key returns it.
+StreamKey = typing.Annotated[
+    bytes, msgspec.Meta(min_length=STREAM_KEY_BYTES, max_length=STREAM_KEY_BYTES)
+]
 RevisionByPrefix = typing.Annotated[
     dict[Name, Revision], msgspec.Meta(max_length=MAX_PREFIXES)
 ]
@@ -491,6 +496,43 @@
     )
 
 
+class StreamBegun(_Message, tag="SBeg"):
+    """Tells a keeper of a stream which origin it has, before its first event.
+
+    The origin is to be kept for ``life_ms``. The address identifies the sender: hosts
+    send three of these messages for each stream.
+    """
+
+    key: StreamKey
+    origin: StreamOrigin
+    life_ms: Count
+
+
+class OriginRequest(_Message, tag="OReq"):
+    """Request to a keeper of a stream for its origin.
+
+    ``boot`` of the sender and ``number`` identify the answer: that to an earlier
+    process with the sender's address may name the origin of another stream.
+    """
+
+    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    number: Revision
+    key: StreamKey
+
+
+class OriginReply(_Message, tag="ORep"):
+    """Answer to OriginRequest: the origin, known for another ``life_ms``.
+
+    If that is 0, the sender of the reply knows nothing. Without an origin, it knows of
+    several for the next ``life_ms``.
+    """
+
+    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    number: Revision
+    origin: StreamOrigin | None
+    life_ms: Count
+
+
 Message = (
     Heartbeat
     | ReplicaLoads
@@ -509,6 +551,9 @@
     | DispatchRequest
     | DispatchReply
     | DispatchDone
+    | StreamBegun
+    | OriginRequest
+    | OriginReply
 )
 
 # The largest encoded size of each message, whatever names, prompts and lists are. The
@@ -532,6 +577,9 @@
         DispatchRequest: 6 * 1024,
         DispatchReply: 1024,
         DispatchDone: 2 * 1024,
+        StreamBegun: 2 * 1024,
+        OriginRequest: 64,
+        OriginReply: 2 * 1024,
     }
 )
 
--- a/snipetrestle/gateway/stream_origin.py
+++ b/snipetrestle/gateway/stream_origin.py
@@ -5,6 +5,9 @@
 
 from snipetrestle.gateway.configuration import Name
 
+# The length of a key of ``stream_key``.
+STREAM_KEY_BYTES = 16
+
 
 class StreamOrigin(msgspec.Struct, array_like=True, frozen=True):
     """The backend and the software version of the replica that began a stream.
@@ -27,7 +30,7 @@
 
 
 def stream_key(request_id, fingerprint, tenant_name):
-    """Returns the key, of 16 bytes, by which hosts keep the origin of a stream.
+    """Returns the key, of STREAM_KEY_BYTES, by which hosts keep the origin of a stream.
 
     ``request_id`` is that of the request that got the first event. Requests with
     another content or tenant have other keys, so they learn nothing of the stream.
