Look up adapters at replicas of one software version

A stream that has begun can only go on at a replica of the version that began it. The leader answered its lookup with holders of any version, so it found none that it may be sent to, while the adapter was never loaded at a replica of the right one.

Change: Locate names a software version, "" for any. The leader then only returns replicas of it, and loads the adapter at one of them if none holds it. Without a usable replica of the version the answer is empty at once. The cached locations, which requests for any version use, are not replaced by those of one. A question counts the uses that it tells the leader as reported when it is asked instead of when it is answered, since two may be asked at the same time.

--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -122,6 +122,7 @@
     __slots__ = (
         "_index",
         "replica_id",
+        "software_version",
         "slots",
         "event_interval_s",
         "utilization",
@@ -142,6 +143,8 @@
     def __init__(self, replica_id, slots, index):
         self._index = index
         self.replica_id = replica_id
+        # The version of the replica's program; "" if unknown.
+        self.software_version = ""
         self.slots = slots
         # Time between two events of a stream that nothing disturbs.
         self.event_interval_s = DEFAULT_EVENT_INTERVAL_S
@@ -169,6 +172,10 @@
         self.failed_until = 0.0
         self._recent_keys = collections.OrderedDict()
 
+    def runs(self, software_version):
+        """Whether the replica runs a software version; "" stands for any."""
+        return not software_version or self.software_version == software_version
+
     def record_held(
         self, key, version, ready_at, ordered_at=None, replaces_version=False
     ):
@@ -356,6 +363,13 @@
             if replica.usable and replica.unloading != key
         ]
 
+    def has_usable(self, software_version):
+        """Whether a replica of a software version is usable."""
+        return any(
+            replica.usable and replica.runs(software_version)
+            for replica in self.by_replica.values()
+        )
+
     def copy_reason(self, key):
         """Returns why one more replica should load an adapter that has holders.
 
@@ -456,15 +470,16 @@
             round(share * total_load / max(MAX_HOLDER_PROMPT_LOAD, mean_load)),
         )
 
-    def choose_replica(self, key, avoid=()):
+    def choose_replica(self, key, avoid=(), software_version=""):
         """Returns the replica that should load an adapter; None if none can now.
 
-        Replica ids in ``avoid`` are chosen only if the others cost much more.
+        Replica ids in ``avoid`` are chosen only if the others cost much more. Only
+        replicas of ``software_version`` are chosen, or any if it is empty.
         """
         best, best_cost = None, math.inf
         now = anyio.current_time()
         median_s = self._current_statistics().median_interval_s
-        for replica in self._replicas_to_compare(key):
+        for replica in self._replicas_to_compare(key, software_version):
             if (
                 not replica.usable
                 or not replica.takes_orders
@@ -480,15 +495,18 @@
                 best, best_cost = replica, cost
         return best
 
-    def _replicas_to_compare(self, key):
-        """Returns the replicas among which a load is placed."""
+    def _replicas_to_compare(self, key, software_version):
+        """Returns the replicas of a version among which a load is placed."""
         replicas = list(self.by_replica.values())
-        if not self._is_large:
+        if software_version:
+            replicas = [item for item in replicas if item.runs(software_version)]
+        if len(replicas) <= MAX_COMPARED_REPLICAS:
             return replicas
         start = self._next_compared % len(replicas)
         self._next_compared = start + MAX_COMPARED_REPLICAS
         window = (replicas + replicas)[start : start + MAX_COMPARED_REPLICAS]
-        return [*self.index.recent_holders(key), *window]
+        recent = self.index.recent_holders(key)
+        return [*(item for item in recent if item.runs(software_version)), *window]
 
     def _cost(self, replica, key, now, median_s):
         """Returns the cost of a load; infinite if the replica has no slot for it."""
--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -108,6 +108,7 @@
 
     def _start(self, replica):
         orders = ReplicaOrders(replica, self._context)
+        orders.replica_adapters.software_version = replica.entry.software_version
         scope = anyio.CancelScope()
         self._running_by_id[replica.id] = (replica, orders, scope)
         self.placement.add_replica(orders.replica_adapters)
@@ -146,22 +147,26 @@
         for _, orders, _ in self._running_by_id.values():
             orders.wake()
 
-    async def locate(self, key, uses, avoid, limited=()):
+    async def locate(self, key, uses, avoid, limited=(), software_version=""):
         """Returns the locations of an adapter, after ordering a load if there is none.
 
         ``uses`` is added to the adapter's demand. Replicas whose ids are in ``avoid``
         or ``limited`` are not returned; those in ``avoid`` did not serve the adapter.
+        With a ``software_version``, only replicas of it are returned, or load the
+        adapter.
         """
         self.placement.record_demand(key, uses)
         self._update_replicas()
         self._verify_held(key, avoid)
+        if software_version and not self.placement.has_usable(software_version):
+            return ()
         avoid = (*avoid, *limited)
-        holders = self._exclude(self.placement.holders(key), avoid)
+        holders = self._holders(key, avoid, software_version)
         if not holders:
-            await self._load(key, avoid)
-            holders = self._exclude(self.placement.holders(key), avoid)
+            await self._load(key, avoid, software_version)
+            holders = self._holders(key, avoid, software_version)
         elif (reason := self.placement.copy_reason(key)) is not None:
-            self._request_load(key, avoid, reason)
+            self._request_load(key, avoid, reason, software_version)
         now = anyio.current_time()
         return tuple(
             AdapterLocation(
@@ -205,26 +210,35 @@
             if replica_id in self._running_by_id:
                 self._running_by_id[replica_id][1].verify_held(key)
 
-    @staticmethod
-    def _exclude(replicas, avoid):
-        return [item for item in replicas if item.replica_id not in avoid]
+    def _holders(self, key, avoid, software_version):
+        return [
+            item
+            for item in self.placement.holders(key)
+            if item.replica_id not in avoid and item.runs(software_version)
+        ]
 
-    def _request_load(self, key, avoid, reason):
+    def _request_load(self, key, avoid, reason, software_version):
         """Queues a load at the best replica. Returns its LoadRequest; None if none."""
-        replica = self.placement.choose_replica(key, avoid)
+        replica = self.placement.choose_replica(key, avoid, software_version)
         if replica is None:
             return None
         return self._running_by_id[replica.replica_id][1].request_load(key, reason)
 
-    async def _load(self, key, avoid):
+    async def _load(self, key, avoid, software_version):
         """Waits until a pending or new load of an adapter was ordered."""
+        by_replica = self.placement.by_replica
         pending = self.placement.index.pending(key)
         load = next(
-            (item for replica_id, item in pending.items() if replica_id not in avoid),
+            (
+                item
+                for replica_id, item in pending.items()
+                if replica_id not in avoid
+                and by_replica[replica_id].runs(software_version)
+            ),
             None,
         )
         if load is None:
-            load = self._request_load(key, avoid, LoadReason.MISSING)
+            load = self._request_load(key, avoid, LoadReason.MISSING, software_version)
         if load is not None:
             self.placement.record_expected_prompt(load.replica_id)
             await load.done
@@ -310,12 +324,12 @@
         controller = self._controller_of(model)
         return None if controller is None else controller.placement
 
-    async def locate(self, key, uses, avoid, limited=()):
+    async def locate(self, key, uses, avoid, limited=(), software_version=""):
         """Returns the locations of an adapter; empty if there is none now."""
         controller = self._controller_of(key.model)
         if controller is None:
             return ()
-        return await controller.locate(key, uses, avoid, limited)
+        return await controller.locate(key, uses, avoid, limited, software_version)
 
     def _on_locate(self, message, address):
         if self._task_group is not None and self._leadership.leads:
@@ -323,7 +337,13 @@
 
     async def _answer(self, message, address):
         key = AdapterKey(message.model, message.adapter)
-        locations = await self.locate(key, message.uses, message.avoid, message.limited)
+        locations = await self.locate(
+            key,
+            message.uses,
+            message.avoid,
+            message.limited,
+            message.software_version,
+        )
         locations = fitting(sorted(locations, key=_urgency), MAX_LOCATIONS_BYTES)
         retry_in_s = 0.0 if locations else LOOKUP_RETRY_S
         self._endpoint.send(Located(message.number, locations, retry_in_s), address)
--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -40,6 +40,7 @@
         "demand",
         "reported_term",
         "refreshed",
+        "version_lookups",
     )
 
     def __init__(self):
@@ -53,13 +54,28 @@
         self.uses = 0
         # Event that is set at the end of the refresh in progress; None without one.
         self.refreshed = None
+        # VersionLookups in progress, by software version.
+        self.version_lookups = {}
+
+
+class VersionLookup:
+    """A question for the replicas of one software version that hold an adapter.
+
+    ``ready_at_by_id`` is empty without an answer.
+    """
+
+    __slots__ = ("answered", "ready_at_by_id")
+
+    def __init__(self):
+        self.answered = anyio.Event()
+        self.ready_at_by_id = {}
 
 
 class Locator:
     """Looks up the locations of adapters for this host.
 
-    ``locate_here(key, uses, avoid, limited)`` asks this host's own placement
-    controller, for when it leads.
+    ``locate_here(key, uses, avoid, limited, software_version)`` asks this host's own
+    placement controller, for when it leads.
     ``published_replicas(key)`` returns the replicas whose published entries list the
     adapter. ``note_load(replica_id, load)`` is called with the ReplicaLoad of each
     location that carries one.
@@ -121,24 +137,64 @@
         now = anyio.current_time()
         return dict.fromkeys(self._published_replicas(key), now)
 
-    async def look_up(self, key, avoid=(), limited=()):
+    async def look_up(self, key, avoid=(), limited=(), software_version=""):
         """Asks the leader and returns ready times by replica id; empty if none.
 
         Counts no use, so a request may ask again and remains one use.
 
         Replicas whose ids are in ``avoid`` or ``limited`` are not returned; those in
-        ``avoid`` did not serve the adapter. Has no timeout of its own: the caller limits the wait.
+        ``avoid`` did not serve the adapter. With a ``software_version``, the leader
+        only returns replicas of it. Has no timeout of its own: the caller limits the
+        wait.
         """
         cached = self._cached_by_key.setdefault(key, CachedLocations())
-        if cached.refreshed is None:
-            self._start_refresh(key, cached, tuple(avoid), tuple(limited))
-        await cached.refreshed.wait()
+        places = await (
+            self._look_up_version(key, cached, avoid, limited, software_version)
+            if software_version
+            else self._look_up_any(key, cached, avoid, limited)
+        )
         return {
             replica_id: ready_at
-            for replica_id, ready_at in cached.ready_at_by_id.items()
+            for replica_id, ready_at in places.items()
             if replica_id not in avoid and replica_id not in limited
         }
 
+    async def _look_up_any(self, key, cached, avoid, limited):
+        if cached.refreshed is None:
+            self._start_refresh(key, cached, tuple(avoid), tuple(limited))
+        await cached.refreshed.wait()
+        return cached.ready_at_by_id
+
+    async def _look_up_version(self, key, cached, avoid, limited, software_version):
+        lookup = cached.version_lookups.get(software_version)
+        if lookup is None:
+            lookup = cached.version_lookups[software_version] = VersionLookup()
+            self._task_group.start_soon(
+                run_isolated,
+                self._ask_for_version,
+                key,
+                cached,
+                tuple(avoid),
+                tuple(limited),
+                software_version,
+            )
+        await lookup.answered.wait()
+        return lookup.ready_at_by_id
+
+    async def _ask_for_version(self, key, cached, avoid, limited, software_version):
+        lookup = cached.version_lookups[software_version]
+        try:
+            locations = await self._report_and_ask(
+                key, cached, avoid, limited, software_version
+            )
+            lookup.ready_at_by_id = _ready_times(locations or ())
+            # Alone, these would be a part of what requests for any version need.
+            if cached.ready_at_by_id:
+                cached.ready_at_by_id.update(lookup.ready_at_by_id)
+        finally:
+            del cached.version_lookups[software_version]
+            lookup.answered.set()
+
     def forget(self, key, replica_id):
         """Removes a replica that does not hold an adapter from its cached locations."""
         cached = self._cached_by_key.get(key)
@@ -154,30 +210,42 @@
     async def _refresh(self, key, cached, avoid, limited):
         done = cached.refreshed
         try:
-            own_uses = cached.uses
-            uses = self._unreported_uses(cached)
-            locations = await self._ask_leader(key, uses, avoid, limited)
+            locations = await self._report_and_ask(key, cached, avoid, limited)
             if locations is None:
                 return
-            # More requests may have come while the leader was asked.
-            cached.uses -= own_uses
-            cached.reported_term = self._leadership.term
-            now = anyio.current_time()
             known = cached.ready_at_by_id
             cached.ready_at_by_id = {
                 replica_id: known[replica_id]
                 for replica_id in limited
                 if replica_id in known
             }
-            cached.ready_at_by_id.update(
-                (location.replica_id, now + location.ready_in_s)
-                for location in locations
-            )
-            cached.confirmed_at = now
+            cached.ready_at_by_id.update(_ready_times(locations))
+            cached.confirmed_at = anyio.current_time()
         finally:
             cached.refreshed = None
             done.set()
 
+    async def _report_and_ask(self, key, cached, avoid, limited, software_version=""):
+        """Asks the leader, and tells it the uses of the adapter.
+
+        Returns the locations, or None without an answer. A question that begins
+        meanwhile tells only of later uses.
+        """
+        told_uses, known_term = cached.uses, cached.reported_term
+        uses = self._unreported_uses(cached)
+        cached.uses = 0
+        cached.reported_term = self._leadership.term
+        locations = None
+        try:
+            locations = await self._ask_leader(
+                key, uses, avoid, limited, software_version
+            )
+        finally:
+            if locations is None:
+                cached.uses += told_uses
+                cached.reported_term = known_term
+        return locations
+
     def _unreported_uses(self, cached):
         """Returns the uses that the leader does not know.
 
@@ -187,10 +255,10 @@
             return cached.uses
         return max(1, round(cached.demand.value(anyio.current_time())))
 
-    async def _ask_leader(self, key, uses, avoid, limited):
+    async def _ask_leader(self, key, uses, avoid, limited, software_version):
         """Returns the locations, or None without an answer."""
         if self._leadership.leads:
-            return await self._locate_here(key, uses, avoid, limited)
+            return await self._locate_here(key, uses, avoid, limited, software_version)
         address = self._leadership.leader_address()
         # No adapter has a longer name, and the leader could not read the message.
         is_nameable = max(len(key.model), len(key.adapter)) <= MAX_NAME_LENGTH
@@ -212,6 +280,7 @@
                 uses if is_first else 0,
                 avoid,
                 limited,
+                software_version,
             )
 
         answer = await self._requests.ask(build_request, address, MAX_LOOKUP_SENDS)
@@ -221,3 +290,9 @@
         for location in message.locations:
             if location.load is not None:
                 self._note_load(location.replica_id, location.load)
+
+
+def _ready_times(locations):
+    """Returns the ready times of AdapterLocations by replica id."""
+    now = anyio.current_time()
+    return {item.replica_id: now + item.ready_in_s for item in locations}
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -337,7 +337,8 @@
     The leader orders a load if there is none. ``number`` identifies the answer.
     ``uses`` counts the requests for the adapter since the last message. ``avoid``
     contains the ids of replicas that did not serve it, ``limited`` those of replicas
-    to which the sender may not send now.
+    to which the sender may not send now. Only replicas of ``software_version`` are of
+    use to the sender, or any if it is empty.
     """
 
     sender: Name
@@ -347,6 +348,7 @@
     uses: Count
     avoid: tuple[Name, ...] = ()
     limited: tuple[Name, ...] = ()
+    software_version: Name = ""
 
 
 class AdapterLocation(msgspec.Struct, array_like=True, frozen=True):
@@ -571,7 +573,7 @@
         RequestLimitReports: 9 * 1024,
         LostPrompts: 14 * 1024,
         LostRequests: 13 * 1024,
-        Locate: 19 * 1024,
+        Locate: 20 * 1024,
         Located: 9 * 1024,
         PermitRequest: 9 * 1024,
         DispatchRequest: 6 * 1024,
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -7,6 +7,7 @@
 import collections
 import enum
 import functools
+import itertools
 import random
 import types
 import typing
@@ -138,6 +139,7 @@
     long the next loads of adapters take. ``ignored_unloads`` counts the unloads of
     adapters in transit, ``premature_orders`` the orders that expect more orders than
     were accepted, and ``copied_answers`` those that got the answer to another one.
+    ``software_version`` is what its entry names.
 
     The repetition of an order in progress changes nothing and is accepted, whatever
     its expected count. While an unload waits for ``stop_using``, all other orders are
@@ -158,6 +160,7 @@
         self.loss = Loss.NOTHING
         self.late_order_s = LATE_ORDER_S
         self.load_s = ADAPTER_LOAD_S
+        self.software_version = ""
         self.in_use = set()
         self.restart()
 
@@ -454,10 +457,10 @@
 class OrdersFleet:
     """Hosts by name, and the replicas that they order.
 
-    Use as an async context manager.
+    The replicas run ``software_versions`` in turn. Use as an async context manager.
     """
 
-    def __init__(self, names, replicas=3, slots=3):
+    def __init__(self, names, replicas=3, slots=3, software_versions=("",)):
         self.names = names
         self.network = OrdersNetwork()
         self.daemons_by_name = {}
@@ -474,6 +477,10 @@
             f"replica-{number}": InMemoryReplica(f"replica-{number}", slots)
             for number in range(replicas)
         }
+        for replica, version in zip(
+            self.replicas_by_id.values(), itertools.cycle(software_versions)
+        ):
+            replica.software_version = version
         self._boot_count = 0
         self.task_group = None
 
@@ -529,4 +536,5 @@
             "zone-1",
             ReplicaState.READY,
             slots=8,
+            software_version=self.replicas_by_id[replica_id].software_version,
         )
--- a/tests/coordination/test_adapter_places.py
+++ b/tests/coordination/test_adapter_places.py
@@ -399,6 +399,46 @@
 
         run_in_virtual_time(check)
 
+    def test_replica_of_a_rare_version_is_found_among_many(self):
+        """Only some replicas are compared; none of them may run the version."""
+
+        async def check():
+            placement = make_placement([0.02] * 500)
+            placement.by_replica["r77"].record_held(key(1), 1, 0.0)
+            placement.by_replica["r77"].drop(key(1))
+            for number in (40, 400):
+                placement.by_replica[f"r{number}"].software_version = "2"
+            for number in range(1, 20):
+                replica = placement.choose_replica(key(number), (), "2")
+                self.assertIn(replica.replica_id, ("r40", "r400"))
+            self.assertIsNone(placement.choose_replica(key(1), (), "3"))
+
+        run_in_virtual_time(check)
+
+    def test_window_of_a_frequent_version_contains_only_its_replicas(self):
+        """A load would go to a replica of another version, or compare all of them."""
+
+        async def check():
+            placement = make_placement([0.02] * 500)
+            for number in range(0, 500, 2):
+                placement.by_replica[f"r{number}"].software_version = "2"
+            # Of another version, though its load would be the cheapest.
+            placement.by_replica["r1"].record_held(key(3), 1, 0.0)
+            placement.by_replica["r1"].drop(key(3))
+            # Computes the statistics of all replicas.
+            chosen = [placement.choose_replica(key(0), (), "2")]
+
+            def loads():
+                for number in range(10):
+                    chosen.append(placement.choose_replica(key(number), (), "2"))
+
+            self.assertLessEqual(
+                self.count_compared(placement, loads), 10 * (MAX_COMPARED_REPLICAS + 1)
+            )
+            self.assertEqual({"2"}, {item.software_version for item in chosen})
+
+        run_in_virtual_time(check)
+
     def test_index_follows_what_replicas_hold(self):
         """An index that misses a change sends requests to the wrong replica."""
         rng = random.Random(3)
