Begin resumable streams at versions that stay

Near the end of a release, streams still began at the last replica of the old version. Once it left, no replica could go on with them.

Change: version_choice.py decides which versions of a backend leave: one that has lost a replica within 15 s or has one that takes no more requests, with fewer than two left that do, while another version has two. New streams on resumable routes begin elsewhere if a replica there has room. Replicas that are suspected, pause or name a request limit count as having none. Among crowded backends, permits decide as before: nobody knows of room. Replicas of unknown versions neither leave nor make another version leave.

ReplicaDirectory counts the listed versions of a backend.

--- a/snipetrestle/dispatch/replica_choice.py
+++ b/snipetrestle/dispatch/replica_choice.py
@@ -10,6 +10,8 @@
 
 from snipetrestle.codes import ResultCode
 from snipetrestle.dispatch.permits import NoRoom, Wanted
+from snipetrestle.dispatch.version_choice import prefer_staying
+from snipetrestle.gateway.configuration import RequestKind
 from snipetrestle.gateway.job import Refused
 
 # How long a request waits until its host may send to a replica with a request limit, as
@@ -64,6 +66,21 @@
         permitted, _ = await self._send_permits.acquire([replica], 0.0, True)
         return permitted or self._choose_best(unlimited)
 
+    def preferred(self, job, candidates):
+        """Returns the candidates that a job should be sent to if possible.
+
+        A stream that may be taken up should begin at a version that stays.
+        """
+        backend = job.backend.name
+        if not self._replicas.mixes_versions(backend) or not _may_be_taken_up(job):
+            return candidates
+        return prefer_staying(
+            candidates,
+            self._replicas.listed_replicas(backend),
+            self._replicas.versions_left(backend),
+            anyio.current_time(),
+        )
+
     async def choose_permitted(self, job, candidates):
         """Returns a replica that has room for the request, and gives the job its permit.
 
@@ -184,6 +201,16 @@
         )
 
 
+def _may_be_taken_up(job):
+    """Whether a job is for a stream that has not begun, and may be resumed then."""
+    return (
+        job.route.kind is RequestKind.STREAM
+        and job.route.resumable
+        and not job.streaming
+        and job.last_event_id is None
+    )
+
+
 def _wanted(job, allowed_ids):
     """Returns what a job asks the owner of a group for."""
     now = anyio.current_time()
--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -50,7 +50,8 @@
         untried = [item for item in candidates if item.id not in job.sent_to]
         replica = await self._chooser.choose_permitted(job, untried or candidates)
         if replica is None:
-            replica = await self._chooser.choose(job, untried)
+            preferred = self._chooser.preferred(job, untried)
+            replica = await self._chooser.choose(job, preferred)
         if replica is None:
             replica = await self._chooser.choose(job, candidates)
         if replica is None:
@@ -112,7 +113,8 @@
             ready = [
                 item for item in holders if places[item.id] <= anyio.current_time()
             ]
-            replica = await self._chooser.choose(job, ready or holders)
+            preferred = self._chooser.preferred(job, ready or holders)
+            replica = await self._chooser.choose(job, preferred)
             if replica is not None and replica.id not in places:
                 # Another request found meanwhile that the replica lacks the adapter.
                 continue
@@ -137,7 +139,10 @@
                 *self._chooser.paused_ids(job),
             ]
             places = await self._locator.look_up(
-                key, self._replicas_to_avoid(job), limited_ids
+                key,
+                self._replicas_to_avoid(job),
+                limited_ids,
+                _required_version(job),
             )
             must_pause = True
 
@@ -192,3 +197,8 @@
             and replica.suspected_until <= now
             and replica.entry.backend == job.backend.name
         ]
+
+
+def _required_version(job):
+    """Returns the software version that a job's replica must run; "" for any."""
+    return ""
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -41,6 +41,9 @@
 MIN_CHOICE_POWER = 4.0
 CHOICE_POWER_HOSTS = 84.0
 MAX_REMEMBERED_LEAVING = 4096
+# How long it is remembered that a replica of a software version has left the list. If
+# it restarts with another version, nothing else shows that the old one is replaced.
+VERSION_LEFT_S = 15.0
 
 
 class Replica:
@@ -248,6 +251,11 @@
         # Process ids of replicas that announced their leaving, in this order.
         self._leaving_process_ids = {}
         self._leaving_listeners = []
+        # The number of listed replicas by software version, by backend. Replicas of
+        # unknown versions do not count.
+        self._version_counts_by_backend = {}
+        # When a replica of a software version last left the list, by backend.
+        self._version_left_at_by_backend = {}
         self._failure_domain = failure_domain
         self._rng = rng
         self._make_pool = make_pool
@@ -297,6 +305,11 @@
         self.by_id[entry.id] = replica
         self._ids_by_backend.pop(entry.backend, None)
         self._by_backend.setdefault(entry.backend, {})[entry.id] = replica
+        if entry.software_version:
+            counts = self._version_counts_by_backend.setdefault(
+                entry.backend, collections.Counter()
+            )
+            counts[entry.software_version] += 1
 
     def unlist(self, replica_id):
         """Removes a replica from the list; its requests in flight go on."""
@@ -311,6 +324,34 @@
         replica.pool.close()
         del self._by_backend[replica.entry.backend][replica_id]
         self._ids_by_backend.pop(replica.entry.backend, None)
+        if replica.entry.software_version:
+            self._note_version_left(replica.entry)
+
+    def _note_version_left(self, entry):
+        counts = self._version_counts_by_backend[entry.backend]
+        counts[entry.software_version] -= 1
+        if not counts[entry.software_version]:
+            del counts[entry.software_version]
+        now = anyio.current_time()
+        left_at = self._version_left_at_by_backend.get(entry.backend, {})
+        left_at = {
+            version: at for version, at in left_at.items() if now - at < VERSION_LEFT_S
+        }
+        left_at[entry.software_version] = now
+        self._version_left_at_by_backend[entry.backend] = left_at
+
+    def mixes_versions(self, backend):
+        """Whether the listed replicas of a backend name several software versions."""
+        return len(self._version_counts_by_backend.get(backend, ())) > 1
+
+    def versions_left(self, backend):
+        """Returns the versions of the replicas that have left within VERSION_LEFT_S."""
+        now = anyio.current_time()
+        left_at = self._version_left_at_by_backend.get(backend, {})
+        return [item for item, at in left_at.items() if now - at < VERSION_LEFT_S]
+
+    def listed_replicas(self, backend):
+        return self._by_backend.get(backend, {}).values()
 
     def ready_replicas(self, backend):
         """Returns the replicas of a backend that take new requests."""
