Tell whether one software version only can have begun a stream

VersionHistory answers which version of a backend can have begun a stream of which no host knows the origin, and gives no answer if that is not certain. It is fed with all entries that the store lists, before any delay that keeps a removed replica in use.

Since the store may discard history sooner than it says, its oldest revision proves no time. Counted are heartbeats in the history that changed no entry, of two replicas, and no more than history_s. A store that answers from revision 0 shows all of its past. After a restore from a copy nothing is claimed.

New settings: provider.history_s; heartbeat_ms is also kept as such. StoreItems name the changes that created their key. The stand-in stores name them as well and can discard history.

--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -66,6 +66,11 @@
         "INFO",
         "store was not away, as it answered other hosts",
     )
+    VERSION_HISTORY_READ = (
+        1115,
+        "INFO",
+        "software versions were read from the history of the store",
+    )
     MEMBER_SUSPECTED = (1201, "WARNING", "member is suspected")
     MEMBER_FAILED = (1202, "WARNING", "member failed")
     MEMBER_ALIVE = (1203, "INFO", "member is alive")
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -41,10 +41,12 @@
 from snipetrestle.gateway.http_listener import HttpServer, status_server
 from snipetrestle.gateway.metrics import GatewayMetrics
 from snipetrestle.gateway.published_state import PublishedState
+from snipetrestle.gateway.replica_entries import STORE_RETURN_GRACE_S
 from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle.gateway.request_limits import RequestLimits
 from snipetrestle.gateway.retry_budget import RetryBudgets
 from snipetrestle.gateway.snapshots import Snapshots
+from snipetrestle.gateway.version_history import VersionHistory
 from snipetrestle.log_lines import RequestLines
 from snipetrestle.supervision import (
     call_isolated,
@@ -109,6 +111,14 @@
                 self.pause_watch,
             ),
         )
+        self.version_history = VersionHistory(
+            self.state,
+            platform.feeds[0].prefix,
+            # Hosts keep replicas for a while that expired in an outage of the store.
+            settings.replica_drain_s + STORE_RETURN_GRACE_S,
+            settings.history_s,
+            settings.heartbeat_s,
+        )
         self.datagram_endpoint = DatagramEndpoint(
             self.metrics.count_too_long_datagram, self.metrics.count_refused_datagram
         )
@@ -351,6 +361,7 @@
                     self.quota_accounts.run,
                     self.snapshots.run,
                     self.snapshots.follow_documents,
+                    self.version_history.run,
                     self._log_ready,
                     self._handle_signals,
                     self._poll_settings,
--- a/snipetrestle/gateway/published_items.py
+++ b/snipetrestle/gateway/published_items.py
@@ -32,11 +32,16 @@
 
 
 class StoreItems(typing.NamedTuple):
-    """Items of a prefix, or changes of it, with the position of the store."""
+    """Items of a prefix, or changes of it, with the position of the store.
+
+    Of changes, ``created_revisions`` are those of the items that created their key, as
+    far as the store tells.
+    """
 
     items: list
     revision: int
     epoch: int = 0
+    created_revisions: frozenset = frozenset()
 
     @property
     def position(self):
--- a/snipetrestle/gateway/published_state.py
+++ b/snipetrestle/gateway/published_state.py
@@ -32,6 +32,8 @@
 
 MIN_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.0
+# For answers without waiting. The store is not said to accept a wait of 0.
+SHORTEST_WAIT_S = 0.001
 
 
 class PublishedState:
@@ -60,11 +62,21 @@
         self._entries = ReplicaEntries(replicas, entry_expiry_s, availability)
         self.ready = anyio.Event()
         self._listeners = []
+        self._entry_observers = []
 
     def on_change(self, listener):
         """Registers ``listener()``, which is called after each change."""
         self._listeners.append(listener)
 
+    def observe_entries(self, observer):
+        """Registers an observer of what the store lists, whether or not it is used.
+
+        ``note_entry(entry)`` gets each ReplicaEntry and ``note_unlisted(unlisted)``
+        each Unlisted, in the order of their revisions for a replica. After a full read
+        of a prefix, ``note_gap(prefix)`` tells that changes before may be missing.
+        """
+        self._entry_observers.append(observer)
+
     @property
     def configuration(self):
         return self.documents.configuration
@@ -98,7 +110,7 @@
                     needs_full_read = False
                 else:
                     await self.relay.wait_until_needed(prefix)
-                    await self._watch(state)
+                    await self._watch(state, self.relay.wait_s(state.feed))
                 retry_delay_s = MIN_RETRY_DELAY_S
                 await anyio.sleep(self.relay.pause_s(state.feed))
             except HistoryLost:
@@ -117,13 +129,33 @@
         store_items = await self._call(state, self._source.read(state.feed.prefix))
         self.replace_items(state.feed.prefix, store_items, Origin(Way.READ))
 
-    async def _watch(self, state):
+    async def read_changes(self, prefix):
+        """Applies what the store has changed by now, without waiting for more.
+
+        Raises SourceUnreachable or HistoryLost.
+        """
+        await self._watch(self.feeds[prefix], SHORTEST_WAIT_S)
+
+    async def read_history(self, feed_prefix, prefix, revision):
+        """Returns StoreItems: past changes after a revision, which are not applied.
+
+        ``prefix`` is one within that of a feed. Raises SourceUnreachable or
+        HistoryLost.
+        """
+        state = self.feeds[feed_prefix]
+        store_items = await self._call(
+            state, self._source.watch(prefix, revision, SHORTEST_WAIT_S)
+        )
+        if store_items.epoch != state.epoch:
+            raise HistoryLost
+        return store_items
+
+    async def _watch(self, state, wait_s):
         """Applies the next changes. Raises HistoryLost if they are of another epoch.
 
         Another host's snapshot may have started an epoch while this host waited.
         """
         prefix, base = state.feed.prefix, state.position
-        wait_s = self.relay.wait_s(state.feed)
         store_items = await self._call(
             state, self._source.watch(prefix, base.revision, wait_s)
         )
@@ -230,6 +262,8 @@
         self._apply_items(state, items, origin, starts_epoch)
         state.revision = max(state.revision, store_items.revision)
         state.loaded = True
+        for observer in self._entry_observers:
+            call_isolated(observer.note_gap, prefix)
         self._set_ready_if_loaded()
 
     def _start_epoch(self, state, store_items):
@@ -329,11 +363,15 @@
             self.documents.accept(item, decoded)
             self._set_ready_if_loaded()
         elif isinstance(decoded, ReplicaEntry):
+            for observer in self._entry_observers:
+                call_isolated(observer.note_entry, decoded)
             if from_copy:
                 self._entries.apply_from_copy(decoded, lambda: state.has_current(item))
             else:
                 self._entries.apply(decoded)
         elif isinstance(decoded, Unlisted):
+            for observer in self._entry_observers:
+                call_isolated(observer.note_unlisted, decoded)
             if decoded.reason:
                 self._log_unreadable(item, decoded.reason)
             self._entries.unlist(decoded, item.revision, origin)
--- a/snipetrestle/gateway/settings.py
+++ b/snipetrestle/gateway/settings.py
@@ -37,6 +37,9 @@
     process may use, in units of 10^6 bytes, and ``max_sockets`` the number of sockets
     that it may open.
     With ``dispatch_permits``, requests to crowded backends wait for permits.
+    ``history_s`` is for how long the store keeps its history as a rule, None if it does
+    not say, and ``heartbeat_s`` the time between two heartbeats of a replica, 0 if it
+    is not known.
     """
 
     name: str
@@ -57,6 +60,8 @@
     memory_mb: float = DEFAULT_MEMORY_MB
     max_sockets: float = math.inf
     dispatch_permits: bool = False
+    history_s: float | None = None
+    heartbeat_s: float = 0.0
 
     @property
     def process_limits(self):
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -46,6 +46,8 @@
 class _Item(msgspec.Struct):
     key: Key
     revision: Revision
+    # The revision at which the key was created.
+    created: typing.Any = None
     # Base64 text; absent for a deleted key.
     value: typing.Any = None
     deleted: typing.Any = False
@@ -87,6 +89,14 @@
 
 def _published_items(raw_items, prefix):
     """Returns the PublishedItems of a page; odd items are logged and left out."""
+    return [_published_item(item) for item in _decoded_items(raw_items, prefix)]
+
+
+def _published_item(item):
+    return PublishedItem(item.key, item.revision, _value_of(item))
+
+
+def _decoded_items(raw_items, prefix):
     items = []
     for raw in raw_items:
         try:
@@ -96,7 +106,7 @@
         except ValueError as error:
             log_event(Event.ENTRY_UNREADABLE, key=None, error=str(error))
             continue
-        items.append(PublishedItem(item.key, item.revision, _value_of(item)))
+        items.append(item)
     return items
 
 
@@ -166,7 +176,17 @@
         query = {"prefix": prefix, "after": revision, "wait_ms": int(wait_s * 1000)}
         timeout_s = wait_s + WATCH_MARGIN_S
         changes, epoch = await self._get("kv-watch", query, timeout_s, _watch_decoder)
-        return StoreItems(_published_items(changes.events, prefix), changes.at, epoch)
+        items = _decoded_items(changes.events, prefix)
+        return StoreItems(
+            [_published_item(item) for item in items],
+            changes.at,
+            epoch,
+            frozenset(
+                item.revision
+                for item in items
+                if type(item.created) is int and item.created == item.revision
+            ),
+        )
 
     async def _get(self, name, query, timeout_s, decoder):
         """Returns the decoded response and the epoch that it names."""
--- a/snipetrestle/platform/settings.py
+++ b/snipetrestle/platform/settings.py
@@ -92,6 +92,7 @@
         slack=read("bounds.budget_slack", _number),
         window_s=read("bounds.budget_window_s", _number),
     )
+    heartbeat_s = fields.read_optional("heartbeat_ms", _seconds, None)
     settings = GatewaySettings(
         name=read("node", _name),
         failure_domain=read("zone", _name),
@@ -109,13 +110,16 @@
         configuration_apply_s=read("bounds.config_apply_ms", _seconds),
         shutdown_grace_s=read("bounds.grace_s", _number),
         entry_expiry_s=MISSED_HEARTBEATS
-        * fields.read_optional("heartbeat_ms", _seconds, DEFAULT_HEARTBEAT_S),
+        * (DEFAULT_HEARTBEAT_S if heartbeat_s is None else heartbeat_s),
         retry_budget=budget,
         dispatch_permits=fields.read_optional("dispatch.permits", _boolean, False),
         memory_mb=fields.read_optional(
             "limits.memory_mb", _positive_number, DEFAULT_MEMORY_MB
         ),
         max_sockets=fields.read_optional("limits.max_fds", _sockets, math.inf),
+        history_s=fields.read_optional("provider.history_s", _number, None),
+        # Evidence must not rest on a default.
+        heartbeat_s=heartbeat_s or 0.0,
     )
     if fields.problems:
         raise InvalidSettings(fields.problems)
--- a/snipetrestle_standins/gateway_fleet.py
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -131,6 +131,7 @@
         model_load_s=0.05,
         seed=1,
         model_versions=None,
+        history_s=None,
     ):
         self.store = PlatformStore()
         self.models = [
@@ -156,6 +157,7 @@
         )
         self._tasks = {}
         self._seed = seed
+        self._history_s = history_s
         self._peer_ports = [free_port() for _ in range(gateways)]
 
     @property
@@ -204,6 +206,7 @@
             shutdown_grace_s=4.0,
             entry_expiry_s=ENTRY_EXPIRY_S,
             retry_budget=RetryBudgetSettings(0.2, 60.0, 10.0),
+            history_s=self._history_s,
         )
         self.settings_by_name[settings.name] = settings
         platform = types.SimpleNamespace(
--- a/snipetrestle_standins/platform_store.py
+++ b/snipetrestle_standins/platform_store.py
@@ -59,7 +59,10 @@
     def put(self, key, content):
         """Writes an item. ``content`` is encoded as JSON unless it is bytes."""
         value = content if isinstance(content, bytes) else msgspec.json.encode(content)
-        self._change(key, {"value": base64.b64encode(value).decode()})
+        known = self._items_by_key.get(key)
+        created = self.revision + 1 if known is None else known["created"]
+        fields = {"created": created, "value": base64.b64encode(value).decode()}
+        self._change(key, fields)
 
     def delete(self, key):
         """Deletes an item and records the deletion in the history."""
@@ -81,6 +84,10 @@
         self._history.clear()
         self._history_start = self.revision
 
+    def claim_complete_history(self):
+        """Answers watches from any revision, as a store that has discarded nothing."""
+        self._history_start = 0
+
     def copy(self):
         """Returns a StoreCopy of the current content."""
         return StoreCopy(
--- a/snipetrestle_standins/store_relay_fleet.py
+++ b/snipetrestle_standins/store_relay_fleet.py
@@ -42,6 +42,9 @@
     def __init__(self):
         self.items_by_key = {}
         self.history = []
+        # The oldest revision that a watch may start from.
+        self.history_start = 0
+        self.created_revisions = set()
         self.revision = 1
         self.epoch = 1
         self.silent = set()
@@ -52,6 +55,8 @@
 
     def put(self, key, value=b"1"):
         item = self._change(key, value)
+        if key not in self.items_by_key:
+            self.created_revisions.add(item.revision)
         self.items_by_key[key] = item
         self._wake_watches()
 
@@ -66,6 +71,11 @@
         self.history.append(item)
         return item
 
+    def discard_history(self, revision):
+        """Discards the changes up to a revision."""
+        self.history_start = revision
+        self.history = [item for item in self.history if item.revision > revision]
+
     def cut_off(self, host):
         """Holds up what a host and the store send each other."""
         self._heals_by_host[host] = anyio.Event()
@@ -123,12 +133,12 @@
     async def watch(self, prefix, revision, wait_s):
         with anyio.move_on_after(wait_s + WATCH_MARGIN_S):
             await self._store.pass_link(self._name)
-            answer = await self._watch(revision, wait_s)
+            answer = await self._watch(prefix, revision, wait_s)
             await self._store.pass_link(self._name)
             return answer
         raise SourceUnreachable("no answer")
 
-    async def _watch(self, revision, wait_s):
+    async def _watch(self, prefix, revision, wait_s):
         await self._call()
         with anyio.move_on_after(wait_s):
             while self._store.revision == revision:
@@ -136,10 +146,16 @@
         if self._name in self._store.silent:
             await anyio.sleep(SILENCE_S)
             raise SourceUnreachable("silent")
-        if self._store.revision < revision:
+        store = self._store
+        if not store.history_start <= revision <= store.revision:
             raise HistoryLost
-        items = [item for item in self._store.history if item.revision > revision]
-        return StoreItems(items, self._store.revision, self._store.epoch)
+        items = [
+            item
+            for item in store.history
+            if item.revision > revision and item.key.startswith(prefix)
+        ]
+        created_revisions = frozenset(store.created_revisions)
+        return StoreItems(items, store.revision, store.epoch, created_revisions)
 
 
 class FixedRandom:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -80,6 +80,14 @@
                 InvalidSettings, parse_settings, f"{SETTINGS}limits.memory_mb={value}\n"
             )
 
+    def test_history_of_the_store_is_assumed_only_if_it_is_named(self):
+        """A default would claim a past that the store may not have."""
+        settings = parse_settings(SETTINGS)
+        self.assertEqual((None, 1.2), (settings.history_s, settings.heartbeat_s))
+        text = SETTINGS.replace("heartbeat_ms=1200\n", "provider.history_s=45\n")
+        settings = parse_settings(text)
+        self.assertEqual((45.0, 0.0), (settings.history_s, settings.heartbeat_s))
+
     def test_errors_list_every_bad_field(self):
         """Incomplete settings must be refused with one error that names every bad
         field, instead of errors that are shown one by one."""
