--- a/snipetrestle/gateway/version_history.py
+++ b/snipetrestle/gateway/version_history.py
@@ -9,6 +9,7 @@
 import math
 
 import anyio
+import msgspec
 
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import ReplicaEntry
@@ -284,20 +285,37 @@
 
     ``entries`` are ReplicaEntry objects in the order in which they were written. Their
     report numbers count heartbeats. Each heartbeat that changed an entry may have come
-    out of turn. The others, which the store does not keep, came after the usual
-    interval.
+    out of turn, unless only its adapters changed. The others, of which the store keeps
+    few, came after the usual interval.
     """
     spans_s = []
     for run in _runs(entries):
         heartbeats = run[-1].report_number - run[0].report_number
-        unchanged = heartbeats - (len(run) - 1)
-        # The first of them may have come right after an entry.
-        spans_s.append(max(0, unchanged - 1) * MIN_INTERVAL_SHARE * heartbeat_s)
+        out_of_turn = sum(not _came_in_turn(*pair) for pair in itertools.pairwise(run))
+        # The first of the others may have come right after an entry.
+        regular = max(0, heartbeats - out_of_turn - 1)
+        spans_s.append(regular * MIN_INTERVAL_SHARE * heartbeat_s)
     if len(spans_s) < MIN_WITNESSES:
         return 0.0
     return sorted(spans_s)[-MIN_WITNESSES]
 
 
+def _came_in_turn(previous, entry):
+    """Whether an entry came with a regular heartbeat of its replica.
+
+    Loads and unloads of adapters change entries, but cause no heartbeat. An entry with
+    no visible change may differ in a field that is not read.
+    """
+    if previous.models == entry.models:
+        return False
+    return _facts_but_adapters(previous) == _facts_but_adapters(entry)
+
+
+def _facts_but_adapters(entry):
+    models = tuple(model.name for model in entry.models)
+    return msgspec.structs.replace(entry, models=models, report_number=0)
+
+
 def _runs(entries):
     """Returns the entries of each process of a replica."""
 
--- a/tests/gateway/test_version_history.py
+++ b/tests/gateway/test_version_history.py
@@ -7,11 +7,16 @@
 import random
 
 import anyio
+import msgspec
 import testtools
 
 from snipetrestle.coordination.pause_watch import PauseWatch
 from snipetrestle.coordination.store_availability import StoreAvailability
-from snipetrestle.gateway.configuration import ReplicaEntry, ReplicaState
+from snipetrestle.gateway.configuration import (
+    LoadedModel,
+    ReplicaEntry,
+    ReplicaState,
+)
 from snipetrestle.gateway.listed_versions import (
     MAX_LEFT_BACKENDS,
     MAX_LEFT_VERSIONS,
@@ -1079,6 +1084,26 @@
         both = self.entries("a", numbers) + self.entries("b", numbers)
         self.assertEqual(0.0, proven_span_s(both, HEARTBEAT_S))
 
+    def test_heartbeats_that_changed_adapters_only_count(self):
+        """Entries of busy replicas change with almost each heartbeat, and would show no
+        time."""
+
+        def loaded(entry, model="m0"):
+            adapters = {f"a{entry.report_number}": 1}
+            models = (LoadedModel(model, 1, adapters),)
+            return msgspec.structs.replace(entry, models=models)
+
+        numbers = range(10, 31)
+        entries = self.entries("a", numbers) + self.entries("b", numbers)
+        self.assertAlmostEqual(
+            19 * MIN_INTERVAL_SHARE * HEARTBEAT_S,
+            proven_span_s(list(map(loaded, entries)), HEARTBEAT_S),
+        )
+        other_models = [
+            loaded(entry, f"m{entry.report_number % 2}") for entry in entries
+        ]
+        self.assertEqual(0.0, proven_span_s(other_models, HEARTBEAT_S))
+
     def test_one_replica_alone_proves_nothing(self):
         """Another writer may have written an entry with any number."""
         entries = self.entries("a", (10, 10**9)) + self.entries("b", (10, 15))
