Find the version that began a stream when its caller takes it up

What callers saw: streams joined from two software versions over their requests, above all after all hosts were killed while versions mixed (ORDER).

Cause: a host that gets a request with Last-Event-Id did not read Resumes, did not know which version began the stream, and chose any replica.

Change: TakeUps sets the origin of the job: by this host's record, by those of the keepers that were told before the first event (StreamRecords), by the only version that the store has listed (VersionHistory), or by the replicas that keep the last part of the prompt, which belongs to this request alone (KeptPrompts). A malformed Resumes gets 400. A replica that refuses connections may have been replaced under its id, so its version counts as unknown for 3 s.

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -201,4 +201,4 @@
 
 def _required_version(job):
     """Returns the software version that a job's replica must run; "" for any."""
-    return ""
+    return "" if job.origin is None else job.origin.version
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -30,6 +30,7 @@
 )
 from snipetrestle.coordination.store_availability import StoreAvailability
 from snipetrestle.coordination.store_relay import StoreRelay
+from snipetrestle.coordination.stream_records import StreamRecords
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle.gateway.connection_end import Unanswered
@@ -39,6 +40,7 @@
 from snipetrestle.gateway.drain_times import DrainTimes
 from snipetrestle.gateway.forwarding import NOT_READY_RETRY_AFTER_S, Forwarder
 from snipetrestle.gateway.http_listener import HttpServer, status_server
+from snipetrestle.gateway.kept_prompts import KeptPrompts
 from snipetrestle.gateway.metrics import GatewayMetrics
 from snipetrestle.gateway.published_state import PublishedState
 from snipetrestle.gateway.replica_entries import STORE_RETURN_GRACE_S
@@ -46,6 +48,7 @@
 from snipetrestle.gateway.request_limits import RequestLimits
 from snipetrestle.gateway.retry_budget import RetryBudgets
 from snipetrestle.gateway.snapshots import Snapshots
+from snipetrestle.gateway.take_ups import TakeUps
 from snipetrestle.gateway.version_history import VersionHistory
 from snipetrestle.log_lines import RequestLines
 from snipetrestle.supervision import (
@@ -203,6 +206,14 @@
         self.caller_memory = CallerMemory(
             self._process_limits, self._limits, self._note_shed
         )
+        self.take_ups = TakeUps(
+            StreamRecords(self.hosts, self.datagram_endpoint),
+            self.version_history,
+            KeptPrompts(self.replicas, platform.order_client.kept_parts),
+            self.state,
+            self.metrics,
+            RequestLines(),
+        )
         self.forwarder = Forwarder(self)
         self.caller_server = HttpServer(
             self.forwarder.handle,
--- a/snipetrestle/gateway/dialect.py
+++ b/snipetrestle/gateway/dialect.py
@@ -37,8 +37,12 @@
     that name no model. Token counts are 0 if the caller gives none;
     ``token_count`` tells whether their header was absent, valid or malformed.
     ``shared_prompt_parts`` are the keys of the parts of the prompt, in order, without
-    those that belong to this request alone; see ``prompt_part_key``. ``key_digest`` is
+    those that belong to this request alone; see ``prompt_part_key``. ``own_prompt_part``
+    is the id of the part that does, or None. ``key_digest`` is
     the digest of the caller's API key; it is None with a ``key_problem``.
+    ``resumes`` is the id of the request that began the stream which this one takes up,
+    or None. ``has_bad_resumes`` tells that such an id is malformed, or lacks the event
+    to go on from.
     """
 
     request_id: bytes
@@ -51,6 +55,9 @@
     token_count: TokenCount = TokenCount.ABSENT
     key_digest: str | None = None
     key_problem: KeyProblem | None = KeyProblem.MISSING
+    own_prompt_part: str | None = None
+    resumes: bytes | None = None
+    has_bad_resumes: bool = False
 
 
 class ResponseMetadata(msgspec.Struct):
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -165,7 +165,7 @@
             replacement.send()
         except ConnectFailed as error:
             if not isinstance(error, (ConnectionsExhausted, ReplicaLeft)):
-                replica.note_silence()
+                replica.note_connect_failure()
             self._log_dropped(str(error))
             return False
         except Refused as refusal:
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -73,6 +73,7 @@
         self._search = ReplicaSearch(gateway)
         self._uses_permits = gateway.settings.dispatch_permits
         self._quota_check = QuotaCheck(gateway.quota_accounts)
+        self._take_ups = gateway.take_ups
         self._rng = gateway.rng
         self._answer_memory = AnswerMemory(gateway.caller_memory)
         self._durations = UsualDurations()
@@ -132,6 +133,8 @@
         route = self._state.routes.match(request.hostname, request.path)
         if route is None:
             raise Refused(ResultCode.UNKNOWN_PATH, configuration=configuration.version)
+        if metadata.has_bad_resumes and route.kind is RequestKind.STREAM:
+            raise Refused(ResultCode.MALFORMED_REQUEST, reason="malformed Resumes")
         tenant = authenticate(configuration, route, metadata)
         job = Job(request, metadata, route, self._choose_backend(route), caller, tenant)
         if self._bounds_new and job.deadline_at > self._give_up_at:
@@ -245,6 +248,8 @@
             outcome=str(code.outcome),
             **fields,
         )
+        if job is not None:
+            self._take_ups.note_refused(job, refusal)
         if job is not None and job.streaming:
             caller.abort()
             return
@@ -340,9 +345,11 @@
     # Streams.
 
     async def _forward_stream(self, job):
+        await self._take_ups.resolve(job)
         while True:
             self._crash_check.check(job)
             replica = await self._search.find_stream_replica(job)
+            self._take_ups.note_replica(job, replica)
             # A crash during the wait may have shown that the request is the cause.
             self._crash_check.check(job)
             try:
@@ -440,8 +447,8 @@
         if not job.may_go_on_at(replica):
             raise ExchangeFailed("the stream began at another software version")
         if job.origin is None:
-            entry = replica.entry
-            job.origin = StreamOrigin(entry.backend, entry.software_version)
+            job.origin = StreamOrigin(replica.entry.backend, replica.software_version)
+            self._take_ups.note_begun(job)
 
     # Retries.
 
@@ -449,7 +456,7 @@
         if isinstance(error, ConnectionsExhausted):
             raise self._search.unavailable_refusal(job, str(error))
         if not isinstance(error, ReplicaLeft):
-            replica.note_silence()
+            replica.note_connect_failure()
         job.connect_failures += 1
         if job.connect_failures >= MAX_CONNECT_FAILURES:
             raise self._search.unavailable_refusal(
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -56,7 +56,8 @@
     to them again. ``quota_booking`` is the tenant, what the request has booked on its
     quota and when, or None. ``open_exchanges`` are its Exchanges. ``permit`` is a
     dispatch Permit that no exchange has taken yet. ``origin`` is the StreamOrigin of a
-    stream of which the caller has an event, else None.
+    stream of which the caller has an event, else None, and ``take_up`` the TakeUp of one
+    that the caller takes up, or None.
     """
 
     __slots__ = (
@@ -91,6 +92,7 @@
         "permit",
         "open_exchanges",
         "origin",
+        "take_up",
         "_fallback_answer",
     )
 
@@ -131,6 +133,7 @@
         self.permit = None
         self.open_exchanges = set()
         self.origin = None
+        self.take_up = None
         self._fallback_answer = None
 
     def abandon(self):
@@ -220,12 +223,7 @@
 
     def may_go_on_at(self, replica):
         """Whether what a replica writes fits what the caller has of the stream."""
-        return self.origin is None or self.origin.allows(replica.entry)
-
-    @property
-    def deadline_s(self):
-        """The time that the caller waits, by its own word; infinite without one."""
-        return self._deadline_s
+        return self.origin is None or self.origin.allows(replica)
 
     @property
     def request_id(self):
--- a/snipetrestle/gateway/metrics.py
+++ b/snipetrestle/gateway/metrics.py
@@ -96,6 +96,13 @@
             buckets=_LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        self._take_ups = Counter(
+            "snipetrestle_gateway_stream_take_ups",
+            "Streams that callers take up, by who knew the version that began them (own, "
+            "host, only version, kept prompt, nobody), and whether they were refused.",
+            ("known_by", "result"),
+            registry=self.registry,
+        )
         self._series_by_route = {}
 
     def _histogram(self, name, documentation):
@@ -112,6 +119,11 @@
             return route
         return OTHER_ROUTES
 
+    def count_take_up(self, known_by, result):
+        """Counts a taken-up stream; ``known_by`` may name a host after its kind."""
+        kind = "host" if known_by.startswith("host ") else known_by
+        self._take_ups.labels(kind, result).inc()
+
     def observe(self, route, first_answer_s, whole_answer_s, status):
         """Records a request that got a replica's response with an HTTP status."""
         route = self._route_label(route)
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -41,6 +41,9 @@
 MIN_CHOICE_POWER = 4.0
 CHOICE_POWER_HOSTS = 84.0
 MAX_REMEMBERED_LEAVING = 4096
+# A replica that may have ended may have been replaced by a process with its id, whose
+# entry reaches this host within this time.
+REPLACED_TIME_S = 3.0
 # How long it is remembered that a replica of a software version has left the list. If
 # it restarts with another version, nothing else shows that the old one is replaced.
 VERSION_LEFT_S = 15.0
@@ -69,6 +72,7 @@
         "request_limit",
         "pause",
         "_on_leaving",
+        "_may_be_replaced_until",
         "_suspicion_s",
         "_latency_s",
         "_latency_observed_at",
@@ -91,6 +95,7 @@
         self.request_limit = RequestLimit(entry.id)
         self.pause = ReplicaPause(entry.id, rng)
         self._on_leaving = on_leaving
+        self._may_be_replaced_until = 0.0
         self._suspicion_s = MIN_SUSPICION_S
         self._latency_s = None
         self._latency_observed_at = 0.0
@@ -179,6 +184,18 @@
         self.leaving = True
         self._on_leaving(self)
 
+    @property
+    def software_version(self):
+        """The version of the process that answers now; empty if it is not known."""
+        if anyio.current_time() < self._may_be_replaced_until:
+            return ""
+        return self.entry.software_version
+
+    def note_connect_failure(self):
+        """Records that the replica accepts no connection, so that it may have ended."""
+        self._may_be_replaced_until = anyio.current_time() + REPLACED_TIME_S
+        self.note_silence()
+
     def note_heard(self):
         self.last_heard_at = anyio.current_time()
 
--- a/snipetrestle/gateway/stream_origin.py
+++ b/snipetrestle/gateway/stream_origin.py
@@ -19,14 +19,14 @@
     backend: Name
     version: Name
 
-    def allows(self, entry):
-        """Whether the replica of a ReplicaEntry may go on with the stream.
+    def allows(self, replica):
+        """Whether a Replica may go on with the stream.
 
         Nothing is known of replicas that name no version.
         """
-        if not self.version:
+        if not self.version or replica.entry.backend != self.backend:
             return False
-        return (entry.backend, entry.software_version) == (self.backend, self.version)
+        return replica.software_version == self.version
 
 
 def stream_key(request_id, fingerprint, tenant_name):
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -80,10 +80,16 @@
     incoming: list[str] = []
 
 
+class _KeptParts(msgspec.Struct):
+    # An empty text, the id of a prompt part, its tokens and its model, in each entry.
+    held: list[tuple[str, str, int, str]]
+
+
 _item_decoder = msgspec.json.Decoder(_Item)
 _range_decoder = msgspec.json.Decoder(_Range)
 _watch_decoder = msgspec.json.Decoder(_Watch)
 _report_decoder = msgspec.json.Decoder(_Report)
+_kept_parts_decoder = msgspec.json.Decoder(_KeptParts)
 _encoder = msgspec.json.Encoder()
 
 
@@ -253,18 +259,32 @@
 
     async def report(self, replica):
         """Returns a ReplicaReport. Raises ConnectFailed or ExchangeFailed."""
+        return _report_from(await self._get(replica, "report", _report_decoder))
+
+    async def kept_parts(self, replica):
+        """Returns the prompt parts that a replica keeps, as a set of (model, id).
+
+        Raises ConnectFailed or ExchangeFailed.
+        """
+        kept = await self._get(replica, "kv-list", _kept_parts_decoder)
+        return frozenset(
+            (model, part) for _, part, tokens, model in kept.held if tokens
+        )
+
+    async def _get(self, replica, name, decoder):
+        """Returns what a replica says of itself. Raises ConnectFailed, ExchangeFailed."""
         head = (
-            "GET /-/report HTTP/1.1\r\n"
+            f"GET /-/{name} HTTP/1.1\r\n"
             f"Host: {replica.entry.ip}:{replica.entry.port}\r\n"
             f"X-Expect-Instance: {replica.id}\r\n\r\n"
         )
         answer = await self._call(replica, head.encode(), REPORT_TIMEOUT_S)
         if answer.status != 200:
-            raise ExchangeFailed(f"report: status {answer.status}")
+            raise ExchangeFailed(f"{name}: status {answer.status}")
         try:
-            return _report_from(decode(_report_decoder, answer.body))
+            return decode(decoder, answer.body)
         except ValueError as error:
-            raise ExchangeFailed(f"report: {error}") from None
+            raise ExchangeFailed(f"{name}: {error}") from None
 
 
 def _is_own_response(head):
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -18,6 +18,8 @@
 MODEL = b"x-model"
 TOKEN_COUNT = b"x-token-count"
 LAST_EVENT_ID = b"last-event-id"
+# The id of the request that got the first event of a stream.
+RESUMES = b"resumes"
 PROMPT_PREFIX = b"x-prompt-prefix"
 REQUEST_LIMIT = b"server-limit"
 STORE_EPOCH = b"store-era"
@@ -71,6 +73,7 @@
 # Lower limits would hold requests for hours; they cannot be meant.
 MIN_REQUEST_LIMIT_PER_S = 0.001
 MAX_API_KEY_BYTES = 256
+MAX_RESUMES_BYTES = 256
 _SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
@@ -90,6 +93,10 @@
                 return None
             facts.deadline_s = deadline_ms / 1000
         facts.last_event_id = _number(values.get(LAST_EVENT_ID, b""))
+        resumed_ids = [value for name, value in headers if name == RESUMES]
+        if resumed_ids:
+            facts.resumes = resumed_ids[0]
+            facts.has_bad_resumes = not _is_good_resumes(resumed_ids, facts)
         model = values.get(MODEL)
         if model is not None:
             name, _, adapter = model.decode("latin-1").partition("/")
@@ -100,6 +107,7 @@
         facts.token_count = _token_count_state(headers, counts)
         facts.key_digest, facts.key_problem = _api_key(headers)
         facts.shared_prompt_parts = _shared_prompt_parts(values.get(PROMPT_PREFIX))
+        facts.own_prompt_part = _own_prompt_part(values.get(PROMPT_PREFIX))
         return facts
 
     def request_head(self, method, target, headers, body_length, attempt):
@@ -198,6 +206,13 @@
     return TokenCount.VALID if is_valid else TokenCount.MALFORMED
 
 
+def _is_good_resumes(resumed_ids, facts):
+    """Whether the ids of resumed streams name one, and an event to go on from."""
+    if len(resumed_ids) > 1 or facts.last_event_id is None:
+        return False
+    return 0 < len(resumed_ids[0]) <= MAX_RESUMES_BYTES
+
+
 def _api_key(headers):
     """Returns (digest, KeyProblem) of a caller's API key; one of them is None."""
     keys = [value.strip(b" \t") for name, value in headers if name == API_KEY]
@@ -227,6 +242,13 @@
     )
 
 
+def _own_prompt_part(value):
+    """Returns the id of the last prompt part, None without any."""
+    if value is None:
+        return None
+    return value.decode("latin-1").split(",")[-1].partition(":")[0].strip() or None
+
+
 def _named_by_connection(headers):
     """Returns the names that the ``Connection`` headers list as hop-by-hop."""
     named = set()
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -165,6 +165,9 @@
         # the usual one is sent.
         self.prepared_head = "HTTP/1.1 200 OK\r\n"
         self.prepared_body = None
+        # Ids of the prompt parts that the replica keeps, and whether it lists them.
+        self.kept_parts = set()
+        self.lists_kept_parts = True
         self.boot = 1
         self.software_version = "v1"
         # How often the replica has written its entry since its start.
@@ -210,6 +213,7 @@
         self._late_orders.clear()
         self.model = None
         self.versions_by_adapter.clear()
+        self.kept_parts.clear()
         self.incoming.clear()
         self._unloading = None
         self.faults.clear()
@@ -255,6 +259,10 @@
             writer.write(response(503, headers if self.retry_after else []))
         elif request.target == "/-/report":
             writer.write(json_response(200, self._report(), self._order_headers()))
+        elif request.target == "/-/kv-list" and self.lists_kept_parts:
+            held = [["", part, 10, self.model] for part in sorted(self.kept_parts)]
+            content = {"epoch": "e1", "next": 1, "held": held}
+            writer.write(json_response(200, content))
         elif request.target == "/-/order":
             if self.order_delay_s:
                 self._execute_late(request.json())
@@ -546,7 +554,8 @@
     async def _send_stream(self, request, writer, fault, last_event_id):
         headers = _lines(self._proof_headers(request))
         prefix = request.headers.get("x-prompt-prefix", "")
-        prompt_parts = {part.partition(":")[0] for part in prefix.split(",")}
+        prompt_parts = {part.partition(":")[0] for part in prefix.split(",") if part}
+        self.kept_parts |= prompt_parts
         has_length = fault not in (Fault.NO_CONTENT_LENGTH, Fault.TRUNCATED)
         if has_length:
             writer.write(_CHUNKED_HEAD.format(headers=headers).encode())
--- a/tests/dispatch/test_version_choice.py
+++ b/tests/dispatch/test_version_choice.py
@@ -386,6 +386,7 @@
             "refusal_due_at": now + 4.9,
             "scope": anyio.CancelScope(deadline=now + 4.9),
             "may_have_run": False,
+            "origin": None,
             "streaming": False,
             "last_event_id": None,
             "sent_to": [],
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -14,7 +14,13 @@
 
 def run_versions(function, versions, **options):
     """Runs ``function`` against a fleet whose model replicas have these versions."""
-    return run_fleet(function, models=len(versions), model_versions=versions, **options)
+    return run_fleet(
+        function,
+        models=len(versions),
+        model_versions=versions,
+        history_s=20.0,
+        **options,
+    )
 
 
 def versions_of_runs(fleet, request_ids):
@@ -27,14 +33,14 @@
     }
 
 
-async def begin_stream(gateway, request_id, events=2, **options):
+async def begin_stream(gateway, request_id, events=2, headers=(), **options):
     """Reads the first events of a stream, and closes the connection.
 
     Returns the id of the last event.
     """
     async with Caller(gateway.settings.callers) as caller:
         reader, caller.reader = caller.reader, asyncio.StreamReader()
-        headers = [("X-Request-Id", request_id)]
+        headers = [("X-Request-Id", request_id), *headers]
         sending = asyncio.create_task(
             caller.send_request("/draft/a", headers=headers, **options)
         )
@@ -53,9 +59,10 @@
         replica.faults.clear()
 
 
-def take_up(fleet, gateway, began_as, last_event_id, request_id, **options):
+def take_up(fleet, gateway, began_as, last_event_id, request_id, headers=(), **options):
     """Takes a stream up; returns the Response."""
     headers = [
+        *headers,
         ("X-Request-Id", request_id),
         ("Resumes", began_as),
         ("Last-Event-Id", str(last_event_id)),
@@ -171,3 +178,199 @@
 
         answer = run_versions(check, ["v1", "v2"])
         self.assertEqual(503, answer.status)
+
+    def test_stream_is_taken_up_though_its_host_was_killed(self):
+        """Guards against streams lost with the only host that knows what began them."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.event_interval_s = 0.02
+            gateway = fleet.live[0]
+            began = []
+            for number in range(6):
+                began_as = f"first-{number}"
+                last_id = await begin_stream(gateway, began_as, adapter="")
+                began.append((began_as, last_id))
+            await fleet.kill(gateway)
+            results = []
+            for began_as, last_id in began:
+                again_as = f"again-{began_as}"
+                answer = await take_up(
+                    fleet, fleet.live[-1], began_as, last_id, again_as, adapter=""
+                )
+                ran = versions_of_runs(fleet, {began_as, again_as})
+                results.append((answer.status, len(ran)))
+            return results
+
+        results = run_versions(check, ["v1", "v2"], gateways=3)
+        self.assertEqual([(200, 1)] * 6, results)
+
+    def take_up_after_restart(self, versions, leaving=(), headers=(), prepare=None):
+        """Kills all hosts and starts one; returns the Response of a take-up there.
+
+        Replicas of the versions ``leaving`` are deleted from the store before, and
+        ``prepare(fleet)`` is called. Returns the versions of both runs as well.
+        """
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.event_interval_s = 0.02
+            fleet.store.claim_complete_history()
+            last_id = await begin_stream(
+                fleet.live[0], "first", adapter="", headers=list(headers)
+            )
+            if prepare is not None:
+                prepare(fleet)
+            for replica in fleet.models:
+                if replica.software_version in leaving:
+                    fleet.store.delete(f"servers/{replica.id}")
+            for gateway in fleet.live:
+                await fleet.kill(gateway)
+            fleet.start_gateway(0)
+            await fleet.wait_ready()
+            answer = await take_up(
+                fleet,
+                fleet.live[0],
+                "first",
+                last_id,
+                "again",
+                adapter="",
+                headers=list(headers),
+            )
+            return answer, versions_of_runs(fleet, {"first", "again"})
+
+        return run_versions(check, versions)
+
+    def test_stream_of_the_only_version_goes_on_after_all_hosts_were_killed(self):
+        """Guards against streams that end though only one version can have begun them."""
+        answer, _ = self.take_up_after_restart(["v1", "v1"])
+        self.assertEqual((200, True), (answer.status, answer.complete))
+
+    def test_no_stream_goes_on_if_two_versions_may_have_begun_it(self):
+        """Guards against a guess after all hosts that knew the stream were killed."""
+        answer, _ = self.take_up_after_restart(["v1", "v2"])
+        self.assertEqual(503, answer.status)
+
+    def test_replica_that_keeps_the_prompt_tells_its_version(self):
+        """Guards against streams that end though a replica shows that it began them."""
+        prompt = [("X-Prompt-Prefix", "shared:10,own:5")]
+        answer, versions = self.take_up_after_restart(["v1", "v2"], headers=prompt)
+        self.assertEqual(
+            (200, True, 1), (answer.status, answer.complete, len(versions))
+        )
+
+    def test_prompt_kept_at_two_versions_tells_nothing(self):
+        """Guards against a guess among the replicas that have read a prompt."""
+
+        def keep_everywhere(fleet):
+            for replica in fleet.models:
+                replica.kept_parts.add("own")
+
+        prompt = [("X-Prompt-Prefix", "shared:10,own:5")]
+        answer, _ = self.take_up_after_restart(
+            ["v1", "v2"], headers=prompt, prepare=keep_everywhere
+        )
+        self.assertEqual(503, answer.status)
+
+    def test_replica_that_does_not_list_its_prompts_may_keep_one(self):
+        """Guards against a replica without an answer taken for one without a prompt."""
+
+        def hide_others(fleet):
+            for replica in fleet.models:
+                replica.lists_kept_parts = bool(replica.runs)
+
+        prompt = [("X-Prompt-Prefix", "shared:10,own:5")]
+        answer, _ = self.take_up_after_restart(
+            ["v1", "v2"], headers=prompt, prepare=hide_others
+        )
+        self.assertEqual(503, answer.status)
+
+    def test_no_stream_goes_on_if_its_version_may_have_left(self):
+        """Guards against a stream that goes on at the version that came after its own."""
+        answer, _ = self.take_up_after_restart(["v1", "v2"], leaving=["v1"])
+        self.assertEqual(503, answer.status)
+
+    def test_stream_is_refused_at_once_without_a_replica_of_its_version(self):
+        """Guards against a caller that waits for a version that does not come back."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.event_interval_s = 0.02
+            last_id = await begin_stream(fleet.live[0], "first", adapter="")
+            began_at = next(replica for replica in fleet.models if replica.runs)
+            # Another process under the same id.
+            began_at.boot += 1
+            began_at.software_version = "v3"
+            fleet.publish(began_at)
+            await wait_until(
+                lambda: (
+                    fleet.live[0].replicas.by_id[began_at.id].entry.software_version
+                    == "v3"
+                )
+            )
+            started = asyncio.get_running_loop().time()
+            answer = await take_up(
+                fleet, fleet.live[0], "first", last_id, "again", adapter=""
+            )
+            return answer, asyncio.get_running_loop().time() - started
+
+        answer, duration_s = run_versions(check, ["v1", "v2"])
+        self.assertEqual(503, answer.status)
+        self.assertNotIn("retry-after", answer.headers)
+        # The deadline of the route is 5 s.
+        self.assertLess(duration_s, 2.5)
+
+    def test_stream_of_another_request_is_not_known(self):
+        """Guards against a caller that goes on with the stream of another request."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.event_interval_s = 0.02
+            last_id = await begin_stream(fleet.live[0], "first", adapter="")
+            for options in ({"adapter": "a7"}, {"adapter": "", "body": b"other"}):
+                answer = await take_up(
+                    fleet, fleet.live[0], "first", last_id, "again", **options
+                )
+                self.assertEqual(503, answer.status, options)
+
+        run_versions(check, ["v1", "v2"])
+
+
+class BadTakeUpTest(testtools.TestCase):
+    def send(self, *headers, path="/draft/a", versions=("v1",)):
+        """Sends a request with headers; returns its Response and the fleet's runs."""
+
+        async def check(fleet):
+            fleet.store.claim_complete_history()
+            adapter = "" if path.startswith("/draft") else None
+            answer = await fleet.send_request(path, adapter=adapter, headers=headers)
+            return answer, [run for item in fleet.replicas for run in item.runs]
+
+        return run_versions(check, list(versions))
+
+    def test_malformed_name_of_a_stream_is_refused(self):
+        """Guards against a guess which stream a caller means."""
+        event = ("Last-Event-Id", "2")
+        for headers in (
+            [event, ("Resumes", "a"), ("Resumes", "b")],
+            [event, ("Resumes", "")],
+            [event, ("Resumes", "x" * 257)],
+            [("Resumes", "a")],
+        ):
+            answer, runs = self.send(*headers)
+            self.assertEqual((400, []), (answer.status, runs), headers)
+
+    def test_stream_is_taken_up_by_its_last_event_alone(self):
+        """Guards against a refusal of callers that do not name the first request."""
+        answer, _ = self.send(("Last-Event-Id", "2"), versions=["v1", "v1"])
+        self.assertEqual((200, [3, 4, 5, 6]), (answer.status, answer.event_ids))
+
+    def test_last_event_alone_is_refused_while_versions_mix(self):
+        """Guards against a guess which version began a stream that has no name."""
+        answer, runs = self.send(("Last-Event-Id", "2"), versions=["v1", "v2"])
+        self.assertEqual((503, []), (answer.status, runs))
+
+    def test_header_means_nothing_on_other_routes(self):
+        """Guards against calls refused for a header that is meant for streams."""
+        answer, _ = self.send(("Resumes", ""), path="/entry/a")
+        self.assertEqual(200, answer.status)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -308,6 +308,22 @@
             self.assertEqual(expected, facts.token_count, values)
             self.assertEqual(counts, (facts.prompt_tokens, facts.output_tokens))
 
+    def test_resumed_stream_is_named_once_with_an_event(self):
+        """A request could go on with another stream than the one that its caller has."""
+        event = (b"last-event-id", b"4")
+        for headers, expected in (
+            ([event], (None, False)),
+            ([event, (b"resumes", b"r0")], (b"r0", False)),
+            ([event, (b"resumes", b"x" * 256)], (b"x" * 256, False)),
+            ([event, (b"resumes", b"x" * 257)], (b"x" * 257, True)),
+            ([event, (b"resumes", b"")], (b"", True)),
+            ([event, (b"resumes", b"r0"), (b"resumes", b"r0")], (b"r0", True)),
+            ([(b"resumes", b"r0")], (b"r0", True)),
+            ([(b"last-event-id", b"last"), (b"resumes", b"r0")], (b"r0", True)),
+        ):
+            facts = PlatformDialect().read_request([(b"x-request-id", b"r1"), *headers])
+            self.assertEqual(expected, (facts.resumes, facts.has_bad_resumes))
+
     def test_shared_prompt_parts_leave_out_the_last(self):
         """The last part is the request's own, so nothing can be learned from it."""
         dialect = PlatformDialect()
