Keep KV caches from an engine that has restarted

A paused batch stream handed the KV cache that the process before had exported to the new one, which may run another version of the engine. The owner drops these caches when the incarnation changes; the stream goes on from its tokens.

--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -308,10 +308,15 @@
     def apply_status(self, status):
         """Applies an EngineStatus.
 
-        If the engine has restarted, forgets the copies that it no longer has.
+        If the engine has restarted, forgets the copies that it no longer has, and the KV
+        caches of paused streams.
         """
         if self._engine_incarnation not in (None, status.incarnation):
             log_event(Event.ENGINE_RESTARTED, replica=self.server.name)
+            for state in self._states_by_entry.values():
+                # Another version of the engine may read an exported cache otherwise.
+                # Its tokens are kept, and the engine computes the cache from them.
+                state.kv_cache = None
             for handle, copy in tuple(self.slots.copies_by_handle.items()):
                 if handle not in status.in_use_by_handle and (
                     handle not in self.loader.pending_by_handle
--- a/tests/engines/test_owner.py
+++ b/tests/engines/test_owner.py
@@ -199,6 +199,40 @@
         self.assertEqual([{4: True}], finished)
         self.assertEqual([True] * 5, list(harness.results.values()))
 
+    def run_with_pause(self, restarts):
+        """Pauses a long batch stream; the engine may restart before it goes on.
+
+        Returns the sizes of the KV caches that the engine imported.
+        """
+        harness = OwnerHarness(max_batch=1)
+        imported = []
+        import_kv = harness.engine.import_kv
+
+        async def note_import(request_id, data):
+            imported.append(len(data))
+            await import_kv(request_id, data)
+
+        harness.engine.import_kv = note_import
+
+        async def check(requests):
+            requests.start_soon(harness.send, "a", "batch", 2000)
+            await anyio.sleep(12.0)
+            requests.start_soon(harness.send, "a", "waiting", 200)
+            await anyio.sleep(1.0)
+            self.assertEqual({}, harness.results)
+            if restarts:
+                harness.engine.restart()
+
+        harness.run(check)
+        self.assertIs(True, harness.results[0])
+        return imported
+
+    def test_kv_cache_goes_back_to_the_engine_process_that_exported_it(self):
+        """An engine that had restarted, perhaps as another version of its software, got
+        the KV cache that a paused stream had in the process before."""
+        self.assertEqual(1, len(self.run_with_pause(restarts=False)))
+        self.assertEqual([], self.run_with_pause(restarts=True))
+
     def test_accepted_work_is_never_dropped(self):
         """A full queue may refuse new requests but not drop accepted ones."""
         harness = OwnerHarness(queue_limit=20)
