--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -124,7 +124,8 @@
         self.event_interval_s = 0.005
         # Bytes that each event carries besides its text.
         self.event_padding = 0
-        # Whether each event names the backend, the software version and the replica.
+        # Whether each event names the backend, the software version, the replica and the
+        # boot.
         self.names_origin = False
         # Seconds until a call is answered, or refused by Fault.REFUSED.
         self.response_delay_s = 0.0
@@ -600,7 +601,7 @@
         text = f"token {number}" + "x" * self.event_padding
         if not self.names_origin:
             return text
-        return f"{text} {self.backend} {self.software_version} {self.id}"
+        return f"{text} {self.backend} {self.software_version} {self.id} {self.boot}"
 
 
 def _lines(headers):
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -15,8 +15,8 @@
 # without an answer at their timeout are enough to judge a host's delays.
 LATE_S = 0.5
 MIN_UNANSWERED = 8
-# Event of a replica that names its backend, version and id.
-_NAMED_EVENT = re.compile(rb"^data: token \w+ (\S+) (\S+) (\S+)$", re.MULTILINE)
+# Event of a replica that names its backend, version, id and boot.
+_NAMED_EVENT = re.compile(rb"^data: token \w+ (\S+) (\S+) (\S+) (\S+)$", re.MULTILINE)
 
 
 class EventWriter(typing.NamedTuple):
@@ -25,9 +25,10 @@
     backend: str
     version: str
     replica_id: str
+    boot: str
 
     def __str__(self):
-        return f"{self.backend} {self.version} at {self.replica_id}"
+        return f"{self.backend} {self.version} at {self.replica_id}, boot {self.boot}"
 
 
 def event_writers(body):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -92,7 +92,7 @@
         sent = SentRequest(request_id, "draft", "entry-0", None, 1.0, last_event_id)
         self.oracle.record_request(sent)
         body = "".join(
-            f"id: {number}\ndata: token {number} models {version} {replica}\n\n"
+            f"id: {number}\ndata: token {number} models {version} {replica} 1\n\n"
             for number, version in enumerate(versions, last_event_id + 1)
         )
         self.add_answer(sent, 200, body.encode(), complete=False)
@@ -113,7 +113,7 @@
     def test_stream_that_goes_on_at_another_backend(self):
         first = self.add_stream("s1", "v1")
         sent = SentRequest("s2", "draft", "entry-0", None, 1.0, 1)
-        body = b"id: 2\ndata: token 2 others v1 other-0\n\n"
+        body = b"id: 2\ndata: token 2 others v1 other-0 1\n\n"
         self.add_answer(sent, 200, body, complete=False)
         self.oracle.check_attempts([first, sent])
         self.assertEqual(["ORDER"], self.violated_rules())
@@ -137,7 +137,7 @@
         self.replica.software_version = "v7"
         data = self.replica._event_text(3)
         writers = event_writers(f"id: 3\ndata: {data}\n\n".encode())
-        self.assertEqual([("register", "v7", "register-0")], writers)
+        self.assertEqual([("register", "v7", "register-0", "1")], writers)
 
     def test_two_holders_with_one_token_and_too_many_adapters(self):
         self.replica.orders += [
