Check the processes of a stream's replicas before it goes on

What callers saw: in the soak of mixed versions, two streams joined from two versions. A replica had started again under its id with another version, and its new entry had not reached the host: one stream was sent to the new process, another began there and was recorded with the version of the old entry.

Cause: an entry was taken to describe whatever answers at its address.

Change: replicas tell the start time of their process in each report, so a host asks the replica to which a stream is about to go on, and the one that began it if it is still listed. If another process answers, that one gets nothing, or the request is refused. The origin of a stream names the process that began it, so StreamBegun and OriginReply have larger bounds. This costs two reports for each stream that goes on, and nothing for others.

--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -579,9 +579,9 @@
         DispatchRequest: 6 * 1024,
         DispatchReply: 1024,
         DispatchDone: 2 * 1024,
-        StreamBegun: 2 * 1024,
+        StreamBegun: 3 * 1024,
         OriginRequest: 64,
-        OriginReply: 2 * 1024,
+        OriginReply: 3 * 1024,
     }
 )
 
--- a/snipetrestle/coordination/order_messages.py
+++ b/snipetrestle/coordination/order_messages.py
@@ -48,7 +48,8 @@
 class ReplicaReport(msgspec.Struct, frozen=True):
     """State of a replica. ``versions_by_adapter`` includes those ``in_transit``.
 
-    ``replaced`` are those in transit of which an older version is still held.
+    ``replaced`` are those in transit of which an older version is still held. ``boot``
+    is the start time of the replica's process, None if it does not tell.
     """
 
     order_count: int
@@ -57,3 +58,4 @@
     versions_by_adapter: dict[AdapterKey, int]
     in_transit: frozenset[AdapterKey] = frozenset()
     replaced: frozenset[AdapterKey] = frozenset()
+    boot: int | None = None
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -42,6 +42,7 @@
 from snipetrestle.gateway.http_listener import HttpServer, status_server
 from snipetrestle.gateway.kept_prompts import KeptPrompts
 from snipetrestle.gateway.metrics import GatewayMetrics
+from snipetrestle.gateway.process_check import ProcessCheck
 from snipetrestle.gateway.published_state import PublishedState
 from snipetrestle.gateway.replica_entries import STORE_RETURN_GRACE_S
 from snipetrestle.gateway.replicas import ReplicaDirectory
@@ -214,6 +215,7 @@
             self.metrics,
             RequestLines(),
         )
+        self.process_check = ProcessCheck(self.replicas, platform.order_client.report)
         self.forwarder = Forwarder(self)
         self.caller_server = HttpServer(
             self.forwarder.handle,
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -51,8 +51,7 @@
         """
         self._current = exchange
         try:
-            await exchange.connect()
-            self._forwarder.reauthenticate(self._job)
+            await self._connect(exchange)
             exchange.send()
             while True:
                 try:
@@ -66,6 +65,19 @@
             # instead of by the garbage collector.
             self._current = None
 
+    async def _connect(self, exchange):
+        """Connects an exchange, and checks that its request may be sent now.
+
+        Raises ConnectFailed or Refused.
+        """
+        await exchange.connect()
+        try:
+            await self._forwarder.check_process(self._job, exchange.replica)
+        except ConnectFailed:
+            exchange.close()
+            raise
+        self._forwarder.reauthenticate(self._job)
+
     async def _serve_current(self, serve_exchange):
         self._current.watch(self._silence_s, self._on_silent, self._on_progress)
         return await serve_exchange(self._current)
@@ -156,8 +168,7 @@
             self._log_refused(refusal)
             return False
         try:
-            await replacement.connect()
-            self._forwarder.reauthenticate(self._job)
+            await self._connect(replacement)
             # Nothing may come between the booking and the sending.
             if not self._forwarder.try_book_retry(self._job, reason):
                 replacement.close()
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -74,6 +74,7 @@
         self._uses_permits = gateway.settings.dispatch_permits
         self._quota_check = QuotaCheck(gateway.quota_accounts)
         self._take_ups = gateway.take_ups
+        self._process_check = gateway.process_check
         self._rng = gateway.rng
         self._answer_memory = AnswerMemory(gateway.caller_memory)
         self._durations = UsualDurations()
@@ -447,7 +448,7 @@
         if not job.may_go_on_at(replica):
             raise ExchangeFailed("the stream began at another software version")
         if job.origin is None:
-            job.origin = StreamOrigin(replica.entry.backend, replica.software_version)
+            job.origin = StreamOrigin.from_replica(replica)
             self._take_ups.note_begun(job)
 
     # Retries.
@@ -492,6 +493,13 @@
             job.first_sent_at = anyio.current_time()
         return Exchange(self._dialect, job, replica, self._answer_memory.begin())
 
+    async def check_process(self, job, replica):
+        """Checks that a job may be sent on a connection to a replica.
+
+        Raises ConnectFailed or Refused.
+        """
+        await self._process_check.check(job, replica)
+
     def reauthenticate(self, job):
         """Checks the key of a request that is about to be sent. Raises Refused."""
         reauthenticate(self._state.configuration, job)
--- /dev/null
+++ b/snipetrestle/gateway/process_check.py
@@ -0,0 +1,77 @@
+"""Checks the processes of a stream's replicas before the stream goes on.
+
+A replica may start again under its id with another software version, and serve requests
+before its new entry reaches this host. Replicas tell the start time of their process.
+"""
+
+import asyncio
+
+import anyio
+
+from snipetrestle.codes import ResultCode
+from snipetrestle.gateway.exchange import ReplicaLeft
+from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.job import Refused
+
+# The replica that began the stream may have fallen silent.
+REPORT_TIMEOUT_S = 0.3
+
+
+class ProcessCheck:
+    """Checks jobs that go on with a stream.
+
+    ``replicas`` is the ReplicaDirectory. ``read_report(replica)`` returns a
+    ReplicaReport, and raises ConnectFailed or ExchangeFailed.
+    """
+
+    def __init__(self, replicas, read_report):
+        self._replicas = replicas
+        self._read_report = read_report
+
+    async def check(self, job, replica):
+        """Checks that a job may go on at a replica, to which it has a connection.
+
+        Raises ReplicaLeft if another process may answer there, and Refused if another
+        one than its record names may have begun the stream.
+        """
+        if job.origin is None or not job.backend.serves_models:
+            return
+        is_listed, may_differ = await asyncio.gather(
+            self._is_listed_process(replica), self._may_origin_differ(job.origin)
+        )
+        if may_differ:
+            code = ResultCode.STREAM_NOT_RESUMABLE
+            if job.may_have_run:
+                code = job.unknown_outcome_code
+            raise Refused(
+                code, reason="another process may have begun the stream under the id"
+            )
+        if not is_listed:
+            replica.note_may_be_replaced()
+            raise ReplicaLeft("another process may have taken the replica's place")
+
+    async def _is_listed_process(self, replica):
+        """Whether the process of a replica's entry answers; None without an answer.
+
+        Replicas that do not tell their start cannot be told apart.
+        """
+        report = None
+        with anyio.move_on_after(REPORT_TIMEOUT_S):
+            try:
+                report = await self._read_report(replica)
+            except (ConnectFailed, ExchangeFailed):
+                return None
+        if report is None:
+            return None
+        return report.boot in (None, replica.entry.boot)
+
+    async def _may_origin_differ(self, origin):
+        """Whether a stream may have begun at another version than its origin says.
+
+        A replica that does not answer has ended, perhaps while the stream ran.
+        """
+        replica = self._replicas.by_id.get(origin.replica_id)
+        if replica is None or replica.entry.boot != origin.boot:
+            known = replica is None or replica.entry.software_version == origin.version
+            return not known
+        return await self._is_listed_process(replica) is False
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -193,9 +193,13 @@
 
     def note_connect_failure(self):
         """Records that the replica accepts no connection, so that it may have ended."""
-        self._may_be_replaced_until = anyio.current_time() + REPLACED_TIME_S
+        self.note_may_be_replaced()
         self.note_silence()
 
+    def note_may_be_replaced(self):
+        """Records that another process may answer under the id of this one."""
+        self._may_be_replaced_until = anyio.current_time() + REPLACED_TIME_S
+
     def note_heard(self):
         self.last_heard_at = anyio.current_time()
 
--- a/snipetrestle/gateway/stream_origin.py
+++ b/snipetrestle/gateway/stream_origin.py
@@ -4,6 +4,7 @@
 import xxhash
 
 from snipetrestle.gateway.configuration import Name
+from snipetrestle.gateway.published_items import Revision
 
 # The length of a key of ``stream_key``.
 STREAM_KEY_BYTES = 16
@@ -13,11 +14,20 @@
     """The backend and the software version of the replica that began a stream.
 
     What two versions of a backend write does not fit together, and replicas do not
-    check whose events they go on from.
+    check whose events they go on from. ``replica_id`` and ``boot`` name the process
+    that began the stream; they are empty if only its version is known.
     """
 
     backend: Name
     version: Name
+    replica_id: Name = ""
+    boot: Revision = 0
+
+    @classmethod
+    def from_replica(cls, replica):
+        """Returns the origin of streams that a Replica begins now."""
+        entry = replica.entry
+        return cls(entry.backend, replica.software_version, entry.id, entry.boot)
 
     def allows(self, replica):
         """Whether a Replica may go on with the stream.
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -78,11 +78,14 @@
     models: list[_ReportedModel]
     # Adapters being loaded, as MODEL/NAME@VERSION.
     incoming: list[str] = []
+    # Start time of the process in ms of Unix time.
+    born: Revision | None = None
 
 
 class _KeptParts(msgspec.Struct):
     # An empty text, the id of a prompt part, its tokens and its model, in each entry.
     held: list[tuple[str, str, int, str]]
+    born: Revision | None = None
 
 
 _item_decoder = msgspec.json.Decoder(_Item)
@@ -267,6 +270,8 @@
         Raises ConnectFailed or ExchangeFailed.
         """
         kept = await self._get(replica, "kv-list", _kept_parts_decoder)
+        if kept.born not in (None, replica.entry.boot):
+            raise ExchangeFailed("kv-list: another process has taken the id")
         return frozenset(
             (model, part) for _, part, tokens, model in kept.held if tokens
         )
@@ -324,4 +329,5 @@
         versions | incoming,
         frozenset(incoming),
         frozenset(incoming.keys() & versions.keys()),
+        report.born,
     )
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -281,6 +281,7 @@
             "models": self._model_entries(),
             "busy": False,
             "seq": self.order_count,
+            "born": self.boot,
             "queued": 0,
             "running": self.running,
             "incoming": [f"{self.model}/{name}@1" for name in self.incoming],
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -320,6 +320,45 @@
         # The deadline of the route is 5 s.
         self.assertLess(duration_s, 2.5)
 
+    def run_with_unlisted_restart(self, choose, versions):
+        """Restarts a replica whose new entry is late; returns the status of a take-up.
+
+        ``choose(replicas, began_at)`` returns the replica. Its new process must not run
+        the request.
+        """
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.event_interval_s = 0.02
+            last_id = await begin_stream(fleet.live[0], "first", adapter="")
+            began_at = next(replica for replica in fleet.models if replica.runs)
+            restarted = choose(fleet.models, began_at)
+            restarted.boot += 1
+            restarted.software_version = "v9"
+            answer = await take_up(
+                fleet, fleet.live[0], "first", last_id, "again", adapter=""
+            )
+            self.assertNotIn("again", [run[0] for run in restarted.runs])
+            return answer.status
+
+        return run_versions(check, versions)
+
+    def test_stream_of_a_process_that_was_replaced_may_have_begun_there(self):
+        """Guards against the version of an entry taken for that of a later process."""
+        status = self.run_with_unlisted_restart(
+            lambda replicas, began_at: began_at, ["v1", "v1"]
+        )
+        self.assertEqual(503, status)
+
+    def test_stream_goes_on_at_no_process_that_was_replaced(self):
+        """Guards against a stream sent to a process that its entry does not describe."""
+
+        def other(replicas, began_at):
+            return next(item for item in replicas if item is not began_at)
+
+        status = self.run_with_unlisted_restart(other, ["v1", "v1"])
+        self.assertEqual(200, status)
+
     def test_stream_of_another_request_is_not_known(self):
         """Guards against a caller that goes on with the stream of another request."""
 
