Take no version from the entry of a replica that was replaced

A replica that restarts under its id with another software version is reached at its address before its new entry arrives. The stream that begins there then had the version of the earlier process in its record, even if the new entry came before the first event, and was taken up at a replica of the wrong version.

The version of a replica object now counts as unknown once another process is listed under its id. The test failed before with status 200 instead of 503.

--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -200,6 +200,14 @@
         """Records that another process may answer under the id of this one."""
         self._may_be_replaced_until = anyio.current_time() + REPLACED_TIME_S
 
+    def note_replaced(self):
+        """Records that another process has taken the replica's id.
+
+        A response that comes now may be from that process, on a connection to its
+        address.
+        """
+        self._may_be_replaced_until = math.inf
+
     def note_heard(self):
         self.last_heard_at = anyio.current_time()
 
@@ -309,6 +317,7 @@
             known.entry = entry
             return
         if known is not None:
+            known.note_replaced()
             self.unlist(entry.id)
         log_event(
             Event.REPLICA_LISTED,
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -358,6 +358,35 @@
 
         status = self.run_with_unlisted_restart(other, ["v1", "v1"])
         self.assertEqual(200, status)
+    def test_replica_that_was_replaced_before_its_first_event_records_nothing(self):
+        """Guards against the version of an earlier process in the record of a stream."""
+
+        async def check(fleet):
+            replaced, other = fleet.models
+            other.refuses_requests = True
+            model = replaced.model
+            replaced.restart()
+            replaced.model = model
+            replaced.boot += 1
+            replaced.software_version = "v2"
+            replaced.event_interval_s = 0.4
+            # This host still knows the earlier process, and sends to its address.
+            beginning = asyncio.create_task(
+                begin_stream(fleet.live[0], "first", events=1, adapter="")
+            )
+            await wait_until(lambda: replaced.runs)
+            fleet.publish(replaced)
+            by_id = fleet.live[0].replicas.by_id
+            await wait_until(lambda: by_id[replaced.id].entry.software_version == "v2")
+            self.assertFalse(beginning.done())
+            last_id = await beginning
+            other.refuses_requests = False
+            return await take_up(
+                fleet, fleet.live[0], "first", last_id, "again", adapter=""
+            )
+
+        answer = run_versions(check, ["v1", "v1"])
+        self.assertEqual(503, answer.status)
 
     def test_stream_of_another_request_is_not_known(self):
         """Guards against a caller that goes on with the stream of another request."""
