Keep a silent call's replica until its replacement is complete

What callers saw: nothing that was measured.

Cause: the head of the response counted as its acceptance, so the first exchange was ended before the body had come, and both attempts of the route were used.

Change: a call's replacement is accepted once its body is complete. If the first replica goes on before that, the replacement is dropped, as before its head.

--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -533,9 +533,9 @@
     async def refusal_reason(self, job, exchange, max_wait_s):
         """Returns why a replica does not accept a replacement; None if it does.
 
-        It accepts by beginning a response that can be passed on, or by not refusing the
-        request within ``max_wait_s``, if that is given. Raises ExchangeFailed if the
-        replacement fails.
+        It accepts by a response that can be passed on, which for a stream need only have
+        begun, or by not refusing the request within ``max_wait_s``, if that is given.
+        Raises ExchangeFailed if the replacement fails.
         """
         head = None
         with anyio.move_on_after(max_wait_s):
@@ -550,6 +550,9 @@
         if not _is_authentic(metadata):
             raise ExchangeFailed(f"response {head.status} is unsigned or encoded")
         if head.status == 200 or (head.status < 500 and not job.streaming):
+            if not is_stream:
+                # Its body may end early, when the first replica has been given up.
+                await exchange.read_body()
             return None
         if not is_stream:
             body = await exchange.read_body()
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -58,6 +58,13 @@
     return serve
 
 
+async def close_within_answer(replica, request, writer):
+    """Sends a response but for its last bytes, and resets the connection later."""
+    writer.write(response(200, replica._proof_headers(request), b"whole")[:-2])
+    await asyncio.sleep(0.2)
+    writer.transport.abort()
+
+
 async def answer_error_in_two_parts(replica, request, writer):
     """Sends status 500 with one half of its body, and the other half later."""
     content = response(500, replica._proof_headers(request), ERROR_BODY)
@@ -151,6 +158,12 @@
             [answer_after(1.2), refuse_after(0.5), refuse_after(0)], [(200, b"whole")]
         )
 
+    def test_replacement_that_breaks_off_loses_no_answer(self):
+        """Guards against a call given up for a response that ends within its body."""
+        self.check_call(
+            [answer_after(1.2), close_within_answer], [(200, b"whole")], one_retry=False
+        )
+
     def test_slow_call_is_sent_to_its_only_replica_once_more_at_most(self):
         """Guards against a call that is ended and started anew again and again."""
         arrivals = self.check_call(
