Let a stream go back to the only replica of its version

Cause: a replica that has failed a request counted as gone. Change: it counts if there is no other of the version, up to four returns.

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -14,6 +14,9 @@
 
 # Reason of refusals, for the log.
 NO_REPLICA_OF_VERSION = "no replica of the version that began the stream is ready"
+# A stream goes back to a replica that failed it if there is no other of its version,
+# unless it was sent more often than this.
+MAX_RETURNS = 4
 # Retry-After of refused requests.
 RETRY_AFTER_S = 0.5
 # Pause before the leader is asked again about an adapter without a place to use.
@@ -71,8 +74,10 @@
         """
         if job.origin is None:
             return
-        failed = self._failed_ids(job)
-        if any(item.id not in failed for item in self._chooser.replicas_for(job)):
+        replicas = self._chooser.replicas_for(job)
+        if any(item.id not in self._failed_ids(job) for item in replicas):
+            return
+        if replicas and job.send_count <= MAX_RETURNS:
             return
         if job.may_have_run:
             raise Refused(job.unknown_outcome_code, reason=NO_REPLICA_OF_VERSION)
@@ -176,7 +181,11 @@
             for item in job.adapter_missing_on
             if job.adapter_missing_on.count(item) > 1
         }
-        return [*self._failed_ids(job), *repeatedly_missing]
+        failed = self._failed_ids(job)
+        if job.origin is not None:
+            others = [item.id for item in self._chooser.replicas_for(job)]
+            failed = [] if set(others) <= set(failed) else failed
+        return [*failed, *repeatedly_missing]
 
     @staticmethod
     def _failed_ids(job):
