Take no replica's version for unknown after a failed connection

A sound replica whose connection failed once could not go on with any stream for 3 s, and streams that began there could not be taken up (found by a review).

--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -176,7 +176,7 @@
             replacement.send()
         except ConnectFailed as error:
             if not isinstance(error, (ConnectionsExhausted, ReplicaLeft)):
-                replica.note_connect_failure()
+                replica.note_silence()
             self._log_dropped(str(error))
             return False
         except Refused as refusal:
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -41,8 +41,8 @@
 MIN_CHOICE_POWER = 4.0
 CHOICE_POWER_HOSTS = 84.0
 MAX_REMEMBERED_LEAVING = 4096
-# A replica that may have ended may have been replaced by a process with its id, whose
-# entry reaches this host within this time.
+# The entry of a process that has taken a replica's id reaches this host within this
+# time.
 REPLACED_TIME_S = 3.0
 # How long it is remembered that a replica of a software version has left the list. If
 # it restarts with another version, nothing else shows that the old one is replaced.
@@ -191,11 +191,6 @@
             return ""
         return self.entry.software_version
 
-    def note_connect_failure(self):
-        """Records that the replica accepts no connection, so that it may have ended."""
-        self.note_may_be_replaced()
-        self.note_silence()
-
     def note_may_be_replaced(self):
         """Records that another process may answer under the id of this one."""
         self._may_be_replaced_until = anyio.current_time() + REPLACED_TIME_S
