--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -6,6 +6,7 @@
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.dialect import (
     KeyProblem,
+    PromptPart,
     RequestMetadata,
     ResponseMetadata,
     TokenCount,
@@ -243,10 +244,14 @@
 
 
 def _own_prompt_part(value):
-    """Returns the id of the last prompt part, None without any."""
+    """Returns the last part (``ID:TOKENS``) of a prompt; None if it is malformed."""
     if value is None:
         return None
-    return value.decode("latin-1").split(",")[-1].partition(":")[0].strip() or None
+    part_id, _, count = value.rpartition(b",")[2].partition(b":")
+    tokens = _number(count)
+    if tokens is None or not part_id.strip():
+        return None
+    return PromptPart(part_id.strip().decode("latin-1"), tokens)
 
 
 def _named_by_connection(headers):
