Infer the version of a stream only if its age is known

By a review: a host that had seen no longer deadline took the time that was left of one for the whole, so a stream could count as new, and go on at a version that came later (shown with a deadline of 30 s on a route with a timeout of 10 s). Only the deadlines of new requests count now, and if more time is left than any of them, nothing is inferred. What is inferred is kept in no record and told to no host, so made-up names displace none.

--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -350,7 +350,6 @@
         while True:
             self._crash_check.check(job)
             replica = await self._search.find_stream_replica(job)
-            self._take_ups.note_replica(job, replica)
             # A crash during the wait may have shown that the request is the cause.
             self._crash_check.check(job)
             try:
@@ -380,6 +379,7 @@
         if head.status != 200:
             return await self._handle_stream_failure(job, exchange, head, metadata)
         exchange.accept_response()
+        self._take_ups.note_accepted(job, exchange.replica)
         if job.request.is_head:
             # No part of the prompt has run, so nothing is known of it.
             await exchange.read_body()
@@ -459,7 +459,7 @@
         if isinstance(error, ConnectionsExhausted):
             raise self._search.unavailable_refusal(job, str(error))
         if not isinstance(error, ReplicaLeft):
-            replica.note_connect_failure()
+            replica.note_silence()
         job.connect_failures += 1
         if job.connect_failures >= MAX_CONNECT_FAILURES:
             raise self._search.unavailable_refusal(
--- a/snipetrestle/gateway/take_ups.py
+++ b/snipetrestle/gateway/take_ups.py
@@ -58,9 +58,9 @@
 
     async def resolve(self, job):
         """Sets the origin of a stream that is taken up. Raises Refused if unknown."""
-        self._note_deadline(job)
         metadata = job.metadata
         if metadata.last_event_id is None:
+            self._note_deadline(job)
             return
         job.take_up = TakeUp(metadata.resumes)
         origin = await self._find(job)
@@ -82,19 +82,18 @@
                 return known.origin
         if len(job.route.backends) > 1:
             return None
-        origin = await self._infer(job)
-        if origin is not None and began_as is not None:
-            key = _key_of(job, began_as)
-            self._records.note_learned(key, origin, self._life_s(job))
-        return origin
+        # What is inferred is told to no other host: only records are.
+        return await self._infer(job)
 
     async def _infer(self, job):
         """Returns the only StreamOrigin that a stream without a record can have."""
         backend = job.backend.name
-        origin = await self._history.only_origin(backend, self._longest_age_s(job))
-        if origin is not None:
-            job.take_up.known_by = ONLY_VERSION
-            return origin
+        age_s = self._longest_age_s(job)
+        if age_s is not None:
+            origin = await self._history.only_origin(backend, age_s)
+            if origin is not None:
+                job.take_up.known_by = ONLY_VERSION
+                return origin
         adapter, part = job.metadata.adapter, job.metadata.own_prompt_part
         if adapter is None or part is None:
             return None
@@ -116,7 +115,7 @@
         job.backend = backend
 
     def _note_deadline(self, job):
-        """Keeps the longest deadline that callers of a route have named."""
+        """Keeps the longest deadline that callers of a route name at first."""
         deadline_s = job.metadata.deadline_s
         if deadline_s is None:
             return
@@ -138,20 +137,21 @@
     def _longest_age_s(self, job):
         """Returns how long ago the request that began a stream was sent at most.
 
-        Callers name the time that is left of their deadlines.
+        Callers name the time that is left of their deadlines. Returns None if nothing
+        tells how long the deadline was.
         """
         life_s, left_s = self._life_s(job), job.metadata.deadline_s
-        if left_s is None or left_s > life_s:
+        if left_s is None:
             # The first event may have come long after the request.
             return life_s + job.route.timeout_s
-        return life_s - left_s
+        return life_s - left_s if left_s < life_s < MAX_STREAM_LIFE_S else None
 
-    def note_replica(self, job, replica):
-        """Logs and counts a stream that is taken up at a replica."""
-        self._note_result(job, "sent", replica=replica.id)
+    def note_accepted(self, job, replica):
+        """Logs and counts a stream that a replica goes on with."""
+        self._note_result(job, "accepted", replica=replica.id)
 
     def note_refused(self, job, refusal):
-        """Logs and counts a stream that is not taken up at any replica."""
+        """Logs and counts a stream that no replica goes on with."""
         reason = refusal.fields.get("reason", str(refusal))
         self._note_result(job, "refused", code=str(refusal.code), reason=reason)
 
