--- a/snipetrestle/gateway/dialect.py
+++ b/snipetrestle/gateway/dialect.py
@@ -29,13 +29,6 @@
     REPEATED = "several keys"
 
 
-class PromptPart(msgspec.Struct, frozen=True):
-    """A part of a prompt, with its number of tokens."""
-
-    id: str
-    tokens: int
-
-
 class RequestMetadata(msgspec.Struct):
     """Metadata from the headers of a caller's request.
 
@@ -45,7 +38,7 @@
     ``token_count`` tells whether their header was absent, valid or malformed.
     ``shared_prompt_parts`` are the keys of the parts of the prompt, in order, without
     those that belong to this request alone; see ``prompt_part_key``. ``own_prompt_part``
-    is the PromptPart that does, or None. ``key_digest`` is
+    is the id of the part that does, or None. ``key_digest`` is
     the digest of the caller's API key; it is None with a ``key_problem``.
     ``resumes`` is the id of the request that began the stream which this one takes up,
     or None. ``has_bad_resumes`` tells that such an id is malformed, or lacks the event
@@ -62,7 +55,7 @@
     token_count: TokenCount = TokenCount.ABSENT
     key_digest: str | None = None
     key_problem: KeyProblem | None = KeyProblem.MISSING
-    own_prompt_part: PromptPart | None = None
+    own_prompt_part: str | None = None
     resumes: bytes | None = None
     has_bad_resumes: bool = False
 
--- a/snipetrestle/gateway/kept_prompts.py
+++ b/snipetrestle/gateway/kept_prompts.py
@@ -1,7 +1,7 @@
 """Tells which software version has run a request, by the prompts that replicas keep.
 
 The last part of a prompt belongs to its request alone, or to the session of its caller.
-A replica that keeps all of it has read that prompt. That helps when no host knows what
+A replica that keeps it has read that prompt. That helps when no host knows what
 began a stream, as after a restart of all of them.
 """
 
@@ -16,11 +16,11 @@
 # Questions that come within this time share the listings of replicas.
 GATHER_S = 0.01
 # Between two listings of a replica: each delays its work, and has a price.
-MIN_INTERVAL_S = 1.0
+MIN_INTERVAL_S = 0.25
 # A request waits no longer for the listings.
-ANSWER_TIMEOUT_S = 1.6
+ANSWER_TIMEOUT_S = 0.6
 # If a backend has more replicas, only those are asked that list the request's adapter.
-MAX_ASKED_REPLICAS = 48
+MAX_ASKED_REPLICAS = 32
 # Processes whose last listings are remembered.
 MAX_PROCESSES = 4096
 
@@ -28,8 +28,8 @@
 class KeptPrompts:
     """Asks replicas for the prompt parts that they keep.
 
-    ``replicas`` is the ReplicaDirectory. ``read_kept_parts(replica)`` returns the kept
-    tokens by (model, id of a prompt part), and raises ConnectFailed or ExchangeFailed.
+    ``replicas`` is the ReplicaDirectory. ``read_kept_parts(replica)`` returns a set of
+    (model, id of a prompt part), and raises ConnectFailed or ExchangeFailed.
     """
 
     def __init__(self, replicas, read_kept_parts):
@@ -40,11 +40,10 @@
         self._begun_at_by_process = collections.OrderedDict()
 
     async def only_origin(self, backend, adapter, part):
-        """Returns the StreamOrigin of the replicas that keep a PromptPart.
+        """Returns the StreamOrigin of the replicas that keep a prompt part.
 
         Returns None if there are none, or if more than one version may keep it: a
-        replica that does not answer may do so as well. One that keeps a piece may have
-        read an earlier, shorter prompt of the session. ``adapter`` is the AdapterKey of
+        replica that does not answer may do so as well. ``adapter`` is the AdapterKey of
         the request.
         """
         asked = self._replicas_to_ask(backend, adapter)
@@ -56,11 +55,9 @@
         is_kept = False
         for replica in asked:
             kept_parts = _result(listings[replica.process_id])
-            tokens = 0
-            if kept_parts is not None:
-                tokens = kept_parts.get((adapter.model, part.id), 0)
-            is_kept = is_kept or 0 < part.tokens <= tokens
-            if tokens or kept_parts is None:
+            keeps_it = kept_parts is not None and (adapter.model, part) in kept_parts
+            is_kept = is_kept or keeps_it
+            if keeps_it or kept_parts is None:
                 versions.add(replica.software_version)
         if not is_kept or len(versions) > 1:
             return None
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -265,14 +265,14 @@
         return _report_from(await self._get(replica, "report", _report_decoder))
 
     async def kept_parts(self, replica):
-        """Returns the tokens that a replica keeps by model and id of a prompt part.
+        """Returns the prompt parts that a replica keeps, as a set of (model, id).
 
         Raises ConnectFailed or ExchangeFailed.
         """
         kept = await self._get(replica, "kv-list", _kept_parts_decoder)
         if kept.born not in (None, replica.entry.boot):
             raise ExchangeFailed("kv-list: another process has taken the id")
-        return {(model, part): tokens for _, part, tokens, model in kept.held}
+        return {(model, part) for _, part, tokens, model in kept.held if tokens}
 
     async def _get(self, replica, name, decoder):
         """Returns what a replica says of itself. Raises ConnectFailed, ExchangeFailed."""
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -6,7 +6,6 @@
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.dialect import (
     KeyProblem,
-    PromptPart,
     RequestMetadata,
     ResponseMetadata,
     TokenCount,
@@ -244,14 +243,11 @@
 
 
 def _own_prompt_part(value):
-    """Returns the last part (``ID:TOKENS``) of a prompt; None if it is malformed."""
+    """Returns the id of the last part (``ID:TOKENS``) of a prompt, None without any."""
     if value is None:
         return None
-    part_id, _, count = value.rpartition(b",")[2].partition(b":")
-    tokens = _number(count)
-    if tokens is None or not part_id.strip():
-        return None
-    return PromptPart(part_id.strip().decode("latin-1"), tokens)
+    part_id = value.rpartition(b",")[2].partition(b":")[0]
+    return part_id.strip().decode("latin-1") or None
 
 
 def _named_by_connection(headers):
