Send no report or listing to a replica that has asked for a pause

A host that was asked to pause sends that replica nothing, but the check of processes and the listing of kept prompts did. Such a replica counts as one that does not answer. The test fails before: two calls reached the replica.

--- a/snipetrestle/gateway/kept_prompts.py
+++ b/snipetrestle/gateway/kept_prompts.py
@@ -95,6 +95,8 @@
             wait_s = max(wait_s, begun_at + MIN_INTERVAL_S - anyio.current_time())
         await anyio.sleep(wait_s)
         self._note_begun(process_id)
+        if replica.pause.is_active:
+            return None
         try:
             return await self._read_kept_parts(replica)
         except (ConnectFailed, ExchangeFailed):
--- a/snipetrestle/gateway/process_check.py
+++ b/snipetrestle/gateway/process_check.py
@@ -53,8 +53,11 @@
     async def _is_listed_process(self, replica):
         """Whether the process of a replica's entry answers; None without an answer.
 
-        Replicas that do not tell their start cannot be told apart.
+        Replicas that do not tell their start cannot be told apart. One that has asked
+        for a pause is not asked.
         """
+        if replica.pause.is_active:
+            return None
         report = None
         with anyio.move_on_after(REPORT_TIMEOUT_S):
             try:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -273,6 +273,44 @@
         )
         self.assertEqual(503, answer.status)
 
+    def test_replica_that_has_asked_for_a_pause_is_not_asked(self):
+        """Guards against reports and listings that reach a replica in its pause."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.event_interval_s = 0.02
+            prompt = [("X-Prompt-Prefix", "shared:10,own:5")]
+            last_id = await begin_stream(
+                fleet.live[0], "first", adapter="", headers=prompt
+            )
+            began_at = next(replica for replica in fleet.models if replica.runs)
+            gateway = fleet.live[0]
+            paused = gateway.replicas.by_id[began_at.id]
+            paused.pause.note(30.0)
+            asked = []
+            report = gateway.process_check._read_report
+            kept_prompts = gateway.take_ups._kept_prompts
+
+            async def note_report(replica):
+                asked.append(replica.id)
+                return await report(replica)
+
+            gateway.process_check._read_report = note_report
+            kept_prompts._read_kept_parts = note_report
+            for began_as in ("first", "unknown"):
+                await take_up(
+                    fleet,
+                    gateway,
+                    began_as,
+                    last_id,
+                    "again",
+                    adapter="",
+                    headers=prompt,
+                )
+            self.assertNotIn(began_at.id, asked)
+
+        run_versions(check, ["v1", "v1", "v2"])
+
     def test_replica_that_does_not_list_its_prompts_may_keep_one(self):
         """Guards against a replica without an answer taken for one without a prompt."""
 
