--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -262,7 +262,11 @@
 
     async def report(self, replica):
         """Returns a ReplicaReport. Raises ConnectFailed or ExchangeFailed."""
-        return _report_from(await self._get(replica, "report", _report_decoder))
+        report = await self._get(replica, "report", _report_decoder)
+        try:
+            return _report_from(report)
+        except ValueError as error:
+            raise ExchangeFailed(f"report: {error}") from None
 
     async def kept_parts(self, replica):
         """Returns the prompt parts that a replica keeps, as a set of (model, id).
