--- a/snipetrestle/gateway/configuration.py
+++ b/snipetrestle/gateway/configuration.py
@@ -148,6 +148,13 @@
     report_number: int = 0
     software_version: str = ""
 
+    def lists_adapter(self, key):
+        """Whether the replica says that it holds an AdapterKey's adapter."""
+        return any(
+            model.name == key.model and key.adapter in model.versions_by_adapter
+            for model in self.models
+        )
+
 
 class AdapterKey(msgspec.Struct, frozen=True, order=True, array_like=True):
     """Identifies an adapter of a model; the base model has an empty adapter name."""
--- a/snipetrestle/gateway/kept_prompts.py
+++ b/snipetrestle/gateway/kept_prompts.py
@@ -71,7 +71,7 @@
         """
         replicas = list(self._replicas.listed_replicas(backend))
         if len(replicas) > MAX_ASKED_REPLICAS and adapter.adapter:
-            replicas = [item for item in replicas if _lists(item.entry, adapter)]
+            replicas = [item for item in replicas if item.entry.lists_adapter(adapter)]
         return [] if len(replicas) > MAX_ASKED_REPLICAS else replicas
 
     def _next_listing(self, replica):
@@ -111,13 +111,6 @@
             begun_at.popitem(last=False)
 
 
-def _lists(entry, adapter):
-    return any(
-        model.name == adapter.model and adapter.adapter in model.versions_by_adapter
-        for model in entry.models
-    )
-
-
 def _result(task):
     """Returns the result of a listing; None if it has not ended, or has failed."""
     if not task.done() or task.cancelled() or task.exception() is not None:
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -401,11 +401,7 @@
         return [
             replica.id
             for replica in self.by_id.values()
-            if replica.takes_requests
-            and any(
-                model.name == key.model and key.adapter in model.versions_by_adapter
-                for model in replica.entry.models
-            )
+            if replica.takes_requests and replica.entry.lists_adapter(key)
         ]
 
     def choose(self, candidates, hosts=1):
