Measure a replica's pause from the request that it turned away

What was seen: test_adapter_of_a_paused_holder_is_loaded_elsewhere failed 4 of 20 times beside a load average of 18, with 3 to 5 requests at the holder where 2 are allowed.

Cause, in the test: it took the time of the answer for the start of the pause. That answer comes from another replica, after a load of the adapter: 0.34 s later on an idle machine. So the last part of the checked 1.5 s was after the pause's end (2.0 to 2.4 s after the refusal), where requests to the holder are right. With the event loop blocked for 0.4 s when the load was ordered, 2 of 12 runs failed, with 5 and 11 requests.

Change: the pause is measured from the arrival of the refused request. The bound and the length of the checked time stay.

--- a/tests/gateway/test_replica_pauses.py
+++ b/tests/gateway/test_replica_pauses.py
@@ -22,13 +22,17 @@
 
 class PauseTest(testtools.TestCase):
     async def ask_for_pause(self, fleet, replica, path, pause_s=PAUSE_S, **options):
-        """Sends requests until ``replica`` has turned one away."""
+        """Sends requests until ``replica`` has turned one away.
+
+        ``asked_at`` is when that request arrived. Its answer may come much later, from
+        another replica, and the pause has begun long before.
+        """
         replica.retry_after = pause_s
         replica.faults = [Fault.REFUSED]
         before = len(replica.arrived_requests)
         while len(replica.arrived_requests) == before:
             answer = await fleet.send_request(path, **options)
-        self.asked_at = asyncio.get_running_loop().time()
+        self.asked_at = replica.arrival_times[before]
         return answer
 
     def assert_paused(self, replica, pause_s=PAUSE_S):
