Leave stalls of the machine out of the time that a refusal takes

What was seen: test_requests_are_refused_at_once_while_all_replicas_pause failed once beside a load average of 12 to 14, as a refusal took 0.58 s instead of 0.2 s.

Cause, in the test: it measured the real time of a request in a process that the machine may not run for a while; a stall of 0.587 s was seen there.

Change: the test runs on a StallFreeLoop. Its time passes while the loop waits, at most until its next timer, and by the processor time of its thread. Gateway, replicas and callers all use this time. The bound stays 0.2 s.

--- a/tests/gateway/running.py
+++ b/tests/gateway/running.py
@@ -11,15 +11,18 @@
 TEST_TIMEOUT_S = 40.0
 
 
-def run_fleet(function, **options):
-    """Runs ``function(GatewayFleet(**options))`` and returns its result."""
+def run_fleet(function, loop_factory=None, **options):
+    """Runs ``function(GatewayFleet(**options))`` and returns its result.
+
+    Tests that measure short times run on a ``loop_factory`` of StallFreeLoop.
+    """
 
     async def main():
         with anyio.fail_after(TEST_TIMEOUT_S):
             async with GatewayFleet(**options) as fleet:
                 return await function(fleet)
 
-    return anyio.run(main)
+    return anyio.run(main, backend_options={"loop_factory": loop_factory})
 
 
 def run_connection(handle, function, limits=CallerLimits):
--- a/tests/gateway/test_replica_pauses.py
+++ b/tests/gateway/test_replica_pauses.py
@@ -9,6 +9,7 @@
 from snipetrestle.gateway.replica_pause import MAX_PAUSE_S
 from snipetrestle.platform.calls import OrderClient
 from snipetrestle.platform.headers import PlatformDialect
+from snipetrestle_standins.clock import StallFreeLoop
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
@@ -139,7 +140,7 @@
                 known = fleet.gateways[0].replicas.by_id[replica.id]
                 await wait_until(lambda known=known: known.is_available)
 
-        run_fleet(check, registers=1, models=1)
+        run_fleet(check, loop_factory=StallFreeLoop, registers=1, models=1)
 
     def test_request_waits_for_a_pause_that_ends_soon(self):
         """A refusal costs the caller more than a wait within its target."""
