--- a/snipetrestle_standins/gateway_fleet.py
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -242,16 +242,22 @@
         Raises RuntimeError if a gateway ends, TimeoutError after READY_TIMEOUT_S.
         """
         async with asyncio.timeout(READY_TIMEOUT_S):
-            for gateway in self.live:
-                await gateway.state.ready.wait()
-            while not self.leaders() or not self._agree_on_leader():
-                for gateway, task in self._tasks.items():
-                    if task.done():
-                        raise RuntimeError(
-                            f"{gateway.settings.name} ended before all were ready"
-                        ) from (task.exception())
+            while not self._are_ready():
+                self._check_running()
                 await asyncio.sleep(0.01)
 
+    def _are_ready(self):
+        if not all(gateway.state.ready.is_set() for gateway in self.live):
+            return False
+        return bool(self.leaders()) and self._agree_on_leader()
+
+    def _check_running(self):
+        """Raises RuntimeError if a gateway has ended, which also SIGTERM makes it do."""
+        for gateway, task in self._tasks.items():
+            if task.done():
+                error = None if task.cancelled() else task.exception()
+                raise RuntimeError(f"{gateway.settings.name} has ended") from error
+
     def leaders(self):
         return [gateway for gateway in self.live if gateway.leadership.leads]
 
@@ -260,8 +266,12 @@
         return len(names) == 1 and len(self.leaders()) == 1
 
     async def send_request(self, path, gateway=None, **options):
-        """Sends one request on a new connection and returns the Response."""
+        """Sends one request on a new connection and returns the Response.
+
+        Raises RuntimeError if a gateway has ended by itself.
+        """
         gateway = gateway or self.live[0]
+        self._check_running()
         async with Caller(gateway.settings.callers) as caller:
             return await caller.send_request(path, **options)
 
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -2,6 +2,8 @@
 
 import random
 import socket
+import subprocess
+import sys
 
 import testtools
 
@@ -27,3 +29,17 @@
         with socket.socket() as other:
             other.bind(("127.0.0.2", port))
             self.assertNotEqual(port, ports.free_port())
+
+    def test_port_is_not_returned_to_another_run_before_it_is_bound(self):
+        """A gateway did not start, since another run had chosen its port as well and
+        had bound it first."""
+        self.patch(ports, "_random", random.Random(3))
+        port = ports.free_port()
+        choose = (
+            "import random; from snipetrestle_standins import ports; "
+            "ports._random = random.Random(3); print(ports.free_port())"
+        )
+        result = subprocess.run(
+            [sys.executable, "-c", choose], capture_output=True, text=True, check=True
+        )
+        self.assertNotEqual(port, int(result.stdout))
