Let a majority order first after a leader was cut off

A minority waited for 0 to 4 s more than a majority, by its name, and a new leader's orders show up to 2 s after its election. And a majority watched the replicas only once hosts counted as lost, up to 3 s later than a minority, which is in doubt at once. A minority now waits for 3 to 7 s more, and a candidate watches the replicas since the first probe that does not find the leader's process ended.

The new test (nine hosts, four times of the second cut) failed before, with entry-2 and entry-8 leading; with the longer wait alone it failed too (election of the majority at 21.6 s, of the minority at 22.4 and 23.4 s). With both, the majority leads at 18.2 to 21.4 s, and the minority not at all.

--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -43,8 +43,12 @@
 HOST_BITS = 10
 # A shorter suspension is ignored.
 MIN_SUSPENSION_S = 0.5
-# Groups of hosts that are cut off from each other and all see no leader wait up to this
-# much longer than the lease, each differently, so that not all of them lead at once.
+# A minority waits this much longer than a majority: the orders of a new leader of the
+# majority showed to it up to 2 s after the election (0.9 s until the first order, then
+# the delay of reports and the interval at which they are read).
+MINORITY_DELAY_S = 3.0
+# Minorities that are cut off from each other and all see no leader wait up to this much
+# longer still, each differently, so that not all of them lead at once.
 SPLIT_DELAY_S = 4.0
 # Number of likely next leaders to which all hosts send heartbeats.
 ANNOUNCED_CANDIDATES = 3
@@ -279,7 +283,10 @@
         host = self._hosts.by_name.get(self.leader)
         if host is not None and await self._probe(host):
             self._set_leader_process_ended()
-        elif age_s > self._lease_s + CUT_OFF_LEADER_RESIGNS_S:
+            return
+        # Watched from now on, since hosts that are still silent may become lost ones.
+        self._are_replicas_quiet()
+        if age_s > self._lease_s + CUT_OFF_LEADER_RESIGNS_S:
             self._leader_ended = True
 
     def _set_leader_process_ended(self):
@@ -316,12 +323,16 @@
         return ""
 
     def _split_delay_s(self):
-        """Returns the additional wait of a minority, which differs between minorities."""
+        """Returns the additional wait of a minority, which differs between minorities.
+
+        It is 0 for a host that reaches a majority, so that this one leads first.
+        """
         lost_names = self._hosts.lost.by_name.keys()
         if self._has_majority(lost_names):
             return 0.0
         names = sorted({*self._hosts.staying_names(), *lost_names})
-        return SPLIT_DELAY_S * names.index(self._hosts.own.name) / len(names)
+        own_part = names.index(self._hosts.own.name) / len(names)
+        return MINORITY_DELAY_S + SPLIT_DELAY_S * own_part
 
     def _is_leader_heard_by_others(self):
         # The age in a heartbeat is as of its sending, so the age of the heartbeat is
--- a/tests/coordination/test_partitions.py
+++ b/tests/coordination/test_partitions.py
@@ -98,8 +98,8 @@
 
     LOOKUP_INTERVAL_S = 0.3
 
-    def __init__(self):
-        self.fleet = OrdersFleet(NAMES)
+    def __init__(self, names=NAMES):
+        self.fleet = OrdersFleet(names)
         self.is_paused = False
         self._numbers = itertools.count()
 
@@ -221,6 +221,35 @@
 
         self.check_no_turns(steps)
 
+    def test_minority_does_not_lead_beside_a_new_leader_of_the_majority(self):
+        """Orders of the new leader show only after a while: a host of three led beside
+        that of 52 hosts, and its higher token drove the other one out."""
+        names = tuple(f"entry-{number}" for number in range(1, 10))
+        minority, others = names[:2], set(names[2:])
+
+        async def watch(load):
+            while True:
+                await anyio.sleep(0.05)
+                led_by = {host.name for host in load.leaders()}
+                self.assertFalse(led_by & set(minority) and led_by & others, led_by)
+
+        for pause_s in (5.0, 6.0, 7.0, 8.0):
+
+            async def steps(load, pause_s=pause_s):
+                network = load.fleet.network
+                network.partition(minority, others)
+                await anyio.sleep(pause_s)
+                (leader,) = load.leaders()
+                network.partition((leader.name,), set(names) - {leader.name})
+                async with anyio.create_task_group() as group:
+                    group.start_soon(watch, load)
+                    await anyio.sleep(20.0)
+                    group.cancel_scope.cancel()
+                network.heal()
+
+            with self.subTest(pause_s=pause_s):
+                run_in_virtual_time(FleetUnderLoad(names).play, steps)
+
     def test_three_groups_do_not_all_lead(self):
         async def steps(load):
             fleet = load.fleet
