Let no host that heard no majority lead again before the others

A host that has resigned led again 0.45 s later, ahead of those that precede it. That is right after a suspension, since only it can have sent orders. A leader that hears no majority may be too busy to receive the heartbeats, and hears them as soon as it no longer leads.

The new test (40 hosts, cuts that overlap, a host of a minority of three leads, and loses nine of ten datagrams while it leads) failed before: the same host was elected nine more times within 20 s, 2.0 to 2.6 s apart. Now there is one other leader.

--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -92,7 +92,9 @@
         self._announced_candidates = ()
         self._announced_reached = 0
         self._announced_unreached = ()
-        self._resigned = False
+        # Whether this host was the last leader and may lead again before those that
+        # precede it.
+        self._may_return = False
         # Whether the last leader can lead no more, and whether its process has ended.
         self._leader_ended = False
         self._leader_process_ended = False
@@ -189,8 +191,11 @@
         now_ms = int(time.time() * 1000) + MAX_CLOCK_SKEW_MS
         self.term = next_token(self.term, self._hosts.own.name, now_ms)
 
-    def resign(self, reason):
-        """Gives up the leadership. Does nothing if this host does not lead."""
+    def resign(self, reason, may_return=True):
+        """Gives up the leadership. Does nothing if this host does not lead.
+
+        If it ``may_return``, it may lead again before the hosts that precede it.
+        """
         if not self.leads:
             return
         self.leads = False
@@ -198,7 +203,7 @@
         # Only this host can have sent orders since, so it need not wait for its own
         # lease.
         self._leader_heard_at = None
-        self._resigned = True
+        self._may_return = may_return
         self._started_at = anyio.current_time()
         log_event(Event.LEADERSHIP_LOST, term=self.term, reason=reason)
         self._notify()
@@ -239,7 +244,8 @@
         if self._has_majority():
             self._majority_at = now
         elif now - self._majority_at > MAJORITY_LOSS_TIMEOUT_S:
-            self.resign("no majority of the hosts is reachable")
+            # It may be too busy to receive their heartbeats as long as it leads.
+            self.resign("no majority of the hosts is reachable", may_return=False)
 
     def _candidates(self):
         """Returns the names of the reachable hosts, by precedence for leadership."""
@@ -260,7 +266,7 @@
             if self._hosts.reaches_half_of_seeds()
             else FEW_SEEDS_ELECTION_DELAY_S
         )
-        if self._candidates()[0] != self._hosts.own.name and not self._resigned:
+        if self._candidates()[0] != self._hosts.own.name and not self._may_return:
             return
         # Asked before the other conditions, since replicas are watched from then on.
         doubt = self._find_doubt()
@@ -360,7 +366,7 @@
         )
         self.term = next_token(known, self._hosts.own.name, int(time.time() * 1000))
         self.leads = True
-        self._resigned = False
+        self._may_return = False
         self.leader = self._hosts.own.name
         self._majority_at = anyio.current_time()
         log_event(
@@ -401,7 +407,7 @@
             self._announced_candidates = heartbeat.candidates
             self._announced_reached = heartbeat.reached
             self._announced_unreached = heartbeat.unreached
-        self._resigned = False
+        self._may_return = False
         self._token_refused = False
         self._leader_heard_at = anyio.current_time()
         self._leader_ended = False
--- a/tests/coordination/test_partitions.py
+++ b/tests/coordination/test_partitions.py
@@ -7,6 +7,7 @@
 
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle_standins.clock import run_in_virtual_time
+from snipetrestle_standins.datagram_network import DatagramNetwork
 from snipetrestle_standins.orders_fleet import (
     MODEL,
     OrdersFleet,
@@ -93,6 +94,75 @@
         run_in_virtual_time(main)
 
 
+class OverloadedLeader(DatagramNetwork):
+    """Loses most datagrams to a host while it leads, once it ``is_overloaded``."""
+
+    LOSS_RATE = 0.9
+
+    def __init__(self, name, leaders):
+        super().__init__()
+        self._name = name
+        self._leaders = leaders
+        self.is_overloaded = False
+
+    def connected(self, first, second):
+        if self.is_overloaded and second == self._name:
+            leads = any(member.name == second for member in self._leaders())
+            if leads and self.rng.random() < self.LOSS_RATE:
+                return False
+        return super().connected(first, second)
+
+
+class OverloadedLeaderTest(testtools.TestCase):
+    """A host of three behind a cut led all 58 after it had healed. Lookups of the others
+    filled its socket, so it heard no majority, resigned, heard all and led again."""
+
+    SIZE = 40
+    # The first three hosts by name wait least, and precede the others least.
+    MINORITY = tuple(f"entry-{number}" for number in (1, 2, 3))
+    LEADER = "entry-3"
+
+    async def start(self, system):
+        """Lets a host of the minority lead all hosts."""
+        names = set(system.names())
+        half = {f"entry-{number}" for number in range(4, 23)}
+        for number in range(1, self.SIZE + 1):
+            system.start(number)
+        await anyio.sleep(6.0)
+        network = system.network
+        for name in self.MINORITY:
+            network.isolate(name, names - set(self.MINORITY))
+        await anyio.sleep(11.0)
+        for name in half:
+            network.isolate(name, names - half)
+        await anyio.sleep(11.0)
+        self.assertEqual([self.LEADER], [item.name for item in system.leaders()])
+        network.cuts.clear()
+        await anyio.sleep(HEALED_WITHIN_S)
+
+    def test_leader_without_a_majority_leaves_the_lead_to_those_that_precede_it(self):
+        async def main():
+            system = System(self.SIZE)
+            system.network = OverloadedLeader(self.LEADER, system.leaders)
+            led_by = []
+            async with anyio.create_task_group() as group:
+                system.network.task_group = group
+                await self.start(system)
+                system.network.is_overloaded = True
+                for _ in range(400):
+                    await anyio.sleep(0.05)
+                    leaders = [member.name for member in system.leaders()]
+                    self.assertLessEqual(len(leaders), 1)
+                    if leaders and leaders != led_by[-1:]:
+                        led_by += leaders
+                self.assertEqual(2, len(led_by), led_by)
+                (leader,) = system.leaders()
+                self.assertEqual(self.SIZE - 1, len(leader.hosts.reachable()))
+                group.cancel_scope.cancel()
+
+        run_in_virtual_time(main)
+
+
 class FleetUnderLoad:
     """Hosts of an OrdersFleet that look up changing adapters all the time."""
 
