Keep the unweighted ranking of hosts in one module

It stood in key_owners.py and stream_keepers.py, and its hash also in store_relay.py and request_limits.py. It is in hashing.py now, beside the weighted one, which hashes otherwise and so must not replace it: hosts of older builds must choose the same hosts.

A test holds three scores of the earlier code.

--- a/snipetrestle/coordination/key_owners.py
+++ b/snipetrestle/coordination/key_owners.py
@@ -5,7 +5,8 @@
 """
 
 import anyio
-import xxhash
+
+from snipetrestle.hashing import best_host, best_hosts, host_score
 
 # How long a host that did not answer is passed over.
 SILENCE_S = 2.0
@@ -55,8 +56,7 @@
         if best is None:
             if len(self._best_by_key) >= MAX_CACHED_KEYS:
                 self._best_by_key.clear()
-            best = max(names, key=lambda name: _rank(key, name))
-            self._best_by_key[key] = best
+            best = self._best_by_key[key] = best_host(key, names)
         return best
 
     def owns(self, key):
@@ -71,8 +71,7 @@
         best = self.owner(key)
         if not self.is_silent(best):
             return best
-        ranked = sorted(self._names, key=lambda name: _rank(key, name), reverse=True)
-        for name in ranked[: MAX_PASSED_OVER + 1]:
+        for name in best_hosts(key, self._names, MAX_PASSED_OVER + 1):
             if not self.is_silent(name):
                 return name
         return self._hosts.own.name
@@ -94,11 +93,11 @@
         """Returns the best other host for a key, or None if this host is alone."""
         own = self._hosts.own.name
         names = [name for name in self._hosts.sender_names() if name != own]
-        return max(names, key=lambda name: _rank(key, name), default=None)
+        return best_host(key, names)
 
     def ranks_above_own(self, key, name):
         """Whether a host ranks above this one for a key."""
-        return _rank(key, name) > _rank(key, self._hosts.own.name)
+        return host_score(key, name) > host_score(key, self._hosts.own.name)
 
     def note_silent(self, name, duration_s=SILENCE_S):
         """Passes over a host that did not answer."""
@@ -111,7 +110,7 @@
     def owner_except(self, key, excluded):
         """Returns the best host for a key among those that are not excluded."""
         names = [name for name in self._hosts.sender_names() if name not in excluded]
-        return max(names, key=lambda name: _rank(key, name))
+        return best_host(key, names)
 
     def is_silent(self, name):
         """Whether a host is passed over now."""
@@ -122,7 +121,3 @@
             del self._silent_until_by_name[name]
             return False
         return True
-
-
-def _rank(key, name):
-    return xxhash.xxh64_intdigest(f"{key} {name}".encode())
--- a/snipetrestle/coordination/store_relay.py
+++ b/snipetrestle/coordination/store_relay.py
@@ -11,7 +11,6 @@
 import math
 
 import anyio
-import xxhash
 
 from snipetrestle.coordination.messages import (
     MAX_CHANGES_BYTES,
@@ -22,6 +21,7 @@
 )
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.published_items import StoreItems
+from snipetrestle.hashing import host_score
 
 # Each host gets the changes from this many readers, so that it can lose one.
 READERS_PER_HOST = 2
@@ -253,7 +253,7 @@
 def readers_of(host_name, reader_names):
     """Returns the readers that pass changes on to a host, by rendezvous hashing."""
 
-    def weight(reader_name):
-        return xxhash.xxh64_intdigest(f"{reader_name} {host_name}".encode())
+    def score(reader_name):
+        return host_score(reader_name, host_name)
 
-    return sorted(reader_names, key=weight)[-READERS_PER_HOST:]
+    return sorted(reader_names, key=score)[-READERS_PER_HOST:]
--- a/snipetrestle/coordination/stream_keepers.py
+++ b/snipetrestle/coordination/stream_keepers.py
@@ -6,10 +6,9 @@
 A host that joins or leaves moves one of the first places at most.
 """
 
-import heapq
 import itertools
 
-import xxhash
+from snipetrestle.hashing import best_hosts
 
 # Streams are divided into slots, whose orders are cached: to rank 330 hosts takes 0.15 ms
 # of processor time.
@@ -68,18 +67,13 @@
 
     def _ranked(self, slot):
         """Returns the first PLACES of the order of a slot."""
-
-        def rank(name):
-            return xxhash.xxh64_intdigest(f"{slot} {name}".encode())
-
         best = [
-            heapq.nlargest(PLACES, names, key=rank)
-            for names in self._names_by_domain.values()
+            best_hosts(slot, names, PLACES) for names in self._names_by_domain.values()
         ]
         order = []
         for turn in itertools.zip_longest(*best):
             names = [name for name in turn if name is not None]
-            order += sorted(names, key=rank, reverse=True)
+            order += best_hosts(slot, names, len(names))
             if len(order) >= PLACES:
                 break
         return tuple(order[:PLACES])
--- a/snipetrestle/gateway/request_limits.py
+++ b/snipetrestle/gateway/request_limits.py
@@ -9,9 +9,9 @@
 import math
 
 import anyio
-import xxhash
 
 from snipetrestle.events import Event, log_event
+from snipetrestle.hashing import host_score
 
 # The senders to a replica are as many as the requests that it takes in this time, and
 # MIN_SENDERS more.
@@ -160,8 +160,6 @@
     max_senders = int(SENDERS_PER_LIMIT_S * limit_per_s) + MIN_SENDERS
     if len(host_names) <= max_senders:
         return set(host_names)
-
-    def rank(name):
-        return xxhash.xxh64_intdigest(f"{replica_id} {name}".encode())
-
-    return set(sorted(host_names, key=rank)[:max_senders])
+    # The lowest scores count here.
+    ranked = sorted(host_names, key=lambda name: host_score(replica_id, name))
+    return set(ranked[:max_senders])
--- a/snipetrestle/hashing.py
+++ b/snipetrestle/hashing.py
@@ -1,4 +1,4 @@
-"""Weighted rendezvous hashing.
+"""Rendezvous hashing, weighted and, for roles of the gateways' hosts, unweighted.
 
 Each (key, member) pair has a score, and a key is assigned to the member with the
 highest score. When a member disappears, only the keys that were assigned to it move
@@ -6,6 +6,7 @@
 1998). Weights are applied by the logarithmic method.
 """
 
+import functools
 import heapq
 import math
 
@@ -37,3 +38,21 @@
     """Returns the member with the highest score, or None without members."""
     order = rendezvous_order(key, weights_by_member, 1)
     return order[0] if order else None
+
+
+def host_score(key, host_name):
+    """Returns the unweighted score of a host for a key.
+
+    Hosts of earlier and later builds must compute the same one to choose the same host.
+    """
+    return xxhash.xxh64_intdigest(f"{key} {host_name}".encode())
+
+
+def best_host(key, host_names):
+    """Returns the name of the host with the highest score, or None without hosts."""
+    return max(host_names, key=functools.partial(host_score, key), default=None)
+
+
+def best_hosts(key, host_names, count):
+    """Returns the names of the ``count`` hosts of highest score, best first."""
+    return heapq.nlargest(count, host_names, functools.partial(host_score, key))
--- a/tests/test_hashing.py
+++ b/tests/test_hashing.py
@@ -2,7 +2,13 @@
 
 import testtools
 
-from snipetrestle.hashing import rendezvous_first, rendezvous_order
+from snipetrestle.hashing import (
+    best_host,
+    best_hosts,
+    host_score,
+    rendezvous_first,
+    rendezvous_order,
+)
 
 
 class RendezvousTest(testtools.TestCase):
@@ -32,3 +38,14 @@
     def test_order_is_empty_without_members(self):
         self.assertEqual([], rendezvous_order("key", {}))
         self.assertIsNone(rendezvous_first("key", {}))
+
+
+class HostScoreTest(testtools.TestCase):
+    def test_scores_are_those_of_earlier_builds(self):
+        """While builds mix, hosts of two builds would choose two owners of a tenant."""
+        self.assertEqual(484662153883130037, host_score("tenant-1", "h1"))
+        self.assertEqual(206972677809072927, host_score("tenant-1", "h2"))
+        self.assertEqual(7362530246853329697, host_score(7, "h1"))
+        self.assertEqual("h1", best_host("tenant-1", ("h2", "h1")))
+        self.assertEqual(["h1", "h2"], best_hosts("tenant-1", ("h2", "h1"), 4))
+        self.assertIsNone(best_host("tenant-1", ()))
