Let the leader list the kept prompts of all replicas for the other hosts

Cause: each host listed the replicas itself. That is too much for the replicas of many hosts, so with more than 32 replicas only those were asked that list the adapter.

Change: hosts ask the leader (KeptPromptRequest), which lists all replicas of the backend in rounds that all questions share, and answers the version or "not known". Without a leader that answers in time, a host lists backends of up to 32 replicas itself. Questions, waiting requests, rounds and listings are bounded. A listing that fails is repeated once, a pause that ends within the round is waited for, and a replica that leaves the list during a round counts no more.

The test of paused replicas patches the KeptPrompts of the gateway now, since TakeUps has the questions in its place; what it checks is the same.

--- /dev/null
+++ b/snipetrestle/coordination/kept_prompt_questions.py
@@ -0,0 +1,143 @@
+"""Asks the leader what software version keeps a prompt part.
+
+If each host listed the replicas itself, that would be too much for them. A host whose
+leader does not answer lists the replicas of small backends.
+"""
+
+import anyio
+
+from snipetrestle.coordination.datagram_requests import (
+    ANSWER_TIMEOUT_S as RESEND_S,
+)
+from snipetrestle.coordination.messages import KeptPromptReply, KeptPromptRequest
+from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
+from snipetrestle.gateway.kept_prompts import MIN_INTERVAL_S, ROUND_TIMEOUT_S
+from snipetrestle.gateway.rate_bound import RateBound
+from snipetrestle.gateway.stream_origin import StreamOrigin
+
+# A request waits for a leader, and for its answer, no longer than this. An election
+# takes 0.5 to 2 s after a restart of all hosts.
+ASK_TIMEOUT_S = 2.0
+# A stream is left this much time to go on, or its caller to get the refusal.
+END_MARGIN_S = 0.3
+# Without a leader, this host lists the replicas of a backend with at most as many.
+MAX_OWN_REPLICAS = 32
+# Left for that, if the leader does not answer.
+OWN_LISTING_S = MIN_INTERVAL_S + ROUND_TIMEOUT_S
+# Questions at the same time. Callers can name any number of streams that nobody knows.
+MAX_QUESTIONS = 1024
+# A question takes some three datagrams of 80 bytes.
+QUESTIONS_PER_S = 32
+QUESTIONS_BURST = 1024
+
+
+class _Pending:
+    """A question to the leader; ``reply`` is None until it has answered."""
+
+    __slots__ = ("answered", "reply")
+
+    def __init__(self):
+        self.answered = anyio.Event()
+        self.reply = None
+
+
+class KeptPromptQuestions:
+    """Finds the software version that keeps a prompt part, through the leader.
+
+    ``answers`` is the KeptPromptAnswers of this host, ``kept_prompts`` its KeptPrompts
+    and ``replicas`` the ReplicaDirectory.
+    """
+
+    def __init__(self, hosts, leadership, endpoint, answers, kept_prompts, replicas):
+        self._hosts = hosts
+        self._leadership = leadership
+        self._endpoint = endpoint
+        self._answers = answers
+        self._kept_prompts = kept_prompts
+        self._replicas = replicas
+        self._last_number = 0
+        self._pending_by_number = {}
+        self._open_count = 0
+        self._rate = RateBound(QUESTIONS_PER_S, QUESTIONS_BURST)
+        endpoint.register(KeptPromptReply, self._on_reply)
+
+    async def only_origin(self, backend, adapter, part, due_at):
+        """Returns the StreamOrigin of the replicas that keep a prompt part, or None.
+
+        ``adapter`` is the AdapterKey of the request, and ``due_at`` the time at which it
+        is refused if nothing is known.
+        """
+        names = (backend, adapter.model, part)
+        if max(map(len, names)) > MAX_NAME_LENGTH:
+            return None
+        if self._open_count >= MAX_QUESTIONS or not self._rate.try_take():
+            return None
+        self._open_count += 1
+        try:
+            version = await self._find(names, due_at - END_MARGIN_S)
+        finally:
+            self._open_count -= 1
+        return StreamOrigin(backend, version) if version else None
+
+    async def _find(self, names, ends_at):
+        """Returns the version, or an empty text if it is not known by a time."""
+        is_small = self._is_small(names[0])
+        ask_until = ends_at - OWN_LISTING_S if is_small else ends_at
+        ask_until = min(ask_until, anyio.current_time() + ASK_TIMEOUT_S)
+        version = await self._ask_leader(names, ask_until)
+        if version is None and is_small:
+            with anyio.CancelScope(deadline=ends_at):
+                version = await self._kept_prompts.only_version(*names)
+        return version or ""
+
+    def _is_small(self, backend):
+        return len(self._replicas.listed_replicas(backend)) <= MAX_OWN_REPLICAS
+
+    async def _ask_leader(self, names, until):
+        """Returns what the leader says; None without a final answer until a time."""
+        self._last_number += 1
+        number = self._last_number
+        pending = self._pending_by_number[number] = _Pending()
+        pause_s = RESEND_S
+        asked_at = None
+        try:
+            while anyio.current_time() < until:
+                if self._answers.may_answer:
+                    return await self._ask_own(names, until)
+                address = self._address()
+                if address != asked_at:
+                    asked_at, pause_s = address, RESEND_S
+                if address is not None:
+                    self._send(number, names, address)
+                wait_until = min(until, anyio.current_time() + pause_s)
+                with anyio.CancelScope(deadline=wait_until):
+                    await pending.answered.wait()
+                if pending.reply is not None:
+                    return pending.reply.version
+                if address is not None:
+                    pause_s *= 2
+            return None
+        finally:
+            del self._pending_by_number[number]
+
+    async def _ask_own(self, names, until):
+        with anyio.CancelScope(deadline=until):
+            return await self._kept_prompts.only_version(*names)
+
+    def _address(self):
+        """Returns the address of the leader that this host follows, or None."""
+        if not self._leadership.has_recent_leader:
+            return None
+        return self._leadership.leader_address()
+
+    def _send(self, number, names, address):
+        request = KeptPromptRequest(self._hosts.own.boot, number, *names)
+        self._endpoint.send(request, address)
+
+    def _on_reply(self, message, address):
+        pending = self._pending_by_number.get(message.number)
+        if pending is None or message.boot != self._hosts.own.boot:
+            return
+        if message.final:
+            pending.reply = message
+            pending.answered.set()
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -535,6 +535,33 @@
     life_ms: Count
 
 
+class KeptPromptRequest(_Message, tag="KReq"):
+    """Request to the leader for the software version that keeps a prompt part.
+
+    ``boot`` of the sender and ``number`` identify the request, which may be repeated,
+    and its answer.
+    """
+
+    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    number: Revision
+    backend: Name
+    model: Name
+    part: Name
+
+
+class KeptPromptReply(_Message, tag="KRep"):
+    """Answer to KeptPromptRequest: the version, empty if it is not known.
+
+    If it is not ``final``, the sender does not lead or has no configuration, so a
+    leader is to be asked later.
+    """
+
+    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    number: Revision
+    version: Name
+    final: bool
+
+
 Message = (
     Heartbeat
     | ReplicaLoads
@@ -556,6 +583,8 @@
     | StreamBegun
     | OriginRequest
     | OriginReply
+    | KeptPromptRequest
+    | KeptPromptReply
 )
 
 # The largest encoded size of each message, whatever names, prompts and lists are. The
@@ -582,6 +611,8 @@
         StreamBegun: 3 * 1024,
         OriginRequest: 64,
         OriginReply: 3 * 1024,
+        KeptPromptRequest: 3 * 1024,
+        KeptPromptReply: 1024,
     }
 )
 
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -185,6 +185,11 @@
     BACKEND_CROWDED_ENDED = (1444, "INFO", "backend is no longer crowded")
     REPLICA_REMOVED = (1445, "INFO", "entry of a replica was removed from the store")
     STREAM_TAKEN_UP = (1446, "INFO", "caller takes up a stream that broke off")
+    KEPT_PROMPTS_LISTED = (
+        1447,
+        "INFO",
+        "replicas were asked which prompts they keep",
+    )
     QUOTA_REFUSALS_STARTED = (
         1451,
         "WARNING",
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -13,6 +13,8 @@
 from snipetrestle.coordination.dispatch_permits import DispatchPermits
 from snipetrestle.coordination.heartbeat_content import HeartbeatContent
 from snipetrestle.coordination.hosts import Hosts
+from snipetrestle.coordination.kept_prompt_answers import KeptPromptAnswers
+from snipetrestle.coordination.kept_prompt_questions import KeptPromptQuestions
 from snipetrestle.coordination.key_owners import KeyOwners
 from snipetrestle.coordination.leadership import Leadership, has_ended
 from snipetrestle.coordination.locator import Locator
@@ -210,7 +212,7 @@
         self.take_ups = TakeUps(
             StreamRecords(self.hosts, self.datagram_endpoint),
             self.version_history,
-            KeptPrompts(self.replicas, platform.order_client.kept_parts),
+            self._build_kept_prompts(platform.order_client),
             self.state,
             self.metrics,
             RequestLines(),
@@ -239,6 +241,25 @@
             self._open_connections,
         )
 
+    def _build_kept_prompts(self, client):
+        self.kept_prompts = KeptPrompts(
+            self.replicas, client.kept_parts, RequestLines()
+        )
+        answers = KeptPromptAnswers(
+            self.leadership,
+            self.kept_prompts,
+            self.datagram_endpoint,
+            self.state.ready.is_set,
+        )
+        return KeptPromptQuestions(
+            self.hosts,
+            self.leadership,
+            self.datagram_endpoint,
+            answers,
+            self.kept_prompts,
+            self.replicas,
+        )
+
     def _build_quotas(self):
         self.key_owners = KeyOwners(self.hosts)
         requests = QuotaRequests(self.hosts, self.datagram_endpoint, self.key_owners)
--- a/snipetrestle/gateway/kept_prompts.py
+++ b/snipetrestle/gateway/kept_prompts.py
@@ -6,109 +6,201 @@
 """
 
 import asyncio
-import collections
 
 import anyio
 
+from snipetrestle.events import Event
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
-from snipetrestle.gateway.stream_origin import StreamOrigin
+from snipetrestle.gateway.rate_bound import RateBound
 
 # Questions that come within this time share the listings of replicas.
 GATHER_S = 0.01
-# Between two listings of a replica: each delays its work, and has a price.
+# Between two rounds of listings of a backend: each delays the replicas, and has a price.
 MIN_INTERVAL_S = 0.25
-# A request waits no longer for the listings.
-ANSWER_TIMEOUT_S = 0.6
-# If a backend has more replicas, only those are asked that list the request's adapter.
-MAX_ASKED_REPLICAS = 32
-# Processes whose last listings are remembered.
-MAX_PROCESSES = 4096
+# A round takes no longer.
+ROUND_TIMEOUT_S = 0.6
+# A question is not answered if the next round begins later than this.
+MAX_ROUND_WAIT_S = 0.5
+# Replicas of one backend that are listed.
+MAX_REPLICAS = 512
+# Listings that this host has in progress; an answer may have 256 KiB.
+MAX_OPEN_LISTINGS = 128
+# Listings of all replicas by this host: callers can go on naming unknown streams, and
+# one with 5,000 parts takes 1.8 ms to parse. The burst lasts for 7 s of rounds of 70
+# replicas, longer than callers take to come back after a restart of all hosts.
+LISTINGS_PER_S = 16
+LISTINGS_BURST = 2048
+# A listing that fails is repeated, since a replica may have closed an idle connection.
+MAX_TRIES = 2
+RETRY_PAUSE_S = 0.1
+# Replicas without an answer that the line about a round names.
+MAX_LOGGED_REPLICAS = 16
+
+
+class _Round:
+    """A listing of all replicas of a backend, for all questions that have come.
+
+    ``asked`` contains a (model, prompt part) for each, and ``version_by_part`` what is
+    known of some of them once the ``task`` has ended.
+    """
+
+    __slots__ = ("backend", "asked", "version_by_part", "task")
+
+    def __init__(self, backend):
+        self.backend = backend
+        self.asked = set()
+        self.version_by_part = {}
+        self.task = None
 
 
 class KeptPrompts:
     """Asks replicas for the prompt parts that they keep.
 
     ``replicas`` is the ReplicaDirectory. ``read_kept_parts(replica)`` returns a set of
-    (model, id of a prompt part), and raises ConnectFailed or ExchangeFailed.
+    (model, id of a prompt part), and raises ConnectFailed or ExchangeFailed. ``log`` is
+    the RequestLines for a line about each round.
     """
 
-    def __init__(self, replicas, read_kept_parts):
+    def __init__(self, replicas, read_kept_parts, log):
         self._replicas = replicas
         self._read_kept_parts = read_kept_parts
-        # Tasks of listings that have not begun yet, by the process of the replica.
-        self._next_by_process = {}
-        self._begun_at_by_process = collections.OrderedDict()
-
-    async def only_origin(self, backend, adapter, part):
-        """Returns the StreamOrigin of the replicas that keep a prompt part.
-
-        Returns None if there are none, or if more than one version may keep it: a
-        replica that does not answer may do so as well. ``adapter`` is the AdapterKey of
-        the request.
+        self._log = log
+        # The rounds that have not begun yet: those that have may lack what a replica
+        # has read since.
+        self._next_by_backend = {}
+        self._begun_at_by_backend = {}
+        self._listings = RateBound(LISTINGS_PER_S, LISTINGS_BURST)
+        self._slots = asyncio.Semaphore(MAX_OPEN_LISTINGS)
+
+    async def only_version(self, backend, model, part):
+        """Returns the only software version whose replicas can keep a prompt part.
+
+        Returns an empty text if none keeps it, or if more than one version may: a
+        replica that does not answer may do so as well.
         """
-        asked = self._replicas_to_ask(backend, adapter)
-        if not asked:
+        next_round = self._next_round(backend)
+        if next_round is None:
+            return ""
+        next_round.asked.add((model, part))
+        # The round goes on for others if this question is cancelled.
+        await asyncio.wait([next_round.task])
+        return next_round.version_by_part.get((model, part), "")
+
+    def _next_round(self, backend):
+        """Returns the round of a backend that begins next; None if that is too late."""
+        next_round = self._next_by_backend.get(backend)
+        if next_round is not None:
+            return next_round
+        wait_s = self._wait_s(backend)
+        count = len(self._replicas.listed_replicas(backend))
+        if wait_s > MAX_ROUND_WAIT_S or not 0 < count <= MAX_REPLICAS:
             return None
-        listings = {item.process_id: self._next_listing(item) for item in asked}
-        await asyncio.wait(set(listings.values()), timeout=ANSWER_TIMEOUT_S)
-        versions = set()
-        is_kept = False
-        for replica in asked:
-            kept_parts = _result(listings[replica.process_id])
-            keeps_it = kept_parts is not None and (adapter.model, part) in kept_parts
-            is_kept = is_kept or keeps_it
-            if keeps_it or kept_parts is None:
-                versions.add(replica.software_version)
-        if not is_kept or len(versions) > 1:
-            return None
-        (version,) = versions
-        return StreamOrigin(backend, version) if version else None
+        next_round = self._next_by_backend[backend] = _Round(backend)
+        next_round.task = asyncio.create_task(self._run(next_round, wait_s))
+        return next_round
 
-    def _replicas_to_ask(self, backend, adapter):
-        """Returns the replicas that can have run a request; none if they are many.
+    def _wait_s(self, backend):
+        begun_at = self._begun_at_by_backend.get(backend)
+        interval_s = 0.0
+        if begun_at is not None:
+            interval_s = begun_at + MIN_INTERVAL_S - anyio.current_time()
+        return max(GATHER_S, interval_s, self._listings.wait_s())
 
-        Some may have unloaded its adapter since, and still keep its prompt.
+    async def _run(self, this_round, wait_s):
+        await anyio.sleep(wait_s)
+        del self._next_by_backend[this_round.backend]
+        self._note_begun(this_round.backend)
+        replicas = list(self._replicas.listed_replicas(this_round.backend))
+        self._listings.take(len(replicas))
+        kept_by_replica = await self._list_all(replicas, this_round.asked)
+        this_round.version_by_part = self._known_versions(kept_by_replica)
+        self._log_round(this_round, kept_by_replica)
+
+    def _log_round(self, this_round, kept_by_replica):
+        silent = [item.id for item, kept in kept_by_replica.items() if kept is None]
+        self._log.log(
+            Event.KEPT_PROMPTS_LISTED,
+            backend=this_round.backend,
+            replicas=len(kept_by_replica),
+            unanswered=len(silent),
+            unanswered_ids=silent[:MAX_LOGGED_REPLICAS],
+            asked=len(this_round.asked),
+            known=len(this_round.version_by_part),
+        )
+
+    def _note_begun(self, backend):
+        """Notes that a round begins, and forgets those that delay no other any more."""
+        now = anyio.current_time()
+        begun_at = {
+            name: at
+            for name, at in self._begun_at_by_backend.items()
+            if now - at < MIN_INTERVAL_S
+        }
+        begun_at[backend] = now
+        self._begun_at_by_backend = begun_at
+
+    async def _list_all(self, replicas, asked):
+        """Returns the asked parts that each Replica keeps, None without an answer.
+
+        Replicas that have left meanwhile are missing, as they are from later rounds.
         """
-        replicas = list(self._replicas.listed_replicas(backend))
-        if len(replicas) > MAX_ASKED_REPLICAS and adapter.adapter:
-            replicas = [item for item in replicas if item.entry.lists_adapter(adapter)]
-        return [] if len(replicas) > MAX_ASKED_REPLICAS else replicas
-
-    def _next_listing(self, replica):
-        """Returns the task of a listing that has not begun yet.
-
-        One that has begun may lack what the replica has read since.
+        task_by_replica = {
+            replica: asyncio.create_task(self._list(replica, asked))
+            for replica in replicas
+        }
+        if task_by_replica:
+            await asyncio.wait(task_by_replica.values(), timeout=ROUND_TIMEOUT_S)
+        for task in task_by_replica.values():
+            task.cancel()
+        kept_by_replica = {item: _result(task_by_replica[item]) for item in replicas}
+        return {
+            replica: kept
+            for replica, kept in kept_by_replica.items()
+            if kept is not None or self._is_listed(replica)
+        }
+
+    def _is_listed(self, replica):
+        return self._replicas.by_id.get(replica.id) is replica
+
+    async def _list(self, replica, asked):
+        """Returns the asked prompt parts that a replica keeps, or None.
+
+        A replica that has asked for a pause is listed after it.
         """
-        process_id = replica.process_id
-        task = self._next_by_process.get(process_id)
-        if task is None:
-            task = asyncio.get_running_loop().create_task(self._list(replica))
-            self._next_by_process[process_id] = task
-        return task
-
-    async def _list(self, replica):
-        """Returns the prompt parts that a replica keeps, or None without an answer."""
-        process_id = replica.process_id
-        begun_at = self._begun_at_by_process.get(process_id)
-        wait_s = GATHER_S
-        if begun_at is not None:
-            wait_s = max(wait_s, begun_at + MIN_INTERVAL_S - anyio.current_time())
-        await anyio.sleep(wait_s)
-        self._note_begun(process_id)
-        if replica.pause.is_active:
-            return None
-        try:
-            return await self._read_kept_parts(replica)
-        except (ConnectFailed, ExchangeFailed):
-            return None
+        tries = 0
+        while tries < MAX_TRIES and self._is_listed(replica):
+            if not replica.pause.is_active:
+                tries += 1
+                kept = await self._try_to_list(replica)
+                if kept is not None:
+                    return asked & kept
+            await anyio.sleep(RETRY_PAUSE_S)
+        return None
 
-    def _note_begun(self, process_id):
-        del self._next_by_process[process_id]
-        begun_at = self._begun_at_by_process
-        begun_at.pop(process_id, None)
-        begun_at[process_id] = anyio.current_time()
-        if len(begun_at) > MAX_PROCESSES:
-            begun_at.popitem(last=False)
+    async def _try_to_list(self, replica):
+        async with self._slots:
+            try:
+                return await self._read_kept_parts(replica)
+            except (ConnectFailed, ExchangeFailed):
+                return None
+
+    def _known_versions(self, kept_by_replica):
+        """Returns the software versions by (model, part), where only one may keep it."""
+        silent = set()
+        versions_by_part = {}
+        for replica, kept in kept_by_replica.items():
+            if kept is None:
+                silent.add(replica.software_version)
+                continue
+            for part in kept:
+                versions = versions_by_part.setdefault(part, set())
+                versions.add(replica.software_version)
+        version_by_part = {}
+        for part, versions in versions_by_part.items():
+            possible = versions | silent
+            if len(possible) == 1 and "" not in possible:
+                version_by_part[part] = possible.pop()
+        return version_by_part
 
 
 def _result(task):
--- a/snipetrestle/gateway/take_ups.py
+++ b/snipetrestle/gateway/take_ups.py
@@ -37,8 +37,8 @@
     """Finds the origins of streams, and logs what becomes of each taken-up stream.
 
     ``records`` is the StreamRecords, ``history`` the VersionHistory, ``kept_prompts``
-    the KeptPrompts, ``state`` the PublishedState with the backends, and ``log`` the
-    RequestLines for these lines.
+    the KeptPromptQuestions, ``state`` the PublishedState with the backends, and ``log``
+    the RequestLines for these lines.
     """
 
     def __init__(self, records, history, kept_prompts, state, metrics, log):
@@ -97,7 +97,9 @@
         adapter, part = job.metadata.adapter, job.metadata.own_prompt_part
         if adapter is None or part is None:
             return None
-        origin = await self._kept_prompts.only_origin(backend, adapter, part)
+        origin = await self._kept_prompts.only_origin(
+            backend, adapter, part, job.refusal_due_at
+        )
         if origin is not None:
             job.take_up.known_by = KEPT_PROMPT
         return origin
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -289,7 +289,7 @@
             paused.pause.note(30.0)
             asked = []
             report = gateway.process_check._read_report
-            kept_prompts = gateway.take_ups._kept_prompts
+            kept_prompts = gateway.kept_prompts
 
             async def note_report(replica):
                 asked.append(replica.id)
@@ -444,6 +444,94 @@
         run_versions(check, ["v1", "v2"])
 
 
+class ManyReplicasTest(testtools.TestCase):
+    """Restarts of all hosts while the replicas are too many for each host to list."""
+
+    # Above kept_prompt_questions.MAX_OWN_REPLICAS.
+    VERSIONS = ["v1"] * 18 + ["v2"] * 18
+
+    def take_up_after_restart(self, wait_ready, prepare=None):
+        """Begins 12 streams, restarts all hosts, and takes the streams up.
+
+        ``wait_ready(fleet)`` waits for the hosts. Returns (status, number of versions
+        that ran it) of each stream.
+        """
+
+        async def take_up_one(fleet, number, last_id):
+            began_as, again_as = f"first-{number}", f"again-{number}"
+            answer = await take_up(
+                fleet,
+                fleet.live[number % len(fleet.live)],
+                began_as,
+                last_id,
+                again_as,
+                adapter="",
+                headers=prompt_of(number),
+            )
+            ran = versions_of_runs(fleet, {began_as, again_as})
+            return answer.status, len(ran)
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.event_interval_s = 0.02
+            last_ids = [
+                await begin_stream(
+                    fleet.live[0],
+                    f"first-{number}",
+                    adapter="",
+                    headers=prompt_of(number),
+                )
+                for number in range(12)
+            ]
+            for gateway in fleet.live:
+                await fleet.kill(gateway)
+            if prepare is not None:
+                prepare(fleet)
+            for number in range(3):
+                fleet.start_gateway(number)
+            await wait_ready(fleet)
+            return await asyncio.gather(
+                *(
+                    take_up_one(fleet, number, last_id)
+                    for number, last_id in enumerate(last_ids)
+                )
+            )
+
+        return run_versions(check, self.VERSIONS, gateways=3)
+
+    def test_streams_go_on_after_a_restart_of_all_hosts(self):
+        """Guards against streams that end since no host may list so many replicas."""
+        results = self.take_up_after_restart(lambda fleet: fleet.wait_ready())
+        self.assertEqual([(200, 1)] * 12, results)
+
+    def test_streams_taken_up_before_the_election_go_on(self):
+        """Guards against streams that end since their callers come back early."""
+
+        async def wait_ready(fleet):
+            for gateway in fleet.live:
+                await gateway.state.ready.wait()
+            self.assertEqual([], fleet.leaders())
+
+        results = self.take_up_after_restart(wait_ready)
+        self.assertEqual([(200, 1)] * 12, results)
+
+    def test_prompt_that_both_versions_may_keep_tells_nothing(self):
+        """Guards against a guess of the leader if a replica does not answer it."""
+
+        def hide_one_of_each(fleet):
+            for replica in (fleet.models[0], fleet.models[-1]):
+                replica.lists_kept_parts = False
+
+        results = self.take_up_after_restart(
+            lambda fleet: fleet.wait_ready(), hide_one_of_each
+        )
+        self.assertEqual([503] * 12, [status for status, _ in results])
+
+
+def prompt_of(number):
+    return [("X-Prompt-Prefix", f"shared:10,own-{number}:5")]
+
+
 class BadTakeUpTest(testtools.TestCase):
     def send(self, *headers, path="/draft/a", versions=("v1",)):
         """Sends a request with headers; returns its Response and the fleet's runs."""
