Count a connection from the moment that room is made for it

What was seen: test_whole_requests_before_an_unfinished_one failed with 104, 108 and 119 connections to a replica, whose max_conns is 100 (a host alone has a share of 87).

Cause: since a request waits until the connections that made room for it have been closed, and its own was counted only after that. Requests of one turn of the event loop all found the room that the first of them had made, and each opened one.

Change: a connection is counted as soon as room has been made for it, in its pool and among those of all pools, and no more if the request ends while it waits.

Figures: three requests of one turn at a pool with a bound of 3 opened 5 connections before, 3 after (three new tests in test_connection_pool, which fail before).

--- a/snipetrestle/gateway/connection_pool.py
+++ b/snipetrestle/gateway/connection_pool.py
@@ -87,13 +87,29 @@
         request id, for orders and reports, are opened in any case.
         """
         connection = self._take_idle(request_id)
-        if connection is None:
+        if connection is not None:
+            return connection
+        if request_id is not None:
+            self._make_room()
+        # Counted from here on, so that others that wait do not take the same place.
+        self._opening_count += 1
+        self._all.add(self)
+        try:
             if request_id is not None:
-                self._make_room()
                 await self._wait_closed()
             connection = await self._open()
+        finally:
+            self._note_opened(connection)
         return connection
 
+    def _note_opened(self, connection):
+        """Counts a connection that was being opened as open, or no more if None."""
+        self._opening_count -= 1
+        if connection is None:
+            self._all.remove(self)
+        else:
+            self._connections.add(connection)
+
     def _take_idle(self, request_id):
         """Returns the idle connection that was used last; None if none is suitable."""
         now = asyncio.get_running_loop().time()
@@ -107,9 +123,8 @@
         return None
 
     async def _open(self):
+        """Returns a new connection. Raises ConnectFailed."""
         loop = asyncio.get_running_loop()
-        self._opening_count += 1
-        self._all.add(self)
         connection = None
         is_open = False
         try:
@@ -122,14 +137,9 @@
             # The last two come from an address that no connection can be opened to.
             raise ConnectFailed(repr(error)) from None
         finally:
-            self._opening_count -= 1
-            if is_open:
-                self._connections.add(connection)
-            else:
-                self._all.remove(self)
-                # The time-out may come in the turn in which it is opened.
-                if connection is not None:
-                    connection.close()
+            # The time-out may come in the turn in which it is opened.
+            if not is_open and connection is not None:
+                connection.close()
         connection.on_lost = self._note_lost
         return connection
 
@@ -137,7 +147,7 @@
 
     @property
     def open_count(self):
-        """Number of connections that are open or being opened."""
+        """Number of connections that are open, being opened or about to be."""
         return len(self._connections) + self._opening_count
 
     @property
@@ -167,7 +177,7 @@
     async def _wait_closed(self):
         """Waits for connections that are being closed, if there would be too many."""
         # Each turn of the event loop closes some.
-        while self._closing and self._all_count >= self._max_open():  # noqa: ASYNC110
+        while self._closing and self._all_count > self._max_open():  # noqa: ASYNC110
             await asyncio.sleep(0)
 
     @property
--- a/tests/gateway/test_connection_pool.py
+++ b/tests/gateway/test_connection_pool.py
@@ -91,6 +91,49 @@
 
         self.run_pools(check)
 
+    def test_requests_of_one_turn_make_room_each(self):
+        """They counted the connection that the first one had closed for themselves:
+        60 callers held 119 connections to a replica that accepts 100."""
+
+        async def check(pool):
+            for connection in [await pool.acquire(b"r") for _ in range(3)]:
+                self.keep(pool, connection)
+            await asyncio.gather(*(pool.acquire(b"r") for _ in range(3)))
+            self.assertEqual(3, pool.open_count)
+
+        self.run_pools(check)
+
+    def test_requests_of_one_turn_share_the_bound_of_all_pools(self):
+        """The same, of the connections of all pools together."""
+
+        async def check(busy, idle):
+            for connection in [await idle.acquire(b"r") for _ in range(2)]:
+                self.keep(idle, connection)
+            idle._max_open = lambda: 2
+            results = await asyncio.gather(
+                *(pool.acquire(b"r") for pool in (idle, busy, idle)),
+                return_exceptions=True,
+            )
+            self.assertIsInstance(results[2], ConnectionsExhausted)
+            self.assertEqual([1, 1], [idle.open_count, busy.open_count])
+
+        self.run_pools(check, count=2, all_open=2)
+
+    def test_request_that_ends_while_it_waits_takes_no_room(self):
+        """Its place would be lost to all later requests."""
+
+        async def check(pool):
+            for connection in [await pool.acquire(b"r") for _ in range(3)]:
+                self.keep(pool, connection)
+            waiting = asyncio.create_task(pool.acquire(b"r"))
+            await asyncio.sleep(0)
+            self.assertEqual(3, pool.open_count)
+            waiting.cancel()
+            await asyncio.gather(waiting, return_exceptions=True)
+            self.assertEqual(2, pool.open_count)
+
+        self.run_pools(check)
+
     def test_requests_without_callers_make_room(self):
         """Callers that send a write and leave could take all connections."""
 
