Count the connections of a process while it is stopped

What was seen: test_whole_requests_before_an_unfinished_one could fail even where no more connections than the bound were open at any time.

Cause: /proc/net/tcp is read in parts, up to 0.28 s for 17,000 lines, most of them of closed connections. A connection that was closed in that time counted beside those that had taken its place.

Change: ProcessUsage.count_connections_to stops the process and all its threads while it reads the table. What it counts, and the bound of 100, are as before.

--- a/tests/platform/hostile_callers.py
+++ b/tests/platform/hostile_callers.py
@@ -8,7 +8,9 @@
 import contextlib
 import os
 import pathlib
+import signal
 import socket
+import time
 
 from snipetrestle_standins.gateway_fleet import HOSTNAME
 
@@ -24,6 +26,9 @@
 RESET_CHECK_S = 0.05
 # The state of a connection in /proc/net/tcp.
 _ESTABLISHED = "01"
+# The states of a thread in /proc/PID/stat that does not run: stopped, or ended.
+_HALTED = "TZX"
+HALT_POLL_INTERVAL_S = 0.0005
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -192,15 +197,34 @@
         """Returns the number of connections to a port of this machine.
 
         Those that have been closed or reset do not count, whatever the other side has
-        noticed.
+        noticed. The process is stopped meanwhile: the table is read in parts, for up to
+        0.3 s, in which closed connections would count beside those that replace them.
         """
-        lines = (self._folder / "net/tcp").read_text().splitlines()[1:]
+        with self._halted():
+            lines = (self._folder / "net/tcp").read_text().splitlines()[1:]
         fields = [line.split() for line in lines]
         remote_end = f":{port:04X}"
         return sum(
             item[2].endswith(remote_end) and item[3] == _ESTABLISHED for item in fields
         )
 
+    @contextlib.contextmanager
+    def _halted(self):
+        """Stops the process and all its threads while the context is open."""
+        pid = int(self._folder.name)
+        os.kill(pid, signal.SIGSTOP)
+        try:
+            while not self._is_halted:
+                time.sleep(HALT_POLL_INTERVAL_S)
+            yield
+        finally:
+            os.kill(pid, signal.SIGCONT)
+
+    @property
+    def _is_halted(self):
+        paths = (self._folder / "task").glob("*/stat")
+        return all(_state_of(path.read_text()) in _HALTED for path in paths)
+
     @property
     def cpu_s(self):
         """The time for which it has run."""
@@ -220,6 +244,11 @@
             used_s = self.cpu_s - before_s
 
 
+def _state_of(stat):
+    """Returns the letter of a thread's state, from the text of its file ``stat``."""
+    return stat.rpartition(")")[2].split()[0]
+
+
 def short_chunked_body():
     """A chunked body that stops after its first byte."""
     return [head("Transfer-Encoding: chunked") + b"400\r\na"]
