Move refusals and retry decisions out of the forwarder

Refusals that need no state are functions of refusals.py, and decisions on retries, their pauses and log lines are the class Retries of retries.py.

--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -38,12 +38,13 @@
 from snipetrestle.gateway.connection_shares import ConnectionShares
 from snipetrestle.gateway.crash_quarantine import CrashQuarantine
 from snipetrestle.gateway.drain_times import DrainTimes
-from snipetrestle.gateway.forwarding import NOT_READY_RETRY_AFTER_S, Forwarder
+from snipetrestle.gateway.forwarding import Forwarder
 from snipetrestle.gateway.http_listener import HttpServer, status_server
 from snipetrestle.gateway.kept_prompts import KeptPrompts
 from snipetrestle.gateway.metrics import GatewayMetrics
 from snipetrestle.gateway.process_check import ProcessCheck
 from snipetrestle.gateway.published_state import PublishedState
+from snipetrestle.gateway.refusals import NOT_READY_RETRY_AFTER_S
 from snipetrestle.gateway.replica_entries import STORE_RETURN_GRACE_S
 from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle.gateway.request_limits import RequestLimits
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -11,14 +11,13 @@
 
 from snipetrestle.answer_memory import AnswerMemory
 from snipetrestle.codes import Outcome, ResultCode
-from snipetrestle.dispatch.replica_search import RETRY_AFTER_S, ReplicaSearch
+from snipetrestle.dispatch.replica_search import ReplicaSearch
 from snipetrestle.events import Event
 from snipetrestle.gateway.configuration import RequestKind
-from snipetrestle.gateway.connection_pool import ConnectionsExhausted
 from snipetrestle.gateway.crash_check import CrashCheck
 from snipetrestle.gateway.event_intervals import EventIntervalMeter
 from snipetrestle.gateway.event_stream import EventSplitter, InvalidEvent
-from snipetrestle.gateway.exchange import Exchange, ReplicaLeft
+from snipetrestle.gateway.exchange import Exchange
 from snipetrestle.gateway.failover import Failover
 from snipetrestle.gateway.http_client import (
     ConnectFailed,
@@ -29,31 +28,25 @@
 from snipetrestle.gateway.http_server import CallerDisconnected
 from snipetrestle.gateway.job import Job, Refused
 from snipetrestle.gateway.quota_check import QuotaCheck
+from snipetrestle.gateway.refusals import (
+    NOT_READY_RETRY_AFTER_S,
+    deadline_refusal,
+    internal_refusal,
+    not_run_stop_refusal,
+    stop_refusal,
+)
+from snipetrestle.gateway.retries import Retries
 from snipetrestle.gateway.stream_origin import StreamOrigin
 from snipetrestle.gateway.usual_durations import UsualDurations
 from snipetrestle.supervision import log_unexpected
 from snipetrestle.tenants.authentication import authenticate, reauthenticate
 
-# Failed connection attempts of one request; nothing was sent in any of them.
-MAX_CONNECT_FAILURES = 4
-# Attempts of one request, including those at replicas that did not run it.
-MAX_SENDS = 4
-# The same for a stream that its caller already reads: the alternative to another
-# attempt is to abort it. Its last pauses take 3 s together.
-MAX_BEGUN_STREAM_SENDS = 7
 # An idempotent call whose replica sends no data for this long is sent to another one,
 # and the first response is used.
 IDEMPOTENT_SILENCE_S = 0.4
 # A stream without data for this long is resumed on another replica, since callers give
 # up soon after.
 STREAM_SILENCE_S = 1.9
-# Pause before a retry while a replica has not loaded the adapter yet, or is full; it
-# grows with the number of attempts, and doubles with each of them from MAX_SENDS on.
-NOT_LOADED_PAUSE_S = 0.04
-# Retry-After of requests that arrive before the gateway is ready.
-NOT_READY_RETRY_AFTER_S = 0.3
-# Reason of refusals in a planned stop, for the log.
-STOP_REASON = "this process stops"
 
 
 class Forwarder:
@@ -62,16 +55,14 @@
     def __init__(self, gateway):
         self._dialect = gateway.dialect
         self._state = gateway.state
-        self._locator = gateway.locator
         self._retry_budgets = gateway.retry_budgets
-        self._hosts = gateway.hosts
         self._metrics = gateway.metrics
         self._request_log = gateway.request_log
         self._bad_key_log = gateway.bad_key_log
         self._crash_quarantine = gateway.crash_quarantine
         self._crash_check = CrashCheck(gateway)
         self._search = ReplicaSearch(gateway)
-        self._uses_permits = gateway.settings.dispatch_permits
+        self._retries = Retries(gateway, self._search, self._has_time_left)
         self._quota_check = QuotaCheck(gateway.quota_accounts)
         self._take_ups = gateway.take_ups
         self._process_check = gateway.process_check
@@ -139,7 +130,7 @@
         tenant = authenticate(configuration, route, metadata)
         job = Job(request, metadata, route, self._choose_backend(route), caller, tenant)
         if self._bounds_new and job.deadline_at > self._give_up_at:
-            raise _not_run_stop_refusal()
+            raise not_run_stop_refusal()
         self._retry_budgets.for_backend(job.backend.name).note_request()
         return job
 
@@ -176,7 +167,7 @@
             if job.caller.has_response:
                 raise
             log_unexpected(f"request {job.request_id}", error)
-            refusal = _internal_refusal(job)
+            refusal = internal_refusal(job)
         finally:
             self._scopes.discard(scope)
             self._quota_check.end(job)
@@ -198,8 +189,8 @@
     def _cancelled_refusal(self, job):
         """Returns the refusal of a request that its deadline or a stop has ended."""
         if not self._has_given_up:
-            return _deadline_refusal(job)
-        return _stop_refusal(job)
+            return deadline_refusal(job)
+        return stop_refusal(job)
 
     def _has_time_left(self, job):
         """Whether a request that is passed on now probably ends before a stop does.
@@ -216,7 +207,7 @@
     def _check_time_left(self, job):
         """Raises Refused if a stop would probably interrupt a request."""
         if not self._has_time_left(job):
-            raise _stop_refusal(job)
+            raise stop_refusal(job)
 
     def _refuse(self, caller, request_id, refusal, job):
         """Logs a refusal and sends it, or aborts a stream that has already started."""
@@ -267,11 +258,11 @@
                     job, replica, self._silence_limit(job), self._serve_call
                 )
             except ConnectFailed as error:
-                self._note_connect_failure(job, replica, error)
+                self._retries.note_connect_failure(job, replica, error)
                 continue
             except ExchangeFailed as error:
-                if self._may_resend(job):
-                    self._log_resend(job, str(error))
+                if self._retries.may_resend(job):
+                    self._retries.log_resend(job, str(error))
                     continue
                 if job.fallback_response is None:
                     raise Refused(job.unknown_outcome_code, reason=str(error)) from None
@@ -289,7 +280,7 @@
         if metadata.not_executed:
             exchange.note_not_run()
             await exchange.read_body()
-            self._note_not_run(job, replica, head.status)
+            self._retries.note_call_not_run(job, replica, head.status)
             return None
         is_failure = head.status >= 500 or not _is_authentic(metadata)
         if not is_failure:
@@ -302,8 +293,8 @@
             if job.has_replacement:
                 raise ExchangeFailed(f"status {head.status}")
             replica.note_failure()
-            if self._may_resend(job):
-                self._log_resend(job, f"status {head.status}")
+            if self._retries.may_resend(job):
+                self._retries.log_resend(job, f"status {head.status}")
                 return None
         else:
             started = exchange.opened_at
@@ -358,11 +349,11 @@
                 ):
                     return
             except ConnectFailed as error:
-                self._note_connect_failure(job, replica, error)
+                self._retries.note_connect_failure(job, replica, error)
             except ExchangeFailed as error:
-                if not self._may_resend(job):
+                if not self._retries.may_resend(job):
                     raise Refused(job.unknown_outcome_code, reason=str(error)) from None
-                self._log_resend(job, str(error))
+                self._retries.log_resend(job, str(error))
 
     async def _serve_stream(self, job, exchange):
         """Forwards the events of a stream. Returns whether the request is done."""
@@ -372,7 +363,7 @@
             await exchange.read_body()
             # The pause that follows must not hold the replica's connection.
             exchange.close()
-            await self._note_stream_not_run(job, exchange.replica, head.status)
+            await self._retries.note_stream_not_run(job, exchange.replica, head.status)
             return False
         if not _is_authentic(metadata):
             raise ExchangeFailed(f"response {head.status} is unsigned or encoded")
@@ -400,8 +391,8 @@
             raise ExchangeFailed(f"status {head.status}")
         if head.status >= 500:
             exchange.replica.note_failure()
-            if self._may_resend(job):
-                self._log_resend(job, f"status {head.status}")
+            if self._retries.may_resend(job):
+                self._retries.log_resend(job, f"status {head.status}")
                 return False
         self._send_response(job, head.status, metadata, body)
         return True
@@ -453,19 +444,6 @@
             job.origin = StreamOrigin.from_replica(replica)
             self._take_ups.note_begun(job)
 
-    # Retries.
-
-    def _note_connect_failure(self, job, replica, error):
-        if isinstance(error, ConnectionsExhausted):
-            raise self._search.unavailable_refusal(job, str(error))
-        if not isinstance(error, ReplicaLeft):
-            replica.note_silence()
-        job.connect_failures += 1
-        if job.connect_failures >= MAX_CONNECT_FAILURES:
-            raise self._search.unavailable_refusal(
-                job, "no replica accepts connections"
-            )
-
     async def _attempt(self, job, replica, silence_s, serve):
         """Sends the request to a replica, and to others if it falls silent.
 
@@ -476,16 +454,6 @@
         exchange = self.create_exchange(job, replica)
         return await failover.serve(exchange, functools.partial(serve, job))
 
-    def _may_resend(self, job):
-        """Whether a request that may have run may be retried; if so, spends a retry."""
-        budget = self._retry_budgets.for_backend(job.backend.name)
-        return self._may_run_again(job) and budget.try_spend(self._hosts.max_known)
-
-    def _may_run_again(self, job):
-        return (
-            job.route.repeatable and job.has_attempts_left and self._has_time_left(job)
-        )
-
     # Used by Failover.
 
     def create_exchange(self, job, replica):
@@ -508,14 +476,13 @@
 
     def may_retry(self, job):
         """Whether a replacement may be sent now, while the first replica is silent."""
-        budget = self._retry_budgets.for_backend(job.backend.name)
-        return self._may_run_again(job) and budget.has_room(self._hosts.max_known)
+        return self._retries.may_replace(job)
 
     def try_book_retry(self, job, reason):
         """Counts a retry in the budget and logs it; returns False without room."""
-        if not self._may_resend(job):
+        if not self._retries.may_resend(job):
             return False
-        self._log_resend(job, reason)
+        self._retries.log_resend(job, reason)
         return True
 
     async def find_replacement(self, job):
@@ -547,7 +514,7 @@
         is_stream = job.route.kind is RequestKind.STREAM
         if metadata.not_executed or (is_stream and head.status == 421):
             exchange.note_not_run()
-            self._note_refusal(job, exchange.replica, head.status)
+            self._retries.note_refusal(job, exchange.replica, head.status)
             return f"not run, status {head.status}"
         if not _is_authentic(metadata):
             raise ExchangeFailed(f"response {head.status} is unsigned or encoded")
@@ -579,105 +546,6 @@
             reason=reason,
         )
 
-    def _log_resend(self, job, reason):
-        self._request_log.log(
-            Event.REQUEST_REPEATED,
-            request=job.request_id,
-            route=job.route.name,
-            sent_to=job.sent_to,
-            reason=reason,
-            last_event_id=job.last_event_id,
-            software_version=None if job.origin is None else job.origin.version,
-        )
-
-    def _note_not_run(self, job, replica, status):
-        """Handles a replica that did not run a call. Returns if it may be retried."""
-        self._note_refusal(job, replica, status)
-        if job.has_replacement:
-            raise ExchangeFailed(f"not run, status {status}")
-        if not self._may_resend_not_run(job):
-            raise self._not_run_refusal(job, status)
-        self._log_resend(job, f"not run, status {status}")
-
-    def _note_refusal(self, job, replica, status):
-        """Records that a replica is full or does not hold the request's adapter."""
-        key = job.metadata.adapter
-        is_stream = job.route.kind is RequestKind.STREAM
-        if is_stream and key is not None and status == 421:
-            self._locator.forget(key, replica.id)
-            job.adapter_missing_on.append(replica.id)
-        if not is_stream and status in (503, 429):
-            replica.note_failure()
-        if status in (503, 429) and self._uses_permits:
-            self._search.note_turned_away(job)
-
-    def _may_resend_not_run(self, job):
-        """Whether a request that did not run may be retried; if so, spends a retry."""
-        return (
-            job.has_attempts_left
-            and not job.caller.closed
-            and job.send_count < _max_sends(job)
-            and self._has_time_left(job)
-            and self._retry_budgets.for_backend(job.backend.name).try_spend(
-                self._hosts.max_known
-            )
-        )
-
-    def _not_run_refusal(self, job, status):
-        if job.may_have_run:
-            return Refused(job.unknown_outcome_code, reason=f"refused: {status}")
-        return Refused(
-            ResultCode.QUEUE_FULL,
-            self._search.retry_after_s(job),
-            reason=f"refused: {status}",
-        )
-
-    async def _note_stream_not_run(self, job, replica, status):
-        """Handles a replica that did not run a stream. Pauses if it may be retried."""
-        self._note_refusal(job, replica, status)
-        if job.has_replacement:
-            raise ExchangeFailed(f"not run, status {status}")
-        if not self._may_resend_not_run(job):
-            raise self._not_run_refusal(job, status)
-        self._log_resend(job, f"not run, status {status}")
-        # The adapter's load takes longer than expected, or the replica is full.
-        await anyio.sleep(_not_run_pause_s(job))
-
-
-def _max_sends(job):
-    return MAX_BEGUN_STREAM_SENDS if job.streaming else MAX_SENDS
-
-
-def _not_run_pause_s(job):
-    """Returns the pause before a stream that a replica did not run is sent again."""
-    doublings = max(0, job.send_count - MAX_SENDS + 1)
-    return NOT_LOADED_PAUSE_S * job.send_count * 2**doublings
-
-
-def _deadline_refusal(job):
-    if job.may_have_run:
-        return Refused(ResultCode.DEADLINE_PASSED)
-    return Refused(
-        ResultCode.QUEUE_FULL, RETRY_AFTER_S, reason="not run before its deadline"
-    )
-
-
-def _internal_refusal(job):
-    if job.may_have_run:
-        return Refused(job.unknown_outcome_code, reason="internal error")
-    return Refused(ResultCode.INTERNAL, reason="internal error")
-
-
-def _stop_refusal(job):
-    """Returns the refusal of a request that this process no longer serves."""
-    if job.may_have_run:
-        return Refused(job.unknown_outcome_code, reason=STOP_REASON)
-    return _not_run_stop_refusal()
-
-
-def _not_run_stop_refusal():
-    return Refused(ResultCode.NOT_READY, NOT_READY_RETRY_AFTER_S, reason=STOP_REASON)
-
 
 def _is_authentic(metadata):
     """Whether a response is signed by the replica and has no content coding."""
--- a/snipetrestle_standins/dispatch_fleet.py
+++ b/snipetrestle_standins/dispatch_fleet.py
@@ -24,10 +24,10 @@
     WeightedBackend,
 )
 from snipetrestle.gateway.dialect import RequestMetadata
-from snipetrestle.gateway.forwarding import MAX_SENDS
 from snipetrestle.gateway.job import Job, Refused
 from snipetrestle.gateway.metrics import GatewayMetrics
 from snipetrestle.gateway.replicas import ReplicaDirectory
+from snipetrestle.gateway.retries import MAX_SENDS
 from snipetrestle.gateway.retry_budget import RetryBudget
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
 
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -3,7 +3,7 @@
 import anyio
 
 from snipetrestle.events import Event
-from snipetrestle.gateway.forwarding import MAX_SENDS
+from snipetrestle.gateway.retries import MAX_SENDS
 from snipetrestle_standins.gateway_fleet import route, tenant
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.test_tenants import TenantTestCase, arrived
