Bound the further sends of refused streams to half of the retry budget

What callers saw: after 12 begun streams whose replicas had failed and were then full, 2 of 10 fresh requests that their first replica refused got the retry that would have served them; the others got 503.

Cause: a begun stream is sent up to seven times, and each send took any part of the retry budget.

Change: sends from the fifth on are made only while at most half of the budget is used, the send included. They still count in the budget, so its bound on all sends is the same, and they can never be why the other half is not there. A separate part beside the ordinary sends would not do this: the ordinary sends of the 12 streams (36 of 45) and a quarter of the budget for further ones leave nothing.

The price: if that many streams are refused at the same time, they end after four sends. On a host with a small part of the slack and few requests, half of the budget may be less than one retry.

--- a/snipetrestle/gateway/retries.py
+++ b/snipetrestle/gateway/retries.py
@@ -21,6 +21,10 @@
 # The same for a stream that its caller already reads: the alternative to another
 # attempt is to abort it. Its last pauses take 3 s together.
 MAX_BEGUN_STREAM_SENDS = 7
+# Sends of such a stream from MAX_SENDS on are made only within this part of the retry
+# budget. They go to replicas that have refused it several times, so they help less than
+# the first retries of other requests, for which the rest is left.
+FURTHER_SENDS_SHARE = 0.5
 # Pause before a retry while a replica has not loaded the adapter yet, or is full; it
 # grows with the number of attempts, and doubles with each of them from MAX_SENDS on.
 NOT_LOADED_PAUSE_S = 0.04
@@ -46,13 +50,19 @@
 
     def may_resend(self, job):
         """Whether a request that may have run may be retried; if so, spends a retry."""
-        budget = self._budgets.for_backend(job.backend.name)
-        return self._may_run_again(job) and budget.try_spend(self._hosts.max_known)
+        return self._may_run_again(job) and self._try_spend(job)
 
     def may_replace(self, job):
         """Whether a replacement may be sent now, while the first replica is silent."""
         budget = self._budgets.for_backend(job.backend.name)
-        return self._may_run_again(job) and budget.has_room(self._hosts.max_known)
+        share = _budget_share(job)
+        return self._may_run_again(job) and budget.has_room(
+            self._hosts.max_known, share
+        )
+
+    def _try_spend(self, job):
+        budget = self._budgets.for_backend(job.backend.name)
+        return budget.try_spend(self._hosts.max_known, _budget_share(job))
 
     def _may_run_again(self, job):
         return (
@@ -128,9 +138,7 @@
             and not job.caller.closed
             and job.send_count < _max_sends(job)
             and self._has_time_left(job)
-            and self._budgets.for_backend(job.backend.name).try_spend(
-                self._hosts.max_known
-            )
+            and self._try_spend(job)
         )
 
     def _not_run_refusal(self, job, status):
@@ -147,6 +155,12 @@
     return MAX_BEGUN_STREAM_SENDS if job.streaming else MAX_SENDS
 
 
+def _budget_share(job):
+    """Returns the part of the retry budget within which a request may be sent again."""
+    is_further_send = job.streaming and job.send_count >= MAX_SENDS
+    return FURTHER_SENDS_SHARE if is_further_send else 1.0
+
+
 def _not_run_pause_s(job):
     """Returns the pause before a stream that a replica did not run is sent again."""
     doublings = max(0, job.send_count - MAX_SENDS + 1)
--- a/snipetrestle/gateway/retry_budget.py
+++ b/snipetrestle/gateway/retry_budget.py
@@ -29,19 +29,19 @@
         """Counts a caller's request to the backend."""
         self._requests.append(anyio.current_time())
 
-    def has_room(self, hosts):
-        """Whether one more retry is within the budget.
+    def has_room(self, hosts, share=1.0):
+        """Whether one more retry is within ``share`` of the budget.
 
         ``hosts`` is the number of hosts that share the slack.
         """
         self._discard_before(anyio.current_time() - self._window_s)
         slack_share = self._slack * USED_FRACTION / max(1, hosts)
         allowed = self._ratio * USED_FRACTION * len(self._requests) + slack_share
-        return len(self._retries) + 1 <= allowed
+        return len(self._retries) + 1 <= share * allowed
 
-    def try_spend(self, hosts):
-        """Counts a retry and returns True; returns False if the budget is used up."""
-        if not self.has_room(hosts):
+    def try_spend(self, hosts, share=1.0):
+        """Counts a retry and returns True; returns False if ``share`` is used up."""
+        if not self.has_room(hosts, share):
             return False
         self._retries.append(anyio.current_time())
         return True
