Bound the pauses of begun streams by their deadline

What callers saw: a begun stream that replicas refuse is aborted at its deadline within the last pause (1.9 s), although it could have been sent again before; or it is sent when the deadline is so near that a replica works for nobody.

Cause: the pauses did not know the deadline.

Change: a pause ends early enough for one more event, which is expected to take what the first one took, up to the target latency of the route, and for the connection. If no pause is left, the stream ends at once, without a retry in the budget. A begun stream is not sent within 0.1 s of its deadline, whatever it waited for.

Weighed and rejected: to send nothing within the expected time of an event. A replica that keeps the prompt may be faster: on the code before, a stream that broke off 0.3 s before its deadline, and whose first event had taken 0.5 s, became whole.

--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -47,7 +47,8 @@
 
         If that fails with ExchangeFailed, goes on with the replacement that was sent
         meanwhile. Raises ConnectFailed if nothing was sent, ExchangeFailed if there is
-        no replacement, and Refused if the request's key was taken away.
+        no replacement, and Refused if the request's key was taken away, or if a begun
+        stream is too late for an event.
         """
         self._current = exchange
         try:
@@ -76,7 +77,7 @@
         except ConnectFailed:
             exchange.close()
             raise
-        self._forwarder.reauthenticate(self._job)
+        self._forwarder.check_sendable(self._job)
 
     async def _serve_current(self, serve_exchange):
         self._current.watch(self._silence_s, self._on_silent, self._on_progress)
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -419,7 +419,7 @@
                 now = anyio.current_time()
                 replica.note_success(now - started)
                 self._crash_quarantine.note_answered(replica.process_id, started, job)
-                job.first_event_at = job.first_event_at or now
+                job.note_first_event(now - started)
             if not job.streaming:
                 # A refusal that is due now can still be sent.
                 await anyio.lowlevel.checkpoint_if_cancelled()
@@ -470,9 +470,13 @@
         """
         await self._process_check.check(job, replica)
 
-    def reauthenticate(self, job):
-        """Checks the key of a request that is about to be sent. Raises Refused."""
+    def check_sendable(self, job):
+        """Checks the key and the time of a request that is about to be sent.
+
+        Raises Refused.
+        """
         reauthenticate(self._state.configuration, job)
+        self._retries.check_time_for_event(job)
 
     def may_retry(self, job):
         """Whether a replacement may be sent now, while the first replica is silent."""
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -19,6 +19,9 @@
 FIRST_EVENT_WAIT_LATENCIES = 4.0
 FIRST_EVENT_WAIT_GAPS = 8.0
 MIN_FIRST_EVENT_WAIT_S = 2.0
+# A begun stream is not sent this shortly before its deadline. A connection, the check of
+# the replica's process and an event are assumed to take so long at least.
+MIN_EVENT_TIME_S = 0.1
 
 
 class Refused(Exception):
@@ -49,8 +52,9 @@
     ``is_quarantine_trial`` tells that the request shows whether it still crashes
     replicas. ``limit_wait_s`` is the time that the request would have had to wait for a
     replica with a request limit. ``fallback_response`` is an earlier replica's failure,
-    passed to the caller if no later attempt gets a response. ``first_sent_at`` is the
-    time of the first attempt, or None. ``has_replacement`` tells that the request was
+    passed to the caller if no later attempt gets a response. ``first_event_s`` is how
+    long a replica took to the first event, or None. ``first_sent_at`` is the time of the
+    first attempt, or None. ``has_replacement`` tells that the request was
     sent to another replica while the first one is silent. ``dropped_on`` holds the ids
     of replicas whose replacement was ended before it had a response; the request may go
     to them again. ``quota_booking`` is the tenant, what the request has booked on its
@@ -82,6 +86,7 @@
         "connect_failures",
         "version",
         "first_event_at",
+        "first_event_s",
         "fallback_response",
         "is_quarantine_trial",
         "limit_wait_s",
@@ -123,6 +128,7 @@
         self.connect_failures = 0
         self.version = None
         self.first_event_at = None
+        self.first_event_s = None
         self.fallback_response = None
         self.is_quarantine_trial = False
         self.limit_wait_s = 0.0
@@ -158,6 +164,15 @@
             self._fallback_answer.end()
             self._fallback_answer = None
 
+    def note_first_event(self, event_time_s):
+        """Records the first event of a replica, and how long it took to that.
+
+        Only the first of the stream counts, not those of later replicas.
+        """
+        if self.first_event_at is None:
+            self.first_event_at = anyio.current_time()
+            self.first_event_s = event_time_s
+
     def begin_stream(self):
         """Records that the caller gets the start of a stream, which lifts the margin."""
         self.streaming = True
@@ -201,6 +216,11 @@
             return self.route.priority
         return tenant.priority
 
+    @property
+    def latest_send_at(self):
+        """When a stream that has begun may be sent again at the latest."""
+        return self.deadline_at - MIN_EVENT_TIME_S
+
     @property
     def may_have_run(self):
         return bool(self.may_have_run_on)
--- a/snipetrestle/gateway/retries.py
+++ b/snipetrestle/gateway/retries.py
@@ -12,7 +12,7 @@
 from snipetrestle.gateway.connection_pool import ConnectionsExhausted
 from snipetrestle.gateway.exchange import ReplicaLeft
 from snipetrestle.gateway.http_client import ExchangeFailed
-from snipetrestle.gateway.job import Refused
+from snipetrestle.gateway.job import MIN_EVENT_TIME_S, Refused
 
 # Failed connection attempts of one request; nothing was sent in any of them.
 MAX_CONNECT_FAILURES = 4
@@ -28,6 +28,8 @@
 # Pause before a retry while a replica has not loaded the adapter yet, or is full; it
 # grows with the number of attempts, and doubles with each of them from MAX_SENDS on.
 NOT_LOADED_PAUSE_S = 0.04
+# Reason of refusals, for the log.
+TOO_LATE_REASON = "too late for an event before the deadline"
 
 
 class Retries:
@@ -66,9 +68,17 @@
 
     def _may_run_again(self, job):
         return (
-            job.route.repeatable and job.has_attempts_left and self._has_time_left(job)
+            job.route.repeatable
+            and job.has_attempts_left
+            and self._has_time_left(job)
+            and _may_get_event(job)
         )
 
+    def check_time_for_event(self, job):
+        """Raises Refused if a begun stream gets no event before its deadline."""
+        if not _may_get_event(job):
+            raise Refused(job.unknown_outcome_code, reason=TOO_LATE_REASON)
+
     def log_resend(self, job, reason):
         self._request_log.log(
             Event.REQUEST_REPEATED,
@@ -122,7 +132,7 @@
         self.note_refusal(job, replica, status)
         self._book_not_run(job, status)
         # The adapter's load takes longer than expected, or the replica is full.
-        await anyio.sleep(_not_run_pause_s(job))
+        await anyio.sleep(_pause_s(job))
 
     def _book_not_run(self, job, status):
         if job.has_replacement:
@@ -138,6 +148,7 @@
             and not job.caller.closed
             and job.send_count < _max_sends(job)
             and self._has_time_left(job)
+            and _pause_s(job) > 0
             and self._try_spend(job)
         )
 
@@ -161,7 +172,29 @@
     return FURTHER_SENDS_SHARE if is_further_send else 1.0
 
 
-def _not_run_pause_s(job):
-    """Returns the pause before a stream that a replica did not run is sent again."""
+def _may_get_event(job):
+    """Whether a begun stream that is sent now may get an event; True for others."""
+    return not job.streaming or anyio.current_time() < job.latest_send_at
+
+
+def _pause_s(job):
+    """Returns the pause before a stream that a replica did not run is sent again.
+
+    It is 0.0 if the stream has begun and would be sent too late.
+    """
     doublings = max(0, job.send_count - MAX_SENDS + 1)
-    return NOT_LOADED_PAUSE_S * job.send_count * 2**doublings
+    pause_s = NOT_LOADED_PAUSE_S * job.send_count * 2**doublings
+    if not job.streaming:
+        return pause_s
+    latest = job.latest_send_at - _expected_event_time_s(job)
+    return max(0.0, min(pause_s, latest - anyio.current_time()))
+
+
+def _expected_event_time_s(job):
+    """Returns how long a stream that has begun probably takes to its next event.
+
+    That is what its first event took, up to the target of its route: a replica that
+    took longer was probably silent.
+    """
+    measured_s = min(job.first_event_s or 0.0, job.route.target_latency_s)
+    return max(MIN_EVENT_TIME_S, measured_s)
