Let a begun stream wait for its only replica to return

What callers saw: a begun stream whose connection breaks is aborted at once if its only replica drains for a moment, or refuses connections for half a second.

Cause: no replica is ready then, and the attempts to connect (four) had no pauses between them. Only refusals by a replica that answers were waited out.

Change: a begun stream waits for up to 3 s while the only replicas that may go on with it drain without having left, and looks every 0.1 s whether one is ready. It is sent to none that drains. After a failed connection it pauses as after a refusal (0.04 to 1.9 s), and ends after seven of them. Nothing is sent meanwhile, so neither takes the retry budget. If the replicas have left, the stream ends at once as before. Other requests are refused as before.

The price: a stream whose only replica does not come back is aborted up to 3 s later.

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -21,6 +21,11 @@
 RETRY_AFTER_S = 0.5
 # Pause before the leader is asked again about an adapter without a place to use.
 NO_PLACE_PAUSE_S = 0.06
+# How long a stream that its caller already reads waits while its only replicas drain:
+# about as long as the pauses of one that replicas refuse take together. It asks this
+# often whether one of them is ready again.
+MAX_DRAIN_WAIT_S = 3.0
+DRAIN_CHECK_PAUSE_S = 0.1
 # How long a stream waits for a place, with and without a known leader, as a multiple of
 # its route's target latency.
 PLACE_WAIT_LATENCIES = 1.5
@@ -44,6 +49,7 @@
     async def choose_replica(self, job):
         """Returns a replica, if possible one that the request was not sent to."""
         await self._chooser.wait_out_pauses(job)
+        await self._wait_out_drains(job)
         self._check_origin(job)
         candidates = [
             item
@@ -67,6 +73,27 @@
         """Records that a replica was too full for a request."""
         self._chooser.note_turned_away(job)
 
+    async def _wait_out_drains(self, job):
+        """Waits for a while if a begun stream can go on only at replicas that drain.
+
+        A drain may be withdrawn, and the alternative is to abort the stream.
+        """
+        if not job.streaming:
+            return
+        latest = min(anyio.current_time() + MAX_DRAIN_WAIT_S, job.latest_send_at)
+        while self._must_wait_out_drain(job):
+            left_s = latest - anyio.current_time()
+            if left_s <= 0:
+                return
+            await anyio.sleep(min(DRAIN_CHECK_PAUSE_S, left_s))
+
+    def _must_wait_out_drain(self, job):
+        listed = self._replicas.listed_replicas(job.backend.name)
+        replicas = [item for item in listed if job.may_be_sent_to(item)]
+        if any(item.takes_requests for item in replicas):
+            return False
+        return any(item.is_draining for item in replicas)
+
     def _check_origin(self, job):
         """Raises Refused if no replica can go on with a stream that has begun.
 
@@ -113,6 +140,7 @@
         must_pause = False
         while True:
             await self._chooser.wait_out_pauses(job)
+            await self._wait_out_drains(job)
             self._check_origin(job)
             holders = self._holders(job, places)
             ready = [
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -258,7 +258,7 @@
                     job, replica, self._silence_limit(job), self._serve_call
                 )
             except ConnectFailed as error:
-                self._retries.note_connect_failure(job, replica, error)
+                await self._retries.note_connect_failure(job, replica, error)
                 continue
             except ExchangeFailed as error:
                 if self._retries.may_resend(job):
@@ -349,7 +349,7 @@
                 ):
                     return
             except ConnectFailed as error:
-                self._retries.note_connect_failure(job, replica, error)
+                await self._retries.note_connect_failure(job, replica, error)
             except ExchangeFailed as error:
                 if not self._retries.may_resend(job):
                     raise Refused(job.unknown_outcome_code, reason=str(error)) from None
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/replicas.py
@@ -134,6 +134,11 @@
     def takes_requests(self):
         return not self.leaving and self.entry.state is ReplicaState.READY
 
+    @property
+    def is_draining(self):
+        """Whether the replica takes no new requests now, but has not left."""
+        return not self.leaving and self.entry.state is ReplicaState.DRAINING
+
     @property
     def is_willing(self):
         """Whether the replica takes new requests, and has asked for no pause."""
--- a/snipetrestle/gateway/retries.py
+++ b/snipetrestle/gateway/retries.py
@@ -14,7 +14,9 @@
 from snipetrestle.gateway.http_client import ExchangeFailed
 from snipetrestle.gateway.job import MIN_EVENT_TIME_S, Refused
 
-# Failed connection attempts of one request; nothing was sent in any of them.
+# Failed connection attempts of one request; nothing was sent in any of them. A stream
+# that its caller already reads has MAX_BEGUN_STREAM_SENDS, with the pauses of a refused
+# one.
 MAX_CONNECT_FAILURES = 4
 # Attempts of one request, including those at replicas that did not run it.
 MAX_SENDS = 4
@@ -92,17 +94,23 @@
 
     # Requests that did not run.
 
-    def note_connect_failure(self, job, replica, error):
-        """Records a ConnectFailed. Raises Refused if no further attempt is allowed."""
+    async def note_connect_failure(self, job, replica, error):
+        """Records a ConnectFailed. A begun stream pauses, as nothing is lost by that.
+
+        Raises Refused if no further attempt is allowed.
+        """
         if isinstance(error, ConnectionsExhausted):
             raise self._search.unavailable_refusal(job, str(error))
         if not isinstance(error, ReplicaLeft):
             replica.note_silence()
         job.connect_failures += 1
-        if job.connect_failures >= MAX_CONNECT_FAILURES:
+        if not _may_connect_again(job):
             raise self._search.unavailable_refusal(
                 job, "no replica accepts connections"
             )
+        if job.streaming:
+            # Its only replica may refuse connections for a moment.
+            await anyio.sleep(_pause_s(job, job.connect_failures))
 
     def note_refusal(self, job, replica, status):
         """Records that a replica is full or does not hold the request's adapter."""
@@ -132,7 +140,7 @@
         self.note_refusal(job, replica, status)
         self._book_not_run(job, status)
         # The adapter's load takes longer than expected, or the replica is full.
-        await anyio.sleep(_pause_s(job))
+        await anyio.sleep(_pause_s(job, job.send_count))
 
     def _book_not_run(self, job, status):
         if job.has_replacement:
@@ -148,7 +156,7 @@
             and not job.caller.closed
             and job.send_count < _max_sends(job)
             and self._has_time_left(job)
-            and _pause_s(job) > 0
+            and _pause_s(job, job.send_count) > 0
             and self._try_spend(job)
         )
 
@@ -177,13 +185,22 @@
     return not job.streaming or anyio.current_time() < job.latest_send_at
 
 
-def _pause_s(job):
-    """Returns the pause before a stream that a replica did not run is sent again.
+def _may_connect_again(job):
+    if not job.streaming:
+        return job.connect_failures < MAX_CONNECT_FAILURES
+    return (
+        job.connect_failures < MAX_BEGUN_STREAM_SENDS
+        and _pause_s(job, job.connect_failures) > 0
+    )
+
+
+def _pause_s(job, attempts):
+    """Returns the pause after the last of ``attempts`` of a stream that did not run.
 
     It is 0.0 if the stream has begun and would be sent too late.
     """
-    doublings = max(0, job.send_count - MAX_SENDS + 1)
-    pause_s = NOT_LOADED_PAUSE_S * job.send_count * 2**doublings
+    doublings = max(0, attempts - MAX_SENDS + 1)
+    pause_s = NOT_LOADED_PAUSE_S * attempts * 2**doublings
     if not job.streaming:
         return pause_s
     latest = job.latest_send_at - _expected_event_time_s(job)
--- a/tests/gateway/test_begun_streams.py
+++ b/tests/gateway/test_begun_streams.py
@@ -5,15 +5,21 @@
 
 import testtools
 
+from snipetrestle.gateway.connection_pool import ConnectionPool
+from snipetrestle.gateway.retries import MAX_BEGUN_STREAM_SENDS
 from tests.gateway.running import run_fleet
+from tests.gateway.test_configuration_changes import set_long_limits
 from tests.gateway.test_replacements import (
     abort,
     refuse_after,
     script,
     stream_events,
 )
+from tests.waiting import wait_until
 
 ALL_EVENT_IDS = [1, 2, 3, 4, 5, 6]
+# How long a replica is away in the tests: less than a begun stream waits for one.
+ABSENCE_S = 0.5
 # Time to the first event. The last pause leaves as much time for another one, so it is
 # long: a busy machine may be late.
 FIRST_EVENT_S = 0.5
@@ -30,11 +36,11 @@
     return serve
 
 
-async def start_stream(fleet, deadline_s=None):
+async def start_stream(fleet, deadline_s=None, adapter=""):
     """Returns the task of a stream."""
     headers = [] if deadline_s is None else [("X-Deadline-Ms", round(deadline_s * 1e3))]
     return asyncio.create_task(
-        fleet.send_request("/draft/a", adapter="", headers=headers)
+        fleet.send_request("/draft/a", adapter=adapter, headers=headers)
     )
 
 
@@ -107,3 +113,83 @@
             self.assertEqual(1, len(arrivals))
 
         run_fleet(check)
+
+    def check_drain(self, adapter):
+        """Checks that a stream outlasts a moment in which its only replica drains."""
+
+        async def check(fleet):
+            await set_long_limits(fleet)
+            if adapter:
+                await fleet.send_request("/draft/a", adapter=adapter)
+            (replica,) = fleet.models
+            must_break = asyncio.Event()
+            arrivals = script(
+                fleet.models, [break_when(must_break), stream_events(1, 6)]
+            )
+            stream = await start_stream(fleet, adapter=adapter)
+            await wait_until(lambda: arrivals)
+            known = fleet.live[0].replicas.by_id[replica.id]
+            await wait_until(lambda: known.measured_latency_s is not None)
+            await asyncio.sleep(0.1)
+            fleet.publish(replica, state="draining")
+            await wait_until(lambda: not known.takes_requests)
+            must_break.set()
+            await asyncio.sleep(ABSENCE_S)
+            self.assertEqual(1, len(arrivals))
+            fleet.publish(replica)
+            self.assert_whole(await stream)
+
+        run_fleet(check, models=1)
+
+    def test_stream_outlasts_a_drain_of_its_only_replica(self):
+        """Guards against a stream that is aborted while its replica drains."""
+        self.check_drain(adapter="")
+
+    def test_stream_of_an_adapter_outlasts_a_drain_of_its_only_replica(self):
+        """The same for a stream that needs a place of its adapter."""
+        self.check_drain(adapter="a1")
+
+    def check_refused_connections(self, absence_s):
+        """Returns the answer to a stream whose only replica closes its port.
+
+        Also returns how often a connection was asked for after that.
+        """
+        attempts = []
+        acquire = ConnectionPool.acquire
+
+        async def acquire_counted(pool, request_id=None):
+            if request_id is not None:
+                attempts.append(request_id)
+            return await acquire(pool, request_id)
+
+        async def check(fleet):
+            await set_long_limits(fleet)
+            (replica,) = fleet.models
+            must_break = asyncio.Event()
+            arrivals = script(
+                fleet.models, [break_when(must_break), stream_events(1, 6)]
+            )
+            stream = await start_stream(fleet)
+            known = fleet.live[0].replicas.by_id[replica.id]
+            await wait_until(lambda: arrivals and known.measured_latency_s is not None)
+            await asyncio.sleep(0.1)
+            self.patch(ConnectionPool, "acquire", acquire_counted)
+            replica._server.close()
+            replica.reset_connections()
+            if absence_s is not None:
+                await asyncio.sleep(absence_s)
+                await replica.start(replica.port)
+            return await stream, len(attempts)
+
+        return run_fleet(check, models=1)
+
+    def test_stream_outlasts_a_port_that_is_closed_for_a_moment(self):
+        """Guards against a stream whose attempts are used up within milliseconds."""
+        answer, _ = self.check_refused_connections(ABSENCE_S)
+        self.assert_whole(answer)
+
+    def test_closed_port_is_not_tried_without_end(self):
+        """Guards against a busy loop of connections that are refused."""
+        answer, attempts = self.check_refused_connections(None)
+        self.assertEqual((200, False), (answer.status, answer.complete))
+        self.assertLessEqual(attempts, MAX_BEGUN_STREAM_SENDS)
