Send a stream back to its silent replica when the replacement fails late

What callers saw: a stream without an event gets the 500 of its replacement, or 502 if that closes the connection, although the first replica was only silent for a while. A stream that has begun is aborted in the same case.

Cause: the silent replica's exchange is ended once the second replica has refused nothing for 0.3 s, since two replicas must not work on one stream for longer. If that one fails after it, both attempts of the route are used up.

Change: the job keeps the id of the silent replica that was left. If its replacement fails and the route allows no other replica, the stream may go back there, once, within the retry budget and from the last event that the caller has. Nothing is sent before the failed exchange is closed, so no replica works on a stream beside another for longer than before. The return allows no further replacement while a replica is silent.

The first exchange is not kept open for its answer: that would be the longer overlap. So the first replica runs the request again instead of its first answer being used.

--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -155,6 +155,8 @@
         """Ends the silent exchange if another replica accepts the request."""
         if await self._send_replacement(reason):
             self._is_accepted = True
+            if self._job.route.kind is RequestKind.STREAM:
+                self._job.silent_replica_id = self._current.replica.id
             self._current.cancel(reason)
             return
         await asyncio.sleep(self._pause_s)
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -351,6 +351,7 @@
             except ConnectFailed as error:
                 await self._retries.note_connect_failure(job, replica, error)
             except ExchangeFailed as error:
+                job.note_stream_failed()
                 if not self._retries.may_resend(job):
                     raise Refused(job.unknown_outcome_code, reason=str(error)) from None
                 self._retries.log_resend(job, str(error))
@@ -391,6 +392,7 @@
             raise ExchangeFailed(f"status {head.status}")
         if head.status >= 500:
             exchange.replica.note_failure()
+            job.note_stream_failed()
             if self._retries.may_resend(job):
                 self._retries.log_resend(job, f"status {head.status}")
                 return False
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -57,7 +57,8 @@
     first attempt, or None. ``has_replacement`` tells that the request was
     sent to another replica while the first one is silent. ``dropped_on`` holds the ids
     of replicas whose replacement was ended before it had a response; the request may go
-    to them again. ``quota_booking`` is the tenant, what the request has booked on its
+    to them again. ``silent_replica_id`` is that of the last replica of a stream that was
+    left for an accepted replacement, or None. ``quota_booking`` is the tenant, what the request has booked on its
     quota and when, or None. ``open_exchanges`` are its Exchanges. ``permit`` is a
     dispatch Permit that no exchange has taken yet. ``origin`` is the StreamOrigin of a
     stream of which the caller has an event, else None, and ``take_up`` the TakeUp of one
@@ -93,6 +94,7 @@
         "first_sent_at",
         "has_replacement",
         "dropped_on",
+        "silent_replica_id",
         "quota_booking",
         "permit",
         "open_exchanges",
@@ -135,6 +137,7 @@
         self.first_sent_at = None
         self.has_replacement = False
         self.dropped_on = set()
+        self.silent_replica_id = None
         self.quota_booking = None
         self.permit = None
         self.open_exchanges = set()
@@ -173,6 +176,17 @@
             self.first_event_at = anyio.current_time()
             self.first_event_s = event_time_s
 
+    def note_stream_failed(self):
+        """Lets a stream return to the silent replica that a failed one has replaced.
+
+        That replica may go on by now. Only if no other one may run the stream: the
+        return must not allow a further replacement while a replica is silent.
+        """
+        if self.silent_replica_id is None or self.may_run_on_another:
+            return
+        self.dropped_on.add(self.silent_replica_id)
+        self.silent_replica_id = None
+
     def begin_stream(self):
         """Records that the caller gets the start of a stream, which lifts the margin."""
         self.streaming = True
--- a/tests/gateway/test_begun_streams.py
+++ b/tests/gateway/test_begun_streams.py
@@ -11,7 +11,9 @@
 from tests.gateway.test_configuration_changes import set_long_limits
 from tests.gateway.test_replacements import (
     abort,
+    answer_after,
     refuse_after,
+    reset_after,
     script,
     stream_events,
 )
@@ -193,3 +195,55 @@
         answer, attempts = self.check_refused_connections(None)
         self.assertEqual((200, False), (answer.status, answer.complete))
         self.assertLessEqual(attempts, MAX_BEGUN_STREAM_SENDS)
+
+
+class LateFailureTest(testtools.TestCase):
+    """Replacements that fail after the exchange with the silent replica was ended."""
+
+    def check_return(self, first, failure, adapter=""):
+        """Checks that a stream goes back to the replica that was silent."""
+
+        async def check(fleet):
+            in_flight = []
+            known = fleet.live[0].replicas.by_id
+
+            async def finish(replica, request, writer):
+                in_flight.append(sum(item.in_flight for item in known.values()))
+                await stream_events(1, 6)(replica, request, writer)
+
+            await set_long_limits(fleet)
+            if adapter:
+                await fleet.send_request("/draft/a", adapter=adapter)
+                for replica in fleet.models:
+                    replica.versions_by_adapter[adapter] = 1
+                    fleet.publish(replica)
+            # Replicas that are heard of are not silent.
+            await asyncio.sleep(0.5)
+            arrivals = script(fleet.models, [first, failure, finish])
+            answer = await (await start_stream(fleet, adapter=adapter))
+            self.assertEqual(
+                (200, True, ALL_EVENT_IDS),
+                (answer.status, answer.complete, answer.event_ids),
+            )
+            self.assertEqual([arrivals[0], arrivals[1], arrivals[0]], arrivals)
+            self.assertNotEqual(arrivals[0], arrivals[1])
+            # No other replica is at work on the stream then.
+            self.assertEqual([1], in_flight)
+
+        run_fleet(check)
+
+    def test_stream_without_an_event_gets_no_late_error(self):
+        """Guards against a 500 of a replacement while the first replica goes on."""
+        self.check_return(answer_after(1.6), answer_after(0.8, 500))
+
+    def test_stream_without_an_event_outlasts_a_late_reset(self):
+        """Guards against a 502 for a connection that the second replica closes."""
+        self.check_return(answer_after(1.6), reset_after(0.8))
+
+    def test_stream_of_an_adapter_gets_no_late_error(self):
+        """The same for a stream that needs a place of its adapter."""
+        self.check_return(answer_after(1.6), answer_after(0.8, 500), "a1")
+
+    def test_begun_stream_outlasts_a_late_reset(self):
+        """Guards against a stream aborted for a replacement that fails late."""
+        self.check_return(stream_events(1, 6, {4: 3.0}), reset_after(0.8))
