--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -19,6 +19,9 @@
 FIRST_EVENT_WAIT_LATENCIES = 4.0
 FIRST_EVENT_WAIT_GAPS = 8.0
 MIN_FIRST_EVENT_WAIT_S = 2.0
+# A begun stream is not sent this shortly before its deadline. A connection, the check of
+# the replica's process and an event are assumed to take so long at least.
+MIN_EVENT_TIME_S = 0.1
 
 
 class Refused(Exception):
@@ -49,11 +52,13 @@
     ``is_quarantine_trial`` tells that the request shows whether it still crashes
     replicas. ``limit_wait_s`` is the time that the request would have had to wait for a
     replica with a request limit. ``fallback_response`` is an earlier replica's failure,
-    passed to the caller if no later attempt gets a response. ``first_sent_at`` is the
-    time of the first attempt, or None. ``has_replacement`` tells that the request was
+    passed to the caller if no later attempt gets a response. ``first_event_s`` is how
+    long a replica took to the first event, or None. ``first_sent_at`` is the time of the
+    first attempt, or None. ``has_replacement`` tells that the request was
     sent to another replica while the first one is silent. ``dropped_on`` holds the ids
     of replicas whose replacement was ended before it had a response; the request may go
-    to them again. ``quota_booking`` is the tenant, what the request has booked on its
+    to them again. ``silent_replica_id`` is that of the last replica of a stream that was
+    left for an accepted replacement, or None. ``quota_booking`` is the tenant, what the request has booked on its
     quota and when, or None. ``open_exchanges`` are its Exchanges. ``permit`` is a
     dispatch Permit that no exchange has taken yet. ``origin`` is the StreamOrigin of a
     stream of which the caller has an event, else None, and ``take_up`` the TakeUp of one
@@ -82,12 +87,14 @@
         "connect_failures",
         "version",
         "first_event_at",
+        "first_event_s",
         "fallback_response",
         "is_quarantine_trial",
         "limit_wait_s",
         "first_sent_at",
         "has_replacement",
         "dropped_on",
+        "silent_replica_id",
         "quota_booking",
         "permit",
         "open_exchanges",
@@ -123,12 +130,14 @@
         self.connect_failures = 0
         self.version = None
         self.first_event_at = None
+        self.first_event_s = None
         self.fallback_response = None
         self.is_quarantine_trial = False
         self.limit_wait_s = 0.0
         self.first_sent_at = None
         self.has_replacement = False
         self.dropped_on = set()
+        self.silent_replica_id = None
         self.quota_booking = None
         self.permit = None
         self.open_exchanges = set()
@@ -158,6 +167,26 @@
             self._fallback_answer.end()
             self._fallback_answer = None
 
+    def note_first_event(self, event_time_s):
+        """Records the first event of a replica, and how long it took to that.
+
+        Only the first of the stream counts, not those of later replicas.
+        """
+        if self.first_event_at is None:
+            self.first_event_at = anyio.current_time()
+            self.first_event_s = event_time_s
+
+    def note_stream_failed(self):
+        """Lets a stream return to the silent replica that a failed one has replaced.
+
+        That replica may go on by now. Only if no other one may run the stream: the
+        return must not allow a further replacement while a replica is silent.
+        """
+        if self.silent_replica_id is None or self.may_run_on_another:
+            return
+        self.dropped_on.add(self.silent_replica_id)
+        self.silent_replica_id = None
+
     def begin_stream(self):
         """Records that the caller gets the start of a stream, which lifts the margin."""
         self.streaming = True
@@ -201,6 +230,11 @@
             return self.route.priority
         return tenant.priority
 
+    @property
+    def latest_send_at(self):
+        """When a stream that has begun may be sent again at the latest."""
+        return self.deadline_at - MIN_EVENT_TIME_S
+
     @property
     def may_have_run(self):
         return bool(self.may_have_run_on)
