--- a/snipetrestle/coordination/stream_records.py
+++ b/snipetrestle/coordination/stream_records.py
@@ -75,7 +75,8 @@
     """Finds the origins of streams that began at any host.
 
     ``hosts`` is Hosts. The first origin of a stream stays. If another one is told
-    within its life, nobody can tell which is right, so none is found.
+    within its life, nobody can tell which is right, so none is found. An origin that
+    names its process replaces one of the same version that was inferred.
     """
 
     def __init__(self, hosts, endpoint):
@@ -98,6 +99,16 @@
 
         Keepers are told at once, so they know before the caller does.
         """
+        self._note_and_tell(key, origin, life_s)
+
+    def note_inferred(self, key, origin, life_s):
+        """Notes an origin that was inferred, here and at the keepers.
+
+        What it was inferred from may be gone when the stream is taken up again.
+        """
+        self._note_and_tell(key, origin, life_s)
+
+    def _note_and_tell(self, key, origin, life_s):
         life_s = _bounded(life_s)
         self.note_learned(key, origin, life_s)
         life_ms = int(1000 * life_s)
@@ -138,12 +149,19 @@
         return KnownOrigin(record.origin, record.known_by)
 
     def _record(self, key):
-        """Returns the record of a stream, an ambiguous one rather than another."""
+        """Returns the record of a stream, an ambiguous one rather than another.
+
+        Of the others, one that was inferred comes last.
+        """
         now = anyio.current_time()
         own, told = self.own.get(key, now), self.told.get(key, now)
-        if own is None or (told is not None and told.origin is None):
+        if own is None or told is None:
+            return own or told
+        if told.origin is None:
             return told
-        return own
+        if own.origin is None or own.origin.names_process:
+            return own
+        return told
 
     def _note(self, table, key, origin, known_by, life_s):
         if not life_s:
@@ -153,8 +171,7 @@
         known = self._record(key)
         if known is not None:
             expires_at = max(expires_at, known.expires_at)
-            if origin != known.origin:
-                origin = None
+            origin = _agreed(known.origin, origin)
         table.put(key, _Record(origin, known_by, expires_at), now)
 
     def _on_begun(self, message, address):
@@ -183,6 +200,17 @@
         return self._sources_by_address.get(address) or f"host at {address}"
 
 
+def _agreed(known, told):
+    """Returns the origin that two records leave, None if they contradict each other."""
+    if known is None or known == told:
+        return known
+    if (known.backend, known.version) != (told.backend, told.version):
+        return None
+    if known.names_process and told.names_process:
+        return None
+    return known if known.names_process else told
+
+
 def _bounded(life_s):
     """Returns a life within its bounds; 0 stands for none, also for one like NaN."""
     return min(MAX_LIFE_S, max(0.0, life_s))
--- a/snipetrestle/gateway/stream_origin.py
+++ b/snipetrestle/gateway/stream_origin.py
@@ -29,6 +29,14 @@
         entry = replica.entry
         return cls(entry.backend, replica.software_version, entry.id, entry.boot)
 
+    @property
+    def names_process(self):
+        """Whether a host passed the first event on and told of it.
+
+        An origin that was inferred names a version only.
+        """
+        return bool(self.replica_id)
+
     def allows(self, replica):
         """Whether a Replica may go on with the stream.
 
--- a/snipetrestle/gateway/take_ups.py
+++ b/snipetrestle/gateway/take_ups.py
@@ -82,8 +82,11 @@
                 return known.origin
         if len(job.route.backends) > 1:
             return None
-        # What is inferred is told to no other host: only records are.
-        return await self._infer(job)
+        origin = await self._infer(job)
+        if origin is not None and began_as is not None:
+            key = _key_of(job, began_as)
+            self._records.note_inferred(key, origin, self._life_s(job))
+        return origin
 
     async def _infer(self, job):
         """Returns the only StreamOrigin that a stream without a record can have."""
--- a/tests/coordination/test_stream_records.py
+++ b/tests/coordination/test_stream_records.py
@@ -291,6 +291,19 @@
 
         run_fleet(check)
 
+    def test_inferred_origin_is_told_to_keepers(self):
+        """What an origin was inferred from may be gone when the caller comes again."""
+        inferred = StreamOrigin(ORIGIN.backend, ORIGIN.version)
+
+        async def check(fleet):
+            first, keepers, others = fleet.hosts_of(KEY)
+            first.records.note_inferred(KEY, inferred, LIFE_S)
+            await anyio.sleep(ROUND_TRIP_S)
+            fleet.kill(first.name)
+            self.assertEqual(inferred, (await others[0].records.find(KEY)).origin)
+
+        run_fleet(check)
+
     def test_keeper_answers_and_the_origin_is_kept(self):
         """A host that was not told could not go on with a stream, or asked each time."""
 
@@ -593,6 +606,35 @@
 
         run_fleet(check)
 
+    def test_inferred_origin_yields_to_one_that_names_its_process(self):
+        """A stream would be unknown where both records of its version are kept."""
+        inferred = StreamOrigin(ORIGIN.backend, ORIGIN.version)
+
+        async def check(fleet):
+            for origins in ((inferred, ORIGIN), (ORIGIN, inferred)):
+                first = fleet.by_name["h1"]
+                first.records.note_inferred(KEY, origins[0], LIFE_S)
+                address = (first.info.ip, first.info.port)
+                first.records._on_begun(StreamBegun(KEY, origins[1], 60_000), address)
+                self.assertEqual(ORIGIN, (await first.records.find(KEY)).origin)
+
+        run_fleet(check)
+
+    def test_inferred_origin_of_another_version_makes_a_stream_unknown(self):
+        """A wrong inference would win over what the host that began it tells."""
+        inferred = StreamOrigin(OTHER_ORIGIN.backend, OTHER_ORIGIN.version)
+
+        async def check(fleet):
+            first, keepers, _ = fleet.hosts_of(KEY)
+            first.records.note_begun(KEY, ORIGIN, LIFE_S)
+            await anyio.sleep(ROUND_TRIP_S)
+            keepers[0].records.note_inferred(KEY, inferred, LIFE_S)
+            await anyio.sleep(ROUND_TRIP_S)
+            for keeper in keepers:
+                self.assertIsNone(await keeper.records.find(KEY))
+
+        run_fleet(check)
+
     def test_own_and_told_record_of_one_stream_are_compared(self):
         """Records in two tables could each name another origin."""
 
--- a/tests/gateway/test_take_ups.py
+++ b/tests/gateway/test_take_ups.py
@@ -14,9 +14,17 @@
 
 
 class NoRecords:
+    """Fake that knows no stream, and notes the origins that were inferred."""
+
+    def __init__(self):
+        self.inferred_origins = []
+
     async def find(self, key):
         return None
 
+    def note_inferred(self, key, origin, life_s):
+        self.inferred_origins.append(origin)
+
 
 class AskedHistory:
     """Fake that knows the only version, and notes the ages that it is asked about."""
@@ -85,3 +93,13 @@
     def test_stream_without_a_deadline_may_be_older_than_its_first_event(self):
         """Guards against a version that left while the first event was awaited."""
         self.assertEqual([MIN_STREAM_LIFE_S + TIMEOUT_S], self.ages(make_job(None)))
+
+
+class InferredOriginTest(testtools.TestCase):
+    def test_inferred_origin_is_noted(self):
+        """A stream that a full replica refused was unknown when its caller came again:
+        its prompt had been evicted meanwhile."""
+        records = NoRecords()
+        take_ups = TakeUps(records, AskedHistory(), None, None, None, Log())
+        anyio.run(take_ups.resolve, make_job(9.0))
+        self.assertEqual([StreamOrigin("models", "v1")], records.inferred_origins)
