--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -25,6 +25,9 @@
 # its route's target latency.
 PLACE_WAIT_LATENCIES = 1.5
 LEADERLESS_WAIT_LATENCIES = 1.0
+# The same for a stream that is taken up. Its caller would have to come back, and few
+# replicas may go on with it.
+TAKE_UP_WAIT_LATENCIES = 3.0
 
 
 class ReplicaSearch:
@@ -159,14 +162,16 @@
         """
         if job.streaming:
             return job.deadline_at
-        target_latencies = (
-            PLACE_WAIT_LATENCIES
-            if self._locator.has_leader
-            else LEADERLESS_WAIT_LATENCIES
-        )
-        max_wait_s = target_latencies * job.route.target_latency_s
+        max_wait_s = self._place_wait_latencies(job) * job.route.target_latency_s
         return min(started_at + max_wait_s, job.refusal_due_at)
 
+    def _place_wait_latencies(self, job):
+        if not self._locator.has_leader:
+            return LEADERLESS_WAIT_LATENCIES
+        if job.take_up is not None:
+            return TAKE_UP_WAIT_LATENCIES
+        return PLACE_WAIT_LATENCIES
+
     def _no_place_refusal(self, job):
         if job.may_have_run:
             return Refused(job.unknown_outcome_code, reason="no place for the adapter")
--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -20,6 +20,8 @@
 TARGET_LATENCY_S = 0.6
 # How long a search goes on: 1.5 target latencies.
 SEARCH_S = 0.9
+# The same for a stream that is taken up: 3 target latencies.
+TAKE_UP_SEARCH_S = 1.8
 ANSWER_S = 0.002
 
 
@@ -73,6 +75,7 @@
         limit_wait_s=0.0,
         may_be_sent_to=lambda replica: True,
         origin=None,
+        take_up=None,
     )
 
 
@@ -159,6 +162,22 @@
 
         self.run_with_search(check, ["r0"])
 
+    def test_stream_that_is_taken_up_waits_longer_for_a_place(self):
+        """It was refused seconds before its deadline while adapters were loaded, and
+        its caller used up its repetitions."""
+
+        async def check(search, replicas):
+            started_at = anyio.current_time()
+            job = make_job()
+            job.take_up = object()
+            with testtools.ExpectedException(Refused):
+                await search.find_stream_replica(job)
+            waited_s = anyio.current_time() - started_at
+            self.assertGreater(waited_s, TAKE_UP_SEARCH_S)
+            self.assertLess(waited_s, TAKE_UP_SEARCH_S + 2 * NO_PLACE_PAUSE_S)
+
+        self.run_with_search(check, ["unlisted"])
+
     def test_holder_on_no_list_is_not_asked_for_without_a_pause(self):
         """The leader may list a replica that this host does not."""
 
