Leave stalls of the machine out of the time of a drain

What was seen: test_requests_get_most_of_a_short_grace_period failed once beside a load average of 15 to 20: the drain took 1.158 s of a grace period of 1.0 s.

Cause, in the test: it measured the real time of the drain, of which only 0.1 s is left.

Change: the test runs on a StallFreeLoop, as the one of refusals does. The bounds stay.

--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -7,6 +7,7 @@
 import testtools
 
 from snipetrestle.gateway.drain_times import LOAD_BALANCER_DELAY_S, DrainTimes
+from snipetrestle_standins.clock import StallFreeLoop
 from snipetrestle_standins.gateway_fleet import HOSTNAME, MODEL, Caller
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
@@ -75,7 +76,7 @@
                 )
             )
 
-        run_fleet(check, gateways=4)
+        run_fleet(check, loop_factory=StallFreeLoop, gateways=4)
 
     def test_unsent_rest_of_a_response_is_sent_before_the_process_ends(self):
         """The rest of a finished stream was dropped if its caller read slowly."""
