Lose no connection that arrives as the port closes

What callers saw: in a planned stop, a request got no answer; its connection stayed open, with nobody reading it, until the process ended.

Cause: loop.sock_accept takes a connection in a callback, and the listener's task gets it a step later. If the port closed between the two, the task was cancelled and the connection with it. A stalled event loop makes this likely: it finds the connection and the end of the drain in one turn.

Change: the listener waits for the socket to be readable, and takes and starts a connection in one step. What is not taken stays with the kernel until close() takes it.

Tests: test_connection_that_arrives_as_the_port_closes_is_answered fails before (no answer within 40 s) and passes now.

A failed try: more time for the last answers after a stall that passes the end of the drain. Nothing more was answered, and processes ended later.

--- a/snipetrestle/listening.py
+++ b/snipetrestle/listening.py
@@ -83,18 +83,38 @@
         return len(self._opening)
 
     async def _run(self):
-        loop = asyncio.get_running_loop()
         while True:
             while len(self._opening) >= MAX_OPENING:
                 await asyncio.wait(self._opening, return_when="FIRST_COMPLETED")
             await self._room.wait_for_room(self._count_opening)
             try:
-                sock, _ = await loop.sock_accept(self._socket)
+                sock, _ = self._socket.accept()
+            except BlockingIOError:
+                await self._wait_for_connection()
             except OSError:
                 await asyncio.sleep(ACCEPT_RETRY_S)
             else:
+                sock.setblocking(False)
                 self._start(sock)
 
+    async def _wait_for_connection(self):
+        """Returns once a connection waits in the kernel.
+
+        ``loop.sock_accept`` takes the connection before the task runs again. If the task
+        was cancelled between the two, the connection was lost.
+        """
+        loop = asyncio.get_running_loop()
+        waiting = loop.create_future()
+        sock = self._socket
+
+        def note():
+            loop.remove_reader(sock)
+            if not waiting.done():
+                waiting.set_result(None)
+
+        loop.add_reader(sock, note)
+        await waiting
+
     def _start(self, sock):
         task = asyncio.create_task(self._connect(sock))
         self._opening.add(task)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -166,6 +166,25 @@
 
         run_fleet(check)
 
+    def test_connection_that_arrives_as_the_port_closes_is_answered(self):
+        """It was lost if the event loop had accepted it in the same turn."""
+
+        async def check(fleet):
+            gateway = fleet.live[0]
+            loop = asyncio.get_running_loop()
+            with socket.create_connection(gateway.settings.callers) as sock:
+                sock.sendall(request_bytes("last", "/entry/a"))
+                sock.setblocking(False)
+                stopped = loop.create_future()
+                # Due timers run after the events of a turn, here that of the connection.
+                loop.call_later(0, gateway.caller_server.stop_listening)
+                loop.call_later(0, stopped.set_result, None)
+                await stopped
+                content = await loop.sock_recv(sock, 1000)
+            self.assertIn(b"HTTP/1.1 200", content)
+
+        run_fleet(check)
+
     def test_write_whose_caller_has_left_ends_before_the_process(self):
         """A stop did not wait for it, and cut it off at its replica."""
 
