--- a/tests/coordination/test_stream_records.py
+++ b/tests/coordination/test_stream_records.py
@@ -36,6 +36,7 @@
     LocalEndpoint,
 )
 from tests.coordination.test_leadership import run_system
+from tests.systems import with_system
 
 LIFE_S = 60.0
 QUESTION_S = MAX_SENDS * ANSWER_TIMEOUT_S
@@ -140,6 +141,13 @@
         ]
         return first, keepers, others
 
+    async def begin_stream(self):
+        """Begins the stream KEY and waits until its keepers know it; as hosts_of."""
+        hosts = self.hosts_of(KEY)
+        hosts[0].records.note_begun(KEY, ORIGIN, LIFE_S)
+        await anyio.sleep(ROUND_TRIP_S)
+        return hosts
+
     def sent(self, message_type):
         return self.network.datagrams_by_type[message_type]
 
@@ -251,280 +259,218 @@
 
 
 class FindTest(testtools.TestCase):
-    def test_own_record_is_found_without_a_question(self):
+    @with_system(run_fleet)
+    async def test_own_record_is_found_without_a_question(self, fleet):
         """The host that began a stream would depend on others for its own streams."""
-
-        async def check(fleet):
-            first = fleet.by_name["h1"]
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            known = await first.records.find(KEY)
-            self.assertEqual(KnownOrigin(ORIGIN, "own"), known)
-            self.assertEqual(0, fleet.sent(OriginRequest))
-
-        run_fleet(check)
-
-    def test_keepers_are_told_before_the_caller_is(self):
+        first = fleet.by_name["h1"]
+        first.records.note_begun(KEY, ORIGIN, LIFE_S)
+        known = await first.records.find(KEY)
+        self.assertEqual(KnownOrigin(ORIGIN, "own"), known)
+        self.assertEqual(0, fleet.sent(OriginRequest))
+
+    @with_system(run_fleet)
+    async def test_keepers_are_told_before_the_caller_is(self, fleet):
         """A caller could take a stream up before any other host knows of it."""
+        first, keepers, _ = fleet.hosts_of(KEY)
+        first.records.note_begun(KEY, ORIGIN, LIFE_S)
+        self.assertEqual(KEEPERS_TOLD, fleet.sent(StreamBegun))
+        await anyio.sleep(ROUND_TRIP_S)
+        for keeper in keepers:
+            self.assertEqual(
+                KnownOrigin(ORIGIN, "host h1"), await keeper.records.find(KEY)
+            )
+        self.assertEqual(0, fleet.sent(OriginRequest))
 
-        async def check(fleet):
-            first, keepers, _ = fleet.hosts_of(KEY)
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            self.assertEqual(KEEPERS_TOLD, fleet.sent(StreamBegun))
-            await anyio.sleep(ROUND_TRIP_S)
-            for keeper in keepers:
-                self.assertEqual(
-                    KnownOrigin(ORIGIN, "host h1"), await keeper.records.find(KEY)
-                )
-            self.assertEqual(0, fleet.sent(OriginRequest))
-
-        run_fleet(check)
-
-    def test_learned_origin_is_found_and_not_told(self):
+    @with_system(run_fleet)
+    async def test_learned_origin_is_found_and_not_told(self, fleet):
         """Each host that learns an origin would send it to all keepers again."""
-
-        async def check(fleet):
-            first = fleet.by_name["h1"]
-            first.records.note_learned(KEY, ORIGIN, LIFE_S)
-            known = await first.records.find(KEY)
-            self.assertEqual(KnownOrigin(ORIGIN, "own"), known)
-            self.assertEqual(0, fleet.sent(StreamBegun))
-
-        run_fleet(check)
-
-    def test_keeper_answers_and_the_origin_is_kept(self):
+        first = fleet.by_name["h1"]
+        first.records.note_learned(KEY, ORIGIN, LIFE_S)
+        known = await first.records.find(KEY)
+        self.assertEqual(KnownOrigin(ORIGIN, "own"), known)
+        self.assertEqual(0, fleet.sent(StreamBegun))
+
+    @with_system(run_fleet)
+    async def test_keeper_answers_and_the_origin_is_kept(self, fleet):
         """A host that was not told could not go on with a stream, or asked each time."""
-
-        async def check(fleet):
-            first, keepers, others = fleet.hosts_of(KEY)
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            started = anyio.current_time()
-            known = await others[0].records.find(KEY)
-            self.assertLess(anyio.current_time() - started, ROUND_TRIP_S)
-            self.assertEqual(ORIGIN, known.origin)
-            names = [host.name for host in (first, *keepers)]
-            self.assertIn(known.known_by, [f"host {name}" for name in names])
-            asked = fleet.sent(OriginRequest)
-            self.assertEqual(KEEPERS_ASKED, asked)
-            again = await others[0].records.find(KEY)
-            self.assertEqual(KnownOrigin(ORIGIN, "own"), again)
-            self.assertEqual(asked, fleet.sent(OriginRequest))
-            self.assertEqual(KEEPERS_TOLD, fleet.sent(StreamBegun))
-
-        run_fleet(check)
-
-    def test_origin_is_known_after_its_teller_was_killed(self):
+        first, keepers, others = await fleet.begin_stream()
+        started = anyio.current_time()
+        known = await others[0].records.find(KEY)
+        self.assertLess(anyio.current_time() - started, ROUND_TRIP_S)
+        self.assertEqual(ORIGIN, known.origin)
+        names = [host.name for host in (first, *keepers)]
+        self.assertIn(known.known_by, [f"host {name}" for name in names])
+        asked = fleet.sent(OriginRequest)
+        self.assertEqual(KEEPERS_ASKED, asked)
+        again = await others[0].records.find(KEY)
+        self.assertEqual(KnownOrigin(ORIGIN, "own"), again)
+        self.assertEqual(asked, fleet.sent(OriginRequest))
+        self.assertEqual(KEEPERS_TOLD, fleet.sent(StreamBegun))
+
+    @with_system(run_fleet)
+    async def test_origin_is_known_after_its_teller_was_killed(self, fleet):
         """The streams of a killed host could go on nowhere."""
-
-        async def check(fleet):
-            first, keepers, others = fleet.hosts_of(KEY)
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            fleet.kill(first.name)
-            self.assertEqual(ORIGIN, (await others[0].records.find(KEY)).origin)
-            fleet.remove(first.name)
-            self.assertEqual(ORIGIN, (await others[1].records.find(KEY)).origin)
-            # The name of the teller stays known for the log.
-            known = await keepers[0].records.find(KEY)
-            self.assertEqual("host h1", known.known_by)
-
-        run_fleet(check)
-
-    def test_tellers_are_named_after_the_hosts_changed(self):
+        first, keepers, others = await fleet.begin_stream()
+        fleet.kill(first.name)
+        self.assertEqual(ORIGIN, (await others[0].records.find(KEY)).origin)
+        fleet.remove(first.name)
+        self.assertEqual(ORIGIN, (await others[1].records.find(KEY)).origin)
+        # The name of the teller stays known for the log.
+        known = await keepers[0].records.find(KEY)
+        self.assertEqual("host h1", known.known_by)
+
+    @with_system(run_fleet)
+    async def test_tellers_are_named_after_the_hosts_changed(self, fleet):
         """The log would name no host, or one that had the address before."""
+        host = fleet.by_name["h1"]
 
-        async def check(fleet):
-            host = fleet.by_name["h1"]
+        async def known_by(number, port):
+            message = StreamBegun(key_of(number), ORIGIN, 60_000)
+            host.records._on_begun(message, ("127.0.0.1", port))
+            return (await host.records.find(key_of(number))).known_by
 
-            async def known_by(number, port):
-                message = StreamBegun(key_of(number), ORIGIN, 60_000)
-                host.records._on_begun(message, ("127.0.0.1", port))
-                return (await host.records.find(key_of(number))).known_by
+        self.assertEqual("host h2", await known_by(1, 2))
+        self.assertEqual("host at ('127.0.0.1', 7)", await known_by(2, 7))
+        fleet.join(*infos_of(1, 3, first=7))
+        self.assertEqual("host h7", await known_by(3, 7))
+        self.assertEqual("host h2", await known_by(4, 2))
 
-            self.assertEqual("host h2", await known_by(1, 2))
-            self.assertEqual("host at ('127.0.0.1', 7)", await known_by(2, 7))
-            fleet.join(*infos_of(1, 3, first=7))
-            self.assertEqual("host h7", await known_by(3, 7))
-            self.assertEqual("host h2", await known_by(4, 2))
-
-        run_fleet(check)
-
-    def test_one_keeper_that_was_told_suffices(self):
+    @with_system(run_fleet)
+    async def test_one_keeper_that_was_told_suffices(self, fleet):
         """Two lost datagrams of three would make a stream unknown."""
+        first, keepers, others = fleet.hosts_of(KEY)
+        for keeper in keepers[:2]:
+            fleet.network.cuts.add(frozenset((first.name, keeper.name)))
+        first.records.note_begun(KEY, ORIGIN, LIFE_S)
+        await anyio.sleep(ROUND_TRIP_S)
+        fleet.kill(first.name)
+        for host in (*others, *keepers):
+            started = anyio.current_time()
+            self.assertEqual(ORIGIN, (await host.records.find(KEY)).origin)
+            self.assertLess(anyio.current_time() - started, ROUND_TRIP_S)
 
-        async def check(fleet):
-            first, keepers, others = fleet.hosts_of(KEY)
-            for keeper in keepers[:2]:
-                fleet.network.cuts.add(frozenset((first.name, keeper.name)))
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            fleet.kill(first.name)
-            for host in (*others, *keepers):
-                started = anyio.current_time()
-                self.assertEqual(ORIGIN, (await host.records.find(KEY)).origin)
-                self.assertLess(anyio.current_time() - started, ROUND_TRIP_S)
-
-        run_fleet(check)
-
-    def test_lost_question_is_sent_again(self):
+    @with_system(run_fleet)
+    async def test_lost_question_is_sent_again(self, fleet):
         """One lost datagram between two hosts would end in "not known"."""
+        _, _, others = await fleet.begin_stream()
+        fleet.network.isolate(others[0].name, fleet.by_name)
+        async with anyio.create_task_group() as group:
+            results = []
 
-        async def check(fleet):
-            first, _, others = fleet.hosts_of(KEY)
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            fleet.network.isolate(others[0].name, fleet.by_name)
-            async with anyio.create_task_group() as group:
-                results = []
-
-                async def find():
-                    results.append(await others[0].records.find(KEY))
-
-                group.start_soon(find)
-                await anyio.sleep(ANSWER_TIMEOUT_S / 2)
-                fleet.network.cuts.clear()
-            self.assertEqual([ORIGIN], [known.origin for known in results])
+            async def find():
+                results.append(await others[0].records.find(KEY))
 
-        run_fleet(check)
+            group.start_soon(find)
+            await anyio.sleep(ANSWER_TIMEOUT_S / 2)
+            fleet.network.cuts.clear()
+        self.assertEqual([ORIGIN], [known.origin for known in results])
 
-    def test_unknown_stream_ends_with_the_last_answer(self):
+    @with_system(run_fleet)
+    async def test_unknown_stream_ends_with_the_last_answer(self, fleet):
         """Requests for streams that never began would wait for the time-out."""
+        started = anyio.current_time()
+        self.assertIsNone(await fleet.by_name["h1"].records.find(KEY))
+        self.assertLess(anyio.current_time() - started, ROUND_TRIP_S)
+        self.assertEqual(KEEPERS_ASKED, fleet.sent(OriginRequest))
 
-        async def check(fleet):
-            started = anyio.current_time()
-            self.assertIsNone(await fleet.by_name["h1"].records.find(KEY))
-            self.assertLess(anyio.current_time() - started, ROUND_TRIP_S)
-            self.assertEqual(KEEPERS_ASKED, fleet.sent(OriginRequest))
-
-        run_fleet(check)
-
-    def test_silent_keepers_end_in_not_known_after_the_time_out(self):
+    @with_system(run_fleet)
+    async def test_silent_keepers_end_in_not_known_after_the_time_out(self, fleet):
         """A request would wait without end for hosts that were killed."""
-
-        async def check(fleet):
-            first, _, others = fleet.hosts_of(KEY)
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            fleet.network.isolate(others[0].name, fleet.by_name)
-            started = anyio.current_time()
-            self.assertIsNone(await others[0].records.find(KEY))
-            self.assertAlmostEqual(QUESTION_S, anyio.current_time() - started)
-            self.assertEqual(MAX_SENDS * KEEPERS_ASKED, fleet.sent(OriginRequest))
-
-        run_fleet(check)
-
-    def test_origin_told_while_others_are_asked_is_found(self):
+        _, _, others = await fleet.begin_stream()
+        fleet.network.isolate(others[0].name, fleet.by_name)
+        started = anyio.current_time()
+        self.assertIsNone(await others[0].records.find(KEY))
+        self.assertAlmostEqual(QUESTION_S, anyio.current_time() - started)
+        self.assertEqual(MAX_SENDS * KEEPERS_ASKED, fleet.sent(OriginRequest))
+
+    @with_system(run_fleet)
+    async def test_origin_told_while_others_are_asked_is_found(self, fleet):
         """A late StreamBegun would be overlooked by a request that waits for it."""
+        host = fleet.by_name["h1"]
+        fleet.network.isolate(host.name, fleet.by_name)
+        results = []
 
-        async def check(fleet):
-            host = fleet.by_name["h1"]
-            fleet.network.isolate(host.name, fleet.by_name)
-            results = []
-
-            async def find():
-                results.append(await host.records.find(KEY))
-
-            async with anyio.create_task_group() as group:
-                group.start_soon(find)
-                await anyio.sleep(ANSWER_TIMEOUT_S)
-                host.records._on_begun(
-                    StreamBegun(KEY, ORIGIN, 60_000), ("127.0.0.1", 2)
-                )
-            self.assertEqual([ORIGIN], [known.origin for known in results])
+        async def find():
+            results.append(await host.records.find(KEY))
 
-        run_fleet(check)
+        async with anyio.create_task_group() as group:
+            group.start_soon(find)
+            await anyio.sleep(ANSWER_TIMEOUT_S)
+            host.records._on_begun(StreamBegun(KEY, ORIGIN, 60_000), ("127.0.0.1", 2))
+        self.assertEqual([ORIGIN], [known.origin for known in results])
 
-    def test_late_answers_are_ignored(self):
+    @with_system(run_fleet)
+    async def test_late_answers_are_ignored(self, fleet):
         """An answer to a question that has ended could raise, or stay in memory."""
-
-        async def check(fleet):
-            first, _, others = fleet.hosts_of(KEY)
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            asking = others[0]
-            asking.endpoint.frozen = anyio.Event()
-            self.assertIsNone(await asking.records.find(KEY))
-            asking.endpoint.frozen.set()
-            await anyio.sleep(ROUND_TRIP_S)
-            self.assertEqual(MAX_SENDS * KEEPERS_ASKED, fleet.sent(OriginReply))
-            self.assertEqual(0, len(asking.records.own))
-            # The next question has other numbers, and its own answers count.
-            asking.endpoint.frozen = None
-            self.assertEqual(ORIGIN, (await asking.records.find(KEY)).origin)
-
-        run_fleet(check)
-
-    def test_answers_to_an_earlier_process_are_ignored(self):
+        _, _, others = await fleet.begin_stream()
+        asking = others[0]
+        asking.endpoint.frozen = anyio.Event()
+        self.assertIsNone(await asking.records.find(KEY))
+        asking.endpoint.frozen.set()
+        await anyio.sleep(ROUND_TRIP_S)
+        self.assertEqual(MAX_SENDS * KEEPERS_ASKED, fleet.sent(OriginReply))
+        self.assertEqual(0, len(asking.records.own))
+        # The next question has other numbers, and its own answers count.
+        asking.endpoint.frozen = None
+        self.assertEqual(ORIGIN, (await asking.records.find(KEY)).origin)
+
+    @with_system(run_fleet)
+    async def test_answers_to_an_earlier_process_are_ignored(self, fleet):
         """A late answer could name the origin of another stream after a restart."""
+        asking = fleet.by_name["h1"]
+        keeper = fleet.by_name[asking.keepers(KEY)[0]]
+        address = (asking.info.ip, asking.info.port)
+        results = []
 
-        async def check(fleet):
-            asking = fleet.by_name["h1"]
-            keeper = fleet.by_name[asking.keepers(KEY)[0]]
-            address = (asking.info.ip, asking.info.port)
-            results = []
+        async def find():
+            results.append(await asking.records.find(KEY))
 
-            async def find():
-                results.append(await asking.records.find(KEY))
-
-            async with anyio.create_task_group() as group:
-                group.start_soon(find)
-                # The wrong answers arrive before those of the keepers.
-                await anyio.sleep(DELIVERY_DELAY_S / 2)
-                for number in range(1, 9):
-                    keeper.endpoint.send(OriginReply(0, number, ORIGIN, 9999), address)
-            self.assertEqual([None], results)
-
-        run_fleet(check)
-
-    def test_hosts_alone_find_only_their_own_streams(self):
+        async with anyio.create_task_group() as group:
+            group.start_soon(find)
+            # The wrong answers arrive before those of the keepers.
+            await anyio.sleep(DELIVERY_DELAY_S / 2)
+            for number in range(1, 9):
+                keeper.endpoint.send(OriginReply(0, number, ORIGIN, 9999), address)
+        self.assertEqual([None], results)
+
+    @with_system(run_fleet, 1)
+    async def test_hosts_alone_find_only_their_own_streams(self, fleet):
         """A host without others to ask could wait or fail."""
-
-        async def check(fleet):
-            host = fleet.by_name["h1"]
-            started = anyio.current_time()
-            self.assertIsNone(await host.records.find(KEY))
-            host.records.note_begun(KEY, ORIGIN, LIFE_S)
-            self.assertEqual(ORIGIN, (await host.records.find(KEY)).origin)
-            self.assertEqual(started, anyio.current_time())
-            self.assertEqual({}, dict(fleet.network.datagrams_by_sender))
-
-        run_fleet(check, 1)
-
-    def test_two_hosts_know_the_streams_of_each_other(self):
+        host = fleet.by_name["h1"]
+        started = anyio.current_time()
+        self.assertIsNone(await host.records.find(KEY))
+        host.records.note_begun(KEY, ORIGIN, LIFE_S)
+        self.assertEqual(ORIGIN, (await host.records.find(KEY)).origin)
+        self.assertEqual(started, anyio.current_time())
+        self.assertEqual({}, dict(fleet.network.datagrams_by_sender))
+
+    @with_system(run_fleet, 2)
+    async def test_two_hosts_know_the_streams_of_each_other(self, fleet):
         """Fewer hosts than keepers could not be told or asked."""
-
-        async def check(fleet):
-            first, second = fleet.by_name.values()
-            fleet.network.cuts.add(frozenset((first.name, second.name)))
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            fleet.network.cuts.clear()
-            self.assertEqual(
-                KnownOrigin(ORIGIN, "host h1"), await second.records.find(KEY)
-            )
-
-        run_fleet(check, 2)
-
-    def test_hosts_that_join_and_leave_find_streams(self):
+        first, second = fleet.by_name.values()
+        fleet.network.cuts.add(frozenset((first.name, second.name)))
+        first.records.note_begun(KEY, ORIGIN, LIFE_S)
+        await anyio.sleep(ROUND_TRIP_S)
+        fleet.network.cuts.clear()
+        self.assertEqual(KnownOrigin(ORIGIN, "host h1"), await second.records.find(KEY))
+
+    @with_system(run_fleet)
+    async def test_hosts_that_join_and_leave_find_streams(self, fleet):
         """A new host would know nothing, and a change of keepers lose streams."""
-
-        async def check(fleet):
-            keys = [key_of(number) for number in range(100)]
-            for key in keys:
-                fleet.by_name["h1"].records.note_begun(key, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            (info,) = infos_of(1, 3, first=7)
-            fleet.join(info)
-            fleet.kill("h1")
-            for key in keys[:50]:
-                known = await fleet.by_name["h7"].records.find(key)
-                self.assertEqual(ORIGIN, known.origin)
-            fleet.remove("h2")
-            for key in keys[50:]:
-                known = await fleet.by_name["h7"].records.find(key)
-                self.assertEqual(ORIGIN, known.origin)
-
-        run_fleet(check)
+        keys = [key_of(number) for number in range(100)]
+        for key in keys:
+            fleet.by_name["h1"].records.note_begun(key, ORIGIN, LIFE_S)
+        await anyio.sleep(ROUND_TRIP_S)
+        (info,) = infos_of(1, 3, first=7)
+        fleet.join(info)
+        fleet.kill("h1")
+        for key in keys[:50]:
+            known = await fleet.by_name["h7"].records.find(key)
+            self.assertEqual(ORIGIN, known.origin)
+        fleet.remove("h2")
+        for key in keys[50:]:
+            known = await fleet.by_name["h7"].records.find(key)
+            self.assertEqual(ORIGIN, known.origin)
 
     def test_real_membership_finds_streams_of_a_killed_host(self):
         """The membership could offer the hosts in another form than the tests do."""
@@ -556,144 +502,123 @@
 
 
 class AmbiguityTest(testtools.TestCase):
-    def test_second_origin_of_a_stream_makes_it_unknown(self):
+    @with_system(run_fleet)
+    async def test_second_origin_of_a_stream_makes_it_unknown(self, fleet):
         """A caller that used a request id twice would go on at a wrong version."""
-
-        async def check(fleet):
-            first, keepers, others = fleet.hosts_of(KEY)
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            keepers[0].records.note_begun(KEY, OTHER_ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            for keeper in keepers:
-                self.assertIsNone(await keeper.records.find(KEY))
-            fleet.kill(first.name)
-            self.assertIsNone(await others[0].records.find(KEY))
-
-        run_fleet(check)
-
-    def test_ambiguous_stream_stays_unknown_until_the_last_record_ends(self):
+        first, keepers, others = await fleet.begin_stream()
+        keepers[0].records.note_begun(KEY, OTHER_ORIGIN, LIFE_S)
+        await anyio.sleep(ROUND_TRIP_S)
+        for keeper in keepers:
+            self.assertIsNone(await keeper.records.find(KEY))
+        fleet.kill(first.name)
+        self.assertIsNone(await others[0].records.find(KEY))
+
+    @with_system(run_fleet)
+    async def test_ambiguous_stream_stays_unknown_until_the_last_record_ends(
+        self, fleet
+    ):
         """The origin that was told last could count as the only one."""
-
-        async def check(fleet):
-            records = fleet.by_name["h1"].records
-            records.note_learned(KEY, ORIGIN, LIFE_S)
-            records.note_learned(KEY, OTHER_ORIGIN, 1.0)
+        records = fleet.by_name["h1"].records
+        records.note_learned(KEY, ORIGIN, LIFE_S)
+        records.note_learned(KEY, OTHER_ORIGIN, 1.0)
+        self.assertIsNone(await records.find(KEY))
+        await anyio.sleep(2.0)
+        for origin in (ORIGIN, OTHER_ORIGIN):
+            records.note_learned(KEY, origin, 1.0)
             self.assertIsNone(await records.find(KEY))
-            await anyio.sleep(2.0)
-            for origin in (ORIGIN, OTHER_ORIGIN):
-                records.note_learned(KEY, origin, 1.0)
-                self.assertIsNone(await records.find(KEY))
-            await anyio.sleep(LIFE_S - 3.0)
-            self.assertIsNone(await records.find(KEY))
-            self.assertEqual(0, fleet.sent(OriginRequest))
-            await anyio.sleep(1.0)
-            records.note_learned(KEY, OTHER_ORIGIN, LIFE_S)
-            self.assertEqual(OTHER_ORIGIN, (await records.find(KEY)).origin)
-
-        run_fleet(check)
-
-    def test_own_and_told_record_of_one_stream_are_compared(self):
+        await anyio.sleep(LIFE_S - 3.0)
+        self.assertIsNone(await records.find(KEY))
+        self.assertEqual(0, fleet.sent(OriginRequest))
+        await anyio.sleep(1.0)
+        records.note_learned(KEY, OTHER_ORIGIN, LIFE_S)
+        self.assertEqual(OTHER_ORIGIN, (await records.find(KEY)).origin)
+
+    @with_system(run_fleet)
+    async def test_own_and_told_record_of_one_stream_are_compared(self, fleet):
         """Records in two tables could each name another origin."""
-
-        async def check(fleet):
-            first, second = fleet.by_name["h1"], fleet.by_name["h2"]
-            address = (second.info.ip, second.info.port)
-            other = StreamBegun(KEY, OTHER_ORIGIN, 60_000)
-            same = StreamBegun(KEY, ORIGIN, 60_000)
-            first.records.note_learned(KEY, ORIGIN, LIFE_S)
-            first.records._on_begun(same, address)
-            self.assertEqual(ORIGIN, (await first.records.find(KEY)).origin)
-            first.records._on_begun(other, address)
-            self.assertIsNone(await first.records.find(KEY))
-            second.records._on_begun(other, address)
-            second.records.note_learned(KEY, ORIGIN, LIFE_S)
-            self.assertIsNone(await second.records.find(KEY))
-
-        run_fleet(check)
-
-    def test_repeated_record_of_the_same_origin_is_not_ambiguous(self):
+        first, second = fleet.by_name["h1"], fleet.by_name["h2"]
+        address = (second.info.ip, second.info.port)
+        other = StreamBegun(KEY, OTHER_ORIGIN, 60_000)
+        same = StreamBegun(KEY, ORIGIN, 60_000)
+        first.records.note_learned(KEY, ORIGIN, LIFE_S)
+        first.records._on_begun(same, address)
+        self.assertEqual(ORIGIN, (await first.records.find(KEY)).origin)
+        first.records._on_begun(other, address)
+        self.assertIsNone(await first.records.find(KEY))
+        second.records._on_begun(other, address)
+        second.records.note_learned(KEY, ORIGIN, LIFE_S)
+        self.assertIsNone(await second.records.find(KEY))
+
+    @with_system(run_fleet)
+    async def test_repeated_record_of_the_same_origin_is_not_ambiguous(self, fleet):
         """A datagram that arrives twice would make a stream unknown."""
-
-        async def check(fleet):
-            first, keepers, _ = fleet.hosts_of(KEY)
-            for _ in range(2):
-                first.records.note_begun(KEY, ORIGIN, LIFE_S)
-                await anyio.sleep(ROUND_TRIP_S)
-            for host in (first, *keepers):
-                self.assertEqual(ORIGIN, (await host.records.find(KEY)).origin)
-                self.assertEqual(1, len(host.records.own) + len(host.records.told))
-
-        run_fleet(check)
+        first, keepers, _ = fleet.hosts_of(KEY)
+        for _ in range(2):
+            first.records.note_begun(KEY, ORIGIN, LIFE_S)
+            await anyio.sleep(ROUND_TRIP_S)
+        for host in (first, *keepers):
+            self.assertEqual(ORIGIN, (await host.records.find(KEY)).origin)
+            self.assertEqual(1, len(host.records.own) + len(host.records.told))
 
 
 class LifeTest(testtools.TestCase):
-    def test_records_expire_at_all_hosts(self):
+    @with_system(run_fleet)
+    async def test_records_expire_at_all_hosts(self, fleet):
         """A record could outlive its stream, and meet a later use of the id."""
+        first, keepers, others = fleet.hosts_of(KEY)
+        first.records.note_begun(KEY, ORIGIN, LIFE_S)
+        await anyio.sleep(LIFE_S / 2)
+        # A host that asks keeps the origin for the rest of its life only.
+        self.assertEqual(ORIGIN, (await others[0].records.find(KEY)).origin)
+        await anyio.sleep(LIFE_S / 2 - 1.0)
+        for host in (first, *keepers, others[0]):
+            self.assertEqual(ORIGIN, (await host.records.find(KEY)).origin)
+        await anyio.sleep(1.0 + ROUND_TRIP_S)
+        for host in (first, *keepers, *others):
+            self.assertIsNone(await host.records.find(KEY))
 
-        async def check(fleet):
-            first, keepers, others = fleet.hosts_of(KEY)
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(LIFE_S / 2)
-            # A host that asks keeps the origin for the rest of its life only.
-            self.assertEqual(ORIGIN, (await others[0].records.find(KEY)).origin)
-            await anyio.sleep(LIFE_S / 2 - 1.0)
-            for host in (first, *keepers, others[0]):
-                self.assertEqual(ORIGIN, (await host.records.find(KEY)).origin)
-            await anyio.sleep(1.0 + ROUND_TRIP_S)
-            for host in (first, *keepers, *others):
-                self.assertIsNone(await host.records.find(KEY))
-
-        run_fleet(check)
-
-    def test_expired_records_are_dropped_when_new_ones_come(self):
+    @with_system(run_fleet)
+    async def test_expired_records_are_dropped_when_new_ones_come(self, fleet):
         """Records of ended streams would fill the memory of a quiet host."""
-
-        async def check(fleet):
-            records = fleet.by_name["h1"].records
-            for number in range(500):
-                records.note_learned(key_of(number), ORIGIN, LIFE_S)
-            await anyio.sleep(LIFE_S)
-            records.note_learned(key_of(500), ORIGIN, LIFE_S)
-            self.assertEqual(1, len(records.own))
-
-        run_fleet(check)
-
-    def test_absurd_lives_are_bounded(self):
+        records = fleet.by_name["h1"].records
+        for number in range(500):
+            records.note_learned(key_of(number), ORIGIN, LIFE_S)
+        await anyio.sleep(LIFE_S)
+        records.note_learned(key_of(500), ORIGIN, LIFE_S)
+        self.assertEqual(1, len(records.own))
+
+    @with_system(run_fleet)
+    async def test_absurd_lives_are_bounded(self, fleet):
         """A wrong life would keep a record for ever, or end the handling of others."""
-
-        async def check(fleet):
-            first, keepers, others = fleet.hosts_of(KEY)
-            for number, life_s in enumerate((1e30, float("inf"))):
-                first.records.note_begun(key_of(number), ORIGIN, life_s)
-            address = (first.info.ip, first.info.port)
-            first.endpoint.send_all(
-                StreamBegun(key_of(2), ORIGIN, 2**31),
-                [(host.info.ip, host.info.port) for host in fleet.by_name.values()],
-            )
-            await anyio.sleep(MAX_LIFE_S - 1.0)
+        first, keepers, others = fleet.hosts_of(KEY)
+        for number, life_s in enumerate((1e30, float("inf"))):
+            first.records.note_begun(key_of(number), ORIGIN, life_s)
+        address = (first.info.ip, first.info.port)
+        first.endpoint.send_all(
+            StreamBegun(key_of(2), ORIGIN, 2**31),
+            [(host.info.ip, host.info.port) for host in fleet.by_name.values()],
+        )
+        await anyio.sleep(MAX_LIFE_S - 1.0)
+        for number in range(3):
+            known = await keepers[0].records.find(key_of(number))
+            self.assertEqual(ORIGIN, known.origin)
+        await anyio.sleep(1.0 + ROUND_TRIP_S)
+        for host in fleet.by_name.values():
             for number in range(3):
-                known = await keepers[0].records.find(key_of(number))
-                self.assertEqual(ORIGIN, known.origin)
-            await anyio.sleep(1.0 + ROUND_TRIP_S)
-            for host in fleet.by_name.values():
-                for number in range(3):
-                    self.assertIsNone(await host.records.find(key_of(number)))
-            sent = fleet.sent(StreamBegun)
-            for life_s in (0.0, -1.0, -float("inf"), float("nan"), 1e-9):
-                first.records.note_begun(key_of(3), ORIGIN, life_s)
-            others[0].records._on_begun(StreamBegun(key_of(3), ORIGIN, 0), address)
-            self.assertEqual(sent, fleet.sent(StreamBegun))
-            await anyio.sleep(DELIVERY_DELAY_S)
-            for host in (first, others[0]):
-                self.assertIsNone(await host.records.find(key_of(3)))
-            # A record without a life says nothing about another origin.
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            first.records.note_learned(KEY, OTHER_ORIGIN, 0.0)
-            first.records._on_begun(StreamBegun(KEY, OTHER_ORIGIN, 0), address)
-            self.assertEqual(ORIGIN, (await first.records.find(KEY)).origin)
-
-        run_fleet(check)
+                self.assertIsNone(await host.records.find(key_of(number)))
+        sent = fleet.sent(StreamBegun)
+        for life_s in (0.0, -1.0, -float("inf"), float("nan"), 1e-9):
+            first.records.note_begun(key_of(3), ORIGIN, life_s)
+        others[0].records._on_begun(StreamBegun(key_of(3), ORIGIN, 0), address)
+        self.assertEqual(sent, fleet.sent(StreamBegun))
+        await anyio.sleep(DELIVERY_DELAY_S)
+        for host in (first, others[0]):
+            self.assertIsNone(await host.records.find(key_of(3)))
+        # A record without a life says nothing about another origin.
+        first.records.note_begun(KEY, ORIGIN, LIFE_S)
+        first.records.note_learned(KEY, OTHER_ORIGIN, 0.0)
+        first.records._on_begun(StreamBegun(KEY, OTHER_ORIGIN, 0), address)
+        self.assertEqual(ORIGIN, (await first.records.find(KEY)).origin)
 
     def test_malformed_messages_are_refused(self):
         """Keys of any length and negative lives could get into the tables."""
@@ -713,128 +638,106 @@
 
 
 class BoundsTest(testtools.TestCase):
-    def test_flood_of_streams_of_one_sender_is_bounded(self):
+    @with_system(run_fleet)
+    async def test_flood_of_streams_of_one_sender_is_bounded(self, fleet):
         """One host could fill the memory of others, or displace their own records."""
-
-        async def check(fleet):
-            first = fleet.by_name["h1"]
-            address = (fleet.by_name["h2"].info.ip, fleet.by_name["h2"].info.port)
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            count = MAX_TOLD_RECORDS + 1000
-            for number in range(1, count + 1):
-                message = StreamBegun(key_of(number), OTHER_ORIGIN, 60_000)
-                first.records._on_begun(message, address)
-            self.assertEqual(MAX_TOLD_RECORDS, len(first.records.told))
-            self.assertEqual(ORIGIN, (await first.records.find(KEY)).origin)
-            for number in (1001, count):
-                known = await first.records.find(key_of(number))
-                self.assertEqual(KnownOrigin(OTHER_ORIGIN, "host h2"), known)
-            self.assertIsNone(await first.records.find(key_of(1000)))
-
-        run_fleet(check)
-
-    def test_own_records_are_bounded_and_the_oldest_go_first(self):
+        first = fleet.by_name["h1"]
+        address = (fleet.by_name["h2"].info.ip, fleet.by_name["h2"].info.port)
+        first.records.note_begun(KEY, ORIGIN, LIFE_S)
+        count = MAX_TOLD_RECORDS + 1000
+        for number in range(1, count + 1):
+            message = StreamBegun(key_of(number), OTHER_ORIGIN, 60_000)
+            first.records._on_begun(message, address)
+        self.assertEqual(MAX_TOLD_RECORDS, len(first.records.told))
+        self.assertEqual(ORIGIN, (await first.records.find(KEY)).origin)
+        for number in (1001, count):
+            known = await first.records.find(key_of(number))
+            self.assertEqual(KnownOrigin(OTHER_ORIGIN, "host h2"), known)
+        self.assertIsNone(await first.records.find(key_of(1000)))
+
+    @with_system(run_fleet)
+    async def test_own_records_are_bounded_and_the_oldest_go_first(self, fleet):
         """A host with very many streams would fill its memory."""
-
-        async def check(fleet):
-            records = fleet.by_name["h1"].records
-            for number in range(MAX_OWN_RECORDS + 10):
-                records.note_learned(key_of(number), ORIGIN, LIFE_S)
-            self.assertEqual(MAX_OWN_RECORDS, len(records.own))
-            self.assertIsNone(await records.find(key_of(9)))
-            self.assertIsNotNone(await records.find(key_of(10)))
-
-        run_fleet(check)
-
-    def test_record_that_is_noted_again_counts_as_new(self):
+        records = fleet.by_name["h1"].records
+        for number in range(MAX_OWN_RECORDS + 10):
+            records.note_learned(key_of(number), ORIGIN, LIFE_S)
+        self.assertEqual(MAX_OWN_RECORDS, len(records.own))
+        self.assertIsNone(await records.find(key_of(9)))
+        self.assertIsNotNone(await records.find(key_of(10)))
+
+    @with_system(run_fleet)
+    async def test_record_that_is_noted_again_counts_as_new(self, fleet):
         """A stream that goes on could be dropped rather than one that began later, or
         take the place of two."""
-
-        async def check(fleet):
-            records = fleet.by_name["h1"].records
-            for number in range(MAX_OWN_RECORDS):
-                records.note_learned(key_of(number), ORIGIN, LIFE_S)
-            records.note_learned(key_of(1), ORIGIN, LIFE_S)
-            self.assertEqual(MAX_OWN_RECORDS, len(records.own))
-            self.assertIsNotNone(await records.find(key_of(0)))
-            for number in range(2):
-                key = key_of(MAX_OWN_RECORDS + number)
-                records.note_learned(key, ORIGIN, LIFE_S)
-            self.assertIsNone(await records.find(key_of(0)))
-            self.assertIsNotNone(await records.find(key_of(1)))
-            self.assertIsNone(await records.find(key_of(2)))
-
-        run_fleet(check)
-
-    def test_concurrent_questions_about_one_stream_are_one(self):
+        records = fleet.by_name["h1"].records
+        for number in range(MAX_OWN_RECORDS):
+            records.note_learned(key_of(number), ORIGIN, LIFE_S)
+        records.note_learned(key_of(1), ORIGIN, LIFE_S)
+        self.assertEqual(MAX_OWN_RECORDS, len(records.own))
+        self.assertIsNotNone(await records.find(key_of(0)))
+        for number in range(2):
+            key = key_of(MAX_OWN_RECORDS + number)
+            records.note_learned(key, ORIGIN, LIFE_S)
+        self.assertIsNone(await records.find(key_of(0)))
+        self.assertIsNotNone(await records.find(key_of(1)))
+        self.assertIsNone(await records.find(key_of(2)))
+
+    @with_system(run_fleet)
+    async def test_concurrent_questions_about_one_stream_are_one(self, fleet):
         """A caller that repeats a request would multiply the questions."""
+        _, _, others = await fleet.begin_stream()
+        results = []
 
-        async def check(fleet):
-            first, _, others = fleet.hosts_of(KEY)
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            results = []
-
-            async def find():
-                results.append(await others[0].records.find(KEY))
-
-            async with anyio.create_task_group() as group:
-                for _ in range(50):
-                    group.start_soon(find)
-            self.assertEqual([ORIGIN] * 50, [known.origin for known in results])
-            self.assertEqual(KEEPERS_ASKED, fleet.sent(OriginRequest))
+        async def find():
+            results.append(await others[0].records.find(KEY))
 
-        run_fleet(check)
+        async with anyio.create_task_group() as group:
+            for _ in range(50):
+                group.start_soon(find)
+        self.assertEqual([ORIGIN] * 50, [known.origin for known in results])
+        self.assertEqual(KEEPERS_ASKED, fleet.sent(OriginRequest))
 
-    def test_question_goes_on_if_the_first_that_asked_is_cancelled(self):
+    @with_system(run_fleet)
+    async def test_question_goes_on_if_the_first_that_asked_is_cancelled(self, fleet):
         """A caller that goes away would take the answer from the others."""
+        _, _, others = await fleet.begin_stream()
+        fleet.network.isolate(others[0].name, fleet.by_name)
+        results = []
 
-        async def check(fleet):
-            first, _, others = fleet.hosts_of(KEY)
-            first.records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            fleet.network.isolate(others[0].name, fleet.by_name)
-            results = []
-
-            async def find(scope):
-                with scope:
-                    results.append(await others[0].records.find(KEY))
-
-            scopes = [anyio.CancelScope() for _ in range(2)]
-            async with anyio.create_task_group() as group:
-                for scope in scopes:
-                    group.start_soon(find, scope)
-                await anyio.sleep(ANSWER_TIMEOUT_S / 2)
-                scopes[0].cancel()
-                fleet.network.cuts.clear()
-            self.assertEqual([ORIGIN], [known.origin for known in results])
+        async def find(scope):
+            with scope:
+                results.append(await others[0].records.find(KEY))
 
-        run_fleet(check)
+        scopes = [anyio.CancelScope() for _ in range(2)]
+        async with anyio.create_task_group() as group:
+            for scope in scopes:
+                group.start_soon(find, scope)
+            await anyio.sleep(ANSWER_TIMEOUT_S / 2)
+            scopes[0].cancel()
+            fleet.network.cuts.clear()
+        self.assertEqual([ORIGIN], [known.origin for known in results])
 
-    def test_open_questions_are_bounded(self):
+    @with_system(run_fleet)
+    async def test_open_questions_are_bounded(self, fleet):
         """Callers that name many unknown streams would flood the other hosts."""
+        records = fleet.by_name["h1"].records
+        fleet.network.isolate("h1", fleet.by_name)
+        ended_at = []
 
-        async def check(fleet):
-            records = fleet.by_name["h1"].records
-            fleet.network.isolate("h1", fleet.by_name)
-            ended_at = []
-
-            async def find(number):
-                self.assertIsNone(await records.find(key_of(number)))
-                ended_at.append(anyio.current_time())
+        async def find(number):
+            self.assertIsNone(await records.find(key_of(number)))
+            ended_at.append(anyio.current_time())
 
-            started = anyio.current_time()
-            async with anyio.create_task_group() as group:
-                for number in range(MAX_QUESTIONS + 50):
-                    group.start_soon(find, number)
-            self.assertEqual(50, ended_at.count(started))
-            self.assertEqual(
-                MAX_QUESTIONS * MAX_SENDS * KEEPERS_ASKED, fleet.sent(OriginRequest)
-            )
-            # Questions that have ended leave room for others.
-            fleet.network.cuts.clear()
-            fleet.by_name["h2"].records.note_begun(KEY, ORIGIN, LIFE_S)
-            await anyio.sleep(ROUND_TRIP_S)
-            self.assertEqual(ORIGIN, (await records.find(KEY)).origin)
-
-        run_fleet(check)
+        started = anyio.current_time()
+        async with anyio.create_task_group() as group:
+            for number in range(MAX_QUESTIONS + 50):
+                group.start_soon(find, number)
+        self.assertEqual(50, ended_at.count(started))
+        self.assertEqual(
+            MAX_QUESTIONS * MAX_SENDS * KEEPERS_ASKED, fleet.sent(OriginRequest)
+        )
+        # Questions that have ended leave room for others.
+        fleet.network.cuts.clear()
+        fleet.by_name["h2"].records.note_begun(KEY, ORIGIN, LIFE_S)
+        await anyio.sleep(ROUND_TRIP_S)
+        self.assertEqual(ORIGIN, (await records.find(KEY)).origin)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -7,6 +7,7 @@
 from snipetrestle_standins.gateway_fleet import Caller
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
+from tests.systems import with_system
 from tests.waiting import wait_until
 
 ALL_EVENT_IDS = [1, 2, 3, 4, 5, 6]
@@ -33,6 +34,12 @@
     }
 
 
+def slow_down(fleet):
+    """Lets streams last long enough for callers to leave before the last event."""
+    for replica in fleet.models:
+        replica.event_interval_s = 0.02
+
+
 async def begin_stream(gateway, request_id, events=2, headers=(), **options):
     """Reads the first events of a stream, and closes the connection.
 
@@ -123,8 +130,7 @@
         """Takes 8 streams up at another gateway; returns (status, versions) of each."""
 
         async def check(fleet):
-            for replica in fleet.models:
-                replica.event_interval_s = 0.02
+            slow_down(fleet)
             results = []
             for number in range(8):
                 began_as, again_as = f"first-{number}", f"again-{number}"
@@ -152,8 +158,7 @@
         """Guards against a take-up at the version that happens to hold the adapter."""
 
         async def check(fleet):
-            for replica in fleet.models:
-                replica.event_interval_s = 0.02
+            slow_down(fleet)
             last_id = await begin_stream(fleet.live[0], "first", adapter="a7")
             began_at = next(replica for replica in fleet.models if replica.runs)
             began_at.boot += 1
@@ -184,8 +189,7 @@
         """Guards against streams lost with the only host that knows what began them."""
 
         async def check(fleet):
-            for replica in fleet.models:
-                replica.event_interval_s = 0.02
+            slow_down(fleet)
             gateway = fleet.live[0]
             began = []
             for number in range(6):
@@ -214,8 +218,7 @@
         """
 
         async def check(fleet):
-            for replica in fleet.models:
-                replica.event_interval_s = 0.02
+            slow_down(fleet)
             fleet.store.claim_complete_history()
             last_id = await begin_stream(
                 fleet.live[0], "first", adapter="", headers=list(headers)
@@ -273,43 +276,37 @@
         )
         self.assertEqual(503, answer.status)
 
-    def test_replica_that_has_asked_for_a_pause_is_not_asked(self):
+    @with_system(run_versions, ["v1", "v1", "v2"])
+    async def test_replica_that_has_asked_for_a_pause_is_not_asked(self, fleet):
         """Guards against reports and listings that reach a replica in its pause."""
-
-        async def check(fleet):
-            for replica in fleet.models:
-                replica.event_interval_s = 0.02
-            prompt = [("X-Prompt-Prefix", "shared:10,own:5")]
-            last_id = await begin_stream(
-                fleet.live[0], "first", adapter="", headers=prompt
+        slow_down(fleet)
+        prompt = [("X-Prompt-Prefix", "shared:10,own:5")]
+        last_id = await begin_stream(fleet.live[0], "first", adapter="", headers=prompt)
+        began_at = next(replica for replica in fleet.models if replica.runs)
+        gateway = fleet.live[0]
+        paused = gateway.replicas.by_id[began_at.id]
+        paused.pause.note(30.0)
+        asked = []
+        report = gateway.process_check._read_report
+        kept_prompts = gateway.take_ups._kept_prompts
+
+        async def note_report(replica):
+            asked.append(replica.id)
+            return await report(replica)
+
+        gateway.process_check._read_report = note_report
+        kept_prompts._read_kept_parts = note_report
+        for began_as in ("first", "unknown"):
+            await take_up(
+                fleet,
+                gateway,
+                began_as,
+                last_id,
+                "again",
+                adapter="",
+                headers=prompt,
             )
-            began_at = next(replica for replica in fleet.models if replica.runs)
-            gateway = fleet.live[0]
-            paused = gateway.replicas.by_id[began_at.id]
-            paused.pause.note(30.0)
-            asked = []
-            report = gateway.process_check._read_report
-            kept_prompts = gateway.take_ups._kept_prompts
-
-            async def note_report(replica):
-                asked.append(replica.id)
-                return await report(replica)
-
-            gateway.process_check._read_report = note_report
-            kept_prompts._read_kept_parts = note_report
-            for began_as in ("first", "unknown"):
-                await take_up(
-                    fleet,
-                    gateway,
-                    began_as,
-                    last_id,
-                    "again",
-                    adapter="",
-                    headers=prompt,
-                )
-            self.assertNotIn(began_at.id, asked)
-
-        run_versions(check, ["v1", "v1", "v2"])
+        self.assertNotIn(began_at.id, asked)
 
     def test_replica_that_does_not_list_its_prompts_may_keep_one(self):
         """Guards against a replica without an answer taken for one without a prompt."""
@@ -333,8 +330,7 @@
         """Guards against a caller that waits for a version that does not come back."""
 
         async def check(fleet):
-            for replica in fleet.models:
-                replica.event_interval_s = 0.02
+            slow_down(fleet)
             last_id = await begin_stream(fleet.live[0], "first", adapter="")
             began_at = next(replica for replica in fleet.models if replica.runs)
             # Another process under the same id.
@@ -367,8 +363,7 @@
         """
 
         async def check(fleet):
-            for replica in fleet.models:
-                replica.event_interval_s = 0.02
+            slow_down(fleet)
             last_id = await begin_stream(fleet.live[0], "first", adapter="")
             began_at = next(replica for replica in fleet.models if replica.runs)
             restarted = choose(fleet.models, began_at)
@@ -428,20 +423,16 @@
         answer = run_versions(check, ["v1", "v1"])
         self.assertEqual(503, answer.status)
 
-    def test_stream_of_another_request_is_not_known(self):
+    @with_system(run_versions, ["v1", "v2"])
+    async def test_stream_of_another_request_is_not_known(self, fleet):
         """Guards against a caller that goes on with the stream of another request."""
-
-        async def check(fleet):
-            for replica in fleet.models:
-                replica.event_interval_s = 0.02
-            last_id = await begin_stream(fleet.live[0], "first", adapter="")
-            for options in ({"adapter": "a7"}, {"adapter": "", "body": b"other"}):
-                answer = await take_up(
-                    fleet, fleet.live[0], "first", last_id, "again", **options
-                )
-                self.assertEqual(503, answer.status, options)
-
-        run_versions(check, ["v1", "v2"])
+        slow_down(fleet)
+        last_id = await begin_stream(fleet.live[0], "first", adapter="")
+        for options in ({"adapter": "a7"}, {"adapter": "", "body": b"other"}):
+            answer = await take_up(
+                fleet, fleet.live[0], "first", last_id, "again", **options
+            )
+            self.assertEqual(503, answer.status, options)
 
 
 class BadTakeUpTest(testtools.TestCase):
--- a/tests/gateway/test_version_history.py
+++ b/tests/gateway/test_version_history.py
@@ -40,6 +40,7 @@
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.store_relay_fleet import Source, Store
 from tests.gateway.running import run_fleet
+from tests.systems import with_system
 from tests.waiting import wait_until
 
 BACKEND = "models"
@@ -135,13 +136,17 @@
     async def ask(self, since_s=SINCE_S, backend=BACKEND):
         return await self.history.only_origin(backend, since_s)
 
+    async def stop_watching(self):
+        """Lets other hosts read the store for this one."""
+        self.relay.watches = False
+        await anyio.sleep(1.0)
+
     async def ask_without_watching(self, since_s=SINCE_S):
         """Asks while other hosts read the store for this one.
 
         Returns the answer and the number of calls.
         """
-        self.relay.watches = False
-        await anyio.sleep(1.0)
+        await self.stop_watching()
         before = self.calls
         return await self.ask(since_s), self.calls - before
 
@@ -188,193 +193,149 @@
 
 
 class ListedVersionsTest(testtools.TestCase):
-    def test_one_version_is_known(self):
+    @with_system(run_system)
+    async def test_one_version_is_known(self, system):
         """A stream of the only version was refused although it could go on."""
+        host = await system.start_long_known()
+        system.put("b")
+        self.assertEqual(V1, await host.ask())
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("b")
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
-
-    def test_two_versions_give_no_answer(self):
+    @with_system(run_system)
+    async def test_two_versions_give_no_answer(self, system):
         """A stream could go on at a replica of another version."""
+        host = await system.start_long_known()
+        system.put("b", "v2")
+        self.assertIsNone(await host.ask())
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("b", "v2")
-            self.assertIsNone(await host.ask())
-
-        run_system(check)
-
-    def test_other_backends_do_not_count(self):
+    @with_system(run_system)
+    async def test_other_backends_do_not_count(self, system):
         """An upgrade of one backend must not stop the streams of all others."""
+        host = await system.start_long_known()
+        system.put("b", "v2", backend="others")
+        self.assertEqual(V1, await host.ask())
+        self.assertEqual(StreamOrigin("others", "v2"), await host.ask(backend="others"))
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("b", "v2", backend="others")
-            self.assertEqual(V1, await host.ask())
-            self.assertEqual(
-                StreamOrigin("others", "v2"), await host.ask(backend="others")
-            )
-
-        run_system(check)
-
-    def test_backend_without_replicas_gives_no_answer(self):
+    @with_system(run_system)
+    async def test_backend_without_replicas_gives_no_answer(self, system):
         """An answer for a backend that was never listed would be a guess."""
+        host = await system.start_long_known()
+        self.assertIsNone(await host.ask(backend="others"))
 
-        async def check(system):
-            host = await system.start_long_known()
-            self.assertIsNone(await host.ask(backend="others"))
-
-        run_system(check)
-
-    def test_version_counts_until_its_last_streams_are_too_old(self):
+    @with_system(run_system)
+    async def test_version_counts_until_its_last_streams_are_too_old(self, system):
         """A version that has just left may have begun the stream; one that left before
         the oldest stream must not stop all others for ever."""
-
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("b", "v2")
-            await anyio.sleep(1.0)
-            system.delete("b")
-            await anyio.sleep(SINCE_S + MARGIN_S - 0.1)
-            self.assertIsNone(await host.ask())
-            await anyio.sleep(0.2)
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
-
-    def test_removed_replica_counts_for_the_margin(self):
+        host = await system.start_long_known()
+        system.put("b", "v2")
+        await anyio.sleep(1.0)
+        system.delete("b")
+        await anyio.sleep(SINCE_S + MARGIN_S - 0.1)
+        self.assertIsNone(await host.ask())
+        await anyio.sleep(0.2)
+        self.assertEqual(V1, await host.ask())
+
+    @with_system(run_system)
+    async def test_removed_replica_counts_for_the_margin(self, system):
         """Hosts that have not learned of a removal may still begin streams there."""
-
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("b", "v2")
-            system.delete("b")
-            await anyio.sleep(MARGIN_S - 0.1)
-            self.assertIsNone(await host.ask(since_s=0.0))
-            await anyio.sleep(0.2)
-            self.assertEqual(V1, await host.ask(since_s=0.0))
-
-        run_system(check)
-
-    def test_earlier_version_of_a_restarted_replica_counts(self):
+        host = await system.start_long_known()
+        system.put("b", "v2")
+        system.delete("b")
+        await anyio.sleep(MARGIN_S - 0.1)
+        self.assertIsNone(await host.ask(since_s=0.0))
+        await anyio.sleep(0.2)
+        self.assertEqual(V1, await host.ask(since_s=0.0))
+
+    @with_system(run_system)
+    async def test_earlier_version_of_a_restarted_replica_counts(self, system):
         """The entry of a restarted replica replaces that of its earlier version."""
+        host = await system.start_long_known()
+        system.put("a", "v2", born=2000)
+        self.assertIsNone(await host.ask())
+        await anyio.sleep(LONG_S)
+        self.assertEqual(V2, await host.ask())
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("a", "v2", born=2000)
-            self.assertIsNone(await host.ask())
-            await anyio.sleep(LONG_S)
-            self.assertEqual(V2, await host.ask())
-
-        run_system(check)
-
-    def test_draining_replica_counts(self):
+    @with_system(run_system)
+    async def test_draining_replica_counts(self, system):
         """A replica that drains gets no new streams, but may have begun this one."""
+        host = await system.start_long_known()
+        system.put("b", "v2", state="draining")
+        await anyio.sleep(LONG_S)
+        self.assertIsNone(await host.ask())
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("b", "v2", state="draining")
-            await anyio.sleep(LONG_S)
-            self.assertIsNone(await host.ask())
-
-        run_system(check)
-
-    def test_missing_version_gives_no_answer(self):
+    @with_system(run_system)
+    async def test_missing_version_gives_no_answer(self, system):
         """A replica that names no version may have any."""
+        host = await system.start_long_known()
+        system.put("b", None)
+        self.assertIsNone(await host.ask())
+        self.assertIsNone(await host.ask(backend="others"))
+        system.delete("b")
+        await anyio.sleep(1.0)
+        self.assertIsNone(await host.ask())
+        await anyio.sleep(LONG_S)
+        self.assertEqual(V1, await host.ask())
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("b", None)
-            self.assertIsNone(await host.ask())
-            self.assertIsNone(await host.ask(backend="others"))
-            system.delete("b")
-            await anyio.sleep(1.0)
-            self.assertIsNone(await host.ask())
-            await anyio.sleep(LONG_S)
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
-
-    def test_only_replica_without_a_version_gives_no_answer(self):
+    @with_system(run_system)
+    async def test_only_replica_without_a_version_gives_no_answer(self, system):
         """An unknown version is none that another replica can have."""
+        system.put("a", None)
+        host = await system.start_host()
+        await anyio.sleep(LONG_S)
+        self.assertIsNone(await host.ask())
 
-        async def check(system):
-            system.put("a", None)
-            host = await system.start_host()
-            await anyio.sleep(LONG_S)
-            self.assertIsNone(await host.ask())
-
-        run_system(check)
-
-    def test_unreadable_entry_gives_no_answer_for_any_backend(self):
+    @with_system(run_system)
+    async def test_unreadable_entry_gives_no_answer_for_any_backend(self, system):
         """An entry that this host cannot read may be one that others can use."""
+        host = await system.start_long_known()
+        system.store.put("servers/b", b"\xff\xfe")
+        self.assertIsNone(await host.ask())
+        system.put("b", "v1")
+        await anyio.sleep(1.0)
+        self.assertIsNone(await host.ask())
+        await anyio.sleep(LONG_S)
+        self.assertEqual(V1, await host.ask())
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.store.put("servers/b", b"\xff\xfe")
-            self.assertIsNone(await host.ask())
-            system.put("b", "v1")
-            await anyio.sleep(1.0)
-            self.assertIsNone(await host.ask())
-            await anyio.sleep(LONG_S)
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
-
-    def test_entry_that_becomes_unreadable_keeps_its_version(self):
+    @with_system(run_system)
+    async def test_entry_that_becomes_unreadable_keeps_its_version(self, system):
         """Its replica may have begun streams before."""
+        host = await system.start_long_known()
+        system.put("b", "v2")
+        await anyio.sleep(1.0)
+        system.store.put("servers/b", b"{}")
+        await anyio.sleep(1.0)
+        versions = host.history._versions.versions(BACKEND, 0.0)
+        self.assertEqual({"v1", "v2", ""}, versions)
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("b", "v2")
-            await anyio.sleep(1.0)
-            system.store.put("servers/b", b"{}")
-            await anyio.sleep(1.0)
-            versions = host.history._versions.versions(BACKEND, 0.0)
-            self.assertEqual({"v1", "v2", ""}, versions)
-
-        run_system(check)
-
-    def test_deletion_of_an_unknown_entry_gives_no_answer(self):
+    @with_system(run_system)
+    async def test_deletion_of_an_unknown_entry_gives_no_answer(self, system):
         """A deleted entry that was never seen may have had any version."""
+        host = await system.start_long_known()
+        system.delete("b")
+        await anyio.sleep(1.0)
+        self.assertIsNone(await host.ask())
+        await anyio.sleep(LONG_S)
+        self.assertEqual(V1, await host.ask())
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.delete("b")
-            await anyio.sleep(1.0)
-            self.assertIsNone(await host.ask())
-            await anyio.sleep(LONG_S)
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
-
-    def test_put_off_removal_counts_from_its_deletion(self):
+    @with_system(run_system)
+    async def test_put_off_removal_counts_from_its_deletion(self, system):
         """A replica is kept for a while after an outage. Only the store's deletion may
         end its time, not when this host drops it."""
-
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("b", "v2")
-            await anyio.sleep(1.0)
-            system.store.restore(
-                {
-                    key: item
-                    for key, item in system.store.items_by_key.items()
-                    if not key.endswith("/b")
-                },
-                system.store.revision,
-            )
-            system.store.put(OTHER_KEY)
-            await anyio.sleep(1.5)
-            self.assertIn("b", host.state.replicas.by_id)
-            left_at = host.history._versions._left_at_by_backend[BACKEND]["v2"]
-            self.assertLess(left_at, anyio.current_time() - 0.5)
-
-        run_system(check)
+        host = await system.start_long_known()
+        system.put("b", "v2")
+        await anyio.sleep(1.0)
+        system.store.restore(
+            {
+                key: item
+                for key, item in system.store.items_by_key.items()
+                if not key.endswith("/b")
+            },
+            system.store.revision,
+        )
+        system.store.put(OTHER_KEY)
+        await anyio.sleep(1.5)
+        self.assertIn("b", host.state.replicas.by_id)
+        left_at = host.history._versions._left_at_by_backend[BACKEND]["v2"]
+        self.assertLess(left_at, anyio.current_time() - 0.5)
 
 
 class MemoryBoundTest(testtools.TestCase):
@@ -445,262 +406,208 @@
 
 
 class GapTest(testtools.TestCase):
-    def test_host_that_has_just_started_gives_no_answer(self):
+    @with_system(run_system)
+    async def test_host_that_has_just_started_gives_no_answer(self, system):
         """It has not seen which versions were listed before it."""
+        system.put("a")
+        host = await system.start_host()
+        self.assertIsNone(await host.ask())
+        await anyio.sleep(LONG_S)
+        self.assertEqual(V1, await host.ask())
 
-        async def check(system):
-            system.put("a")
-            host = await system.start_host()
-            self.assertIsNone(await host.ask())
-            await anyio.sleep(LONG_S)
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
-
-    def test_host_without_a_read_asks_nothing(self):
+    @with_system(run_system)
+    async def test_host_without_a_read_asks_nothing(self, system):
         """Nothing is known before the first full read."""
+        host = Host(system.store, "entry-9", HISTORY_S, HEARTBEAT_S)
+        self.assertIsNone(await host.ask())
+        self.assertEqual(0, host.calls)
 
-        async def check(system):
-            host = Host(system.store, "entry-9", HISTORY_S, HEARTBEAT_S)
-            self.assertIsNone(await host.ask())
-            self.assertEqual(0, host.calls)
-
-        run_system(check)
-
-    def test_discarded_history_is_a_gap(self):
+    @with_system(run_system)
+    async def test_discarded_history_is_a_gap(self, system):
         """A version could come and go in changes that the store had discarded."""
+        host = await system.start_long_known()
+        system.store.refused.add(host.name)
+        await anyio.sleep(3.0)
+        system.put("b", "v2")
+        system.delete("b")
+        system.store.discard_history(system.store.revision)
+        system.store.refused.clear()
+        await anyio.sleep(3.0)
+        self.assertEqual(2, host.history._versions.gap_count)
+        self.assertIsNone(await host.ask())
+        await anyio.sleep(LONG_S)
+        self.assertEqual(V1, await host.ask())
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.store.refused.add(host.name)
-            await anyio.sleep(3.0)
-            system.put("b", "v2")
-            system.delete("b")
-            system.store.discard_history(system.store.revision)
-            system.store.refused.clear()
-            await anyio.sleep(3.0)
-            self.assertEqual(2, host.history._versions.gap_count)
-            self.assertIsNone(await host.ask())
-            await anyio.sleep(LONG_S)
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
-
-    def test_discarded_history_that_a_question_meets(self):
+    @with_system(run_system)
+    async def test_discarded_history_that_a_question_meets(self, system):
         """The read for a question can be the first call that finds a gap."""
-
-        async def check(system):
-            host = await system.start_long_known()
-            host.relay.watches = False
-            await anyio.sleep(1.0)
-            system.put("b", "v2")
-            system.delete("b")
-            system.store.discard_history(system.store.revision)
-            self.assertIsNone(await host.ask())
-
-        run_system(check)
-
-    def test_versions_before_a_gap_stay_known(self):
+        host = await system.start_long_known()
+        await host.stop_watching()
+        system.put("b", "v2")
+        system.delete("b")
+        system.store.discard_history(system.store.revision)
+        self.assertIsNone(await host.ask())
+
+    @with_system(run_system)
+    async def test_versions_before_a_gap_stay_known(self, system):
         """A version that left before a gap may still have begun a stream."""
+        host = await system.start_long_known()
+        system.put("b", "v2")
+        await anyio.sleep(1.0)
+        system.store.refused.add(host.name)
+        await anyio.sleep(3.0)
+        system.delete("b")
+        system.store.discard_history(system.store.revision)
+        system.store.refused.clear()
+        await anyio.sleep(3.0)
+        self.assertEqual(
+            {"v1", "v2"},
+            host.history._versions.versions(
+                BACKEND, anyio.current_time() - SINCE_S - MARGIN_S
+            ),
+        )
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("b", "v2")
-            await anyio.sleep(1.0)
-            system.store.refused.add(host.name)
-            await anyio.sleep(3.0)
-            system.delete("b")
-            system.store.discard_history(system.store.revision)
-            system.store.refused.clear()
-            await anyio.sleep(3.0)
-            self.assertEqual(
-                {"v1", "v2"},
-                host.history._versions.versions(
-                    BACKEND, anyio.current_time() - SINCE_S - MARGIN_S
-                ),
-            )
-
-        run_system(check)
-
-    def test_new_epoch_is_a_gap(self):
+    @with_system(run_system)
+    async def test_new_epoch_is_a_gap(self, system):
         """A store that went back to a copy has lost entries that hosts had used."""
+        host = await system.start_long_known()
+        copy, revision = dict(system.store.items_by_key), system.store.revision
+        system.store.restore(copy, revision)
+        self.assertIsNone(await host.ask())
+        await anyio.sleep(1.0)
+        self.assertIsNone(await host.ask())
+        await anyio.sleep(LONG_S)
+        self.assertEqual(V1, await host.ask())
 
-        async def check(system):
-            host = await system.start_long_known()
-            copy, revision = dict(system.store.items_by_key), system.store.revision
-            system.store.restore(copy, revision)
-            self.assertIsNone(await host.ask())
-            await anyio.sleep(1.0)
-            self.assertIsNone(await host.ask())
-            await anyio.sleep(LONG_S)
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
-
-    def test_snapshot_of_another_host_is_a_gap(self):
+    @with_system(run_system)
+    async def test_snapshot_of_another_host_is_a_gap(self, system):
         """A snapshot lacks what came and went before it."""
-
-        async def check(system):
-            host = await system.start_long_known()
-            host.apply_snapshot()
-            self.assertIsNone(await host.ask())
-
-        run_system(check)
+        host = await system.start_long_known()
+        host.apply_snapshot()
+        self.assertIsNone(await host.ask())
 
 
 class FreshReadTest(testtools.TestCase):
-    def test_newer_entry_is_read(self):
+    @with_system(run_system)
+    async def test_newer_entry_is_read(self, system):
         """Another host had used a replica whose entry this host had not seen."""
-
-        async def check(system):
-            host = await system.start_long_known()
-            host.relay.watches = False
-            await anyio.sleep(1.0)
-            system.put("b", "v2")
-            self.assertIsNone(await host.ask())
-            self.assertIn("b", host.state.replicas.by_id)
-
-        run_system(check)
-
-    def test_store_that_refuses_gives_no_answer(self):
+        host = await system.start_long_known()
+        await host.stop_watching()
+        system.put("b", "v2")
+        self.assertIsNone(await host.ask())
+        self.assertIn("b", host.state.replicas.by_id)
+
+    @with_system(run_system)
+    async def test_store_that_refuses_gives_no_answer(self, system):
         """Without the store, nobody knows what other hosts have seen in it."""
+        host = await system.start_long_known()
+        system.store.refused.add(host.name)
+        self.assertIsNone(await host.ask())
+        self.assertTrue(host.state.is_unreachable(ALL_ITEMS))
+        system.store.refused.clear()
+        await anyio.sleep(1.0)
+        self.assertEqual(V1, await host.ask())
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.store.refused.add(host.name)
-            self.assertIsNone(await host.ask())
-            self.assertTrue(host.state.is_unreachable(ALL_ITEMS))
-            system.store.refused.clear()
-            await anyio.sleep(1.0)
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
-
-    def test_host_that_others_read_for_finds_the_store_again(self):
+    @with_system(run_system)
+    async def test_host_that_others_read_for_finds_the_store_again(self, system):
         """One refused call let it count as cut off until its next question."""
-
-        async def check(system):
-            host = await system.start_long_known()
-            host.relay.watches = False
-            await anyio.sleep(1.0)
-            system.store.refused.add(host.name)
-            self.assertIsNone(await host.ask())
-            before = host.calls
-            await anyio.sleep(10.0)
-            self.assertLessEqual(host.calls - before, 5)
-            self.assertTrue(host.state.is_unreachable(ALL_ITEMS))
-            system.store.refused.clear()
-            await anyio.sleep(3.0)
-            self.assertFalse(host.state.is_unreachable(ALL_ITEMS))
-            before = host.calls
-            await anyio.sleep(10.0)
-            self.assertEqual(before, host.calls)
-
-        run_system(check)
-
-    def test_silent_store_delays_no_answer_for_long(self):
+        host = await system.start_long_known()
+        await host.stop_watching()
+        system.store.refused.add(host.name)
+        self.assertIsNone(await host.ask())
+        before = host.calls
+        await anyio.sleep(10.0)
+        self.assertLessEqual(host.calls - before, 5)
+        self.assertTrue(host.state.is_unreachable(ALL_ITEMS))
+        system.store.refused.clear()
+        await anyio.sleep(3.0)
+        self.assertFalse(host.state.is_unreachable(ALL_ITEMS))
+        before = host.calls
+        await anyio.sleep(10.0)
+        self.assertEqual(before, host.calls)
+
+    @with_system(run_system)
+    async def test_silent_store_delays_no_answer_for_long(self, system):
         """A caller must not wait for a store that is away."""
+        host = await system.start_long_known()
+        system.store.silent.add(host.name)
+        asked_at = anyio.current_time()
+        self.assertIsNone(await host.ask())
+        self.assertAlmostEqual(
+            ANSWER_TIMEOUT_S, anyio.current_time() - asked_at, delta=0.01
+        )
+        self.assertEqual(set(), host.history._questions)
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.store.silent.add(host.name)
-            asked_at = anyio.current_time()
-            self.assertIsNone(await host.ask())
-            self.assertAlmostEqual(
-                ANSWER_TIMEOUT_S, anyio.current_time() - asked_at, delta=0.01
-            )
-            self.assertEqual(set(), host.history._questions)
-
-        run_system(check)
-
-    def test_questions_that_were_given_up_are_forgotten(self):
+    @with_system(run_system)
+    async def test_questions_that_were_given_up_are_forgotten(self, system):
         """Requests that come while the store is silent must not fill the memory."""
+        host = await system.start_long_known()
+        system.store.silent.add(host.name)
+        before = host.calls
+        async with anyio.create_task_group() as group:
+            for _ in range(5):
+                group.start_soon(host.ask)
+                await anyio.sleep(0.05)
+        self.assertEqual(set(), host.history._questions)
+        self.assertLessEqual(host.calls - before, 2)
 
-        async def check(system):
-            host = await system.start_long_known()
-            system.store.silent.add(host.name)
-            before = host.calls
-            async with anyio.create_task_group() as group:
-                for _ in range(5):
-                    group.start_soon(host.ask)
-                    await anyio.sleep(0.05)
-            self.assertEqual(set(), host.history._questions)
-            self.assertLessEqual(host.calls - before, 2)
-
-        run_system(check)
-
-    def test_questions_share_a_read(self):
+    @with_system(run_system)
+    async def test_questions_share_a_read(self, system):
         """Calls to the store have a price, and callers may ask in great numbers."""
+        host = await system.start_long_known()
+        await host.stop_watching()
+        before = host.calls
+        answers = []
 
-        async def check(system):
-            host = await system.start_long_known()
-            host.relay.watches = False
-            await anyio.sleep(1.0)
-            before = host.calls
-            answers = []
-
-            async def ask():
-                answers.append(await host.ask())
+        async def ask():
+            answers.append(await host.ask())
 
-            async with anyio.create_task_group() as group:
-                for _ in range(50):
-                    group.start_soon(ask)
-            self.assertEqual([V1] * 50, answers)
-            self.assertEqual(1, host.calls - before)
-
-        run_system(check)
+        async with anyio.create_task_group() as group:
+            for _ in range(50):
+                group.start_soon(ask)
+        self.assertEqual([V1] * 50, answers)
+        self.assertEqual(1, host.calls - before)
 
-    def test_question_during_a_read_needs_the_next_one(self):
+    @with_system(run_system)
+    async def test_question_during_a_read_needs_the_next_one(self, system):
         """A read that began before a request may lack what was written before it."""
+        host = await system.start_long_known()
+        await host.stop_watching()
+        before = host.calls
+        answers = []
 
-        async def check(system):
-            host = await system.start_long_known()
-            host.relay.watches = False
-            await anyio.sleep(1.0)
-            before = host.calls
-            answers = []
+        async def ask():
+            answers.append(await host.ask())
 
-            async def ask():
-                answers.append(await host.ask())
-
-            async with anyio.create_task_group() as group:
-                group.start_soon(ask)
-                # The store answers after 4 ms, and at that time it has one version.
-                await anyio.sleep(0.002)
-                group.start_soon(ask)
-                await anyio.sleep(0.004)
-                system.put("b", "v2")
-            self.assertEqual([V1, None], answers)
-            self.assertEqual(2, host.calls - before)
-
-        run_system(check)
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            # The store answers after 4 ms, and at that time it has one version.
+            await anyio.sleep(0.002)
+            group.start_soon(ask)
+            await anyio.sleep(0.004)
+            system.put("b", "v2")
+        self.assertEqual([V1, None], answers)
+        self.assertEqual(2, host.calls - before)
 
-    def test_reads_are_limited_in_rate(self):
+    @with_system(run_system)
+    async def test_reads_are_limited_in_rate(self, system):
         """One caller after the other must not use up the calls of all hosts."""
+        host = await system.start_long_known()
+        await host.stop_watching()
+        before, began_at = host.calls, anyio.current_time()
+        while anyio.current_time() - began_at < 2.0:
+            self.assertEqual(V1, await host.ask())
+        self.assertLessEqual(host.calls - before, 21)
 
-        async def check(system):
-            host = await system.start_long_known()
-            host.relay.watches = False
-            await anyio.sleep(1.0)
-            before, began_at = host.calls, anyio.current_time()
-            while anyio.current_time() - began_at < 2.0:
-                self.assertEqual(V1, await host.ask())
-            self.assertLessEqual(host.calls - before, 21)
-
-        run_system(check)
-
-    def test_question_that_cannot_be_answered_costs_no_call(self):
+    @with_system(run_system)
+    async def test_question_that_cannot_be_answered_costs_no_call(self, system):
         """With two known versions, no read changes the answer."""
-
-        async def check(system):
-            host = await system.start_long_known()
-            system.put("b", "v2")
-            await anyio.sleep(1.0)
-            answer, calls = await host.ask_without_watching()
-            self.assertIsNone(answer)
-            self.assertEqual(0, calls)
-
-        run_system(check)
+        host = await system.start_long_known()
+        system.put("b", "v2")
+        await anyio.sleep(1.0)
+        answer, calls = await host.ask_without_watching()
+        self.assertIsNone(answer)
+        self.assertEqual(0, calls)
 
 
 class StoreHistoryTest(testtools.TestCase):
@@ -717,72 +624,57 @@
     async def start_host(self, system):
         return await system.start_host(history_s=HISTORY_S, heartbeat_s=HEARTBEAT_S)
 
-    def test_young_store_shows_all_of_its_past(self):
+    @with_system(run_system)
+    async def test_young_store_shows_all_of_its_past(self, system):
         """All hosts were killed: a host that had just started knew of no stream."""
-
-        async def check(system):
-            system.put("a")
-            self.write_others(system, 20)
-            host = await self.start_host(system)
-            answer, calls = await host.ask_without_watching(since_s=1000.0)
-            self.assertEqual(V1, answer)
-            # The fresh read, whether revision 0 is there, and its reading.
-            self.assertEqual(3, calls)
-            answer, calls = await host.ask_without_watching(since_s=1000.0)
-            self.assertEqual((V1, 1), (answer, calls))
-
-        run_system(check)
-
-    def test_young_store_shows_versions_that_have_left(self):
+        system.put("a")
+        self.write_others(system, 20)
+        host = await self.start_host(system)
+        answer, calls = await host.ask_without_watching(since_s=1000.0)
+        self.assertEqual(V1, answer)
+        # The fresh read, whether revision 0 is there, and its reading.
+        self.assertEqual(3, calls)
+        answer, calls = await host.ask_without_watching(since_s=1000.0)
+        self.assertEqual((V1, 1), (answer, calls))
+
+    @with_system(run_system)
+    async def test_young_store_shows_versions_that_have_left(self, system):
         """A version may have come and gone before this host started."""
+        system.put("a")
+        system.put("b", "v2")
+        system.delete("b")
+        host = await self.start_host(system)
+        self.assertIsNone(await host.ask())
+        self.assertEqual(["a"], list(host.state.replicas.by_id))
+        await anyio.sleep(LONG_S)
+        self.assertEqual(V1, await host.ask())
 
-        async def check(system):
-            system.put("a")
-            system.put("b", "v2")
-            system.delete("b")
-            host = await self.start_host(system)
-            self.assertIsNone(await host.ask())
-            self.assertEqual(["a"], list(host.state.replicas.by_id))
-            await anyio.sleep(LONG_S)
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
-
-    def test_young_store_shows_unreadable_entries(self):
+    @with_system(run_system)
+    async def test_young_store_shows_unreadable_entries(self, system):
         """An entry that could not be read, and has left, may have had any version."""
-
-        async def check(system):
-            system.put("a")
-            system.store.put("servers/b", b"{}")
-            system.put("b")
-            host = await self.start_host(system)
-            self.assertIsNone(await host.ask())
-
-        run_system(check)
-
-    def test_settings_without_history_claim_nothing(self):
+        system.put("a")
+        system.store.put("servers/b", b"{}")
+        system.put("b")
+        host = await self.start_host(system)
+        self.assertIsNone(await host.ask())
+
+    @with_system(run_system)
+    async def test_settings_without_history_claim_nothing(self, system):
         """A platform that does not say that it keeps history may have none."""
+        system.put("a")
+        host = await system.start_host(heartbeat_s=HEARTBEAT_S)
+        answer, calls = await host.ask_without_watching()
+        self.assertEqual((None, 0), (answer, calls))
 
-        async def check(system):
-            system.put("a")
-            host = await system.start_host(heartbeat_s=HEARTBEAT_S)
-            answer, calls = await host.ask_without_watching()
-            self.assertEqual((None, 0), (answer, calls))
-
-        run_system(check)
-
-    def test_discarded_history_shows_nothing(self):
+    @with_system(run_system)
+    async def test_discarded_history_shows_nothing(self, system):
         """The store has nothing of the time before the host's start."""
-
-        async def check(system):
-            system.put("a", seq=LONG_RUN)
-            system.store.discard_history(system.store.revision)
-            host = await self.start_host(system)
-            self.assertIsNone(await host.ask())
-            await anyio.sleep(LONG_S)
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
+        system.put("a", seq=LONG_RUN)
+        system.store.discard_history(system.store.revision)
+        host = await self.start_host(system)
+        self.assertIsNone(await host.ask())
+        await anyio.sleep(LONG_S)
+        self.assertEqual(V1, await host.ask())
 
     def check_old_store(self, answer, heartbeats=100, since_s=SINCE_S, prepare=None):
         """Asks a host that starts when the store has discarded its first changes.
@@ -832,229 +724,190 @@
         """A replica that is new in the history has no earlier version."""
         self.check_old_store(V1, prepare=lambda system: system.put("b"))
 
-    def test_deletion_of_an_entry_from_before_the_history(self):
+    @with_system(run_system)
+    async def test_deletion_of_an_entry_from_before_the_history(self, system):
         """Its version is not known."""
-
-        async def check(system):
-            for replica in ("a", "b", "c"):
-                system.put(replica)
-            system.store.discard_history(system.store.revision)
-            self.write_witnesses(system, 50)
-            system.delete("b")
-            self.write_witnesses(system, 50, LONG_RUN + 50)
-            host = await self.start_host(system)
-            self.assertIsNone(await host.ask())
-
-        run_system(check)
-
-    def test_restart_over_an_entry_from_before_the_history(self):
+        for replica in ("a", "b", "c"):
+            system.put(replica)
+        system.store.discard_history(system.store.revision)
+        self.write_witnesses(system, 50)
+        system.delete("b")
+        self.write_witnesses(system, 50, LONG_RUN + 50)
+        host = await self.start_host(system)
+        self.assertIsNone(await host.ask())
+
+    @with_system(run_system)
+    async def test_restart_over_an_entry_from_before_the_history(self, system):
         """The entry of a process that has just started replaces one that may have had
         another version, which is not in the history any more."""
-
-        async def check(system):
-            for replica in ("a", "c"):
-                system.put(replica)
-            system.put("b", "v2")
-            system.store.discard_history(system.store.revision)
-            self.write_witnesses(system, 50)
-            system.put("b", "v1", seq=2, born=2000)
-            self.write_witnesses(system, 50, LONG_RUN + 50)
-            host = await self.start_host(system)
-            self.assertIsNone(await host.ask())
-
-        run_system(check)
-
-    def test_store_that_went_back_to_a_copy_shows_nothing(self):
+        for replica in ("a", "c"):
+            system.put(replica)
+        system.put("b", "v2")
+        system.store.discard_history(system.store.revision)
+        self.write_witnesses(system, 50)
+        system.put("b", "v1", seq=2, born=2000)
+        self.write_witnesses(system, 50, LONG_RUN + 50)
+        host = await self.start_host(system)
+        self.assertIsNone(await host.ask())
+
+    @with_system(run_system)
+    async def test_store_that_went_back_to_a_copy_shows_nothing(self, system):
         """Its history lacks the entries that were lost with the changes."""
-
-        async def check(system):
-            system.put("a")
-            copy, revision = dict(system.store.items_by_key), system.store.revision
-            system.put("b", "v2")
-            system.store.restore(copy, revision)
-            host = await self.start_host(system)
-            answer, calls = await host.ask_without_watching()
-            self.assertEqual((None, 0), (answer, calls))
-
-        run_system(check)
-
-    def test_answer_that_lacks_changes_shows_nothing(self):
+        system.put("a")
+        copy, revision = dict(system.store.items_by_key), system.store.revision
+        system.put("b", "v2")
+        system.store.restore(copy, revision)
+        host = await self.start_host(system)
+        answer, calls = await host.ask_without_watching()
+        self.assertEqual((None, 0), (answer, calls))
+
+    @with_system(run_system)
+    async def test_answer_that_lacks_changes_shows_nothing(self, system):
         """The store may answer a watch from 0 with its newest changes only."""
-
-        async def check(system):
-            system.put("a")
-            system.put("b")
-            host = await self.start_host(system)
-            del system.store.history[0]
-            self.assertIsNone(await host.ask())
-
-        run_system(check)
-
-    def test_search_is_not_exact(self):
+        system.put("a")
+        system.put("b")
+        host = await self.start_host(system)
+        del system.store.history[0]
+        self.assertIsNone(await host.ask())
+
+    @with_system(run_system)
+    async def test_search_is_not_exact(self, system):
         """Calls that would show a few changes more are not worth their price."""
-
-        async def check(system):
-            system.put("a")
-            system.store.revision = 100_000
-            self.write_others(system, 5000)
-            system.store.discard_history(101_111)
-            host = await self.start_host(system)
-            _, calls = await host.ask_without_watching()
-            self.assertLessEqual(calls, 12)
-
-        run_system(check)
-
-    def test_long_history_takes_a_bounded_number_of_calls(self):
+        system.put("a")
+        system.store.revision = 100_000
+        self.write_others(system, 5000)
+        system.store.discard_history(101_111)
+        host = await self.start_host(system)
+        _, calls = await host.ask_without_watching()
+        self.assertLessEqual(calls, 12)
+
+    @with_system(run_system)
+    async def test_long_history_takes_a_bounded_number_of_calls(self, system):
         """A search by bisection takes more calls the longer the store has run."""
-
-        async def check(system):
-            system.put("a")
-            system.store.revision = 2**40
-            self.write_others(system, 50)
-            system.store.discard_history(2**40 + 3)
-            host = await self.start_host(system)
-            answer, calls = await host.ask_without_watching()
-            self.assertIsNone(answer)
-            self.assertLessEqual(calls, MAX_CALLS + 1)
-            answer, calls = await host.ask_without_watching()
-            self.assertEqual((None, 0), (answer, calls))
-
-        run_system(check)
-
-    def test_search_that_runs_out_of_calls(self):
+        system.put("a")
+        system.store.revision = 2**40
+        self.write_others(system, 50)
+        system.store.discard_history(2**40 + 3)
+        host = await self.start_host(system)
+        answer, calls = await host.ask_without_watching()
+        self.assertIsNone(answer)
+        self.assertLessEqual(calls, MAX_CALLS + 1)
+        answer, calls = await host.ask_without_watching()
+        self.assertEqual((None, 0), (answer, calls))
+
+    @with_system(run_system)
+    async def test_search_that_runs_out_of_calls(self, system):
         """The calls that are left must be enough to read what was found."""
-
-        async def check(system):
-            system.put("a")
-            system.put("c")
-            # Found by trying many: with these revisions the search takes 25 calls.
-            system.store.discard_history(1_743_447_714_580_787_598)
-            system.store.revision = 2_567_293_234_398_438_396
-            self.write_witnesses(system, 100)
-            host = await self.start_host(system)
-            answer, calls = await host.ask_without_watching()
-            self.assertEqual(V1, answer)
-            self.assertLessEqual(calls, MAX_CALLS + 1)
-
-        run_system(check)
-
-    def test_history_that_is_discarded_while_it_is_read(self):
+        system.put("a")
+        system.put("c")
+        # Found by trying many: with these revisions the search takes 25 calls.
+        system.store.discard_history(1_743_447_714_580_787_598)
+        system.store.revision = 2_567_293_234_398_438_396
+        self.write_witnesses(system, 100)
+        host = await self.start_host(system)
+        answer, calls = await host.ask_without_watching()
+        self.assertEqual(V1, answer)
+        self.assertLessEqual(calls, MAX_CALLS + 1)
+
+    @with_system(run_system)
+    async def test_history_that_is_discarded_while_it_is_read(self, system):
         """The oldest revision that was found may be gone when it is read."""
-
-        async def check(system):
-            for replica in ("a", "c"):
-                system.put(replica)
-            self.write_others(system, 500)
-            system.store.discard_history(system.store.revision)
-            self.write_others(system, 200)
-            self.write_witnesses(system, 100)
-            host = await self.start_host(system)
-            store, read, lost = system.store, host.state.read_history, []
-
-            async def read_after_discarding(feed_prefix, prefix, revision):
-                if prefix == ALL_ITEMS and not lost:
-                    store.discard_history(revision + 1)
-                    lost.append(revision)
-                return await read(feed_prefix, prefix, revision)
-
-            host.state.read_history = read_after_discarding
-
-            self.assertEqual(V1, await host.ask())
-            self.assertEqual(1, len(lost))
-
-        run_system(check)
-
-    def test_gap_while_the_history_is_read(self):
+        for replica in ("a", "c"):
+            system.put(replica)
+        self.write_others(system, 500)
+        system.store.discard_history(system.store.revision)
+        self.write_others(system, 200)
+        self.write_witnesses(system, 100)
+        host = await self.start_host(system)
+        store, read, lost = system.store, host.state.read_history, []
+
+        async def read_after_discarding(feed_prefix, prefix, revision):
+            if prefix == ALL_ITEMS and not lost:
+                store.discard_history(revision + 1)
+                lost.append(revision)
+            return await read(feed_prefix, prefix, revision)
+
+        host.state.read_history = read_after_discarding
+
+        self.assertEqual(V1, await host.ask())
+        self.assertEqual(1, len(lost))
+
+    @with_system(run_system)
+    async def test_gap_while_the_history_is_read(self, system):
         """The history ends where it was read, and says nothing of a later gap."""
+        system.put("a")
+        host = await self.start_host(system)
+        read = host.state.read_history
 
-        async def check(system):
-            system.put("a")
-            host = await self.start_host(system)
-            read = host.state.read_history
-
-            async def read_before_gap(*arguments):
-                items = await read(*arguments)
-                host.apply_snapshot()
-                return items
-
-            host.state.read_history = read_before_gap
-            self.assertIsNone(await host.ask())
+        async def read_before_gap(*arguments):
+            items = await read(*arguments)
+            host.apply_snapshot()
+            return items
 
-        run_system(check)
+        host.state.read_history = read_before_gap
+        self.assertIsNone(await host.ask())
 
-    def test_new_epoch_while_the_history_is_read(self):
+    @with_system(run_system)
+    async def test_new_epoch_while_the_history_is_read(self, system):
         """The history of a store that went back to a copy lacks lost entries."""
+        system.put("a")
+        host = await self.start_host(system)
+        host.relay.watches = False
+        await anyio.sleep(1.0)
+        read = host.state.read_history
 
-        async def check(system):
-            system.put("a")
-            host = await self.start_host(system)
-            host.relay.watches = False
-            await anyio.sleep(1.0)
-            read = host.state.read_history
-
-            async def read_after_restore(*arguments):
-                system.store.epoch = 2
-                return await read(*arguments)
-
-            host.state.read_history = read_after_restore
-            self.assertIsNone(await host.ask())
+        async def read_after_restore(*arguments):
+            system.store.epoch = 2
+            return await read(*arguments)
 
-        run_system(check)
+        host.state.read_history = read_after_restore
+        self.assertIsNone(await host.ask())
 
-    def test_history_that_shows_nothing_does_no_harm(self):
+    @with_system(run_system)
+    async def test_history_that_shows_nothing_does_no_harm(self, system):
         """A version in a history that is too short must not delay the time from which
         the host's own knowledge is enough."""
-
-        async def check(system):
-            system.put("a", seq=LONG_RUN)
-            system.store.discard_history(system.store.revision)
-            system.put("b", "v2")
-            system.delete("b")
-            host = await self.start_host(system)
-            await anyio.sleep(5.0)
-            self.assertIsNone(await host.ask())
-            await anyio.sleep(LONG_S - 5.0)
-            self.assertEqual(V1, await host.ask())
-
-        run_system(check)
-
-    def test_history_is_read_again_if_that_has_failed(self):
+        system.put("a", seq=LONG_RUN)
+        system.store.discard_history(system.store.revision)
+        system.put("b", "v2")
+        system.delete("b")
+        host = await self.start_host(system)
+        await anyio.sleep(5.0)
+        self.assertIsNone(await host.ask())
+        await anyio.sleep(LONG_S - 5.0)
+        self.assertEqual(V1, await host.ask())
+
+    @with_system(run_system)
+    async def test_history_is_read_again_if_that_has_failed(self, system):
         """One lost answer must not cost the knowledge of the past for long, and a
         store that never answers must not be asked for ever."""
-
-        async def check(system):
-            system.put("a")
-            host = await self.start_host(system)
-            read, attempts = host.state.read_history, []
-
-            async def fail(*arguments):
-                attempts.append(arguments)
-                raise SourceUnreachable("refused")
-
-            host.state.read_history = fail
+        system.put("a")
+        host = await self.start_host(system)
+        read, attempts = host.state.read_history, []
+
+        async def fail(*arguments):
+            attempts.append(arguments)
+            raise SourceUnreachable("refused")
+
+        host.state.read_history = fail
+        self.assertIsNone(await host.ask())
+        host.state.read_history = read
+        self.assertEqual(V1, await host.ask())
+        host.apply_snapshot()
+        host.state.read_history = fail
+        for _ in range(5):
             self.assertIsNone(await host.ask())
-            host.state.read_history = read
-            self.assertEqual(V1, await host.ask())
-            host.apply_snapshot()
-            host.state.read_history = fail
-            for _ in range(5):
-                self.assertIsNone(await host.ask())
-            self.assertEqual(3, len(attempts))
-
-        run_system(check)
+        self.assertEqual(3, len(attempts))
 
-    def test_history_is_read_again_after_a_gap(self):
+    @with_system(run_system)
+    async def test_history_is_read_again_after_a_gap(self, system):
         """A host that has lost the store's changes once must not refuse for long."""
-
-        async def check(system):
-            system.put("a")
-            host = await self.start_host(system)
-            self.assertEqual(V1, await host.ask())
-            host.apply_snapshot()
-            self.assertEqual(V1, await host.ask())
-            self.assertEqual(2, host.history._versions.gap_count)
-
-        run_system(check)
+        system.put("a")
+        host = await self.start_host(system)
+        self.assertEqual(V1, await host.ask())
+        host.apply_snapshot()
+        self.assertEqual(V1, await host.ask())
+        self.assertEqual(2, host.history._versions.gap_count)
 
 
 class ProvenSpanTest(testtools.TestCase):
