Take no call of another run's host for a caller's request

What was seen: test_each_request_gets_exactly_one_answer failed once with KeyError 'x-request-id': a request without an id was among those that had arrived at a stand-in replica.

Cause, by reading and by provoking it: a stand-in replica recorded whatever it did not know as a caller's request. Reports, listings and orders, also of the process check and the kept prompts, name the replica and have targets that it knows, so they are never recorded. A watch of the store (GET /-/kv-watch) or a readiness probe is: one that a host of another run sends to the port of a store that has ended, which the system may have given to the stand-in since. Sent on purpose, it fails the test in the same way. No record of the failure is left, so it is not known which request it was; a body that is read as a request, which the check is there to find, would have looked the same.

Change: a stand-in answers unknown targets below /-/ without a request id with 404 and records no request. The check raises WrongAnswers for any request without an id and names it, its headers and its body.

The test stays in KNOWN-RED.txt, since the request was not identified.

--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -101,7 +101,7 @@
     """One replica. Each request takes the next fault of ``faults``, if there is one.
 
     ``runs`` lists (request id, Last-Event-Id) of the requests that ran,
-    ``arrived_requests`` all requests that arrived, ``orders`` the accepted orders and
+    ``arrived_requests`` all callers' requests that arrived, ``orders`` the accepted orders and
     ``cancelled`` the ids of streams whose connection closed early. ``overfilled`` is
     set by a load beyond ``adapter_slots``. ``endless_bytes`` counts the bytes of endless
     messages that were written. A stream has ``events`` events,
@@ -272,6 +272,12 @@
                 return
             status = self._execute_order(request.json())
             writer.write(json_response(status, {}, self._order_headers()))
+        elif request.target.startswith("/-/") and not request.headers.get(
+            "x-request-id"
+        ):
+            # No caller's request: a host adds an id to each that it passes on. A host of
+            # another run may still use this port for a store that has ended.
+            writer.write(response(404))
         else:
             await self._serve_request(request, writer)
 
--- a/tests/gateway/sequence_fuzz.py
+++ b/tests/gateway/sequence_fuzz.py
@@ -243,6 +243,24 @@
     await wait_until(lambda: state.configuration.version == 2)
 
 
+def _arrived_by_id(replicas):
+    """Returns the requests that reached replicas. Raises WrongAnswers for one without id.
+
+    A body that was read as a request has none.
+    """
+    arrived_by_id = {}
+    for replica in replicas:
+        for request in replica.arrived_requests:
+            request_id = request.headers.get("x-request-id")
+            if request_id is None:
+                raise WrongAnswers(
+                    f"reached {replica.id} without an id: {request.method} "
+                    f"{request.target} {request.headers} {request.body[:200]!r}"
+                )
+            arrived_by_id.setdefault(request_id, []).append(request)
+    return arrived_by_id
+
+
 async def run_sequences(seed, count):
     """Runs ``count`` sequences, several at a time. Raises WrongAnswers.
 
@@ -275,12 +293,7 @@
             for worker in workers:
                 worker.cancel()
             await asyncio.gather(*workers, return_exceptions=True)
-        arrived_by_id = {}
-        for replica in fleet.replicas:
-            for request in replica.arrived_requests:
-                arrived_by_id.setdefault(request.headers["x-request-id"], []).append(
-                    request
-                )
+        arrived_by_id = _arrived_by_id(fleet.replicas)
         for check, _ in checks:
             check.check_runs(arrived_by_id)
         if arrived_by_id:
--- a/tests/gateway/test_request_sequences.py
+++ b/tests/gateway/test_request_sequences.py
@@ -8,6 +8,7 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.gateway import response_writer
 from snipetrestle.gateway.http_server import CallerConnection
+from snipetrestle_standins.platform_replica import PlatformReplica
 from tests.gateway import sequence_fuzz
 from tests.gateway.raw_answers import Incomplete, NotAnAnswer, read_answer
 from tests.gateway.sequence_fuzz import WrongAnswers, run_sequences
@@ -18,6 +19,20 @@
 FAULT_SEQUENCES = 200
 
 
+def send_to_replicas(test, target):
+    """Lets each stand-in replica get a request without an id once it has started."""
+    start = PlatformReplica.start
+
+    async def start_and_send(replica, *arguments):
+        await start(replica, *arguments)
+        reader, writer = await asyncio.open_connection("127.0.0.1", replica.port)
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+        await reader.read(1)
+        writer.close()
+
+    test.patch(PlatformReplica, "start", start_and_send)
+
+
 class SequenceTestCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
@@ -26,6 +41,12 @@
 
 
 class FixedSeedsTest(SequenceTestCase):
+    def test_calls_of_hosts_of_other_runs_are_no_requests(self):
+        """A host whose store had ended could call the stand-in that took its port, and
+        its call counted as a request without an id."""
+        send_to_replicas(self, "/-/kv-watch?prefix=&after=1&wait_ms=1")
+        self.assertGreater(asyncio.run(run_sequences(1, 1)), 0)
+
     def test_each_request_gets_exactly_one_answer(self):
         """Answers could be missing, repeated, swapped or framed for another method."""
         for seed in SEEDS:
@@ -45,6 +66,10 @@
     def patch_method(self, name, function):
         self.patch(CallerConnection, name, function)
 
+    def test_finds_a_body_that_is_read_as_a_request(self):
+        send_to_replicas(self, "/entry/decoy")
+        self.assert_found("without an id: GET /entry/decoy")
+
     def test_finds_a_second_answer_to_an_offered_protocol(self):
         def refuse(connection, following):
             connection._refuse(ResultCode.MALFORMED_REQUEST)
