Take no connection more than nine eighths of the wanted ones

What was seen: test_bodies_that_stop_one_byte_short failed once, as an ordinary write was not answered 200.

Cause: no connection is to be ended for others within 0.1 s. With 27 wanted, as there, nine eighths are 30.375: wait_for_room let in one while there were 30, and with 31 there were far too many, where the longest open one is aborted whatever its age. Where nine eighths are a whole number, this did not happen.

Change: the number above which connections are aborted is rounded down.

Which status the failed run had seen is not known.

--- a/snipetrestle/caller_memory.py
+++ b/snipetrestle/caller_memory.py
@@ -166,7 +166,7 @@
 
     def count_free(self):
         """Returns how many connections may be opened before others are aborted."""
-        return max(0, int(self._most_connections) - len(self._connections))
+        return max(0, self._most_connections - len(self._connections))
 
     def _end_old(self):
         """Ends connections that have stayed open for long enough.
@@ -179,8 +179,11 @@
 
     @property
     def _most_connections(self):
-        """Number of connections above which they are aborted."""
-        return MAX_CONNECTIONS_EXCESS * self.max_connections
+        """Number of connections above which they are aborted.
+
+        With a fraction, wait_for_room would let in one more.
+        """
+        return int(MAX_CONNECTIONS_EXCESS * self.max_connections)
 
     @property
     def _ended_at_once(self):
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -317,6 +317,35 @@
 
         asyncio.run(main())
 
+    def test_connection_for_which_there_is_room_is_not_ended_at_once(self):
+        """Where nine eighths of the bound were no whole number, one connection more was
+        taken, and it or another one was aborted without regard for its age."""
+
+        async def main():
+            # Too young to be ended for others, however slow the machine is.
+            since = asyncio.get_running_loop().time() + 60.0
+            for max_sockets in range(100, 120):
+                memory = CallerMemory(
+                    ProcessLimits(DEFAULT_MEMORY_MB, max_sockets), lambda: NO_LIMITS
+                )
+                connections = []
+                while self.has_room(memory):
+                    connections.append(self.add(memory, 10, since=since))
+                self.assertGreater(len(connections), memory.max_connections)
+                self.assertEqual([], [item for item in connections if item.ended])
+
+        asyncio.run(main())
+
+    def has_room(self, memory):
+        """Whether another connection may be opened without a wait."""
+        wait = memory.wait_for_room(lambda: 0)
+        try:
+            wait.send(None)
+        except StopIteration:
+            return True
+        wait.close()
+        return False
+
     def test_bound_leaves_room_for_the_largest_request(self):
         """A host with little memory must serve it all the same."""
         for memory_mb in (1.0, 80.0, DEFAULT_MEMORY_MB, 1000.0):
