Give the job of the version choice tests its latest time of a send

test_streams_that_have_begun_may_go_on_there fails since: the search for a replica reads latest_send_at of a job that streams, and the job of these tests is not a Job and lacks it.

--- a/tests/dispatch/test_version_choice.py
+++ b/tests/dispatch/test_version_choice.py
@@ -384,6 +384,7 @@
             "backend": types.SimpleNamespace(name=BACKEND, serves_models=True),
             "deadline_at": now + 5.0,
             "refusal_due_at": now + 4.9,
+            "latest_send_at": now + 4.9,
             "scope": anyio.CancelScope(deadline=now + 4.9),
             "may_have_run": False,
             "origin": None,
