Count a host of the soak test as stopped until its new process exists

The log of the host ends with "Address already in use", and a second process of it ran on after the test.

Cause, in the test: a start noted that the host no longer stops before its process existed. A fault that began in between ended the process before, and started the host once more.

Change: the start notes it once the process exists.

Test: HostProcessTest fails before.

--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -64,7 +64,6 @@
 
     async def start(self):
         """Starts the process; its output is appended to its log file."""
-        self.stopping = False
         environment = {
             **os.environ,
             "PYTHONPATH": str(ROOT),
@@ -80,6 +79,9 @@
                 stdout=log,
                 stderr=log,
             )
+        # Not before: a fault that ends running hosts would end the process before this
+        # one, and start a third one beside it.
+        self.stopping = False
 
     @property
     def pid(self):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,12 +1,14 @@
 """Short runs of the soak test with fixed seeds, and tests of its oracle."""
 
 import asyncio
+import pathlib
 
 import testtools
 
 from snipetrestle_standins.gateway_fleet import Response
 from snipetrestle_standins.platform_replica import PlatformReplica
 from tests.process_logs import log_folder
+from tests.soak.hosts import HostProcess
 from tests.soak.oracle import Oracle, SentRequest, event_writers
 from tests.soak.soak import Soak, is_interrupted
 
@@ -40,6 +42,25 @@
         self.check_seed(2762472277)
 
 
+class HostProcessTest(testtools.TestCase):
+    def test_host_counts_as_stopped_until_its_new_process_exists(self):
+        """Guards against two faults that both start a host: one of the processes found
+        its addresses in use, and the other was never ended."""
+        seen = []
+
+        async def create_process(*arguments, **options):
+            seen.append(host.stopping)
+
+        with log_folder("host") as folder:
+            ports = dict.fromkeys(("front", "ready", "control", "peers"), 1)
+            host = HostProcess(0, pathlib.Path(folder), ports, [], ("127.0.0.1", 1))
+            host.stopping = True
+            self.patch(asyncio, "create_subprocess_exec", create_process)
+            asyncio.run(host.start())
+        self.assertEqual([True], seen)
+        self.assertFalse(host.stopping)
+
+
 class OracleTest(testtools.TestCase):
     """Guards against checks of the oracle that cannot fail."""
 
