Tell which request ended before all of a test ran

What was seen: test_streams_outlast_silences_beside_changes_of_the_configuration failed once, as a deadline passed while the streams started. Which stream did not run is not known.

Cause of the time limit, in the test: it waits until all requests run at once. If one has ended before, that never comes, and the limit of 40 s ends the test without its answer.

Change: such a request fails the test at once, with its status and events.

--- a/tests/gateway/test_silent_replicas.py
+++ b/tests/gateway/test_silent_replicas.py
@@ -38,14 +38,23 @@
 
 
 async def start_requests(fleet, path, count, replicas, **options):
-    """Starts requests and returns their tasks once all of them run."""
+    """Starts requests and returns their tasks once all of them run.
+
+    Raises AssertionError if one ends before.
+    """
     before = sum(replica.running for replica in replicas)
     tasks = [
         asyncio.create_task(fleet.send_request(path, **options)) for _ in range(count)
     ]
-    await wait_until(
-        lambda: sum(replica.running for replica in replicas) >= before + count
-    )
+
+    def all_run():
+        return sum(replica.running for replica in replicas) >= before + count
+
+    await wait_until(lambda: all_run() or any(task.done() for task in tasks))
+    if not all_run():
+        answers = [task.result() for task in tasks if task.done()]
+        ended = [(answer.status, answer.event_ids) for answer in answers]
+        raise AssertionError(f"requests ended before all {count} ran: {ended}")
     return tasks
 
 
