Give the job of the version choice tests its take-up

test_new_stream_with_an_adapter_does_so_as_well and test_stream_begins_at_the_only_holder_of_its_adapter failed since streams that are taken up wait longer for a place: the search reads take_up of a job, and the job of these tests is not a Job and lacked it. No check changes; 32 tests of the two modules pass.

--- a/tests/dispatch/test_version_choice.py
+++ b/tests/dispatch/test_version_choice.py
@@ -388,6 +388,7 @@
             "scope": anyio.CancelScope(deadline=now + 4.9),
             "may_have_run": False,
             "origin": None,
+            "take_up": None,
             "streaming": False,
             "last_event_id": None,
             "sent_to": [],
