Let an inferred origin yield to the host that began the stream

An ambiguous reply for a stream that was told meanwhile ended in an AttributeError, so the caller would have got an internal error.

Cause: both kinds of records were compared alike, and a record of either kind ended the search.

Change: an origin that names its process wins over an inferred one of any version; a host that has only inferred one asks the keepers all the same; and of their replies, one that names the process counts before one that does not.

--- a/snipetrestle/coordination/stream_questions.py
+++ b/snipetrestle/coordination/stream_questions.py
@@ -35,6 +35,7 @@
 class StreamQuestions:
     """Sends OriginRequests and waits for the first OriginReply that knows the stream.
 
+    One that was only inferred counts if no other host knows better.
     Timers drive a question, so it goes on when one of those that wait is cancelled.
     """
 
@@ -97,7 +98,14 @@
             return
         del self._questions_by_number[message.number]
         host = question.unanswered.pop(message.number)
-        if message.life_ms:
+        is_certain = _is_certain(message)
+        if is_certain or (message.life_ms and question.reply is None):
             question.host, question.reply = host, message
-        if message.life_ms or not question.unanswered:
+        if is_certain or not question.unanswered:
             self._end(question)
+
+
+def _is_certain(reply):
+    """Whether a reply knows a stream, and not only by an inference."""
+    origin = reply.origin
+    return bool(reply.life_ms) and (origin is None or origin.names_process)
--- a/snipetrestle/coordination/stream_records.py
+++ b/snipetrestle/coordination/stream_records.py
@@ -76,7 +76,7 @@
 
     ``hosts`` is Hosts. The first origin of a stream stays. If another one is told
     within its life, nobody can tell which is right, so none is found. An origin that
-    names its process replaces one of the same version that was inferred.
+    names its process replaces one that was inferred.
     """
 
     def __init__(self, hosts, endpoint):
@@ -125,9 +125,10 @@
     async def find(self, key):
         """Returns the KnownOrigin of a stream, or None if nobody tells one.
 
-        Waits for other hosts only if this one knows nothing.
+        Waits for other hosts only if this one knows nothing, or only what was inferred.
         """
-        if self._record(key) is not None:
+        record = self._record(key)
+        if record is not None and not _is_inferred(record.origin):
             return self._known_here(key)
         hosts = self._keepers.others(key, KEEPERS_ASKED)
         answer = await self._questions.ask(key, hosts)
@@ -137,8 +138,8 @@
         host, reply = answer
         self.note_learned(key, reply.origin, reply.life_ms / 1000)
         known = self._known_here(key)
-        if known is None:
-            return None
+        if known is None or known.origin != reply.origin:
+            return known
         return KnownOrigin(known.origin, f"host {host.info.name}")
 
     def _known_here(self, key):
@@ -200,15 +201,18 @@
         return self._sources_by_address.get(address) or f"host at {address}"
 
 
+def _is_inferred(origin):
+    """Whether an origin was inferred; an ambiguous one, None, was not."""
+    return origin is not None and not origin.names_process
+
+
 def _agreed(known, told):
     """Returns the origin that two records leave, None if they contradict each other."""
-    if known is None or known == told:
-        return known
-    if (known.backend, known.version) != (told.backend, told.version):
-        return None
-    if known.names_process and told.names_process:
+    if known is None or told is None:
         return None
-    return known if known.names_process else told
+    if known.names_process != told.names_process:
+        return known if known.names_process else told
+    return known if known == told else None
 
 
 def _bounded(life_s):
