Let a host lead again after 6 s in which no other one does

No host led for 9.0 s, and from 10.1 s on the deaf host, with its imagined minority, and the old leader led side by side (replicas with fencing would refuse one).

Cause: a leader that resigned for lack of a majority waited for those that precede it for good.

--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/leadership.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import math
 import time
 
 import anyio
@@ -50,6 +51,9 @@
 # Minorities that are cut off from each other and all see no leader wait up to this much
 # longer still, each differently, so that not all of them lead at once.
 SPLIT_DELAY_S = 4.0
+# A leader that heard no majority leaves the lead to the others for this long, which is
+# longer than they need to notice. One that precedes it may be heard, and hear nobody.
+RETURN_DELAY_S = 6.0
 # Number of likely next leaders to which all hosts send heartbeats.
 ANNOUNCED_CANDIDATES = 3
 
@@ -92,9 +96,9 @@
         self._announced_candidates = ()
         self._announced_reached = 0
         self._announced_unreached = ()
-        # Whether this host was the last leader and may lead again before those that
+        # When this host, which was the last leader, may lead again before those that
         # precede it.
-        self._may_return = False
+        self._returns_at = math.inf
         # Whether the last leader can lead no more, and whether its process has ended.
         self._leader_ended = False
         self._leader_process_ended = False
@@ -194,7 +198,8 @@
     def resign(self, reason, may_return=True):
         """Gives up the leadership. Does nothing if this host does not lead.
 
-        If it ``may_return``, it may lead again before the hosts that precede it.
+        If it ``may_return`` at once, it may lead again before the hosts that precede it,
+        else only after RETURN_DELAY_S without another leader.
         """
         if not self.leads:
             return
@@ -203,8 +208,8 @@
         # Only this host can have sent orders since, so it need not wait for its own
         # lease.
         self._leader_heard_at = None
-        self._may_return = may_return
         self._started_at = anyio.current_time()
+        self._returns_at = self._started_at + (0.0 if may_return else RETURN_DELAY_S)
         log_event(Event.LEADERSHIP_LOST, term=self.term, reason=reason)
         self._notify()
 
@@ -266,7 +271,8 @@
             if self._hosts.reaches_half_of_seeds()
             else FEW_SEEDS_ELECTION_DELAY_S
         )
-        if self._candidates()[0] != self._hosts.own.name and not self._may_return:
+        is_next = self._candidates()[0] == self._hosts.own.name
+        if not is_next and now < self._returns_at:
             return
         # Asked before the other conditions, since replicas are watched from then on.
         doubt = self._find_doubt()
@@ -366,7 +372,7 @@
         )
         self.term = next_token(known, self._hosts.own.name, int(time.time() * 1000))
         self.leads = True
-        self._may_return = False
+        self._returns_at = math.inf
         self.leader = self._hosts.own.name
         self._majority_at = anyio.current_time()
         log_event(
@@ -407,7 +413,7 @@
             self._announced_candidates = heartbeat.candidates
             self._announced_reached = heartbeat.reached
             self._announced_unreached = heartbeat.unreached
-        self._may_return = False
+        self._returns_at = math.inf
         self._token_refused = False
         self._leader_heard_at = anyio.current_time()
         self._leader_ended = False
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -5,7 +5,11 @@
 
 from snipetrestle.coordination.heartbeat_content import HeartbeatContent
 from snipetrestle.coordination.hosts import Hosts
-from snipetrestle.coordination.leadership import Leadership, next_token
+from snipetrestle.coordination.leadership import (
+    RETURN_DELAY_S,
+    Leadership,
+    next_token,
+)
 from snipetrestle.coordination.messages import HostInfo
 from snipetrestle.coordination.shared_quarantine import SharedQuarantine
 from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
@@ -291,6 +295,28 @@
 
         run_system(check)
 
+    def test_host_leads_again_while_the_next_one_hears_nobody(self):
+        """No host led for 9 s, then two did: the others wait for a host that precedes
+        them, is heard and hears nobody."""
+
+        async def check(system):
+            deaf = system.start(6)
+            await anyio.sleep(5.0)
+            leader = self.assert_one_leader(system)
+            deaf.endpoint._handlers_by_type = {}
+            handlers = leader.endpoint._handlers_by_type
+            leader.endpoint._handlers_by_type = {}
+            while leader.leadership.leads:  # noqa: ASYNC110 - virtual time
+                await anyio.sleep(0.05)
+            await anyio.sleep(0.3)
+            leader.endpoint._handlers_by_type = handlers
+            await anyio.sleep(RETURN_DELAY_S)
+            for _ in range(100):
+                self.assertIs(leader, self.assert_one_leader(system))
+                await anyio.sleep(0.1)
+
+        run_system(check)
+
     def test_tokens_differ_between_hosts(self):
         """One token must never belong to two hosts, also with the clock set back."""
         token = next_token(0, "entry-1", 1000)
