Bound the deferred messages of a turn by time, and all of them by bytes

Beside 1,500 messages a second whose handlers take 1 ms each, a turn of the event loop took 80 ms on average, so all requests of callers waited; and 1,024 deferred lookups of 21 kB took 61 MB of a process that may use 64.

Cause: 32 messages were handled in a turn, whatever they cost, and the queue was bounded in messages only.

Change: messages are handled for 2 ms in a turn, at least one, and the oldest beyond 2 MB are dropped.

The new test fails before.

--- a/snipetrestle/coordination/datagrams.py
+++ b/snipetrestle/coordination/datagrams.py
@@ -32,11 +32,13 @@
 # asyncio reads one datagram in each turn of the event loop, so a host whose turns take
 # 5 ms heard 2 of 10 heartbeats beside 1,000 lookups a second.
 MAX_READ_PER_TURN = 512
-# The deferred messages that are handled in each turn.
-MAX_HANDLED_PER_TURN = 32
+# Deferred messages are handled in each turn for this long, so that callers' requests
+# wait no longer; at least one of them.
+MAX_HANDLING_S = 0.002
 # Beyond this number the oldest deferred messages are dropped: whoever waits for an
-# answer has sent its request again by then.
+# answer has sent its request again by then. The same beyond these bytes, as encoded.
 MAX_DEFERRED = 1024
+MAX_DEFERRED_BYTES = 2_000_000
 MEMBERSHIP_TYPES = (Heartbeat, Join, KnownHosts)
 
 
@@ -56,8 +58,10 @@
         self._handlers_by_type = {}
         # A second descriptor of the transport's socket.
         self._socket = None
-        # (message, address) of the messages to be handled in later turns.
+        # (message, address, bytes) of the messages to be handled in later turns, and the
+        # sum of their bytes.
         self._deferred = collections.deque()
+        self._deferred_bytes = 0
         self._dropped = 0
 
     def register(self, message_type, handler):
@@ -78,6 +82,7 @@
 
     def close(self):
         self._deferred.clear()
+        self._deferred_bytes = 0
         if self._transport is not None:
             self._transport.close()
         if self._socket is not None:
@@ -150,18 +155,30 @@
         if is_idle or isinstance(message, MEMBERSHIP_TYPES):
             self._handle(message, address)
             return
-        self._deferred.append((message, address))
-        if len(self._deferred) > MAX_DEFERRED:
-            self._deferred.popleft()
+        self._deferred.append((message, address, len(data)))
+        self._deferred_bytes += len(data)
+        while (
+            len(self._deferred) > MAX_DEFERRED
+            or self._deferred_bytes > MAX_DEFERRED_BYTES
+        ):
+            self._next_deferred()
             self._note_dropped()
 
+    def _next_deferred(self):
+        """Removes and returns the oldest deferred message and its sender's address."""
+        message, address, size_bytes = self._deferred.popleft()
+        self._deferred_bytes -= size_bytes
+        return message, address
+
     def _handle_deferred(self):
-        for _ in range(MAX_HANDLED_PER_TURN):
-            if not self._deferred:
-                return
-            self._handle(*self._deferred.popleft())
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + MAX_HANDLING_S
+        while self._deferred:
+            self._handle(*self._next_deferred())
+            if loop.time() >= ends_at:
+                break
         if self._deferred:
-            asyncio.get_running_loop().call_soon(self._handle_deferred)
+            loop.call_soon(self._handle_deferred)
 
     def _handle(self, message, address):
         handler = self._handlers_by_type.get(type(message))
--- a/tests/coordination/test_datagrams.py
+++ b/tests/coordination/test_datagrams.py
@@ -85,3 +85,12 @@
         numbers = [item.number for item in handled if isinstance(item, messages.Locate)]
         # The first one did not have to wait.
         self.assertEqual([0, *range(self.LOOKUPS - 20, self.LOOKUPS)], numbers)
+
+    def test_oldest_lookups_are_dropped_beyond_the_bytes(self):
+        """Long lookups took 61 MB of a host that may use 64."""
+        lookup = messages.Locate("h1", self.LOOKUPS - 1, "model", "adapter", 1, ())
+        size_bytes = len(messages.encode(lookup))
+        with mock.patch.object(datagrams, "MAX_DEFERRED_BYTES", 20 * size_bytes):
+            handled = asyncio.run(self.receive(turns=10))
+        numbers = [item.number for item in handled if isinstance(item, messages.Locate)]
+        self.assertEqual([0, *range(self.LOOKUPS - 20, self.LOOKUPS)], numbers)
