Bound questions and listings of kept prompts by RatePool

RateBound wrote the token bucket of limits.rate_pool again. Listings begin while the pool is not overdrawn, as before.

--- a/snipetrestle/coordination/kept_prompt_questions.py
+++ b/snipetrestle/coordination/kept_prompt_questions.py
@@ -12,8 +12,8 @@
 from snipetrestle.coordination.messages import KeptPromptReply, KeptPromptRequest
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 from snipetrestle.gateway.kept_prompts import MIN_INTERVAL_S, ROUND_TIMEOUT_S
-from snipetrestle.gateway.rate_bound import RateBound
 from snipetrestle.gateway.stream_origin import StreamOrigin
+from snipetrestle.limits.rate_pool import RatePool
 
 # The pauses between two sends double up to this: a successor of a lost leader is asked
 # with the next one.
@@ -68,7 +68,7 @@
         self._last_number = 0
         self._questions_by_number = {}
         self._open_count = 0
-        self._rate = RateBound(QUESTIONS_PER_S, QUESTIONS_BURST)
+        self._rate = RatePool(QUESTIONS_PER_S, QUESTIONS_BURST)
         endpoint.register(KeptPromptReply, self._on_reply)
 
     async def only_origin(self, backend, adapter, part, due_at):
@@ -80,8 +80,9 @@
         names = (backend, adapter.model, part)
         if max(map(len, names)) > MAX_NAME_LENGTH:
             return None
-        if self._open_count >= MAX_QUESTIONS or not self._rate.try_take():
+        if self._open_count >= MAX_QUESTIONS or self._rate.wait_s(1) > 0:
             return None
+        self._rate.take(1)
         self._open_count += 1
         try:
             version = await self._find(names, due_at - END_MARGIN_S)
--- a/snipetrestle/gateway/kept_prompts.py
+++ b/snipetrestle/gateway/kept_prompts.py
@@ -11,7 +11,7 @@
 
 from snipetrestle.events import Event
 from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
-from snipetrestle.gateway.rate_bound import RateBound
+from snipetrestle.limits.rate_pool import RatePool
 
 # Questions that come within this time share the listings of replicas.
 GATHER_S = 0.01
@@ -70,7 +70,7 @@
         # has read since.
         self._next_by_backend = {}
         self._begun_at_by_backend = {}
-        self._listings = RateBound(LISTINGS_PER_S, LISTINGS_BURST)
+        self._listings = RatePool(LISTINGS_PER_S, LISTINGS_BURST)
         self._slots = asyncio.Semaphore(MAX_OPEN_LISTINGS)
 
     async def only_version(self, backend, model, part):
@@ -105,7 +105,8 @@
         interval_s = 0.0
         if begun_at is not None:
             interval_s = begun_at + MIN_INTERVAL_S - anyio.current_time()
-        return max(GATHER_S, interval_s, self._listings.wait_s())
+        # A round may list more replicas than are left of the burst.
+        return max(GATHER_S, interval_s, self._listings.wait_s(0))
 
     async def _run(self, this_round, wait_s):
         await anyio.sleep(wait_s)
