--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -54,6 +54,8 @@
 HOST_PATTERN = r"\A[0-9A-Za-z.:_-]{0,200}\Z"
 Host = typing.Annotated[str, msgspec.Meta(pattern=HOST_PATTERN)]
 Token = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKEN)]
+# The start time of a process in ms of Unix time, which names it.
+Boot = typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 # -1 stands for "never".
 AgeS = typing.Annotated[float, msgspec.Meta(ge=-1, le=MAX_AGE_S)]
@@ -83,7 +85,7 @@
     """
 
     name: Name
-    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    boot: Boot
     ip: Host
     port: typing.Annotated[int, msgspec.Meta(ge=0, le=65_535)]
     failure_domain: Name
@@ -231,7 +233,7 @@
     """
 
     sender: Name
-    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    boot: Boot
     is_total: bool
     number: Revision
     complete_since: Revision
@@ -409,7 +411,7 @@
     units, or asks whether the receiver answers.
     """
 
-    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    boot: Boot
     number: Revision
     tenant: Name
     amount: Units
@@ -517,7 +519,7 @@
     process with the sender's address may name the origin of another stream.
     """
 
-    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    boot: Boot
     number: Revision
     key: StreamKey
 
@@ -529,7 +531,7 @@
     several for the next ``life_ms``.
     """
 
-    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    boot: Boot
     number: Revision
     origin: StreamOrigin | None
     life_ms: Count
@@ -542,7 +544,7 @@
     and its answer.
     """
 
-    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    boot: Boot
     number: Revision
     backend: Name
     model: Name
@@ -556,7 +558,7 @@
     leader is to be asked later.
     """
 
-    boot: typing.Annotated[int, msgspec.Meta(ge=-MAX_TOKEN, le=MAX_TOKEN)]
+    boot: Boot
     number: Revision
     version: Name
     final: bool
