Keep one search and one stand-in job for the tests of replica searches

Both stood in test_replica_search and test_version_choice. When the search read another field of a job, twice in this change, the tests of one module failed for want of it.

--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -1,23 +1,21 @@
 """Tests of the search for a stream's replica: questions to the leader, and demand."""
 
 import random
-import types
 
 import anyio
 import testtools
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import AdapterLocation
-from snipetrestle.dispatch.replica_search import NO_PLACE_PAUSE_S, ReplicaSearch
+from snipetrestle.dispatch.replica_search import NO_PLACE_PAUSE_S
 from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
 from snipetrestle.gateway.job import Refused
 from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle_standins.clock import run_in_virtual_time
+from tests.dispatch import searches
+from tests.dispatch.searches import BACKEND, build_search
 
 KEY = AdapterKey("m0", "a1")
-BACKEND = "models"
-TARGET_LATENCY_S = 0.6
 # How long a search goes on: 1.5 target latencies.
 SEARCH_S = 0.9
 # The same for a stream that is taken up: 3 target latencies.
@@ -25,58 +23,8 @@
 ANSWER_S = 0.002
 
 
-class Leadership:
-    """Fake in which this host leads."""
-
-    leads = True
-    has_recent_leader = True
-    term = 1
-
-
-class Endpoint:
-    def register(self, message_type, handler):
-        pass
-
-
-class NoPermits:
-    """Fake in which no replica with a request limit may be sent to soon."""
-
-    async def acquire(self, replicas, max_wait_s, is_optional=False):
-        return None, 5.0
-
-    def may_be_spare(self, replica):
-        return True
-
-
-class NoDispatch:
-    """Fake in which no backend is crowded."""
-
-    def must_ask(self, backend):
-        return False
-
-
 def make_job():
-    now = anyio.current_time()
-    return types.SimpleNamespace(
-        metadata=types.SimpleNamespace(adapter=KEY),
-        request=types.SimpleNamespace(received_at=now),
-        route=types.SimpleNamespace(target_latency_s=TARGET_LATENCY_S),
-        backend=types.SimpleNamespace(name=BACKEND),
-        deadline_at=now + 5.0,
-        refusal_due_at=now + 4.9,
-        scope=anyio.CancelScope(deadline=now + 4.9),
-        may_have_run=False,
-        streaming=False,
-        sent_to=[],
-        may_have_run_on=[],
-        adapter_missing_on=[],
-        dropped_on=set(),
-        version=None,
-        limit_wait_s=0.0,
-        may_be_sent_to=lambda replica: True,
-        origin=None,
-        take_up=None,
-    )
+    return searches.make_job(KEY)
 
 
 class ReplicaSearchTest(testtools.TestCase):
@@ -100,24 +48,7 @@
                         slots=8,
                     )
                 )
-            locator = Locator(
-                Leadership(),
-                Endpoint(),
-                "entry-1",
-                self.locate_here,
-                lambda key: [],
-                lambda replica_id, load: None,
-            )
-            search = ReplicaSearch(
-                types.SimpleNamespace(
-                    state=types.SimpleNamespace(versions_by_adapter={}),
-                    replicas=directory,
-                    locator=locator,
-                    send_permits=NoPermits(),
-                    dispatch_permits=NoDispatch(),
-                    hosts=types.SimpleNamespace(max_known=1),
-                )
-            )
+            search, locator = build_search(directory, self.locate_here)
             async with anyio.create_task_group() as group:
                 group.start_soon(locator.run)
                 await anyio.sleep(0.01)
--- a/tests/dispatch/test_version_choice.py
+++ b/tests/dispatch/test_version_choice.py
@@ -7,9 +7,7 @@
 import msgspec
 import testtools
 
-from snipetrestle.coordination.locator import Locator
 from snipetrestle.coordination.messages import AdapterLocation
-from snipetrestle.dispatch.replica_search import ReplicaSearch
 from snipetrestle.dispatch.version_choice import leaving_versions, prefer_staying
 from snipetrestle.gateway.configuration import (
     AdapterKey,
@@ -19,18 +17,16 @@
 )
 from snipetrestle.gateway.replicas import VERSION_LEFT_S, ReplicaDirectory
 from snipetrestle_standins.clock import run_in_virtual_time
-from tests.dispatch.test_replica_search import (
-    Endpoint,
-    Leadership,
-    NoDispatch,
-    NoPermits,
+from tests.dispatch.searches import (
+    BACKEND,
+    TARGET_LATENCY_S,
+    build_search,
+    make_job,
 )
 
-BACKEND = "models"
 KEY = AdapterKey("m0", "a1")
 OLD, NEW = "1.0", "1.1"
 SLOTS = 4
-TARGET_LATENCY_S = 0.6
 # Choices of a search; a replica that may be chosen is, in all of them together.
 CHOICES = 60
 
@@ -347,61 +343,13 @@
 
     def make_search(self):
         self.lookups = []
-        locator = Locator(
-            Leadership(),
-            Endpoint(),
-            "entry-1",
-            self.locate_here,
-            lambda key: [],
-            lambda replica_id, load: None,
-        )
-        search = ReplicaSearch(
-            types.SimpleNamespace(
-                state=types.SimpleNamespace(versions_by_adapter={}),
-                replicas=self.directory,
-                locator=locator,
-                send_permits=NoPermits(),
-                dispatch_permits=NoDispatch(),
-                hosts=types.SimpleNamespace(max_known=1),
-            )
-        )
-        return search, locator
+        return build_search(self.directory, self.locate_here)
 
     async def locate_here(self, key, uses, avoid, limited, software_version):
         self.lookups.append(software_version)
         return tuple(AdapterLocation(item, 0.0) for item in self.holders)
 
-    def make_job(self, **attributes):
-        now = anyio.current_time()
-        fields = {
-            "metadata": types.SimpleNamespace(adapter=None),
-            "request": types.SimpleNamespace(received_at=now),
-            "route": types.SimpleNamespace(
-                target_latency_s=TARGET_LATENCY_S,
-                kind=RequestKind.STREAM,
-                resumable=True,
-            ),
-            "backend": types.SimpleNamespace(name=BACKEND, serves_models=True),
-            "deadline_at": now + 5.0,
-            "refusal_due_at": now + 4.9,
-            "latest_send_at": now + 4.9,
-            "scope": anyio.CancelScope(deadline=now + 4.9),
-            "may_have_run": False,
-            "origin": None,
-            "take_up": None,
-            "streaming": False,
-            "last_event_id": None,
-            "sent_to": [],
-            "may_have_run_on": [],
-            "adapter_missing_on": [],
-            "dropped_on": set(),
-            "version": None,
-            "limit_wait_s": 0.0,
-            "may_be_sent_to": lambda replica_id: True,
-        }
-        return types.SimpleNamespace(**{**fields, **attributes})
-
-    def chosen(self, make_job, holders=("r0", "r1", "r3")):
+    def chosen(self, make_one, holders=("r0", "r1", "r3")):
         """Returns the ids of the replicas that searches for jobs choose."""
         self.holders = holders
         chosen = set()
@@ -413,7 +361,7 @@
                 group.start_soon(locator.run)
                 await anyio.sleep(0.01)
                 for _ in range(CHOICES):
-                    replica = await search.find_stream_replica(make_job())
+                    replica = await search.find_stream_replica(make_one())
                     chosen.add(replica.id)
                 group.cancel_scope.cancel()
 
@@ -422,31 +370,29 @@
 
     def test_new_stream_begins_at_the_version_that_stays(self):
         """Streams that began at the last replica of a version were stranded."""
-        self.assertEqual({"r0", "r1"}, self.chosen(self.make_job))
+        self.assertEqual({"r0", "r1"}, self.chosen(make_job))
 
     def test_new_stream_with_an_adapter_does_so_as_well(self):
         """Its replica is found in another way."""
-        metadata = types.SimpleNamespace(adapter=KEY)
-        chosen = self.chosen(lambda: self.make_job(metadata=metadata))
+        chosen = self.chosen(lambda: make_job(KEY))
         self.assertEqual({"r0", "r1"}, chosen)
         self.assertEqual({""}, set(self.lookups))
 
     def test_stream_begins_at_the_only_holder_of_its_adapter(self):
         """A stream would be refused for a version that leaves."""
-        metadata = types.SimpleNamespace(adapter=KEY)
-        chosen = self.chosen(lambda: self.make_job(metadata=metadata), ["r3"])
+        chosen = self.chosen(lambda: make_job(KEY), ["r3"])
         self.assertEqual({"r3"}, chosen)
 
     def test_replica_that_was_tried_is_not_preferred(self):
         """A retry would go to the replicas that have failed the request."""
-        chosen = self.chosen(lambda: self.make_job(sent_to=["r0", "r1"]))
+        chosen = self.chosen(lambda: make_job(sent_to=["r0", "r1"]))
         self.assertEqual({"r3"}, chosen)
 
     def test_streams_that_have_begun_may_go_on_there(self):
         """They go on at no other version."""
         for attributes in ({"streaming": True}, {"last_event_id": b"7"}):
             self.directory = ReplicaDirectory("zone-1", random.Random(1))
-            chosen = self.chosen(lambda given=attributes: self.make_job(**given))
+            chosen = self.chosen(lambda given=attributes: make_job(**given))
             self.assertEqual({"r0", "r1", "r3"}, chosen)
 
     def test_jobs_that_are_never_taken_up_go_anywhere(self):
@@ -459,7 +405,7 @@
             route = types.SimpleNamespace(
                 target_latency_s=TARGET_LATENCY_S, kind=kind, resumable=resumable
             )
-            chosen = self.chosen(lambda given=route: self.make_job(route=given))
+            chosen = self.chosen(lambda given=route: make_job(route=given))
             self.assertEqual({"r0", "r1", "r3"}, chosen)
 
     def test_replicas_are_not_counted_while_one_version_is_listed(self):
@@ -470,7 +416,7 @@
         async def check():
             search, _ = self.make_search()
             self.drain(0)
-            replica = await search.find_stream_replica(self.make_job())
+            replica = await search.find_stream_replica(make_job())
             self.assertIn(replica.id, ("r1", "r2"))
 
         self.run_with([OLD, OLD, OLD, ""], check)
