--- a/snipetrestle_standins/clock.py
+++ b/snipetrestle_standins/clock.py
@@ -14,13 +14,32 @@
 import anyio
 
 
-class _VirtualTimeSelector:
-    """Selector that advances the loop's time by a time-out instead of waiting."""
+class _TimingSelector:
+    """Selector that tells its loop, in ``select``, how much time has passed."""
 
     def __init__(self, loop):
         self._selector = selectors.DefaultSelector()
         self._loop = loop
 
+    def __getattr__(self, name):
+        return getattr(self._selector, name)
+
+
+class _OwnTimeLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time is not the machine's, with a ``selector_type``."""
+
+    # One nanosecond above the loop's resolution keeps rounding from starving a timer.
+    _RESOLUTION_S = 1e-9
+    selector_type = _TimingSelector
+
+    def __init__(self):
+        super().__init__(self.selector_type(self))
+        self._clock_resolution = self._RESOLUTION_S
+
+
+class _VirtualTimeSelector(_TimingSelector):
+    """Selector that advances the loop's time by a time-out instead of waiting."""
+
     def select(self, timeout=None):
         events = self._selector.select(0)
         if events or timeout == 0:
@@ -31,20 +50,15 @@
         self._loop.now += timeout
         return events
 
-    def __getattr__(self, name):
-        return getattr(self._selector, name)
-
 
-class VirtualTimeLoop(asyncio.SelectorEventLoop):
+class VirtualTimeLoop(_OwnTimeLoop):
     """Event loop whose virtual time starts at 0 and advances without waiting."""
 
-    # One nanosecond above the loop's resolution keeps rounding from starving a timer.
-    _RESOLUTION_S = 1e-9
+    selector_type = _VirtualTimeSelector
 
     def __init__(self):
         self.now = 0.0
-        super().__init__(_VirtualTimeSelector(self))
-        self._clock_resolution = self._RESOLUTION_S
+        super().__init__()
 
     def time(self):
         return self.now
@@ -60,13 +74,9 @@
     )
 
 
-class _StallFreeSelector:
+class _StallFreeSelector(_TimingSelector):
     """Selector that tells its loop how long it had to wait."""
 
-    def __init__(self, loop):
-        self._selector = selectors.DefaultSelector()
-        self._loop = loop
-
     def select(self, timeout=None):
         # What is ready already was not waited for, however late the process runs.
         events = self._selector.select(0)
@@ -80,11 +90,8 @@
         self._loop.waited_s += waited_s
         return events
 
-    def __getattr__(self, name):
-        return getattr(self._selector, name)
-
 
-class StallFreeLoop(asyncio.SelectorEventLoop):
+class StallFreeLoop(_OwnTimeLoop):
     """Event loop whose time leaves out the stalls of its process.
 
     The time passes while the loop waits for an event, until its next timer at most, and
@@ -93,13 +100,11 @@
     part must run on the loop, and a call that blocks without computing does not count.
     """
 
-    # One nanosecond above the loop's resolution keeps rounding from starving a timer.
-    _RESOLUTION_S = 1e-9
+    selector_type = _StallFreeSelector
 
     def __init__(self):
         self.waited_s = 0.0
-        super().__init__(_StallFreeSelector(self))
-        self._clock_resolution = self._RESOLUTION_S
+        super().__init__()
 
     def time(self):
         return self.waited_s + time.thread_time()
