--- a/benchmarks/parsing.py
+++ b/benchmarks/parsing.py
@@ -14,12 +14,15 @@
 
 import msgspec
 
+from snipetrestle.gateway.backends.http_client import (
+    MAX_OVERHEAD_BYTES,
+    ReplicaConnection,
+)
+from snipetrestle.gateway.callers.http_listener import HttpServer
+from snipetrestle.gateway.callers.http_server import CallerConnection
 from snipetrestle.gateway.configuration import CallerLimits
-from snipetrestle.gateway.event_stream import EventSplitter
 from snipetrestle.gateway.exchange import Exchange
-from snipetrestle.gateway.http_client import MAX_OVERHEAD_BYTES, ReplicaConnection
-from snipetrestle.gateway.http_listener import HttpServer
-from snipetrestle.gateway.http_server import CallerConnection
+from snipetrestle.gateway.streams.event_stream import EventSplitter
 from snipetrestle.http_responses import MessageSplitter
 
 CONTENT_BYTES = 1_048_576
--- a/snipetrestle/coordination/heartbeat_content.py
+++ b/snipetrestle/coordination/heartbeat_content.py
@@ -2,7 +2,7 @@
 
 from snipetrestle.coordination.hosts import HostStatus
 from snipetrestle.coordination.messages import StoreAccess
-from snipetrestle.gateway.published_items import MAX_REVISION
+from snipetrestle.gateway.publication.published_items import MAX_REVISION
 
 
 class HeartbeatContent:
--- a/snipetrestle/coordination/kept_prompt_questions.py
+++ b/snipetrestle/coordination/kept_prompt_questions.py
@@ -11,8 +11,8 @@
 )
 from snipetrestle.coordination.messages import KeptPromptReply, KeptPromptRequest
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
-from snipetrestle.gateway.kept_prompts import MIN_INTERVAL_S, ROUND_TIMEOUT_S
-from snipetrestle.gateway.stream_origin import StreamOrigin
+from snipetrestle.gateway.streams.kept_prompts import MIN_INTERVAL_S, ROUND_TIMEOUT_S
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 from snipetrestle.limits.rate_pool import RatePool
 
 # The pauses between two sends double up to this: a successor of a lost leader is asked
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -14,16 +14,16 @@
 from snipetrestle.compression import compress, decompress
 from snipetrestle.dispatch.groups import MAX_GROUP_SIZE
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH, AdapterKey, Name
-from snipetrestle.gateway.published_items import (
+from snipetrestle.gateway.publication.published_items import (
     PublishedItem,
     Revision,
     StorePosition,
 )
-from snipetrestle.gateway.request_fingerprint import (
+from snipetrestle.gateway.quarantine.request_fingerprint import (
     MAX_PART_KEY_LENGTH,
     MAX_PROMPT_PARTS,
 )
-from snipetrestle.gateway.stream_origin import STREAM_KEY_BYTES, StreamOrigin
+from snipetrestle.gateway.streams.stream_origin import STREAM_KEY_BYTES, StreamOrigin
 
 MAX_TOKEN = 2**62
 MAX_AGE_S = 1e9
--- a/snipetrestle/coordination/order_activity.py
+++ b/snipetrestle/coordination/order_activity.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 
 POLL_INTERVAL_S = 0.5
 REPORT_TIMEOUT_S = 0.4
--- a/snipetrestle/coordination/order_sender.py
+++ b/snipetrestle/coordination/order_sender.py
@@ -13,8 +13,8 @@
 
 from snipetrestle.coordination.order_messages import Order, OrderKind, OrderResult
 from snipetrestle.events import Event, log_event
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.configuration import AdapterKey
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
 
 ORDER_TIMEOUT_S = 0.8
 # Orders without an answer that are remembered, the last ones.
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -19,7 +19,7 @@
     end_if_cancelled,
 )
 from snipetrestle.events import Event, log_event
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.waiter import Waiter
 
 # Adapters that one replica may load concurrently.
--- a/snipetrestle/coordination/shared_quarantine.py
+++ b/snipetrestle/coordination/shared_quarantine.py
@@ -9,7 +9,7 @@
 
 from snipetrestle.coordination.messages import LostPromptReport, LostPrompts, encode
 from snipetrestle.coordination.report_rounds import ReportRounds, split
-from snipetrestle.gateway.prompt_quarantine import (
+from snipetrestle.gateway.quarantine.prompt_quarantine import (
     MAX_LOST_PROMPTS,
     OBJECTION_TIME_S,
     LostPrompt,
--- a/snipetrestle/coordination/store_relay.py
+++ b/snipetrestle/coordination/store_relay.py
@@ -20,7 +20,7 @@
     unpack_items,
 )
 from snipetrestle.events import Event, log_event
-from snipetrestle.gateway.published_items import StoreItems
+from snipetrestle.gateway.publication.published_items import StoreItems
 from snipetrestle.hashing import host_score
 
 # Each host gets the changes from this many readers, so that it can lose one.
--- a/snipetrestle/coordination/stream_records.py
+++ b/snipetrestle/coordination/stream_records.py
@@ -16,7 +16,7 @@
 )
 from snipetrestle.coordination.stream_keepers import MAX_KEEPERS, StreamKeepers
 from snipetrestle.coordination.stream_questions import StreamQuestions
-from snipetrestle.gateway.stream_origin import StreamOrigin
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 
 # One keeper more is asked than is told, as a host that joins takes the place of one.
 KEEPERS_TOLD = 3
--- a/snipetrestle/dispatch/replica_capacity.py
+++ b/snipetrestle/dispatch/replica_capacity.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from snipetrestle.gateway.replicas import AVERAGE_WEIGHT
+from snipetrestle.gateway.backends.replicas import AVERAGE_WEIGHT
 
 # Service time of a replica before the first measurement.
 DEFAULT_SERVICE_S = 0.1
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -34,26 +34,29 @@
 from snipetrestle.coordination.store_relay import StoreRelay
 from snipetrestle.coordination.stream_records import StreamRecords
 from snipetrestle.events import Event, log_event
+from snipetrestle.gateway.backends.connection_pool import (
+    ConnectionPool,
+    OpenConnections,
+)
+from snipetrestle.gateway.backends.connection_shares import ConnectionShares
+from snipetrestle.gateway.backends.drain_times import DrainTimes
+from snipetrestle.gateway.backends.replicas import ReplicaDirectory
+from snipetrestle.gateway.backends.request_limits import RequestLimits
+from snipetrestle.gateway.backends.retry_budget import RetryBudgets
+from snipetrestle.gateway.callers.connection_end import Unanswered
+from snipetrestle.gateway.callers.http_listener import HttpServer, status_server
 from snipetrestle.gateway.configuration import CallerLimits
-from snipetrestle.gateway.connection_end import Unanswered
-from snipetrestle.gateway.connection_pool import ConnectionPool, OpenConnections
-from snipetrestle.gateway.connection_shares import ConnectionShares
-from snipetrestle.gateway.crash_quarantine import CrashQuarantine
-from snipetrestle.gateway.drain_times import DrainTimes
 from snipetrestle.gateway.forwarding import Forwarder
-from snipetrestle.gateway.http_listener import HttpServer, status_server
-from snipetrestle.gateway.kept_prompts import KeptPrompts
 from snipetrestle.gateway.metrics import GatewayMetrics
-from snipetrestle.gateway.process_check import ProcessCheck
-from snipetrestle.gateway.published_state import PublishedState
+from snipetrestle.gateway.publication.published_state import PublishedState
+from snipetrestle.gateway.publication.replica_entries import STORE_RETURN_GRACE_S
+from snipetrestle.gateway.publication.snapshots import Snapshots
+from snipetrestle.gateway.quarantine.crash_quarantine import CrashQuarantine
 from snipetrestle.gateway.refusals import NOT_READY_RETRY_AFTER_S
-from snipetrestle.gateway.replica_entries import STORE_RETURN_GRACE_S
-from snipetrestle.gateway.replicas import ReplicaDirectory
-from snipetrestle.gateway.request_limits import RequestLimits
-from snipetrestle.gateway.retry_budget import RetryBudgets
-from snipetrestle.gateway.snapshots import Snapshots
-from snipetrestle.gateway.take_ups import TakeUps
-from snipetrestle.gateway.version_history import VersionHistory
+from snipetrestle.gateway.streams.kept_prompts import KeptPrompts
+from snipetrestle.gateway.streams.process_check import ProcessCheck
+from snipetrestle.gateway.streams.take_ups import TakeUps
+from snipetrestle.gateway.streams.version_history import VersionHistory
 from snipetrestle.log_lines import RequestLines
 from snipetrestle.supervision import (
     call_isolated,
--- /dev/null
+++ b/snipetrestle/gateway/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Replicas of the backends as this host sees them, and connections to them."""
--- a/snipetrestle/gateway/calls.py
+++ b/snipetrestle/gateway/backends/calls.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing
 
-from snipetrestle.gateway.http_client import ExchangeFailed
+from snipetrestle.gateway.backends.http_client import ExchangeFailed
 from snipetrestle.gateway.message_limits import ProgressMeter
 from snipetrestle.gateway.transfers import Transfers
 
--- a/snipetrestle/gateway/connection_pool.py
+++ b/snipetrestle/gateway/backends/connection_pool.py
@@ -7,7 +7,7 @@
 import asyncio
 import math
 
-from snipetrestle.gateway.http_client import ConnectFailed, ReplicaConnection
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ReplicaConnection
 
 CONNECT_TIMEOUT_S = 0.4
 # Idle connections are not reused this shortly before the replica's idle time-out, since
--- a/snipetrestle/gateway/replicas.py
+++ b/snipetrestle/gateway/backends/replicas.py
@@ -6,10 +6,10 @@
 import anyio
 
 from snipetrestle.events import Event, log_event
+from snipetrestle.gateway.backends.connection_pool import ConnectionPool
+from snipetrestle.gateway.backends.replica_pause import ReplicaPause
+from snipetrestle.gateway.backends.request_limits import RequestLimit
 from snipetrestle.gateway.configuration import ReplicaState
-from snipetrestle.gateway.connection_pool import ConnectionPool
-from snipetrestle.gateway.replica_pause import ReplicaPause
-from snipetrestle.gateway.request_limits import RequestLimit
 
 # Weight of one observation in the exponential moving averages.
 AVERAGE_WEIGHT = 0.2
--- /dev/null
+++ b/snipetrestle/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' connections: HTTP requests arrive, responses are written."""
--- a/snipetrestle/gateway/http_listener.py
+++ b/snipetrestle/gateway/callers/http_listener.py
@@ -5,9 +5,9 @@
 import anyio
 
 from snipetrestle.caller_memory import CallerMemory
+from snipetrestle.gateway.callers.connection_end import EndReason
+from snipetrestle.gateway.callers.http_server import CallerConnection
 from snipetrestle.gateway.configuration import CallerLimits
-from snipetrestle.gateway.connection_end import EndReason
-from snipetrestle.gateway.http_server import CallerConnection
 from snipetrestle.gateway.settings import DEFAULT_MEMORY_MB
 from snipetrestle.gateway.transfers import Transfers
 from snipetrestle.listening import Listener
--- a/snipetrestle/gateway/http_server.py
+++ b/snipetrestle/gateway/callers/http_server.py
@@ -15,14 +15,14 @@
     ConnectionState,
 )
 from snipetrestle.codes import ResultCode
-from snipetrestle.gateway.connection_end import (
+from snipetrestle.gateway.callers.connection_end import (
     HOST_SILENCE_S,
     ConnectionEnd,
     EndReason,
     Unanswered,
 )
-from snipetrestle.gateway.request_arrival import RequestArrival
-from snipetrestle.gateway.response_writer import ResponseWriter
+from snipetrestle.gateway.callers.request_arrival import RequestArrival
+from snipetrestle.gateway.callers.response_writer import ResponseWriter
 from snipetrestle.gateway.waiter import Waiter
 from snipetrestle.lingering import has_unsent_bytes, linger, write_end
 from snipetrestle.sockets import count_unread_bytes
--- a/snipetrestle/gateway/request_arrival.py
+++ b/snipetrestle/gateway/callers/request_arrival.py
@@ -14,9 +14,8 @@
     REQUEST_BYTES,
 )
 from snipetrestle.codes import ResultCode
-from snipetrestle.gateway.body_buffer import BodyBuffer
-from snipetrestle.gateway.message_limits import OverheadMeter
-from snipetrestle.gateway.request_head import (
+from snipetrestle.gateway.callers.body_buffer import BodyBuffer
+from snipetrestle.gateway.callers.request_head import (
     Request,
     expects_continue,
     format_head_without_offer,
@@ -24,7 +23,8 @@
     is_unambiguous,
     names_close,
 )
-from snipetrestle.gateway.unparsed_bytes import UnparsedBytes
+from snipetrestle.gateway.callers.unparsed_bytes import UnparsedBytes
+from snipetrestle.gateway.message_limits import OverheadMeter
 
 # Bytes that are parsed in one turn of the event loop: some 1,000 header lines or 700
 # chunks, which take less than a millisecond. Slices grow up to MAX_SLICE_BYTES while a
--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from snipetrestle.dispatch.group_dispatcher import Outcome
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.dialect import AttemptMetadata
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.message_limits import ProgressMeter
 
 # Whole responses are kept in memory until they are complete.
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -7,10 +7,10 @@
 
 import asyncio
 
+from snipetrestle.gateway.backends.connection_pool import ConnectionsExhausted
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.configuration import RequestKind
-from snipetrestle.gateway.connection_pool import ConnectionsExhausted
 from snipetrestle.gateway.exchange import ReplicaLeft
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.job import Refused
 from snipetrestle.supervision import run_isolated
 
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -13,20 +13,18 @@
 from snipetrestle.codes import Outcome, ResultCode
 from snipetrestle.dispatch.replica_search import ReplicaSearch
 from snipetrestle.events import Event
-from snipetrestle.gateway.configuration import RequestKind
-from snipetrestle.gateway.crash_check import CrashCheck
-from snipetrestle.gateway.event_intervals import EventIntervalMeter
-from snipetrestle.gateway.event_stream import EventSplitter, InvalidEvent
-from snipetrestle.gateway.exchange import Exchange
-from snipetrestle.gateway.failover import Failover
-from snipetrestle.gateway.http_client import (
+from snipetrestle.gateway.backends.http_client import (
     ConnectFailed,
     ExchangeAbandoned,
     ExchangeFailed,
     ReplicaClosed,
 )
-from snipetrestle.gateway.http_server import CallerDisconnected
+from snipetrestle.gateway.callers.http_server import CallerDisconnected
+from snipetrestle.gateway.configuration import RequestKind
+from snipetrestle.gateway.exchange import Exchange
+from snipetrestle.gateway.failover import Failover
 from snipetrestle.gateway.job import Job, Refused
+from snipetrestle.gateway.quarantine.crash_check import CrashCheck
 from snipetrestle.gateway.quota_check import QuotaCheck
 from snipetrestle.gateway.refusals import (
     NOT_READY_RETRY_AFTER_S,
@@ -36,7 +34,9 @@
     stop_refusal,
 )
 from snipetrestle.gateway.retries import Retries
-from snipetrestle.gateway.stream_origin import StreamOrigin
+from snipetrestle.gateway.streams.event_intervals import EventIntervalMeter
+from snipetrestle.gateway.streams.event_stream import EventSplitter, InvalidEvent
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 from snipetrestle.gateway.usual_durations import UsualDurations
 from snipetrestle.supervision import log_unexpected
 from snipetrestle.tenants.authentication import authenticate, reauthenticate
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -6,7 +6,7 @@
 
 from snipetrestle.codes import ResultCode
 from snipetrestle.gateway.configuration import RequestKind
-from snipetrestle.gateway.request_fingerprint import request_fingerprint
+from snipetrestle.gateway.quarantine.request_fingerprint import request_fingerprint
 
 # Time before a caller's deadline at which its refusal is due, and the largest share of
 # the deadline that this may take. It covers the ways of the request and of the refusal,
--- /dev/null
+++ b/snipetrestle/gateway/publication/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform's store publishes: configuration, replicas, adapter versions."""
--- a/snipetrestle/gateway/published_state.py
+++ b/snipetrestle/gateway/publication/published_state.py
@@ -16,8 +16,8 @@
     ReplicaEntry,
     RoutingConfiguration,
 )
-from snipetrestle.gateway.published_documents import PublishedDocuments
-from snipetrestle.gateway.published_items import (
+from snipetrestle.gateway.publication.published_documents import PublishedDocuments
+from snipetrestle.gateway.publication.published_items import (
     FeedState,
     HistoryLost,
     Origin,
@@ -26,7 +26,7 @@
     Unlisted,
     Way,
 )
-from snipetrestle.gateway.replica_entries import ReplicaEntries
+from snipetrestle.gateway.publication.replica_entries import ReplicaEntries
 from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle.supervision import call_isolated
 
--- a/snipetrestle/gateway/snapshots.py
+++ b/snipetrestle/gateway/publication/snapshots.py
@@ -12,7 +12,7 @@
 
 from snipetrestle.compression import compress, decompress
 from snipetrestle.decoding import decode
-from snipetrestle.gateway.published_items import (
+from snipetrestle.gateway.publication.published_items import (
     Origin,
     PublishedItem,
     Revision,
--- /dev/null
+++ b/snipetrestle/gateway/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and prompts that crash replicas, and are refused for a while."""
--- a/snipetrestle/gateway/crash_quarantine.py
+++ b/snipetrestle/gateway/quarantine/crash_quarantine.py
@@ -3,8 +3,8 @@
 A whole request is judged before the parts of its prompt, as it is the closer cause.
 """
 
-from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
-from snipetrestle.gateway.request_quarantine import RequestQuarantine
+from snipetrestle.gateway.quarantine.prompt_quarantine import PromptQuarantine
+from snipetrestle.gateway.quarantine.request_quarantine import RequestQuarantine
 
 
 class CrashQuarantine:
--- a/snipetrestle/gateway/retries.py
+++ b/snipetrestle/gateway/retries.py
@@ -8,10 +8,10 @@
 
 from snipetrestle.codes import ResultCode
 from snipetrestle.events import Event
+from snipetrestle.gateway.backends.connection_pool import ConnectionsExhausted
+from snipetrestle.gateway.backends.http_client import ExchangeFailed
 from snipetrestle.gateway.configuration import RequestKind
-from snipetrestle.gateway.connection_pool import ConnectionsExhausted
 from snipetrestle.gateway.exchange import ReplicaLeft
-from snipetrestle.gateway.http_client import ExchangeFailed
 from snipetrestle.gateway.job import MIN_EVENT_TIME_S, Refused
 
 # Failed connection attempts of one request; nothing was sent in any of them. A stream
--- a/snipetrestle/gateway/kept_prompts.py
+++ b/snipetrestle/gateway/streams/kept_prompts.py
@@ -10,7 +10,7 @@
 import anyio
 
 from snipetrestle.events import Event
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.limits.rate_pool import RatePool
 
 # Questions that come within this time share the listings of replicas.
--- a/snipetrestle/gateway/listed_versions.py
+++ b/snipetrestle/gateway/streams/listed_versions.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from snipetrestle.gateway.stream_origin import StreamOrigin
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 
 # A replica of which neither the backend nor the version is known. Entries always name
 # a backend, but not always a version.
--- a/snipetrestle/gateway/process_check.py
+++ b/snipetrestle/gateway/streams/process_check.py
@@ -9,8 +9,8 @@
 import anyio
 
 from snipetrestle.codes import ResultCode
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.exchange import ReplicaLeft
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.job import Refused
 
 # The replica that began the stream may have fallen silent.
--- a/snipetrestle/gateway/store_history.py
+++ b/snipetrestle/gateway/streams/store_history.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from snipetrestle.gateway.published_items import HistoryLost, PublishedItem
+from snipetrestle.gateway.publication.published_items import HistoryLost, PublishedItem
 
 # Calls to the store have a price.
 MAX_CALLS = 24
--- a/snipetrestle/gateway/stream_origin.py
+++ b/snipetrestle/gateway/streams/stream_origin.py
@@ -4,7 +4,7 @@
 import xxhash
 
 from snipetrestle.gateway.configuration import Name
-from snipetrestle.gateway.published_items import Revision
+from snipetrestle.gateway.publication.published_items import Revision
 
 # The length of a key of ``stream_key``.
 STREAM_KEY_BYTES = 16
--- a/snipetrestle/gateway/take_ups.py
+++ b/snipetrestle/gateway/streams/take_ups.py
@@ -8,7 +8,7 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.events import Event
 from snipetrestle.gateway.job import Refused
-from snipetrestle.gateway.stream_origin import stream_key
+from snipetrestle.gateway.streams.stream_origin import stream_key
 
 # A stream may be taken up for at least this long, whatever its route's timeout is now:
 # the timeout may have been longer when the stream began.
--- a/snipetrestle/gateway/version_history.py
+++ b/snipetrestle/gateway/streams/version_history.py
@@ -13,10 +13,13 @@
 
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import ReplicaEntry
-from snipetrestle.gateway.listed_versions import UNKNOWN_SOFTWARE, ListedVersions
-from snipetrestle.gateway.published_items import HistoryLost, Unlisted
-from snipetrestle.gateway.store_history import IncompleteHistory, StoreHistory
-from snipetrestle.gateway.stream_origin import StreamOrigin
+from snipetrestle.gateway.publication.published_items import HistoryLost, Unlisted
+from snipetrestle.gateway.streams.listed_versions import (
+    UNKNOWN_SOFTWARE,
+    ListedVersions,
+)
+from snipetrestle.gateway.streams.store_history import IncompleteHistory, StoreHistory
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 from snipetrestle.publication.sources import SourceUnreachable
 
 # A request waits no longer for the store.
--- a/snipetrestle/platform/__main__.py
+++ b/snipetrestle/platform/__main__.py
@@ -16,7 +16,7 @@
 
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.app import Gateway
-from snipetrestle.gateway.published_items import Feed
+from snipetrestle.gateway.publication.published_items import Feed
 from snipetrestle.logs import LogSettings, set_up_logs
 from snipetrestle.platform.calls import OrderClient, StoreSource
 from snipetrestle.platform.entries import ALL_ITEMS, decode_item
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -9,11 +9,11 @@
 from snipetrestle.coordination.order_messages import OrderResult, ReplicaReport
 from snipetrestle.decoding import decode
 from snipetrestle.events import Event, log_event
-from snipetrestle.gateway.calls import call
+from snipetrestle.gateway.backends.calls import call
+from snipetrestle.gateway.backends.connection_pool import ConnectionPool
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.configuration import AdapterKey, Name
-from snipetrestle.gateway.connection_pool import ConnectionPool
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
-from snipetrestle.gateway.published_items import (
+from snipetrestle.gateway.publication.published_items import (
     HistoryLost,
     PublishedItem,
     Revision,
--- a/snipetrestle/platform/entries.py
+++ b/snipetrestle/platform/entries.py
@@ -18,7 +18,7 @@
     RoutingConfiguration,
     WeightedBackend,
 )
-from snipetrestle.gateway.published_items import Revision, Unlisted, Version
+from snipetrestle.gateway.publication.published_items import Revision, Unlisted, Version
 from snipetrestle.platform.documents import CONFIGURATION_KEY
 from snipetrestle.platform.tenants import tenant_table_from
 from snipetrestle.platform.values import (
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -10,7 +10,10 @@
     ResponseMetadata,
     TokenCount,
 )
-from snipetrestle.gateway.request_fingerprint import MAX_PROMPT_PARTS, prompt_part_key
+from snipetrestle.gateway.quarantine.request_fingerprint import (
+    MAX_PROMPT_PARTS,
+    prompt_part_key,
+)
 from snipetrestle.platform.documents import key_digest
 
 REQUEST_ID = b"x-request-id"
--- a/snipetrestle/platform/values.py
+++ b/snipetrestle/platform/values.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
-from snipetrestle.gateway.published_items import MAX_VERSION
+from snipetrestle.gateway.publication.published_items import MAX_VERSION
 
 NonEmptyName = typing.Annotated[
     str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)
--- a/snipetrestle_standins/dispatch_fleet.py
+++ b/snipetrestle_standins/dispatch_fleet.py
@@ -15,6 +15,8 @@
 from snipetrestle.coordination.key_owners import KeyOwners
 from snipetrestle.dispatch.group_dispatcher import Outcome
 from snipetrestle.dispatch.replica_search import ReplicaSearch
+from snipetrestle.gateway.backends.replicas import ReplicaDirectory
+from snipetrestle.gateway.backends.retry_budget import RetryBudget
 from snipetrestle.gateway.configuration import (
     Backend,
     ReplicaEntry,
@@ -26,9 +28,7 @@
 from snipetrestle.gateway.dialect import RequestMetadata
 from snipetrestle.gateway.job import Job, Refused
 from snipetrestle.gateway.metrics import GatewayMetrics
-from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle.gateway.retries import MAX_SENDS
-from snipetrestle.gateway.retry_budget import RetryBudget
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
 
 BACKEND = "desk"
--- a/snipetrestle_standins/gateway_fleet.py
+++ b/snipetrestle_standins/gateway_fleet.py
@@ -6,7 +6,7 @@
 import types
 
 from snipetrestle.gateway.app import Gateway
-from snipetrestle.gateway.published_items import Feed
+from snipetrestle.gateway.publication.published_items import Feed
 from snipetrestle.gateway.settings import GatewaySettings, RetryBudgetSettings
 from snipetrestle.platform.calls import OrderClient, StoreSource
 from snipetrestle.platform.entries import ALL_ITEMS, decode_item
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -27,6 +27,8 @@
     ReplicaReport,
 )
 from snipetrestle.coordination.shared_loads import SharedReplicaLoads
+from snipetrestle.gateway.backends.http_client import ExchangeFailed
+from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import (
     AdapterKey,
     Backend,
@@ -34,8 +36,6 @@
     ReplicaEntry,
     ReplicaState,
 )
-from snipetrestle.gateway.http_client import ExchangeFailed
-from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
 
 MODEL = "m0"
--- a/snipetrestle_standins/store_relay_fleet.py
+++ b/snipetrestle_standins/store_relay_fleet.py
@@ -9,13 +9,13 @@
 from snipetrestle.coordination.pause_watch import PauseWatch
 from snipetrestle.coordination.store_availability import StoreAvailability
 from snipetrestle.coordination.store_relay import StoreRelay
-from snipetrestle.gateway.published_items import (
+from snipetrestle.gateway.publication.published_items import (
     Feed,
     HistoryLost,
     PublishedItem,
     StoreItems,
 )
-from snipetrestle.gateway.published_state import PublishedState
+from snipetrestle.gateway.publication.published_state import PublishedState
 from snipetrestle.platform.calls import READ_TIMEOUT_S, WATCH_MARGIN_S
 from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle_standins.clock import run_in_virtual_time
--- a/tests/coordination/test_kept_prompt_questions.py
+++ b/tests/coordination/test_kept_prompt_questions.py
@@ -19,8 +19,8 @@
 )
 from snipetrestle.coordination.messages import KeptPromptReply, KeptPromptRequest
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH, AdapterKey
-from snipetrestle.gateway.kept_prompts import KeptPrompts
-from snipetrestle.gateway.stream_origin import StreamOrigin
+from snipetrestle.gateway.streams.kept_prompts import KeptPrompts
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
 from tests.gateway.test_kept_prompts import (
--- a/tests/coordination/test_late_answers.py
+++ b/tests/coordination/test_late_answers.py
@@ -9,7 +9,7 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway.published_items import Origin, Way
+from snipetrestle.gateway.publication.published_items import Origin, Way
 from snipetrestle_standins.store_relay_fleet import PREFIX, run_system
 
 HOST_COUNT = 4
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -12,7 +12,7 @@
 )
 from snipetrestle.coordination.messages import HostInfo
 from snipetrestle.coordination.shared_quarantine import SharedQuarantine
-from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
+from snipetrestle.gateway.quarantine.prompt_quarantine import PromptQuarantine
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
 from snipetrestle_standins.order_activity import OrdersWhileLeading
--- a/tests/coordination/test_message_sizes.py
+++ b/tests/coordination/test_message_sizes.py
@@ -28,11 +28,14 @@
 from snipetrestle.coordination.shared_quarantine import SharedQuarantine
 from snipetrestle.coordination.shared_request_limits import SharedRequestLimits
 from snipetrestle.coordination.shared_request_quarantine import SharedRequestQuarantine
+from snipetrestle.gateway.backends.request_limits import RequestLimit
 from snipetrestle.gateway.configuration import AdapterKey
-from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
-from snipetrestle.gateway.request_fingerprint import MAX_PROMPT_PARTS, prompt_part_key
-from snipetrestle.gateway.request_limits import RequestLimit
-from snipetrestle.gateway.request_quarantine import RequestQuarantine
+from snipetrestle.gateway.quarantine.prompt_quarantine import PromptQuarantine
+from snipetrestle.gateway.quarantine.request_fingerprint import (
+    MAX_PROMPT_PARTS,
+    prompt_part_key,
+)
+from snipetrestle.gateway.quarantine.request_quarantine import RequestQuarantine
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.coordination.test_hosts import Endpoint
 
--- a/tests/coordination/test_order_activity.py
+++ b/tests/coordination/test_order_activity.py
@@ -12,7 +12,7 @@
     UNUSED_TIMEOUT_S,
     OrderActivity,
 )
-from snipetrestle.gateway.http_client import ExchangeFailed
+from snipetrestle.gateway.backends.http_client import ExchangeFailed
 from snipetrestle_standins.clock import run_in_virtual_time
 
 
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -23,8 +23,8 @@
     BackendContext,
     ReplicaOrders,
 )
+from snipetrestle.gateway.backends.replica_pause import ReplicaPause
 from snipetrestle.gateway.configuration import AdapterKey
-from snipetrestle.gateway.replica_pause import ReplicaPause
 from snipetrestle_standins.clock import run_in_virtual_time
 
 HELD = AdapterKey("m0", "a1")
--- a/tests/coordination/test_restored_store.py
+++ b/tests/coordination/test_restored_store.py
@@ -5,7 +5,7 @@
 import msgspec
 import testtools
 
-from snipetrestle.gateway.published_items import StorePosition
+from snipetrestle.gateway.publication.published_items import StorePosition
 from snipetrestle_standins.store_relay_fleet import APPLY_TIME_S, PREFIX, run_system
 
 # Changes that a restore loses.
--- a/tests/coordination/test_send_permits.py
+++ b/tests/coordination/test_send_permits.py
@@ -8,7 +8,7 @@
 
 from snipetrestle.coordination.send_permits import PermitIssuer, SendPermits
 from snipetrestle.coordination.shared_request_limits import SharedRequestLimits
-from snipetrestle.gateway.request_limits import RequestLimit, RequestLimits
+from snipetrestle.gateway.backends.request_limits import RequestLimit, RequestLimits
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.coordination.test_leadership import run_system
 
--- a/tests/coordination/test_shared_quarantine.py
+++ b/tests/coordination/test_shared_quarantine.py
@@ -11,8 +11,8 @@
     MAX_ROUND_BYTES,
     SharedQuarantine,
 )
-from snipetrestle.gateway.prompt_quarantine import PromptQuarantine
-from snipetrestle.gateway.request_fingerprint import prompt_part_key
+from snipetrestle.gateway.quarantine.prompt_quarantine import PromptQuarantine
+from snipetrestle.gateway.quarantine.request_fingerprint import prompt_part_key
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.coordination.test_leadership import run_system
 
--- a/tests/coordination/test_shared_request_quarantine.py
+++ b/tests/coordination/test_shared_request_quarantine.py
@@ -8,7 +8,7 @@
     MAX_REPORTED_REQUESTS,
     SharedRequestQuarantine,
 )
-from snipetrestle.gateway.request_quarantine import RequestQuarantine
+from snipetrestle.gateway.quarantine.request_quarantine import RequestQuarantine
 from tests.coordination.test_leadership import run_system
 
 # Among a few hosts, a caller's repetition at another host must find it informed.
--- a/tests/coordination/test_stream_records.py
+++ b/tests/coordination/test_stream_records.py
@@ -29,7 +29,7 @@
     KnownOrigin,
     StreamRecords,
 )
-from snipetrestle.gateway.stream_origin import StreamOrigin, stream_key
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin, stream_key
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.datagram_network import (
     DELIVERY_DELAY_S,
--- a/tests/dispatch/test_group_dispatcher.py
+++ b/tests/dispatch/test_group_dispatcher.py
@@ -17,8 +17,8 @@
     is_later,
 )
 from snipetrestle.dispatch.groups import MAX_GROUP_SIZE, replica_groups
+from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import ReplicaEntry, ReplicaState
-from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle_standins.clock import run_in_virtual_time
 
 BACKEND = "desk"
--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -8,9 +8,9 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.coordination.messages import AdapterLocation
 from snipetrestle.dispatch.replica_search import NO_PLACE_PAUSE_S
+from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
 from snipetrestle.gateway.job import Refused
-from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.dispatch import searches
 from tests.dispatch.searches import BACKEND, build_search
--- a/tests/dispatch/test_version_choice.py
+++ b/tests/dispatch/test_version_choice.py
@@ -9,13 +9,13 @@
 
 from snipetrestle.coordination.messages import AdapterLocation
 from snipetrestle.dispatch.version_choice import leaving_versions, prefer_staying
+from snipetrestle.gateway.backends.replicas import VERSION_LEFT_S, ReplicaDirectory
 from snipetrestle.gateway.configuration import (
     AdapterKey,
     ReplicaEntry,
     ReplicaState,
     RequestKind,
 )
-from snipetrestle.gateway.replicas import VERSION_LEFT_S, ReplicaDirectory
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.dispatch.searches import (
     BACKEND,
--- a/tests/gateway/running.py
+++ b/tests/gateway/running.py
@@ -4,8 +4,8 @@
 
 import anyio
 
+from snipetrestle.gateway.callers.http_listener import HttpServer
 from snipetrestle.gateway.configuration import CallerLimits
-from snipetrestle.gateway.http_listener import HttpServer
 from snipetrestle_standins.gateway_fleet import GatewayFleet
 
 TEST_TIMEOUT_S = 40.0
--- a/tests/gateway/test_begun_streams.py
+++ b/tests/gateway/test_begun_streams.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from snipetrestle.gateway.connection_pool import ConnectionPool
+from snipetrestle.gateway.backends.connection_pool import ConnectionPool
 from snipetrestle.gateway.retries import MAX_BEGUN_STREAM_SENDS
 from tests.gateway.running import run_fleet
 from tests.gateway.test_configuration_changes import set_long_limits
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -22,8 +22,8 @@
 from snipetrestle.codes import ResultCode
 from snipetrestle.events import Event
 from snipetrestle.gateway import http_server
+from snipetrestle.gateway.callers.http_listener import HttpServer
 from snipetrestle.gateway.configuration import CallerLimits
-from snipetrestle.gateway.http_listener import HttpServer
 from snipetrestle.gateway.settings import DEFAULT_MEMORY_MB
 from snipetrestle.process_limits import MB, ProcessLimits
 from snipetrestle_standins.gateway_fleet import Caller
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -9,7 +9,7 @@
 import testtools
 
 from snipetrestle.gateway import http_listener, http_server, snapshots, transfers
-from snipetrestle.gateway.http_server import MIN_IDLE_MARGIN_S, CallerConnection
+from snipetrestle.gateway.callers.http_server import MIN_IDLE_MARGIN_S, CallerConnection
 from snipetrestle.platform.calls import StoreSource
 from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle_standins.gateway_fleet import HOSTNAME, MODEL, configuration
--- a/tests/gateway/test_configuration_changes.py
+++ b/tests/gateway/test_configuration_changes.py
@@ -8,9 +8,9 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway.http_server import MIN_IDLE_MARGIN_S
-from snipetrestle.gateway.published_documents import PublishedDocuments
-from snipetrestle.gateway.published_items import PublishedItem
+from snipetrestle.gateway.callers.http_server import MIN_IDLE_MARGIN_S
+from snipetrestle.gateway.publication.published_documents import PublishedDocuments
+from snipetrestle.gateway.publication.published_items import PublishedItem
 from snipetrestle_standins.gateway_fleet import (
     HOSTNAME,
     MODEL,
--- a/tests/gateway/test_connection_ends.py
+++ b/tests/gateway/test_connection_ends.py
@@ -6,7 +6,7 @@
 from snipetrestle.dispatch.replica_search import ReplicaSearch
 from snipetrestle.events import Event
 from snipetrestle.gateway.forwarding import Forwarder
-from snipetrestle.gateway.published_documents import PublishedDocuments
+from snipetrestle.gateway.publication.published_documents import PublishedDocuments
 from snipetrestle_standins.gateway_fleet import Caller, configuration
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.log_recording import LogRecordingTest
--- a/tests/gateway/test_connection_pool.py
+++ b/tests/gateway/test_connection_pool.py
@@ -6,12 +6,12 @@
 
 import testtools
 
-from snipetrestle.gateway.connection_pool import (
+from snipetrestle.gateway.backends.connection_pool import (
     ConnectionPool,
     ConnectionsExhausted,
     OpenConnections,
 )
-from snipetrestle.gateway.http_client import ExchangeAbandoned
+from snipetrestle.gateway.backends.http_client import ExchangeAbandoned
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
--- a/tests/gateway/test_crashing_prompts.py
+++ b/tests/gateway/test_crashing_prompts.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from snipetrestle.events import Event
-from snipetrestle.gateway.prompt_quarantine import MIN_CRASHES
+from snipetrestle.gateway.quarantine.prompt_quarantine import MIN_CRASHES
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
 
--- a/tests/gateway/test_ended_connections.py
+++ b/tests/gateway/test_ended_connections.py
@@ -12,9 +12,9 @@
 
 from snipetrestle.events import Event
 from snipetrestle.gateway import http_server
+from snipetrestle.gateway.callers.http_listener import HttpServer
+from snipetrestle.gateway.callers.http_server import CallerConnection
 from snipetrestle.gateway.configuration import CallerLimits
-from snipetrestle.gateway.http_listener import HttpServer
-from snipetrestle.gateway.http_server import CallerConnection
 from snipetrestle.lingering import LINGER_S
 from snipetrestle.log_lines import BURST_LINES
 from snipetrestle_standins.gateway_fleet import Caller
--- a/tests/gateway/test_ends_of_waits.py
+++ b/tests/gateway/test_ends_of_waits.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from snipetrestle.events import Event
-from snipetrestle.gateway.connection_end import Unanswered
+from snipetrestle.gateway.callers.connection_end import Unanswered
 from snipetrestle_standins.gateway_fleet import (
     HOSTNAME,
     MODEL,
--- a/tests/gateway/test_kept_prompts.py
+++ b/tests/gateway/test_kept_prompts.py
@@ -5,8 +5,8 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
-from snipetrestle.gateway.kept_prompts import (
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.streams.kept_prompts import (
     LISTINGS_BURST,
     LISTINGS_PER_S,
     MAX_REPLICAS,
--- a/tests/gateway/test_limit_parts.py
+++ b/tests/gateway/test_limit_parts.py
@@ -7,7 +7,7 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway.request_limits import (
+from snipetrestle.gateway.backends.request_limits import (
     RequestLimit,
     RequestLimits,
     senders_to,
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -12,12 +12,12 @@
 from snipetrestle.compression import compress
 from snipetrestle.coordination import messages
 from snipetrestle.coordination.datagrams import DatagramEndpoint
+from snipetrestle.gateway.backends.connection_pool import ConnectionPool
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.backends.replicas import Replica
 from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
-from snipetrestle.gateway.connection_pool import ConnectionPool
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
-from snipetrestle.gateway.published_items import PublishedItem
-from snipetrestle.gateway.replicas import Replica
-from snipetrestle.gateway.snapshots import MAX_CONTENT_BYTES, Snapshots
+from snipetrestle.gateway.publication.published_items import PublishedItem
+from snipetrestle.gateway.publication.snapshots import MAX_CONTENT_BYTES, Snapshots
 from snipetrestle.gateway.transfers import Transfers
 from snipetrestle.platform.calls import OrderClient, StoreSource
 from snipetrestle.publication.sources import SourceUnreachable
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -8,7 +8,7 @@
 from snipetrestle import supervision
 from snipetrestle.coordination.hosts import REACHABLE_TIMEOUT_S
 from snipetrestle.gateway import app
-from snipetrestle.gateway.published_items import PublishedItem
+from snipetrestle.gateway.publication.published_items import PublishedItem
 from snipetrestle_standins.gateway_fleet import configuration
 from snipetrestle_standins.platform_replica import Fault, PlatformReplica
 from tests.gateway.running import run_fleet
--- a/tests/gateway/test_one_answer.py
+++ b/tests/gateway/test_one_answer.py
@@ -6,8 +6,8 @@
 
 import testtools
 
+from snipetrestle.gateway.callers.http_listener import HttpServer
 from snipetrestle.gateway.configuration import CallerLimits
-from snipetrestle.gateway.http_listener import HttpServer
 from tests.gateway.running import run_connection
 
 ANSWER_TIMEOUT_S = 5.0
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -7,6 +7,8 @@
 import testtools
 
 from snipetrestle.gateway import event_stream
+from snipetrestle.gateway.backends.replicas import ReplicaDirectory
+from snipetrestle.gateway.backends.retry_budget import RetryBudget
 from snipetrestle.gateway.configuration import (
     ReplicaEntry,
     ReplicaState,
@@ -14,13 +16,11 @@
     Route,
     RouteTable,
 )
-from snipetrestle.gateway.event_stream import (
+from snipetrestle.gateway.streams.event_stream import (
     MAX_EVENT_BYTES,
     EventSplitter,
     InvalidEvent,
 )
-from snipetrestle.gateway.replicas import ReplicaDirectory
-from snipetrestle.gateway.retry_budget import RetryBudget
 from snipetrestle_standins.clock import run_in_virtual_time
 
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -6,7 +6,7 @@
 import msgspec
 import testtools
 
-from snipetrestle.gateway.drain_times import LOAD_BALANCER_DELAY_S, DrainTimes
+from snipetrestle.gateway.backends.drain_times import LOAD_BALANCER_DELAY_S, DrainTimes
 from snipetrestle_standins.clock import StallFreeLoop
 from snipetrestle_standins.gateway_fleet import HOSTNAME, MODEL, Caller
 from snipetrestle_standins.platform_replica import Fault
--- a/tests/gateway/test_prompt_quarantine.py
+++ b/tests/gateway/test_prompt_quarantine.py
@@ -3,7 +3,7 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway.prompt_quarantine import (
+from snipetrestle.gateway.quarantine.prompt_quarantine import (
     FORGET_AFTER_S,
     MAX_LOST_PROMPTS,
     MAX_LOST_PROMPTS_PER_CRASH,
--- a/tests/gateway/test_published_state.py
+++ b/tests/gateway/test_published_state.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from snipetrestle.gateway.replica_entries import STORE_RETURN_GRACE_S
+from snipetrestle.gateway.publication.replica_entries import STORE_RETURN_GRACE_S
 from snipetrestle_standins.gateway_fleet import ENTRY_EXPIRY_S, configuration, route
 from snipetrestle_standins.platform_replica import PlatformReplica
 from snipetrestle_standins.platform_store import StoreMode
--- a/tests/gateway/test_removals.py
+++ b/tests/gateway/test_removals.py
@@ -5,9 +5,13 @@
 
 from snipetrestle.coordination.messages import StoreAccess
 from snipetrestle.events import Event
-from snipetrestle.gateway.connection_pool import ConnectionPool
-from snipetrestle.gateway.published_items import PublishedItem, StoreItems, Way
-from snipetrestle.gateway.replica_entries import STORE_RETURN_GRACE_S
+from snipetrestle.gateway.backends.connection_pool import ConnectionPool
+from snipetrestle.gateway.publication.published_items import (
+    PublishedItem,
+    StoreItems,
+    Way,
+)
+from snipetrestle.gateway.publication.replica_entries import STORE_RETURN_GRACE_S
 from snipetrestle_standins.gateway_fleet import ENTRY_EXPIRY_S
 from snipetrestle_standins.platform_store import StoreMode
 from tests.gateway.log_recording import LogRecordingTest
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -4,9 +4,9 @@
 
 import testtools
 
-from snipetrestle.gateway.connection_pool import ConnectionPool
+from snipetrestle.gateway.backends.connection_pool import ConnectionPool
+from snipetrestle.gateway.callers.http_server import CallerConnection
 from snipetrestle.gateway.forwarding import Forwarder
-from snipetrestle.gateway.http_server import CallerConnection
 from snipetrestle_standins.platform_http import response
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
--- a/tests/gateway/test_replica_pauses.py
+++ b/tests/gateway/test_replica_pauses.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from snipetrestle.gateway.replica_pause import MAX_PAUSE_S
+from snipetrestle.gateway.backends.replica_pause import MAX_PAUSE_S
 from snipetrestle.platform.calls import OrderClient
 from snipetrestle.platform.headers import PlatformDialect
 from snipetrestle_standins.clock import StallFreeLoop
--- a/tests/gateway/test_request_fingerprint.py
+++ b/tests/gateway/test_request_fingerprint.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from snipetrestle.gateway.request_fingerprint import request_fingerprint
-from snipetrestle.gateway.request_head import Request
+from snipetrestle.gateway.callers.request_head import Request
+from snipetrestle.gateway.quarantine.request_fingerprint import request_fingerprint
 from snipetrestle.platform.headers import PlatformDialect
 
 
--- a/tests/gateway/test_request_quarantine.py
+++ b/tests/gateway/test_request_quarantine.py
@@ -3,8 +3,11 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway.prompt_quarantine import OBJECTION_TIME_S, PromptQuarantine
-from snipetrestle.gateway.request_quarantine import (
+from snipetrestle.gateway.quarantine.prompt_quarantine import (
+    OBJECTION_TIME_S,
+    PromptQuarantine,
+)
+from snipetrestle.gateway.quarantine.request_quarantine import (
     FORGET_AFTER_S,
     MAX_CRASHES_PER_REQUEST,
     MAX_CRASHES_TO_TRY,
--- a/tests/gateway/test_request_sequences.py
+++ b/tests/gateway/test_request_sequences.py
@@ -7,7 +7,7 @@
 
 from snipetrestle.codes import ResultCode
 from snipetrestle.gateway import response_writer
-from snipetrestle.gateway.http_server import CallerConnection
+from snipetrestle.gateway.callers.http_server import CallerConnection
 from snipetrestle_standins.platform_replica import PlatformReplica
 from tests.gateway import sequence_fuzz
 from tests.gateway.raw_answers import Incomplete, NotAnAnswer, read_answer
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -3,8 +3,8 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway.published_items import StorePosition
-from snipetrestle.gateway.replica_entries import STORE_RETURN_GRACE_S
+from snipetrestle.gateway.publication.published_items import StorePosition
+from snipetrestle.gateway.publication.replica_entries import STORE_RETURN_GRACE_S
 from snipetrestle_standins.gateway_fleet import configuration, route
 from snipetrestle_standins.platform_replica import PlatformReplica
 from snipetrestle_standins.platform_store import StoreMode
--- a/tests/gateway/test_review_ends.py
+++ b/tests/gateway/test_review_ends.py
@@ -6,8 +6,8 @@
 
 from snipetrestle.codes import ResultCode
 from snipetrestle.gateway import forwarding, http_listener, snapshots
+from snipetrestle.gateway.callers.http_listener import HttpServer
 from snipetrestle.gateway.configuration import CallerLimits
-from snipetrestle.gateway.http_listener import HttpServer
 from snipetrestle.gateway.transfers import SETTLE_S, Transfers
 from tests.gateway.running import run_connection, run_fleet
 
--- a/tests/gateway/test_snapshots.py
+++ b/tests/gateway/test_snapshots.py
@@ -3,8 +3,8 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway.published_items import StoreItems
-from snipetrestle.gateway.snapshots import Content, pack_content
+from snipetrestle.gateway.publication.published_items import StoreItems
+from snipetrestle.gateway.publication.snapshots import Content, pack_content
 from snipetrestle_standins.gateway_fleet import MODELS_BACKEND, configuration, route
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
--- a/tests/gateway/test_take_ups.py
+++ b/tests/gateway/test_take_ups.py
@@ -7,8 +7,8 @@
 
 from snipetrestle.gateway.dialect import RequestMetadata
 from snipetrestle.gateway.job import Refused
-from snipetrestle.gateway.stream_origin import StreamOrigin
-from snipetrestle.gateway.take_ups import MIN_STREAM_LIFE_S, TakeUps
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
+from snipetrestle.gateway.streams.take_ups import MIN_STREAM_LIFE_S, TakeUps
 
 TIMEOUT_S = 10.0
 
--- a/tests/gateway/test_undefined_statuses.py
+++ b/tests/gateway/test_undefined_statuses.py
@@ -3,9 +3,9 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway.calls import call
-from snipetrestle.gateway.connection_pool import ConnectionPool
-from snipetrestle.gateway.http_client import ExchangeFailed
+from snipetrestle.gateway.backends.calls import call
+from snipetrestle.gateway.backends.connection_pool import ConnectionPool
+from snipetrestle.gateway.backends.http_client import ExchangeFailed
 from snipetrestle_standins.platform_http import response
 from snipetrestle_standins.platform_replica import Fault
 from snipetrestle_standins.raw_http import UNDEFINED_STATUSES, ok, raw_server
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -3,7 +3,7 @@
 import testtools
 
 from snipetrestle.dispatch.replica_choice import ReplicaChooser
-from snipetrestle.gateway.replicas import Replica
+from snipetrestle.gateway.backends.replicas import Replica
 from snipetrestle_standins.gateway_fleet import Caller, configuration, route
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
--- a/tests/gateway/test_version_history.py
+++ b/tests/gateway/test_version_history.py
@@ -12,24 +12,24 @@
 
 from snipetrestle.coordination.pause_watch import PauseWatch
 from snipetrestle.coordination.store_availability import StoreAvailability
+from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import (
     LoadedModel,
     ReplicaEntry,
     ReplicaState,
 )
-from snipetrestle.gateway.listed_versions import (
+from snipetrestle.gateway.publication.published_items import Feed, Origin, Unlisted, Way
+from snipetrestle.gateway.publication.published_state import PublishedState
+from snipetrestle.gateway.streams.listed_versions import (
     MAX_LEFT_BACKENDS,
     MAX_LEFT_VERSIONS,
     RETENTION_S,
     UNKNOWN_SOFTWARE,
     ListedVersions,
 )
-from snipetrestle.gateway.published_items import Feed, Origin, Unlisted, Way
-from snipetrestle.gateway.published_state import PublishedState
-from snipetrestle.gateway.replicas import ReplicaDirectory
-from snipetrestle.gateway.store_history import MAX_CALLS
-from snipetrestle.gateway.stream_origin import StreamOrigin
-from snipetrestle.gateway.version_history import (
+from snipetrestle.gateway.streams.store_history import MAX_CALLS
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
+from snipetrestle.gateway.streams.version_history import (
     ANSWER_TIMEOUT_S,
     MIN_INTERVAL_SHARE,
     VersionHistory,
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -16,8 +16,8 @@
     RequestKind,
 )
 from snipetrestle.gateway.dialect import AttemptMetadata, KeyProblem, TokenCount
-from snipetrestle.gateway.published_items import PublishedItem, Unlisted
-from snipetrestle.gateway.request_fingerprint import prompt_part_key
+from snipetrestle.gateway.publication.published_items import PublishedItem, Unlisted
+from snipetrestle.gateway.quarantine.request_fingerprint import prompt_part_key
 from snipetrestle.platform.entries import decode_item
 from snipetrestle.platform.headers import PlatformDialect
 from snipetrestle.platform.settings import InvalidSettings, parse_settings
--- a/tests/platform/test_bad_servers.py
+++ b/tests/platform/test_bad_servers.py
@@ -7,9 +7,9 @@
 import testtools
 
 from snipetrestle.coordination.order_messages import Order, OrderKind, OrderResult
+from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import ReplicaEntry, ReplicaState
-from snipetrestle.gateway.http_client import ConnectFailed, ExchangeFailed
-from snipetrestle.gateway.replicas import ReplicaDirectory
 from snipetrestle.platform.calls import OrderClient, StoreSource
 from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle_standins.raw_http import (
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -9,13 +9,13 @@
 from hypothesis import strategies
 
 from snipetrestle.coordination import messages, orders
+from snipetrestle.gateway.backends.replicas import Replica
 from snipetrestle.gateway.configuration import (
     AdapterVersion,
     ReplicaEntry,
     RoutingConfiguration,
 )
-from snipetrestle.gateway.published_items import PublishedItem, Unlisted
-from snipetrestle.gateway.replicas import Replica
+from snipetrestle.gateway.publication.published_items import PublishedItem, Unlisted
 from snipetrestle.platform.entries import decode_item
 from snipetrestle_standins.gateway_fleet import configuration
 
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from snipetrestle.gateway.published_items import PublishedItem
+from snipetrestle.gateway.publication.published_items import PublishedItem
 from snipetrestle.platform.documents import without_api_keys
 from snipetrestle.platform.entries import decode_item
 from snipetrestle.tenants.configuration import Quota, QuotaUnit
--- a/tests/tenants/test_authentication.py
+++ b/tests/tenants/test_authentication.py
@@ -6,6 +6,7 @@
 import testtools
 
 from snipetrestle.codes import Outcome, ResultCode
+from snipetrestle.gateway.callers.request_head import Request
 from snipetrestle.gateway.configuration import (
     RequestKind,
     Route,
@@ -14,7 +15,6 @@
 )
 from snipetrestle.gateway.dialect import KeyProblem, RequestMetadata
 from snipetrestle.gateway.job import Job, Refused
-from snipetrestle.gateway.request_head import Request
 from snipetrestle.tenants.authentication import authenticate, reauthenticate
 from snipetrestle.tenants.configuration import Tenant
 from snipetrestle.tenants.table import TenantTable
