--- a/tests/gateway/test_bad_callers.py
+++ b/tests/gateway/test_bad_callers.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from snipetrestle.gateway import http_server
+from snipetrestle.gateway.callers import http_server
 from snipetrestle_standins.gateway_fleet import HOSTNAME, Caller
 from tests.gateway.running import run_fleet
 from tests.memory import assert_bounded_memory
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -21,7 +21,7 @@
 )
 from snipetrestle.codes import ResultCode
 from snipetrestle.events import Event
-from snipetrestle.gateway import http_server
+from snipetrestle.gateway.callers import http_server
 from snipetrestle.gateway.callers.http_listener import HttpServer
 from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle.gateway.settings import DEFAULT_MEMORY_MB
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -8,8 +8,10 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway import http_listener, http_server, snapshots, transfers
+from snipetrestle.gateway import transfers
+from snipetrestle.gateway.callers import http_listener, http_server
 from snipetrestle.gateway.callers.http_server import MIN_IDLE_MARGIN_S, CallerConnection
+from snipetrestle.gateway.publication import snapshots
 from snipetrestle.platform.calls import StoreSource
 from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle_standins.gateway_fleet import HOSTNAME, MODEL, configuration
--- a/tests/gateway/test_ended_connections.py
+++ b/tests/gateway/test_ended_connections.py
@@ -11,7 +11,7 @@
 import testtools
 
 from snipetrestle.events import Event
-from snipetrestle.gateway import http_server
+from snipetrestle.gateway.callers import http_server
 from snipetrestle.gateway.callers.http_listener import HttpServer
 from snipetrestle.gateway.callers.http_server import CallerConnection
 from snipetrestle.gateway.configuration import CallerLimits
--- a/tests/gateway/test_expectations.py
+++ b/tests/gateway/test_expectations.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from snipetrestle.gateway import http_server
+from snipetrestle.gateway.callers import http_server
 from snipetrestle.gateway.configuration import CallerLimits
 from tests.gateway.running import run_connection
 
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -6,7 +6,6 @@
 import anyio
 import testtools
 
-from snipetrestle.gateway import event_stream
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.backends.retry_budget import RetryBudget
 from snipetrestle.gateway.configuration import (
@@ -16,6 +15,7 @@
     Route,
     RouteTable,
 )
+from snipetrestle.gateway.streams import event_stream
 from snipetrestle.gateway.streams.event_stream import (
     MAX_EVENT_BYTES,
     EventSplitter,
--- a/tests/gateway/test_request_sequences.py
+++ b/tests/gateway/test_request_sequences.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.gateway import response_writer
+from snipetrestle.gateway.callers import response_writer
 from snipetrestle.gateway.callers.http_server import CallerConnection
 from snipetrestle_standins.platform_replica import PlatformReplica
 from tests.gateway import sequence_fuzz
--- a/tests/gateway/test_review_ends.py
+++ b/tests/gateway/test_review_ends.py
@@ -5,9 +5,11 @@
 import testtools
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.gateway import forwarding, http_listener, snapshots
+from snipetrestle.gateway import forwarding
+from snipetrestle.gateway.callers import http_listener
 from snipetrestle.gateway.callers.http_listener import HttpServer
 from snipetrestle.gateway.configuration import CallerLimits
+from snipetrestle.gateway.publication import snapshots
 from snipetrestle.gateway.transfers import SETTLE_S, Transfers
 from tests.gateway.running import run_connection, run_fleet
 
--- a/tests/gateway/test_tenants.py
+++ b/tests/gateway/test_tenants.py
@@ -8,7 +8,7 @@
 
 from snipetrestle.coordination import datagrams, messages, store_relay
 from snipetrestle.events import Event
-from snipetrestle.gateway import snapshots
+from snipetrestle.gateway.publication import snapshots
 from snipetrestle.log_lines import BURST_LINES
 from snipetrestle_standins.gateway_fleet import (
     Caller,
