Suspect a silent replica also for requests that must stay there

They had been written to idle connections to a process that had ended.

Cause: a silent exchange led to the suspicion of its replica only if the request could be repeated, and idle connections to a suspected replica were kept for later requests.

Change: each silence counts, once for requests that stay, and a suspected replica's idle connections are closed. The new test failed before (the replica was not suspected). A host that has no request at the replica still notices nothing.

--- a/snipetrestle/gateway/backends/connection_pool.py
+++ b/snipetrestle/gateway/backends/connection_pool.py
@@ -160,6 +160,10 @@
         needed_count = self.open_count - len(self._idle) - len(self._abandoned)
         return needed_count < IN_PROGRESS_EXCESS * self._max_open()
 
+    @property
+    def has_idle_connection(self):
+        return bool(self._idle)
+
     @property
     def idle_since(self):
         """When the longest idle connection was used; math.inf without any."""
--- a/snipetrestle/gateway/backends/replicas.py
+++ b/snipetrestle/gateway/backends/replicas.py
@@ -229,7 +229,12 @@
         self._set_failure_rate(anyio.current_time(), 1.0)
 
     def note_silence(self):
-        """Suspects an unresponsive replica, each time for twice as long."""
+        """Suspects an unresponsive replica, each time for twice as long.
+
+        Its process may have ended without closing the connections that are kept to it. A
+        request on one of them would fail with an unknown outcome.
+        """
+        self.pool.close()
         now = anyio.current_time()
         if now >= self.suspected_until:
             log_event(
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -41,6 +41,7 @@
         self._is_accepted = False
         self._task = None
         self._pause_s = FIRST_PAUSE_S
+        self._is_silence_noted = False
 
     async def serve(self, exchange, serve_exchange):
         """Opens an exchange and returns ``await serve_exchange(exchange)``.
@@ -134,6 +135,7 @@
 
     def _on_progress(self):
         """Ends the replacement of an exchange that goes on."""
+        self._is_silence_noted = False
         if self._is_accepted:
             return
         if self._replacement is not None:
@@ -143,7 +145,10 @@
 
     def _on_silent(self, silent_s):
         is_busy = self._task is not None and not self._task.done()
-        if self._is_accepted or is_busy or not self._forwarder.may_retry(self._job):
+        if self._is_accepted or is_busy:
+            return
+        if not self._forwarder.may_retry(self._job):
+            self._note_silence()
             return
         self._current.replica.note_silence()
         reason = f"no progress for {silent_s:.2f} s"
@@ -151,6 +156,12 @@
             run_isolated(self._replace_silent, reason)
         )
 
+    def _note_silence(self):
+        """Suspects the replica of a request that stays there, once for each silence."""
+        if not self._is_silence_noted:
+            self._is_silence_noted = True
+            self._current.replica.note_silence()
+
     async def _replace_silent(self, reason):
         """Ends the silent exchange if another replica accepts the request."""
         if await self._send_replacement(reason):
--- a/tests/gateway/test_silent_replicas.py
+++ b/tests/gateway/test_silent_replicas.py
@@ -156,6 +156,24 @@
 
         run_fleet(check)
 
+    def test_replica_is_suspected_for_the_silence_of_a_stream_that_stays(self):
+        """Guards against requests sent to a lost process on connections kept to it."""
+
+        async def check(fleet):
+            (replica,) = fleet.models
+            known = fleet.live[0].replicas.by_id[replica.id]
+            slow_down_streams(fleet)
+            first, second = await start_streams(fleet, 2, "/night/a")
+            replica.events = 1
+            await fleet.send_request("/night/a", adapter="a1")
+            self.assertTrue(known.pool.has_idle_connection)
+            await replica.fall_silent(1.3)
+            self.assertGreater(known.suspected_until, asyncio.get_running_loop().time())
+            self.assertFalse(known.pool.has_idle_connection)
+            self.assert_whole(await asyncio.gather(first, second))
+
+        run_fleet(check, models=1)
+
     def test_replacement_is_dropped_when_the_silent_replica_goes_on(self):
         """Guards against events of two replicas in one stream, and a run for nobody."""
 
