Let taken-up streams wait as long for a place without a leader as with one

Cause: without a known leader each stream waited for one target latency (0.6 s). An election takes 0.5 to 2 s.

Change: a taken-up stream waits TAKE_UP_WAIT_LATENCIES also without a known leader. New streams are refused after LEADERLESS_WAIT_LATENCIES, as before.

Tests: test_stream_that_is_taken_up_outlasts_an_election fails on the old code (refused after 0.66 s instead of 1.8 s) and passes now; test_new_stream_without_a_leader_is_refused_early passes on both. Passed: tests.dispatch.test_replica_search (8), tests.gateway.test_take_ups, test_stream_versions and test_ends_of_waits (35).

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -30,8 +30,8 @@
 # its route's target latency.
 PLACE_WAIT_LATENCIES = 1.5
 LEADERLESS_WAIT_LATENCIES = 1.0
-# The same for a stream that is taken up. Its caller would have to come back, and few
-# replicas may go on with it.
+# The same for a stream that is taken up, also without a known leader: an election takes
+# 0.5 to 2 s. Its caller would have to come back, and few replicas may go on with it.
 TAKE_UP_WAIT_LATENCIES = 3.0
 
 
@@ -194,10 +194,10 @@
         return min(started_at + max_wait_s, job.refusal_due_at)
 
     def _place_wait_latencies(self, job):
-        if not self._locator.has_leader:
-            return LEADERLESS_WAIT_LATENCIES
         if job.take_up is not None:
             return TAKE_UP_WAIT_LATENCIES
+        if not self._locator.has_leader:
+            return LEADERLESS_WAIT_LATENCIES
         return PLACE_WAIT_LATENCIES
 
     def _no_place_refusal(self, job):
--- a/tests/dispatch/searches.py
+++ b/tests/dispatch/searches.py
@@ -20,6 +20,17 @@
     term = 1
 
 
+class NoLeadership:
+    """Fake in which this host knows no leader."""
+
+    leads = False
+    has_recent_leader = False
+    term = 1
+
+    def leader_address(self):
+        return None
+
+
 class Endpoint:
     def register(self, message_type, handler):
         pass
@@ -42,13 +53,14 @@
         return False
 
 
-def build_search(directory, locate_here):
+def build_search(directory, locate_here, leadership=None):
     """Returns (ReplicaSearch, its Locator) over a ReplicaDirectory.
 
-    ``locate_here`` answers the lookups of adapters, as this host leads.
+    ``locate_here`` answers the lookups of adapters while this host leads, as it does
+    without a ``leadership``.
     """
     locator = Locator(
-        Leadership(),
+        leadership or Leadership(),
         Endpoint(),
         "entry-1",
         locate_here,
--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -13,12 +13,14 @@
 from snipetrestle.gateway.job import Refused
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.dispatch import searches
-from tests.dispatch.searches import BACKEND, build_search
+from tests.dispatch.searches import BACKEND, NoLeadership, build_search
 
 KEY = AdapterKey("m0", "a1")
 # How long a search goes on: 1.5 target latencies.
 SEARCH_S = 0.9
-# The same for a stream that is taken up: 3 target latencies.
+# The same without a known leader: one target latency.
+LEADERLESS_SEARCH_S = 0.6
+# The same for a stream that is taken up, with and without a leader: 3 target latencies.
 TAKE_UP_SEARCH_S = 1.8
 ANSWER_S = 0.002
 
@@ -28,7 +30,7 @@
 
 
 class ReplicaSearchTest(testtools.TestCase):
-    def run_with_search(self, function, holders, replica_count=1):
+    def run_with_search(self, function, holders, replica_count=1, leadership=None):
         """Runs ``function(search, replicas)``; the leader names ``holders``."""
 
         async def main():
@@ -48,7 +50,7 @@
                         slots=8,
                     )
                 )
-            search, locator = build_search(directory, self.locate_here)
+            search, locator = build_search(directory, self.locate_here, leadership)
             async with anyio.create_task_group() as group:
                 group.start_soon(locator.run)
                 await anyio.sleep(0.01)
@@ -93,21 +95,34 @@
 
         self.run_with_search(check, ["r0"])
 
-    def test_stream_that_is_taken_up_waits_longer_for_a_place(self):
-        """It was refused seconds before its deadline while adapters were loaded, and
-        its caller used up its repetitions."""
+    def check_wait(self, expected_s, take_up=None, leadership=None):
+        """Checks how long a stream waits for a place before it is refused."""
 
         async def check(search, replicas):
             started_at = anyio.current_time()
             job = make_job()
-            job.take_up = object()
+            job.take_up = take_up
             with testtools.ExpectedException(Refused):
                 await search.find_stream_replica(job)
             waited_s = anyio.current_time() - started_at
-            self.assertGreater(waited_s, TAKE_UP_SEARCH_S)
-            self.assertLess(waited_s, TAKE_UP_SEARCH_S + 2 * NO_PLACE_PAUSE_S)
+            self.assertGreater(waited_s, expected_s)
+            # A question without a leader and the pause after it take up to 0.11 s.
+            self.assertLess(waited_s, expected_s + 2 * NO_PLACE_PAUSE_S)
 
-        self.run_with_search(check, ["unlisted"])
+        self.run_with_search(check, ["unlisted"], leadership=leadership)
+
+    def test_stream_that_is_taken_up_waits_longer_for_a_place(self):
+        """It was refused seconds before its deadline while adapters were loaded, and
+        its caller used up its repetitions."""
+        self.check_wait(TAKE_UP_SEARCH_S, take_up=object())
+
+    def test_stream_that_is_taken_up_outlasts_an_election(self):
+        """Guards against a refusal while the hosts that are left elect a leader."""
+        self.check_wait(TAKE_UP_SEARCH_S, object(), NoLeadership())
+
+    def test_new_stream_without_a_leader_is_refused_early(self):
+        """Guards against a caller that learns late that nothing is loaded."""
+        self.check_wait(LEADERLESS_SEARCH_S, leadership=NoLeadership())
 
     def test_holder_on_no_list_is_not_asked_for_without_a_pause(self):
         """The leader may list a replica that this host does not."""
