Read the store in each round that lists kept prompts

What callers saw: a stream broke off while one host was out of step, was taken up there, and went on at a replica of another version than it had begun at.

Cause: whoever listed the replicas (the leader, or a host without one) asked those that it knew. A host that had been cut off did not know the replicas of a new version, so a part that they keep as well counted for the old one.

Change: a round reads the store's changes of the replicas' prefix after its last question has come, by FreshReads, and lists what is in the list then. If the read fails or takes longer than 0.5 s, nothing is listed or known. The round still takes 0.6 s at most, with the read. KeptPromptReply has a new last field, the position of the list; an asker takes no version without it or with one older than its own when it asked, and goes on as without a leader.

Conclusion: a kept prompt counts only by a list that is as new as the question. Cost: one call to the store a round.

--- a/snipetrestle/coordination/kept_prompt_answers.py
+++ b/snipetrestle/coordination/kept_prompt_answers.py
@@ -6,6 +6,7 @@
 import anyio
 
 from snipetrestle.coordination.messages import KeptPromptReply, KeptPromptRequest
+from snipetrestle.gateway.streams.kept_prompts import KeptAt
 from snipetrestle.supervision import run_isolated
 
 # Requests that wait for listings at the same time.
@@ -56,9 +57,9 @@
                 self._endpoint.send(answer.reply, address)
             return
         if not self.may_answer:
-            self._send(message, address, "", is_final=False)
+            self._send(message, address, KeptAt(), is_final=False)
         elif len(self._tasks) >= MAX_OPEN_REQUESTS:
-            self._send(message, address, "", is_final=True)
+            self._send(message, address, KeptAt(), is_final=True)
         else:
             self._begin(request, message)
 
@@ -78,13 +79,15 @@
         return is_old or len(self._answers_by_request) >= MAX_ANSWERS
 
     async def _answer(self, answer, message, address):
-        version = await self._kept_prompts.only_version(
+        kept_at = await self._kept_prompts.find(
             message.backend, message.model, message.part
         )
-        answer.reply = self._send(message, address, version, is_final=True)
+        answer.reply = self._send(message, address, kept_at, is_final=True)
 
-    def _send(self, message, address, version, is_final):
+    def _send(self, message, address, kept_at, is_final):
         """Sends and returns a KeptPromptReply."""
-        reply = KeptPromptReply(message.boot, message.number, version, is_final)
+        reply = KeptPromptReply(
+            message.boot, message.number, kept_at.version, is_final, kept_at.position
+        )
         self._endpoint.send(reply, address)
         return reply
--- a/snipetrestle/coordination/kept_prompt_questions.py
+++ b/snipetrestle/coordination/kept_prompt_questions.py
@@ -38,13 +38,23 @@
     """A question to the leader; ``reply`` is None until it has answered.
 
     It was last sent to ``address``, and is sent there again after ``pause_s``.
+    ``position`` is the StorePosition of this host when it asked.
     """
 
-    __slots__ = ("number", "names", "answered", "reply", "address", "pause_s")
-
-    def __init__(self, number, names):
+    __slots__ = (
+        "number",
+        "names",
+        "position",
+        "answered",
+        "reply",
+        "address",
+        "pause_s",
+    )
+
+    def __init__(self, number, names, position):
         self.number = number
         self.names = names
+        self.position = position
         self.answered = anyio.Event()
         self.reply = None
         self.address = None
@@ -54,17 +64,21 @@
 class KeptPromptQuestions:
     """Finds the software version that keeps a prompt part, through the leader.
 
-    ``answers`` is the KeptPromptAnswers of this host, ``kept_prompts`` its KeptPrompts
-    and ``replicas`` the ReplicaDirectory.
+    ``answers`` is the KeptPromptAnswers of this host, ``kept_prompts`` its KeptPrompts,
+    ``replicas`` the ReplicaDirectory, and ``reads`` the FreshReads of the prefix that
+    lists the replicas.
     """
 
-    def __init__(self, hosts, leadership, endpoint, answers, kept_prompts, replicas):
+    def __init__(
+        self, hosts, leadership, endpoint, answers, kept_prompts, replicas, reads
+    ):
         self._hosts = hosts
         self._leadership = leadership
         self._endpoint = endpoint
         self._answers = answers
         self._kept_prompts = kept_prompts
         self._replicas = replicas
+        self._reads = reads
         self._last_number = 0
         self._questions_by_number = {}
         self._open_count = 0
@@ -107,7 +121,8 @@
     async def _ask_leader(self, names, until):
         """Returns what the leader says; None without a final answer until a time.
 
-        Returns None as well once this host may answer itself.
+        Returns None as well once this host may answer itself, and if the answer names a
+        version by a list of replicas that may be older than the question.
         """
         question = self._begin(names)
         try:
@@ -116,14 +131,14 @@
                 with anyio.CancelScope(deadline=min(until, next_at)):
                     await question.answered.wait()
                 if question.reply is not None:
-                    return question.reply.version
+                    return _fresh_version(question)
             return None
         finally:
             del self._questions_by_number[question.number]
 
     def _begin(self, names):
         self._last_number += 1
-        question = _Question(self._last_number, names)
+        question = _Question(self._last_number, names, self._reads.position)
         self._questions_by_number[question.number] = question
         return question
 
@@ -154,3 +169,16 @@
         if message.final:
             question.reply = message
             question.answered.set()
+
+
+def _fresh_version(question):
+    """Returns the version of a reply, None if its list of replicas is too old.
+
+    A leader of an older release names no position, as it has not read the store.
+    """
+    reply = question.reply
+    if not reply.version:
+        return ""
+    if reply.position is None or reply.position < question.position:
+        return None
+    return reply.version
--- a/snipetrestle/coordination/messages.py
+++ b/snipetrestle/coordination/messages.py
@@ -555,13 +555,15 @@
     """Answer to KeptPromptRequest: the version, empty if it is not known.
 
     If it is not ``final``, the sender does not lead or has no configuration, so a
-    leader is to be asked later.
+    leader is to be asked later. ``position`` is that of the list of replicas that tells
+    the version; releases that did not read the store for it send none.
     """
 
     boot: Boot
     number: Revision
     version: Name
     final: bool
+    position: StorePosition | None = None
 
 
 Message = (
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -251,7 +251,7 @@
 
     def _build_kept_prompts(self, client):
         self.kept_prompts = KeptPrompts(
-            self.replicas, client.kept_parts, RequestLines()
+            self.replicas, client.kept_parts, self.fresh_reads, RequestLines()
         )
         answers = KeptPromptAnswers(
             self.leadership,
@@ -266,6 +266,7 @@
             answers,
             self.kept_prompts,
             self.replicas,
+            self.fresh_reads,
         )
 
     def _build_quotas(self):
--- a/snipetrestle/gateway/streams/kept_prompts.py
+++ b/snipetrestle/gateway/streams/kept_prompts.py
@@ -6,19 +6,23 @@
 """
 
 import asyncio
+import typing
 
 import anyio
 
 from snipetrestle.events import Event
 from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.publication.published_items import StorePosition
 from snipetrestle.limits.rate_pool import RatePool
 
 # Questions that come within this time share the listings of replicas.
 GATHER_S = 0.01
 # Between two rounds of listings of a backend: each delays the replicas, and has a price.
 MIN_INTERVAL_S = 0.25
-# A round takes no longer.
+# A round takes no longer, with the read of the store.
 ROUND_TIMEOUT_S = 0.6
+# A round whose read of the store takes longer knows nothing.
+READ_TIMEOUT_S = 0.5
 # A question is not answered if the next round begins later than this.
 MAX_ROUND_WAIT_S = 0.5
 # Replicas of one backend that are listed.
@@ -38,18 +42,30 @@
 MAX_LOGGED_REPLICAS = 16
 
 
+class KeptAt(typing.NamedTuple):
+    """The only software version that can keep a prompt part, empty if not known.
+
+    ``position`` is that of the list of replicas, None if nothing was listed.
+    """
+
+    version: str = ""
+    position: StorePosition | None = None
+
+
 class _Round:
     """A listing of all replicas of a backend, for all questions that have come.
 
     ``asked`` contains a (model, prompt part) for each, and ``version_by_part`` what is
-    known of some of them once the ``task`` has ended.
+    known of some of them once the ``task`` has ended. ``position`` is that of the list
+    of replicas, None unless the store was read for the round.
     """
 
-    __slots__ = ("backend", "asked", "version_by_part", "task")
+    __slots__ = ("backend", "asked", "position", "version_by_part", "task")
 
     def __init__(self, backend):
         self.backend = backend
         self.asked = set()
+        self.position = None
         self.version_by_part = {}
         self.task = None
 
@@ -58,13 +74,15 @@
     """Asks replicas for the prompt parts that they keep.
 
     ``replicas`` is the ReplicaDirectory. ``read_kept_parts(replica)`` returns a set of
-    (model, id of a prompt part), and raises ConnectFailed or ExchangeFailed. ``log`` is
-    the RequestLines for a line about each round.
+    (model, id of a prompt part), and raises ConnectFailed or ExchangeFailed. ``reads``
+    is the FreshReads of the prefix that lists the replicas, and ``log`` the
+    RequestLines for a line about each round.
     """
 
-    def __init__(self, replicas, read_kept_parts, log):
+    def __init__(self, replicas, read_kept_parts, reads, log):
         self._replicas = replicas
         self._read_kept_parts = read_kept_parts
+        self._reads = reads
         self._log = log
         # The rounds that have not begun yet: those that have may lack what a replica
         # has read since.
@@ -79,13 +97,18 @@
         Returns an empty text if none keeps it, or if more than one version may: a
         replica that does not answer may do so as well.
         """
+        return (await self.find(backend, model, part)).version
+
+    async def find(self, backend, model, part):
+        """Returns what ``only_version`` does as KeptAt, with the list's position."""
         next_round = self._next_round(backend)
         if next_round is None:
-            return ""
+            return KeptAt()
         next_round.asked.add((model, part))
         # The round goes on for others if this question is cancelled.
         await asyncio.wait([next_round.task])
-        return next_round.version_by_part.get((model, part), "")
+        version = next_round.version_by_part.get((model, part), "")
+        return KeptAt(version, next_round.position)
 
     def _next_round(self, backend):
         """Returns the round of a backend that begins next; None if that is too late."""
@@ -112,10 +135,15 @@
         await anyio.sleep(wait_s)
         del self._next_by_backend[this_round.backend]
         self._note_begun(this_round.backend)
-        replicas = list(self._replicas.listed_replicas(this_round.backend))
-        self._listings.take(len(replicas))
-        kept_by_replica = await self._list_all(replicas, this_round.asked)
-        this_round.version_by_part = self._known_versions(kept_by_replica)
+        ends_at = anyio.current_time() + ROUND_TIMEOUT_S
+        kept_by_replica = {}
+        # Another host may have used a replica that this one has not seen yet.
+        if await self._reads.read(READ_TIMEOUT_S):
+            this_round.position = self._reads.position
+            replicas = list(self._replicas.listed_replicas(this_round.backend))
+            self._listings.take(len(replicas))
+            kept_by_replica = await self._list_all(replicas, this_round.asked, ends_at)
+            this_round.version_by_part = self._known_versions(kept_by_replica)
         self._log_round(this_round, kept_by_replica)
 
     def _log_round(self, this_round, kept_by_replica):
@@ -141,7 +169,7 @@
         begun_at[backend] = now
         self._begun_at_by_backend = begun_at
 
-    async def _list_all(self, replicas, asked):
+    async def _list_all(self, replicas, asked, ends_at):
         """Returns the asked parts that each Replica keeps, None without an answer.
 
         Replicas that have left meanwhile are missing, as they are from later rounds.
@@ -152,7 +180,8 @@
             for replica in replicas
         }
         if task_by_replica:
-            await asyncio.wait(task_by_replica.values(), timeout=ROUND_TIMEOUT_S)
+            timeout_s = ends_at - anyio.current_time()
+            await asyncio.wait(task_by_replica.values(), timeout=timeout_s)
         for task in task_by_replica.values():
             task.cancel()
         kept_by_replica = {item: _result(task_by_replica[item]) for item in replicas}
--- a/tests/coordination/test_kept_prompt_questions.py
+++ b/tests/coordination/test_kept_prompt_questions.py
@@ -19,6 +19,7 @@
 )
 from snipetrestle.coordination.messages import KeptPromptReply, KeptPromptRequest
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH, AdapterKey
+from snipetrestle.gateway.publication.published_items import StorePosition
 from snipetrestle.gateway.streams.kept_prompts import KeptPrompts
 from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 from snipetrestle_standins.clock import run_in_virtual_time
@@ -29,6 +30,7 @@
     Directory,
     KeepingReplica,
     Log,
+    Reads,
     replicas_of,
 )
 
@@ -74,7 +76,8 @@
         self.is_ready = True
         directory = Directory(fleet.replicas)
         leadership = Follower(fleet, self.name)
-        kept_prompts = KeptPrompts(directory, KeepingReplica.list, Log())
+        self.reads = Reads()
+        kept_prompts = KeptPrompts(directory, KeepingReplica.list, self.reads, Log())
         answers = KeptPromptAnswers(
             leadership, kept_prompts, self.endpoint, lambda: self.is_ready
         )
@@ -85,6 +88,7 @@
             answers,
             kept_prompts,
             directory,
+            self.reads,
         )
 
     async def ask(self, part="p0", due_s=DUE_S):
@@ -265,6 +269,40 @@
         run_fleet(check, hosts=2)
 
 
+class OldAnswerTest(testtools.TestCase):
+    """A leader says "v1" by a list that may be older than the question."""
+
+    def ask(self, replicas, *position):
+        """Returns the answer and the number of own listings of the host that asks."""
+        results = []
+
+        async def check(fleet):
+            leader, host = fleet.by_name["h1"].endpoint, fleet.by_name["h2"]
+
+            def answer(message, address):
+                reply = KeptPromptReply(
+                    message.boot, message.number, "v1", True, *position
+                )
+                leader.send(reply, address)
+
+            leader.register(KeptPromptRequest, answer)
+            results.append((await host.ask(), sum(fleet.listings())))
+
+        run_fleet(check, replicas=replicas)
+        return results[0]
+
+    def test_version_without_a_position_is_not_taken(self):
+        """Guards against a leader of an older release, which reads no store."""
+        self.assertEqual((None, 0), self.ask(LARGE))
+        self.assertEqual((V1, MAX_OWN_REPLICAS), self.ask(MAX_OWN_REPLICAS))
+
+    def test_version_of_an_older_position_is_not_taken(self):
+        """Guards against a list without replicas that the asker itself has listed."""
+        self.assertEqual((None, 0), self.ask(LARGE, StorePosition(1, 6)))
+        self.assertEqual((None, 0), self.ask(LARGE, StorePosition(0, 9)))
+        self.assertEqual((V1, 0), self.ask(LARGE, StorePosition(1, 7)))
+
+
 class NoLeaderTest(testtools.TestCase):
     def ask_without_leader(self, replicas, due_s=DUE_S):
         """Returns (answer, time it took in s, number of listings) of a question."""
--- a/tests/gateway/test_kept_prompts.py
+++ b/tests/gateway/test_kept_prompts.py
@@ -6,6 +6,7 @@
 import testtools
 
 from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.publication.published_items import StorePosition
 from snipetrestle.gateway.streams.kept_prompts import (
     LISTINGS_BURST,
     LISTINGS_PER_S,
@@ -54,6 +55,16 @@
         return set(self.parts)
 
 
+class Reads:
+    """Fake FreshReads of a store that answers at once."""
+
+    def __init__(self):
+        self.position = StorePosition(1, 7)
+
+    async def read(self, timeout_s):
+        return True
+
+
 class Directory:
     """Fake ReplicaDirectory of one backend."""
 
@@ -73,7 +84,7 @@
 
 
 def kept_prompts_of(replicas):
-    return KeptPrompts(Directory(replicas), KeepingReplica.list, Log())
+    return KeptPrompts(Directory(replicas), KeepingReplica.list, Reads(), Log())
 
 
 class RoundTest(testtools.TestCase):
@@ -153,7 +164,9 @@
         directory = Directory([*replicas, leaving])
 
         async def main():
-            kept_prompts = KeptPrompts(directory, lambda replica: replica.list(), Log())
+            kept_prompts = KeptPrompts(
+                directory, lambda replica: replica.list(), Reads(), Log()
+            )
             return await kept_prompts.only_version(BACKEND, MODEL, "p0")
 
         self.assertEqual("v1", run_in_virtual_time(main))
@@ -174,7 +187,7 @@
                 replica.software_version = ""
                 raise ConnectFailed("refused")
 
-            kept_prompts = KeptPrompts(directory, list_or_replace, Log())
+            kept_prompts = KeptPrompts(directory, list_or_replace, Reads(), Log())
             return await kept_prompts.only_version(BACKEND, MODEL, "p0")
 
         self.assertEqual("", run_in_virtual_time(main))
--- /dev/null
+++ b/tests/gateway/test_old_lists.py
@@ -0,0 +1,106 @@
+"""Tests of evidence of a stream's version at a host whose list of replicas is old.
+
+The host stood still or was cut off while a replica of another version joined.
+"""
+
+import types
+
+import anyio
+import testtools
+
+from snipetrestle.coordination.kept_prompt_answers import KeptPromptAnswers
+from snipetrestle.coordination.kept_prompt_questions import KeptPromptQuestions
+from snipetrestle.gateway.configuration import AdapterKey
+from snipetrestle.gateway.publication.fresh_reads import FreshReads
+from snipetrestle.gateway.streams.kept_prompts import KeptPrompts
+from snipetrestle.platform.entries import ALL_ITEMS
+from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
+from tests.coordination.test_kept_prompt_questions import DUE_S, Follower
+from tests.gateway.test_kept_prompts import MODEL, Log
+from tests.gateway.test_version_history import BACKEND, V1, run_system
+from tests.systems import with_system
+
+ADAPTER = AdapterKey(MODEL, "a1")
+PART = "own"
+
+
+async def list_part(replica):
+    """Lists the parts of a replica; all of them keep the same."""
+    return {(MODEL, PART)}
+
+
+class Asker:
+    """A host of a system that asks for kept prompts, and answers if it leads."""
+
+    def __init__(self, host, fleet, number):
+        self.host = host
+        self.endpoint = LocalEndpoint(fleet.network, host.name, ("127.0.0.1", number))
+        leadership = Follower(fleet, host.name)
+        reads = FreshReads(host.state, ALL_ITEMS)
+        replicas = host.state.replicas
+        kept_prompts = KeptPrompts(replicas, list_part, reads, Log())
+        answers = KeptPromptAnswers(
+            leadership, kept_prompts, self.endpoint, lambda: True
+        )
+        self._questions = KeptPromptQuestions(
+            types.SimpleNamespace(own=types.SimpleNamespace(boot=number)),
+            leadership,
+            self.endpoint,
+            answers,
+            kept_prompts,
+            replicas,
+            reads,
+        )
+
+    async def ask(self):
+        due_at = anyio.current_time() + DUE_S
+        return await self._questions.only_origin(BACKEND, ADAPTER, PART, due_at)
+
+
+class KeptPromptTest(testtools.TestCase):
+    async def start(self, system, leader):
+        """Returns two Askers that know a replica of v1; the first one lags behind."""
+        system.put("a")
+        fleet = types.SimpleNamespace(
+            network=DatagramNetwork(), leader=leader, believed_by_host={}, by_name={}
+        )
+        fleet.network.task_group = system._group
+        for number in (1, 2):
+            host = await system.start_host()
+            fleet.by_name[host.name] = Asker(host, fleet, number)
+        first, second = fleet.by_name.values()
+        await first.host.stop_watching()
+        return first, second
+
+    @with_system(run_system)
+    async def test_host_without_a_leader_lists_with_an_old_list(self, system):
+        """Guards against a stream that goes on at the only version that a host knows,
+        though a replica that joined meanwhile keeps its prompt too."""
+        asker, _ = await self.start(system, leader="")
+        self.assertEqual(V1, await asker.ask())
+        system.put("b", "v2")
+        self.assertIsNone(await asker.ask())
+        self.assertIn("b", asker.host.state.replicas.by_id)
+
+    @with_system(run_system)
+    async def test_leader_lists_with_an_old_list(self, system):
+        """Guards against a leader that answers others by replicas of some seconds ago."""
+        _, asker = await self.start(system, leader="entry-1")
+        self.assertEqual(V1, await asker.ask())
+        system.put("b", "v2")
+        self.assertIsNone(await asker.ask())
+
+    @with_system(run_system)
+    async def test_store_out_of_reach(self, system):
+        """Guards against a host that is cut off and answers by what it knew before."""
+        for leader in ("", "entry-1"):
+            first, second = await self.start(system, leader)
+            system.store.refused.add(first.host.name)
+            system.put("b", "v2")
+            asker = second if leader else first
+            self.assertIsNone(await asker.ask())
+            system.store.refused.clear()
+            system.delete("b")
+            system.store.silent.add(first.host.name)
+            system.put("b", "v2")
+            self.assertIsNone(await asker.ask())
