Share the reads of the store's changes in FreshReads

VersionHistory read the store once for all questions that wait. Other evidence needs the same, so it is a module of its own now: a call gets the next read that begins, at least 0.1 s after the last one, and a failed read is repeated after 2 s. A gateway has one FreshReads for the prefix of the replicas.

--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -48,6 +48,7 @@
 from snipetrestle.gateway.configuration import CallerLimits
 from snipetrestle.gateway.forwarding import Forwarder
 from snipetrestle.gateway.metrics import GatewayMetrics
+from snipetrestle.gateway.publication.fresh_reads import FreshReads
 from snipetrestle.gateway.publication.published_state import PublishedState
 from snipetrestle.gateway.publication.replica_entries import STORE_RETURN_GRACE_S
 from snipetrestle.gateway.publication.snapshots import Snapshots
@@ -121,6 +122,8 @@
                 self.pause_watch,
             ),
         )
+        # The first feed lists the replicas.
+        self.fresh_reads = FreshReads(self.state, platform.feeds[0].prefix)
         self.version_history = VersionHistory(
             self.state,
             platform.feeds[0].prefix,
@@ -128,6 +131,7 @@
             settings.replica_drain_s + STORE_RETURN_GRACE_S,
             settings.history_s,
             settings.heartbeat_s,
+            self.fresh_reads,
         )
         self.datagram_endpoint = DatagramEndpoint(
             self.metrics.count_too_long_datagram, self.metrics.count_refused_datagram
--- a/snipetrestle/gateway/streams/version_history.py
+++ b/snipetrestle/gateway/streams/version_history.py
@@ -13,6 +13,7 @@
 
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import ReplicaEntry
+from snipetrestle.gateway.publication.fresh_reads import READ_PAUSE_S, FreshReads
 from snipetrestle.gateway.publication.published_items import HistoryLost, Unlisted
 from snipetrestle.gateway.streams.listed_versions import (
     UNKNOWN_SOFTWARE,
@@ -24,11 +25,6 @@
 
 # A request waits no longer for the store.
 ANSWER_TIMEOUT_S = 0.5
-# Between two reads, so that many questions need few calls.
-READ_PAUSE_S = 0.1
-# After this time, a read that has failed is repeated until the store answers. Else a
-# host for which others read the store would count as cut off from it from then on.
-RETRY_PAUSE_S = 2.0
 EXTENSION_TIMEOUT_S = 3.0
 # How often the store's history is read after a gap in what is known, if it fails.
 MAX_EXTENSION_ATTEMPTS = 2
@@ -55,13 +51,21 @@
     ``history_s`` is for how long the store keeps its history as a rule. If it is None,
     nothing is known of the time before this host's first read. ``heartbeat_s`` is the
     time between the heartbeats of a replica. If it is 0, only a store that has
-    discarded nothing shows anything of that time.
+    discarded nothing shows anything of that time. ``reads`` is the FreshReads of the
+    prefix if others share it.
     """
 
     def __init__(
-        self, state, prefix, removal_margin_s, history_s=None, heartbeat_s=0.0
+        self,
+        state,
+        prefix,
+        removal_margin_s,
+        history_s=None,
+        heartbeat_s=0.0,
+        reads=None,
     ):
         self._state = state
+        self._reads = reads or FreshReads(state, prefix)
         self._prefix = prefix
         self._removal_margin_s = removal_margin_s
         self._history_s = history_s
@@ -128,40 +132,30 @@
 
     async def run(self):
         """Reads the store whenever there are questions, once for all that wait."""
-        is_fresh = True
         while True:
-            with anyio.move_on_after(math.inf if is_fresh else RETRY_PAUSE_S):
-                await self._asked.wait()
+            await self._asked.wait()
             self._asked = anyio.Event()
             questions, self._questions = self._questions, set()
-            if questions or not is_fresh:
-                is_fresh = await self._answer(questions)
+            if questions:
+                await self._answer(questions)
+                # Questions that come meanwhile share the next read.
                 await anyio.sleep(READ_PAUSE_S)
 
     async def _answer(self, questions):
-        """Reads the store for questions. Returns whether it has answered."""
-        is_fresh = await self._read_changes()
+        """Reads what the store lists by now, and answers questions.
+
+        Another host may have used a replica whose entry has not reached this one.
+        """
+        is_fresh = await self._reads.read(ANSWER_TIMEOUT_S)
         if is_fresh and self._need_history(questions):
             await self._extend()
         for question in questions:
             question.answer(is_fresh)
-        return is_fresh
 
     def _need_history(self, questions):
         is_covered = all(self._versions.covers(item.since) for item in questions)
         return not is_covered and self._may_extend()
 
-    async def _read_changes(self):
-        """Reads what the store lists by now. Returns whether that has succeeded.
-
-        Another host may have used a replica whose entry has not reached this one.
-        """
-        try:
-            await self._state.read_changes(self._prefix)
-        except (SourceUnreachable, HistoryLost):
-            return False
-        return True
-
     # The history of the store.
 
     def _may_extend(self):
