Tell a process of another id at an address from a restart

Callers saw: streams that may be resumed ended 2.4 s after their last event.

Cause: ProcessCheck took any other boot in the report from an origin's address for a process under the same id. A replica that went dark had come back there under a new id; it refuses requests for the earlier id, so it has begun none of its streams.

Change: the origin stands if a replica of another id is listed at the address with the boot of the report. If none is, the store's changes are read once (FreshReads) and the same is asked again. Without an entry, or without an answer of the store, the stream is refused as before. The stand-in replica can go dark, and a process of another id can take its address.

Conclusion: such streams go on at another replica of their version.

--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -225,7 +225,11 @@
             self.metrics,
             RequestLines(),
         )
-        self.process_check = ProcessCheck(self.replicas, platform.order_client.report)
+        self.process_check = ProcessCheck(
+            self.replicas,
+            platform.order_client.report,
+            self.fresh_reads,
+        )
         self.forwarder = Forwarder(self)
         self.caller_server = HttpServer(
             self.forwarder.handle,
--- a/snipetrestle/gateway/backends/replicas.py
+++ b/snipetrestle/gateway/backends/replicas.py
@@ -275,6 +275,9 @@
     def __init__(self, failure_domain, rng, make_pool=None):
         self.by_id = {}
         self._by_backend = {}
+        # The listed replicas by (ip, port). An entry may name the address of a replica
+        # that has ended, but is still listed.
+        self._by_address = {}
         # Sorted ids by backend, as long as the listed replicas are the same.
         self._ids_by_backend = {}
         # Process ids of replicas that announced their leaving, in this order.
@@ -335,6 +338,7 @@
         self.by_id[entry.id] = replica
         self._ids_by_backend.pop(entry.backend, None)
         self._by_backend.setdefault(entry.backend, {})[entry.id] = replica
+        self._by_address.setdefault(_address(entry), {})[entry.id] = replica
         if entry.software_version:
             counts = self._version_counts_by_backend.setdefault(
                 entry.backend, collections.Counter()
@@ -353,10 +357,25 @@
             self._leaving_process_ids.pop(replica.process_id, None)
         replica.pool.close()
         del self._by_backend[replica.entry.backend][replica_id]
+        self._forget_address(replica)
         self._ids_by_backend.pop(replica.entry.backend, None)
         if replica.entry.software_version:
             self._note_version_left(replica.entry)
 
+    def _forget_address(self, replica):
+        address = _address(replica.entry)
+        at_address = self._by_address[address]
+        del at_address[replica.id]
+        if not at_address:
+            del self._by_address[address]
+
+    def has_successor(self, replica, boot):
+        """Whether another id with a boot is listed at the address of a replica."""
+        at_address = self._by_address.get(_address(replica.entry), {}).values()
+        return any(
+            item.id != replica.id and item.entry.boot == boot for item in at_address
+        )
+
     def _note_version_left(self, entry):
         counts = self._version_counts_by_backend[entry.backend]
         counts[entry.software_version] -= 1
@@ -447,6 +466,10 @@
         return score
 
 
+def _address(entry):
+    return entry.ip, entry.port
+
+
 def _is_same_boot(known, entry):
     return _boot_facts(known) == _boot_facts(entry)
 
--- a/snipetrestle/gateway/streams/process_check.py
+++ b/snipetrestle/gateway/streams/process_check.py
@@ -2,6 +2,9 @@
 
 A replica may start again under its id with another software version, and serve requests
 before its new entry reaches this host. Replicas tell the start time of their process.
+
+A process of another id may have taken the address of a replica that has ended. It
+refuses requests that name that replica, so it has begun none of its streams.
 """
 
 import asyncio
@@ -15,18 +18,22 @@
 
 # The replica that began the stream may have fallen silent.
 REPORT_TIMEOUT_S = 0.3
+# A stream waits no longer for the store to tell whose process has answered.
+READ_TIMEOUT_S = 0.5
 
 
 class ProcessCheck:
     """Checks jobs that go on with a stream.
 
     ``replicas`` is the ReplicaDirectory. ``read_report(replica)`` returns a
-    ReplicaReport, and raises ConnectFailed or ExchangeFailed.
+    ReplicaReport, and raises ConnectFailed or ExchangeFailed. ``fresh_reads`` are the
+    FreshReads of the entries of replicas.
     """
 
-    def __init__(self, replicas, read_report):
+    def __init__(self, replicas, read_report, fresh_reads):
         self._replicas = replicas
         self._read_report = read_report
+        self._fresh_reads = fresh_reads
 
     async def check(self, job, replica):
         """Checks that a job may go on at a replica, to which it has a connection.
@@ -51,10 +58,15 @@
             raise ReplicaLeft("another process may have taken the replica's place")
 
     async def _is_listed_process(self, replica):
-        """Whether the process of a replica's entry answers; None without an answer.
+        """Whether the process of a replica's entry answers; None without an answer."""
+        boot = await self._read_boot(replica)
+        return None if boot is None else boot == replica.entry.boot
+
+    async def _read_boot(self, replica):
+        """Returns the boot of the process that answers; None without an answer.
 
-        Replicas that do not tell their start cannot be told apart. One that has asked
-        for a pause is not asked.
+        Replicas that do not tell their start cannot be told apart, so the answer of one
+        names the boot of its entry. One that has asked for a pause is not asked.
         """
         if replica.pause.is_active:
             return None
@@ -66,15 +78,36 @@
                 return None
         if report is None:
             return None
-        return report.boot in (None, replica.entry.boot)
+        return replica.entry.boot if report.boot is None else report.boot
 
     async def _may_origin_differ(self, origin):
         """Whether a stream may have begun at another version than its origin says.
 
         A replica that does not answer has ended, perhaps while the stream ran.
         """
+        replica = self._listed_origin(origin)
+        if replica is None:
+            return self._may_listed_differ(origin)
+        boot = await self._read_boot(replica)
+        if boot in (None, replica.entry.boot):
+            return False
+        if self._replicas.has_successor(replica, boot):
+            return False
+        # The entry of the process that has answered may not have reached this host.
+        if not await self._fresh_reads.read(READ_TIMEOUT_S):
+            return True
+        if self._listed_origin(origin) is None:
+            return self._may_listed_differ(origin)
+        return not self._replicas.has_successor(replica, boot)
+
+    def _listed_origin(self, origin):
+        """Returns the replica that an origin names; None if its process is not listed."""
         replica = self._replicas.by_id.get(origin.replica_id)
         if replica is None or replica.entry.boot != origin.boot:
-            known = replica is None or replica.entry.software_version == origin.version
-            return not known
-        return await self._is_listed_process(replica) is False
+            return None
+        return replica
+
+    def _may_listed_differ(self, origin):
+        """Whether the process that is listed under an origin's id differs in version."""
+        replica = self._replicas.by_id.get(origin.replica_id)
+        return replica is not None and replica.entry.software_version != origin.version
--- a/snipetrestle_standins/platform_replica.py
+++ b/snipetrestle_standins/platform_replica.py
@@ -171,6 +171,8 @@
         # Ids of the prompt parts that the replica keeps, and whether it lists them.
         self.kept_parts = set()
         self.lists_kept_parts = True
+        # Whether reports are refused, as all else is, to senders that expect another id.
+        self.checks_reports = True
         self.boot = 1
         self.software_version = "v1"
         # How often the replica has written its entry since its start.
@@ -234,6 +236,24 @@
             if not self._silence_count:
                 self._responsive.set()
 
+    def go_dark(self):
+        """Sends nothing from now on, as after a loss of power.
+
+        Its connections stay open, and its address is free.
+        """
+        self._silence_count += 1
+        self._responsive.clear()
+        self._server.close()
+
+    async def start_successor(self, replica_id):
+        """Starts and returns a process of another id at the address of a dark one."""
+        successor = type(self)(
+            replica_id, self.backend, self.model, self.slots, self.adapter_slots
+        )
+        successor.boot = self.boot + 1
+        await successor.start(self.port)
+        return successor
+
     def _crash(self):
         self.crash_count += 1
         self.boot += 1
@@ -252,7 +272,7 @@
     async def serve(self, request, writer):
         await self._responsive.wait()
         writer.write(self._second_copies.pop(writer, b""))
-        if request.headers.get("x-expect-instance", self.id) != self.id:
+        if not self._is_addressed_by(request):
             headers = [("X-Instance-Id", self.id), *self._leaving_headers()]
             if "x-request-id" in request.headers:
                 headers.append(("X-Request-Id", request.headers["x-request-id"]))
@@ -281,6 +301,12 @@
         else:
             await self._serve_request(request, writer)
 
+    def _is_addressed_by(self, request):
+        """Whether a request expects this replica, or may expect any."""
+        if request.target == "/-/report" and not self.checks_reports:
+            return True
+        return request.headers.get("x-expect-instance", self.id) == self.id
+
     def _report(self):
         return {
             "phase": "colocated",
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from snipetrestle_standins.gateway_fleet import Caller
+from snipetrestle_standins.gateway_fleet import Caller, GatewayFleet
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
 from tests.systems import with_system
@@ -123,6 +123,71 @@
             self.assertFalse(answer.complete)
 
 
+class DarkReplicaTest(testtools.TestCase):
+    """Streams whose replica goes dark, and whose address another id takes."""
+
+    async def break_stream(self, fleet, successor_version, publish):
+        """Returns the answer of a stream whose replica goes dark, and its duration.
+
+        ``publish(fleet, successor)`` publishes what has taken the address.
+        """
+        for replica in fleet.models:
+            replica.event_interval_s = 0.1
+        started = asyncio.get_running_loop().time()
+        sending = asyncio.create_task(fleet.send_request("/draft/a", adapter=""))
+        await wait_until(lambda: any(replica.runs for replica in fleet.models))
+        dark = next(replica for replica in fleet.models if replica.runs)
+        await asyncio.sleep(0.25)
+        dark.go_dark()
+        # An idle connection to the dark process would lead to no answer.
+        fleet.live[0].replicas.by_id[dark.id].pool.close()
+        successor = await dark.start_successor("model-new")
+        successor.software_version = successor_version
+        successor.checks_reports = False
+        fleet.models.append(successor)
+        publish(fleet, successor)
+        answer = await sending
+        self.assertEqual([], successor.runs)
+        return answer, asyncio.get_running_loop().time() - started
+
+    def assert_whole(self, answer, duration_s):
+        self.assertEqual((True, ALL_EVENT_IDS), (answer.complete, answer.event_ids))
+        # The deadline of the route is 5 s.
+        self.assertLess(duration_s, 3.5)
+
+    @with_system(run_versions, ["v1", "v1"])
+    async def test_stream_goes_on_beside_another_id_at_the_address(self, fleet):
+        """Guards against a process of another id taken for one under the same id."""
+        answer = await self.break_stream(fleet, "v9", GatewayFleet.publish)
+        self.assert_whole(*answer)
+
+    @with_system(run_versions, ["v1", "v1"])
+    async def test_late_entry_of_the_other_id_is_read_from_the_store(self, fleet):
+        """Guards against a refusal since this host's list is older than the report."""
+        check = fleet.live[0].process_check
+        read_report = check._read_report
+        unpublished = []
+
+        async def publish_after_report(replica):
+            report = await read_report(replica)
+            if unpublished and report.boot != replica.entry.boot:
+                fleet.publish(unpublished.pop())
+            return report
+
+        check._read_report = publish_after_report
+        answer = await self.break_stream(
+            fleet, "v9", lambda fleet, successor: unpublished.append(successor)
+        )
+        self.assertEqual([], unpublished)
+        self.assert_whole(*answer)
+
+    @with_system(run_versions, ["v1", "v1"])
+    async def test_process_that_nobody_lists_may_have_the_same_id(self, fleet):
+        """Guards against a guess about a process whose entry the store does not have."""
+        answer, _ = await self.break_stream(fleet, "v9", lambda fleet, successor: None)
+        self.assertFalse(answer.complete)
+
+
 class TakeUpTest(testtools.TestCase):
     """Streams that their callers take up after a broken connection."""
 
