Try further replicas at once if one accepts no replacement

Cause: each failed connection cost a pause before the next replica was tried, 0.3 s at first and twice as long each time, as if a retry had been spent. Nothing is sent and nothing is booked on a connection that fails.

Change: up to four connections may fail before the pause.

--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -20,6 +20,8 @@
 # Pause before the next replica is tried as a replacement; it doubles each time, since
 # each try counts as a retry.
 FIRST_PAUSE_S = 0.3
+# Connections that may fail before that pause. Many replicas may be lost at the same time.
+MAX_REPLACEMENT_CONNECTS = 4
 
 
 class Failover:
@@ -174,34 +176,51 @@
         self._pause_s *= 2
 
     async def _send_replacement(self, reason):
-        """Sends the request to another replica; returns whether that accepts it."""
-        try:
-            replica = await self._forwarder.find_replacement(self._job)
-            replacement = self._forwarder.create_exchange(self._job, replica)
-        except Refused as refusal:
-            self._log_refused(refusal)
-            return False
+        """Sends the request to another replica; returns whether that accepts it.
+
+        Further replicas are tried at once after a failed connection: it costs no retry.
+        """
+        replacement = None
+        connects = 0
+        while replacement is None:
+            try:
+                replacement = await self._open_replacement(reason)
+            except Refused as refusal:
+                self._log_refused(refusal)
+                return False
+            except ConnectFailed as error:
+                self._log_dropped(str(error))
+                connects += 1
+                is_exhausted = isinstance(error, ConnectionsExhausted)
+                if is_exhausted or connects == MAX_REPLACEMENT_CONNECTS:
+                    return False
+        self._set_replacement(replacement)
+        return await self._await_acceptance(replacement)
+
+    async def _open_replacement(self, reason):
+        """Sends the request to another replica and returns the Exchange.
+
+        Raises ConnectFailed if nothing was sent, and Refused if nothing may be sent.
+        """
+        replica = await self._forwarder.find_replacement(self._job)
+        replacement = self._forwarder.create_exchange(self._job, replica)
         try:
             await self._connect(replacement)
             # Nothing may come between the booking and the sending.
             if not self._forwarder.try_book_retry(self._job, reason):
-                replacement.close()
-                return False
+                raise Refused(
+                    self._job.unknown_outcome_code, reason="no room in the retry budget"
+                )
             replacement.send()
-        except ConnectFailed as error:
-            if not isinstance(error, (ConnectionsExhausted, ReplicaLeft)):
-                replica.note_silence()
-            self._log_dropped(str(error))
-            return False
-        except Refused as refusal:
-            replacement.close()
-            self._log_refused(refusal)
-            return False
-        except BaseException:
+        except BaseException as error:
             replacement.close()
+            is_failure = isinstance(error, ConnectFailed)
+            if is_failure and not isinstance(
+                error, (ConnectionsExhausted, ReplicaLeft)
+            ):
+                replica.note_silence()
             raise
-        self._set_replacement(replacement)
-        return await self._await_acceptance(replacement)
+        return replacement
 
     async def _await_acceptance(self, replacement):
         """Returns whether a replica accepts a replacement. Closes it if not."""
