Take no origin from keepers whose answers differ

What callers saw: nothing yet. A stream could go on at the version that the first keeper named, though another one had been told of another version: by a host on the other side of a cut, or by one that was out of step and had inferred a version from an old list.

Cause: a question to the keepers ended with the first answer that names the process. Of inferred answers, the first one was taken even after all hosts had answered.

Change: answers that differ mean that no record is known. Inferred ones are compared once all hosts have answered or the time is up, which takes no longer than before. After the first answer that names the process, the others have 2 ms left (SETTLE_S).

Conclusion: answers that differ are noticed if their hosts run; one that comes later than 2 ms is not waited for.

--- a/snipetrestle/coordination/stream_questions.py
+++ b/snipetrestle/coordination/stream_questions.py
@@ -3,11 +3,16 @@
 import asyncio
 
 import anyio
+import msgspec
 
 from snipetrestle.coordination.datagram_requests import ANSWER_TIMEOUT_S
 from snipetrestle.coordination.messages import OriginReply, OriginRequest
 
 MAX_SENDS = 2
+# For so long after a certain answer, the others are waited for. Hosts that run answer
+# at about the same time; a longer wait for one that was killed would delay each stream
+# that was begun before.
+SETTLE_S = 0.002
 # Streams that are asked for at the same time. Callers can name any number of streams
 # that nobody knows, and each takes up to MAX_SENDS datagrams to each keeper.
 MAX_QUESTIONS = 256
@@ -17,10 +22,19 @@
     """A question to several hosts, shared by all that wait for its answer.
 
     ``unanswered`` contains the hosts that have not answered, by the number of the
-    request to each; ``host`` and ``reply`` are None until one knows the stream.
+    request to each, and ``answers`` a (host, reply) of each that knows the stream. One
+    of them is certain if it ``settles``.
     """
 
-    __slots__ = ("key", "unanswered", "sends", "timer", "ended", "host", "reply")
+    __slots__ = (
+        "key",
+        "unanswered",
+        "sends",
+        "timer",
+        "ended",
+        "answers",
+        "settles",
+    )
 
     def __init__(self, key, unanswered):
         self.key = key
@@ -28,14 +42,16 @@
         self.sends = 0
         self.timer = None
         self.ended = anyio.Event()
-        self.host = None
-        self.reply = None
+        self.answers = []
+        self.settles = False
 
 
 class StreamQuestions:
-    """Sends OriginRequests and waits for the first OriginReply that knows the stream.
+    """Sends OriginRequests and waits for the OriginReplies that know the stream.
 
-    One that was only inferred counts if no other host knows better.
+    After a certain one, the others have SETTLE_S left: hosts on two sides of a cut may
+    have been told different origins. One that was only inferred counts if no other host
+    knows better.
     Timers drive a question, so it goes on when one of those that wait is cancelled.
     """
 
@@ -50,7 +66,7 @@
     async def ask(self, key, hosts):
         """Returns (host, its OriginReply) of the first that knows a stream, or None.
 
-        Nobody is asked while MAX_QUESTIONS others are open.
+        The reply has no origin if those of several hosts differ. Nobody is asked while MAX_QUESTIONS others are open.
         """
         question = self._questions_by_key.get(key)
         if question is None:
@@ -58,7 +74,7 @@
                 return None
             question = self._begin(key, hosts)
         await question.ended.wait()
-        return None if question.reply is None else (question.host, question.reply)
+        return _agreed(question.answers)
 
     def _begin(self, key, hosts):
         first = self._last_number + 1
@@ -98,14 +114,34 @@
             return
         del self._questions_by_number[message.number]
         host = question.unanswered.pop(message.number)
-        is_certain = _is_certain(message)
-        if is_certain or (message.life_ms and question.reply is None):
-            question.host, question.reply = host, message
-        if is_certain or not question.unanswered:
+        if message.life_ms:
+            question.answers.append((host, message))
+        if not question.unanswered:
             self._end(question)
+        elif _is_certain(message) and not question.settles:
+            self._settle(question)
+
+    def _settle(self, question):
+        question.settles = True
+        question.timer.cancel()
+        question.timer = asyncio.get_running_loop().call_later(
+            SETTLE_S, self._end, question
+        )
 
 
 def _is_certain(reply):
     """Whether a reply knows a stream, and not only by an inference."""
     origin = reply.origin
     return bool(reply.life_ms) and (origin is None or origin.names_process)
+
+
+def _agreed(answers):
+    """Returns the first (host, reply) of those that count, None without any."""
+    counted = [item for item in answers if _is_certain(item[1])] or answers
+    if not counted:
+        return None
+    host, reply = counted[0]
+    if any(other.origin != reply.origin for _, other in counted):
+        life_ms = max(other.life_ms for _, other in counted)
+        reply = msgspec.structs.replace(reply, origin=None, life_ms=life_ms)
+    return host, reply
--- a/tests/coordination/test_stream_records.py
+++ b/tests/coordination/test_stream_records.py
@@ -555,6 +555,36 @@
             first.records._on_begun(StreamBegun(KEY, origins[1], 60_000), address)
             self.assertEqual(ORIGIN, (await first.records.find(KEY)).origin)
 
+    async def ask_keepers(self, fleet, *origins):
+        """Returns what a host finds if keepers know one of the origins each."""
+        asking = fleet.by_name["h1"]
+        for name, origin in zip(
+            asking.keepers(KEY, len(origins)), origins, strict=True
+        ):
+            fleet.by_name[name].records.note_learned(KEY, origin, LIFE_S)
+        return await asking.records.find(KEY)
+
+    @with_system(run_fleet)
+    async def test_keepers_that_differ_tell_nothing(self, fleet):
+        """Guards against the first answer taken for the only one, after hosts on two
+        sides of a cut have begun a stream for one request id."""
+        self.assertIsNone(await self.ask_keepers(fleet, ORIGIN, OTHER_ORIGIN))
+
+    @with_system(run_fleet)
+    async def test_inferences_that_differ_tell_nothing(self, fleet):
+        """Guards against an inference of a host that was out of step, taken though
+        another host has inferred another version."""
+        origins = [StreamOrigin(o.backend, o.version) for o in (ORIGIN, OTHER_ORIGIN)]
+        self.assertIsNone(await self.ask_keepers(fleet, *origins))
+
+    @with_system(run_fleet)
+    async def test_origin_counts_though_inferences_differ(self, fleet):
+        """Guards against a stream that is refused though the host that passed its
+        first event on has told of it."""
+        origins = [StreamOrigin(o.backend, o.version) for o in (OTHER_ORIGIN, ORIGIN)]
+        known = await self.ask_keepers(fleet, *origins, ORIGIN)
+        self.assertEqual(ORIGIN, known.origin)
+
     @with_system(run_fleet)
     async def test_wrong_inference_yields_to_the_host_that_began_the_stream(
         self, fleet
