Count no kept part for the version of a deleted entry

What callers saw: nothing yet. A part that a new process keeps counted for the version of an earlier process with its id, if the replica does not tell its start time.

Cause: a round took the version of the Replica that it had listed. That is unknown once another entry replaces it, but not if the entry is deleted first and that of the new process comes later in the same round.

Change: the version of a replica whose id belongs to another process by the end of the round is unknown.

Test results: test_replica_that_left_and_came_back_in_a_round failed on the old code ('v1' in place of ''), and passes now; test_kept_prompts, test_kept_prompt_questions and test_old_lists pass (36).

The other ways to know have a planted old list each, and passed on the code before this commit: - the only version at a host that was cut off (test_host_that_was_cut_off); - a record told by a host with an old list, while the replica is listed (test_record_of_a_host_with_an_old_list). By reading: dispatch/version_choice.py only prefers replicas for streams that begin. An old list makes the choice worse, but the origin is that of the replica that is used.

--- a/snipetrestle/gateway/streams/kept_prompts.py
+++ b/snipetrestle/gateway/streams/kept_prompts.py
@@ -216,17 +216,26 @@
             except (ConnectFailed, ExchangeFailed):
                 return None
 
+    def _version_of(self, replica):
+        """Returns the version of a replica, empty if another process has its id.
+
+        That one may have answered, also if the entry was deleted before its own came.
+        """
+        if self._replicas.by_id.get(replica.id, replica) is not replica:
+            return ""
+        return replica.software_version
+
     def _known_versions(self, kept_by_replica):
         """Returns the software versions by (model, part), where only one may keep it."""
         silent = set()
         versions_by_part = {}
         for replica, kept in kept_by_replica.items():
+            version = self._version_of(replica)
             if kept is None:
-                silent.add(replica.software_version)
+                silent.add(version)
                 continue
             for part in kept:
-                versions = versions_by_part.setdefault(part, set())
-                versions.add(replica.software_version)
+                versions_by_part.setdefault(part, set()).add(version)
         version_by_part = {}
         for part, versions in versions_by_part.items():
             possible = versions | silent
--- a/tests/coordination/test_version_placement.py
+++ b/tests/coordination/test_version_placement.py
@@ -6,8 +6,15 @@
 from snipetrestle.coordination.adapter_places import LoadReason
 from snipetrestle.coordination.orders import LoadRequest
 from snipetrestle.gateway.configuration import AdapterKey
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 from snipetrestle_standins.clock import run_in_virtual_time
-from snipetrestle_standins.orders_fleet import ADAPTER_LOAD_S, MODEL, OrdersFleet
+from snipetrestle_standins.orders_fleet import (
+    ADAPTER_LOAD_S,
+    BACKEND,
+    MODEL,
+    REPLICA_LISTING_DELAY_S,
+    OrdersFleet,
+)
 
 NAMES = ["entry-0", "entry-1", "entry-2"]
 KEY = AdapterKey(MODEL, "a1")
@@ -141,6 +148,25 @@
 
         self.run_with_fleet(check, replicas=2)
 
+    def test_places_of_a_leader_with_an_old_list_are_checked(self):
+        """Guards against a stream that goes on at a replica which the leader takes for
+        one of the version that its process ran before."""
+
+        async def check():
+            await self.load_at(self.follower, OLD)
+            self.leader.list_replica = lambda entry: None
+            self.fleet.replicas_by_id["replica-0"].software_version = NEW
+            self.fleet.restart_replica("replica-0")
+            await anyio.sleep(REPLICA_LISTING_DELAY_S + 0.1)
+            placement = self.leader.placement_controller.placement_of(MODEL)
+            self.assertEqual(OLD, placement.by_replica["replica-0"].software_version)
+            places = await self.follower.locator.look_up(KEY, software_version=OLD)
+            self.assertEqual({"replica-0"}, places.keys())
+            replica = self.follower.replicas.by_id["replica-0"]
+            self.assertFalse(StreamOrigin(BACKEND, OLD).allows(replica))
+
+        self.run_with_fleet(check, replicas=2)
+
     def test_replica_of_the_version_whose_model_is_lost_is_not_waited_for(self):
         """A lookup that finds no usable replica must be answered at once."""
 
--- a/tests/gateway/test_old_lists.py
+++ b/tests/gateway/test_old_lists.py
@@ -11,14 +11,19 @@
 from snipetrestle.coordination.kept_prompt_answers import KeptPromptAnswers
 from snipetrestle.coordination.kept_prompt_questions import KeptPromptQuestions
 from snipetrestle.gateway.configuration import AdapterKey
+from snipetrestle.gateway.exchange import ReplicaLeft
+from snipetrestle.gateway.job import Refused
 from snipetrestle.gateway.publication.fresh_reads import FreshReads
 from snipetrestle.gateway.streams.kept_prompts import KeptPrompts
+from snipetrestle.gateway.streams.process_check import ProcessCheck
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 from snipetrestle.platform.entries import ALL_ITEMS
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
 from tests.coordination.test_kept_prompt_questions import DUE_S, Follower
 from tests.gateway.test_kept_prompts import MODEL, Log
 from tests.gateway.test_version_history import BACKEND, V1, run_system
 from tests.systems import with_system
+from tests.waiting import wait_until
 
 ADAPTER = AdapterKey(MODEL, "a1")
 PART = "own"
@@ -104,3 +109,83 @@
             system.store.silent.add(first.host.name)
             system.put("b", "v2")
             self.assertIsNone(await asker.ask())
+
+    @with_system(run_system)
+    async def test_replica_that_left_and_came_back_in_a_round(self, system):
+        """Guards against the answer of a new process that counts for the version of the
+        deleted entry under its id."""
+        system.put("a")
+        host = await system.start_host()
+
+        async def list_new_process(replica):
+            system.delete("a")
+            await wait_until(lambda: "a" not in host.state.replicas.by_id)
+            system.put("a", "v2", born=2000)
+            await wait_until(lambda: "a" in host.state.replicas.by_id)
+            return {(MODEL, PART)}
+
+        reads = FreshReads(host.state, ALL_ITEMS)
+        kept_prompts = KeptPrompts(host.state.replicas, list_new_process, reads, Log())
+        self.assertEqual("", await kept_prompts.only_version(BACKEND, MODEL, PART))
+
+
+class OnlyVersionTest(testtools.TestCase):
+    @with_system(run_system)
+    async def test_host_that_was_cut_off(self, system):
+        """Guards against the only version that a host knew before it was cut off."""
+        host = await system.start_long_known()
+        system.store.cut_off(host.name)
+        system.put("b", "v2")
+        self.assertIsNone(await host.ask())
+        system.store.heal(host.name)
+        self.assertIsNone(await host.ask())
+        self.assertIn("b", host.state.replicas.by_id)
+
+
+class RecordTest(testtools.TestCase):
+    """A host with an old list tells that a stream began at version v1 of replica a."""
+
+    async def check(self, host, replica_id, began_at="a"):
+        """Checks the processes before the stream goes on at a replica."""
+
+        async def report(replica):
+            return types.SimpleNamespace(boot=self.running[replica.id])
+
+        job = types.SimpleNamespace(
+            origin=StreamOrigin(BACKEND, "v1", began_at, 1000),
+            backend=types.SimpleNamespace(serves_models=True),
+            may_have_run=False,
+        )
+        replicas = host.state.replicas
+        await ProcessCheck(replicas, report).check(job, replicas.by_id[replica_id])
+
+    @with_system(run_system)
+    async def test_record_of_a_host_with_an_old_list(self, system):
+        """Guards against a record of the version that the replica ran before."""
+        for replica in ("a", "c"):
+            system.put(replica)
+        host = await system.start_host()
+        self.running = {"a": 1000, "c": 1000}
+        await self.check(host, "c")
+        # The process is newer than all entries of it, then its entry arrives.
+        self.running["a"] = 2000
+        with testtools.ExpectedException(Refused):
+            await self.check(host, "c")
+        with testtools.ExpectedException(ReplicaLeft):
+            await self.check(host, "a", began_at="c")
+        system.put("a", "v2", born=2000)
+        await anyio.sleep(1.0)
+        with testtools.ExpectedException(Refused):
+            await self.check(host, "c")
+
+    @with_system(run_system)
+    async def test_replaced_entry_has_no_version(self, system):
+        """Guards against a request in progress that goes on at a replica by the entry
+        of its earlier process."""
+        system.put("a")
+        host = await system.start_host()
+        before = host.state.replicas.by_id["a"]
+        self.assertTrue(V1.allows(before))
+        system.put("a", "v2", born=2000)
+        await anyio.sleep(1.0)
+        self.assertEqual("", before.software_version)
