--- a/snipetrestle/gateway/streams/kept_prompts.py
+++ b/snipetrestle/gateway/streams/kept_prompts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import typing
 
 import anyio
@@ -13,6 +14,8 @@
 from snipetrestle.events import Event
 from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.publication.published_items import StorePosition
+from snipetrestle.gateway.streams import part_findings
+from snipetrestle.gateway.streams.part_findings import Finding
 from snipetrestle.limits.rate_pool import RatePool
 
 # Questions that come within this time share the listings of replicas.
@@ -56,17 +59,19 @@
     """A listing of all replicas of a backend, for all questions that have come.
 
     ``asked`` contains a (model, prompt part) for each, and ``version_by_part`` what is
-    known of some of them once the ``task`` has ended. ``position`` is that of the list
-    of replicas, None unless the store was read for the round.
+    known of some of them once the ``task`` has ended. ``counts`` has the number of parts
+    by Finding. ``position`` is that of the list of replicas, None unless the store was
+    read for the round.
     """
 
-    __slots__ = ("backend", "asked", "position", "version_by_part", "task")
+    __slots__ = ("backend", "asked", "position", "version_by_part", "counts", "task")
 
     def __init__(self, backend):
         self.backend = backend
         self.asked = set()
         self.position = None
         self.version_by_part = {}
+        self.counts = collections.Counter()
         self.task = None
 
 
@@ -143,11 +148,12 @@
             replicas = list(self._replicas.listed_replicas(this_round.backend))
             self._listings.take(len(replicas))
             kept_by_replica = await self._list_all(replicas, this_round.asked, ends_at)
-            this_round.version_by_part = self._known_versions(kept_by_replica)
+            self._note_findings(this_round, kept_by_replica)
         self._log_round(this_round, kept_by_replica)
 
     def _log_round(self, this_round, kept_by_replica):
         silent = [item.id for item, kept in kept_by_replica.items() if kept is None]
+        position = this_round.position
         self._log.log(
             Event.KEPT_PROMPTS_LISTED,
             backend=this_round.backend,
@@ -155,7 +161,10 @@
             unanswered=len(silent),
             unanswered_ids=silent[:MAX_LOGGED_REPLICAS],
             asked=len(this_round.asked),
-            known=len(this_round.version_by_part),
+            **{str(finding): this_round.counts[finding] for finding in Finding},
+            store_read=position is not None,
+            epoch=None if position is None else position.epoch,
+            revision=None if position is None else position.revision,
         )
 
     def _note_begun(self, backend):
@@ -225,23 +234,22 @@
             return ""
         return replica.software_version
 
-    def _known_versions(self, kept_by_replica):
-        """Returns the software versions by (model, part), where only one may keep it."""
+    def _note_findings(self, this_round, kept_by_replica):
+        """Notes what the answers tell of each part; None stands for no answer."""
         silent = set()
-        versions_by_part = {}
+        versions_by_part = {part: set() for part in this_round.asked}
         for replica, kept in kept_by_replica.items():
             version = self._version_of(replica)
             if kept is None:
                 silent.add(version)
                 continue
             for part in kept:
-                versions_by_part.setdefault(part, set()).add(version)
-        version_by_part = {}
+                versions_by_part[part].add(version)
         for part, versions in versions_by_part.items():
-            possible = versions | silent
-            if len(possible) == 1 and "" not in possible:
-                version_by_part[part] = possible.pop()
-        return version_by_part
+            finding = part_findings.find(versions, silent)
+            this_round.counts[finding] += 1
+            if finding is Finding.KNOWN:
+                (this_round.version_by_part[part],) = versions
 
 
 def _result(task):
--- a/tests/gateway/test_kept_prompts.py
+++ b/tests/gateway/test_kept_prompts.py
@@ -16,6 +16,7 @@
     ROUND_TIMEOUT_S,
     KeptPrompts,
 )
+from snipetrestle.gateway.streams.part_findings import Finding
 from snipetrestle_standins.clock import run_in_virtual_time
 
 BACKEND = "models"
@@ -23,8 +24,13 @@
 
 
 class Log:
+    """Fake RequestLines that keeps the fields of each line."""
+
+    def __init__(self):
+        self.lines = []
+
     def log(self, event, **fields):
-        pass
+        self.lines.append(fields)
 
 
 class KeepingReplica:
@@ -56,13 +62,14 @@
 
 
 class Reads:
-    """Fake FreshReads of a store that answers at once."""
+    """Fake FreshReads of a store that answers at once, or not at all."""
 
-    def __init__(self):
+    def __init__(self, answers=True):
         self.position = StorePosition(1, 7)
+        self._answers = answers
 
     async def read(self, timeout_s):
-        return True
+        return self._answers
 
 
 class Directory:
@@ -200,6 +207,54 @@
         self.assertEqual("", self.ask([])[0])
 
 
+class LineTest(testtools.TestCase):
+    def line(self, replicas, parts, reads):
+        """Returns the fields of the line about a round."""
+        log = Log()
+
+        async def main():
+            kept_prompts = KeptPrompts(
+                Directory(replicas), KeepingReplica.list, reads, log
+            )
+            async with anyio.create_task_group() as group:
+                for part in parts:
+                    group.start_soon(kept_prompts.only_version, BACKEND, MODEL, part)
+
+        run_in_virtual_time(main)
+        (line,) = log.lines
+        return line
+
+    def check(self, line, **counts):
+        expected = dict.fromkeys(Finding, 0) | counts
+        self.assertEqual(expected, {name: line[name] for name in expected})
+
+    def test_line_tells_why_parts_are_not_known(self):
+        """Guards against a refused take-up that cannot be traced to its cause."""
+        replicas = replicas_of(6)
+        replicas[3].parts.add((MODEL, "p0"))
+        replicas[4].software_version = ""
+        parts = ["p0", "p1", "p4", "nowhere"]
+        line = self.line(replicas, parts, Reads())
+        self.check(line, known=1, kept_nowhere=1, several_versions=1, unknown_version=1)
+        self.assertEqual(
+            (4, True, 1, 7),
+            tuple(line[name] for name in ("asked", "store_read", "epoch", "revision")),
+        )
+        replicas[5].delay_s = 60.0
+        line = self.line(replicas, ["p0", "p1", "p2", "nowhere"], Reads())
+        self.check(line, known=1, several_versions=1, silent_may_keep=2)
+
+    def test_line_tells_that_the_store_was_not_read(self):
+        """Guards against a host that is cut off and seems to find no part anywhere."""
+        replicas = replicas_of(4)
+        line = self.line(replicas, ["p0"], Reads(answers=False))
+        self.check(line)
+        self.assertEqual(
+            (1, False, None), (line["asked"], line["store_read"], line["epoch"])
+        )
+        self.assertEqual([], replicas[0].listed_at)
+
+
 class CrowdTest(testtools.TestCase):
     def test_questions_share_rounds(self):
         """Guards against listings in proportion to the streams that broke off."""
--- a/tests/gateway/test_old_lists.py
+++ b/tests/gateway/test_old_lists.py
@@ -95,6 +95,17 @@
         system.put("b", "v2")
         self.assertIsNone(await asker.ask())
 
+    @with_system(run_system)
+    async def test_questions_share_a_read(self, system):
+        """Guards against a call to the store for each stream that broke off."""
+        leader, asker = await self.start(system, leader="entry-1")
+        before = leader.host.calls
+        async with anyio.create_task_group() as group:
+            for _ in range(20):
+                group.start_soon(asker.ask)
+                group.start_soon(leader.ask)
+        self.assertEqual(1, leader.host.calls - before)
+
     @with_system(run_system)
     async def test_store_out_of_reach(self, system):
         """Guards against a host that is cut off and answers by what it knew before."""
