--- a/tests/dispatch/searches.py
+++ b/tests/dispatch/searches.py
@@ -53,18 +53,18 @@
         return False
 
 
-def build_search(directory, locate_here, leadership=None):
+def build_search(directory, locate_here, leadership=None, published_ids=()):
     """Returns (ReplicaSearch, its Locator) over a ReplicaDirectory.
 
     ``locate_here`` answers the lookups of adapters while this host leads, as it does
-    without a ``leadership``.
+    without a ``leadership``. The entries of ``published_ids`` list all adapters.
     """
     locator = Locator(
         leadership or Leadership(),
         Endpoint(),
         "entry-1",
         locate_here,
-        lambda key: [],
+        lambda key: published_ids,
         lambda replica_id, load: None,
     )
     search = ReplicaSearch(
@@ -112,5 +112,6 @@
         "place_search_at": None,
         "limit_wait_s": 0.0,
         "may_be_sent_to": lambda replica: True,
+        "may_go_on_at": lambda replica: True,
     }
     return types.SimpleNamespace(**{**fields, **attributes})
--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -1,5 +1,6 @@
 """Tests of the search for a stream's replica: questions to the leader, and demand."""
 
+import contextlib
 import random
 
 import anyio
@@ -11,6 +12,7 @@
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
 from snipetrestle.gateway.job import Refused
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.dispatch import searches
 from tests.dispatch.searches import BACKEND, NoLeadership, build_search
@@ -30,6 +32,9 @@
 
 
 class ReplicaSearchTest(testtools.TestCase):
+    # The replicas whose entries list the adapter.
+    published_ids = ()
+
     def run_with_search(self, function, holders, replica_count=1, leadership=None):
         """Runs ``function(search, replicas)``; the leader names ``holders``."""
 
@@ -50,7 +55,9 @@
                         slots=8,
                     )
                 )
-            search, locator = build_search(directory, self.locate_here, leadership)
+            search, locator = build_search(
+                directory, self.locate_here, leadership, self.published_ids
+            )
             async with anyio.create_task_group() as group:
                 group.start_soon(locator.run)
                 await anyio.sleep(0.01)
@@ -153,6 +160,82 @@
 
         self.run_with_search(check, ["r0"])
 
+    def check_published(self, version, expected_id):
+        """Checks a search during which the leader is lost; entries list r0."""
+        leadership = NoLeadership()
+        leadership.has_recent_leader = True
+
+        async def check(search, replicas):
+            job = make_job()
+            job.origin = version and StreamOrigin(BACKEND, version)
+            found = []
+
+            async def find():
+                with contextlib.suppress(Refused):
+                    found.append(await search.find_stream_replica(job))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(find)
+                await anyio.sleep(0.2)
+                leadership.has_recent_leader = False
+            self.assertEqual(expected_id, found and found[0].id)
+
+        self.published_ids = ["r0"]
+        self.run_with_search(check, [], leadership=leadership)
+
+    def test_begun_stream_uses_published_places_without_a_leader(self):
+        """Guards against a stream that waits for the next leader beside a place."""
+        self.check_published("1.0", "r0")
+
+    def test_new_stream_keeps_to_the_answers_of_leaders(self):
+        """Guards against requests by entries older than the last orders."""
+        self.check_published(None, [])
+
+    def check_suspected(self, origin, expected_id):
+        """Checks which replica a stream gets whose adapter is at a suspected one.
+
+        The leader loads the adapter at r1 if it may not name r0.
+        """
+
+        async def check(search, replicas):
+            replicas["r0"].suspected_until = anyio.current_time() + 0.5
+            job = make_job()
+            job.origin = origin
+            replica = await search.find_stream_replica(job)
+            self.assertIs(replicas[expected_id], replica)
+
+        self.run_with_search(check, ["r0"], replica_count=2)
+
+    async def locate_or_load(self, key, uses, avoid, limited, software_version):
+        if "r0" in limited and "r1" not in self.holders:
+            self.holders.append("r1")
+        return await self.locate_named(key, uses, avoid, limited, software_version)
+
+    def test_begun_stream_gets_a_place_beside_a_suspected_one(self):
+        """Guards against a stream whose only place is a replica that has ended."""
+        self.locate_named, self.locate_here = self.locate_here, self.locate_or_load
+        origin = StreamOrigin(BACKEND, "1.0")
+        self.check_suspected(origin, "r1")
+
+    def test_new_stream_waits_for_a_suspected_holder(self):
+        """Guards against loads at other replicas for each moment of silence."""
+        self.locate_named, self.locate_here = self.locate_here, self.locate_or_load
+        self.check_suspected(None, "r0")
+
+    def test_nothing_is_loaded_while_all_replicas_are_suspected(self):
+        """Guards against a load at one suspected replica after the other."""
+
+        async def check(search, replicas):
+            for replica in replicas.values():
+                replica.suspected_until = anyio.current_time() + 0.5
+            job = make_job()
+            job.origin = StreamOrigin(BACKEND, "1.0")
+            await search.find_stream_replica(job)
+            self.assertEqual(["r0"], self.holders)
+
+        self.locate_named, self.locate_here = self.locate_here, self.locate_or_load
+        self.run_with_search(check, ["r0"], replica_count=2)
+
     def test_holder_on_no_list_is_not_asked_for_without_a_pause(self):
         """The leader may list a replica that this host does not."""
 
