--- a/tests/batches/test_holders.py
+++ b/tests/batches/test_holders.py
@@ -15,6 +15,7 @@
     make_items,
 )
 from snipetrestle_standins.clock import run_in_virtual_time
+from tests.systems import with_own_system
 
 ITEMS = make_items(40)
 FINISH_WITHIN_S = 3600.0
@@ -52,95 +53,80 @@
 
 
 class AcceptanceTest(BatchTest):
-    def test_two_failure_domains_hold_an_accepted_batch(self):
+    @with_own_system("run_fleet")
+    async def test_two_failure_domains_hold_an_accepted_batch(self, fleet):
         """No batch may be accepted that a single failure can lose."""
+        batch_id = await self.submit(fleet)
+        primary, second = fleet.holders_of(batch_id)
+        self.assertNotEqual(
+            fleet.failure_domain_of(primary), fleet.failure_domain_of(second)
+        )
+        for name in (primary, second):
+            incarnation = fleet.daemons_by_name[name].membership.own_incarnation
+            self.assertIn(f"~{name}~{incarnation}", batch_id)
+        await self.check_complete(fleet, batch_id)
+
+    @with_own_system("run_fleet", daemons=1)
+    async def test_no_second_failure_domain(self, fleet):
+        """Guards against accepting a batch with only one copy."""
+        try:
+            await self.submit(fleet)
+        except ServingError as error:
+            self.assert_code(ResultCode.BATCH_NOT_HELD, error)
+        else:
+            self.fail("the batch was accepted")
+        self.assertEqual(0, fleet.holder().held_batches)
+
+    @with_own_system("run_fleet")
+    async def test_repeated_submission_is_one_batch(self, fleet):
+        """A retry of a submission must not queue the whole batch again."""
+        ids = []
 
-        async def check(fleet):
-            batch_id = await self.submit(fleet)
-            primary, second = fleet.holders_of(batch_id)
-            self.assertNotEqual(
-                fleet.failure_domain_of(primary), fleet.failure_domain_of(second)
+        async def submit(name):
+            holder = fleet.holder(name)
+            ids.append(
+                await holder.submit(CUSTOMER, ITEMS, FINISH_WITHIN_S, key="night")
             )
-            for name in (primary, second):
-                incarnation = fleet.daemons_by_name[name].membership.own_incarnation
-                self.assertIn(f"~{name}~{incarnation}", batch_id)
-            await self.check_complete(fleet, batch_id)
-
-        self.run_fleet(check)
 
-    def test_no_second_failure_domain(self):
-        """Guards against accepting a batch with only one copy."""
-
-        async def check(fleet):
+        async with anyio.create_task_group() as group:
+            for name in fleet.names:
+                group.start_soon(submit, name)
+        await submit(fleet.names[0])
+        self.assertEqual(1, len(set(ids)), ids)
+        await self.check_complete(fleet, ids[0])
+        self.assertEqual({1}, set(fleet.runs_by_prompt.values()))
+
+    @with_own_system("run_fleet", allowance=100, item_s=20.0)
+    async def test_allowance_is_counted_over_all_daemons(self, fleet):
+        """By submitting at several daemons, a customer could exceed the allowance."""
+        for name in fleet.names[:2]:
+            await fleet.holder(name).submit(CUSTOMER, ITEMS, FINISH_WITHIN_S)
+        for pause in (0.0, 12.0):
+            await anyio.sleep(pause)
             try:
-                await self.submit(fleet)
+                await fleet.holder(fleet.names[2]).submit(
+                    CUSTOMER, ITEMS, FINISH_WITHIN_S
+                )
             except ServingError as error:
-                self.assert_code(ResultCode.BATCH_NOT_HELD, error)
+                self.assert_code(ResultCode.BATCH_ALLOWANCE, error)
             else:
-                self.fail("the batch was accepted")
-            self.assertEqual(0, fleet.holder().held_batches)
-
-        self.run_fleet(check, daemons=1)
+                self.fail("the allowance was exceeded")
+        await anyio.sleep(120.0)
+        await fleet.holder(fleet.names[2]).submit(CUSTOMER, ITEMS, FINISH_WITHIN_S)
 
-    def test_repeated_submission_is_one_batch(self):
-        """A retry of a submission must not queue the whole batch again."""
-
-        async def check(fleet):
-            ids = []
-
-            async def submit(name):
-                holder = fleet.holder(name)
-                ids.append(
-                    await holder.submit(CUSTOMER, ITEMS, FINISH_WITHIN_S, key="night")
-                )
-
-            async with anyio.create_task_group() as group:
-                for name in fleet.names:
-                    group.start_soon(submit, name)
-            await submit(fleet.names[0])
-            self.assertEqual(1, len(set(ids)), ids)
-            await self.check_complete(fleet, ids[0])
-            self.assertEqual({1}, set(fleet.runs_by_prompt.values()))
-
-        self.run_fleet(check)
-
-    def test_allowance_is_counted_over_all_daemons(self):
-        """By submitting at several daemons, a customer could exceed the allowance."""
-
-        async def check(fleet):
-            for name in fleet.names[:2]:
-                await fleet.holder(name).submit(CUSTOMER, ITEMS, FINISH_WITHIN_S)
-            for pause in (0.0, 12.0):
-                await anyio.sleep(pause)
-                try:
-                    await fleet.holder(fleet.names[2]).submit(
-                        CUSTOMER, ITEMS, FINISH_WITHIN_S
-                    )
-                except ServingError as error:
-                    self.assert_code(ResultCode.BATCH_ALLOWANCE, error)
-                else:
-                    self.fail("the allowance was exceeded")
-            await anyio.sleep(120.0)
-            await fleet.holder(fleet.names[2]).submit(CUSTOMER, ITEMS, FINISH_WITHIN_S)
-
-        self.run_fleet(check, allowance=100, item_s=20.0)
-
-    def test_failed_items_keep_their_code_and_others_are_repeated(self):
+    @with_own_system("run_fleet")
+    async def test_failed_items_keep_their_code_and_others_are_repeated(self, fleet):
         """Items must not be missing, nor fail on a retryable error."""
-
-        async def check(fleet):
-            fleet.failures_by_prompt = {
-                "prompt 1": [ResultCode.UNKNOWN_ADAPTER],
-                "prompt 2": [ResultCode.NO_REPLICA, ResultCode.STREAM_BROKEN],
-            }
-            batch_id = await self.submit(fleet)
-            status = await fleet.wait_finished(batch_id)
-            self.assertEqual(("finished", len(ITEMS), 1), _counts(status))
-            results = await fleet.holder().results(batch_id)
-            self.assertEqual(ResultCode.UNKNOWN_ADAPTER.number, results[1].code)
-            self.assertEqual(expected_answer(ITEMS[2]), results[2].text)
-
-        self.run_fleet(check)
+        fleet.failures_by_prompt = {
+            "prompt 1": [ResultCode.UNKNOWN_ADAPTER],
+            "prompt 2": [ResultCode.NO_REPLICA, ResultCode.STREAM_BROKEN],
+        }
+        batch_id = await self.submit(fleet)
+        status = await fleet.wait_finished(batch_id)
+        self.assertEqual(("finished", len(ITEMS), 1), _counts(status))
+        results = await fleet.holder().results(batch_id)
+        self.assertEqual(ResultCode.UNKNOWN_ADAPTER.number, results[1].code)
+        self.assertEqual(expected_answer(ITEMS[2]), results[2].text)
 
 
 class LossTest(BatchTest):
@@ -200,68 +186,56 @@
 
         self.run_fleet(check, holder_class=SingleDomainHolder)
 
-    def test_successive_losses(self):
+    @with_own_system("run_fleet", item_s=5.0)
+    async def test_successive_losses(self, fleet):
         """If a lost copy is not replaced, the next losses can lose the batch."""
+        batch_id = await self.submit(fleet)
+        for _ in range(4):
+            await anyio.sleep(3.0)
+            fleet.kill(fleet.holders_of(batch_id)[0])
+            fleet.set_member_states()
+        await self.check_complete(fleet, batch_id)
 
-        async def check(fleet):
-            batch_id = await self.submit(fleet)
-            for _ in range(4):
-                await anyio.sleep(3.0)
-                fleet.kill(fleet.holders_of(batch_id)[0])
-                fleet.set_member_states()
-            await self.check_complete(fleet, batch_id)
-
-        self.run_fleet(check, item_s=5.0)
-
-    def test_restarted_holder_has_no_copy(self):
+    @with_own_system("run_fleet", item_s=5.0)
+    async def test_restarted_holder_has_no_copy(self, fleet):
         """A holder that restarted without its copy must not be counted."""
+        batch_id = await self.submit(fleet)
+        for position in (0, 1):
+            await anyio.sleep(3.0)
+            fleet.start(fleet.holders_of(batch_id)[position])
+        await self.check_complete(fleet, batch_id)
 
-        async def check(fleet):
-            batch_id = await self.submit(fleet)
-            for position in (0, 1):
-                await anyio.sleep(3.0)
-                fleet.start(fleet.holders_of(batch_id)[position])
-            await self.check_complete(fleet, batch_id)
-
-        self.run_fleet(check, item_s=5.0)
-
-    def test_all_holders_lost(self):
+    @with_own_system("run_fleet")
+    async def test_all_holders_lost(self, fleet):
         """Guards against a lost batch that is not reported as lost."""
-
-        async def check(fleet):
-            batch_id = await self.submit(fleet)
-            for name in fleet.holders_of(batch_id):
-                fleet.start(name)
-            status = await fleet.holder().status(batch_id)
-            self.assertEqual("lost", status.state)
-            self.assertIs(ResultCode.BATCH_LOST, status.code)
-            try:
-                await fleet.holder().results(batch_id)
-            except ServingError as error:
-                self.assert_code(ResultCode.BATCH_LOST, error)
-            else:
-                self.fail("results of a lost batch")
-
-        self.run_fleet(check)
-
-    def test_silent_holders_are_not_called_lost(self):
+        batch_id = await self.submit(fleet)
+        for name in fleet.holders_of(batch_id):
+            fleet.start(name)
+        status = await fleet.holder().status(batch_id)
+        self.assertEqual("lost", status.state)
+        self.assertIs(ResultCode.BATCH_LOST, status.code)
+        try:
+            await fleet.holder().results(batch_id)
+        except ServingError as error:
+            self.assert_code(ResultCode.BATCH_LOST, error)
+        else:
+            self.fail("results of a lost batch")
+
+    @with_own_system("run_fleet")
+    async def test_silent_holders_are_not_called_lost(self, fleet):
         """While the holders are only unreachable, "lost" must not be reported."""
-
-        async def check(fleet):
-            batch_id = await self.submit(fleet)
-            holders = fleet.holders_of(batch_id)
-            others = [name for name in fleet.names if name not in holders]
-            fleet.network.partition(holders, others)
-            try:
-                await fleet.holder(others[0]).status(batch_id)
-            except ServingError as error:
-                self.assert_code(ResultCode.PEER_UNREACHABLE, error)
-            else:
-                self.fail("holders that do not answer may still hold the batch")
-            fleet.network.heal()
-            await self.check_complete(fleet, batch_id)
-
-        self.run_fleet(check)
+        batch_id = await self.submit(fleet)
+        holders = fleet.holders_of(batch_id)
+        others = [name for name in fleet.names if name not in holders]
+        fleet.network.partition(holders, others)
+        try:
+            await fleet.holder(others[0]).status(batch_id)
+        except ServingError as error:
+            self.assert_code(ResultCode.PEER_UNREACHABLE, error)
+        else:
+            self.fail("holders that do not answer may still hold the batch")
+        fleet.network.heal()
+        await self.check_complete(fleet, batch_id)
 
 
 class HandoverTest(BatchTest):
@@ -284,98 +258,83 @@
         for position in (0, 1):
             self.run_fleet(lambda fleet, p=position: check(fleet, p))
 
-    def test_drain_of_one_daemon_after_the_other(self):
+    @with_own_system("run_fleet", item_s=8.0)
+    async def test_drain_of_one_daemon_after_the_other(self, fleet):
         """Queries must still find a batch after a rolling restart."""
-
-        async def check(fleet):
-            batch_id = await self.submit(fleet)
-            for name in fleet.names:
-                fleet.set_member_states(**{name.replace("-", "_"): MemberState.LEAVING})
-                await fleet.holder(name).drain()
-                fleet.start(name)
-                await anyio.sleep(2.0)
-                self.assertEqual(2, len(fleet.holders_of(batch_id)))
-            await self.check_complete(fleet, batch_id)
-            self.assertEqual({1}, set(fleet.runs_by_prompt.values()))
-
-        self.run_fleet(check, item_s=8.0)
-
-    def test_paused_primary_resumes_after_the_takeover(self):
-        """After a takeover, two primaries could both keep running a batch."""
-
-        async def check(fleet):
-            batch_id = await self.submit(fleet)
-            primary = fleet.holders_of(batch_id)[0]
-            fleet.network.pause(primary)
-            await anyio.sleep(30.0)
-            fleet.network.resume(primary)
-            await anyio.sleep(30.0)
+        batch_id = await self.submit(fleet)
+        for name in fleet.names:
+            fleet.set_member_states(**{name.replace("-", "_"): MemberState.LEAVING})
+            await fleet.holder(name).drain()
+            fleet.start(name)
+            await anyio.sleep(2.0)
             self.assertEqual(2, len(fleet.holders_of(batch_id)))
-            await self.check_complete(fleet, batch_id)
+        await self.check_complete(fleet, batch_id)
+        self.assertEqual({1}, set(fleet.runs_by_prompt.values()))
 
-        self.run_fleet(check, item_s=20.0)
-
-    def test_sides_of_a_partition_converge(self):
+    @with_own_system("run_fleet", item_s=20.0)
+    async def test_paused_primary_resumes_after_the_takeover(self, fleet):
+        """After a takeover, two primaries could both keep running a batch."""
+        batch_id = await self.submit(fleet)
+        primary = fleet.holders_of(batch_id)[0]
+        fleet.network.pause(primary)
+        await anyio.sleep(30.0)
+        fleet.network.resume(primary)
+        await anyio.sleep(30.0)
+        self.assertEqual(2, len(fleet.holders_of(batch_id)))
+        await self.check_complete(fleet, batch_id)
+
+    @with_own_system("run_fleet", item_s=25.0)
+    async def test_sides_of_a_partition_converge(self, fleet):
         """Guards against two lineages of a batch that remain after a partition."""
-
-        async def check(fleet):
-            batch_id = await self.submit(fleet)
-            primary, second = fleet.holders_of(batch_id)
-            others = [name for name in fleet.names if name not in (primary, second)]
-            fleet.network.partition([primary, *others[:2]], [second, *others[2:]])
-            await anyio.sleep(40.0)
-            self.assertEqual(4, len(fleet.holders_of(batch_id)))
-            fleet.network.heal()
-            await anyio.sleep(40.0)
-            self.assertEqual(2, len(fleet.holders_of(batch_id)))
-            await self.check_complete(fleet, batch_id)
-
-        self.run_fleet(check, item_s=25.0)
-
-    def test_late_messages_change_nothing(self):
+        batch_id = await self.submit(fleet)
+        primary, second = fleet.holders_of(batch_id)
+        others = [name for name in fleet.names if name not in (primary, second)]
+        fleet.network.partition([primary, *others[:2]], [second, *others[2:]])
+        await anyio.sleep(40.0)
+        self.assertEqual(4, len(fleet.holders_of(batch_id)))
+        fleet.network.heal()
+        await anyio.sleep(40.0)
+        self.assertEqual(2, len(fleet.holders_of(batch_id)))
+        await self.check_complete(fleet, batch_id)
+
+    @with_own_system("run_fleet", item_s=10.0)
+    async def test_late_messages_change_nothing(self, fleet):
         """Late messages must not restore an old holder or result."""
-
-        async def check(fleet):
-            batch_id = await self.submit(fleet)
-            unique = batch_id.split("~")[0]
-            primary, second = fleet.holders_of(batch_id)
-            held_batch = fleet.holder(primary)._batches_by_unique[unique]
-            old_copy = held_batch.hold_message(held_batch.lineage)
-            await anyio.sleep(11.0)
-            old_update = UpdateBatch(
-                unique, held_batch.lineage, next(held_batch.result_pages([0]))
-            )
-            fleet.kill(primary)
-            fleet.set_member_states()
-            await anyio.sleep(5.0)
-            sender = next(name for name in fleet.names if name not in (primary, second))
-            transport = fleet.daemons_by_name[sender].transport
-            for name in fleet.daemons_by_name:
-                for message in (old_update, old_copy, old_update):
-                    await transport.call(name, message, 1.0)
-            self.assertIn(second, fleet.holders_of(batch_id)[:1])
-            await anyio.sleep(60.0)
-            self.assertEqual(2, len(fleet.holders_of(batch_id)))
-            await self.check_complete(fleet, batch_id)
-
-        self.run_fleet(check, item_s=10.0)
-
-    def test_results_are_kept_for_the_stated_time(self):
+        batch_id = await self.submit(fleet)
+        unique = batch_id.split("~")[0]
+        primary, second = fleet.holders_of(batch_id)
+        held_batch = fleet.holder(primary)._batches_by_unique[unique]
+        old_copy = held_batch.hold_message(held_batch.lineage)
+        await anyio.sleep(11.0)
+        old_update = UpdateBatch(
+            unique, held_batch.lineage, next(held_batch.result_pages([0]))
+        )
+        fleet.kill(primary)
+        fleet.set_member_states()
+        await anyio.sleep(5.0)
+        sender = next(name for name in fleet.names if name not in (primary, second))
+        transport = fleet.daemons_by_name[sender].transport
+        for name in fleet.daemons_by_name:
+            for message in (old_update, old_copy, old_update):
+                await transport.call(name, message, 1.0)
+        self.assertIn(second, fleet.holders_of(batch_id)[:1])
+        await anyio.sleep(60.0)
+        self.assertEqual(2, len(fleet.holders_of(batch_id)))
+        await self.check_complete(fleet, batch_id)
+
+    @with_own_system("run_fleet", times=BatchTimes(result_retention_s=700.0))
+    async def test_results_are_kept_for_the_stated_time(self, fleet):
         """Guards against results that are never removed, or removed too early."""
-
-        async def check(fleet):
-            batch_id = await self.submit(fleet)
-            await self.check_complete(fleet, batch_id)
-            await anyio.sleep(500.0)
-            await self.check_complete(fleet, batch_id)
-            await anyio.sleep(500.0)
-            self.assertEqual([], fleet.holders_of(batch_id))
-            self.assertEqual(0, fleet.holder().held_bytes)
-            try:
-                await fleet.holder().status(batch_id)
-            except ServingError as error:
-                self.assert_code(ResultCode.UNKNOWN_BATCH, error)
-            else:
-                self.fail("the batch should have expired")
-
-        self.run_fleet(check, times=BatchTimes(result_retention_s=700.0))
+        batch_id = await self.submit(fleet)
+        await self.check_complete(fleet, batch_id)
+        await anyio.sleep(500.0)
+        await self.check_complete(fleet, batch_id)
+        await anyio.sleep(500.0)
+        self.assertEqual([], fleet.holders_of(batch_id))
+        self.assertEqual(0, fleet.holder().held_bytes)
+        try:
+            await fleet.holder().status(batch_id)
+        except ServingError as error:
+            self.assert_code(ResultCode.UNKNOWN_BATCH, error)
+        else:
+            self.fail("the batch should have expired")
--- a/tests/engines/test_bad_engines.py
+++ b/tests/engines/test_bad_engines.py
@@ -21,6 +21,7 @@
     raw_server,
 )
 from tests.memory import assert_bounded_memory
+from tests.systems import with_own_system
 
 TIMEOUT_S = 1.0
 # Of a call that ends by its time-out, for a busy machine.
@@ -151,15 +152,14 @@
 
         self.run_with_engine(check, ok(event))
 
-    def test_late_second_copy_does_not_answer_the_next_order(self):
+    @with_own_system("run_with_engine", ok(b""), REFUSAL)
+    async def test_late_second_copy_does_not_answer_the_next_order(
+        self, server, client
+    ):
         """The second copy of an answer came after the next order was sent on the same
         connection: a refused load was taken for done."""
-
-        async def check(server, client):
-            server.second_copy_delay_s = 0.05
+        server.second_copy_delay_s = 0.05
+        await client.load(LOAD)
+        server.answer_delay_s = 0.2
+        with testtools.ExpectedException(NotResident):
             await client.load(LOAD)
-            server.answer_delay_s = 0.2
-            with testtools.ExpectedException(NotResident):
-                await client.load(LOAD)
-
-        self.run_with_engine(check, ok(b""), REFUSAL)
--- a/tests/engines/test_http_client.py
+++ b/tests/engines/test_http_client.py
@@ -19,6 +19,7 @@
 from snipetrestle_standins.http_answers import send_response
 from snipetrestle_standins.memory_http import MemoryBackend, MemoryListener
 from snipetrestle_standins.store import StandInWeightStore
+from tests.systems import in_virtual_time, with_own_system
 
 HANDLE = "workshop-0@1"
 ADDRESS = "127.0.0.1:7000"
@@ -76,127 +77,103 @@
             return error
         return self.fail(f"{error_type.__name__} expected")
 
-    def test_orders(self):
+    @with_own_system("run_with_engine")
+    async def test_orders(self, client, core, listener):
         """An order's arguments and results must not be changed on the way."""
-
-        async def check(client, core, listener):
-            status = await client.status()
-            self.assertEqual({HANDLE: 0}, status.in_use_by_handle)
-            self.assertEqual(core.incarnation, status.incarnation)
-            await client.change_role("prefill", 1)
-            self.assertEqual("prefill", (await client.status()).role)
-            await client.unload(UnloadOrder(HANDLE, 1))
-            self.assertEqual({}, (await client.status()).in_use_by_handle)
-            status = await client.fence(7)
-            self.assertEqual(7, status.fencing_number)
-            order = LoadOrder(HANDLE, "workshop-0", "1", 6)
-            error = await self.assert_error(OldFencingNumber, client.load(order))
-            self.assertEqual(7, error.highest)
-
-        self.run_with_engine(check)
-
-    def test_refusals(self):
+        status = await client.status()
+        self.assertEqual({HANDLE: 0}, status.in_use_by_handle)
+        self.assertEqual(core.incarnation, status.incarnation)
+        await client.change_role("prefill", 1)
+        self.assertEqual("prefill", (await client.status()).role)
+        await client.unload(UnloadOrder(HANDLE, 1))
+        self.assertEqual({}, (await client.status()).in_use_by_handle)
+        status = await client.fence(7)
+        self.assertEqual(7, status.fencing_number)
+        order = LoadOrder(HANDLE, "workshop-0", "1", 6)
+        error = await self.assert_error(OldFencingNumber, client.load(order))
+        self.assertEqual(7, error.highest)
+
+    @with_own_system("run_with_engine")
+    async def test_refusals(self, client, core, listener):
         """Guards against a refusal that is decoded as another error."""
-
-        async def check(client, core, listener):
-            request = make_request(handle="absent@1")
-            await self.assert_error(NotResident, collect(client, request))
-            core.loads_to_fail = 1
-            order = LoadOrder("workshop-1@1", "workshop-1", "1", 1)
-            await self.assert_error(LoadFailed, client.load(order))
-            request = make_request(next_index=3)
-            await self.assert_error(EngineError, collect(client, request))
-            listener.down = True
-            listener.break_connections()
-            await self.assert_error(EngineError, client.status(), sent=False)
-            await self.assert_error(
-                EngineError, collect(client, make_request()), sent=False
-            )
-
-        self.run_with_engine(check)
-
-    def test_stream_and_resume(self):
+        request = make_request(handle="absent@1")
+        await self.assert_error(NotResident, collect(client, request))
+        core.loads_to_fail = 1
+        order = LoadOrder("workshop-1@1", "workshop-1", "1", 1)
+        await self.assert_error(LoadFailed, client.load(order))
+        request = make_request(next_index=3)
+        await self.assert_error(EngineError, collect(client, request))
+        listener.down = True
+        listener.break_connections()
+        await self.assert_error(EngineError, client.status(), sent=False)
+        await self.assert_error(
+            EngineError, collect(client, make_request()), sent=False
+        )
+
+    @with_own_system("run_with_engine")
+    async def test_stream_and_resume(self, client, core, listener):
         """A resumed stream must neither repeat nor skip tokens."""
-
-        async def check(client, core, listener):
-            expected = [
-                expected_token("workshop-0", "1", "Size 8?", n) for n in range(6)
-            ]
-            first = await collect(client, make_request(), count=2)
-            remaining = await collect(client, make_request(next_index=len(first)))
-            self.assertEqual(expected, first + remaining)
-            self.assertEqual(6, core.tokens_generated)
-            forced = make_request(
-                request_id="r2", next_index=3, forced_tokens=tuple(expected[:3])
-            )
-            self.assertEqual(expected[3:], await collect(client, forced))
-
-        self.run_with_engine(check)
-
-    def test_cancel_and_cache(self):
+        expected = [expected_token("workshop-0", "1", "Size 8?", n) for n in range(6)]
+        first = await collect(client, make_request(), count=2)
+        remaining = await collect(client, make_request(next_index=len(first)))
+        self.assertEqual(expected, first + remaining)
+        self.assertEqual(6, core.tokens_generated)
+        forced = make_request(
+            request_id="r2", next_index=3, forced_tokens=tuple(expected[:3])
+        )
+        self.assertEqual(expected[3:], await collect(client, forced))
+
+    @with_own_system("run_with_engine")
+    async def test_cancel_and_cache(self, client, core, listener):
         """The client could lose a cancel, a KV cache transfer or a cache event."""
-
-        async def check(client, core, listener):
-            request = make_request(max_tokens=500, prefix="first")
-            await collect(client, request, count=2)
-            data = await client.export_kv("r1")
-            await client.cancel("r1")
-            self.assertEqual(0, (await client.status()).running)
-            await client.import_kv("r1", data)
-            await self.assert_error(EngineError, client.import_kv("r9", data))
-            events = [event async for event in client.cache_events()]
-            self.assertEqual(
-                [("stored", "first")], [(e.kind, e.prefix) for e in events]
-            )
-
-        self.run_with_engine(check)
-
-    def test_connection_breaks_in_a_stream(self):
+        request = make_request(max_tokens=500, prefix="first")
+        await collect(client, request, count=2)
+        data = await client.export_kv("r1")
+        await client.cancel("r1")
+        self.assertEqual(0, (await client.status()).running)
+        await client.import_kv("r1", data)
+        await self.assert_error(EngineError, client.import_kv("r9", data))
+        events = [event async for event in client.cache_events()]
+        self.assertEqual([("stored", "first")], [(e.kind, e.prefix) for e in events])
+
+    @with_own_system("run_with_engine")
+    async def test_connection_breaks_in_a_stream(self, client, core, listener):
         """Without an error, a broken stream would be taken for a finished one."""
-
-        async def check(client, core, listener):
-            async with client.generate(make_request(max_tokens=500)) as batches:
-                await batches.__anext__()
-                listener.break_connections()
-                try:
-                    async for _ in batches:
-                        pass
-                except EngineError as error:
-                    self.assertTrue(error.sent)
-                else:
-                    self.fail("the stream must not end without an error")
-
-        self.run_with_engine(check)
-
-    def test_engine_that_restarts_in_a_stream(self):
+        async with client.generate(make_request(max_tokens=500)) as batches:
+            await batches.__anext__()
+            listener.break_connections()
+            try:
+                async for _ in batches:
+                    pass
+            except EngineError as error:
+                self.assertTrue(error.sent)
+            else:
+                self.fail("the stream must not end without an error")
+
+    @with_own_system("run_with_engine")
+    async def test_engine_that_restarts_in_a_stream(self, client, core, listener):
         """When an engine restarts in a stream, its error event must not be ignored."""
-
-        async def check(client, core, listener):
-            async with client.generate(make_request(max_tokens=500)) as batches:
-                await batches.__anext__()
-                core.restart()
-                with testtools.ExpectedException(EngineError, ".*restarted"):
-                    async for _ in batches:
-                        pass
-
-        self.run_with_engine(check)
-
-    def test_events_that_are_not_json(self):
+        async with client.generate(make_request(max_tokens=500)) as batches:
+            await batches.__anext__()
+            core.restart()
+            with testtools.ExpectedException(EngineError, ".*restarted"):
+                async for _ in batches:
+                    pass
+
+    @in_virtual_time
+    async def test_events_that_are_not_json(self):
         """Malformed replies, for instance HTML, could end a task of the daemon."""
 
-        async def main():
-            async def app(scope, receive, send):
-                if scope["path"].startswith("/v1/channels/"):
-                    await send_response(send, 200, b"data: {\n\n")
-                else:
-                    status = 500 if scope["method"] == "GET" else 200
-                    await send_response(send, status, b"<html>")
-
-            backend = MemoryBackend()
-            backend.listeners_by_address[ADDRESS] = MemoryListener(app)
-            client = HttpEngineClient(ADDRESS, backend=backend)
-            await self.assert_error(EngineError, collect(client, make_request()))
-            await self.assert_error(EngineError, client.status())
-            await self.assert_error(EngineError, client.fence(1))
-
-        run_in_virtual_time(main)
+        async def app(scope, receive, send):
+            if scope["path"].startswith("/v1/channels/"):
+                await send_response(send, 200, b"data: {\n\n")
+            else:
+                status = 500 if scope["method"] == "GET" else 200
+                await send_response(send, status, b"<html>")
+
+        backend = MemoryBackend()
+        backend.listeners_by_address[ADDRESS] = MemoryListener(app)
+        client = HttpEngineClient(ADDRESS, backend=backend)
+        await self.assert_error(EngineError, collect(client, make_request()))
+        await self.assert_error(EngineError, client.status())
+        await self.assert_error(EngineError, client.fence(1))
--- a/tests/engines/test_ownership.py
+++ b/tests/engines/test_ownership.py
@@ -19,6 +19,7 @@
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.engine import expected_text
 from snipetrestle_standins.replica_fleet import ReplicaFleet, engine_configuration
+from tests.systems import with_own_system
 
 # Takeover target of the design, in seconds of the simulated clock.
 TAKEOVER_TARGET_S = 3.0
@@ -77,17 +78,14 @@
             if not wait_for_requests:
                 group.cancel_scope.cancel()
 
-    def test_paused_owner_resumes_with_queued_unload(self):
+    @with_own_system("run_with_and_without_fencing")
+    async def test_paused_owner_resumes_with_queued_unload(self, fleet):
         """A resumed old owner could evict a copy that its successor uses (P2).
 
         Its unload order was queued while its daemon was paused.
         """
-
-        async def check(fleet):
-            await self.resume_with_queued_unload(fleet)
-            self.assertEqual([], fleet.engine().in_use_evictions)
-
-        self.run_with_and_without_fencing(check)
+        await self.resume_with_queued_unload(fleet)
+        self.assertEqual([], fleet.engine().in_use_evictions)
 
     def test_queued_unload_evicts_without_fencing_and_handles(self):
         """Shows the failure without fencing numbers and without handle suffixes."""
@@ -127,17 +125,14 @@
             )
             fleet.network.resume(first)
 
-    def test_successor_keeps_copies_in_use(self):
+    @with_own_system("run_with_and_without_fencing")
+    async def test_successor_keeps_copies_in_use(self, fleet):
         """A successor must not evict the copy of an old owner's stream (P2).
 
         It needs all slots while that stream still runs.
         """
-
-        async def check(fleet):
-            await self.take_over_during_stream(fleet)
-            self.assertEqual([], fleet.engine().in_use_evictions)
-
-        self.run_with_and_without_fencing(check)
+        await self.take_over_during_stream(fleet)
+        self.assertEqual([], fleet.engine().in_use_evictions)
 
     def test_copies_in_use_are_evicted_without_inherited_pins(self):
         """Shows that the inherited pin is what protects the stream."""
@@ -180,30 +175,24 @@
             lambda fleet: check(fleet, fleet.network.pause)
         )
 
-    def test_two_failed_owners_are_replaced(self):
+    @with_own_system("run_with_and_without_fencing")
+    async def test_two_failed_owners_are_replaced(self, fleet):
         """If the successor fails too, a replica could be left unserved."""
+        first, second, third = fleet.owner_candidates()
+        fleet.kill(first)
+        fleet.kill(second)
+        start = anyio.current_time()
+        await self.serve(fleet, third)
+        self.assertTrue(anyio.current_time() - start < TAKEOVER_TARGET_S)
 
-        async def check(fleet):
-            first, second, third = fleet.owner_candidates()
-            fleet.kill(first)
-            fleet.kill(second)
-            start = anyio.current_time()
-            await self.serve(fleet, third)
-            self.assertTrue(anyio.current_time() - start < TAKEOVER_TARGET_S)
-
-        self.run_with_and_without_fencing(check)
-
-    def test_failed_load_during_takeover(self):
+    @with_own_system("run_with_and_without_fencing")
+    async def test_failed_load_during_takeover(self, fleet):
         """Failed loads in a takeover must not leave a replica without an owner."""
-
-        async def check(fleet):
-            first, second, third = fleet.owner_candidates()
-            fleet.engine().loads_to_fail = 2
-            fleet.kill(first)
-            await self.serve(fleet, third, "adapter-3", version="2")
-            self.assertEqual([second], fleet.owners_of())
-
-        self.run_with_and_without_fencing(check)
+        first, second, third = fleet.owner_candidates()
+        fleet.engine().loads_to_fail = 2
+        fleet.kill(first)
+        await self.serve(fleet, third, "adapter-3", version="2")
+        self.assertEqual([second], fleet.owners_of())
 
 
 class PartitionTest(OwnershipTest):
@@ -231,50 +220,41 @@
         await fleet.settle(10.0)
         return first, third, served
 
-    def test_two_owners_in_a_partition(self):
+    @with_own_system("run_with_and_without_fencing")
+    async def test_two_owners_in_a_partition(self, fleet):
         """In a partition, two owners could mix answers and evict copies in use.
 
         The promises P1 and P2 exclude this.
         """
-
-        async def check(fleet):
-            first, third, served = await self.ask_on_both_sides(fleet)
-            self.assertEqual([], fleet.engine().in_use_evictions)
-            self.assertTrue(served[third] > 10, served)
-            if not fleet.engine().checks_fencing_numbers:
-                self.assertTrue(served[first] > 10, served)
-            self.assertEqual([first], fleet.owners_of())
-            await self.serve(fleet, first)
-
-        self.run_with_and_without_fencing(check)
-
-    def test_two_daemons_do_not_fence_each_other_repeatedly(self):
+        first, third, served = await self.ask_on_both_sides(fleet)
+        self.assertEqual([], fleet.engine().in_use_evictions)
+        self.assertTrue(served[third] > 10, served)
+        if not fleet.engine().checks_fencing_numbers:
+            self.assertTrue(served[first] > 10, served)
+        self.assertEqual([first], fleet.owners_of())
+        await self.serve(fleet, first)
+
+    @with_own_system("run_fleet")
+    async def test_two_daemons_do_not_fence_each_other_repeatedly(self, fleet):
         """Guards against owners that take a replica from each other forever."""
-
-        async def check(fleet):
-            before = fleet.engine().fencing_number >> 32
-            await self.ask_on_both_sides(fleet, 60.0)
-            # One term by a takeover, and one by a confirmed hand-over after the
-            # partition.
-            self.assertEqual(before + 2, fleet.engine().fencing_number >> 32)
-
-        self.run_fleet(check)
-
-    def test_fenced_owner_returns_only_with_a_new_view(self):
+        before = fleet.engine().fencing_number >> 32
+        await self.ask_on_both_sides(fleet, 60.0)
+        # One term by a takeover, and one by a confirmed hand-over after the
+        # partition.
+        self.assertEqual(before + 2, fleet.engine().fencing_number >> 32)
+
+    @with_own_system("run_fleet")
+    async def test_fenced_owner_returns_only_with_a_new_view(self, fleet):
         """While its view is unchanged, a fenced owner must not claim again."""
-
-        async def check(fleet):
-            first, second, third = fleet.owner_candidates()
-            fleet.network.partition([first], [second, third])
-            await self.serve(fleet, third)
-            await fleet.settle(10.0)
-            self.assertEqual([second], fleet.owners_of())
-            fleet.daemons_by_name[first].update_member_state(second, MemberState.FAILED)
-            fleet.daemons_by_name[first].update_member_state(third, MemberState.FAILED)
-            await fleet.settle(5.0)
-            self.assertIn(first, fleet.owners_of())
-
-        self.run_fleet(check)
+        first, second, third = fleet.owner_candidates()
+        fleet.network.partition([first], [second, third])
+        await self.serve(fleet, third)
+        await fleet.settle(10.0)
+        self.assertEqual([second], fleet.owners_of())
+        fleet.daemons_by_name[first].update_member_state(second, MemberState.FAILED)
+        fleet.daemons_by_name[first].update_member_state(third, MemberState.FAILED)
+        await fleet.settle(5.0)
+        self.assertIn(first, fleet.owners_of())
 
 
 class ForeignCopyTest(OwnershipTest):
@@ -334,35 +314,29 @@
 
 
 class EngineRestartTest(OwnershipTest):
-    def test_restarted_engine_is_loaded_again(self):
+    @with_own_system("run_with_and_without_fencing")
+    async def test_restarted_engine_is_loaded_again(self, fleet):
         """An owner must not use copies that its engine lost in a restart."""
+        first, _, third = fleet.owner_candidates()
+        await self.fill(fleet, third, 3)
+        number = fleet.engine().fencing_number
+        fleet.engine().restart()
+        await fleet.settle(1.0)
+        self.assertEqual(number, fleet.engine().fencing_number)
+        await self.fill(fleet, third, 3)
+        self.assertEqual([first], fleet.owners_of())
 
-        async def check(fleet):
-            first, _, third = fleet.owner_candidates()
-            await self.fill(fleet, third, 3)
-            number = fleet.engine().fencing_number
-            fleet.engine().restart()
-            await fleet.settle(1.0)
-            self.assertEqual(number, fleet.engine().fencing_number)
-            await self.fill(fleet, third, 3)
-            self.assertEqual([first], fleet.owners_of())
-
-        self.run_with_and_without_fencing(check)
-
-    def test_stream_continues_after_an_engine_restart(self):
+    @with_own_system("run_with_and_without_fencing")
+    async def test_stream_continues_after_an_engine_restart(self, fleet):
         """After an engine restart, an answer must go on where it stopped.
 
         It could be truncated or restart in the middle.
         """
-
-        async def check(fleet):
-            third = fleet.owner_candidates()[2]
-            async with anyio.create_task_group() as group:
-                group.start_soon(self.serve, fleet, third, "adapter-0", 200)
-                await fleet.settle(1.5)
-                fleet.engine().restart()
-
-        self.run_with_and_without_fencing(check)
+        third = fleet.owner_candidates()[2]
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.serve, fleet, third, "adapter-0", 200)
+            await fleet.settle(1.5)
+            fleet.engine().restart()
 
 
 class HandOverTest(OwnershipTest):
@@ -384,17 +358,14 @@
                 group.start_soon(self.serve, fleet, third, f"adapter-{number}")
         return first
 
-    def test_running_streams_finish_and_queued_requests_move(self):
+    @with_own_system("run_with_and_without_fencing")
+    async def test_running_streams_finish_and_queued_requests_move(self, fleet):
         """A hand-over could break streams, lose requests or evict copies in use.
 
         The promises P2, P7 and P9 exclude this.
         """
-
-        async def check(fleet):
-            await self.hand_over(fleet)
-            self.assertEqual([], fleet.engine().in_use_evictions)
-
-        self.run_with_and_without_fencing(check)
+        await self.hand_over(fleet)
+        self.assertEqual([], fleet.engine().in_use_evictions)
 
     def test_lost_confirmation_leaves_one_owner(self):
         """Two owners could use the same handles (P2) if a confirmation is lost."""
@@ -416,71 +387,62 @@
 
 
 class LeavingServerTest(OwnershipTest):
-    def test_leaving_server_gets_no_new_requests(self):
+    @with_own_system("run_with_and_without_fencing")
+    async def test_leaving_server_gets_no_new_requests(self, fleet):
         """Guards against new requests at a leaving server, and broken streams (P6)."""
-
-        async def check(fleet):
-            owner, _, third = fleet.owner_candidates()
-            async with anyio.create_task_group() as group:
-                group.start_soon(self.serve, fleet, third, "adapter-0", 300)
-                await fleet.settle(1.0)
-                for daemon in fleet.daemons_by_name.values():
-                    daemon.ownership.set_leaving(["engine-0"])
-                started = fleet.engine()._arrival_count
-                server = fleet.configuration.servers_by_name["engine-0"]
-                for daemon in fleet.daemons_by_name.values():
-                    self.assertIs(None, daemon.ownership.owner_name(server))
-                with testtools.ExpectedException(ServingError):
-                    await fleet.send_request(owner, time_left_s=3.0)
-            self.assertEqual(started, fleet.engine()._arrival_count)
+        owner, _, third = fleet.owner_candidates()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.serve, fleet, third, "adapter-0", 300)
+            await fleet.settle(1.0)
             for daemon in fleet.daemons_by_name.values():
-                daemon.ownership.set_leaving([])
-            await self.serve(fleet, third)
-
-        self.run_with_and_without_fencing(check)
+                daemon.ownership.set_leaving(["engine-0"])
+            started = fleet.engine()._arrival_count
+            server = fleet.configuration.servers_by_name["engine-0"]
+            for daemon in fleet.daemons_by_name.values():
+                self.assertIs(None, daemon.ownership.owner_name(server))
+            with testtools.ExpectedException(ServingError):
+                await fleet.send_request(owner, time_left_s=3.0)
+        self.assertEqual(started, fleet.engine()._arrival_count)
+        for daemon in fleet.daemons_by_name.values():
+            daemon.ownership.set_leaving([])
+        await self.serve(fleet, third)
 
 
 class DifferentViewsTest(OwnershipTest):
-    def test_replica_does_not_move_back_and_forth(self):
+    @with_own_system("run_fleet")
+    async def test_replica_does_not_move_back_and_forth(self, fleet):
         """Daemons with different membership views could claim a replica in turn."""
-
-        async def check(fleet):
-            first, second, third = fleet.owner_candidates()
-            fleet.kill(first)
-            fleet.set_member_state_everywhere(first, MemberState.FAILED)
-            await self.serve(fleet, third)
-            fleet.start(first)
-            # The second and third daemons do not know about the replacement yet.
-            fleet.daemons_by_name[second].update_member_state(first, MemberState.FAILED)
-            fleet.daemons_by_name[third].update_member_state(first, MemberState.FAILED)
-            before = fleet.engine().fencing_number >> 32
-            for name in (first, second, third) * 10:
-                await self.serve(fleet, name, max_tokens=5)
-            self.assertEqual([second], fleet.owners_of())
-            self.assertEqual(before, fleet.engine().fencing_number >> 32)
-            fleet.daemons_by_name[second].update_member_state(first, MemberState.ALIVE)
-            await fleet.settle()
-            self.assertEqual([first], fleet.owners_of())
-
-        self.run_fleet(check)
+        first, second, third = fleet.owner_candidates()
+        fleet.kill(first)
+        fleet.set_member_state_everywhere(first, MemberState.FAILED)
+        await self.serve(fleet, third)
+        fleet.start(first)
+        # The second and third daemons do not know about the replacement yet.
+        fleet.daemons_by_name[second].update_member_state(first, MemberState.FAILED)
+        fleet.daemons_by_name[third].update_member_state(first, MemberState.FAILED)
+        before = fleet.engine().fencing_number >> 32
+        for name in (first, second, third) * 10:
+            await self.serve(fleet, name, max_tokens=5)
+        self.assertEqual([second], fleet.owners_of())
+        self.assertEqual(before, fleet.engine().fencing_number >> 32)
+        fleet.daemons_by_name[second].update_member_state(first, MemberState.ALIVE)
+        await fleet.settle()
+        self.assertEqual([first], fleet.owners_of())
 
 
 class CancelledOrderTest(OwnershipTest):
-    def test_load_of_a_cancelled_call_is_recorded(self):
+    @with_own_system("run_fleet")
+    async def test_load_of_a_cancelled_call_is_recorded(self, fleet):
         """After a gRPC cancellation, an adapter could stay "loading"."""
-
-        async def check(fleet):
-            first, _, third = fleet.owner_candidates()
-            owner = fleet.daemons_by_name[first].ownership.owners()[0]
-            # grpc.aio cancels the handler's asyncio task and not an anyio scope.
-            task = asyncio.ensure_future(fleet.send_request(first))
-            await anyio.sleep(0.1)
-            task.cancel()
-            await anyio.sleep(1.0)
-            self.assertEqual(["adapter-0@1"], list(owner.resident_handles()))
-            await self.serve(fleet, third)
-
-        self.run_fleet(check)
+        first, _, third = fleet.owner_candidates()
+        owner = fleet.daemons_by_name[first].ownership.owners()[0]
+        # grpc.aio cancels the handler's asyncio task and not an anyio scope.
+        task = asyncio.ensure_future(fleet.send_request(first))
+        await anyio.sleep(0.1)
+        task.cancel()
+        await anyio.sleep(1.0)
+        self.assertEqual(["adapter-0@1"], list(owner.resident_handles()))
+        await self.serve(fleet, third)
 
     def test_cancelled_load_is_stuck_without_a_detached_task(self):
         """Shows that sending the order in a detached task keeps the adapter usable."""
@@ -565,43 +527,35 @@
 
 
 class UnresponsiveOwnerTest(OwnershipTest):
-    def test_one_report_moves_all_replicas_of_an_unresponsive_owner(self):
+    @with_own_system("run_fleet", replicas=9)
+    async def test_one_report_moves_all_replicas_of_an_unresponsive_owner(self, fleet):
         """Guards against replicas that are taken over only when they get a request."""
-
-        async def check(fleet):
-            first = fleet.owner_candidates()[0]
-            owned = [
-                name
-                for name in fleet.engines_by_name
-                if fleet.owner_candidates(name)[0] == first
-            ]
-            self.assertTrue(len(owned) > 1)
-            fleet.network.pause(first)
-            reporter = fleet.owner_candidates()[2]
-            fleet.daemons_by_name[reporter].ownership.mark_unreachable(first)
-            await fleet.settle(TAKEOVER_TARGET_S / 2)
-            for name in owned:
-                self.assertEqual(2, len(fleet.owners_of(name)), name)
-
-        self.run_fleet(check, replicas=9)
+        first = fleet.owner_candidates()[0]
+        owned = [
+            name
+            for name in fleet.engines_by_name
+            if fleet.owner_candidates(name)[0] == first
+        ]
+        self.assertTrue(len(owned) > 1)
+        fleet.network.pause(first)
+        reporter = fleet.owner_candidates()[2]
+        fleet.daemons_by_name[reporter].ownership.mark_unreachable(first)
+        await fleet.settle(TAKEOVER_TARGET_S / 2)
+        for name in owned:
+            self.assertEqual(2, len(fleet.owners_of(name)), name)
 
 
 class RoleOrderTest(OwnershipTest):
-    def test_role_order_carries_the_number(self):
+    @with_own_system("run_fleet")
+    async def test_role_order_carries_the_number(self, fleet):
         """Cut off by a partition, an old owner could still change an engine's role."""
-
-        async def check(fleet):
-            first, second, third = fleet.owner_candidates()
-            old, new = (
-                fleet.daemons_by_name[name].ownership for name in (first, second)
-            )
+        first, second, third = fleet.owner_candidates()
+        old, new = (fleet.daemons_by_name[name].ownership for name in (first, second))
+        await old.change_role("engine-0", "prefill")
+        self.assertEqual("prefill", fleet.engine().role)
+        fleet.network.partition([first], [second, third])
+        await self.serve(fleet, third)
+        await new.change_role("engine-0", "decode")
+        with testtools.ExpectedException(ServingError):
             await old.change_role("engine-0", "prefill")
-            self.assertEqual("prefill", fleet.engine().role)
-            fleet.network.partition([first], [second, third])
-            await self.serve(fleet, third)
-            await new.change_role("engine-0", "decode")
-            with testtools.ExpectedException(ServingError):
-                await old.change_role("engine-0", "prefill")
-            self.assertEqual("decode", fleet.engine().role)
-
-        self.run_fleet(check)
+        self.assertEqual("decode", fleet.engine().role)
--- a/tests/peers/test_configuration_spread.py
+++ b/tests/peers/test_configuration_spread.py
@@ -22,6 +22,7 @@
 from snipetrestle.published import PublishedConfiguration
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.fleet import MembershipFleet, encode_document, small_document
+from tests.systems import with_system
 
 TIMEOUT_S = 30.0
 # Design section 1.6: a change is in effect on all daemons within 14 s.
@@ -98,147 +99,129 @@
         """The distribution time must not grow with the fleet size."""
         self.check_distribution(260, domains=13)
 
-    def test_stale_service_does_not_revert_a_revision(self):
+    @with_system(run_fleet)
+    async def test_stale_service_does_not_revert_a_revision(self, fleet):
         """A delayed replica could replace a revision by one of its own."""
-
-        async def check(fleet):
-            publish(fleet)
-            fleet.configuration.freeze()
-            frozen = fleet.configuration._frozen
-            fleet.configuration.thaw()
-            publish(fleet, adapters=4)
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 2)
-            fleet.configuration._frozen = frozen
-            # Restarted daemons, readers among them, read the stale service first.
-            for number in range(7):
-                fleet.kill(f"entry-{number}")
-                fleet.start(fleet.host(number))
-                daemon = fleet.daemons_by_name[f"entry-{number}"]
-                await daemon.spread.ready.wait()
-                self.assertEqual(2, daemon.spread.revision)
-                await anyio.sleep(20.0)
-            await self.wait_for_revisions(fleet, 2)
-            fleet.configuration.thaw()
-            publish(fleet, adapters=5)
-            await self.wait_for_revisions(fleet, 3)
-
-        run_fleet(check)
-
-    def test_late_reply_with_a_lower_revision_is_ignored(self):
+        publish(fleet)
+        fleet.configuration.freeze()
+        frozen = fleet.configuration._frozen
+        fleet.configuration.thaw()
+        publish(fleet, adapters=4)
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 2)
+        fleet.configuration._frozen = frozen
+        # Restarted daemons, readers among them, read the stale service first.
+        for number in range(7):
+            fleet.kill(f"entry-{number}")
+            fleet.start(fleet.host(number))
+            daemon = fleet.daemons_by_name[f"entry-{number}"]
+            await daemon.spread.ready.wait()
+            self.assertEqual(2, daemon.spread.revision)
+            await anyio.sleep(20.0)
+        await self.wait_for_revisions(fleet, 2)
+        fleet.configuration.thaw()
+        publish(fleet, adapters=5)
+        await self.wait_for_revisions(fleet, 3)
+
+    @with_system(run_fleet)
+    async def test_late_reply_with_a_lower_revision_is_ignored(self, fleet):
         """Guards against a delayed reply that replaces a newer revision."""
-
-        async def check(fleet):
-            publish(fleet)
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 1)
-            spread = fleet.daemons_by_name["entry-0"].spread
-            old_content = await spread._on_fetch_configuration(
-                "entry-1", FetchConfiguration(RevisionDigest())
-            )
-            publish(fleet, adapters=4)
-            await self.wait_for_revisions(fleet, 2)
-            fleet.network.find("entry-1").router.on_call(
-                FetchConfiguration, lambda sender, message: self.reply(old_content)
-            )
-            await spread._fetch_from("entry-1")
-            self.assertEqual(2, spread.revision)
-
-        run_fleet(check)
+        publish(fleet)
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 1)
+        spread = fleet.daemons_by_name["entry-0"].spread
+        old_content = await spread._on_fetch_configuration(
+            "entry-1", FetchConfiguration(RevisionDigest())
+        )
+        publish(fleet, adapters=4)
+        await self.wait_for_revisions(fleet, 2)
+        fleet.network.find("entry-1").router.on_call(
+            FetchConfiguration, lambda sender, message: self.reply(old_content)
+        )
+        await spread._fetch_from("entry-1")
+        self.assertEqual(2, spread.revision)
 
     async def reply(self, content):
         return content
 
-    def test_start_while_the_service_is_down(self):
+    @with_system(run_fleet)
+    async def test_start_while_the_service_is_down(self, fleet):
         """Daemons must not need the service in order to start."""
-
-        async def check(fleet):
-            publish(fleet)
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 1)
-            fleet.configuration.set_down(True)
-            fleet.kill("entry-3")
-            restarted = fleet.start(fleet.host(3))
-            with anyio.fail_after(TIMEOUT_S):
-                await restarted.spread.ready.wait()
-            self.assertEqual(1, restarted.spread.revision)
-            fleet.configuration.set_down(False)
-            publish(fleet, adapters=9)
-            await self.wait_for_revisions(fleet, 2, limit_s=2 * MAX_BACKOFF_S)
-            self.assertEqual(2, len({item["event"] for item in self.outage_events()}))
-
-        run_fleet(check)
+        publish(fleet)
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 1)
+        fleet.configuration.set_down(True)
+        fleet.kill("entry-3")
+        restarted = fleet.start(fleet.host(3))
+        with anyio.fail_after(TIMEOUT_S):
+            await restarted.spread.ready.wait()
+        self.assertEqual(1, restarted.spread.revision)
+        fleet.configuration.set_down(False)
+        publish(fleet, adapters=9)
+        await self.wait_for_revisions(fleet, 2, limit_s=2 * MAX_BACKOFF_S)
+        self.assertEqual(2, len({item["event"] for item in self.outage_events()}))
 
     def outage_events(self):
         return [*self.events_of("EV-1103"), *self.events_of("EV-1105")]
 
-    def test_daemon_without_any_configuration_is_not_ready(self):
+    @with_system(run_fleet)
+    async def test_daemon_without_any_configuration_is_not_ready(self, fleet):
         """With an empty configuration, a daemon would refuse requests."""
-
-        async def check(fleet):
-            fleet.configuration.set_down(True)
-            fleet.start_all()
-            await anyio.sleep(600.0)
+        fleet.configuration.set_down(True)
+        fleet.start_all()
+        await anyio.sleep(600.0)
+        for daemon in fleet.daemons_by_name.values():
+            self.assertFalse(daemon.spread.ready.is_set())
+        # Six readers whose back-off has reached its maximum.
+        calls = fleet.configuration.calls.total()
+        self.assertTrue(calls < 6 * 20, calls)
+        fleet.configuration.set_down(False)
+        publish(fleet)
+        with anyio.fail_after(2 * MAX_BACKOFF_S):
             for daemon in fleet.daemons_by_name.values():
-                self.assertFalse(daemon.spread.ready.is_set())
-            # Six readers whose back-off has reached its maximum.
-            calls = fleet.configuration.calls.total()
-            self.assertTrue(calls < 6 * 20, calls)
-            fleet.configuration.set_down(False)
-            publish(fleet)
-            with anyio.fail_after(2 * MAX_BACKOFF_S):
-                for daemon in fleet.daemons_by_name.values():
-                    await daemon.spread.ready.wait()
-
-        run_fleet(check)
+                await daemon.spread.ready.wait()
 
-    def test_reader_of_a_stale_service_asks_peers_before_it_is_ready(self):
+    @with_system(run_fleet)
+    async def test_reader_of_a_stale_service_asks_peers_before_it_is_ready(self, fleet):
         """A reader could start with a revision that peers have replaced already."""
-
-        async def check(fleet):
-            publish(fleet)
-            fleet.configuration.freeze()
-            frozen = fleet.configuration._frozen
-            fleet.configuration.thaw()
-            publish(fleet, adapters=4)
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 2)
-            fleet.configuration._frozen = frozen
-            for number in range(7):
-                name = f"entry-{number}"
-                fleet.kill(name)
-                spread = fleet.start(fleet.host(number)).spread
-                await spread.ready.wait()
-                self.assertEqual(2, spread.revision)
-
-        run_fleet(check)
+        publish(fleet)
+        fleet.configuration.freeze()
+        frozen = fleet.configuration._frozen
+        fleet.configuration.thaw()
+        publish(fleet, adapters=4)
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 2)
+        fleet.configuration._frozen = frozen
+        for number in range(7):
+            name = f"entry-{number}"
+            fleet.kill(name)
+            spread = fleet.start(fleet.host(number)).spread
+            await spread.ready.wait()
+            self.assertEqual(2, spread.revision)
 
 
 class RestoredServiceTest(DistributionTestCase):
-    def test_operators_are_told_and_get_out_by_a_higher_revision(self):
+    @with_system(run_fleet)
+    async def test_operators_are_told_and_get_out_by_a_higher_revision(self, fleet):
         """Readers waited in silence for a revision above the one in effect, while all
         that operators published below it had no effect."""
-
-        async def check(fleet):
-            publish(fleet)
-            first = fleet.configuration.read("snipetrestle")
-            publish(fleet, adapters=4)
-            publish(fleet, adapters=5)
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 3)
-            fleet.configuration.restore(*first)
-            await anyio.sleep(60.0)
-            stale = self.events_of("EV-1106")
-            self.assertEqual(
-                {(1, 3)}, {(item["revision"], item["in_effect"]) for item in stale}
-            )
-            publish(fleet, adapters=6, revision=2)
-            await anyio.sleep(60.0)
-            await self.wait_for_revisions(fleet, 3)
-            publish(fleet, adapters=6, revision=4)
-            await self.wait_for_revisions(fleet, 4)
-
-        run_fleet(check)
+        publish(fleet)
+        first = fleet.configuration.read("snipetrestle")
+        publish(fleet, adapters=4)
+        publish(fleet, adapters=5)
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 3)
+        fleet.configuration.restore(*first)
+        await anyio.sleep(60.0)
+        stale = self.events_of("EV-1106")
+        self.assertEqual(
+            {(1, 3)}, {(item["revision"], item["in_effect"]) for item in stale}
+        )
+        publish(fleet, adapters=6, revision=2)
+        await anyio.sleep(60.0)
+        await self.wait_for_revisions(fleet, 3)
+        publish(fleet, adapters=6, revision=4)
+        await self.wait_for_revisions(fleet, 4)
 
 
 class RefusedRevisionTest(DistributionTestCase):
@@ -336,95 +319,80 @@
             "rest": rest,
         }
 
-    def test_only_changed_parts_are_read(self):
+    @with_system(run_fleet)
+    async def test_only_changed_parts_are_read(self, fleet):
         """Readers must not read the whole document for each change."""
-
-        async def check(fleet):
-            publish_parts(fleet, self.parts(10))
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 1)
-            reads = fleet.configuration.calls["read"]
-            publish_parts(fleet, self.parts(11))
-            await self.wait_for_revisions(fleet, 2)
-            # Two readers in each of three failure domains read one part.
-            self.assertEqual(reads + 6, fleet.configuration.calls["read"])
-            publish_parts(fleet, self.parts(4, extra_load_stalls=1))
-            await self.wait_for_revisions(fleet, 3)
-            for daemon in fleet.daemons_by_name.values():
-                self.assertEqual(4, len(daemon.spread.current.adapters))
-                self.assertEqual(2.0, daemon.spread.current.policy.load_stalls)
-
-        run_fleet(check)
-
-    def test_refused_part_is_read_again_with_the_next_revision(self):
+        publish_parts(fleet, self.parts(10))
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 1)
+        reads = fleet.configuration.calls["read"]
+        publish_parts(fleet, self.parts(11))
+        await self.wait_for_revisions(fleet, 2)
+        # Two readers in each of three failure domains read one part.
+        self.assertEqual(reads + 6, fleet.configuration.calls["read"])
+        publish_parts(fleet, self.parts(4, extra_load_stalls=1))
+        await self.wait_for_revisions(fleet, 3)
+        for daemon in fleet.daemons_by_name.values():
+            self.assertEqual(4, len(daemon.spread.current.adapters))
+            self.assertEqual(2.0, daemon.spread.current.policy.load_stalls)
+
+    @with_system(run_fleet)
+    async def test_refused_part_is_read_again_with_the_next_revision(self, fleet):
         """If a revision is refused, its changes must not be lost."""
-
-        async def check(fleet):
-            publish_parts(fleet, self.parts(10))
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 1)
-            parts = self.parts(12)
-            parts["rest"]["policy"] = {"load_stalls": -1.0}
-            publish_parts(fleet, parts)
-            await self.wait_for_revisions(fleet, 1, seen=2)
-            parts["rest"]["policy"] = {}
-            publish_parts(fleet, parts)
-            await self.wait_for_revisions(fleet, 3)
-            for daemon in fleet.daemons_by_name.values():
-                self.assertEqual(12, len(daemon.spread.current.adapters))
-
-        run_fleet(check)
-
-    def test_name_in_two_parts_is_refused(self):
+        publish_parts(fleet, self.parts(10))
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 1)
+        parts = self.parts(12)
+        parts["rest"]["policy"] = {"load_stalls": -1.0}
+        publish_parts(fleet, parts)
+        await self.wait_for_revisions(fleet, 1, seen=2)
+        parts["rest"]["policy"] = {}
+        publish_parts(fleet, parts)
+        await self.wait_for_revisions(fleet, 3)
+        for daemon in fleet.daemons_by_name.values():
+            self.assertEqual(12, len(daemon.spread.current.adapters))
+
+    @with_system(run_fleet)
+    async def test_name_in_two_parts_is_refused(self, fleet):
         """Parts with the same name in them could silently override each other."""
-
-        async def check(fleet):
-            publish_parts(fleet, self.parts(4))
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 1)
-            parts = self.parts(4)
-            parts["adapters-1"] = parts["adapters-0"]
-            publish_parts(fleet, parts)
-            await self.wait_for_revisions(fleet, 1, seen=2)
-            self.assertIn("name is repeated", str(self.events_of("EV-1102")[0]))
-
-        run_fleet(check)
-
-    def test_part_with_a_key_that_is_no_text_is_refused(self):
+        publish_parts(fleet, self.parts(4))
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 1)
+        parts = self.parts(4)
+        parts["adapters-1"] = parts["adapters-0"]
+        publish_parts(fleet, parts)
+        await self.wait_for_revisions(fleet, 1, seen=2)
+        self.assertIn("name is repeated", str(self.events_of("EV-1102")[0]))
+
+    @with_system(run_fleet)
+    async def test_part_with_a_key_that_is_no_text_is_refused(self, fleet):
         """Parts with such a key could not be put together, and the error ended each
         daemon that read the service."""
-
-        async def check(fleet):
-            publish_parts(fleet, self.parts(4))
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 1)
-            publish_parts(fleet, {**self.parts(4), "models": b"{models: [], null: 1}"})
-            await self.wait_for_revisions(fleet, 1, seen=2)
-            self.assertIn("is no text", str(self.events_of("EV-1102")[0]))
-
-        run_fleet(check)
-
-    def test_part_that_does_not_match_its_digest_is_not_used(self):
+        publish_parts(fleet, self.parts(4))
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 1)
+        publish_parts(fleet, {**self.parts(4), "models": b"{models: [], null: 1}"})
+        await self.wait_for_revisions(fleet, 1, seen=2)
+        self.assertIn("is no text", str(self.events_of("EV-1102")[0]))
+
+    @with_system(run_fleet)
+    async def test_part_that_does_not_match_its_digest_is_not_used(self, fleet):
         """Guards against a mixture of the parts of two revisions."""
-
-        async def check(fleet):
-            publish_parts(fleet, self.parts(4))
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 1)
-            text = encode_document(self.parts(9)["adapters-0"])
-            fleet.configuration.publish(text, key="snipetrestle/adapters-0")
-            fleet.configuration.publish(
-                fleet.configuration.read("snipetrestle").document.replace(
-                    hashlib.sha256(encode_document(self.parts(4)["adapters-1"]))
-                    .hexdigest()
-                    .encode(),
-                    b"0" * 64,
-                )
+        publish_parts(fleet, self.parts(4))
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 1)
+        text = encode_document(self.parts(9)["adapters-0"])
+        fleet.configuration.publish(text, key="snipetrestle/adapters-0")
+        fleet.configuration.publish(
+            fleet.configuration.read("snipetrestle").document.replace(
+                hashlib.sha256(encode_document(self.parts(4)["adapters-1"]))
+                .hexdigest()
+                .encode(),
+                b"0" * 64,
             )
-            await anyio.sleep(TIMEOUT_S)
-            self.assertEqual(({1}, {1}), fleet.revisions())
-
-        run_fleet(check)
+        )
+        await anyio.sleep(TIMEOUT_S)
+        self.assertEqual(({1}, {1}), fleet.revisions())
 
 
 class ChangesTest(testtools.TestCase):
--- a/tests/peers/test_grpc_transport.py
+++ b/tests/peers/test_grpc_transport.py
@@ -18,6 +18,7 @@
 from snipetrestle.peers.tls import TlsMaterial
 from snipetrestle.peers.transport import MessageRouter, PeerUnreachable
 from snipetrestle_standins.certificates import CertificateAuthority
+from tests.systems import with_own_system, with_system
 from tests.waiting import wait_until
 
 TIMEOUT_S = 5.0
@@ -133,57 +134,48 @@
 
         anyio.run(main)
 
-    def test_deeply_nested_message_is_refused(self):
+    @with_own_system("run_pair")
+    async def test_deeply_nested_message_is_refused(self, client, peer, addresses):
         """The handler of the call raised an error that nothing expects."""
-
-        async def check(client, peer, addresses):
-            envelope = peer_pb2.Envelope(type="Echo", body=DEEP, sender="a")
-            async with client._connected("b", TIMEOUT_S) as stub:
-                reply = await stub.Call(envelope, timeout=TIMEOUT_S)
-            self.assertEqual("Refusal", reply.type)
-            self.assertEqual([], peer.received)
-
-        self.run_pair(check)
-
-    def test_calls_streams_and_refusals(self):
+        envelope = peer_pb2.Envelope(type="Echo", body=DEEP, sender="a")
+        async with client._connected("b", TIMEOUT_S) as stub:
+            reply = await stub.Call(envelope, timeout=TIMEOUT_S)
+        self.assertEqual("Refusal", reply.type)
+        self.assertEqual([], peer.received)
+
+    @with_own_system("run_pair")
+    async def test_calls_streams_and_refusals(self, client, peer, addresses):
         """A refusal must not look to the caller like an unreachable peer."""
-
-        async def check(client, peer, addresses):
-            reply = await client.call("b", Echo("hello"), TIMEOUT_S)
-            self.assertEqual("a:hello", reply.text)
+        reply = await client.call("b", Echo("hello"), TIMEOUT_S)
+        self.assertEqual("a:hello", reply.text)
+        with testtools.ExpectedException(ServingError):
+            await client.call("b", Echo("refuse"), TIMEOUT_S)
+        async with client.stream("b", Echo("x")) as replies:
+            self.assertEqual(["0", "1", "2"], [reply.text async for reply in replies])
+        async with client.stream("b", Echo("refuse")) as replies:
             with testtools.ExpectedException(ServingError):
-                await client.call("b", Echo("refuse"), TIMEOUT_S)
-            async with client.stream("b", Echo("x")) as replies:
-                self.assertEqual(
-                    ["0", "1", "2"], [reply.text async for reply in replies]
-                )
-            async with client.stream("b", Echo("refuse")) as replies:
-                with testtools.ExpectedException(ServingError):
-                    async for _ in replies:
-                        pass
-            with testtools.ExpectedException(ServingError, ".*no handler.*"):
-                await client.call("b", Unhandled("x"), TIMEOUT_S)
-            self.assertEqual(1, client.channel_count)
-
-        self.run_pair(check)
-
-    def test_sent_is_false_only_without_a_connection(self):
+                async for _ in replies:
+                    pass
+        with testtools.ExpectedException(ServingError, ".*no handler.*"):
+            await client.call("b", Unhandled("x"), TIMEOUT_S)
+        self.assertEqual(1, client.channel_count)
+
+    @with_own_system("run_pair")
+    async def test_sent_is_false_only_without_a_connection(
+        self, client, peer, addresses
+    ):
         """A message that the peer may have handled must not be retried.
 
         Callers may only repeat a message if ``sent`` is false.
         """
-
-        async def check(client, peer, addresses):
-            addresses["c"] = free_address()
-            for member in ("c", "unknown"):
-                error = await self.unreachable(client, member, Echo("x"))
-                self.assertFalse(error.sent)
-            error = await self.unreachable(client, "b", Echo("slow"), timeout=0.1)
-            self.assertTrue(error.sent)
-            # The handler runs to completion although the call timed out.
-            await peer.slow_call_completed.wait()
-
-        self.run_pair(check)
+        addresses["c"] = free_address()
+        for member in ("c", "unknown"):
+            error = await self.unreachable(client, member, Echo("x"))
+            self.assertFalse(error.sent)
+        error = await self.unreachable(client, "b", Echo("slow"), timeout=0.1)
+        self.assertTrue(error.sent)
+        # The handler runs to completion although the call timed out.
+        await peer.slow_call_completed.wait()
 
     async def unreachable(self, client, member, message, timeout=TIMEOUT_S):
         try:
@@ -192,34 +184,30 @@
             return error
         raise AssertionError(f"{member} answered")
 
-    def test_leaving_a_stream_cancels_it_at_the_peer(self):
+    @with_own_system("run_pair")
+    async def test_leaving_a_stream_cancels_it_at_the_peer(
+        self, client, peer, addresses
+    ):
         """When its caller leaves, a stream handler could keep running alone."""
+        async with client.stream("b", Echo("hang")) as replies:
+            await anext(replies)
+        await peer.stream_ended.wait()
 
-        async def check(client, peer, addresses):
-            async with client.stream("b", Echo("hang")) as replies:
-                await anext(replies)
-            await peer.stream_ended.wait()
-
-        self.run_pair(check)
-
-    def test_drop_ends_the_streams_of_a_peer(self):
+    @with_own_system("run_pair")
+    async def test_drop_ends_the_streams_of_a_peer(self, client, peer, addresses):
         """Streams to a host that died could wait forever.
 
         Such a host does not close its connections.
         """
-
-        async def check(client, peer, addresses):
-            with testtools.ExpectedException(PeerUnreachable):
-                async with client.stream("b", Echo("hang")) as replies:
-                    for _ in range(3):
-                        await anext(replies)
-                    self.assertTrue(client.in_use("b"))
-                    await client.drop("b")
+        with testtools.ExpectedException(PeerUnreachable):
+            async with client.stream("b", Echo("hang")) as replies:
+                for _ in range(3):
                     await anext(replies)
-            self.assertFalse(client.in_use("b"))
-            await client.call("b", Echo("again"), TIMEOUT_S)
-
-        self.run_pair(check)
+                self.assertTrue(client.in_use("b"))
+                await client.drop("b")
+                await anext(replies)
+        self.assertFalse(client.in_use("b"))
+        await client.call("b", Echo("again"), TIMEOUT_S)
 
     def test_idle_channels_are_closed(self):
         """Guards against a channel leak: one for each peer that was ever called."""
@@ -233,18 +221,15 @@
         self.patch(grpc_transport, "SWEEP_INTERVAL_S", 0.01)
         self.run_pair(check)
 
-    def test_plain_text_is_refused_except_on_loopback(self):
+    @with_system(anyio.run)
+    async def test_plain_text_is_refused_except_on_loopback(self):
         """Without TLS files, the network could carry unencrypted connections."""
-
-        async def main():
-            transport = GrpcTransport("a", MessageRouter(), lambda name: "192.0.2.1:1")
-            with testtools.ExpectedException(ServingError):
-                async with transport.serving("0.0.0.0:0"):
-                    pass
-            error = await self.unreachable(transport, "b", Echo("x"))
-            self.assertFalse(error.sent)
-
-        anyio.run(main)
+        transport = GrpcTransport("a", MessageRouter(), lambda name: "192.0.2.1:1")
+        with testtools.ExpectedException(ServingError):
+            async with transport.serving("0.0.0.0:0"):
+                pass
+        error = await self.unreachable(transport, "b", Echo("x"))
+        self.assertFalse(error.sent)
 
 
 class MutualTlsTest(GrpcTransportTest):
@@ -297,18 +282,15 @@
         )
         self.check_unreachable(client_tls=tls_without_certificate)
 
-    def test_plain_text_client_is_refused(self):
+    @with_system(anyio.run)
+    async def test_plain_text_client_is_refused(self):
         """A TLS listener could accept plain text as well."""
-
-        async def main():
-            peer = EchoPeer()
-            server = GrpcTransport("b", peer.router, {}.get, self.issue_tls("b"))
-            async with server.serving("127.0.0.1:0") as address:
-                client = GrpcTransport("a", MessageRouter(), lambda name: address)
-                await self.unreachable(client, "b", Echo("x"))
-            self.assertEqual([], peer.received)
-
-        anyio.run(main)
+        peer = EchoPeer()
+        server = GrpcTransport("b", peer.router, {}.get, self.issue_tls("b"))
+        async with server.serving("127.0.0.1:0") as address:
+            client = GrpcTransport("a", MessageRouter(), lambda name: address)
+            await self.unreachable(client, "b", Echo("x"))
+        self.assertEqual([], peer.received)
 
     def test_sender_name_must_match_the_client_certificate(self):
         """No daemon may send messages under another daemon's name."""
@@ -318,14 +300,11 @@
         """Guards against a daemon that answers at the address of another daemon."""
         self.check_unreachable(server_tls=self.issue_tls("c"))
 
-    def test_seed_is_reached_by_its_address(self):
+    @with_own_system("run_pair")
+    async def test_seed_is_reached_by_its_address(self, client, peer, addresses):
         """If only the address is known, the TLS name check must not fail."""
-
-        async def check(client, peer, addresses):
-            reply = await client.call(addresses["b"], Echo("x"), TIMEOUT_S)
-            self.assertEqual("a:x", reply.text)
-
-        self.run_pair(check)
+        reply = await client.call(addresses["b"], Echo("x"), TIMEOUT_S)
+        self.assertEqual("a:x", reply.text)
 
     def test_reload_without_a_restart(self):
         """Changing certificates must not need a restart."""
--- a/tests/writes/test_at_most_once.py
+++ b/tests/writes/test_at_most_once.py
@@ -16,6 +16,7 @@
     daemon_entries,
     make_configuration,
 )
+from tests.systems import with_own_system
 from tests.writes.faults import (
     DoubleVotingKeeper,
     PromiseBreakingKeeper,
@@ -104,23 +105,18 @@
         await fleet.settle()
         return while_paused, await fleet.write_everywhere(operation=operation)
 
-    def test_claimant_paused_for_minutes_runs_the_write_once(self):
+    @with_own_system("run_with")
+    async def test_claimant_paused_for_minutes_runs_the_write_once(self, fleet):
         """A claimant that is only paused must not cause a second run of its key."""
+        while_paused, afterwards = await self.pause_claimant(fleet)
+        self.assertTrue(codes_of(while_paused) <= NO_OUTCOME, while_paused)
+        self.assertTrue(codes_of(afterwards) <= {OK} | NO_OUTCOME, afterwards)
+        self.assertEqual(1, fleet.executions())
 
-        async def scenario(fleet):
-            while_paused, afterwards = await self.pause_claimant(fleet)
-            self.assertTrue(codes_of(while_paused) <= NO_OUTCOME, while_paused)
-            self.assertTrue(codes_of(afterwards) <= {OK} | NO_OUTCOME, afterwards)
-            self.assertEqual(1, fleet.executions())
-
-        self.run_with(scenario)
-
-    def test_breaks_without_single_votes(self):
-        async def scenario(fleet):
-            await self.pause_claimant(fleet)
-            self.assertGreater(fleet.executions(), 1)
-
-        self.run_with(scenario, keeper_class=DoubleVotingKeeper)
+    @with_own_system("run_with", keeper_class=DoubleVotingKeeper)
+    async def test_breaks_without_single_votes(self, fleet):
+        await self.pause_claimant(fleet)
+        self.assertGreater(fleet.executions(), 1)
 
     def fencing_arguments(self, service_checks):
         return {
@@ -147,38 +143,28 @@
 
         self.run_with(scenario, **self.fencing_arguments(False))
 
-    def test_lookup_without_fencing_proves_only_that_a_write_ran(self):
+    @with_own_system("run_with")
+    async def test_lookup_without_fencing_proves_only_that_a_write_ran(self, fleet):
         """An empty lookup does not justify the answer "did not run" (promise P4)."""
+        while_paused, afterwards = await self.pause_claimant(fleet, "enter")
+        self.assertTrue(codes_of(while_paused) <= NO_OUTCOME, while_paused)
+        self.assertEqual({OK}, codes_of(afterwards))
+        self.assertEqual(1, fleet.executions())
 
-        async def scenario(fleet):
-            while_paused, afterwards = await self.pause_claimant(fleet, "enter")
-            self.assertTrue(codes_of(while_paused) <= NO_OUTCOME, while_paused)
-            self.assertEqual({OK}, codes_of(afterwards))
-            self.assertEqual(1, fleet.executions())
-
-        self.run_with(scenario)
-
-    def test_all_retries_get_one_result_when_lookup_and_claimant_disagree(self):
+    @with_own_system("run_with")
+    async def test_all_retries_get_one_result_when_lookup_and_claimant_disagree(
+        self, fleet
+    ):
         """Guards against the claimant's answer replacing a result already returned."""
+        while_paused, afterwards = await self.pause_claimant(fleet, "enter", after=True)
+        self.assertEqual({OK}, codes_of(while_paused + afterwards))
+        self.assertEqual(1, len(results_of(while_paused + afterwards)))
+        self.assertEqual(200, while_paused[0][1].status)
 
-        async def scenario(fleet):
-            while_paused, afterwards = await self.pause_claimant(
-                fleet, "enter", after=True
-            )
-            self.assertEqual({OK}, codes_of(while_paused + afterwards))
-            self.assertEqual(1, len(results_of(while_paused + afterwards)))
-            self.assertEqual(200, while_paused[0][1].status)
-
-        self.run_with(scenario)
-
-    def test_one_result_breaks_without_ballots(self):
-        async def scenario(fleet):
-            while_paused, afterwards = await self.pause_claimant(
-                fleet, "enter", after=True
-            )
-            self.assertEqual(2, len(results_of(while_paused + afterwards)))
-
-        self.run_with(scenario, keeper_class=PromiseBreakingKeeper)
+    @with_own_system("run_with", keeper_class=PromiseBreakingKeeper)
+    async def test_one_result_breaks_without_ballots(self, fleet):
+        while_paused, afterwards = await self.pause_claimant(fleet, "enter", after=True)
+        self.assertEqual(2, len(results_of(while_paused + afterwards)))
 
 
 class ViewsAndPartitionsTest(WritesTestCase):
@@ -187,38 +173,30 @@
             fleet.set_visible_members(name, [name])
         return await fleet.write_everywhere()
 
-    def test_retries_to_all_daemons_at_one_instant_run_once(self):
+    @with_own_system("run_with")
+    async def test_retries_to_all_daemons_at_one_instant_run_once(self, fleet):
         """Simultaneous retries could start two attempts at one coordinator.
 
         Their results could also differ.
         """
+        answers = await fleet.write_everywhere()
+        self.assertEqual({OK}, codes_of(answers))
+        self.assertEqual(1, len(results_of(answers)))
+        self.assertEqual(1, fleet.executions())
 
-        async def scenario(fleet):
-            answers = await fleet.write_everywhere()
-            self.assertEqual({OK}, codes_of(answers))
-            self.assertEqual(1, len(results_of(answers)))
-            self.assertEqual(1, fleet.executions())
-
-        self.run_with(scenario)
-
-    def test_daemons_that_each_see_only_themselves_run_once(self):
+    @with_own_system("run_with")
+    async def test_daemons_that_each_see_only_themselves_run_once(self, fleet):
         """Safety must not depend on equal membership views."""
+        answers = await self.write_with_single_member_views(fleet)
+        answers += await fleet.write_everywhere()
+        self.assertTrue(codes_of(answers) <= {OK} | NO_OUTCOME, answers)
+        self.assertEqual(1, len(results_of(answers)))
+        self.assertEqual(1, fleet.executions())
 
-        async def scenario(fleet):
-            answers = await self.write_with_single_member_views(fleet)
-            answers += await fleet.write_everywhere()
-            self.assertTrue(codes_of(answers) <= {OK} | NO_OUTCOME, answers)
-            self.assertEqual(1, len(results_of(answers)))
-            self.assertEqual(1, fleet.executions())
-
-        self.run_with(scenario)
-
-    def test_differing_views_break_without_single_votes(self):
-        async def scenario(fleet):
-            await self.write_with_single_member_views(fleet)
-            self.assertGreater(fleet.executions(), 1)
-
-        self.run_with(scenario, keeper_class=DoubleVotingKeeper)
+    @with_own_system("run_with", keeper_class=DoubleVotingKeeper)
+    async def test_differing_views_break_without_single_votes(self, fleet):
+        await self.write_with_single_member_views(fleet)
+        self.assertGreater(fleet.executions(), 1)
 
     async def write_on_both_sides(self, fleet):
         keepers = fleet.keepers()
@@ -233,33 +211,27 @@
         await fleet.settle()
         yield False, await fleet.write(minority[0])
 
-    def test_partition_with_retries_on_both_sides_runs_once(self):
+    @with_own_system("run_with")
+    async def test_partition_with_retries_on_both_sides_runs_once(self, fleet):
         """The side without a majority of the keepers must not run the write."""
+        answers = [item async for item in self.write_on_both_sides(fleet)]
+        minority = [answer for in_minority, answer in answers if in_minority]
+        majority = [answer for in_minority, answer in answers if not in_minority]
+        self.assertTrue(codes_of(minority) <= NO_OUTCOME, minority)
+        self.assertEqual(1, len(results_of(majority)))
+        self.assertEqual(OK, majority[-1][0])
+        self.assertEqual(1, fleet.executions())
 
-        async def scenario(fleet):
-            answers = [item async for item in self.write_on_both_sides(fleet)]
-            minority = [answer for in_minority, answer in answers if in_minority]
-            majority = [answer for in_minority, answer in answers if not in_minority]
-            self.assertTrue(codes_of(minority) <= NO_OUTCOME, minority)
-            self.assertEqual(1, len(results_of(majority)))
-            self.assertEqual(OK, majority[-1][0])
-            self.assertEqual(1, fleet.executions())
-
-        self.run_with(scenario)
-
-    def test_loss_of_a_failure_domain_keeps_results_and_new_writes(self):
+    @with_own_system("run_with")
+    async def test_loss_of_a_failure_domain_keeps_results_and_new_writes(self, fleet):
         """Guards against keepers that are placed in too few failure domains."""
-
-        async def scenario(fleet):
-            before = await fleet.write("entry-1")
-            for name in ("entry-0", "entry-3", "entry-6"):
-                fleet.kill(name)
-            self.assertEqual(before, await fleet.write("entry-2"))
-            code, _ = await fleet.write("entry-2", key="k2", time_left_s=10)
-            self.assertEqual(OK, code)
-            self.assertEqual((1, 1), (fleet.executions(), fleet.executions("k2")))
-
-        self.run_with(scenario)
+        before = await fleet.write("entry-1")
+        for name in ("entry-0", "entry-3", "entry-6"):
+            fleet.kill(name)
+        self.assertEqual(before, await fleet.write("entry-2"))
+        code, _ = await fleet.write("entry-2", key="k2", time_left_s=10)
+        self.assertEqual(OK, code)
+        self.assertEqual((1, 1), (fleet.executions(), fleet.executions("k2")))
 
     def test_no_failure_domain_has_a_majority_of_keepers(self):
         entries = make_configuration().daemons
@@ -292,37 +264,29 @@
             await fleet.settle(15)
         return answers
 
-    def test_keepers_replaced_in_turn_keep_the_claim(self):
+    @with_own_system("run_with")
+    async def test_keepers_replaced_in_turn_keep_the_claim(self, fleet):
         """Keepers replaced in turn could vote although they lost an earlier vote."""
+        answers = await self.replace_keepers(fleet, 4, True, "enter")
+        self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
+        self.assertEqual(1, fleet.executions())
+        after = await fleet.write_everywhere(operation="enter")
+        self.assertEqual({OK}, codes_of(after))
 
-        async def scenario(fleet):
-            answers = await self.replace_keepers(fleet, 4, True, "enter")
-            self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
-            self.assertEqual(1, fleet.executions())
-            after = await fleet.write_everywhere(operation="enter")
-            self.assertEqual({OK}, codes_of(after))
-
-        self.run_with(scenario)
-
-    def test_loss_of_a_majority_makes_answers_unknown(self):
+    @with_own_system("run_with")
+    async def test_loss_of_a_majority_makes_answers_unknown(self, fleet):
         """Guards against empty keepers that start the group anew, for any key."""
+        fleet.publish(make_configuration(start="existing"))
+        answers = await self.replace_keepers(fleet, 4, one_by_one=False)
+        answers.append(await fleet.write("entry-0", key="k2"))
+        self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
+        self.assertEqual(1, fleet.executions())
+        self.assertEqual(0, fleet.executions("k2"))
 
-        async def scenario(fleet):
-            fleet.publish(make_configuration(start="existing"))
-            answers = await self.replace_keepers(fleet, 4, one_by_one=False)
-            answers.append(await fleet.write("entry-0", key="k2"))
-            self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
-            self.assertEqual(1, fleet.executions())
-            self.assertEqual(0, fleet.executions("k2"))
-
-        self.run_with(scenario)
-
-    def test_replacement_breaks_without_recovery(self):
-        async def scenario(fleet):
-            await self.replace_keepers(fleet, 4, one_by_one=True)
-            self.assertGreater(fleet.executions(), 1)
-
-        self.run_with(scenario, keeper_class=UnrecoveredKeeper)
+    @with_own_system("run_with", keeper_class=UnrecoveredKeeper)
+    async def test_replacement_breaks_without_recovery(self, fleet):
+        await self.replace_keepers(fleet, 4, one_by_one=True)
+        self.assertGreater(fleet.executions(), 1)
 
     async def vote_before_and_after_restart(self, fleet):
         """Lets a keeper vote for one claim, and its replacement for another."""
@@ -348,14 +312,11 @@
             keeper_client._transport, delays_by_name
         )
 
-    def test_vote_of_a_replaced_incarnation_is_discarded(self):
+    @with_own_system("run_with")
+    async def test_vote_of_a_replaced_incarnation_is_discarded(self, fleet):
         """If two incarnations of one keeper both count, two majorities can form."""
-
-        async def scenario(fleet):
-            await self.vote_before_and_after_restart(fleet)
-            self.assertEqual(1, fleet.executions())
-
-        self.run_with(scenario)
+        await self.vote_before_and_after_restart(fleet)
+        self.assertEqual(1, fleet.executions())
 
     def test_old_votes_break_without_known_incarnations(self):
         self.patch(coordinator, "consistent_replies", lambda replies: replies)
@@ -366,20 +327,17 @@
 
         self.run_with(scenario)
 
-    def test_replacement_with_an_earlier_clock_still_recovers(self):
+    @with_own_system("run_with")
+    async def test_replacement_with_an_earlier_clock_still_recovers(self, fleet):
         """Neither safety nor recovery may depend on the wall clock."""
-
-        async def scenario(fleet):
-            name = fleet.keepers()[0]
-            fleet.start(name)
-            await fleet.settle()
-            daemon = fleet.start(name, incarnation_number=1)
-            await fleet.settle()
-            self.assertTrue(daemon.keeper.is_ready())
-            partition = daemon.keeper.current_partitions()[0]
-            self.assertGreater(partition.incarnation.number, len(fleet.names))
-
-        self.run_with(scenario)
+        name = fleet.keepers()[0]
+        fleet.start(name)
+        await fleet.settle()
+        daemon = fleet.start(name, incarnation_number=1)
+        await fleet.settle()
+        self.assertTrue(daemon.keeper.is_ready())
+        partition = daemon.keeper.current_partitions()[0]
+        self.assertGreater(partition.incarnation.number, len(fleet.names))
 
 
 class ServiceFaultsTest(WritesTestCase):
@@ -391,37 +349,29 @@
         self.assertEqual(1, fleet.executions())
         return first, second, answers
 
-    def test_answer_after_the_time_out_stays_unknown(self):
+    @with_own_system("run_with", faults=ServiceFaults(answer_delay_s=5))
+    async def test_answer_after_the_time_out_stays_unknown(self, fleet):
         """After a timeout there must be no second attempt."""
+        first, second, answers = await self.retry_after_late_answer(fleet, "plain")
+        self.assertTrue(codes_of([first, second, *answers]) <= NO_OUTCOME)
 
-        async def scenario(fleet):
-            first, second, answers = await self.retry_after_late_answer(fleet, "plain")
-            self.assertTrue(codes_of([first, second, *answers]) <= NO_OUTCOME)
-
-        self.run_with(scenario, faults=ServiceFaults(answer_delay_s=5))
-
-    def test_lookup_turns_unknown_into_done(self):
-        async def scenario(fleet):
-            first, second, answers = await self.retry_after_late_answer(fleet, "enter")
-            self.assertEqual({OK}, codes_of([second, *answers]))
-            self.assertEqual(1, len(results_of([second, *answers])))
-
-        self.run_with(scenario, faults=ServiceFaults(answer_delay_s=5))
+    @with_own_system("run_with", faults=ServiceFaults(answer_delay_s=5))
+    async def test_lookup_turns_unknown_into_done(self, fleet):
+        first, second, answers = await self.retry_after_late_answer(fleet, "enter")
+        self.assertEqual({OK}, codes_of([second, *answers]))
+        self.assertEqual(1, len(results_of([second, *answers])))
 
     async def refuse_then_accept(self, fleet):
         first = await fleet.write("entry-0", time_left_s=10)
         fleet.service.faults.refuse_connections = 0
         return first, await fleet.write_everywhere()
 
-    def test_did_not_run_forbids_a_later_run(self):
+    @with_own_system("run_with", faults=ServiceFaults(refuse_connections=1000))
+    async def test_did_not_run_forbids_a_later_run(self, fleet):
         """No run may follow after the caller was told "did not run" (promise P4)."""
-
-        async def scenario(fleet):
-            first, later = await self.refuse_then_accept(fleet)
-            self.assertEqual({DID_NOT_RUN}, codes_of([first, *later]))
-            self.assertEqual(0, fleet.executions())
-
-        self.run_with(scenario, faults=ServiceFaults(refuse_connections=1000))
+        first, later = await self.refuse_then_accept(fleet)
+        self.assertEqual({DID_NOT_RUN}, codes_of([first, *later]))
+        self.assertEqual(0, fleet.executions())
 
     def test_did_not_run_breaks_without_a_recorded_outcome(self):
         self.patch(outcomes.OutcomeRegister, "record_as_claimant", skip_recording)
@@ -435,14 +385,12 @@
 
 
 class RecordsTest(WritesTestCase):
-    def test_key_with_another_body_is_refused(self):
-        async def scenario(fleet):
-            await fleet.write("entry-0", body=b"one")
-            answers = await fleet.write_everywhere(body=b"two")
-            self.assertEqual({1009}, codes_of(answers))
-            self.assertEqual([b"one"], fleet.service.bodies_by_key["k1"])
-
-        self.run_with(scenario)
+    @with_own_system("run_with")
+    async def test_key_with_another_body_is_refused(self, fleet):
+        await fleet.write("entry-0", body=b"one")
+        answers = await fleet.write_everywhere(body=b"two")
+        self.assertEqual({1009}, codes_of(answers))
+        self.assertEqual([b"one"], fleet.service.bodies_by_key["k1"])
 
     def test_key_stays_known_after_the_result_has_expired(self):
         """When the result of a key is no longer kept, the key must not run again."""
@@ -461,33 +409,28 @@
         configuration = make_configuration(result_retention_s=15.0)
         self.run_with(scenario, configuration=configuration)
 
-    def test_full_table_refuses_new_keys_and_forgets_none(self):
-        async def scenario(fleet):
-            for number in range(3):
-                await fleet.write("entry-0", key=f"old-{number}")
-            answers = await fleet.write_everywhere(key="new")
-            self.assertEqual({1405}, codes_of(answers))
-            self.assertEqual(0, fleet.executions("new"))
-            for number in range(3):
-                code, _ = await fleet.write("entry-1", key=f"old-{number}")
-                self.assertEqual((OK, 1), (code, fleet.executions(f"old-{number}")))
-
-        self.run_with(scenario, configuration=make_configuration(max_records=3))
-
-    def test_drain_finishes_the_attempt_and_refuses_new_writes(self):
+    @with_own_system("run_with", configuration=make_configuration(max_records=3))
+    async def test_full_table_refuses_new_keys_and_forgets_none(self, fleet):
+        for number in range(3):
+            await fleet.write("entry-0", key=f"old-{number}")
+        answers = await fleet.write_everywhere(key="new")
+        self.assertEqual({1405}, codes_of(answers))
+        self.assertEqual(0, fleet.executions("new"))
+        for number in range(3):
+            code, _ = await fleet.write("entry-1", key=f"old-{number}")
+            self.assertEqual((OK, 1), (code, fleet.executions(f"old-{number}")))
+
+    @with_own_system("run_with", faults=ServiceFaults(answer_delay_s=1))
+    async def test_drain_finishes_the_attempt_and_refuses_new_writes(self, fleet):
         """A planned stop must not leave a write unknown (promise P7)."""
-
-        async def scenario(fleet):
-            daemon = fleet.daemons_by_name[fleet.coordinator_of()]
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(fleet.write, daemon.name)
-                await anyio.sleep(0.1)
-                await daemon.coordinator.drain()
-            self.assertEqual(1406, (await fleet.write(daemon.name, key="k2"))[0])
-            fleet.kill(daemon.name)
-            self.assertEqual({OK}, codes_of(await fleet.write_everywhere()))
-
-        self.run_with(scenario, faults=ServiceFaults(answer_delay_s=1))
+        daemon = fleet.daemons_by_name[fleet.coordinator_of()]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fleet.write, daemon.name)
+            await anyio.sleep(0.1)
+            await daemon.coordinator.drain()
+        self.assertEqual(1406, (await fleet.write(daemon.name, key="k2"))[0])
+        fleet.kill(daemon.name)
+        self.assertEqual({OK}, codes_of(await fleet.write_everywhere()))
 
 
 class EpochsTest(WritesTestCase):
@@ -522,77 +465,63 @@
             await fleet.settle(15)
         return answers
 
-    def test_handover_keeps_claims_and_results(self):
+    @with_own_system("run_with")
+    async def test_handover_keeps_claims_and_results(self, fleet):
         """Guards against a second run after the keepers of a key have changed."""
+        previous = self.previous_epoch(fleet)
+        answers = await self.change_keepers_while_paused(
+            fleet, start="existing", previous=previous
+        )
+        self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
+        after = await fleet.write_everywhere(operation="enter")
+        self.assertEqual({OK}, codes_of(after))
+        self.assertEqual({OK}, codes_of(await fleet.write_everywhere(key="old")))
+        self.assertEqual((1, 1), (fleet.executions(), fleet.executions("old")))
+        self.assertEqual(OK, self.new_key_answer[0])
+
+    @with_own_system("run_with")
+    async def test_epoch_without_previous_answers_unknown(self, fleet):
+        answers = await self.change_keepers_while_paused(fleet, start="existing")
+        self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
+        self.assertEqual(UNKNOWN, self.new_key_answer[0])
+        self.assertEqual(1, fleet.executions())
 
-        async def scenario(fleet):
-            previous = self.previous_epoch(fleet)
-            answers = await self.change_keepers_while_paused(
-                fleet, start="existing", previous=previous
-            )
-            self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
-            after = await fleet.write_everywhere(operation="enter")
-            self.assertEqual({OK}, codes_of(after))
-            self.assertEqual({OK}, codes_of(await fleet.write_everywhere(key="old")))
-            self.assertEqual((1, 1), (fleet.executions(), fleet.executions("old")))
-            self.assertEqual(OK, self.new_key_answer[0])
-
-        self.run_with(scenario)
-
-    def test_epoch_without_previous_answers_unknown(self):
-        async def scenario(fleet):
-            answers = await self.change_keepers_while_paused(fleet, start="existing")
-            self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
-            self.assertEqual(UNKNOWN, self.new_key_answer[0])
-            self.assertEqual(1, fleet.executions())
-
-        self.run_with(scenario)
-
-    def test_epoch_declared_new_without_handover_can_run_twice(self):
+    @with_own_system("run_with")
+    async def test_epoch_declared_new_without_handover_can_run_twice(self, fleet):
         """Shows why the handover is needed: ``start: new`` drops the old records."""
+        await self.change_keepers_while_paused(fleet, start="new")
+        self.assertEqual(2, fleet.executions())
 
-        async def scenario(fleet):
-            await self.change_keepers_while_paused(fleet, start="new")
-            self.assertEqual(2, fleet.executions())
-
-        self.run_with(scenario)
-
-    def test_previous_that_is_published_late_still_hands_over(self):
+    @with_own_system("run_with")
+    async def test_previous_that_is_published_late_still_hands_over(self, fleet):
         """Keepers must not start empty once ``previous`` allows a start."""
+        await fleet.write("entry-0")
+        previous = self.previous_epoch(fleet)
+        names = [*fleet.names[1:], "entry-7"]
+        await self.replace_daemon_name(fleet, start="existing")
+        changes = {"names": names, "epoch": 2, "start": "existing"}
+        complete = make_configuration(**changes, previous=previous)
+        for name in fleet.names:
+            # Daemons that have the late configuration must not start a group with
+            # those that lack it.
+            fleet.publish(complete, [name])
+            await fleet.settle(7)
+        answers = await fleet.write_everywhere()
+        self.assertEqual({OK}, codes_of(answers))
+        self.assertEqual(1, fleet.executions())
 
-        async def scenario(fleet):
-            await fleet.write("entry-0")
-            previous = self.previous_epoch(fleet)
-            names = [*fleet.names[1:], "entry-7"]
-            await self.replace_daemon_name(fleet, start="existing")
-            changes = {"names": names, "epoch": 2, "start": "existing"}
-            complete = make_configuration(**changes, previous=previous)
-            for name in fleet.names:
-                # Daemons that have the late configuration must not start a group with
-                # those that lack it.
-                fleet.publish(complete, [name])
-                await fleet.settle(7)
-            answers = await fleet.write_everywhere()
-            self.assertEqual({OK}, codes_of(answers))
-            self.assertEqual(1, fleet.executions())
-
-        self.run_with(scenario)
-
-    def test_changed_names_without_an_epoch_answer_unknown(self):
+    @with_own_system("run_with")
+    async def test_changed_names_without_an_epoch_answer_unknown(self, fleet):
         """Changed names must not start an empty group beside one that has records."""
-
-        async def scenario(fleet):
-            before = await fleet.write("entry-0")
-            original = fleet.configuration
-            names = [*fleet.names[2:], "entry-7"]
-            fleet.publish(make_configuration(names=names))
-            await fleet.settle(10)
-            self.assertEqual({UNKNOWN}, codes_of(await fleet.write_everywhere()))
-            fleet.publish(original)
-            await fleet.settle(10)
-            self.assertEqual(before, await fleet.write("entry-0"))
-
-        self.run_with(scenario)
+        before = await fleet.write("entry-0")
+        original = fleet.configuration
+        names = [*fleet.names[2:], "entry-7"]
+        fleet.publish(make_configuration(names=names))
+        await fleet.settle(10)
+        self.assertEqual({UNKNOWN}, codes_of(await fleet.write_everywhere()))
+        fleet.publish(original)
+        await fleet.settle(10)
+        self.assertEqual(before, await fleet.write("entry-0"))
 
 
 class UnresolvedClaimsTest(WritesTestCase):
@@ -606,21 +535,14 @@
         await fleet.settle(10)
         return await fleet.write_everywhere()
 
-    def test_unknown_attempt_is_never_withdrawn(self):
+    @with_own_system("run_with", faults=ServiceFaults(lose_answers=1))
+    async def test_unknown_attempt_is_never_withdrawn(self, fleet):
         """As long as a write may have run, its claim must not be withdrawn."""
+        answers = await self.retry_after_time_out(fleet, clear_unresolved_claims=False)
+        self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
+        self.assertEqual(1, fleet.executions())
 
-        async def scenario(fleet):
-            answers = await self.retry_after_time_out(
-                fleet, clear_unresolved_claims=False
-            )
-            self.assertTrue(codes_of(answers) <= NO_OUTCOME, answers)
-            self.assertEqual(1, fleet.executions())
-
-        self.run_with(scenario, faults=ServiceFaults(lose_answers=1))
-
-    def test_unknown_attempt_breaks_without_unresolved_claims(self):
-        async def scenario(fleet):
-            await self.retry_after_time_out(fleet, clear_unresolved_claims=True)
-            self.assertEqual(2, fleet.executions())
-
-        self.run_with(scenario, faults=ServiceFaults(lose_answers=1))
+    @with_own_system("run_with", faults=ServiceFaults(lose_answers=1))
+    async def test_unknown_attempt_breaks_without_unresolved_claims(self, fleet):
+        await self.retry_after_time_out(fleet, clear_unresolved_claims=True)
+        self.assertEqual(2, fleet.executions())
