Start the long-known host of version history tests in one place

27 tests began with the same call, which put a replica and waited until the host knew the store for long. run_long_known does that and gives them the host; the six tests with an inner function have their system by decorator. Names, docstrings, assertions and the order of all other steps are the same.

--- a/tests/gateway/test_version_history.py
+++ b/tests/gateway/test_version_history.py
@@ -40,7 +40,7 @@
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.store_relay_fleet import Source, Store
 from tests.gateway.running import run_fleet
-from tests.systems import with_system
+from tests.systems import with_own_system, with_system
 from tests.waiting import wait_until
 
 BACKEND = "models"
@@ -173,13 +173,6 @@
         await wait_until(lambda: host.state.feeds[ALL_ITEMS].loaded)
         return host
 
-    async def start_long_known(self):
-        """Returns a Host that knows the store for LONG_S, with one replica of v1."""
-        self.put("a")
-        host = await self.start_host()
-        await anyio.sleep(LONG_S)
-        return host
-
 
 def run_system(function):
     """Runs ``function(system)`` in virtual time."""
@@ -192,40 +185,50 @@
     run_in_virtual_time(main)
 
 
+def run_long_known(function):
+    """Runs ``function(system, host)`` with a Host that has known one replica of v1 for
+    LONG_S."""
+
+    async def main(system):
+        system.put("a")
+        host = await system.start_host()
+        await anyio.sleep(LONG_S)
+        await function(system, host)
+
+    run_system(main)
+
+
 class ListedVersionsTest(testtools.TestCase):
-    @with_system(run_system)
-    async def test_one_version_is_known(self, system):
+    @with_system(run_long_known)
+    async def test_one_version_is_known(self, system, host):
         """A stream of the only version was refused although it could go on."""
-        host = await system.start_long_known()
         system.put("b")
         self.assertEqual(V1, await host.ask())
 
-    @with_system(run_system)
-    async def test_two_versions_give_no_answer(self, system):
+    @with_system(run_long_known)
+    async def test_two_versions_give_no_answer(self, system, host):
         """A stream could go on at a replica of another version."""
-        host = await system.start_long_known()
         system.put("b", "v2")
         self.assertIsNone(await host.ask())
 
-    @with_system(run_system)
-    async def test_other_backends_do_not_count(self, system):
+    @with_system(run_long_known)
+    async def test_other_backends_do_not_count(self, system, host):
         """An upgrade of one backend must not stop the streams of all others."""
-        host = await system.start_long_known()
         system.put("b", "v2", backend="others")
         self.assertEqual(V1, await host.ask())
         self.assertEqual(StreamOrigin("others", "v2"), await host.ask(backend="others"))
 
-    @with_system(run_system)
-    async def test_backend_without_replicas_gives_no_answer(self, system):
+    @with_system(run_long_known)
+    async def test_backend_without_replicas_gives_no_answer(self, system, host):
         """An answer for a backend that was never listed would be a guess."""
-        host = await system.start_long_known()
         self.assertIsNone(await host.ask(backend="others"))
 
-    @with_system(run_system)
-    async def test_version_counts_until_its_last_streams_are_too_old(self, system):
+    @with_system(run_long_known)
+    async def test_version_counts_until_its_last_streams_are_too_old(
+        self, system, host
+    ):
         """A version that has just left may have begun the stream; one that left before
         the oldest stream must not stop all others for ever."""
-        host = await system.start_long_known()
         system.put("b", "v2")
         await anyio.sleep(1.0)
         system.delete("b")
@@ -234,10 +237,9 @@
         await anyio.sleep(0.2)
         self.assertEqual(V1, await host.ask())
 
-    @with_system(run_system)
-    async def test_removed_replica_counts_for_the_margin(self, system):
+    @with_system(run_long_known)
+    async def test_removed_replica_counts_for_the_margin(self, system, host):
         """Hosts that have not learned of a removal may still begin streams there."""
-        host = await system.start_long_known()
         system.put("b", "v2")
         system.delete("b")
         await anyio.sleep(MARGIN_S - 0.1)
@@ -245,27 +247,24 @@
         await anyio.sleep(0.2)
         self.assertEqual(V1, await host.ask(since_s=0.0))
 
-    @with_system(run_system)
-    async def test_earlier_version_of_a_restarted_replica_counts(self, system):
+    @with_system(run_long_known)
+    async def test_earlier_version_of_a_restarted_replica_counts(self, system, host):
         """The entry of a restarted replica replaces that of its earlier version."""
-        host = await system.start_long_known()
         system.put("a", "v2", born=2000)
         self.assertIsNone(await host.ask())
         await anyio.sleep(LONG_S)
         self.assertEqual(V2, await host.ask())
 
-    @with_system(run_system)
-    async def test_draining_replica_counts(self, system):
+    @with_system(run_long_known)
+    async def test_draining_replica_counts(self, system, host):
         """A replica that drains gets no new streams, but may have begun this one."""
-        host = await system.start_long_known()
         system.put("b", "v2", state="draining")
         await anyio.sleep(LONG_S)
         self.assertIsNone(await host.ask())
 
-    @with_system(run_system)
-    async def test_missing_version_gives_no_answer(self, system):
+    @with_system(run_long_known)
+    async def test_missing_version_gives_no_answer(self, system, host):
         """A replica that names no version may have any."""
-        host = await system.start_long_known()
         system.put("b", None)
         self.assertIsNone(await host.ask())
         self.assertIsNone(await host.ask(backend="others"))
@@ -283,10 +282,9 @@
         await anyio.sleep(LONG_S)
         self.assertIsNone(await host.ask())
 
-    @with_system(run_system)
-    async def test_unreadable_entry_gives_no_answer_for_any_backend(self, system):
+    @with_system(run_long_known)
+    async def test_unreadable_entry_gives_no_answer_for_any_backend(self, system, host):
         """An entry that this host cannot read may be one that others can use."""
-        host = await system.start_long_known()
         system.store.put("servers/b", b"\xff\xfe")
         self.assertIsNone(await host.ask())
         system.put("b", "v1")
@@ -295,10 +293,9 @@
         await anyio.sleep(LONG_S)
         self.assertEqual(V1, await host.ask())
 
-    @with_system(run_system)
-    async def test_entry_that_becomes_unreadable_keeps_its_version(self, system):
+    @with_system(run_long_known)
+    async def test_entry_that_becomes_unreadable_keeps_its_version(self, system, host):
         """Its replica may have begun streams before."""
-        host = await system.start_long_known()
         system.put("b", "v2")
         await anyio.sleep(1.0)
         system.store.put("servers/b", b"{}")
@@ -306,21 +303,19 @@
         versions = host.history._versions.versions(BACKEND, 0.0)
         self.assertEqual({"v1", "v2", ""}, versions)
 
-    @with_system(run_system)
-    async def test_deletion_of_an_unknown_entry_gives_no_answer(self, system):
+    @with_system(run_long_known)
+    async def test_deletion_of_an_unknown_entry_gives_no_answer(self, system, host):
         """A deleted entry that was never seen may have had any version."""
-        host = await system.start_long_known()
         system.delete("b")
         await anyio.sleep(1.0)
         self.assertIsNone(await host.ask())
         await anyio.sleep(LONG_S)
         self.assertEqual(V1, await host.ask())
 
-    @with_system(run_system)
-    async def test_put_off_removal_counts_from_its_deletion(self, system):
+    @with_system(run_long_known)
+    async def test_put_off_removal_counts_from_its_deletion(self, system, host):
         """A replica is kept for a while after an outage. Only the store's deletion may
         end its time, not when this host drops it."""
-        host = await system.start_long_known()
         system.put("b", "v2")
         await anyio.sleep(1.0)
         system.store.restore(
@@ -360,49 +355,40 @@
             software_version=version,
         )
 
-    def test_versions_of_a_backend_are_bounded(self):
+    @with_own_system("run_versions")
+    async def test_versions_of_a_backend_are_bounded(self, versions):
         """Replicas that come and go with new versions must not fill the memory, and a
         version that was dropped must not make another one the only one."""
-
-        async def check(versions):
-            for number in range(100):
-                versions.note_entry(self.replica(0, BACKEND, f"v{number}"))
-            versions.note_unlisted(Unlisted("r0"))
-            kept = versions._left_at_by_backend[BACKEND]
-            self.assertEqual(MAX_LEFT_VERSIONS, len(kept))
-            self.assertEqual({"v98", "v99"}, versions.versions(BACKEND, 0.0))
-
-        self.run_versions(check)
-
-    def test_backends_are_bounded(self):
+        for number in range(100):
+            versions.note_entry(self.replica(0, BACKEND, f"v{number}"))
+        versions.note_unlisted(Unlisted("r0"))
+        kept = versions._left_at_by_backend[BACKEND]
+        self.assertEqual(MAX_LEFT_VERSIONS, len(kept))
+        self.assertEqual({"v98", "v99"}, versions.versions(BACKEND, 0.0))
+
+    @with_own_system("run_versions")
+    async def test_backends_are_bounded(self, versions):
         """The same for new backends. What was forgotten is not claimed any more."""
-
-        async def check(versions):
-            for number in range(MAX_LEFT_BACKENDS + 1):
-                versions.note_entry(self.replica(0, f"b{number}", "v1"))
-                await anyio.sleep(0.001)
-            self.assertTrue(versions.covers(0.5))
-            versions.note_unlisted(Unlisted("r0"))
-            self.assertEqual(MAX_LEFT_BACKENDS, len(versions._left_at_by_backend))
-            self.assertFalse(versions.covers(0.5))
-            self.assertTrue(versions.covers(1.5))
-            versions.extend(-1000.0)
-            self.assertFalse(versions.covers(0.5))
-
-        self.run_versions(check)
-
-    def test_old_versions_are_forgotten(self):
+        for number in range(MAX_LEFT_BACKENDS + 1):
+            versions.note_entry(self.replica(0, f"b{number}", "v1"))
+            await anyio.sleep(0.001)
+        self.assertTrue(versions.covers(0.5))
+        versions.note_unlisted(Unlisted("r0"))
+        self.assertEqual(MAX_LEFT_BACKENDS, len(versions._left_at_by_backend))
+        self.assertFalse(versions.covers(0.5))
+        self.assertTrue(versions.covers(1.5))
+        versions.extend(-1000.0)
+        self.assertFalse(versions.covers(0.5))
+
+    @with_own_system("run_versions")
+    async def test_old_versions_are_forgotten(self, versions):
         """Versions that nobody can ask for must not be kept for the life of a host."""
-
-        async def check(versions):
-            versions.note_left(V1)
-            await anyio.sleep(RETENTION_S + 1.0)
-            versions.note_left(UNKNOWN_SOFTWARE)
-            self.assertNotIn(BACKEND, versions._left_at_by_backend)
-            self.assertFalse(versions.covers(0.5))
-            self.assertTrue(versions.covers(2.0))
-
-        self.run_versions(check)
+        versions.note_left(V1)
+        await anyio.sleep(RETENTION_S + 1.0)
+        versions.note_left(UNKNOWN_SOFTWARE)
+        self.assertNotIn(BACKEND, versions._left_at_by_backend)
+        self.assertFalse(versions.covers(0.5))
+        self.assertTrue(versions.covers(2.0))
 
 
 class GapTest(testtools.TestCase):
@@ -422,10 +408,9 @@
         self.assertIsNone(await host.ask())
         self.assertEqual(0, host.calls)
 
-    @with_system(run_system)
-    async def test_discarded_history_is_a_gap(self, system):
+    @with_system(run_long_known)
+    async def test_discarded_history_is_a_gap(self, system, host):
         """A version could come and go in changes that the store had discarded."""
-        host = await system.start_long_known()
         system.store.refused.add(host.name)
         await anyio.sleep(3.0)
         system.put("b", "v2")
@@ -438,20 +423,18 @@
         await anyio.sleep(LONG_S)
         self.assertEqual(V1, await host.ask())
 
-    @with_system(run_system)
-    async def test_discarded_history_that_a_question_meets(self, system):
+    @with_system(run_long_known)
+    async def test_discarded_history_that_a_question_meets(self, system, host):
         """The read for a question can be the first call that finds a gap."""
-        host = await system.start_long_known()
         await host.stop_watching()
         system.put("b", "v2")
         system.delete("b")
         system.store.discard_history(system.store.revision)
         self.assertIsNone(await host.ask())
 
-    @with_system(run_system)
-    async def test_versions_before_a_gap_stay_known(self, system):
+    @with_system(run_long_known)
+    async def test_versions_before_a_gap_stay_known(self, system, host):
         """A version that left before a gap may still have begun a stream."""
-        host = await system.start_long_known()
         system.put("b", "v2")
         await anyio.sleep(1.0)
         system.store.refused.add(host.name)
@@ -467,10 +450,9 @@
             ),
         )
 
-    @with_system(run_system)
-    async def test_new_epoch_is_a_gap(self, system):
+    @with_system(run_long_known)
+    async def test_new_epoch_is_a_gap(self, system, host):
         """A store that went back to a copy has lost entries that hosts had used."""
-        host = await system.start_long_known()
         copy, revision = dict(system.store.items_by_key), system.store.revision
         system.store.restore(copy, revision)
         self.assertIsNone(await host.ask())
@@ -479,28 +461,25 @@
         await anyio.sleep(LONG_S)
         self.assertEqual(V1, await host.ask())
 
-    @with_system(run_system)
-    async def test_snapshot_of_another_host_is_a_gap(self, system):
+    @with_system(run_long_known)
+    async def test_snapshot_of_another_host_is_a_gap(self, system, host):
         """A snapshot lacks what came and went before it."""
-        host = await system.start_long_known()
         host.apply_snapshot()
         self.assertIsNone(await host.ask())
 
 
 class FreshReadTest(testtools.TestCase):
-    @with_system(run_system)
-    async def test_newer_entry_is_read(self, system):
+    @with_system(run_long_known)
+    async def test_newer_entry_is_read(self, system, host):
         """Another host had used a replica whose entry this host had not seen."""
-        host = await system.start_long_known()
         await host.stop_watching()
         system.put("b", "v2")
         self.assertIsNone(await host.ask())
         self.assertIn("b", host.state.replicas.by_id)
 
-    @with_system(run_system)
-    async def test_store_that_refuses_gives_no_answer(self, system):
+    @with_system(run_long_known)
+    async def test_store_that_refuses_gives_no_answer(self, system, host):
         """Without the store, nobody knows what other hosts have seen in it."""
-        host = await system.start_long_known()
         system.store.refused.add(host.name)
         self.assertIsNone(await host.ask())
         self.assertTrue(host.state.is_unreachable(ALL_ITEMS))
@@ -508,10 +487,9 @@
         await anyio.sleep(1.0)
         self.assertEqual(V1, await host.ask())
 
-    @with_system(run_system)
-    async def test_host_that_others_read_for_finds_the_store_again(self, system):
+    @with_system(run_long_known)
+    async def test_host_that_others_read_for_finds_the_store_again(self, system, host):
         """One refused call let it count as cut off until its next question."""
-        host = await system.start_long_known()
         await host.stop_watching()
         system.store.refused.add(host.name)
         self.assertIsNone(await host.ask())
@@ -526,10 +504,9 @@
         await anyio.sleep(10.0)
         self.assertEqual(before, host.calls)
 
-    @with_system(run_system)
-    async def test_silent_store_delays_no_answer_for_long(self, system):
+    @with_system(run_long_known)
+    async def test_silent_store_delays_no_answer_for_long(self, system, host):
         """A caller must not wait for a store that is away."""
-        host = await system.start_long_known()
         system.store.silent.add(host.name)
         asked_at = anyio.current_time()
         self.assertIsNone(await host.ask())
@@ -538,10 +515,9 @@
         )
         self.assertEqual(set(), host.history._questions)
 
-    @with_system(run_system)
-    async def test_questions_that_were_given_up_are_forgotten(self, system):
+    @with_system(run_long_known)
+    async def test_questions_that_were_given_up_are_forgotten(self, system, host):
         """Requests that come while the store is silent must not fill the memory."""
-        host = await system.start_long_known()
         system.store.silent.add(host.name)
         before = host.calls
         async with anyio.create_task_group() as group:
@@ -551,10 +527,9 @@
         self.assertEqual(set(), host.history._questions)
         self.assertLessEqual(host.calls - before, 2)
 
-    @with_system(run_system)
-    async def test_questions_share_a_read(self, system):
+    @with_system(run_long_known)
+    async def test_questions_share_a_read(self, system, host):
         """Calls to the store have a price, and callers may ask in great numbers."""
-        host = await system.start_long_known()
         await host.stop_watching()
         before = host.calls
         answers = []
@@ -568,10 +543,9 @@
         self.assertEqual([V1] * 50, answers)
         self.assertEqual(1, host.calls - before)
 
-    @with_system(run_system)
-    async def test_question_during_a_read_needs_the_next_one(self, system):
+    @with_system(run_long_known)
+    async def test_question_during_a_read_needs_the_next_one(self, system, host):
         """A read that began before a request may lack what was written before it."""
-        host = await system.start_long_known()
         await host.stop_watching()
         before = host.calls
         answers = []
@@ -589,20 +563,18 @@
         self.assertEqual([V1, None], answers)
         self.assertEqual(2, host.calls - before)
 
-    @with_system(run_system)
-    async def test_reads_are_limited_in_rate(self, system):
+    @with_system(run_long_known)
+    async def test_reads_are_limited_in_rate(self, system, host):
         """One caller after the other must not use up the calls of all hosts."""
-        host = await system.start_long_known()
         await host.stop_watching()
         before, began_at = host.calls, anyio.current_time()
         while anyio.current_time() - began_at < 2.0:
             self.assertEqual(V1, await host.ask())
         self.assertLessEqual(host.calls - before, 21)
 
-    @with_system(run_system)
-    async def test_question_that_cannot_be_answered_costs_no_call(self, system):
+    @with_system(run_long_known)
+    async def test_question_that_cannot_be_answered_costs_no_call(self, system, host):
         """With two known versions, no read changes the answer."""
-        host = await system.start_long_known()
         system.put("b", "v2")
         await anyio.sleep(1.0)
         answer, calls = await host.ask_without_watching()
@@ -984,43 +956,34 @@
 class GatewayTest(testtools.TestCase):
     """With real calls to the store."""
 
-    def test_gateway_that_has_just_started(self):
+    @with_system(run_fleet, history_s=HISTORY_S)
+    async def test_gateway_that_has_just_started(self, fleet):
         """The parts of a gateway could be connected wrongly."""
-
-        async def check(fleet):
-            fleet.store.claim_complete_history()
-            history = fleet.live[0].version_history
-            origin = StreamOrigin("register", "v1")
-            self.assertEqual(origin, await history.only_origin("register", 100.0))
-            self.assertIsNone(await history.only_origin("none", 100.0))
-            fleet.registers[0].software_version = "v2"
-            fleet.publish(fleet.registers[0])
-            self.assertIsNone(await history.only_origin("register", 100.0))
-
-        run_fleet(check, history_s=HISTORY_S)
-
-    def test_gateway_whose_store_has_discarded_its_history(self):
+        fleet.store.claim_complete_history()
+        history = fleet.live[0].version_history
+        origin = StreamOrigin("register", "v1")
+        self.assertEqual(origin, await history.only_origin("register", 100.0))
+        self.assertIsNone(await history.only_origin("none", 100.0))
+        fleet.registers[0].software_version = "v2"
+        fleet.publish(fleet.registers[0])
+        self.assertIsNone(await history.only_origin("register", 100.0))
+
+    @with_system(run_fleet, history_s=HISTORY_S)
+    async def test_gateway_whose_store_has_discarded_its_history(self, fleet):
         """Status 410 must not count as an answer without changes."""
+        fleet.store.compact_history()
+        history = fleet.live[0].version_history
+        self.assertIsNone(await history.only_origin("register", 100.0))
 
-        async def check(fleet):
-            fleet.store.compact_history()
-            history = fleet.live[0].version_history
-            self.assertIsNone(await history.only_origin("register", 100.0))
-
-        run_fleet(check, history_s=HISTORY_S)
-
-    def test_calls_name_the_changes_that_created_a_key(self):
+    @with_system(run_fleet)
+    async def test_calls_name_the_changes_that_created_a_key(self, fleet):
         """A replica that is new in the history has no earlier version."""
-
-        async def check(fleet):
-            source = fleet.live[0].state._source
-            before = fleet.store.revision
-            fleet.store.put("servers/new", b"{}")
-            fleet.store.put("servers/new", b"{}")
-            changes = await source.watch("servers/new", before, 0.001)
-            self.assertEqual(
-                [before + 1, before + 2], [item.revision for item in changes.items]
-            )
-            self.assertEqual({before + 1}, changes.created_revisions)
-
-        run_fleet(check)
+        source = fleet.live[0].state._source
+        before = fleet.store.revision
+        fleet.store.put("servers/new", b"{}")
+        fleet.store.put("servers/new", b"{}")
+        changes = await source.watch("servers/new", before, 0.001)
+        self.assertEqual(
+            [before + 1, before + 2], [item.revision for item in changes.items]
+        )
+        self.assertEqual({before + 1}, changes.created_revisions)
