Give tests of callers and services their system by decorator

The inner function of each test is its body now. Names, docstrings, statements and assertions are the same: turned back, the syntax trees equal those before.

--- a/tests/callers/test_bad_callers.py
+++ b/tests/callers/test_bad_callers.py
@@ -9,6 +9,7 @@
 from snipetrestle_standins.data_path import API_KEY, OTHER_API_KEY, DataPath
 from tests.callers.caller import completion_body
 from tests.memory import assert_bounded_memory
+from tests.systems import with_own_system
 
 FILLER = b"x" * 1000
 MAX_SENT_BYTES = 16 * 1024 * 1024
@@ -42,54 +43,45 @@
 
         run_in_virtual_time(main)
 
-    def test_trailers_do_not_become_headers(self):
+    @with_own_system("run_with_connection")
+    async def test_trailers_do_not_become_headers(self, fleet, connection):
         """A trailer that came in the same packet replaced the caller's key, after all
         checks of the headers."""
+        body = chunk(json.dumps(completion_body()).encode())
+        trailer = b"Authorization: Bearer " + OTHER_API_KEY.encode()
+        for key, trailers, status in (
+            (API_KEY, b"Authorization: Bearer unknown\r\n", b"200"),
+            ("unknown", trailer + b"\r\n", b"401"),
+        ):
+            connection = fleet.daemons_by_name["entry-1"].listener.connect()
+            connection.send(request_head(key) + body + b"0\r\n" + trailers + b"\r\n")
+            answer = await connection.receive_until(b"\r\n\r\n")
+            self.assertIn(b"HTTP/1.1 " + status, answer)
 
-        async def check(fleet, connection):
-            body = chunk(json.dumps(completion_body()).encode())
-            trailer = b"Authorization: Bearer " + OTHER_API_KEY.encode()
-            for key, trailers, status in (
-                (API_KEY, b"Authorization: Bearer unknown\r\n", b"200"),
-                ("unknown", trailer + b"\r\n", b"401"),
-            ):
-                connection = fleet.daemons_by_name["entry-1"].listener.connect()
-                connection.send(
-                    request_head(key) + body + b"0\r\n" + trailers + b"\r\n"
-                )
-                answer = await connection.receive_until(b"\r\n\r\n")
-                self.assertIn(b"HTTP/1.1 " + status, answer)
-
-        self.run_with_connection(check)
-
-    def test_request_that_arrives_slowly_is_answered_in_a_planned_stop(self):
+    @with_own_system("run_with_connection")
+    async def test_request_that_arrives_slowly_is_answered_in_a_planned_stop(
+        self, fleet, connection
+    ):
         """A connection was closed in the middle of a request's head, without an
         answer, as the listener stopped."""
-
-        async def check(fleet, connection):
-            body = chunk(json.dumps(completion_body()).encode())
-            request = request_head(API_KEY) + body + b"0\r\n\r\n"
-            connection.send(request[:30])
-            await anyio.sleep(0.01)
-            connection.protocol.shutdown()
-            await anyio.sleep(0.01)
-            connection.send(request[30:])
-            answer = await connection.receive_until(b"\r\n\r\n")
-            self.assertIn(b"HTTP/1.1 200", answer)
-            while not connection.ended:
-                await connection.receive()
-
-        self.run_with_connection(check)
-
-    def test_idle_connection_is_closed_in_a_planned_stop(self):
+        body = chunk(json.dumps(completion_body()).encode())
+        request = request_head(API_KEY) + body + b"0\r\n\r\n"
+        connection.send(request[:30])
+        await anyio.sleep(0.01)
+        connection.protocol.shutdown()
+        await anyio.sleep(0.01)
+        connection.send(request[30:])
+        answer = await connection.receive_until(b"\r\n\r\n")
+        self.assertIn(b"HTTP/1.1 200", answer)
+        while not connection.ended:
+            await connection.receive()
+
+    @with_own_system("run_with_connection")
+    async def test_idle_connection_is_closed_in_a_planned_stop(self, fleet, connection):
         """A stop must not wait for connections that send nothing."""
-
-        async def check(fleet, connection):
-            await anyio.sleep(0.01)
-            connection.protocol.shutdown()
-            self.assertTrue(connection.ended)
-
-        self.run_with_connection(check)
+        await anyio.sleep(0.01)
+        connection.protocol.shutdown()
+        self.assertTrue(connection.ended)
 
     def test_endless_parts_of_a_request_end_the_connection(self):
         """A caller could send trailers or a chunk extension for ever."""
--- a/tests/callers/test_batches.py
+++ b/tests/callers/test_batches.py
@@ -10,6 +10,7 @@
 from snipetrestle.published import PublishedConfiguration
 from snipetrestle_standins.batch_fleet import CUSTOMER, BatchFleet
 from snipetrestle_standins.clock import run_in_virtual_time
+from tests.systems import with_own_system
 
 CONTRACT = {
     "requests_per_second": 10,
@@ -75,57 +76,44 @@
             return error
         return self.fail("the request was not refused")
 
-    def test_submit_status_and_results(self):
+    @with_own_system("run_fleet")
+    async def test_submit_status_and_results(self, fleet):
         """A caller must be able to assign the results to its items."""
-
-        async def check(fleet):
-            body = {"items": [ITEM, {**ITEM, "custom_id": "y"}]}
-            status, answer = await self.call(
-                fleet, "POST", "/v1/batches", body, "night"
-            )
-            self.assertEqual((202, "running", 2), (status, answer.state, answer.total))
-            _, repeated = await self.call(fleet, "POST", "/v1/batches", body, "night")
-            self.assertEqual(answer.id, repeated.id)
-            await fleet.wait_finished(answer.id)
-            path = f"/v1/batches/{answer.id}"
-            _, state = await self.call(fleet, "GET", path)
-            self.assertEqual(
-                ("finished", 2, 0), (state.state, state.done, state.failed)
-            )
-            _, results = await self.call(fleet, "GET", f"{path}/results")
-            self.assertEqual(
-                [(0, "x"), (1, "y")],
-                [(item.index, item.custom_id) for item in results["results"]],
-            )
-
-        self.run_fleet(check)
-
-    def test_batch_is_unknown_to_other_customers(self):
+        body = {"items": [ITEM, {**ITEM, "custom_id": "y"}]}
+        status, answer = await self.call(fleet, "POST", "/v1/batches", body, "night")
+        self.assertEqual((202, "running", 2), (status, answer.state, answer.total))
+        _, repeated = await self.call(fleet, "POST", "/v1/batches", body, "night")
+        self.assertEqual(answer.id, repeated.id)
+        await fleet.wait_finished(answer.id)
+        path = f"/v1/batches/{answer.id}"
+        _, state = await self.call(fleet, "GET", path)
+        self.assertEqual(("finished", 2, 0), (state.state, state.done, state.failed))
+        _, results = await self.call(fleet, "GET", f"{path}/results")
+        self.assertEqual(
+            [(0, "x"), (1, "y")],
+            [(item.index, item.custom_id) for item in results["results"]],
+        )
+
+    @with_own_system("run_fleet")
+    async def test_batch_is_unknown_to_other_customers(self, fleet):
         """Guards against batches that every customer can read."""
-
-        async def check(fleet):
-            body = {"items": [ITEM]}
-            _, answer = await self.call(fleet, "POST", "/v1/batches", body)
-            path = f"/v1/batches/{answer.id}/results"
-            error = await self.refusal(fleet, "GET", path, customer="kitami")
-            self.assertIs(ResultCode.UNKNOWN_BATCH, error.code)
-
-        self.run_fleet(check)
-
-    def test_submission_with_an_invalid_item_is_refused_as_a_whole(self):
+        body = {"items": [ITEM]}
+        _, answer = await self.call(fleet, "POST", "/v1/batches", body)
+        path = f"/v1/batches/{answer.id}/results"
+        error = await self.refusal(fleet, "GET", path, customer="kitami")
+        self.assertIs(ResultCode.UNKNOWN_BATCH, error.code)
+
+    @with_own_system("run_fleet")
+    async def test_submission_with_an_invalid_item_is_refused_as_a_whole(self, fleet):
         """One item that can never run must keep its batch from being accepted."""
-
-        async def check(fleet):
-            for invalid_fields, field in (
-                ({"model": "base:none@1"}, "items[1].model"),
-                ({"prompt": ""}, "items[1].prompt"),
-                ({"max_tokens": 0}, "items[1].max_tokens"),
-            ):
-                body = {"items": [ITEM, {**ITEM, **invalid_fields}]}
-                error = await self.refusal(fleet, "POST", "/v1/batches", body)
-                self.assertEqual(field, error.field)
-            error = await self.refusal(fleet, "POST", "/v1/batches", {"items": []})
-            self.assertEqual("items", error.field)
-            self.assertEqual(0, fleet.holder().held_batches)
-
-        self.run_fleet(check)
+        for invalid_fields, field in (
+            ({"model": "base:none@1"}, "items[1].model"),
+            ({"prompt": ""}, "items[1].prompt"),
+            ({"max_tokens": 0}, "items[1].max_tokens"),
+        ):
+            body = {"items": [ITEM, {**ITEM, **invalid_fields}]}
+            error = await self.refusal(fleet, "POST", "/v1/batches", body)
+            self.assertEqual(field, error.field)
+        error = await self.refusal(fleet, "POST", "/v1/batches", {"items": []})
+        self.assertEqual("items", error.field)
+        self.assertEqual(0, fleet.holder().held_batches)
--- a/tests/callers/test_completions.py
+++ b/tests/callers/test_completions.py
@@ -14,6 +14,7 @@
     stream_events,
     stream_text,
 )
+from tests.systems import in_virtual_time
 
 DAEMONS = ("entry-1", "entry-2")
 
@@ -24,116 +25,98 @@
 
 
 class CompletionTest(testtools.TestCase):
-    def test_each_daemon_answers_for_the_requested_adapter(self):
+    @in_virtual_time
+    async def test_each_daemon_answers_for_the_requested_adapter(self):
         """No answer may come from another adapter or version.
 
         The request goes to a local replica through one daemon and to a remote one
         through the other.
         """
-
-        async def main():
-            async with DataPath(DAEMONS) as path:
-                for name in DAEMONS:
-                    caller = Caller(path.daemons_by_name[name])
-                    for adapter in range(4):
-                        for version in ("1", "2"):
-                            answer = await caller.complete(
-                                model=f"{MODEL}:workshop-{adapter}@{version}"
-                            )
-                            self.assertEqual(200, answer.status, answer.body)
-                            choice = answer.json["choices"][0]
-                            self.assertEqual(
-                                expected_text(
-                                    f"workshop-{adapter}", version, PROMPT, 8
-                                ),
-                                choice["text"],
-                            )
-                            self.assertEqual("length", choice["finish_reason"])
-                            self.assertEqual(
-                                8, answer.json["usage"]["completion_tokens"]
-                            )
-
-        run_in_virtual_time(main)
-
-    def test_stream_of_text_and_chat(self):
+        async with DataPath(DAEMONS) as path:
+            for name in DAEMONS:
+                caller = Caller(path.daemons_by_name[name])
+                for adapter in range(4):
+                    for version in ("1", "2"):
+                        answer = await caller.complete(
+                            model=f"{MODEL}:workshop-{adapter}@{version}"
+                        )
+                        self.assertEqual(200, answer.status, answer.body)
+                        choice = answer.json["choices"][0]
+                        self.assertEqual(
+                            expected_text(f"workshop-{adapter}", version, PROMPT, 8),
+                            choice["text"],
+                        )
+                        self.assertEqual("length", choice["finish_reason"])
+                        self.assertEqual(8, answer.json["usage"]["completion_tokens"])
+
+    @in_virtual_time
+    async def test_stream_of_text_and_chat(self):
         """Common LLM clients must be able to parse a stream of text or chat."""
+        async with DataPath(DAEMONS) as path:
+            caller = Caller(path.daemons_by_name["entry-1"])
+            answer = await caller.complete(
+                stream=True, stream_options={"include_usage": True}
+            )
+            self.assertEqual("text/event-stream", answer.headers["content-type"])
+            self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
+            self.assertEqual(
+                expected_text("workshop-0", "1", PROMPT, 8),
+                stream_text(answer.body),
+            )
+            *_, last, usage = stream_events(answer.body)
+            self.assertEqual("length", last["choices"][0]["finish_reason"])
+            self.assertEqual(8, usage["usage"]["completion_tokens"])
+            body = completion_body(
+                stream=True, messages=[{"role": "user", "content": "Size 8?"}]
+            )
+            del body["prompt"]
+            answer = await caller.send("POST", "/v1/chat/completions", body)
+            events = stream_events(answer.body)
+            self.assertEqual("chat.completion.chunk", events[0]["object"])
+            text = "".join(
+                event["choices"][0]["delta"].get("content", "") for event in events
+            )
+            prompt = "<|user|>\nSize 8?\n<|assistant|>\n"
+            self.assertEqual(expected_text("workshop-0", "1", prompt, 8), text)
 
-        async def main():
-            async with DataPath(DAEMONS) as path:
-                caller = Caller(path.daemons_by_name["entry-1"])
-                answer = await caller.complete(
-                    stream=True, stream_options={"include_usage": True}
-                )
-                self.assertEqual("text/event-stream", answer.headers["content-type"])
-                self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
-                self.assertEqual(
-                    expected_text("workshop-0", "1", PROMPT, 8),
-                    stream_text(answer.body),
-                )
-                *_, last, usage = stream_events(answer.body)
-                self.assertEqual("length", last["choices"][0]["finish_reason"])
-                self.assertEqual(8, usage["usage"]["completion_tokens"])
-                body = completion_body(
-                    stream=True, messages=[{"role": "user", "content": "Size 8?"}]
-                )
-                del body["prompt"]
-                answer = await caller.send("POST", "/v1/chat/completions", body)
-                events = stream_events(answer.body)
-                self.assertEqual("chat.completion.chunk", events[0]["object"])
-                text = "".join(
-                    event["choices"][0]["delta"].get("content", "") for event in events
-                )
-                prompt = "<|user|>\nSize 8?\n<|assistant|>\n"
-                self.assertEqual(expected_text("workshop-0", "1", prompt, 8), text)
-
-        run_in_virtual_time(main)
-
-    def test_disconnect_cancels_at_the_engine(self):
+    @in_virtual_time
+    async def test_disconnect_cancels_at_the_engine(self):
         """An engine could keep generating after its caller has disconnected."""
-
-        async def main():
-            async with DataPath(DAEMONS) as path:
-                for name in DAEMONS:
-                    caller = Caller(path.daemons_by_name[name])
-                    body = completion_body(max_tokens=4000, stream=True)
-                    async with caller.open("POST", "/v1/completions", body) as response:
-                        async for _ in response.aiter_stream():
-                            break
-                        counts = [
-                            running_count(c) for c in path.engines_by_name.values()
-                        ]
-                        self.assertEqual(1, sum(counts))
-                    await anyio.sleep(1.0)
+        async with DataPath(DAEMONS) as path:
+            for name in DAEMONS:
+                caller = Caller(path.daemons_by_name[name])
+                body = completion_body(max_tokens=4000, stream=True)
+                async with caller.open("POST", "/v1/completions", body) as response:
+                    async for _ in response.aiter_stream():
+                        break
                     counts = [running_count(c) for c in path.engines_by_name.values()]
-                    self.assertEqual([0, 0], counts)
-                    reasons = {
-                        stream.finish_reason
-                        for core in path.engines_by_name.values()
-                        for stream in core._streams_by_id.values()
-                    }
-                    self.assertEqual({"cancelled"}, reasons)
-
-        run_in_virtual_time(main)
-
-    def test_deadline_ends_a_request(self):
-        """Guards against work that continues after the caller's deadline."""
-
-        async def main():
-            async with DataPath(DAEMONS) as path:
-                caller = Caller(path.daemons_by_name["entry-1"])
-                answer = await caller.send(
-                    "POST",
-                    "/v1/completions",
-                    completion_body(max_tokens=4000),
-                    X_Request_Deadline="1.5",
-                )
-                self.assertEqual((504, "SN-1303"), _status_and_code(answer))
-                self.assertEqual("outcome_unknown", answer.error["outcome"])
+                    self.assertEqual(1, sum(counts))
                 await anyio.sleep(1.0)
-                counts = [running_count(core) for core in path.engines_by_name.values()]
+                counts = [running_count(c) for c in path.engines_by_name.values()]
                 self.assertEqual([0, 0], counts)
-
-        run_in_virtual_time(main)
+                reasons = {
+                    stream.finish_reason
+                    for core in path.engines_by_name.values()
+                    for stream in core._streams_by_id.values()
+                }
+                self.assertEqual({"cancelled"}, reasons)
+
+    @in_virtual_time
+    async def test_deadline_ends_a_request(self):
+        """Guards against work that continues after the caller's deadline."""
+        async with DataPath(DAEMONS) as path:
+            caller = Caller(path.daemons_by_name["entry-1"])
+            answer = await caller.send(
+                "POST",
+                "/v1/completions",
+                completion_body(max_tokens=4000),
+                X_Request_Deadline="1.5",
+            )
+            self.assertEqual((504, "SN-1303"), _status_and_code(answer))
+            self.assertEqual("outcome_unknown", answer.error["outcome"])
+            await anyio.sleep(1.0)
+            counts = [running_count(core) for core in path.engines_by_name.values()]
+            self.assertEqual([0, 0], counts)
 
 
 class ResumeTest(testtools.TestCase):
--- a/tests/callers/test_refusals.py
+++ b/tests/callers/test_refusals.py
@@ -13,6 +13,7 @@
 from snipetrestle_standins.data_path import API_KEY, MODEL, OTHER_API_KEY, DataPath
 from snipetrestle_standins.engine import expected_text
 from tests.callers.caller import PROMPT, Caller, completion_body
+from tests.systems import in_virtual_time, with_own_system
 from tests.waiting import wait_until
 
 INTAKE = IntakeSettings(
@@ -126,39 +127,31 @@
             answer.json["choices"][0]["text"],
         )
 
-    def test_bad_input(self):
+    @with_own_system("run_with")
+    async def test_bad_input(self, path, caller):
         """Invalid input must be refused, and with a reason."""
-
-        async def check(path, caller):
-            for (body, target, headers), expected in BAD_REQUESTS:
-                answer = await caller.send("POST", target, body, **headers)
-                error = answer.error
-                self.assertEqual(
-                    expected, (answer.status, error["code"], error["field"])
-                )
-                self.assertEqual("did_not_run", error["outcome"])
-                self.assertTrue(error["rule"], error)
-                self.assertNotIn("retry-after", answer.headers)
-
-        self.run_with(check)
-
-    def test_body_without_length_is_bounded(self):
+        for (body, target, headers), expected in BAD_REQUESTS:
+            answer = await caller.send("POST", target, body, **headers)
+            error = answer.error
+            self.assertEqual(expected, (answer.status, error["code"], error["field"]))
+            self.assertEqual("did_not_run", error["outcome"])
+            self.assertTrue(error["rule"], error)
+            self.assertNotIn("retry-after", answer.headers)
+
+    @with_own_system("run_with")
+    async def test_body_without_length_is_bounded(self, path, caller):
         """A chunked body states no length and could exhaust the memory."""
-
-        async def check(path, caller):
-            connection = path.daemons_by_name["entry-1"].listener.connect()
-            head = (
-                f"POST {COMPLETIONS} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {API_KEY}"
-                "\r\nTransfer-Encoding: chunked\r\n\r\n"
-            )
-            connection.send(head.encode())
-            for _ in range(11):
-                connection.send(b"3e8\r\n" + b"x" * 1000 + b"\r\n")
-            answer = await connection.receive_until(b"}}")
-            self.assertIn(b"SN-1003", answer)
-            self.assertIn(b"connection: close", answer)
-
-        self.run_with(check)
+        connection = path.daemons_by_name["entry-1"].listener.connect()
+        head = (
+            f"POST {COMPLETIONS} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {API_KEY}"
+            "\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        connection.send(head.encode())
+        for _ in range(11):
+            connection.send(b"3e8\r\n" + b"x" * 1000 + b"\r\n")
+        answer = await connection.receive_until(b"}}")
+        self.assertIn(b"SN-1003", answer)
+        self.assertIn(b"connection: close", answer)
 
     def check_raw(self, data, code, **changes):
         async def check(path, caller):
@@ -194,147 +187,122 @@
         many = b"".join(b"X-%d: %s\r\n" % (n, b"y" * 90) for n in range(400))
         self.check_raw(b"GET /v1/models HTTP/1.1\r\n" + many, "SN-1002")
 
-    def test_disconnect_before_the_end_of_the_body(self):
+    @with_own_system("run_with")
+    async def test_disconnect_before_the_end_of_the_body(self, path, caller):
         """An incomplete request must not run when its caller disconnects."""
+        generated = [core.tokens_generated for core in path.engines_by_name.values()]
+        connection = path.daemons_by_name["entry-1"].listener.connect()
+        body = json.dumps(completion_body()).encode()
+        head = (
+            f"POST {COMPLETIONS} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {API_KEY}"
+            f"\r\nContent-Length: {len(body) + 1}\r\n\r\n"
+        )
+        connection.send(head.encode() + body)
+        await anyio.sleep(1.0)
+        connection.close()
+        await anyio.sleep(1.0)
+        self.assertEqual(
+            generated,
+            [core.tokens_generated for core in path.engines_by_name.values()],
+        )
 
-        async def check(path, caller):
-            generated = [
-                core.tokens_generated for core in path.engines_by_name.values()
-            ]
-            connection = path.daemons_by_name["entry-1"].listener.connect()
-            body = json.dumps(completion_body()).encode()
-            head = (
-                f"POST {COMPLETIONS} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {API_KEY}"
-                f"\r\nContent-Length: {len(body) + 1}\r\n\r\n"
-            )
-            connection.send(head.encode() + body)
-            await anyio.sleep(1.0)
-            connection.close()
-            await anyio.sleep(1.0)
-            self.assertEqual(
-                generated,
-                [core.tokens_generated for core in path.engines_by_name.values()],
-            )
-
-        self.run_with(check)
-
-    def test_connections_are_bounded(self):
+    @with_own_system("run_with")
+    async def test_connections_are_bounded(self, path, caller):
         """Connections over the limit must not be refused without a response."""
+        listener = path.daemons_by_name["entry-1"].listener
+        connections = [
+            listener.connect()
+            for _ in range(INTAKE.max_connections - len(listener.connections))
+        ]
+        refused = listener.connect()
+        answer = await refused.receive_until(b"}}")
+        self.assertIn(b"SN-1105", answer)
+        self.assertIn(b"retry-after", answer)
+        for connection in connections:
+            connection.close()
+        await anyio.sleep(0.1)
 
-        async def check(path, caller):
-            listener = path.daemons_by_name["entry-1"].listener
-            connections = [
-                listener.connect()
-                for _ in range(INTAKE.max_connections - len(listener.connections))
-            ]
-            refused = listener.connect()
-            answer = await refused.receive_until(b"}}")
-            self.assertIn(b"SN-1105", answer)
-            self.assertIn(b"retry-after", answer)
-            for connection in connections:
-                connection.close()
-            await anyio.sleep(0.1)
-
-        self.run_with(check)
-
-    def test_caller_that_does_not_read(self):
+    @with_own_system("run_with")
+    async def test_caller_that_does_not_read(self, path, caller):
         """Guards against unbounded buffering for a caller that does not read."""
+        daemon = path.daemons_by_name["entry-1"]
+        connection = daemon.listener.connect()
+        body = json.dumps(completion_body(max_tokens=6000, stream=True)).encode()
+        head = (
+            f"POST {COMPLETIONS} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {API_KEY}"
+            f"\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        connection.send(head.encode() + body)
+        await wait_until(lambda: connection.transport.paused)
+        buffered = len(connection.buffer)
+        await anyio.sleep(SLOW_READER_TIMEOUT_S / 2)
+        self.assertEqual(buffered, len(connection.buffer))
+        await anyio.sleep(SLOW_READER_TIMEOUT_S)
+        self.assertTrue(connection.ended)
+        running = sum(
+            not stream.ended
+            for core in path.engines_by_name.values()
+            for stream in core._streams_by_id.values()
+        )
+        self.assertEqual(0, running)
 
-        async def check(path, caller):
-            daemon = path.daemons_by_name["entry-1"]
-            connection = daemon.listener.connect()
-            body = json.dumps(completion_body(max_tokens=6000, stream=True)).encode()
-            head = (
-                f"POST {COMPLETIONS} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {API_KEY}"
-                f"\r\nContent-Length: {len(body)}\r\n\r\n"
-            )
-            connection.send(head.encode() + body)
-            await wait_until(lambda: connection.transport.paused)
-            buffered = len(connection.buffer)
-            await anyio.sleep(SLOW_READER_TIMEOUT_S / 2)
-            self.assertEqual(buffered, len(connection.buffer))
-            await anyio.sleep(SLOW_READER_TIMEOUT_S)
-            self.assertTrue(connection.ended)
-            running = sum(
-                not stream.ended
-                for core in path.engines_by_name.values()
-                for stream in core._streams_by_id.values()
-            )
-            self.assertEqual(0, running)
-
-        self.run_with(check)
-
-    def test_rate_limit_refusals_have_retry_after(self):
+    @with_own_system("run_with", requests_per_second=3.0)
+    async def test_rate_limit_refusals_have_retry_after(self, path, caller):
         """Callers would retry immediately for lack of a Retry-After header."""
-
-        async def check(path, caller):
-            codes = set()
-            for _ in range(8):
-                answer = await caller.complete()
-                if answer.status != 200:
-                    codes.add((answer.status, answer.error["code"]))
-                    self.assertEqual("did_not_run", answer.error["outcome"])
-                    self.assertTrue(int(answer.headers["retry-after"]) >= 1)
-            self.assertEqual({(429, "SN-1101")}, codes)
-            await anyio.sleep(60.0)
-
-        self.run_with(check, requests_per_second=3.0)
-
-    def test_no_replica(self):
-        """When no replica exists, a request must not wait for one."""
-
-        async def check(path, caller):
-            path.daemons_by_name["entry-1"].entry.set_replicas({})
+        codes = set()
+        for _ in range(8):
             answer = await caller.complete()
-            self.assertEqual((503, "SN-1203"), (answer.status, answer.error["code"]))
-            self.assertEqual("1", answer.headers["retry-after"])
-            path.daemons_by_name["entry-1"].apply(path.configuration)
-
-        self.run_with(check)
+            if answer.status != 200:
+                codes.add((answer.status, answer.error["code"]))
+                self.assertEqual("did_not_run", answer.error["outcome"])
+                self.assertTrue(int(answer.headers["retry-after"]) >= 1)
+        self.assertEqual({(429, "SN-1101")}, codes)
+        await anyio.sleep(60.0)
+
+    @with_own_system("run_with")
+    async def test_no_replica(self, path, caller):
+        """When no replica exists, a request must not wait for one."""
+        path.daemons_by_name["entry-1"].entry.set_replicas({})
+        answer = await caller.complete()
+        self.assertEqual((503, "SN-1203"), (answer.status, answer.error["code"]))
+        self.assertEqual("1", answer.headers["retry-after"])
+        path.daemons_by_name["entry-1"].apply(path.configuration)
 
-    def test_draining_and_not_ready(self):
+    @in_virtual_time
+    async def test_draining_and_not_ready(self):
         """A load balancer could send work to a daemon that is stopping."""
+        async with DataPath() as path:
+            interface = path.daemons_by_name["entry-1"].interface
+            caller = Caller(path.daemons_by_name["entry-1"])
+            self.assertEqual(200, (await caller.send("GET", "/readyz")).status)
+            with anyio.fail_after(30.0):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(caller.complete)
+                    await anyio.sleep(0.05)
+                    await interface.drain()
+            self.assertEqual(200, (await caller.send("GET", "/healthz")).status)
+            for target in ("/readyz", "/v1/models"):
+                answer = await caller.send("GET", target)
+                self.assertEqual(
+                    (503, "SN-1202"), (answer.status, answer.error["code"])
+                )
 
-        async def main():
-            async with DataPath() as path:
-                interface = path.daemons_by_name["entry-1"].interface
-                caller = Caller(path.daemons_by_name["entry-1"])
-                self.assertEqual(200, (await caller.send("GET", "/readyz")).status)
-                with anyio.fail_after(30.0):
-                    async with anyio.create_task_group() as group:
-                        group.start_soon(caller.complete)
-                        await anyio.sleep(0.05)
-                        await interface.drain()
-                self.assertEqual(200, (await caller.send("GET", "/healthz")).status)
-                for target in ("/readyz", "/v1/models"):
-                    answer = await caller.send("GET", target)
-                    self.assertEqual(
-                        (503, "SN-1202"), (answer.status, answer.error["code"])
-                    )
-
-        run_in_virtual_time(main)
-
-    def test_models_are_those_of_the_customer(self):
+    @with_own_system("run_with")
+    async def test_models_are_those_of_the_customer(self, path, caller):
         """The list of models must not show other customers' adapters."""
+        answer = await caller.send("GET", "/v1/models")
+        names = [item["id"] for item in answer.json["data"]]
+        self.assertIn(f"{MODEL}:workshop-3@2", names)
+        self.assertNotIn(f"{MODEL}:private@1", names)
 
-        async def check(path, caller):
-            answer = await caller.send("GET", "/v1/models")
-            names = [item["id"] for item in answer.json["data"]]
-            self.assertIn(f"{MODEL}:workshop-3@2", names)
-            self.assertNotIn(f"{MODEL}:private@1", names)
-
-        self.run_with(check)
-
-    def test_plain_text_is_refused_except_on_loopback(self):
+    @in_virtual_time
+    async def test_plain_text_is_refused_except_on_loopback(self):
         """Guards against sending keys and prompts over the network in plain text."""
 
-        async def main():
-            async def app(scope, receive, send):
-                raise AssertionError("must not be called")
-
-            with testtools.ExpectedException(ServingError) as caught:
-                async with serving(app, "192.0.2.1:8000"):
-                    pass
-            return caught
+        async def app(scope, receive, send):
+            raise AssertionError("must not be called")
 
-        run_in_virtual_time(main)
+        with testtools.ExpectedException(ServingError) as caught:
+            async with serving(app, "192.0.2.1:8000"):
+                pass
+        return caught
--- a/tests/services/test_bad_servers.py
+++ b/tests/services/test_bad_servers.py
@@ -20,6 +20,7 @@
     raw_server,
 )
 from tests.memory import assert_bounded_memory
+from tests.systems import with_own_system
 
 TIMEOUT_S = 1.0
 # Of a call that ends by its time-out, for a busy machine.
@@ -51,18 +52,15 @@
 
         anyio.run(main)
 
-    def test_late_second_copy_does_not_answer_the_next_call(self):
+    @with_own_system("run_with_server", ok(b"first"), ok(b"second"))
+    async def test_late_second_copy_does_not_answer_the_next_call(self, server, client):
         """The second copy of an answer came after the next call was sent on the same
         connection, and that call's caller got it."""
-
-        async def check(server, client):
-            server.second_copy_delay_s = 0.05
-            first = await client.call(call("first"))
-            server.answer_delay_s = 0.2
-            second = await client.call(call("second"))
-            self.assertEqual((b"first", b"second"), (first.body, second.body))
-
-        self.run_with_server(check, ok(b"first"), ok(b"second"))
+        server.second_copy_delay_s = 0.05
+        first = await client.call(call("first"))
+        server.answer_delay_s = 0.2
+        second = await client.call(call("second"))
+        self.assertEqual((b"first", b"second"), (first.body, second.body))
 
     def test_endless_answer_fails_the_call_in_time(self):
         """Each byte counted as progress, and all were kept: a call neither ended by its
@@ -111,34 +109,30 @@
             for answer in (odd, odd + ok(b"second")):
                 self.run_with_server(check, answer)
 
-    def test_truncated_answer_is_no_success(self):
+    @with_own_system("run_with_server", b"")
+    async def test_truncated_answer_is_no_success(self, server, client):
         """An answer that broke off halfway could reach the caller as complete."""
 
-        async def check(server, client):
-            async def close_after_answer(request, writer):
-                writer.write(ok(b"complete answer")[:-3])
-                writer.close()
-
-            server.serve = close_after_answer
-            with testtools.ExpectedException(ServiceUnreachable):
-                await client.call(call("write"))
+        async def close_after_answer(request, writer):
+            writer.write(ok(b"complete answer")[:-3])
+            writer.close()
 
-        self.run_with_server(check, b"")
+        server.serve = close_after_answer
+        with testtools.ExpectedException(ServiceUnreachable):
+            await client.call(call("write"))
 
-    def test_slow_sound_answer_is_not_cut(self):
+    @with_own_system("run_with_server", b"")
+    async def test_slow_sound_answer_is_not_cut(self, server, client):
         """An answer that comes in parts within the time-out must arrive whole."""
 
-        async def check(server, client):
-            async def answer_in_parts(request, writer):
-                for start in range(0, len(answer), 20):
-                    writer.write(answer[start : start + 20])
-                    await asyncio.sleep(0.05)
-
-            answer = ok(b"part " * 20)
-            server.serve = answer_in_parts
-            self.assertEqual(
-                ServiceAnswer(200, b"part " * 20, "application/octet-stream"),
-                await client.call(call("read")),
-            )
-
-        self.run_with_server(check, b"")
+        async def answer_in_parts(request, writer):
+            for start in range(0, len(answer), 20):
+                writer.write(answer[start : start + 20])
+                await asyncio.sleep(0.05)
+
+        answer = ok(b"part " * 20)
+        server.serve = answer_in_parts
+        self.assertEqual(
+            ServiceAnswer(200, b"part " * 20, "application/octet-stream"),
+            await client.call(call("read")),
+        )
