Name route, replicas and replacement where a request ends

A replacement that is not allowed (route, attempts or retry budget) had no line at all; its reason is in the field. Lines of requests without a known route or key are unchanged.

replica_silent_ms keeps its meaning (null without a replica at work); last_heard_ms goes on after the response has ended.

Before: the 3 new tests of tests.gateway.test_connection_ends fail (8 of 11 pass). After: 11 of 11 pass. test_replacements, test_silent_replicas, test_begun_streams, test_ends_of_waits, test_tenants, test_story, test_unexpected_errors, tests.cli.test_commands and tests.test_reference pass (test_tenants first failed in one test, since 401 lines had new fields; they no longer have them).

--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -53,6 +53,7 @@
 from snipetrestle.gateway.publication.snapshots import Snapshots
 from snipetrestle.gateway.quarantine.crash_quarantine import CrashQuarantine
 from snipetrestle.gateway.refusals import NOT_READY_RETRY_AFTER_S
+from snipetrestle.gateway.request_fields import configuration_fields, optional_ms
 from snipetrestle.gateway.streams.kept_prompts import KeptPrompts
 from snipetrestle.gateway.streams.process_check import ProcessCheck
 from snipetrestle.gateway.streams.take_ups import TakeUps
@@ -310,14 +311,15 @@
             unanswered=end.unanswered,
             unread_bytes=end.unread_bytes,
             late_bytes=end.late_bytes,
-            deadline_ms=_optional_ms(end.deadline_s),
-            silent_ms=_optional_ms(end.silent_s),
-            replica_silent_ms=_optional_ms(end.replica_silent_s),
+            deadline_ms=optional_ms(end.deadline_s),
+            silent_ms=optional_ms(end.silent_s),
+            replica_silent_ms=optional_ms(end.replica_silent_s),
             quiet_ms=round(end.quiet_s * 1000),
             idle_limit_ms=round(end.idle_limit_s * 1000),
             age_ms=round(end.age_s * 1000),
             request=end.request_id,
-            **self._configuration_fields(),
+            **end.request_fields,
+            **configuration_fields(self.state),
         )
 
     def _label_tenants(self):
@@ -338,18 +340,6 @@
             connections=len(self.caller_server.connections),
         )
 
-    def _configuration_fields(self):
-        """Returns the fields of a log line about the configuration in force."""
-        state = self.state
-        if state.configuration is None:
-            return {"configuration": None}
-        age_s = anyio.current_time() - state.configuration_applied_at
-        return {
-            "configuration": state.configuration.version,
-            "configuration_age_ms": round(age_s * 1000),
-            "configuration_apply_ms": round(state.configuration_apply_s * 1000),
-        }
-
     def _limits(self):
         configuration = self.state.configuration
         return CallerLimits() if configuration is None else configuration.limits
@@ -512,8 +502,3 @@
 def _log_loop_error(loop, context):
     """Logs an error in a callback of the event loop, which then goes on."""
     log_unexpected("event loop", context.get("exception") or context["message"])
-
-
-def _optional_ms(duration_s):
-    """Returns a duration in whole milliseconds, None for None."""
-    return None if duration_s is None else round(duration_s * 1000)
--- a/snipetrestle/gateway/callers/connection_end.py
+++ b/snipetrestle/gateway/callers/connection_end.py
@@ -50,7 +50,8 @@
     one that its caller named, and ``silent_s`` the time for which this host had sent
     nothing although the request was in progress. ``replica_silent_s`` is the time for
     which the replicas at work on it had sent nothing on any connection to this host,
-    None if there were none. ``quiet_s`` is the time between the
+    None if there were none. ``request_fields`` are the fields of its log line that its
+    handler knows. ``quiet_s`` is the time between the
     last byte of the caller and the end, and ``idle_limit_s`` the limit that was in
     force for it. ``unread_bytes`` were not read; ``late_bytes`` of them came after the
     end. ``age_s`` is the time since the connection was opened.
@@ -63,6 +64,7 @@
         "deadline_s",
         "silent_s",
         "replica_silent_s",
+        "request_fields",
         "quiet_s",
         "idle_limit_s",
         "unread_bytes",
@@ -77,6 +79,7 @@
         self.deadline_s = None
         self.silent_s = None
         self.replica_silent_s = None
+        self.request_fields = {}
         self.quiet_s = quiet_s
         self.idle_limit_s = idle_limit_s
         self.unread_bytes = 0
--- a/snipetrestle/gateway/callers/http_server.py
+++ b/snipetrestle/gateway/callers/http_server.py
@@ -67,7 +67,8 @@
     None, and ``answer_due_at`` the time by which it is owed an answer. ``awaits_end`` is
     true while the connection waits for its turn to be ended. ``on_disconnect()``, if
     set, is called when the connection closes, and ``replica_silent_s()``, if set, is
-    asked for that value of its ConnectionEnd. ``held_bytes`` is the memory that the
+    asked for that value of its ConnectionEnd, as is ``request_fields()`` until the
+    request has been handled. ``held_bytes`` is the memory that the
     connection has reported to the server's CallerMemory.
     """
 
@@ -97,6 +98,7 @@
         self.awaits_end = False
         self.on_disconnect = None
         self.replica_silent_s = None
+        self.request_fields = None
         self.request_id = None
         self.deadline_s = None
         self.answer_due_at = math.inf
@@ -219,6 +221,8 @@
 
     def _end_progress(self):
         self._in_progress_bytes = 0
+        # It refers to the request.
+        self.request_fields = None
         self.report_held()
 
     def _send_internal_error(self):
@@ -530,9 +534,11 @@
             )
             if self.busy:
                 self._end.deadline_s = self.deadline_s
-                self._end.silent_s = self._loop.time() - self._active_at
+                self._end.silent_s = self.silent_s
                 if self.replica_silent_s is not None:
                     self._end.replica_silent_s = self.replica_silent_s()
+                if self.request_fields is not None:
+                    self._end.request_fields = self.request_fields()
 
     def _caller_end_reason(self, reason):
         """Returns CALLER_TIMED_OUT if the caller had waited too long, else ``reason``."""
@@ -543,6 +549,11 @@
         is_late = now >= self.answer_due_at or now - self._active_at >= HOST_SILENCE_S
         return EndReason.CALLER_TIMED_OUT if is_late else reason
 
+    @property
+    def silent_s(self):
+        """The time since this host last sent something, or the request arrived."""
+        return self._loop.time() - self._active_at
+
     def _write(self, data):
         self._active_at = self._loop.time()
         self._transport.write(data)
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -153,8 +153,14 @@
 
     async def _replace_silent(self, reason):
         """Ends the silent exchange if another replica accepts the request."""
-        if await self._send_replacement(reason):
+        self._job.seeks_replacement = True
+        try:
+            is_accepted = await self._send_replacement(reason)
+        finally:
+            self._job.seeks_replacement = False
+        if is_accepted:
             self._is_accepted = True
+            self._job.replacement_dropped = None
             if self._job.route.kind is RequestKind.STREAM:
                 self._job.silent_replica_id = self._current.replica.id
             self._current.cancel(reason)
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -33,6 +33,11 @@
     not_run_stop_refusal,
     stop_refusal,
 )
+from snipetrestle.gateway.request_fields import (
+    configuration_fields,
+    optional_ms,
+    request_fields,
+)
 from snipetrestle.gateway.retries import Retries
 from snipetrestle.gateway.streams.event_intervals import EventIntervalMeter
 from snipetrestle.gateway.streams.event_stream import EventSplitter, InvalidEvent
@@ -149,6 +154,7 @@
         # A write goes on without its caller, so that it is not cut off midway.
         job.caller.on_disconnect = job.abandon if is_write else scope.cancel
         job.caller.replica_silent_s = job.replica_silent_s
+        job.caller.request_fields = functools.partial(request_fields, job)
         refusal = None
         self._scopes.add(scope)
         try:
@@ -216,15 +222,13 @@
         route = fields.get("route", "")
         if job is not None:
             route = job.route.name
-            now = anyio.current_time()
+            fields.update(request_fields(job), **configuration_fields(self._state))
             fields.update(
-                route=route,
-                sent_to=job.sent_to,
-                after_ms=round((now - job.request.received_at) * 1000),
+                deadline_ms=optional_ms(job.metadata.deadline_s),
+                silent_ms=optional_ms(caller.silent_s),
                 adapter=None
                 if job.metadata.adapter is None
                 else job.metadata.adapter.adapter,
-                last_event_id=job.last_event_id,
             )
             if job.tenant is not None:
                 fields["tenant"] = job.tenant.name
@@ -463,6 +467,7 @@
         self._check_time_left(job)
         if job.first_sent_at is None:
             job.first_sent_at = anyio.current_time()
+        job.tried_replicas[replica.id] = replica
         return Exchange(self._dialect, job, replica, self._answer_memory.begin())
 
     async def check_process(self, job, replica):
@@ -482,7 +487,11 @@
 
     def may_retry(self, job):
         """Whether a replacement may be sent now, while the first replica is silent."""
-        return self._retries.may_replace(job)
+        may_replace = self._retries.may_replace(job)
+        if not may_replace:
+            # Not logged by itself: it is asked again at each check of the silence.
+            job.replacement_dropped = _denial_reason(job)
+        return may_replace
 
     def try_book_retry(self, job, reason):
         """Counts a retry in the budget and logs it; returns False without room."""
@@ -544,6 +553,7 @@
 
     def log_replacement_dropped(self, job, reason):
         """Logs why the silent replica's response is still awaited."""
+        job.replacement_dropped = reason
         self._request_log.log(
             Event.REPLACEMENT_DROPPED,
             request=job.request_id,
@@ -553,6 +563,15 @@
         )
 
 
+def _denial_reason(job):
+    """Returns why no replacement of a silent replica may be sent."""
+    if not job.route.repeatable:
+        return "the route allows no other replica"
+    if not job.has_attempts_left:
+        return "the attempts of the route are used up"
+    return "the retry budget is used up, or the end is near"
+
+
 def _is_authentic(metadata):
     """Whether a response is signed by the replica and has no content coding."""
     return metadata.signed and not metadata.content_encoded
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -55,7 +55,9 @@
     passed to the caller if no later attempt gets a response. ``first_event_s`` is how
     long a replica took to the first event, or None. ``first_sent_at`` is the time of the
     first attempt, or None. ``has_replacement`` tells that the request was
-    sent to another replica while the first one is silent. ``dropped_on`` holds the ids
+    sent to another replica while the first one is silent, ``seeks_replacement`` that
+    one is looked for, and ``replacement_dropped`` why the last one came to nothing or
+    was not allowed, None if it was accepted. ``tried_replicas`` are the Replicas of all attempts by id. ``dropped_on`` holds the ids
     of replicas whose replacement was ended before it had a response; the request may go
     to them again. ``silent_replica_id`` is that of the last replica of a stream that was
     left for an accepted replacement, or None. ``quota_booking`` is the tenant, what the request has booked on its
@@ -93,6 +95,9 @@
         "limit_wait_s",
         "first_sent_at",
         "has_replacement",
+        "seeks_replacement",
+        "replacement_dropped",
+        "tried_replicas",
         "dropped_on",
         "silent_replica_id",
         "quota_booking",
@@ -136,6 +141,9 @@
         self.limit_wait_s = 0.0
         self.first_sent_at = None
         self.has_replacement = False
+        self.seeks_replacement = False
+        self.replacement_dropped = None
+        self.tried_replicas = {}
         self.dropped_on = set()
         self.silent_replica_id = None
         self.quota_booking = None
@@ -204,6 +212,27 @@
         heard_at = max(exchange.last_heard_at for exchange in self.open_exchanges)
         return anyio.current_time() - heard_at
 
+    def last_heard_s(self):
+        """Returns how long ago something came from a replica that may have run it.
+
+        It may have come on any connection of this host, also after the replica's
+        response ended. Counts from the first attempt at most; None without such a
+        replica.
+        """
+        if not self.may_have_run:
+            return None
+        heard_at = max(
+            self.tried_replicas[item].last_heard_at for item in self.may_have_run_on
+        )
+        return anyio.current_time() - max(heard_at, self.first_sent_at)
+
+    @property
+    def replacement_state(self):
+        """Whether a replacement is "sent" or "sought" at the moment, else None."""
+        if self.has_replacement:
+            return "sent"
+        return "sought" if self.seeks_replacement else None
+
     def hold_permit(self, permit):
         """Keeps a permit for the next exchange; one that was not used is given back."""
         self.end_permit()
--- a/tests/gateway/test_connection_ends.py
+++ b/tests/gateway/test_connection_ends.py
@@ -3,14 +3,17 @@
 import asyncio
 import time
 
+from snipetrestle.codes import ResultCode
 from snipetrestle.dispatch.replica_search import ReplicaSearch
 from snipetrestle.events import Event
 from snipetrestle.gateway.forwarding import Forwarder
+from snipetrestle.gateway.job import Refused
 from snipetrestle.gateway.publication.published_documents import PublishedDocuments
 from snipetrestle_standins.gateway_fleet import Caller, configuration
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.log_recording import LogRecordingTest
 from tests.gateway.running import run_fleet
+from tests.gateway.test_silent_replicas import use_up_retries
 from tests.waiting import wait_until
 
 # A turn of the event loop in which a long configuration is applied on a slow host.
@@ -152,6 +155,95 @@
 
         run_fleet(check)
 
+    def assert_fields(self, expected, line):
+        self.assertEqual(expected, {name: line.get(name) for name in expected})
+
+    async def leave_silent_stream(self, fleet):
+        """Leaves a begun stream whose replicas are silent; returns its line."""
+        for replica in fleet.models:
+            replica.events, replica.event_interval_s = 100, 0.05
+        async with Caller(fleet.live[0].settings.callers) as caller:
+            request = asyncio.create_task(caller.send_request("/draft/a", adapter=""))
+            await wait_until(lambda: any(item.running for item in fleet.models))
+            await asyncio.sleep(0.5)
+            silences = [
+                asyncio.create_task(item.fall_silent(4.0)) for item in fleet.models
+            ]
+            await asyncio.sleep(1.8)
+            request.cancel()
+        await wait_until(self.early_ends)
+        for silence in silences:
+            silence.cancel()
+        (end,) = self.logged(Event.CONNECTION_ENDED_EARLY)
+        return end
+
+    def test_line_of_a_left_stream_tells_why_it_was_not_replaced(self):
+        """Guards against a held stream whose line names no route and no replacement."""
+
+        async def refuse(forwarder, job):
+            raise Refused(ResultCode.NO_REPLICA, reason="no other one")
+
+        async def check(fleet):
+            self.patch(Forwarder, "find_replacement", refuse)
+            end = await self.leave_silent_stream(fleet)
+            self.assert_fields(
+                {
+                    "reason": "caller_timed_out",
+                    "route": "draft",
+                    "kind": "stream",
+                    "resumable": True,
+                    "replacement_dropped": "no other one",
+                },
+                end,
+            )
+            self.assertEqual(1, len(end["sent_to"]))
+            self.assertGreater(end["last_event_id"], 0)
+            self.assertGreaterEqual(end["last_heard_ms"], 1500)
+            self.assertGreaterEqual(end["after_ms"], end["silent_ms"])
+
+        run_fleet(check)
+
+    def test_line_of_a_left_stream_tells_that_no_replacement_was_allowed(self):
+        """Guards against a held stream without any line that says why."""
+
+        async def check(fleet):
+            use_up_retries(fleet, "models")
+            end = await self.leave_silent_stream(fleet)
+            self.assertIn("retry budget", end["replacement_dropped"])
+
+        run_fleet(check)
+
+    def test_lines_of_a_cut_stream_tell_how_far_it_had_come(self):
+        """Guards against lines that need others to show what a replica cut off."""
+
+        async def check(fleet):
+            for replica in fleet.models:
+                replica.faults = [Fault.RESET_IN_RESPONSE] * 4
+            headers = [("X-Deadline-Ms", "5000")]
+            await fleet.send_request("/draft/a", adapter="", headers=headers)
+            await wait_until(self.early_ends)
+            (failure,) = self.logged(Event.REQUEST_FAILED)
+            (end,) = self.logged(Event.CONNECTION_ENDED_EARLY)
+            for line in (failure, end):
+                self.assert_fields(
+                    {
+                        "route": "draft",
+                        "kind": "stream",
+                        "resumable": True,
+                        "deadline_ms": 5000,
+                        "last_event_id": 4,
+                        "replacement": None,
+                        "configuration": 1,
+                    },
+                    line,
+                )
+                self.assertLess(line["silent_ms"], line["after_ms"] + 1)
+                self.assertLess(line["last_heard_ms"], line["after_ms"] + 1)
+                self.assertLess(line["after_ms"], line["timeout_ms"])
+                self.assertGreaterEqual(line["configuration_age_ms"], 0)
+
+        run_fleet(check)
+
     def test_request_without_a_replica_has_no_silent_one(self):
         """A request that waited for a place looked like one at a silent replica."""
 
