Show near misses of lost requests in the logs of a run

`python -m benchmarks.near_misses LOG...` counts from the hosts' lines alone: (a) requests beside planned work whose caller got no complete answer in time, by how they ended and by the lines about their replicas; (b) streams that are taken up again and go on, over the run and in its worst 2 s. Per host it compares cuts beside configurations and at other times. Lines that were left out are told, and so are logs without an end.

What the lines do not tell: when a configuration was sent (its first application counts), new streams that begin (all are taken to), whether an accepted stream went on, and requests of hosts that were killed.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # The stamp is named by the pins, so a changed pin installs again.
 STAMP = $(VENV)/.installed-$(shell cat requirements/*.txt | cksum | cut -d' ' -f1)
 
-.PHONY: setup demo lint format test fuzz fuzz-requests soak chaos bench-parsing bench-path bench-policy bench-control binary generate
+.PHONY: setup demo lint format test fuzz fuzz-requests soak chaos bench-parsing bench-path bench-policy bench-control near-misses binary generate
 
 setup: $(STAMP)
 
@@ -54,6 +54,9 @@
 bench-control: setup
 	$(RUN) -m benchmarks.control $(ARGS)
 
+near-misses: setup
+	$(RUN) -m benchmarks.near_misses $(ARGS)
+
 binary: setup
 	$(RUN) binary/build.py
 
--- a/snipetrestle/cli/story.py
+++ b/snipetrestle/cli/story.py
@@ -37,6 +37,11 @@
 
 def read_lines(path):
     """Returns the JSON lines of a log file as mappings. Other lines are ignored."""
+    return [line for _, line in read_prefixed_lines(path)]
+
+
+def read_prefixed_lines(path):
+    """Returns (text before it, mapping) for each JSON line of a log file."""
     lines = []
     for text in path.read_text(errors="replace").splitlines():
         start = text.find("{")
@@ -47,7 +52,7 @@
         except msgspec.DecodeError:
             continue
         if isinstance(line, dict) and "time" in line:
-            lines.append(line)
+            lines.append((text[:start], line))
     return lines
 
 
