Tell near misses at processes that their host knew had ended

The evidence says now whether the host had listed that process by the end of the request, or even before it came.

tests.test_near_misses: 6 of 6 pass; the new test fails before, as there is no such evidence.

--- a/benchmarks/near_misses_ends.py
+++ b/benchmarks/near_misses_ends.py
@@ -259,19 +259,26 @@
         for replica in replicas
         for item in log.of_replica(line.host, replica, begin_s, end_s)
     ]
-    return sorted(
-        {
-            item.fields["event"]
-            for item in near
-            if item.fields["event"]
-            in (
-                str(Event.REPLICA_SUSPECTED),
-                str(Event.REPLICA_UNLISTED),
-                str(Event.REPLICA_REMOVED),
-                str(Event.REPLICA_LISTED),
-            )
-        }
+    shown = (
+        str(Event.REPLICA_SUSPECTED),
+        str(Event.REPLICA_UNLISTED),
+        str(Event.REPLICA_REMOVED),
+        str(Event.REPLICA_LISTED),
     )
+    events = {item.fields["event"] for item in near}
+    return _process_evidence(log, line, replicas) + sorted(events.intersection(shown))
+
+
+def _process_evidence(log, line, replicas):
+    """Tells whether the host knew, when the request came or later, of an ended process."""
+    after_ms = line.fields.get("after_ms", line.fields.get("quiet_ms", 0))
+    received_at_s = line.at_s - after_ms / 1000
+    # A request may have been sent to several; the last one held it up.
+    if log.knows_later_process(line.host, replicas[-1], received_at_s):
+        return ["ended process, known before the request"]
+    if log.knows_later_process(line.host, replicas[-1], line.at_s):
+        return ["ended process, known"]
+    return []
 
 
 def _age_text(age_ms):
--- a/benchmarks/near_misses_log.py
+++ b/benchmarks/near_misses_log.py
@@ -36,6 +36,7 @@
         self._by_event = collections.defaultdict(list)
         self._by_request = collections.defaultdict(list)
         self._by_replica = collections.defaultdict(list)
+        self._listed_by_host = collections.defaultdict(list)
         for line in sorted(lines, key=lambda line: line.at_s):
             fields = line.fields
             self.first_at_by_host.setdefault(line.host, line.at_s)
@@ -44,6 +45,8 @@
                 self._by_request[line.host, fields["request"]].append(line)
             if "replica" in fields and "request" not in fields:
                 self._by_replica[line.host, fields["replica"]].append(line)
+            if fields.get("event") == str(Event.REPLICA_LISTED):
+                self._listed_by_host[line.host].append(line)
 
     @classmethod
     def from_path(cls, path):
@@ -72,6 +75,22 @@
         lines = self._by_replica.get((host, replica), [])
         return [line for line in lines if begin_s <= line.at_s <= end_s]
 
+    def knows_later_process(self, host, replica, at_s):
+        """Whether a host has listed another replica at the address, begun later.
+
+        The process of ``replica`` has ended then.
+        """
+        listed = [
+            line.fields for line in self._listed_by_host[host] if line.at_s <= at_s
+        ]
+        entry = next((item for item in listed if item["replica"] == replica), None)
+        return entry is not None and any(
+            item["address"] == entry["address"]
+            and item["replica"] != replica
+            and (item["boot"] or 0) > (entry["boot"] or 0)
+            for item in listed
+        )
+
     def suppressed_counts(self):
         """Returns how many lines of each event were left out by the bound of lines."""
         counts = collections.Counter()
--- a/tests/test_near_misses.py
+++ b/tests/test_near_misses.py
@@ -78,6 +78,26 @@
         )
         self.assertIn("silent 2.4 s", row["how"])
 
+    def test_end_at_a_process_known_to_have_ended_is_told(self):
+        """Guards against a held stream not told from one at a replica that goes on."""
+        listed = {"address": "10.0.0.1:80", "boot": 1}
+        later = {"address": "10.0.0.1:80", "boot": 2}
+        report = self.report(
+            text_of(-1.0, "EV-1411", replica="i-1", **listed),
+            text_of(11.0, "EV-1411", replica="i-2", **later),
+            end_of(10.9, "r0"),
+            end_of(13.4, "r1"),
+            end_of(13.4, "r2", after_ms=1000),
+        )
+        self.assertEqual(
+            {
+                "r0": "configuration < 1 s",
+                "r1": "ended process, known; configuration < 1 s",
+                "r2": "ended process, known before the request; configuration < 1 s",
+            },
+            {row["requests"][0]: row["evidence"] for row in report["endings"]},
+        )
+
     def test_ends_that_rule_a_excludes_are_named_and_not_counted(self):
         """Guards against losses seen where the caller or the replica ended a request."""
         closed = {"code": "SN-1301", "outcome": "outcome_unknown"}
