--- a/tests/coordination/test_adapter_places.py
+++ b/tests/coordination/test_adapter_places.py
@@ -15,6 +15,7 @@
 from snipetrestle.coordination.load_times import AdapterLoadLimiter
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle_standins.clock import run_in_virtual_time
+from tests.systems import in_virtual_time
 
 
 def key(number):
@@ -48,234 +49,195 @@
 
 
 class PlacementTest(testtools.TestCase):
-    def test_slow_replicas_get_few_requests(self):
+    @in_virtual_time
+    async def test_slow_replicas_get_few_requests(self):
         """Streams pause when slow replicas get a full share: three of nine replicas
         process prompts so slowly that a few in a row exceed the allowed pause (quiet
         day of ksr-lab)."""
-
-        async def check():
-            placement = make_placement([0.017] * 6 + [0.042] * 3)
-            for number in range(400):
-                request(placement, key(number % 60))
-                await anyio.sleep(1 / 24)
-            now = anyio.current_time()
-            rates = [r.demand.rate(now) for r in placement.by_replica.values()]
-            self.assertLess(sum(rates[6:]), 0.1 * sum(rates))
-
-        run_in_virtual_time(check)
-
-    def test_adapter_in_use_is_never_evicted(self):
+        placement = make_placement([0.017] * 6 + [0.042] * 3)
+        for number in range(400):
+            request(placement, key(number % 60))
+            await anyio.sleep(1 / 24)
+        now = anyio.current_time()
+        rates = [r.demand.rate(now) for r in placement.by_replica.values()]
+        self.assertLess(sum(rates[6:]), 0.1 * sum(rates))
+
+    @in_virtual_time
+    async def test_adapter_in_use_is_never_evicted(self):
         """An unload waits for requests in progress and blocks its slot meanwhile: half
         of all slots were blocked (heavy day of taglia-sicilia)."""
-
-        async def check():
-            placement = make_placement([0.02], slots=4)
-            replica = placement.by_replica["r0"]
-            for number in range(4):
-                request(placement, key(number))
-            replica.in_use = {key(0), key(1)}
-            await anyio.sleep(EVICTION_GRACE_S + 0.1)
-            self.assertIn(placement.eviction_candidate(replica), (key(2), key(3)))
-            replica.in_use = {key(number) for number in range(4)}
-            self.assertIsNone(placement.eviction_candidate(replica))
-            self.assertIsNone(placement.choose_replica(key(9)))
-
-        run_in_virtual_time(check)
-
-    def test_recently_requested_adapter_is_kept(self):
+        placement = make_placement([0.02], slots=4)
+        replica = placement.by_replica["r0"]
+        for number in range(4):
+            request(placement, key(number))
+        replica.in_use = {key(0), key(1)}
+        await anyio.sleep(EVICTION_GRACE_S + 0.1)
+        self.assertIn(placement.eviction_candidate(replica), (key(2), key(3)))
+        replica.in_use = {key(number) for number in range(4)}
+        self.assertIsNone(placement.eviction_candidate(replica))
+        self.assertIsNone(placement.choose_replica(key(9)))
+
+    @in_virtual_time
+    async def test_recently_requested_adapter_is_kept(self):
         """Guards against requests sent to a replica that just evicted the adapter."""
-
-        async def check():
-            placement = make_placement([0.02], slots=1)
-            request(placement, key(1))
-            await anyio.sleep(EVICTION_GRACE_S - 0.1)
-            self.assertIsNone(placement.choose_replica(key(2)))
-            await anyio.sleep(0.2)
-            self.assertIsNotNone(placement.choose_replica(key(2)))
-
-        run_in_virtual_time(check)
-
-    def test_popular_adapter_gets_a_holder_without_a_limit(self):
+        placement = make_placement([0.02], slots=1)
+        request(placement, key(1))
+        await anyio.sleep(EVICTION_GRACE_S - 0.1)
+        self.assertIsNone(placement.choose_replica(key(2)))
+        await anyio.sleep(0.2)
+        self.assertIsNotNone(placement.choose_replica(key(2)))
+
+    @in_virtual_time
+    async def test_popular_adapter_gets_a_holder_without_a_limit(self):
         """All holders of the popular adapters named request limits, so hosts could
         either exceed these or refuse the requests."""
-
-        async def check():
-            placement = make_placement([0.02, 0.02])
-            placement.by_replica["r0"].limit_per_s = 2.0
-            popular, rare = key(1), key(2)
-            for item in (popular, rare):
-                placement.by_replica["r0"].record_held(item, 1, anyio.current_time())
-            for number in range(40):
-                placement.record_demand(popular, 1)
-                if number % 20 == 0:
-                    placement.record_demand(rare, 1)
-                await anyio.sleep(0.5)
-            self.assertEqual(LoadReason.LIMIT, placement.copy_reason(popular))
-            self.assertEqual("r1", placement.choose_replica(popular).replica_id)
-            self.assertIsNone(placement.copy_reason(rare))
-            # Without another replica, a copy would help nobody.
-            placement.by_replica["r1"].limit_per_s = 2.0
-            self.assertIsNot(LoadReason.LIMIT, placement.copy_reason(popular))
-
-        run_in_virtual_time(check)
-
-    def test_limited_replica_loads_adapters_up_to_its_limit(self):
+        placement = make_placement([0.02, 0.02])
+        placement.by_replica["r0"].limit_per_s = 2.0
+        popular, rare = key(1), key(2)
+        for item in (popular, rare):
+            placement.by_replica["r0"].record_held(item, 1, anyio.current_time())
+        for number in range(40):
+            placement.record_demand(popular, 1)
+            if number % 20 == 0:
+                placement.record_demand(rare, 1)
+            await anyio.sleep(0.5)
+        self.assertEqual(LoadReason.LIMIT, placement.copy_reason(popular))
+        self.assertEqual("r1", placement.choose_replica(popular).replica_id)
+        self.assertIsNone(placement.copy_reason(rare))
+        # Without another replica, a copy would help nobody.
+        placement.by_replica["r1"].limit_per_s = 2.0
+        self.assertIsNot(LoadReason.LIMIT, placement.copy_reason(popular))
+
+    @in_virtual_time
+    async def test_limited_replica_loads_adapters_up_to_its_limit(self):
         """A replica whose limit is used up must not get more adapters, nor must the
         slots of one with permits left stay unused."""
-
-        async def check():
-            placement = make_placement([0.02] * 2)
-            limited, other = placement.by_replica.values()
-            limited.limit_per_s = 2.0
-            other.utilization = 0.2
-            self.assertIs(limited, placement.choose_replica(key(9)))
-            limited.record_held(key(1), 1, anyio.current_time())
-            for _ in range(60):
-                placement.record_demand(key(1), 1)
-                await anyio.sleep(0.4)
-            self.assertIs(other, placement.choose_replica(key(9)))
-
-        run_in_virtual_time(check)
-
-    def test_popular_adapters_are_not_evicted(self):
+        placement = make_placement([0.02] * 2)
+        limited, other = placement.by_replica.values()
+        limited.limit_per_s = 2.0
+        other.utilization = 0.2
+        self.assertIs(limited, placement.choose_replica(key(9)))
+        limited.record_held(key(1), 1, anyio.current_time())
+        for _ in range(60):
+            placement.record_demand(key(1), 1)
+            await anyio.sleep(0.4)
+        self.assertIs(other, placement.choose_replica(key(9)))
+
+    @in_virtual_time
+    async def test_popular_adapters_are_not_evicted(self):
         """Adapters requested only once must not evict popular ones."""
-
-        async def check():
-            placement = make_placement([0.015, 0.015, 0.025, 0.025, 0.041])
-            hits = 0
-            for number in range(600):
-                hits += request(placement, key(number % 40))
-                request(placement, key(1000 + number))
-                await anyio.sleep(1 / 12)
-            self.assertGreater(hits, 520)
-
-        run_in_virtual_time(check)
-
-    def test_replica_that_recently_held_an_adapter_loads_it_again(self):
+        placement = make_placement([0.015, 0.015, 0.025, 0.025, 0.041])
+        hits = 0
+        for number in range(600):
+            hits += request(placement, key(number % 40))
+            request(placement, key(1000 + number))
+            await anyio.sleep(1 / 12)
+        self.assertGreater(hits, 520)
+
+    @in_virtual_time
+    async def test_replica_that_recently_held_an_adapter_loads_it_again(self):
         """While a replica has a copy in memory, a load from the store is needless."""
+        placement = make_placement([0.02, 0.02, 0.02])
+        placement.by_replica["r2"].record_held(key(1), 1, 0.0)
+        placement.by_replica["r2"].drop(key(1))
+        self.assertEqual("r2", placement.choose_replica(key(1)).replica_id)
 
-        async def check():
-            placement = make_placement([0.02, 0.02, 0.02])
-            placement.by_replica["r2"].record_held(key(1), 1, 0.0)
-            placement.by_replica["r2"].drop(key(1))
-            self.assertEqual("r2", placement.choose_replica(key(1)).replica_id)
-
-        run_in_virtual_time(check)
-
-    def test_adapter_of_busy_holder_is_copied(self):
+    @in_virtual_time
+    async def test_adapter_of_busy_holder_is_copied(self):
         """Without copies, a single replica would serve a very popular adapter, however
         busy it is."""
-
-        async def check():
-            placement = make_placement([0.02, 0.02])
-            request(placement, key(1))
-            (holder,) = placement.holders(key(1))
-            self.assertIsNone(placement.copy_reason(key(1)))
-            holder.utilization = 0.9
-            self.assertEqual(LoadReason.UTILIZATION, placement.copy_reason(key(1)))
-            self.assertNotEqual(holder, placement.choose_replica(key(1)))
-
-        run_in_virtual_time(check)
-
-    def test_single_request_does_not_copy_an_adapter(self):
+        placement = make_placement([0.02, 0.02])
+        request(placement, key(1))
+        (holder,) = placement.holders(key(1))
+        self.assertIsNone(placement.copy_reason(key(1)))
+        holder.utilization = 0.9
+        self.assertEqual(LoadReason.UTILIZATION, placement.copy_reason(key(1)))
+        self.assertNotEqual(holder, placement.choose_replica(key(1)))
+
+    @in_virtual_time
+    async def test_single_request_does_not_copy_an_adapter(self):
         """While all replicas were half busy, each adapter that was asked for once at a
         replica busier than others was loaded there as well: 279 of 1,523 loads from
         the store on scale-1 of ncbfa-fleet, each in the place of another adapter."""
-
-        async def check():
-            placement = make_placement([0.02, 0.02])
-            request(placement, key(1))
-            (holder,) = placement.holders(key(1))
-            holder.utilization = 0.6
-            await anyio.sleep(3.0)
+        placement = make_placement([0.02, 0.02])
+        request(placement, key(1))
+        (holder,) = placement.holders(key(1))
+        holder.utilization = 0.6
+        await anyio.sleep(3.0)
+        request(placement, key(1))
+        self.assertIsNone(placement.copy_reason(key(1)))
+        for _ in range(10):
             request(placement, key(1))
-            self.assertIsNone(placement.copy_reason(key(1)))
-            for _ in range(10):
-                request(placement, key(1))
-            self.assertEqual(LoadReason.UTILIZATION, placement.copy_reason(key(1)))
-
-        run_in_virtual_time(check)
+        self.assertEqual(LoadReason.UTILIZATION, placement.copy_reason(key(1)))
 
-    def test_newly_popular_adapter_is_copied_soon(self):
+    @in_virtual_time
+    async def test_newly_popular_adapter_is_copied_soon(self):
         """After a shift of demand, the first holder was overloaded for seconds: each
         copy waited until the previous holder reported its utilization (scale-1 of
         ksr-lab-grown, streams a second late while other replicas were free)."""
+        # Events so short that prompts take no significant part of the time.
+        placement = make_placement([0.005] * 20)
+        for replica in placement.by_replica.values():
+            replica.utilization = 0.3
+        popular, copies = key(0), 0
+        for number in range(150):
+            request(placement, key(number % 40 + 1))
+            request(placement, popular)
+            if placement.copy_reason(popular):
+                replica = placement.choose_replica(popular)
+                replica.record_held(popular, 1, anyio.current_time() + 0.27)
+                copies += 1
+            await anyio.sleep(0.01)
+        # Half of the requests are for it: 20 x 0.3 / 2 / COPY_LOAD copies.
+        self.assertEqual(8, copies + 1)
 
-        async def check():
-            # Events so short that prompts take no significant part of the time.
-            placement = make_placement([0.005] * 20)
-            for replica in placement.by_replica.values():
-                replica.utilization = 0.3
-            popular, copies = key(0), 0
-            for number in range(150):
-                request(placement, key(number % 40 + 1))
-                request(placement, popular)
-                if placement.copy_reason(popular):
-                    replica = placement.choose_replica(popular)
-                    replica.record_held(popular, 1, anyio.current_time() + 0.27)
-                    copies += 1
-                await anyio.sleep(0.01)
-            # Half of the requests are for it: 20 x 0.3 / 2 / COPY_LOAD copies.
-            self.assertEqual(8, copies + 1)
-
-        run_in_virtual_time(check)
-
-    def test_adapter_is_copied_by_the_time_that_its_prompts_take(self):
+    @in_virtual_time
+    async def test_adapter_is_copied_by_the_time_that_its_prompts_take(self):
         """Replicas that run many requests at once have a low utilization while prompts
         take all of their time: streams of the one holder of a popular adapter paused
         for longer than allowed (quiet day of a fleet with 64 slots a replica)."""
+        placement = make_placement([0.04] * 30)
+        popular, copies = key(0), 0
+        for number in range(150):
+            request(placement, key(number % 40 + 1))
+            if number % 4 == 0:
+                request(placement, popular)
+            if placement.copy_reason(popular):
+                replica = placement.choose_replica(popular)
+                replica.record_held(popular, 1, anyio.current_time() + 0.27)
+                copies += 1
+            await anyio.sleep(0.01)
+        # 25 prompts a second of 0.08 s each take the time of two replicas, which a
+        # quarter of the time of eight holders covers. Some demand is not counted
+        # yet, as the averages begin at 0.
+        self.assertIn(copies + 1, range(4, 9))
 
-        async def check():
-            placement = make_placement([0.04] * 30)
-            popular, copies = key(0), 0
-            for number in range(150):
-                request(placement, key(number % 40 + 1))
-                if number % 4 == 0:
-                    request(placement, popular)
-                if placement.copy_reason(popular):
-                    replica = placement.choose_replica(popular)
-                    replica.record_held(popular, 1, anyio.current_time() + 0.27)
-                    copies += 1
-                await anyio.sleep(0.01)
-            # 25 prompts a second of 0.08 s each take the time of two replicas, which a
-            # quarter of the time of eight holders covers. Some demand is not counted
-            # yet, as the averages begin at 0.
-            self.assertIn(copies + 1, range(4, 9))
-
-        run_in_virtual_time(check)
-
-    def test_loads_are_spread_by_recent_prompts(self):
+    @in_virtual_time
+    async def test_loads_are_spread_by_recent_prompts(self):
         """Adapters that were requested within the same moment were loaded at the same
         replica, since none of its figures had changed yet. Their prompts then paused
         all of its streams."""
+        placement = make_placement([0.04] * 10)
+        chosen = []
+        for number in range(10):
+            placement.record_demand(key(number), 1)
+            replica = placement.choose_replica(key(number))
+            placement.record_expected_prompt(replica.replica_id)
+            replica.record_held(key(number), 1, anyio.current_time() + 0.3)
+            chosen.append(replica.replica_id)
+            await anyio.sleep(0.01)
+        self.assertEqual(10, len(set(chosen)))
 
-        async def check():
-            placement = make_placement([0.04] * 10)
-            chosen = []
-            for number in range(10):
-                placement.record_demand(key(number), 1)
-                replica = placement.choose_replica(key(number))
-                placement.record_expected_prompt(replica.replica_id)
-                replica.record_held(key(number), 1, anyio.current_time() + 0.3)
-                chosen.append(replica.replica_id)
-                await anyio.sleep(0.01)
-            self.assertEqual(10, len(set(chosen)))
-
-        run_in_virtual_time(check)
-
-    def test_rarely_requested_adapter_is_not_copied(self):
+    @in_virtual_time
+    async def test_rarely_requested_adapter_is_not_copied(self):
         """Guards against loads from the store for rarely requested adapters."""
-
-        async def check():
-            placement = make_placement([0.03] * 20)
-            for replica in placement.by_replica.values():
-                replica.utilization = 0.3
-            for number in range(400):
-                request(placement, key(number % 40))
-                self.assertIsNone(placement.copy_reason(key(number % 40)))
-                await anyio.sleep(0.2)
-
-        run_in_virtual_time(check)
+        placement = make_placement([0.03] * 20)
+        for replica in placement.by_replica.values():
+            replica.utilization = 0.3
+        for number in range(400):
+            request(placement, key(number % 40))
+            self.assertIsNone(placement.copy_reason(key(number % 40)))
+            await anyio.sleep(0.2)
 
 
 class AdapterLoadLimiterTest(testtools.TestCase):
@@ -308,24 +270,21 @@
             self.assertGreater(limiter.max_in_flight, 0.7 * full_speed_in_flight)
             self.assertLess(limiter.max_in_flight, 2 * full_speed_in_flight)
 
-    def test_high_estimate_decays_and_does_not_lower_the_limit(self):
+    @in_virtual_time
+    async def test_high_estimate_decays_and_does_not_lower_the_limit(self):
         """Guards against a limit that stays at its minimum: loads that were checked
         late, because of a high estimate, were taken for slow ones, and 457 requests of
         one day of taglia-sicilia found no slot."""
-
-        async def check():
-            limiter = AdapterLoadLimiter()
-            limiter.record_ended(anyio.current_time() - 0.25, True, 1)
-            limiter.estimate_s = 0.4
-            before = limiter.max_in_flight
-            for _ in range(60):
-                ordered_at = anyio.current_time()
-                await anyio.sleep(limiter.estimate_s)
-                limiter.record_ended(ordered_at, False, 1)
-                self.assertGreaterEqual(limiter.max_in_flight, before)
-            self.assertLess(limiter.estimate_s, 0.28)
-
-        run_in_virtual_time(check)
+        limiter = AdapterLoadLimiter()
+        limiter.record_ended(anyio.current_time() - 0.25, True, 1)
+        limiter.estimate_s = 0.4
+        before = limiter.max_in_flight
+        for _ in range(60):
+            ordered_at = anyio.current_time()
+            await anyio.sleep(limiter.estimate_s)
+            limiter.record_ended(ordered_at, False, 1)
+            self.assertGreaterEqual(limiter.max_in_flight, before)
+        self.assertLess(limiter.estimate_s, 0.28)
 
     def test_limit_rises_with_the_number_of_replicas(self):
         """When a leader is elected, few replicas are listed yet. A limit that stays at
@@ -359,85 +318,73 @@
         self.patch(ReplicaAdapters, "prompt_delay", prompt_delay)
         return len(reads)
 
-    def test_lookup_does_not_search_all_replicas(self):
+    @in_virtual_time
+    async def test_lookup_does_not_search_all_replicas(self):
         """Each lookup and load went through all replicas of the backend: the leader of
         300 hosts before 3,000 replicas was busy with that alone."""
+        placement = make_placement([0.02] * 2000)
+        for number in range(40):
+            request(placement, key(number))
+        await anyio.sleep(0.01)
 
-        async def check():
-            placement = make_placement([0.02] * 2000)
+        def lookups():
             for number in range(40):
-                request(placement, key(number))
-            await anyio.sleep(0.01)
-
-            def lookups():
-                for number in range(40):
-                    placement.record_demand(key(number), 1)
-                    self.assertEqual(1, len(placement.holders(key(number))))
-                    placement.copy_reason(key(number))
-
-            self.assertLessEqual(self.count_compared(placement, lookups), 2100)
+                placement.record_demand(key(number), 1)
+                self.assertEqual(1, len(placement.holders(key(number))))
+                placement.copy_reason(key(number))
 
-            def loads():
-                for number in range(100, 110):
-                    self.assertIsNotNone(placement.choose_replica(key(number)))
+        self.assertLessEqual(self.count_compared(placement, lookups), 2100)
 
-            self.assertLessEqual(
-                self.count_compared(placement, loads), 10 * (MAX_COMPARED_REPLICAS + 1)
-            )
+        def loads():
+            for number in range(100, 110):
+                self.assertIsNotNone(placement.choose_replica(key(number)))
 
-        run_in_virtual_time(check)
+        self.assertLessEqual(
+            self.count_compared(placement, loads), 10 * (MAX_COMPARED_REPLICAS + 1)
+        )
 
-    def test_replica_that_recently_held_an_adapter_is_found_among_many(self):
+    @in_virtual_time
+    async def test_replica_that_recently_held_an_adapter_is_found_among_many(self):
         """Only some replicas are compared, but that one loads it without the store."""
-
-        async def check():
-            placement = make_placement([0.02] * 500)
-            placement.by_replica["r321"].record_held(key(1), 1, 0.0)
-            placement.by_replica["r321"].drop(key(1))
-            for _ in range(5):
-                self.assertEqual("r321", placement.choose_replica(key(1)).replica_id)
-
-        run_in_virtual_time(check)
-
-    def test_replica_of_a_rare_version_is_found_among_many(self):
+        placement = make_placement([0.02] * 500)
+        placement.by_replica["r321"].record_held(key(1), 1, 0.0)
+        placement.by_replica["r321"].drop(key(1))
+        for _ in range(5):
+            self.assertEqual("r321", placement.choose_replica(key(1)).replica_id)
+
+    @in_virtual_time
+    async def test_replica_of_a_rare_version_is_found_among_many(self):
         """Only some replicas are compared; none of them may run the version."""
-
-        async def check():
-            placement = make_placement([0.02] * 500)
-            placement.by_replica["r77"].record_held(key(1), 1, 0.0)
-            placement.by_replica["r77"].drop(key(1))
-            for number in (40, 400):
-                placement.by_replica[f"r{number}"].software_version = "2"
-            for number in range(1, 20):
-                replica = placement.choose_replica(key(number), (), "2")
-                self.assertIn(replica.replica_id, ("r40", "r400"))
-            self.assertIsNone(placement.choose_replica(key(1), (), "3"))
-
-        run_in_virtual_time(check)
-
-    def test_window_of_a_frequent_version_contains_only_its_replicas(self):
+        placement = make_placement([0.02] * 500)
+        placement.by_replica["r77"].record_held(key(1), 1, 0.0)
+        placement.by_replica["r77"].drop(key(1))
+        for number in (40, 400):
+            placement.by_replica[f"r{number}"].software_version = "2"
+        for number in range(1, 20):
+            replica = placement.choose_replica(key(number), (), "2")
+            self.assertIn(replica.replica_id, ("r40", "r400"))
+        self.assertIsNone(placement.choose_replica(key(1), (), "3"))
+
+    @in_virtual_time
+    async def test_window_of_a_frequent_version_contains_only_its_replicas(self):
         """A load would go to a replica of another version, or compare all of them."""
+        placement = make_placement([0.02] * 500)
+        for number in range(0, 500, 2):
+            placement.by_replica[f"r{number}"].software_version = "2"
+        # Of another version, though its load would be the cheapest.
+        placement.by_replica["r1"].record_held(key(3), 1, 0.0)
+        placement.by_replica["r1"].drop(key(3))
+        # Computes the statistics of all replicas.
+        chosen = [placement.choose_replica(key(0), (), "2")]
+
+        def loads():
+            for number in range(10):
+                chosen.append(placement.choose_replica(key(number), (), "2"))
 
-        async def check():
-            placement = make_placement([0.02] * 500)
-            for number in range(0, 500, 2):
-                placement.by_replica[f"r{number}"].software_version = "2"
-            # Of another version, though its load would be the cheapest.
-            placement.by_replica["r1"].record_held(key(3), 1, 0.0)
-            placement.by_replica["r1"].drop(key(3))
-            # Computes the statistics of all replicas.
-            chosen = [placement.choose_replica(key(0), (), "2")]
-
-            def loads():
-                for number in range(10):
-                    chosen.append(placement.choose_replica(key(number), (), "2"))
-
-            self.assertLessEqual(
-                self.count_compared(placement, loads), 10 * (MAX_COMPARED_REPLICAS + 1)
-            )
-            self.assertEqual({"2"}, {item.software_version for item in chosen})
-
-        run_in_virtual_time(check)
+        self.assertLessEqual(
+            self.count_compared(placement, loads), 10 * (MAX_COMPARED_REPLICAS + 1)
+        )
+        self.assertEqual({"2"}, {item.software_version for item in chosen})
 
     def test_index_follows_what_replicas_hold(self):
         """An index that misses a change sends requests to the wrong replica."""
--- a/tests/coordination/test_dispatch_permits.py
+++ b/tests/coordination/test_dispatch_permits.py
@@ -26,6 +26,7 @@
     DispatchFleet,
     SimulatedReplica,
 )
+from tests.systems import with_own_system
 
 # A request and its answer, with the delay of ends.
 ROUND_S = 2 * DELIVERY_DELAY_S + END_DELAY_S + 0.002
@@ -102,20 +103,17 @@
 
             host.endpoint.send_all = lossy
 
-    def test_permit_is_used_and_ends(self):
+    @with_own_system("run_fleet")
+    async def test_permit_is_used_and_ends(self):
         """A place that is not given back is lost to all."""
-
-        async def check():
-            for host in (self.host, self.owner):
-                permit = await self.acquire(host)
-                self.assertEqual("r0", permit.replica_id)
-                self.assertEqual(1, len(self.tickets()))
-                permit.end(Outcome.SERVED, 0.1)
-                permit.end()
-                await anyio.sleep(ROUND_S)
-                self.assertEqual([], self.tickets())
-
-        self.run_fleet(check)
+        for host in (self.host, self.owner):
+            permit = await self.acquire(host)
+            self.assertEqual("r0", permit.replica_id)
+            self.assertEqual(1, len(self.tickets()))
+            permit.end(Outcome.SERVED, 0.1)
+            permit.end()
+            await anyio.sleep(ROUND_S)
+            self.assertEqual([], self.tickets())
 
     def test_request_waits_until_there_is_room(self):
         """It would be turned away, and sent again, until others happen to end."""
@@ -145,18 +143,15 @@
         ):
             self.run_fleet(functools.partial(check, choose))
 
-    def test_request_that_would_wait_too_long_is_refused_at_once(self):
+    @with_own_system("run_fleet")
+    async def test_request_that_would_wait_too_long_is_refused_at_once(self):
         """Its caller would learn too late that it can go elsewhere."""
-
-        async def check():
-            permit = await self.acquire(self.host)
-            started_at = anyio.current_time()
-            error = await self.assert_no_room(self.other, 0.05)
-            self.assertLess(anyio.current_time() - started_at, ROUND_S)
-            self.assertGreater(error.wait_s, 0.05)
-            permit.end()
-
-        self.run_fleet(check)
+        permit = await self.acquire(self.host)
+        started_at = anyio.current_time()
+        error = await self.assert_no_room(self.other, 0.05)
+        self.assertLess(anyio.current_time() - started_at, ROUND_S)
+        self.assertGreater(error.wait_s, 0.05)
+        permit.end()
 
     async def assert_no_room(self, host, max_wait_s):
         try:
@@ -165,36 +160,30 @@
             return error
         return self.fail("the request was not refused")
 
-    def test_cancelled_request_gives_its_place_back_at_once(self):
+    @with_own_system("run_fleet")
+    async def test_cancelled_request_gives_its_place_back_at_once(self):
         """A caller that has left, a stop or a deadline must not block the queue."""
-
-        async def check():
-            for host in (self.host, self.owner):
-                permit = await self.acquire(self.other)
-                for wait_s in (0.0, 0.0015, 0.2):
-                    with anyio.move_on_after(wait_s):
-                        await self.acquire(host, 2.0)
-                        self.fail("there is no room")
-                    await anyio.sleep(ROUND_S)
-                    self.assertEqual(1, len(self.tickets()))
-                permit.end()
+        for host in (self.host, self.owner):
+            permit = await self.acquire(self.other)
+            for wait_s in (0.0, 0.0015, 0.2):
+                with anyio.move_on_after(wait_s):
+                    await self.acquire(host, 2.0)
+                    self.fail("there is no room")
                 await anyio.sleep(ROUND_S)
-                self.assertEqual([], self.tickets())
-
-        self.run_fleet(check)
+                self.assertEqual(1, len(self.tickets()))
+            permit.end()
+            await anyio.sleep(ROUND_S)
+            self.assertEqual([], self.tickets())
 
-    def test_permit_that_comes_after_a_cancellation_is_returned(self):
+    @with_own_system("run_fleet")
+    async def test_permit_that_comes_after_a_cancellation_is_returned(self):
         """It would take a place until the deadline of the request."""
-
-        async def check():
-            # The request is on its way to the owner, or the permit back.
-            for wait_s in (0.0, 0.0005, 0.0015):
-                with anyio.move_on_after(wait_s):
-                    await self.acquire(self.host)
-                await anyio.sleep(2 * ROUND_S)
-                self.assertEqual([], self.tickets())
-
-        self.run_fleet(check)
+        # The request is on its way to the owner, or the permit back.
+        for wait_s in (0.0, 0.0005, 0.0015):
+            with anyio.move_on_after(wait_s):
+                await self.acquire(self.host)
+            await anyio.sleep(2 * ROUND_S)
+            self.assertEqual([], self.tickets())
 
     def test_lost_request_or_answer_is_made_up_for(self):
         """A lost datagram must cost no permit, and no second place."""
@@ -211,96 +200,78 @@
 
             self.run_fleet(check, slots=2)
 
-    def test_lost_permit_of_a_queued_request_is_asked_for_again(self):
+    @with_own_system("run_fleet")
+    async def test_lost_permit_of_a_queued_request_is_asked_for_again(self):
         """The request would wait until its time is up while its place is unused."""
+        permit = await self.acquire(self.host)
+        async with anyio.create_task_group() as group:
+
+            async def wait():
+                self.permit = await self.acquire(self.other, 2.0)
+                self.permitted_at = anyio.current_time()
+
+            group.start_soon(wait)
+            await anyio.sleep(0.5)
+            self.lose(DispatchReply, 1)
+            ended_at = anyio.current_time()
+            permit.end(Outcome.SERVED, 0.1)
+        self.assertIsNotNone(self.permit)
+        self.assertLess(
+            self.permitted_at - ended_at, REPEAT_S + ANSWER_TIMEOUT_S + ROUND_S
+        )
 
-        async def check():
-            permit = await self.acquire(self.host)
-            async with anyio.create_task_group() as group:
-
-                async def wait():
-                    self.permit = await self.acquire(self.other, 2.0)
-                    self.permitted_at = anyio.current_time()
-
-                group.start_soon(wait)
-                await anyio.sleep(0.5)
-                self.lose(DispatchReply, 1)
-                ended_at = anyio.current_time()
-                permit.end(Outcome.SERVED, 0.1)
-            self.assertIsNotNone(self.permit)
-            self.assertLess(
-                self.permitted_at - ended_at, REPEAT_S + ANSWER_TIMEOUT_S + ROUND_S
-            )
-
-        self.run_fleet(check)
-
-    def test_request_goes_without_a_permit_if_its_owner_is_silent(self):
+    @with_own_system("run_fleet")
+    async def test_request_goes_without_a_permit_if_its_owner_is_silent(self):
         """Requests must not fail for the permits, which only make things better."""
-
-        async def check():
-            self.owner.endpoint.up = False
-            started_at = anyio.current_time()
-            self.assertIsNone(await self.acquire(self.host))
-            waited_s = anyio.current_time() - started_at
-            self.assertLessEqual(waited_s, MAX_UNANSWERED * ANSWER_TIMEOUT_S + 0.01)
-            # The next one asks the next owner.
-            self.assertIsNotNone(await self.acquire(self.host))
-
-        self.run_fleet(check)
-
-    def test_queued_request_does_not_wait_for_an_owner_that_has_stopped(self):
+        self.owner.endpoint.up = False
+        started_at = anyio.current_time()
+        self.assertIsNone(await self.acquire(self.host))
+        waited_s = anyio.current_time() - started_at
+        self.assertLessEqual(waited_s, MAX_UNANSWERED * ANSWER_TIMEOUT_S + 0.01)
+        # The next one asks the next owner.
+        self.assertIsNotNone(await self.acquire(self.host))
+
+    @with_own_system("run_fleet")
+    async def test_queued_request_does_not_wait_for_an_owner_that_has_stopped(self):
         """It would wait until its time is up."""
+        await self.acquire(self.host)
+        async with anyio.create_task_group() as group:
 
-        async def check():
-            await self.acquire(self.host)
-            async with anyio.create_task_group() as group:
-
-                async def wait():
-                    self.assertIsNone(await self.acquire(self.other, 3.0))
+            async def wait():
+                self.assertIsNone(await self.acquire(self.other, 3.0))
 
-                group.start_soon(wait)
-                await anyio.sleep(0.5)
-                self.owner.endpoint.up = False
-                stopped_at = anyio.current_time()
-            waited_s = anyio.current_time() - stopped_at
-            self.assertLess(waited_s, REPEAT_S + 2 * ANSWER_TIMEOUT_S + ROUND_S)
-
-        self.run_fleet(check)
+            group.start_soon(wait)
+            await anyio.sleep(0.5)
+            self.owner.endpoint.up = False
+            stopped_at = anyio.current_time()
+        waited_s = anyio.current_time() - stopped_at
+        self.assertLess(waited_s, REPEAT_S + 2 * ANSWER_TIMEOUT_S + ROUND_S)
 
-    def test_isolated_host_sends_without_asking(self):
+    @with_own_system("run_fleet", host_count=8)
+    async def test_isolated_host_sends_without_asking(self):
         """Each of its requests would wait for the answer of another host."""
-
-        async def check():
-            self.fleet.network.isolate(self.host.name, self.fleet.hosts)
-            self.host.dispatch.note_turned_away(BACKEND)
-            for _ in range(MAX_SILENT_OWNERS):
-                self.assertTrue(self.host.dispatch.must_ask(BACKEND))
-                self.assertIsNone(await self.acquire(self.host))
-            self.assertFalse(self.host.dispatch.must_ask(BACKEND))
-            await anyio.sleep(ALONE_S)
+        self.fleet.network.isolate(self.host.name, self.fleet.hosts)
+        self.host.dispatch.note_turned_away(BACKEND)
+        for _ in range(MAX_SILENT_OWNERS):
             self.assertTrue(self.host.dispatch.must_ask(BACKEND))
+            self.assertIsNone(await self.acquire(self.host))
+        self.assertFalse(self.host.dispatch.must_ask(BACKEND))
+        await anyio.sleep(ALONE_S)
+        self.assertTrue(self.host.dispatch.must_ask(BACKEND))
 
-        self.run_fleet(check, host_count=8)
-
-    def test_requests_at_once_to_one_silent_owner_do_not_count_as_isolation(self):
+    @with_own_system("run_fleet")
+    async def test_requests_at_once_to_one_silent_owner_do_not_count_as_isolation(self):
         """Hosts sent without permits for 2 s whenever an owner stopped."""
-
-        async def check():
-            self.host.dispatch.note_turned_away(BACKEND)
-            self.owner.endpoint.up = False
-            async with anyio.create_task_group() as group:
-                for _ in range(MAX_SILENT_OWNERS + 1):
-                    group.start_soon(self.acquire, self.host)
-            self.assertTrue(self.host.dispatch.must_ask(BACKEND))
-
-        self.run_fleet(check)
-
-    def test_owner_without_the_backend_lets_requests_go(self):
+        self.host.dispatch.note_turned_away(BACKEND)
+        self.owner.endpoint.up = False
+        async with anyio.create_task_group() as group:
+            for _ in range(MAX_SILENT_OWNERS + 1):
+                group.start_soon(self.acquire, self.host)
+        self.assertTrue(self.host.dispatch.must_ask(BACKEND))
+
+    @with_own_system("run_fleet")
+    async def test_owner_without_the_backend_lets_requests_go(self):
         """A host that lists the replicas later must not refuse requests to them."""
-
-        async def check():
-            self.owner.directory.unlist("r0")
-            self.assertIsNone(await self.acquire(self.host))
-            self.assertEqual([], self.tickets())
-
-        self.run_fleet(check)
+        self.owner.directory.unlist("r0")
+        self.assertIsNone(await self.acquire(self.host))
+        self.assertEqual([], self.tickets())
--- a/tests/coordination/test_hosts.py
+++ b/tests/coordination/test_hosts.py
@@ -12,6 +12,7 @@
 )
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.coordination.test_leadership import System
+from tests.systems import in_virtual_time, with_own_system
 
 READERS = {"zone-1": ("h7", "h8")}
 
@@ -73,65 +74,52 @@
 
 
 class HeartbeatTest(testtools.TestCase):
-    def test_heartbeats_among_many_hosts_go_to_the_leader_and_its_successors(self):
+    @in_virtual_time
+    async def test_heartbeats_among_many_hosts_go_to_the_leader_and_its_successors(
+        self,
+    ):
         """Heartbeats could saturate the links between failure domains."""
-
-        async def check():
-            heartbeats = heartbeats_of_one_round(
-                70, leader="h1", has_leader=True, candidates=("h2", "h3", "h4")
-            )
-            self.assertEqual({"h1", "h2", "h3", "h4"}, heartbeats.keys())
-            for heartbeat in heartbeats.values():
-                self.assertLess(len(encode(heartbeat)), 200)
-                self.assertEqual(("h1", 7), (heartbeat.leader, heartbeat.term))
-
-        run_in_virtual_time(check)
-
-    def test_few_hosts_send_to_all(self):
+        heartbeats = heartbeats_of_one_round(
+            70, leader="h1", has_leader=True, candidates=("h2", "h3", "h4")
+        )
+        self.assertEqual({"h1", "h2", "h3", "h4"}, heartbeats.keys())
+        for heartbeat in heartbeats.values():
+            self.assertLess(len(encode(heartbeat)), 200)
+            self.assertEqual(("h1", 7), (heartbeat.leader, heartbeat.term))
+
+    @in_virtual_time
+    async def test_few_hosts_send_to_all(self):
         """A host that others do not hear would not count for a majority."""
+        heartbeats = heartbeats_of_one_round(6, leader="h1", has_leader=True)
+        self.assertEqual(6, len(heartbeats))
 
-        async def check():
-            heartbeats = heartbeats_of_one_round(6, leader="h1", has_leader=True)
-            self.assertEqual(6, len(heartbeats))
-
-        run_in_virtual_time(check)
-
-    def test_leader_sends_to_all_hosts_and_names_the_readers(self):
+    @in_virtual_time
+    async def test_leader_sends_to_all_hosts_and_names_the_readers(self):
         """A host that does not hear its leader would elect another one."""
-
-        async def check():
-            heartbeats = heartbeats_of_one_round(
-                70, leader="h0", leads=True, has_leader=True, candidates=("h2",)
-            )
-            self.assertEqual(70, len(heartbeats))
-            for heartbeat in heartbeats.values():
-                self.assertEqual(("h7", "h8"), heartbeat.readers)
-                self.assertEqual(("h2",), heartbeat.candidates)
-
-        run_in_virtual_time(check)
-
-    def test_all_hosts_send_to_all_without_a_leader(self):
+        heartbeats = heartbeats_of_one_round(
+            70, leader="h0", leads=True, has_leader=True, candidates=("h2",)
+        )
+        self.assertEqual(70, len(heartbeats))
+        for heartbeat in heartbeats.values():
+            self.assertEqual(("h7", "h8"), heartbeat.readers)
+            self.assertEqual(("h2",), heartbeat.candidates)
+
+    @in_virtual_time
+    async def test_all_hosts_send_to_all_without_a_leader(self):
         """Among 195 hosts a heartbeat came each 6 s, and "reachable" meant "heard by
         chance": no host but the first candidates saw a majority."""
+        heartbeats = heartbeats_of_one_round(194)
+        self.assertEqual(194, len(heartbeats))
+        for heartbeat in heartbeats.values():
+            self.assertLess(len(encode(heartbeat)), 200)
 
-        async def check():
-            heartbeats = heartbeats_of_one_round(194)
-            self.assertEqual(194, len(heartbeats))
-            for heartbeat in heartbeats.values():
-                self.assertLess(len(encode(heartbeat)), 200)
-
-        run_in_virtual_time(check)
-
-    def test_reader_sends_to_the_hosts_that_it_reads_for(self):
+    @in_virtual_time
+    async def test_reader_sends_to_the_hosts_that_it_reads_for(self):
         """Hosts must hear their readers to know that they need not read the store."""
-
-        async def check():
-            heartbeats = heartbeats_of_one_round(
-                70, read_for=(5, 6), leader="h1", has_leader=True
-            )
-            self.assertEqual({"h1", "h5", "h6"}, heartbeats.keys())
-
-        run_in_virtual_time(check)
+        heartbeats = heartbeats_of_one_round(
+            70, read_for=(5, 6), leader="h1", has_leader=True
+        )
+        self.assertEqual({"h1", "h5", "h6"}, heartbeats.keys())
 
 
 class LargeSystemTest(testtools.TestCase):
@@ -164,102 +152,86 @@
     def datagrams_by_sender(self, system):
         return system.network.datagrams_by_sender
 
-    def test_membership_of_a_usual_host_does_not_grow_with_their_number(self):
+    @with_own_system("run_system")
+    async def test_membership_of_a_usual_host_does_not_grow_with_their_number(
+        self, system
+    ):
         """Each of 195 hosts sent 388 to 3,422 datagrams a second, and a host counted 38
         to 48 of the 194 others as reachable."""
-
-        async def check(system):
-            leader = self.assert_one_leader(system)
-            self.assertGreater(self.SIZE, MAX_MESH_HOSTS)
-            candidates = set(leader.leadership.next_leaders())
-            sent = self.datagrams_by_sender(system)
-            sent.clear()
-            await anyio.sleep(10.0)
-            for member in system.members.values():
-                self.assertEqual(self.SIZE, member.hosts.count())
-                per_second = sent[member.name] / 10
-                if member is leader:
-                    self.assertLessEqual(per_second, 2.2 * self.SIZE)
-                else:
-                    self.assertLessEqual(per_second, 10)
-                if member is leader or member.name in candidates:
-                    self.assertEqual(self.SIZE - 1, len(member.hosts.reachable()))
-
-        self.run_system(check)
-
-    def test_killed_leader_and_successors_are_replaced(self):
+        leader = self.assert_one_leader(system)
+        self.assertGreater(self.SIZE, MAX_MESH_HOSTS)
+        candidates = set(leader.leadership.next_leaders())
+        sent = self.datagrams_by_sender(system)
+        sent.clear()
+        await anyio.sleep(10.0)
+        for member in system.members.values():
+            self.assertEqual(self.SIZE, member.hosts.count())
+            per_second = sent[member.name] / 10
+            if member is leader:
+                self.assertLessEqual(per_second, 2.2 * self.SIZE)
+            else:
+                self.assertLessEqual(per_second, 10)
+            if member is leader or member.name in candidates:
+                self.assertEqual(self.SIZE - 1, len(member.hosts.reachable()))
+
+    @with_own_system("run_system")
+    async def test_killed_leader_and_successors_are_replaced(self, system):
         """If the leader and all of its announced successors die, the others must
         still find a majority."""
-
-        async def check(system):
-            leader = self.assert_one_leader(system)
-            names = {leader.name, *leader.leadership.next_leaders()}
-            self.assertEqual(4, len(names))
-            for number in [n for n, m in system.members.items() if m.name in names]:
-                system.kill(number)
-            await anyio.sleep(6.0)
-            successor = self.assert_one_leader(system)
-            self.assertGreater(successor.leadership.term, leader.leadership.term)
-
-        self.run_system(check)
-
-    def test_killed_leader_is_replaced_soon(self):
+        leader = self.assert_one_leader(system)
+        names = {leader.name, *leader.leadership.next_leaders()}
+        self.assertEqual(4, len(names))
+        for number in [n for n, m in system.members.items() if m.name in names]:
+            system.kill(number)
+        await anyio.sleep(6.0)
+        successor = self.assert_one_leader(system)
+        self.assertGreater(successor.leadership.term, leader.leadership.term)
+
+    @with_own_system("run_system")
+    async def test_killed_leader_is_replaced_soon(self, system):
         """All loads pause until a killed leader is replaced."""
+        leader = self.assert_one_leader(system)
+        system.kill(leader.endpoint.address[1])
+        await anyio.sleep(2.6)
+        self.assert_one_leader(system)
 
-        async def check(system):
-            leader = self.assert_one_leader(system)
-            system.kill(leader.endpoint.address[1])
-            await anyio.sleep(2.6)
-            self.assert_one_leader(system)
-
-        self.run_system(check)
-
-    def test_all_hosts_restart_at_once(self):
+    @with_own_system("run_system")
+    async def test_all_hosts_restart_at_once(self, system):
         """Hosts that start together told each of the others of each newcomer: 21,025
         datagrams of one seed in the first second, among 195 hosts."""
-
-        async def check(system):
-            self.assert_one_leader(system)
-            for number in list(system.members):
-                system.kill(number)
-            sent = self.datagrams_by_sender(system)
-            sent.clear()
-            for number in range(1, self.SIZE + 1):
-                system.start(number)
-            await anyio.sleep(1.0)
-            self.assertLess(max(sent.values()), 30 * self.SIZE)
-            await anyio.sleep(4.0)
-            self.assert_one_leader(system)
-
-        self.run_system(check)
-
-    def test_hosts_that_join_later_are_known_to_all(self):
+        self.assert_one_leader(system)
+        for number in list(system.members):
+            system.kill(number)
+        sent = self.datagrams_by_sender(system)
+        sent.clear()
+        for number in range(1, self.SIZE + 1):
+            system.start(number)
+        await anyio.sleep(1.0)
+        self.assertLess(max(sent.values()), 30 * self.SIZE)
+        await anyio.sleep(4.0)
+        self.assert_one_leader(system)
+
+    @with_own_system("run_system")
+    async def test_hosts_that_join_later_are_known_to_all(self, system):
         """Two thirds more hosts are added at once in a day of the users."""
+        leader = self.assert_one_leader(system)
+        added = range(self.SIZE + 1, self.SIZE + 34)
+        for number in added:
+            system.start(number)
+        await anyio.sleep(12.0)
+        self.assertIs(leader, self.assert_one_leader(system))
+        for member in system.members.values():
+            self.assertEqual(self.SIZE + 33, member.hosts.count())
 
-        async def check(system):
-            leader = self.assert_one_leader(system)
-            added = range(self.SIZE + 1, self.SIZE + 34)
-            for number in added:
-                system.start(number)
-            await anyio.sleep(12.0)
-            self.assertIs(leader, self.assert_one_leader(system))
-            for member in system.members.values():
-                self.assertEqual(self.SIZE + 33, member.hosts.count())
-
-        self.run_system(check)
-
-    def test_stopped_hosts_are_forgotten(self):
+    @with_own_system("run_system")
+    async def test_stopped_hosts_are_forgotten(self, system):
         """A dead host must not count for the majority of a later election for ever."""
-
-        async def check(system):
-            leader = self.assert_one_leader(system)
-            keep = {leader.name, *leader.leadership.next_leaders()}
-            victims = [n for n, m in system.members.items() if m.name not in keep][:20]
-            for number in victims:
-                system.kill(number)
-            await anyio.sleep(45.0)
-            self.assertIs(leader, self.assert_one_leader(system))
-            for member in system.members.values():
-                self.assertEqual(self.SIZE - 20, member.hosts.count())
-
-        self.run_system(check)
+        leader = self.assert_one_leader(system)
+        keep = {leader.name, *leader.leadership.next_leaders()}
+        victims = [n for n, m in system.members.items() if m.name not in keep][:20]
+        for number in victims:
+            system.kill(number)
+        await anyio.sleep(45.0)
+        self.assertIs(leader, self.assert_one_leader(system))
+        for member in system.members.values():
+            self.assertEqual(self.SIZE - 20, member.hosts.count())
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -16,6 +16,7 @@
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
 from snipetrestle_standins.order_activity import OrdersWhileLeading
+from tests.systems import with_system
 
 LEASE_S = 3.0
 ELECTION_WAIT_S = 4.0
@@ -113,209 +114,170 @@
             self.assertEqual(leader.name, member.leadership.leader)
         return leader
 
-    def test_all_hosts_follow_one_leader(self):
+    @with_system(run_system)
+    async def test_all_hosts_follow_one_leader(self, system):
         """Guards against two leaders, and hosts without one."""
+        self.assert_one_leader(system)
 
-        async def check(system):
-            self.assert_one_leader(system)
-
-        run_system(check)
-
-    def test_stale_seeds_suffice(self):
+    @with_system(run_system, seeds=(1, 8, 9))
+    async def test_stale_seeds_suffice(self, system):
         """While seeds are down, hosts could fail to find each other."""
+        self.assert_one_leader(system)
+        self.assertEqual(5, system.leaders()[0].hosts.count())
 
-        async def check(system):
-            self.assert_one_leader(system)
-            self.assertEqual(5, system.leaders()[0].hosts.count())
-
-        run_system(check, seeds=(1, 8, 9))
-
-    def test_killed_leader_is_replaced_at_once_with_a_higher_token(self):
+    @with_system(run_system)
+    async def test_killed_leader_is_replaced_at_once_with_a_higher_token(self, system):
         """All loads pause until a killed leader is replaced, and its successor must not
         use the same fencing token again."""
-
-        async def check(system):
-            old = self.assert_one_leader(system)
-            system.kill(old.endpoint.address[1])
-            await anyio.sleep(2.2)
-            new = self.assert_one_leader(system)
-            self.assertGreater(new.leadership.term, old.leadership.term)
-
-        run_system(check)
-
-    def test_cut_off_leader_resigns_before_another_is_elected(self):
+        old = self.assert_one_leader(system)
+        system.kill(old.endpoint.address[1])
+        await anyio.sleep(2.2)
+        new = self.assert_one_leader(system)
+        self.assertGreater(new.leadership.term, old.leadership.term)
+
+    @with_system(run_system)
+    async def test_cut_off_leader_resigns_before_another_is_elected(self, system):
         """A leader that is cut off does not learn of an election: if it leads on, there
         are two leaders within one lease."""
-
-        async def check(system):
-            old = self.assert_one_leader(system)
-            system.network.isolate(old.name, system.names())
-            resigned_at = elected_at = None
-            for _ in range(200):
-                await anyio.sleep(0.05)
-                now = anyio.current_time()
-                if resigned_at is None and not old.leadership.leads:
-                    resigned_at = now
-                others = [m for m in system.leaders() if m is not old]
-                if elected_at is None and others:
-                    elected_at = now
-                self.assertLessEqual(len(system.leaders()), 1)
-            self.assertIsNotNone(elected_at)
-            self.assertGreaterEqual(elected_at - resigned_at, LEASE_S - 0.3)
-            system.network.cuts.clear()
-            await anyio.sleep(2.0)
-            self.assert_one_leader(system)
-
-        run_system(check)
-
-    def test_suspended_leader_leads_again_soon(self):
+        old = self.assert_one_leader(system)
+        system.network.isolate(old.name, system.names())
+        resigned_at = elected_at = None
+        for _ in range(200):
+            await anyio.sleep(0.05)
+            now = anyio.current_time()
+            if resigned_at is None and not old.leadership.leads:
+                resigned_at = now
+            others = [m for m in system.leaders() if m is not old]
+            if elected_at is None and others:
+                elected_at = now
+            self.assertLessEqual(len(system.leaders()), 1)
+        self.assertIsNotNone(elected_at)
+        self.assertGreaterEqual(elected_at - resigned_at, LEASE_S - 0.3)
+        system.network.cuts.clear()
+        await anyio.sleep(2.0)
+        self.assert_one_leader(system)
+
+    @with_system(run_system)
+    async def test_suspended_leader_leads_again_soon(self, system):
         """No other host has sent orders while the leader was suspended for a moment, so
         loads must not pause for a whole lease afterwards."""
-
-        async def check(system):
-            leader = self.assert_one_leader(system)
-            before = leader.leadership.term
-            leader.leadership.resign("this process was suspended")
-            await anyio.sleep(1.5)
-            self.assertIs(leader, self.assert_one_leader(system))
-            self.assertGreater(leader.leadership.term, before)
-
-        run_system(check)
-
-    def test_replaced_leader_follows_its_successor(self):
+        leader = self.assert_one_leader(system)
+        before = leader.leadership.term
+        leader.leadership.resign("this process was suspended")
+        await anyio.sleep(1.5)
+        self.assertIs(leader, self.assert_one_leader(system))
+        self.assertGreater(leader.leadership.term, before)
+
+    @with_system(run_system)
+    async def test_replaced_leader_follows_its_successor(self, system):
         """Guards against two leaders after the old one was cut off for long."""
-
-        async def check(system):
-            old = self.assert_one_leader(system)
-            system.network.isolate(old.name, system.names())
-            await anyio.sleep(8.0)
-            new = [m for m in system.leaders() if m is not old]
-            system.network.cuts.clear()
-            for _ in range(20):
-                await anyio.sleep(0.1)
-                self.assertLessEqual(len(system.leaders()), 1)
-            self.assertEqual(new, [self.assert_one_leader(system)])
-
-        run_system(check)
-
-    def test_hosts_that_start_together_find_each_other(self):
+        old = self.assert_one_leader(system)
+        system.network.isolate(old.name, system.names())
+        await anyio.sleep(8.0)
+        new = [m for m in system.leaders() if m is not old]
+        system.network.cuts.clear()
+        for _ in range(20):
+            await anyio.sleep(0.1)
+            self.assertLessEqual(len(system.leaders()), 1)
+        self.assertEqual(new, [self.assert_one_leader(system)])
+
+    @with_system(run_system, seeds=(1, 8, 9))
+    async def test_hosts_that_start_together_find_each_other(self, system):
         """Hosts that start together could elect two leaders that do not know each
         other: both had asked a host that knew neither yet, and alternated for 27 s
         (store-away, taglia-sicilia)."""
+        for number in (2, 3, 4, 5):
+            system.kill(number)
+        for number in (2, 3, 4, 5):
+            system.start(number)
+        await anyio.sleep(ELECTION_WAIT_S)
+        self.assert_one_leader(system)
+        for member in system.members.values():
+            self.assertEqual(5, member.hosts.count())
 
-        async def check(system):
-            for number in (2, 3, 4, 5):
-                system.kill(number)
-            for number in (2, 3, 4, 5):
-                system.start(number)
-            await anyio.sleep(ELECTION_WAIT_S)
-            self.assert_one_leader(system)
-            for member in system.members.values():
-                self.assertEqual(5, member.hosts.count())
-
-        run_system(check, seeds=(1, 8, 9))
-
-    def test_superseded_leader_resigns_on_a_follower_s_heartbeat(self):
+    @with_system(run_system)
+    async def test_superseded_leader_resigns_on_a_follower_s_heartbeat(self, system):
         """Two leaders that cannot reach each other would both lead on; the heartbeat of
         a follower tells the superseded one."""
-
-        async def check(system):
-            first = self.assert_one_leader(system)
-            second = next(m for m in system.members.values() if m is not first)
-            system.network.cuts.add(frozenset((first.name, second.name)))
-            second.leadership._become_leader()
-            await anyio.sleep(1.5)
-            for _ in range(60):
-                await anyio.sleep(0.1)
-                self.assertEqual([second], system.leaders())
-
-        run_system(check)
-
-    def test_leader_resigns_on_a_refused_token_and_exceeds_it(self):
+        first = self.assert_one_leader(system)
+        second = next(m for m in system.members.values() if m is not first)
+        system.network.cuts.add(frozenset((first.name, second.name)))
+        second.leadership._become_leader()
+        await anyio.sleep(1.5)
+        for _ in range(60):
+            await anyio.sleep(0.1)
+            self.assertEqual([second], system.leaders())
+
+    @with_system(run_system)
+    async def test_leader_resigns_on_a_refused_token_and_exceeds_it(self, system):
         """Guards against two leaders that raise their tokens in turn, and against a
         leader whose token stays too low because its clock is behind."""
-
-        async def check(system):
-            leader = self.assert_one_leader(system)
-            before = leader.leadership.term
-            leader.leadership.on_token_refused()
-            self.assertFalse(leader.leadership.leads)
-            await anyio.sleep(2.0)
-            self.assertGreater(self.assert_one_leader(system).leadership.term, before)
-
-        run_system(check)
-
-    def test_restarted_host_with_an_earlier_clock_is_accepted(self):
+        leader = self.assert_one_leader(system)
+        before = leader.leadership.term
+        leader.leadership.on_token_refused()
+        self.assertFalse(leader.leadership.leads)
+        await anyio.sleep(2.0)
+        self.assertGreater(self.assert_one_leader(system).leadership.term, before)
+
+    @with_system(run_system)
+    async def test_restarted_host_with_an_earlier_clock_is_accepted(self, system):
         """A host whose clock was set back could be ignored by all others."""
+        system.kill(2)
+        system.boots = -10
+        system.start(2)
+        await anyio.sleep(ELECTION_WAIT_S)
+        self.assert_one_leader(system)
+        for member in system.members.values():
+            self.assertEqual(5, len(member.hosts.reachable()) + 1)
 
-        async def check(system):
-            system.kill(2)
-            system.boots = -10
-            system.start(2)
-            await anyio.sleep(ELECTION_WAIT_S)
-            self.assert_one_leader(system)
-            for member in system.members.values():
-                self.assertEqual(5, len(member.hosts.reachable()) + 1)
-
-        run_system(check)
-
-    def test_leaving_leader_is_replaced_and_learns_its_successor(self):
+    @with_system(run_system)
+    async def test_leaving_leader_is_replaced_and_learns_its_successor(self, system):
         """Each step of a rolling restart could leave a time without a leader.
 
         A leaving host still serves requests, so it must know the new leader. Two hosts
         that leave together must not lose their knowledge of the others.
         """
-
-        async def check(system):
-            old = self.assert_one_leader(system)
-            followers = [m for m in system.members.values() if m is not old]
-            for member in (old, followers[0]):
-                member.leadership.resign("this process stops")
-                member.hosts.send_leaving()
-            await anyio.sleep(1.0)
-            new = self.assert_one_leader(system)
-            self.assertNotIn(new, (old, followers[0]))
-            self.assertEqual(new.name, old.leadership.leader)
-
-        run_system(check)
-
-    def test_token_rises_after_all_hosts_restarted(self):
+        old = self.assert_one_leader(system)
+        followers = [m for m in system.members.values() if m is not old]
+        for member in (old, followers[0]):
+            member.leadership.resign("this process stops")
+            member.hosts.send_leaving()
+        await anyio.sleep(1.0)
+        new = self.assert_one_leader(system)
+        self.assertNotIn(new, (old, followers[0]))
+        self.assertEqual(new.name, old.leadership.leader)
+
+    @with_system(run_system)
+    async def test_token_rises_after_all_hosts_restarted(self, system):
         """After all hosts were killed, tokens could be reused."""
+        old = self.assert_one_leader(system)
+        for number in list(system.members):
+            system.kill(number)
+        for number in range(1, 6):
+            system.start(number)
+        await anyio.sleep(ELECTION_WAIT_S)
+        self.assertGreater(
+            self.assert_one_leader(system).leadership.term, old.leadership.term
+        )
 
-        async def check(system):
-            old = self.assert_one_leader(system)
-            for number in list(system.members):
-                system.kill(number)
-            for number in range(1, 6):
-                system.start(number)
-            await anyio.sleep(ELECTION_WAIT_S)
-            self.assertGreater(
-                self.assert_one_leader(system).leadership.term, old.leadership.term
-            )
-
-        run_system(check)
-
-    def test_host_leads_again_while_the_next_one_hears_nobody(self):
+    @with_system(run_system)
+    async def test_host_leads_again_while_the_next_one_hears_nobody(self, system):
         """No host led for 9 s, then two did: the others wait for a host that precedes
         them, is heard and hears nobody."""
-
-        async def check(system):
-            deaf = system.start(6)
-            await anyio.sleep(5.0)
-            leader = self.assert_one_leader(system)
-            deaf.endpoint._handlers_by_type = {}
-            handlers = leader.endpoint._handlers_by_type
-            leader.endpoint._handlers_by_type = {}
-            while leader.leadership.leads:  # noqa: ASYNC110 - virtual time
-                await anyio.sleep(0.05)
-            await anyio.sleep(0.3)
-            leader.endpoint._handlers_by_type = handlers
-            await anyio.sleep(RETURN_DELAY_S)
-            for _ in range(100):
-                self.assertIs(leader, self.assert_one_leader(system))
-                await anyio.sleep(0.1)
-
-        run_system(check)
+        deaf = system.start(6)
+        await anyio.sleep(5.0)
+        leader = self.assert_one_leader(system)
+        deaf.endpoint._handlers_by_type = {}
+        handlers = leader.endpoint._handlers_by_type
+        leader.endpoint._handlers_by_type = {}
+        while leader.leadership.leads:  # noqa: ASYNC110 - virtual time
+            await anyio.sleep(0.05)
+        await anyio.sleep(0.3)
+        leader.endpoint._handlers_by_type = handlers
+        await anyio.sleep(RETURN_DELAY_S)
+        for _ in range(100):
+            self.assertIs(leader, self.assert_one_leader(system))
+            await anyio.sleep(0.1)
 
     def test_tokens_differ_between_hosts(self):
         """One token must never belong to two hosts, also with the clock set back."""
--- a/tests/coordination/test_order_activity.py
+++ b/tests/coordination/test_order_activity.py
@@ -14,6 +14,7 @@
 )
 from snipetrestle.gateway.backends.http_client import ExchangeFailed
 from snipetrestle_standins.clock import run_in_virtual_time
+from tests.systems import with_own_system
 
 
 class Replica:
@@ -66,81 +67,68 @@
 
         run_in_virtual_time(main)
 
-    def test_quiet_time_begins_with_the_first_report(self):
+    @with_own_system("run_activity")
+    async def test_quiet_time_begins_with_the_first_report(
+        self, system, activity, watch
+    ):
         """A host that has just begun to watch knows nothing of earlier orders."""
-
-        async def check(system, activity, watch):
-            self.assertEqual(0.0, activity.quiet_s())
-            await watch(4.0)
-            self.assertTrue(3.0 < activity.quiet_s() <= 4.0)
-
-        self.run_activity(check)
-
-    def test_one_order_at_one_replica_begins_the_time_again(self):
+        self.assertEqual(0.0, activity.quiet_s())
+        await watch(4.0)
+        self.assertTrue(3.0 < activity.quiet_s() <= 4.0)
+
+    @with_own_system("run_activity")
+    async def test_one_order_at_one_replica_begins_the_time_again(
+        self, system, activity, watch
+    ):
         """A leader behind a cut may order only some of the replicas."""
+        await watch(4.0)
+        system.counts["replica-2 1"] = 1
+        await watch(1.0)
+        self.assertLess(activity.quiet_s(), 1.1)
 
-        async def check(system, activity, watch):
-            await watch(4.0)
-            system.counts["replica-2 1"] = 1
-            await watch(1.0)
-            self.assertLess(activity.quiet_s(), 1.1)
-
-        self.run_activity(check)
-
-    def test_restarted_replica_is_no_order(self):
+    @with_own_system("run_activity")
+    async def test_restarted_replica_is_no_order(self, system, activity, watch):
         """A replica that restarts counts from 0 again."""
-
-        async def check(system, activity, watch):
-            system.counts["replica-2 1"] = 7
-            await watch(4.0)
-            system.members[2] = Replica("replica-2 2")
-            await watch(1.0)
-            self.assertGreater(activity.quiet_s(), 4.0)
-
-        self.run_activity(check)
-
-    def test_replicas_that_do_not_answer_are_not_quiet(self):
+        system.counts["replica-2 1"] = 7
+        await watch(4.0)
+        system.members[2] = Replica("replica-2 2")
+        await watch(1.0)
+        self.assertGreater(activity.quiet_s(), 4.0)
+
+    @with_own_system("run_activity")
+    async def test_replicas_that_do_not_answer_are_not_quiet(
+        self, system, activity, watch
+    ):
         """A host that reaches no replica cannot tell whether another one orders."""
+        await watch(4.0)
+        system.silent |= {replica.process_id for replica in system.members}
+        await watch(1.0)
+        self.assertEqual(0.0, activity.quiet_s())
 
-        async def check(system, activity, watch):
-            await watch(4.0)
-            system.silent |= {replica.process_id for replica in system.members}
-            await watch(1.0)
-            self.assertEqual(0.0, activity.quiet_s())
-
-        self.run_activity(check)
-
-    def test_unknown_state_is_not_quiet(self):
+    @with_own_system("run_activity")
+    async def test_unknown_state_is_not_quiet(self, system, activity, watch):
         """A host that starts behind a cut may know the replicas only later."""
+        system.ready = anyio.Event()
+        await watch(4.0)
+        self.assertEqual(0.0, activity.quiet_s())
 
-        async def check(system, activity, watch):
-            system.ready = anyio.Event()
-            await watch(4.0)
-            self.assertEqual(0.0, activity.quiet_s())
-
-        self.run_activity(check)
-
-    def test_system_without_replicas_is_quiet(self):
+    @with_own_system("run_activity", 0)
+    async def test_system_without_replicas_is_quiet(self, system, activity, watch):
         """Nothing can be ordered, so no election needs to wait."""
+        await watch(1.0)
+        self.assertEqual(math.inf, activity.quiet_s())
 
-        async def check(system, activity, watch):
-            await watch(1.0)
-            self.assertEqual(math.inf, activity.quiet_s())
-
-        self.run_activity(check, 0)
-
-    def test_reports_are_read_only_while_they_are_needed(self):
+    @with_own_system("run_activity", 500)
+    async def test_reports_are_read_only_while_they_are_needed(
+        self, system, activity, watch
+    ):
         """Each report has a price, and there may be thousands of replicas."""
-
-        async def check(system, activity, watch):
-            await anyio.sleep(5.0)
-            self.assertEqual(0, system.reports)
-            await watch(5.0)
-            self.assertLessEqual(system.reports, 11 * MAX_WATCHED_REPLICAS)
-            await anyio.sleep(UNUSED_TIMEOUT_S + 1.0)
-            before = system.reports
-            await anyio.sleep(10.0)
-            self.assertEqual(before, system.reports)
-            self.assertEqual(0.0, activity.quiet_s())
-
-        self.run_activity(check, 500)
+        await anyio.sleep(5.0)
+        self.assertEqual(0, system.reports)
+        await watch(5.0)
+        self.assertLessEqual(system.reports, 11 * MAX_WATCHED_REPLICAS)
+        await anyio.sleep(UNUSED_TIMEOUT_S + 1.0)
+        before = system.reports
+        await anyio.sleep(10.0)
+        self.assertEqual(before, system.reports)
+        self.assertEqual(0.0, activity.quiet_s())
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -26,6 +26,7 @@
 from snipetrestle.gateway.backends.replica_pause import ReplicaPause
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle_standins.clock import run_in_virtual_time
+from tests.systems import in_virtual_time, with_own_system
 
 HELD = AdapterKey("m0", "a1")
 WANTED = AdapterKey("m0", "a2")
@@ -134,48 +135,36 @@
         await anyio.sleep(0.01)
         self.assertEqual([OrderKind.UNLOAD], client.order_kinds)
 
-    def test_answer_to_an_unload(self):
+    @with_own_system("run_and_stop")
+    async def test_answer_to_an_unload(self, client, orders):
         """KeyError: the adapter was dropped from what was forgotten."""
+        await self.begin_eviction(client, orders)
+        client.open_order.set_result(OrderResult.HOLDS_ALREADY)
 
-        async def stop(client, orders):
-            await self.begin_eviction(client, orders)
-            client.open_order.set_result(OrderResult.HOLDS_ALREADY)
-
-        self.run_and_stop(stop)
-
-    def test_answer_to_a_repeated_unload(self):
+    @with_own_system("run_and_stop")
+    async def test_answer_to_a_repeated_unload(self, client, orders):
         """KeyError: the unload was repeated for what was forgotten."""
+        await self.begin_eviction(client, orders)
+        client.open_order.set_result(OrderResult.ACCEPTED)
+        await anyio.sleep(0.01)
+        client.open_order.set_result(OrderResult.ACCEPTED)
+        await anyio.sleep(UNLOAD_RETRY_INTERVAL_S + 0.05)
+        self.assertEqual([OrderKind.UNLOAD] * 3, client.order_kinds)
+        client.open_order.set_result(OrderResult.ACCEPTED)
 
-        async def stop(client, orders):
-            await self.begin_eviction(client, orders)
-            client.open_order.set_result(OrderResult.ACCEPTED)
-            await anyio.sleep(0.01)
-            client.open_order.set_result(OrderResult.ACCEPTED)
-            await anyio.sleep(UNLOAD_RETRY_INTERVAL_S + 0.05)
-            self.assertEqual([OrderKind.UNLOAD] * 3, client.order_kinds)
-            client.open_order.set_result(OrderResult.ACCEPTED)
-
-        self.run_and_stop(stop)
-
-    def test_answer_to_a_load(self):
+    @with_own_system("run_and_stop")
+    async def test_answer_to_a_load(self, client, orders):
         """The adapter was recorded again at a replica that is gone."""
+        await self.begin_eviction(client, orders)
+        client.open_order.set_result(OrderResult.HOLDS_ALREADY)
+        await anyio.sleep(0.01)
+        self.assertEqual(OrderKind.LOAD, client.order_kinds[-1])
+        client.open_order.set_result(OrderResult.ACCEPTED)
 
-        async def stop(client, orders):
-            await self.begin_eviction(client, orders)
-            client.open_order.set_result(OrderResult.HOLDS_ALREADY)
-            await anyio.sleep(0.01)
-            self.assertEqual(OrderKind.LOAD, client.order_kinds[-1])
-            client.open_order.set_result(OrderResult.ACCEPTED)
-
-        self.run_and_stop(stop)
-
-    def test_report(self):
+    @with_own_system("run_and_stop")
+    async def test_report(self, client, orders):
         """All adapters were recorded again at a replica that is gone."""
-
-        async def stop(client, orders):
-            client.open_report.set_result(None)
-
-        self.run_and_stop(stop)
+        client.open_report.set_result(None)
 
 
 class OutdatedStateTest(testtools.TestCase):
@@ -230,47 +219,41 @@
 
 
 class RefusedLoadTest(testtools.TestCase):
-    def test_load_of_an_unknown_adapter_keeps_the_replica_in_use(self):
+    @in_virtual_time
+    async def test_load_of_an_unknown_adapter_keeps_the_replica_in_use(self):
         """One caller that named such an adapter took its replica away from all others,
         and dropped the loads that waited there."""
-
-        async def check():
-            client = RefusingReplica()
-            orders = make_orders(client)
-            async with anyio.create_task_group() as group:
-                group.start_soon(orders.run)
+        client = RefusingReplica()
+        orders = make_orders(client)
+        async with anyio.create_task_group() as group:
+            group.start_soon(orders.run)
+            await anyio.sleep(0.01)
+            unknown = orders.request_load(
+                AdapterKey("m0", "unknown"), LoadReason.MISSING
+            )
+            wanted = orders.request_load(WANTED, LoadReason.MISSING)
+            for _ in range(100):
                 await anyio.sleep(0.01)
-                unknown = orders.request_load(
-                    AdapterKey("m0", "unknown"), LoadReason.MISSING
-                )
-                wanted = orders.request_load(WANTED, LoadReason.MISSING)
-                for _ in range(100):
-                    await anyio.sleep(0.01)
-                    orders.set_usable(True)
-                    self.assertTrue(orders.replica_adapters.usable)
-                self.assertTrue(unknown.done.done() and wanted.done.done())
-                self.assertEqual(["unknown"], client.refused)
-                self.assertIn(WANTED, orders.replica_adapters.held)
-                group.cancel_scope.cancel()
-
-        run_in_virtual_time(check)
-
-    def test_version_that_the_replica_does_not_know_keeps_it_in_use(self):
+                orders.set_usable(True)
+                self.assertTrue(orders.replica_adapters.usable)
+            self.assertTrue(unknown.done.done() and wanted.done.done())
+            self.assertEqual(["unknown"], client.refused)
+            self.assertIn(WANTED, orders.replica_adapters.held)
+            group.cancel_scope.cancel()
+
+    @in_virtual_time
+    async def test_version_that_the_replica_does_not_know_keeps_it_in_use(self):
         """The replica was in use for nobody, and loads that waited were dropped."""
-
-        async def check():
-            client = RefusingReplica()
-            orders = make_orders(client, version_of=lambda key: 2)
-            async with anyio.create_task_group() as group:
-                group.start_soon(orders.run)
-                for number in range(150):
-                    await anyio.sleep(0.01)
-                    if number == 1:
-                        orders.request_load(WANTED, LoadReason.MISSING)
-                    orders.set_usable(True)
-                    self.assertTrue(orders.replica_adapters.usable)
-                self.assertEqual([HELD.adapter] * 2, client.refused)
-                self.assertIn(WANTED, orders.replica_adapters.held)
-                group.cancel_scope.cancel()
-
-        run_in_virtual_time(check)
+        client = RefusingReplica()
+        orders = make_orders(client, version_of=lambda key: 2)
+        async with anyio.create_task_group() as group:
+            group.start_soon(orders.run)
+            for number in range(150):
+                await anyio.sleep(0.01)
+                if number == 1:
+                    orders.request_load(WANTED, LoadReason.MISSING)
+                orders.set_usable(True)
+                self.assertTrue(orders.replica_adapters.usable)
+            self.assertEqual([HELD.adapter] * 2, client.refused)
+            self.assertIn(WANTED, orders.replica_adapters.held)
+            group.cancel_scope.cancel()
--- a/tests/coordination/test_send_permits.py
+++ b/tests/coordination/test_send_permits.py
@@ -9,8 +9,8 @@
 from snipetrestle.coordination.send_permits import PermitIssuer, SendPermits
 from snipetrestle.coordination.shared_request_limits import SharedRequestLimits
 from snipetrestle.gateway.backends.request_limits import RequestLimit, RequestLimits
-from snipetrestle_standins.clock import run_in_virtual_time
 from tests.coordination.test_leadership import run_system
+from tests.systems import in_virtual_time, with_system
 
 WINDOW_S = 4.0
 TOLERANCE = 1.5
@@ -41,54 +41,42 @@
 
         return send()
 
-    def test_whole_limit_is_used_and_not_exceeded(self):
+    @in_virtual_time
+    async def test_whole_limit_is_used_and_not_exceeded(self):
         """Hosts that each had a fixed part used four fifths of it at most."""
+        issuer = PermitIssuer()
+        times = await self.send(issuer, 20.0, 50, max_wait_s=0.3, is_optional=False)
+        self.assertLessEqual(most_in_window(times), ALLOWED)
+        self.assertGreater(len(times), 0.95 * LIMIT_PER_S * 20.0)
 
-        async def check():
-            issuer = PermitIssuer()
-            times = await self.send(issuer, 20.0, 50, max_wait_s=0.3, is_optional=False)
-            self.assertLessEqual(most_in_window(times), ALLOWED)
-            self.assertGreater(len(times), 0.95 * LIMIT_PER_S * 20.0)
-
-        run_in_virtual_time(check)
-
-    def test_unused_permits_do_not_add_up(self):
+    @in_virtual_time
+    async def test_unused_permits_do_not_add_up(self):
         """After a quiet minute, a crowd must not get all of that minute's permits."""
-
-        async def check():
-            issuer = PermitIssuer()
-            issuer.issue({"r1": LIMIT_PER_S}, 0.0, False)
-            await anyio.sleep(60.0)
-            times = await self.send(issuer, 5.0, 50, max_wait_s=0.0, is_optional=False)
-            self.assertLessEqual(most_in_window(times), ALLOWED)
-
-        run_in_virtual_time(check)
-
-    def test_optional_requests_leave_permits_to_others(self):
+        issuer = PermitIssuer()
+        issuer.issue({"r1": LIMIT_PER_S}, 0.0, False)
+        await anyio.sleep(60.0)
+        times = await self.send(issuer, 5.0, 50, max_wait_s=0.0, is_optional=False)
+        self.assertLessEqual(most_in_window(times), ALLOWED)
+
+    @in_virtual_time
+    async def test_optional_requests_leave_permits_to_others(self):
         """Requests with a choice took the permits of those that had none."""
-
-        async def check():
-            issuer = PermitIssuer()
-            issuer.issue({"r1": LIMIT_PER_S}, 0.0, True)
-            await anyio.sleep(2.0)
-            await self.send(issuer, 5.0, 50, max_wait_s=0.0, is_optional=True)
-            self.assertEqual(("r1", 0.0), issuer.issue({"r1": LIMIT_PER_S}, 0.0, False))
-
-        run_in_virtual_time(check)
-
-    def test_replica_that_is_free_first_is_chosen(self):
+        issuer = PermitIssuer()
+        issuer.issue({"r1": LIMIT_PER_S}, 0.0, True)
+        await anyio.sleep(2.0)
+        await self.send(issuer, 5.0, 50, max_wait_s=0.0, is_optional=True)
+        self.assertEqual(("r1", 0.0), issuer.issue({"r1": LIMIT_PER_S}, 0.0, False))
+
+    @in_virtual_time
+    async def test_replica_that_is_free_first_is_chosen(self):
         """A request must not wait for one replica while another is free."""
-
-        async def check():
-            issuer = PermitIssuer()
-            limits = {"r1": 1.0, "r2": 1.0}
-            chosen = [issuer.issue(limits, 10.0, False) for _ in range(4)]
-            self.assertEqual(["r1", "r2", "r1", "r2"], [item for item, _ in chosen])
-            replica_id, wait_s = issuer.issue(limits, 0.5, False)
-            self.assertIsNone(replica_id)
-            self.assertGreater(wait_s, 0.5)
-
-        run_in_virtual_time(check)
+        issuer = PermitIssuer()
+        limits = {"r1": 1.0, "r2": 1.0}
+        chosen = [issuer.issue(limits, 10.0, False) for _ in range(4)]
+        self.assertEqual(["r1", "r2", "r1", "r2"], [item for item, _ in chosen])
+        replica_id, wait_s = issuer.issue(limits, 0.5, False)
+        self.assertIsNone(replica_id)
+        self.assertGreater(wait_s, 0.5)
 
 
 class LimitedSender:
@@ -133,25 +121,24 @@
         )
         return limits
 
-    def test_limits_of_many_replicas_silence_no_host_and_are_all_told(self):
+    @with_system(run_system, 4)
+    async def test_limits_of_many_replicas_silence_no_host_and_are_all_told(
+        self, system
+    ):
         """Heartbeats with the limits of 128 replicas with long ids were longer than a
         datagram, so they were not sent. Further limits were not told."""
-
-        async def check(system):
-            members = list(system.members.values())
-            limits = {item.name: self.share_limits(item, 140) for item in members}
-            for per_s in (2.0, None):
-                for limit in limits[members[0].name]:
-                    limit.note(per_s, anyio.current_time())
-                await anyio.sleep(15.0)
-                (leader,) = system.leaders()
-                for member in members:
-                    self.assertEqual(leader.name, member.leadership.leader)
-                    self.assertTrue(member.leadership.has_recent_leader)
-                    told = {limit.per_s for limit in limits[member.name]}
-                    self.assertEqual({per_s}, told)
-
-        run_system(check, 4)
+        members = list(system.members.values())
+        limits = {item.name: self.share_limits(item, 140) for item in members}
+        for per_s in (2.0, None):
+            for limit in limits[members[0].name]:
+                limit.note(per_s, anyio.current_time())
+            await anyio.sleep(15.0)
+            (leader,) = system.leaders()
+            for member in members:
+                self.assertEqual(leader.name, member.leadership.leader)
+                self.assertTrue(member.leadership.has_recent_leader)
+                told = {limit.per_s for limit in limits[member.name]}
+                self.assertEqual({per_s}, told)
 
 
 class SendPermitsTest(testtools.TestCase):
