--- a/tests/gateway/test_bad_replicas.py
+++ b/tests/gateway/test_bad_replicas.py
@@ -10,6 +10,7 @@
 from snipetrestle_standins.platform_replica import MAX_ENDLESS_BYTES, Fault
 from tests.gateway.running import run_fleet
 from tests.memory import assert_bounded_memory
+from tests.systems import with_system
 from tests.waiting import wait_until
 
 ENDLESS_FAULTS = [fault for fault in Fault if fault.name.startswith("ENDLESS_")]
@@ -49,180 +50,150 @@
         self.assertEqual({200}, {answer.status for answer in others})
         return answer
 
-    def test_idempotent_call_is_answered_by_another_replica(self):
+    @with_system(run_fleet)
+    async def test_idempotent_call_is_answered_by_another_replica(self, fleet):
         """A host kept each trailer field and read extensions for ever; a look-up
         waited for its deadline while the memory grew by 60 MB a second."""
-
-        async def check(fleet):
-            for fault in (*ENDLESS_FAULTS, Fault.TRICKLED_BODY):
-                self.set_shared_fault(fleet.registers, fault)
-                answer = await self.send_with_others(
-                    fleet,
-                    "/lookup/a",
-                    method="GET",
-                    headers=[("X-Deadline-Ms", "4000")],
-                )
-                self.assertEqual((200, True), (answer.status, answer.complete), fault)
-                self.assertEqual(b"register GET /lookup/a", answer.body, fault)
-                if fault in ENDLESS_FAULTS:
-                    self.assert_cut_off(fleet.registers, fault)
-
-        run_fleet(check)
-
-    def test_write_fails_with_an_unknown_outcome(self):
-        """The write has run, so neither a repetition nor a 503 would be true."""
-
-        async def check(fleet):
-            for fault in ENDLESS_FAULTS:
-                self.set_shared_fault(fleet.registers, fault)
-                runs = sum(len(replica.runs) for replica in fleet.registers)
-                answer = await fleet.send_request(
-                    "/entry/a", headers=[("X-Deadline-Ms", "2000")]
-                )
-                self.assertIn(answer.status, (502, 504), fault)
+        for fault in (*ENDLESS_FAULTS, Fault.TRICKLED_BODY):
+            self.set_shared_fault(fleet.registers, fault)
+            answer = await self.send_with_others(
+                fleet,
+                "/lookup/a",
+                method="GET",
+                headers=[("X-Deadline-Ms", "4000")],
+            )
+            self.assertEqual((200, True), (answer.status, answer.complete), fault)
+            self.assertEqual(b"register GET /lookup/a", answer.body, fault)
+            if fault in ENDLESS_FAULTS:
                 self.assert_cut_off(fleet.registers, fault)
-                self.assertEqual(
-                    runs + 1, sum(len(replica.runs) for replica in fleet.registers)
-                )
 
-        run_fleet(check)
+    @with_system(run_fleet)
+    async def test_write_fails_with_an_unknown_outcome(self, fleet):
+        """The write has run, so neither a repetition nor a 503 would be true."""
+        for fault in ENDLESS_FAULTS:
+            self.set_shared_fault(fleet.registers, fault)
+            runs = sum(len(replica.runs) for replica in fleet.registers)
+            answer = await fleet.send_request(
+                "/entry/a", headers=[("X-Deadline-Ms", "2000")]
+            )
+            self.assertIn(answer.status, (502, 504), fault)
+            self.assert_cut_off(fleet.registers, fault)
+            self.assertEqual(
+                runs + 1, sum(len(replica.runs) for replica in fleet.registers)
+            )
 
-    def test_stream_goes_on_at_another_replica(self):
+    @with_system(run_fleet)
+    async def test_stream_goes_on_at_another_replica(self, fleet):
         """Bytes that are no event must neither reach the caller nor hold its stream."""
-
-        async def check(fleet):
-            for fault in ENDLESS_FAULTS:
-                self.set_shared_fault(fleet.models, fault)
-                answer = await self.send_with_others(fleet, "/draft/a", adapter="")
-                self.assertEqual((200, True), (answer.status, answer.complete), fault)
-                self.assertEqual([1, 2, 3, 4, 5, 6], answer.event_ids, fault)
-                self.assert_cut_off(fleet.models, fault)
-
-        run_fleet(check)
-
-    def test_failures_count_against_the_replica(self):
+        for fault in ENDLESS_FAULTS:
+            self.set_shared_fault(fleet.models, fault)
+            answer = await self.send_with_others(fleet, "/draft/a", adapter="")
+            self.assertEqual((200, True), (answer.status, answer.complete), fault)
+            self.assertEqual([1, 2, 3, 4, 5, 6], answer.event_ids, fault)
+            self.assert_cut_off(fleet.models, fault)
+
+    @with_system(run_fleet)
+    async def test_failures_count_against_the_replica(self, fleet):
         """A replica in trouble must get fewer requests than a sound one."""
-
-        async def check(fleet):
-            bad, good = fleet.registers
-            bad.faults = [Fault.ENDLESS_TRAILERS] * 30
-            for _ in range(30):
-                await fleet.send_request("/lookup/a", method="GET")
-            self.assertLess(len(bad.arrived_requests), len(good.arrived_requests) / 2)
-
-        run_fleet(check)
+        bad, good = fleet.registers
+        bad.faults = [Fault.ENDLESS_TRAILERS] * 30
+        for _ in range(30):
+            await fleet.send_request("/lookup/a", method="GET")
+        self.assertLess(len(bad.arrived_requests), len(good.arrived_requests) / 2)
 
 
 class SlowStreamTest(testtools.TestCase):
-    def test_slow_sound_stream_is_not_cut_without_a_retry(self):
+    @with_system(run_fleet)
+    async def test_slow_sound_stream_is_not_cut_without_a_retry(self, fleet):
         """A stream with pauses of a second was cancelled as silent, and then aborted
         because no retry was left."""
-
-        async def check(fleet):
-            for replica in fleet.models:
-                replica.events = 3
-                replica.event_interval_s = 1.1
-            no_retries = RetryBudgetSettings(0.0, 0.0, 10.0)
-            fleet.gateways[0].retry_budgets.set_settings(no_retries)
-            answer = await fleet.send_request("/draft/a", adapter="")
-            self.assertEqual((200, True), (answer.status, answer.complete))
-            self.assertEqual([1, 2, 3], answer.event_ids)
-            self.assertEqual(1, sum(len(replica.runs) for replica in fleet.models))
-
-        run_fleet(check)
-
-    def test_slow_caller_is_no_silent_replica(self):
+        for replica in fleet.models:
+            replica.events = 3
+            replica.event_interval_s = 1.1
+        no_retries = RetryBudgetSettings(0.0, 0.0, 10.0)
+        fleet.gateways[0].retry_budgets.set_settings(no_retries)
+        answer = await fleet.send_request("/draft/a", adapter="")
+        self.assertEqual((200, True), (answer.status, answer.complete))
+        self.assertEqual([1, 2, 3], answer.event_ids)
+        self.assertEqual(1, sum(len(replica.runs) for replica in fleet.models))
+
+    @with_system(run_fleet)
+    async def test_slow_caller_is_no_silent_replica(self, fleet):
         """While a caller does not read, its replica must not count as silent."""
-
-        async def check(fleet):
-            for replica in fleet.models:
-                replica.events = 3000
-                replica.event_interval_s = 0.0
-                replica.event_padding = 1000
-            async with Caller(fleet.gateways[0].settings.callers) as caller:
-                caller.writer.transport.pause_reading()
-                task = asyncio.create_task(caller.send_request("/draft/a", adapter=""))
-                await asyncio.sleep(2.5)
-                caller.writer.transport.resume_reading()
-                answer = await task
-            self.assertTrue(answer.complete)
-            self.assertEqual(list(range(1, 3001)), answer.event_ids)
-            self.assertEqual(1, sum(len(replica.runs) for replica in fleet.models))
-
-        run_fleet(check)
-
-    def test_trickled_events_are_no_progress(self):
+        for replica in fleet.models:
+            replica.events = 3000
+            replica.event_interval_s = 0.0
+            replica.event_padding = 1000
+        async with Caller(fleet.gateways[0].settings.callers) as caller:
+            caller.writer.transport.pause_reading()
+            task = asyncio.create_task(caller.send_request("/draft/a", adapter=""))
+            await asyncio.sleep(2.5)
+            caller.writer.transport.resume_reading()
+            answer = await task
+        self.assertTrue(answer.complete)
+        self.assertEqual(list(range(1, 3001)), answer.event_ids)
+        self.assertEqual(1, sum(len(replica.runs) for replica in fleet.models))
+
+    @with_system(run_fleet)
+    async def test_trickled_events_are_no_progress(self, fleet):
         """A stalled stream that sent a byte now and then waited for its deadline."""
-
-        async def check(fleet):
-            shared_faults = [Fault.TRICKLED_BODY]
-            for replica in fleet.models:
-                replica.faults = shared_faults
-            answer = await fleet.send_request("/draft/a", adapter="")
-            self.assertEqual((200, True), (answer.status, answer.complete))
-            self.assertEqual([1, 2, 3, 4, 5, 6], answer.event_ids)
-
-        run_fleet(check)
+        shared_faults = [Fault.TRICKLED_BODY]
+        for replica in fleet.models:
+            replica.faults = shared_faults
+        answer = await fleet.send_request("/draft/a", adapter="")
+        self.assertEqual((200, True), (answer.status, answer.complete))
+        self.assertEqual([1, 2, 3, 4, 5, 6], answer.event_ids)
 
 
 class LateResponseTest(testtools.TestCase):
     """A second copy of a response may come late, on a connection in use again."""
 
-    def test_second_copy_is_not_given_to_the_next_caller(self):
+    @with_system(run_fleet, registers=1)
+    async def test_second_copy_is_not_given_to_the_next_caller(self, fleet):
         """A copy without a request id was taken as the response to the next request."""
+        (replica,) = fleet.registers
+        for fault in (Fault.SECOND_COPY, Fault.SECOND_COPY_WITHOUT_ID):
+            for path in ("/lookup/a", "/entry/a"):
+                replica.faults = [fault]
+                await fleet.send_request(path, headers=[("X-Request-Id", "one")])
+                answer = await fleet.send_request(
+                    "/entry/b", headers=[("X-Request-Id", "two")]
+                )
+                self.assertEqual(200, answer.status)
+                self.assertEqual(b"register POST /entry/b", answer.body)
+                self.assertEqual("two", answer.headers["x-request-id"])
 
-        async def check(fleet):
-            (replica,) = fleet.registers
-            for fault in (Fault.SECOND_COPY, Fault.SECOND_COPY_WITHOUT_ID):
-                for path in ("/lookup/a", "/entry/a"):
-                    replica.faults = [fault]
-                    await fleet.send_request(path, headers=[("X-Request-Id", "one")])
-                    answer = await fleet.send_request(
-                        "/entry/b", headers=[("X-Request-Id", "two")]
-                    )
-                    self.assertEqual(200, answer.status)
-                    self.assertEqual(b"register POST /entry/b", answer.body)
-                    self.assertEqual("two", answer.headers["x-request-id"])
-
-        run_fleet(check, registers=1)
-
-    def test_copy_on_an_idle_connection_closes_it(self):
+    @with_system(run_fleet, registers=1)
+    async def test_copy_on_an_idle_connection_closes_it(self, fleet):
         """Bytes between two requests belong to none of them."""
-
-        async def check(fleet):
-            (replica,) = fleet.registers
-            await fleet.send_request("/entry/a")
-            (pool,) = [
-                item.pool
-                for item in fleet.gateways[0].replicas.by_id.values()
-                if item.id == replica.id
-            ]
-            self.assertEqual(1, pool.open_count)
-            (writer,) = replica.open_writers
-            writer.write(response(200, [("X-Request-Id", "one")], b"late"))
-            await wait_until(lambda: not replica.open_writers)
-            answer = await fleet.send_request("/entry/b")
-            self.assertEqual(b"register POST /entry/b", answer.body)
-
-        run_fleet(check, registers=1)
-
-    def test_late_response_does_not_answer_an_order(self):
+        (replica,) = fleet.registers
+        await fleet.send_request("/entry/a")
+        (pool,) = [
+            item.pool
+            for item in fleet.gateways[0].replicas.by_id.values()
+            if item.id == replica.id
+        ]
+        self.assertEqual(1, pool.open_count)
+        (writer,) = replica.open_writers
+        writer.write(response(200, [("X-Request-Id", "one")], b"late"))
+        await wait_until(lambda: not replica.open_writers)
+        answer = await fleet.send_request("/entry/b")
+        self.assertEqual(b"register POST /entry/b", answer.body)
+
+    @with_system(run_fleet, models=1)
+    async def test_late_response_does_not_answer_an_order(self, fleet):
         """The answer to a caller's request, late on the connection of an order, was
         read as "the replica holds the adapter"."""
-
-        async def check(fleet):
-            (replica,) = fleet.models
-            replica.load_s = 0.2
-            await fleet.send_request("/draft/a", adapter="a1")
-            late = response(200, [("X-Request-Id", "one")], b"late")
-            for writer in replica.open_writers:
-                replica._second_copies[writer] = late
-            answer = await fleet.send_request("/draft/a", adapter="a2")
-            self.assertEqual(200, answer.status)
-            # The replica refused a request that came before the end of the load.
-            self.assertEqual(2, len(replica.arrived_requests))
-
-        run_fleet(check, models=1)
+        (replica,) = fleet.models
+        replica.load_s = 0.2
+        await fleet.send_request("/draft/a", adapter="a1")
+        late = response(200, [("X-Request-Id", "one")], b"late")
+        for writer in replica.open_writers:
+            replica._second_copies[writer] = late
+        answer = await fleet.send_request("/draft/a", adapter="a2")
+        self.assertEqual(200, answer.status)
+        # The replica refused a request that came before the end of the load.
+        self.assertEqual(2, len(replica.arrived_requests))
 
 
 class RepeatedRefusalTest(testtools.TestCase):
@@ -256,78 +227,68 @@
         for count in (1, 2):
             run_fleet(check, registers=count, models=count)
 
-    def test_id_that_a_caller_uses_again_is_sent_on_another_connection(self):
+    @with_system(run_fleet, registers=1)
+    async def test_id_that_a_caller_uses_again_is_sent_on_another_connection(
+        self, fleet
+    ):
         """A caller may repeat a refused request under its id."""
-
-        async def check(fleet):
-            (replica,) = fleet.registers
-            fleet.gateways[0].retry_budgets.set_settings(
-                RetryBudgetSettings(0.0, 0.0, 10.0)
-            )
-            replica.faults = [Fault.REFUSED_TWICE]
-            headers = [("X-Request-Id", "one")]
-            refused = await fleet.send_request("/entry/a", headers=headers)
-            self.assertEqual(503, refused.status)
-            answer = await fleet.send_request("/entry/a", headers=headers)
-            self.assertEqual(200, answer.status)
-            self.assertEqual(1, len(replica.runs))
-
-        run_fleet(check, registers=1)
+        (replica,) = fleet.registers
+        fleet.gateways[0].retry_budgets.set_settings(
+            RetryBudgetSettings(0.0, 0.0, 10.0)
+        )
+        replica.faults = [Fault.REFUSED_TWICE]
+        headers = [("X-Request-Id", "one")]
+        refused = await fleet.send_request("/entry/a", headers=headers)
+        self.assertEqual(503, refused.status)
+        answer = await fleet.send_request("/entry/a", headers=headers)
+        self.assertEqual(200, answer.status)
+        self.assertEqual(1, len(replica.runs))
 
 
 class BrokenResponseTest(testtools.TestCase):
-    def test_head_that_breaks_off_is_no_success(self):
+    @with_system(run_fleet)
+    async def test_head_that_breaks_off_is_no_success(self, fleet):
         """A replica may stop anywhere in its head; the caller must not get a 200."""
-
-        async def check(fleet):
-            whole = response(
-                200, [("X-Request-Id", "r"), ("X-Server-Signature", "s")], b"body"
-            )
-            for path, replicas, options in (
-                ("/entry/a", fleet.registers, {}),
-                ("/night/a", fleet.models, {"adapter": ""}),
-            ):
-                for head_bytes in range(1, len(whole) + 20):
-                    for replica in replicas:
-                        replica.faults = [Fault.CUT_HEAD]
-                        replica.head_bytes = head_bytes
-                    answer = await fleet.send_request(path, **options)
-                    is_whole = answer.status == 200 and answer.body == b"body"
-                    if not is_whole:
-                        self.assertIn(answer.status, (502, 504), (path, head_bytes))
-
-        run_fleet(check)
-
-    def test_error_after_the_start_of_a_stream_does_not_reach_it(self):
+        whole = response(
+            200, [("X-Request-Id", "r"), ("X-Server-Signature", "s")], b"body"
+        )
+        for path, replicas, options in (
+            ("/entry/a", fleet.registers, {}),
+            ("/night/a", fleet.models, {"adapter": ""}),
+        ):
+            for head_bytes in range(1, len(whole) + 20):
+                for replica in replicas:
+                    replica.faults = [Fault.CUT_HEAD]
+                    replica.head_bytes = head_bytes
+                answer = await fleet.send_request(path, **options)
+                is_whole = answer.status == 200 and answer.body == b"body"
+                if not is_whole:
+                    self.assertIn(answer.status, (502, 504), (path, head_bytes))
+
+    @with_system(run_fleet)
+    async def test_error_after_the_start_of_a_stream_does_not_reach_it(self, fleet):
         """A stream goes on at a replica that answers with an error: its text must not
         appear among the events, nor the stream look complete."""
-
-        async def check(fleet):
-            for second in (Fault.SERVER_ERROR, Fault.REFUSED, Fault.CUT_HEAD):
-                for replica in fleet.models:
-                    replica.head_bytes = 40
-                shared_faults = [Fault.TRUNCATED, second, second, second]
-                for replica in fleet.models:
-                    replica.faults = shared_faults
-                answer = await fleet.send_request("/draft/a", adapter="")
-                expected_ids = list(range(1, len(answer.event_ids) + 1))
-                self.assertEqual(expected_ids, answer.event_ids, second)
-                self.assertLess(len(shared_faults), 3, second)
-                self.assertNotIn(b"HTTP/1.1", answer.body)
-                # The stand-in's error names the request.
-                self.assertNotIn(b"POST /draft", answer.body)
-                if answer.complete:
-                    self.assertEqual(6, len(answer.event_ids), second)
-
-        run_fleet(check)
-
-    def test_reset_body_without_length_is_not_complete(self):
+        for second in (Fault.SERVER_ERROR, Fault.REFUSED, Fault.CUT_HEAD):
+            for replica in fleet.models:
+                replica.head_bytes = 40
+            shared_faults = [Fault.TRUNCATED, second, second, second]
+            for replica in fleet.models:
+                replica.faults = shared_faults
+            answer = await fleet.send_request("/draft/a", adapter="")
+            expected_ids = list(range(1, len(answer.event_ids) + 1))
+            self.assertEqual(expected_ids, answer.event_ids, second)
+            self.assertLess(len(shared_faults), 3, second)
+            self.assertNotIn(b"HTTP/1.1", answer.body)
+            # The stand-in's error names the request.
+            self.assertNotIn(b"POST /draft", answer.body)
+            if answer.complete:
+                self.assertEqual(6, len(answer.event_ids), second)
+
+    @with_system(run_fleet)
+    async def test_reset_body_without_length_is_not_complete(self, fleet):
         """A body that ends with its connection is incomplete if that is reset."""
-
-        async def check(fleet):
-            for replica in fleet.registers:
-                replica.faults = [Fault.RESET_WITHOUT_LENGTH] * 2
-            answer = await fleet.send_request("/entry/a")
-            self.assertEqual(502, answer.status)
-
-        run_fleet(check)
+        for replica in fleet.registers:
+            replica.faults = [Fault.RESET_WITHOUT_LENGTH] * 2
+        answer = await fleet.send_request("/entry/a")
+        self.assertEqual(502, answer.status)
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -29,6 +29,7 @@
 from snipetrestle_standins.gateway_fleet import Caller
 from tests.gateway.log_recording import LogRecordingTest
 from tests.gateway.running import TEST_TIMEOUT_S, run_fleet
+from tests.systems import with_own_system, with_system
 from tests.waiting import wait_until
 
 LIMITS = CallerLimits(max_body_bytes=100_000)
@@ -400,78 +401,66 @@
         """Makes the bound exceeded by what is in progress."""
         served.memory.resize(0, served.memory.bound_bytes + 1)
 
-    def test_refused_request_has_not_run(self):
+    @with_own_system("run_served")
+    async def test_refused_request_has_not_run(self, served, caller):
         """A refusal must tell so, and end the connection with what follows on it."""
-
-        async def check(served, caller):
-            caller.writer.write(REQUEST + b"Content-Length: 9\r\n\r\nabc")
-            await wait_until(lambda: served.memory.held_bytes > CONNECTION_BYTES)
-            self.fill(served)
-            answer = await caller.read_response()
-            self.assertEqual(503, answer.status)
-            self.assertEqual(str(ResultCode.QUEUE_FULL).encode(), answer.body)
-            self.assertEqual("close", answer.headers["connection"])
-            self.assertEqual("1", answer.headers["retry-after"])
-            caller.writer.write(b"defghi" + REQUEST + b"Content-Length: 0\r\n\r\n")
-            self.assertEqual(b"", await caller.reader.read())
-            self.assertEqual([], served.requests)
-
-        self.run_served(check)
-
-    def test_new_request_is_refused_while_all_is_in_use(self):
+        caller.writer.write(REQUEST + b"Content-Length: 9\r\n\r\nabc")
+        await wait_until(lambda: served.memory.held_bytes > CONNECTION_BYTES)
+        self.fill(served)
+        answer = await caller.read_response()
+        self.assertEqual(503, answer.status)
+        self.assertEqual(str(ResultCode.QUEUE_FULL).encode(), answer.body)
+        self.assertEqual("close", answer.headers["connection"])
+        self.assertEqual("1", answer.headers["retry-after"])
+        caller.writer.write(b"defghi" + REQUEST + b"Content-Length: 0\r\n\r\n")
+        self.assertEqual(b"", await caller.reader.read())
+        self.assertEqual([], served.requests)
+
+    @with_own_system("run_served")
+    async def test_new_request_is_refused_while_all_is_in_use(self, served, caller):
         """Complete requests are not refused, so no new one may begin."""
-
-        async def check(served, caller):
-            self.fill(served)
-            caller.writer.write(b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n")
-            answer = await caller.read_response(has_body=False)
-            self.assertEqual(503, answer.status)
-            # A body in response to HEAD would be taken for the next answer.
-            self.assertEqual(b"", await caller.reader.read())
-            self.assertEqual([], served.requests)
-
-        self.run_served(check)
-
-    def test_request_in_progress_is_answered_before_the_refusal(self):
+        self.fill(served)
+        caller.writer.write(b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n")
+        answer = await caller.read_response(has_body=False)
+        self.assertEqual(503, answer.status)
+        # A body in response to HEAD would be taken for the next answer.
+        self.assertEqual(b"", await caller.reader.read())
+        self.assertEqual([], served.requests)
+
+    @with_own_system("run_served")
+    async def test_request_in_progress_is_answered_before_the_refusal(
+        self, served, caller
+    ):
         """Only what follows it on its connection may be refused."""
-
-        async def check(served, caller):
-            served.go_on.clear()
-            caller.writer.write(REQUEST + b"Content-Length: 0\r\n\r\n")
-            await wait_until(lambda: served.requests)
-            caller.writer.write(REQUEST + b"Content-Length: 90000\r\n\r\n" + b"x" * 9)
-            (connection,) = served.server.connections
-            await wait_until(lambda: connection.unfinished_bytes)
-            self.fill(served)
-            self.assertEqual(0, connection.unfinished_bytes)
-            served.go_on.set()
-            answer = await caller.read_response()
-            self.assertEqual((200, b"done"), (answer.status, answer.body))
-            answer = await caller.read_response()
-            self.assertEqual(
-                (503, "close"), (answer.status, answer.headers["connection"])
-            )
-            self.assertEqual(1, len(served.requests))
-
-        self.run_served(check)
-
-    def test_refused_pipelined_head_request_gets_no_body(self):
+        served.go_on.clear()
+        caller.writer.write(REQUEST + b"Content-Length: 0\r\n\r\n")
+        await wait_until(lambda: served.requests)
+        caller.writer.write(REQUEST + b"Content-Length: 90000\r\n\r\n" + b"x" * 9)
+        (connection,) = served.server.connections
+        await wait_until(lambda: connection.unfinished_bytes)
+        self.fill(served)
+        self.assertEqual(0, connection.unfinished_bytes)
+        served.go_on.set()
+        answer = await caller.read_response()
+        self.assertEqual((200, b"done"), (answer.status, answer.body))
+        answer = await caller.read_response()
+        self.assertEqual((503, "close"), (answer.status, answer.headers["connection"]))
+        self.assertEqual(1, len(served.requests))
+
+    @with_own_system("run_served")
+    async def test_refused_pipelined_head_request_gets_no_body(self, served, caller):
         """Its method is known only from bytes that have not been parsed."""
-
-        async def check(served, caller):
-            served.go_on.clear()
-            caller.writer.write(REQUEST + b"Content-Length: 0\r\n\r\n")
-            await wait_until(lambda: served.requests)
-            caller.writer.write(b"\r\nHEAD /a HTTP/1.1\r\nHost: h\r\n")
-            (connection,) = served.server.connections
-            await wait_until(lambda: connection.unfinished_bytes)
-            self.fill(served)
-            served.go_on.set()
-            self.assertEqual(200, (await caller.read_response()).status)
-            self.assertEqual(503, (await caller.read_response(has_body=False)).status)
-            self.assertEqual(b"", await caller.reader.read())
-
-        self.run_served(check)
+        served.go_on.clear()
+        caller.writer.write(REQUEST + b"Content-Length: 0\r\n\r\n")
+        await wait_until(lambda: served.requests)
+        caller.writer.write(b"\r\nHEAD /a HTTP/1.1\r\nHost: h\r\n")
+        (connection,) = served.server.connections
+        await wait_until(lambda: connection.unfinished_bytes)
+        self.fill(served)
+        served.go_on.set()
+        self.assertEqual(200, (await caller.read_response()).status)
+        self.assertEqual(503, (await caller.read_response(has_body=False)).status)
+        self.assertEqual(b"", await caller.reader.read())
 
     def test_request_that_came_too_slowly_holds_nothing(self):
         """Its body was kept while the connection waited for its caller's end."""
@@ -496,67 +485,55 @@
 
         self.run_served(check)
 
-    def test_objects_count_and_not_only_their_text(self):
+    @with_own_system("run_served")
+    async def test_objects_count_and_not_only_their_text(self, served, caller):
         """Lines of four bytes take forty times as much, and so do trickled bytes."""
+        caller.writer.write(REQUEST + b"a:\r\n" * 2000)
+        await wait_until(lambda: served.memory.held_bytes > 2000 * 150)
+        caller.writer.write(b"\r\n")
+        self.assertEqual(200, (await caller.read_response()).status)
 
-        async def check(served, caller):
-            caller.writer.write(REQUEST + b"a:\r\n" * 2000)
-            await wait_until(lambda: served.memory.held_bytes > 2000 * 150)
-            caller.writer.write(b"\r\n")
-            self.assertEqual(200, (await caller.read_response()).status)
-
-        self.run_served(check)
-
-    def test_ended_requests_and_connections_hold_nothing(self):
+    @with_own_system("run_served")
+    async def test_ended_requests_and_connections_hold_nothing(self, served, caller):
         """What is not given back would lower the bound for ever."""
-
-        async def check(served, caller):
-            for size in (0, 10, 100_000):
-                request = REQUEST + b"Content-Length: %d\r\n\r\n" % size
-                caller.writer.write(request + b"x" * size)
-                self.assertEqual(200, (await caller.read_response()).status)
-                await wait_until(lambda: served.memory.held_bytes == CONNECTION_BYTES)
-            caller.writer.write(REQUEST + b"Transfer-Encoding: chunked\r\n\r\n3\r\nab")
-            await wait_until(lambda: served.memory.held_bytes > CONNECTION_BYTES)
-            caller.writer.transport.abort()
-            await wait_until(lambda: not served.memory.held_bytes)
-
-        self.run_served(check)
-
-    def test_request_without_its_caller_counts_until_its_end(self):
+        for size in (0, 10, 100_000):
+            request = REQUEST + b"Content-Length: %d\r\n\r\n" % size
+            caller.writer.write(request + b"x" * size)
+            self.assertEqual(200, (await caller.read_response()).status)
+            await wait_until(lambda: served.memory.held_bytes == CONNECTION_BYTES)
+        caller.writer.write(REQUEST + b"Transfer-Encoding: chunked\r\n\r\n3\r\nab")
+        await wait_until(lambda: served.memory.held_bytes > CONNECTION_BYTES)
+        caller.writer.transport.abort()
+        await wait_until(lambda: not served.memory.held_bytes)
+
+    @with_own_system("run_served")
+    async def test_request_without_its_caller_counts_until_its_end(
+        self, served, caller
+    ):
         """A write goes on without its caller: callers that leave could fill memory."""
-
-        async def check(served, caller):
-            served.go_on.clear()
-            caller.writer.write(
-                REQUEST + b"Content-Length: 90000\r\n\r\n" + b"x" * 90_000
-            )
-            await wait_until(lambda: served.requests)
-            caller.writer.transport.abort()
-            await wait_until(lambda: not served.server.connections)
-            self.assertGreater(served.memory.held_bytes, BODY_COPIES * 90_000)
-            served.go_on.set()
-            await wait_until(lambda: not served.memory.held_bytes)
-
-        self.run_served(check)
-
-    def test_ended_connection_waits_for_no_collector(self):
+        served.go_on.clear()
+        caller.writer.write(REQUEST + b"Content-Length: 90000\r\n\r\n" + b"x" * 90_000)
+        await wait_until(lambda: served.requests)
+        caller.writer.transport.abort()
+        await wait_until(lambda: not served.server.connections)
+        self.assertGreater(served.memory.held_bytes, BODY_COPIES * 90_000)
+        served.go_on.set()
+        await wait_until(lambda: not served.memory.held_bytes)
+
+    @with_own_system("run_served")
+    async def test_ended_connection_waits_for_no_collector(self, served, caller):
         """Connections and requests that refer to each other stay until a collection of
         all generations, which may be far off."""
-
-        async def check(served, caller):
-            caller.writer.write(REQUEST + b"Content-Length: 3\r\n\r\nabc")
-            self.assertEqual(200, (await caller.read_response()).status)
-            (connection,) = served.server.connections
-            ended = weakref.ref(connection)
-            del connection
-            gc.collect()
-            gc.disable()
-            self.addCleanup(gc.enable)
-            caller.writer.close()
-            await wait_until(lambda: ended() is None)
-
-        self.run_served(check)
+        caller.writer.write(REQUEST + b"Content-Length: 3\r\n\r\nabc")
+        self.assertEqual(200, (await caller.read_response()).status)
+        (connection,) = served.server.connections
+        ended = weakref.ref(connection)
+        del connection
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        caller.writer.close()
+        await wait_until(lambda: ended() is None)
 
     def test_caller_that_does_not_read_is_ended_above_the_bound(self):
         """Its response was kept for 10 s, however little memory was left."""
@@ -608,75 +585,67 @@
 
         asyncio.run(main())
 
-    def test_slices_of_all_connections_are_spread_over_iterations(self):
+    @with_own_system("run_server")
+    async def test_slices_of_all_connections_are_spread_over_iterations(
+        self, served, address
+    ):
         """An ordinary request waited until the bytes of all others were parsed."""
+        writers = []
+        for _ in range(5):
+            _, writer = await asyncio.open_connection(*address)
+            writers.append(writer)
+            writer.write(self.CONTENT)
+        await wait_until(lambda: sum(self.sizes) == 5 * len(self.CONTENT))
+        # Each recv brings one slice of its own.
+        self.assertLess(max(self.sizes), 33_000)
+        slice_count = len(self.sizes)
+        self.assertGreater(slice_count, 5 * len(self.CONTENT) / 8192)
+        per_iteration = [
+            self.last_iterations.count(number) for number in set(self.last_iterations)
+        ]
+        self.assertLessEqual(max(per_iteration), 1 + 5)
+        for writer in writers:
+            writer.close()
 
-        async def check(served, address):
-            writers = []
-            for _ in range(5):
-                _, writer = await asyncio.open_connection(*address)
-                writers.append(writer)
-                writer.write(self.CONTENT)
-            await wait_until(lambda: sum(self.sizes) == 5 * len(self.CONTENT))
-            # Each recv brings one slice of its own.
-            self.assertLess(max(self.sizes), 33_000)
-            slice_count = len(self.sizes)
-            self.assertGreater(slice_count, 5 * len(self.CONTENT) / 8192)
-            per_iteration = [
-                self.last_iterations.count(number)
-                for number in set(self.last_iterations)
-            ]
-            self.assertLessEqual(max(per_iteration), 1 + 5)
-            for writer in writers:
-                writer.close()
-
-        self.run_server(check)
-
-    def test_body_with_a_declared_length_needs_no_slices(self):
+    @with_own_system("run_server")
+    async def test_body_with_a_declared_length_needs_no_slices(self, served, address):
         """It is one part for the parser, however large it is."""
+        async with Caller(address) as caller:
+            caller.writer.write(
+                REQUEST + b"Content-Length: 100000\r\n\r\n" + b"x" * 100_000
+            )
+            self.assertEqual(200, (await caller.read_response()).status)
+            self.assertLess(len(self.sizes), 12)
+            self.assertEqual([(b"POST", b"/a", 100_000)], served.requests)
 
-        async def check(served, address):
-            async with Caller(address) as caller:
-                caller.writer.write(
-                    REQUEST + b"Content-Length: 100000\r\n\r\n" + b"x" * 100_000
-                )
-                self.assertEqual(200, (await caller.read_response()).status)
-                self.assertLess(len(self.sizes), 12)
-                self.assertEqual([(b"POST", b"/a", 100_000)], served.requests)
-
-        self.run_server(check)
-
-    def test_slices_change_no_request(self):
+    @with_own_system("run_server")
+    async def test_slices_change_no_request(self, served, address):
         """Each request must be the same wherever its bytes are cut."""
-
-        async def check(served, address):
-            chunks = b"".join(
-                b"%x\r\n%b\r\n" % (size, b"y" * size) for size in range(1, 400)
-            )
-            async with Caller(address) as caller:
-                caller.writer.write(
-                    (
-                        REQUEST
-                        + b"Transfer-Encoding: chunked\r\n\r\n"
-                        + chunks
-                        + b"0\r\nTrailer: t\r\n\r\n"
-                        + REQUEST
-                        + b"Content-Length: 9000\r\n\r\n"
-                        + b"z" * 9000
-                        + b"GET /b HTTP/1.1\r\nHost: h\r\n%b\r\n" % (b"a: b\r\n" * 1500)
-                    )
-                    * 3
+        chunks = b"".join(
+            b"%x\r\n%b\r\n" % (size, b"y" * size) for size in range(1, 400)
+        )
+        async with Caller(address) as caller:
+            caller.writer.write(
+                (
+                    REQUEST
+                    + b"Transfer-Encoding: chunked\r\n\r\n"
+                    + chunks
+                    + b"0\r\nTrailer: t\r\n\r\n"
+                    + REQUEST
+                    + b"Content-Length: 9000\r\n\r\n"
+                    + b"z" * 9000
+                    + b"GET /b HTTP/1.1\r\nHost: h\r\n%b\r\n" % (b"a: b\r\n" * 1500)
                 )
-                for _ in range(9):
-                    self.assertEqual(200, (await caller.read_response()).status)
-            expected = [
-                (b"POST", b"/a", sum(range(1, 400))),
-                (b"POST", b"/a", 9000),
-                (b"GET", b"/b", 0),
-            ]
-            self.assertEqual(expected * 3, served.requests)
-
-        self.run_server(check)
+                * 3
+            )
+            for _ in range(9):
+                self.assertEqual(200, (await caller.read_response()).status)
+        expected = [
+            (b"POST", b"/a", sum(range(1, 400))),
+            (b"POST", b"/a", 9000),
+            (b"GET", b"/b", 0),
+        ]
+        self.assertEqual(expected * 3, served.requests)
 
 
 class ReportTest(LogRecordingTest):
@@ -707,25 +676,22 @@
 
 
 class ResponseMemoryTest(testtools.TestCase):
-    def test_response_waits_for_no_collector(self):
+    @with_system(run_fleet)
+    async def test_response_waits_for_no_collector(self, fleet):
         """Exchanges that refer to each other kept each response of up to 2 MB until a
         collection of all generations: 120 of 1.5 MB held 180 MB."""
-
-        async def check(fleet):
-            for replica in fleet.registers:
-                replica.body_for = lambda request: b"x" * 100_000
-            gc.collect()
-            gc.disable()
-            self.addCleanup(gc.enable)
-            for _ in range(5):
-                answer = await fleet.send_request("/lookup/a", method="GET")
-                self.assertEqual(100_000, len(answer.body))
-            await wait_until(lambda: not fleet.gateways[0].caller_server.connections)
-            left = [
-                item
-                for item in gc.get_objects()
-                if type(item).__name__ in ("Exchange", "Job", "Request")
-            ]
-            self.assertEqual([], left)
-
-        run_fleet(check)
+        for replica in fleet.registers:
+            replica.body_for = lambda request: b"x" * 100_000
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for _ in range(5):
+            answer = await fleet.send_request("/lookup/a", method="GET")
+            self.assertEqual(100_000, len(answer.body))
+        await wait_until(lambda: not fleet.gateways[0].caller_server.connections)
+        left = [
+            item
+            for item in gc.get_objects()
+            if type(item).__name__ in ("Exchange", "Job", "Request")
+        ]
+        self.assertEqual([], left)
--- a/tests/gateway/test_ended_connections.py
+++ b/tests/gateway/test_ended_connections.py
@@ -23,6 +23,7 @@
 from tests.gateway.running import run_fleet
 from tests.gateway.test_closing_connections import BlockingCaller, request_bytes
 from tests.gateway.test_connection_ends import count_ends
+from tests.systems import with_own_system, with_system
 from tests.waiting import wait_until
 
 SMALL_BUFFER_BYTES = 4096
@@ -38,89 +39,76 @@
 
 
 class ReportedEndTest(LogRecordingTest):
-    def test_unanswered_end_is_logged_after_many_refusals(self):
+    @with_system(run_fleet)
+    async def test_unanswered_end_is_logged_after_many_refusals(self, fleet):
         """Ends were logged within the rate limit of refusals, which a stop causes in
         large numbers."""
-
-        async def check(fleet):
-            gateway = fleet.live[0]
-            for replica in fleet.registers:
-                replica.faults = [Fault.NO_RESPONSE] * 3
-            async with Caller(gateway.settings.callers) as caller:
-                request = asyncio.create_task(caller.send_request("/entry/a"))
-                await wait_until(lambda: any(item.runs for item in fleet.registers))
-                async with Caller(gateway.settings.callers) as other:
-                    for _ in range(BURST_LINES + 20):
-                        answer = await other.send_request("/unknown/a")
-                        self.assertEqual(404, answer.status)
-                gateway.caller_server.close()
-                self.assertEqual(0, (await request).status)
-            self.assertEqual([("process_end", "request")], self.early_ends())
-
-        run_fleet(check)
-
-    def test_caller_that_resets_an_idle_connection_causes_no_internal_error(self):
+        gateway = fleet.live[0]
+        for replica in fleet.registers:
+            replica.faults = [Fault.NO_RESPONSE] * 3
+        async with Caller(gateway.settings.callers) as caller:
+            request = asyncio.create_task(caller.send_request("/entry/a"))
+            await wait_until(lambda: any(item.runs for item in fleet.registers))
+            async with Caller(gateway.settings.callers) as other:
+                for _ in range(BURST_LINES + 20):
+                    answer = await other.send_request("/unknown/a")
+                    self.assertEqual(404, answer.status)
+            gateway.caller_server.close()
+            self.assertEqual(0, (await request).status)
+        self.assertEqual([("process_end", "request")], self.early_ends())
+
+    @with_system(run_fleet)
+    async def test_caller_that_resets_an_idle_connection_causes_no_internal_error(
+        self, fleet
+    ):
         """The end of a connection that its caller had just reset was an EV-1403."""
-
-        async def check(fleet):
-            gateway = fleet.live[0]
-            caller = await BlockingCaller.connect(gateway)
-            caller.send(request_bytes())
-            self.assertEqual(200, await caller.read_status())
-            reset(caller._sock)
-            gateway.caller_server.close_idle_connections()
-            await wait_until(lambda: not gateway.caller_server.connections)
-            self.assertEqual([], self.logged(Event.INTERNAL_ERROR))
-
-        run_fleet(check)
-
-    def test_refused_head_time_out_is_not_reported_as_unanswered(self):
+        gateway = fleet.live[0]
+        caller = await BlockingCaller.connect(gateway)
+        caller.send(request_bytes())
+        self.assertEqual(200, await caller.read_status())
+        reset(caller._sock)
+        gateway.caller_server.close_idle_connections()
+        await wait_until(lambda: not gateway.caller_server.connections)
+        self.assertEqual([], self.logged(Event.INTERNAL_ERROR))
+
+    @with_system(run_fleet)
+    async def test_refused_head_time_out_is_not_reported_as_unanswered(self, fleet):
         """A caller that had been answered with 408 was logged as unanswered."""
-
-        async def check(fleet):
-            gateway = fleet.live[0]
-            async with Caller(gateway.settings.callers) as caller:
-                caller.writer.write(b"POST /entry/a HTTP/1.1\r\nHost: ")
-                self.assertEqual(408, (await caller.read_response()).status)
-            await wait_until(lambda: not gateway.caller_server.connections)
-            self.assertEqual([], self.early_ends())
-
-        run_fleet(check)
-
-    def test_refused_body_is_not_reported_as_unanswered(self):
+        gateway = fleet.live[0]
+        async with Caller(gateway.settings.callers) as caller:
+            caller.writer.write(b"POST /entry/a HTTP/1.1\r\nHost: ")
+            self.assertEqual(408, (await caller.read_response()).status)
+        await wait_until(lambda: not gateway.caller_server.connections)
+        self.assertEqual([], self.early_ends())
+
+    @with_system(run_fleet)
+    async def test_refused_body_is_not_reported_as_unanswered(self, fleet):
         """A caller that was refused with 413 while it still sent its body was logged as
         unanswered."""
-
-        async def check(fleet):
-            gateway = fleet.live[0]
-            async with Caller(gateway.settings.callers) as caller:
-                caller.writer.write(
-                    request_bytes().replace(b"Length: 0", b"Length: 9000000")
-                )
-                self.assertEqual(413, (await caller.read_response()).status)
-                caller.writer.write(b"x" * 1000)
-                await asyncio.sleep(0.1)
-            await wait_until(lambda: not gateway.caller_server.connections)
-            self.assertEqual([], self.early_ends())
-
-        run_fleet(check)
-
-    def test_stream_that_this_host_aborts_is_reported_as_partial_response(self):
-        """An aborted stream was counted as an end with nothing unanswered."""
-
-        async def check(fleet):
-            gateway = fleet.live[0]
-            for replica in fleet.models:
-                replica.faults = [Fault.TRUNCATED] * 5
-            async with Caller(gateway.settings.callers) as caller:
-                answer = await caller.send_request("/night/a", adapter="")
-                self.assertEqual((200, False), (answer.status, answer.complete))
-            await wait_until(lambda: not gateway.caller_server.connections)
-            self.assertEqual(
-                1, count_ends(gateway, "response_aborted", "partial_response")
+        gateway = fleet.live[0]
+        async with Caller(gateway.settings.callers) as caller:
+            caller.writer.write(
+                request_bytes().replace(b"Length: 0", b"Length: 9000000")
             )
+            self.assertEqual(413, (await caller.read_response()).status)
+            caller.writer.write(b"x" * 1000)
+            await asyncio.sleep(0.1)
+        await wait_until(lambda: not gateway.caller_server.connections)
+        self.assertEqual([], self.early_ends())
 
-        run_fleet(check)
+    @with_system(run_fleet)
+    async def test_stream_that_this_host_aborts_is_reported_as_partial_response(
+        self, fleet
+    ):
+        """An aborted stream was counted as an end with nothing unanswered."""
+        gateway = fleet.live[0]
+        for replica in fleet.models:
+            replica.faults = [Fault.TRUNCATED] * 5
+        async with Caller(gateway.settings.callers) as caller:
+            answer = await caller.send_request("/night/a", adapter="")
+            self.assertEqual((200, False), (answer.status, answer.complete))
+        await wait_until(lambda: not gateway.caller_server.connections)
+        self.assertEqual(1, count_ends(gateway, "response_aborted", "partial_response"))
 
     def test_response_cut_by_an_internal_error_is_reported_as_partial(self):
         """A stream that ended by an error was counted as nothing unanswered."""
@@ -221,173 +209,160 @@
 
         self.run_with_connection(check)
 
-    def test_unsent_rest_that_the_end_of_the_process_cuts_is_reported(self):
+    @with_own_system("run_with_connection")
+    async def test_unsent_rest_that_the_end_of_the_process_cuts_is_reported(
+        self, server, connection, sock
+    ):
         """A response whose rest was still buffered here at the end of the process was
         counted as nothing unanswered."""
-
-        async def check(server, connection, sock):
-            connection._transport.set_write_buffer_limits(high=2 * len(LARGE_BODY))
-            server.start_draining()
-            sock.send(request_bytes())
-            await wait_until(lambda: connection.has_response and not connection.busy)
-            self.assertGreater(connection._transport.get_write_buffer_size(), 0)
-            server.close()
-            await wait_until(lambda: self.ends)
-            self.assertEqual("partial_response", self.ends[0].unanswered)
-
-        self.run_with_connection(check)
-
-    def test_late_request_does_not_destroy_a_response_that_is_read_for_long(self):
+        connection._transport.set_write_buffer_limits(high=2 * len(LARGE_BODY))
+        server.start_draining()
+        sock.send(request_bytes())
+        await wait_until(lambda: connection.has_response and not connection.busy)
+        self.assertGreater(connection._transport.get_write_buffer_size(), 0)
+        server.close()
+        await wait_until(lambda: self.ends)
+        self.assertEqual("partial_response", self.ends[0].unanswered)
+
+    @with_own_system("run_with_connection")
+    async def test_late_request_does_not_destroy_a_response_that_is_read_for_long(
+        self, server, connection, sock
+    ):
         """The wait for the caller's end began before the response had been sent, so a
         request that came after LINGER_S caused a reset."""
-
-        async def check(server, connection, sock):
-            server.start_draining()
-            sock.send(request_bytes())
-            await wait_until(lambda: connection.has_response)
-            total = await self.read_body_bytes(sock, len(LARGE_BODY) // 2)
-            total += await self.read_body_bytes(
-                sock, len(LARGE_BODY) * 99 // 100 - total
-            )
-            await asyncio.sleep(LINGER_S + 0.3)
-            sock.send(request_bytes())
-            await asyncio.sleep(0.1)
-            total += await self.read_body_bytes(sock)
-            self.assertEqual(len(LARGE_BODY), total)
-
-        self.run_with_connection(check)
-
-    def test_close_of_idle_connections_does_not_end_the_wait_for_the_caller(self):
+        server.start_draining()
+        sock.send(request_bytes())
+        await wait_until(lambda: connection.has_response)
+        total = await self.read_body_bytes(sock, len(LARGE_BODY) // 2)
+        total += await self.read_body_bytes(sock, len(LARGE_BODY) * 99 // 100 - total)
+        await asyncio.sleep(LINGER_S + 0.3)
+        sock.send(request_bytes())
+        await asyncio.sleep(0.1)
+        total += await self.read_body_bytes(sock)
+        self.assertEqual(len(LARGE_BODY), total)
+
+    @with_own_system("run_with_connection")
+    async def test_close_of_idle_connections_does_not_end_the_wait_for_the_caller(
+        self, server, connection, sock
+    ):
         """A planned stop woke connections that waited for their caller's end; a late
         request then caused a reset."""
-
-        async def check(server, connection, sock):
-            server.start_draining()
-            sock.send(request_bytes())
-            total = 0
-            loop = asyncio.get_running_loop()
-            while not connection._lingering:
-                total += (await loop.sock_recv(sock, 65_536)).count(b"x")
-            server.close_idle_connections()
-            await asyncio.sleep(0.05)
-            sock.send(request_bytes())
-            await asyncio.sleep(0.1)
-            total += await self.read_body_bytes(sock)
-            self.assertEqual(len(LARGE_BODY), total)
-
-        self.run_with_connection(check)
-
-    def test_stop_waits_for_the_end_of_a_caller(self):
+        server.start_draining()
+        sock.send(request_bytes())
+        total = 0
+        loop = asyncio.get_running_loop()
+        while not connection._lingering:
+            total += (await loop.sock_recv(sock, 65_536)).count(b"x")
+        server.close_idle_connections()
+        await asyncio.sleep(0.05)
+        sock.send(request_bytes())
+        await asyncio.sleep(0.1)
+        total += await self.read_body_bytes(sock)
+        self.assertEqual(len(LARGE_BODY), total)
+
+    @with_own_system("run_with_connection")
+    async def test_stop_waits_for_the_end_of_a_caller(self, server, connection, sock):
         """The process ended meanwhile, so a late request reset the rest."""
-
-        async def check(server, connection, sock):
-            server.start_draining()
-            sock.send(request_bytes())
-            total = 0
-            loop = asyncio.get_running_loop()
-            while not connection._lingering:
-                total += (await loop.sock_recv(sock, 65_536)).count(b"x")
-            self.assertTrue(server.is_engaged)
-            total += await self.read_body_bytes(sock)
-            self.assertEqual(len(LARGE_BODY), total)
-            sock.close()
-            await wait_until(lambda: not server.is_engaged)
-
-        self.run_with_connection(check)
-
-    def test_late_request_on_an_idle_connection_is_reset_at_once(self):
+        server.start_draining()
+        sock.send(request_bytes())
+        total = 0
+        loop = asyncio.get_running_loop()
+        while not connection._lingering:
+            total += (await loop.sock_recv(sock, 65_536)).count(b"x")
+        self.assertTrue(server.is_engaged)
+        total += await self.read_body_bytes(sock)
+        self.assertEqual(len(LARGE_BODY), total)
+        sock.close()
+        await wait_until(lambda: not server.is_engaged)
+
+    @with_own_system("run_with_connection")
+    async def test_late_request_on_an_idle_connection_is_reset_at_once(
+        self, server, connection, sock
+    ):
         """It was read for half a second with no hope of an answer."""
-
-        async def check(server, connection, sock):
-            server.close_idle_connections()
-            connection._opened_at -= http_server.FIRST_REQUEST_WAIT_S
-            await wait_until(lambda: connection._lingering)
-            sock.send(request_bytes())
-            for _ in range(5):
-                await asyncio.sleep(0)
-            self.assertTrue(connection.closed)
-            self.assertEqual("unread_bytes", self.ends[0].unanswered)
-
-        self.run_with_connection(check)
-
-    def test_late_request_is_told_from_one_that_waited_in_the_socket(self):
+        server.close_idle_connections()
+        connection._opened_at -= http_server.FIRST_REQUEST_WAIT_S
+        await wait_until(lambda: connection._lingering)
+        sock.send(request_bytes())
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertTrue(connection.closed)
+        self.assertEqual("unread_bytes", self.ends[0].unanswered)
+
+    @with_own_system("run_with_connection")
+    async def test_late_request_is_told_from_one_that_waited_in_the_socket(
+        self, server, connection, sock
+    ):
         """A report did not tell whether a request had come before or after the end."""
-
-        async def check(server, connection, sock):
-            server.close_idle_connections()
-            connection._opened_at -= http_server.FIRST_REQUEST_WAIT_S
-            connection._received_at -= 3.0
-            await wait_until(lambda: connection._lingering)
-            sock.send(request_bytes())
-            await wait_until(lambda: connection.closed)
-            (end,) = self.ends
-            self.assertEqual(len(request_bytes()), end.late_bytes)
-            self.assertEqual(end.late_bytes, end.unread_bytes)
-            self.assertEqual(3, int(end.quiet_s))
-
-        self.run_with_connection(check)
-
-    def test_end_in_a_planned_stop_is_reported_as_drain_while_bytes_are_unsent(self):
+        server.close_idle_connections()
+        connection._opened_at -= http_server.FIRST_REQUEST_WAIT_S
+        connection._received_at -= 3.0
+        await wait_until(lambda: connection._lingering)
+        sock.send(request_bytes())
+        await wait_until(lambda: connection.closed)
+        (end,) = self.ends
+        self.assertEqual(len(request_bytes()), end.late_bytes)
+        self.assertEqual(end.late_bytes, end.unread_bytes)
+        self.assertEqual(3, int(end.quiet_s))
+
+    @with_own_system("run_with_connection")
+    async def test_end_in_a_planned_stop_is_reported_as_drain_while_bytes_are_unsent(
+        self, server, connection, sock
+    ):
         """A stop that ended a connection with unsent bytes was counted as idle."""
-
-        async def check(server, connection, sock):
-            connection._transport.set_write_buffer_limits(high=2 * len(LARGE_BODY))
-            sock.send(request_bytes())
-            await wait_until(lambda: connection.has_response and not connection.busy)
-            server.start_draining()
-            server.close_idle_connections()
-            await wait_until(lambda: connection._lingering)
-            self.assertEqual("drain", connection._end.reason)
-
-        self.run_with_connection(check)
+        connection._transport.set_write_buffer_limits(high=2 * len(LARGE_BODY))
+        sock.send(request_bytes())
+        await wait_until(lambda: connection.has_response and not connection.busy)
+        server.start_draining()
+        server.close_idle_connections()
+        await wait_until(lambda: connection._lingering)
+        self.assertEqual("drain", connection._end.reason)
 
 
 class ArrivedRequestTest(LogRecordingTest):
-    def test_request_whose_rest_has_arrived_as_the_head_times_out_is_answered(self):
+    @with_system(run_fleet)
+    async def test_request_whose_rest_has_arrived_as_the_head_times_out_is_answered(
+        self, fleet
+    ):
         """A request was refused with 408 though all of it was in the socket."""
-
-        async def check(fleet):
-            gateway = fleet.live[0]
-            caller = await BlockingCaller.connect(gateway)
-            self.addCleanup(caller.close)
-            (connection,) = gateway.caller_server.connections
-            data = request_bytes()
-            caller.send(data[:10])
-            await wait_until(lambda: connection._head_started_at is not None)
-            loop = asyncio.get_running_loop()
-            # Runs in the same turn as the connection's own timer, and after it.
-            timeout_at = connection._head_started_at + HEADER_TIMEOUT_S
-            loop.call_at(timeout_at + 0.01, caller.send, data[10:])
-            await asyncio.sleep(HEADER_TIMEOUT_S - 0.1)
-            time.sleep(0.2)  # noqa: ASYNC251 - a turn that takes long
-            self.assertEqual(200, await caller.read_status())
-
-        run_fleet(check)
-
-    def test_large_request_that_arrives_as_the_drain_ends_is_answered(self):
+        gateway = fleet.live[0]
+        caller = await BlockingCaller.connect(gateway)
+        self.addCleanup(caller.close)
+        (connection,) = gateway.caller_server.connections
+        data = request_bytes()
+        caller.send(data[:10])
+        await wait_until(lambda: connection._head_started_at is not None)
+        loop = asyncio.get_running_loop()
+        # Runs in the same turn as the connection's own timer, and after it.
+        timeout_at = connection._head_started_at + HEADER_TIMEOUT_S
+        loop.call_at(timeout_at + 0.01, caller.send, data[10:])
+        await asyncio.sleep(HEADER_TIMEOUT_S - 0.1)
+        time.sleep(0.2)  # noqa: ASYNC251 - a turn that takes long
+        self.assertEqual(200, await caller.read_status())
+
+    @with_system(run_fleet)
+    async def test_large_request_that_arrives_as_the_drain_ends_is_answered(
+        self, fleet
+    ):
         """A planned stop did not wait for a request whose bytes were in a socket, and
         ended the process before it had read all of them."""
-
-        async def check(fleet):
-            gateway = fleet.live[0]
-            caller = await BlockingCaller.connect(gateway)
-            self.addCleanup(caller.close)
-            (connection,) = gateway.caller_server.connections
-            receiver = connection._transport.get_extra_info("socket")
-            receiver.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_000_000)
-            caller._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_000_000)
-            caller.send(request_bytes())
-            self.assertEqual(200, await caller.read_status())
-            data = request_bytes().replace(b"Length: 0", b"Length: 1600000")
-            data += bytes(1_600_000)
-            close_idle_connections = HttpServer.close_idle_connections
-
-            def send_and_close(server):
-                caller.send(data)
-                close_idle_connections(server)
-
-            self.patch(HttpServer, "close_idle_connections", send_and_close)
-            os.kill(os.getpid(), signal.SIGTERM)
-            self.assertIn(await caller.read_status(), (200, 503))
-
-        run_fleet(check)
+        gateway = fleet.live[0]
+        caller = await BlockingCaller.connect(gateway)
+        self.addCleanup(caller.close)
+        (connection,) = gateway.caller_server.connections
+        receiver = connection._transport.get_extra_info("socket")
+        receiver.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_000_000)
+        caller._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_000_000)
+        caller.send(request_bytes())
+        self.assertEqual(200, await caller.read_status())
+        data = request_bytes().replace(b"Length: 0", b"Length: 1600000")
+        data += bytes(1_600_000)
+        close_idle_connections = HttpServer.close_idle_connections
+
+        def send_and_close(server):
+            caller.send(data)
+            close_idle_connections(server)
+
+        self.patch(HttpServer, "close_idle_connections", send_and_close)
+        os.kill(os.getpid(), signal.SIGTERM)
+        self.assertIn(await caller.read_status(), (200, 503))
--- a/tests/gateway/test_replica_pauses.py
+++ b/tests/gateway/test_replica_pauses.py
@@ -12,6 +12,7 @@
 from snipetrestle_standins.clock import StallFreeLoop
 from snipetrestle_standins.platform_replica import Fault
 from tests.gateway.running import run_fleet
+from tests.systems import with_system
 from tests.waiting import wait_until
 
 # A replica may get this many requests from a host in its pause, but for the first
@@ -68,174 +69,142 @@
         for path in ("/lookup/a", "/entry/a"):
             run_fleet(functools.partial(check, path=path))
 
-    def test_streams_go_to_other_replicas(self):
+    @with_system(run_fleet)
+    async def test_streams_go_to_other_replicas(self, fleet):
         """The same for streams of a base model, which all replicas hold."""
-
-        async def check(fleet):
-            replica, _ = fleet.models
-            await self.ask_for_pause(fleet, replica, "/draft/a", adapter="")
-            statuses = await self.send_during_pause(fleet, "/draft/a", adapter="")
-            self.assertEqual({200}, set(statuses))
-            self.assert_paused(replica)
-
-        run_fleet(check)
-
-    def test_adapter_of_a_paused_holder_is_loaded_elsewhere(self):
+        replica, _ = fleet.models
+        await self.ask_for_pause(fleet, replica, "/draft/a", adapter="")
+        statuses = await self.send_during_pause(fleet, "/draft/a", adapter="")
+        self.assertEqual({200}, set(statuses))
+        self.assert_paused(replica)
+
+    @with_system(run_fleet)
+    async def test_adapter_of_a_paused_holder_is_loaded_elsewhere(self, fleet):
         """The only holder of an adapter was asked again until its pause ended."""
-
-        async def check(fleet):
-            await fleet.send_request("/draft/a", adapter="a1")
-            (holder,) = [
-                item for item in fleet.models if "a1" in item.versions_by_adapter
-            ]
-            answer = await self.ask_for_pause(fleet, holder, "/draft/a", adapter="a1")
-            self.assertEqual(200, answer.status)
-            statuses = await self.send_during_pause(fleet, "/draft/a", adapter="a1")
-            self.assertEqual({200}, set(statuses))
-            self.assert_paused(holder)
-
-        run_fleet(check)
-
-    def test_leader_sends_no_orders(self):
+        await fleet.send_request("/draft/a", adapter="a1")
+        (holder,) = [item for item in fleet.models if "a1" in item.versions_by_adapter]
+        answer = await self.ask_for_pause(fleet, holder, "/draft/a", adapter="a1")
+        self.assertEqual(200, answer.status)
+        statuses = await self.send_during_pause(fleet, "/draft/a", adapter="a1")
+        self.assertEqual({200}, set(statuses))
+        self.assert_paused(holder)
+
+    @with_system(run_fleet)
+    async def test_leader_sends_no_orders(self, fleet):
         """A load was ordered from a replica that wanted nothing from the leader."""
+        paused, other = fleet.models
+        await self.ask_for_pause(fleet, paused, "/draft/a", adapter="")
+        orders = len(paused.orders)
+        # Waits until the leader's view of its replicas is renewed.
+        await asyncio.sleep(0.3)
+        for number in range(3):
+            answer = await fleet.send_request("/draft/a", adapter=f"a{number}")
+            self.assertEqual(200, answer.status)
+        self.assertEqual(orders, len(paused.orders))
+        self.assertEqual(3, len(other.versions_by_adapter))
 
-        async def check(fleet):
-            paused, other = fleet.models
-            await self.ask_for_pause(fleet, paused, "/draft/a", adapter="")
-            orders = len(paused.orders)
-            # Waits until the leader's view of its replicas is renewed.
-            await asyncio.sleep(0.3)
-            for number in range(3):
-                answer = await fleet.send_request("/draft/a", adapter=f"a{number}")
-                self.assertEqual(200, answer.status)
-            self.assertEqual(orders, len(paused.orders))
-            self.assertEqual(3, len(other.versions_by_adapter))
-
-        run_fleet(check)
-
-    def test_requests_are_refused_at_once_while_all_replicas_pause(self):
+    @with_system(run_fleet, loop_factory=StallFreeLoop, registers=1, models=1)
+    async def test_requests_are_refused_at_once_while_all_replicas_pause(self, fleet):
         """Callers waited, or were told to come back long before the pause ended."""
+        for path, replicas, options in (
+            ("/entry/a", fleet.registers, {}),
+            ("/draft/a", fleet.models, {"adapter": ""}),
+            ("/draft/a", fleet.models, {"adapter": "a1"}),
+        ):
+            (replica,) = replicas
+            answer = await self.ask_for_pause(fleet, replica, path, **options)
+            self.assertEqual(503, answer.status, options)
+            before = len(replica.arrived_requests)
+            for _ in range(20):
+                started = asyncio.get_running_loop().time()
+                answer = await fleet.send_request(path, **options)
+                took_s = asyncio.get_running_loop().time() - started
+                self.assertEqual(503, answer.status)
+                self.assertLess(took_s, 0.2)
+                left_s = self.asked_at + PAUSE_S - started
+                retry_after_s = float(answer.headers["retry-after"])
+                self.assertGreater(retry_after_s, left_s - 0.2)
+                self.assertLess(retry_after_s, left_s + 1.2)
+            self.assertEqual(before, len(replica.arrived_requests))
+            known = fleet.gateways[0].replicas.by_id[replica.id]
+            await wait_until(lambda known=known: known.is_available)
 
-        async def check(fleet):
-            for path, replicas, options in (
-                ("/entry/a", fleet.registers, {}),
-                ("/draft/a", fleet.models, {"adapter": ""}),
-                ("/draft/a", fleet.models, {"adapter": "a1"}),
-            ):
-                (replica,) = replicas
-                answer = await self.ask_for_pause(fleet, replica, path, **options)
-                self.assertEqual(503, answer.status, options)
-                before = len(replica.arrived_requests)
-                for _ in range(20):
-                    started = asyncio.get_running_loop().time()
-                    answer = await fleet.send_request(path, **options)
-                    took_s = asyncio.get_running_loop().time() - started
-                    self.assertEqual(503, answer.status)
-                    self.assertLess(took_s, 0.2)
-                    left_s = self.asked_at + PAUSE_S - started
-                    retry_after_s = float(answer.headers["retry-after"])
-                    self.assertGreater(retry_after_s, left_s - 0.2)
-                    self.assertLess(retry_after_s, left_s + 1.2)
-                self.assertEqual(before, len(replica.arrived_requests))
-                known = fleet.gateways[0].replicas.by_id[replica.id]
-                await wait_until(lambda known=known: known.is_available)
-
-        run_fleet(check, loop_factory=StallFreeLoop, registers=1, models=1)
-
-    def test_request_waits_for_a_pause_that_ends_soon(self):
+    @with_system(run_fleet, registers=1)
+    async def test_request_waits_for_a_pause_that_ends_soon(self, fleet):
         """A refusal costs the caller more than a wait within its target."""
-
-        async def check(fleet):
-            (replica,) = fleet.registers
-            answer = await self.ask_for_pause(fleet, replica, "/entry/a", 0.2)
-            self.assertEqual(200, answer.status)
-            self.assertEqual(2, len(replica.arrived_requests))
-            first, second = replica.arrival_times
-            self.assertGreaterEqual(second - first, 0.2)
-
-        run_fleet(check, registers=1)
-
-    def test_request_that_may_have_run_waits_longer(self):
+        (replica,) = fleet.registers
+        answer = await self.ask_for_pause(fleet, replica, "/entry/a", 0.2)
+        self.assertEqual(200, answer.status)
+        self.assertEqual(2, len(replica.arrived_requests))
+        first, second = replica.arrival_times
+        self.assertGreaterEqual(second - first, 0.2)
+
+    @with_system(run_fleet, registers=1)
+    async def test_request_that_may_have_run_waits_longer(self, fleet):
         """It cannot be refused as not run, so a pause of a second cost the caller its
         answer."""
-
-        async def check(fleet):
-            (replica,) = fleet.registers
-            replica.faults = [Fault.NO_RESPONSE]
-            request = asyncio.create_task(fleet.send_request("/lookup/a", method="GET"))
-            await wait_until(lambda: replica.arrival_times)
-            fleet.gateways[0].replicas.by_id[replica.id].pause.note(1.0)
-            answer = await request
-            self.assertEqual(200, answer.status)
-            first, second = replica.arrival_times
-            self.assertGreaterEqual(second - first, 1.0)
-
-        run_fleet(check, registers=1)
-
-    def test_suspected_replica_is_preferred_to_a_paused_one(self):
+        (replica,) = fleet.registers
+        replica.faults = [Fault.NO_RESPONSE]
+        request = asyncio.create_task(fleet.send_request("/lookup/a", method="GET"))
+        await wait_until(lambda: replica.arrival_times)
+        fleet.gateways[0].replicas.by_id[replica.id].pause.note(1.0)
+        answer = await request
+        self.assertEqual(200, answer.status)
+        first, second = replica.arrival_times
+        self.assertGreaterEqual(second - first, 1.0)
+
+    @with_system(run_fleet)
+    async def test_suspected_replica_is_preferred_to_a_paused_one(self, fleet):
         """A suspected replica may serve; a paused one does not."""
-
-        async def check(fleet):
-            replica, suspected = fleet.registers
-            await self.ask_for_pause(fleet, replica, "/lookup/a", method="GET")
-            fleet.gateways[0].replicas.by_id[suspected.id].note_silence()
-            answer = await fleet.send_request("/lookup/a", method="GET")
-            self.assertEqual(200, answer.status)
-            self.assert_paused(replica)
-            self.assertEqual("/lookup/a", suspected.arrived_requests[-1].target)
-
-        run_fleet(check)
-
-    def test_request_that_waits_for_a_limit_goes_elsewhere(self):
+        replica, suspected = fleet.registers
+        await self.ask_for_pause(fleet, replica, "/lookup/a", method="GET")
+        fleet.gateways[0].replicas.by_id[suspected.id].note_silence()
+        answer = await fleet.send_request("/lookup/a", method="GET")
+        self.assertEqual(200, answer.status)
+        self.assert_paused(replica)
+        self.assertEqual("/lookup/a", suspected.arrived_requests[-1].target)
+
+    @with_system(run_fleet, registers=1)
+    async def test_request_that_waits_for_a_limit_goes_elsewhere(self, fleet):
         """A request chose its replica, and was sent after the pause began."""
+        (replica,) = fleet.registers
+        replica.request_limit = 4.0
+        for _ in range(3):
+            await fleet.send_request("/lookup/a", method="GET")
+        waiting = [
+            asyncio.create_task(fleet.send_request("/lookup/a", method="GET"))
+            for _ in range(4)
+        ]
+        await asyncio.sleep(0.02)
+        known = fleet.gateways[0].replicas.by_id[replica.id]
+        known.pause.note(PAUSE_S)
+        before = len(replica.arrived_requests)
+        answers = await asyncio.gather(*waiting)
+        self.assertIn(503, {answer.status for answer in answers})
+        self.assertEqual(before, len(replica.arrived_requests))
 
-        async def check(fleet):
-            (replica,) = fleet.registers
-            replica.request_limit = 4.0
-            for _ in range(3):
-                await fleet.send_request("/lookup/a", method="GET")
-            waiting = [
-                asyncio.create_task(fleet.send_request("/lookup/a", method="GET"))
-                for _ in range(4)
-            ]
-            await asyncio.sleep(0.02)
-            known = fleet.gateways[0].replicas.by_id[replica.id]
-            known.pause.note(PAUSE_S)
-            before = len(replica.arrived_requests)
-            answers = await asyncio.gather(*waiting)
-            self.assertIn(503, {answer.status for answer in answers})
-            self.assertEqual(before, len(replica.arrived_requests))
-
-        run_fleet(check, registers=1)
-
-    def test_restart_ends_the_pause(self):
+    @with_system(run_fleet, registers=1)
+    async def test_restart_ends_the_pause(self, fleet):
         """A new process has asked for nothing."""
-
-        async def check(fleet):
-            (replica,) = fleet.registers
-            await self.ask_for_pause(fleet, replica, "/entry/a", 100.0)
-            replica.boot = 2
-            fleet.publish(replica)
-            known = fleet.gateways[0].replicas
-            await wait_until(lambda: known.by_id[replica.id].entry.boot == 2)
-            answer = await fleet.send_request("/entry/a")
-            self.assertEqual(200, answer.status)
-
-        run_fleet(check, registers=1)
-
-    def test_refused_report_is_a_pause_too(self):
+        (replica,) = fleet.registers
+        await self.ask_for_pause(fleet, replica, "/entry/a", 100.0)
+        replica.boot = 2
+        fleet.publish(replica)
+        known = fleet.gateways[0].replicas
+        await wait_until(lambda: known.by_id[replica.id].entry.boot == 2)
+        answer = await fleet.send_request("/entry/a")
+        self.assertEqual(200, answer.status)
+
+    @with_system(run_fleet, registers=1)
+    async def test_refused_report_is_a_pause_too(self, fleet):
         """The leader's reports may be turned away as well."""
-
-        async def check(fleet):
-            (replica,) = fleet.registers
-            known = fleet.gateways[0].replicas.by_id[replica.id]
-            replica.refuses_requests = True
-            replica.retry_after = PAUSE_S
-            with contextlib.suppress(Exception):
-                await OrderClient().report(known)
-            self.assertTrue(known.pause.is_active)
-
-        run_fleet(check, registers=1)
+        (replica,) = fleet.registers
+        known = fleet.gateways[0].replicas.by_id[replica.id]
+        replica.refuses_requests = True
+        replica.retry_after = PAUSE_S
+        with contextlib.suppress(Exception):
+            await OrderClient().report(known)
+        self.assertTrue(known.pause.is_active)
 
 
 class PauseValueTest(testtools.TestCase):
@@ -262,15 +231,12 @@
         self.assertIsNone(self.pause_s(b"2", status=200))
         self.assertIsNone(self.pause_s(b"2", status=429))
 
-    def test_longest_pause_is_bounded(self):
+    @with_system(run_fleet)
+    async def test_longest_pause_is_bounded(self, fleet):
         """A wrong unit or a damaged value must not ban a replica for hours."""
-
-        async def check(fleet):
-            known = fleet.gateways[0].replicas.by_id["register-0"]
-            known.pause.note(86_400.0)
-            self.assertLess(known.pause.left_s(), 1.1 * MAX_PAUSE_S)
-
-        run_fleet(check)
+        known = fleet.gateways[0].replicas.by_id["register-0"]
+        known.pause.note(86_400.0)
+        self.assertLess(known.pause.left_s(), 1.1 * MAX_PAUSE_S)
 
     def test_pause_of_a_replica_is_not_the_callers(self):
         """It counts for this host; other replicas may serve the caller at once."""
@@ -280,16 +246,13 @@
         metadata = PlatformDialect().read_response(429, headers)
         self.assertIn(b"retry-after", dict(metadata.headers))
 
-    def test_hosts_do_not_all_return_at_once(self):
+    @with_system(run_fleet, gateways=3)
+    async def test_hosts_do_not_all_return_at_once(self, fleet):
         """Many hosts are asked for the same pause at nearly the same time."""
-
-        async def check(fleet):
-            ends = []
-            for gateway in fleet.gateways:
-                known = gateway.replicas.by_id["register-0"]
-                known.pause.note(10.0)
-                self.assertGreaterEqual(known.pause.left_s(), 9.9)
-                ends.append(known.pause.left_s())
-            self.assertGreater(max(ends) - min(ends), 0.1)
-
-        run_fleet(check, gateways=3)
+        ends = []
+        for gateway in fleet.gateways:
+            known = gateway.replicas.by_id["register-0"]
+            known.pause.note(10.0)
+            self.assertGreaterEqual(known.pause.left_s(), 9.9)
+            ends.append(known.pause.left_s())
+        self.assertGreater(max(ends) - min(ends), 0.1)
