--- a/tests/dispatch/test_group_dispatcher.py
+++ b/tests/dispatch/test_group_dispatcher.py
@@ -20,6 +20,7 @@
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import ReplicaEntry, ReplicaState
 from snipetrestle_standins.clock import run_in_virtual_time
+from tests.systems import with_own_system
 
 BACKEND = "desk"
 SENDERS = {"h1", "h2"}
@@ -86,281 +87,223 @@
     def assert_state(self, state, *tickets):
         self.assertEqual([state] * len(tickets), [item.state for item in tickets])
 
-    def test_no_replica_gets_more_than_it_can_run(self):
+    @with_own_system("run_group", (3, 2))
+    async def test_no_replica_gets_more_than_it_can_run(self):
         """Hosts that each knew only their own requests sent a third too many."""
+        tickets = [self.request() for _ in range(12)]
+        permitted = [t for t in tickets if t.state is TicketState.PERMITTED]
+        ids = sorted(item.replica_id for item in permitted)
+        self.assertEqual(["r0"] * 3 + ["r1"] * 2, ids)
 
-        async def check():
-            tickets = [self.request() for _ in range(12)]
-            permitted = [t for t in tickets if t.state is TicketState.PERMITTED]
-            ids = sorted(item.replica_id for item in permitted)
-            self.assertEqual(["r0"] * 3 + ["r1"] * 2, ids)
-
-        self.run_group(check, (3, 2))
-
-    def test_order_is_by_priority_and_then_by_arrival(self):
+    @with_own_system("run_group")
+    async def test_order_is_by_priority_and_then_by_arrival(self):
         """An urgent request must not wait behind others."""
-
-        async def check():
-            running = self.request()
-            waiting = [self.request(priority) for priority in (2, 1, 0, 1, 0)]
-            order = []
-            for _ in waiting:
-                self.end(running)
-                (running,) = (
-                    t
-                    for t in waiting
-                    if t.state is TicketState.PERMITTED and t not in order
-                )
-                order.append(running)
-            self.assertEqual([2, 4, 1, 3, 0], [waiting.index(t) for t in order])
-
-        self.run_group(check)
-
-    def test_waiting_for_half_of_its_time_makes_a_request_urgent(self):
-        """Under a steady stream of urgent requests, the others would never be sent."""
-
-        async def check():
-            running = self.request()
-            patient = self.request(9, max_wait_s=1.0)
-            for _ in range(7):
-                self.request(0)
-                await anyio.sleep(0.08)
-                self.dispatcher.sweep(SENDERS)
-                self.dispatcher.keep_only("h1", 0, frozenset())
-            self.assert_state(TicketState.QUEUED, patient)
+        running = self.request()
+        waiting = [self.request(priority) for priority in (2, 1, 0, 1, 0)]
+        order = []
+        for _ in waiting:
             self.end(running)
-            self.assert_state(TicketState.PERMITTED, patient)
+            (running,) = (
+                t
+                for t in waiting
+                if t.state is TicketState.PERMITTED and t not in order
+            )
+            order.append(running)
+        self.assertEqual([2, 4, 1, 3, 0], [waiting.index(t) for t in order])
 
-        self.run_group(check)
+    @with_own_system("run_group")
+    async def test_waiting_for_half_of_its_time_makes_a_request_urgent(self):
+        """Under a steady stream of urgent requests, the others would never be sent."""
+        running = self.request()
+        patient = self.request(9, max_wait_s=1.0)
+        for _ in range(7):
+            self.request(0)
+            await anyio.sleep(0.08)
+            self.dispatcher.sweep(SENDERS)
+            self.dispatcher.keep_only("h1", 0, frozenset())
+        self.assert_state(TicketState.QUEUED, patient)
+        self.end(running)
+        self.assert_state(TicketState.PERMITTED, patient)
 
-    def test_request_that_cannot_be_served_in_time_is_refused_at_once(self):
+    @with_own_system("run_group")
+    async def test_request_that_cannot_be_served_in_time_is_refused_at_once(self):
         """It would wait for nothing, and its caller learn too late to go elsewhere."""
-
-        async def check():
-            self.request()
-            # Each takes 0.1 s.
-            waiting = [self.request(max_wait_s=0.35) for _ in range(3)]
-            self.assert_state(TicketState.QUEUED, *waiting)
-            refused = self.request(max_wait_s=0.35)
-            self.assert_state(TicketState.REFUSED, refused)
-            self.assertAlmostEqual(0.4, refused.wait_s, places=6)
-            urgent = self.request(0, max_wait_s=0.35)
-            self.assert_state(TicketState.QUEUED, urgent)
-            short = self.request(0, time_left_s=0.25)
-            self.assert_state(TicketState.REFUSED, short)
-
-        self.run_group(check)
-
-    def test_request_pushed_back_by_urgent_ones_is_refused_before_its_time(self):
+        self.request()
+        # Each takes 0.1 s.
+        waiting = [self.request(max_wait_s=0.35) for _ in range(3)]
+        self.assert_state(TicketState.QUEUED, *waiting)
+        refused = self.request(max_wait_s=0.35)
+        self.assert_state(TicketState.REFUSED, refused)
+        self.assertAlmostEqual(0.4, refused.wait_s, places=6)
+        urgent = self.request(0, max_wait_s=0.35)
+        self.assert_state(TicketState.QUEUED, urgent)
+        short = self.request(0, time_left_s=0.25)
+        self.assert_state(TicketState.REFUSED, short)
+
+    @with_own_system("run_group")
+    async def test_request_pushed_back_by_urgent_ones_is_refused_before_its_time(self):
         """The same for one that had a place when it came."""
-
-        async def check():
-            self.request()
-            patient = self.request(9, max_wait_s=0.3)
-            for _ in range(12):
-                self.request(0, max_wait_s=2.0)
-            for _ in range(12):
-                self.request(0, max_wait_s=2.0)
-            await anyio.sleep(0.2)
-            self.dispatcher.sweep(SENDERS)
-            await anyio.sleep(0.11)
-            self.dispatcher.sweep(SENDERS)
-            self.assert_state(TicketState.REFUSED, patient)
-
-        self.run_group(check)
-
-    def test_queue_is_bounded(self):
+        self.request()
+        patient = self.request(9, max_wait_s=0.3)
+        for _ in range(12):
+            self.request(0, max_wait_s=2.0)
+        for _ in range(12):
+            self.request(0, max_wait_s=2.0)
+        await anyio.sleep(0.2)
+        self.dispatcher.sweep(SENDERS)
+        await anyio.sleep(0.11)
+        self.dispatcher.sweep(SENDERS)
+        self.assert_state(TicketState.REFUSED, patient)
+
+    @with_own_system("run_group")
+    async def test_queue_is_bounded(self):
         """A flood would take the owner's memory."""
-
-        async def check():
-            for _ in range(MAX_QUEUED + 50):
-                self.request(max_wait_s=1e6, time_left_s=1e6)
-            queued = [s for _, s in self.decisions if s is TicketState.QUEUED]
-            self.assertLessEqual(len(queued), MAX_QUEUED)
-            self.assertIn(TicketState.REFUSED, [s for _, s in self.decisions])
-
-        self.run_group(check)
-
-    def test_repeated_request_takes_no_second_place(self):
+        for _ in range(MAX_QUEUED + 50):
+            self.request(max_wait_s=1e6, time_left_s=1e6)
+        queued = [s for _, s in self.decisions if s is TicketState.QUEUED]
+        self.assertLessEqual(len(queued), MAX_QUEUED)
+        self.assertIn(TicketState.REFUSED, [s for _, s in self.decisions])
+
+    @with_own_system("run_group", (2,))
+    async def test_repeated_request_takes_no_second_place(self):
         """A host that repeats a request for a lost answer would lose a place."""
-
-        async def check():
-            ticket = self.request()
-            again = Ticket("h1", ticket.number, 1, 1.0, 5.0, ())
-            self.dispatcher.request(again)
-            self.assertEqual(
-                [(ticket.number, TicketState.PERMITTED)] * 2, self.decisions
-            )
-            other = self.request(sender="h2")
-            self.assert_state(TicketState.PERMITTED, other)
-
-        self.run_group(check, (2,))
-
-    def test_request_that_comes_after_its_end_takes_no_place(self):
+        ticket = self.request()
+        again = Ticket("h1", ticket.number, 1, 1.0, 5.0, ())
+        self.dispatcher.request(again)
+        self.assertEqual([(ticket.number, TicketState.PERMITTED)] * 2, self.decisions)
+        other = self.request(sender="h2")
+        self.assert_state(TicketState.PERMITTED, other)
+
+    @with_own_system("run_group")
+    async def test_request_that_comes_after_its_end_takes_no_place(self):
         """A caller may leave while its request is still on the way to the owner."""
-
-        async def check():
-            self.dispatcher.end("h1", 1, Outcome.UNKNOWN, 0.0)
-            late = self.request()
-            self.assertEqual(1, late.number)
-            self.assertEqual([], self.decisions)
-            await anyio.sleep(MEMORY_S + 1)
-            self.dispatcher.sweep(SENDERS)
-            self.assert_state(TicketState.PERMITTED, self.request())
-
-        self.run_group(check)
-
-    def test_cancelled_wait_gives_its_place_back_at_once(self):
+        self.dispatcher.end("h1", 1, Outcome.UNKNOWN, 0.0)
+        late = self.request()
+        self.assertEqual(1, late.number)
+        self.assertEqual([], self.decisions)
+        await anyio.sleep(MEMORY_S + 1)
+        self.dispatcher.sweep(SENDERS)
+        self.assert_state(TicketState.PERMITTED, self.request())
+
+    @with_own_system("run_group")
+    async def test_cancelled_wait_gives_its_place_back_at_once(self):
         """A caller that has left would hold up those behind it."""
-
-        async def check():
-            running = self.request()
-            first, second = self.request(), self.request()
-            self.end(first, Outcome.UNKNOWN)
-            self.end(running)
-            self.assert_state(TicketState.PERMITTED, second)
-
-        self.run_group(check)
-
-    def test_lost_ends_are_made_up_for(self):
+        running = self.request()
+        first, second = self.request(), self.request()
+        self.end(first, Outcome.UNKNOWN)
+        self.end(running)
+        self.assert_state(TicketState.PERMITTED, second)
+
+    @with_own_system("run_group", (2,))
+    async def test_lost_ends_are_made_up_for(self):
         """Each lost end would cost a place until the deadline of its request."""
-
-        async def check():
-            lost, kept = self.request(), self.request()
-            waiting = self.request()
-            later = self.request()
-            self.dispatcher.keep_only(
-                "h1", waiting.number, {kept.number, waiting.number}
-            )
-            self.assert_state(TicketState.ENDED, lost)
-            self.assert_state(TicketState.PERMITTED, kept, waiting)
-            self.assert_state(TicketState.QUEUED, later)
-
-        self.run_group(check, (2,))
-
-    def test_permit_ends_at_the_deadline_of_its_request(self):
+        lost, kept = self.request(), self.request()
+        waiting = self.request()
+        later = self.request()
+        self.dispatcher.keep_only("h1", waiting.number, {kept.number, waiting.number})
+        self.assert_state(TicketState.ENDED, lost)
+        self.assert_state(TicketState.PERMITTED, kept, waiting)
+        self.assert_state(TicketState.QUEUED, later)
+
+    @with_own_system("run_group")
+    async def test_permit_ends_at_the_deadline_of_its_request(self):
         """A host whose last message was lost would keep a place for ever."""
-
-        async def check():
-            ticket = self.request(time_left_s=1.0)
-            waiting = self.request(max_wait_s=3.0)
-            await anyio.sleep(1.01)
-            self.dispatcher.sweep(SENDERS)
-            self.assert_state(TicketState.ENDED, ticket)
-            self.assert_state(TicketState.PERMITTED, waiting)
-
-        self.run_group(check)
-
-    def test_hosts_that_stopped_or_fell_silent_lose_their_permits(self):
+        ticket = self.request(time_left_s=1.0)
+        waiting = self.request(max_wait_s=3.0)
+        await anyio.sleep(1.01)
+        self.dispatcher.sweep(SENDERS)
+        self.assert_state(TicketState.ENDED, ticket)
+        self.assert_state(TicketState.PERMITTED, waiting)
+
+    @with_own_system("run_group", (2,))
+    async def test_hosts_that_stopped_or_fell_silent_lose_their_permits(self):
         """Requests of a host that was killed would fill the replicas."""
-
-        async def check():
-            gone = self.request(sender="gone", time_left_s=60.0)
-            silent = self.request(sender="h2", time_left_s=60.0)
-            self.dispatcher.sweep(SENDERS)
-            self.assert_state(TicketState.ENDED, gone)
-            self.assert_state(TicketState.PERMITTED, silent)
-            await anyio.sleep(SENDER_SILENCE_S + 0.1)
-            self.dispatcher.sweep(SENDERS)
-            self.assert_state(TicketState.ENDED, silent)
-
-        self.run_group(check, (2,))
-
-    def test_requests_without_permits_count(self):
+        gone = self.request(sender="gone", time_left_s=60.0)
+        silent = self.request(sender="h2", time_left_s=60.0)
+        self.dispatcher.sweep(SENDERS)
+        self.assert_state(TicketState.ENDED, gone)
+        self.assert_state(TicketState.PERMITTED, silent)
+        await anyio.sleep(SENDER_SILENCE_S + 0.1)
+        self.dispatcher.sweep(SENDERS)
+        self.assert_state(TicketState.ENDED, silent)
+
+    @with_own_system("run_group", (6,))
+    async def test_requests_without_permits_count(self):
         """Hosts that do not ask yet would fill replicas that look empty."""
-
-        async def check():
-            replica = self.directory.by_id["r0"]
-            replica.others_in_flight = 4
-            # Not so long that the limit rises.
-            for _ in range(4):
-                self.dispatcher.update()
-                await anyio.sleep(0.1)
-            permitted = [self.request() for _ in range(4)]
-            states = [item.state for item in permitted]
-            self.assertEqual(2, states.count(TicketState.PERMITTED))
-            for ticket in permitted[2:]:
-                self.end(ticket, Outcome.UNKNOWN)
-            # The loads tell of the permitted requests as well, which count once.
-            (room,) = self.dispatcher._rooms_by_process.values()
-            replica.others_in_flight = 4 + room.permitted
-            for _ in range(20):
-                self.dispatcher.update()
-                await anyio.sleep(0.5)
-            (room,) = self.dispatcher._rooms_by_process.values()
-            self.assertEqual(room.permitted + 4, room.under_way)
-
-        self.run_group(check, (6,))
-
-    def test_restarted_replica_starts_anew(self):
-        """What its previous process could run says nothing about the new one."""
-
-        async def check():
-            old = [self.request() for _ in range(3)]
-            self.end(old[0], Outcome.TURNED_AWAY)
-            self.assert_state(TicketState.QUEUED, self.request())
-            self.list("r0", 3, boot=2)
+        replica = self.directory.by_id["r0"]
+        replica.others_in_flight = 4
+        # Not so long that the limit rises.
+        for _ in range(4):
             self.dispatcher.update()
-            new = [self.request() for _ in range(2)]
-            self.assert_state(TicketState.PERMITTED, *new)
-
-        self.run_group(check, (3,))
+            await anyio.sleep(0.1)
+        permitted = [self.request() for _ in range(4)]
+        states = [item.state for item in permitted]
+        self.assertEqual(2, states.count(TicketState.PERMITTED))
+        for ticket in permitted[2:]:
+            self.end(ticket, Outcome.UNKNOWN)
+        # The loads tell of the permitted requests as well, which count once.
+        (room,) = self.dispatcher._rooms_by_process.values()
+        replica.others_in_flight = 4 + room.permitted
+        for _ in range(20):
+            self.dispatcher.update()
+            await anyio.sleep(0.5)
+        (room,) = self.dispatcher._rooms_by_process.values()
+        self.assertEqual(room.permitted + 4, room.under_way)
 
-    def test_replica_to_avoid_is_not_chosen_and_holds_nobody_up(self):
+    @with_own_system("run_group", (3,))
+    async def test_restarted_replica_starts_anew(self):
+        """What its previous process could run says nothing about the new one."""
+        old = [self.request() for _ in range(3)]
+        self.end(old[0], Outcome.TURNED_AWAY)
+        self.assert_state(TicketState.QUEUED, self.request())
+        self.list("r0", 3, boot=2)
+        self.dispatcher.update()
+        new = [self.request() for _ in range(2)]
+        self.assert_state(TicketState.PERMITTED, *new)
+
+    @with_own_system("run_group", (1, 1))
+    async def test_replica_to_avoid_is_not_chosen_and_holds_nobody_up(self):
         """A request would come back to the replica that has just refused it, and one
         that cannot use the free replica would block those behind it."""
-
-        async def check():
-            first = self.request(avoid=("r0",))
-            self.assertEqual("r1", first.replica_id)
-            choosy = self.request(0, avoid=("r0",))
-            self.assert_state(TicketState.QUEUED, choosy)
-            other = self.request(5)
-            self.assertEqual("r0", other.replica_id)
-            self.end(first)
-            self.assertEqual("r1", choosy.replica_id)
-
-        self.run_group(check, (1, 1))
-
-    def test_replica_that_drains_gets_no_permits(self):
+        first = self.request(avoid=("r0",))
+        self.assertEqual("r1", first.replica_id)
+        choosy = self.request(0, avoid=("r0",))
+        self.assert_state(TicketState.QUEUED, choosy)
+        other = self.request(5)
+        self.assertEqual("r0", other.replica_id)
+        self.end(first)
+        self.assertEqual("r1", choosy.replica_id)
+
+    @with_own_system("run_group", (2, 1))
+    async def test_replica_that_drains_gets_no_permits(self):
         """A stop would turn away what was sent to it."""
+        self.list("r0", 2, state=ReplicaState.DRAINING)
+        self.assertEqual("r1", self.request().replica_id)
+        self.assert_state(TicketState.QUEUED, self.request())
 
-        async def check():
-            self.list("r0", 2, state=ReplicaState.DRAINING)
-            self.assertEqual("r1", self.request().replica_id)
-            self.assert_state(TicketState.QUEUED, self.request())
-
-        self.run_group(check, (2, 1))
-
-    def test_faster_replica_gets_more(self):
+    @with_own_system("run_group", (6, 6))
+    async def test_faster_replica_gets_more(self):
         """Equal parts would leave the fast replica idle while the slow one is full."""
-
-        async def check():
-            counts = {"r0": 0, "r1": 0}
-
-            async def serve(ticket):
-                service_s = 0.05 if ticket.replica_id == "r0" else 0.2
-                counts[ticket.replica_id] += 1
-                await anyio.sleep(service_s)
-                self.end(ticket, service_s=service_s)
-
-            async with anyio.create_task_group() as group:
-                for _ in range(400):
-                    ticket = self.request()
-                    self.assert_state(TicketState.PERMITTED, ticket)
-                    group.start_soon(serve, ticket)
-                    await anyio.sleep(0.02)
-            self.assertGreater(counts["r0"], 2 * counts["r1"])
-
-        self.run_group(check, (6, 6))
-
-    def test_replica_that_accepts_no_connection_is_passed_over(self):
+        counts = {"r0": 0, "r1": 0}
+
+        async def serve(ticket):
+            service_s = 0.05 if ticket.replica_id == "r0" else 0.2
+            counts[ticket.replica_id] += 1
+            await anyio.sleep(service_s)
+            self.end(ticket, service_s=service_s)
+
+        async with anyio.create_task_group() as group:
+            for _ in range(400):
+                ticket = self.request()
+                self.assert_state(TicketState.PERMITTED, ticket)
+                group.start_soon(serve, ticket)
+                await anyio.sleep(0.02)
+        self.assertGreater(counts["r0"], 2 * counts["r1"])
+
+    @with_own_system("run_group", (2, 2))
+    async def test_replica_that_accepts_no_connection_is_passed_over(self):
         """It always has room, so each request would fail there first."""
-
-        async def check():
-            ticket = self.request()
-            self.assertEqual("r0", ticket.replica_id)
-            self.end(ticket, Outcome.NOT_CONNECTED)
-            self.assertEqual("r1", self.request().replica_id)
-
-        self.run_group(check, (2, 2))
+        ticket = self.request()
+        self.assertEqual("r0", ticket.replica_id)
+        self.end(ticket, Outcome.NOT_CONNECTED)
+        self.assertEqual("r1", self.request().replica_id)
--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -14,6 +14,7 @@
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.dispatch import searches
 from tests.dispatch.searches import BACKEND, build_search
+from tests.systems import with_own_system
 
 KEY = AdapterKey("m0", "a1")
 # How long a search goes on: 1.5 target latencies.
@@ -71,77 +72,67 @@
         self.assertLessEqual(len(self.uses), 1 + searched_s / NO_PLACE_PAUSE_S)
         self.assertEqual(1, sum(self.uses))
 
-    def test_suspected_holder_is_not_asked_for_without_a_pause(self):
+    @with_own_system("run_with_search", ["r0"])
+    async def test_suspected_holder_is_not_asked_for_without_a_pause(
+        self, search, replicas
+    ):
         """The leader was asked in a loop while the only holder was suspected."""
+        replicas["r0"].suspected_until = anyio.current_time() + 0.5
+        replica = await search.find_stream_replica(make_job())
+        self.assertIs(replicas["r0"], replica)
+        self.assert_questions(0.5 + NO_PLACE_PAUSE_S)
 
-        async def check(search, replicas):
-            replicas["r0"].suspected_until = anyio.current_time() + 0.5
-            replica = await search.find_stream_replica(make_job())
-            self.assertIs(replicas["r0"], replica)
-            self.assert_questions(0.5 + NO_PLACE_PAUSE_S)
-
-        self.run_with_search(check, ["r0"])
-
-    def test_search_for_a_suspected_holder_ends(self):
+    @with_own_system("run_with_search", ["r0"])
+    async def test_search_for_a_suspected_holder_ends(self, search, replicas):
         """The same until the request was refused."""
-
-        async def check(search, replicas):
-            replicas["r0"].suspected_until = anyio.current_time() + 4.0
-            error = await self.refusal(search)
-            self.assertIs(ResultCode.LOAD_FAILED, error.code)
-            self.assert_questions(SEARCH_S)
-
-        self.run_with_search(check, ["r0"])
-
-    def test_stream_that_is_taken_up_waits_longer_for_a_place(self):
+        replicas["r0"].suspected_until = anyio.current_time() + 4.0
+        error = await self.refusal(search)
+        self.assertIs(ResultCode.LOAD_FAILED, error.code)
+        self.assert_questions(SEARCH_S)
+
+    @with_own_system("run_with_search", ["unlisted"])
+    async def test_stream_that_is_taken_up_waits_longer_for_a_place(
+        self, search, replicas
+    ):
         """It was refused seconds before its deadline while adapters were loaded, and
         its caller used up its repetitions."""
-
-        async def check(search, replicas):
-            started_at = anyio.current_time()
-            job = make_job()
-            job.take_up = object()
-            with testtools.ExpectedException(Refused):
-                await search.find_stream_replica(job)
-            waited_s = anyio.current_time() - started_at
-            self.assertGreater(waited_s, TAKE_UP_SEARCH_S)
-            self.assertLess(waited_s, TAKE_UP_SEARCH_S + 2 * NO_PLACE_PAUSE_S)
-
-        self.run_with_search(check, ["unlisted"])
-
-    def test_holder_on_no_list_is_not_asked_for_without_a_pause(self):
+        started_at = anyio.current_time()
+        job = make_job()
+        job.take_up = object()
+        with testtools.ExpectedException(Refused):
+            await search.find_stream_replica(job)
+        waited_s = anyio.current_time() - started_at
+        self.assertGreater(waited_s, TAKE_UP_SEARCH_S)
+        self.assertLess(waited_s, TAKE_UP_SEARCH_S + 2 * NO_PLACE_PAUSE_S)
+
+    @with_own_system("run_with_search", ["unlisted"])
+    async def test_holder_on_no_list_is_not_asked_for_without_a_pause(
+        self, search, replicas
+    ):
         """The leader may list a replica that this host does not."""
+        await self.refusal(search)
+        self.assert_questions(SEARCH_S)
 
-        async def check(search, replicas):
-            await self.refusal(search)
-            self.assert_questions(SEARCH_S)
-
-        self.run_with_search(check, ["unlisted"])
-
-    def test_limited_holders_are_not_asked_for_in_turn_without_a_pause(self):
+    @with_own_system("run_with_search", ["r0", "r1"], replica_count=3)
+    async def test_limited_holders_are_not_asked_for_in_turn_without_a_pause(
+        self, search, replicas
+    ):
         """Each question left out the holder that the one before had named."""
+        for replica_id in ("r0", "r1"):
+            replicas[replica_id].request_limit.note(1.0, anyio.current_time())
+        await self.refusal(search)
+        self.assert_questions(SEARCH_S)
 
-        async def check(search, replicas):
-            for replica_id in ("r0", "r1"):
-                replicas[replica_id].request_limit.note(1.0, anyio.current_time())
-            await self.refusal(search)
-            self.assert_questions(SEARCH_S)
-
-        self.run_with_search(check, ["r0", "r1"], replica_count=3)
-
-    def test_place_in_the_second_answer_is_used_at_once(self):
+    @with_own_system("run_with_search", [])
+    async def test_place_in_the_second_answer_is_used_at_once(self, search, replicas):
         """A pause after the answer that names a place would delay the stream."""
-
-        async def check(search, replicas):
-            started_at = anyio.current_time()
-            async with anyio.create_task_group() as group:
-                group.start_soon(search.find_stream_replica, make_job())
-                await anyio.sleep(0.01)
-                self.holders.append("r0")
-            took_s = anyio.current_time() - started_at
-            self.assertAlmostEqual(NO_PLACE_PAUSE_S + 2 * ANSWER_S, took_s, places=6)
-
-        self.run_with_search(check, [])
+        started_at = anyio.current_time()
+        async with anyio.create_task_group() as group:
+            group.start_soon(search.find_stream_replica, make_job())
+            await anyio.sleep(0.01)
+            self.holders.append("r0")
+        took_s = anyio.current_time() - started_at
+        self.assertAlmostEqual(NO_PLACE_PAUSE_S + 2 * ANSWER_S, took_s, places=6)
 
     async def refusal(self, search):
         try:
--- a/tests/dispatch/test_version_choice.py
+++ b/tests/dispatch/test_version_choice.py
@@ -23,6 +23,7 @@
     build_search,
     make_job,
 )
+from tests.systems import with_own_system
 
 KEY = AdapterKey("m0", "a1")
 OLD, NEW = "1.0", "1.1"
@@ -38,7 +39,7 @@
         super().setUp()
         self.directory = ReplicaDirectory("zone-1", random.Random(1))
 
-    def run_with(self, versions, function):
+    def run_with(self, function, versions):
         """Lists replicas ``r0``, ``r1`` ... of some versions and runs ``function()``."""
 
         async def main():
@@ -91,143 +92,110 @@
 
 
 class LeavingVersionsTest(ReleaseTestCase):
-    def test_first_replica_of_a_release_gets_streams(self):
+    @with_own_system("run_with", [OLD] * 4)
+    async def test_first_replica_of_a_release_gets_streams(self):
         """A new version has one replica at first, but none of it leaves."""
-
-        async def check():
-            self.drain(0)
-            self.assertEqual({"r1", "r2", "r3"}, self.preferred())
-            self.replace(0)
-            self.assertEqual({"r0", "r1", "r2", "r3"}, self.preferred())
-            self.assertEqual(set(), self.leaving())
-
-        self.run_with([OLD] * 4, check)
-
-    def test_both_versions_get_streams_half_way(self):
+        self.drain(0)
+        self.assertEqual({"r1", "r2", "r3"}, self.preferred())
+        self.replace(0)
+        self.assertEqual({"r0", "r1", "r2", "r3"}, self.preferred())
+        self.assertEqual(set(), self.leaving())
+
+    @with_own_system("run_with", [OLD] * 6)
+    async def test_both_versions_get_streams_half_way(self):
         """Without the old version, half of the replicas would get all streams."""
-
-        async def check():
-            for number in range(3):
-                self.drain(number)
-                self.replace(number)
-            self.assertEqual({f"r{number}" for number in range(6)}, self.preferred())
-            self.drain(3)
-            self.assertEqual({f"r{n}" for n in (0, 1, 2, 4, 5)}, self.preferred())
-
-        self.run_with([OLD] * 6, check)
-
-    def test_last_replica_of_a_release_gets_no_streams(self):
+        for number in range(3):
+            self.drain(number)
+            self.replace(number)
+        self.assertEqual({f"r{number}" for number in range(6)}, self.preferred())
+        self.drain(3)
+        self.assertEqual({f"r{n}" for n in (0, 1, 2, 4, 5)}, self.preferred())
+
+    @with_own_system("run_with", [OLD] * 4)
+    async def test_last_replica_of_a_release_gets_no_streams(self):
         """Its streams go on nowhere once it leaves."""
-
-        async def check():
-            for number in range(2):
-                self.replace(number)
-            self.drain(2)
-            self.assertEqual({OLD}, self.leaving())
-            self.assertEqual({"r0", "r1"}, self.preferred())
-            self.replace(2)
-            self.assertEqual({OLD}, self.leaving())
-            self.assertEqual({"r0", "r1", "r2"}, self.preferred())
-
-        self.run_with([OLD] * 4, check)
-
-    def test_announced_leaving_counts(self):
+        for number in range(2):
+            self.replace(number)
+        self.drain(2)
+        self.assertEqual({OLD}, self.leaving())
+        self.assertEqual({"r0", "r1"}, self.preferred())
+        self.replace(2)
+        self.assertEqual({OLD}, self.leaving())
+        self.assertEqual({"r0", "r1", "r2"}, self.preferred())
+
+    @with_own_system("run_with", [OLD] * 4)
+    async def test_announced_leaving_counts(self):
         """A replica announces its leaving before its entry says so."""
-
-        async def check():
-            self.replace(0)
-            self.replace(1)
-            await anyio.sleep(VERSION_LEFT_S + 0.1)
-            self.assertEqual(set(), self.leaving())
-            self.directory.by_id["r2"].note_leaving()
-            self.assertEqual({OLD}, self.leaving())
-            self.assertEqual({"r0", "r1"}, self.preferred())
-
-        self.run_with([OLD] * 4, check)
-
-    def test_replica_that_left_the_list_counts_for_a_while(self):
+        self.replace(0)
+        self.replace(1)
+        await anyio.sleep(VERSION_LEFT_S + 0.1)
+        self.assertEqual(set(), self.leaving())
+        self.directory.by_id["r2"].note_leaving()
+        self.assertEqual({OLD}, self.leaving())
+        self.assertEqual({"r0", "r1"}, self.preferred())
+
+    @with_own_system("run_with", [NEW, NEW, OLD, OLD])
+    async def test_replica_that_left_the_list_counts_for_a_while(self):
         """Between two steps of a release no replica is listed that leaves; a version
         that keeps one replica must get streams again."""
-
-        async def check():
-            await anyio.sleep(1.0)
-            self.directory.unlist("r2")
-            await anyio.sleep(VERSION_LEFT_S - 0.1)
-            self.assertEqual({"r0", "r1"}, self.preferred())
-            await anyio.sleep(0.2)
-            self.assertEqual({"r0", "r1", "r3"}, self.preferred())
-
-        self.run_with([NEW, NEW, OLD, OLD], check)
-
-    def test_canary_gets_streams(self):
+        await anyio.sleep(1.0)
+        self.directory.unlist("r2")
+        await anyio.sleep(VERSION_LEFT_S - 0.1)
+        self.assertEqual({"r0", "r1"}, self.preferred())
+        await anyio.sleep(0.2)
+        self.assertEqual({"r0", "r1", "r3"}, self.preferred())
+
+    @with_own_system("run_with", [OLD, OLD, NEW])
+    async def test_canary_gets_streams(self):
         """One replica of another version shows nothing if it gets no streams."""
+        self.assertEqual({"r0", "r1", "r2"}, self.preferred())
+        self.drain(0)
+        self.assertEqual({"r1", "r2"}, self.preferred())
 
-        async def check():
-            self.assertEqual({"r0", "r1", "r2"}, self.preferred())
-            self.drain(0)
-            self.assertEqual({"r1", "r2"}, self.preferred())
-
-        self.run_with([OLD, OLD, NEW], check)
-
-    def test_canary_that_is_rolled_back_leaves(self):
+    @with_own_system("run_with", [OLD, OLD, NEW, NEW])
+    async def test_canary_that_is_rolled_back_leaves(self):
         """The last replica of the newer version may leave as well."""
+        self.drain(2)
+        self.assertEqual({NEW}, self.leaving())
+        self.assertEqual({"r0", "r1"}, self.preferred())
 
-        async def check():
-            self.drain(2)
-            self.assertEqual({NEW}, self.leaving())
-            self.assertEqual({"r0", "r1"}, self.preferred())
-
-        self.run_with([OLD, OLD, NEW, NEW], check)
-
-    def test_version_leaves_only_for_one_of_two_replicas(self):
+    @with_own_system("run_with", [OLD] * 3)
+    async def test_version_leaves_only_for_one_of_two_replicas(self):
         """Streams at a single replica of the other version are as easily stranded."""
+        self.replace(0)
+        self.drain(1)
+        self.assertEqual(set(), self.leaving())
+        self.assertEqual({"r0", "r2"}, self.preferred())
 
-        async def check():
-            self.replace(0)
-            self.drain(1)
-            self.assertEqual(set(), self.leaving())
-            self.assertEqual({"r0", "r2"}, self.preferred())
-
-        self.run_with([OLD] * 3, check)
-
-    def test_unknown_versions_neither_leave_nor_make_others_leave(self):
+    @with_own_system("run_with", [OLD, OLD, "", "", ""])
+    async def test_unknown_versions_neither_leave_nor_make_others_leave(self):
         """Nothing is known of them: they may all be the same or none."""
-
-        async def check():
-            self.drain(0)
-            self.drain(2)
-            self.assertEqual(set(), self.leaving())
-            self.assertEqual({"r1", "r3", "r4"}, self.preferred())
-            for number in (5, 6):
-                self.list_replica(number, NEW)
-            self.assertEqual({OLD}, self.leaving())
-            self.assertEqual({"r3", "r4", "r5", "r6"}, self.preferred())
-
-        self.run_with([OLD, OLD, "", "", ""], check)
-
-    def test_only_version_does_not_leave(self):
+        self.drain(0)
+        self.drain(2)
+        self.assertEqual(set(), self.leaving())
+        self.assertEqual({"r1", "r3", "r4"}, self.preferred())
+        for number in (5, 6):
+            self.list_replica(number, NEW)
+        self.assertEqual({OLD}, self.leaving())
+        self.assertEqual({"r3", "r4", "r5", "r6"}, self.preferred())
+
+    @with_own_system("run_with", [OLD] * 3)
+    async def test_only_version_does_not_leave(self):
         """Nothing takes its streams while its last replica remains."""
+        self.drain(0)
+        self.drain(1)
+        self.assertEqual(set(), self.leaving())
+        self.assertEqual({"r2"}, self.preferred())
 
-        async def check():
-            self.drain(0)
-            self.drain(1)
-            self.assertEqual(set(), self.leaving())
-            self.assertEqual({"r2"}, self.preferred())
-
-        self.run_with([OLD] * 3, check)
-
-    def test_other_backends_do_not_count(self):
+    @with_own_system("run_with", [OLD, NEW])
+    async def test_other_backends_do_not_count(self):
         """A release of one backend would move the streams of another."""
-
-        async def check():
-            self.drain(0)
-            self.assertEqual([], self.directory.versions_left("other"))
-            self.assertFalse(self.directory.mixes_versions("other"))
-            self.directory.unlist("r0")
-            self.assertEqual([], self.directory.versions_left("other"))
-            self.assertEqual([OLD], self.directory.versions_left(BACKEND))
-
-        self.run_with([OLD, NEW], check)
+        self.drain(0)
+        self.assertEqual([], self.directory.versions_left("other"))
+        self.assertFalse(self.directory.mixes_versions("other"))
+        self.directory.unlist("r0")
+        self.assertEqual([], self.directory.versions_left("other"))
+        self.assertEqual([OLD], self.directory.versions_left(BACKEND))
 
 
 class RoomTest(ReleaseTestCase):
@@ -246,7 +214,7 @@
                 disturb(self.directory.by_id[replica_id])
             self.assertEqual(expected, self.preferred())
 
-        self.run_with(self.VERSIONS, check)
+        self.run_with(check, self.VERSIONS)
 
     def test_without_room_elsewhere_all_replicas_get_streams(self):
         """A stream would be refused or wait, though a replica has room for it."""
@@ -275,7 +243,7 @@
             self.drain(2)
             self.assertEqual({"r0", "r1"}, self.preferred())
 
-        self.run_with(self.VERSIONS, check)
+        self.run_with(check, self.VERSIONS)
 
     def test_suspected_replicas_have_no_room(self):
         """Streams would begin at replicas that do not answer."""
@@ -303,39 +271,33 @@
 
 
 class VersionCountsTest(ReleaseTestCase):
-    def test_versions_mix_as_long_as_two_are_listed(self):
+    @with_own_system("run_with", [OLD] * 3)
+    async def test_versions_mix_as_long_as_two_are_listed(self):
         """A count that misses a change costs each stream a search, or ends the
         preference in the middle of a release."""
-
-        async def check():
-            self.assertFalse(self.directory.mixes_versions(BACKEND))
-            self.list_replica(3, "")
-            self.assertFalse(self.directory.mixes_versions(BACKEND))
-            for number in range(2):
-                self.replace(number)
-                self.drain(number)
-                self.assertTrue(self.directory.mixes_versions(BACKEND))
-            self.directory.unlist("r2")
-            self.assertFalse(self.directory.mixes_versions(BACKEND))
-            for replica_id in ("r0", "r1", "r3", "r3"):
-                self.directory.unlist(replica_id)
-            self.assertFalse(self.directory.mixes_versions(BACKEND))
-
-        self.run_with([OLD] * 3, check)
-
-    def test_versions_of_many_releases_are_not_kept(self):
+        self.assertFalse(self.directory.mixes_versions(BACKEND))
+        self.list_replica(3, "")
+        self.assertFalse(self.directory.mixes_versions(BACKEND))
+        for number in range(2):
+            self.replace(number)
+            self.drain(number)
+            self.assertTrue(self.directory.mixes_versions(BACKEND))
+        self.directory.unlist("r2")
+        self.assertFalse(self.directory.mixes_versions(BACKEND))
+        for replica_id in ("r0", "r1", "r3", "r3"):
+            self.directory.unlist(replica_id)
+        self.assertFalse(self.directory.mixes_versions(BACKEND))
+
+    @with_own_system("run_with", [])
+    async def test_versions_of_many_releases_are_not_kept(self):
         """A list of all versions that ever left would grow with each release."""
-
-        async def check():
-            for number in range(100):
-                self.list_replica(0, f"1.{number}", boot=number)
-                await anyio.sleep(1.0)
-            held = self.directory._version_left_at_by_backend[BACKEND]
-            self.assertLessEqual(len(held), VERSION_LEFT_S + 1)
-            counts = self.directory._version_counts_by_backend[BACKEND]
-            self.assertEqual({"1.99": 1}, dict(counts))
-
-        self.run_with([], check)
+        for number in range(100):
+            self.list_replica(0, f"1.{number}", boot=number)
+            await anyio.sleep(1.0)
+        held = self.directory._version_left_at_by_backend[BACKEND]
+        self.assertLessEqual(len(held), VERSION_LEFT_S + 1)
+        counts = self.directory._version_counts_by_backend[BACKEND]
+        self.assertEqual({"1.99": 1}, dict(counts))
 
 
 class StreamSearchTest(ReleaseTestCase):
@@ -365,7 +327,7 @@
                     chosen.add(replica.id)
                 group.cancel_scope.cancel()
 
-        self.run_with([NEW, NEW, OLD, OLD], check)
+        self.run_with(check, [NEW, NEW, OLD, OLD])
         return chosen
 
     def test_new_stream_begins_at_the_version_that_stays(self):
@@ -419,4 +381,4 @@
             replica = await search.find_stream_replica(make_job())
             self.assertIn(replica.id, ("r1", "r2"))
 
-        self.run_with([OLD, OLD, OLD, ""], check)
+        self.run_with(check, [OLD, OLD, OLD, ""])
