Start the daemons of configuration spread tests in one place

Nine tests and checks started all daemons and waited for the first revision by the same two lines; two tests made the service stale by the same eight. Both are methods of the common base class now. The order of all steps is the same.

--- a/tests/peers/test_configuration_spread.py
+++ b/tests/peers/test_configuration_spread.py
@@ -69,13 +69,28 @@
         expected = ({accepted}, {accepted if seen is None else seen})
         return await fleet.wait_until(lambda: fleet.revisions() == expected, limit_s)
 
+    async def start_accepted(self, fleet):
+        """Starts all daemons and waits until the first revision is in effect."""
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 1)
+
+    async def start_beside_a_stale_service(self, fleet):
+        """Starts all daemons with revision 2; then the service shows revision 1."""
+        publish(fleet)
+        fleet.configuration.freeze()
+        frozen = fleet.configuration._frozen
+        fleet.configuration.thaw()
+        publish(fleet, adapters=4)
+        fleet.start_all()
+        await self.wait_for_revisions(fleet, 2)
+        fleet.configuration._frozen = frozen
+
 
 class DistributionTest(DistributionTestCase):
     def check_distribution(self, size, domains):
         async def check(fleet):
             publish(fleet)
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 1)
+            await self.start_accepted(fleet)
             for daemon in fleet.daemons_by_name.values():
                 await daemon.spread.ready.wait()
             reads = fleet.configuration.calls["read"]
@@ -102,14 +117,7 @@
     @with_system(run_fleet)
     async def test_stale_service_does_not_revert_a_revision(self, fleet):
         """A delayed replica could replace a revision by one of its own."""
-        publish(fleet)
-        fleet.configuration.freeze()
-        frozen = fleet.configuration._frozen
-        fleet.configuration.thaw()
-        publish(fleet, adapters=4)
-        fleet.start_all()
-        await self.wait_for_revisions(fleet, 2)
-        fleet.configuration._frozen = frozen
+        await self.start_beside_a_stale_service(fleet)
         # Restarted daemons, readers among them, read the stale service first.
         for number in range(7):
             fleet.kill(f"entry-{number}")
@@ -127,8 +135,7 @@
     async def test_late_reply_with_a_lower_revision_is_ignored(self, fleet):
         """Guards against a delayed reply that replaces a newer revision."""
         publish(fleet)
-        fleet.start_all()
-        await self.wait_for_revisions(fleet, 1)
+        await self.start_accepted(fleet)
         spread = fleet.daemons_by_name["entry-0"].spread
         old_content = await spread._on_fetch_configuration(
             "entry-1", FetchConfiguration(RevisionDigest())
@@ -148,8 +155,7 @@
     async def test_start_while_the_service_is_down(self, fleet):
         """Daemons must not need the service in order to start."""
         publish(fleet)
-        fleet.start_all()
-        await self.wait_for_revisions(fleet, 1)
+        await self.start_accepted(fleet)
         fleet.configuration.set_down(True)
         fleet.kill("entry-3")
         restarted = fleet.start(fleet.host(3))
@@ -184,14 +190,7 @@
     @with_system(run_fleet)
     async def test_reader_of_a_stale_service_asks_peers_before_it_is_ready(self, fleet):
         """A reader could start with a revision that peers have replaced already."""
-        publish(fleet)
-        fleet.configuration.freeze()
-        frozen = fleet.configuration._frozen
-        fleet.configuration.thaw()
-        publish(fleet, adapters=4)
-        fleet.start_all()
-        await self.wait_for_revisions(fleet, 2)
-        fleet.configuration._frozen = frozen
+        await self.start_beside_a_stale_service(fleet)
         for number in range(7):
             name = f"entry-{number}"
             fleet.kill(name)
@@ -228,8 +227,7 @@
     def check_refused(self, publish_invalid, problem):
         async def check(fleet):
             publish(fleet)
-            fleet.start_all()
-            await self.wait_for_revisions(fleet, 1)
+            await self.start_accepted(fleet)
             publish_invalid(fleet)
             await self.wait_for_revisions(fleet, 1, seen=2)
             refusals = self.events_of("EV-1102")
@@ -323,8 +321,7 @@
     async def test_only_changed_parts_are_read(self, fleet):
         """Readers must not read the whole document for each change."""
         publish_parts(fleet, self.parts(10))
-        fleet.start_all()
-        await self.wait_for_revisions(fleet, 1)
+        await self.start_accepted(fleet)
         reads = fleet.configuration.calls["read"]
         publish_parts(fleet, self.parts(11))
         await self.wait_for_revisions(fleet, 2)
@@ -340,8 +337,7 @@
     async def test_refused_part_is_read_again_with_the_next_revision(self, fleet):
         """If a revision is refused, its changes must not be lost."""
         publish_parts(fleet, self.parts(10))
-        fleet.start_all()
-        await self.wait_for_revisions(fleet, 1)
+        await self.start_accepted(fleet)
         parts = self.parts(12)
         parts["rest"]["policy"] = {"load_stalls": -1.0}
         publish_parts(fleet, parts)
@@ -356,8 +352,7 @@
     async def test_name_in_two_parts_is_refused(self, fleet):
         """Parts with the same name in them could silently override each other."""
         publish_parts(fleet, self.parts(4))
-        fleet.start_all()
-        await self.wait_for_revisions(fleet, 1)
+        await self.start_accepted(fleet)
         parts = self.parts(4)
         parts["adapters-1"] = parts["adapters-0"]
         publish_parts(fleet, parts)
@@ -369,8 +364,7 @@
         """Parts with such a key could not be put together, and the error ended each
         daemon that read the service."""
         publish_parts(fleet, self.parts(4))
-        fleet.start_all()
-        await self.wait_for_revisions(fleet, 1)
+        await self.start_accepted(fleet)
         publish_parts(fleet, {**self.parts(4), "models": b"{models: [], null: 1}"})
         await self.wait_for_revisions(fleet, 1, seen=2)
         self.assertIn("is no text", str(self.events_of("EV-1102")[0]))
@@ -379,8 +373,7 @@
     async def test_part_that_does_not_match_its_digest_is_not_used(self, fleet):
         """Guards against a mixture of the parts of two revisions."""
         publish_parts(fleet, self.parts(4))
-        fleet.start_all()
-        await self.wait_for_revisions(fleet, 1)
+        await self.start_accepted(fleet)
         text = encode_document(self.parts(9)["adapters-0"])
         fleet.configuration.publish(text, key="snipetrestle/adapters-0")
         fleet.configuration.publish(
