--- a/tests/coordination/test_message_sizes.py
+++ b/tests/coordination/test_message_sizes.py
@@ -38,6 +38,7 @@
 from snipetrestle.gateway.quarantine.request_quarantine import RequestQuarantine
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.coordination.test_hosts import Endpoint
+from tests.systems import in_virtual_time
 
 LEADER_ADDRESS = ("127.0.0.1", 1)
 # The longest names in bytes.
@@ -76,33 +77,27 @@
             self.assertEqual(message, decode(encode(message)))
         return sent
 
-    def test_permits_are_asked_for_in_turns_of_limited_replicas(self):
+    @in_virtual_time
+    async def test_permits_are_asked_for_in_turns_of_limited_replicas(self):
         """A request that named 3,900 limited replicas was not sent, and its host sent
         only its own part of the limits."""
-
-        async def check():
-            permits = SendPermits(
-                Follower(),
-                self.endpoint,
-                NAMES[0],
-                types.SimpleNamespace(
-                    wait_s=lambda limit: 0.0, take=lambda limit: None
-                ),
-            )
-            limit = types.SimpleNamespace(per_s=1e9)
-            replicas = [
-                types.SimpleNamespace(id=name, request_limit=limit)
-                for name in NAMES[:100]
-            ]
-            for _ in range(10):
-                await permits.acquire(replicas, 1.0)
-            named = set()
-            for message in self.sent():
-                named |= message.limits_by_replica.keys()
-                self.assert_fits(message)
-            self.assertEqual(set(NAMES[:100]), named)
-
-        run_in_virtual_time(check)
+        permits = SendPermits(
+            Follower(),
+            self.endpoint,
+            NAMES[0],
+            types.SimpleNamespace(wait_s=lambda limit: 0.0, take=lambda limit: None),
+        )
+        limit = types.SimpleNamespace(per_s=1e9)
+        replicas = [
+            types.SimpleNamespace(id=name, request_limit=limit) for name in NAMES[:100]
+        ]
+        for _ in range(10):
+            await permits.acquire(replicas, 1.0)
+        named = set()
+        for message in self.sent():
+            named |= message.limits_by_replica.keys()
+            self.assert_fits(message)
+        self.assertEqual(set(NAMES[:100]), named)
 
     def look_up(self, key, avoid, limited, software_version=""):
         async def main():
@@ -151,35 +146,28 @@
         """The name is that of a caller's request, and may be longer than a datagram."""
         self.assertEqual([], self.look_up(AdapterKey("m0", "a" * 70_000), (), ()))
 
-    def test_answer_with_many_holders_is_sent(self):
+    @in_virtual_time
+    async def test_answer_with_many_holders_is_sent(self):
         """An adapter on thousands of replicas would have been found on none."""
+        state = types.SimpleNamespace(
+            on_change=lambda listener: None,
+            replicas=types.SimpleNamespace(on_leaving=lambda listener: None),
+        )
+        controller = PlacementController(state, Follower(), None, None, self.endpoint)
 
-        async def check():
-            state = types.SimpleNamespace(
-                on_change=lambda listener: None,
-                replicas=types.SimpleNamespace(on_leaving=lambda listener: None),
-            )
-            controller = PlacementController(
-                state, Follower(), None, None, self.endpoint
+        async def locate(*request):
+            return tuple(
+                AdapterLocation(name, float(number == 5), ReplicaLoad(99 - number, 0))
+                for number, name in enumerate(NAMES[:100])
             )
 
-            async def locate(*request):
-                return tuple(
-                    AdapterLocation(
-                        name, float(number == 5), ReplicaLoad(99 - number, 0)
-                    )
-                    for number, name in enumerate(NAMES[:100])
-                )
-
-            controller.locate = locate
-            await controller._answer(Locate("h1", 1, "m0", "a1", 1), LEADER_ADDRESS)
-            (message,) = self.sent()
-            self.assert_fits(message)
-            told = [location.replica_id for location in message.locations]
-            self.assertEqual([NAMES[99], NAMES[98]], told[:2])
-            self.assertNotIn(NAMES[5], told)
-
-        run_in_virtual_time(check)
+        controller.locate = locate
+        await controller._answer(Locate("h1", 1, "m0", "a1", 1), LEADER_ADDRESS)
+        (message,) = self.sent()
+        self.assert_fits(message)
+        told = [location.replica_id for location in message.locations]
+        self.assertEqual([NAMES[99], NAMES[98]], told[:2])
+        self.assertNotIn(NAMES[5], told)
 
 
 def largest(info):
