--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -92,7 +92,9 @@
             await anyio.sleep(min(ABSENCE_CHECK_PAUSE_S, left_s))
 
     def _must_wait_for_replica(self, job):
-        if not job.streaming or not job.has_attempts_left or not job.origin.version:
+        if not job.streaming or not job.has_attempts_left:
+            return False
+        if job.origin is None or not job.origin.version:
             return False
         ready = self._replicas.ready_replicas(job.backend.name)
         return not any(job.may_be_sent_to(item) for item in ready)
--- a/tests/dispatch/searches.py
+++ b/tests/dispatch/searches.py
@@ -100,6 +100,7 @@
         "latest_send_at": now + 4.9,
         "scope": anyio.CancelScope(deadline=now + 4.9),
         "may_have_run": False,
+        "has_attempts_left": True,
         "origin": None,
         "take_up": None,
         "streaming": False,
