--- a/tests/gateway/test_ended_processes.py
+++ b/tests/gateway/test_ended_processes.py
@@ -45,6 +45,7 @@
         return task, next(item for item in replicas if item.runs)
 
     async def start_write(self, fleet):
+        """Starts a write that gets no response; returns its task and its replica."""
         return await self.start_unanswered(fleet, "/entry/a", fleet.registers)
 
     async def start_stream(self, fleet, path):
@@ -128,6 +129,27 @@
         self.assertEqual((502, b"SN-1302"), (answer.status, answer.body))
         self.assert_logged(replica, "another replica answers at its address")
 
+    @with_system(run_fleet)
+    async def test_report_of_a_later_process_ends_requests(self, fleet):
+        """Guards against a report that tells nothing of other requests at a replica."""
+        resumed, replica = await self.start_stream(fleet, "/draft/a")
+        (other,) = [item for item in fleet.models if item is not replica]
+        other.refuses_requests = True
+        (task,) = await start_streams(fleet, 1, "/night/a", adapter="")
+        other.refuses_requests = False
+        # The later process starts later than the requests, by both clocks.
+        await asyncio.sleep(0.6)
+        replica.go_dark()
+        fleet.live[0].replicas.by_id[replica.id].pool.close()
+        successor = await replica.start_successor("new")
+        successor.checks_reports = False
+        fleet.models.append(successor)
+        answer = await self.answer_soon(task)
+        self.assertEqual((200, False), (answer.status, answer.complete))
+        (line,) = self.logged(Event.PROCESS_ENDED)
+        self.assertEqual("a later process answers at its address", line["evidence"])
+        await resumed
+
     @with_system(run_fleet)
     async def test_resumable_stream_goes_on_elsewhere(self, fleet):
         """Guards against a stream that ends though another replica can go on with it."""
