Remember the last process of a replica that has left the list

What callers saw: nothing yet. A stream that a host out of step had told of could go on at the version that a replica ran before its restart, once the later process had left.

Cause: ProcessCheck asks the process that is listed under the origin's id. With none listed, the record counted, though a later process with another version may have begun the stream.

Change: the directory keeps the last entries of replicas that have left. A later boot of another version under the origin's id refutes the record.

--- a/snipetrestle/gateway/backends/replicas.py
+++ b/snipetrestle/gateway/backends/replicas.py
@@ -313,6 +313,8 @@
         self._leaving_process_ids = {}
         # Replicas that are no longer listed, with open exchanges.
         self._removed = []
+        # The last entries of replicas that are no longer listed, the oldest first.
+        self._left_entries_by_id = collections.OrderedDict()
         self._is_running = None
         self._leaving_listeners = []
         # The number of listed replicas by software version, by backend. Replicas of
@@ -391,6 +393,7 @@
         del self.by_id[replica.id]
         log_event(Event.REPLICA_UNLISTED, replica=replica.id, boot=replica.entry.boot)
         replica.leaving = True
+        self._keep_left_entry(replica.entry)
         self._removed = [item for item in self._removed if item.open_exchanges]
         self._removed.append(replica)
         if not replica.entry.boot:
@@ -403,6 +406,16 @@
         if replica.entry.software_version:
             self._note_version_left(replica.entry)
 
+    def _keep_left_entry(self, entry):
+        self._left_entries_by_id.pop(entry.id, None)
+        if len(self._left_entries_by_id) >= MAX_REMEMBERED_LEAVING:
+            self._left_entries_by_id.popitem(last=False)
+        self._left_entries_by_id[entry.id] = entry
+
+    def left_entry(self, replica_id):
+        """Returns the last ReplicaEntry of an id that is no longer listed, or None."""
+        return self._left_entries_by_id.get(replica_id)
+
     def _forget_address(self, replica):
         address = _address(replica.entry)
         at_address = self._by_address[address]
--- a/snipetrestle/gateway/streams/process_check.py
+++ b/snipetrestle/gateway/streams/process_check.py
@@ -120,6 +120,15 @@
         return replica
 
     def _may_listed_differ(self, origin):
-        """Whether the process that is listed under an origin's id differs in version."""
+        """Whether another process under an origin's id may differ in version.
+
+        That is the listed one, or the last one that was listed if it is later: the host
+        that began the stream may have known an earlier process only.
+        """
         replica = self._replicas.by_id.get(origin.replica_id)
-        return replica is not None and replica.entry.software_version != origin.version
+        if replica is not None:
+            return replica.entry.software_version != origin.version
+        entry = self._replicas.left_entry(origin.replica_id)
+        if entry is None or entry.boot <= origin.boot:
+            return False
+        return entry.software_version != origin.version
--- a/tests/gateway/test_old_lists.py
+++ b/tests/gateway/test_old_lists.py
@@ -21,7 +21,7 @@
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
 from tests.coordination.test_kept_prompt_questions import DUE_S, Follower
 from tests.gateway.test_kept_prompts import MODEL, Log
-from tests.gateway.test_version_history import BACKEND, V1, run_system
+from tests.gateway.test_version_history import BACKEND, V1, run_long_known, run_system
 from tests.systems import with_system
 from tests.waiting import wait_until
 
@@ -141,10 +141,9 @@
 
 
 class OnlyVersionTest(testtools.TestCase):
-    @with_system(run_system)
-    async def test_host_that_was_cut_off(self, system):
+    @with_system(run_long_known)
+    async def test_host_that_was_cut_off(self, system, host):
         """Guards against the only version that a host knew before it was cut off."""
-        host = await system.start_long_known()
         system.store.cut_off(host.name)
         system.put("b", "v2")
         self.assertIsNone(await host.ask())
@@ -168,7 +167,10 @@
             may_have_run=False,
         )
         replicas = host.state.replicas
-        await ProcessCheck(replicas, report).check(job, replicas.by_id[replica_id])
+        process_check = ProcessCheck(
+            replicas, report, FreshReads(host.state, ALL_ITEMS)
+        )
+        await process_check.check(job, replicas.by_id[replica_id])
 
     @with_system(run_system)
     async def test_record_of_a_host_with_an_old_list(self, system):
@@ -189,6 +191,21 @@
         with testtools.ExpectedException(Refused):
             await self.check(host, "c")
 
+    @with_system(run_system)
+    async def test_record_of_a_process_whose_successor_has_left(self, system):
+        """Guards against a record that counts again once the later process has left."""
+        for replica in ("a", "c"):
+            system.put(replica)
+        host = await system.start_host()
+        self.running = {"a": 1000, "c": 1000}
+        system.put("a", "v2", born=2000)
+        await anyio.sleep(1.0)
+        system.delete("a")
+        await anyio.sleep(1.0)
+        self.assertNotIn("a", host.state.replicas.by_id)
+        with testtools.ExpectedException(Refused):
+            await self.check(host, "c")
+
     @with_system(run_system)
     async def test_replaced_entry_has_no_version(self, system):
         """Guards against a request in progress that goes on at a replica by the entry
