Give tests of entries, removals, parts and odd responses their system by decorator

The inner function of each test is its body now. Names, docstrings, statements and assertions are the same: turned back, the syntax trees equal those before.

--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -6,6 +6,7 @@
 
 from snipetrestle_standins.gateway_fleet import HOSTNAME, Caller
 from tests.gateway.running import run_fleet
+from tests.systems import with_system
 
 HEAD = f"Host: {HOSTNAME}\r\nX-Request-Id: bad-1\r\n".encode()
 
@@ -86,85 +87,64 @@
 
         run_fleet(check)
 
-    def test_unknown_route_and_model_are_refused(self):
+    @with_system(run_fleet)
+    async def test_unknown_route_and_model_are_refused(self, fleet):
         """Routes and models that do not exist must get the right status."""
-
-        async def check(fleet):
-            self.assertEqual(404, (await fleet.send_request("/nowhere/a")).status)
-            self.assertEqual(404, (await fleet.send_request("/entry")).status)
-            answer = await fleet.send_request(
-                "/draft/a", headers=[("X-Model", "m9/a1"), ("X-Deadline-Ms", "400")]
-            )
-            self.assertEqual(503, answer.status)
-
-        run_fleet(check)
-
-    def test_large_requests_are_refused(self):
+        self.assertEqual(404, (await fleet.send_request("/nowhere/a")).status)
+        self.assertEqual(404, (await fleet.send_request("/entry")).status)
+        answer = await fleet.send_request(
+            "/draft/a", headers=[("X-Model", "m9/a1"), ("X-Deadline-Ms", "400")]
+        )
+        self.assertEqual(503, answer.status)
+
+    @with_system(run_fleet)
+    async def test_large_requests_are_refused(self, fleet):
         """Guards against callers that exhaust the memory of a host."""
-
-        async def check(fleet):
-            large = b"X-Large: " + b"x" * 20_000 + b"\r\n"
-            answer = await self.send(
-                fleet, b"POST /entry/a HTTP/1.1\r\n" + HEAD + large + b"\r\n"
-            )
-            self.assertEqual(431, answer.status)
-            answer = await self.send(
-                fleet,
-                b"POST /entry/a HTTP/1.1\r\n"
-                + HEAD
-                + b"Content-Length: 99999999\r\n\r\n",
-            )
-            self.assertEqual(413, answer.status)
-
-        run_fleet(check)
-
-    def test_slow_request_head_is_refused(self):
+        large = b"X-Large: " + b"x" * 20_000 + b"\r\n"
+        answer = await self.send(
+            fleet, b"POST /entry/a HTTP/1.1\r\n" + HEAD + large + b"\r\n"
+        )
+        self.assertEqual(431, answer.status)
+        answer = await self.send(
+            fleet,
+            b"POST /entry/a HTTP/1.1\r\n" + HEAD + b"Content-Length: 99999999\r\n\r\n",
+        )
+        self.assertEqual(413, answer.status)
+
+    @with_system(run_fleet)
+    async def test_slow_request_head_is_refused(self, fleet):
         """Callers could otherwise occupy connections with unfinished requests."""
+        answer = await self.send(fleet, b"POST /entry/a HTTP/1.1\r\nHost: d")
+        self.assertEqual(408, answer.status)
+        self.assertEqual([], self.received_requests(fleet))
 
-        async def check(fleet):
-            answer = await self.send(fleet, b"POST /entry/a HTTP/1.1\r\nHost: d")
-            self.assertEqual(408, answer.status)
-            self.assertEqual([], self.received_requests(fleet))
-
-        run_fleet(check)
-
-    def test_pipelined_requests_are_answered_in_order(self):
+    @with_system(run_fleet)
+    async def test_pipelined_requests_are_answered_in_order(self, fleet):
         """If requests are pipelined, their responses must not be mixed up."""
+        async with Caller(fleet.gateways[0].settings.callers) as caller:
+            for number in range(5):
+                caller.writer.write(
+                    f"GET /lookup/{number} HTTP/1.1\r\nHost: {HOSTNAME}\r\n"
+                    f"X-Request-Id: together-{number}\r\n\r\n".encode()
+                )
+            for number in range(5):
+                answer = await caller.read_response()
+                self.assertEqual(f"register GET /lookup/{number}".encode(), answer.body)
+                self.assertEqual(f"together-{number}", answer.headers["x-request-id"])
 
-        async def check(fleet):
-            async with Caller(fleet.gateways[0].settings.callers) as caller:
-                for number in range(5):
-                    caller.writer.write(
-                        f"GET /lookup/{number} HTTP/1.1\r\nHost: {HOSTNAME}\r\n"
-                        f"X-Request-Id: together-{number}\r\n\r\n".encode()
-                    )
-                for number in range(5):
-                    answer = await caller.read_response()
-                    self.assertEqual(
-                        f"register GET /lookup/{number}".encode(), answer.body
-                    )
-                    self.assertEqual(
-                        f"together-{number}", answer.headers["x-request-id"]
-                    )
-
-        run_fleet(check)
-
-    def test_chunked_body_is_forwarded_whole(self):
+    @with_system(run_fleet)
+    async def test_chunked_body_is_forwarded_whole(self, fleet):
         """A chunked body must arrive whole when its framing changes."""
-
-        async def check(fleet):
-            answer = await self.send(
-                fleet,
-                b"POST /entry/a HTTP/1.1\r\n"
-                + HEAD
-                + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
-                b"4\r\ndefg\r\n0\r\n\r\n",
-                pause_s=0.05,
-            )
-            self.assertEqual(200, answer.status)
-            self.assertEqual(
-                [b"abcdefg"],
-                [request.body for request in self.received_requests(fleet)],
-            )
-
-        run_fleet(check)
+        answer = await self.send(
+            fleet,
+            b"POST /entry/a HTTP/1.1\r\n"
+            + HEAD
+            + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+            b"4\r\ndefg\r\n0\r\n\r\n",
+            pause_s=0.05,
+        )
+        self.assertEqual(200, answer.status)
+        self.assertEqual(
+            [b"abcdefg"],
+            [request.body for request in self.received_requests(fleet)],
+        )
--- a/tests/gateway/test_connection_pool.py
+++ b/tests/gateway/test_connection_pool.py
@@ -12,6 +12,7 @@
     OpenConnections,
 )
 from snipetrestle.gateway.backends.http_client import ExchangeAbandoned
+from tests.systems import with_own_system
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
@@ -67,107 +68,89 @@
         self.patch(connection, "finish", lambda: True)
         pool.release(connection)
 
-    def test_idle_connections_make_room(self):
+    @with_own_system("run_pools")
+    async def test_idle_connections_make_room(self, pool):
         """Each request with an id that all idle connections had carried opened one
         more, without end."""
+        first, *others = [await pool.acquire(b"r") for _ in range(3)]
+        for connection in (first, *others):
+            self.keep(pool, connection)
+        open_connection = pool._open
+        closed_before = []
+
+        def open_another():
+            closed_before.append(first.closed)
+            return open_connection()
+
+        self.patch(pool, "_open", open_another)
+        for _ in range(5):
+            self.keep(pool, await pool.acquire(b"r"))
+            self.assertEqual(3, pool.open_count)
+        # A replica counts a connection until it has been closed.
+        self.assertEqual([True] * 5, closed_before)
 
-        async def check(pool):
-            first, *others = [await pool.acquire(b"r") for _ in range(3)]
-            for connection in (first, *others):
-                self.keep(pool, connection)
-            open_connection = pool._open
-            closed_before = []
-
-            def open_another():
-                closed_before.append(first.closed)
-                return open_connection()
-
-            self.patch(pool, "_open", open_another)
-            for _ in range(5):
-                self.keep(pool, await pool.acquire(b"r"))
-                self.assertEqual(3, pool.open_count)
-            # A replica counts a connection until it has been closed.
-            self.assertEqual([True] * 5, closed_before)
-
-        self.run_pools(check)
-
-    def test_requests_of_one_turn_make_room_each(self):
+    @with_own_system("run_pools")
+    async def test_requests_of_one_turn_make_room_each(self, pool):
         """They counted the connection that the first one had closed for themselves:
         60 callers held 119 connections to a replica that accepts 100."""
+        for connection in [await pool.acquire(b"r") for _ in range(3)]:
+            self.keep(pool, connection)
+        await asyncio.gather(*(pool.acquire(b"r") for _ in range(3)))
+        self.assertEqual(3, pool.open_count)
 
-        async def check(pool):
-            for connection in [await pool.acquire(b"r") for _ in range(3)]:
-                self.keep(pool, connection)
-            await asyncio.gather(*(pool.acquire(b"r") for _ in range(3)))
-            self.assertEqual(3, pool.open_count)
-
-        self.run_pools(check)
-
-    def test_requests_of_one_turn_share_the_bound_of_all_pools(self):
+    @with_own_system("run_pools", count=2, all_open=2)
+    async def test_requests_of_one_turn_share_the_bound_of_all_pools(self, busy, idle):
         """The same, of the connections of all pools together."""
-
-        async def check(busy, idle):
-            for connection in [await idle.acquire(b"r") for _ in range(2)]:
-                self.keep(idle, connection)
-            idle._max_open = lambda: 2
-            results = await asyncio.gather(
-                *(pool.acquire(b"r") for pool in (idle, busy, idle)),
-                return_exceptions=True,
-            )
-            self.assertIsInstance(results[2], ConnectionsExhausted)
-            self.assertEqual([1, 1], [idle.open_count, busy.open_count])
-
-        self.run_pools(check, count=2, all_open=2)
-
-    def test_request_that_ends_while_it_waits_takes_no_room(self):
+        for connection in [await idle.acquire(b"r") for _ in range(2)]:
+            self.keep(idle, connection)
+        idle._max_open = lambda: 2
+        results = await asyncio.gather(
+            *(pool.acquire(b"r") for pool in (idle, busy, idle)),
+            return_exceptions=True,
+        )
+        self.assertIsInstance(results[2], ConnectionsExhausted)
+        self.assertEqual([1, 1], [idle.open_count, busy.open_count])
+
+    @with_own_system("run_pools")
+    async def test_request_that_ends_while_it_waits_takes_no_room(self, pool):
         """Its place would be lost to all later requests."""
-
-        async def check(pool):
-            for connection in [await pool.acquire(b"r") for _ in range(3)]:
-                self.keep(pool, connection)
-            waiting = asyncio.create_task(pool.acquire(b"r"))
-            await asyncio.sleep(0)
-            self.assertEqual(3, pool.open_count)
-            waiting.cancel()
-            await asyncio.gather(waiting, return_exceptions=True)
-            self.assertEqual(2, pool.open_count)
-
-        self.run_pools(check)
-
-    def test_requests_without_callers_make_room(self):
+        for connection in [await pool.acquire(b"r") for _ in range(3)]:
+            self.keep(pool, connection)
+        waiting = asyncio.create_task(pool.acquire(b"r"))
+        await asyncio.sleep(0)
+        self.assertEqual(3, pool.open_count)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        self.assertEqual(2, pool.open_count)
+
+    @with_own_system("run_pools")
+    async def test_requests_without_callers_make_room(self, pool):
         """Callers that send a write and leave could take all connections."""
-
-        async def check(pool):
-            left, *others = [await pool.acquire(b"r") for _ in range(3)]
-            pool.note_abandoned(left)
+        left, *others = [await pool.acquire(b"r") for _ in range(3)]
+        pool.note_abandoned(left)
+        await pool.acquire(b"r")
+        self.assertEqual(3, pool.open_count)
+        with testtools.ExpectedException(ExchangeAbandoned):
+            await left.read_head()
+        # Those whose callers wait go on, and more may be opened for others.
+        for _ in range(3):
+            self.assertTrue(pool.has_room)
             await pool.acquire(b"r")
-            self.assertEqual(3, pool.open_count)
-            with testtools.ExpectedException(ExchangeAbandoned):
-                await left.read_head()
-            # Those whose callers wait go on, and more may be opened for others.
-            for _ in range(3):
-                self.assertTrue(pool.has_room)
-                await pool.acquire(b"r")
-            self.assertFalse(pool.has_room)
-            with testtools.ExpectedException(ConnectionsExhausted):
-                await pool.acquire(b"r")
-            # Orders are few, and must reach a replica that callers keep busy.
-            await pool.acquire()
-
-        self.run_pools(check)
-
-    def test_idle_connections_of_other_pools_make_room(self):
-        """Without descriptors, no request could be sent to any replica."""
-
-        async def check(busy, idle):
-            self.keep(idle, await idle.acquire(b"r"))
-            for _ in range(2):
-                await busy.acquire(b"r")
-            self.assertEqual([2, 0], [busy.open_count, idle.open_count])
-            with testtools.ExpectedException(ConnectionsExhausted):
-                await idle.acquire(b"r")
+        self.assertFalse(pool.has_room)
+        with testtools.ExpectedException(ConnectionsExhausted):
+            await pool.acquire(b"r")
+        # Orders are few, and must reach a replica that callers keep busy.
+        await pool.acquire()
 
-        self.run_pools(check, count=2, all_open=2)
+    @with_own_system("run_pools", count=2, all_open=2)
+    async def test_idle_connections_of_other_pools_make_room(self, busy, idle):
+        """Without descriptors, no request could be sent to any replica."""
+        self.keep(idle, await idle.acquire(b"r"))
+        for _ in range(2):
+            await busy.acquire(b"r")
+        self.assertEqual([2, 0], [busy.open_count, idle.open_count])
+        with testtools.ExpectedException(ConnectionsExhausted):
+            await idle.acquire(b"r")
 
 
 class ConnectionPoolTest(testtools.TestCase):
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -12,6 +12,7 @@
 from snipetrestle_standins.gateway_fleet import configuration
 from snipetrestle_standins.platform_replica import Fault, PlatformReplica
 from tests.gateway.running import run_fleet
+from tests.systems import with_system
 from tests.waiting import wait_until
 
 APPLY_TIME_S = 2.0
@@ -166,79 +167,67 @@
 
         run_fleet(check, gateways=3)
 
-    def test_sound_replica_is_unlisted_by_an_odd_entry(self):
+    @with_system(run_fleet)
+    async def test_sound_replica_is_unlisted_by_an_odd_entry(self, fleet):
         """The replica would be used by what it said before, whatever it says now."""
-
-        async def check(fleet):
-            (first, second), replicas = fleet.registers, fleet.live[0].replicas
-            for content in (deep(first.entry()), b"\xff", b"{}"):
-                fleet.store.put(f"servers/{first.id}", content)
-                with anyio.fail_after(ODD_ENTRY_TIME_S):
-                    await wait_until(lambda: first.id not in replicas.by_id)
-                ready = replicas.ready_replicas("register")
-                self.assertEqual([second.id], [replica.id for replica in ready])
-                fleet.publish(first)
-                await wait_until(lambda: first.id in replicas.by_id)
-            self.assertEqual([], self.unexpected)
-
-        run_fleet(check)
+        (first, second), replicas = fleet.registers, fleet.live[0].replicas
+        for content in (deep(first.entry()), b"\xff", b"{}"):
+            fleet.store.put(f"servers/{first.id}", content)
+            with anyio.fail_after(ODD_ENTRY_TIME_S):
+                await wait_until(lambda: first.id not in replicas.by_id)
+            ready = replicas.ready_replicas("register")
+            self.assertEqual([second.id], [replica.id for replica in ready])
+            fleet.publish(first)
+            await wait_until(lambda: first.id in replicas.by_id)
+        self.assertEqual([], self.unexpected)
 
 
 class OddDocumentsOfHostsTest(OddItemTestCase):
-    def test_odd_documents_of_another_host_are_left_out(self):
+    @with_system(run_fleet)
+    async def test_odd_documents_of_another_host_are_left_out(self, fleet):
         """An item that is no document here was logged as an internal error."""
-
-        async def check(fleet):
-            state = fleet.live[0].state
-            entry = json.dumps(fleet.registers[0].entry()).encode()
-            contents = {
-                "servers/i-1": entry,
-                "servers/i-2": b"{}",
-                "op/news": b"{}",
-                "op/config": b"{}",
-                "op/version/m0.a1": deep({}),
-                "op/version/m0.a2": json.dumps(
-                    {"model": "m0", "adapter": "a2", "version": 5}
-                ).encode(),
-            }
-            state.accept_documents(
-                [PublishedItem(key, 9, value) for key, value in contents.items()]
-                + [PublishedItem("op/config", 9, None)]
-            )
-            versions = {key.adapter: n for key, n in state.versions_by_adapter.items()}
-            self.assertEqual({"a2": 5}, versions)
-            self.assertNotIn("i-1", state.replicas.by_id)
-            await self.assert_followed(fleet, 7)
-
-        run_fleet(check)
+        state = fleet.live[0].state
+        entry = json.dumps(fleet.registers[0].entry()).encode()
+        contents = {
+            "servers/i-1": entry,
+            "servers/i-2": b"{}",
+            "op/news": b"{}",
+            "op/config": b"{}",
+            "op/version/m0.a1": deep({}),
+            "op/version/m0.a2": json.dumps(
+                {"model": "m0", "adapter": "a2", "version": 5}
+            ).encode(),
+        }
+        state.accept_documents(
+            [PublishedItem(key, 9, value) for key, value in contents.items()]
+            + [PublishedItem("op/config", 9, None)]
+        )
+        versions = {key.adapter: n for key, n in state.versions_by_adapter.items()}
+        self.assertEqual({"a2": 5}, versions)
+        self.assertNotIn("i-1", state.replicas.by_id)
+        await self.assert_followed(fleet, 7)
 
 
 class OddRequestLimitTest(OddItemTestCase):
-    def test_huge_request_limits_do_not_stop_heartbeats(self):
+    @with_system(run_fleet, gateways=2)
+    async def test_huge_request_limits_do_not_stop_heartbeats(self, fleet):
         """Heartbeats name the limits of replicas, and no host could read such a one."""
-
-        async def check(fleet):
-            for replica in fleet.registers:
-                replica.request_limit = 1e300
-            for gateway in fleet.live:
-                answer = await fleet.send_request("/entry/a", gateway)
-                self.assertEqual(200, answer.status)
-            await anyio.sleep(REACHABLE_TIMEOUT_S + 0.4)
-            await self.assert_followed(fleet, 7)
-
-        run_fleet(check, gateways=2)
+        for replica in fleet.registers:
+            replica.request_limit = 1e300
+        for gateway in fleet.live:
+            answer = await fleet.send_request("/entry/a", gateway)
+            self.assertEqual(200, answer.status)
+        await anyio.sleep(REACHABLE_TIMEOUT_S + 0.4)
+        await self.assert_followed(fleet, 7)
 
 
 class OddVersionTest(OddItemTestCase):
-    def test_huge_versions_do_not_stop_heartbeats(self):
+    @with_system(run_fleet, gateways=2)
+    async def test_huge_versions_do_not_stop_heartbeats(self, fleet):
         """Their sum was more than a heartbeat can hold, so that none was sent."""
-
-        async def check(fleet):
-            for number, version in enumerate((2**53 + 1, 2**62, 2**64, 10**30)):
-                declared = {"model": "m0", "adapter": f"b{number}", "version": version}
-                content = json.dumps(declared).encode()
-                fleet.store.put(f"op/version/m0.b{number}", content)
-            await anyio.sleep(REACHABLE_TIMEOUT_S + 0.4)
-            await self.assert_followed(fleet, 7)
-
-        run_fleet(check, gateways=2)
+        for number, version in enumerate((2**53 + 1, 2**62, 2**64, 10**30)):
+            declared = {"model": "m0", "adapter": f"b{number}", "version": version}
+            content = json.dumps(declared).encode()
+            fleet.store.put(f"op/version/m0.b{number}", content)
+        await anyio.sleep(REACHABLE_TIMEOUT_S + 0.4)
+        await self.assert_followed(fleet, 7)
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -21,7 +21,7 @@
     EventSplitter,
     InvalidEvent,
 )
-from snipetrestle_standins.clock import run_in_virtual_time
+from tests.systems import in_virtual_time
 
 
 def make_route(name, hostname, prefix):
@@ -104,24 +104,21 @@
 
 
 class RetryBudgetTest(testtools.TestCase):
-    def test_all_hosts_together_stay_within_the_budget(self):
+    @in_virtual_time
+    async def test_all_hosts_together_stay_within_the_budget(self):
         """Retries must not become a storm when a backend fails on all replicas."""
-
-        async def check():
-            hosts, ratio, slack = 7, 0.2, 54
-            budgets = [RetryBudget(ratio, slack, 10.0) for _ in range(hosts)]
-            requests = retries = 0
-            for _ in range(100):
-                for budget in budgets:
-                    budget.note_request()
-                    requests += 1
-                    while budget.try_spend(hosts):
-                        retries += 1
-                await anyio.sleep(0.09)
-            self.assertLessEqual(retries, ratio * requests + slack)
-            self.assertGreater(retries, 0.5 * (ratio * requests + slack))
-
-        run_in_virtual_time(check)
+        hosts, ratio, slack = 7, 0.2, 54
+        budgets = [RetryBudget(ratio, slack, 10.0) for _ in range(hosts)]
+        requests = retries = 0
+        for _ in range(100):
+            for budget in budgets:
+                budget.note_request()
+                requests += 1
+                while budget.try_spend(hosts):
+                    retries += 1
+            await anyio.sleep(0.09)
+        self.assertLessEqual(retries, ratio * requests + slack)
+        self.assertGreater(retries, 0.5 * (ratio * requests + slack))
 
 
 class ReplicaChoiceTest(testtools.TestCase):
@@ -147,91 +144,73 @@
             directory.choose(directory.ready_replicas("b")).id for _ in range(count)
         }
 
-    def test_failing_replica_is_avoided_and_tried_again(self):
+    @in_virtual_time
+    async def test_failing_replica_is_avoided_and_tried_again(self):
         """Some replicas are listed as ready while their requests fail."""
-
-        async def check():
-            directory = self.make_directory()
-            for replica in directory.by_id.values():
-                replica.note_success(0.04)
-            for _ in range(3):
-                directory.by_id["r0"].note_failure()
-            self.assertNotIn("r0", self.chosen_ids(directory))
-            await anyio.sleep(60.0)
-            self.assertIn("r0", self.chosen_ids(directory))
-
-        run_in_virtual_time(check)
-
-    def test_silent_replica_is_avoided_for_a_while(self):
+        directory = self.make_directory()
+        for replica in directory.by_id.values():
+            replica.note_success(0.04)
+        for _ in range(3):
+            directory.by_id["r0"].note_failure()
+        self.assertNotIn("r0", self.chosen_ids(directory))
+        await anyio.sleep(60.0)
+        self.assertIn("r0", self.chosen_ids(directory))
+
+    @in_virtual_time
+    async def test_silent_replica_is_avoided_for_a_while(self):
         """Guards against requests to a replica that no longer responds."""
-
-        async def check():
-            directory = self.make_directory(2)
-            directory.by_id["r1"].note_silence()
-            self.assertEqual({"r0"}, self.chosen_ids(directory))
-            directory.by_id["r0"].note_silence()
-            self.assertIsNotNone(directory.choose(directory.ready_replicas("b")))
-
-        run_in_virtual_time(check)
-
-    def test_slow_replica_gets_fewer_requests(self):
+        directory = self.make_directory(2)
+        directory.by_id["r1"].note_silence()
+        self.assertEqual({"r0"}, self.chosen_ids(directory))
+        directory.by_id["r0"].note_silence()
+        self.assertIsNotNone(directory.choose(directory.ready_replicas("b")))
+
+    @in_virtual_time
+    async def test_slow_replica_gets_fewer_requests(self):
         """Slow replicas must not build up queues while fast ones are idle."""
-
-        async def check():
-            directory = self.make_directory(2)
-            directory.by_id["r0"].own_event_interval_s = 0.016
-            directory.by_id["r1"].own_event_interval_s = 0.042
-            self.assertEqual({"r0"}, self.chosen_ids(directory))
-            directory.by_id["r0"].others_in_flight = 40
-            self.assertEqual({"r1"}, self.chosen_ids(directory))
-
-        run_in_virtual_time(check)
-
-    def test_many_hosts_do_not_overload_one_replica(self):
+        directory = self.make_directory(2)
+        directory.by_id["r0"].own_event_interval_s = 0.016
+        directory.by_id["r1"].own_event_interval_s = 0.042
+        self.assertEqual({"r0"}, self.chosen_ids(directory))
+        directory.by_id["r0"].others_in_flight = 40
+        self.assertEqual({"r1"}, self.chosen_ids(directory))
+
+    @in_virtual_time
+    async def test_many_hosts_do_not_overload_one_replica(self):
         """If all hosts consider one replica the best, a queue builds up there.
 
         71 hosts learn of each other's requests one or two heartbeats late. Seen in the
         scenario scale-1 of the site ksr-lab-grown.
         """
+        directory = self.make_directory(10)
+        for number, replica in enumerate(directory.by_id.values()):
+            replica.others_in_flight = 2 if number == 0 else 3
+        candidates = directory.ready_replicas("b")
+        request_counts = collections.Counter(
+            directory.choose(candidates, hosts=71).id for _ in range(100)
+        )
+        self.assertGreater(len(request_counts), 5)
+        self.assertLess(request_counts["r0"], 50)
 
-        async def check():
-            directory = self.make_directory(10)
-            for number, replica in enumerate(directory.by_id.values()):
-                replica.others_in_flight = 2 if number == 0 else 3
-            candidates = directory.ready_replicas("b")
-            request_counts = collections.Counter(
-                directory.choose(candidates, hosts=71).id for _ in range(100)
-            )
-            self.assertGreater(len(request_counts), 5)
-            self.assertLess(request_counts["r0"], 50)
-
-        run_in_virtual_time(check)
-
-    def test_few_hosts_choose_the_best_replica(self):
+    @in_virtual_time
+    async def test_few_hosts_choose_the_best_replica(self):
         """Guards against requests to loaded replicas where a host knows the load well.
 
         Seen in the scenario trouble-2 of the site ksr-lab.
         """
+        directory = self.make_directory(9)
+        for number, replica in enumerate(directory.by_id.values()):
+            replica.others_in_flight = 1 if number == 0 else 4
+        candidates = directory.ready_replicas("b")
+        request_counts = collections.Counter(
+            directory.choose(candidates, hosts=6).id for _ in range(100)
+        )
+        self.assertGreater(request_counts["r0"], 95)
 
-        async def check():
-            directory = self.make_directory(9)
-            for number, replica in enumerate(directory.by_id.values()):
-                replica.others_in_flight = 1 if number == 0 else 4
-            candidates = directory.ready_replicas("b")
-            request_counts = collections.Counter(
-                directory.choose(candidates, hosts=6).id for _ in range(100)
-            )
-            self.assertGreater(request_counts["r0"], 95)
-
-        run_in_virtual_time(check)
-
-    def test_extreme_latencies_can_be_compared(self):
+    @in_virtual_time
+    async def test_extreme_latencies_can_be_compared(self):
         """With extreme latencies, weights could overflow or all be zero."""
-
-        async def check():
-            directory = self.make_directory(2)
-            directory.by_id["r0"].note_success(0.0)
-            directory.by_id["r1"].note_success(1000.0)
-            self.assertEqual({"r0"}, self.chosen_ids(directory))
-
-        run_in_virtual_time(check)
+        directory = self.make_directory(2)
+        directory.by_id["r0"].note_success(0.0)
+        directory.by_id["r1"].note_success(1000.0)
+        self.assertEqual({"r0"}, self.chosen_ids(directory))
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -6,6 +6,7 @@
 from snipetrestle.gateway.backends.replicas import Replica
 from snipetrestle_standins.gateway_fleet import Caller, configuration, route
 from tests.gateway.running import run_fleet
+from tests.systems import with_system
 from tests.waiting import wait_until
 
 
@@ -22,94 +23,73 @@
             lambda: state.newest_positions()[""].revision >= fleet.store.revision
         )
 
-    def test_route_whose_weights_are_all_zero(self):
+    @with_system(run_fleet)
+    async def test_route_whose_weights_are_all_zero(self, fleet):
         """Guards against a request that gets no answer after a change of weights."""
-
-        async def check(fleet):
-            split = [{"backend": "register", "weight": 0.0}] * 2
-            await self.publish(fleet, {"split": split})
-            self.assertEqual(1, fleet.gateways[0].state.configuration.version)
-            answer = await fleet.send_request("/entry/a")
-            self.assertEqual((200, True), (answer.status, answer.complete))
-
-        run_fleet(check)
-
-    def test_route_to_a_backend_that_is_not_listed(self):
+        split = [{"backend": "register", "weight": 0.0}] * 2
+        await self.publish(fleet, {"split": split})
+        self.assertEqual(1, fleet.gateways[0].state.configuration.version)
+        answer = await fleet.send_request("/entry/a")
+        self.assertEqual((200, True), (answer.status, answer.complete))
+
+    @with_system(run_fleet)
+    async def test_route_to_a_backend_that_is_not_listed(self, fleet):
         """Guards against a request that gets no answer after a change of routes."""
+        await self.publish(fleet, {"backend": "unlisted"})
+        self.assertEqual(2, fleet.gateways[0].state.configuration.version)
+        answer = await fleet.send_request("/entry/a")
+        self.assertEqual((503, True), (answer.status, answer.complete))
+        self.assertIn("retry-after", answer.headers)
+        self.assertEqual(
+            [], [run for replica in fleet.registers for run in replica.runs]
+        )
 
-        async def check(fleet):
-            await self.publish(fleet, {"backend": "unlisted"})
-            self.assertEqual(2, fleet.gateways[0].state.configuration.version)
-            answer = await fleet.send_request("/entry/a")
-            self.assertEqual((503, True), (answer.status, answer.complete))
-            self.assertIn("retry-after", answer.headers)
-            self.assertEqual(
-                [], [run for replica in fleet.registers for run in replica.runs]
-            )
-
-        run_fleet(check)
-
-    def test_request_that_was_not_sent_is_answered(self):
+    @with_system(run_fleet)
+    async def test_request_that_was_not_sent_is_answered(self, fleet):
         """Guards against a connection closed without an answer after an error."""
+        fleet.gateways[0].replicas.ready_replicas = self.fail_unexpectedly
+        answer = await fleet.send_request("/entry/a")
+        self.assertEqual((500, True), (answer.status, answer.complete))
 
-        async def check(fleet):
-            fleet.gateways[0].replicas.ready_replicas = self.fail_unexpectedly
-            answer = await fleet.send_request("/entry/a")
-            self.assertEqual((500, True), (answer.status, answer.complete))
-
-        run_fleet(check)
-
-    def test_request_that_may_have_run_is_answered(self):
+    @with_system(run_fleet)
+    async def test_request_that_may_have_run_is_answered(self, fleet):
         """Guards against an answer that says that a request has not run."""
+        self.patch(Replica, "note_success", self.fail_unexpectedly)
+        answer = await fleet.send_request("/entry/a")
+        self.assertEqual((502, True), (answer.status, answer.complete))
 
-        async def check(fleet):
-            self.patch(Replica, "note_success", self.fail_unexpectedly)
-            answer = await fleet.send_request("/entry/a")
-            self.assertEqual((502, True), (answer.status, answer.complete))
-
-        run_fleet(check)
-
-    def test_error_after_the_response_sends_no_second_one(self):
+    @with_system(run_fleet)
+    async def test_error_after_the_response_sends_no_second_one(self, fleet):
         """Guards against a second response, which the next request could be given."""
+        fleet.gateways[0].metrics.observe = self.fail_unexpectedly
+        async with Caller(fleet.gateways[0].settings.callers) as caller:
+            answer = await caller.send_request("/entry/a")
+            self.assertEqual((200, True), (answer.status, answer.complete))
+            self.assertEqual(b"", await caller.reader.read())
 
-        async def check(fleet):
-            fleet.gateways[0].metrics.observe = self.fail_unexpectedly
-            async with Caller(fleet.gateways[0].settings.callers) as caller:
-                answer = await caller.send_request("/entry/a")
-                self.assertEqual((200, True), (answer.status, answer.complete))
-                self.assertEqual(b"", await caller.reader.read())
-
-        run_fleet(check)
-
-    def test_error_before_the_request_is_read_is_answered(self):
+    @with_system(run_fleet)
+    async def test_error_before_the_request_is_read_is_answered(self, fleet):
         """Guards against a connection closed without an answer after an error."""
+        fleet.gateways[0].state.routes.match = self.fail_unexpectedly
+        answer = await fleet.send_request("/entry/a")
+        self.assertEqual((500, True), (answer.status, answer.complete))
 
-        async def check(fleet):
-            fleet.gateways[0].state.routes.match = self.fail_unexpectedly
-            answer = await fleet.send_request("/entry/a")
-            self.assertEqual((500, True), (answer.status, answer.complete))
-
-        run_fleet(check)
-
-    def test_place_that_another_request_removes_during_the_choice(self):
+    @with_system(run_fleet)
+    async def test_place_that_another_request_removes_during_the_choice(self, fleet):
         """Guards against a KeyError when two requests use one adapter's locations."""
-
-        async def check(fleet):
-            await fleet.send_request("/draft/a", adapter="a1")
-            locator = fleet.gateways[0].locator
-            choose = ReplicaChooser.choose
-            removed = []
-
-            async def choose_and_remove(chooser, job, candidates):
-                replica = await choose(chooser, job, candidates)
-                if not removed:
-                    removed.append(replica.id)
-                    locator.forget(job.metadata.adapter, replica.id)
-                return replica
-
-            self.patch(ReplicaChooser, "choose", choose_and_remove)
-            answer = await fleet.send_request("/draft/a", adapter="a1")
-            self.assertEqual(1, len(removed))
-            self.assertEqual((200, True), (answer.status, answer.complete))
-
-        run_fleet(check)
+        await fleet.send_request("/draft/a", adapter="a1")
+        locator = fleet.gateways[0].locator
+        choose = ReplicaChooser.choose
+        removed = []
+
+        async def choose_and_remove(chooser, job, candidates):
+            replica = await choose(chooser, job, candidates)
+            if not removed:
+                removed.append(replica.id)
+                locator.forget(job.metadata.adapter, replica.id)
+            return replica
+
+        self.patch(ReplicaChooser, "choose", choose_and_remove)
+        answer = await fleet.send_request("/draft/a", adapter="a1")
+        self.assertEqual(1, len(removed))
+        self.assertEqual((200, True), (answer.status, answer.complete))
--- a/tests/publication/test_http_sources.py
+++ b/tests/publication/test_http_sources.py
@@ -18,7 +18,6 @@
     SourceUnreachable,
     Unchanged,
 )
-from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.configuration_service import (
     ConfigurationService,
     configuration_app,
@@ -35,6 +34,7 @@
     raw_server,
 )
 from tests.memory import MAX_GROWTH_BYTES, assert_bounded_memory
+from tests.systems import in_virtual_time, with_system
 from tests.waiting import wait_until
 
 HOST = Host("entry-1", "127.0.0.1:8100", "palermo", "sicily")
@@ -58,36 +58,33 @@
 
 
 class HttpConfigurationSourceTest(testtools.TestCase):
-    def test_read_watch_and_outage(self):
+    @with_system(anyio.run)
+    async def test_read_watch_and_outage(self):
         """A watch must neither miss a change nor hide an outage."""
-
-        async def main():
-            service = ConfigurationService()
-            async with serving(configuration_app(service)) as url:
-                source = HttpConfigurationSource(url)
-                with testtools.ExpectedException(SourceUnreachable):
-                    await source.read()
-                service.publish("one")
-                service.publish("part", key="snipetrestle/adapters-0")
-                self.assertEqual((1, b"one"), tuple(await source.read()))
-                self.assertEqual((1, b"part"), tuple(await source.read("adapters-0")))
-                readings = []
-
-                async def watch():
-                    readings.append(await source.watch(1))
-
-                async with anyio.create_task_group() as group:
-                    group.start_soon(watch)
-                    await wait_until(lambda: service.calls["watch"])
-                    service.publish("two")
-                self.assertEqual([(2, b"two")], [tuple(item) for item in readings])
-                service.set_down(True)
-                with testtools.ExpectedException(SourceUnreachable):
-                    await source.watch(2)
-                self.assertEqual({"read": 3, "watch": 2}, dict(service.calls))
-                await source.aclose()
-
-        anyio.run(main)
+        service = ConfigurationService()
+        async with serving(configuration_app(service)) as url:
+            source = HttpConfigurationSource(url)
+            with testtools.ExpectedException(SourceUnreachable):
+                await source.read()
+            service.publish("one")
+            service.publish("part", key="snipetrestle/adapters-0")
+            self.assertEqual((1, b"one"), tuple(await source.read()))
+            self.assertEqual((1, b"part"), tuple(await source.read("adapters-0")))
+            readings = []
+
+            async def watch():
+                readings.append(await source.watch(1))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(watch)
+                await wait_until(lambda: service.calls["watch"])
+                service.publish("two")
+            self.assertEqual([(2, b"two")], [tuple(item) for item in readings])
+            service.set_down(True)
+            with testtools.ExpectedException(SourceUnreachable):
+                await source.watch(2)
+            self.assertEqual({"read": 3, "watch": 2}, dict(service.calls))
+            await source.aclose()
 
     def test_end_of_a_watch_names_the_current_revision(self):
         """Without it, a service that was restored looks like one without changes."""
@@ -103,58 +100,49 @@
 
         anyio.run(main)
 
-    def test_refused_connection_raises_source_unreachable(self):
+    @with_system(anyio.run)
+    async def test_refused_connection_raises_source_unreachable(self):
         """An unconverted connection error would end the task of the reader."""
-
-        async def main():
-            async with serving(configuration_app(ConfigurationService())) as url:
-                pass
-            with testtools.ExpectedException(SourceUnreachable):
-                await HttpConfigurationSource(url).read()
-
-        anyio.run(main)
+        async with serving(configuration_app(ConfigurationService())) as url:
+            pass
+        with testtools.ExpectedException(SourceUnreachable):
+            await HttpConfigurationSource(url).read()
 
 
 class HttpHostListSourceTest(testtools.TestCase):
-    def test_list_is_returned_again_only_after_a_change(self):
+    @with_system(anyio.run)
+    async def test_list_is_returned_again_only_after_a_change(self):
         """Guards against the transfer of the full list on each poll."""
-
-        async def main():
-            service = HostListService()
-            service.put(HOST)
-            async with serving(host_list_app(service)) as url:
-                source = HttpHostListSource(url)
-                hosts = await source.read()
-                self.assertEqual((HOST,), hosts.hosts)
-                self.assertIsNone(await source.read(hosts.revision))
-                service.set_leaving("entry-1")
-                changed = await source.read(hosts.revision)
-                self.assertEqual(HostState.LEAVING, changed.hosts[0].state)
-                await source.aclose()
-
-        anyio.run(main)
+        service = HostListService()
+        service.put(HOST)
+        async with serving(host_list_app(service)) as url:
+            source = HttpHostListSource(url)
+            hosts = await source.read()
+            self.assertEqual((HOST,), hosts.hosts)
+            self.assertIsNone(await source.read(hosts.revision))
+            service.set_leaving("entry-1")
+            changed = await source.read(hosts.revision)
+            self.assertEqual(HostState.LEAVING, changed.hosts[0].state)
+            await source.aclose()
 
 
 class StandInTest(testtools.TestCase):
-    def test_frozen_service_and_lagging_list_return_old_states(self):
+    @in_virtual_time
+    async def test_frozen_service_and_lagging_list_return_old_states(self):
         """Tests of old states prove nothing if the stand-ins cannot return one."""
-
-        async def main():
-            service = ConfigurationService()
-            service.publish("one")
-            service.freeze()
-            service.publish("two")
-            self.assertEqual(1, service.read("snipetrestle").revision)
-            service.thaw()
-            self.assertEqual(2, service.read("snipetrestle").revision)
-            hosts = HostListService(lag_s=5.0)
-            hosts.put(HOST)
-            source = LocalHostListSource(hosts)
-            self.assertIsNone(await source.read())
-            await anyio.sleep(5.0)
-            self.assertEqual((HOST,), (await source.read()).hosts)
-
-        run_in_virtual_time(main)
+        service = ConfigurationService()
+        service.publish("one")
+        service.freeze()
+        service.publish("two")
+        self.assertEqual(1, service.read("snipetrestle").revision)
+        service.thaw()
+        self.assertEqual(2, service.read("snipetrestle").revision)
+        hosts = HostListService(lag_s=5.0)
+        hosts.put(HOST)
+        source = LocalHostListSource(hosts)
+        self.assertIsNone(await source.read())
+        await anyio.sleep(5.0)
+        self.assertEqual((HOST,), (await source.read()).hosts)
 
 
 class BadServiceTest(testtools.TestCase):
@@ -247,18 +235,15 @@
 
         anyio.run(main)
 
-    def test_late_second_copy_does_not_answer_the_next_read(self):
+    @with_system(anyio.run)
+    async def test_late_second_copy_does_not_answer_the_next_read(self):
         """One part of the configuration was taken for another one."""
-
-        async def main():
-            one, two = ok(b"one", b'ETag: "1"'), ok(b"two", b'ETag: "1"')
-            async with raw_server(one, two) as server:
-                server.second_copy_delay_s = 0.05
-                source = HttpConfigurationSource(f"http://{server.address}")
-                first = await source.read("adapters-1")
-                server.answer_delay_s = 0.2
-                second = await source.read("adapters-2")
-                self.assertEqual((b"one", b"two"), (first.document, second.document))
-                await source.aclose()
-
-        anyio.run(main)
+        one, two = ok(b"one", b'ETag: "1"'), ok(b"two", b'ETag: "1"')
+        async with raw_server(one, two) as server:
+            server.second_copy_delay_s = 0.05
+            source = HttpConfigurationSource(f"http://{server.address}")
+            first = await source.read("adapters-1")
+            server.answer_delay_s = 0.2
+            second = await source.read("adapters-2")
+            self.assertEqual((b"one", b"two"), (first.document, second.document))
+            await source.aclose()
