Give tests of tenants' accounts their system and tenant by decorator

The inner function of 16 tests is their body now, and the tenant that each made for its system is an argument of the decorator. Names, docstrings, statements and assertions are the same: turned back, the syntax tree equals that before.

--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -17,6 +17,7 @@
 from snipetrestle.events import Event
 from snipetrestle.tenants import quota_accounts
 from snipetrestle.tenants.configuration import QuotaUnit
+from tests.systems import with_own_system
 from tests.tenants.quota_system import (
     MAX_WAIT_S,
     Callers,
@@ -409,179 +410,145 @@
 
             self.run_with(check, tenant)
 
-    def test_request_larger_than_the_burst_is_served(self):
+    @with_own_system("run_with", make_tenant("t", 100, 500))
+    async def test_request_larger_than_the_burst_is_served(self, system, tenant):
         """It would wait for a level that the pool never has."""
-        tenant = make_tenant("t", 100, 500)
-
-        async def check(system, tenant):
-            member = system.members[1]
-            self.assertIsNone(await member.accounts.acquire(tenant, 900, MAX_WAIT_S))
-            retry_after_s = await member.accounts.acquire(tenant, 900, MAX_WAIT_S)
-            self.assertAlmostEqual(9.0, retry_after_s, delta=0.1)
-            await anyio.sleep(retry_after_s)
-            self.assertIsNone(await member.accounts.acquire(tenant, 900, MAX_WAIT_S))
-
-        self.run_with(check, tenant)
-
-    def test_refunded_units_can_be_used_again(self):
+        member = system.members[1]
+        self.assertIsNone(await member.accounts.acquire(tenant, 900, MAX_WAIT_S))
+        retry_after_s = await member.accounts.acquire(tenant, 900, MAX_WAIT_S)
+        self.assertAlmostEqual(9.0, retry_after_s, delta=0.1)
+        await anyio.sleep(retry_after_s)
+        self.assertIsNone(await member.accounts.acquire(tenant, 900, MAX_WAIT_S))
+
+    @with_own_system("run_with", make_tenant("t", 0.1, 3, QuotaUnit.REQUESTS))
+    async def test_refunded_units_can_be_used_again(self, system, tenant):
         """A request that no replica got would cost its tenant as if it had run."""
-        tenant = make_tenant("t", 0.1, 3, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            accounts = system.members[1].accounts
-            for _ in range(20):
-                self.assertIsNone(await accounts.acquire(tenant, 1, MAX_WAIT_S))
-                accounts.refund(tenant, 1, anyio.current_time())
-            await anyio.sleep(2.0)
-            # Refunds that this host does not use go back to the owner.
-            for number in (2, 3, 1):
-                accounts = system.members[number].accounts
-                self.assertIsNone(await accounts.acquire(tenant, 1, MAX_WAIT_S))
-
-        self.run_with(check, tenant)
-
-    def test_units_that_a_quiet_host_does_not_use_go_back(self):
+        accounts = system.members[1].accounts
+        for _ in range(20):
+            self.assertIsNone(await accounts.acquire(tenant, 1, MAX_WAIT_S))
+            accounts.refund(tenant, 1, anyio.current_time())
+        await anyio.sleep(2.0)
+        # Refunds that this host does not use go back to the owner.
+        for number in (2, 3, 1):
+            accounts = system.members[number].accounts
+            self.assertIsNone(await accounts.acquire(tenant, 1, MAX_WAIT_S))
+
+    @with_own_system("run_with", make_tenant("t", 0.01, 100, QuotaUnit.REQUESTS))
+    async def test_units_that_a_quiet_host_does_not_use_go_back(self, system, tenant):
         """A tenant would lose what it had asked for in advance at each host."""
-        tenant = make_tenant("t", 0.01, 100, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            for member in system.members.values():
-                for _ in range(20):
-                    self.assertIsNone(await member.accounts.acquire(tenant, 1, 0.25))
-                    await anyio.sleep(0.05)
-                await anyio.sleep(3.0)
-            member = system.members[1]
-            self.assertEqual(40, await self.use_up(system, member, tenant))
-
-        self.run_with(check, tenant)
+        for member in system.members.values():
+            for _ in range(20):
+                self.assertIsNone(await member.accounts.acquire(tenant, 1, 0.25))
+                await anyio.sleep(0.05)
+            await anyio.sleep(3.0)
+        member = system.members[1]
+        self.assertEqual(40, await self.use_up(system, member, tenant))
 
-    def test_caller_that_leaves_while_it_waits_costs_nothing(self):
+    @with_own_system("run_with", make_tenant("t", 10, 1, QuotaUnit.REQUESTS))
+    async def test_caller_that_leaves_while_it_waits_costs_nothing(
+        self, system, tenant
+    ):
         """Its units would be lost to the other callers."""
-        tenant = make_tenant("t", 10, 1, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            accounts = system.members[1].accounts
-            await self.use_up(system, system.members[1], tenant)
-            with anyio.move_on_after(0.01) as scope:
-                await accounts.acquire(tenant, 1, 10.0)
-            self.assertTrue(scope.cancelled_caught)
-            await anyio.sleep(0.2)
-            self.assertIsNone(await accounts.acquire(tenant, 1, 0.0))
-
-        self.run_with(check, tenant)
-
-    def test_waiting_requests_are_served_in_their_order(self):
+        accounts = system.members[1].accounts
+        await self.use_up(system, system.members[1], tenant)
+        with anyio.move_on_after(0.01) as scope:
+            await accounts.acquire(tenant, 1, 10.0)
+        self.assertTrue(scope.cancelled_caught)
+        await anyio.sleep(0.2)
+        self.assertIsNone(await accounts.acquire(tenant, 1, 0.0))
+
+    @with_own_system("run_with", make_tenant("t", 20, 1, QuotaUnit.REQUESTS))
+    async def test_waiting_requests_are_served_in_their_order(self, system, tenant):
         """Later requests could pass earlier ones until these are refused."""
-        tenant = make_tenant("t", 20, 1, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            order = []
+        order = []
 
-            async def send(number):
-                if await system.members[1].accounts.acquire(tenant, 1, 2.0) is None:
-                    order.append(number)
+        async def send(number):
+            if await system.members[1].accounts.acquire(tenant, 1, 2.0) is None:
+                order.append(number)
 
-            async with anyio.create_task_group() as group:
-                for number in range(20):
-                    group.start_soon(send, number)
-                    await anyio.sleep(0.001)
-            self.assertEqual(list(range(20)), order)
-
-        self.run_with(check, tenant)
+        async with anyio.create_task_group() as group:
+            for number in range(20):
+                group.start_soon(send, number)
+                await anyio.sleep(0.001)
+        self.assertEqual(list(range(20)), order)
 
-    def test_repeated_request_is_issued_once(self):
+    @with_own_system("run_with", make_tenant("t", 0.1, 100))
+    async def test_repeated_request_is_issued_once(self, system, tenant):
         """A request whose answer was lost is sent again, and would count twice."""
-        tenant = make_tenant("t", 0.1, 100)
-
-        async def check(system, tenant):
-            owner = system.owner("t")
-            asker = next(m for m in system.members.values() if m is not owner)
-            replies = []
-            asker.endpoint.register(QuotaReply, lambda reply, _: replies.append(reply))
-            for number in (10, 10, 9, 10):
-                message = QuotaRequest(asker.hosts.own.boot, number, "t", 60, 60, 0, 0)
-                asker.endpoint.send(message, owner.endpoint.address)
-                await anyio.sleep(0.01)
-            self.assertEqual([(10, 60.0)] * 3, [(r.number, r.granted) for r in replies])
-            # Another process of the same host counts its requests anew.
-            message = QuotaRequest(asker.hosts.own.boot + 1, 1, "t", 30, 30, 0, 0)
+        owner = system.owner("t")
+        asker = next(m for m in system.members.values() if m is not owner)
+        replies = []
+        asker.endpoint.register(QuotaReply, lambda reply, _: replies.append(reply))
+        for number in (10, 10, 9, 10):
+            message = QuotaRequest(asker.hosts.own.boot, number, "t", 60, 60, 0, 0)
             asker.endpoint.send(message, owner.endpoint.address)
             await anyio.sleep(0.01)
-            self.assertEqual((1, 30.0), (replies[-1].number, replies[-1].granted))
-
-        self.run_with(check, tenant)
-
-    def test_busy_tenant_costs_two_requests_a_second(self):
+        self.assertEqual([(10, 60.0)] * 3, [(r.number, r.granted) for r in replies])
+        # Another process of the same host counts its requests anew.
+        message = QuotaRequest(asker.hosts.own.boot + 1, 1, "t", 30, 30, 0, 0)
+        asker.endpoint.send(message, owner.endpoint.address)
+        await anyio.sleep(0.01)
+        self.assertEqual((1, 30.0), (replies[-1].number, replies[-1].granted))
+
+    @with_own_system("run_with", make_tenant("t", 2_000, 2_000, QuotaUnit.REQUESTS))
+    async def test_busy_tenant_costs_two_requests_a_second(self, system, tenant):
         """A message for each request would be as many as the system has requests."""
-        tenant = make_tenant("t", 2_000, 2_000, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            owner = system.owner("t")
-            asker = next(m for m in system.members.values() if m is not owner)
-            sent = system.network.datagrams_by_type
-            for second in range(12):
-                if second == 2:
-                    sent.clear()
-                for _ in range(500):
-                    self.assertIsNone(await asker.accounts.acquire(tenant, 1, 0.1))
-                    await anyio.sleep(0.002)
-            self.assertLessEqual(sent[QuotaRequest], 2.5 * 10)
-
-        self.run_with(check, tenant)
+        owner = system.owner("t")
+        asker = next(m for m in system.members.values() if m is not owner)
+        sent = system.network.datagrams_by_type
+        for second in range(12):
+            if second == 2:
+                sent.clear()
+            for _ in range(500):
+                self.assertIsNone(await asker.accounts.acquire(tenant, 1, 0.1))
+                await anyio.sleep(0.002)
+        self.assertLessEqual(sent[QuotaRequest], 2.5 * 10)
 
-    def test_balances_are_void_after_a_pause(self):
+    @with_own_system("run_with", make_tenant("t", 1_000, 1_000, QuotaUnit.REQUESTS))
+    async def test_balances_are_void_after_a_pause(self, system, tenant):
         """A process that was stopped could use units that were issued anew since."""
-        tenant = make_tenant("t", 1_000, 1_000, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            member = system.members[1]
-            for _ in range(100):
-                await member.accounts.acquire(tenant, 1, 0.1)
-                await anyio.sleep(0.01)
-            (account,) = member.accounts._accounts_by_tenant.values()
-            self.assertGreater(account.balance(), 0)
-            member.freeze()
-            for lot in account.lots:
-                lot.expires_at = math.inf
-            await anyio.sleep(2.0)
-            member.wake()
+        member = system.members[1]
+        for _ in range(100):
+            await member.accounts.acquire(tenant, 1, 0.1)
             await anyio.sleep(0.01)
-            self.assertEqual(0, account.balance())
-
-        self.run_with(check, tenant)
-
-    def test_host_that_has_just_started_issues_nothing_alone(self):
+        (account,) = member.accounts._accounts_by_tenant.values()
+        self.assertGreater(account.balance(), 0)
+        member.freeze()
+        for lot in account.lots:
+            lot.expires_at = math.inf
+        await anyio.sleep(2.0)
+        member.wake()
+        await anyio.sleep(0.01)
+        self.assertEqual(0, account.balance())
+
+    @with_own_system("run_with", make_tenant("t", 1_000, 1_000, QuotaUnit.REQUESTS))
+    async def test_host_that_has_just_started_issues_nothing_alone(
+        self, system, tenant
+    ):
         """It knows no other host, and would take itself for the only one."""
-        tenant = make_tenant("t", 1_000, 1_000, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            await anyio.sleep(1.0)
-            system.kill(3)
-            cut(system, ["entry-3"], system.names())
-            member = system.start(3)
-            await anyio.sleep(3.0)
-            self.assertIsNotNone(await member.accounts.acquire(tenant, 1, 1.0))
-            system.network.cuts.clear()
-            await anyio.sleep(4.0)
-            self.assertIsNone(await member.accounts.acquire(tenant, 1, 0.25))
-
-        self.run_with(check, tenant)
+        await anyio.sleep(1.0)
+        system.kill(3)
+        cut(system, ["entry-3"], system.names())
+        member = system.start(3)
+        await anyio.sleep(3.0)
+        self.assertIsNotNone(await member.accounts.acquire(tenant, 1, 1.0))
+        system.network.cuts.clear()
+        await anyio.sleep(4.0)
+        self.assertIsNone(await member.accounts.acquire(tenant, 1, 0.25))
 
-    def test_new_owner_starts_without_the_burst_of_the_last_one(self):
+    @with_own_system("run_with", make_tenant("t", 1, 100, QuotaUnit.REQUESTS))
+    async def test_new_owner_starts_without_the_burst_of_the_last_one(
+        self, system, tenant
+    ):
         """It had a whole burst until it noticed, up to a second later, who had left."""
-        tenant = make_tenant("t", 1, 100, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            await anyio.sleep(0.5)
-            owner = system.owner("t")
-            others = [m for m in system.members.values() if m is not owner]
-            self.assertGreaterEqual(await self.use_up(system, others[0], tenant), 100)
-            owner.hosts.send_leaving()
-            await anyio.sleep(0.01)
-            self.assertNotEqual(owner.name, others[1].owners.owner("t"))
-            self.assertLessEqual(await self.use_up(system, others[1], tenant), 2)
-
-        self.run_with(check, tenant)
+        await anyio.sleep(0.5)
+        owner = system.owner("t")
+        others = [m for m in system.members.values() if m is not owner]
+        self.assertGreaterEqual(await self.use_up(system, others[0], tenant), 100)
+        owner.hosts.send_leaving()
+        await anyio.sleep(0.01)
+        self.assertNotEqual(owner.name, others[1].owners.owner("t"))
+        self.assertLessEqual(await self.use_up(system, others[1], tenant), 2)
 
     def test_refund_of_an_older_version_changes_no_limit(self):
         """The owner would issue at the old limit until the next request."""
@@ -600,121 +567,103 @@
 
         self.run_with(check, tenant)
 
-    def test_old_refunds_are_no_second_burst(self):
+    @with_own_system("run_with", make_tenant("t", 5_000, 5_000))
+    async def test_old_refunds_are_no_second_burst(self, system, tenant):
         """Requests that had waited long came again at once, above the rule."""
-        tenant = make_tenant("t", 5_000, 5_000)
-
-        async def check(system, tenant):
-            accounts = system.members[1].accounts
-            booked_at = []
-            for _ in range(400):
-                if await accounts.acquire(tenant, 250, 0.25) is None:
-                    booked_at.append(anyio.current_time())
-                await anyio.sleep(0.05)
-            for at in booked_at:
-                accounts.refund(tenant, 250, at)
-            used = 0
-            for _ in range(500):
-                if await accounts.acquire(tenant, 250, 0.0) is None:
-                    used += 250
-            self.assertLessEqual(used, 2 * 5_000)
-
-        self.run_with(check, tenant)
-
-    def test_units_that_are_awaited_during_a_pause_are_void(self):
+        accounts = system.members[1].accounts
+        booked_at = []
+        for _ in range(400):
+            if await accounts.acquire(tenant, 250, 0.25) is None:
+                booked_at.append(anyio.current_time())
+            await anyio.sleep(0.05)
+        for at in booked_at:
+            accounts.refund(tenant, 250, at)
+        used = 0
+        for _ in range(500):
+            if await accounts.acquire(tenant, 250, 0.0) is None:
+                used += 250
+        self.assertLessEqual(used, 2 * 5_000)
+
+    @with_own_system("run_with", make_tenant("t", 10, 10, QuotaUnit.REQUESTS))
+    async def test_units_that_are_awaited_during_a_pause_are_void(self, system, tenant):
         """They were issued before the pause, and would be used long after it."""
-        tenant = make_tenant("t", 10, 10, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            owner = system.owner("t")
-            member = next(m for m in system.members.values() if m is not owner)
-            await self.use_up(system, member, tenant)
-            async with anyio.create_task_group() as group:
-                group.start_soon(member.accounts.acquire, tenant, 5, 2.0)
-                await anyio.sleep(0.1)
-                account = member.accounts._accounts_by_tenant["t"]
-                self.assertTrue(account.is_asking)
-                # The clock of a process that is stopped goes on.
-                member.pause_watch._ticked_at = -math.inf
-                member.pause_watch.check()
-                await anyio.sleep(0.6)
-                self.assertEqual([5], [item.amount for item in account.waiters])
-
-        self.run_with(check, tenant)
-
-    def test_units_of_a_caller_that_leaves_serve_the_next_one(self):
+        owner = system.owner("t")
+        member = next(m for m in system.members.values() if m is not owner)
+        await self.use_up(system, member, tenant)
+        async with anyio.create_task_group() as group:
+            group.start_soon(member.accounts.acquire, tenant, 5, 2.0)
+            await anyio.sleep(0.1)
+            account = member.accounts._accounts_by_tenant["t"]
+            self.assertTrue(account.is_asking)
+            # The clock of a process that is stopped goes on.
+            member.pause_watch._ticked_at = -math.inf
+            member.pause_watch.check()
+            await anyio.sleep(0.6)
+            self.assertEqual([5], [item.amount for item in account.waiters])
+
+    @with_own_system("run_with", make_tenant("t", 0.1, 1, QuotaUnit.REQUESTS))
+    async def test_units_of_a_caller_that_leaves_serve_the_next_one(
+        self, system, tenant
+    ):
         """The next one waited for the owner, which has no more, and was refused."""
-        tenant = make_tenant("t", 0.1, 1, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            owner = system.owner("t")
-            member = next(m for m in system.members.values() if m is not owner)
-            accounts = member.accounts
-            results = []
-
-            async def leave():
-                with first_scope:
-                    await accounts.acquire(tenant, 1, 0.25)
-
-            async def send():
-                results.append(await accounts.acquire(tenant, 1, 0.25))
-
-            first_scope = anyio.CancelScope()
-            async with anyio.create_task_group() as group:
-                group.start_soon(leave)
-                await anyio.lowlevel.checkpoint()
-                (first,) = accounts._accounts_by_tenant["t"].waiters
-                group.start_soon(send)
-                serve = accounts._serve
-
-                def leave_and_serve(account):
-                    if account.balance() >= 1:
-                        # In the same turn of the event loop.
-                        first_scope.cancel()
-                    serve(account)
-
-                accounts._serve = leave_and_serve
-            self.assertTrue(first.is_granted and first_scope.cancelled_caught)
-            self.assertEqual([None], results)
-
-        self.run_with(check, tenant)
-
-    def test_odd_minimum_locks_no_tenant(self):
+        owner = system.owner("t")
+        member = next(m for m in system.members.values() if m is not owner)
+        accounts = member.accounts
+        results = []
+
+        async def leave():
+            with first_scope:
+                await accounts.acquire(tenant, 1, 0.25)
+
+        async def send():
+            results.append(await accounts.acquire(tenant, 1, 0.25))
+
+        first_scope = anyio.CancelScope()
+        async with anyio.create_task_group() as group:
+            group.start_soon(leave)
+            await anyio.lowlevel.checkpoint()
+            (first,) = accounts._accounts_by_tenant["t"].waiters
+            group.start_soon(send)
+            serve = accounts._serve
+
+            def leave_and_serve(account):
+                if account.balance() >= 1:
+                    # In the same turn of the event loop.
+                    first_scope.cancel()
+                serve(account)
+
+            accounts._serve = leave_and_serve
+        self.assertTrue(first.is_granted and first_scope.cancelled_caught)
+        self.assertEqual([None], results)
+
+    @with_own_system("run_with", make_tenant("t", 100, 100))
+    async def test_odd_minimum_locks_no_tenant(self, system, tenant):
         """One datagram took 1e15 units, for which the tenant then waited for ever."""
-        tenant = make_tenant("t", 100, 100)
-
-        async def check(system, tenant):
-            owner = system.owner("t")
-            asker = next(m for m in system.members.values() if m is not owner)
-            message = QuotaRequest(asker.hosts.own.boot, 10**6, "t", 0, 1e15, 0, 0)
-            asker.endpoint.send(message, owner.endpoint.address)
-            await anyio.sleep(0.01)
-            self.assertIsNone(await owner.accounts.acquire(tenant, 50, 0.25))
-
-        self.run_with(check, tenant)
-
-    def test_odd_reply_locks_no_tenant(self):
+        owner = system.owner("t")
+        asker = next(m for m in system.members.values() if m is not owner)
+        message = QuotaRequest(asker.hosts.own.boot, 10**6, "t", 0, 1e15, 0, 0)
+        asker.endpoint.send(message, owner.endpoint.address)
+        await anyio.sleep(0.01)
+        self.assertIsNone(await owner.accounts.acquire(tenant, 50, 0.25))
+
+    @with_own_system("run_with", make_tenant("t", 100, 100, QuotaUnit.REQUESTS))
+    async def test_odd_reply_locks_no_tenant(self, system, tenant):
         """A damaged reply gave any number of units, or stopped all later requests."""
-        tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            owner = system.owner("t")
-            member = next(m for m in system.members.values() if m is not owner)
-            reply = owner.issuer._reply
-
-            def reply_oddly(message, address, granted, wait_s):
-                reply(message, address, 1e15, 1e9)
-
-            owner.issuer._reply = reply_oddly
-            await member.accounts.acquire(tenant, 1, 0.25)
-            owner.issuer._reply = reply
-            await anyio.sleep(0.5)
-            account = member.accounts._accounts_by_tenant["t"]
-            self.assertLessEqual(account.balance(), 1)
-            await anyio.sleep(1.0)
-            self.assertIsNone(await member.accounts.acquire(tenant, 1, 0.25))
-
-        self.run_with(check, tenant)
+        owner = system.owner("t")
+        member = next(m for m in system.members.values() if m is not owner)
+        reply = owner.issuer._reply
+
+        def reply_oddly(message, address, granted, wait_s):
+            reply(message, address, 1e15, 1e9)
+
+        owner.issuer._reply = reply_oddly
+        await member.accounts.acquire(tenant, 1, 0.25)
+        owner.issuer._reply = reply
+        await anyio.sleep(0.5)
+        account = member.accounts._accounts_by_tenant["t"]
+        self.assertLessEqual(account.balance(), 1)
+        await anyio.sleep(1.0)
+        self.assertIsNone(await member.accounts.acquire(tenant, 1, 0.25))
 
     def test_units_under_an_earlier_quota_are_not_used(self):
         """Tokens that were awaited while the unit changed counted as requests."""
@@ -732,21 +681,17 @@
 
         self.run_with(check, tenant)
 
-    def test_single_host_uses_the_whole_quota(self):
+    @with_own_system(
+        "run_with", make_tenant("t", 100, 100, QuotaUnit.REQUESTS), size=1, seeds=(1,)
+    )
+    async def test_single_host_uses_the_whole_quota(self, system, tenant):
         """A system of one host has no leader that reaches others."""
-        tenant = make_tenant("t", 100, 100, QuotaUnit.REQUESTS)
-
-        async def check(system, tenant):
-            count = await self.use_up(system, system.members[1], tenant)
-            self.assertGreaterEqual(count, 100)
-            started = anyio.current_time()
-            for _ in range(100):
-                self.assertIsNone(
-                    await system.members[1].accounts.acquire(tenant, 1, 0.25)
-                )
-            self.assertLess(anyio.current_time() - started, 1.1)
-
-        self.run_with(check, tenant, size=1, seeds=(1,))
+        count = await self.use_up(system, system.members[1], tenant)
+        self.assertGreaterEqual(count, 100)
+        started = anyio.current_time()
+        for _ in range(100):
+            self.assertIsNone(await system.members[1].accounts.acquire(tenant, 1, 0.25))
+        self.assertLess(anyio.current_time() - started, 1.1)
 
     def test_lower_limit_reduces_balances_in_proportion(self):
         """What was granted under a higher limit could be used under the lower one."""
