--- a/tests/gateway/test_begun_streams.py
+++ b/tests/gateway/test_begun_streams.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from snipetrestle.dispatch.replica_search import MAX_ABSENCE_WAIT_S
+from snipetrestle.dispatch.replica_search import MAX_ABSENCE_WAIT_S, MAX_RETURNS
 from snipetrestle.gateway.backends.connection_pool import ConnectionPool
 from snipetrestle.gateway.retries import MAX_BEGUN_STREAM_SENDS
 from snipetrestle_standins.gateway_fleet import GatewayFleet
@@ -136,6 +136,33 @@
 
         run_fleet(check)
 
+    def test_refusals_by_an_only_replica_do_not_count_as_returns(self):
+        """Guards against a stream with fewer sends than one with two replicas."""
+
+        async def check(fleet):
+            await set_long_limits(fleet)
+            first = stream_events(1, 3, then=abort)
+            refusals = [refuse_after(0)] * (MAX_BEGUN_STREAM_SENDS - 2)
+            arrivals = script(fleet.models, [first, *refusals, stream_events(1, 6)])
+            self.assert_whole(await (await start_stream(fleet)))
+            self.assertEqual(MAX_BEGUN_STREAM_SENDS, len(arrivals))
+
+        run_fleet(check, models=1)
+
+    def test_failures_of_an_only_replica_are_bounded(self):
+        """Guards against a stream that returns to a failing replica without end."""
+
+        async def check(fleet):
+            await set_long_limits(fleet)
+            arrivals = script(
+                fleet.models, [stream_events(1, 3, then=abort), reset_after(0.05)]
+            )
+            answer = await (await start_stream(fleet))
+            self.assertEqual((200, False), (answer.status, answer.complete))
+            self.assertEqual(1 + MAX_RETURNS, len(arrivals))
+
+        run_fleet(check, models=1)
+
     def check_absence(self, adapter, leave, come_back=GatewayFleet.publish):
         """Checks that a stream outlasts a moment in which its only replica is away.
 
@@ -261,8 +288,11 @@
 class LateFailureTest(testtools.TestCase):
     """Replacements that fail after the exchange with the silent replica was ended."""
 
-    def check_return(self, first, failure, adapter=""):
-        """Checks that a stream goes back to the replica that was silent."""
+    def check_return(self, first, failure, adapter="", refusals=0):
+        """Checks that a stream goes back to the replica that was silent.
+
+        That replica refuses it ``refusals`` times then.
+        """
 
         async def check(fleet):
             in_flight = []
@@ -280,13 +310,15 @@
                     fleet.publish(replica)
             # Replicas that are heard of are not silent.
             await asyncio.sleep(0.5)
-            arrivals = script(fleet.models, [first, failure, finish])
+            refused = [refuse_after(0)] * refusals
+            arrivals = script(fleet.models, [first, failure, *refused, finish])
             answer = await (await start_stream(fleet, adapter=adapter))
             self.assertEqual(
                 (200, True, ALL_EVENT_IDS),
                 (answer.status, answer.complete, answer.event_ids),
             )
-            self.assertEqual([arrivals[0], arrivals[1], arrivals[0]], arrivals)
+            returns = [arrivals[0]] * (1 + refusals)
+            self.assertEqual([arrivals[0], arrivals[1], *returns], arrivals)
             self.assertNotEqual(arrivals[0], arrivals[1])
             # No other replica is at work on the stream then.
             self.assertEqual([1], in_flight)
@@ -308,3 +340,13 @@
     def test_begun_stream_outlasts_a_late_reset(self):
         """Guards against a stream aborted for a replacement that fails late."""
         self.check_return(stream_events(1, 6, {4: 3.0}), reset_after(0.8))
+
+    def test_stream_without_an_event_outlasts_a_refused_return(self):
+        """Guards against a 502 for one refusal by the replica that was silent."""
+        self.check_return(answer_after(1.6), answer_after(0.8, 500), refusals=1)
+
+    def test_begun_stream_outlasts_refused_returns(self):
+        """The same for a stream whose caller has events."""
+        self.check_return(
+            stream_events(1, 6, {4: 3.0}), reset_after(0.8), "a1", refusals=2
+        )
