Count no replica whose process has ended among the attempts of a route

Cause: attempts bound the replicas on which a request may run, and those that had ended counted as well.

Change: a replica whose silent requests were ended for the end of its process does not count. The new test failed before (events 1 to 6 of 30) and passes now; test_ended_processes, test_begun_streams and test_replacements pass (50).

--- a/snipetrestle/gateway/backends/process_end.py
+++ b/snipetrestle/gateway/backends/process_end.py
@@ -42,6 +42,11 @@
         self._is_logged = False
         self._task = None
 
+    @property
+    def has_ended_exchanges(self):
+        """Whether exchanges were ended, as the process had ended by all that is known."""
+        return self._is_logged
+
     def note(self, evidence, successor_boot=None):
         """Ends the exchanges with the process as soon as it is silent for long enough.
 
--- a/snipetrestle/gateway/backends/replicas.py
+++ b/snipetrestle/gateway/backends/replicas.py
@@ -205,6 +205,11 @@
         """
         self._process_end.note(evidence, successor_boot)
 
+    @property
+    def has_ended(self):
+        """Whether requests were ended since the process of the replica has ended."""
+        return self._process_end.has_ended_exchanges
+
     def watch_removed(self, is_running):
         """Watches a process whose entry is gone, and asks if it runs once it is silent.
 
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -287,8 +287,16 @@
 
     @property
     def may_run_on_another(self):
-        """Whether the route allows the request to run on one more replica."""
-        return len(set(self.may_have_run_on)) < self.route.attempts
+        """Whether the route allows the request to run on one more replica.
+
+        Replicas whose process has ended do not count: nothing runs there any more.
+        """
+        running = {item for item in self.may_have_run_on if not self._has_ended(item)}
+        return len(running) < self.route.attempts
+
+    def _has_ended(self, replica_id):
+        replica = self.tried_replicas.get(replica_id)
+        return replica is not None and replica.has_ended
 
     def may_be_sent_to(self, replica):
         """Whether a replica can go on with it, within the attempts of the route."""
--- a/tests/gateway/test_ended_processes.py
+++ b/tests/gateway/test_ended_processes.py
@@ -93,6 +93,21 @@
         answer = await self.end_process(fleet, task, replica)
         self.assertEqual((502, b"SN-1301"), (answer.status, answer.body))
 
+    @with_system(run_fleet, models=3)
+    async def test_lost_replicas_do_not_use_up_the_attempts_of_a_stream(self, fleet):
+        """Guards against a stream that ends though none of its replicas runs it."""
+        task, first = await self.start_stream(fleet, "/draft/a")
+        first.go_dark()
+        list_other_id(fleet, first, born=2)
+        others = [item for item in fleet.models if item is not first]
+        await wait_until(lambda: any(item.running for item in others))
+        second = busiest(others)
+        await asyncio.sleep(0.3)
+        second.go_dark()
+        list_other_id(fleet, second, born=2)
+        answer = await task
+        self.assertEqual((True, ALL_EVENT_IDS), (answer.complete, answer.event_ids))
+
     @with_system(run_fleet)
     async def test_write_gets_502_once_a_new_process_is_listed(self, fleet):
         """Guards against a write that waits at a lost machine to its deadline."""
