Let a taken-up stream search for a place from when its origin is known

Cause: the wait for a place counted from the arrival of the request.

Change: for taken-up streams it counts from the first search for a place. Later attempts do not begin it anew, and it ends when a refusal is due.

Passed: tests.dispatch. test_replica_search (10), tests.gateway.test_take_ups, test_begun_streams and tests.coordination.test_locator.

Conclusion: one cause of take-ups without a place is gone.

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -134,10 +134,7 @@
         key = job.metadata.adapter
         if key is None or not key.adapter:
             return await self.choose_replica(job)
-        # The time that an earlier attempt took is not lost for the search.
-        started_at = job.request.received_at
-        if job.may_have_run:
-            started_at = anyio.current_time()
+        started_at = self._search_started_at(job)
         job.version = self._state.versions_by_adapter.get(key)
         places = self._locator.cached_locations(key)
         must_pause = False
@@ -182,6 +179,21 @@
             )
             must_pause = True
 
+    @staticmethod
+    def _search_started_at(job):
+        """Returns when the search for a place of a job's adapter counts as begun.
+
+        Earlier attempts count unless the request may have run. The search for the origin
+        of a taken-up stream takes up to 2 s, and does not count.
+        """
+        if job.may_have_run:
+            return anyio.current_time()
+        if job.take_up is None:
+            return job.request.received_at
+        if job.place_search_at is None:
+            job.place_search_at = anyio.current_time()
+        return job.place_search_at
+
     def _place_wait_deadline(self, job, started_at):
         """Returns the time until which a search for a place that has begun goes on.
 
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -62,7 +62,8 @@
     quota and when, or None. ``open_exchanges`` are its Exchanges. ``permit`` is a
     dispatch Permit that no exchange has taken yet. ``origin`` is the StreamOrigin of a
     stream of which the caller has an event, else None, and ``take_up`` the TakeUp of one
-    that the caller takes up, or None.
+    that the caller takes up, or None. ``place_search_at`` is when the first search for a
+    place of a taken-up stream's adapter began, or None.
     """
 
     __slots__ = (
@@ -100,6 +101,7 @@
         "open_exchanges",
         "origin",
         "take_up",
+        "place_search_at",
         "_fallback_answer",
     )
 
@@ -143,6 +145,7 @@
         self.open_exchanges = set()
         self.origin = None
         self.take_up = None
+        self.place_search_at = None
         self._fallback_answer = None
 
     def abandon(self):
--- a/tests/dispatch/searches.py
+++ b/tests/dispatch/searches.py
@@ -109,6 +109,7 @@
         "adapter_missing_on": [],
         "dropped_on": set(),
         "version": None,
+        "place_search_at": None,
         "limit_wait_s": 0.0,
         "may_be_sent_to": lambda replica: True,
     }
--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -124,6 +124,35 @@
         """Guards against a caller that learns late that nothing is loaded."""
         self.check_wait(LEADERLESS_SEARCH_S, leadership=NoLeadership())
 
+    def test_time_for_the_origin_is_not_taken_from_the_search(self):
+        """Guards against a taken-up stream for which the leader is never asked."""
+
+        async def check(search, replicas):
+            job = make_job()
+            job.take_up = object()
+            job.request.received_at -= TAKE_UP_SEARCH_S + 0.1
+            replica = await search.find_stream_replica(job)
+            self.assertIs(replicas["r0"], replica)
+
+        self.run_with_search(check, ["r0"])
+
+    def test_repeated_search_of_a_taken_up_stream_ends(self):
+        """Guards against a wait that starts again with each attempt."""
+
+        async def check(search, replicas):
+            job = make_job()
+            job.take_up = object()
+            await search.find_stream_replica(job)
+            self.holders.clear()
+            await anyio.sleep(TAKE_UP_SEARCH_S + 0.1)
+            started_at = anyio.current_time()
+            replicas["r0"].leaving = True
+            with testtools.ExpectedException(Refused):
+                await search.find_stream_replica(job)
+            self.assertEqual(started_at, anyio.current_time())
+
+        self.run_with_search(check, ["r0"])
+
     def test_holder_on_no_list_is_not_asked_for_without_a_pause(self):
         """The leader may list a replica that this host does not."""
 
