Ask for a place elsewhere if a begun stream's places are suspected replicas

Cause: this host does not use a place at a suspected replica (for 1 to 4 s), but did not tell the leader so. The leader named that replica again, and loaded the adapter nowhere else.

Change: a lookup of a stream with an origin leaves the suspected replicas out of the answer if others of its version take requests. New streams wait for the suspected replica as before, since a moment of silence would lead to loads of all its adapters.

Tests: test_begun_stream_gets_a_place_beside_a_suspected_one fails on the old code (the stream got r0 when its suspicion ended) and passes now; the tests of new streams and of all replicas suspected pass on both. Passed: tests.dispatch.test_replica_search (13), tests.gateway.test_stream_versions, test_begun_streams, test_silent_replicas and tests.coordination.test_version_placement (62).

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -21,6 +21,8 @@
 RETRY_AFTER_S = 0.5
 # Pause before the leader is asked again about an adapter without a place to use.
 NO_PLACE_PAUSE_S = 0.06
+# Bounds the ids of suspected replicas in a question to the leader.
+MAX_NAMED_SUSPECTED = 32
 # How long a stream that its caller already reads waits while its only replicas drain:
 # about as long as the pauses of one that replicas refuse take together. It asks this
 # often whether one of them is ready again.
@@ -170,6 +172,7 @@
             limited_ids = [
                 *(item.id for item in holders),
                 *self._chooser.paused_ids(job),
+                *self._suspected_ids(job),
             ]
             places = await self._locator.look_up(
                 key,
@@ -194,6 +197,21 @@
             job.place_search_at = anyio.current_time()
         return job.place_search_at
 
+    def _suspected_ids(self, job):
+        """Returns the suspected replicas instead of which a begun stream needs another.
+
+        A place at one of them is of no use for up to 4 s. While all are suspected, the
+        leader could only load the adapter at one of them after the other.
+        """
+        if job.origin is None:
+            return []
+        now = anyio.current_time()
+        replicas = [item for item in self._chooser.replicas_for(job) if item.is_willing]
+        suspected = [item.id for item in replicas if item.suspected_until > now]
+        if len(suspected) == len(replicas):
+            return []
+        return suspected[:MAX_NAMED_SUSPECTED]
+
     def _place_wait_deadline(self, job, started_at):
         """Returns the time until which a search for a place that has begun goes on.
 
--- a/tests/dispatch/searches.py
+++ b/tests/dispatch/searches.py
@@ -112,5 +112,6 @@
         "place_search_at": None,
         "limit_wait_s": 0.0,
         "may_be_sent_to": lambda replica: True,
+        "may_go_on_at": lambda replica: True,
     }
     return types.SimpleNamespace(**{**fields, **attributes})
--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -11,6 +11,7 @@
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
 from snipetrestle.gateway.job import Refused
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.dispatch import searches
 from tests.dispatch.searches import BACKEND, NoLeadership, build_search
@@ -153,6 +154,51 @@
 
         self.run_with_search(check, ["r0"])
 
+    def check_suspected(self, origin, expected_id):
+        """Checks which replica a stream gets whose adapter is at a suspected one.
+
+        The leader loads the adapter at r1 if it may not name r0.
+        """
+
+        async def check(search, replicas):
+            replicas["r0"].suspected_until = anyio.current_time() + 0.5
+            job = make_job()
+            job.origin = origin
+            replica = await search.find_stream_replica(job)
+            self.assertIs(replicas[expected_id], replica)
+
+        self.run_with_search(check, ["r0"], replica_count=2)
+
+    async def locate_or_load(self, key, uses, avoid, limited, software_version):
+        if "r0" in limited and "r1" not in self.holders:
+            self.holders.append("r1")
+        return await self.locate_named(key, uses, avoid, limited, software_version)
+
+    def test_begun_stream_gets_a_place_beside_a_suspected_one(self):
+        """Guards against a stream whose only place is a replica that has ended."""
+        self.locate_named, self.locate_here = self.locate_here, self.locate_or_load
+        origin = StreamOrigin(BACKEND, "1.0")
+        self.check_suspected(origin, "r1")
+
+    def test_new_stream_waits_for_a_suspected_holder(self):
+        """Guards against loads at other replicas for each moment of silence."""
+        self.locate_named, self.locate_here = self.locate_here, self.locate_or_load
+        self.check_suspected(None, "r0")
+
+    def test_nothing_is_loaded_while_all_replicas_are_suspected(self):
+        """Guards against a load at one suspected replica after the other."""
+
+        async def check(search, replicas):
+            for replica in replicas.values():
+                replica.suspected_until = anyio.current_time() + 0.5
+            job = make_job()
+            job.origin = StreamOrigin(BACKEND, "1.0")
+            await search.find_stream_replica(job)
+            self.assertEqual(["r0"], self.holders)
+
+        self.locate_named, self.locate_here = self.locate_here, self.locate_or_load
+        self.run_with_search(check, ["r0"], replica_count=2)
+
     def test_holder_on_no_list_is_not_asked_for_without_a_pause(self):
         """The leader may list a replica that this host does not."""
 
