Use published places of a version once a search has lost the leader

Cause: published entries were used only by a search that began without a leader and without cached places. A search that lost the leader, or a host whose cached places are at another version, got no place at all until the next leader answered.

Change: a lookup for a version that gets no answer returns the replicas whose entries list the adapter if no leader is known. The search keeps those of its version; a replica that no longer holds the adapter refuses without running the request. They are not cached. New streams stay as they are.

--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -61,7 +61,7 @@
 class VersionLookup:
     """A question for the replicas of one software version that hold an adapter.
 
-    ``ready_at_by_id`` is empty without an answer.
+    ``ready_at_by_id`` is empty without an answer while a leader is known.
     """
 
     __slots__ = ("answered", "ready_at_by_id")
@@ -144,7 +144,8 @@
 
         Replicas whose ids are in ``avoid`` or ``limited`` are not returned; those in
         ``avoid`` did not serve the adapter. With a ``software_version``, the leader
-        only returns replicas of it. Has no timeout of its own: the caller limits the
+        only returns replicas of it; without a leader, the replicas whose entries list
+        the adapter are returned, of any version. Has no timeout of its own: the caller limits the
         wait.
         """
         cached = self._cached_by_key.setdefault(key, CachedLocations())
@@ -187,6 +188,9 @@
             locations = await self._report_and_ask(
                 key, cached, avoid, limited, software_version
             )
+            if locations is None and not self._leadership.has_recent_leader:
+                lookup.ready_at_by_id = self._published_locations(key)
+                return
             lookup.ready_at_by_id = _ready_times(locations or ())
             # Alone, these would be a part of what requests for any version need.
             if cached.ready_at_by_id:
--- a/tests/dispatch/searches.py
+++ b/tests/dispatch/searches.py
@@ -53,18 +53,18 @@
         return False
 
 
-def build_search(directory, locate_here, leadership=None):
+def build_search(directory, locate_here, leadership=None, published_ids=()):
     """Returns (ReplicaSearch, its Locator) over a ReplicaDirectory.
 
     ``locate_here`` answers the lookups of adapters while this host leads, as it does
-    without a ``leadership``.
+    without a ``leadership``. The entries of ``published_ids`` list all adapters.
     """
     locator = Locator(
         leadership or Leadership(),
         Endpoint(),
         "entry-1",
         locate_here,
-        lambda key: [],
+        lambda key: published_ids,
         lambda replica_id, load: None,
     )
     search = ReplicaSearch(
--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -1,5 +1,6 @@
 """Tests of the search for a stream's replica: questions to the leader, and demand."""
 
+import contextlib
 import random
 
 import anyio
@@ -31,6 +32,9 @@
 
 
 class ReplicaSearchTest(testtools.TestCase):
+    # The replicas whose entries list the adapter.
+    published_ids = ()
+
     def run_with_search(self, function, holders, replica_count=1, leadership=None):
         """Runs ``function(search, replicas)``; the leader names ``holders``."""
 
@@ -51,7 +55,9 @@
                         slots=8,
                     )
                 )
-            search, locator = build_search(directory, self.locate_here, leadership)
+            search, locator = build_search(
+                directory, self.locate_here, leadership, self.published_ids
+            )
             async with anyio.create_task_group() as group:
                 group.start_soon(locator.run)
                 await anyio.sleep(0.01)
@@ -154,6 +160,37 @@
 
         self.run_with_search(check, ["r0"])
 
+    def check_published(self, version, expected_id):
+        """Checks a search during which the leader is lost; entries list r0."""
+        leadership = NoLeadership()
+        leadership.has_recent_leader = True
+
+        async def check(search, replicas):
+            job = make_job()
+            job.origin = version and StreamOrigin(BACKEND, version)
+            found = []
+
+            async def find():
+                with contextlib.suppress(Refused):
+                    found.append(await search.find_stream_replica(job))
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(find)
+                await anyio.sleep(0.2)
+                leadership.has_recent_leader = False
+            self.assertEqual(expected_id, found and found[0].id)
+
+        self.published_ids = ["r0"]
+        self.run_with_search(check, [], leadership=leadership)
+
+    def test_begun_stream_uses_published_places_without_a_leader(self):
+        """Guards against a stream that waits for the next leader beside a place."""
+        self.check_published("1.0", "r0")
+
+    def test_new_stream_keeps_to_the_answers_of_leaders(self):
+        """Guards against requests by entries older than the last orders."""
+        self.check_published(None, [])
+
     def check_suspected(self, origin, expected_id):
         """Checks which replica a stream gets whose adapter is at a suspected one.
 
