Let begun streams wait while their only replica is off the list

Cause: a begun stream waited for a replica that drains, but for none that is not listed; ReplicaSearch._check_origin took such a replica for gone.

Change: a begun stream waits while no replica that it may go on at takes requests, for MAX_ABSENCE_WAIT_S = 3 s (was MAX_DRAIN_WAIT_S) and not beyond latest_send_at. A taken-up stream that has not begun here is refused at once as before. A stream whose version has left for good is aborted 3 s later.

Tests: four new tests of tests.gateway.test_begun_streams (expired entry and restart, with and without an adapter) fail on the old code (aborted after three events) and pass now; the test of a version that is gone passes on both. The module: 12 of 16 before, 16 of 16 after. Passed: tests.gateway.test_ends_of_waits, test_stream_versions, test_leaving_replicas, test_removals, test_take_ups and tests.dispatch.test_replica_search (72).

Conclusion: the stream still ends at once if its replica starts again while the old entry is listed: ProcessCheck refuses (one run; cause by reading). A test of that failed, and is not part of this commit.

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -23,11 +23,11 @@
 NO_PLACE_PAUSE_S = 0.06
 # Bounds the ids of suspected replicas in a question to the leader.
 MAX_NAMED_SUSPECTED = 32
-# How long a stream that its caller already reads waits while its only replicas drain:
-# about as long as the pauses of one that replicas refuse take together. It asks this
-# often whether one of them is ready again.
-MAX_DRAIN_WAIT_S = 3.0
-DRAIN_CHECK_PAUSE_S = 0.1
+# How long a stream that its caller already reads waits while no replica that can go on
+# with it takes requests: about as long as the pauses of one that replicas refuse take
+# together. It checks this often whether one of them is ready again.
+MAX_ABSENCE_WAIT_S = 3.0
+ABSENCE_CHECK_PAUSE_S = 0.1
 # How long a stream waits for a place, with and without a known leader, as a multiple of
 # its route's target latency.
 PLACE_WAIT_LATENCIES = 1.5
@@ -54,7 +54,7 @@
     async def choose_replica(self, job):
         """Returns a replica, if possible one that the request was not sent to."""
         await self._chooser.wait_out_pauses(job)
-        await self._wait_out_drains(job)
+        await self._wait_out_absence(job)
         self._check_origin(job)
         candidates = [
             item
@@ -78,31 +78,30 @@
         """Records that a replica was too full for a request."""
         self._chooser.note_turned_away(job)
 
-    async def _wait_out_drains(self, job):
-        """Waits for a while if a begun stream can go on only at replicas that drain.
+    async def _wait_out_absence(self, job):
+        """Waits for a while if no replica that can go on with a begun stream is ready.
 
-        A drain may be withdrawn, and the alternative is to abort the stream.
+        A drain may be withdrawn, an expired entry be renewed, and a replica restart at
+        the same version. The alternative is to abort the stream.
         """
-        if not job.streaming:
-            return
-        latest = min(anyio.current_time() + MAX_DRAIN_WAIT_S, job.latest_send_at)
-        while self._must_wait_out_drain(job):
+        latest = min(anyio.current_time() + MAX_ABSENCE_WAIT_S, job.latest_send_at)
+        while self._must_wait_for_replica(job):
             left_s = latest - anyio.current_time()
             if left_s <= 0:
                 return
-            await anyio.sleep(min(DRAIN_CHECK_PAUSE_S, left_s))
+            await anyio.sleep(min(ABSENCE_CHECK_PAUSE_S, left_s))
 
-    def _must_wait_out_drain(self, job):
-        listed = self._replicas.listed_replicas(job.backend.name)
-        replicas = [item for item in listed if job.may_be_sent_to(item)]
-        if any(item.takes_requests for item in replicas):
+    def _must_wait_for_replica(self, job):
+        if not job.streaming or not job.has_attempts_left or not job.origin.version:
             return False
-        return any(item.is_draining for item in replicas)
+        ready = self._replicas.ready_replicas(job.backend.name)
+        return not any(job.may_be_sent_to(item) for item in ready)
 
     def _check_origin(self, job):
         """Raises Refused if no replica can go on with a stream that has begun.
 
-        Replicas of its version that have left do not come back, so a wait is in vain.
+        The caller of a stream that is taken up can come back; one that reads the stream
+        has waited for MAX_ABSENCE_WAIT_S.
         """
         if job.origin is None:
             return
@@ -142,7 +141,7 @@
         must_pause = False
         while True:
             await self._chooser.wait_out_pauses(job)
-            await self._wait_out_drains(job)
+            await self._wait_out_absence(job)
             self._check_origin(job)
             holders = self._holders(job, places)
             ready = [
--- a/tests/gateway/test_begun_streams.py
+++ b/tests/gateway/test_begun_streams.py
@@ -5,8 +5,10 @@
 
 import testtools
 
+from snipetrestle.dispatch.replica_search import MAX_ABSENCE_WAIT_S
 from snipetrestle.gateway.backends.connection_pool import ConnectionPool
 from snipetrestle.gateway.retries import MAX_BEGUN_STREAM_SENDS
+from snipetrestle_standins.gateway_fleet import GatewayFleet
 from tests.gateway.running import run_fleet
 from tests.gateway.test_configuration_changes import set_long_limits
 from tests.gateway.test_replacements import (
@@ -22,6 +24,8 @@
 ALL_EVENT_IDS = [1, 2, 3, 4, 5, 6]
 # How long a replica is away in the tests: less than a begun stream waits for one.
 ABSENCE_S = 0.5
+# How late the end of a wait may be on a busy machine.
+MAX_LATENESS_S = 2.0
 # Time to the first event. The last pause leaves as much time for another one, so it is
 # long: a busy machine may be late.
 FIRST_EVENT_S = 0.5
@@ -38,6 +42,22 @@
     return serve
 
 
+def drain(fleet, replica):
+    fleet.publish(replica, state="draining")
+
+
+def expire(fleet, replica):
+    """Lets the store remove a replica's entry, as that of a silent one."""
+    fleet.store.delete(f"servers/{replica.id}")
+
+
+def start_again(fleet, replica):
+    """Starts a replica again under its id, empty and at the same version."""
+    replica.boot += 1
+    replica.restart()
+    fleet.publish(replica)
+
+
 async def start_stream(fleet, deadline_s=None, adapter=""):
     """Returns the task of a stream."""
     headers = [] if deadline_s is None else [("X-Deadline-Ms", round(deadline_s * 1e3))]
@@ -116,8 +136,11 @@
 
         run_fleet(check)
 
-    def check_drain(self, adapter):
-        """Checks that a stream outlasts a moment in which its only replica drains."""
+    def check_absence(self, adapter, leave, come_back=GatewayFleet.publish):
+        """Checks that a stream outlasts a moment in which its only replica is away.
+
+        ``leave(fleet, replica)`` begins it, and ``come_back(fleet, replica)`` ends it.
+        """
 
         async def check(fleet):
             await set_long_limits(fleet)
@@ -133,23 +156,61 @@
             known = fleet.live[0].replicas.by_id[replica.id]
             await wait_until(lambda: known.measured_latency_s is not None)
             await asyncio.sleep(0.1)
-            fleet.publish(replica, state="draining")
+            leave(fleet, replica)
             await wait_until(lambda: not known.takes_requests)
             must_break.set()
             await asyncio.sleep(ABSENCE_S)
             self.assertEqual(1, len(arrivals))
-            fleet.publish(replica)
+            come_back(fleet, replica)
             self.assert_whole(await stream)
 
         run_fleet(check, models=1)
 
     def test_stream_outlasts_a_drain_of_its_only_replica(self):
         """Guards against a stream that is aborted while its replica drains."""
-        self.check_drain(adapter="")
+        self.check_absence("", drain)
 
     def test_stream_of_an_adapter_outlasts_a_drain_of_its_only_replica(self):
         """The same for a stream that needs a place of its adapter."""
-        self.check_drain(adapter="a1")
+        self.check_absence("a1", drain)
+
+    def test_stream_outlasts_an_expired_entry_of_its_only_replica(self):
+        """Guards against a stream that is aborted though its replica is back soon."""
+        self.check_absence("", expire)
+
+    def test_stream_of_an_adapter_outlasts_an_expired_entry(self):
+        """The same for a stream that needs a place of its adapter."""
+        self.check_absence("a1", expire)
+
+    def test_stream_outlasts_a_restart_of_its_only_replica(self):
+        """Guards against a stream that is aborted between a replica's two entries."""
+        self.check_absence("", expire, start_again)
+
+    def test_stream_of_an_adapter_outlasts_a_restart(self):
+        """The same for a stream that needs a place of its adapter."""
+        self.check_absence("a1", expire, start_again)
+
+    def test_stream_whose_version_is_gone_does_not_wait_until_its_deadline(self):
+        """Guards against a caller that learns late that nobody goes on."""
+
+        async def check(fleet):
+            await set_long_limits(fleet)
+            (replica,) = fleet.models
+            must_break = asyncio.Event()
+            script(fleet.models, [break_when(must_break)])
+            stream = await start_stream(fleet)
+            known = fleet.live[0].replicas.by_id[replica.id]
+            await wait_until(lambda: known.measured_latency_s is not None)
+            expire(fleet, replica)
+            await wait_until(lambda: not known.takes_requests)
+            broken_at = asyncio.get_running_loop().time()
+            must_break.set()
+            answer = await stream
+            waited_s = asyncio.get_running_loop().time() - broken_at
+            self.assertEqual((200, False), (answer.status, answer.complete))
+            self.assertLess(waited_s, MAX_ABSENCE_WAIT_S + MAX_LATENESS_S)
+
+        run_fleet(check, models=1)
 
     def check_refused_connections(self, absence_s):
         """Returns the answer to a stream whose only replica closes its port.
