Count only attempts that may have run as returns of a stream

Callers saw: a begun stream whose only replica refused it was aborted after five sends instead of the seven that one with two replicas gets.

Cause: MAX_RETURNS was compared with the number of all sends, refused ones included.

Change: it is compared with the attempts that may have run. Refusals have their own bound (MAX_BEGUN_STREAM_SENDS).

Tests: test_refusals_by_an_only_replica_do_not_count_as_returns fails on the old code (aborted after three events) and passes now; test_failures_of_an_ only_replica_are_bounded passes on both (five arrivals).

Conclusion: streams with one replica get as many sends as others.

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -15,7 +15,7 @@
 # Reason of refusals, for the log.
 NO_REPLICA_OF_VERSION = "no replica of the version that began the stream is ready"
 # A stream goes back to a replica that failed it if there is no other of its version,
-# unless it was sent more often than this.
+# unless more of its attempts than this may have run.
 MAX_RETURNS = 4
 # Retry-After of refused requests.
 RETRY_AFTER_S = 0.5
@@ -108,7 +108,7 @@
         replicas = self._chooser.replicas_for(job)
         if any(item.id not in self._failed_ids(job) for item in replicas):
             return
-        if replicas and job.send_count <= MAX_RETURNS:
+        if replicas and len(job.may_have_run_on) <= MAX_RETURNS:
             return
         if job.may_have_run:
             raise Refused(job.unknown_outcome_code, reason=NO_REPLICA_OF_VERSION)
--- a/tests/gateway/test_begun_streams.py
+++ b/tests/gateway/test_begun_streams.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from snipetrestle.dispatch.replica_search import MAX_ABSENCE_WAIT_S
+from snipetrestle.dispatch.replica_search import MAX_ABSENCE_WAIT_S, MAX_RETURNS
 from snipetrestle.gateway.backends.connection_pool import ConnectionPool
 from snipetrestle.gateway.retries import MAX_BEGUN_STREAM_SENDS
 from snipetrestle_standins.gateway_fleet import GatewayFleet
@@ -136,6 +136,33 @@
 
         run_fleet(check)
 
+    def test_refusals_by_an_only_replica_do_not_count_as_returns(self):
+        """Guards against a stream with fewer sends than one with two replicas."""
+
+        async def check(fleet):
+            await set_long_limits(fleet)
+            first = stream_events(1, 3, then=abort)
+            refusals = [refuse_after(0)] * (MAX_BEGUN_STREAM_SENDS - 2)
+            arrivals = script(fleet.models, [first, *refusals, stream_events(1, 6)])
+            self.assert_whole(await (await start_stream(fleet)))
+            self.assertEqual(MAX_BEGUN_STREAM_SENDS, len(arrivals))
+
+        run_fleet(check, models=1)
+
+    def test_failures_of_an_only_replica_are_bounded(self):
+        """Guards against a stream that returns to a failing replica without end."""
+
+        async def check(fleet):
+            await set_long_limits(fleet)
+            arrivals = script(
+                fleet.models, [stream_events(1, 3, then=abort), reset_after(0.05)]
+            )
+            answer = await (await start_stream(fleet))
+            self.assertEqual((200, False), (answer.status, answer.complete))
+            self.assertEqual(1 + MAX_RETURNS, len(arrivals))
+
+        run_fleet(check, models=1)
+
     def check_absence(self, adapter, leave, come_back=GatewayFleet.publish):
         """Checks that a stream outlasts a moment in which its only replica is away.
 
