Keep a stream's return to its silent replica when that refuses

Callers saw: 502, or an aborted stream, when the replacement of a silent replica failed late and the silent replica, to which the stream went back, refused it once.

Cause: sending used up the permission to return (dropped_on), and a refusal did not give it back, so the attempts of the route were used up.

Change: Job.note_not_run gives the return back when the replica refused the stream or no connection was made. Sends are bounded as for other refusals (MAX_SENDS, or MAX_BEGUN_STREAM_SENDS), and count in the retry budget.

Tests: test_stream_without_an_event_outlasts_a_refused_return (502 before) and test_begun_stream_outlasts_refused_returns (aborted before) fail on the old code and pass now.

Conclusion: a return is used up only by an attempt that may have run. A replica that stays silent after the return was not looked at.

--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -58,7 +58,8 @@
     sent to another replica while the first one is silent. ``dropped_on`` holds the ids
     of replicas whose replacement was ended before it had a response; the request may go
     to them again. ``silent_replica_id`` is that of the last replica of a stream that was
-    left for an accepted replacement, or None. ``quota_booking`` is the tenant, what the request has booked on its
+    left for an accepted replacement, or None, and ``return_replica_id`` that of one to
+    which the stream has been allowed to return, or None. ``quota_booking`` is the tenant, what the request has booked on its
     quota and when, or None. ``open_exchanges`` are its Exchanges. ``permit`` is a
     dispatch Permit that no exchange has taken yet. ``origin`` is the StreamOrigin of a
     stream of which the caller has an event, else None, and ``take_up`` the TakeUp of one
@@ -96,6 +97,7 @@
         "has_replacement",
         "dropped_on",
         "silent_replica_id",
+        "return_replica_id",
         "quota_booking",
         "permit",
         "open_exchanges",
@@ -140,6 +142,7 @@
         self.has_replacement = False
         self.dropped_on = set()
         self.silent_replica_id = None
+        self.return_replica_id = None
         self.quota_booking = None
         self.permit = None
         self.open_exchanges = set()
@@ -188,8 +191,14 @@
         if self.silent_replica_id is None or self.may_run_on_another:
             return
         self.dropped_on.add(self.silent_replica_id)
+        self.return_replica_id = self.silent_replica_id
         self.silent_replica_id = None
 
+    def note_not_run(self, replica_id):
+        """Lets a stream return again to its silent replica, which did not run it."""
+        if replica_id == self.return_replica_id:
+            self.dropped_on.add(replica_id)
+
     def begin_stream(self):
         """Records that the caller gets the start of a stream, which lifts the margin."""
         self.streaming = True
--- a/snipetrestle/gateway/retries.py
+++ b/snipetrestle/gateway/retries.py
@@ -104,6 +104,7 @@
         if not isinstance(error, ReplicaLeft):
             replica.note_silence()
         job.connect_failures += 1
+        job.note_not_run(replica.id)
         if not _may_connect_again(job):
             raise self._search.unavailable_refusal(
                 job, "no replica accepts connections"
@@ -114,6 +115,7 @@
 
     def note_refusal(self, job, replica, status):
         """Records that a replica is full or does not hold the request's adapter."""
+        job.note_not_run(replica.id)
         key = job.metadata.adapter
         is_stream = job.route.kind is RequestKind.STREAM
         if is_stream and key is not None and status == 421:
--- a/tests/gateway/test_begun_streams.py
+++ b/tests/gateway/test_begun_streams.py
@@ -288,8 +288,11 @@
 class LateFailureTest(testtools.TestCase):
     """Replacements that fail after the exchange with the silent replica was ended."""
 
-    def check_return(self, first, failure, adapter=""):
-        """Checks that a stream goes back to the replica that was silent."""
+    def check_return(self, first, failure, adapter="", refusals=0):
+        """Checks that a stream goes back to the replica that was silent.
+
+        That replica refuses it ``refusals`` times then.
+        """
 
         async def check(fleet):
             in_flight = []
@@ -307,13 +310,15 @@
                     fleet.publish(replica)
             # Replicas that are heard of are not silent.
             await asyncio.sleep(0.5)
-            arrivals = script(fleet.models, [first, failure, finish])
+            refused = [refuse_after(0)] * refusals
+            arrivals = script(fleet.models, [first, failure, *refused, finish])
             answer = await (await start_stream(fleet, adapter=adapter))
             self.assertEqual(
                 (200, True, ALL_EVENT_IDS),
                 (answer.status, answer.complete, answer.event_ids),
             )
-            self.assertEqual([arrivals[0], arrivals[1], arrivals[0]], arrivals)
+            returns = [arrivals[0]] * (1 + refusals)
+            self.assertEqual([arrivals[0], arrivals[1], *returns], arrivals)
             self.assertNotEqual(arrivals[0], arrivals[1])
             # No other replica is at work on the stream then.
             self.assertEqual([1], in_flight)
@@ -335,3 +340,13 @@
     def test_begun_stream_outlasts_a_late_reset(self):
         """Guards against a stream aborted for a replacement that fails late."""
         self.check_return(stream_events(1, 6, {4: 3.0}), reset_after(0.8))
+
+    def test_stream_without_an_event_outlasts_a_refused_return(self):
+        """Guards against a 502 for one refusal by the replica that was silent."""
+        self.check_return(answer_after(1.6), answer_after(0.8, 500), refusals=1)
+
+    def test_begun_stream_outlasts_refused_returns(self):
+        """The same for a stream whose caller has events."""
+        self.check_return(
+            stream_events(1, 6, {4: 3.0}), reset_after(0.8), "a1", refusals=2
+        )
