Show that adapters in demand at any version keep the places of one version

Cause: the leader counts requests for an adapter without the version that they need, and evicts none that was requested within EVICTION_GRACE_S. While the adapters at one version are requested at all, a lookup for that version gets no place, even if each of them has a holder at another version.

No fix: an eviction within the grace sends hosts with cached places to a replica that refuses, and changes placement for all streams.

Tests: test_adapters_in_demand_at_both_versions_leave_a_place fails (no place in 1.8 s).

Conclusion: demand by version, or an eviction of copies within the grace, is needed.

--- a/tests/coordination/test_version_placement.py
+++ b/tests/coordination/test_version_placement.py
@@ -5,6 +5,7 @@
 
 from snipetrestle.coordination.adapter_places import LoadReason
 from snipetrestle.coordination.orders import LoadRequest
+from snipetrestle.dispatch.replica_search import NO_PLACE_PAUSE_S
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.orders_fleet import ADAPTER_LOAD_S, MODEL, OrdersFleet
@@ -13,6 +14,8 @@
 KEY = AdapterKey(MODEL, "a1")
 OLD, NEW = "1.0", "1.1"
 STARTED_WITHIN_S = 6.0
+# How long a taken-up stream waits for a place on a route with a target of 0.6 s.
+TAKE_UP_WAIT_S = 1.8
 
 
 class VersionPlacementTest(testtools.TestCase):
@@ -221,3 +224,26 @@
             self.assertFalse(self.fleet.replicas_by_id["replica-1"].overfilled)
 
         self.run_with_fleet(check, replicas=2, slots=2)
+
+    def test_adapters_in_demand_at_both_versions_leave_a_place(self):
+        """Guards against taken-up streams without a place while copies are in demand.
+
+        Each adapter is held at both versions, so one copy may be evicted.
+        """
+
+        async def check():
+            copied = [AdapterKey(MODEL, f"b{number}") for number in range(2)]
+            for key in copied:
+                await self.load_at(self.follower, OLD, key)
+                await self.load_at(self.follower, NEW, key)
+            await anyio.sleep(2.0)
+            deadline = anyio.current_time() + TAKE_UP_WAIT_S
+            places = {}
+            while not places and anyio.current_time() < deadline:
+                for key in copied:
+                    await self.leader.locator.look_up(key)
+                places = await self.follower.locator.look_up(KEY, software_version=NEW)
+                await anyio.sleep(NO_PLACE_PAUSE_S)
+            self.assertEqual({NEW}, self.versions(places))
+
+        self.run_with_fleet(check, replicas=2, slots=2)
