Let a replica evict right after its known state was read again

Cause: when the leader read the state of a replica again, after a refused or outdated order, all adapters there counted as loaded just then, and none was evicted for EVICTION_GRACE_S = 1 s.

Change: an adapter that the leader knew there keeps its time. Adapters that the leader did not know, so all of a new leader's, are kept as before.

Tests: test_adapter_may_be_evicted_right_after_the_state_was_read_again fails on the old code (no candidate) and passes now.

--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -329,9 +329,11 @@
         self.replica_adapters.remove_all()
         for key, version in report.versions_by_adapter.items():
             known = previous.get(key)
-            ready_at = now if known is None else max(now, known.ready_at)
+            # A later time would keep an adapter that is known from an eviction.
+            ready_at = now if known is None else known.ready_at
             ordered_at = None
             if key in report.in_transit:
+                ready_at = max(now, ready_at)
                 ordered_at = now
                 if known is not None and known.ordered_at is not None:
                     ordered_at = known.ordered_at
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -205,6 +205,30 @@
         run_in_virtual_time(check)
 
 
+class EvictionAfterReadingTest(testtools.TestCase):
+    def test_adapter_may_be_evicted_right_after_the_state_was_read_again(self):
+        """Guards against a full replica that has no place for 1 s after each refusal."""
+
+        async def check():
+            orders = make_orders(RefusingReplica())
+            placement = orders._context.backend_placement
+            async with anyio.create_task_group() as group:
+                group.start_soon(orders.run)
+                await anyio.sleep(EVICTION_GRACE_S + 0.1)
+                self.assertEqual(
+                    HELD, placement.eviction_candidate(orders.replica_adapters)
+                )
+                unknown = AdapterKey("m0", "unknown")
+                await orders.request_load(unknown, LoadReason.MISSING).done
+                await anyio.sleep(MAX_REPORT_AGE_S + 0.05)
+                self.assertEqual(
+                    HELD, placement.eviction_candidate(orders.replica_adapters)
+                )
+                group.cancel_scope.cancel()
+
+        run_in_virtual_time(check)
+
+
 class RefusingReplica:
     """A replica that refuses to load all adapters but one, and newer versions."""
 
