Ask a process before its requests are ended by entries, and mend other findings

A review of the ends of processes showed with tests what callers would see:

- a write got 502 since another writer's entry named the address of its replica, or since one report of a removed replica was late or refused.
Entries lead to a question to the process now; a removed one has three reports to answer, and a refusal is an answer.
- a write waited to its deadline after a restart with an earlier boot.
The replaced process is watched as a removed one is.
- a stream that stays at its replica suspected it for its own pause, and the suspicion outlasted a silence.
Only a silent replica is suspected, until it goes on.
- a begun stream waited 3 s for a version whose only replica had announced its leaving.
- connections to the only lost replica that is left were opened four times in a row.

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -94,10 +94,15 @@
     def _must_wait_for_replica(self, job):
         if not job.streaming or not job.has_attempts_left:
             return False
-        if job.origin is None or not job.origin.version:
+        origin = job.origin
+        if origin is None or not origin.version:
             return False
         ready = self._replicas.ready_replicas(job.backend.name)
-        return not any(job.may_be_sent_to(item) for item in ready)
+        if any(job.may_be_sent_to(item) for item in ready):
+            return False
+        listed = self._replicas.listed_replicas(job.backend.name)
+        is_listed = any(job.may_be_sent_to(item) for item in listed)
+        return is_listed or not self._replicas.has_announced_leaving(origin.process_id)
 
     def _check_origin(self, job):
         """Raises Refused if no replica can go on with a stream that has begun.
--- a/snipetrestle/gateway/backends/http_client.py
+++ b/snipetrestle/gateway/backends/http_client.py
@@ -42,6 +42,10 @@
     """The connection of a request whose caller has left was needed for others."""
 
 
+class ReportRefused(ExchangeFailed):
+    """The replica answers, but does not tell now what it was asked of itself."""
+
+
 class ConnectFailed(Exception):
     """No usable connection could be opened, so nothing was sent."""
 
--- a/snipetrestle/gateway/backends/process_end.py
+++ b/snipetrestle/gateway/backends/process_end.py
@@ -15,9 +15,13 @@
 # A sound process whose entry is taken for that of an ended one is seldom silent for so
 # long on all connections.
 MIN_SILENCE_S = 0.9
-# After this silence, a process whose entry is gone is asked for its report.
-ENDED_SILENCE_S = 3.0
+# After this silence, a process whose entry is gone is asked for its report, and again
+# after as much more if it answers.
+ASKED_SILENCE_S = 2.0
 CHECK_PAUSE_S = 0.2
+# Reports that a removed process may leave unanswered: it may be silent for a moment.
+MAX_UNANSWERED_REPORTS = 3
+REPORT_PAUSE_S = 0.5
 # By how much the clock of a replica may be ahead of that of this host.
 MAX_CLOCK_SKEW_S = 0.5
 
@@ -30,6 +34,7 @@
         "_evidence",
         "_noted_at",
         "_begun_before",
+        "_is_running",
         "_is_logged",
         "_task",
     )
@@ -39,6 +44,7 @@
         self._evidence = None
         self._noted_at = 0.0
         self._begun_before = -math.inf
+        self._is_running = None
         self._is_logged = False
         self._task = None
 
@@ -47,11 +53,12 @@
         """Whether exchanges were ended, as the process had ended by all that is known."""
         return self._is_logged
 
-    def note(self, evidence, successor_boot=None):
+    def note(self, evidence, successor_boot=None, is_running=None):
         """Ends the exchanges with the process as soon as it is silent for long enough.
 
         Those that were begun since the ``successor_boot``, if it is given, may be at
-        the later process.
+        the later process. Unless the process answers ``is_running(replica)``, which is
+        awaited before if it is given.
         """
         now = asyncio.get_running_loop().time()
         begun_before = math.inf
@@ -64,6 +71,7 @@
         if self._evidence is None:
             self._evidence = evidence
             self._noted_at = now
+            self._is_running = is_running
             self._check()
 
     def _exchanges(self):
@@ -98,9 +106,20 @@
         loop = asyncio.get_running_loop()
         silent_s = loop.time() - heard_at
         if silent_s >= MIN_SILENCE_S and not _has_unread_input(exchanges):
+            if self._is_running is not None:
+                self._task = loop.create_task(run_isolated(self._confirm))
+                return
             self._end(exchanges, silent_s)
         loop.call_later(CHECK_PAUSE_S, self._check)
 
+    async def _confirm(self):
+        """Drops the evidence if the process answers, else goes on with the check."""
+        is_running, self._is_running = self._is_running, None
+        if await is_running(self._replica):
+            self._evidence = None
+            return
+        self._check()
+
     def _end(self, exchanges, silent_s):
         """Fails the exchanges that have waited for as long as the process is silent."""
         begun_before = asyncio.get_running_loop().time() - MIN_SILENCE_S
@@ -119,7 +138,7 @@
             replica=self._replica.id,
             boot=self._replica.entry.boot,
             evidence=self._evidence,
-            silent_ms=round(silent_s * 1000),
+            silent_ms=None if math.isinf(silent_s) else round(silent_s * 1000),
             ended=len(ended),
         )
 
@@ -144,7 +163,7 @@
         loop = asyncio.get_running_loop()
         # A process that had nothing to answer was not silent.
         silent_since = max(heard_at, min(item.opened_at for item in exchanges))
-        due_at = silent_since + ENDED_SILENCE_S
+        due_at = silent_since + ASKED_SILENCE_S
         if _has_unread_input(exchanges):
             due_at = max(due_at, loop.time() + CHECK_PAUSE_S)
         if loop.time() < due_at:
@@ -155,13 +174,23 @@
         )
 
     async def _ask_removed(self, removed_at, is_running):
-        if await is_running(self._replica):
+        if not await self._has_ended(is_running):
             asyncio.get_running_loop().call_later(
-                ENDED_SILENCE_S, self._check_removed, removed_at, is_running
+                ASKED_SILENCE_S, self._check_removed, removed_at, is_running
             )
             return
         self.note("its entry is gone, and it does not answer")
 
+    async def _has_ended(self, is_running):
+        """Whether another process answers, or none does several times in a row."""
+        for count in range(MAX_UNANSWERED_REPORTS):
+            if count:
+                await asyncio.sleep(REPORT_PAUSE_S)
+            answer = await is_running(self._replica)
+            if answer is not None:
+                return not answer
+        return True
+
 
 def _has_unread_input(exchanges):
     """Whether data has come that this process, after a pause of its own, has not read."""
--- a/snipetrestle/gateway/backends/replicas.py
+++ b/snipetrestle/gateway/backends/replicas.py
@@ -197,13 +197,14 @@
         self.leaving = True
         self._on_leaving(self)
 
-    def note_process_ended(self, evidence, successor_boot=None):
+    def note_process_ended(self, evidence, successor_boot=None, is_running=None):
         """Ends the silent exchanges with the process, of whose end there is evidence.
 
         ``successor_boot`` is that of a later process that may serve requests which name
         this replica, on connections to its address; None if there is no such process.
+        With ``is_running(replica)``, the process is asked before.
         """
-        self._process_end.note(evidence, successor_boot)
+        self._process_end.note(evidence, successor_boot, is_running)
 
     @property
     def has_ended(self):
@@ -276,6 +277,10 @@
             self._suspicion_s = min(self._suspicion_s * 2, MAX_SUSPICION_S)
         self._set_failure_rate(now, 1.0)
 
+    def note_resumed(self):
+        """Ends the suspicion of a replica that goes on after a silence."""
+        self.suspected_until = 0.0
+
     def _set_failure_rate(self, now, value):
         rate = self.failure_rate(now)
         self._failure_rate = rate + AVERAGE_WEIGHT * (value - rate)
@@ -361,7 +366,7 @@
         self._note_ended_processes(entry)
         if known is not None:
             known.note_replaced()
-            self._remove(known)
+            self._watch_and_remove(known)
         log_event(
             Event.REPLICA_LISTED,
             replica=entry.id,
@@ -390,6 +395,9 @@
         replica = self.by_id.get(replica_id)
         if replica is None:
             return
+        self._watch_and_remove(replica)
+
+    def _watch_and_remove(self, replica):
         if self._is_running is not None:
             replica.watch_removed(self._is_running)
         self._remove(replica)
@@ -417,6 +425,10 @@
             self._left_entries_by_id.popitem(last=False)
         self._left_entries_by_id[entry.id] = entry
 
+    def has_announced_leaving(self, process_id):
+        """Whether a process, listed or not, has announced that it leaves."""
+        return process_id in self._leaving_process_ids
+
     def left_entry(self, replica_id):
         """Returns the last ReplicaEntry of an id that is no longer listed, or None."""
         return self._left_entries_by_id.get(replica_id)
@@ -449,11 +461,15 @@
                 continue
             is_same_address = _address(known) == _address(entry)
             if known.id != entry.id and is_same_address:
-                replica.note_process_ended("another replica is listed at its address")
+                replica.note_process_ended(
+                    "another replica is listed at its address",
+                    is_running=self._is_running,
+                )
             elif known.id == entry.id:
                 replica.note_process_ended(
                     "a later process is listed under its id",
                     entry.boot if is_same_address else None,
+                    self._is_running,
                 )
 
     def has_successor(self, replica, boot):
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -10,7 +10,7 @@
 from snipetrestle.gateway.backends.connection_pool import ConnectionsExhausted
 from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.configuration import RequestKind
-from snipetrestle.gateway.exchange import ReplicaLeft
+from snipetrestle.gateway.exchange import REPLICA_SILENCE_S, ReplicaLeft
 from snipetrestle.gateway.job import Refused
 from snipetrestle.supervision import run_isolated
 
@@ -137,7 +137,9 @@
 
     def _on_progress(self):
         """Ends the replacement of an exchange that goes on."""
-        self._is_silence_noted = False
+        if self._is_silence_noted:
+            self._is_silence_noted = False
+            self._current.replica.note_resumed()
         if self._is_accepted:
             return
         if self._replacement is not None:
@@ -159,8 +161,13 @@
         )
 
     def _note_silence(self):
-        """Suspects the replica of a request that stays there, once for each silence."""
-        if not self._is_silence_noted:
+        """Suspects the replica of a request that stays there, once for each silence.
+
+        A replica that sends other responses is not silent.
+        """
+        now = asyncio.get_running_loop().time()
+        is_silent = now - self._current.last_heard_at >= REPLICA_SILENCE_S
+        if is_silent and not self._is_silence_noted:
             self._is_silence_noted = True
             self._current.replica.note_silence()
 
@@ -187,28 +194,30 @@
         Further replicas are tried at once after a failed connection: it costs no retry.
         """
         replacement = None
-        connects = 0
+        failed_ids = set()
         while replacement is None:
             try:
-                replacement = await self._open_replacement(reason)
+                replica = await self._forwarder.find_replacement(self._job)
+                if replica.id in failed_ids:
+                    return False
+                replacement = await self._open_replacement(replica, reason)
             except Refused as refusal:
                 self._log_refused(refusal)
                 return False
             except ConnectFailed as error:
                 self._log_dropped(str(error))
-                connects += 1
+                failed_ids.add(replica.id)
                 is_exhausted = isinstance(error, ConnectionsExhausted)
-                if is_exhausted or connects == MAX_REPLACEMENT_CONNECTS:
+                if is_exhausted or len(failed_ids) == MAX_REPLACEMENT_CONNECTS:
                     return False
         self._set_replacement(replacement)
         return await self._await_acceptance(replacement)
 
-    async def _open_replacement(self, reason):
+    async def _open_replacement(self, replica, reason):
         """Sends the request to another replica and returns the Exchange.
 
         Raises ConnectFailed if nothing was sent, and Refused if nothing may be sent.
         """
-        replica = await self._forwarder.find_replacement(self._job)
         replacement = self._forwarder.create_exchange(self._job, replica)
         try:
             await self._connect(replacement)
--- a/snipetrestle/gateway/streams/process_check.py
+++ b/snipetrestle/gateway/streams/process_check.py
@@ -12,7 +12,11 @@
 import anyio
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.backends.http_client import (
+    ConnectFailed,
+    ExchangeFailed,
+    ReportRefused,
+)
 from snipetrestle.gateway.exchange import ReplicaLeft
 from snipetrestle.gateway.job import Refused
 
@@ -62,9 +66,11 @@
         boot = await self._read_boot(replica)
         return None if boot is None else boot == replica.entry.boot
 
-    async def _read_boot(self, replica):
+    async def _read_boot(self, replica, refused_boot=None):
         """Returns the boot of the process that answers; None without an answer.
 
+        Returns ``refused_boot`` if the process refuses to report.
+
         Replicas that do not tell their start cannot be told apart, so the answer of one
         names the boot of its entry. One that has asked for a pause is not asked.
         """
@@ -74,6 +80,8 @@
         with anyio.move_on_after(REPORT_TIMEOUT_S):
             try:
                 report = await self._read_report(replica)
+            except ReportRefused:
+                return refused_boot
             except (ConnectFailed, ExchangeFailed):
                 return None
         if report is None:
@@ -87,10 +95,14 @@
         return report.boot
 
     async def is_running(self, replica):
-        """Whether the process of a replica answers, or may run as it cannot be asked."""
+        """Whether the process of a replica answers; None if nothing answers.
+
+        One that has asked for a pause is not asked, and may run.
+        """
         if replica.pause.is_active:
             return True
-        return bool(await self._is_listed_process(replica))
+        boot = await self._read_boot(replica, replica.entry.boot)
+        return None if boot is None else boot == replica.entry.boot
 
     async def _may_origin_differ(self, origin):
         """Whether a stream may have begun at another version than its origin says.
--- a/snipetrestle/gateway/streams/stream_origin.py
+++ b/snipetrestle/gateway/streams/stream_origin.py
@@ -37,6 +37,11 @@
         """
         return bool(self.replica_id)
 
+    @property
+    def process_id(self):
+        """Identifies the process that began the stream, as Replica.process_id does."""
+        return f"{self.replica_id} {self.boot}"
+
     def allows(self, replica):
         """Whether a Replica may go on with the stream.
 
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -11,7 +11,11 @@
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.backends.calls import call
 from snipetrestle.gateway.backends.connection_pool import ConnectionPool
-from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
+from snipetrestle.gateway.backends.http_client import (
+    ConnectFailed,
+    ExchangeFailed,
+    ReportRefused,
+)
 from snipetrestle.gateway.configuration import AdapterKey, Name
 from snipetrestle.gateway.publication.published_items import (
     HistoryLost,
@@ -286,6 +290,8 @@
             f"X-Expect-Instance: {replica.id}\r\n\r\n"
         )
         answer = await self._call(replica, head.encode(), REPORT_TIMEOUT_S)
+        if answer.status in (429, 503):
+            raise ReportRefused(f"{name}: status {answer.status}")
         if answer.status != 200:
             raise ExchangeFailed(f"{name}: status {answer.status}")
         try:
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -25,7 +25,7 @@
         self.cancelled = anyio.Event()
 
     async def connect(self):
-        if self.state == "lost":
+        if self.state.startswith("lost"):
             raise ConnectFailed("TimeoutError()")
 
     def watch(self, silence_s, on_silent, on_progress):
@@ -112,11 +112,16 @@
 class LostReplicasTest(testtools.TestCase):
     def test_replicas_that_accept_no_connection_cost_no_pause(self):
         """Guards against streams held while many replicas are lost at the same time."""
-        lost = ["lost"] * (MAX_REPLACEMENT_CONNECTS - 1)
+        lost = [f"lost-{number}" for number in range(MAX_REPLACEMENT_CONNECTS - 1)]
         self.assertEqual(serve(["sound"]), serve([*lost, "sound"]))
 
     def test_pause_follows_many_lost_replicas(self):
         """Guards against connections that are opened again and again without end."""
-        lost = ["lost"] * MAX_REPLACEMENT_CONNECTS
+        lost = [f"lost-{number}" for number in range(MAX_REPLACEMENT_CONNECTS)]
         (_, at), (_, later) = serve(["sound"]), serve([*lost, "sound"])
         self.assertGreater(later, at)
+
+    def test_only_lost_replica_is_not_tried_again_without_a_pause(self):
+        """Guards against connections in a row to the only replica that is left."""
+        (_, at), (_, later) = serve(["sound"]), serve(["lost", "lost", "sound"])
+        self.assertGreater(later, at)
