Leave silent requests at an ended process to the search for a replacement first

Cause: the evidence ended their exchange, and the retry that follows needs room in the retry budget at that moment. The search for a replacement waits for room.

Change: requests that may be sent elsewhere are ended 1 s later than the others.

--- a/snipetrestle/gateway/backends/process_end.py
+++ b/snipetrestle/gateway/backends/process_end.py
@@ -15,6 +15,9 @@
 # A sound process whose entry is taken for that of an ended one is seldom silent for so
 # long on all connections.
 MIN_SILENCE_S = 0.9
+# Requests that may be sent elsewhere are left so much longer to the search for a
+# replacement, which may wait for room in the retry budget.
+REPLACEMENT_TIME_S = 1.0
 # After this silence, a process whose entry is gone is asked for its report, and again
 # after as much more if it answers.
 ASKED_SILENCE_S = 2.0
@@ -35,6 +38,7 @@
         "_noted_at",
         "_begun_before",
         "_is_running",
+        "_is_ended",
         "_is_logged",
         "_task",
     )
@@ -45,13 +49,14 @@
         self._noted_at = 0.0
         self._begun_before = -math.inf
         self._is_running = None
+        self._is_ended = False
         self._is_logged = False
         self._task = None
 
     @property
-    def has_ended_exchanges(self):
-        """Whether exchanges were ended, as the process had ended by all that is known."""
-        return self._is_logged
+    def has_ended(self):
+        """Whether the process has ended, by evidence and by its silence."""
+        return self._is_ended
 
     def note(self, evidence, successor_boot=None, is_running=None):
         """Ends the exchanges with the process as soon as it is silent for long enough.
@@ -122,12 +127,8 @@
 
     def _end(self, exchanges, silent_s):
         """Fails the exchanges that have waited for as long as the process is silent."""
-        begun_before = asyncio.get_running_loop().time() - MIN_SILENCE_S
-        ended = [
-            item
-            for item in exchanges
-            if item.opened_at <= begun_before and item.awaits_data
-        ]
+        self._is_ended = True
+        ended = [item for item in exchanges if _is_due(item, silent_s)]
         for exchange in ended:
             exchange.cancel(f"the replica's process has ended: {self._evidence}")
         if not ended or self._is_logged:
@@ -195,3 +196,12 @@
 def _has_unread_input(exchanges):
     """Whether data has come that this process, after a pause of its own, has not read."""
     return any(item.has_unread_input for item in exchanges)
+
+
+def _is_due(exchange, silent_s):
+    """Whether an exchange has waited in vain for long enough."""
+    limit_s = MIN_SILENCE_S
+    if exchange.may_be_replaced:
+        limit_s += REPLACEMENT_TIME_S
+    waited_s = asyncio.get_running_loop().time() - exchange.opened_at
+    return min(waited_s, silent_s) >= limit_s and exchange.awaits_data
--- a/snipetrestle/gateway/backends/replicas.py
+++ b/snipetrestle/gateway/backends/replicas.py
@@ -208,8 +208,8 @@
 
     @property
     def has_ended(self):
-        """Whether requests were ended since the process of the replica has ended."""
-        return self._process_end.has_ended_exchanges
+        """Whether the process of the replica has ended, by evidence and its silence."""
+        return self._process_end.has_ended
 
     def watch_removed(self, is_running):
         """Watches a process whose entry is gone, and asks if it runs once it is silent.
--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -151,6 +151,11 @@
         """Whether nothing of the response can be read before more of it arrives."""
         return self._connection.awaits_data
 
+    @property
+    def may_be_replaced(self):
+        """Whether the request may be sent to another replica as well."""
+        return self._job.route.repeatable and self._job.has_attempts_left
+
     @property
     def has_unread_input(self):
         """Whether bytes wait in the socket, though the caller is not slow."""
--- a/tests/gateway/test_ended_processes.py
+++ b/tests/gateway/test_ended_processes.py
@@ -14,6 +14,7 @@
     slow_down_streams,
     start_requests,
     start_streams,
+    use_up_retries,
 )
 from tests.systems import with_system
 from tests.waiting import wait_until
@@ -93,6 +94,20 @@
         answer = await self.end_process(fleet, task, replica)
         self.assertEqual((502, b"SN-1301"), (answer.status, answer.body))
 
+    @with_system(run_fleet)
+    async def test_stream_waits_for_room_in_the_retry_budget(self, fleet):
+        """Guards against a stream that is aborted while its replacement is sought."""
+        task, replica = await self.start_stream(fleet, "/draft/a")
+        use_up_retries(fleet, "models")
+        replica.go_dark()
+        list_other_id(fleet, replica, born=2)
+        await asyncio.sleep(1.4)
+        budget = fleet.live[0].retry_budgets.for_backend("models")
+        while not budget.has_room(1):
+            budget.note_request()
+        answer = await task
+        self.assertEqual((True, ALL_EVENT_IDS), (answer.complete, answer.event_ids))
+
     @with_system(run_fleet, models=3)
     async def test_lost_replicas_do_not_use_up_the_attempts_of_a_stream(self, fleet):
         """Guards against a stream that ends though none of its replicas runs it."""
--- a/tests/gateway/test_review_findings.py
+++ b/tests/gateway/test_review_findings.py
@@ -188,6 +188,7 @@
             opened_at=now_s() - 10.0,
             received_at=-math.inf,
             awaits_data=True,
+            may_be_replaced=False,
             has_unread_input=False,
             cancel=ended.append,
         )
