--- a/tests/run.py
+++ b/tests/run.py
@@ -1,8 +1,8 @@
 """Runs tests with testtools and prints a last line with counts.
 
-Without arguments it runs all tests, else those of the named modules. A failure of a
-test listed in KNOWN-RED.txt is printed but does not fail the run. A listed test that
-passes fails the run, so that the list stays up to date.
+Without arguments it runs all modules of tests beside each other, else the named ones in
+this process. A failure of a test listed in KNOWN-RED.txt is printed but does not fail the
+run. A listed test that passes fails the run, so that the list stays up to date.
 """
 
 import pathlib
@@ -11,6 +11,8 @@
 
 import testtools
 
+from tests.side_by_side import run_modules, total_counts
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
@@ -33,14 +35,37 @@
             yield item
 
 
+def find_modules():
+    """Returns the names of all modules of tests."""
+    paths = (ROOT / "tests").rglob("test_*.py")
+    return sorted(
+        ".".join(path.relative_to(ROOT).with_suffix("").parts) for path in paths
+    )
+
+
 def main(argv):
     """Runs the tests and returns the exit status."""
     names = argv[1:]
-    loader = unittest.TestLoader()
-    if names:
-        suite = loader.loadTestsFromNames(names)
-    else:
-        suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+    return run_here(names) if names else run_side_by_side()
+
+
+def run_side_by_side():
+    """Runs all modules and returns the exit status."""
+    runs = run_modules(find_modules(), ROOT)
+    total = total_counts(runs)
+    for run in runs:
+        if run.failed:
+            print(f"failed: {run.name}")
+    print(
+        f"{total['passed']} passed, {total['failed']} failed, "
+        f"{total['skipped']} skipped"
+    )
+    return 1 if total["failed"] or not total["passed"] else 0
+
+
+def run_here(names):
+    """Runs the named modules in this process and returns the exit status."""
+    suite = unittest.TestLoader().loadTestsFromNames(names)
     tests = sorted(iterate_tests(suite), key=lambda test: test.id())
     known_red = read_known_red(ROOT / "KNOWN-RED.txt")
 
