--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -44,6 +44,8 @@
         self._task = None
         self._pause_s = FIRST_PAUSE_S
         self._is_silence_noted = False
+        # When the search for the last replacement began.
+        self._search_began_at = 0.0
 
     async def serve(self, exchange, serve_exchange):
         """Opens an exchange and returns ``await serve_exchange(exchange)``.
@@ -174,6 +176,7 @@
     async def _replace_silent(self, reason):
         """Ends the silent exchange if another replica accepts the request."""
         self._job.seeks_replacement = True
+        self._search_began_at = asyncio.get_running_loop().time()
         try:
             is_accepted = await self._send_replacement(reason)
         finally:
@@ -222,7 +225,9 @@
         try:
             await self._connect(replacement)
             # Nothing may come between the booking and the sending.
-            if not self._forwarder.try_book_retry(self._job, reason):
+            if not self._forwarder.try_book_retry(
+                self._job, reason, replacement, self._search_began_at
+            ):
                 raise Refused(
                     self._job.unknown_outcome_code, reason="no room in the retry budget"
                 )
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -493,11 +493,21 @@
             job.replacement_dropped = _denial_reason(job)
         return may_replace
 
-    def try_book_retry(self, job, reason):
-        """Counts a retry in the budget and logs it; returns False without room."""
+    def try_book_retry(self, job, reason, exchange, silent_at):
+        """Counts a retry in the budget and logs it; returns False without room.
+
+        ``exchange`` is the replacement, which has a connection, and ``silent_at`` when
+        the search for its replica began.
+        """
         if not self._retries.may_resend(job):
             return False
-        self._retries.log_resend(job, reason)
+        self._retries.log_resend(
+            job,
+            reason,
+            next_replica=exchange.replica.id,
+            search_ms=optional_ms(exchange.opened_at - silent_at),
+            connect_ms=optional_ms(anyio.current_time() - exchange.opened_at),
+        )
         return True
 
     async def find_replacement(self, job):
--- a/snipetrestle/gateway/retries.py
+++ b/snipetrestle/gateway/retries.py
@@ -81,7 +81,8 @@
         if not _may_get_event(job):
             raise Refused(job.unknown_outcome_code, reason=TOO_LATE_REASON)
 
-    def log_resend(self, job, reason):
+    def log_resend(self, job, reason, **fields):
+        """Logs a retry; ``fields`` tell of the next attempt, where it is known."""
         self._request_log.log(
             Event.REQUEST_REPEATED,
             request=job.request_id,
@@ -90,6 +91,7 @@
             reason=reason,
             last_event_id=job.last_event_id,
             software_version=None if job.origin is None else job.origin.version,
+            **fields,
         )
 
     # Requests that did not run.
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -77,7 +77,7 @@
     def may_retry(self, job):
         return True
 
-    def try_book_retry(self, job, reason):
+    def try_book_retry(self, job, reason, exchange, silent_at):
         return True
 
     async def refusal_reason(self, job, exchange, max_wait_s):
