Ask the process that began a stream while a replica for it is sought

Callers of resumable streams left 2.4 s after the last event, 0.8 s after their stream had been sent to another replica: of the time before, 0.9 to 1.1 s were silence, and 0.3 s a question. Once a replacement had a connection, ProcessCheck asked the origin for its report, and the origin was the dark replica, so it waited for REPORT_TIMEOUT_S in vain each time.

Change: the question is sent 0.6 s after the last event (EARLY_SILENCE_S), or when a search begins, and is answered or has timed out when a replica is found. Only a question that follows the last event counts: progress drops it, and each search asks anew. The silence is noted when it is due, not at the next check, which came up to 0.2 s later.

tests.gateway.test_late_replacements cannot run on the code before (no begin, no EARLY_SILENCE_S).

--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -12,6 +12,9 @@
 MAX_RESPONSE_BYTES = 2 * 1024 * 1024
 # A replica is silent if it sends no data on any connection of this host for this long.
 REPLICA_SILENCE_S = 0.9
+# After this silence, a replacement is prepared. A report that the replica is asked for
+# then has come, or has timed out, when it counts as silent.
+EARLY_SILENCE_S = 0.6
 SILENCE_CHECK_S = 0.2
 
 
@@ -40,6 +43,8 @@
         self._silence_limit_s = None
         self._on_silent = None
         self._on_progress = None
+        self._on_early_silence = None
+        self._is_early_silence_told = False
         self._progress_at = 0.0
         self._body_progress = ProgressMeter()
         self._body = bytearray()
@@ -113,21 +118,24 @@
         self.replica.note_response(metadata)
         return True
 
-    def watch(self, silence_s, on_silent, on_progress):
+    def watch(self, silence_s, on_silent, on_progress, on_early_silence):
         """Calls ``on_silent(silent_s)`` again and again while the replica is silent.
 
         It is silent if the response makes no progress for ``silence_s``, or if nothing
         comes on any connection of this host for REPLICA_SILENCE_S; None disables this.
-        ``on_progress()`` is called whenever an accepted response goes on.
+        ``on_early_silence()`` is called before that, once in each silence of
+        EARLY_SILENCE_S. ``on_progress()`` is called whenever an accepted response goes
+        on.
         """
         if silence_s is None:
             return
         self._silence_limit_s = silence_s
         self._on_silent = on_silent
         self._on_progress = on_progress
+        self._on_early_silence = on_early_silence
         self._progress_at = self._loop.time()
         self._silence_timer = self._loop.call_later(
-            min(silence_s, REPLICA_SILENCE_S), self._check_silence
+            min(silence_s, EARLY_SILENCE_S), self._check_silence
         )
 
     async def read_head(self):
@@ -195,6 +203,7 @@
 
     def _note_heard(self):
         self._progress_at = self._loop.time()
+        self._is_early_silence_told = False
         if not self._is_of_another_replica:
             self.replica.note_heard()
 
@@ -206,13 +215,21 @@
         if self._connection.has_unread_body:
             # The caller is slow, not the replica.
             self._progress_at = now
-        silent_s = now - self._progress_at
-        replica_silent_s = now - max(self.replica.last_heard_at, self._progress_at)
-        self._silence_timer = self._loop.call_later(
-            SILENCE_CHECK_S, self._check_silence
+        heard_at = max(self.replica.last_heard_at, self._progress_at)
+        due_at = min(
+            self._progress_at + self._silence_limit_s, heard_at + REPLICA_SILENCE_S
         )
-        if silent_s >= self._silence_limit_s or replica_silent_s >= REPLICA_SILENCE_S:
-            self._on_silent(silent_s)
+        self._check_early_silence(now, heard_at)
+        is_silent = now >= due_at
+        pause_s = SILENCE_CHECK_S if is_silent else min(SILENCE_CHECK_S, due_at - now)
+        self._silence_timer = self._loop.call_later(pause_s, self._check_silence)
+        if is_silent:
+            self._on_silent(now - self._progress_at)
+
+    def _check_early_silence(self, now, heard_at):
+        if not self._is_early_silence_told and now >= heard_at + EARLY_SILENCE_S:
+            self._is_early_silence_told = True
+            self._on_early_silence()
 
     def abandon(self):
         """Records that the caller has left, so that the connection may be needed."""
--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -44,6 +44,7 @@
         self._task = None
         self._pause_s = FIRST_PAUSE_S
         self._is_silence_noted = False
+        self._is_prepared = False
         # When the search for the last replacement began.
         self._search_began_at = 0.0
 
@@ -85,7 +86,12 @@
         self._forwarder.check_sendable(self._job)
 
     async def _serve_current(self, serve_exchange):
-        self._current.watch(self._silence_s, self._on_silent, self._on_progress)
+        self._current.watch(
+            self._silence_s,
+            self._on_silent,
+            self._on_progress,
+            self._on_early_silence,
+        )
         return await serve_exchange(self._current)
 
     async def _replace_failed(self, error):
@@ -137,6 +143,10 @@
             self._replacement.close()
             self._set_replacement(None)
 
+    def _on_early_silence(self):
+        self._is_prepared = True
+        self._forwarder.prepare_replacement(self._job)
+
     def _on_progress(self):
         """Ends the replacement of an exchange that goes on."""
         if self._is_silence_noted:
@@ -147,6 +157,9 @@
         if self._replacement is not None:
             self._job.dropped_on.add(self._replacement.replica.id)
             self._log_dropped("the silent replica goes on")
+        if self._is_prepared:
+            self._is_prepared = False
+            self._forwarder.end_preparation(self._job)
         self._end_replacement()
 
     def _on_silent(self, silent_s):
--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -177,6 +177,7 @@
         finally:
             self._scopes.discard(scope)
             self._quota_check.end(job)
+            self._process_check.end(job)
             job.end_permit()
             job.end_fallback()
             job.caller.on_disconnect = job.caller.replica_silent_s = None
@@ -344,7 +345,7 @@
         await self._take_ups.resolve(job)
         while True:
             self._crash_check.check(job)
-            replica = await self._search.find_stream_replica(job)
+            replica = await self._find_stream_replica(job)
             # A crash during the wait may have shown that the request is the cause.
             self._crash_check.check(job)
             try:
@@ -360,6 +361,10 @@
                     raise Refused(job.unknown_outcome_code, reason=str(error)) from None
                 self._retries.log_resend(job, str(error))
 
+    async def _find_stream_replica(self, job):
+        self._process_check.begin(job)
+        return await self._search.find_stream_replica(job)
+
     async def _serve_stream(self, job, exchange):
         """Forwards the events of a stream. Returns whether the request is done."""
         head, metadata = await exchange.read_head()
@@ -485,6 +490,15 @@
         reauthenticate(self._state.configuration, job)
         self._retries.check_time_for_event(job)
 
+    def prepare_replacement(self, job):
+        """Prepares a replacement of a replica that may be about to count as silent."""
+        if job.route.repeatable and job.has_attempts_left:
+            self._process_check.begin(job)
+
+    def end_preparation(self, job):
+        """Ends ``prepare_replacement`` for a replica that goes on."""
+        self._process_check.end(job)
+
     def may_retry(self, job):
         """Whether a replacement may be sent now, while the first replica is silent."""
         may_replace = self._retries.may_replace(job)
@@ -519,7 +533,7 @@
         self._crash_check.check(job)
         if job.route.kind is not RequestKind.STREAM:
             return await self._search.choose_replica(job)
-        replica = await self._search.find_stream_replica(job)
+        replica = await self._find_stream_replica(job)
         if replica.id in job.may_have_run_on and replica.id not in job.dropped_on:
             raise self._search.unavailable_refusal(job, "no other replica is ready")
         return replica
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -66,7 +66,8 @@
     dispatch Permit that no exchange has taken yet. ``origin`` is the StreamOrigin of a
     stream of which the caller has an event, else None, and ``take_up`` the TakeUp of one
     that the caller takes up, or None. ``place_search_at`` is when the first search for a
-    place of a taken-up stream's adapter began, or None.
+    place of a taken-up stream's adapter began, or None. ``origin_check`` is the task of
+    the ProcessCheck that asks the process that began the stream, or None.
     """
 
     __slots__ = (
@@ -109,6 +110,7 @@
         "origin",
         "take_up",
         "place_search_at",
+        "origin_check",
         "_fallback_answer",
     )
 
@@ -157,6 +159,7 @@
         self.origin = None
         self.take_up = None
         self.place_search_at = None
+        self.origin_check = None
         self._fallback_answer = None
 
     def abandon(self):
--- a/snipetrestle/gateway/streams/process_check.py
+++ b/snipetrestle/gateway/streams/process_check.py
@@ -39,17 +39,39 @@
         self._read_report = read_report
         self._fresh_reads = fresh_reads
 
+    def begin(self, job):
+        """Starts to ask the process that began a stream, while a replica is sought.
+
+        It may have ended, and is waited for in vain then.
+        """
+        if self._concerns(job) and job.origin_check is None:
+            job.origin_check = asyncio.create_task(self._may_origin_differ(job.origin))
+
+    @staticmethod
+    def end(job):
+        """Ends what ``begin`` has started for a job."""
+        if job.origin_check is not None:
+            job.origin_check.cancel()
+            job.origin_check = None
+
+    @staticmethod
+    def _concerns(job):
+        return job.origin is not None and job.backend.serves_models
+
     async def check(self, job, replica):
         """Checks that a job may go on at a replica, to which it has a connection.
 
         Raises ReplicaLeft if another process may answer there, and Refused if another
         one than its record names may have begun the stream.
         """
-        if job.origin is None or not job.backend.serves_models:
+        if not self._concerns(job):
             return
+        self.begin(job)
         is_listed, may_differ = await asyncio.gather(
-            self._is_listed_process(replica), self._may_origin_differ(job.origin)
+            self._is_listed_process(replica), asyncio.shield(job.origin_check)
         )
+        # A later search asks anew.
+        job.origin_check = None
         if may_differ:
             code = ResultCode.STREAM_NOT_RESUMABLE
             if job.may_have_run:
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -28,7 +28,7 @@
         if self.state.startswith("lost"):
             raise ConnectFailed("TimeoutError()")
 
-    def watch(self, silence_s, on_silent, on_progress):
+    def watch(self, silence_s, on_silent, on_progress, on_early_silence):
         if self.state == "silent":
             self._on_silent = on_silent
 
--- /dev/null
+++ b/tests/gateway/test_late_replacements.py
@@ -0,0 +1,117 @@
+"""Tests of begun streams that are sent elsewhere while their callers still wait."""
+
+import asyncio
+import types
+
+import anyio
+import testtools
+
+from snipetrestle.gateway.exchange import EARLY_SILENCE_S, REPLICA_SILENCE_S, Exchange
+from snipetrestle.gateway.streams.process_check import REPORT_TIMEOUT_S, ProcessCheck
+from snipetrestle.gateway.streams.stream_origin import StreamOrigin
+from tests.systems import in_virtual_time
+
+BACKEND = "models"
+BOOT = 1000
+
+
+class FakeReplica:
+    """A listed replica with what Exchange and ProcessCheck ask of it."""
+
+    def __init__(self, replica_id):
+        self.id = replica_id
+        self.entry = types.SimpleNamespace(boot=BOOT, software_version="v1")
+        self.pause = types.SimpleNamespace(is_active=False)
+        self.open_exchanges = set()
+        self.last_heard_at = 0.0
+
+    def note_heard(self):
+        self.last_heard_at = anyio.current_time()
+
+
+class OriginCheckTest(testtools.TestCase):
+    """A stream goes on at "sound"; the process that began it at "dark" is gone."""
+
+    def setUp(self):
+        super().setUp()
+        self.asked = []
+        by_id = {name: FakeReplica(name) for name in ("dark", "sound")}
+        self.sound = by_id["sound"]
+        replicas = types.SimpleNamespace(by_id=by_id)
+        self.check = ProcessCheck(replicas, self.report, fresh_reads=None)
+        self.job = types.SimpleNamespace(
+            origin=StreamOrigin(BACKEND, "v1", "dark", BOOT),
+            backend=types.SimpleNamespace(serves_models=True),
+            origin_check=None,
+        )
+
+    async def report(self, replica):
+        self.asked.append(replica.id)
+        if replica.id == "dark":
+            await anyio.sleep_forever()
+        return types.SimpleNamespace(boot=BOOT)
+
+    @in_virtual_time
+    async def test_process_that_is_gone_is_not_waited_for_after_the_search(self):
+        """Guards against a wait for its report that adds to that for a place."""
+        self.check.begin(self.job)
+        await anyio.sleep(REPORT_TIMEOUT_S)
+        started = anyio.current_time()
+        await self.check.check(self.job, self.sound)
+        self.assertEqual(0.0, anyio.current_time() - started)
+        self.assertEqual(["dark", "sound"], self.asked)
+
+    @in_virtual_time
+    async def test_later_search_asks_the_process_again(self):
+        """Guards against an answer from before a restart that counts for ever."""
+        for _ in range(2):
+            await self.check.check(self.job, self.sound)
+        self.assertEqual(2, self.asked.count("dark"))
+
+    @in_virtual_time
+    async def test_ended_preparation_leaves_no_task(self):
+        """Guards against questions that outlive their request."""
+        self.check.begin(self.job)
+        task = self.job.origin_check
+        self.check.end(self.job)
+        await asyncio.wait({task})
+        self.assertTrue(task.cancelled())
+        self.assertIsNone(self.job.origin_check)
+
+
+class SilenceTest(testtools.TestCase):
+    def watch(self):
+        """Returns an Exchange that has sent its request, and what its watch calls."""
+        job = types.SimpleNamespace(take_permit=lambda replica_id: None)
+        exchange = Exchange(None, job, FakeReplica("a"), None)
+        exchange._connection = types.SimpleNamespace(
+            is_complete=False, has_unread_body=False
+        )
+        calls = []
+
+        def record(name):
+            return lambda *values: calls.append((name, round(anyio.current_time(), 6)))
+
+        exchange.watch(1.9, record("silent"), lambda: None, record("early"))
+        return exchange, calls
+
+    @in_virtual_time
+    async def test_silence_is_noted_when_it_is_due(self):
+        """Guards against a part of the time of the callers that passes unnoticed."""
+        _, calls = self.watch()
+        started = anyio.current_time()
+        await anyio.sleep(REPLICA_SILENCE_S + 0.01)
+        expected = [
+            ("early", round(started + EARLY_SILENCE_S, 6)),
+            ("silent", round(started + REPLICA_SILENCE_S, 6)),
+        ]
+        self.assertEqual(expected, calls)
+
+    @in_virtual_time
+    async def test_each_silence_is_told_early_once(self):
+        """Guards against a question to the replica at each check of one silence."""
+        exchange, calls = self.watch()
+        await anyio.sleep(EARLY_SILENCE_S + 0.25)
+        exchange.note_progress()
+        await anyio.sleep(EARLY_SILENCE_S + 0.25)
+        self.assertEqual(["early", "early"], [name for name, _ in calls])
--- a/tests/gateway/test_old_lists.py
+++ b/tests/gateway/test_old_lists.py
@@ -165,6 +165,7 @@
             origin=StreamOrigin(BACKEND, "v1", began_at, 1000),
             backend=types.SimpleNamespace(serves_models=True),
             may_have_run=False,
+            origin_check=None,
         )
         replicas = host.state.replicas
         process_check = ProcessCheck(
