Put streams of which a caller has events ahead of new requests at replicas

When many replicas are lost at the same moment, their streams are sent to the others within half a second, together with new requests. A moved stream waited there behind prompts that came before it, and its caller left 2.4 s after the last event.

Change: requests for models are sent with a priority of one more than theirs, and streams of which the caller has an event with 0, which no new request has. Calls to other backends keep theirs.

test_begun_stream_is_ahead_of_new_requests_elsewhere failed before.

--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -81,7 +81,7 @@
         attempt = AttemptMetadata(
             replica.id,
             max(0.001, remaining_s),
-            job.priority,
+            job.attempt_priority,
             job.version,
             job.last_event_id,
             None if job.tenant is None else job.tenant.name,
--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -22,6 +22,8 @@
 # A begun stream is not sent this shortly before its deadline. A connection, the check of
 # the replica's process and an event are assumed to take so long at least.
 MIN_EVENT_TIME_S = 0.1
+# Priority of the attempts of streams of which the caller has an event; 0 is the first.
+BEGUN_STREAM_PRIORITY = 0
 
 
 class Refused(Exception):
@@ -274,6 +276,18 @@
             return self.route.priority
         return tenant.priority
 
+    @property
+    def attempt_priority(self):
+        """The priority of the next attempt at a replica; 0 is the first.
+
+        A stream of which the caller has an event is ahead of all other requests for
+        models: the caller leaves after a pause of a few seconds, most of which have
+        passed when the stream is sent again.
+        """
+        if not self.backend.serves_models:
+            return self.priority
+        return BEGUN_STREAM_PRIORITY if self.origin is not None else self.priority + 1
+
     @property
     def latest_send_at(self):
         """When a stream that has begun may be sent again at the latest."""
--- a/tests/gateway/test_late_replacements.py
+++ b/tests/gateway/test_late_replacements.py
@@ -6,10 +6,18 @@
 import anyio
 import testtools
 
+from snipetrestle.events import Event
 from snipetrestle.gateway.exchange import EARLY_SILENCE_S, REPLICA_SILENCE_S, Exchange
 from snipetrestle.gateway.streams.process_check import REPORT_TIMEOUT_S, ProcessCheck
 from snipetrestle.gateway.streams.stream_origin import StreamOrigin
-from tests.systems import in_virtual_time
+from tests.gateway.log_recording import LogRecordingTest
+from tests.gateway.running import run_fleet
+from tests.gateway.test_silent_replicas import (
+    busiest,
+    slow_down_streams,
+    start_streams,
+)
+from tests.systems import in_virtual_time, with_system
 
 BACKEND = "models"
 BOOT = 1000
@@ -115,3 +123,27 @@
         exchange.note_progress()
         await anyio.sleep(EARLY_SILENCE_S + 0.25)
         self.assertEqual(["early", "early"], [name for name, _ in calls])
+
+
+class BegunStreamPriorityTest(LogRecordingTest):
+    @with_system(run_fleet, models=2)
+    async def test_begun_stream_is_ahead_of_new_requests_elsewhere(self, fleet):
+        """Guards against a caller that leaves while new requests are served first."""
+        slow_down_streams(fleet)
+        (task,) = await start_streams(fleet, 1, adapter="")
+        silent = busiest(fleet.models)
+        silent.go_dark()
+        answer = await task
+        self.assertTrue(answer.complete)
+        (other,) = (replica for replica in fleet.models if replica is not silent)
+        first, again = (
+            replica.arrived_requests[-1].headers["x-request-priority"]
+            for replica in (silent, other)
+        )
+        self.assertLess(int(again), int(first))
+        (line,) = [
+            item
+            for item in self.logged(Event.REQUEST_REPEATED)
+            if "next_replica" in item
+        ]
+        self.assertEqual(other.id, line["next_replica"])
