Place no loads at replicas that have left an order unanswered

After 30% of the model replicas had gone dark, streams that had to go on elsewhere searched for up to 0.87 s: the leader let some of their adapters be loaded at other dark replicas, and their lookups waited until orders there timed out, after 0.8 s.

Change: a replica that has left an order unanswered for 0.15 s, or that the leader suspects, costs as much as one that has failed, and loads that wait there are placed elsewhere. What it holds stays in use, since it may only be silent for a moment.

--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -73,6 +73,9 @@
 # An adapter gets a holder without a request limit once its demand is this part of the
 # limits of its holders.
 MAX_LIMIT_FRACTION = 0.4
+# Replicas answer orders within some milliseconds. One that has not answered for this
+# long may be gone, which its order's time-out shows much later.
+SLOW_ANSWER_S = 0.15
 
 
 class LoadReason(enum.StrEnum):
@@ -137,6 +140,8 @@
         "demand",
         "recent_prompts",
         "failed_until",
+        "is_suspected",
+        "order_sent_at",
         "_recent_keys",
     )
 
@@ -170,8 +175,19 @@
         self.demand = DecayingCount(DEMAND_HALF_LIFE_S)
         self.recent_prompts = DecayingCount(RECENT_PROMPTS_HALF_LIFE_S)
         self.failed_until = 0.0
+        # Whether this host has had no answer to requests there.
+        self.is_suspected = False
+        # When the order that it has not answered yet was sent; None without one.
+        self.order_sent_at = None
         self._recent_keys = collections.OrderedDict()
 
+    def may_be_gone(self, now):
+        """Whether the replica has failed, or has left something unanswered."""
+        if self.failed_until > now or self.is_suspected:
+            return True
+        sent_at = self.order_sent_at
+        return sent_at is not None and now - sent_at > SLOW_ANSWER_S
+
     def runs(self, software_version):
         """Whether the replica runs a software version; "" stands for any."""
         return not software_version or self.software_version == software_version
@@ -516,7 +532,7 @@
             PENDING_LOAD_COST * len(replica.pending_loads)
             + UTILIZATION_COST * replica.utilization
         )
-        if replica.failed_until > now:
+        if replica.may_be_gone(now):
             cost += FAILURE_COST
         if replica.limit_per_s is not None:
             cost += LIMIT_COST * replica.demand.rate(now) / replica.limit_per_s
--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -202,6 +202,7 @@
             )
             orders.replica_adapters.limit_per_s = replica.request_limit.per_s
             orders.replica_adapters.takes_orders = not replica.pause.is_active
+            orders.replica_adapters.is_suspected = replica.suspected_until > now
             orders.set_usable(replica.takes_requests)
 
     def _verify_held(self, key, replica_ids):
@@ -226,23 +227,23 @@
 
     async def _load(self, key, avoid, software_version):
         """Waits until a pending or new load of an adapter was ordered."""
-        by_replica = self.placement.by_replica
-        pending = self.placement.index.pending(key)
-        load = next(
-            (
-                item
-                for replica_id, item in pending.items()
-                if replica_id not in avoid
-                and by_replica[replica_id].runs(software_version)
-            ),
-            None,
-        )
+        load = self._pending_load(key, avoid, software_version)
         if load is None:
             load = self._request_load(key, avoid, LoadReason.MISSING, software_version)
         if load is not None:
             self.placement.record_expected_prompt(load.replica_id)
             await load.done
 
+    def _pending_load(self, key, avoid, software_version):
+        """Returns the LoadRequest that waits at a replica which answers, or None."""
+        now = anyio.current_time()
+        for replica_id, load in self.placement.index.pending(key).items():
+            replica = self.placement.by_replica[replica_id]
+            is_of_use = replica_id not in avoid and replica.runs(software_version)
+            if is_of_use and not replica.may_be_gone(now):
+                return load
+        return None
+
 
 class PlacementController:
     """Places the adapters of all backends while this host leads; idle otherwise."""
--- a/snipetrestle/coordination/order_sender.py
+++ b/snipetrestle/coordination/order_sender.py
@@ -114,6 +114,7 @@
         """Returns the answer to an order, which is remembered while it has none."""
         self._last_order = order
         self._unanswered.append(order)
+        self._replica_adapters.order_sent_at = anyio.current_time()
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
                 result = await self._context.client.send(self._replica, order)
@@ -121,6 +122,8 @@
             # Nothing was sent.
             self._unanswered.remove(order)
             raise
+        finally:
+            self._replica_adapters.order_sent_at = None
         self._unanswered.remove(order)
         return result
 
--- a/tests/coordination/test_adapter_places.py
+++ b/tests/coordination/test_adapter_places.py
@@ -8,6 +8,7 @@
 from snipetrestle.coordination.adapter_places import (
     EVICTION_GRACE_S,
     MAX_COMPARED_REPLICAS,
+    SLOW_ANSWER_S,
     BackendPlacement,
     LoadReason,
     ReplicaAdapters,
@@ -87,6 +88,16 @@
         await anyio.sleep(0.2)
         self.assertIsNotNone(placement.choose_replica(key(2)))
 
+    @in_virtual_time
+    async def test_replica_with_an_unanswered_order_gets_no_loads(self):
+        """Guards against streams that wait for a place at a replica which is gone."""
+        placement = make_placement([0.02, 0.03])
+        self.assertEqual("r0", placement.choose_replica(key(1)).replica_id)
+        placement.by_replica["r0"].order_sent_at = anyio.current_time()
+        self.assertEqual("r0", placement.choose_replica(key(1)).replica_id)
+        await anyio.sleep(SLOW_ANSWER_S + 0.01)
+        self.assertEqual("r1", placement.choose_replica(key(1)).replica_id)
+
     @in_virtual_time
     async def test_popular_adapter_gets_a_holder_without_a_limit(self):
         """All holders of the popular adapters named request limits, so hosts could
