--- a/snipetrestle/gateway/backends/replicas.py
+++ b/snipetrestle/gateway/backends/replicas.py
@@ -54,6 +54,7 @@
     """One run of a replica, from its start to its next restart.
 
     ``others_in_flight`` counts the requests from other hosts, as far as they are known.
+    ``last_heard_at`` is minus infinity if this host has never heard the replica.
     ``suspected_until`` is the time until which the replica is avoided. ``leaving``
     tells that it is no longer listed, or has announced that it leaves;
     ``on_leaving(replica)`` is called with each such announcement. ``open_exchanges``
@@ -91,7 +92,7 @@
         self.in_flight_by_adapter = collections.Counter()
         self.open_exchanges = set()
         self.others_in_flight = 0
-        self.last_heard_at = 0.0
+        self.last_heard_at = -math.inf
         self.suspected_until = 0.0
         self.leaving = False
         # Time between two events of a stream: mean of all hosts, and measured here.
@@ -271,12 +272,18 @@
                 Event.REPLICA_SUSPECTED,
                 replica=self.id,
                 for_s=self._suspicion_s,
-                last_heard_s=round(now - self.last_heard_at, 3),
+                last_heard_s=self._last_heard_s(now),
             )
             self.suspected_until = now + self._suspicion_s
             self._suspicion_s = min(self._suspicion_s * 2, MAX_SUSPICION_S)
         self._set_failure_rate(now, 1.0)
 
+    def _last_heard_s(self, now):
+        """Returns for how long the replica was not heard; None if it never was."""
+        if math.isinf(self.last_heard_at):
+            return None
+        return round(now - self.last_heard_at, 3)
+
     def note_resumed(self):
         """Ends the suspicion of a replica that goes on after a silence."""
         self.suspected_until = 0.0
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -6,6 +6,7 @@
 import anyio
 import testtools
 
+from snipetrestle.events import Event
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.backends.retry_budget import RetryBudget
 from snipetrestle.gateway.configuration import (
@@ -21,6 +22,7 @@
     EventSplitter,
     InvalidEvent,
 )
+from tests.gateway.log_recording import LogRecordingTest
 from tests.systems import in_virtual_time
 
 
@@ -121,7 +123,7 @@
         self.assertGreater(retries, 0.5 * (ratio * requests + slack))
 
 
-class ReplicaChoiceTest(testtools.TestCase):
+class ReplicaChoiceTest(LogRecordingTest):
     def make_directory(self, count=3):
         directory = ReplicaDirectory("zone-1", random.Random(1))
         for number in range(count):
@@ -165,6 +167,21 @@
         directory.by_id["r0"].note_silence()
         self.assertIsNotNone(directory.choose(directory.ready_replicas("b")))
 
+    @in_virtual_time
+    async def test_line_of_a_silent_replica_tells_when_it_was_heard(self):
+        """Guards against the host's uptime logged for a replica it has never heard."""
+        directory = self.make_directory(2)
+        await anyio.sleep(5.0)
+        directory.by_id["r0"].note_heard()
+        await anyio.sleep(1.5)
+        for replica in directory.by_id.values():
+            replica.note_silence()
+        lines = self.logged(Event.REPLICA_SUSPECTED)
+        self.assertEqual(
+            {"r0": 1.5, "r1": None},
+            {line["replica"]: line["last_heard_s"] for line in lines},
+        )
+
     @in_virtual_time
     async def test_slow_replica_gets_fewer_requests(self):
         """Slow replicas must not build up queues while fast ones are idle."""
