--- a/benchmarks/near_misses_verdicts.py
+++ b/benchmarks/near_misses_verdicts.py
@@ -78,6 +78,8 @@
         self._log = log
         self._boots = _Boots(log)
         self.by_process = collections.defaultdict(list)
+        # The last state that a host has told of each process.
+        self._last_states = {}
         self._add_listings()
         self._add_take_ups()
         self._add_orders()
@@ -97,34 +99,35 @@
 
         A host that starts may read an old store, so its first listing is no sign.
         """
-        listed, unlisted = {}, set()
+        listings = _Listings()
         for line in _merged_lines(
             self._log, Event.STARTED, Event.REPLICA_LISTED, Event.REPLICA_UNLISTED
         ):
-            fields = line.fields
-            if fields["event"] == str(Event.STARTED):
-                listed = {
-                    key: boot for key, boot in listed.items() if key[0] != line.host
-                }
-                unlisted = {item for item in unlisted if item[0] != line.host}
-                continue
-            key = line.host, fields["replica"]
-            if fields["event"] == str(Event.REPLICA_UNLISTED):
-                unlisted.add((*key, fields["boot"]))
-                continue
-            if "address" not in fields:
-                self._add_change(line, listed.get(key))
-                continue
-            listed[key] = fields["boot"]
-            if (*key, fields["boot"]) in unlisted:
-                process = fields["replica"], fields["boot"]
-                sign = Sign(line.at_s, line.host, "EV-1411, listed again")
-                self.by_process[process].append(sign)
+            if line.fields["event"] == str(Event.STARTED):
+                listings.forget_host(line.host)
+            elif line.fields["event"] == str(Event.REPLICA_UNLISTED):
+                listings.unlist(line)
+            elif "address" in line.fields:
+                self._add_listing(line, listings.is_listed_again(line))
+            else:
+                self._add_change(line, listings.boot(line))
+
+    def _add_listing(self, line, is_listed_again):
+        process = line.fields["replica"], line.fields["boot"]
+        self._last_states.setdefault(process, line.fields["state"])
+        if is_listed_again:
+            sign = Sign(line.at_s, line.host, "EV-1411, listed again")
+            self.by_process[process].append(sign)
 
     def _add_change(self, line, boot):
+        """Adds a change of state, unless it is one that another host told before."""
         process = line.fields["replica"], boot
-        text = f"EV-1411, state {line.fields['state']}"
-        self.by_process[process].append(Sign(line.at_s, line.host, text))
+        state = line.fields["state"]
+        if self._last_states.get(process) == state:
+            return
+        self._last_states[process] = state
+        sign = Sign(line.at_s, line.host, f"EV-1411, state {state}")
+        self.by_process[process].append(sign)
 
     def _add_take_ups(self):
         for line in self._log.of_event(Event.STREAM_TAKEN_UP):
@@ -156,6 +159,31 @@
                 self._add(line, line.fields["replica"], "EV-1413, heard", heard_at_s)
 
 
+class _Listings:
+    """Which processes each host lists, and has listed before, since its start."""
+
+    def __init__(self):
+        self._boots = {}
+        self._unlisted = set()
+
+    def forget_host(self, host):
+        self._boots = {key: boot for key, boot in self._boots.items() if key[0] != host}
+        self._unlisted = {item for item in self._unlisted if item[0] != host}
+
+    def boot(self, line):
+        """Returns the boot that the line's host lists for its replica, or None."""
+        return self._boots.get((line.host, line.fields["replica"]))
+
+    def unlist(self, line):
+        self._unlisted.add((line.host, line.fields["replica"], line.fields["boot"]))
+
+    def is_listed_again(self, line):
+        """Lists a process; returns whether the host has unlisted it before."""
+        replica, boot = line.fields["replica"], line.fields["boot"]
+        self._boots[line.host, replica] = boot
+        return (line.host, replica, boot) in self._unlisted
+
+
 class _Boots:
     """Which process of a replica's id runs at a time.
 
--- a/benchmarks/trouble_days.py
+++ b/benchmarks/trouble_days.py
@@ -19,7 +19,12 @@
 from benchmarks.trouble_days_figures import figures_of
 from benchmarks.trouble_days_kinds import PLANNED_WORK, TROUBLE, variants_by_kind
 from benchmarks.trouble_days_play import Bench, BenchFailed
-from benchmarks.trouble_days_report import pair_counts, print_results, result_of
+from benchmarks.trouble_days_report import (
+    pair_counts,
+    print_results,
+    result_of,
+    summary_of,
+)
 
 DEFAULT_UNTIL_S = 16.0
 DEFAULT_FOLDER = "target/trouble-days"
@@ -44,10 +49,10 @@
     )
     parser.add_argument("--seed", type=int, default=1, help="seed of the days")
     parser.add_argument(
-        "--days", type=int, default=DEFAULT_DAYS, help="days drawn for each site"
+        "--days", type=_count, default=DEFAULT_DAYS, help="days drawn for each site"
     )
     parser.add_argument(
-        "--jobs", type=int, default=DEFAULT_JOBS, help="plays at a time at most"
+        "--jobs", type=_count, default=DEFAULT_JOBS, help="plays at a time at most"
     )
     parser.add_argument(
         "--until",
@@ -74,7 +79,18 @@
         metavar="KIND",
         help="draw only this kind of trouble; may be given several times",
     )
-    return parser.parse_args(arguments)
+    options = parser.parse_args(arguments)
+    if len({path.stem for path in options.site}) < len(options.site):
+        parser.error("the files of the sites need different names")
+    return options
+
+
+def _count(text):
+    """Returns a number from 1 on. Raises ValueError."""
+    number = int(text)
+    if number < 1:
+        raise ValueError(text)
+    return number
 
 
 def plan_plays(bench, options):
@@ -100,7 +116,13 @@
 
 def read_play(bench, play):
     """Returns the result of a play, with the figures of its log if there is one."""
-    figures = figures_of(play.log_path) if play.log_path.exists() else None
+    figures = None
+    if play.log_path.exists():
+        try:
+            figures = figures_of(play.log_path)
+        except Exception as error:
+            # One unreadable log must not hide the others.
+            play.problem = f"the log cannot be read: {error!r}"
     return result_of(play, figures, bench.replay_text(play))
 
 
@@ -112,9 +134,8 @@
     results = {}
 
     def on_end(play):
-        results[play.day.name] = read_play(bench, play)
-        problem = results[play.day.name]["problem"] or "played"
-        print(f"{len(results)} of {len(plays)}: {play.day.name}: {problem}", flush=True)
+        result = results[play.day.name] = read_play(bench, play)
+        print(f"{len(results)} of {len(plays)}: {summary_of(result)}", flush=True)
 
     try:
         bench.play_all(plays, jobs, on_end)
@@ -129,8 +150,6 @@
 def main(arguments):
     """Runs the command and returns its exit code."""
     options = parse_arguments(arguments)
-    # Else the plays in progress would go on.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     options.folder.mkdir(parents=True, exist_ok=True)
     program = shutil.which(options.bench)
     if program is None:
@@ -162,5 +181,16 @@
     return 0 if is_good else 1
 
 
+def handle_signals():
+    """Lets SIGTERM and SIGINT interrupt the command, so that it ends its plays.
+
+    A shell may start a command in the background with SIGINT ignored, and the bench
+    would inherit that.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.default_int_handler)
+
+
 if __name__ == "__main__":
+    handle_signals()
     sys.exit(main(sys.argv[1:]))
--- a/benchmarks/trouble_days_draw.py
+++ b/benchmarks/trouble_days_draw.py
@@ -154,7 +154,6 @@
             entry["how"] = variant.how
         if variant.is_on_servers and self._rng.random() < FIRST_SERVICE_SHARE:
             entry["service"] = "@s0"
-        entry.update(variant.fixed)
         return entry
 
 
--- a/benchmarks/trouble_days_figures.py
+++ b/benchmarks/trouble_days_figures.py
@@ -69,5 +69,5 @@
     limits = [fields.get("deadline_ms"), fields.get("timeout_ms")]
     limits_ms = [limit for limit in limits if limit is not None]
     # Lines of a request whose head has not come whole have no time of their own.
-    after_ms = fields.get("after_ms", fields["quiet_ms"])
+    after_ms = fields.get("after_ms", fields.get("quiet_ms", 0))
     return bool(limits_ms) and after_ms >= min(limits_ms)
--- a/benchmarks/trouble_days_kinds.py
+++ b/benchmarks/trouble_days_kinds.py
@@ -13,16 +13,13 @@
     of planned work. ``is_on_servers`` tells that the entry may name a service.
     """
 
-    __slots__ = ("kind", "how", "bounds", "every_s", "fixed", "is_on_servers")
+    __slots__ = ("kind", "how", "bounds", "every_s", "is_on_servers")
 
-    def __init__(
-        self, kind, how="", *, every_s=None, fixed=None, on_servers=False, **bounds
-    ):
+    def __init__(self, kind, how="", *, every_s=None, on_servers=False, **bounds):
         self.kind = kind
         self.how = how
         self.bounds = bounds
         self.every_s = every_s
-        self.fixed = fixed or {}
         self.is_on_servers = on_servers
 
 
@@ -129,11 +126,16 @@
     *_on_servers("idle_race", ("",), share=(0.2, 0.8), x=(100, 600), for_s=(2.0, 6.0)),
     # Machines of the system.
     *_on_machines(
-        "node_kill", ("", "leader", "giver", "reader", "follower"), share=(0.05, 0.2)
+        "node_kill",
+        ("", "leader", "giver", "reader", "follower", "meet", "leader race"),
+        share=(0.05, 0.2),
     ),
     *_on_machines("node_kill", ("power",), share=(0.05, 0.2), for_s=(0.8, 3.0)),
     *_on_machines(
-        "node_freeze", ("", "leader", "reader"), share=(0.05, 0.3), for_s=(0.8, 4.0)
+        "node_freeze",
+        ("", "leader", "reader", "meet"),
+        share=(0.05, 0.3),
+        for_s=(0.8, 4.0),
     ),
     Variant("node_slow", share=(0.05, 0.3), x=(2.0, 8.0), for_s=(2.0, 6.0)),
     Variant("herd_kill", share=(0.3, 1.0)),
@@ -146,13 +148,16 @@
         for_s=(2.0, 5.0),
     ),
     *_on_machines("reset_conns", ("",), share=(0.1, 1.0), x=(0.3, 0.9)),
-    Variant("after_ack_kill", count=(1, 2)),
+    *_on_machines("after_ack_kill", ("", "kill", "timed", "taken"), count=(1, 2)),
     # The network.
     *_on_machines(
         "core_cut", ("", "one_way", "near", "all"), count=(1, 1), for_s=(1.0, 4.0)
     ),
     *_on_machines(
-        "node_cut", ("", "all", "reset", "leader"), share=(0.05, 0.2), for_s=(0.8, 4.0)
+        "node_cut",
+        ("", "all", "reset", "leader", "meet", "all race"),
+        share=(0.05, 0.2),
+        for_s=(0.8, 4.0),
     ),
     Variant("lossy", x=(0.01, 0.1), for_s=(2.0, 6.0)),
     # The platform's store.
--- a/benchmarks/trouble_days_play.py
+++ b/benchmarks/trouble_days_play.py
@@ -68,15 +68,17 @@
         return names
 
     def prepare(self, day, site_path):
-        """Writes the file of a Day and returns its Play."""
+        """Writes the file of a Day, removes its last log and returns its Play."""
         day_path = self._folder / f"{day.name}.toml"
         day_path.write_text(day.to_toml())
+        log_path = day_path.with_suffix(".log")
+        log_path.unlink(missing_ok=True)
         command = [
             *(self._program, "run", str(site_path), str(day_path)),
             *("--seed", str(day.seed), "--until", f"{self._until_s:g}"),
             *("--log", "all", "--why", f"drawn day: {day.work} beside {day.trouble}"),
         ]
-        return Play(day, command, day_path.with_suffix(".log"))
+        return Play(day, command, log_path)
 
     def replay_text(self, play):
         """Returns the shell command that plays a day again."""
--- a/benchmarks/trouble_days_report.py
+++ b/benchmarks/trouble_days_report.py
@@ -86,14 +86,18 @@
         _print_day(result)
 
 
-def _print_day(result):
+def summary_of(result):
+    """Returns a line about a day, with its counts."""
     counts = _counts(result)
-    found = ", ".join(f"{name} {count}" for name, count in counts.items() if count)
-    print(f"{result['name']}: {found}")
+    found = ", ".join(f"{name} {counts[name]}" for name in COLUMNS if counts.get(name))
+    text = f"{result['name']}: {found}"
+    return text if result["problem"] is None else f"{text}: {result['problem']}"
+
+
+def _print_day(result):
+    print(summary_of(result))
     print(f"  {result['replay']}")
-    if result["problem"] is not None:
-        print(f"  FAILED: {result['problem']}")
-    elif result["exit_code"]:
+    if result["problem"] is None and result["exit_code"]:
         print(f"  exit code of the bench: {result['exit_code']}")
     if "verdicts" not in result:
         return
