Ask a restarted replica for its requests instead of comparing clocks

Requests sent before the later boot, less 0.5 s for the skew of clocks, were taken for requests at the earlier process. With a clock that is behind, the watch of the replaced process ended such a write after 2 s of silence.

Change: evidence of a restart under the same id and address ends no request by itself. The later process is asked for its report, and silent requests are ended once two reports 0.5 s apart tell of no requests (queued and running). Until then they wait. Reports without an answer are no evidence for a process that was replaced under its id at its address. No clock of a replica is used.

Price: while the later process always has requests of any host, requests at the earlier one wait to their deadlines.

The call of ProcessEnd.note in test_review_findings has the new parameter is_restarted in place of successor_boot; what it checks is unchanged.

The new tests of a later process that refuses its report, and of a lost write beside one at the later process, passed before as well; they guard the new rule.

--- a/snipetrestle/coordination/order_messages.py
+++ b/snipetrestle/coordination/order_messages.py
@@ -49,7 +49,8 @@
     """State of a replica. ``versions_by_adapter`` includes those ``in_transit``.
 
     ``replaced`` are those in transit of which an older version is still held. ``boot``
-    is the start time of the replica's process, None if it does not tell.
+    is the start time of the replica's process, and ``request_count`` the number of the
+    callers' requests that it has; each is None if the replica does not tell.
     """
 
     order_count: int
@@ -59,3 +60,4 @@
     in_transit: frozenset[AdapterKey] = frozenset()
     replaced: frozenset[AdapterKey] = frozenset()
     boot: int | None = None
+    request_count: int | None = None
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -231,7 +231,7 @@
             platform.order_client.report,
             self.fresh_reads,
         )
-        self.replicas.ask_removed(self.process_check.is_running)
+        self.replicas.ask_removed(self.process_check.ask)
         self.forwarder = Forwarder(self)
         self.caller_server = HttpServer(
             self.forwarder.handle,
--- a/snipetrestle/gateway/backends/process_end.py
+++ b/snipetrestle/gateway/backends/process_end.py
@@ -3,11 +3,15 @@
 A process may end without closing its connections, and nothing arrives on them any more.
 Evidence of its end may be wrong, since other writers may write entries. So an exchange
 is ended only while nothing comes from the process on any connection of this host.
+
+A process that starts again under its id at its address may have got requests before its
+entry came. Which ones cannot be told by the time of its start, as clocks differ: so it
+is asked how many requests it has, and while it has some, the silent ones wait.
 """
 
 import asyncio
+import enum
 import math
-import time
 
 from snipetrestle.events import Event, log_event
 from snipetrestle.supervision import run_isolated
@@ -25,8 +29,27 @@
 # Reports that a removed process may leave unanswered: it may be silent for a moment.
 MAX_UNANSWERED_REPORTS = 3
 REPORT_PAUSE_S = 0.5
-# By how much the clock of a replica may be ahead of that of this host.
-MAX_CLOCK_SKEW_S = 0.5
+# Reports in a row by which a later process has no requests: it may be about to read
+# one, or the end of its last answer may still be on the way.
+IDLE_REPORTS = 2
+
+
+class ProcessAnswer(enum.Enum):
+    """What a question to the address of a process tells about it."""
+
+    # Nothing answers, or another replica does.
+    NONE = enum.auto()
+    # The process runs.
+    SAME = enum.auto()
+    # A process answers, and does not report now.
+    REFUSED = enum.auto()
+    # Another process under the id answers; it has no requests, or it may have some.
+    OTHER_IDLE = enum.auto()
+    OTHER = enum.auto()
+
+
+_IS_RUNNING = (ProcessAnswer.SAME, ProcessAnswer.REFUSED)
+_IS_OTHER = (ProcessAnswer.OTHER_IDLE, ProcessAnswer.OTHER)
 
 
 class ProcessEnd:
@@ -36,8 +59,9 @@
         "_replica",
         "_evidence",
         "_noted_at",
-        "_begun_before",
-        "_is_running",
+        "_is_restarted",
+        "_ask",
+        "_is_confirmed",
         "_is_ended",
         "_is_logged",
         "_task",
@@ -47,8 +71,10 @@
         self._replica = replica
         self._evidence = None
         self._noted_at = 0.0
-        self._begun_before = -math.inf
-        self._is_running = None
+        # Whether a later process may serve some of the exchanges.
+        self._is_restarted = False
+        self._ask = None
+        self._is_confirmed = False
         self._is_ended = False
         self._is_logged = False
         self._task = None
@@ -58,42 +84,48 @@
         """Whether the process has ended, by evidence and by its silence."""
         return self._is_ended
 
-    def note(self, evidence, successor_boot=None, is_running=None):
+    def note(self, evidence, is_restarted=False, ask=None):
         """Ends the exchanges with the process as soon as it is silent for long enough.
 
-        Those that were begun since the ``successor_boot``, if it is given, may be at
-        the later process. Unless the process answers ``is_running(replica)``, which is
-        awaited before if it is given.
+        If it ``is_restarted`` under its id at its address, some of them may be at the
+        later process, and none is ended before that has no requests. If ``ask(replica)``
+        is given, it is awaited before, and its ProcessAnswer may show that the process
+        runs.
         """
-        now = asyncio.get_running_loop().time()
-        begun_before = math.inf
-        if successor_boot is not None:
-            age_s = time.time() - successor_boot / 1000
-            begun_before = now - age_s - MAX_CLOCK_SKEW_S
-        self._begun_before = max(self._begun_before, begun_before)
         # Idle connections of the process would lead to no answer.
         self._replica.pool.close()
-        if self._evidence is None:
-            self._evidence = evidence
-            self._noted_at = now
-            self._is_running = is_running
-            self._check()
+        if self._evidence is not None:
+            self._is_restarted = self._is_restarted and is_restarted
+            return
+        self._evidence = evidence
+        self._noted_at = asyncio.get_running_loop().time()
+        self._is_restarted = is_restarted
+        self._ask = ask
+        self._is_confirmed = False
+        self._check()
 
     def _exchanges(self):
-        """Returns the open exchanges with the process."""
+        """Returns the open exchanges that may be with the process."""
+        exchanges = self._replica.open_exchanges
+        if not self._is_restarted:
+            return list(exchanges)
         return [
             item
-            for item in self._replica.open_exchanges
-            if item.opened_at <= self._begun_before
+            for item in exchanges
+            if item.opened_at <= self._noted_at and not self._is_at_successor(item)
         ]
 
+    def _is_at_successor(self, exchange):
+        """Whether data has come so late that the ended process has not sent it."""
+        return exchange.received_at > self._noted_at + MIN_SILENCE_S
+
     def _heard_at(self, exchanges):
         """When the process last sent something on any connection of this host.
 
         What the Replica has noted may come from a later process under its id.
         """
         times = [item.received_at for item in exchanges]
-        if math.isinf(self._begun_before):
+        if not self._is_restarted:
             times.append(self._replica.last_heard_at)
         return max(times)
 
@@ -104,14 +136,14 @@
             self._evidence = None
             return
         heard_at = self._heard_at(exchanges)
-        if heard_at > self._noted_at + MIN_SILENCE_S:
+        if not self._is_restarted and heard_at > self._noted_at + MIN_SILENCE_S:
             # A process that sends for so long after the evidence has not ended.
             self._evidence = None
             return
         loop = asyncio.get_running_loop()
         silent_s = loop.time() - heard_at
         if silent_s >= MIN_SILENCE_S and not _has_unread_input(exchanges):
-            if self._is_running is not None:
+            if self._ask is not None and not self._is_confirmed:
                 self._task = loop.create_task(run_isolated(self._confirm))
                 return
             self._end(exchanges, silent_s)
@@ -119,16 +151,38 @@
 
     async def _confirm(self):
         """Drops the evidence if the process answers, else goes on with the check."""
-        is_running, self._is_running = self._is_running, None
-        if await is_running(self._replica):
+        answer = await self._ask(self._replica)
+        is_running = answer in _IS_RUNNING
+        if self._is_restarted:
+            # The later process may have refused to report.
+            is_running = answer is ProcessAnswer.SAME
+            self._is_confirmed = await self._is_successor_idle(answer)
+        else:
+            self._is_confirmed = True
+        if is_running:
             self._evidence = None
             return
-        self._check()
+        if self._is_confirmed:
+            self._check()
+        else:
+            asyncio.get_running_loop().call_later(REPORT_PAUSE_S, self._check)
+
+    async def _is_successor_idle(self, answer):
+        """Whether a later process, by its answers from this one on, has no requests."""
+        for _ in range(IDLE_REPORTS - 1):
+            if answer is not ProcessAnswer.OTHER_IDLE:
+                return False
+            await asyncio.sleep(REPORT_PAUSE_S)
+            answer = await self._ask(self._replica)
+        return answer is ProcessAnswer.OTHER_IDLE
 
     def _end(self, exchanges, silent_s):
         """Fails the exchanges that have waited for as long as the process is silent."""
+        known = [item for item in exchanges if self._is_known(item)]
+        if not known:
+            return
         self._is_ended = True
-        ended = [item for item in exchanges if _is_due(item, silent_s)]
+        ended = [item for item in known if _is_due(item, silent_s)]
         for exchange in ended:
             exchange.cancel(f"the replica's process has ended: {self._evidence}")
         if not ended or self._is_logged:
@@ -143,17 +197,28 @@
             ended=len(ended),
         )
 
+    def _is_known(self, exchange):
+        """Whether an exchange is known to be at no later process.
+
+        A response of another replica to it shows that, too.
+        """
+        if self._is_confirmed or not (self._is_restarted or self._ask):
+            return True
+        return math.isinf(exchange.received_at)
+
     # Processes whose entry is gone.
 
-    def watch_removed(self, is_running):
-        """Asks ``is_running(replica)`` if the process is silent since its removal.
+    def watch_removed(self, ask, is_restarted):
+        """Asks ``ask(replica)`` if the process is silent since its removal.
 
-        One that sends anything after its removal goes on serving, and is not asked.
+        One that sends anything after its removal goes on serving, and is not asked. If
+        it ``is_restarted`` under its id at its address, the later process may not have
+        answered, and still have some of the requests.
         """
         removed_at = asyncio.get_running_loop().time()
-        self._check_removed(removed_at, is_running)
+        self._check_removed(removed_at, ask, is_restarted)
 
-    def _check_removed(self, removed_at, is_running):
+    def _check_removed(self, removed_at, ask, is_restarted):
         exchanges = self._replica.open_exchanges
         if not exchanges:
             return
@@ -168,29 +233,32 @@
         if _has_unread_input(exchanges):
             due_at = max(due_at, loop.time() + CHECK_PAUSE_S)
         if loop.time() < due_at:
-            loop.call_at(due_at, self._check_removed, removed_at, is_running)
+            loop.call_at(due_at, self._check_removed, removed_at, ask, is_restarted)
             return
         self._task = loop.create_task(
-            run_isolated(self._ask_removed, removed_at, is_running)
+            run_isolated(self._ask_removed, removed_at, ask, is_restarted)
         )
 
-    async def _ask_removed(self, removed_at, is_running):
-        if not await self._has_ended(is_running):
+    async def _ask_removed(self, removed_at, ask, is_restarted):
+        answer = await self._ask_repeatedly(ask)
+        if answer in _IS_OTHER:
+            self.note("another process answers at its address", True, ask)
+        elif answer is ProcessAnswer.NONE and not is_restarted:
+            self.note("its entry is gone, and it does not answer")
+        else:
             asyncio.get_running_loop().call_later(
-                ASKED_SILENCE_S, self._check_removed, removed_at, is_running
+                ASKED_SILENCE_S, self._check_removed, removed_at, ask, is_restarted
             )
-            return
-        self.note("its entry is gone, and it does not answer")
 
-    async def _has_ended(self, is_running):
-        """Whether another process answers, or none does several times in a row."""
+    async def _ask_repeatedly(self, ask):
+        """Returns the first answer to several questions in a row."""
         for count in range(MAX_UNANSWERED_REPORTS):
             if count:
                 await asyncio.sleep(REPORT_PAUSE_S)
-            answer = await is_running(self._replica)
-            if answer is not None:
-                return not answer
-        return True
+            answer = await ask(self._replica)
+            if answer is not ProcessAnswer.NONE:
+                break
+        return answer
 
 
 def _has_unread_input(exchanges):
--- a/snipetrestle/gateway/backends/replicas.py
+++ b/snipetrestle/gateway/backends/replicas.py
@@ -197,27 +197,28 @@
         self.leaving = True
         self._on_leaving(self)
 
-    def note_process_ended(self, evidence, successor_boot=None, is_running=None):
+    def note_process_ended(self, evidence, is_restarted=False, ask=None):
         """Ends the silent exchanges with the process, of whose end there is evidence.
 
-        ``successor_boot`` is that of a later process that may serve requests which name
-        this replica, on connections to its address; None if there is no such process.
-        With ``is_running(replica)``, the process is asked before.
+        If it ``is_restarted``, a later process may serve requests which name this
+        replica, on connections to its address. With ``ask(replica)``, the process is
+        asked before.
         """
-        self._process_end.note(evidence, successor_boot, is_running)
+        self._process_end.note(evidence, is_restarted, ask)
 
     @property
     def has_ended(self):
         """Whether the process of the replica has ended, by evidence and its silence."""
         return self._process_end.has_ended
 
-    def watch_removed(self, is_running):
+    def watch_removed(self, ask, is_restarted):
         """Watches a process whose entry is gone, and asks if it runs once it is silent.
 
-        One that has announced its leaving does not show its end by that.
+        One that has announced its leaving does not show its end by that. With
+        ``is_restarted``, a process under its id is listed at its address.
         """
         if self.open_exchanges and self.takes_requests:
-            self._process_end.watch_removed(is_running)
+            self._process_end.watch_removed(ask, is_restarted)
 
     @property
     def software_version(self):
@@ -325,7 +326,7 @@
         self._removed = []
         # The last entries of replicas that are no longer listed, the oldest first.
         self._left_entries_by_id = collections.OrderedDict()
-        self._is_running = None
+        self._ask = None
         self._leaving_listeners = []
         # The number of listed replicas by software version, by backend. Replicas of
         # unknown versions do not count.
@@ -366,7 +367,8 @@
         self._note_ended_processes(entry)
         if known is not None:
             known.note_replaced()
-            self._watch_and_remove(known)
+            is_same_address = _address(known.entry) == _address(entry)
+            self._watch_and_remove(known, is_restarted=is_same_address)
         log_event(
             Event.REPLICA_LISTED,
             replica=entry.id,
@@ -397,9 +399,9 @@
             return
         self._watch_and_remove(replica)
 
-    def _watch_and_remove(self, replica):
-        if self._is_running is not None:
-            replica.watch_removed(self._is_running)
+    def _watch_and_remove(self, replica, is_restarted=False):
+        if self._ask is not None:
+            replica.watch_removed(self._ask, is_restarted)
         self._remove(replica)
 
     def _remove(self, replica):
@@ -440,9 +442,12 @@
         if not at_address:
             del self._by_address[address]
 
-    def ask_removed(self, is_running):
-        """Sets ``is_running(replica)``, a coroutine function that asks its process."""
-        self._is_running = is_running
+    def ask_removed(self, ask):
+        """Sets ``ask(replica)``, a coroutine function that asks its process.
+
+        It returns a ProcessAnswer.
+        """
+        self._ask = ask
 
     def _note_ended_processes(self, entry):
         """Notes the processes that have ended, as a later one has their id or address.
@@ -463,13 +468,13 @@
             if known.id != entry.id and is_same_address:
                 replica.note_process_ended(
                     "another replica is listed at its address",
-                    is_running=self._is_running,
+                    ask=self._ask,
                 )
             elif known.id == entry.id:
                 replica.note_process_ended(
                     "a later process is listed under its id",
-                    entry.boot if is_same_address else None,
-                    self._is_running,
+                    is_restarted=is_same_address,
+                    ask=self._ask,
                 )
 
     def has_successor(self, replica, boot):
--- a/snipetrestle/gateway/streams/process_check.py
+++ b/snipetrestle/gateway/streams/process_check.py
@@ -17,6 +17,7 @@
     ExchangeFailed,
     ReportRefused,
 )
+from snipetrestle.gateway.backends.process_end import ProcessAnswer
 from snipetrestle.gateway.exchange import ReplicaLeft
 from snipetrestle.gateway.job import Refused
 
@@ -66,43 +67,60 @@
         boot = await self._read_boot(replica)
         return None if boot is None else boot == replica.entry.boot
 
-    async def _read_boot(self, replica, refused_boot=None):
+    async def _read_boot(self, replica):
         """Returns the boot of the process that answers; None without an answer.
 
-        Returns ``refused_boot`` if the process refuses to report.
-
         Replicas that do not tell their start cannot be told apart, so the answer of one
         names the boot of its entry. One that has asked for a pause is not asked.
         """
         if replica.pause.is_active:
             return None
+        try:
+            report = await self._report(replica)
+        except ReportRefused:
+            return None
+        if report is None:
+            return None
+        return replica.entry.boot if report.boot is None else report.boot
+
+    async def _report(self, replica):
+        """Returns a replica's report, or None without one. Raises ReportRefused."""
         report = None
         with anyio.move_on_after(REPORT_TIMEOUT_S):
             try:
                 report = await self._read_report(replica)
             except ReportRefused:
-                return refused_boot
+                raise
             except (ConnectFailed, ExchangeFailed):
                 return None
-        if report is None:
-            return None
-        if report.boot is None:
-            return replica.entry.boot
+        if report is None or report.boot is None:
+            return report
         if 0 < replica.entry.boot < report.boot:
             replica.note_process_ended(
-                "a later process answers at its address", report.boot
+                "a later process answers at its address",
+                is_restarted=True,
+                ask=self.ask,
             )
-        return report.boot
+        return report
 
-    async def is_running(self, replica):
-        """Whether the process of a replica answers; None if nothing answers.
+    async def ask(self, replica):
+        """Returns the ProcessAnswer of what runs at the address of a replica.
 
-        One that has asked for a pause is not asked, and may run.
+        One that has asked for a pause is not asked.
         """
         if replica.pause.is_active:
-            return True
-        boot = await self._read_boot(replica, replica.entry.boot)
-        return None if boot is None else boot == replica.entry.boot
+            return ProcessAnswer.REFUSED
+        try:
+            report = await self._report(replica)
+        except ReportRefused:
+            return ProcessAnswer.REFUSED
+        if report is None:
+            return ProcessAnswer.NONE
+        if report.boot in (None, replica.entry.boot):
+            return ProcessAnswer.SAME
+        if report.request_count == 0:
+            return ProcessAnswer.OTHER_IDLE
+        return ProcessAnswer.OTHER
 
     async def _may_origin_differ(self, origin):
         """Whether a stream may have begun at another version than its origin says.
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -84,6 +84,9 @@
     incoming: list[str] = []
     # Start time of the process in ms of Unix time.
     born: Revision | None = None
+    # The numbers of requests that wait and that run. Odd ones do not hide the rest.
+    queued: typing.Any = None
+    running: typing.Any = None
 
 
 class _KeptParts(msgspec.Struct):
@@ -338,4 +341,12 @@
         frozenset(incoming),
         frozenset(incoming.keys() & versions.keys()),
         report.born,
+        _request_count(report.queued, report.running),
     )
+
+
+def _request_count(queued, running):
+    """Returns the sum of two counts, or None unless both are known."""
+    if any(type(count) is not int or count < 0 for count in (queued, running)):
+        return None
+    return queued + running
--- a/tests/gateway/test_review_findings.py
+++ b/tests/gateway/test_review_findings.py
@@ -102,6 +102,30 @@
         fleet.publish(successor)
         await self.assert_served(task)
 
+    @with_system(run_fleet, registers=1)
+    async def test_write_at_a_later_process_whose_clock_is_behind(self, fleet):
+        """Guards against a watch of the replaced process that ends the later one's."""
+        (replica,) = fleet.registers
+        await list_boot(fleet, replica, unix_ms(1.5))
+        replica.go_dark()
+        successor = await replica.start_successor(replica.id)
+        fleet.registers[:] = [successor]
+        task = await start_write(fleet, 4.2)
+        fleet.publish(successor)
+        await self.assert_served(task)
+
+    @with_system(run_fleet, registers=1)
+    async def test_write_at_a_later_process_that_refuses_its_report(self, fleet):
+        """Guards against a refusal taken for a process without requests."""
+        (replica,) = fleet.registers
+        replica.go_dark()
+        successor = await replica.start_successor(replica.id)
+        fleet.registers[:] = [successor]
+        task = await start_write(fleet, 4.2)
+        successor.refuses_requests = True
+        fleet.publish(successor)
+        await self.assert_served(task)
+
 
 class EndedProcessTest(LogRecordingTest):
     @with_system(run_fleet, registers=1)
@@ -119,6 +143,25 @@
         answer = await task
         self.assertEqual((502, b"SN-1302"), (answer.status, answer.body))
 
+    @with_system(run_fleet, registers=1)
+    async def test_write_ends_once_the_later_process_has_no_requests(self, fleet):
+        """Guards against a later process's write ended with one of the earlier."""
+        (replica,) = fleet.registers
+        replica.faults = [Fault.NO_RESPONSE]
+        lost = asyncio.create_task(fleet.send_request("/entry/a"))
+        await wait_until(lambda: replica.runs)
+        replica.go_dark()
+        successor = await replica.start_successor(replica.id)
+        fleet.registers[:] = [successor]
+        sound = await start_write(fleet, 2.0)
+        fleet.publish(successor)
+        answer = await sound
+        self.assertEqual((200, False), (answer.status, lost.done()))
+        started = now_s()
+        answer = await lost
+        self.assertEqual((502, b"SN-1302"), (answer.status, answer.body))
+        self.assertLess(now_s() - started, 2.0)
+
     @with_system(run_fleet, models=2, model_versions=("v1", "v2"))
     async def test_stream_does_not_wait_for_a_version_that_has_left(self, fleet):
         """Guards against a wait for a replica that has announced its leaving."""
@@ -199,7 +242,7 @@
             pool=types.SimpleNamespace(close=lambda: None),
             last_heard_at=0.0,
         )
-        ProcessEnd(replica).note("a later process", successor_boot=unix_ms())
+        ProcessEnd(replica).note("a later process", is_restarted=True)
         self.assertEqual(1, len(ended))
 
 
--- a/tests/platform/test_bad_servers.py
+++ b/tests/platform/test_bad_servers.py
@@ -116,6 +116,23 @@
             items = anyio.run(self.answer_to, watch, Closing(head + WATCH))
             self.assertEqual(8, items.revision)
 
+    def test_odd_numbers_of_requests_are_unknown(self):
+        """Guards against a replica with requests taken for one without, and against a
+        report that is lost for an odd number."""
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        counts = {
+            b'"queued":0,"running":0': 0,
+            b'"queued":2,"running":1': 3,
+            b'"running":0': None,
+            b'"queued":0,"running":-1': None,
+            b'"queued":0,"running":false': None,
+            b'"queued":"0","running":0.0': None,
+        }
+        for fields, count in counts.items():
+            body = REPORT[:-1] + b"," + fields + b"}"
+            known = anyio.run(self.answer_to, report, Closing(head + body))
+            self.assertEqual((3, count), (known.order_count, known.request_count))
+
     def test_cut_or_reset_answers_are_not_complete(self):
         """The start of a list must not be taken for all of it."""
         head = b"HTTP/1.1 200 OK\r\n\r\n"
