List kept prompts only once replicas have written again after a restore

Callers could get a stream that went on at a replica of another version: a host that started after the store went back to an older copy read that copy, took it for the list of all replicas, and inferred the version from kept prompts of the replicas in it. A replica that the copy lacks may keep the prompt as well, and writes its entry again within two seconds only. The same held for a host that ran, but had not seen such a replica before the restore.

Cause: the round reads the store after the question, but right after a restore the store itself is not complete.

FeedState notes when this host first saw an epoch that replaced another, or that is above 1 at the host's first read. FreshReads.incomplete_for_s counts STORE_RETURN_GRACE_S (2.2 s) from then, since nothing tells when the epoch began. No round begins before, and a leader says meanwhile that it can't answer yet, so it is asked again instead of ending the question.

Price: hosts that all start at the same time know no kept prompts for 2.2 s after their first read if the store was restored at any time before.

--- a/snipetrestle/coordination/kept_prompt_answers.py
+++ b/snipetrestle/coordination/kept_prompt_answers.py
@@ -47,7 +47,11 @@
     @property
     def may_answer(self):
         """Whether this host lists replicas for all hosts."""
-        return self._leadership.leads and self._is_ready()
+        return (
+            self._leadership.leads
+            and self._is_ready()
+            and self._kept_prompts.lists_all_replicas
+        )
 
     def _on_request(self, message, address):
         request = (address, message.boot, message.number)
--- a/snipetrestle/gateway/publication/fresh_reads.py
+++ b/snipetrestle/gateway/publication/fresh_reads.py
@@ -10,6 +10,7 @@
 import anyio
 
 from snipetrestle.gateway.publication.published_items import HistoryLost
+from snipetrestle.gateway.publication.replica_entries import STORE_RETURN_GRACE_S
 from snipetrestle.publication.sources import SourceUnreachable
 from snipetrestle.supervision import log_unexpected
 
@@ -39,6 +40,17 @@
         """The StorePosition up to which changes of the prefix are applied."""
         return self._state.feeds[self._prefix].position
 
+    @property
+    def incomplete_for_s(self):
+        """For how long the store may lack entries of replicas that run, in seconds.
+
+        After it has gone back to a copy, replicas that are not in the copy write again.
+        Nothing tells a host when an epoch began that it has just seen, so the time
+        counts from then.
+        """
+        replaced_at = self._state.feeds[self._prefix].replaced_at
+        return max(0.0, replaced_at + STORE_RETURN_GRACE_S - anyio.current_time())
+
     async def read(self, timeout_s):
         """Applies the store's changes of the prefix by a read that begins after this.
 
--- a/snipetrestle/gateway/publication/published_items.py
+++ b/snipetrestle/gateway/publication/published_items.py
@@ -1,8 +1,10 @@
 """Items of the platform's store, and the known items of one of its key prefixes."""
 
 import enum
+import math
 import typing
 
+import anyio
 import msgspec
 
 MAX_REVISION = 2**62
@@ -10,6 +12,9 @@
 # Integers above this are not exact in all programs that write JSON.
 MAX_VERSION = 2**53
 Version = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
+# The store changes its epoch when it goes back to a copy. What was written between the
+# copy and that is in none of the later histories.
+LAST_UNBROKEN_EPOCH = 1
 
 
 class StorePosition(msgspec.Struct, array_like=True, frozen=True, order=True):
@@ -95,6 +100,8 @@
 
     ``revision`` is the revision of the store up to which changes are applied, and
     ``newest_revision`` the highest one of the items, both in the history ``epoch``.
+    ``replaced_at`` is when this host first saw that the store had replaced its history
+    by this one, which may be long after that; -inf if the store has not done so.
     ``loaded`` tells whether all items have been read once. ``reachable`` tells whether
     the store has answered the latest request; None before the first one has ended.
     """
@@ -103,6 +110,7 @@
         "feed",
         "items_by_key",
         "epoch",
+        "replaced_at",
         "revision",
         "newest_revision",
         "reachable",
@@ -112,6 +120,7 @@
     def __init__(self, feed):
         self.feed = feed
         self.epoch = 0
+        self.replaced_at = -math.inf
         self._clear()
         self.reachable = None
         self.loaded = False
@@ -132,6 +141,8 @@
     def start_epoch(self, epoch):
         """Forgets all items, since those of another history are not comparable."""
         self.epoch = epoch
+        if self.loaded or epoch > LAST_UNBROKEN_EPOCH:
+            self.replaced_at = anyio.current_time()
         self._clear()
 
     def has_current(self, item):
--- a/snipetrestle/gateway/streams/kept_prompts.py
+++ b/snipetrestle/gateway/streams/kept_prompts.py
@@ -96,6 +96,11 @@
         self._listings = RatePool(LISTINGS_PER_S, LISTINGS_BURST)
         self._slots = asyncio.Semaphore(MAX_OPEN_LISTINGS)
 
+    @property
+    def lists_all_replicas(self):
+        """Whether no replica that runs may be missing in what the store lists."""
+        return self._reads.incomplete_for_s == 0
+
     async def only_version(self, backend, model, part):
         """Returns the only software version whose replicas can keep a prompt part.
 
@@ -134,7 +139,8 @@
         if begun_at is not None:
             interval_s = begun_at + MIN_INTERVAL_S - anyio.current_time()
         # A round may list more replicas than are left of the burst.
-        return max(GATHER_S, interval_s, self._listings.wait_s(0))
+        listings_s = self._listings.wait_s(0)
+        return max(GATHER_S, interval_s, listings_s, self._reads.incomplete_for_s)
 
     async def _run(self, this_round, wait_s):
         await anyio.sleep(wait_s)
@@ -142,8 +148,7 @@
         self._note_begun(this_round.backend)
         ends_at = anyio.current_time() + ROUND_TIMEOUT_S
         kept_by_replica = {}
-        # Another host may have used a replica that this one has not seen yet.
-        if await self._reads.read(READ_TIMEOUT_S):
+        if await self._read_list():
             this_round.position = self._reads.position
             replicas = list(self._replicas.listed_replicas(this_round.backend))
             self._listings.take(len(replicas))
@@ -151,6 +156,16 @@
             self._note_findings(this_round, kept_by_replica)
         self._log_round(this_round, kept_by_replica)
 
+    async def _read_list(self):
+        """Returns whether this host has read a list of all replicas.
+
+        Another host may have used a replica that this one has not seen yet.
+        """
+        if not self.lists_all_replicas:
+            return False
+        has_read = await self._reads.read(READ_TIMEOUT_S)
+        return has_read and self.lists_all_replicas
+
     def _log_round(self, this_round, kept_by_replica):
         silent = [item.id for item, kept in kept_by_replica.items() if kept is None]
         position = this_round.position
--- a/snipetrestle/gateway/streams/version_history.py
+++ b/snipetrestle/gateway/streams/version_history.py
@@ -14,7 +14,11 @@
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import ReplicaEntry
 from snipetrestle.gateway.publication.fresh_reads import READ_PAUSE_S, FreshReads
-from snipetrestle.gateway.publication.published_items import HistoryLost, Unlisted
+from snipetrestle.gateway.publication.published_items import (
+    LAST_UNBROKEN_EPOCH,
+    HistoryLost,
+    Unlisted,
+)
 from snipetrestle.gateway.streams.listed_versions import (
     UNKNOWN_SOFTWARE,
     ListedVersions,
@@ -36,9 +40,6 @@
 # The heartbeats of one replica alone prove nothing: another writer may have written
 # its entry.
 MIN_WITNESSES = 2
-# The store changes its epoch when it goes back to a copy. What was written between the
-# copy and that is in none of the later histories.
-LAST_UNBROKEN_EPOCH = 1
 
 
 class VersionHistory:
--- a/tests/gateway/test_kept_prompts.py
+++ b/tests/gateway/test_kept_prompts.py
@@ -66,6 +66,7 @@
 
     def __init__(self, answers=True):
         self.position = StorePosition(1, 7)
+        self.incomplete_for_s = 0.0
         self._answers = answers
 
     async def read(self, timeout_s):
--- a/tests/gateway/test_old_lists.py
+++ b/tests/gateway/test_old_lists.py
@@ -14,6 +14,7 @@
 from snipetrestle.gateway.exchange import ReplicaLeft
 from snipetrestle.gateway.job import Refused
 from snipetrestle.gateway.publication.fresh_reads import FreshReads
+from snipetrestle.gateway.publication.replica_entries import STORE_RETURN_GRACE_S
 from snipetrestle.gateway.streams.kept_prompts import KeptPrompts
 from snipetrestle.gateway.streams.process_check import ProcessCheck
 from snipetrestle.gateway.streams.stream_origin import StreamOrigin
@@ -140,6 +141,75 @@
         self.assertEqual("", await kept_prompts.only_version(BACKEND, MODEL, PART))
 
 
+class RestoredStoreTest(testtools.TestCase):
+    """A store that has gone back to a copy which lacks a replica of v2."""
+
+    def restore(self, system):
+        """Lists a replica of each version, and restores a copy made in between."""
+        system.put("a")
+        copy, revision = dict(system.store.items_by_key), system.store.revision
+        system.put("b", "v2")
+        system.store.restore(copy, revision)
+
+    async def start_askers(self, system, leader, count):
+        """Starts hosts at the same time; returns their Askers."""
+        fleet = types.SimpleNamespace(
+            network=DatagramNetwork(), leader=leader, believed_by_host={}, by_name={}
+        )
+        fleet.network.task_group = system._group
+        for number in range(1, count + 1):
+            host = await system.start_host()
+            fleet.by_name[host.name] = Asker(host, fleet, number)
+        return list(fleet.by_name.values())
+
+    @with_system(run_system)
+    async def test_new_host_knows_nothing_until_all_have_written(self, system):
+        """Guards against a new host that answers by the copy, or never again."""
+        self.restore(system)
+        (asker,) = await self.start_askers(system, "", 1)
+        self.assertIsNone(await asker.ask())
+        await anyio.sleep(STORE_RETURN_GRACE_S)
+        self.assertEqual(V1, await asker.ask())
+        system.put("b", "v2")
+        self.assertIsNone(await asker.ask())
+
+    @with_system(run_system)
+    async def test_new_leader_is_asked_until_all_have_written(self, system):
+        """Guards against a leader's refusal that ends a question too early, and against
+        its answer by the copy."""
+        self.restore(system)
+        leader, asker = await self.start_askers(system, "entry-1", 2)
+        self.assertIsNone(await asker.ask())
+        self.restore(system)
+        await anyio.sleep(STORE_RETURN_GRACE_S - 1.0)
+        self.assertEqual(V1, await asker.ask())
+        self.restore(system)
+        await anyio.sleep(STORE_RETURN_GRACE_S - 1.0)
+        system.put("b", "v2")
+        self.assertIsNone(await asker.ask())
+
+    @with_system(run_system)
+    async def test_host_that_had_not_seen_a_replica_before_the_restore(self, system):
+        """Guards against the list that a host keeps in a restore, which lacks replicas
+        that were listed since its last read."""
+        system.put("a")
+        (asker,) = await self.start_askers(system, "", 1)
+        await asker.host.stop_watching()
+        self.assertEqual(V1, await asker.ask())
+        self.restore(system)
+        asker.host.relay.watches = True
+        await wait_until(lambda: asker.host.state.feeds[ALL_ITEMS].epoch == 2)
+        self.assertNotIn("b", asker.host.state.replicas.by_id)
+        self.assertIsNone(await asker.ask())
+
+    @with_system(run_system)
+    async def test_store_that_was_never_restored(self, system):
+        """Guards against a new host that needs no wait, and refuses streams for it."""
+        system.put("a")
+        (asker,) = await self.start_askers(system, "", 1)
+        self.assertEqual(V1, await asker.ask())
+
+
 class OnlyVersionTest(testtools.TestCase):
     @with_system(run_long_known)
     async def test_host_that_was_cut_off(self, system, host):
