Count demand by version, and free a place that others can stand in for

Cause: the leader recorded requests for an adapter without the version that they need, and never evicts an adapter that was requested within 1 s, however many other places it has.

Demand and the time of the last request are now counted for each (adapter, version), so requests for another version keep nothing at a replica. If a lookup for a version still finds no place, the leader withholds one: it names the replica no more for an adapter whose recent requests others have room for, and evicts it there after EVICTION_GRACE_S, when no host uses it any more, for that load only. An adapter in use, or without another loaded holder of the versions that its requests need, is neither withheld nor evicted, and the check is repeated at the eviction. A withheld place is named again as soon as no other is left, or nobody waits for the load any more.

Evictions moved to a module of their own. One search for a place goes through 16 replicas at most, and searches pause in proportion.

New tests of the placement, with two versions: what requests need is kept, last holders, adapters in use, busy or unusable other holders, two loads, loads of others, ends of the wait.

--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/adapter_places.py
@@ -14,12 +14,15 @@
 
 import anyio
 
+from snipetrestle.coordination.adapter_demand import (
+    DEMAND_HALF_LIFE_S,
+    RECENT_DEMAND_HALF_LIFE_S,
+    AdapterDemand,
+)
 from snipetrestle.coordination.decaying_count import DecayingCount
+from snipetrestle.coordination.evictions import Evictions
 from snipetrestle.coordination.placement_index import PlacementIndex
 
-DEMAND_HALF_LIFE_S = 8.0
-# The number of copies follows short-term demand, since popularity can shift abruptly.
-RECENT_DEMAND_HALF_LIFE_S = 1.5
 # Hosts use a location for up to this long without asking the leader again.
 LOCATION_TTL_S = 0.4
 # An adapter that was requested within this time is not evicted.
@@ -97,10 +100,18 @@
 
     ``ready_at`` is when its load is expected to end, and ``ordered_at`` when the load
     was ordered or first seen in a report; None once the replica has confirmed that it
-    holds the adapter.
+    holds the adapter. ``withheld`` is None, or the Withheld while hosts are not to use
+    the adapter there.
     """
 
-    __slots__ = ("version", "ready_at", "ordered_at", "is_late", "replaces_version")
+    __slots__ = (
+        "version",
+        "ready_at",
+        "ordered_at",
+        "is_late",
+        "replaces_version",
+        "withheld",
+    )
 
     def __init__(self, version, ready_at, ordered_at=None, replaces_version=False):
         self.version = version
@@ -110,6 +121,7 @@
         self.replaces_version = replaces_version
         # Whether the load had not ended at the expected time.
         self.is_late = False
+        self.withheld = None
 
 
 class ReplicaAdapters:
@@ -176,6 +188,24 @@
         """Whether the replica runs a software version; "" stands for any."""
         return not software_version or self.software_version == software_version
 
+    def may_load(self, key):
+        """Whether the replica can be ordered to load an adapter, if it has a slot."""
+        return (
+            self.usable
+            and self.takes_orders
+            and self.unloading is None
+            and key not in self.held
+            and key not in self.pending_loads
+        )
+
+    def withheld(self, key):
+        """Returns the Withheld of an adapter that hosts are not to use here, or None."""
+        placement = self.held.get(key)
+        withheld = None if placement is None else placement.withheld
+        if withheld is None or anyio.current_time() >= withheld.until:
+            return None
+        return withheld
+
     def record_held(
         self, key, version, ready_at, ordered_at=None, replaces_version=False
     ):
@@ -318,9 +348,13 @@
         # Position of the next replica to compare among many.
         self._next_compared = 0
         self._demand_by_key = {}
-        self._recent_demand_by_key = {}
         self._total_recent_demand = DecayingCount(RECENT_DEMAND_HALF_LIFE_S)
-        self._requested_at_by_key = {}
+        self.evictions = Evictions(
+            self.index,
+            self._demand_by_key,
+            EVICTION_GRACE_S,
+            NEARLY_FULL_UTILIZATION,
+        )
 
     def add_replica(self, replica):
         self.by_replica[replica.replica_id] = replica
@@ -334,17 +368,18 @@
         for replica_id in list(self.by_replica):
             self.remove_replica(replica_id)
 
-    def record_demand(self, key, uses):
+    def record_demand(self, key, uses, software_version=""):
+        """Records uses of an adapter, and that requests for a version ask for places.
+
+        An empty version stands for requests that any replica can serve.
+        """
         now = anyio.current_time()
-        count = self._demand_by_key.get(key)
-        if count is None:
-            count = self._demand_by_key[key] = DecayingCount(DEMAND_HALF_LIFE_S)
-            self._recent_demand_by_key[key] = DecayingCount(RECENT_DEMAND_HALF_LIFE_S)
-        count.add(uses, now)
-        self._recent_demand_by_key[key].add(uses, now)
+        demand = self._demand_by_key.get(key)
+        if demand is None:
+            demand = self._demand_by_key[key] = AdapterDemand()
+        demand.add(uses, now, software_version)
         self._total_recent_demand.add(uses, now)
-        self._requested_at_by_key[key] = now
-        holders = self.holders(key)
+        holders = [item for item in self.holders(key) if item.runs(software_version)]
         for replica in holders:
             replica.demand.add(uses / len(holders), now)
             replica.recent_prompts.add(uses / len(holders), now)
@@ -357,11 +392,7 @@
 
     def holders(self, key):
         """Returns the usable replicas that hold the adapter or are loading it."""
-        return [
-            replica
-            for replica in self.index.holders(key)
-            if replica.usable and replica.unloading != key
-        ]
+        return self.index.usable_holders(key)
 
     def has_usable(self, software_version):
         """Whether a replica of a software version is usable."""
@@ -384,7 +415,7 @@
         others = self._statistics_of_others(key)
         holder_utilization = min(replica.utilization for replica in holders)
         now = anyio.current_time()
-        recent_rate = self._recent_demand_by_key[key].rate(now)
+        recent_rate = self._demand_by_key[key].recent.rate(now)
         if (
             recent_rate < COPY_MIN_REQUESTS_PER_S
             and holder_utilization < NEARLY_FULL_UTILIZATION
@@ -395,7 +426,7 @@
             if others.min_utilization < max_utilization:
                 return LoadReason.UTILIZATION
             return None
-        if self._demand_by_key[key].rate(now) < MOVE_MIN_REQUESTS_PER_S:
+        if self._demand_by_key[key].uses.rate(now) < MOVE_MIN_REQUESTS_PER_S:
             return None
         median_s = self._current_statistics().median_interval_s
         holder_delay = min(replica.prompt_delay(now, median_s) for replica in holders)
@@ -410,7 +441,7 @@
         limits = [replica.limit_per_s for replica in holders]
         if None in limits or self.index.pending(key):
             return False
-        rate = self._demand_by_key[key].rate(anyio.current_time())
+        rate = self._demand_by_key[key].uses.rate(anyio.current_time())
         return rate > MAX_LIMIT_FRACTION * sum(limits) and any(
             replica.usable and replica.limit_per_s is None
             for replica in self.by_replica.values()
@@ -460,7 +491,7 @@
         if total < MIN_RECENT_USES:
             return 0
         statistics = self._current_statistics()
-        share = self._recent_demand_by_key[key].value(now) / total
+        share = self._demand_by_key[key].recent.value(now) / total
         utilization = share * statistics.utilization_sum
         prompt_time_s = PROMPT_EVENT_INTERVALS * statistics.median_interval_s
         total_load = self._total_recent_demand.rate(now) * prompt_time_s
@@ -480,13 +511,7 @@
         now = anyio.current_time()
         median_s = self._current_statistics().median_interval_s
         for replica in self._replicas_to_compare(key, software_version):
-            if (
-                not replica.usable
-                or not replica.takes_orders
-                or replica.unloading is not None
-                or key in replica.held
-                or key in replica.pending_loads
-            ):
+            if not replica.may_load(key):
                 continue
             cost = self._cost(replica, key, now, median_s)
             if replica.replica_id in avoid:
@@ -506,7 +531,11 @@
         self._next_compared = start + MAX_COMPARED_REPLICAS
         window = (replicas + replicas)[start : start + MAX_COMPARED_REPLICAS]
         recent = self.index.recent_holders(key)
-        return [*(item for item in recent if item.runs(software_version)), *window]
+        found = [item for item in recent if item.runs(software_version)]
+        place = self.evictions.withheld_places.place_for(key, software_version)
+        if place is not None:
+            found.append(place[0])
+        return [*found, *window]
 
     def _cost(self, replica, key, now, median_s):
         """Returns the cost of a load; infinite if the replica has no slot for it."""
@@ -521,42 +550,47 @@
         if replica.limit_per_s is not None:
             cost += LIMIT_COST * replica.demand.rate(now) / replica.limit_per_s
         if replica.free_slots <= 0:
-            victim = self.eviction_candidate(replica)
+            victim = self.eviction_candidate(replica, key)
             if victim is None:
                 return math.inf
             # The probability that the victim is soon requested and loaded again.
-            cost += EVICTION_COST * (1 - math.exp(-self._demand(victim, now)))
+            demand = self.evictions.demand_at(replica, victim, now)
+            cost += EVICTION_COST * (1 - math.exp(-demand))
         if replica.was_recently_held(key):
             cost -= RECENT_BONUS
         return cost
 
-    def eviction_candidate(self, replica):
-        """Returns the key with the least demand that may be evicted; None if none.
+    def eviction_candidate(self, replica, load_key=None):
+        """Returns the key that a load may evict at a replica; None if none."""
+        return self.evictions.candidate(replica, load_key)
 
-        An adapter in use is not evicted: its unload would wait for its requests, and
-        its slot would serve no other adapter meanwhile. Nor is one in transit: a
-        replica answers its unload like that of an absent one, and goes on loading.
-        """
-        if replica.unloading is not None:
-            return None
-        now = anyio.current_time()
-        best, best_value = None, math.inf
-        for key, placement in replica.held.items():
-            if key in replica.in_use or placement.ordered_at is not None:
-                continue
-            requested_at = self._requested_at_by_key.get(key, -math.inf)
-            if now - max(requested_at, placement.ready_at) < EVICTION_GRACE_S:
-                continue
-            value = self._demand(key, now)
-            if len(self.holders(key)) > 1:
-                value /= 2
-            if value < best_value:
-                best, best_value = key, value
-        return best
+    def places(self, key, avoid=(), software_version=""):
+        """Returns the holders of an adapter that hosts may use for a version.
 
-    def _demand(self, key, now):
-        count = self._demand_by_key.get(key)
-        return 0.0 if count is None else count.value(now)
+        Withheld ones are used again if there are no others.
+        """
+        holders = [
+            item
+            for item in self.holders(key)
+            if item.replica_id not in avoid and item.runs(software_version)
+        ]
+        named = [item for item in holders if item.withheld(key) is None]
+        if named:
+            return named
+        for replica in holders:
+            replica.held[key].withheld = None
+        return holders
+
+    def withhold_place(self, load_key, software_version, avoid=()):
+        """Withholds a place at a replica of a version, so that a load can evict it."""
+        if not self.evictions.must_search(load_key, software_version, avoid):
+            return
+        replicas = self._replicas_to_compare(load_key, software_version)
+        self.evictions.withhold_place(
+            load_key,
+            software_version,
+            [item for item in replicas if item.replica_id not in avoid],
+        )
 
     def store_loads_in_flight(self):
         """Returns the number of adapter loads from the store that are in flight."""
@@ -565,7 +599,9 @@
     def drop_stale_demand(self):
         """Drops the demand of adapters not requested for 10 demand half-lives."""
         horizon = anyio.current_time() - 10 * DEMAND_HALF_LIFE_S
-        for key in [k for k, at in self._requested_at_by_key.items() if at < horizon]:
-            del self._requested_at_by_key[key]
-            del self._demand_by_key[key]
-            del self._recent_demand_by_key[key]
+        for key, demand in list(self._demand_by_key.items()):
+            if demand.requested_at < horizon:
+                del self._demand_by_key[key]
+            elif len(demand.by_version) > 1:
+                demand.drop_versions(horizon)
+        self.evictions.withheld_places.drop_ended()
--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -137,6 +137,7 @@
             in_use=sum(len(item.in_use & item.held.keys()) for item in replicas),
             unloading=sum(item.unloading is not None for item in replicas),
             waiting=sum(len(item.pending_loads) for item in replicas),
+            withheld=len(self.placement.evictions.withheld_places),
             in_transit=self.placement.store_loads_in_flight(),
             most_in_transit=int(limiter.max_in_flight),
             load_ms=round(limiter.estimate_s * 1000),
@@ -150,23 +151,25 @@
     async def locate(self, key, uses, avoid, limited=(), software_version=""):
         """Returns the locations of an adapter, after ordering a load if there is none.
 
-        ``uses`` is added to the adapter's demand. Replicas whose ids are in ``avoid``
-        or ``limited`` are not returned; those in ``avoid`` did not serve the adapter.
-        With a ``software_version``, only replicas of it are returned, or load the
-        adapter.
+        ``uses`` is added to the adapter's demand for the version. Replicas whose ids
+        are in ``avoid`` or ``limited`` are not returned; those in ``avoid`` did not
+        serve the adapter. With a ``software_version``, only replicas of it are
+        returned, or load the adapter. If none can yet, a place is withheld at one.
         """
-        self.placement.record_demand(key, uses)
+        self.placement.record_demand(key, uses, software_version)
         self._update_replicas()
         self._verify_held(key, avoid)
         if software_version and not self.placement.has_usable(software_version):
             return ()
         avoid = (*avoid, *limited)
-        holders = self._holders(key, avoid, software_version)
+        holders = self.placement.places(key, avoid, software_version)
         if not holders:
             await self._load(key, avoid, software_version)
-            holders = self._holders(key, avoid, software_version)
+            holders = self.placement.places(key, avoid, software_version)
         elif (reason := self.placement.copy_reason(key)) is not None:
             self._request_load(key, avoid, reason, software_version)
+        if holders:
+            self.placement.evictions.withheld_places.end(key, software_version)
         now = anyio.current_time()
         return tuple(
             AdapterLocation(
@@ -210,13 +213,6 @@
             if replica_id in self._running_by_id:
                 self._running_by_id[replica_id][1].verify_held(key)
 
-    def _holders(self, key, avoid, software_version):
-        return [
-            item
-            for item in self.placement.holders(key)
-            if item.replica_id not in avoid and item.runs(software_version)
-        ]
-
     def _request_load(self, key, avoid, reason, software_version):
         """Queues a load at the best replica. Returns its LoadRequest; None if none."""
         replica = self.placement.choose_replica(key, avoid, software_version)
@@ -226,6 +222,7 @@
 
     async def _load(self, key, avoid, software_version):
         """Waits until a pending or new load of an adapter was ordered."""
+        self.placement.evictions.withheld_places.extend(key, software_version)
         by_replica = self.placement.by_replica
         pending = self.placement.index.pending(key)
         load = next(
@@ -242,6 +239,8 @@
         if load is not None:
             self.placement.record_expected_prompt(load.replica_id)
             await load.done
+        elif software_version:
+            self.placement.withhold_place(key, software_version, avoid)
 
 
 class PlacementController:
--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/locator.py
@@ -8,10 +8,8 @@
 
 import anyio
 
-from snipetrestle.coordination.adapter_places import (
-    DEMAND_HALF_LIFE_S,
-    LOCATION_TTL_S,
-)
+from snipetrestle.coordination.adapter_demand import DEMAND_HALF_LIFE_S
+from snipetrestle.coordination.adapter_places import LOCATION_TTL_S
 from snipetrestle.coordination.datagram_requests import DatagramRequests
 from snipetrestle.coordination.decaying_count import DecayingCount
 from snipetrestle.coordination.messages import Locate, Located
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/orders.py
@@ -207,7 +207,7 @@
 
     async def _order_adapters(self):
         outdated = self._outdated_adapter()
-        if outdated is not None and await self._make_room():
+        if outdated is not None and await self._make_room(outdated):
             await self._update_version(outdated)
         elif self._queue:
             await self._load_next_adapter()
@@ -381,18 +381,18 @@
         if not may_start or self._is_at_load_limit:
             await self._wait(BUSY_RETRY_DELAY_S)
             return
-        if await self._make_room():
+        if await self._make_room(load.key):
             await self._order_load(load)
         else:
             self._drop(load)
 
-    async def _make_room(self):
-        """Returns whether a slot is free, after an eviction if there is none.
+    async def _make_room(self, key):
+        """Returns whether a slot is free for a load, after an eviction if there is none.
 
         One eviction is not enough if the replica's slots have become fewer.
         """
         if self._is_full:
-            await self._evict()
+            await self._evict(key)
         return not self._is_full
 
     @property
@@ -451,9 +451,11 @@
         self.replica_adapters.remove_pending(load.key)
         load.finish()
 
-    async def _evict(self):
-        """Frees a slot, if one can be freed now."""
-        key = self._context.backend_placement.eviction_candidate(self.replica_adapters)
+    async def _evict(self, load_key):
+        """Frees a slot for a load, if one can be freed now."""
+        key = self._context.backend_placement.eviction_candidate(
+            self.replica_adapters, load_key
+        )
         if key is not None:
             await self._unload(key)
 
--- a/snipetrestle/coordination/placement_index.py
+++ b/snipetrestle/coordination/placement_index.py
@@ -22,6 +22,14 @@
     def holders(self, key):
         return self._holders_by_key.get(key, {}).values()
 
+    def usable_holders(self, key):
+        """Returns the usable replicas that hold the adapter or are loading it."""
+        return [
+            replica
+            for replica in self.holders(key)
+            if replica.usable and replica.unloading != key
+        ]
+
     def recent_holders(self, key):
         return self._recent_by_key.get(key, {}).values()
 
--- a/tests/coordination/test_adapter_places.py
+++ b/tests/coordination/test_adapter_places.py
@@ -12,7 +12,13 @@
     LoadReason,
     ReplicaAdapters,
 )
+from snipetrestle.coordination.evictions import (
+    MAX_SEARCHED_REPLICAS,
+    SEARCH_PAUSE_PER_REPLICA_S,
+    Evictions,
+)
 from snipetrestle.coordination.load_times import AdapterLoadLimiter
+from snipetrestle.coordination.withheld_places import WITHHELD_LIFE_S
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.systems import in_virtual_time
@@ -303,6 +309,226 @@
         self.assertLess(self.simulate(1000, rounds=200).estimate_s, 0.28)
 
 
+OLD, NEW = "1.0", "1.1"
+WAITING = key(99)
+
+
+def make_versions(versions, slots=1):
+    """Returns a placement with one usable replica per software version."""
+    placement = make_placement([0.02] * len(versions), slots)
+    replicas = placement.by_replica.values()
+    for replica, version in zip(replicas, versions, strict=True):
+        replica.software_version = version
+    return placement
+
+
+class VersionEvictionTest(testtools.TestCase):
+    """Replicas of two versions that hold what requests for some version need."""
+
+    async def hold(self, placement, item, *numbers):
+        """Lets replicas hold an adapter for longer than new ones are kept."""
+        for number in numbers:
+            replica = placement.by_replica[f"r{number}"]
+            replica.record_held(item, 1, anyio.current_time())
+        await anyio.sleep(EVICTION_GRACE_S + 0.1)
+
+    async def wait_for_place(self, placement, demand=()):
+        """Waits as a lookup for a load at the new version does, beside requests for
+        (adapter, version). Returns the chosen replica, None without one in 1.8 s."""
+        for _ in range(30):
+            for item, version in demand or [(key(1), "")]:
+                placement.record_demand(item, 1, version)
+            placement.evictions.withheld_places.extend(WAITING, NEW)
+            replica = placement.choose_replica(WAITING, (), NEW)
+            if replica is not None:
+                return replica
+            placement.withhold_place(WAITING, NEW)
+            await anyio.sleep(0.06)
+        return None
+
+    @in_virtual_time
+    async def test_requests_for_another_version_keep_no_place(self):
+        """Guards against a place that is kept for requests that cannot use it."""
+        placement = make_versions([OLD, NEW])
+        await self.hold(placement, key(1), 0, 1)
+        placement.record_demand(key(1), 1, OLD)
+        old, new = placement.by_replica.values()
+        self.assertIsNone(placement.eviction_candidate(old))
+        self.assertEqual(key(1), placement.eviction_candidate(new))
+
+    @in_virtual_time
+    async def test_demand_counts_for_the_version_that_requests_need(self):
+        """Guards against the eviction of what a version needs instead of what it does
+        not."""
+        placement = make_versions([OLD, NEW], slots=2)
+        for number in (1, 2):
+            await self.hold(placement, key(number), 0, 1)
+        for _ in range(9):
+            placement.record_demand(key(1), 1, OLD)
+            placement.record_demand(key(2), 1, NEW)
+        placement.record_demand(key(1), 1, NEW)
+        await anyio.sleep(EVICTION_GRACE_S + 0.1)
+        old, new = placement.by_replica.values()
+        self.assertEqual(key(2), placement.eviction_candidate(old))
+        self.assertEqual(key(1), placement.eviction_candidate(new))
+        now = anyio.current_time()
+        self.assertAlmostEqual(10 / 9, new.demand.rate(now) / old.demand.rate(now))
+
+    @in_virtual_time
+    async def test_place_that_the_version_needs_is_kept(self):
+        """Guards against streams of the version that take each other's places."""
+        placement = make_versions([OLD, NEW])
+        await self.hold(placement, key(1), 0, 1)
+        demand = [(key(1), NEW), (key(1), "")]
+        self.assertIsNone(await self.wait_for_place(placement, demand=demand))
+
+    @in_virtual_time
+    async def test_adapter_in_use_is_not_withheld(self):
+        """Guards against an unload that waits for requests, also such that came while
+        the place was withheld."""
+        placement = make_versions([OLD, NEW])
+        new = placement.by_replica["r1"]
+        await self.hold(placement, key(1), 0, 1)
+        new.in_use = {key(1)}
+        self.assertIsNone(await self.wait_for_place(placement))
+        self.assertIsNone(new.withheld(key(1)))
+        new.in_use = set()
+        placement.withhold_place(WAITING, NEW)
+        self.assertIsNotNone(new.withheld(key(1)))
+        new.in_use = {key(1)}
+        self.assertIsNone(await self.wait_for_place(placement))
+
+    @in_virtual_time
+    async def test_holder_that_cannot_serve_does_not_count(self):
+        """Guards against the eviction of the only place that requests can use."""
+        placement = make_versions([OLD, NEW])
+        old = placement.by_replica["r0"]
+        await self.hold(placement, key(1), 0, 1)
+        old.utilization = 1.0
+        self.assertIsNone(await self.wait_for_place(placement))
+        old.utilization = 0.0
+        old.usable = False
+        self.assertIsNone(await self.wait_for_place(placement))
+        old.usable = True
+        old.held[key(1)].ordered_at = anyio.current_time()
+        self.assertIsNone(await self.wait_for_place(placement))
+        old.held[key(1)].ordered_at = None
+        self.assertIsNotNone(await self.wait_for_place(placement))
+
+    @in_virtual_time
+    async def test_place_is_used_again_if_the_other_holder_is_lost(self):
+        """Guards against requests without a place beside one that is withheld."""
+        placement = make_versions([OLD, NEW])
+        old, new = placement.by_replica.values()
+        await self.hold(placement, key(1), 0, 1)
+        placement.record_demand(key(1), 1)
+        placement.withhold_place(WAITING, NEW)
+        self.assertEqual([old], placement.places(key(1)))
+        self.assertEqual([new], placement.places(key(1), ["r0"]))
+        await anyio.sleep(MAX_SEARCHED_REPLICAS * SEARCH_PAUSE_PER_REPLICA_S)
+        placement.withhold_place(WAITING, NEW)
+        self.assertEqual([old], placement.places(key(1)))
+        old.usable = False
+        self.assertEqual([new], placement.places(key(1)))
+        self.assertIsNone(await self.wait_for_place(placement))
+
+    @in_virtual_time
+    async def test_place_that_was_used_again_is_withheld_anew(self):
+        """Guards against an eviction right after a host was told to use the place."""
+        placement = make_versions([OLD, NEW])
+        old, new = placement.by_replica.values()
+        await self.hold(placement, key(1), 0, 1)
+        self.assertIs(new, await self.wait_for_place(placement))
+        old.usable = False
+        self.assertEqual([new], placement.places(key(1)))
+        old.usable = True
+        self.assertIsNone(placement.choose_replica(WAITING, (), NEW))
+        self.assertIs(new, await self.wait_for_place(placement))
+
+    @in_virtual_time
+    async def test_two_loads_do_not_evict_both_places_of_an_adapter(self):
+        """Guards against two evictions that count on each other's place."""
+        placement = make_versions([NEW, NEW])
+        await self.hold(placement, key(1), 0, 1)
+        placement.record_demand(key(1), 1)
+        for load_key in (key(98), WAITING):
+            placement.withhold_place(load_key, NEW)
+            await anyio.sleep(MAX_SEARCHED_REPLICAS * SEARCH_PAUSE_PER_REPLICA_S)
+        replicas = placement.by_replica.values()
+        self.assertEqual(1, sum(item.withheld(key(1)) is not None for item in replicas))
+
+    @in_virtual_time
+    async def test_withheld_place_is_evicted_for_its_load_only(self):
+        """Guards against another load that takes the place first."""
+        placement = make_versions([OLD, NEW])
+        new = placement.by_replica["r1"]
+        await self.hold(placement, key(1), 0, 1)
+        self.assertIs(new, await self.wait_for_place(placement))
+        self.assertEqual(key(1), placement.eviction_candidate(new, WAITING))
+        self.assertIsNone(placement.eviction_candidate(new, key(98)))
+        self.assertIsNone(placement.eviction_candidate(new))
+
+    @in_virtual_time
+    async def test_place_is_used_again_once_no_request_waits(self):
+        """Guards against places that stay withheld after a caller has left, and against
+        an eviction right after hosts have used the place again."""
+        placement = make_versions([OLD, NEW])
+        new = placement.by_replica["r1"]
+        await self.hold(placement, key(1), 0, 1)
+        placement.record_demand(key(1), 1)
+        placement.withhold_place(WAITING, NEW)
+        await anyio.sleep(WITHHELD_LIFE_S + 0.01)
+        self.assertIn(new, placement.places(key(1)))
+        placement.drop_stale_demand()
+        self.assertEqual(0, len(placement.evictions.withheld_places))
+        await anyio.sleep(EVICTION_GRACE_S)
+        placement.record_demand(key(1), 1)
+        placement.withhold_place(WAITING, NEW)
+        self.assertIsNone(placement.eviction_candidate(new, WAITING))
+
+    @in_virtual_time
+    async def test_load_goes_to_its_withheld_place_among_many_replicas(self):
+        """Guards against loads that compare others of many replicas at each try."""
+        placement = make_versions([NEW] * 400)
+        adapters = [key(1000 + number) for number in range(200)]
+        for number, item in enumerate(adapters):
+            for replica in (2 * number, 2 * number + 1):
+                placement.by_replica[f"r{replica}"].record_held(item, 1, 0.0)
+        await anyio.sleep(EVICTION_GRACE_S + 0.1)
+        demand = [(item, "") for item in adapters]
+        started_at = anyio.current_time()
+        replica = await self.wait_for_place(placement, demand=demand)
+        waited_s = anyio.current_time() - started_at
+        self.assertLess(waited_s, EVICTION_GRACE_S + 0.1)
+        self.assertEqual(1, len(placement.evictions.withheld_places))
+        self.assertIsNotNone(placement.eviction_candidate(replica, WAITING))
+
+    @in_virtual_time
+    async def test_searches_for_places_are_bounded(self):
+        """Guards against a leader that is busy with searches while hundreds of
+        taken-up streams wait for places."""
+        placement = make_versions([NEW] * 400)
+        for number in range(400):
+            replica = placement.by_replica[f"r{number}"]
+            replica.record_held(key(1000 + number), 1, 0.0)
+        await anyio.sleep(EVICTION_GRACE_S + 0.1)
+        for number in range(400):
+            placement.record_demand(key(1000 + number), 1)
+        searched = []
+        is_dispensable = Evictions._is_dispensable
+
+        def counted(*args):
+            searched.append(args)
+            return is_dispensable(*args)
+
+        self.patch(Evictions, "_is_dispensable", counted)
+        for _ in range(10):
+            for number in range(300):
+                placement.withhold_place(key(2000 + number), NEW)
+            await anyio.sleep(MAX_SEARCHED_REPLICAS * SEARCH_PAUSE_PER_REPLICA_S)
+        self.assertEqual(10 * MAX_SEARCHED_REPLICAS, len(searched))
+
+
 class LargePlacementTest(testtools.TestCase):
     def count_compared(self, placement, function):
         """Returns how many replicas' figures ``function()`` reads."""
--- a/tests/coordination/test_version_placement.py
+++ b/tests/coordination/test_version_placement.py
@@ -3,7 +3,7 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.adapter_places import LoadReason
+from snipetrestle.coordination.adapter_places import EVICTION_GRACE_S, LoadReason
 from snipetrestle.coordination.orders import LoadRequest
 from snipetrestle.dispatch.replica_search import NO_PLACE_PAUSE_S
 from snipetrestle.gateway.configuration import AdapterKey
@@ -251,6 +251,55 @@
 
         self.run_with_fleet(check, replicas=2, slots=2)
 
+    def test_only_holders_of_adapters_in_demand_are_kept(self):
+        """Guards against a taken-up stream that evicts what others need at once."""
+
+        async def check():
+            adapters = [AdapterKey(MODEL, f"b{number}") for number in range(2)]
+            for key in adapters:
+                await self.load_at(self.follower, NEW, key)
+            await anyio.sleep(2.0)
+            deadline = anyio.current_time() + TAKE_UP_WAIT_S
+            while anyio.current_time() < deadline:
+                for key in adapters:
+                    places = await self.leader.locator.look_up(key)
+                    self.assertEqual({"replica-1"}, places.keys())
+                places = await self.follower.locator.look_up(KEY, software_version=NEW)
+                self.assertEqual({}, places)
+                await anyio.sleep(NO_PLACE_PAUSE_S)
+            for key in adapters:
+                self.assertTrue(self.fleet.replicas_by_id["replica-1"].holds(key))
+
+        self.run_with_fleet(check, replicas=2, slots=2)
+
+    def test_place_is_named_to_no_host_before_its_eviction(self):
+        """Guards against requests at a replica that has just evicted their adapter, and
+        against two evictions for one load."""
+
+        async def check():
+            copied = [AdapterKey(MODEL, f"b{number}") for number in range(2)]
+            for key in copied:
+                await self.load_at(self.follower, OLD, key)
+                await self.load_at(self.follower, NEW, key)
+            await anyio.sleep(2.0)
+            named_at = dict.fromkeys(copied)
+            places = {}
+            while not places:
+                for key in copied:
+                    if "replica-1" in await self.leader.locator.look_up(key):
+                        named_at[key] = anyio.current_time()
+                places = await self.follower.locator.look_up(KEY, software_version=NEW)
+                await anyio.sleep(NO_PLACE_PAUSE_S)
+            replica = self.fleet.replicas_by_id["replica-1"]
+            (evicted,) = (key for key in copied if not replica.holds(key))
+            ended_at = anyio.current_time()
+            self.assertGreater(ended_at - named_at[evicted], EVICTION_GRACE_S)
+            self.assertFalse(replica.overfilled)
+            for key in copied:
+                self.assertTrue(self.fleet.replicas_by_id["replica-0"].holds(key))
+
+        self.run_with_fleet(check, replicas=2, slots=2)
+
     def test_adapters_in_demand_at_both_versions_leave_a_place(self):
         """Guards against taken-up streams without a place while copies are in demand.
 
