Test evictions by version with random lookups, and their last check

The tests of places that are withheld missed two faults: an eviction without the last check of the other holders, and one after the place had been named again. Among many replicas, the load must find its withheld place at once.

--- a/tests/coordination/test_adapter_places.py
+++ b/tests/coordination/test_adapter_places.py
@@ -468,6 +468,23 @@
         self.assertIsNone(placement.eviction_candidate(new, key(98)))
         self.assertIsNone(placement.eviction_candidate(new))
 
+    @in_virtual_time
+    async def test_eviction_checks_a_withheld_place_again(self):
+        """Guards against an eviction by what held when the load was queued."""
+        placement = make_versions([OLD, NEW])
+        old, new = placement.by_replica.values()
+        await self.hold(placement, key(1), 0, 1)
+        self.assertIs(new, await self.wait_for_place(placement))
+        self.assertEqual(key(1), placement.eviction_candidate(new, WAITING))
+        old.usable = False
+        self.assertIsNone(placement.eviction_candidate(new, WAITING))
+        old.usable = True
+        self.assertEqual(key(1), placement.eviction_candidate(new, WAITING))
+        await anyio.sleep(WITHHELD_LIFE_S + 0.01)
+        placement.record_demand(key(1), 1)
+        self.assertIn(new, placement.places(key(1)))
+        self.assertIsNone(placement.eviction_candidate(new, WAITING))
+
     @in_virtual_time
     async def test_place_is_used_again_once_no_request_waits(self):
         """Guards against places that stay withheld after a caller has left, and against
@@ -489,8 +506,8 @@
     @in_virtual_time
     async def test_load_goes_to_its_withheld_place_among_many_replicas(self):
         """Guards against loads that compare others of many replicas at each try."""
-        placement = make_versions([NEW] * 400)
-        adapters = [key(1000 + number) for number in range(200)]
+        placement = make_versions([NEW] * 1000)
+        adapters = [key(1000 + number) for number in range(500)]
         for number, item in enumerate(adapters):
             for replica in (2 * number, 2 * number + 1):
                 placement.by_replica[f"r{replica}"].record_held(item, 1, 0.0)
@@ -529,6 +546,114 @@
         self.assertEqual(10 * MAX_SEARCHED_REPLICAS, len(searched))
 
 
+class RandomLookups:
+    """Random lookups for versions at full replicas, and what they were answered.
+
+    ``evicted`` and ``evicted_in_demand`` count the evictions, the latter those of
+    adapters that were asked for within EVICTION_GRACE_S.
+    """
+
+    STEP_S = 0.05
+    ADAPTERS = 14
+    # Requests of these lookups go on, so that the replica reports the adapter in use.
+    USE_SHARE = 0.05
+
+    def __init__(self, test, seed):
+        self._test = test
+        self._rng = random.Random(seed)
+        self._placement = make_versions([OLD, NEW] * 3, slots=4)
+        self._named_at = {}
+        self._asked_at = {}
+        # Lookups that found no place, as keys in their order.
+        self._waiting = {}
+        self.evicted = 0
+        self.evicted_in_demand = 0
+
+    async def run(self, steps):
+        for _ in range(steps):
+            for _ in range(4):
+                number = int(self.ADAPTERS * self._rng.random() ** 2)
+                self._look_up(key(number), self._rng.choice(["", "", "", OLD, NEW]))
+            for item, version in list(self._waiting):
+                self._look_up(item, version)
+            self._change_replicas()
+            await anyio.sleep(self.STEP_S)
+
+    def _change_replicas(self):
+        for replica in self._placement.by_replica.values():
+            replica.in_use = {
+                item for item in sorted(replica.in_use) if self._rng.random() < 0.9
+            }
+            replica.usable = self._rng.random() < (0.99 if replica.usable else 0.3)
+
+    def _look_up(self, item, version):
+        now = anyio.current_time()
+        placement = self._placement
+        placement.record_demand(item, 1, version)
+        self._asked_at[item, version] = now
+        places = placement.places(item, (), version) or self._load(item, version)
+        self._waiting.pop((item, version), None)
+        if not places:
+            self._waiting[item, version] = True
+            return
+        placement.evictions.withheld_places.end(item, version)
+        for replica in places:
+            self._named_at[replica, item] = now
+            if self._rng.random() < self.USE_SHARE:
+                replica.in_use = {*replica.in_use, item}
+
+    def _load(self, item, version):
+        """Loads an adapter at once, if a slot is free or can be."""
+        placement = self._placement
+        placement.evictions.withheld_places.extend(item, version)
+        replica = placement.choose_replica(item, (), version)
+        if replica is None:
+            if version:
+                placement.withhold_place(item, version)
+            return []
+        if replica.free_slots <= 0:
+            victim = placement.eviction_candidate(replica, item)
+            self._check(replica, victim)
+            replica.drop(victim)
+        replica.record_held(item, 1, anyio.current_time())
+        return placement.places(item, (), version)
+
+    def _check(self, replica, victim):
+        """Fails if a host may use what is evicted, or nobody else serves it."""
+        now = anyio.current_time()
+        named_at = self._named_at.get((replica, victim), -10.0)
+        # Sums of floating-point times differ in their last digits.
+        self._test.assertGreater(now - named_at, EVICTION_GRACE_S - 1e-6)
+        self._test.assertNotIn(victim, replica.in_use)
+        asked = [
+            version
+            for version in ("", OLD, NEW)
+            if now - self._asked_at.get((victim, version), -10.0) < EVICTION_GRACE_S
+            and replica.runs(version)
+        ]
+        others = [
+            item for item in self._placement.holders(victim) if item is not replica
+        ]
+        for version in asked:
+            self._test.assertTrue(any(item.runs(version) for item in others))
+        self.evicted += 1
+        self.evicted_in_demand += bool(asked)
+
+
+class RandomEvictionsTest(testtools.TestCase):
+    def test_no_place_in_use_and_no_last_one_in_demand_is_evicted(self):
+        """Guards against sequences of lookups, losses and uses that no other test
+        names."""
+        evicted = evicted_in_demand = 0
+        for seed in range(12):
+            lookups = RandomLookups(self, seed)
+            run_in_virtual_time(lambda lookups=lookups: lookups.run(600))
+            evicted += lookups.evicted
+            evicted_in_demand += lookups.evicted_in_demand
+        self.assertGreater(evicted, 100)
+        self.assertGreater(evicted_in_demand, 20)
+
+
 class LargePlacementTest(testtools.TestCase):
     def count_compared(self, placement, function):
         """Returns how many replicas' figures ``function()`` reads."""
