Seek another place for a stream that may not go on at the one that is named

Cause: beside many new connections, the report of a replica was late once. ProcessCheck took that for another process at its place, so no begun stream might go there for 3 s.

Change: a report that is late is no evidence of another process; the replica counts as silent, as after a connection that failed. A begun stream's search tells the leader which of the named places it cannot use, whatever the reason, and gets another one.

test_begun_stream_gets_a_place_beside_one_that_it_may_not_use and test_replica_without_an_answer_is_not_taken_for_replaced failed before.

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -176,7 +176,7 @@
                 must_pause = False
                 continue
             limited_ids = [
-                *(item.id for item in holders),
+                *self._unused_places(job, places, holders),
                 *self._chooser.paused_ids(job),
                 *self._suspected_ids(job),
             ]
@@ -213,6 +213,22 @@
             job.place_search_at = anyio.current_time()
         return job.place_search_at
 
+    def _unused_places(self, job, places, holders):
+        """Returns the ids of the places that a request cannot be sent to now.
+
+        The leader would name a place again that a begun stream cannot go on at, for a
+        reason that only this host knows. Suspected places are told apart from these.
+        """
+        if job.origin is None:
+            return [item.id for item in holders]
+        now = anyio.current_time()
+        by_id = self._replicas.by_id
+        return [
+            item
+            for item in places
+            if item not in by_id or by_id[item].suspected_until <= now
+        ]
+
     def _suspected_ids(self, job):
         """Returns the suspected replicas instead of which a begun stream needs another.
 
--- a/snipetrestle/gateway/streams/process_check.py
+++ b/snipetrestle/gateway/streams/process_check.py
@@ -62,14 +62,15 @@
     async def check(self, job, replica):
         """Checks that a job may go on at a replica, to which it has a connection.
 
-        Raises ReplicaLeft if another process may answer there, and Refused if another
-        one than its record names may have begun the stream.
+        Raises ConnectFailed if no process answers in time, ReplicaLeft if another one
+        does or if it refuses to tell, and Refused if another process than its record
+        names may have begun the stream.
         """
         if not self._concerns(job):
             return
         self.begin(job)
-        is_listed, may_differ = await asyncio.gather(
-            self._is_listed_process(replica), asyncio.shield(job.origin_check)
+        answer, may_differ = await asyncio.gather(
+            self.ask(replica), asyncio.shield(job.origin_check)
         )
         # A later search asks anew.
         job.origin_check = None
@@ -80,14 +81,14 @@
             raise Refused(
                 code, reason="another process may have begun the stream under the id"
             )
-        if not is_listed:
+        if answer is ProcessAnswer.SAME:
+            return
+        if answer is ProcessAnswer.NONE:
+            # No evidence of another process: it may be silent for a moment.
+            raise ConnectFailed("the replica's process does not answer")
+        if answer is not ProcessAnswer.REFUSED:
             replica.note_may_be_replaced()
-            raise ReplicaLeft("another process may have taken the replica's place")
-
-    async def _is_listed_process(self, replica):
-        """Whether the process of a replica's entry answers; None without an answer."""
-        boot = await self._read_boot(replica)
-        return None if boot is None else boot == replica.entry.boot
+        raise ReplicaLeft("another process may have taken the replica's place")
 
     async def _read_boot(self, replica):
         """Returns the boot of the process that answers; None without an answer.
--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -217,6 +217,21 @@
         origin = StreamOrigin(BACKEND, "1.0")
         self.check_suspected(origin, "r1")
 
+    def test_begun_stream_gets_a_place_beside_one_that_it_may_not_use(self):
+        """Guards against a place that the leader names again and again in vain."""
+
+        async def check(search, replicas):
+            job = make_job()
+            job.origin = StreamOrigin(BACKEND, "1.0")
+            job.may_be_sent_to = lambda replica: replica is not replicas["r0"]
+            started_at = anyio.current_time()
+            replica = await search.find_stream_replica(job)
+            self.assertIs(replicas["r1"], replica)
+            self.assertLess(anyio.current_time() - started_at, 0.5)
+
+        self.locate_named, self.locate_here = self.locate_here, self.locate_or_load
+        self.run_with_search(check, ["r0"], replica_count=2)
+
     def test_new_stream_waits_for_a_suspected_holder(self):
         """Guards against loads at other replicas for each moment of silence."""
         self.locate_named, self.locate_here = self.locate_here, self.locate_or_load
--- a/tests/gateway/test_late_replacements.py
+++ b/tests/gateway/test_late_replacements.py
@@ -8,6 +8,7 @@
 import testtools
 
 from snipetrestle.events import Event
+from snipetrestle.gateway.backends.http_client import ConnectFailed
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.exchange import EARLY_SILENCE_S, REPLICA_SILENCE_S, Exchange
@@ -37,6 +38,10 @@
         self.pause = types.SimpleNamespace(is_active=False)
         self.open_exchanges = set()
         self.last_heard_at = 0.0
+        self.may_be_replaced = False
+
+    def note_may_be_replaced(self):
+        self.may_be_replaced = True
 
     def note_heard(self):
         self.last_heard_at = anyio.current_time()
@@ -48,9 +53,9 @@
     def setUp(self):
         super().setUp()
         self.asked = []
-        by_id = {name: FakeReplica(name) for name in ("dark", "sound")}
-        self.sound = by_id["sound"]
-        replicas = types.SimpleNamespace(by_id=by_id)
+        self.by_id = {name: FakeReplica(name) for name in ("dark", "sound")}
+        self.sound = self.by_id["sound"]
+        replicas = types.SimpleNamespace(by_id=self.by_id)
         self.check = ProcessCheck(replicas, self.report, fresh_reads=None)
         self.job = types.SimpleNamespace(
             origin=StreamOrigin(BACKEND, "v1", "dark", BOOT),
@@ -74,6 +79,14 @@
         self.assertEqual(0.0, anyio.current_time() - started)
         self.assertEqual(["dark", "sound"], self.asked)
 
+    @in_virtual_time
+    async def test_replica_without_an_answer_is_not_taken_for_replaced(self):
+        """Guards against streams that may go on nowhere after a report that is late."""
+        dark = self.by_id["dark"]
+        with testtools.ExpectedException(ConnectFailed):
+            await self.check.check(self.job, dark)
+        self.assertFalse(dark.may_be_replaced)
+
     @in_virtual_time
     async def test_later_search_asks_the_process_again(self):
         """Guards against an answer from before a restart that counts for ever."""
--- a/tests/gateway/test_old_lists.py
+++ b/tests/gateway/test_old_lists.py
@@ -229,7 +229,9 @@
         """Checks the processes before the stream goes on at a replica."""
 
         async def report(replica):
-            return types.SimpleNamespace(boot=self.running[replica.id])
+            return types.SimpleNamespace(
+                boot=self.running[replica.id], request_count=None
+            )
 
         job = types.SimpleNamespace(
             origin=StreamOrigin(BACKEND, "v1", began_at, 1000),
