End the streams of an engine's earlier process once a status shows its restart

Callers saw streams that waited up to 15 s, the time-out of a channel, after an engine had lost power and come back: its connections are not closed, and the new incarnation in its status, read each 0.5 s, ended no stream. New streams were sent on the channel of the earlier process, and refused, for as long.

Change: the owner ends the streams of which the copy is not in the status of the later process. Those whose copy is there, or that were dispatched after the status was asked for, go on. Terms that have ended with streams running get the status as well. The HTTP client opens a new channel for new streams, leaves the old one to its streams, and closes idle connections. Plain services have no status, so nothing is known there that could reach a call.

--- a/snipetrestle/engines/http_client.py
+++ b/snipetrestle/engines/http_client.py
@@ -227,6 +227,8 @@
         self.path = f"/v1/channels/{rng.getrandbits(CHANNEL_ID_BITS):x}"
         self.opened = asyncio.get_running_loop().create_future()
         self.error = None
+        self._task = None
+        self._is_retired = False
         self._connection_pool = connection_pool
         self._wake_scheduler = wake_scheduler
         self._streams_by_id = {}
@@ -235,6 +237,20 @@
         self._delayed_streams = {}
         self._delivery_timer = None
 
+    def start(self):
+        """Starts the task that runs the channel, and returns it."""
+        self._task = asyncio.create_task(self.run())
+        return self._task
+
+    def retire(self):
+        """Ends the channel after its streams; it gets no new ones."""
+        self._is_retired = True
+        self._end_if_unused()
+
+    def _end_if_unused(self):
+        if self._is_retired and self.opened.done() and not self._streams_by_id:
+            self._task.cancel()
+
     async def run(self):
         error = EngineError("the channel ended")
         try:
@@ -245,6 +261,7 @@
                     body = await response.read_body(MAX_ANSWER_BYTES)
                     raise _refusal(response.status, body)
                 self.opened.set_result(None)
+                self._end_if_unused()
                 await self._read_events(response)
         except NETWORK_ERRORS as exception:
             error = _network_error(exception)
@@ -324,6 +341,7 @@
             self._wake_scheduler.open_streams -= 1
             del self._streams_by_id[request_id]
             self._delayed_streams.pop(stream, None)
+            self._end_if_unused()
 
 
 class HttpEngineClient:
@@ -357,16 +375,34 @@
             answer_memory=answer_memory,
         )
         self._channel = None
-        self._channel_task = None
+        self._channel_tasks = set()
+        self._incarnation = None
 
     async def aclose(self):
-        if self._channel_task is not None:
-            self._channel_task.cancel()
-            await asyncio.wait({self._channel_task})
+        for task in self._channel_tasks:
+            task.cancel()
+        if self._channel_tasks:
+            await asyncio.wait(self._channel_tasks)
         await self._connection_pool.aclose()
 
     async def status(self):
-        return _decode(_status_decoder, await self._get("/v1/status"))
+        status = _decode(_status_decoder, await self._get("/v1/status"))
+        if self._incarnation not in (None, status.incarnation):
+            await self._leave_connections()
+        self._incarnation = status.incarnation
+        return status
+
+    async def _leave_connections(self):
+        """Opens new connections for new calls, as the engine has restarted.
+
+        Its earlier process may have ended without closing them. Streams on the channel
+        go on, since it may have been opened by the later one.
+        """
+        if self._channel is not None:
+            self._channel.retire()
+            self._channel = None
+        while self._connection_pool.has_idle:
+            await self._connection_pool.close_idle()
 
     async def load(self, order):
         await self._post("/v1/load", order, LOAD_TIMEOUT_S)
@@ -412,17 +448,23 @@
 
     async def _open_channel(self):
         """Returns the open channel; opens one if there is none or it has failed."""
-        if self._channel is None or self._channel.error is not None:
-            self._channel = _Channel(
-                self._connection_pool, self._wake_scheduler, self._rng
-            )
-            self._channel_task = asyncio.create_task(self._channel.run())
-        channel = self._channel
-        # All new streams wait for the same opening, so cancelling one must not cancel
-        # it.
-        await asyncio.shield(channel.opened)
+        channel = None
+        # It may be retired while it is opened.
+        while channel is None or channel is not self._channel:
+            if self._channel is None or self._channel.error is not None:
+                self._start_channel()
+            channel = self._channel
+            # All new streams wait for the same opening, so cancelling one must not
+            # cancel it.
+            await asyncio.shield(channel.opened)
         return channel
 
+    def _start_channel(self):
+        self._channel = _Channel(self._connection_pool, self._wake_scheduler, self._rng)
+        task = self._channel.start()
+        self._channel_tasks.add(task)
+        task.add_done_callback(self._channel_tasks.discard)
+
     async def _get(self, path):
         return await self._send("GET", path, b"", READ_TIMEOUT_S)
 
--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import itertools
+import math
 import random
 
 import anyio
@@ -57,6 +58,8 @@
 # Resident copies listed in a reply; 32 handles take about 1 kB.
 MAX_HINTED_COPIES = 32
 CANCEL_TIMEOUT_S = 1.0
+# An engine that has restarted answers a call that has reached it within this time.
+RESTARTED_ANSWER_S = 1.0
 
 
 class _RequestState:
@@ -76,6 +79,9 @@
         "pausing",
         "kv_cache",
         "attempts",
+        "has_stream",
+        "lost_at",
+        "call_scope",
     )
 
     def __init__(self, forward, entry):
@@ -94,6 +100,11 @@
         self.pausing = False
         self.kv_cache = None
         self.attempts = 0
+        # Whether the engine has accepted the request.
+        self.has_stream = False
+        # When calls for it end, as the process of the engine that ran it has ended.
+        self.lost_at = math.inf
+        self.call_scope = None
 
     @property
     def is_dispatched(self):
@@ -114,6 +125,29 @@
         self.wake.set()
         self.wake = anyio.Event()
 
+    def note_lost(self):
+        """Ends the calls for this request, whose engine has restarted.
+
+        One that the engine has not accepted may be about to be refused.
+        """
+        self.lost_at = anyio.current_time()
+        if not self.has_stream:
+            self.lost_at += RESTARTED_ANSWER_S
+        if self.call_scope is not None:
+            self.call_scope.deadline = self.lost_at
+
+    async def call(self, awaitable):
+        """Returns what an engine's call returns. Raises EngineError if it is lost.
+
+        What the engine has sent before its process ended is returned first.
+        """
+        with anyio.CancelScope(deadline=self.lost_at) as self.call_scope:
+            try:
+                return await awaitable
+            finally:
+                self.call_scope = None
+        raise EngineError("the engine has restarted")
+
 
 class _LoadJob:
     """Loads a copy on behalf of all queued requests of its handle."""
@@ -305,11 +339,11 @@
         # At least two, so that the next copy is loaded while one is in use.
         self.loader.max_batch_copies = min(max(2, copies), max_copies)
 
-    def apply_status(self, status):
-        """Applies an EngineStatus.
+    def apply_status(self, status, asked_at=math.inf):
+        """Applies an EngineStatus that was asked for at ``asked_at``.
 
         If the engine has restarted, forgets the copies that it no longer has, and the KV
-        caches of paused streams.
+        caches of paused streams, and ends the streams of the earlier process.
         """
         if self._engine_incarnation not in (None, status.incarnation):
             log_event(Event.ENGINE_RESTARTED, replica=self.server.name)
@@ -323,9 +357,21 @@
                 ):
                     self._lost_handles.append(handle)
                     self.slots.forget(copy.handle)
+            self._end_lost_streams(status, asked_at)
         self._engine_incarnation = status.incarnation
         self._schedule()
 
+    def _end_lost_streams(self, status, asked_at):
+        """Ends the requests that ran at the earlier process of a restarted engine.
+
+        The engine runs none without its copy, and restarts without copies. What was sent
+        since ``asked_at`` may be at the later process.
+        """
+        for state in self._running:
+            is_loaded = state.entry.handle in status.in_use_by_handle
+            if not is_loaded and state.dispatched_at <= asked_at:
+                state.note_lost()
+
     async def wait_idle(self):
         """Returns when no request is queued or running."""
         while self._states_by_entry:
@@ -439,13 +485,17 @@
     async def _run(self, state):
         forward = state.forward
         request = self._build_request(state)
+        state.has_stream, state.lost_at = False, math.inf
         ended = False
         try:
             if state.kv_cache is not None:
                 kv_cache, state.kv_cache = state.kv_cache, None
-                await self.engine.import_kv(request.request_id, kv_cache)
-            async with self.engine.generate(request) as batches:
-                async for batch in batches:
+                await state.call(self.engine.import_kv(request.request_id, kv_cache))
+            async with contextlib.AsyncExitStack() as stack:
+                stream = self.engine.generate(request)
+                batches = await state.call(stack.enter_async_context(stream))
+                state.has_stream, state.lost_at = True, math.inf
+                while (batch := await state.call(anext(batches, None))) is not None:
                     self._check_echo(request, batch)
                     if batch.tokens:
                         state.tokens.extend(batch.tokens)
@@ -520,7 +570,8 @@
 
     async def _refresh_status(self):
         with contextlib.suppress(EngineError):
-            self.apply_status(await self.engine.status())
+            asked_at = anyio.current_time()
+            self.apply_status(await self.engine.status(), asked_at)
 
     def _handle_fenced(self, error):
         """Stops after the engine refused the fencing number. Raises ServingError."""
--- a/snipetrestle/engines/ownership.py
+++ b/snipetrestle/engines/ownership.py
@@ -528,8 +528,14 @@
     async def _finish_term(self, replica, owner, successor):
         """Waits for the running streams and sends the successor the pins that end."""
         pinned = set(owner.pins_by_handle())
+        next_status_at = anyio.current_time() + self._times.status_poll_interval_s
         while pinned:
             await anyio.sleep(self._times.release_poll_interval_s)
+            if replica.owner is None and anyio.current_time() >= next_status_at:
+                await self._update_ended_term(replica, owner)
+                next_status_at = (
+                    anyio.current_time() + self._times.status_poll_interval_s
+                )
             # Batch streams that were being paused have been queued again.
             owner.reject_queued_requests()
             still_pinned = set(owner.pins_by_handle())
@@ -543,6 +549,17 @@
                     )
         replica.ended_owners.remove(owner)
 
+    async def _update_ended_term(self, replica, owner):
+        """Tells an ended term whose streams go on if the engine has restarted.
+
+        A later term of this daemon does so as well.
+        """
+        asked_at = anyio.current_time()
+        with contextlib.suppress(EngineError, TimeoutError):
+            with anyio.fail_after(self._times.engine_timeout_s):
+                status = await replica.engine.status()
+            owner.apply_status(status, asked_at)
+
     def _end_fenced_term(self, replica, owner):
         """Ends a term after the engine refused its fencing number.
 
@@ -619,6 +636,7 @@
             await anyio.sleep(self._times.status_poll_interval_s)
             if replica.owner is not owner:
                 return
+            asked_at = anyio.current_time()
             try:
                 with anyio.fail_after(self._times.engine_timeout_s):
                     status = await replica.engine.status()
@@ -635,7 +653,8 @@
             if replica.owner is not owner:
                 return
             restarted = status.incarnation != replica.engine_incarnation
-            owner.apply_status(status)
+            for item in (owner, *replica.ended_owners):
+                item.apply_status(status, asked_at)
             if restarted:
                 await self._handle_engine_restart(replica, owner, status)
             elif (
--- a/tests/engines/test_http_client.py
+++ b/tests/engines/test_http_client.py
@@ -160,6 +160,42 @@
                 async for _ in batches:
                     pass
 
+    @with_own_system("run_with_engine")
+    async def test_stream_after_a_loss_of_power(self, client, core, listener):
+        """Guards against streams that are refused, or wait, on connections to a process
+        of the engine that has ended without closing them."""
+        await client.status()
+        await collect(client, make_request(), count=2)
+        for connection in listener.connections:
+            connection.buffer_response = lambda data: None
+        core.restarts += 1
+        core._reset()
+        listeners = client._connection_pool._backend.listeners_by_address
+        listeners[ADDRESS] = MemoryListener(engine_app(core))
+        await client.status()
+        await client.load(LoadOrder(HANDLE, "workshop-0", "1", 1))
+        with anyio.fail_after(1.0):
+            tokens = await collect(client, make_request(request_id="r2"))
+        self.assertEqual(6, len(tokens))
+        await anyio.sleep(0.1)
+        open_channels = [task for task in client._channel_tasks if not task.done()]
+        self.assertEqual(1, len(open_channels))
+
+    @with_own_system("run_with_engine")
+    async def test_stream_goes_on_beside_a_new_incarnation(
+        self, client, core, listener
+    ):
+        """Guards against a stream of the later process ended with the earlier one's."""
+        await client.status()
+        async with client.generate(make_request()) as batches:
+            first = await anext(batches)
+            core.incarnation = "e.1"
+            await client.status()
+            tokens = [token async for batch in batches for token in batch.tokens]
+        self.assertEqual(6, len(first.tokens) + len(tokens))
+        await anyio.sleep(0.1)
+        self.assertEqual(set(), client._channel_tasks)
+
     @in_virtual_time
     async def test_events_that_are_not_json(self):
         """Malformed replies, for instance HTML, could end a task of the daemon."""
--- a/tests/engines/test_owner.py
+++ b/tests/engines/test_owner.py
@@ -134,6 +134,71 @@
         self.assertTrue(harness.results[2])
 
 
+class LostPowerTest(testtools.TestCase):
+    """Engines that restart without closing connections."""
+
+    def lose_power(self, harness):
+        harness.engine.restarts += 1
+        harness.engine._reset()
+
+    def test_stream_of_the_later_process_goes_on(self):
+        """Guards against a stream that is ended with those of the earlier process."""
+        harness = OwnerHarness()
+
+        async def check(requests):
+            requests.start_soon(harness.send, "a", "waiting", 500)
+            await anyio.sleep(0.6)
+            self.lose_power(harness)
+            # The owner loads another copy before it knows of the restart.
+            requests.start_soon(harness.send, "b", "waiting", 50)
+            await anyio.sleep(0.3)
+            self.assertTrue(harness.engine._running_count("b@1"))
+            harness.owner.apply_status(await harness.engine.status())
+
+        harness.run(check)
+        self.assertEqual(
+            {0: ResultCode.STREAM_BROKEN, 1: True},
+            harness.results,
+        )
+
+    def test_stream_that_began_after_the_question_goes_on(self):
+        """Guards against a status that is older than the load of a stream's copy."""
+        harness = OwnerHarness()
+
+        async def check(requests):
+            self.lose_power(harness)
+            asked_at = anyio.current_time()
+            status = await harness.engine.status()
+            requests.start_soon(harness.send, "a", "waiting", 50)
+            await anyio.sleep(0.3)
+            self.assertTrue(harness.engine._running_count("a@1"))
+            harness.owner.apply_status(status, asked_at)
+
+        harness.run(check)
+        self.assertEqual({0: True}, harness.results)
+
+    def test_call_without_an_answer_ends(self):
+        """Guards against a request that waits until the engine has accepted it."""
+        harness = OwnerHarness()
+
+        @contextlib.asynccontextmanager
+        async def generate(request):
+            await anyio.sleep_forever()
+            yield
+
+        harness.engine.generate = generate
+
+        async def check(requests):
+            requests.start_soon(harness.send, "a")
+            await anyio.sleep(0.6)
+            self.lose_power(harness)
+            harness.owner.apply_status(await harness.engine.status())
+            await anyio.sleep(1.5)
+            self.assertEqual({0: ResultCode.STREAM_BROKEN}, harness.results)
+
+        harness.run(check)
+
+
 class LoadTest(testtools.TestCase):
     def test_one_load_serves_many(self):
         """Guards against one load per request when many requests arrive at once."""
--- a/tests/engines/test_ownership.py
+++ b/tests/engines/test_ownership.py
@@ -358,6 +358,28 @@
                 group.start_soon(self.serve, fleet, third, f"adapter-{number}")
         return first
 
+    @with_own_system("run_with_and_without_fencing")
+    async def test_streams_of_an_ended_term_end_with_the_engine(self, fleet):
+        """Guards against streams that wait at an engine process that has ended.
+
+        The engine lost power after a hand-over, so no connection was closed.
+        """
+        first = fleet.owner_candidates()[0]
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.serve, fleet, first, "adapter-0", 400)
+            await anyio.sleep(1.0)
+            replica = fleet.daemons_by_name[first].ownership._replicas_by_name[
+                "engine-0"
+            ]
+            fleet.daemons_by_name[first].leave()
+            fleet.set_member_state_everywhere(first, MemberState.LEAVING)
+            await fleet.settle(1.0)
+            self.assertEqual(1, len(replica.ended_owners))
+            fleet.engine().restarts += 1
+            fleet.engine()._reset()
+            await anyio.sleep(1.5)
+            self.assertEqual([], replica.ended_owners)
+
     @with_own_system("run_with_and_without_fencing")
     async def test_running_streams_finish_and_queued_requests_move(self, fleet):
         """A hand-over could break streams, lose requests or evict copies in use.
