Answer a broken stream without waiting for an engine that reports no status

The status has 1 s now.

Tests: tests.engines.test_owner, its new SilentStatusTest failed before (14 passed now); test_ownership (24), test_ownership_sessions (3) and tests.callers.test_completions (13) passed.

--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -58,6 +58,8 @@
 # Resident copies listed in a reply; 32 handles take about 1 kB.
 MAX_HINTED_COPIES = 32
 CANCEL_TIMEOUT_S = 1.0
+# A broken stream is answered after this time, even if the engine reports no status.
+STATUS_TIMEOUT_S = 1.0
 # An engine that has restarted answers a call that has reached it within this time.
 RESTARTED_ANSWER_S = 1.0
 
@@ -569,9 +571,11 @@
             raise ServingError(ResultCode.LOAD_FAILED, str(error)) from error
 
     async def _refresh_status(self):
-        with contextlib.suppress(EngineError):
-            asked_at = anyio.current_time()
-            self.apply_status(await self.engine.status(), asked_at)
+        asked_at = anyio.current_time()
+        with contextlib.suppress(EngineError, TimeoutError):
+            with anyio.fail_after(STATUS_TIMEOUT_S):
+                status = await self.engine.status()
+            self.apply_status(status, asked_at)
 
     def _handle_fenced(self, error):
         """Stops after the engine refused the fencing number. Raises ServingError."""
--- a/tests/engines/test_owner.py
+++ b/tests/engines/test_owner.py
@@ -199,6 +199,22 @@
         harness.run(check)
 
 
+class SilentStatusTest(testtools.TestCase):
+    def test_broken_stream_does_not_wait_for_a_status(self):
+        """Guards against a stream held by an engine that accepts calls only."""
+        harness = OwnerHarness()
+
+        async def check(requests):
+            requests.start_soon(harness.send, "a", "waiting", 500)
+            await anyio.sleep(0.6)
+            harness.engine.status = anyio.sleep_forever
+            harness.engine.restart()
+            await anyio.sleep(1.5)
+            self.assertEqual({0: ResultCode.STREAM_BROKEN}, harness.results)
+
+        harness.run(check)
+
+
 class LoadTest(testtools.TestCase):
     def test_one_load_serves_many(self):
         """Guards against one load per request when many requests arrive at once."""
