Count a caller's time from when its request may have arrived

The refusal was due at 11.86 s.

Cause: the deadline and the refusal counted from when the event loop read the request. It was read 0.146 s after it had been sent, on an open connection with a way of 3 ms, so it had waited in the socket while the loop was held up.

Change: the programs of the gateway run on an event loop that notes when it last looked for data. What is ready without a wait may have arrived since the look before, and counts from then.

--- a/snipetrestle/cli/gateway.py
+++ b/snipetrestle/cli/gateway.py
@@ -17,6 +17,7 @@
 
     def __call__(self):
         # A local import keeps the start of the other sub-commands fast.
+        from snipetrestle.gateway.callers.arrival_times import RUN_OPTIONS
         from snipetrestle.platform.__main__ import main
 
-        anyio.run(main)
+        anyio.run(main, backend_options=RUN_OPTIONS)
--- a/snipetrestle/gateway/callers/http_server.py
+++ b/snipetrestle/gateway/callers/http_server.py
@@ -88,6 +88,8 @@
         self._ends_early = False
         self._opened_at = self._loop.time()
         self._received_at = self._opened_at
+        # Other event loops than ArrivalTimingLoop do not tell it.
+        self._data_arrived_at = getattr(self._loop, "data_arrived_at", self._loop.time)
         self._has_received = False
         self._reading_paused = False
         self._lingering = False
@@ -135,14 +137,15 @@
             return
         self._has_received = True
         self._received_at = self._loop.time()
+        arrived_at = self._data_arrived_at()
         if self.busy or self._pending_requests or self._unparsed:
-            self._unparsed.append(data, self._received_at)
+            self._unparsed.append(data, arrived_at)
         elif not self._in_message and self._server.memory.refuses_new():
-            self._unparsed.append(data, self._received_at)
+            self._unparsed.append(data, arrived_at)
             self.refuse_for_memory()
             return
         else:
-            self._parse_received(data, self._received_at)
+            self._parse_received(data, arrived_at)
             self._waiter.wake()
         if len(self._unparsed) > MAX_UNPARSED_BYTES and not self._reading_paused:
             self._reading_paused = True
--- a/snipetrestle/platform/__main__.py
+++ b/snipetrestle/platform/__main__.py
@@ -16,6 +16,7 @@
 
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.app import Gateway
+from snipetrestle.gateway.callers.arrival_times import RUN_OPTIONS
 from snipetrestle.gateway.publication.published_items import Feed
 from snipetrestle.logs import LogSettings, set_up_logs
 from snipetrestle.platform.calls import OrderClient, StoreSource
@@ -77,4 +78,4 @@
 
 
 if __name__ == "__main__":
-    anyio.run(main)
+    anyio.run(main, backend_options=RUN_OPTIONS)
