Log and count verdicts on ended processes that turn out to be wrong

Tests: three new tests in tests.gateway.test_ended_processes (VerdictTest); passed: that module (20), tests.gateway.test_review_findings (13, and 1 known red), test_silent_replicas (14), test_odd_answers (17), test_old_lists (9), tests.platform.test_odd_entries (10), test_bad_servers (5), tests.engines.test_owner (14), test_ownership (24), test_ownership_sessions (3), tests.test_metrics_and_logs (3), tests.test_reference.

--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -348,7 +348,6 @@
         caches of paused streams, and ends the streams of the earlier process.
         """
         if self._engine_incarnation not in (None, status.incarnation):
-            log_event(Event.ENGINE_RESTARTED, replica=self.server.name)
             for state in self._states_by_entry.values():
                 # Another version of the engine may read an exported cache otherwise.
                 # Its tokens are kept, and the engine computes the cache from them.
@@ -359,20 +358,26 @@
                 ):
                     self._lost_handles.append(handle)
                     self.slots.forget(copy.handle)
-            self._end_lost_streams(status, asked_at)
+            ended = self._end_lost_streams(status, asked_at)
+            log_event(Event.ENGINE_RESTARTED, replica=self.server.name, ended=ended)
         self._engine_incarnation = status.incarnation
         self._schedule()
 
     def _end_lost_streams(self, status, asked_at):
         """Ends the requests that ran at the earlier process of a restarted engine.
 
-        The engine runs none without its copy, and restarts without copies. What was sent
+        Returns their number. The engine runs none without its copy, and restarts without copies. What was sent
         since ``asked_at`` may be at the later process.
         """
-        for state in self._running:
-            is_loaded = state.entry.handle in status.in_use_by_handle
-            if not is_loaded and state.dispatched_at <= asked_at:
-                state.note_lost()
+        lost = [
+            state
+            for state in self._running
+            if state.entry.handle not in status.in_use_by_handle
+            and state.dispatched_at <= asked_at
+        ]
+        for state in lost:
+            state.note_lost()
+        return len(lost)
 
     async def wait_idle(self):
         """Returns when no request is queued or running."""
--- a/snipetrestle/events.py
+++ b/snipetrestle/events.py
@@ -210,6 +210,11 @@
         "INFO",
         "requests at a replica's process that has ended were ended",
     )
+    PROCESS_END_REFUTED = (
+        1454,
+        "WARNING",
+        "a replica's process that was taken for ended is running",
+    )
     PROCESS_RESUMED = (1430, "WARNING", "process resumed after a pause")
     WRITE_UNKNOWN = (1501, "WARNING", "outcome of a write is unknown")
     KEEPER_READY = (1502, "INFO", "keeper recovered and is ready")
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -232,6 +232,7 @@
             self.fresh_reads,
         )
         self.replicas.ask_removed(self.process_check.ask)
+        self.replicas.on_verdict(self.metrics.count_process_end)
         self.forwarder = Forwarder(self)
         self.caller_server = HttpServer(
             self.forwarder.handle,
--- a/snipetrestle/gateway/backends/process_end.py
+++ b/snipetrestle/gateway/backends/process_end.py
@@ -52,23 +52,41 @@
 _IS_OTHER = (ProcessAnswer.OTHER_IDLE, ProcessAnswer.OTHER)
 
 
+class Verdict(enum.StrEnum):
+    """What became of evidence that a process has ended."""
+
+    # Exchanges were ended.
+    ENDED = "ended"
+    # The process is running, and no exchange was ended.
+    DROPPED = "dropped"
+    # The process is running, though exchanges were ended.
+    REFUTED = "refuted"
+
+
 class ProcessEnd:
-    """What is known of the end of a Replica's process."""
+    """What is known of the end of a Replica's process.
+
+    ``on_verdict(replica, verdict)``, if it is given, is called with each Verdict.
+    """
 
     __slots__ = (
         "_replica",
+        "_on_verdict",
         "_evidence",
         "_noted_at",
         "_is_restarted",
         "_ask",
         "_is_confirmed",
         "_is_ended",
-        "_is_logged",
+        "_logged_at",
+        "_logged_evidence",
+        "_is_refuted",
         "_task",
     )
 
-    def __init__(self, replica):
+    def __init__(self, replica, on_verdict=None):
         self._replica = replica
+        self._on_verdict = on_verdict
         self._evidence = None
         self._noted_at = 0.0
         # Whether a later process may serve some of the exchanges.
@@ -76,13 +94,16 @@
         self._ask = None
         self._is_confirmed = False
         self._is_ended = False
-        self._is_logged = False
+        # When exchanges were first ended, and by which evidence.
+        self._logged_at = math.inf
+        self._logged_evidence = None
+        self._is_refuted = False
         self._task = None
 
     @property
     def has_ended(self):
         """Whether the process has ended, by evidence and by its silence."""
-        return self._is_ended
+        return self._is_ended and not self._is_refuted
 
     def note(self, evidence, is_restarted=False, ask=None):
         """Ends the exchanges with the process as soon as it is silent for long enough.
@@ -138,7 +159,7 @@
         heard_at = self._heard_at(exchanges)
         if not self._is_restarted and heard_at > self._noted_at + MIN_SILENCE_S:
             # A process that sends for so long after the evidence has not ended.
-            self._evidence = None
+            self._drop_evidence()
             return
         loop = asyncio.get_running_loop()
         silent_s = loop.time() - heard_at
@@ -160,7 +181,7 @@
         else:
             self._is_confirmed = True
         if is_running:
-            self._evidence = None
+            self._drop_evidence()
             return
         if self._is_confirmed:
             self._check()
@@ -176,6 +197,40 @@
             answer = await self._ask(self._replica)
         return answer is ProcessAnswer.OTHER_IDLE
 
+    def _drop_evidence(self):
+        """Drops evidence that the process refutes."""
+        self._evidence = None
+        if math.isinf(self._logged_at):
+            self._tell(Verdict.DROPPED)
+
+    def _tell(self, verdict):
+        if self._on_verdict is not None:
+            self._on_verdict(self._replica, verdict)
+
+    def note_data(self, received_at):
+        """Records when data came last on a connection to the replica.
+
+        After a restart under its id, that may be from the later process.
+        """
+        if received_at > self._logged_at and not self._is_restarted:
+            self.note_running("it has sent data")
+
+    def note_running(self, sign):
+        """Logs that the process is running, if exchanges with it were ended before."""
+        if math.isinf(self._logged_at) or self._is_refuted:
+            return
+        self._is_refuted = True
+        after_s = asyncio.get_running_loop().time() - self._logged_at
+        log_event(
+            Event.PROCESS_END_REFUTED,
+            replica=self._replica.id,
+            boot=self._replica.entry.boot,
+            evidence=self._logged_evidence,
+            sign=sign,
+            after_ms=round(after_s * 1000),
+        )
+        self._tell(Verdict.REFUTED)
+
     def _end(self, exchanges, silent_s):
         """Fails the exchanges that have waited for as long as the process is silent."""
         known = [item for item in exchanges if self._is_known(item)]
@@ -185,9 +240,11 @@
         ended = [item for item in known if _is_due(item, silent_s)]
         for exchange in ended:
             exchange.cancel(f"the replica's process has ended: {self._evidence}")
-        if not ended or self._is_logged:
+        if not ended or not math.isinf(self._logged_at):
             return
-        self._is_logged = True
+        self._logged_at = asyncio.get_running_loop().time()
+        self._logged_evidence = self._evidence
+        self._tell(Verdict.ENDED)
         log_event(
             Event.PROCESS_ENDED,
             replica=self._replica.id,
--- a/snipetrestle/gateway/backends/replicas.py
+++ b/snipetrestle/gateway/backends/replicas.py
@@ -7,7 +7,7 @@
 
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.backends.connection_pool import ConnectionPool
-from snipetrestle.gateway.backends.process_end import ProcessEnd
+from snipetrestle.gateway.backends.process_end import ProcessEnd, Verdict
 from snipetrestle.gateway.backends.replica_pause import ReplicaPause
 from snipetrestle.gateway.backends.request_limits import RequestLimit
 from snipetrestle.gateway.configuration import ReplicaState
@@ -42,6 +42,7 @@
 MIN_CHOICE_POWER = 4.0
 CHOICE_POWER_HOSTS = 84.0
 MAX_REMEMBERED_LEAVING = 4096
+MAX_REMEMBERED_ENDED = 256
 # The entry of a process that has taken a replica's id reaches this host within this
 # time.
 REPLACED_TIME_S = 3.0
@@ -56,8 +57,9 @@
     ``others_in_flight`` counts the requests from other hosts, as far as they are known.
     ``suspected_until`` is the time until which the replica is avoided. ``leaving``
     tells that it is no longer listed, or has announced that it leaves;
-    ``on_leaving(replica)`` is called with each such announcement. ``open_exchanges``
-    are the Exchanges with it.
+    ``on_leaving(replica)`` is called with each such announcement, and
+    ``on_verdict(replica, verdict)`` with each Verdict on the end of its process.
+    ``open_exchanges`` are the Exchanges with it.
     """
 
     __slots__ = (
@@ -84,7 +86,7 @@
         "_failure_rate_at",
     )
 
-    def __init__(self, entry, rng, on_leaving, pool=None):
+    def __init__(self, entry, rng, on_leaving, pool=None, on_verdict=None):
         self.entry = entry
         self.pool = pool or ConnectionPool(entry.ip, entry.port)
         self.in_flight = 0
@@ -100,7 +102,7 @@
         self.request_limit = RequestLimit(entry.id)
         self.pause = ReplicaPause(entry.id, rng)
         self._on_leaving = on_leaving
-        self._process_end = ProcessEnd(self)
+        self._process_end = ProcessEnd(self, on_verdict)
         self._may_be_replaced_until = 0.0
         self._suspicion_s = MIN_SUSPICION_S
         self._latency_s = None
@@ -239,8 +241,14 @@
         """
         self._may_be_replaced_until = math.inf
 
-    def note_heard(self):
+    def note_heard(self, received_at):
+        """Records that a response goes on, with the time of its last data."""
         self.last_heard_at = anyio.current_time()
+        self._process_end.note_data(received_at)
+
+    def note_running(self, sign):
+        """Records a sign that this process, and not a later one, is running."""
+        self._process_end.note_running(sign)
 
     def note_success(self, latency_s):
         """Records a response; ``latency_s`` is the time to it or to a first event."""
@@ -326,6 +334,9 @@
         self._removed = []
         # The last entries of replicas that are no longer listed, the oldest first.
         self._left_entries_by_id = collections.OrderedDict()
+        # Replicas by process id whose process has ended, the oldest first.
+        self._ended_by_process_id = {}
+        self._verdict_listeners = []
         self._ask = None
         self._leaving_listeners = []
         # The number of listed replicas by software version, by backend. Replicas of
@@ -341,6 +352,27 @@
         """Registers ``listener()``, called when a replica announces its leaving."""
         self._leaving_listeners.append(listener)
 
+    def on_verdict(self, listener):
+        """Registers ``listener(verdict)``, called with Verdicts on replicas' ends."""
+        self._verdict_listeners.append(listener)
+
+    def _note_verdict(self, replica, verdict):
+        if verdict is Verdict.ENDED:
+            if len(self._ended_by_process_id) >= MAX_REMEMBERED_ENDED:
+                del self._ended_by_process_id[next(iter(self._ended_by_process_id))]
+            self._ended_by_process_id[replica.process_id] = replica
+        for listener in self._verdict_listeners:
+            listener(verdict)
+
+    def _note_renewed(self, entry):
+        """Notes that a process which was taken for ended has renewed its entry."""
+        if not entry.boot:
+            return
+        replica = self._ended_by_process_id.get(f"{entry.id} {entry.boot}")
+        if replica is None or entry.report_number <= replica.entry.report_number:
+            return
+        replica.note_running("it has renewed its entry")
+
     def _note_leaving(self, replica):
         if replica.process_id in self._leaving_process_ids:
             return
@@ -356,6 +388,7 @@
 
     def list_replica(self, entry):
         """Adds a replica or updates its entry. A restarted one replaces the old one."""
+        self._note_renewed(entry)
         known = self.by_id.get(entry.id)
         if known is not None and _is_same_boot(known.entry, entry):
             if known.entry.state is not entry.state:
@@ -379,7 +412,9 @@
             state=str(entry.state),
         )
         pool = None if self._make_pool is None else self._make_pool(entry)
-        replica = Replica(entry, self._rng, self._note_leaving, pool)
+        replica = Replica(
+            entry, self._rng, self._note_leaving, pool, self._note_verdict
+        )
         # An old entry may list a process again that has announced its leaving.
         replica.leaving = replica.process_id in self._leaving_process_ids
         self.by_id[entry.id] = replica
--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -196,7 +196,7 @@
     def _note_heard(self):
         self._progress_at = self._loop.time()
         if not self._is_of_another_replica:
-            self.replica.note_heard()
+            self.replica.note_heard(self._connection.received_at)
 
     def _check_silence(self):
         """Reports a silent replica, and schedules the next check."""
--- a/snipetrestle/gateway/metrics.py
+++ b/snipetrestle/gateway/metrics.py
@@ -103,6 +103,13 @@
             ("known_by", "result"),
             registry=self.registry,
         )
+        self._process_ends = Counter(
+            "snipetrestle_gateway_process_ends",
+            "Processes of replicas of whose end there was evidence: whether requests "
+            "there were ended, the evidence was dropped, or it was refuted later.",
+            ("verdict",),
+            registry=self.registry,
+        )
         self._series_by_route = {}
 
     def _histogram(self, name, documentation):
@@ -178,6 +185,10 @@
         """Counts the answer to a request for units: granted, denied or silent."""
         self._quota_asks.labels(answer).inc()
 
+    def count_process_end(self, verdict):
+        """Counts a Verdict on the end of a replica's process."""
+        self._process_ends.labels(str(verdict)).inc()
+
     def count_dispatch(self, result):
         """Counts a request for a permit by its result, of a fixed set."""
         self._dispatch_permits.labels(result).inc()
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -270,6 +270,8 @@
     async def report(self, replica):
         """Returns a ReplicaReport. Raises ConnectFailed or ExchangeFailed."""
         report = await self._get(replica, "report", _report_decoder)
+        if report.born and report.born == replica.entry.boot:
+            replica.note_running("it has reported")
         try:
             return _report_from(report)
         except ValueError as error:
--- a/tests/engines/test_owner.py
+++ b/tests/engines/test_owner.py
@@ -9,11 +9,13 @@
 from snipetrestle.codes import ResultCode, ServingError
 from snipetrestle.engines.forward import Finished, Forward, RequestClass, Tokens
 from snipetrestle.engines.owner import ReplicaOwner
+from snipetrestle.events import Event
 from snipetrestle.placement.permits import UnlimitedPermits
 from snipetrestle.published import BackendServer
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.engine import StandInEngine, expected_text
 from snipetrestle_standins.store import StandInWeightStore
+from tests.gateway.log_recording import LogRecordingTest
 
 SEED_COUNT = 8
 
@@ -134,7 +136,7 @@
         self.assertTrue(harness.results[2])
 
 
-class LostPowerTest(testtools.TestCase):
+class LostPowerTest(LogRecordingTest):
     """Engines that restart without closing connections."""
 
     def lose_power(self, harness):
@@ -156,10 +158,9 @@
             harness.owner.apply_status(await harness.engine.status())
 
         harness.run(check)
-        self.assertEqual(
-            {0: ResultCode.STREAM_BROKEN, 1: True},
-            harness.results,
-        )
+        self.assertEqual({0: ResultCode.STREAM_BROKEN, 1: True}, harness.results)
+        (line,) = self.logged(Event.ENGINE_RESTARTED)
+        self.assertEqual(("e", 1), (line["replica"], line["ended"]))
 
     def test_stream_that_began_after_the_question_goes_on(self):
         """Guards against a status that is older than the load of a stream's copy."""
--- a/tests/gateway/test_ended_processes.py
+++ b/tests/gateway/test_ended_processes.py
@@ -287,3 +287,66 @@
         while True:
             await fleet.send_request("/lookup/a")
             await asyncio.sleep(0.3)
+
+
+class VerdictTest(LogRecordingTest):
+    """What logs and metrics tell of verdicts, so that a wrong one is seen."""
+
+    def count(self, fleet, verdict):
+        registry = fleet.live[0].metrics.registry
+        name = "snipetrestle_gateway_process_ends_total"
+        return registry.get_sample_value(name, {"verdict": verdict})
+
+    def assert_refuted(self, fleet, replica, sign):
+        (line,) = self.logged(Event.PROCESS_END_REFUTED)
+        self.assertEqual((replica.id, 1, sign), self.fields(line))
+        self.assertEqual(1, self.count(fleet, "ended"))
+        self.assertEqual(1, self.count(fleet, "refuted"))
+
+    def fields(self, line):
+        return line["replica"], line["boot"], line["sign"]
+
+    @with_system(run_fleet, registers=1)
+    async def test_renewed_entry_refutes_a_verdict(self, fleet):
+        """Guards against a cut from the store and from this host that no line tells."""
+        (replica,) = fleet.registers
+        replica.response_delay_s = 4.5
+        (task,) = await start_requests(fleet, "/entry/a", 1, fleet.registers)
+        replica.go_dark()
+        fleet.store.delete(f"servers/{replica.id}")
+        answer = await task
+        self.assertEqual((502, b"SN-1302"), (answer.status, answer.body))
+        self.assertEqual([], self.logged(Event.PROCESS_END_REFUTED))
+        replica.report_count += 1
+        fleet.publish(replica)
+        by_id = fleet.live[0].replicas.by_id
+        await wait_until(lambda: replica.id in by_id)
+        self.assert_refuted(fleet, replica, "it has renewed its entry")
+
+    @with_system(run_fleet, registers=1)
+    async def test_answer_refutes_a_verdict(self, fleet):
+        """Guards against a wrong entry and a silence that no line tells."""
+        (replica,) = fleet.registers
+        replica.response_delay_s = 3.0
+        (task,) = await start_requests(fleet, "/entry/a", 1, fleet.registers)
+        list_other_id(fleet, replica, born=int(time.time() * 1000))
+        silence = asyncio.create_task(replica.fall_silent(2.5))
+        answer = await task
+        self.assertEqual((502, b"SN-1302"), (answer.status, answer.body))
+        await silence
+        replica.response_delay_s = 0.0
+        for _ in range(2):
+            answer = await fleet.send_request("/lookup/a")
+            self.assertEqual(200, answer.status)
+        self.assert_refuted(fleet, replica, "it has sent data")
+
+    @with_system(run_fleet, registers=1)
+    async def test_dropped_evidence_is_counted(self, fleet):
+        """Guards against wrong entries of which no metric tells."""
+        (replica,) = fleet.registers
+        replica.response_delay_s = 2.0
+        (task,) = await start_requests(fleet, "/entry/a", 1, fleet.registers)
+        list_other_id(fleet, replica, born=int(time.time() * 1000))
+        self.assertEqual(200, (await task).status)
+        self.assertEqual(1, self.count(fleet, "dropped"))
+        self.assertEqual(None, self.count(fleet, "ended"))
