--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -205,7 +205,7 @@
         self._progress_at = self._loop.time()
         self._is_early_silence_told = False
         if not self._is_of_another_replica:
-            self.replica.note_heard()
+            self.replica.note_heard(self._connection.received_at)
 
     def _check_silence(self):
         """Reports a silent replica, and schedules the next check."""
