Place waiting lookups of the leader beside an order without an answer

Requests of the host that leads waited for a place of their adapter until an order at a dark replica timed out, after 0.8 s, and so did all later ones of that host for the adapter, which share the lookup.

Change: a lookup checks each 0.05 s whether the replica that its load waits for may be gone. If so, and if a replica that answers holds the adapter, loads it or can be ordered to, it goes on there. Without such a replica it waits as before, so that no load follows at one silent replica after the other.

test_lookups_of_the_leader_itself_do_not_wait_either failed before (no place within 0.5 s).

--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -1,5 +1,7 @@
 """Placement of adapters by the leader: orders loads and answers hosts' lookups."""
 
+import asyncio
+
 import anyio
 
 from snipetrestle.coordination.adapter_places import (
@@ -17,6 +19,8 @@
 # A host whose lookup found no replica asks again after this time.
 LOOKUP_RETRY_S = 0.08
 MAINTENANCE_INTERVAL_S = 5.0
+# How often a lookup checks whether the replica answers that a load waits for.
+ORDER_CHECK_PAUSE_S = 0.05
 # The locations in an answer. Replicas that are ready later and busier are left out.
 MAX_LOCATIONS_BYTES = 8192
 # Minimum time between two updates of the replicas' states from the hosts' heartbeats.
@@ -222,17 +226,48 @@
         return self._running_by_id[replica.replica_id][1].request_load(key, reason)
 
     async def _load(self, key, avoid, software_version):
-        """Waits until a pending or new load of an adapter was ordered."""
+        """Waits until a pending or new load of an adapter was ordered.
+
+        A load at a replica that does not answer is placed at one that does as well.
+        """
         self.placement.evictions.withheld_places.extend(key, software_version)
-        load = self._pending_load(key, avoid, software_version)
-        if load is None:
-            load = self._request_load(key, avoid, LoadReason.MISSING, software_version)
-        if load is not None:
+        load = self._next_load(key, avoid, software_version)
+        while load is not None:
             self.placement.record_expected_prompt(load.replica_id)
-            await load.done
-        elif software_version:
+            await self._wait_for_order(load, avoid, software_version)
+            # Another lookup may have had it loaded meanwhile.
+            is_held = self.placement.places(key, avoid, software_version)
+            if load.done.done() or is_held:
+                return
+            load = self._next_load(key, avoid, software_version)
+        if software_version:
             self.placement.withhold_place(key, software_version, avoid)
 
+    def _next_load(self, key, avoid, software_version):
+        """Returns a pending LoadRequest, or else a new one; None if there is no room."""
+        load = self._pending_load(key, avoid, software_version)
+        if load is not None:
+            return load
+        return self._request_load(key, avoid, LoadReason.MISSING, software_version)
+
+    async def _wait_for_order(self, load, avoid, software_version):
+        """Waits for the order of a load, or until another replica serves it sooner."""
+        while not load.done.done():
+            await asyncio.wait([load.done], timeout=ORDER_CHECK_PAUSE_S)
+            replica = self.placement.by_replica.get(load.replica_id)
+            is_gone = replica is not None and replica.may_be_gone(anyio.current_time())
+            if is_gone and self._is_served_elsewhere(load.key, avoid, software_version):
+                return
+
+    def _is_served_elsewhere(self, key, avoid, software_version):
+        """Whether a replica that answers holds an adapter, or can be ordered to."""
+        if self.placement.places(key, avoid, software_version):
+            return True
+        if self._pending_load(key, avoid, software_version) is not None:
+            return True
+        replica = self.placement.choose_replica(key, avoid, software_version)
+        return replica is not None and not replica.may_be_gone(anyio.current_time())
+
     def _pending_load(self, key, avoid, software_version):
         """Returns the LoadRequest that waits at a replica which answers, or None."""
         now = anyio.current_time()
