Tell the leader all places that a begun stream cannot use, not the last ones only

A begun stream with two places that it could not use found no third one until its caller left.

Cause: each question names only the places of the answer before it that cannot be used. With two of them, as after two restarts that this host has noticed and the leader has not, the leader names them in turn, each 62 ms.

Change: places of earlier answers are named as well, until they can be used again.

test_stream_gets_a_place_beside_two_that_it_may_not_use failed before (no place within 0.5 s). test_place_that_can_be_used_again_is_not_left_out passed before.

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -145,6 +145,7 @@
         started_at = self._search_started_at(job)
         job.version = self._state.versions_by_adapter.get(key)
         places = self._locator.cached_locations(key)
+        unused_ids = []
         must_pause = False
         while True:
             await self._chooser.wait_out_pauses(job)
@@ -175,8 +176,9 @@
                 await anyio.sleep(NO_PLACE_PAUSE_S)
                 must_pause = False
                 continue
+            unused_ids = self._unused_places(job, places, holders, unused_ids)
             limited_ids = [
-                *self._unused_places(job, places, holders),
+                *unused_ids,
                 *self._chooser.paused_ids(job),
                 *self._suspected_ids(job),
             ]
@@ -213,20 +215,25 @@
             job.place_search_at = anyio.current_time()
         return job.place_search_at
 
-    def _unused_places(self, job, places, holders):
+    def _unused_places(self, job, places, holders, earlier_ids):
         """Returns the ids of the places that a request cannot be sent to now.
 
         The leader would name a place again that a begun stream cannot go on at, for a
-        reason that only this host knows. Suspected places are told apart from these.
+        reason that only this host knows. So those of earlier answers, ``earlier_ids``,
+        stay among them until they can be used. Suspected places are told apart from
+        these.
         """
         if job.origin is None:
             return [item.id for item in holders]
+        earlier_ids = [item for item in earlier_ids if item not in places]
+        usable_ids = {item.id for item in self._holders(job, earlier_ids)}
         now = anyio.current_time()
         by_id = self._replicas.by_id
         return [
             item
-            for item in places
-            if item not in by_id or by_id[item].suspected_until <= now
+            for item in (*places, *earlier_ids)
+            if item not in usable_ids
+            and (item not in by_id or by_id[item].suspected_until <= now)
         ]
 
     def _suspected_ids(self, job):
