Seek the early place of a begun stream at no replica that is suspected

A begun stream whose adapter is held by its own replica and by another one that has gone dark as well waited for the load of the adapter only after 0.9 s of silence.

Cause: the question that is sent 0.6 s after the last event leaves out the silent replica alone, so the other dark one is named, though this host suspects it already.

Change: suspected replicas are left out as well, as by the search that follows.

test_place_sought_early_is_at_no_suspected_replica failed before.

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -193,12 +193,14 @@
     async def look_up_other_place(self, job):
         """Has the adapter of a begun stream loaded elsewhere if no other replica has it.
 
-        Its replica may be about to count as silent. The place is in the cache then.
+        Its replica may be about to count as silent. The place is in the cache then. One
+        at a replica that is suspected already would be of no use.
         """
         key = job.metadata.adapter
         if key is not None and key.adapter:
             silent_ids = [item.replica.id for item in job.open_exchanges]
-            await self._locator.look_up(key, (), silent_ids, _required_version(job))
+            left_out = dict.fromkeys([*silent_ids, *self._suspected_ids(job)])
+            await self._locator.look_up(key, (), [*left_out], _required_version(job))
 
     @staticmethod
     def _search_started_at(job):
--- a/tests/gateway/test_review_replacements.py
+++ b/tests/gateway/test_review_replacements.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+import types
 
 import anyio
 import testtools
@@ -93,3 +94,16 @@
                 replica = await search.find_stream_replica(job)
             self.assertEqual("r0", replica.id)
             self.assertNotIn("r2", leader.holders)
+
+    @in_virtual_time
+    async def test_place_sought_early_is_at_no_suspected_replica(self):
+        """Guards against a load that begins only once the replica counts as silent."""
+        async with self.searching(["r0", "r1"], 3) as (search, by_id, leader):
+            by_id["r1"].suspected_until = anyio.current_time() + 4.0
+            job = make_job(
+                ADAPTER,
+                origin=StreamOrigin(BACKEND, VERSION),
+                open_exchanges=[types.SimpleNamespace(replica=by_id["r0"])],
+            )
+            await search.look_up_other_place(job)
+            self.assertIn("r2", leader.holders)
