Heed entries that come while a place for a begun stream is sought

A stream could go on at another software version than the one that began it: its replica had started again under its id with another version, was silent when it was asked, and its entry came during the search for a place.

Cause: since the process that began a stream is asked when the search begins, its answer, and what the entries tell at that time, are up to several seconds old when the stream is sent. Before, the entries of that moment counted.

Change: the question has three answers. If nothing has answered, the entries count that are known when the stream is sent.

test_entry_that_comes_during_the_search_counts and test_entry_of_a_process_that_has_left_during_the_search_counts failed before; test_entry_of_a_process_that_came_after_the_answer_is_no_evidence passed.

--- a/snipetrestle/gateway/streams/process_check.py
+++ b/snipetrestle/gateway/streams/process_check.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import enum
 
 import anyio
 
@@ -27,6 +28,17 @@
 READ_TIMEOUT_S = 0.5
 
 
+class OriginAnswer(enum.Enum):
+    """Whether the process that an origin names has begun its stream."""
+
+    # It has answered, after the stream began.
+    SAME = enum.auto()
+    # It has not, and nothing tells of another one so far.
+    UNKNOWN = enum.auto()
+    # Another one may have begun the stream at another version.
+    MAY_DIFFER = enum.auto()
+
+
 class ProcessCheck:
     """Checks jobs that go on with a stream.
 
@@ -46,7 +58,7 @@
         It may have ended, and is waited for in vain then.
         """
         if self._concerns(job) and job.origin_check is None:
-            job.origin_check = asyncio.create_task(self._may_origin_differ(job.origin))
+            job.origin_check = asyncio.create_task(self._ask_origin(job.origin))
 
     @staticmethod
     def end(job):
@@ -69,12 +81,12 @@
         if not self._concerns(job):
             return
         self.begin(job)
-        answer, may_differ = await asyncio.gather(
+        answer, origin_answer = await asyncio.gather(
             self.ask(replica), asyncio.shield(job.origin_check)
         )
         # A later search asks anew.
         job.origin_check = None
-        if may_differ:
+        if self._may_differ(job.origin, origin_answer):
             code = ResultCode.STREAM_NOT_RESUMABLE
             if job.may_have_run:
                 code = job.unknown_outcome_code
@@ -145,25 +157,41 @@
             return ProcessAnswer.OTHER_IDLE
         return ProcessAnswer.OTHER
 
-    async def _may_origin_differ(self, origin):
-        """Whether a stream may have begun at another version than its origin says.
+    async def _ask_origin(self, origin):
+        """Returns the OriginAnswer for a stream that began before.
 
         A replica that does not answer has ended, perhaps while the stream ran.
         """
         replica = self._listed_origin(origin)
         if replica is None:
-            return self._may_listed_differ(origin)
+            return self._answer_by_entries(origin)
         boot = await self._read_boot(replica)
-        if boot in (None, replica.entry.boot):
-            return False
-        if self._replicas.has_successor(replica, boot):
-            return False
+        if boot == replica.entry.boot:
+            return OriginAnswer.SAME
+        if boot is None or self._replicas.has_successor(replica, boot):
+            return OriginAnswer.UNKNOWN
         # The entry of the process that has answered may not have reached this host.
         if not await self._fresh_reads.read(READ_TIMEOUT_S):
-            return True
+            return OriginAnswer.MAY_DIFFER
         if self._listed_origin(origin) is None:
-            return self._may_listed_differ(origin)
-        return not self._replicas.has_successor(replica, boot)
+            return self._answer_by_entries(origin)
+        if self._replicas.has_successor(replica, boot):
+            return OriginAnswer.UNKNOWN
+        return OriginAnswer.MAY_DIFFER
+
+    def _answer_by_entries(self, origin):
+        if self._may_listed_differ(origin):
+            return OriginAnswer.MAY_DIFFER
+        return OriginAnswer.UNKNOWN
+
+    def _may_differ(self, origin, answer):
+        """Whether a stream may have begun at another version than its origin says.
+
+        The entry of a later process may have come since the origin was asked.
+        """
+        if answer is OriginAnswer.UNKNOWN and self._listed_origin(origin) is None:
+            answer = self._answer_by_entries(origin)
+        return answer is OriginAnswer.MAY_DIFFER
 
     def _listed_origin(self, origin):
         """Returns the replica that an origin names; None if its process is not listed."""
--- a/tests/gateway/test_review_replacements.py
+++ b/tests/gateway/test_review_replacements.py
@@ -10,6 +10,8 @@
 from snipetrestle.coordination.messages import AdapterLocation
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
+from snipetrestle.gateway.job import Refused
+from snipetrestle.gateway.streams.process_check import REPORT_TIMEOUT_S, ProcessCheck
 from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 from tests.dispatch.searches import BACKEND, build_search, make_job
 from tests.systems import in_virtual_time
@@ -107,3 +109,63 @@
             )
             await search.look_up_other_place(job)
             self.assertIn("r2", leader.holders)
+
+
+class OriginCheckTest(testtools.TestCase):
+    """A stream began at "origin", whose process is asked while a place is sought."""
+
+    def setUp(self):
+        super().setUp()
+        self.boots = {"origin": 1, "sound": 1}
+        self.directory = ReplicaDirectory("zone-1", random.Random(1))
+
+    async def report(self, replica):
+        boot = self.boots[replica.id]
+        if boot is None:
+            await anyio.sleep_forever()
+        return types.SimpleNamespace(boot=boot, request_count=0)
+
+    async def check(self, during_search):
+        """Checks a replica after a search in which ``during_search()`` is called."""
+        for replica_id in self.boots:
+            self.directory.list_replica(entry(replica_id))
+        check = ProcessCheck(self.directory, self.report, fresh_reads=None)
+        job = make_job(
+            ADAPTER,
+            origin=StreamOrigin(BACKEND, VERSION, "origin", 1),
+            origin_check=None,
+        )
+        check.begin(job)
+        await anyio.sleep(2 * REPORT_TIMEOUT_S)
+        during_search()
+        await check.check(job, self.directory.by_id["sound"])
+
+    def list_later_process(self):
+        self.directory.list_replica(entry("origin", boot=2, software_version="v2"))
+
+    @in_virtual_time
+    async def test_entry_that_comes_during_the_search_counts(self):
+        """Guards against a stream that goes on at a version which did not begin it.
+
+        The later process may have begun it, and was silent when it was asked.
+        """
+        self.boots["origin"] = None
+        with testtools.ExpectedException(Refused):
+            await self.check(self.list_later_process)
+
+    @in_virtual_time
+    async def test_entry_of_a_process_that_has_left_during_the_search_counts(self):
+        """Guards against the same for a later process that has left again."""
+
+        def list_and_remove():
+            self.list_later_process()
+            self.directory.unlist("origin")
+
+        self.boots["origin"] = None
+        with testtools.ExpectedException(Refused):
+            await self.check(list_and_remove)
+
+    @in_virtual_time
+    async def test_entry_of_a_process_that_came_after_the_answer_is_no_evidence(self):
+        """Guards against lost streams whose replica starts again during the search."""
+        await self.check(self.list_later_process)
