--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -366,8 +366,8 @@
     def _end_lost_streams(self, status, asked_at):
         """Ends the requests that ran at the earlier process of a restarted engine.
 
-        Returns their number. The engine runs none without its copy, and restarts without copies. What was sent
-        since ``asked_at`` may be at the later process.
+        Returns their number. The engine runs none without its copy, and restarts
+        without copies. What was sent since ``asked_at`` may be at the later process.
         """
         lost = [
             state
