Note the early silence of a replica when it is due

Preparations for a replacement began up to 0.2 s late if events had come since the stream was watched, since the silence of 0.6 s was only looked for at each check.

test_silence_after_progress_is_noted_when_it_is_due failed before. The fakes of this module follow Replica.note_heard, which takes the time of the data now.

--- a/snipetrestle/gateway/exchange.py
+++ b/snipetrestle/gateway/exchange.py
@@ -219,18 +219,19 @@
         due_at = min(
             self._progress_at + self._silence_limit_s, heard_at + REPLICA_SILENCE_S
         )
-        self._check_early_silence(now, heard_at)
+        early_at = heard_at + EARLY_SILENCE_S
+        if now >= early_at and not self._is_early_silence_told:
+            self._is_early_silence_told = True
+            self._on_early_silence()
         is_silent = now >= due_at
-        pause_s = SILENCE_CHECK_S if is_silent else min(SILENCE_CHECK_S, due_at - now)
+        pause_s = SILENCE_CHECK_S
+        if not is_silent:
+            next_at = min(item for item in (early_at, due_at) if item > now)
+            pause_s = min(pause_s, next_at - now)
         self._silence_timer = self._loop.call_later(pause_s, self._check_silence)
         if is_silent:
             self._on_silent(now - self._progress_at)
 
-    def _check_early_silence(self, now, heard_at):
-        if not self._is_early_silence_told and now >= heard_at + EARLY_SILENCE_S:
-            self._is_early_silence_told = True
-            self._on_early_silence()
-
     def abandon(self):
         """Records that the caller has left, so that the connection may be needed."""
         self.replica.pool.note_abandoned(self._connection)
--- a/tests/gateway/test_late_replacements.py
+++ b/tests/gateway/test_late_replacements.py
@@ -43,7 +43,7 @@
     def note_may_be_replaced(self):
         self.may_be_replaced = True
 
-    def note_heard(self):
+    def note_heard(self, received_at):
         self.last_heard_at = anyio.current_time()
 
 
@@ -111,7 +111,7 @@
         job = types.SimpleNamespace(take_permit=lambda replica_id: None)
         exchange = Exchange(None, job, FakeReplica("a"), None)
         exchange._connection = types.SimpleNamespace(
-            is_complete=False, has_unread_body=False
+            is_complete=False, has_unread_body=False, received_at=0.0
         )
         calls = []
 
@@ -133,6 +133,20 @@
         ]
         self.assertEqual(expected, calls)
 
+    @in_virtual_time
+    async def test_silence_after_progress_is_noted_when_it_is_due(self):
+        """Guards against times that are rounded up to those of the checks."""
+        exchange, calls = self.watch()
+        started = anyio.current_time()
+        await anyio.sleep(0.11)
+        exchange.note_progress()
+        await anyio.sleep(REPLICA_SILENCE_S + 0.01)
+        expected = [
+            ("early", round(started + 0.11 + EARLY_SILENCE_S, 6)),
+            ("silent", round(started + 0.11 + REPLICA_SILENCE_S, 6)),
+        ]
+        self.assertEqual(expected, calls)
+
     @in_virtual_time
     async def test_each_silence_is_told_early_once(self):
         """Guards against a question to the replica at each check of one silence."""
