End the preparation of an earlier attempt once a stream goes on

A begun stream that had been sent again waited for the load of its adapter after each later silence.

Cause: a search for a place that began 0.6 s after the last event is ended only by the Failover of the same attempt, when the stream goes on there. If that attempt failed, the ended search stayed with the job, and no other one began. An answer of the process that began the stream could stay in the same way after a silence of this stream alone.

Change: each progress ends what was prepared, by whichever attempt. That is two comparisons if nothing was.

test_silence_after_another_attempt_is_prepared_for failed before (one search instead of two).

--- a/snipetrestle/gateway/failover.py
+++ b/snipetrestle/gateway/failover.py
@@ -44,7 +44,6 @@
         self._task = None
         self._pause_s = FIRST_PAUSE_S
         self._is_silence_noted = False
-        self._is_prepared = False
         # When the search for the last replacement began.
         self._search_began_at = 0.0
 
@@ -144,7 +143,6 @@
             self._set_replacement(None)
 
     def _on_early_silence(self):
-        self._is_prepared = True
         self._forwarder.prepare_replacement(self._job)
 
     def _on_progress(self):
@@ -157,9 +155,8 @@
         if self._replacement is not None:
             self._job.dropped_on.add(self._replacement.replica.id)
             self._log_dropped("the silent replica goes on")
-        if self._is_prepared:
-            self._is_prepared = False
-            self._forwarder.end_preparation(self._job)
+        # It may be that of an earlier attempt.
+        self._forwarder.end_preparation(self._job)
         self._end_replacement()
 
     def _on_silent(self, silent_s):
--- a/tests/gateway/test_review_replacements.py
+++ b/tests/gateway/test_review_replacements.py
@@ -5,11 +5,20 @@
 import types
 
 import anyio
+import anyio.lowlevel
 import testtools
 
 from snipetrestle.coordination.messages import AdapterLocation
+from snipetrestle.gateway.backends.http_client import ExchangeFailed
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
-from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
+from snipetrestle.gateway.configuration import (
+    AdapterKey,
+    ReplicaEntry,
+    ReplicaState,
+    RequestKind,
+)
+from snipetrestle.gateway.failover import Failover
+from snipetrestle.gateway.forwarding import Forwarder
 from snipetrestle.gateway.job import Refused
 from snipetrestle.gateway.streams.process_check import REPORT_TIMEOUT_S, ProcessCheck
 from snipetrestle.gateway.streams.stream_origin import StreamOrigin
@@ -169,3 +178,80 @@
     async def test_entry_of_a_process_that_came_after_the_answer_is_no_evidence(self):
         """Guards against lost streams whose replica starts again during the search."""
         await self.check(self.list_later_process)
+
+
+class PreparingForwarder(Forwarder):
+    """A Forwarder that only prepares replacements; ``lookups`` has one for each place."""
+
+    def __init__(self):
+        self.lookups = []
+        self._process_check = ProcessCheck(None, None, None)
+        self._search = types.SimpleNamespace(look_up_other_place=self.look_up)
+
+    async def look_up(self, job):
+        self.lookups.append(anyio.current_time())
+
+    async def check_process(self, job, replica):
+        pass
+
+    def check_sendable(self, job):
+        pass
+
+
+class WatchedExchange:
+    """An exchange that calls what its Failover watches it with."""
+
+    replica = types.SimpleNamespace(id="r0", note_failure=lambda: None)
+
+    async def connect(self):
+        pass
+
+    def send(self):
+        pass
+
+    def watch(self, silence_s, on_silent, on_progress, on_early_silence):
+        self.on_progress = on_progress
+        self.on_early_silence = on_early_silence
+
+    def close(self):
+        pass
+
+
+class PreparationTest(testtools.TestCase):
+    @staticmethod
+    def make_job():
+        """Returns a begun stream's job on a backend whose processes are not asked."""
+        fields = {
+            "route": types.SimpleNamespace(kind=RequestKind.STREAM, repeatable=True),
+            "backend": types.SimpleNamespace(serves_models=False),
+            "origin": StreamOrigin(BACKEND, VERSION),
+            "origin_check": None,
+            "place_lookup": None,
+            "has_replacement": False,
+        }
+        return make_job(ADAPTER, **fields)
+
+    @in_virtual_time
+    async def test_silence_after_another_attempt_is_prepared_for(self):
+        """Guards against a load that begins only once the later replica is silent."""
+        forwarder, job = PreparingForwarder(), self.make_job()
+
+        async def break_off(exchange):
+            exchange.on_early_silence()
+            await anyio.lowlevel.checkpoint()
+            raise ExchangeFailed("the connection was closed")
+
+        async def go_on(exchange):
+            exchange.on_progress()
+            exchange.on_early_silence()
+            await anyio.lowlevel.checkpoint()
+
+        with testtools.ExpectedException(ExchangeFailed):
+            await self.serve(forwarder, job, break_off)
+        await self.serve(forwarder, job, go_on)
+        self.assertEqual(2, len(forwarder.lookups))
+
+    @staticmethod
+    async def serve(forwarder, job, serve_exchange):
+        """Serves one attempt, as the Forwarder does for each."""
+        await Failover(forwarder, job, 1.9).serve(WatchedExchange(), serve_exchange)
