Seek no early place for streams that may go on nowhere else

Each time that a sound replica paused for 0.6 s, adapters were loaded elsewhere for begun streams that cannot go on there: those of a replica of an unknown version, and those whose attempts are used up and that may only return to an earlier replica.

Change: a place is sought early only for a stream of a known version that may run on one more replica.

test_no_place_is_sought_for_a_stream_of_an_unknown_version and test_no_place_is_sought_for_a_stream_that_may_only_return failed before.

--- a/snipetrestle/gateway/forwarding.py
+++ b/snipetrestle/gateway/forwarding.py
@@ -496,7 +496,7 @@
         if not job.route.repeatable or not job.has_attempts_left:
             return
         self._process_check.begin(job)
-        if job.origin is not None and job.place_lookup is None:
+        if _may_use_other_place(job) and job.place_lookup is None:
             job.place_lookup = asyncio.create_task(
                 run_isolated(self._search.look_up_other_place, job)
             )
@@ -596,6 +596,16 @@
         )
 
 
+def _may_use_other_place(job):
+    """Whether a begun stream may go on at a replica that did not run it yet.
+
+    A stream of an unknown version may not, and the load of its adapter would be of no
+    use.
+    """
+    has_version = job.origin is not None and bool(job.origin.version)
+    return has_version and job.may_run_on_another
+
+
 def _denial_reason(job):
     """Returns why no replacement of a silent replica may be sent."""
     if not job.route.repeatable:
--- a/tests/gateway/test_review_replacements.py
+++ b/tests/gateway/test_review_replacements.py
@@ -219,17 +219,18 @@
 
 class PreparationTest(testtools.TestCase):
     @staticmethod
-    def make_job():
+    def make_job(version=VERSION, **attributes):
         """Returns a begun stream's job on a backend whose processes are not asked."""
         fields = {
             "route": types.SimpleNamespace(kind=RequestKind.STREAM, repeatable=True),
             "backend": types.SimpleNamespace(serves_models=False),
-            "origin": StreamOrigin(BACKEND, VERSION),
+            "origin": StreamOrigin(BACKEND, version),
             "origin_check": None,
             "place_lookup": None,
+            "may_run_on_another": True,
             "has_replacement": False,
         }
-        return make_job(ADAPTER, **fields)
+        return make_job(ADAPTER, **{**fields, **attributes})
 
     @in_virtual_time
     async def test_silence_after_another_attempt_is_prepared_for(self):
@@ -255,3 +256,19 @@
     async def serve(forwarder, job, serve_exchange):
         """Serves one attempt, as the Forwarder does for each."""
         await Failover(forwarder, job, 1.9).serve(WatchedExchange(), serve_exchange)
+
+    async def check_no_lookup(self, **attributes):
+        forwarder = PreparingForwarder()
+        forwarder.prepare_replacement(self.make_job(**attributes))
+        await anyio.sleep(0.01)
+        self.assertEqual([], forwarder.lookups)
+
+    @in_virtual_time
+    async def test_no_place_is_sought_for_a_stream_of_an_unknown_version(self):
+        """Guards against loads, at each pause of a replica, that no stream can use."""
+        await self.check_no_lookup(version="")
+
+    @in_virtual_time
+    async def test_no_place_is_sought_for_a_stream_that_may_only_return(self):
+        """Guards against the same for a stream whose attempts are used up."""
+        await self.check_no_lookup(may_run_on_another=False)
