--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/director.py
@@ -19,8 +19,9 @@
 # A host whose lookup found no replica asks again after this time.
 LOOKUP_RETRY_S = 0.08
 MAINTENANCE_INTERVAL_S = 5.0
-# How often a lookup checks whether the replica answers that a load waits for.
-ORDER_CHECK_PAUSE_S = 0.05
+# How often a lookup checks whether the replica answers that a load waits for. Thousands
+# of lookups may wait while many adapters are loaded.
+ORDER_CHECK_PAUSE_S = 0.15
 # The locations in an answer. Replicas that are ready later and busier are left out.
 MAX_LOCATIONS_BYTES = 8192
 # Minimum time between two updates of the replicas' states from the hosts' heartbeats.
