End the pause of a stream whose engine process has ended

A request with a resident copy waited up to 120 s, past its deadline: it paused a batch stream, and the export of that stream's KV cache, which cannot be cancelled, had no answer from an engine that had lost power.

Change: the calls of a pause end with the stream, once a status shows the restart.

Tests: test_pause_without_an_answer_ends of tests.engines.test_owner failed before; the module passes (15), and so do test_ownership (24), test_ownership_sessions (3), test_http_client (9), tests.callers.test_completions (13) and tests.fuzz.test_fuzz (23).

--- a/snipetrestle/engines/owner.py
+++ b/snipetrestle/engines/owner.py
@@ -84,6 +84,7 @@
         "has_stream",
         "lost_at",
         "call_scope",
+        "pause_scope",
     )
 
     def __init__(self, forward, entry):
@@ -107,6 +108,8 @@
         # When calls for it end, as the process of the engine that ran it has ended.
         self.lost_at = math.inf
         self.call_scope = None
+        # The calls by which another request pauses this one.
+        self.pause_scope = None
 
     @property
     def is_dispatched(self):
@@ -137,6 +140,8 @@
             self.lost_at += RESTARTED_ANSWER_S
         if self.call_scope is not None:
             self.call_scope.deadline = self.lost_at
+        if self.pause_scope is not None:
+            self.pause_scope.cancel()
 
     async def call(self, awaitable):
         """Returns what an engine's call returns. Raises EngineError if it is lost.
@@ -703,11 +708,15 @@
         """Cancels a batch stream, which is then queued again with its tokens."""
         request_id = victim.forward.request_id
         tokens = victim.forward.prompt_tokens + len(victim.tokens)
-        with anyio.CancelScope(shield=True), contextlib.suppress(EngineError):
+        with (
+            anyio.CancelScope(shield=True) as victim.pause_scope,
+            contextlib.suppress(EngineError),
+        ):
             if tokens >= MIN_EXPORT_TOKENS:
                 with contextlib.suppress(EngineError):
                     victim.kv_cache = await self.engine.export_kv(request_id)
             await self.engine.cancel(request_id)
+        victim.pause_scope = None
 
     def _schedule_loads(self):
         """Assigns the loads that the queue needs to requests, the most useful first."""
--- a/tests/engines/test_owner.py
+++ b/tests/engines/test_owner.py
@@ -178,6 +178,25 @@
         harness.run(check)
         self.assertEqual({0: True}, harness.results)
 
+    def test_pause_without_an_answer_ends(self):
+        """Guards against a request held by the pause of another at an ended process."""
+        harness = OwnerHarness(max_batch=1)
+        # The time-out of a transfer.
+        harness.engine.export_kv = lambda request_id: anyio.sleep(120.0)
+
+        async def check(requests):
+            requests.start_soon(harness.send, "a", "batch", 2000)
+            await anyio.sleep(12.0)
+            requests.start_soon(harness.send, "a", "waiting", 5)
+            await anyio.sleep(1.0)
+            self.assertEqual({}, harness.results)
+            self.lose_power(harness)
+            harness.owner.apply_status(await harness.engine.status())
+            await anyio.sleep(2.0)
+            self.assertEqual({0: ResultCode.STREAM_BROKEN, 1: True}, harness.results)
+
+        harness.run(check)
+
     def test_call_without_an_answer_ends(self):
         """Guards against a request that waits until the engine has accepted it."""
         harness = OwnerHarness()
