Name places without a free connection to the leader only in the next question

Since all places that a begun stream cannot use are named to the leader, one whose host has no free connection to any replica had its adapter loaded at one replica after the other.

Change: a place of an earlier answer is named only while the stream may not go on there. One that lacks a free connection is named in the next question alone, as on.

--- a/snipetrestle/dispatch/replica_search.py
+++ b/snipetrestle/dispatch/replica_search.py
@@ -222,20 +222,24 @@
 
         The leader would name a place again that a begun stream cannot go on at, for a
         reason that only this host knows. So those of earlier answers, ``earlier_ids``,
-        stay among them until they can be used. Suspected places are told apart from
-        these.
+        stay among them while the stream may not go on there. Not those that lack a free
+        connection: the leader would load the adapter at one after the other. Suspected
+        places are told apart from these.
         """
         if job.origin is None:
             return [item.id for item in holders]
-        earlier_ids = [item for item in earlier_ids if item not in places]
-        usable_ids = {item.id for item in self._holders(job, earlier_ids)}
         now = anyio.current_time()
         by_id = self._replicas.by_id
+        barred_ids = [
+            item
+            for item in earlier_ids
+            if item not in places
+            and (item not in by_id or not job.may_be_sent_to(by_id[item]))
+        ]
         return [
             item
-            for item in (*places, *earlier_ids)
-            if item not in usable_ids
-            and (item not in by_id or by_id[item].suspected_until <= now)
+            for item in (*places, *barred_ids)
+            if item not in by_id or by_id[item].suspected_until <= now
         ]
 
     def _suspected_ids(self, job):
--- a/tests/gateway/test_review_replacements.py
+++ b/tests/gateway/test_review_replacements.py
@@ -106,6 +106,17 @@
             self.assertEqual("r0", replica.id)
             self.assertNotIn("r2", leader.holders)
 
+    @in_virtual_time
+    async def test_places_without_a_free_connection_cause_few_loads(self):
+        """Guards against loads at one replica after the other while none has room."""
+        async with self.searching(["r0"], 6) as (search, by_id, leader):
+            for replica in by_id.values():
+                replica.pool = types.SimpleNamespace(has_room=False)
+            job = make_job(ADAPTER, origin=StreamOrigin(BACKEND, VERSION))
+            with testtools.ExpectedException(Refused):
+                await search.find_stream_replica(job)
+            self.assertLessEqual(len(leader.holders), 2)
+
     @in_virtual_time
     async def test_place_sought_early_is_at_no_suspected_replica(self):
         """Guards against a load that begins only once the replica counts as silent."""
