--- a/snipetrestle/coordination/dispatch_owner.py
+++ b/snipetrestle/coordination/loads/dispatch_owner.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.messaging.messages import (
     MAX_COUNT,
     DispatchDone,
     DispatchReply,
--- a/snipetrestle/coordination/dispatch_permits.py
+++ b/snipetrestle/coordination/loads/dispatch_permits.py
@@ -5,10 +5,10 @@
 
 import anyio
 
-from snipetrestle.coordination.datagram_requests import ANSWER_TIMEOUT_S
-from snipetrestle.coordination.dispatch_owner import DispatchOwner
-from snipetrestle.coordination.group_owners import GroupOwners
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.loads.dispatch_owner import DispatchOwner
+from snipetrestle.coordination.loads.group_owners import GroupOwners
+from snipetrestle.coordination.messaging.datagram_requests import ANSWER_TIMEOUT_S
+from snipetrestle.coordination.messaging.messages import (
     MAX_COUNT,
     MAX_DISPATCH_ENDS,
     MAX_OPEN_NUMBERS,
--- a/snipetrestle/coordination/send_permits.py
+++ b/snipetrestle/coordination/loads/send_permits.py
@@ -7,9 +7,9 @@
 
 import anyio
 
-from snipetrestle.coordination.datagram_requests import DatagramRequests
-from snipetrestle.coordination.messages import PermitReply, PermitRequest
-from snipetrestle.coordination.report_rounds import fitting
+from snipetrestle.coordination.messaging.datagram_requests import DatagramRequests
+from snipetrestle.coordination.messaging.messages import PermitReply, PermitRequest
+from snipetrestle.coordination.messaging.report_rounds import fitting
 from snipetrestle.limits.rate_pool import RatePool
 
 # Permits that were not used for this long may be used at once later.
--- a/snipetrestle/coordination/shared_loads.py
+++ b/snipetrestle/coordination/loads/shared_loads.py
@@ -12,13 +12,17 @@
 
 import anyio
 
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.messaging.messages import (
     MAX_COUNT,
     ReplicaLoad,
     ReplicaLoadPart,
     ReplicaLoads,
 )
-from snipetrestle.coordination.report_rounds import ReceivedReport, ReportRounds, split
+from snipetrestle.coordination.messaging.report_rounds import (
+    ReceivedReport,
+    ReportRounds,
+    split,
+)
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 
 _MICROSECONDS = 1_000_000
--- a/snipetrestle/coordination/shared_request_limits.py
+++ b/snipetrestle/coordination/loads/shared_request_limits.py
@@ -7,12 +7,12 @@
 
 import anyio
 
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.messaging.messages import (
     MAX_RATE_PER_S,
     RequestLimitReport,
     RequestLimitReports,
 )
-from snipetrestle.coordination.report_rounds import ReportRounds
+from snipetrestle.coordination.messaging.report_rounds import ReportRounds
 
 # That a replica named no limit is reported for this long, if one round has room for all
 # reports, and for as many times longer as they need rounds.
--- a/snipetrestle/coordination/heartbeat_content.py
+++ b/snipetrestle/coordination/membership/heartbeat_content.py
@@ -1,7 +1,7 @@
 """What a host tells the others in its heartbeats, gathered from its components."""
 
-from snipetrestle.coordination.hosts import HostStatus
-from snipetrestle.coordination.messages import StoreAccess
+from snipetrestle.coordination.membership.hosts import HostStatus
+from snipetrestle.coordination.messaging.messages import StoreAccess
 from snipetrestle.gateway.publication.published_items import MAX_REVISION
 
 
--- a/snipetrestle/coordination/hosts.py
+++ b/snipetrestle/coordination/membership/hosts.py
@@ -12,8 +12,8 @@
 import msgspec
 import xxhash
 
-from snipetrestle.coordination.lost_hosts import LostHosts
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.membership.lost_hosts import LostHosts
+from snipetrestle.coordination.messaging.messages import (
     MAX_LISTED_HOSTS,
     Heartbeat,
     Join,
--- a/snipetrestle/coordination/leadership.py
+++ b/snipetrestle/coordination/membership/leadership.py
@@ -16,8 +16,11 @@
 import anyio
 import xxhash
 
-from snipetrestle.coordination.hosts import HEARTBEAT_INTERVAL_S, REACHABLE_TIMEOUT_S
-from snipetrestle.coordination.messages import MAX_UNREACHED, name_digest
+from snipetrestle.coordination.membership.hosts import (
+    HEARTBEAT_INTERVAL_S,
+    REACHABLE_TIMEOUT_S,
+)
+from snipetrestle.coordination.messaging.messages import MAX_UNREACHED, name_digest
 from snipetrestle.events import Event, log_event
 
 CHECK_INTERVAL_S = 0.2
--- a/snipetrestle/coordination/lost_hosts.py
+++ b/snipetrestle/coordination/membership/lost_hosts.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from snipetrestle.coordination.messages import LostHostReport
+from snipetrestle.coordination.messaging.messages import LostHostReport
 
 # Hosts contacted in each round of heartbeats.
 CONTACTS_PER_ROUND = 2
--- a/snipetrestle/coordination/ownership_times.py
+++ b/snipetrestle/coordination/membership/ownership_times.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from snipetrestle.coordination.issuable_fraction import has_joined
+from snipetrestle.coordination.quotas.issuable_fraction import has_joined
 
 # Departed hosts that are remembered, and for how long.
 MAX_DEPARTED_HOSTS = 512
--- a/snipetrestle/coordination/pause_watch.py
+++ b/snipetrestle/coordination/membership/pause_watch.py
@@ -6,7 +6,10 @@
 
 import anyio
 
-from snipetrestle.coordination.leadership import MIN_SUSPENSION_S, total_suspended_s
+from snipetrestle.coordination.membership.leadership import (
+    MIN_SUSPENSION_S,
+    total_suspended_s,
+)
 
 TICK_S = 0.25
 # A longer time between two ticks is a pause; busy machines delay ticks by less.
--- /dev/null
+++ b/snipetrestle/coordination/messaging/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams between hosts: messages, requests, and reports of several rounds."""
--- a/snipetrestle/coordination/datagrams.py
+++ b/snipetrestle/coordination/messaging/datagrams.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.messaging.messages import (
     Heartbeat,
     Join,
     KnownHosts,
--- a/snipetrestle/coordination/report_rounds.py
+++ b/snipetrestle/coordination/messaging/report_rounds.py
@@ -1,6 +1,6 @@
 """Divides reports that are longer than a datagram over rounds of heartbeats."""
 
-from snipetrestle.coordination.messages import encode
+from snipetrestle.coordination.messaging.messages import encode
 
 
 def encoded_bytes(item):
--- /dev/null
+++ b/snipetrestle/coordination/placement/__init__.py
@@ -0,0 +1,1 @@
+"""The leader's orders to replicas, and where adapters are."""
--- a/snipetrestle/coordination/adapter_demand.py
+++ b/snipetrestle/coordination/placement/adapter_demand.py
@@ -1,6 +1,6 @@
 """Demand for an adapter, by the software version of replicas that its requests need."""
 
-from snipetrestle.coordination.decaying_count import DecayingCount
+from snipetrestle.coordination.placement.decaying_count import DecayingCount
 
 DEMAND_HALF_LIFE_S = 8.0
 # The number of copies follows short-term demand, since popularity can shift abruptly.
--- a/snipetrestle/coordination/adapter_places.py
+++ b/snipetrestle/coordination/placement/adapter_places.py
@@ -14,14 +14,14 @@
 
 import anyio
 
-from snipetrestle.coordination.adapter_demand import (
+from snipetrestle.coordination.placement.adapter_demand import (
     DEMAND_HALF_LIFE_S,
     RECENT_DEMAND_HALF_LIFE_S,
     AdapterDemand,
 )
-from snipetrestle.coordination.decaying_count import DecayingCount
-from snipetrestle.coordination.evictions import Evictions
-from snipetrestle.coordination.placement_index import PlacementIndex
+from snipetrestle.coordination.placement.decaying_count import DecayingCount
+from snipetrestle.coordination.placement.evictions import Evictions
+from snipetrestle.coordination.placement.placement_index import PlacementIndex
 
 # Hosts use a location for up to this long without asking the leader again.
 LOCATION_TTL_S = 0.4
--- a/snipetrestle/coordination/director.py
+++ b/snipetrestle/coordination/placement/director.py
@@ -4,14 +4,18 @@
 
 import anyio
 
-from snipetrestle.coordination.adapter_places import (
+from snipetrestle.coordination.messaging.messages import (
+    AdapterLocation,
+    Locate,
+    Located,
+)
+from snipetrestle.coordination.messaging.report_rounds import fitting
+from snipetrestle.coordination.placement.adapter_places import (
     DEFAULT_EVENT_INTERVAL_S,
     BackendPlacement,
     LoadReason,
 )
-from snipetrestle.coordination.messages import AdapterLocation, Locate, Located
-from snipetrestle.coordination.orders import BackendContext, ReplicaOrders
-from snipetrestle.coordination.report_rounds import fitting
+from snipetrestle.coordination.placement.orders import BackendContext, ReplicaOrders
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.supervision import run_isolated, run_supervised
--- a/snipetrestle/coordination/evictions.py
+++ b/snipetrestle/coordination/placement/evictions.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from snipetrestle.coordination.withheld_places import WithheldPlaces
+from snipetrestle.coordination.placement.withheld_places import WithheldPlaces
 
 # Replicas that one search for a place to withhold goes through at most.
 MAX_SEARCHED_REPLICAS = 16
--- a/snipetrestle/coordination/locator.py
+++ b/snipetrestle/coordination/placement/locator.py
@@ -8,12 +8,12 @@
 
 import anyio
 
-from snipetrestle.coordination.adapter_demand import DEMAND_HALF_LIFE_S
-from snipetrestle.coordination.adapter_places import LOCATION_TTL_S
-from snipetrestle.coordination.datagram_requests import DatagramRequests
-from snipetrestle.coordination.decaying_count import DecayingCount
-from snipetrestle.coordination.messages import Locate, Located
-from snipetrestle.coordination.report_rounds import fitting
+from snipetrestle.coordination.messaging.datagram_requests import DatagramRequests
+from snipetrestle.coordination.messaging.messages import Locate, Located
+from snipetrestle.coordination.messaging.report_rounds import fitting
+from snipetrestle.coordination.placement.adapter_demand import DEMAND_HALF_LIFE_S
+from snipetrestle.coordination.placement.adapter_places import LOCATION_TTL_S
+from snipetrestle.coordination.placement.decaying_count import DecayingCount
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 from snipetrestle.supervision import run_isolated
 
--- a/snipetrestle/coordination/order_sender.py
+++ b/snipetrestle/coordination/placement/order_sender.py
@@ -11,7 +11,11 @@
 
 import anyio.lowlevel
 
-from snipetrestle.coordination.order_messages import Order, OrderKind, OrderResult
+from snipetrestle.coordination.placement.order_messages import (
+    Order,
+    OrderKind,
+    OrderResult,
+)
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.configuration import AdapterKey
--- a/snipetrestle/coordination/orders.py
+++ b/snipetrestle/coordination/placement/orders.py
@@ -9,10 +9,13 @@
 
 import anyio
 
-from snipetrestle.coordination.adapter_places import LoadReason, ReplicaAdapters
-from snipetrestle.coordination.load_times import AdapterLoadLimiter
-from snipetrestle.coordination.order_messages import OrderKind, OrderResult
-from snipetrestle.coordination.order_sender import (
+from snipetrestle.coordination.placement.adapter_places import (
+    LoadReason,
+    ReplicaAdapters,
+)
+from snipetrestle.coordination.placement.load_times import AdapterLoadLimiter
+from snipetrestle.coordination.placement.order_messages import OrderKind, OrderResult
+from snipetrestle.coordination.placement.order_sender import (
     OrderRefused,
     OrderSender,
     StateOutdated,
--- /dev/null
+++ b/snipetrestle/coordination/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Prompts and requests that crash replicas, as hosts tell each other."""
--- a/snipetrestle/coordination/shared_quarantine.py
+++ b/snipetrestle/coordination/quarantine/shared_quarantine.py
@@ -7,8 +7,12 @@
 
 import anyio
 
-from snipetrestle.coordination.messages import LostPromptReport, LostPrompts, encode
-from snipetrestle.coordination.report_rounds import ReportRounds, split
+from snipetrestle.coordination.messaging.messages import (
+    LostPromptReport,
+    LostPrompts,
+    encode,
+)
+from snipetrestle.coordination.messaging.report_rounds import ReportRounds, split
 from snipetrestle.gateway.quarantine.prompt_quarantine import (
     MAX_LOST_PROMPTS,
     OBJECTION_TIME_S,
--- a/snipetrestle/coordination/shared_request_quarantine.py
+++ b/snipetrestle/coordination/quarantine/shared_request_quarantine.py
@@ -8,8 +8,8 @@
 
 import asyncio
 
-from snipetrestle.coordination.messages import CrashReport, LostRequests
-from snipetrestle.coordination.report_rounds import ReportRounds, split
+from snipetrestle.coordination.messaging.messages import CrashReport, LostRequests
+from snipetrestle.coordination.messaging.report_rounds import ReportRounds, split
 
 # A crash cuts off many requests within this time, which are told together.
 GATHER_TIME_S = 0.02
--- /dev/null
+++ b/snipetrestle/coordination/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants' quotas: the units that their owners issue."""
--- a/snipetrestle/coordination/issuable_fraction.py
+++ b/snipetrestle/coordination/quotas/issuable_fraction.py
@@ -13,7 +13,7 @@
 
 import anyio
 
-from snipetrestle.coordination.messages import name_digest
+from snipetrestle.coordination.messaging.messages import name_digest
 
 # What an owner issues above the fraction of the hosts that the leader reaches, as a few
 # hosts may have stopped for good.
--- a/snipetrestle/coordination/quota_issuer.py
+++ b/snipetrestle/coordination/quotas/quota_issuer.py
@@ -8,11 +8,18 @@
 
 import anyio
 
-from snipetrestle.coordination.issuable_fraction import IssuableFraction, has_joined
-from snipetrestle.coordination.messages import MAX_AGE_S, QuotaReply, QuotaRequest
-from snipetrestle.coordination.owner_probes import OwnerProbes
-from snipetrestle.coordination.ownership_times import OwnershipTimes
-from snipetrestle.coordination.tenant_pool import TenantPool, book, full_burst
+from snipetrestle.coordination.membership.ownership_times import OwnershipTimes
+from snipetrestle.coordination.messaging.messages import (
+    MAX_AGE_S,
+    QuotaReply,
+    QuotaRequest,
+)
+from snipetrestle.coordination.quotas.issuable_fraction import (
+    IssuableFraction,
+    has_joined,
+)
+from snipetrestle.coordination.quotas.owner_probes import OwnerProbes
+from snipetrestle.coordination.quotas.tenant_pool import TenantPool, book, full_burst
 from snipetrestle.limits.rate_pool import RatePool
 from snipetrestle.supervision import run_isolated
 from snipetrestle.tenants.cost import is_servable
--- a/snipetrestle/coordination/quota_requests.py
+++ b/snipetrestle/coordination/quotas/quota_requests.py
@@ -1,7 +1,7 @@
 """Sends requests for units to the owners of quotas, and notes which hosts answer."""
 
-from snipetrestle.coordination.datagram_requests import DatagramRequests
-from snipetrestle.coordination.messages import QuotaReply, QuotaRequest
+from snipetrestle.coordination.messaging.datagram_requests import DatagramRequests
+from snipetrestle.coordination.messaging.messages import QuotaReply, QuotaRequest
 
 MAX_SENDS = 2
 # How long a host that did not answer is passed over. The host that is asked instead
--- a/snipetrestle/coordination/store_availability.py
+++ b/snipetrestle/coordination/store/store_availability.py
@@ -11,8 +11,8 @@
 
 import anyio
 
-from snipetrestle.coordination.messages import StoreAccess
-from snipetrestle.coordination.time_spans import TimeSpans
+from snipetrestle.coordination.messaging.messages import StoreAccess
+from snipetrestle.coordination.store.time_spans import TimeSpans
 from snipetrestle.events import Event, log_event
 
 # No entry expires in an outage that is shorter than this share of the time after which
--- a/snipetrestle/coordination/store_relay.py
+++ b/snipetrestle/coordination/store/store_relay.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.messaging.messages import (
     MAX_CHANGES_BYTES,
     MAX_READERS,
     Changes,
--- /dev/null
+++ b/snipetrestle/coordination/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Which software version began a stream, as hosts tell each other."""
--- a/snipetrestle/coordination/kept_prompt_answers.py
+++ b/snipetrestle/coordination/streams/kept_prompt_answers.py
@@ -5,7 +5,10 @@
 
 import anyio
 
-from snipetrestle.coordination.messages import KeptPromptReply, KeptPromptRequest
+from snipetrestle.coordination.messaging.messages import (
+    KeptPromptReply,
+    KeptPromptRequest,
+)
 from snipetrestle.gateway.streams.kept_prompts import KeptAt
 from snipetrestle.supervision import run_isolated
 
--- a/snipetrestle/coordination/kept_prompt_questions.py
+++ b/snipetrestle/coordination/streams/kept_prompt_questions.py
@@ -6,10 +6,13 @@
 
 import anyio
 
-from snipetrestle.coordination.datagram_requests import (
+from snipetrestle.coordination.messaging.datagram_requests import (
     ANSWER_TIMEOUT_S as RESEND_S,
 )
-from snipetrestle.coordination.messages import KeptPromptReply, KeptPromptRequest
+from snipetrestle.coordination.messaging.messages import (
+    KeptPromptReply,
+    KeptPromptRequest,
+)
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 from snipetrestle.gateway.streams.kept_prompts import MIN_INTERVAL_S, ROUND_TIMEOUT_S
 from snipetrestle.gateway.streams.stream_origin import StreamOrigin
--- a/snipetrestle/coordination/stream_questions.py
+++ b/snipetrestle/coordination/streams/stream_questions.py
@@ -5,8 +5,8 @@
 import anyio
 import msgspec
 
-from snipetrestle.coordination.datagram_requests import ANSWER_TIMEOUT_S
-from snipetrestle.coordination.messages import OriginReply, OriginRequest
+from snipetrestle.coordination.messaging.datagram_requests import ANSWER_TIMEOUT_S
+from snipetrestle.coordination.messaging.messages import OriginReply, OriginRequest
 
 MAX_SENDS = 2
 # For so long after a certain answer, the others are waited for. Hosts that run answer
--- a/snipetrestle/coordination/stream_records.py
+++ b/snipetrestle/coordination/streams/stream_records.py
@@ -9,13 +9,13 @@
 import anyio
 import msgspec
 
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.messaging.messages import (
     OriginReply,
     OriginRequest,
     StreamBegun,
 )
-from snipetrestle.coordination.stream_keepers import MAX_KEEPERS, StreamKeepers
-from snipetrestle.coordination.stream_questions import StreamQuestions
+from snipetrestle.coordination.streams.stream_keepers import MAX_KEEPERS, StreamKeepers
+from snipetrestle.coordination.streams.stream_questions import StreamQuestions
 from snipetrestle.gateway.streams.stream_origin import StreamOrigin
 
 # One keeper more is asked than is told, as a host that joins takes the place of one.
--- a/snipetrestle/gateway/app.py
+++ b/snipetrestle/gateway/app.py
@@ -8,31 +8,31 @@
 
 from snipetrestle.caller_memory import CallerMemory
 from snipetrestle.codes import ResultCode
-from snipetrestle.coordination.datagrams import DatagramEndpoint
-from snipetrestle.coordination.director import PlacementController
-from snipetrestle.coordination.dispatch_permits import DispatchPermits
-from snipetrestle.coordination.heartbeat_content import HeartbeatContent
-from snipetrestle.coordination.hosts import Hosts
-from snipetrestle.coordination.kept_prompt_answers import KeptPromptAnswers
-from snipetrestle.coordination.kept_prompt_questions import KeptPromptQuestions
-from snipetrestle.coordination.key_owners import KeyOwners
-from snipetrestle.coordination.leadership import Leadership, has_ended
-from snipetrestle.coordination.locator import Locator
-from snipetrestle.coordination.messages import HostInfo
-from snipetrestle.coordination.order_activity import OrderActivity
-from snipetrestle.coordination.pause_watch import PauseWatch
-from snipetrestle.coordination.quota_issuer import QuotaIssuer
-from snipetrestle.coordination.quota_requests import QuotaRequests
-from snipetrestle.coordination.send_permits import SendPermits
-from snipetrestle.coordination.shared_loads import SharedReplicaLoads
-from snipetrestle.coordination.shared_quarantine import SharedQuarantine
-from snipetrestle.coordination.shared_request_limits import SharedRequestLimits
-from snipetrestle.coordination.shared_request_quarantine import (
+from snipetrestle.coordination.loads.dispatch_permits import DispatchPermits
+from snipetrestle.coordination.loads.send_permits import SendPermits
+from snipetrestle.coordination.loads.shared_loads import SharedReplicaLoads
+from snipetrestle.coordination.loads.shared_request_limits import SharedRequestLimits
+from snipetrestle.coordination.membership.heartbeat_content import HeartbeatContent
+from snipetrestle.coordination.membership.hosts import Hosts
+from snipetrestle.coordination.membership.key_owners import KeyOwners
+from snipetrestle.coordination.membership.leadership import Leadership, has_ended
+from snipetrestle.coordination.membership.pause_watch import PauseWatch
+from snipetrestle.coordination.messaging.datagrams import DatagramEndpoint
+from snipetrestle.coordination.messaging.messages import HostInfo
+from snipetrestle.coordination.placement.director import PlacementController
+from snipetrestle.coordination.placement.locator import Locator
+from snipetrestle.coordination.placement.order_activity import OrderActivity
+from snipetrestle.coordination.quarantine.shared_quarantine import SharedQuarantine
+from snipetrestle.coordination.quarantine.shared_request_quarantine import (
     SharedRequestQuarantine,
 )
-from snipetrestle.coordination.store_availability import StoreAvailability
-from snipetrestle.coordination.store_relay import StoreRelay
-from snipetrestle.coordination.stream_records import StreamRecords
+from snipetrestle.coordination.quotas.quota_issuer import QuotaIssuer
+from snipetrestle.coordination.quotas.quota_requests import QuotaRequests
+from snipetrestle.coordination.store.store_availability import StoreAvailability
+from snipetrestle.coordination.store.store_relay import StoreRelay
+from snipetrestle.coordination.streams.kept_prompt_answers import KeptPromptAnswers
+from snipetrestle.coordination.streams.kept_prompt_questions import KeptPromptQuestions
+from snipetrestle.coordination.streams.stream_records import StreamRecords
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.backends.connection_pool import (
     ConnectionPool,
--- a/snipetrestle/platform/calls.py
+++ b/snipetrestle/platform/calls.py
@@ -6,7 +6,10 @@
 
 import msgspec
 
-from snipetrestle.coordination.order_messages import OrderResult, ReplicaReport
+from snipetrestle.coordination.placement.order_messages import (
+    OrderResult,
+    ReplicaReport,
+)
 from snipetrestle.decoding import decode
 from snipetrestle.events import Event, log_event
 from snipetrestle.gateway.backends.calls import call
--- a/snipetrestle/platform/headers.py
+++ b/snipetrestle/platform/headers.py
@@ -2,7 +2,7 @@
 
 import re
 
-from snipetrestle.coordination.messages import MAX_RATE_PER_S
+from snipetrestle.coordination.messaging.messages import MAX_RATE_PER_S
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.dialect import (
     KeyProblem,
--- a/snipetrestle/platform/settings.py
+++ b/snipetrestle/platform/settings.py
@@ -9,7 +9,7 @@
 import pathlib
 import re
 
-from snipetrestle.coordination.messages import HOST_PATTERN
+from snipetrestle.coordination.messaging.messages import HOST_PATTERN
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH
 from snipetrestle.gateway.settings import (
     DEFAULT_MEMORY_MB,
--- a/snipetrestle/tenants/account.py
+++ b/snipetrestle/tenants/account.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from snipetrestle.coordination.decaying_count import DecayingCount
+from snipetrestle.coordination.placement.decaying_count import DecayingCount
 
 # How long granted units may be used. What an owner has issued before a window and is
 # used in it comes on top of what it issues in the window.
--- a/snipetrestle_standins/datagram_network.py
+++ b/snipetrestle_standins/datagram_network.py
@@ -5,8 +5,12 @@
 
 import anyio
 
-from snipetrestle.coordination.datagrams import MAX_DATAGRAM_BYTES
-from snipetrestle.coordination.messages import MAX_BYTES_BY_TYPE, decode, encode
+from snipetrestle.coordination.messaging.datagrams import MAX_DATAGRAM_BYTES
+from snipetrestle.coordination.messaging.messages import (
+    MAX_BYTES_BY_TYPE,
+    decode,
+    encode,
+)
 
 DELIVERY_DELAY_S = 0.001
 
--- a/snipetrestle_standins/dispatch_fleet.py
+++ b/snipetrestle_standins/dispatch_fleet.py
@@ -10,9 +10,9 @@
 import anyio
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.coordination.dispatch_permits import DispatchPermits
-from snipetrestle.coordination.group_owners import GroupOwners
-from snipetrestle.coordination.key_owners import KeyOwners
+from snipetrestle.coordination.loads.dispatch_permits import DispatchPermits
+from snipetrestle.coordination.loads.group_owners import GroupOwners
+from snipetrestle.coordination.membership.key_owners import KeyOwners
 from snipetrestle.dispatch.group_dispatcher import Outcome
 from snipetrestle.dispatch.replica_search import ReplicaSearch
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
--- a/snipetrestle_standins/order_activity.py
+++ b/snipetrestle_standins/order_activity.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from snipetrestle.coordination.order_activity import UNUSED_TIMEOUT_S
+from snipetrestle.coordination.placement.order_activity import UNUSED_TIMEOUT_S
 
 
 class NoReplicas:
--- a/snipetrestle_standins/orders_fleet.py
+++ b/snipetrestle_standins/orders_fleet.py
@@ -14,19 +14,19 @@
 
 import anyio
 
-from snipetrestle.coordination.director import PlacementController
-from snipetrestle.coordination.heartbeat_content import HeartbeatContent
-from snipetrestle.coordination.hosts import Hosts
-from snipetrestle.coordination.leadership import Leadership
-from snipetrestle.coordination.locator import Locator
-from snipetrestle.coordination.messages import HostInfo
-from snipetrestle.coordination.order_activity import OrderActivity
-from snipetrestle.coordination.order_messages import (
+from snipetrestle.coordination.loads.shared_loads import SharedReplicaLoads
+from snipetrestle.coordination.membership.heartbeat_content import HeartbeatContent
+from snipetrestle.coordination.membership.hosts import Hosts
+from snipetrestle.coordination.membership.leadership import Leadership
+from snipetrestle.coordination.messaging.messages import HostInfo
+from snipetrestle.coordination.placement.director import PlacementController
+from snipetrestle.coordination.placement.locator import Locator
+from snipetrestle.coordination.placement.order_activity import OrderActivity
+from snipetrestle.coordination.placement.order_messages import (
     OrderKind,
     OrderResult,
     ReplicaReport,
 )
-from snipetrestle.coordination.shared_loads import SharedReplicaLoads
 from snipetrestle.gateway.backends.http_client import ExchangeFailed
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import (
--- a/snipetrestle_standins/store_relay_fleet.py
+++ b/snipetrestle_standins/store_relay_fleet.py
@@ -2,13 +2,13 @@
 
 import anyio
 
-from snipetrestle.coordination.heartbeat_content import HeartbeatContent
-from snipetrestle.coordination.hosts import Hosts
-from snipetrestle.coordination.leadership import Leadership
-from snipetrestle.coordination.messages import HostInfo
-from snipetrestle.coordination.pause_watch import PauseWatch
-from snipetrestle.coordination.store_availability import StoreAvailability
-from snipetrestle.coordination.store_relay import StoreRelay
+from snipetrestle.coordination.membership.heartbeat_content import HeartbeatContent
+from snipetrestle.coordination.membership.hosts import Hosts
+from snipetrestle.coordination.membership.leadership import Leadership
+from snipetrestle.coordination.membership.pause_watch import PauseWatch
+from snipetrestle.coordination.messaging.messages import HostInfo
+from snipetrestle.coordination.store.store_availability import StoreAvailability
+from snipetrestle.coordination.store.store_relay import StoreRelay
 from snipetrestle.gateway.publication.published_items import (
     Feed,
     HistoryLost,
--- a/tests/coordination/test_adapter_places.py
+++ b/tests/coordination/test_adapter_places.py
@@ -5,7 +5,7 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.adapter_places import (
+from snipetrestle.coordination.placement.adapter_places import (
     EVICTION_GRACE_S,
     MAX_COMPARED_REPLICAS,
     SLOW_ANSWER_S,
@@ -13,13 +13,13 @@
     LoadReason,
     ReplicaAdapters,
 )
-from snipetrestle.coordination.evictions import (
+from snipetrestle.coordination.placement.evictions import (
     MAX_SEARCHED_REPLICAS,
     SEARCH_PAUSE_PER_REPLICA_S,
     Evictions,
 )
-from snipetrestle.coordination.load_times import AdapterLoadLimiter
-from snipetrestle.coordination.withheld_places import WITHHELD_LIFE_S
+from snipetrestle.coordination.placement.load_times import AdapterLoadLimiter
+from snipetrestle.coordination.placement.withheld_places import WITHHELD_LIFE_S
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.systems import in_virtual_time
--- a/tests/coordination/test_datagrams.py
+++ b/tests/coordination/test_datagrams.py
@@ -7,8 +7,8 @@
 import testtools
 from loguru import logger
 
-from snipetrestle.coordination import datagrams, messages
-from snipetrestle.coordination.datagrams import DatagramEndpoint
+from snipetrestle.coordination.messaging import datagrams, messages
+from snipetrestle.coordination.messaging.datagrams import DatagramEndpoint
 from snipetrestle_standins.ports import free_port
 
 INFO = messages.HostInfo("h1", 1, "127.0.0.1", 1, "zone-1", 1.0)
--- a/tests/coordination/test_dispatch_permits.py
+++ b/tests/coordination/test_dispatch_permits.py
@@ -6,17 +6,17 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.datagram_requests import ANSWER_TIMEOUT_S
-from snipetrestle.coordination.dispatch_permits import (
+from snipetrestle.coordination.loads.dispatch_permits import (
     ALONE_S,
     END_DELAY_S,
     MAX_SILENT_OWNERS,
     MAX_UNANSWERED,
     REPEAT_S,
 )
-from snipetrestle.coordination.group_owners import MAX_SPREAD_GROUPS, GroupOwners
-from snipetrestle.coordination.key_owners import KeyOwners
-from snipetrestle.coordination.messages import DispatchReply, DispatchRequest
+from snipetrestle.coordination.loads.group_owners import MAX_SPREAD_GROUPS, GroupOwners
+from snipetrestle.coordination.membership.key_owners import KeyOwners
+from snipetrestle.coordination.messaging.datagram_requests import ANSWER_TIMEOUT_S
+from snipetrestle.coordination.messaging.messages import DispatchReply, DispatchRequest
 from snipetrestle.dispatch.group_dispatcher import Outcome
 from snipetrestle.dispatch.permits import NoRoom, Wanted
 from snipetrestle_standins.clock import run_in_virtual_time
--- a/tests/coordination/test_hosts.py
+++ b/tests/coordination/test_hosts.py
@@ -3,8 +3,13 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.hosts import MAX_MESH_HOSTS, Hosts, HostStatus, KnownHost
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.membership.hosts import (
+    MAX_MESH_HOSTS,
+    Hosts,
+    HostStatus,
+    KnownHost,
+)
+from snipetrestle.coordination.messaging.messages import (
     Heartbeat,
     HostInfo,
     KnownHosts,
--- a/tests/coordination/test_kept_prompt_questions.py
+++ b/tests/coordination/test_kept_prompt_questions.py
@@ -5,11 +5,15 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.kept_prompt_answers import (
+from snipetrestle.coordination.messaging.messages import (
+    KeptPromptReply,
+    KeptPromptRequest,
+)
+from snipetrestle.coordination.streams.kept_prompt_answers import (
     MAX_OPEN_REQUESTS,
     KeptPromptAnswers,
 )
-from snipetrestle.coordination.kept_prompt_questions import (
+from snipetrestle.coordination.streams.kept_prompt_questions import (
     ASK_TIMEOUT_S,
     END_MARGIN_S,
     MAX_OWN_REPLICAS,
@@ -17,7 +21,6 @@
     QUESTIONS_PER_S,
     KeptPromptQuestions,
 )
-from snipetrestle.coordination.messages import KeptPromptReply, KeptPromptRequest
 from snipetrestle.gateway.configuration import MAX_NAME_LENGTH, AdapterKey
 from snipetrestle.gateway.publication.published_items import StorePosition
 from snipetrestle.gateway.streams.kept_prompts import KeptPrompts
--- a/tests/coordination/test_key_owners.py
+++ b/tests/coordination/test_key_owners.py
@@ -5,7 +5,7 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.key_owners import SILENCE_S, KeyOwners
+from snipetrestle.coordination.membership.key_owners import SILENCE_S, KeyOwners
 from snipetrestle_standins.clock import run_in_virtual_time
 
 KEYS = [f"tenant-{number}" for number in range(200)]
--- a/tests/coordination/test_leadership.py
+++ b/tests/coordination/test_leadership.py
@@ -3,15 +3,15 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.heartbeat_content import HeartbeatContent
-from snipetrestle.coordination.hosts import Hosts
-from snipetrestle.coordination.leadership import (
+from snipetrestle.coordination.membership.heartbeat_content import HeartbeatContent
+from snipetrestle.coordination.membership.hosts import Hosts
+from snipetrestle.coordination.membership.leadership import (
     RETURN_DELAY_S,
     Leadership,
     next_token,
 )
-from snipetrestle.coordination.messages import HostInfo
-from snipetrestle.coordination.shared_quarantine import SharedQuarantine
+from snipetrestle.coordination.messaging.messages import HostInfo
+from snipetrestle.coordination.quarantine.shared_quarantine import SharedQuarantine
 from snipetrestle.gateway.quarantine.prompt_quarantine import PromptQuarantine
 from snipetrestle_standins.clock import run_in_virtual_time
 from snipetrestle_standins.datagram_network import DatagramNetwork, LocalEndpoint
--- a/tests/coordination/test_locator.py
+++ b/tests/coordination/test_locator.py
@@ -3,9 +3,9 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.adapter_places import LOCATION_TTL_S
-from snipetrestle.coordination.locator import MAX_LOCATION_AGE_S, Locator
-from snipetrestle.coordination.messages import AdapterLocation
+from snipetrestle.coordination.messaging.messages import AdapterLocation
+from snipetrestle.coordination.placement.adapter_places import LOCATION_TTL_S
+from snipetrestle.coordination.placement.locator import MAX_LOCATION_AGE_S, Locator
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle_standins.clock import run_in_virtual_time
 
--- a/tests/coordination/test_message_sizes.py
+++ b/tests/coordination/test_message_sizes.py
@@ -9,11 +9,12 @@
 import testtools
 from hypothesis import strategies
 
-from snipetrestle.coordination import messages
-from snipetrestle.coordination.datagrams import MAX_DATAGRAM_BYTES
-from snipetrestle.coordination.director import PlacementController
-from snipetrestle.coordination.locator import Locator
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.loads.send_permits import SendPermits
+from snipetrestle.coordination.loads.shared_loads import SharedReplicaLoads
+from snipetrestle.coordination.loads.shared_request_limits import SharedRequestLimits
+from snipetrestle.coordination.messaging import messages
+from snipetrestle.coordination.messaging.datagrams import MAX_DATAGRAM_BYTES
+from snipetrestle.coordination.messaging.messages import (
     MAX_BYTES_BY_TYPE,
     AdapterLocation,
     Locate,
@@ -23,11 +24,12 @@
     decode,
     encode,
 )
-from snipetrestle.coordination.send_permits import SendPermits
-from snipetrestle.coordination.shared_loads import SharedReplicaLoads
-from snipetrestle.coordination.shared_quarantine import SharedQuarantine
-from snipetrestle.coordination.shared_request_limits import SharedRequestLimits
-from snipetrestle.coordination.shared_request_quarantine import SharedRequestQuarantine
+from snipetrestle.coordination.placement.director import PlacementController
+from snipetrestle.coordination.placement.locator import Locator
+from snipetrestle.coordination.quarantine.shared_quarantine import SharedQuarantine
+from snipetrestle.coordination.quarantine.shared_request_quarantine import (
+    SharedRequestQuarantine,
+)
 from snipetrestle.gateway.backends.request_limits import RequestLimit
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.quarantine.prompt_quarantine import PromptQuarantine
--- a/tests/coordination/test_order_activity.py
+++ b/tests/coordination/test_order_activity.py
@@ -7,7 +7,7 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.order_activity import (
+from snipetrestle.coordination.placement.order_activity import (
     MAX_WATCHED_REPLICAS,
     UNUSED_TIMEOUT_S,
     OrderActivity,
--- a/tests/coordination/test_orders.py
+++ b/tests/coordination/test_orders.py
@@ -7,17 +7,17 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.adapter_places import (
+from snipetrestle.coordination.placement.adapter_places import (
     EVICTION_GRACE_S,
     BackendPlacement,
     LoadReason,
 )
-from snipetrestle.coordination.order_messages import (
+from snipetrestle.coordination.placement.order_messages import (
     OrderKind,
     OrderResult,
     ReplicaReport,
 )
-from snipetrestle.coordination.orders import (
+from snipetrestle.coordination.placement.orders import (
     MAX_REPORT_AGE_S,
     UNLOAD_RETRY_INTERVAL_S,
     BackendContext,
--- a/tests/coordination/test_replica_room.py
+++ b/tests/coordination/test_replica_room.py
@@ -6,12 +6,12 @@
 import msgspec
 import testtools
 
-from snipetrestle.coordination.adapter_places import (
+from snipetrestle.coordination.placement.adapter_places import (
     EVICTION_GRACE_S,
     BackendPlacement,
     LoadReason,
 )
-from snipetrestle.coordination.orders import (
+from snipetrestle.coordination.placement.orders import (
     BackendContext,
     ReplicaOrders,
     adapter_slots,
--- a/tests/coordination/test_send_permits.py
+++ b/tests/coordination/test_send_permits.py
@@ -6,8 +6,8 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.send_permits import PermitIssuer, SendPermits
-from snipetrestle.coordination.shared_request_limits import SharedRequestLimits
+from snipetrestle.coordination.loads.send_permits import PermitIssuer, SendPermits
+from snipetrestle.coordination.loads.shared_request_limits import SharedRequestLimits
 from snipetrestle.gateway.backends.request_limits import RequestLimit, RequestLimits
 from tests.coordination.test_leadership import run_system
 from tests.systems import in_virtual_time, with_system
--- a/tests/coordination/test_shared_loads.py
+++ b/tests/coordination/test_shared_loads.py
@@ -7,8 +7,14 @@
 import msgspec
 import testtools
 
-from snipetrestle.coordination.hosts import Hosts, HostStatus
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.loads.shared_loads import (
+    EMPTY_ROUND_INTERVAL,
+    MAX_ROUND_BYTES,
+    LoadTotals,
+    SharedReplicaLoads,
+)
+from snipetrestle.coordination.membership.hosts import Hosts, HostStatus
+from snipetrestle.coordination.messaging.messages import (
     KnownHosts,
     ReplicaLoad,
     ReplicaLoadPart,
@@ -16,12 +22,6 @@
     decode,
     encode,
 )
-from snipetrestle.coordination.shared_loads import (
-    EMPTY_ROUND_INTERVAL,
-    MAX_ROUND_BYTES,
-    LoadTotals,
-    SharedReplicaLoads,
-)
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.coordination.test_hosts import Content, Endpoint, info
--- a/tests/coordination/test_shared_quarantine.py
+++ b/tests/coordination/test_shared_quarantine.py
@@ -5,8 +5,8 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.messages import encode
-from snipetrestle.coordination.shared_quarantine import (
+from snipetrestle.coordination.messaging.messages import encode
+from snipetrestle.coordination.quarantine.shared_quarantine import (
     DATAGRAM_BYTES,
     MAX_ROUND_BYTES,
     SharedQuarantine,
--- a/tests/coordination/test_shared_request_quarantine.py
+++ b/tests/coordination/test_shared_request_quarantine.py
@@ -3,8 +3,8 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.hosts import HEARTBEAT_INTERVAL_S
-from snipetrestle.coordination.shared_request_quarantine import (
+from snipetrestle.coordination.membership.hosts import HEARTBEAT_INTERVAL_S
+from snipetrestle.coordination.quarantine.shared_request_quarantine import (
     MAX_REPORTED_REQUESTS,
     SharedRequestQuarantine,
 )
--- a/tests/coordination/test_store_availability.py
+++ b/tests/coordination/test_store_availability.py
@@ -4,13 +4,13 @@
 import msgspec
 import testtools
 
-from snipetrestle.coordination.messages import StoreAccess, encode
-from snipetrestle.coordination.pause_watch import PauseWatch
-from snipetrestle.coordination.store_availability import (
+from snipetrestle.coordination.membership.pause_watch import PauseWatch
+from snipetrestle.coordination.messaging.messages import StoreAccess, encode
+from snipetrestle.coordination.store.store_availability import (
     LOSS_RETENTION_S,
     StoreAvailability,
 )
-from snipetrestle.coordination.time_spans import TimeSpans
+from snipetrestle.coordination.store.time_spans import TimeSpans
 from snipetrestle_standins.clock import run_in_virtual_time
 from tests.systems import in_virtual_time, with_own_system
 
--- a/tests/coordination/test_store_relay.py
+++ b/tests/coordination/test_store_relay.py
@@ -6,13 +6,13 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.messaging.messages import (
     Changes,
     Join,
     StoreAccess,
     pack_items,
 )
-from snipetrestle.coordination.store_relay import READERS_PER_HOST, readers_of
+from snipetrestle.coordination.store.store_relay import READERS_PER_HOST, readers_of
 from snipetrestle_standins.store_relay_fleet import (
     APPLY_TIME_S,
     DOMAINS,
--- a/tests/coordination/test_stream_records.py
+++ b/tests/coordination/test_stream_records.py
@@ -8,9 +8,9 @@
 import msgspec
 import testtools
 
-from snipetrestle.coordination.datagram_requests import ANSWER_TIMEOUT_S
-from snipetrestle.coordination.hosts import FORGET_TIMEOUT_S, KnownHost
-from snipetrestle.coordination.messages import (
+from snipetrestle.coordination.membership.hosts import FORGET_TIMEOUT_S, KnownHost
+from snipetrestle.coordination.messaging.datagram_requests import ANSWER_TIMEOUT_S
+from snipetrestle.coordination.messaging.messages import (
     HostInfo,
     OriginReply,
     OriginRequest,
@@ -18,9 +18,13 @@
     decode,
     encode,
 )
-from snipetrestle.coordination.stream_keepers import PLACES, SLOTS, StreamKeepers
-from snipetrestle.coordination.stream_questions import MAX_QUESTIONS, MAX_SENDS
-from snipetrestle.coordination.stream_records import (
+from snipetrestle.coordination.streams.stream_keepers import (
+    PLACES,
+    SLOTS,
+    StreamKeepers,
+)
+from snipetrestle.coordination.streams.stream_questions import MAX_QUESTIONS, MAX_SENDS
+from snipetrestle.coordination.streams.stream_records import (
     KEEPERS_ASKED,
     KEEPERS_TOLD,
     MAX_LIFE_S,
--- a/tests/coordination/test_unanswered_orders.py
+++ b/tests/coordination/test_unanswered_orders.py
@@ -3,7 +3,7 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.adapter_places import SLOW_ANSWER_S
+from snipetrestle.coordination.placement.adapter_places import SLOW_ANSWER_S
 from snipetrestle.dispatch.replica_search import NO_PLACE_PAUSE_S
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle_standins.clock import run_in_virtual_time
--- a/tests/coordination/test_version_placement.py
+++ b/tests/coordination/test_version_placement.py
@@ -3,8 +3,11 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.adapter_places import EVICTION_GRACE_S, LoadReason
-from snipetrestle.coordination.orders import LoadRequest
+from snipetrestle.coordination.placement.adapter_places import (
+    EVICTION_GRACE_S,
+    LoadReason,
+)
+from snipetrestle.coordination.placement.orders import LoadRequest
 from snipetrestle.dispatch.replica_search import NO_PLACE_PAUSE_S
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.streams.stream_origin import StreamOrigin
--- a/tests/dispatch/searches.py
+++ b/tests/dispatch/searches.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from snipetrestle.coordination.locator import Locator
+from snipetrestle.coordination.placement.locator import Locator
 from snipetrestle.dispatch.replica_search import ReplicaSearch
 from snipetrestle.gateway.configuration import RequestKind
 
--- a/tests/dispatch/test_replica_search.py
+++ b/tests/dispatch/test_replica_search.py
@@ -7,7 +7,7 @@
 import testtools
 
 from snipetrestle.codes import ResultCode
-from snipetrestle.coordination.messages import AdapterLocation
+from snipetrestle.coordination.messaging.messages import AdapterLocation
 from snipetrestle.dispatch.replica_search import NO_PLACE_PAUSE_S
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import AdapterKey, ReplicaEntry, ReplicaState
--- a/tests/dispatch/test_version_choice.py
+++ b/tests/dispatch/test_version_choice.py
@@ -7,7 +7,7 @@
 import msgspec
 import testtools
 
-from snipetrestle.coordination.messages import AdapterLocation
+from snipetrestle.coordination.messaging.messages import AdapterLocation
 from snipetrestle.dispatch.version_choice import leaving_versions, prefer_staying
 from snipetrestle.gateway.backends.replicas import VERSION_LEFT_S, ReplicaDirectory
 from snipetrestle.gateway.configuration import (
--- a/tests/fuzz/test_fuzz.py
+++ b/tests/fuzz/test_fuzz.py
@@ -7,8 +7,8 @@
 from loguru import logger
 
 from snipetrestle.batches import BatchHolder
-from snipetrestle.coordination import order_messages, order_sender, orders
-from snipetrestle.coordination.adapter_places import BackendPlacement
+from snipetrestle.coordination.placement import order_messages, order_sender, orders
+from snipetrestle.coordination.placement.adapter_places import BackendPlacement
 from snipetrestle.engines.ownership import ReplicaOwnership
 from snipetrestle.peers import configuration_spread
 from snipetrestle.placement import slots
--- a/tests/gateway/test_leaving_replicas.py
+++ b/tests/gateway/test_leaving_replicas.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from snipetrestle.coordination.order_messages import Order, OrderKind
+from snipetrestle.coordination.placement.order_messages import Order, OrderKind
 from snipetrestle.gateway.backends.http_client import ExchangeFailed
 from snipetrestle.platform.calls import OrderClient
 from snipetrestle_standins.platform_replica import Fault
--- a/tests/gateway/test_odd_answers.py
+++ b/tests/gateway/test_odd_answers.py
@@ -10,8 +10,8 @@
 import testtools
 
 from snipetrestle.compression import compress
-from snipetrestle.coordination import messages
-from snipetrestle.coordination.datagrams import DatagramEndpoint
+from snipetrestle.coordination.messaging import messages
+from snipetrestle.coordination.messaging.datagrams import DatagramEndpoint
 from snipetrestle.gateway.backends.connection_pool import ConnectionPool
 from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.backends.replicas import Replica
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -6,7 +6,7 @@
 import testtools
 
 from snipetrestle import supervision
-from snipetrestle.coordination.hosts import REACHABLE_TIMEOUT_S
+from snipetrestle.coordination.membership.hosts import REACHABLE_TIMEOUT_S
 from snipetrestle.gateway import app
 from snipetrestle.gateway.publication.published_items import PublishedItem
 from snipetrestle_standins.gateway_fleet import configuration
--- a/tests/gateway/test_old_lists.py
+++ b/tests/gateway/test_old_lists.py
@@ -8,8 +8,8 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.kept_prompt_answers import KeptPromptAnswers
-from snipetrestle.coordination.kept_prompt_questions import KeptPromptQuestions
+from snipetrestle.coordination.streams.kept_prompt_answers import KeptPromptAnswers
+from snipetrestle.coordination.streams.kept_prompt_questions import KeptPromptQuestions
 from snipetrestle.gateway.configuration import AdapterKey
 from snipetrestle.gateway.exchange import ReplicaLeft
 from snipetrestle.gateway.job import Refused
--- a/tests/gateway/test_removals.py
+++ b/tests/gateway/test_removals.py
@@ -3,7 +3,7 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.messages import StoreAccess
+from snipetrestle.coordination.messaging.messages import StoreAccess
 from snipetrestle.events import Event
 from snipetrestle.gateway.backends.connection_pool import ConnectionPool
 from snipetrestle.gateway.publication.published_items import (
--- a/tests/gateway/test_review_replacements.py
+++ b/tests/gateway/test_review_replacements.py
@@ -8,7 +8,7 @@
 import anyio.lowlevel
 import testtools
 
-from snipetrestle.coordination.messages import AdapterLocation
+from snipetrestle.coordination.messaging.messages import AdapterLocation
 from snipetrestle.gateway.backends.http_client import ExchangeFailed
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import (
--- a/tests/gateway/test_supervision.py
+++ b/tests/gateway/test_supervision.py
@@ -8,9 +8,9 @@
 from hypothesis import strategies
 
 from snipetrestle import supervision
-from snipetrestle.coordination import messages
-from snipetrestle.coordination.datagrams import DatagramEndpoint
-from snipetrestle.coordination.leadership import next_token
+from snipetrestle.coordination.membership.leadership import next_token
+from snipetrestle.coordination.messaging import messages
+from snipetrestle.coordination.messaging.datagrams import DatagramEndpoint
 from snipetrestle.gateway import app
 from tests.gateway.running import run_fleet
 from tests.waiting import wait_until
--- a/tests/gateway/test_tenants.py
+++ b/tests/gateway/test_tenants.py
@@ -6,7 +6,8 @@
 import anyio
 from loguru import logger
 
-from snipetrestle.coordination import datagrams, messages, store_relay
+from snipetrestle.coordination.messaging import datagrams, messages
+from snipetrestle.coordination.store import store_relay
 from snipetrestle.events import Event
 from snipetrestle.gateway.publication import snapshots
 from snipetrestle.log_lines import BURST_LINES
--- a/tests/gateway/test_version_history.py
+++ b/tests/gateway/test_version_history.py
@@ -10,8 +10,8 @@
 import msgspec
 import testtools
 
-from snipetrestle.coordination.pause_watch import PauseWatch
-from snipetrestle.coordination.store_availability import StoreAvailability
+from snipetrestle.coordination.membership.pause_watch import PauseWatch
+from snipetrestle.coordination.store.store_availability import StoreAvailability
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import (
     LoadedModel,
--- a/tests/platform/test_bad_servers.py
+++ b/tests/platform/test_bad_servers.py
@@ -6,7 +6,11 @@
 import anyio
 import testtools
 
-from snipetrestle.coordination.order_messages import Order, OrderKind, OrderResult
+from snipetrestle.coordination.placement.order_messages import (
+    Order,
+    OrderKind,
+    OrderResult,
+)
 from snipetrestle.gateway.backends.http_client import ConnectFailed, ExchangeFailed
 from snipetrestle.gateway.backends.replicas import ReplicaDirectory
 from snipetrestle.gateway.configuration import ReplicaEntry, ReplicaState
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -8,7 +8,8 @@
 import testtools
 from hypothesis import strategies
 
-from snipetrestle.coordination import messages, orders
+from snipetrestle.coordination.messaging import messages
+from snipetrestle.coordination.placement import orders
 from snipetrestle.gateway.backends.replicas import Replica
 from snipetrestle.gateway.configuration import (
     AdapterVersion,
--- a/tests/tenants/quota_system.py
+++ b/tests/tenants/quota_system.py
@@ -5,13 +5,13 @@
 
 import anyio
 
-from snipetrestle.coordination.hosts import KnownHost
-from snipetrestle.coordination.key_owners import KeyOwners
-from snipetrestle.coordination.lost_hosts import LostHosts
-from snipetrestle.coordination.messages import HostInfo
-from snipetrestle.coordination.pause_watch import PauseWatch
-from snipetrestle.coordination.quota_issuer import QuotaIssuer
-from snipetrestle.coordination.quota_requests import QuotaRequests
+from snipetrestle.coordination.membership.hosts import KnownHost
+from snipetrestle.coordination.membership.key_owners import KeyOwners
+from snipetrestle.coordination.membership.lost_hosts import LostHosts
+from snipetrestle.coordination.membership.pause_watch import PauseWatch
+from snipetrestle.coordination.messaging.messages import HostInfo
+from snipetrestle.coordination.quotas.quota_issuer import QuotaIssuer
+from snipetrestle.coordination.quotas.quota_requests import QuotaRequests
 from snipetrestle.gateway.metrics import GatewayMetrics
 from snipetrestle.limits.rate_pool import RatePool
 from snipetrestle.log_lines import RequestLines
--- a/tests/tenants/test_quotas.py
+++ b/tests/tenants/test_quotas.py
@@ -12,8 +12,8 @@
 import testtools
 from loguru import logger
 
-from snipetrestle.coordination import quota_issuer
-from snipetrestle.coordination.messages import QuotaReply, QuotaRequest
+from snipetrestle.coordination.messaging.messages import QuotaReply, QuotaRequest
+from snipetrestle.coordination.quotas import quota_issuer
 from snipetrestle.events import Event
 from snipetrestle.tenants import quota_accounts
 from snipetrestle.tenants.configuration import QuotaUnit
