--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -172,7 +172,7 @@
         """Guards against the host's uptime logged for a replica it has never heard."""
         directory = self.make_directory(2)
         await anyio.sleep(5.0)
-        directory.by_id["r0"].note_heard()
+        directory.by_id["r0"].note_heard(anyio.current_time())
         await anyio.sleep(1.5)
         for replica in directory.by_id.values():
             replica.note_silence()
