--- a/snipetrestle/gateway/job.py
+++ b/snipetrestle/gateway/job.py
@@ -19,9 +19,6 @@
 FIRST_EVENT_WAIT_LATENCIES = 4.0
 FIRST_EVENT_WAIT_GAPS = 8.0
 MIN_FIRST_EVENT_WAIT_S = 2.0
-# Time before the end of that wait at which the refusal is due. Callers count from when
-# they send, and a request may wait on a slow link behind a large configuration.
-FIRST_EVENT_MARGIN_S = 0.25
 # A begun stream is not sent this shortly before its deadline. A connection, the check of
 # the replica's process and an event are assumed to take so long at least.
 MIN_EVENT_TIME_S = 0.1
@@ -345,13 +342,12 @@
 
 def refusal_due_s(route, caller_deadline_s):
     """Returns the time after which a refusal still reaches a caller."""
-    margin_s = min(REFUSAL_MARGIN_S, MAX_REFUSAL_MARGIN_SHARE * caller_deadline_s)
-    due_s = caller_deadline_s - margin_s
-    if route.kind is not RequestKind.STREAM:
-        return due_s
-    first_event_wait_s = max(
-        MIN_FIRST_EVENT_WAIT_S,
-        FIRST_EVENT_WAIT_LATENCIES * route.target_latency_s,
-        FIRST_EVENT_WAIT_GAPS * (route.max_gap_s or 0.0),
-    )
-    return min(due_s, first_event_wait_s - FIRST_EVENT_MARGIN_S)
+    wait_s = caller_deadline_s
+    if route.kind is RequestKind.STREAM:
+        first_event_wait_s = max(
+            MIN_FIRST_EVENT_WAIT_S,
+            FIRST_EVENT_WAIT_LATENCIES * route.target_latency_s,
+            FIRST_EVENT_WAIT_GAPS * (route.max_gap_s or 0.0),
+        )
+        wait_s = min(wait_s, first_event_wait_s)
+    return wait_s - min(REFUSAL_MARGIN_S, MAX_REFUSAL_MARGIN_SHARE * wait_s)
