--- a/benchmarks/near_misses.py
+++ b/benchmarks/near_misses.py
@@ -1,6 +1,6 @@
 """Shows near misses of lost requests in the logs of runs of the bench.
 
-Usage: python -m benchmarks.near_misses LOG...
+Usage: PYTHONPATH=. python -m benchmarks.near_misses LOG..., or make near-misses
 
 Each LOG is the output of ``fleetbench run ... --log all``. Rule (a): beside planned work,
 a request that its host had read whole ended early without a complete answer. Rule (b): of
